--- /dev/null
+++ b/Makefile
@@ -0,0 +1,96 @@
+# chalkway. Targets: all install demo check asan bench faults format lint deps clean.
+BUILD ?= build
+PREFIX ?= /usr/local
+VERSION := 0.1.0
+
+CC ?= gcc
+OPT ?= -O2 -g
+SANITIZE ?=
+PKGS := msgpack libmicrohttpd libcurl inih libxxhash jansson libsodium
+WARN := -Wall -Wextra -Werror
+CFLAGS_ALL := -std=c11 -D_GNU_SOURCE $(OPT) $(WARN) $(SANITIZE) -MMD -MP $(CFLAGS)
+LIBS = $(shell pkg-config --libs $(PKGS)) -lev -lm
+CHECK_LIBS = $(shell pkg-config --libs check)
+
+LIB := $(BUILD)/libchalkway.a
+IO := $(patsubst %.c,$(BUILD)/%.o,$(wildcard io/*.c))
+DAEMON := $(patsubst %.c,$(BUILD)/%.o,$(wildcard daemon/*.c))
+PROGRAMS := $(BUILD)/chalkwayd $(BUILD)/fake-platform $(BUILD)/fake-engine $(BUILD)/fake-service $(BUILD)/chalkway-demo
+TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
+BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
+SOURCES := $(wildcard *.h *.c io/*.h io/*.c daemon/*.h daemon/*.c standins/*.h standins/*.c tools/*.h tools/*.c \
+             tests/*.h tests/*.c bench/*.h bench/*.c samples/*.c)
+HEADERS := $(wildcard chalkway_*.h)
+
+.PHONY: all lib install demo check test asan bench faults format lint deps clean
+all: deps
+	@$(MAKE) --no-print-directory programs
+
+.PHONY: programs
+programs: $(PROGRAMS) $(LIB)
+
+# Installs what packages.txt names and is missing; does nothing when all is there.
+deps:
+	@sh tools/install_packages.sh packages.txt
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -c $< -o $@
+
+$(LIB): $(BUILD)/chalkway.o
+	$(AR) rcs $@ $^
+
+$(BUILD)/chalkwayd: $(DAEMON) $(IO) $(LIB)
+	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
+
+$(BUILD)/fake-%: $(BUILD)/standins/fake_%.o $(BUILD)/standins/standin.o $(IO) $(LIB)
+	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
+
+$(BUILD)/chalkway-demo: $(BUILD)/tools/demo.o $(BUILD)/tools/site.o $(IO) $(LIB)
+	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
+
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(BUILD)/tools/site.o $(IO) $(LIB)
+	$(CC) $(SANITIZE) $^ -o $@ $(CHECK_LIBS) $(LIBS)
+
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/tools/site.o $(IO) $(LIB)
+	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
+
+demo: all
+	@$(BUILD)/chalkway-demo $(BUILD)
+
+test: all
+	@$(MAKE) --no-print-directory $(TESTS)
+	@CHALKWAY_BUILD=$(BUILD) sh tests/run.sh $(TESTS)
+
+check: test
+	@$(MAKE) --no-print-directory format-check lint
+
+asan: deps
+	@$(MAKE) --no-print-directory test BUILD=$(BUILD)/asan OPT="-O1 -g" SANITIZE="-fsanitize=address,undefined -fno-omit-frame-pointer"
+
+SCENARIO ?= decide
+bench: all
+	@$(MAKE) --no-print-directory $(BENCHES)
+	@$(BUILD)/bench/bench_$(SCENARIO) $(BUILD)
+
+format:
+	clang-format -i $(SOURCES)
+
+.PHONY: format-check
+format-check:
+	clang-format --dry-run --Werror $(SOURCES)
+
+lint:
+	@sh tools/lint.sh $(BUILD)
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/include/chalkway $(DESTDIR)$(PREFIX)/lib/pkgconfig $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(HEADERS) $(DESTDIR)$(PREFIX)/include/chalkway
+	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
+	install -m 755 $(BUILD)/chalkwayd $(DESTDIR)$(PREFIX)/bin
+	sed -e 's|@PREFIX@|$(PREFIX)|' -e 's|@VERSION@|$(VERSION)|' chalkway.pc.in > $(DESTDIR)$(PREFIX)/lib/pkgconfig/chalkway.pc
+
+clean:
+	rm -rf $(BUILD)
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/chalkway.c
@@ -0,0 +1,18 @@
+/* libchalkway: the implementation of every single-file module. */
+#define CHALKWAY_IMPL
+#include "chalkway_core.h"
+#include "chalkway_fair.h"
+#include "chalkway_heap.h"
+#include "chalkway_hist.h"
+#include "chalkway_limit.h"
+#include "chalkway_log.h"
+#include "chalkway_map.h"
+#include "chalkway_member.h"
+#include "chalkway_pick.h"
+#include "chalkway_place.h"
+#include "chalkway_request.h"
+#include "chalkway_runonce.h"
+#include "chalkway_settings.h"
+#include "chalkway_shard.h"
+#include "chalkway_store.h"
+#include "chalkway_wire.h"
--- /dev/null
+++ b/chalkway_hist.h
@@ -0,0 +1,121 @@
+#ifndef CHALKWAY_HIST_H
+#define CHALKWAY_HIST_H
+/*
+    chalkway_hist.h -- fixed-bucket histograms and a learned quantile
+
+    WHAT IT IS
+        A histogram of 32-bit values with four buckets to each power of two
+        (a value is known to 1/4 of itself), in a fixed 520 bytes, and an
+        estimator over it that forgets old values by halving.
+
+    HOW TO USE IT
+            cw_hist_t hist = {0};
+            cw_hist_add(&hist, 120);
+            uint32_t p95 = cw_hist_quantile(&hist, 0.95);
+
+            cw_estimate_t est = {0};
+            cw_estimate_add(&est, tokens);
+            uint32_t cost = cw_estimate_get(&est, 0.8, 256);  // 256 until enough was seen
+
+    WHAT IT DOES NOT DO
+        No exact values, no time windows.
+
+    LICENCE
+        MIT, see LICENSE.
+*/
+#include "chalkway_core.h"
+
+#define CW_HIST_BUCKETS 128
+#define CW_ESTIMATE_FEW 8       /* fewer samples than this are no estimate */
+#define CW_ESTIMATE_WINDOW 2048 /* samples after which all counts are halved */
+
+typedef struct cw_hist_t {
+    uint64_t count;
+    uint64_t sum;
+    uint32_t buckets[CW_HIST_BUCKETS];
+} cw_hist_t;
+
+typedef struct cw_estimate_t {
+    cw_hist_t hist;
+} cw_estimate_t;
+
+void cw_hist_add(cw_hist_t* hist, uint32_t value);
+/* Upper bound of the bucket that holds quantile q (0..1); 0 when empty. */
+uint32_t cw_hist_quantile(const cw_hist_t* hist, double q);
+/* Largest value that bucket i counts. */
+uint32_t cw_hist_bound(uint32_t i);
+void cw_estimate_add(cw_estimate_t* est, uint32_t value);
+/* Quantile q of what was seen, or initial while too little was. */
+uint32_t cw_estimate_get(const cw_estimate_t* est, double q, uint32_t initial);
+
+#endif /* CHALKWAY_HIST_H */
+
+/*-- IMPLEMENTATION -----------------------------------------------------------*/
+#ifdef CHALKWAY_IMPL
+#ifndef CHALKWAY_HIST_IMPL_INCLUDED
+#define CHALKWAY_HIST_IMPL_INCLUDED
+
+/* Values 0..7 have a bucket each; above, two bits below the highest choose the bucket. */
+static uint32_t _cw_hist_bucket(uint32_t value) {
+    if (value < 8) {
+        return value;
+    }
+    uint32_t top = 31U - (uint32_t)__builtin_clz(value);
+    return 8 + (top - 3) * 4 + ((value >> (top - 2)) & 3U);
+}
+
+uint32_t cw_hist_bound(uint32_t i) {
+    if (i < 8) {
+        return i;
+    }
+    uint32_t top = 3 + (i - 8) / 4;
+    uint64_t low = (1ULL << top) + ((uint64_t)((i - 8) % 4) << (top - 2));
+    uint64_t high = low + (1ULL << (top - 2)) - 1;
+    return high > UINT32_MAX ? UINT32_MAX : (uint32_t)high;
+}
+
+void cw_hist_add(cw_hist_t* hist, uint32_t value) {
+    hist->buckets[_cw_hist_bucket(value)]++;
+    hist->count++;
+    hist->sum += value;
+}
+
+uint32_t cw_hist_quantile(const cw_hist_t* hist, double q) {
+    if (!hist->count) {
+        return 0;
+    }
+    double rank = q * (double)hist->count;
+    uint64_t seen = 0;
+    uint32_t last = 0;
+    for (uint32_t i = 0; i < CW_HIST_BUCKETS; i++) {
+        if (!hist->buckets[i]) {
+            continue;
+        }
+        seen += hist->buckets[i];
+        last = i;
+        if ((double)seen >= rank) {
+            break;
+        }
+    }
+    return cw_hist_bound(last);
+}
+
+void cw_estimate_add(cw_estimate_t* est, uint32_t value) {
+    cw_hist_add(&est->hist, value);
+    if (est->hist.count < CW_ESTIMATE_WINDOW) {
+        return;
+    }
+    est->hist.count = 0;
+    est->hist.sum /= 2;
+    for (uint32_t i = 0; i < CW_HIST_BUCKETS; i++) {
+        est->hist.buckets[i] /= 2;
+        est->hist.count += est->hist.buckets[i];
+    }
+}
+
+uint32_t cw_estimate_get(const cw_estimate_t* est, double q, uint32_t initial) {
+    return est->hist.count < CW_ESTIMATE_FEW ? initial : cw_hist_quantile(&est->hist, q);
+}
+
+#endif /* CHALKWAY_HIST_IMPL_INCLUDED */
+#endif /* CHALKWAY_IMPL */
--- /dev/null
+++ b/chalkway_limit.h
@@ -0,0 +1,103 @@
+#ifndef CHALKWAY_LIMIT_H
+#define CHALKWAY_LIMIT_H
+/*
+    chalkway_limit.h -- token bucket and retry budget
+
+    WHAT IT IS
+        A token bucket over a clock that is passed in, and the budget for
+        retries: a share of the first tries, so that retries cannot multiply
+        a load that is already too high.
+
+    HOW TO USE IT
+            cw_bucket_t bucket = {.rate = 5, .burst = 10};     // 5 a second
+            if (cw_bucket_take(&bucket, now_ms, 1)) { ... }
+
+            cw_retry_budget_t budget = {.share = 0.1, .burst = 10};
+            cw_retry_first(&budget);                           // on each first try
+            if (cw_retry_take(&budget)) { ... }
+
+    WHAT IT DOES NOT DO
+        It does not sleep; cw_bucket_wait_ms says how long to wait.
+
+    LICENCE
+        MIT, see LICENSE.
+*/
+#include "chalkway_core.h"
+
+typedef struct cw_bucket_t {
+    double rate;  /* tokens a second; 0 or less: no limit */
+    double burst; /* most tokens held, default one second's worth */
+    double tokens;
+    int64_t at_ms;
+    bool started;
+} cw_bucket_t;
+
+typedef struct cw_retry_budget_t {
+    double share; /* retries allowed for each first try */
+    double burst; /* most retries saved up */
+    double tokens;
+} cw_retry_budget_t;
+
+/* Takes n tokens if they are there. */
+bool cw_bucket_take(cw_bucket_t* bucket, int64_t now_ms, double n);
+/* Time until n tokens will be there, 0 when they are. */
+uint32_t cw_bucket_wait_ms(const cw_bucket_t* bucket, int64_t now_ms, double n);
+void cw_retry_first(cw_retry_budget_t* budget);
+bool cw_retry_take(cw_retry_budget_t* budget);
+
+#endif /* CHALKWAY_LIMIT_H */
+
+/*-- IMPLEMENTATION -----------------------------------------------------------*/
+#ifdef CHALKWAY_IMPL
+#ifndef CHALKWAY_LIMIT_IMPL_INCLUDED
+#define CHALKWAY_LIMIT_IMPL_INCLUDED
+
+static double _cw_bucket_tokens(const cw_bucket_t* bucket, int64_t now_ms) {
+    double burst = bucket->burst > 0 ? bucket->burst : bucket->rate;
+    burst = burst < 1 ? 1 : burst;
+    if (!bucket->started) {
+        return burst;
+    }
+    double tokens = bucket->tokens + bucket->rate * (double)(now_ms - bucket->at_ms) / 1000.0;
+    return tokens > burst ? burst : tokens;
+}
+
+bool cw_bucket_take(cw_bucket_t* bucket, int64_t now_ms, double n) {
+    if (bucket->rate <= 0) {
+        return true;
+    }
+    bucket->tokens = _cw_bucket_tokens(bucket, now_ms);
+    bucket->at_ms = now_ms;
+    bucket->started = true;
+    if (bucket->tokens < n) {
+        return false;
+    }
+    bucket->tokens -= n;
+    return true;
+}
+
+uint32_t cw_bucket_wait_ms(const cw_bucket_t* bucket, int64_t now_ms, double n) {
+    if (bucket->rate <= 0) {
+        return 0;
+    }
+    double missing = n - _cw_bucket_tokens(bucket, now_ms);
+    return missing > 0 ? (uint32_t)(missing / bucket->rate * 1000.0) + 1 : 0;
+}
+
+void cw_retry_first(cw_retry_budget_t* budget) {
+    budget->tokens += budget->share;
+    if (budget->tokens > budget->burst) {
+        budget->tokens = budget->burst;
+    }
+}
+
+bool cw_retry_take(cw_retry_budget_t* budget) {
+    if (budget->tokens < 1.0) {
+        return false;
+    }
+    budget->tokens -= 1.0;
+    return true;
+}
+
+#endif /* CHALKWAY_LIMIT_IMPL_INCLUDED */
+#endif /* CHALKWAY_IMPL */
--- /dev/null
+++ b/chalkway_log.h
@@ -0,0 +1,179 @@
+#ifndef CHALKWAY_LOG_H
+#define CHALKWAY_LOG_H
+/*
+    chalkway_log.h -- numbered log events
+
+    WHAT IT IS
+        A small logger. Every event has a number and a name from the list
+        below, which docs/EVENTS.md explains; what varies is written as
+        key=value or as one JSON object a line. The text goes to a callback
+        or to standard error.
+
+    HOW TO USE IT
+            cw_log_t log = {.level = CW_LOG_INFO, .json = false};
+            cw_log(&log, CW_EVENT_STARTED, "host=%s http=%s", name, address);
+
+    WHAT IT DOES NOT DO
+        No files, no rotation. Values must hold no spaces unless quoted by
+        the caller with "...".
+
+    LICENCE
+        MIT, see LICENSE.
+*/
+#include "chalkway_core.h"
+
+typedef enum cw_log_level_t { CW_LOG_DEBUG = 0, CW_LOG_INFO, CW_LOG_WARN, CW_LOG_ERROR } cw_log_level_t;
+
+typedef enum cw_event_t {
+    CW_EVENT_STARTED = 100,
+    CW_EVENT_STOPPING = 101,
+    CW_EVENT_STOPPED = 102,
+    CW_EVENT_WOKE = 103,
+    CW_EVENT_MEMBERS_CHANGED = 200,
+    CW_EVENT_PEER_REFUSED = 201,
+    CW_EVENT_PEER_CLOSED = 202,
+    CW_EVENT_CONFIG_CHANGED = 300,
+    CW_EVENT_CONFIG_INVALID = 301,
+    CW_EVENT_PLATFORM_FAILED = 302,
+    CW_EVENT_PLATFORM_BACK = 303,
+    CW_EVENT_SHARD_TAKEN = 400,
+    CW_EVENT_SHARD_LEFT = 401,
+    CW_EVENT_ALLOCATOR_SILENT = 402,
+    CW_EVENT_REQUEST_ENDED = 500,
+    CW_EVENT_UPSTREAM_FAILED = 501
+} cw_event_t;
+
+typedef struct cw_log_t {
+    cw_log_level_t level; /* events below are dropped */
+    bool json;
+    /* Receives each line without its end; NULL: standard error. */
+    void (*write)(const char* line, void* user_data);
+    void* user_data;
+} cw_log_t;
+
+/* Name and level of an event as in docs/EVENTS.md; name "?" when unknown. */
+typedef struct cw_event_info_t {
+    cw_event_t event;
+    cw_log_level_t level;
+    const char* name;
+} cw_event_info_t;
+
+cw_event_info_t cw_event_info(cw_event_t event);
+/* Writes one event; fmt makes its key=value pairs, separated by single spaces. */
+void cw_log(const cw_log_t* log, cw_event_t event, const char* fmt, ...) __attribute__((format(printf, 3, 4)));
+
+#endif /* CHALKWAY_LOG_H */
+
+/*-- IMPLEMENTATION -----------------------------------------------------------*/
+#ifdef CHALKWAY_IMPL
+#ifndef CHALKWAY_LOG_IMPL_INCLUDED
+#define CHALKWAY_LOG_IMPL_INCLUDED
+
+#include <jansson.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/time.h>
+#include <time.h>
+
+#define _CW_LOG_LINE_MAX 1024
+
+static const cw_event_info_t _cw_log_events[] = {
+    {CW_EVENT_STARTED, CW_LOG_INFO, "started"},
+    {CW_EVENT_STOPPING, CW_LOG_INFO, "stopping"},
+    {CW_EVENT_STOPPED, CW_LOG_INFO, "stopped"},
+    {CW_EVENT_WOKE, CW_LOG_WARN, "woke"},
+    {CW_EVENT_MEMBERS_CHANGED, CW_LOG_INFO, "members-changed"},
+    {CW_EVENT_PEER_REFUSED, CW_LOG_WARN, "peer-refused"},
+    {CW_EVENT_PEER_CLOSED, CW_LOG_DEBUG, "peer-closed"},
+    {CW_EVENT_CONFIG_CHANGED, CW_LOG_INFO, "config-changed"},
+    {CW_EVENT_CONFIG_INVALID, CW_LOG_WARN, "config-invalid"},
+    {CW_EVENT_PLATFORM_FAILED, CW_LOG_WARN, "platform-failed"},
+    {CW_EVENT_PLATFORM_BACK, CW_LOG_INFO, "platform-back"},
+    {CW_EVENT_SHARD_TAKEN, CW_LOG_INFO, "shard-taken"},
+    {CW_EVENT_SHARD_LEFT, CW_LOG_INFO, "shard-left"},
+    {CW_EVENT_ALLOCATOR_SILENT, CW_LOG_WARN, "allocator-silent"},
+    {CW_EVENT_REQUEST_ENDED, CW_LOG_DEBUG, "request-ended"},
+    {CW_EVENT_UPSTREAM_FAILED, CW_LOG_WARN, "upstream-failed"},
+};
+
+cw_event_info_t cw_event_info(cw_event_t event) {
+    for (size_t i = 0; i < sizeof(_cw_log_events) / sizeof(_cw_log_events[0]); i++) {
+        if (_cw_log_events[i].event == event) {
+            return _cw_log_events[i];
+        }
+    }
+    return (cw_event_info_t){.event = event, .level = CW_LOG_ERROR, .name = "?"};
+}
+
+/* Turns "a=1 b=\"x y\"" into members of a JSON object, all as text. */
+static void _cw_log_pairs(json_t* object, char* pairs) {
+    char* at = pairs;
+    while (*at) {
+        char* equals = strchr(at, '=');
+        if (!equals) {
+            return;
+        }
+        *equals = 0;
+        char* value = equals + 1;
+        char* end = NULL;
+        if (*value == '"') {
+            value++;
+            end = strchr(value, '"');
+        } else {
+            end = strchr(value, ' ');
+        }
+        char* next = end ? end + 1 : value + strlen(value);
+        if (end) {
+            *end = 0;
+        }
+        json_object_set_new(object, at, json_string(value));
+        at = next;
+        while (*at == ' ') {
+            at++;
+        }
+    }
+}
+
+void cw_log(const cw_log_t* log, cw_event_t event, const char* fmt, ...) {
+    static const char* const levels[] = {"debug", "info", "warn", "error"};
+    cw_event_info_t info = cw_event_info(event);
+    if (!log || info.level < log->level) {
+        return;
+    }
+    char pairs[_CW_LOG_LINE_MAX];
+    va_list args;
+    va_start(args, fmt);
+    vsnprintf(pairs, sizeof(pairs), fmt, args);
+    va_end(args);
+    struct timeval tv;
+    gettimeofday(&tv, NULL);
+    struct tm tm;
+    gmtime_r(&tv.tv_sec, &tm);
+    char when[40];
+    size_t n = strftime(when, sizeof(when), "%Y-%m-%dT%H:%M:%S", &tm);
+    snprintf(when + n, sizeof(when) - n, ".%03dZ", (int)(tv.tv_usec / 1000));
+    char line[_CW_LOG_LINE_MAX + 128];
+    char* text = line;
+    if (log->json) {
+        json_t* object = json_pack("{s:s,s:s,s:i,s:s}", "time", when, "level", levels[info.level], "event", (int)event,
+                                   "name", info.name);
+        _cw_log_pairs(object, pairs);
+        text = json_dumps(object, JSON_COMPACT);
+        json_decref(object);
+    } else {
+        snprintf(line, sizeof(line), "%s %s %d %s %s", when, levels[info.level], (int)event, info.name, pairs);
+    }
+    if (log->write) {
+        log->write(text, log->user_data);
+    } else {
+        fprintf(stderr, "%s\n", text);
+    }
+    if (text != line) {
+        free(text);
+    }
+}
+
+#endif /* CHALKWAY_LOG_IMPL_INCLUDED */
+#endif /* CHALKWAY_IMPL */
--- /dev/null
+++ b/chalkway_pick.h
@@ -0,0 +1,348 @@
+#ifndef CHALKWAY_PICK_H
+#define CHALKWAY_PICK_H
+/*
+    chalkway_pick.h -- choice of one upstream among those of a shard
+
+    WHAT IT IS
+        The table of a shard's upstreams with what is known of each: the
+        slots in use (exact for the owner of the table), the last load
+        report (late), the learned time for one unit of cost, errors in a
+        row. cw_pick_choose returns the upstream with the lowest expected
+        finish among those with a free slot. A request with a prefix goes to
+        the upstream that rendezvous hashing names for it while that one's
+        load stays within a bound of the mean. After errors in a row an
+        upstream is ejected, for longer each time, and comes back slowly.
+
+    HOW TO USE IT
+            cw_pick_t* pick = cw_pick_setup(&(cw_pick_desc_t){0});
+            cw_pick_set(pick, specs, count);
+            uint32_t up = cw_pick_choose(pick, now_ms, &(cw_pick_query_t){.prefix = hash});
+            if (up != CW_PICK_NONE) {
+                cw_pick_begin(pick, up);
+                ...
+                cw_pick_end(pick, now_ms, up, CW_PICK_SERVED, took_ms, cost);
+            }
+
+    WHAT IT DOES NOT DO
+        It keeps no queue and knows no tiers: see chalkway_shard.h. It
+        sends nothing; reports are handed to it.
+
+    LICENCE
+        MIT, see LICENSE.
+*/
+#include "chalkway_core.h"
+
+#define CW_PICK_MAX 128 /* upstreams in one shard */
+#define CW_PICK_NONE UINT32_MAX
+
+/* What the published configuration says of an upstream. */
+typedef struct cw_pick_spec_t {
+    uint64_t id;
+    uint64_t hall;
+    uint32_t slots; /* requests it may run at once */
+    bool leaving;   /* no new work */
+} cw_pick_spec_t;
+
+typedef enum cw_pick_result_t {
+    CW_PICK_SERVED = 0, /* the whole answer came */
+    CW_PICK_FAILED,     /* reset, cut, time-out or an error status */
+    CW_PICK_UNUSED,     /* the slot was given back without a byte sent */
+    CW_PICK_DRAINING,   /* the upstream said that it is leaving */
+    CW_PICK_CANCELLED   /* ended by us or by the caller: says nothing of the upstream */
+} cw_pick_result_t;
+
+typedef struct cw_pick_query_t {
+    uint64_t prefix;  /* hash of the prompt's start, 0: none */
+    uint64_t hall;    /* hall to prefer, 0: none */
+    uint64_t exclude; /* upstream to avoid, 0: none */
+    uint32_t keep;    /* slots of the shard that must stay free after this one */
+} cw_pick_query_t;
+
+typedef struct cw_pick_desc_t {
+    uint32_t eject_after;   /* errors in a row, default 3 */
+    uint32_t eject_ms;      /* first ejection, doubled each time, default 2000 */
+    uint32_t eject_max_ms;  /* default 60000 */
+    uint32_t return_ms;     /* time in which the limit grows back to full, default 10000 */
+    uint32_t report_age_ms; /* a load report older than this counts for nothing, default 10000 */
+    double prefix_bound;    /* load over the mean that affinity may cost, default 0.25 */
+    cw_allocator_t allocator;
+} cw_pick_desc_t;
+
+typedef struct cw_pick_upstream_t {
+    cw_pick_spec_t spec;
+    uint32_t inflight;     /* slots taken through this table */
+    uint32_t reported;     /* running by its own last report */
+    int64_t reported_ms;   /* 0: never */
+    bool draining;         /* it said so itself */
+    double ms_per_cost;    /* learned, 0: unknown */
+    uint32_t errors;       /* in a row */
+    uint32_t ejections;    /* without a success since */
+    int64_t ejected_until; /* 0: not ejected */
+} cw_pick_upstream_t;
+
+typedef struct cw_pick_t cw_pick_t;
+
+cw_pick_t* cw_pick_setup(const cw_pick_desc_t* desc);
+void cw_pick_shutdown(cw_pick_t* pick);
+/* Replaces the list (at most CW_PICK_MAX); what is known of an upstream that stays is kept. Returns CW_ERR_FULL
+   when the list is too long. Indexes change: call cw_pick_find again. */
+cw_status_t cw_pick_set(cw_pick_t* pick, const cw_pick_spec_t* specs, uint32_t count);
+uint32_t cw_pick_count(const cw_pick_t* pick);
+cw_pick_upstream_t cw_pick_at(const cw_pick_t* pick, uint32_t index);
+uint32_t cw_pick_find(const cw_pick_t* pick, uint64_t id);
+/* Share (0..1] of every limit that this table may use: a partition's or a take-over's caution. */
+void cw_pick_scale(cw_pick_t* pick, double scale);
+/* Index of the best upstream with a free slot, or CW_PICK_NONE. */
+uint32_t cw_pick_choose(const cw_pick_t* pick, int64_t now_ms, const cw_pick_query_t* query);
+void cw_pick_begin(cw_pick_t* pick, uint32_t index);
+/* Gives the slot back. cost and took_ms are used when result is CW_PICK_SERVED. */
+void cw_pick_end(cw_pick_t* pick, int64_t now_ms, uint32_t index, cw_pick_result_t result, uint32_t took_ms,
+                 uint32_t cost);
+/* A load report of the upstream itself. */
+void cw_pick_report(cw_pick_t* pick, int64_t now_ms, uint64_t id, uint32_t running, bool draining);
+/* Slots that can serve now, in use or not. */
+uint32_t cw_pick_limit(const cw_pick_t* pick, int64_t now_ms);
+uint32_t cw_pick_inflight(const cw_pick_t* pick);
+/* Mean learned ms for a unit of cost over the upstreams, 0 when nothing is known. */
+double cw_pick_ms_per_cost(const cw_pick_t* pick);
+
+#endif /* CHALKWAY_PICK_H */
+
+/*-- IMPLEMENTATION -----------------------------------------------------------*/
+#ifdef CHALKWAY_IMPL
+#ifndef CHALKWAY_PICK_IMPL_INCLUDED
+#define CHALKWAY_PICK_IMPL_INCLUDED
+
+#include <assert.h>
+#include <string.h>
+
+#define _CW_PICK_LEARN 0.1         /* weight of a new service time */
+#define _CW_PICK_OTHER_HALL 1.05   /* expected finish counts as this much later */
+#define _CW_PICK_MAX_EJECTIONS 10U /* doublings */
+
+struct cw_pick_t {
+    cw_pick_desc_t desc;
+    cw_pick_upstream_t ups[CW_PICK_MAX];
+    uint32_t count;
+    uint32_t inflight;
+    double scale;
+};
+
+static cw_pick_desc_t _cw_pick_desc_defaults(const cw_pick_desc_t* desc) {
+    cw_pick_desc_t d = *desc;
+    d.eject_after = d.eject_after ? d.eject_after : 3;
+    d.eject_ms = d.eject_ms ? d.eject_ms : 2000;
+    d.eject_max_ms = d.eject_max_ms ? d.eject_max_ms : 60000;
+    d.return_ms = d.return_ms ? d.return_ms : 10000;
+    d.report_age_ms = d.report_age_ms ? d.report_age_ms : 10000;
+    d.prefix_bound = d.prefix_bound > 0 ? d.prefix_bound : 0.25;
+    return d;
+}
+
+cw_pick_t* cw_pick_setup(const cw_pick_desc_t* desc) {
+    cw_pick_desc_t d = _cw_pick_desc_defaults(desc);
+    cw_pick_t* pick = cw_alloc(&d.allocator, 1, sizeof(*pick));
+    pick->desc = d;
+    pick->scale = 1.0;
+    return pick;
+}
+
+void cw_pick_shutdown(cw_pick_t* pick) {
+    cw_allocator_t a = pick->desc.allocator;
+    cw_free(&a, pick);
+}
+
+uint32_t cw_pick_find(const cw_pick_t* pick, uint64_t id) {
+    for (uint32_t i = 0; i < pick->count; i++) {
+        if (pick->ups[i].spec.id == id) {
+            return i;
+        }
+    }
+    return CW_PICK_NONE;
+}
+
+cw_status_t cw_pick_set(cw_pick_t* pick, const cw_pick_spec_t* specs, uint32_t count) {
+    if (count > CW_PICK_MAX) {
+        return CW_ERR_FULL;
+    }
+    cw_pick_upstream_t next[CW_PICK_MAX];
+    uint32_t inflight = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        uint32_t old = cw_pick_find(pick, specs[i].id);
+        next[i] = (old == CW_PICK_NONE) ? (cw_pick_upstream_t){0} : pick->ups[old];
+        next[i].spec = specs[i];
+        inflight += next[i].inflight;
+    }
+    memcpy(pick->ups, next, count * sizeof(next[0]));
+    pick->count = count;
+    pick->inflight = inflight;
+    return CW_OK;
+}
+
+uint32_t cw_pick_count(const cw_pick_t* pick) {
+    return pick->count;
+}
+
+cw_pick_upstream_t cw_pick_at(const cw_pick_t* pick, uint32_t index) {
+    assert(index < pick->count);
+    return pick->ups[index];
+}
+
+void cw_pick_scale(cw_pick_t* pick, double scale) {
+    pick->scale = scale;
+}
+
+/* Slots of one upstream that may be used now. */
+static uint32_t _cw_pick_slots(const cw_pick_t* pick, int64_t now_ms, const cw_pick_upstream_t* up) {
+    if (up->spec.leaving || up->draining || now_ms < up->ejected_until) {
+        return 0;
+    }
+    double slots = up->spec.slots * pick->scale;
+    int64_t back = now_ms - up->ejected_until;
+    if (up->ejected_until && back < pick->desc.return_ms) {
+        slots = slots * (double)back / pick->desc.return_ms;
+    }
+    return slots < 1.0 ? 1 : (uint32_t)slots;
+}
+
+/* Work that the last report shows beyond what this table gave out. */
+static uint32_t _cw_pick_foreign(const cw_pick_t* pick, int64_t now_ms, const cw_pick_upstream_t* up) {
+    bool fresh = up->reported_ms && now_ms - up->reported_ms < pick->desc.report_age_ms;
+    return (fresh && up->reported > up->inflight) ? up->reported - up->inflight : 0;
+}
+
+static double _cw_pick_load(const cw_pick_t* pick, int64_t now_ms, const cw_pick_upstream_t* up, uint32_t slots) {
+    return (double)(up->inflight + _cw_pick_foreign(pick, now_ms, up)) / slots;
+}
+
+/* Expected time to finish one unit of cost there. */
+static double _cw_pick_score(const cw_pick_upstream_t* up, const cw_pick_query_t* query, double load, double mean) {
+    double ms = up->ms_per_cost > 0 ? up->ms_per_cost : mean;
+    double score = ms * (0.5 + load);
+    return (query->hall && query->hall != up->spec.hall) ? score * _CW_PICK_OTHER_HALL : score;
+}
+
+uint32_t cw_pick_limit(const cw_pick_t* pick, int64_t now_ms) {
+    uint32_t limit = 0;
+    for (uint32_t i = 0; i < pick->count; i++) {
+        limit += _cw_pick_slots(pick, now_ms, &pick->ups[i]);
+    }
+    return limit;
+}
+
+uint32_t cw_pick_inflight(const cw_pick_t* pick) {
+    return pick->inflight;
+}
+
+double cw_pick_ms_per_cost(const cw_pick_t* pick) {
+    double sum = 0;
+    uint32_t known = 0;
+    for (uint32_t i = 0; i < pick->count; i++) {
+        if (pick->ups[i].ms_per_cost > 0) {
+            sum += pick->ups[i].ms_per_cost;
+            known++;
+        }
+    }
+    return known ? sum / known : 0;
+}
+
+uint32_t cw_pick_choose(const cw_pick_t* pick, int64_t now_ms, const cw_pick_query_t* query) {
+    uint32_t best = CW_PICK_NONE;
+    uint32_t home = CW_PICK_NONE;
+    uint32_t excluded = CW_PICK_NONE;
+    uint32_t free_slots = 0;
+    uint64_t home_hash = 0;
+    double best_score = 0;
+    double home_load = 0;
+    double load_sum = 0;
+    uint32_t usable = 0;
+    double mean = cw_pick_ms_per_cost(pick);
+    mean = mean > 0 ? mean : 1.0;
+    for (uint32_t i = 0; i < pick->count; i++) {
+        const cw_pick_upstream_t* up = &pick->ups[i];
+        uint32_t slots = _cw_pick_slots(pick, now_ms, up);
+        if (!slots) {
+            continue;
+        }
+        double load = _cw_pick_load(pick, now_ms, up, slots);
+        usable++;
+        load_sum += load;
+        if (up->inflight >= slots) {
+            continue;
+        }
+        free_slots += slots - up->inflight;
+        if (up->spec.id == query->exclude) {
+            excluded = i;
+            continue;
+        }
+        double score = _cw_pick_score(up, query, load, mean);
+        if (best == CW_PICK_NONE || score < best_score) {
+            best = i;
+            best_score = score;
+        }
+        uint64_t hash = query->prefix ? cw_mix(query->prefix, up->spec.id) : 0;
+        if (hash > home_hash) {
+            home_hash = hash;
+            home = i;
+            home_load = load;
+        }
+    }
+    if (free_slots <= query->keep) {
+        return CW_PICK_NONE;
+    }
+    if (home != CW_PICK_NONE && home_load <= load_sum / usable + pick->desc.prefix_bound) {
+        return home;
+    }
+    return best != CW_PICK_NONE ? best : excluded;
+}
+
+void cw_pick_begin(cw_pick_t* pick, uint32_t index) {
+    assert(index < pick->count);
+    pick->ups[index].inflight++;
+    pick->inflight++;
+}
+
+static void _cw_pick_failed(cw_pick_t* pick, int64_t now_ms, cw_pick_upstream_t* up) {
+    up->errors++;
+    if (up->errors < pick->desc.eject_after || now_ms < up->ejected_until) {
+        return;
+    }
+    uint32_t doublings = up->ejections < _CW_PICK_MAX_EJECTIONS ? up->ejections : _CW_PICK_MAX_EJECTIONS;
+    uint64_t ms = (uint64_t)pick->desc.eject_ms << doublings;
+    ms = ms > pick->desc.eject_max_ms ? pick->desc.eject_max_ms : ms;
+    up->ejected_until = now_ms + (int64_t)ms;
+    up->ejections++;
+    up->errors = 0;
+}
+
+void cw_pick_end(cw_pick_t* pick, int64_t now_ms, uint32_t index, cw_pick_result_t result, uint32_t took_ms,
+                 uint32_t cost) {
+    assert(index < pick->count);
+    cw_pick_upstream_t* up = &pick->ups[index];
+    if (up->inflight) {
+        up->inflight--;
+        pick->inflight--;
+    }
+    if (result == CW_PICK_SERVED) {
+        double ms = (double)(took_ms ? took_ms : 1) / (cost ? cost : 1);
+        up->ms_per_cost += (up->ms_per_cost > 0 ? _CW_PICK_LEARN : 1.0) * (ms - up->ms_per_cost);
+        up->errors = 0;
+        up->ejections = 0;
+    } else if (result == CW_PICK_FAILED) {
+        _cw_pick_failed(pick, now_ms, up);
+    } else if (result == CW_PICK_DRAINING) {
+        up->draining = true;
+    }
+}
+
+void cw_pick_report(cw_pick_t* pick, int64_t now_ms, uint64_t id, uint32_t running, bool draining) {
+    uint32_t index = cw_pick_find(pick, id);
+    if (index != CW_PICK_NONE) {
+        pick->ups[index].reported = running;
+        pick->ups[index].reported_ms = now_ms;
+        pick->ups[index].draining = draining;
+    }
+}
+
+#endif /* CHALKWAY_PICK_IMPL_INCLUDED */
+#endif /* CHALKWAY_IMPL */
--- /dev/null
+++ b/chalkway_runonce.h
@@ -0,0 +1,333 @@
+#ifndef CHALKWAY_RUNONCE_H
+#define CHALKWAY_RUNONCE_H
+/*
+    chalkway_runonce.h -- tickets and the table of named calls
+
+    WHAT IT IS
+        A call that may not be repeated runs at most once without any shared
+        state, because its name says which process alone may run it. A
+        lookup answer carries a ticket: host, incarnation (random at start)
+        and expiry on that process's own clock. The caller names its call
+        TICKET/SUFFIX (header Idempotency-Key). Only that incarnation runs
+        the call, and it remembers the name until the ticket's expiry plus
+        the longest deadline. Any other process, a later incarnation and an
+        expired ticket answer "unknown: ask the application".
+
+    HOW TO USE IT
+            cw_runonce_t* t = cw_runonce_setup(&(cw_runonce_desc_t){.host = "a", .incarnation = random});
+            cw_ticket_t ticket = cw_runonce_ticket(t, now_ms);   // for the lookup answer
+            cw_runonce_begin_t b = cw_runonce_begin(t, now_ms, workspace, name, body_hash);
+            switch (b.verdict) { case CW_RUN_NEW: ... }
+            cw_runonce_keep(t, b.record, answer, bytes);         // it ran: keep the answer
+            cw_runonce_release(t, b.record);                     // it provably did not run
+
+    WHAT IT DOES NOT DO
+        It holds answers as opaque pointers and does not send them; repeats
+        that join a running call are the caller's to wake.
+
+    LICENCE
+        MIT, see LICENSE.
+*/
+#include "chalkway_heap.h"
+#include "chalkway_map.h"
+
+#define CW_TICKET_MAX 128
+#define CW_CALL_NAME_MAX 192
+#define CW_RUN_NONE UINT32_MAX
+
+typedef struct cw_ticket_t {
+    char text[CW_TICKET_MAX];
+} cw_ticket_t;
+
+typedef enum cw_run_verdict_t {
+    CW_RUN_NEW = 0,   /* run it; record must be kept or released at its end */
+    CW_RUN_JOIN,      /* the same call runs now: wait for its answer */
+    CW_RUN_KEPT,      /* it ran: give the kept answer */
+    CW_RUN_LOST,      /* it ran; the answer is not kept any more */
+    CW_RUN_UNKNOWN,   /* another process or an expired ticket: never run it here */
+    CW_RUN_NO_TICKET, /* the name holds no ticket: refuse, not run */
+    CW_RUN_MISMATCH,  /* the name was used for another body: refuse, this one not run */
+    CW_RUN_FULL       /* the table is full: refuse, not run */
+} cw_run_verdict_t;
+
+typedef struct cw_runonce_begin_t {
+    cw_run_verdict_t verdict;
+    uint32_t record; /* CW_RUN_NONE unless NEW, JOIN, KEPT or LOST */
+    void* answer;    /* KEPT */
+} cw_runonce_begin_t;
+
+typedef struct cw_runonce_desc_t {
+    const char* host;                                   /* name, without '~' and '/' */
+    uint64_t incarnation;                               /* random at process start */
+    uint32_t ticket_ms;                                 /* life of a ticket, default 60000 */
+    uint32_t longest_ms;                                /* longest deadline of any class, default 120000 */
+    uint32_t max_records;                               /* default 4096 */
+    size_t max_answer_bytes;                            /* for all kept answers, default 8 MiB */
+    void (*free_answer)(void* answer, void* user_data); /* may be NULL */
+    void* user_data;
+    cw_allocator_t allocator;
+} cw_runonce_desc_t;
+
+typedef struct cw_runonce_t cw_runonce_t;
+
+cw_runonce_t* cw_runonce_setup(const cw_runonce_desc_t* desc);
+void cw_runonce_shutdown(cw_runonce_t* t);
+cw_ticket_t cw_runonce_ticket(const cw_runonce_t* t, int64_t now_ms);
+cw_runonce_begin_t cw_runonce_begin(cw_runonce_t* t, int64_t now_ms, uint64_t workspace, const char* name,
+                                    uint64_t body_hash);
+/* The call ran (or may have): its name is used up. answer may be NULL. The table owns the answer and frees the oldest
+   answers over max_answer_bytes. */
+void cw_runonce_keep(cw_runonce_t* t, uint32_t record, void* answer, size_t bytes);
+/* The call provably did not run: its name may be used again. */
+void cw_runonce_release(cw_runonce_t* t, uint32_t record);
+uint32_t cw_runonce_count(const cw_runonce_t* t);
+/* Bytes the table itself takes, without the kept answers. */
+size_t cw_runonce_bytes(const cw_runonce_t* t);
+
+#endif /* CHALKWAY_RUNONCE_H */
+
+/*-- IMPLEMENTATION -----------------------------------------------------------*/
+#ifdef CHALKWAY_IMPL
+#ifndef CHALKWAY_RUNONCE_IMPL_INCLUDED
+#define CHALKWAY_RUNONCE_IMPL_INCLUDED
+
+#include <assert.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+typedef enum _cw_run_state_t { _CW_RUN_FREE = 0, _CW_RUN_RUNNING, _CW_RUN_KEPT, _CW_RUN_LOST } _cw_run_state_t;
+
+typedef struct _cw_run_record_t {
+    _cw_run_state_t state;
+    uint64_t hash; /* of workspace and name */
+    uint64_t workspace;
+    uint64_t body_hash;
+    void* answer;
+    size_t bytes;
+    uint32_t next; /* free list, or records with answers in order of age */
+    char name[CW_CALL_NAME_MAX];
+} _cw_run_record_t;
+
+struct cw_runonce_t {
+    cw_runonce_desc_t desc;
+    char host[CW_NAME_MAX];
+    _cw_run_record_t* records;
+    uint32_t free_record;
+    uint32_t oldest, newest; /* records with kept answers */
+    size_t answer_bytes;
+    cw_map_t by_name;
+    cw_heap_t expiry;
+};
+
+static cw_runonce_desc_t _cw_runonce_desc_defaults(const cw_runonce_desc_t* desc) {
+    cw_runonce_desc_t d = *desc;
+    d.ticket_ms = d.ticket_ms ? d.ticket_ms : 60000;
+    d.longest_ms = d.longest_ms ? d.longest_ms : 120000;
+    d.max_records = d.max_records ? d.max_records : 4096;
+    d.max_answer_bytes = d.max_answer_bytes ? d.max_answer_bytes : (size_t)8 << 20;
+    return d;
+}
+
+cw_runonce_t* cw_runonce_setup(const cw_runonce_desc_t* desc) {
+    assert(desc->host && desc->incarnation);
+    cw_runonce_desc_t d = _cw_runonce_desc_defaults(desc);
+    cw_runonce_t* t = cw_alloc(&d.allocator, 1, sizeof(*t));
+    t->desc = d;
+    cw_copy(t->host, sizeof(t->host), d.host);
+    t->records = cw_alloc(&d.allocator, d.max_records, sizeof(*t->records));
+    t->by_name = cw_map_setup(d.max_records, &d.allocator);
+    t->expiry = cw_heap_setup(d.max_records, &d.allocator);
+    for (uint32_t i = 0; i < d.max_records; i++) {
+        t->records[i].next = i + 1 < d.max_records ? i + 1 : CW_RUN_NONE;
+    }
+    t->oldest = t->newest = CW_RUN_NONE;
+    return t;
+}
+
+static void _cw_run_free_answer(cw_runonce_t* t, _cw_run_record_t* r) {
+    if (r->answer && t->desc.free_answer) {
+        t->desc.free_answer(r->answer, t->desc.user_data);
+    }
+    t->answer_bytes -= r->bytes;
+    r->answer = NULL;
+    r->bytes = 0;
+}
+
+void cw_runonce_shutdown(cw_runonce_t* t) {
+    cw_allocator_t a = t->desc.allocator;
+    for (uint32_t i = 0; i < t->desc.max_records; i++) {
+        _cw_run_free_answer(t, &t->records[i]);
+    }
+    cw_map_shutdown(&t->by_name);
+    cw_heap_shutdown(&t->expiry);
+    cw_free(&a, t->records);
+    cw_free(&a, t);
+}
+
+cw_ticket_t cw_runonce_ticket(const cw_runonce_t* t, int64_t now_ms) {
+    cw_ticket_t ticket;
+    snprintf(ticket.text, sizeof(ticket.text), "%s~%016" PRIx64 "~%" PRIx64, t->host, t->desc.incarnation,
+             (uint64_t)(now_ms + t->desc.ticket_ms));
+    return ticket;
+}
+
+typedef struct _cw_run_parsed_t {
+    bool ok, ours;
+    int64_t expiry_ms;
+} _cw_run_parsed_t;
+
+/* Reads HOST~INCARNATION~EXPIRY/SUFFIX. */
+static _cw_run_parsed_t _cw_run_parse(const cw_runonce_t* t, const char* name) {
+    _cw_run_parsed_t p = {0};
+    const char* host_end = strchr(name, '~');
+    const char* slash = strchr(name, '/');
+    if (!host_end || !slash || slash < host_end || !slash[1] || strlen(name) >= CW_CALL_NAME_MAX) {
+        return p;
+    }
+    char* end = NULL;
+    uint64_t incarnation = strtoull(host_end + 1, &end, 16);
+    if (end != host_end + 17 || *end != '~') {
+        return p;
+    }
+    const char* expiry = end + 1;
+    p.expiry_ms = (int64_t)strtoull(expiry, &end, 16);
+    p.ok = (end == slash && end != expiry);
+    size_t host_len = (size_t)(host_end - name);
+    p.ours = strlen(t->host) == host_len && memcmp(t->host, name, host_len) == 0 && incarnation == t->desc.incarnation;
+    return p;
+}
+
+/* Takes a record's answer out of the list of kept answers and frees it. */
+static void _cw_run_unkeep(cw_runonce_t* t, uint32_t record) {
+    uint32_t prev = CW_RUN_NONE;
+    for (uint32_t i = t->oldest; i != CW_RUN_NONE; prev = i, i = t->records[i].next) {
+        if (i != record) {
+            continue;
+        }
+        if (prev == CW_RUN_NONE) {
+            t->oldest = t->records[i].next;
+        } else {
+            t->records[prev].next = t->records[i].next;
+        }
+        t->newest = (t->newest == record) ? prev : t->newest;
+        break;
+    }
+    _cw_run_free_answer(t, &t->records[record]);
+}
+
+static void _cw_run_forget(cw_runonce_t* t, uint32_t record) {
+    _cw_run_record_t* r = &t->records[record];
+    if (r->state == _CW_RUN_KEPT) {
+        _cw_run_unkeep(t, record);
+    }
+    cw_heap_remove(&t->expiry, record);
+    cw_map_remove(&t->by_name, r->hash);
+    r->state = _CW_RUN_FREE;
+    r->next = t->free_record;
+    t->free_record = record;
+}
+
+static void _cw_run_sweep(cw_runonce_t* t, int64_t now_ms) {
+    uint32_t i = cw_heap_top(&t->expiry);
+    while (i != CW_HEAP_NONE && cw_heap_key(&t->expiry, i) < (double)now_ms && t->records[i].state != _CW_RUN_RUNNING) {
+        _cw_run_forget(t, i);
+        i = cw_heap_top(&t->expiry);
+    }
+}
+
+static cw_runonce_begin_t _cw_run_known(const cw_runonce_t* t, uint32_t record, uint64_t workspace, const char* name,
+                                        uint64_t body_hash) {
+    const _cw_run_record_t* r = &t->records[record];
+    cw_runonce_begin_t b = {.record = record};
+    if (r->workspace != workspace || strcmp(r->name, name) != 0 || r->body_hash != body_hash) {
+        b.verdict = CW_RUN_MISMATCH;
+        b.record = CW_RUN_NONE;
+    } else if (r->state == _CW_RUN_RUNNING) {
+        b.verdict = CW_RUN_JOIN;
+    } else if (r->state == _CW_RUN_KEPT) {
+        b.verdict = CW_RUN_KEPT;
+        b.answer = r->answer;
+    } else {
+        b.verdict = CW_RUN_LOST;
+    }
+    return b;
+}
+
+cw_runonce_begin_t cw_runonce_begin(cw_runonce_t* t, int64_t now_ms, uint64_t workspace, const char* name,
+                                    uint64_t body_hash) {
+    _cw_run_sweep(t, now_ms);
+    _cw_run_parsed_t p = _cw_run_parse(t, name);
+    if (!p.ok) {
+        return (cw_runonce_begin_t){.verdict = CW_RUN_NO_TICKET, .record = CW_RUN_NONE};
+    }
+    if (!p.ours) {
+        return (cw_runonce_begin_t){.verdict = CW_RUN_UNKNOWN, .record = CW_RUN_NONE};
+    }
+    uint64_t hash = XXH64(name, strlen(name), workspace);
+    hash = hash ? hash : 1;
+    uint32_t record = cw_map_get(&t->by_name, hash);
+    if (record != CW_MAP_NONE) {
+        return _cw_run_known(t, record, workspace, name, body_hash);
+    }
+    /* An expired ticket's record may be gone. One that expires later than any ticket of ours was not made here. */
+    if (p.expiry_ms < now_ms || p.expiry_ms > now_ms + t->desc.ticket_ms) {
+        return (cw_runonce_begin_t){.verdict = CW_RUN_UNKNOWN, .record = CW_RUN_NONE};
+    }
+    record = t->free_record;
+    if (record == CW_RUN_NONE) {
+        return (cw_runonce_begin_t){.verdict = CW_RUN_FULL, .record = CW_RUN_NONE};
+    }
+    _cw_run_record_t* r = &t->records[record];
+    t->free_record = r->next;
+    *r = (_cw_run_record_t){.state = _CW_RUN_RUNNING, .hash = hash, .workspace = workspace, .body_hash = body_hash};
+    cw_copy(r->name, sizeof(r->name), name);
+    cw_map_put(&t->by_name, hash, record);
+    cw_heap_set(&t->expiry, record, (double)(p.expiry_ms + t->desc.longest_ms));
+    return (cw_runonce_begin_t){.verdict = CW_RUN_NEW, .record = record};
+}
+
+void cw_runonce_keep(cw_runonce_t* t, uint32_t record, void* answer, size_t bytes) {
+    _cw_run_record_t* r = &t->records[record];
+    assert(r->state == _CW_RUN_RUNNING);
+    r->answer = answer;
+    r->bytes = bytes;
+    t->answer_bytes += bytes;
+    if (!answer || bytes > t->desc.max_answer_bytes) {
+        r->state = _CW_RUN_LOST;
+        _cw_run_free_answer(t, r);
+        return;
+    }
+    r->state = _CW_RUN_KEPT;
+    r->next = CW_RUN_NONE;
+    if (t->newest == CW_RUN_NONE) {
+        t->oldest = record;
+    } else {
+        t->records[t->newest].next = record;
+    }
+    t->newest = record;
+    while (t->answer_bytes > t->desc.max_answer_bytes) {
+        uint32_t old = t->oldest;
+        _cw_run_unkeep(t, old);
+        t->records[old].state = _CW_RUN_LOST;
+    }
+}
+
+void cw_runonce_release(cw_runonce_t* t, uint32_t record) {
+    assert(t->records[record].state == _CW_RUN_RUNNING);
+    _cw_run_forget(t, record);
+}
+
+uint32_t cw_runonce_count(const cw_runonce_t* t) {
+    return t->by_name.count;
+}
+
+size_t cw_runonce_bytes(const cw_runonce_t* t) {
+    size_t per = sizeof(_cw_run_record_t) + 2 * sizeof(uint32_t) + sizeof(double);
+    return sizeof(*t) + t->desc.max_records * per + ((size_t)t->by_name.mask + 1) * sizeof(_cw_map_slot_t);
+}
+
+#endif /* CHALKWAY_RUNONCE_IMPL_INCLUDED */
+#endif /* CHALKWAY_IMPL */
--- /dev/null
+++ b/chalkway_settings.h
@@ -0,0 +1,360 @@
+#ifndef CHALKWAY_SETTINGS_H
+#define CHALKWAY_SETTINGS_H
+/*
+    chalkway_settings.h -- a daemon's settings, from an INI file
+
+    WHAT IT IS
+        The settings of chalkwayd with their sections, keys, units and
+        defaults in one table. Everything wrong with a file is reported at
+        once, each with line, key and reason.
+
+    HOW TO USE IT
+            cw_settings_t settings;
+            cw_settings_errors_t errors = {0};
+            if (cw_settings_load("chalkwayd.ini", &settings, &errors) != CW_OK) {
+                for (uint32_t i = 0; i < errors.count; i++) puts(errors.lines[i]);
+            }
+
+    WHAT IT DOES NOT DO
+        No environment variables, no includes, no writing.
+
+    LICENCE
+        MIT, see LICENSE.
+*/
+#include "chalkway_core.h"
+
+#define CW_SEEDS_MAX 16
+#define CW_SETTINGS_ERRORS_MAX 32
+#define CW_SETTINGS_TEXT_MAX 512
+
+typedef struct cw_settings_t {
+    /* [host] */
+    char name[CW_NAME_MAX];
+    char hall[CW_NAME_MAX];
+    char cluster[CW_NAME_MAX];
+    char http[CW_NAME_MAX];           /* address for callers */
+    char peer[CW_NAME_MAX];           /* address for daemons */
+    char operator_http[CW_NAME_MAX];  /* address for operators */
+    char seeds[CW_SETTINGS_TEXT_MAX]; /* peer addresses, separated by commas */
+    /* [platform] */
+    char platform[CW_SETTINGS_TEXT_MAX]; /* URL */
+    uint32_t watch_ms;                   /* length of a long poll */
+    uint32_t readers;                    /* hosts of a hall that read the platform */
+    double platform_rate;                /* calls a second of this host */
+    /* [entry] */
+    uint32_t max_requests;
+    uint32_t max_body;
+    uint32_t max_connections;
+    uint32_t lookup_ms; /* how long callers may keep a lookup answer */
+    uint32_t ticket_ms;
+    uint32_t silent_ms;           /* allocator's silence until direct mode */
+    uint32_t silent_protected_ms; /* the same for protected classes */
+    uint32_t max_answer;          /* bytes of a whole answer held */
+    double retry_share;           /* retries for each first try */
+    /* [allocator] */
+    uint32_t grant_ms; /* time to use a grant */
+    uint32_t lease_ms; /* grants of a silent entry return after */
+    uint32_t max_waiting;
+    uint32_t report_ms; /* between two readings of an upstream's load */
+    /* [member] */
+    uint32_t probe_ms;
+    uint32_t probe_timeout_ms;
+    uint32_t suspect_ms;
+    /* [log] */
+    char log_level[CW_NAME_MAX];
+    char log_format[CW_NAME_MAX];
+} cw_settings_t;
+
+typedef struct cw_settings_errors_t {
+    uint32_t count;
+    char lines[CW_SETTINGS_ERRORS_MAX][CW_MESSAGE_MAX];
+} cw_settings_errors_t;
+
+typedef enum cw_setting_kind_t {
+    CW_SETTING_TEXT = 0,
+    CW_SETTING_NAME,    /* letters, digits, '-', '.', '_' */
+    CW_SETTING_ADDRESS, /* IP:PORT */
+    CW_SETTING_MS,      /* a time with its unit: 500ms, 5s, 2m */
+    CW_SETTING_BYTES,   /* a size: 1000, 64k, 8m */
+    CW_SETTING_COUNT_KIND,
+    CW_SETTING_NUMBER
+} cw_setting_kind_t;
+
+typedef struct cw_setting_info_t {
+    const char* section;
+    const char* key;
+    cw_setting_kind_t kind;
+    size_t offset;       /* in cw_settings_t */
+    const char* initial; /* as in the file; NULL: must be given */
+    double min, max;     /* in ms, bytes or as they are */
+    const char* help;
+} cw_setting_info_t;
+
+cw_status_t cw_settings_load(const char* path, cw_settings_t* settings, cw_settings_errors_t* errors);
+/* The table of all settings. */
+const cw_setting_info_t* cw_settings_info(uint32_t* count);
+
+#endif /* CHALKWAY_SETTINGS_H */
+
+/*-- IMPLEMENTATION -----------------------------------------------------------*/
+#ifdef CHALKWAY_IMPL
+#ifndef CHALKWAY_SETTINGS_IMPL_INCLUDED
+#define CHALKWAY_SETTINGS_IMPL_INCLUDED
+
+#include <arpa/inet.h>
+#include <ctype.h>
+#include <ini.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define _CW_AT(field) offsetof(cw_settings_t, field)
+
+static const cw_setting_info_t _cw_settings[] = {
+    {"host", "name", CW_SETTING_NAME, _CW_AT(name), NULL, 0, 0, "name of this host, unique in the cluster"},
+    {"host", "hall", CW_SETTING_NAME, _CW_AT(hall), NULL, 0, 0, "hall that this host stands in"},
+    {"host", "cluster", CW_SETTING_NAME, _CW_AT(cluster), "chalkway", 0, 0, "peers of other clusters are refused"},
+    {"host", "http", CW_SETTING_ADDRESS, _CW_AT(http), NULL, 0, 0, "address for callers"},
+    {"host", "peer", CW_SETTING_ADDRESS, _CW_AT(peer), NULL, 0, 0, "address for other daemons, TCP and UDP"},
+    {"host", "operator", CW_SETTING_ADDRESS, _CW_AT(operator_http), NULL, 0, 0, "address for operators and metrics"},
+    {"host", "seeds", CW_SETTING_TEXT, _CW_AT(seeds), "", 0, 0, "peer addresses to join, separated by commas"},
+    {"platform", "url", CW_SETTING_TEXT, _CW_AT(platform), "", 0, 0, "base URL of the configuration service"},
+    {"platform", "watch", CW_SETTING_MS, _CW_AT(watch_ms), "20s", 100, 300000, "length of one waiting watch"},
+    {"platform", "readers", CW_SETTING_COUNT_KIND, _CW_AT(readers), "1", 1, 100, "hosts of a hall that read"},
+    {"platform", "rate", CW_SETTING_NUMBER, _CW_AT(platform_rate), "2", 0.1, 1000, "calls a second of this host"},
+    {"entry", "max_requests", CW_SETTING_COUNT_KIND, _CW_AT(max_requests), "4096", 16, 65536, "requests at once"},
+    {"entry", "max_body", CW_SETTING_BYTES, _CW_AT(max_body), "1m", 1024, 67108864, "longest request body"},
+    {"entry", "max_connections", CW_SETTING_COUNT_KIND, _CW_AT(max_connections), "4000", 16, 60000,
+     "connections of callers"},
+    {"entry", "lookup_keep", CW_SETTING_MS, _CW_AT(lookup_ms), "5s", 100, 600000,
+     "how long callers keep a lookup answer"},
+    {"entry", "ticket_keep", CW_SETTING_MS, _CW_AT(ticket_ms), "60s", 1000, 3600000, "life of a ticket"},
+    {"entry", "silent", CW_SETTING_MS, _CW_AT(silent_ms), "150ms", 5, 10000, "allocator's silence until direct mode"},
+    {"entry", "silent_protected", CW_SETTING_MS, _CW_AT(silent_protected_ms), "40ms", 5, 10000,
+     "the same for protected classes"},
+    {"entry", "max_answer", CW_SETTING_BYTES, _CW_AT(max_answer), "4m", 1024, 67108864, "longest whole answer"},
+    {"entry", "retry_share", CW_SETTING_NUMBER, _CW_AT(retry_share), "0.1", 0, 1, "retries for each first try"},
+    {"allocator", "grant", CW_SETTING_MS, _CW_AT(grant_ms), "500ms", 20, 10000, "time to use a grant"},
+    {"allocator", "lease", CW_SETTING_MS, _CW_AT(lease_ms), "6s", 1000, 60000, "grants of a silent entry return after"},
+    {"allocator", "max_waiting", CW_SETTING_COUNT_KIND, _CW_AT(max_waiting), "4096", 16, 200000,
+     "wants queued at one shard"},
+    {"allocator", "report", CW_SETTING_MS, _CW_AT(report_ms), "1s", 100, 60000,
+     "between two readings of an upstream's load"},
+    {"member", "probe", CW_SETTING_MS, _CW_AT(probe_ms), "1s", 50, 60000, "between two probes"},
+    {"member", "probe_timeout", CW_SETTING_MS, _CW_AT(probe_timeout_ms), "300ms", 10, 30000, "for a direct answer"},
+    {"member", "suspect", CW_SETTING_MS, _CW_AT(suspect_ms), "4s", 100, 600000, "from suspicion to death"},
+    {"log", "level", CW_SETTING_NAME, _CW_AT(log_level), "info", 0, 0, "debug, info, warn or error"},
+    {"log", "format", CW_SETTING_NAME, _CW_AT(log_format), "text", 0, 0, "text or json"},
+};
+
+#define _CW_SETTINGS_COUNT (sizeof(_cw_settings) / sizeof(_cw_settings[0]))
+
+const cw_setting_info_t* cw_settings_info(uint32_t* count) {
+    *count = (uint32_t)_CW_SETTINGS_COUNT;
+    return _cw_settings;
+}
+
+typedef struct _cw_settings_load_t {
+    const char* path;
+    cw_settings_t* settings;
+    cw_settings_errors_t* errors;
+    FILE* file;
+    int line;                     /* read last */
+    int seen[_CW_SETTINGS_COUNT]; /* line, 0: not in the file */
+} _cw_settings_load_t;
+
+static void _cw_settings_error(_cw_settings_load_t* load, int line, const char* section, const char* key,
+                               const char* fmt, ...) __attribute__((format(printf, 5, 6)));
+
+static void _cw_settings_error(_cw_settings_load_t* load, int line, const char* section, const char* key,
+                               const char* fmt, ...) {
+    if (load->errors->count == CW_SETTINGS_ERRORS_MAX) {
+        return;
+    }
+    char* out = load->errors->lines[load->errors->count++];
+    int n = snprintf(out, CW_MESSAGE_MAX, "%s:%d: [%s] %s: ", load->path, line, section, key);
+    if (n < 0 || n >= CW_MESSAGE_MAX) {
+        return;
+    }
+    va_list args;
+    va_start(args, fmt);
+    vsnprintf(out + n, CW_MESSAGE_MAX - (size_t)n, fmt, args);
+    va_end(args);
+}
+
+/* Reads a number and its unit; false when the unit is none of the kind's. */
+static bool _cw_settings_number(cw_setting_kind_t kind, const char* text, double* out) {
+    char* unit = NULL;
+    *out = strtod(text, &unit);
+    if (unit == text) {
+        return false;
+    }
+    if (kind == CW_SETTING_MS) {
+        double factor = strcmp(unit, "ms") == 0  ? 1
+                        : strcmp(unit, "s") == 0 ? 1000
+                        : strcmp(unit, "m") == 0 ? 60000
+                                                 : 0;
+        *out *= factor;
+        return factor > 0;
+    }
+    if (kind == CW_SETTING_BYTES) {
+        double factor = !*unit ? 1 : strcmp(unit, "k") == 0 ? 1024 : strcmp(unit, "m") == 0 ? 1048576 : 0;
+        *out *= factor;
+        return factor > 0;
+    }
+    return *unit == 0;
+}
+
+static bool _cw_settings_is_address(const char* text) {
+    char ip[CW_NAME_MAX];
+    struct in_addr parsed;
+    cw_copy(ip, sizeof(ip), text);
+    char* colon = strrchr(ip, ':');
+    if (!colon) {
+        return false;
+    }
+    *colon = 0;
+    char* end = NULL;
+    unsigned long port = strtoul(colon + 1, &end, 10);
+    return end != colon + 1 && !*end && port <= UINT16_MAX && inet_pton(AF_INET, ip, &parsed) == 1;
+}
+
+static bool _cw_settings_is_name(const char* text) {
+    for (const char* c = text; *c; c++) {
+        if (!isalnum((unsigned char)*c) && !strchr("-._", *c)) {
+            return false;
+        }
+    }
+    return *text && strlen(text) < CW_NAME_MAX;
+}
+
+static void _cw_settings_set(_cw_settings_load_t* load, const cw_setting_info_t* info, int line, const char* value) {
+    char* field = (char*)load->settings + info->offset;
+    double number = 0;
+    switch (info->kind) {
+        case CW_SETTING_TEXT:
+            if (strlen(value) >= CW_SETTINGS_TEXT_MAX) {
+                _cw_settings_error(load, line, info->section, info->key, "is too long");
+                return;
+            }
+            cw_copy(field, CW_SETTINGS_TEXT_MAX, value);
+            return;
+        case CW_SETTING_NAME:
+            if (!_cw_settings_is_name(value)) {
+                _cw_settings_error(load, line, info->section, info->key, "must be letters, digits, '-', '.' and '_'");
+                return;
+            }
+            cw_copy(field, CW_NAME_MAX, value);
+            return;
+        case CW_SETTING_ADDRESS:
+            if (!_cw_settings_is_address(value)) {
+                _cw_settings_error(load, line, info->section, info->key, "must be IP:PORT");
+                return;
+            }
+            cw_copy(field, CW_NAME_MAX, value);
+            return;
+        default:
+            break;
+    }
+    if (!_cw_settings_number(info->kind, value, &number)) {
+        const char* wants = info->kind == CW_SETTING_MS      ? "a time with its unit, as 500ms, 5s or 2m"
+                            : info->kind == CW_SETTING_BYTES ? "a size in bytes, as 1000, 64k or 8m"
+                                                             : "a number";
+        _cw_settings_error(load, line, info->section, info->key, "must be %s", wants);
+    } else if (number < info->min || number > info->max) {
+        _cw_settings_error(load, line, info->section, info->key, "must be from %g to %g%s", info->min, info->max,
+                           info->kind == CW_SETTING_MS ? " ms" : "");
+    } else if (info->kind == CW_SETTING_NUMBER) {
+        memcpy(field, &number, sizeof(number));
+    } else {
+        uint32_t whole = (uint32_t)number;
+        memcpy(field, &whole, sizeof(whole));
+    }
+}
+
+/* Reads a line for inih and counts it. */
+static char* _cw_settings_read(char* text, int size, void* user) {
+    _cw_settings_load_t* load = user;
+    char* got = fgets(text, size, load->file);
+    load->line += got ? 1 : 0;
+    return got;
+}
+
+static int _cw_settings_line(void* user, const char* section, const char* key, const char* value) {
+    _cw_settings_load_t* load = user;
+    int line = load->line;
+    for (size_t i = 0; i < _CW_SETTINGS_COUNT; i++) {
+        const cw_setting_info_t* info = &_cw_settings[i];
+        if (strcmp(section, info->section) != 0 || strcmp(key, info->key) != 0) {
+            continue;
+        }
+        if (load->seen[i]) {
+            _cw_settings_error(load, line, section, key, "is given twice, first in line %d", load->seen[i]);
+        }
+        load->seen[i] = line;
+        _cw_settings_set(load, info, line, value);
+        return 1;
+    }
+    _cw_settings_error(load, line, section, key, "is not known");
+    return 1;
+}
+
+/* Two addresses of this host may be the same only with port 0. */
+static void _cw_settings_overlaps(_cw_settings_load_t* load) {
+    const struct {
+        const char* key;
+        const char* value;
+    } addresses[] = {
+        {"http", load->settings->http}, {"peer", load->settings->peer}, {"operator", load->settings->operator_http}};
+    for (size_t i = 1; i < 3; i++) {
+        for (size_t j = 0; j < i; j++) {
+            const char* value = addresses[i].value;
+            size_t len = strlen(value);
+            bool any_port = len > 2 && strcmp(value + len - 2, ":0") == 0;
+            if (value[0] && !any_port && strcmp(value, addresses[j].value) == 0) {
+                _cw_settings_error(load, 0, "host", addresses[i].key, "is the same address as %s", addresses[j].key);
+            }
+        }
+    }
+}
+
+static void _cw_settings_choice(_cw_settings_load_t* load, const char* key, const char* value, const char* choices) {
+    char quoted[CW_NAME_MAX + 2];
+    snprintf(quoted, sizeof(quoted), " %s ", value);
+    if (!strstr(choices, quoted)) {
+        _cw_settings_error(load, 0, "log", key, "must be one of%s", choices);
+    }
+}
+
+cw_status_t cw_settings_load(const char* path, cw_settings_t* settings, cw_settings_errors_t* errors) {
+    _cw_settings_load_t load = {.path = path, .settings = settings, .errors = errors};
+    memset(settings, 0, sizeof(*settings));
+    load.file = fopen(path, "r");
+    if (!load.file) {
+        _cw_settings_error(&load, 0, "", "", "the file cannot be read");
+        return CW_ERR_INVALID;
+    }
+    int line = ini_parse_stream(_cw_settings_read, &load, _cw_settings_line, &load);
+    fclose(load.file);
+    if (line > 0) {
+        _cw_settings_error(&load, line, "", "", "the line is no section, key or comment");
+    }
+    for (size_t i = 0; i < _CW_SETTINGS_COUNT; i++) {
+        if (load.seen[i]) {
+            continue;
+        }
+        if (_cw_settings[i].initial) {
+            _cw_settings_set(&load, &_cw_settings[i], 0, _cw_settings[i].initial);
+        } else {
+            _cw_settings_error(&load, 0, _cw_settings[i].section, _cw_settings[i].key, "is missing");
+        }
+    }
+    _cw_settings_overlaps(&load);
+    _cw_settings_choice(&load, "level", settings->log_level, " debug info warn error ");
+    _cw_settings_choice(&load, "format", settings->log_format, " text json ");
+    return errors->count ? CW_ERR_INVALID : CW_OK;
+}
+
+#endif /* CHALKWAY_SETTINGS_IMPL_INCLUDED */
+#endif /* CHALKWAY_IMPL */
--- /dev/null
+++ b/chalkway_shard.h
@@ -0,0 +1,908 @@
+#ifndef CHALKWAY_SHARD_H
+#define CHALKWAY_SHARD_H
+/*
+    chalkway_shard.h -- allocator of one shard: one queue for all entries
+
+    WHAT IT IS
+        A shard is a group of upstreams of one pool. Every entry sends its
+        wants for the shard to one allocator, which orders them all:
+
+          - four tiers in strict order, each lower tier with a floor: a share
+            of the served cost that it gets while it waits, taken from the
+            tiers above as delay only;
+          - within a tier, workspaces share by chalkway_fair.h;
+          - upstreams are chosen by chalkway_pick.h, slots counted exactly.
+
+        A grant is a lease on one slot. It must be used within ttl_ms and is
+        held until a done report, or until its entry stops reporting. Entries
+        report a digest (count and xor of grant ids) of what they hold; when
+        it differs, the allocator asks for the list. A new allocator adopts
+        what the entries hold and uses a part of the slots until they told.
+
+        Refusals come at once: when the estimated wait does not fit the
+        class's queue time or the deadline, when the shard is full, when a
+        protected want needs the place. Each carries a time to come back.
+
+    HOW TO USE IT
+        State in, time in, actions out; no socket and no clock:
+
+            cw_shard_t* shard = cw_shard_setup(&(cw_shard_desc_t){.epoch = random});
+            cw_shard_upstreams(shard, specs, count);
+            cw_shard_want(shard, now_ms, &want);
+            cw_shard_action_t action;
+            while (cw_shard_next(shard, now_ms, &action)) {
+                send(action);               // grant, refuse, preempt or resync
+            }
+            cw_shard_done(shard, now_ms, &done);
+
+    WHAT IT DOES NOT DO
+        It does not deliver messages, and does not know which host should
+        run the shard: see chalkway_place.h.
+
+    LICENCE
+        MIT, see LICENSE.
+*/
+#include "chalkway_fair.h"
+#include "chalkway_pick.h"
+
+#define CW_TIERS 4
+
+enum {
+    CW_WANT_PROTECTED = 1,  /* never refused or preempted for a lower tier */
+    CW_WANT_PREEMPTIBLE = 2 /* may be cancelled while it runs */
+};
+
+/* One request's wish to run. Times are relative, so that clocks need not agree. */
+typedef struct cw_want_t {
+    uint64_t entry;     /* host that owns the request */
+    uint32_t seq;       /* the entry's number of the want, not 0 */
+    uint8_t tier;       /* 0 is the highest */
+    uint8_t flags;      /* CW_WANT_... */
+    uint32_t weight;    /* of the workspace, 0 counts as 1 */
+    uint64_t workspace; /* id */
+    uint32_t cost;      /* estimated, in cost units (tokens) */
+    uint32_t est_ms;    /* estimated run time */
+    uint32_t queue_ms;  /* longest wait that the class allows */
+    uint32_t left_ms;   /* until the whole answer is due */
+    uint64_t prefix;    /* hash of the prompt's start, 0: none */
+    uint64_t exclude;   /* upstream to avoid, 0: none */
+    uint64_t hall;      /* of the entry */
+} cw_want_t;
+
+typedef enum cw_refusal_t {
+    CW_REFUSED_NONE = 0,
+    CW_REFUSED_LATE,    /* it cannot finish by its deadline */
+    CW_REFUSED_BUSY,    /* the wait would be longer than the class allows */
+    CW_REFUSED_EVICTED, /* a higher tier needed the place in the queue */
+    CW_REFUSED_FULL,    /* no place in the queue */
+    CW_REFUSED_NO_UPSTREAM,
+    CW_REFUSED_COUNT
+} cw_refusal_t;
+
+typedef enum cw_shard_kind_t {
+    CW_SHARD_GRANT = 1,
+    CW_SHARD_REFUSE,
+    CW_SHARD_PREEMPT, /* cancel a running request; the slot returns with its done report */
+    CW_SHARD_RESYNC,  /* the entry shall list all it holds */
+    CW_SHARD_QUEUED   /* the want waits; sent by the owner of the shard as a sign of life, see cw_shard_waits */
+} cw_shard_kind_t;
+
+typedef struct cw_shard_action_t {
+    cw_shard_kind_t kind;
+    uint64_t entry;
+    uint32_t seq;            /* of the want */
+    uint64_t grant;          /* grant, preempt */
+    uint64_t upstream;       /* grant */
+    uint32_t held_ms;        /* grant: time the want spent here */
+    uint32_t ttl_ms;         /* grant: to be used within held_ms + ttl_ms of sending the want */
+    cw_refusal_t refusal;    /* refuse */
+    uint32_t retry_after_ms; /* refuse */
+} cw_shard_action_t;
+
+/* A grant's end. */
+typedef struct cw_done_t {
+    uint64_t grant;
+    cw_pick_result_t result;
+    uint32_t took_ms;
+    uint32_t cost; /* really used */
+} cw_done_t;
+
+/* A running grant as its entry reports it to a new allocator. */
+typedef struct cw_held_t {
+    uint64_t grant;
+    uint64_t upstream;
+    uint64_t workspace;
+    uint32_t seq;
+    uint32_t cost;
+    uint8_t tier;
+    uint8_t flags;
+} cw_held_t;
+
+/* What an entry says of all its grants at one allocator. */
+typedef struct cw_digest_t {
+    uint64_t entry;
+    uint64_t last;  /* grant received last from this allocator, 0: none */
+    uint64_t xored; /* of the ids held */
+    uint32_t count;
+} cw_digest_t;
+
+typedef struct cw_shard_desc_t {
+    uint32_t epoch;          /* random number of this allocator instance, part of every grant id */
+    uint32_t max_waiting;    /* default 4096 */
+    uint32_t max_grants;     /* default 4096 */
+    uint32_t max_workspaces; /* default 1024 */
+    uint32_t max_entries;    /* default 512 */
+    uint32_t ttl_ms;         /* time to use a grant, default 500 */
+    uint32_t lease_ms;       /* grants of an entry silent for this long are taken back, default 6000 */
+    uint32_t preempt_ms;     /* wait of a protected want before a lower one is preempted, default 100 */
+    double floor[CW_TIERS];  /* share of cost for each tier while it waits, default 0, .10, .05, .02 */
+    uint32_t reserve;        /* slots kept free for protected wants, default 0 */
+    cw_pick_desc_t pick;
+    cw_allocator_t allocator;
+} cw_shard_desc_t;
+
+typedef struct cw_shard_stats_t {
+    uint64_t wants, grants, refusals, evictions, preemptions, reclaimed, adopted;
+    uint32_t waiting, running, limit;
+    uint32_t wait_ms; /* estimated wait of a new want of the lowest tier */
+    double served_cost[CW_TIERS];
+} cw_shard_stats_t;
+
+typedef struct cw_shard_t cw_shard_t;
+
+cw_shard_t* cw_shard_setup(const cw_shard_desc_t* desc);
+void cw_shard_shutdown(cw_shard_t* shard);
+/* Replaces the upstreams. Grants of one that is gone run on. */
+cw_status_t cw_shard_upstreams(cw_shard_t* shard, const cw_pick_spec_t* specs, uint32_t count);
+/* Share of the limits to use: entries seen out of entries published (partition rule). */
+void cw_shard_visible(cw_shard_t* shard, uint32_t seen, uint32_t published);
+/* A new allocator uses the share of the limits that matches the entries heard out of expected, until until_ms. */
+void cw_shard_cautious(cw_shard_t* shard, int64_t until_ms, uint32_t expected);
+/* A repeated want (same entry and seq) is answered as before. CW_ERR_FULL: refuse it. */
+cw_status_t cw_shard_want(cw_shard_t* shard, int64_t now_ms, const cw_want_t* want);
+void cw_shard_cancel(cw_shard_t* shard, uint64_t entry, uint32_t seq);
+/* Whether the want is in the queue. */
+bool cw_shard_waits(const cw_shard_t* shard, uint64_t entry, uint32_t seq);
+/* Whether the upstream belongs to the shard. */
+bool cw_shard_serves(const cw_shard_t* shard, uint64_t upstream);
+/* CW_ERR_NOT_FOUND for a grant that ended before. */
+cw_status_t cw_shard_done(cw_shard_t* shard, int64_t now_ms, const cw_done_t* done);
+/* The entry's digest; renews its leases or leads to CW_SHARD_RESYNC. */
+void cw_shard_digest(cw_shard_t* shard, int64_t now_ms, const cw_digest_t* digest);
+/* The entry's whole list: unknown grants are adopted, unlisted ones taken back. */
+void cw_shard_list(cw_shard_t* shard, int64_t now_ms, const cw_digest_t* digest, const cw_held_t* held, uint32_t count);
+/* The entry is known to be dead: its wants go, its grants return after one ttl. */
+void cw_shard_entry_gone(cw_shard_t* shard, int64_t now_ms, uint64_t entry);
+void cw_shard_report(cw_shard_t* shard, int64_t now_ms, uint64_t upstream, uint32_t running, bool draining);
+/* Next thing to send; false when there is nothing to do now. */
+bool cw_shard_next(cw_shard_t* shard, int64_t now_ms, cw_shard_action_t* action);
+cw_shard_stats_t cw_shard_stats(const cw_shard_t* shard, int64_t now_ms);
+const char* cw_refusal_name(cw_refusal_t refusal);
+
+#endif /* CHALKWAY_SHARD_H */
+
+/*-- IMPLEMENTATION -----------------------------------------------------------*/
+#ifdef CHALKWAY_IMPL
+#ifndef CHALKWAY_SHARD_IMPL_INCLUDED
+#define CHALKWAY_SHARD_IMPL_INCLUDED
+
+#include <assert.h>
+#include <string.h>
+
+#define _CW_SHARD_NONE UINT32_MAX
+#define _CW_SHARD_GRANT_BIT 0x80000000U
+#define _CW_SHARD_DEFAULT_MS 50.0 /* run time of a want until one was measured */
+
+typedef struct _cw_shard_item_t {
+    cw_want_t want;
+    int64_t arrived_ms;
+    cw_refusal_t refusal; /* set: waits to be told */
+    uint32_t next;        /* refusals to tell, or free list */
+} _cw_shard_item_t;
+
+typedef struct _cw_shard_grant_t {
+    uint64_t id; /* 0: free */
+    uint64_t key;
+    uint64_t entry;
+    uint64_t workspace;
+    uint64_t upstream;
+    int64_t granted_ms;
+    int64_t kept_until; /* of a dead entry's grant, 0: no end set */
+    uint32_t seq, cost, est_ms, weight;
+    uint32_t prev, next; /* grants of the same entry, or free list */
+    uint32_t held_ms;
+    uint8_t tier, flags;
+    bool preempted;
+} _cw_shard_grant_t;
+
+typedef struct _cw_shard_entry_t {
+    uint64_t id;
+    int64_t heard_ms;
+    uint32_t grants; /* list head */
+    bool resync;     /* to be asked for its list */
+    bool listed;     /* told its list to this allocator */
+} _cw_shard_entry_t;
+
+struct cw_shard_t {
+    cw_shard_desc_t desc;
+    cw_pick_t* pick;
+    cw_fair_t* tiers[CW_TIERS];
+    double credit[CW_TIERS]; /* cost that the floor owes the tier */
+    double ahead[CW_TIERS];  /* estimated run ms waiting in the tier */
+    cw_heap_t expiry;        /* items by the time their wait ends */
+    _cw_shard_item_t* items;
+    uint32_t free_item;
+    uint32_t refused_head, refused_tail;
+    _cw_shard_grant_t* grants;
+    uint32_t free_grant;
+    uint32_t grant_count;
+    uint32_t grant_seq;
+    cw_map_t by_want;  /* mix(entry, seq) -> item, or grant with _CW_SHARD_GRANT_BIT */
+    cw_map_t by_grant; /* grant id -> grant */
+    _cw_shard_entry_t* entries;
+    uint32_t entry_count;
+    cw_map_t by_entry;
+    bool resync_due;
+    int64_t sweep_ms; /* next look for silent entries */
+    int64_t cautious_until;
+    uint32_t expected;
+    double visible;
+    uint32_t protected_waiting;
+    uint32_t again; /* granted item index to tell once more */
+    cw_shard_stats_t stats;
+};
+
+static cw_shard_desc_t _cw_shard_desc_defaults(const cw_shard_desc_t* desc) {
+    static const double floors[CW_TIERS] = {0.0, 0.10, 0.05, 0.02};
+    cw_shard_desc_t d = *desc;
+    d.epoch = d.epoch ? d.epoch : 1;
+    d.max_waiting = d.max_waiting ? d.max_waiting : 4096;
+    d.max_grants = d.max_grants ? d.max_grants : 4096;
+    d.max_workspaces = d.max_workspaces ? d.max_workspaces : 1024;
+    d.max_entries = d.max_entries ? d.max_entries : 512;
+    d.ttl_ms = d.ttl_ms ? d.ttl_ms : 500;
+    d.lease_ms = d.lease_ms ? d.lease_ms : 6000;
+    d.preempt_ms = d.preempt_ms ? d.preempt_ms : 100;
+    bool none = true;
+    for (uint32_t t = 0; t < CW_TIERS; t++) {
+        none = none && d.floor[t] <= 0;
+    }
+    if (none) {
+        memcpy(d.floor, floors, sizeof(floors));
+    }
+    d.pick.allocator = d.allocator;
+    return d;
+}
+
+const char* cw_refusal_name(cw_refusal_t refusal) {
+    static const char* const names[CW_REFUSED_COUNT] = {"none", "too-late", "busy", "evicted", "full", "no-upstream"};
+    return ((unsigned)refusal < CW_REFUSED_COUNT) ? names[refusal] : "?";
+}
+
+cw_shard_t* cw_shard_setup(const cw_shard_desc_t* desc) {
+    cw_shard_desc_t d = _cw_shard_desc_defaults(desc);
+    cw_shard_t* s = cw_alloc(&d.allocator, 1, sizeof(*s));
+    s->desc = d;
+    s->pick = cw_pick_setup(&d.pick);
+    for (uint32_t t = 0; t < CW_TIERS; t++) {
+        s->tiers[t] = cw_fair_setup(&(cw_fair_desc_t){
+            .max_items = d.max_waiting, .max_workspaces = d.max_workspaces, .allocator = d.allocator});
+    }
+    s->expiry = cw_heap_setup(d.max_waiting, &d.allocator);
+    s->items = cw_alloc(&d.allocator, d.max_waiting, sizeof(*s->items));
+    s->grants = cw_alloc(&d.allocator, d.max_grants, sizeof(*s->grants));
+    s->entries = cw_alloc(&d.allocator, d.max_entries, sizeof(*s->entries));
+    s->by_want = cw_map_setup(d.max_waiting + d.max_grants, &d.allocator);
+    s->by_grant = cw_map_setup(d.max_grants, &d.allocator);
+    s->by_entry = cw_map_setup(d.max_entries, &d.allocator);
+    for (uint32_t i = 0; i < d.max_waiting; i++) {
+        s->items[i].next = i + 1 < d.max_waiting ? i + 1 : _CW_SHARD_NONE;
+    }
+    for (uint32_t i = 0; i < d.max_grants; i++) {
+        s->grants[i].next = i + 1 < d.max_grants ? i + 1 : _CW_SHARD_NONE;
+    }
+    s->refused_head = s->refused_tail = _CW_SHARD_NONE;
+    s->again = _CW_SHARD_NONE;
+    s->visible = 1.0;
+    return s;
+}
+
+void cw_shard_shutdown(cw_shard_t* s) {
+    cw_allocator_t a = s->desc.allocator;
+    cw_pick_shutdown(s->pick);
+    for (uint32_t t = 0; t < CW_TIERS; t++) {
+        cw_fair_shutdown(s->tiers[t]);
+    }
+    cw_heap_shutdown(&s->expiry);
+    cw_map_shutdown(&s->by_want);
+    cw_map_shutdown(&s->by_grant);
+    cw_map_shutdown(&s->by_entry);
+    cw_free(&a, s->items);
+    cw_free(&a, s->grants);
+    cw_free(&a, s->entries);
+    cw_free(&a, s);
+}
+
+/* -- entries -------------------------------------------------------------- */
+
+static _cw_shard_entry_t* _cw_shard_entry(cw_shard_t* s, int64_t now_ms, uint64_t id) {
+    uint32_t i = cw_map_get(&s->by_entry, id);
+    if (i == CW_MAP_NONE) {
+        if (s->entry_count == s->desc.max_entries) {
+            return NULL;
+        }
+        i = s->entry_count++;
+        s->entries[i] = (_cw_shard_entry_t){.id = id, .grants = _CW_SHARD_NONE};
+        cw_map_put(&s->by_entry, id, i);
+    }
+    s->entries[i].heard_ms = now_ms;
+    return &s->entries[i];
+}
+
+static void _cw_shard_entry_drop(cw_shard_t* s, uint32_t index) {
+    cw_map_remove(&s->by_entry, s->entries[index].id);
+    s->entries[index] = s->entries[--s->entry_count];
+    if (index < s->entry_count) {
+        cw_map_put(&s->by_entry, s->entries[index].id, index);
+    }
+}
+
+/* Applies the smaller of the partition's and the take-over's share to the limits. */
+static void _cw_shard_rescale(cw_shard_t* s, int64_t now_ms) {
+    double scale = s->visible;
+    if (now_ms < s->cautious_until && s->expected) {
+        uint32_t listed = 0;
+        for (uint32_t i = 0; i < s->entry_count; i++) {
+            listed += s->entries[i].listed;
+        }
+        double share = (double)listed / s->expected;
+        scale = share < scale ? share : scale;
+    }
+    cw_pick_scale(s->pick, scale);
+}
+
+void cw_shard_visible(cw_shard_t* s, uint32_t seen, uint32_t published) {
+    s->visible = (published && seen < published) ? (double)seen / published : 1.0;
+}
+
+void cw_shard_cautious(cw_shard_t* s, int64_t until_ms, uint32_t expected) {
+    s->cautious_until = until_ms;
+    s->expected = expected;
+}
+
+/* -- waiting items -------------------------------------------------------- */
+
+static void _cw_shard_item_free(cw_shard_t* s, uint32_t i) {
+    s->items[i].want.seq = 0;
+    s->items[i].next = s->free_item;
+    s->free_item = i;
+}
+
+/* Undoes the bookkeeping of an item that has just left its fair queue. */
+static void _cw_shard_unbook(cw_shard_t* s, uint32_t i) {
+    const cw_want_t* w = &s->items[i].want;
+    cw_heap_remove(&s->expiry, i);
+    s->ahead[w->tier] -= w->est_ms;
+    s->protected_waiting -= (w->flags & CW_WANT_PROTECTED) ? 1 : 0;
+    if (!cw_fair_count(s->tiers[w->tier])) {
+        s->credit[w->tier] = 0;
+        s->ahead[w->tier] = 0;
+    }
+    cw_map_remove(&s->by_want, cw_mix(w->entry, w->seq));
+}
+
+/* Takes a waiting item out of its queue; the caller keeps or frees it. */
+static void _cw_shard_unqueue(cw_shard_t* s, uint32_t i) {
+    cw_fair_remove(s->tiers[s->items[i].want.tier], i);
+    _cw_shard_unbook(s, i);
+}
+
+/* Marks an item that is in no queue as refused, to be told by cw_shard_next. */
+static void _cw_shard_refuse(cw_shard_t* s, uint32_t i, cw_refusal_t refusal) {
+    s->items[i].refusal = refusal;
+    s->items[i].next = _CW_SHARD_NONE;
+    if (s->refused_tail == _CW_SHARD_NONE) {
+        s->refused_head = i;
+    } else {
+        s->items[s->refused_tail].next = i;
+    }
+    s->refused_tail = i;
+    s->stats.refusals++;
+}
+
+/* Estimated wait of a new want of the tier: the run time queued before it over the slots that serve it. */
+static uint32_t _cw_shard_wait_ms(const cw_shard_t* s, int64_t now_ms, uint32_t tier) {
+    uint32_t limit = cw_pick_limit(s->pick, now_ms);
+    double ahead = 0;
+    for (uint32_t t = 0; t <= tier; t++) {
+        ahead += s->ahead[t];
+    }
+    return limit ? (uint32_t)(ahead / limit) : 0;
+}
+
+static bool _cw_shard_lower_waits(const cw_shard_t* s, uint32_t tier) {
+    for (uint32_t t = tier + 1; t < CW_TIERS; t++) {
+        if (cw_fair_count(s->tiers[t])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Refuses the newest waiting item of the lowest tier below tier; false when there is none that may go. */
+static bool _cw_shard_evict_below(cw_shard_t* s, uint32_t tier) {
+    for (uint32_t t = CW_TIERS - 1; t > tier; t--) {
+        uint32_t i = cw_fair_last(s->tiers[t]);
+        if (i != CW_FAIR_NONE && !(s->items[i].want.flags & CW_WANT_PROTECTED)) {
+            _cw_shard_unqueue(s, i);
+            _cw_shard_refuse(s, i, CW_REFUSED_EVICTED);
+            s->stats.evictions++;
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether the want should be refused on arrival. */
+static cw_refusal_t _cw_shard_judge(const cw_shard_t* s, int64_t now_ms, const cw_want_t* want) {
+    if (want->est_ms > want->left_ms) {
+        return CW_REFUSED_LATE;
+    }
+    if (!cw_pick_count(s->pick)) {
+        return CW_REFUSED_NO_UPSTREAM;
+    }
+    bool keep = (want->flags & CW_WANT_PROTECTED) && _cw_shard_lower_waits(s, want->tier);
+    uint32_t wait_ms = _cw_shard_wait_ms(s, now_ms, want->tier);
+    if (!keep && (wait_ms > want->queue_ms || wait_ms + want->est_ms > want->left_ms)) {
+        return CW_REFUSED_BUSY;
+    }
+    return CW_REFUSED_NONE;
+}
+
+cw_status_t cw_shard_want(cw_shard_t* s, int64_t now_ms, const cw_want_t* want) {
+    assert(want->seq && want->tier < CW_TIERS);
+    _cw_shard_entry(s, now_ms, want->entry);
+    uint64_t key = cw_mix(want->entry, want->seq);
+    uint32_t known = cw_map_get(&s->by_want, key);
+    if (known != CW_MAP_NONE) {
+        if (known & _CW_SHARD_GRANT_BIT) {
+            s->again = known & ~_CW_SHARD_GRANT_BIT;
+        }
+        return CW_OK;
+    }
+    s->stats.wants++;
+    cw_refusal_t refusal = _cw_shard_judge(s, now_ms, want);
+    if (s->free_item == _CW_SHARD_NONE) {
+        return CW_ERR_FULL;
+    }
+    if (s->items[s->free_item].next == _CW_SHARD_NONE && !refusal && !_cw_shard_evict_below(s, want->tier)) {
+        refusal = CW_REFUSED_FULL; /* the last item only tells refusals */
+    }
+    uint32_t i = s->free_item;
+    s->free_item = s->items[i].next;
+    s->items[i] = (_cw_shard_item_t){.want = *want, .arrived_ms = now_ms};
+    if (!refusal && cw_fair_push(s->tiers[want->tier], want->workspace, i) != CW_OK) {
+        refusal = CW_REFUSED_FULL;
+    }
+    if (refusal) {
+        _cw_shard_refuse(s, i, refusal);
+        return CW_OK;
+    }
+    uint32_t slack = want->left_ms - want->est_ms;
+    cw_heap_set(&s->expiry, i, (double)(now_ms + (slack < want->queue_ms ? slack : want->queue_ms)));
+    s->ahead[want->tier] += want->est_ms;
+    s->protected_waiting += (want->flags & CW_WANT_PROTECTED) ? 1 : 0;
+    cw_map_put(&s->by_want, key, i);
+    return CW_OK;
+}
+
+void cw_shard_cancel(cw_shard_t* s, uint64_t entry, uint32_t seq) {
+    uint32_t i = cw_map_get(&s->by_want, cw_mix(entry, seq));
+    if (i != CW_MAP_NONE && !(i & _CW_SHARD_GRANT_BIT)) {
+        _cw_shard_unqueue(s, i);
+        _cw_shard_item_free(s, i);
+    }
+}
+
+bool cw_shard_waits(const cw_shard_t* s, uint64_t entry, uint32_t seq) {
+    uint32_t i = cw_map_get(&s->by_want, cw_mix(entry, seq));
+    return i != CW_MAP_NONE && !(i & _CW_SHARD_GRANT_BIT);
+}
+
+bool cw_shard_serves(const cw_shard_t* s, uint64_t upstream) {
+    return cw_pick_find(s->pick, upstream) != CW_PICK_NONE;
+}
+
+/* -- grants --------------------------------------------------------------- */
+
+static uint32_t _cw_shard_grant_new(cw_shard_t* s, int64_t now_ms, uint64_t entry_id) {
+    _cw_shard_entry_t* e = _cw_shard_entry(s, now_ms, entry_id);
+    if (s->free_grant == _CW_SHARD_NONE || !e) {
+        return _CW_SHARD_NONE;
+    }
+    uint32_t g = s->free_grant;
+    s->free_grant = s->grants[g].next;
+    s->grants[g] = (_cw_shard_grant_t){.entry = entry_id, .prev = _CW_SHARD_NONE, .next = e->grants};
+    if (e->grants != _CW_SHARD_NONE) {
+        s->grants[e->grants].prev = g;
+    }
+    e->grants = g;
+    s->grant_count++;
+    return g;
+}
+
+static void _cw_shard_grant_index(cw_shard_t* s, uint32_t g) {
+    cw_map_put(&s->by_grant, s->grants[g].id, g);
+    cw_map_put(&s->by_want, s->grants[g].key, g | _CW_SHARD_GRANT_BIT);
+}
+
+static void _cw_shard_grant_free(cw_shard_t* s, uint32_t g) {
+    _cw_shard_grant_t* grant = &s->grants[g];
+    if (grant->prev != _CW_SHARD_NONE) {
+        s->grants[grant->prev].next = grant->next;
+    } else {
+        s->entries[cw_map_get(&s->by_entry, grant->entry)].grants = grant->next;
+    }
+    if (grant->next != _CW_SHARD_NONE) {
+        s->grants[grant->next].prev = grant->prev;
+    }
+    cw_map_remove(&s->by_grant, grant->id);
+    cw_map_remove(&s->by_want, grant->key);
+    if (s->again == g) {
+        s->again = _CW_SHARD_NONE;
+    }
+    grant->id = 0;
+    grant->next = s->free_grant;
+    s->free_grant = g;
+    s->grant_count--;
+}
+
+/* Ends a grant: the slot returns, the workspace pays for what was used. */
+static void _cw_shard_end(cw_shard_t* s, int64_t now_ms, uint32_t g, cw_pick_result_t result, uint32_t took_ms,
+                          uint32_t cost) {
+    _cw_shard_grant_t* grant = &s->grants[g];
+    uint32_t up = cw_pick_find(s->pick, grant->upstream);
+    if (up != CW_PICK_NONE) {
+        cw_pick_end(s->pick, now_ms, up, result, took_ms, cost);
+    }
+    cw_fair_charge(s->tiers[grant->tier], grant->workspace, grant->weight, (double)cost - grant->cost);
+    s->stats.served_cost[grant->tier] += (double)cost - grant->cost;
+    _cw_shard_grant_free(s, g);
+}
+
+cw_status_t cw_shard_done(cw_shard_t* s, int64_t now_ms, const cw_done_t* done) {
+    uint32_t g = cw_map_get(&s->by_grant, done->grant);
+    if (g == CW_MAP_NONE) {
+        return CW_ERR_NOT_FOUND;
+    }
+    _cw_shard_entry(s, now_ms, s->grants[g].entry);
+    _cw_shard_end(s, now_ms, g, done->result, done->took_ms, done->cost);
+    return CW_OK;
+}
+
+/* Tier to serve next: the highest that waits, unless a floor owes a lower one the cost of its next item. */
+static uint32_t _cw_shard_tier(const cw_shard_t* s) {
+    uint32_t best = CW_TIERS;
+    for (uint32_t t = 0; t < CW_TIERS; t++) {
+        uint32_t i = cw_fair_peek(s->tiers[t]);
+        if (i == CW_FAIR_NONE) {
+            continue;
+        }
+        if (best == CW_TIERS) {
+            best = t;
+        } else if (s->credit[t] >= s->items[i].want.cost) {
+            return t;
+        }
+    }
+    return best;
+}
+
+/* Books a served cost: every waiting tier's floor earns its share, the served tier pays. */
+static void _cw_shard_account(cw_shard_t* s, uint32_t tier, uint32_t cost) {
+    for (uint32_t t = 1; t < CW_TIERS; t++) {
+        if (t == tier || cw_fair_count(s->tiers[t])) {
+            s->credit[t] += s->desc.floor[t] * cost;
+        }
+    }
+    s->credit[tier] -= cost;
+    if (s->credit[tier] < 0) {
+        s->credit[tier] = 0;
+    }
+    s->stats.served_cost[tier] += cost;
+}
+
+static void _cw_shard_fill_grant(cw_shard_t* s, uint32_t g, cw_shard_action_t* action) {
+    const _cw_shard_grant_t* grant = &s->grants[g];
+    *action = (cw_shard_action_t){.kind = CW_SHARD_GRANT,
+                                  .entry = grant->entry,
+                                  .seq = grant->seq,
+                                  .grant = grant->id,
+                                  .upstream = grant->upstream,
+                                  .held_ms = grant->held_ms,
+                                  .ttl_ms = s->desc.ttl_ms};
+}
+
+static bool _cw_shard_try_grant(cw_shard_t* s, int64_t now_ms, cw_shard_action_t* action) {
+    uint32_t tier = _cw_shard_tier(s);
+    if (tier == CW_TIERS || s->free_grant == _CW_SHARD_NONE) {
+        return false;
+    }
+    uint32_t i = cw_fair_peek(s->tiers[tier]);
+    const cw_want_t w = s->items[i].want;
+    const cw_pick_query_t query = {.prefix = w.prefix,
+                                   .hall = w.hall,
+                                   .exclude = w.exclude,
+                                   .keep = (w.flags & CW_WANT_PROTECTED) ? 0 : s->desc.reserve};
+    uint32_t up = cw_pick_choose(s->pick, now_ms, &query);
+    if (up == CW_PICK_NONE) {
+        return false;
+    }
+    uint32_t g = _cw_shard_grant_new(s, now_ms, w.entry);
+    if (g == _CW_SHARD_NONE) {
+        return false;
+    }
+    cw_fair_pop(s->tiers[tier]);
+    _cw_shard_unbook(s, i);
+    _cw_shard_grant_t* grant = &s->grants[g];
+    grant->id = ((uint64_t)s->desc.epoch << 32) | ++s->grant_seq;
+    grant->key = cw_mix(w.entry, w.seq);
+    grant->workspace = w.workspace;
+    grant->upstream = cw_pick_at(s->pick, up).spec.id;
+    grant->granted_ms = now_ms;
+    grant->seq = w.seq;
+    grant->cost = w.cost;
+    grant->est_ms = w.est_ms;
+    grant->weight = w.weight;
+    grant->tier = w.tier;
+    grant->flags = w.flags;
+    grant->held_ms = (uint32_t)(now_ms - s->items[i].arrived_ms);
+    _cw_shard_grant_index(s, g);
+    cw_pick_begin(s->pick, up);
+    cw_fair_charge(s->tiers[tier], w.workspace, w.weight, w.cost);
+    _cw_shard_account(s, tier, w.cost);
+    _cw_shard_item_free(s, i);
+    s->stats.grants++;
+    _cw_shard_fill_grant(s, g, action);
+    return true;
+}
+
+/* Cancels the youngest grant of the lowest preemptible tier when a protected want has waited too long. */
+static bool _cw_shard_try_preempt(cw_shard_t* s, int64_t now_ms, cw_shard_action_t* action) {
+    uint32_t first = _CW_SHARD_NONE;
+    for (uint32_t t = 0; t < CW_TIERS && first == _CW_SHARD_NONE; t++) {
+        first = cw_fair_peek(s->tiers[t]);
+    }
+    if (first == _CW_SHARD_NONE || !(s->items[first].want.flags & CW_WANT_PROTECTED) ||
+        now_ms - s->items[first].arrived_ms < s->desc.preempt_ms) {
+        return false;
+    }
+    uint32_t victim = _CW_SHARD_NONE;
+    uint32_t pending = 0;
+    for (uint32_t g = 0; g < s->desc.max_grants; g++) {
+        const _cw_shard_grant_t* grant = &s->grants[g];
+        if (!grant->id) {
+            continue;
+        }
+        pending += grant->preempted;
+        bool may = (grant->flags & CW_WANT_PREEMPTIBLE) && !grant->preempted && grant->tier > s->items[first].want.tier;
+        if (may && (victim == _CW_SHARD_NONE || grant->tier > s->grants[victim].tier ||
+                    (grant->tier == s->grants[victim].tier && grant->granted_ms > s->grants[victim].granted_ms))) {
+            victim = g;
+        }
+    }
+    if (victim == _CW_SHARD_NONE || pending >= s->protected_waiting) {
+        return false;
+    }
+    s->grants[victim].preempted = true;
+    s->stats.preemptions++;
+    _cw_shard_fill_grant(s, victim, action);
+    action->kind = CW_SHARD_PREEMPT;
+    return true;
+}
+
+/* -- leases --------------------------------------------------------------- */
+
+/* Count and xor of the entry's grants, without those it may not have received yet. */
+static cw_digest_t _cw_shard_own_digest(const cw_shard_t* s, const _cw_shard_entry_t* e, uint64_t last) {
+    cw_digest_t own = {.entry = e->id};
+    for (uint32_t g = e->grants; g != _CW_SHARD_NONE; g = s->grants[g].next) {
+        uint64_t id = s->grants[g].id;
+        bool mine = (id >> 32) == s->desc.epoch;
+        if (!mine || id <= last) {
+            own.xored ^= id;
+            own.count++;
+        }
+    }
+    return own;
+}
+
+void cw_shard_digest(cw_shard_t* s, int64_t now_ms, const cw_digest_t* digest) {
+    _cw_shard_entry_t* e = _cw_shard_entry(s, now_ms, digest->entry);
+    if (!e) {
+        return;
+    }
+    cw_digest_t own = _cw_shard_own_digest(s, e, digest->last);
+    if (own.count != digest->count || own.xored != digest->xored) {
+        e->resync = true;
+        s->resync_due = true;
+    } else {
+        e->listed = true;
+    }
+}
+
+static void _cw_shard_adopt(cw_shard_t* s, int64_t now_ms, uint64_t entry, const cw_held_t* held) {
+    uint32_t g = _cw_shard_grant_new(s, now_ms, entry);
+    if (g == _CW_SHARD_NONE) {
+        return;
+    }
+    _cw_shard_grant_t* grant = &s->grants[g];
+    grant->id = held->grant;
+    grant->key = cw_mix(entry, held->seq);
+    grant->workspace = held->workspace;
+    grant->upstream = held->upstream;
+    grant->granted_ms = now_ms;
+    grant->seq = held->seq;
+    grant->cost = held->cost;
+    grant->weight = 1;
+    grant->tier = held->tier < CW_TIERS ? held->tier : CW_TIERS - 1;
+    grant->flags = held->flags;
+    cw_shard_cancel(s, entry, held->seq);
+    _cw_shard_grant_index(s, g);
+    uint32_t up = cw_pick_find(s->pick, held->upstream);
+    if (up != CW_PICK_NONE) {
+        cw_pick_begin(s->pick, up);
+    }
+    s->stats.adopted++;
+}
+
+static bool _cw_shard_listed(const cw_held_t* held, uint32_t count, uint64_t grant) {
+    for (uint32_t i = 0; i < count; i++) {
+        if (held[i].grant == grant) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void cw_shard_list(cw_shard_t* s, int64_t now_ms, const cw_digest_t* digest, const cw_held_t* held, uint32_t count) {
+    _cw_shard_entry_t* e = _cw_shard_entry(s, now_ms, digest->entry);
+    if (!e) {
+        return;
+    }
+    e->listed = true;
+    e->resync = false;
+    for (uint32_t g = e->grants; g != _CW_SHARD_NONE;) {
+        uint32_t next = s->grants[g].next;
+        uint64_t id = s->grants[g].id;
+        bool received = (id >> 32) != s->desc.epoch || id <= digest->last;
+        if (received && !_cw_shard_listed(held, count, id)) {
+            _cw_shard_end(s, now_ms, g, CW_PICK_CANCELLED, 0, s->grants[g].cost);
+            s->stats.reclaimed++;
+        }
+        g = next;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        if (cw_map_get(&s->by_grant, held[i].grant) == CW_MAP_NONE &&
+            cw_map_get(&s->by_want, cw_mix(digest->entry, held[i].seq)) == CW_MAP_NONE) {
+            _cw_shard_adopt(s, now_ms, digest->entry, &held[i]);
+        }
+    }
+}
+
+static void _cw_shard_forget_wants(cw_shard_t* s, uint64_t entry) {
+    for (uint32_t i = 0; i < s->desc.max_waiting; i++) {
+        if (s->items[i].want.seq && s->items[i].want.entry == entry && cw_heap_has(&s->expiry, i)) {
+            cw_shard_cancel(s, entry, s->items[i].want.seq);
+        }
+    }
+}
+
+void cw_shard_entry_gone(cw_shard_t* s, int64_t now_ms, uint64_t entry) {
+    uint32_t index = cw_map_get(&s->by_entry, entry);
+    if (index == CW_MAP_NONE) {
+        return;
+    }
+    _cw_shard_forget_wants(s, entry);
+    /* What it sent may still run at the upstreams: the slots return after one ttl. */
+    s->entries[index].heard_ms = now_ms - s->desc.lease_ms + s->desc.ttl_ms;
+}
+
+/* Takes back all that entries silent for a lease held. */
+static void _cw_shard_sweep(cw_shard_t* s, int64_t now_ms) {
+    if (now_ms < s->sweep_ms) {
+        return;
+    }
+    s->sweep_ms = now_ms + s->desc.ttl_ms / 2;
+    for (uint32_t i = s->entry_count; i-- > 0;) {
+        _cw_shard_entry_t* e = &s->entries[i];
+        if (now_ms - e->heard_ms < s->desc.lease_ms) {
+            continue;
+        }
+        _cw_shard_forget_wants(s, e->id);
+        while (e->grants != _CW_SHARD_NONE) {
+            uint32_t g = e->grants;
+            _cw_shard_end(s, now_ms, g, CW_PICK_CANCELLED, 0, s->grants[g].cost);
+            s->stats.reclaimed++;
+        }
+        _cw_shard_entry_drop(s, i);
+    }
+}
+
+/* -- what to send --------------------------------------------------------- */
+
+static bool _cw_shard_next_refusal(cw_shard_t* s, int64_t now_ms, cw_shard_action_t* action) {
+    uint32_t i = s->refused_head;
+    if (i == _CW_SHARD_NONE) {
+        return false;
+    }
+    s->refused_head = s->items[i].next;
+    if (s->refused_head == _CW_SHARD_NONE) {
+        s->refused_tail = _CW_SHARD_NONE;
+    }
+    const cw_want_t* w = &s->items[i].want;
+    uint32_t wait_ms = _cw_shard_wait_ms(s, now_ms, w->tier);
+    *action = (cw_shard_action_t){.kind = CW_SHARD_REFUSE,
+                                  .entry = w->entry,
+                                  .seq = w->seq,
+                                  .refusal = s->items[i].refusal,
+                                  .retry_after_ms = wait_ms > s->desc.ttl_ms ? wait_ms : s->desc.ttl_ms};
+    _cw_shard_item_free(s, i);
+    return true;
+}
+
+static bool _cw_shard_next_resync(cw_shard_t* s, cw_shard_action_t* action) {
+    for (uint32_t i = 0; s->resync_due && i < s->entry_count; i++) {
+        if (s->entries[i].resync) {
+            s->entries[i].resync = false;
+            *action = (cw_shard_action_t){.kind = CW_SHARD_RESYNC, .entry = s->entries[i].id};
+            return true;
+        }
+    }
+    s->resync_due = false;
+    return false;
+}
+
+static void _cw_shard_expire(cw_shard_t* s, int64_t now_ms) {
+    uint32_t i = cw_heap_top(&s->expiry);
+    while (i != CW_HEAP_NONE && cw_heap_key(&s->expiry, i) <= (double)now_ms) {
+        _cw_shard_unqueue(s, i);
+        _cw_shard_refuse(s, i, CW_REFUSED_BUSY);
+        i = cw_heap_top(&s->expiry);
+    }
+}
+
+bool cw_shard_next(cw_shard_t* s, int64_t now_ms, cw_shard_action_t* action) {
+    _cw_shard_sweep(s, now_ms);
+    _cw_shard_expire(s, now_ms);
+    _cw_shard_rescale(s, now_ms);
+    if (s->again != _CW_SHARD_NONE) {
+        _cw_shard_fill_grant(s, s->again, action);
+        s->again = _CW_SHARD_NONE;
+        return true;
+    }
+    return _cw_shard_next_refusal(s, now_ms, action) || _cw_shard_next_resync(s, action) ||
+           _cw_shard_try_grant(s, now_ms, action) || _cw_shard_try_preempt(s, now_ms, action);
+}
+
+void cw_shard_report(cw_shard_t* s, int64_t now_ms, uint64_t upstream, uint32_t running, bool draining) {
+    cw_pick_report(s->pick, now_ms, upstream, running, draining);
+}
+
+cw_status_t cw_shard_upstreams(cw_shard_t* s, const cw_pick_spec_t* specs, uint32_t count) {
+    return cw_pick_set(s->pick, specs, count);
+}
+
+cw_shard_stats_t cw_shard_stats(const cw_shard_t* s, int64_t now_ms) {
+    cw_shard_stats_t stats = s->stats;
+    stats.running = s->grant_count;
+    stats.limit = cw_pick_limit(s->pick, now_ms);
+    stats.wait_ms = _cw_shard_wait_ms(s, now_ms, CW_TIERS - 1);
+    stats.waiting = 0;
+    for (uint32_t t = 0; t < CW_TIERS; t++) {
+        stats.waiting += cw_fair_count(s->tiers[t]);
+    }
+    return stats;
+}
+
+#endif /* CHALKWAY_SHARD_IMPL_INCLUDED */
+#endif /* CHALKWAY_IMPL */
--- /dev/null
+++ b/chalkway_store.h
@@ -0,0 +1,739 @@
+#ifndef CHALKWAY_STORE_H
+#define CHALKWAY_STORE_H
+/*
+    chalkway_store.h -- published resources, by revision
+
+    WHAT IT IS
+        Holds what operators publish: Workspace, RequestClass, Pool and
+        Upstream, each a JSON document under a key with the platform's
+        revision. Documents are typed and checked; an invalid one leaves its
+        last valid version in force and says why in its status. Nothing goes
+        back: an item with a lower revision than one already seen is
+        dropped, a deletion stays as a tombstone. All valid documents form
+        one immutable view; a request keeps the view it began with.
+
+    HOW TO USE IT
+            cw_store_t* store = cw_store_setup(&(cw_store_desc_t){0});
+            cw_store_put(store, "pools/chat", 12, "{\"kind\":\"engine\"}");
+            cw_store_put(store, "pools/old", 13, NULL);            // deleted
+            cw_store_commit(store, 13);                            // complete up to revision 13
+            cw_view_t* view = cw_store_view(store);                // a reference
+            const cw_class_t* c = cw_view_class(view, id);
+            cw_view_release(view);
+
+    WHAT IT DOES NOT DO
+        It reads from nowhere itself and writes to nowhere. Items are
+        allocated when they first appear; a view when it changes.
+
+    LICENCE
+        MIT, see LICENSE.
+*/
+#include "chalkway_core.h"
+#include "chalkway_shard.h"
+
+#define CW_CLASS_POOLS 8
+#define CW_WORKSPACE_DIGESTS 2
+#define CW_DIGEST_BYTES 32
+#define CW_KEY_MAX 96
+#define CW_ADDRESS_MAX 48
+#define CW_REASON_MAX CW_MESSAGE_MAX
+
+typedef enum cw_kind_t {
+    CW_KIND_WORKSPACE = 0,
+    CW_KIND_CLASS,
+    CW_KIND_POOL,
+    CW_KIND_UPSTREAM,
+    CW_KIND_COUNT
+} cw_kind_t;
+
+/* A customer. */
+typedef struct cw_workspace_t {
+    char name[CW_NAME_MAX];
+    uint64_t id;
+    uint32_t weight;                                        /* share within a tier, default 1 */
+    double rate;                                            /* requests a second over all entries, 0: no limit */
+    uint32_t concurrency;                                   /* requests at once over all entries, 0: no limit */
+    uint8_t digests[CW_WORKSPACE_DIGESTS][CW_DIGEST_BYTES]; /* BLAKE2b-256 of its bearer tokens */
+    uint32_t digest_count;
+} cw_workspace_t;
+
+/* A kind of request, with its service level. */
+typedef struct cw_class_t {
+    char name[CW_NAME_MAX];
+    uint64_t id;
+    uint8_t tier;         /* 0..3 */
+    bool is_protected;    /* never shed or preempted for a lower tier */
+    bool repeatable;      /* may run more than once */
+    bool preemptible;     /* may be cancelled while it runs, for a protected class */
+    uint32_t deadline_ms; /* for the whole answer */
+    uint32_t queue_ms;    /* longest wait */
+    uint32_t cost;        /* first estimate, in tokens */
+    uint32_t est_ms;      /* first estimate of the run time */
+    double weight;        /* in goodput */
+    char pools[CW_CLASS_POOLS][CW_NAME_MAX];
+    uint32_t pool_count;
+} cw_class_t;
+
+/* Upstreams that serve the same. */
+typedef struct cw_pool_t {
+    char name[CW_NAME_MAX];
+    uint64_t id;
+    bool engine; /* a model engine, else a plain service */
+    char model[CW_NAME_MAX];
+    uint32_t shard_size; /* upstreams in one shard, default 24 */
+    uint32_t reserve;    /* slots of a shard kept for protected classes */
+    double floor[CW_TIERS];
+} cw_pool_t;
+
+/* A back end. */
+typedef struct cw_upstream_t {
+    char name[CW_NAME_MAX];
+    uint64_t id;
+    char pool[CW_NAME_MAX];
+    uint64_t pool_id;
+    char address[CW_ADDRESS_MAX]; /* IP:PORT */
+    char hall[CW_NAME_MAX];
+    uint32_t slots;     /* requests at once */
+    bool leaving;       /* no new work */
+    bool drops_repeats; /* recognises a repeated call name itself */
+} cw_upstream_t;
+
+/* One consistent set of valid resources. */
+typedef struct cw_view_t {
+    uint32_t refs;
+    int64_t revision;
+    cw_workspace_t* workspaces;
+    cw_class_t* classes;
+    cw_pool_t* pools;
+    cw_upstream_t* upstreams; /* those whose pool exists, in order of name */
+    uint32_t workspace_count, class_count, pool_count, upstream_count;
+    cw_map_t by_id;     /* mix(kind + 1, id) -> index */
+    cw_map_t by_digest; /* first 8 bytes of a token digest -> workspace index */
+} cw_view_t;
+
+/* What is known of one document. */
+typedef struct cw_item_t {
+    char key[CW_KEY_MAX];
+    int64_t revision;           /* highest seen */
+    int64_t in_force;           /* revision of the version in use, 0: none */
+    char* value;                /* newest text, NULL: deleted */
+    char* valid;                /* text in use, NULL: none */
+    char reason[CW_REASON_MAX]; /* why the newest is not in force, "" when it is */
+    cw_kind_t kind;
+} cw_item_t;
+
+typedef struct cw_store_desc_t {
+    uint32_t max_items; /* default 16384 */
+    cw_allocator_t allocator;
+} cw_store_desc_t;
+
+typedef struct cw_store_t cw_store_t;
+
+cw_store_t* cw_store_setup(const cw_store_desc_t* desc);
+void cw_store_shutdown(cw_store_t* store);
+/* Takes one document; value NULL means deleted. CW_ERR_STALE when a higher revision of the key is known,
+   CW_ERR_INVALID when the document is wrong (it is still recorded, with the reason), CW_ERR_FULL. */
+cw_status_t cw_store_put(cw_store_t* store, const char* key, int64_t revision, const char* value);
+/* Everything up to revision has been put. Builds the next view when something changed. Lower ones are ignored. */
+void cw_store_commit(cw_store_t* store, int64_t revision);
+/* The store is complete up to this revision; 0 before the first commit. */
+int64_t cw_store_revision(const cw_store_t* store);
+/* The newest view with a reference for the caller; never NULL. */
+cw_view_t* cw_store_view(cw_store_t* store);
+void cw_view_release(cw_view_t* view);
+cw_view_t* cw_view_keep(cw_view_t* view);
+uint32_t cw_store_count(const cw_store_t* store);
+const cw_item_t* cw_store_at(const cw_store_t* store, uint32_t index);
+const cw_item_t* cw_store_find(const cw_store_t* store, const char* key);
+/* Checks a document without storing it; the reason comes in err. */
+cw_status_t cw_store_validate(const char* key, const char* value, cw_error_t* err);
+
+const cw_workspace_t* cw_view_workspace(const cw_view_t* view, uint64_t id);
+const cw_class_t* cw_view_class(const cw_view_t* view, uint64_t id);
+const cw_pool_t* cw_view_pool(const cw_view_t* view, uint64_t id);
+const cw_upstream_t* cw_view_upstream(const cw_view_t* view, uint64_t id);
+/* The workspace of a bearer token's digest, compared in constant time; NULL when there is none. */
+const cw_workspace_t* cw_view_auth(const cw_view_t* view, const uint8_t digest[CW_DIGEST_BYTES]);
+/* "workspaces", "classes", "pools", "upstreams": the part of a key before the slash. */
+const char* cw_kind_name(cw_kind_t kind);
+
+#endif /* CHALKWAY_STORE_H */
+
+/*-- IMPLEMENTATION -----------------------------------------------------------*/
+#ifdef CHALKWAY_IMPL
+#ifndef CHALKWAY_STORE_IMPL_INCLUDED
+#define CHALKWAY_STORE_IMPL_INCLUDED
+
+#include <arpa/inet.h>
+#include <assert.h>
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct cw_store_t {
+    cw_store_desc_t desc;
+    cw_item_t** items;
+    uint32_t count;
+    cw_map_t by_key;
+    int64_t revision;
+    bool dirty;
+    cw_view_t* view;
+};
+
+const char* cw_kind_name(cw_kind_t kind) {
+    static const char* const names[CW_KIND_COUNT] = {"workspaces", "classes", "pools", "upstreams"};
+    return ((unsigned)kind < CW_KIND_COUNT) ? names[kind] : "?";
+}
+
+/* -- documents ------------------------------------------------------------ */
+
+/* Reads the fields of one JSON object and keeps the first thing wrong with it. */
+typedef struct _cw_doc_t {
+    json_t* root;
+    cw_error_t* err;
+    cw_status_t status;
+    uint32_t known; /* fields of the object that were asked for */
+} _cw_doc_t;
+
+static void _cw_doc_fail(_cw_doc_t* doc, const char* field, const char* what) {
+    if (doc->status == CW_OK) {
+        doc->status = cw_fail(doc->err, CW_ERR_INVALID, "validate", NULL, "field \"%s\": %s", field, what);
+    }
+}
+
+static json_t* _cw_doc_field(_cw_doc_t* doc, const char* field) {
+    json_t* value = json_object_get(doc->root, field);
+    doc->known += value ? 1 : 0;
+    return value;
+}
+
+static double _cw_doc_number(_cw_doc_t* doc, const char* field, double initial, double min, double max) {
+    json_t* value = _cw_doc_field(doc, field);
+    if (!value) {
+        return initial;
+    }
+    double number = json_number_value(value);
+    if (!json_is_number(value) || number < min || number > max) {
+        char what[64];
+        snprintf(what, sizeof(what), "must be a number from %g to %g", min, max);
+        _cw_doc_fail(doc, field, what);
+        return initial;
+    }
+    return number;
+}
+
+static uint32_t _cw_doc_count(_cw_doc_t* doc, const char* field, uint32_t initial, uint32_t min, uint32_t max) {
+    json_t* value = json_object_get(doc->root, field);
+    if (value && !json_is_integer(value)) {
+        _cw_doc_fail(doc, field, "must be a whole number");
+    }
+    return (uint32_t)_cw_doc_number(doc, field, initial, min, max);
+}
+
+static bool _cw_doc_flag(_cw_doc_t* doc, const char* field, bool initial) {
+    json_t* value = _cw_doc_field(doc, field);
+    if (value && !json_is_boolean(value)) {
+        _cw_doc_fail(doc, field, "must be true or false");
+    }
+    return value ? json_is_true(value) : initial;
+}
+
+static void _cw_doc_text(_cw_doc_t* doc, const char* field, char* out, size_t size, bool needed) {
+    json_t* value = _cw_doc_field(doc, field);
+    out[0] = 0;
+    if (!value) {
+        if (needed) {
+            _cw_doc_fail(doc, field, "is missing");
+        }
+        return;
+    }
+    const char* text = json_string_value(value);
+    if (!text || !text[0] || strlen(text) >= size) {
+        _cw_doc_fail(doc, field, "must be a text that is not empty or too long");
+        return;
+    }
+    cw_copy(out, size, text);
+}
+
+static _cw_doc_t _cw_doc_open(const char* text, cw_error_t* err) {
+    _cw_doc_t doc = {.err = err};
+    json_error_t why;
+    doc.root = json_loads(text, JSON_REJECT_DUPLICATES, &why);
+    if (!doc.root) {
+        doc.status = cw_fail(err, CW_ERR_INVALID, "parse", NULL, "line %d: %s", why.line, why.text);
+    } else if (!json_is_object(doc.root)) {
+        doc.status = cw_fail(err, CW_ERR_INVALID, "parse", NULL, "must be a JSON object");
+    }
+    return doc;
+}
+
+static cw_status_t _cw_doc_close(_cw_doc_t* doc) {
+    if (doc->status == CW_OK && json_object_size(doc->root) != doc->known) {
+        doc->status = cw_fail(doc->err, CW_ERR_INVALID, "validate", NULL, "has a field that its kind does not know");
+    }
+    json_decref(doc->root);
+    return doc->status;
+}
+
+static void _cw_doc_digests(_cw_doc_t* doc, cw_workspace_t* out) {
+    json_t* list = _cw_doc_field(doc, "token_digests");
+    if (!json_is_array(list) || json_array_size(list) == 0 || json_array_size(list) > CW_WORKSPACE_DIGESTS) {
+        _cw_doc_fail(doc, "token_digests", "must be a list of one or two digests");
+        return;
+    }
+    for (size_t i = 0; i < json_array_size(list); i++) {
+        const char* hex = json_string_value(json_array_get(list, i));
+        size_t len = 0;
+        if (!hex || sodium_hex2bin(out->digests[i], CW_DIGEST_BYTES, hex, strlen(hex), NULL, &len, NULL) != 0 ||
+            len != CW_DIGEST_BYTES || strlen(hex) != (size_t)2 * CW_DIGEST_BYTES) {
+            _cw_doc_fail(doc, "token_digests", "each must be 64 hexadecimal digits");
+            return;
+        }
+        out->digest_count++;
+    }
+}
+
+static void _cw_parse_workspace(_cw_doc_t* doc, cw_workspace_t* out) {
+    out->weight = _cw_doc_count(doc, "weight", 1, 1, 1000);
+    out->rate = _cw_doc_number(doc, "rate", 0, 0, 1e6);
+    out->concurrency = _cw_doc_count(doc, "concurrency", 0, 0, 1000000);
+    _cw_doc_digests(doc, out);
+}
+
+static void _cw_doc_pools(_cw_doc_t* doc, cw_class_t* out) {
+    json_t* list = _cw_doc_field(doc, "pools");
+    if (!json_is_array(list) || json_array_size(list) == 0 || json_array_size(list) > CW_CLASS_POOLS) {
+        _cw_doc_fail(doc, "pools", "must be a list of one to eight pool names");
+        return;
+    }
+    for (size_t i = 0; i < json_array_size(list); i++) {
+        const char* name = json_string_value(json_array_get(list, i));
+        if (!name || !name[0] || strlen(name) >= CW_NAME_MAX) {
+            _cw_doc_fail(doc, "pools", "each must be the name of a pool");
+            return;
+        }
+        cw_copy(out->pools[out->pool_count++], CW_NAME_MAX, name);
+    }
+}
+
+static void _cw_parse_class(_cw_doc_t* doc, cw_class_t* out) {
+    out->tier = (uint8_t)_cw_doc_count(doc, "tier", 1, 0, CW_TIERS - 1);
+    out->is_protected = _cw_doc_flag(doc, "protected", false);
+    out->repeatable = _cw_doc_flag(doc, "repeatable", true);
+    out->preemptible = _cw_doc_flag(doc, "preemptible", false);
+    out->deadline_ms = _cw_doc_count(doc, "deadline_ms", 30000, 10, 3600000);
+    out->queue_ms = _cw_doc_count(doc, "queue_ms", out->deadline_ms / 2, 1, 3600000);
+    out->cost = _cw_doc_count(doc, "cost", 100, 1, 10000000);
+    out->est_ms = _cw_doc_count(doc, "estimate_ms", 50, 1, 3600000);
+    out->weight = _cw_doc_number(doc, "weight", 1, 0, 1e6);
+    _cw_doc_pools(doc, out);
+    if (out->is_protected && out->preemptible) {
+        _cw_doc_fail(doc, "preemptible", "a protected class cannot be preemptible");
+    }
+    if (!out->repeatable && out->preemptible) {
+        _cw_doc_fail(doc, "preemptible", "a class that is not repeatable cannot be preemptible");
+    }
+}
+
+static void _cw_doc_floors(_cw_doc_t* doc, cw_pool_t* out) {
+    static const double initial[CW_TIERS] = {0.0, 0.10, 0.05, 0.02};
+    memcpy(out->floor, initial, sizeof(initial));
+    json_t* list = _cw_doc_field(doc, "floors");
+    if (!list) {
+        return;
+    }
+    double sum = 0;
+    for (size_t t = 0; t < CW_TIERS; t++) {
+        out->floor[t] = json_number_value(json_array_get(list, t));
+        sum += out->floor[t];
+        if (out->floor[t] < 0) {
+            sum = 2;
+        }
+    }
+    if (json_array_size(list) != CW_TIERS || sum > 0.9) {
+        _cw_doc_fail(doc, "floors", "must be four shares, none below 0, together at most 0.9");
+    }
+}
+
+static void _cw_parse_pool(_cw_doc_t* doc, cw_pool_t* out) {
+    char kind[CW_NAME_MAX];
+    _cw_doc_text(doc, "kind", kind, sizeof(kind), true);
+    out->engine = strcmp(kind, "engine") == 0;
+    if (kind[0] && !out->engine && strcmp(kind, "service") != 0) {
+        _cw_doc_fail(doc, "kind", "must be \"engine\" or \"service\"");
+    }
+    _cw_doc_text(doc, "model", out->model, sizeof(out->model), false);
+    out->shard_size = _cw_doc_count(doc, "shard_size", 24, 1, CW_PICK_MAX / 2);
+    out->reserve = _cw_doc_count(doc, "reserve", 0, 0, 10000);
+    _cw_doc_floors(doc, out);
+}
+
+static void _cw_doc_address(_cw_doc_t* doc, char* out, size_t size) {
+    _cw_doc_text(doc, "address", out, size, true);
+    char ip[CW_ADDRESS_MAX];
+    cw_copy(ip, sizeof(ip), out);
+    char* colon = strrchr(ip, ':');
+    struct in_addr parsed;
+    if (!out[0] || !colon) {
+        _cw_doc_fail(doc, "address", "must be IP:PORT");
+        return;
+    }
+    *colon = 0;
+    int port = (int)strtol(colon + 1, NULL, 10);
+    if (inet_pton(AF_INET, ip, &parsed) != 1 || port < 1 || port > 65535) {
+        _cw_doc_fail(doc, "address", "must be IP:PORT");
+    }
+}
+
+static void _cw_parse_upstream(_cw_doc_t* doc, cw_upstream_t* out) {
+    _cw_doc_text(doc, "pool", out->pool, sizeof(out->pool), true);
+    _cw_doc_address(doc, out->address, sizeof(out->address));
+    _cw_doc_text(doc, "hall", out->hall, sizeof(out->hall), true);
+    out->slots = _cw_doc_count(doc, "slots", 8, 1, 100000);
+    out->leaving = _cw_doc_flag(doc, "leaving", false);
+    out->drops_repeats = _cw_doc_flag(doc, "drops_repeats", false);
+    out->pool_id = out->pool[0] ? cw_name_id(out->pool) : 0;
+}
+
+typedef union _cw_parsed_t {
+    cw_workspace_t workspace;
+    cw_class_t class;
+    cw_pool_t pool;
+    cw_upstream_t upstream;
+} _cw_parsed_t;
+
+/* Splits KIND/NAME; returns CW_KIND_COUNT when the key names no resource. */
+static cw_kind_t _cw_key_kind(const char* key, const char** name) {
+    for (int kind = 0; kind < CW_KIND_COUNT; kind++) {
+        const char* prefix = cw_kind_name((cw_kind_t)kind);
+        size_t len = strlen(prefix);
+        if (strncmp(key, prefix, len) == 0 && key[len] == '/' && key[len + 1]) {
+            *name = key + len + 1;
+            return strlen(*name) < CW_NAME_MAX ? (cw_kind_t)kind : CW_KIND_COUNT;
+        }
+    }
+    return CW_KIND_COUNT;
+}
+
+static cw_status_t _cw_parse(const char* key, const char* value, _cw_parsed_t* out, cw_error_t* err) {
+    const char* name = NULL;
+    cw_kind_t kind = _cw_key_kind(key, &name);
+    if (kind == CW_KIND_COUNT) {
+        return cw_fail(err, CW_ERR_INVALID, "validate", NULL, "the key is not KIND/NAME of a known kind");
+    }
+    memset(out, 0, sizeof(*out));
+    _cw_doc_t doc = _cw_doc_open(value, err);
+    if (doc.status != CW_OK) {
+        json_decref(doc.root);
+        return doc.status;
+    }
+    cw_copy(out->workspace.name, CW_NAME_MAX, name); /* name and id come first in all four */
+    out->workspace.id = cw_name_id(name);
+    switch (kind) {
+        case CW_KIND_WORKSPACE:
+            _cw_parse_workspace(&doc, &out->workspace);
+            break;
+        case CW_KIND_CLASS:
+            _cw_parse_class(&doc, &out->class);
+            break;
+        case CW_KIND_POOL:
+            _cw_parse_pool(&doc, &out->pool);
+            break;
+        default:
+            _cw_parse_upstream(&doc, &out->upstream);
+            break;
+    }
+    return _cw_doc_close(&doc);
+}
+
+cw_status_t cw_store_validate(const char* key, const char* value, cw_error_t* err) {
+    _cw_parsed_t parsed;
+    return _cw_parse(key, value, &parsed, err);
+}
+
+/* -- views ---------------------------------------------------------------- */
+
+static uint64_t _cw_view_key(cw_kind_t kind, uint64_t id) {
+    return cw_mix((uint64_t)kind + 1, id);
+}
+
+static cw_view_t* _cw_view_new(const cw_allocator_t* a, uint32_t capacity) {
+    cw_view_t* v = cw_alloc(a, 1, sizeof(*v));
+    v->refs = 1;
+    v->by_id = cw_map_setup(capacity + 1, a);
+    v->by_digest = cw_map_setup(capacity * CW_WORKSPACE_DIGESTS + 1, a);
+    return v;
+}
+
+void cw_view_release(cw_view_t* v) {
+    assert(v->refs > 0);
+    if (--v->refs) {
+        return;
+    }
+    cw_allocator_t a = v->by_id.allocator;
+    cw_free(&a, v->workspaces);
+    cw_free(&a, v->classes);
+    cw_free(&a, v->pools);
+    cw_free(&a, v->upstreams);
+    cw_map_shutdown(&v->by_id);
+    cw_map_shutdown(&v->by_digest);
+    cw_free(&a, v);
+}
+
+cw_view_t* cw_view_keep(cw_view_t* v) {
+    v->refs++;
+    return v;
+}
+
+static void _cw_view_add_workspace(cw_view_t* v, const cw_workspace_t* w) {
+    v->workspaces[v->workspace_count] = *w;
+    for (uint32_t i = 0; i < w->digest_count; i++) {
+        uint64_t start;
+        memcpy(&start, w->digests[i], sizeof(start));
+        cw_map_put(&v->by_digest, start ? start : 1, v->workspace_count);
+    }
+    cw_map_put(&v->by_id, _cw_view_key(CW_KIND_WORKSPACE, w->id), v->workspace_count++);
+}
+
+static void _cw_view_add(cw_view_t* v, cw_kind_t kind, const _cw_parsed_t* p) {
+    uint64_t key = _cw_view_key(kind, p->workspace.id);
+    switch (kind) {
+        case CW_KIND_WORKSPACE:
+            _cw_view_add_workspace(v, &p->workspace);
+            break;
+        case CW_KIND_CLASS:
+            cw_map_put(&v->by_id, key, v->class_count);
+            v->classes[v->class_count++] = p->class;
+            break;
+        case CW_KIND_POOL:
+            cw_map_put(&v->by_id, key, v->pool_count);
+            v->pools[v->pool_count++] = p->pool;
+            break;
+        default:
+            cw_map_put(&v->by_id, key, v->upstream_count);
+            v->upstreams[v->upstream_count++] = p->upstream;
+            break;
+    }
+}
+
+static int _cw_item_order(const void* a, const void* b) {
+    return strcmp((*(cw_item_t* const*)a)->key, (*(cw_item_t* const*)b)->key);
+}
+
+/* Takes upstreams without a pool and classes without any pool out of the view. */
+static bool _cw_view_resolves(const cw_view_t* v, cw_kind_t kind, const _cw_parsed_t* p, char* reason) {
+    if (kind == CW_KIND_UPSTREAM && !cw_view_pool(v, p->upstream.pool_id)) {
+        snprintf(reason, CW_REASON_MAX, "pool \"%s\" is not published", p->upstream.pool);
+        return false;
+    }
+    for (uint32_t i = 0; kind == CW_KIND_CLASS && i < p->class.pool_count; i++) {
+        if (!cw_view_pool(v, cw_name_id(p->class.pools[i]))) {
+            snprintf(reason, CW_REASON_MAX, "pool \"%s\" is not published", p->class.pools[i]);
+            return false;
+        }
+    }
+    return true;
+}
+
+static void _cw_view_fill(cw_store_t* s, cw_view_t* v, cw_item_t** sorted, bool pools) {
+    for (uint32_t i = 0; i < s->count; i++) {
+        cw_item_t* item = sorted[i];
+        _cw_parsed_t parsed;
+        if (!item->valid || (item->kind == CW_KIND_POOL) != pools ||
+            _cw_parse(item->key, item->valid, &parsed, NULL) != CW_OK) {
+            continue;
+        }
+        char reason[CW_REASON_MAX] = "";
+        if (_cw_view_resolves(v, item->kind, &parsed, reason)) {
+            _cw_view_add(v, item->kind, &parsed);
+        }
+        if (item->in_force == item->revision) {
+            cw_copy(item->reason, sizeof(item->reason), reason);
+        }
+    }
+}
+
+static cw_view_t* _cw_store_build(cw_store_t* s) {
+    const cw_allocator_t* a = &s->desc.allocator;
+    uint32_t kinds[CW_KIND_COUNT] = {0};
+    for (uint32_t i = 0; i < s->count; i++) {
+        kinds[s->items[i]->kind] += s->items[i]->valid ? 1 : 0;
+    }
+    cw_view_t* v = _cw_view_new(a, s->count);
+    v->revision = s->revision;
+    v->workspaces = cw_alloc(a, kinds[CW_KIND_WORKSPACE], sizeof(*v->workspaces));
+    v->classes = cw_alloc(a, kinds[CW_KIND_CLASS], sizeof(*v->classes));
+    v->pools = cw_alloc(a, kinds[CW_KIND_POOL], sizeof(*v->pools));
+    v->upstreams = cw_alloc(a, kinds[CW_KIND_UPSTREAM], sizeof(*v->upstreams));
+    cw_item_t** sorted = cw_alloc(a, s->count, sizeof(*sorted));
+    memcpy(sorted, s->items, s->count * sizeof(*sorted));
+    qsort(sorted, s->count, sizeof(*sorted), _cw_item_order);
+    _cw_view_fill(s, v, sorted, true);
+    _cw_view_fill(s, v, sorted, false);
+    cw_free(a, sorted);
+    return v;
+}
+
+static uint32_t _cw_view_index(const cw_view_t* v, cw_kind_t kind, uint64_t id) {
+    return id ? cw_map_get(&v->by_id, _cw_view_key(kind, id)) : CW_MAP_NONE;
+}
+
+const cw_workspace_t* cw_view_workspace(const cw_view_t* v, uint64_t id) {
+    uint32_t i = _cw_view_index(v, CW_KIND_WORKSPACE, id);
+    return i == CW_MAP_NONE ? NULL : &v->workspaces[i];
+}
+
+const cw_class_t* cw_view_class(const cw_view_t* v, uint64_t id) {
+    uint32_t i = _cw_view_index(v, CW_KIND_CLASS, id);
+    return i == CW_MAP_NONE ? NULL : &v->classes[i];
+}
+
+const cw_pool_t* cw_view_pool(const cw_view_t* v, uint64_t id) {
+    uint32_t i = _cw_view_index(v, CW_KIND_POOL, id);
+    return i == CW_MAP_NONE ? NULL : &v->pools[i];
+}
+
+const cw_upstream_t* cw_view_upstream(const cw_view_t* v, uint64_t id) {
+    uint32_t i = _cw_view_index(v, CW_KIND_UPSTREAM, id);
+    return i == CW_MAP_NONE ? NULL : &v->upstreams[i];
+}
+
+const cw_workspace_t* cw_view_auth(const cw_view_t* v, const uint8_t digest[CW_DIGEST_BYTES]) {
+    uint64_t start;
+    memcpy(&start, digest, sizeof(start));
+    uint32_t i = cw_map_get(&v->by_digest, start ? start : 1);
+    if (i == CW_MAP_NONE) {
+        return NULL;
+    }
+    const cw_workspace_t* w = &v->workspaces[i];
+    for (uint32_t d = 0; d < w->digest_count; d++) {
+        if (sodium_memcmp(w->digests[d], digest, CW_DIGEST_BYTES) == 0) {
+            return w;
+        }
+    }
+    return NULL;
+}
+
+/* -- store ---------------------------------------------------------------- */
+
+static cw_store_desc_t _cw_store_desc_defaults(const cw_store_desc_t* desc) {
+    cw_store_desc_t d = *desc;
+    d.max_items = d.max_items ? d.max_items : 16384;
+    return d;
+}
+
+cw_store_t* cw_store_setup(const cw_store_desc_t* desc) {
+    cw_store_desc_t d = _cw_store_desc_defaults(desc);
+    cw_store_t* s = cw_alloc(&d.allocator, 1, sizeof(*s));
+    s->desc = d;
+    s->items = cw_alloc(&d.allocator, d.max_items, sizeof(*s->items));
+    s->by_key = cw_map_setup(d.max_items, &d.allocator);
+    s->view = _cw_store_build(s);
+    return s;
+}
+
+static void _cw_item_set(cw_store_t* s, char** field, const char* value) {
+    cw_free(&s->desc.allocator, *field);
+    *field = NULL;
+    if (value) {
+        size_t size = strlen(value) + 1;
+        *field = cw_alloc(&s->desc.allocator, 1, size);
+        memcpy(*field, value, size);
+    }
+}
+
+void cw_store_shutdown(cw_store_t* s) {
+    cw_allocator_t a = s->desc.allocator;
+    for (uint32_t i = 0; i < s->count; i++) {
+        _cw_item_set(s, &s->items[i]->value, NULL);
+        _cw_item_set(s, &s->items[i]->valid, NULL);
+        cw_free(&a, s->items[i]);
+    }
+    cw_view_release(s->view);
+    cw_map_shutdown(&s->by_key);
+    cw_free(&a, s->items);
+    cw_free(&a, s);
+}
+
+static cw_item_t* _cw_store_item(cw_store_t* s, const char* key, cw_kind_t kind) {
+    uint64_t id = cw_name_id(key);
+    uint32_t i = cw_map_get(&s->by_key, id);
+    if (i != CW_MAP_NONE) {
+        return s->items[i];
+    }
+    if (s->count == s->desc.max_items) {
+        return NULL;
+    }
+    cw_item_t* item = cw_alloc(&s->desc.allocator, 1, sizeof(*item));
+    cw_copy(item->key, sizeof(item->key), key);
+    item->kind = kind;
+    cw_map_put(&s->by_key, id, s->count);
+    s->items[s->count++] = item;
+    return item;
+}
+
+cw_status_t cw_store_put(cw_store_t* s, const char* key, int64_t revision, const char* value) {
+    const char* name = NULL;
+    cw_kind_t kind = _cw_key_kind(key, &name);
+    if (kind == CW_KIND_COUNT) {
+        return CW_ERR_INVALID;
+    }
+    cw_item_t* item = _cw_store_item(s, key, kind);
+    if (!item) {
+        return CW_ERR_FULL;
+    }
+    if (revision <= item->revision) {
+        return revision < item->revision ? CW_ERR_STALE : CW_OK;
+    }
+    item->revision = revision;
+    _cw_item_set(s, &item->value, value);
+    cw_error_t err = {0};
+    if (value && cw_store_validate(key, value, &err) != CW_OK) {
+        cw_copy(item->reason, sizeof(item->reason), err.message);
+        return CW_ERR_INVALID;
+    }
+    _cw_item_set(s, &item->valid, value);
+    item->in_force = revision;
+    item->reason[0] = 0;
+    s->dirty = true;
+    return CW_OK;
+}
+
+void cw_store_commit(cw_store_t* s, int64_t revision) {
+    if (revision > s->revision) {
+        s->revision = revision;
+    }
+    if (s->dirty) {
+        cw_view_t* old = s->view;
+        s->view = _cw_store_build(s);
+        s->dirty = false;
+        cw_view_release(old);
+    }
+}
+
+int64_t cw_store_revision(const cw_store_t* s) {
+    return s->revision;
+}
+
+cw_view_t* cw_store_view(cw_store_t* s) {
+    return cw_view_keep(s->view);
+}
+
+uint32_t cw_store_count(const cw_store_t* s) {
+    return s->count;
+}
+
+const cw_item_t* cw_store_at(const cw_store_t* s, uint32_t index) {
+    assert(index < s->count);
+    return s->items[index];
+}
+
+const cw_item_t* cw_store_find(const cw_store_t* s, const char* key) {
+    uint32_t i = cw_map_get(&s->by_key, cw_name_id(key));
+    return i == CW_MAP_NONE ? NULL : s->items[i];
+}
+
+#endif /* CHALKWAY_STORE_IMPL_INCLUDED */
+#endif /* CHALKWAY_IMPL */
--- /dev/null
+++ b/chalkway_wire.h
@@ -0,0 +1,506 @@
+#ifndef CHALKWAY_WIRE_H
+#define CHALKWAY_WIRE_H
+/*
+    chalkway_wire.h -- messages between daemons, as msgpack
+
+    WHAT IT IS
+        One typed struct for each message and one function for each that
+        lists its fields; the same list serves counting, packing and
+        unpacking. A message is a msgpack array: type first, then fields.
+        Fields missing at the end read as zero and unknown ones at the end
+        are ignored, so that versions can be mixed during an upgrade. Over
+        TCP each message is a frame: four bytes of length, highest first,
+        then the array. Over UDP a datagram is one gossip message.
+
+    HOW TO USE IT
+            cw_wire_t* wire = cw_wire_setup(NULL);
+            cw_bytes_t frame = cw_wire_frame(wire, &msg);     // valid until the next call
+            cw_status_t s = cw_wire_decode(wire, bytes, len, &msg, &err);
+
+    WHAT IT DOES NOT DO
+        No sockets. Lists and chunks in a decoded message point into the
+        decoder and are valid until the next decode.
+
+    LICENCE
+        MIT, see LICENSE.
+*/
+#include "chalkway_member.h"
+#include "chalkway_shard.h"
+
+#define CW_WIRE_VERSION 1
+#define CW_FRAME_MAX (2U << 20) /* bytes of one frame, a document of 1 MiB and its key included */
+#define CW_FRAME_HEADER 4
+#define CW_LIST_MAX 4096
+#define CW_CHUNK_MAX 256
+
+typedef enum cw_msg_type_t {
+    CW_MSG_NONE = 0,
+    CW_MSG_HELLO,
+    CW_MSG_WANT,
+    CW_MSG_CANCEL,
+    CW_MSG_ACTION, /* grant, refuse, preempt, resync */
+    CW_MSG_DONE,
+    CW_MSG_DIGEST,
+    CW_MSG_LIST,
+    CW_MSG_PULL,
+    CW_MSG_CHUNK,
+    CW_MSG_TYPE_COUNT
+} cw_msg_type_t;
+
+typedef struct cw_hello_t {
+    uint32_t version;
+    uint64_t host;
+    char cluster[CW_NAME_MAX];
+} cw_hello_t;
+
+/* One document in a chunk. value NULL: deleted. */
+typedef struct cw_chunk_item_t {
+    const char* key;
+    const char* value;
+    int64_t revision;
+} cw_chunk_item_t;
+
+typedef struct cw_chunk_t {
+    int64_t revision; /* when last is set: the sender is complete up to here */
+    bool last;
+    uint32_t count;
+    cw_chunk_item_t items[CW_CHUNK_MAX];
+} cw_chunk_t;
+
+typedef struct cw_msg_t {
+    cw_msg_type_t type;
+    uint64_t shard; /* want, cancel, action, done, digest, list */
+    union {
+        cw_hello_t hello;
+        cw_want_t want;
+        uint32_t cancel_seq;
+        struct {
+            cw_shard_action_t action;
+            uint32_t wait_ms; /* the shard's load, for the choice of a shard */
+        };
+        cw_done_t done;
+        struct {
+            cw_digest_t digest;
+            uint32_t held_count; /* list */
+            cw_held_t* held;
+        };
+        int64_t pull_since;
+        cw_chunk_t chunk;
+    };
+} cw_msg_t;
+
+typedef struct cw_bytes_t {
+    const uint8_t* data;
+    size_t size;
+} cw_bytes_t;
+
+typedef struct cw_wire_t cw_wire_t;
+
+cw_wire_t* cw_wire_setup(const cw_allocator_t* allocator);
+void cw_wire_shutdown(cw_wire_t* wire);
+/* The message as a frame with its length, valid until the next call. */
+cw_bytes_t cw_wire_frame(cw_wire_t* wire, const cw_msg_t* msg);
+/* Reads the body of a frame (without its length). CW_ERR_PROTOCOL when it is no known message. */
+cw_status_t cw_wire_decode(cw_wire_t* wire, const uint8_t* body, size_t size, cw_msg_t* msg, cw_error_t* err);
+/* Length of the body from a frame's first four bytes. */
+uint32_t cw_wire_body_size(const uint8_t header[CW_FRAME_HEADER]);
+/* A gossip message as a datagram, valid until the next call. */
+cw_bytes_t cw_wire_datagram(cw_wire_t* wire, const char* cluster, const cw_gossip_t* gossip);
+/* Reads a datagram; CW_ERR_PROTOCOL also for another cluster. */
+cw_status_t cw_wire_gossip(cw_wire_t* wire, const char* cluster, const uint8_t* data, size_t size, cw_gossip_t* gossip,
+                           cw_error_t* err);
+
+#endif /* CHALKWAY_WIRE_H */
+
+/*-- IMPLEMENTATION -----------------------------------------------------------*/
+#ifdef CHALKWAY_IMPL
+#ifndef CHALKWAY_WIRE_IMPL_INCLUDED
+#define CHALKWAY_WIRE_IMPL_INCLUDED
+
+#include <msgpack.h>
+#include <string.h>
+
+struct cw_wire_t {
+    cw_allocator_t allocator;
+    msgpack_sbuffer buffer;
+    msgpack_zone zone;
+    cw_held_t held[CW_LIST_MAX];
+};
+
+typedef enum _cw_io_mode_t { _CW_IO_COUNT, _CW_IO_PACK, _CW_IO_UNPACK } _cw_io_mode_t;
+
+/* Walks the fields of a message to count, pack or unpack them. */
+typedef struct _cw_io_t {
+    _cw_io_mode_t mode;
+    uint32_t at;
+    msgpack_packer packer;
+    const msgpack_object_array* in;
+    bool bad;
+} _cw_io_t;
+
+static const msgpack_object* _cw_io_next(_cw_io_t* io) {
+    uint32_t at = io->at++;
+    return (at < io->in->size) ? &io->in->ptr[at] : NULL;
+}
+
+static uint64_t _cw_io_uint(_cw_io_t* io, uint64_t value) {
+    if (io->mode == _CW_IO_COUNT) {
+        io->at++;
+    } else if (io->mode == _CW_IO_PACK) {
+        msgpack_pack_uint64(&io->packer, value);
+    } else {
+        const msgpack_object* o = _cw_io_next(io);
+        if (!o) {
+            return 0;
+        }
+        io->bad = io->bad || o->type != MSGPACK_OBJECT_POSITIVE_INTEGER;
+        return o->via.u64;
+    }
+    return value;
+}
+
+static void _cw_io_u64(_cw_io_t* io, uint64_t* field) {
+    *field = _cw_io_uint(io, *field);
+}
+
+static void _cw_io_i64(_cw_io_t* io, int64_t* field) {
+    *field = (int64_t)_cw_io_uint(io, (uint64_t)*field);
+}
+
+static void _cw_io_u32(_cw_io_t* io, uint32_t* field) {
+    uint64_t value = _cw_io_uint(io, *field);
+    io->bad = io->bad || value > UINT32_MAX;
+    *field = (uint32_t)value;
+}
+
+static void _cw_io_u8(_cw_io_t* io, uint8_t* field) {
+    uint64_t value = _cw_io_uint(io, *field);
+    io->bad = io->bad || value > UINT8_MAX;
+    *field = (uint8_t)value;
+}
+
+static void _cw_io_bool(_cw_io_t* io, bool* field) {
+    *field = _cw_io_uint(io, *field ? 1 : 0) != 0;
+}
+
+static void _cw_io_text(_cw_io_t* io, char* field, size_t size) {
+    if (io->mode == _CW_IO_COUNT) {
+        io->at++;
+    } else if (io->mode == _CW_IO_PACK) {
+        msgpack_pack_str_with_body(&io->packer, field, strlen(field));
+    } else {
+        const msgpack_object* o = _cw_io_next(io);
+        field[0] = 0;
+        if (!o) {
+            return;
+        }
+        if (o->type != MSGPACK_OBJECT_STR || o->via.str.size >= size) {
+            io->bad = true;
+            return;
+        }
+        memcpy(field, o->via.str.ptr, o->via.str.size);
+        field[o->via.str.size] = 0;
+    }
+}
+
+/* An enum below count. */
+static uint32_t _cw_io_enum(_cw_io_t* io, uint32_t value, uint32_t count) {
+    uint64_t read = _cw_io_uint(io, value);
+    if (read >= count) {
+        io->bad = true;
+        return 0;
+    }
+    return (uint32_t)read;
+}
+
+/* -- fields of each message ----------------------------------------------- */
+
+static void _cw_fields_hello(_cw_io_t* io, cw_hello_t* h) {
+    _cw_io_u32(io, &h->version);
+    _cw_io_u64(io, &h->host);
+    _cw_io_text(io, h->cluster, sizeof(h->cluster));
+}
+
+static void _cw_fields_want(_cw_io_t* io, cw_want_t* w) {
+    _cw_io_u32(io, &w->seq);
+    _cw_io_u8(io, &w->tier);
+    _cw_io_u8(io, &w->flags);
+    _cw_io_u32(io, &w->weight);
+    _cw_io_u64(io, &w->workspace);
+    _cw_io_u32(io, &w->cost);
+    _cw_io_u32(io, &w->est_ms);
+    _cw_io_u32(io, &w->queue_ms);
+    _cw_io_u32(io, &w->left_ms);
+    _cw_io_u64(io, &w->prefix);
+    _cw_io_u64(io, &w->exclude);
+    _cw_io_u64(io, &w->hall);
+    io->bad = io->bad || (io->mode == _CW_IO_UNPACK && (!w->seq || w->tier >= CW_TIERS));
+}
+
+static void _cw_fields_action(_cw_io_t* io, cw_shard_action_t* a) {
+    a->kind = (cw_shard_kind_t)_cw_io_enum(io, a->kind, CW_SHARD_QUEUED + 1);
+    _cw_io_u32(io, &a->seq);
+    _cw_io_u64(io, &a->grant);
+    _cw_io_u64(io, &a->upstream);
+    _cw_io_u32(io, &a->held_ms);
+    _cw_io_u32(io, &a->ttl_ms);
+    a->refusal = (cw_refusal_t)_cw_io_enum(io, a->refusal, CW_REFUSED_COUNT);
+    _cw_io_u32(io, &a->retry_after_ms);
+}
+
+static void _cw_fields_done(_cw_io_t* io, cw_done_t* d) {
+    _cw_io_u64(io, &d->grant);
+    d->result = (cw_pick_result_t)_cw_io_enum(io, d->result, CW_PICK_CANCELLED + 1);
+    _cw_io_u32(io, &d->took_ms);
+    _cw_io_u32(io, &d->cost);
+}
+
+static void _cw_fields_digest(_cw_io_t* io, cw_digest_t* d) {
+    _cw_io_u64(io, &d->last);
+    _cw_io_u64(io, &d->xored);
+    _cw_io_u32(io, &d->count);
+}
+
+static void _cw_fields_held(_cw_io_t* io, cw_held_t* h) {
+    _cw_io_u64(io, &h->grant);
+    _cw_io_u64(io, &h->upstream);
+    _cw_io_u64(io, &h->workspace);
+    _cw_io_u32(io, &h->seq);
+    _cw_io_u32(io, &h->cost);
+    _cw_io_u8(io, &h->tier);
+    _cw_io_u8(io, &h->flags);
+}
+
+static void _cw_fields_member(_cw_io_t* io, cw_member_info_t* i) {
+    _cw_io_u64(io, &i->incarnation);
+    i->state = (cw_member_state_t)_cw_io_enum(io, i->state, CW_MEMBER_STATE_COUNT);
+    _cw_io_bool(io, &i->leaving);
+    _cw_io_text(io, i->name, sizeof(i->name));
+    _cw_io_text(io, i->hall, sizeof(i->hall));
+    _cw_io_text(io, i->peer, sizeof(i->peer));
+    _cw_io_text(io, i->http, sizeof(i->http));
+    if (io->mode == _CW_IO_UNPACK) {
+        i->id = cw_name_id(i->name);
+        io->bad = io->bad || !i->name[0];
+    }
+}
+
+#define _CW_HELD_FIELDS 7
+
+static void _cw_fields_list(_cw_io_t* io, cw_msg_t* msg, cw_held_t* room) {
+    _cw_fields_digest(io, &msg->digest);
+    _cw_io_u32(io, &msg->held_count);
+    if (io->mode == _CW_IO_UNPACK) {
+        msg->held = room;
+        if (msg->held_count > CW_LIST_MAX || io->at + (uint64_t)msg->held_count * _CW_HELD_FIELDS > io->in->size) {
+            io->bad = true;
+            msg->held_count = 0;
+        }
+    }
+    for (uint32_t i = 0; i < msg->held_count; i++) {
+        _cw_fields_held(io, &msg->held[i]);
+    }
+}
+
+/* Texts of a chunk are not copied: they point into the decoder, each with a zero packed at its end. */
+static void _cw_io_document(_cw_io_t* io, const char** text) {
+    if (io->mode == _CW_IO_COUNT) {
+        io->at++;
+    } else if (io->mode == _CW_IO_PACK) {
+        if (*text) {
+            msgpack_pack_str_with_body(&io->packer, *text, strlen(*text) + 1);
+        } else {
+            msgpack_pack_nil(&io->packer);
+        }
+    } else {
+        const msgpack_object* o = _cw_io_next(io);
+        *text = NULL;
+        if (o && o->type == MSGPACK_OBJECT_STR && o->via.str.size && !o->via.str.ptr[o->via.str.size - 1]) {
+            *text = o->via.str.ptr;
+        } else if (!o || o->type != MSGPACK_OBJECT_NIL) {
+            io->bad = true;
+        }
+    }
+}
+
+static void _cw_fields_chunk(_cw_io_t* io, cw_chunk_t* c) {
+    _cw_io_i64(io, &c->revision);
+    _cw_io_bool(io, &c->last);
+    _cw_io_u32(io, &c->count);
+    if (c->count > CW_CHUNK_MAX) {
+        io->bad = true;
+        c->count = 0;
+    }
+    for (uint32_t i = 0; i < c->count; i++) {
+        _cw_io_document(io, &c->items[i].key);
+        _cw_io_document(io, &c->items[i].value);
+        _cw_io_i64(io, &c->items[i].revision);
+        io->bad = io->bad || (io->mode == _CW_IO_UNPACK && !c->items[i].key);
+    }
+}
+
+static void _cw_fields_msg(_cw_io_t* io, cw_msg_t* msg, cw_held_t* room) {
+    msg->type = (cw_msg_type_t)_cw_io_enum(io, msg->type, CW_MSG_TYPE_COUNT);
+    bool of_shard = msg->type >= CW_MSG_WANT && msg->type <= CW_MSG_LIST;
+    if (of_shard) {
+        _cw_io_u64(io, &msg->shard);
+    }
+    switch (msg->type) {
+        case CW_MSG_HELLO:
+            _cw_fields_hello(io, &msg->hello);
+            break;
+        case CW_MSG_WANT:
+            _cw_fields_want(io, &msg->want);
+            break;
+        case CW_MSG_CANCEL:
+            _cw_io_u32(io, &msg->cancel_seq);
+            break;
+        case CW_MSG_ACTION:
+            _cw_fields_action(io, &msg->action);
+            _cw_io_u32(io, &msg->wait_ms);
+            break;
+        case CW_MSG_DONE:
+            _cw_fields_done(io, &msg->done);
+            break;
+        case CW_MSG_DIGEST:
+            _cw_fields_digest(io, &msg->digest);
+            break;
+        case CW_MSG_LIST:
+            _cw_fields_list(io, msg, room);
+            break;
+        case CW_MSG_PULL:
+            _cw_io_i64(io, &msg->pull_since);
+            break;
+        case CW_MSG_CHUNK:
+            _cw_fields_chunk(io, &msg->chunk);
+            break;
+        default:
+            io->bad = true;
+            break;
+    }
+}
+
+static void _cw_fields_gossip(_cw_io_t* io, cw_gossip_t* g, char* cluster) {
+    _cw_io_text(io, cluster, CW_NAME_MAX);
+    g->kind = (cw_gossip_kind_t)_cw_io_enum(io, g->kind, CW_GOSSIP_NEWS_ONLY + 1);
+    _cw_io_u32(io, &g->seq);
+    _cw_io_bool(io, &g->join);
+    _cw_io_u64(io, &g->target);
+    _cw_io_i64(io, &g->revision);
+    _cw_io_u32(io, &g->room);
+    _cw_fields_member(io, &g->from);
+    _cw_io_u32(io, &g->news_count);
+    if (g->news_count > CW_GOSSIP_NEWS) {
+        io->bad = true;
+        g->news_count = 0;
+    }
+    for (uint32_t i = 0; i < g->news_count; i++) {
+        _cw_fields_member(io, &g->news[i]);
+    }
+}
+
+/* -- frames --------------------------------------------------------------- */
+
+cw_wire_t* cw_wire_setup(const cw_allocator_t* allocator) {
+    cw_wire_t* wire = cw_alloc(allocator, 1, sizeof(*wire));
+    if (allocator) {
+        wire->allocator = *allocator;
+    }
+    msgpack_sbuffer_init(&wire->buffer);
+    msgpack_zone_init(&wire->zone, 8192);
+    return wire;
+}
+
+void cw_wire_shutdown(cw_wire_t* wire) {
+    cw_allocator_t a = wire->allocator;
+    msgpack_sbuffer_destroy(&wire->buffer);
+    msgpack_zone_destroy(&wire->zone);
+    cw_free(&a, wire);
+}
+
+static _cw_io_t _cw_wire_packer(cw_wire_t* wire, uint32_t fields) {
+    _cw_io_t io = {.mode = _CW_IO_PACK};
+    msgpack_packer_init(&io.packer, &wire->buffer, msgpack_sbuffer_write);
+    msgpack_pack_array(&io.packer, fields);
+    return io;
+}
+
+cw_bytes_t cw_wire_frame(cw_wire_t* wire, const cw_msg_t* msg) {
+    cw_msg_t copy = *msg;
+    _cw_io_t counter = {.mode = _CW_IO_COUNT};
+    _cw_fields_msg(&counter, &copy, NULL);
+    msgpack_sbuffer_clear(&wire->buffer);
+    msgpack_sbuffer_write(&wire->buffer, "\0\0\0\0", CW_FRAME_HEADER);
+    _cw_io_t io = _cw_wire_packer(wire, counter.at);
+    _cw_fields_msg(&io, &copy, NULL);
+    uint32_t body = (uint32_t)(wire->buffer.size - CW_FRAME_HEADER);
+    for (uint32_t i = 0; i < CW_FRAME_HEADER; i++) {
+        wire->buffer.data[i] = (char)(body >> (24 - 8 * i));
+    }
+    return (cw_bytes_t){.data = (const uint8_t*)wire->buffer.data, .size = wire->buffer.size};
+}
+
+uint32_t cw_wire_body_size(const uint8_t header[CW_FRAME_HEADER]) {
+    return ((uint32_t)header[0] << 24) | ((uint32_t)header[1] << 16) | ((uint32_t)header[2] << 8) | header[3];
+}
+
+static cw_status_t _cw_wire_open(cw_wire_t* wire, const uint8_t* data, size_t size, msgpack_object* root,
+                                 cw_error_t* err) {
+    size_t at = 0;
+    msgpack_zone_clear(&wire->zone);
+    if (msgpack_unpack((const char*)data, size, &at, &wire->zone, root) != MSGPACK_UNPACK_SUCCESS ||
+        root->type != MSGPACK_OBJECT_ARRAY) {
+        return cw_fail(err, CW_ERR_PROTOCOL, "decode", NULL, "%zu bytes are no msgpack array", size);
+    }
+    return CW_OK;
+}
+
+cw_status_t cw_wire_decode(cw_wire_t* wire, const uint8_t* body, size_t size, cw_msg_t* msg, cw_error_t* err) {
+    msgpack_object root;
+    cw_status_t status = _cw_wire_open(wire, body, size, &root, err);
+    if (status != CW_OK) {
+        return status;
+    }
+    _cw_io_t io = {.mode = _CW_IO_UNPACK, .in = &root.via.array};
+    memset(msg, 0, offsetof(cw_msg_t, chunk.items));
+    _cw_fields_msg(&io, msg, wire->held);
+    if (io.bad) {
+        return cw_fail(err, CW_ERR_PROTOCOL, "decode", NULL, "message of type %d has a wrong field", (int)msg->type);
+    }
+    return CW_OK;
+}
+
+cw_bytes_t cw_wire_datagram(cw_wire_t* wire, const char* cluster, const cw_gossip_t* gossip) {
+    cw_gossip_t copy = *gossip;
+    char name[CW_NAME_MAX];
+    cw_copy(name, sizeof(name), cluster);
+    _cw_io_t counter = {.mode = _CW_IO_COUNT};
+    _cw_fields_gossip(&counter, &copy, name);
+    msgpack_sbuffer_clear(&wire->buffer);
+    _cw_io_t io = _cw_wire_packer(wire, counter.at);
+    _cw_fields_gossip(&io, &copy, name);
+    return (cw_bytes_t){.data = (const uint8_t*)wire->buffer.data, .size = wire->buffer.size};
+}
+
+cw_status_t cw_wire_gossip(cw_wire_t* wire, const char* cluster, const uint8_t* data, size_t size, cw_gossip_t* gossip,
+                           cw_error_t* err) {
+    msgpack_object root;
+    cw_status_t status = _cw_wire_open(wire, data, size, &root, err);
+    if (status != CW_OK) {
+        return status;
+    }
+    _cw_io_t io = {.mode = _CW_IO_UNPACK, .in = &root.via.array};
+    char name[CW_NAME_MAX];
+    memset(gossip, 0, sizeof(*gossip));
+    _cw_fields_gossip(&io, gossip, name);
+    if (io.bad) {
+        return cw_fail(err, CW_ERR_PROTOCOL, "decode", gossip->from.peer, "gossip has a wrong field");
+    }
+    if (strcmp(name, cluster) != 0) {
+        return cw_fail(err, CW_ERR_PROTOCOL, "decode", gossip->from.peer, "gossip of cluster \"%s\"", name);
+    }
+    return CW_OK;
+}
+
+#endif /* CHALKWAY_WIRE_IMPL_INCLUDED */
+#endif /* CHALKWAY_IMPL */
--- /dev/null
+++ b/daemon/allocator.c
@@ -0,0 +1,353 @@
+/* The shards that this host allocates: messages in, grants out, load reports of their upstreams. */
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "node.h"
+
+#define IDLE_MS 60000 /* a shard nobody uses is dropped after this */
+#define ACKS_MAX 256  /* wants taken in one turn of the loop that are told they wait */
+#define REPORT_TIMEOUT_MS 2000
+#define REFUSED_RETRY_MS 1000
+
+typedef struct role_t {
+    uint64_t id;
+    uint64_t pool;
+    cw_shard_t* shard;
+    int64_t used_ms;
+    int64_t report_ms; /* next reading of load reports */
+    bool due;          /* has something to send */
+    bool engine;
+} role_t;
+
+/* A want that came in this turn of the loop. It is answered at the turn's end: never from within its arrival. */
+typedef struct ack_t {
+    uint64_t shard, entry;
+    uint32_t seq;
+    cw_refusal_t refusal; /* it could not be queued */
+} ack_t;
+
+/* One reading of an upstream's load. */
+typedef struct report_t {
+    node_t* node;
+    uint64_t shard, upstream;
+    char body[512];
+    size_t size;
+} report_t;
+
+struct allocator_t {
+    node_t* node;
+    role_t roles[NODE_MAX_SHARDS];
+    uint32_t count;
+    ack_t acks[ACKS_MAX];
+    uint32_t ack_count;
+    ev_prepare prepare;
+    cw_msg_t out;
+};
+
+/* -- shards --------------------------------------------------------------- */
+
+static role_t* role_find(allocator_t* a, uint64_t shard) {
+    for (uint32_t i = 0; i < a->count; i++) {
+        if (a->roles[i].id == shard) {
+            return &a->roles[i];
+        }
+    }
+    return NULL;
+}
+
+/* Sets the shard's upstreams from the configuration. */
+static uint32_t role_fill(const role_t* role, const cw_view_t* view, const cw_pool_t* pool) {
+    cw_pick_spec_t specs[CW_PICK_MAX];
+    uint32_t count = 0;
+    uint32_t total = 0;
+    for (uint32_t i = 0; i < view->upstream_count; i++) {
+        total += view->upstreams[i].pool_id == pool->id;
+    }
+    uint32_t shards = cw_place_shard_count(total, pool->shard_size);
+    for (uint32_t i = 0; i < view->upstream_count && count < CW_PICK_MAX; i++) {
+        const cw_upstream_t* u = &view->upstreams[i];
+        if (u->pool_id == pool->id && cw_place_shard(pool->id, u->id, shards) == role->id) {
+            specs[count++] =
+                (cw_pick_spec_t){.id = u->id, .hall = cw_name_id(u->hall), .slots = u->slots, .leaving = u->leaving};
+        }
+    }
+    cw_shard_upstreams(role->shard, specs, count);
+    return count;
+}
+
+/* Pool that has a shard of this id, or NULL. */
+static const cw_pool_t* pool_of(const cw_view_t* view, uint64_t shard) {
+    for (uint32_t i = 0; i < view->pool_count; i++) {
+        uint32_t total = 0;
+        for (uint32_t u = 0; u < view->upstream_count; u++) {
+            total += view->upstreams[u].pool_id == view->pools[i].id;
+        }
+        uint32_t shards = cw_place_shard_count(total, view->pools[i].shard_size);
+        for (uint32_t k = 0; k < shards; k++) {
+            if (cw_place_shard_id(view->pools[i].id, k) == shard) {
+                return &view->pools[i];
+            }
+        }
+    }
+    return NULL;
+}
+
+static role_t* role_take(allocator_t* a, uint64_t shard) {
+    node_t* node = a->node;
+    cw_view_t* view = cw_store_view(node->store);
+    const cw_pool_t* pool = pool_of(view, shard);
+    role_t* role = NULL;
+    if (pool && a->count < NODE_MAX_SHARDS) {
+        role = &a->roles[a->count++];
+        int64_t now_ms = node_now();
+        uint64_t hosts[NODE_MAX_HOSTS];
+        cw_shard_desc_t desc = {.epoch = randombytes_random() | 1,
+                                .max_waiting = node->settings.max_waiting,
+                                .ttl_ms = node->settings.grant_ms,
+                                .lease_ms = node->settings.lease_ms,
+                                .reserve = pool->reserve};
+        for (uint32_t t = 0; t < CW_TIERS; t++) {
+            desc.floor[t] = pool->floor[t];
+        }
+        *role = (role_t){.id = shard, .pool = pool->id, .engine = pool->engine, .shard = cw_shard_setup(&desc)};
+        role->used_ms = now_ms;
+        uint32_t count = role_fill(role, view, pool);
+        cw_shard_cautious(role->shard, now_ms + node->settings.grant_ms, node_live_hosts(node, hosts));
+        cw_log(&node->log, CW_EVENT_SHARD_TAKEN, "shard=%016llx pool=%s upstreams=%u", (unsigned long long)shard,
+               pool->name, count);
+    }
+    cw_view_release(view);
+    return role;
+}
+
+static void role_drop(allocator_t* a, role_t* role) {
+    cw_log(&a->node->log, CW_EVENT_SHARD_LEFT, "shard=%016llx", (unsigned long long)role->id);
+    cw_shard_shutdown(role->shard);
+    *role = a->roles[--a->count];
+}
+
+/* -- sending -------------------------------------------------------------- */
+
+static void send_action(allocator_t* a, const role_t* role, const cw_shard_action_t* action, int64_t now_ms) {
+    a->out.type = CW_MSG_ACTION;
+    a->out.shard = role->id;
+    a->out.action = *action;
+    a->out.wait_ms = cw_shard_stats(role->shard, now_ms).wait_ms;
+    node_send(a->node, action->entry, &a->out);
+}
+
+static void drain(allocator_t* a, role_t* role) {
+    int64_t now_ms = node_now();
+    cw_shard_action_t action;
+    role->due = false;
+    while (cw_shard_next(role->shard, now_ms, &action)) {
+        send_action(a, role, &action, now_ms);
+    }
+}
+
+/* Refuses a want that no queue took. */
+static void send_refusal(allocator_t* a, const ack_t* ack) {
+    a->out.type = CW_MSG_ACTION;
+    a->out.shard = ack->shard;
+    a->out.action = (cw_shard_action_t){.kind = CW_SHARD_REFUSE,
+                                        .entry = ack->entry,
+                                        .seq = ack->seq,
+                                        .refusal = ack->refusal,
+                                        .retry_after_ms = REFUSED_RETRY_MS};
+    a->out.wait_ms = 0;
+    node_send(a->node, ack->entry, &a->out);
+}
+
+/* At the end of a turn of the loop: decides for every shard that got messages, then tells the wants that still wait. */
+static void on_prepare(struct ev_loop* loop, ev_prepare* w, int events) {
+    (void)loop;
+    (void)events;
+    allocator_t* a = w->data;
+    for (uint32_t i = 0; i < a->count; i++) {
+        if (a->roles[i].due) {
+            drain(a, &a->roles[i]);
+        }
+    }
+    uint32_t count = a->ack_count;
+    a->ack_count = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        role_t* role = role_find(a, a->acks[i].shard);
+        if (a->acks[i].refusal) {
+            send_refusal(a, &a->acks[i]);
+        } else if (role && cw_shard_waits(role->shard, a->acks[i].entry, a->acks[i].seq)) {
+            const cw_shard_action_t action = {
+                .kind = CW_SHARD_QUEUED, .entry = a->acks[i].entry, .seq = a->acks[i].seq};
+            send_action(a, role, &action, node_now());
+        }
+    }
+}
+
+/* -- messages ------------------------------------------------------------- */
+
+/* Notes that a want is to be told of at the end of the turn. An entry that is not told asks again. */
+static void note_want(allocator_t* a, uint64_t shard, uint64_t entry, uint32_t seq, cw_refusal_t refusal) {
+    if (a->ack_count < ACKS_MAX) {
+        a->acks[a->ack_count++] = (ack_t){.shard = shard, .entry = entry, .seq = seq, .refusal = refusal};
+        ev_feed_event(a->node->loop, &a->prepare, EV_PREPARE);
+    }
+}
+
+static void on_want(allocator_t* a, role_t* role, uint64_t from, const cw_want_t* want, int64_t now_ms) {
+    cw_want_t w = *want;
+    w.entry = from;
+    cw_status_t status = cw_shard_want(role->shard, now_ms, &w);
+    note_want(a, role->id, from, w.seq, status == CW_OK ? CW_REFUSED_NONE : CW_REFUSED_FULL);
+}
+
+void allocator_on_message(allocator_t* a, uint64_t from, const cw_msg_t* msg) {
+    int64_t now_ms = node_now();
+    role_t* role = role_find(a, msg->shard);
+    if (!role && msg->type != CW_MSG_DONE && msg->type != CW_MSG_CANCEL) {
+        role = role_take(a, msg->shard);
+    }
+    if (!role) {
+        if (msg->type == CW_MSG_WANT) {
+            note_want(a, msg->shard, from, msg->want.seq, CW_REFUSED_NO_UPSTREAM);
+        }
+        return;
+    }
+    role->used_ms = now_ms;
+    role->due = true;
+    ev_feed_event(a->node->loop, &a->prepare, EV_PREPARE);
+    cw_digest_t digest;
+    switch (msg->type) {
+        case CW_MSG_WANT:
+            on_want(a, role, from, &msg->want, now_ms);
+            break;
+        case CW_MSG_CANCEL:
+            cw_shard_cancel(role->shard, from, msg->cancel_seq);
+            break;
+        case CW_MSG_DONE:
+            cw_shard_done(role->shard, now_ms, &msg->done);
+            break;
+        case CW_MSG_DIGEST:
+            digest = msg->digest;
+            digest.entry = from;
+            cw_shard_digest(role->shard, now_ms, &digest);
+            break;
+        case CW_MSG_LIST:
+            digest = msg->digest;
+            digest.entry = from;
+            cw_shard_list(role->shard, now_ms, &digest, msg->held, msg->held_count);
+            break;
+        default:
+            break;
+    }
+}
+
+void allocator_on_change(allocator_t* a) {
+    cw_view_t* view = cw_store_view(a->node->store);
+    int64_t now_ms = node_now();
+    for (uint32_t i = a->count; i-- > 0;) {
+        role_t* role = &a->roles[i];
+        const cw_pool_t* pool = cw_view_pool(view, role->pool);
+        if (!pool || pool_of(view, role->id) != pool) {
+            role_drop(a, role);
+            continue;
+        }
+        role_fill(role, view, pool);
+        role->due = true;
+        for (uint32_t m = 1; m < cw_members_count(a->node->members); m++) {
+            const cw_member_t* member = cw_members_at(a->node->members, m);
+            if (member->info.state == CW_MEMBER_DEAD) {
+                cw_shard_entry_gone(role->shard, now_ms, member->info.id);
+            }
+        }
+    }
+    cw_view_release(view);
+}
+
+/* -- load reports --------------------------------------------------------- */
+
+static bool on_report_data(void* user, const char* data, size_t size) {
+    report_t* r = user;
+    for (size_t i = 0; i < size && r->size + 1 < sizeof(r->body); i++) {
+        r->body[r->size++] = data[i];
+    }
+    return true;
+}
+
+static void on_report_done(void* user, const cw_call_result_t* result) {
+    report_t* r = user;
+    role_t* role = role_find(r->node->allocator, r->shard);
+    json_t* root = (role && result->whole) ? json_loadb(r->body, r->size, 0, NULL) : NULL;
+    if (root) {
+        bool draining = json_is_true(json_object_get(root, "draining"));
+        json_int_t running = json_integer_value(json_object_get(root, "running"));
+        cw_shard_report(role->shard, node_now(), r->upstream, (uint32_t)running, draining);
+        json_decref(root);
+    }
+    free(r);
+}
+
+static void read_reports(allocator_t* a, const role_t* role) {
+    cw_view_t* view = cw_store_view(a->node->store);
+    for (uint32_t i = 0; i < view->upstream_count; i++) {
+        const cw_upstream_t* u = &view->upstreams[i];
+        if (u->pool_id != role->pool || !cw_shard_serves(role->shard, u->id)) {
+            continue;
+        }
+        report_t* r = cw_alloc(NULL, 1, sizeof(*r));
+        *r = (report_t){.node = a->node, .shard = role->id, .upstream = u->id};
+        char url[CW_ADDRESS_MAX + 32];
+        snprintf(url, sizeof(url), "http://%s/v1/load", u->address);
+        cw_client_call(a->node->client, &(cw_call_desc_t){.url = url,
+                                                          .timeout_ms = REPORT_TIMEOUT_MS,
+                                                          .on_data = on_report_data,
+                                                          .on_done = on_report_done,
+                                                          .user_data = r});
+    }
+    cw_view_release(view);
+}
+
+void allocator_tick(allocator_t* a, int64_t now_ms) {
+    for (uint32_t i = a->count; i-- > 0;) {
+        role_t* role = &a->roles[i];
+        if (now_ms - role->used_ms > IDLE_MS && !cw_shard_stats(role->shard, now_ms).running) {
+            role_drop(a, role);
+            continue;
+        }
+        if (now_ms >= role->report_ms) {
+            role->report_ms = now_ms + a->node->settings.report_ms;
+            read_reports(a, role);
+        }
+        drain(a, role);
+    }
+}
+
+/* -- setup ---------------------------------------------------------------- */
+
+allocator_t* allocator_setup(node_t* node) {
+    allocator_t* a = cw_alloc(NULL, 1, sizeof(*a));
+    a->node = node;
+    ev_prepare_init(&a->prepare, on_prepare);
+    ev_set_priority(&a->prepare, EV_MINPRI + 1); /* after the turn's messages, before they are written out */
+    a->prepare.data = a;
+    ev_prepare_start(node->loop, &a->prepare);
+    return a;
+}
+
+void allocator_shutdown(allocator_t* a) {
+    ev_prepare_stop(a->node->loop, &a->prepare);
+    for (uint32_t i = 0; i < a->count; i++) {
+        cw_shard_shutdown(a->roles[i].shard);
+    }
+    free(a);
+}
+
+uint32_t allocator_count(const allocator_t* a) {
+    return a->count;
+}
+
+cw_shard_stats_t allocator_stats(const allocator_t* a, uint32_t index, uint64_t* shard, uint64_t* pool) {
+    *shard = a->roles[index].id;
+    *pool = a->roles[index].pool;
+    return cw_shard_stats(a->roles[index].shard, node_now());
+}
--- /dev/null
+++ b/daemon/dispatch.c
@@ -0,0 +1,773 @@
+/* The way of a request from the entry to an upstream: wants, grants, direct mode, the transfer itself. */
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry_parts.h"
+
+#define REASK_MS 250       /* a waiting want asks for a sign of life this often */
+#define SILENT_KEEP_MS 250 /* a silent allocator is tried again after this */
+#define DIGEST_MS 2000
+#define WAIT_OLD_MS 5000         /* a shard's load told longer ago counts for nothing */
+#define AFFINITY_MS 200          /* longer wait that prefix affinity may cost */
+#define DETACHED_MAX_MS 60000    /* a call whose caller was told may run on for this long */
+#define STREAM_HIGH_WATER 262144 /* bytes held for a slow caller before the upstream is paused */
+
+#define HTTP_OK 200
+#define HTTP_SERVER_ERROR 500
+#define HTTP_TOO_MANY 429
+#define HTTP_BAD_GATEWAY 502
+#define HTTP_UNAVAILABLE 503
+#define HTTP_TIMEOUT 504
+
+static const char sse_type[] = "text/event-stream";
+static const char sse_end[] = "data: [DONE]";
+
+/* -- shards --------------------------------------------------------------- */
+
+static uint32_t shard_find(const entry_t* e, uint64_t id) {
+    for (uint32_t i = 0; i < e->shard_count; i++) {
+        if (e->shards[i].id == id) {
+            return i;
+        }
+    }
+    return ENTRY_NONE;
+}
+
+/* This entry's slots of an upstream in direct mode: its even part, or one of them by rank where there are fewer slots
+   than entries. All entries together never exceed the upstream's slots. */
+static uint32_t direct_slots(const node_t* node, const cw_upstream_t* u, const uint64_t* hosts, uint32_t count) {
+    if (u->slots >= count) {
+        return u->slots / count;
+    }
+    return cw_place_rank(u->id, node->host, hosts, count) < u->slots ? 1 : 0;
+}
+
+static void shard_fill_direct(entry_t* e, entry_shard_t* s, const cw_view_t* view, uint32_t shards) {
+    uint64_t hosts[NODE_MAX_HOSTS];
+    uint32_t host_count = node_live_hosts(e->node, hosts);
+    cw_pick_spec_t specs[CW_PICK_MAX];
+    uint32_t count = 0;
+    s->direct_total = 0;
+    for (uint32_t i = 0; i < view->upstream_count && count < CW_PICK_MAX; i++) {
+        const cw_upstream_t* u = &view->upstreams[i];
+        if (u->pool_id != s->pool || cw_place_shard(s->pool, u->id, shards) != s->id) {
+            continue;
+        }
+        uint32_t slots = direct_slots(e->node, u, hosts, host_count);
+        if (slots) {
+            specs[count++] =
+                (cw_pick_spec_t){.id = u->id, .hall = cw_name_id(u->hall), .slots = slots, .leaving = u->leaving};
+            s->direct_total += slots;
+        }
+    }
+    cw_pick_set(s->direct, specs, count);
+}
+
+static uint32_t pool_size(const cw_view_t* view, uint64_t pool) {
+    uint32_t total = 0;
+    for (uint32_t i = 0; i < view->upstream_count; i++) {
+        total += view->upstreams[i].pool_id == pool;
+    }
+    return total;
+}
+
+static void send_list(entry_t* e, uint32_t shard, uint64_t to);
+static void send_want(request_t* r);
+
+/* Takes over the shards and allocators of the present view. */
+static void refresh_shards(entry_t* e) {
+    cw_view_t* view = cw_store_view(e->node->store);
+    for (uint32_t p = 0; p < view->pool_count; p++) {
+        const cw_pool_t* pool = &view->pools[p];
+        uint32_t total = pool_size(view, pool->id);
+        uint32_t shards = cw_place_shard_count(total, pool->shard_size);
+        for (uint32_t k = 0; total && k < shards; k++) {
+            uint64_t id = cw_place_shard_id(pool->id, k);
+            uint32_t i = shard_find(e, id);
+            if (i == ENTRY_NONE && e->shard_count < ENTRY_MAX_SHARDS) {
+                i = e->shard_count++;
+                e->shards[i] =
+                    (entry_shard_t){.id = id, .pool = pool->id, .direct = cw_pick_setup(&(cw_pick_desc_t){0})};
+            }
+            if (i != ENTRY_NONE) {
+                shard_fill_direct(e, &e->shards[i], view, shards);
+            }
+        }
+    }
+    cw_view_release(view);
+}
+
+/* Tells a shard's new allocator what this entry holds and asks it anew for what waits. */
+static void move_shard(entry_t* e, uint32_t shard, uint64_t owner) {
+    entry_shard_t* s = &e->shards[shard];
+    s->owner = owner;
+    s->last_grant = 0;
+    s->silent_ms = 0;
+    s->wait_ms = 0;
+    if (!s->heard_ms) {
+        return; /* never used here */
+    }
+    send_list(e, shard, owner);
+    for (uint32_t i = 0; i < e->max_requests; i++) {
+        request_t* r = &e->requests[i];
+        if (r->used && r->shard == shard && r->machine.state == CW_REQ_WAITING && r->seq) {
+            send_want(r);
+        }
+    }
+}
+
+void entry_on_change(entry_t* e) {
+    refresh_shards(e);
+    uint64_t hosts[NODE_MAX_HOSTS];
+    uint32_t count = node_live_hosts(e->node, hosts);
+    for (uint32_t i = 0; i < e->shard_count; i++) {
+        uint64_t owner = cw_place_owner(e->shards[i].id, hosts, count);
+        if (owner != e->shards[i].owner) {
+            move_shard(e, i, owner);
+        }
+    }
+}
+
+static uint32_t known_wait(const entry_shard_t* s, int64_t now_ms) {
+    return (s->heard_ms && now_ms - s->heard_ms < WAIT_OLD_MS) ? s->wait_ms : 0;
+}
+
+/* The two shards that come first for the request: by its prefix, else at random; of them the one with the shorter wait,
+   with some patience for the first when a cached prefix may be there. */
+uint32_t dispatch_choose_shard(entry_t* e, const request_t* r) {
+    uint64_t key = r->prefix ? r->prefix : cw_mix(e->stats.requests, e->node->host);
+    uint32_t best = ENTRY_NONE;
+    uint32_t second = ENTRY_NONE;
+    for (uint32_t i = 0; i < e->shard_count; i++) {
+        if (e->shards[i].pool != r->pool->id) {
+            continue;
+        }
+        uint64_t score = cw_mix(key, e->shards[i].id);
+        if (best == ENTRY_NONE || score > cw_mix(key, e->shards[best].id)) {
+            second = best;
+            best = i;
+        } else if (second == ENTRY_NONE || score > cw_mix(key, e->shards[second].id)) {
+            second = i;
+        }
+    }
+    if (second == ENTRY_NONE) {
+        return best;
+    }
+    int64_t now_ms = node_now();
+    uint32_t patience = r->prefix ? AFFINITY_MS : 0;
+    return known_wait(&e->shards[second], now_ms) + patience < known_wait(&e->shards[best], now_ms) ? second : best;
+}
+
+/* -- reports to the allocator --------------------------------------------- */
+
+static bool holds_grant(const request_t* r, uint32_t shard) {
+    return r->used && r->grant && r->shard == shard;
+}
+
+static cw_digest_t make_digest(const entry_t* e, uint32_t shard) {
+    cw_digest_t d = {.last = e->shards[shard].last_grant};
+    for (uint32_t i = 0; i < e->max_requests; i++) {
+        if (holds_grant(&e->requests[i], shard)) {
+            d.xored ^= e->requests[i].grant;
+            d.count++;
+        }
+    }
+    return d;
+}
+
+static void send_list(entry_t* e, uint32_t shard, uint64_t to) {
+    cw_msg_t msg = {.type = CW_MSG_LIST, .shard = e->shards[shard].id};
+    msg.digest = make_digest(e, shard);
+    msg.held = e->held;
+    for (uint32_t i = 0; i < e->max_requests && msg.held_count < CW_LIST_MAX; i++) {
+        const request_t* r = &e->requests[i];
+        if (holds_grant(r, shard)) {
+            e->held[msg.held_count++] = (cw_held_t){.grant = r->grant,
+                                                    .upstream = r->upstream,
+                                                    .workspace = r->workspace->id,
+                                                    .seq = r->seq,
+                                                    .cost = r->cost,
+                                                    .tier = r->class->tier};
+        }
+    }
+    node_send(e->node, to, &msg);
+}
+
+static void send_digests(entry_t* e, int64_t now_ms) {
+    for (uint32_t i = 0; i < e->shard_count; i++) {
+        entry_shard_t* s = &e->shards[i];
+        if (now_ms < s->digest_ms) {
+            continue;
+        }
+        s->digest_ms = now_ms + DIGEST_MS;
+        cw_digest_t d = make_digest(e, i);
+        if (d.count || s->reported) {
+            e->out.type = CW_MSG_DIGEST;
+            e->out.shard = s->id;
+            e->out.digest = d;
+            node_send(e->node, s->owner, &e->out);
+            s->reported = d.count != 0;
+        }
+    }
+}
+
+static void send_done(entry_t* e, uint64_t shard, uint64_t to, const cw_done_t* done) {
+    e->out.type = CW_MSG_DONE;
+    e->out.shard = shard;
+    e->out.done = *done;
+    node_send(e->node, to, &e->out);
+}
+
+/* -- wants ---------------------------------------------------------------- */
+
+static void forget_seq(request_t* r) {
+    if (r->seq) {
+        cw_map_remove(&r->entry->by_seq, r->seq);
+        r->seq = 0;
+    }
+}
+
+static void new_seq(request_t* r) {
+    forget_seq(r);
+    entry_t* e = r->entry;
+    e->seq += e->seq == UINT32_MAX ? 2 : 1;
+    r->seq = e->seq;
+    cw_map_put(&e->by_seq, r->seq, (uint32_t)(r - e->requests));
+}
+
+static uint32_t left_ms(const request_t* r, int64_t now_ms) {
+    return r->deadline_ms > now_ms ? (uint32_t)(r->deadline_ms - now_ms) : 0;
+}
+
+static cw_want_t make_want(const request_t* r, int64_t now_ms) {
+    const cw_class_t* c = r->class;
+    uint8_t flags = (uint8_t)((c->is_protected ? CW_WANT_PROTECTED : 0) | (c->preemptible ? CW_WANT_PREEMPTIBLE : 0));
+    return (cw_want_t){.seq = r->seq,
+                       .tier = c->tier,
+                       .flags = flags,
+                       .weight = r->workspace->weight,
+                       .workspace = r->workspace->id,
+                       .cost = r->cost,
+                       .est_ms = cw_estimate_get(&r->estimate->ms, 0.5, c->est_ms),
+                       .queue_ms = c->queue_ms,
+                       .left_ms = left_ms(r, now_ms),
+                       .prefix = r->prefix,
+                       .exclude = r->exclude,
+                       .hall = r->entry->node->hall};
+}
+
+/* Sends the want; the sequence number of a want that waits stays the same. */
+static void send_want(request_t* r) {
+    entry_t* e = r->entry;
+    entry_shard_t* s = &e->shards[r->shard];
+    int64_t now_ms = node_now();
+    r->asked_ms = now_ms;
+    r->want_ms = now_ms;
+    s->heard_ms = s->heard_ms ? s->heard_ms : 1;
+    e->out.type = CW_MSG_WANT;
+    e->out.shard = s->id;
+    e->out.want = make_want(r, now_ms);
+    node_send(e->node, s->owner, &e->out);
+}
+
+static void withdraw(request_t* r) {
+    if (!r->seq) {
+        return;
+    }
+    entry_t* e = r->entry;
+    e->out.type = CW_MSG_CANCEL;
+    e->out.shard = e->shards[r->shard].id;
+    e->out.cancel_seq = r->seq;
+    node_send(e->node, e->shards[r->shard].owner, &e->out);
+    forget_seq(r);
+}
+
+/* Takes a slot of this entry's own slice; false when there is none. */
+static bool take_direct(request_t* r) {
+    entry_t* e = r->entry;
+    entry_shard_t* s = &e->shards[r->shard];
+    int64_t now_ms = node_now();
+    if (e->node->view_stale) {
+        return false;
+    }
+    const cw_pick_query_t query = {.prefix = r->prefix, .hall = e->node->hall, .exclude = r->exclude};
+    uint32_t up = cw_pick_choose(s->direct, now_ms, &query);
+    if (up == CW_PICK_NONE) {
+        return false;
+    }
+    cw_pick_begin(s->direct, up);
+    withdraw(r);
+    new_seq(r);
+    r->grant = ((uint64_t)e->direct_epoch << 32) | ++e->direct_seq;
+    r->upstream = cw_pick_at(s->direct, up).spec.id;
+    r->direct = true;
+    r->use_before_ms = now_ms + e->node->settings.grant_ms;
+    e->stats.direct++;
+    request_event(r, CW_EV_GRANT);
+    return true;
+}
+
+static void ask(request_t* r) {
+    entry_shard_t* s = &r->entry->shards[r->shard];
+    int64_t now_ms = node_now();
+    bool silent = s->silent_ms && now_ms - s->silent_ms < SILENT_KEEP_MS;
+    if (silent && take_direct(r)) {
+        return;
+    }
+    new_seq(r);
+    send_want(r);
+}
+
+static void allocator_silent(request_t* r, int64_t now_ms) {
+    entry_t* e = r->entry;
+    entry_shard_t* s = &e->shards[r->shard];
+    if (!s->silent_ms || now_ms - s->silent_ms >= SILENT_KEEP_MS) {
+        cw_log(&e->node->log, CW_EVENT_ALLOCATOR_SILENT, "shard=%016llx host=%016llx", (unsigned long long)s->id,
+               (unsigned long long)s->owner);
+        s->silent_ms = now_ms;
+    }
+    if (!take_direct(r)) {
+        send_want(r);
+    }
+}
+
+/* -- the slot ------------------------------------------------------------- */
+
+/* Gives the slot back: to this entry's own slice or to the allocator. */
+static void return_slot(request_t* r, cw_pick_result_t result) {
+    entry_t* e = r->entry;
+    if (!r->grant) {
+        return;
+    }
+    int64_t now_ms = node_now();
+    entry_shard_t* s = &e->shards[r->shard];
+    uint32_t took_ms = r->sent_ms ? (uint32_t)(now_ms - r->sent_ms) : 0;
+    bool served = result == CW_PICK_SERVED;
+    const cw_done_t done = {
+        .grant = r->grant, .result = result, .took_ms = took_ms, .cost = served ? r->cost : r->events};
+    if (r->direct) {
+        uint32_t up = cw_pick_find(s->direct, r->upstream);
+        if (up != CW_PICK_NONE) {
+            cw_pick_end(s->direct, now_ms, up, result, took_ms, r->cost);
+        }
+    }
+    send_done(e, s->id, s->owner, &done);
+    r->grant = 0;
+    r->direct = false;
+    forget_seq(r);
+}
+
+/* -- the transfer --------------------------------------------------------- */
+
+static bool on_sending(void* user) {
+    request_t* r = user;
+    if (node_now() > r->use_before_ms) {
+        return false;
+    }
+    r->sent_ms = node_now();
+    request_event(r, CW_EV_SENDING);
+    return true;
+}
+
+static void begin_stream(request_t* r) {
+    const cw_header_t headers[] = {
+        {"Content-Type", sse_type}, {"Cache-Control", "no-cache"}, {"Chalkway-Request-Id", r->id}};
+    r->streaming = true;
+    cw_exchange_stream(r->x, HTTP_OK, headers, 3);
+}
+
+static void on_head(void* user, unsigned status, const char* content_type) {
+    request_t* r = user;
+    r->upstream_status = status;
+    cw_copy(r->upstream_type, sizeof(r->upstream_type), content_type);
+    r->first_ms = r->first_ms ? r->first_ms : node_now();
+    request_event(r, CW_EV_HEAD);
+    bool stream = status == HTTP_OK && strncmp(content_type, sse_type, sizeof(sse_type) - 1) == 0;
+    if (stream && r->wants_stream && r->x && !r->streaming) {
+        begin_stream(r);
+    }
+}
+
+/* Counts the stream's events and looks for its end event, across the borders of blocks. */
+static void follow_stream(request_t* r, const char* data, size_t size) {
+    const size_t keep = sizeof(sse_end) - 2;
+    char joint[2 * sizeof(r->tail)];
+    size_t tail = strlen(r->tail);
+    size_t head = size < keep ? size : keep;
+    memcpy(joint, r->tail, tail);
+    memcpy(joint + tail, data, head);
+    bool in_joint = memmem(joint, tail + head, sse_end, sizeof(sse_end) - 1) != NULL;
+    r->end_event = r->end_event || in_joint || memmem(data, size, sse_end, sizeof(sse_end) - 1) != NULL;
+    for (size_t i = 0; i < size; i++) {
+        char before = i ? data[i - 1] : (tail ? r->tail[tail - 1] : 0);
+        r->events += data[i] == '\n' && before == '\n';
+    }
+    if (size >= keep) {
+        memcpy(r->tail, data + size - keep, keep);
+        r->tail[keep] = 0;
+    } else {
+        size_t all = tail + size;
+        size_t skip = all > keep ? all - keep : 0;
+        memcpy(r->tail, joint + skip, all - skip);
+        r->tail[all - skip] = 0;
+    }
+}
+
+static bool on_data(void* user, const char* data, size_t size) {
+    request_t* r = user;
+    if (r->streaming && r->x && cw_exchange_push(r->x, "", 0) > STREAM_HIGH_WATER) {
+        return false;
+    }
+    if (r->wants_stream) {
+        follow_stream(r, data, size);
+    }
+    if (r->streaming && r->x) {
+        cw_exchange_push(r->x, data, size);
+        request_event(r, CW_EV_DELIVERED_PART);
+    }
+    if (!r->streaming || r->record != CW_RUN_NONE) {
+        if (r->answer.size + size > r->entry->node->settings.max_answer) {
+            request_error(r, HTTP_BAD_GATEWAY, "answer-too-long", "answer", r->answer.peer,
+                          "the upstream's answer is longer than max_answer", 0);
+            r->machine.retry_allowed = false;
+            request_event(r, CW_EV_BROKEN);
+            return true;
+        }
+        answer_add(&r->answer, data, size);
+    }
+    return true;
+}
+
+/* Tokens that the engine says it generated; 0 when it does not say. */
+static uint32_t usage_of(const answer_t* a) {
+    json_t* root = json_loadb(a->body ? a->body : "", a->size, 0, NULL);
+    json_int_t tokens = json_integer_value(json_object_get(json_object_get(root, "usage"), "completion_tokens"));
+    json_decref(root);
+    return tokens > 0 ? (uint32_t)tokens : 0;
+}
+
+static void learn(request_t* r) {
+    uint32_t output = r->events;
+    if (r->pool->engine && !r->streaming) {
+        output = usage_of(&r->answer);
+    }
+    if (output) {
+        cw_estimate_add(&r->estimate->cost, output);
+        r->cost = (uint32_t)(r->body_size / 32) + output;
+    }
+    cw_estimate_add(&r->estimate->ms, (uint32_t)(node_now() - r->sent_ms));
+}
+
+static void transfer_ended(request_t* r) {
+    answer_t* a = &r->answer;
+    a->status = r->upstream_status;
+    cw_copy(a->type, sizeof(a->type), r->upstream_type);
+    bool served = r->upstream_status < HTTP_SERVER_ERROR;
+    if (served) {
+        learn(r);
+    }
+    request_event(r, CW_EV_END);
+}
+
+static void transfer_failed(request_t* r, const cw_call_result_t* result) {
+    const cw_upstream_t* u = cw_view_upstream(r->view, r->upstream);
+    const char* step = !result->sent ? "connect" : result->status ? "answer" : "wait";
+    request_error(r, HTTP_BAD_GATEWAY, "upstream-failed", step, u ? u->address : "", result->message, 0);
+    cw_log(&r->entry->node->log, CW_EVENT_UPSTREAM_FAILED, "id=%s step=%s peer=%s reason=\"%s\"", r->id, step,
+           u ? u->address : "-", result->message);
+    r->exclude = r->upstream;
+    r->machine.retry_allowed = cw_retry_take(&r->entry->retries);
+    r->entry->stats.retries += r->machine.retry_allowed;
+    request_event(r, result->sent ? CW_EV_BROKEN : CW_EV_CONNECT_FAILED);
+}
+
+static void on_done(void* user, const cw_call_result_t* result) {
+    request_t* r = user;
+    r->call = NULL;
+    r->upstream_status = result->status ? result->status : r->upstream_status;
+    bool whole = result->whole && (!r->streaming || r->end_event);
+    bool busy = whole && result->status == HTTP_UNAVAILABLE && r->class->repeatable;
+    if (result->vetoed) {
+        request_event(r, CW_EV_GRANT_EXPIRED);
+    } else if (busy) {
+        const cw_call_result_t refused = {
+            .sent = true, .status = result->status, .message = "the upstream takes no work"};
+        transfer_failed(r, &refused);
+    } else if (whole) {
+        transfer_ended(r);
+    } else {
+        transfer_failed(r, result);
+    }
+}
+
+static void connect_upstream(request_t* r) {
+    entry_t* e = r->entry;
+    const cw_upstream_t* u = cw_view_upstream(r->view, r->upstream);
+    cw_view_t* newest = cw_store_view(e->node->store);
+    if (!u) {
+        u = cw_view_upstream(newest, r->upstream); /* published after this request came */
+    }
+    char url[CW_ADDRESS_MAX + 300];
+    char tier[8];
+    snprintf(url, sizeof(url), "http://%s%s", u ? u->address : "0.0.0.0:1", r->path);
+    snprintf(tier, sizeof(tier), "%u", r->class->tier);
+    cw_header_t headers[4] = {{"Content-Type", r->type}, {"Chalkway-Request-Id", r->id}, {"Chalkway-Priority", tier}};
+    uint32_t count = 3;
+    if (r->name[0] && u && u->drops_repeats) {
+        headers[count++] = (cw_header_t){"Idempotency-Key", r->name};
+    }
+    cw_view_release(newest);
+    r->sent_ms = 0;
+    r->events = 0;
+    r->tail[0] = 0;
+    r->end_event = false;
+    r->answer.size = 0;
+    r->call = cw_client_call(e->node->client, &(cw_call_desc_t){.method = r->method,
+                                                                .url = url,
+                                                                .headers = headers,
+                                                                .header_count = count,
+                                                                .body = r->body,
+                                                                .size = r->body_size,
+                                                                .fresh = !r->class->repeatable,
+                                                                .on_sending = on_sending,
+                                                                .on_head = on_head,
+                                                                .on_data = on_data,
+                                                                .on_done = on_done,
+                                                                .user_data = r});
+}
+
+/* -- the machine ---------------------------------------------------------- */
+
+/* What the upstream shall be told of how the attempt ended. */
+static cw_pick_result_t slot_result(const request_t* r, cw_request_event_t event) {
+    switch (event) {
+        case CW_EV_END:
+            return r->upstream_status < HTTP_SERVER_ERROR ? CW_PICK_SERVED : CW_PICK_FAILED;
+        case CW_EV_BROKEN:
+            return r->upstream_status == HTTP_UNAVAILABLE ? CW_PICK_DRAINING : CW_PICK_FAILED;
+        case CW_EV_CONNECT_FAILED:
+            return CW_PICK_FAILED;
+        case CW_EV_GRANT_EXPIRED:
+            return CW_PICK_UNUSED;
+        default:
+            return r->sent_ms ? CW_PICK_CANCELLED : CW_PICK_UNUSED;
+    }
+}
+
+void request_event(request_t* r, cw_request_event_t event) {
+    uint32_t todo = cw_request_event(&r->machine, event);
+    if ((todo & CW_DO_ABORT) && r->call) {
+        cw_call_cancel(r->call);
+        r->call = NULL;
+    }
+    if (todo & CW_DO_RETURN) {
+        return_slot(r, slot_result(r, event));
+    }
+    if (todo & CW_DO_WITHDRAW) {
+        withdraw(r);
+    }
+    if (todo & CW_DO_WANT) {
+        ask(r);
+    }
+    if (todo & CW_DO_CONNECT) {
+        connect_upstream(r);
+    }
+    if (todo & CW_DO_ANSWER) {
+        request_answer(r);
+    }
+    if (r->machine.state == CW_REQ_ENDED) {
+        if (!r->answered) {
+            request_answer(r);
+        }
+        request_free(r);
+    } else {
+        request_arm(r);
+    }
+}
+
+/* -- timers --------------------------------------------------------------- */
+
+static uint32_t silent_limit(const request_t* r) {
+    const cw_settings_t* s = &r->entry->node->settings;
+    return r->class->is_protected ? s->silent_protected_ms : s->silent_ms;
+}
+
+static void arm_loop(entry_t* e) {
+    ev_timer_stop(e->node->loop, &e->timer);
+    uint32_t top = cw_heap_top(&e->timers);
+    if (top == CW_HEAP_NONE) {
+        return;
+    }
+    double wait_ms = cw_heap_key(&e->timers, top) - (double)node_now();
+    ev_timer_set(&e->timer, wait_ms > 0 ? wait_ms / 1000.0 : 0.0, 0.0);
+    ev_timer_start(e->node->loop, &e->timer);
+}
+
+void request_arm(request_t* r) {
+    entry_t* e = r->entry;
+    int64_t at_ms = r->deadline_ms;
+    if (r->machine.state == CW_REQ_DETACHED) {
+        at_ms = r->deadline_ms + DETACHED_MAX_MS;
+    } else if (r->machine.state == CW_REQ_WAITING) {
+        int64_t ask_ms = r->asked_ms ? r->asked_ms + silent_limit(r) : r->reask_ms;
+        at_ms = ask_ms < at_ms ? ask_ms : at_ms;
+    }
+    uint32_t before = cw_heap_top(&e->timers);
+    double before_key = before == CW_HEAP_NONE ? 0 : cw_heap_key(&e->timers, before);
+    cw_heap_set(&e->timers, (uint32_t)(r - e->requests), (double)at_ms);
+    uint32_t top = cw_heap_top(&e->timers);
+    if (before == CW_HEAP_NONE || cw_heap_key(&e->timers, top) < before_key) {
+        arm_loop(e);
+    }
+}
+
+static void joined_too_late(request_t* r) {
+    request_error(r, HTTP_TIMEOUT, "deadline", "joined", NULL, "the call still runs", 1000);
+    r->answered = true;
+    r->machine.bytes_left = true; /* by the call this one repeats */
+    r->machine.state = CW_REQ_ENDED;
+    request_answer(r);
+    request_free(r);
+}
+
+static void on_request_time(request_t* r, int64_t now_ms) {
+    if (r->joined != CW_RUN_NONE) {
+        joined_too_late(r);
+    } else if (r->machine.state == CW_REQ_DETACHED) {
+        r->machine.retry_allowed = false;
+        request_event(r, CW_EV_BROKEN);
+    } else if (now_ms >= r->deadline_ms) {
+        request_error(r, HTTP_TIMEOUT, "deadline", cw_request_state_name(r->machine.state), NULL,
+                      "the deadline has passed", 0);
+        request_event(r, CW_EV_DEADLINE);
+    } else if (r->machine.state == CW_REQ_WAITING) {
+        if (r->asked_ms) {
+            allocator_silent(r, now_ms);
+        } else {
+            send_want(r);
+        }
+        if (r->used) {
+            request_arm(r);
+        }
+    }
+}
+
+static void on_timer(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    entry_t* e = w->data;
+    int64_t now_ms = node_now();
+    uint32_t i = cw_heap_top(&e->timers);
+    while (i != CW_HEAP_NONE && cw_heap_key(&e->timers, i) <= (double)now_ms) {
+        cw_heap_set(&e->timers, i, (double)(now_ms + REASK_MS)); /* never the same at once again */
+        on_request_time(&e->requests[i], now_ms);
+        i = cw_heap_top(&e->timers);
+    }
+    arm_loop(e);
+}
+
+void entry_tick(entry_t* e, int64_t now_ms) {
+    send_digests(e, now_ms);
+}
+
+/* -- messages of the allocator -------------------------------------------- */
+
+static void on_grant(entry_t* e, request_t* r, uint64_t from, const cw_msg_t* msg) {
+    const cw_shard_action_t* a = &msg->action;
+    if (r && r->grant == a->grant) {
+        return; /* told once more */
+    }
+    if (!r || r->machine.state != CW_REQ_WAITING || r->grant) {
+        const cw_done_t unused = {.grant = a->grant, .result = CW_PICK_UNUSED};
+        send_done(e, msg->shard, from, &unused);
+        return;
+    }
+    r->grant = a->grant;
+    r->upstream = a->upstream;
+    r->direct = false;
+    r->use_before_ms = r->want_ms + a->held_ms + a->ttl_ms;
+    request_event(r, CW_EV_GRANT);
+}
+
+static void on_refuse(request_t* r, const cw_shard_action_t* a) {
+    char message[CW_MESSAGE_MAX];
+    snprintf(message, sizeof(message), "refused by the shard: %s", cw_refusal_name(a->refusal));
+    unsigned status = a->refusal == CW_REFUSED_NO_UPSTREAM ? HTTP_UNAVAILABLE : HTTP_TOO_MANY;
+    if (!r->machine.bytes_left) {
+        request_error(r, status, cw_refusal_name(a->refusal), "queue", NULL, message, a->retry_after_ms);
+    }
+    forget_seq(r);
+    request_event(r, CW_EV_REFUSED);
+}
+
+void entry_on_action(entry_t* e, uint64_t from, const cw_msg_t* msg) {
+    const cw_shard_action_t* a = &msg->action;
+    uint32_t shard = shard_find(e, msg->shard);
+    if (shard == ENTRY_NONE) {
+        return;
+    }
+    entry_shard_t* s = &e->shards[shard];
+    if (from == s->owner) {
+        s->wait_ms = msg->wait_ms;
+        s->heard_ms = node_now();
+        s->silent_ms = 0;
+        s->last_grant = (a->kind == CW_SHARD_GRANT && a->grant > s->last_grant) ? a->grant : s->last_grant;
+    }
+    if (a->kind == CW_SHARD_RESYNC) {
+        send_list(e, shard, from);
+        return;
+    }
+    uint32_t i = cw_map_get(&e->by_seq, a->seq);
+    request_t* r = (i == CW_MAP_NONE) ? NULL : &e->requests[i];
+    if (a->kind == CW_SHARD_GRANT) {
+        on_grant(e, r, from, msg);
+    } else if (r && a->kind == CW_SHARD_REFUSE && r->machine.state == CW_REQ_WAITING) {
+        on_refuse(r, a);
+    } else if (r && a->kind == CW_SHARD_QUEUED && r->machine.state == CW_REQ_WAITING) {
+        r->asked_ms = 0;
+        r->reask_ms = node_now() + REASK_MS;
+        request_arm(r);
+    } else if (r && a->kind == CW_SHARD_PREEMPT && r->grant == a->grant) {
+        request_error(r, HTTP_UNAVAILABLE, "preempted", "answer", NULL, "a protected request needed the slot", 1000);
+        r->machine.retry_allowed = true;
+        request_event(r, CW_EV_PREEMPTED);
+    }
+}
+
+void entry_on_link_closed(entry_t* e, uint64_t host) {
+    int64_t now_ms = node_now();
+    for (uint32_t i = 0; i < e->max_requests; i++) {
+        request_t* r = &e->requests[i];
+        if (r->used && r->shard != ENTRY_NONE && r->machine.state == CW_REQ_WAITING && r->seq &&
+            e->shards[r->shard].owner == host) {
+            allocator_silent(r, now_ms);
+        }
+    }
+}
+
+void entry_on_woke(entry_t* e) {
+    for (uint32_t i = 0; i < e->max_requests; i++) {
+        request_t* r = &e->requests[i];
+        if (r->used && r->machine.state == CW_REQ_WAITING && r->seq && r->joined == CW_RUN_NONE) {
+            send_want(r);
+        }
+    }
+}
+
+/* -- setup ---------------------------------------------------------------- */
+
+void dispatch_setup(entry_t* e) {
+    e->direct_epoch = randombytes_random() | 1;
+    ev_timer_init(&e->timer, on_timer, 0.0, 0.0);
+    e->timer.data = e;
+}
+
+void dispatch_shutdown(entry_t* e) {
+    ev_timer_stop(e->node->loop, &e->timer);
+    for (uint32_t i = 0; i < e->shard_count; i++) {
+        cw_pick_shutdown(e->shards[i].direct);
+    }
+}
