--- /dev/null
+++ b/daemon/entry.c
@@ -0,0 +1,612 @@
+/* The entry role: callers' requests are accepted, classified and answered here. */
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <xxhash.h>
+
+#include "entry_parts.h"
+
+#define PREFIX_CHARS 256  /* of the prompt, hashed for cache affinity */
+#define BYTES_PER_TOKEN 4 /* rough length of a token */
+#define RETRY_BURST 20
+#define BEARER "Bearer "
+
+#define HTTP_OK 200
+#define HTTP_BAD_REQUEST 400
+#define HTTP_UNAUTHORIZED 401
+#define HTTP_FORBIDDEN 403
+#define HTTP_NOT_FOUND 404
+#define HTTP_CONFLICT 409
+#define HTTP_UNPROCESSABLE 422
+#define HTTP_TOO_MANY 429
+#define HTTP_BAD_GATEWAY 502
+#define HTTP_UNAVAILABLE 503
+
+/* -- answers -------------------------------------------------------------- */
+
+void answer_add(answer_t* a, const char* data, size_t size) {
+    if (a->size + size + 1 > a->capacity) {
+        a->capacity = (a->size + size + 1) * 2;
+        char* grown = realloc(a->body, a->capacity);
+        if (!grown) {
+            abort();
+        }
+        a->body = grown;
+    }
+    memcpy(a->body + a->size, data, size);
+    a->size += size;
+    a->body[a->size] = 0;
+}
+
+static void answer_free(void* answer, void* user) {
+    (void)user;
+    answer_t* a = answer;
+    free(a->body);
+    free(a);
+}
+
+static void answer_send(cw_exchange_t* x, const answer_t* a, const char* id) {
+    if (a->outcome != CW_OUTCOME_DELIVERED) {
+        reply_error(x, a->status, a->outcome, a->code, a->step, a->peer, a->message, a->retry_after_ms);
+        return;
+    }
+    const cw_header_t headers[] = {{"Content-Type", a->type[0] ? a->type : "application/octet-stream"},
+                                   {"Chalkway-Outcome", cw_outcome_name(a->outcome)},
+                                   {"Chalkway-Request-Id", id}};
+    cw_exchange_reply(x, a->status, headers, 3, a->body ? a->body : "", a->size);
+}
+
+void request_error(request_t* r, unsigned status, const char* code, const char* step, const char* peer,
+                   const char* message, uint32_t retry_after_ms) {
+    answer_t* a = &r->answer;
+    a->status = status;
+    a->retry_after_ms = retry_after_ms;
+    cw_copy(a->code, sizeof(a->code), code);
+    cw_copy(a->step, sizeof(a->step), step);
+    cw_copy(a->peer, sizeof(a->peer), peer);
+    cw_copy(a->message, sizeof(a->message), message);
+}
+
+/* Ends a stream whose start has been passed on. */
+static void finish_stream(request_t* r) {
+    if (r->answer.outcome != CW_OUTCOME_DELIVERED) {
+        char event[CW_MESSAGE_MAX * 2];
+        int n = snprintf(event, sizeof(event),
+                         "event: error\ndata: {\"error\":{\"code\":\"%s\",\"step\":\"%s\",\"outcome\":\"%s\"}}\n\n",
+                         r->answer.code, r->answer.step, cw_outcome_name(r->answer.outcome));
+        cw_exchange_push(r->x, event, n > 0 ? (size_t)n : 0);
+    }
+    cw_exchange_finish(r->x, r->answer.outcome == CW_OUTCOME_DELIVERED);
+}
+
+static void count_outcome(request_t* r) {
+    entry_t* e = r->entry;
+    int64_t now_ms = node_now();
+    cw_outcome_t outcome = r->answer.outcome;
+    e->stats.outcomes[outcome]++;
+    if (r->metric) {
+        r->metric->outcomes[outcome]++;
+        r->metric->in_time += outcome == CW_OUTCOME_DELIVERED && now_ms <= r->deadline_ms;
+        cw_hist_add(&r->metric->total_ms, (uint32_t)(now_ms - r->start_ms));
+        if (r->first_ms) {
+            cw_hist_add(&r->metric->first_ms, (uint32_t)(r->first_ms - r->start_ms));
+        }
+    }
+    cw_log(&e->node->log, CW_EVENT_REQUEST_ENDED, "id=%s workspace=%s class=%s outcome=%s step=%s ms=%lld", r->id,
+           r->workspace ? r->workspace->name : "-", r->class ? r->class->name : "-", cw_outcome_name(outcome),
+           r->answer.step[0] ? r->answer.step : "-", (long long)(now_ms - r->start_ms));
+}
+
+/* Answers the repeats that wait for this call. */
+static void answer_joined(entry_t* e, const request_t* owner) {
+    for (uint32_t i = 0; i < e->max_requests; i++) {
+        request_t* r = &e->requests[i];
+        if (!r->used || r == owner || r->joined == CW_RUN_NONE || r->joined != owner->record) {
+            continue;
+        }
+        r->answer.outcome = owner->answer.outcome;
+        if (r->x) {
+            answer_send(r->x, &owner->answer, owner->id);
+        }
+        r->x = NULL;
+        r->joined = CW_RUN_NONE;
+        count_outcome(r);
+        request_free(r);
+    }
+}
+
+/* Settles the run-once record: kept when anything may have run, released when nothing did. */
+static void settle_record(request_t* r) {
+    entry_t* e = r->entry;
+    if (r->record == CW_RUN_NONE) {
+        return;
+    }
+    answer_joined(e, r);
+    if (r->answer.outcome == CW_OUTCOME_NOT_RUN) {
+        cw_runonce_release(e->runonce, r->record);
+    } else {
+        answer_t* kept = cw_alloc(NULL, 1, sizeof(*kept));
+        *kept = r->answer;
+        r->answer.body = NULL;
+        cw_runonce_keep(e->runonce, r->record, kept, kept->size + sizeof(*kept));
+    }
+    r->record = CW_RUN_NONE;
+}
+
+void request_answer(request_t* r) {
+    if (!r->answered) {
+        r->answered = true;
+        r->answer.outcome = cw_request_outcome(&r->machine);
+        count_outcome(r);
+    }
+    if (r->x && r->streaming) {
+        finish_stream(r);
+    } else if (r->x) {
+        answer_send(r->x, &r->answer, r->id);
+    }
+    r->x = NULL;
+    if (r->machine.state == CW_REQ_ENDED) {
+        r->answer.outcome = cw_request_outcome(&r->machine); /* may be better than what the caller was told */
+        settle_record(r);
+    }
+}
+
+void request_free(request_t* r) {
+    entry_t* e = r->entry;
+    uint32_t index = (uint32_t)(r - e->requests);
+    cw_heap_remove(&e->timers, index);
+    if (r->seq) {
+        cw_map_remove(&e->by_seq, r->seq);
+    }
+    if (r->view) {
+        cw_view_release(r->view);
+    }
+    free(r->body);
+    free(r->answer.body);
+    *r = (request_t){0};
+    e->free_requests[e->free_count++] = index;
+    e->stats.active--;
+}
+
+static request_t* request_new(entry_t* e, cw_exchange_t* x) {
+    if (!e->free_count) {
+        return NULL;
+    }
+    uint32_t index = e->free_requests[--e->free_count];
+    request_t* r = &e->requests[index];
+    *r = (request_t){
+        .used = true, .entry = e, .x = x, .record = CW_RUN_NONE, .joined = CW_RUN_NONE, .shard = ENTRY_NONE};
+    r->start_ms = node_now();
+    r->view = cw_store_view(e->node->store);
+    snprintf(r->id, sizeof(r->id), "%.16s-%llx", e->node->settings.name, (unsigned long long)e->stats.requests);
+    cw_exchange_set_data(x, r);
+    e->stats.active++;
+    e->stats.requests++;
+    return r;
+}
+
+/* Ends a request before anything was asked for. */
+static void reject(request_t* r, unsigned status, const char* code, const char* step, const char* message,
+                   uint32_t retry_after_ms) {
+    request_error(r, status, code, step, NULL, message, retry_after_ms);
+    r->machine.state = CW_REQ_ENDED;
+    request_answer(r);
+    request_free(r);
+}
+
+/* -- classification ------------------------------------------------------- */
+
+static bool authenticate(request_t* r) {
+    const char* auth = cw_exchange_header(r->x, "Authorization");
+    if (!auth || strncasecmp(auth, BEARER, strlen(BEARER)) != 0) {
+        reject(r, HTTP_UNAUTHORIZED, "no-token", "authenticate", "a bearer token is needed", 0);
+        return false;
+    }
+    const char* token = auth + strlen(BEARER);
+    uint8_t digest[CW_DIGEST_BYTES];
+    crypto_generichash(digest, sizeof(digest), (const uint8_t*)token, strlen(token), NULL, 0);
+    r->workspace = cw_view_auth(r->view, digest);
+    if (!r->workspace) {
+        reject(r, HTTP_UNAUTHORIZED, "wrong-token", "authenticate", "no workspace has this token", 0);
+    }
+    return r->workspace != NULL;
+}
+
+static bool class_allows(const cw_class_t* class, const char* pool) {
+    for (uint32_t i = 0; i < class->pool_count; i++) {
+        if (strcmp(class->pools[i], pool) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Pool of the class that serves the model; the class's first engine pool when no model is named. */
+static const cw_pool_t* pool_of_model(const request_t* r, const char* model) {
+    for (uint32_t i = 0; i < r->class->pool_count; i++) {
+        const cw_pool_t* pool = cw_view_pool(r->view, cw_name_id(r->class->pools[i]));
+        if (pool && pool->engine && (!model || strcmp(model, pool->model) == 0)) {
+            return pool;
+        }
+    }
+    return NULL;
+}
+
+static bool read_class(request_t* r) {
+    const char* name = cw_exchange_header(r->x, "Chalkway-Class");
+    r->class = name ? cw_view_class(r->view, cw_name_id(name)) : NULL;
+    if (!r->class) {
+        reject(r, HTTP_BAD_REQUEST, "unknown-class", "classify", "the header Chalkway-Class names no known class", 0);
+        return false;
+    }
+    uint32_t deadline_ms = r->class->deadline_ms;
+    const char* asked = cw_exchange_header(r->x, "Chalkway-Deadline-Ms");
+    unsigned long asked_ms = asked ? strtoul(asked, NULL, 10) : 0;
+    if (asked_ms && asked_ms < deadline_ms) {
+        deadline_ms = (uint32_t)asked_ms;
+    }
+    r->deadline_ms = r->start_ms + deadline_ms;
+    return true;
+}
+
+static uint64_t prefix_hash(const char* text, size_t size) {
+    uint64_t hash = XXH64(text, size < PREFIX_CHARS ? size : PREFIX_CHARS, 0);
+    return hash ? hash : 1;
+}
+
+/* Hash of the start of the first message or of the prompt. */
+static uint64_t read_prefix(json_t* root) {
+    json_t* prompt = json_object_get(root, "prompt");
+    if (!json_is_string(prompt)) {
+        prompt = json_object_get(json_array_get(json_object_get(root, "messages"), 0), "content");
+    }
+    const char* text = json_string_value(prompt);
+    return text ? prefix_hash(text, strlen(text)) : 0;
+}
+
+static bool classify_model(request_t* r) {
+    json_error_t why;
+    json_t* root = json_loadb(r->body, r->body_size, 0, &why);
+    if (!json_is_object(root)) {
+        char message[CW_MESSAGE_MAX];
+        snprintf(message, sizeof(message), "the body is no JSON object: line %d: %.120s", why.line, why.text);
+        json_decref(root);
+        reject(r, HTTP_BAD_REQUEST, "bad-json", "parse", message, 0);
+        return false;
+    }
+    r->wants_stream = json_is_true(json_object_get(root, "stream"));
+    r->max_tokens = (uint32_t)json_integer_value(json_object_get(root, "max_tokens"));
+    r->prefix = read_prefix(root);
+    const char* model = json_string_value(json_object_get(root, "model"));
+    r->pool = pool_of_model(r, model);
+    json_decref(root);
+    if (!r->pool) {
+        reject(r, HTTP_NOT_FOUND, "unknown-model", "classify", "no pool of this class serves the model", 0);
+    }
+    return r->pool != NULL;
+}
+
+/* /v1/services/POOL/rest goes to the pool as /rest. */
+static bool classify_service(request_t* r, const char* path) {
+    char name[CW_NAME_MAX];
+    const char* rest = strchr(path, '/');
+    size_t len = rest ? (size_t)(rest - path) : strlen(path);
+    cw_copy(name, len < sizeof(name) ? len + 1 : sizeof(name), path);
+    r->pool = cw_view_pool(r->view, cw_name_id(name));
+    if (!r->pool || r->pool->engine || !class_allows(r->class, name)) {
+        reject(r, HTTP_NOT_FOUND, "unknown-pool", "classify", "the class may not use a service pool of this name", 0);
+        return false;
+    }
+    cw_copy(r->path, sizeof(r->path), rest ? rest : "/");
+    return true;
+}
+
+static bool classify(request_t* r, const char* path) {
+    static const char services[] = "/v1/services/";
+    if (!read_class(r)) {
+        return false;
+    }
+    if (strncmp(path, services, sizeof(services) - 1) == 0) {
+        return classify_service(r, path + sizeof(services) - 1);
+    }
+    cw_copy(r->path, sizeof(r->path), path);
+    return classify_model(r);
+}
+
+/* -- run-once names ------------------------------------------------------- */
+
+static void answer_kept(request_t* r, const answer_t* kept) {
+    r->answer.outcome = kept->outcome;
+    answer_send(r->x, kept, r->id);
+    r->x = NULL;
+    count_outcome(r);
+    request_free(r);
+}
+
+/* An outcome that does not follow from this request's own transfers: the call may have run elsewhere or earlier. */
+static void reject_unknown(request_t* r, cw_outcome_t outcome, const char* code, const char* message) {
+    request_error(r, HTTP_CONFLICT, code, "run-once", NULL, message, 0);
+    r->answered = true;
+    r->answer.outcome = outcome;
+    count_outcome(r);
+    answer_send(r->x, &r->answer, r->id);
+    r->x = NULL;
+    request_free(r);
+}
+
+/* Handles the name of a non-repeatable call; true when the request shall run. */
+static bool begin_once(request_t* r) {
+    entry_t* e = r->entry;
+    const char* name = cw_exchange_header(r->x, "Idempotency-Key");
+    if (r->class->repeatable || !name) {
+        return true;
+    }
+    cw_copy(r->name, sizeof(r->name), name);
+    uint64_t body_hash = XXH64(r->body, r->body_size, cw_name_id(r->path));
+    cw_runonce_begin_t b = cw_runonce_begin(e->runonce, r->start_ms, r->workspace->id, name, body_hash);
+    switch (b.verdict) {
+        case CW_RUN_NEW:
+            r->record = b.record;
+            return true;
+        case CW_RUN_JOIN:
+            r->joined = b.record;
+            e->stats.joined++;
+            request_arm(r);
+            return false;
+        case CW_RUN_KEPT:
+            answer_kept(r, b.answer);
+            return false;
+        case CW_RUN_LOST:
+            reject_unknown(r, CW_OUTCOME_FAILED, "answer-lost", "the call ran; its answer is not kept any more");
+            return false;
+        case CW_RUN_UNKNOWN:
+            reject_unknown(r, CW_OUTCOME_UNKNOWN, "other-process",
+                           "the ticket is of another process or has expired: ask the application");
+            return false;
+        case CW_RUN_NO_TICKET:
+            reject(r, HTTP_BAD_REQUEST, "no-ticket", "run-once",
+                   "the name of a call that may not be repeated must be TICKET/SUFFIX, see GET /v1/lookup", 0);
+            return false;
+        case CW_RUN_MISMATCH:
+            reject(r, HTTP_UNPROCESSABLE, "name-reused", "run-once", "the name was used for another call", 0);
+            return false;
+        case CW_RUN_FULL:
+            break;
+    }
+    reject(r, HTTP_UNAVAILABLE, "names-full", "run-once", "too many named calls are remembered", 1000);
+    return false;
+}
+
+/* -- start ---------------------------------------------------------------- */
+
+static estimate_t* find_estimate(entry_t* e, const request_t* r) {
+    uint64_t key = cw_mix(r->class->id, r->pool->id);
+    for (uint32_t i = 0; i < e->estimate_count; i++) {
+        if (e->estimates[i].key == key) {
+            return &e->estimates[i];
+        }
+    }
+    uint32_t i = e->estimate_count < ENTRY_MAX_ESTIMATES ? e->estimate_count++ : (uint32_t)(key % ENTRY_MAX_ESTIMATES);
+    e->estimates[i] = (estimate_t){.key = key};
+    return &e->estimates[i];
+}
+
+/* Counters of the workspace and class; the last place counts all that do not fit. */
+static metric_t* find_metric(entry_t* e, const request_t* r) {
+    for (uint32_t i = 0; i < e->metric_count; i++) {
+        metric_t* m = &e->metrics[i];
+        if (strcmp(m->workspace, r->workspace->name) == 0 && strcmp(m->class, r->class->name) == 0) {
+            return m;
+        }
+    }
+    if (e->metric_count == ENTRY_MAX_METRICS) {
+        return &e->metrics[ENTRY_MAX_METRICS - 1];
+    }
+    metric_t* m = &e->metrics[e->metric_count++];
+    bool last = e->metric_count == ENTRY_MAX_METRICS;
+    cw_copy(m->workspace, sizeof(m->workspace), last ? "other" : r->workspace->name);
+    cw_copy(m->class, sizeof(m->class), last ? "other" : r->class->name);
+    return m;
+}
+
+static void estimate_cost(request_t* r) {
+    uint32_t prompt = r->pool->engine ? (uint32_t)(r->body_size / BYTES_PER_TOKEN) : 0;
+    uint32_t output = cw_estimate_get(&r->estimate->cost, 0.8, r->class->cost);
+    if (r->max_tokens && r->max_tokens < output) {
+        output = r->max_tokens;
+    }
+    r->cost = prompt / 8 + output;
+    r->cost = r->cost ? r->cost : 1;
+}
+
+static void start(request_t* r) {
+    entry_t* e = r->entry;
+    r->estimate = find_estimate(e, r);
+    r->metric = find_metric(e, r);
+    estimate_cost(r);
+    r->machine = cw_request_new(&(cw_request_desc_t){.repeatable = r->class->repeatable});
+    r->shard = dispatch_choose_shard(e, r);
+    if (r->shard == ENTRY_NONE) {
+        reject(r, HTTP_UNAVAILABLE, "no-upstream", "choose", "the pool has no upstream", 1000);
+        return;
+    }
+    cw_retry_first(&e->retries);
+    request_event(r, CW_EV_START);
+}
+
+static void copy_body(request_t* r) {
+    size_t size = 0;
+    const char* body = cw_exchange_body(r->x, &size);
+    const char* type = cw_exchange_header(r->x, "Content-Type");
+    r->body = cw_alloc(NULL, size + 1, 1);
+    memcpy(r->body, body, size);
+    r->body_size = size;
+    cw_copy(r->type, sizeof(r->type), type ? type : "application/json");
+    cw_copy(r->method, sizeof(r->method), cw_exchange_method(r->x));
+}
+
+static void accept_request(entry_t* e, cw_exchange_t* x, const char* path) {
+    request_t* r = request_new(e, x);
+    if (!r) {
+        reply_error(x, HTTP_UNAVAILABLE, CW_OUTCOME_NOT_RUN, "too-many-requests", "accept", NULL,
+                    "this host has no room for another request", 1000);
+        return;
+    }
+    copy_body(r);
+    if (authenticate(r) && classify(r, path) && begin_once(r)) {
+        start(r);
+    }
+}
+
+void entry_on_request(cw_exchange_t* x, void* user) {
+    node_t* node = user;
+    const char* path = cw_exchange_path(x);
+    bool ready = sync_ready(node->sync);
+    if (strcmp(path, "/healthz") == 0) {
+        reply_json(x, HTTP_OK, "{\"status\":\"ok\"}");
+    } else if (strcmp(path, "/readyz") == 0) {
+        reply_json(x, ready && !node->stopping ? HTTP_OK : HTTP_UNAVAILABLE,
+                   ready ? (node->stopping ? "{\"status\":\"leaving\"}" : "{\"status\":\"ready\"}")
+                         : "{\"status\":\"starting\"}");
+    } else if (!ready) {
+        reply_error(x, HTTP_UNAVAILABLE, CW_OUTCOME_NOT_RUN, "starting", "accept", NULL,
+                    "this host has no configuration yet", 500);
+    } else if (strcmp(path, "/v1/lookup") == 0) {
+        lookup_answer(node, x);
+    } else if (strcmp(path, "/v1/chat/completions") == 0 || strcmp(path, "/v1/completions") == 0 ||
+               strncmp(path, "/v1/services/", 13) == 0) {
+        accept_request(node->entry, x, path);
+    } else {
+        reply_error(x, HTTP_NOT_FOUND, CW_OUTCOME_NOT_RUN, "no-such-path", "accept", NULL, "nothing is served here", 0);
+    }
+}
+
+void entry_on_gone(cw_exchange_t* x, void* user) {
+    (void)user;
+    request_t* r = cw_exchange_data(x);
+    if (!r) {
+        return;
+    }
+    r->x = NULL;
+    if (r->joined != CW_RUN_NONE) {
+        request_free(r);
+        return;
+    }
+    request_event(r, CW_EV_GONE);
+}
+
+void entry_on_drained(cw_exchange_t* x, void* user) {
+    (void)user;
+    request_t* r = cw_exchange_data(x);
+    if (r && r->call) {
+        cw_call_resume(r->call);
+    }
+}
+
+/* -- setup ---------------------------------------------------------------- */
+
+entry_t* entry_setup(node_t* node) {
+    entry_t* e = cw_alloc(NULL, 1, sizeof(*e));
+    e->node = node;
+    e->max_requests = node->settings.max_requests;
+    e->requests = cw_alloc(NULL, e->max_requests, sizeof(*e->requests));
+    e->free_requests = cw_alloc(NULL, e->max_requests, sizeof(*e->free_requests));
+    e->estimates = cw_alloc(NULL, ENTRY_MAX_ESTIMATES, sizeof(*e->estimates));
+    e->metrics = cw_alloc(NULL, ENTRY_MAX_METRICS, sizeof(*e->metrics));
+    e->by_seq = cw_map_setup(e->max_requests, NULL);
+    e->timers = cw_heap_setup(e->max_requests, NULL);
+    for (uint32_t i = e->max_requests; i-- > 0;) {
+        e->free_requests[e->free_count++] = i;
+    }
+    e->retries = (cw_retry_budget_t){.share = node->settings.retry_share, .burst = RETRY_BURST, .tokens = RETRY_BURST};
+    e->runonce = cw_runonce_setup(&(cw_runonce_desc_t){.host = node->settings.name,
+                                                       .incarnation = node->incarnation,
+                                                       .ticket_ms = node->settings.ticket_ms,
+                                                       .max_records = 16384,
+                                                       .free_answer = answer_free});
+    dispatch_setup(e);
+    return e;
+}
+
+void entry_shutdown(entry_t* e) {
+    for (uint32_t i = 0; i < e->max_requests; i++) {
+        request_t* r = &e->requests[i];
+        if (r->used) {
+            if (r->call) {
+                cw_call_cancel(r->call);
+            }
+            request_free(r);
+        }
+    }
+    dispatch_shutdown(e);
+    cw_runonce_shutdown(e->runonce);
+    cw_map_shutdown(&e->by_seq);
+    cw_heap_shutdown(&e->timers);
+    free(e->requests);
+    free(e->free_requests);
+    free(e->estimates);
+    free(e->metrics);
+    free(e);
+}
+
+entry_stats_t entry_stats(const entry_t* e) {
+    return e->stats;
+}
+
+uint32_t entry_room(const entry_t* e) {
+    return 100 * e->free_count / e->max_requests;
+}
+
+cw_runonce_t* entry_runonce(const entry_t* e) {
+    return e->runonce;
+}
+
+/* Appends the cumulative buckets of a histogram. */
+static void write_hist(FILE* out, const char* name, const metric_t* m, const cw_hist_t* hist) {
+    static const uint32_t bounds[] = {5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10000, 30000, 60000};
+    uint64_t seen = 0;
+    uint32_t bucket = 0;
+    for (size_t i = 0; i < sizeof(bounds) / sizeof(bounds[0]); i++) {
+        while (bucket < CW_HIST_BUCKETS && cw_hist_bound(bucket) <= bounds[i]) {
+            seen += hist->buckets[bucket++];
+        }
+        fprintf(out, "%s_bucket{workspace=\"%s\",class=\"%s\",le=\"%u\"} %llu\n", name, m->workspace, m->class,
+                bounds[i], (unsigned long long)seen);
+    }
+    fprintf(out, "%s_bucket{workspace=\"%s\",class=\"%s\",le=\"+Inf\"} %llu\n", name, m->workspace, m->class,
+            (unsigned long long)hist->count);
+    fprintf(out, "%s_sum{workspace=\"%s\",class=\"%s\"} %llu\n", name, m->workspace, m->class,
+            (unsigned long long)hist->sum);
+    fprintf(out, "%s_count{workspace=\"%s\",class=\"%s\"} %llu\n", name, m->workspace, m->class,
+            (unsigned long long)hist->count);
+}
+
+char* entry_metrics(const entry_t* e) {
+    char* text = NULL;
+    size_t size = 0;
+    FILE* out = open_memstream(&text, &size);
+    fprintf(out, "# TYPE chalkway_requests_total counter\n");
+    for (uint32_t i = 0; i < e->metric_count; i++) {
+        const metric_t* m = &e->metrics[i];
+        for (int o = CW_OUTCOME_DELIVERED; o < CW_OUTCOME_COUNT; o++) {
+            fprintf(out, "chalkway_requests_total{workspace=\"%s\",class=\"%s\",outcome=\"%s\"} %llu\n", m->workspace,
+                    m->class, cw_outcome_name((cw_outcome_t)o), (unsigned long long)m->outcomes[o]);
+        }
+        fprintf(out, "chalkway_in_time_total{workspace=\"%s\",class=\"%s\"} %llu\n", m->workspace, m->class,
+                (unsigned long long)m->in_time);
+    }
+    fprintf(out, "# TYPE chalkway_request_ms histogram\n# TYPE chalkway_first_byte_ms histogram\n");
+    for (uint32_t i = 0; i < e->metric_count; i++) {
+        write_hist(out, "chalkway_request_ms", &e->metrics[i], &e->metrics[i].total_ms);
+        write_hist(out, "chalkway_first_byte_ms", &e->metrics[i], &e->metrics[i].first_ms);
+    }
+    fprintf(out, "chalkway_requests_active %u\n", e->stats.active);
+    fprintf(out, "chalkway_retries_total %llu\n", (unsigned long long)e->stats.retries);
+    fprintf(out, "chalkway_direct_total %llu\n", (unsigned long long)e->stats.direct);
+    fprintf(out, "chalkway_runonce_records %u\n", cw_runonce_count(e->runonce));
+    fclose(out);
+    return text;
+}
--- /dev/null
+++ b/daemon/node.c
@@ -0,0 +1,336 @@
+#include "node.h"
+
+#include <jansson.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/time.h>
+#include <time.h>
+
+#define TICK_S 0.05
+#define PAUSE_MS 1000  /* a gap of the loop longer than this means that the process was paused */
+#define REFRESH_MS 400 /* after a pause, wait at most this long for a peer before trusting the view */
+#define STOP_MAX_MS 120000
+
+int64_t node_now(void) {
+    struct timespec ts;
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+uint32_t node_live_hosts(const node_t* node, uint64_t out[NODE_MAX_HOSTS]) {
+    uint32_t count = cw_members_live(node->members, false, out, NODE_MAX_HOSTS);
+    return count ? count : cw_members_live(node->members, true, out, NODE_MAX_HOSTS);
+}
+
+uint64_t node_shard_owner(const node_t* node, uint64_t shard) {
+    uint64_t hosts[NODE_MAX_HOSTS];
+    return cw_place_owner(shard, hosts, node_live_hosts(node, hosts));
+}
+
+/* -- messages ------------------------------------------------------------- */
+
+static void on_message(void* user, uint64_t from, const cw_msg_t* msg) {
+    node_t* node = user;
+    switch (msg->type) {
+        case CW_MSG_WANT:
+        case CW_MSG_CANCEL:
+        case CW_MSG_DONE:
+        case CW_MSG_DIGEST:
+        case CW_MSG_LIST:
+            allocator_on_message(node->allocator, from, msg);
+            break;
+        case CW_MSG_ACTION:
+            entry_on_action(node->entry, from, msg);
+            break;
+        case CW_MSG_PULL:
+        case CW_MSG_CHUNK:
+            sync_on_message(node->sync, from, msg);
+            break;
+        default:
+            break;
+    }
+}
+
+cw_status_t node_send(node_t* node, uint64_t host, const cw_msg_t* msg) {
+    if (host == node->host) {
+        on_message(node, host, msg);
+        return CW_OK;
+    }
+    const cw_member_t* member = cw_members_find(node->members, host);
+    return member ? cw_peers_send(node->peers, host, member->info.peer, msg) : CW_ERR_NOT_FOUND;
+}
+
+static void send_gossip(node_t* node) {
+    cw_gossip_out_t out;
+    while (cw_members_next(node->members, &out)) {
+        cw_peers_gossip(node->peers, out.to, &out.message);
+    }
+}
+
+/* Tells the parts of a change of members, once for each change. */
+static void tell_members_changed(node_t* node) {
+    uint64_t changes = cw_members_changes(node->members);
+    if (changes == node->members_seen) {
+        return;
+    }
+    node->members_seen = changes;
+    uint64_t hosts[NODE_MAX_HOSTS];
+    cw_log(&node->log, CW_EVENT_MEMBERS_CHANGED, "live=%u known=%u", node_live_hosts(node, hosts),
+           cw_members_count(node->members));
+    entry_on_change(node->entry);
+    allocator_on_change(node->allocator);
+}
+
+static void on_gossip(void* user, const cw_gossip_t* gossip) {
+    node_t* node = user;
+    cw_members_receive(node->members, node_now(), gossip);
+    node->view_stale = false;
+    sync_on_revision(node->sync, gossip->from.id, gossip->revision);
+    tell_members_changed(node);
+    send_gossip(node);
+}
+
+static void on_link_closed(void* user, uint64_t host) {
+    node_t* node = user;
+    cw_log(&node->log, CW_EVENT_PEER_CLOSED, "peer=%016llx", (unsigned long long)host);
+    entry_on_link_closed(node->entry, host);
+}
+
+static void on_refused(void* user, const cw_error_t* err) {
+    node_t* node = user;
+    cw_log(&node->log, CW_EVENT_PEER_REFUSED, "step=%s peer=%s reason=\"%s\"", err->step, err->peer, err->message);
+}
+
+/* -- time ----------------------------------------------------------------- */
+
+static void notice_pause(node_t* node, int64_t now_ms) {
+    int64_t gap_ms = node->tick_ms ? now_ms - node->tick_ms : 0;
+    node->tick_ms = now_ms;
+    if (gap_ms < PAUSE_MS) {
+        if (node->view_stale && now_ms - node->woke_ms > REFRESH_MS) {
+            node->view_stale = false;
+        }
+        return;
+    }
+    cw_log(&node->log, CW_EVENT_WOKE, "gap_ms=%lld", (long long)gap_ms);
+    node->woke_ms = now_ms;
+    node->view_stale = cw_members_count(node->members) > 1;
+    entry_on_woke(node->entry);
+}
+
+/* A planned stop is complete when the lookup answers that name this host have run out and nothing is in flight. */
+static void check_stopped(node_t* node, int64_t now_ms) {
+    if (!node->stopping) {
+        return;
+    }
+    int64_t since_ms = now_ms - node->leave_ms;
+    uint32_t active = entry_stats(node->entry).active;
+    bool quiet = since_ms > node->settings.lookup_ms && !active;
+    if (quiet || since_ms > STOP_MAX_MS) {
+        node->cut = active;
+        ev_break(node->loop, EVBREAK_ALL);
+    }
+}
+
+static void on_tick(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    node_t* node = w->data;
+    int64_t now_ms = node_now();
+    notice_pause(node, now_ms);
+    cw_members_announce(node->members, cw_store_revision(node->store), entry_room(node->entry));
+    cw_members_tick(node->members, now_ms);
+    send_gossip(node);
+    tell_members_changed(node);
+    allocator_tick(node->allocator, now_ms);
+    entry_tick(node->entry, now_ms);
+    sync_tick(node->sync, now_ms);
+    operator_tick(node, now_ms);
+    check_stopped(node, now_ms);
+}
+
+static void on_stop(struct ev_loop* loop, ev_signal* w, int events) {
+    (void)loop;
+    (void)events;
+    node_t* node = w->data;
+    if (node->stopping) {
+        return;
+    }
+    node->stopping = true;
+    node->leave_ms = node_now();
+    cw_log(&node->log, CW_EVENT_STOPPING, "active=%u", entry_stats(node->entry).active);
+    cw_members_leave(node->members);
+    send_gossip(node);
+    tell_members_changed(node);
+}
+
+/* -- setup ---------------------------------------------------------------- */
+
+static uint64_t unix_ms(void) {
+    struct timeval tv;
+    gettimeofday(&tv, NULL);
+    return (uint64_t)tv.tv_sec * 1000 + (uint64_t)tv.tv_usec / 1000;
+}
+
+static cw_log_level_t log_level(const char* name) {
+    static const char* const names[] = {"debug", "info", "warn", "error"};
+    for (int i = 0; i < 4; i++) {
+        if (strcmp(name, names[i]) == 0) {
+            return (cw_log_level_t)i;
+        }
+    }
+    return CW_LOG_INFO;
+}
+
+static void setup_members(node_t* node) {
+    const cw_settings_t* s = &node->settings;
+    cw_members_desc_t desc = {.seed = node->incarnation,
+                              .max_members = NODE_MAX_HOSTS,
+                              .period_ms = s->probe_ms,
+                              .timeout_ms = s->probe_timeout_ms,
+                              .suspect_ms = s->suspect_ms};
+    desc.self.id = node->host;
+    desc.self.incarnation = unix_ms();
+    cw_copy(desc.self.name, sizeof(desc.self.name), s->name);
+    cw_copy(desc.self.hall, sizeof(desc.self.hall), s->hall);
+    cw_copy(desc.self.peer, sizeof(desc.self.peer), cw_peers_address(node->peers));
+    cw_copy(desc.self.http, sizeof(desc.self.http), cw_httpd_address(node->http));
+    node->members = cw_members_setup(&desc);
+    char seeds[CW_SETTINGS_TEXT_MAX];
+    cw_copy(seeds, sizeof(seeds), s->seeds);
+    char* rest = NULL;
+    for (char* seed = strtok_r(seeds, ", ", &rest); seed; seed = strtok_r(NULL, ", ", &rest)) {
+        cw_members_contact(node->members, seed);
+    }
+}
+
+static bool setup_servers(node_t* node, cw_error_t* err) {
+    const cw_settings_t* s = &node->settings;
+    node->peers = cw_peers_setup(&(cw_peers_desc_t){.loop = node->loop,
+                                                    .address = s->peer,
+                                                    .cluster = s->cluster,
+                                                    .host = node->host,
+                                                    .on_message = on_message,
+                                                    .on_closed = on_link_closed,
+                                                    .on_gossip = on_gossip,
+                                                    .on_refused = on_refused,
+                                                    .user_data = node},
+                                 err);
+    node->http = !node->peers ? NULL
+                              : cw_httpd_setup(&(cw_httpd_desc_t){.loop = node->loop,
+                                                                  .address = s->http,
+                                                                  .max_body = s->max_body,
+                                                                  .max_connections = s->max_connections,
+                                                                  .on_request = entry_on_request,
+                                                                  .on_gone = entry_on_gone,
+                                                                  .on_drained = entry_on_drained,
+                                                                  .user_data = node},
+                                               err);
+    node->operator_http = !node->http ? NULL
+                                      : cw_httpd_setup(&(cw_httpd_desc_t){.loop = node->loop,
+                                                                          .address = s->operator_http,
+                                                                          .max_connections = 100,
+                                                                          .on_request = operator_on_request,
+                                                                          .on_gone = operator_on_gone,
+                                                                          .user_data = node},
+                                                       err);
+    return node->operator_http != NULL;
+}
+
+static void setup_timers(node_t* node) {
+    ev_timer_init(&node->tick, on_tick, TICK_S, TICK_S);
+    ev_signal_init(&node->on_term, on_stop, SIGTERM);
+    ev_signal_init(&node->on_int, on_stop, SIGINT);
+    node->tick.data = node->on_term.data = node->on_int.data = node;
+    ev_timer_start(node->loop, &node->tick);
+    ev_signal_start(node->loop, &node->on_term);
+    ev_signal_start(node->loop, &node->on_int);
+}
+
+node_t* node_setup(const cw_settings_t* settings, cw_error_t* err) {
+    if (sodium_init() < 0) {
+        cw_fail(err, CW_ERR_IO, "start", NULL, "libsodium found no source of random numbers");
+        return NULL;
+    }
+    node_t* node = cw_alloc(NULL, 1, sizeof(*node));
+    node->settings = *settings;
+    node->log = (cw_log_t){.level = log_level(settings->log_level), .json = strcmp(settings->log_format, "json") == 0};
+    node->loop = ev_default_loop(EVFLAG_AUTO);
+    node->host = cw_name_id(settings->name);
+    node->hall = cw_name_id(settings->hall);
+    node->started_ms = node_now();
+    do {
+        randombytes_buf(&node->incarnation, sizeof(node->incarnation));
+    } while (!node->incarnation);
+    if (!setup_servers(node, err)) {
+        free(node);
+        return NULL;
+    }
+    node->client = cw_client_setup(node->loop, 1024);
+    node->store = cw_store_setup(&(cw_store_desc_t){0});
+    setup_members(node);
+    node->allocator = allocator_setup(node);
+    node->entry = entry_setup(node);
+    node->sync = sync_setup(node);
+    setup_timers(node);
+    cw_log(&node->log, CW_EVENT_STARTED, "host=%s hall=%s http=%s peer=%s operator=%s", settings->name, settings->hall,
+           cw_httpd_address(node->http), cw_peers_address(node->peers), cw_httpd_address(node->operator_http));
+    return node;
+}
+
+int node_run(node_t* node) {
+    ev_run(node->loop, 0);
+    cw_log(&node->log, CW_EVENT_STOPPED, "cut=%llu requests=%llu", (unsigned long long)node->cut,
+           (unsigned long long)entry_stats(node->entry).requests);
+    return node->cut ? 1 : 0;
+}
+
+void node_shutdown(node_t* node) {
+    ev_timer_stop(node->loop, &node->tick);
+    ev_signal_stop(node->loop, &node->on_term);
+    ev_signal_stop(node->loop, &node->on_int);
+    entry_shutdown(node->entry);
+    sync_shutdown(node->sync);
+    cw_httpd_shutdown(node->http);
+    cw_httpd_shutdown(node->operator_http);
+    cw_client_shutdown(node->client);
+    cw_peers_shutdown(node->peers);
+    allocator_shutdown(node->allocator);
+    cw_members_shutdown(node->members);
+    cw_store_shutdown(node->store);
+    free(node);
+}
+
+/* -- answers -------------------------------------------------------------- */
+
+void reply_json(cw_exchange_t* x, unsigned status, const char* text) {
+    const cw_header_t headers[] = {{"Content-Type", "application/json"}};
+    cw_exchange_reply(x, status, headers, 1, text, strlen(text));
+}
+
+void reply_error(cw_exchange_t* x, unsigned status, cw_outcome_t outcome, const char* code, const char* step,
+                 const char* peer, const char* message, uint32_t retry_after_ms) {
+    json_t* error =
+        json_pack("{s:s,s:s,s:s,s:s}", "code", code, "step", step, "peer", peer ? peer : "", "message", message);
+    if (retry_after_ms) {
+        json_object_set_new(error, "retry_after_ms", json_integer(retry_after_ms));
+    }
+    json_t* root = json_pack("{s:o}", "error", error);
+    char* text = json_dumps(root, JSON_COMPACT);
+    char seconds[16];
+    snprintf(seconds, sizeof(seconds), "%u", (retry_after_ms + 999) / 1000);
+    cw_header_t headers[3] = {{"Content-Type", "application/json"}};
+    uint32_t count = 1;
+    if (outcome) {
+        headers[count++] = (cw_header_t){"Chalkway-Outcome", cw_outcome_name(outcome)};
+    }
+    if (retry_after_ms) {
+        headers[count++] = (cw_header_t){"Retry-After", seconds};
+    }
+    cw_exchange_reply(x, status, headers, count, text, strlen(text));
+    free(text);
+    json_decref(root);
+}
--- /dev/null
+++ b/daemon/node.h
@@ -0,0 +1,151 @@
+#ifndef CW_DAEMON_NODE_H
+#define CW_DAEMON_NODE_H
+/*
+    The parts of one chalkwayd process and what they ask of each other.
+
+        node.c       setup, clock, membership, peer messages, planned stop
+        entry.c      callers' requests, from accept to last byte
+        lookup.c     lookup answers
+        allocator.c  shards that this host allocates
+        sync.c       configuration: reading the platform, passing it on
+        operator.c   operator API and metrics
+*/
+#include <ev.h>
+
+#include "../chalkway_hist.h"
+#include "../chalkway_limit.h"
+#include "../chalkway_log.h"
+#include "../chalkway_member.h"
+#include "../chalkway_place.h"
+#include "../chalkway_request.h"
+#include "../chalkway_runonce.h"
+#include "../chalkway_settings.h"
+#include "../chalkway_store.h"
+#include "../io/client.h"
+#include "../io/httpd.h"
+#include "../io/peers.h"
+
+#define NODE_MAX_HOSTS 1024
+#define NODE_MAX_SHARDS 256
+
+typedef struct node_t node_t;
+typedef struct entry_t entry_t;
+typedef struct allocator_t allocator_t;
+typedef struct sync_t sync_t;
+
+struct node_t {
+    cw_settings_t settings;
+    cw_log_t log;
+    struct ev_loop* loop;
+    uint64_t host;        /* own id */
+    uint64_t hall;        /* id of the hall's name */
+    uint64_t incarnation; /* random */
+    cw_httpd_t* http;
+    cw_httpd_t* operator_http;
+    cw_client_t* client;
+    cw_peers_t* peers;
+    cw_members_t* members;
+    uint64_t members_seen; /* cw_members_changes that the parts were told of */
+    cw_store_t* store;
+    entry_t* entry;
+    allocator_t* allocator;
+    sync_t* sync;
+    ev_timer tick;
+    ev_signal on_term, on_int;
+    int64_t tick_ms;  /* of the last tick, to notice a pause */
+    int64_t woke_ms;  /* of the last long gap, 0: never */
+    bool view_stale;  /* woke and has heard no peer since */
+    bool stopping;    /* planned stop begun */
+    int64_t leave_ms; /* when lookups stopped naming this host */
+    int64_t started_ms;
+    uint64_t cut; /* requests that a planned stop cut */
+    int exit_code;
+};
+
+/* Milliseconds on the monotonic clock. */
+int64_t node_now(void);
+/* Ids of hosts that may take roles; returns their number. */
+uint32_t node_live_hosts(const node_t* node, uint64_t out[NODE_MAX_HOSTS]);
+/* Host that allocates the shard in this host's view. */
+uint64_t node_shard_owner(const node_t* node, uint64_t shard);
+/* Sends to a host, or hands the message over directly when it is this one. */
+cw_status_t node_send(node_t* node, uint64_t host, const cw_msg_t* msg);
+
+/* -- entry.c -------------------------------------------------------------- */
+
+typedef struct entry_stats_t {
+    uint64_t requests, outcomes[CW_OUTCOME_COUNT], retries, direct, joined;
+    uint32_t active;
+} entry_stats_t;
+
+entry_t* entry_setup(node_t* node);
+void entry_shutdown(entry_t* entry);
+void entry_on_request(cw_exchange_t* x, void* node);
+void entry_on_gone(cw_exchange_t* x, void* node);
+void entry_on_drained(cw_exchange_t* x, void* node);
+/* A grant, refusal, preemption, resync or sign of life from an allocator. */
+void entry_on_action(entry_t* entry, uint64_t from, const cw_msg_t* msg);
+/* Hosts or configuration changed: shards may have other allocators. */
+void entry_on_change(entry_t* entry);
+/* The link to a host ended. */
+void entry_on_link_closed(entry_t* entry, uint64_t host);
+/* The process was paused: ask again for what waits. */
+void entry_on_woke(entry_t* entry);
+void entry_tick(entry_t* entry, int64_t now_ms);
+entry_stats_t entry_stats(const entry_t* entry);
+uint32_t entry_room(const entry_t* entry);
+/* Callers' metrics in Prometheus text, to be freed. */
+char* entry_metrics(const entry_t* entry);
+cw_runonce_t* entry_runonce(const entry_t* entry);
+
+/* -- lookup.c ------------------------------------------------------------- */
+
+void lookup_answer(node_t* node, cw_exchange_t* x);
+
+/* -- allocator.c ---------------------------------------------------------- */
+
+allocator_t* allocator_setup(node_t* node);
+void allocator_shutdown(allocator_t* a);
+void allocator_on_message(allocator_t* a, uint64_t from, const cw_msg_t* msg);
+void allocator_on_change(allocator_t* a);
+void allocator_tick(allocator_t* a, int64_t now_ms);
+uint32_t allocator_count(const allocator_t* a);
+/* Statistics of shard number index. */
+cw_shard_stats_t allocator_stats(const allocator_t* a, uint32_t index, uint64_t* shard, uint64_t* pool);
+
+/* -- sync.c --------------------------------------------------------------- */
+
+sync_t* sync_setup(node_t* node);
+void sync_shutdown(sync_t* s);
+void sync_on_message(sync_t* s, uint64_t from, const cw_msg_t* msg);
+/* A peer's probe told its revision. */
+void sync_on_revision(sync_t* s, uint64_t from, int64_t revision);
+void sync_tick(sync_t* s, int64_t now_ms);
+/* Some configuration is there, or waiting for it has been long enough. */
+bool sync_ready(const sync_t* s);
+bool sync_is_reader(const sync_t* s);
+const char* sync_platform_state(const sync_t* s);
+uint64_t sync_platform_calls(const sync_t* s);
+
+/* -- operator.c ----------------------------------------------------------- */
+
+void operator_on_request(cw_exchange_t* x, void* node);
+void operator_on_gone(cw_exchange_t* x, void* node);
+/* Answers long polls whose revision has changed or whose time is over. */
+void operator_tick(node_t* node, int64_t now_ms);
+
+/* -- node.c --------------------------------------------------------------- */
+
+/* Starts all parts; NULL with err when an address cannot be had. */
+node_t* node_setup(const cw_settings_t* settings, cw_error_t* err);
+/* Runs until a planned stop is complete; returns the exit code. */
+int node_run(node_t* node);
+void node_shutdown(node_t* node);
+
+/* Answers with a JSON error: code, step, peer, message; outcome and retry_after_ms may be 0. */
+void reply_error(cw_exchange_t* x, unsigned status, cw_outcome_t outcome, const char* code, const char* step,
+                 const char* peer, const char* message, uint32_t retry_after_ms);
+/* Answers with a JSON text. */
+void reply_json(cw_exchange_t* x, unsigned status, const char* text);
+
+#endif
--- /dev/null
+++ b/daemon/sync.c
@@ -0,0 +1,298 @@
+/* Configuration: read from the platform by a few hosts of each hall, passed on to all by revision. */
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "node.h"
+
+#define PULL_TIMEOUT_MS 2000
+#define CALL_TIMEOUT_MS 5000
+#define BACKOFF_MIN_MS 200
+#define BACKOFF_MAX_MS 10000
+#define CHUNK_BYTES 65536 /* a chunk is sent when its texts reach this size */
+#define PLATFORM_BURST 4
+
+typedef enum platform_state_t { PLATFORM_UNUSED, PLATFORM_OK, PLATFORM_DOWN, PLATFORM_STALE } platform_state_t;
+
+struct sync_t {
+    node_t* node;
+    cw_call_t* call; /* to the platform */
+    bool listing;    /* the call lists all keys; else it watches */
+    char* body;
+    size_t size, capacity;
+    cw_bucket_t bucket;
+    uint32_t backoff_ms;
+    int64_t next_ms;
+    platform_state_t state;
+    uint64_t calls;
+    int64_t pulled_ms; /* a pull is outstanding since, 0: none */
+    bool reader;
+    cw_msg_t out;
+};
+
+bool sync_ready(const sync_t* s) {
+    return cw_store_revision(s->node->store) > 0;
+}
+
+bool sync_is_reader(const sync_t* s) {
+    return s->reader;
+}
+
+uint64_t sync_platform_calls(const sync_t* s) {
+    return s->calls;
+}
+
+const char* sync_platform_state(const sync_t* s) {
+    static const char* const names[] = {"not-read-here", "ok", "down", "stale"};
+    return names[s->state];
+}
+
+/* Makes what was put the configuration in force. */
+static void commit(sync_t* s, int64_t revision) {
+    int64_t before = cw_store_revision(s->node->store);
+    cw_store_commit(s->node->store, revision);
+    if (revision <= before) {
+        return;
+    }
+    cw_view_t* view = cw_store_view(s->node->store);
+    cw_log(&s->node->log, CW_EVENT_CONFIG_CHANGED, "revision=%lld workspaces=%u classes=%u pools=%u upstreams=%u",
+           (long long)revision, view->workspace_count, view->class_count, view->pool_count, view->upstream_count);
+    cw_view_release(view);
+    entry_on_change(s->node->entry);
+    allocator_on_change(s->node->allocator);
+}
+
+static void put(sync_t* s, const char* key, int64_t revision, const char* value) {
+    if (cw_store_put(s->node->store, key, revision, value) == CW_ERR_INVALID) {
+        const cw_item_t* item = cw_store_find(s->node->store, key);
+        cw_log(&s->node->log, CW_EVENT_CONFIG_INVALID, "key=%s revision=%lld reason=\"%s\"", key, (long long)revision,
+               item ? item->reason : "unknown kind");
+    }
+}
+
+/* -- the platform --------------------------------------------------------- */
+
+static void set_state(sync_t* s, platform_state_t state, const char* reason) {
+    if (state == s->state) {
+        return;
+    }
+    bool failed = state == PLATFORM_DOWN || state == PLATFORM_STALE;
+    if (failed) {
+        cw_log(&s->node->log, CW_EVENT_PLATFORM_FAILED, "state=%s reason=\"%s\"",
+               state == PLATFORM_DOWN ? "down" : "stale", reason);
+    } else if (s->state != PLATFORM_UNUSED) {
+        cw_log(&s->node->log, CW_EVENT_PLATFORM_BACK, "url=%s", s->node->settings.platform);
+    }
+    s->state = state;
+}
+
+/* Waits longer after each failure, with jitter, so that a returning platform is not stormed. */
+static void back_off(sync_t* s) {
+    s->backoff_ms = s->backoff_ms ? s->backoff_ms * 2 : BACKOFF_MIN_MS;
+    s->backoff_ms = s->backoff_ms > BACKOFF_MAX_MS ? BACKOFF_MAX_MS : s->backoff_ms;
+    s->next_ms = node_now() + s->backoff_ms / 2 + randombytes_uniform(s->backoff_ms);
+}
+
+/* A key that a full list does not hold is deleted, unless something newer is known of it. */
+static void put_deletions(sync_t* s, json_t* items, int64_t revision) {
+    cw_store_t* store = s->node->store;
+    json_t* listed = json_object();
+    size_t index = 0;
+    json_t* item = NULL;
+    json_array_foreach(items, index, item) {
+        json_object_set_new(listed, json_string_value(json_object_get(item, "key")), json_true());
+    }
+    for (uint32_t i = 0; i < cw_store_count(store); i++) {
+        const cw_item_t* known = cw_store_at(store, i);
+        if (known->value && known->revision <= revision && !json_object_get(listed, known->key)) {
+            put(s, known->key, revision, NULL);
+        }
+    }
+    json_decref(listed);
+}
+
+static void take_answer(sync_t* s, json_t* root) {
+    int64_t revision = json_integer_value(json_object_get(root, "revision"));
+    json_t* items = json_object_get(root, "items");
+    if (!json_is_array(items) || revision <= 0) {
+        set_state(s, PLATFORM_DOWN, "the answer is not understood");
+        back_off(s);
+        return;
+    }
+    if (revision < cw_store_revision(s->node->store)) {
+        set_state(s, PLATFORM_STALE, "its revision is lower than one already seen");
+        back_off(s);
+        return;
+    }
+    set_state(s, PLATFORM_OK, "");
+    s->backoff_ms = 0;
+    size_t index = 0;
+    json_t* item = NULL;
+    json_array_foreach(items, index, item) {
+        const char* key = json_string_value(json_object_get(item, "key"));
+        if (key) {
+            put(s, key, json_integer_value(json_object_get(item, "revision")),
+                json_string_value(json_object_get(item, "value")));
+        }
+    }
+    if (s->listing) {
+        put_deletions(s, items, revision);
+    }
+    commit(s, revision);
+}
+
+static bool on_platform_data(void* user, const char* data, size_t size) {
+    sync_t* s = user;
+    if (s->size + size > s->capacity) {
+        s->capacity = (s->size + size) * 2;
+        char* grown = realloc(s->body, s->capacity);
+        if (!grown) {
+            abort();
+        }
+        s->body = grown;
+    }
+    memcpy(s->body + s->size, data, size);
+    s->size += size;
+    return true;
+}
+
+static void on_platform_done(void* user, const cw_call_result_t* result) {
+    sync_t* s = user;
+    s->call = NULL;
+    json_t* root = (result->whole && result->status == 200) ? json_loadb(s->body, s->size, 0, NULL) : NULL;
+    if (root) {
+        take_answer(s, root);
+        json_decref(root);
+    } else {
+        set_state(s, PLATFORM_DOWN, result->whole ? "it answers with an error" : result->message);
+        back_off(s);
+    }
+    free(s->body);
+    s->body = NULL;
+    s->size = s->capacity = 0;
+}
+
+static void read_platform(sync_t* s) {
+    const cw_settings_t* settings = &s->node->settings;
+    int64_t revision = cw_store_revision(s->node->store);
+    char url[CW_SETTINGS_TEXT_MAX + 96];
+    s->listing = revision == 0 || s->state != PLATFORM_OK;
+    if (s->listing) {
+        snprintf(url, sizeof(url), "%s/v1/kv", settings->platform);
+    } else {
+        snprintf(url, sizeof(url), "%s/v1/watch?since=%lld&wait_ms=%u", settings->platform, (long long)revision,
+                 settings->watch_ms);
+    }
+    s->calls++;
+    s->call = cw_client_call(s->node->client, &(cw_call_desc_t){.url = url,
+                                                                .timeout_ms = settings->watch_ms + CALL_TIMEOUT_MS,
+                                                                .on_data = on_platform_data,
+                                                                .on_done = on_platform_done,
+                                                                .user_data = s});
+}
+
+/* The hosts of a hall that come first by rendezvous hash read for it. */
+static bool should_read(const sync_t* s) {
+    const node_t* node = s->node;
+    uint64_t hosts[NODE_MAX_HOSTS];
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < cw_members_count(node->members) && count < NODE_MAX_HOSTS; i++) {
+        const cw_member_info_t* info = &cw_members_at(node->members, i)->info;
+        if (info->state == CW_MEMBER_ALIVE && !info->leaving && cw_name_id(info->hall) == node->hall) {
+            hosts[count++] = info->id;
+        }
+    }
+    uint64_t key = cw_mix(node->hall, cw_name_id("reader"));
+    return cw_place_rank(key, node->host, hosts, count) < node->settings.readers;
+}
+
+/* -- peers ---------------------------------------------------------------- */
+
+void sync_on_revision(sync_t* s, uint64_t from, int64_t revision) {
+    int64_t now_ms = node_now();
+    if (revision <= cw_store_revision(s->node->store) || (s->pulled_ms && now_ms - s->pulled_ms < PULL_TIMEOUT_MS)) {
+        return;
+    }
+    s->out.type = CW_MSG_PULL;
+    s->out.pull_since = cw_store_revision(s->node->store);
+    if (node_send(s->node, from, &s->out) == CW_OK) {
+        s->pulled_ms = now_ms;
+    }
+}
+
+static void flush_chunk(sync_t* s, uint64_t to, bool last) {
+    s->out.chunk.last = last;
+    s->out.chunk.revision = last ? cw_store_revision(s->node->store) : 0;
+    node_send(s->node, to, &s->out);
+    s->out.chunk.count = 0;
+}
+
+/* Sends all that is newer than since: the version in force, then the newest where that is another. */
+static void send_chunks(sync_t* s, uint64_t to, int64_t since) {
+    cw_chunk_t* chunk = &s->out.chunk;
+    s->out.type = CW_MSG_CHUNK;
+    chunk->count = 0;
+    size_t bytes = 0;
+    for (uint32_t i = 0; i < cw_store_count(s->node->store); i++) {
+        const cw_item_t* item = cw_store_at(s->node->store, i);
+        if (item->revision <= since) {
+            continue;
+        }
+        if (item->valid && item->in_force != item->revision) {
+            chunk->items[chunk->count++] =
+                (cw_chunk_item_t){.key = item->key, .value = item->valid, .revision = item->in_force};
+            bytes += strlen(item->valid);
+        }
+        chunk->items[chunk->count++] =
+            (cw_chunk_item_t){.key = item->key, .value = item->value, .revision = item->revision};
+        bytes += item->value ? strlen(item->value) : 0;
+        if (chunk->count + 2 > CW_CHUNK_MAX || bytes > CHUNK_BYTES) {
+            flush_chunk(s, to, false);
+            bytes = 0;
+        }
+    }
+    flush_chunk(s, to, true);
+}
+
+void sync_on_message(sync_t* s, uint64_t from, const cw_msg_t* msg) {
+    if (msg->type == CW_MSG_PULL) {
+        send_chunks(s, from, msg->pull_since);
+        return;
+    }
+    for (uint32_t i = 0; i < msg->chunk.count; i++) {
+        const cw_chunk_item_t* item = &msg->chunk.items[i];
+        put(s, item->key, item->revision, item->value);
+    }
+    if (msg->chunk.last) {
+        s->pulled_ms = 0;
+        commit(s, msg->chunk.revision);
+    }
+}
+
+void sync_tick(sync_t* s, int64_t now_ms) {
+    s->reader = s->node->settings.platform[0] && should_read(s);
+    if (!s->reader) {
+        s->state = s->call ? s->state : PLATFORM_UNUSED;
+        return;
+    }
+    if (!s->call && now_ms >= s->next_ms && cw_bucket_take(&s->bucket, now_ms, 1)) {
+        read_platform(s);
+    }
+}
+
+sync_t* sync_setup(node_t* node) {
+    sync_t* s = cw_alloc(NULL, 1, sizeof(*s));
+    s->node = node;
+    s->bucket = (cw_bucket_t){.rate = node->settings.platform_rate, .burst = PLATFORM_BURST};
+    return s;
+}
+
+void sync_shutdown(sync_t* s) {
+    if (s->call) {
+        cw_call_cancel(s->call);
+    }
+    free(s->body);
+    free(s);
+}
--- /dev/null
+++ b/io/client.c
@@ -0,0 +1,323 @@
+#include "client.h"
+
+#include <curl/curl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define DEFAULT_CONNECT_MS 1000L
+#define HEADER_LINE_MAX 1024
+
+struct cw_client_t {
+    struct ev_loop* loop;
+    CURLM* multi;
+    ev_timer timer;
+    ev_prepare prepare;
+    cw_call_t* cancelled; /* to be freed outside of curl's callbacks */
+    cw_call_t* resumed;   /* to be continued outside of curl's callbacks */
+};
+
+struct cw_call_t {
+    cw_client_t* client;
+    CURL* easy;
+    struct curl_slist* headers;
+    cw_call_desc_t desc;
+    bool sent, vetoed, head_told, framed, cancelled, paused, in_resumed;
+    unsigned status;
+    cw_call_t* next_cancelled;
+    cw_call_t* next_resumed;
+};
+
+typedef struct socket_watch_t {
+    ev_io io;
+    cw_client_t* client;
+} socket_watch_t;
+
+/* -- curl and libev ------------------------------------------------------- */
+
+static void call_free(cw_call_t* call) {
+    for (cw_call_t** at = &call->client->resumed; call->in_resumed && *at; at = &(*at)->next_resumed) {
+        if (*at == call) {
+            *at = call->next_resumed;
+            break;
+        }
+    }
+    curl_multi_remove_handle(call->client->multi, call->easy);
+    curl_easy_cleanup(call->easy);
+    curl_slist_free_all(call->headers);
+    free(call);
+}
+
+static void tell_head(cw_call_t* call) {
+    if (call->head_told) {
+        return;
+    }
+    long status = 0;
+    char* type = NULL;
+    curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(call->easy, CURLINFO_CONTENT_TYPE, &type);
+    call->head_told = true;
+    call->status = (unsigned)status;
+    if (call->desc.on_head) {
+        call->desc.on_head(call->desc.user_data, call->status, type ? type : "");
+    }
+}
+
+static void finish(cw_call_t* call, CURLcode code) {
+    if (code == CURLE_OK) {
+        tell_head(call); /* an answer without a body */
+    }
+    if (call->cancelled) {
+        return;
+    }
+    cw_call_result_t result = {.sent = call->sent, .vetoed = call->vetoed, .status = call->status};
+    result.whole = code == CURLE_OK && call->framed;
+    result.message =
+        code == CURLE_OK ? (call->framed ? "" : "the answer's end cannot be known") : curl_easy_strerror(code);
+    cw_call_desc_t desc = call->desc;
+    call_free(call);
+    desc.on_done(desc.user_data, &result);
+}
+
+static void collect(cw_client_t* c) {
+    int left = 0;
+    CURLMsg* msg = NULL;
+    while ((msg = curl_multi_info_read(c->multi, &left))) {
+        if (msg->msg != CURLMSG_DONE) {
+            continue;
+        }
+        cw_call_t* call = NULL;
+        CURLcode code = msg->data.result;
+        curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &call);
+        if (!call->cancelled) {
+            finish(call, code);
+        }
+    }
+}
+
+static void act(cw_client_t* c, curl_socket_t fd, int flags) {
+    int running = 0;
+    curl_multi_socket_action(c->multi, fd, flags, &running);
+    collect(c);
+}
+
+static void on_socket(struct ev_loop* loop, ev_io* w, int events) {
+    (void)loop;
+    socket_watch_t* watch = (socket_watch_t*)w;
+    int flags = ((events & EV_READ) ? CURL_CSELECT_IN : 0) | ((events & EV_WRITE) ? CURL_CSELECT_OUT : 0);
+    act(watch->client, w->fd, flags);
+}
+
+static void on_timer(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    act(w->data, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int set_socket(CURL* easy, curl_socket_t fd, int what, void* user, void* socket_data) {
+    (void)easy;
+    cw_client_t* c = user;
+    socket_watch_t* watch = socket_data;
+    if (watch) {
+        ev_io_stop(c->loop, &watch->io);
+    }
+    if (what == CURL_POLL_REMOVE) {
+        free(watch);
+        curl_multi_assign(c->multi, fd, NULL);
+        return 0;
+    }
+    if (!watch) {
+        watch = calloc(1, sizeof(*watch));
+        if (!watch) {
+            abort();
+        }
+        watch->client = c;
+        curl_multi_assign(c->multi, fd, watch);
+    }
+    int events = ((what & CURL_POLL_IN) ? EV_READ : 0) | ((what & CURL_POLL_OUT) ? EV_WRITE : 0);
+    ev_io_init(&watch->io, on_socket, fd, events);
+    ev_io_start(c->loop, &watch->io);
+    return 0;
+}
+
+static int set_timer(CURLM* multi, long timeout_ms, void* user) {
+    (void)multi;
+    cw_client_t* c = user;
+    ev_timer_stop(c->loop, &c->timer);
+    if (timeout_ms >= 0) {
+        ev_timer_set(&c->timer, (double)timeout_ms / 1000.0, 0.0);
+        ev_timer_start(c->loop, &c->timer);
+    }
+    return 0;
+}
+
+/* Does what may not be done inside curl's callbacks. */
+static void on_prepare(struct ev_loop* loop, ev_prepare* w, int events) {
+    (void)loop;
+    (void)events;
+    cw_client_t* c = w->data;
+    while (c->resumed) {
+        cw_call_t* call = c->resumed;
+        c->resumed = call->next_resumed;
+        call->in_resumed = false;
+        if (!call->cancelled) {
+            curl_easy_pause(call->easy, CURLPAUSE_CONT);
+        }
+    }
+    while (c->cancelled) {
+        cw_call_t* call = c->cancelled;
+        c->cancelled = call->next_cancelled;
+        call_free(call);
+    }
+}
+
+cw_client_t* cw_client_setup(struct ev_loop* loop, uint32_t max_idle) {
+    cw_client_t* c = calloc(1, sizeof(*c));
+    if (!c) {
+        abort();
+    }
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    c->loop = loop;
+    c->multi = curl_multi_init();
+    curl_multi_setopt(c->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
+    curl_multi_setopt(c->multi, CURLMOPT_SOCKETDATA, c);
+    curl_multi_setopt(c->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+    curl_multi_setopt(c->multi, CURLMOPT_TIMERDATA, c);
+    curl_multi_setopt(c->multi, CURLMOPT_MAXCONNECTS, (long)(max_idle ? max_idle : 256));
+    ev_timer_init(&c->timer, on_timer, 0.0, 0.0);
+    ev_prepare_init(&c->prepare, on_prepare);
+    c->timer.data = c->prepare.data = c;
+    ev_prepare_start(loop, &c->prepare);
+    return c;
+}
+
+void cw_client_shutdown(cw_client_t* c) {
+    on_prepare(c->loop, &c->prepare, 0);
+    ev_prepare_stop(c->loop, &c->prepare);
+    curl_multi_cleanup(c->multi);
+    ev_timer_stop(c->loop, &c->timer);
+    free(c);
+}
+
+/* -- one call ------------------------------------------------------------- */
+
+static int on_prereq(void* user, char* ip, char* local_ip, int port, int local_port) {
+    (void)ip;
+    (void)local_ip;
+    (void)port;
+    (void)local_port;
+    cw_call_t* call = user;
+    if (call->cancelled || (call->desc.on_sending && !call->desc.on_sending(call->desc.user_data))) {
+        call->vetoed = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    call->sent = true;
+    return CURL_PREREQFUNC_OK;
+}
+
+/* Notes whether the answer says where its body ends. */
+static size_t on_header(char* data, size_t size, size_t count, void* user) {
+    cw_call_t* call = user;
+    size_t len = size * count;
+    if (len > 5 && strncasecmp(data, "HTTP/", 5) == 0) {
+        long status = 0;
+        curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+        call->framed = status == 204 || status == 304;
+    } else if ((len > 15 && strncasecmp(data, "content-length:", 15) == 0) ||
+               (len > 18 && strncasecmp(data, "transfer-encoding:", 18) == 0)) {
+        call->framed = true;
+    }
+    return call->cancelled ? 0 : len;
+}
+
+static size_t on_body(char* data, size_t size, size_t count, void* user) {
+    cw_call_t* call = user;
+    if (!call->cancelled) {
+        tell_head(call);
+    }
+    if (call->cancelled) {
+        return 0;
+    }
+    call->paused = call->desc.on_data && !call->desc.on_data(call->desc.user_data, data, size * count);
+    return call->paused ? CURL_WRITEFUNC_PAUSE : size * count;
+}
+
+static void set_body(cw_call_t* call) {
+    const char* method = call->desc.method;
+    if (call->desc.body && call->desc.size) {
+        curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE, (long)call->desc.size);
+        curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS, call->desc.body);
+    } else if (method && strcmp(method, "POST") == 0) {
+        curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE, 0L);
+        curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS, "");
+    }
+    if (method) {
+        curl_easy_setopt(call->easy, CURLOPT_CUSTOMREQUEST, method);
+    }
+}
+
+static void set_headers(cw_call_t* call) {
+    call->headers = curl_slist_append(NULL, "Expect:");
+    for (uint32_t i = 0; i < call->desc.header_count; i++) {
+        char line[HEADER_LINE_MAX];
+        snprintf(line, sizeof(line), "%s: %s", call->desc.headers[i].name, call->desc.headers[i].value);
+        call->headers = curl_slist_append(call->headers, line);
+    }
+    curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
+    call->desc.headers = NULL;
+}
+
+cw_call_t* cw_client_call(cw_client_t* c, const cw_call_desc_t* desc) {
+    cw_call_t* call = calloc(1, sizeof(*call));
+    if (!call) {
+        abort();
+    }
+    call->client = c;
+    call->desc = *desc;
+    call->easy = curl_easy_init();
+    CURL* e = call->easy;
+    long connect_ms = desc->connect_ms ? (long)desc->connect_ms : DEFAULT_CONNECT_MS;
+    curl_easy_setopt(e, CURLOPT_URL, desc->url);
+    curl_easy_setopt(e, CURLOPT_PRIVATE, call);
+    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, connect_ms);
+    curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)desc->timeout_ms);
+    curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
+    curl_easy_setopt(e, CURLOPT_PREREQDATA, call);
+    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(e, CURLOPT_HEADERDATA, call);
+    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(e, CURLOPT_WRITEDATA, call);
+    curl_easy_setopt(e, CURLOPT_NOPROXY, "*");
+    /* On a reused connection that turns out dead, curl would send the request again by itself. */
+    curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, desc->fresh ? 1L : 0L);
+    set_body(call);
+    set_headers(call);
+    curl_multi_add_handle(c->multi, e);
+    return call;
+}
+
+void cw_call_cancel(cw_call_t* call) {
+    if (!call->cancelled) {
+        call->cancelled = true;
+        call->next_cancelled = call->client->cancelled;
+        call->client->cancelled = call;
+        ev_feed_event(call->client->loop, &call->client->prepare, EV_PREPARE);
+    }
+}
+
+void cw_call_resume(cw_call_t* call) {
+    if (call->paused && !call->in_resumed) {
+        call->paused = false;
+        call->in_resumed = true;
+        call->next_resumed = call->client->resumed;
+        call->client->resumed = call;
+        ev_feed_event(call->client->loop, &call->client->prepare, EV_PREPARE);
+    }
+}
+
+const char* cw_call_header(cw_call_t* call, const char* name) {
+    struct curl_header* header = NULL;
+    return curl_easy_header(call->easy, name, 0, CURLH_HEADER, -1, &header) == CURLHE_OK ? header->value : NULL;
+}
--- /dev/null
+++ b/io/httpd.c
@@ -0,0 +1,401 @@
+#include "httpd.h"
+
+#include <errno.h>
+#include <microhttpd.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "address.h"
+
+#define STREAM_BLOCK 16384
+
+struct cw_httpd_t {
+    cw_httpd_desc_t desc;
+    struct MHD_Daemon* daemon;
+    char address[CW_ADDR_TEXT];
+    ev_io epoll_io;
+    ev_timer timer;
+    ev_prepare prepare;
+    bool run_due; /* connections were resumed */
+    uint32_t active;
+};
+
+typedef struct buffer_t {
+    char* data;
+    size_t size, capacity, start;
+} buffer_t;
+
+struct cw_exchange_t {
+    cw_httpd_t* httpd;
+    struct MHD_Connection* connection;
+    char* method;
+    char* path;
+    buffer_t body;
+    buffer_t out;
+    struct MHD_Response* response; /* to be queued */
+    unsigned status;
+    bool suspended;
+    bool handed_over; /* on_request was called */
+    bool released;    /* the user has given its answer or is told that the caller left */
+    bool too_long;
+    bool ended, whole;
+    ev_io gone_io;
+    void* data;
+};
+
+/* -- buffers -------------------------------------------------------------- */
+
+static void buffer_add(buffer_t* b, const void* data, size_t size) {
+    if (b->start && b->start == b->size) {
+        b->start = b->size = 0;
+    }
+    if (b->size + size + 1 > b->capacity) {
+        size_t held = b->size - b->start;
+        if (b->start) {
+            memmove(b->data, b->data + b->start, held);
+            b->start = 0;
+            b->size = held;
+        }
+        while (b->size + size + 1 > b->capacity) {
+            b->capacity = b->capacity ? b->capacity * 2 : 1024;
+        }
+        char* grown = realloc(b->data, b->capacity);
+        if (!grown) {
+            abort();
+        }
+        b->data = grown;
+    }
+    memcpy(b->data + b->size, data, size);
+    b->size += size;
+    b->data[b->size] = 0;
+}
+
+/* -- running libmicrohttpd ------------------------------------------------ */
+
+static void run(cw_httpd_t* h) {
+    h->run_due = false;
+    MHD_run(h->daemon);
+    MHD_UNSIGNED_LONG_LONG timeout = 0;
+    if (MHD_get_timeout(h->daemon, &timeout) == MHD_YES) {
+        ev_timer_stop(h->desc.loop, &h->timer);
+        ev_timer_set(&h->timer, (double)timeout / 1000.0, 0.0);
+        ev_timer_start(h->desc.loop, &h->timer);
+    }
+}
+
+static void on_epoll(struct ev_loop* loop, ev_io* w, int events) {
+    (void)loop;
+    (void)events;
+    run(w->data);
+}
+
+static void on_timer(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    run(w->data);
+}
+
+static void on_prepare(struct ev_loop* loop, ev_prepare* w, int events) {
+    (void)loop;
+    (void)events;
+    cw_httpd_t* h = w->data;
+    while (h->run_due) {
+        run(h);
+    }
+}
+
+static void resume(cw_exchange_t* x) {
+    if (x->suspended) {
+        x->suspended = false;
+        MHD_resume_connection(x->connection);
+        x->httpd->run_due = true;
+        ev_feed_event(x->httpd->desc.loop, &x->httpd->prepare, EV_PREPARE);
+    }
+}
+
+/* -- exchanges ------------------------------------------------------------ */
+
+static void exchange_free(cw_exchange_t* x) {
+    ev_io_stop(x->httpd->desc.loop, &x->gone_io);
+    if (x->response) {
+        MHD_destroy_response(x->response);
+    }
+    x->httpd->active--;
+    free(x->method);
+    free(x->path);
+    free(x->body.data);
+    free(x->out.data);
+    free(x);
+}
+
+static void set_response(cw_exchange_t* x, struct MHD_Response* response, unsigned status, const cw_header_t* headers,
+                         uint32_t count) {
+    for (uint32_t i = 0; i < count; i++) {
+        MHD_add_response_header(response, headers[i].name, headers[i].value);
+    }
+    x->response = response;
+    x->status = status;
+    resume(x);
+}
+
+void cw_exchange_reply(cw_exchange_t* x, unsigned status, const cw_header_t* headers, uint32_t count, const void* body,
+                       size_t size) {
+    x->released = true;
+    ev_io_stop(x->httpd->desc.loop, &x->gone_io);
+    struct MHD_Response* response = MHD_create_response_from_buffer(size, (void*)body, MHD_RESPMEM_MUST_COPY);
+    set_response(x, response, status, headers, count);
+}
+
+static ssize_t read_stream(void* cls, uint64_t pos, char* buf, size_t max) {
+    (void)pos;
+    cw_exchange_t* x = cls;
+    size_t held = x->out.size - x->out.start;
+    if (!held) {
+        if (x->ended) {
+            return x->whole ? MHD_CONTENT_READER_END_OF_STREAM : MHD_CONTENT_READER_END_WITH_ERROR;
+        }
+        x->suspended = true;
+        MHD_suspend_connection(x->connection);
+        return 0;
+    }
+    size_t n = held < max ? held : max;
+    memcpy(buf, x->out.data + x->out.start, n);
+    x->out.start += n;
+    if (n == held && !x->released && x->httpd->desc.on_drained) {
+        x->httpd->desc.on_drained(x, x->httpd->desc.user_data);
+    }
+    return (ssize_t)n;
+}
+
+void cw_exchange_stream(cw_exchange_t* x, unsigned status, const cw_header_t* headers, uint32_t count) {
+    set_response(x, MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, STREAM_BLOCK, read_stream, x, NULL), status,
+                 headers, count);
+}
+
+size_t cw_exchange_push(cw_exchange_t* x, const void* data, size_t size) {
+    buffer_add(&x->out, data, size);
+    resume(x);
+    return x->out.size - x->out.start;
+}
+
+void cw_exchange_finish(cw_exchange_t* x, bool whole) {
+    x->released = true;
+    x->ended = true;
+    x->whole = whole;
+    ev_io_stop(x->httpd->desc.loop, &x->gone_io);
+    resume(x);
+}
+
+static void caller_gone(cw_exchange_t* x) {
+    if (x->handed_over && !x->released) {
+        x->released = true;
+        if (x->httpd->desc.on_gone) {
+            x->httpd->desc.on_gone(x, x->httpd->desc.user_data);
+        }
+    }
+}
+
+/* The caller's socket became readable while its answer is outstanding: an end or a reset means that it left. */
+static void on_caller_socket(struct ev_loop* loop, ev_io* w, int events) {
+    (void)events;
+    cw_exchange_t* x = w->data;
+    char byte;
+    ssize_t n = recv(w->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    ev_io_stop(loop, w);
+    if (n > 0) {
+        return; /* a pipelined request */
+    }
+    bool streaming = x->status != 0;
+    caller_gone(x);
+    if (streaming) {
+        cw_exchange_finish(x, false);
+    } else {
+        cw_exchange_reply(x, MHD_HTTP_SERVICE_UNAVAILABLE, NULL, 0, "", 0);
+    }
+}
+
+static void watch_caller(cw_exchange_t* x) {
+    const union MHD_ConnectionInfo* info = MHD_get_connection_info(x->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (info && !x->released) {
+        ev_io_init(&x->gone_io, on_caller_socket, info->connect_fd, EV_READ);
+        x->gone_io.data = x;
+        ev_io_start(x->httpd->desc.loop, &x->gone_io);
+    }
+}
+
+/* -- libmicrohttpd callbacks ---------------------------------------------- */
+
+static cw_exchange_t* exchange_new(cw_httpd_t* h, struct MHD_Connection* connection, const char* url,
+                                   const char* method) {
+    cw_exchange_t* x = calloc(1, sizeof(*x));
+    if (!x) {
+        abort();
+    }
+    x->httpd = h;
+    x->connection = connection;
+    x->method = strdup(method);
+    x->path = strdup(url);
+    ev_io_init(&x->gone_io, on_caller_socket, -1, EV_READ);
+    h->active++;
+    const char* length = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Content-Length");
+    x->too_long = length && strtoull(length, NULL, 10) > h->desc.max_body;
+    return x;
+}
+
+static void reply_too_long(cw_exchange_t* x) {
+    static const char text[] = "{\"error\":{\"code\":\"body-too-long\",\"step\":\"read-body\",\"peer\":\"\","
+                               "\"message\":\"the body is longer than this server takes\"}}";
+    const cw_header_t headers[] = {{"Content-Type", "application/json"}, {"Chalkway-Outcome", "not-run"}};
+    cw_exchange_reply(x, MHD_HTTP_CONTENT_TOO_LARGE, headers, 2, text, sizeof(text) - 1);
+}
+
+static enum MHD_Result queue_response(cw_exchange_t* x) {
+    struct MHD_Response* response = x->response;
+    x->response = NULL;
+    enum MHD_Result result = MHD_queue_response(x->connection, x->status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+static enum MHD_Result on_access(void* cls, struct MHD_Connection* connection, const char* url, const char* method,
+                                 const char* version, const char* upload, size_t* upload_size, void** con_cls) {
+    (void)version;
+    cw_httpd_t* h = cls;
+    cw_exchange_t* x = *con_cls;
+    if (!x) {
+        *con_cls = x = exchange_new(h, connection, url, method);
+        if (x->too_long) {
+            reply_too_long(x);
+            return queue_response(x);
+        }
+        return MHD_YES;
+    }
+    if (*upload_size) {
+        x->too_long = x->too_long || x->body.size + *upload_size > h->desc.max_body;
+        if (!x->too_long) {
+            buffer_add(&x->body, upload, *upload_size);
+        }
+        *upload_size = 0;
+        return MHD_YES;
+    }
+    if (x->too_long && !x->response) {
+        reply_too_long(x);
+    }
+    if (!x->response && !x->handed_over) {
+        x->handed_over = true;
+        h->desc.on_request(x, h->desc.user_data);
+        watch_caller(x);
+    }
+    if (x->response) {
+        return queue_response(x);
+    }
+    x->suspended = true;
+    MHD_suspend_connection(connection);
+    return MHD_YES;
+}
+
+static void on_completed(void* cls, struct MHD_Connection* connection, void** con_cls,
+                         enum MHD_RequestTerminationCode code) {
+    (void)cls;
+    (void)connection;
+    (void)code;
+    cw_exchange_t* x = *con_cls;
+    if (x) {
+        caller_gone(x);
+        exchange_free(x);
+        *con_cls = NULL;
+    }
+}
+
+/* -- setup ---------------------------------------------------------------- */
+
+static cw_httpd_desc_t desc_defaults(const cw_httpd_desc_t* desc) {
+    cw_httpd_desc_t d = *desc;
+    d.max_body = d.max_body ? d.max_body : (size_t)1 << 20;
+    d.max_connections = d.max_connections ? d.max_connections : 2000;
+    d.idle_s = d.idle_s ? d.idle_s : 60;
+    return d;
+}
+
+cw_httpd_t* cw_httpd_setup(const cw_httpd_desc_t* desc, cw_error_t* err) {
+    cw_httpd_t* h = calloc(1, sizeof(*h));
+    if (!h) {
+        abort();
+    }
+    h->desc = desc_defaults(desc);
+    int fd = cw_addr_listen(h->desc.address, h->address, err);
+    if (fd < 0) {
+        free(h);
+        return NULL;
+    }
+    h->daemon = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_TURBO, 0, NULL, NULL, on_access, h,
+                                 MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT, h->desc.max_connections,
+                                 MHD_OPTION_PER_IP_CONNECTION_LIMIT, h->desc.max_per_ip, MHD_OPTION_CONNECTION_TIMEOUT,
+                                 h->desc.idle_s, MHD_OPTION_NOTIFY_COMPLETED, on_completed, h, MHD_OPTION_END);
+    const union MHD_DaemonInfo* info = h->daemon ? MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_EPOLL_FD) : NULL;
+    if (!info) {
+        cw_fail(err, CW_ERR_IO, "listen", h->desc.address, "libmicrohttpd did not start");
+        close(fd);
+        free(h);
+        return NULL;
+    }
+    ev_io_init(&h->epoll_io, on_epoll, info->epoll_fd, EV_READ);
+    ev_timer_init(&h->timer, on_timer, 0.0, 0.0);
+    ev_prepare_init(&h->prepare, on_prepare);
+    h->epoll_io.data = h->timer.data = h->prepare.data = h;
+    ev_io_start(h->desc.loop, &h->epoll_io);
+    ev_prepare_start(h->desc.loop, &h->prepare);
+    return h;
+}
+
+void cw_httpd_shutdown(cw_httpd_t* h) {
+    ev_io_stop(h->desc.loop, &h->epoll_io);
+    ev_timer_stop(h->desc.loop, &h->timer);
+    ev_prepare_stop(h->desc.loop, &h->prepare);
+    MHD_stop_daemon(h->daemon);
+    free(h);
+}
+
+const char* cw_httpd_address(const cw_httpd_t* h) {
+    return h->address;
+}
+
+uint32_t cw_httpd_active(const cw_httpd_t* h) {
+    return h->active;
+}
+
+const char* cw_exchange_method(const cw_exchange_t* x) {
+    return x->method;
+}
+
+const char* cw_exchange_path(const cw_exchange_t* x) {
+    return x->path;
+}
+
+const char* cw_exchange_header(cw_exchange_t* x, const char* name) {
+    return MHD_lookup_connection_value(x->connection, MHD_HEADER_KIND, name);
+}
+
+const char* cw_exchange_arg(cw_exchange_t* x, const char* name) {
+    return MHD_lookup_connection_value(x->connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
+const char* cw_exchange_body(const cw_exchange_t* x, size_t* size) {
+    if (size) {
+        *size = x->body.size;
+    }
+    return x->body.data ? x->body.data : "";
+}
+
+void cw_exchange_set_data(cw_exchange_t* x, void* data) {
+    x->data = data;
+}
+
+void* cw_exchange_data(const cw_exchange_t* x) {
+    return x->data;
+}
--- /dev/null
+++ b/standins/fake_engine.c
@@ -0,0 +1,364 @@
+/*
+    fake-engine: stand-in of a model engine with continuous batching.
+
+    POST /v1/chat/completions, /v1/completions
+        The prompt holds "id=ID len=N". The answer is N tokens, each made from ID and its position, so that a caller
+        can check every byte. With "stream": true they come as events, the last one "[DONE]". max_tokens bounds N.
+        Header Chalkway-Priority orders the queue; Chalkway-Resume-From: K begins the answer at token K.
+    GET  /v1/load       {"running", "waiting", "draining"}, as it was --lag ago
+    POST /admin/set?step_ms=X&drain=0|1&crash_after=N&lag_ms=N&cut_after=N
+        crash_after: the process ends after N more tokens. cut_after: the next stream is cut after N tokens.
+    GET  /admin/stats   tokens made, tokens of callers that left, most at once, requests
+
+    All running requests advance one token a step. A step takes step_ms + batch * batch_us. A prompt takes its tokens
+    times prefill_us before the first one, unless its start is in the prefix cache.
+*/
+#include <argp.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "../chalkway_heap.h"
+#include "standin.h"
+
+#define MAX_JOBS 4096
+#define PREFIX_CHARS 256
+#define CACHE_PREFIXES 64
+#define LAG_SAMPLES 64
+#define LAG_STEP_MS 100
+
+typedef struct job_t {
+    cw_exchange_t* x;
+    bool used, running, stream;
+    char id[64];
+    uint32_t length, made, sent_from;
+    double prefill_steps; /* steps until the first token */
+    char* text;           /* of a whole answer */
+    size_t size, capacity;
+} job_t;
+
+typedef struct engine_t {
+    standin_t standin;
+    uint32_t slots;
+    double step_ms, batch_us, prefill_us;
+    job_t jobs[MAX_JOBS];
+    cw_heap_t queue; /* waiting jobs by priority and arrival */
+    double arrivals;
+    uint32_t running, most;
+    uint64_t requests, tokens, wasted;
+    bool draining;
+    int64_t crash_after, cut_after; /* negative: not set */
+    uint64_t cache[CACHE_PREFIXES];
+    uint32_t cache_next;
+    uint32_t lag_ms;
+    uint32_t samples[LAG_SAMPLES]; /* running, one each LAG_STEP_MS */
+    uint32_t sample_at;
+    ev_timer step, sample;
+} engine_t;
+
+/* -- jobs ----------------------------------------------------------------- */
+
+/* Token k of an answer. */
+static int write_token(char out[32], const char* id, uint32_t k) {
+    uint64_t hash = XXH64(id, strlen(id), k);
+    return snprintf(out, 32, "w%05u ", (unsigned)(hash % 100000));
+}
+
+static void job_add(job_t* job, const char* data, size_t size) {
+    if (job->size + size + 1 > job->capacity) {
+        job->capacity = (job->size + size + 1) * 2;
+        char* grown = realloc(job->text, job->capacity);
+        if (!grown) {
+            abort();
+        }
+        job->text = grown;
+    }
+    memcpy(job->text + job->size, data, size + 1);
+    job->size += size;
+}
+
+static void job_free(engine_t* e, job_t* job) {
+    cw_heap_remove(&e->queue, (uint32_t)(job - e->jobs));
+    e->running -= job->running ? 1 : 0;
+    free(job->text);
+    *job = (job_t){0};
+}
+
+static bool cached(engine_t* e, uint64_t prefix) {
+    for (uint32_t i = 0; i < CACHE_PREFIXES; i++) {
+        if (e->cache[i] == prefix) {
+            return true;
+        }
+    }
+    e->cache[e->cache_next++ % CACHE_PREFIXES] = prefix;
+    return false;
+}
+
+static double step_s(const engine_t* e) {
+    return (e->step_ms + e->running * e->batch_us / 1000.0) / 1000.0;
+}
+
+static void admit(engine_t* e) {
+    while (e->running < e->slots && e->queue.count) {
+        uint32_t i = cw_heap_top(&e->queue);
+        cw_heap_remove(&e->queue, i);
+        e->jobs[i].running = true;
+        e->running++;
+    }
+    e->most = e->running > e->most ? e->running : e->most;
+    if (e->running && !ev_is_active(&e->step)) {
+        ev_timer_set(&e->step, step_s(e), 0.0);
+        ev_timer_start(e->standin.loop, &e->step);
+    }
+}
+
+static void job_finish(engine_t* e, job_t* job) {
+    if (job->stream) {
+        static const char end[] = "data: [DONE]\n\n";
+        cw_exchange_push(job->x, end, sizeof(end) - 1);
+        cw_exchange_finish(job->x, true);
+    } else {
+        json_t* root = json_pack("{s:s,s:[{s:i,s:{s:s,s:s},s:s}],s:{s:i}}", "object", "chat.completion", "choices",
+                                 "index", 0, "message", "role", "assistant", "content", job->text ? job->text : "",
+                                 "finish_reason", "stop", "usage", "completion_tokens", (int)job->length);
+        char* text = json_dumps(root, JSON_COMPACT);
+        standin_reply(job->x, 200, text);
+        free(text);
+        json_decref(root);
+    }
+    job_free(e, job);
+}
+
+static void job_token(engine_t* e, job_t* job) {
+    char token[32];
+    int n = write_token(token, job->id, job->made);
+    job->made++;
+    e->tokens++;
+    if (job->stream) {
+        char event[128];
+        n = snprintf(event, sizeof(event), "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"%s\"}}]}\n\n",
+                     token);
+        cw_exchange_push(job->x, event, (size_t)n);
+    } else {
+        job_add(job, token, (size_t)n);
+    }
+}
+
+static void step_job(engine_t* e, job_t* job) {
+    if (job->prefill_steps >= 1.0) {
+        job->prefill_steps -= 1.0;
+        return;
+    }
+    job_token(e, job);
+    if (job->stream && e->cut_after >= 0 && job->made >= (uint64_t)e->cut_after) {
+        e->cut_after = -1;
+        cw_exchange_finish(job->x, false);
+        job_free(e, job);
+    } else if (job->made >= job->length) {
+        job_finish(e, job);
+    }
+}
+
+static void on_step(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    engine_t* e = w->data;
+    for (int i = 0; i < MAX_JOBS; i++) {
+        if (e->jobs[i].used && e->jobs[i].running) {
+            if (e->crash_after >= 0 && e->crash_after-- == 0) {
+                _Exit(3);
+            }
+            step_job(e, &e->jobs[i]);
+        }
+    }
+    admit(e);
+}
+
+/* -- requests ------------------------------------------------------------- */
+
+static bool parse_prompt(job_t* job, json_t* root, const char** prompt) {
+    json_t* messages = json_object_get(root, "messages");
+    json_t* last = json_array_get(messages, json_array_size(messages) ? json_array_size(messages) - 1 : 0);
+    json_t* content = messages ? json_object_get(last, "content") : json_object_get(root, "prompt");
+    json_t* first = messages ? json_object_get(json_array_get(messages, 0), "content") : content;
+    *prompt = json_string_value(first);
+    const char* text = json_string_value(content);
+    const char* id = text ? strstr(text, "id=") : NULL;
+    const char* len = text ? strstr(text, "len=") : NULL;
+    if (!id || !len || sscanf(id, "id=%63s", job->id) != 1 || sscanf(len, "len=%u", &job->length) != 1) {
+        return false;
+    }
+    json_int_t max = json_integer_value(json_object_get(root, "max_tokens"));
+    job->length = (max > 0 && max < job->length) ? (uint32_t)max : job->length;
+    job->stream = json_is_true(json_object_get(root, "stream"));
+    return job->length > 0;
+}
+
+static job_t* job_new(engine_t* e) {
+    for (int i = 0; i < MAX_JOBS; i++) {
+        if (!e->jobs[i].used) {
+            e->jobs[i] = (job_t){.used = true};
+            return &e->jobs[i];
+        }
+    }
+    return NULL;
+}
+
+static void complete(engine_t* e, cw_exchange_t* x) {
+    size_t size = 0;
+    const char* body = cw_exchange_body(x, &size);
+    json_t* root = json_loadb(body, size, 0, NULL);
+    job_t* job = e->draining ? NULL : job_new(e);
+    const char* prompt = NULL;
+    if (!job || !parse_prompt(job, root, &prompt)) {
+        standin_reply(x, job ? 400 : 503, job ? "{\"error\":\"no id and len\"}" : "{\"error\":\"draining\"}");
+        if (job) {
+            job_free(e, job);
+        }
+        json_decref(root);
+        return;
+    }
+    e->requests++;
+    job->x = x;
+    const char* from = cw_exchange_header(x, "Chalkway-Resume-From");
+    job->made = from ? (uint32_t)strtoul(from, NULL, 10) : 0;
+    const char* priority = cw_exchange_header(x, "Chalkway-Priority");
+    size_t len = strlen(prompt);
+    if (!cached(e, XXH64(prompt, len < PREFIX_CHARS ? len : PREFIX_CHARS, 0))) {
+        job->prefill_steps = (double)size / 4 * e->prefill_us / 1000.0 / e->step_ms;
+    }
+    cw_exchange_set_data(x, job);
+    if (job->stream) {
+        const cw_header_t headers[] = {{"Content-Type", "text/event-stream"}};
+        cw_exchange_stream(x, 200, headers, 1);
+    }
+    json_decref(root);
+    cw_heap_set(&e->queue, (uint32_t)(job - e->jobs), (priority ? strtod(priority, NULL) : 3) * 1e9 + e->arrivals++);
+    admit(e);
+}
+
+static void reply_load(const engine_t* e, cw_exchange_t* x) {
+    uint32_t back = e->lag_ms / LAG_STEP_MS;
+    back = back < LAG_SAMPLES ? back : LAG_SAMPLES - 1;
+    uint32_t running = back ? e->samples[(e->sample_at + LAG_SAMPLES - back) % LAG_SAMPLES] : e->running;
+    char reply[128];
+    snprintf(reply, sizeof(reply), "{\"running\":%u,\"waiting\":%u,\"draining\":%s}", running, e->queue.count,
+             e->draining ? "true" : "false");
+    standin_reply(x, 200, reply);
+}
+
+static void on_request(cw_exchange_t* x, void* user) {
+    engine_t* e = user;
+    const char* path = cw_exchange_path(x);
+    if (strcmp(path, "/v1/load") == 0) {
+        reply_load(e, x);
+    } else if (strcmp(path, "/admin/stats") == 0) {
+        char reply[192];
+        snprintf(reply, sizeof(reply), "{\"requests\":%llu,\"tokens\":%llu,\"wasted\":%llu,\"most\":%u}",
+                 (unsigned long long)e->requests, (unsigned long long)e->tokens, (unsigned long long)e->wasted,
+                 e->most);
+        standin_reply(x, 200, reply);
+    } else if (strcmp(path, "/admin/set") == 0) {
+        e->step_ms = standin_arg(x, "step_ms", e->step_ms);
+        e->draining = standin_arg(x, "drain", e->draining) != 0;
+        e->crash_after = (int64_t)standin_arg(x, "crash_after", (double)e->crash_after);
+        e->cut_after = (int64_t)standin_arg(x, "cut_after", (double)e->cut_after);
+        e->lag_ms = (uint32_t)standin_arg(x, "lag_ms", e->lag_ms);
+        standin_reply(x, 200, "{}");
+    } else if (strncmp(path, "/v1/", 4) == 0) {
+        complete(e, x);
+    } else {
+        standin_reply(x, 404, "{}");
+    }
+}
+
+static void on_gone(cw_exchange_t* x, void* user) {
+    engine_t* e = user;
+    job_t* job = cw_exchange_data(x);
+    if (job && job->used && job->x == x) {
+        e->wasted += job->made;
+        job_free(e, job);
+        admit(e);
+    }
+}
+
+static void on_sample(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    engine_t* e = w->data;
+    e->samples[e->sample_at++ % LAG_SAMPLES] = e->running;
+    e->sample_at %= LAG_SAMPLES;
+}
+
+/* -- start ---------------------------------------------------------------- */
+
+typedef struct args_t {
+    const char* address;
+    uint32_t slots, lag_ms;
+    double step_ms, batch_us, prefill_us;
+} args_t;
+
+static error_t parse_option(int key, char* arg, struct argp_state* state) {
+    args_t* args = state->input;
+    switch (key) {
+        case 'a':
+            args->address = arg;
+            return 0;
+        case 's':
+            args->slots = (uint32_t)strtoul(arg, NULL, 10);
+            return 0;
+        case 't':
+            args->step_ms = strtod(arg, NULL);
+            return 0;
+        case 'b':
+            args->batch_us = strtod(arg, NULL);
+            return 0;
+        case 'p':
+            args->prefill_us = strtod(arg, NULL);
+            return 0;
+        case 'l':
+            args->lag_ms = (uint32_t)strtoul(arg, NULL, 10);
+            return 0;
+        default:
+            return ARGP_ERR_UNKNOWN;
+    }
+}
+
+int main(int argc, char** argv) {
+    static const struct argp_option options[] = {
+        {"address", 'a', "IP:PORT", 0, "to listen on, default 127.0.0.1:0", 0},
+        {"slots", 's', "N", 0, "requests at once, default 8", 0},
+        {"step", 't', "MS", 0, "time of a step, default 10", 0},
+        {"batch", 'b', "US", 0, "more time of a step for each request, default 100", 0},
+        {"prefill", 'p', "US", 0, "time for a prompt token that is not cached, default 50", 0},
+        {"lag", 'l', "MS", 0, "age of load reports, default 500", 0},
+        {0},
+    };
+    const struct argp argp = {.options = options, .parser = parse_option, .doc = "Stand-in of a model engine."};
+    args_t args = {
+        .address = "127.0.0.1:0", .slots = 8, .lag_ms = 500, .step_ms = 10, .batch_us = 100, .prefill_us = 50};
+    argp_parse(&argp, argc, argv, 0, NULL, &args);
+    static engine_t engine;
+    engine_t* e = &engine;
+    e->slots = args.slots;
+    e->lag_ms = args.lag_ms;
+    e->step_ms = args.step_ms;
+    e->batch_us = args.batch_us;
+    e->prefill_us = args.prefill_us;
+    e->crash_after = e->cut_after = -1;
+    e->queue = cw_heap_setup(MAX_JOBS, NULL);
+    if (!standin_setup(&e->standin,
+                       &(cw_httpd_desc_t){
+                           .address = args.address, .on_request = on_request, .on_gone = on_gone, .user_data = e})) {
+        return 1;
+    }
+    ev_timer_init(&e->step, on_step, 0.0, 0.0);
+    ev_timer_init(&e->sample, on_sample, LAG_STEP_MS / 1000.0, LAG_STEP_MS / 1000.0);
+    e->step.data = e->sample.data = e;
+    ev_timer_start(e->standin.loop, &e->sample);
+    standin_run(&e->standin);
+    cw_heap_shutdown(&e->queue);
+    return 0;
+}
--- /dev/null
+++ b/standins/fake_platform.c
@@ -0,0 +1,295 @@
+/*
+    fake-platform: stand-in of the users' configuration service.
+
+    GET  /v1/kv                      all keys: {"revision", "items": [{"key", "revision", "value"}]}
+    GET  /v1/watch?since=R&wait_ms=W changes after R; answers when there is one or after W
+    GET  /v1/hosts                   {"hosts": [...]}: as published, lagging by --host-lag
+    POST /admin/put                  {"items": [{"key", "value"}]}; value null deletes
+    POST /admin/hosts                {"hosts": [...]}
+    POST /admin/mode?down=0|1&stale=0|1&slow_ms=N
+    GET  /admin/stats                calls in all and refused for the rate
+
+    It is limited to 2,000 calls a second. Stale: it answers with what it knew when it became stale.
+*/
+#include <argp.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../chalkway_limit.h"
+#include "standin.h"
+
+#define MAX_WATCHES 1024
+#define CALLS_A_SECOND 2000
+
+typedef struct item_t {
+    char* key;
+    char* value; /* NULL: deleted */
+    int64_t revision;
+} item_t;
+
+typedef struct watch_t {
+    cw_exchange_t* x;
+    int64_t since, until_ms;
+} watch_t;
+
+typedef struct delayed_t {
+    cw_exchange_t* x; /* NULL: the caller left */
+    ev_timer timer;
+} delayed_t;
+
+typedef struct platform_t {
+    standin_t standin;
+    item_t* items;
+    size_t count;
+    int64_t revision;
+    int64_t stale_revision; /* 0: not stale */
+    bool down;
+    uint32_t slow_ms;
+    uint64_t calls, refused;
+    cw_bucket_t bucket;
+    watch_t watches[MAX_WATCHES];
+    char* hosts; /* as seen by readers */
+    char* next_hosts;
+    int64_t hosts_at_ms;
+    uint32_t host_lag_ms;
+    ev_timer tick;
+} platform_t;
+
+/* What readers may see: all up to this revision. */
+static int64_t visible(const platform_t* p) {
+    return p->stale_revision ? p->stale_revision : p->revision;
+}
+
+static void reply_items(platform_t* p, cw_exchange_t* x, int64_t since, bool with_deleted) {
+    json_t* list = json_array();
+    for (size_t i = 0; i < p->count; i++) {
+        const item_t* item = &p->items[i];
+        if (item->revision > since && item->revision <= visible(p) && (item->value || with_deleted)) {
+            json_array_append_new(list, json_pack("{s:s,s:I,s:s?}", "key", item->key, "revision",
+                                                  (json_int_t)item->revision, "value", item->value));
+        }
+    }
+    json_t* root = json_pack("{s:I,s:o}", "revision", (json_int_t)visible(p), "items", list);
+    char* text = json_dumps(root, JSON_COMPACT);
+    standin_reply(x, 200, text);
+    free(text);
+    json_decref(root);
+}
+
+static void answer_watches(platform_t* p) {
+    int64_t now_ms = standin_now();
+    for (int i = 0; i < MAX_WATCHES; i++) {
+        watch_t* w = &p->watches[i];
+        if (w->x && (p->down || visible(p) > w->since || now_ms >= w->until_ms)) {
+            cw_exchange_t* x = w->x;
+            w->x = NULL;
+            if (p->down) {
+                standin_reply(x, 503, "{}");
+            } else {
+                reply_items(p, x, w->since, true);
+            }
+        }
+    }
+}
+
+static void put_item(platform_t* p, const char* key, const char* value) {
+    item_t* item = NULL;
+    for (size_t i = 0; i < p->count; i++) {
+        item = strcmp(p->items[i].key, key) == 0 ? &p->items[i] : item;
+    }
+    if (!item) {
+        item_t* grown = realloc(p->items, (p->count + 1) * sizeof(*grown));
+        if (!grown) {
+            abort();
+        }
+        p->items = grown;
+        item = &p->items[p->count++];
+        *item = (item_t){.key = strdup(key)};
+    }
+    free(item->value);
+    item->value = value ? strdup(value) : NULL;
+    item->revision = ++p->revision;
+}
+
+/* Takes values as text, or as JSON that is kept as text. */
+static void admin_put(platform_t* p, cw_exchange_t* x) {
+    json_t* root = json_loads(cw_exchange_body(x, NULL), 0, NULL);
+    size_t i = 0;
+    json_t* item = NULL;
+    json_array_foreach(json_object_get(root, "items"), i, item) {
+        const char* key = json_string_value(json_object_get(item, "key"));
+        json_t* value = json_object_get(item, "value");
+        char* text = json_is_object(value) ? json_dumps(value, JSON_COMPACT) : NULL;
+        if (key) {
+            put_item(p, key, text ? text : json_string_value(value));
+        }
+        free(text);
+    }
+    json_decref(root);
+    char reply[64];
+    snprintf(reply, sizeof(reply), "{\"revision\":%lld}", (long long)p->revision);
+    standin_reply(x, 200, reply);
+    answer_watches(p);
+}
+
+static void admin_mode(platform_t* p, cw_exchange_t* x) {
+    p->down = standin_arg(x, "down", p->down) != 0;
+    p->slow_ms = (uint32_t)standin_arg(x, "slow_ms", p->slow_ms);
+    bool stale = standin_arg(x, "stale", p->stale_revision != 0) != 0;
+    p->stale_revision = stale ? (p->stale_revision ? p->stale_revision : p->revision) : 0;
+    standin_reply(x, 200, "{}");
+    answer_watches(p);
+}
+
+static void start_watch(platform_t* p, cw_exchange_t* x) {
+    int64_t since = (int64_t)standin_arg(x, "since", 0);
+    int64_t wait_ms = (int64_t)standin_arg(x, "wait_ms", 0);
+    for (int i = 0; i < MAX_WATCHES; i++) {
+        if (!p->watches[i].x) {
+            p->watches[i] = (watch_t){.x = x, .since = since, .until_ms = standin_now() + wait_ms};
+            answer_watches(p);
+            return;
+        }
+    }
+    standin_reply(x, 503, "{}");
+}
+
+static void serve(platform_t* p, cw_exchange_t* x) {
+    const char* path = cw_exchange_path(x);
+    if (strcmp(path, "/v1/kv") == 0) {
+        reply_items(p, x, 0, false);
+    } else if (strcmp(path, "/v1/watch") == 0) {
+        start_watch(p, x);
+    } else if (strcmp(path, "/v1/hosts") == 0) {
+        standin_reply(x, 200, p->hosts ? p->hosts : "{\"hosts\":[]}");
+    } else {
+        standin_reply(x, 404, "{}");
+    }
+}
+
+static void on_delay(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)events;
+    delayed_t* d = w->data;
+    platform_t* p = ev_userdata(loop);
+    if (d->x) {
+        cw_exchange_set_data(d->x, NULL);
+        serve(p, d->x);
+    }
+    free(d);
+}
+
+static void reply_stats(const platform_t* p, cw_exchange_t* x) {
+    char reply[128];
+    snprintf(reply, sizeof(reply), "{\"calls\":%llu,\"refused\":%llu,\"revision\":%lld}", (unsigned long long)p->calls,
+             (unsigned long long)p->refused, (long long)p->revision);
+    standin_reply(x, 200, reply);
+}
+
+static void admin_hosts(platform_t* p, cw_exchange_t* x) {
+    free(p->next_hosts);
+    p->next_hosts = strdup(cw_exchange_body(x, NULL));
+    p->hosts_at_ms = standin_now() + p->host_lag_ms;
+    standin_reply(x, 200, "{}");
+}
+
+static void on_request(cw_exchange_t* x, void* user) {
+    platform_t* p = user;
+    const char* path = cw_exchange_path(x);
+    if (strcmp(path, "/admin/put") == 0) {
+        admin_put(p, x);
+    } else if (strcmp(path, "/admin/mode") == 0) {
+        admin_mode(p, x);
+    } else if (strcmp(path, "/admin/hosts") == 0) {
+        admin_hosts(p, x);
+    } else if (strcmp(path, "/admin/stats") == 0) {
+        reply_stats(p, x);
+    } else {
+        p->calls++;
+        if (p->down || !cw_bucket_take(&p->bucket, standin_now(), 1)) {
+            p->refused++;
+            standin_reply(x, 503, "{}");
+        } else if (p->slow_ms) {
+            delayed_t* d = cw_alloc(NULL, 1, sizeof(*d));
+            d->x = x;
+            cw_exchange_set_data(x, d);
+            ev_timer_init(&d->timer, on_delay, p->slow_ms / 1000.0, 0.0);
+            d->timer.data = d;
+            ev_timer_start(p->standin.loop, &d->timer);
+        } else {
+            serve(p, x);
+        }
+    }
+}
+
+static void on_gone(cw_exchange_t* x, void* user) {
+    platform_t* p = user;
+    delayed_t* d = cw_exchange_data(x);
+    if (d) {
+        d->x = NULL;
+    }
+    for (int i = 0; i < MAX_WATCHES; i++) {
+        p->watches[i].x = p->watches[i].x == x ? NULL : p->watches[i].x;
+    }
+}
+
+static void on_tick(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    platform_t* p = w->data;
+    if (p->next_hosts && standin_now() >= p->hosts_at_ms) {
+        free(p->hosts);
+        p->hosts = p->next_hosts;
+        p->next_hosts = NULL;
+    }
+    answer_watches(p);
+}
+
+typedef struct args_t {
+    const char* address;
+    uint32_t host_lag_ms;
+} args_t;
+
+static error_t parse_option(int key, char* arg, struct argp_state* state) {
+    args_t* args = state->input;
+    switch (key) {
+        case 'a':
+            args->address = arg;
+            return 0;
+        case 'l':
+            args->host_lag_ms = (uint32_t)strtoul(arg, NULL, 10);
+            return 0;
+        default:
+            return ARGP_ERR_UNKNOWN;
+    }
+}
+
+int main(int argc, char** argv) {
+    static const struct argp_option options[] = {
+        {"address", 'a', "IP:PORT", 0, "to listen on, default 127.0.0.1:0", 0},
+        {"host-lag", 'l', "MS", 0, "delay of the host list, default 2000", 0},
+        {0},
+    };
+    const struct argp argp = {.options = options, .parser = parse_option, .doc = "Stand-in of the platform."};
+    args_t args = {.address = "127.0.0.1:0", .host_lag_ms = 2000};
+    argp_parse(&argp, argc, argv, 0, NULL, &args);
+    static platform_t platform;
+    platform_t* p = &platform;
+    p->host_lag_ms = args.host_lag_ms;
+    p->bucket = (cw_bucket_t){.rate = CALLS_A_SECOND};
+    if (!standin_setup(&p->standin, &(cw_httpd_desc_t){.address = args.address,
+                                                       .max_body = (size_t)64 << 20,
+                                                       .idle_s = 600,
+                                                       .on_request = on_request,
+                                                       .on_gone = on_gone,
+                                                       .user_data = p})) {
+        return 1;
+    }
+    ev_set_userdata(p->standin.loop, p);
+    ev_timer_init(&p->tick, on_tick, 0.05, 0.05);
+    p->tick.data = p;
+    ev_timer_start(p->standin.loop, &p->tick);
+    standin_run(&p->standin);
+    return 0;
+}
