Caution of a new allocator ends when all entries have told; news spreads at once

Cause 1: the demo's burst of 120 met an allocator 0.5 s old. Its caution (one slot for each upstream) was also taken as the capacity in the estimate of the wait, so wants were refused that would have been served. Ruled out: the class's estimate (50 ms, as set) and a second allocator (the log shows one). Change 1: the estimate uses the whole capacity; a new allocator asks every live host for its list, so caution lasts a round trip instead of 500 ms. Cause 2: in tests of 24 to 60 hosts on a fake clock, hosts that joined together did not all learn of each other in 15 s, 10 % loss made false deaths, and leaving was known to 17 of 40 hosts after 3 s. Change 2: messages carry a hash of the sender's view and the whole view is sent where two differ (at most once in 2 s); fresh news goes to three hosts at once; suspects are pinged with the accusation; the suspicion's length grows with the logarithm of the number of hosts.

--- a/chalkway_member.h
+++ b/chalkway_member.h
@@ -8,7 +8,9 @@
         it when no answer comes, then suspects it and, unless the suspicion
         is refuted, takes it as dead. News travels on the probes, each item a
         bounded number of times, so the cost for a host does not grow with
-        their number. A host refutes news about itself by a higher
+        their number. Fresh news is also passed to a few hosts at once. Each
+        message carries a hash of the sender's view; where two differ, the
+        whole view is sent, at most once in two seconds. A host refutes news about itself by a higher
         incarnation. Leaving is a flag of its own, set by the host itself.
         Probes also carry the sender's configuration revision and its room.
 
@@ -77,6 +79,7 @@
     uint64_t target;  /* ping-req: host to probe; ack: host that answers */
     int64_t revision; /* the sender's */
     uint32_t room;    /* the sender's */
+    uint64_t view;    /* hash of the members that the sender takes to be alive */
     cw_member_info_t from;
     uint32_t news_count;
     cw_member_info_t news[CW_GOSSIP_NEWS];
@@ -101,6 +104,11 @@
     cw_allocator_t allocator;
 } cw_members_desc_t;
 
+typedef enum cw_members_filter_t {
+    CW_MEMBERS_FOR_ROLES = 0, /* alive and not leaving: may take roles */
+    CW_MEMBERS_ALL            /* all that are not dead */
+} cw_members_filter_t;
+
 typedef struct cw_members_t cw_members_t;
 
 cw_members_t* cw_members_setup(const cw_members_desc_t* desc);
@@ -113,14 +121,16 @@
 bool cw_members_next(cw_members_t* m, cw_gossip_out_t* out);
 /* Tells the others that this host is leaving. */
 void cw_members_leave(cw_members_t* m);
+/* Something else says that the host may be dead (its connection broke): probe it at once. */
+void cw_members_doubt(cw_members_t* m, int64_t now_ms, uint64_t id);
 /* What this host's probes say of itself. */
 void cw_members_announce(cw_members_t* m, int64_t revision, uint32_t room);
 /* Members known, this host first. */
 uint32_t cw_members_count(const cw_members_t* m);
 const cw_member_t* cw_members_at(const cw_members_t* m, uint32_t index);
 const cw_member_t* cw_members_find(const cw_members_t* m, uint64_t id);
-/* Ids of hosts not dead, in out (room for max); leaving ones only if asked for. Returns their number. */
-uint32_t cw_members_live(const cw_members_t* m, bool with_leaving, uint64_t* out, uint32_t max);
+/* Ids of the hosts that the filter lets through, in out (room for max). Returns their number. */
+uint32_t cw_members_live(const cw_members_t* m, cw_members_filter_t filter, uint64_t* out, uint32_t max);
 /* Changes of any member's state or leaving flag so far. */
 uint64_t cw_members_changes(const cw_members_t* m);
 const char* cw_member_state_name(cw_member_state_t state);
@@ -138,7 +148,10 @@
 #define _CW_MEMBERS_OUT 256   /* messages waiting to be sent */
 #define _CW_MEMBERS_HELPED 32 /* probes made for others at once */
 #define _CW_MEMBERS_HEALTH_MAX 8
-#define _CW_MEMBERS_TELL 3 /* news is told this many times the logarithm of the number of hosts */
+#define _CW_MEMBERS_FORWARD_MS 200 /* between two times that fresh news is passed on at once */
+#define _CW_MEMBERS_ALL_MS 2000    /* between two times that the whole view is sent */
+#define _CW_MEMBERS_ACCUSE_MS 500  /* between two pings of a suspect */
+#define _CW_MEMBERS_TELL 1         /* news is told this many times the logarithm of the number of hosts */
 
 /* A probe made for another host. */
 typedef struct _cw_helped_t {
@@ -169,6 +182,12 @@
     int64_t probe_ms;    /* when it was sent */
     bool probe_indirect; /* others were asked */
     int64_t next_probe_ms, next_retry_ms, last_tick_ms;
+    int64_t next_accuse_ms;
+    int64_t next_all_ms;     /* the whole view is not sent before */
+    int64_t next_forward_ms; /* fresh news is not passed on before */
+    bool forward_due;
+    uint64_t view; /* hash of the view, valid for view_changes */
+    uint64_t view_changes;
     uint32_t health; /* 0 is good; timeouts grow with it */
     uint32_t news_next;
     int64_t revision;
@@ -255,11 +274,12 @@
     return i == CW_MAP_NONE ? NULL : &m->members[i];
 }
 
-uint32_t cw_members_live(const cw_members_t* m, bool with_leaving, uint64_t* out, uint32_t max) {
+uint32_t cw_members_live(const cw_members_t* m, cw_members_filter_t filter, uint64_t* out, uint32_t max) {
     uint32_t n = 0;
     for (uint32_t i = 0; i < m->count && n < max; i++) {
         const cw_member_info_t* info = &m->members[i].info;
-        if (info->state != CW_MEMBER_DEAD && (with_leaving || !info->leaving)) {
+        bool for_roles = info->state == CW_MEMBER_ALIVE && !info->leaving;
+        if (for_roles || (filter == CW_MEMBERS_ALL && info->state != CW_MEMBER_DEAD)) {
             out[n++] = info->id;
         }
     }
@@ -289,6 +309,22 @@
     }
 }
 
+/* Hash of who is taken to be alive; the same for two hosts that agree. */
+static uint64_t _cw_members_view(cw_members_t* m) {
+    if (m->view && m->view_changes == m->changes) {
+        return m->view;
+    }
+    m->view = 1;
+    m->view_changes = m->changes;
+    for (uint32_t i = 0; i < m->count; i++) {
+        const cw_member_info_t* info = &m->members[i].info;
+        if (info->state != CW_MEMBER_DEAD) {
+            m->view ^= cw_mix(info->id, info->incarnation * 4 + info->state * 2 + info->leaving);
+        }
+    }
+    return m->view;
+}
+
 static cw_gossip_t* _cw_members_send(cw_members_t* m, const char* to, cw_gossip_kind_t kind, uint32_t seq) {
     if (m->out_count == _CW_MEMBERS_OUT) {
         m->out_head = (m->out_head + 1) % _CW_MEMBERS_OUT;
@@ -301,6 +337,7 @@
     out->message.seq = seq;
     out->message.revision = m->revision;
     out->message.room = m->room;
+    out->message.view = _cw_members_view(m);
     out->message.from = m->members[0].info;
     if (kind != CW_GOSSIP_NEWS_ONLY) {
         _cw_members_fill_news(m, &out->message);
@@ -348,6 +385,8 @@
     if (news->incarnation > self->incarnation || (news->incarnation == self->incarnation && wrong)) {
         self->incarnation = news->incarnation + 1;
         m->members[0].tell = _cw_members_tell(m);
+        m->forward_due = true;
+        m->changes++;
     }
 }
 
@@ -376,6 +415,7 @@
     }
     m->members[i].since_ms = now_ms;
     m->members[i].tell = _cw_members_tell(m);
+    m->forward_due = true;
     m->changes++;
 }
 
@@ -396,19 +436,31 @@
     m->news_next = 0;
 }
 
-void cw_members_leave(cw_members_t* m) {
-    m->members[0].info.leaving = true;
-    m->members[0].info.incarnation++;
-    m->changes++;
-    /* Tell a few at once; the others hear of it by probes. */
-    for (uint32_t k = 0; k < m->desc.indirect + 1 && m->count > 1; k++) {
+/* Passes fresh news to a few hosts at once; each that learns something does the same. */
+static void _cw_members_forward(cw_members_t* m) {
+    m->forward_due = false;
+    for (uint32_t k = 0; k < m->desc.indirect && m->count > 1; k++) {
         uint32_t i = 1 + (uint32_t)(_cw_members_random(m) % (m->count - 1));
         if (m->members[i].info.state != CW_MEMBER_DEAD) {
-            _cw_members_send(m, m->members[i].info.peer, CW_GOSSIP_NEWS_ONLY, 0);
+            _cw_members_fill_news(m, _cw_members_send(m, m->members[i].info.peer, CW_GOSSIP_NEWS_ONLY, 0));
         }
     }
 }
 
+static void _cw_members_forward_if_due(cw_members_t* m, int64_t now_ms) {
+    if (m->forward_due && now_ms >= m->next_forward_ms) {
+        m->next_forward_ms = now_ms + _CW_MEMBERS_FORWARD_MS;
+        _cw_members_forward(m);
+    }
+}
+
+void cw_members_leave(cw_members_t* m) {
+    m->members[0].info.leaving = true;
+    m->members[0].info.incarnation++;
+    m->changes++;
+    _cw_members_forward(m);
+}
+
 /* -- probing -------------------------------------------------------------- */
 
 static uint32_t _cw_members_timeout(const cw_members_t* m) {
@@ -438,18 +490,26 @@
     return 0;
 }
 
-static void _cw_members_probe(cw_members_t* m, int64_t now_ms) {
-    uint32_t i = _cw_members_pick(m);
-    if (!i) {
-        return;
-    }
+static void _cw_members_probe(cw_members_t* m, int64_t now_ms, uint32_t i) {
     m->probe_seq = ++m->seq;
     m->probe_id = m->members[i].info.id;
     m->probe_ms = now_ms;
     m->probe_indirect = false;
-    cw_gossip_t* g = _cw_members_send(m, m->members[i].info.peer, CW_GOSSIP_PING, m->probe_seq);
-    if (m->members[i].info.state == CW_MEMBER_SUSPECT && g->news_count < CW_GOSSIP_NEWS) {
-        g->news[g->news_count++] = m->members[i].info; /* so that it can refute */
+    _cw_members_send(m, m->members[i].info.peer, CW_GOSSIP_PING, m->probe_seq);
+}
+
+static void _cw_members_probe_next(cw_members_t* m, int64_t now_ms) {
+    uint32_t i = _cw_members_pick(m);
+    if (i) {
+        _cw_members_probe(m, now_ms, i);
+    }
+}
+
+void cw_members_doubt(cw_members_t* m, int64_t now_ms, uint64_t id) {
+    uint32_t i = cw_map_get(&m->by_id, id);
+    if (i != CW_MAP_NONE && i != 0 && !m->probe_seq && m->members[i].info.state == CW_MEMBER_ALIVE) {
+        _cw_members_probe(m, now_ms, i);
+        m->next_probe_ms = now_ms + m->desc.period_ms;
     }
 }
 
@@ -474,11 +534,39 @@
     }
 }
 
+/* The news of its death must reach a host and its refutation all others, which takes longer among many. */
+static int64_t _cw_members_suspect_ms(const cw_members_t* m) {
+    uint32_t log2 = 0;
+    for (uint32_t n = m->count; n > 1; n /= 2) {
+        log2++;
+    }
+    return (int64_t)m->desc.suspect_ms * (4 + log2) / 4 * (2 + m->health) / 2;
+}
+
+/* Pings the suspects with what is said of them, so that they refute it. */
+static void _cw_members_accuse(cw_members_t* m, int64_t now_ms) {
+    if (now_ms < m->next_accuse_ms) {
+        return;
+    }
+    m->next_accuse_ms = now_ms + _CW_MEMBERS_ACCUSE_MS;
+    uint32_t left = m->desc.indirect;
+    uint32_t start = (uint32_t)(_cw_members_random(m) % m->count);
+    for (uint32_t k = 0; k < m->count && left; k++) {
+        const cw_member_info_t* info = &m->members[(start + k) % m->count].info;
+        if (info->state == CW_MEMBER_SUSPECT) {
+            cw_gossip_t* g = _cw_members_send(m, info->peer, CW_GOSSIP_PING, ++m->seq);
+            g->news[0] = *info;
+            g->news_count = g->news_count ? g->news_count : 1;
+            left--;
+        }
+    }
+}
+
 static void _cw_members_age(cw_members_t* m, int64_t now_ms) {
     for (uint32_t i = m->count; i-- > 1;) {
         cw_member_t* member = &m->members[i];
         int64_t age = now_ms - member->since_ms;
-        if (member->info.state == CW_MEMBER_SUSPECT && age > (int64_t)m->desc.suspect_ms * (1 + m->health / 2)) {
+        if (member->info.state == CW_MEMBER_SUSPECT && age > _cw_members_suspect_ms(m)) {
             _cw_members_judge(m, now_ms, i, CW_MEMBER_DEAD);
         } else if (member->info.state == CW_MEMBER_DEAD && age > m->desc.forget_ms) {
             _cw_members_remove(m, i);
@@ -553,7 +641,7 @@
         if (m->probe_seq) {
             _cw_members_probe_failed(m, now_ms);
         }
-        _cw_members_probe(m, now_ms);
+        _cw_members_probe_next(m, now_ms);
         uint32_t period =
             m->desc.period_ms > 2 * _cw_members_timeout(m) ? m->desc.period_ms : 2 * _cw_members_timeout(m);
         m->next_probe_ms = now_ms + period;
@@ -563,6 +651,8 @@
         m->next_retry_ms = now_ms + m->desc.retry_ms;
     }
     _cw_members_age(m, now_ms);
+    _cw_members_accuse(m, now_ms);
+    _cw_members_forward_if_due(m, now_ms);
 }
 
 /* -- receiving ------------------------------------------------------------ */
@@ -610,14 +700,17 @@
         if (i != CW_MAP_NONE && m->members[i].info.state != CW_MEMBER_ALIVE && ack->news_count < CW_GOSSIP_NEWS) {
             ack->news[ack->news_count++] = m->members[i].info; /* it is alive: let it refute */
         }
-        if (g->join) {
+        bool differs = g->view != _cw_members_view(m) && now_ms >= m->next_all_ms;
+        if (g->join || differs) {
             _cw_members_send_all(m, g->from.peer);
+            m->next_all_ms = now_ms + _CW_MEMBERS_ALL_MS;
         }
     } else if (g->kind == CW_GOSSIP_ACK) {
         _cw_members_acked(m, g);
     } else if (g->kind == CW_GOSSIP_PING_REQ) {
         _cw_members_help(m, g);
     }
+    _cw_members_forward_if_due(m, now_ms);
 }
 
 #endif /* CHALKWAY_MEMBER_IMPL_INCLUDED */
--- a/chalkway_pick.h
+++ b/chalkway_pick.h
@@ -100,8 +100,10 @@
                  uint32_t cost);
 /* A load report of the upstream itself. */
 void cw_pick_report(cw_pick_t* pick, int64_t now_ms, uint64_t id, uint32_t running, bool draining);
-/* Slots that can serve now, in use or not. */
+/* Slots that this table may use now, in use or not. */
 uint32_t cw_pick_limit(const cw_pick_t* pick, int64_t now_ms);
+/* Slots that can serve now, whatever share of them this table may use. */
+uint32_t cw_pick_capacity(const cw_pick_t* pick, int64_t now_ms);
 uint32_t cw_pick_inflight(const cw_pick_t* pick);
 /* Mean learned ms for a unit of cost over the upstreams, 0 when nothing is known. */
 double cw_pick_ms_per_cost(const cw_pick_t* pick);
@@ -193,11 +195,11 @@
 }
 
 /* Slots of one upstream that may be used now. */
-static uint32_t _cw_pick_slots(const cw_pick_t* pick, int64_t now_ms, const cw_pick_upstream_t* up) {
+static uint32_t _cw_pick_scaled(const cw_pick_t* pick, int64_t now_ms, const cw_pick_upstream_t* up, double scale) {
     if (up->spec.leaving || up->draining || now_ms < up->ejected_until) {
         return 0;
     }
-    double slots = up->spec.slots * pick->scale;
+    double slots = up->spec.slots * scale;
     int64_t back = now_ms - up->ejected_until;
     if (up->ejected_until && back < pick->desc.return_ms) {
         slots = slots * (double)back / pick->desc.return_ms;
@@ -205,6 +207,10 @@
     return slots < 1.0 ? 1 : (uint32_t)slots;
 }
 
+static uint32_t _cw_pick_slots(const cw_pick_t* pick, int64_t now_ms, const cw_pick_upstream_t* up) {
+    return _cw_pick_scaled(pick, now_ms, up, pick->scale);
+}
+
 /* Work that the last report shows beyond what this table gave out. */
 static uint32_t _cw_pick_foreign(const cw_pick_t* pick, int64_t now_ms, const cw_pick_upstream_t* up) {
     bool fresh = up->reported_ms && now_ms - up->reported_ms < pick->desc.report_age_ms;
@@ -230,6 +236,14 @@
     return limit;
 }
 
+uint32_t cw_pick_capacity(const cw_pick_t* pick, int64_t now_ms) {
+    uint32_t capacity = 0;
+    for (uint32_t i = 0; i < pick->count; i++) {
+        capacity += _cw_pick_scaled(pick, now_ms, &pick->ups[i], 1.0);
+    }
+    return capacity;
+}
+
 uint32_t cw_pick_inflight(const cw_pick_t* pick) {
     return pick->inflight;
 }
--- a/chalkway_shard.h
+++ b/chalkway_shard.h
@@ -158,6 +158,8 @@
 void cw_shard_visible(cw_shard_t* shard, uint32_t seen, uint32_t published);
 /* A new allocator uses the share of the limits that matches the entries heard out of expected, until until_ms. */
 void cw_shard_cautious(cw_shard_t* shard, int64_t until_ms, uint32_t expected);
+/* Asks the entry for its list (CW_SHARD_RESYNC), which ends the caution as soon as all have told. */
+void cw_shard_ask(cw_shard_t* shard, int64_t now_ms, uint64_t entry);
 /* A repeated want (same entry and seq) is answered as before. CW_ERR_FULL: refuse it. */
 cw_status_t cw_shard_want(cw_shard_t* shard, int64_t now_ms, const cw_want_t* want);
 void cw_shard_cancel(cw_shard_t* shard, uint64_t entry, uint32_t seq);
@@ -370,6 +372,14 @@
     s->expected = expected;
 }
 
+void cw_shard_ask(cw_shard_t* s, int64_t now_ms, uint64_t entry) {
+    _cw_shard_entry_t* e = _cw_shard_entry(s, now_ms, entry);
+    if (e) {
+        e->resync = true;
+        s->resync_due = true;
+    }
+}
+
 /* -- waiting items -------------------------------------------------------- */
 
 static void _cw_shard_item_free(cw_shard_t* s, uint32_t i) {
@@ -412,7 +422,7 @@
 
 /* Estimated wait of a new want of the tier: the run time queued before it over the slots that serve it. */
 static uint32_t _cw_shard_wait_ms(const cw_shard_t* s, int64_t now_ms, uint32_t tier) {
-    uint32_t limit = cw_pick_limit(s->pick, now_ms);
+    uint32_t limit = cw_pick_capacity(s->pick, now_ms); /* caution passes sooner than the queue */
     double ahead = 0;
     for (uint32_t t = 0; t <= tier; t++) {
         ahead += s->ahead[t];
--- a/chalkway_wire.h
+++ b/chalkway_wire.h
@@ -388,6 +388,7 @@
     _cw_io_u64(io, &g->target);
     _cw_io_i64(io, &g->revision);
     _cw_io_u32(io, &g->room);
+    _cw_io_u64(io, &g->view);
     _cw_fields_member(io, &g->from);
     _cw_io_u32(io, &g->news_count);
     if (g->news_count > CW_GOSSIP_NEWS) {
--- a/daemon/allocator.c
+++ b/daemon/allocator.c
@@ -114,7 +114,11 @@
         *role = (role_t){.id = shard, .pool = pool->id, .engine = pool->engine, .shard = cw_shard_setup(&desc)};
         role->used_ms = now_ms;
         uint32_t count = role_fill(role, view, pool);
-        cw_shard_cautious(role->shard, now_ms + node->settings.grant_ms, node_live_hosts(node, hosts));
+        uint32_t host_count = node_live_hosts(node, hosts);
+        cw_shard_cautious(role->shard, now_ms + node->settings.grant_ms, host_count);
+        for (uint32_t i = 0; i < host_count; i++) {
+            cw_shard_ask(role->shard, now_ms, hosts[i]);
+        }
         cw_log(&node->log, CW_EVENT_SHARD_TAKEN, "shard=%016llx pool=%s upstreams=%u", (unsigned long long)shard,
                pool->name, count);
     }
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -21,8 +21,8 @@
 }
 
 uint32_t node_live_hosts(const node_t* node, uint64_t out[NODE_MAX_HOSTS]) {
-    uint32_t count = cw_members_live(node->members, false, out, NODE_MAX_HOSTS);
-    return count ? count : cw_members_live(node->members, true, out, NODE_MAX_HOSTS);
+    uint32_t count = cw_members_live(node->members, CW_MEMBERS_FOR_ROLES, out, NODE_MAX_HOSTS);
+    return count ? count : cw_members_live(node->members, CW_MEMBERS_ALL, out, NODE_MAX_HOSTS);
 }
 
 uint64_t node_shard_owner(const node_t* node, uint64_t shard) {
@@ -96,6 +96,7 @@
 static void on_link_closed(void* user, uint64_t host) {
     node_t* node = user;
     cw_log(&node->log, CW_EVENT_PEER_CLOSED, "peer=%016llx", (unsigned long long)host);
+    cw_members_doubt(node->members, node_now(), host);
     entry_on_link_closed(node->entry, host);
 }
 
--- a/tests/test_shard.c
+++ b/tests/test_shard.c
@@ -4,6 +4,7 @@
 
 #define SLOTS 4
 #define UPSTREAMS 2
+#define ALL_SLOTS 8
 #define ENTRY_A 101
 #define ENTRY_B 102
 
@@ -76,7 +77,7 @@
         must_want(s, 0, want_of(ENTRY_A, i, 1, 1));
     }
     seen_t seen = take_all(s, 0);
-    ck_assert_int_eq(seen.grants, SLOTS * UPSTREAMS);
+    ck_assert_int_eq(seen.grants, ALL_SLOTS);
     must_done(s, 5, seen.grant.grant);
     ck_assert_int_eq(take_all(s, 5).grants, 1);
     cw_shard_shutdown(s);
@@ -309,6 +310,30 @@
 }
 END_TEST
 
+/* The demo's first burst met a cautious allocator: it was refused as if two slots were all there is. */
+START_TEST(caution_ends_when_all_have_told_and_refuses_nobody) {
+    cw_shard_t* s = shard_with((cw_shard_desc_t){0}, 8);
+    cw_shard_cautious(s, 500, 2);
+    cw_shard_ask(s, 0, ENTRY_A);
+    cw_shard_ask(s, 0, ENTRY_B);
+    for (uint32_t i = 1; i <= 30; i++) {
+        cw_want_t w = want_of(ENTRY_A, i, 1, 1);
+        w.est_ms = 50;
+        w.queue_ms = 100;
+        must_want(s, 0, w);
+    }
+    seen_t seen = take_all(s, 0);
+    ck_assert_int_eq(seen.resyncs, 2);
+    ck_assert_int_eq(seen.refusals, 0);
+    const cw_digest_t none[] = {{.entry = ENTRY_A}, {.entry = ENTRY_B}};
+    cw_shard_list(s, 1, &none[0], NULL, 0);
+    cw_shard_list(s, 1, &none[1], NULL, 0);
+    take_all(s, 2);
+    ck_assert_uint_eq(cw_shard_stats(s, 2).running, 16);
+    cw_shard_shutdown(s);
+}
+END_TEST
+
 START_TEST(a_partition_uses_its_share) {
     cw_shard_t* s = shard_with((cw_shard_desc_t){0}, 8);
     cw_shard_visible(s, 3, 4);
@@ -421,6 +446,7 @@
     tcase_add_test(t, a_silent_entry_loses_its_grants_after_the_lease);
     tcase_add_test(t, a_dead_entry_loses_its_grants_after_one_ttl);
     tcase_add_test(t, a_new_allocator_adopts_and_is_cautious);
+    tcase_add_test(t, caution_ends_when_all_have_told_and_refuses_nobody);
     tcase_add_test(t, a_partition_uses_its_share);
     tcase_add_test(t, only_preemptible_lower_work_is_preempted);
     tcase_add_test(t, a_leaving_upstream_gets_nothing_new);
--- /dev/null
+++ b/tests/test_store.c
@@ -0,0 +1,173 @@
+/* Published resources: nothing goes back, the last valid version stays in force. */
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "../chalkway_store.h"
+#include "test.h"
+
+#define POOL "{\"kind\":\"service\"}"
+
+static cw_store_t* store_new(void) {
+    return cw_store_setup(&(cw_store_desc_t){.max_items = 64});
+}
+
+START_TEST(lower_revisions_are_dropped) {
+    cw_store_t* s = store_new();
+    ck_assert_int_eq(cw_store_put(s, "pools/a", 5, POOL), CW_OK);
+    ck_assert_int_eq(cw_store_put(s, "pools/a", 4, "{\"kind\":\"engine\"}"), CW_ERR_STALE);
+    ck_assert_int_eq(cw_store_put(s, "pools/a", 6, NULL), CW_OK);
+    ck_assert_int_eq(cw_store_put(s, "pools/a", 5, POOL), CW_ERR_STALE); /* a deletion is not undone */
+    cw_store_commit(s, 6);
+    cw_view_t* v = cw_store_view(s);
+    ck_assert_uint_eq(v->pool_count, 0);
+    cw_view_release(v);
+    cw_store_shutdown(s);
+}
+END_TEST
+
+START_TEST(an_invalid_document_leaves_the_last_valid_one) {
+    cw_store_t* s = store_new();
+    cw_store_put(s, "pools/a", 1, "{\"kind\":\"service\",\"reserve\":3}");
+    ck_assert_int_eq(cw_store_put(s, "pools/a", 2, "{\"kind\":\"teapot\"}"), CW_ERR_INVALID);
+    cw_store_commit(s, 2);
+    cw_view_t* v = cw_store_view(s);
+    const cw_pool_t* pool = cw_view_pool(v, cw_name_id("a"));
+    ck_assert_ptr_nonnull(pool);
+    ck_assert_uint_eq(pool->reserve, 3);
+    const cw_item_t* item = cw_store_find(s, "pools/a");
+    ck_assert_int_eq(item->revision, 2);
+    ck_assert_int_eq(item->in_force, 1);
+    ck_assert_ptr_nonnull(strstr(item->reason, "kind"));
+    cw_view_release(v);
+    cw_store_shutdown(s);
+}
+END_TEST
+
+START_TEST(a_request_keeps_its_view) {
+    cw_store_t* s = store_new();
+    cw_store_put(s, "pools/a", 1, POOL);
+    cw_store_commit(s, 1);
+    cw_view_t* before = cw_store_view(s);
+    cw_store_put(s, "pools/a", 2, NULL);
+    ck_assert_uint_eq(before->pool_count, 1);
+    cw_store_commit(s, 2);
+    cw_view_t* after = cw_store_view(s);
+    ck_assert_uint_eq(before->pool_count, 1);
+    ck_assert_uint_eq(after->pool_count, 0);
+    cw_view_release(before);
+    cw_view_release(after);
+    cw_store_shutdown(s);
+}
+END_TEST
+
+START_TEST(references_are_resolved_when_the_other_comes) {
+    static const char upstream[] = "{\"pool\":\"a\",\"address\":\"127.0.0.1:80\",\"hall\":\"h\"}";
+    cw_store_t* s = store_new();
+    cw_store_put(s, "upstreams/u", 1, upstream);
+    cw_store_commit(s, 1);
+    ck_assert_ptr_nonnull(strstr(cw_store_find(s, "upstreams/u")->reason, "not published"));
+    cw_store_put(s, "pools/a", 2, POOL);
+    cw_store_commit(s, 2);
+    cw_view_t* v = cw_store_view(s);
+    ck_assert_uint_eq(v->upstream_count, 1);
+    ck_assert_str_eq(cw_store_find(s, "upstreams/u")->reason, "");
+    cw_view_release(v);
+    cw_store_shutdown(s);
+}
+END_TEST
+
+START_TEST(wrong_documents_say_what_is_wrong) {
+    static const struct {
+        const char* key;
+        const char* value;
+        const char* reason;
+    } cases[] = {
+        {"pools/a", "{", "line"},
+        {"pools/a", "[]", "object"},
+        {"pools/a", "{}", "kind"},
+        {"pools/a", "{\"kind\":\"service\",\"colour\":1}", "does not know"},
+        {"teapots/a", "{}", "known kind"},
+        {"classes/a", "{\"tier\":4,\"pools\":[\"p\"]}", "tier"},
+        {"classes/a", "{\"tier\":1.5,\"pools\":[\"p\"]}", "whole number"},
+        {"classes/a", "{\"protected\":true,\"preemptible\":true,\"pools\":[\"p\"]}", "preemptible"},
+        {"classes/a", "{\"pools\":[]}", "pools"},
+        {"upstreams/u", "{\"pool\":\"a\",\"address\":\"here\",\"hall\":\"h\"}", "address"},
+        {"upstreams/u", "{\"pool\":\"a\",\"address\":\"127.0.0.1:80\"}", "hall"},
+        {"workspaces/w", "{\"token_digests\":[\"abc\"]}", "64 hexadecimal"},
+        {"pools/a", "{\"kind\":\"service\",\"floors\":[0,0.5,0.5,0.5]}", "floors"},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        cw_error_t err = {0};
+        ck_assert_int_eq(cw_store_validate(cases[i].key, cases[i].value, &err), CW_ERR_INVALID);
+        ck_assert_msg(strstr(err.message, cases[i].reason) != NULL, "%s: %s", cases[i].value, err.message);
+    }
+}
+END_TEST
+
+START_TEST(workspaces_are_found_by_token) {
+    uint8_t digest[CW_DIGEST_BYTES];
+    char hex[65];
+    char doc[160];
+    crypto_generichash(digest, sizeof(digest), (const uint8_t*)"secret", 6, NULL, 0);
+    sodium_bin2hex(hex, sizeof(hex), digest, sizeof(digest));
+    snprintf(doc, sizeof(doc), "{\"token_digests\":[\"%s\"]}", hex);
+    cw_store_t* s = store_new();
+    ck_assert_int_eq(cw_store_put(s, "workspaces/w", 1, doc), CW_OK);
+    cw_store_commit(s, 1);
+    cw_view_t* v = cw_store_view(s);
+    ck_assert_ptr_nonnull(cw_view_auth(v, digest));
+    digest[31] ^= 1;
+    ck_assert_ptr_null(cw_view_auth(v, digest));
+    cw_view_release(v);
+    cw_store_shutdown(s);
+}
+END_TEST
+
+/* Any order of arrival, with stale copies in between, ends in the same state. */
+START_TEST(any_order_ends_the_same) {
+    rng_t rng = {.state = (uint64_t)_i + 1};
+    cw_store_t* s = store_new();
+    int64_t highest[8] = {0};
+    bool deleted[8] = {false};
+    for (int step = 0; step < 400; step++) {
+        uint32_t k = rng_below(&rng, 8);
+        int64_t revision = 1 + rng_below(&rng, 1000);
+        bool gone = revision % 5 == 0; /* a revision has one meaning, whoever tells it */
+        char key[16];
+        snprintf(key, sizeof(key), "pools/%u", k);
+        cw_store_put(s, key, revision, gone ? NULL : POOL);
+        if (revision > highest[k]) {
+            highest[k] = revision;
+            deleted[k] = gone;
+        }
+        if (!rng_below(&rng, 10)) {
+            cw_store_commit(s, rng_below(&rng, 1000));
+        }
+        ck_assert_int_eq(cw_store_find(s, key)->revision, highest[k]);
+    }
+    cw_store_commit(s, 1000);
+    cw_view_t* v = cw_store_view(s);
+    for (uint32_t k = 0; k < 8; k++) {
+        char name[8];
+        snprintf(name, sizeof(name), "%u", k);
+        ck_assert_int_eq(cw_view_pool(v, cw_name_id(name)) != NULL, highest[k] && !deleted[k]);
+    }
+    cw_view_release(v);
+    cw_store_shutdown(s);
+}
+END_TEST
+
+static void add_tests(TCase* t) {
+    tcase_add_test(t, lower_revisions_are_dropped);
+    tcase_add_test(t, an_invalid_document_leaves_the_last_valid_one);
+    tcase_add_test(t, a_request_keeps_its_view);
+    tcase_add_test(t, references_are_resolved_when_the_other_comes);
+    tcase_add_test(t, wrong_documents_say_what_is_wrong);
+    tcase_add_test(t, workspaces_are_found_by_token);
+    tcase_add_loop_test(t, any_order_ends_the_same, 0, 20);
+}
+
+int main(void) {
+    return run_suite("store", add_tests, 30);
+}
