--- a/Makefile
+++ b/Makefile
@@ -90,6 +90,8 @@
 	install -m 755 $(BUILD)/chalkwayd $(DESTDIR)$(PREFIX)/bin
 	sed -e 's|@PREFIX@|$(PREFIX)|' -e 's|@VERSION@|$(VERSION)|' chalkway.pc.in > $(DESTDIR)$(PREFIX)/lib/pkgconfig/chalkway.pc
 
+.SECONDARY:
+
 clean:
 	rm -rf $(BUILD)
 
--- a/chalkway_shard.h
+++ b/chalkway_shard.h
@@ -133,7 +133,7 @@
     uint32_t max_workspaces; /* default 1024 */
     uint32_t max_entries;    /* default 512 */
     uint32_t ttl_ms;         /* time to use a grant, default 500 */
-    uint32_t lease_ms;       /* grants of an entry silent for this long are taken back, default 6000 */
+    uint32_t lease_ms;       /* grants of an entry silent for this long are taken back, default 60000 */
     uint32_t preempt_ms;     /* wait of a protected want before a lower one is preempted, default 100 */
     double floor[CW_TIERS];  /* share of cost for each tier while it waits, default 0, .10, .05, .02 */
     uint32_t reserve;        /* slots kept free for protected wants, default 0 */
@@ -165,6 +165,7 @@
 void cw_shard_cancel(cw_shard_t* shard, uint64_t entry, uint32_t seq);
 /* Whether the want is in the queue. */
 bool cw_shard_waits(const cw_shard_t* shard, uint64_t entry, uint32_t seq);
+uint32_t cw_shard_upstream_count(const cw_shard_t* shard);
 /* Whether the upstream belongs to the shard. */
 bool cw_shard_serves(const cw_shard_t* shard, uint64_t upstream);
 /* CW_ERR_NOT_FOUND for a grant that ended before. */
@@ -263,7 +264,7 @@
     d.max_workspaces = d.max_workspaces ? d.max_workspaces : 1024;
     d.max_entries = d.max_entries ? d.max_entries : 512;
     d.ttl_ms = d.ttl_ms ? d.ttl_ms : 500;
-    d.lease_ms = d.lease_ms ? d.lease_ms : 6000;
+    d.lease_ms = d.lease_ms ? d.lease_ms : 60000;
     d.preempt_ms = d.preempt_ms ? d.preempt_ms : 100;
     bool none = true;
     for (uint32_t t = 0; t < CW_TIERS; t++) {
@@ -519,6 +520,10 @@
     return i != CW_MAP_NONE && !(i & _CW_SHARD_GRANT_BIT);
 }
 
+uint32_t cw_shard_upstream_count(const cw_shard_t* s) {
+    return cw_pick_count(s->pick);
+}
+
 bool cw_shard_serves(const cw_shard_t* s, uint64_t upstream) {
     return cw_pick_find(s->pick, upstream) != CW_PICK_NONE;
 }
--- a/chalkway_wire.h
+++ b/chalkway_wire.h
@@ -198,7 +198,9 @@
             io->bad = true;
             return;
         }
-        memcpy(field, o->via.str.ptr, o->via.str.size);
+        if (o->via.str.size) {
+            memcpy(field, o->via.str.ptr, o->via.str.size);
+        }
         field[o->via.str.size] = 0;
     }
 }
@@ -445,13 +447,71 @@
     return ((uint32_t)header[0] << 24) | ((uint32_t)header[1] << 16) | ((uint32_t)header[2] << 8) | header[3];
 }
 
+/* Big-endian number of size bytes. */
+static uint64_t _cw_wire_number(const uint8_t* at, size_t size) {
+    uint64_t value = 0;
+    for (size_t i = 0; i < size; i++) {
+        value = value << 8 | at[i];
+    }
+    return value;
+}
+
+/* Bytes of one field with its type byte, or 0 when it is no number, text or nil, or does not fit. */
+static size_t _cw_wire_field_size(const uint8_t* at, size_t left) {
+    uint8_t type = at[0];
+    size_t length_bytes = 0;
+    size_t size = 1;
+    if (type <= 0x7f || type == 0xc0) { /* small number, nil */
+        size = 1;
+    } else if (type >= 0xcc && type <= 0xcf) { /* numbers of 1, 2, 4, 8 bytes */
+        size = 1 + ((size_t)1 << (type - 0xcc));
+    } else if (type >= 0xa0 && type <= 0xbf) { /* short text */
+        size = 1 + (size_t)(type & 0x1f);
+    } else if (type >= 0xd9 && type <= 0xdb) { /* text with a length of 1, 2, 4 bytes */
+        length_bytes = (size_t)1 << (type - 0xd9);
+        size = left > length_bytes ? 1 + length_bytes + _cw_wire_number(at + 1, length_bytes) : 0;
+    } else {
+        size = 0;
+    }
+    return size <= left ? size : 0;
+}
+
+/* Whether the bytes are one flat array that holds what its head announces. The library allocates by the head alone, so
+   a few bytes could ask it for gigabytes. */
+static bool _cw_wire_is_flat(const uint8_t* data, size_t size) {
+    size_t head = 0;
+    uint64_t count = 0;
+    if (size && (data[0] & 0xf0) == 0x90) {
+        head = 1;
+        count = data[0] & 0x0f;
+    } else if (size >= 3 && data[0] == 0xdc) {
+        head = 3;
+        count = _cw_wire_number(data + 1, 2);
+    } else if (size >= 5 && data[0] == 0xdd) {
+        head = 5;
+        count = _cw_wire_number(data + 1, 4);
+    } else {
+        return false;
+    }
+    size_t at = head;
+    for (uint64_t i = 0; i < count; i++) {
+        size_t field = at < size ? _cw_wire_field_size(data + at, size - at) : 0;
+        if (!field) {
+            return false;
+        }
+        at += field;
+    }
+    return true;
+}
+
 static cw_status_t _cw_wire_open(cw_wire_t* wire, const uint8_t* data, size_t size, msgpack_object* root,
                                  cw_error_t* err) {
     size_t at = 0;
     msgpack_zone_clear(&wire->zone);
-    if (msgpack_unpack((const char*)data, size, &at, &wire->zone, root) != MSGPACK_UNPACK_SUCCESS ||
+    if (!_cw_wire_is_flat(data, size) ||
+        msgpack_unpack((const char*)data, size, &at, &wire->zone, root) != MSGPACK_UNPACK_SUCCESS ||
         root->type != MSGPACK_OBJECT_ARRAY) {
-        return cw_fail(err, CW_ERR_PROTOCOL, "decode", NULL, "%zu bytes are no msgpack array", size);
+        return cw_fail(err, CW_ERR_PROTOCOL, "decode", NULL, "%zu bytes are no flat msgpack array", size);
     }
     return CW_OK;
 }
--- a/daemon/allocator.c
+++ b/daemon/allocator.c
@@ -9,6 +9,7 @@
 #define IDLE_MS 60000 /* a shard nobody uses is dropped after this */
 #define ACKS_MAX 256  /* wants taken in one turn of the loop that are told they wait */
 #define REPORT_TIMEOUT_MS 2000
+#define REPORT_EACH_MS 400 /* a shard reads one report in this time on average */
 #define REFUSED_RETRY_MS 1000
 
 typedef struct role_t {
@@ -311,6 +312,12 @@
     cw_view_release(view);
 }
 
+/* A large shard reads its reports less often: the bytes a second stay within their budget. */
+static int64_t report_period(const allocator_t* a, const role_t* role) {
+    int64_t period_ms = (int64_t)cw_shard_upstream_count(role->shard) * REPORT_EACH_MS;
+    return period_ms > a->node->settings.report_ms ? period_ms : a->node->settings.report_ms;
+}
+
 void allocator_tick(allocator_t* a, int64_t now_ms) {
     for (uint32_t i = a->count; i-- > 0;) {
         role_t* role = &a->roles[i];
@@ -319,7 +326,7 @@
             continue;
         }
         if (now_ms >= role->report_ms) {
-            role->report_ms = now_ms + a->node->settings.report_ms;
+            role->report_ms = now_ms + report_period(a, role);
             read_reports(a, role);
         }
         drain(a, role);
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -7,9 +7,10 @@
 
 #include "entry_parts.h"
 
-#define REASK_MS 250       /* a waiting want asks for a sign of life this often */
-#define SILENT_KEEP_MS 250 /* a silent allocator is tried again after this */
-#define DIGEST_MS 2000
+#define REASK_MS 250             /* a waiting want asks for a sign of life this often */
+#define SILENT_KEEP_MS 250       /* a silent allocator is tried again after this */
+#define DIGEST_MS 20000          /* between two digests; links are reliable, so only a broken one loses a report */
+#define DIGEST_SOON_MS 500       /* after the link to the allocator broke */
 #define WAIT_OLD_MS 5000         /* a shard's load told longer ago counts for nothing */
 #define AFFINITY_MS 200          /* longer wait that prefix affinity may cost */
 #define DETACHED_MAX_MS 60000    /* a call whose caller was told may run on for this long */
@@ -204,12 +205,16 @@
         }
         s->digest_ms = now_ms + DIGEST_MS;
         cw_digest_t d = make_digest(e, i);
-        if (d.count || s->reported) {
-            e->out.type = CW_MSG_DIGEST;
-            e->out.shard = s->id;
-            e->out.digest = d;
-            node_send(e->node, s->owner, &e->out);
+        if (!d.count && !s->reported) {
+            continue;
+        }
+        e->out.type = CW_MSG_DIGEST;
+        e->out.shard = s->id;
+        e->out.digest = d;
+        if (node_send(e->node, s->owner, &e->out) == CW_OK) {
             s->reported = d.count != 0;
+        } else {
+            s->digest_ms = now_ms + DIGEST_SOON_MS;
         }
     }
 }
@@ -739,6 +744,12 @@
 
 void entry_on_link_closed(entry_t* e, uint64_t host) {
     int64_t now_ms = node_now();
+    for (uint32_t i = 0; i < e->shard_count; i++) {
+        if (e->shards[i].owner == host && e->shards[i].heard_ms) {
+            e->shards[i].digest_ms = now_ms + DIGEST_SOON_MS; /* reports on their way were lost */
+            e->shards[i].reported = true;
+        }
+    }
     for (uint32_t i = 0; i < e->max_requests; i++) {
         request_t* r = &e->requests[i];
         if (r->used && r->shard != ENTRY_NONE && r->machine.state == CW_REQ_WAITING && r->seq &&
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -95,9 +95,10 @@
             cw_hist_add(&r->metric->first_ms, (uint32_t)(r->first_ms - r->start_ms));
         }
     }
-    cw_log(&e->node->log, CW_EVENT_REQUEST_ENDED, "id=%s workspace=%s class=%s outcome=%s code=%s step=%s ms=%lld", r->id,
-           r->workspace ? r->workspace->name : "-", r->class ? r->class->name : "-", cw_outcome_name(outcome),
-           r->answer.code[0] ? r->answer.code : "-", r->answer.step[0] ? r->answer.step : "-", (long long)(now_ms - r->start_ms));
+    cw_log(&e->node->log, CW_EVENT_REQUEST_ENDED, "id=%s workspace=%s class=%s outcome=%s code=%s step=%s ms=%lld",
+           r->id, r->workspace ? r->workspace->name : "-", r->class ? r->class->name : "-", cw_outcome_name(outcome),
+           r->answer.code[0] ? r->answer.code : "-", r->answer.step[0] ? r->answer.step : "-",
+           (long long)(now_ms - r->start_ms));
 }
 
 /* Answers the repeats that wait for this call. */
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -2,11 +2,12 @@
 #define CW_TEST_FLEET_H
 /* Many membership instances in one process, on one clock, over a network that loses, cuts and pauses. */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "../chalkway_member.h"
 #include "../chalkway_wire.h"
-#include "test.h"
+#include "rng.h"
 
 #define FLEET_MAX 330
 #define FLEET_STEP_MS 50
@@ -83,7 +84,9 @@
         if (to >= f->count || !f->hosts[to] || f->paused[to] || f->side[i] != f->side[to] || lost) {
             continue;
         }
-        ck_assert_int_eq(cw_wire_gossip(f->wire, "fleet", bytes.data, bytes.size, &in, NULL), CW_OK);
+        if (cw_wire_gossip(f->wire, "fleet", bytes.data, bytes.size, &in, NULL) != CW_OK) {
+            abort();
+        }
         cw_members_receive(f->hosts[to], f->now_ms, &in);
     }
 }
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -1,5 +1,6 @@
 /* Membership of many hosts on one clock. */
 #include "fleet.h"
+#include "test.h"
 
 static fleet_t fleet;
 
--- a/tests/test_runonce.c
+++ b/tests/test_runonce.c
@@ -125,7 +125,7 @@
         .host = "a", .incarnation = 9, .max_answer_bytes = 100, .free_answer = count_free, .user_data = &freed});
     name_t names[3];
     for (int i = 0; i < 3; i++) {
-        char suffix[8];
+        char suffix[16];
         snprintf(suffix, sizeof(suffix), "%d", i);
         names[i] = name_of(t, 0, suffix);
         cw_runonce_keep(t, cw_runonce_begin(t, i, WORKSPACE, names[i].text, BODY).record, &freed, 40);
@@ -141,7 +141,7 @@
 START_TEST(a_full_table_refuses) {
     cw_runonce_t* t = table("a", 9);
     for (int i = 0; i < 5; i++) {
-        char suffix[8];
+        char suffix[16];
         snprintf(suffix, sizeof(suffix), "%d", i);
         ck_assert_int_eq(verdict(t, 1, name_of(t, 0, suffix)), i < 4 ? CW_RUN_NEW : CW_RUN_FULL);
     }
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -149,7 +149,7 @@
     cw_store_commit(s, 1000);
     cw_view_t* v = cw_store_view(s);
     for (uint32_t k = 0; k < 8; k++) {
-        char name[8];
+        char name[16];
         snprintf(name, sizeof(name), "%u", k);
         ck_assert_int_eq(cw_view_pool(v, cw_name_id(name)) != NULL, highest[k] && !deleted[k]);
     }
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -85,6 +85,21 @@
 }
 END_TEST
 
+/* Five bytes that announce four thousand million fields: the library would allocate them all. */
+START_TEST(announced_sizes_are_checked_first) {
+    cw_wire_t* wire = cw_wire_setup(NULL);
+    static const uint8_t bad[][8] = {{0xdd, 0xff, 0xff, 0xff, 0xff},
+                                     {0x92, CW_MSG_CANCEL, 0xdd, 0xff, 0xff, 0xff, 0xff},
+                                     {0x92, CW_MSG_CANCEL, 0xdf, 0xff, 0xff, 0xff, 0xff},
+                                     {0x92, CW_MSG_CANCEL, 0xdb, 0xff, 0xff, 0xff, 0xff},
+                                     {0x92, CW_MSG_CANCEL, 0xcf, 1, 1}};
+    for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        ck_assert_int_eq(cw_wire_decode(wire, bad[i], 8 - (i == 0 ? 3 : i == 4 ? 3 : 1), &back, NULL), CW_ERR_PROTOCOL);
+    }
+    cw_wire_shutdown(wire);
+}
+END_TEST
+
 /* Random bytes and broken messages are errors, never more. */
 START_TEST(garbage_is_refused) {
     rng_t rng = {.state = (uint64_t)_i};
@@ -116,6 +131,7 @@
     tcase_add_test(t, lists_and_chunks_come_back);
     tcase_add_test(t, versions_mix);
     tcase_add_test(t, other_clusters_are_refused);
+    tcase_add_test(t, announced_sizes_are_checked_first);
     tcase_add_loop_test(t, garbage_is_refused, 0, 10);
 }
 
--- a/tools/site.c
+++ b/tools/site.c
@@ -285,6 +285,11 @@
     }
     answer.whole = curl_easy_perform(e) == CURLE_OK;
     curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, &answer.status);
+    long sent = 0;
+    long head = 0;
+    curl_easy_getinfo(e, CURLINFO_REQUEST_SIZE, &sent);
+    curl_easy_getinfo(e, CURLINFO_HEADER_SIZE, &head);
+    answer.bytes = sent + head + (long)strlen(answer.body);
     curl_easy_cleanup(e);
     curl_slist_free_all(headers);
     return answer;
--- a/tools/site.h
+++ b/tools/site.h
@@ -41,6 +41,7 @@
     bool whole;
     char outcome[32];
     char retry_after[16];
+    long bytes; /* of the request and its answer, with headers */
     char body[SITE_BODY_MAX];
 } site_answer_t;
 
