--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(BUILD)/tools/site.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(CHECK_LIBS) $(LIBS)
 
-$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/tools/site.o $(IO) $(LIB)
+$(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/tools/site.o $(BUILD)/tools/load.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
 demo: all
@@ -71,7 +71,8 @@
 SCENARIO ?= decide
 bench: all
 	@$(MAKE) --no-print-directory $(BENCHES)
-	@$(BUILD)/bench/bench_$(SCENARIO) $(BUILD)
+	@if [ -x $(BUILD)/bench/bench_$(SCENARIO) ]; then $(BUILD)/bench/bench_$(SCENARIO) $(BUILD); \
+	else $(BUILD)/bench/bench_scenario $(BUILD) $(SCENARIO); fi
 
 format:
 	clang-format -i $(SOURCES)
--- a/bench/bench_decide.c
+++ b/bench/bench_decide.c
@@ -59,6 +59,9 @@
             held[held_count++] = a.grant;
         }
     }
+    if (!held_count) {
+        abort();
+    }
     double t[3] = {0};
     const uint32_t block = 200;
     for (uint32_t done = 0; done < ROUNDS; done += block) {
--- a/chalkway_pick.h
+++ b/chalkway_pick.h
@@ -64,6 +64,8 @@
     uint32_t eject_max_ms;  /* default 60000 */
     uint32_t return_ms;     /* time in which the limit grows back to full, default 10000 */
     uint32_t report_age_ms; /* a load report older than this counts for nothing, default 10000 */
+    bool by_report;         /* others use the upstreams too: reported work counts against the limit */
+    bool rotate;            /* plain round robin over the upstreams, no limit */
     double prefix_bound;    /* load over the mean that affinity may cost, default 0.25 */
     cw_allocator_t allocator;
 } cw_pick_desc_t;
@@ -127,6 +129,7 @@
     cw_pick_upstream_t ups[CW_PICK_MAX];
     uint32_t count;
     uint32_t inflight;
+    uint32_t turn; /* of round robin */
     double scale;
 };
 
@@ -260,7 +263,21 @@
     return known ? sum / known : 0;
 }
 
+/* The next upstream in turn that serves at all. */
+static uint32_t _cw_pick_rotate(const cw_pick_t* pick, int64_t now_ms) {
+    for (uint32_t k = 0; k < pick->count; k++) {
+        uint32_t i = (pick->turn + k) % pick->count;
+        if (_cw_pick_slots(pick, now_ms, &pick->ups[i])) {
+            return i;
+        }
+    }
+    return CW_PICK_NONE;
+}
+
 uint32_t cw_pick_choose(const cw_pick_t* pick, int64_t now_ms, const cw_pick_query_t* query) {
+    if (pick->desc.rotate) {
+        return _cw_pick_rotate(pick, now_ms);
+    }
     uint32_t best = CW_PICK_NONE;
     uint32_t home = CW_PICK_NONE;
     uint32_t excluded = CW_PICK_NONE;
@@ -281,10 +298,11 @@
         double load = _cw_pick_load(pick, now_ms, up, slots);
         usable++;
         load_sum += load;
-        if (up->inflight >= slots) {
+        uint32_t taken = up->inflight + (pick->desc.by_report ? _cw_pick_foreign(pick, now_ms, up) : 0);
+        if (taken >= slots) {
             continue;
         }
-        free_slots += slots - up->inflight;
+        free_slots += slots - taken;
         if (up->spec.id == query->exclude) {
             excluded = i;
             continue;
@@ -314,6 +332,7 @@
     assert(index < pick->count);
     pick->ups[index].inflight++;
     pick->inflight++;
+    pick->turn = index + 1;
 }
 
 static void _cw_pick_failed(cw_pick_t* pick, int64_t now_ms, cw_pick_upstream_t* up) {
--- a/chalkway_settings.h
+++ b/chalkway_settings.h
@@ -52,8 +52,9 @@
     uint32_t max_answer;          /* bytes of a whole answer held */
     double retry_share;           /* retries for each first try */
     /* [allocator] */
-    uint32_t grant_ms; /* time to use a grant */
-    uint32_t lease_ms; /* grants of a silent entry return after */
+    char policy[CW_NAME_MAX]; /* shared, solo, lease or round-robin */
+    uint32_t grant_ms;        /* time to use a grant */
+    uint32_t lease_ms;        /* grants of a silent entry return after */
     uint32_t max_waiting;
     uint32_t report_ms; /* between two readings of an upstream's load */
     /* [member] */
@@ -135,6 +136,8 @@
      "the same for protected classes"},
     {"entry", "max_answer", CW_SETTING_BYTES, _CW_AT(max_answer), "4m", 1024, 67108864, "longest whole answer"},
     {"entry", "retry_share", CW_SETTING_NUMBER, _CW_AT(retry_share), "0.1", 0, 1, "retries for each first try"},
+    {"allocator", "policy", CW_SETTING_NAME, _CW_AT(policy), "shared", 0, 0,
+     "shared; solo, lease and round-robin are baselines to compare with"},
     {"allocator", "grant", CW_SETTING_MS, _CW_AT(grant_ms), "500ms", 20, 10000, "time to use a grant"},
     {"allocator", "lease", CW_SETTING_MS, _CW_AT(lease_ms), "60s", 1000, 600000,
      "grants of a silent entry return after"},
@@ -320,11 +323,12 @@
     }
 }
 
-static void _cw_settings_choice(_cw_settings_load_t* load, const char* key, const char* value, const char* choices) {
+static void _cw_settings_choice(_cw_settings_load_t* load, const char* section, const char* key, const char* value,
+                                const char* choices) {
     char quoted[CW_NAME_MAX + 2];
     snprintf(quoted, sizeof(quoted), " %s ", value);
     if (!strstr(choices, quoted)) {
-        _cw_settings_error(load, 0, "log", key, "must be one of%s", choices);
+        _cw_settings_error(load, 0, section, key, "must be one of%s", choices);
     }
 }
 
@@ -352,8 +356,9 @@
         }
     }
     _cw_settings_overlaps(&load);
-    _cw_settings_choice(&load, "level", settings->log_level, " debug info warn error ");
-    _cw_settings_choice(&load, "format", settings->log_format, " text json ");
+    _cw_settings_choice(&load, "allocator", "policy", settings->policy, " shared solo lease round-robin ");
+    _cw_settings_choice(&load, "log", "level", settings->log_level, " debug info warn error ");
+    _cw_settings_choice(&load, "log", "format", settings->log_format, " text json ");
     return errors->count ? CW_ERR_INVALID : CW_OK;
 }
 
--- a/daemon/allocator.c
+++ b/daemon/allocator.c
@@ -59,7 +59,9 @@
 }
 
 /* Sets the shard's upstreams from the configuration. */
-static uint32_t role_fill(const role_t* role, const cw_view_t* view, const cw_pool_t* pool) {
+static uint32_t role_fill(const node_t* node, const role_t* role, const cw_view_t* view, const cw_pool_t* pool) {
+    uint64_t hosts[NODE_MAX_HOSTS];
+    uint32_t host_count = node_live_hosts(node, hosts);
     cw_pick_spec_t specs[CW_PICK_MAX];
     uint32_t count = 0;
     uint32_t total = 0;
@@ -70,8 +72,10 @@
     for (uint32_t i = 0; i < view->upstream_count && count < CW_PICK_MAX; i++) {
         const cw_upstream_t* u = &view->upstreams[i];
         if (u->pool_id == pool->id && cw_place_shard(pool->id, u->id, shards) == role->id) {
-            specs[count++] =
-                (cw_pick_spec_t){.id = u->id, .hall = cw_name_id(u->hall), .slots = u->slots, .leaving = u->leaving};
+            uint32_t slots = node->policy == POLICY_LEASE ? node_slice(node, u, hosts, host_count) : u->slots;
+            specs[count] =
+                (cw_pick_spec_t){.id = u->id, .hall = cw_name_id(u->hall), .slots = slots, .leaving = u->leaving};
+            count += slots ? 1 : 0;
         }
     }
     cw_shard_upstreams(role->shard, specs, count);
@@ -104,18 +108,20 @@
         role = &a->roles[a->count++];
         int64_t now_ms = node_now();
         uint64_t hosts[NODE_MAX_HOSTS];
-        cw_shard_desc_t desc = {.epoch = randombytes_random() | 1,
-                                .max_waiting = node->settings.max_waiting,
-                                .ttl_ms = node->settings.grant_ms,
-                                .lease_ms = node->settings.lease_ms,
-                                .reserve = pool->reserve};
+        cw_shard_desc_t desc = {
+            .epoch = randombytes_random() | 1,
+            .max_waiting = node->settings.max_waiting,
+            .ttl_ms = node->settings.grant_ms,
+            .lease_ms = node->settings.lease_ms,
+            .reserve = pool->reserve,
+            .pick = {.by_report = node->policy == POLICY_SOLO, .rotate = node->policy == POLICY_ROUND_ROBIN}};
         for (uint32_t t = 0; t < CW_TIERS; t++) {
             desc.floor[t] = pool->floor[t];
         }
         *role = (role_t){.id = shard, .pool = pool->id, .engine = pool->engine, .shard = cw_shard_setup(&desc)};
         role->used_ms = now_ms;
-        uint32_t count = role_fill(role, view, pool);
-        uint32_t host_count = node_live_hosts(node, hosts);
+        uint32_t count = role_fill(node, role, view, pool);
+        uint32_t host_count = node->policy == POLICY_SHARED ? node_live_hosts(node, hosts) : 0;
         cw_shard_cautious(role->shard, now_ms + node->settings.grant_ms, host_count);
         for (uint32_t i = 0; i < host_count; i++) {
             cw_shard_ask(role->shard, now_ms, hosts[i]);
@@ -257,7 +263,7 @@
             role_drop(a, role);
             continue;
         }
-        role_fill(role, view, pool);
+        role_fill(a->node, role, view, pool);
         role->due = true;
         for (uint32_t m = 1; m < cw_members_count(a->node->members); m++) {
             const cw_member_t* member = cw_members_at(a->node->members, m);
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -37,15 +37,6 @@
     return ENTRY_NONE;
 }
 
-/* This entry's slots of an upstream in direct mode: its even part, or one of them by rank where there are fewer slots
-   than entries. All entries together never exceed the upstream's slots. */
-static uint32_t direct_slots(const node_t* node, const cw_upstream_t* u, const uint64_t* hosts, uint32_t count) {
-    if (u->slots >= count) {
-        return u->slots / count;
-    }
-    return cw_place_rank(u->id, node->host, hosts, count) < u->slots ? 1 : 0;
-}
-
 static void shard_fill_direct(entry_t* e, entry_shard_t* s, const cw_view_t* view, uint32_t shards) {
     uint64_t hosts[NODE_MAX_HOSTS];
     uint32_t host_count = node_live_hosts(e->node, hosts);
@@ -57,7 +48,7 @@
         if (u->pool_id != s->pool || cw_place_shard(s->pool, u->id, shards) != s->id) {
             continue;
         }
-        uint32_t slots = direct_slots(e->node, u, hosts, host_count);
+        uint32_t slots = node_slice(e->node, u, hosts, host_count);
         if (slots) {
             specs[count++] =
                 (cw_pick_spec_t){.id = u->id, .hall = cw_name_id(u->hall), .slots = slots, .leaving = u->leaving};
@@ -125,7 +116,7 @@
     uint64_t hosts[NODE_MAX_HOSTS];
     uint32_t count = node_live_hosts(e->node, hosts);
     for (uint32_t i = 0; i < e->shard_count; i++) {
-        uint64_t owner = cw_place_owner(e->shards[i].id, hosts, count);
+        uint64_t owner = node_shard_owner(e->node, e->shards[i].id, hosts, count);
         if (owner != e->shards[i].owner) {
             move_shard(e, i, owner);
         }
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -25,9 +25,15 @@
     return count ? count : cw_members_live(node->members, CW_MEMBERS_ALL, out, NODE_MAX_HOSTS);
 }
 
-uint64_t node_shard_owner(const node_t* node, uint64_t shard) {
-    uint64_t hosts[NODE_MAX_HOSTS];
-    return cw_place_owner(shard, hosts, node_live_hosts(node, hosts));
+uint64_t node_shard_owner(const node_t* node, uint64_t shard, const uint64_t* hosts, uint32_t count) {
+    return node->policy == POLICY_SHARED ? cw_place_owner(shard, hosts, count) : node->host;
+}
+
+uint32_t node_slice(const node_t* node, const cw_upstream_t* u, const uint64_t* hosts, uint32_t count) {
+    if (u->slots >= count) {
+        return u->slots / count;
+    }
+    return cw_place_rank(u->id, node->host, hosts, count) < u->slots ? 1 : 0;
 }
 
 /* -- messages ------------------------------------------------------------- */
@@ -186,6 +192,16 @@
     return CW_LOG_INFO;
 }
 
+static node_policy_t policy_of(const char* name) {
+    static const char* const names[] = {"shared", "solo", "lease", "round-robin"};
+    for (int i = 0; i < 4; i++) {
+        if (strcmp(name, names[i]) == 0) {
+            return (node_policy_t)i;
+        }
+    }
+    return POLICY_SHARED;
+}
+
 static void setup_members(node_t* node) {
     const cw_settings_t* s = &node->settings;
     cw_members_desc_t desc = {.seed = node->incarnation,
@@ -263,6 +279,7 @@
     node->host = cw_name_id(settings->name);
     node->hall = cw_name_id(settings->hall);
     node->started_ms = node_now();
+    node->policy = policy_of(settings->policy);
     do {
         randombytes_buf(&node->incarnation, sizeof(node->incarnation));
     } while (!node->incarnation);
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -33,6 +33,14 @@
 typedef struct allocator_t allocator_t;
 typedef struct sync_t sync_t;
 
+/* How entries share the upstreams. All but the first are baselines to compare with. */
+typedef enum node_policy_t {
+    POLICY_SHARED = 0, /* one allocator for each shard */
+    POLICY_SOLO,       /* each entry alone, with lagged load reports */
+    POLICY_LEASE,      /* each entry alone, with its even part of the slots */
+    POLICY_ROUND_ROBIN /* each entry alone, no limits */
+} node_policy_t;
+
 struct node_t {
     cw_settings_t settings;
     cw_log_t log;
@@ -40,6 +48,7 @@
     uint64_t host;        /* own id */
     uint64_t hall;        /* id of the hall's name */
     uint64_t incarnation; /* random */
+    node_policy_t policy;
     cw_httpd_t* http;
     cw_httpd_t* operator_http;
     cw_client_t* client;
@@ -66,8 +75,11 @@
 int64_t node_now(void);
 /* Ids of hosts that may take roles; returns their number. */
 uint32_t node_live_hosts(const node_t* node, uint64_t out[NODE_MAX_HOSTS]);
-/* Host that allocates the shard in this host's view. */
-uint64_t node_shard_owner(const node_t* node, uint64_t shard);
+/* Host that allocates the shard in this host's view, among the live hosts given. */
+uint64_t node_shard_owner(const node_t* node, uint64_t shard, const uint64_t* hosts, uint32_t count);
+/* This entry's even part of an upstream's slots, or one of them by rank where there are fewer slots than entries. All
+   entries together never exceed the upstream's slots. */
+uint32_t node_slice(const node_t* node, const cw_upstream_t* u, const uint64_t* hosts, uint32_t count);
 /* Sends to a host, or hands the message over directly when it is this one. */
 cw_status_t node_send(node_t* node, uint64_t host, const cw_msg_t* msg);
 
--- a/io/client.c
+++ b/io/client.c
@@ -13,6 +13,7 @@
     CURLM* multi;
     ev_timer timer;
     ev_prepare prepare;
+    cw_call_t* open;      /* all calls */
     cw_call_t* cancelled; /* to be freed outside of curl's callbacks */
     cw_call_t* resumed;   /* to be continued outside of curl's callbacks */
 };
@@ -24,6 +25,8 @@
     cw_call_desc_t desc;
     bool sent, vetoed, head_told, framed, cancelled, paused, in_resumed;
     unsigned status;
+    cw_call_t* prev_open;
+    cw_call_t* next_open;
     cw_call_t* next_cancelled;
     cw_call_t* next_resumed;
 };
@@ -42,6 +45,14 @@
             break;
         }
     }
+    if (call->prev_open) {
+        call->prev_open->next_open = call->next_open;
+    } else {
+        call->client->open = call->next_open;
+    }
+    if (call->next_open) {
+        call->next_open->prev_open = call->prev_open;
+    }
     curl_multi_remove_handle(call->client->multi, call->easy);
     curl_easy_cleanup(call->easy);
     curl_slist_free_all(call->headers);
@@ -192,6 +203,9 @@
 }
 
 void cw_client_shutdown(cw_client_t* c) {
+    for (cw_call_t* call = c->open; call; call = call->next_open) {
+        cw_call_cancel(call);
+    }
     on_prepare(c->loop, &c->prepare, 0);
     ev_prepare_stop(c->loop, &c->prepare);
     curl_multi_cleanup(c->multi);
@@ -273,6 +287,11 @@
         abort();
     }
     call->client = c;
+    call->next_open = c->open;
+    if (c->open) {
+        c->open->prev_open = call;
+    }
+    c->open = call;
     call->desc = *desc;
     call->easy = curl_easy_init();
     CURL* e = call->easy;
--- a/tests/rng.h
+++ b/tests/rng.h
@@ -12,7 +12,7 @@
     uint64_t z = rng->state;
     z = (z ^ (z >> 30)) * 0xBF58476D1CE4E5B9ULL;
     z = (z ^ (z >> 27)) * 0x94D049BB133111EBULL;
-    return (uint32_t)((z ^ (z >> 31)) % limit);
+    return (uint32_t)((z ^ (z >> 31)) % (limit ? limit : 1));
 }
 
 #endif
