--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -67,6 +67,46 @@
     return c;
 }
 
+/* Time until all hosts have a revision that one of them has read; each has it as soon as it hears of it. */
+static double measure_spread(uint32_t hosts, uint64_t seed) {
+    static fleet_t fleet;
+    fleet_setup(&fleet, hosts, seed);
+    fleet_run(&fleet, 120000);
+    int64_t start_ms = fleet.now_ms;
+    cw_members_announce(fleet.hosts[0], 7, 50);
+    uint32_t have = 0;
+    while (have < hosts && fleet.now_ms - start_ms < 60000) {
+        fleet_run(&fleet, FLEET_STEP_MS);
+        have = 0;
+        for (uint32_t i = 0; i < hosts; i++) {
+            int64_t highest = i ? 0 : 7;
+            for (uint32_t k = 1; k < cw_members_count(fleet.hosts[i]); k++) {
+                int64_t heard = cw_members_at(fleet.hosts[i], k)->revision;
+                highest = heard > highest ? heard : highest;
+            }
+            cw_members_announce(fleet.hosts[i], highest, 50);
+            have += highest == 7;
+        }
+    }
+    double seconds = (double)(fleet.now_ms - start_ms) / 1000;
+    fleet_shutdown(&fleet);
+    return seconds;
+}
+
+static void show_spread(json_t* out) {
+    static const uint32_t sizes[] = {9, 50, 150, 330};
+    printf("\nspread of a revision, worst of 5 runs\n  hosts   seconds\n");
+    for (size_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+        double worst = 0;
+        for (uint64_t seed = 1; seed <= 5; seed++) {
+            double s = measure_spread(sizes[i], seed);
+            worst = s > worst ? s : worst;
+        }
+        printf("  %5u %9.2f\n", sizes[i], worst);
+        json_array_append_new(out, json_pack("{s:i,s:f}", "hosts", (int)sizes[i], "worst_s", worst));
+    }
+}
+
 /* -- messages of one request ---------------------------------------------- */
 
 typedef struct message_cost_t {
@@ -451,6 +491,11 @@
     json_t* config = json_array();
     json_t* names = json_array();
     json_t* processes = json_array();
+    json_t* spread = json_array();
+    show_spread(spread);
+    if (argc > 2 && strcmp(argv[2], "spread") == 0) {
+        return bench_write(build, "spread", json_pack("{s:o}", "spread", spread));
+    }
     slopes_t k = {.member = show_member(member)};
     k.messages = measure_messages();
     k.allocator = show_allocator(allocator);
@@ -465,8 +510,8 @@
                                  "queued", k.messages.queued, "done", k.messages.done, "digest", k.messages.digest,
                                  "codec_us", k.messages.codec_us);
     return bench_write(build, "capacity",
-                       json_pack("{s:s,s:o,s:o,s:o,s:o,s:o,s:o,s:o,s:o,s:o}", "scenario", "capacity", "member", member,
-                                 "messages", messages, "allocator", allocator, "config", config, "runonce", names,
-                                 "processes", processes, "shards_of_21", large, "shards_of_8", small, "shards_of_4",
-                                 smallest));
+                       json_pack("{s:s,s:o,s:o,s:o,s:o,s:o,s:o,s:o,s:o,s:o,s:o}", "scenario", "capacity", "member",
+                                 member, "spread", spread, "messages", messages, "allocator", allocator, "config",
+                                 config, "runonce", names, "processes", processes, "shards_of_21", large, "shards_of_8",
+                                 small, "shards_of_4", smallest));
 }
--- a/chalkway_member.h
+++ b/chalkway_member.h
@@ -291,6 +291,7 @@
 }
 
 void cw_members_announce(cw_members_t* m, int64_t revision, uint32_t room) {
+    m->forward_due = m->forward_due || revision > m->revision; /* a new revision is told at once, like news */
     m->revision = revision;
     m->room = room;
 }
