Waiting leaves the time that most of the work needs; baselines with real limits

Ruled out: retries (no second runs) and broken streams (none). Change: entries learn run times, cut ones too; a want waits only so long that cutting at its deadline would lose at most 1 % of the work, or a tenth of its time. The estimate of the queue uses the mean. A refusal for lack of time carries no time to come back.

--- a/bench/bench_scenario.c
+++ b/bench/bench_scenario.c
@@ -90,17 +90,19 @@
     char slots[16];
     char step[16];
     char ms[16];
+    char service_slots[16];
     char lag[16];
     snprintf(slots, sizeof(slots), "%d", sc->engine_slots);
     snprintf(step, sizeof(step), "%g", sc->step_ms);
     snprintf(ms, sizeof(ms), "%d", sc->service_ms);
+    snprintf(service_slots, sizeof(service_slots), "%d", sc->service_slots);
     snprintf(lag, sizeof(lag), "%u", sc->lag_ms);
     snprintf(extra, sizeof(extra), "[allocator]\npolicy = %s\n[entry]\nlookup_keep = 2s\n", policy);
     site_setup(s, build);
     s->daemon_extra = extra;
     const char* const none[] = {NULL};
     const char* const engine[] = {"--slots", slots, "--step", step, "--lag", lag, NULL};
-    const char* const service[] = {"--ms", ms, NULL};
+    const char* const service[] = {"--ms", ms, "--slots", service_slots, NULL};
     if (!site_start(s, SITE_PLATFORM, "platform", "h0", none)) {
         return false;
     }
--- a/chalkway_hist.h
+++ b/chalkway_hist.h
@@ -48,6 +48,12 @@
 /* Quantile q of what was seen, or initial while too little was. */
 uint32_t cw_estimate_get(const cw_estimate_t* est, double q, uint32_t initial);
 
+/* Mean of what was seen, or initial while too little was. */
+uint32_t cw_estimate_mean(const cw_estimate_t* est, uint32_t initial);
+/* Smallest value t above the mean such that cutting everything at t would lose at most the share (0..1) of all work:
+   what is cut has been worked on for t in vain. initial while too little was seen. */
+uint32_t cw_estimate_need(const cw_estimate_t* est, double share, uint32_t initial);
+
 #endif /* CHALKWAY_HIST_H */
 
 /*-- IMPLEMENTATION -----------------------------------------------------------*/
@@ -117,5 +123,27 @@
     return est->hist.count < CW_ESTIMATE_FEW ? initial : cw_hist_quantile(&est->hist, q);
 }
 
+uint32_t cw_estimate_mean(const cw_estimate_t* est, uint32_t initial) {
+    return est->hist.count < CW_ESTIMATE_FEW ? initial : (uint32_t)(est->hist.sum / est->hist.count);
+}
+
+uint32_t cw_estimate_need(const cw_estimate_t* est, double share, uint32_t initial) {
+    if (est->hist.count < CW_ESTIMATE_FEW) {
+        return initial;
+    }
+    uint32_t mean = cw_estimate_mean(est, initial);
+    uint64_t above = 0; /* samples over the bound of bucket i */
+    uint32_t need = cw_hist_bound(CW_HIST_BUCKETS - 1);
+    for (uint32_t i = CW_HIST_BUCKETS; i-- > 0;) {
+        uint32_t bound = cw_hist_bound(i);
+        if (bound < mean || (double)above * bound > share * (double)est->hist.sum) {
+            break;
+        }
+        need = bound;
+        above += est->hist.buckets[i];
+    }
+    return need;
+}
+
 #endif /* CHALKWAY_HIST_IMPL_INCLUDED */
 #endif /* CHALKWAY_IMPL */
--- a/chalkway_shard.h
+++ b/chalkway_shard.h
@@ -61,7 +61,8 @@
     uint32_t weight;    /* of the workspace, 0 counts as 1 */
     uint64_t workspace; /* id */
     uint32_t cost;      /* estimated, in cost units (tokens) */
-    uint32_t est_ms;    /* estimated run time */
+    uint32_t est_ms;    /* estimated run time, mean */
+    uint32_t need_ms;   /* run time that most requests of its kind need, 0: est_ms */
     uint32_t queue_ms;  /* longest wait that the class allows */
     uint32_t left_ms;   /* until the whole answer is due */
     uint64_t prefix;    /* hash of the prompt's start, 0: none */
@@ -96,7 +97,7 @@
     uint32_t held_ms;        /* grant: time the want spent here */
     uint32_t ttl_ms;         /* grant: to be used within held_ms + ttl_ms of sending the want */
     cw_refusal_t refusal;    /* refuse */
-    uint32_t retry_after_ms; /* refuse */
+    uint32_t retry_after_ms; /* refuse; 0: not with this deadline */
 } cw_shard_action_t;
 
 /* A grant's end. */
@@ -454,6 +455,16 @@
     return false;
 }
 
+/* Longest wait after which the want will most likely still end in time. An engine's work on an answer that is cut at
+   its deadline is lost, so where most of its kind would not fit, it waits for a tenth of the time at most. */
+static uint32_t _cw_shard_longest_wait(const cw_want_t* want) {
+    uint32_t need_ms = want->need_ms ? want->need_ms : want->est_ms;
+    uint32_t slack = want->left_ms > need_ms ? want->left_ms - need_ms : 0;
+    uint32_t least = want->left_ms / 10;
+    slack = slack < least ? least : slack;
+    return slack < want->queue_ms ? slack : want->queue_ms;
+}
+
 /* Whether the want should be refused on arrival. */
 static cw_refusal_t _cw_shard_judge(const cw_shard_t* s, int64_t now_ms, const cw_want_t* want) {
     if (want->est_ms > want->left_ms) {
@@ -464,7 +475,7 @@
     }
     bool keep = (want->flags & CW_WANT_PROTECTED) && _cw_shard_lower_waits(s, want->tier);
     uint32_t wait_ms = _cw_shard_wait_ms(s, now_ms, want->tier);
-    if (!keep && (wait_ms > want->queue_ms || wait_ms + want->est_ms > want->left_ms)) {
+    if (!keep && wait_ms > _cw_shard_longest_wait(want)) {
         return CW_REFUSED_BUSY;
     }
     return CW_REFUSED_NONE;
@@ -499,8 +510,7 @@
         _cw_shard_refuse(s, i, refusal);
         return CW_OK;
     }
-    uint32_t slack = want->left_ms - want->est_ms;
-    cw_heap_set(&s->expiry, i, (double)(now_ms + (slack < want->queue_ms ? slack : want->queue_ms)));
+    cw_heap_set(&s->expiry, i, (double)(now_ms + _cw_shard_longest_wait(want)));
     s->ahead[want->tier] += want->est_ms;
     s->protected_waiting += (want->flags & CW_WANT_PROTECTED) ? 1 : 0;
     cw_map_put(&s->by_want, key, i);
@@ -861,6 +871,9 @@
                                   .seq = w->seq,
                                   .refusal = s->items[i].refusal,
                                   .retry_after_ms = wait_ms > s->desc.ttl_ms ? wait_ms : s->desc.ttl_ms};
+    if (action->refusal == CW_REFUSED_LATE) {
+        action->retry_after_ms = 0; /* later is worse */
+    }
     _cw_shard_item_free(s, i);
     return true;
 }
--- a/chalkway_wire.h
+++ b/chalkway_wire.h
@@ -236,6 +236,7 @@
     _cw_io_u64(io, &w->prefix);
     _cw_io_u64(io, &w->exclude);
     _cw_io_u64(io, &w->hall);
+    _cw_io_u32(io, &w->need_ms);
     io->bad = io->bad || (io->mode == _CW_IO_UNPACK && (!w->seq || w->tier >= CW_TIERS));
 }
 
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -13,6 +13,7 @@
 #define DIGEST_SOON_MS 500       /* after the link to the allocator broke */
 #define WAIT_OLD_MS 5000         /* a shard's load told longer ago counts for nothing */
 #define AFFINITY_MS 200          /* longer wait that prefix affinity may cost */
+#define WASTE_SHARE 0.01         /* of engine work that may be lost at deadlines */
 #define DETACHED_MAX_MS 60000    /* a call whose caller was told may run on for this long */
 #define STREAM_HIGH_WATER 262144 /* bytes held for a slow caller before the upstream is paused */
 
@@ -247,7 +248,8 @@
                        .weight = r->workspace->weight,
                        .workspace = r->workspace->id,
                        .cost = r->cost,
-                       .est_ms = cw_estimate_get(&r->estimate->ms, 0.5, c->est_ms),
+                       .est_ms = cw_estimate_mean(&r->estimate->ms, c->est_ms),
+                       .need_ms = cw_estimate_need(&r->estimate->ms, WASTE_SHARE, c->est_ms),
                        .queue_ms = c->queue_ms,
                        .left_ms = left_ms(r, now_ms),
                        .prefix = r->prefix,
@@ -468,6 +470,13 @@
     request_event(r, CW_EV_END);
 }
 
+/* A run that is cut tells that its kind can take at least as long. */
+static void learn_cut(request_t* r) {
+    if (r->sent_ms && r->grant) {
+        cw_estimate_add(&r->estimate->ms, (uint32_t)(node_now() - r->sent_ms));
+    }
+}
+
 static void transfer_failed(request_t* r, const cw_call_result_t* result) {
     const cw_upstream_t* u = cw_view_upstream(r->view, r->upstream);
     const char* step = !result->sent ? "connect" : result->status ? "answer" : "wait";
@@ -638,6 +647,7 @@
     } else if (now_ms >= r->deadline_ms) {
         request_error(r, HTTP_TIMEOUT, "deadline", cw_request_state_name(r->machine.state), NULL,
                       "the deadline has passed", 0);
+        learn_cut(r);
         request_event(r, CW_EV_DEADLINE);
     } else if (r->machine.state == CW_REQ_WAITING) {
         if (r->asked_ms) {
@@ -691,7 +701,9 @@
 static void on_refuse(request_t* r, const cw_shard_action_t* a) {
     char message[CW_MESSAGE_MAX];
     snprintf(message, sizeof(message), "refused by the shard: %s", cw_refusal_name(a->refusal));
-    unsigned status = a->refusal == CW_REFUSED_NO_UPSTREAM ? HTTP_UNAVAILABLE : HTTP_TOO_MANY;
+    unsigned status = a->refusal == CW_REFUSED_NO_UPSTREAM ? HTTP_UNAVAILABLE
+                      : a->refusal == CW_REFUSED_LATE      ? HTTP_TIMEOUT
+                                                           : HTTP_TOO_MANY;
     if (!r->machine.bytes_left) {
         request_error(r, status, cw_refusal_name(a->refusal), "queue", NULL, message, a->retry_after_ms);
     }
--- a/standins/fake_engine.c
+++ b/standins/fake_engine.c
@@ -55,6 +55,7 @@
     uint32_t lag_ms;
     uint32_t samples[LAG_SAMPLES]; /* running, one each LAG_STEP_MS */
     uint32_t sample_at;
+    double step_due_s; /* loop time at which the present step ends */
     ev_timer step, sample;
 } engine_t;
 
@@ -109,7 +110,12 @@
     }
     e->most = e->running > e->most ? e->running : e->most;
     if (e->running && !ev_is_active(&e->step)) {
-        ev_timer_set(&e->step, step_s(e), 0.0);
+        /* Steps follow each other without the lateness of the timer adding up. */
+        double now_s = ev_now(e->standin.loop);
+        double begin_s = now_s - e->step_due_s < 0.01 ? e->step_due_s : now_s;
+        e->step_due_s = begin_s + step_s(e);
+        double wait_s = e->step_due_s - now_s;
+        ev_timer_set(&e->step, wait_s > 0.0001 ? wait_s : 0.0001, 0.0);
         ev_timer_start(e->standin.loop, &e->step);
     }
 }
--- a/standins/fake_service.c
+++ b/standins/fake_service.c
@@ -1,8 +1,8 @@
 /*
     fake-service: stand-in of a plain application service.
 
-    Any other path: after --ms the body is answered as {"ran": N, "echo": BODY}, N the number of times this call ran;
-    a call is known by the member "call" of its JSON body.
+    Any other path: --slots calls run at once, the others wait in order. After --ms the body is answered as {"ran": N,
+   "echo": BODY}, N the number of times this call ran; a call is known by the member "call" of its JSON body.
 
     GET  /admin/stats        runs, calls that ran more than once, most at once
     POST /admin/set?ms=N&reset_after=N&drain=0|1
@@ -25,11 +25,14 @@
     ev_timer timer;
     uint32_t run;
     bool cut;
+    struct job_t* next; /* waits behind this one */
 } job_t;
 
 typedef struct service_t {
     standin_t standin;
     double ms;
+    uint32_t slots;
+    job_t *first, *last; /* waiting */
     uint32_t running, most, cut;
     uint64_t runs, repeated, left;
     bool draining;
@@ -48,6 +51,30 @@
     return runs;
 }
 
+static void on_job(struct ev_loop* loop, ev_timer* w, int events);
+
+/* Starts waiting calls while there are slots. A call whose caller left before it ran is dropped. */
+static void run_next(service_t* s) {
+    while (s->first && s->running < s->slots) {
+        job_t* job = s->first;
+        s->first = job->next;
+        if (!job->x) {
+            free(job);
+            continue;
+        }
+        json_t* root = json_loads(cw_exchange_body(job->x, NULL), 0, NULL);
+        const char* call = json_string_value(json_object_get(root, "call"));
+        job->run = call ? count_run(s, call) : 0;
+        s->runs += call ? 0 : 1;
+        json_decref(root);
+        s->running++;
+        s->most = s->running > s->most ? s->running : s->most;
+        ev_timer_init(&job->timer, on_job, s->ms / 1000.0, 0.0);
+        job->timer.data = job;
+        ev_timer_start(s->standin.loop, &job->timer);
+    }
+}
+
 static void finish(service_t* s, job_t* job) {
     cw_exchange_t* x = job->x;
     s->running--;
@@ -64,6 +91,7 @@
         json_decref(root);
     }
     free(job);
+    run_next(s);
 }
 
 static void on_job(struct ev_loop* loop, ev_timer* w, int events) {
@@ -72,21 +100,18 @@
 }
 
 static void start(service_t* s, cw_exchange_t* x) {
-    json_t* root = json_loads(cw_exchange_body(x, NULL), 0, NULL);
-    const char* call = json_string_value(json_object_get(root, "call"));
     job_t* job = cw_alloc(NULL, 1, sizeof(*job));
     job->x = x;
-    job->run = call ? count_run(s, call) : 0;
-    s->runs += call ? 0 : 1;
-    json_decref(root);
     job->cut = s->cut > 0;
     s->cut -= s->cut ? 1 : 0;
-    s->running++;
-    s->most = s->running > s->most ? s->running : s->most;
     cw_exchange_set_data(x, job);
-    ev_timer_init(&job->timer, on_job, s->ms / 1000.0, 0.0);
-    job->timer.data = job;
-    ev_timer_start(s->standin.loop, &job->timer);
+    if (s->first) {
+        s->last->next = job;
+    } else {
+        s->first = job;
+    }
+    s->last = job;
+    run_next(s);
 }
 
 static void on_request(cw_exchange_t* x, void* user) {
@@ -123,6 +148,7 @@
 typedef struct args_t {
     const char* address;
     double ms;
+    uint32_t slots;
 } args_t;
 
 static error_t parse_option(int key, char* arg, struct argp_state* state) {
@@ -134,6 +160,9 @@
         case 'm':
             args->ms = strtod(arg, NULL);
             return 0;
+        case 's':
+            args->slots = (uint32_t)strtoul(arg, NULL, 10);
+            return 0;
         default:
             return ARGP_ERR_UNKNOWN;
     }
@@ -143,13 +172,15 @@
     static const struct argp_option options[] = {
         {"address", 'a', "IP:PORT", 0, "to listen on, default 127.0.0.1:0", 0},
         {"ms", 'm', "MS", 0, "time of one call, default 10", 0},
+        {"slots", 's', "N", 0, "calls at once, default 64", 0},
         {0},
     };
     const struct argp argp = {.options = options, .parser = parse_option, .doc = "Stand-in of a plain service."};
-    args_t args = {.address = "127.0.0.1:0", .ms = 10};
+    args_t args = {.address = "127.0.0.1:0", .ms = 10, .slots = 64};
     argp_parse(&argp, argc, argv, 0, NULL, &args);
     static service_t service;
     service.ms = args.ms;
+    service.slots = args.slots;
     service.calls = cw_map_setup(MAX_CALLS, NULL);
     if (!standin_setup(&service.standin, &(cw_httpd_desc_t){.address = args.address,
                                                             .on_request = on_request,
--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -139,6 +139,18 @@
 }
 END_TEST
 
+/* 90 short runs and 10 long ones of ten times the length: cutting the long ones loses half of all work. */
+START_TEST(need_covers_the_long_runs_that_cost_most) {
+    cw_estimate_t est = {0};
+    for (int i = 0; i < 100; i++) {
+        cw_estimate_add(&est, i % 10 ? 100 : 1000);
+    }
+    ck_assert_uint_ge(cw_estimate_need(&est, 0.01, 0), 1000);
+    ck_assert_uint_le(cw_estimate_need(&est, 0.9, 0), 250);
+    ck_assert_uint_eq(cw_estimate_need(&(cw_estimate_t){0}, 0.01, 77), 77);
+}
+END_TEST
+
 START_TEST(bucket_limits_the_rate) {
     cw_bucket_t bucket = {.rate = 10, .burst = 2};
     int taken = 0;
@@ -271,6 +283,7 @@
     tcase_add_test(t, fair_reclaims_idle_workspaces);
     tcase_add_test(t, histogram_knows_a_quarter);
     tcase_add_test(t, estimate_follows_a_change);
+    tcase_add_test(t, need_covers_the_long_runs_that_cost_most);
     tcase_add_test(t, bucket_limits_the_rate);
     tcase_add_test(t, retries_keep_to_their_share);
     tcase_add_test(t, places_move_little);
--- a/tests/test_shard.c
+++ b/tests/test_shard.c
@@ -188,7 +188,9 @@
     w.est_ms = 500;
     w.left_ms = 400;
     must_want(s, 0, w);
-    ck_assert_int_eq(take_all(s, 0).refusal.refusal, CW_REFUSED_LATE);
+    seen_t seen = take_all(s, 0);
+    ck_assert_int_eq(seen.refusal.refusal, CW_REFUSED_LATE);
+    ck_assert_uint_eq(seen.refusal.retry_after_ms, 0); /* to come back later would be worse */
     cw_shard_shutdown(s);
 }
 END_TEST
--- a/tools/load.c
+++ b/tools/load.c
@@ -351,7 +351,8 @@
             j->result->wrong++;
         }
     } else if (said_not_run || !result->sent) {
-        if (retry_job(j, said_not_run ? j->retry_after_ms : 0)) {
+        bool told_when = !result->sent || j->retry_after_ms;
+        if (told_when && retry_job(j, said_not_run ? j->retry_after_ms : 0)) {
             return;
         }
         j->result->refused++;
