Hard limits of a workspace, over all entries

Cause: rate and concurrency of a workspace were read and not enforced. Change: the allocator, which sees the wants of all entries, enforces them: a workspace that runs as much as it may is passed over in every tier, its wants keep their places and the others go on; one that asks too often is refused with the time to come back. Each shard of a pool enforces its even part. Peer messages with an id of zero are refused at the border: one of them reached an assertion in a test of take-over (a list with no workspace), so a peer could have ended a daemon. Before: nine requests of a workspace limited to two would run nine at once; after: the service counts two at once and nine runs, through three real hosts.

--- a/chalkway_fair.h
+++ b/chalkway_fair.h
@@ -51,6 +51,8 @@
 void cw_fair_remove(cw_fair_t* q, uint32_t item);
 /* Newest item of the waiting workspace with the highest counter: the one to evict first. */
 uint32_t cw_fair_last(const cw_fair_t* q);
+/* Passes over a workspace's items while held is true; they keep their places. */
+void cw_fair_hold(cw_fair_t* q, uint64_t workspace, bool held);
 /* Adds cost / weight to the workspace's counter; cost may be negative (a correction). */
 void cw_fair_charge(cw_fair_t* q, uint64_t workspace, uint32_t weight, double cost);
 uint32_t cw_fair_count(const cw_fair_t* q);
@@ -70,6 +72,7 @@
     uint64_t workspace; /* 0: free */
     double counter;
     uint32_t head, tail; /* FIFO of items */
+    bool held;           /* not to be served now */
 } _cw_fair_node_t;
 
 typedef struct _cw_fair_link_t {
@@ -82,8 +85,8 @@
     _cw_fair_node_t* nodes;
     uint32_t* free_nodes;
     uint32_t free_count;
-    cw_heap_t lowest;  /* waiting nodes, lowest counter first */
-    cw_heap_t highest; /* the same nodes, highest counter first */
+    cw_heap_t highest; /* waiting nodes, highest counter first */
+    cw_heap_t lowest;  /* those of them that are not held, lowest counter first */
     _cw_fair_link_t* links;
     uint32_t count;
     double floor; /* counter of the workspace served last */
@@ -128,8 +131,12 @@
 
 /* Puts a waiting workspace into both heaps by its present counter. */
 static void _cw_fair_place(cw_fair_t* q, uint32_t node) {
-    cw_heap_set(&q->lowest, node, q->nodes[node].counter);
     cw_heap_set(&q->highest, node, -q->nodes[node].counter);
+    if (q->nodes[node].held) {
+        cw_heap_remove(&q->lowest, node);
+    } else {
+        cw_heap_set(&q->lowest, node, q->nodes[node].counter);
+    }
 }
 
 /* Frees idle counters that carry no debt; if there are none, the idle one with the least debt. */
@@ -137,7 +144,7 @@
     uint32_t best = CW_FAIR_NONE;
     for (uint32_t i = 0; i < q->desc.max_workspaces; i++) {
         _cw_fair_node_t* n = &q->nodes[i];
-        if (!n->workspace || cw_heap_has(&q->lowest, i)) {
+        if (!n->workspace || cw_heap_has(&q->highest, i)) {
             continue;
         }
         if (n->counter <= q->floor) {
@@ -193,7 +200,7 @@
     }
     n->tail = item;
     q->count++;
-    if (!cw_heap_has(&q->lowest, i)) {
+    if (!cw_heap_has(&q->highest, i)) {
         double lowest = _cw_fair_lowest(q);
         n->counter = n->counter < lowest ? lowest : n->counter;
         _cw_fair_place(q, i);
@@ -248,7 +255,18 @@
         return;
     }
     q->nodes[i].counter += cost / (weight ? weight : 1);
-    if (cw_heap_has(&q->lowest, i)) {
+    if (cw_heap_has(&q->highest, i)) {
+        _cw_fair_place(q, i);
+    }
+}
+
+void cw_fair_hold(cw_fair_t* q, uint64_t workspace, bool held) {
+    uint32_t i = cw_map_get(&q->map, workspace);
+    if (i == CW_MAP_NONE) {
+        return;
+    }
+    q->nodes[i].held = held;
+    if (cw_heap_has(&q->highest, i)) {
         _cw_fair_place(q, i);
     }
 }
@@ -258,7 +276,7 @@
 }
 
 uint32_t cw_fair_waiting_workspaces(const cw_fair_t* q) {
-    return q->lowest.count;
+    return q->highest.count;
 }
 
 #endif /* CHALKWAY_FAIR_IMPL_INCLUDED */
--- a/chalkway_shard.h
+++ b/chalkway_shard.h
@@ -43,6 +43,7 @@
         MIT, see LICENSE.
 */
 #include "chalkway_fair.h"
+#include "chalkway_limit.h"
 #include "chalkway_pick.h"
 
 #define CW_TIERS 4
@@ -68,6 +69,9 @@
     uint64_t prefix;    /* hash of the prompt's start, 0: none */
     uint64_t exclude;   /* upstream to avoid, 0: none */
     uint64_t hall;      /* of the entry */
+    /* Hard limits of the workspace at this shard, set by the allocator's host from its configuration. */
+    uint32_t max_running; /* 0: none */
+    double max_rate;      /* wants a second, 0: none */
 } cw_want_t;
 
 typedef enum cw_refusal_t {
@@ -77,6 +81,7 @@
     CW_REFUSED_EVICTED, /* a higher tier needed the place in the queue */
     CW_REFUSED_FULL,    /* no place in the queue */
     CW_REFUSED_NO_UPSTREAM,
+    CW_REFUSED_RATE, /* the workspace asks more often than it may */
     CW_REFUSED_COUNT
 } cw_refusal_t;
 
@@ -200,6 +205,7 @@
 typedef struct _cw_shard_item_t {
     cw_want_t want;
     int64_t arrived_ms;
+    uint32_t retry_ms;    /* refused for its rate: time to come back */
     cw_refusal_t refusal; /* set: waits to be told */
     uint32_t next;        /* refusals to tell, or free list */
 } _cw_shard_item_t;
@@ -227,6 +233,13 @@
     bool listed;     /* told its list to this allocator */
 } _cw_shard_entry_t;
 
+/* Use of a workspace that has hard limits, over all entries and tiers. */
+typedef struct _cw_shard_limit_t {
+    uint64_t workspace; /* 0: free */
+    uint32_t running, max_running;
+    cw_bucket_t bucket;
+} _cw_shard_limit_t;
+
 struct cw_shard_t {
     cw_shard_desc_t desc;
     cw_pick_t* pick;
@@ -246,6 +259,9 @@
     _cw_shard_entry_t* entries;
     uint32_t entry_count;
     cw_map_t by_entry;
+    _cw_shard_limit_t* limits;
+    cw_map_t by_limit;   /* workspace -> limit */
+    uint32_t limit_next; /* where to look for a free place */
     bool resync_due;
     int64_t sweep_ms; /* next look for silent entries */
     int64_t cautious_until;
@@ -279,7 +295,8 @@
 }
 
 const char* cw_refusal_name(cw_refusal_t refusal) {
-    static const char* const names[CW_REFUSED_COUNT] = {"none", "too-late", "busy", "evicted", "full", "no-upstream"};
+    static const char* const names[CW_REFUSED_COUNT] = {"none", "too-late",    "busy", "evicted",
+                                                        "full", "no-upstream", "rate"};
     return ((unsigned)refusal < CW_REFUSED_COUNT) ? names[refusal] : "?";
 }
 
@@ -296,6 +313,8 @@
     s->items = cw_alloc(&d.allocator, d.max_waiting, sizeof(*s->items));
     s->grants = cw_alloc(&d.allocator, d.max_grants, sizeof(*s->grants));
     s->entries = cw_alloc(&d.allocator, d.max_entries, sizeof(*s->entries));
+    s->limits = cw_alloc(&d.allocator, d.max_workspaces, sizeof(*s->limits));
+    s->by_limit = cw_map_setup(d.max_workspaces, &d.allocator);
     s->by_want = cw_map_setup(d.max_waiting + d.max_grants, &d.allocator);
     s->by_grant = cw_map_setup(d.max_grants, &d.allocator);
     s->by_entry = cw_map_setup(d.max_entries, &d.allocator);
@@ -321,6 +340,8 @@
     cw_map_shutdown(&s->by_want);
     cw_map_shutdown(&s->by_grant);
     cw_map_shutdown(&s->by_entry);
+    cw_map_shutdown(&s->by_limit);
+    cw_free(&a, s->limits);
     cw_free(&a, s->items);
     cw_free(&a, s->grants);
     cw_free(&a, s->entries);
@@ -382,6 +403,70 @@
     }
 }
 
+/* -- limits of workspaces ------------------------------------------------- */
+
+/* Finds or makes the record; NULL when every place is in use. */
+static _cw_shard_limit_t* _cw_shard_limit(cw_shard_t* s, uint64_t workspace) {
+    uint32_t i = cw_map_get(&s->by_limit, workspace);
+    if (i != CW_MAP_NONE) {
+        return &s->limits[i];
+    }
+    for (uint32_t k = 0; k < s->desc.max_workspaces; k++) {
+        i = s->limit_next++ % s->desc.max_workspaces;
+        if (s->limits[i].running) {
+            continue;
+        }
+        cw_map_remove(&s->by_limit, s->limits[i].workspace);
+        s->limits[i] = (_cw_shard_limit_t){.workspace = workspace};
+        cw_map_put(&s->by_limit, workspace, i);
+        return &s->limits[i];
+    }
+    return NULL;
+}
+
+/* Passes over the workspace in every tier while it runs as much as it may. */
+static void _cw_shard_limit_hold(cw_shard_t* s, const _cw_shard_limit_t* l) {
+    bool held = l->max_running && l->running >= l->max_running;
+    for (uint32_t t = 0; t < CW_TIERS; t++) {
+        cw_fair_hold(s->tiers[t], l->workspace, held);
+    }
+}
+
+/* Counts a want against the workspace's rate; returns the time to wait when it is too often, else 0. */
+static uint32_t _cw_shard_limit_rate(cw_shard_t* s, int64_t now_ms, const cw_want_t* want) {
+    _cw_shard_limit_t* l = want->max_rate > 0 ? _cw_shard_limit(s, want->workspace) : NULL;
+    if (!l) {
+        return 0;
+    }
+    l->bucket.rate = want->max_rate;
+    return cw_bucket_take(&l->bucket, now_ms, 1) ? 0 : cw_bucket_wait_ms(&l->bucket, now_ms, 1);
+}
+
+/* After a want was queued: its workspace may already run as much as it may. */
+static void _cw_shard_limit_queued(cw_shard_t* s, const cw_want_t* want) {
+    _cw_shard_limit_t* l = want->max_running ? _cw_shard_limit(s, want->workspace) : NULL;
+    if (l) {
+        l->max_running = want->max_running;
+        _cw_shard_limit_hold(s, l);
+    }
+}
+
+static void _cw_shard_limit_begin(cw_shard_t* s, uint64_t workspace) {
+    uint32_t i = cw_map_get(&s->by_limit, workspace);
+    if (i != CW_MAP_NONE) {
+        s->limits[i].running++;
+        _cw_shard_limit_hold(s, &s->limits[i]);
+    }
+}
+
+static void _cw_shard_limit_end(cw_shard_t* s, uint64_t workspace) {
+    uint32_t i = cw_map_get(&s->by_limit, workspace);
+    if (i != CW_MAP_NONE && s->limits[i].running) {
+        s->limits[i].running--;
+        _cw_shard_limit_hold(s, &s->limits[i]);
+    }
+}
+
 /* -- waiting items -------------------------------------------------------- */
 
 static void _cw_shard_item_free(cw_shard_t* s, uint32_t i) {
@@ -493,16 +578,17 @@
         return CW_OK;
     }
     s->stats.wants++;
-    cw_refusal_t refusal = _cw_shard_judge(s, now_ms, want);
     if (s->free_item == _CW_SHARD_NONE) {
         return CW_ERR_FULL;
     }
+    uint32_t retry_ms = _cw_shard_limit_rate(s, now_ms, want);
+    cw_refusal_t refusal = retry_ms ? CW_REFUSED_RATE : _cw_shard_judge(s, now_ms, want);
     if (s->items[s->free_item].next == _CW_SHARD_NONE && !refusal && !_cw_shard_evict_below(s, want->tier)) {
         refusal = CW_REFUSED_FULL; /* the last item only tells refusals */
     }
     uint32_t i = s->free_item;
     s->free_item = s->items[i].next;
-    s->items[i] = (_cw_shard_item_t){.want = *want, .arrived_ms = now_ms};
+    s->items[i] = (_cw_shard_item_t){.want = *want, .arrived_ms = now_ms, .retry_ms = retry_ms};
     if (!refusal && cw_fair_push(s->tiers[want->tier], want->workspace, i) != CW_OK) {
         refusal = CW_REFUSED_FULL;
     }
@@ -514,6 +600,7 @@
     s->ahead[want->tier] += want->est_ms;
     s->protected_waiting += (want->flags & CW_WANT_PROTECTED) ? 1 : 0;
     cw_map_put(&s->by_want, key, i);
+    _cw_shard_limit_queued(s, want);
     return CW_OK;
 }
 
@@ -592,6 +679,7 @@
     }
     cw_fair_charge(s->tiers[grant->tier], grant->workspace, grant->weight, (double)cost - grant->cost);
     s->stats.served_cost[grant->tier] += (double)cost - grant->cost;
+    _cw_shard_limit_end(s, grant->workspace);
     _cw_shard_grant_free(s, g);
 }
 
@@ -625,7 +713,7 @@
 /* Books a served cost: every waiting tier's floor earns its share, the served tier pays. */
 static void _cw_shard_account(cw_shard_t* s, uint32_t tier, uint32_t cost) {
     for (uint32_t t = 1; t < CW_TIERS; t++) {
-        if (t == tier || cw_fair_count(s->tiers[t])) {
+        if (t == tier || cw_fair_peek(s->tiers[t]) != CW_FAIR_NONE) {
             s->credit[t] += s->desc.floor[t] * cost;
         }
     }
@@ -683,6 +771,7 @@
     grant->held_ms = (uint32_t)(now_ms - s->items[i].arrived_ms);
     _cw_shard_grant_index(s, g);
     cw_pick_begin(s->pick, up);
+    _cw_shard_limit_begin(s, w.workspace);
     cw_fair_charge(s->tiers[tier], w.workspace, w.weight, w.cost);
     _cw_shard_account(s, tier, w.cost);
     _cw_shard_item_free(s, i);
@@ -777,6 +866,9 @@
     if (up != CW_PICK_NONE) {
         cw_pick_begin(s->pick, up);
     }
+    if (_cw_shard_limit(s, held->workspace)) { /* its limits are known with its next want */
+        _cw_shard_limit_begin(s, held->workspace);
+    }
     s->stats.adopted++;
 }
 
@@ -871,6 +963,9 @@
                                   .seq = w->seq,
                                   .refusal = s->items[i].refusal,
                                   .retry_after_ms = wait_ms > s->desc.ttl_ms ? wait_ms : s->desc.ttl_ms};
+    if (action->refusal == CW_REFUSED_RATE) {
+        action->retry_after_ms = s->items[i].retry_ms;
+    }
     if (action->refusal == CW_REFUSED_LATE) {
         action->retry_after_ms = 0; /* later is worse */
     }
--- a/chalkway_wire.h
+++ b/chalkway_wire.h
@@ -221,6 +221,7 @@
     _cw_io_u32(io, &h->version);
     _cw_io_u64(io, &h->host);
     _cw_io_text(io, h->cluster, sizeof(h->cluster));
+    io->bad = io->bad || (io->mode == _CW_IO_UNPACK && !h->host);
 }
 
 static void _cw_fields_want(_cw_io_t* io, cw_want_t* w) {
@@ -237,7 +238,7 @@
     _cw_io_u64(io, &w->exclude);
     _cw_io_u64(io, &w->hall);
     _cw_io_u32(io, &w->need_ms);
-    io->bad = io->bad || (io->mode == _CW_IO_UNPACK && (!w->seq || w->tier >= CW_TIERS));
+    io->bad = io->bad || (io->mode == _CW_IO_UNPACK && (!w->seq || !w->workspace || w->tier >= CW_TIERS));
 }
 
 static void _cw_fields_action(_cw_io_t* io, cw_shard_action_t* a) {
@@ -272,6 +273,7 @@
     _cw_io_u32(io, &h->cost);
     _cw_io_u8(io, &h->tier);
     _cw_io_u8(io, &h->flags);
+    io->bad = io->bad || (io->mode == _CW_IO_UNPACK && (!h->grant || !h->workspace));
 }
 
 static void _cw_fields_member(_cw_io_t* io, cw_member_info_t* i) {
--- a/daemon/allocator.c
+++ b/daemon/allocator.c
@@ -19,7 +19,7 @@
     int64_t used_ms;
     int64_t report_ms; /* next reading of load reports */
     bool due;          /* has something to send */
-    bool engine;
+    uint32_t shards;   /* of the pool */
 } role_t;
 
 /* A want that came in this turn of the loop. It is answered at the turn's end: never from within its arrival. */
@@ -59,7 +59,7 @@
 }
 
 /* Sets the shard's upstreams from the configuration. */
-static uint32_t role_fill(const node_t* node, const role_t* role, const cw_view_t* view, const cw_pool_t* pool) {
+static uint32_t role_fill(const node_t* node, role_t* role, const cw_view_t* view, const cw_pool_t* pool) {
     uint64_t hosts[NODE_MAX_HOSTS];
     uint32_t host_count = node_live_hosts(node, hosts);
     cw_pick_spec_t specs[CW_PICK_MAX];
@@ -69,6 +69,7 @@
         total += view->upstreams[i].pool_id == pool->id;
     }
     uint32_t shards = cw_place_shard_count(total, pool->shard_size);
+    role->shards = shards;
     for (uint32_t i = 0; i < view->upstream_count && count < CW_PICK_MAX; i++) {
         const cw_upstream_t* u = &view->upstreams[i];
         if (u->pool_id == pool->id && cw_place_shard(pool->id, u->id, shards) == role->id) {
@@ -118,7 +119,7 @@
         for (uint32_t t = 0; t < CW_TIERS; t++) {
             desc.floor[t] = pool->floor[t];
         }
-        *role = (role_t){.id = shard, .pool = pool->id, .engine = pool->engine, .shard = cw_shard_setup(&desc)};
+        *role = (role_t){.id = shard, .pool = pool->id, .shard = cw_shard_setup(&desc)};
         role->used_ms = now_ms;
         uint32_t count = role_fill(node, role, view, pool);
         uint32_t host_count = node->policy == POLICY_SHARED ? node_live_hosts(node, hosts) : 0;
@@ -205,9 +206,21 @@
     }
 }
 
+/* Adds the hard limits of the workspace. Each shard of a pool enforces its even part. */
+static void add_limits(const allocator_t* a, const role_t* role, cw_want_t* want) {
+    cw_view_t* view = cw_store_view(a->node->store);
+    const cw_workspace_t* workspace = cw_view_workspace(view, want->workspace);
+    if (workspace && (workspace->concurrency || workspace->rate > 0)) {
+        want->max_running = workspace->concurrency ? (workspace->concurrency + role->shards - 1) / role->shards : 0;
+        want->max_rate = workspace->rate / role->shards;
+    }
+    cw_view_release(view);
+}
+
 static void on_want(allocator_t* a, role_t* role, uint64_t from, const cw_want_t* want, int64_t now_ms) {
     cw_want_t w = *want;
     w.entry = from;
+    add_limits(a, role, &w);
     cw_status_t status = cw_shard_want(role->shard, now_ms, &w);
     note_want(a, role->id, from, w.seq, status == CW_OK ? CW_REFUSED_NONE : CW_REFUSED_FULL);
 }
--- a/tests/test_shard.c
+++ b/tests/test_shard.c
@@ -195,6 +195,48 @@
 }
 END_TEST
 
+/* A workspace at its limit is passed over, whatever entry and tier its wants come from; the others go on. */
+START_TEST(concurrency_of_a_workspace_is_limited_over_all_entries) {
+    cw_shard_t* s = shard_with((cw_shard_desc_t){0}, 4);
+    for (uint32_t i = 1; i <= 6; i++) {
+        cw_want_t w = want_of(i % 2 ? ENTRY_A : ENTRY_B, i, (uint8_t)(1 + i % 3), 1);
+        w.max_running = 2;
+        must_want(s, 0, w);
+    }
+    seen_t limited = take_all(s, 0);
+    ck_assert_int_eq(limited.grants, 2);
+    for (uint32_t i = 11; i <= 13; i++) {
+        must_want(s, 1, want_of(ENTRY_A, i, 3, 2));
+    }
+    ck_assert_int_eq(take_all(s, 1).grants, 3);
+    must_done(s, 2, limited.grant.grant);
+    ck_assert_int_eq(take_all(s, 2).grants, 1);
+    ck_assert_uint_eq(cw_shard_stats(s, 2).waiting, 3);
+    cw_shard_shutdown(s);
+}
+END_TEST
+
+START_TEST(rate_of_a_workspace_is_limited_and_says_when) {
+    cw_shard_t* s = shard_with((cw_shard_desc_t){0}, 50);
+    int refused = 0;
+    cw_shard_action_t last = {0};
+    for (uint32_t i = 1; i <= 100; i++) { /* 20 a second for 5 s, 10 allowed */
+        cw_want_t w = want_of(ENTRY_A + i % 2, i, 1, 1);
+        w.max_rate = 10;
+        must_want(s, i * 50, w);
+        seen_t seen = take_all(s, i * 50);
+        refused += seen.refusals;
+        last = seen.refusals ? seen.refusal : last;
+    }
+    ck_assert_int_ge(refused, 38);
+    ck_assert_int_le(refused, 42);
+    ck_assert_int_eq(last.refusal, CW_REFUSED_RATE);
+    ck_assert_uint_ge(last.retry_after_ms, 1);
+    ck_assert_uint_le(last.retry_after_ms, 101);
+    cw_shard_shutdown(s);
+}
+END_TEST
+
 START_TEST(waiting_ends_at_the_queue_time) {
     cw_shard_t* s = shard_with((cw_shard_desc_t){0}, 1);
     for (uint32_t i = 1; i <= 3; i++) {
@@ -299,7 +341,8 @@
 START_TEST(a_new_allocator_adopts_and_is_cautious) {
     cw_shard_t* s = shard_with((cw_shard_desc_t){0}, 4);
     cw_shard_cautious(s, 500, 2);
-    const cw_held_t held[] = {{.grant = 900, .upstream = 11, .seq = 1}, {.grant = 901, .upstream = 12, .seq = 2}};
+    const cw_held_t held[] = {{.grant = 900, .upstream = 11, .workspace = 1, .seq = 1},
+                              {.grant = 901, .upstream = 12, .workspace = 1, .seq = 2}};
     const cw_digest_t d = {.entry = ENTRY_A, .count = 2};
     cw_shard_list(s, 0, &d, held, 2);
     for (uint32_t i = 10; i < 30; i++) {
@@ -440,6 +483,8 @@
     tcase_add_test(t, protected_evicts_the_lowest_when_full);
     tcase_add_test(t, refusal_comes_at_once_with_a_time_to_come_back);
     tcase_add_test(t, late_wants_are_refused_before_they_run);
+    tcase_add_test(t, concurrency_of_a_workspace_is_limited_over_all_entries);
+    tcase_add_test(t, rate_of_a_workspace_is_limited_and_says_when);
     tcase_add_test(t, waiting_ends_at_the_queue_time);
     tcase_add_test(t, a_repeated_want_gets_the_same_grant);
     tcase_add_test(t, a_repeated_done_frees_nothing_twice);
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -71,14 +71,18 @@
         .address = address, .path = "/v1/chat/completions", .token = TOKEN, .class_name = "summary", .body = body});
 }
 
-static site_answer_t status_call(const char* address) {
+static site_answer_t status_call_of(const char* address, const char* token) {
     return site_call(&(site_request_t){.address = address,
                                        .path = "/v1/services/sched/status",
-                                       .token = TOKEN,
+                                       .token = token,
                                        .class_name = "status",
                                        .body = "{\"kiosk\":1}"});
 }
 
+static site_answer_t status_call(const char* address) {
+    return status_call_of(address, TOKEN);
+}
+
 /* Asks a daemon for a ticket and names a call with it. */
 static void make_key(const char* address, const char* suffix, char out[256]) {
     site_answer_t a = site_call(&(site_request_t){.address = address, .path = "/v1/lookup"});
@@ -295,6 +299,37 @@
 }
 END_TEST
 
+/* A workspace that may run two requests at once sends nine through three hosts: all are served, two at a time. */
+START_TEST(a_limit_of_a_workspace_holds_over_all_hosts) {
+    start_site();
+    char digest[65];
+    char items[256];
+    site_digest("limited", digest);
+    snprintf(items, sizeof(items),
+             "{\"items\":[{\"key\":\"workspaces/limited\",\"value\":{\"token_digests\":[\"%s\"],\"concurrency\":2}}]}",
+             digest);
+    publish_text(items);
+    ck_assert(site_wait_revision(&site, 9, WAIT_MS));
+    set_service("ms=100");
+    static const char* const names[] = {"a", "b", "c"};
+    pid_t children[9];
+    for (int i = 0; i < 9; i++) {
+        children[i] = fork();
+        if (children[i] == 0) {
+            _exit(status_call_of(http_of(names[i % 3]), "limited").status == 200 ? 0 : 1);
+        }
+    }
+    for (int i = 0; i < 9; i++) {
+        int status = 0;
+        waitpid(children[i], &status, 0);
+        ck_assert(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+    }
+    ck_assert_double_eq(service_count("runs"), 9);
+    ck_assert_double_eq(service_count("most"), 2);
+    stop_site();
+}
+END_TEST
+
 START_TEST(bad_input_is_refused_and_not_run) {
     start_site();
     const char* a = http_of("a");
@@ -336,6 +371,7 @@
     tcase_add_test(t, a_leaving_host_is_not_named_any_more);
     tcase_add_test(t, configuration_survives_the_platform_and_never_reverts);
     tcase_add_test(t, an_invalid_change_leaves_the_last_valid_one);
+    tcase_add_test(t, a_limit_of_a_workspace_holds_over_all_hosts);
     tcase_add_test(t, bad_input_is_refused_and_not_run);
 }
 
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -32,7 +32,9 @@
 
 START_TEST(lists_and_chunks_come_back) {
     cw_wire_t* wire = cw_wire_setup(NULL);
-    cw_held_t held[3] = {{.grant = 1, .seq = 1}, {.grant = 2, .tier = 3}, {.grant = 3, .cost = 9}};
+    cw_held_t held[3] = {{.grant = 1, .workspace = 1, .seq = 1},
+                         {.grant = 2, .workspace = 1, .tier = 3},
+                         {.grant = 3, .workspace = 1, .cost = 9}};
     msg = (cw_msg_t){.type = CW_MSG_LIST, .shard = 4};
     msg.digest = (cw_digest_t){.last = 3, .xored = 0, .count = 3};
     msg.held = held;
@@ -100,6 +102,29 @@
 }
 END_TEST
 
+/* Ids of zero mean none and would be misuse inside: they are refused at the border. */
+START_TEST(zero_ids_are_refused) {
+    cw_wire_t* wire = cw_wire_setup(NULL);
+    cw_held_t held = {.grant = 0, .workspace = 1};
+    msg = (cw_msg_t){.type = CW_MSG_LIST, .shard = 4};
+    msg.held = &held;
+    msg.held_count = 1;
+    cw_bytes_t f = cw_wire_frame(wire, &msg);
+    ck_assert_int_eq(cw_wire_decode(wire, f.data + CW_FRAME_HEADER, f.size - CW_FRAME_HEADER, &back, NULL),
+                     CW_ERR_PROTOCOL);
+    msg = (cw_msg_t){.type = CW_MSG_WANT, .shard = 4};
+    msg.want.seq = 1;
+    f = cw_wire_frame(wire, &msg);
+    ck_assert_int_eq(cw_wire_decode(wire, f.data + CW_FRAME_HEADER, f.size - CW_FRAME_HEADER, &back, NULL),
+                     CW_ERR_PROTOCOL);
+    msg = (cw_msg_t){.type = CW_MSG_HELLO};
+    f = cw_wire_frame(wire, &msg);
+    ck_assert_int_eq(cw_wire_decode(wire, f.data + CW_FRAME_HEADER, f.size - CW_FRAME_HEADER, &back, NULL),
+                     CW_ERR_PROTOCOL);
+    cw_wire_shutdown(wire);
+}
+END_TEST
+
 /* Random bytes and broken messages are errors, never more. */
 START_TEST(garbage_is_refused) {
     rng_t rng = {.state = (uint64_t)_i};
@@ -107,6 +132,7 @@
     static cw_gossip_t in;
     msg = (cw_msg_t){.type = CW_MSG_WANT, .shard = 9};
     msg.want.seq = 1;
+    msg.want.workspace = 1;
     cw_bytes_t frame = cw_wire_frame(wire, &msg);
     uint8_t good[256];
     size_t size = frame.size - CW_FRAME_HEADER;
@@ -132,6 +158,7 @@
     tcase_add_test(t, versions_mix);
     tcase_add_test(t, other_clusters_are_refused);
     tcase_add_test(t, announced_sizes_are_checked_first);
+    tcase_add_test(t, zero_ids_are_refused);
     tcase_add_loop_test(t, garbage_is_refused, 0, 10);
 }
 
