A message keeps nothing of an earlier one

The limits of a workspace were added to the want after it was decoded, and a decoded message was cleared only in part, so a want from another host could carry a rate out of an earlier message. Ruled out: the queue (nothing waited) and the load of the machine. Change: the whole message is cleared before decoding, and the allocator sets the limits in every case.

--- a/chalkway_wire.h
+++ b/chalkway_wire.h
@@ -526,7 +526,7 @@
         return status;
     }
     _cw_io_t io = {.mode = _CW_IO_UNPACK, .in = &root.via.array};
-    memset(msg, 0, offsetof(cw_msg_t, chunk.items));
+    memset(msg, 0, sizeof(*msg)); /* no field may keep what an earlier message held */
     _cw_fields_msg(&io, msg, wire->held);
     if (io.bad) {
         return cw_fail(err, CW_ERR_PROTOCOL, "decode", NULL, "message of type %d has a wrong field", (int)msg->type);
--- a/daemon/allocator.c
+++ b/daemon/allocator.c
@@ -210,7 +210,9 @@
 static void add_limits(const allocator_t* a, const role_t* role, cw_want_t* want) {
     cw_view_t* view = cw_store_view(a->node->store);
     const cw_workspace_t* workspace = cw_view_workspace(view, want->workspace);
-    if (workspace && (workspace->concurrency || workspace->rate > 0)) {
+    want->max_running = 0;
+    want->max_rate = 0;
+    if (workspace) {
         want->max_running = workspace->concurrency ? (workspace->concurrency + role->shards - 1) / role->shards : 0;
         want->max_rate = workspace->rate / role->shards;
     }
--- a/tests/test_shard.c
+++ b/tests/test_shard.c
@@ -220,11 +220,13 @@
     cw_shard_t* s = shard_with((cw_shard_desc_t){0}, 50);
     int refused = 0;
     cw_shard_action_t last = {0};
+    int64_t now = 0;
     for (uint32_t i = 1; i <= 100; i++) { /* 20 a second for 5 s, 10 allowed */
+        now += 50;
         cw_want_t w = want_of(ENTRY_A + i % 2, i, 1, 1);
         w.max_rate = 10;
-        must_want(s, i * 50, w);
-        seen_t seen = take_all(s, i * 50);
+        must_want(s, now, w);
+        seen_t seen = take_all(s, now);
         refused += seen.refusals;
         last = seen.refusals ? seen.refusal : last;
     }
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -19,6 +19,7 @@
     cw_wire_t* wire = cw_wire_setup(NULL);
     msg = (cw_msg_t){.type = CW_MSG_WANT, .shard = 9};
     msg.want = (cw_want_t){.seq = 3, .tier = 2, .flags = 1, .workspace = UINT64_MAX, .cost = 77, .left_ms = 5};
+    memset(&back, 0xff, sizeof(back)); /* an earlier message: its rest once became a limit of the workspace */
     round_trip(wire);
     ck_assert_mem_eq(&back.want, &msg.want, sizeof(msg.want));
     msg = (cw_msg_t){.type = CW_MSG_ACTION, .shard = 9, .wait_ms = 12};
