The list of hosts: partition rule and leaving upstreams; a refused connection moves roles at once

Cause: the list of live and leaving hosts was not read, so a part of the fleet that is cut off would use all slots, as would the other part, and an upstream that leaves by the list alone got new work. A killed process was noticed by probes only (a second or more). Change: each host reads the list (every 15 s, within its call budget). The allocator scales the limits by the listed hosts it sees; one whose machine refuses connections is gone, not cut off, and does not count. An upstream that the list calls leaving gets no new work. When a link ends, it is opened again: a refusal makes the host suspect at once. The grown byte buffers of six files are one (io/buffer).

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,9 @@
 LIB := $(BUILD)/libchalkway.a
 IO := $(patsubst %.c,$(BUILD)/%.o,$(wildcard io/*.c))
 DAEMON := $(patsubst %.c,$(BUILD)/%.o,$(wildcard daemon/*.c))
-PROGRAMS := $(BUILD)/chalkwayd $(BUILD)/fake-platform $(BUILD)/fake-engine $(BUILD)/fake-service $(BUILD)/chalkway-demo
+SAMPLES := $(patsubst samples/%.c,$(BUILD)/samples/%,$(wildcard samples/*.c))
+PROGRAMS := $(BUILD)/chalkwayd $(BUILD)/fake-platform $(BUILD)/fake-engine $(BUILD)/fake-service $(BUILD)/chalkway-demo \
+            $(BUILD)/chalkwayctl $(SAMPLES)
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
 SOURCES := $(wildcard *.h *.c io/*.h io/*.c daemon/*.h daemon/*.c standins/*.h standins/*.c tools/*.h tools/*.c \
@@ -49,6 +51,13 @@
 $(BUILD)/chalkway-demo: $(BUILD)/tools/demo.o $(BUILD)/tools/site.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
+$(BUILD)/chalkwayctl: $(BUILD)/tools/chalkwayctl.o
+	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
+
+$(BUILD)/samples/%.o: CFLAGS_ALL += -I.
+$(BUILD)/samples/%: $(BUILD)/samples/%.o $(LIB)
+	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
+
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(BUILD)/tools/site.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(CHECK_LIBS) $(LIBS)
 
@@ -65,6 +74,12 @@
 check: test
 	@$(MAKE) --no-print-directory format-check lint
 
+# The tests that bring failures about: kills, pauses, cuts, losses, outages, at the library and at real processes.
+FAULT_TESTS := shard request runonce member store wire site
+faults: all
+	@$(MAKE) --no-print-directory $(patsubst %,$(BUILD)/tests/test_%,$(FAULT_TESTS))
+	@CHALKWAY_BUILD=$(BUILD) sh tests/run.sh $(patsubst %,$(BUILD)/tests/test_%,$(FAULT_TESTS))
+
 asan: deps
 	@$(MAKE) --no-print-directory test BUILD=$(BUILD)/asan OPT="-O1 -g" SANITIZE="-fsanitize=address,undefined -fno-omit-frame-pointer"
 
@@ -88,7 +103,7 @@
 	install -d $(DESTDIR)$(PREFIX)/include/chalkway $(DESTDIR)$(PREFIX)/lib/pkgconfig $(DESTDIR)$(PREFIX)/bin
 	install -m 644 $(HEADERS) $(DESTDIR)$(PREFIX)/include/chalkway
 	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
-	install -m 755 $(BUILD)/chalkwayd $(DESTDIR)$(PREFIX)/bin
+	install -m 755 $(BUILD)/chalkwayd $(BUILD)/chalkwayctl $(DESTDIR)$(PREFIX)/bin
 	sed -e 's|@PREFIX@|$(PREFIX)|' -e 's|@VERSION@|$(VERSION)|' chalkway.pc.in > $(DESTDIR)$(PREFIX)/lib/pkgconfig/chalkway.pc
 
 .SECONDARY:
--- a/chalkway_member.h
+++ b/chalkway_member.h
@@ -62,6 +62,7 @@
     int64_t heard_ms; /* last message from it directly, 0: never */
     int64_t revision; /* its configuration revision when last heard */
     uint32_t room;    /* its free capacity, 0..100, when last heard */
+    bool refused;     /* its machine answered that nobody listens: its process is gone, not cut off */
     uint32_t tell;    /* times its news is still to be passed on */
 } cw_member_t;
 
@@ -123,6 +124,8 @@
 void cw_members_leave(cw_members_t* m);
 /* Something else says that the host may be dead (its connection broke): probe it at once. */
 void cw_members_doubt(cw_members_t* m, int64_t now_ms, uint64_t id);
+/* Its machine answers that nobody listens there: suspect it at once. A live host refutes it. */
+void cw_members_suspect(cw_members_t* m, int64_t now_ms, uint64_t id);
 /* What this host's probes say of itself. */
 void cw_members_announce(cw_members_t* m, int64_t revision, uint32_t room);
 /* Members known, this host first. */
@@ -414,6 +417,7 @@
         bool was_leaving = m->members[i].info.leaving && m->members[i].info.incarnation == news->incarnation;
         m->members[i].info = *news;
         m->members[i].info.leaving = news->leaving || was_leaving;
+        m->members[i].refused = m->members[i].refused && news->state != CW_MEMBER_ALIVE;
     }
     m->members[i].since_ms = now_ms;
     m->members[i].tell = _cw_members_tell(m);
@@ -469,6 +473,15 @@
     return m->desc.timeout_ms * (m->health + 1);
 }
 
+void cw_members_suspect(cw_members_t* m, int64_t now_ms, uint64_t id) {
+    uint32_t i = cw_map_get(&m->by_id, id);
+    if (i != CW_MAP_NONE && i != 0 && m->members[i].info.state == CW_MEMBER_ALIVE) {
+        _cw_members_judge(m, now_ms, i, CW_MEMBER_SUSPECT);
+        m->members[i].refused = true;
+        _cw_members_forward(m);
+    }
+}
+
 /* Next member to probe, in an order shuffled anew for each round. */
 static uint32_t _cw_members_pick(cw_members_t* m) {
     for (uint32_t tries = 0; tries <= m->count; tries++) {
--- a/chalkway_settings.h
+++ b/chalkway_settings.h
@@ -40,6 +40,7 @@
     char platform[CW_SETTINGS_TEXT_MAX]; /* URL */
     uint32_t watch_ms;                   /* length of a long poll */
     uint32_t readers;                    /* hosts of a hall that read the platform */
+    uint32_t hosts_ms;                   /* between two readings of the list of hosts */
     double platform_rate;                /* calls a second of this host */
     /* [entry] */
     uint32_t max_requests;
@@ -123,6 +124,8 @@
     {"platform", "url", CW_SETTING_TEXT, _CW_AT(platform), "", 0, 0, "base URL of the configuration service"},
     {"platform", "watch", CW_SETTING_MS, _CW_AT(watch_ms), "20s", 100, 300000, "length of one waiting watch"},
     {"platform", "readers", CW_SETTING_COUNT_KIND, _CW_AT(readers), "1", 1, 100, "hosts of a hall that read"},
+    {"platform", "hosts", CW_SETTING_MS, _CW_AT(hosts_ms), "15s", 100, 600000,
+     "between two readings of the list of hosts"},
     {"platform", "rate", CW_SETTING_NUMBER, _CW_AT(platform_rate), "2", 0.1, 1000, "calls a second of this host"},
     {"entry", "max_requests", CW_SETTING_COUNT_KIND, _CW_AT(max_requests), "4096", 16, 65536, "requests at once"},
     {"entry", "max_body", CW_SETTING_BYTES, _CW_AT(max_body), "1m", 1024, 67108864, "longest request body"},
--- a/daemon/allocator.c
+++ b/daemon/allocator.c
@@ -74,8 +74,8 @@
         const cw_upstream_t* u = &view->upstreams[i];
         if (u->pool_id == pool->id && cw_place_shard(pool->id, u->id, shards) == role->id) {
             uint32_t slots = node->policy == POLICY_LEASE ? node_slice(node, u, hosts, host_count) : u->slots;
-            specs[count] =
-                (cw_pick_spec_t){.id = u->id, .hall = cw_name_id(u->hall), .slots = slots, .leaving = u->leaving};
+            specs[count] = (cw_pick_spec_t){
+                .id = u->id, .hall = cw_name_id(u->hall), .slots = slots, .leaving = node_upstream_leaves(node, u)};
             count += slots ? 1 : 0;
         }
     }
@@ -83,6 +83,23 @@
     return count;
 }
 
+/* Partition rule: a host that the platform lists and that is dead in this view may be serving callers on the other side
+   of a cut, with an allocator of its own there. This side uses the share of the limits that matches who it sees. */
+static void role_scale(const node_t* node, const role_t* role) {
+    uint32_t listed = 0;
+    uint32_t seen = 0;
+    for (uint32_t i = 0; i < node->listed_count; i++) {
+        const listed_host_t* h = &node->listed[i];
+        if (!h->is_router || h->leaving) {
+            continue;
+        }
+        const cw_member_t* m = cw_members_find(node->members, h->id);
+        listed++;
+        seen += m && (m->info.state != CW_MEMBER_DEAD || m->refused);
+    }
+    cw_shard_visible(role->shard, seen, listed);
+}
+
 /* Pool that has a shard of this id, or NULL. */
 static const cw_pool_t* pool_of(const cw_view_t* view, uint64_t shard) {
     for (uint32_t i = 0; i < view->pool_count; i++) {
@@ -122,6 +139,7 @@
         *role = (role_t){.id = shard, .pool = pool->id, .shard = cw_shard_setup(&desc)};
         role->used_ms = now_ms;
         uint32_t count = role_fill(node, role, view, pool);
+        role_scale(node, role);
         uint32_t host_count = node->policy == POLICY_SHARED ? node_live_hosts(node, hosts) : 0;
         cw_shard_cautious(role->shard, now_ms + node->settings.grant_ms, host_count);
         for (uint32_t i = 0; i < host_count; i++) {
@@ -279,6 +297,7 @@
             continue;
         }
         role_fill(a->node, role, view, pool);
+        role_scale(a->node, role);
         role->due = true;
         for (uint32_t m = 1; m < cw_members_count(a->node->members); m++) {
             const cw_member_t* member = cw_members_at(a->node->members, m);
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -51,8 +51,8 @@
         }
         uint32_t slots = node_slice(e->node, u, hosts, host_count);
         if (slots) {
-            specs[count++] =
-                (cw_pick_spec_t){.id = u->id, .hall = cw_name_id(u->hall), .slots = slots, .leaving = u->leaving};
+            specs[count++] = (cw_pick_spec_t){
+                .id = u->id, .hall = cw_name_id(u->hall), .slots = slots, .leaving = node_upstream_leaves(e->node, u)};
             s->direct_total += slots;
         }
     }
@@ -427,21 +427,21 @@
         request_event(r, CW_EV_DELIVERED_PART);
     }
     if (!r->streaming || r->record != CW_RUN_NONE) {
-        if (r->answer.size + size > r->entry->node->settings.max_answer) {
+        if (r->answer.body.size + size > r->entry->node->settings.max_answer) {
             request_error(r, HTTP_BAD_GATEWAY, "answer-too-long", "answer", r->answer.peer,
                           "the upstream's answer is longer than max_answer", 0);
             r->machine.retry_allowed = false;
             request_event(r, CW_EV_BROKEN);
             return true;
         }
-        answer_add(&r->answer, data, size);
+        cw_buffer_add(&r->answer.body, data, size);
     }
     return true;
 }
 
 /* Tokens that the engine says it generated; 0 when it does not say. */
 static uint32_t usage_of(const answer_t* a) {
-    json_t* root = json_loadb(a->body ? a->body : "", a->size, 0, NULL);
+    json_t* root = json_loadb(cw_buffer_text(&a->body), a->body.size, 0, NULL);
     json_int_t tokens = json_integer_value(json_object_get(json_object_get(root, "usage"), "completion_tokens"));
     json_decref(root);
     return tokens > 0 ? (uint32_t)tokens : 0;
@@ -529,7 +529,7 @@
     r->events = 0;
     r->tail[0] = 0;
     r->end_event = false;
-    r->answer.size = 0;
+    r->answer.body.size = 0;
     r->call = cw_client_call(e->node->client, &(cw_call_desc_t){.method = r->method,
                                                                 .url = url,
                                                                 .headers = headers,
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -27,24 +27,10 @@
 
 /* -- answers -------------------------------------------------------------- */
 
-void answer_add(answer_t* a, const char* data, size_t size) {
-    if (a->size + size + 1 > a->capacity) {
-        a->capacity = (a->size + size + 1) * 2;
-        char* grown = realloc(a->body, a->capacity);
-        if (!grown) {
-            abort();
-        }
-        a->body = grown;
-    }
-    memcpy(a->body + a->size, data, size);
-    a->size += size;
-    a->body[a->size] = 0;
-}
-
 static void answer_free(void* answer, void* user) {
     (void)user;
     answer_t* a = answer;
-    free(a->body);
+    cw_buffer_free(&a->body);
     free(a);
 }
 
@@ -56,7 +42,7 @@
     const cw_header_t headers[] = {{"Content-Type", a->type[0] ? a->type : "application/octet-stream"},
                                    {"Chalkway-Outcome", cw_outcome_name(a->outcome)},
                                    {"Chalkway-Request-Id", id}};
-    cw_exchange_reply(x, a->status, headers, 3, a->body ? a->body : "", a->size);
+    cw_exchange_reply(x, a->status, headers, 3, cw_buffer_text(&a->body), a->body.size);
 }
 
 void request_error(request_t* r, unsigned status, const char* code, const char* step, const char* peer,
@@ -131,8 +117,8 @@
     } else {
         answer_t* kept = cw_alloc(NULL, 1, sizeof(*kept));
         *kept = r->answer;
-        r->answer.body = NULL;
-        cw_runonce_keep(e->runonce, r->record, kept, kept->size + sizeof(*kept));
+        r->answer.body = (cw_buffer_t){0};
+        cw_runonce_keep(e->runonce, r->record, kept, kept->body.size + sizeof(*kept));
     }
     r->record = CW_RUN_NONE;
 }
@@ -166,7 +152,7 @@
         cw_view_release(r->view);
     }
     free(r->body);
-    free(r->answer.body);
+    cw_buffer_free(&r->answer.body);
     *r = (request_t){0};
     e->free_requests[e->free_count++] = index;
     e->stats.active--;
--- a/daemon/entry_parts.h
+++ b/daemon/entry_parts.h
@@ -6,6 +6,7 @@
         entry.c     accepts and classifies requests, run-once names, answers
         dispatch.c  wants, grants, direct mode, the transfer to the upstream
 */
+#include "../io/buffer.h"
 #include "node.h"
 
 #define ENTRY_MAX_SHARDS 256
@@ -20,8 +21,7 @@
     char type[64];
     char code[32], step[CW_STEP_MAX], peer[CW_PEER_MAX], message[CW_MESSAGE_MAX]; /* errors */
     uint32_t retry_after_ms;
-    char* body;
-    size_t size, capacity;
+    cw_buffer_t body;
 } answer_t;
 
 /* This entry's view of a shard. */
@@ -128,7 +128,6 @@
 /* Sets the error that the caller is told if the request ends without an answer. */
 void request_error(request_t* r, unsigned status, const char* code, const char* step, const char* peer,
                    const char* message, uint32_t retry_after_ms);
-void answer_add(answer_t* a, const char* data, size_t size);
 
 /* -- dispatch.c ----------------------------------------------------------- */
 
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -29,6 +29,15 @@
     return node->policy == POLICY_SHARED ? cw_place_owner(shard, hosts, count) : node->host;
 }
 
+bool node_upstream_leaves(const node_t* node, const cw_upstream_t* u) {
+    for (uint32_t i = 0; i < node->listed_count; i++) {
+        if (node->listed[i].id == u->id && node->listed[i].leaving) {
+            return true;
+        }
+    }
+    return u->leaving;
+}
+
 uint32_t node_slice(const node_t* node, const cw_upstream_t* u, const uint64_t* hosts, uint32_t count) {
     if (u->slots >= count) {
         return u->slots / count;
@@ -99,10 +108,20 @@
     send_gossip(node);
 }
 
-static void on_link_closed(void* user, uint64_t host) {
+static void on_link_closed(void* user, uint64_t host, bool refused) {
     node_t* node = user;
     cw_log(&node->log, CW_EVENT_PEER_CLOSED, "peer=%016llx", (unsigned long long)host);
-    cw_members_doubt(node->members, node_now(), host);
+    if (refused) {
+        cw_members_suspect(node->members, node_now(), host);
+        tell_members_changed(node);
+    } else {
+        cw_members_doubt(node->members, node_now(), host);
+        const cw_member_t* member = cw_members_find(node->members, host);
+        if (member && !member->info.leaving && member->info.state == CW_MEMBER_ALIVE) {
+            cw_peers_open(node->peers, host, member->info.peer); /* a refusal tells at once that the process is gone */
+        }
+    }
+    send_gossip(node);
     entry_on_link_closed(node->entry, host);
 }
 
@@ -287,6 +306,7 @@
         free(node);
         return NULL;
     }
+    node->listed = cw_alloc(NULL, NODE_MAX_LISTED, sizeof(*node->listed));
     node->client = cw_client_setup(node->loop, 1024);
     node->store = cw_store_setup(&(cw_store_desc_t){0});
     setup_members(node);
@@ -319,6 +339,7 @@
     allocator_shutdown(node->allocator);
     cw_members_shutdown(node->members);
     cw_store_shutdown(node->store);
+    free(node->listed);
     free(node);
 }
 
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -41,6 +41,15 @@
     POLICY_ROUND_ROBIN /* each entry alone, no limits */
 } node_policy_t;
 
+#define NODE_MAX_LISTED 2048
+
+/* A machine in the platform's list of hosts, which lags. */
+typedef struct listed_host_t {
+    uint64_t id;    /* of its name, as in members or upstreams */
+    bool is_router; /* runs a daemon, else an upstream */
+    bool leaving;
+} listed_host_t;
+
 struct node_t {
     cw_settings_t settings;
     cw_log_t log;
@@ -56,6 +65,8 @@
     cw_members_t* members;
     uint64_t members_seen; /* cw_members_changes that the parts were told of */
     cw_store_t* store;
+    listed_host_t* listed; /* the platform's list as read last */
+    uint32_t listed_count; /* 0: none was read */
     entry_t* entry;
     allocator_t* allocator;
     sync_t* sync;
@@ -83,6 +94,9 @@
 /* Sends to a host, or hands the message over directly when it is this one. */
 cw_status_t node_send(node_t* node, uint64_t host, const cw_msg_t* msg);
 
+/* Whether an upstream gets new work: neither its document nor the host list says that it leaves. */
+bool node_upstream_leaves(const node_t* node, const cw_upstream_t* u);
+
 /* -- entry.c -------------------------------------------------------------- */
 
 typedef struct entry_stats_t {
--- a/daemon/sync.c
+++ b/daemon/sync.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../io/buffer.h"
 #include "node.h"
 
 #define PULL_TIMEOUT_MS 2000
@@ -20,13 +21,15 @@
     node_t* node;
     cw_call_t* call; /* to the platform */
     bool listing;    /* the call lists all keys; else it watches */
-    char* body;
-    size_t size, capacity;
+    cw_buffer_t body;
     cw_bucket_t bucket;
     uint32_t backoff_ms;
     int64_t next_ms;
     platform_state_t state;
     uint64_t calls;
+    cw_call_t* hosts_call; /* reads the list of hosts */
+    cw_buffer_t hosts_body;
+    int64_t hosts_ms;  /* next reading of the list */
     int64_t pulled_ms; /* a pull is outstanding since, 0: none */
     bool reader;
     cw_msg_t out;
@@ -145,23 +148,15 @@
 
 static bool on_platform_data(void* user, const char* data, size_t size) {
     sync_t* s = user;
-    if (s->size + size > s->capacity) {
-        s->capacity = (s->size + size) * 2;
-        char* grown = realloc(s->body, s->capacity);
-        if (!grown) {
-            abort();
-        }
-        s->body = grown;
-    }
-    memcpy(s->body + s->size, data, size);
-    s->size += size;
+    cw_buffer_add(&s->body, data, size);
     return true;
 }
 
 static void on_platform_done(void* user, const cw_call_result_t* result) {
     sync_t* s = user;
     s->call = NULL;
-    json_t* root = (result->whole && result->status == 200) ? json_loadb(s->body, s->size, 0, NULL) : NULL;
+    json_t* root =
+        (result->whole && result->status == 200) ? json_loadb(cw_buffer_text(&s->body), s->body.size, 0, NULL) : NULL;
     if (root) {
         take_answer(s, root);
         json_decref(root);
@@ -169,9 +164,7 @@
         set_state(s, PLATFORM_DOWN, result->whole ? "it answers with an error" : result->message);
         back_off(s);
     }
-    free(s->body);
-    s->body = NULL;
-    s->size = s->capacity = 0;
+    cw_buffer_free(&s->body);
 }
 
 static void read_platform(sync_t* s) {
@@ -208,6 +201,64 @@
     return cw_place_rank(key, node->host, hosts, count) < node->settings.readers;
 }
 
+/* -- the list of hosts ---------------------------------------------------- */
+
+static void take_hosts(sync_t* s, json_t* root) {
+    node_t* node = s->node;
+    json_t* list = json_object_get(root, "hosts");
+    if (!json_array_size(list)) {
+        return;
+    }
+    node->listed_count = 0;
+    size_t i = 0;
+    json_t* item = NULL;
+    json_array_foreach(list, i, item) {
+        const char* name = json_string_value(json_object_get(item, "name"));
+        const char* role = json_string_value(json_object_get(item, "role"));
+        const char* state = json_string_value(json_object_get(item, "state"));
+        if (name && role && state && node->listed_count < NODE_MAX_LISTED) {
+            node->listed[node->listed_count++] = (listed_host_t){.id = cw_name_id(name),
+                                                                 .is_router = strcmp(role, "router") == 0,
+                                                                 .leaving = strcmp(state, "leaving") == 0};
+        }
+    }
+    entry_on_change(node->entry);
+    allocator_on_change(node->allocator);
+}
+
+static bool on_hosts_data(void* user, const char* data, size_t size) {
+    sync_t* s = user;
+    cw_buffer_add(&s->hosts_body, data, size);
+    return true;
+}
+
+static void on_hosts_done(void* user, const cw_call_result_t* result) {
+    sync_t* s = user;
+    s->hosts_call = NULL;
+    json_t* root = (result->whole && result->status == 200)
+                       ? json_loadb(cw_buffer_text(&s->hosts_body), s->hosts_body.size, 0, NULL)
+                       : NULL;
+    if (root) {
+        take_hosts(s, root);
+        json_decref(root);
+    }
+    cw_buffer_free(&s->hosts_body);
+}
+
+/* Every host reads the list for itself, rarely: it has no revision by which it could be passed on. */
+static void read_hosts(sync_t* s, int64_t now_ms) {
+    uint32_t period_ms = s->node->settings.hosts_ms;
+    s->hosts_ms = now_ms + period_ms / 2 + randombytes_uniform(period_ms);
+    char url[CW_SETTINGS_TEXT_MAX + 32];
+    snprintf(url, sizeof(url), "%s/v1/hosts", s->node->settings.platform);
+    s->calls++;
+    s->hosts_call = cw_client_call(s->node->client, &(cw_call_desc_t){.url = url,
+                                                                      .timeout_ms = CALL_TIMEOUT_MS,
+                                                                      .on_data = on_hosts_data,
+                                                                      .on_done = on_hosts_done,
+                                                                      .user_data = s});
+}
+
 /* -- peers ---------------------------------------------------------------- */
 
 void sync_on_revision(sync_t* s, uint64_t from, int64_t revision) {
@@ -272,6 +323,10 @@
 }
 
 void sync_tick(sync_t* s, int64_t now_ms) {
+    bool hosts_due = s->node->settings.platform[0] && !s->hosts_call && now_ms >= s->hosts_ms;
+    if (hosts_due && cw_bucket_take(&s->bucket, now_ms, 1)) {
+        read_hosts(s, now_ms);
+    }
     s->reader = s->node->settings.platform[0] && should_read(s);
     if (!s->reader) {
         s->state = s->call ? s->state : PLATFORM_UNUSED;
@@ -293,6 +348,10 @@
     if (s->call) {
         cw_call_cancel(s->call);
     }
-    free(s->body);
+    if (s->hosts_call) {
+        cw_call_cancel(s->hosts_call);
+    }
+    cw_buffer_free(&s->hosts_body);
+    cw_buffer_free(&s->body);
     free(s);
 }
--- a/io/httpd.c
+++ b/io/httpd.c
@@ -8,8 +8,10 @@
 #include <unistd.h>
 
 #include "address.h"
+#include "buffer.h"
 
 #define STREAM_BLOCK 16384
+#define STREAM_COMPACT 65536 /* bytes taken over before the rest is moved to the front */
 
 struct cw_httpd_t {
     cw_httpd_desc_t desc;
@@ -22,18 +24,14 @@
     uint32_t active;
 };
 
-typedef struct buffer_t {
-    char* data;
-    size_t size, capacity, start;
-} buffer_t;
-
 struct cw_exchange_t {
     cw_httpd_t* httpd;
     struct MHD_Connection* connection;
     char* method;
     char* path;
-    buffer_t body;
-    buffer_t out;
+    cw_buffer_t body;
+    cw_buffer_t out;
+    size_t out_start;              /* bytes of out that were taken over for sending */
     struct MHD_Response* response; /* to be queued */
     unsigned status;
     bool suspended;
@@ -45,33 +43,6 @@
     void* data;
 };
 
-/* -- buffers -------------------------------------------------------------- */
-
-static void buffer_add(buffer_t* b, const void* data, size_t size) {
-    if (b->start && b->start == b->size) {
-        b->start = b->size = 0;
-    }
-    if (b->size + size + 1 > b->capacity) {
-        size_t held = b->size - b->start;
-        if (b->start) {
-            memmove(b->data, b->data + b->start, held);
-            b->start = 0;
-            b->size = held;
-        }
-        while (b->size + size + 1 > b->capacity) {
-            b->capacity = b->capacity ? b->capacity * 2 : 1024;
-        }
-        char* grown = realloc(b->data, b->capacity);
-        if (!grown) {
-            abort();
-        }
-        b->data = grown;
-    }
-    memcpy(b->data + b->size, data, size);
-    b->size += size;
-    b->data[b->size] = 0;
-}
-
 /* -- running libmicrohttpd ------------------------------------------------ */
 
 static void run(cw_httpd_t* h) {
@@ -125,8 +96,8 @@
     x->httpd->active--;
     free(x->method);
     free(x->path);
-    free(x->body.data);
-    free(x->out.data);
+    cw_buffer_free(&x->body);
+    cw_buffer_free(&x->out);
     free(x);
 }
 
@@ -156,7 +127,7 @@
 static ssize_t read_stream(void* cls, uint64_t pos, char* buf, size_t max) {
     (void)pos;
     cw_exchange_t* x = cls;
-    size_t held = x->out.size - x->out.start;
+    size_t held = x->out.size - x->out_start;
     if (!held) {
         if (x->ended && x->whole) {
             return MHD_CONTENT_READER_END_OF_STREAM;
@@ -170,8 +141,8 @@
         return 0;
     }
     size_t n = held < max ? held : max;
-    memcpy(buf, x->out.data + x->out.start, n);
-    x->out.start += n;
+    memcpy(buf, x->out.data + x->out_start, n);
+    x->out_start += n;
     if (n == held && !x->released && x->httpd->desc.on_drained) {
         x->httpd->desc.on_drained(x, x->httpd->desc.user_data);
     }
@@ -184,9 +155,13 @@
 }
 
 size_t cw_exchange_push(cw_exchange_t* x, const void* data, size_t size) {
-    buffer_add(&x->out, data, size);
+    if (x->out_start && (x->out_start == x->out.size || x->out_start > STREAM_COMPACT)) {
+        cw_buffer_drop(&x->out, x->out_start);
+        x->out_start = 0;
+    }
+    cw_buffer_add(&x->out, data, size);
     resume(x);
-    return x->out.size - x->out.start;
+    return x->out.size - x->out_start;
 }
 
 void cw_exchange_finish(cw_exchange_t* x, bool whole) {
@@ -287,7 +262,7 @@
     if (*upload_size) {
         x->too_long = x->too_long || x->body.size + *upload_size > h->desc.max_body;
         if (!x->too_long) {
-            buffer_add(&x->body, upload, *upload_size);
+            cw_buffer_add(&x->body, upload, *upload_size);
         }
         *upload_size = 0;
         return MHD_YES;
@@ -398,7 +373,7 @@
     if (size) {
         *size = x->body.size;
     }
-    return x->body.data ? x->body.data : "";
+    return cw_buffer_text(&x->body);
 }
 
 void cw_exchange_set_data(cw_exchange_t* x, void* data) {
--- a/io/peers.c
+++ b/io/peers.c
@@ -7,6 +7,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "buffer.h"
+
 #define READ_BLOCK 65536
 #define BACKOFF_MIN_MS 50
 #define BACKOFF_MAX_MS 2000
@@ -20,13 +22,13 @@
     uint64_t host; /* 0: accepted and not introduced yet */
     char address[CW_ADDR_TEXT];
     bool connecting;
+    int connect_errno; /* connect failed at once; told in the next turn, not from within a send */
     bool used;
     bool dirty; /* in the list of links to flush */
     ev_io read_io, write_io;
     uint8_t* in;
     size_t in_size, in_capacity;
-    uint8_t* out;
-    size_t out_size, out_capacity;
+    cw_buffer_t out;
     double active_s; /* loop time of the last frame */
     double retry_s;  /* no new attempt before */
     uint32_t backoff_ms;
@@ -88,7 +90,7 @@
 }
 
 /* Closes the socket. A link this side opened stays as a note of its back-off. */
-static void link_close(link_t* l, bool failed) {
+static void link_end(link_t* l, bool failed, bool refused) {
     cw_peers_t* p = l->peers;
     if (l->fd >= 0) {
         ev_io_stop(p->desc.loop, &l->read_io);
@@ -98,9 +100,9 @@
     }
     l->fd = -1;
     free(l->in);
-    free(l->out);
-    l->in = l->out = NULL;
-    l->in_size = l->in_capacity = l->out_size = l->out_capacity = 0;
+    cw_buffer_free(&l->out);
+    l->in = NULL;
+    l->in_size = l->in_capacity = 0;
     uint64_t host = l->host;
     if (failed && l->address[0]) {
         uint32_t doubled = l->backoff_ms * 2;
@@ -112,21 +114,16 @@
         l->used = false;
     }
     if (host && p->desc.on_closed) {
-        p->desc.on_closed(p->desc.user_data, host);
+        p->desc.on_closed(p->desc.user_data, host, refused);
     }
 }
 
+static void link_close(link_t* l, bool failed) {
+    link_end(l, failed, false);
+}
+
 static void link_append(link_t* l, cw_bytes_t bytes) {
-    if (l->out_size + bytes.size > l->out_capacity) {
-        l->out_capacity = (l->out_size + bytes.size) * 2;
-        uint8_t* grown = realloc(l->out, l->out_capacity);
-        if (!grown) {
-            abort();
-        }
-        l->out = grown;
-    }
-    memcpy(l->out + l->out_size, bytes.data, bytes.size);
-    l->out_size += bytes.size;
+    cw_buffer_add(&l->out, bytes.data, bytes.size);
     if (!l->dirty) {
         l->dirty = true;
         l->peers->dirty[l->peers->dirty_count++] = l;
@@ -144,20 +141,19 @@
 }
 
 static void link_flush(link_t* l) {
-    if (l->connecting || !l->out_size) {
+    if (l->connecting || !l->out.size) {
         return;
     }
-    ssize_t n = send(l->fd, l->out, l->out_size, MSG_NOSIGNAL);
+    ssize_t n = send(l->fd, l->out.data, l->out.size, MSG_NOSIGNAL);
     if (n < 0 && errno != EAGAIN && errno != EINTR) {
         link_close(l, true);
         return;
     }
     if (n > 0) {
         l->peers->stats.bytes_out += (uint64_t)n;
-        memmove(l->out, l->out + n, l->out_size - (size_t)n);
-        l->out_size -= (size_t)n;
+        cw_buffer_drop(&l->out, (size_t)n);
     }
-    if (l->out_size) {
+    if (l->out.size) {
         ev_io_start(l->peers->desc.loop, &l->write_io);
     } else {
         ev_io_stop(l->peers->desc.loop, &l->write_io);
@@ -171,8 +167,9 @@
         int failed = 0;
         socklen_t len = sizeof(failed);
         getsockopt(l->fd, SOL_SOCKET, SO_ERROR, &failed, &len);
+        failed = l->connect_errno ? l->connect_errno : failed;
         if (failed) {
-            link_close(l, true);
+            link_end(l, true, failed == ECONNREFUSED);
             return;
         }
         l->connecting = false;
@@ -328,36 +325,52 @@
     }
     l->peers->stats.links++;
     int result = connect(l->fd, (struct sockaddr*)&addr, sizeof(addr));
-    link_watch(l);
-    if (result != 0 && errno != EINPROGRESS) {
-        link_close(l, true);
-        return CW_ERR_IO;
-    }
     l->connecting = result != 0;
-    if (l->connecting) {
+    l->connect_errno = (result != 0 && errno != EINPROGRESS) ? errno : 0;
+    link_watch(l);
+    if (l->connect_errno) {
+        ev_feed_event(l->peers->desc.loop, &l->write_io, EV_WRITE);
+    } else if (l->connecting) {
         ev_io_start(l->peers->desc.loop, &l->write_io);
     }
     link_hello(l);
     return CW_OK;
 }
 
-cw_status_t cw_peers_send(cw_peers_t* p, uint64_t host, const char* address, const cw_msg_t* msg) {
+/* The open link to the host, or a new one; NULL with the reason in status. */
+static link_t* link_to(cw_peers_t* p, uint64_t host, const char* address, cw_status_t* status) {
     link_t* l = link_find(p, host);
     if (!l) {
         l = link_free_slot(p);
         if (!l) {
-            return CW_ERR_FULL;
+            *status = CW_ERR_FULL;
+            return NULL;
         }
         l->host = host;
-        cw_copy(l->address, sizeof(l->address), address);
     }
-    if (l->fd < 0) {
-        cw_copy(l->address, sizeof(l->address), address);
-        if (ev_now(p->desc.loop) < l->retry_s || link_connect(l) != CW_OK) {
-            return CW_ERR_IO;
-        }
+    if (l->fd >= 0) {
+        return l;
+    }
+    cw_copy(l->address, sizeof(l->address), address);
+    if (ev_now(p->desc.loop) < l->retry_s || link_connect(l) != CW_OK) {
+        *status = CW_ERR_IO;
+        return NULL;
+    }
+    return l;
+}
+
+void cw_peers_open(cw_peers_t* p, uint64_t host, const char* address) {
+    cw_status_t status = CW_OK;
+    link_to(p, host, address, &status);
+}
+
+cw_status_t cw_peers_send(cw_peers_t* p, uint64_t host, const char* address, const cw_msg_t* msg) {
+    cw_status_t status = CW_OK;
+    link_t* l = link_to(p, host, address, &status);
+    if (!l) {
+        return status;
     }
-    if (l->out_size > p->desc.max_unsent) {
+    if (l->out.size > p->desc.max_unsent) {
         return CW_ERR_FULL;
     }
     link_append(l, cw_wire_frame(p->wire, msg));
--- a/io/peers.h
+++ b/io/peers.h
@@ -22,7 +22,8 @@
     uint32_t idle_ms;    /* default 60000 */
     size_t max_unsent;   /* bytes waiting on one link, default 8 MiB */
     void (*on_message)(void* user_data, uint64_t from, const cw_msg_t* msg);
-    void (*on_closed)(void* user_data, uint64_t host); /* the link ended */
+    /* The link ended; refused: the host's machine answers that nobody listens at the address. */
+    void (*on_closed)(void* user_data, uint64_t host, bool refused);
     void (*on_gossip)(void* user_data, const cw_gossip_t* gossip);
     void (*on_refused)(void* user_data, const cw_error_t* err); /* a peer broke the protocol */
     void* user_data;
@@ -39,6 +40,8 @@
 const char* cw_peers_address(const cw_peers_t* p);
 /* Queues a message; CW_ERR_IO when the host could not be reached shortly before, CW_ERR_FULL when too much waits. */
 cw_status_t cw_peers_send(cw_peers_t* p, uint64_t host, const char* address, const cw_msg_t* msg);
+/* Opens a link to the host if there is none. */
+void cw_peers_open(cw_peers_t* p, uint64_t host, const char* address);
 void cw_peers_gossip(cw_peers_t* p, const char* to, const cw_gossip_t* gossip);
 cw_peers_stats_t cw_peers_stats(const cw_peers_t* p);
 
--- a/standins/fake_engine.c
+++ b/standins/fake_engine.c
@@ -21,6 +21,7 @@
 #include <xxhash.h>
 
 #include "../chalkway_heap.h"
+#include "../io/buffer.h"
 #include "standin.h"
 
 #define MAX_JOBS 4096
@@ -35,8 +36,7 @@
     char id[64];
     uint32_t length, made, sent_from;
     double prefill_steps; /* steps until the first token */
-    char* text;           /* of a whole answer */
-    size_t size, capacity;
+    cw_buffer_t text;     /* of a whole answer */
 } job_t;
 
 typedef struct engine_t {
@@ -67,23 +67,10 @@
     return snprintf(out, 32, "w%05u ", (unsigned)(hash % 100000));
 }
 
-static void job_add(job_t* job, const char* data, size_t size) {
-    if (job->size + size + 1 > job->capacity) {
-        job->capacity = (job->size + size + 1) * 2;
-        char* grown = realloc(job->text, job->capacity);
-        if (!grown) {
-            abort();
-        }
-        job->text = grown;
-    }
-    memcpy(job->text + job->size, data, size + 1);
-    job->size += size;
-}
-
 static void job_free(engine_t* e, job_t* job) {
     cw_heap_remove(&e->queue, (uint32_t)(job - e->jobs));
     e->running -= job->running ? 1 : 0;
-    free(job->text);
+    cw_buffer_free(&job->text);
     *job = (job_t){0};
 }
 
@@ -127,7 +114,7 @@
         cw_exchange_finish(job->x, true);
     } else {
         json_t* root = json_pack("{s:s,s:[{s:i,s:{s:s,s:s},s:s}],s:{s:i}}", "object", "chat.completion", "choices",
-                                 "index", 0, "message", "role", "assistant", "content", job->text ? job->text : "",
+                                 "index", 0, "message", "role", "assistant", "content", cw_buffer_text(&job->text),
                                  "finish_reason", "stop", "usage", "completion_tokens", (int)job->length);
         char* text = json_dumps(root, JSON_COMPACT);
         standin_reply(job->x, 200, text);
@@ -148,7 +135,7 @@
                      token);
         cw_exchange_push(job->x, event, (size_t)n);
     } else {
-        job_add(job, token, (size_t)n);
+        cw_buffer_add(&job->text, token, (size_t)n);
     }
 }
 
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -99,6 +99,19 @@
 }
 END_TEST
 
+/* A connection refused moves the roles at once; when the host lives, it refutes and nobody calls it dead. */
+START_TEST(a_refused_connection_is_a_suspicion) {
+    fleet_setup(&fleet, 20, 9);
+    fleet_run(&fleet, 10000);
+    uint64_t live[64];
+    cw_members_suspect(fleet.hosts[1], fleet.now_ms, fleet_id(5));
+    ck_assert_uint_eq(cw_members_live(fleet.hosts[1], CW_MEMBERS_FOR_ROLES, live, 64), 19);
+    fleet_run(&fleet, 3000);
+    ck_assert(fleet_complete(&fleet));
+    fleet_shutdown(&fleet);
+}
+END_TEST
+
 /* The cost of a host does not grow with their number. */
 START_TEST(cost_stays_constant) {
     double per_host[2];
@@ -124,6 +137,7 @@
     tcase_add_test(t, a_paused_host_blames_nobody);
     tcase_add_test(t, a_healed_partition_finds_itself);
     tcase_add_test(t, leaving_is_known_within_seconds);
+    tcase_add_test(t, a_refused_connection_is_a_suspicion);
     tcase_add_test(t, cost_stays_constant);
 }
 
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -29,8 +29,10 @@
     static const char* const none[] = {NULL};
     static const char* const engine[] = {"--slots", "4", "--step", "3", NULL};
     site_setup(&site, build_dir());
-    site.daemon_extra = "[entry]\nlookup_keep = 300ms\n[member]\nprobe = 200ms\nprobe_timeout = 150ms\nsuspect = 1s\n";
-    ck_assert(site_start(&site, SITE_PLATFORM, "platform", "h1", none) != NULL);
+    site.daemon_extra = "[platform]\nhosts = 200ms\n[entry]\nlookup_keep = 300ms\n[member]\nprobe = "
+                        "200ms\nprobe_timeout = 150ms\nsuspect = 1s\n";
+    static const char* const platform[] = {"--host-lag", "0", NULL};
+    ck_assert(site_start(&site, SITE_PLATFORM, "platform", "h1", platform) != NULL);
     site_proc_t* e = site_start(&site, SITE_ENGINE, "engine", "h1", engine);
     site_proc_t* s = site_start(&site, SITE_SERVICE, "service", "h1", none);
     ck_assert(e && s);
@@ -299,6 +301,89 @@
 }
 END_TEST
 
+/* Slots that the allocator of a pool may use, by what the hosts that run say; -1 when none allocates it. */
+static int limit_of_pool(const char* pool) {
+    int limit = -1;
+    for (int i = 0; i < site.count; i++) {
+        const site_proc_t* p = &site.procs[i];
+        if (p->kind != SITE_DAEMON || p == site_find(&site, "c")) {
+            continue;
+        }
+        site_answer_t a =
+            site_call(&(site_request_t){.address = p->operator_http, .path = "/v1/status", .timeout_ms = 2000});
+        json_t* root = json_loads(a.body, 0, NULL);
+        size_t k = 0;
+        json_t* shard = NULL;
+        json_array_foreach(json_object_get(root, "shards"), k, shard) {
+            if (strcmp(json_string_value(json_object_get(shard, "pool")), pool) == 0) {
+                limit = (int)json_integer_value(json_object_get(shard, "limit"));
+            }
+        }
+        json_decref(root);
+    }
+    return limit;
+}
+
+/* A listed host that cannot be reached may serve callers with an allocator of its own: the others use their share. */
+START_TEST(a_cut_off_host_leaves_its_share_unused) {
+    start_site();
+    ck_assert(site_publish_hosts(&site, NULL));
+    kill(site_find(&site, "c")->pid, SIGSTOP);
+    int64_t until_ms = site_now_ms() + WAIT_MS;
+    int limit = 0;
+    while (limit != 16 * 2 / 3 && site_now_ms() < until_ms) {
+        ck_assert(served_within(http_of("a"), WAIT_MS));
+        limit = limit_of_pool("sched");
+    }
+    ck_assert_int_eq(limit, 16 * 2 / 3);
+    kill(site_find(&site, "c")->pid, SIGCONT);
+    until_ms = site_now_ms() + WAIT_MS;
+    while (limit != 16 && site_now_ms() < until_ms) {
+        served_within(http_of("a"), WAIT_MS);
+        site_proc_t* c = site_find(&site, "c");
+        limit = limit_of_pool("sched");
+        limit = limit == -1 && status_call(c->http).status == 200 ? 16 : limit; /* c allocates it again */
+    }
+    ck_assert_int_eq(limit, 16);
+    stop_site();
+}
+END_TEST
+
+/* The list of hosts says that the only service leaves: within seconds nothing new is sent there. */
+START_TEST(a_leaving_upstream_gets_no_new_work) {
+    start_site();
+    ck_assert_int_eq(status_call(http_of("a")).status, 200);
+    ck_assert(site_publish_hosts(&site, "service"));
+    int64_t until_ms = site_now_ms() + WAIT_MS;
+    long status = 200;
+    while (status == 200 && site_now_ms() < until_ms) {
+        status = status_call(http_of("a")).status;
+    }
+    ck_assert_int_eq(status, 429); /* it waits and is refused: no upstream may take it */
+    double runs = service_count("runs");
+    ck_assert_int_ne(status_call(http_of("b")).status, 200);
+    ck_assert_double_eq(service_count("runs"), runs);
+    stop_site();
+}
+END_TEST
+
+START_TEST(the_control_tool_shows_what_is_wrong) {
+    start_site();
+    publish_text("{\"items\":[{\"key\":\"classes/status\",\"value\":{\"tier\":77}}]}");
+    ck_assert(site_wait_revision(&site, 9, WAIT_MS));
+    char command[256];
+    char out[4096] = "";
+    snprintf(command, sizeof(command), "%s/chalkwayctl -a %s get classes", build_dir(),
+             site_find(&site, "c")->operator_http);
+    FILE* pipe = popen(command, "r");
+    ck_assert_ptr_nonnull(pipe);
+    out[fread(out, 1, sizeof(out) - 1, pipe)] = 0;
+    ck_assert_int_eq(pclose(pipe), 0);
+    ck_assert_msg(strstr(out, "booking") && strstr(out, "NO       field \"tier\": must be"), "%s", out);
+    stop_site();
+}
+END_TEST
+
 /* A workspace that may run two requests at once sends nine through three hosts: all are served, two at a time. */
 START_TEST(a_limit_of_a_workspace_holds_over_all_hosts) {
     start_site();
@@ -371,6 +456,9 @@
     tcase_add_test(t, a_leaving_host_is_not_named_any_more);
     tcase_add_test(t, configuration_survives_the_platform_and_never_reverts);
     tcase_add_test(t, an_invalid_change_leaves_the_last_valid_one);
+    tcase_add_test(t, a_cut_off_host_leaves_its_share_unused);
+    tcase_add_test(t, a_leaving_upstream_gets_no_new_work);
+    tcase_add_test(t, the_control_tool_shows_what_is_wrong);
     tcase_add_test(t, a_limit_of_a_workspace_holds_over_all_hosts);
     tcase_add_test(t, bad_input_is_refused_and_not_run);
 }
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -8,7 +8,7 @@
     stamp="$0/lint/$(echo "$1" | tr / _).ok"
     newest=$(ls -t "$1" *.h */*.h .clang-tidy 2>/dev/null | head -n 1)
     [ "$stamp" -nt "$newest" ] && [ "$stamp" -nt "$1" ] && exit 0
-    clang-tidy --quiet "$1" -- -std=c11 -D_GNU_SOURCE 2>"$0/lint/$(echo "$1" | tr / _).err" || exit 1
+    clang-tidy --quiet "$1" -- -std=c11 -D_GNU_SOURCE -I. 2>"$0/lint/$(echo "$1" | tr / _).err" || exit 1
     touch "$stamp"
 ' "$build" < "$build/lint/files"
 echo "lint: $(wc -l < "$build/lint/files") files clean"
--- a/tools/load.c
+++ b/tools/load.c
@@ -9,6 +9,7 @@
 #include <time.h>
 #include <xxhash.h>
 
+#include "../io/buffer.h"
 #include "../tests/rng.h"
 
 #define MAX_TRIES 6
@@ -44,8 +45,7 @@
     char name[192];   /* run-once */
     char address[48]; /* that the name belongs to */
     char body[256];
-    char* answer;
-    size_t size, capacity;
+    cw_buffer_t answer;
     double first_s;
     uint32_t tries;
     unsigned status;
@@ -242,14 +242,14 @@
 }
 
 static bool answer_matches(job_t* j) {
-    if (!j->answer) {
+    if (!j->answer.data) {
         return false;
     }
     if (j->class->stream) {
-        bool ended = strstr(j->answer, "data: [DONE]") != NULL;
-        return tokens_match(j, j->answer, join_stream(j->answer)) && ended;
+        bool ended = strstr(j->answer.data, "data: [DONE]") != NULL;
+        return tokens_match(j, j->answer.data, join_stream(j->answer.data)) && ended;
     }
-    json_t* root = json_loadb(j->answer, j->size, 0, NULL);
+    json_t* root = json_loadb(j->answer.data, j->answer.size, 0, NULL);
     bool right = false;
     if (j->class->model) {
         json_t* choice = json_array_get(json_object_get(root, "choices"), 0);
@@ -266,7 +266,7 @@
 static void job_end(job_t* j) {
     load_t* l = j->load;
     ev_timer_stop(l->loop, &j->timer);
-    free(j->answer);
+    cw_buffer_free(&j->answer);
     free(j);
     if (--l->open == 0 && l->next == l->count) {
         ev_break(l->loop, EVBREAK_ALL);
@@ -325,17 +325,7 @@
 
 static bool on_answer_data(void* user, const char* data, size_t size) {
     job_t* j = user;
-    if (j->size + size + 1 > j->capacity) {
-        j->capacity = (j->size + size + 1) * 2;
-        char* grown = realloc(j->answer, j->capacity);
-        if (!grown) {
-            abort();
-        }
-        j->answer = grown;
-    }
-    memcpy(j->answer + j->size, data, size);
-    j->size += size;
-    j->answer[j->size] = 0;
+    cw_buffer_add(&j->answer, data, size);
     return true;
 }
 
@@ -412,7 +402,7 @@
         headers[count++] = (cw_header_t){"Idempotency-Key", j->name};
     }
     j->tries++;
-    j->size = 0;
+    j->answer.size = 0;
     j->status = 0;
     j->outcome[0] = 0;
     j->retry_after_ms = 0;
--- a/tools/site.c
+++ b/tools/site.c
@@ -306,6 +306,30 @@
     return false;
 }
 
+bool site_publish_hosts(site_t* s, const char* leaving) {
+    const char* platform = NULL;
+    json_t* list = json_array();
+    for (int i = 0; i < s->count; i++) {
+        const site_proc_t* p = &s->procs[i];
+        if (p->kind == SITE_PLATFORM) {
+            platform = p->http;
+        } else if (p->pid) {
+            bool leaves = leaving && strcmp(leaving, p->name) == 0;
+            json_array_append_new(list, json_pack("{s:s,s:s,s:s}", "name", p->name, "role",
+                                                  p->kind == SITE_DAEMON ? "router" : "upstream", "state",
+                                                  leaves ? "leaving" : "live"));
+        }
+    }
+    json_t* root = json_pack("{s:o}", "hosts", list);
+    char* text = json_dumps(root, JSON_COMPACT);
+    bool ok = platform &&
+              site_call(&(site_request_t){.address = platform, .path = "/admin/hosts", .body = text, .method = "POST"})
+                      .status == 200;
+    free(text);
+    json_decref(root);
+    return ok;
+}
+
 double site_number(const char* address, const char* path, const char* key) {
     site_answer_t a = site_call(&(site_request_t){.address = address, .path = path, .timeout_ms = 2000});
     json_t* root = json_loads(a.body, 0, NULL);
--- a/tools/site.h
+++ b/tools/site.h
@@ -75,6 +75,8 @@
 void site_kill(site_proc_t* p);
 /* Publishes {"items": [...]} on the platform. */
 bool site_publish(site_t* s, const char* items);
+/* Publishes the list of hosts: all that run, and which of them (or NULL) leaves. */
+bool site_publish_hosts(site_t* s, const char* leaving);
 /* One blocking HTTP request. */
 site_answer_t site_call(const site_request_t* request);
 /* GET of a path; the body's JSON number at a key, -1 when there is none. */
