Load reports being read live in a fixed pool

Cause: the sanitizer run found a report's record leaked when a daemon stopped while it was read (544 bytes; a_repeat_joins failed by the daemon's exit status). Change: a fixed pool in the allocator, owned by it; when it is used up, more wait for the next period.

--- a/daemon/allocator.c
+++ b/daemon/allocator.c
@@ -6,8 +6,9 @@
 
 #include "node.h"
 
-#define IDLE_MS 60000 /* a shard nobody uses is dropped after this */
-#define ACKS_MAX 256  /* wants taken in one turn of the loop that are told they wait */
+#define IDLE_MS 60000   /* a shard nobody uses is dropped after this */
+#define ACKS_MAX 256    /* wants taken in one turn of the loop that are told they wait */
+#define REPORTS_MAX 128 /* load reports read at once; more wait for the next period */
 #define REPORT_TIMEOUT_MS 2000
 #define REPORT_EACH_MS 400 /* a shard reads one report in this time on average */
 #define REFUSED_RETRY_MS 1000
@@ -32,6 +33,7 @@
 /* One reading of an upstream's load. */
 typedef struct report_t {
     node_t* node;
+    cw_call_t* call; /* NULL: free */
     uint64_t shard, upstream;
     char body[512];
     size_t size;
@@ -44,6 +46,7 @@
     ack_t acks[ACKS_MAX];
     uint32_t ack_count;
     ev_prepare prepare;
+    report_t reports[REPORTS_MAX]; /* being read */
     cw_msg_t out;
 };
 
@@ -329,7 +332,16 @@
         cw_shard_report(role->shard, node_now(), r->upstream, (uint32_t)running, draining);
         json_decref(root);
     }
-    free(r);
+    r->call = NULL;
+}
+
+static report_t* report_new(allocator_t* a) {
+    for (uint32_t i = 0; i < REPORTS_MAX; i++) {
+        if (!a->reports[i].call) {
+            return &a->reports[i];
+        }
+    }
+    return NULL;
 }
 
 static void read_reports(allocator_t* a, const role_t* role) {
@@ -339,15 +351,18 @@
         if (u->pool_id != role->pool || !cw_shard_serves(role->shard, u->id)) {
             continue;
         }
-        report_t* r = cw_alloc(NULL, 1, sizeof(*r));
+        report_t* r = report_new(a);
+        if (!r) {
+            break;
+        }
         *r = (report_t){.node = a->node, .shard = role->id, .upstream = u->id};
         char url[CW_ADDRESS_MAX + 32];
         snprintf(url, sizeof(url), "http://%s/v1/load", u->address);
-        cw_client_call(a->node->client, &(cw_call_desc_t){.url = url,
-                                                          .timeout_ms = REPORT_TIMEOUT_MS,
-                                                          .on_data = on_report_data,
-                                                          .on_done = on_report_done,
-                                                          .user_data = r});
+        r->call = cw_client_call(a->node->client, &(cw_call_desc_t){.url = url,
+                                                                    .timeout_ms = REPORT_TIMEOUT_MS,
+                                                                    .on_data = on_report_data,
+                                                                    .on_done = on_report_done,
+                                                                    .user_data = r});
     }
     cw_view_release(view);
 }
