Cut streams are continued; shards are even and may be cut anew; load tool

Cause 1: an engine that dies in the middle of a stream broke the caller's answer. Change: only whole events are passed on (chalkway_stream), and where the pool declares that its engines resume, a cut stream goes on at the next token, on the same or another engine. Change: upstreams are ranked and cut evenly; sizes differ by one at most and a new upstream moves at most one over each border. Change: it stays silent, the entry asks again or uses its slice; requests that wait at a shard that is no more ask elsewhere, those that run are counted where their upstream is now. Also: chalkway-load with INI scenarios; counters of a workspace and class are found by a map instead of a scan.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 DAEMON := $(patsubst %.c,$(BUILD)/%.o,$(wildcard daemon/*.c))
 SAMPLES := $(patsubst samples/%.c,$(BUILD)/samples/%,$(wildcard samples/*.c))
 PROGRAMS := $(BUILD)/chalkwayd $(BUILD)/fake-platform $(BUILD)/fake-engine $(BUILD)/fake-service $(BUILD)/chalkway-demo \
-            $(BUILD)/chalkwayctl $(SAMPLES)
+            $(BUILD)/chalkwayctl $(BUILD)/chalkway-load $(SAMPLES)
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
 SOURCES := $(wildcard *.h *.c io/*.h io/*.c daemon/*.h daemon/*.c standins/*.h standins/*.c tools/*.h tools/*.c \
@@ -51,6 +51,9 @@
 $(BUILD)/chalkway-demo: $(BUILD)/tools/demo.o $(BUILD)/tools/site.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
+$(BUILD)/chalkway-load: $(BUILD)/tools/chalkway_load.o $(BUILD)/tools/load.o $(IO) $(LIB)
+	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
+
 $(BUILD)/chalkwayctl: $(BUILD)/tools/chalkwayctl.o
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
@@ -103,7 +106,7 @@
 	install -d $(DESTDIR)$(PREFIX)/include/chalkway $(DESTDIR)$(PREFIX)/lib/pkgconfig $(DESTDIR)$(PREFIX)/bin
 	install -m 644 $(HEADERS) $(DESTDIR)$(PREFIX)/include/chalkway
 	install -m 644 $(LIB) $(DESTDIR)$(PREFIX)/lib
-	install -m 755 $(BUILD)/chalkwayd $(BUILD)/chalkwayctl $(DESTDIR)$(PREFIX)/bin
+	install -m 755 $(BUILD)/chalkwayd $(BUILD)/chalkwayctl $(BUILD)/chalkway-load $(DESTDIR)$(PREFIX)/bin
 	sed -e 's|@PREFIX@|$(PREFIX)|' -e 's|@VERSION@|$(VERSION)|' chalkway.pc.in > $(DESTDIR)$(PREFIX)/lib/pkgconfig/chalkway.pc
 
 .SECONDARY:
--- a/bench/bench_scenario.c
+++ b/bench/bench_scenario.c
@@ -109,8 +109,8 @@
     json_t* items = json_array();
     publish_workspaces(&sc->load, items);
     publish_classes(sc, items);
-    json_array_append_new(items, json_pack("{s:s,s:{s:s,s:s,s:i}}", "key", "pools/language", "value", "kind", "engine",
-                                           "model", "m", "reserve", sc->reserve));
+    json_array_append_new(items, json_pack("{s:s,s:{s:s,s:s,s:i,s:b}}", "key", "pools/language", "value", "kind",
+                                           "engine", "model", "m", "reserve", sc->reserve, "resumes", 1));
     json_array_append_new(items, json_pack("{s:s,s:{s:s}}", "key", "pools/application", "value", "kind", "service"));
     for (int i = 0; i < sc->engines + sc->services; i++) {
         bool is_engine = i < sc->engines;
--- a/chalkway.c
+++ b/chalkway.c
@@ -15,4 +15,5 @@
 #include "chalkway_settings.h"
 #include "chalkway_shard.h"
 #include "chalkway_store.h"
+#include "chalkway_stream.h"
 #include "chalkway_wire.h"
--- a/chalkway_place.h
+++ b/chalkway_place.h
@@ -11,7 +11,7 @@
 
     HOW TO USE IT
             uint32_t shards = cw_place_shard_count(upstreams, 24);
-            uint64_t shard = cw_place_shard(pool_id, upstream_id, shards);
+            uint64_t shard = cw_place_shard(pool_id, upstream_id, upstream_ids, upstreams, shards);
             uint64_t host = cw_place_owner(shard, hosts, host_count);
 
     WHAT IT DOES NOT DO
@@ -26,8 +26,9 @@
 uint32_t cw_place_shard_count(uint32_t upstreams, uint32_t shard_size);
 /* Id of shard number index of a pool. */
 uint64_t cw_place_shard_id(uint64_t pool, uint32_t index);
-/* Id of the shard that the upstream belongs to. */
-uint64_t cw_place_shard(uint64_t pool, uint64_t upstream, uint32_t shards);
+/* Id of the shard that the upstream belongs to. upstreams are the ids of all of the pool, this one among them; they are
+   cut into shards that differ by one at most. Another upstream moves at most one over each border. */
+uint64_t cw_place_shard(uint64_t pool, uint64_t upstream, const uint64_t* upstreams, uint32_t count, uint32_t shards);
 /* Host with the highest score for the key; 0 when there are no hosts. */
 uint64_t cw_place_owner(uint64_t key, const uint64_t* hosts, uint32_t count);
 /* Rank of host for the key among hosts: 0 is the owner. count when host is not among them. */
@@ -50,20 +51,6 @@
     return cw_mix(pool, index);
 }
 
-uint64_t cw_place_shard(uint64_t pool, uint64_t upstream, uint32_t shards) {
-    uint64_t best = 0;
-    uint64_t best_score = 0;
-    for (uint32_t i = 0; i < shards; i++) {
-        uint64_t shard = cw_place_shard_id(pool, i);
-        uint64_t score = cw_mix(shard, upstream);
-        if (!best || score > best_score) {
-            best = shard;
-            best_score = score;
-        }
-    }
-    return best;
-}
-
 uint64_t cw_place_owner(uint64_t key, const uint64_t* hosts, uint32_t count) {
     uint64_t best = 0;
     uint64_t best_score = 0;
@@ -88,5 +75,10 @@
     return found ? rank : count;
 }
 
+uint64_t cw_place_shard(uint64_t pool, uint64_t upstream, const uint64_t* upstreams, uint32_t count, uint32_t shards) {
+    uint32_t rank = cw_place_rank(pool, upstream, upstreams, count);
+    return cw_place_shard_id(pool, (uint32_t)((uint64_t)rank * shards / (count ? count : 1)));
+}
+
 #endif /* CHALKWAY_PLACE_IMPL_INCLUDED */
 #endif /* CHALKWAY_IMPL */
--- a/chalkway_request.h
+++ b/chalkway_request.h
@@ -81,12 +81,14 @@
 
 typedef struct cw_request_desc_t {
     bool repeatable;       /* the class allows a second run */
+    bool resumable;        /* a cut stream can be continued where it was cut */
     uint32_t max_attempts; /* transfers in all, default 3 */
 } cw_request_desc_t;
 
 typedef struct cw_request_t {
     cw_request_state_t state;
     bool repeatable;
+    bool resumable;
     bool retry_allowed; /* set by the owner: the retry budget has room */
     bool bytes_left;    /* for an upstream, in any attempt */
     bool answer_begun;  /* a head came, in any attempt */
@@ -117,6 +119,7 @@
 
 cw_request_t cw_request_new(const cw_request_desc_t* desc) {
     return (cw_request_t){.repeatable = desc->repeatable,
+                          .resumable = desc->resumable,
                           .max_attempts = desc->max_attempts ? desc->max_attempts : 3,
                           .retry_allowed = true};
 }
@@ -149,9 +152,10 @@
     return r->answer_begun ? CW_OUTCOME_FAILED : CW_OUTCOME_UNKNOWN;
 }
 
-/* Another attempt is right when nothing ran, or a second run is allowed and the caller has seen nothing. */
+/* Another attempt is right when nothing ran, or a second run is allowed and the caller has seen nothing of the first or
+   the second continues where the first was cut. */
 static bool _cw_request_may_retry(const cw_request_t* r) {
-    bool safe = !r->bytes_left || (r->repeatable && !r->part_passed);
+    bool safe = !r->bytes_left || (r->repeatable && (!r->part_passed || r->resumable));
     return safe && r->retry_allowed && r->attempts < r->max_attempts;
 }
 
--- a/chalkway_store.h
+++ b/chalkway_store.h
@@ -82,6 +82,7 @@
     char model[CW_NAME_MAX];
     uint32_t shard_size; /* upstreams in one shard, default 24 */
     uint32_t reserve;    /* slots of a shard kept for protected classes */
+    bool resumes;        /* its engines continue a stream at a token (header Chalkway-Resume-From) */
     double floor[CW_TIERS];
 } cw_pool_t;
 
@@ -367,6 +368,7 @@
     _cw_doc_text(doc, "model", out->model, sizeof(out->model), false);
     out->shard_size = _cw_doc_count(doc, "shard_size", 24, 1, CW_PICK_MAX / 2);
     out->reserve = _cw_doc_count(doc, "reserve", 0, 0, 10000);
+    out->resumes = _cw_doc_flag(doc, "resumes", false);
     _cw_doc_floors(doc, out);
 }
 
--- a/daemon/allocator.c
+++ b/daemon/allocator.c
@@ -67,15 +67,12 @@
     uint32_t host_count = node_live_hosts(node, hosts);
     cw_pick_spec_t specs[CW_PICK_MAX];
     uint32_t count = 0;
-    uint32_t total = 0;
-    for (uint32_t i = 0; i < view->upstream_count; i++) {
-        total += view->upstreams[i].pool_id == pool->id;
-    }
-    uint32_t shards = cw_place_shard_count(total, pool->shard_size);
-    role->shards = shards;
+    pool_layout_t layout = node_layout(view, pool);
+    role->shards = layout.shards;
     for (uint32_t i = 0; i < view->upstream_count && count < CW_PICK_MAX; i++) {
         const cw_upstream_t* u = &view->upstreams[i];
-        if (u->pool_id == pool->id && cw_place_shard(pool->id, u->id, shards) == role->id) {
+        if (u->pool_id == pool->id &&
+            cw_place_shard(pool->id, u->id, layout.ids, layout.count, layout.shards) == role->id) {
             uint32_t slots = node->policy == POLICY_LEASE ? node_slice(node, u, hosts, host_count) : u->slots;
             specs[count] = (cw_pick_spec_t){
                 .id = u->id, .hall = cw_name_id(u->hall), .slots = slots, .leaving = node_upstream_leaves(node, u)};
@@ -106,12 +103,8 @@
 /* Pool that has a shard of this id, or NULL. */
 static const cw_pool_t* pool_of(const cw_view_t* view, uint64_t shard) {
     for (uint32_t i = 0; i < view->pool_count; i++) {
-        uint32_t total = 0;
-        for (uint32_t u = 0; u < view->upstream_count; u++) {
-            total += view->upstreams[u].pool_id == view->pools[i].id;
-        }
-        uint32_t shards = cw_place_shard_count(total, view->pools[i].shard_size);
-        for (uint32_t k = 0; k < shards; k++) {
+        pool_layout_t layout = node_layout(view, &view->pools[i]);
+        for (uint32_t k = 0; layout.count && k < layout.shards; k++) {
             if (cw_place_shard_id(view->pools[i].id, k) == shard) {
                 return &view->pools[i];
             }
@@ -255,10 +248,7 @@
         role = role_take(a, msg->shard);
     }
     if (!role) {
-        if (msg->type == CW_MSG_WANT) {
-            note_want(a, msg->shard, from, msg->want.seq, CW_REFUSED_NO_UPSTREAM);
-        }
-        return;
+        return; /* the entry's configuration is newer or older than this host's: it asks again when it hears nothing */
     }
     role->used_ms = now_ms;
     role->due = true;
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -25,7 +25,6 @@
 #define HTTP_TIMEOUT 504
 
 static const char sse_type[] = "text/event-stream";
-static const char sse_end[] = "data: [DONE]";
 
 /* -- shards --------------------------------------------------------------- */
 
@@ -38,7 +37,7 @@
     return ENTRY_NONE;
 }
 
-static void shard_fill_direct(entry_t* e, entry_shard_t* s, const cw_view_t* view, uint32_t shards) {
+static void shard_fill_direct(entry_t* e, entry_shard_t* s, const cw_view_t* view, const pool_layout_t* layout) {
     uint64_t hosts[NODE_MAX_HOSTS];
     uint32_t host_count = node_live_hosts(e->node, hosts);
     cw_pick_spec_t specs[CW_PICK_MAX];
@@ -46,7 +45,8 @@
     s->direct_total = 0;
     for (uint32_t i = 0; i < view->upstream_count && count < CW_PICK_MAX; i++) {
         const cw_upstream_t* u = &view->upstreams[i];
-        if (u->pool_id != s->pool || cw_place_shard(s->pool, u->id, shards) != s->id) {
+        if (u->pool_id != s->pool ||
+            cw_place_shard(s->pool, u->id, layout->ids, layout->count, layout->shards) != s->id) {
             continue;
         }
         uint32_t slots = node_slice(e->node, u, hosts, host_count);
@@ -59,25 +59,21 @@
     cw_pick_set(s->direct, specs, count);
 }
 
-static uint32_t pool_size(const cw_view_t* view, uint64_t pool) {
-    uint32_t total = 0;
-    for (uint32_t i = 0; i < view->upstream_count; i++) {
-        total += view->upstreams[i].pool_id == pool;
-    }
-    return total;
-}
-
 static void send_list(entry_t* e, uint32_t shard, uint64_t to);
 static void send_want(request_t* r);
+static void withdraw(request_t* r);
+static void ask(request_t* r);
 
 /* Takes over the shards and allocators of the present view. */
 static void refresh_shards(entry_t* e) {
     cw_view_t* view = cw_store_view(e->node->store);
+    for (uint32_t i = 0; i < e->shard_count; i++) {
+        e->shards[i].valid = false;
+    }
     for (uint32_t p = 0; p < view->pool_count; p++) {
         const cw_pool_t* pool = &view->pools[p];
-        uint32_t total = pool_size(view, pool->id);
-        uint32_t shards = cw_place_shard_count(total, pool->shard_size);
-        for (uint32_t k = 0; total && k < shards; k++) {
+        pool_layout_t layout = node_layout(view, pool);
+        for (uint32_t k = 0; layout.count && k < layout.shards; k++) {
             uint64_t id = cw_place_shard_id(pool->id, k);
             uint32_t i = shard_find(e, id);
             if (i == ENTRY_NONE && e->shard_count < ENTRY_MAX_SHARDS) {
@@ -86,7 +82,8 @@
                     (entry_shard_t){.id = id, .pool = pool->id, .direct = cw_pick_setup(&(cw_pick_desc_t){0})};
             }
             if (i != ENTRY_NONE) {
-                shard_fill_direct(e, &e->shards[i], view, shards);
+                e->shards[i].valid = true;
+                shard_fill_direct(e, &e->shards[i], view, &layout);
             }
         }
     }
@@ -112,6 +109,63 @@
     }
 }
 
+/* The shard that an upstream belongs to now; ENTRY_NONE when it is in none. */
+static uint32_t shard_of_upstream(const entry_t* e, const cw_view_t* view, uint64_t upstream) {
+    const cw_upstream_t* u = cw_view_upstream(view, upstream);
+    const cw_pool_t* pool = u ? cw_view_pool(view, u->pool_id) : NULL;
+    if (!pool) {
+        return ENTRY_NONE;
+    }
+    pool_layout_t layout = node_layout(view, pool);
+    return shard_find(e, cw_place_shard(pool->id, upstream, layout.ids, layout.count, layout.shards));
+}
+
+/* Counts a running request where its upstream is now. */
+static void move_running(entry_t* e, const cw_view_t* view, request_t* r) {
+    uint32_t shard = shard_of_upstream(e, view, r->upstream);
+    if (shard == ENTRY_NONE || shard == r->shard) {
+        return;
+    }
+    const uint32_t both[] = {r->shard, shard};
+    r->shard = shard;
+    for (int i = 0; i < 2; i++) {
+        e->shards[both[i]].digest_ms = 0; /* both allocators hear of it at once */
+        e->shards[both[i]].reported = true;
+    }
+}
+
+/* Moves a waiting request to a shard that is; refuses it when its pool has none any more. */
+static void ask_elsewhere(request_t* r) {
+    uint32_t shard = dispatch_choose_shard(r->entry, r);
+    withdraw(r);
+    if (shard == ENTRY_NONE) {
+        request_error(r, HTTP_UNAVAILABLE, "no-upstream", "choose", NULL, "the pool has no upstream any more", 1000);
+        request_event(r, CW_EV_REFUSED);
+        return;
+    }
+    r->shard = shard;
+    ask(r);
+    request_arm(r);
+}
+
+/* The shards of a pool may have been cut anew: what runs is counted where its upstream is now, what waits at a shard
+   that is no more asks again. */
+static void follow_shards(entry_t* e) {
+    cw_view_t* view = cw_store_view(e->node->store);
+    for (uint32_t i = 0; i < e->max_requests; i++) {
+        request_t* r = &e->requests[i];
+        if (!r->used || r->shard == ENTRY_NONE) {
+            continue;
+        }
+        if (r->grant && !r->direct) {
+            move_running(e, view, r);
+        } else if (r->machine.state == CW_REQ_WAITING && !e->shards[r->shard].valid) {
+            ask_elsewhere(r);
+        }
+    }
+    cw_view_release(view);
+}
+
 void entry_on_change(entry_t* e) {
     refresh_shards(e);
     uint64_t hosts[NODE_MAX_HOSTS];
@@ -122,6 +176,7 @@
             move_shard(e, i, owner);
         }
     }
+    follow_shards(e);
 }
 
 static uint32_t known_wait(const entry_shard_t* s, int64_t now_ms) {
@@ -135,7 +190,7 @@
     uint32_t best = ENTRY_NONE;
     uint32_t second = ENTRY_NONE;
     for (uint32_t i = 0; i < e->shard_count; i++) {
-        if (e->shards[i].pool != r->pool->id) {
+        if (!e->shards[i].valid || e->shards[i].pool != r->pool->id) {
             continue;
         }
         uint64_t score = cw_mix(key, e->shards[i].id);
@@ -345,7 +400,7 @@
     uint32_t took_ms = r->sent_ms ? (uint32_t)(now_ms - r->sent_ms) : 0;
     bool served = result == CW_PICK_SERVED;
     const cw_done_t done = {
-        .grant = r->grant, .result = result, .took_ms = took_ms, .cost = served ? r->cost : r->events};
+        .grant = r->grant, .result = result, .took_ms = took_ms, .cost = served ? r->cost : r->stream.tokens};
     if (r->direct) {
         uint32_t up = cw_pick_find(s->direct, r->upstream);
         if (up != CW_PICK_NONE) {
@@ -389,29 +444,31 @@
     }
 }
 
-/* Counts the stream's events and looks for its end event, across the borders of blocks. */
-static void follow_stream(request_t* r, const char* data, size_t size) {
-    const size_t keep = sizeof(sse_end) - 2;
-    char joint[2 * sizeof(r->tail)];
-    size_t tail = strlen(r->tail);
-    size_t head = size < keep ? size : keep;
-    memcpy(joint, r->tail, tail);
-    memcpy(joint + tail, data, head);
-    bool in_joint = memmem(joint, tail + head, sse_end, sizeof(sse_end) - 1) != NULL;
-    r->end_event = r->end_event || in_joint || memmem(data, size, sse_end, sizeof(sse_end) - 1) != NULL;
-    for (size_t i = 0; i < size; i++) {
-        char before = i ? data[i - 1] : (tail ? r->tail[tail - 1] : 0);
-        r->events += data[i] == '\n' && before == '\n';
-    }
-    if (size >= keep) {
-        memcpy(r->tail, data + size - keep, keep);
-        r->tail[keep] = 0;
-    } else {
-        size_t all = tail + size;
-        size_t skip = all > keep ? all - keep : 0;
-        memcpy(r->tail, joint + skip, all - skip);
-        r->tail[all - skip] = 0;
+/* Adds to the whole answer; false when it is longer than allowed, which ends the request. */
+static bool keep_answer(request_t* r, const char* data, size_t size) {
+    if (r->answer.body.size + size <= r->entry->node->settings.max_answer) {
+        cw_buffer_add(&r->answer.body, data, size);
+        return true;
     }
+    request_error(r, HTTP_BAD_GATEWAY, "answer-too-long", "answer", r->answer.peer,
+                  "the upstream's answer is longer than max_answer", 0);
+    r->machine.retry_allowed = false;
+    request_event(r, CW_EV_BROKEN);
+    return false;
+}
+
+/* Passes on the whole events of what has come. */
+static void pass_events(request_t* r, const char* data, size_t size) {
+    cw_buffer_add(&r->pending, data, size);
+    size_t whole = cw_stream_take(&r->stream, r->pending.data, r->pending.size);
+    if (!whole) {
+        return;
+    }
+    if (r->x) {
+        cw_exchange_push(r->x, r->pending.data, whole);
+        request_event(r, CW_EV_DELIVERED_PART);
+    }
+    cw_buffer_drop(&r->pending, whole);
 }
 
 static bool on_data(void* user, const char* data, size_t size) {
@@ -419,22 +476,13 @@
     if (r->streaming && r->x && cw_exchange_push(r->x, "", 0) > STREAM_HIGH_WATER) {
         return false;
     }
-    if (r->wants_stream) {
-        follow_stream(r, data, size);
-    }
-    if (r->streaming && r->x) {
-        cw_exchange_push(r->x, data, size);
-        request_event(r, CW_EV_DELIVERED_PART);
-    }
     if (!r->streaming || r->record != CW_RUN_NONE) {
-        if (r->answer.body.size + size > r->entry->node->settings.max_answer) {
-            request_error(r, HTTP_BAD_GATEWAY, "answer-too-long", "answer", r->answer.peer,
-                          "the upstream's answer is longer than max_answer", 0);
-            r->machine.retry_allowed = false;
-            request_event(r, CW_EV_BROKEN);
+        if (!keep_answer(r, data, size)) {
             return true;
         }
-        cw_buffer_add(&r->answer.body, data, size);
+    }
+    if (r->streaming) {
+        pass_events(r, data, size);
     }
     return true;
 }
@@ -448,7 +496,7 @@
 }
 
 static void learn(request_t* r) {
-    uint32_t output = r->events;
+    uint32_t output = r->stream.tokens;
     if (r->pool->engine && !r->streaming) {
         output = usage_of(&r->answer);
     }
@@ -493,7 +541,7 @@
     request_t* r = user;
     r->call = NULL;
     r->upstream_status = result->status ? result->status : r->upstream_status;
-    bool whole = result->whole && (!r->streaming || r->end_event);
+    bool whole = result->whole && (!r->streaming || r->stream.ended);
     bool busy = whole && result->status == HTTP_UNAVAILABLE && r->class->repeatable;
     if (result->vetoed) {
         request_event(r, CW_EV_GRANT_EXPIRED);
@@ -517,18 +565,22 @@
     }
     char url[CW_ADDRESS_MAX + 300];
     char tier[8];
+    char from[16];
     snprintf(url, sizeof(url), "http://%s%s", u ? u->address : "0.0.0.0:1", r->path);
     snprintf(tier, sizeof(tier), "%u", r->class->tier);
-    cw_header_t headers[4] = {{"Content-Type", r->type}, {"Chalkway-Request-Id", r->id}, {"Chalkway-Priority", tier}};
+    cw_header_t headers[5] = {{"Content-Type", r->type}, {"Chalkway-Request-Id", r->id}, {"Chalkway-Priority", tier}};
     uint32_t count = 3;
     if (r->name[0] && u && u->drops_repeats) {
         headers[count++] = (cw_header_t){"Idempotency-Key", r->name};
     }
+    if (r->stream.tokens) {
+        snprintf(from, sizeof(from), "%u", r->stream.tokens);
+        headers[count++] = (cw_header_t){"Chalkway-Resume-From", from};
+        e->stats.resumed++;
+    }
     cw_view_release(newest);
     r->sent_ms = 0;
-    r->events = 0;
-    r->tail[0] = 0;
-    r->end_event = false;
+    r->pending.size = 0;
     r->answer.body.size = 0;
     r->call = cw_client_call(e->node->client, &(cw_call_desc_t){.method = r->method,
                                                                 .url = url,
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -153,6 +153,7 @@
     }
     free(r->body);
     cw_buffer_free(&r->answer.body);
+    cw_buffer_free(&r->pending);
     *r = (request_t){0};
     e->free_requests[e->free_count++] = index;
     e->stats.active--;
@@ -383,19 +384,19 @@
 
 /* Counters of the workspace and class; the last place counts all that do not fit. */
 static metric_t* find_metric(entry_t* e, const request_t* r) {
-    for (uint32_t i = 0; i < e->metric_count; i++) {
-        metric_t* m = &e->metrics[i];
-        if (strcmp(m->workspace, r->workspace->name) == 0 && strcmp(m->class, r->class->name) == 0) {
-            return m;
-        }
+    uint64_t key = cw_mix(r->workspace->id, r->class->id);
+    uint32_t i = cw_map_get(&e->by_metric, key);
+    if (i != CW_MAP_NONE) {
+        return &e->metrics[i];
     }
     if (e->metric_count == ENTRY_MAX_METRICS) {
         return &e->metrics[ENTRY_MAX_METRICS - 1];
     }
-    metric_t* m = &e->metrics[e->metric_count++];
-    bool last = e->metric_count == ENTRY_MAX_METRICS;
+    metric_t* m = &e->metrics[e->metric_count];
+    bool last = e->metric_count == ENTRY_MAX_METRICS - 1;
     cw_copy(m->workspace, sizeof(m->workspace), last ? "other" : r->workspace->name);
     cw_copy(m->class, sizeof(m->class), last ? "other" : r->class->name);
+    cw_map_put(&e->by_metric, key, e->metric_count++);
     return m;
 }
 
@@ -414,7 +415,8 @@
     r->estimate = find_estimate(e, r);
     r->metric = find_metric(e, r);
     estimate_cost(r);
-    r->machine = cw_request_new(&(cw_request_desc_t){.repeatable = r->class->repeatable});
+    r->machine = cw_request_new(
+        &(cw_request_desc_t){.repeatable = r->class->repeatable, .resumable = r->pool->resumes && r->wants_stream});
     r->shard = dispatch_choose_shard(e, r);
     if (r->shard == ENTRY_NONE) {
         reject(r, HTTP_UNAVAILABLE, "no-upstream", "choose", "the pool has no upstream", 1000);
@@ -503,6 +505,7 @@
     e->free_requests = cw_alloc(NULL, e->max_requests, sizeof(*e->free_requests));
     e->estimates = cw_alloc(NULL, ENTRY_MAX_ESTIMATES, sizeof(*e->estimates));
     e->metrics = cw_alloc(NULL, ENTRY_MAX_METRICS, sizeof(*e->metrics));
+    e->by_metric = cw_map_setup(ENTRY_MAX_METRICS, NULL);
     e->by_seq = cw_map_setup(e->max_requests, NULL);
     e->timers = cw_heap_setup(e->max_requests, NULL);
     for (uint32_t i = e->max_requests; i-- > 0;) {
@@ -530,6 +533,7 @@
     }
     dispatch_shutdown(e);
     cw_runonce_shutdown(e->runonce);
+    cw_map_shutdown(&e->by_metric);
     cw_map_shutdown(&e->by_seq);
     cw_heap_shutdown(&e->timers);
     free(e->requests);
@@ -592,6 +596,7 @@
     }
     fprintf(out, "chalkway_requests_active %u\n", e->stats.active);
     fprintf(out, "chalkway_retries_total %llu\n", (unsigned long long)e->stats.retries);
+    fprintf(out, "chalkway_resumed_total %llu\n", (unsigned long long)e->stats.resumed);
     fprintf(out, "chalkway_direct_total %llu\n", (unsigned long long)e->stats.direct);
     fprintf(out, "chalkway_runonce_records %u\n", cw_runonce_count(e->runonce));
     fclose(out);
--- a/daemon/entry_parts.h
+++ b/daemon/entry_parts.h
@@ -6,6 +6,7 @@
         entry.c     accepts and classifies requests, run-once names, answers
         dispatch.c  wants, grants, direct mode, the transfer to the upstream
 */
+#include "../chalkway_stream.h"
 #include "../io/buffer.h"
 #include "node.h"
 
@@ -28,6 +29,7 @@
 typedef struct entry_shard_t {
     uint64_t id, pool;
     uint64_t owner;
+    bool valid;            /* of the newest configuration; others only end what runs */
     uint64_t last_grant;   /* received last from the owner */
     uint32_t wait_ms;      /* as the owner said last */
     int64_t heard_ms;      /* from the owner, 0: never */
@@ -88,9 +90,8 @@
     bool cancel_told; /* the transfer was ended by us */
     unsigned upstream_status;
     char upstream_type[64];
-    bool end_event;  /* the stream's end event was seen */
-    uint32_t events; /* of the stream: tokens */
-    char tail[16];   /* last bytes of the stream */
+    cw_stream_t stream;  /* passed on to the caller */
+    cw_buffer_t pending; /* start of an event that has not come whole */
     answer_t answer;
 } request_t;
 
@@ -112,6 +113,7 @@
     uint32_t estimate_count;
     metric_t* metrics;
     uint32_t metric_count;
+    cw_map_t by_metric; /* mix(workspace, class) -> metric */
     cw_retry_budget_t retries;
     cw_runonce_t* runonce;
     entry_stats_t stats;
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -29,6 +29,17 @@
     return node->policy == POLICY_SHARED ? cw_place_owner(shard, hosts, count) : node->host;
 }
 
+pool_layout_t node_layout(const cw_view_t* view, const cw_pool_t* pool) {
+    pool_layout_t l = {0};
+    for (uint32_t i = 0; i < view->upstream_count && l.count < NODE_MAX_POOL; i++) {
+        if (view->upstreams[i].pool_id == pool->id) {
+            l.ids[l.count++] = view->upstreams[i].id;
+        }
+    }
+    l.shards = cw_place_shard_count(l.count, pool->shard_size);
+    return l;
+}
+
 bool node_upstream_leaves(const node_t* node, const cw_upstream_t* u) {
     for (uint32_t i = 0; i < node->listed_count; i++) {
         if (node->listed[i].id == u->id && node->listed[i].leaving) {
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -27,6 +27,7 @@
 
 #define NODE_MAX_HOSTS 1024
 #define NODE_MAX_SHARDS 256
+#define NODE_MAX_POOL 1024 /* upstreams of one pool */
 
 typedef struct node_t node_t;
 typedef struct entry_t entry_t;
@@ -94,13 +95,20 @@
 /* Sends to a host, or hands the message over directly when it is this one. */
 cw_status_t node_send(node_t* node, uint64_t host, const cw_msg_t* msg);
 
+/* The upstreams of a pool and how they are cut into shards. */
+typedef struct pool_layout_t {
+    uint32_t count, shards;
+    uint64_t ids[NODE_MAX_POOL];
+} pool_layout_t;
+
+pool_layout_t node_layout(const cw_view_t* view, const cw_pool_t* pool);
 /* Whether an upstream gets new work: neither its document nor the host list says that it leaves. */
 bool node_upstream_leaves(const node_t* node, const cw_upstream_t* u);
 
 /* -- entry.c -------------------------------------------------------------- */
 
 typedef struct entry_stats_t {
-    uint64_t requests, outcomes[CW_OUTCOME_COUNT], retries, direct, joined;
+    uint64_t requests, outcomes[CW_OUTCOME_COUNT], retries, resumed, direct, joined;
     uint32_t active;
 } entry_stats_t;
 
--- a/standins/fake_engine.c
+++ b/standins/fake_engine.c
@@ -144,6 +144,10 @@
         job->prefill_steps -= 1.0;
         return;
     }
+    if (job->made >= job->length) { /* resumed after its last token */
+        job_finish(e, job);
+        return;
+    }
     job_token(e, job);
     if (job->stream && e->cut_after >= 0 && job->made >= (uint64_t)e->cut_after) {
         e->cut_after = -1;
--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -8,6 +8,7 @@
 #include "../chalkway_log.h"
 #include "../chalkway_place.h"
 #include "../chalkway_settings.h"
+#include "../chalkway_stream.h"
 #include "test.h"
 
 START_TEST(map_agrees_with_an_array) {
@@ -198,6 +199,61 @@
 }
 END_TEST
 
+/* Any cut into blocks gives the same events; what is not whole is not passed on. */
+START_TEST(stream_events_are_whole) {
+    static const char text[] = "data: a\n\ndata: {\"b\":1}\n\ndata: [DONE]\n\n";
+    rng_t rng = {.state = (uint64_t)_i};
+    cw_stream_t s = {0};
+    char pending[128];
+    char passed[128] = "";
+    size_t held = 0;
+    size_t out = 0;
+    size_t stop = _i % 2 ? sizeof(text) - 1 : 1 + rng_below(&rng, sizeof(text) - 2);
+    for (size_t at = 0; at < stop;) {
+        size_t n = 1 + rng_below(&rng, 9);
+        n = at + n > stop ? stop - at : n;
+        memcpy(pending + held, text + at, n);
+        held += n;
+        at += n;
+        size_t whole = cw_stream_take(&s, pending, held);
+        memcpy(passed + out, pending, whole);
+        out += whole;
+        held -= whole;
+        memmove(pending, pending + whole, held);
+    }
+    ck_assert(memcmp(passed, text, out) == 0);
+    ck_assert(out == 0 || (passed[out - 1] == '\n' && passed[out - 2] == '\n'));
+    ck_assert_int_eq(s.ended, stop == sizeof(text) - 1);
+    ck_assert_uint_eq(s.tokens, out >= 24 ? 2 : out >= 9 ? 1 : 0);
+}
+END_TEST
+
+/* Shards of a pool differ by one upstream at most; a new upstream moves at most one over each border. */
+START_TEST(shards_are_even) {
+    uint64_t ids[100];
+    for (uint32_t i = 0; i < 100; i++) {
+        ids[i] = cw_mix(i + 1, 5);
+    }
+    for (uint32_t count = 1; count < 100; count++) {
+        uint32_t shards = cw_place_shard_count(count, 7);
+        uint32_t sizes[16] = {0};
+        uint32_t moved = 0;
+        for (uint32_t i = 0; i < count; i++) {
+            uint64_t shard = cw_place_shard(9, ids[i], ids, count, shards);
+            for (uint32_t k = 0; k < shards; k++) {
+                sizes[k] += shard == cw_place_shard_id(9, k);
+            }
+            moved += shard != cw_place_shard(9, ids[i], ids, count + 1, shards);
+        }
+        for (uint32_t k = 0; k < shards; k++) {
+            ck_assert_uint_ge(sizes[k], count / shards);
+            ck_assert_uint_le(sizes[k], (count + shards - 1) / shards);
+        }
+        ck_assert_uint_lt(moved, shards);
+    }
+}
+END_TEST
+
 /* -- settings ------------------------------------------------------------- */
 
 static cw_settings_errors_t load(const char* text, cw_settings_t* settings) {
@@ -287,6 +343,8 @@
     tcase_add_test(t, bucket_limits_the_rate);
     tcase_add_test(t, retries_keep_to_their_share);
     tcase_add_test(t, places_move_little);
+    tcase_add_test(t, shards_are_even);
+    tcase_add_loop_test(t, stream_events_are_whole, 0, 40);
     tcase_add_test(t, settings_are_read_with_units);
     tcase_add_test(t, all_wrong_settings_are_named_at_once);
     tcase_add_test(t, log_writes_pairs_and_json);
--- a/tests/test_request.c
+++ b/tests/test_request.c
@@ -46,6 +46,21 @@
 }
 END_TEST
 
+START_TEST(a_cut_stream_is_continued_only_where_that_is_possible) {
+    for (int resumable = 0; resumable < 2; resumable++) {
+        cw_request_t r = cw_request_new(&(cw_request_desc_t){.repeatable = true, .resumable = resumable});
+        cw_request_event(&r, CW_EV_START);
+        cw_request_event(&r, CW_EV_GRANT);
+        cw_request_event(&r, CW_EV_SENDING);
+        cw_request_event(&r, CW_EV_HEAD);
+        cw_request_event(&r, CW_EV_DELIVERED_PART);
+        uint32_t todo = cw_request_event(&r, CW_EV_BROKEN);
+        ck_assert_int_eq((todo & CW_DO_WANT) != 0, resumable);
+        ck_assert_int_eq((todo & CW_DO_ANSWER) != 0, !resumable);
+    }
+}
+END_TEST
+
 START_TEST(late_grant_goes_back) {
     cw_request_t r = cw_request_new(&(cw_request_desc_t){0});
     cw_request_event(&r, CW_EV_START);
@@ -99,6 +114,7 @@
     tcase_add_test(t, delivered_request);
     tcase_add_test(t, expired_grant_is_returned_and_asked_for_again);
     tcase_add_test(t, non_repeatable_call_runs_on_when_the_caller_leaves);
+    tcase_add_test(t, a_cut_stream_is_continued_only_where_that_is_possible);
     tcase_add_test(t, late_grant_goes_back);
     tcase_add_loop_test(t, random_events_keep_the_promises, 0, 10);
 }
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -155,6 +155,77 @@
 }
 END_TEST
 
+static void publish_sched(int shard_size) {
+    char items[256];
+    snprintf(items, sizeof(items),
+             "{\"items\":[{\"key\":\"pools/sched\",\"value\":{\"kind\":\"service\",\"shard_size\":%d}}]}", shard_size);
+    publish_text(items);
+}
+
+/* The shards of a pool are cut anew while requests wait and run: all are served, none twice. */
+START_TEST(cutting_shards_anew_loses_nothing) {
+    start_site();
+    static const char* const slow[] = {"--ms", "100", "--slots", "2", NULL};
+    char items[256];
+    for (int i = 0; i < 2; i++) {
+        char name[16];
+        snprintf(name, sizeof(name), "more%d", i);
+        site_proc_t* p = site_start(&site, SITE_SERVICE, name, "h1", slow);
+        ck_assert_ptr_nonnull(p);
+        snprintf(items, sizeof(items),
+                 "{\"items\":[{\"key\":\"upstreams/%s\",\"value\":{\"pool\":\"sched\",\"address\":\"%s\","
+                 "\"hall\":\"h1\",\"slots\":2}}]}",
+                 name, p->http);
+        publish_text(items);
+    }
+    set_service("ms=100");
+    static const char* const names[] = {"a", "b", "c"};
+    pid_t children[12];
+    for (int i = 0; i < 12; i++) {
+        children[i] = fork();
+        if (children[i] == 0) {
+            int failed = 0;
+            for (int k = 0; k < 20; k++) {
+                failed += status_call(http_of(names[i % 3])).status != 200;
+            }
+            _exit(failed);
+        }
+    }
+    for (int k = 0; k < 6; k++) {
+        publish_sched(k % 2 ? 24 : 1);
+        site_sleep_ms(200);
+    }
+    int failed = 0;
+    for (int i = 0; i < 12; i++) {
+        int status = 0;
+        waitpid(children[i], &status, 0);
+        failed += WIFEXITED(status) ? WEXITSTATUS(status) : 1;
+    }
+    ck_assert_int_eq(failed, 0);
+    stop_site();
+}
+END_TEST
+
+/* Where the pool's engines resume, a cut stream is continued: the caller sees every token once and never the cut. */
+START_TEST(a_cut_stream_is_continued) {
+    start_site();
+    publish_text(
+        "{\"items\":[{\"key\":\"pools/lang\",\"value\":{\"kind\":\"engine\",\"model\":\"m\",\"resumes\":true}}]}");
+    ck_assert(site_wait_revision(&site, 9, WAIT_MS));
+    site_answer_t uncut = summary(http_of("a"), "x", true, 50);
+    ck_assert(uncut.whole);
+    for (int cut_after = 1; cut_after < 50; cut_after += 16) {
+        char path[64];
+        snprintf(path, sizeof(path), "/admin/set?cut_after=%d", cut_after);
+        site_call(&(site_request_t){.address = http_of("engine"), .path = path, .body = ""});
+        site_answer_t cut = summary(http_of("a"), "x", true, 50);
+        ck_assert(cut.whole);
+        ck_assert_str_eq(cut.body, uncut.body);
+    }
+    stop_site();
+}
+END_TEST
+
 /* The service runs the call and cuts the connection: the answer is lost, the call is not sent again. */
 START_TEST(a_lost_answer_is_unknown_and_never_run_again) {
     start_site();
@@ -301,6 +372,37 @@
 }
 END_TEST
 
+START_TEST(the_load_tool_measures_a_site) {
+    start_site();
+    char path[128];
+    snprintf(path, sizeof(path), "%s/load.ini", site.dir);
+    FILE* f = fopen(path, "w");
+    ck_assert_ptr_nonnull(f);
+    fprintf(f,
+            "[load]\naddresses = %s, %s\nseconds = 2\n[workspace w]\ntoken = " TOKEN
+            "\n[class booking]\npath = /v1/services/sched/book\nonce = yes\nrate = 20\n"
+            "[class summary]\npath = /v1/chat/completions\nmodel = m\nstream = yes\nlength = 10\nrate = 5\n",
+            http_of("a"), http_of("b"));
+    fclose(f);
+    char command[512];
+    snprintf(command, sizeof(command), "%s/chalkway-load %s -o %s/load.json >/dev/null 2>&1", build_dir(), path,
+             site.dir);
+    FILE* pipe = popen(command, "r");
+    ck_assert_ptr_nonnull(pipe);
+    ck_assert_int_eq(pclose(pipe), 0);
+    snprintf(path, sizeof(path), "%s/load.json", site.dir);
+    json_t* root = json_load_file(path, 0, NULL);
+    json_t* booked = json_object_get(json_object_get(root, "classes"), "booking");
+    int sent = (int)json_integer_value(json_object_get(booked, "sent"));
+    ck_assert_int_gt(sent, 0);
+    ck_assert_int_eq(json_integer_value(json_object_get(booked, "wrong")), 0);
+    ck_assert_double_eq(service_count("runs"), sent);
+    ck_assert_double_eq(service_count("repeated"), 0);
+    json_decref(root);
+    stop_site();
+}
+END_TEST
+
 /* Slots that the allocator of a pool may use, by what the hosts that run say; -1 when none allocates it. */
 static int limit_of_pool(const char* pool) {
     int limit = -1;
@@ -447,6 +549,8 @@
 static void add_tests(TCase* t) {
     tcase_add_test(t, requests_of_each_kind_are_served);
     tcase_add_test(t, a_cut_stream_is_visibly_broken);
+    tcase_add_test(t, cutting_shards_anew_loses_nothing);
+    tcase_add_test(t, a_cut_stream_is_continued);
     tcase_add_test(t, a_lost_answer_is_unknown_and_never_run_again);
     tcase_add_test(t, a_repeat_joins_the_running_call);
     tcase_add_test(t, no_other_host_and_no_later_life_runs_a_name);
@@ -458,6 +562,7 @@
     tcase_add_test(t, an_invalid_change_leaves_the_last_valid_one);
     tcase_add_test(t, a_cut_off_host_leaves_its_share_unused);
     tcase_add_test(t, a_leaving_upstream_gets_no_new_work);
+    tcase_add_test(t, the_load_tool_measures_a_site);
     tcase_add_test(t, the_control_tool_shows_what_is_wrong);
     tcase_add_test(t, a_limit_of_a_workspace_holds_over_all_hosts);
     tcase_add_test(t, bad_input_is_refused_and_not_run);
