A stalled stream goes on elsewhere

Ruled out: the killed engine (its streams were resumed) and the slow one (its answers came in time). Change: a resumable stream without a first token for 3 s, or without the next for 1.5 s, is given up there and continued at another engine; not while a slow caller holds it back.

--- a/chalkway_settings.h
+++ b/chalkway_settings.h
@@ -50,6 +50,8 @@
     uint32_t ticket_ms;
     uint32_t silent_ms;           /* allocator's silence until direct mode */
     uint32_t silent_protected_ms; /* the same for protected classes */
+    uint32_t first_token_ms;      /* a resumable stream without a token for so long is tried elsewhere */
+    uint32_t stall_ms;            /* the same between two tokens */
     uint32_t max_answer;          /* bytes of a whole answer held */
     double retry_share;           /* retries for each first try */
     /* [allocator] */
@@ -137,6 +139,9 @@
     {"entry", "silent", CW_SETTING_MS, _CW_AT(silent_ms), "150ms", 5, 10000, "allocator's silence until direct mode"},
     {"entry", "silent_protected", CW_SETTING_MS, _CW_AT(silent_protected_ms), "40ms", 5, 10000,
      "the same for protected classes"},
+    {"entry", "first_token", CW_SETTING_MS, _CW_AT(first_token_ms), "3s", 50, 600000,
+     "a resumable stream without a token for so long is tried elsewhere"},
+    {"entry", "stall", CW_SETTING_MS, _CW_AT(stall_ms), "1500ms", 20, 600000, "the same between two tokens"},
     {"entry", "max_answer", CW_SETTING_BYTES, _CW_AT(max_answer), "4m", 1024, 67108864, "longest whole answer"},
     {"entry", "retry_share", CW_SETTING_NUMBER, _CW_AT(retry_share), "0.1", 0, 1, "retries for each first try"},
     {"allocator", "policy", CW_SETTING_NAME, _CW_AT(policy), "shared", 0, 0,
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -421,6 +421,7 @@
         return false;
     }
     r->sent_ms = node_now();
+    r->moved_ms = r->sent_ms;
     request_event(r, CW_EV_SENDING);
     return true;
 }
@@ -474,8 +475,10 @@
 static bool on_data(void* user, const char* data, size_t size) {
     request_t* r = user;
     if (r->streaming && r->x && cw_exchange_push(r->x, "", 0) > STREAM_HIGH_WATER) {
+        r->paused = true;
         return false;
     }
+    r->moved_ms = node_now();
     if (!r->streaming || r->record != CW_RUN_NONE) {
         if (!keep_answer(r, data, size)) {
             return true;
@@ -581,6 +584,7 @@
     cw_view_release(newest);
     r->sent_ms = 0;
     r->pending.size = 0;
+    r->paused = false;
     r->answer.body.size = 0;
     r->call = cw_client_call(e->node->client, &(cw_call_desc_t){.method = r->method,
                                                                 .url = url,
@@ -652,6 +656,22 @@
     return r->class->is_protected ? s->silent_protected_ms : s->silent_ms;
 }
 
+/* Time at which the attempt counts as stalled: a frozen engine says nothing and breaks nothing. INT64_MAX: never. */
+static int64_t stall_time(const request_t* r) {
+    bool runs = r->machine.state == CW_REQ_SENT || r->machine.state == CW_REQ_STREAMING;
+    if (!runs || !r->machine.resumable || !r->machine.repeatable || r->paused) {
+        return INT64_MAX;
+    }
+    const cw_settings_t* s = &r->entry->node->settings;
+    return r->moved_ms + (r->moved_ms == r->sent_ms ? s->first_token_ms : s->stall_ms);
+}
+
+static void stalled(request_t* r) {
+    const cw_call_result_t result = {
+        .sent = true, .status = r->upstream_status, .message = "no token came for too long"};
+    transfer_failed(r, &result);
+}
+
 static void arm_loop(entry_t* e) {
     ev_timer_stop(e->node->loop, &e->timer);
     uint32_t top = cw_heap_top(&e->timers);
@@ -672,6 +692,8 @@
         int64_t ask_ms = r->asked_ms ? r->asked_ms + silent_limit(r) : r->reask_ms;
         at_ms = ask_ms < at_ms ? ask_ms : at_ms;
     }
+    int64_t stall_ms = stall_time(r);
+    at_ms = stall_ms < at_ms ? stall_ms : at_ms;
     uint32_t before = cw_heap_top(&e->timers);
     double before_key = before == CW_HEAP_NONE ? 0 : cw_heap_key(&e->timers, before);
     cw_heap_set(&e->timers, (uint32_t)(r - e->requests), (double)at_ms);
@@ -701,6 +723,10 @@
                       "the deadline has passed", 0);
         learn_cut(r);
         request_event(r, CW_EV_DEADLINE);
+    } else if (now_ms >= stall_time(r)) {
+        stalled(r);
+    } else if (r->machine.state == CW_REQ_SENT || r->machine.state == CW_REQ_STREAMING) {
+        request_arm(r); /* tokens have come since the timer was set */
     } else if (r->machine.state == CW_REQ_WAITING) {
         if (r->asked_ms) {
             allocator_silent(r, now_ms);
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -491,6 +491,8 @@
     (void)user;
     request_t* r = cw_exchange_data(x);
     if (r && r->call) {
+        r->paused = false;
+        r->moved_ms = node_now();
         cw_call_resume(r->call);
     }
 }
--- a/daemon/entry_parts.h
+++ b/daemon/entry_parts.h
@@ -91,6 +91,8 @@
     unsigned upstream_status;
     char upstream_type[64];
     cw_stream_t stream;  /* passed on to the caller */
+    int64_t moved_ms;    /* the attempt's last sign of life */
+    bool paused;         /* the upstream waits for a slow caller */
     cw_buffer_t pending; /* start of an event that has not come whole */
     answer_t answer;
 } request_t;
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -226,6 +226,44 @@
 }
 END_TEST
 
+/* An engine freezes in the middle of a stream and breaks nothing: the stream goes on at another one. */
+START_TEST(a_stalled_stream_goes_on_elsewhere) {
+    start_site();
+    static const char* const slow[] = {"--slots", "4", "--step", "20", NULL};
+    site_proc_t* other = site_start(&site, SITE_ENGINE, "other", "h1", slow);
+    ck_assert_ptr_nonnull(other);
+    char items[512];
+    snprintf(
+        items, sizeof(items),
+        "{\"items\":[{\"key\":\"pools/lang\",\"value\":{\"kind\":\"engine\",\"model\":\"m\",\"resumes\":true}},"
+        "{\"key\":\"upstreams/other\",\"value\":{\"pool\":\"lang\",\"address\":\"%s\",\"hall\":\"h1\",\"slots\":4}}]}",
+        other->http);
+    publish_text(items);
+    ck_assert(site_wait_revision(&site, 10, WAIT_MS));
+    site_proc_t* engine = site_find(&site, "engine");
+    site_call(&(site_request_t){.address = engine->http, .path = "/admin/set?step_ms=20", .body = ""});
+    pid_t children[4];
+    for (int i = 0; i < 4; i++) {
+        children[i] = fork();
+        if (children[i] == 0) {
+            char id[16];
+            snprintf(id, sizeof(id), "s%d", i);
+            site_answer_t a = summary(http_of("a"), id, true, 60);
+            _exit(a.whole && strstr(a.body, "[DONE]") ? 0 : 1);
+        }
+    }
+    site_sleep_ms(400);
+    kill(engine->pid, SIGSTOP);
+    for (int i = 0; i < 4; i++) {
+        int status = 0;
+        waitpid(children[i], &status, 0);
+        ck_assert(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+    }
+    kill(engine->pid, SIGCONT);
+    stop_site();
+}
+END_TEST
+
 /* The service runs the call and cuts the connection: the answer is lost, the call is not sent again. */
 START_TEST(a_lost_answer_is_unknown_and_never_run_again) {
     start_site();
@@ -551,6 +589,7 @@
     tcase_add_test(t, a_cut_stream_is_visibly_broken);
     tcase_add_test(t, cutting_shards_anew_loses_nothing);
     tcase_add_test(t, a_cut_stream_is_continued);
+    tcase_add_test(t, a_stalled_stream_goes_on_elsewhere);
     tcase_add_test(t, a_lost_answer_is_unknown_and_never_run_again);
     tcase_add_test(t, a_repeat_joins_the_running_call);
     tcase_add_test(t, no_other_host_and_no_later_life_runs_a_name);
