--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -144,6 +144,7 @@
         return;
     }
     r->shard = shard;
+    r->first_shard = shard;
     ask(r);
     request_arm(r);
 }
@@ -474,7 +475,7 @@
 
 static bool on_data(void* user, const char* data, size_t size) {
     request_t* r = user;
-    if (r->streaming && r->x && cw_exchange_push(r->x, "", 0) > STREAM_HIGH_WATER) {
+    if (r->streaming && r->x && cw_exchange_pending(r->x) > STREAM_HIGH_WATER) {
         r->paused = true;
         return false;
     }
@@ -776,7 +777,37 @@
     request_event(r, CW_EV_GRANT);
 }
 
+/* The next shard of the pool that the request has not asked, in order of index from the first; ENTRY_NONE after all. */
+static uint32_t next_shard(const request_t* r) {
+    const entry_t* e = r->entry;
+    for (uint32_t k = 1; k < e->shard_count; k++) {
+        uint32_t i = (r->shard + k) % e->shard_count;
+        if (i == r->first_shard) {
+            return ENTRY_NONE;
+        }
+        if (e->shards[i].valid && e->shards[i].pool == r->pool->id) {
+            return i;
+        }
+    }
+    return ENTRY_NONE;
+}
+
+/* A protected request is refused only when every shard of its pool has refused it: lower work may wait at another. */
+static bool ask_next_shard(request_t* r, const cw_shard_action_t* a) {
+    uint32_t next = r->class->is_protected && a->refusal != CW_REFUSED_RATE ? next_shard(r) : ENTRY_NONE;
+    if (next == ENTRY_NONE) {
+        return false;
+    }
+    r->shard = next;
+    ask(r);
+    request_arm(r);
+    return true;
+}
+
 static void on_refuse(request_t* r, const cw_shard_action_t* a) {
+    if (ask_next_shard(r, a)) {
+        return;
+    }
     char message[CW_MESSAGE_MAX];
     snprintf(message, sizeof(message), "refused by the shard: %s", cw_refusal_name(a->refusal));
     unsigned status = a->refusal == CW_REFUSED_NO_UPSTREAM ? HTTP_UNAVAILABLE
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -418,6 +418,7 @@
     r->machine = cw_request_new(
         &(cw_request_desc_t){.repeatable = r->class->repeatable, .resumable = r->pool->resumes && r->wants_stream});
     r->shard = dispatch_choose_shard(e, r);
+    r->first_shard = r->shard;
     if (r->shard == ENTRY_NONE) {
         reject(r, HTTP_UNAVAILABLE, "no-upstream", "choose", "the pool has no upstream", 1000);
         return;
--- a/daemon/entry_parts.h
+++ b/daemon/entry_parts.h
@@ -77,13 +77,14 @@
     uint32_t joined; /* record of the running call this one waits for */
     bool wants_stream, streaming, answered;
     int64_t start_ms, deadline_ms, first_ms;
-    int64_t asked_ms;  /* a want is unanswered since, 0: it was answered */
-    int64_t reask_ms;  /* ask for a sign of life then */
-    uint32_t seq;      /* of the want or grant, 0: none */
-    uint32_t shard;    /* index in shards */
-    uint64_t grant;    /* held, 0: none */
-    uint64_t upstream; /* of the grant */
-    bool direct;       /* the slot is of this entry's own slice */
+    int64_t asked_ms;     /* a want is unanswered since, 0: it was answered */
+    int64_t reask_ms;     /* ask for a sign of life then */
+    uint32_t seq;         /* of the want or grant, 0: none */
+    uint32_t shard;       /* index in shards */
+    uint32_t first_shard; /* asked first */
+    uint64_t grant;       /* held, 0: none */
+    uint64_t upstream;    /* of the grant */
+    bool direct;          /* the slot is of this entry's own slice */
     int64_t use_before_ms, sent_ms, want_ms;
     uint64_t exclude;
     cw_call_t* call;
--- a/daemon/sync.c
+++ b/daemon/sync.c
@@ -31,6 +31,7 @@
     cw_buffer_t hosts_body;
     int64_t hosts_ms;  /* next reading of the list */
     int64_t pulled_ms; /* a pull is outstanding since, 0: none */
+    int64_t deferred;  /* revision to commit when the pull is over, 0: none */
     bool reader;
     cw_msg_t out;
 };
@@ -52,8 +53,18 @@
     return names[s->state];
 }
 
-/* Makes what was put the configuration in force. */
+static bool pull_outstanding(const sync_t* s, int64_t now_ms) {
+    return s->pulled_ms && now_ms - s->pulled_ms < PULL_TIMEOUT_MS;
+}
+
+/* Makes what was put the configuration in force; not while a pull has put only a part of what it brings. */
 static void commit(sync_t* s, int64_t revision) {
+    if (pull_outstanding(s, node_now())) {
+        s->deferred = revision > s->deferred ? revision : s->deferred;
+        return;
+    }
+    revision = revision > s->deferred ? revision : s->deferred;
+    s->deferred = 0;
     int64_t before = cw_store_revision(s->node->store);
     cw_store_commit(s->node->store, revision);
     if (revision <= before) {
@@ -263,7 +274,7 @@
 
 void sync_on_revision(sync_t* s, uint64_t from, int64_t revision) {
     int64_t now_ms = node_now();
-    if (revision <= cw_store_revision(s->node->store) || (s->pulled_ms && now_ms - s->pulled_ms < PULL_TIMEOUT_MS)) {
+    if (revision <= cw_store_revision(s->node->store) || pull_outstanding(s, now_ms)) {
         return;
     }
     s->out.type = CW_MSG_PULL;
@@ -323,6 +334,9 @@
 }
 
 void sync_tick(sync_t* s, int64_t now_ms) {
+    if (s->deferred && !pull_outstanding(s, now_ms)) {
+        commit(s, s->deferred); /* the pull was never ended */
+    }
     bool hosts_due = s->node->settings.platform[0] && !s->hosts_call && now_ms >= s->hosts_ms;
     if (hosts_due && cw_bucket_take(&s->bucket, now_ms, 1)) {
         read_hosts(s, now_ms);
--- a/io/httpd.c
+++ b/io/httpd.c
@@ -161,6 +161,10 @@
     }
     cw_buffer_add(&x->out, data, size);
     resume(x);
+    return cw_exchange_pending(x);
+}
+
+size_t cw_exchange_pending(const cw_exchange_t* x) {
     return x->out.size - x->out_start;
 }
 
--- a/io/httpd.h
+++ b/io/httpd.h
@@ -59,6 +59,8 @@
 void cw_exchange_stream(cw_exchange_t* x, unsigned status, const cw_header_t* headers, uint32_t count);
 /* Adds to the stream; returns the bytes that wait to be sent. */
 size_t cw_exchange_push(cw_exchange_t* x, const void* data, size_t size);
+/* Bytes of the stream that wait to be sent. */
+size_t cw_exchange_pending(const cw_exchange_t* x);
 /* Ends the stream; whole = false breaks the connection so that the cut is seen. Ends the use of the exchange. */
 void cw_exchange_finish(cw_exchange_t* x, bool whole);
 
--- /dev/null
+++ b/tests/test_docs.c
@@ -0,0 +1,59 @@
+/* The operators' pages name every setting, event and field that the code has. */
+#include <stdio.h>
+#include <string.h>
+
+#include "../chalkway_log.h"
+#include "../chalkway_settings.h"
+#include "test.h"
+
+#define PAGE_MAX 65536
+
+static char page[PAGE_MAX];
+
+static void read_page(const char* path) {
+    FILE* f = fopen(path, "r");
+    ck_assert_msg(f != NULL, "%s: run from the project's root", path);
+    page[fread(page, 1, sizeof(page) - 1, f)] = 0;
+    fclose(f);
+}
+
+START_TEST(every_setting_is_on_its_page) {
+    read_page("docs/operators/settings.md");
+    uint32_t count = 0;
+    const cw_setting_info_t* info = cw_settings_info(&count);
+    for (uint32_t i = 0; i < count; i++) {
+        char row[160];
+        const char* initial = info[i].initial ? (info[i].initial[0] ? info[i].initial : "none") : "needed";
+        snprintf(row, sizeof(row), "| %s | %s | %s |", info[i].section, info[i].key, initial);
+        ck_assert_msg(strstr(page, row) != NULL, "missing: %s", row);
+    }
+}
+END_TEST
+
+START_TEST(every_event_is_on_its_page) {
+    read_page("docs/EVENTS.md");
+    static const char* const levels[] = {"debug", "info", "warn", "error"};
+    int known = 0;
+    for (int number = 1; number < 1000; number++) {
+        cw_event_info_t info = cw_event_info((cw_event_t)number);
+        char row[96];
+        snprintf(row, sizeof(row), "| %d |", number);
+        bool listed = strstr(page, row) != NULL;
+        bool exists = strcmp(info.name, "?") != 0;
+        ck_assert_msg(listed == exists, "event %d is %s", number, listed ? "on the page only" : "in the code only");
+        snprintf(row, sizeof(row), "| %d | %s | %s |", number, info.name, levels[info.level]);
+        ck_assert_msg(!exists || strstr(page, row) != NULL, "missing: %s", row);
+        known += exists;
+    }
+    ck_assert_int_gt(known, 10);
+}
+END_TEST
+
+static void add_tests(TCase* t) {
+    tcase_add_test(t, every_setting_is_on_its_page);
+    tcase_add_test(t, every_event_is_on_its_page);
+}
+
+int main(void) {
+    return run_suite("docs", add_tests, 10);
+}
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -206,6 +206,45 @@
 }
 END_TEST
 
+/* Sixteen payments at two shards, one of which is busy for four seconds: those that it refuses go to the other. */
+START_TEST(a_protected_request_asks_every_shard) {
+    start_site();
+    static const char* const slow[] = {"--ms", "4000", "--slots", "1", NULL};
+    site_proc_t* p = site_start(&site, SITE_SERVICE, "slow", "h1", slow);
+    ck_assert_ptr_nonnull(p);
+    char items[1024];
+    snprintf(items, sizeof(items),
+             "{\"items\":[{\"key\":\"pools/sched\",\"value\":{\"kind\":\"service\",\"shard_size\":1}},"
+             "{\"key\":\"classes/pay\",\"value\":{\"tier\":0,\"protected\":true,\"repeatable\":false,"
+             "\"deadline_ms\":20000,\"queue_ms\":300,\"pools\":[\"sched\"]}},"
+             "{\"key\":\"upstreams/slow\",\"value\":{\"pool\":\"sched\",\"address\":\"%s\",\"hall\":\"h1\","
+             "\"slots\":1}}]}",
+             p->http);
+    publish_text(items);
+    ck_assert(site_wait_revision(&site, 11, WAIT_MS));
+    pid_t children[16];
+    for (int i = 0; i < 16; i++) {
+        children[i] = fork();
+        if (children[i] == 0) {
+            site_answer_t a = site_call(&(site_request_t){.address = http_of("a"),
+                                                          .path = "/v1/services/sched/pay",
+                                                          .token = TOKEN,
+                                                          .class_name = "pay",
+                                                          .body = "{}"});
+            _exit(a.status == 200 ? 0 : 1);
+        }
+    }
+    int failed = 0;
+    for (int i = 0; i < 16; i++) {
+        int status = 0;
+        waitpid(children[i], &status, 0);
+        failed += !WIFEXITED(status) || WEXITSTATUS(status) != 0;
+    }
+    ck_assert_int_eq(failed, 0);
+    stop_site();
+}
+END_TEST
+
 /* Where the pool's engines resume, a cut stream is continued: the caller sees every token once and never the cut. */
 START_TEST(a_cut_stream_is_continued) {
     start_site();
@@ -588,6 +627,7 @@
     tcase_add_test(t, requests_of_each_kind_are_served);
     tcase_add_test(t, a_cut_stream_is_visibly_broken);
     tcase_add_test(t, cutting_shards_anew_loses_nothing);
+    tcase_add_test(t, a_protected_request_asks_every_shard);
     tcase_add_test(t, a_cut_stream_is_continued);
     tcase_add_test(t, a_stalled_stream_goes_on_elsewhere);
     tcase_add_test(t, a_lost_answer_is_unknown_and_never_run_again);
