The load tool's callers take a new ticket when its host is gone

One suspect: callers of the load tool tried a dead host's ticket six times in a few milliseconds. Change: a refused connection makes the caller wait for a new lookup, which has 200 ms.

--- a/tools/load.c
+++ b/tools/load.c
@@ -14,7 +14,7 @@
 
 #define MAX_TRIES 6
 #define MIN_LENGTH 4
-#define LOOKUP_TIMEOUT_MS 1000
+#define LOOKUP_TIMEOUT_MS 200
 #define MAX_ADDRESSES 4
 #define GRACE_MS 3000 /* after the deadline a request is given up */
 #define TOKEN_CHARS 7
@@ -341,6 +341,10 @@
             j->result->wrong++;
         }
     } else if (said_not_run || !result->sent) {
+        if (!result->sent && j->class->once) { /* the ticket's host is gone: a new ticket of another is needed */
+            j->caller->ticket[0] = 0;
+            j->caller->until_s = 0;
+        }
         bool told_when = !result->sent || j->retry_after_ms;
         if (told_when && retry_job(j, said_not_run ? j->retry_after_ms : 0)) {
             return;
@@ -372,10 +376,6 @@
     /* A name is used only while nothing has been sent under it; then a new one of a live host is right. */
     snprintf(j->name, sizeof(j->name), "%s/%s-%u", c->ticket, j->id, j->tries);
     cw_copy(address, 48, c->ticket_address);
-    if (j->tries) {
-        c->until_s = 0;
-        refresh_caller(c);
-    }
     return c->ticket[0] != 0;
 }
 
@@ -384,8 +384,7 @@
     const load_class_t* c = j->class;
     char address[48];
     if (!choose_address(j, address)) {
-        j->tries++;
-        if (!retry_job(j, 20)) {
+        if (!retry_job(j, 20)) { /* waits for the lookup's answer */
             j->result->refused++;
             job_end(j);
         }
