Read once more: one list of a shard's upstreams, one ping about a host, dead fields gone

Cause: the allocator and the entry's own slice walked the upstreams of a shard in two loops that differed in one test, and membership pinged suspects and dead hosts about themselves with the same four lines twice; five fields and constants were used by nothing (started_ms, exit_code, cancel_told, direct_total, three status codes). Change: node_shard_specs serves both roles, _cw_members_ping_about both pings; the dead ones are removed. Behaviour is the same.

--- a/chalkway_member.h
+++ b/chalkway_member.h
@@ -558,7 +558,15 @@
     return (int64_t)m->desc.suspect_ms * (4 + log2) / 4 * (2 + m->health) / 2;
 }
 
-/* Pings the suspects with what is said of them, so that they refute it. */
+/* Pings a host with what is said of it, so that it refutes it. */
+static cw_gossip_t* _cw_members_ping_about(cw_members_t* m, const cw_member_info_t* info) {
+    cw_gossip_t* g = _cw_members_send(m, info->peer, CW_GOSSIP_PING, ++m->seq);
+    g->news[0] = *info;
+    g->news_count = g->news_count ? g->news_count : 1;
+    return g;
+}
+
+/* Pings the suspects with what is said of them. */
 static void _cw_members_accuse(cw_members_t* m, int64_t now_ms) {
     if (now_ms < m->next_accuse_ms) {
         return;
@@ -569,9 +577,7 @@
     for (uint32_t k = 0; k < m->count && left; k++) {
         const cw_member_info_t* info = &m->members[(start + k) % m->count].info;
         if (info->state == CW_MEMBER_SUSPECT) {
-            cw_gossip_t* g = _cw_members_send(m, info->peer, CW_GOSSIP_PING, ++m->seq);
-            g->news[0] = *info;
-            g->news_count = g->news_count ? g->news_count : 1;
+            _cw_members_ping_about(m, info);
             left--;
         }
     }
@@ -611,10 +617,7 @@
     for (uint32_t k = 0; k < m->count; k++) {
         const cw_member_info_t* info = &m->members[(start + k) % m->count].info;
         if (info->state == CW_MEMBER_DEAD) {
-            cw_gossip_t* g = _cw_members_send(m, info->peer, CW_GOSSIP_PING, ++m->seq);
-            g->join = true;
-            g->news[0] = *info; /* so that it refutes */
-            g->news_count = g->news_count ? g->news_count : 1;
+            _cw_members_ping_about(m, info)->join = true;
             break;
         }
     }
--- a/daemon/allocator.c
+++ b/daemon/allocator.c
@@ -63,22 +63,10 @@
 
 /* Sets the shard's upstreams from the configuration. */
 static uint32_t role_fill(const node_t* node, role_t* role, const cw_view_t* view, const cw_pool_t* pool) {
-    uint64_t hosts[NODE_MAX_HOSTS];
-    uint32_t host_count = node_live_hosts(node, hosts);
     cw_pick_spec_t specs[CW_PICK_MAX];
-    uint32_t count = 0;
     pool_layout_t layout = node_layout(view, pool);
     role->shards = layout.shards;
-    for (uint32_t i = 0; i < view->upstream_count && count < CW_PICK_MAX; i++) {
-        const cw_upstream_t* u = &view->upstreams[i];
-        if (u->pool_id == pool->id &&
-            cw_place_shard(pool->id, u->id, layout.ids, layout.count, layout.shards) == role->id) {
-            uint32_t slots = node->policy == POLICY_LEASE ? node_slice(node, u, hosts, host_count) : u->slots;
-            specs[count] = (cw_pick_spec_t){
-                .id = u->id, .hall = cw_name_id(u->hall), .slots = slots, .leaving = node_upstream_leaves(node, u)};
-            count += slots ? 1 : 0;
-        }
-    }
+    uint32_t count = node_shard_specs(node, view, &layout, role->id, node->policy == POLICY_LEASE, specs);
     cw_shard_upstreams(role->shard, specs, count);
     return count;
 }
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -37,28 +37,6 @@
     return ENTRY_NONE;
 }
 
-static void shard_fill_direct(entry_t* e, entry_shard_t* s, const cw_view_t* view, const pool_layout_t* layout) {
-    uint64_t hosts[NODE_MAX_HOSTS];
-    uint32_t host_count = node_live_hosts(e->node, hosts);
-    cw_pick_spec_t specs[CW_PICK_MAX];
-    uint32_t count = 0;
-    s->direct_total = 0;
-    for (uint32_t i = 0; i < view->upstream_count && count < CW_PICK_MAX; i++) {
-        const cw_upstream_t* u = &view->upstreams[i];
-        if (u->pool_id != s->pool ||
-            cw_place_shard(s->pool, u->id, layout->ids, layout->count, layout->shards) != s->id) {
-            continue;
-        }
-        uint32_t slots = node_slice(e->node, u, hosts, host_count);
-        if (slots) {
-            specs[count++] = (cw_pick_spec_t){
-                .id = u->id, .hall = cw_name_id(u->hall), .slots = slots, .leaving = node_upstream_leaves(e->node, u)};
-            s->direct_total += slots;
-        }
-    }
-    cw_pick_set(s->direct, specs, count);
-}
-
 static void send_list(entry_t* e, uint32_t shard, uint64_t to);
 static void send_want(request_t* r);
 static void withdraw(request_t* r);
@@ -83,7 +61,9 @@
             }
             if (i != ENTRY_NONE) {
                 e->shards[i].valid = true;
-                shard_fill_direct(e, &e->shards[i], view, &layout);
+                cw_pick_spec_t specs[CW_PICK_MAX];
+                uint32_t count = node_shard_specs(e->node, view, &layout, id, true, specs);
+                cw_pick_set(e->shards[i].direct, specs, count);
             }
         }
     }
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -17,12 +17,9 @@
 #define HTTP_OK 200
 #define HTTP_BAD_REQUEST 400
 #define HTTP_UNAUTHORIZED 401
-#define HTTP_FORBIDDEN 403
 #define HTTP_NOT_FOUND 404
 #define HTTP_CONFLICT 409
 #define HTTP_UNPROCESSABLE 422
-#define HTTP_TOO_MANY 429
-#define HTTP_BAD_GATEWAY 502
 #define HTTP_UNAVAILABLE 503
 
 /* -- answers -------------------------------------------------------------- */
--- a/daemon/entry_parts.h
+++ b/daemon/entry_parts.h
@@ -29,15 +29,14 @@
 typedef struct entry_shard_t {
     uint64_t id, pool;
     uint64_t owner;
-    bool valid;            /* of the newest configuration; others only end what runs */
-    uint64_t last_grant;   /* received last from the owner */
-    uint32_t wait_ms;      /* as the owner said last */
-    int64_t heard_ms;      /* from the owner, 0: never */
-    int64_t silent_ms;     /* since when it is silent, 0: it is not */
-    int64_t digest_ms;     /* next digest */
-    bool reported;         /* the last digest was not empty */
-    cw_pick_t* direct;     /* this entry's own slice of the upstreams */
-    uint32_t direct_total; /* slots of the slice */
+    bool valid;          /* of the newest configuration; others only end what runs */
+    uint64_t last_grant; /* received last from the owner */
+    uint32_t wait_ms;    /* as the owner said last */
+    int64_t heard_ms;    /* from the owner, 0: never */
+    int64_t silent_ms;   /* since when it is silent, 0: it is not */
+    int64_t digest_ms;   /* next digest */
+    bool reported;       /* the last digest was not empty */
+    cw_pick_t* direct;   /* this entry's own slice of the upstreams */
 } entry_shard_t;
 
 typedef struct estimate_t {
@@ -88,7 +87,6 @@
     int64_t use_before_ms, sent_ms, want_ms;
     uint64_t exclude;
     cw_call_t* call;
-    bool cancel_told; /* the transfer was ended by us */
     unsigned upstream_status;
     char upstream_type[64];
     cw_stream_t stream;  /* passed on to the caller */
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -30,7 +30,7 @@
 }
 
 pool_layout_t node_layout(const cw_view_t* view, const cw_pool_t* pool) {
-    pool_layout_t l = {0};
+    pool_layout_t l = {.pool = pool->id};
     for (uint32_t i = 0; i < view->upstream_count && l.count < NODE_MAX_POOL; i++) {
         if (view->upstreams[i].pool_id == pool->id) {
             l.ids[l.count++] = view->upstreams[i].id;
@@ -56,6 +56,26 @@
     return cw_place_rank(u->id, node->host, hosts, count) < u->slots ? 1 : 0;
 }
 
+uint32_t node_shard_specs(const node_t* node, const cw_view_t* view, const pool_layout_t* layout, uint64_t shard,
+                          bool sliced, cw_pick_spec_t specs[CW_PICK_MAX]) {
+    uint64_t hosts[NODE_MAX_HOSTS];
+    uint32_t host_count = node_live_hosts(node, hosts);
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < view->upstream_count && count < CW_PICK_MAX; i++) {
+        const cw_upstream_t* u = &view->upstreams[i];
+        if (u->pool_id != layout->pool ||
+            cw_place_shard(layout->pool, u->id, layout->ids, layout->count, layout->shards) != shard) {
+            continue;
+        }
+        uint32_t slots = sliced ? node_slice(node, u, hosts, host_count) : u->slots;
+        if (slots) {
+            specs[count++] = (cw_pick_spec_t){
+                .id = u->id, .hall = cw_name_id(u->hall), .slots = slots, .leaving = node_upstream_leaves(node, u)};
+        }
+    }
+    return count;
+}
+
 /* -- messages ------------------------------------------------------------- */
 
 static void on_message(void* user, uint64_t from, const cw_msg_t* msg) {
@@ -308,7 +328,6 @@
     node->loop = ev_default_loop(EVFLAG_AUTO);
     node->host = cw_name_id(settings->name);
     node->hall = cw_name_id(settings->hall);
-    node->started_ms = node_now();
     node->policy = policy_of(settings->policy);
     do {
         randombytes_buf(&node->incarnation, sizeof(node->incarnation));
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -78,9 +78,7 @@
     bool view_stale;  /* woke and has heard no peer since */
     bool stopping;    /* planned stop begun */
     int64_t leave_ms; /* when lookups stopped naming this host */
-    int64_t started_ms;
-    uint64_t cut; /* requests that a planned stop cut */
-    int exit_code;
+    uint64_t cut;     /* requests that a planned stop cut */
 };
 
 /* Milliseconds on the monotonic clock. */
@@ -97,11 +95,16 @@
 
 /* The upstreams of a pool and how they are cut into shards. */
 typedef struct pool_layout_t {
+    uint64_t pool;
     uint32_t count, shards;
     uint64_t ids[NODE_MAX_POOL];
 } pool_layout_t;
 
 pool_layout_t node_layout(const cw_view_t* view, const cw_pool_t* pool);
+/* The upstreams of a shard that have slots for this host: all their slots, or only its even part of them. Returns their
+   number, at most CW_PICK_MAX. */
+uint32_t node_shard_specs(const node_t* node, const cw_view_t* view, const pool_layout_t* layout, uint64_t shard,
+                          bool sliced, cw_pick_spec_t specs[CW_PICK_MAX]);
 /* Whether an upstream gets new work: neither its document nor the host list says that it leaves. */
 bool node_upstream_leaves(const node_t* node, const cw_upstream_t* u);
 
