--- a/Makefile
+++ b/Makefile
@@ -9,18 +9,20 @@
 PKGS := msgpack libmicrohttpd libcurl inih libxxhash jansson libsodium
 WARN := -Wall -Wextra -Werror
 CFLAGS_ALL := -std=c11 -D_GNU_SOURCE $(OPT) $(WARN) $(SANITIZE) -MMD -MP $(CFLAGS)
-LIBS = $(shell pkg-config --libs $(PKGS)) -lev -lm
+LIBS = $(shell pkg-config --libs $(PKGS)) -lev -lhttp_parser -lm
 CHECK_LIBS = $(shell pkg-config --libs check)
 
 LIB := $(BUILD)/libchalkway.a
 IO := $(patsubst %.c,$(BUILD)/%.o,$(wildcard io/*.c))
 DAEMON := $(patsubst %.c,$(BUILD)/%.o,$(wildcard daemon/*.c))
+GATEWAY := $(patsubst %.c,$(BUILD)/%.o,$(filter-out gateway/main.c,$(wildcard gateway/*.c)))
+PLATFORM := $(patsubst %.c,$(BUILD)/%.o,$(filter-out platform/main.c,$(wildcard platform/*.c)))
 SAMPLES := $(patsubst samples/%.c,$(BUILD)/samples/%,$(wildcard samples/*.c))
 PROGRAMS := $(BUILD)/chalkwayd $(BUILD)/fake-platform $(BUILD)/fake-engine $(BUILD)/fake-service $(BUILD)/chalkway-demo \
-            $(BUILD)/chalkwayctl $(BUILD)/chalkway-load $(SAMPLES)
+            $(BUILD)/chalkwayctl $(BUILD)/chalkway-load $(BUILD)/chalkway-gateway $(BUILD)/chalkway-edge $(SAMPLES)
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
-SOURCES := $(wildcard *.h *.c io/*.h io/*.c daemon/*.h daemon/*.c standins/*.h standins/*.c tools/*.h tools/*.c \
+SOURCES := $(wildcard *.h *.c io/*.h io/*.c daemon/*.h daemon/*.c gateway/*.h gateway/*.c platform/*.h platform/*.c standins/*.h standins/*.c tools/*.h tools/*.c \
              tests/*.h tests/*.c bench/*.h bench/*.c samples/*.c)
 HEADERS := $(wildcard chalkway_*.h)
 
@@ -45,6 +47,16 @@
 $(BUILD)/chalkwayd: $(DAEMON) $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
+$(BUILD)/chalkway-gateway: $(BUILD)/gateway/main.o $(GATEWAY) $(IO) $(LIB)
+	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
+
+$(BUILD)/chalkway-edge: $(BUILD)/platform/main.o $(PLATFORM) $(GATEWAY) $(IO) $(LIB)
+	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
+
+# What the platform's deploy file builds: no tests, nothing installed.
+.PHONY: edge
+edge: $(BUILD)/chalkway-edge
+
 $(BUILD)/fake-%: $(BUILD)/standins/fake_%.o $(BUILD)/standins/standin.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
@@ -61,7 +73,7 @@
 $(BUILD)/samples/%: $(BUILD)/samples/%.o $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(BUILD)/tools/site.o $(IO) $(LIB)
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(BUILD)/tools/site.o $(GATEWAY) $(PLATFORM) $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(CHECK_LIBS) $(LIBS)
 
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/tools/site.o $(BUILD)/tools/load.o $(IO) $(LIB)
--- a/chalkway.c
+++ b/chalkway.c
@@ -1,10 +1,14 @@
 /* libchalkway: the implementation of every single-file module. */
 #define CHALKWAY_IMPL
+#include "chalkway_balance.h"
+#include "chalkway_catalog.h"
 #include "chalkway_core.h"
+#include "chalkway_events.h"
 #include "chalkway_fair.h"
 #include "chalkway_heap.h"
 #include "chalkway_hist.h"
 #include "chalkway_limit.h"
+#include "chalkway_load.h"
 #include "chalkway_log.h"
 #include "chalkway_map.h"
 #include "chalkway_member.h"
@@ -12,6 +16,7 @@
 #include "chalkway_place.h"
 #include "chalkway_request.h"
 #include "chalkway_runonce.h"
+#include "chalkway_servers.h"
 #include "chalkway_settings.h"
 #include "chalkway_shard.h"
 #include "chalkway_store.h"
--- /dev/null
+++ b/chalkway_balance.h
@@ -0,0 +1,677 @@
+#ifndef CHALKWAY_BALANCE_H
+#define CHALKWAY_BALANCE_H
+/*
+    chalkway_balance.h -- choice of a server by predicted time to the answer
+
+    WHAT IT IS
+        One daemon's view of the servers of a pool: what it runs there itself,
+        what other daemons last said that they run there, and what its own
+        requests taught it of each server's speed and failures. A choice takes
+        the server with the least predicted time to the first byte, plus the
+        delay that the new prompt puts on answers that stream there already.
+
+        Prompts are read one after the other, so a server's backlog is the
+        time in which it has read all prompts begun there. The time to read
+        a token is learned from first bytes of requests that found no backlog.
+        Parts of prompts that a server has read count as kept there until so
+        many tokens were read after them that its memory is full.
+
+    HOW TO USE IT
+            cw_balance_t* b = cw_balance_setup(&(cw_balance_desc_t){.hall = hall, .seed = host});
+            cw_balance_set(b, now_ms, specs, count);
+            cw_choice_t c = cw_balance_choose(b, now_ms, &work, tried, tried_count);
+            if (c.server != CW_BALANCE_NONE) {
+                cw_run_t run = cw_balance_begin(b, now_ms, c.server, &work);
+                cw_balance_first(b, now_ms, &run);
+                cw_balance_end(b, now_ms, &run, CW_TRY_SERVED);
+            }
+
+    WHAT IT DOES NOT DO
+        No sockets, no queue. Messages between daemons: see chalkway_load.h.
+
+    LICENCE
+        MIT, see LICENSE.
+*/
+#include "chalkway_core.h"
+
+#define CW_BALANCE_NONE UINT32_MAX
+#define CW_WORK_PARTS 8
+
+/* A server as published. */
+typedef struct cw_server_spec_t {
+    uint64_t id;   /* of this life of the server */
+    uint64_t hall; /* id of the hall's name */
+    uint32_t slots;
+    uint32_t memory_tokens; /* 0: not an engine */
+    uint32_t cold_ms;       /* it stays slow for so long from now */
+} cw_server_spec_t;
+
+/* A part of a prompt: its name's id and its length. */
+typedef struct cw_work_part_t {
+    uint64_t id;
+    uint32_t tokens;
+} cw_work_part_t;
+
+/* What a request asks of a server. All zero for a plain call. */
+typedef struct cw_work_t {
+    uint32_t prompt_tokens;
+    uint32_t output_tokens;
+    uint32_t target_ms; /* to the first byte */
+    uint32_t gap_ms;    /* longest pause between events, 0: no matter */
+    bool repeatable;    /* it may be tried at a server that failed lately */
+    uint32_t part_count;
+    cw_work_part_t parts[CW_WORK_PARTS]; /* the start of the prompt */
+} cw_work_t;
+
+/* What one daemon has at one server. */
+typedef struct cw_load_t {
+    uint32_t running;
+    uint32_t streaming;  /* of these, answers that stream and have a longest pause */
+    uint32_t backlog_ms; /* time to read the prompts begun and not answered yet */
+    uint32_t tokens;     /* memory that the running ones hold or will hold */
+} cw_load_t;
+
+typedef enum cw_try_result_t {
+    CW_TRY_SERVED = 0,  /* the whole answer came */
+    CW_TRY_FAILED,      /* reset, silence, spoilt bytes or an error of the server */
+    CW_TRY_UNREACHABLE, /* no connection came up */
+    CW_TRY_FULL,        /* the server said that it has no room and did not run it */
+    CW_TRY_CANCELLED    /* ended by this side: says nothing of the server */
+} cw_try_result_t;
+
+/* A request that runs at a server. */
+typedef struct cw_run_t {
+    uint32_t server; /* CW_BALANCE_NONE: none */
+    uint64_t id;     /* of the server, so that a run that outlives it does no harm */
+    int64_t begun_ms;
+    double read_ms;    /* predicted time to read the prompt */
+    double planned_ms; /* when the backlog was to reach its end */
+    double wait_ms;    /* backlog found */
+    uint32_t fresh_tokens;
+    uint32_t tokens;
+    bool answered;
+    bool has_gap;
+} cw_run_t;
+
+/* A server and the inputs that chose it. */
+typedef struct cw_choice_t {
+    uint32_t server;    /* CW_BALANCE_NONE: none has room */
+    double cost_ms;     /* what was compared */
+    double wait_ms;     /* backlog of the server, all daemons */
+    double read_ms;     /* for this prompt */
+    uint32_t running;   /* at the server, all daemons */
+    uint32_t age_ms;    /* of the oldest news of other daemons that counted */
+    uint32_t kept;      /* tokens of the prompt taken as kept there */
+    uint32_t candidates; /* servers that had room */
+} cw_choice_t;
+
+typedef struct cw_balance_desc_t {
+    uint64_t hall;         /* id of the own hall, preferred when all else is equal */
+    uint64_t seed;         /* own host: spreads equal choices */
+    uint32_t max_servers;  /* default 256 */
+    uint32_t max_peers;    /* daemons whose news is kept for one server, default 64 */
+    uint32_t max_parts;    /* prompt parts remembered, default 8192 */
+    uint32_t news_ms;      /* news of another daemon counts for so long, default 1500 */
+    uint32_t away_ms;      /* first pause of a server that can't be reached, default 250 */
+    uint32_t away_max_ms;  /* longest such pause, default 4000 */
+    cw_allocator_t allocator;
+} cw_balance_desc_t;
+
+typedef struct cw_balance_t cw_balance_t;
+
+cw_balance_t* cw_balance_setup(const cw_balance_desc_t* desc);
+void cw_balance_shutdown(cw_balance_t* b);
+/* Replaces the servers that may be chosen; those that stay keep what is known of them. CW_ERR_FULL when too many. */
+cw_status_t cw_balance_set(cw_balance_t* b, int64_t now_ms, const cw_server_spec_t* specs, uint32_t count);
+/* Index of a server; CW_BALANCE_NONE when it is not there. */
+uint32_t cw_balance_find(const cw_balance_t* b, uint64_t id);
+/* Best server for the work, leaving out those tried. */
+cw_choice_t cw_balance_choose(cw_balance_t* b, int64_t now_ms, const cw_work_t* work, const uint64_t* tried,
+                              uint32_t tried_count);
+cw_run_t cw_balance_begin(cw_balance_t* b, int64_t now_ms, uint32_t server, const cw_work_t* work);
+/* The first byte of the answer came. */
+void cw_balance_first(cw_balance_t* b, int64_t now_ms, cw_run_t* run);
+void cw_balance_end(cw_balance_t* b, int64_t now_ms, cw_run_t* run, cw_try_result_t result);
+/* The server is known to be away (true) or to be back. */
+void cw_balance_away(cw_balance_t* b, int64_t now_ms, uint64_t id, bool away);
+/* A server that is away and may be probed now; its next pause begins. 0: none. */
+uint64_t cw_balance_probe(cw_balance_t* b, int64_t now_ms);
+/* What this daemon has at the server. */
+cw_load_t cw_balance_load(const cw_balance_t* b, int64_t now_ms, uint32_t server);
+/* What another daemon has there. */
+void cw_balance_news(cw_balance_t* b, int64_t now_ms, uint64_t peer, uint64_t server, const cw_load_t* load);
+/* Another daemon sent a prompt with this part there. */
+void cw_balance_kept(cw_balance_t* b, uint64_t server, const cw_work_part_t* part);
+/* Share 0..1 of the places of the servers that are taken, as far as known. */
+double cw_balance_fullness(const cw_balance_t* b, int64_t now_ms);
+/* Learned ms to read one token. */
+double cw_balance_read_rate(const cw_balance_t* b);
+
+#endif /* CHALKWAY_BALANCE_H */
+
+/*-- IMPLEMENTATION -----------------------------------------------------------*/
+#ifdef CHALKWAY_IMPL
+#ifndef CHALKWAY_BALANCE_IMPL_INCLUDED
+#define CHALKWAY_BALANCE_IMPL_INCLUDED
+
+#include <assert.h>
+#include <math.h>
+#include <string.h>
+
+#include "chalkway_map.h"
+
+#define _CW_READ_MS 0.02         /* ms a token before anything was learned */
+#define _CW_READ_LEARN 0.05      /* weight of a new sample of the reading time */
+#define _CW_READ_FEW_TOKENS 256  /* shorter readings say little of the time for a token */
+#define _CW_BASE_MS 5.0          /* time to an answer beside reading, before anything was learned */
+#define _CW_SERVICE_MS 50.0      /* time of a plain call, before anything was learned */
+#define _CW_SPEED_LEARN 0.2      /* weight of a new sample of a server's own slowness */
+#define _CW_SPEED_MAX 20.0       /* a server is never taken as slower than this many times the others */
+#define _CW_SPEED_FORGET_MS 10000.0 /* time in which a server's slowness is forgotten by two thirds */
+#define _CW_FAIL_LEARN 0.25      /* weight of a new failure or success */
+#define _CW_FAIL_FORGET_MS 4000.0
+#define _CW_FAIL_MIN_MS 200.0    /* least time that a failure is taken to cost */
+#define _CW_HALL_MS 1.0          /* what another hall costs */
+#define _CW_STREAM_SHARE 0.1     /* how much a stream is hurt by each ms of reading beside it */
+#define _CW_RUN_MS 0.5           /* how much a run slows the others of an engine */
+#define _CW_FULL_MS 1000.0       /* what a server costs whose memory would overflow */
+#define _CW_MEMORY_SHARE 0.9     /* of a server's memory that is planned with */
+#define _CW_KEPT_SHARE 0.6       /* of a server's memory that old prompt parts are taken to keep */
+#define _CW_FULL_PAUSE_MS 100    /* a server that said it is full is left out for so long */
+
+typedef struct _cw_news_t {
+    uint64_t peer; /* 0: free */
+    int64_t at_ms;
+    cw_load_t load;
+} _cw_news_t;
+
+typedef struct _cw_server_t {
+    cw_server_spec_t spec;
+    bool used;   /* the place holds a server */
+    bool listed; /* it may be chosen */
+    uint32_t running, streaming;
+    uint64_t tokens;
+    double busy_until_ms; /* own prompts are read by then */
+    uint32_t unanswered;  /* own runs without a first byte */
+    double slow;          /* 1: as the others */
+    int64_t slow_ms;      /* when slow was learned */
+    double fail;          /* 0..1 */
+    int64_t fail_ms;
+    bool away;
+    uint32_t away_ms;
+    int64_t away_until_ms;
+    int64_t full_until_ms;
+    int64_t cold_until_ms;
+    uint64_t read_tokens; /* all that was read there, as far as known */
+    _cw_news_t* news;
+} _cw_server_t;
+
+typedef struct _cw_kept_t {
+    uint64_t key; /* server and part, 0: free */
+    uint64_t at;  /* read_tokens of the server then */
+} _cw_kept_t;
+
+struct cw_balance_t {
+    cw_balance_desc_t desc;
+    _cw_server_t* servers;
+    cw_map_t index; /* id to place */
+    uint32_t places;
+    _cw_kept_t* kept;
+    uint32_t kept_mask;
+    double read_ms, base_ms, service_ms;
+    uint32_t read_samples, service_samples;
+};
+
+static cw_balance_desc_t _cw_balance_desc_defaults(const cw_balance_desc_t* desc) {
+    cw_balance_desc_t d = *desc;
+    d.max_servers = d.max_servers ? d.max_servers : 256;
+    d.max_peers = d.max_peers ? d.max_peers : 64;
+    d.max_parts = d.max_parts ? d.max_parts : 8192;
+    d.news_ms = d.news_ms ? d.news_ms : 1500;
+    d.away_ms = d.away_ms ? d.away_ms : 250;
+    d.away_max_ms = d.away_max_ms ? d.away_max_ms : 4000;
+    return d;
+}
+
+cw_balance_t* cw_balance_setup(const cw_balance_desc_t* desc) {
+    cw_balance_t* b = cw_alloc(&desc->allocator, 1, sizeof(*b));
+    b->desc = _cw_balance_desc_defaults(desc);
+    b->servers = cw_alloc(&b->desc.allocator, b->desc.max_servers, sizeof(*b->servers));
+    b->index = cw_map_setup(b->desc.max_servers, &b->desc.allocator);
+    uint32_t size = 1;
+    while (size < b->desc.max_parts) {
+        size *= 2;
+    }
+    b->kept = cw_alloc(&b->desc.allocator, size, sizeof(*b->kept));
+    b->kept_mask = size - 1;
+    b->read_ms = _CW_READ_MS;
+    b->base_ms = _CW_BASE_MS;
+    b->service_ms = _CW_SERVICE_MS;
+    return b;
+}
+
+void cw_balance_shutdown(cw_balance_t* b) {
+    cw_allocator_t allocator = b->desc.allocator;
+    for (uint32_t i = 0; i < b->desc.max_servers; i++) {
+        cw_free(&allocator, b->servers[i].news);
+    }
+    cw_map_shutdown(&b->index);
+    cw_free(&allocator, b->servers);
+    cw_free(&allocator, b->kept);
+    cw_free(&allocator, b);
+}
+
+/* -- the list ------------------------------------------------------------- */
+
+uint32_t cw_balance_find(const cw_balance_t* b, uint64_t id) {
+    uint32_t at = id ? cw_map_get(&b->index, id) : CW_MAP_NONE;
+    return at == CW_MAP_NONE ? CW_BALANCE_NONE : at;
+}
+
+static void _cw_balance_remove(cw_balance_t* b, uint32_t at) {
+    _cw_server_t* s = &b->servers[at];
+    cw_map_remove(&b->index, s->spec.id);
+    _cw_news_t* news = s->news;
+    memset(s, 0, sizeof(*s));
+    s->news = news;
+}
+
+static uint32_t _cw_balance_add(cw_balance_t* b, uint64_t id) {
+    for (uint32_t i = 0; i < b->desc.max_servers; i++) {
+        _cw_server_t* s = &b->servers[i];
+        if (s->used) {
+            continue;
+        }
+        if (!s->news) {
+            s->news = cw_alloc(&b->desc.allocator, b->desc.max_peers, sizeof(*s->news));
+        }
+        memset(s->news, 0, b->desc.max_peers * sizeof(*s->news));
+        s->used = true;
+        s->slow = 1;
+        s->spec.id = id;
+        cw_map_put(&b->index, id, i);
+        b->places = i >= b->places ? i + 1 : b->places;
+        return i;
+    }
+    return CW_BALANCE_NONE;
+}
+
+cw_status_t cw_balance_set(cw_balance_t* b, int64_t now_ms, const cw_server_spec_t* specs, uint32_t count) {
+    cw_status_t status = CW_OK;
+    for (uint32_t i = 0; i < b->places; i++) {
+        b->servers[i].listed = false;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        uint32_t at = cw_balance_find(b, specs[i].id);
+        at = at == CW_BALANCE_NONE ? _cw_balance_add(b, specs[i].id) : at;
+        if (at == CW_BALANCE_NONE) {
+            status = CW_ERR_FULL;
+            continue;
+        }
+        _cw_server_t* s = &b->servers[at];
+        s->spec = specs[i];
+        s->listed = true;
+        s->cold_until_ms = specs[i].cold_ms ? now_ms + specs[i].cold_ms : s->cold_until_ms;
+    }
+    for (uint32_t i = 0; i < b->places; i++) {
+        _cw_server_t* s = &b->servers[i];
+        if (s->used && !s->listed && !s->running) {
+            _cw_balance_remove(b, i);
+        }
+    }
+    return status;
+}
+
+/* -- prompt parts --------------------------------------------------------- */
+
+static _cw_kept_t* _cw_balance_kept_slot(const cw_balance_t* b, uint64_t server, uint64_t part) {
+    uint64_t key = cw_mix(server, part);
+    _cw_kept_t* slot = &b->kept[key & b->kept_mask];
+    return slot;
+}
+
+static bool _cw_balance_has_part(const cw_balance_t* b, const _cw_server_t* s, uint64_t part) {
+    const _cw_kept_t* slot = _cw_balance_kept_slot(b, s->spec.id, part);
+    return slot->key == cw_mix(s->spec.id, part) &&
+           (double)(s->read_tokens - slot->at) < _CW_KEPT_SHARE * s->spec.memory_tokens;
+}
+
+/* Tokens at the start of the prompt that the server keeps. */
+static uint32_t _cw_balance_kept_tokens(const cw_balance_t* b, const _cw_server_t* s, const cw_work_t* work) {
+    uint32_t tokens = 0;
+    for (uint32_t i = 0; i < work->part_count && _cw_balance_has_part(b, s, work->parts[i].id); i++) {
+        tokens += work->parts[i].tokens;
+    }
+    return tokens < work->prompt_tokens ? tokens : work->prompt_tokens;
+}
+
+static void _cw_balance_keep(cw_balance_t* b, _cw_server_t* s, const cw_work_part_t* part) {
+    if (!_cw_balance_has_part(b, s, part->id)) {
+        s->read_tokens += part->tokens;
+    }
+    _cw_kept_t* slot = _cw_balance_kept_slot(b, s->spec.id, part->id);
+    slot->key = cw_mix(s->spec.id, part->id);
+    slot->at = s->read_tokens;
+}
+
+void cw_balance_kept(cw_balance_t* b, uint64_t server, const cw_work_part_t* part) {
+    uint32_t at = cw_balance_find(b, server);
+    if (at != CW_BALANCE_NONE) {
+        _cw_balance_keep(b, &b->servers[at], part);
+    }
+}
+
+/* -- prediction ----------------------------------------------------------- */
+
+/* All that is known to run at a server, and the age of the oldest news that counted. */
+typedef struct _cw_sum_t {
+    uint32_t running, streaming, age_ms;
+    double tokens, wait_ms;
+} _cw_sum_t;
+
+static _cw_sum_t _cw_balance_sum(const cw_balance_t* b, const _cw_server_t* s, int64_t now_ms) {
+    double own_ms = s->busy_until_ms - (double)now_ms;
+    _cw_sum_t sum = {.running = s->running,
+                     .streaming = s->streaming,
+                     .tokens = (double)s->tokens,
+                     .wait_ms = own_ms > 0 ? own_ms : 0};
+    for (uint32_t i = 0; i < b->desc.max_peers; i++) {
+        const _cw_news_t* n = &s->news[i];
+        int64_t age_ms = now_ms - n->at_ms;
+        if (!n->peer || age_ms > b->desc.news_ms) {
+            continue;
+        }
+        sum.running += n->load.running;
+        sum.streaming += n->load.streaming;
+        sum.tokens += n->load.tokens;
+        sum.wait_ms += n->load.backlog_ms > age_ms ? (double)(n->load.backlog_ms - age_ms) : 0;
+        sum.age_ms = n->load.running && age_ms > sum.age_ms ? (uint32_t)age_ms : sum.age_ms;
+    }
+    return sum;
+}
+
+static double _cw_balance_slow(const _cw_server_t* s, int64_t now_ms) {
+    double left = exp(-(double)(now_ms - s->slow_ms) / _CW_SPEED_FORGET_MS);
+    return 1 + (s->slow - 1) * left;
+}
+
+static double _cw_balance_fail(const _cw_server_t* s, int64_t now_ms) {
+    return s->fail * exp(-(double)(now_ms - s->fail_ms) / _CW_FAIL_FORGET_MS);
+}
+
+static double _cw_balance_fail_cost(const _cw_server_t* s, int64_t now_ms, const cw_work_t* work) {
+    double loss_ms = work->target_ms > _CW_FAIL_MIN_MS ? work->target_ms : _CW_FAIL_MIN_MS;
+    return _cw_balance_fail(s, now_ms) * loss_ms * (work->repeatable ? 1 : 2);
+}
+
+/* A plain call: waits its share of the calls beyond the slots; a nearly full server is slower. */
+static double _cw_balance_call_ms(const cw_balance_t* b, const _cw_server_t* s, const _cw_sum_t* sum) {
+    double slots = s->spec.slots ? s->spec.slots : 1;
+    double load = (sum->running + 1) / slots;
+    return b->service_ms * (load <= 1 ? 1 + load * load : 2 * load);
+}
+
+/* A generation: the backlog, reading what is not kept, and what it does to the streams that run there. */
+static double _cw_balance_generation_ms(const cw_balance_t* b, const _cw_server_t* s, const _cw_sum_t* sum,
+                                        const cw_work_t* work, cw_choice_t* c) {
+    c->kept = _cw_balance_kept_tokens(b, s, work);
+    c->read_ms = b->read_ms * (work->prompt_tokens - c->kept);
+    double hurt_ms = c->read_ms * _CW_STREAM_SHARE * sum->streaming;
+    double overflow_ms = sum->tokens + work->prompt_tokens + work->output_tokens >
+                                 _CW_MEMORY_SHARE * s->spec.memory_tokens
+                             ? _CW_FULL_MS
+                             : 0;
+    return b->base_ms + sum->wait_ms + c->read_ms + hurt_ms + overflow_ms + _CW_RUN_MS * sum->running;
+}
+
+static cw_choice_t _cw_balance_rate(const cw_balance_t* b, uint32_t at, int64_t now_ms, const cw_work_t* work) {
+    const _cw_server_t* s = &b->servers[at];
+    _cw_sum_t sum = _cw_balance_sum(b, s, now_ms);
+    cw_choice_t c = {.server = at, .wait_ms = sum.wait_ms, .running = sum.running, .age_ms = sum.age_ms};
+    bool engine = s->spec.memory_tokens > 0;
+    double ms = engine ? _cw_balance_generation_ms(b, s, &sum, work, &c) : _cw_balance_call_ms(b, s, &sum);
+    double cold = now_ms < s->cold_until_ms ? 2 : 1;
+    c.cost_ms = ms * cold * _cw_balance_slow(s, now_ms) + _cw_balance_fail_cost(s, now_ms, work);
+    c.cost_ms += s->spec.hall == b->desc.hall ? 0 : _CW_HALL_MS;
+    c.cost_ms += (double)(cw_mix(b->desc.seed, s->spec.id) & 1023U) / 1024.0;
+    return c;
+}
+
+static bool _cw_balance_tried(const uint64_t* tried, uint32_t count, uint64_t id) {
+    for (uint32_t i = 0; i < count; i++) {
+        if (tried[i] == id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+cw_choice_t cw_balance_choose(cw_balance_t* b, int64_t now_ms, const cw_work_t* work, const uint64_t* tried,
+                              uint32_t tried_count) {
+    cw_choice_t best = {.server = CW_BALANCE_NONE};
+    uint32_t candidates = 0;
+    for (uint32_t i = 0; i < b->places; i++) {
+        const _cw_server_t* s = &b->servers[i];
+        if (!s->used || !s->listed || s->away || now_ms < s->full_until_ms ||
+            _cw_balance_tried(tried, tried_count, s->spec.id)) {
+            continue;
+        }
+        cw_choice_t c = _cw_balance_rate(b, i, now_ms, work);
+        if (s->spec.memory_tokens && c.running >= s->spec.slots) {
+            continue;
+        }
+        candidates++;
+        if (best.server == CW_BALANCE_NONE || c.cost_ms < best.cost_ms) {
+            best = c;
+        }
+    }
+    best.candidates = candidates;
+    return best;
+}
+
+/* -- runs ----------------------------------------------------------------- */
+
+cw_run_t cw_balance_begin(cw_balance_t* b, int64_t now_ms, uint32_t server, const cw_work_t* work) {
+    assert(server < b->places && b->servers[server].used);
+    _cw_server_t* s = &b->servers[server];
+    cw_run_t run = {.server = server, .id = s->spec.id, .begun_ms = now_ms, .has_gap = work->gap_ms > 0};
+    run.wait_ms = _cw_balance_sum(b, s, now_ms).wait_ms;
+    if (s->spec.memory_tokens) {
+        run.fresh_tokens = work->prompt_tokens - _cw_balance_kept_tokens(b, s, work);
+        run.read_ms = b->read_ms * run.fresh_tokens * _cw_balance_slow(s, now_ms);
+        run.tokens = work->prompt_tokens + work->output_tokens;
+        double start_ms = s->busy_until_ms > (double)now_ms ? s->busy_until_ms : (double)now_ms;
+        s->busy_until_ms = start_ms + run.read_ms;
+        run.planned_ms = s->busy_until_ms;
+        for (uint32_t i = 0; i < work->part_count; i++) {
+            _cw_balance_keep(b, s, &work->parts[i]);
+        }
+    }
+    s->running++;
+    s->unanswered++;
+    s->tokens += run.tokens;
+    return run;
+}
+
+static _cw_server_t* _cw_balance_of_run(const cw_balance_t* b, const cw_run_t* run) {
+    if (run->server == CW_BALANCE_NONE) {
+        return NULL;
+    }
+    _cw_server_t* s = &b->servers[run->server];
+    return s->used && s->spec.id == run->id ? s : NULL;
+}
+
+/* The prompt is read, or never will be: the rest of the backlog moves. */
+static void _cw_balance_answered(_cw_server_t* s, int64_t now_ms, cw_run_t* run) {
+    run->answered = true;
+    s->unanswered -= s->unanswered > 0;
+    s->busy_until_ms += (double)now_ms - run->planned_ms;
+    if (!s->unanswered || s->busy_until_ms < (double)now_ms) {
+        s->busy_until_ms = (double)now_ms;
+    }
+}
+
+static void _cw_balance_learn_slow(_cw_server_t* s, int64_t now_ms, double ratio) {
+    ratio = ratio > _CW_SPEED_MAX ? _CW_SPEED_MAX : ratio;
+    s->slow = _cw_balance_slow(s, now_ms);
+    s->slow += _CW_SPEED_LEARN * (ratio - s->slow);
+    s->slow = s->slow < 0.25 ? 0.25 : s->slow;
+    s->slow_ms = now_ms;
+}
+
+/* The time to read a token is learned where nothing stood before the prompt. */
+static void _cw_balance_learn_read(cw_balance_t* b, _cw_server_t* s, int64_t now_ms, const cw_run_t* run) {
+    double took_ms = (double)(now_ms - run->begun_ms);
+    double alone_ms = took_ms - run->wait_ms;
+    double expected_ms = b->base_ms + b->read_ms * run->fresh_tokens;
+    if (run->wait_ms < 1.0 && run->fresh_tokens >= _CW_READ_FEW_TOKENS && took_ms > b->base_ms) {
+        double sample = (took_ms - b->base_ms) / run->fresh_tokens / _cw_balance_slow(s, now_ms);
+        /* the first samples count in full; later a slow one, which met work not known of, counts less */
+        double weight = b->read_samples < 8 ? 1.0 / (b->read_samples + 1) : _CW_READ_LEARN;
+        weight = sample > b->read_ms && b->read_samples >= 8 ? weight * 0.3 : weight;
+        b->read_ms += weight * (sample - b->read_ms);
+        b->read_samples++;
+    }
+    if (alone_ms > 0 && expected_ms > 0) {
+        _cw_balance_learn_slow(s, now_ms, alone_ms / (expected_ms > 20 ? expected_ms : 20));
+    }
+}
+
+void cw_balance_first(cw_balance_t* b, int64_t now_ms, cw_run_t* run) {
+    _cw_server_t* s = _cw_balance_of_run(b, run);
+    if (!s || run->answered) {
+        return;
+    }
+    if (s->spec.memory_tokens) {
+        _cw_balance_learn_read(b, s, now_ms, run);
+    }
+    _cw_balance_answered(s, now_ms, run);
+    s->streaming += run->has_gap;
+}
+
+static void _cw_balance_learn_fail(_cw_server_t* s, int64_t now_ms, double outcome) {
+    s->fail = _cw_balance_fail(s, now_ms);
+    s->fail += _CW_FAIL_LEARN * (outcome - s->fail);
+    s->fail_ms = now_ms;
+}
+
+static void _cw_balance_learn_call(cw_balance_t* b, _cw_server_t* s, int64_t now_ms, const cw_run_t* run) {
+    double took_ms = (double)(now_ms - run->begun_ms);
+    double weight = b->service_samples < 20 ? 1.0 / (b->service_samples + 1) : 0.02;
+    b->service_ms += weight * (took_ms - b->service_ms);
+    b->service_samples++;
+    _cw_balance_learn_slow(s, now_ms, took_ms / (b->service_ms > 1 ? b->service_ms : 1));
+}
+
+void cw_balance_end(cw_balance_t* b, int64_t now_ms, cw_run_t* run, cw_try_result_t result) {
+    _cw_server_t* s = _cw_balance_of_run(b, run);
+    run->server = CW_BALANCE_NONE;
+    if (!s) {
+        return;
+    }
+    s->streaming -= run->answered && run->has_gap && s->streaming > 0;
+    if (!run->answered) {
+        _cw_balance_answered(s, now_ms, run);
+    }
+    s->running -= s->running > 0;
+    s->tokens -= run->tokens < s->tokens ? run->tokens : s->tokens;
+    switch (result) {
+        case CW_TRY_SERVED:
+            _cw_balance_learn_fail(s, now_ms, 0);
+            if (!s->spec.memory_tokens) {
+                _cw_balance_learn_call(b, s, now_ms, run);
+            }
+            break;
+        case CW_TRY_FAILED:
+            _cw_balance_learn_fail(s, now_ms, 1);
+            break;
+        case CW_TRY_UNREACHABLE:
+            cw_balance_away(b, now_ms, run->id, true);
+            break;
+        case CW_TRY_FULL:
+            s->full_until_ms = now_ms + _CW_FULL_PAUSE_MS;
+            break;
+        case CW_TRY_CANCELLED:
+            break;
+    }
+}
+
+void cw_balance_away(cw_balance_t* b, int64_t now_ms, uint64_t id, bool away) {
+    uint32_t at = cw_balance_find(b, id);
+    if (at == CW_BALANCE_NONE) {
+        return;
+    }
+    _cw_server_t* s = &b->servers[at];
+    if (!away) {
+        s->away_ms = 0;
+    } else if (!s->away) {
+        s->away_ms = b->desc.away_ms;
+        s->away_until_ms = now_ms + s->away_ms;
+    }
+    s->away = away;
+}
+
+uint64_t cw_balance_probe(cw_balance_t* b, int64_t now_ms) {
+    for (uint32_t i = 0; i < b->places; i++) {
+        _cw_server_t* s = &b->servers[i];
+        if (!s->used || !s->listed || !s->away || now_ms < s->away_until_ms) {
+            continue;
+        }
+        s->away_ms = s->away_ms * 2 > b->desc.away_max_ms ? b->desc.away_max_ms : s->away_ms * 2;
+        s->away_until_ms = now_ms + s->away_ms;
+        return s->spec.id;
+    }
+    return 0;
+}
+
+/* -- news ----------------------------------------------------------------- */
+
+cw_load_t cw_balance_load(const cw_balance_t* b, int64_t now_ms, uint32_t server) {
+    const _cw_server_t* s = &b->servers[server];
+    double backlog_ms = s->busy_until_ms - (double)now_ms;
+    return (cw_load_t){.running = s->running,
+                       .streaming = s->streaming,
+                       .backlog_ms = backlog_ms > 0 ? (uint32_t)backlog_ms : 0,
+                       .tokens = s->tokens > UINT32_MAX ? UINT32_MAX : (uint32_t)s->tokens};
+}
+
+void cw_balance_news(cw_balance_t* b, int64_t now_ms, uint64_t peer, uint64_t server, const cw_load_t* load) {
+    uint32_t at = cw_balance_find(b, server);
+    if (at == CW_BALANCE_NONE) {
+        return;
+    }
+    _cw_news_t* place = NULL;
+    for (uint32_t i = 0; i < b->desc.max_peers; i++) {
+        _cw_news_t* n = &b->servers[at].news[i];
+        if (n->peer == peer) {
+            place = n;
+            break;
+        }
+        if (!place && (!n->peer || now_ms - n->at_ms > b->desc.news_ms)) {
+            place = n;
+        }
+    }
+    if (place) {
+        *place = (_cw_news_t){.peer = peer, .at_ms = now_ms, .load = *load};
+    }
+}
+
+double cw_balance_fullness(const cw_balance_t* b, int64_t now_ms) {
+    double slots = 0;
+    double running = 0;
+    for (uint32_t i = 0; i < b->places; i++) {
+        const _cw_server_t* s = &b->servers[i];
+        if (s->used && s->listed && !s->away) {
+            slots += s->spec.slots;
+            running += _cw_balance_sum(b, s, now_ms).running;
+        }
+    }
+    return slots > 0 ? running / slots : 1;
+}
+
+double cw_balance_read_rate(const cw_balance_t* b) {
+    return b->read_ms;
+}
+
+#endif /* CHALKWAY_BALANCE_IMPL_INCLUDED */
+#endif /* CHALKWAY_IMPL */
--- /dev/null
+++ b/chalkway_events.h
@@ -0,0 +1,176 @@
+#ifndef CHALKWAY_EVENTS_H
+#define CHALKWAY_EVENTS_H
+/*
+    chalkway_events.h -- whole events of a text/event-stream
+
+    WHAT IT IS
+        Takes the bytes of a stream as they come and gives back only whole
+        events, so that a stream which breaks off inside an event can go on
+        elsewhere without a piece missing or doubled. It remembers the id of
+        the last event given back. Events up to a given id are left out.
+
+    HOW TO USE IT
+            cw_events_t e = {0};
+            cw_events_feed(&e, data, size);
+            cw_bytes_view_t whole = cw_events_take(&e);   // valid until the next call
+            // after a break: go on with e.last_id, then
+            cw_events_restart(&e);
+
+    WHAT IT DOES NOT DO
+        It does not read the events' data.
+
+    LICENCE
+        MIT, see LICENSE.
+*/
+#include "chalkway_core.h"
+
+#define CW_EVENT_ID_MAX 48
+#define CW_EVENT_BYTES_MAX (1U << 20) /* a longer event is an error */
+
+typedef struct cw_bytes_view_t {
+    const char* data;
+    size_t size;
+} cw_bytes_view_t;
+
+typedef struct cw_events_t {
+    char last_id[CW_EVENT_ID_MAX]; /* of the last event taken, "" none */
+    uint64_t count;                /* events taken */
+    bool bad;                      /* too long, or not in order after a restart */
+    /* private */
+    bool restarted;
+    char* data;
+    size_t size, capacity, taken;
+} cw_events_t;
+
+void cw_events_feed(cw_events_t* e, const char* data, size_t size);
+/* Whole events that came since the last call; size 0: none. */
+cw_bytes_view_t cw_events_take(cw_events_t* e);
+/* The stream broke and goes on elsewhere: what is not whole is dropped. */
+void cw_events_restart(cw_events_t* e);
+/* Whether bytes wait that are no whole event. */
+bool cw_events_partial(const cw_events_t* e);
+void cw_events_free(cw_events_t* e);
+
+#endif /* CHALKWAY_EVENTS_H */
+
+/*-- IMPLEMENTATION -----------------------------------------------------------*/
+#ifdef CHALKWAY_IMPL
+#ifndef CHALKWAY_EVENTS_IMPL_INCLUDED
+#define CHALKWAY_EVENTS_IMPL_INCLUDED
+
+#include <stdlib.h>
+#include <string.h>
+
+void cw_events_feed(cw_events_t* e, const char* data, size_t size) {
+    if (e->taken) {
+        memmove(e->data, e->data + e->taken, e->size - e->taken);
+        e->size -= e->taken;
+        e->taken = 0;
+    }
+    if (e->size + size > CW_EVENT_BYTES_MAX) {
+        e->bad = true;
+        return;
+    }
+    if (e->size + size > e->capacity) {
+        e->capacity = (e->size + size) * 2;
+        char* grown = realloc(e->data, e->capacity);
+        if (!grown) {
+            abort();
+        }
+        e->data = grown;
+    }
+    memcpy(e->data + e->size, data, size);
+    e->size += size;
+}
+
+/* Length of the event at the start of the text with its blank line; 0: not whole. */
+static size_t _cw_events_length(const char* text, size_t size) {
+    for (size_t i = 0; i + 1 < size; i++) {
+        if (text[i] != '\n') {
+            continue;
+        }
+        if (text[i + 1] == '\n') {
+            return i + 2;
+        }
+        if (text[i + 1] == '\r' && i + 2 < size && text[i + 2] == '\n') {
+            return i + 3;
+        }
+    }
+    return 0;
+}
+
+/* Value of the event's id line; false: it has none. */
+static bool _cw_events_id(const char* event, size_t size, char id[CW_EVENT_ID_MAX]) {
+    const char* end = event + size;
+    for (const char* line = event; line < end;) {
+        const char* next = memchr(line, '\n', (size_t)(end - line));
+        size_t length = (size_t)((next ? next : end) - line);
+        if (length > 3 && strncmp(line, "id:", 3) == 0) {
+            const char* value = line + 3;
+            const char* stop = line + length;
+            while (value < stop && *value == ' ') {
+                value++;
+            }
+            while (stop > value && stop[-1] == '\r') {
+                stop--;
+            }
+            size_t n = (size_t)(stop - value);
+            n = n < CW_EVENT_ID_MAX - 1 ? n : CW_EVENT_ID_MAX - 1;
+            memcpy(id, value, n);
+            id[n] = 0;
+            return true;
+        }
+        line = next ? next + 1 : end;
+    }
+    return false;
+}
+
+static bool _cw_events_is_old(const cw_events_t* e, const char* id) {
+    return e->restarted && e->last_id[0] && strtoull(id, NULL, 10) <= strtoull(e->last_id, NULL, 10);
+}
+
+cw_bytes_view_t cw_events_take(cw_events_t* e) {
+    size_t begin = e->taken;
+    size_t at = begin;
+    while (!e->bad) {
+        size_t length = _cw_events_length(e->data + at, e->size - at);
+        if (!length) {
+            break;
+        }
+        char id[CW_EVENT_ID_MAX];
+        bool has_id = _cw_events_id(e->data + at, length, id);
+        if (has_id && _cw_events_is_old(e, id)) {
+            if (at > begin) {
+                break; /* what is whole before it goes first */
+            }
+            begin = at = at + length;
+            e->taken = at;
+            continue;
+        }
+        if (has_id) {
+            memcpy(e->last_id, id, sizeof(id));
+            e->restarted = false;
+        }
+        e->count++;
+        at += length;
+    }
+    e->taken = at;
+    return (cw_bytes_view_t){.data = e->data ? e->data + begin : "", .size = at - begin};
+}
+
+void cw_events_restart(cw_events_t* e) {
+    e->size = e->taken = 0;
+    e->restarted = true;
+}
+
+bool cw_events_partial(const cw_events_t* e) {
+    return e->size > e->taken;
+}
+
+void cw_events_free(cw_events_t* e) {
+    free(e->data);
+    *e = (cw_events_t){0};
+}
+
+#endif /* CHALKWAY_EVENTS_IMPL_INCLUDED */
+#endif /* CHALKWAY_IMPL */
--- a/chalkway_limit.h
+++ b/chalkway_limit.h
@@ -38,6 +38,27 @@
     double tokens;
 } cw_retry_budget_t;
 
+#define CW_RETRY_WINDOW_PARTS 16
+
+/* One daemon's part of a budget for repeats that many daemons share without talking: in any window of time the repeats
+   stay within ratio * own first tries + slack / daemons. The parts sum to at most the whole budget while daemons is at
+   least the number of those that live. */
+typedef struct cw_retry_window_t {
+    double ratio;       /* repeats allowed for each first try */
+    double slack;       /* repeats that all daemons together may make beyond that in a window */
+    uint32_t window_ms; /* default 10000 */
+    uint32_t daemons;   /* most daemons that were ever known at once, default 1 */
+    int64_t part_at;    /* number of the newest part of the window */
+    uint32_t first[CW_RETRY_WINDOW_PARTS + 1];
+    uint32_t repeats[CW_RETRY_WINDOW_PARTS + 1];
+} cw_retry_window_t;
+
+void cw_retry_window_first(cw_retry_window_t* w, int64_t now_ms);
+/* Takes one repeat if the window has room for it. */
+bool cw_retry_window_take(cw_retry_window_t* w, int64_t now_ms);
+/* Whether it has room for one now. */
+bool cw_retry_window_has(cw_retry_window_t* w, int64_t now_ms);
+
 /* Takes n tokens if they are there. */
 bool cw_bucket_take(cw_bucket_t* bucket, int64_t now_ms, double n);
 /* Time until n tokens will be there, 0 when they are. */
@@ -52,6 +73,45 @@
 #ifndef CHALKWAY_LIMIT_IMPL_INCLUDED
 #define CHALKWAY_LIMIT_IMPL_INCLUDED
 
+#define _CW_RETRY_WINDOW_MS 10000U
+
+/* Drops the parts that have left the window. Its oldest part is kept whole, so that any span of its length is covered. */
+static void _cw_retry_window_move(cw_retry_window_t* w, int64_t now_ms) {
+    uint32_t window_ms = w->window_ms ? w->window_ms : _CW_RETRY_WINDOW_MS;
+    int64_t part = now_ms * CW_RETRY_WINDOW_PARTS / window_ms;
+    int64_t oldest_new = part - w->part_at > CW_RETRY_WINDOW_PARTS ? part - CW_RETRY_WINDOW_PARTS : w->part_at + 1;
+    for (int64_t i = oldest_new; i <= part; i++) {
+        w->first[i % (CW_RETRY_WINDOW_PARTS + 1)] = 0;
+        w->repeats[i % (CW_RETRY_WINDOW_PARTS + 1)] = 0;
+    }
+    w->part_at = part > w->part_at ? part : w->part_at;
+}
+
+void cw_retry_window_first(cw_retry_window_t* w, int64_t now_ms) {
+    _cw_retry_window_move(w, now_ms);
+    w->first[w->part_at % (CW_RETRY_WINDOW_PARTS + 1)]++;
+}
+
+bool cw_retry_window_has(cw_retry_window_t* w, int64_t now_ms) {
+    _cw_retry_window_move(w, now_ms);
+    uint32_t first = 0;
+    uint32_t repeats = 0;
+    for (int i = 0; i <= CW_RETRY_WINDOW_PARTS; i++) {
+        first += w->first[i];
+        repeats += w->repeats[i];
+    }
+    double share = w->slack / (w->daemons ? w->daemons : 1);
+    return repeats + 1 <= w->ratio * first * CW_RETRY_WINDOW_PARTS / (CW_RETRY_WINDOW_PARTS + 1) + share;
+}
+
+bool cw_retry_window_take(cw_retry_window_t* w, int64_t now_ms) {
+    if (!cw_retry_window_has(w, now_ms)) {
+        return false;
+    }
+    w->repeats[w->part_at % (CW_RETRY_WINDOW_PARTS + 1)]++;
+    return true;
+}
+
 static double _cw_bucket_tokens(const cw_bucket_t* bucket, int64_t now_ms) {
     double burst = bucket->burst > 0 ? bucket->burst : bucket->rate;
     burst = burst < 1 ? 1 : burst;
--- /dev/null
+++ b/chalkway_load.h
@@ -0,0 +1,154 @@
+#ifndef CHALKWAY_LOAD_H
+#define CHALKWAY_LOAD_H
+/*
+    chalkway_load.h -- what a daemon has at the servers, as a datagram
+
+    WHAT IT IS
+        One msgpack array for each datagram: version, cluster, sender and a
+        list of entries. An entry tells all that the sender has at one server
+        now, so that a lost datagram is mended by the next one; it may also
+        name parts of prompts that were just sent there.
+
+    HOW TO USE IT
+            size_t n = cw_load_encode(&message, bytes, sizeof(bytes));
+            if (cw_load_decode(&message, bytes, n, &err) == CW_OK) { ... }
+
+    WHAT IT DOES NOT DO
+        No sockets; it does not say when to send.
+
+    LICENCE
+        MIT, see LICENSE.
+*/
+#include "chalkway_balance.h"
+
+#define CW_LOAD_VERSION 1
+#define CW_LOAD_ENTRIES 24 /* in one datagram */
+#define CW_LOAD_PARTS 4    /* parts of prompts told with one entry */
+#define CW_LOAD_BYTES 2048 /* largest datagram */
+
+typedef struct cw_load_entry_t {
+    uint64_t server;
+    bool leaving; /* the server itself said that it leaves */
+    cw_load_t load;
+    uint32_t part_count;
+    cw_work_part_t parts[CW_LOAD_PARTS];
+} cw_load_entry_t;
+
+typedef struct cw_load_message_t {
+    uint64_t cluster; /* id of the cluster's name */
+    uint64_t host;    /* the sender */
+    uint32_t count;
+    cw_load_entry_t entries[CW_LOAD_ENTRIES];
+} cw_load_message_t;
+
+/* Writes the datagram; returns its size, 0 when it does not fit. */
+size_t cw_load_encode(const cw_load_message_t* message, uint8_t* out, size_t size);
+cw_status_t cw_load_decode(cw_load_message_t* message, const uint8_t* data, size_t size, cw_error_t* err);
+
+#endif /* CHALKWAY_LOAD_H */
+
+/*-- IMPLEMENTATION -----------------------------------------------------------*/
+#ifdef CHALKWAY_IMPL
+#ifndef CHALKWAY_LOAD_IMPL_INCLUDED
+#define CHALKWAY_LOAD_IMPL_INCLUDED
+
+#include <msgpack.h>
+#include <string.h>
+
+#define _CW_LOAD_FIELDS 6 /* of an entry before its parts */
+
+static void _cw_load_pack_entry(msgpack_packer* p, const cw_load_entry_t* e) {
+    msgpack_pack_array(p, _CW_LOAD_FIELDS + 2 * e->part_count);
+    msgpack_pack_uint64(p, e->server);
+    msgpack_pack_uint32(p, e->leaving);
+    msgpack_pack_uint32(p, e->load.running);
+    msgpack_pack_uint32(p, e->load.streaming);
+    msgpack_pack_uint32(p, e->load.backlog_ms);
+    msgpack_pack_uint32(p, e->load.tokens);
+    for (uint32_t i = 0; i < e->part_count; i++) {
+        msgpack_pack_uint64(p, e->parts[i].id);
+        msgpack_pack_uint32(p, e->parts[i].tokens);
+    }
+}
+
+size_t cw_load_encode(const cw_load_message_t* message, uint8_t* out, size_t size) {
+    msgpack_sbuffer buffer;
+    msgpack_packer packer;
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, 3 + message->count);
+    msgpack_pack_uint32(&packer, CW_LOAD_VERSION);
+    msgpack_pack_uint64(&packer, message->cluster);
+    msgpack_pack_uint64(&packer, message->host);
+    for (uint32_t i = 0; i < message->count; i++) {
+        _cw_load_pack_entry(&packer, &message->entries[i]);
+    }
+    size_t written = buffer.size <= size ? buffer.size : 0;
+    memcpy(out, buffer.data, written);
+    msgpack_sbuffer_destroy(&buffer);
+    return written;
+}
+
+static bool _cw_load_number(const msgpack_object_array* a, uint32_t at, uint64_t max, uint64_t* out) {
+    if (at >= a->size || a->ptr[at].type != MSGPACK_OBJECT_POSITIVE_INTEGER || a->ptr[at].via.u64 > max) {
+        return false;
+    }
+    *out = a->ptr[at].via.u64;
+    return true;
+}
+
+static bool _cw_load_read_entry(const msgpack_object* o, cw_load_entry_t* e) {
+    uint64_t v[_CW_LOAD_FIELDS];
+    *e = (cw_load_entry_t){0};
+    if (o->type != MSGPACK_OBJECT_ARRAY) {
+        return false;
+    }
+    for (uint32_t i = 0; i < _CW_LOAD_FIELDS; i++) {
+        if (!_cw_load_number(&o->via.array, i, i ? UINT32_MAX : UINT64_MAX, &v[i])) {
+            return false;
+        }
+    }
+    e->server = v[0];
+    e->leaving = v[1] != 0;
+    e->load = (cw_load_t){(uint32_t)v[2], (uint32_t)v[3], (uint32_t)v[4], (uint32_t)v[5]};
+    for (uint32_t at = _CW_LOAD_FIELDS; at + 1 < o->via.array.size && e->part_count < CW_LOAD_PARTS; at += 2) {
+        uint64_t tokens = 0;
+        cw_work_part_t* part = &e->parts[e->part_count];
+        if (!_cw_load_number(&o->via.array, at, UINT64_MAX, &part->id) ||
+            !_cw_load_number(&o->via.array, at + 1, UINT32_MAX, &tokens)) {
+            return false;
+        }
+        part->tokens = (uint32_t)tokens;
+        e->part_count++;
+    }
+    return true;
+}
+
+static bool _cw_load_read(cw_load_message_t* message, const msgpack_object* o) {
+    uint64_t version = 0;
+    if (o->type != MSGPACK_OBJECT_ARRAY || !_cw_load_number(&o->via.array, 0, UINT32_MAX, &version) ||
+        version < CW_LOAD_VERSION || !_cw_load_number(&o->via.array, 1, UINT64_MAX, &message->cluster) ||
+        !_cw_load_number(&o->via.array, 2, UINT64_MAX, &message->host)) {
+        return false;
+    }
+    for (uint32_t i = 3; i < o->via.array.size && message->count < CW_LOAD_ENTRIES; i++) {
+        if (!_cw_load_read_entry(&o->via.array.ptr[i], &message->entries[message->count++])) {
+            return false;
+        }
+    }
+    return true;
+}
+
+cw_status_t cw_load_decode(cw_load_message_t* message, const uint8_t* data, size_t size, cw_error_t* err) {
+    msgpack_unpacked unpacked;
+    msgpack_unpacked_init(&unpacked);
+    size_t at = 0;
+    message->count = 0;
+    bool ok = msgpack_unpack_next(&unpacked, (const char*)data, size, &at) == MSGPACK_UNPACK_SUCCESS && at == size &&
+              _cw_load_read(message, &unpacked.data);
+    msgpack_unpacked_destroy(&unpacked);
+    return ok ? CW_OK : cw_fail(err, CW_ERR_PROTOCOL, "load", NULL, "%zu bytes are no load message", size);
+}
+
+#endif /* CHALKWAY_LOAD_IMPL_INCLUDED */
+#endif /* CHALKWAY_IMPL */
--- a/chalkway_log.h
+++ b/chalkway_log.h
@@ -29,6 +29,8 @@
     CW_EVENT_STOPPING = 101,
     CW_EVENT_STOPPED = 102,
     CW_EVENT_WOKE = 103,
+    CW_EVENT_RELOADED = 104,
+    CW_EVENT_RELOAD_FAILED = 105,
     CW_EVENT_MEMBERS_CHANGED = 200,
     CW_EVENT_PEER_REFUSED = 201,
     CW_EVENT_PEER_CLOSED = 202,
@@ -40,7 +42,19 @@
     CW_EVENT_SHARD_LEFT = 401,
     CW_EVENT_ALLOCATOR_SILENT = 402,
     CW_EVENT_REQUEST_ENDED = 500,
-    CW_EVENT_UPSTREAM_FAILED = 501
+    CW_EVENT_UPSTREAM_FAILED = 501,
+    CW_EVENT_REQUEST_SENT = 510,
+    CW_EVENT_REQUEST_RETRIED = 511,
+    CW_EVENT_REQUEST_QUEUED = 512,
+    CW_EVENT_REQUEST_DENIED = 513,
+    CW_EVENT_REQUEST_DONE = 514,
+    CW_EVENT_SERVERS_CHANGED = 520,
+    CW_EVENT_SERVER_AWAY = 521,
+    CW_EVENT_SERVER_BACK = 522,
+    CW_EVENT_SERVER_LEAVES = 523,
+    CW_EVENT_SOURCE_LOST = 530,
+    CW_EVENT_SOURCE_BACK = 531,
+    CW_EVENT_LINES_LOST = 540
 } cw_event_t;
 
 typedef struct cw_log_t {
@@ -84,6 +98,8 @@
     {CW_EVENT_STOPPING, CW_LOG_INFO, "stopping"},
     {CW_EVENT_STOPPED, CW_LOG_INFO, "stopped"},
     {CW_EVENT_WOKE, CW_LOG_WARN, "woke"},
+    {CW_EVENT_RELOADED, CW_LOG_INFO, "reloaded"},
+    {CW_EVENT_RELOAD_FAILED, CW_LOG_ERROR, "reload-failed"},
     {CW_EVENT_MEMBERS_CHANGED, CW_LOG_INFO, "members-changed"},
     {CW_EVENT_PEER_REFUSED, CW_LOG_WARN, "peer-refused"},
     {CW_EVENT_PEER_CLOSED, CW_LOG_DEBUG, "peer-closed"},
@@ -96,6 +112,18 @@
     {CW_EVENT_ALLOCATOR_SILENT, CW_LOG_WARN, "allocator-silent"},
     {CW_EVENT_REQUEST_ENDED, CW_LOG_DEBUG, "request-ended"},
     {CW_EVENT_UPSTREAM_FAILED, CW_LOG_WARN, "upstream-failed"},
+    {CW_EVENT_REQUEST_SENT, CW_LOG_INFO, "request-sent"},
+    {CW_EVENT_REQUEST_RETRIED, CW_LOG_INFO, "request-retried"},
+    {CW_EVENT_REQUEST_QUEUED, CW_LOG_INFO, "request-queued"},
+    {CW_EVENT_REQUEST_DENIED, CW_LOG_WARN, "request-denied"},
+    {CW_EVENT_REQUEST_DONE, CW_LOG_INFO, "request-done"},
+    {CW_EVENT_SERVERS_CHANGED, CW_LOG_INFO, "servers-changed"},
+    {CW_EVENT_SERVER_AWAY, CW_LOG_WARN, "server-away"},
+    {CW_EVENT_SERVER_BACK, CW_LOG_INFO, "server-back"},
+    {CW_EVENT_SERVER_LEAVES, CW_LOG_INFO, "server-leaves"},
+    {CW_EVENT_SOURCE_LOST, CW_LOG_WARN, "source-lost"},
+    {CW_EVENT_SOURCE_BACK, CW_LOG_INFO, "source-back"},
+    {CW_EVENT_LINES_LOST, CW_LOG_WARN, "lines-lost"},
 };
 
 cw_event_info_t cw_event_info(cw_event_t event) {
--- a/chalkway_request.h
+++ b/chalkway_request.h
@@ -50,6 +50,7 @@
     CW_EV_GRANT_EXPIRED,  /* the grant was found too old before the first byte left */
     CW_EV_CONNECT_FAILED, /* no byte left */
     CW_EV_BROKEN,         /* the upstream failed after bytes left */
+    CW_EV_REJECTED,       /* the upstream says that it did not run what this transfer sent */
     CW_EV_HEAD,           /* the answer's status and headers came */
     CW_EV_DELIVERED_PART, /* a byte of the answer was passed to the caller */
     CW_EV_END,            /* the upstream's own end of the answer was seen */
@@ -82,6 +83,8 @@
 typedef struct cw_request_desc_t {
     bool repeatable;       /* the class allows a second run */
     bool resumable;        /* a cut stream can be continued where it was cut */
+    bool cancel_when_gone; /* also a run that may not be repeated is cancelled when nobody waits for it */
+    bool count_sent;       /* a transfer counts as an attempt only when its bytes began to leave */
     uint32_t max_attempts; /* transfers in all, default 3 */
 } cw_request_desc_t;
 
@@ -89,8 +92,11 @@
     cw_request_state_t state;
     bool repeatable;
     bool resumable;
+    bool cancel_when_gone;
+    bool count_sent;
     bool retry_allowed; /* set by the owner: the retry budget has room */
-    bool bytes_left;    /* for an upstream, in any attempt */
+    bool bytes_left;    /* for an upstream, in any attempt that it did not reject */
+    bool left_before;   /* bytes_left when the transfer at hand began */
     bool answer_begun;  /* a head came, in any attempt */
     bool part_passed;   /* a byte of the answer reached the caller */
     bool whole;         /* the end of the answer was seen */
@@ -120,6 +126,8 @@
 cw_request_t cw_request_new(const cw_request_desc_t* desc) {
     return (cw_request_t){.repeatable = desc->repeatable,
                           .resumable = desc->resumable,
+                          .cancel_when_gone = desc->cancel_when_gone,
+                          .count_sent = desc->count_sent,
                           .max_attempts = desc->max_attempts ? desc->max_attempts : 3,
                           .retry_allowed = true};
 }
@@ -132,8 +140,8 @@
 
 const char* cw_request_event_name(cw_request_event_t event) {
     static const char* const names[CW_EV_COUNT] = {
-        "start",          "grant", "refused",   "sending",  "grant-expired", "connect-failed", "broken", "head",
-        "delivered-part", "end",   "preempted", "deadline", "gone"};
+        "start",  "grant",    "refused", "sending",        "grant-expired", "connect-failed", "broken",
+        "rejected", "head",  "delivered-part", "end", "preempted", "deadline", "gone"};
     return ((unsigned)event < CW_EV_COUNT) ? names[event] : "?";
 }
 
@@ -191,7 +199,7 @@
 
 static uint32_t _cw_request_gone(cw_request_t* r) {
     bool runs = r->state == CW_REQ_SENT || r->state == CW_REQ_STREAMING;
-    if (runs && !r->repeatable) {
+    if (runs && !r->repeatable && !r->cancel_when_gone) {
         r->state = CW_REQ_DETACHED;
         return 0;
     }
@@ -201,7 +209,7 @@
 /* A non-repeatable call that runs is left to its end, so that its answer is there for a repeat. */
 static uint32_t _cw_request_deadline(cw_request_t* r) {
     bool runs = r->state == CW_REQ_SENT || r->state == CW_REQ_STREAMING;
-    if (runs && !r->repeatable) {
+    if (runs && !r->repeatable && !r->cancel_when_gone) {
         r->state = CW_REQ_DETACHED;
         return CW_DO_ANSWER;
     }
@@ -232,7 +240,7 @@
                 return CW_DO_RETURN_NEW;
             }
             r->state = CW_REQ_CONNECTING;
-            r->attempts++;
+            r->attempts += !r->count_sent;
             return CW_DO_CONNECT;
         case CW_EV_REFUSED:
             if (r->state == CW_REQ_WAITING || r->state == CW_REQ_NEW) {
@@ -243,7 +251,9 @@
         case CW_EV_SENDING:
             if (r->state == CW_REQ_CONNECTING) {
                 r->state = CW_REQ_SENT;
+                r->left_before = r->bytes_left;
                 r->bytes_left = true;
+                r->attempts += r->count_sent;
             }
             return 0;
         case CW_EV_GRANT_EXPIRED:
@@ -252,6 +262,12 @@
             return r->state == CW_REQ_CONNECTING ? _cw_request_attempt_failed(r) : 0;
         case CW_EV_BROKEN:
             return _cw_request_holds_slot(r) ? _cw_request_attempt_failed(r) : 0;
+        case CW_EV_REJECTED:
+            if (r->state != CW_REQ_SENT) {
+                return 0;
+            }
+            r->bytes_left = r->left_before;
+            return _cw_request_attempt_failed(r);
         case CW_EV_HEAD:
             if (r->state == CW_REQ_SENT) {
                 r->state = CW_REQ_STREAMING;
--- /dev/null
+++ b/chalkway_servers.h
@@ -0,0 +1,142 @@
+#ifndef CHALKWAY_SERVERS_H
+#define CHALKWAY_SERVERS_H
+/*
+    chalkway_servers.h -- list of the servers behind the pools
+
+    WHAT IT IS
+        The servers that are published as living, each with the identity of
+        this life of it, and the JSON form in which daemons pass the list on:
+
+            {"at": 530, "age_ms": 120, "servers": [{"id": "i-7f3a", "address": "10.0.0.9:8080", "pool": "llm",
+              "hall": "a", "slots": 48, "leaving": false, "cold_ms": 0}]}
+
+    HOW TO USE IT
+            cw_servers_t list = {0};
+            if (cw_servers_read(&list, text, size, &err) == CW_OK) { ... }
+            char* text = cw_servers_text(&list);    // to be freed
+            cw_servers_free(&list);
+
+    WHAT IT DOES NOT DO
+        It chooses none (chalkway_balance.h) and connects to none.
+
+    LICENCE
+        MIT, see LICENSE.
+*/
+#include "chalkway_core.h"
+
+#define CW_SERVER_ADDRESS_MAX 48
+
+typedef struct cw_server_t {
+    char id[CW_NAME_MAX];                /* another one after each start of the server */
+    char address[CW_SERVER_ADDRESS_MAX]; /* IP:PORT */
+    char pool[CW_NAME_MAX];
+    char hall[CW_NAME_MAX];
+    uint32_t slots;
+    bool leaving;
+    uint32_t cold_ms; /* it stays slow for so long */
+} cw_server_t;
+
+typedef struct cw_servers_t {
+    int64_t at;      /* revision of the source that the list was read at */
+    uint32_t age_ms; /* since it was read, by whoever passes it on */
+    uint32_t count, capacity;
+    cw_server_t* items;
+} cw_servers_t;
+
+/* Reads the JSON form; an entry that is wrong refuses the list. The list must be empty. */
+cw_status_t cw_servers_read(cw_servers_t* list, const char* text, size_t size, cw_error_t* err);
+/* The JSON form, to be freed by free(). */
+char* cw_servers_text(const cw_servers_t* list);
+void cw_servers_add(cw_servers_t* list, const cw_server_t* server);
+void cw_servers_free(cw_servers_t* list);
+
+#endif /* CHALKWAY_SERVERS_H */
+
+/*-- IMPLEMENTATION -----------------------------------------------------------*/
+#ifdef CHALKWAY_IMPL
+#ifndef CHALKWAY_SERVERS_IMPL_INCLUDED
+#define CHALKWAY_SERVERS_IMPL_INCLUDED
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+void cw_servers_add(cw_servers_t* list, const cw_server_t* server) {
+    if (list->count == list->capacity) {
+        list->capacity = list->capacity ? list->capacity * 2 : 32;
+        cw_server_t* grown = realloc(list->items, list->capacity * sizeof(*grown));
+        if (!grown) {
+            abort();
+        }
+        list->items = grown;
+    }
+    list->items[list->count++] = *server;
+}
+
+void cw_servers_free(cw_servers_t* list) {
+    free(list->items);
+    *list = (cw_servers_t){0};
+}
+
+static bool _cw_servers_text(const json_t* o, const char* key, char* out, size_t size) {
+    const char* text = json_string_value(json_object_get(o, key));
+    if (!text || !text[0] || strlen(text) >= size) {
+        return false;
+    }
+    cw_copy(out, size, text);
+    return true;
+}
+
+static bool _cw_servers_entry(const json_t* o, cw_server_t* s) {
+    *s = (cw_server_t){.slots = (uint32_t)json_integer_value(json_object_get(o, "slots")),
+                       .leaving = json_is_true(json_object_get(o, "leaving")),
+                       .cold_ms = (uint32_t)json_integer_value(json_object_get(o, "cold_ms"))};
+    return _cw_servers_text(o, "id", s->id, sizeof(s->id)) &&
+           _cw_servers_text(o, "address", s->address, sizeof(s->address)) &&
+           _cw_servers_text(o, "pool", s->pool, sizeof(s->pool)) &&
+           _cw_servers_text(o, "hall", s->hall, sizeof(s->hall));
+}
+
+cw_status_t cw_servers_read(cw_servers_t* list, const char* text, size_t size, cw_error_t* err) {
+    json_error_t problem;
+    json_t* document = json_loadb(text, size, 0, &problem);
+    const json_t* items = json_object_get(document, "servers");
+    cw_status_t status = CW_OK;
+    if (!json_is_array(items)) {
+        status = cw_fail(err, CW_ERR_INVALID, "servers", NULL, "no list of servers: %s",
+                         document ? "the field is missing" : problem.text);
+    }
+    list->at = json_integer_value(json_object_get(document, "at"));
+    list->age_ms = (uint32_t)json_integer_value(json_object_get(document, "age_ms"));
+    for (size_t i = 0; i < json_array_size(items) && status == CW_OK; i++) {
+        cw_server_t server;
+        if (_cw_servers_entry(json_array_get(items, i), &server)) {
+            cw_servers_add(list, &server);
+        } else {
+            status = cw_fail(err, CW_ERR_INVALID, "servers", NULL, "entry %zu lacks id, address, pool or hall", i);
+        }
+    }
+    json_decref(document);
+    if (status != CW_OK) {
+        cw_servers_free(list);
+    }
+    return status;
+}
+
+char* cw_servers_text(const cw_servers_t* list) {
+    json_t* items = json_array();
+    for (uint32_t i = 0; i < list->count; i++) {
+        const cw_server_t* s = &list->items[i];
+        json_array_append_new(items, json_pack("{s:s,s:s,s:s,s:s,s:i,s:b,s:i}", "id", s->id, "address", s->address,
+                                               "pool", s->pool, "hall", s->hall, "slots", (int)s->slots, "leaving",
+                                               (int)s->leaving, "cold_ms", (int)s->cold_ms));
+    }
+    json_t* document = json_pack("{s:I,s:i,s:o}", "at", (json_int_t)list->at, "age_ms", (int)list->age_ms, "servers",
+                                 items);
+    char* text = json_dumps(document, JSON_COMPACT);
+    json_decref(document);
+    return text;
+}
+
+#endif /* CHALKWAY_SERVERS_IMPL_INCLUDED */
+#endif /* CHALKWAY_IMPL */
--- a/chalkway_settings.h
+++ b/chalkway_settings.h
@@ -69,6 +69,8 @@
     char log_format[CW_NAME_MAX];
 } cw_settings_t;
 
+#define CW_SETTINGS_MAX 64 /* entries of one table */
+
 typedef struct cw_settings_errors_t {
     uint32_t count;
     char lines[CW_SETTINGS_ERRORS_MAX][CW_MESSAGE_MAX];
@@ -95,6 +97,13 @@
 } cw_setting_info_t;
 
 cw_status_t cw_settings_load(const char* path, cw_settings_t* settings, cw_settings_errors_t* errors);
+/* Reads a file by any table of settings (at most CW_SETTINGS_MAX) into a struct of texts (CW_SETTINGS_TEXT_MAX), names
+   and addresses (CW_NAME_MAX), uint32_t and double. The struct must be all zero. */
+cw_status_t cw_settings_read(const char* path, const cw_setting_info_t* table, uint32_t count, void* settings,
+                             cw_settings_errors_t* errors);
+/* Adds an error unless value is one of the choices, each with a space before and after it. */
+void cw_settings_choice(const char* path, const char* section, const char* key, const char* value, const char* choices,
+                        cw_settings_errors_t* errors);
 /* The table of all settings. */
 const cw_setting_info_t* cw_settings_info(uint32_t* count);
 
@@ -106,6 +115,7 @@
 #define CHALKWAY_SETTINGS_IMPL_INCLUDED
 
 #include <arpa/inet.h>
+#include <assert.h>
 #include <ctype.h>
 #include <ini.h>
 #include <stdarg.h>
@@ -169,11 +179,13 @@
 
 typedef struct _cw_settings_load_t {
     const char* path;
-    cw_settings_t* settings;
+    const cw_setting_info_t* table;
+    uint32_t count;
+    void* settings;
     cw_settings_errors_t* errors;
     FILE* file;
-    int line;                     /* read last */
-    int seen[_CW_SETTINGS_COUNT]; /* line, 0: not in the file */
+    int line;                  /* read last */
+    int seen[CW_SETTINGS_MAX]; /* line, 0: not in the file */
 } _cw_settings_load_t;
 
 static void _cw_settings_error(_cw_settings_load_t* load, int line, const char* section, const char* key,
@@ -286,7 +298,7 @@
 }
 
 /* Reads a line for inih and counts it. */
-static char* _cw_settings_read(char* text, int size, void* user) {
+static char* _cw_settings_next(char* text, int size, void* user) {
     _cw_settings_load_t* load = user;
     char* got = fgets(text, size, load->file);
     load->line += got ? 1 : 0;
@@ -296,8 +308,8 @@
 static int _cw_settings_line(void* user, const char* section, const char* key, const char* value) {
     _cw_settings_load_t* load = user;
     int line = load->line;
-    for (size_t i = 0; i < _CW_SETTINGS_COUNT; i++) {
-        const cw_setting_info_t* info = &_cw_settings[i];
+    for (uint32_t i = 0; i < load->count; i++) {
+        const cw_setting_info_t* info = &load->table[i];
         if (strcmp(section, info->section) != 0 || strcmp(key, info->key) != 0) {
             continue;
         }
@@ -313,12 +325,11 @@
 }
 
 /* Two addresses of this host may be the same only with port 0. */
-static void _cw_settings_overlaps(_cw_settings_load_t* load) {
+static void _cw_settings_overlaps(_cw_settings_load_t* load, const cw_settings_t* settings) {
     const struct {
         const char* key;
         const char* value;
-    } addresses[] = {
-        {"http", load->settings->http}, {"peer", load->settings->peer}, {"operator", load->settings->operator_http}};
+    } addresses[] = {{"http", settings->http}, {"peer", settings->peer}, {"operator", settings->operator_http}};
     for (size_t i = 1; i < 3; i++) {
         for (size_t j = 0; j < i; j++) {
             const char* value = addresses[i].value;
@@ -331,42 +342,58 @@
     }
 }
 
-static void _cw_settings_choice(_cw_settings_load_t* load, const char* section, const char* key, const char* value,
-                                const char* choices) {
+void cw_settings_choice(const char* path, const char* section, const char* key, const char* value, const char* choices,
+                        cw_settings_errors_t* errors) {
     char quoted[CW_NAME_MAX + 2];
     snprintf(quoted, sizeof(quoted), " %s ", value);
     if (!strstr(choices, quoted)) {
-        _cw_settings_error(load, 0, section, key, "must be one of%s", choices);
+        _cw_settings_load_t load = {.path = path, .errors = errors};
+        _cw_settings_error(&load, 0, section, key, "must be one of%s", choices);
     }
 }
 
-cw_status_t cw_settings_load(const char* path, cw_settings_t* settings, cw_settings_errors_t* errors) {
-    _cw_settings_load_t load = {.path = path, .settings = settings, .errors = errors};
-    memset(settings, 0, sizeof(*settings));
+static void _cw_settings_fill(_cw_settings_load_t* load) {
+    for (uint32_t i = 0; i < load->count; i++) {
+        if (load->seen[i]) {
+            continue;
+        }
+        if (load->table[i].initial) {
+            _cw_settings_set(load, &load->table[i], 0, load->table[i].initial);
+        } else {
+            _cw_settings_error(load, 0, load->table[i].section, load->table[i].key, "is missing");
+        }
+    }
+}
+
+cw_status_t cw_settings_read(const char* path, const cw_setting_info_t* table, uint32_t count, void* settings,
+                             cw_settings_errors_t* errors) {
+    assert(count <= CW_SETTINGS_MAX);
+    _cw_settings_load_t load = {.path = path, .table = table, .count = count, .settings = settings, .errors = errors};
     load.file = fopen(path, "r");
     if (!load.file) {
         _cw_settings_error(&load, 0, "", "", "the file cannot be read");
         return CW_ERR_INVALID;
     }
-    int line = ini_parse_stream(_cw_settings_read, &load, _cw_settings_line, &load);
+    int line = ini_parse_stream(_cw_settings_next, &load, _cw_settings_line, &load);
     fclose(load.file);
     if (line > 0) {
         _cw_settings_error(&load, line, "", "", "the line is no section, key or comment");
     }
-    for (size_t i = 0; i < _CW_SETTINGS_COUNT; i++) {
-        if (load.seen[i]) {
-            continue;
-        }
-        if (_cw_settings[i].initial) {
-            _cw_settings_set(&load, &_cw_settings[i], 0, _cw_settings[i].initial);
-        } else {
-            _cw_settings_error(&load, 0, _cw_settings[i].section, _cw_settings[i].key, "is missing");
-        }
+    _cw_settings_fill(&load);
+    return errors->count ? CW_ERR_INVALID : CW_OK;
+}
+
+cw_status_t cw_settings_load(const char* path, cw_settings_t* settings, cw_settings_errors_t* errors) {
+    memset(settings, 0, sizeof(*settings));
+    cw_status_t status = cw_settings_read(path, _cw_settings, (uint32_t)_CW_SETTINGS_COUNT, settings, errors);
+    if (status != CW_OK && !settings->log_level[0]) {
+        return status; /* the file could not be read */
     }
-    _cw_settings_overlaps(&load);
-    _cw_settings_choice(&load, "allocator", "policy", settings->policy, " shared solo lease round-robin ");
-    _cw_settings_choice(&load, "log", "level", settings->log_level, " debug info warn error ");
-    _cw_settings_choice(&load, "log", "format", settings->log_format, " text json ");
+    _cw_settings_load_t load = {.path = path, .errors = errors};
+    _cw_settings_overlaps(&load, settings);
+    cw_settings_choice(path, "allocator", "policy", settings->policy, " shared solo lease round-robin ", errors);
+    cw_settings_choice(path, "log", "level", settings->log_level, " debug info warn error ", errors);
+    cw_settings_choice(path, "log", "format", settings->log_format, " text json ", errors);
     return errors->count ? CW_ERR_INVALID : CW_OK;
 }
 
--- /dev/null
+++ b/gateway/dialect.h
@@ -0,0 +1,70 @@
+#ifndef CW_GATEWAY_DIALECT_H
+#define CW_GATEWAY_DIALECT_H
+/*
+    The names that requests, answers, lookups and the configuration source use. The gateway decides; a dialect only
+    spells. dialect_native is chalkway's own; another one is handed to gateway_main by the program that speaks it.
+*/
+#include "../chalkway_balance.h"
+#include "../chalkway_servers.h"
+
+/* Names of header fields. A NULL name: the dialect has none. */
+typedef struct dialect_fields_t {
+    const char* request_id;   /* of one attempt of a caller; the server's answer repeats it */
+    const char* deadline_ms;  /* time that the caller, or the gateway, will wait */
+    const char* key;          /* holds the workspace's key; never passed on */
+    const char* key_scheme;   /* word before the key */
+    const char* workspace;    /* set by the gateway: name of the key's workspace */
+    const char* server;       /* set by the gateway: id of the server that the request is meant for */
+    const char* server_id;    /* in an answer: id of the server that gave it */
+    const char* not_run;      /* in an answer: the server did not run the request */
+    const char* signature;    /* in an answer: proves that it is the server's */
+    const char* priority;     /* set by the gateway: 0 first */
+    const char* last_event;   /* a stream goes on after this event */
+    const char* retry_after;  /* seconds, fractions allowed */
+    const char* tokens;       /* "IN,OUT" of a generation */
+    const char* parts;        /* "ID:TOKENS,..." of its prompt, IDs in hex */
+    const char* const* owned; /* further fields that only the gateway may set, NULL at the end */
+} dialect_fields_t;
+
+/* A caller's lookup. */
+typedef struct dialect_lookup_t {
+    const char* hall; /* NULL: not told */
+} dialect_lookup_t;
+
+typedef struct dialect_t {
+    const char* name;
+    dialect_fields_t fields;
+    unsigned misdirected_status; /* a server's status for a request meant for another one: it did not run it */
+    unsigned priority_max;       /* lowest urgency that the field may carry */
+    const char* ready_path;
+    const char* lookup_path;
+    const char* lookup_hall; /* query argument */
+    /* Body of a lookup answer, to be freed by free(). */
+    char* (*lookup_body)(const char* const* addresses, uint32_t count, uint32_t keep_ms);
+} dialect_t;
+
+/* What a read of the source brought. */
+typedef struct source_news_t {
+    int64_t at;    /* position for the next watch */
+    char* catalog; /* native document (chalkway_catalog.h), to be freed by free(); NULL: none */
+    bool more;     /* servers: another page follows */
+    char after[CW_NAME_MAX * 2]; /* servers: where the next page starts */
+} source_news_t;
+
+/* Where the configuration and the list of servers are published, over HTTP. Path functions write the path and query
+   of a call; read functions turn an answer's body into native form and say what is wrong with it. */
+typedef struct source_t {
+    void (*catalog_path)(char* out, size_t size);
+    void (*watch_path)(char* out, size_t size, int64_t after, uint32_t wait_ms);
+    void (*servers_path)(char* out, size_t size, const char* after);
+    unsigned watch_lost_status; /* the watch's position is gone: read anew */
+    cw_status_t (*read_catalog)(const char* body, size_t size, source_news_t* news, cw_error_t* err);
+    cw_status_t (*read_watch)(const char* body, size_t size, source_news_t* news, cw_error_t* err);
+    cw_status_t (*read_servers)(const char* body, size_t size, cw_servers_t* list, source_news_t* news,
+                                cw_error_t* err);
+} source_t;
+
+extern const dialect_t dialect_native;
+extern const source_t source_native;
+
+#endif
--- /dev/null
+++ b/gateway/exchange.c
@@ -0,0 +1,760 @@
+#include "exchange.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "../chalkway_events.h"
+#include "../chalkway_request.h"
+#include "clock.h"
+#include "request_head.h"
+
+#define MS_PER_S 1000.0
+#define TRIED_MAX 8               /* servers that a request leaves out after they failed it */
+#define UNSENT_MAX 262144         /* bytes that wait for a caller before its server is read no more */
+#define WAIT_SHARE 0.2            /* of the target: longest wait for a place, then the request is refused */
+#define WAIT_MIN_MS 20
+#define SILENT_CALL_SHARE 0.7     /* of the target: a repeatable call without an answer is tried elsewhere */
+#define SILENT_TARGETS 1.0        /* targets without a first event, beyond the prediction, until a stream is moved */
+#define STALL_GAPS 4              /* longest pauses without an event until a stream is moved */
+#define STALL_MIN_MS 400
+#define RETRY_AFTER_MIN_MS 300    /* shortest time to come back after a refusal */
+#define RETRY_AFTER_SPREAD_MS 500 /* spread, so that those refused do not come back together */
+#define DETACHED_MS 2000          /* a run that may not be repeated is left to itself for so long after its time */
+#define ID_MAX 128
+
+typedef struct exchange_t {
+    exchanges_t* all;
+    caller_t* caller; /* NULL: gone, or its answer is complete */
+    char id[ID_MAX];
+    cw_catalog_t* catalog;
+    const cw_route_t* route;
+    const cw_tenant_t* workspace;
+    pool_t* pool;
+    cw_request_t machine;
+    cw_work_t work;
+    uint32_t priority;
+    int64_t arrived_ms, deadline_ms;
+    int64_t wait_until_ms; /* in the queue: refused then */
+    bool queued;
+    /* the transfer at hand */
+    server_t* server;
+    char server_id[CW_NAME_MAX]; /* of the last transfer, for the log */
+    link_t* link;
+    cw_run_t run;
+    int64_t sent_ms, silent_at_ms; /* silent_at_ms: tried elsewhere then, 0: never */
+    bool first_seen;
+    bool answer_failed; /* the server's answer is a failure of its own */
+    cw_try_result_t result;
+    const char* reason; /* why the last transfer failed */
+    /* over all transfers */
+    uint64_t tried[TRIED_MAX];
+    uint32_t tried_count;
+    uint32_t transfers;
+    bool head_passed;
+    bool follow_events; /* the stream may go on at another server */
+    cw_events_t events;
+    unsigned status;
+    int64_t first_ms; /* first byte passed on, 0: none */
+    ev_timer timer;
+    struct exchange_t* prev;
+    struct exchange_t* next;
+    struct exchange_t* next_queued;
+} exchange_t;
+
+struct exchanges_t {
+    exchanges_desc_t desc;
+    cw_catalog_t* catalog;
+    exchange_t* list;
+    exchange_t* queue; /* by priority, then arrival */
+    bool refusing;
+    uint64_t draws;
+    exchanges_stats_t stats;
+};
+
+static void act(exchange_t* x, uint32_t todo);
+static void event(exchange_t* x, cw_request_event_t e);
+
+static uint64_t draw(exchanges_t* e) {
+    return cw_mix(e->desc.seed, ++e->draws);
+}
+
+/* -- answers of the gateway's own ----------------------------------------- */
+
+/* A small answer that repeats the request's id; retry_ms 0: no time to come back. */
+static void answer(exchanges_t* e, caller_t* caller, unsigned status, const char* id, const char* why,
+                   uint32_t retry_ms) {
+    const dialect_fields_t* f = &e->desc.dialect->fields;
+    cw_buffer_t fields = {0};
+    char body[256];
+    if (id[0]) {
+        cw_message_add_field(&fields, f->request_id, id);
+    }
+    if (retry_ms) {
+        cw_message_add_text(&fields, "%s: %.3f\r\n", f->retry_after, retry_ms / MS_PER_S);
+    }
+    cw_message_add_field(&fields, "Content-Type", "application/json");
+    int size = snprintf(body, sizeof(body), "{\"error\":\"%s\",\"status\":%u}", why, status);
+    caller_reply(caller, status, fields.data, body, (size_t)size);
+    cw_buffer_free(&fields);
+}
+
+/* -- life ----------------------------------------------------------------- */
+
+static void queue_remove(exchange_t* x) {
+    for (exchange_t** at = &x->all->queue; x->queued && *at; at = &(*at)->next_queued) {
+        if (*at == x) {
+            *at = x->next_queued;
+            x->queued = false;
+            x->all->stats.waiting--;
+            return;
+        }
+    }
+}
+
+static void queue_add(exchange_t* x) {
+    exchange_t** at = &x->all->queue;
+    while (*at && ((*at)->priority < x->priority ||
+                   ((*at)->priority == x->priority && (*at)->arrived_ms <= x->arrived_ms))) {
+        at = &(*at)->next_queued;
+    }
+    x->next_queued = *at;
+    *at = x;
+    x->queued = true;
+    x->all->stats.waiting++;
+}
+
+static void exchange_free(exchange_t* x) {
+    exchanges_t* e = x->all;
+    ev_timer_stop(e->desc.loop, &x->timer);
+    queue_remove(x);
+    if (x->prev) {
+        x->prev->next = x->next;
+    } else {
+        e->list = x->next;
+    }
+    if (x->next) {
+        x->next->prev = x->prev;
+    }
+    e->stats.active--;
+    cw_events_free(&x->events);
+    cw_catalog_release(x->catalog);
+    free(x);
+}
+
+static const char* const outcome_names[EXCHANGE_OUTCOME_COUNT] = {"served", "denied", "refused", "failed", "gone"};
+
+/* The one line that tells how a request ended, and from what. */
+static void done(exchange_t* x, exchange_outcome_t outcome, const char* why) {
+    exchanges_t* e = x->all;
+    int64_t now_ms = clock_ms();
+    uint32_t first_ms = x->first_ms ? (uint32_t)(x->first_ms - x->arrived_ms) : 0;
+    e->stats.outcomes[outcome]++;
+    cw_log(e->desc.log, CW_EVENT_REQUEST_DONE,
+           "id=%s outcome=%s status=%u why=\"%s\" route=%s workspace=%s revision=%lld server=%s transfers=%u "
+           "first_ms=%u took_ms=%lld left_ms=%lld run=%s",
+           x->id, outcome_names[outcome], x->status, why, x->route->name, x->workspace ? x->workspace->name : "-",
+           (long long)x->catalog->revision, x->server_id[0] ? x->server_id : "-", x->transfers, first_ms,
+           (long long)(now_ms - x->arrived_ms), (long long)(x->deadline_ms - now_ms),
+           cw_outcome_name(cw_request_outcome(&x->machine)));
+    if (e->desc.on_done) {
+        e->desc.on_done(e->desc.user_data, x->route->name, x->workspace ? x->workspace->name : "-", outcome, first_ms,
+                        (uint32_t)(now_ms - x->arrived_ms));
+    }
+}
+
+/* -- time ----------------------------------------------------------------- */
+
+static void timer_set(exchange_t* x) {
+    int64_t due_ms = x->deadline_ms;
+    if (x->queued && x->wait_until_ms < due_ms) {
+        due_ms = x->wait_until_ms;
+    }
+    if (x->link && x->silent_at_ms && x->silent_at_ms < due_ms) {
+        due_ms = x->silent_at_ms;
+    }
+    int64_t left_ms = due_ms - clock_ms();
+    ev_timer_stop(x->all->desc.loop, &x->timer);
+    ev_timer_set(&x->timer, left_ms > 0 ? (double)left_ms / MS_PER_S : 0.0, 0.0);
+    ev_timer_start(x->all->desc.loop, &x->timer);
+}
+
+static bool may_repeat(const exchange_t* x) {
+    return x->machine.repeatable && x->machine.attempts < x->machine.max_attempts &&
+           (!x->head_passed || x->follow_events) && cw_retry_window_has(&x->pool->retries, clock_ms());
+}
+
+/* When a transfer that gives no sign is taken as lost. Only what may be sent again is given up early. */
+static void expect_first(exchange_t* x, const cw_choice_t* choice) {
+    x->silent_at_ms = 0;
+    if (!may_repeat(x)) {
+        return;
+    }
+    double target_ms = x->route->target_ms;
+    double limit_ms = x->route->kind == CW_ROUTE_STREAM
+                          ? SILENT_TARGETS * target_ms + 2 * (choice->wait_ms + choice->read_ms)
+                          : SILENT_CALL_SHARE * target_ms;
+    x->silent_at_ms = x->sent_ms + (int64_t)limit_ms;
+}
+
+static void expect_next(exchange_t* x) {
+    int64_t gap_ms = (int64_t)x->route->gap_ms * STALL_GAPS;
+    gap_ms = gap_ms > STALL_MIN_MS ? gap_ms : STALL_MIN_MS;
+    x->silent_at_ms = x->follow_events && may_repeat(x) ? clock_ms() + gap_ms : 0;
+}
+
+static void broken(exchange_t* x, cw_request_event_t e, cw_try_result_t result, const char* reason) {
+    x->result = result;
+    x->reason = reason;
+    cw_log(x->all->desc.log, CW_EVENT_UPSTREAM_FAILED, "id=%s step=%s server=%s peer=%s reason=\"%s\" sent_ms_ago=%lld",
+           x->id, cw_request_state_name(x->machine.state), x->server_id, x->server->published.address, reason,
+           x->sent_ms ? (long long)(clock_ms() - x->sent_ms) : -1LL);
+    event(x, e);
+}
+
+static void on_timer(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    exchange_t* x = w->data;
+    int64_t now_ms = clock_ms();
+    if (now_ms >= x->deadline_ms && x->machine.state == CW_REQ_DETACHED) {
+        broken(x, CW_EV_BROKEN, CW_TRY_FAILED, "no answer long after its time");
+    } else if (now_ms >= x->deadline_ms) {
+        x->reason = "time is up";
+        x->result = CW_TRY_CANCELLED;
+        if (x->link && !x->first_seen) {
+            x->result = CW_TRY_FAILED;
+        }
+        event(x, CW_EV_DEADLINE);
+    } else if (x->queued && now_ms >= x->wait_until_ms) {
+        x->reason = "no place came free in time";
+        event(x, CW_EV_REFUSED);
+    } else if (x->link && x->silent_at_ms && now_ms >= x->silent_at_ms) {
+        if (may_repeat(x)) {
+            broken(x, CW_EV_BROKEN, CW_TRY_FAILED, "silent for too long");
+        } else {
+            x->silent_at_ms = 0;
+            timer_set(x);
+        }
+    } else {
+        timer_set(x);
+    }
+}
+
+/* -- to the server -------------------------------------------------------- */
+
+static void send_request(exchange_t* x) {
+    exchanges_t* e = x->all;
+    const cw_message_t* request = caller_message(x->caller);
+    const cw_buffer_t* body = caller_body(x->caller);
+    int64_t now_ms = clock_ms();
+    int64_t left_ms = x->deadline_ms - now_ms;
+    event(x, CW_EV_SENDING);
+    x->transfers++;
+    if (x->transfers > 1) {
+        cw_retry_window_take(&x->pool->retries, now_ms);
+        e->stats.repeats++;
+    }
+    e->stats.sends++;
+    x->sent_ms = now_ms;
+    bool resuming = x->head_passed && x->events.last_id[0];
+    e->stats.resumed += resuming;
+    request_head_t set = {.workspace = x->workspace ? x->workspace->name : NULL,
+                          .server = x->server->published.id,
+                          .last_event = resuming ? x->events.last_id : NULL,
+                          .deadline_ms = left_ms > 1 ? (uint32_t)left_ms : 1,
+                          .priority = x->priority,
+                          .has_priority = x->pool->slots > 0,
+                          .body_size = body->size};
+    cw_buffer_t head = {0};
+    request_head_write(&head, e->desc.dialect, request, &set);
+    bool bodiless = strcmp(request->method, "HEAD") == 0;
+    if (request->framing == CW_FRAMING_CHUNKED) {
+        cw_message_add_chunk(&head, cw_buffer_text(body), body->size);
+        cw_message_add_last_chunk(&head);
+        link_send(x->link, x->id, bodiless, &head, NULL, 0);
+    } else {
+        link_send(x->link, x->id, bodiless, &head, cw_buffer_text(body), body->size);
+    }
+    cw_buffer_free(&head);
+    timer_set(x);
+}
+
+static void link_on_open(void* owner) {
+    send_request(owner);
+}
+
+/* The server says that it did not run the request. */
+static void on_rejected(exchange_t* x, const cw_message_t* head) {
+    bool misdirected = head->status == x->all->desc.dialect->misdirected_status;
+    if (misdirected) {
+        cw_log(x->all->desc.log, CW_EVENT_SERVER_LEAVES, "server=%s pool=%s reason=\"another server has its address\"",
+               x->server_id, x->pool->name);
+        upstreams_leaves(x->all->desc.upstreams, clock_ms(), x->server);
+    }
+    broken(x, CW_EV_REJECTED, misdirected ? CW_TRY_CANCELLED : CW_TRY_FULL,
+           misdirected ? "another server has the address" : "the server has no room");
+}
+
+static void pass_head(exchange_t* x, const cw_message_t* head) {
+    cw_buffer_t fields = {0};
+    answer_fields_write(&fields, head);
+    cw_framing_t framing = head->framing == CW_FRAMING_CLOSE ? CW_FRAMING_CHUNKED : head->framing;
+    x->status = head->status;
+    x->head_passed = true;
+    x->machine.resumable = x->machine.resumable && framing == CW_FRAMING_CHUNKED && head->status / 100 == 2;
+    x->follow_events = x->machine.resumable;
+    caller_begin(x->caller, head->status, cw_buffer_text(&fields), framing, head->length);
+    cw_buffer_free(&fields);
+}
+
+static void link_on_head(void* owner, const cw_message_t* head) {
+    exchange_t* x = owner;
+    const dialect_fields_t* f = &x->all->desc.dialect->fields;
+    if (cw_message_field(head, f->not_run) || head->status == x->all->desc.dialect->misdirected_status) {
+        on_rejected(x, head);
+        return;
+    }
+    bool signed_answer = !f->signature || cw_message_field(head, f->signature);
+    if (!signed_answer || !cw_message_field(head, f->request_id)) {
+        broken(x, CW_EV_BROKEN, CW_TRY_FAILED, "the answer lacks its signature or the request's id");
+        return;
+    }
+    x->answer_failed = head->status >= 500;
+    if ((x->answer_failed && may_repeat(x)) || (x->head_passed && head->status != x->status)) {
+        broken(x, CW_EV_BROKEN, CW_TRY_FAILED, "the server answered with a failure");
+        return;
+    }
+    event(x, CW_EV_HEAD);
+    if (x->caller && !x->head_passed) {
+        pass_head(x, head);
+    }
+}
+
+static void on_first(exchange_t* x) {
+    int64_t now_ms = clock_ms();
+    x->first_seen = true;
+    x->first_ms = x->first_ms ? x->first_ms : now_ms;
+    cw_balance_first(x->pool->balance, now_ms, &x->run);
+    x->all->desc.on_load(x->all->desc.user_data, x->server, NULL);
+}
+
+static void pass_body(exchange_t* x, const char* data, size_t size) {
+    if (!size || !x->caller) {
+        return;
+    }
+    caller_write(x->caller, data, size);
+    event(x, CW_EV_DELIVERED_PART);
+    if (caller_unsent(x->caller) > UNSENT_MAX) {
+        link_pause(x->link, true);
+    }
+}
+
+static void link_on_body(void* owner, const char* data, size_t size) {
+    exchange_t* x = owner;
+    if (!x->first_seen) {
+        on_first(x);
+    }
+    if (!x->follow_events) {
+        pass_body(x, data, size);
+        return;
+    }
+    cw_events_feed(&x->events, data, size);
+    for (cw_bytes_view_t whole = cw_events_take(&x->events); whole.size; whole = cw_events_take(&x->events)) {
+        pass_body(x, whole.data, whole.size);
+    }
+    expect_next(x);
+    timer_set(x);
+}
+
+static void link_on_complete(void* owner) {
+    exchange_t* x = owner;
+    if (x->follow_events && cw_events_partial(&x->events)) {
+        broken(x, CW_EV_BROKEN, CW_TRY_FAILED, "the stream ended within an event");
+        return;
+    }
+    x->result = x->answer_failed ? CW_TRY_FAILED : CW_TRY_SERVED;
+    link_release(x->link);
+    x->link = NULL;
+    event(x, CW_EV_END);
+}
+
+static void link_on_broken(void* owner, link_failure_t failure) {
+    exchange_t* x = owner;
+    static const char* const reasons[] = {"no connection", "reset", "closed before the end", "not an answer"};
+    x->link = NULL;
+    if (failure == LINK_UNREACHABLE) {
+        cw_log(x->all->desc.log, CW_EVENT_SERVER_AWAY, "server=%s pool=%s peer=%s", x->server_id, x->pool->name,
+               x->server->published.address);
+        broken(x, CW_EV_CONNECT_FAILED, CW_TRY_UNREACHABLE, reasons[failure]);
+    } else if (x->machine.state == CW_REQ_CONNECTING) {
+        broken(x, CW_EV_CONNECT_FAILED, CW_TRY_CANCELLED, reasons[failure]);
+    } else {
+        broken(x, CW_EV_BROKEN, CW_TRY_FAILED, reasons[failure]);
+    }
+}
+
+static const link_handlers_t link_handlers = {.on_open = link_on_open,
+                                              .on_head = link_on_head,
+                                              .on_body = link_on_body,
+                                              .on_complete = link_on_complete,
+                                              .on_broken = link_on_broken};
+
+/* -- choosing ------------------------------------------------------------- */
+
+static void connect_to(exchange_t* x, const cw_choice_t* choice) {
+    exchanges_t* e = x->all;
+    int64_t now_ms = clock_ms();
+    x->run = cw_balance_begin(x->pool->balance, now_ms, choice->server, &x->work);
+    x->server = upstreams_server(e->desc.upstreams, x->run.id);
+    cw_copy(x->server_id, sizeof(x->server_id), x->server->published.id);
+    x->first_seen = x->answer_failed = false;
+    x->sent_ms = 0;
+    x->reason = "";
+    x->result = CW_TRY_CANCELLED;
+    if (x->tried_count < TRIED_MAX) {
+        x->tried[x->tried_count++] = x->server->key;
+    }
+    cw_log(e->desc.log, x->transfers ? CW_EVENT_REQUEST_RETRIED : CW_EVENT_REQUEST_SENT,
+           "id=%s server=%s route=%s revision=%lld priority=%u candidates=%u cost_ms=%.0f wait_ms=%.0f read_ms=%.0f "
+           "kept=%u running=%u age_ms=%u waited_ms=%lld last_event=%s",
+           x->id, x->server_id, x->route->name, (long long)x->catalog->revision, x->priority, choice->candidates,
+           choice->cost_ms, choice->wait_ms, choice->read_ms, choice->kept, choice->running, choice->age_ms,
+           (long long)(now_ms - x->arrived_ms), x->events.last_id[0] ? x->events.last_id : "-");
+    x->sent_ms = now_ms;
+    expect_first(x, choice);
+    e->desc.on_load(e->desc.user_data, x->server, &x->work);
+    x->link = link_take(x->server, &link_handlers, x, !x->machine.repeatable);
+    if (!x->link) {
+        broken(x, CW_EV_CONNECT_FAILED, CW_TRY_FULL, "no connection may be had");
+    } else if (link_is_open(x->link)) {
+        send_request(x);
+    } else {
+        timer_set(x);
+    }
+}
+
+/* Takes the best server, or a place in the queue. */
+static void seek_server(exchange_t* x) {
+    exchanges_t* e = x->all;
+    cw_choice_t choice = {.server = CW_BALANCE_NONE};
+    if (!e->refusing) {
+        choice = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, x->tried, x->tried_count);
+    }
+    if (choice.server != CW_BALANCE_NONE) {
+        queue_remove(x);
+        uint32_t todo = cw_request_event(&x->machine, CW_EV_GRANT);
+        if (todo & CW_DO_CONNECT) {
+            connect_to(x, &choice);
+        }
+        return;
+    }
+    if (e->refusing || !x->pool->ready || x->tried_count >= x->pool->ready) {
+        x->reason = e->refusing ? "this host is stopping" : "no server is left to try";
+        event(x, CW_EV_REFUSED);
+        return;
+    }
+    if (!x->queued) {
+        double wait_ms = WAIT_SHARE * x->route->target_ms;
+        x->wait_until_ms = clock_ms() + (int64_t)(wait_ms > WAIT_MIN_MS ? wait_ms : WAIT_MIN_MS);
+        queue_add(x);
+        cw_log(e->desc.log, CW_EVENT_REQUEST_QUEUED, "id=%s pool=%s fullness=%.2f waiting=%u", x->id, x->pool->name,
+               cw_balance_fullness(x->pool->balance, clock_ms()), e->stats.waiting);
+    }
+    timer_set(x);
+}
+
+/* The first that waits for the pool. */
+static exchange_t* queue_first(const exchanges_t* e, const pool_t* pool) {
+    exchange_t* x = e->queue;
+    while (x && x->pool != pool) {
+        x = x->next_queued;
+    }
+    return x;
+}
+
+void exchanges_on_room(exchanges_t* e, pool_t* pool) {
+    exchange_t* x = queue_first(e, pool);
+    while (x) {
+        seek_server(x); /* x may be gone now: only its place in the queue is looked at */
+        exchange_t* first = queue_first(e, pool);
+        if (first == x) {
+            return; /* it found none; those behind it are not more urgent */
+        }
+        x = first;
+    }
+}
+
+/* -- the machine's actions ------------------------------------------------ */
+
+static void give_back(exchange_t* x) {
+    pool_t* pool = x->pool;
+    server_t* server = x->server;
+    if (x->run.server == CW_BALANCE_NONE) {
+        return;
+    }
+    cw_balance_end(pool->balance, clock_ms(), &x->run, x->result);
+    x->all->desc.on_load(x->all->desc.user_data, server, NULL);
+}
+
+static void cut(exchange_t* x) {
+    if (x->link) {
+        link_drop(x->link);
+        x->link = NULL;
+    }
+    if (x->follow_events) {
+        cw_events_restart(&x->events);
+    }
+}
+
+static uint32_t retry_after_ms(exchange_t* x) {
+    return RETRY_AFTER_MIN_MS + (uint32_t)(draw(x->all) % RETRY_AFTER_SPREAD_MS);
+}
+
+/* The final answer, by what may truthfully be said. */
+static void conclude(exchange_t* x) {
+    exchanges_t* e = x->all;
+    caller_t* caller = x->caller;
+    cw_outcome_t outcome = cw_request_outcome(&x->machine);
+    const char* why = x->reason && x->reason[0] ? x->reason : "-";
+    x->caller = NULL;
+    if (!caller) {
+        return;
+    }
+    if (outcome == CW_OUTCOME_DELIVERED) {
+        done(x, EXCHANGE_SERVED, why);
+        caller_finish(caller, true);
+    } else if (x->head_passed) {
+        done(x, EXCHANGE_FAILED, why);
+        caller_finish(caller, false);
+    } else if (outcome == CW_OUTCOME_NOT_RUN) {
+        x->status = 503;
+        done(x, EXCHANGE_REFUSED, why);
+        answer(e, caller, 503, x->id, why, retry_after_ms(x));
+    } else {
+        x->status = clock_ms() >= x->deadline_ms ? 504 : 502;
+        done(x, EXCHANGE_FAILED, why);
+        answer(e, caller, x->status, x->id, why, 0);
+    }
+}
+
+static void act(exchange_t* x, uint32_t todo) {
+    if (todo & CW_DO_ABORT) {
+        cut(x);
+    }
+    pool_t* freed = todo & CW_DO_RETURN ? x->pool : NULL;
+    exchanges_t* e = x->all;
+    if (freed) {
+        give_back(x);
+    }
+    if (todo & CW_DO_WITHDRAW) {
+        queue_remove(x);
+    }
+    if (todo & CW_DO_ANSWER) {
+        conclude(x);
+    }
+    if (x->machine.state == CW_REQ_ENDED) {
+        exchange_free(x);
+    } else if (todo & CW_DO_WANT) {
+        seek_server(x);
+    } else if (x->machine.state == CW_REQ_DETACHED) {
+        x->deadline_ms = clock_ms() + DETACHED_MS;
+        timer_set(x);
+    }
+    if (freed && e->queue) {
+        exchanges_on_room(e, freed);
+    }
+}
+
+/* Tells the machine; the exchange may be gone afterwards. */
+static void event(exchange_t* x, cw_request_event_t e) {
+    x->machine.retry_allowed = cw_retry_window_has(&x->pool->retries, clock_ms());
+    uint32_t todo = cw_request_event(&x->machine, e);
+    if (todo || x->machine.state == CW_REQ_ENDED) {
+        act(x, todo);
+    }
+}
+
+/* -- from the caller ------------------------------------------------------ */
+
+static void deny(exchanges_t* e, caller_t* caller, unsigned status, const char* id, const char* why) {
+    const cw_message_t* m = caller_message(caller);
+    e->stats.outcomes[EXCHANGE_DENIED]++;
+    cw_log(e->desc.log, CW_EVENT_REQUEST_DENIED, "id=%s status=%u why=\"%s\" target=%.60s revision=%lld",
+           id[0] ? id : "-", status, why, m->target, e->catalog ? (long long)e->catalog->revision : 0LL);
+    answer(e, caller, status, id, why, 0);
+}
+
+static void host_of(const cw_message_t* m, char* out, size_t size) {
+    const char* host = cw_message_field(m, "Host");
+    cw_copy(out, size, host ? host : "");
+    out[strcspn(out, ":")] = 0;
+}
+
+static const cw_route_t* route_of(const exchanges_t* e, const cw_message_t* m) {
+    char host[256];
+    host_of(m, host, sizeof(host));
+    return cw_catalog_route(e->catalog, host, m->target, strcspn(m->target, "?#"));
+}
+
+/* The status that denies a request, or 0; fills route and workspace. */
+static unsigned admit(const exchanges_t* e, const cw_message_t* m, const cw_route_t** route,
+                      const cw_tenant_t** workspace, const char** why) {
+    char key[CW_ACCESS_KEY_MAX];
+    *workspace = NULL;
+    if (m->target[0] != '/' || cw_message_field_times(m, "Host") != 1) {
+        *why = "bad request target or host";
+        return 400;
+    }
+    *route = route_of(e, m);
+    if (!*route) {
+        *why = "no route";
+        return 404;
+    }
+    if (request_key_read(e->desc.dialect, m, key, sizeof(key))) {
+        *workspace = cw_catalog_workspace(e->catalog, key);
+    }
+    if (e->catalog->needs_keys && !(*route)->open && !*workspace) {
+        *why = "unknown key";
+        return 401;
+    }
+    return 0;
+}
+
+static int64_t deadline_of(const exchanges_t* e, const cw_message_t* m, const cw_route_t* route, int64_t now_ms) {
+    const char* text = cw_message_field(m, e->desc.dialect->fields.deadline_ms);
+    double wanted = text ? strtod(text, NULL) : 0;
+    double held = wanted > 0 && wanted < route->timeout_ms ? wanted : route->timeout_ms;
+    return now_ms + (int64_t)held;
+}
+
+static exchange_t* exchange_new(exchanges_t* e, caller_t* caller, const cw_route_t* route,
+                                const cw_tenant_t* workspace, const char* id) {
+    exchange_t* x = calloc(1, sizeof(*x));
+    if (!x) {
+        abort();
+    }
+    const cw_message_t* m = caller_message(caller);
+    bool stream = route->kind == CW_ROUTE_STREAM;
+    x->all = e;
+    x->caller = caller;
+    cw_copy(x->id, sizeof(x->id), id);
+    x->catalog = cw_catalog_hold(e->catalog);
+    x->route = route;
+    x->workspace = workspace;
+    x->arrived_ms = clock_ms();
+    x->deadline_ms = deadline_of(e, m, route, x->arrived_ms);
+    x->priority = workspace && workspace->has_tier ? workspace->tier : route->tier;
+    x->run.server = CW_BALANCE_NONE;
+    bool repeatable = route->kind == CW_ROUTE_REPEATABLE || (stream && route->resume);
+    x->machine = cw_request_new(&(cw_request_desc_t){.repeatable = repeatable,
+                                                     .resumable = stream && route->resume,
+                                                     .cancel_when_gone = stream,
+                                                     .count_sent = true,
+                                                     .max_attempts = route->attempts});
+    x->work = (cw_work_t){.target_ms = route->target_ms, .gap_ms = route->gap_ms, .repeatable = repeatable};
+    request_work_read(&x->work, e->desc.dialect, m);
+    ev_timer_init(&x->timer, on_timer, 0.0, 0.0);
+    x->timer.data = x;
+    x->next = e->list;
+    if (e->list) {
+        e->list->prev = x;
+    }
+    e->list = x;
+    e->stats.active++;
+    caller_set_data(caller, x);
+    return x;
+}
+
+void exchanges_on_request(exchanges_t* e, caller_t* caller) {
+    const cw_message_t* m = caller_message(caller);
+    const char* id = cw_message_field(m, e->desc.dialect->fields.request_id);
+    const cw_route_t* route = NULL;
+    const cw_tenant_t* workspace = NULL;
+    const char* why = "";
+    char made[24];
+    if (!id || !id[0] || strlen(id) >= ID_MAX) {
+        snprintf(made, sizeof(made), "%016llx", (unsigned long long)draw(e));
+        id = made;
+    }
+    if (!e->catalog) {
+        e->stats.outcomes[EXCHANGE_REFUSED]++;
+        cw_log(e->desc.log, CW_EVENT_REQUEST_DENIED, "id=%s status=503 why=\"no configuration\" revision=0", id);
+        answer(e, caller, 503, id, "no configuration", RETRY_AFTER_MIN_MS);
+        return;
+    }
+    unsigned status = admit(e, m, &route, &workspace, &why);
+    if (status) {
+        deny(e, caller, status, id, why);
+        return;
+    }
+    exchange_t* x = exchange_new(e, caller, route, workspace, id);
+    const cw_catalog_pool_t* pool = cw_catalog_pool(e->catalog, route, draw(e));
+    x->pool = upstreams_pool(e->desc.upstreams, pool->name);
+    cw_retry_window_first(&x->pool->retries, x->arrived_ms);
+    event(x, CW_EV_START);
+}
+
+void exchanges_on_gone(exchanges_t* e, caller_t* caller) {
+    (void)e;
+    exchange_t* x = caller_data(caller);
+    if (!x) {
+        return;
+    }
+    x->caller = NULL;
+    x->result = CW_TRY_CANCELLED;
+    x->reason = "the caller left";
+    done(x, EXCHANGE_GONE, x->reason);
+    event(x, CW_EV_GONE);
+}
+
+void exchanges_on_drained(exchanges_t* e, caller_t* caller) {
+    (void)e;
+    exchange_t* x = caller_data(caller);
+    if (x && x->link) {
+        link_pause(x->link, false);
+    }
+}
+
+/* -- setup ---------------------------------------------------------------- */
+
+exchanges_t* exchanges_setup(const exchanges_desc_t* desc) {
+    exchanges_t* e = calloc(1, sizeof(*e));
+    if (!e) {
+        abort();
+    }
+    e->desc = *desc;
+    return e;
+}
+
+void exchanges_set_catalog(exchanges_t* e, cw_catalog_t* catalog) {
+    cw_catalog_t* before = e->catalog;
+    e->catalog = cw_catalog_hold(catalog);
+    cw_catalog_release(before);
+}
+
+void exchanges_refuse_new(exchanges_t* e) {
+    e->refusing = true;
+    while (e->queue) {
+        exchange_t* x = e->queue;
+        x->reason = "this host is stopping";
+        event(x, CW_EV_REFUSED);
+    }
+}
+
+exchanges_stats_t exchanges_stats(const exchanges_t* e) {
+    return e->stats;
+}
+
+void exchanges_shutdown(exchanges_t* e) {
+    while (e->list) {
+        exchange_t* x = e->list;
+        if (x->link) {
+            link_drop(x->link);
+        }
+        exchange_free(x);
+    }
+    cw_catalog_release(e->catalog);
+    free(e);
+}
--- /dev/null
+++ b/gateway/front.c
@@ -0,0 +1,441 @@
+#include "front.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "../io/address.h"
+
+#define MS_PER_S 1000.0
+#define LINGER_S 1.0        /* a connection being closed still reads for so long, so that the answer is not lost */
+#define AHEAD_MAX 65536     /* bytes that a caller may send before its answer is complete */
+#define ACCEPT_BATCH 16     /* connections taken in one turn of the loop */
+#define PEER_SILENT_MS 8000 /* a caller that acknowledges nothing for so long is gone */
+#define IDLE_SLACK_MS 200   /* an idle connection is closed so much after the limit */
+
+typedef enum caller_state_t {
+    CALLER_READING = 0, /* a request, or idle before one */
+    CALLER_BUSY,        /* the owner has the request */
+    CALLER_CLOSING      /* the last answer is being sent */
+} caller_state_t;
+
+struct caller_t {
+    front_t* front;
+    cw_stream_t stream;
+    cw_message_t message;
+    cw_buffer_t body;
+    cw_buffer_t ahead; /* bytes that came after the request */
+    caller_state_t state;
+    bool close_after;
+    bool finished; /* the end of the last answer was written */
+    cw_framing_t framing;
+    bool bodiless; /* the answer to a HEAD */
+    ev_timer timer;
+    void* data;
+    caller_t* prev;
+    caller_t* next;
+};
+
+struct front_t {
+    front_desc_t desc;
+    int fd;
+    ev_io accept_io;
+    bool leaving;
+    caller_t* callers;
+    front_stats_t stats;
+};
+
+static void read_ahead(caller_t* c);
+
+/* -- life ----------------------------------------------------------------- */
+
+static void body_drop(caller_t* c) {
+    c->front->stats.body_bytes -= c->body.size;
+    cw_buffer_free(&c->body);
+}
+
+static void caller_free(caller_t* c) {
+    front_t* f = c->front;
+    cw_stream_close(&c->stream);
+    ev_timer_stop(f->desc.loop, &c->timer);
+    body_drop(c);
+    cw_buffer_free(&c->ahead);
+    cw_message_shutdown(&c->message);
+    if (c->prev) {
+        c->prev->next = c->next;
+    } else {
+        f->callers = c->next;
+    }
+    if (c->next) {
+        c->next->prev = c->prev;
+    }
+    f->stats.open--;
+    free(c);
+}
+
+static void timer_start(caller_t* c, double after_s) {
+    ev_timer_stop(c->front->desc.loop, &c->timer);
+    ev_timer_set(&c->timer, after_s, 0.0);
+    ev_timer_start(c->front->desc.loop, &c->timer);
+}
+
+static void timer_stop(caller_t* c) {
+    ev_timer_stop(c->front->desc.loop, &c->timer);
+}
+
+static void wait_for_request(caller_t* c) {
+    front_limits_t limits = c->front->desc.limits(c->front->desc.user_data);
+    timer_start(c, (limits.idle_ms + IDLE_SLACK_MS) / MS_PER_S);
+}
+
+/* Sends what is left, tells the caller that no more comes and reads on for a while. */
+static void start_closing(caller_t* c) {
+    c->state = CALLER_CLOSING;
+    if (!cw_stream_unsent(&c->stream)) {
+        cw_stream_finish(&c->stream);
+        c->finished = true;
+    }
+    timer_start(c, LINGER_S);
+}
+
+static void answer_done(caller_t* c) {
+    c->front->stats.active--;
+    c->data = NULL;
+    cw_stream_flush(&c->stream);
+    cw_stream_pause(&c->stream, false);
+    body_drop(c);
+    if (c->close_after) {
+        start_closing(c);
+        return;
+    }
+    c->state = CALLER_READING;
+    cw_message_reset(&c->message);
+    wait_for_request(c);
+    read_ahead(c);
+}
+
+/* -- answers -------------------------------------------------------------- */
+
+static bool statusless_body(const caller_t* c, unsigned status) {
+    return c->bodiless || status / 100 == 1 || status == 204 || status == 304;
+}
+
+static void write_head(caller_t* c, unsigned status, const char* fields) {
+    cw_buffer_t out = {0};
+    c->close_after = c->close_after || c->front->leaving || !c->message.keep_alive;
+    cw_message_add_text(&out, "HTTP/1.1 %u %s\r\n", status, cw_message_reason(status));
+    cw_buffer_add(&out, fields, strlen(fields));
+    if (c->close_after) {
+        cw_message_add_field(&out, "Connection", "close");
+    }
+    cw_stream_write(&c->stream, out.data, out.size);
+    cw_buffer_free(&out);
+}
+
+static void write_end_of_head(caller_t* c, cw_framing_t framing, uint64_t length) {
+    cw_buffer_t out = {0};
+    if (framing == CW_FRAMING_CHUNKED) {
+        cw_message_add_field(&out, "Transfer-Encoding", "chunked");
+    } else if (framing == CW_FRAMING_LENGTH) {
+        cw_message_add_text(&out, "Content-Length: %llu\r\n", (unsigned long long)length);
+    }
+    cw_message_add_end(&out);
+    cw_stream_write(&c->stream, out.data, out.size);
+    cw_buffer_free(&out);
+}
+
+void caller_reply(caller_t* c, unsigned status, const char* fields, const void* body, size_t size) {
+    write_head(c, status, fields);
+    write_end_of_head(c, CW_FRAMING_LENGTH, size);
+    if (!c->bodiless) {
+        cw_stream_write(&c->stream, body, size);
+    }
+    answer_done(c);
+}
+
+void caller_begin(caller_t* c, unsigned status, const char* fields, cw_framing_t framing, uint64_t length) {
+    c->framing = statusless_body(c, status) && framing != CW_FRAMING_LENGTH ? CW_FRAMING_NONE : framing;
+    if (c->framing == CW_FRAMING_CLOSE) {
+        c->framing = CW_FRAMING_CHUNKED; /* so that the caller can tell a whole answer from a cut one */
+    }
+    if (c->framing == CW_FRAMING_CHUNKED && c->message.parser.http_major == 1 && c->message.parser.http_minor == 0) {
+        c->framing = CW_FRAMING_CLOSE;
+        c->close_after = true;
+    }
+    write_head(c, status, fields);
+    write_end_of_head(c, c->framing, length);
+    cw_stream_flush(&c->stream);
+}
+
+void caller_write(caller_t* c, const void* data, size_t size) {
+    if (c->bodiless) {
+        return;
+    }
+    if (c->framing == CW_FRAMING_CHUNKED) {
+        cw_buffer_t out = {0};
+        cw_message_add_chunk(&out, data, size);
+        cw_stream_write(&c->stream, out.data, out.size);
+        cw_buffer_free(&out);
+    } else {
+        cw_stream_write(&c->stream, data, size);
+    }
+    cw_stream_flush(&c->stream);
+}
+
+size_t caller_unsent(const caller_t* c) {
+    return cw_stream_unsent(&c->stream);
+}
+
+void caller_finish(caller_t* c, bool whole) {
+    if (!whole) {
+        c->front->stats.active--;
+        cw_stream_abort(&c->stream);
+        caller_free(c);
+        return;
+    }
+    if (c->framing == CW_FRAMING_CHUNKED && !c->bodiless) {
+        cw_buffer_t out = {0};
+        cw_message_add_last_chunk(&out);
+        cw_stream_write(&c->stream, out.data, out.size);
+        cw_buffer_free(&out);
+    }
+    answer_done(c);
+}
+
+const cw_message_t* caller_message(const caller_t* c) {
+    return &c->message;
+}
+
+const cw_buffer_t* caller_body(const caller_t* c) {
+    return &c->body;
+}
+
+void caller_set_data(caller_t* c, void* data) {
+    c->data = data;
+}
+
+void* caller_data(const caller_t* c) {
+    return c->data;
+}
+
+/* -- reading -------------------------------------------------------------- */
+
+/* Answers a request that is not handed over and closes. */
+static void refuse(caller_t* c, unsigned status, const char* fields) {
+    timer_stop(c);
+    c->close_after = true;
+    c->bodiless = false;
+    c->message.state = CW_MESSAGE_BROKEN; /* what still comes is not read as a request */
+    c->front->stats.active++;
+    caller_reply(c, status, fields, "", 0);
+}
+
+static bool expects_continue(const cw_message_t* m) {
+    const char* expect = cw_message_field(m, "Expect");
+    return expect && strcasecmp(expect, "100-continue") == 0;
+}
+
+static void on_head(void* owner) {
+    caller_t* c = owner;
+    front_limits_t limits = c->front->desc.limits(c->front->desc.user_data);
+    c->bodiless = strcmp(c->message.method, "HEAD") == 0;
+    if (c->message.framing != CW_FRAMING_NONE && c->message.length <= limits.body_bytes &&
+        expects_continue(&c->message)) {
+        static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+        cw_stream_write(&c->stream, go_on, sizeof(go_on) - 1);
+        cw_stream_flush(&c->stream);
+    }
+}
+
+static void on_body(void* owner, const char* data, size_t size) {
+    caller_t* c = owner;
+    cw_buffer_add(&c->body, data, size);
+    c->front->stats.body_bytes += size;
+}
+
+static const cw_message_handlers_t message_handlers = {.on_head = on_head, .on_body = on_body};
+
+static void hand_over(caller_t* c) {
+    timer_stop(c);
+    c->state = CALLER_BUSY;
+    c->front->stats.active++;
+    c->front->stats.requests++;
+    c->front->desc.on_request(c, c->front->desc.user_data);
+}
+
+/* Whether what was read so far is refused. */
+static bool over_limits(caller_t* c) {
+    front_t* f = c->front;
+    front_limits_t limits = f->desc.limits(f->desc.user_data);
+    bool in_head = c->message.state == CW_MESSAGE_HEAD;
+    if (c->message.state == CW_MESSAGE_BROKEN) {
+        f->stats.broken++;
+        refuse(c, 400, "");
+    } else if ((in_head && c->message.head_bytes > limits.head_bytes) || c->message.text.size > limits.head_bytes) {
+        refuse(c, 431, "");
+    } else if (!in_head && (c->message.length > limits.body_bytes || c->body.size > limits.body_bytes)) {
+        refuse(c, 413, "");
+    } else if (f->stats.body_bytes > f->desc.max_body_total) {
+        cw_buffer_t fields = {0};
+        cw_message_add_field(&fields, f->desc.retry_after_field, "1");
+        f->stats.refused_full++;
+        refuse(c, 503, fields.data);
+        cw_buffer_free(&fields);
+    } else {
+        return false;
+    }
+    return true;
+}
+
+/* Reads a request from the bytes; what follows it is kept. The caller may be gone afterwards. */
+static void read_request(caller_t* c, const char* data, size_t size) {
+    bool idle = c->message.state == CW_MESSAGE_IDLE;
+    size_t used = cw_message_read(&c->message, data, size);
+    if (idle && c->message.state != CW_MESSAGE_IDLE) {
+        timer_start(c, c->front->desc.limits(c->front->desc.user_data).head_ms / MS_PER_S);
+    }
+    if (over_limits(c)) {
+        return;
+    }
+    if (c->message.state == CW_MESSAGE_COMPLETE) {
+        cw_buffer_add(&c->ahead, data + used, size - used);
+        hand_over(c);
+    }
+}
+
+static void read_ahead(caller_t* c) {
+    if (!c->ahead.size) {
+        return;
+    }
+    cw_buffer_t ahead = c->ahead;
+    c->ahead = (cw_buffer_t){0};
+    read_request(c, ahead.data, ahead.size);
+    cw_buffer_free(&ahead);
+}
+
+static void on_data(void* owner, const char* data, size_t size) {
+    caller_t* c = owner;
+    if (c->state == CALLER_READING) {
+        read_request(c, data, size);
+    } else if (c->state == CALLER_BUSY) {
+        cw_buffer_add(&c->ahead, data, size);
+        if (c->ahead.size > AHEAD_MAX) {
+            cw_stream_pause(&c->stream, true);
+        }
+    }
+}
+
+static void on_drained(void* owner) {
+    caller_t* c = owner;
+    if (c->state == CALLER_BUSY) {
+        c->front->desc.on_drained(c, c->front->desc.user_data);
+    } else if (c->state == CALLER_CLOSING && !c->finished) {
+        cw_stream_finish(&c->stream);
+        c->finished = true;
+    }
+}
+
+static void on_end(void* owner, cw_stream_end_t end) {
+    (void)end;
+    caller_t* c = owner;
+    if (c->state == CALLER_BUSY) {
+        c->front->stats.active--;
+        c->front->desc.on_gone(c, c->front->desc.user_data);
+    }
+    caller_free(c);
+}
+
+static const cw_stream_handlers_t stream_handlers = {
+    .on_data = on_data, .on_drained = on_drained, .on_end = on_end};
+
+static void on_timer(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    caller_t* c = w->data;
+    if (c->state == CALLER_READING && c->message.state != CW_MESSAGE_IDLE) {
+        c->front->stats.timed_out++;
+        refuse(c, 408, "");
+    } else if (c->state == CALLER_CLOSING && cw_stream_unsent(&c->stream)) {
+        timer_start(c, LINGER_S); /* a slow reader; one that is gone ends the stream */
+    } else {
+        caller_free(c);
+    }
+}
+
+/* -- accepting ------------------------------------------------------------ */
+
+static void caller_open(front_t* f, int fd) {
+    caller_t* c = calloc(1, sizeof(*c));
+    if (!c) {
+        abort();
+    }
+    c->front = f;
+    c->next = f->callers;
+    if (f->callers) {
+        f->callers->prev = c;
+    }
+    f->callers = c;
+    f->stats.open++;
+    f->stats.accepted++;
+    ev_timer_init(&c->timer, on_timer, 0.0, 0.0);
+    c->timer.data = c;
+    cw_message_setup(&c->message, CW_MESSAGE_REQUEST, &message_handlers, c);
+    cw_stream_accept(&c->stream, f->desc.loop, fd, &stream_handlers, c);
+    cw_stream_watch_peer(&c->stream, PEER_SILENT_MS);
+    wait_for_request(c);
+}
+
+static void on_accept(struct ev_loop* loop, ev_io* w, int events) {
+    (void)loop;
+    (void)events;
+    front_t* f = w->data;
+    for (int i = 0; i < ACCEPT_BATCH; i++) {
+        int fd = accept4(f->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            return;
+        }
+        if (f->stats.open >= f->desc.max_connections) {
+            close(fd);
+            continue;
+        }
+        caller_open(f, fd);
+    }
+}
+
+front_t* front_setup(const front_desc_t* desc, cw_error_t* err) {
+    char bound[CW_ADDR_TEXT];
+    int fd = cw_addr_listen(desc->address, bound, err);
+    if (fd < 0) {
+        return NULL;
+    }
+    front_t* f = calloc(1, sizeof(*f));
+    if (!f) {
+        abort();
+    }
+    f->desc = *desc;
+    f->fd = fd;
+    ev_io_init(&f->accept_io, on_accept, fd, EV_READ);
+    f->accept_io.data = f;
+    ev_io_start(desc->loop, &f->accept_io);
+    return f;
+}
+
+void front_leave(front_t* f) {
+    f->leaving = true;
+}
+
+front_stats_t front_stats(const front_t* f) {
+    return f->stats;
+}
+
+void front_shutdown(front_t* f) {
+    ev_io_stop(f->desc.loop, &f->accept_io);
+    close(f->fd);
+    while (f->callers) {
+        caller_free(f->callers);
+    }
+    free(f);
+}
--- /dev/null
+++ b/gateway/gateway.c
@@ -0,0 +1,390 @@
+/* The composition root: sets the parts up, joins them by callbacks, and stops them in order. Arrows run one way: front,
+   upstream, sync and mesh know nothing of each other; exchange knows front and upstream; this file knows all. */
+#include "gateway.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sysexits.h>
+#include <unistd.h>
+
+#include "../io/lines.h"
+#include "clock.h"
+#include "directory.h"
+#include "exchange.h"
+#include "front.h"
+#include "mesh.h"
+#include "settings.h"
+#include "sync.h"
+#include "upstream.h"
+
+#define TICK_S 0.025
+#define LOG_BYTES 262144         /* lines that wait for a slow reader */
+#define DESCRIPTORS_KEPT 64      /* for the other addresses */
+#define BODY_MEMORY_SHARE 4      /* a quarter of the memory holds bodies */
+#define STOP_ACCEPT_SHARE 0.375  /* of the grace: requests are taken for so long after the signal */
+#define STOP_MIN_SHARE 0.25      /* the process ends no sooner, since callers keep addresses */
+#define STOP_MARGIN_MS 500       /* it ends so long before the grace is over */
+#define PAUSE_MS 500             /* a longer gap between two ticks: the process stood still */
+
+typedef struct gateway_t {
+    struct ev_loop* loop;
+    const char* settings_path;
+    gateway_settings_t settings;
+    const dialect_t* dialect;
+    cw_lines_t lines;
+    cw_log_t log;
+    upstreams_t* upstreams;
+    exchanges_t* exchanges;
+    front_t* front;
+    sync_t* sync;
+    mesh_t* mesh;
+    directory_t* directory;
+    cw_catalog_t* catalog; /* in force, NULL: none yet */
+    ev_timer tick;
+    ev_signal on_term, on_int, on_hup;
+    int64_t tick_ms;
+    int64_t stopping_ms; /* signal to stop, 0: none */
+} gateway_t;
+
+/* -- joints --------------------------------------------------------------- */
+
+static void write_line(const char* line, void* user) {
+    gateway_t* g = user;
+    cw_lines_add(&g->lines, line);
+}
+
+static front_limits_t front_limits(void* user) {
+    gateway_t* g = user;
+    if (!g->catalog) {
+        return (front_limits_t){.head_bytes = 16384, .body_bytes = 1 << 20, .head_ms = 5000, .idle_ms = 15000};
+    }
+    const cw_catalog_limits_t* l = &g->catalog->limits;
+    return (front_limits_t){
+        .head_bytes = l->head_bytes, .body_bytes = l->body_bytes, .head_ms = l->head_ms, .idle_ms = l->idle_ms};
+}
+
+static void on_request(caller_t* caller, void* user) {
+    exchanges_on_request(((gateway_t*)user)->exchanges, caller);
+}
+
+static void on_gone(caller_t* caller, void* user) {
+    exchanges_on_gone(((gateway_t*)user)->exchanges, caller);
+}
+
+static void on_drained(caller_t* caller, void* user) {
+    exchanges_on_drained(((gateway_t*)user)->exchanges, caller);
+}
+
+static void on_room(void* user, pool_t* pool) {
+    exchanges_on_room(((gateway_t*)user)->exchanges, pool);
+}
+
+static void on_load(void* user, const server_t* server, const cw_work_t* work) {
+    mesh_on_load(((gateway_t*)user)->mesh, server, work);
+}
+
+static void on_done(void* user, const char* route, const char* workspace, exchange_outcome_t outcome,
+                    uint32_t first_ms, uint32_t took_ms) {
+    directory_count(((gateway_t*)user)->directory, route, workspace, (uint32_t)outcome, first_ms, took_ms);
+}
+
+static void announce(gateway_t* g) {
+    mesh_announce(g->mesh, sync_revision(g->sync), 0);
+}
+
+static void on_catalog(void* user, cw_catalog_t* catalog) {
+    gateway_t* g = user;
+    cw_catalog_t* before = g->catalog;
+    g->catalog = cw_catalog_hold(catalog);
+    cw_catalog_release(before);
+    upstreams_set_catalog(g->upstreams, catalog);
+    exchanges_set_catalog(g->exchanges, catalog);
+    announce(g);
+}
+
+static void on_servers(void* user, const cw_servers_t* list) {
+    gateway_t* g = user;
+    uint32_t changes = upstreams_set_servers(g->upstreams, clock_ms(), list);
+    if (!changes) {
+        return;
+    }
+    cw_log(&g->log, CW_EVENT_SERVERS_CHANGED, "changes=%u listed=%u at=%lld", changes, list->count,
+           (long long)list->at);
+    for (pool_t* pool = upstreams_pools(g->upstreams); pool; pool = pool->next) {
+        exchanges_on_room(g->exchanges, pool);
+    }
+}
+
+static const char* any_peer(void* user) {
+    return mesh_any_share(((gateway_t*)user)->mesh);
+}
+
+static void on_revision(void* user, const char* share, int64_t revision) {
+    sync_on_peer_revision(((gateway_t*)user)->sync, share, revision);
+}
+
+static void on_members(void* user, uint32_t daemons) {
+    upstreams_set_daemons(((gateway_t*)user)->upstreams, daemons);
+}
+
+static bool is_ready(void* user) {
+    gateway_t* g = user;
+    return sync_ready(g->sync) && !g->stopping_ms;
+}
+
+static uint32_t lookup(void* user, const char* hall, const char** out, uint32_t max) {
+    gateway_t* g = user;
+    return mesh_callers_addresses(g->mesh, hall, is_ready(g), out, max);
+}
+
+static void metrics(void* user, cw_buffer_t* out) {
+    gateway_t* g = user;
+    exchanges_stats_t x = exchanges_stats(g->exchanges);
+    front_stats_t f = front_stats(g->front);
+    sync_stats_t s = sync_stats(g->sync);
+    mesh_stats_t m = mesh_stats(g->mesh);
+    cw_message_add_text(out, "chalkway_requests_active %u\nchalkway_requests_waiting %u\n", x.active, x.waiting);
+    cw_message_add_text(out, "chalkway_sends_total %llu\nchalkway_repeats_total %llu\nchalkway_resumed_total %llu\n",
+                        (unsigned long long)x.sends, (unsigned long long)x.repeats, (unsigned long long)x.resumed);
+    cw_message_add_text(out, "chalkway_caller_connections %u\nchalkway_callers_accepted_total %llu\n", f.open,
+                        (unsigned long long)f.accepted);
+    cw_message_add_text(out, "chalkway_server_connections %u\nchalkway_server_connects_total %llu\n",
+                        upstreams_links(g->upstreams), (unsigned long long)upstreams_connects(g->upstreams));
+    cw_message_add_text(out, "chalkway_source_calls_total %llu\nchalkway_source_failures_total %llu\n",
+                        (unsigned long long)s.source_calls, (unsigned long long)s.source_failures);
+    cw_message_add_text(out, "chalkway_peer_calls_total %llu\nchalkway_revision %lld\nchalkway_servers_age_ms %lld\n",
+                        (unsigned long long)s.peer_calls, (long long)s.revision, (long long)s.servers_age_ms);
+    cw_message_add_text(out, "chalkway_members_known %u\nchalkway_members_live %u\n", m.known, m.live);
+    cw_message_add_text(out, "chalkway_load_out_total %llu\nchalkway_load_in_total %llu\n",
+                        (unsigned long long)m.load_out, (unsigned long long)m.load_in);
+    cw_message_add_text(out, "chalkway_log_lines_lost_total %lu\n", g->lines.lost_ever);
+    for (pool_t* pool = upstreams_pools(g->upstreams); pool; pool = pool->next) {
+        cw_message_add_text(out, "chalkway_pool_ready{pool=\"%s\"} %u\n", pool->name, pool->ready);
+        cw_message_add_text(out, "chalkway_pool_fullness{pool=\"%s\"} %.3f\n", pool->name,
+                            cw_balance_fullness(pool->balance, clock_ms()));
+        cw_message_add_text(out, "chalkway_pool_read_ms_per_token{pool=\"%s\"} %.5f\n", pool->name,
+                            cw_balance_read_rate(pool->balance));
+    }
+}
+
+/* -- time ----------------------------------------------------------------- */
+
+/* A planned stop: callers are led away first, then nothing new is taken, then the process ends. */
+static void check_stop(gateway_t* g, int64_t now_ms) {
+    if (!g->stopping_ms) {
+        return;
+    }
+    int64_t since_ms = now_ms - g->stopping_ms;
+    if (since_ms > (int64_t)(STOP_ACCEPT_SHARE * g->settings.grace_ms)) {
+        exchanges_refuse_new(g->exchanges);
+    }
+    bool quiet = !exchanges_stats(g->exchanges).active;
+    bool early = since_ms < (int64_t)(STOP_MIN_SHARE * g->settings.grace_ms);
+    if ((quiet && !early) || since_ms + STOP_MARGIN_MS > g->settings.grace_ms) {
+        ev_break(g->loop, EVBREAK_ALL);
+    }
+}
+
+static void notice_pause(gateway_t* g, int64_t now_ms) {
+    int64_t gap_ms = g->tick_ms ? now_ms - g->tick_ms : 0;
+    g->tick_ms = now_ms;
+    if (gap_ms > PAUSE_MS) {
+        cw_log(&g->log, CW_EVENT_WOKE, "gap_ms=%lld", (long long)gap_ms);
+    }
+}
+
+static void on_tick(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    gateway_t* g = w->data;
+    int64_t now_ms = clock_ms();
+    notice_pause(g, now_ms);
+    announce(g);
+    mesh_tick(g->mesh, now_ms);
+    sync_tick(g->sync, now_ms);
+    upstreams_tick(g->upstreams, now_ms);
+    for (pool_t* pool = upstreams_pools(g->upstreams); pool && exchanges_stats(g->exchanges).waiting;
+         pool = pool->next) {
+        exchanges_on_room(g->exchanges, pool);
+    }
+    unsigned long lost = cw_lines_take_lost(&g->lines);
+    if (lost) {
+        cw_log(&g->log, CW_EVENT_LINES_LOST, "lines=%lu", lost);
+    }
+    check_stop(g, now_ms);
+}
+
+static void on_stop(struct ev_loop* loop, ev_signal* w, int events) {
+    (void)loop;
+    (void)events;
+    gateway_t* g = w->data;
+    if (g->stopping_ms) {
+        return;
+    }
+    g->stopping_ms = clock_ms();
+    cw_log(&g->log, CW_EVENT_STOPPING, "active=%u", exchanges_stats(g->exchanges).active);
+    front_leave(g->front);
+    mesh_leave(g->mesh);
+}
+
+static cw_log_level_t log_level(const char* name) {
+    static const char* const names[] = {"debug", "info", "warn", "error"};
+    for (int i = 0; i < 4; i++) {
+        if (strcmp(name, names[i]) == 0) {
+            return (cw_log_level_t)i;
+        }
+    }
+    return CW_LOG_INFO;
+}
+
+/* Reads the settings again. What may change while the process runs is taken over: the log's level and form, and how
+   long callers keep a lookup answer. */
+static void on_reload(struct ev_loop* loop, ev_signal* w, int events) {
+    (void)loop;
+    (void)events;
+    gateway_t* g = w->data;
+    gateway_settings_t fresh;
+    cw_settings_errors_t errors = {0};
+    if (gateway_settings_load(g->settings_path, &fresh, &errors) != CW_OK) {
+        for (uint32_t i = 0; i < errors.count; i++) {
+            cw_log(&g->log, CW_EVENT_RELOAD_FAILED, "reason=\"%s\"", errors.lines[i]);
+        }
+        return;
+    }
+    g->log.level = log_level(fresh.log_level);
+    g->log.json = strcmp(fresh.log_format, "json") == 0;
+    g->settings.lookup_keep_ms = fresh.lookup_keep_ms;
+    directory_set_keep(g->directory, fresh.lookup_keep_ms);
+    cw_log(&g->log, CW_EVENT_RELOADED, "path=%s", g->settings_path);
+}
+
+/* -- setup ---------------------------------------------------------------- */
+
+static bool setup_parts(gateway_t* g, const source_t* source, cw_error_t* err) {
+    const gateway_settings_t* s = &g->settings;
+    uint64_t host = cw_name_id(s->name);
+    uint32_t sockets = s->descriptors > 4 * DESCRIPTORS_KEPT ? s->descriptors - 200 - DESCRIPTORS_KEPT : 64;
+    g->upstreams = upstreams_setup(&(upstreams_desc_t){.loop = g->loop,
+                                                       .log = &g->log,
+                                                       .dialect = g->dialect,
+                                                       .hall = cw_name_id(s->hall),
+                                                       .host = host,
+                                                       .retry_ratio = s->retry_ratio,
+                                                       .retry_slack = s->retry_slack,
+                                                       .retry_window_ms = s->retry_window_ms,
+                                                       .max_links = sockets / 2,
+                                                       .on_room = on_room,
+                                                       .user_data = g});
+    g->exchanges = exchanges_setup(&(exchanges_desc_t){.loop = g->loop,
+                                                       .log = &g->log,
+                                                       .dialect = g->dialect,
+                                                       .upstreams = g->upstreams,
+                                                       .seed = cw_mix(host, (uint64_t)clock_ms()),
+                                                       .on_load = on_load,
+                                                       .on_done = on_done,
+                                                       .user_data = g});
+    g->mesh = mesh_setup(&(mesh_desc_t){.loop = g->loop,
+                                        .log = &g->log,
+                                        .settings = s,
+                                        .upstreams = g->upstreams,
+                                        .on_revision = on_revision,
+                                        .on_members = on_members,
+                                        .user_data = g},
+                         err);
+    g->sync = !g->mesh ? NULL
+                       : sync_setup(&(sync_desc_t){.loop = g->loop,
+                                                   .log = &g->log,
+                                                   .source = source,
+                                                   .address = s->source,
+                                                   .share = s->share,
+                                                   .watch_ms = s->watch_ms,
+                                                   .servers_ms = s->servers_ms,
+                                                   .on_catalog = on_catalog,
+                                                   .on_servers = on_servers,
+                                                   .any_peer = any_peer,
+                                                   .user_data = g},
+                                    err);
+    g->directory = !g->sync ? NULL
+                            : directory_setup(&(directory_desc_t){.loop = g->loop,
+                                                                  .dialect = g->dialect,
+                                                                  .ready = s->ready,
+                                                                  .lookup = s->lookup,
+                                                                  .metrics = s->metrics,
+                                                                  .keep_ms = s->lookup_keep_ms,
+                                                                  .is_ready = is_ready,
+                                                                  .addresses = lookup,
+                                                                  .write_metrics = metrics,
+                                                                  .user_data = g},
+                                              err);
+    g->front = !g->directory ? NULL
+                             : front_setup(&(front_desc_t){.loop = g->loop,
+                                                           .address = s->callers,
+                                                           .max_connections = sockets / 2,
+                                                           .max_body_total = s->memory_bytes / BODY_MEMORY_SHARE,
+                                                           .retry_after_field = g->dialect->fields.retry_after,
+                                                           .limits = front_limits,
+                                                           .on_request = on_request,
+                                                           .on_gone = on_gone,
+                                                           .on_drained = on_drained,
+                                                           .user_data = g},
+                                           err);
+    return g->front != NULL;
+}
+
+static void watch_signal(gateway_t* g, ev_signal* w, int number, void (*handler)(struct ev_loop*, ev_signal*, int)) {
+    ev_signal_init(w, handler, number);
+    w->data = g;
+    ev_signal_start(g->loop, w);
+}
+
+static void run(gateway_t* g) {
+    watch_signal(g, &g->on_term, SIGTERM, on_stop);
+    watch_signal(g, &g->on_int, SIGINT, on_stop);
+    watch_signal(g, &g->on_hup, SIGHUP, on_reload);
+    ev_timer_init(&g->tick, on_tick, 0.0, TICK_S);
+    g->tick.data = g;
+    ev_timer_start(g->loop, &g->tick);
+    cw_log(&g->log, CW_EVENT_STARTED, "host=%s hall=%s callers=%s peer=%s dialect=%s", g->settings.name,
+           g->settings.hall, g->settings.callers, g->settings.peer, g->dialect->name);
+    ev_run(g->loop, 0);
+    cw_log(&g->log, CW_EVENT_STOPPED, "cut=%u", exchanges_stats(g->exchanges).active);
+}
+
+static void shutdown_parts(gateway_t* g) {
+    exchanges_shutdown(g->exchanges);
+    front_shutdown(g->front);
+    directory_shutdown(g->directory);
+    sync_shutdown(g->sync);
+    mesh_shutdown(g->mesh);
+    upstreams_shutdown(g->upstreams);
+    cw_catalog_release(g->catalog);
+    cw_lines_shutdown(&g->lines);
+}
+
+int gateway_main(const char* settings_path, const dialect_t* dialect, const source_t* source) {
+    gateway_t g = {.settings_path = settings_path, .dialect = dialect};
+    cw_settings_errors_t errors = {0};
+    cw_error_t err = {0};
+    if (gateway_settings_load(settings_path, &g.settings, &errors) != CW_OK) {
+        for (uint32_t i = 0; i < errors.count; i++) {
+            fprintf(stderr, "%s\n", errors.lines[i]);
+        }
+        return EX_CONFIG;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    g.loop = ev_default_loop(0);
+    cw_lines_setup(&g.lines, g.loop, STDOUT_FILENO, LOG_BYTES);
+    g.log = (cw_log_t){.level = log_level(g.settings.log_level),
+                       .json = strcmp(g.settings.log_format, "json") == 0,
+                       .write = write_line,
+                       .user_data = &g};
+    if (!setup_parts(&g, source, &err)) {
+        fprintf(stderr, "%s\n", cw_error_text(&err).text);
+        return EX_UNAVAILABLE;
+    }
+    run(&g);
+    shutdown_parts(&g);
+    return EX_OK;
+}
--- /dev/null
+++ b/gateway/gateway.h
@@ -0,0 +1,8 @@
+#ifndef CW_GATEWAY_H
+#define CW_GATEWAY_H
+#include "dialect.h"
+
+/* Runs a gateway by its settings file until it is stopped; returns the exit code. */
+int gateway_main(const char* settings_path, const dialect_t* dialect, const source_t* source);
+
+#endif
--- /dev/null
+++ b/gateway/mesh.h
@@ -0,0 +1,47 @@
+#ifndef CW_GATEWAY_MESH_H
+#define CW_GATEWAY_MESH_H
+/*
+    The other daemons: who lives (chalkway_member.h over the peer address) and what they have at the servers
+    (chalkway_load.h datagrams over the load address). All hosts of a cluster use the same ports.
+*/
+#include "../chalkway_balance.h"
+#include "../chalkway_log.h"
+#include "../chalkway_member.h"
+#include "settings.h"
+#include "upstream.h"
+
+typedef struct mesh_t mesh_t;
+
+typedef struct mesh_desc_t {
+    struct ev_loop* loop;
+    const cw_log_t* log;
+    const gateway_settings_t* settings;
+    upstreams_t* upstreams;
+    /* A peer told its revision; share: address at which it can be read. */
+    void (*on_revision)(void* user_data, const char* share, int64_t revision);
+    /* Members changed: daemons is the most that were known at once. */
+    void (*on_members)(void* user_data, uint32_t daemons);
+    void* user_data;
+} mesh_desc_t;
+
+typedef struct mesh_stats_t {
+    uint32_t known, live;
+    uint64_t load_out, load_in, load_refused;
+} mesh_stats_t;
+
+mesh_t* mesh_setup(const mesh_desc_t* desc, cw_error_t* err);
+void mesh_shutdown(mesh_t* m);
+/* The own load at the server changed; work: what was just sent there, NULL: something ended. */
+void mesh_on_load(mesh_t* m, const server_t* server, const cw_work_t* work);
+/* What others are told of this host. */
+void mesh_announce(mesh_t* m, int64_t revision, uint32_t room);
+/* This host leaves: others stop naming it. */
+void mesh_leave(mesh_t* m);
+void mesh_tick(mesh_t* m, int64_t now_ms);
+/* Addresses for callers of the hosts that live, those of the hall first where it has enough; returns their number. */
+uint32_t mesh_callers_addresses(const mesh_t* m, const char* hall, bool with_self, const char** out, uint32_t max);
+/* Share address of some peer that lives; NULL: none. */
+const char* mesh_any_share(mesh_t* m);
+mesh_stats_t mesh_stats(const mesh_t* m);
+
+#endif
--- /dev/null
+++ b/gateway/native.c
@@ -0,0 +1,88 @@
+/* Chalkway's own spelling, and its own source: any HTTP server, another gateway's share address too, that gives the
+   documents of chalkway_catalog.h and chalkway_servers.h. */
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "dialect.h"
+
+#define MS_PER_S 1000.0
+
+static char* lookup_body(const char* const* addresses, uint32_t count, uint32_t keep_ms) {
+    json_t* hosts = json_array();
+    for (uint32_t i = 0; i < count; i++) {
+        json_array_append_new(hosts, json_string(addresses[i]));
+    }
+    json_t* body = json_pack("{s:o,s:f}", "hosts", hosts, "keep_s", keep_ms / MS_PER_S);
+    char* text = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
+    return text;
+}
+
+const dialect_t dialect_native = {.name = "native",
+                                  .fields = {.request_id = "Chalkway-Request-Id",
+                                             .deadline_ms = "Chalkway-Deadline-Ms",
+                                             .key = "Authorization",
+                                             .key_scheme = "Bearer",
+                                             .workspace = "Chalkway-Workspace",
+                                             .server = "Chalkway-Server",
+                                             .server_id = "Chalkway-Server-Id",
+                                             .not_run = "Chalkway-Not-Run",
+                                             .signature = NULL,
+                                             .priority = "Chalkway-Priority",
+                                             .last_event = "Last-Event-Id",
+                                             .retry_after = "Retry-After",
+                                             .tokens = "Chalkway-Tokens",
+                                             .parts = "Chalkway-Prompt-Parts"},
+                                  .misdirected_status = 421,
+                                  .priority_max = 9,
+                                  .ready_path = "/readyz",
+                                  .lookup_path = "/v1/lookup",
+                                  .lookup_hall = "hall",
+                                  .lookup_body = lookup_body};
+
+static void catalog_path(char* out, size_t size) {
+    snprintf(out, size, "/catalog");
+}
+
+static void watch_path(char* out, size_t size, int64_t after, uint32_t wait_ms) {
+    snprintf(out, size, "/catalog?after=%lld&wait_ms=%u", (long long)after, wait_ms);
+}
+
+static void servers_path(char* out, size_t size, const char* after) {
+    (void)after;
+    snprintf(out, size, "/servers");
+}
+
+static cw_status_t read_catalog(const char* body, size_t size, source_news_t* news, cw_error_t* err) {
+    json_error_t problem;
+    json_t* document = json_loadb(body, size, 0, &problem);
+    if (!json_is_object(document)) {
+        json_decref(document);
+        return cw_fail(err, CW_ERR_INVALID, "catalog", NULL, "no JSON object: %s", problem.text);
+    }
+    news->at = json_integer_value(json_object_get(document, "revision"));
+    json_decref(document);
+    news->catalog = strndup(body, size);
+    return CW_OK;
+}
+
+/* An empty answer: nothing newer came in time. */
+static cw_status_t read_watch(const char* body, size_t size, source_news_t* news, cw_error_t* err) {
+    return size ? read_catalog(body, size, news, err) : CW_OK;
+}
+
+static cw_status_t read_servers(const char* body, size_t size, cw_servers_t* list, source_news_t* news,
+                                cw_error_t* err) {
+    (void)news;
+    return cw_servers_read(list, body, size, err);
+}
+
+const source_t source_native = {.catalog_path = catalog_path,
+                                .watch_path = watch_path,
+                                .servers_path = servers_path,
+                                .watch_lost_status = 410,
+                                .read_catalog = read_catalog,
+                                .read_watch = read_watch,
+                                .read_servers = read_servers};
--- /dev/null
+++ b/gateway/request_head.h
@@ -0,0 +1,29 @@
+#ifndef CW_GATEWAY_REQUEST_HEAD_H
+#define CW_GATEWAY_REQUEST_HEAD_H
+/* Heads that are passed on: which fields are kept, dropped and set. */
+#include "../chalkway_balance.h"
+#include "../io/message.h"
+#include "dialect.h"
+
+/* What the gateway sets on a request to a server. */
+typedef struct request_head_t {
+    const char* workspace; /* NULL: none */
+    const char* server;
+    const char* last_event; /* NULL: the caller's own field stays */
+    uint32_t deadline_ms;
+    uint32_t priority;
+    bool has_priority;
+    size_t body_size;
+} request_head_t;
+
+/* Writes the head of the caller's request as a server gets it. */
+void request_head_write(cw_buffer_t* out, const dialect_t* dialect, const cw_message_t* request,
+                        const request_head_t* set);
+/* Writes the fields of a server's answer that are passed on to the caller. */
+void answer_fields_write(cw_buffer_t* out, const cw_message_t* answer);
+/* Reads what a request says of its prompt. */
+void request_work_read(cw_work_t* work, const dialect_t* dialect, const cw_message_t* request);
+/* The key that a request carries, in out; false: none. */
+bool request_key_read(const dialect_t* dialect, const cw_message_t* request, char* out, size_t size);
+
+#endif
--- /dev/null
+++ b/gateway/settings.c
@@ -0,0 +1,46 @@
+#include "settings.h"
+
+#include <string.h>
+
+#define AT(field) offsetof(gateway_settings_t, field)
+
+static const cw_setting_info_t table[] = {
+    {"host", "name", CW_SETTING_NAME, AT(name), NULL, 0, 0, "name of this host, unique in the cluster"},
+    {"host", "hall", CW_SETTING_NAME, AT(hall), NULL, 0, 0, "hall that this host stands in"},
+    {"host", "cluster", CW_SETTING_NAME, AT(cluster), "chalkway", 0, 0, "peers of other clusters are refused"},
+    {"listen", "callers", CW_SETTING_ADDRESS, AT(callers), NULL, 0, 0, "address for requests"},
+    {"listen", "ready", CW_SETTING_ADDRESS, AT(ready), NULL, 0, 0, "address that tells whether this host is ready"},
+    {"listen", "lookup", CW_SETTING_ADDRESS, AT(lookup), NULL, 0, 0, "address that tells callers which hosts to use"},
+    {"listen", "metrics", CW_SETTING_TEXT, AT(metrics), "", 0, 0, "address of the metrics, none when empty"},
+    {"listen", "peer", CW_SETTING_ADDRESS, AT(peer), NULL, 0, 0, "address for membership, TCP and UDP; all hosts use the same ports"},
+    {"listen", "load", CW_SETTING_ADDRESS, AT(load), NULL, 0, 0, "address for news of load, UDP"},
+    {"listen", "share", CW_SETTING_ADDRESS, AT(share), NULL, 0, 0, "address at which peers read the configuration"},
+    {"peers", "seeds", CW_SETTING_TEXT, AT(seeds), "", 0, 0, "addresses to join, separated by commas"},
+    {"peers", "seed_port", CW_SETTING_COUNT_KIND, AT(seed_port), "0", 0, 65535,
+     "port of the seeds' peer address where the seeds name another, 0: as named"},
+    {"source", "address", CW_SETTING_ADDRESS, AT(source), NULL, 0, 0, "where the configuration is published"},
+    {"source", "watch", CW_SETTING_MS, AT(watch_ms), "5s", 100, 30000, "length of one waiting watch"},
+    {"source", "servers", CW_SETTING_MS, AT(servers_ms), "800ms", 50, 60000,
+     "between two readings of the list of servers"},
+    {"limits", "memory", CW_SETTING_BYTES, AT(memory_bytes), "256m", 1 << 24, 4294967295.0, "memory of the process"},
+    {"limits", "descriptors", CW_SETTING_COUNT_KIND, AT(descriptors), "4096", 64, 1000000, "of the process"},
+    {"service", "lookup_keep", CW_SETTING_MS, AT(lookup_keep_ms), "2s", 100, 600000,
+     "how long callers keep a lookup answer"},
+    {"service", "grace", CW_SETTING_MS, AT(grace_ms), "8s", 500, 600000, "from the signal to stop to the forced end"},
+    {"service", "retry_window", CW_SETTING_MS, AT(retry_window_ms), "10s", 100, 600000, "of the budget for repeats"},
+    {"service", "retry_ratio", CW_SETTING_NUMBER, AT(retry_ratio), "0.1", 0, 1, "repeats for each first try"},
+    {"service", "retry_slack", CW_SETTING_NUMBER, AT(retry_slack), "10", 0, 1000000,
+     "repeats beyond that in a window, all hosts together"},
+    {"log", "level", CW_SETTING_NAME, AT(log_level), "info", 0, 0, "debug, info, warn or error"},
+    {"log", "format", CW_SETTING_NAME, AT(log_format), "text", 0, 0, "text or json"},
+};
+
+cw_status_t gateway_settings_load(const char* path, gateway_settings_t* settings, cw_settings_errors_t* errors) {
+    memset(settings, 0, sizeof(*settings));
+    cw_settings_read(path, table, sizeof(table) / sizeof(table[0]), settings, errors);
+    if (settings->log_level[0]) {
+        cw_settings_choice(path, "log", "level", settings->log_level, " debug info warn error ", errors);
+        cw_settings_choice(path, "log", "format", settings->log_format, " text json ", errors);
+    }
+    return errors->count ? CW_ERR_INVALID : CW_OK;
+}
--- /dev/null
+++ b/gateway/settings.h
@@ -0,0 +1,43 @@
+#ifndef CW_GATEWAY_SETTINGS_H
+#define CW_GATEWAY_SETTINGS_H
+/* Settings of one gateway process, read from an INI file. The table in settings.c explains each. */
+#include "../chalkway_settings.h"
+
+typedef struct gateway_settings_t {
+    /* [host] */
+    char name[CW_NAME_MAX];
+    char hall[CW_NAME_MAX];
+    char cluster[CW_NAME_MAX];
+    /* [listen] */
+    char callers[CW_NAME_MAX];
+    char ready[CW_NAME_MAX];
+    char lookup[CW_NAME_MAX];
+    char metrics[CW_SETTINGS_TEXT_MAX];
+    char peer[CW_NAME_MAX];
+    char load[CW_NAME_MAX];
+    char share[CW_NAME_MAX];
+    /* [peers] */
+    char seeds[CW_SETTINGS_TEXT_MAX];
+    uint32_t seed_port;
+    /* [source] */
+    char source[CW_NAME_MAX];
+    uint32_t watch_ms;
+    uint32_t servers_ms;
+    /* [limits] */
+    uint32_t memory_bytes;
+    uint32_t descriptors;
+    /* [service] */
+    uint32_t lookup_keep_ms;
+    uint32_t grace_ms;
+    uint32_t retry_window_ms;
+    double retry_ratio;
+    double retry_slack;
+    /* [log] */
+    char log_level[CW_NAME_MAX];
+    char log_format[CW_NAME_MAX];
+} gateway_settings_t;
+
+/* Reads and checks the file; all faults are in errors. */
+cw_status_t gateway_settings_load(const char* path, gateway_settings_t* settings, cw_settings_errors_t* errors);
+
+#endif
--- /dev/null
+++ b/gateway/upstream.c
@@ -0,0 +1,638 @@
+#include "upstream.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../io/address.h"
+#include "clock.h"
+
+#define MS_PER_S 1000.0
+#define CONNECT_MIN_MS 100.0  /* a connection gets at least so long to come up */
+#define CONNECT_MAX_MS 1000.0
+#define CONNECT_FACTOR 10.0   /* times the usual time */
+#define CONNECT_LEARN 0.1     /* weight of a new sample */
+#define SILENT_MS 3000        /* a server that acknowledges nothing for so long is gone */
+#define IDLE_DEFAULT_MS 15000 /* a connection whose server does not say how long it keeps it */
+#define IDLE_MARGIN_MS 1000   /* closed so long before the server would */
+#define ONCE_REST_SHARE 0.5   /* of that time: longer rested ones get no request that may not be sent twice */
+#define PROBE_MS 1000
+#define LINKS_MIN 2 /* connections to one server that every daemon may have */
+#define RETRY_SAFETY 0.8 /* share of the budget for repeats that is used */
+
+struct link_t {
+    server_t* server;
+    const link_handlers_t* handlers;
+    void* owner; /* NULL: idle */
+    cw_stream_t stream;
+    cw_message_t answer;
+    char request_id[CW_NAME_MAX * 2];
+    bool sent;
+    bool skipping;  /* the answer being read belongs to an earlier request */
+    bool unsound;   /* not to be used again */
+    bool completed; /* on_complete was called */
+    bool reading;   /* within on_data: the memory is still needed */
+    bool dead;      /* to be freed when the reading is over */
+    int64_t begun_ms;
+    int64_t rested_ms; /* idle since */
+    uint32_t keep_ms;  /* that the server keeps it idle */
+    ev_timer connect_timer;
+    link_t* next_idle;
+};
+
+struct upstreams_t {
+    upstreams_desc_t desc;
+    pool_t* pools;
+    uint32_t daemons;
+    uint32_t links;
+    uint64_t connects;
+};
+
+/* -- links: life ---------------------------------------------------------- */
+
+static void idle_remove(link_t* l) {
+    for (link_t** at = &l->server->idle; *at; at = &(*at)->next_idle) {
+        if (*at == l) {
+            *at = l->next_idle;
+            return;
+        }
+    }
+}
+
+static void server_free_if_unused(server_t* s) {
+    if (!s->gone || s->open || s->probing || cw_balance_find(s->pool->balance, s->key) != CW_BALANCE_NONE) {
+        return;
+    }
+    for (server_t** at = &s->pool->servers; *at; at = &(*at)->next) {
+        if (*at == s) {
+            *at = s->next;
+            free(s);
+            return;
+        }
+    }
+}
+
+static void link_free(link_t* l) {
+    server_t* s = l->server;
+    upstreams_t* u = s->pool->upstreams;
+    cw_stream_close(&l->stream);
+    ev_timer_stop(u->desc.loop, &l->connect_timer);
+    cw_message_shutdown(&l->answer);
+    s->open--;
+    u->links--;
+    l->owner = NULL;
+    l->dead = true;
+    if (!l->reading) {
+        free(l);
+    }
+}
+
+void link_drop(link_t* l) {
+    if (!l->owner) {
+        idle_remove(l);
+    }
+    link_free(l);
+}
+
+static void link_break(link_t* l, link_failure_t failure) {
+    const link_handlers_t* handlers = l->handlers;
+    void* owner = l->owner;
+    link_drop(l);
+    if (owner) {
+        handlers->on_broken(owner, failure);
+    }
+}
+
+/* -- links: answers ------------------------------------------------------- */
+
+static bool answers_other_request(const link_t* l) {
+    const char* id = cw_message_field(&l->answer, l->server->pool->upstreams->desc.dialect->fields.request_id);
+    return id && strcmp(id, l->request_id) != 0;
+}
+
+static uint32_t keep_alive_ms(const cw_message_t* m) {
+    const char* keep = cw_message_field(m, "Keep-Alive");
+    const char* timeout = keep ? strstr(keep, "timeout=") : NULL;
+    unsigned long s = timeout ? strtoul(timeout + strlen("timeout="), NULL, 10) : 0;
+    return s && s < 86400 ? (uint32_t)(s * 1000) : 0;
+}
+
+static void on_head(void* owner) {
+    link_t* l = owner;
+    uint32_t keep_ms = keep_alive_ms(&l->answer);
+    l->keep_ms = keep_ms ? keep_ms : l->keep_ms;
+    l->unsound = l->unsound || !l->answer.keep_alive || l->answer.framing == CW_FRAMING_CLOSE;
+    l->skipping = l->answer.status / 100 == 1 || answers_other_request(l);
+    if (!l->skipping && l->owner) {
+        l->handlers->on_head(l->owner, &l->answer);
+    } else if (l->answer.status / 100 != 1) {
+        l->unsound = true;
+    }
+}
+
+static void on_body(void* owner, const char* data, size_t size) {
+    link_t* l = owner;
+    if (!l->skipping && l->owner) {
+        l->handlers->on_body(l->owner, data, size);
+    }
+}
+
+static const cw_message_handlers_t answer_handlers = {.on_head = on_head, .on_body = on_body};
+
+/* The answer's end: true when more answers are to be read. */
+static bool answer_ended(link_t* l, size_t left) {
+    if (l->skipping) {
+        l->skipping = false;
+        cw_message_reset(&l->answer);
+        return true;
+    }
+    l->unsound = l->unsound || left > 0 || cw_stream_unsent(&l->stream) > 0;
+    l->completed = true;
+    l->handlers->on_complete(l->owner);
+    return false;
+}
+
+/* -- links: the socket ---------------------------------------------------- */
+
+/* Reads answers until the bytes are used up or the owner is done with the link. */
+static void read_answers(link_t* l, const char* data, size_t size) {
+    while (size && !l->dead) {
+        size_t used = cw_message_read(&l->answer, data, size);
+        if (l->dead) {
+            return;
+        }
+        if (l->answer.state == CW_MESSAGE_BROKEN) {
+            link_break(l, LINK_GARBLED);
+            return;
+        }
+        data += used;
+        size -= used;
+        if (l->answer.state == CW_MESSAGE_COMPLETE && !answer_ended(l, size)) {
+            return;
+        }
+    }
+}
+
+static void on_data(void* owner, const char* data, size_t size) {
+    link_t* l = owner;
+    if (!l->owner || !l->sent) {
+        link_break(l, LINK_GARBLED); /* bytes that nobody asked for */
+        return;
+    }
+    l->reading = true;
+    read_answers(l, data, size);
+    l->reading = false;
+    if (l->dead) {
+        free(l);
+    }
+}
+
+static void on_end(void* owner, cw_stream_end_t end) {
+    link_t* l = owner;
+    if (l->owner && end == CW_STREAM_FINISHED && l->sent && !l->skipping) {
+        cw_message_finish(&l->answer);
+        if (l->answer.state == CW_MESSAGE_COMPLETE) {
+            l->unsound = true;
+            l->handlers->on_complete(l->owner);
+            return;
+        }
+    }
+    link_failure_t failure = end == CW_STREAM_REFUSED  ? LINK_UNREACHABLE
+                             : end == CW_STREAM_RESET ? LINK_RESET
+                                                      : LINK_CLOSED;
+    link_break(l, failure);
+}
+
+static void on_open(void* owner) {
+    link_t* l = owner;
+    server_t* s = l->server;
+    double took_ms = (double)(clock_ms() - l->begun_ms);
+    s->connect_ms = s->connect_ms > 0 ? s->connect_ms + CONNECT_LEARN * (took_ms - s->connect_ms) : took_ms;
+    ev_timer_stop(s->pool->upstreams->desc.loop, &l->connect_timer);
+    cw_stream_watch_peer(&l->stream, SILENT_MS);
+    l->handlers->on_open(l->owner);
+}
+
+static const cw_stream_handlers_t stream_handlers = {.on_open = on_open, .on_data = on_data, .on_end = on_end};
+
+static void on_connect_timeout(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    link_break(w->data, LINK_UNREACHABLE);
+}
+
+static double connect_limit_ms(const server_t* s) {
+    double limit = s->connect_ms * CONNECT_FACTOR;
+    limit = limit < CONNECT_MIN_MS ? CONNECT_MIN_MS : limit;
+    return limit > CONNECT_MAX_MS ? CONNECT_MAX_MS : limit;
+}
+
+static link_t* link_new(server_t* s, const link_handlers_t* handlers, void* owner) {
+    upstreams_t* u = s->pool->upstreams;
+    link_t* l = calloc(1, sizeof(*l));
+    if (!l) {
+        abort();
+    }
+    l->server = s;
+    l->handlers = handlers;
+    l->owner = owner;
+    l->begun_ms = clock_ms();
+    l->keep_ms = IDLE_DEFAULT_MS;
+    if (cw_stream_connect(&l->stream, u->desc.loop, &s->address, &stream_handlers, l) != CW_OK) {
+        free(l);
+        return NULL;
+    }
+    cw_message_setup(&l->answer, CW_MESSAGE_RESPONSE, &answer_handlers, l);
+    ev_timer_init(&l->connect_timer, on_connect_timeout, connect_limit_ms(s) / MS_PER_S, 0.0);
+    l->connect_timer.data = l;
+    ev_timer_start(u->desc.loop, &l->connect_timer);
+    s->open++;
+    u->links++;
+    u->connects++;
+    return l;
+}
+
+/* This daemon's part of the connections that a server takes. */
+static uint32_t link_limit(const server_t* s) {
+    uint32_t connections = s->pool->connections;
+    if (!connections) {
+        return UINT32_MAX;
+    }
+    uint32_t part = connections / (s->pool->upstreams->daemons ? s->pool->upstreams->daemons : 1);
+    return part > LINKS_MIN ? part : LINKS_MIN;
+}
+
+static uint32_t rest_limit_ms(const link_t* l, bool once) {
+    if (once) {
+        return (uint32_t)(l->keep_ms * ONCE_REST_SHARE);
+    }
+    return l->keep_ms > 2 * IDLE_MARGIN_MS ? l->keep_ms - IDLE_MARGIN_MS : l->keep_ms / 2;
+}
+
+link_t* link_take(server_t* s, const link_handlers_t* handlers, void* owner, bool once) {
+    upstreams_t* u = s->pool->upstreams;
+    link_t* l = s->idle;
+    if (l && clock_ms() - l->rested_ms <= rest_limit_ms(l, once)) {
+        s->idle = l->next_idle;
+        l->handlers = handlers;
+        l->owner = owner;
+        l->sent = l->completed = false;
+        return l;
+    }
+    if (l && s->open >= link_limit(s)) {
+        link_drop(l); /* too long at rest: its place is needed */
+    }
+    if (s->open >= link_limit(s) || u->links >= u->desc.max_links) {
+        return NULL;
+    }
+    return link_new(s, handlers, owner);
+}
+
+bool link_is_open(const link_t* l) {
+    return !l->stream.connecting;
+}
+
+void link_send(link_t* l, const char* request_id, bool bodiless, const cw_buffer_t* head, const void* body,
+               size_t size) {
+    cw_copy(l->request_id, sizeof(l->request_id), request_id);
+    cw_message_reset(&l->answer);
+    l->answer.bodiless = bodiless;
+    l->sent = true;
+    cw_stream_write(&l->stream, head->data, head->size);
+    cw_stream_write(&l->stream, body, size);
+    cw_stream_flush(&l->stream);
+}
+
+void link_pause(link_t* l, bool paused) {
+    cw_stream_pause(&l->stream, paused);
+}
+
+void link_release(link_t* l) {
+    if (l->unsound || l->server->gone || l->stream.fd < 0) {
+        link_drop(l);
+        return;
+    }
+    cw_message_reset(&l->answer);
+    l->owner = NULL;
+    l->rested_ms = clock_ms();
+    l->next_idle = l->server->idle;
+    l->server->idle = l;
+}
+
+/* -- servers -------------------------------------------------------------- */
+
+static void idle_close(server_t* s, int64_t now_ms, bool all) {
+    for (link_t** at = &s->idle; *at;) {
+        link_t* l = *at;
+        if (all || now_ms - l->rested_ms > rest_limit_ms(l, false)) {
+            *at = l->next_idle;
+            link_free(l);
+        } else {
+            at = &l->next_idle;
+        }
+    }
+}
+
+static pool_t* pool_get(upstreams_t* u, const char* name) {
+    pool_t* pool = upstreams_pool(u, name);
+    if (pool) {
+        return pool;
+    }
+    pool = calloc(1, sizeof(*pool));
+    if (!pool) {
+        abort();
+    }
+    cw_copy(pool->name, sizeof(pool->name), name);
+    pool->upstreams = u;
+    pool->balance = cw_balance_setup(&(cw_balance_desc_t){.hall = u->desc.hall, .seed = u->desc.host});
+    pool->retries = (cw_retry_window_t){.ratio = u->desc.retry_ratio * RETRY_SAFETY,
+                                        .slack = u->desc.retry_slack * RETRY_SAFETY,
+                                        .window_ms = u->desc.retry_window_ms,
+                                        .daemons = u->daemons};
+    pool->next = u->pools;
+    u->pools = pool;
+    return pool;
+}
+
+static server_t* pool_server(const pool_t* pool, uint64_t key) {
+    for (server_t* s = pool->servers; s; s = s->next) {
+        if (s->key == key) {
+            return s;
+        }
+    }
+    return NULL;
+}
+
+server_t* upstreams_server(const upstreams_t* u, uint64_t key) {
+    for (pool_t* pool = u->pools; pool; pool = pool->next) {
+        server_t* s = pool_server(pool, key);
+        if (s) {
+            return s;
+        }
+    }
+    return NULL;
+}
+
+/* Tells the pool's balance which servers may be chosen. */
+static void pool_list(pool_t* pool, int64_t now_ms) {
+    cw_server_spec_t specs[256];
+    uint32_t count = 0;
+    for (server_t* s = pool->servers; s && count < sizeof(specs) / sizeof(specs[0]); s = s->next) {
+        if (!s->gone) {
+            specs[count++] = (cw_server_spec_t){.id = s->key,
+                                                .hall = cw_name_id(s->published.hall),
+                                                .slots = pool->slots ? pool->slots : s->published.slots,
+                                                .memory_tokens = pool->memory_tokens,
+                                                .cold_ms = s->published.cold_ms};
+        }
+    }
+    pool->ready = count;
+    cw_balance_set(pool->balance, now_ms, specs, count);
+}
+
+static bool server_update(upstreams_t* u, const cw_server_t* published) {
+    pool_t* pool = pool_get(u, published->pool);
+    uint64_t key = cw_name_id(published->id);
+    server_t* s = pool_server(pool, key);
+    struct sockaddr_in address;
+    if (!s && cw_addr_parse(published->address, &address, NULL) != CW_OK) {
+        return false;
+    }
+    bool fresh = !s;
+    if (fresh) {
+        s = calloc(1, sizeof(*s));
+        if (!s) {
+            abort();
+        }
+        s->key = key;
+        s->pool = pool;
+        s->address = address;
+        s->next = pool->servers;
+        pool->servers = s;
+    }
+    bool changed = fresh || s->gone != published->leaving;
+    s->published = *published;
+    s->gone = s->gone || published->leaving; /* a server that leaves does not come back with the same id */
+    return changed;
+}
+
+static bool is_listed(const cw_servers_t* list, const server_t* s) {
+    for (uint32_t i = 0; i < list->count; i++) {
+        if (strcmp(list->items[i].id, s->published.id) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+uint32_t upstreams_set_servers(upstreams_t* u, int64_t now_ms, const cw_servers_t* list) {
+    uint32_t changes = 0;
+    for (uint32_t i = 0; i < list->count; i++) {
+        changes += server_update(u, &list->items[i]);
+    }
+    for (pool_t* pool = u->pools; pool; pool = pool->next) {
+        for (server_t* s = pool->servers; s; s = s->next) {
+            if (!s->gone && !is_listed(list, s)) {
+                s->gone = true;
+                changes++;
+            }
+        }
+        pool_list(pool, now_ms);
+        for (server_t* s = pool->servers; s;) {
+            server_t* next = s->next;
+            if (s->gone) {
+                idle_close(s, now_ms, true);
+                server_free_if_unused(s);
+            }
+            s = next;
+        }
+    }
+    return changes;
+}
+
+void upstreams_leaves(upstreams_t* u, int64_t now_ms, server_t* s) {
+    (void)u;
+    if (!s->gone) {
+        s->gone = true;
+        idle_close(s, now_ms, true);
+        pool_list(s->pool, now_ms);
+    }
+}
+
+void upstreams_set_catalog(upstreams_t* u, const cw_catalog_t* catalog) {
+    for (uint32_t i = 0; i < catalog->pool_count; i++) {
+        const cw_catalog_pool_t* declared = &catalog->pools[i];
+        pool_t* pool = pool_get(u, declared->name);
+        cw_copy(pool->health, sizeof(pool->health), declared->health ? declared->health : "");
+        pool->connections = declared->connections;
+        pool->slots = declared->slots;
+        pool->memory_tokens = declared->memory_tokens;
+        pool_list(pool, clock_ms());
+    }
+}
+
+void upstreams_set_daemons(upstreams_t* u, uint32_t daemons) {
+    if (daemons <= u->daemons) {
+        return;
+    }
+    u->daemons = daemons;
+    for (pool_t* pool = u->pools; pool; pool = pool->next) {
+        pool->retries.daemons = daemons;
+    }
+}
+
+pool_t* upstreams_pool(const upstreams_t* u, const char* name) {
+    for (pool_t* pool = u->pools; pool; pool = pool->next) {
+        if (strcmp(pool->name, name) == 0) {
+            return pool;
+        }
+    }
+    return NULL;
+}
+
+pool_t* upstreams_pools(const upstreams_t* u) {
+    return u->pools;
+}
+
+uint32_t upstreams_links(const upstreams_t* u) {
+    return u->links;
+}
+
+uint64_t upstreams_connects(const upstreams_t* u) {
+    return u->connects;
+}
+
+/* -- probes --------------------------------------------------------------- */
+
+/* One health check of a server that could not be reached. */
+typedef struct probe_t {
+    server_t* server;
+    link_t* link;
+    ev_timer timer;
+    bool well;
+} probe_t;
+
+static void probe_end(probe_t* p, bool well) {
+    server_t* s = p->server;
+    upstreams_t* u = s->pool->upstreams;
+    ev_timer_stop(u->desc.loop, &p->timer);
+    free(p);
+    s->probing = false;
+    if (well) {
+        cw_balance_away(s->pool->balance, clock_ms(), s->key, false);
+        cw_log(u->desc.log, CW_EVENT_SERVER_BACK, "server=%s pool=%s", s->published.id, s->pool->name);
+        u->desc.on_room(u->desc.user_data, s->pool);
+    }
+}
+
+static void probe_on_open(void* owner) {
+    probe_t* p = owner;
+    server_t* s = p->server;
+    char address[CW_ADDR_TEXT];
+    cw_addr_format(&s->address, address);
+    cw_buffer_t head = {0};
+    cw_message_add_text(&head, "GET %s HTTP/1.1\r\n", s->pool->health);
+    cw_message_add_field(&head, "Host", address);
+    cw_message_add_end(&head);
+    link_send(p->link, "", false, &head, NULL, 0);
+    cw_buffer_free(&head);
+}
+
+static void probe_on_head(void* owner, const cw_message_t* answer) {
+    probe_t* p = owner;
+    const char* id = cw_message_field(answer, p->server->pool->upstreams->desc.dialect->fields.server_id);
+    p->well = answer->status == 200 && (!id || strcmp(id, p->server->published.id) == 0);
+}
+
+static void probe_on_body(void* owner, const char* data, size_t size) {
+    (void)owner;
+    (void)data;
+    (void)size;
+}
+
+static void probe_on_complete(void* owner) {
+    probe_t* p = owner;
+    link_release(p->link);
+    probe_end(p, p->well);
+}
+
+static void probe_on_broken(void* owner, link_failure_t failure) {
+    (void)failure;
+    probe_end(owner, false);
+}
+
+static const link_handlers_t probe_handlers = {.on_open = probe_on_open,
+                                               .on_head = probe_on_head,
+                                               .on_body = probe_on_body,
+                                               .on_complete = probe_on_complete,
+                                               .on_broken = probe_on_broken};
+
+static void probe_on_timeout(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    probe_t* p = w->data;
+    link_drop(p->link);
+    probe_end(p, false);
+}
+
+static void probe_start(server_t* s) {
+    probe_t* p = calloc(1, sizeof(*p));
+    if (!p) {
+        abort();
+    }
+    p->server = s;
+    s->probing = true;
+    ev_timer_init(&p->timer, probe_on_timeout, PROBE_MS / MS_PER_S, 0.0);
+    p->timer.data = p;
+    idle_close(s, clock_ms(), true);
+    p->link = link_take(s, &probe_handlers, p, false);
+    if (!p->link) {
+        probe_end(p, false);
+        return;
+    }
+    ev_timer_start(s->pool->upstreams->desc.loop, &p->timer);
+}
+
+void upstreams_tick(upstreams_t* u, int64_t now_ms) {
+    for (pool_t* pool = u->pools; pool; pool = pool->next) {
+        for (server_t* s = pool->servers; s;) {
+            server_t* next = s->next;
+            idle_close(s, now_ms, s->gone);
+            server_free_if_unused(s);
+            s = next;
+        }
+        uint64_t key = pool->health[0] ? cw_balance_probe(pool->balance, now_ms) : 0;
+        server_t* away = key ? pool_server(pool, key) : NULL;
+        if (away && !away->probing && !away->gone) {
+            probe_start(away);
+        }
+    }
+}
+
+/* -- setup ---------------------------------------------------------------- */
+
+upstreams_t* upstreams_setup(const upstreams_desc_t* desc) {
+    upstreams_t* u = calloc(1, sizeof(*u));
+    if (!u) {
+        abort();
+    }
+    u->desc = *desc;
+    u->daemons = 1;
+    return u;
+}
+
+void upstreams_shutdown(upstreams_t* u) {
+    while (u->pools) {
+        pool_t* pool = u->pools;
+        u->pools = pool->next;
+        while (pool->servers) {
+            server_t* s = pool->servers;
+            pool->servers = s->next;
+            idle_close(s, 0, true);
+            free(s);
+        }
+        cw_balance_shutdown(pool->balance);
+        free(pool);
+    }
+    free(u);
+}
--- /dev/null
+++ b/gateway/upstream.h
@@ -0,0 +1,113 @@
+#ifndef CW_GATEWAY_UPSTREAM_H
+#define CW_GATEWAY_UPSTREAM_H
+/*
+    Pools, their servers and the connections to them.
+
+    A server is an address and an id; the id is of one life of it. Its connections are kept within this daemon's part
+    of what the server takes from all. An answer belongs to a request only when it repeats the request's id: an answer
+    to an earlier request is skipped, bytes after an answer end the connection.
+*/
+#include <ev.h>
+
+#include "../chalkway_balance.h"
+#include "../chalkway_catalog.h"
+#include "../chalkway_limit.h"
+#include "../chalkway_log.h"
+#include "../chalkway_servers.h"
+#include "../io/message.h"
+#include "../io/stream.h"
+#include "dialect.h"
+
+typedef struct upstreams_t upstreams_t;
+typedef struct pool_t pool_t;
+typedef struct server_t server_t;
+typedef struct link_t link_t;
+
+struct server_t {
+    uint64_t key; /* id of the id */
+    cw_server_t published;
+    struct sockaddr_in address;
+    pool_t* pool;
+    bool gone; /* no longer published, or leaving: gets nothing new */
+    bool probing;
+    uint32_t open;   /* connections */
+    link_t* idle;    /* used last first */
+    double connect_ms; /* learned, 0: unknown */
+    server_t* next;  /* of the pool */
+};
+
+struct pool_t {
+    char name[CW_NAME_MAX];
+    char health[CW_NAME_MAX * 2]; /* path, "" none */
+    upstreams_t* upstreams;
+    cw_balance_t* balance;
+    uint32_t connections; /* that one server takes from all daemons, 0: no limit */
+    uint32_t slots;       /* of an engine, 0: none */
+    uint32_t memory_tokens;
+    cw_retry_window_t retries;
+    server_t* servers;
+    uint32_t ready; /* servers that may be chosen */
+    pool_t* next;
+};
+
+typedef enum link_failure_t {
+    LINK_UNREACHABLE = 0, /* no connection came up: nothing was sent */
+    LINK_RESET,           /* reset, or nothing acknowledged in time */
+    LINK_CLOSED,          /* ended before the answer was whole */
+    LINK_GARBLED          /* bytes that are no answer */
+} link_failure_t;
+
+typedef struct link_handlers_t {
+    void (*on_open)(void* owner);                                  /* connected: send now */
+    void (*on_head)(void* owner, const cw_message_t* answer);
+    void (*on_body)(void* owner, const char* data, size_t size);
+    void (*on_complete)(void* owner);                              /* the answer's own end was seen */
+    void (*on_broken)(void* owner, link_failure_t failure);        /* the link is closed and freed */
+} link_handlers_t;
+
+typedef struct upstreams_desc_t {
+    struct ev_loop* loop;
+    const cw_log_t* log;
+    const dialect_t* dialect;
+    uint64_t hall; /* id of the own hall's name */
+    uint64_t host; /* own id */
+    double retry_ratio, retry_slack;
+    uint32_t retry_window_ms;
+    uint32_t max_links; /* of this process */
+    /* A place may have come free in the pool. */
+    void (*on_room)(void* user_data, pool_t* pool);
+    void* user_data;
+} upstreams_desc_t;
+
+upstreams_t* upstreams_setup(const upstreams_desc_t* desc);
+void upstreams_shutdown(upstreams_t* u);
+/* Pools as declared; those that are gone stay until their last server is. */
+void upstreams_set_catalog(upstreams_t* u, const cw_catalog_t* catalog);
+/* Servers as published. Returns how many changed. */
+uint32_t upstreams_set_servers(upstreams_t* u, int64_t now_ms, const cw_servers_t* list);
+/* Most daemons that were ever known at once: they share connections and repeats. */
+void upstreams_set_daemons(upstreams_t* u, uint32_t daemons);
+pool_t* upstreams_pool(const upstreams_t* u, const char* name);
+pool_t* upstreams_pools(const upstreams_t* u);
+server_t* upstreams_server(const upstreams_t* u, uint64_t key);
+/* A server said itself that it leaves. */
+void upstreams_leaves(upstreams_t* u, int64_t now_ms, server_t* server);
+/* Closes idle connections in time and probes servers that are away. */
+void upstreams_tick(upstreams_t* u, int64_t now_ms);
+uint32_t upstreams_links(const upstreams_t* u);
+uint64_t upstreams_connects(const upstreams_t* u);
+
+/* A connection to the server: an idle one, or a new one that calls on_open later. once: the request may not be sent
+   twice, so a connection that rested long is not used. NULL: no connection may be had now. */
+link_t* link_take(server_t* server, const link_handlers_t* handlers, void* owner, bool once);
+bool link_is_open(const link_t* link);
+/* Sends a request. */
+void link_send(link_t* link, const char* request_id, bool bodiless, const cw_buffer_t* head, const void* body,
+               size_t size);
+void link_pause(link_t* link, bool paused);
+/* The owner's use ends after on_complete: the connection is kept where it is sound. */
+void link_release(link_t* link);
+/* Cuts the connection. */
+void link_drop(link_t* link);
+
+#endif
--- /dev/null
+++ b/io/message.c
@@ -0,0 +1,259 @@
+#include "message.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#define TEXT_MAX 512
+#define SKIP_BODY 1 /* what on_headers_complete returns when no body follows */
+
+static size_t text_add(cw_message_t* m, const char* data, size_t size) {
+    size_t at = m->text.size;
+    cw_buffer_add(&m->text, data, size);
+    return at;
+}
+
+static void text_end(cw_message_t* m) {
+    cw_buffer_add(&m->text, "", 1);
+}
+
+static int on_begin(http_parser* p) {
+    cw_message_t* m = p->data;
+    m->state = CW_MESSAGE_HEAD;
+    return 0;
+}
+
+static int on_url(http_parser* p, const char* at, size_t size) {
+    text_add(p->data, at, size);
+    return 0;
+}
+
+static int on_name(http_parser* p, const char* at, size_t size) {
+    cw_message_t* m = p->data;
+    if (m->state != CW_MESSAGE_HEAD) {
+        return 0; /* a trailer: not kept, the head's fields stay where they are */
+    }
+    if (m->in_value || m->field_count == 0) {
+        if (m->field_count == CW_MESSAGE_FIELDS) {
+            return 1;
+        }
+        text_end(m); /* of the target or the value before */
+        m->in_value = false;
+        m->offsets[2 * m->field_count] = (uint32_t)m->text.size;
+        m->field_count++;
+    }
+    text_add(m, at, size);
+    return 0;
+}
+
+static int on_value(http_parser* p, const char* at, size_t size) {
+    cw_message_t* m = p->data;
+    if (m->state != CW_MESSAGE_HEAD) {
+        return 0;
+    }
+    if (!m->in_value) {
+        text_end(m);
+        m->in_value = true;
+        m->offsets[2 * m->field_count - 1] = (uint32_t)m->text.size;
+    }
+    text_add(m, at, size);
+    return 0;
+}
+
+static cw_framing_t framing(const http_parser* p, const cw_message_t* m) {
+    if (p->flags & F_CHUNKED) {
+        return CW_FRAMING_CHUNKED;
+    }
+    if (p->flags & F_CONTENTLENGTH) {
+        return CW_FRAMING_LENGTH;
+    }
+    if (p->type == HTTP_REQUEST || m->bodiless || p->status_code / 100 == 1 || p->status_code == 204 ||
+        p->status_code == 304) {
+        return CW_FRAMING_NONE;
+    }
+    return CW_FRAMING_CLOSE;
+}
+
+static int on_head_complete(http_parser* p) {
+    cw_message_t* m = p->data;
+    text_end(m);
+    m->target = m->text.data;
+    m->method = p->type == HTTP_REQUEST ? http_method_str((enum http_method)p->method) : NULL;
+    m->status = p->status_code;
+    for (uint32_t i = 0; i < m->field_count; i++) {
+        m->fields[i].name = m->text.data + m->offsets[2 * i];
+        m->fields[i].value = m->text.data + m->offsets[2 * i + 1];
+    }
+    m->framing = framing(p, m);
+    m->length = m->framing == CW_FRAMING_LENGTH ? p->content_length : 0;
+    m->keep_alive = http_should_keep_alive(p) != 0;
+    m->state = CW_MESSAGE_BODY;
+    if (m->handlers->on_head) {
+        m->handlers->on_head(m->owner);
+    }
+    return m->bodiless ? SKIP_BODY : 0;
+}
+
+static int on_body(http_parser* p, const char* at, size_t size) {
+    cw_message_t* m = p->data;
+    if (m->handlers->on_body) {
+        m->handlers->on_body(m->owner, at, size);
+    }
+    return 0;
+}
+
+static int on_complete(http_parser* p) {
+    cw_message_t* m = p->data;
+    m->state = CW_MESSAGE_COMPLETE;
+    http_parser_pause(p, 1);
+    return 0;
+}
+
+static const http_parser_settings callbacks = {.on_message_begin = on_begin,
+                                               .on_url = on_url,
+                                               .on_header_field = on_name,
+                                               .on_header_value = on_value,
+                                               .on_headers_complete = on_head_complete,
+                                               .on_body = on_body,
+                                               .on_message_complete = on_complete};
+
+void cw_message_setup(cw_message_t* m, cw_message_kind_t kind, const cw_message_handlers_t* handlers, void* owner) {
+    memset(m, 0, sizeof(*m));
+    m->handlers = handlers;
+    m->owner = owner;
+    http_parser_init(&m->parser, kind == CW_MESSAGE_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
+    m->parser.data = m;
+}
+
+void cw_message_shutdown(cw_message_t* m) {
+    cw_buffer_free(&m->text);
+}
+
+void cw_message_reset(cw_message_t* m) {
+    enum http_parser_type type = (enum http_parser_type)m->parser.type;
+    http_parser_init(&m->parser, type);
+    m->parser.data = m;
+    cw_buffer_free(&m->text);
+    m->state = CW_MESSAGE_IDLE;
+    m->bodiless = false;
+    m->field_count = 0;
+    m->in_value = false;
+    m->head_bytes = 0;
+    m->status = 0;
+    m->framing = CW_FRAMING_NONE;
+}
+
+size_t cw_message_read(cw_message_t* m, const char* data, size_t size) {
+    if (m->state == CW_MESSAGE_COMPLETE || m->state == CW_MESSAGE_BROKEN) {
+        return 0;
+    }
+    bool in_head = m->state == CW_MESSAGE_IDLE || m->state == CW_MESSAGE_HEAD;
+    size_t used = http_parser_execute(&m->parser, &callbacks, data, size);
+    if (in_head) {
+        m->head_bytes += used;
+    }
+    enum http_errno problem = HTTP_PARSER_ERRNO(&m->parser);
+    if ((problem != HPE_OK && problem != HPE_PAUSED) || m->parser.upgrade) {
+        m->state = CW_MESSAGE_BROKEN;
+    }
+    return used;
+}
+
+void cw_message_finish(cw_message_t* m) {
+    if (m->state == CW_MESSAGE_BODY && m->framing == CW_FRAMING_CLOSE) {
+        m->state = CW_MESSAGE_COMPLETE;
+    }
+}
+
+const char* cw_message_field(const cw_message_t* m, const char* name) {
+    for (uint32_t i = 0; i < m->field_count; i++) {
+        if (strcasecmp(m->fields[i].name, name) == 0) {
+            return m->fields[i].value;
+        }
+    }
+    return NULL;
+}
+
+uint32_t cw_message_field_times(const cw_message_t* m, const char* name) {
+    uint32_t times = 0;
+    for (uint32_t i = 0; i < m->field_count; i++) {
+        times += strcasecmp(m->fields[i].name, name) == 0;
+    }
+    return times;
+}
+
+static bool listed(const char* list, const char* name) {
+    size_t size = strlen(name);
+    while (*list) {
+        list += strspn(list, " \t,");
+        size_t word = strcspn(list, " \t,");
+        if (word == size && strncasecmp(list, name, size) == 0) {
+            return true;
+        }
+        list += word;
+    }
+    return false;
+}
+
+bool cw_message_hop_field(const cw_message_t* m, const char* name) {
+    static const char* const names[] = {"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+                                        "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
+                                        "Content-Length", "Expect"};
+    for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+        if (strcasecmp(names[i], name) == 0) {
+            return true;
+        }
+    }
+    for (uint32_t i = 0; i < m->field_count; i++) {
+        if (strcasecmp(m->fields[i].name, "Connection") == 0 && listed(m->fields[i].value, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void cw_message_add_text(cw_buffer_t* out, const char* fmt, ...) {
+    char text[TEXT_MAX];
+    va_list args;
+    va_start(args, fmt);
+    int n = vsnprintf(text, sizeof(text), fmt, args);
+    va_end(args);
+    size_t size = n < 0 ? 0 : (size_t)n;
+    cw_buffer_add(out, text, size < sizeof(text) ? size : sizeof(text) - 1);
+}
+
+void cw_message_add_field(cw_buffer_t* out, const char* name, const char* value) {
+    cw_buffer_add(out, name, strlen(name));
+    cw_buffer_add(out, ": ", 2);
+    cw_buffer_add(out, value, strlen(value));
+    cw_buffer_add(out, "\r\n", 2);
+}
+
+void cw_message_add_end(cw_buffer_t* out) {
+    cw_buffer_add(out, "\r\n", 2);
+}
+
+void cw_message_add_chunk(cw_buffer_t* out, const void* data, size_t size) {
+    if (size) {
+        cw_message_add_text(out, "%zx\r\n", size);
+        cw_buffer_add(out, data, size);
+        cw_buffer_add(out, "\r\n", 2);
+    }
+}
+
+void cw_message_add_last_chunk(cw_buffer_t* out) {
+    cw_buffer_add(out, "0\r\n\r\n", 5);
+}
+
+const char* cw_message_reason(unsigned status) {
+    switch (status) {
+#define XX(number, name, string) \
+    case number:                 \
+        return #string;
+        HTTP_STATUS_MAP(XX)
+#undef XX
+        default:
+            return "Unknown";
+    }
+}
