Sync: read by age, confirmed by peers, in place of a waiting watch

The log of edge-nadezhda-2 shows no change from 1.6 s to 6.8 s and then 'Timeout was reached': the store had cut the waiting watch without a word, and the call ended by its own time only. Ruled out: a shorter watch (its empty answer moves the position past changes that it was not told of).

--- a/chalkway_load.h
+++ b/chalkway_load.h
@@ -4,8 +4,8 @@
     chalkway_load.h -- what a daemon has at the servers, as a datagram
 
     WHAT IT IS
-        One msgpack array for each datagram: version, cluster, sender and a
-        list of entries. An entry tells all that the sender has at one server
+        One msgpack array for each datagram: version, cluster, sender, what
+        it knows of the source and how old that is, and a list of entries. An entry tells all that the sender has at one server
         now, so that a lost datagram is mended by the next one; it may also
         name parts of prompts that were just sent there.
 
@@ -34,9 +34,18 @@
     cw_work_part_t parts[CW_LOAD_PARTS];
 } cw_load_entry_t;
 
+/* What a daemon knows of the source of the configuration. Ages are in ms since it was known to be true there. */
+typedef struct cw_knowledge_t {
+    uint64_t revision; /* of the configuration in force, 0: none */
+    uint64_t servers;  /* id of the list of servers in force, 0: none */
+    uint32_t revision_age_ms;
+    uint32_t servers_age_ms;
+} cw_knowledge_t;
+
 typedef struct cw_load_message_t {
     uint64_t cluster; /* id of the cluster's name */
     uint64_t host;    /* the sender */
+    cw_knowledge_t knowledge;
     uint32_t count;
     cw_load_entry_t entries[CW_LOAD_ENTRIES];
 } cw_load_message_t;
@@ -55,6 +64,7 @@
 #include <msgpack.h>
 #include <string.h>
 
+#define _CW_LOAD_HEAD 7   /* fields before the entries */
 #define _CW_LOAD_FIELDS 6 /* of an entry before its parts */
 
 static void _cw_load_pack_entry(msgpack_packer* p, const cw_load_entry_t* e) {
@@ -76,10 +86,14 @@
     msgpack_packer packer;
     msgpack_sbuffer_init(&buffer);
     msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-    msgpack_pack_array(&packer, 3 + message->count);
+    msgpack_pack_array(&packer, _CW_LOAD_HEAD + message->count);
     msgpack_pack_uint32(&packer, CW_LOAD_VERSION);
     msgpack_pack_uint64(&packer, message->cluster);
     msgpack_pack_uint64(&packer, message->host);
+    msgpack_pack_uint64(&packer, message->knowledge.revision);
+    msgpack_pack_uint64(&packer, message->knowledge.servers);
+    msgpack_pack_uint32(&packer, message->knowledge.revision_age_ms);
+    msgpack_pack_uint32(&packer, message->knowledge.servers_age_ms);
     for (uint32_t i = 0; i < message->count; i++) {
         _cw_load_pack_entry(&packer, &message->entries[i]);
     }
@@ -124,14 +138,25 @@
     return true;
 }
 
+static bool _cw_load_read_knowledge(cw_knowledge_t* k, const msgpack_object_array* a) {
+    uint64_t revision_age_ms = 0;
+    uint64_t servers_age_ms = 0;
+    bool ok = _cw_load_number(a, 3, INT64_MAX, &k->revision) && _cw_load_number(a, 4, UINT64_MAX, &k->servers) &&
+              _cw_load_number(a, 5, UINT32_MAX, &revision_age_ms) && _cw_load_number(a, 6, UINT32_MAX, &servers_age_ms);
+    k->revision_age_ms = (uint32_t)revision_age_ms;
+    k->servers_age_ms = (uint32_t)servers_age_ms;
+    return ok;
+}
+
 static bool _cw_load_read(cw_load_message_t* message, const msgpack_object* o) {
     uint64_t version = 0;
     if (o->type != MSGPACK_OBJECT_ARRAY || !_cw_load_number(&o->via.array, 0, UINT32_MAX, &version) ||
         version < CW_LOAD_VERSION || !_cw_load_number(&o->via.array, 1, UINT64_MAX, &message->cluster) ||
-        !_cw_load_number(&o->via.array, 2, UINT64_MAX, &message->host)) {
+        !_cw_load_number(&o->via.array, 2, UINT64_MAX, &message->host) ||
+        !_cw_load_read_knowledge(&message->knowledge, &o->via.array)) {
         return false;
     }
-    for (uint32_t i = 3; i < o->via.array.size && message->count < CW_LOAD_ENTRIES; i++) {
+    for (uint32_t i = _CW_LOAD_HEAD; i < o->via.array.size && message->count < CW_LOAD_ENTRIES; i++) {
         if (!_cw_load_read_entry(&o->via.array.ptr[i], &message->entries[message->count++])) {
             return false;
         }
--- a/chalkway_servers.h
+++ b/chalkway_servers.h
@@ -49,6 +49,8 @@
 char* cw_servers_text(const cw_servers_t* list);
 void cw_servers_add(cw_servers_t* list, const cw_server_t* server);
 void cw_servers_free(cw_servers_t* list);
+/* Id of what the list says, whatever its order and age; never 0. */
+uint64_t cw_servers_id(const cw_servers_t* list);
 
 #endif /* CHALKWAY_SERVERS_H */
 
@@ -78,6 +80,15 @@
     *list = (cw_servers_t){0};
 }
 
+uint64_t cw_servers_id(const cw_servers_t* list) {
+    uint64_t id = 0;
+    for (uint32_t i = 0; i < list->count; i++) {
+        const cw_server_t* s = &list->items[i];
+        id += cw_mix(cw_name_id(s->id), cw_mix(cw_name_id(s->address), (uint64_t)s->leaving + 1));
+    }
+    return id ? id : 1;
+}
+
 static bool _cw_servers_text(const json_t* o, const char* key, char* out, size_t size) {
     const char* text = json_string_value(json_object_get(o, key));
     if (!text || !text[0] || strlen(text) >= size) {
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -45,8 +45,8 @@
 
 /* What a read of the source brought. */
 typedef struct source_news_t {
-    int64_t at;    /* position for the next watch */
-    char* catalog; /* native document (chalkway_catalog.h), to be freed by free(); NULL: none */
+    char* catalog; /* native document (chalkway_catalog.h), to be freed by free(); NULL: the same as before */
+    int64_t mark;  /* of what was read, to be handed in with the next read */
     bool more;     /* servers: another page follows */
     char after[CW_NAME_MAX * 2]; /* servers: where the next page starts */
 } source_news_t;
@@ -54,12 +54,10 @@
 /* Where the configuration and the list of servers are published, over HTTP. Path functions write the path and query
    of a call; read functions turn an answer's body into native form and say what is wrong with it. */
 typedef struct source_t {
-    void (*catalog_path)(char* out, size_t size);
-    void (*watch_path)(char* out, size_t size, int64_t after, uint32_t wait_ms);
+    /* mark: of the last read, 0 none; what has not changed since need not be given again. */
+    void (*catalog_path)(char* out, size_t size, int64_t mark);
     void (*servers_path)(char* out, size_t size, const char* after);
-    unsigned watch_lost_status; /* the watch's position is gone: read anew */
-    cw_status_t (*read_catalog)(const char* body, size_t size, source_news_t* news, cw_error_t* err);
-    cw_status_t (*read_watch)(const char* body, size_t size, source_news_t* news, cw_error_t* err);
+    cw_status_t (*read_catalog)(const char* body, size_t size, int64_t mark, source_news_t* news, cw_error_t* err);
     cw_status_t (*read_servers)(const char* body, size_t size, cw_servers_t* list, source_news_t* news,
                                 cw_error_t* err);
 } source_t;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -117,16 +117,19 @@
     }
 }
 
-static const char* any_peer(void* user) {
-    return mesh_any_share(((gateway_t*)user)->mesh);
+static cw_knowledge_t knowledge(void* user) {
+    gateway_t* g = user;
+    return g->sync ? sync_knowledge(g->sync) : (cw_knowledge_t){0};
 }
 
-static void on_revision(void* user, const char* share, int64_t revision) {
-    sync_on_peer_revision(((gateway_t*)user)->sync, share, revision);
+static void on_knowledge(void* user, const char* share, const cw_knowledge_t* known) {
+    sync_on_peer(((gateway_t*)user)->sync, share, known);
 }
 
-static void on_members(void* user, uint32_t daemons) {
-    upstreams_set_daemons(((gateway_t*)user)->upstreams, daemons);
+static void on_members(void* user, uint32_t daemons, uint32_t rank) {
+    gateway_t* g = user;
+    upstreams_set_daemons(g->upstreams, daemons);
+    sync_set_rank(g->sync, rank);
 }
 
 static bool is_ready(void* user) {
@@ -289,7 +292,8 @@
                                         .log = &g->log,
                                         .settings = s,
                                         .upstreams = g->upstreams,
-                                        .on_revision = on_revision,
+                                        .knowledge = knowledge,
+                                        .on_knowledge = on_knowledge,
                                         .on_members = on_members,
                                         .user_data = g},
                          err);
@@ -299,11 +303,9 @@
                                                    .source = source,
                                                    .address = s->source,
                                                    .share = s->share,
-                                                   .watch_ms = s->watch_ms,
-                                                   .servers_ms = s->servers_ms,
+                                                   .read_ms = s->read_ms,
                                                    .on_catalog = on_catalog,
                                                    .on_servers = on_servers,
-                                                   .any_peer = any_peer,
                                                    .user_data = g},
                                     err);
     g->directory = !g->sync ? NULL
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -7,7 +7,6 @@
 #include <sys/time.h>
 #include <unistd.h>
 
-#include "../chalkway_load.h"
 #include "../io/address.h"
 #include "../io/peers.h"
 #include "clock.h"
@@ -18,6 +17,7 @@
 #define FLUSH_S 0.001       /* news of what was sent waits so long, so that several share a datagram */
 #define SLOW_FLUSH_MS 50    /* news of what ended waits so long */
 #define REPEAT_MS 400       /* all news is told again after so long: datagrams get lost */
+#define QUIET_MS 100        /* a daemon is never silent for longer */
 #define FANOUT_MAX 32       /* peers that one piece of news is sent to at once */
 #define HALL_ENOUGH 2       /* hosts of a caller's hall that are enough to name only them */
 #define PROBE_MS 250        /* between two probes */
@@ -46,8 +46,7 @@
     uint32_t dirty_count;
     int64_t flushed_ms, repeated_ms;
     uint32_t fan_at; /* where the next round of sends starts */
-    char share[CW_ADDR_TEXT];
-    uint32_t share_at;
+    int64_t sent_ms;
     mesh_stats_t stats;
 };
 
@@ -78,6 +77,16 @@
     }
 }
 
+/* This host's place among those that live, in an order that all see alike. */
+static uint32_t own_rank(const mesh_t* m) {
+    uint32_t rank = 0;
+    for (uint32_t i = 0; i < cw_members_count(m->members); i++) {
+        const cw_member_t* member = cw_members_at(m->members, i);
+        rank += is_live(member) && !member->info.leaving && cw_mix(member->info.id, 1) < cw_mix(m->host, 1);
+    }
+    return rank;
+}
+
 static void tell_members(mesh_t* m) {
     uint64_t changes = cw_members_changes(m->members);
     if (changes == m->members_seen) {
@@ -92,19 +101,14 @@
     m->stats.live = live;
     m->stats.known = known;
     m->daemons = known > m->daemons ? known : m->daemons;
-    cw_log(m->desc.log, CW_EVENT_MEMBERS_CHANGED, "live=%u known=%u", live, known);
-    m->desc.on_members(m->desc.user_data, m->daemons);
+    uint32_t rank = own_rank(m);
+    cw_log(m->desc.log, CW_EVENT_MEMBERS_CHANGED, "live=%u known=%u rank=%u", live, known, rank);
+    m->desc.on_members(m->desc.user_data, m->daemons, rank);
 }
 
 static void on_gossip(void* user, const cw_gossip_t* gossip) {
     mesh_t* m = user;
-    struct sockaddr_in addr;
     cw_members_receive(m->members, clock_ms(), gossip);
-    if (gossip->revision > 0 && with_port(gossip->from.peer, m->share_port, &addr)) {
-        char share[CW_ADDR_TEXT];
-        cw_addr_format(&addr, share);
-        m->desc.on_revision(m->desc.user_data, share, gossip->revision);
-    }
     tell_members(m);
     send_gossip(m);
 }
@@ -122,7 +126,10 @@
 
 /* -- load out ------------------------------------------------------------- */
 
-static void send_load(mesh_t* m, const cw_load_message_t* message) {
+static void send_load(mesh_t* m, cw_load_message_t* message) {
+    message->cluster = m->cluster;
+    message->host = m->host;
+    message->knowledge = m->desc.knowledge(m->desc.user_data);
     uint8_t bytes[CW_LOAD_BYTES];
     size_t size = cw_load_encode(message, bytes, sizeof(bytes));
     uint32_t known = cw_members_count(m->members);
@@ -137,6 +144,7 @@
         sent++;
     }
     m->fan_at += FANOUT_MAX;
+    m->sent_ms = clock_ms();
     m->stats.load_out += sent;
 }
 
@@ -159,13 +167,13 @@
 }
 
 static void flush(mesh_t* m) {
-    cw_load_message_t message = {.cluster = m->cluster, .host = m->host};
+    cw_load_message_t message = {0};
     int64_t now_ms = clock_ms();
     ev_timer_stop(m->desc.loop, &m->flush_timer);
     for (uint32_t i = 0; i < m->dirty_count; i++) {
         add_entry(m, &message, &m->dirty[i], now_ms);
     }
-    if (message.count) {
+    if (message.count || now_ms - m->sent_ms >= QUIET_MS) {
         send_load(m, &message);
     }
     m->dirty_count = 0;
@@ -245,10 +253,16 @@
     mesh_t* m = w->data;
     uint8_t bytes[CW_LOAD_BYTES];
     cw_load_message_t message;
+    struct sockaddr_in from;
+    socklen_t from_size = sizeof(from);
     ssize_t n = 0;
-    while ((n = recv(m->fd, bytes, sizeof(bytes), MSG_DONTWAIT)) > 0) {
+    while ((n = recvfrom(m->fd, bytes, sizeof(bytes), MSG_DONTWAIT, (struct sockaddr*)&from, &from_size)) > 0) {
         if (cw_load_decode(&message, bytes, (size_t)n, NULL) == CW_OK && message.cluster == m->cluster) {
+            char share[CW_ADDR_TEXT];
+            from.sin_port = htons(m->share_port);
+            cw_addr_format(&from, share);
             m->stats.load_in++;
+            m->desc.on_knowledge(m->desc.user_data, share, &message.knowledge);
             take_load(m, &message);
         } else {
             m->stats.load_refused++;
@@ -274,7 +288,8 @@
     if (now_ms - m->repeated_ms >= REPEAT_MS) {
         repeat_all(m, now_ms);
     }
-    if (m->dirty_count && now_ms - m->flushed_ms >= SLOW_FLUSH_MS) {
+    bool due = m->dirty_count && now_ms - m->flushed_ms >= SLOW_FLUSH_MS;
+    if (due || now_ms - m->sent_ms >= QUIET_MS) {
         flush(m);
     }
 }
@@ -298,19 +313,6 @@
     return count >= HALL_ENOUGH ? count : addresses(m, NULL, with_self, out, max);
 }
 
-const char* mesh_any_share(mesh_t* m) {
-    uint32_t known = cw_members_count(m->members);
-    for (uint32_t i = 0; i < known; i++) {
-        const cw_member_t* member = cw_members_at(m->members, ++m->share_at % known);
-        struct sockaddr_in addr;
-        if (member->info.id != m->host && is_live(member) && with_port(member->info.peer, m->share_port, &addr)) {
-            cw_addr_format(&addr, m->share);
-            return m->share;
-        }
-    }
-    return NULL;
-}
-
 mesh_stats_t mesh_stats(const mesh_t* m) {
     return m->stats;
 }
--- a/gateway/mesh.h
+++ b/gateway/mesh.h
@@ -4,7 +4,7 @@
     The other daemons: who lives (chalkway_member.h over the peer address) and what they have at the servers
     (chalkway_load.h datagrams over the load address). All hosts of a cluster use the same ports.
 */
-#include "../chalkway_balance.h"
+#include "../chalkway_load.h"
 #include "../chalkway_log.h"
 #include "../chalkway_member.h"
 #include "settings.h"
@@ -17,10 +17,12 @@
     const cw_log_t* log;
     const gateway_settings_t* settings;
     upstreams_t* upstreams;
-    /* A peer told its revision; share: address at which it can be read. */
-    void (*on_revision)(void* user_data, const char* share, int64_t revision);
-    /* Members changed: daemons is the most that were known at once. */
-    void (*on_members)(void* user_data, uint32_t daemons);
+    /* What this daemon knows of the source, told with every datagram. */
+    cw_knowledge_t (*knowledge)(void* user_data);
+    /* What a peer knows; share: address at which it can be read. */
+    void (*on_knowledge)(void* user_data, const char* share, const cw_knowledge_t* knowledge);
+    /* Members changed: daemons is the most that were known at once, rank this one's place among those that live. */
+    void (*on_members)(void* user_data, uint32_t daemons, uint32_t rank);
     void* user_data;
 } mesh_desc_t;
 
@@ -40,8 +42,6 @@
 void mesh_tick(mesh_t* m, int64_t now_ms);
 /* Addresses for callers of the hosts that live, those of the hall first where it has enough; returns their number. */
 uint32_t mesh_callers_addresses(const mesh_t* m, const char* hall, bool with_self, const char** out, uint32_t max);
-/* Share address of some peer that lives; NULL: none. */
-const char* mesh_any_share(mesh_t* m);
 mesh_stats_t mesh_stats(const mesh_t* m);
 
 #endif
--- a/gateway/native.c
+++ b/gateway/native.c
@@ -42,12 +42,8 @@
                                   .lookup_hall = "hall",
                                   .lookup_body = lookup_body};
 
-static void catalog_path(char* out, size_t size) {
-    snprintf(out, size, "/catalog");
-}
-
-static void watch_path(char* out, size_t size, int64_t after, uint32_t wait_ms) {
-    snprintf(out, size, "/catalog?after=%lld&wait_ms=%u", (long long)after, wait_ms);
+static void catalog_path(char* out, size_t size, int64_t mark) {
+    snprintf(out, size, "/catalog?after=%lld", (long long)mark);
 }
 
 static void servers_path(char* out, size_t size, const char* after) {
@@ -55,24 +51,25 @@
     snprintf(out, size, "/servers");
 }
 
-static cw_status_t read_catalog(const char* body, size_t size, source_news_t* news, cw_error_t* err) {
+/* An empty answer: nothing newer is there. */
+static cw_status_t read_catalog(const char* body, size_t size, int64_t mark, source_news_t* news, cw_error_t* err) {
     json_error_t problem;
+    news->mark = mark;
+    if (!size) {
+        return CW_OK;
+    }
     json_t* document = json_loadb(body, size, 0, &problem);
     if (!json_is_object(document)) {
+        cw_fail(err, CW_ERR_INVALID, "catalog", NULL, "no JSON object: %s", document ? "other" : problem.text);
         json_decref(document);
-        return cw_fail(err, CW_ERR_INVALID, "catalog", NULL, "no JSON object: %s", problem.text);
+        return CW_ERR_INVALID;
     }
-    news->at = json_integer_value(json_object_get(document, "revision"));
+    news->mark = json_integer_value(json_object_get(document, "revision"));
     json_decref(document);
     news->catalog = strndup(body, size);
     return CW_OK;
 }
 
-/* An empty answer: nothing newer came in time. */
-static cw_status_t read_watch(const char* body, size_t size, source_news_t* news, cw_error_t* err) {
-    return size ? read_catalog(body, size, news, err) : CW_OK;
-}
-
 static cw_status_t read_servers(const char* body, size_t size, cw_servers_t* list, source_news_t* news,
                                 cw_error_t* err) {
     (void)news;
@@ -80,9 +77,6 @@
 }
 
 const source_t source_native = {.catalog_path = catalog_path,
-                                .watch_path = watch_path,
                                 .servers_path = servers_path,
-                                .watch_lost_status = 410,
                                 .read_catalog = read_catalog,
-                                .read_watch = read_watch,
                                 .read_servers = read_servers};
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -21,8 +21,7 @@
     uint32_t seed_port;
     /* [source] */
     char source[CW_NAME_MAX];
-    uint32_t watch_ms;
-    uint32_t servers_ms;
+    uint32_t read_ms;
     /* [limits] */
     uint32_t memory_bytes;
     uint32_t descriptors;
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -8,12 +8,12 @@
 #include "../io/httpd.h"
 #include "clock.h"
 
-#define CALL_MS 1000          /* a call to the source or a peer may take */
-#define BACKOFF_MIN_MS 100    /* after a failed call */
+#define CALL_MS 1000         /* a call to the source or a peer may take */
+#define BACKOFF_MIN_MS 100   /* after a failed call */
 #define BACKOFF_MAX_MS 1000
-#define BODY_MAX (16U << 20)  /* longest answer that is read */
-#define STALE_FACTOR 2        /* periods without a list of servers until a peer is asked */
-#define PEER_EVERY_MS 300     /* between two readings of a peer's list */
+#define BODY_MAX (16U << 20) /* longest answer that is read */
+#define RANK_STEP_SHARE 0.3  /* of the reading age: so much longer waits each further rank */
+#define RANK_STEPS_MAX 5     /* ranks beyond wait no longer */
 #define NEVER INT64_MIN
 
 /* One kind of call to the source or a peer. */
@@ -34,15 +34,17 @@
     cw_client_t* client;
     cw_httpd_t* share;
     fetch_t catalog, servers, peer_catalog, peer_servers;
-    int64_t watch_at; /* position of the watch, 0: read anew */
+    int64_t mark;       /* of the configuration read last from the source */
+    int64_t catalog_ms; /* when the configuration in force was last known to be the newest, NEVER: none */
     cw_catalog_t* in_force;
     char* text; /* native document in force */
     cw_servers_t list;
     cw_servers_t pages; /* being read */
     char page_after[CW_NAME_MAX * 2];
-    int64_t list_ms; /* when the list in force was true at the source, NEVER: none */
+    uint64_t list_id;
+    int64_t list_ms; /* when the list in force was last known to be true at the source, NEVER: none */
+    uint32_t rank;
     bool lost;
-    int64_t wanted; /* newest revision that a peer has told */
     sync_stats_t stats;
 };
 
@@ -147,13 +149,14 @@
 
 /* Puts a list in force that was true at the time; takes it over. */
 static void adopt_servers(sync_t* s, cw_servers_t* list, int64_t true_ms) {
-    if (true_ms < s->list_ms || list->at < s->list.at) {
+    if (true_ms < s->list_ms) {
         cw_servers_free(list);
         return;
     }
     cw_servers_free(&s->list);
     s->list = *list;
     *list = (cw_servers_t){0};
+    s->list_id = cw_servers_id(&s->list);
     s->list_ms = true_ms;
     s->desc.on_servers(s->desc.user_data, &s->list);
 }
@@ -172,45 +175,32 @@
 static void on_catalog_answer(sync_t* s, unsigned status, const char* body, size_t size) {
     source_news_t news = {0};
     cw_error_t err = {0};
-    bool watching = s->watch_at > 0;
-    if (watching && status == s->desc.source->watch_lost_status) {
-        s->watch_at = 0;
-        fetch_ok(&s->catalog, 0);
-        return;
-    }
     if (status != 200) {
         char why[32];
         snprintf(why, sizeof(why), "status %u", status);
         source_failed(s, &s->catalog, why);
         return;
     }
-    cw_status_t read = watching ? s->desc.source->read_watch(body, size, &news, &err)
-                                : s->desc.source->read_catalog(body, size, &news, &err);
-    if (read != CW_OK) {
+    if (s->desc.source->read_catalog(body, size, s->mark, &news, &err) != CW_OK) {
         refuse_answer(s, s->desc.address, &err);
         free(news.catalog);
         back_off(&s->catalog);
-        s->watch_at = news.at > 0 ? news.at : s->watch_at; /* what is wrong there is not read again and again */
         return;
     }
     source_works(s);
-    s->watch_at = news.at > 0 ? news.at : s->watch_at;
     fetch_ok(&s->catalog, 0);
+    s->mark = news.mark;
     if (news.catalog) {
         adopt_catalog(s, news.catalog, s->desc.address);
     }
+    s->catalog_ms = clock_ms();
 }
 
 static void read_source_catalog(sync_t* s) {
     char path[256];
     s->stats.source_calls++;
-    if (s->watch_at > 0) {
-        s->desc.source->watch_path(path, sizeof(path), s->watch_at, s->desc.watch_ms);
-        fetch(&s->catalog, s->desc.address, path, s->desc.watch_ms + CALL_MS);
-    } else {
-        s->desc.source->catalog_path(path, sizeof(path));
-        fetch(&s->catalog, s->desc.address, path, CALL_MS);
-    }
+    s->desc.source->catalog_path(path, sizeof(path), s->mark);
+    fetch(&s->catalog, s->desc.address, path, CALL_MS);
 }
 
 /* -- the source: servers -------------------------------------------------- */
@@ -227,13 +217,9 @@
     s->page_after[0] = 0;
 }
 
-/* The source is silent: a watch that waits there may hear nothing either, so it is begun anew when it answers. */
 static void on_servers_failure(sync_t* s, const char* why) {
     drop_pages(s);
     source_failed(s, &s->servers, why);
-    fetch_cancel(&s->catalog);
-    s->watch_at = 0;
-    s->catalog.next_ms = s->servers.next_ms;
 }
 
 static void on_servers_answer(sync_t* s, unsigned status, const char* body, size_t size) {
@@ -258,7 +244,7 @@
         read_source_servers(s);
         return;
     }
-    fetch_ok(&s->servers, s->desc.servers_ms);
+    fetch_ok(&s->servers, 0);
     adopt_servers(s, &s->pages, clock_ms());
     drop_pages(s);
 }
@@ -275,9 +261,6 @@
     if (status == 200 && size) {
         adopt_catalog(s, strndup(body, size), s->peer_catalog.peer);
     }
-    if (s->wanted > sync_revision(s)) {
-        back_off(&s->peer_catalog);
-    }
 }
 
 static void on_peer_servers_failure(sync_t* s, const char* why) {
@@ -288,7 +271,7 @@
 static void on_peer_servers(sync_t* s, unsigned status, const char* body, size_t size) {
     cw_servers_t list = {0};
     cw_error_t err = {0};
-    fetch_ok(&s->peer_servers, PEER_EVERY_MS);
+    fetch_ok(&s->peer_servers, 0);
     if (status != 200) {
         return;
     }
@@ -300,34 +283,42 @@
 }
 
 static void read_peer(sync_t* s, fetch_t* f, const char* address, const char* path) {
-    s->stats.peer_calls++;
-    fetch(f, address, path, CALL_MS);
+    if (!f->call && clock_ms() >= f->next_ms) {
+        s->stats.peer_calls++;
+        fetch(f, address, path, CALL_MS);
+    }
 }
 
-void sync_on_peer_revision(sync_t* s, const char* share, int64_t revision) {
-    s->wanted = revision > s->wanted ? revision : s->wanted;
-    if (revision > sync_revision(s) && !s->peer_catalog.call && clock_ms() >= s->peer_catalog.next_ms) {
+void sync_on_peer(sync_t* s, const char* share, const cw_knowledge_t* k) {
+    int64_t now_ms = clock_ms();
+    int64_t catalog_ms = now_ms - k->revision_age_ms;
+    int64_t list_ms = now_ms - k->servers_age_ms;
+    if ((int64_t)k->revision > sync_revision(s)) {
         read_peer(s, &s->peer_catalog, share, "/catalog");
+    } else if (k->revision && (int64_t)k->revision == sync_revision(s) && catalog_ms > s->catalog_ms) {
+        s->catalog_ms = catalog_ms;
+    }
+    if (k->servers && k->servers == s->list_id) {
+        s->list_ms = list_ms > s->list_ms ? list_ms : s->list_ms;
+    } else if (k->servers && list_ms > s->list_ms) {
+        read_peer(s, &s->peer_servers, share, "/servers");
     }
 }
 
-/* The age of the list in force. */
-static int64_t list_age_ms(const sync_t* s, int64_t now_ms) {
-    return s->list_ms == NEVER ? -1 : now_ms - s->list_ms;
+void sync_set_rank(sync_t* s, uint32_t rank) {
+    s->rank = rank;
 }
 
-static void ask_peers(sync_t* s, int64_t now_ms) {
-    bool list_stale = s->list_ms == NEVER || now_ms - s->list_ms > (int64_t)STALE_FACTOR * s->desc.servers_ms;
-    const char* peer = list_stale || !s->in_force ? s->desc.any_peer(s->desc.user_data) : NULL;
-    if (!peer) {
-        return;
-    }
-    if (list_stale && !s->peer_servers.call && now_ms >= s->peer_servers.next_ms) {
-        read_peer(s, &s->peer_servers, peer, "/servers");
-    }
-    if (!s->in_force && s->lost && !s->peer_catalog.call && now_ms >= s->peer_catalog.next_ms) {
-        read_peer(s, &s->peer_catalog, peer, "/catalog");
-    }
+static uint32_t age_of(int64_t true_ms, int64_t now_ms) {
+    return true_ms == NEVER || now_ms - true_ms > UINT32_MAX ? UINT32_MAX : (uint32_t)(now_ms - true_ms);
+}
+
+cw_knowledge_t sync_knowledge(const sync_t* s) {
+    int64_t now_ms = clock_ms();
+    return (cw_knowledge_t){.revision = (uint64_t)sync_revision(s),
+                            .servers = s->list_id,
+                            .revision_age_ms = age_of(s->catalog_ms, now_ms),
+                            .servers_age_ms = age_of(s->list_ms, now_ms)};
 }
 
 /* -- sharing -------------------------------------------------------------- */
@@ -341,7 +332,7 @@
         bool newer = !after || strtoll(after, NULL, 10) < sync_revision(s);
         cw_exchange_reply(x, 200, &json, 1, s->text, newer ? strlen(s->text) : 0);
     } else if (strcmp(path, "/servers") == 0 && s->list_ms != NEVER) {
-        s->list.age_ms = (uint32_t)list_age_ms(s, clock_ms());
+        s->list.age_ms = age_of(s->list_ms, clock_ms());
         char* text = cw_servers_text(&s->list);
         cw_exchange_reply(x, 200, &json, 1, text, strlen(text));
         free(text);
@@ -363,19 +354,25 @@
 sync_stats_t sync_stats(const sync_t* s) {
     sync_stats_t stats = s->stats;
     stats.revision = sync_revision(s);
-    stats.servers_age_ms = list_age_ms(s, clock_ms());
+    stats.servers_age_ms = s->list_ms == NEVER ? -1 : clock_ms() - s->list_ms;
     stats.source_lost = s->lost;
     return stats;
 }
 
+/* Age at which this daemon reads again. */
+static uint32_t reading_age_ms(const sync_t* s) {
+    uint32_t steps = s->rank < RANK_STEPS_MAX ? s->rank : RANK_STEPS_MAX;
+    return (uint32_t)(s->desc.read_ms * (1 + steps * RANK_STEP_SHARE));
+}
+
 void sync_tick(sync_t* s, int64_t now_ms) {
-    if (!s->servers.call && now_ms >= s->servers.next_ms) {
+    uint32_t limit_ms = reading_age_ms(s);
+    if (!s->servers.call && now_ms >= s->servers.next_ms && age_of(s->list_ms, now_ms) >= limit_ms) {
         read_source_servers(s);
     }
-    if (!s->catalog.call && now_ms >= s->catalog.next_ms) {
+    if (!s->catalog.call && now_ms >= s->catalog.next_ms && age_of(s->catalog_ms, now_ms) >= limit_ms) {
         read_source_catalog(s);
     }
-    ask_peers(s, now_ms);
 }
 
 static void fetch_init(sync_t* s, fetch_t* f, void (*on_answer)(sync_t*, unsigned, const char*, size_t),
@@ -389,7 +386,7 @@
         abort();
     }
     s->desc = *desc;
-    s->list_ms = NEVER;
+    s->list_ms = s->catalog_ms = NEVER;
     s->share = cw_httpd_setup(&(cw_httpd_desc_t){.loop = desc->loop,
                                                  .address = desc->share,
                                                  .max_connections = 64,
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -1,13 +1,16 @@
 #ifndef CW_GATEWAY_SYNC_H
 #define CW_GATEWAY_SYNC_H
 /*
-    The configuration and the list of servers: read from the source, or from a peer that has something newer where the
-    source does not answer this host. A revision never goes back within one life of the process.
+    The configuration and the list of servers: read from the source, or from a peer that has something newer. A revision
+    never goes back within one life of the process.
 
-    The configuration is watched; the list of servers is read again and again, since a watch on it would wake for every
-    heartbeat. Peers read both at the share address.
+    Both are read again when what is known has grown too old. The ages travel with the peers' datagrams, so a reading by
+    one daemon confirms what all have; each daemon's limit depends on its rank, so that mostly those of the first ranks
+    read, and the next ones when they fail. A waiting watch is not used: one that is cut in silence tells nothing, and a
+    watch on the servers wakes for every heartbeat. Peers read both documents at the share address.
 */
 #include "../chalkway_catalog.h"
+#include "../chalkway_load.h"
 #include "../chalkway_log.h"
 #include "../chalkway_servers.h"
 #include "../io/client.h"
@@ -21,11 +24,9 @@
     const source_t* source;
     const char* address; /* of the source */
     const char* share;   /* address at which peers read */
-    uint32_t watch_ms, servers_ms;
+    uint32_t read_ms; /* age at which the daemon of the first rank reads again */
     void (*on_catalog)(void* user_data, cw_catalog_t* catalog);
     void (*on_servers)(void* user_data, const cw_servers_t* list);
-    /* Share address of a peer to read from, any; NULL: none is known. */
-    const char* (*any_peer)(void* user_data);
     void* user_data;
 } sync_desc_t;
 
@@ -41,8 +42,12 @@
 /* Configuration and servers are known. */
 bool sync_ready(const sync_t* s);
 int64_t sync_revision(const sync_t* s);
-/* A peer has this revision. share: its address. */
-void sync_on_peer_revision(sync_t* s, const char* share, int64_t revision);
+/* What this daemon knows, to be told to the peers. */
+cw_knowledge_t sync_knowledge(const sync_t* s);
+/* What a peer knows. share: the address where it can be read. */
+void sync_on_peer(sync_t* s, const char* share, const cw_knowledge_t* knowledge);
+/* Place among the living daemons in a fixed order, 0 first. */
+void sync_set_rank(sync_t* s, uint32_t rank);
 void sync_tick(sync_t* s, int64_t now_ms);
 sync_stats_t sync_stats(const sync_t* s);
 
