--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -174,6 +174,7 @@
 #define _CW_HALL_MS 1.0          /* what another hall costs */
 #define _CW_STREAM_SHARE 0.1     /* how much a stream is hurt by each ms of reading beside it */
 #define _CW_RUN_MS 0.5           /* how much a run slows the others of an engine */
+#define _CW_REREAD 5.0           /* times its reading that a part costs which another server has read already */
 #define _CW_FULL_MS 1000.0       /* what a server costs whose memory would overflow */
 #define _CW_MEMORY_SHARE 0.9     /* of a server's memory that is planned with */
 #define _CW_KEPT_SHARE 0.6       /* of a server's memory that old prompt parts are taken to keep */
@@ -404,6 +405,19 @@
     return _cw_balance_fail(s, now_ms) * loss_ms * (work->repeatable ? 1 : 2);
 }
 
+/* Most tokens of the prompt that any server that may be chosen keeps. */
+static uint32_t _cw_balance_kept_most(const cw_balance_t* b, const cw_work_t* work) {
+    uint32_t most = 0;
+    for (uint32_t i = 0; i < b->places && work->part_count; i++) {
+        const _cw_server_t* s = &b->servers[i];
+        if (s->used && s->listed && !s->away) {
+            uint32_t kept = _cw_balance_kept_tokens(b, s, work);
+            most = kept > most ? kept : most;
+        }
+    }
+    return most;
+}
+
 /* A plain call: waits its share of the calls beyond the slots; a nearly full server is slower. */
 static double _cw_balance_call_ms(const cw_balance_t* b, const _cw_server_t* s, const _cw_sum_t* sum) {
     double slots = s->spec.slots ? s->spec.slots : 1;
@@ -413,23 +427,25 @@
 
 /* A generation: the backlog, reading what is not kept, and what it does to the streams that run there. */
 static double _cw_balance_generation_ms(const cw_balance_t* b, const _cw_server_t* s, const _cw_sum_t* sum,
-                                        const cw_work_t* work, cw_choice_t* c) {
+                                        const cw_work_t* work, uint32_t kept_most, cw_choice_t* c) {
     c->kept = _cw_balance_kept_tokens(b, s, work);
+    double reread_ms = _CW_REREAD * b->read_ms * (kept_most - c->kept);
     c->read_ms = b->read_ms * (work->prompt_tokens - c->kept);
     double hurt_ms = c->read_ms * _CW_STREAM_SHARE * sum->streaming;
     double overflow_ms = sum->tokens + work->prompt_tokens + work->output_tokens >
                                  _CW_MEMORY_SHARE * s->spec.memory_tokens
                              ? _CW_FULL_MS
                              : 0;
-    return b->base_ms + sum->wait_ms + c->read_ms + hurt_ms + overflow_ms + _CW_RUN_MS * sum->running;
+    return b->base_ms + sum->wait_ms + c->read_ms + reread_ms + hurt_ms + overflow_ms + _CW_RUN_MS * sum->running;
 }
 
-static cw_choice_t _cw_balance_rate(const cw_balance_t* b, uint32_t at, int64_t now_ms, const cw_work_t* work) {
+static cw_choice_t _cw_balance_rate(const cw_balance_t* b, uint32_t at, int64_t now_ms, const cw_work_t* work,
+                                    uint32_t kept_most) {
     const _cw_server_t* s = &b->servers[at];
     _cw_sum_t sum = _cw_balance_sum(b, s, now_ms);
     cw_choice_t c = {.server = at, .wait_ms = sum.wait_ms, .running = sum.running, .age_ms = sum.age_ms};
     bool engine = s->spec.memory_tokens > 0;
-    double ms = engine ? _cw_balance_generation_ms(b, s, &sum, work, &c) : _cw_balance_call_ms(b, s, &sum);
+    double ms = engine ? _cw_balance_generation_ms(b, s, &sum, work, kept_most, &c) : _cw_balance_call_ms(b, s, &sum);
     double cold = now_ms < s->cold_until_ms ? 2 : 1;
     c.cost_ms = ms * cold * _cw_balance_slow(s, now_ms) + _cw_balance_fail_cost(s, now_ms, work);
     c.cost_ms += s->spec.hall == b->desc.hall ? 0 : _CW_HALL_MS;
@@ -450,13 +466,14 @@
                               uint32_t tried_count) {
     cw_choice_t best = {.server = CW_BALANCE_NONE};
     uint32_t candidates = 0;
+    uint32_t kept_most = _cw_balance_kept_most(b, work);
     for (uint32_t i = 0; i < b->places; i++) {
         const _cw_server_t* s = &b->servers[i];
         if (!s->used || !s->listed || s->away || now_ms < s->full_until_ms ||
             _cw_balance_tried(tried, tried_count, s->spec.id)) {
             continue;
         }
-        cw_choice_t c = _cw_balance_rate(b, i, now_ms, work);
+        cw_choice_t c = _cw_balance_rate(b, i, now_ms, work, kept_most);
         if (s->spec.memory_tokens && c.running >= s->spec.slots) {
             continue;
         }
