Balance: deep prompts keep away from streams they would make late

A deep prompt read beside a stream lengthens each step. Ruled out: backlog before the first event (p99 of it is in time); memory (0 preempted).

--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -10,6 +10,13 @@
         the server with the least predicted time to the first byte, plus the
         delay that the new prompt puts on answers that stream there already.
 
+        A prompt that is being read lengthens the pauses of the answers that
+        stream there, the more the deeper it is. How long pauses get beside
+        prompts of which depth is learned from the pool's own streams. Deep
+        prompts keep away from servers whose streams they would make late, and
+        streams that deep prompts would make late gather at few servers, in
+        an order that all daemons see alike.
+
         Prompts are read one after the other, so a server's backlog is the
         time in which it has read all prompts begun there. The time to read
         a token is learned from first bytes of requests that found no backlog.
@@ -67,7 +74,9 @@
 typedef struct cw_load_t {
     uint32_t running;
     uint32_t streaming;  /* of these, answers that stream and have a longest pause */
+    uint32_t gap_ms;     /* shortest of these pauses, 0: none */
     uint32_t backlog_ms; /* time to read the prompts begun and not answered yet */
+    uint32_t deepest;    /* tokens of the longest of these prompts */
     uint32_t tokens;     /* memory that the running ones hold or will hold */
 } cw_load_t;
 
@@ -88,9 +97,12 @@
     double planned_ms; /* when the backlog was to reach its end */
     double wait_ms;    /* backlog found */
     uint32_t fresh_tokens;
+    uint32_t prompt_tokens;
     uint32_t tokens;
+    uint32_t gap_ms;
     bool answered;
-    bool has_gap;
+    int64_t event_ms; /* last event of the answer */
+    uint32_t beside;  /* tokens of the longest prompt being read beside it then */
 } cw_run_t;
 
 /* A server and the inputs that chose it. */
@@ -131,6 +143,8 @@
 cw_run_t cw_balance_begin(cw_balance_t* b, int64_t now_ms, uint32_t server, const cw_work_t* work);
 /* The first byte of the answer came. */
 void cw_balance_first(cw_balance_t* b, int64_t now_ms, cw_run_t* run);
+/* A further event of a streamed answer came. */
+void cw_balance_event(cw_balance_t* b, int64_t now_ms, cw_run_t* run);
 void cw_balance_end(cw_balance_t* b, int64_t now_ms, cw_run_t* run, cw_try_result_t result);
 /* The server is known to be away (true) or to be back. */
 void cw_balance_away(cw_balance_t* b, int64_t now_ms, uint64_t id, bool away);
@@ -144,6 +158,8 @@
 void cw_balance_kept(cw_balance_t* b, uint64_t server, const cw_work_part_t* part);
 /* Share 0..1 of the places of the servers that are taken, as far as known. */
 double cw_balance_fullness(const cw_balance_t* b, int64_t now_ms);
+/* Learned pause between events beside a prompt of so many tokens, ms. */
+double cw_balance_pause(const cw_balance_t* b, uint32_t tokens);
 /* Learned ms to read one token. */
 double cw_balance_read_rate(const cw_balance_t* b);
 
@@ -172,7 +188,15 @@
 #define _CW_FAIL_FORGET_MS 4000.0
 #define _CW_FAIL_MIN_MS 200.0    /* least time that a failure is taken to cost */
 #define _CW_HALL_MS 1.0          /* what another hall costs */
-#define _CW_STREAM_SHARE 0.1     /* how much a stream is hurt by each ms of reading beside it */
+#define _CW_DEPTHS 20            /* kinds of prompts by length: powers of two, in halves, from 256 tokens */
+#define _CW_DEPTH_MIN 256.0
+#define _CW_PAUSE_UP 0.2         /* weight of a pause longer than learned: a high quantile is wanted */
+#define _CW_PAUSE_DOWN 0.02      /* weight of a shorter one */
+#define _CW_LATE_FROM 0.8        /* share of the longest pause from which a learned pause counts as harm, to 1.2 */
+#define _CW_DEEP_UP 0.1          /* the length of deep prompts is learned as a high quantile too */
+#define _CW_DEEP_DOWN 0.005
+#define _CW_GATHER_SHARE 0.1     /* of the target: what each further place in the order costs a stream easily hurt */
+#define _CW_GAPS_MAX 8           /* different longest pauses of one pool that are told apart */
 #define _CW_RUN_MS 0.5           /* how much a run slows the others of an engine */
 #define _CW_REREAD 5.0           /* times its reading that a part costs which another server has read already */
 #define _CW_FULL_MS 1000.0       /* what a server costs whose memory would overflow */
@@ -186,14 +210,22 @@
     cw_load_t load;
 } _cw_news_t;
 
+/* Own streams at a server with the same longest pause. */
+typedef struct _cw_gap_t {
+    uint32_t gap_ms, count;
+} _cw_gap_t;
+
 typedef struct _cw_server_t {
     cw_server_spec_t spec;
     bool used;   /* the place holds a server */
     bool listed; /* it may be chosen */
+    uint32_t position; /* in the order that all daemons see alike */
     uint32_t running, streaming;
+    _cw_gap_t gaps[_CW_GAPS_MAX];
     uint64_t tokens;
     double busy_until_ms; /* own prompts are read by then */
     uint32_t unanswered;  /* own runs without a first byte */
+    uint32_t deepest;     /* tokens of the longest prompt among them; 0 when there are none */
     double slow;          /* 1: as the others */
     int64_t slow_ms;      /* when slow was learned */
     double fail;          /* 0..1 */
@@ -221,6 +253,8 @@
     uint32_t kept_mask;
     double read_ms, base_ms, service_ms;
     uint32_t read_samples, service_samples;
+    double pause_ms[_CW_DEPTHS]; /* learned pause beside prompts of each length, 0: not seen */
+    double deep_tokens;          /* learned length of the deep prompts */
 };
 
 static cw_balance_desc_t _cw_balance_desc_defaults(const cw_balance_desc_t* desc) {
@@ -297,6 +331,19 @@
     return CW_BALANCE_NONE;
 }
 
+/* Places the servers in an order that depends on their ids only. */
+static void _cw_balance_order(cw_balance_t* b) {
+    for (uint32_t i = 0; i < b->places; i++) {
+        _cw_server_t* s = &b->servers[i];
+        uint32_t position = 0;
+        for (uint32_t j = 0; j < b->places && s->listed; j++) {
+            const _cw_server_t* other = &b->servers[j];
+            position += other->listed && cw_mix(other->spec.id, 1) < cw_mix(s->spec.id, 1);
+        }
+        s->position = position;
+    }
+}
+
 cw_status_t cw_balance_set(cw_balance_t* b, int64_t now_ms, const cw_server_spec_t* specs, uint32_t count) {
     cw_status_t status = CW_OK;
     for (uint32_t i = 0; i < b->places; i++) {
@@ -320,6 +367,7 @@
             _cw_balance_remove(b, i);
         }
     }
+    _cw_balance_order(b);
     return status;
 }
 
@@ -366,14 +414,44 @@
 
 /* All that is known to run at a server, and the age of the oldest news that counted. */
 typedef struct _cw_sum_t {
-    uint32_t running, streaming, age_ms;
+    uint32_t running, streaming, gap_ms, deepest, age_ms;
     double tokens, wait_ms;
 } _cw_sum_t;
 
+/* Shortest of the longest pauses of the own streams at the server. */
+static uint32_t _cw_balance_own_gap(const _cw_server_t* s) {
+    uint32_t gap_ms = 0;
+    for (uint32_t i = 0; i < _CW_GAPS_MAX; i++) {
+        if (s->gaps[i].count && (!gap_ms || s->gaps[i].gap_ms < gap_ms)) {
+            gap_ms = s->gaps[i].gap_ms;
+        }
+    }
+    return gap_ms;
+}
+
+/* Counts a stream in (by = 1) or out (-1); pauses beyond the places are taken as the last one. */
+static void _cw_balance_count_gap(_cw_server_t* s, uint32_t gap_ms, int by) {
+    _cw_gap_t* place = &s->gaps[_CW_GAPS_MAX - 1];
+    for (uint32_t i = 0; i < _CW_GAPS_MAX; i++) {
+        if (s->gaps[i].gap_ms == gap_ms || !s->gaps[i].gap_ms) {
+            place = &s->gaps[i];
+            break;
+        }
+    }
+    place->gap_ms = place->count ? place->gap_ms : gap_ms;
+    place->count = (uint32_t)((int)place->count + by > 0 ? (int)place->count + by : 0);
+}
+
+static uint32_t _cw_balance_min_gap(uint32_t a, uint32_t b) {
+    return a && (!b || a < b) ? a : b;
+}
+
 static _cw_sum_t _cw_balance_sum(const cw_balance_t* b, const _cw_server_t* s, int64_t now_ms) {
     double own_ms = s->busy_until_ms - (double)now_ms;
     _cw_sum_t sum = {.running = s->running,
                      .streaming = s->streaming,
+                     .gap_ms = _cw_balance_own_gap(s),
+                     .deepest = own_ms > 0 ? s->deepest : 0,
                      .tokens = (double)s->tokens,
                      .wait_ms = own_ms > 0 ? own_ms : 0};
     for (uint32_t i = 0; i < b->desc.max_peers; i++) {
@@ -385,12 +463,50 @@
         sum.running += n->load.running;
         sum.streaming += n->load.streaming;
         sum.tokens += n->load.tokens;
-        sum.wait_ms += n->load.backlog_ms > age_ms ? (double)(n->load.backlog_ms - age_ms) : 0;
+        sum.gap_ms = _cw_balance_min_gap(sum.gap_ms, n->load.gap_ms);
+        if (n->load.backlog_ms > age_ms) {
+            sum.wait_ms += (double)(n->load.backlog_ms - age_ms);
+            sum.deepest = n->load.deepest > sum.deepest ? n->load.deepest : sum.deepest;
+        }
         sum.age_ms = n->load.running && age_ms > sum.age_ms ? (uint32_t)age_ms : sum.age_ms;
     }
     return sum;
 }
 
+/* -- pauses beside prompts ------------------------------------------------ */
+
+static uint32_t _cw_balance_depth(uint32_t tokens) {
+    double halves = tokens > _CW_DEPTH_MIN ? 2 * log2(tokens / _CW_DEPTH_MIN) : 0;
+    return halves < _CW_DEPTHS - 1 ? (uint32_t)halves : _CW_DEPTHS - 1;
+}
+
+/* A deeper prompt is taken to be no less harmful than any shorter one that was seen. */
+double cw_balance_pause(const cw_balance_t* b, uint32_t tokens) {
+    double pause_ms = 0;
+    for (uint32_t i = 0; i <= _cw_balance_depth(tokens); i++) {
+        pause_ms = b->pause_ms[i] > pause_ms ? b->pause_ms[i] : pause_ms;
+    }
+    return pause_ms;
+}
+
+/* How likely a prompt of so many tokens makes a stream late that may pause for gap_ms, 0..1. */
+static double _cw_balance_harm(const cw_balance_t* b, uint32_t tokens, uint32_t gap_ms) {
+    if (!gap_ms) {
+        return 0;
+    }
+    double over = (cw_balance_pause(b, tokens) / gap_ms - _CW_LATE_FROM) / (2 * (1 - _CW_LATE_FROM));
+    return over < 0 ? 0 : over > 1 ? 1 : over;
+}
+
+static void _cw_balance_learn_pause(cw_balance_t* b, uint32_t tokens, double pause_ms) {
+    double* learned = &b->pause_ms[_cw_balance_depth(tokens)];
+    *learned += (pause_ms > *learned ? _CW_PAUSE_UP : _CW_PAUSE_DOWN) * (pause_ms - *learned);
+}
+
+static void _cw_balance_learn_deep(cw_balance_t* b, uint32_t tokens) {
+    b->deep_tokens += (tokens > b->deep_tokens ? _CW_DEEP_UP : _CW_DEEP_DOWN) * (tokens - b->deep_tokens);
+}
+
 static double _cw_balance_slow(const _cw_server_t* s, int64_t now_ms) {
     double left = exp(-(double)(now_ms - s->slow_ms) / _CW_SPEED_FORGET_MS);
     return 1 + (s->slow - 1) * left;
@@ -425,18 +541,26 @@
     return b->service_ms * (load <= 1 ? 1 + load * load : 2 * load);
 }
 
+/* What the prompt does to the streams there, what a prompt being read there does to this one's, and the order in which
+   streams that are easily hurt fill the servers. */
+static double _cw_balance_streams_ms(const cw_balance_t* b, const _cw_server_t* s, const _cw_sum_t* sum,
+                                     const cw_work_t* work) {
+    double caused = sum->streaming * _cw_balance_harm(b, work->prompt_tokens, sum->gap_ms);
+    double suffered = sum->deepest ? _cw_balance_harm(b, sum->deepest, work->gap_ms) : 0;
+    double fragile = _cw_balance_harm(b, (uint32_t)b->deep_tokens, work->gap_ms);
+    return work->target_ms * (caused + suffered / 2 + _CW_GATHER_SHARE * fragile * s->position);
+}
+
 /* A generation: the backlog, reading what is not kept, and what it does to the streams that run there. */
 static double _cw_balance_generation_ms(const cw_balance_t* b, const _cw_server_t* s, const _cw_sum_t* sum,
                                         const cw_work_t* work, uint32_t kept_most, cw_choice_t* c) {
     c->kept = _cw_balance_kept_tokens(b, s, work);
     double reread_ms = _CW_REREAD * b->read_ms * (kept_most - c->kept);
     c->read_ms = b->read_ms * (work->prompt_tokens - c->kept);
-    double hurt_ms = c->read_ms * _CW_STREAM_SHARE * sum->streaming;
-    double overflow_ms = sum->tokens + work->prompt_tokens + work->output_tokens >
-                                 _CW_MEMORY_SHARE * s->spec.memory_tokens
-                             ? _CW_FULL_MS
-                             : 0;
-    return b->base_ms + sum->wait_ms + c->read_ms + reread_ms + hurt_ms + overflow_ms + _CW_RUN_MS * sum->running;
+    double memory = _CW_MEMORY_SHARE * s->spec.memory_tokens;
+    double overflow_ms = sum->tokens + work->prompt_tokens + work->output_tokens > memory ? _CW_FULL_MS : 0;
+    return b->base_ms + sum->wait_ms + c->read_ms + reread_ms + overflow_ms + _CW_RUN_MS * sum->running +
+           _cw_balance_streams_ms(b, s, sum, work);
 }
 
 static cw_choice_t _cw_balance_rate(const cw_balance_t* b, uint32_t at, int64_t now_ms, const cw_work_t* work,
@@ -491,7 +615,11 @@
 cw_run_t cw_balance_begin(cw_balance_t* b, int64_t now_ms, uint32_t server, const cw_work_t* work) {
     assert(server < b->places && b->servers[server].used);
     _cw_server_t* s = &b->servers[server];
-    cw_run_t run = {.server = server, .id = s->spec.id, .begun_ms = now_ms, .has_gap = work->gap_ms > 0};
+    cw_run_t run = {.server = server,
+                    .id = s->spec.id,
+                    .begun_ms = now_ms,
+                    .gap_ms = work->gap_ms,
+                    .prompt_tokens = work->prompt_tokens};
     run.wait_ms = _cw_balance_sum(b, s, now_ms).wait_ms;
     if (s->spec.memory_tokens) {
         run.fresh_tokens = work->prompt_tokens - _cw_balance_kept_tokens(b, s, work);
@@ -500,6 +628,8 @@
         double start_ms = s->busy_until_ms > (double)now_ms ? s->busy_until_ms : (double)now_ms;
         s->busy_until_ms = start_ms + run.read_ms;
         run.planned_ms = s->busy_until_ms;
+        s->deepest = work->prompt_tokens > s->deepest ? work->prompt_tokens : s->deepest;
+        _cw_balance_learn_deep(b, work->prompt_tokens);
         for (uint32_t i = 0; i < work->part_count; i++) {
             _cw_balance_keep(b, s, &work->parts[i]);
         }
@@ -526,6 +656,7 @@
     if (!s->unanswered || s->busy_until_ms < (double)now_ms) {
         s->busy_until_ms = (double)now_ms;
     }
+    s->deepest = s->unanswered ? s->deepest : 0;
 }
 
 static void _cw_balance_learn_slow(_cw_server_t* s, int64_t now_ms, double ratio) {
@@ -563,7 +694,26 @@
         _cw_balance_learn_read(b, s, now_ms, run);
     }
     _cw_balance_answered(s, now_ms, run);
-    s->streaming += run->has_gap;
+    if (run->gap_ms) {
+        s->streaming++;
+        _cw_balance_count_gap(s, run->gap_ms, 1);
+    }
+    run->event_ms = now_ms;
+    run->beside = _cw_balance_sum(b, s, now_ms).deepest;
+}
+
+void cw_balance_event(cw_balance_t* b, int64_t now_ms, cw_run_t* run) {
+    const _cw_server_t* s = _cw_balance_of_run(b, run);
+    if (!s || !run->answered || !s->spec.memory_tokens) {
+        return;
+    }
+    uint32_t beside = _cw_balance_sum(b, s, now_ms).deepest;
+    uint32_t deepest = beside > run->beside ? beside : run->beside;
+    if (deepest) {
+        _cw_balance_learn_pause(b, deepest, (double)(now_ms - run->event_ms));
+    }
+    run->event_ms = now_ms;
+    run->beside = beside;
 }
 
 static void _cw_balance_learn_fail(_cw_server_t* s, int64_t now_ms, double outcome) {
@@ -586,7 +736,10 @@
     if (!s) {
         return;
     }
-    s->streaming -= run->answered && run->has_gap && s->streaming > 0;
+    if (run->answered && run->gap_ms) {
+        s->streaming -= s->streaming > 0;
+        _cw_balance_count_gap(s, run->gap_ms, -1);
+    }
     if (!run->answered) {
         _cw_balance_answered(s, now_ms, run);
     }
@@ -648,7 +801,9 @@
     double backlog_ms = s->busy_until_ms - (double)now_ms;
     return (cw_load_t){.running = s->running,
                        .streaming = s->streaming,
+                       .gap_ms = _cw_balance_own_gap(s),
                        .backlog_ms = backlog_ms > 0 ? (uint32_t)backlog_ms : 0,
+                       .deepest = backlog_ms > 0 ? s->deepest : 0,
                        .tokens = s->tokens > UINT32_MAX ? UINT32_MAX : (uint32_t)s->tokens};
 }
 
--- a/chalkway_load.h
+++ b/chalkway_load.h
@@ -65,7 +65,7 @@
 #include <string.h>
 
 #define _CW_LOAD_HEAD 7   /* fields before the entries */
-#define _CW_LOAD_FIELDS 6 /* of an entry before its parts */
+#define _CW_LOAD_FIELDS 8 /* of an entry before its parts */
 
 static void _cw_load_pack_entry(msgpack_packer* p, const cw_load_entry_t* e) {
     msgpack_pack_array(p, _CW_LOAD_FIELDS + 2 * e->part_count);
@@ -73,7 +73,9 @@
     msgpack_pack_uint32(p, e->leaving);
     msgpack_pack_uint32(p, e->load.running);
     msgpack_pack_uint32(p, e->load.streaming);
+    msgpack_pack_uint32(p, e->load.gap_ms);
     msgpack_pack_uint32(p, e->load.backlog_ms);
+    msgpack_pack_uint32(p, e->load.deepest);
     msgpack_pack_uint32(p, e->load.tokens);
     for (uint32_t i = 0; i < e->part_count; i++) {
         msgpack_pack_uint64(p, e->parts[i].id);
@@ -124,7 +126,12 @@
     }
     e->server = v[0];
     e->leaving = v[1] != 0;
-    e->load = (cw_load_t){(uint32_t)v[2], (uint32_t)v[3], (uint32_t)v[4], (uint32_t)v[5]};
+    e->load = (cw_load_t){.running = (uint32_t)v[2],
+                          .streaming = (uint32_t)v[3],
+                          .gap_ms = (uint32_t)v[4],
+                          .backlog_ms = (uint32_t)v[5],
+                          .deepest = (uint32_t)v[6],
+                          .tokens = (uint32_t)v[7]};
     for (uint32_t at = _CW_LOAD_FIELDS; at + 1 < o->via.array.size && e->part_count < CW_LOAD_PARTS; at += 2) {
         uint64_t tokens = 0;
         cw_work_part_t* part = &e->parts[e->part_count];
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -355,6 +355,8 @@
     exchange_t* x = owner;
     if (!x->first_seen) {
         on_first(x);
+    } else if (x->route->kind == CW_ROUTE_STREAM) {
+        cw_balance_event(x->pool->balance, clock_ms(), &x->run);
     }
     if (!x->follow_events) {
         pass_body(x, data, size);
