--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -107,25 +107,25 @@
 
 /* A server and the inputs that chose it. */
 typedef struct cw_choice_t {
-    uint32_t server;    /* CW_BALANCE_NONE: none has room */
-    double cost_ms;     /* what was compared */
-    double wait_ms;     /* backlog of the server, all daemons */
-    double read_ms;     /* for this prompt */
-    uint32_t running;   /* at the server, all daemons */
-    uint32_t age_ms;    /* of the oldest news of other daemons that counted */
-    uint32_t kept;      /* tokens of the prompt taken as kept there */
+    uint32_t server;     /* CW_BALANCE_NONE: none has room */
+    double cost_ms;      /* what was compared */
+    double wait_ms;      /* backlog of the server, all daemons */
+    double read_ms;      /* for this prompt */
+    uint32_t running;    /* at the server, all daemons */
+    uint32_t age_ms;     /* of the oldest news of other daemons that counted */
+    uint32_t kept;       /* tokens of the prompt taken as kept there */
     uint32_t candidates; /* servers that had room */
 } cw_choice_t;
 
 typedef struct cw_balance_desc_t {
-    uint64_t hall;         /* id of the own hall, preferred when all else is equal */
-    uint64_t seed;         /* own host: spreads equal choices */
-    uint32_t max_servers;  /* default 256 */
-    uint32_t max_peers;    /* daemons whose news is kept for one server, default 64 */
-    uint32_t max_parts;    /* prompt parts remembered, default 8192 */
-    uint32_t news_ms;      /* news of another daemon counts for so long, default 1500 */
-    uint32_t away_ms;      /* first pause of a server that can't be reached, default 250 */
-    uint32_t away_max_ms;  /* longest such pause, default 4000 */
+    uint64_t hall;        /* id of the own hall, preferred when all else is equal */
+    uint64_t seed;        /* own host: spreads equal choices */
+    uint32_t max_servers; /* default 256 */
+    uint32_t max_peers;   /* daemons whose news is kept for one server, default 64 */
+    uint32_t max_parts;   /* prompt parts remembered, default 8192 */
+    uint32_t news_ms;     /* news of another daemon counts for so long, default 1500 */
+    uint32_t away_ms;     /* first pause of a server that can't be reached, default 250 */
+    uint32_t away_max_ms; /* longest such pause, default 4000 */
     cw_allocator_t allocator;
 } cw_balance_desc_t;
 
@@ -176,33 +176,33 @@
 
 #include "chalkway_map.h"
 
-#define _CW_READ_MS 0.02         /* ms a token before anything was learned */
-#define _CW_READ_LEARN 0.05      /* weight of a new sample of the reading time */
-#define _CW_READ_FEW_TOKENS 256  /* shorter readings say little of the time for a token */
-#define _CW_BASE_MS 5.0          /* time to an answer beside reading, before anything was learned */
-#define _CW_SERVICE_MS 50.0      /* time of a plain call, before anything was learned */
-#define _CW_SPEED_LEARN 0.2      /* weight of a new sample of a server's own slowness */
-#define _CW_SPEED_MAX 20.0       /* a server is never taken as slower than this many times the others */
+#define _CW_READ_MS 0.02            /* ms a token before anything was learned */
+#define _CW_READ_LEARN 0.05         /* weight of a new sample of the reading time */
+#define _CW_READ_FEW_TOKENS 256     /* shorter readings say little of the time for a token */
+#define _CW_BASE_MS 5.0             /* time to an answer beside reading, before anything was learned */
+#define _CW_SERVICE_MS 50.0         /* time of a plain call, before anything was learned */
+#define _CW_SPEED_LEARN 0.2         /* weight of a new sample of a server's own slowness */
+#define _CW_SPEED_MAX 20.0          /* a server is never taken as slower than this many times the others */
 #define _CW_SPEED_FORGET_MS 10000.0 /* time in which a server's slowness is forgotten by two thirds */
-#define _CW_FAIL_LEARN 0.25      /* weight of a new failure or success */
+#define _CW_FAIL_LEARN 0.25         /* weight of a new failure or success */
 #define _CW_FAIL_FORGET_MS 4000.0
-#define _CW_FAIL_MIN_MS 200.0    /* least time that a failure is taken to cost */
-#define _CW_HALL_MS 1.0          /* what another hall costs */
-#define _CW_DEPTHS 20            /* kinds of prompts by length: powers of two, in halves, from 256 tokens */
+#define _CW_FAIL_MIN_MS 200.0 /* least time that a failure is taken to cost */
+#define _CW_HALL_MS 1.0       /* what another hall costs */
+#define _CW_DEPTHS 20         /* kinds of prompts by length: powers of two, in halves, from 256 tokens */
 #define _CW_DEPTH_MIN 256.0
-#define _CW_PAUSE_UP 0.2         /* weight of a pause longer than learned: a high quantile is wanted */
-#define _CW_PAUSE_DOWN 0.02      /* weight of a shorter one */
-#define _CW_LATE_FROM 0.8        /* share of the longest pause from which a learned pause counts as harm, to 1.2 */
-#define _CW_DEEP_UP 0.1          /* the length of deep prompts is learned as a high quantile too */
+#define _CW_PAUSE_UP 0.2    /* weight of a pause longer than learned: a high quantile is wanted */
+#define _CW_PAUSE_DOWN 0.02 /* weight of a shorter one */
+#define _CW_LATE_FROM 0.8   /* share of the longest pause from which a learned pause counts as harm, to 1.2 */
+#define _CW_DEEP_UP 0.1     /* the length of deep prompts is learned as a high quantile too */
 #define _CW_DEEP_DOWN 0.005
-#define _CW_GATHER_SHARE 0.1     /* of the target: what each further place in the order costs a stream easily hurt */
-#define _CW_GAPS_MAX 8           /* different longest pauses of one pool that are told apart */
-#define _CW_RUN_MS 0.5           /* how much a run slows the others of an engine */
-#define _CW_REREAD 5.0           /* times its reading that a part costs which another server has read already */
-#define _CW_FULL_MS 1000.0       /* what a server costs whose memory would overflow */
-#define _CW_MEMORY_SHARE 0.9     /* of a server's memory that is planned with */
-#define _CW_KEPT_SHARE 0.6       /* of a server's memory that old prompt parts are taken to keep */
-#define _CW_FULL_PAUSE_MS 100    /* a server that said it is full is left out for so long */
+#define _CW_GATHER_SHARE 0.1  /* of the target: what each further place in the order costs a stream easily hurt */
+#define _CW_GAPS_MAX 8        /* different longest pauses of one pool that are told apart */
+#define _CW_RUN_MS 0.5        /* how much a run slows the others of an engine */
+#define _CW_REREAD 5.0        /* times its reading that a part costs which another server has read already */
+#define _CW_FULL_MS 1000.0    /* what a server costs whose memory would overflow */
+#define _CW_MEMORY_SHARE 0.9  /* of a server's memory that is planned with */
+#define _CW_KEPT_SHARE 0.6    /* of a server's memory that old prompt parts are taken to keep */
+#define _CW_FULL_PAUSE_MS 100 /* a server that said it is full is left out for so long */
 
 typedef struct _cw_news_t {
     uint64_t peer; /* 0: free */
@@ -217,8 +217,8 @@
 
 typedef struct _cw_server_t {
     cw_server_spec_t spec;
-    bool used;   /* the place holds a server */
-    bool listed; /* it may be chosen */
+    bool used;         /* the place holds a server */
+    bool listed;       /* it may be chosen */
     uint32_t position; /* in the order that all daemons see alike */
     uint32_t running, streaming;
     _cw_gap_t gaps[_CW_GAPS_MAX];
--- a/chalkway_catalog.h
+++ b/chalkway_catalog.h
@@ -243,8 +243,7 @@
     return CW_ROUTE_STREAM;
 }
 
-static void _cw_catalog_read_route(_cw_catalog_reader_t* r, const cw_catalog_t* c, const json_t* o,
-                                   cw_route_t* route) {
+static void _cw_catalog_read_route(_cw_catalog_reader_t* r, const cw_catalog_t* c, const json_t* o, cw_route_t* route) {
     route->name = _cw_catalog_text(r, o, "route", "name");
     route->host = _cw_catalog_text(r, o, route->name, "host");
     route->prefix = _cw_catalog_text(r, o, route->name, "prefix");
--- a/chalkway_limit.h
+++ b/chalkway_limit.h
@@ -75,7 +75,8 @@
 
 #define _CW_RETRY_WINDOW_MS 10000U
 
-/* Drops the parts that have left the window. Its oldest part is kept whole, so that any span of its length is covered. */
+/* Drops the parts that have left the window. Its oldest part is kept whole, so that any span of its length is covered.
+ */
 static void _cw_retry_window_move(cw_retry_window_t* w, int64_t now_ms) {
     uint32_t window_ms = w->window_ms ? w->window_ms : _CW_RETRY_WINDOW_MS;
     int64_t part = now_ms * CW_RETRY_WINDOW_PARTS / window_ms;
--- a/chalkway_load.h
+++ b/chalkway_load.h
@@ -5,9 +5,9 @@
 
     WHAT IT IS
         One msgpack array for each datagram: version, cluster, sender, what
-        it knows of the source and how old that is, and a list of entries. An entry tells all that the sender has at one server
-        now, so that a lost datagram is mended by the next one; it may also
-        name parts of prompts that were just sent there.
+        it knows of the source and how old that is, and a list of entries. An entry tells all that the sender has at one
+   server now, so that a lost datagram is mended by the next one; it may also name parts of prompts that were just sent
+   there.
 
     HOW TO USE IT
             size_t n = cw_load_encode(&message, bytes, sizeof(bytes));
--- a/chalkway_request.h
+++ b/chalkway_request.h
@@ -140,8 +140,8 @@
 
 const char* cw_request_event_name(cw_request_event_t event) {
     static const char* const names[CW_EV_COUNT] = {
-        "start",  "grant",    "refused", "sending",        "grant-expired", "connect-failed", "broken",
-        "rejected", "head",  "delivered-part", "end", "preempted", "deadline", "gone"};
+        "start",    "grant", "refused",        "sending", "grant-expired", "connect-failed", "broken",
+        "rejected", "head",  "delivered-part", "end",     "preempted",     "deadline",       "gone"};
     return ((unsigned)event < CW_EV_COUNT) ? names[event] : "?";
 }
 
--- a/chalkway_servers.h
+++ b/chalkway_servers.h
@@ -142,8 +142,8 @@
                                                "pool", s->pool, "hall", s->hall, "slots", (int)s->slots, "leaving",
                                                (int)s->leaving, "cold_ms", (int)s->cold_ms));
     }
-    json_t* document = json_pack("{s:I,s:i,s:o}", "at", (json_int_t)list->at, "age_ms", (int)list->age_ms, "servers",
-                                 items);
+    json_t* document =
+        json_pack("{s:I,s:i,s:o}", "at", (json_int_t)list->at, "age_ms", (int)list->age_ms, "servers", items);
     char* text = json_dumps(document, JSON_COMPACT);
     json_decref(document);
     return text;
--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -8,7 +8,7 @@
 #include "../io/message.h"
 
 #define ADDRESSES_MAX 64
-#define KINDS_MAX 64    /* routes, and workspaces, that are counted on their own */
+#define KINDS_MAX 64 /* routes, and workspaces, that are counted on their own */
 #define OUTCOMES_MAX 8
 #define IDLE_S 30
 
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -1,5 +1,6 @@
 #include "exchange.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,13 +12,13 @@
 #include "request_head.h"
 
 #define MS_PER_S 1000.0
-#define TRIED_MAX 8               /* servers that a request leaves out after they failed it */
-#define UNSENT_MAX 262144         /* bytes that wait for a caller before its server is read no more */
-#define WAIT_SHARE 0.2            /* of the target: longest wait for a place, then the request is refused */
+#define TRIED_MAX 8       /* servers that a request leaves out after they failed it */
+#define UNSENT_MAX 262144 /* bytes that wait for a caller before its server is read no more */
+#define WAIT_SHARE 0.2    /* of the target: longest wait for a place, then the request is refused */
 #define WAIT_MIN_MS 20
-#define SILENT_CALL_SHARE 0.7     /* of the target: a repeatable call without an answer is tried elsewhere */
-#define SILENT_TARGETS 1.0        /* targets without a first event, beyond the prediction, until a stream is moved */
-#define STALL_GAPS 4              /* longest pauses without an event until a stream is moved */
+#define SILENT_CALL_SHARE 0.7 /* of the target: a repeatable call without an answer is tried elsewhere */
+#define SILENT_TARGETS 1.0    /* targets without a first event, beyond the prediction, until a stream is moved */
+#define STALL_GAPS 4          /* longest pauses without an event until a stream is moved */
 #define STALL_MIN_MS 400
 #define RETRY_AFTER_MIN_MS 300    /* shortest time to come back after a refusal */
 #define RETRY_AFTER_SPREAD_MS 500 /* spread, so that those refused do not come back together */
@@ -115,8 +116,8 @@
 
 static void queue_add(exchange_t* x) {
     exchange_t** at = &x->all->queue;
-    while (*at && ((*at)->priority < x->priority ||
-                   ((*at)->priority == x->priority && (*at)->arrived_ms <= x->arrived_ms))) {
+    while (*at &&
+           ((*at)->priority < x->priority || ((*at)->priority == x->priority && (*at)->arrived_ms <= x->arrived_ms))) {
         at = &(*at)->next_queued;
     }
     x->next_queued = *at;
@@ -440,6 +441,7 @@
 /* Takes the best server, or a place in the queue. */
 static void seek_server(exchange_t* x) {
     exchanges_t* e = x->all;
+    assert(x->pool);
     cw_choice_t choice = {.server = CW_BALANCE_NONE};
     if (!e->refusing) {
         choice = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, x->tried, x->tried_count);
@@ -631,8 +633,8 @@
     return now_ms + (int64_t)held;
 }
 
-static exchange_t* exchange_new(exchanges_t* e, caller_t* caller, const cw_route_t* route,
-                                const cw_tenant_t* workspace, const char* id) {
+static exchange_t* exchange_new(exchanges_t* e, caller_t* caller, const cw_route_t* route, const cw_tenant_t* workspace,
+                                const char* id) {
     exchange_t* x = calloc(1, sizeof(*x));
     if (!x) {
         abort();
@@ -694,6 +696,7 @@
     exchange_t* x = exchange_new(e, caller, route, workspace, id);
     const cw_catalog_pool_t* pool = cw_catalog_pool(e->catalog, route, draw(e));
     x->pool = upstreams_pool(e->desc.upstreams, pool->name);
+    assert(x->pool); /* upstreams were told of the catalog before */
     cw_retry_window_first(&x->pool->retries, x->arrived_ms);
     event(x, CW_EV_START);
 }
@@ -737,9 +740,10 @@
 }
 
 void exchanges_refuse_new(exchanges_t* e) {
+    exchange_t* next = NULL;
     e->refusing = true;
-    while (e->queue) {
-        exchange_t* x = e->queue;
+    for (exchange_t* x = e->queue; x; x = next) {
+        next = x->next_queued;
         x->reason = "this host is stopping";
         event(x, CW_EV_REFUSED);
     }
@@ -750,8 +754,9 @@
 }
 
 void exchanges_shutdown(exchanges_t* e) {
-    while (e->list) {
-        exchange_t* x = e->list;
+    exchange_t* next = NULL;
+    for (exchange_t* x = e->list; x; x = next) {
+        next = x->next;
         if (x->link) {
             link_drop(x->link);
         }
--- a/gateway/front.c
+++ b/gateway/front.c
@@ -41,6 +41,7 @@
 
 struct front_t {
     front_desc_t desc;
+    char address[CW_ADDR_TEXT];
     int fd;
     ev_io accept_io;
     bool leaving;
@@ -348,8 +349,7 @@
     caller_free(c);
 }
 
-static const cw_stream_handlers_t stream_handlers = {
-    .on_data = on_data, .on_drained = on_drained, .on_end = on_end};
+static const cw_stream_handlers_t stream_handlers = {.on_data = on_data, .on_drained = on_drained, .on_end = on_end};
 
 static void on_timer(struct ev_loop* loop, ev_timer* w, int events) {
     (void)loop;
@@ -417,12 +417,17 @@
     }
     f->desc = *desc;
     f->fd = fd;
+    cw_copy(f->address, sizeof(f->address), bound);
     ev_io_init(&f->accept_io, on_accept, fd, EV_READ);
     f->accept_io.data = f;
     ev_io_start(desc->loop, &f->accept_io);
     return f;
 }
 
+const char* front_address(const front_t* f) {
+    return f->address;
+}
+
 void front_leave(front_t* f) {
     f->leaving = true;
 }
@@ -434,8 +439,10 @@
 void front_shutdown(front_t* f) {
     ev_io_stop(f->desc.loop, &f->accept_io);
     close(f->fd);
-    while (f->callers) {
-        caller_free(f->callers);
+    caller_t* next = NULL;
+    for (caller_t* c = f->callers; c; c = next) {
+        next = c->next;
+        caller_free(c);
     }
     free(f);
 }
--- a/gateway/front.h
+++ b/gateway/front.h
@@ -43,6 +43,8 @@
 
 front_t* front_setup(const front_desc_t* desc, cw_error_t* err);
 void front_shutdown(front_t* front);
+/* The bound address, with the port that the kernel picked. */
+const char* front_address(const front_t* front);
 /* From now on every answer asks the caller to close its connection. */
 void front_leave(front_t* front);
 front_stats_t front_stats(const front_t* front);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -20,13 +20,13 @@
 #include "upstream.h"
 
 #define TICK_S 0.025
-#define LOG_BYTES 262144         /* lines that wait for a slow reader */
-#define DESCRIPTORS_KEPT 64      /* for the other addresses */
-#define BODY_MEMORY_SHARE 4      /* a quarter of the memory holds bodies */
-#define STOP_ACCEPT_SHARE 0.375  /* of the grace: requests are taken for so long after the signal */
-#define STOP_MIN_SHARE 0.25      /* the process ends no sooner, since callers keep addresses */
-#define STOP_MARGIN_MS 500       /* it ends so long before the grace is over */
-#define PAUSE_MS 500             /* a longer gap between two ticks: the process stood still */
+#define LOG_BYTES 262144        /* lines that wait for a slow reader */
+#define DESCRIPTORS_KEPT 64     /* for the other addresses */
+#define BODY_MEMORY_SHARE 4     /* a quarter of the memory holds bodies */
+#define STOP_ACCEPT_SHARE 0.375 /* of the grace: requests are taken for so long after the signal */
+#define STOP_MIN_SHARE 0.25     /* the process ends no sooner, since callers keep addresses */
+#define STOP_MARGIN_MS 500      /* it ends so long before the grace is over */
+#define PAUSE_MS 500            /* a longer gap between two ticks: the process stood still */
 
 typedef struct gateway_t {
     struct ev_loop* loop;
@@ -85,8 +85,8 @@
     mesh_on_load(((gateway_t*)user)->mesh, server, work);
 }
 
-static void on_done(void* user, const char* route, const char* workspace, exchange_outcome_t outcome,
-                    uint32_t first_ms, uint32_t took_ms) {
+static void on_done(void* user, const char* route, const char* workspace, exchange_outcome_t outcome, uint32_t first_ms,
+                    uint32_t took_ms) {
     directory_count(((gateway_t*)user)->directory, route, workspace, (uint32_t)outcome, first_ms, took_ms);
 }
 
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -14,13 +14,13 @@
 #define MS_PER_S 1000.0
 #define HOSTS_MAX 1024
 #define DIRTY_MAX 256
-#define FLUSH_S 0.001       /* news of what was sent waits so long, so that several share a datagram */
-#define SLOW_FLUSH_MS 50    /* news of what ended waits so long */
-#define REPEAT_MS 400       /* all news is told again after so long: datagrams get lost */
-#define QUIET_MS 100        /* a daemon is never silent for longer */
-#define FANOUT_MAX 32       /* peers that one piece of news is sent to at once */
-#define HALL_ENOUGH 2       /* hosts of a caller's hall that are enough to name only them */
-#define PROBE_MS 250        /* between two probes */
+#define FLUSH_S 0.001    /* news of what was sent waits so long, so that several share a datagram */
+#define SLOW_FLUSH_MS 50 /* news of what ended waits so long */
+#define REPEAT_MS 400    /* all news is told again after so long: datagrams get lost */
+#define QUIET_MS 100     /* a daemon is never silent for longer */
+#define FANOUT_MAX 32    /* peers that one piece of news is sent to at once */
+#define HALL_ENOUGH 2    /* hosts of a caller's hall that are enough to name only them */
+#define PROBE_MS 250     /* between two probes */
 #define PROBE_TIMEOUT_MS 100
 #define SUSPECT_MS 700
 
--- a/gateway/request_head.c
+++ b/gateway/request_head.c
@@ -31,8 +31,7 @@
     }
 }
 
-void request_head_write(cw_buffer_t* out, const dialect_t* d, const cw_message_t* request,
-                        const request_head_t* set) {
+void request_head_write(cw_buffer_t* out, const dialect_t* d, const cw_message_t* request, const request_head_t* set) {
     cw_buffer_add(out, request->method, strlen(request->method));
     cw_buffer_add(out, " ", 1);
     cw_buffer_add(out, request->target, strlen(request->target));
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -12,7 +12,8 @@
     {"listen", "ready", CW_SETTING_ADDRESS, AT(ready), NULL, 0, 0, "address that tells whether this host is ready"},
     {"listen", "lookup", CW_SETTING_ADDRESS, AT(lookup), NULL, 0, 0, "address that tells callers which hosts to use"},
     {"listen", "metrics", CW_SETTING_TEXT, AT(metrics), "", 0, 0, "address of the metrics, none when empty"},
-    {"listen", "peer", CW_SETTING_ADDRESS, AT(peer), NULL, 0, 0, "address for membership, TCP and UDP; all hosts use the same ports"},
+    {"listen", "peer", CW_SETTING_ADDRESS, AT(peer), NULL, 0, 0,
+     "address for membership, TCP and UDP; all hosts use the same ports"},
     {"listen", "load", CW_SETTING_ADDRESS, AT(load), NULL, 0, 0, "address for news of load, UDP"},
     {"listen", "share", CW_SETTING_ADDRESS, AT(share), NULL, 0, 0, "address at which peers read the configuration"},
     {"peers", "seeds", CW_SETTING_TEXT, AT(seeds), "", 0, 0, "addresses to join, separated by commas"},
@@ -34,6 +35,11 @@
     {"log", "format", CW_SETTING_NAME, AT(log_format), "text", 0, 0, "text or json"},
 };
 
+const cw_setting_info_t* gateway_settings_info(uint32_t* count) {
+    *count = sizeof(table) / sizeof(table[0]);
+    return table;
+}
+
 cw_status_t gateway_settings_load(const char* path, gateway_settings_t* settings, cw_settings_errors_t* errors) {
     memset(settings, 0, sizeof(*settings));
     cw_settings_read(path, table, sizeof(table) / sizeof(table[0]), settings, errors);
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -36,6 +36,8 @@
     char log_format[CW_NAME_MAX];
 } gateway_settings_t;
 
+/* The table of all settings. */
+const cw_setting_info_t* gateway_settings_info(uint32_t* count);
 /* Reads and checks the file; all faults are in errors. */
 cw_status_t gateway_settings_load(const char* path, gateway_settings_t* settings, cw_settings_errors_t* errors);
 
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -8,8 +8,8 @@
 #include "../io/httpd.h"
 #include "clock.h"
 
-#define CALL_MS 1000         /* a call to the source or a peer may take */
-#define BACKOFF_MIN_MS 100   /* after a failed call */
+#define CALL_MS 1000       /* a call to the source or a peer may take */
+#define BACKOFF_MIN_MS 100 /* after a failed call */
 #define BACKOFF_MAX_MS 1000
 #define BODY_MAX (16U << 20) /* longest answer that is read */
 #define RANK_STEP_SHARE 0.3  /* of the reading age: so much longer waits each further rank */
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -24,7 +24,7 @@
     const source_t* source;
     const char* address; /* of the source */
     const char* share;   /* address at which peers read */
-    uint32_t read_ms; /* age at which the daemon of the first rank reads again */
+    uint32_t read_ms;    /* age at which the daemon of the first rank reads again */
     void (*on_catalog)(void* user_data, cw_catalog_t* catalog);
     void (*on_servers)(void* user_data, const cw_servers_t* list);
     void* user_data;
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -8,7 +8,7 @@
 #include "clock.h"
 
 #define MS_PER_S 1000.0
-#define CONNECT_MIN_MS 100.0  /* a connection gets at least so long to come up */
+#define CONNECT_MIN_MS 100.0 /* a connection gets at least so long to come up */
 #define CONNECT_MAX_MS 1000.0
 #define CONNECT_FACTOR 10.0   /* times the usual time */
 #define CONNECT_LEARN 0.1     /* weight of a new sample */
@@ -17,7 +17,7 @@
 #define IDLE_MARGIN_MS 1000   /* closed so long before the server would */
 #define ONCE_REST_SHARE 0.5   /* of that time: longer rested ones get no request that may not be sent twice */
 #define PROBE_MS 1000
-#define LINKS_MIN 2 /* connections to one server that every daemon may have */
+#define LINKS_MIN 2      /* connections to one server that every daemon may have */
 #define RETRY_SAFETY 0.8 /* share of the budget for repeats that is used */
 
 struct link_t {
@@ -31,8 +31,7 @@
     bool skipping;  /* the answer being read belongs to an earlier request */
     bool unsound;   /* not to be used again */
     bool completed; /* on_complete was called */
-    bool reading;   /* within on_data: the memory is still needed */
-    bool dead;      /* to be freed when the reading is over */
+    bool dead;      /* closed; freed with the next tick, since it may still be read from */
     int64_t begun_ms;
     int64_t rested_ms; /* idle since */
     uint32_t keep_ms;  /* that the server keeps it idle */
@@ -43,6 +42,7 @@
 struct upstreams_t {
     upstreams_desc_t desc;
     pool_t* pools;
+    link_t* dead; /* to be freed */
     uint32_t daemons;
     uint32_t links;
     uint64_t connects;
@@ -77,14 +77,22 @@
     upstreams_t* u = s->pool->upstreams;
     cw_stream_close(&l->stream);
     ev_timer_stop(u->desc.loop, &l->connect_timer);
-    cw_message_shutdown(&l->answer);
     s->open--;
     u->links--;
     l->owner = NULL;
     l->dead = true;
-    if (!l->reading) {
+    l->next_idle = u->dead;
+    u->dead = l;
+}
+
+static void free_dead(upstreams_t* u) {
+    link_t* next = NULL;
+    for (link_t* l = u->dead; l; l = next) {
+        next = l->next_idle;
+        cw_message_shutdown(&l->answer);
         free(l);
     }
+    u->dead = NULL;
 }
 
 void link_drop(link_t* l) {
@@ -179,12 +187,7 @@
         link_break(l, LINK_GARBLED); /* bytes that nobody asked for */
         return;
     }
-    l->reading = true;
     read_answers(l, data, size);
-    l->reading = false;
-    if (l->dead) {
-        free(l);
-    }
 }
 
 static void on_end(void* owner, cw_stream_end_t end) {
@@ -197,7 +200,7 @@
             return;
         }
     }
-    link_failure_t failure = end == CW_STREAM_REFUSED  ? LINK_UNREACHABLE
+    link_failure_t failure = end == CW_STREAM_REFUSED ? LINK_UNREACHABLE
                              : end == CW_STREAM_RESET ? LINK_RESET
                                                       : LINK_CLOSED;
     link_break(l, failure);
@@ -594,6 +597,7 @@
 }
 
 void upstreams_tick(upstreams_t* u, int64_t now_ms) {
+    free_dead(u);
     for (pool_t* pool = u->pools; pool; pool = pool->next) {
         for (server_t* s = pool->servers; s;) {
             server_t* next = s->next;
@@ -634,5 +638,6 @@
         cw_balance_shutdown(pool->balance);
         free(pool);
     }
+    free_dead(u);
     free(u);
 }
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -30,10 +30,10 @@
     pool_t* pool;
     bool gone; /* no longer published, or leaving: gets nothing new */
     bool probing;
-    uint32_t open;   /* connections */
-    link_t* idle;    /* used last first */
+    uint32_t open;     /* connections */
+    link_t* idle;      /* used last first */
     double connect_ms; /* learned, 0: unknown */
-    server_t* next;  /* of the pool */
+    server_t* next;    /* of the pool */
 };
 
 struct pool_t {
@@ -58,11 +58,11 @@
 } link_failure_t;
 
 typedef struct link_handlers_t {
-    void (*on_open)(void* owner);                                  /* connected: send now */
+    void (*on_open)(void* owner); /* connected: send now */
     void (*on_head)(void* owner, const cw_message_t* answer);
     void (*on_body)(void* owner, const char* data, size_t size);
-    void (*on_complete)(void* owner);                              /* the answer's own end was seen */
-    void (*on_broken)(void* owner, link_failure_t failure);        /* the link is closed and freed */
+    void (*on_complete)(void* owner);                       /* the answer's own end was seen */
+    void (*on_broken)(void* owner, link_failure_t failure); /* the link is closed and freed */
 } link_handlers_t;
 
 typedef struct upstreams_desc_t {
--- a/io/message.c
+++ b/io/message.c
@@ -40,7 +40,7 @@
         }
         text_end(m); /* of the target or the value before */
         m->in_value = false;
-        m->offsets[2 * m->field_count] = (uint32_t)m->text.size;
+        m->offsets[(size_t)2 * m->field_count] = (uint32_t)m->text.size;
         m->field_count++;
     }
     text_add(m, at, size);
@@ -55,7 +55,7 @@
     if (!m->in_value) {
         text_end(m);
         m->in_value = true;
-        m->offsets[2 * m->field_count - 1] = (uint32_t)m->text.size;
+        m->offsets[(size_t)2 * m->field_count - 1] = (uint32_t)m->text.size;
     }
     text_add(m, at, size);
     return 0;
@@ -82,8 +82,8 @@
     m->method = p->type == HTTP_REQUEST ? http_method_str((enum http_method)p->method) : NULL;
     m->status = p->status_code;
     for (uint32_t i = 0; i < m->field_count; i++) {
-        m->fields[i].name = m->text.data + m->offsets[2 * i];
-        m->fields[i].value = m->text.data + m->offsets[2 * i + 1];
+        m->fields[i].name = m->text.data + m->offsets[(size_t)2 * i];
+        m->fields[i].value = m->text.data + m->offsets[(size_t)2 * i + 1];
     }
     m->framing = framing(p, m);
     m->length = m->framing == CW_FRAMING_LENGTH ? p->content_length : 0;
@@ -197,9 +197,17 @@
 }
 
 bool cw_message_hop_field(const cw_message_t* m, const char* name) {
-    static const char* const names[] = {"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-                                        "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade",
-                                        "Content-Length", "Expect"};
+    static const char* const names[] = {"Connection",
+                                        "Keep-Alive",
+                                        "Proxy-Authenticate",
+                                        "Proxy-Authorization",
+                                        "Proxy-Connection",
+                                        "TE",
+                                        "Trailer",
+                                        "Transfer-Encoding",
+                                        "Upgrade",
+                                        "Content-Length",
+                                        "Expect"};
     for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
         if (strcasecmp(names[i], name) == 0) {
             return true;
@@ -248,8 +256,8 @@
 
 const char* cw_message_reason(unsigned status) {
     switch (status) {
-#define XX(number, name, string) \
-    case number:                 \
+#define XX(number, name, string)                                                                                       \
+    case number:                                                                                                       \
         return #string;
         HTTP_STATUS_MAP(XX)
 #undef XX
--- a/io/stream.c
+++ b/io/stream.c
@@ -86,7 +86,9 @@
         return false;
     }
     s->connecting = false;
-    ev_io_stop(s->loop, &s->write_io);
+    if (!cw_stream_unsent(s)) {
+        ev_io_stop(s->loop, &s->write_io);
+    }
     ev_io_start(s->loop, &s->read_io);
     if (s->handlers->on_open) {
         s->handlers->on_open(s->owner);
--- /dev/null
+++ b/tests/rig.h
@@ -0,0 +1,374 @@
+#ifndef CW_TEST_RIG_H
+#define CW_TEST_RIG_H
+/*
+    A gateway's data path in the test's own loop: callers' side, exchanges, servers. The servers are scripted here: each
+    arrival takes the next step of the script, in order of arrival over all servers. All ports are the kernel's.
+*/
+#include <ev.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "../gateway/exchange.h"
+#include "../io/address.h"
+#include "test.h"
+
+#define RIG_SERVERS 3
+#define RIG_STEPS 16
+#define RIG_GIVE_UP_S 5.0 /* a test that waits longer fails */
+
+typedef enum rig_act_t {
+    RIG_ANSWER = 0,   /* text, then keep the connection */
+    RIG_ANSWER_CLOSE, /* text, then close in order */
+    RIG_ANSWER_RESET, /* text, then reset */
+    RIG_SILENT        /* nothing */
+} rig_act_t;
+
+/* One arrival's treatment. "@ID@" in the text stands for the request's id. */
+typedef struct rig_step_t {
+    rig_act_t act;
+    const char* text;
+} rig_step_t;
+
+typedef struct rig_t rig_t;
+
+typedef struct rig_conn_t {
+    rig_t* rig;
+    uint32_t server;
+    cw_stream_t stream;
+    cw_buffer_t in;
+    bool open;
+} rig_conn_t;
+
+struct rig_t {
+    struct ev_loop* loop;
+    cw_log_t log;
+    upstreams_t* upstreams;
+    exchanges_t* exchanges;
+    front_t* front;
+    cw_catalog_t* catalog;
+    int listen_fds[RIG_SERVERS];
+    ev_io accept_ios[RIG_SERVERS];
+    char addresses[RIG_SERVERS][CW_ADDR_TEXT];
+    rig_conn_t conns[64];
+    uint32_t conn_count;
+    rig_step_t steps[RIG_STEPS];
+    uint32_t step_count, step_at;
+    char arrivals[RIG_STEPS][4096]; /* heads and bodies as they came */
+    uint32_t arrival_server[RIG_STEPS];
+    uint32_t arrival_count;
+    uint32_t closed_by_gateway; /* connections with an arrival that the gateway ended */
+    /* the caller */
+    cw_stream_t caller;
+    cw_buffer_t answer;
+    bool caller_open;
+    bool stop_on_answer; /* end the loop when a whole answer is there */
+    ev_timer give_up, tick;
+};
+
+static inline void rig_ignore_line(const char* line, void* user) {
+    (void)user;
+    if (getenv("RIG_LOG")) {
+        fprintf(stderr, "%s\n", line);
+    }
+}
+
+/* -- scripted servers ----------------------------------------------------- */
+
+static inline void rig_send_step(rig_conn_t* c, const rig_step_t* step, const char* request) {
+    char id[128] = "";
+    const char* field = strcasestr(request, "Chalkway-Request-Id: ");
+    if (field) {
+        field += strlen("Chalkway-Request-Id: ");
+        size_t n = strcspn(field, "\r\n");
+        memcpy(id, field, n);
+        id[n] = 0;
+    }
+    for (const char* at = step->text ? step->text : ""; *at;) {
+        if (strncmp(at, "@ID@", 4) == 0) {
+            cw_stream_write(&c->stream, id, strlen(id));
+            at += 4;
+        } else {
+            cw_stream_write(&c->stream, at++, 1);
+        }
+    }
+    cw_stream_flush(&c->stream);
+    if (step->act == RIG_ANSWER_CLOSE) {
+        c->open = false;
+        cw_stream_close(&c->stream);
+    } else if (step->act == RIG_ANSWER_RESET) {
+        c->open = false;
+        cw_stream_abort(&c->stream);
+    }
+}
+
+static inline bool rig_request_whole(const char* text) {
+    const char* end = strstr(text, "\r\n\r\n");
+    if (!end) {
+        return false;
+    }
+    const char* length = strcasestr(text, "Content-Length: ");
+    if (length && length < end) {
+        return strlen(end + 4) >= strtoul(length + 16, NULL, 10);
+    }
+    const char* chunked = strcasestr(text, "Transfer-Encoding: chunked");
+    return !(chunked && chunked < end) || strstr(end, "0\r\n\r\n");
+}
+
+static inline void rig_server_data(void* owner, const char* data, size_t size) {
+    rig_conn_t* c = owner;
+    rig_t* r = c->rig;
+    cw_buffer_add(&c->in, data, size);
+    if (!rig_request_whole(c->in.data)) {
+        return;
+    }
+    ck_assert_msg(r->arrival_count < RIG_STEPS && r->step_at < r->step_count, "an arrival beyond the script: %s",
+                  c->in.data);
+    snprintf(r->arrivals[r->arrival_count], sizeof(r->arrivals[0]), "%s", c->in.data);
+    r->arrival_server[r->arrival_count++] = c->server;
+    const rig_step_t* step = &r->steps[r->step_at++];
+    rig_send_step(c, step, r->arrivals[r->arrival_count - 1]);
+    cw_buffer_free(&c->in);
+}
+
+static inline void rig_server_end(void* owner, cw_stream_end_t end) {
+    rig_conn_t* c = owner;
+    (void)end;
+    c->open = false;
+    c->rig->closed_by_gateway++;
+    if (!c->rig->stop_on_answer) {
+        ev_break(c->rig->loop, EVBREAK_ALL);
+    }
+}
+
+static const cw_stream_handlers_t rig_server_handlers = {.on_data = rig_server_data, .on_end = rig_server_end};
+
+static inline void rig_accept(struct ev_loop* loop, ev_io* w, int events) {
+    (void)events;
+    rig_t* r = w->data;
+    int fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0) {
+        return;
+    }
+    rig_conn_t* c = &r->conns[r->conn_count++];
+    *c = (rig_conn_t){.rig = r, .server = (uint32_t)(w - r->accept_ios), .open = true};
+    cw_stream_accept(&c->stream, loop, fd, &rig_server_handlers, c);
+}
+
+/* -- the gateway's parts -------------------------------------------------- */
+
+static inline front_limits_t rig_limits(void* user) {
+    const cw_catalog_limits_t* l = &((rig_t*)user)->catalog->limits;
+    return (front_limits_t){
+        .head_bytes = l->head_bytes, .body_bytes = l->body_bytes, .head_ms = l->head_ms, .idle_ms = l->idle_ms};
+}
+
+static inline void rig_on_request(caller_t* caller, void* user) {
+    exchanges_on_request(((rig_t*)user)->exchanges, caller);
+}
+
+static inline void rig_on_gone(caller_t* caller, void* user) {
+    exchanges_on_gone(((rig_t*)user)->exchanges, caller);
+}
+
+static inline void rig_on_drained(caller_t* caller, void* user) {
+    exchanges_on_drained(((rig_t*)user)->exchanges, caller);
+}
+
+static inline void rig_on_room(void* user, pool_t* pool) {
+    exchanges_on_room(((rig_t*)user)->exchanges, pool);
+}
+
+static inline void rig_on_load(void* user, const server_t* server, const cw_work_t* work) {
+    (void)user;
+    (void)server;
+    (void)work;
+}
+
+static inline void rig_give_up(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    rig_t* r = w->data;
+    ck_abort_msg("nothing happened; arrivals %u, answer so far: %s", r->arrival_count, cw_buffer_text(&r->answer));
+}
+
+static inline void rig_tick(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    rig_t* r = w->data;
+    for (pool_t* pool = upstreams_pools(r->upstreams); pool; pool = pool->next) {
+        exchanges_on_room(r->exchanges, pool);
+    }
+}
+
+static inline void rig_set_catalog(rig_t* r, const char* document) {
+    cw_error_t err = {0};
+    cw_catalog_t* catalog = cw_catalog_read(document, strlen(document), &err);
+    ck_assert_msg(catalog != NULL, "%s", cw_error_text(&err).text);
+    cw_catalog_release(r->catalog);
+    r->catalog = catalog;
+    upstreams_set_catalog(r->upstreams, catalog);
+    exchanges_set_catalog(r->exchanges, catalog);
+}
+
+/* The servers "s0", "s1", ... of pool "p" are published; leaving: a bit for each. */
+static inline void rig_set_servers(rig_t* r, uint32_t count, uint32_t leaving) {
+    cw_servers_t list = {0};
+    for (uint32_t i = 0; i < count; i++) {
+        cw_server_t s = {.slots = 4, .leaving = (leaving >> i) & 1U};
+        snprintf(s.id, sizeof(s.id), "s%u", i);
+        cw_copy(s.address, sizeof(s.address), r->addresses[i]);
+        cw_copy(s.pool, sizeof(s.pool), "p");
+        cw_copy(s.hall, sizeof(s.hall), "a");
+        cw_servers_add(&list, &s);
+    }
+    upstreams_set_servers(r->upstreams, 1000, &list);
+    cw_servers_free(&list);
+}
+
+static inline rig_t* rig_setup(const char* document, uint32_t servers) {
+    rig_t* r = calloc(1, sizeof(*r));
+    cw_error_t err = {0};
+    r->loop = ev_loop_new(0);
+    r->log = (cw_log_t){.level = CW_LOG_DEBUG, .write = rig_ignore_line};
+    r->caller.fd = -1;
+    for (uint32_t i = 0; i < RIG_SERVERS; i++) {
+        r->listen_fds[i] = cw_addr_listen("127.0.0.1:0", r->addresses[i], &err);
+        ck_assert_int_ge(r->listen_fds[i], 0);
+        ev_io_init(&r->accept_ios[i], rig_accept, r->listen_fds[i], EV_READ);
+        r->accept_ios[i].data = r;
+        ev_io_start(r->loop, &r->accept_ios[i]);
+    }
+    r->upstreams = upstreams_setup(&(upstreams_desc_t){.loop = r->loop,
+                                                       .log = &r->log,
+                                                       .dialect = &dialect_native,
+                                                       .hall = cw_name_id("a"),
+                                                       .host = 1,
+                                                       .retry_ratio = 1,
+                                                       .retry_slack = 100,
+                                                       .retry_window_ms = 10000,
+                                                       .max_links = 100,
+                                                       .on_room = rig_on_room,
+                                                       .user_data = r});
+    r->exchanges = exchanges_setup(&(exchanges_desc_t){.loop = r->loop,
+                                                       .log = &r->log,
+                                                       .dialect = &dialect_native,
+                                                       .upstreams = r->upstreams,
+                                                       .seed = 7,
+                                                       .on_load = rig_on_load,
+                                                       .user_data = r});
+    rig_set_catalog(r, document);
+    rig_set_servers(r, servers, 0);
+    r->front = front_setup(&(front_desc_t){.loop = r->loop,
+                                           .address = "127.0.0.1:0",
+                                           .max_connections = 50,
+                                           .max_body_total = 1 << 20,
+                                           .retry_after_field = "Retry-After",
+                                           .limits = rig_limits,
+                                           .on_request = rig_on_request,
+                                           .on_gone = rig_on_gone,
+                                           .on_drained = rig_on_drained,
+                                           .user_data = r},
+                           &err);
+    ck_assert_msg(r->front != NULL, "%s", cw_error_text(&err).text);
+    ev_timer_init(&r->give_up, rig_give_up, RIG_GIVE_UP_S, 0.0);
+    ev_timer_init(&r->tick, rig_tick, 0.01, 0.01);
+    r->give_up.data = r->tick.data = r;
+    ev_timer_start(r->loop, &r->tick);
+    return r;
+}
+
+static inline void rig_script(rig_t* r, const rig_step_t* steps, uint32_t count) {
+    memcpy(r->steps, steps, count * sizeof(*steps));
+    r->step_count = count;
+    r->step_at = r->arrival_count = 0;
+}
+
+/* -- the caller ----------------------------------------------------------- */
+
+/* Whether the text is a whole answer: by length, or by its last chunk. */
+static inline bool rig_answer_whole(const char* text) {
+    const char* end = strstr(text, "\r\n\r\n");
+    if (!end) {
+        return false;
+    }
+    const char* length = strcasestr(text, "Content-Length: ");
+    if (length && length < end) {
+        return strlen(end + 4) >= strtoul(length + 16, NULL, 10);
+    }
+    return strstr(end, "\r\n0\r\n\r\n") != NULL;
+}
+
+static inline void rig_caller_data(void* owner, const char* data, size_t size) {
+    rig_t* r = owner;
+    cw_buffer_add(&r->answer, data, size);
+    if (r->stop_on_answer && rig_answer_whole(r->answer.data)) {
+        ev_break(r->loop, EVBREAK_ALL);
+    }
+}
+
+static inline void rig_caller_end(void* owner, cw_stream_end_t end) {
+    (void)end;
+    rig_t* r = owner;
+    r->caller_open = false;
+    ev_break(r->loop, EVBREAK_ALL);
+}
+
+static const cw_stream_handlers_t rig_caller_handlers = {.on_data = rig_caller_data, .on_end = rig_caller_end};
+
+static inline void rig_run(rig_t* r) {
+    ev_timer_stop(r->loop, &r->give_up);
+    ev_timer_set(&r->give_up, RIG_GIVE_UP_S, 0.0);
+    ev_timer_start(r->loop, &r->give_up);
+    ev_run(r->loop, 0);
+    ev_timer_stop(r->loop, &r->give_up);
+}
+
+static inline void rig_write(rig_t* r, const char* text) {
+    if (!r->caller_open) {
+        struct sockaddr_in address;
+        cw_addr_parse(front_address(r->front), &address, NULL);
+        ck_assert_int_eq(cw_stream_connect(&r->caller, r->loop, &address, &rig_caller_handlers, r), CW_OK);
+        r->caller_open = true;
+    }
+    cw_buffer_free(&r->answer);
+    cw_stream_write(&r->caller, text, strlen(text));
+    cw_stream_flush(&r->caller);
+}
+
+/* Sends a request on the kept connection and waits for the whole answer, or the connection's end. */
+static inline const char* rig_call(rig_t* r, const char* text) {
+    r->stop_on_answer = true;
+    rig_write(r, text);
+    rig_run(r);
+    return cw_buffer_text(&r->answer);
+}
+
+static inline void rig_leave(rig_t* r) {
+    cw_stream_close(&r->caller);
+    r->caller_open = false;
+}
+
+static inline void rig_shutdown(rig_t* r) {
+    exchanges_shutdown(r->exchanges);
+    front_shutdown(r->front);
+    upstreams_shutdown(r->upstreams);
+    cw_catalog_release(r->catalog);
+    cw_stream_close(&r->caller);
+    cw_buffer_free(&r->answer);
+    for (uint32_t i = 0; i < r->conn_count; i++) {
+        if (r->conns[i].open) {
+            cw_stream_close(&r->conns[i].stream);
+        }
+        cw_buffer_free(&r->conns[i].in);
+    }
+    for (uint32_t i = 0; i < RIG_SERVERS; i++) {
+        ev_io_stop(r->loop, &r->accept_ios[i]);
+        close(r->listen_fds[i]);
+    }
+    ev_timer_stop(r->loop, &r->tick);
+    ev_loop_destroy(r->loop);
+    free(r);
+}
+
+#endif
--- a/tests/test_docs.c
+++ b/tests/test_docs.c
@@ -4,6 +4,7 @@
 
 #include "../chalkway_log.h"
 #include "../chalkway_settings.h"
+#include "../gateway/settings.h"
 #include "test.h"
 
 #define PAGE_MAX 65536
@@ -30,6 +31,19 @@
 }
 END_TEST
 
+START_TEST(every_gateway_setting_is_on_its_page) {
+    read_page("docs/operators/gateway.md");
+    uint32_t count = 0;
+    const cw_setting_info_t* info = gateway_settings_info(&count);
+    for (uint32_t i = 0; i < count; i++) {
+        char row[200];
+        const char* initial = info[i].initial ? (info[i].initial[0] ? info[i].initial : "none") : "needed";
+        snprintf(row, sizeof(row), "| %s | %s | %s |", info[i].section, info[i].key, initial);
+        ck_assert_msg(strstr(page, row) != NULL, "missing: %s", row);
+    }
+}
+END_TEST
+
 START_TEST(every_event_is_on_its_page) {
     read_page("docs/EVENTS.md");
     static const char* const levels[] = {"debug", "info", "warn", "error"};
@@ -51,6 +65,7 @@
 
 static void add_tests(TCase* t) {
     tcase_add_test(t, every_setting_is_on_its_page);
+    tcase_add_test(t, every_gateway_setting_is_on_its_page);
     tcase_add_test(t, every_event_is_on_its_page);
 }
 
--- /dev/null
+++ b/tests/test_exchange.c
@@ -0,0 +1,363 @@
+/* Requests through the gateway's data path to scripted servers, and what callers and servers see when servers fail. */
+#include "rig.h"
+
+#define ROUTES                                                                                                         \
+    "{\"revision\":1,\"limits\":{\"head_bytes\":2000,\"body_bytes\":1000,\"head_ms\":5000,\"idle_ms\":20000},"         \
+    "\"pools\":[{\"name\":\"p\",\"health\":\"/health\"}],\"workspaces\":[{\"name\":\"w\",\"keys\":[\"k1\",\"k2\"],"    \
+    "\"tier\":3}],\"routes\":["                                                                                        \
+    "{\"name\":\"once\",\"host\":\"h.example\",\"prefix\":\"/once/\",\"kind\":\"once\",\"timeout_ms\":5000,"           \
+    "\"target_ms\":2000,\"attempts\":3,\"pools\":[{\"pool\":\"p\"}]},"                                                 \
+    "{\"name\":\"one\",\"host\":\"h.example\",\"prefix\":\"/one/\",\"kind\":\"once\",\"timeout_ms\":5000,"             \
+    "\"target_ms\":2000,\"attempts\":1,\"pools\":[{\"pool\":\"p\"}]},"                                                 \
+    "{\"name\":\"again\",\"host\":\"h.example\",\"prefix\":\"/again/\",\"kind\":\"repeatable\",\"timeout_ms\":5000,"   \
+    "\"target_ms\":2000,\"attempts\":2,\"pools\":[{\"pool\":\"p\"}]},"                                                 \
+    "{\"name\":\"quick\",\"host\":\"h.example\",\"prefix\":\"/quick/\",\"kind\":\"repeatable\",\"timeout_ms\":5000,"   \
+    "\"target_ms\":50,\"attempts\":2,\"pools\":[{\"pool\":\"p\"}]},"                                                   \
+    "{\"name\":\"short\",\"host\":\"h.example\",\"prefix\":\"/short/\",\"kind\":\"once\",\"timeout_ms\":60,"           \
+    "\"target_ms\":50,\"attempts\":1,\"pools\":[{\"pool\":\"p\"}]},"                                                   \
+    "{\"name\":\"resume\",\"host\":\"h.example\",\"prefix\":\"/resume/\",\"kind\":\"stream\",\"resume\":true,"         \
+    "\"timeout_ms\":5000,\"target_ms\":2000,\"gap_ms\":500,\"attempts\":2,\"pools\":[{\"pool\":\"p\"}]},"              \
+    "{\"name\":\"stream\",\"host\":\"h.example\",\"prefix\":\"/stream/\",\"kind\":\"stream\",\"timeout_ms\":5000,"     \
+    "\"target_ms\":2000,\"gap_ms\":500,\"attempts\":2,\"pools\":[{\"pool\":\"p\"}]}]}"
+
+#define HEAD "Host: h.example\r\nAuthorization: Bearer k1\r\nChalkway-Request-Id: q1\r\n"
+#define OK(body, length) "HTTP/1.1 200 OK\r\nChalkway-Request-Id: @ID@\r\nContent-Length: " length "\r\n\r\n" body
+#define NOT_RUN                                                                                                        \
+    "HTTP/1.1 503 Service Unavailable\r\nChalkway-Request-Id: @ID@\r\nChalkway-Not-Run: 1\r\nContent-Length: "         \
+    "0\r\n\r\n"
+#define EVENTS_HEAD                                                                                                    \
+    "HTTP/1.1 200 OK\r\nChalkway-Request-Id: @ID@\r\nContent-Type: text/event-stream\r\n"                              \
+    "Transfer-Encoding: chunked\r\n\r\n"
+
+static void script(rig_t* r, uint32_t count, const rig_step_t* steps) {
+    rig_script(r, steps, count);
+}
+
+static void expect_status(const char* answer, const char* status) {
+    ck_assert_msg(strncmp(answer, "HTTP/1.1 ", 9) == 0 && strncmp(answer + 9, status, 3) == 0, "wanted %s, got: %s",
+                  status, answer);
+}
+
+START_TEST(a_request_is_passed_on_with_the_gateways_own_fields) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER, OK("hello", "5")}});
+    const char* answer = rig_call(r, "POST /once/a/b?c=%20d HTTP/1.1\r\n" HEAD
+                                     "Chalkway-Workspace: forged\r\nChalkway-Server: forged\r\nX-Own: 1\r\n"
+                                     "Connection: X-Hop\r\nX-Hop: 1\r\nContent-Length: 4\r\n\r\nbody");
+    expect_status(answer, "200");
+    ck_assert(strstr(answer, "\r\n\r\nhello"));
+    const char* seen = r->arrivals[0];
+    ck_assert(strncmp(seen, "POST /once/a/b?c=%20d HTTP/1.1\r\n", 32) == 0);
+    ck_assert(strstr(seen, "\r\n\r\nbody"));
+    ck_assert(strstr(seen, "Chalkway-Workspace: w\r\n"));
+    ck_assert(strstr(seen, "Chalkway-Server: s0\r\n"));
+    ck_assert(strstr(seen, "X-Own: 1\r\n"));
+    ck_assert(strstr(seen, "Chalkway-Deadline-Ms: "));
+    ck_assert(!strstr(seen, "forged") && !strstr(seen, "X-Hop") && !strstr(seen, "k1"));
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_chunked_body_and_a_pipelined_request_are_passed_on) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    script(r, 2, (rig_step_t[]){{RIG_ANSWER, OK("one", "3")}, {RIG_ANSWER, OK("two", "3")}});
+    const char* answer = rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Transfer-Encoding: chunked\r\n\r\n"
+                                     "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\nGET /again/ HTTP/1.1\r\n" HEAD "\r\n");
+    expect_status(answer, "200");
+    while (r->arrival_count < 2 || !strstr(cw_buffer_text(&r->answer), "two")) {
+        rig_run(r);
+    }
+    ck_assert(strstr(r->arrivals[0], "\r\n\r\n5\r\nabcde\r\n0\r\n\r\n"));
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_request_that_may_have_run_is_not_sent_again) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER_CLOSE, ""}});
+    expect_status(rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n"), "502");
+    ck_assert_uint_eq(r->arrival_count, 1);
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_request_that_a_server_did_not_run_goes_to_the_next) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    script(r, 2, (rig_step_t[]){{RIG_ANSWER, NOT_RUN}, {RIG_ANSWER, OK("ran", "3")}});
+    expect_status(rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n"), "200");
+    ck_assert_uint_ne(r->arrival_server[0], r->arrival_server[1]);
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_request_that_ran_nowhere_is_refused_with_a_time_to_come_back) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER, NOT_RUN}});
+    const char* answer = rig_call(r, "POST /one/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n");
+    expect_status(answer, "503");
+    ck_assert(strstr(answer, "Retry-After: "));
+    ck_assert(strstr(answer, "Chalkway-Request-Id: q1\r\n"));
+    rig_shutdown(r);
+}
+END_TEST
+
+/* First run lost, second rejected: the first may have run all the same. */
+START_TEST(a_rejection_does_not_undo_an_earlier_run) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    script(r, 2, (rig_step_t[]){{RIG_ANSWER_CLOSE, ""}, {RIG_ANSWER, NOT_RUN}});
+    expect_status(rig_call(r, "GET /again/ HTTP/1.1\r\n" HEAD "\r\n"), "502");
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_repeatable_request_is_sent_again_after_a_loss_and_a_failure) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    script(r, 2, (rig_step_t[]){{RIG_ANSWER_RESET, ""}, {RIG_ANSWER, OK("again", "5")}});
+    expect_status(rig_call(r, "GET /again/ HTTP/1.1\r\n" HEAD "\r\n"), "200");
+    script(r, 2,
+           (rig_step_t[]){{RIG_ANSWER, "HTTP/1.1 500 Bad\r\nChalkway-Request-Id: @ID@\r\nContent-Length: 0\r\n\r\n"},
+                          {RIG_ANSWER, OK("again", "5")}});
+    expect_status(rig_call(r, "GET /again/ HTTP/1.1\r\n" HEAD "\r\n"), "200");
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(the_last_servers_failure_is_passed_on_unchanged) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    const char* failure = "HTTP/1.1 500 Bad\r\nChalkway-Request-Id: @ID@\r\nX-Why: w\r\nContent-Length: 3\r\n\r\nwhy";
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER, failure}});
+    const char* answer = rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n");
+    expect_status(answer, "500");
+    ck_assert(strstr(answer, "X-Why: w\r\n") && strstr(answer, "\r\n\r\nwhy"));
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_silent_server_loses_a_repeatable_request_to_another) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    script(r, 2, (rig_step_t[]){{RIG_SILENT, ""}, {RIG_ANSWER, OK("other", "5")}});
+    expect_status(rig_call(r, "GET /quick/ HTTP/1.1\r\n" HEAD "\r\n"), "200");
+    ck_assert_uint_ge(r->closed_by_gateway, 1); /* the silent one is told */
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(time_that_is_up_is_told_at_once) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    script(r, 1, (rig_step_t[]){{RIG_SILENT, ""}});
+    expect_status(rig_call(r, "POST /short/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n"), "504");
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_cut_stream_goes_on_elsewhere_without_a_piece_missing_or_doubled) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    script(r, 2,
+           (rig_step_t[]){{RIG_ANSWER_CLOSE, EVENTS_HEAD "18\r\nid: 1\ndata: a\n\nid: 2\nda\r\n"},
+                          {RIG_ANSWER, EVENTS_HEAD "1e\r\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n\r\n0\r\n\r\n"}});
+    const char* answer = rig_call(r, "POST /resume/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n");
+    expect_status(answer, "200");
+    ck_assert_uint_eq(r->arrival_count, 2);
+    ck_assert(strstr(r->arrivals[1], "Last-Event-Id: 1\r\n"));
+    const char* pieces[] = {"data: a\n\n", "data: b\n\n", "data: c\n\n"};
+    for (int i = 0; i < 3; i++) {
+        const char* first = strstr(answer, pieces[i]);
+        ck_assert_msg(first && !strstr(first + 1, pieces[i]), "%s in %s", pieces[i], answer);
+    }
+    ck_assert(strstr(answer, "0\r\n\r\n"));
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_cut_stream_that_may_not_go_on_does_not_look_complete) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER_CLOSE, EVENTS_HEAD "10\r\nid: 1\ndata: a\n\n\n\r\n"}});
+    const char* answer = rig_call(r, "POST /stream/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n");
+    ck_assert(!r->caller_open);
+    ck_assert(!strstr(answer, "\r\n0\r\n\r\n"));
+    ck_assert_uint_eq(r->arrival_count, 1);
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(an_answer_without_length_ends_with_its_connection) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    const char* unframed = "HTTP/1.1 200 OK\r\nChalkway-Request-Id: @ID@\r\n\r\nall of it";
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER_CLOSE, unframed}});
+    const char* answer = rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n");
+    ck_assert(strstr(answer, "all of it\r\n0\r\n\r\n"));
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(an_answer_shorter_than_its_length_does_not_look_complete) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER_CLOSE, OK("part", "10")}});
+    const char* answer = rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n");
+    ck_assert(!r->caller_open);
+    ck_assert(!rig_answer_whole(answer));
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(bytes_after_an_answer_belong_to_no_request) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    script(r, 2, (rig_step_t[]){{RIG_ANSWER, OK("mine", "4") OK("forged", "6")}, {RIG_ANSWER, OK("next", "4")}});
+    const char* answer = rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n");
+    ck_assert(strstr(answer, "mine") && !strstr(answer, "forged"));
+    answer = rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n");
+    ck_assert(strstr(answer, "next") && !strstr(answer, "forged"));
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(an_answer_to_an_earlier_request_is_skipped) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    const char* late = "HTTP/1.1 200 OK\r\nChalkway-Request-Id: other\r\nContent-Length: 4\r\n\r\nlate" OK("mine", "4");
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER, late}});
+    const char* answer = rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n");
+    expect_status(answer, "200");
+    ck_assert(strstr(answer, "mine") && !strstr(answer, "late"));
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(bytes_that_are_no_answer_are_not_passed_on) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER, "what is this\r\n\r\n"}});
+    expect_status(rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n"), "502");
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_server_with_another_id_is_not_used_again) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    const char* other = "HTTP/1.1 421 Misdirected\r\nChalkway-Server-Id: s9\r\nContent-Length: 0\r\n\r\n";
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER, other}});
+    expect_status(rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n"), "503");
+    expect_status(rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n"), "503");
+    ck_assert_uint_eq(r->arrival_count, 1);
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_leaving_server_gets_nothing_new) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    rig_set_servers(r, 2, 1);
+    script(r, 2, (rig_step_t[]){{RIG_ANSWER, OK("a", "1")}, {RIG_ANSWER, OK("b", "1")}});
+    rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n");
+    rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n");
+    ck_assert_uint_eq(r->arrival_server[0], 1);
+    ck_assert_uint_eq(r->arrival_server[1], 1);
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_caller_that_leaves_ends_its_stream_at_the_server) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER, EVENTS_HEAD "f\r\nid: 1\ndata: a\n\n\r\n"}});
+    rig_write(r, "POST /stream/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n");
+    while (!strstr(cw_buffer_text(&r->answer), "data: a")) {
+        ev_run(r->loop, EVRUN_ONCE);
+    }
+    rig_leave(r);
+    rig_run(r); /* until the server's connection ends */
+    ck_assert_uint_eq(r->closed_by_gateway, 1);
+    ck_assert_uint_eq(exchanges_stats(r->exchanges).active, 0);
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(keys_and_routes_are_judged_by_the_configuration_in_force) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER, OK("a", "1")}});
+    expect_status(rig_call(r, "GET /again/ HTTP/1.1\r\nHost: h.example\r\n\r\n"), "401");
+    expect_status(rig_call(r, "GET /again/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k9\r\n\r\n"), "401");
+    expect_status(rig_call(r, "GET /none/ HTTP/1.1\r\n" HEAD "\r\n"), "404");
+    expect_status(rig_call(r, "GET /again/x HTTP/1.1\r\n" HEAD "\r\n"), "200");
+    char* document = strdup(ROUTES);
+    strstr(document, "\"k1\"")[2] = '8'; /* the key is taken away */
+    rig_set_catalog(r, document);
+    free(document);
+    expect_status(rig_call(r, "GET /again/x HTTP/1.1\r\n" HEAD "\r\n"), "401");
+    ck_assert_uint_eq(r->arrival_count, 1);
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(requests_over_the_limits_are_refused) {
+    static const struct {
+        const char* head;
+        const char* status;
+    } cases[] = {{"POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 5000\r\n\r\n", "413"},
+                 {"POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n", "400"},
+                 {"POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 4\r\nContent-Length: 5\r\n\r\n", "400"},
+                 {"GET /once/ HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "400"},
+                 {"not a request\r\n\r\n", "400"}};
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        rig_t* r = rig_setup(ROUTES, 1);
+        expect_status(rig_call(r, cases[i].head), cases[i].status);
+        ck_assert_uint_eq(r->arrival_count, 0);
+        rig_shutdown(r);
+    }
+    rig_t* r = rig_setup(ROUTES, 1);
+    char filler[3000];
+    char long_head[4096];
+    memset(filler, 'x', sizeof(filler) - 1);
+    filler[sizeof(filler) - 1] = 0;
+    snprintf(long_head, sizeof(long_head), "GET /once/ HTTP/1.1\r\n" HEAD "X-Long: %s\r\n\r\n", filler);
+    expect_status(rig_call(r, long_head), "431");
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(without_a_server_a_request_is_refused_at_once) {
+    rig_t* r = rig_setup(ROUTES, 0);
+    const char* answer = rig_call(r, "GET /again/ HTTP/1.1\r\n" HEAD "\r\n");
+    expect_status(answer, "503");
+    ck_assert(strstr(answer, "Retry-After: "));
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_server_that_refuses_connections_is_passed_over) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER, OK("b", "1")}});
+    close(r->listen_fds[0]);
+    ev_io_stop(r->loop, &r->accept_ios[0]);
+    r->listen_fds[0] = dup(0);
+    expect_status(rig_call(r, "POST /one/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n"), "200");
+    rig_shutdown(r);
+}
+END_TEST
+
+static void add(TCase* t) {
+    tcase_add_test(t, a_request_is_passed_on_with_the_gateways_own_fields);
+    tcase_add_test(t, a_chunked_body_and_a_pipelined_request_are_passed_on);
+    tcase_add_test(t, a_request_that_may_have_run_is_not_sent_again);
+    tcase_add_test(t, a_request_that_a_server_did_not_run_goes_to_the_next);
+    tcase_add_test(t, a_request_that_ran_nowhere_is_refused_with_a_time_to_come_back);
+    tcase_add_test(t, a_rejection_does_not_undo_an_earlier_run);
+    tcase_add_test(t, a_repeatable_request_is_sent_again_after_a_loss_and_a_failure);
+    tcase_add_test(t, the_last_servers_failure_is_passed_on_unchanged);
+    tcase_add_test(t, a_silent_server_loses_a_repeatable_request_to_another);
+    tcase_add_test(t, time_that_is_up_is_told_at_once);
+    tcase_add_test(t, a_cut_stream_goes_on_elsewhere_without_a_piece_missing_or_doubled);
+    tcase_add_test(t, a_cut_stream_that_may_not_go_on_does_not_look_complete);
+    tcase_add_test(t, an_answer_without_length_ends_with_its_connection);
+    tcase_add_test(t, an_answer_shorter_than_its_length_does_not_look_complete);
+    tcase_add_test(t, bytes_after_an_answer_belong_to_no_request);
+    tcase_add_test(t, an_answer_to_an_earlier_request_is_skipped);
+    tcase_add_test(t, bytes_that_are_no_answer_are_not_passed_on);
+    tcase_add_test(t, a_server_with_another_id_is_not_used_again);
+    tcase_add_test(t, a_leaving_server_gets_nothing_new);
+    tcase_add_test(t, a_caller_that_leaves_ends_its_stream_at_the_server);
+    tcase_add_test(t, keys_and_routes_are_judged_by_the_configuration_in_force);
+    tcase_add_test(t, requests_over_the_limits_are_refused);
+    tcase_add_test(t, without_a_server_a_request_is_refused_at_once);
+    tcase_add_test(t, a_server_that_refuses_connections_is_passed_over);
+}
+
+int main(void) {
+    return run_suite("exchange", add, 30);
+}
--- /dev/null
+++ b/tests/test_sync.c
@@ -0,0 +1,393 @@
+/* Where the configuration comes from: a source that fails in all ways, peers that know more, and the platform's form.
+ */
+#include <ev.h>
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "../gateway/clock.h"
+#include "../gateway/sync.h"
+#include "../io/httpd.h"
+#include "../platform/platform.h"
+#include "test.h"
+
+#define TICK_S 0.005
+#define GIVE_UP_S 10.0
+
+typedef enum source_act_t { SOURCE_GIVES, SOURCE_HANGS, SOURCE_FAILS, SOURCE_TALKS_NONSENSE } source_act_t;
+
+/* A published configuration and list of servers, given in the native form. */
+typedef struct site_t {
+    struct ev_loop* loop;
+    cw_log_t log;
+    cw_httpd_t* source;
+    source_act_t act;
+    int64_t revision;  /* that the source has */
+    const char* extra; /* text in its document */
+    bool leaving;      /* of its only server */
+    uint32_t calls;
+    sync_t* sync;
+    int64_t revisions[16]; /* taken over, in order */
+    uint32_t revision_count;
+    uint32_t lists; /* taken over */
+    bool list_leaving;
+    char lines[8192]; /* of the log */
+    ev_timer tick, give_up;
+    bool (*until)(struct site_t* site);
+} site_t;
+
+static void on_source(cw_exchange_t* x, void* user) {
+    site_t* site = user;
+    char body[512];
+    site->calls++;
+    if (site->act == SOURCE_HANGS) {
+        return;
+    }
+    if (site->act == SOURCE_FAILS) {
+        cw_exchange_reply(x, 503, NULL, 0, "", 0);
+        return;
+    }
+    if (site->act == SOURCE_TALKS_NONSENSE) {
+        cw_exchange_reply(x, 200, NULL, 0, "{\"revision\":", 12);
+        return;
+    }
+    if (strcmp(cw_exchange_path(x), "/catalog") == 0) {
+        snprintf(body, sizeof(body), "{\"revision\":%lld,\"routes\":[],\"pools\":[]%s}", (long long)site->revision,
+                 site->extra ? site->extra : "");
+    } else {
+        snprintf(body, sizeof(body),
+                 "{\"at\":1,\"servers\":[{\"id\":\"i\",\"address\":\"127.0.0.1:9\",\"pool\":\"p\",\"hall\":\"a\","
+                 "\"slots\":1,\"leaving\":%s}]}",
+                 site->leaving ? "true" : "false");
+    }
+    cw_exchange_reply(x, 200, NULL, 0, body, strlen(body));
+}
+
+static void on_catalog(void* user, cw_catalog_t* catalog) {
+    site_t* site = user;
+    site->revisions[site->revision_count++ % 16] = catalog->revision;
+}
+
+static void on_servers(void* user, const cw_servers_t* list) {
+    site_t* site = user;
+    site->lists++;
+    site->list_leaving = list->items[0].leaving;
+}
+
+static void write_line(const char* line, void* user) {
+    site_t* site = user;
+    size_t used = strlen(site->lines);
+    snprintf(site->lines + used, sizeof(site->lines) - used, "%s\n", line);
+}
+
+static void on_tick(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)events;
+    site_t* site = w->data;
+    sync_tick(site->sync, clock_ms());
+    if (site->until(site)) {
+        ev_break(loop, EVBREAK_ALL);
+    }
+}
+
+static void on_give_up(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    ck_abort_msg("it did not come; calls %u, log:\n%s", ((site_t*)w->data)->calls, ((site_t*)w->data)->lines);
+}
+
+static void run_until(site_t* site, bool (*until)(site_t* site)) {
+    site->until = until;
+    ev_timer_stop(site->loop, &site->give_up);
+    ev_timer_set(&site->give_up, GIVE_UP_S, 0.0);
+    ev_timer_start(site->loop, &site->give_up);
+    ev_run(site->loop, 0);
+}
+
+static site_t* site_setup(int64_t revision) {
+    site_t* site = calloc(1, sizeof(*site));
+    cw_error_t err = {0};
+    site->loop = ev_loop_new(0);
+    site->log = (cw_log_t){.level = CW_LOG_DEBUG, .write = write_line, .user_data = site};
+    site->revision = revision;
+    site->source = cw_httpd_setup(
+        &(cw_httpd_desc_t){.loop = site->loop, .address = "127.0.0.1:0", .on_request = on_source, .user_data = site},
+        &err);
+    ck_assert_msg(site->source != NULL, "%s", err.message);
+    site->sync = sync_setup(&(sync_desc_t){.loop = site->loop,
+                                           .log = &site->log,
+                                           .source = &source_native,
+                                           .address = cw_httpd_address(site->source),
+                                           .share = "127.0.0.1:0",
+                                           .read_ms = 30,
+                                           .on_catalog = on_catalog,
+                                           .on_servers = on_servers,
+                                           .user_data = site},
+                            &err);
+    ck_assert_msg(site->sync != NULL, "%s", err.message);
+    ev_timer_init(&site->tick, on_tick, TICK_S, TICK_S);
+    ev_timer_init(&site->give_up, on_give_up, GIVE_UP_S, 0.0);
+    site->tick.data = site->give_up.data = site;
+    ev_timer_start(site->loop, &site->tick);
+    return site;
+}
+
+static void site_shutdown(site_t* site) {
+    sync_shutdown(site->sync);
+    cw_httpd_shutdown(site->source);
+    ev_timer_stop(site->loop, &site->tick);
+    ev_timer_stop(site->loop, &site->give_up);
+    ev_loop_destroy(site->loop);
+    free(site);
+}
+
+static bool has_all(site_t* site) {
+    return sync_ready(site->sync);
+}
+
+static bool has_revision_9(site_t* site) {
+    return sync_revision(site->sync) == 9;
+}
+
+static bool has_leaving(site_t* site) {
+    return site->list_leaving;
+}
+
+static bool lost(site_t* site) {
+    return sync_stats(site->sync).source_lost;
+}
+
+static bool called_again(site_t* site) {
+    return site->calls >= 6;
+}
+
+START_TEST(changes_at_the_source_are_taken_over) {
+    site_t* site = site_setup(5);
+    run_until(site, has_all);
+    ck_assert_int_eq(sync_revision(site->sync), 5);
+    site->revision = 9;
+    site->leaving = true;
+    run_until(site, has_revision_9);
+    run_until(site, has_leaving);
+    site_shutdown(site);
+}
+END_TEST
+
+/* The first call is never answered, as a waiting call is that was cut in silence: later changes are heard all the same.
+ */
+START_TEST(a_call_that_hangs_does_not_hide_later_changes) {
+    site_t* site = site_setup(5);
+    run_until(site, has_all);
+    site->act = SOURCE_HANGS;
+    site->calls = 0;
+    run_until(site, lost);
+    site->act = SOURCE_GIVES;
+    site->revision = 9;
+    run_until(site, has_revision_9);
+    ck_assert(strstr(site->lines, "source-lost") && strstr(site->lines, "source-back"));
+    site_shutdown(site);
+}
+END_TEST
+
+START_TEST(an_older_revision_is_never_taken_over) {
+    site_t* site = site_setup(9);
+    run_until(site, has_all);
+    site->revision = 5;
+    site->calls = 0;
+    run_until(site, called_again);
+    ck_assert_int_eq(sync_revision(site->sync), 9);
+    ck_assert_uint_eq(site->revision_count, 1);
+    site_shutdown(site);
+}
+END_TEST
+
+START_TEST(what_the_source_says_wrongly_changes_nothing_and_is_told) {
+    site_t* site = site_setup(9);
+    run_until(site, has_all);
+    site->calls = 0;
+    site->act = SOURCE_TALKS_NONSENSE;
+    run_until(site, called_again);
+    ck_assert(sync_ready(site->sync));
+    ck_assert_int_eq(sync_revision(site->sync), 9);
+    ck_assert_msg(strstr(site->lines, "config-invalid peer=127.0.0.1:"), "%s", site->lines);
+    site->act = SOURCE_GIVES; /* a newer document with a fault in it */
+    site->revision = 10;
+    site->extra = ",\"routes\":[{\"name\":7}]";
+    site->calls = 0;
+    run_until(site, called_again);
+    ck_assert_int_eq(sync_revision(site->sync), 9);
+    ck_assert_msg(strstr(site->lines, "step=catalog"), "%s", site->lines);
+    site_shutdown(site);
+}
+END_TEST
+
+/* A daemon that the source turns away follows a peer that has read from it. */
+START_TEST(a_daemon_that_the_source_refuses_follows_its_peers) {
+    site_t* peer = site_setup(9);
+    run_until(peer, has_all);
+    site_t* site = site_setup(9);
+    site->act = SOURCE_FAILS;
+    run_until(site, lost);
+    /* the share address of the peer is not known here; its source gives the same documents */
+    cw_knowledge_t knowledge = sync_knowledge(peer->sync);
+    site_t* shared = site_setup(9);
+    sync_on_peer(site->sync, cw_httpd_address(shared->source), &knowledge);
+    site->until = has_all;
+    while (!sync_ready(site->sync)) {
+        ev_run(site->loop, EVRUN_NOWAIT);
+        ev_run(shared->loop, EVRUN_NOWAIT);
+    }
+    ck_assert_int_eq(sync_revision(site->sync), 9);
+    site_shutdown(site);
+    site_shutdown(shared);
+    site_shutdown(peer);
+}
+END_TEST
+
+START_TEST(news_of_the_same_state_makes_it_younger) {
+    site_t* site = site_setup(9);
+    run_until(site, has_all);
+    cw_knowledge_t known = sync_knowledge(site->sync);
+    site->act = SOURCE_FAILS;
+    run_until(site, lost);
+    ck_assert_uint_gt(sync_knowledge(site->sync).servers_age_ms, 0);
+    known.servers_age_ms = known.revision_age_ms = 0;
+    sync_on_peer(site->sync, "127.0.0.1:1", &known);
+    ck_assert_uint_le(sync_knowledge(site->sync).servers_age_ms, 5000);
+    cw_knowledge_t after = sync_knowledge(site->sync);
+    ck_assert_uint_eq(after.servers, known.servers);
+    ck_assert_uint_eq(after.revision, 9);
+    site_shutdown(site);
+}
+END_TEST
+
+/* -- the platform's form -------------------------------------------------- */
+
+static const char published[] =
+    "{\"version\":7,\"unknown\":1,\"routes\":[{\"name\":\"r\",\"host\":\"f.example\",\"path_prefix\":\"/p/\","
+    "\"kind\":\"streaming\",\"timeout_ms\":12000,\"target_latency_ms\":250,\"priority\":0,\"max_attempts\":2,"
+    "\"auth_exempt\":false,\"stream_resume\":true,\"target_gap_ms\":150,\"traffic_split\":[{\"service\":\"s\","
+    "\"weight\":90},{\"service\":\"t\",\"weight\":10}]},{\"name\":\"o\",\"host\":\"f.example\",\"path_prefix\":\"/o/\","
+    "\"kind\":\"non_idempotent\",\"service\":\"t\",\"max_attempts\":1,\"auth_exempt\":true}],"
+    "\"services\":[{\"name\":\"s\",\"health_path\":\"/health\",\"max_connections\":310,\"engine\":{\"slots\":48,"
+    "\"kv_capacity\":532839,\"stride\":6}},{\"name\":\"t\",\"max_connections\":110}],\"limits\":{"
+    "\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
+    "\"tenants\":[{\"name\":\"h\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":1}]}";
+
+START_TEST(a_published_configuration_becomes_a_catalog) {
+    char* text = NULL;
+    cw_error_t err = {0};
+    ck_assert_int_eq(platform_catalog_text(published, strlen(published), &text, &err), CW_OK);
+    cw_catalog_t* c = cw_catalog_read(text, strlen(text), &err);
+    ck_assert_msg(c != NULL, "%s", err.message);
+    ck_assert_int_eq(c->revision, 7);
+    const cw_route_t* r = cw_catalog_route(c, "f.example", "/p/x", 4);
+    ck_assert_int_eq(r->kind, CW_ROUTE_STREAM);
+    ck_assert(r->resume && !r->open);
+    ck_assert_uint_eq(r->pool_count, 2);
+    ck_assert_uint_eq(r->gap_ms, 150);
+    ck_assert_uint_eq(r->attempts, 2);
+    ck_assert_int_eq(cw_catalog_route(c, "f.example", "/o/", 3)->kind, CW_ROUTE_ONCE);
+    ck_assert(cw_catalog_route(c, "f.example", "/o/", 3)->open);
+    ck_assert_uint_eq(c->pools[0].slots, 48);
+    ck_assert_uint_eq(c->pools[0].memory_tokens, 532839);
+    ck_assert_uint_eq(c->pools[1].slots, 0);
+    ck_assert_uint_eq(c->limits.idle_ms, 15000);
+    ck_assert_uint_eq(cw_catalog_workspace(c, "k2")->tier, 1);
+    cw_catalog_release(c);
+    free(text);
+}
+END_TEST
+
+START_TEST(a_wrong_configuration_is_refused_with_its_reason) {
+    char* text = NULL;
+    cw_error_t err = {0};
+    ck_assert_int_eq(platform_catalog_text("[1", 2, &text, &err), CW_ERR_INVALID);
+    ck_assert_str_eq(err.step, "platform-config");
+    static const char* const documents[] = {"{}", "{\"version\":7,\"routes\":[7],\"services\":{}}",
+                                            "{\"version\":null,\"routes\":null,\"services\":[null]}"};
+    for (size_t i = 0; i < sizeof(documents) / sizeof(documents[0]); i++) {
+        ck_assert_int_eq(platform_catalog_text(documents[i], strlen(documents[i]), &text, &err), CW_OK);
+        ck_assert_ptr_null(cw_catalog_read(text, strlen(text), &err));
+        free(text);
+    }
+}
+END_TEST
+
+static void base64(const char* text, char* out, size_t size) {
+    sodium_bin2base64(out, size, (const unsigned char*)text, strlen(text), sodium_base64_VARIANT_ORIGINAL);
+}
+
+START_TEST(the_stores_answers_are_read_and_nonsense_is_told) {
+    char value[4096];
+    char body[8192];
+    source_news_t news = {0};
+    cw_error_t err = {0};
+    base64(published, value, sizeof(value));
+    snprintf(body, sizeof(body), "{\"tls_key\":\"op/config\",\"value\":\"%s\",\"revision\":412,\"at\":530}", value);
+    ck_assert_int_eq(platform_source.read_catalog(body, strlen(body), 0, &news, &err), CW_OK);
+    ck_assert_int_eq(news.mark, 412);
+    ck_assert_ptr_nonnull(news.catalog);
+    free(news.catalog);
+    news = (source_news_t){0};
+    ck_assert_int_eq(platform_source.read_catalog(body, strlen(body), 412, &news, &err), CW_OK);
+    ck_assert_ptr_null(news.catalog); /* the same as before */
+    static const char* const nonsense[] = {"", "{", "[]", "{\"value\":7}", "{\"value\":\"!!\",\"revision\":3}"};
+    for (size_t i = 0; i < sizeof(nonsense) / sizeof(nonsense[0]); i++) {
+        news = (source_news_t){0};
+        ck_assert_int_ne(platform_source.read_catalog(nonsense[i], strlen(nonsense[i]), 1, &news, &err), CW_OK);
+        ck_assert_str_eq(err.step, "platform-store");
+        ck_assert_ptr_null(news.catalog);
+    }
+}
+END_TEST
+
+START_TEST(the_list_of_servers_is_read_and_odd_entries_are_left_out) {
+    static const char* const entries[] = {
+        "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":48,\"state\":\"ready\","
+        "\"cold_remaining_ms\":40,\"new_field\":[1]}",
+        "{\"service\":\"s\",\"address\":\"10.0.0.8:80\",\"zone\":\"z\",\"slots\":48,\"state\":\"draining\"}",
+        "{\"service\":\"s\"}", "not json"};
+    char body[4096] = "{\"items\":[";
+    for (int i = 0; i < 4; i++) {
+        char value[512];
+        size_t used = strlen(body);
+        base64(entries[i], value, sizeof(value));
+        snprintf(body + used, sizeof(body) - used, "%s{\"tls_key\":\"servers/i-%d\",\"value\":\"%s\"}", i ? "," : "", i,
+                 value);
+    }
+    size_t end = strlen(body);
+    snprintf(body + end, sizeof(body) - end, "],\"more\":true,\"at\":9}");
+    cw_servers_t list = {0};
+    source_news_t news = {0};
+    ck_assert_int_eq(platform_source.read_servers(body, strlen(body), &list, &news, NULL), CW_OK);
+    ck_assert_uint_eq(list.count, 2);
+    ck_assert_str_eq(list.items[0].id, "i-0");
+    ck_assert_uint_eq(list.items[0].cold_ms, 40);
+    ck_assert(!list.items[0].leaving && list.items[1].leaving);
+    ck_assert(news.more);
+    ck_assert_str_eq(news.after, "servers/i-3");
+    cw_servers_free(&list);
+    cw_error_t err = {0};
+    ck_assert_int_ne(platform_source.read_servers("{}", 2, &list, &news, &err), CW_OK);
+    ck_assert_str_eq(err.step, "platform-store");
+    cw_servers_free(&list);
+}
+END_TEST
+
+static void add(TCase* t) {
+    tcase_add_test(t, changes_at_the_source_are_taken_over);
+    tcase_add_test(t, a_call_that_hangs_does_not_hide_later_changes);
+    tcase_add_test(t, an_older_revision_is_never_taken_over);
+    tcase_add_test(t, what_the_source_says_wrongly_changes_nothing_and_is_told);
+    tcase_add_test(t, a_daemon_that_the_source_refuses_follows_its_peers);
+    tcase_add_test(t, news_of_the_same_state_makes_it_younger);
+    tcase_add_test(t, a_published_configuration_becomes_a_catalog);
+    tcase_add_test(t, a_wrong_configuration_is_refused_with_its_reason);
+    tcase_add_test(t, the_stores_answers_are_read_and_nonsense_is_told);
+    tcase_add_test(t, the_list_of_servers_is_read_and_odd_entries_are_left_out);
+}
+
+int main(void) {
+    return run_suite("sync", add, 30);
+}
