--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -58,6 +58,8 @@
     cw_events_t events;
     unsigned status;
     int64_t first_ms; /* first byte passed on, 0: none */
+    int64_t last_ms;  /* latest byte passed on */
+    uint32_t gap_ms;  /* longest pause between two of them */
     ev_timer timer;
     struct exchange_t* prev;
     struct exchange_t* next;
@@ -154,10 +156,10 @@
     e->stats.outcomes[outcome]++;
     cw_log(e->desc.log, CW_EVENT_REQUEST_DONE,
            "id=%s outcome=%s status=%u why=\"%s\" route=%s workspace=%s revision=%lld server=%s transfers=%u "
-           "first_ms=%u took_ms=%lld left_ms=%lld run=%s",
+           "first_ms=%u gap_ms=%u took_ms=%lld left_ms=%lld run=%s",
            x->id, outcome_names[outcome], x->status, why, x->route->name, x->workspace ? x->workspace->name : "-",
            (long long)x->catalog->revision, x->server_id[0] ? x->server_id : "-", x->transfers, first_ms,
-           (long long)(now_ms - x->arrived_ms), (long long)(x->deadline_ms - now_ms),
+           x->gap_ms, (long long)(now_ms - x->arrived_ms), (long long)(x->deadline_ms - now_ms),
            cw_outcome_name(cw_request_outcome(&x->machine)));
     if (e->desc.on_done) {
         e->desc.on_done(e->desc.user_data, x->route->name, x->workspace ? x->workspace->name : "-", outcome, first_ms,
@@ -345,6 +347,10 @@
     if (!size || !x->caller) {
         return;
     }
+    int64_t now_ms = clock_ms();
+    uint32_t gap_ms = x->last_ms ? (uint32_t)(now_ms - x->last_ms) : 0;
+    x->gap_ms = gap_ms > x->gap_ms ? gap_ms : x->gap_ms;
+    x->last_ms = now_ms;
     caller_write(x->caller, data, size);
     event(x, CW_EV_DELIVERED_PART);
     if (caller_unsent(x->caller) > UNSENT_MAX) {
