--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -177,7 +177,8 @@
 #include "chalkway_map.h"
 
 #define _CW_READ_MS 0.02            /* ms a token before anything was learned */
-#define _CW_READ_LEARN 0.05         /* weight of a new sample of the reading time */
+#define _CW_READ_DOWN 0.1 /* weight of a reading shorter than learned: a low quantile is wanted */
+#define _CW_READ_UP 0.01 /* weight of a longer one */
 #define _CW_READ_FEW_TOKENS 256     /* shorter readings say little of the time for a token */
 #define _CW_BASE_MS 5.0             /* time to an answer beside reading, before anything was learned */
 #define _CW_SERVICE_MS 50.0         /* time of a plain call, before anything was learned */
@@ -196,6 +197,11 @@
 #define _CW_DEEP_UP 0.1     /* the length of deep prompts is learned as a high quantile too */
 #define _CW_DEEP_DOWN 0.005
 #define _CW_GATHER_SHARE 0.1  /* of the target: what each further place in the order costs a stream easily hurt */
+#define _CW_PACE_LEARN 0.05      /* weight of a new sample of a server's pace */
+#define _CW_PACE_POOL_LEARN 0.005
+#define _CW_PACE_FEW 20          /* fewer samples say nothing */
+#define _CW_PACE_SLOW 1.12       /* a server whose pace is so many times the pool's comes last in the order */
+#define _CW_PACE_RUNS 0.17       /* of the slots: only with so few running is a server's pace learned */
 #define _CW_GAPS_MAX 8        /* different longest pauses of one pool that are told apart */
 #define _CW_RUN_MS 0.5        /* how much a run slows the others of an engine */
 #define _CW_REREAD 5.0        /* times its reading that a part costs which another server has read already */
@@ -226,6 +232,8 @@
     double busy_until_ms; /* own prompts are read by then */
     uint32_t unanswered;  /* own runs without a first byte */
     uint32_t deepest;     /* tokens of the longest prompt among them; 0 when there are none */
+    double pace_ms;       /* learned time between events while nothing is read there, 0: unknown */
+    uint32_t pace_samples;
     double slow;          /* 1: as the others */
     int64_t slow_ms;      /* when slow was learned */
     double fail;          /* 0..1 */
@@ -249,12 +257,14 @@
     _cw_server_t* servers;
     cw_map_t index; /* id to place */
     uint32_t places;
+    uint32_t listed;
     _cw_kept_t* kept;
     uint32_t kept_mask;
     double read_ms, base_ms, service_ms;
-    uint32_t read_samples, service_samples;
+    uint32_t service_samples;
     double pause_ms[_CW_DEPTHS]; /* learned pause beside prompts of each length, 0: not seen */
     double deep_tokens;          /* learned length of the deep prompts */
+    double pace_ms;              /* learned time between events over all servers */
 };
 
 static cw_balance_desc_t _cw_balance_desc_defaults(const cw_balance_desc_t* desc) {
@@ -333,6 +343,7 @@
 
 /* Places the servers in an order that depends on their ids only. */
 static void _cw_balance_order(cw_balance_t* b) {
+    b->listed = 0;
     for (uint32_t i = 0; i < b->places; i++) {
         _cw_server_t* s = &b->servers[i];
         uint32_t position = 0;
@@ -341,6 +352,7 @@
             position += other->listed && cw_mix(other->spec.id, 1) < cw_mix(s->spec.id, 1);
         }
         s->position = position;
+        b->listed += s->listed;
     }
 }
 
@@ -503,6 +515,12 @@
     *learned += (pause_ms > *learned ? _CW_PAUSE_UP : _CW_PAUSE_DOWN) * (pause_ms - *learned);
 }
 
+static void _cw_balance_learn_pace(cw_balance_t* b, _cw_server_t* s, double pause_ms) {
+    s->pace_ms += (s->pace_samples ? _CW_PACE_LEARN : 1) * (pause_ms - s->pace_ms);
+    s->pace_samples++;
+    b->pace_ms += (b->pace_ms > 0 ? _CW_PACE_POOL_LEARN : 1) * (pause_ms - b->pace_ms);
+}
+
 static void _cw_balance_learn_deep(cw_balance_t* b, uint32_t tokens) {
     b->deep_tokens += (tokens > b->deep_tokens ? _CW_DEEP_UP : _CW_DEEP_DOWN) * (tokens - b->deep_tokens);
 }
@@ -541,14 +559,26 @@
     return b->service_ms * (load <= 1 ? 1 + load * load : 2 * load);
 }
 
+/* The server's pace against the pool's, 1 while unknown. */
+static double _cw_balance_pace(const cw_balance_t* b, const _cw_server_t* s) {
+    bool known = s->pace_samples >= _CW_PACE_FEW && b->pace_ms > 0;
+    return known ? s->pace_ms / b->pace_ms : 1;
+}
+
+/* Place in the order in which easily hurt streams fill the servers: slow ones last. */
+static double _cw_balance_place(const cw_balance_t* b, const _cw_server_t* s) {
+    return s->position + (_cw_balance_pace(b, s) > _CW_PACE_SLOW ? b->listed : 0);
+}
+
 /* What the prompt does to the streams there, what a prompt being read there does to this one's, and the order in which
    streams that are easily hurt fill the servers. */
 static double _cw_balance_streams_ms(const cw_balance_t* b, const _cw_server_t* s, const _cw_sum_t* sum,
                                      const cw_work_t* work) {
-    double caused = sum->streaming * _cw_balance_harm(b, work->prompt_tokens, sum->gap_ms);
-    double suffered = sum->deepest ? _cw_balance_harm(b, sum->deepest, work->gap_ms) : 0;
+    double pace = _cw_balance_pace(b, s);
+    double caused = sum->streaming * _cw_balance_harm(b, work->prompt_tokens, (uint32_t)(sum->gap_ms / pace));
+    double suffered = sum->deepest ? _cw_balance_harm(b, sum->deepest, (uint32_t)(work->gap_ms / pace)) : 0;
     double fragile = _cw_balance_harm(b, (uint32_t)b->deep_tokens, work->gap_ms);
-    return work->target_ms * (caused + suffered / 2 + _CW_GATHER_SHARE * fragile * s->position);
+    return work->target_ms * (caused + suffered / 2 + _CW_GATHER_SHARE * fragile * _cw_balance_place(b, s));
 }
 
 /* A generation: the backlog, reading what is not kept, and what it does to the streams that run there. */
@@ -674,11 +704,9 @@
     double expected_ms = b->base_ms + b->read_ms * run->fresh_tokens;
     if (run->wait_ms < 1.0 && run->fresh_tokens >= _CW_READ_FEW_TOKENS && took_ms > b->base_ms) {
         double sample = (took_ms - b->base_ms) / run->fresh_tokens / _cw_balance_slow(s, now_ms);
-        /* the first samples count in full; later a slow one, which met work not known of, counts less */
-        double weight = b->read_samples < 8 ? 1.0 / (b->read_samples + 1) : _CW_READ_LEARN;
-        weight = sample > b->read_ms && b->read_samples >= 8 ? weight * 0.3 : weight;
+        /* most readings meet work that is not known of: the short ones tell the server's own speed */
+        double weight = sample < b->read_ms ? _CW_READ_DOWN : _CW_READ_UP;
         b->read_ms += weight * (sample - b->read_ms);
-        b->read_samples++;
     }
     if (alone_ms > 0 && expected_ms > 0) {
         _cw_balance_learn_slow(s, now_ms, alone_ms / (expected_ms > 20 ? expected_ms : 20));
@@ -703,14 +731,18 @@
 }
 
 void cw_balance_event(cw_balance_t* b, int64_t now_ms, cw_run_t* run) {
-    const _cw_server_t* s = _cw_balance_of_run(b, run);
+    _cw_server_t* s = _cw_balance_of_run(b, run);
     if (!s || !run->answered || !s->spec.memory_tokens) {
         return;
     }
-    uint32_t beside = _cw_balance_sum(b, s, now_ms).deepest;
+    _cw_sum_t sum = _cw_balance_sum(b, s, now_ms);
+    uint32_t beside = sum.deepest;
     uint32_t deepest = beside > run->beside ? beside : run->beside;
+    double pause_ms = (double)(now_ms - run->event_ms);
     if (deepest) {
-        _cw_balance_learn_pause(b, deepest, (double)(now_ms - run->event_ms));
+        _cw_balance_learn_pause(b, deepest, pause_ms / _cw_balance_pace(b, s));
+    } else if (sum.running <= _CW_PACE_RUNS * s->spec.slots) {
+        _cw_balance_learn_pace(b, s, pause_ms);
     }
     run->event_ms = now_ms;
     run->beside = beside;
