--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -198,9 +198,8 @@
 #define _CW_DEEP_DOWN 0.005
 #define _CW_GATHER_SHARE 0.1  /* of the target: what each further place in the order costs a stream easily hurt */
 #define _CW_PACE_LEARN 0.05      /* weight of a new sample of a server's pace */
-#define _CW_PACE_POOL_LEARN 0.005
 #define _CW_PACE_FEW 20          /* fewer samples say nothing */
-#define _CW_PACE_SLOW 1.12       /* a server whose pace is so many times the pool's comes last in the order */
+#define _CW_PACE_SLOW 1.15 /* a server whose pace is so many times the fastest one's comes last in the order */
 #define _CW_PACE_RUNS 0.17       /* of the slots: only with so few running is a server's pace learned */
 #define _CW_GAPS_MAX 8        /* different longest pauses of one pool that are told apart */
 #define _CW_RUN_MS 0.5        /* how much a run slows the others of an engine */
@@ -264,7 +263,7 @@
     uint32_t service_samples;
     double pause_ms[_CW_DEPTHS]; /* learned pause beside prompts of each length, 0: not seen */
     double deep_tokens;          /* learned length of the deep prompts */
-    double pace_ms;              /* learned time between events over all servers */
+    double pace_ms;              /* shortest pace of a server that is known, 0: none */
 };
 
 static cw_balance_desc_t _cw_balance_desc_defaults(const cw_balance_desc_t* desc) {
@@ -518,7 +517,12 @@
 static void _cw_balance_learn_pace(cw_balance_t* b, _cw_server_t* s, double pause_ms) {
     s->pace_ms += (s->pace_samples ? _CW_PACE_LEARN : 1) * (pause_ms - s->pace_ms);
     s->pace_samples++;
-    b->pace_ms += (b->pace_ms > 0 ? _CW_PACE_POOL_LEARN : 1) * (pause_ms - b->pace_ms);
+    b->pace_ms = 0;
+    for (uint32_t i = 0; i < b->places; i++) {
+        const _cw_server_t* other = &b->servers[i];
+        bool known = other->listed && other->pace_samples >= _CW_PACE_FEW;
+        b->pace_ms = known && (b->pace_ms <= 0 || other->pace_ms < b->pace_ms) ? other->pace_ms : b->pace_ms;
+    }
 }
 
 static void _cw_balance_learn_deep(cw_balance_t* b, uint32_t tokens) {
@@ -559,7 +563,7 @@
     return b->service_ms * (load <= 1 ? 1 + load * load : 2 * load);
 }
 
-/* The server's pace against the pool's, 1 while unknown. */
+/* The server's pace against the fastest one's, 1 while unknown. */
 static double _cw_balance_pace(const cw_balance_t* b, const _cw_server_t* s) {
     bool known = s->pace_samples >= _CW_PACE_FEW && b->pace_ms > 0;
     return known ? s->pace_ms / b->pace_ms : 1;
