--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -122,7 +122,7 @@
     uint64_t seed;        /* own host: spreads equal choices */
     uint32_t max_servers; /* default 256 */
     uint32_t max_peers;   /* daemons whose news is kept for one server, default 64 */
-    uint32_t max_parts;   /* prompt parts remembered, default 8192 */
+    uint32_t max_parts;   /* prompt parts remembered, default 16384 */
     uint32_t news_ms;     /* news of another daemon counts for so long, default 1500 */
     uint32_t away_ms;     /* first pause of a server that can't be reached, default 250 */
     uint32_t away_max_ms; /* longest such pause, default 4000 */
@@ -177,8 +177,8 @@
 #include "chalkway_map.h"
 
 #define _CW_READ_MS 0.02            /* ms a token before anything was learned */
-#define _CW_READ_DOWN 0.1 /* weight of a reading shorter than learned: a low quantile is wanted */
-#define _CW_READ_UP 0.01 /* weight of a longer one */
+#define _CW_READ_DOWN 0.1           /* weight of a reading shorter than learned: a low quantile is wanted */
+#define _CW_READ_UP 0.01            /* weight of a longer one */
 #define _CW_READ_FEW_TOKENS 256     /* shorter readings say little of the time for a token */
 #define _CW_BASE_MS 5.0             /* time to an answer beside reading, before anything was learned */
 #define _CW_SERVICE_MS 50.0         /* time of a plain call, before anything was learned */
@@ -196,14 +196,15 @@
 #define _CW_LATE_FROM 0.8   /* share of the longest pause from which a learned pause counts as harm, to 1.2 */
 #define _CW_DEEP_UP 0.1     /* the length of deep prompts is learned as a high quantile too */
 #define _CW_DEEP_DOWN 0.005
-#define _CW_GATHER_SHARE 0.1  /* of the target: what each further place in the order costs a stream easily hurt */
-#define _CW_PACE_LEARN 0.05      /* weight of a new sample of a server's pace */
-#define _CW_PACE_FEW 20          /* fewer samples say nothing */
-#define _CW_PACE_SLOW 1.15 /* a server whose pace is so many times the fastest one's comes last in the order */
-#define _CW_PACE_RUNS 0.17       /* of the slots: only with so few running is a server's pace learned */
-#define _CW_GAPS_MAX 8        /* different longest pauses of one pool that are told apart */
-#define _CW_RUN_MS 0.5        /* how much a run slows the others of an engine */
-#define _CW_REREAD 5.0        /* times its reading that a part costs which another server has read already */
+#define _CW_GATHER_SHARE 0.1 /* of the target: what each further place in the order costs a stream easily hurt */
+#define _CW_PACE_LEARN 0.05  /* weight of a new sample of a server's pace */
+#define _CW_PACE_FEW 20      /* fewer samples say nothing */
+#define _CW_PACE_SLOW 1.15   /* a server whose pace is so many times the fastest one's comes last in the order */
+#define _CW_PACE_RUNS 0.17   /* of the slots: only with so few running is a server's pace learned */
+#define _CW_GAPS_MAX 8       /* different longest pauses of one pool that are told apart */
+#define _CW_RUN_MS 0.5       /* how much a run slows the others of an engine */
+#define _CW_KEPT_WAYS 4
+#define _CW_REREAD 10.0       /* times its reading that a part costs which another server has read already */
 #define _CW_FULL_MS 1000.0    /* what a server costs whose memory would overflow */
 #define _CW_MEMORY_SHARE 0.9  /* of a server's memory that is planned with */
 #define _CW_KEPT_SHARE 0.6    /* of a server's memory that old prompt parts are taken to keep */
@@ -233,9 +234,9 @@
     uint32_t deepest;     /* tokens of the longest prompt among them; 0 when there are none */
     double pace_ms;       /* learned time between events while nothing is read there, 0: unknown */
     uint32_t pace_samples;
-    double slow;          /* 1: as the others */
-    int64_t slow_ms;      /* when slow was learned */
-    double fail;          /* 0..1 */
+    double slow;     /* 1: as the others */
+    int64_t slow_ms; /* when slow was learned */
+    double fail;     /* 0..1 */
     int64_t fail_ms;
     bool away;
     uint32_t away_ms;
@@ -247,8 +248,9 @@
 } _cw_server_t;
 
 typedef struct _cw_kept_t {
-    uint64_t key; /* server and part, 0: free */
-    uint64_t at;  /* read_tokens of the server then */
+    uint64_t key;  /* server and part, 0: free */
+    uint64_t at;   /* read_tokens of the server then */
+    uint64_t used; /* when it was used last, counted in uses */
 } _cw_kept_t;
 
 struct cw_balance_t {
@@ -259,6 +261,7 @@
     uint32_t listed;
     _cw_kept_t* kept;
     uint32_t kept_mask;
+    uint64_t kept_uses;
     double read_ms, base_ms, service_ms;
     uint32_t service_samples;
     double pause_ms[_CW_DEPTHS]; /* learned pause beside prompts of each length, 0: not seen */
@@ -270,7 +273,7 @@
     cw_balance_desc_t d = *desc;
     d.max_servers = d.max_servers ? d.max_servers : 256;
     d.max_peers = d.max_peers ? d.max_peers : 64;
-    d.max_parts = d.max_parts ? d.max_parts : 8192;
+    d.max_parts = d.max_parts ? d.max_parts : 16384;
     d.news_ms = d.news_ms ? d.news_ms : 1500;
     d.away_ms = d.away_ms ? d.away_ms : 250;
     d.away_max_ms = d.away_max_ms ? d.away_max_ms : 4000;
@@ -384,10 +387,18 @@
 
 /* -- prompt parts --------------------------------------------------------- */
 
+/* The part's place at the server, or the one that it would take: a free one, else the one with the oldest part. */
 static _cw_kept_t* _cw_balance_kept_slot(const cw_balance_t* b, uint64_t server, uint64_t part) {
     uint64_t key = cw_mix(server, part);
-    _cw_kept_t* slot = &b->kept[key & b->kept_mask];
-    return slot;
+    _cw_kept_t* ways = &b->kept[(key % (b->kept_mask + 1)) & ~(uint64_t)(_CW_KEPT_WAYS - 1)];
+    _cw_kept_t* oldest = ways;
+    for (uint32_t i = 0; i < _CW_KEPT_WAYS; i++) {
+        if (ways[i].key == key) {
+            return &ways[i];
+        }
+        oldest = ways[i].used < oldest->used ? &ways[i] : oldest;
+    }
+    return oldest;
 }
 
 static bool _cw_balance_has_part(const cw_balance_t* b, const _cw_server_t* s, uint64_t part) {
@@ -412,6 +423,7 @@
     _cw_kept_t* slot = _cw_balance_kept_slot(b, s->spec.id, part->id);
     slot->key = cw_mix(s->spec.id, part->id);
     slot->at = s->read_tokens;
+    slot->used = ++b->kept_uses;
 }
 
 void cw_balance_kept(cw_balance_t* b, uint64_t server, const cw_work_part_t* part) {
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -158,8 +158,8 @@
            "id=%s outcome=%s status=%u why=\"%s\" route=%s workspace=%s revision=%lld server=%s transfers=%u "
            "first_ms=%u gap_ms=%u took_ms=%lld left_ms=%lld run=%s",
            x->id, outcome_names[outcome], x->status, why, x->route->name, x->workspace ? x->workspace->name : "-",
-           (long long)x->catalog->revision, x->server_id[0] ? x->server_id : "-", x->transfers, first_ms,
-           x->gap_ms, (long long)(now_ms - x->arrived_ms), (long long)(x->deadline_ms - now_ms),
+           (long long)x->catalog->revision, x->server_id[0] ? x->server_id : "-", x->transfers, first_ms, x->gap_ms,
+           (long long)(now_ms - x->arrived_ms), (long long)(x->deadline_ms - now_ms),
            cw_outcome_name(cw_request_outcome(&x->machine)));
     if (e->desc.on_done) {
         e->desc.on_done(e->desc.user_data, x->route->name, x->workspace ? x->workspace->name : "-", outcome, first_ms,
