--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -177,8 +177,8 @@
 #include "chalkway_map.h"
 
 #define _CW_READ_MS 0.02            /* ms a token before anything was learned */
-#define _CW_READ_DOWN 0.1           /* weight of a reading shorter than learned: a low quantile is wanted */
-#define _CW_READ_UP 0.01            /* weight of a longer one */
+#define _CW_READ_DOWN 0.05          /* weight of a reading shorter than learned: a low quantile is wanted */
+#define _CW_READ_UP 0.05            /* weight of a longer one */
 #define _CW_READ_FEW_TOKENS 256     /* shorter readings say little of the time for a token */
 #define _CW_BASE_MS 5.0             /* time to an answer beside reading, before anything was learned */
 #define _CW_SERVICE_MS 50.0         /* time of a plain call, before anything was learned */
@@ -197,6 +197,7 @@
 #define _CW_DEEP_UP 0.1     /* the length of deep prompts is learned as a high quantile too */
 #define _CW_DEEP_DOWN 0.005
 #define _CW_GATHER_SHARE 0.1 /* of the target: what each further place in the order costs a stream easily hurt */
+#define _CW_DEEP_WAIT 0.1    /* weight of the backlog that one deep prompt found */
 #define _CW_PACE_LEARN 0.05  /* weight of a new sample of a server's pace */
 #define _CW_PACE_FEW 20      /* fewer samples say nothing */
 #define _CW_PACE_SLOW 1.15   /* a server whose pace is so many times the fastest one's comes last in the order */
@@ -266,6 +267,7 @@
     uint32_t service_samples;
     double pause_ms[_CW_DEPTHS]; /* learned pause beside prompts of each length, 0: not seen */
     double deep_tokens;          /* learned length of the deep prompts */
+    double deep_wait_ms;         /* backlog that deep prompts found lately */
     double pace_ms;              /* shortest pace of a server that is known, 0: none */
 };
 
@@ -469,14 +471,23 @@
     return a && (!b || a < b) ? a : b;
 }
 
+/* Time until the own prompts there are read. Past the planned time, what is late is taken to last as long again. */
+static double _cw_balance_own_backlog(const _cw_server_t* s, int64_t now_ms) {
+    double left_ms = s->busy_until_ms - (double)now_ms;
+    if (!s->unanswered) {
+        return 0;
+    }
+    return left_ms > 0 ? left_ms : -left_ms;
+}
+
 static _cw_sum_t _cw_balance_sum(const cw_balance_t* b, const _cw_server_t* s, int64_t now_ms) {
-    double own_ms = s->busy_until_ms - (double)now_ms;
+    double own_ms = _cw_balance_own_backlog(s, now_ms);
     _cw_sum_t sum = {.running = s->running,
                      .streaming = s->streaming,
                      .gap_ms = _cw_balance_own_gap(s),
                      .deepest = own_ms > 0 ? s->deepest : 0,
                      .tokens = (double)s->tokens,
-                     .wait_ms = own_ms > 0 ? own_ms : 0};
+                     .wait_ms = own_ms};
     for (uint32_t i = 0; i < b->desc.max_peers; i++) {
         const _cw_news_t* n = &s->news[i];
         int64_t age_ms = now_ms - n->at_ms;
@@ -586,15 +597,18 @@
     return s->position + (_cw_balance_pace(b, s) > _CW_PACE_SLOW ? b->listed : 0);
 }
 
-/* What the prompt does to the streams there, what a prompt being read there does to this one's, and the order in which
-   streams that are easily hurt fill the servers. */
+/* What the prompt does to the streams there, what a prompt being read there does to this one's, and what a stream that
+   is easily hurt does by staying there: it closes the server to deep prompts, the more so the fewer such streams it has
+   already, and that costs what deep prompts wait for now. The order of places decides between servers alike. */
 static double _cw_balance_streams_ms(const cw_balance_t* b, const _cw_server_t* s, const _cw_sum_t* sum,
                                      const cw_work_t* work) {
     double pace = _cw_balance_pace(b, s);
     double caused = sum->streaming * _cw_balance_harm(b, work->prompt_tokens, (uint32_t)(sum->gap_ms / pace));
     double suffered = sum->deepest ? _cw_balance_harm(b, sum->deepest, (uint32_t)(work->gap_ms / pace)) : 0;
     double fragile = _cw_balance_harm(b, (uint32_t)b->deep_tokens, work->gap_ms);
-    return work->target_ms * (caused + suffered / 2 + _CW_GATHER_SHARE * fragile * _cw_balance_place(b, s));
+    double order_ms = work->target_ms * _CW_GATHER_SHARE * _cw_balance_place(b, s);
+    double blocked_ms = b->deep_wait_ms / (1 + sum->streaming);
+    return work->target_ms * (caused + suffered / 2) + fragile * (order_ms + blocked_ms);
 }
 
 /* A generation: the backlog, reading what is not kept, and what it does to the streams that run there. */
@@ -671,11 +685,14 @@
         run.fresh_tokens = work->prompt_tokens - _cw_balance_kept_tokens(b, s, work);
         run.read_ms = b->read_ms * run.fresh_tokens * _cw_balance_slow(s, now_ms);
         run.tokens = work->prompt_tokens + work->output_tokens;
-        double start_ms = s->busy_until_ms > (double)now_ms ? s->busy_until_ms : (double)now_ms;
+        double start_ms = (double)now_ms + _cw_balance_own_backlog(s, now_ms);
         s->busy_until_ms = start_ms + run.read_ms;
         run.planned_ms = s->busy_until_ms;
         s->deepest = work->prompt_tokens > s->deepest ? work->prompt_tokens : s->deepest;
         _cw_balance_learn_deep(b, work->prompt_tokens);
+        if (work->prompt_tokens > b->deep_tokens / 2) {
+            b->deep_wait_ms += _CW_DEEP_WAIT * (run.wait_ms - b->deep_wait_ms);
+        }
         for (uint32_t i = 0; i < work->part_count; i++) {
             _cw_balance_keep(b, s, &work->parts[i]);
         }
@@ -846,7 +863,7 @@
 
 cw_load_t cw_balance_load(const cw_balance_t* b, int64_t now_ms, uint32_t server) {
     const _cw_server_t* s = &b->servers[server];
-    double backlog_ms = s->busy_until_ms - (double)now_ms;
+    double backlog_ms = _cw_balance_own_backlog(s, now_ms);
     return (cw_load_t){.running = s->running,
                        .streaming = s->streaming,
                        .gap_ms = _cw_balance_own_gap(s),
