--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -73,8 +73,8 @@
 /* What one daemon has at one server. */
 typedef struct cw_load_t {
     uint32_t running;
-    uint32_t streaming;  /* of these, answers that stream and have a longest pause */
-    uint32_t gap_ms;     /* shortest of these pauses, 0: none */
+    uint32_t gap_ms;     /* shortest of the longest pauses that streamed answers there may make, 0: none */
+    uint32_t streaming;  /* streamed answers that may pause no longer than that */
     uint32_t backlog_ms; /* time to read the prompts begun and not answered yet */
     uint32_t deepest;    /* tokens of the longest of these prompts */
     uint32_t tokens;     /* memory that the running ones hold or will hold */
@@ -227,7 +227,7 @@
     bool used;         /* the place holds a server */
     bool listed;       /* it may be chosen */
     uint32_t position; /* in the order that all daemons see alike */
-    uint32_t running, streaming;
+    uint32_t running;
     _cw_gap_t gaps[_CW_GAPS_MAX];
     uint64_t tokens;
     double busy_until_ms; /* own prompts are read by then */
@@ -443,15 +443,15 @@
     double tokens, wait_ms;
 } _cw_sum_t;
 
-/* Shortest of the longest pauses of the own streams at the server. */
-static uint32_t _cw_balance_own_gap(const _cw_server_t* s) {
-    uint32_t gap_ms = 0;
+/* Own streams that are hurt most easily: those with the shortest of the longest pauses. */
+static _cw_gap_t _cw_balance_own_gap(const _cw_server_t* s) {
+    _cw_gap_t shortest = {0};
     for (uint32_t i = 0; i < _CW_GAPS_MAX; i++) {
-        if (s->gaps[i].count && (!gap_ms || s->gaps[i].gap_ms < gap_ms)) {
-            gap_ms = s->gaps[i].gap_ms;
+        if (s->gaps[i].count && (!shortest.count || s->gaps[i].gap_ms < shortest.gap_ms)) {
+            shortest = s->gaps[i];
         }
     }
-    return gap_ms;
+    return shortest;
 }
 
 /* Counts a stream in (by = 1) or out (-1); pauses beyond the places are taken as the last one. */
@@ -467,8 +467,13 @@
     place->count = (uint32_t)((int)place->count + by > 0 ? (int)place->count + by : 0);
 }
 
-static uint32_t _cw_balance_min_gap(uint32_t a, uint32_t b) {
-    return a && (!b || a < b) ? a : b;
+/* Adds streams: only those with the shortest pauses count. */
+static void _cw_balance_add_gap(_cw_sum_t* sum, uint32_t gap_ms, uint32_t count) {
+    if (!count || (sum->streaming && gap_ms > sum->gap_ms)) {
+        return;
+    }
+    sum->streaming = sum->streaming && gap_ms == sum->gap_ms ? sum->streaming + count : count;
+    sum->gap_ms = gap_ms;
 }
 
 /* Time until the own prompts there are read. Past the planned time, what is late is taken to last as long again. */
@@ -482,12 +487,10 @@
 
 static _cw_sum_t _cw_balance_sum(const cw_balance_t* b, const _cw_server_t* s, int64_t now_ms) {
     double own_ms = _cw_balance_own_backlog(s, now_ms);
-    _cw_sum_t sum = {.running = s->running,
-                     .streaming = s->streaming,
-                     .gap_ms = _cw_balance_own_gap(s),
-                     .deepest = own_ms > 0 ? s->deepest : 0,
-                     .tokens = (double)s->tokens,
-                     .wait_ms = own_ms};
+    _cw_sum_t sum = {
+        .running = s->running, .deepest = own_ms > 0 ? s->deepest : 0, .tokens = (double)s->tokens, .wait_ms = own_ms};
+    _cw_gap_t own = _cw_balance_own_gap(s);
+    _cw_balance_add_gap(&sum, own.gap_ms, own.count);
     for (uint32_t i = 0; i < b->desc.max_peers; i++) {
         const _cw_news_t* n = &s->news[i];
         int64_t age_ms = now_ms - n->at_ms;
@@ -495,9 +498,8 @@
             continue;
         }
         sum.running += n->load.running;
-        sum.streaming += n->load.streaming;
         sum.tokens += n->load.tokens;
-        sum.gap_ms = _cw_balance_min_gap(sum.gap_ms, n->load.gap_ms);
+        _cw_balance_add_gap(&sum, n->load.gap_ms, n->load.streaming);
         if (n->load.backlog_ms > age_ms) {
             sum.wait_ms += (double)(n->load.backlog_ms - age_ms);
             sum.deepest = n->load.deepest > sum.deepest ? n->load.deepest : sum.deepest;
@@ -756,7 +758,6 @@
     }
     _cw_balance_answered(s, now_ms, run);
     if (run->gap_ms) {
-        s->streaming++;
         _cw_balance_count_gap(s, run->gap_ms, 1);
     }
     run->event_ms = now_ms;
@@ -802,7 +803,6 @@
         return;
     }
     if (run->answered && run->gap_ms) {
-        s->streaming -= s->streaming > 0;
         _cw_balance_count_gap(s, run->gap_ms, -1);
     }
     if (!run->answered) {
@@ -864,9 +864,10 @@
 cw_load_t cw_balance_load(const cw_balance_t* b, int64_t now_ms, uint32_t server) {
     const _cw_server_t* s = &b->servers[server];
     double backlog_ms = _cw_balance_own_backlog(s, now_ms);
+    _cw_gap_t gap = _cw_balance_own_gap(s);
     return (cw_load_t){.running = s->running,
-                       .streaming = s->streaming,
-                       .gap_ms = _cw_balance_own_gap(s),
+                       .gap_ms = gap.gap_ms,
+                       .streaming = gap.count,
                        .backlog_ms = backlog_ms > 0 ? (uint32_t)backlog_ms : 0,
                        .deepest = backlog_ms > 0 ? s->deepest : 0,
                        .tokens = s->tokens > UINT32_MAX ? UINT32_MAX : (uint32_t)s->tokens};
