Exchange: a generation that every server would answer far too late is refused with a time to come back

Cause: in bursts deep prompts queued at servers for 5 to 12 s against a target of 2 s: each was late and made the next ones late.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -20,6 +20,7 @@
 #define SILENT_TARGETS 1.0    /* targets without a first event, beyond the prediction, until a stream is moved */
 #define STALL_GAPS 4          /* longest pauses without an event until a stream is moved */
 #define STALL_MIN_MS 400
+#define LATE_FACTOR 1.5           /* targets until the first event beyond which a generation is refused */
 #define RETRY_AFTER_MIN_MS 300    /* shortest time to come back after a refusal */
 #define RETRY_AFTER_SPREAD_MS 500 /* spread, so that those refused do not come back together */
 #define DETACHED_MS 2000          /* a run that may not be repeated is left to itself for so long after its time */
@@ -53,6 +54,7 @@
     uint64_t tried[TRIED_MAX];
     uint32_t tried_count;
     uint32_t transfers;
+    uint32_t retry_ms; /* refused: time until a place may be free */
     bool head_passed;
     bool follow_events; /* the stream may go on at another server */
     cw_events_t events;
@@ -444,6 +446,12 @@
     }
 }
 
+/* Whether even the best server would answer so late that the request only stands before others. */
+static bool hopeless(const exchange_t* x, const cw_choice_t* choice) {
+    return !x->transfers && x->work.prompt_tokens &&
+           choice->wait_ms + choice->read_ms > LATE_FACTOR * x->route->target_ms;
+}
+
 /* Takes the best server, or a place in the queue. */
 static void seek_server(exchange_t* x) {
     exchanges_t* e = x->all;
@@ -452,6 +460,12 @@
     if (!e->refusing) {
         choice = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, x->tried, x->tried_count);
     }
+    if (choice.server != CW_BALANCE_NONE && hopeless(x, &choice)) {
+        x->retry_ms = (uint32_t)(choice.wait_ms + choice.read_ms - x->route->target_ms * LATE_FACTOR / 2);
+        x->reason = "every server would answer far too late";
+        event(x, CW_EV_REFUSED);
+        return;
+    }
     if (choice.server != CW_BALANCE_NONE) {
         queue_remove(x);
         uint32_t todo = cw_request_event(&x->machine, CW_EV_GRANT);
@@ -519,7 +533,7 @@
 }
 
 static uint32_t retry_after_ms(exchange_t* x) {
-    return RETRY_AFTER_MIN_MS + (uint32_t)(draw(x->all) % RETRY_AFTER_SPREAD_MS);
+    return x->retry_ms + RETRY_AFTER_MIN_MS + (uint32_t)(draw(x->all) % RETRY_AFTER_SPREAD_MS);
 }
 
 /* The final answer, by what may truthfully be said. */
