--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -20,7 +20,7 @@
 #define SILENT_TARGETS 1.0    /* targets without a first event, beyond the prediction, until a stream is moved */
 #define STALL_GAPS 4          /* longest pauses without an event until a stream is moved */
 #define STALL_MIN_MS 400
-#define LATE_FACTOR 1.5           /* targets until the first event beyond which a generation is refused */
+#define LATE_FACTOR 1.0           /* targets until the first event beyond which a generation is refused */
 #define RETRY_AFTER_MIN_MS 300    /* shortest time to come back after a refusal */
 #define RETRY_AFTER_SPREAD_MS 500 /* spread, so that those refused do not come back together */
 #define DETACHED_MS 2000          /* a run that may not be repeated is left to itself for so long after its time */
