--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -197,6 +197,7 @@
 #define _CW_DEEP_UP 0.1     /* the length of deep prompts is learned as a high quantile too */
 #define _CW_DEEP_DOWN 0.005
 #define _CW_GATHER_SHARE 0.1 /* of the target: what each further place in the order costs a stream easily hurt */
+#define _CW_PLAN_SHARE 0.9   /* of an engine's slots that are planned with: what others just sent is not known yet */
 #define _CW_DEEP_WAIT 0.1    /* weight of the backlog that one deep prompt found */
 #define _CW_PACE_LEARN 0.05  /* weight of a new sample of a server's pace */
 #define _CW_PACE_FEW 20      /* fewer samples say nothing */
@@ -660,7 +661,7 @@
             continue;
         }
         cw_choice_t c = _cw_balance_rate(b, i, now_ms, work, kept_most);
-        if (s->spec.memory_tokens && c.running >= s->spec.slots) {
+        if (s->spec.memory_tokens && c.running >= _CW_PLAN_SHARE * s->spec.slots) {
             continue;
         }
         candidates++;
