--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -121,7 +121,7 @@
     uint64_t hall;        /* id of the own hall, preferred when all else is equal */
     uint64_t seed;        /* own host: spreads equal choices */
     uint32_t max_servers; /* default 256 */
-    uint32_t max_peers;   /* daemons whose news is kept for one server, default 64 */
+    uint32_t max_peers;   /* daemons whose news is kept for one server, default 128 */
     uint32_t max_parts;   /* prompt parts remembered, default 16384 */
     uint32_t news_ms;     /* news of another daemon counts for so long, default 1500 */
     uint32_t away_ms;     /* first pause of a server that can't be reached, default 250 */
@@ -275,7 +275,7 @@
 static cw_balance_desc_t _cw_balance_desc_defaults(const cw_balance_desc_t* desc) {
     cw_balance_desc_t d = *desc;
     d.max_servers = d.max_servers ? d.max_servers : 256;
-    d.max_peers = d.max_peers ? d.max_peers : 64;
+    d.max_peers = d.max_peers ? d.max_peers : 128;
     d.max_parts = d.max_parts ? d.max_parts : 16384;
     d.news_ms = d.news_ms ? d.news_ms : 1500;
     d.away_ms = d.away_ms ? d.away_ms : 250;
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -23,6 +23,7 @@
 #define PROBE_MS 250     /* between two probes */
 #define PROBE_TIMEOUT_MS 100
 #define SUSPECT_MS 700
+#define RETRY_MS 250 /* between probes of seeds and dead hosts: a fleet that starts again finds itself soon */
 
 /* A server whose load here is to be told. */
 typedef struct dirty_t {
@@ -347,7 +348,7 @@
                               .period_ms = PROBE_MS,
                               .timeout_ms = PROBE_TIMEOUT_MS,
                               .suspect_ms = SUSPECT_MS,
-                              .retry_ms = 1000,
+                              .retry_ms = RETRY_MS,
                               .self = {.id = m->host, .incarnation = now_ms}};
     cw_copy(desc.self.name, sizeof(desc.self.name), s->name);
     cw_copy(desc.self.hall, sizeof(desc.self.hall), s->hall);
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -60,7 +60,8 @@
 }
 
 static void server_free_if_unused(server_t* s) {
-    if (!s->gone || s->open || s->probing || cw_balance_find(s->pool->balance, s->key) != CW_BALANCE_NONE) {
+    if (!s->gone || s->published_now || s->open || s->probing ||
+        cw_balance_find(s->pool->balance, s->key) != CW_BALANCE_NONE) {
         return;
     }
     for (server_t** at = &s->pool->servers; *at; at = &(*at)->next) {
@@ -413,7 +414,7 @@
         s->next = pool->servers;
         pool->servers = s;
     }
-    bool changed = fresh || s->gone != published->leaving;
+    bool changed = fresh || (published->leaving && !s->gone);
     s->published = *published;
     s->gone = s->gone || published->leaving; /* a server that leaves does not come back with the same id */
     return changed;
@@ -435,7 +436,8 @@
     }
     for (pool_t* pool = u->pools; pool; pool = pool->next) {
         for (server_t* s = pool->servers; s; s = s->next) {
-            if (!s->gone && !is_listed(list, s)) {
+            s->published_now = is_listed(list, s);
+            if (!s->gone && !s->published_now) {
                 s->gone = true;
                 changes++;
             }
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -28,7 +28,8 @@
     cw_server_t published;
     struct sockaddr_in address;
     pool_t* pool;
-    bool gone; /* no longer published, or leaving: gets nothing new */
+    bool gone;          /* no longer published, or leaving: gets nothing new */
+    bool published_now; /* in the list read last, leaving or not */
     bool probing;
     uint32_t open;     /* connections */
     link_t* idle;      /* used last first */
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -211,8 +211,8 @@
     exchanges_set_catalog(r->exchanges, catalog);
 }
 
-/* The servers "s0", "s1", ... of pool "p" are published; leaving: a bit for each. */
-static inline void rig_set_servers(rig_t* r, uint32_t count, uint32_t leaving) {
+/* The servers "s0", "s1", ... of pool "p" are published; leaving: a bit for each. Returns how many changed. */
+static inline uint32_t rig_set_servers(rig_t* r, uint32_t count, uint32_t leaving) {
     cw_servers_t list = {0};
     for (uint32_t i = 0; i < count; i++) {
         cw_server_t s = {.slots = 4, .leaving = (leaving >> i) & 1U};
@@ -222,8 +222,9 @@
         cw_copy(s.hall, sizeof(s.hall), "a");
         cw_servers_add(&list, &s);
     }
-    upstreams_set_servers(r->upstreams, 1000, &list);
+    uint32_t changes = upstreams_set_servers(r->upstreams, 1000, &list);
     cw_servers_free(&list);
+    return changes;
 }
 
 static inline rig_t* rig_setup(const char* document, uint32_t servers) {
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -253,6 +253,18 @@
 }
 END_TEST
 
+START_TEST(a_list_that_says_the_same_changes_nothing) {
+    rig_t* r = rig_setup(ROUTES, 3);
+    ck_assert_uint_eq(rig_set_servers(r, 3, 0), 0);
+    ck_assert_uint_eq(rig_set_servers(r, 3, 2), 1);
+    ck_assert_uint_eq(rig_set_servers(r, 3, 2), 0); /* a leaving server is still published */
+    ck_assert_uint_eq(rig_set_servers(r, 3, 0), 0); /* and does not come back with the same id */
+    ck_assert_uint_eq(rig_set_servers(r, 1, 0), 1);
+    ck_assert_uint_eq(rig_set_servers(r, 1, 0), 0);
+    rig_shutdown(r);
+}
+END_TEST
+
 START_TEST(a_caller_that_leaves_ends_its_stream_at_the_server) {
     rig_t* r = rig_setup(ROUTES, 1);
     script(r, 1, (rig_step_t[]){{RIG_ANSWER, EVENTS_HEAD "f\r\nid: 1\ndata: a\n\n\r\n"}});
@@ -351,6 +363,7 @@
     tcase_add_test(t, bytes_that_are_no_answer_are_not_passed_on);
     tcase_add_test(t, a_server_with_another_id_is_not_used_again);
     tcase_add_test(t, a_leaving_server_gets_nothing_new);
+    tcase_add_test(t, a_list_that_says_the_same_changes_nothing);
     tcase_add_test(t, a_caller_that_leaves_ends_its_stream_at_the_server);
     tcase_add_test(t, keys_and_routes_are_judged_by_the_configuration_in_force);
     tcase_add_test(t, requests_over_the_limits_are_refused);
