--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -80,6 +80,7 @@
 
 static void act(exchange_t* x, uint32_t todo);
 static void event(exchange_t* x, cw_request_event_t e);
+static void refuse(exchange_t* x, const cw_choice_t* choice, const char* why);
 
 static uint64_t draw(exchanges_t* e) {
     return cw_mix(e->desc.seed, ++e->draws);
@@ -233,8 +234,7 @@
         }
         event(x, CW_EV_DEADLINE);
     } else if (x->queued && now_ms >= x->wait_until_ms) {
-        x->reason = "no place came free in time";
-        event(x, CW_EV_REFUSED);
+        refuse(x, &(cw_choice_t){0}, "no place came free in time");
     } else if (x->link && x->silent_at_ms && now_ms >= x->silent_at_ms) {
         if (may_repeat(x)) {
             broken(x, CW_EV_BROKEN, CW_TRY_FAILED, "silent for too long");
@@ -452,6 +452,20 @@
            choice->wait_ms + choice->read_ms > LATE_FACTOR * x->route->target_ms;
 }
 
+/* Refuses a request that waits or has just come, with the inputs that decided it. */
+static void refuse(exchange_t* x, const cw_choice_t* choice, const char* why) {
+    const pool_t* pool = x->pool;
+    x->reason = why;
+    cw_log(
+        x->all->desc.log, CW_EVENT_REQUEST_REFUSED,
+        "id=%s why=\"%s\" pool=%s wait_ms=%.0f read_ms=%.0f target_ms=%u ready=%u tried=%u candidates=%u fullness=%.2f "
+        "age_ms=%u revision=%lld",
+        x->id, why, pool->name, choice->wait_ms, choice->read_ms, x->route->target_ms, pool->ready, x->tried_count,
+        choice->candidates, cw_balance_fullness(pool->balance, clock_ms()), choice->age_ms,
+        (long long)x->catalog->revision);
+    event(x, CW_EV_REFUSED);
+}
+
 /* Takes the best server, or a place in the queue. */
 static void seek_server(exchange_t* x) {
     exchanges_t* e = x->all;
@@ -462,8 +476,7 @@
     }
     if (choice.server != CW_BALANCE_NONE && hopeless(x, &choice)) {
         x->retry_ms = (uint32_t)(choice.wait_ms + choice.read_ms - x->route->target_ms * LATE_FACTOR / 2);
-        x->reason = "every server would answer far too late";
-        event(x, CW_EV_REFUSED);
+        refuse(x, &choice, "every server would answer far too late");
         return;
     }
     if (choice.server != CW_BALANCE_NONE) {
@@ -475,8 +488,7 @@
         return;
     }
     if (e->refusing || !x->pool->ready || x->tried_count >= x->pool->ready) {
-        x->reason = e->refusing ? "this host is stopping" : "no server is left to try";
-        event(x, CW_EV_REFUSED);
+        refuse(x, &choice, e->refusing ? "this host is stopping" : "no server is left to try");
         return;
     }
     if (!x->queued) {
