--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -177,8 +177,7 @@
 #include "chalkway_map.h"
 
 #define _CW_READ_MS 0.02            /* ms a token before anything was learned */
-#define _CW_READ_DOWN 0.05          /* weight of a reading shorter than learned: a low quantile is wanted */
-#define _CW_READ_UP 0.05            /* weight of a longer one */
+#define _CW_READ_LEARN 0.05         /* weight of a new sample of the reading time */
 #define _CW_READ_FEW_TOKENS 256     /* shorter readings say little of the time for a token */
 #define _CW_BASE_MS 5.0             /* time to an answer beside reading, before anything was learned */
 #define _CW_SERVICE_MS 50.0         /* time of a plain call, before anything was learned */
@@ -740,9 +739,7 @@
     double expected_ms = b->base_ms + b->read_ms * run->fresh_tokens;
     if (run->wait_ms < 1.0 && run->fresh_tokens >= _CW_READ_FEW_TOKENS && took_ms > b->base_ms) {
         double sample = (took_ms - b->base_ms) / run->fresh_tokens / _cw_balance_slow(s, now_ms);
-        /* most readings meet work that is not known of: the short ones tell the server's own speed */
-        double weight = sample < b->read_ms ? _CW_READ_DOWN : _CW_READ_UP;
-        b->read_ms += weight * (sample - b->read_ms);
+        b->read_ms += _CW_READ_LEARN * (sample - b->read_ms);
     }
     if (alone_ms > 0 && expected_ms > 0) {
         _cw_balance_learn_slow(s, now_ms, alone_ms / (expected_ms > 20 ? expected_ms : 20));
