--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -193,6 +193,7 @@
 #define _CW_PAUSE_UP 0.2    /* weight of a pause longer than learned: a high quantile is wanted */
 #define _CW_PAUSE_DOWN 0.02 /* weight of a shorter one */
 #define _CW_LATE_FROM 0.8   /* share of the longest pause from which a learned pause counts as harm, to 1.2 */
+#define _CW_PAUSE_FEW 10    /* fewer pauses beside prompts of a depth say nothing */
 #define _CW_DEEP_UP 0.1     /* the length of deep prompts is learned as a high quantile too */
 #define _CW_DEEP_DOWN 0.005
 #define _CW_GATHER_SHARE 0.1 /* of the target: what each further place in the order costs a stream easily hurt */
@@ -266,9 +267,10 @@
     double read_ms, base_ms, service_ms;
     uint32_t service_samples;
     double pause_ms[_CW_DEPTHS]; /* learned pause beside prompts of each length, 0: not seen */
-    double deep_tokens;          /* learned length of the deep prompts */
-    double deep_wait_ms;         /* backlog that deep prompts found lately */
-    double pace_ms;              /* shortest pace of a server that is known, 0: none */
+    uint32_t pause_samples[_CW_DEPTHS];
+    double deep_tokens;  /* learned length of the deep prompts */
+    double deep_wait_ms; /* backlog that deep prompts found lately */
+    double pace_ms;      /* shortest pace of a server that is known, 0: none */
 };
 
 static cw_balance_desc_t _cw_balance_desc_defaults(const cw_balance_desc_t* desc) {
@@ -516,13 +518,16 @@
     return halves < _CW_DEPTHS - 1 ? (uint32_t)halves : _CW_DEPTHS - 1;
 }
 
-/* A deeper prompt is taken to be no less harmful than any shorter one that was seen. */
+/* A deeper prompt is taken to be no less harmful than any shorter one that was seen; one of a depth that few streams
+   have met is taken to hold them up for as long as it is read. */
 double cw_balance_pause(const cw_balance_t* b, uint32_t tokens) {
     double pause_ms = 0;
-    for (uint32_t i = 0; i <= _cw_balance_depth(tokens); i++) {
+    uint32_t depth = _cw_balance_depth(tokens);
+    for (uint32_t i = 0; i <= depth; i++) {
         pause_ms = b->pause_ms[i] > pause_ms ? b->pause_ms[i] : pause_ms;
     }
-    return pause_ms;
+    double whole_ms = b->read_ms * tokens;
+    return b->pause_samples[depth] < _CW_PAUSE_FEW && whole_ms > pause_ms ? whole_ms : pause_ms;
 }
 
 /* How likely a prompt of so many tokens makes a stream late that may pause for gap_ms, 0..1. */
@@ -535,7 +540,9 @@
 }
 
 static void _cw_balance_learn_pause(cw_balance_t* b, uint32_t tokens, double pause_ms) {
-    double* learned = &b->pause_ms[_cw_balance_depth(tokens)];
+    uint32_t depth = _cw_balance_depth(tokens);
+    double* learned = &b->pause_ms[depth];
+    b->pause_samples[depth]++;
     *learned += (pause_ms > *learned ? _CW_PAUSE_UP : _CW_PAUSE_DOWN) * (pause_ms - *learned);
 }
 
