--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -17,7 +17,8 @@
 #define WAIT_SHARE 0.2    /* of the target: longest wait for a place, then the request is refused */
 #define WAIT_MIN_MS 20
 #define SILENT_CALL_SHARE 0.7 /* of the target: a repeatable call without an answer is tried elsewhere */
-#define SILENT_TARGETS 1.0    /* targets without a first event, beyond the prediction, until a stream is moved */
+#define SILENT_TARGETS 0.5    /* targets without a first event, beyond the prediction, until a stream is moved */
+#define SILENT_EXPECTED 1.5   /* times the predicted time that is waited beside */
 #define STALL_GAPS 4          /* longest pauses without an event until a stream is moved */
 #define STALL_MIN_MS 400
 #define LATE_FACTOR 1.0           /* targets until the first event beyond which a generation is refused */
@@ -199,7 +200,7 @@
     }
     double target_ms = x->route->target_ms;
     double limit_ms = x->route->kind == CW_ROUTE_STREAM
-                          ? SILENT_TARGETS * target_ms + 2 * (choice->wait_ms + choice->read_ms)
+                          ? SILENT_TARGETS * target_ms + SILENT_EXPECTED * (choice->wait_ms + choice->read_ms)
                           : SILENT_CALL_SHARE * target_ms;
     x->silent_at_ms = x->sent_ms + (int64_t)limit_ms;
 }
