--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -99,6 +99,9 @@
     for (uint32_t i = 0; i < known; i++) {
         live += is_live(cw_members_at(m->members, i));
     }
+    if (live > m->stats.live) {
+        m->repeated_ms = 0; /* a host that has just come hears all with the next tick */
+    }
     m->stats.live = live;
     m->stats.known = known;
     m->daemons = known > m->daemons ? known : m->daemons;
