--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -210,7 +210,7 @@
 #define _CW_RUN_MS 0.5       /* how much a run slows the others of an engine */
 #define _CW_KEPT_WAYS 4
 #define _CW_REREAD 10.0       /* times its reading that a part costs which another server has read already */
-#define _CW_MOVE 5.0          /* times its duration that a move costs: it is not free for others */
+#define _CW_MOVE 20.0          /* times its duration that a move costs: it is not free for others */
 #define _CW_MOVE_FEW 256      /* fewer tokens are not worth a move */
 #define _CW_FULL_MS 1000.0    /* what a server costs whose memory would overflow */
 #define _CW_MEMORY_SHARE 0.9  /* of a server's memory that is planned with */
