--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -118,6 +118,7 @@
     uint64_t from;       /* id of a server to fetch more of the prompt from, 0: none */
     uint32_t moved;      /* tokens that it would give */
     uint32_t candidates; /* servers that had room */
+    bool deep;           /* the prompt is among the pool's long ones: it stands before others */
 } cw_choice_t;
 
 typedef struct cw_balance_desc_t {
@@ -177,6 +178,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "chalkway_kept.h"
 #include "chalkway_map.h"
 
 #define _CW_READ_MS 0.02            /* ms a token before anything was learned */
@@ -199,18 +201,18 @@
 #define _CW_PAUSE_FEW 10    /* fewer pauses beside prompts of a depth say nothing */
 #define _CW_DEEP_UP 0.1     /* the length of deep prompts is learned as a high quantile too */
 #define _CW_DEEP_DOWN 0.005
-#define _CW_GATHER_SHARE 0.1 /* of the target: what each further place in the order costs a stream easily hurt */
-#define _CW_PLAN_SHARE 0.9   /* of an engine's slots that are planned with: what others just sent is not known yet */
-#define _CW_DEEP_WAIT 0.1    /* weight of the backlog that one deep prompt found */
-#define _CW_PACE_LEARN 0.05  /* weight of a new sample of a server's pace */
-#define _CW_PACE_FEW 20      /* fewer samples say nothing */
-#define _CW_PACE_SLOW 1.15   /* a server whose pace is so many times the fastest one's comes last in the order */
-#define _CW_PACE_RUNS 0.17   /* of the slots: only with so few running is a server's pace learned */
-#define _CW_GAPS_MAX 8       /* different longest pauses of one pool that are told apart */
-#define _CW_RUN_MS 0.5       /* how much a run slows the others of an engine */
-#define _CW_KEPT_WAYS 4
+#define _CW_GATHER_SHARE 0.1  /* of the target: what each further place in the order costs a stream easily hurt */
+#define _CW_PLAN_SHARE 0.9    /* of an engine's slots that are planned with: what others just sent is not known yet */
+#define _CW_DEEP_SHARE 0.25   /* of the learned length of deep prompts, from which a prompt is one */
+#define _CW_DEEP_WAIT 0.1     /* weight of the backlog that one deep prompt found */
+#define _CW_PACE_LEARN 0.05   /* weight of a new sample of a server's pace */
+#define _CW_PACE_FEW 20       /* fewer samples say nothing */
+#define _CW_PACE_SLOW 1.15    /* a server whose pace is so many times the fastest one's comes last in the order */
+#define _CW_PACE_RUNS 0.17    /* of the slots: only with so few running is a server's pace learned */
+#define _CW_GAPS_MAX 8        /* different longest pauses of one pool that are told apart */
+#define _CW_RUN_MS 0.5        /* how much a run slows the others of an engine */
 #define _CW_REREAD 10.0       /* times its reading that a part costs which another server has read already */
-#define _CW_MOVE 20.0          /* times its duration that a move costs: it is not free for others */
+#define _CW_MOVE 20.0         /* times its duration that a move costs: it is not free for others */
 #define _CW_MOVE_FEW 256      /* fewer tokens are not worth a move */
 #define _CW_FULL_MS 1000.0    /* what a server costs whose memory would overflow */
 #define _CW_MEMORY_SHARE 0.9  /* of a server's memory that is planned with */
@@ -254,21 +256,13 @@
     _cw_news_t* news;
 } _cw_server_t;
 
-typedef struct _cw_kept_t {
-    uint64_t key;  /* server and part, 0: free */
-    uint64_t at;   /* read_tokens of the server then */
-    uint64_t used; /* when it was used last, counted in uses */
-} _cw_kept_t;
-
 struct cw_balance_t {
     cw_balance_desc_t desc;
     _cw_server_t* servers;
     cw_map_t index; /* id to place */
     uint32_t places;
     uint32_t listed;
-    _cw_kept_t* kept;
-    uint32_t kept_mask;
-    uint64_t kept_uses;
+    cw_kept_t* kept;
     double read_ms, base_ms, service_ms;
     uint32_t service_samples;
     double pause_ms[_CW_DEPTHS]; /* learned pause beside prompts of each length, 0: not seen */
@@ -294,12 +288,7 @@
     b->desc = _cw_balance_desc_defaults(desc);
     b->servers = cw_alloc(&b->desc.allocator, b->desc.max_servers, sizeof(*b->servers));
     b->index = cw_map_setup(b->desc.max_servers, &b->desc.allocator);
-    uint32_t size = 1;
-    while (size < b->desc.max_parts) {
-        size *= 2;
-    }
-    b->kept = cw_alloc(&b->desc.allocator, size, sizeof(*b->kept));
-    b->kept_mask = size - 1;
+    b->kept = cw_kept_setup(b->desc.max_parts, &b->desc.allocator);
     b->read_ms = _CW_READ_MS;
     b->base_ms = _CW_BASE_MS;
     b->service_ms = _CW_SERVICE_MS;
@@ -312,8 +301,8 @@
         cw_free(&allocator, b->servers[i].news);
     }
     cw_map_shutdown(&b->index);
+    cw_kept_shutdown(b->kept);
     cw_free(&allocator, b->servers);
-    cw_free(&allocator, b->kept);
     cw_free(&allocator, b);
 }
 
@@ -396,24 +385,8 @@
 
 /* -- prompt parts --------------------------------------------------------- */
 
-/* The part's place at the server, or the one that it would take: a free one, else the one with the oldest part. */
-static _cw_kept_t* _cw_balance_kept_slot(const cw_balance_t* b, uint64_t server, uint64_t part) {
-    uint64_t key = cw_mix(server, part);
-    _cw_kept_t* ways = &b->kept[(key % (b->kept_mask + 1)) & ~(uint64_t)(_CW_KEPT_WAYS - 1)];
-    _cw_kept_t* oldest = ways;
-    for (uint32_t i = 0; i < _CW_KEPT_WAYS; i++) {
-        if (ways[i].key == key) {
-            return &ways[i];
-        }
-        oldest = ways[i].used < oldest->used ? &ways[i] : oldest;
-    }
-    return oldest;
-}
-
 static bool _cw_balance_has_part(const cw_balance_t* b, const _cw_server_t* s, uint64_t part) {
-    const _cw_kept_t* slot = _cw_balance_kept_slot(b, s->spec.id, part);
-    return slot->key == cw_mix(s->spec.id, part) &&
-           (double)(s->read_tokens - slot->at) < _CW_KEPT_SHARE * s->spec.memory_tokens;
+    return cw_kept_has(b->kept, s->spec.id, part, s->read_tokens, _CW_KEPT_SHARE * s->spec.memory_tokens);
 }
 
 /* Tokens at the start of the prompt that the server keeps. */
@@ -429,10 +402,7 @@
     if (!_cw_balance_has_part(b, s, part->id)) {
         s->read_tokens += part->tokens;
     }
-    _cw_kept_t* slot = _cw_balance_kept_slot(b, s->spec.id, part->id);
-    slot->key = cw_mix(s->spec.id, part->id);
-    slot->at = s->read_tokens;
-    slot->used = ++b->kept_uses;
+    cw_kept_add(b->kept, s->spec.id, part->id, s->read_tokens);
 }
 
 void cw_balance_kept(cw_balance_t* b, uint64_t server, const cw_work_part_t* part) {
@@ -697,6 +667,7 @@
         }
     }
     best.candidates = candidates;
+    best.deep = work->prompt_tokens > _CW_DEEP_SHARE * b->deep_tokens;
     return best;
 }
 
--- a/chalkway_log.h
+++ b/chalkway_log.h
@@ -74,6 +74,8 @@
 } cw_event_info_t;
 
 cw_event_info_t cw_event_info(cw_event_t event);
+/* Level of its name: debug, info, warn or error; info for any other. */
+cw_log_level_t cw_log_level(const char* name);
 /* Writes one event; fmt makes its key=value pairs, separated by single spaces. */
 void cw_log(const cw_log_t* log, cw_event_t event, const char* fmt, ...) __attribute__((format(printf, 3, 4)));
 
@@ -166,8 +168,18 @@
     }
 }
 
+static const char* const _cw_log_levels[] = {"debug", "info", "warn", "error"};
+
+cw_log_level_t cw_log_level(const char* name) {
+    for (int i = 0; i < 4; i++) {
+        if (strcmp(name, _cw_log_levels[i]) == 0) {
+            return (cw_log_level_t)i;
+        }
+    }
+    return CW_LOG_INFO;
+}
+
 void cw_log(const cw_log_t* log, cw_event_t event, const char* fmt, ...) {
-    static const char* const levels[] = {"debug", "info", "warn", "error"};
     cw_event_info_t info = cw_event_info(event);
     if (!log || info.level < log->level) {
         return;
@@ -187,13 +199,13 @@
     char line[_CW_LOG_LINE_MAX + 128];
     char* text = line;
     if (log->json) {
-        json_t* object = json_pack("{s:s,s:s,s:i,s:s}", "time", when, "level", levels[info.level], "event", (int)event,
-                                   "name", info.name);
+        json_t* object = json_pack("{s:s,s:s,s:i,s:s}", "time", when, "level", _cw_log_levels[info.level], "event",
+                                   (int)event, "name", info.name);
         _cw_log_pairs(object, pairs);
         text = json_dumps(object, JSON_COMPACT);
         json_decref(object);
     } else {
-        snprintf(line, sizeof(line), "%s %s %d %s %s", when, levels[info.level], (int)event, info.name, pairs);
+        snprintf(line, sizeof(line), "%s %s %d %s %s", when, _cw_log_levels[info.level], (int)event, info.name, pairs);
     }
     if (log->write) {
         log->write(text, log->user_data);
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -232,16 +232,6 @@
     return (uint64_t)tv.tv_sec * 1000 + (uint64_t)tv.tv_usec / 1000;
 }
 
-static cw_log_level_t log_level(const char* name) {
-    static const char* const names[] = {"debug", "info", "warn", "error"};
-    for (int i = 0; i < 4; i++) {
-        if (strcmp(name, names[i]) == 0) {
-            return (cw_log_level_t)i;
-        }
-    }
-    return CW_LOG_INFO;
-}
-
 static node_policy_t policy_of(const char* name) {
     static const char* const names[] = {"shared", "solo", "lease", "round-robin"};
     for (int i = 0; i < 4; i++) {
@@ -324,7 +314,8 @@
     }
     node_t* node = cw_alloc(NULL, 1, sizeof(*node));
     node->settings = *settings;
-    node->log = (cw_log_t){.level = log_level(settings->log_level), .json = strcmp(settings->log_format, "json") == 0};
+    node->log =
+        (cw_log_t){.level = cw_log_level(settings->log_level), .json = strcmp(settings->log_format, "json") == 0};
     node->loop = ev_default_loop(EVFLAG_AUTO);
     node->host = cw_name_id(settings->name);
     node->hall = cw_name_id(settings->hall);
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -21,7 +21,8 @@
 #define SILENT_EXPECTED 1.5   /* times the predicted time that is waited beside */
 #define STALL_GAPS 4          /* longest pauses without an event until a stream is moved */
 #define STALL_MIN_MS 400
-#define LATE_FACTOR 1.0           /* targets until the first event beyond which a generation is refused */
+#define LATE_DEEP 1.0             /* targets until the first event beyond which a long prompt is refused */
+#define LATE_SHORT 3.0            /* the same for others, which hold up nobody */
 #define RETRY_AFTER_MIN_MS 300    /* shortest time to come back after a refusal */
 #define RETRY_AFTER_SPREAD_MS 500 /* spread, so that those refused do not come back together */
 #define DETACHED_MS 2000          /* a run that may not be repeated is left to itself for so long after its time */
@@ -267,7 +268,8 @@
     x->sent_ms = now_ms;
     bool resuming = x->head_passed && x->events.last_id[0];
     e->stats.resumed += resuming;
-    request_head_t set = {.workspace = x->workspace ? x->workspace->name : NULL,
+    request_head_t set = {.request_id = x->id,
+                          .workspace = x->workspace ? x->workspace->name : NULL,
                           .server = x->server->published.id,
                           .fetch_from = x->fetch_from[0] ? x->fetch_from : NULL,
                           .last_event = resuming ? x->events.last_id : NULL,
@@ -453,8 +455,8 @@
 
 /* Whether even the best server would answer so late that the request only stands before others. */
 static bool hopeless(const exchange_t* x, const cw_choice_t* choice) {
-    return !x->transfers && x->work.prompt_tokens &&
-           choice->wait_ms + choice->read_ms > LATE_FACTOR * x->route->target_ms;
+    double limit_ms = (choice->deep ? LATE_DEEP : LATE_SHORT) * x->route->target_ms;
+    return !x->transfers && x->work.prompt_tokens && choice->wait_ms + choice->read_ms > limit_ms;
 }
 
 /* Refuses a request that waits or has just come, with the inputs that decided it. */
@@ -480,7 +482,7 @@
         choice = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, x->tried, x->tried_count);
     }
     if (choice.server != CW_BALANCE_NONE && hopeless(x, &choice)) {
-        x->retry_ms = (uint32_t)(choice.wait_ms + choice.read_ms - x->route->target_ms * LATE_FACTOR / 2);
+        x->retry_ms = (uint32_t)(choice.wait_ms + choice.read_ms - x->route->target_ms / 2.0);
         refuse(x, &choice, "every server would answer far too late");
         return;
     }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -232,16 +232,6 @@
     mesh_leave(g->mesh);
 }
 
-static cw_log_level_t log_level(const char* name) {
-    static const char* const names[] = {"debug", "info", "warn", "error"};
-    for (int i = 0; i < 4; i++) {
-        if (strcmp(name, names[i]) == 0) {
-            return (cw_log_level_t)i;
-        }
-    }
-    return CW_LOG_INFO;
-}
-
 /* Reads the settings again. What may change while the process runs is taken over: the log's level and form, and how
    long callers keep a lookup answer. */
 static void on_reload(struct ev_loop* loop, ev_signal* w, int events) {
@@ -256,7 +246,7 @@
         }
         return;
     }
-    g->log.level = log_level(fresh.log_level);
+    g->log.level = cw_log_level(fresh.log_level);
     g->log.json = strcmp(fresh.log_format, "json") == 0;
     g->settings.lookup_keep_ms = fresh.lookup_keep_ms;
     directory_set_keep(g->directory, fresh.lookup_keep_ms);
@@ -378,7 +368,7 @@
     signal(SIGPIPE, SIG_IGN);
     g.loop = ev_default_loop(0);
     cw_lines_setup(&g.lines, g.loop, STDOUT_FILENO, LOG_BYTES);
-    g.log = (cw_log_t){.level = log_level(g.settings.log_level),
+    g.log = (cw_log_t){.level = cw_log_level(g.settings.log_level),
                        .json = strcmp(g.settings.log_format, "json") == 0,
                        .write = write_line,
                        .user_data = &g};
--- a/gateway/request_head.c
+++ b/gateway/request_head.c
@@ -42,6 +42,9 @@
             cw_message_add_field(out, field->name, field->value);
         }
     }
+    if (!cw_message_field(request, d->fields.request_id)) {
+        cw_message_add_field(out, d->fields.request_id, set->request_id);
+    }
     cw_message_add_text(out, "%s: %u\r\n", d->fields.deadline_ms, set->deadline_ms);
     cw_message_add_field(out, d->fields.server, set->server);
     if (set->workspace) {
--- a/gateway/request_head.h
+++ b/gateway/request_head.h
@@ -7,7 +7,8 @@
 
 /* What the gateway sets on a request to a server. */
 typedef struct request_head_t {
-    const char* workspace; /* NULL: none */
+    const char* request_id; /* for a caller that sent none */
+    const char* workspace;  /* NULL: none */
     const char* server;
     const char* fetch_from; /* NULL: none */
     const char* last_event; /* NULL: the caller's own field stays */
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -1,4 +1,5 @@
 /* Requests through the gateway's data path to scripted servers, and what callers and servers see when servers fail. */
+#include "../gateway/clock.h"
 #include "rig.h"
 
 #define ROUTES                                                                                                         \
@@ -343,7 +344,60 @@
 }
 END_TEST
 
+#define ENGINE_ROUTES                                                                                                  \
+    "{\"revision\":1,\"pools\":[{\"name\":\"p\",\"engine\":{\"slots\":8,\"memory_tokens\":100000,"                     \
+    "\"token_bytes\":100000,\"link_mbps\":400000}}],\"routes\":["                                                      \
+    "{\"name\":\"gen\",\"host\":\"h.example\",\"prefix\":\"/gen/\",\"kind\":\"stream\",\"timeout_ms\":5000,"           \
+    "\"target_ms\":1000,\"attempts\":1,\"pools\":[{\"pool\":\"p\"}]}]}"
+
+#define GENERATE(in)                                                                                                   \
+    "POST /gen/ HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: q1\r\nChalkway-Tokens: " in                        \
+    ",10\r\nChalkway-Prompt-Parts: a1:4000,b2:10\r\nContent-Length: 0\r\n\r\n"
+
+/* Another daemon has so many ms of prompts to be read at the server. */
+static void set_backlog(rig_t* r, uint32_t server, uint32_t ms) {
+    char id[8];
+    snprintf(id, sizeof(id), "s%u", server);
+    cw_load_t load = {.running = ms ? 1 : 0, .backlog_ms = ms};
+    cw_balance_news(upstreams_pool(r->upstreams, "p")->balance, clock_ms(), 7, cw_name_id(id), &load);
+}
+
+START_TEST(a_long_prompt_that_would_come_too_late_is_refused_and_a_short_one_is_not) {
+    rig_t* r = rig_setup(ENGINE_ROUTES, 1);
+    script(r, 2, (rig_step_t[]){{RIG_ANSWER, OK("a", "1")}, {RIG_ANSWER, OK("b", "1")}});
+    expect_status(rig_call(r, GENERATE("8000")), "200");
+    set_backlog(r, 0, 1500); /* more than the target, less than three of them */
+    const char* answer = rig_call(r, GENERATE("8000"));
+    expect_status(answer, "503");
+    ck_assert(strstr(answer, "Retry-After: "));
+    ck_assert_uint_eq(r->arrival_count, 1);
+    set_backlog(r, 0, 1500);
+    expect_status(rig_call(r, "POST /gen/ HTTP/1.1\r\nHost: h.example\r\nChalkway-Tokens: 100,10\r\n"
+                              "Content-Length: 0\r\n\r\n"),
+                  "200");
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_kept_prompt_is_fetched_from_its_server_when_that_one_is_busy) {
+    rig_t* r = rig_setup(ENGINE_ROUTES, 2);
+    script(r, 2, (rig_step_t[]){{RIG_ANSWER, OK("a", "1")}, {RIG_ANSWER, OK("b", "1")}});
+    expect_status(rig_call(r, GENERATE("5000")), "200");
+    uint32_t home = r->arrival_server[0];
+    ck_assert(!strstr(r->arrivals[0], "Chalkway-Fetch-From"));
+    set_backlog(r, home, 900);
+    expect_status(rig_call(r, GENERATE("5000")), "200");
+    ck_assert_uint_eq(r->arrival_server[1], 1 - home);
+    char field[80];
+    snprintf(field, sizeof(field), "Chalkway-Fetch-From: %s\r\n", r->addresses[home]);
+    ck_assert_msg(strstr(r->arrivals[1], field) != NULL, "%s", r->arrivals[1]);
+    rig_shutdown(r);
+}
+END_TEST
+
 static void add(TCase* t) {
+    tcase_add_test(t, a_long_prompt_that_would_come_too_late_is_refused_and_a_short_one_is_not);
+    tcase_add_test(t, a_kept_prompt_is_fetched_from_its_server_when_that_one_is_busy);
     tcase_add_test(t, a_request_is_passed_on_with_the_gateways_own_fields);
     tcase_add_test(t, a_chunked_body_and_a_pipelined_request_are_passed_on);
     tcase_add_test(t, a_request_that_may_have_run_is_not_sent_again);
