--- a/Makefile
+++ b/Makefile
@@ -112,6 +112,7 @@
 	clang-format --dry-run --Werror $(SOURCES)
 
 lint:
+	@sh tools/arrows.sh
 	@sh tools/lint.sh $(BUILD)
 
 install: all
--- /dev/null
+++ b/tools/arrows.sh
@@ -0,0 +1,44 @@
+#!/bin/sh
+# Checks two rules of the layout: the platform's names stand in platform/ (and tests/) only, and the includes of gateway/
+# run one way. Prints each breach and fails.
+status=0
+names='op/config|kv-key|kv-range|kv-watch|Attempt-Id|Deadline-Ms: |"Deadline-Ms"|Not-Executed|Expect-Instance'
+names="$names|Response-Signature|Kv-Fetch|Prefix-Hash|Token-Counts|Request-Priority|CHALKWAY_NODE_FILE|tls_key"
+found=$(grep -lE "$names" *.h *.c io/* daemon/* gateway/* standins/* tools/*.c tools/*.h bench/* samples/* 2>/dev/null)
+if [ -n "$found" ]; then
+    echo "the platform's names outside platform/: $found"
+    status=1
+fi
+
+# file: the headers of gateway/ that it may include
+allowed() {
+    case "$1" in
+        front) echo "front" ;;
+        upstream) echo "clock dialect upstream" ;;
+        sync) echo "clock dialect sync" ;;
+        mesh) echo "clock mesh settings upstream" ;;
+        directory) echo "dialect directory" ;;
+        request_head) echo "dialect request_head" ;;
+        exchange) echo "clock exchange front request_head upstream" ;;
+        native | dialect) echo "dialect" ;;
+        settings) echo "settings" ;;
+        clock) echo "clock" ;;
+        *) echo "any" ;;
+    esac
+}
+for file in gateway/*.c gateway/*.h; do
+    part=$(basename "$file" | sed 's/\.[ch]$//')
+    may=$(allowed "$part")
+    [ "$may" = any ] && continue
+    for header in $(sed -n 's/^#include "\([a-z_]*\)\.h"$/\1/p' "$file"); do
+        case " $may " in
+            *" $header "*) ;;
+            *)
+                echo "$file includes $header.h, which its part may not know"
+                status=1
+                ;;
+        esac
+    done
+done
+[ "$status" = 0 ] && echo "layout: names and includes as they should be"
+exit $status
