--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -20,6 +20,7 @@
 #define BITS 8.0
 #define BITS_PER_MS_MBPS 1000.0 /* bits in a ms at 1 Mbit/s */
 #define LINKS_MIN 2             /* connections to one server that every daemon may have */
+#define POOL_SERVERS_MAX 1024   /* servers of one pool that are used */
 #define RETRY_SAFETY 0.8        /* share of the budget for repeats that is used */
 
 struct link_t {
@@ -350,7 +351,8 @@
     }
     cw_copy(pool->name, sizeof(pool->name), name);
     pool->upstreams = u;
-    pool->balance = cw_balance_setup(&(cw_balance_desc_t){.hall = u->desc.hall, .seed = u->desc.host});
+    pool->balance = cw_balance_setup(
+        &(cw_balance_desc_t){.hall = u->desc.hall, .seed = u->desc.host, .max_servers = POOL_SERVERS_MAX});
     pool->retries = (cw_retry_window_t){.ratio = u->desc.retry_ratio * RETRY_SAFETY,
                                         .slack = u->desc.retry_slack * RETRY_SAFETY,
                                         .window_ms = u->desc.retry_window_ms,
@@ -381,9 +383,9 @@
 
 /* Tells the pool's balance which servers may be chosen. */
 static void pool_list(pool_t* pool, int64_t now_ms) {
-    cw_server_spec_t specs[256];
+    cw_server_spec_t specs[POOL_SERVERS_MAX];
     uint32_t count = 0;
-    for (server_t* s = pool->servers; s && count < sizeof(specs) / sizeof(specs[0]); s = s->next) {
+    for (server_t* s = pool->servers; s && count < POOL_SERVERS_MAX; s = s->next) {
         if (!s->gone) {
             specs[count++] = (cw_server_spec_t){.id = s->key,
                                                 .hall = cw_name_id(s->published.hall),
