--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -197,7 +197,7 @@
 #define _CW_DEPTH_MIN 256.0
 #define _CW_PAUSE_UP 0.2    /* weight of a pause longer than learned: a high quantile is wanted */
 #define _CW_PAUSE_DOWN 0.02 /* weight of a shorter one */
-#define _CW_LATE_FROM 0.8   /* share of the longest pause from which a learned pause counts as harm, to 1.2 */
+#define _CW_LATE_FROM 0.7   /* share of the longest pause from which a learned pause counts as harm, to 1.3 */
 #define _CW_PAUSE_FEW 10    /* fewer pauses beside prompts of a depth say nothing */
 #define _CW_DEEP_UP 0.1     /* the length of deep prompts is learned as a high quantile too */
 #define _CW_DEEP_DOWN 0.005
