News between daemons counts the time under way, and documents spread without a crowd

Log of all daemons: the first reading came 575 ms after the change, though rank 0 reads every 400 ms; then all 83 others fetched the document from that one host, over its 10 Mbit/s link, for up to 1.2 s. A daemon took the age a peer told as the age at arrival. Ruled out: the source (4 ms an answer), the cut machines (the daemon was in touch). Change: an age grows by the time since the tick before last when a datagram is read, which bounds the wait in the socket of a late process too; a daemon that hears of a newer document waits a random time, longer with more daemons, and asks one of those that hold it by then (chalkway_pull.h). Draws are seeded by host: rand() gave all the same.

--- a/chalkway.c
+++ b/chalkway.c
@@ -15,6 +15,7 @@
 #include "chalkway_member.h"
 #include "chalkway_pick.h"
 #include "chalkway_place.h"
+#include "chalkway_pull.h"
 #include "chalkway_request.h"
 #include "chalkway_runonce.h"
 #include "chalkway_servers.h"
--- a/chalkway_load.h
+++ b/chalkway_load.h
@@ -50,6 +50,9 @@
     cw_load_entry_t entries[CW_LOAD_ENTRIES];
 } cw_load_message_t;
 
+/* Makes both ages older by ms: what a daemon says was true when it was sent, not when it is read. An age that is not
+   counted as time under way would stay young forever among daemons that confirm each other. */
+void cw_knowledge_age(cw_knowledge_t* knowledge, uint32_t ms);
 /* Writes the datagram; returns its size, 0 when it does not fit. */
 size_t cw_load_encode(const cw_load_message_t* message, uint8_t* out, size_t size);
 cw_status_t cw_load_decode(cw_load_message_t* message, const uint8_t* data, size_t size, cw_error_t* err);
@@ -67,6 +70,15 @@
 #define _CW_LOAD_HEAD 7   /* fields before the entries */
 #define _CW_LOAD_FIELDS 8 /* of an entry before its parts */
 
+static uint32_t _cw_load_older(uint32_t age_ms, uint32_t ms) {
+    return age_ms < UINT32_MAX - ms ? age_ms + ms : UINT32_MAX;
+}
+
+void cw_knowledge_age(cw_knowledge_t* knowledge, uint32_t ms) {
+    knowledge->revision_age_ms = _cw_load_older(knowledge->revision_age_ms, ms);
+    knowledge->servers_age_ms = _cw_load_older(knowledge->servers_age_ms, ms);
+}
+
 static void _cw_load_pack_entry(msgpack_packer* p, const cw_load_entry_t* e) {
     msgpack_pack_array(p, _CW_LOAD_FIELDS + 2 * e->part_count);
     msgpack_pack_uint64(p, e->server);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -129,7 +129,7 @@
 static void on_members(void* user, uint32_t daemons, uint32_t rank) {
     gateway_t* g = user;
     upstreams_set_daemons(g->upstreams, daemons);
-    sync_set_rank(g->sync, rank);
+    sync_set_rank(g->sync, rank, daemons);
 }
 
 static bool is_ready(void* user) {
@@ -293,6 +293,7 @@
                                                    .source = source,
                                                    .address = s->source,
                                                    .share = s->share,
+                                                   .seed = cw_mix(host, (uint64_t)clock_ms()),
                                                    .read_ms = s->read_ms,
                                                    .on_catalog = on_catalog,
                                                    .on_servers = on_servers,
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -23,7 +23,8 @@
 #define PROBE_MS 250     /* between two probes */
 #define PROBE_TIMEOUT_MS 100
 #define SUSPECT_MS 700
-#define RETRY_MS 250 /* between probes of seeds and dead hosts: a fleet that starts again finds itself soon */
+#define TRANSIT_MS 50 /* time under way that a datagram is given before there were two ticks */
+#define RETRY_MS 250  /* between probes of seeds and dead hosts: a fleet that starts again finds itself soon */
 
 /* A server whose load here is to be told. */
 typedef struct dirty_t {
@@ -46,7 +47,8 @@
     dirty_t dirty[DIRTY_MAX];
     uint32_t dirty_count;
     int64_t flushed_ms, repeated_ms;
-    uint32_t fan_at; /* where the next round of sends starts */
+    int64_t tick_ms, tick_before_ms; /* the last two ticks */
+    uint32_t fan_at;                 /* where the next round of sends starts */
     int64_t sent_ms;
     mesh_stats_t stats;
 };
@@ -251,12 +253,18 @@
     }
 }
 
+/* How long a datagram may have been under way that is read now: this process may have been late to read it. */
+static uint32_t waited_at_most_ms(const mesh_t* m, int64_t now_ms) {
+    return m->tick_before_ms ? (uint32_t)(now_ms - m->tick_before_ms) : TRANSIT_MS;
+}
+
 static void on_load(struct ev_loop* loop, ev_io* w, int events) {
     (void)loop;
     (void)events;
     mesh_t* m = w->data;
     uint8_t bytes[CW_LOAD_BYTES];
     cw_load_message_t message;
+    uint32_t waited_ms = waited_at_most_ms(m, clock_ms());
     struct sockaddr_in from;
     socklen_t from_size = sizeof(from);
     ssize_t n = 0;
@@ -266,6 +274,7 @@
             from.sin_port = htons(m->share_port);
             cw_addr_format(&from, share);
             m->stats.load_in++;
+            cw_knowledge_age(&message.knowledge, waited_ms);
             m->desc.on_knowledge(m->desc.user_data, share, &message.knowledge);
             take_load(m, &message);
         } else {
@@ -286,6 +295,8 @@
 }
 
 void mesh_tick(mesh_t* m, int64_t now_ms) {
+    m->tick_before_ms = m->tick_ms;
+    m->tick_ms = now_ms;
     cw_members_tick(m->members, now_ms);
     send_gossip(m);
     tell_members(m);
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../chalkway_pull.h"
 #include "../io/buffer.h"
 #include "../io/httpd.h"
 #include "clock.h"
@@ -43,7 +44,9 @@
     char page_after[CW_NAME_MAX * 2];
     uint64_t list_id;
     int64_t list_ms; /* when the list in force was last known to be true at the source, NEVER: none */
-    uint32_t rank;
+    cw_pull_t catalog_pull, servers_pull;
+    uint32_t rank, daemons;
+    uint64_t draws;
     bool lost;
     sync_stats_t stats;
 };
@@ -91,10 +94,14 @@
     }
 }
 
+static uint64_t draw(sync_t* s) {
+    return cw_mix(s->desc.seed, ++s->draws);
+}
+
 static void back_off(fetch_t* f) {
     f->backoff_ms = f->backoff_ms ? f->backoff_ms * 2 : BACKOFF_MIN_MS;
     f->backoff_ms = f->backoff_ms > BACKOFF_MAX_MS ? BACKOFF_MAX_MS : f->backoff_ms;
-    f->next_ms = clock_ms() + f->backoff_ms / 2 + rand() % (f->backoff_ms / 2);
+    f->next_ms = clock_ms() + f->backoff_ms / 2 + (int64_t)(draw(f->sync) % (f->backoff_ms / 2));
 }
 
 static void fetch_ok(fetch_t* f, uint32_t pause_ms) {
@@ -142,6 +149,7 @@
     free(s->text);
     s->in_force = catalog;
     s->text = text;
+    cw_pull_cancel(&s->catalog_pull);
     cw_log(s->desc.log, CW_EVENT_CONFIG_CHANGED, "revision=%lld routes=%u pools=%u workspaces=%u from=%s",
            (long long)catalog->revision, catalog->route_count, catalog->pool_count, catalog->workspace_count, from);
     s->desc.on_catalog(s->desc.user_data, catalog);
@@ -158,6 +166,7 @@
     *list = (cw_servers_t){0};
     s->list_id = cw_servers_id(&s->list);
     s->list_ms = true_ms;
+    cw_pull_cancel(&s->servers_pull);
     s->desc.on_servers(s->desc.user_data, &s->list);
 }
 
@@ -282,10 +291,22 @@
     adopt_servers(s, &list, clock_ms() - list.age_ms);
 }
 
-static void read_peer(sync_t* s, fetch_t* f, const char* address, const char* path) {
-    if (!f->call && clock_ms() >= f->next_ms) {
+/* Notes that the peer has a newer document. */
+static void offered(sync_t* s, const fetch_t* f, cw_pull_t* pull, const char* peer, uint64_t version) {
+    int64_t now_ms = clock_ms();
+    if (f->call || now_ms < f->next_ms) {
+        return;
+    }
+    cw_pull_told(pull, &(cw_pull_offer_t){
+                           .now_ms = now_ms, .version = version, .peer = peer, .daemons = s->daemons, .draw = draw(s)});
+}
+
+/* Fetches from a peer when it is time. */
+static void pull(sync_t* s, fetch_t* f, cw_pull_t* wanted, const char* path, int64_t now_ms) {
+    const char* peer = cw_pull_due(wanted, now_ms);
+    if (peer) {
         s->stats.peer_calls++;
-        fetch(f, address, path, CALL_MS);
+        fetch(f, peer, path, CALL_MS);
     }
 }
 
@@ -294,19 +315,20 @@
     int64_t catalog_ms = now_ms - k->revision_age_ms;
     int64_t list_ms = now_ms - k->servers_age_ms;
     if ((int64_t)k->revision > sync_revision(s)) {
-        read_peer(s, &s->peer_catalog, share, "/catalog");
+        offered(s, &s->peer_catalog, &s->catalog_pull, share, k->revision);
     } else if (k->revision && (int64_t)k->revision == sync_revision(s) && catalog_ms > s->catalog_ms) {
         s->catalog_ms = catalog_ms;
     }
     if (k->servers && k->servers == s->list_id) {
         s->list_ms = list_ms > s->list_ms ? list_ms : s->list_ms;
     } else if (k->servers && list_ms > s->list_ms) {
-        read_peer(s, &s->peer_servers, share, "/servers");
+        offered(s, &s->peer_servers, &s->servers_pull, share, k->servers);
     }
 }
 
-void sync_set_rank(sync_t* s, uint32_t rank) {
+void sync_set_rank(sync_t* s, uint32_t rank, uint32_t daemons) {
     s->rank = rank;
+    s->daemons = daemons;
 }
 
 static uint32_t age_of(int64_t true_ms, int64_t now_ms) {
@@ -367,6 +389,8 @@
 
 void sync_tick(sync_t* s, int64_t now_ms) {
     uint32_t limit_ms = reading_age_ms(s);
+    pull(s, &s->peer_catalog, &s->catalog_pull, "/catalog", now_ms);
+    pull(s, &s->peer_servers, &s->servers_pull, "/servers", now_ms);
     if (!s->servers.call && now_ms >= s->servers.next_ms && age_of(s->list_ms, now_ms) >= limit_ms) {
         read_source_servers(s);
     }
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -6,8 +6,9 @@
 
     Both are read again when what is known has grown too old. The ages travel with the peers' datagrams, so a reading by
     one daemon confirms what all have; each daemon's limit depends on its rank, so that mostly those of the first ranks
-    read, and the next ones when they fail. A waiting watch is not used: one that is cut in silence tells nothing, and a
-    watch on the servers wakes for every heartbeat. Peers read both documents at the share address.
+    read, and the next ones when they fail. What a peer has newer is fetched by chalkway_pull.h. A waiting watch is not
+   used: one that is cut in silence tells nothing, and a watch on the servers wakes for every heartbeat. Peers read both
+   documents at the share address.
 */
 #include "../chalkway_catalog.h"
 #include "../chalkway_load.h"
@@ -24,6 +25,7 @@
     const source_t* source;
     const char* address; /* of the source */
     const char* share;   /* address at which peers read */
+    uint64_t seed;       /* of this host: spreads what all would do at once */
     uint32_t read_ms;    /* age at which the daemon of the first rank reads again */
     void (*on_catalog)(void* user_data, cw_catalog_t* catalog);
     void (*on_servers)(void* user_data, const cw_servers_t* list);
@@ -46,8 +48,8 @@
 cw_knowledge_t sync_knowledge(const sync_t* s);
 /* What a peer knows. share: the address where it can be read. */
 void sync_on_peer(sync_t* s, const char* share, const cw_knowledge_t* knowledge);
-/* Place among the living daemons in a fixed order, 0 first. */
-void sync_set_rank(sync_t* s, uint32_t rank);
+/* Place among the living daemons in a fixed order, 0 first, and how many there have been at most. */
+void sync_set_rank(sync_t* s, uint32_t rank, uint32_t daemons);
 void sync_tick(sync_t* s, int64_t now_ms);
 sync_stats_t sync_stats(const sync_t* s);
 
--- /dev/null
+++ b/tests/test_news.c
@@ -0,0 +1,120 @@
+/* What daemons tell each other, on a clock of the test's own: ages that never look younger than they are, and documents
+   that spread without a crowd at their first holder. */
+#include <stdio.h>
+#include <string.h>
+
+#include "../chalkway_load.h"
+#include "../chalkway_pull.h"
+#include "test.h"
+
+/* -- ages ----------------------------------------------------------------- */
+
+#define TRANSIT_MS 3 /* of a datagram */
+#define TOLD_MS 1    /* each daemon tells the others so often */
+#define BOUND_MS 25  /* that a reader takes for the time under way */
+
+/* Two daemons that confirm each other's knowledge without end, while nobody reads the source. */
+START_TEST(daemons_that_confirm_each_other_grow_old_together) {
+    int64_t true_ms[2] = {0, 0}; /* when what each knows is taken to have been true; read at the source at 0 */
+    uint32_t told[TRANSIT_MS][2];
+    memset(told, 0, sizeof(told));
+    for (int64_t now_ms = 0; now_ms < 5000; now_ms += TOLD_MS) {
+        uint32_t slot = (uint32_t)(now_ms % TRANSIT_MS);
+        for (int reader = 0; reader < 2 && now_ms >= TRANSIT_MS; reader++) {
+            cw_knowledge_t k = {.revision_age_ms = told[slot][1 - reader], .servers_age_ms = UINT32_MAX};
+            cw_knowledge_age(&k, BOUND_MS);
+            int64_t heard_ms = now_ms - k.revision_age_ms;
+            true_ms[reader] = heard_ms > true_ms[reader] ? heard_ms : true_ms[reader];
+            ck_assert_uint_eq(k.servers_age_ms, UINT32_MAX); /* never read stays so */
+        }
+        for (int teller = 0; teller < 2; teller++) {
+            told[slot][teller] = (uint32_t)(now_ms - true_ms[teller]);
+        }
+    }
+    ck_assert_int_le(true_ms[0], 0);
+    ck_assert_int_le(true_ms[1], 0);
+}
+END_TEST
+
+/* -- pulls ---------------------------------------------------------------- */
+
+#define DAEMONS 84
+#define CARRY_MS 10 /* for which one copy takes up its holder's link */
+
+/* When each daemon has the document: all hear of it at 0 from its only holder, and of further holders as they come. */
+static int64_t spread(uint64_t seed, bool spread_out) {
+    cw_pull_t pulls[DAEMONS] = {{0}};
+    int64_t has_ms[DAEMONS], free_ms[DAEMONS] = {0};
+    char names[DAEMONS][8];
+    int64_t last_ms = 0;
+    for (int i = 0; i < DAEMONS; i++) {
+        has_ms[i] = i ? INT64_MAX : 0;
+        snprintf(names[i], sizeof(names[i]), "%d", i);
+    }
+    for (int64_t now_ms = 0; now_ms < 3000; now_ms++) {
+        for (int i = 1; i < DAEMONS; i++) {
+            for (int holder = 0; holder < DAEMONS && has_ms[i] == INT64_MAX; holder++) {
+                if (has_ms[holder] != now_ms) {
+                    continue; /* it tells all others at the moment in which it has it */
+                }
+                cw_pull_told(&pulls[i], &(cw_pull_offer_t){.now_ms = now_ms,
+                                                           .version = 7,
+                                                           .peer = names[holder],
+                                                           .daemons = spread_out ? DAEMONS : 0,
+                                                           .draw = cw_mix(seed, (uint64_t)(now_ms * DAEMONS + i))});
+            }
+            const char* peer = has_ms[i] == INT64_MAX ? cw_pull_due(&pulls[i], now_ms) : NULL;
+            if (peer) {
+                int holder = atoi(peer);
+                free_ms[holder] = (free_ms[holder] > now_ms ? free_ms[holder] : now_ms) + CARRY_MS;
+                has_ms[i] = free_ms[holder];
+            }
+        }
+    }
+    for (int i = 0; i < DAEMONS; i++) {
+        ck_assert_int_ne(has_ms[i], INT64_MAX);
+        last_ms = has_ms[i] > last_ms ? has_ms[i] : last_ms;
+    }
+    return last_ms;
+}
+
+START_TEST(a_document_spreads_without_a_crowd_at_its_first_holder) {
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        int64_t crowd_ms = spread(seed, false);
+        int64_t spread_ms = spread(seed, true);
+        ck_assert_int_ge(crowd_ms, (DAEMONS - 1) * CARRY_MS);
+        ck_assert_msg(spread_ms <= 400, "seed %llu: %lld ms", (unsigned long long)seed, (long long)spread_ms);
+    }
+}
+END_TEST
+
+START_TEST(a_newer_version_is_fetched_from_who_has_it) {
+    cw_pull_t pull = {0};
+    cw_pull_offer_t offer = {.now_ms = 0, .version = 4, .peer = "old", .daemons = 100};
+    for (uint64_t i = 0; i < 50; i++) {
+        offer.draw = i;
+        cw_pull_told(&pull, &offer);
+    }
+    offer.version = 6;
+    offer.peer = "new";
+    offer.draw = 99;
+    cw_pull_told(&pull, &offer);
+    const char* peer = cw_pull_due(&pull, 1000);
+    ck_assert_ptr_nonnull(peer);
+    ck_assert_str_eq(peer, "new");
+    ck_assert_ptr_null(cw_pull_due(&pull, 2000)); /* asked once */
+    cw_pull_told(&pull, &offer);
+    cw_pull_cancel(&pull);
+    ck_assert_ptr_null(cw_pull_due(&pull, 3000));
+}
+END_TEST
+
+static void add(TCase* t) {
+    tcase_add_test(t, daemons_that_confirm_each_other_grow_old_together);
+    tcase_add_test(t, a_document_spreads_without_a_crowd_at_its_first_holder);
+    tcase_add_test(t, a_newer_version_is_fetched_from_who_has_it);
+}
+
+int main(void) {
+    return run_suite("news", add, 30);
+}
