Load news goes to all peers at once

Cause: news of a sent prompt went to 32 peers; on the grown deployments (61 and 84 machines) most daemons heard of a prompt up to 1.2 s later, and of the parts of prompts that a server keeps never.

--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -18,7 +18,6 @@
 #define SLOW_FLUSH_MS 50 /* news of what ended waits so long */
 #define REPEAT_MS 400    /* all news is told again after so long: datagrams get lost */
 #define QUIET_MS 100     /* a daemon is never silent for longer */
-#define FANOUT_MAX 32    /* peers that one piece of news is sent to at once */
 #define HALL_ENOUGH 2    /* hosts of a caller's hall that are enough to name only them */
 #define PROBE_MS 250     /* between two probes */
 #define PROBE_TIMEOUT_MS 100
@@ -48,7 +47,6 @@
     uint32_t dirty_count;
     int64_t flushed_ms, repeated_ms;
     int64_t tick_ms, tick_before_ms; /* the last two ticks */
-    uint32_t fan_at;                 /* where the next round of sends starts */
     int64_t sent_ms;
     mesh_stats_t stats;
 };
@@ -140,8 +138,8 @@
     size_t size = cw_load_encode(message, bytes, sizeof(bytes));
     uint32_t known = cw_members_count(m->members);
     uint32_t sent = 0;
-    for (uint32_t i = 0; size && i < known && sent < FANOUT_MAX; i++) {
-        const cw_member_t* member = cw_members_at(m->members, (m->fan_at + i) % known);
+    for (uint32_t i = 0; size && i < known; i++) {
+        const cw_member_t* member = cw_members_at(m->members, i);
         struct sockaddr_in to;
         if (member->info.id == m->host || !is_live(member) || !with_port(member->info.peer, m->load_port, &to)) {
             continue;
@@ -149,7 +147,6 @@
         sendto(m->fd, bytes, size, MSG_DONTWAIT, (struct sockaddr*)&to, sizeof(to));
         sent++;
     }
-    m->fan_at += FANOUT_MAX;
     m->sent_ms = clock_ms();
     m->stats.load_out += sent;
 }
