Entries that lapse while the store is away are used until they are back

Cause: a server missing from one list was taken as gone for good (the flag was sticky while a connection was open), so after an outage in which entries lapse the daemons had no server left, long after the entries were back. Ruled out: stale lists (the log shows the full list read 0.5 s after the store's return). Change: leaving is for good, missing is not; after 2 s without a confirmed list, missing servers are used for 2 s more; daemons tell each other of leaving only. A removal without an outage counts at once, as before (DRAIN).

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -104,14 +104,14 @@
     announce(g);
 }
 
-static void on_servers(void* user, const cw_servers_t* list) {
+static void on_servers(void* user, const cw_servers_t* list, bool after_outage) {
     gateway_t* g = user;
-    uint32_t changes = upstreams_set_servers(g->upstreams, clock_ms(), list);
+    uint32_t changes = upstreams_set_servers(g->upstreams, clock_ms(), list, after_outage);
     if (!changes) {
         return;
     }
-    cw_log(&g->log, CW_EVENT_SERVERS_CHANGED, "changes=%u listed=%u at=%lld", changes, list->count,
-           (long long)list->at);
+    cw_log(&g->log, CW_EVENT_SERVERS_CHANGED, "changes=%u listed=%u at=%lld after_outage=%d", changes, list->count,
+           (long long)list->at, after_outage);
     for (pool_t* pool = upstreams_pools(g->upstreams); pool; pool = pool->next) {
         exchanges_on_room(g->exchanges, pool);
     }
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -159,7 +159,7 @@
     }
     cw_load_entry_t* entry = &message->entries[message->count++];
     *entry = (cw_load_entry_t){.server = dirty->server,
-                               .leaving = server->gone,
+                               .leaving = server->left,
                                .load = cw_balance_load(server->pool->balance, now_ms, at),
                                .part_count = dirty->part_count};
     memcpy(entry->parts, dirty->parts, sizeof(entry->parts));
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -15,6 +15,7 @@
 #define BODY_MAX (16U << 20) /* longest answer that is read */
 #define RANK_STEP_SHARE 0.3  /* of the reading age: so much longer waits each further rank */
 #define RANK_STEPS_MAX 5     /* ranks beyond wait no longer */
+#define OUTAGE_MS 2000       /* a list that nobody confirmed for so long: entries may have lapsed while it was away */
 #define NEVER INT64_MIN
 
 /* One kind of call to the source or a peer. */
@@ -165,9 +166,10 @@
     s->list = *list;
     *list = (cw_servers_t){0};
     s->list_id = cw_servers_id(&s->list);
+    bool after_outage = s->list_ms != NEVER && true_ms - s->list_ms >= OUTAGE_MS;
     s->list_ms = true_ms;
     cw_pull_cancel(&s->servers_pull);
-    s->desc.on_servers(s->desc.user_data, &s->list);
+    s->desc.on_servers(s->desc.user_data, &s->list, after_outage);
 }
 
 static void refuse_answer(sync_t* s, const char* from, const cw_error_t* err) {
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -28,7 +28,8 @@
     uint64_t seed;       /* of this host: spreads what all would do at once */
     uint32_t read_ms;    /* age at which the daemon of the first rank reads again */
     void (*on_catalog)(void* user_data, cw_catalog_t* catalog);
-    void (*on_servers)(void* user_data, const cw_servers_t* list);
+    /* after_outage: nothing was known of the source for long before this list. */
+    void (*on_servers)(void* user_data, const cw_servers_t* list, bool after_outage);
     void* user_data;
 } sync_desc_t;
 
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -20,6 +20,7 @@
 #define BITS 8.0
 #define BITS_PER_MS_MBPS 1000.0 /* bits in a ms at 1 Mbit/s */
 #define LINKS_MIN 2             /* connections to one server that every daemon may have */
+#define RETURN_MS 2000          /* an entry that lapsed while the source was away is back so long after it */
 #define POOL_SERVERS_MAX 1024   /* servers of one pool that are used */
 #define RETRY_SAFETY 0.8        /* share of the budget for repeats that is used */
 
@@ -417,10 +418,12 @@
         s->next = pool->servers;
         pool->servers = s;
     }
-    bool changed = fresh || (published->leaving && !s->gone);
+    bool was_gone = s->gone;
     s->published = *published;
-    s->gone = s->gone || published->leaving; /* a server that leaves does not come back with the same id */
-    return changed;
+    s->missing_until_ms = 0;
+    s->left = s->left || published->leaving; /* a server that leaves does not come back with the same id */
+    s->gone = s->left;
+    return fresh || s->gone != was_gone;
 }
 
 static bool is_listed(const cw_servers_t* list, const server_t* s) {
@@ -432,7 +435,19 @@
     return false;
 }
 
-uint32_t upstreams_set_servers(upstreams_t* u, int64_t now_ms, const cw_servers_t* list) {
+/* Takes servers as gone that are missing for longer than they may; returns how many. */
+static uint32_t pool_expire(pool_t* pool, int64_t now_ms) {
+    uint32_t expired = 0;
+    for (server_t* s = pool->servers; s; s = s->next) {
+        if (!s->gone && !s->published_now && now_ms >= s->missing_until_ms) {
+            s->gone = true;
+            expired++;
+        }
+    }
+    return expired;
+}
+
+uint32_t upstreams_set_servers(upstreams_t* u, int64_t now_ms, const cw_servers_t* list, bool after_outage) {
     uint32_t changes = 0;
     for (uint32_t i = 0; i < list->count; i++) {
         changes += server_update(u, &list->items[i]);
@@ -440,11 +455,11 @@
     for (pool_t* pool = u->pools; pool; pool = pool->next) {
         for (server_t* s = pool->servers; s; s = s->next) {
             s->published_now = is_listed(list, s);
-            if (!s->gone && !s->published_now) {
-                s->gone = true;
-                changes++;
+            if (!s->published_now && !s->missing_until_ms) {
+                s->missing_until_ms = now_ms + (after_outage ? RETURN_MS : 0);
             }
         }
+        changes += pool_expire(pool, now_ms);
         pool_list(pool, now_ms);
         for (server_t* s = pool->servers; s;) {
             server_t* next = s->next;
@@ -460,6 +475,7 @@
 
 void upstreams_leaves(upstreams_t* u, int64_t now_ms, server_t* s) {
     (void)u;
+    s->left = true;
     if (!s->gone) {
         s->gone = true;
         idle_close(s, now_ms, true);
@@ -607,6 +623,9 @@
 void upstreams_tick(upstreams_t* u, int64_t now_ms) {
     free_dead(u);
     for (pool_t* pool = u->pools; pool; pool = pool->next) {
+        if (pool_expire(pool, now_ms)) {
+            pool_list(pool, now_ms);
+        }
         for (server_t* s = pool->servers; s;) {
             server_t* next = s->next;
             idle_close(s, now_ms, s->gone);
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -28,8 +28,10 @@
     cw_server_t published;
     struct sockaddr_in address;
     pool_t* pool;
-    bool gone;          /* no longer published, or leaving: gets nothing new */
-    bool published_now; /* in the list read last, leaving or not */
+    bool left;                /* it was published as leaving, or said so: for good */
+    bool gone;                /* left, or no longer published: gets nothing new */
+    bool published_now;       /* in the list read last, leaving or not */
+    int64_t missing_until_ms; /* not in the list: taken as gone then */
     bool probing;
     uint32_t open;     /* connections */
     link_t* idle;      /* used last first */
@@ -85,8 +87,9 @@
 void upstreams_shutdown(upstreams_t* u);
 /* Pools as declared; those that are gone stay until their last server is. */
 void upstreams_set_catalog(upstreams_t* u, const cw_catalog_t* catalog);
-/* Servers as published. Returns how many changed. */
-uint32_t upstreams_set_servers(upstreams_t* u, int64_t now_ms, const cw_servers_t* list);
+/* Servers as published. after_outage: nothing was known of the source for long before; entries that lapsed meanwhile
+   are given time to come back. Returns how many changed. */
+uint32_t upstreams_set_servers(upstreams_t* u, int64_t now_ms, const cw_servers_t* list, bool after_outage);
 /* Most daemons that were ever known at once: they share connections and repeats. */
 void upstreams_set_daemons(upstreams_t* u, uint32_t daemons);
 pool_t* upstreams_pool(const upstreams_t* u, const char* name);
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -211,8 +211,10 @@
     exchanges_set_catalog(r->exchanges, catalog);
 }
 
-/* The servers "s0", "s1", ... of pool "p" are published; leaving: a bit for each. Returns how many changed. */
-static inline uint32_t rig_set_servers(rig_t* r, uint32_t count, uint32_t leaving) {
+/* The servers "s0", "s1", ... of pool "p" are published at a time; leaving: a bit for each. Returns how many changed.
+ */
+static inline uint32_t rig_set_servers_at(rig_t* r, int64_t now_ms, uint32_t count, uint32_t leaving,
+                                          bool after_outage) {
     cw_servers_t list = {0};
     for (uint32_t i = 0; i < count; i++) {
         cw_server_t s = {.slots = 4, .leaving = (leaving >> i) & 1U};
@@ -222,11 +224,15 @@
         cw_copy(s.hall, sizeof(s.hall), "a");
         cw_servers_add(&list, &s);
     }
-    uint32_t changes = upstreams_set_servers(r->upstreams, 1000, &list);
+    uint32_t changes = upstreams_set_servers(r->upstreams, now_ms, &list, after_outage);
     cw_servers_free(&list);
     return changes;
 }
 
+static inline uint32_t rig_set_servers(rig_t* r, uint32_t count, uint32_t leaving) {
+    return rig_set_servers_at(r, 1000, count, leaving, false);
+}
+
 static inline rig_t* rig_setup(const char* document, uint32_t servers) {
     rig_t* r = calloc(1, sizeof(*r));
     cw_error_t err = {0};
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -266,6 +266,27 @@
 }
 END_TEST
 
+/* Entries that lapsed while the source was away are used until they are back; one that stays away is gone. */
+START_TEST(lapsed_servers_are_used_until_they_are_back) {
+    rig_t* r = rig_setup(ROUTES, 3);
+    pool_t* pool = upstreams_pool(r->upstreams, "p");
+    ck_assert_uint_eq(rig_set_servers_at(r, 10000, 0, 0, true), 0);
+    ck_assert_uint_eq(pool->ready, 3);
+    ck_assert_uint_eq(rig_set_servers_at(r, 10500, 1, 0, false), 0); /* the first is back */
+    ck_assert_uint_eq(rig_set_servers_at(r, 11000, 2, 2, false), 1); /* the second, leaving */
+    ck_assert_uint_eq(pool->ready, 2);
+    upstreams_tick(r->upstreams, 11999);
+    ck_assert_uint_eq(pool->ready, 2);
+    upstreams_tick(r->upstreams, 12000); /* the third is not */
+    ck_assert_uint_eq(pool->ready, 1);
+    ck_assert_uint_eq(rig_set_servers_at(r, 13000, 3, 0, false), 1); /* but may be published again later */
+    ck_assert_uint_eq(pool->ready, 2);
+    ck_assert_uint_eq(rig_set_servers_at(r, 14000, 1, 0, false), 1); /* a removal without an outage counts at once */
+    ck_assert_uint_eq(pool->ready, 1);
+    rig_shutdown(r);
+}
+END_TEST
+
 START_TEST(a_caller_that_leaves_ends_its_stream_at_the_server) {
     rig_t* r = rig_setup(ROUTES, 1);
     script(r, 1, (rig_step_t[]){{RIG_ANSWER, EVENTS_HEAD "f\r\nid: 1\ndata: a\n\n\r\n"}});
@@ -418,6 +439,7 @@
     tcase_add_test(t, a_server_with_another_id_is_not_used_again);
     tcase_add_test(t, a_leaving_server_gets_nothing_new);
     tcase_add_test(t, a_list_that_says_the_same_changes_nothing);
+    tcase_add_test(t, lapsed_servers_are_used_until_they_are_back);
     tcase_add_test(t, a_caller_that_leaves_ends_its_stream_at_the_server);
     tcase_add_test(t, keys_and_routes_are_judged_by_the_configuration_in_force);
     tcase_add_test(t, requests_over_the_limits_are_refused);
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -32,7 +32,8 @@
     uint32_t revision_count;
     uint32_t lists; /* taken over */
     bool list_leaving;
-    char lines[8192]; /* of the log */
+    bool after_outage; /* of the list taken over last */
+    char lines[8192];  /* of the log */
     ev_timer tick, give_up;
     bool (*until)(struct site_t* site);
 } site_t;
@@ -69,9 +70,10 @@
     site->revisions[site->revision_count++ % 16] = catalog->revision;
 }
 
-static void on_servers(void* user, const cw_servers_t* list) {
+static void on_servers(void* user, const cw_servers_t* list, bool after_outage) {
     site_t* site = user;
     site->lists++;
+    site->after_outage = after_outage;
     site->list_leaving = list->items[0].leaving;
 }
 
@@ -157,6 +159,10 @@
     return sync_stats(site->sync).source_lost;
 }
 
+static bool away_for_long(site_t* site) {
+    return sync_stats(site->sync).servers_age_ms > 2100;
+}
+
 static bool called_again(site_t* site) {
     return site->calls >= 6;
 }
@@ -189,6 +195,24 @@
 }
 END_TEST
 
+/* The source is away for longer than entries live: what is missing after it is told apart from a plain removal. */
+START_TEST(a_list_after_an_outage_is_told_as_such) {
+    site_t* site = site_setup(5);
+    run_until(site, has_all);
+    ck_assert(!site->after_outage);
+    site->act = SOURCE_FAILS;
+    run_until(site, away_for_long);
+    site->act = SOURCE_GIVES;
+    site->leaving = true;
+    run_until(site, has_leaving);
+    ck_assert(site->after_outage);
+    site->calls = 0;
+    run_until(site, called_again);
+    ck_assert(!site->after_outage);
+    site_shutdown(site);
+}
+END_TEST
+
 START_TEST(an_older_revision_is_never_taken_over) {
     site_t* site = site_setup(9);
     run_until(site, has_all);
@@ -378,6 +402,7 @@
 static void add(TCase* t) {
     tcase_add_test(t, changes_at_the_source_are_taken_over);
     tcase_add_test(t, a_call_that_hangs_does_not_hide_later_changes);
+    tcase_add_test(t, a_list_after_an_outage_is_told_as_such);
     tcase_add_test(t, an_older_revision_is_never_taken_over);
     tcase_add_test(t, what_the_source_says_wrongly_changes_nothing_and_is_told);
     tcase_add_test(t, a_daemon_that_the_source_refuses_follows_its_peers);
