News of load crosses to another hall once and is passed on there

Ruled out: telling only the server's hall (others would choose blindly). Change: a daemon sends its news to each host of its own hall and to one host of each other hall, chosen by chance each time; that one passes it on in its hall, with its own knowledge of the source. A lost relay loses some news until they are told again after 400 ms, as a lost datagram does. Message version 2. Test: test_mesh (two halls).

--- a/chalkway_load.h
+++ b/chalkway_load.h
@@ -4,10 +4,12 @@
     chalkway_load.h -- what a daemon has at the servers, as a datagram
 
     WHAT IT IS
-        One msgpack array for each datagram: version, cluster, sender, what
-        it knows of the source and how old that is, and a list of entries. An entry tells all that the sender has at one
-   server now, so that a lost datagram is mended by the next one; it may also name parts of prompts that were just sent
-   there.
+        One msgpack array for each datagram: version, cluster, host, what the
+        sender knows of the source and how old that is, whether the receiver
+        is to pass it on within its hall, and a list of entries. An entry
+        tells all that the host has at one server now, so that a lost
+        datagram is mended by the next one; it may also name parts of
+        prompts that were just sent there.
 
     HOW TO USE IT
             size_t n = cw_load_encode(&message, bytes, sizeof(bytes));
@@ -21,7 +23,7 @@
 */
 #include "chalkway_balance.h"
 
-#define CW_LOAD_VERSION 1
+#define CW_LOAD_VERSION 2
 #define CW_LOAD_ENTRIES 24 /* in one datagram */
 #define CW_LOAD_PARTS 4    /* parts of prompts told with one entry */
 #define CW_LOAD_BYTES 2048 /* largest datagram */
@@ -43,9 +45,10 @@
 } cw_knowledge_t;
 
 typedef struct cw_load_message_t {
-    uint64_t cluster; /* id of the cluster's name */
-    uint64_t host;    /* the sender */
-    cw_knowledge_t knowledge;
+    uint64_t cluster;         /* id of the cluster's name */
+    uint64_t host;            /* the sender */
+    cw_knowledge_t knowledge; /* of the daemon that sends this datagram, which may pass it on for the host */
+    bool pass_on;             /* the receiver is to send it to the others of its hall */
     uint32_t count;
     cw_load_entry_t entries[CW_LOAD_ENTRIES];
 } cw_load_message_t;
@@ -67,7 +70,7 @@
 #include <msgpack.h>
 #include <string.h>
 
-#define _CW_LOAD_HEAD 7   /* fields before the entries */
+#define _CW_LOAD_HEAD 8   /* fields before the entries */
 #define _CW_LOAD_FIELDS 8 /* of an entry before its parts */
 
 static uint32_t _cw_load_older(uint32_t age_ms, uint32_t ms) {
@@ -108,6 +111,7 @@
     msgpack_pack_uint64(&packer, message->knowledge.servers);
     msgpack_pack_uint32(&packer, message->knowledge.revision_age_ms);
     msgpack_pack_uint32(&packer, message->knowledge.servers_age_ms);
+    msgpack_pack_uint32(&packer, message->pass_on);
     for (uint32_t i = 0; i < message->count; i++) {
         _cw_load_pack_entry(&packer, &message->entries[i]);
     }
@@ -169,12 +173,15 @@
 
 static bool _cw_load_read(cw_load_message_t* message, const msgpack_object* o) {
     uint64_t version = 0;
+    uint64_t pass_on = 0;
     if (o->type != MSGPACK_OBJECT_ARRAY || !_cw_load_number(&o->via.array, 0, UINT32_MAX, &version) ||
         version < CW_LOAD_VERSION || !_cw_load_number(&o->via.array, 1, UINT64_MAX, &message->cluster) ||
         !_cw_load_number(&o->via.array, 2, UINT64_MAX, &message->host) ||
-        !_cw_load_read_knowledge(&message->knowledge, &o->via.array)) {
+        !_cw_load_read_knowledge(&message->knowledge, &o->via.array) ||
+        !_cw_load_number(&o->via.array, 7, 1, &pass_on)) {
         return false;
     }
+    message->pass_on = pass_on != 0;
     for (uint32_t i = _CW_LOAD_HEAD; i < o->via.array.size && message->count < CW_LOAD_ENTRIES; i++) {
         if (!_cw_load_read_entry(&o->via.array.ptr[i], &message->entries[message->count++])) {
             return false;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -160,8 +160,9 @@
     cw_message_add_text(out, "chalkway_peer_calls_total %llu\nchalkway_revision %lld\nchalkway_servers_age_ms %lld\n",
                         (unsigned long long)s.peer_calls, (long long)s.revision, (long long)s.servers_age_ms);
     cw_message_add_text(out, "chalkway_members_known %u\nchalkway_members_live %u\n", m.known, m.live);
-    cw_message_add_text(out, "chalkway_load_out_total %llu\nchalkway_load_in_total %llu\n",
-                        (unsigned long long)m.load_out, (unsigned long long)m.load_in);
+    cw_message_add_text(
+        out, "chalkway_load_out_total %llu\nchalkway_load_in_total %llu\nchalkway_load_passed_on_total %llu\n",
+        (unsigned long long)m.load_out, (unsigned long long)m.load_in, (unsigned long long)m.passed_on);
     cw_message_add_text(out, "chalkway_log_lines_lost_total %lu\n", g->lines.lost_ever);
     for (pool_t* pool = upstreams_pools(g->upstreams); pool; pool = pool->next) {
         cw_message_add_text(out, "chalkway_pool_ready{pool=\"%s\"} %u\n", pool->name, pool->ready);
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -18,11 +18,12 @@
 #define SLOW_FLUSH_MS 50 /* news of what ended waits so long */
 #define REPEAT_MS 400    /* all news is told again after so long: datagrams get lost */
 #define QUIET_MS 100     /* a daemon is never silent for longer */
+#define HALLS_MAX 16     /* further halls get their news without a relay */
 #define HALL_ENOUGH 2    /* hosts of a caller's hall that are enough to name only them */
 #define PROBE_MS 250     /* between two probes */
 #define PROBE_TIMEOUT_MS 100
 #define SUSPECT_MS 700
-#define TRANSIT_MS 50 /* time under way that a datagram is given before there were two ticks */
+#define TRANSIT_MS 10 /* least time that a datagram is taken to be under way */
 #define RETRY_MS 250  /* between probes of seeds and dead hosts: a fleet that starts again finds itself soon */
 
 /* A server whose load here is to be told. */
@@ -48,6 +49,7 @@
     int64_t flushed_ms, repeated_ms;
     int64_t tick_ms, tick_before_ms; /* the last two ticks */
     int64_t sent_ms;
+    uint64_t draws;
     mesh_stats_t stats;
 };
 
@@ -130,25 +132,92 @@
 
 /* -- load out ------------------------------------------------------------- */
 
-static void send_load(mesh_t* m, cw_load_message_t* message) {
+/* A datagram in both forms. */
+typedef struct datagram_t {
+    uint8_t last[CW_LOAD_BYTES], pass_on[CW_LOAD_BYTES];
+    size_t last_size, pass_on_size;
+} datagram_t;
+
+static void datagram_make(mesh_t* m, cw_load_message_t* message, datagram_t* out) {
     message->cluster = m->cluster;
-    message->host = m->host;
     message->knowledge = m->desc.knowledge(m->desc.user_data);
-    uint8_t bytes[CW_LOAD_BYTES];
-    size_t size = cw_load_encode(message, bytes, sizeof(bytes));
-    uint32_t known = cw_members_count(m->members);
-    uint32_t sent = 0;
-    for (uint32_t i = 0; size && i < known; i++) {
+    message->pass_on = false;
+    out->last_size = cw_load_encode(message, out->last, sizeof(out->last));
+    message->pass_on = true;
+    out->pass_on_size = cw_load_encode(message, out->pass_on, sizeof(out->pass_on));
+}
+
+static void send_to(mesh_t* m, const cw_member_t* member, const uint8_t* bytes, size_t size) {
+    struct sockaddr_in to;
+    if (size && with_port(member->info.peer, m->load_port, &to)) {
+        sendto(m->fd, bytes, size, MSG_DONTWAIT, (struct sockaddr*)&to, sizeof(to));
+        m->stats.load_out++;
+    }
+}
+
+/* The host of the hall that passes news on this time, by chance, so that one that is lost takes only some with it. */
+typedef struct relay_t {
+    const char* hall;
+    const cw_member_t* member;
+    uint32_t hosts; /* seen in the hall */
+} relay_t;
+
+static relay_t* relay_of(relay_t* relays, uint32_t* count, const char* hall) {
+    for (uint32_t i = 0; i < *count; i++) {
+        if (strcmp(relays[i].hall, hall) == 0) {
+            return &relays[i];
+        }
+    }
+    if (*count == HALLS_MAX) {
+        return NULL;
+    }
+    relays[*count] = (relay_t){.hall = hall};
+    return &relays[(*count)++];
+}
+
+/* To each host of the own hall, and to one of each other hall, which passes it on there: few bytes between halls. */
+static void send_load(mesh_t* m, cw_load_message_t* message) {
+    datagram_t datagram;
+    relay_t relays[HALLS_MAX];
+    uint32_t relay_count = 0;
+    message->host = m->host;
+    datagram_make(m, message, &datagram);
+    for (uint32_t i = 0; i < cw_members_count(m->members); i++) {
         const cw_member_t* member = cw_members_at(m->members, i);
-        struct sockaddr_in to;
-        if (member->info.id == m->host || !is_live(member) || !with_port(member->info.peer, m->load_port, &to)) {
+        if (member->info.id == m->host || !is_live(member)) {
             continue;
         }
-        sendto(m->fd, bytes, size, MSG_DONTWAIT, (struct sockaddr*)&to, sizeof(to));
-        sent++;
+        bool near = strcmp(member->info.hall, m->desc.settings->hall) == 0;
+        relay_t* relay = near ? NULL : relay_of(relays, &relay_count, member->info.hall);
+        if (!relay) {
+            send_to(m, member, datagram.last, datagram.last_size);
+            continue;
+        }
+        relay->hosts++;
+        if (cw_mix(m->host, ++m->draws) % relay->hosts == 0) {
+            relay->member = member;
+        }
+    }
+    for (uint32_t i = 0; i < relay_count; i++) {
+        bool alone = relays[i].hosts == 1;
+        send_to(m, relays[i].member, alone ? datagram.last : datagram.pass_on,
+                alone ? datagram.last_size : datagram.pass_on_size);
     }
     m->sent_ms = clock_ms();
-    m->stats.load_out += sent;
+}
+
+/* Sends another host's news on to the others of this hall. */
+static void pass_on(mesh_t* m, cw_load_message_t* message) {
+    datagram_t datagram;
+    datagram_make(m, message, &datagram);
+    for (uint32_t i = 0; i < cw_members_count(m->members); i++) {
+        const cw_member_t* member = cw_members_at(m->members, i);
+        bool near = strcmp(member->info.hall, m->desc.settings->hall) == 0;
+        if (near && is_live(member) && member->info.id != m->host && member->info.id != message->host) {
+            send_to(m, member, datagram.last, datagram.last_size);
+        }
+    }
+    m->stats.passed_on++;
 }
 
 static void add_entry(mesh_t* m, cw_load_message_t* message, const dirty_t* dirty, int64_t now_ms) {
@@ -252,7 +321,8 @@
 
 /* How long a datagram may have been under way that is read now: this process may have been late to read it. */
 static uint32_t waited_at_most_ms(const mesh_t* m, int64_t now_ms) {
-    return m->tick_before_ms ? (uint32_t)(now_ms - m->tick_before_ms) : TRANSIT_MS;
+    int64_t since_tick_ms = m->tick_before_ms ? now_ms - m->tick_before_ms : 0;
+    return since_tick_ms > TRANSIT_MS ? (uint32_t)since_tick_ms : TRANSIT_MS;
 }
 
 static void on_load(struct ev_loop* loop, ev_io* w, int events) {
@@ -274,6 +344,9 @@
             cw_knowledge_age(&message.knowledge, waited_ms);
             m->desc.on_knowledge(m->desc.user_data, share, &message.knowledge);
             take_load(m, &message);
+            if (message.pass_on) {
+                pass_on(m, &message);
+            }
         } else {
             m->stats.load_refused++;
         }
--- a/gateway/mesh.h
+++ b/gateway/mesh.h
@@ -28,7 +28,7 @@
 
 typedef struct mesh_stats_t {
     uint32_t known, live;
-    uint64_t load_out, load_in, load_refused;
+    uint64_t load_out, load_in, load_refused, passed_on;
 } mesh_stats_t;
 
 mesh_t* mesh_setup(const mesh_desc_t* desc, cw_error_t* err);
--- /dev/null
+++ b/tests/test_mesh.c
@@ -0,0 +1,224 @@
+/* Several meshes in one process, on addresses of this test's own: news of load reaches every host of every hall. */
+#include <ev.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "../gateway/clock.h"
+#include "../gateway/mesh.h"
+#include "test.h"
+
+#define HOSTS 6
+#define HALL_A 2 /* the first hosts are in hall a, the others in hall b */
+#define TICK_S 0.01
+#define GIVE_UP_S 20.0
+
+typedef struct host_t {
+    gateway_settings_t settings;
+    upstreams_t* upstreams;
+    mesh_t* mesh;
+    cw_knowledge_t knows; /* told to the others */
+    uint32_t youngest_ms; /* age of the newest that it was told */
+} host_t;
+
+typedef struct fleet_t {
+    struct ev_loop* loop;
+    cw_log_t log;
+    host_t hosts[HOSTS];
+    ev_timer tick, give_up;
+    bool (*until)(struct fleet_t* fleet);
+} fleet_t;
+
+static void ignore_line(const char* line, void* user) {
+    (void)line;
+    (void)user;
+}
+
+static cw_knowledge_t knowledge(void* user) {
+    return ((host_t*)user)->knows;
+}
+
+static void on_knowledge(void* user, const char* share, const cw_knowledge_t* known) {
+    host_t* host = user;
+    (void)share;
+    host->youngest_ms = known->servers_age_ms < host->youngest_ms ? known->servers_age_ms : host->youngest_ms;
+}
+
+static void on_members(void* user, uint32_t daemons, uint32_t rank) {
+    (void)user;
+    (void)daemons;
+    (void)rank;
+}
+
+static void on_room(void* user, pool_t* pool) {
+    (void)user;
+    (void)pool;
+}
+
+static void on_tick(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)events;
+    fleet_t* fleet = w->data;
+    for (int i = 0; i < HOSTS; i++) {
+        mesh_tick(fleet->hosts[i].mesh, clock_ms());
+    }
+    if (fleet->until(fleet)) {
+        ev_break(loop, EVBREAK_ALL);
+    }
+}
+
+static void on_give_up(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    (void)w;
+    ck_abort_msg("it did not come");
+}
+
+static void run_until(fleet_t* fleet, bool (*until)(fleet_t* fleet)) {
+    fleet->until = until;
+    ev_timer_stop(fleet->loop, &fleet->give_up);
+    ev_timer_set(&fleet->give_up, GIVE_UP_S, 0.0);
+    ev_timer_start(fleet->loop, &fleet->give_up);
+    ev_run(fleet->loop, 0);
+}
+
+static void set_upstreams(fleet_t* fleet, host_t* host, uint64_t id) {
+    static const char document[] =
+        "{\"revision\":1,\"pools\":[{\"name\":\"p\",\"engine\":{\"slots\":8,\"memory_tokens\":100000}}],\"routes\":[]}";
+    cw_error_t err = {0};
+    cw_catalog_t* catalog = cw_catalog_read(document, strlen(document), &err);
+    ck_assert_msg(catalog != NULL, "%s", err.message);
+    host->upstreams = upstreams_setup(&(upstreams_desc_t){.loop = fleet->loop,
+                                                          .log = &fleet->log,
+                                                          .dialect = &dialect_native,
+                                                          .host = id,
+                                                          .max_links = 10,
+                                                          .on_room = on_room});
+    upstreams_set_catalog(host->upstreams, catalog);
+    cw_catalog_release(catalog);
+    cw_servers_t list = {0};
+    cw_server_t server = {.id = "s", .address = "127.0.0.1:9", .pool = "p", .hall = "a", .slots = 8};
+    cw_servers_add(&list, &server);
+    upstreams_set_servers(host->upstreams, clock_ms(), &list, false);
+    cw_servers_free(&list);
+}
+
+static fleet_t* fleet_setup(void) {
+    fleet_t* fleet = calloc(1, sizeof(*fleet));
+    cw_error_t err = {0};
+    fleet->loop = ev_loop_new(0);
+    fleet->log = (cw_log_t){.level = CW_LOG_ERROR, .write = ignore_line};
+    for (int i = 0; i < HOSTS; i++) {
+        host_t* host = &fleet->hosts[i];
+        char base[24];
+        snprintf(base, sizeof(base), "127.%d.%d.%d", 100 + getpid() / 250 % 100, 1 + getpid() % 250, i + 1);
+        snprintf(host->settings.name, sizeof(host->settings.name), "h%d", i);
+        snprintf(host->settings.hall, sizeof(host->settings.hall), "%s", i < HALL_A ? "a" : "b");
+        snprintf(host->settings.cluster, sizeof(host->settings.cluster), "c");
+        snprintf(host->settings.callers, sizeof(host->settings.callers), "%s:7200", base);
+        snprintf(host->settings.peer, sizeof(host->settings.peer), "%s:7204", base);
+        snprintf(host->settings.load, sizeof(host->settings.load), "%s:7205", base);
+        snprintf(host->settings.share, sizeof(host->settings.share), "%s:7206", base);
+        snprintf(host->settings.seeds, sizeof(host->settings.seeds), "%s", fleet->hosts[0].settings.peer);
+        host->youngest_ms = UINT32_MAX;
+        host->knows = (cw_knowledge_t){.revision = 1, .servers = 1, .servers_age_ms = 1000};
+        set_upstreams(fleet, host, (uint64_t)i + 1);
+        host->mesh = mesh_setup(&(mesh_desc_t){.loop = fleet->loop,
+                                               .log = &fleet->log,
+                                               .settings = &host->settings,
+                                               .upstreams = host->upstreams,
+                                               .knowledge = knowledge,
+                                               .on_knowledge = on_knowledge,
+                                               .on_members = on_members,
+                                               .user_data = host},
+                                &err);
+        ck_assert_msg(host->mesh != NULL, "%s", cw_error_text(&err).text);
+    }
+    ev_timer_init(&fleet->tick, on_tick, TICK_S, TICK_S);
+    ev_timer_init(&fleet->give_up, on_give_up, GIVE_UP_S, 0.0);
+    fleet->tick.data = fleet;
+    ev_timer_start(fleet->loop, &fleet->tick);
+    return fleet;
+}
+
+static void fleet_shutdown(fleet_t* fleet) {
+    for (int i = 0; i < HOSTS; i++) {
+        mesh_shutdown(fleet->hosts[i].mesh);
+        upstreams_shutdown(fleet->hosts[i].upstreams);
+    }
+    ev_timer_stop(fleet->loop, &fleet->tick);
+    ev_timer_stop(fleet->loop, &fleet->give_up);
+    ev_loop_destroy(fleet->loop);
+    free(fleet);
+}
+
+static bool all_live(fleet_t* fleet) {
+    for (int i = 0; i < HOSTS; i++) {
+        if (mesh_stats(fleet->hosts[i].mesh).live != HOSTS) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static cw_balance_t* balance(const host_t* host) {
+    return upstreams_pool(host->upstreams, "p")->balance;
+}
+
+/* Every host counts the one run of the first host, and knows the part of its prompt to be kept. */
+static bool all_know_the_run(fleet_t* fleet) {
+    cw_work_t same = {.prompt_tokens = 900, .part_count = 1, .parts = {{.id = 5, .tokens = 800}}};
+    for (int i = 0; i < HOSTS; i++) {
+        cw_choice_t c = cw_balance_choose(balance(&fleet->hosts[i]), clock_ms(), &same, NULL, 0);
+        if (c.running != 1 || c.kept != 800) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool all_were_told(fleet_t* fleet) {
+    for (int i = 0; i < HOSTS; i++) {
+        if (fleet->hosts[i].youngest_ms == UINT32_MAX) {
+            return false;
+        }
+    }
+    return true;
+}
+
+START_TEST(news_reaches_every_host_of_every_hall) {
+    fleet_t* fleet = fleet_setup();
+    run_until(fleet, all_live);
+    uint64_t passed_on = 0;
+    cw_work_t work = {.prompt_tokens = 900, .part_count = 1, .parts = {{.id = 5, .tokens = 800}}};
+    cw_run_t run = cw_balance_begin(balance(&fleet->hosts[0]), clock_ms(), 0, &work);
+    server_t* server = upstreams_server(fleet->hosts[0].upstreams, run.id);
+    ck_assert_ptr_nonnull(server);
+    mesh_on_load(fleet->hosts[0].mesh, server, &work);
+    run_until(fleet, all_know_the_run);
+    for (int i = HALL_A; i < HOSTS; i++) {
+        passed_on += mesh_stats(fleet->hosts[i].mesh).passed_on;
+    }
+    ck_assert_uint_gt(passed_on, 0); /* by a host of the other hall */
+    fleet_shutdown(fleet);
+}
+END_TEST
+
+/* What a host says of the source is taken as older than it says: it was under way. */
+START_TEST(what_is_told_of_the_source_is_older_when_it_is_heard) {
+    fleet_t* fleet = fleet_setup();
+    run_until(fleet, all_were_told);
+    for (int i = 0; i < HOSTS; i++) {
+        ck_assert_uint_gt(fleet->hosts[i].youngest_ms, 1000);
+    }
+    fleet_shutdown(fleet);
+}
+END_TEST
+
+static void add(TCase* t) {
+    tcase_add_test(t, news_reaches_every_host_of_every_hall);
+    tcase_add_test(t, what_is_told_of_the_source_is_older_when_it_is_heard);
+}
+
+int main(void) {
+    return run_suite("mesh", add, 60);
+}
