Backlog of an engine by tier: an urgent prompt is forecast to wait for urgent ones only

Cause: engines read the more urgent prompts first. So urgent prompts were refused as hopeless that were not. A plain call's backlog was logged as weeks, since its end of reading was never set. So the whole backlog stays in the choice, the tier's in the forecast. Change: backlog by tier in the balance and in the load message; a prompt that goes before others moves their plans.

--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -17,8 +17,9 @@
         streams that deep prompts would make late gather at few servers, in
         an order that all daemons see alike.
 
-        Prompts are read one after the other, so a server's backlog is the
-        time in which it has read all prompts begun there. The time to read
+        Prompts are read one after the other, the more urgent ones first, so
+        a server's backlog for a tier is the time in which it has read all
+        prompts begun there that are no less urgent. The time to read
         a token is learned from first bytes of requests that found no backlog.
         Parts of prompts that a server has read count as kept there until so
         many tokens were read after them that its memory is full.
@@ -43,6 +44,7 @@
 
 #define CW_BALANCE_NONE UINT32_MAX
 #define CW_WORK_PARTS 8
+#define CW_TIERS 4 /* that are told apart, 0 first; later ones count as the last */
 
 /* A server as published. */
 typedef struct cw_server_spec_t {
@@ -62,6 +64,7 @@
 
 /* What a request asks of a server. All zero for a plain call. */
 typedef struct cw_work_t {
+    uint32_t tier; /* 0 goes first */
     uint32_t prompt_tokens;
     uint32_t output_tokens;
     uint32_t target_ms; /* to the first byte */
@@ -74,11 +77,11 @@
 /* What one daemon has at one server. */
 typedef struct cw_load_t {
     uint32_t running;
-    uint32_t gap_ms;     /* shortest of the longest pauses that streamed answers there may make, 0: none */
-    uint32_t streaming;  /* streamed answers that may pause no longer than that */
-    uint32_t backlog_ms; /* time to read the prompts begun and not answered yet */
-    uint32_t deepest;    /* tokens of the longest of these prompts */
-    uint32_t tokens;     /* memory that the running ones hold or will hold */
+    uint32_t gap_ms;               /* shortest of the longest pauses that streamed answers there may make, 0: none */
+    uint32_t streaming;            /* streamed answers that may pause no longer than that */
+    uint32_t backlog_ms[CW_TIERS]; /* time to read the prompts of this tier and before, begun and not answered yet */
+    uint32_t deepest;              /* tokens of the longest of these prompts */
+    uint32_t tokens;               /* memory that the running ones hold or will hold */
 } cw_load_t;
 
 typedef enum cw_try_result_t {
@@ -94,9 +97,12 @@
     uint32_t server; /* CW_BALANCE_NONE: none */
     uint64_t id;     /* of the server, so that a run that outlives it does no harm */
     int64_t begun_ms;
-    double read_ms;    /* predicted time to read the prompt */
-    double planned_ms; /* when the backlog was to reach its end */
-    double wait_ms;    /* backlog found */
+    uint32_t tier;
+    double read_ms;       /* predicted time to read the prompt */
+    double planned_ms;    /* when it was to be read, if nothing more urgent came */
+    double put_before_ms; /* of its tier at its server, as it began */
+    double wait_ms;       /* backlog found by its tier */
+    bool alone;           /* no prompt of any tier was being read */
     uint32_t fresh_tokens;
     uint32_t tokens;
     uint32_t gap_ms;
@@ -109,7 +115,7 @@
 typedef struct cw_choice_t {
     uint32_t server;     /* CW_BALANCE_NONE: none has room */
     double cost_ms;      /* what was compared */
-    double wait_ms;      /* backlog of the server, all daemons */
+    double wait_ms;      /* backlog of the server for the work's tier, all daemons */
     double read_ms;      /* for this prompt */
     uint32_t running;    /* at the server, all daemons */
     uint32_t age_ms;     /* of the oldest news of other daemons that counted */
@@ -237,10 +243,11 @@
     uint32_t running;
     _cw_gap_t gaps[_CW_GAPS_MAX];
     uint64_t tokens;
-    double busy_until_ms; /* own prompts are read by then */
-    uint32_t unanswered;  /* own runs without a first byte */
-    uint32_t deepest;     /* tokens of the longest prompt among them; 0 when there are none */
-    double pace_ms;       /* learned time between events while nothing is read there, 0: unknown */
+    double busy_until_ms[CW_TIERS]; /* own prompts of this tier and before are read by then */
+    uint32_t unanswered[CW_TIERS];  /* own runs of this tier and before without a first byte */
+    double put_before_ms[CW_TIERS]; /* reading ever put before prompts of this tier by more urgent ones */
+    uint32_t deepest;               /* tokens of the longest prompt among them; 0 when there are none */
+    double pace_ms;                 /* learned time between events while nothing is read there, 0: unknown */
     uint32_t pace_samples;
     double slow;     /* 1: as the others */
     int64_t slow_ms; /* when slow was learned */
@@ -416,7 +423,9 @@
 /* All that is known to run at a server, and the age of the oldest news that counted. */
 typedef struct _cw_sum_t {
     uint32_t running, streaming, gap_ms, deepest, age_ms;
-    double tokens, wait_ms;
+    double tokens;
+    double wait_ms;    /* backlog of the tier and before */
+    double backlog_ms; /* of all tiers */
 } _cw_sum_t;
 
 /* Own streams that are hurt most easily: those with the shortest of the longest pauses. */
@@ -452,19 +461,28 @@
     sum->gap_ms = gap_ms;
 }
 
-/* Time until the own prompts there are read. Past the planned time, what is late is taken to last as long again. */
-static double _cw_balance_own_backlog(const _cw_server_t* s, int64_t now_ms) {
-    double left_ms = s->busy_until_ms - (double)now_ms;
-    if (!s->unanswered) {
+static uint32_t _cw_balance_tier(const cw_work_t* work) {
+    return work->tier < CW_TIERS ? work->tier : CW_TIERS - 1;
+}
+
+/* Time until the own prompts there of the tier and before are read. Past the planned time, what is late is taken to
+   last as long again. A plain call is not read. */
+static double _cw_balance_own_backlog(const _cw_server_t* s, int64_t now_ms, uint32_t tier) {
+    double left_ms = s->busy_until_ms[tier] - (double)now_ms;
+    if (!s->unanswered[tier] || !s->spec.memory_tokens) {
         return 0;
     }
     return left_ms > 0 ? left_ms : -left_ms;
 }
 
-static _cw_sum_t _cw_balance_sum(const cw_balance_t* b, const _cw_server_t* s, int64_t now_ms) {
-    double own_ms = _cw_balance_own_backlog(s, now_ms);
-    _cw_sum_t sum = {
-        .running = s->running, .deepest = own_ms > 0 ? s->deepest : 0, .tokens = (double)s->tokens, .wait_ms = own_ms};
+/* What a request of the tier finds there. */
+static _cw_sum_t _cw_balance_sum(const cw_balance_t* b, const _cw_server_t* s, int64_t now_ms, uint32_t tier) {
+    double own_ms = _cw_balance_own_backlog(s, now_ms, CW_TIERS - 1);
+    _cw_sum_t sum = {.running = s->running,
+                     .deepest = own_ms > 0 ? s->deepest : 0,
+                     .tokens = (double)s->tokens,
+                     .wait_ms = _cw_balance_own_backlog(s, now_ms, tier),
+                     .backlog_ms = own_ms};
     _cw_gap_t own = _cw_balance_own_gap(s);
     _cw_balance_add_gap(&sum, own.gap_ms, own.count);
     for (uint32_t i = 0; i < b->desc.max_peers; i++) {
@@ -476,8 +494,11 @@
         sum.running += n->load.running;
         sum.tokens += n->load.tokens;
         _cw_balance_add_gap(&sum, n->load.gap_ms, n->load.streaming);
-        if (n->load.backlog_ms > age_ms) {
-            sum.wait_ms += (double)(n->load.backlog_ms - age_ms);
+        if (n->load.backlog_ms[tier] > age_ms) {
+            sum.wait_ms += (double)(n->load.backlog_ms[tier] - age_ms);
+        }
+        if (n->load.backlog_ms[CW_TIERS - 1] > age_ms) {
+            sum.backlog_ms += (double)(n->load.backlog_ms[CW_TIERS - 1] - age_ms);
             sum.deepest = n->load.deepest > sum.deepest ? n->load.deepest : sum.deepest;
         }
         sum.age_ms = n->load.running && age_ms > sum.age_ms ? (uint32_t)age_ms : sum.age_ms;
@@ -607,7 +628,8 @@
     return work->target_ms * (caused + suffered / 2) + fragile * (order_ms + blocked_ms);
 }
 
-/* A generation: the backlog, reading what is not kept, and what it does to the streams that run there. */
+/* A generation: the backlog of all tiers, since a more urgent prompt delays those it goes before, reading what is not
+ * kept, and what it does to the streams that run there. */
 static double _cw_balance_generation_ms(const cw_balance_t* b, const _cw_server_t* s, const _cw_sum_t* sum,
                                         const cw_work_t* work, const _cw_holder_t* holder, cw_choice_t* c) {
     c->kept = _cw_balance_kept_tokens(b, s, work);
@@ -618,14 +640,14 @@
     c->read_ms = b->read_ms * (work->prompt_tokens - c->kept - c->moved) + s->spec.move_ms * c->moved;
     double memory = _CW_MEMORY_SHARE * s->spec.memory_tokens;
     double overflow_ms = sum->tokens + work->prompt_tokens + work->output_tokens > memory ? _CW_FULL_MS : 0;
-    return b->base_ms + sum->wait_ms + c->read_ms + reread_ms + overflow_ms + _CW_RUN_MS * sum->running +
+    return b->base_ms + sum->backlog_ms + c->read_ms + reread_ms + overflow_ms + _CW_RUN_MS * sum->running +
            _cw_balance_streams_ms(b, s, sum, work);
 }
 
 static cw_choice_t _cw_balance_rate(const cw_balance_t* b, uint32_t at, int64_t now_ms, const cw_work_t* work,
                                     const _cw_holder_t* holder) {
     const _cw_server_t* s = &b->servers[at];
-    _cw_sum_t sum = _cw_balance_sum(b, s, now_ms);
+    _cw_sum_t sum = _cw_balance_sum(b, s, now_ms, _cw_balance_tier(work));
     cw_choice_t c = {.server = at, .wait_ms = sum.wait_ms, .running = sum.running, .age_ms = sum.age_ms};
     bool engine = s->spec.memory_tokens > 0;
     double ms = engine ? _cw_balance_generation_ms(b, s, &sum, work, holder, &c) : _cw_balance_call_ms(b, s, &sum);
@@ -672,11 +694,25 @@
 
 /* -- runs ----------------------------------------------------------------- */
 
+/* The prompt stands before all that are less urgent. */
+static void _cw_balance_plan(_cw_server_t* s, int64_t now_ms, cw_run_t* run) {
+    for (uint32_t tier = run->tier; tier < CW_TIERS; tier++) {
+        double start_ms = (double)now_ms + _cw_balance_own_backlog(s, now_ms, tier);
+        s->busy_until_ms[tier] = start_ms + run->read_ms;
+        s->put_before_ms[tier] += tier > run->tier ? run->read_ms : 0;
+    }
+    run->planned_ms = s->busy_until_ms[run->tier];
+    run->put_before_ms = s->put_before_ms[run->tier];
+}
+
 cw_run_t cw_balance_begin(cw_balance_t* b, int64_t now_ms, uint32_t server, const cw_work_t* work) {
     assert(server < b->places && b->servers[server].used);
     _cw_server_t* s = &b->servers[server];
-    cw_run_t run = {.server = server, .id = s->spec.id, .begun_ms = now_ms, .gap_ms = work->gap_ms};
-    run.wait_ms = _cw_balance_sum(b, s, now_ms).wait_ms;
+    cw_run_t run = {
+        .server = server, .id = s->spec.id, .begun_ms = now_ms, .gap_ms = work->gap_ms, .tier = _cw_balance_tier(work)};
+    _cw_sum_t sum = _cw_balance_sum(b, s, now_ms, run.tier);
+    run.wait_ms = sum.wait_ms;
+    run.alone = sum.backlog_ms < 1.0;
     if (s->spec.memory_tokens) {
         _cw_holder_t holder = _cw_balance_holder(b, work);
         uint32_t kept = _cw_balance_kept_tokens(b, s, work);
@@ -684,9 +720,7 @@
         run.fresh_tokens = work->prompt_tokens - kept - moved;
         run.read_ms = b->read_ms * run.fresh_tokens * _cw_balance_slow(s, now_ms) + s->spec.move_ms * moved;
         run.tokens = work->prompt_tokens + work->output_tokens;
-        double start_ms = (double)now_ms + _cw_balance_own_backlog(s, now_ms);
-        s->busy_until_ms = start_ms + run.read_ms;
-        run.planned_ms = s->busy_until_ms;
+        _cw_balance_plan(s, now_ms, &run);
         s->deepest = work->prompt_tokens > s->deepest ? work->prompt_tokens : s->deepest;
         _cw_balance_learn_deep(b, work->prompt_tokens);
         if (work->prompt_tokens > b->deep_tokens / 2) {
@@ -697,7 +731,9 @@
         }
     }
     s->running++;
-    s->unanswered++;
+    for (uint32_t tier = run.tier; tier < CW_TIERS; tier++) {
+        s->unanswered[tier]++;
+    }
     s->tokens += run.tokens;
     return run;
 }
@@ -712,13 +748,16 @@
 
 /* The prompt is read, or never will be: the rest of the backlog moves. */
 static void _cw_balance_answered(_cw_server_t* s, int64_t now_ms, cw_run_t* run) {
+    double late_ms = (double)now_ms - run->planned_ms - (s->put_before_ms[run->tier] - run->put_before_ms);
     run->answered = true;
-    s->unanswered -= s->unanswered > 0;
-    s->busy_until_ms += (double)now_ms - run->planned_ms;
-    if (!s->unanswered || s->busy_until_ms < (double)now_ms) {
-        s->busy_until_ms = (double)now_ms;
+    for (uint32_t tier = run->tier; tier < CW_TIERS; tier++) {
+        s->unanswered[tier] -= s->unanswered[tier] > 0;
+        s->busy_until_ms[tier] += late_ms;
+        if (!s->unanswered[tier] || s->busy_until_ms[tier] < (double)now_ms) {
+            s->busy_until_ms[tier] = (double)now_ms;
+        }
     }
-    s->deepest = s->unanswered ? s->deepest : 0;
+    s->deepest = s->unanswered[CW_TIERS - 1] ? s->deepest : 0;
 }
 
 static void _cw_balance_learn_slow(_cw_server_t* s, int64_t now_ms, double ratio) {
@@ -734,7 +773,7 @@
     double took_ms = (double)(now_ms - run->begun_ms);
     double alone_ms = took_ms - run->wait_ms;
     double expected_ms = b->base_ms + b->read_ms * run->fresh_tokens;
-    if (run->wait_ms < 1.0 && run->fresh_tokens >= _CW_READ_FEW_TOKENS && took_ms > b->base_ms) {
+    if (run->alone && run->fresh_tokens >= _CW_READ_FEW_TOKENS && took_ms > b->base_ms) {
         double sample = (took_ms - b->base_ms) / run->fresh_tokens / _cw_balance_slow(s, now_ms);
         b->read_ms += _CW_READ_LEARN * (sample - b->read_ms);
     }
@@ -756,7 +795,7 @@
         _cw_balance_count_gap(s, run->gap_ms, 1);
     }
     run->event_ms = now_ms;
-    run->beside = _cw_balance_sum(b, s, now_ms).deepest;
+    run->beside = _cw_balance_sum(b, s, now_ms, run->tier).deepest;
 }
 
 void cw_balance_event(cw_balance_t* b, int64_t now_ms, cw_run_t* run) {
@@ -764,7 +803,7 @@
     if (!s || !run->answered || !s->spec.memory_tokens) {
         return;
     }
-    _cw_sum_t sum = _cw_balance_sum(b, s, now_ms);
+    _cw_sum_t sum = _cw_balance_sum(b, s, now_ms, run->tier);
     uint32_t beside = sum.deepest;
     uint32_t deepest = beside > run->beside ? beside : run->beside;
     double pause_ms = (double)(now_ms - run->event_ms);
@@ -858,14 +897,16 @@
 
 cw_load_t cw_balance_load(const cw_balance_t* b, int64_t now_ms, uint32_t server) {
     const _cw_server_t* s = &b->servers[server];
-    double backlog_ms = _cw_balance_own_backlog(s, now_ms);
     _cw_gap_t gap = _cw_balance_own_gap(s);
-    return (cw_load_t){.running = s->running,
-                       .gap_ms = gap.gap_ms,
-                       .streaming = gap.count,
-                       .backlog_ms = backlog_ms > 0 ? (uint32_t)backlog_ms : 0,
-                       .deepest = backlog_ms > 0 ? s->deepest : 0,
-                       .tokens = s->tokens > UINT32_MAX ? UINT32_MAX : (uint32_t)s->tokens};
+    cw_load_t load = {.running = s->running,
+                      .gap_ms = gap.gap_ms,
+                      .streaming = gap.count,
+                      .tokens = s->tokens > UINT32_MAX ? UINT32_MAX : (uint32_t)s->tokens};
+    for (uint32_t tier = 0; tier < CW_TIERS; tier++) {
+        load.backlog_ms[tier] = (uint32_t)_cw_balance_own_backlog(s, now_ms, tier);
+    }
+    load.deepest = load.backlog_ms[CW_TIERS - 1] ? s->deepest : 0;
+    return load;
 }
 
 void cw_balance_news(cw_balance_t* b, int64_t now_ms, uint64_t peer, uint64_t server, const cw_load_t* load) {
@@ -896,7 +937,7 @@
         const _cw_server_t* s = &b->servers[i];
         if (s->used && s->listed && !s->away) {
             slots += s->spec.slots;
-            running += _cw_balance_sum(b, s, now_ms).running;
+            running += _cw_balance_sum(b, s, now_ms, 0).running;
         }
     }
     return slots > 0 ? running / slots : 1;
--- a/chalkway_load.h
+++ b/chalkway_load.h
@@ -70,8 +70,8 @@
 #include <msgpack.h>
 #include <string.h>
 
-#define _CW_LOAD_HEAD 8   /* fields before the entries */
-#define _CW_LOAD_FIELDS 8 /* of an entry before its parts */
+#define _CW_LOAD_HEAD 8                /* fields before the entries */
+#define _CW_LOAD_FIELDS (7 + CW_TIERS) /* of an entry before its parts */
 
 static uint32_t _cw_load_older(uint32_t age_ms, uint32_t ms) {
     return age_ms < UINT32_MAX - ms ? age_ms + ms : UINT32_MAX;
@@ -89,9 +89,11 @@
     msgpack_pack_uint32(p, e->load.running);
     msgpack_pack_uint32(p, e->load.streaming);
     msgpack_pack_uint32(p, e->load.gap_ms);
-    msgpack_pack_uint32(p, e->load.backlog_ms);
     msgpack_pack_uint32(p, e->load.deepest);
     msgpack_pack_uint32(p, e->load.tokens);
+    for (uint32_t tier = 0; tier < CW_TIERS; tier++) {
+        msgpack_pack_uint32(p, e->load.backlog_ms[tier]);
+    }
     for (uint32_t i = 0; i < e->part_count; i++) {
         msgpack_pack_uint64(p, e->parts[i].id);
         msgpack_pack_uint32(p, e->parts[i].tokens);
@@ -145,9 +147,11 @@
     e->load = (cw_load_t){.running = (uint32_t)v[2],
                           .streaming = (uint32_t)v[3],
                           .gap_ms = (uint32_t)v[4],
-                          .backlog_ms = (uint32_t)v[5],
-                          .deepest = (uint32_t)v[6],
-                          .tokens = (uint32_t)v[7]};
+                          .deepest = (uint32_t)v[5],
+                          .tokens = (uint32_t)v[6]};
+    for (uint32_t tier = 0; tier < CW_TIERS; tier++) {
+        e->load.backlog_ms[tier] = (uint32_t)v[7 + tier];
+    }
     for (uint32_t at = _CW_LOAD_FIELDS; at + 1 < o->via.array.size && e->part_count < CW_LOAD_PARTS; at += 2) {
         uint64_t tokens = 0;
         cw_work_part_t* part = &e->parts[e->part_count];
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -696,7 +696,8 @@
                                                      .cancel_when_gone = stream,
                                                      .count_sent = true,
                                                      .max_attempts = route->attempts});
-    x->work = (cw_work_t){.target_ms = route->target_ms, .gap_ms = route->gap_ms, .repeatable = repeatable};
+    x->work = (cw_work_t){
+        .tier = x->priority, .target_ms = route->target_ms, .gap_ms = route->gap_ms, .repeatable = repeatable};
     request_work_read(&x->work, e->desc.dialect, m);
     ev_timer_init(&x->timer, on_timer, 0.0, 0.0);
     x->timer.data = x;
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -10,6 +10,10 @@
 #include "../chalkway_servers.h"
 #include "test.h"
 
+/* The same backlog for every tier. */
+#define BACKLOG(ms)                                                                                                    \
+    { ms, ms, ms, ms }
+
 /* -- catalog -------------------------------------------------------------- */
 
 static const char document[] =
@@ -147,7 +151,7 @@
     cw_run_t run;
     uint64_t first = chosen(b, 0, &work, &run);
     cw_balance_end(b, 1, &run, CW_TRY_CANCELLED);
-    cw_balance_news(b, 1, 77, first, &(cw_load_t){.running = 3, .backlog_ms = 500});
+    cw_balance_news(b, 1, 77, first, &(cw_load_t){.running = 3, .backlog_ms = BACKLOG(500)});
     ck_assert_uint_ne(chosen(b, 2, &work, &run), first);
     cw_balance_end(b, 3, &run, CW_TRY_CANCELLED);
     ck_assert_uint_eq(chosen(b, 5000, &work, &run), first);
@@ -155,6 +159,48 @@
 }
 END_TEST
 
+/* Engines read the more urgent prompts first: those of a later tier do not stand before them. They would be delayed
+   though, so an urgent prompt goes where least is read. */
+START_TEST(an_urgent_prompt_waits_for_urgent_ones_only) {
+    cw_balance_t* b = engines(1);
+    cw_work_t urgent = {.prompt_tokens = 600, .target_ms = 250};
+    cw_work_t later = {.tier = 1, .prompt_tokens = 20000, .target_ms = 2000};
+    cw_run_t runs[2];
+    chosen(b, 0, &later, &runs[0]);
+    uint32_t at = runs[0].server;
+    cw_load_t before = cw_balance_load(b, 0, at);
+    ck_assert_uint_eq(before.backlog_ms[0], 0);
+    ck_assert_uint_gt(before.backlog_ms[1], 100);
+    ck_assert_uint_eq(before.backlog_ms[CW_TIERS - 1], before.backlog_ms[1]);
+    ck_assert_double_eq(cw_balance_choose(b, 0, &urgent, NULL, 0).wait_ms, 0);
+    ck_assert_double_gt(cw_balance_choose(b, 0, &later, NULL, 0).wait_ms, 100);
+    ck_assert_double_gt(cw_balance_choose(b, 0, &urgent, NULL, 0).cost_ms, 100);
+    cw_balance_news(b, 0, 7, 1, &(cw_load_t){.running = 2, .backlog_ms = {30, 90, 90, 90}});
+    ck_assert_double_eq(cw_balance_choose(b, 0, &urgent, NULL, 0).wait_ms, 30);
+    chosen(b, 0, &urgent, &runs[1]);
+    cw_balance_first(b, 15, &runs[1]);
+    ck_assert_uint_eq(cw_balance_load(b, 15, at).backlog_ms[0], 0);
+    ck_assert_uint_gt(cw_balance_load(b, 15, at).backlog_ms[1], 100);
+    cw_balance_end(b, 20, &runs[0], CW_TRY_CANCELLED);
+    ck_assert_uint_eq(cw_balance_load(b, 20, at).backlog_ms[CW_TIERS - 1], 0);
+    cw_balance_shutdown(b);
+}
+END_TEST
+
+/* What a plain call waits for is no backlog of prompts. */
+START_TEST(plain_calls_have_no_backlog) {
+    cw_balance_t* b = cw_balance_setup(&(cw_balance_desc_t){.seed = 1});
+    cw_server_spec_t spec = {.id = 1, .slots = 4};
+    cw_balance_set(b, 0, &spec, 1);
+    cw_work_t call = {.target_ms = 300};
+    cw_run_t run;
+    ck_assert_uint_eq(chosen(b, 1000, &call, &run), 1);
+    ck_assert_uint_eq(cw_balance_load(b, 5000, run.server).backlog_ms[CW_TIERS - 1], 0);
+    ck_assert_double_eq(cw_balance_choose(b, 5000, &call, NULL, 0).wait_ms, 0);
+    cw_balance_shutdown(b);
+}
+END_TEST
+
 START_TEST(a_subject_stays_with_the_server_that_keeps_it) {
     cw_balance_t* b = engines(4);
     cw_work_t work = {.prompt_tokens = 6000, .target_ms = 2000, .part_count = 1, .parts = {{.id = 9, .tokens = 5000}}};
@@ -193,14 +239,14 @@
     cw_balance_first(b, 20, &stream);
     for (int i = 0; i < 20; i++) { /* another daemon's deep prompt beside it, and long pauses */
         int64_t now_ms = 100 + i * 200;
-        cw_balance_news(b, now_ms, 7, home, &(cw_load_t){.running = 1, .backlog_ms = 900, .deepest = 20000});
+        cw_balance_news(b, now_ms, 7, home, &(cw_load_t){.running = 1, .backlog_ms = BACKLOG(900), .deepest = 20000});
         cw_balance_event(b, now_ms, &stream);
     }
     ck_assert_double_gt(cw_balance_pause(b, 20000), 100);
     ck_assert_double_le(cw_balance_pause(b, 500), 500 * cw_balance_read_rate(b)); /* no more than it is read */
     cw_balance_news(b, 5000, 7, home, &(cw_load_t){0});
     cw_run_t run;
-    cw_balance_news(b, 5000, 8, 3 - home, &(cw_load_t){.running = 2, .backlog_ms = 300});
+    cw_balance_news(b, 5000, 8, 3 - home, &(cw_load_t){.running = 2, .backlog_ms = BACKLOG(300)});
     ck_assert_uint_eq(chosen(b, 5000, &deep, &run), 3 - home); /* though it has to wait there */
     cw_balance_shutdown(b);
 }
@@ -215,7 +261,7 @@
     cw_run_t run;
     uint64_t home = chosen(b, 0, &chat, &stream);
     cw_balance_first(b, 20, &stream);
-    cw_balance_news(b, 20, 8, 3 - home, &(cw_load_t){.running = 2, .backlog_ms = 300});
+    cw_balance_news(b, 20, 8, 3 - home, &(cw_load_t){.running = 2, .backlog_ms = BACKLOG(300)});
     ck_assert_uint_eq(chosen(b, 30, &deep, &run), 3 - home);
     cw_balance_shutdown(b);
 }
@@ -291,11 +337,12 @@
         .host = UINT64_MAX,
         .knowledge = {.revision = 7, .servers = UINT64_MAX, .revision_age_ms = 5},
         .count = 1,
-        .entries = {{.server = 99,
-                     .leaving = true,
-                     .load = {.running = 1, .gap_ms = 2, .streaming = 3, .backlog_ms = 4, .deepest = 5, .tokens = 6},
-                     .part_count = 1,
-                     .parts = {{.id = UINT64_MAX, .tokens = 8}}}}};
+        .entries = {
+            {.server = 99,
+             .leaving = true,
+             .load = {.running = 1, .gap_ms = 2, .streaming = 3, .backlog_ms = {4, 7, 8, 9}, .deepest = 5, .tokens = 6},
+             .part_count = 1,
+             .parts = {{.id = UINT64_MAX, .tokens = 8}}}}};
     uint8_t bytes[CW_LOAD_BYTES];
     cw_load_message_t in;
     size_t size = cw_load_encode(&out, bytes, sizeof(bytes));
@@ -417,6 +464,8 @@
     tcase_add_test(t, servers_survive_their_json_form);
     tcase_add_test(t, long_prompts_are_spread_over_idle_servers);
     tcase_add_test(t, another_daemons_load_is_counted_until_it_is_old);
+    tcase_add_test(t, an_urgent_prompt_waits_for_urgent_ones_only);
+    tcase_add_test(t, plain_calls_have_no_backlog);
     tcase_add_test(t, a_subject_stays_with_the_server_that_keeps_it);
     tcase_add_test(t, kept_parts_are_forgotten_when_the_memory_was_filled_again);
     tcase_add_test(t, deep_prompts_keep_away_from_streams_they_make_late);
