--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -155,6 +155,8 @@
 /* A further event of a streamed answer came. */
 void cw_balance_event(cw_balance_t* b, int64_t now_ms, cw_run_t* run);
 void cw_balance_end(cw_balance_t* b, int64_t now_ms, cw_run_t* run, cw_try_result_t result);
+/* This daemon has a connection at rest to the server (true), or none: a request would open one. */
+void cw_balance_warm(cw_balance_t* b, uint64_t id, bool warm);
 /* The server is known to be away (true) or to be back. */
 void cw_balance_away(cw_balance_t* b, int64_t now_ms, uint64_t id, bool away);
 /* A server that is away and may be probed now; its next pause begins. 0: none. */
@@ -198,6 +200,7 @@
 #define _CW_FAIL_FORGET_MS 4000.0
 #define _CW_FAIL_MIN_MS 200.0 /* least time that a failure is taken to cost */
 #define _CW_HALL_MS 1.0       /* what another hall costs */
+#define _CW_CONNECT_MS 10.0   /* what a new connection costs: time, and a place at the server */
 #define _CW_DEPTHS 20         /* kinds of prompts by length: powers of two, in halves, from 256 tokens */
 #define _CW_DEPTH_MIN 256.0
 #define _CW_PAUSE_UP 0.2    /* weight of a pause longer than learned: a high quantile is wanted */
@@ -253,6 +256,7 @@
     int64_t slow_ms; /* when slow was learned */
     double fail;     /* 0..1 */
     int64_t fail_ms;
+    bool warm; /* a connection rests */
     bool away;
     uint32_t away_ms;
     int64_t away_until_ms;
@@ -654,6 +658,7 @@
     double cold = now_ms < s->cold_until_ms ? 2 : 1;
     c.cost_ms = ms * cold * _cw_balance_slow(s, now_ms) + _cw_balance_fail_cost(s, now_ms, work);
     c.cost_ms += s->spec.hall == b->desc.hall ? 0 : _CW_HALL_MS;
+    c.cost_ms += s->warm ? 0 : _CW_CONNECT_MS;
     c.cost_ms += (double)(cw_mix(b->desc.seed, s->spec.id) & 1023U) / 1024.0;
     return c;
 }
@@ -865,6 +870,13 @@
     }
 }
 
+void cw_balance_warm(cw_balance_t* b, uint64_t id, bool warm) {
+    uint32_t at = cw_balance_find(b, id);
+    if (at != CW_BALANCE_NONE) {
+        b->servers[at].warm = warm;
+    }
+}
+
 void cw_balance_away(cw_balance_t* b, int64_t now_ms, uint64_t id, bool away) {
     uint32_t at = cw_balance_find(b, id);
     if (at == CW_BALANCE_NONE) {
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -53,13 +53,18 @@
 
 /* -- links: life ---------------------------------------------------------- */
 
+/* The choice of a server prefers those with a connection at rest. */
+static void tell_idle(const server_t* s) {
+    cw_balance_warm(s->pool->balance, s->key, s->idle != NULL);
+}
+
 static void idle_remove(link_t* l) {
-    for (link_t** at = &l->server->idle; *at; at = &(*at)->next_idle) {
-        if (*at == l) {
-            *at = l->next_idle;
-            return;
-        }
+    link_t** at = &l->server->idle;
+    while (*at && *at != l) {
+        at = &(*at)->next_idle;
     }
+    *at = *at ? l->next_idle : NULL;
+    tell_idle(l->server);
 }
 
 static void server_free_if_unused(server_t* s) {
@@ -280,6 +285,7 @@
     link_t* l = s->idle;
     if (l && clock_ms() - l->rested_ms <= rest_limit_ms(l, once)) {
         s->idle = l->next_idle;
+        tell_idle(s);
         l->handlers = handlers;
         l->owner = owner;
         l->sent = false;
@@ -323,6 +329,7 @@
     l->rested_ms = clock_ms();
     l->next_idle = l->server->idle;
     l->server->idle = l;
+    tell_idle(l->server);
 }
 
 /* -- servers -------------------------------------------------------------- */
@@ -337,6 +344,7 @@
             at = &l->next_idle;
         }
     }
+    tell_idle(s);
 }
 
 static pool_t* pool_get(upstreams_t* u, const char* name) {
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -201,6 +201,24 @@
 }
 END_TEST
 
+/* Of servers alike, the one with a connection at rest is taken; a shorter wait is worth a new one. */
+START_TEST(a_connection_at_rest_is_used_among_servers_alike) {
+    cw_balance_t* b = engines(4);
+    cw_work_t work = {.prompt_tokens = 100, .target_ms = 250};
+    cw_run_t run;
+    for (uint64_t id = 1; id <= 4; id++) {
+        cw_balance_warm(b, id, true);
+        ck_assert_uint_eq(chosen(b, 0, &work, &run), id);
+        cw_balance_end(b, 0, &run, CW_TRY_CANCELLED);
+        cw_balance_warm(b, id, false);
+    }
+    cw_balance_warm(b, 2, true);
+    cw_balance_news(b, 0, 7, 2, &(cw_load_t){.running = 1, .backlog_ms = BACKLOG(40)});
+    ck_assert_uint_ne(chosen(b, 0, &work, &run), 2);
+    cw_balance_shutdown(b);
+}
+END_TEST
+
 START_TEST(a_subject_stays_with_the_server_that_keeps_it) {
     cw_balance_t* b = engines(4);
     cw_work_t work = {.prompt_tokens = 6000, .target_ms = 2000, .part_count = 1, .parts = {{.id = 9, .tokens = 5000}}};
@@ -466,6 +484,7 @@
     tcase_add_test(t, another_daemons_load_is_counted_until_it_is_old);
     tcase_add_test(t, an_urgent_prompt_waits_for_urgent_ones_only);
     tcase_add_test(t, plain_calls_have_no_backlog);
+    tcase_add_test(t, a_connection_at_rest_is_used_among_servers_alike);
     tcase_add_test(t, a_subject_stays_with_the_server_that_keeps_it);
     tcase_add_test(t, kept_parts_are_forgotten_when_the_memory_was_filled_again);
     tcase_add_test(t, deep_prompts_keep_away_from_streams_they_make_late);
