Daemons tell each other the pace of servers

A server's pace is learned from events while nothing is read there; on large fleets a daemon sees a server too seldom for it, and with 12 slots the limit of running requests (17 %) left no samples. Change: the pace is part of the load message and counts while a daemon has seen little itself; it is learned with up to 8 running; request-sent logs it. A full load message was larger than the datagram buffer and would have been dropped in silence: the buffer fits it now (test a_full_load_message_fits).

--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -82,6 +82,7 @@
     uint32_t backlog_ms[CW_TIERS]; /* time to read the prompts of this tier and before, begun and not answered yet */
     uint32_t deepest;              /* tokens of the longest of these prompts */
     uint32_t tokens;               /* memory that the running ones hold or will hold */
+    uint32_t pace_us;              /* learned time between events there while no prompt is read, 0: unknown */
 } cw_load_t;
 
 typedef enum cw_try_result_t {
@@ -123,6 +124,7 @@
     uint64_t from;       /* id of a server to fetch more of the prompt from, 0: none */
     uint32_t moved;      /* tokens that it would give */
     uint32_t candidates; /* servers that had room */
+    double pace;         /* the server's time between events against the fastest one's, 1 while unknown */
     bool deep;           /* the prompt is among the pool's long ones: it stands before others */
 } cw_choice_t;
 
@@ -216,7 +218,7 @@
 #define _CW_PACE_LEARN 0.05   /* weight of a new sample of a server's pace */
 #define _CW_PACE_FEW 20       /* fewer samples say nothing */
 #define _CW_PACE_SLOW 1.15    /* a server whose pace is so many times the fastest one's comes last in the order */
-#define _CW_PACE_RUNS 0.17    /* of the slots: only with so few running is a server's pace learned */
+#define _CW_PACE_RUNS 8       /* only with so few running is a server's pace learned */
 #define _CW_GAPS_MAX 8        /* different longest pauses of one pool that are told apart */
 #define _CW_RUN_MS 0.5        /* how much a run slows the others of an engine */
 #define _CW_REREAD 10.0       /* times its reading that a part costs which another server has read already */
@@ -545,9 +547,8 @@
     *learned += (pause_ms > *learned ? _CW_PAUSE_UP : _CW_PAUSE_DOWN) * (pause_ms - *learned);
 }
 
-static void _cw_balance_learn_pace(cw_balance_t* b, _cw_server_t* s, double pause_ms) {
-    s->pace_ms += (s->pace_samples ? _CW_PACE_LEARN : 1) * (pause_ms - s->pace_ms);
-    s->pace_samples++;
+/* Finds the fastest server whose pace is known. */
+static void _cw_balance_find_fastest(cw_balance_t* b) {
     b->pace_ms = 0;
     for (uint32_t i = 0; i < b->places; i++) {
         const _cw_server_t* other = &b->servers[i];
@@ -556,6 +557,22 @@
     }
 }
 
+static void _cw_balance_learn_pace(cw_balance_t* b, _cw_server_t* s, double pause_ms) {
+    s->pace_ms += (s->pace_samples ? _CW_PACE_LEARN : 1) * (pause_ms - s->pace_ms);
+    s->pace_samples++;
+    _cw_balance_find_fastest(b);
+}
+
+/* What another daemon has learned counts as long as this one has seen little itself. */
+static void _cw_balance_hear_pace(cw_balance_t* b, _cw_server_t* s, uint32_t pace_us) {
+    if (!pace_us || s->pace_samples > _CW_PACE_FEW) {
+        return;
+    }
+    s->pace_ms = pace_us / 1000.0;
+    s->pace_samples = _CW_PACE_FEW;
+    _cw_balance_find_fastest(b);
+}
+
 static void _cw_balance_learn_deep(cw_balance_t* b, uint32_t tokens) {
     b->deep_tokens += (tokens > b->deep_tokens ? _CW_DEEP_UP : _CW_DEEP_DOWN) * (tokens - b->deep_tokens);
 }
@@ -659,6 +676,7 @@
     c.cost_ms = ms * cold * _cw_balance_slow(s, now_ms) + _cw_balance_fail_cost(s, now_ms, work);
     c.cost_ms += s->spec.hall == b->desc.hall ? 0 : _CW_HALL_MS;
     c.cost_ms += s->warm ? 0 : _CW_CONNECT_MS;
+    c.pace = _cw_balance_pace(b, s);
     c.cost_ms += (double)(cw_mix(b->desc.seed, s->spec.id) & 1023U) / 1024.0;
     return c;
 }
@@ -814,7 +832,7 @@
     double pause_ms = (double)(now_ms - run->event_ms);
     if (deepest) {
         _cw_balance_learn_pause(b, deepest, pause_ms / _cw_balance_pace(b, s));
-    } else if (sum.running <= _CW_PACE_RUNS * s->spec.slots) {
+    } else if (sum.running <= _CW_PACE_RUNS) {
         _cw_balance_learn_pace(b, s, pause_ms);
     }
     run->event_ms = now_ms;
@@ -913,7 +931,8 @@
     cw_load_t load = {.running = s->running,
                       .gap_ms = gap.gap_ms,
                       .streaming = gap.count,
-                      .tokens = s->tokens > UINT32_MAX ? UINT32_MAX : (uint32_t)s->tokens};
+                      .tokens = s->tokens > UINT32_MAX ? UINT32_MAX : (uint32_t)s->tokens,
+                      .pace_us = s->pace_samples > _CW_PACE_FEW ? (uint32_t)(s->pace_ms * 1000.0) : 0};
     for (uint32_t tier = 0; tier < CW_TIERS; tier++) {
         load.backlog_ms[tier] = (uint32_t)_cw_balance_own_backlog(s, now_ms, tier);
     }
@@ -926,6 +945,7 @@
     if (at == CW_BALANCE_NONE) {
         return;
     }
+    _cw_balance_hear_pace(b, &b->servers[at], load->pace_us);
     _cw_news_t* place = NULL;
     for (uint32_t i = 0; i < b->desc.max_peers; i++) {
         _cw_news_t* n = &b->servers[at].news[i];
--- a/chalkway_load.h
+++ b/chalkway_load.h
@@ -26,7 +26,7 @@
 #define CW_LOAD_VERSION 2
 #define CW_LOAD_ENTRIES 24 /* in one datagram */
 #define CW_LOAD_PARTS 4    /* parts of prompts told with one entry */
-#define CW_LOAD_BYTES 2048 /* largest datagram */
+#define CW_LOAD_BYTES 3072 /* largest datagram: a full one fits */
 
 typedef struct cw_load_entry_t {
     uint64_t server;
@@ -71,7 +71,7 @@
 #include <string.h>
 
 #define _CW_LOAD_HEAD 8                /* fields before the entries */
-#define _CW_LOAD_FIELDS (7 + CW_TIERS) /* of an entry before its parts */
+#define _CW_LOAD_FIELDS (8 + CW_TIERS) /* of an entry before its parts */
 
 static uint32_t _cw_load_older(uint32_t age_ms, uint32_t ms) {
     return age_ms < UINT32_MAX - ms ? age_ms + ms : UINT32_MAX;
@@ -91,6 +91,7 @@
     msgpack_pack_uint32(p, e->load.gap_ms);
     msgpack_pack_uint32(p, e->load.deepest);
     msgpack_pack_uint32(p, e->load.tokens);
+    msgpack_pack_uint32(p, e->load.pace_us);
     for (uint32_t tier = 0; tier < CW_TIERS; tier++) {
         msgpack_pack_uint32(p, e->load.backlog_ms[tier]);
     }
@@ -148,9 +149,10 @@
                           .streaming = (uint32_t)v[3],
                           .gap_ms = (uint32_t)v[4],
                           .deepest = (uint32_t)v[5],
-                          .tokens = (uint32_t)v[6]};
+                          .tokens = (uint32_t)v[6],
+                          .pace_us = (uint32_t)v[7]};
     for (uint32_t tier = 0; tier < CW_TIERS; tier++) {
-        e->load.backlog_ms[tier] = (uint32_t)v[7 + tier];
+        e->load.backlog_ms[tier] = (uint32_t)v[8 + tier];
     }
     for (uint32_t at = _CW_LOAD_FIELDS; at + 1 < o->via.array.size && e->part_count < CW_LOAD_PARTS; at += 2) {
         uint64_t tokens = 0;
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -270,6 +270,35 @@
 }
 END_TEST
 
+/* A server that one daemon has found slow gets no stream that may not pause, from any daemon. */
+START_TEST(the_pace_of_a_server_is_told_to_others) {
+    cw_balance_t* teller = engines(2);
+    cw_balance_t* b = engines(2);
+    cw_work_t chat = {.prompt_tokens = 500, .target_ms = 250, .gap_ms = 100};
+    cw_work_t deep = {.prompt_tokens = 20000, .target_ms = 2000};
+    cw_run_t run;
+    for (uint32_t at = 0; at < 2; at++) { /* the first server is half again as slow as the second */
+        run = cw_balance_begin(teller, 0, at, &chat);
+        cw_balance_first(teller, 10, &run);
+        for (int i = 1; i <= 30; i++) {
+            cw_balance_event(teller, 10 + i * (at ? 20 : 30), &run);
+        }
+        ck_assert_uint_eq(cw_balance_load(teller, 1000, at).pace_us, at ? 20000 : 30000);
+        cw_load_t load = {.pace_us = cw_balance_load(teller, 1000, at).pace_us};
+        cw_balance_news(b, 0, 7, run.id, &load);
+    }
+    for (int i = 0; i < 30; i++) { /* prompts that hurt such streams are usual */
+        chosen(b, 0, &deep, &run);
+        cw_balance_end(b, 0, &run, CW_TRY_CANCELLED);
+    }
+    ck_assert_uint_eq(chosen(b, 0, &chat, &run), 2);
+    ck_assert_double_eq(cw_balance_choose(b, 0, &chat, (uint64_t[]){2}, 1).pace, 1.5);
+    ck_assert_uint_eq(cw_balance_load(b, 0, 0).pace_us, 0); /* what was only heard is not told on */
+    cw_balance_shutdown(b);
+    cw_balance_shutdown(teller);
+}
+END_TEST
+
 /* Nothing was learned yet: a prompt is taken to hold streams up for as long as it is read. */
 START_TEST(before_anything_is_learned_deep_prompts_keep_away_too) {
     cw_balance_t* b = engines(2);
@@ -350,17 +379,21 @@
 /* -- news ----------------------------------------------------------------- */
 
 START_TEST(load_messages_survive_encoding_and_refuse_nonsense) {
-    cw_load_message_t out = {
-        .cluster = 3,
-        .host = UINT64_MAX,
-        .knowledge = {.revision = 7, .servers = UINT64_MAX, .revision_age_ms = 5},
-        .count = 1,
-        .entries = {
-            {.server = 99,
-             .leaving = true,
-             .load = {.running = 1, .gap_ms = 2, .streaming = 3, .backlog_ms = {4, 7, 8, 9}, .deepest = 5, .tokens = 6},
-             .part_count = 1,
-             .parts = {{.id = UINT64_MAX, .tokens = 8}}}}};
+    cw_load_message_t out = {.cluster = 3,
+                             .host = UINT64_MAX,
+                             .knowledge = {.revision = 7, .servers = UINT64_MAX, .revision_age_ms = 5},
+                             .count = 1,
+                             .entries = {{.server = 99,
+                                          .leaving = true,
+                                          .load = {.running = 1,
+                                                   .gap_ms = 2,
+                                                   .streaming = 3,
+                                                   .backlog_ms = {4, 7, 8, 9},
+                                                   .deepest = 5,
+                                                   .tokens = 6,
+                                                   .pace_us = 7},
+                                          .part_count = 1,
+                                          .parts = {{.id = UINT64_MAX, .tokens = 8}}}}};
     uint8_t bytes[CW_LOAD_BYTES];
     cw_load_message_t in;
     size_t size = cw_load_encode(&out, bytes, sizeof(bytes));
@@ -385,6 +418,26 @@
 }
 END_TEST
 
+/* The largest message that can be made is one datagram. */
+START_TEST(a_full_load_message_fits) {
+    cw_load_message_t out = {.cluster = UINT64_MAX, .host = UINT64_MAX, .count = CW_LOAD_ENTRIES};
+    memset(&out.knowledge, 0xff, sizeof(out.knowledge));
+    for (uint32_t i = 0; i < CW_LOAD_ENTRIES; i++) {
+        cw_load_entry_t* entry = &out.entries[i];
+        *entry = (cw_load_entry_t){.server = UINT64_MAX, .leaving = true, .part_count = CW_LOAD_PARTS};
+        memset(&entry->load, 0xff, sizeof(entry->load));
+        memset(entry->parts, 0xff, sizeof(entry->parts));
+    }
+    uint8_t bytes[CW_LOAD_BYTES];
+    cw_load_message_t in;
+    out.knowledge.revision = INT64_MAX;
+    size_t size = cw_load_encode(&out, bytes, sizeof(bytes));
+    ck_assert_uint_gt(size, 0);
+    ck_assert_int_eq(cw_load_decode(&in, bytes, size, NULL), CW_OK);
+    ck_assert_uint_eq(in.count, CW_LOAD_ENTRIES);
+}
+END_TEST
+
 /* -- events --------------------------------------------------------------- */
 
 static void take_all(cw_events_t* e, char* out) {
@@ -488,12 +541,14 @@
     tcase_add_test(t, a_subject_stays_with_the_server_that_keeps_it);
     tcase_add_test(t, kept_parts_are_forgotten_when_the_memory_was_filled_again);
     tcase_add_test(t, deep_prompts_keep_away_from_streams_they_make_late);
+    tcase_add_test(t, the_pace_of_a_server_is_told_to_others);
     tcase_add_test(t, before_anything_is_learned_deep_prompts_keep_away_too);
     tcase_add_test(t, a_full_engine_gets_nothing);
     tcase_add_test(t, failures_and_slowness_lead_away_and_are_forgotten);
     tcase_add_test(t, a_server_out_of_reach_is_probed_with_longer_and_longer_pauses);
     tcase_add_test(t, a_run_that_outlives_its_server_does_no_harm);
     tcase_add_test(t, load_messages_survive_encoding_and_refuse_nonsense);
+    tcase_add_test(t, a_full_load_message_fits);
     tcase_add_test(t, events_are_given_back_whole_whatever_the_cuts);
     tcase_add_test(t, events_go_on_after_a_break_at_any_byte);
     tcase_add_test(t, repeats_stay_within_the_budget_in_any_window);
