The source is read by rank at the start and after failures too

Ruled out: the readings of a calm fleet (about 10 calls a second with paging). Change: chalkway_reader.h decides when a daemon reads: at the start a few begin within 200 ms, later ranks wait up to 500 ms more; after failures later ranks pause longer, so that 84 daemons ask less than five times as often as 8. Tests: test_news.

--- a/chalkway.c
+++ b/chalkway.c
@@ -16,6 +16,7 @@
 #include "chalkway_pick.h"
 #include "chalkway_place.h"
 #include "chalkway_pull.h"
+#include "chalkway_reader.h"
 #include "chalkway_request.h"
 #include "chalkway_runonce.h"
 #include "chalkway_servers.h"
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -5,18 +5,15 @@
 #include <string.h>
 
 #include "../chalkway_pull.h"
+#include "../chalkway_reader.h"
 #include "../io/buffer.h"
 #include "../io/httpd.h"
 #include "clock.h"
 
-#define CALL_MS 1000       /* a call to the source or a peer may take */
-#define BACKOFF_MIN_MS 100 /* after a failed call */
-#define BACKOFF_MAX_MS 1000
+#define CALL_MS 1000         /* a call to the source or a peer may take */
 #define BODY_MAX (16U << 20) /* longest answer that is read */
-#define RANK_STEP_SHARE 0.3  /* of the reading age: so much longer waits each further rank */
-#define RANK_STEPS_MAX 5     /* ranks beyond wait no longer */
 #define OUTAGE_MS 2000       /* a list that nobody confirmed for so long: entries may have lapsed while it was away */
-#define NEVER INT64_MIN
+#define NEVER CW_READER_NEVER
 
 /* One kind of call to the source or a peer. */
 typedef struct fetch_t {
@@ -25,7 +22,7 @@
     cw_call_t* call; /* NULL: none under way */
     cw_buffer_t body;
     int64_t next_ms;
-    uint32_t backoff_ms;
+    uint32_t failures;                /* in a row */
     char peer[CW_SERVER_ADDRESS_MAX]; /* who is asked */
     void (*on_answer)(sync_t* s, unsigned status, const char* body, size_t size);
     void (*on_failure)(sync_t* s, const char* why);
@@ -46,7 +43,8 @@
     uint64_t list_id;
     int64_t list_ms; /* when the list in force was last known to be true at the source, NEVER: none */
     cw_pull_t catalog_pull, servers_pull;
-    uint32_t rank, daemons;
+    cw_reader_t reader;
+    uint32_t daemons;
     uint64_t draws;
     bool lost;
     sync_stats_t stats;
@@ -99,15 +97,19 @@
     return cw_mix(s->desc.seed, ++s->draws);
 }
 
+/* After a failed call to the source. */
 static void back_off(fetch_t* f) {
-    f->backoff_ms = f->backoff_ms ? f->backoff_ms * 2 : BACKOFF_MIN_MS;
-    f->backoff_ms = f->backoff_ms > BACKOFF_MAX_MS ? BACKOFF_MAX_MS : f->backoff_ms;
-    f->next_ms = clock_ms() + f->backoff_ms / 2 + (int64_t)(draw(f->sync) % (f->backoff_ms / 2));
+    f->next_ms = clock_ms() + cw_reader_pause_ms(&f->sync->reader, ++f->failures, draw(f->sync));
 }
 
-static void fetch_ok(fetch_t* f, uint32_t pause_ms) {
-    f->backoff_ms = 0;
-    f->next_ms = clock_ms() + pause_ms;
+/* After a failed call to a peer: another one is asked soon, whatever the rank. */
+static void back_off_peer(fetch_t* f) {
+    f->next_ms = clock_ms() + cw_reader_pause_ms(&(cw_reader_t){0}, ++f->failures, draw(f->sync));
+}
+
+static void fetch_ok(fetch_t* f) {
+    f->failures = 0;
+    f->next_ms = 0;
 }
 
 /* -- what is known of the source ------------------------------------------ */
@@ -199,7 +201,7 @@
         return;
     }
     source_works(s);
-    fetch_ok(&s->catalog, 0);
+    fetch_ok(&s->catalog);
     s->mark = news.mark;
     if (news.catalog) {
         adopt_catalog(s, news.catalog, s->desc.address);
@@ -255,7 +257,7 @@
         read_source_servers(s);
         return;
     }
-    fetch_ok(&s->servers, 0);
+    fetch_ok(&s->servers);
     adopt_servers(s, &s->pages, clock_ms());
     drop_pages(s);
 }
@@ -264,11 +266,11 @@
 
 static void on_peer_failure(sync_t* s, const char* why) {
     (void)why;
-    back_off(&s->peer_catalog);
+    back_off_peer(&s->peer_catalog);
 }
 
 static void on_peer_catalog(sync_t* s, unsigned status, const char* body, size_t size) {
-    fetch_ok(&s->peer_catalog, 0);
+    fetch_ok(&s->peer_catalog);
     if (status == 200 && size) {
         adopt_catalog(s, strndup(body, size), s->peer_catalog.peer);
     }
@@ -276,13 +278,13 @@
 
 static void on_peer_servers_failure(sync_t* s, const char* why) {
     (void)why;
-    back_off(&s->peer_servers);
+    back_off_peer(&s->peer_servers);
 }
 
 static void on_peer_servers(sync_t* s, unsigned status, const char* body, size_t size) {
     cw_servers_t list = {0};
     cw_error_t err = {0};
-    fetch_ok(&s->peer_servers, 0);
+    fetch_ok(&s->peer_servers);
     if (status != 200) {
         return;
     }
@@ -329,7 +331,7 @@
 }
 
 void sync_set_rank(sync_t* s, uint32_t rank, uint32_t daemons) {
-    s->rank = rank;
+    s->reader.rank = rank;
     s->daemons = daemons;
 }
 
@@ -383,20 +385,13 @@
     return stats;
 }
 
-/* Age at which this daemon reads again. */
-static uint32_t reading_age_ms(const sync_t* s) {
-    uint32_t steps = s->rank < RANK_STEPS_MAX ? s->rank : RANK_STEPS_MAX;
-    return (uint32_t)(s->desc.read_ms * (1 + steps * RANK_STEP_SHARE));
-}
-
 void sync_tick(sync_t* s, int64_t now_ms) {
-    uint32_t limit_ms = reading_age_ms(s);
     pull(s, &s->peer_catalog, &s->catalog_pull, "/catalog", now_ms);
     pull(s, &s->peer_servers, &s->servers_pull, "/servers", now_ms);
-    if (!s->servers.call && now_ms >= s->servers.next_ms && age_of(s->list_ms, now_ms) >= limit_ms) {
+    if (!s->servers.call && now_ms >= s->servers.next_ms && cw_reader_due(&s->reader, s->list_ms, now_ms)) {
         read_source_servers(s);
     }
-    if (!s->catalog.call && now_ms >= s->catalog.next_ms && age_of(s->catalog_ms, now_ms) >= limit_ms) {
+    if (!s->catalog.call && now_ms >= s->catalog.next_ms && cw_reader_due(&s->reader, s->catalog_ms, now_ms)) {
         read_source_catalog(s);
     }
 }
@@ -412,6 +407,7 @@
         abort();
     }
     s->desc = *desc;
+    s->reader = (cw_reader_t){.read_ms = desc->read_ms, .started_ms = clock_ms(), .seed = desc->seed};
     s->list_ms = s->catalog_ms = NEVER;
     s->share = cw_httpd_setup(&(cw_httpd_desc_t){.loop = desc->loop,
                                                  .address = desc->share,
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -5,10 +5,9 @@
     never goes back within one life of the process.
 
     Both are read again when what is known has grown too old. The ages travel with the peers' datagrams, so a reading by
-    one daemon confirms what all have; each daemon's limit depends on its rank, so that mostly those of the first ranks
-    read, and the next ones when they fail. What a peer has newer is fetched by chalkway_pull.h. A waiting watch is not
-   used: one that is cut in silence tells nothing, and a watch on the servers wakes for every heartbeat. Peers read both
-   documents at the share address.
+    one daemon confirms what all have; chalkway_reader.h decides which daemon reads. What a peer has newer is fetched by
+   chalkway_pull.h. A waiting watch is not used: one that is cut in silence tells nothing, and a watch on the servers
+   wakes for every heartbeat. Peers read both documents at the share address.
 */
 #include "../chalkway_catalog.h"
 #include "../chalkway_load.h"
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -5,6 +5,7 @@
 
 #include "../chalkway_load.h"
 #include "../chalkway_pull.h"
+#include "../chalkway_reader.h"
 #include "test.h"
 
 /* -- ages ----------------------------------------------------------------- */
@@ -109,7 +110,63 @@
 }
 END_TEST
 
+/* -- reading -------------------------------------------------------------- */
+
+#define FLEET 84
+
+/* Calls that a whole fleet makes in a time in which the source is away. */
+static uint32_t calls_while_away(uint32_t hosts, int64_t away_ms) {
+    uint32_t calls = 0;
+    for (uint32_t rank = 0; rank < hosts; rank++) {
+        cw_reader_t r = {.read_ms = 400, .rank = rank, .seed = rank};
+        uint32_t failures = 0;
+        for (int64_t now_ms = 0; now_ms < away_ms; now_ms += cw_reader_pause_ms(&r, ++failures, calls)) {
+            calls++;
+        }
+    }
+    return calls;
+}
+
+START_TEST(a_large_fleet_asks_little_while_the_source_is_away) {
+    uint32_t few = calls_while_away(8, 10000);
+    uint32_t many = calls_while_away(FLEET, 10000);
+    ck_assert_uint_gt(few, 8 * 10);   /* each of a small fleet asks about once a second */
+    ck_assert_uint_lt(many, 5 * few); /* ten times the hosts ask less than five times as often */
+    cw_reader_t first = {.read_ms = 400};
+    for (uint64_t draw = 0; draw < 1000; draw++) {
+        ck_assert_uint_le(cw_reader_pause_ms(&first, 20, draw), 1000);
+        ck_assert_uint_ge(cw_reader_pause_ms(&first, 1, draw), 50);
+    }
+}
+END_TEST
+
+START_TEST(the_first_ranks_read_and_the_next_ones_when_they_fail) {
+    for (uint32_t rank = 0; rank < 10; rank++) {
+        cw_reader_t r = {.read_ms = 400, .rank = rank};
+        int64_t limit_ms = 400 + 120 * (rank < 5 ? rank : 5);
+        ck_assert(!cw_reader_due(&r, 1000, 1000 + limit_ms - 1));
+        ck_assert(cw_reader_due(&r, 1000, 1000 + limit_ms));
+    }
+}
+END_TEST
+
+/* Nothing is known at the start: a few read within 200 ms, all within 700 ms. */
+START_TEST(at_the_start_a_few_read_first) {
+    uint32_t early = 0;
+    for (uint32_t rank = 0; rank < FLEET; rank++) {
+        cw_reader_t r = {.read_ms = 400, .rank = rank, .started_ms = 5000, .seed = cw_mix(7, rank)};
+        early += cw_reader_due(&r, CW_READER_NEVER, 5200);
+        ck_assert(cw_reader_due(&r, CW_READER_NEVER, 5700));
+    }
+    ck_assert_uint_ge(early, 1);
+    ck_assert_uint_le(early, 5);
+}
+END_TEST
+
 static void add(TCase* t) {
+    tcase_add_test(t, a_large_fleet_asks_little_while_the_source_is_away);
+    tcase_add_test(t, the_first_ranks_read_and_the_next_ones_when_they_fail);
+    tcase_add_test(t, at_the_start_a_few_read_first);
     tcase_add_test(t, daemons_that_confirm_each_other_grow_old_together);
     tcase_add_test(t, a_document_spreads_without_a_crowd_at_its_first_holder);
     tcase_add_test(t, a_newer_version_is_fetched_from_who_has_it);
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -255,6 +255,7 @@
     /* the share address of the peer is not known here; its source gives the same documents */
     cw_knowledge_t knowledge = sync_knowledge(peer->sync);
     site_t* shared = site_setup(9);
+    shared->until = has_all;
     sync_on_peer(site->sync, cw_httpd_address(shared->source), &knowledge);
     site->until = has_all;
     while (!sync_ready(site->sync)) {
