Work with long targets leaves the last places to work with short ones

Change: work may fill an engine up to nine tenths of its slots less 0.15 x (1 - shortest target / own target); the shortest target is learned. Long prompts then wait or are refused while short ones still find places.

--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -211,8 +211,11 @@
 #define _CW_PAUSE_FEW 10    /* fewer pauses beside prompts of a depth say nothing */
 #define _CW_DEEP_UP 0.1     /* the length of deep prompts is learned as a high quantile too */
 #define _CW_DEEP_DOWN 0.005
-#define _CW_GATHER_SHARE 0.1  /* of the target: what each further place in the order costs a stream easily hurt */
-#define _CW_PLAN_SHARE 0.9    /* of an engine's slots that are planned with: what others just sent is not known yet */
+#define _CW_GATHER_SHARE 0.1   /* of the target: what each further place in the order costs a stream easily hurt */
+#define _CW_PLAN_SHARE 0.9     /* of an engine's slots that are planned with: what others just sent is not known yet */
+#define _CW_PATIENT_SHARE 0.15 /* of the slots that work with a long target leaves to work with a short one */
+#define _CW_SHORT_DOWN 0.1     /* the short targets are learned as a low quantile */
+#define _CW_SHORT_UP 0.005
 #define _CW_DEEP_SHARE 0.25   /* of the learned length of deep prompts, from which a prompt is one */
 #define _CW_DEEP_WAIT 0.1     /* weight of the backlog that one deep prompt found */
 #define _CW_PACE_LEARN 0.05   /* weight of a new sample of a server's pace */
@@ -279,9 +282,10 @@
     uint32_t service_samples;
     double pause_ms[_CW_DEPTHS]; /* learned pause beside prompts of each length, 0: not seen */
     uint32_t pause_samples[_CW_DEPTHS];
-    double deep_tokens;  /* learned length of the deep prompts */
-    double deep_wait_ms; /* backlog that deep prompts found lately */
-    double pace_ms;      /* shortest pace of a server that is known, 0: none */
+    double short_target_ms; /* learned target of those that can wait least, 0: none yet */
+    double deep_tokens;     /* learned length of the deep prompts */
+    double deep_wait_ms;    /* backlog that deep prompts found lately */
+    double pace_ms;         /* shortest pace of a server that is known, 0: none */
 };
 
 static cw_balance_desc_t _cw_balance_desc_defaults(const cw_balance_desc_t* desc) {
@@ -681,6 +685,19 @@
     return c;
 }
 
+/* Share of an engine's slots up to which the work may be placed there. In a burst, work that can wait would else take
+   every slot for seconds, and leave none for work that can't. */
+static double _cw_balance_share(const cw_balance_t* b, const cw_work_t* work) {
+    bool patient = b->short_target_ms > 0 && work->target_ms > b->short_target_ms;
+    return _CW_PLAN_SHARE - (patient ? _CW_PATIENT_SHARE * (1 - b->short_target_ms / work->target_ms) : 0);
+}
+
+static void _cw_balance_learn_target(cw_balance_t* b, uint32_t target_ms) {
+    bool first = b->short_target_ms <= 0;
+    double weight = first ? 1 : target_ms < b->short_target_ms ? _CW_SHORT_DOWN : _CW_SHORT_UP;
+    b->short_target_ms += weight * (target_ms - b->short_target_ms);
+}
+
 static bool _cw_balance_tried(const uint64_t* tried, uint32_t count, uint64_t id) {
     for (uint32_t i = 0; i < count; i++) {
         if (tried[i] == id) {
@@ -695,6 +712,7 @@
     cw_choice_t best = {.server = CW_BALANCE_NONE};
     uint32_t candidates = 0;
     _cw_holder_t holder = _cw_balance_holder(b, work);
+    double share = _cw_balance_share(b, work);
     for (uint32_t i = 0; i < b->places; i++) {
         const _cw_server_t* s = &b->servers[i];
         if (!s->used || !s->listed || s->away || now_ms < s->full_until_ms ||
@@ -702,7 +720,7 @@
             continue;
         }
         cw_choice_t c = _cw_balance_rate(b, i, now_ms, work, &holder);
-        if (s->spec.memory_tokens && c.running >= _CW_PLAN_SHARE * s->spec.slots) {
+        if (s->spec.memory_tokens && c.running >= share * s->spec.slots) {
             continue;
         }
         candidates++;
@@ -746,6 +764,7 @@
         _cw_balance_plan(s, now_ms, &run);
         s->deepest = work->prompt_tokens > s->deepest ? work->prompt_tokens : s->deepest;
         _cw_balance_learn_deep(b, work->prompt_tokens);
+        _cw_balance_learn_target(b, work->target_ms);
         if (work->prompt_tokens > b->deep_tokens / 2) {
             b->deep_wait_ms += _CW_DEEP_WAIT * (run.wait_ms - b->deep_wait_ms);
         }
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -328,6 +328,33 @@
 }
 END_TEST
 
+/* The last places of an engine are left to work that can't wait, as long as there is such work. */
+START_TEST(patient_work_leaves_places_to_impatient_work) {
+    cw_balance_t* b = engines(1);
+    cw_work_t patient = {.prompt_tokens = 100, .target_ms = 2000};
+    cw_work_t impatient = {.prompt_tokens = 100, .target_ms = 200};
+    cw_run_t run;
+    cw_run_t runs[8];
+    uint32_t count = 0;
+    while (chosen(b, 0, &patient, &run)) { /* alone, it takes what is planned with */
+        runs[count++] = run;
+    }
+    ck_assert_uint_eq(count, 8);
+    for (uint32_t i = 0; i < count; i++) {
+        cw_balance_end(b, 0, &runs[i], CW_TRY_CANCELLED);
+    }
+    for (int i = 0; i < 50; i++) {
+        ck_assert_uint_eq(chosen(b, 0, &impatient, &run), 1);
+        cw_balance_end(b, 0, &run, CW_TRY_CANCELLED);
+    }
+    for (count = 0; chosen(b, 0, &patient, &run); count++) {
+    }
+    ck_assert_uint_eq(count, 7);
+    ck_assert_uint_eq(chosen(b, 0, &impatient, &run), 1);
+    cw_balance_shutdown(b);
+}
+END_TEST
+
 START_TEST(failures_and_slowness_lead_away_and_are_forgotten) {
     cw_balance_t* b = cw_balance_setup(&(cw_balance_desc_t){.seed = 5});
     cw_server_spec_t specs[2] = {{.id = 1, .slots = 8}, {.id = 2, .slots = 8}};
@@ -544,6 +571,7 @@
     tcase_add_test(t, the_pace_of_a_server_is_told_to_others);
     tcase_add_test(t, before_anything_is_learned_deep_prompts_keep_away_too);
     tcase_add_test(t, a_full_engine_gets_nothing);
+    tcase_add_test(t, patient_work_leaves_places_to_impatient_work);
     tcase_add_test(t, failures_and_slowness_lead_away_and_are_forgotten);
     tcase_add_test(t, a_server_out_of_reach_is_probed_with_longer_and_longer_pauses);
     tcase_add_test(t, a_run_that_outlives_its_server_does_no_harm);
