--- a/chalkway.c
+++ b/chalkway.c
@@ -1,5 +1,6 @@
 /* libchalkway: the implementation of every single-file module. */
 #define CHALKWAY_IMPL
+#include "chalkway_backlog.h"
 #include "chalkway_balance.h"
 #include "chalkway_catalog.h"
 #include "chalkway_core.h"
@@ -13,6 +14,7 @@
 #include "chalkway_log.h"
 #include "chalkway_map.h"
 #include "chalkway_member.h"
+#include "chalkway_pause.h"
 #include "chalkway_pick.h"
 #include "chalkway_place.h"
 #include "chalkway_pull.h"
--- /dev/null
+++ b/chalkway_backlog.h
@@ -0,0 +1,94 @@
+#ifndef CHALKWAY_BACKLOG_H
+#define CHALKWAY_BACKLOG_H
+/*
+    chalkway_backlog.h -- prompts that wait to be read at one engine, by tier
+
+    WHAT IT IS
+        An engine reads prompts one after the other, the more urgent ones
+        first. For each tier this keeps the time at which all prompts of that
+        tier and of more urgent ones will have been read, as far as planned.
+        A prompt that ends earlier or later than planned moves those behind
+        it; a more urgent one that comes later moves the plan of those before
+        which it goes.
+
+    HOW TO USE IT
+            cw_backlog_t b = {0};
+            cw_backlog_plan_t plan = cw_backlog_add(&b, now_ms, tier, read_ms);
+            double wait_ms = cw_backlog_ms(&b, now_ms, tier);
+            cw_backlog_done(&b, now_ms, &plan);
+
+    WHAT IT DOES NOT DO
+        It does not predict how long a prompt takes to read.
+
+    LICENCE
+        MIT, see LICENSE.
+*/
+#include "chalkway_core.h"
+
+#define CW_TIERS 4 /* that are told apart, 0 first; later ones count as the last */
+
+/* One prompt's place. */
+typedef struct cw_backlog_plan_t {
+    uint32_t tier;
+    double done_ms;       /* when it was to be read, if nothing more urgent came */
+    double put_before_ms; /* of its tier, as it was added */
+} cw_backlog_plan_t;
+
+/* All zero: empty. */
+typedef struct cw_backlog_t {
+    double until_ms[CW_TIERS];      /* prompts of this tier and before are read by then */
+    uint32_t unread[CW_TIERS];      /* prompts of this tier and before */
+    double put_before_ms[CW_TIERS]; /* reading ever put before this tier by more urgent prompts */
+} cw_backlog_t;
+
+/* The tier that counts for a priority. */
+uint32_t cw_backlog_tier(uint32_t priority);
+/* Time until the prompts of the tier and before are read. Past the planned time, what is late is taken to last as long
+   again. */
+double cw_backlog_ms(const cw_backlog_t* b, int64_t now_ms, uint32_t tier);
+cw_backlog_plan_t cw_backlog_add(cw_backlog_t* b, int64_t now_ms, uint32_t tier, double read_ms);
+/* The prompt is read, or never will be. */
+void cw_backlog_done(cw_backlog_t* b, int64_t now_ms, const cw_backlog_plan_t* plan);
+
+#endif /* CHALKWAY_BACKLOG_H */
+
+/*-- IMPLEMENTATION -----------------------------------------------------------*/
+#ifdef CHALKWAY_IMPL
+#ifndef CHALKWAY_BACKLOG_IMPL_INCLUDED
+#define CHALKWAY_BACKLOG_IMPL_INCLUDED
+
+uint32_t cw_backlog_tier(uint32_t priority) {
+    return priority < CW_TIERS ? priority : CW_TIERS - 1;
+}
+
+double cw_backlog_ms(const cw_backlog_t* b, int64_t now_ms, uint32_t tier) {
+    double left_ms = b->until_ms[tier] - (double)now_ms;
+    if (!b->unread[tier]) {
+        return 0;
+    }
+    return left_ms > 0 ? left_ms : -left_ms;
+}
+
+cw_backlog_plan_t cw_backlog_add(cw_backlog_t* b, int64_t now_ms, uint32_t tier, double read_ms) {
+    for (uint32_t i = tier; i < CW_TIERS; i++) {
+        b->until_ms[i] = (double)now_ms + cw_backlog_ms(b, now_ms, i) + read_ms;
+        b->unread[i]++;
+        b->put_before_ms[i] += i > tier ? read_ms : 0;
+    }
+    return (cw_backlog_plan_t){.tier = tier, .done_ms = b->until_ms[tier], .put_before_ms = b->put_before_ms[tier]};
+}
+
+void cw_backlog_done(cw_backlog_t* b, int64_t now_ms, const cw_backlog_plan_t* plan) {
+    double put_before_ms = b->put_before_ms[plan->tier] - plan->put_before_ms;
+    double late_ms = (double)now_ms - plan->done_ms - put_before_ms;
+    for (uint32_t i = plan->tier; i < CW_TIERS; i++) {
+        b->unread[i] -= b->unread[i] > 0;
+        b->until_ms[i] += late_ms;
+        if (!b->unread[i] || b->until_ms[i] < (double)now_ms) {
+            b->until_ms[i] = (double)now_ms;
+        }
+    }
+}
+
+#endif /* CHALKWAY_BACKLOG_IMPL_INCLUDED */
+#endif /* CHALKWAY_IMPL */
--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -40,11 +40,10 @@
     LICENCE
         MIT, see LICENSE.
 */
-#include "chalkway_core.h"
+#include "chalkway_backlog.h"
 
 #define CW_BALANCE_NONE UINT32_MAX
 #define CW_WORK_PARTS 8
-#define CW_TIERS 4 /* that are told apart, 0 first; later ones count as the last */
 
 /* A server as published. */
 typedef struct cw_server_spec_t {
@@ -99,11 +98,10 @@
     uint64_t id;     /* of the server, so that a run that outlives it does no harm */
     int64_t begun_ms;
     uint32_t tier;
-    double read_ms;       /* predicted time to read the prompt */
-    double planned_ms;    /* when it was to be read, if nothing more urgent came */
-    double put_before_ms; /* of its tier at its server, as it began */
-    double wait_ms;       /* backlog found by its tier */
-    bool alone;           /* no prompt of any tier was being read */
+    double read_ms; /* predicted time to read the prompt */
+    cw_backlog_plan_t plan;
+    double wait_ms; /* backlog found by its tier */
+    bool alone;     /* no prompt of any tier was being read */
     uint32_t fresh_tokens;
     uint32_t tokens;
     uint32_t gap_ms;
@@ -189,6 +187,7 @@
 
 #include "chalkway_kept.h"
 #include "chalkway_map.h"
+#include "chalkway_pause.h"
 
 #define _CW_READ_MS 0.02            /* ms a token before anything was learned */
 #define _CW_READ_LEARN 0.05         /* weight of a new sample of the reading time */
@@ -203,13 +202,7 @@
 #define _CW_FAIL_MIN_MS 200.0 /* least time that a failure is taken to cost */
 #define _CW_HALL_MS 1.0       /* what another hall costs */
 #define _CW_CONNECT_MS 10.0   /* what a new connection costs: time, and a place at the server */
-#define _CW_DEPTHS 20         /* kinds of prompts by length: powers of two, in halves, from 256 tokens */
-#define _CW_DEPTH_MIN 256.0
-#define _CW_PAUSE_UP 0.2    /* weight of a pause longer than learned: a high quantile is wanted */
-#define _CW_PAUSE_DOWN 0.02 /* weight of a shorter one */
-#define _CW_LATE_FROM 0.7   /* share of the longest pause from which a learned pause counts as harm, to 1.3 */
-#define _CW_PAUSE_FEW 10    /* fewer pauses beside prompts of a depth say nothing */
-#define _CW_DEEP_UP 0.1     /* the length of deep prompts is learned as a high quantile too */
+#define _CW_DEEP_UP 0.1       /* the length of deep prompts is learned as a high quantile */
 #define _CW_DEEP_DOWN 0.005
 #define _CW_GATHER_SHARE 0.1   /* of the target: what each further place in the order costs a stream easily hurt */
 #define _CW_PLAN_SHARE 0.9     /* of an engine's slots that are planned with: what others just sent is not known yet */
@@ -251,11 +244,9 @@
     uint32_t running;
     _cw_gap_t gaps[_CW_GAPS_MAX];
     uint64_t tokens;
-    double busy_until_ms[CW_TIERS]; /* own prompts of this tier and before are read by then */
-    uint32_t unanswered[CW_TIERS];  /* own runs of this tier and before without a first byte */
-    double put_before_ms[CW_TIERS]; /* reading ever put before prompts of this tier by more urgent ones */
-    uint32_t deepest;               /* tokens of the longest prompt among them; 0 when there are none */
-    double pace_ms;                 /* learned time between events while nothing is read there, 0: unknown */
+    cw_backlog_t backlog; /* own prompts, from sending to the first byte */
+    uint32_t deepest;     /* tokens of the longest prompt among them; 0 when there are none */
+    double pace_ms;       /* learned time between events while nothing is read there, 0: unknown */
     uint32_t pace_samples;
     double slow;     /* 1: as the others */
     int64_t slow_ms; /* when slow was learned */
@@ -280,8 +271,7 @@
     cw_kept_t* kept;
     double read_ms, base_ms, service_ms;
     uint32_t service_samples;
-    double pause_ms[_CW_DEPTHS]; /* learned pause beside prompts of each length, 0: not seen */
-    uint32_t pause_samples[_CW_DEPTHS];
+    cw_pauses_t pauses;
     double short_target_ms; /* learned target of those that can wait least, 0: none yet */
     double deep_tokens;     /* learned length of the deep prompts */
     double deep_wait_ms;    /* backlog that deep prompts found lately */
@@ -471,18 +461,9 @@
     sum->gap_ms = gap_ms;
 }
 
-static uint32_t _cw_balance_tier(const cw_work_t* work) {
-    return work->tier < CW_TIERS ? work->tier : CW_TIERS - 1;
-}
-
-/* Time until the own prompts there of the tier and before are read. Past the planned time, what is late is taken to
-   last as long again. A plain call is not read. */
+/* Time until the own prompts there of the tier and before are read. A plain call is not read. */
 static double _cw_balance_own_backlog(const _cw_server_t* s, int64_t now_ms, uint32_t tier) {
-    double left_ms = s->busy_until_ms[tier] - (double)now_ms;
-    if (!s->unanswered[tier] || !s->spec.memory_tokens) {
-        return 0;
-    }
-    return left_ms > 0 ? left_ms : -left_ms;
+    return s->spec.memory_tokens ? cw_backlog_ms(&s->backlog, now_ms, tier) : 0;
 }
 
 /* What a request of the tier finds there. */
@@ -516,39 +497,14 @@
     return sum;
 }
 
-/* -- pauses beside prompts ------------------------------------------------ */
-
-static uint32_t _cw_balance_depth(uint32_t tokens) {
-    double halves = tokens > _CW_DEPTH_MIN ? 2 * log2(tokens / _CW_DEPTH_MIN) : 0;
-    return halves < _CW_DEPTHS - 1 ? (uint32_t)halves : _CW_DEPTHS - 1;
-}
+/* -- what is learned of servers ------------------------------------------- */
 
-/* A deeper prompt is taken to be no less harmful than any shorter one that was seen; one of a depth that few streams
-   have met is taken to hold them up for as long as it is read. */
 double cw_balance_pause(const cw_balance_t* b, uint32_t tokens) {
-    double pause_ms = 0;
-    uint32_t depth = _cw_balance_depth(tokens);
-    for (uint32_t i = 0; i <= depth; i++) {
-        pause_ms = b->pause_ms[i] > pause_ms ? b->pause_ms[i] : pause_ms;
-    }
-    double whole_ms = b->read_ms * tokens;
-    return b->pause_samples[depth] < _CW_PAUSE_FEW && whole_ms > pause_ms ? whole_ms : pause_ms;
+    return cw_pauses_expected(&b->pauses, tokens, b->read_ms);
 }
 
-/* How likely a prompt of so many tokens makes a stream late that may pause for gap_ms, 0..1. */
 static double _cw_balance_harm(const cw_balance_t* b, uint32_t tokens, uint32_t gap_ms) {
-    if (!gap_ms) {
-        return 0;
-    }
-    double over = (cw_balance_pause(b, tokens) / gap_ms - _CW_LATE_FROM) / (2 * (1 - _CW_LATE_FROM));
-    return over < 0 ? 0 : over > 1 ? 1 : over;
-}
-
-static void _cw_balance_learn_pause(cw_balance_t* b, uint32_t tokens, double pause_ms) {
-    uint32_t depth = _cw_balance_depth(tokens);
-    double* learned = &b->pause_ms[depth];
-    b->pause_samples[depth]++;
-    *learned += (pause_ms > *learned ? _CW_PAUSE_UP : _CW_PAUSE_DOWN) * (pause_ms - *learned);
+    return cw_pauses_harm(&b->pauses, tokens, gap_ms, b->read_ms);
 }
 
 /* Finds the fastest server whose pace is known. */
@@ -577,10 +533,6 @@
     _cw_balance_find_fastest(b);
 }
 
-static void _cw_balance_learn_deep(cw_balance_t* b, uint32_t tokens) {
-    b->deep_tokens += (tokens > b->deep_tokens ? _CW_DEEP_UP : _CW_DEEP_DOWN) * (tokens - b->deep_tokens);
-}
-
 static double _cw_balance_slow(const _cw_server_t* s, int64_t now_ms) {
     double left = exp(-(double)(now_ms - s->slow_ms) / _CW_SPEED_FORGET_MS);
     return 1 + (s->slow - 1) * left;
@@ -672,7 +624,7 @@
 static cw_choice_t _cw_balance_rate(const cw_balance_t* b, uint32_t at, int64_t now_ms, const cw_work_t* work,
                                     const _cw_holder_t* holder) {
     const _cw_server_t* s = &b->servers[at];
-    _cw_sum_t sum = _cw_balance_sum(b, s, now_ms, _cw_balance_tier(work));
+    _cw_sum_t sum = _cw_balance_sum(b, s, now_ms, cw_backlog_tier(work->tier));
     cw_choice_t c = {.server = at, .wait_ms = sum.wait_ms, .running = sum.running, .age_ms = sum.age_ms};
     bool engine = s->spec.memory_tokens > 0;
     double ms = engine ? _cw_balance_generation_ms(b, s, &sum, work, holder, &c) : _cw_balance_call_ms(b, s, &sum);
@@ -692,10 +644,14 @@
     return _CW_PLAN_SHARE - (patient ? _CW_PATIENT_SHARE * (1 - b->short_target_ms / work->target_ms) : 0);
 }
 
-static void _cw_balance_learn_target(cw_balance_t* b, uint32_t target_ms) {
-    bool first = b->short_target_ms <= 0;
-    double weight = first ? 1 : target_ms < b->short_target_ms ? _CW_SHORT_DOWN : _CW_SHORT_UP;
-    b->short_target_ms += weight * (target_ms - b->short_target_ms);
+/* What kinds of work the pool gets. */
+static void _cw_balance_learn_work(cw_balance_t* b, const cw_work_t* work, double wait_ms) {
+    double before_ms = b->short_target_ms > 0 ? b->short_target_ms : work->target_ms;
+    b->short_target_ms = cw_quantile_learn(before_ms, work->target_ms, _CW_SHORT_UP, _CW_SHORT_DOWN);
+    b->deep_tokens = cw_quantile_learn(b->deep_tokens, work->prompt_tokens, _CW_DEEP_UP, _CW_DEEP_DOWN);
+    if (work->prompt_tokens > b->deep_tokens / 2) {
+        b->deep_wait_ms += _CW_DEEP_WAIT * (wait_ms - b->deep_wait_ms);
+    }
 }
 
 static bool _cw_balance_tried(const uint64_t* tried, uint32_t count, uint64_t id) {
@@ -735,22 +691,14 @@
 
 /* -- runs ----------------------------------------------------------------- */
 
-/* The prompt stands before all that are less urgent. */
-static void _cw_balance_plan(_cw_server_t* s, int64_t now_ms, cw_run_t* run) {
-    for (uint32_t tier = run->tier; tier < CW_TIERS; tier++) {
-        double start_ms = (double)now_ms + _cw_balance_own_backlog(s, now_ms, tier);
-        s->busy_until_ms[tier] = start_ms + run->read_ms;
-        s->put_before_ms[tier] += tier > run->tier ? run->read_ms : 0;
-    }
-    run->planned_ms = s->busy_until_ms[run->tier];
-    run->put_before_ms = s->put_before_ms[run->tier];
-}
-
 cw_run_t cw_balance_begin(cw_balance_t* b, int64_t now_ms, uint32_t server, const cw_work_t* work) {
     assert(server < b->places && b->servers[server].used);
     _cw_server_t* s = &b->servers[server];
-    cw_run_t run = {
-        .server = server, .id = s->spec.id, .begun_ms = now_ms, .gap_ms = work->gap_ms, .tier = _cw_balance_tier(work)};
+    cw_run_t run = {.server = server,
+                    .id = s->spec.id,
+                    .begun_ms = now_ms,
+                    .gap_ms = work->gap_ms,
+                    .tier = cw_backlog_tier(work->tier)};
     _cw_sum_t sum = _cw_balance_sum(b, s, now_ms, run.tier);
     run.wait_ms = sum.wait_ms;
     run.alone = sum.backlog_ms < 1.0;
@@ -761,21 +709,14 @@
         run.fresh_tokens = work->prompt_tokens - kept - moved;
         run.read_ms = b->read_ms * run.fresh_tokens * _cw_balance_slow(s, now_ms) + s->spec.move_ms * moved;
         run.tokens = work->prompt_tokens + work->output_tokens;
-        _cw_balance_plan(s, now_ms, &run);
+        run.plan = cw_backlog_add(&s->backlog, now_ms, run.tier, run.read_ms);
         s->deepest = work->prompt_tokens > s->deepest ? work->prompt_tokens : s->deepest;
-        _cw_balance_learn_deep(b, work->prompt_tokens);
-        _cw_balance_learn_target(b, work->target_ms);
-        if (work->prompt_tokens > b->deep_tokens / 2) {
-            b->deep_wait_ms += _CW_DEEP_WAIT * (run.wait_ms - b->deep_wait_ms);
-        }
+        _cw_balance_learn_work(b, work, run.wait_ms);
         for (uint32_t i = 0; i < work->part_count; i++) {
             _cw_balance_keep(b, s, &work->parts[i]);
         }
     }
     s->running++;
-    for (uint32_t tier = run.tier; tier < CW_TIERS; tier++) {
-        s->unanswered[tier]++;
-    }
     s->tokens += run.tokens;
     return run;
 }
@@ -790,16 +731,11 @@
 
 /* The prompt is read, or never will be: the rest of the backlog moves. */
 static void _cw_balance_answered(_cw_server_t* s, int64_t now_ms, cw_run_t* run) {
-    double late_ms = (double)now_ms - run->planned_ms - (s->put_before_ms[run->tier] - run->put_before_ms);
     run->answered = true;
-    for (uint32_t tier = run->tier; tier < CW_TIERS; tier++) {
-        s->unanswered[tier] -= s->unanswered[tier] > 0;
-        s->busy_until_ms[tier] += late_ms;
-        if (!s->unanswered[tier] || s->busy_until_ms[tier] < (double)now_ms) {
-            s->busy_until_ms[tier] = (double)now_ms;
-        }
+    if (s->spec.memory_tokens) {
+        cw_backlog_done(&s->backlog, now_ms, &run->plan);
     }
-    s->deepest = s->unanswered[CW_TIERS - 1] ? s->deepest : 0;
+    s->deepest = s->backlog.unread[CW_TIERS - 1] ? s->deepest : 0;
 }
 
 static void _cw_balance_learn_slow(_cw_server_t* s, int64_t now_ms, double ratio) {
@@ -850,7 +786,7 @@
     uint32_t deepest = beside > run->beside ? beside : run->beside;
     double pause_ms = (double)(now_ms - run->event_ms);
     if (deepest) {
-        _cw_balance_learn_pause(b, deepest, pause_ms / _cw_balance_pace(b, s));
+        cw_pauses_learn(&b->pauses, deepest, pause_ms / _cw_balance_pace(b, s));
     } else if (sum.running <= _CW_PACE_RUNS) {
         _cw_balance_learn_pace(b, s, pause_ms);
     }
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "../chalkway_backlog.h"
 #include "../chalkway_catalog.h"
 #include "../chalkway_events.h"
 #include "../chalkway_limit.h"
@@ -187,6 +188,36 @@
 }
 END_TEST
 
+/* Prompts of random tiers come and end at random times: a tier waits no less than a more urgent one, and nothing is
+   left when all are read. */
+START_TEST(backlogs_of_tiers_stay_in_order_and_end_empty) {
+    for (uint64_t seed = 1; seed <= 50; seed++) {
+        cw_backlog_t b = {0};
+        cw_backlog_plan_t plans[20];
+        int64_t now_ms = 1000;
+        for (uint32_t i = 0; i < 20; i++) {
+            uint32_t tier = cw_backlog_tier((uint32_t)(cw_mix(seed, i) % 6));
+            double before_ms = cw_backlog_ms(&b, now_ms, tier);
+            plans[i] = cw_backlog_add(&b, now_ms, tier, 50);
+            ck_assert_double_eq_tol(cw_backlog_ms(&b, now_ms, tier), before_ms + 50, 0.001);
+            for (uint32_t t = 1; t < CW_TIERS; t++) {
+                ck_assert_uint_ge(b.unread[t], b.unread[t - 1]);
+                ck_assert(b.unread[t] > b.unread[t - 1] ||
+                          cw_backlog_ms(&b, now_ms, t) >= cw_backlog_ms(&b, now_ms, t - 1) - 0.001);
+            }
+        }
+        for (uint32_t i = 0; i < 20; i++) {
+            now_ms += (int64_t)(cw_mix(seed, 100 + i) % 80);
+            cw_backlog_done(&b, now_ms, &plans[i]);
+        }
+        for (uint32_t t = 0; t < CW_TIERS; t++) {
+            ck_assert_uint_eq(b.unread[t], 0);
+            ck_assert_double_eq(cw_backlog_ms(&b, now_ms + 500, t), 0);
+        }
+    }
+}
+END_TEST
+
 /* What a plain call waits for is no backlog of prompts. */
 START_TEST(plain_calls_have_no_backlog) {
     cw_balance_t* b = cw_balance_setup(&(cw_balance_desc_t){.seed = 1});
@@ -563,6 +594,7 @@
     tcase_add_test(t, long_prompts_are_spread_over_idle_servers);
     tcase_add_test(t, another_daemons_load_is_counted_until_it_is_old);
     tcase_add_test(t, an_urgent_prompt_waits_for_urgent_ones_only);
+    tcase_add_test(t, backlogs_of_tiers_stay_in_order_and_end_empty);
     tcase_add_test(t, plain_calls_have_no_backlog);
     tcase_add_test(t, a_connection_at_rest_is_used_among_servers_alike);
     tcase_add_test(t, a_subject_stays_with_the_server_that_keeps_it);
