Daemons of a large fleet say less often that they live and what they know

Cause: each daemon told all others every 100 ms what it knows of the source, whatever the fleet's size; at 84 hosts that is about 840 datagrams a second heard by each, most of which repeat the reader's word. Change: the first three ranks, which read the source, still speak every 100 ms; the others every 8 ms for each living daemon, 100 ms at the least. Liveness is the membership's business and unchanged.

--- a/chalkway_load.h
+++ b/chalkway_load.h
@@ -56,6 +56,10 @@
 /* Makes both ages older by ms: what a daemon says was true when it was sent, not when it is read. An age that is not
    counted as time under way would stay young forever among daemons that confirm each other. */
 void cw_knowledge_age(cw_knowledge_t* knowledge, uint32_t ms);
+/* Longest time for which a daemon of the rank tells its peers nothing, of so many that live. The first ranks, which
+   read the source, are heard often; the others' words only repeat it, and would be heard by each host from every other
+   one. */
+uint32_t cw_load_quiet_ms(uint32_t rank, uint32_t live);
 /* Writes the datagram; returns its size, 0 when it does not fit. */
 size_t cw_load_encode(const cw_load_message_t* message, uint8_t* out, size_t size);
 cw_status_t cw_load_decode(cw_load_message_t* message, const uint8_t* data, size_t size, cw_error_t* err);
@@ -70,9 +74,17 @@
 #include <msgpack.h>
 #include <string.h>
 
+#define _CW_LOAD_QUIET_MS 100    /* of the first ranks, and of all in a small fleet */
+#define _CW_LOAD_QUIET_STEP_MS 8 /* of the others, for each daemon that lives */
+#define _CW_LOAD_FIRST_RANKS 3
 #define _CW_LOAD_HEAD 8                /* fields before the entries */
 #define _CW_LOAD_FIELDS (8 + CW_TIERS) /* of an entry before its parts */
 
+uint32_t cw_load_quiet_ms(uint32_t rank, uint32_t live) {
+    uint32_t stretched_ms = live * _CW_LOAD_QUIET_STEP_MS;
+    return rank < _CW_LOAD_FIRST_RANKS || stretched_ms < _CW_LOAD_QUIET_MS ? _CW_LOAD_QUIET_MS : stretched_ms;
+}
+
 static uint32_t _cw_load_older(uint32_t age_ms, uint32_t ms) {
     return age_ms < UINT32_MAX - ms ? age_ms + ms : UINT32_MAX;
 }
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -17,7 +17,6 @@
 #define FLUSH_S 0.001    /* news of what was sent waits so long, so that several share a datagram */
 #define SLOW_FLUSH_MS 50 /* news of what ended waits so long */
 #define REPEAT_MS 400    /* all news is told again after so long: datagrams get lost */
-#define QUIET_MS 100     /* a daemon is never silent for longer */
 #define HALLS_MAX 16     /* further halls get their news without a relay */
 #define HALL_ENOUGH 2    /* hosts of a caller's hall that are enough to name only them */
 #define PROBE_MS 250     /* between two probes */
@@ -40,6 +39,7 @@
     cw_members_t* members;
     uint64_t members_seen;
     uint32_t daemons; /* most that were known at once */
+    uint32_t rank;    /* of this host among those that live */
     int fd;           /* of the load address */
     uint16_t load_port, share_port;
     ev_io load_io;
@@ -107,9 +107,9 @@
     m->stats.live = live;
     m->stats.known = known;
     m->daemons = known > m->daemons ? known : m->daemons;
-    uint32_t rank = own_rank(m);
-    cw_log(m->desc.log, CW_EVENT_MEMBERS_CHANGED, "live=%u known=%u rank=%u", live, known, rank);
-    m->desc.on_members(m->desc.user_data, m->daemons, rank);
+    m->rank = own_rank(m);
+    cw_log(m->desc.log, CW_EVENT_MEMBERS_CHANGED, "live=%u known=%u rank=%u", live, known, m->rank);
+    m->desc.on_members(m->desc.user_data, m->daemons, m->rank);
 }
 
 static void on_gossip(void* user, const cw_gossip_t* gossip) {
@@ -238,6 +238,11 @@
     }
 }
 
+/* It is time to say something, if only that this host lives and what it knows. */
+static bool is_quiet(const mesh_t* m, int64_t now_ms) {
+    return now_ms - m->sent_ms >= cw_load_quiet_ms(m->rank, m->stats.live);
+}
+
 static void flush(mesh_t* m) {
     cw_load_message_t message = {0};
     int64_t now_ms = clock_ms();
@@ -245,7 +250,7 @@
     for (uint32_t i = 0; i < m->dirty_count; i++) {
         add_entry(m, &message, &m->dirty[i], now_ms);
     }
-    if (message.count || now_ms - m->sent_ms >= QUIET_MS) {
+    if (message.count || is_quiet(m, now_ms)) {
         send_load(m, &message);
     }
     m->dirty_count = 0;
@@ -374,7 +379,7 @@
         repeat_all(m, now_ms);
     }
     bool due = m->dirty_count && now_ms - m->flushed_ms >= SLOW_FLUSH_MS;
-    if (due || now_ms - m->sent_ms >= QUIET_MS) {
+    if (due || is_quiet(m, now_ms)) {
         flush(m);
     }
 }
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -37,6 +37,21 @@
 }
 END_TEST
 
+/* A host of a fleet that grows tenfold hears less than four times as much. */
+START_TEST(daemons_of_a_large_fleet_say_less) {
+    double heard[2] = {0, 0};
+    const uint32_t fleets[2] = {9, 90};
+    for (int i = 0; i < 2; i++) {
+        for (uint32_t rank = 0; rank < fleets[i]; rank++) {
+            heard[i] += 1000.0 / cw_load_quiet_ms(rank, fleets[i]);
+        }
+    }
+    ck_assert_double_lt(heard[1], 4 * heard[0]);
+    ck_assert_uint_eq(cw_load_quiet_ms(8, 9), 100);
+    ck_assert_uint_eq(cw_load_quiet_ms(0, 330), 100); /* who reads the source is heard at once */
+}
+END_TEST
+
 /* -- pulls ---------------------------------------------------------------- */
 
 #define DAEMONS 84
@@ -168,6 +183,7 @@
     tcase_add_test(t, the_first_ranks_read_and_the_next_ones_when_they_fail);
     tcase_add_test(t, at_the_start_a_few_read_first);
     tcase_add_test(t, daemons_that_confirm_each_other_grow_old_together);
+    tcase_add_test(t, daemons_of_a_large_fleet_say_less);
     tcase_add_test(t, a_document_spreads_without_a_crowd_at_its_first_holder);
     tcase_add_test(t, a_newer_version_is_fetched_from_who_has_it);
 }
