--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -24,7 +24,7 @@
      "age at which the configuration and the list of servers are read again by the daemon of the first rank"},
     {"limits", "memory", CW_SETTING_BYTES, AT(memory_bytes), "256m", 1 << 24, 4294967295.0, "memory of the process"},
     {"limits", "descriptors", CW_SETTING_COUNT_KIND, AT(descriptors), "4096", 64, 1000000, "of the process"},
-    {"service", "lookup_keep", CW_SETTING_MS, AT(lookup_keep_ms), "2s", 100, 600000,
+    {"service", "lookup_keep", CW_SETTING_MS, AT(lookup_keep_ms), "1s", 100, 600000,
      "how long callers keep a lookup answer"},
     {"service", "grace", CW_SETTING_MS, AT(grace_ms), "8s", 500, 600000, "from the signal to stop to the forced end"},
     {"service", "retry_window", CW_SETTING_MS, AT(retry_window_ms), "10s", 100, 600000, "of the budget for repeats"},
