--- a/Makefile
+++ b/Makefile
@@ -66,14 +66,14 @@
 $(BUILD)/chalkway-load: $(BUILD)/tools/chalkway_load.o $(BUILD)/tools/load.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
-$(BUILD)/chalkwayctl: $(BUILD)/tools/chalkwayctl.o
+$(BUILD)/chalkwayctl: $(BUILD)/tools/chalkwayctl.o $(BUILD)/tools/explain.o
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
 $(BUILD)/samples/%.o: CFLAGS_ALL += -I.
 $(BUILD)/samples/%: $(BUILD)/samples/%.o $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(BUILD)/tools/site.o $(GATEWAY) $(PLATFORM) $(IO) $(LIB)
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(BUILD)/tools/site.o $(BUILD)/tools/explain.o $(GATEWAY) $(PLATFORM) $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(CHECK_LIBS) $(LIBS)
 
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/tools/site.o $(BUILD)/tools/load.o $(IO) $(LIB)
--- a/tools/chalkwayctl.c
+++ b/tools/chalkwayctl.c
@@ -6,6 +6,7 @@
         chalkwayctl -a IP:PORT watch KIND            prints the table at each change
         chalkwayctl -a IP:PORT validate KIND/NAME FILE
         chalkwayctl -a IP:PORT status                this host, its members and shards
+        chalkwayctl explain ID FILE...               the lines of a request in daemons' logs, in order of time
 */
 #include <argp.h>
 #include <curl/curl.h>
@@ -16,7 +17,9 @@
 #include <string.h>
 #include <sysexits.h>
 
-#define MAX_WORDS 4
+#include "explain.h"
+
+#define MAX_WORDS 1024
 #define URL_MAX 512
 #define WATCH_MS 30000L
 #define TIMEOUT_MS 10000L
@@ -26,7 +29,7 @@
 typedef struct args_t {
     const char* address;
     bool json;
-    const char* words[MAX_WORDS];
+    char* words[MAX_WORDS];
     int count;
 } args_t;
 
@@ -207,9 +210,31 @@
     return code;
 }
 
+/* The lines of one request in the logs named. */
+static int explain_id(const args_t* args) {
+    int lines = explain_request(args->words[1], args->words + 2, args->count - 2, stdout);
+    if (lines < 0) {
+        fprintf(stderr, "not every file can be read\n");
+        return EX_NOINPUT;
+    }
+    if (!lines) {
+        fprintf(stderr, "no line of %s in %d files: no daemon that wrote them read the request as a whole\n",
+                args->words[1], args->count - 2);
+        return EX_DATAERR;
+    }
+    return EX_OK;
+}
+
 static int run(const args_t* args) {
     const char* command = args->words[0];
     char path[URL_MAX];
+    if (strcmp(command, "explain") == 0 && args->count >= 3) {
+        return explain_id(args);
+    }
+    if (!args->address) {
+        fprintf(stderr, "an address (-a) is needed; see --help\n");
+        return EX_USAGE;
+    }
     if (strcmp(command, "get") == 0 && args->count >= 2) {
         snprintf(path, sizeof(path), "/v1/resources/%s%s%s", args->words[1], args->count > 2 ? "/" : "",
                  args->count > 2 ? args->words[2] : "");
@@ -248,8 +273,8 @@
             args->words[args->count++] = arg;
             return 0;
         case ARGP_KEY_END:
-            if (!args->address || !args->count) {
-                argp_error(state, "an address (-a) and a command are needed");
+            if (!args->count) {
+                argp_error(state, "a command is needed");
             }
             return 0;
         default:
@@ -267,7 +292,7 @@
                               .parser = parse_option,
                               .args_doc =
                                   "get KIND [NAME] | describe KIND NAME | watch KIND | validate KIND/NAME FILE | "
-                                  "status",
+                                  "status | explain ID FILE...",
                               .doc = "Shows declared resources and the state of hosts. KIND: workspaces, classes, "
                                      "pools, upstreams."};
     args_t args = {0};
