--- a/chalkway_reader.h
+++ b/chalkway_reader.h
@@ -63,7 +63,7 @@
     uint32_t steps = _cw_reader_steps(r);
     if (true_ms == CW_READER_NEVER) {
         int64_t spread_ms = (int64_t)(cw_mix(r->seed, 0) % _CW_READER_START_SPREAD);
-        return now_ms - r->started_ms >= steps * _CW_READER_START_MS + spread_ms;
+        return now_ms - r->started_ms >= (int64_t)steps * _CW_READER_START_MS + spread_ms;
     }
     return now_ms - true_ms >= (int64_t)(r->read_ms * (1 + steps * _CW_READER_STEP_SHARE));
 }
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -67,12 +67,12 @@
     tell_idle(l->server);
 }
 
-static void server_free_if_unused(server_t* s) {
+static void server_free_if_unused(pool_t* pool, server_t* s) {
     if (!s->gone || s->published_now || s->open || s->probing ||
-        cw_balance_find(s->pool->balance, s->key) != CW_BALANCE_NONE) {
+        cw_balance_find(pool->balance, s->key) != CW_BALANCE_NONE) {
         return;
     }
-    for (server_t** at = &s->pool->servers; *at; at = &(*at)->next) {
+    for (server_t** at = &pool->servers; *at; at = &(*at)->next) {
         if (*at == s) {
             *at = s->next;
             free(s);
@@ -473,7 +473,7 @@
             server_t* next = s->next;
             if (s->gone) {
                 idle_close(s, now_ms, true);
-                server_free_if_unused(s);
+                server_free_if_unused(pool, s);
             }
             s = next;
         }
@@ -637,7 +637,7 @@
         for (server_t* s = pool->servers; s;) {
             server_t* next = s->next;
             idle_close(s, now_ms, s->gone);
-            server_free_if_unused(s);
+            server_free_if_unused(pool, s);
             s = next;
         }
         uint64_t key = pool->health[0] ? cw_balance_probe(pool->balance, now_ms) : 0;
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -166,7 +166,7 @@
     cw_balance_t* b = engines(1);
     cw_work_t urgent = {.prompt_tokens = 600, .target_ms = 250};
     cw_work_t later = {.tier = 1, .prompt_tokens = 20000, .target_ms = 2000};
-    cw_run_t runs[2];
+    cw_run_t runs[2] = {{.server = CW_BALANCE_NONE}, {.server = CW_BALANCE_NONE}};
     chosen(b, 0, &later, &runs[0]);
     uint32_t at = runs[0].server;
     cw_load_t before = cw_balance_load(b, 0, at);
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -55,7 +55,8 @@
 /* -- pulls ---------------------------------------------------------------- */
 
 #define DAEMONS 84
-#define CARRY_MS 10 /* for which one copy takes up its holder's link */
+#define CARRY_MS 10                                  /* for which one copy takes up its holder's link */
+#define CROWD_MS ((int64_t)(DAEMONS - 1) * CARRY_MS) /* until the last has it, when all ask the first holder */
 
 /* When each daemon has the document: all hear of it at 0 from its only holder, and of further holders as they come. */
 static int64_t spread(uint64_t seed, bool spread_out) {
@@ -98,7 +99,7 @@
     for (uint64_t seed = 1; seed <= 20; seed++) {
         int64_t crowd_ms = spread(seed, false);
         int64_t spread_ms = spread(seed, true);
-        ck_assert_int_ge(crowd_ms, (DAEMONS - 1) * CARRY_MS);
+        ck_assert_int_ge(crowd_ms, CROWD_MS);
         ck_assert_msg(spread_ms <= 400, "seed %llu: %lld ms", (unsigned long long)seed, (long long)spread_ms);
     }
 }
@@ -128,6 +129,7 @@
 /* -- reading -------------------------------------------------------------- */
 
 #define FLEET 84
+#define FEW_CALLS 80 /* of a fleet of 8 in 10 s: each asks about once a second */
 
 /* Calls that a whole fleet makes in a time in which the source is away. */
 static uint32_t calls_while_away(uint32_t hosts, int64_t away_ms) {
@@ -145,8 +147,8 @@
 START_TEST(a_large_fleet_asks_little_while_the_source_is_away) {
     uint32_t few = calls_while_away(8, 10000);
     uint32_t many = calls_while_away(FLEET, 10000);
-    ck_assert_uint_gt(few, 8 * 10);   /* each of a small fleet asks about once a second */
-    ck_assert_uint_lt(many, 5 * few); /* ten times the hosts ask less than five times as often */
+    ck_assert_uint_gt(few, FEW_CALLS);          /* each of a small fleet asks about once a second */
+    ck_assert_uint_lt(many, (uint64_t)5 * few); /* ten times the hosts ask less than five times as often */
     cw_reader_t first = {.read_ms = 400};
     for (uint64_t draw = 0; draw < 1000; draw++) {
         ck_assert_uint_le(cw_reader_pause_ms(&first, 20, draw), 1000);
--- a/tools/explain.c
+++ b/tools/explain.c
@@ -90,7 +90,7 @@
     char server[VALUE_MAX];
     if (line_field(text, "server", server, sizeof(server)) && strcmp(server, "-") != 0 && !met(l, server) &&
         l->server_count < SERVERS_MAX) {
-        strcpy(l->servers[l->server_count++], server);
+        snprintf(l->servers[l->server_count++], VALUE_MAX, "%s", server);
     }
     l->first_ms = !l->count || at_ms < l->first_ms ? at_ms : l->first_ms;
     l->last_ms = !l->count || at_ms > l->last_ms ? at_ms : l->last_ms;
