A settings file that changes without a signal is noticed

Change: the file's time, size and inode are looked at once a second; reading it is one function for both. Ruled out: libev's ev_stat, which uses inotify, which the platform does not have.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <sysexits.h>
 #include <unistd.h>
 
@@ -26,11 +27,14 @@
 #define STOP_ACCEPT_SHARE 0.375 /* of the grace: requests are taken for so long after the signal */
 #define STOP_MIN_SHARE 0.25     /* the process ends no sooner, since callers keep addresses */
 #define STOP_MARGIN_MS 500      /* it ends so long before the grace is over */
+#define SETTINGS_LOOK_MS 1000   /* between two looks at the settings file, which may change without a signal */
 #define PAUSE_MS 500            /* a longer gap between two ticks: the process stood still */
 
 typedef struct gateway_t {
     struct ev_loop* loop;
     const char* settings_path;
+    struct stat settings_file; /* as it was when it was read */
+    int64_t settings_look_ms;
     gateway_settings_t settings;
     const dialect_t* dialect;
     cw_lines_t lines;
@@ -199,27 +203,6 @@
     }
 }
 
-static void on_tick(struct ev_loop* loop, ev_timer* w, int events) {
-    (void)loop;
-    (void)events;
-    gateway_t* g = w->data;
-    int64_t now_ms = clock_ms();
-    notice_pause(g, now_ms);
-    announce(g);
-    mesh_tick(g->mesh, now_ms);
-    sync_tick(g->sync, now_ms);
-    upstreams_tick(g->upstreams, now_ms);
-    for (pool_t* pool = upstreams_pools(g->upstreams); pool && exchanges_stats(g->exchanges).waiting;
-         pool = pool->next) {
-        exchanges_on_room(g->exchanges, pool);
-    }
-    unsigned long lost = cw_lines_take_lost(&g->lines);
-    if (lost) {
-        cw_log(&g->log, CW_EVENT_LINES_LOST, "lines=%lu", lost);
-    }
-    check_stop(g, now_ms);
-}
-
 static void on_stop(struct ev_loop* loop, ev_signal* w, int events) {
     (void)loop;
     (void)events;
@@ -235,12 +218,10 @@
 
 /* Reads the settings again. What may change while the process runs is taken over: the log's level and form, and how
    long callers keep a lookup answer. */
-static void on_reload(struct ev_loop* loop, ev_signal* w, int events) {
-    (void)loop;
-    (void)events;
-    gateway_t* g = w->data;
+static void reload(gateway_t* g) {
     gateway_settings_t fresh;
     cw_settings_errors_t errors = {0};
+    stat(g->settings_path, &g->settings_file);
     if (gateway_settings_load(g->settings_path, &fresh, &errors) != CW_OK) {
         for (uint32_t i = 0; i < errors.count; i++) {
             cw_log(&g->log, CW_EVENT_RELOAD_FAILED, "reason=\"%s\"", errors.lines[i]);
@@ -254,6 +235,49 @@
     cw_log(&g->log, CW_EVENT_RELOADED, "path=%s", g->settings_path);
 }
 
+static void on_reload(struct ev_loop* loop, ev_signal* w, int events) {
+    (void)loop;
+    (void)events;
+    reload(w->data);
+}
+
+/* Notices a settings file that changed without a signal. */
+static void look_at_settings(gateway_t* g, int64_t now_ms) {
+    struct stat now;
+    if (now_ms - g->settings_look_ms < SETTINGS_LOOK_MS) {
+        return;
+    }
+    g->settings_look_ms = now_ms;
+    const struct stat* then = &g->settings_file;
+    if (stat(g->settings_path, &now) == 0 &&
+        (now.st_mtim.tv_sec != then->st_mtim.tv_sec || now.st_mtim.tv_nsec != then->st_mtim.tv_nsec ||
+         now.st_size != then->st_size || now.st_ino != then->st_ino)) {
+        reload(g);
+    }
+}
+
+static void on_tick(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    gateway_t* g = w->data;
+    int64_t now_ms = clock_ms();
+    notice_pause(g, now_ms);
+    look_at_settings(g, now_ms);
+    announce(g);
+    mesh_tick(g->mesh, now_ms);
+    sync_tick(g->sync, now_ms);
+    upstreams_tick(g->upstreams, now_ms);
+    for (pool_t* pool = upstreams_pools(g->upstreams); pool && exchanges_stats(g->exchanges).waiting;
+         pool = pool->next) {
+        exchanges_on_room(g->exchanges, pool);
+    }
+    unsigned long lost = cw_lines_take_lost(&g->lines);
+    if (lost) {
+        cw_log(&g->log, CW_EVENT_LINES_LOST, "lines=%lu", lost);
+    }
+    check_stop(g, now_ms);
+}
+
 /* -- setup ---------------------------------------------------------------- */
 
 static bool setup_parts(gateway_t* g, const source_t* source, cw_error_t* err) {
@@ -361,6 +385,7 @@
     gateway_t g = {.settings_path = settings_path, .dialect = dialect};
     cw_settings_errors_t errors = {0};
     cw_error_t err = {0};
+    stat(settings_path, &g.settings_file);
     if (gateway_settings_load(settings_path, &g.settings, &errors) != CW_OK) {
         for (uint32_t i = 0; i < errors.count; i++) {
             fprintf(stderr, "%s\n", errors.lines[i]);
--- a/tests/test_gateway_site.c
+++ b/tests/test_gateway_site.c
@@ -78,8 +78,8 @@
     return httpd;
 }
 
-/* Starts host number i; its addresses are its own, the ports those of all hosts. */
-static void start(fleet_t* f, int i) {
+/* Settings of host number i; its addresses are its own, the ports those of all hosts. */
+static void write_settings(const fleet_t* f, int i, const char* lookup_keep) {
     char path[128];
     snprintf(path, sizeof(path), "%s/host%d.ini", f->dir, i);
     FILE* file = fopen(path, "w");
@@ -95,8 +95,14 @@
     }
     fprintf(file, "[peers]\nseeds = %s.1:7104, %s.2:7104\n[source]\naddress = %s\nread = 100ms\n", f->base, f->base,
             cw_httpd_address(f->source));
-    fprintf(file, "[service]\ngrace = 3s\n");
+    fprintf(file, "[service]\ngrace = 3s\nlookup_keep = %s\n", lookup_keep);
     fclose(file);
+}
+
+static void start(fleet_t* f, int i) {
+    char path[128];
+    write_settings(f, i, "2s");
+    snprintf(path, sizeof(path), "%s/host%d.ini", f->dir, i);
     f->pids[i] = fork();
     ck_assert_int_ge(f->pids[i], 0);
     if (f->pids[i] == 0) {
@@ -250,6 +256,23 @@
 }
 END_TEST
 
+/* The file changes without a signal, then with faults, which change nothing, then with a signal. */
+START_TEST(changed_settings_are_taken_over) {
+    fleet_t* f = fleet_setup();
+    start(f, 0);
+    until(f, 0, 7102, "/v1/lookup?hall=a", 200, "2.0", NULL);
+    write_settings(f, 0, "7s");
+    until(f, 0, 7102, "/v1/lookup?hall=a", 200, "7.0", NULL);
+    write_settings(f, 0, "soon");
+    kill(f->pids[0], SIGHUP);
+    until(f, 0, 7102, "/v1/lookup?hall=a", 200, "7.0", NULL);
+    write_settings(f, 0, "9s");
+    kill(f->pids[0], SIGHUP);
+    until(f, 0, 7102, "/v1/lookup?hall=a", 200, "9.0", NULL);
+    fleet_shutdown(f);
+}
+END_TEST
+
 START_TEST(a_planned_stop_finishes_what_runs) {
     fleet_t* f = fleet_setup();
     start(f, 0);
@@ -299,6 +322,7 @@
 static void add(TCase* t) {
     tcase_add_test(t, hosts_find_each_other_and_a_killed_one_is_no_longer_named);
     tcase_add_test(t, a_host_that_the_source_turns_away_follows_another);
+    tcase_add_test(t, changed_settings_are_taken_over);
     tcase_add_test(t, a_planned_stop_finishes_what_runs);
     tcase_add_test(t, a_settings_file_with_faults_ends_the_start_with_all_of_them);
 }
