Callers come back later while no host can have a configuration

Ruled out: a slow start (the first is served within a second of the store's return). Change: a process that has had no configuration for 500 ms tells callers to come back after 0.2 to 0.3 of the time that they have left; before that, 300 ms as before, since other hosts have one. Also the relays' two datagrams are made apart. Test: without_a_configuration_callers_come_back_later.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -25,6 +25,8 @@
 #define LATE_SHORT 3.0            /* the same for others, which hold up nobody */
 #define RETRY_AFTER_MIN_MS 300    /* shortest time to come back after a refusal */
 #define RETRY_AFTER_SPREAD_MS 500 /* spread, so that those refused do not come back together */
+#define YOUNG_MS 500              /* a process that has no configuration for longer takes its source to be away */
+#define AWAY_LEFT_SHARE 0.2       /* of a caller's time left, and up to half as much more, until it comes back then */
 #define DETACHED_MS 2000          /* a run that may not be repeated is left to itself for so long after its time */
 #define ID_MAX 128
 
@@ -78,6 +80,7 @@
     exchange_t* queue; /* by priority, then arrival */
     bool refusing;
     uint64_t draws;
+    int64_t setup_ms;
     exchanges_stats_t stats;
 };
 
@@ -712,6 +715,18 @@
     return x;
 }
 
+/* Time to come back to a host that has no configuration yet. At its start it will have one at once, or other hosts do;
+   later the source is away for everybody, and callers that came back at once would use up their tries. */
+static uint32_t unconfigured_retry_ms(exchanges_t* e, const cw_message_t* m) {
+    uint32_t young_ms = e->desc.young_ms ? e->desc.young_ms : YOUNG_MS;
+    const char* text = cw_message_field(m, e->desc.dialect->fields.deadline_ms);
+    double left_ms = text ? strtod(text, NULL) : 0;
+    double share = AWAY_LEFT_SHARE * (1 + (double)(draw(e) % 500) / 1000);
+    bool away = clock_ms() - e->setup_ms > young_ms && left_ms > 0 && left_ms < UINT32_MAX;
+    uint32_t later_ms = away ? (uint32_t)(left_ms * share) : 0;
+    return later_ms > RETRY_AFTER_MIN_MS ? later_ms : RETRY_AFTER_MIN_MS;
+}
+
 void exchanges_on_request(exchanges_t* e, caller_t* caller) {
     const cw_message_t* m = caller_message(caller);
     const char* id = cw_message_field(m, e->desc.dialect->fields.request_id);
@@ -726,7 +741,7 @@
     if (!e->catalog) {
         e->stats.outcomes[EXCHANGE_REFUSED]++;
         cw_log(e->desc.log, CW_EVENT_REQUEST_DENIED, "id=%s status=503 why=\"no configuration\" revision=0", id);
-        answer(e, caller, 503, id, "no configuration", RETRY_AFTER_MIN_MS);
+        answer(e, caller, 503, id, "no configuration", unconfigured_retry_ms(e, m));
         return;
     }
     unsigned status = admit(e, m, &route, &workspace, &why);
@@ -771,6 +786,7 @@
         abort();
     }
     e->desc = *desc;
+    e->setup_ms = clock_ms();
     return e;
 }
 
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -25,6 +25,7 @@
     const dialect_t* dialect;
     upstreams_t* upstreams;
     uint64_t seed;
+    uint32_t young_ms; /* without a configuration for longer, the source is taken to be away; default 500 */
     /* A request was sent to or ended at a server: others should hear of it. */
     void (*on_load)(void* user_data, const server_t* server, const cw_work_t* work);
     /* A request has ended; may be NULL. */
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -132,25 +132,29 @@
 
 /* -- load out ------------------------------------------------------------- */
 
-/* A datagram in both forms. */
 typedef struct datagram_t {
-    uint8_t last[CW_LOAD_BYTES], pass_on[CW_LOAD_BYTES];
-    size_t last_size, pass_on_size;
+    uint8_t bytes[CW_LOAD_BYTES];
+    size_t size;
 } datagram_t;
 
-static void datagram_make(mesh_t* m, cw_load_message_t* message, datagram_t* out) {
+/* With what this daemon itself knows of the source, whoever's load it tells. */
+static datagram_t datagram_make(mesh_t* m, cw_load_message_t* message, bool pass_on) {
+    datagram_t d;
     message->cluster = m->cluster;
     message->knowledge = m->desc.knowledge(m->desc.user_data);
-    message->pass_on = false;
-    out->last_size = cw_load_encode(message, out->last, sizeof(out->last));
-    message->pass_on = true;
-    out->pass_on_size = cw_load_encode(message, out->pass_on, sizeof(out->pass_on));
+    message->pass_on = pass_on;
+    d.size = cw_load_encode(message, d.bytes, sizeof(d.bytes));
+    return d;
+}
+
+static bool is_near(const mesh_t* m, const cw_member_t* member) {
+    return strcmp(member->info.hall, m->desc.settings->hall) == 0;
 }
 
-static void send_to(mesh_t* m, const cw_member_t* member, const uint8_t* bytes, size_t size) {
+static void send_to(mesh_t* m, const cw_member_t* member, const datagram_t* d) {
     struct sockaddr_in to;
-    if (size && with_port(member->info.peer, m->load_port, &to)) {
-        sendto(m->fd, bytes, size, MSG_DONTWAIT, (struct sockaddr*)&to, sizeof(to));
+    if (d->size && with_port(member->info.peer, m->load_port, &to)) {
+        sendto(m->fd, d->bytes, d->size, MSG_DONTWAIT, (struct sockaddr*)&to, sizeof(to));
         m->stats.load_out++;
     }
 }
@@ -177,20 +181,19 @@
 
 /* To each host of the own hall, and to one of each other hall, which passes it on there: few bytes between halls. */
 static void send_load(mesh_t* m, cw_load_message_t* message) {
-    datagram_t datagram;
     relay_t relays[HALLS_MAX];
     uint32_t relay_count = 0;
     message->host = m->host;
-    datagram_make(m, message, &datagram);
+    datagram_t to_pass_on = datagram_make(m, message, true);
+    datagram_t last = datagram_make(m, message, false);
     for (uint32_t i = 0; i < cw_members_count(m->members); i++) {
         const cw_member_t* member = cw_members_at(m->members, i);
         if (member->info.id == m->host || !is_live(member)) {
             continue;
         }
-        bool near = strcmp(member->info.hall, m->desc.settings->hall) == 0;
-        relay_t* relay = near ? NULL : relay_of(relays, &relay_count, member->info.hall);
+        relay_t* relay = is_near(m, member) ? NULL : relay_of(relays, &relay_count, member->info.hall);
         if (!relay) {
-            send_to(m, member, datagram.last, datagram.last_size);
+            send_to(m, member, &last);
             continue;
         }
         relay->hosts++;
@@ -200,21 +203,19 @@
     }
     for (uint32_t i = 0; i < relay_count; i++) {
         bool alone = relays[i].hosts == 1;
-        send_to(m, relays[i].member, alone ? datagram.last : datagram.pass_on,
-                alone ? datagram.last_size : datagram.pass_on_size);
+        send_to(m, relays[i].member, alone ? &last : &to_pass_on);
     }
     m->sent_ms = clock_ms();
 }
 
 /* Sends another host's news on to the others of this hall. */
 static void pass_on(mesh_t* m, cw_load_message_t* message) {
-    datagram_t datagram;
-    datagram_make(m, message, &datagram);
+    datagram_t last = datagram_make(m, message, false);
     for (uint32_t i = 0; i < cw_members_count(m->members); i++) {
         const cw_member_t* member = cw_members_at(m->members, i);
-        bool near = strcmp(member->info.hall, m->desc.settings->hall) == 0;
-        if (near && is_live(member) && member->info.id != m->host && member->info.id != message->host) {
-            send_to(m, member, datagram.last, datagram.last_size);
+        bool known = member->info.id == m->host || member->info.id == message->host;
+        if (!known && is_live(member) && is_near(m, member)) {
+            send_to(m, member, &last);
         }
     }
     m->stats.passed_on++;
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -158,7 +158,11 @@
 /* -- the gateway's parts -------------------------------------------------- */
 
 static inline front_limits_t rig_limits(void* user) {
-    const cw_catalog_limits_t* l = &((rig_t*)user)->catalog->limits;
+    const cw_catalog_t* catalog = ((rig_t*)user)->catalog;
+    if (!catalog) {
+        return (front_limits_t){.head_bytes = 16384, .body_bytes = 1 << 20, .head_ms = 5000, .idle_ms = 15000};
+    }
+    const cw_catalog_limits_t* l = &catalog->limits;
     return (front_limits_t){
         .head_bytes = l->head_bytes, .body_bytes = l->body_bytes, .head_ms = l->head_ms, .idle_ms = l->idle_ms};
 }
@@ -233,6 +237,7 @@
     return rig_set_servers_at(r, 1000, count, leaving, false);
 }
 
+/* document NULL: the gateway has no configuration, and has been without for long after a few ms. */
 static inline rig_t* rig_setup(const char* document, uint32_t servers) {
     rig_t* r = calloc(1, sizeof(*r));
     cw_error_t err = {0};
@@ -262,10 +267,13 @@
                                                        .dialect = &dialect_native,
                                                        .upstreams = r->upstreams,
                                                        .seed = 7,
+                                                       .young_ms = document ? 0 : 1,
                                                        .on_load = rig_on_load,
                                                        .user_data = r});
-    rig_set_catalog(r, document);
-    rig_set_servers(r, servers, 0);
+    if (document) {
+        rig_set_catalog(r, document);
+        rig_set_servers(r, servers, 0);
+    }
     r->front = front_setup(&(front_desc_t){.loop = r->loop,
                                            .address = "127.0.0.1:0",
                                            .max_connections = 50,
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -345,6 +345,30 @@
 }
 END_TEST
 
+static double come_back_s(const char* answer) {
+    const char* field = strstr(answer, "Retry-After: ");
+    ck_assert_msg(field != NULL, "%s", answer);
+    return strtod(field + strlen("Retry-After: "), NULL);
+}
+
+/* While no host can have a configuration, callers are told to come back as late as their time allows. */
+START_TEST(without_a_configuration_callers_come_back_later) {
+    rig_t* r = rig_setup(NULL, 0);
+    ev_tstamp until = ev_time() + 0.01;
+    while (ev_time() < until) {
+        ev_run(r->loop, EVRUN_ONCE);
+    }
+    const char* answer = rig_call(r, "GET /once/ HTTP/1.1\r\n" HEAD "Chalkway-Deadline-Ms: 10000\r\n\r\n");
+    expect_status(answer, "503");
+    ck_assert_double_ge(come_back_s(answer), 2.0);
+    ck_assert_double_le(come_back_s(answer), 3.0);
+    answer = rig_call(r, "GET /once/ HTTP/1.1\r\n" HEAD "\r\n"); /* its time is not known */
+    expect_status(answer, "503");
+    ck_assert_double_eq_tol(come_back_s(answer), 0.3, 0.001);
+    rig_shutdown(r);
+}
+END_TEST
+
 START_TEST(without_a_server_a_request_is_refused_at_once) {
     rig_t* r = rig_setup(ROUTES, 0);
     const char* answer = rig_call(r, "GET /again/ HTTP/1.1\r\n" HEAD "\r\n");
@@ -443,6 +467,7 @@
     tcase_add_test(t, a_caller_that_leaves_ends_its_stream_at_the_server);
     tcase_add_test(t, keys_and_routes_are_judged_by_the_configuration_in_force);
     tcase_add_test(t, requests_over_the_limits_are_refused);
+    tcase_add_test(t, without_a_configuration_callers_come_back_later);
     tcase_add_test(t, without_a_server_a_request_is_refused_at_once);
     tcase_add_test(t, a_server_that_refuses_connections_is_passed_over);
 }
