--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -109,7 +109,7 @@
     fleet->log = (cw_log_t){.level = CW_LOG_ERROR, .write = ignore_line};
     for (int i = 0; i < HOSTS; i++) {
         host_t* host = &fleet->hosts[i];
-        char base[24];
+        char base[32];
         snprintf(base, sizeof(base), "127.%d.%d.%d", 100 + getpid() / 250 % 100, 1 + getpid() % 250, i + 1);
         snprintf(host->settings.name, sizeof(host->settings.name), "h%d", i);
         snprintf(host->settings.hall, sizeof(host->settings.hall), "%s", i < HALL_A ? "a" : "b");
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -62,7 +62,7 @@
 static int64_t spread(uint64_t seed, bool spread_out) {
     cw_pull_t pulls[DAEMONS] = {{0}};
     int64_t has_ms[DAEMONS], free_ms[DAEMONS] = {0};
-    char names[DAEMONS][8];
+    char names[DAEMONS][16];
     int64_t last_ms = 0;
     for (int i = 0; i < DAEMONS; i++) {
         has_ms[i] = i ? INT64_MAX : 0;
