--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -654,6 +654,10 @@
         *why = "bad request target or host";
         return 400;
     }
+    *why = request_fields_check(e->desc.dialect, m);
+    if (*why) {
+        return 400;
+    }
     *route = route_of(e, m);
     if (!*route) {
         *why = "no route";
@@ -670,8 +674,8 @@
 }
 
 static int64_t deadline_of(const exchanges_t* e, const cw_message_t* m, const cw_route_t* route, int64_t now_ms) {
-    const char* text = cw_message_field(m, e->desc.dialect->fields.deadline_ms);
-    double wanted = text ? strtod(text, NULL) : 0;
+    double wanted = 0;
+    request_deadline_read(e->desc.dialect, m, &wanted); /* checked when the request was admitted */
     double held = wanted > 0 && wanted < route->timeout_ms ? wanted : route->timeout_ms;
     return now_ms + (int64_t)held;
 }
@@ -719,8 +723,10 @@
    later the source is away for everybody, and callers that came back at once would use up their tries. */
 static uint32_t unconfigured_retry_ms(exchanges_t* e, const cw_message_t* m) {
     uint32_t young_ms = e->desc.young_ms ? e->desc.young_ms : YOUNG_MS;
-    const char* text = cw_message_field(m, e->desc.dialect->fields.deadline_ms);
-    double left_ms = text ? strtod(text, NULL) : 0;
+    double left_ms = 0;
+    if (!request_deadline_read(e->desc.dialect, m, &left_ms)) {
+        left_ms = 0; /* it is told so by a host that can judge the request */
+    }
     double share = AWAY_LEFT_SHARE * (1 + (double)(draw(e) % 500) / 1000);
     bool away = clock_ms() - e->setup_ms > young_ms && left_ms > 0 && left_ms < UINT32_MAX;
     uint32_t later_ms = away ? (uint32_t)(left_ms * share) : 0;
--- a/gateway/request_head.c
+++ b/gateway/request_head.c
@@ -1,8 +1,13 @@
 #include "request_head.h"
 
+#include <ctype.h>
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <xxhash.h>
+
+#define HEX_DIGITS_MAX 16 /* of a 64-bit number */
 
 static bool is(const char* name, const char* other) {
     return other && strcasecmp(name, other) == 0;
@@ -73,36 +78,115 @@
     }
 }
 
-static void read_parts(cw_work_t* work, const char* text) {
-    while (*text && work->part_count < CW_WORK_PARTS) {
-        char* end = NULL;
-        uint64_t id = strtoull(text, &end, 16);
-        if (end == text || *end != ':') {
-            return;
+/* -- what a request says of itself ---------------------------------------- */
+
+/* Reads a decimal number that fits 32 bits; returns what follows it, NULL: there is none. */
+static const char* read_count(const char* text, uint32_t* out) {
+    char* end = NULL;
+    errno = 0;
+    unsigned long long value = isdigit((unsigned char)*text) ? strtoull(text, &end, 10) : 0;
+    if (!end || errno == ERANGE || value > UINT32_MAX) {
+        return NULL;
+    }
+    *out = (uint32_t)value;
+    return end;
+}
+
+/* "IN" or "IN,OUT"; false: the text is something else. */
+static bool read_tokens(const char* text, uint32_t* in, uint32_t* out) {
+    *out = 0;
+    text = read_count(text, in);
+    if (text && *text == ',') {
+        text = read_count(text + 1, out);
+    }
+    return text && !*text;
+}
+
+/* The id of a part's name in hex: its value, or a hash of a name too long for one. */
+static uint64_t part_id(const char* name, size_t length) {
+    char text[HEX_DIGITS_MAX + 1];
+    if (length > HEX_DIGITS_MAX) {
+        return XXH3_64bits(name, length) | 1U;
+    }
+    memcpy(text, name, length);
+    text[length] = 0;
+    uint64_t id = strtoull(text, NULL, 16);
+    return id ? id : 1;
+}
+
+/* Reads "ID:TOKENS" in the list; returns what follows, NULL: it is something else. */
+static const char* read_part(const char* text, cw_work_part_t* part) {
+    size_t length = strspn(text, "0123456789abcdefABCDEF");
+    if (!length || text[length] != ':') {
+        return NULL;
+    }
+    part->id = part_id(text, length);
+    return read_count(text + length + 1, &part->tokens);
+}
+
+/* The first of the parts; false: the text is no list of them. work may be NULL: it is only checked. */
+static bool read_parts(cw_work_t* work, const char* text) {
+    while (*text) {
+        cw_work_part_t part;
+        text = read_part(text, &part);
+        if (!text || (*text && (*text != ',' || !text[1]))) {
+            return false;
         }
-        text = end + 1;
-        unsigned long tokens = strtoul(text, &end, 10);
-        if (end == text) {
-            return;
+        if (work && work->part_count < CW_WORK_PARTS) {
+            work->parts[work->part_count++] = part;
         }
-        work->parts[work->part_count++] = (cw_work_part_t){.id = id ? id : 1, .tokens = (uint32_t)tokens};
-        text = *end == ',' ? end + 1 : end;
+        text += *text == ',';
     }
+    return true;
 }
 
 void request_work_read(cw_work_t* work, const dialect_t* d, const cw_message_t* request) {
     const char* tokens = d->fields.tokens ? cw_message_field(request, d->fields.tokens) : NULL;
     const char* parts = d->fields.parts ? cw_message_field(request, d->fields.parts) : NULL;
     if (tokens) {
-        char* end = NULL;
-        work->prompt_tokens = (uint32_t)strtoul(tokens, &end, 10);
-        work->output_tokens = *end == ',' ? (uint32_t)strtoul(end + 1, NULL, 10) : 0;
+        read_tokens(tokens, &work->prompt_tokens, &work->output_tokens);
     }
     if (parts) {
         read_parts(work, parts);
     }
 }
 
+bool request_deadline_read(const dialect_t* d, const cw_message_t* request, double* ms) {
+    const char* text = cw_message_field(request, d->fields.deadline_ms);
+    char* end = NULL;
+    *ms = 0;
+    if (!text) {
+        return true;
+    }
+    if (text[strspn(text, "0123456789.")] || !isdigit((unsigned char)*text)) {
+        return false;
+    }
+    *ms = strtod(text, &end);
+    return !*end;
+}
+
+const char* request_fields_check(const dialect_t* d, const cw_message_t* request) {
+    const dialect_fields_t* f = &d->fields;
+    const char* const once[] = {f->request_id, f->deadline_ms, f->key, f->tokens, f->parts, f->last_event};
+    for (size_t i = 0; i < sizeof(once) / sizeof(once[0]); i++) {
+        if (once[i] && cw_message_field_times(request, once[i]) > 1) {
+            return once[i];
+        }
+    }
+    uint32_t in = 0;
+    uint32_t out = 0;
+    double deadline_ms = 0;
+    const char* tokens = f->tokens ? cw_message_field(request, f->tokens) : NULL;
+    const char* parts = f->parts ? cw_message_field(request, f->parts) : NULL;
+    if (!request_deadline_read(d, request, &deadline_ms)) {
+        return f->deadline_ms;
+    }
+    if (tokens && !read_tokens(tokens, &in, &out)) {
+        return f->tokens;
+    }
+    return parts && !read_parts(NULL, parts) ? f->parts : NULL;
+}
+
 bool request_key_read(const dialect_t* d, const cw_message_t* request, char* out, size_t size) {
     const char* value = cw_message_field(request, d->fields.key);
     size_t scheme = strlen(d->fields.key_scheme);
--- a/gateway/request_head.h
+++ b/gateway/request_head.h
@@ -23,6 +23,10 @@
                         const request_head_t* set);
 /* Writes the fields of a server's answer that are passed on to the caller. */
 void answer_fields_write(cw_buffer_t* out, const cw_message_t* answer);
+/* Name of a field that the gateway must read and can't, given twice or malformed; NULL: all can be read. */
+const char* request_fields_check(const dialect_t* dialect, const cw_message_t* request);
+/* The time in ms that the caller will wait, 0: it doesn't say; false: malformed. */
+bool request_deadline_read(const dialect_t* dialect, const cw_message_t* request, double* ms);
 /* Reads what a request says of its prompt. */
 void request_work_read(cw_work_t* work, const dialect_t* dialect, const cw_message_t* request);
 /* The key that a request carries, in out; false: none. */
--- a/io/message.c
+++ b/io/message.c
@@ -34,6 +34,9 @@
     if (m->state != CW_MESSAGE_HEAD) {
         return 0; /* a trailer: not kept, the head's fields stay where they are */
     }
+    if (memchr(at, ' ', size)) {
+        return 1; /* RFC 9112, 5.1: the parser lets it through, and a server might read the name without the blank */
+    }
     if (m->in_value || m->field_count == 0) {
         if (m->field_count == CW_MESSAGE_FIELDS) {
             return 1;
