--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -121,6 +121,8 @@
     uint32_t kept;       /* tokens of the prompt taken as kept there */
     uint64_t from;       /* id of a server to fetch more of the prompt from, 0: none */
     uint32_t moved;      /* tokens that it would give */
+    uint32_t again;      /* tokens that another server keeps and that are read again here all the same */
+    uint32_t streaming;  /* streams at the server that may pause least */
     uint32_t candidates; /* servers that had room */
     double pace;         /* the server's time between events against the fastest one's, 1 while unknown */
     bool deep;           /* the prompt is among the pool's long ones: it stands before others */
@@ -612,8 +614,9 @@
     c->kept = _cw_balance_kept_tokens(b, s, work);
     c->moved = _cw_balance_moved(b, s, holder, c->kept);
     c->from = c->moved ? holder->id : 0;
-    uint32_t again = c->moved || holder->tokens < c->kept ? 0 : holder->tokens - c->kept;
-    double reread_ms = _CW_REREAD * b->read_ms * again + _CW_MOVE * s->spec.move_ms * c->moved;
+    c->again = c->moved || holder->tokens < c->kept ? 0 : holder->tokens - c->kept;
+    c->streaming = sum->streaming;
+    double reread_ms = _CW_REREAD * b->read_ms * c->again + _CW_MOVE * s->spec.move_ms * c->moved;
     c->read_ms = b->read_ms * (work->prompt_tokens - c->kept - c->moved) + s->spec.move_ms * c->moved;
     double memory = _CW_MEMORY_SHARE * s->spec.memory_tokens;
     double overflow_ms = sum->tokens + work->prompt_tokens + work->output_tokens > memory ? _CW_FULL_MS : 0;
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -439,11 +439,12 @@
     }
     cw_log(e->desc.log, x->transfers ? CW_EVENT_REQUEST_RETRIED : CW_EVENT_REQUEST_SENT,
            "id=%s server=%s route=%s revision=%lld priority=%u candidates=%u cost_ms=%.0f wait_ms=%.0f read_ms=%.0f "
-           "kept=%u moved=%u running=%u pace=%.2f age_ms=%u waited_ms=%lld last_event=%s",
+           "prompt=%u kept=%u moved=%u again=%u running=%u streaming=%u pace=%.2f age_ms=%u waited_ms=%lld "
+           "last_event=%s",
            x->id, x->server_id, x->route->name, (long long)x->catalog->revision, x->priority, choice->candidates,
-           choice->cost_ms, choice->wait_ms, choice->read_ms, choice->kept, choice->moved, choice->running,
-           choice->pace, choice->age_ms, (long long)(now_ms - x->arrived_ms),
-           x->events.last_id[0] ? x->events.last_id : "-");
+           choice->cost_ms, choice->wait_ms, choice->read_ms, x->work.prompt_tokens, choice->kept, choice->moved,
+           choice->again, choice->running, choice->streaming, choice->pace, choice->age_ms,
+           (long long)(now_ms - x->arrived_ms), x->events.last_id[0] ? x->events.last_id : "-");
     x->sent_ms = now_ms;
     expect_first(x, choice);
     e->desc.on_load(e->desc.user_data, x->server, &x->work);
