The head of an answer waits for its body: another server's body is never joined to it

A server broke off right behind the head of an answer without length; the head had been passed on, no byte of the body had, so the request was sent again (it is repeatable) and the second server's body followed the first one's head. Change: the head is kept until the first byte of the body or the answer's end; so the second answer is passed on whole, which serves the request where cutting it would not. Test: a_head_is_never_joined_to_another_servers_body, failed before.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -59,7 +59,10 @@
     uint64_t tried[TRIED_MAX];
     uint32_t tried_count;
     uint32_t transfers;
-    uint32_t retry_ms; /* refused: time until a place may be free */
+    uint32_t retry_ms;       /* refused: time until a place may be free */
+    cw_buffer_t head_fields; /* of the answer's head, until it is passed on */
+    cw_framing_t head_framing;
+    uint64_t head_length;
     bool head_passed;
     bool follow_events; /* the stream may go on at another server */
     cw_events_t events;
@@ -151,6 +154,7 @@
     }
     e->stats.active--;
     cw_events_free(&x->events);
+    cw_buffer_free(&x->head_fields);
     cw_catalog_release(x->catalog);
     free(x);
 }
@@ -310,16 +314,24 @@
            misdirected ? "another server has the address" : "the server has no room");
 }
 
-static void pass_head(exchange_t* x, const cw_message_t* head) {
-    cw_buffer_t fields = {0};
-    answer_fields_write(&fields, head);
-    cw_framing_t framing = head->framing == CW_FRAMING_CLOSE ? CW_FRAMING_CHUNKED : head->framing;
+/* Keeps the head until the first byte of the body: until then another server may still give the whole answer. */
+static void take_head(exchange_t* x, const cw_message_t* head) {
+    cw_buffer_free(&x->head_fields);
+    answer_fields_write(&x->head_fields, head);
+    x->head_framing = head->framing == CW_FRAMING_CLOSE ? CW_FRAMING_CHUNKED : head->framing;
+    x->head_length = head->length;
     x->status = head->status;
-    x->head_passed = true;
-    x->machine.resumable = x->machine.resumable && framing == CW_FRAMING_CHUNKED && head->status / 100 == 2;
+    bool events = x->head_framing == CW_FRAMING_CHUNKED && head->status / 100 == 2;
+    x->machine.resumable = x->route->kind == CW_ROUTE_STREAM && x->route->resume && events;
     x->follow_events = x->machine.resumable;
-    caller_begin(x->caller, head->status, cw_buffer_text(&fields), framing, head->length);
-    cw_buffer_free(&fields);
+}
+
+static void pass_head(exchange_t* x, caller_t* caller) {
+    if (!x->head_passed) {
+        x->head_passed = true;
+        caller_begin(caller, x->status, cw_buffer_text(&x->head_fields), x->head_framing, x->head_length);
+        cw_buffer_free(&x->head_fields);
+    }
 }
 
 static void link_on_head(void* owner, const cw_message_t* head) {
@@ -341,7 +353,7 @@
     }
     event(x, CW_EV_HEAD);
     if (x->caller && !x->head_passed) {
-        pass_head(x, head);
+        take_head(x, head);
     }
 }
 
@@ -361,6 +373,7 @@
     uint32_t gap_ms = x->last_ms ? (uint32_t)(now_ms - x->last_ms) : 0;
     x->gap_ms = gap_ms > x->gap_ms ? gap_ms : x->gap_ms;
     x->last_ms = now_ms;
+    pass_head(x, x->caller);
     caller_write(x->caller, data, size);
     event(x, CW_EV_DELIVERED_PART);
     if (caller_unsent(x->caller) > UNSENT_MAX) {
@@ -572,6 +585,7 @@
     }
     if (outcome == CW_OUTCOME_DELIVERED) {
         done(x, EXCHANGE_SERVED, why);
+        pass_head(x, caller);
         caller_finish(caller, true);
     } else if (x->head_passed) {
         done(x, EXCHANGE_FAILED, why);
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -123,6 +123,25 @@
 }
 END_TEST
 
+/* A server that breaks off behind its head: the caller gets head and body of the same answer. */
+START_TEST(a_head_is_never_joined_to_another_servers_body) {
+    static const char* const heads[] = {
+        "HTTP/1.1 200 OK\r\nChalkway-Request-Id: @ID@\r\nX-From: a\r\nContent-Length: 9\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nChalkway-Request-Id: @ID@\r\nX-From: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nChalkway-Request-Id: @ID@\r\nX-From: a\r\n\r\n"};
+    const char* whole = "HTTP/1.1 200 OK\r\nChalkway-Request-Id: @ID@\r\nX-From: b\r\nContent-Length: 5\r\n\r\nagain";
+    for (size_t i = 0; i < sizeof(heads) / sizeof(heads[0]); i++) {
+        rig_t* r = rig_setup(ROUTES, 2);
+        script(r, 2, (rig_step_t[]){{RIG_ANSWER_RESET, heads[i]}, {RIG_ANSWER, whole}});
+        const char* answer = rig_call(r, "GET /again/ HTTP/1.1\r\n" HEAD "\r\n");
+        ck_assert_uint_eq(r->arrival_count, 2);
+        ck_assert_msg(strstr(answer, "X-From: b\r\n") && !strstr(answer, "X-From: a"), "%s", answer);
+        ck_assert(strstr(answer, "Content-Length: 5\r\n") && strstr(answer, "\r\n\r\nagain"));
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
 START_TEST(the_last_servers_failure_is_passed_on_unchanged) {
     rig_t* r = rig_setup(ROUTES, 1);
     const char* failure = "HTTP/1.1 500 Bad\r\nChalkway-Request-Id: @ID@\r\nX-Why: w\r\nContent-Length: 3\r\n\r\nwhy";
@@ -450,6 +469,7 @@
     tcase_add_test(t, a_request_that_ran_nowhere_is_refused_with_a_time_to_come_back);
     tcase_add_test(t, a_rejection_does_not_undo_an_earlier_run);
     tcase_add_test(t, a_repeatable_request_is_sent_again_after_a_loss_and_a_failure);
+    tcase_add_test(t, a_head_is_never_joined_to_another_servers_body);
     tcase_add_test(t, the_last_servers_failure_is_passed_on_unchanged);
     tcase_add_test(t, a_silent_server_loses_a_repeatable_request_to_another);
     tcase_add_test(t, time_that_is_up_is_told_at_once);
