Harm to streams: the learned pause, at most what is left to be read

Change: the line over the learned high quantile is back, but no pause is taken to be longer than 1.2 times what is left to be read and 20 ms. So a prompt whose parts are kept no longer keeps away from streams.

--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -108,7 +108,6 @@
     bool answered;
     int64_t event_ms; /* last event of the answer */
     uint32_t beside;  /* tokens of the longest prompt being read beside it then */
-    double beside_ms; /* time to read all prompts there then */
 } cw_run_t;
 
 /* A server and the inputs that chose it. */
@@ -212,13 +211,10 @@
 #define _CW_PATIENT_SHARE 0.15 /* of the slots that work with a long target leaves to work with a short one */
 #define _CW_SHORT_DOWN 0.1     /* the short targets are learned as a low quantile */
 #define _CW_SHORT_UP 0.005
-#define _CW_DEEP_SHARE 0.25 /* of the learned length of deep prompts, from which a prompt is one */
-#define _CW_DEEP_WAIT 0.1   /* weight of the backlog that one deep prompt found */
-#define _CW_PAUSE_HIGH 0.9  /* quantile of the pauses that is told */
-#define _CW_LEARN_UNREAD                                                                                               \
-    0.7 /* of its longest pause, that reading must last for a stream to teach what pauses it brings */
-#define _CW_GAP_SHARE 0.97    /* of the longest pause, that the server may use: the way to the caller adds some */
-#define _CW_DELAY_SHARE 0.03  /* of the reading, that the delay of each answer running beside it counts */
+#define _CW_DEEP_SHARE 0.25   /* of the learned length of deep prompts, from which a prompt is one */
+#define _CW_DEEP_WAIT 0.1     /* weight of the backlog that one deep prompt found */
+#define _CW_UNREAD_FACTOR 1.2 /* times the reading known to be left at a server, that may be left: news is late */
+#define _CW_UNREAD_MS 20.0    /* the same, beside: the usual pause between events */
 #define _CW_PACE_LEARN 0.05   /* weight of a new sample of a server's pace */
 #define _CW_PACE_FEW 20       /* fewer samples say nothing */
 #define _CW_PACE_SLOW 1.15    /* a server whose pace is so many times the fastest one's comes last in the order */
@@ -508,8 +504,7 @@
 /* -- what is learned of servers ------------------------------------------- */
 
 double cw_balance_pause(const cw_balance_t* b, uint32_t tokens) {
-    double learned_ms = cw_pauses_quantile(&b->pauses, tokens, _CW_PAUSE_HIGH);
-    return learned_ms > 0 ? learned_ms : b->read_ms * tokens;
+    return cw_pauses_expected(&b->pauses, tokens, b->read_ms);
 }
 
 /* Finds the fastest server whose pace is known. */
@@ -596,26 +591,26 @@
     return s->position + (_cw_balance_pace(b, s) > _CW_PACE_SLOW ? b->listed : 0);
 }
 
-/* How likely a stream at the server that may pause for gap_ms (0: any time) is late by a pause, while prompts there,
-   the longest of so many tokens, take unread_ms to read. */
-static double _cw_balance_late(const cw_balance_t* b, const _cw_server_t* s, uint32_t tokens, double unread_ms,
-                               uint32_t gap_ms) {
-    double limit_ms = _CW_GAP_SHARE * gap_ms / _cw_balance_pace(b, s);
-    return cw_pauses_late(&b->pauses, tokens, unread_ms, limit_ms);
+/* How likely a prompt makes a stream late that may pause for gap_ms, while prompts there take unread_ms to read. */
+static double _cw_balance_harm(const cw_balance_t* b, uint32_t tokens, double gap_ms, double unread_ms) {
+    return cw_pauses_harm(&b->pauses, tokens, (uint32_t)gap_ms, b->read_ms, unread_ms);
 }
 
-/* Ms: the streams there that the prompt makes late, as so many targets missed. */
+/* Ms: the streams there that the prompt makes late, as so many targets missed. What is left to be read there may be
+   more than is known. */
 static double _cw_balance_caused_ms(const cw_balance_t* b, const _cw_server_t* s, const _cw_sum_t* sum,
                                     const cw_work_t* work, double read_ms) {
-    uint32_t deepest = sum->deepest > work->prompt_tokens ? sum->deepest : work->prompt_tokens;
-    return work->target_ms * sum->streaming * _cw_balance_late(b, s, deepest, sum->backlog_ms + read_ms, sum->gap_ms);
+    double unread_ms = _CW_UNREAD_FACTOR * (sum->backlog_ms + read_ms) + _CW_UNREAD_MS;
+    double gap_ms = sum->gap_ms / _cw_balance_pace(b, s);
+    return work->target_ms * sum->streaming * _cw_balance_harm(b, work->prompt_tokens, gap_ms, unread_ms);
 }
 
 /* Ms: the answer's own pauses beside the prompts that are read there now; they end while it is prefilled, or soon
    after, so that half counts. */
 static double _cw_balance_suffered_ms(const cw_balance_t* b, const _cw_server_t* s, const _cw_sum_t* sum,
                                       const cw_work_t* work) {
-    return work->target_ms * _cw_balance_late(b, s, sum->deepest, sum->backlog_ms, work->gap_ms) / 2;
+    double gap_ms = work->gap_ms / _cw_balance_pace(b, s);
+    return sum->deepest ? work->target_ms * _cw_balance_harm(b, sum->deepest, gap_ms, INFINITY) / 2 : 0;
 }
 
 /* Ms: what a stream that deep prompts make late does by staying there. It closes the server to deep prompts, the more
@@ -623,11 +618,10 @@
    between servers alike. */
 static double _cw_balance_gather_ms(const cw_balance_t* b, const _cw_server_t* s, const _cw_sum_t* sum,
                                     const cw_work_t* work) {
-    uint32_t deep_tokens = (uint32_t)b->deep_tokens;
-    double late = _cw_balance_late(b, s, deep_tokens, b->read_ms * deep_tokens, work->gap_ms);
+    double fragile = _cw_balance_harm(b, (uint32_t)b->deep_tokens, work->gap_ms, INFINITY);
     double order_ms = work->target_ms * _CW_GATHER_SHARE * _cw_balance_place(b, s);
     double blocked_ms = b->deep_wait_ms / (1 + sum->streaming);
-    return late * (order_ms + blocked_ms);
+    return fragile * (order_ms + blocked_ms);
 }
 
 /* Ms: what a part costs that another server keeps, read again or fetched. */
@@ -641,11 +635,6 @@
     return sum->tokens + work->prompt_tokens + work->output_tokens > memory ? _CW_FULL_MS : 0;
 }
 
-/* Ms: the delay of each answer that runs there while the prompt is read, and of this one by them. */
-static double _cw_balance_delay_ms(const _cw_sum_t* sum, double read_ms) {
-    return sum->running * (_CW_DELAY_SHARE * read_ms + _CW_RUN_MS);
-}
-
 /* What a generation costs at the server. The backlog is that of all tiers, since a more urgent prompt delays those that
    it goes before. */
 static double _cw_balance_generation_ms(const cw_balance_t* b, const _cw_server_t* s, const _cw_sum_t* sum,
@@ -659,7 +648,7 @@
     double ms = b->base_ms + sum->backlog_ms + c->read_ms;
     ms += _cw_balance_again_ms(b, s, c);
     ms += _cw_balance_overflow_ms(s, sum, work);
-    ms += _cw_balance_delay_ms(sum, c->read_ms);
+    ms += _CW_RUN_MS * sum->running;
     ms += _cw_balance_caused_ms(b, s, sum, work, c->read_ms);
     ms += _cw_balance_suffered_ms(b, s, sum, work);
     return ms + _cw_balance_gather_ms(b, s, sum, work);
@@ -817,9 +806,7 @@
         _cw_balance_count_gap(s, run->gap_ms, 1);
     }
     run->event_ms = now_ms;
-    _cw_sum_t sum = _cw_balance_sum(b, s, now_ms, run->tier);
-    run->beside = sum.deepest;
-    run->beside_ms = sum.backlog_ms;
+    run->beside = _cw_balance_sum(b, s, now_ms, run->tier).deepest;
 }
 
 void cw_balance_event(cw_balance_t* b, int64_t now_ms, cw_run_t* run) {
@@ -829,16 +816,14 @@
     }
     _cw_sum_t sum = _cw_balance_sum(b, s, now_ms, run->tier);
     uint32_t deepest = sum.deepest > run->beside ? sum.deepest : run->beside;
-    double unread_ms = sum.backlog_ms > run->beside_ms ? sum.backlog_ms : run->beside_ms;
     double pause_ms = (double)(now_ms - run->event_ms);
-    if (!deepest && sum.running <= _CW_PACE_RUNS) {
-        _cw_balance_learn_pace(b, s, pause_ms);
-    } else if (deepest && unread_ms >= _CW_LEARN_UNREAD * run->gap_ms) {
+    if (deepest) {
         cw_pauses_learn(&b->pauses, deepest, pause_ms / _cw_balance_pace(b, s));
+    } else if (sum.running <= _CW_PACE_RUNS) {
+        _cw_balance_learn_pace(b, s, pause_ms);
     }
     run->event_ms = now_ms;
     run->beside = sum.deepest;
-    run->beside_ms = sum.backlog_ms;
 }
 
 static void _cw_balance_learn_fail(_cw_server_t* s, int64_t now_ms, double outcome) {
