Prefix cache inventory: a fleet that starts anew asks the engines what they keep

Cause: after a loss of all daemons nobody knows which prompt parts the engines keep. Change: gateway/inventory.c asks each engine once, by the daemon to which it falls among those that live 150 ms after the first list of servers; what comes back is learned without counting as read and told to all peers.

--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -27,6 +27,8 @@
     const char* const* owned; /* further fields that only the gateway may set, NULL at the end */
 } dialect_fields_t;
 
+typedef void (*part_visit_t)(void* user_data, const cw_work_part_t* part);
+
 typedef struct dialect_t {
     const char* name;
     dialect_fields_t fields;
@@ -34,9 +36,12 @@
     unsigned priority_max;       /* lowest urgency that the field may carry */
     const char* ready_path;
     const char* lookup_path;
-    const char* lookup_hall;  /* query argument */
-    const char* lookup_hosts; /* field of the answer: list of addresses */
-    const char* lookup_keep;  /* field of the answer: seconds that it may be kept */
+    const char* lookup_hall;    /* query argument */
+    const char* lookup_hosts;   /* field of the answer: list of addresses */
+    const char* lookup_keep;    /* field of the answer: seconds that it may be kept */
+    const char* inventory_path; /* of an engine: the parts of prompts that it keeps; NULL: engines do not tell */
+    /* Reads an engine's answer there and visits each part, those used longest ago first where the engine knows. */
+    cw_status_t (*read_inventory)(const char* body, size_t size, part_visit_t visit, void* user_data, cw_error_t* err);
 } dialect_t;
 
 /* What a read of the source brought. */
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -15,6 +15,7 @@
 #include "directory.h"
 #include "exchange.h"
 #include "front.h"
+#include "inventory.h"
 #include "mesh.h"
 #include "settings.h"
 #include "sync.h"
@@ -44,6 +45,7 @@
     front_t* front;
     sync_t* sync;
     mesh_t* mesh;
+    inventory_t* inventory;
     directory_t* directory;
     cw_catalog_t* catalog; /* in force, NULL: none yet */
     ev_timer tick;
@@ -136,6 +138,17 @@
     sync_set_rank(g->sync, rank, daemons);
 }
 
+static bool is_mine(void* user, uint64_t server) {
+    return mesh_is_mine(((gateway_t*)user)->mesh, server);
+}
+
+static void on_parts(void* user, server_t* server, const cw_work_part_t* parts, uint32_t count) {
+    for (uint32_t i = 0; i < count; i++) {
+        cw_balance_kept(server->pool->balance, server->key, &parts[i]);
+    }
+    mesh_tell_kept(((gateway_t*)user)->mesh, server, parts, count);
+}
+
 static bool is_ready(void* user) {
     gateway_t* g = user;
     return sync_ready(g->sync) && !g->stopping_ms;
@@ -267,6 +280,7 @@
     mesh_tick(g->mesh, now_ms);
     sync_tick(g->sync, now_ms);
     upstreams_tick(g->upstreams, now_ms);
+    inventory_tick(g->inventory, now_ms);
     for (pool_t* pool = upstreams_pools(g->upstreams); pool && exchanges_stats(g->exchanges).waiting;
          pool = pool->next) {
         exchanges_on_room(g->exchanges, pool);
@@ -324,6 +338,13 @@
                                                    .on_servers = on_servers,
                                                    .user_data = g},
                                     err);
+    g->inventory = inventory_setup(&(inventory_desc_t){.loop = g->loop,
+                                                       .log = &g->log,
+                                                       .dialect = g->dialect,
+                                                       .upstreams = g->upstreams,
+                                                       .is_mine = is_mine,
+                                                       .on_parts = on_parts,
+                                                       .user_data = g});
     g->directory = !g->sync ? NULL
                             : directory_setup(&(directory_desc_t){.loop = g->loop,
                                                                   .dialect = g->dialect,
@@ -374,6 +395,7 @@
     exchanges_shutdown(g->exchanges);
     front_shutdown(g->front);
     directory_shutdown(g->directory);
+    inventory_shutdown(g->inventory);
     sync_shutdown(g->sync);
     mesh_shutdown(g->mesh);
     upstreams_shutdown(g->upstreams);
--- /dev/null
+++ b/gateway/inventory.c
@@ -0,0 +1,209 @@
+#include "inventory.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "../io/address.h"
+#include "../io/client.h"
+#include "clock.h"
+
+#define SETTLE_MS 150
+#define CALLS 4              /* at once: an engine's list may be long, and this host has work */
+#define CALL_MS 1000         /* longest time for an engine's list */
+#define CONNECT_MS 300       /* longest time to connect to it */
+#define LIST_BYTES (1 << 20) /* a longer list is not read */
+#define IDLE_CLIENTS 1       /* connections kept: each engine is asked once */
+
+typedef struct call_t {
+    inventory_t* all;
+    uint64_t server;
+    cw_call_t* call; /* NULL: free */
+    cw_buffer_t body;
+    unsigned status;
+} call_t;
+
+struct inventory_t {
+    inventory_desc_t desc;
+    cw_client_t* client;
+    int64_t known_ms; /* servers are known since, 0: not yet */
+    uint64_t* waiting;
+    uint32_t waiting_count;
+    uint32_t most; /* parts of one engine that are learned */
+    bool listed;   /* the servers to ask stand in waiting */
+    call_t calls[CALLS];
+    inventory_stats_t stats;
+};
+
+/* -- answers -------------------------------------------------------------- */
+
+typedef struct parts_t {
+    cw_work_part_t items[INVENTORY_PARTS];
+    uint32_t most;  /* that are kept in items, as a ring: the last ones */
+    uint32_t count; /* of all that were read */
+} parts_t;
+
+/* Without its tokens: the engine has read them before, and forgets nothing else for them now. */
+static void add_part(void* user, const cw_work_part_t* part) {
+    parts_t* parts = user;
+    parts->items[parts->count++ % parts->most] = (cw_work_part_t){.id = part->id};
+}
+
+static void learn(inventory_t* v, server_t* server, const parts_t* parts) {
+    uint32_t count = parts->count < parts->most ? parts->count : parts->most;
+    v->stats.parts += count;
+    cw_log(v->desc.log, CW_EVENT_INVENTORY, "server=%s pool=%s parts=%u listed=%u", server->published.id,
+           server->pool->name, count, parts->count);
+    if (count) {
+        v->desc.on_parts(v->desc.user_data, server, parts->items, count);
+    }
+}
+
+static void fail(inventory_t* v, const server_t* server, const char* why) {
+    v->stats.failed++;
+    cw_log(v->desc.log, CW_EVENT_INVENTORY_FAILED, "step=inventory server=%s peer=%s reason=\"%s\"",
+           server ? server->published.id : "-", server ? server->published.address : "-", why);
+}
+
+static bool on_data(void* user, const char* data, size_t size) {
+    call_t* c = user;
+    if (c->body.size + size <= LIST_BYTES) {
+        cw_buffer_add(&c->body, data, size);
+    }
+    return true;
+}
+
+static void on_head(void* user, unsigned status, const char* content_type) {
+    (void)content_type;
+    ((call_t*)user)->status = status;
+}
+
+static void on_done(void* user, const cw_call_result_t* result) {
+    call_t* c = user;
+    inventory_t* v = c->all;
+    cw_error_t err = {0};
+    parts_t* parts = calloc(1, sizeof(*parts));
+    server_t* server = upstreams_server(v->desc.upstreams, c->server);
+    c->call = NULL;
+    if (!parts) {
+        abort();
+    }
+    parts->most = v->most;
+    if (!result->whole || c->status != 200) {
+        fail(v, server, result->whole ? "the answer is no list" : result->message);
+    } else if (v->desc.dialect->read_inventory(cw_buffer_text(&c->body), c->body.size, add_part, parts, &err) !=
+               CW_OK) {
+        fail(v, server, err.message);
+    } else if (server && !server->gone) {
+        learn(v, server, parts);
+    }
+    free(parts);
+    cw_buffer_free(&c->body);
+}
+
+/* -- asking --------------------------------------------------------------- */
+
+static void ask(inventory_t* v, call_t* c, const server_t* server) {
+    char url[256];
+    snprintf(url, sizeof(url), "http://%s%s", server->published.address, v->desc.dialect->inventory_path);
+    *c = (call_t){.all = v, .server = server->key};
+    v->stats.asked++;
+    c->call = cw_client_call(v->client, &(cw_call_desc_t){.url = url,
+                                                          .connect_ms = CONNECT_MS,
+                                                          .timeout_ms = CALL_MS,
+                                                          .on_head = on_head,
+                                                          .on_data = on_data,
+                                                          .on_done = on_done,
+                                                          .user_data = c});
+}
+
+static bool knows_engines(const inventory_t* v) {
+    for (const pool_t* pool = upstreams_pools(v->desc.upstreams); pool; pool = pool->next) {
+        if (pool->slots && pool->ready) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The engines that this daemon is to ask, as the fleet stands now. */
+static void list_mine(inventory_t* v) {
+    uint32_t engines = 0;
+    v->listed = true;
+    for (const pool_t* pool = upstreams_pools(v->desc.upstreams); pool; pool = pool->next) {
+        for (const server_t* s = pool->slots ? pool->servers : NULL; s; s = s->next) {
+            engines += !s->gone;
+            if (s->gone || !v->desc.is_mine(v->desc.user_data, s->key)) {
+                continue;
+            }
+            uint64_t* more = realloc(v->waiting, (v->waiting_count + 1) * sizeof(*more));
+            if (!more) {
+                abort();
+            }
+            v->waiting = more;
+            v->waiting[v->waiting_count++] = s->key;
+        }
+    }
+    uint32_t part = INVENTORY_TABLE / (engines ? engines : 1);
+    v->most = part < 1 ? 1 : part > INVENTORY_PARTS ? INVENTORY_PARTS : part;
+}
+
+/* Uses the free calls; returns how many are under way. */
+static uint32_t ask_next(inventory_t* v) {
+    uint32_t busy = 0;
+    for (uint32_t i = 0; i < CALLS; i++) {
+        while (!v->calls[i].call && v->waiting_count) {
+            const server_t* server = upstreams_server(v->desc.upstreams, v->waiting[--v->waiting_count]);
+            if (server && !server->gone) {
+                ask(v, &v->calls[i], server);
+            }
+        }
+        busy += v->calls[i].call != NULL;
+    }
+    return busy;
+}
+
+void inventory_tick(inventory_t* v, int64_t now_ms) {
+    if (v->stats.done || !v->desc.dialect->inventory_path) {
+        return;
+    }
+    if (!v->known_ms) {
+        v->known_ms = knows_engines(v) ? now_ms : 0;
+        return;
+    }
+    if (now_ms - v->known_ms < v->desc.settle_ms) {
+        return;
+    }
+    if (!v->listed) {
+        list_mine(v);
+    }
+    v->stats.done = !ask_next(v) && !v->waiting_count;
+}
+
+/* -- setup ---------------------------------------------------------------- */
+
+inventory_t* inventory_setup(const inventory_desc_t* desc) {
+    inventory_t* v = calloc(1, sizeof(*v));
+    if (!v) {
+        abort();
+    }
+    v->desc = *desc;
+    v->desc.settle_ms = desc->settle_ms ? desc->settle_ms : SETTLE_MS;
+    v->client = cw_client_setup(desc->loop, IDLE_CLIENTS);
+    return v;
+}
+
+inventory_stats_t inventory_stats(const inventory_t* v) {
+    return v->stats;
+}
+
+void inventory_shutdown(inventory_t* v) {
+    for (uint32_t i = 0; i < CALLS; i++) {
+        if (v->calls[i].call) {
+            cw_call_cancel(v->calls[i].call);
+            cw_buffer_free(&v->calls[i].body);
+        }
+    }
+    cw_client_shutdown(v->client);
+    free(v->waiting);
+    free(v);
+}
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -292,6 +292,30 @@
     }
 }
 
+void mesh_tell_kept(mesh_t* m, const server_t* server, const cw_work_part_t* parts, uint32_t count) {
+    cw_load_message_t message = {0};
+    int64_t now_ms = clock_ms();
+    for (uint32_t i = 0; i < count; i += CW_LOAD_PARTS) {
+        dirty_t some = {.server = server->key};
+        some.part_count = count - i < CW_LOAD_PARTS ? count - i : CW_LOAD_PARTS;
+        memcpy(some.parts, &parts[i], some.part_count * sizeof(*parts));
+        add_entry(m, &message, &some, now_ms);
+    }
+    if (message.count) {
+        send_load(m, &message);
+    }
+}
+
+bool mesh_is_mine(const mesh_t* m, uint64_t key) {
+    for (uint32_t i = 0; i < cw_members_count(m->members); i++) {
+        const cw_member_t* member = cw_members_at(m->members, i);
+        if (is_live(member) && !member->info.leaving && cw_mix(member->info.id, key) > cw_mix(m->host, key)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 /* Everything that this daemon has anywhere is told again. */
 static void repeat_all(mesh_t* m, int64_t now_ms) {
     for (pool_t* pool = upstreams_pools(m->desc.upstreams); pool; pool = pool->next) {
--- a/gateway/request_head.c
+++ b/gateway/request_head.c
@@ -7,6 +7,7 @@
 #include <strings.h>
 #include <xxhash.h>
 
+#define HEX_DIGITS "0123456789abcdefABCDEF"
 #define HEX_DIGITS_MAX 16 /* of a 64-bit number */
 
 static bool is(const char* name, const char* other) {
@@ -114,9 +115,14 @@
     return id ? id : 1;
 }
 
+uint64_t request_part_id(const char* name) {
+    size_t length = strspn(name, HEX_DIGITS);
+    return length && !name[length] ? part_id(name, length) : 0;
+}
+
 /* Reads "ID:TOKENS" in the list; returns what follows, NULL: it is something else. */
 static const char* read_part(const char* text, cw_work_part_t* part) {
-    size_t length = strspn(text, "0123456789abcdefABCDEF");
+    size_t length = strspn(text, HEX_DIGITS);
     if (!length || text[length] != ':') {
         return NULL;
     }
--- a/gateway/request_head.h
+++ b/gateway/request_head.h
@@ -27,6 +27,8 @@
 const char* request_fields_check(const dialect_t* dialect, const cw_message_t* request);
 /* The time in ms that the caller will wait, 0: it doesn't say; false: malformed. */
 bool request_deadline_read(const dialect_t* dialect, const cw_message_t* request, double* ms);
+/* The id of a part of a prompt by its name, as requests and engines write it, in hex; 0: it is no such name. */
+uint64_t request_part_id(const char* name);
 /* Reads what a request says of its prompt. */
 void request_work_read(cw_work_t* work, const dialect_t* dialect, const cw_message_t* request);
 /* The key that a request carries, in out; false: none. */
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -214,7 +214,56 @@
 }
 END_TEST
 
+/* Parts that one host heard of an engine's list, more than fit one datagram. */
+static bool all_know_the_parts(fleet_t* fleet) {
+    cw_work_t first = {.prompt_tokens = 900, .part_count = 1, .parts = {{.id = 1, .tokens = 800}}};
+    cw_work_t last = {.prompt_tokens = 900, .part_count = 1, .parts = {{.id = 150, .tokens = 800}}};
+    for (int i = 1; i < HOSTS; i++) {
+        if (cw_balance_choose(balance(&fleet->hosts[i]), clock_ms(), &first, NULL, 0).kept != 800 ||
+            cw_balance_choose(balance(&fleet->hosts[i]), clock_ms(), &last, NULL, 0).kept != 800) {
+            return false;
+        }
+    }
+    return true;
+}
+
+START_TEST(what_an_engine_keeps_is_told_to_every_host) {
+    fleet_t* fleet = fleet_setup();
+    cw_work_part_t parts[150];
+    run_until(fleet, all_live);
+    for (uint32_t i = 0; i < 150; i++) {
+        parts[i] = (cw_work_part_t){.id = i + 1};
+    }
+    pool_t* pool = upstreams_pool(fleet->hosts[0].upstreams, "p");
+    mesh_tell_kept(fleet->hosts[0].mesh, pool->servers, parts, 150);
+    run_until(fleet, all_know_the_parts);
+    fleet_shutdown(fleet);
+}
+END_TEST
+
+START_TEST(each_key_falls_to_one_host) {
+    fleet_t* fleet = fleet_setup();
+    uint32_t keys[HOSTS] = {0};
+    run_until(fleet, all_live);
+    for (uint64_t key = 1; key <= 200; key++) {
+        uint32_t hosts = 0;
+        for (int i = 0; i < HOSTS; i++) {
+            bool mine = mesh_is_mine(fleet->hosts[i].mesh, cw_mix(key, 7));
+            hosts += mine;
+            keys[i] += mine;
+        }
+        ck_assert_uint_eq(hosts, 1);
+    }
+    for (int i = 0; i < HOSTS; i++) {
+        ck_assert_uint_gt(keys[i], 0);
+    }
+    fleet_shutdown(fleet);
+}
+END_TEST
+
 static void add(TCase* t) {
+    tcase_add_test(t, what_an_engine_keeps_is_told_to_every_host);
+    tcase_add_test(t, each_key_falls_to_one_host);
     tcase_add_test(t, news_reaches_every_host_of_every_hall);
     tcase_add_test(t, what_is_told_of_the_source_is_older_when_it_is_heard);
 }
--- a/tools/arrows.sh
+++ b/tools/arrows.sh
@@ -21,6 +21,7 @@
         request_head) echo "dialect request_head" ;;
         exchange) echo "clock exchange front request_head upstream" ;;
         native | dialect) echo "dialect" ;;
+        inventory) echo "clock dialect inventory upstream" ;;
         settings) echo "settings" ;;
         clock) echo "clock" ;;
         *) echo "any" ;;
