Inventory: whose an engine is, is judged again before each call

In a fleet that starts at once a host knows few peers after 150 ms, so nearly every engine was its own, and all were listed at that moment. Change: judged again before each call, two calls at a time, 300 ms after the first list of servers. Test: engines_that_fall_to_another_host_meanwhile_are_not_asked, failed before.

--- a/gateway/inventory.c
+++ b/gateway/inventory.c
@@ -7,8 +7,8 @@
 #include "../io/client.h"
 #include "clock.h"
 
-#define SETTLE_MS 150
-#define CALLS 4              /* at once: an engine's list may be long, and this host has work */
+#define SETTLE_MS 300
+#define CALLS 2              /* at once: an engine's list may be long, and this host has work */
 #define CALL_MS 1000         /* longest time for an engine's list */
 #define CONNECT_MS 300       /* longest time to connect to it */
 #define LIST_BYTES (1 << 20) /* a longer list is not read */
@@ -147,13 +147,14 @@
     v->most = part < 1 ? 1 : part > INVENTORY_PARTS ? INVENTORY_PARTS : part;
 }
 
-/* Uses the free calls; returns how many are under way. */
+/* Uses the free calls; returns how many are under way. Whose an engine is, is asked again: as this host hears of more
+   peers, engines fall to them. */
 static uint32_t ask_next(inventory_t* v) {
     uint32_t busy = 0;
     for (uint32_t i = 0; i < CALLS; i++) {
         while (!v->calls[i].call && v->waiting_count) {
             const server_t* server = upstreams_server(v->desc.upstreams, v->waiting[--v->waiting_count]);
-            if (server && !server->gone) {
+            if (server && !server->gone && v->desc.is_mine(v->desc.user_data, server->key)) {
                 ask(v, &v->calls[i], server);
             }
         }
--- a/tests/test_inventory.c
+++ b/tests/test_inventory.c
@@ -24,7 +24,9 @@
 
 /* What the inventory told. */
 typedef struct told_t {
-    uint64_t mine; /* the only server to be asked, 0: all */
+    uint64_t mine;     /* the only server to be asked, 0: all */
+    uint32_t judged;   /* times that it was asked whose a server is */
+    uint32_t mine_for; /* so often the answer was this host, 0: always */
     uint32_t servers, parts;
     cw_work_part_t last;
     char server[CW_NAME_MAX];
@@ -32,7 +34,9 @@
 
 static bool is_mine(void* user, uint64_t server) {
     told_t* told = user;
-    return !told->mine || told->mine == server;
+    told->judged++;
+    bool still = !told->mine_for || told->judged <= told->mine_for;
+    return still && (!told->mine || told->mine == server);
 }
 
 static void on_parts(void* user, server_t* server, const cw_work_part_t* parts, uint32_t count) {
@@ -109,6 +113,19 @@
 }
 END_TEST
 
+/* A host that starts knows few peers: as it hears of more, engines fall to them. */
+START_TEST(engines_that_fall_to_another_host_meanwhile_are_not_asked) {
+    rig_t* r = rig_setup(ROUTES, 3);
+    told_t told = {.mine_for = 3};
+    rig_script(r, (rig_step_t[]){{RIG_SILENT, ""}, {RIG_SILENT, ""}, {RIG_SILENT, ""}}, 3);
+    inventory_t* v = ask(r, &platform_dialect, &told);
+    ck_assert(inventory_stats(v).done);
+    ck_assert_uint_eq(inventory_stats(v).asked, 0);
+    inventory_shutdown(v);
+    rig_shutdown(r);
+}
+END_TEST
+
 START_TEST(a_bad_answer_is_told_and_teaches_nothing) {
     static const char* const answers[] = {
         "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]",
@@ -166,6 +183,7 @@
 static void add(TCase* t) {
     tcase_add_test(t, each_engine_is_asked_once_and_its_parts_are_learned);
     tcase_add_test(t, only_the_engines_that_fall_to_this_host_are_asked);
+    tcase_add_test(t, engines_that_fall_to_another_host_meanwhile_are_not_asked);
     tcase_add_test(t, a_bad_answer_is_told_and_teaches_nothing);
     tcase_add_test(t, engines_that_do_not_tell_are_not_asked);
     tcase_add_test(t, entries_that_are_no_parts_are_left_out);
