Servers and news by index: work that grew with the square of the servers is gone

Cause: fetching a server by its key walked the pools' lists for every entry of news, each list of servers was compared with the one before by all pairs, and was so again with every reading of an unchanged list; a choice looked at 128 places for news at each server, used or not; every pace that was heard searched all servers for the fastest.

Change: servers stand in a map by key, a list marks what it names, an unchanged list is not told again, news at a server is packed, the order is sorted, and the fastest pace is searched only when the fastest server became slower.

Tests: test_upstream (3,000 servers, outage, an id in two pools). test_sync expected that unchanged lists are told again with after_outage false; it now asserts that they are not told, and that the next changed one is told as a plain change.

--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -185,6 +185,7 @@
 
 #include <assert.h>
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "chalkway_kept.h"
@@ -230,7 +231,7 @@
 #define _CW_FULL_PAUSE_MS 100 /* a server that said it is full is left out for so long */
 
 typedef struct _cw_news_t {
-    uint64_t peer; /* 0: free */
+    uint64_t peer;
     int64_t at_ms;
     cw_load_t load;
 } _cw_news_t;
@@ -263,12 +264,20 @@
     int64_t full_until_ms;
     int64_t cold_until_ms;
     uint64_t read_tokens; /* all that was read there, as far as known */
-    _cw_news_t* news;
+    _cw_news_t* news;     /* of daemons that have something there; room for max_peers */
+    uint32_t news_count;
 } _cw_server_t;
 
+/* A listed server and what it is sorted by. */
+typedef struct _cw_order_t {
+    uint64_t key;
+    uint32_t at;
+} _cw_order_t;
+
 struct cw_balance_t {
     cw_balance_desc_t desc;
     _cw_server_t* servers;
+    _cw_order_t* order; /* room to sort the servers */
     cw_map_t index; /* id to place */
     uint32_t places;
     uint32_t listed;
@@ -297,6 +306,7 @@
     cw_balance_t* b = cw_alloc(&desc->allocator, 1, sizeof(*b));
     b->desc = _cw_balance_desc_defaults(desc);
     b->servers = cw_alloc(&b->desc.allocator, b->desc.max_servers, sizeof(*b->servers));
+    b->order = cw_alloc(&b->desc.allocator, b->desc.max_servers, sizeof(*b->order));
     b->index = cw_map_setup(b->desc.max_servers, &b->desc.allocator);
     b->kept = cw_kept_setup(b->desc.max_parts, &b->desc.allocator);
     b->read_ms = _CW_READ_MS;
@@ -312,6 +322,7 @@
     }
     cw_map_shutdown(&b->index);
     cw_kept_shutdown(b->kept);
+    cw_free(&allocator, b->order);
     cw_free(&allocator, b->servers);
     cw_free(&allocator, b);
 }
@@ -340,7 +351,7 @@
         if (!s->news) {
             s->news = cw_alloc(&b->desc.allocator, b->desc.max_peers, sizeof(*s->news));
         }
-        memset(s->news, 0, b->desc.max_peers * sizeof(*s->news));
+        s->news_count = 0;
         s->used = true;
         s->slow = 1;
         s->spec.id = id;
@@ -351,19 +362,27 @@
     return CW_BALANCE_NONE;
 }
 
+static void _cw_balance_find_fastest(cw_balance_t* b);
+
+static int _cw_order_compare(const void* left, const void* right) {
+    uint64_t a = ((const _cw_order_t*)left)->key;
+    uint64_t b = ((const _cw_order_t*)right)->key;
+    return (a > b) - (a < b);
+}
+
 /* Places the servers in an order that depends on their ids only. */
 static void _cw_balance_order(cw_balance_t* b) {
     b->listed = 0;
     for (uint32_t i = 0; i < b->places; i++) {
-        _cw_server_t* s = &b->servers[i];
-        uint32_t position = 0;
-        for (uint32_t j = 0; j < b->places && s->listed; j++) {
-            const _cw_server_t* other = &b->servers[j];
-            position += other->listed && cw_mix(other->spec.id, 1) < cw_mix(s->spec.id, 1);
+        if (b->servers[i].listed) {
+            b->order[b->listed++] = (_cw_order_t){.key = cw_mix(b->servers[i].spec.id, 1), .at = i};
         }
-        s->position = position;
-        b->listed += s->listed;
     }
+    qsort(b->order, b->listed, sizeof(*b->order), _cw_order_compare);
+    for (uint32_t i = 0; i < b->listed; i++) {
+        b->servers[b->order[i].at].position = i;
+    }
+    _cw_balance_find_fastest(b);
 }
 
 cw_status_t cw_balance_set(cw_balance_t* b, int64_t now_ms, const cw_server_spec_t* specs, uint32_t count) {
@@ -480,10 +499,10 @@
                      .backlog_ms = own_ms};
     _cw_gap_t own = _cw_balance_own_gap(s);
     _cw_balance_add_gap(&sum, own.gap_ms, own.count);
-    for (uint32_t i = 0; i < b->desc.max_peers; i++) {
+    for (uint32_t i = 0; i < s->news_count; i++) {
         const _cw_news_t* n = &s->news[i];
         int64_t age_ms = now_ms - n->at_ms;
-        if (!n->peer || age_ms > b->desc.news_ms) {
+        if (age_ms > b->desc.news_ms) {
             continue;
         }
         sum.running += n->load.running;
@@ -517,10 +536,23 @@
     }
 }
 
+/* The server's pace changed. All are searched only where it was the fastest and is so no more. */
+static void _cw_balance_pace_changed(cw_balance_t* b, const _cw_server_t* s, double before_ms) {
+    if (!s->listed || s->pace_samples < _CW_PACE_FEW) {
+        return;
+    }
+    if (b->pace_ms <= 0 || s->pace_ms <= b->pace_ms) {
+        b->pace_ms = s->pace_ms;
+    } else if (before_ms <= b->pace_ms) {
+        _cw_balance_find_fastest(b);
+    }
+}
+
 static void _cw_balance_learn_pace(cw_balance_t* b, _cw_server_t* s, double pause_ms) {
+    double before_ms = s->pace_ms;
     s->pace_ms += (s->pace_samples ? _CW_PACE_LEARN : 1) * (pause_ms - s->pace_ms);
     s->pace_samples++;
-    _cw_balance_find_fastest(b);
+    _cw_balance_pace_changed(b, s, before_ms);
 }
 
 /* What another daemon has learned counts as long as this one has seen little itself. */
@@ -528,9 +560,10 @@
     if (!pace_us || s->pace_samples > _CW_PACE_FEW) {
         return;
     }
+    double before_ms = s->pace_ms;
     s->pace_ms = pace_us / 1000.0;
     s->pace_samples = _CW_PACE_FEW;
-    _cw_balance_find_fastest(b);
+    _cw_balance_pace_changed(b, s, before_ms);
 }
 
 static double _cw_balance_slow(const _cw_server_t* s, int64_t now_ms) {
@@ -927,25 +960,31 @@
     return load;
 }
 
+/* Drops news that is too old to count and all of the peer's, which is about to be told anew. */
+static void _cw_balance_drop_news(const cw_balance_t* b, _cw_server_t* s, int64_t now_ms, uint64_t peer) {
+    for (uint32_t i = 0; i < s->news_count;) {
+        if (s->news[i].peer == peer || now_ms - s->news[i].at_ms > b->desc.news_ms) {
+            s->news[i] = s->news[--s->news_count];
+        } else {
+            i++;
+        }
+    }
+}
+
+static bool _cw_balance_has_load(const cw_load_t* load) {
+    return load->running || load->streaming || load->tokens || load->backlog_ms[CW_TIERS - 1];
+}
+
 void cw_balance_news(cw_balance_t* b, int64_t now_ms, uint64_t peer, uint64_t server, const cw_load_t* load) {
     uint32_t at = cw_balance_find(b, server);
     if (at == CW_BALANCE_NONE) {
         return;
     }
-    _cw_balance_hear_pace(b, &b->servers[at], load->pace_us);
-    _cw_news_t* place = NULL;
-    for (uint32_t i = 0; i < b->desc.max_peers; i++) {
-        _cw_news_t* n = &b->servers[at].news[i];
-        if (n->peer == peer) {
-            place = n;
-            break;
-        }
-        if (!place && (!n->peer || now_ms - n->at_ms > b->desc.news_ms)) {
-            place = n;
-        }
-    }
-    if (place) {
-        *place = (_cw_news_t){.peer = peer, .at_ms = now_ms, .load = *load};
+    _cw_server_t* s = &b->servers[at];
+    _cw_balance_hear_pace(b, s, load->pace_us);
+    _cw_balance_drop_news(b, s, now_ms, peer);
+    if (_cw_balance_has_load(load) && s->news_count < b->desc.max_peers) {
+        s->news[s->news_count++] = (_cw_news_t){.peer = peer, .at_ms = now_ms, .load = *load};
     }
 }
 
--- a/chalkway_servers.h
+++ b/chalkway_servers.h
@@ -51,6 +51,8 @@
 void cw_servers_free(cw_servers_t* list);
 /* Id of what the list says, whatever its order and age; never 0. */
 uint64_t cw_servers_id(const cw_servers_t* list);
+/* Whether both say the same of the same servers in the same order, how long they stay slow among it. */
+bool cw_servers_equal(const cw_servers_t* a, const cw_servers_t* b);
 
 #endif /* CHALKWAY_SERVERS_H */
 
@@ -89,6 +91,23 @@
     return id ? id : 1;
 }
 
+static bool _cw_server_equal(const cw_server_t* a, const cw_server_t* b) {
+    return strcmp(a->id, b->id) == 0 && strcmp(a->address, b->address) == 0 && strcmp(a->pool, b->pool) == 0 &&
+           strcmp(a->hall, b->hall) == 0 && a->slots == b->slots && a->leaving == b->leaving && a->cold_ms == b->cold_ms;
+}
+
+bool cw_servers_equal(const cw_servers_t* a, const cw_servers_t* b) {
+    if (a->count != b->count) {
+        return false;
+    }
+    for (uint32_t i = 0; i < a->count; i++) {
+        if (!_cw_server_equal(&a->items[i], &b->items[i])) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static bool _cw_servers_text(const json_t* o, const char* key, char* out, size_t size) {
     const char* text = json_string_value(json_object_get(o, key));
     if (!text || !text[0] || strlen(text) >= size) {
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -164,14 +164,18 @@
         cw_servers_free(list);
         return;
     }
+    bool first = s->list_ms == NEVER;
+    bool after_outage = !first && true_ms - s->list_ms >= OUTAGE_MS;
+    bool same = !first && cw_servers_equal(&s->list, list);
     cw_servers_free(&s->list);
     s->list = *list;
     *list = (cw_servers_t){0};
     s->list_id = cw_servers_id(&s->list);
-    bool after_outage = s->list_ms != NEVER && true_ms - s->list_ms >= OUTAGE_MS;
     s->list_ms = true_ms;
     cw_pull_cancel(&s->servers_pull);
-    s->desc.on_servers(s->desc.user_data, &s->list, after_outage);
+    if (!same) {
+        s->desc.on_servers(s->desc.user_data, &s->list, after_outage);
+    }
 }
 
 static void refuse_answer(sync_t* s, const char* from, const cw_error_t* err) {
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../chalkway_map.h"
 #include "../io/address.h"
 #include "clock.h"
 
@@ -22,6 +23,7 @@
 #define LINKS_MIN 2             /* connections to one server that every daemon may have */
 #define RETURN_MS 2000          /* an entry that lapsed while the source was away is back so long after it */
 #define POOL_SERVERS_MAX 1024   /* servers of one pool that are used */
+#define SERVERS_MAX 4096        /* of all pools that are known, those that are gone but still used among them */
 #define RETRY_SAFETY 0.8        /* share of the budget for repeats that is used */
 
 struct link_t {
@@ -45,6 +47,10 @@
 struct upstreams_t {
     upstreams_desc_t desc;
     pool_t* pools;
+    cw_map_t by_key;                /* a server's key to its place */
+    server_t* servers[SERVERS_MAX]; /* by place, NULL: free */
+    uint32_t free_places[SERVERS_MAX];
+    uint32_t free_count;
     link_t* dead; /* to be freed */
     uint32_t daemons;
     uint32_t links;
@@ -67,6 +73,14 @@
     tell_idle(l->server);
 }
 
+static void server_free(upstreams_t* u, server_t* s) {
+    uint32_t place = cw_map_get(&u->by_key, s->key);
+    cw_map_remove(&u->by_key, s->key);
+    u->servers[place] = NULL;
+    u->free_places[u->free_count++] = place;
+    free(s);
+}
+
 static void server_free_if_unused(pool_t* pool, server_t* s) {
     if (!s->gone || s->published_now || s->open || s->probing ||
         cw_balance_find(pool->balance, s->key) != CW_BALANCE_NONE) {
@@ -75,7 +89,7 @@
     for (server_t** at = &pool->servers; *at; at = &(*at)->next) {
         if (*at == s) {
             *at = s->next;
-            free(s);
+            server_free(pool->upstreams, s);
             return;
         }
     }
@@ -369,23 +383,9 @@
     return pool;
 }
 
-static server_t* pool_server(const pool_t* pool, uint64_t key) {
-    for (server_t* s = pool->servers; s; s = s->next) {
-        if (s->key == key) {
-            return s;
-        }
-    }
-    return NULL;
-}
-
 server_t* upstreams_server(const upstreams_t* u, uint64_t key) {
-    for (pool_t* pool = u->pools; pool; pool = pool->next) {
-        server_t* s = pool_server(pool, key);
-        if (s) {
-            return s;
-        }
-    }
-    return NULL;
+    uint32_t place = key ? cw_map_get(&u->by_key, key) : CW_MAP_NONE;
+    return place == CW_MAP_NONE ? NULL : u->servers[place];
 }
 
 /* Tells the pool's balance which servers may be chosen. */
@@ -406,41 +406,51 @@
     cw_balance_set(pool->balance, now_ms, specs, count);
 }
 
+/* A new server of the pool; NULL when its address is no address or there is no place for it. */
+static server_t* server_new(upstreams_t* u, const cw_server_t* published, uint64_t key) {
+    struct sockaddr_in address;
+    if (!u->free_count || cw_addr_parse(published->address, &address, NULL) != CW_OK) {
+        return NULL;
+    }
+    server_t* s = calloc(1, sizeof(*s));
+    if (!s) {
+        abort();
+    }
+    uint32_t place = u->free_places[--u->free_count];
+    u->servers[place] = s;
+    cw_map_put(&u->by_key, key, place);
+    s->key = key;
+    s->pool = pool_get(u, published->pool);
+    s->address = address;
+    s->next = s->pool->servers;
+    s->pool->servers = s;
+    return s;
+}
+
+/* Takes over what is published of the server. Returns whether it is new, gone or back. */
 static bool server_update(upstreams_t* u, const cw_server_t* published) {
-    pool_t* pool = pool_get(u, published->pool);
     uint64_t key = cw_name_id(published->id);
-    server_t* s = pool_server(pool, key);
-    struct sockaddr_in address;
-    if (!s && cw_addr_parse(published->address, &address, NULL) != CW_OK) {
-        return false;
-    }
-    bool fresh = !s;
-    if (fresh) {
-        s = calloc(1, sizeof(*s));
-        if (!s) {
-            abort();
-        }
-        s->key = key;
-        s->pool = pool;
-        s->address = address;
-        s->next = pool->servers;
-        pool->servers = s;
+    server_t* known = upstreams_server(u, key);
+    server_t* s = known ? known : server_new(u, published, key);
+    if (!s || strcmp(s->pool->name, published->pool) != 0) {
+        return false; /* an id that another pool still uses waits until that server is gone */
     }
     bool was_gone = s->gone;
     s->published = *published;
+    s->published_now = true;
     s->missing_until_ms = 0;
     s->left = s->left || published->leaving; /* a server that leaves does not come back with the same id */
     s->gone = s->left;
-    return fresh || s->gone != was_gone;
+    return !known || s->gone != was_gone;
 }
 
-static bool is_listed(const cw_servers_t* list, const server_t* s) {
-    for (uint32_t i = 0; i < list->count; i++) {
-        if (strcmp(list->items[i].id, s->published.id) == 0) {
-            return true;
+/* Before a list is taken over: what it does not name is missing. */
+static void forget_published(upstreams_t* u) {
+    for (pool_t* pool = u->pools; pool; pool = pool->next) {
+        for (server_t* s = pool->servers; s; s = s->next) {
+            s->published_now = false;
         }
     }
-    return false;
 }
 
 /* Takes servers as gone that are missing for longer than they may; returns how many. */
@@ -457,12 +467,12 @@
 
 uint32_t upstreams_set_servers(upstreams_t* u, int64_t now_ms, const cw_servers_t* list, bool after_outage) {
     uint32_t changes = 0;
+    forget_published(u);
     for (uint32_t i = 0; i < list->count; i++) {
         changes += server_update(u, &list->items[i]);
     }
     for (pool_t* pool = u->pools; pool; pool = pool->next) {
         for (server_t* s = pool->servers; s; s = s->next) {
-            s->published_now = is_listed(list, s);
             if (!s->published_now && !s->missing_until_ms) {
                 s->missing_until_ms = now_ms + (after_outage ? RETURN_MS : 0);
             }
@@ -641,7 +651,7 @@
             s = next;
         }
         uint64_t key = pool->health[0] ? cw_balance_probe(pool->balance, now_ms) : 0;
-        server_t* away = key ? pool_server(pool, key) : NULL;
+        server_t* away = upstreams_server(u, key);
         if (away && !away->probing && !away->gone) {
             probe_start(away);
         }
@@ -657,6 +667,11 @@
     }
     u->desc = *desc;
     u->daemons = 1;
+    u->by_key = cw_map_setup(SERVERS_MAX, NULL);
+    while (u->free_count < SERVERS_MAX) {
+        u->free_places[u->free_count] = SERVERS_MAX - 1 - u->free_count;
+        u->free_count++;
+    }
     return u;
 }
 
@@ -668,11 +683,12 @@
             server_t* s = pool->servers;
             pool->servers = s->next;
             idle_close(s, 0, true);
-            free(s);
+            server_free(u, s);
         }
         cw_balance_shutdown(pool->balance);
         free(pool);
     }
     free_dead(u);
+    cw_map_shutdown(&u->by_key);
     free(u);
 }
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -155,6 +155,10 @@
     return site->list_leaving;
 }
 
+static bool has_staying(site_t* site) {
+    return !site->list_leaving;
+}
+
 static bool lost(site_t* site) {
     return sync_stats(site->sync).source_lost;
 }
@@ -206,9 +210,14 @@
     site->leaving = true;
     run_until(site, has_leaving);
     ck_assert(site->after_outage);
+    uint32_t lists = site->lists;
     site->calls = 0;
     run_until(site, called_again);
-    ck_assert(!site->after_outage);
+    ck_assert_uint_eq(site->lists, lists); /* the same list is not told again */
+    site->leaving = false;
+    run_until(site, has_staying);
+    ck_assert_uint_eq(site->lists, lists + 1);
+    ck_assert(!site->after_outage); /* a plain change */
     site_shutdown(site);
 }
 END_TEST
--- /dev/null
+++ b/tests/test_upstream.c
@@ -0,0 +1,128 @@
+/* The servers that are published, at the size of a large fleet: which are new, gone, back, and of which pool. */
+#include <ev.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "../gateway/clock.h"
+#include "../gateway/upstream.h"
+#include "test.h"
+
+#define SERVERS 3000 /* more than a pool uses */
+#define POOL_MAX 1024
+
+static void ignore_line(const char* line, void* user) {
+    (void)line;
+    (void)user;
+}
+
+static void on_room(void* user, pool_t* pool) {
+    (void)user;
+    (void)pool;
+}
+
+static const cw_log_t quiet_log = {.level = CW_LOG_ERROR, .write = ignore_line};
+
+static upstreams_t* make(struct ev_loop* loop) {
+    return upstreams_setup(&(upstreams_desc_t){
+        .loop = loop, .log = &quiet_log, .dialect = &dialect_native, .host = 1, .max_links = 10, .on_room = on_room});
+}
+
+static cw_server_t server(uint32_t number, const char* pool) {
+    cw_server_t s = {.address = "127.0.0.1:9", .hall = "a", .slots = 4};
+    snprintf(s.id, sizeof(s.id), "s%u", number);
+    snprintf(s.pool, sizeof(s.pool), "%s", pool);
+    return s;
+}
+
+/* A list of the servers from first to before last, in two pools by turns. */
+static cw_servers_t list_of(uint32_t first, uint32_t last) {
+    cw_servers_t list = {0};
+    for (uint32_t i = first; i < last; i++) {
+        cw_server_t s = server(i, i % 2 ? "p" : "q");
+        cw_servers_add(&list, &s);
+    }
+    return list;
+}
+
+static uint32_t set(upstreams_t* u, int64_t now_ms, cw_servers_t list, bool after_outage) {
+    uint32_t changes = upstreams_set_servers(u, now_ms, &list, after_outage);
+    cw_servers_free(&list);
+    return changes;
+}
+
+START_TEST(changes_of_a_long_list_are_counted_once) {
+    struct ev_loop* loop = ev_loop_new(0);
+    upstreams_t* u = make(loop);
+    ck_assert_uint_eq(set(u, 1000, list_of(0, SERVERS), false), SERVERS);
+    ck_assert_uint_eq(upstreams_pool(u, "p")->ready, POOL_MAX);
+    ck_assert_uint_eq(set(u, 1000, list_of(0, SERVERS), false), 0);
+    ck_assert_uint_eq(set(u, 1000, list_of(10, SERVERS), false), 10);
+    ck_assert_ptr_null(upstreams_server(u, cw_name_id("s3")));
+    ck_assert_ptr_nonnull(upstreams_server(u, cw_name_id("s2999")));
+    ck_assert_uint_eq(set(u, 1000, list_of(0, 20), false), 10 + SERVERS - 20); /* ten are back, the others gone */
+    ck_assert_uint_eq(upstreams_pool(u, "p")->ready, 10);
+    ck_assert_uint_eq(set(u, 1000, list_of(0, SERVERS), false), SERVERS - 20);
+    upstreams_shutdown(u);
+    ev_loop_destroy(loop);
+}
+END_TEST
+
+START_TEST(more_servers_than_can_be_known_are_left_out) {
+    struct ev_loop* loop = ev_loop_new(0);
+    upstreams_t* u = make(loop);
+    uint32_t known = set(u, 1000, list_of(0, 3 * SERVERS), false);
+    ck_assert_uint_ge(known, SERVERS);
+    ck_assert_uint_lt(known, 3 * SERVERS);
+    ck_assert_uint_eq(set(u, 1000, list_of(3 * SERVERS - 5, 3 * SERVERS), false), known); /* they leave */
+    ck_assert_uint_eq(set(u, 1000, list_of(3 * SERVERS - 5, 3 * SERVERS), false), 5); /* and make room */
+    upstreams_shutdown(u);
+    ev_loop_destroy(loop);
+}
+END_TEST
+
+/* After an outage what is missing gets time to come back, else it is gone at once. */
+START_TEST(what_is_missing_after_an_outage_may_come_back) {
+    struct ev_loop* loop = ev_loop_new(0);
+    upstreams_t* u = make(loop);
+    set(u, 1000, list_of(0, 10), false);
+    ck_assert_uint_eq(set(u, 2000, list_of(0, 5), true), 0);
+    ck_assert_uint_eq(upstreams_pool(u, "p")->ready, 5);
+    ck_assert_uint_eq(set(u, 2100, list_of(0, 6), false), 0); /* one is back, the others still have time */
+    upstreams_tick(u, 4100);
+    ck_assert_uint_eq(upstreams_pool(u, "p")->ready, 3); /* the time is over */
+    upstreams_shutdown(u);
+    ev_loop_destroy(loop);
+}
+END_TEST
+
+START_TEST(an_id_that_turns_up_in_another_pool_leaves_the_first) {
+    struct ev_loop* loop = ev_loop_new(0);
+    upstreams_t* u = make(loop);
+    cw_server_t here = server(1, "p");
+    cw_server_t there = server(1, "q");
+    cw_servers_t first = {0};
+    cw_servers_add(&first, &here);
+    ck_assert_uint_eq(set(u, 1000, first, false), 1);
+    cw_servers_t second = {0};
+    cw_servers_add(&second, &there);
+    set(u, 1000, second, false);
+    ck_assert_uint_eq(upstreams_pool(u, "p")->ready, 0);
+    cw_servers_t third = {0};
+    cw_servers_add(&third, &there);
+    ck_assert_uint_eq(set(u, 1000, third, false), 1);
+    ck_assert_uint_eq(upstreams_pool(u, "q")->ready, 1);
+    upstreams_shutdown(u);
+    ev_loop_destroy(loop);
+}
+END_TEST
+
+static void add(TCase* t) {
+    tcase_add_test(t, changes_of_a_long_list_are_counted_once);
+    tcase_add_test(t, more_servers_than_can_be_known_are_left_out);
+    tcase_add_test(t, what_is_missing_after_an_outage_may_come_back);
+    tcase_add_test(t, an_id_that_turns_up_in_another_pool_leaves_the_first);
+}
+
+int main(void) {
+    return run_suite("upstream", add, 30);
+}
