News of load goes through relays in larger fleets

Cause: each dispatch was told at once to every other host: at 295 hosts 885 datagrams for each request, 10 ms of the hosts' own code a request (0.56 at 9 hosts).

Change: in fleets of over 16 hosts a few hosts of each hall, those with the widest links, are its relays. Up to 16 hosts all are relays and nothing is gathered, as before. A host's link is a setting, told with membership (wire version 2).

Ruled out: size of datagrams (8 entries instead of 24: the same).

--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -278,7 +278,7 @@
     cw_balance_desc_t desc;
     _cw_server_t* servers;
     _cw_order_t* order; /* room to sort the servers */
-    cw_map_t index; /* id to place */
+    cw_map_t index;     /* id to place */
     uint32_t places;
     uint32_t listed;
     cw_kept_t* kept;
--- a/chalkway_load.h
+++ b/chalkway_load.h
@@ -4,12 +4,12 @@
     chalkway_load.h -- what a daemon has at the servers, as a datagram
 
     WHAT IT IS
-        One msgpack array for each datagram: version, cluster, host, what the
-        sender knows of the source and how old that is, whether the receiver
-        is to pass it on within its hall, and a list of entries. An entry
-        tells all that the host has at one server now, so that a lost
-        datagram is mended by the next one; it may also name parts of
-        prompts that were just sent there.
+        One msgpack array for each datagram: version, cluster, sender, what
+        the sender knows of the source and how old that is, to whom the
+        receiver is to pass the entries on, and a list of entries. An entry
+        tells all that a host, the sender or another one, has at one server
+        now, so that a lost datagram is mended by the next one; it may also
+        name parts of prompts that were just sent there.
 
     HOW TO USE IT
             size_t n = cw_load_encode(&message, bytes, sizeof(bytes));
@@ -23,12 +23,21 @@
 */
 #include "chalkway_balance.h"
 
-#define CW_LOAD_VERSION 2
+#define CW_LOAD_VERSION 3
 #define CW_LOAD_ENTRIES 24 /* in one datagram */
 #define CW_LOAD_PARTS 4    /* parts of prompts told with one entry */
-#define CW_LOAD_BYTES 3072 /* largest datagram: a full one fits */
+#define CW_LOAD_BYTES 4096 /* largest datagram: a full one fits */
+
+/* To whom the receiver passes the entries on. */
+typedef enum cw_load_scope_t {
+    CW_LOAD_LAST = 0, /* to nobody */
+    CW_LOAD_FOR_HALL, /* to the others of its hall */
+    CW_LOAD_FOR_ALL,  /* to them and to a host of each other hall */
+    CW_LOAD_SCOPE_COUNT
+} cw_load_scope_t;
 
 typedef struct cw_load_entry_t {
+    uint64_t host; /* whose load it is */
     uint64_t server;
     bool leaving; /* the server itself said that it leaves */
     cw_load_t load;
@@ -47,8 +56,8 @@
 typedef struct cw_load_message_t {
     uint64_t cluster;         /* id of the cluster's name */
     uint64_t host;            /* the sender */
-    cw_knowledge_t knowledge; /* of the daemon that sends this datagram, which may pass it on for the host */
-    bool pass_on;             /* the receiver is to send it to the others of its hall */
+    cw_knowledge_t knowledge; /* the sender's */
+    cw_load_scope_t scope;
     uint32_t count;
     cw_load_entry_t entries[CW_LOAD_ENTRIES];
 } cw_load_message_t;
@@ -78,7 +87,8 @@
 #define _CW_LOAD_QUIET_STEP_MS 8 /* of the others, for each daemon that lives */
 #define _CW_LOAD_FIRST_RANKS 3
 #define _CW_LOAD_HEAD 8                /* fields before the entries */
-#define _CW_LOAD_FIELDS (8 + CW_TIERS) /* of an entry before its parts */
+#define _CW_LOAD_IDS 2                 /* first fields of an entry: the host, 0 for the sender, and the server */
+#define _CW_LOAD_FIELDS (9 + CW_TIERS) /* of an entry before its parts */
 
 uint32_t cw_load_quiet_ms(uint32_t rank, uint32_t live) {
     uint32_t stretched_ms = live * _CW_LOAD_QUIET_STEP_MS;
@@ -94,8 +104,9 @@
     knowledge->servers_age_ms = _cw_load_older(knowledge->servers_age_ms, ms);
 }
 
-static void _cw_load_pack_entry(msgpack_packer* p, const cw_load_entry_t* e) {
+static void _cw_load_pack_entry(msgpack_packer* p, const cw_load_entry_t* e, uint64_t sender) {
     msgpack_pack_array(p, _CW_LOAD_FIELDS + 2 * e->part_count);
+    msgpack_pack_uint64(p, e->host == sender ? 0 : e->host);
     msgpack_pack_uint64(p, e->server);
     msgpack_pack_uint32(p, e->leaving);
     msgpack_pack_uint32(p, e->load.running);
@@ -126,9 +137,9 @@
     msgpack_pack_uint64(&packer, message->knowledge.servers);
     msgpack_pack_uint32(&packer, message->knowledge.revision_age_ms);
     msgpack_pack_uint32(&packer, message->knowledge.servers_age_ms);
-    msgpack_pack_uint32(&packer, message->pass_on);
+    msgpack_pack_uint32(&packer, message->scope);
     for (uint32_t i = 0; i < message->count; i++) {
-        _cw_load_pack_entry(&packer, &message->entries[i]);
+        _cw_load_pack_entry(&packer, &message->entries[i], message->host);
     }
     size_t written = buffer.size <= size ? buffer.size : 0;
     memcpy(out, buffer.data, written);
@@ -144,27 +155,28 @@
     return true;
 }
 
-static bool _cw_load_read_entry(const msgpack_object* o, cw_load_entry_t* e) {
+static bool _cw_load_read_entry(const msgpack_object* o, cw_load_entry_t* e, uint64_t sender) {
     uint64_t v[_CW_LOAD_FIELDS];
     *e = (cw_load_entry_t){0};
     if (o->type != MSGPACK_OBJECT_ARRAY) {
         return false;
     }
     for (uint32_t i = 0; i < _CW_LOAD_FIELDS; i++) {
-        if (!_cw_load_number(&o->via.array, i, i ? UINT32_MAX : UINT64_MAX, &v[i])) {
+        if (!_cw_load_number(&o->via.array, i, i < _CW_LOAD_IDS ? UINT64_MAX : UINT32_MAX, &v[i])) {
             return false;
         }
     }
-    e->server = v[0];
-    e->leaving = v[1] != 0;
-    e->load = (cw_load_t){.running = (uint32_t)v[2],
-                          .streaming = (uint32_t)v[3],
-                          .gap_ms = (uint32_t)v[4],
-                          .deepest = (uint32_t)v[5],
-                          .tokens = (uint32_t)v[6],
-                          .pace_us = (uint32_t)v[7]};
+    e->host = v[0] ? v[0] : sender;
+    e->server = v[1];
+    e->leaving = v[2] != 0;
+    e->load = (cw_load_t){.running = (uint32_t)v[3],
+                          .streaming = (uint32_t)v[4],
+                          .gap_ms = (uint32_t)v[5],
+                          .deepest = (uint32_t)v[6],
+                          .tokens = (uint32_t)v[7],
+                          .pace_us = (uint32_t)v[8]};
     for (uint32_t tier = 0; tier < CW_TIERS; tier++) {
-        e->load.backlog_ms[tier] = (uint32_t)v[8 + tier];
+        e->load.backlog_ms[tier] = (uint32_t)v[9 + tier];
     }
     for (uint32_t at = _CW_LOAD_FIELDS; at + 1 < o->via.array.size && e->part_count < CW_LOAD_PARTS; at += 2) {
         uint64_t tokens = 0;
@@ -191,17 +203,17 @@
 
 static bool _cw_load_read(cw_load_message_t* message, const msgpack_object* o) {
     uint64_t version = 0;
-    uint64_t pass_on = 0;
+    uint64_t scope = 0;
     if (o->type != MSGPACK_OBJECT_ARRAY || !_cw_load_number(&o->via.array, 0, UINT32_MAX, &version) ||
         version < CW_LOAD_VERSION || !_cw_load_number(&o->via.array, 1, UINT64_MAX, &message->cluster) ||
         !_cw_load_number(&o->via.array, 2, UINT64_MAX, &message->host) ||
         !_cw_load_read_knowledge(&message->knowledge, &o->via.array) ||
-        !_cw_load_number(&o->via.array, 7, 1, &pass_on)) {
+        !_cw_load_number(&o->via.array, 7, CW_LOAD_SCOPE_COUNT - 1, &scope)) {
         return false;
     }
-    message->pass_on = pass_on != 0;
+    message->scope = (cw_load_scope_t)scope;
     for (uint32_t i = _CW_LOAD_HEAD; i < o->via.array.size && message->count < CW_LOAD_ENTRIES; i++) {
-        if (!_cw_load_read_entry(&o->via.array.ptr[i], &message->entries[message->count++])) {
+        if (!_cw_load_read_entry(&o->via.array.ptr[i], &message->entries[message->count++], message->host)) {
             return false;
         }
     }
--- a/chalkway_member.h
+++ b/chalkway_member.h
@@ -50,6 +50,7 @@
     uint64_t incarnation;
     cw_member_state_t state;
     bool leaving;
+    uint32_t link_mbps; /* of its network, 0: not said */
     char name[CW_NAME_MAX];
     char hall[CW_MEMBER_HALL_MAX];
     char peer[CW_MEMBER_ADDRESS_MAX]; /* IP:PORT for daemons, TCP and UDP */
--- a/chalkway_wire.h
+++ b/chalkway_wire.h
@@ -27,7 +27,7 @@
 #include "chalkway_member.h"
 #include "chalkway_shard.h"
 
-#define CW_WIRE_VERSION 1
+#define CW_WIRE_VERSION 2
 #define CW_FRAME_MAX (2U << 20) /* bytes of one frame, a document of 1 MiB and its key included */
 #define CW_FRAME_HEADER 4
 #define CW_LIST_MAX 4096
@@ -280,6 +280,7 @@
     _cw_io_u64(io, &i->incarnation);
     i->state = (cw_member_state_t)_cw_io_enum(io, i->state, CW_MEMBER_STATE_COUNT);
     _cw_io_bool(io, &i->leaving);
+    _cw_io_u32(io, &i->link_mbps);
     _cw_io_text(io, i->name, sizeof(i->name));
     _cw_io_text(io, i->hall, sizeof(i->hall));
     _cw_io_text(io, i->peer, sizeof(i->peer));
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -179,7 +179,7 @@
     cw_message_add_text(out, "chalkway_members_known %u\nchalkway_members_live %u\n", m.known, m.live);
     cw_message_add_text(
         out, "chalkway_load_out_total %llu\nchalkway_load_in_total %llu\nchalkway_load_passed_on_total %llu\n",
-        (unsigned long long)m.load_out, (unsigned long long)m.load_in, (unsigned long long)m.passed_on);
+        (unsigned long long)m.news.out, (unsigned long long)m.news.in, (unsigned long long)m.news.passed_on);
     cw_message_add_text(out, "chalkway_log_lines_lost_total %lu\n", g->lines.lost_ever);
     for (pool_t* pool = upstreams_pools(g->upstreams); pool; pool = pool->next) {
         cw_message_add_text(out, "chalkway_pool_ready{pool=\"%s\"} %u\n", pool->name, pool->ready);
--- a/gateway/mesh.h
+++ b/gateway/mesh.h
@@ -1,12 +1,12 @@
 #ifndef CW_GATEWAY_MESH_H
 #define CW_GATEWAY_MESH_H
 /*
-    The other daemons: who lives (chalkway_member.h over the peer address) and what they have at the servers
-    (chalkway_load.h datagrams over the load address). All hosts of a cluster use the same ports.
+    The other daemons: who lives (chalkway_member.h over the peer address), and through news.h what they have at the
+    servers. All hosts of a cluster use the same ports.
 */
-#include "../chalkway_load.h"
 #include "../chalkway_log.h"
 #include "../chalkway_member.h"
+#include "news.h"
 #include "settings.h"
 #include "upstream.h"
 
@@ -28,7 +28,7 @@
 
 typedef struct mesh_stats_t {
     uint32_t known, live;
-    uint64_t load_out, load_in, load_refused, passed_on;
+    news_stats_t news;
 } mesh_stats_t;
 
 mesh_t* mesh_setup(const mesh_desc_t* desc, cw_error_t* err);
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -3,11 +3,15 @@
 #include <string.h>
 
 #define AT(field) offsetof(gateway_settings_t, field)
+#define READ_PARTS                                                                                                     \
+    5 /* readings that fit into the time in which a change is to be known: ranks beyond the first take over */
 
 static const cw_setting_info_t table[] = {
     {"host", "name", CW_SETTING_NAME, AT(name), NULL, 0, 0, "name of this host, unique in the cluster"},
     {"host", "hall", CW_SETTING_NAME, AT(hall), NULL, 0, 0, "hall that this host stands in"},
     {"host", "cluster", CW_SETTING_NAME, AT(cluster), "chalkway", 0, 0, "peers of other clusters are refused"},
+    {"host", "first_start", CW_SETTING_COUNT_KIND, AT(first_start), "0", 0, 1,
+     "1: the whole system starts for the first time and nobody calls yet"},
     {"listen", "callers", CW_SETTING_ADDRESS, AT(callers), NULL, 0, 0, "address for requests"},
     {"listen", "ready", CW_SETTING_ADDRESS, AT(ready), NULL, 0, 0, "address that tells whether this host is ready"},
     {"listen", "lookup", CW_SETTING_ADDRESS, AT(lookup), NULL, 0, 0, "address that tells callers which hosts to use"},
@@ -20,10 +24,16 @@
     {"peers", "seed_port", CW_SETTING_COUNT_KIND, AT(seed_port), "0", 0, 65535,
      "port of the seeds' peer address where the seeds name another, 0: as named"},
     {"source", "address", CW_SETTING_ADDRESS, AT(source), NULL, 0, 0, "where the configuration is published"},
-    {"source", "read", CW_SETTING_MS, AT(read_ms), "400ms", 50, 60000,
-     "age at which the configuration and the list of servers are read again by the daemon of the first rank"},
+    {"source", "apply", CW_SETTING_MS, AT(apply_ms), "2s", 250, 600000,
+     "a change of the configuration is to be in force everywhere so long after it was published"},
+    {"source", "drain", CW_SETTING_MS, AT(drain_ms), "2s", 250, 600000,
+     "a server is to get nothing new so long after it was published as leaving"},
+    {"source", "read", CW_SETTING_MS, AT(read_ms), "0ms", 0, 60000,
+     "age at which both are read again by the daemon of the first rank, 0: a fifth of the shorter of these times"},
     {"limits", "memory", CW_SETTING_BYTES, AT(memory_bytes), "256m", 1 << 24, 4294967295.0, "memory of the process"},
     {"limits", "descriptors", CW_SETTING_COUNT_KIND, AT(descriptors), "4096", 64, 1000000, "of the process"},
+    {"limits", "link", CW_SETTING_NUMBER, AT(link_mbps), "0", 0, 1000000,
+     "Mbit/s of this host's network, 0: not said; hosts with the widest links pass news on in large fleets"},
     {"service", "lookup_keep", CW_SETTING_MS, AT(lookup_keep_ms), "1s", 100, 600000,
      "how long callers keep a lookup answer"},
     {"service", "grace", CW_SETTING_MS, AT(grace_ms), "8s", 500, 600000, "from the signal to stop to the forced end"},
@@ -40,6 +50,11 @@
     return table;
 }
 
+/* How often the source is read, where the file doesn't say so. */
+static uint32_t derived_read_ms(const gateway_settings_t* s) {
+    return (s->apply_ms < s->drain_ms ? s->apply_ms : s->drain_ms) / READ_PARTS;
+}
+
 cw_status_t gateway_settings_load(const char* path, gateway_settings_t* settings, cw_settings_errors_t* errors) {
     memset(settings, 0, sizeof(*settings));
     cw_settings_read(path, table, sizeof(table) / sizeof(table[0]), settings, errors);
@@ -47,5 +62,6 @@
         cw_settings_choice(path, "log", "level", settings->log_level, " debug info warn error ", errors);
         cw_settings_choice(path, "log", "format", settings->log_format, " text json ", errors);
     }
+    settings->read_ms = settings->read_ms ? settings->read_ms : derived_read_ms(settings);
     return errors->count ? CW_ERR_INVALID : CW_OK;
 }
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -8,6 +8,7 @@
     char name[CW_NAME_MAX];
     char hall[CW_NAME_MAX];
     char cluster[CW_NAME_MAX];
+    uint32_t first_start;
     /* [listen] */
     char callers[CW_NAME_MAX];
     char ready[CW_NAME_MAX];
@@ -21,10 +22,13 @@
     uint32_t seed_port;
     /* [source] */
     char source[CW_NAME_MAX];
-    uint32_t read_ms;
+    uint32_t read_ms; /* 0 in the file: follows from the two below */
+    uint32_t apply_ms;
+    uint32_t drain_ms;
     /* [limits] */
     uint32_t memory_bytes;
     uint32_t descriptors;
+    double link_mbps;
     /* [service] */
     uint32_t lookup_keep_ms;
     uint32_t grace_ms;
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -440,8 +440,10 @@
     cw_load_message_t out = {.cluster = 3,
                              .host = UINT64_MAX,
                              .knowledge = {.revision = 7, .servers = UINT64_MAX, .revision_age_ms = 5},
-                             .count = 1,
-                             .entries = {{.server = 99,
+                             .scope = CW_LOAD_FOR_ALL,
+                             .count = 2,
+                             .entries = {{.host = UINT64_MAX,
+                                          .server = 99,
                                           .leaving = true,
                                           .load = {.running = 1,
                                                    .gap_ms = 2,
@@ -451,7 +453,8 @@
                                                    .tokens = 6,
                                                    .pace_us = 7},
                                           .part_count = 1,
-                                          .parts = {{.id = UINT64_MAX, .tokens = 8}}}}};
+                                          .parts = {{.id = UINT64_MAX, .tokens = 8}}},
+                                         {.host = 5, .server = UINT64_MAX}}};
     uint8_t bytes[CW_LOAD_BYTES];
     cw_load_message_t in;
     size_t size = cw_load_encode(&out, bytes, sizeof(bytes));
@@ -461,6 +464,11 @@
     ck_assert_uint_eq(in.knowledge.servers, UINT64_MAX);
     ck_assert_int_eq(memcmp(&in.entries[0].load, &out.entries[0].load, sizeof(cw_load_t)), 0);
     ck_assert_uint_eq(in.entries[0].parts[0].id, UINT64_MAX);
+    ck_assert_int_eq(in.scope, CW_LOAD_FOR_ALL);
+    ck_assert_uint_eq(in.entries[0].host, UINT64_MAX); /* the sender's own */
+    ck_assert_uint_eq(in.entries[0].server, 99);
+    ck_assert_uint_eq(in.entries[1].host, 5); /* another host's, passed on */
+    ck_assert_uint_eq(in.entries[1].server, UINT64_MAX);
     for (size_t cut = 0; cut < size; cut++) {
         ck_assert_int_eq(cw_load_decode(&in, bytes, cut, NULL), CW_ERR_PROTOCOL);
     }
@@ -482,7 +490,8 @@
     memset(&out.knowledge, 0xff, sizeof(out.knowledge));
     for (uint32_t i = 0; i < CW_LOAD_ENTRIES; i++) {
         cw_load_entry_t* entry = &out.entries[i];
-        *entry = (cw_load_entry_t){.server = UINT64_MAX, .leaving = true, .part_count = CW_LOAD_PARTS};
+        *entry = (cw_load_entry_t){
+            .host = UINT64_MAX - 1 - i, .server = UINT64_MAX, .leaving = true, .part_count = CW_LOAD_PARTS};
         memset(&entry->load, 0xff, sizeof(entry->load));
         memset(entry->parts, 0xff, sizeof(entry->parts));
     }
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -196,7 +196,7 @@
     mesh_on_load(fleet->hosts[0].mesh, server, &work);
     run_until(fleet, all_know_the_run);
     for (int i = HALL_A; i < HOSTS; i++) {
-        passed_on += mesh_stats(fleet->hosts[i].mesh).passed_on;
+        passed_on += mesh_stats(fleet->hosts[i].mesh).news.passed_on;
     }
     ck_assert_uint_gt(passed_on, 0); /* by a host of the other hall */
     fleet_shutdown(fleet);
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -74,7 +74,7 @@
     ck_assert_uint_ge(known, SERVERS);
     ck_assert_uint_lt(known, 3 * SERVERS);
     ck_assert_uint_eq(set(u, 1000, list_of(3 * SERVERS - 5, 3 * SERVERS), false), known); /* they leave */
-    ck_assert_uint_eq(set(u, 1000, list_of(3 * SERVERS - 5, 3 * SERVERS), false), 5); /* and make room */
+    ck_assert_uint_eq(set(u, 1000, list_of(3 * SERVERS - 5, 3 * SERVERS), false), 5);     /* and make room */
     upstreams_shutdown(u);
     ev_loop_destroy(loop);
 }
--- a/tools/arrows.sh
+++ b/tools/arrows.sh
@@ -16,7 +16,8 @@
         front) echo "front" ;;
         upstream) echo "clock dialect upstream" ;;
         sync) echo "clock dialect sync" ;;
-        mesh) echo "clock mesh settings upstream" ;;
+        mesh) echo "clock mesh news settings upstream" ;;
+        news) echo "clock news settings upstream" ;;
         directory) echo "dialect directory" ;;
         request_head) echo "dialect request_head" ;;
         exchange) echo "clock exchange front request_head upstream" ;;
