--- a/chalkway_reader.h
+++ b/chalkway_reader.h
@@ -32,7 +32,8 @@
     uint32_t read_ms; /* age at which the daemon of the first rank reads again */
     uint32_t rank;    /* 0 first */
     int64_t started_ms;
-    uint64_t seed; /* of the host */
+    bool nobody_calls; /* the whole system starts for the first time: a daemon can wait for what others read */
+    uint64_t seed;     /* of the host */
 } cw_reader_t;
 
 /* Whether to read now what was known to be true at the source at true_ms (CW_READER_NEVER: nothing is known). */
@@ -51,6 +52,8 @@
 #define _CW_READER_STEP_SHARE 0.3   /* of the reading age: so much longer waits each further rank */
 #define _CW_READER_START_MS 100     /* so much longer each further rank waits at the start */
 #define _CW_READER_START_SPREAD 200 /* ms; hosts that start together know no ranks yet */
+#define _CW_READER_NOBODY_CALLS 10  /* times as long while nobody calls: long enough to hear from the first that read  \
+                                     */
 #define _CW_READER_PAUSE_MS 100     /* after a first failure, for the first rank */
 #define _CW_READER_PAUSE_MAX_MS 1000
 #define _CW_READER_RANKS_MAX 50 /* longer pauses of later ranks grow no further */
@@ -63,7 +66,8 @@
     uint32_t steps = _cw_reader_steps(r);
     if (true_ms == CW_READER_NEVER) {
         int64_t spread_ms = (int64_t)(cw_mix(r->seed, 0) % _CW_READER_START_SPREAD);
-        return now_ms - r->started_ms >= (int64_t)steps * _CW_READER_START_MS + spread_ms;
+        int64_t wait_ms = (int64_t)steps * _CW_READER_START_MS + spread_ms;
+        return now_ms - r->started_ms >= wait_ms * (r->nobody_calls ? _CW_READER_NOBODY_CALLS : 1);
     }
     return now_ms - true_ms >= (int64_t)(r->read_ms * (1 + steps * _CW_READER_STEP_SHARE));
 }
--- a/chalkway_servers.h
+++ b/chalkway_servers.h
@@ -37,7 +37,7 @@
 } cw_server_t;
 
 typedef struct cw_servers_t {
-    int64_t at;      /* revision of the source that the list was read at */
+    int64_t at;      /* revision of the source from which on changes are to be read */
     uint32_t age_ms; /* since it was read, by whoever passes it on */
     uint32_t count, capacity;
     cw_server_t* items;
@@ -48,6 +48,13 @@
 /* The JSON form, to be freed by free(). */
 char* cw_servers_text(const cw_servers_t* list);
 void cw_servers_add(cw_servers_t* list, const cw_server_t* server);
+/* Sorts the list by id, which cw_servers_put and cw_servers_remove need. */
+void cw_servers_sort(cw_servers_t* list);
+/* Adds the server to a sorted list, or replaces what the list says of it. */
+void cw_servers_put(cw_servers_t* list, const cw_server_t* server);
+/* Takes the server out of a sorted list; nothing where it is not there. */
+void cw_servers_remove(cw_servers_t* list, const char* id);
+void cw_servers_copy(cw_servers_t* to, const cw_servers_t* from);
 void cw_servers_free(cw_servers_t* list);
 /* Id of what the list says, whatever its order and age; never 0. */
 uint64_t cw_servers_id(const cw_servers_t* list);
@@ -77,6 +84,59 @@
     list->items[list->count++] = *server;
 }
 
+static int _cw_server_compare(const void* left, const void* right) {
+    return strcmp(((const cw_server_t*)left)->id, ((const cw_server_t*)right)->id);
+}
+
+void cw_servers_sort(cw_servers_t* list) {
+    if (list->count) {
+        qsort(list->items, list->count, sizeof(*list->items), _cw_server_compare);
+    }
+}
+
+/* Where the id stands in a sorted list, or would go. */
+static uint32_t _cw_servers_place(const cw_servers_t* list, const char* id) {
+    uint32_t low = 0;
+    uint32_t high = list->count;
+    while (low < high) {
+        uint32_t middle = low + (high - low) / 2;
+        if (strcmp(list->items[middle].id, id) < 0) {
+            low = middle + 1;
+        } else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
+static bool _cw_servers_is_at(const cw_servers_t* list, uint32_t at, const char* id) {
+    return at < list->count && strcmp(list->items[at].id, id) == 0;
+}
+
+void cw_servers_put(cw_servers_t* list, const cw_server_t* server) {
+    uint32_t at = _cw_servers_place(list, server->id);
+    if (!_cw_servers_is_at(list, at, server->id)) {
+        cw_servers_add(list, server);
+        memmove(&list->items[at + 1], &list->items[at], (list->count - 1 - at) * sizeof(*list->items));
+    }
+    list->items[at] = *server;
+}
+
+void cw_servers_remove(cw_servers_t* list, const char* id) {
+    uint32_t at = _cw_servers_place(list, id);
+    if (_cw_servers_is_at(list, at, id)) {
+        list->count--;
+        memmove(&list->items[at], &list->items[at + 1], (list->count - at) * sizeof(*list->items));
+    }
+}
+
+void cw_servers_copy(cw_servers_t* to, const cw_servers_t* from) {
+    *to = (cw_servers_t){.at = from->at, .age_ms = from->age_ms};
+    for (uint32_t i = 0; i < from->count; i++) {
+        cw_servers_add(to, &from->items[i]);
+    }
+}
+
 void cw_servers_free(cw_servers_t* list) {
     free(list->items);
     *list = (cw_servers_t){0};
@@ -93,7 +153,8 @@
 
 static bool _cw_server_equal(const cw_server_t* a, const cw_server_t* b) {
     return strcmp(a->id, b->id) == 0 && strcmp(a->address, b->address) == 0 && strcmp(a->pool, b->pool) == 0 &&
-           strcmp(a->hall, b->hall) == 0 && a->slots == b->slots && a->leaving == b->leaving && a->cold_ms == b->cold_ms;
+           strcmp(a->hall, b->hall) == 0 && a->slots == b->slots && a->leaving == b->leaving &&
+           a->cold_ms == b->cold_ms;
 }
 
 bool cw_servers_equal(const cw_servers_t* a, const cw_servers_t* b) {
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -61,6 +61,11 @@
     cw_status_t (*read_catalog)(const char* body, size_t size, int64_t mark, source_news_t* news, cw_error_t* err);
     cw_status_t (*read_servers)(const char* body, size_t size, cw_servers_t* list, source_news_t* news,
                                 cw_error_t* err);
+    /* What changed since the list was read; NULL: the source tells only whole lists. A status other than 200 means that
+       it no longer knows. */
+    void (*changes_path)(char* out, size_t size, int64_t at);
+    /* Puts the changes into the list, which is sorted, and moves its revision on. */
+    cw_status_t (*read_changes)(const char* body, size_t size, cw_servers_t* list, cw_error_t* err);
 } source_t;
 
 extern const dialect_t dialect_native;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -334,6 +334,7 @@
                                                    .share = s->share,
                                                    .seed = cw_mix(host, (uint64_t)clock_ms()),
                                                    .read_ms = s->read_ms,
+                                                   .nobody_calls = s->first_start != 0,
                                                    .on_catalog = on_catalog,
                                                    .on_servers = on_servers,
                                                    .user_data = g},
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -12,6 +12,8 @@
 
 #define CALL_MS 1000         /* a call to the source or a peer may take */
 #define BODY_MAX (16U << 20) /* longest answer that is read */
+#define WHOLE_LIST_MS 10000  /* the whole list is read again so long after it was, whatever the changes said */
+#define STATUS_GONE 410      /* the source no longer knows the changes since then */
 #define OUTAGE_MS 2000       /* a list that nobody confirmed for so long: entries may have lapsed while it was away */
 #define NEVER CW_READER_NEVER
 
@@ -38,8 +40,10 @@
     cw_catalog_t* in_force;
     char* text; /* native document in force */
     cw_servers_t list;
-    cw_servers_t pages; /* being read */
+    cw_servers_t pages; /* being read: page by page, or the list in force with its changes */
+    bool by_changes;    /* the call under way asks for changes */
     char page_after[CW_NAME_MAX * 2];
+    int64_t whole_ms; /* when this daemon last read the whole list, NEVER: not yet, or it is to be read again */
     uint64_t list_id;
     int64_t list_ms; /* when the list in force was last known to be true at the source, NEVER: none */
     cw_pull_t catalog_pull, servers_pull;
@@ -222,16 +226,42 @@
 
 /* -- the source: servers -------------------------------------------------- */
 
-static void read_source_servers(sync_t* s) {
+static void drop_pages(sync_t* s) {
+    cw_servers_free(&s->pages);
+    s->page_after[0] = 0;
+    s->by_changes = false;
+}
+
+static void read_page(sync_t* s) {
     char path[512];
     s->stats.source_calls++;
     s->desc.source->servers_path(path, sizeof(path), s->page_after);
     fetch(&s->servers, s->desc.address, path, CALL_MS);
 }
 
-static void drop_pages(sync_t* s) {
-    cw_servers_free(&s->pages);
-    s->page_after[0] = 0;
+static void read_changes(sync_t* s) {
+    char path[512];
+    s->stats.source_calls++;
+    s->by_changes = true;
+    cw_servers_copy(&s->pages, &s->list); /* the list in force may be another one when the answer comes */
+    s->desc.source->changes_path(path, sizeof(path), s->list.at);
+    fetch(&s->servers, s->desc.address, path, CALL_MS);
+}
+
+/* What changed costs one call, the whole list one for each page. */
+static void read_source_servers(sync_t* s, int64_t now_ms) {
+    bool knows = s->desc.source->changes_path && s->list_ms != NEVER && s->list.at;
+    if (knows && s->whole_ms != NEVER && now_ms - s->whole_ms < WHOLE_LIST_MS) {
+        read_changes(s);
+    } else {
+        read_page(s);
+    }
+}
+
+static void adopt_pages(sync_t* s) {
+    fetch_ok(&s->servers);
+    adopt_servers(s, &s->pages, clock_ms());
+    drop_pages(s);
 }
 
 static void on_servers_failure(sync_t* s, const char* why) {
@@ -242,6 +272,12 @@
 static void on_servers_answer(sync_t* s, unsigned status, const char* body, size_t size) {
     source_news_t news = {0};
     cw_error_t err = {0};
+    if (s->by_changes && status == STATUS_GONE) {
+        drop_pages(s);
+        s->whole_ms = NEVER;
+        read_page(s);
+        return;
+    }
     if (status != 200) {
         char why[32];
         snprintf(why, sizeof(why), "status %u", status);
@@ -249,21 +285,26 @@
         source_failed(s, &s->servers, why);
         return;
     }
-    if (s->desc.source->read_servers(body, size, &s->pages, &news, &err) != CW_OK) {
+    cw_status_t read = s->by_changes ? s->desc.source->read_changes(body, size, &s->pages, &err)
+                                     : s->desc.source->read_servers(body, size, &s->pages, &news, &err);
+    if (read != CW_OK) {
         refuse_answer(s, s->desc.address, &err);
         drop_pages(s);
+        s->whole_ms = NEVER;
         back_off(&s->servers);
         return;
     }
     source_works(s);
     if (news.more && news.after[0]) {
         cw_copy(s->page_after, sizeof(s->page_after), news.after);
-        read_source_servers(s);
+        read_page(s);
         return;
     }
-    fetch_ok(&s->servers);
-    adopt_servers(s, &s->pages, clock_ms());
-    drop_pages(s);
+    if (!s->by_changes) {
+        cw_servers_sort(&s->pages);
+        s->whole_ms = clock_ms();
+    }
+    adopt_pages(s);
 }
 
 /* -- peers ---------------------------------------------------------------- */
@@ -393,7 +434,7 @@
     pull(s, &s->peer_catalog, &s->catalog_pull, "/catalog", now_ms);
     pull(s, &s->peer_servers, &s->servers_pull, "/servers", now_ms);
     if (!s->servers.call && now_ms >= s->servers.next_ms && cw_reader_due(&s->reader, s->list_ms, now_ms)) {
-        read_source_servers(s);
+        read_source_servers(s, now_ms);
     }
     if (!s->catalog.call && now_ms >= s->catalog.next_ms && cw_reader_due(&s->reader, s->catalog_ms, now_ms)) {
         read_source_catalog(s);
@@ -411,8 +452,9 @@
         abort();
     }
     s->desc = *desc;
-    s->reader = (cw_reader_t){.read_ms = desc->read_ms, .started_ms = clock_ms(), .seed = desc->seed};
-    s->list_ms = s->catalog_ms = NEVER;
+    s->reader = (cw_reader_t){
+        .read_ms = desc->read_ms, .started_ms = clock_ms(), .nobody_calls = desc->nobody_calls, .seed = desc->seed};
+    s->list_ms = s->catalog_ms = s->whole_ms = NEVER;
     s->share = cw_httpd_setup(&(cw_httpd_desc_t){.loop = desc->loop,
                                                  .address = desc->share,
                                                  .max_connections = 64,
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -26,6 +26,7 @@
     const char* share;   /* address at which peers read */
     uint64_t seed;       /* of this host: spreads what all would do at once */
     uint32_t read_ms;    /* age at which the daemon of the first rank reads again */
+    bool nobody_calls;   /* the whole system starts for the first time */
     void (*on_catalog)(void* user_data, cw_catalog_t* catalog);
     /* after_outage: nothing was known of the source for long before this list. */
     void (*on_servers)(void* user_data, const cw_servers_t* list, bool after_outage);
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -180,7 +180,22 @@
 }
 END_TEST
 
+/* While nobody calls, all but a few can wait for what the first ones read; nobody waits for ever. */
+START_TEST(at_the_first_start_of_all_daemons_wait_for_others) {
+    uint32_t early = 0;
+    for (uint32_t rank = 0; rank < FLEET; rank++) {
+        cw_reader_t r = {.read_ms = 400, .started_ms = 5000, .nobody_calls = true, .seed = cw_mix(7, rank)};
+        early += cw_reader_due(&r, CW_READER_NEVER, 5200); /* no ranks are known yet */
+        r.rank = rank;
+        ck_assert(cw_reader_due(&r, CW_READER_NEVER, 12000));
+    }
+    ck_assert_uint_ge(early, 1);
+    ck_assert_uint_le(early, FLEET / 4);
+}
+END_TEST
+
 static void add(TCase* t) {
+    tcase_add_test(t, at_the_first_start_of_all_daemons_wait_for_others);
     tcase_add_test(t, a_large_fleet_asks_little_while_the_source_is_away);
     tcase_add_test(t, the_first_ranks_read_and_the_next_ones_when_they_fail);
     tcase_add_test(t, at_the_start_a_few_read_first);
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -12,6 +12,9 @@
 #include "../platform/platform.h"
 #include "test.h"
 
+/* {"service":"p","address":"127.0.0.1:9","zone":"a","slots":1,"state":"draining"} */
+#define DRAINING                                                                                                       \
+    "eyJzZXJ2aWNlIjoicCIsImFkZHJlc3MiOiIxMjcuMC4wLjE6OSIsInpvbmUiOiJhIiwic2xvdHMiOjEsInN0YXRlIjoiZHJhaW5pbmcifQ=="
 #define TICK_S 0.005
 #define GIVE_UP_S 10.0
 
@@ -27,6 +30,11 @@
     const char* extra; /* text in its document */
     bool leaving;      /* of its only server */
     uint32_t calls;
+    bool tells_changes;    /* it tells changes of the list too */
+    bool history_gone;     /* but has forgotten them */
+    uint32_t list_calls;   /* for the whole list */
+    uint32_t change_calls; /* for changes */
+    const char* change;    /* event told with each of them, "" none */
     sync_t* sync;
     int64_t revisions[16]; /* taken over, in order */
     uint32_t revision_count;
@@ -38,10 +46,24 @@
     bool (*until)(struct site_t* site);
 } site_t;
 
+/* Changes are told in the platform's form. */
+static void on_changes(cw_exchange_t* x, site_t* site) {
+    char body[512];
+    site->change_calls++;
+    if (site->history_gone) {
+        cw_exchange_reply(x, 410, NULL, 0, "", 0);
+        return;
+    }
+    snprintf(body, sizeof(body), "{\"events\":[%s],\"at\":%u}", site->change ? site->change : "",
+             site->change_calls + 1);
+    cw_exchange_reply(x, 200, NULL, 0, body, strlen(body));
+}
+
 static void on_source(cw_exchange_t* x, void* user) {
     site_t* site = user;
     char body[512];
     site->calls++;
+    site->list_calls += strcmp(cw_exchange_path(x), "/servers") == 0;
     if (site->act == SOURCE_HANGS) {
         return;
     }
@@ -53,6 +75,10 @@
         cw_exchange_reply(x, 200, NULL, 0, "{\"revision\":", 12);
         return;
     }
+    if (strcmp(cw_exchange_path(x), "/kv-watch") == 0) {
+        on_changes(x, site);
+        return;
+    }
     if (strcmp(cw_exchange_path(x), "/catalog") == 0) {
         snprintf(body, sizeof(body), "{\"revision\":%lld,\"routes\":[],\"pools\":[]%s}", (long long)site->revision,
                  site->extra ? site->extra : "");
@@ -106,7 +132,9 @@
     ev_run(site->loop, 0);
 }
 
-static site_t* site_setup(int64_t revision) {
+static source_t source_with_changes;
+
+static site_t* site_setup_by(int64_t revision, const source_t* source) {
     site_t* site = calloc(1, sizeof(*site));
     cw_error_t err = {0};
     site->loop = ev_loop_new(0);
@@ -118,7 +146,7 @@
     ck_assert_msg(site->source != NULL, "%s", err.message);
     site->sync = sync_setup(&(sync_desc_t){.loop = site->loop,
                                            .log = &site->log,
-                                           .source = &source_native,
+                                           .source = source,
                                            .address = cw_httpd_address(site->source),
                                            .share = "127.0.0.1:0",
                                            .read_ms = 30,
@@ -134,6 +162,18 @@
     return site;
 }
 
+static site_t* site_setup(int64_t revision) {
+    return site_setup_by(revision, &source_native);
+}
+
+/* A source that tells changes too. */
+static site_t* changing_site_setup(void) {
+    source_with_changes = source_native;
+    source_with_changes.changes_path = platform_source.changes_path;
+    source_with_changes.read_changes = platform_source.read_changes;
+    return site_setup_by(5, &source_with_changes);
+}
+
 static void site_shutdown(site_t* site) {
     sync_shutdown(site->sync);
     cw_httpd_shutdown(site->source);
@@ -167,6 +207,14 @@
     return sync_stats(site->sync).servers_age_ms > 2100;
 }
 
+static bool asked_for_changes(site_t* site) {
+    return site->change_calls >= 4;
+}
+
+static bool asked_for_the_list_again(site_t* site) {
+    return site->list_calls >= 2;
+}
+
 static bool called_again(site_t* site) {
     return site->calls >= 6;
 }
@@ -222,6 +270,43 @@
 }
 END_TEST
 
+/* After the whole list only what changed is asked for. */
+START_TEST(changes_are_put_into_the_list) {
+    site_t* site = changing_site_setup();
+    run_until(site, asked_for_changes);
+    ck_assert_uint_eq(site->list_calls, 1);
+    ck_assert_uint_eq(site->lists, 1); /* none of the answers changed it */
+    site->change = "{\"tls_key\":\"servers/i\",\"value\":\"" DRAINING "\",\"revision\":3}";
+    run_until(site, has_leaving);
+    ck_assert_uint_eq(site->list_calls, 1);
+    ck_assert_uint_eq(site->lists, 2);
+    site_shutdown(site);
+}
+END_TEST
+
+START_TEST(a_source_that_forgot_its_history_is_asked_for_the_whole_list) {
+    site_t* site = changing_site_setup();
+    run_until(site, asked_for_changes);
+    site->history_gone = true;
+    site->leaving = true;
+    run_until(site, has_leaving);
+    ck_assert_uint_ge(site->list_calls, 2);
+    ck_assert(!sync_stats(site->sync).source_lost);
+    site_shutdown(site);
+}
+END_TEST
+
+START_TEST(changes_that_make_no_sense_lead_to_the_whole_list) {
+    site_t* site = changing_site_setup();
+    run_until(site, asked_for_changes);
+    site->change = "7],\"at\":{},\"other\":[";
+    run_until(site, asked_for_the_list_again);
+    ck_assert_uint_eq(site->lists, 1);
+    ck_assert(sync_ready(site->sync));
+    site_shutdown(site);
+}
+END_TEST
+
 START_TEST(an_older_revision_is_never_taken_over) {
     site_t* site = site_setup(9);
     run_until(site, has_all);
@@ -409,7 +494,58 @@
 }
 END_TEST
 
+/* Two servers of which one drains, one goes and a third comes; the other items are none of them. */
+START_TEST(events_of_the_store_change_the_list) {
+    cw_servers_t list = {.at = 7};
+    cw_error_t err = {0};
+    cw_server_t stays = {.id = "i-1", .address = "127.0.0.1:9", .pool = "p", .hall = "a", .slots = 1};
+    cw_server_t goes = stays;
+    snprintf(goes.id, sizeof(goes.id), "i-2");
+    cw_servers_put(&list, &goes);
+    cw_servers_put(&list, &stays);
+    ck_assert_str_eq(list.items[0].id, "i-1"); /* sorted */
+    static const char body[] =
+        "{\"events\":[{\"tls_key\":\"servers/i-0\",\"value\":\"" DRAINING "\",\"revision\":8},"
+        "{\"tls_key\":\"servers/i-1\",\"value\":\"" DRAINING "\",\"revision\":9},"
+        "{\"tls_key\":\"servers/i-2\",\"revision\":10,\"gone\":true},"
+        "{\"tls_key\":\"servers/i-3\",\"revision\":10,\"gone\":true},"
+        "{\"tls_key\":\"servers/\",\"value\":\"" DRAINING "\"},{\"tls_key\":\"op/x\"},7],\"at\":12}";
+    ck_assert_int_eq(platform_source.read_changes(body, strlen(body), &list, &err), CW_OK);
+    ck_assert_int_eq(list.at, 12);
+    ck_assert_uint_eq(list.count, 2);
+    ck_assert_str_eq(list.items[0].id, "i-0");
+    ck_assert_str_eq(list.items[1].id, "i-1");
+    ck_assert(list.items[1].leaving);
+    static const char* const nonsense[] = {
+        "", "[]", "{}", "{\"events\":7,\"at\":13}", "{\"events\":[],\"at\":11}", "{\"events\":[]}"};
+    for (size_t i = 0; i < sizeof(nonsense) / sizeof(nonsense[0]); i++) {
+        ck_assert_int_ne(platform_source.read_changes(nonsense[i], strlen(nonsense[i]), &list, &err), CW_OK);
+        ck_assert_str_eq(err.step, "platform-store");
+        ck_assert_int_eq(list.at, 12);
+    }
+    cw_servers_free(&list);
+}
+END_TEST
+
+/* Pages of one list are read one after the other: what changed meanwhile is asked for from the first one's revision. */
+START_TEST(a_list_in_pages_is_as_old_as_its_first_page) {
+    cw_servers_t list = {0};
+    source_news_t news = {0};
+    static const char first[] = "{\"items\":[],\"more\":true,\"at\":40}";
+    static const char second[] = "{\"items\":[],\"at\":44}";
+    ck_assert_int_eq(platform_source.read_servers(first, strlen(first), &list, &news, NULL), CW_OK);
+    ck_assert_int_eq(platform_source.read_servers(second, strlen(second), &list, &news, NULL), CW_OK);
+    ck_assert_int_eq(list.at, 40);
+    cw_servers_free(&list);
+}
+END_TEST
+
 static void add(TCase* t) {
+    tcase_add_test(t, changes_are_put_into_the_list);
+    tcase_add_test(t, a_source_that_forgot_its_history_is_asked_for_the_whole_list);
+    tcase_add_test(t, changes_that_make_no_sense_lead_to_the_whole_list);
+    tcase_add_test(t, events_of_the_store_change_the_list);
+    tcase_add_test(t, a_list_in_pages_is_as_old_as_its_first_page);
     tcase_add_test(t, changes_at_the_source_are_taken_over);
     tcase_add_test(t, a_call_that_hangs_does_not_hide_later_changes);
     tcase_add_test(t, a_list_after_an_outage_is_told_as_such);
