--- a/chalkway_reader.h
+++ b/chalkway_reader.h
@@ -52,8 +52,7 @@
 #define _CW_READER_STEP_SHARE 0.3   /* of the reading age: so much longer waits each further rank */
 #define _CW_READER_START_MS 100     /* so much longer each further rank waits at the start */
 #define _CW_READER_START_SPREAD 200 /* ms; hosts that start together know no ranks yet */
-#define _CW_READER_NOBODY_CALLS 10  /* times as long while nobody calls: long enough to hear from the first that read  \
-                                     */
+#define _CW_READER_NOBODY_CALLS 10  /* times as long while nobody calls, so that the first that read can tell */
 #define _CW_READER_PAUSE_MS 100     /* after a first failure, for the first rank */
 #define _CW_READER_PAUSE_MAX_MS 1000
 #define _CW_READER_RANKS_MAX 50 /* longer pauses of later ranks grow no further */
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -7,7 +7,7 @@
 #include "../gateway/upstream.h"
 #include "test.h"
 
-#define SERVERS 3000 /* more than a pool uses */
+#define SERVERS 3000U /* more than a pool uses */
 #define POOL_MAX 1024
 
 static void ignore_line(const char* line, void* user) {
@@ -72,7 +72,7 @@
     upstreams_t* u = make(loop);
     uint32_t known = set(u, 1000, list_of(0, 3 * SERVERS), false);
     ck_assert_uint_ge(known, SERVERS);
-    ck_assert_uint_lt(known, 3 * SERVERS);
+    ck_assert_uint_lt(known, (uint64_t)3 * SERVERS);
     ck_assert_uint_eq(set(u, 1000, list_of(3 * SERVERS - 5, 3 * SERVERS), false), known); /* they leave */
     ck_assert_uint_eq(set(u, 1000, list_of(3 * SERVERS - 5, 3 * SERVERS), false), 5);     /* and make room */
     upstreams_shutdown(u);
