--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -61,7 +61,7 @@
 }
 
 static uint32_t chosen(const fleet_t* f, uint32_t hall, uint64_t own, uint64_t random) {
-    uint32_t order[HOSTS_MAX];
+    uint32_t order[HOSTS_MAX] = {0};
     uint64_t ids[HOSTS_MAX];
     uint32_t relays = relays_of(f, hall, order);
     for (uint32_t i = 0; i < relays; i++) {
@@ -71,7 +71,7 @@
 }
 
 static bool is_relay(const fleet_t* f, uint32_t host) {
-    uint32_t order[HOSTS_MAX];
+    uint32_t order[HOSTS_MAX] = {0};
     uint32_t relays = relays_of(f, f->hosts[host].hall, order);
     for (uint32_t i = 0; i < relays; i++) {
         if (order[i] == host) {
@@ -214,7 +214,7 @@
         used += !seen[host];
         seen[host] = true;
     }
-    uint32_t order[HOSTS_MAX];
+    uint32_t order[HOSTS_MAX] = {0};
     ck_assert_uint_eq(used, hall_order(&f, 2, order));
 }
 END_TEST
