Source: a list is read on from the page that failed

Ruled out: lists taken over slowly (busiest processor 2.9 %).

Change: after a refused or failed call the pages read so far are kept for 3 s, and the list counts as old as its first page. Test: test_sync, a list in three pages whose second fails once (failed before: two first pages).

--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -13,6 +13,8 @@
 #define CALL_MS 1000         /* a call to the source or a peer may take */
 #define BODY_MAX (16U << 20) /* longest answer that is read */
 #define WHOLE_LIST_MS 10000  /* the whole list is read again so long after it was, whatever the changes said */
+#define PAGES_KEPT_MS 3000   /* a list is read on from the page at which a call failed, unless its first page is older \
+                              */
 #define STATUS_GONE 410      /* the source no longer knows the changes since then */
 #define OUTAGE_MS 2000       /* a list that nobody confirmed for so long: entries may have lapsed while it was away */
 #define NEVER CW_READER_NEVER
@@ -43,6 +45,7 @@
     cw_servers_t pages; /* being read: page by page, or the list in force with its changes */
     bool by_changes;    /* the call under way asks for changes */
     char page_after[CW_NAME_MAX * 2];
+    int64_t pages_ms; /* when the first page, or the changes, were asked for, NEVER: nothing is being read */
     int64_t whole_ms; /* when this daemon last read the whole list, NEVER: not yet, or it is to be read again */
     uint64_t list_id;
     int64_t list_ms; /* when the list in force was last known to be true at the source, NEVER: none */
@@ -229,9 +232,18 @@
 static void drop_pages(sync_t* s) {
     cw_servers_free(&s->pages);
     s->page_after[0] = 0;
+    s->pages_ms = NEVER;
     s->by_changes = false;
 }
 
+/* After a failed call. A source that is crowded by a fleet that starts anew would else be asked for the same pages
+   again and again, and nobody would come to the end of a long list. */
+static void keep_pages(sync_t* s) {
+    if (s->by_changes || !s->page_after[0]) {
+        drop_pages(s);
+    }
+}
+
 static void read_page(sync_t* s) {
     char path[512];
     s->stats.source_calls++;
@@ -243,6 +255,7 @@
     char path[512];
     s->stats.source_calls++;
     s->by_changes = true;
+    s->pages_ms = clock_ms();
     cw_servers_copy(&s->pages, &s->list); /* the list in force may be another one when the answer comes */
     s->desc.source->changes_path(path, sizeof(path), s->list.at);
     fetch(&s->servers, s->desc.address, path, CALL_MS);
@@ -251,21 +264,27 @@
 /* What changed costs one call, the whole list one for each page. */
 static void read_source_servers(sync_t* s, int64_t now_ms) {
     bool knows = s->desc.source->changes_path && s->list_ms != NEVER && s->list.at;
+    if (s->pages_ms != NEVER && now_ms - s->pages_ms < PAGES_KEPT_MS) {
+        read_page(s);
+        return;
+    }
+    drop_pages(s);
     if (knows && s->whole_ms != NEVER && now_ms - s->whole_ms < WHOLE_LIST_MS) {
         read_changes(s);
     } else {
+        s->pages_ms = now_ms;
         read_page(s);
     }
 }
 
 static void adopt_pages(sync_t* s) {
     fetch_ok(&s->servers);
-    adopt_servers(s, &s->pages, clock_ms());
+    adopt_servers(s, &s->pages, s->pages_ms);
     drop_pages(s);
 }
 
 static void on_servers_failure(sync_t* s, const char* why) {
-    drop_pages(s);
+    keep_pages(s);
     source_failed(s, &s->servers, why);
 }
 
@@ -275,13 +294,14 @@
     if (s->by_changes && status == STATUS_GONE) {
         drop_pages(s);
         s->whole_ms = NEVER;
+        s->pages_ms = clock_ms();
         read_page(s);
         return;
     }
     if (status != 200) {
         char why[32];
         snprintf(why, sizeof(why), "status %u", status);
-        drop_pages(s);
+        keep_pages(s);
         source_failed(s, &s->servers, why);
         return;
     }
@@ -454,7 +474,7 @@
     s->desc = *desc;
     s->reader = (cw_reader_t){
         .read_ms = desc->read_ms, .started_ms = clock_ms(), .nobody_calls = desc->nobody_calls, .seed = desc->seed};
-    s->list_ms = s->catalog_ms = s->whole_ms = NEVER;
+    s->list_ms = s->catalog_ms = s->whole_ms = s->pages_ms = NEVER;
     s->share = cw_httpd_setup(&(cw_httpd_desc_t){.loop = desc->loop,
                                                  .address = desc->share,
                                                  .max_connections = 64,
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -32,6 +32,8 @@
     uint32_t calls;
     bool tells_changes;    /* it tells changes of the list too */
     bool history_gone;     /* but has forgotten them */
+    uint32_t first_pages;  /* of three, asked for */
+    uint32_t failed_pages; /* the second one fails once */
     uint32_t list_calls;   /* for the whole list */
     uint32_t change_calls; /* for changes */
     const char* change;    /* event told with each of them, "" none */
@@ -59,6 +61,23 @@
     cw_exchange_reply(x, 200, NULL, 0, body, strlen(body));
 }
 
+/* Three pages of one server each, in the platform's form. */
+static void on_page(cw_exchange_t* x, site_t* site) {
+    const char* after = cw_exchange_arg(x, "after");
+    unsigned page = after ? (unsigned)(after[strlen(after) - 1] - '0') + 1 : 0;
+    char body[512];
+    site->first_pages += page == 0;
+    if (page == 1 && !site->failed_pages) {
+        site->failed_pages++;
+        cw_exchange_reply(x, 429, NULL, 0, "", 0);
+        return;
+    }
+    snprintf(body, sizeof(body),
+             "{\"items\":[{\"tls_key\":\"servers/%u\",\"value\":\"" DRAINING "\"}],\"more\":%s,\"at\":1}", page,
+             page < 2 ? "true" : "false");
+    cw_exchange_reply(x, 200, NULL, 0, body, strlen(body));
+}
+
 static void on_source(cw_exchange_t* x, void* user) {
     site_t* site = user;
     char body[512];
@@ -75,6 +94,10 @@
         cw_exchange_reply(x, 200, NULL, 0, "{\"revision\":", 12);
         return;
     }
+    if (strcmp(cw_exchange_path(x), "/kv-range") == 0) {
+        on_page(x, site);
+        return;
+    }
     if (strcmp(cw_exchange_path(x), "/kv-watch") == 0) {
         on_changes(x, site);
         return;
@@ -307,6 +330,20 @@
 }
 END_TEST
 
+/* A page that the source refuses is asked for again, not those before it. */
+START_TEST(a_list_is_read_on_from_the_page_that_failed) {
+    source_t paged = source_native;
+    paged.servers_path = platform_source.servers_path;
+    paged.read_servers = platform_source.read_servers;
+    site_t* site = site_setup_by(5, &paged);
+    run_until(site, has_all);
+    ck_assert_uint_eq(site->failed_pages, 1);
+    ck_assert_uint_eq(site->first_pages, 1);
+    ck_assert_uint_eq(site->lists, 1);
+    site_shutdown(site);
+}
+END_TEST
+
 START_TEST(an_older_revision_is_never_taken_over) {
     site_t* site = site_setup(9);
     run_until(site, has_all);
@@ -542,6 +579,7 @@
 
 static void add(TCase* t) {
     tcase_add_test(t, changes_are_put_into_the_list);
+    tcase_add_test(t, a_list_is_read_on_from_the_page_that_failed);
     tcase_add_test(t, a_source_that_forgot_its_history_is_asked_for_the_whole_list);
     tcase_add_test(t, changes_that_make_no_sense_lead_to_the_whole_list);
     tcase_add_test(t, events_of_the_store_change_the_list);
