--- a/chalkway.c
+++ b/chalkway.c
@@ -3,6 +3,7 @@
 #include "chalkway_backlog.h"
 #include "chalkway_balance.h"
 #include "chalkway_catalog.h"
+#include "chalkway_changes.h"
 #include "chalkway_core.h"
 #include "chalkway_events.h"
 #include "chalkway_fair.h"
--- a/chalkway_servers.h
+++ b/chalkway_servers.h
@@ -47,6 +47,8 @@
 cw_status_t cw_servers_read(cw_servers_t* list, const char* text, size_t size, cw_error_t* err);
 /* The JSON form, to be freed by free(). */
 char* cw_servers_text(const cw_servers_t* list);
+/* The servers alone, as jansson's array. */
+struct json_t* cw_servers_json(const cw_servers_t* list);
 void cw_servers_add(cw_servers_t* list, const cw_server_t* server);
 /* Sorts the list by id, which cw_servers_put and cw_servers_remove need. */
 void cw_servers_sort(cw_servers_t* list);
@@ -58,7 +60,9 @@
 void cw_servers_free(cw_servers_t* list);
 /* Id of what the list says, whatever its order and age; never 0. */
 uint64_t cw_servers_id(const cw_servers_t* list);
-/* Whether both say the same of the same servers in the same order, how long they stay slow among it. */
+/* Whether both say the same of the same server, how long it stays slow among it. */
+bool cw_server_equal(const cw_server_t* a, const cw_server_t* b);
+/* The same of the same servers in the same order. */
 bool cw_servers_equal(const cw_servers_t* a, const cw_servers_t* b);
 
 #endif /* CHALKWAY_SERVERS_H */
@@ -151,7 +155,7 @@
     return id ? id : 1;
 }
 
-static bool _cw_server_equal(const cw_server_t* a, const cw_server_t* b) {
+bool cw_server_equal(const cw_server_t* a, const cw_server_t* b) {
     return strcmp(a->id, b->id) == 0 && strcmp(a->address, b->address) == 0 && strcmp(a->pool, b->pool) == 0 &&
            strcmp(a->hall, b->hall) == 0 && a->slots == b->slots && a->leaving == b->leaving &&
            a->cold_ms == b->cold_ms;
@@ -162,7 +166,7 @@
         return false;
     }
     for (uint32_t i = 0; i < a->count; i++) {
-        if (!_cw_server_equal(&a->items[i], &b->items[i])) {
+        if (!cw_server_equal(&a->items[i], &b->items[i])) {
             return false;
         }
     }
@@ -214,7 +218,7 @@
     return status;
 }
 
-char* cw_servers_text(const cw_servers_t* list) {
+json_t* cw_servers_json(const cw_servers_t* list) {
     json_t* items = json_array();
     for (uint32_t i = 0; i < list->count; i++) {
         const cw_server_t* s = &list->items[i];
@@ -222,6 +226,11 @@
                                                "pool", s->pool, "hall", s->hall, "slots", (int)s->slots, "leaving",
                                                (int)s->leaving, "cold_ms", (int)s->cold_ms));
     }
+    return items;
+}
+
+char* cw_servers_text(const cw_servers_t* list) {
+    json_t* items = cw_servers_json(list);
     json_t* document =
         json_pack("{s:I,s:i,s:o}", "at", (json_int_t)list->at, "age_ms", (int)list->age_ms, "servers", items);
     char* text = json_dumps(document, JSON_COMPACT);
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../chalkway_changes.h"
 #include "../chalkway_pull.h"
 #include "../chalkway_reader.h"
 #include "../io/buffer.h"
@@ -13,10 +14,11 @@
 #define CALL_MS 1000         /* a call to the source or a peer may take */
 #define BODY_MAX (16U << 20) /* longest answer that is read */
 #define WHOLE_LIST_MS 10000  /* the whole list is read again so long after it was, whatever the changes said */
-#define PAGES_KEPT_MS 3000   /* a list is read on from the page at which a call failed, unless its first page is older \
-                              */
-#define STATUS_GONE 410      /* the source no longer knows the changes since then */
-#define OUTAGE_MS 2000       /* a list that nobody confirmed for so long: entries may have lapsed while it was away */
+#define PAGES_KEPT_MS                                                                                                  \
+    3000                /* a list is read on from the page at which a call failed, unless its first page is older      \
+                         */
+#define STATUS_GONE 410 /* the source no longer knows the changes since then */
+#define OUTAGE_MS 2000  /* a list that nobody confirmed for so long: entries may have lapsed while it was away */
 #define NEVER CW_READER_NEVER
 
 /* One kind of call to the source or a peer. */
@@ -48,7 +50,9 @@
     int64_t pages_ms; /* when the first page, or the changes, were asked for, NEVER: nothing is being read */
     int64_t whole_ms; /* when this daemon last read the whole list, NEVER: not yet, or it is to be read again */
     uint64_t list_id;
-    int64_t list_ms; /* when the list in force was last known to be true at the source, NEVER: none */
+    cw_changes_t changes; /* that led to it */
+    bool whole_wanted;    /* from a peer: its changes did not lead to its list */
+    int64_t list_ms;      /* when the list in force was last known to be true at the source, NEVER: none */
     cw_pull_t catalog_pull, servers_pull;
     cw_reader_t reader;
     uint32_t daemons;
@@ -173,7 +177,11 @@
     }
     bool first = s->list_ms == NEVER;
     bool after_outage = !first && true_ms - s->list_ms >= OUTAGE_MS;
+    cw_servers_sort(list);
     bool same = !first && cw_servers_equal(&s->list, list);
+    if (!first && !same) {
+        cw_changes_note(&s->changes, &s->list, list);
+    }
     cw_servers_free(&s->list);
     s->list = *list;
     *list = (cw_servers_t){0};
@@ -321,7 +329,6 @@
         return;
     }
     if (!s->by_changes) {
-        cw_servers_sort(&s->pages);
         s->whole_ms = clock_ms();
     }
     adopt_pages(s);
@@ -346,6 +353,24 @@
     back_off_peer(&s->peer_servers);
 }
 
+/* The list in force with a peer's changes. */
+static cw_status_t read_delta(sync_t* s, cw_servers_t* list, const char* body, size_t size, cw_error_t* err) {
+    cw_delta_t delta = {0};
+    if (cw_delta_read(&delta, body, size, err) != CW_OK) {
+        return CW_ERR_INVALID;
+    }
+    cw_servers_copy(list, &s->list);
+    cw_status_t status = CW_OK;
+    if (!cw_delta_apply(list, &delta)) {
+        s->whole_wanted = true;
+        status =
+            cw_fail(err, CW_ERR_STALE, "servers", s->peer_servers.peer, "changes of another list than the own one");
+        cw_servers_free(list);
+    }
+    cw_delta_free(&delta);
+    return status;
+}
+
 static void on_peer_servers(sync_t* s, unsigned status, const char* body, size_t size) {
     cw_servers_t list = {0};
     cw_error_t err = {0};
@@ -353,7 +378,10 @@
     if (status != 200) {
         return;
     }
-    if (cw_servers_read(&list, body, size, &err) != CW_OK) {
+    s->whole_wanted = false;
+    bool delta = cw_delta_is(body, size);
+    cw_status_t read = delta ? read_delta(s, &list, body, size, &err) : cw_servers_read(&list, body, size, &err);
+    if (read != CW_OK) {
         refuse_answer(s, s->peer_servers.peer, &err);
         return;
     }
@@ -379,6 +407,15 @@
     }
 }
 
+/* Where a peer's list is read, or what changed since the own one. */
+static void peer_servers_path(const sync_t* s, char* out, size_t size) {
+    if (s->list_ms == NEVER || s->whole_wanted) {
+        snprintf(out, size, "/servers");
+    } else {
+        snprintf(out, size, "/servers?have=%016llx", (unsigned long long)s->list_id);
+    }
+}
+
 void sync_on_peer(sync_t* s, const char* share, const cw_knowledge_t* k) {
     int64_t now_ms = clock_ms();
     int64_t catalog_ms = now_ms - k->revision_age_ms;
@@ -414,6 +451,23 @@
 
 /* -- sharing -------------------------------------------------------------- */
 
+/* What a peer gets that has the list with this id, NULL: none. */
+static char* shared_servers(sync_t* s, const char* have) {
+    cw_delta_t delta = {0};
+    uint32_t age_ms = age_of(s->list_ms, clock_ms());
+    char* text = NULL;
+    if (have && cw_changes_since(&s->changes, strtoull(have, NULL, 16), &delta)) {
+        delta.at = s->list.at;
+        delta.age_ms = age_ms;
+        text = cw_delta_text(&delta);
+    } else {
+        s->list.age_ms = age_ms;
+        text = cw_servers_text(&s->list);
+    }
+    cw_delta_free(&delta);
+    return text;
+}
+
 static void on_share_request(cw_exchange_t* x, void* user) {
     sync_t* s = user;
     static const cw_header_t json = {"Content-Type", "application/json"};
@@ -423,8 +477,7 @@
         bool newer = !after || strtoll(after, NULL, 10) < sync_revision(s);
         cw_exchange_reply(x, 200, &json, 1, s->text, newer ? strlen(s->text) : 0);
     } else if (strcmp(path, "/servers") == 0 && s->list_ms != NEVER) {
-        s->list.age_ms = age_of(s->list_ms, clock_ms());
-        char* text = cw_servers_text(&s->list);
+        char* text = shared_servers(s, cw_exchange_arg(x, "have"));
         cw_exchange_reply(x, 200, &json, 1, text, strlen(text));
         free(text);
     } else {
@@ -452,7 +505,9 @@
 
 void sync_tick(sync_t* s, int64_t now_ms) {
     pull(s, &s->peer_catalog, &s->catalog_pull, "/catalog", now_ms);
-    pull(s, &s->peer_servers, &s->servers_pull, "/servers", now_ms);
+    char path[64];
+    peer_servers_path(s, path, sizeof(path));
+    pull(s, &s->peer_servers, &s->servers_pull, path, now_ms);
     if (!s->servers.call && now_ms >= s->servers.next_ms && cw_reader_due(&s->reader, s->list_ms, now_ms)) {
         read_source_servers(s, now_ms);
     }
@@ -502,6 +557,7 @@
     cw_client_shutdown(s->client);
     cw_httpd_shutdown(s->share);
     cw_servers_free(&s->list);
+    cw_changes_free(&s->changes);
     cw_servers_free(&s->pages);
     cw_catalog_release(s->in_force);
     free(s->text);
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "../chalkway_changes.h"
 #include "../gateway/clock.h"
 #include "../gateway/sync.h"
 #include "../io/httpd.h"
@@ -30,8 +31,10 @@
     const char* extra; /* text in its document */
     bool leaving;      /* of its only server */
     uint32_t calls;
-    bool tells_changes;    /* it tells changes of the list too */
-    bool history_gone;     /* but has forgotten them */
+    bool tells_changes; /* it tells changes of the list too */
+    bool history_gone;  /* but has forgotten them */
+    const char* delta;  /* what it tells as a peer of a daemon that has a list, NULL: whole lists only */
+    uint32_t delta_calls;
     uint32_t first_pages;  /* of three, asked for */
     uint32_t failed_pages; /* the second one fails once */
     uint32_t list_calls;   /* for the whole list */
@@ -94,6 +97,11 @@
         cw_exchange_reply(x, 200, NULL, 0, "{\"revision\":", 12);
         return;
     }
+    if (cw_exchange_arg(x, "have") && site->delta) {
+        site->delta_calls++;
+        cw_exchange_reply(x, 200, NULL, 0, site->delta, strlen(site->delta));
+        return;
+    }
     if (strcmp(cw_exchange_path(x), "/kv-range") == 0) {
         on_page(x, site);
         return;
@@ -238,6 +246,10 @@
     return site->list_calls >= 2;
 }
 
+static bool asked_for_delta(site_t* site) {
+    return site->delta_calls > 0;
+}
+
 static bool called_again(site_t* site) {
     return site->calls >= 6;
 }
@@ -330,6 +342,56 @@
 }
 END_TEST
 
+/* The list in force with its only server leaving, as a peer tells it. */
+static void tell_delta(site_t* site, char* out, size_t size, bool wrong) {
+    cw_servers_t list = {0};
+    cw_server_t s = {.id = "i", .address = "127.0.0.1:9", .pool = "p", .hall = "a", .slots = 1};
+    cw_servers_put(&list, &s);
+    cw_delta_t delta = {.from = cw_servers_id(&list), .at = 7};
+    ck_assert_uint_eq(sync_knowledge(site->sync).servers, delta.from);
+    s.leaving = true;
+    cw_servers_put(&list, &s);
+    delta.to = cw_servers_id(&list) + wrong;
+    cw_servers_put(&delta.put, &s);
+    char* text = cw_delta_text(&delta);
+    snprintf(out, size, "%s", text);
+    site->delta = out;
+    cw_knowledge_t knows = {.revision = 5, .servers = delta.to};
+    sync_on_peer(site->sync, cw_httpd_address(site->source), &knows);
+    free(text);
+    cw_servers_free(&list);
+    cw_delta_free(&delta);
+}
+
+START_TEST(a_peer_tells_only_what_changed) {
+    char delta[512];
+    site_t* site = site_setup(5);
+    run_until(site, has_all);
+    tell_delta(site, delta, sizeof(delta), false);
+    run_until(site, has_leaving);
+    ck_assert_uint_eq(site->delta_calls, 1);
+    site_shutdown(site);
+}
+END_TEST
+
+/* Changes that lead to another list than the peer's are not used; the whole list is asked for the next time. */
+START_TEST(changes_that_do_not_fit_lead_to_a_whole_list_of_the_peer) {
+    char delta[512];
+    site_t* site = site_setup(5);
+    run_until(site, has_all);
+    tell_delta(site, delta, sizeof(delta), true);
+    run_until(site, asked_for_delta);
+    run_until(site, called_again);
+    ck_assert(!site->list_leaving && strstr(site->lines, "changes of another list"));
+    cw_knowledge_t knows = {.revision = 5, .servers = 99};
+    site->leaving = true;
+    sync_on_peer(site->sync, cw_httpd_address(site->source), &knows);
+    run_until(site, has_leaving);
+    ck_assert_uint_eq(site->delta_calls, 1); /* not by changes again */
+    site_shutdown(site);
+}
+END_TEST
+
 /* A page that the source refuses is asked for again, not those before it. */
 START_TEST(a_list_is_read_on_from_the_page_that_failed) {
     source_t paged = source_native;
@@ -580,6 +642,8 @@
 static void add(TCase* t) {
     tcase_add_test(t, changes_are_put_into_the_list);
     tcase_add_test(t, a_list_is_read_on_from_the_page_that_failed);
+    tcase_add_test(t, a_peer_tells_only_what_changed);
+    tcase_add_test(t, changes_that_do_not_fit_lead_to_a_whole_list_of_the_peer);
     tcase_add_test(t, a_source_that_forgot_its_history_is_asked_for_the_whole_list);
     tcase_add_test(t, changes_that_make_no_sense_lead_to_the_whole_list);
     tcase_add_test(t, events_of_the_store_change_the_list);
