--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -203,9 +203,9 @@
 #define _CW_FAIL_LEARN 0.25         /* weight of a new failure or success */
 #define _CW_FAIL_FORGET_MS 4000.0
 #define _CW_FAIL_MIN_MS 200.0 /* least time that a failure is taken to cost */
-#define _CW_HALL_MS 1.0       /* what another hall costs */
-#define _CW_CONNECT_MS 10.0   /* what a new connection costs: time, and a place at the server */
-#define _CW_DEEP_UP 0.1       /* the length of deep prompts is learned as a high quantile */
+#define _CW_HALL_MS 10.0    /* what another hall costs, as much as a new connection: bytes between halls, and the way */
+#define _CW_CONNECT_MS 10.0 /* what a new connection costs: time, and a place at the server */
+#define _CW_DEEP_UP 0.1     /* the length of deep prompts is learned as a high quantile */
 #define _CW_DEEP_DOWN 0.005
 #define _CW_GATHER_SHARE 0.1   /* of the target: what each further place in the order costs a stream easily hurt */
 #define _CW_PLAN_SHARE 0.9     /* of an engine's slots that are planned with: what others just sent is not known yet */
