--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -133,7 +133,7 @@
     uint64_t seed;        /* own host: spreads equal choices */
     uint32_t max_servers; /* default 256 */
     uint32_t max_peers;   /* daemons whose news is kept for one server, default 128 */
-    uint32_t max_parts;   /* prompt parts remembered, default 16384 */
+    uint32_t max_parts;   /* prompt parts remembered, default 131072 */
     uint32_t news_ms;     /* news of another daemon counts for so long, default 1500 */
     uint32_t away_ms;     /* first pause of a server that can't be reached, default 250 */
     uint32_t away_max_ms; /* longest such pause, default 4000 */
@@ -295,7 +295,7 @@
     cw_balance_desc_t d = *desc;
     d.max_servers = d.max_servers ? d.max_servers : 256;
     d.max_peers = d.max_peers ? d.max_peers : 128;
-    d.max_parts = d.max_parts ? d.max_parts : 16384;
+    d.max_parts = d.max_parts ? d.max_parts : 131072;
     d.news_ms = d.news_ms ? d.news_ms : 1500;
     d.away_ms = d.away_ms ? d.away_ms : 250;
     d.away_max_ms = d.away_max_ms ? d.away_max_ms : 4000;
--- a/chalkway_kept.h
+++ b/chalkway_kept.h
@@ -8,9 +8,10 @@
         server and a part. Each entry notes how many tokens the server had
         read when it used the part last; a part counts as kept until the
         server has read so many more that its memory was filled with others.
+        An entry takes 12 bytes, and the table none before one is added.
 
     HOW TO USE IT
-            cw_kept_t* k = cw_kept_setup(16384, NULL);
+            cw_kept_t* k = cw_kept_setup(131072, NULL);
             cw_kept_add(k, server, part, tokens_read);
             if (cw_kept_has(k, server, part, tokens_read_now, room_tokens)) { ... }
             cw_kept_shutdown(k);
@@ -44,17 +45,18 @@
 
 #define _CW_KEPT_WAYS 4
 
+/* Counters are kept modulo 2^32: only their differences count. */
 typedef struct _cw_kept_entry_t {
-    uint64_t key;         /* of server and part, 0: free */
-    uint64_t tokens_read; /* by the server then */
-    uint64_t used;        /* when, counted in uses of the table */
+    uint32_t tag;         /* of server and part, 0: free */
+    uint32_t tokens_read; /* by the server then */
+    uint32_t used;        /* when, counted in uses of the table */
 } _cw_kept_entry_t;
 
 struct cw_kept_t {
     cw_allocator_t allocator;
-    _cw_kept_entry_t* entries;
-    uint32_t count; /* a power of two */
-    uint64_t uses;
+    _cw_kept_entry_t* entries; /* NULL: none was added yet */
+    uint32_t count;            /* a power of two */
+    uint32_t uses;
 };
 
 cw_kept_t* cw_kept_setup(uint32_t capacity, const cw_allocator_t* allocator) {
@@ -65,7 +67,6 @@
     while (k->count < capacity) {
         k->count *= 2;
     }
-    k->entries = cw_alloc(&memory, k->count, sizeof(*k->entries));
     return k;
 }
 
@@ -75,29 +76,41 @@
     cw_free(&memory, k);
 }
 
+/* What tells the pair from others that share its places; never 0. */
+static uint32_t _cw_kept_tag(uint64_t key) {
+    uint32_t tag = (uint32_t)(key >> 32);
+    return tag ? tag : 1;
+}
+
 /* The pair's entry, or the one that it would take: a free one, else the one used longest ago. */
 static _cw_kept_entry_t* _cw_kept_entry(const cw_kept_t* k, uint64_t key) {
-    _cw_kept_entry_t* ways = &k->entries[(key % k->count) & ~(uint64_t)(_CW_KEPT_WAYS - 1)];
+    _cw_kept_entry_t* ways = &k->entries[(uint32_t)key & (k->count - 1) & ~(uint32_t)(_CW_KEPT_WAYS - 1)];
     _cw_kept_entry_t* oldest = ways;
     for (uint32_t i = 0; i < _CW_KEPT_WAYS; i++) {
-        if (ways[i].key == key) {
+        if (!ways[i].tag || ways[i].tag == _cw_kept_tag(key)) {
             return &ways[i];
         }
-        oldest = ways[i].used < oldest->used ? &ways[i] : oldest;
+        oldest = k->uses - ways[i].used > k->uses - oldest->used ? &ways[i] : oldest;
     }
     return oldest;
 }
 
 void cw_kept_add(cw_kept_t* k, uint64_t server, uint64_t part, uint64_t tokens_read) {
     uint64_t key = cw_mix(server, part);
+    if (!k->entries) {
+        k->entries = cw_alloc(&k->allocator, k->count, sizeof(*k->entries));
+    }
     _cw_kept_entry_t* entry = _cw_kept_entry(k, key);
-    *entry = (_cw_kept_entry_t){.key = key, .tokens_read = tokens_read, .used = ++k->uses};
+    *entry = (_cw_kept_entry_t){.tag = _cw_kept_tag(key), .tokens_read = (uint32_t)tokens_read, .used = ++k->uses};
 }
 
 bool cw_kept_has(const cw_kept_t* k, uint64_t server, uint64_t part, uint64_t tokens_read, double room_tokens) {
+    if (!k->entries) {
+        return false;
+    }
     uint64_t key = cw_mix(server, part);
     const _cw_kept_entry_t* entry = _cw_kept_entry(k, key);
-    return entry->key == key && (double)(tokens_read - entry->tokens_read) < room_tokens;
+    return entry->tag == _cw_kept_tag(key) && (uint32_t)tokens_read - entry->tokens_read < room_tokens;
 }
 
 #endif /* CHALKWAY_KEPT_IMPL_INCLUDED */
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -6,6 +6,7 @@
 #include "../chalkway_catalog.h"
 #include "../chalkway_events.h"
 #include "../chalkway_limit.h"
+#include "../chalkway_kept.h"
 #include "../chalkway_load.h"
 #include "../chalkway_request.h"
 #include "../chalkway_servers.h"
@@ -279,6 +280,24 @@
 END_TEST
 
 /* Streams that a deep prompt has made late once: the next deep prompt keeps away from servers with such streams. */
+/* Counters of tokens are kept modulo 2^32, and a table that is full gives up what was used longest ago. */
+START_TEST(kept_parts_outlive_counters_that_wrap) {
+    cw_kept_t* k = cw_kept_setup(64, NULL);
+    ck_assert(!cw_kept_has(k, 1, 2, 0, 1000)); /* nothing was added yet */
+    uint64_t read = UINT32_MAX - 10;
+    cw_kept_add(k, 1, 2, read);
+    ck_assert(cw_kept_has(k, 1, 2, read + 500, 1000));
+    ck_assert(!cw_kept_has(k, 1, 2, read + 1500, 1000));
+    ck_assert(!cw_kept_has(k, 2, 2, read, 1000)); /* another server */
+    for (uint64_t part = 100; part < 400; part++) {
+        cw_kept_add(k, 1, part, read);
+        ck_assert(cw_kept_has(k, 1, part, read, 1000));
+    }
+    ck_assert(!cw_kept_has(k, 1, 2, read, 1000));
+    cw_kept_shutdown(k);
+}
+END_TEST
+
 START_TEST(deep_prompts_keep_away_from_streams_they_make_late) {
     cw_balance_t* b = engines(2);
     cw_work_t chat = {.prompt_tokens = 500, .target_ms = 250, .gap_ms = 100};
@@ -608,6 +627,7 @@
     tcase_add_test(t, a_connection_at_rest_is_used_among_servers_alike);
     tcase_add_test(t, a_subject_stays_with_the_server_that_keeps_it);
     tcase_add_test(t, kept_parts_are_forgotten_when_the_memory_was_filled_again);
+    tcase_add_test(t, kept_parts_outlive_counters_that_wrap);
     tcase_add_test(t, deep_prompts_keep_away_from_streams_they_make_late);
     tcase_add_test(t, the_pace_of_a_server_is_told_to_others);
     tcase_add_test(t, before_anything_is_learned_deep_prompts_keep_away_too);
