An answer without changes confirms nothing; short lists are read whole

Change: heartbeats are changes too, so an answer with none leads to the whole list; a list of one page is always read whole, since that costs the same one call. Tests: an_answer_without_events_confirms_nothing, a_short_list_is_read_whole.

--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -47,8 +47,11 @@
     cw_servers_t pages; /* being read: page by page, or the list in force with its changes */
     bool by_changes;    /* the call under way asks for changes */
     char page_after[CW_NAME_MAX * 2];
-    int64_t pages_ms; /* when the first page, or the changes, were asked for, NEVER: nothing is being read */
-    int64_t whole_ms; /* when this daemon last read the whole list, NEVER: not yet, or it is to be read again */
+    int64_t pages_ms;     /* when the first page, or the changes, were asked for, NEVER: nothing is being read */
+    int64_t changes_from; /* revision from which they were asked for */
+    uint32_t page_count;  /* read so far */
+    uint32_t whole_pages; /* of the whole list */
+    int64_t whole_ms;     /* when this daemon last read the whole list, NEVER: not yet, or it is to be read again */
     uint64_t list_id;
     cw_changes_t changes; /* that led to it */
     bool whole_wanted;    /* from a peer: its changes did not lead to its list */
@@ -240,6 +243,7 @@
 static void drop_pages(sync_t* s) {
     cw_servers_free(&s->pages);
     s->page_after[0] = 0;
+    s->page_count = 0;
     s->pages_ms = NEVER;
     s->by_changes = false;
 }
@@ -264,24 +268,30 @@
     s->stats.source_calls++;
     s->by_changes = true;
     s->pages_ms = clock_ms();
+    s->changes_from = s->list.at;
     cw_servers_copy(&s->pages, &s->list); /* the list in force may be another one when the answer comes */
     s->desc.source->changes_path(path, sizeof(path), s->list.at);
     fetch(&s->servers, s->desc.address, path, CALL_MS);
 }
 
+static void read_whole(sync_t* s) {
+    drop_pages(s);
+    s->pages_ms = clock_ms();
+    read_page(s);
+}
+
 /* What changed costs one call, the whole list one for each page. */
 static void read_source_servers(sync_t* s, int64_t now_ms) {
-    bool knows = s->desc.source->changes_path && s->list_ms != NEVER && s->list.at;
+    bool knows = s->desc.source->changes_path && s->list_ms != NEVER && s->list.at && s->whole_pages > 1;
     if (s->pages_ms != NEVER && now_ms - s->pages_ms < PAGES_KEPT_MS) {
         read_page(s);
         return;
     }
-    drop_pages(s);
     if (knows && s->whole_ms != NEVER && now_ms - s->whole_ms < WHOLE_LIST_MS) {
+        drop_pages(s);
         read_changes(s);
     } else {
-        s->pages_ms = now_ms;
-        read_page(s);
+        read_whole(s);
     }
 }
 
@@ -300,10 +310,7 @@
     source_news_t news = {0};
     cw_error_t err = {0};
     if (s->by_changes && status == STATUS_GONE) {
-        drop_pages(s);
-        s->whole_ms = NEVER;
-        s->pages_ms = clock_ms();
-        read_page(s);
+        read_whole(s);
         return;
     }
     if (status != 200) {
@@ -323,6 +330,11 @@
         return;
     }
     source_works(s);
+    if (s->by_changes && s->pages.at == s->changes_from) {
+        read_whole(s); /* not a heartbeat was told: changes may have been held back too */
+        return;
+    }
+    s->page_count++;
     if (news.more && news.after[0]) {
         cw_copy(s->page_after, sizeof(s->page_after), news.after);
         read_page(s);
@@ -330,6 +342,7 @@
     }
     if (!s->by_changes) {
         s->whole_ms = clock_ms();
+        s->whole_pages = s->page_count;
     }
     adopt_pages(s);
 }
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -6,8 +6,11 @@
 
     Both are read again when what is known has grown too old. The ages travel with the peers' datagrams, so a reading by
     one daemon confirms what all have; chalkway_reader.h decides which daemon reads. What a peer has newer is fetched by
-   chalkway_pull.h. A waiting watch is not used: one that is cut in silence tells nothing, and a watch on the servers
-   wakes for every heartbeat. Peers read both documents at the share address.
+    chalkway_pull.h. A waiting watch is not used: one that is cut in silence tells nothing, and a watch on the servers
+    wakes for every heartbeat. A list of several pages is read once, and then what changed since, by one call that is
+    answered at once. Heartbeats are changes too, so an answer without any confirms nothing, and the whole list is read.
+    Peers read both documents at the share address, the list by its changes where they have an older one
+    (chalkway_changes.h).
 */
 #include "../chalkway_catalog.h"
 #include "../chalkway_load.h"
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -16,6 +16,8 @@
 /* {"service":"p","address":"127.0.0.1:9","zone":"a","slots":1,"state":"draining"} */
 #define DRAINING                                                                                                       \
     "eyJzZXJ2aWNlIjoicCIsImFkZHJlc3MiOiIxMjcuMC4wLjE6OSIsInpvbmUiOiJhIiwic2xvdHMiOjEsInN0YXRlIjoiZHJhaW5pbmcifQ=="
+/* The same, ready. */
+#define READY "eyJzZXJ2aWNlIjoicCIsImFkZHJlc3MiOiIxMjcuMC4wLjE6OSIsInpvbmUiOiJhIiwic2xvdHMiOjEsInN0YXRlIjoicmVhZHkifQ=="
 #define TICK_S 0.005
 #define GIVE_UP_S 10.0
 
@@ -31,13 +33,13 @@
     const char* extra; /* text in its document */
     bool leaving;      /* of its only server */
     uint32_t calls;
-    bool tells_changes; /* it tells changes of the list too */
-    bool history_gone;  /* but has forgotten them */
+    bool history_gone;  /* it has forgotten what changed */
+    bool hears_nothing; /* it tells no changes, not even heartbeats */
     const char* delta;  /* what it tells as a peer of a daemon that has a list, NULL: whole lists only */
     uint32_t delta_calls;
-    uint32_t first_pages;  /* of three, asked for */
-    uint32_t failed_pages; /* the second one fails once */
-    uint32_t list_calls;   /* for the whole list */
+    uint32_t first_pages; /* of three, asked for */
+    bool page_fails;      /* the second one fails once */
+    uint32_t failed_pages;
     uint32_t change_calls; /* for changes */
     const char* change;    /* event told with each of them, "" none */
     sync_t* sync;
@@ -59,8 +61,12 @@
         cw_exchange_reply(x, 410, NULL, 0, "", 0);
         return;
     }
-    snprintf(body, sizeof(body), "{\"events\":[%s],\"at\":%u}", site->change ? site->change : "",
-             site->change_calls + 1);
+    unsigned at = site->change_calls + 1;
+    snprintf(body, sizeof(body), "{\"events\":[%s%s{\"tls_key\":\"other\",\"revision\":%u}],\"at\":%u}",
+             site->change ? site->change : "", site->change ? "," : "", at, at);
+    if (site->hears_nothing) {
+        snprintf(body, sizeof(body), "{\"events\":[],\"at\":%u}", at);
+    }
     cw_exchange_reply(x, 200, NULL, 0, body, strlen(body));
 }
 
@@ -70,14 +76,13 @@
     unsigned page = after ? (unsigned)(after[strlen(after) - 1] - '0') + 1 : 0;
     char body[512];
     site->first_pages += page == 0;
-    if (page == 1 && !site->failed_pages) {
+    if (page == 1 && site->page_fails && !site->failed_pages) {
         site->failed_pages++;
         cw_exchange_reply(x, 429, NULL, 0, "", 0);
         return;
     }
-    snprintf(body, sizeof(body),
-             "{\"items\":[{\"tls_key\":\"servers/%u\",\"value\":\"" DRAINING "\"}],\"more\":%s,\"at\":1}", page,
-             page < 2 ? "true" : "false");
+    snprintf(body, sizeof(body), "{\"items\":[{\"tls_key\":\"servers/i%u\",\"value\":\"%s\"}],\"more\":%s,\"at\":1}",
+             page, site->leaving ? DRAINING : READY, page < 2 ? "true" : "false");
     cw_exchange_reply(x, 200, NULL, 0, body, strlen(body));
 }
 
@@ -85,7 +90,6 @@
     site_t* site = user;
     char body[512];
     site->calls++;
-    site->list_calls += strcmp(cw_exchange_path(x), "/servers") == 0;
     if (site->act == SOURCE_HANGS) {
         return;
     }
@@ -197,9 +201,11 @@
     return site_setup_by(revision, &source_native);
 }
 
-/* A source that tells changes too. */
+/* A source that tells its list in pages, and what changed. */
 static site_t* changing_site_setup(void) {
     source_with_changes = source_native;
+    source_with_changes.servers_path = platform_source.servers_path;
+    source_with_changes.read_servers = platform_source.read_servers;
     source_with_changes.changes_path = platform_source.changes_path;
     source_with_changes.read_changes = platform_source.read_changes;
     return site_setup_by(5, &source_with_changes);
@@ -243,7 +249,7 @@
 }
 
 static bool asked_for_the_list_again(site_t* site) {
-    return site->list_calls >= 2;
+    return site->first_pages >= 2;
 }
 
 static bool asked_for_delta(site_t* site) {
@@ -309,11 +315,11 @@
 START_TEST(changes_are_put_into_the_list) {
     site_t* site = changing_site_setup();
     run_until(site, asked_for_changes);
-    ck_assert_uint_eq(site->list_calls, 1);
+    ck_assert_uint_eq(site->first_pages, 1);
     ck_assert_uint_eq(site->lists, 1); /* none of the answers changed it */
-    site->change = "{\"tls_key\":\"servers/i\",\"value\":\"" DRAINING "\",\"revision\":3}";
+    site->change = "{\"tls_key\":\"servers/i0\",\"value\":\"" DRAINING "\",\"revision\":3}";
     run_until(site, has_leaving);
-    ck_assert_uint_eq(site->list_calls, 1);
+    ck_assert_uint_eq(site->first_pages, 1);
     ck_assert_uint_eq(site->lists, 2);
     site_shutdown(site);
 }
@@ -325,12 +331,38 @@
     site->history_gone = true;
     site->leaving = true;
     run_until(site, has_leaving);
-    ck_assert_uint_ge(site->list_calls, 2);
+    ck_assert_uint_ge(site->first_pages, 2);
     ck_assert(!sync_stats(site->sync).source_lost);
     site_shutdown(site);
 }
 END_TEST
 
+/* While the source holds events back, a server that leaves is seen in the whole list. */
+START_TEST(an_answer_without_events_confirms_nothing) {
+    site_t* site = changing_site_setup();
+    run_until(site, asked_for_changes);
+    site->hears_nothing = true;
+    site->leaving = true;
+    run_until(site, has_leaving);
+    ck_assert_uint_ge(site->first_pages, 2);
+    site_shutdown(site);
+}
+END_TEST
+
+/* A list that fits one page costs no more than its changes. */
+START_TEST(a_short_list_is_read_whole) {
+    source_with_changes = source_native;
+    source_with_changes.changes_path = platform_source.changes_path;
+    source_with_changes.read_changes = platform_source.read_changes;
+    site_t* site = site_setup_by(5, &source_with_changes);
+    run_until(site, has_all);
+    site->calls = 0;
+    run_until(site, called_again);
+    ck_assert_uint_eq(site->change_calls, 0);
+    site_shutdown(site);
+}
+END_TEST
+
 START_TEST(changes_that_make_no_sense_lead_to_the_whole_list) {
     site_t* site = changing_site_setup();
     run_until(site, asked_for_changes);
@@ -394,10 +426,8 @@
 
 /* A page that the source refuses is asked for again, not those before it. */
 START_TEST(a_list_is_read_on_from_the_page_that_failed) {
-    source_t paged = source_native;
-    paged.servers_path = platform_source.servers_path;
-    paged.read_servers = platform_source.read_servers;
-    site_t* site = site_setup_by(5, &paged);
+    site_t* site = changing_site_setup();
+    site->page_fails = true;
     run_until(site, has_all);
     ck_assert_uint_eq(site->failed_pages, 1);
     ck_assert_uint_eq(site->first_pages, 1);
@@ -647,6 +677,8 @@
     tcase_add_test(t, a_list_is_read_on_from_the_page_that_failed);
     tcase_add_test(t, a_peer_tells_only_what_changed);
     tcase_add_test(t, changes_that_do_not_fit_lead_to_a_whole_list_of_the_peer);
+    tcase_add_test(t, an_answer_without_events_confirms_nothing);
+    tcase_add_test(t, a_short_list_is_read_whole);
     tcase_add_test(t, a_source_that_forgot_its_history_is_asked_for_the_whole_list);
     tcase_add_test(t, changes_that_make_no_sense_lead_to_the_whole_list);
     tcase_add_test(t, events_of_the_store_change_the_list);
