--- a/tests/test_gateway_site.c
+++ b/tests/test_gateway_site.c
@@ -273,10 +273,12 @@
 }
 END_TEST
 
-START_TEST(a_planned_stop_finishes_what_runs) {
+/* A host is told to stop while a request runs, with the source there or away. */
+static void stop_during_a_request(bool source_answers) {
     fleet_t* f = fleet_setup();
     start(f, 0);
     until(f, 0, 7101, "/readyz", 200, NULL, NULL);
+    f->source_answers = source_answers;
     f->hold = true;
     begin(f, 0, 7100, "/long");
     while (!f->held) {
@@ -294,8 +296,18 @@
     ck_assert_int_eq(waitpid(f->pids[0], &status, 0), f->pids[0]);
     f->pids[0] = 0;
     ck_assert(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+    ck_assert_uint_eq(f->served, 1); /* sent once */
     fleet_shutdown(f);
 }
+
+START_TEST(a_planned_stop_finishes_what_runs) {
+    stop_during_a_request(true);
+}
+END_TEST
+
+START_TEST(a_planned_stop_finishes_what_runs_while_the_source_is_away) {
+    stop_during_a_request(false);
+}
 END_TEST
 
 START_TEST(a_settings_file_with_faults_ends_the_start_with_all_of_them) {
@@ -324,6 +336,7 @@
     tcase_add_test(t, a_host_that_the_source_turns_away_follows_another);
     tcase_add_test(t, changed_settings_are_taken_over);
     tcase_add_test(t, a_planned_stop_finishes_what_runs);
+    tcase_add_test(t, a_planned_stop_finishes_what_runs_while_the_source_is_away);
     tcase_add_test(t, a_settings_file_with_faults_ends_the_start_with_all_of_them);
 }
 
