--- a/tests/rig.h
+++ b/tests/rig.h
@@ -9,6 +9,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "../gateway/clock.h"
 #include "../gateway/exchange.h"
 #include "../io/address.h"
 #include "test.h"
