--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -1,6 +1,7 @@
 #include "exchange.h"
 
 #include <assert.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,9 +13,11 @@
 #include "request_head.h"
 
 #define MS_PER_S 1000.0
-#define TRIED_MAX 8       /* servers that a request leaves out after they failed it */
-#define UNSENT_MAX 262144 /* bytes that wait for a caller before its server is read no more */
-#define WAIT_SHARE 0.2    /* of the target: longest wait for a place, then the request is refused */
+#define US_PER_MS 1000.0
+#define TOLD_PACE_STEP 1.25 /* times by which the learned reading pace moves until it is told again */
+#define TRIED_MAX 8         /* servers that a request leaves out after they failed it */
+#define UNSENT_MAX 262144   /* bytes that wait for a caller before its server is read no more */
+#define WAIT_SHARE 0.2      /* of the target: longest wait for a place, then the request is refused */
 #define WAIT_MIN_MS 20
 #define SILENT_CALL_SHARE 0.7 /* of the target: a repeatable call without an answer is tried elsewhere */
 #define SILENT_TARGETS 2.0    /* targets without a first event, beyond the prediction, until a stream is moved */
@@ -51,6 +54,7 @@
     link_t* link;
     cw_run_t run;
     int64_t sent_ms, silent_at_ms; /* silent_at_ms: tried elsewhere then, 0: never */
+    double expected_ms;            /* forecast of the first event, from the last sending on */
     bool first_seen;
     bool answer_failed; /* the server's answer is a failure of its own */
     cw_try_result_t result;
@@ -169,10 +173,10 @@
     e->stats.outcomes[outcome]++;
     cw_log(e->desc.log, CW_EVENT_REQUEST_DONE,
            "id=%s outcome=%s status=%u why=\"%s\" route=%s workspace=%s revision=%lld server=%s transfers=%u "
-           "first_ms=%u gap_ms=%u took_ms=%lld left_ms=%lld run=%s",
+           "expected_ms=%.0f first_ms=%u gap_ms=%u took_ms=%lld left_ms=%lld run=%s",
            x->id, outcome_names[outcome], x->status, why, x->route->name, x->workspace ? x->workspace->name : "-",
-           (long long)x->catalog->revision, x->server_id[0] ? x->server_id : "-", x->transfers, first_ms, x->gap_ms,
-           (long long)(now_ms - x->arrived_ms), (long long)(x->deadline_ms - now_ms),
+           (long long)x->catalog->revision, x->server_id[0] ? x->server_id : "-", x->transfers, x->expected_ms,
+           first_ms, x->gap_ms, (long long)(now_ms - x->arrived_ms), (long long)(x->deadline_ms - now_ms),
            cw_outcome_name(cw_request_outcome(&x->machine)));
     if (e->desc.on_done) {
         e->desc.on_done(e->desc.user_data, x->route->name, x->workspace ? x->workspace->name : "-", outcome, first_ms,
@@ -357,11 +361,27 @@
     }
 }
 
+/* Tells the pool's reading pace when it has moved by more than TOLD_PACE_STEP since it was told last, and by what. */
+static void tell_pace(const exchange_t* x, int64_t now_ms) {
+    pool_t* pool = x->pool;
+    double read_ms = cw_balance_read_rate(pool->balance);
+    double step = pool->told_read_ms > 0 ? read_ms / pool->told_read_ms : INFINITY;
+    if (!pool->slots || (step < TOLD_PACE_STEP && step > 1 / TOLD_PACE_STEP)) {
+        return;
+    }
+    cw_log(x->all->desc.log, CW_EVENT_PACE_LEARNED,
+           "pool=%s read_us=%.1f was_us=%.1f id=%s server=%s prompt=%u fresh=%u wait_ms=%.0f took_ms=%lld", pool->name,
+           read_ms * US_PER_MS, pool->told_read_ms * US_PER_MS, x->id, x->server_id, x->work.prompt_tokens,
+           x->run.fresh_tokens, x->run.wait_ms, (long long)(now_ms - x->run.begun_ms));
+    pool->told_read_ms = read_ms;
+}
+
 static void on_first(exchange_t* x) {
     int64_t now_ms = clock_ms();
     x->first_seen = true;
     x->first_ms = x->first_ms ? x->first_ms : now_ms;
     cw_balance_first(x->pool->balance, now_ms, &x->run);
+    tell_pace(x, now_ms);
     x->all->desc.on_load(x->all->desc.user_data, x->server, NULL);
 }
 
@@ -459,6 +479,7 @@
            choice->again, choice->running, choice->streaming, choice->pace, choice->age_ms,
            (long long)(now_ms - x->arrived_ms), x->events.last_id[0] ? x->events.last_id : "-");
     x->sent_ms = now_ms;
+    x->expected_ms = (double)(now_ms - x->arrived_ms) + choice->wait_ms + choice->read_ms;
     expect_first(x, choice);
     e->desc.on_load(e->desc.user_data, x->server, &x->work);
     x->link = link_take(x->server, &link_handlers, x, !x->machine.repeatable);
@@ -481,13 +502,13 @@
 static void refuse(exchange_t* x, const cw_choice_t* choice, const char* why) {
     const pool_t* pool = x->pool;
     x->reason = why;
-    cw_log(
-        x->all->desc.log, CW_EVENT_REQUEST_REFUSED,
-        "id=%s why=\"%s\" pool=%s wait_ms=%.0f read_ms=%.0f target_ms=%u ready=%u tried=%u candidates=%u fullness=%.2f "
-        "age_ms=%u revision=%lld",
-        x->id, why, pool->name, choice->wait_ms, choice->read_ms, x->route->target_ms, pool->ready, x->tried_count,
-        choice->candidates, cw_balance_fullness(pool->balance, clock_ms()), choice->age_ms,
-        (long long)x->catalog->revision);
+    cw_log(x->all->desc.log, CW_EVENT_REQUEST_REFUSED,
+           "id=%s why=\"%s\" pool=%s priority=%u prompt=%u kept=%u wait_ms=%.0f read_ms=%.0f read_us=%.1f target_ms=%u "
+           "ready=%u tried=%u candidates=%u fullness=%.2f age_ms=%u revision=%lld",
+           x->id, why, pool->name, x->priority, x->work.prompt_tokens, choice->kept, choice->wait_ms, choice->read_ms,
+           cw_balance_read_rate(pool->balance) * US_PER_MS, x->route->target_ms, pool->ready, x->tried_count,
+           choice->candidates, cw_balance_fullness(pool->balance, clock_ms()), choice->age_ms,
+           (long long)x->catalog->revision);
     event(x, CW_EV_REFUSED);
 }
 
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -47,7 +47,8 @@
     uint32_t connections; /* that one server takes from all daemons, 0: no limit */
     uint32_t slots;       /* of an engine, 0: none */
     uint32_t memory_tokens;
-    double move_ms; /* to fetch one token from another engine, 0: none can be fetched */
+    double move_ms;      /* to fetch one token from another engine, 0: none can be fetched */
+    double told_read_ms; /* reading pace in the log's last line on it, ms a token; 0: none yet */
     cw_retry_window_t retries;
     server_t* servers;
     uint32_t ready; /* servers that may be chosen */
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -459,6 +459,49 @@
 }
 END_TEST
 
+/* Its own reading takes longer than its target: late, it is still of use, and nothing stands before it. */
+START_TEST(an_idle_engine_refuses_no_prompt_for_its_length) {
+    rig_t* r = rig_setup(ENGINE_ROUTES, 1);
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER, OK("a", "1")}});
+    expect_status(rig_call(r, GENERATE("80000")), "200");
+    rig_shutdown(r);
+}
+END_TEST
+
+#define TIER_ROUTES                                                                                                    \
+    "{\"revision\":1,\"pools\":[{\"name\":\"p\",\"engine\":{\"slots\":8,\"memory_tokens\":100000,"                     \
+    "\"token_bytes\":100000,\"link_mbps\":400000}}],\"routes\":["                                                      \
+    "{\"name\":\"urgent\",\"host\":\"h.example\",\"prefix\":\"/urgent/\",\"kind\":\"stream\",\"timeout_ms\":5000,"     \
+    "\"target_ms\":400,\"tier\":0,\"attempts\":1,\"pools\":[{\"pool\":\"p\"}]},"                                       \
+    "{\"name\":\"patient\",\"host\":\"h.example\",\"prefix\":\"/patient/\",\"kind\":\"stream\",\"timeout_ms\":5000,"   \
+    "\"target_ms\":2000,\"tier\":2,\"attempts\":1,\"pools\":[{\"pool\":\"p\"}]}]}"
+
+static const char* tier_call(rig_t* r, const char* path, const char* tokens) {
+    char text[300];
+    snprintf(text, sizeof(text),
+             "POST %s HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: q1\r\nChalkway-Tokens: %s,10\r\n"
+             "Content-Length: 0\r\n\r\n",
+             path, tokens);
+    return rig_call(r, text);
+}
+
+/* Whatever stands before both: where the urgent one is refused, the larger one that is less urgent does not begin. */
+START_TEST(nothing_larger_and_less_urgent_begins_where_an_urgent_prompt_is_refused) {
+    for (uint32_t backlog_ms = 100; backlog_ms <= 3000; backlog_ms += 100) {
+        rig_t* r = rig_setup(TIER_ROUTES, 1);
+        script(r, 3,
+               (rig_step_t[]){{RIG_ANSWER, OK("a", "1")}, {RIG_ANSWER, OK("b", "1")}, {RIG_ANSWER, OK("c", "1")}});
+        expect_status(tier_call(r, "/patient/", "20000"), "200"); /* the pool gets such prompts */
+        set_backlog(r, 0, backlog_ms);
+        bool urgent_refused = strstr(tier_call(r, "/urgent/", "8000"), "503") != NULL;
+        set_backlog(r, 0, backlog_ms);
+        bool patient_begins = strstr(tier_call(r, "/patient/", "20000"), "200") != NULL;
+        ck_assert_msg(!(urgent_refused && patient_begins), "backlog %u ms", backlog_ms);
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
 START_TEST(a_kept_prompt_is_fetched_from_its_server_when_that_one_is_busy) {
     rig_t* r = rig_setup(ENGINE_ROUTES, 2);
     script(r, 2, (rig_step_t[]){{RIG_ANSWER, OK("a", "1")}, {RIG_ANSWER, OK("b", "1")}});
@@ -477,6 +520,8 @@
 
 static void add(TCase* t) {
     tcase_add_test(t, a_long_prompt_that_would_come_too_late_is_refused_and_a_short_one_is_not);
+    tcase_add_test(t, an_idle_engine_refuses_no_prompt_for_its_length);
+    tcase_add_test(t, nothing_larger_and_less_urgent_begins_where_an_urgent_prompt_is_refused);
     tcase_add_test(t, a_kept_prompt_is_fetched_from_its_server_when_that_one_is_busy);
     tcase_add_test(t, a_request_is_passed_on_with_the_gateways_own_fields);
     tcase_add_test(t, a_chunked_body_and_a_pipelined_request_are_passed_on);
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -147,6 +147,26 @@
 }
 END_TEST
 
+/* An engine that reads a token in 20 us. Every other prompt also waits, for a place or behind a prompt of another
+   daemon that is not known yet. */
+START_TEST(waits_that_nobody_knows_of_are_not_taken_for_reading) {
+    cw_balance_t* b = engines(1);
+    int64_t now_ms = 0;
+    for (uint32_t i = 0; i < 400; i++) {
+        cw_work_t work = {.prompt_tokens = 500 + 25 * (i % 20), .target_ms = 400};
+        cw_run_t run;
+        ck_assert_uint_eq(chosen(b, now_ms, &work, &run), 1);
+        int64_t read_ms = 10 + (int64_t)work.prompt_tokens / 50;
+        cw_balance_first(b, now_ms + read_ms + (i % 2 ? 300 : 0), &run);
+        cw_balance_end(b, now_ms + read_ms + 400, &run, CW_TRY_SERVED);
+        now_ms += 1000;
+    }
+    ck_assert_double_le(cw_balance_read_rate(b), 0.04);
+    ck_assert_double_ge(cw_balance_read_rate(b), 0.01);
+    cw_balance_shutdown(b);
+}
+END_TEST
+
 START_TEST(another_daemons_load_is_counted_until_it_is_old) {
     cw_balance_t* b = engines(2);
     cw_work_t work = {.prompt_tokens = 100, .target_ms = 200};
@@ -620,6 +640,7 @@
     tcase_add_test(t, catalog_refuses_a_wrong_document_as_a_whole_and_says_why);
     tcase_add_test(t, servers_survive_their_json_form);
     tcase_add_test(t, long_prompts_are_spread_over_idle_servers);
+    tcase_add_test(t, waits_that_nobody_knows_of_are_not_taken_for_reading);
     tcase_add_test(t, another_daemons_load_is_counted_until_it_is_old);
     tcase_add_test(t, an_urgent_prompt_waits_for_urgent_ones_only);
     tcase_add_test(t, backlogs_of_tiers_stay_in_order_and_end_empty);
