A soak of real processes: gateways, source, engines, services, callers, judged by what callers and upstreams saw

(tools/soak.c, soak_callers.c, soak_check.c; stand-ins fake-source and fake-upstream): stops, kills, freezes, reloads, a herd lost, servers that crash, leave, freeze, turn slow, a source that is down, slow, lossy, stale, configuration changes and bursts come in series and overlap, calm parts between; callers keep their connections until the process is gone.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# chalkway. Targets: all install demo check asan bench faults format lint deps clean.
+# chalkway. Targets: all install demo check asan bench faults soak format lint deps clean.
 BUILD ?= build
 PREFIX ?= /usr/local
 VERSION := 0.1.0
@@ -19,7 +19,8 @@
 PLATFORM := $(patsubst %.c,$(BUILD)/%.o,$(filter-out platform/main.c,$(wildcard platform/*.c)))
 SAMPLES := $(patsubst samples/%.c,$(BUILD)/samples/%,$(wildcard samples/*.c))
 PROGRAMS := $(BUILD)/chalkwayd $(BUILD)/fake-platform $(BUILD)/fake-engine $(BUILD)/fake-service $(BUILD)/chalkway-demo \
-            $(BUILD)/chalkwayctl $(BUILD)/chalkway-load $(BUILD)/chalkway-gateway $(BUILD)/chalkway-edge $(SAMPLES)
+            $(BUILD)/chalkwayctl $(BUILD)/chalkway-load $(BUILD)/chalkway-gateway $(BUILD)/chalkway-edge $(BUILD)/fake-source \
+            $(BUILD)/fake-upstream $(BUILD)/chalkway-soak $(BUILD)/chalkway-soak-callers $(SAMPLES)
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
 SOURCES := $(wildcard *.h *.c io/*.h io/*.c daemon/*.h daemon/*.c gateway/*.h gateway/*.c platform/*.h platform/*.c standins/*.h standins/*.c tools/*.h tools/*.c \
@@ -66,6 +67,12 @@
 $(BUILD)/chalkway-load: $(BUILD)/tools/chalkway_load.o $(BUILD)/tools/load.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
+$(BUILD)/chalkway-soak: $(BUILD)/tools/soak.o $(BUILD)/tools/soak_check.o $(BUILD)/standins/standin.o $(IO) $(LIB)
+	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
+
+$(BUILD)/chalkway-soak-callers: $(BUILD)/tools/soak_callers.o $(BUILD)/tools/soak_check.o $(BUILD)/standins/standin.o $(IO) $(LIB)
+	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
+
 $(BUILD)/chalkwayctl: $(BUILD)/tools/chalkwayctl.o $(BUILD)/tools/explain.o
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
@@ -73,7 +80,7 @@
 $(BUILD)/samples/%: $(BUILD)/samples/%.o $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(BUILD)/tools/site.o $(BUILD)/tools/explain.o $(GATEWAY) $(PLATFORM) $(IO) $(LIB)
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(BUILD)/tools/site.o $(BUILD)/tools/soak_check.o $(BUILD)/tools/explain.o $(GATEWAY) $(PLATFORM) $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(CHECK_LIBS) $(LIBS)
 
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/tools/site.o $(BUILD)/tools/load.o $(IO) $(LIB)
@@ -95,6 +102,14 @@
 	@$(MAKE) --no-print-directory $(patsubst %,$(BUILD)/tests/test_%,$(FAULT_TESTS))
 	@CHALKWAY_BUILD=$(BUILD) sh tests/run.sh $(patsubst %,$(BUILD)/tests/test_%,$(FAULT_TESTS))
 
+# Real processes under a seeded schedule of faults: make soak SEED=7 SECONDS=54
+SEED ?= 1
+SECONDS ?= 54
+SOAK_ARGS ?=
+.PHONY: soak
+soak: all
+	@$(BUILD)/chalkway-soak --build $(BUILD) --seed $(SEED) --seconds $(SECONDS) $(SOAK_ARGS)
+
 asan: deps
 	@$(MAKE) --no-print-directory test BUILD=$(BUILD)/asan OPT="-O1 -g" SANITIZE="-fsanitize=address,undefined -fno-omit-frame-pointer"
 
--- /dev/null
+++ b/tools/soak.h
@@ -0,0 +1,72 @@
+#ifndef CW_TOOLS_SOAK_H
+#define CW_TOOLS_SOAK_H
+/*
+    What the soak's programs share: the kinds of requests, the records that callers, upstreams and the soak itself
+   write, and the checks of a whole record.
+
+    The record is text, one event a line, times in ms of the machine's monotonic clock:
+
+        C MS sent ID KIND HOST TOKENS      the last byte of a request has left for a host
+        C MS done ID STATUS WHOLE RIGHT FIRST_MS
+                                           its answer, or the connection's end (status 0); FIRST_MS after it was sent
+        C MS left ID                       the caller gave it up
+        U MS begin ID SERVER PRIORITY TOKENS, U MS end ID SERVER, U MS gone ID SERVER
+        S MS fault NAME TARGET             something is brought about, until
+        S MS over NAME TARGET              it ends
+        S MS up SERVER SLOTS, S MS leaves SERVER, S MS down SERVER
+                                           servers as published, slots 0 for a service
+        S MS ended HOST CODE               a host that was told to stop has ended
+        S MS calm, S MS finish             from here on nothing more is brought about; the callers stop
+*/
+#include <stdint.h>
+
+#include "../chalkway_core.h"
+
+/* A kind of request. */
+typedef struct soak_kind_t {
+    const char* name;
+    const char* path;       /* prefix of its route */
+    const char* route_kind; /* as in the catalog */
+    bool resume;
+    uint32_t tier, target_ms, timeout_ms;
+    uint32_t tokens_min, tokens_max; /* of the prompt, 0: a plain call */
+    uint32_t events;
+    double share; /* of all requests */
+} soak_kind_t;
+
+#define SOAK_KINDS 5
+extern const soak_kind_t soak_kinds[SOAK_KINDS];
+/* Index of the kind, -1 when there is none. */
+int soak_kind_find(const char* name);
+
+/* What a record was found to break, by check. */
+typedef enum soak_check_t {
+    SOAK_TWICE = 0,  /* a request that may not be repeated ran more than once */
+    SOAK_REFUSED,    /* told as not run, and ran */
+    SOAK_MIXED,      /* an answer that was taken as whole is not the request's */
+    SOAK_LOST,       /* a host that was stopped as planned left a request without an answer */
+    SOAK_IDLE,       /* refused in calm seconds while the engines were mostly idle */
+    SOAK_PUT_BEHIND, /* refused in calm seconds while larger, less urgent prompts began */
+    SOAK_LEFT,       /* a server got something new long after it was published as leaving */
+    SOAK_WORKED_ON,  /* upstreams worked on long after the caller had left */
+    SOAK_STOP,       /* a host did not end in order after it was told to stop */
+    SOAK_RECOVERY,   /* after the last fault too few are served */
+    SOAK_CHECKS
+} soak_check_t;
+
+typedef struct soak_result_t {
+    uint32_t count[SOAK_CHECKS];
+    char first[SOAK_CHECKS][160]; /* the first finding of each */
+    uint32_t sent, served, refused, failed, left;
+    uint32_t calm_sent, calm_served, calm_refused;
+} soak_result_t;
+
+const char* soak_check_name(soak_check_t check);
+/* Findings beyond which a check has failed. */
+uint32_t soak_check_allowed(soak_check_t check);
+/* Judges a record. grace_ms and drain_ms as in the hosts' settings. */
+soak_result_t soak_judge(const char* record, uint32_t grace_ms, uint32_t drain_ms);
+/* Whether any check has failed. */
+bool soak_failed(const soak_result_t* result);
+
+#endif
