--- a/chalkway.c
+++ b/chalkway.c
@@ -26,6 +26,7 @@
 #include "chalkway_servers.h"
 #include "chalkway_settings.h"
 #include "chalkway_shard.h"
+#include "chalkway_stop.h"
 #include "chalkway_store.h"
 #include "chalkway_stream.h"
 #include "chalkway_wire.h"
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -10,6 +10,7 @@
 #include <sysexits.h>
 #include <unistd.h>
 
+#include "../chalkway_stop.h"
 #include "../io/lines.h"
 #include "clock.h"
 #include "directory.h"
@@ -22,14 +23,11 @@
 #include "upstream.h"
 
 #define TICK_S 0.025
-#define LOG_BYTES 262144        /* lines that wait for a slow reader */
-#define DESCRIPTORS_KEPT 64     /* for the other addresses */
-#define BODY_MEMORY_SHARE 4     /* a quarter of the memory holds bodies */
-#define STOP_ACCEPT_SHARE 0.375 /* of the grace: requests are taken for so long after the signal */
-#define STOP_MIN_SHARE 0.25     /* the process ends no sooner, since callers keep addresses */
-#define STOP_MARGIN_MS 500      /* it ends so long before the grace is over */
-#define SETTINGS_LOOK_MS 1000   /* between two looks at the settings file, which may change without a signal */
-#define PAUSE_MS 500            /* a longer gap between two ticks: the process stood still */
+#define LOG_BYTES 262144      /* lines that wait for a slow reader */
+#define DESCRIPTORS_KEPT 64   /* for the other addresses */
+#define BODY_MEMORY_SHARE 4   /* a quarter of the memory holds bodies */
+#define SETTINGS_LOOK_MS 1000 /* between two looks at the settings file, which may change without a signal */
+#define PAUSE_MS 500          /* a longer gap between two ticks: the process stood still */
 
 typedef struct gateway_t {
     struct ev_loop* loop;
@@ -51,7 +49,7 @@
     ev_timer tick;
     ev_signal on_term, on_int, on_hup;
     int64_t tick_ms;
-    int64_t stopping_ms; /* signal to stop, 0: none */
+    cw_stop_t stop;
 } gateway_t;
 
 /* -- joints --------------------------------------------------------------- */
@@ -151,7 +149,7 @@
 
 static bool is_ready(void* user) {
     gateway_t* g = user;
-    return sync_ready(g->sync) && !g->stopping_ms;
+    return sync_ready(g->sync) && g->stop.phase == CW_STOP_NOT;
 }
 
 static uint32_t lookup(void* user, const char* hall, const char** out, uint32_t max) {
@@ -192,18 +190,14 @@
 
 /* -- time ----------------------------------------------------------------- */
 
-/* A planned stop: callers are led away first, then nothing new is taken, then the process ends. */
+/* A planned stop: callers are led away first, then nothing new is taken, then the process ends. The other events of
+   this turn are still handled after the loop was told to end. */
 static void check_stop(gateway_t* g, int64_t now_ms) {
-    if (!g->stopping_ms) {
-        return;
-    }
-    int64_t since_ms = now_ms - g->stopping_ms;
-    if (since_ms > (int64_t)(STOP_ACCEPT_SHARE * g->settings.grace_ms)) {
+    cw_stop_phase_t phase = cw_stop_step(&g->stop, now_ms, exchanges_stats(g->exchanges).active);
+    if (phase >= CW_STOP_REFUSING) {
         exchanges_refuse_new(g->exchanges);
     }
-    bool quiet = !exchanges_stats(g->exchanges).active;
-    bool early = since_ms < (int64_t)(STOP_MIN_SHARE * g->settings.grace_ms);
-    if ((quiet && !early) || since_ms + STOP_MARGIN_MS > g->settings.grace_ms) {
+    if (phase == CW_STOP_ENDED) {
         ev_break(g->loop, EVBREAK_ALL);
     }
 }
@@ -220,10 +214,10 @@
     (void)loop;
     (void)events;
     gateway_t* g = w->data;
-    if (g->stopping_ms) {
+    if (g->stop.phase != CW_STOP_NOT) {
         return;
     }
-    g->stopping_ms = clock_ms();
+    cw_stop_begin(&g->stop, clock_ms(), g->settings.grace_ms);
     cw_log(&g->log, CW_EVENT_STOPPING, "active=%u", exchanges_stats(g->exchanges).active);
     front_leave(g->front);
     mesh_leave(g->mesh);
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -1,4 +1,5 @@
 /* Requests through the gateway's data path to scripted servers, and what callers and servers see when servers fail. */
+#include "../chalkway_stop.h"
 #include "../gateway/clock.h"
 #include "rig.h"
 
@@ -413,6 +414,33 @@
 }
 END_TEST
 
+/* A host that is told to stop finds itself quiet, and a request is read before its next turn, its last one. */
+START_TEST(a_request_read_between_the_quiet_turn_and_the_end_is_refused) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    cw_stop_t stop = {0};
+    ck_assert_int_eq(cw_stop_step(&stop, 10, 0), CW_STOP_NOT);
+    cw_stop_begin(&stop, 100, 4000);
+    ck_assert_int_eq(cw_stop_step(&stop, 600, 0), CW_STOP_TAKING);
+    ck_assert_int_eq(cw_stop_step(&stop, 1200, 0), CW_STOP_REFUSING);
+    exchanges_refuse_new(r->exchanges);
+    expect_status(rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n"), "503");
+    ck_assert_uint_eq(r->arrival_count, 0);
+    ck_assert_int_eq(cw_stop_step(&stop, 1225, exchanges_stats(r->exchanges).active), CW_STOP_ENDED);
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_stopping_host_waits_for_what_runs_until_its_time_is_nearly_up) {
+    cw_stop_t stop = {0};
+    cw_stop_begin(&stop, 0, 4000);
+    cw_stop_begin(&stop, 900, 9000); /* a second signal changes nothing */
+    ck_assert_int_eq(cw_stop_step(&stop, 1400, 2), CW_STOP_TAKING);
+    ck_assert_int_eq(cw_stop_step(&stop, 1600, 2), CW_STOP_REFUSING);
+    ck_assert_int_eq(cw_stop_step(&stop, 3400, 1), CW_STOP_REFUSING);
+    ck_assert_int_eq(cw_stop_step(&stop, 3600, 1), CW_STOP_ENDED);
+}
+END_TEST
+
 START_TEST(a_server_that_refuses_connections_is_passed_over) {
     rig_t* r = rig_setup(ROUTES, 2);
     script(r, 1, (rig_step_t[]){{RIG_ANSWER, OK("b", "1")}});
@@ -552,6 +580,8 @@
     tcase_add_test(t, without_a_configuration_callers_come_back_later);
     tcase_add_test(t, without_a_server_a_request_is_refused_at_once);
     tcase_add_test(t, a_server_that_refuses_connections_is_passed_over);
+    tcase_add_test(t, a_request_read_between_the_quiet_turn_and_the_end_is_refused);
+    tcase_add_test(t, a_stopping_host_waits_for_what_runs_until_its_time_is_nearly_up);
 }
 
 int main(void) {
