--- a/chalkway.c
+++ b/chalkway.c
@@ -20,6 +20,7 @@
 #include "chalkway_place.h"
 #include "chalkway_pull.h"
 #include "chalkway_reader.h"
+#include "chalkway_reading.h"
 #include "chalkway_relay.h"
 #include "chalkway_request.h"
 #include "chalkway_runonce.h"
--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -20,7 +20,7 @@
         Prompts are read one after the other, the more urgent ones first, so
         a server's backlog for a tier is the time in which it has read all
         prompts begun there that are no less urgent. The time to read
-        a token is learned from first bytes of requests that found no backlog.
+        a token is learned from first bytes of requests (chalkway_reading.h).
         Parts of prompts that a server has read count as kept there until so
         many tokens were read after them that its memory is full.
 
@@ -41,6 +41,7 @@
         MIT, see LICENSE.
 */
 #include "chalkway_backlog.h"
+#include "chalkway_reading.h"
 
 #define CW_BALANCE_NONE UINT32_MAX
 #define CW_WORK_PARTS 8
@@ -101,7 +102,7 @@
     double read_ms; /* predicted time to read the prompt */
     cw_backlog_plan_t plan;
     double wait_ms; /* backlog found by its tier */
-    bool alone;     /* no prompt of any tier was being read */
+    bool quiet;     /* nothing was known there that the prompt might have waited for */
     uint32_t fresh_tokens;
     uint32_t tokens;
     uint32_t gap_ms;
@@ -192,10 +193,7 @@
 #include "chalkway_map.h"
 #include "chalkway_pause.h"
 
-#define _CW_READ_MS 0.02            /* ms a token before anything was learned */
-#define _CW_READ_LEARN 0.05         /* weight of a new sample of the reading time */
-#define _CW_READ_FEW_TOKENS 256     /* shorter readings say little of the time for a token */
-#define _CW_BASE_MS 5.0             /* time to an answer beside reading, before anything was learned */
+#define _CW_QUIET_SHARE 0.5         /* of an engine's slots: with more running a prompt may wait for a place */
 #define _CW_SERVICE_MS 50.0         /* time of a plain call, before anything was learned */
 #define _CW_SPEED_LEARN 0.2         /* weight of a new sample of a server's own slowness */
 #define _CW_SPEED_MAX 20.0          /* a server is never taken as slower than this many times the others */
@@ -282,7 +280,8 @@
     uint32_t places;
     uint32_t listed;
     cw_kept_t* kept;
-    double read_ms, base_ms, service_ms;
+    cw_reading_t reading;
+    double service_ms;
     uint32_t service_samples;
     cw_pauses_t pauses;
     double short_target_ms; /* learned target of those that can wait least, 0: none yet */
@@ -309,8 +308,7 @@
     b->order = cw_alloc(&b->desc.allocator, b->desc.max_servers, sizeof(*b->order));
     b->index = cw_map_setup(b->desc.max_servers, &b->desc.allocator);
     b->kept = cw_kept_setup(b->desc.max_parts, &b->desc.allocator);
-    b->read_ms = _CW_READ_MS;
-    b->base_ms = _CW_BASE_MS;
+    b->reading = cw_reading_new();
     b->service_ms = _CW_SERVICE_MS;
     return b;
 }
@@ -523,7 +521,7 @@
 /* -- what is learned of servers ------------------------------------------- */
 
 double cw_balance_pause(const cw_balance_t* b, uint32_t tokens) {
-    return cw_pauses_expected(&b->pauses, tokens, b->read_ms);
+    return cw_pauses_expected(&b->pauses, tokens, b->reading.token_ms);
 }
 
 /* Finds the fastest server whose pace is known. */
@@ -602,7 +600,7 @@
 static uint32_t _cw_balance_moved(const cw_balance_t* b, const _cw_server_t* s, const _cw_holder_t* holder,
                                   uint32_t kept) {
     uint32_t more = holder->tokens > kept ? holder->tokens - kept : 0;
-    bool cheaper = s->spec.move_ms > 0 && s->spec.move_ms < b->read_ms;
+    bool cheaper = s->spec.move_ms > 0 && s->spec.move_ms < b->reading.token_ms;
     return cheaper && more >= _CW_MOVE_FEW ? more : 0;
 }
 
@@ -626,7 +624,7 @@
 
 /* How likely a prompt makes a stream late that may pause for gap_ms, while prompts there take unread_ms to read. */
 static double _cw_balance_harm(const cw_balance_t* b, uint32_t tokens, double gap_ms, double unread_ms) {
-    return cw_pauses_harm(&b->pauses, tokens, (uint32_t)gap_ms, b->read_ms, unread_ms);
+    return cw_pauses_harm(&b->pauses, tokens, (uint32_t)gap_ms, b->reading.token_ms, unread_ms);
 }
 
 /* Ms: the streams there that the prompt makes late, as so many targets missed. What is left to be read there may be
@@ -659,7 +657,7 @@
 
 /* Ms: what a part costs that another server keeps, read again or fetched. */
 static double _cw_balance_again_ms(const cw_balance_t* b, const _cw_server_t* s, const cw_choice_t* c) {
-    return _CW_REREAD * b->read_ms * c->again + _CW_MOVE * s->spec.move_ms * c->moved;
+    return _CW_REREAD * b->reading.token_ms * c->again + _CW_MOVE * s->spec.move_ms * c->moved;
 }
 
 /* Ms: the memory would overflow, and something running would be preempted. */
@@ -677,8 +675,8 @@
     c->from = c->moved ? holder->id : 0;
     c->again = c->moved || holder->tokens < c->kept ? 0 : holder->tokens - c->kept;
     c->streaming = sum->streaming;
-    c->read_ms = b->read_ms * (work->prompt_tokens - c->kept - c->moved) + s->spec.move_ms * c->moved;
-    double ms = b->base_ms + sum->backlog_ms + c->read_ms;
+    c->read_ms = b->reading.token_ms * (work->prompt_tokens - c->kept - c->moved) + s->spec.move_ms * c->moved;
+    double ms = b->reading.base_ms + sum->backlog_ms + c->read_ms;
     ms += _cw_balance_again_ms(b, s, c);
     ms += _cw_balance_overflow_ms(s, sum, work);
     ms += _CW_RUN_MS * sum->running;
@@ -767,13 +765,14 @@
                     .tier = cw_backlog_tier(work->tier)};
     _cw_sum_t sum = _cw_balance_sum(b, s, now_ms, run.tier);
     run.wait_ms = sum.wait_ms;
-    run.alone = sum.backlog_ms < 1.0;
+    run.quiet = sum.backlog_ms < 1.0 && sum.running < _CW_QUIET_SHARE * s->spec.slots && now_ms >= s->cold_until_ms;
     if (s->spec.memory_tokens) {
         _cw_holder_t holder = _cw_balance_holder(b, work);
         uint32_t kept = _cw_balance_kept_tokens(b, s, work);
         uint32_t moved = _cw_balance_moved(b, s, &holder, kept);
+        run.quiet = run.quiet && !moved;
         run.fresh_tokens = work->prompt_tokens - kept - moved;
-        run.read_ms = b->read_ms * run.fresh_tokens * _cw_balance_slow(s, now_ms) + s->spec.move_ms * moved;
+        run.read_ms = b->reading.token_ms * run.fresh_tokens * _cw_balance_slow(s, now_ms) + s->spec.move_ms * moved;
         run.tokens = work->prompt_tokens + work->output_tokens;
         run.plan = cw_backlog_add(&s->backlog, now_ms, run.tier, run.read_ms);
         s->deepest = work->prompt_tokens > s->deepest ? work->prompt_tokens : s->deepest;
@@ -812,14 +811,13 @@
     s->slow_ms = now_ms;
 }
 
-/* The time to read a token is learned where nothing stood before the prompt. */
+/* What the first event of a prompt says of reading in the pool, and of the server against the others. */
 static void _cw_balance_learn_read(cw_balance_t* b, _cw_server_t* s, int64_t now_ms, const cw_run_t* run) {
     double took_ms = (double)(now_ms - run->begun_ms);
     double alone_ms = took_ms - run->wait_ms;
-    double expected_ms = b->base_ms + b->read_ms * run->fresh_tokens;
-    if (run->alone && run->fresh_tokens >= _CW_READ_FEW_TOKENS && took_ms > b->base_ms) {
-        double sample = (took_ms - b->base_ms) / run->fresh_tokens / _cw_balance_slow(s, now_ms);
-        b->read_ms += _CW_READ_LEARN * (sample - b->read_ms);
+    double expected_ms = cw_reading_ms(&b->reading, run->fresh_tokens);
+    if (run->fresh_tokens) {
+        cw_reading_learn(&b->reading, run->fresh_tokens, took_ms, run->quiet);
     }
     if (alone_ms > 0 && expected_ms > 0) {
         _cw_balance_learn_slow(s, now_ms, alone_ms / (expected_ms > 20 ? expected_ms : 20));
@@ -1002,7 +1000,7 @@
 }
 
 double cw_balance_read_rate(const cw_balance_t* b) {
-    return b->read_ms;
+    return b->reading.token_ms;
 }
 
 #endif /* CHALKWAY_BALANCE_IMPL_INCLUDED */
