--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -126,7 +126,7 @@
     uint32_t streaming;  /* streams at the server that may pause least */
     uint32_t candidates; /* servers that had room */
     double pace;         /* the server's time between events against the fastest one's, 1 while unknown */
-    bool deep;           /* the prompt is among the pool's long ones: it stands before others */
+    bool late;           /* whatever server: too much stands before it, see cw_balance_choose */
 } cw_choice_t;
 
 typedef struct cw_balance_desc_t {
@@ -149,7 +149,10 @@
 cw_status_t cw_balance_set(cw_balance_t* b, int64_t now_ms, const cw_server_spec_t* specs, uint32_t count);
 /* Index of a server; CW_BALANCE_NONE when it is not there. */
 uint32_t cw_balance_find(const cw_balance_t* b, uint64_t id);
-/* Best server for the work, leaving out those tried. */
+/* Best server for the work, leaving out those tried. A server is left out, where there is another one, when its backlog
+   for the work's tier is longer than the work's patience: so many of its targets. A long prompt, which stands before
+   others, is also taken to be late where more urgent work would be: it doesn't begin while that is refused. The
+   work's own reading makes it late nowhere: late, it is still of use. */
 cw_choice_t cw_balance_choose(cw_balance_t* b, int64_t now_ms, const cw_work_t* work, const uint64_t* tried,
                               uint32_t tried_count);
 cw_run_t cw_balance_begin(cw_balance_t* b, int64_t now_ms, uint32_t server, const cw_work_t* work);
@@ -210,6 +213,10 @@
 #define _CW_PATIENT_SHARE 0.15 /* of the slots that work with a long target leaves to work with a short one */
 #define _CW_SHORT_DOWN 0.1     /* the short targets are learned as a low quantile */
 #define _CW_SHORT_UP 0.005
+#define _CW_PATIENCE_DEEP 1.0  /* targets that a long prompt waits for others: it stands before others itself */
+#define _CW_PATIENCE_SHORT 3.0 /* the same for others, which hold up nobody: late, they are still of use */
+#define _CW_PATIENCE_UP 0.005  /* the patience of a tier is learned as a low quantile */
+#define _CW_PATIENCE_DOWN 0.2
 #define _CW_DEEP_SHARE 0.25   /* of the learned length of deep prompts, from which a prompt is one */
 #define _CW_DEEP_WAIT 0.1     /* weight of the backlog that one deep prompt found */
 #define _CW_UNREAD_FACTOR 1.2 /* times the reading known to be left at a server, that may be left: news is late */
@@ -284,10 +291,11 @@
     double service_ms;
     uint32_t service_samples;
     cw_pauses_t pauses;
-    double short_target_ms; /* learned target of those that can wait least, 0: none yet */
-    double deep_tokens;     /* learned length of the deep prompts */
-    double deep_wait_ms;    /* backlog that deep prompts found lately */
-    double pace_ms;         /* shortest pace of a server that is known, 0: none */
+    double patience_ms[CW_TIERS]; /* learned patience of each tier's work, 0: none seen */
+    double short_target_ms;       /* learned target of those that can wait least, 0: none yet */
+    double deep_tokens;           /* learned length of the deep prompts */
+    double deep_wait_ms;          /* backlog that deep prompts found lately */
+    double pace_ms;               /* shortest pace of a server that is known, 0: none */
 };
 
 static cw_balance_desc_t _cw_balance_desc_defaults(const cw_balance_desc_t* desc) {
@@ -708,6 +716,43 @@
     return _CW_PLAN_SHARE - (patient ? _CW_PATIENT_SHARE * (1 - b->short_target_ms / work->target_ms) : 0);
 }
 
+/* Whether the prompt is among the pool's long ones. */
+static bool _cw_balance_deep(const cw_balance_t* b, const cw_work_t* work) {
+    return work->prompt_tokens > _CW_DEEP_SHARE * b->deep_tokens;
+}
+
+/* Ms: the longest backlog that the work is put behind. */
+static double _cw_balance_patience(const cw_balance_t* b, const cw_work_t* work) {
+    return (_cw_balance_deep(b, work) ? _CW_PATIENCE_DEEP : _CW_PATIENCE_SHORT) * work->target_ms;
+}
+
+/* Learned before the choice, so that what is refused counts as well. */
+static void _cw_balance_learn_patience(cw_balance_t* b, const cw_work_t* work) {
+    double* learned_ms = &b->patience_ms[cw_backlog_tier(work->tier)];
+    double patience_ms = _cw_balance_patience(b, work);
+    *learned_ms =
+        *learned_ms > 0 ? cw_quantile_learn(*learned_ms, patience_ms, _CW_PATIENCE_UP, _CW_PATIENCE_DOWN) : patience_ms;
+}
+
+/* Whether too much stands before the work at a server where its own tier's backlog is wait_ms. */
+static bool _cw_balance_late(const cw_balance_t* b, const _cw_server_t* s, int64_t now_ms, const cw_work_t* work,
+                             double wait_ms) {
+    if (!s->spec.memory_tokens) {
+        return false;
+    }
+    if (wait_ms > _cw_balance_patience(b, work)) {
+        return true;
+    }
+    for (uint32_t tier = 0; tier < cw_backlog_tier(work->tier) && _cw_balance_deep(b, work); tier++) {
+        double patience_ms = b->patience_ms[tier];
+        bool possible = patience_ms > 0 && wait_ms > patience_ms; /* the backlog of a tier holds those before it */
+        if (possible && _cw_balance_sum(b, s, now_ms, tier).wait_ms > patience_ms) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* What kinds of work the pool gets. */
 static void _cw_balance_learn_work(cw_balance_t* b, const cw_work_t* work, double wait_ms) {
     double before_ms = b->short_target_ms > 0 ? b->short_target_ms : work->target_ms;
@@ -733,6 +778,7 @@
     uint32_t candidates = 0;
     _cw_holder_t holder = _cw_balance_holder(b, work);
     double share = _cw_balance_share(b, work);
+    _cw_balance_learn_patience(b, work);
     for (uint32_t i = 0; i < b->places; i++) {
         const _cw_server_t* s = &b->servers[i];
         if (!s->used || !s->listed || s->away || now_ms < s->full_until_ms ||
@@ -744,12 +790,13 @@
             continue;
         }
         candidates++;
-        if (best.server == CW_BALANCE_NONE || c.cost_ms < best.cost_ms) {
+        c.late = _cw_balance_late(b, s, now_ms, work, c.wait_ms);
+        bool sooner = best.late && !c.late;
+        if (best.server == CW_BALANCE_NONE || sooner || (c.late == best.late && c.cost_ms < best.cost_ms)) {
             best = c;
         }
     }
     best.candidates = candidates;
-    best.deep = work->prompt_tokens > _CW_DEEP_SHARE * b->deep_tokens;
     return best;
 }
 
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -24,8 +24,6 @@
 #define SILENT_EXPECTED 1.5   /* times the predicted time that is waited beside */
 #define STALL_GAPS 4          /* longest pauses without an event until a stream is moved */
 #define STALL_MIN_MS 400
-#define LATE_DEEP 1.0             /* targets until the first event beyond which a long prompt is refused */
-#define LATE_SHORT 3.0            /* the same for others, which hold up nobody */
 #define RETRY_AFTER_MIN_MS 300    /* shortest time to come back after a refusal */
 #define RETRY_AFTER_SPREAD_MS 500 /* spread, so that those refused do not come back together */
 #define YOUNG_MS 500              /* a process that has no configuration for longer takes its source to be away */
@@ -492,12 +490,6 @@
     }
 }
 
-/* Whether even the best server would answer so late that the request only stands before others. */
-static bool hopeless(const exchange_t* x, const cw_choice_t* choice) {
-    double limit_ms = (choice->deep ? LATE_DEEP : LATE_SHORT) * x->route->target_ms;
-    return !x->transfers && x->work.prompt_tokens && choice->wait_ms + choice->read_ms > limit_ms;
-}
-
 /* Refuses a request that waits or has just come, with the inputs that decided it. */
 static void refuse(exchange_t* x, const cw_choice_t* choice, const char* why) {
     const pool_t* pool = x->pool;
@@ -520,9 +512,9 @@
     if (!e->refusing) {
         choice = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, x->tried, x->tried_count);
     }
-    if (choice.server != CW_BALANCE_NONE && hopeless(x, &choice)) {
-        x->retry_ms = (uint32_t)(choice.wait_ms + choice.read_ms - x->route->target_ms / 2.0);
-        refuse(x, &choice, "every server would answer far too late");
+    if (choice.late && !x->transfers) {
+        x->retry_ms = (uint32_t)choice.wait_ms;
+        refuse(x, &choice, "too much stands before it at every server");
         return;
     }
     if (choice.server != CW_BALANCE_NONE) {
