Hosts take turns at engines with few free places; who comes later doesn't pass who waits

Change: chalkway_contention.h estimates from the own requests, the own queue and the number of hosts how many rivals choose within the time that news takes (relay plan: reach_ms), and opens an engine with few free places to a host only by chance, the same until news can have come. A new request no longer passes one that waits and is as urgent. Small fleets are told within 2 ms and see no change in calm. Ruled out: refusals as the cause of preemption (both refusal policies had it).

--- a/chalkway.c
+++ b/chalkway.c
@@ -4,6 +4,7 @@
 #include "chalkway_balance.h"
 #include "chalkway_catalog.h"
 #include "chalkway_changes.h"
+#include "chalkway_contention.h"
 #include "chalkway_core.h"
 #include "chalkway_events.h"
 #include "chalkway_fair.h"
--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -41,6 +41,7 @@
         MIT, see LICENSE.
 */
 #include "chalkway_backlog.h"
+#include "chalkway_contention.h"
 #include "chalkway_reading.h"
 
 #define CW_BALANCE_NONE UINT32_MAX
@@ -149,6 +150,12 @@
 cw_status_t cw_balance_set(cw_balance_t* b, int64_t now_ms, const cw_server_spec_t* specs, uint32_t count);
 /* Index of a server; CW_BALANCE_NONE when it is not there. */
 uint32_t cw_balance_find(const cw_balance_t* b, uint64_t id);
+/* So many hosts live, and news of a request takes so long to reach all of them. */
+void cw_balance_set_fleet(cw_balance_t* b, uint32_t hosts, uint32_t delay_ms);
+/* A new request for the pool came. */
+void cw_balance_asked(cw_balance_t* b, int64_t now_ms);
+/* So many requests of this host wait for a place. */
+void cw_balance_waiting(cw_balance_t* b, int64_t now_ms, uint32_t count);
 /* Best server for the work, leaving out those tried. A server is left out, where there is another one, when its backlog
    for the work's tier is longer than the work's patience: so many of its targets. A long prompt, which stands before
    others, is also taken to be late where more urgent work would be: it doesn't begin while that is refused. The
@@ -287,6 +294,7 @@
     uint32_t places;
     uint32_t listed;
     cw_kept_t* kept;
+    cw_contention_t contention;
     cw_reading_t reading;
     double service_ms;
     uint32_t service_samples;
@@ -317,6 +325,7 @@
     b->index = cw_map_setup(b->desc.max_servers, &b->desc.allocator);
     b->kept = cw_kept_setup(b->desc.max_parts, &b->desc.allocator);
     b->reading = cw_reading_new();
+    b->contention.seed = desc->seed;
     b->service_ms = _CW_SERVICE_MS;
     return b;
 }
@@ -772,6 +781,18 @@
     return false;
 }
 
+void cw_balance_set_fleet(cw_balance_t* b, uint32_t hosts, uint32_t delay_ms) {
+    cw_contention_set_fleet(&b->contention, hosts, delay_ms);
+}
+
+void cw_balance_asked(cw_balance_t* b, int64_t now_ms) {
+    cw_contention_asked(&b->contention, now_ms);
+}
+
+void cw_balance_waiting(cw_balance_t* b, int64_t now_ms, uint32_t count) {
+    cw_contention_waiting(&b->contention, now_ms, count);
+}
+
 cw_choice_t cw_balance_choose(cw_balance_t* b, int64_t now_ms, const cw_work_t* work, const uint64_t* tried,
                               uint32_t tried_count) {
     cw_choice_t best = {.server = CW_BALANCE_NONE};
@@ -786,7 +807,9 @@
             continue;
         }
         cw_choice_t c = _cw_balance_rate(b, i, now_ms, work, &holder);
-        if (s->spec.memory_tokens && c.running >= share * s->spec.slots) {
+        double free_places = share * s->spec.slots - c.running;
+        if (s->spec.memory_tokens &&
+            (free_places <= 0 || !cw_contention_open(&b->contention, now_ms, s->spec.id, free_places))) {
             continue;
         }
         candidates++;
--- a/chalkway_relay.h
+++ b/chalkway_relay.h
@@ -39,6 +39,7 @@
 typedef struct cw_relay_plan_t {
     bool all;           /* each host is a relay, for itself */
     uint32_t gather_ms; /* a relay gathers news for so long, 0: it passes each piece on at once */
+    uint32_t reach_ms;  /* until a piece of news has reached all, where nothing is lost */
     uint32_t repeat_ms; /* what did not change is told again after so long, since datagrams get lost */
 } cw_relay_plan_t;
 
@@ -73,6 +74,7 @@
 #define _CW_RELAY_GATHER_HOSTS 16 /* hosts for each ms of gathering */
 #define _CW_RELAY_GATHER_MIN_MS 4
 #define _CW_RELAY_GATHER_MAX_MS 25 /* older news would no longer tell what an engine is reading */
+#define _CW_RELAY_WAY_MS 2         /* of a datagram within a region, with the turn of the loop that reads it */
 #define _CW_RELAY_REPEAT_MS 400
 #define _CW_RELAY_REPEAT_MAX_MS 700 /* news counts for 1500 ms: two repeats fall into that */
 
@@ -85,11 +87,13 @@
 
 cw_relay_plan_t cw_relay_plan(uint32_t live) {
     if (live <= _CW_RELAY_ALL) {
-        return (cw_relay_plan_t){.all = true, .repeat_ms = _CW_RELAY_REPEAT_MS};
+        return (cw_relay_plan_t){.all = true, .reach_ms = _CW_RELAY_WAY_MS, .repeat_ms = _CW_RELAY_REPEAT_MS};
     }
-    uint32_t gather_ms = live / _CW_RELAY_GATHER_HOSTS;
+    uint32_t gather_ms =
+        _cw_relay_between(live / _CW_RELAY_GATHER_HOSTS, _CW_RELAY_GATHER_MIN_MS, _CW_RELAY_GATHER_MAX_MS);
     return (cw_relay_plan_t){
-        .gather_ms = _cw_relay_between(gather_ms, _CW_RELAY_GATHER_MIN_MS, _CW_RELAY_GATHER_MAX_MS),
+        .gather_ms = gather_ms,
+        .reach_ms = 2 * gather_ms + _CW_RELAY_WAY_MS, /* gathered in the own hall and in the other one */
         .repeat_ms = _cw_relay_between(_CW_RELAY_REPEAT_MS + live, _CW_RELAY_REPEAT_MS, _CW_RELAY_REPEAT_MAX_MS)};
 }
 
--- a/chalkway_stop.h
+++ b/chalkway_stop.h
@@ -49,9 +49,10 @@
 #define CHALKWAY_STOP_IMPL_INCLUDED
 
 #define _CW_STOP_TAKE_SHARE 0.375 /* of the grace: requests are taken for so long, also while others run */
-#define _CW_STOP_QUIET_SHARE 0.25 /* of the grace: requests are taken for so long in any case: callers keep addresses  \
-                                   */
-#define _CW_STOP_MARGIN_MS 500    /* it ends so long before the grace is over */
+#define _CW_STOP_QUIET_SHARE                                                                                           \
+    0.25                       /* of the grace: requests are taken for so long in any case: callers keep addresses     \
+                                */
+#define _CW_STOP_MARGIN_MS 500 /* it ends so long before the grace is over */
 
 void cw_stop_begin(cw_stop_t* s, int64_t now_ms, uint32_t grace_ms) {
     if (s->phase == CW_STOP_NOT) {
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -125,6 +125,7 @@
             *at = x->next_queued;
             x->queued = false;
             x->all->stats.waiting--;
+            cw_balance_waiting(x->pool->balance, clock_ms(), --x->pool->waiting);
             return;
         }
     }
@@ -140,6 +141,7 @@
     *at = x;
     x->queued = true;
     x->all->stats.waiting++;
+    cw_balance_waiting(x->pool->balance, clock_ms(), ++x->pool->waiting);
 }
 
 static void exchange_free(exchange_t* x) {
@@ -504,12 +506,22 @@
     event(x, CW_EV_REFUSED);
 }
 
+/* Whether one that is as urgent, and whose time is as short, waits for the pool already. */
+static bool behind_another(const exchange_t* x) {
+    for (const exchange_t* y = x->all->queue; y && y->priority <= x->priority && !x->queued; y = y->next_queued) {
+        if (y->pool == x->pool && y->route->target_ms <= x->route->target_ms) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Takes the best server, or a place in the queue. */
 static void seek_server(exchange_t* x) {
     exchanges_t* e = x->all;
     assert(x->pool);
     cw_choice_t choice = {.server = CW_BALANCE_NONE};
-    if (!e->refusing) {
+    if (!e->refusing && !behind_another(x)) {
         choice = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, x->tried, x->tried_count);
     }
     if (choice.late && !x->transfers) {
@@ -788,6 +800,7 @@
     x->pool = upstreams_pool(e->desc.upstreams, pool->name);
     assert(x->pool); /* upstreams were told of the catalog before */
     cw_retry_window_first(&x->pool->retries, x->arrived_ms);
+    cw_balance_asked(x->pool->balance, x->arrived_ms);
     event(x, CW_EV_START);
 }
 
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -86,6 +86,7 @@
     m->daemons = known > m->daemons ? known : m->daemons;
     m->rank = own_rank(m);
     news_set_members(m->news, m->members, live, m->rank);
+    upstreams_set_fleet(m->desc.upstreams, live, cw_relay_plan(live).reach_ms);
     cw_log(m->desc.log, CW_EVENT_MEMBERS_CHANGED, "live=%u known=%u rank=%u", live, known, m->rank);
     m->desc.on_members(m->desc.user_data, m->daemons, m->rank);
 }
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -53,6 +53,7 @@
     uint32_t free_count;
     link_t* dead; /* to be freed */
     uint32_t daemons;
+    uint32_t live, reach_ms; /* daemons that live, and the time until news of a request has reached all */
     uint32_t links;
     uint64_t connects;
 };
@@ -374,6 +375,7 @@
     pool->upstreams = u;
     pool->balance = cw_balance_setup(
         &(cw_balance_desc_t){.hall = u->desc.hall, .seed = u->desc.host, .max_servers = POOL_SERVERS_MAX});
+    cw_balance_set_fleet(pool->balance, u->live, u->reach_ms);
     pool->retries = (cw_retry_window_t){.ratio = u->desc.retry_ratio * RETRY_SAFETY,
                                         .slack = u->desc.retry_slack * RETRY_SAFETY,
                                         .window_ms = u->desc.retry_window_ms,
@@ -526,6 +528,14 @@
     }
 }
 
+void upstreams_set_fleet(upstreams_t* u, uint32_t live, uint32_t reach_ms) {
+    u->live = live;
+    u->reach_ms = reach_ms;
+    for (pool_t* pool = u->pools; pool; pool = pool->next) {
+        cw_balance_set_fleet(pool->balance, live, reach_ms);
+    }
+}
+
 pool_t* upstreams_pool(const upstreams_t* u, const char* name) {
     for (pool_t* pool = u->pools; pool; pool = pool->next) {
         if (strcmp(pool->name, name) == 0) {
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -51,7 +51,8 @@
     double told_read_ms; /* reading pace in the log's last line on it, ms a token; 0: none yet */
     cw_retry_window_t retries;
     server_t* servers;
-    uint32_t ready; /* servers that may be chosen */
+    uint32_t ready;   /* servers that may be chosen */
+    uint32_t waiting; /* requests of this daemon without a place */
     pool_t* next;
 };
 
@@ -93,6 +94,8 @@
 uint32_t upstreams_set_servers(upstreams_t* u, int64_t now_ms, const cw_servers_t* list, bool after_outage);
 /* Most daemons that were ever known at once: they share connections and repeats. */
 void upstreams_set_daemons(upstreams_t* u, uint32_t daemons);
+/* So many daemons live, and news of a request takes so long to reach all of them. */
+void upstreams_set_fleet(upstreams_t* u, uint32_t live, uint32_t reach_ms);
 pool_t* upstreams_pool(const upstreams_t* u, const char* name);
 pool_t* upstreams_pools(const upstreams_t* u);
 server_t* upstreams_server(const upstreams_t* u, uint64_t key);
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -399,6 +399,45 @@
 END_TEST
 
 /* The last places of an engine are left to work that can't wait, as long as there is such work. */
+/* Eighty hosts, each with a request now and then, hear at the same moment that an engine has a free place. */
+START_TEST(one_free_place_is_not_taken_by_all_hosts_at_once) {
+    uint32_t takers = 0;
+    uint32_t epochs = 50;
+    for (uint64_t host = 1; host <= 80; host++) {
+        cw_contention_t c = {.seed = host};
+        cw_contention_set_fleet(&c, 80, 12);
+        for (int64_t now_ms = 0; now_ms < 3000; now_ms += 50) {
+            cw_contention_asked(&c, now_ms); /* 20 a second */
+        }
+        for (uint32_t i = 0; i < epochs; i++) {
+            bool open = cw_contention_open(&c, 3000 + 12 * i, 7, 1);
+            ck_assert_int_eq(open, cw_contention_open(&c, 3000 + 12 * i, 7, 1)); /* until news can have come */
+            takers += open;
+        }
+        ck_assert(cw_contention_open(&c, 3000, 7, 12)); /* many places: all may come */
+    }
+    ck_assert_uint_ge(takers, epochs);      /* it is not left free */
+    ck_assert_uint_le(takers, 20 * epochs); /* of 80 */
+}
+END_TEST
+
+START_TEST(few_hosts_or_fast_news_need_no_chance) {
+    cw_contention_t c = {.seed = 3};
+    ck_assert(cw_contention_open(&c, 5, 7, 0.5)); /* alone */
+    cw_contention_set_fleet(&c, 9, 2);
+    for (int64_t now_ms = 0; now_ms < 3000; now_ms += 50) {
+        cw_contention_asked(&c, now_ms);
+    }
+    ck_assert(cw_contention_open(&c, 3000, 7, 1));
+    cw_contention_waiting(&c, 3000, 20); /* but where all wait, they take turns */
+    uint32_t open = 0;
+    for (uint64_t server = 0; server < 100; server++) {
+        open += cw_contention_open(&c, 4000, server, 1);
+    }
+    ck_assert_uint_lt(open, 20);
+}
+END_TEST
+
 START_TEST(patient_work_leaves_places_to_impatient_work) {
     cw_balance_t* b = engines(1);
     cw_work_t patient = {.prompt_tokens = 100, .target_ms = 2000};
@@ -653,6 +692,8 @@
     tcase_add_test(t, the_pace_of_a_server_is_told_to_others);
     tcase_add_test(t, before_anything_is_learned_deep_prompts_keep_away_too);
     tcase_add_test(t, a_full_engine_gets_nothing);
+    tcase_add_test(t, one_free_place_is_not_taken_by_all_hosts_at_once);
+    tcase_add_test(t, few_hosts_or_fast_news_need_no_chance);
     tcase_add_test(t, patient_work_leaves_places_to_impatient_work);
     tcase_add_test(t, failures_and_slowness_lead_away_and_are_forgotten);
     tcase_add_test(t, a_server_out_of_reach_is_probed_with_longer_and_longer_pauses);
