--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -42,6 +42,7 @@
 */
 #include "chalkway_backlog.h"
 #include "chalkway_contention.h"
+#include "chalkway_limit.h"
 #include "chalkway_reading.h"
 
 #define CW_BALANCE_NONE UINT32_MAX
@@ -54,6 +55,7 @@
     uint32_t slots;
     uint32_t memory_tokens; /* 0: not an engine */
     uint32_t cold_ms;       /* it stays slow for so long from now */
+    double cold_per_s;      /* requests a second that it bears meanwhile from all daemons together, 0: no limit */
     double move_ms;         /* to fetch one token of a kept prompt from another server, 0: it can't */
 } cw_server_spec_t;
 
@@ -139,6 +141,9 @@
     uint32_t news_ms;     /* news of another daemon counts for so long, default 1500 */
     uint32_t away_ms;     /* first pause of a server that can't be reached, default 250 */
     uint32_t away_max_ms; /* longest such pause, default 4000 */
+    /* Whether this daemon, and no other one, sends to the server while it is cold; NULL: it does. */
+    bool (*is_mine)(void* user_data, uint64_t server);
+    void* user_data;
     cw_allocator_t allocator;
 } cw_balance_desc_t;
 
@@ -203,10 +208,12 @@
 #include "chalkway_map.h"
 #include "chalkway_pause.h"
 
-#define _CW_QUIET_SHARE 0.5         /* of an engine's slots: with more running a prompt may wait for a place */
-#define _CW_SERVICE_MS 50.0         /* time of a plain call, before anything was learned */
-#define _CW_SPEED_LEARN 0.2         /* weight of a new sample of a server's own slowness */
-#define _CW_SPEED_MAX 20.0          /* a server is never taken as slower than this many times the others */
+#define _CW_COLD_SHARE 0.8  /* of what a cold server bears: two daemons may take it for their own for a moment */
+#define _CW_COLD_BURST 2.0  /* requests that it may get at once */
+#define _CW_QUIET_SHARE 0.5 /* of an engine's slots: with more running a prompt may wait for a place */
+#define _CW_SERVICE_MS 50.0 /* time of a plain call, before anything was learned */
+#define _CW_SPEED_LEARN 0.2 /* weight of a new sample of a server's own slowness */
+#define _CW_SPEED_MAX 20.0  /* a server is never taken as slower than this many times the others */
 #define _CW_SPEED_FORGET_MS 10000.0 /* time in which a server's slowness is forgotten by two thirds */
 #define _CW_FAIL_LEARN 0.25         /* weight of a new failure or success */
 #define _CW_FAIL_FORGET_MS 4000.0
@@ -275,6 +282,7 @@
     int64_t away_until_ms;
     int64_t full_until_ms;
     int64_t cold_until_ms;
+    cw_bucket_t cold;     /* what it may get until then */
     uint64_t read_tokens; /* all that was read there, as far as known */
     _cw_news_t* news;     /* of daemons that have something there; room for max_peers */
     uint32_t news_count;
@@ -416,6 +424,8 @@
         s->spec = specs[i];
         s->listed = true;
         s->cold_until_ms = specs[i].cold_ms ? now_ms + specs[i].cold_ms : s->cold_until_ms;
+        s->cold.rate = _CW_COLD_SHARE * specs[i].cold_per_s;
+        s->cold.burst = _CW_COLD_BURST;
     }
     for (uint32_t i = 0; i < b->places; i++) {
         _cw_server_t* s = &b->servers[i];
@@ -762,6 +772,15 @@
     return false;
 }
 
+/* Whether the server may get a request now as far as it is cold: one daemon sends there, no faster than it bears. */
+static bool _cw_balance_bears(const cw_balance_t* b, const _cw_server_t* s, int64_t now_ms) {
+    if (now_ms >= s->cold_until_ms || s->spec.cold_per_s <= 0) {
+        return true;
+    }
+    bool mine = !b->desc.is_mine || b->desc.is_mine(b->desc.user_data, s->spec.id);
+    return mine && !cw_bucket_wait_ms(&s->cold, now_ms, 1);
+}
+
 /* What kinds of work the pool gets. */
 static void _cw_balance_learn_work(cw_balance_t* b, const cw_work_t* work, double wait_ms) {
     double before_ms = b->short_target_ms > 0 ? b->short_target_ms : work->target_ms;
@@ -806,6 +825,9 @@
             _cw_balance_tried(tried, tried_count, s->spec.id)) {
             continue;
         }
+        if (!_cw_balance_bears(b, s, now_ms)) {
+            continue;
+        }
         cw_choice_t c = _cw_balance_rate(b, i, now_ms, work, &holder);
         double free_places = share * s->spec.slots - c.running;
         if (s->spec.memory_tokens &&
@@ -853,6 +875,7 @@
     }
     s->running++;
     s->tokens += run.tokens;
+    cw_bucket_take(&s->cold, now_ms, 1); /* without effect while it is not cold */
     return run;
 }
 
--- a/chalkway_catalog.h
+++ b/chalkway_catalog.h
@@ -13,7 +13,7 @@
              "routes": [{"name": "chat", "host": "a.example", "prefix": "/chat/", "kind": "stream",
                          "timeout_ms": 12000, "target_ms": 250, "gap_ms": 150, "tier": 0, "attempts": 2,
                          "open": false, "resume": true, "pools": [{"pool": "llm", "weight": 90}]}],
-             "pools": [{"name": "llm", "health": "/health", "connections": 310,
+             "pools": [{"name": "llm", "health": "/health", "connections": 310, "cold_per_s": 7.5,
                         "engine": {"slots": 48, "memory_tokens": 500000, "event_tokens": 6,
                                    "token_bytes": 163840, "link_mbps": 260000}}],
              "limits": {"head_bytes": 16384, "body_bytes": 4194304, "head_ms": 3000, "idle_ms": 15000},
@@ -67,6 +67,7 @@
     const char* name;
     const char* health;     /* path of the health check, NULL: none */
     uint32_t connections;   /* that one server takes from all daemons together, 0: no limit */
+    double cold_per_s;      /* requests a second that a cold server bears from all daemons together, 0: no limit */
     uint32_t slots;         /* engine: requests at once, 0: not an engine */
     uint32_t memory_tokens; /* engine: tokens that its memory holds */
     uint32_t event_tokens;  /* engine: tokens in one event */
@@ -173,8 +174,8 @@
 }
 
 /* A whole number from 0 to UINT32_MAX; initial when it is absent. */
-static uint32_t _cw_catalog_number(_cw_catalog_reader_t* r, const json_t* o, const char* where, const char* key,
-                                   uint32_t initial) {
+static double _cw_catalog_real(_cw_catalog_reader_t* r, const json_t* o, const char* where, const char* key,
+                               double initial) {
     const json_t* value = json_object_get(o, key);
     if (!value || json_is_null(value)) {
         return initial;
@@ -184,7 +185,12 @@
         _cw_catalog_bad(r, where, key, "must be a number from 0");
         return initial;
     }
-    return (uint32_t)number;
+    return number;
+}
+
+static uint32_t _cw_catalog_number(_cw_catalog_reader_t* r, const json_t* o, const char* where, const char* key,
+                                   uint32_t initial) {
+    return (uint32_t)_cw_catalog_real(r, o, where, key, initial);
 }
 
 static bool _cw_catalog_flag(const json_t* o, const char* key) {
@@ -195,6 +201,7 @@
     pool->name = _cw_catalog_text(r, o, "pool", "name");
     pool->health = json_string_value(json_object_get(o, "health"));
     pool->connections = _cw_catalog_number(r, o, pool->name, "connections", 0);
+    pool->cold_per_s = _cw_catalog_real(r, o, pool->name, "cold_per_s", 0);
     const json_t* engine = json_object_get(o, "engine");
     if (json_is_object(engine)) {
         pool->slots = _cw_catalog_number(r, engine, pool->name, "slots", 1);
--- a/chalkway_changes.h
+++ b/chalkway_changes.h
@@ -35,7 +35,7 @@
     uint64_t from, to; /* ids of the lists */
     int64_t at;        /* of the later list, see cw_servers_t */
     uint32_t age_ms;
-    cw_servers_t put;  /* new servers, and those of which something changed; sorted */
+    cw_servers_t put;  /* new servers, and those of which something changed; sorted. All halls that are closed */
     cw_servers_t gone; /* of these only the id counts; sorted */
 } cw_delta_t;
 
@@ -91,7 +91,7 @@
 
 /* Walks both sorted lists side by side. */
 static cw_delta_t _cw_changes_between(const cw_servers_t* before, const cw_servers_t* after) {
-    cw_delta_t delta = {.from = cw_servers_id(before), .to = cw_servers_id(after)};
+    cw_delta_t delta = {.from = cw_servers_id(before), .to = cw_servers_id(after), .put = {.closed = after->closed}};
     uint32_t i = 0;
     uint32_t j = 0;
     while (i < before->count && j < after->count) {
@@ -140,6 +140,7 @@
         cw_servers_remove(&delta->put, later->gone.items[i].id);
         cw_servers_put(&delta->gone, &later->gone.items[i]);
     }
+    delta->put.closed = later->put.closed;
     delta->to = later->to;
 }
 
@@ -165,6 +166,7 @@
     for (uint32_t i = 0; i < delta->put.count; i++) {
         cw_servers_put(list, &delta->put.items[i]);
     }
+    list->closed = delta->put.closed;
     list->at = delta->at;
     list->age_ms = delta->age_ms;
     return cw_servers_id(list) == delta->to;
@@ -189,7 +191,7 @@
     json_object_set_new(document, "at", json_integer(delta->at));
     json_object_set_new(document, "age_ms", json_integer(delta->age_ms));
     json_object_set_new(document, "gone", gone);
-    json_object_set_new(document, "servers", cw_servers_json(&delta->put));
+    cw_servers_json(&delta->put, document);
     char* text = json_dumps(document, JSON_COMPACT);
     json_decref(document);
     return text;
--- a/chalkway_contention.h
+++ b/chalkway_contention.h
@@ -7,7 +7,7 @@
         News of what a host sent somewhere takes a while to reach the others.
         All requests that are placed meanwhile see the same free places, and
         when places are few they would all take the same one. This estimates
-        how many rivals choose within the time that news takes, from the
+        how many hosts choose within the time that news takes, from the
         host's own requests and the number of hosts, and lets a host use a
         server with few free places only now and then, by chance, so that
         about as many come as there is room for. While places are many, or
@@ -45,7 +45,7 @@
 void cw_contention_asked(cw_contention_t* c, int64_t now_ms);
 /* So many requests of this host wait for a place from now on. */
 void cw_contention_waiting(cw_contention_t* c, int64_t now_ms, uint32_t count);
-/* Requests of all hosts that are being placed within the time that news takes. */
+/* Hosts that place a request within the time that news takes, this one among them. */
 double cw_contention_rivals(const cw_contention_t* c, int64_t now_ms);
 /* Whether this host may use the server now, which is believed to have so many free places. The answer stays the same
    until news of others can have come. */
@@ -62,7 +62,7 @@
 
 #define _CW_CONTENTION_RATE_MS 1000.0   /* in which the rate follows */
 #define _CW_CONTENTION_WAITING_MS 300.0 /* in which the waiting ones are smoothed */
-#define _CW_CONTENTION_TAKERS 2.0       /* rivals admitted for each free place: some of them choose another server */
+#define _CW_CONTENTION_TAKERS 2.0       /* hosts admitted for each free place: some of them choose another server */
 
 void cw_contention_set_fleet(cw_contention_t* c, uint32_t hosts, uint32_t delay_ms) {
     c->hosts = hosts;
@@ -91,7 +91,7 @@
 
 double cw_contention_rivals(const cw_contention_t* c, int64_t now_ms) {
     double placed = _cw_contention_rate(c, now_ms) * c->delay_ms / 1000.0 + _cw_contention_smoothed(c, now_ms);
-    return c->hosts * placed;
+    return c->hosts * (1 - exp(-placed)); /* a host places none with the chance exp(-placed) */
 }
 
 bool cw_contention_open(const cw_contention_t* c, int64_t now_ms, uint64_t server, double free_places) {
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -66,6 +66,9 @@
     void (*changes_path)(char* out, size_t size, int64_t at);
     /* Puts the changes into the list, which is sorted, and moves its revision on. */
     cw_status_t (*read_changes)(const char* body, size_t size, cw_servers_t* list, cw_error_t* err);
+    /* The halls that are closed; NULL: the list of servers tells them itself. */
+    void (*closed_path)(char* out, size_t size);
+    cw_status_t (*read_closed)(const char* body, size_t size, cw_closed_t* closed, cw_error_t* err);
 } source_t;
 
 extern const dialect_t dialect_native;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -27,6 +27,7 @@
 #define DESCRIPTORS_KEPT 64   /* for the other addresses */
 #define BODY_MEMORY_SHARE 4   /* a quarter of the memory holds bodies */
 #define SETTINGS_LOOK_MS 1000 /* between two looks at the settings file, which may change without a signal */
+#define CLOSED_PARTS 5        /* readings that fit into the time in which a closed hall is to be known */
 #define PAUSE_MS 500          /* a longer gap between two ticks: the process stood still */
 
 typedef struct gateway_t {
@@ -301,6 +302,7 @@
                                                        .retry_slack = s->retry_slack,
                                                        .retry_window_ms = s->retry_window_ms,
                                                        .max_links = sockets / 2,
+                                                       .is_mine = is_mine,
                                                        .on_room = on_room,
                                                        .user_data = g});
     g->exchanges = exchanges_setup(&(exchanges_desc_t){.loop = g->loop,
@@ -327,6 +329,7 @@
                                                    .address = s->source,
                                                    .share = s->share,
                                                    .seed = cw_mix(host, (uint64_t)clock_ms()),
+                                                   .closed_ms = s->close_ms / CLOSED_PARTS,
                                                    .read_ms = s->read_ms,
                                                    .nobody_calls = s->first_start != 0,
                                                    .on_catalog = on_catalog,
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -28,6 +28,8 @@
      "a change of the configuration is to be in force everywhere so long after it was published"},
     {"source", "drain", CW_SETTING_MS, AT(drain_ms), "2s", 250, 600000,
      "a server is to get nothing new so long after it was published as leaving"},
+    {"source", "close", CW_SETTING_MS, AT(close_ms), "0ms", 0, 600000,
+     "the servers of a hall are to get nothing new so long after it was published as closed, 0: halls are not closed"},
     {"source", "read", CW_SETTING_MS, AT(read_ms), "0ms", 0, 60000,
      "age at which both are read again by the daemon of the first rank, 0: a fifth of the shorter of these times"},
     {"limits", "memory", CW_SETTING_BYTES, AT(memory_bytes), "256m", 1 << 24, 4294967295.0, "memory of the process"},
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -25,6 +25,7 @@
     uint32_t read_ms; /* 0 in the file: follows from the two below */
     uint32_t apply_ms;
     uint32_t drain_ms;
+    uint32_t close_ms;
     /* [limits] */
     uint32_t memory_bytes;
     uint32_t descriptors;
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -46,6 +46,8 @@
     cw_servers_t list;
     cw_servers_t pages; /* being read: page by page, or the list in force with its changes */
     bool by_changes;    /* the call under way asks for changes */
+    bool for_closed;    /* the call under way asks for the closed halls */
+    int64_t closed_ms;  /* when this daemon read them last, NEVER: not yet */
     char page_after[CW_NAME_MAX * 2];
     int64_t pages_ms;     /* when the first page, or the changes, were asked for, NEVER: nothing is being read */
     int64_t changes_from; /* revision from which they were asked for */
@@ -180,6 +182,9 @@
     }
     bool first = s->list_ms == NEVER;
     bool after_outage = !first && true_ms - s->list_ms >= OUTAGE_MS;
+    if (list->closed.at < s->list.closed.at) {
+        list->closed = s->list.closed; /* known from a later reading */
+    }
     cw_servers_sort(list);
     bool same = !first && cw_servers_equal(&s->list, list);
     if (!first && !same) {
@@ -245,7 +250,7 @@
     s->page_after[0] = 0;
     s->page_count = 0;
     s->pages_ms = NEVER;
-    s->by_changes = false;
+    s->by_changes = s->for_closed = false;
 }
 
 /* After a failed call. A source that is crowded by a fleet that starts anew would else be asked for the same pages
@@ -301,7 +306,45 @@
     drop_pages(s);
 }
 
+/* The last call of a reading, where the halls that are known to be closed have grown too old. */
+static bool read_closed(sync_t* s) {
+    bool due = s->closed_ms == NEVER || clock_ms() - s->closed_ms >= (int64_t)s->desc.closed_ms;
+    if (!s->desc.closed_ms || !s->desc.source->closed_path || !due) {
+        return false;
+    }
+    char path[256];
+    s->stats.source_calls++;
+    s->for_closed = true;
+    s->desc.source->closed_path(path, sizeof(path));
+    fetch(&s->servers, s->desc.address, path, CALL_MS);
+    return true;
+}
+
+/* The servers are taken over without the closed halls, which stay as they were known. */
+static void closed_failed(sync_t* s, const char* why) {
+    adopt_servers(s, &s->pages, s->pages_ms);
+    drop_pages(s);
+    source_failed(s, &s->servers, why);
+}
+
+static void on_closed_answer(sync_t* s, const char* body, size_t size) {
+    cw_closed_t closed = {0};
+    cw_error_t err = {0};
+    if (s->desc.source->read_closed(body, size, &closed, &err) != CW_OK) {
+        refuse_answer(s, s->desc.address, &err);
+        closed_failed(s, err.message);
+        return;
+    }
+    s->closed_ms = clock_ms();
+    s->pages.closed = closed;
+    adopt_pages(s);
+}
+
 static void on_servers_failure(sync_t* s, const char* why) {
+    if (s->for_closed) {
+        closed_failed(s, why);
+        return;
+    }
     keep_pages(s);
     source_failed(s, &s->servers, why);
 }
@@ -316,8 +359,11 @@
     if (status != 200) {
         char why[32];
         snprintf(why, sizeof(why), "status %u", status);
-        keep_pages(s);
-        source_failed(s, &s->servers, why);
+        on_servers_failure(s, why);
+        return;
+    }
+    if (s->for_closed) {
+        on_closed_answer(s, body, size);
         return;
     }
     cw_status_t read = s->by_changes ? s->desc.source->read_changes(body, size, &s->pages, &err)
@@ -344,7 +390,9 @@
         s->whole_ms = clock_ms();
         s->whole_pages = s->page_count;
     }
-    adopt_pages(s);
+    if (!read_closed(s)) {
+        adopt_pages(s);
+    }
 }
 
 /* -- peers ---------------------------------------------------------------- */
@@ -542,7 +590,7 @@
     s->desc = *desc;
     s->reader = (cw_reader_t){
         .read_ms = desc->read_ms, .started_ms = clock_ms(), .nobody_calls = desc->nobody_calls, .seed = desc->seed};
-    s->list_ms = s->catalog_ms = s->whole_ms = s->pages_ms = NEVER;
+    s->list_ms = s->catalog_ms = s->whole_ms = s->pages_ms = s->closed_ms = NEVER;
     s->share = cw_httpd_setup(&(cw_httpd_desc_t){.loop = desc->loop,
                                                  .address = desc->share,
                                                  .max_connections = 64,
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -9,8 +9,9 @@
     chalkway_pull.h. A waiting watch is not used: one that is cut in silence tells nothing, and a watch on the servers
     wakes for every heartbeat. A list of several pages is read once, and then what changed since, by one call that is
     answered at once. Heartbeats are changes too, so an answer without any confirms nothing, and the whole list is read.
-    Peers read both documents at the share address, the list by its changes where they have an older one
-    (chalkway_changes.h).
+    The halls that are closed go with the list of servers: whoever reads the list at the source reads them too, no
+   oftener than needed. Peers read both documents at the share address, the list by its changes where they have an older
+   one (chalkway_changes.h).
 */
 #include "../chalkway_catalog.h"
 #include "../chalkway_load.h"
@@ -28,6 +29,7 @@
     const char* address; /* of the source */
     const char* share;   /* address at which peers read */
     uint64_t seed;       /* of this host: spreads what all would do at once */
+    uint32_t closed_ms;  /* age at which the closed halls are read again with the servers, 0: never */
     uint32_t read_ms;    /* age at which the daemon of the first rank reads again */
     bool nobody_calls;   /* the whole system starts for the first time */
     void (*on_catalog)(void* user_data, cw_catalog_t* catalog);
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -373,8 +373,11 @@
     }
     cw_copy(pool->name, sizeof(pool->name), name);
     pool->upstreams = u;
-    pool->balance = cw_balance_setup(
-        &(cw_balance_desc_t){.hall = u->desc.hall, .seed = u->desc.host, .max_servers = POOL_SERVERS_MAX});
+    pool->balance = cw_balance_setup(&(cw_balance_desc_t){.hall = u->desc.hall,
+                                                          .seed = u->desc.host,
+                                                          .max_servers = POOL_SERVERS_MAX,
+                                                          .is_mine = u->desc.is_mine,
+                                                          .user_data = u->desc.user_data});
     cw_balance_set_fleet(pool->balance, u->live, u->reach_ms);
     pool->retries = (cw_retry_window_t){.ratio = u->desc.retry_ratio * RETRY_SAFETY,
                                         .slack = u->desc.retry_slack * RETRY_SAFETY,
@@ -395,13 +398,14 @@
     cw_server_spec_t specs[POOL_SERVERS_MAX];
     uint32_t count = 0;
     for (server_t* s = pool->servers; s && count < POOL_SERVERS_MAX; s = s->next) {
-        if (!s->gone) {
+        if (!s->gone && !s->closed) {
             specs[count++] = (cw_server_spec_t){.id = s->key,
                                                 .hall = cw_name_id(s->published.hall),
                                                 .slots = pool->slots ? pool->slots : s->published.slots,
                                                 .memory_tokens = pool->memory_tokens,
                                                 .move_ms = pool->move_ms,
-                                                .cold_ms = s->published.cold_ms};
+                                                .cold_ms = s->published.cold_ms,
+                                                .cold_per_s = pool->cold_per_s};
         }
     }
     pool->ready = count;
@@ -429,21 +433,22 @@
     return s;
 }
 
-/* Takes over what is published of the server. Returns whether it is new, gone or back. */
-static bool server_update(upstreams_t* u, const cw_server_t* published) {
+/* Takes over what is published of the server. Returns whether it is new, or is used now and was not, or the reverse. */
+static bool server_update(upstreams_t* u, const cw_server_t* published, const cw_closed_t* closed) {
     uint64_t key = cw_name_id(published->id);
     server_t* known = upstreams_server(u, key);
     server_t* s = known ? known : server_new(u, published, key);
     if (!s || strcmp(s->pool->name, published->pool) != 0) {
         return false; /* an id that another pool still uses waits until that server is gone */
     }
-    bool was_gone = s->gone;
+    bool was_used = !s->gone && !s->closed;
     s->published = *published;
+    s->closed = cw_closed_has(closed, published->hall);
     s->published_now = true;
     s->missing_until_ms = 0;
     s->left = s->left || published->leaving; /* a server that leaves does not come back with the same id */
     s->gone = s->left;
-    return !known || s->gone != was_gone;
+    return !known || (!s->gone && !s->closed) != was_used;
 }
 
 /* Before a list is taken over: what it does not name is missing. */
@@ -471,7 +476,7 @@
     uint32_t changes = 0;
     forget_published(u);
     for (uint32_t i = 0; i < list->count; i++) {
-        changes += server_update(u, &list->items[i]);
+        changes += server_update(u, &list->items[i], &list->closed);
     }
     for (pool_t* pool = u->pools; pool; pool = pool->next) {
         for (server_t* s = pool->servers; s; s = s->next) {
@@ -509,6 +514,7 @@
         pool_t* pool = pool_get(u, declared->name);
         cw_copy(pool->health, sizeof(pool->health), declared->health ? declared->health : "");
         pool->connections = declared->connections;
+        pool->cold_per_s = declared->cold_per_s;
         pool->slots = declared->slots;
         pool->memory_tokens = declared->memory_tokens;
         pool->move_ms = u->desc.dialect->fields.fetch_from && declared->link_mbps
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -30,6 +30,7 @@
     pool_t* pool;
     bool left;                /* it was published as leaving, or said so: for good */
     bool gone;                /* left, or no longer published: gets nothing new */
+    bool closed;              /* its hall is closed: it gets nothing new for now */
     bool published_now;       /* in the list read last, leaving or not */
     int64_t missing_until_ms; /* not in the list: taken as gone then */
     bool probing;
@@ -47,6 +48,7 @@
     uint32_t connections; /* that one server takes from all daemons, 0: no limit */
     uint32_t slots;       /* of an engine, 0: none */
     uint32_t memory_tokens;
+    double cold_per_s;   /* requests a second that a cold server bears from all daemons, 0: no limit */
     double move_ms;      /* to fetch one token from another engine, 0: none can be fetched */
     double told_read_ms; /* reading pace in the log's last line on it, ms a token; 0: none yet */
     cw_retry_window_t retries;
@@ -80,6 +82,8 @@
     double retry_ratio, retry_slack;
     uint32_t retry_window_ms;
     uint32_t max_links; /* of this process */
+    /* Whether this daemon, and no other one, sends to the server while it is cold; NULL: it does. */
+    bool (*is_mine)(void* user_data, uint64_t server);
     /* A place may have come free in the pool. */
     void (*on_room)(void* user_data, pool_t* pool);
     void* user_data;
--- a/tests/test_changes.c
+++ b/tests/test_changes.c
@@ -28,6 +28,10 @@
     cw_server_t s = server((uint32_t)(random % 60));
     s.leaving = random / 60 % 3 == 1;
     s.cold_ms = random / 180 % 2 ? 500 : 0;
+    list->closed = (cw_closed_t){.at = list->closed.at + 1};
+    if (random / 360 % 2) {
+        cw_closed_add(&list->closed, "a");
+    }
     if (random / 60 % 3 == 2) {
         cw_servers_remove(list, s.id);
     } else {
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -290,6 +290,24 @@
 }
 END_TEST
 
+START_TEST(a_closed_hall_gets_nothing_until_it_is_opened_again) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    script(r, 2, (rig_step_t[]){{RIG_ANSWER, OK("a", "1")}, {RIG_ANSWER, OK("b", "1")}});
+    expect_status(rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n"), "200");
+    cw_servers_t list = {.closed.at = 5};
+    rig_list(r, &list, 1, 0);
+    ck_assert(cw_closed_add(&list.closed, "a"));
+    ck_assert_uint_eq(upstreams_set_servers(r->upstreams, 2000, &list, false), 1);
+    expect_status(rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n"), "503");
+    ck_assert_uint_eq(r->arrival_count, 1);
+    list.closed = (cw_closed_t){.at = 6};
+    ck_assert_uint_eq(upstreams_set_servers(r->upstreams, 3000, &list, false), 1);
+    cw_servers_free(&list);
+    expect_status(rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n"), "200");
+    rig_shutdown(r);
+}
+END_TEST
+
 START_TEST(a_list_that_says_the_same_changes_nothing) {
     rig_t* r = rig_setup(ROUTES, 3);
     ck_assert_uint_eq(rig_set_servers(r, 3, 0), 0);
@@ -572,6 +590,7 @@
     tcase_add_test(t, bytes_that_are_no_answer_are_not_passed_on);
     tcase_add_test(t, a_server_with_another_id_is_not_used_again);
     tcase_add_test(t, a_leaving_server_gets_nothing_new);
+    tcase_add_test(t, a_closed_hall_gets_nothing_until_it_is_opened_again);
     tcase_add_test(t, a_list_that_says_the_same_changes_nothing);
     tcase_add_test(t, lapsed_servers_are_used_until_they_are_back);
     tcase_add_test(t, a_caller_that_leaves_ends_its_stream_at_the_server);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -156,6 +156,27 @@
 }
 END_TEST
 
+START_TEST(zones_to_be_emptied_are_closed_halls) {
+    cw_closed_t closed = {0};
+    cw_error_t err = {0};
+    char path[128];
+    platform_source.closed_path(path, sizeof(path));
+    ck_assert_str_eq(path, "/kv-range?path_prefix=op/evacuate/");
+    static const char body[] = "{\"items\":[{\"tls_key\":\"op/evacuate/b\",\"value\":\"e30=\"},{\"tls_key\":"
+                               "\"op/evacuate/\"},{\"tls_key\":\"op/config\"},7],\"more\":false,\"at\":31}";
+    ck_assert_int_eq(platform_source.read_closed(body, strlen(body), &closed, &err), CW_OK);
+    ck_assert_int_eq(closed.at, 31);
+    ck_assert_uint_eq(closed.count, 1);
+    ck_assert(cw_closed_has(&closed, "b") && !cw_closed_has(&closed, "a"));
+    static const char* const nonsense[] = {"", "[]", "{}", "{\"items\":7}"};
+    for (size_t i = 0; i < sizeof(nonsense) / sizeof(nonsense[0]); i++) {
+        closed = (cw_closed_t){0};
+        ck_assert_int_ne(platform_source.read_closed(nonsense[i], strlen(nonsense[i]), &closed, &err), CW_OK);
+        ck_assert_str_eq(err.step, "platform-store");
+    }
+}
+END_TEST
+
 /* Pages of one list are read one after the other: what changed meanwhile is asked for from the first one's revision. */
 START_TEST(a_list_in_pages_is_as_old_as_its_first_page) {
     cw_servers_t list = {0};
@@ -175,6 +196,7 @@
     tcase_add_test(t, the_stores_answers_are_read_and_nonsense_is_told);
     tcase_add_test(t, the_list_of_servers_is_read_and_odd_entries_are_left_out);
     tcase_add_test(t, events_of_the_store_change_the_list);
+    tcase_add_test(t, zones_to_be_emptied_are_closed_halls);
     tcase_add_test(t, a_list_in_pages_is_as_old_as_its_first_page);
 }
 
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -40,6 +40,8 @@
     uint32_t revision_count;
     uint32_t lists; /* taken over */
     bool list_leaving;
+    bool list_closed;  /* hall "a" */
+    bool closes;       /* the source says so */
     bool after_outage; /* of the list taken over last */
     char lines[8192];  /* of the log */
     ev_timer tick, give_up;
@@ -99,6 +101,13 @@
         cw_exchange_reply(x, 200, NULL, 0, site->delta, strlen(site->delta));
         return;
     }
+    const char* prefix = cw_exchange_arg(x, "path_prefix");
+    if (prefix && strcmp(prefix, "op/evacuate/") == 0) {
+        snprintf(body, sizeof(body), "{\"items\":[%s],\"at\":%u}",
+                 site->closes ? "{\"tls_key\":\"op/evacuate/a\"}" : "", site->calls);
+        cw_exchange_reply(x, 200, NULL, 0, body, strlen(body));
+        return;
+    }
     if (strcmp(cw_exchange_path(x), "/kv-range") == 0) {
         on_page(x, site);
         return;
@@ -129,6 +138,7 @@
     site->lists++;
     site->after_outage = after_outage;
     site->list_leaving = list->items[0].leaving;
+    site->list_closed = cw_closed_has(&list->closed, "a");
 }
 
 static void write_line(const char* line, void* user) {
@@ -178,6 +188,7 @@
                                            .address = cw_httpd_address(site->source),
                                            .share = "127.0.0.1:0",
                                            .read_ms = 30,
+                                           .closed_ms = source->closed_path ? 1 : 0,
                                            .on_catalog = on_catalog,
                                            .on_servers = on_servers,
                                            .user_data = site},
@@ -237,6 +248,14 @@
     return sync_stats(site->sync).servers_age_ms > 2100;
 }
 
+static bool is_closed(site_t* site) {
+    return site->list_closed;
+}
+
+static bool is_open(site_t* site) {
+    return !site->list_closed;
+}
+
 static bool asked_for_changes(site_t* site) {
     return site->change_calls >= 4;
 }
@@ -441,6 +460,27 @@
 }
 END_TEST
 
+START_TEST(a_hall_is_closed_and_opened_with_the_list_and_a_lost_answer_leaves_it) {
+    source_with_changes = source_native;
+    source_with_changes.closed_path = platform_source.closed_path;
+    source_with_changes.read_closed = platform_source.read_closed;
+    site_t* site = site_setup_by(5, &source_with_changes);
+    run_until(site, has_all);
+    ck_assert(!site->list_closed);
+    site->closes = true;
+    run_until(site, is_closed);
+    uint64_t closed_id = sync_knowledge(site->sync).servers;
+    site->act = SOURCE_FAILS;
+    run_until(site, lost);
+    ck_assert(site->list_closed);
+    site->closes = false;
+    site->act = SOURCE_GIVES;
+    run_until(site, is_open);
+    ck_assert_uint_ne(sync_knowledge(site->sync).servers, closed_id); /* so that peers fetch it */
+    site_shutdown(site);
+}
+END_TEST
+
 START_TEST(what_the_source_says_wrongly_changes_nothing_and_is_told) {
     site_t* site = site_setup(9);
     run_until(site, has_all);
@@ -515,6 +555,7 @@
     tcase_add_test(t, a_call_that_hangs_does_not_hide_later_changes);
     tcase_add_test(t, a_list_after_an_outage_is_told_as_such);
     tcase_add_test(t, an_older_revision_is_never_taken_over);
+    tcase_add_test(t, a_hall_is_closed_and_opened_with_the_list_and_a_lost_answer_leaves_it);
     tcase_add_test(t, what_the_source_says_wrongly_changes_nothing_and_is_told);
     tcase_add_test(t, a_daemon_that_the_source_refuses_follows_its_peers);
     tcase_add_test(t, news_of_the_same_state_makes_it_younger);
