--- /dev/null
+++ b/tests/test_soak_check.c
@@ -0,0 +1,141 @@
+/* The judge of a soak: a good record passes, and each kind of fault in one is found. */
+#include <stdio.h>
+#include <string.h>
+
+#include "../tools/soak.h"
+#include "test.h"
+
+#define GRACE_MS 4000
+#define DRAIN_MS 2000
+
+#define FLEET "S 1 up e1 12\nS 1 up v1 0\n"
+#define SERVED                                                                                                         \
+    "C 10 sent a short h:1 500\nU 12 begin a e1 0 500\nU 40 end a e1\nC 41 done a 200 1 1 20\n"                        \
+    "C 50 sent b call h:1 0\nU 51 begin b v1 2 0\nU 90 end b v1\nC 91 done b 200 1 1 40\n"
+
+static soak_result_t judge(const char* text) {
+    static char record[65536];
+    snprintf(record, sizeof(record), "%s%s", FLEET, text);
+    return soak_judge(record, GRACE_MS, DRAIN_MS);
+}
+
+/* Only this check fails. */
+static void expect(const char* text, soak_check_t check) {
+    soak_result_t r = judge(text);
+    for (int i = 0; i < SOAK_CHECKS; i++) {
+        ck_assert_msg((r.count[i] > 0) == (i == (int)check), "%s: %u, %s", soak_check_name((soak_check_t)i), r.count[i],
+                      r.first[i]);
+    }
+    ck_assert(soak_failed(&r));
+}
+
+START_TEST(a_good_record_passes) {
+    soak_result_t r = judge(SERVED "C 95 sent c get h:1 0\nC 99 left c\n");
+    ck_assert(!soak_failed(&r));
+    ck_assert_uint_eq(r.sent, 3);
+    ck_assert_uint_eq(r.served, 2);
+    ck_assert_uint_eq(r.left, 1);
+    ck_assert_uint_eq(r.calm_served, 2);
+}
+END_TEST
+
+START_TEST(a_second_run_is_found_where_it_may_not_be) {
+    expect(SERVED "U 95 begin b v1 2 0\nU 99 end b v1\n", SOAK_TWICE);
+    soak_result_t r = judge(SERVED "U 95 begin a e1 0 500\nU 99 end a e1\n"); /* may be resumed */
+    ck_assert(!soak_failed(&r));
+}
+END_TEST
+
+START_TEST(a_broken_promise_is_found) {
+    expect("S 5 fault burst -\nC 10 sent b call h:1 0\nU 11 begin b v1 2 0\nC 12 done b 503 1 0 1\n", SOAK_REFUSED);
+}
+END_TEST
+
+START_TEST(a_wrong_answer_is_found) {
+    soak_result_t r = judge("S 5 fault burst -\nC 10 sent b call h:1 0\nU 11 begin b v1 2 0\nC 12 done b 200 1 0 1\n");
+    ck_assert_uint_eq(r.count[SOAK_MIXED], 1);
+}
+END_TEST
+
+#define CUT "C 210 sent b call h:1 0\nU 211 begin b v1 2 0\nC 250 done b 0 0 0 0\nU 251 gone b v1\n"
+
+START_TEST(a_request_lost_by_a_planned_stop_is_found) {
+    expect("S 200 fault stop h:1\n" CUT "S 300 ended h:1 0\nS 310 over stop h:1\n", SOAK_LOST);
+    soak_result_t killed = judge("S 200 fault kill h:1\n" CUT "S 310 over kill h:1\n");
+    ck_assert_uint_eq(killed.count[SOAK_LOST], 0);
+    soak_result_t crashed = judge("S 200 fault stop h:1\nS 205 fault crash v1\n" CUT "S 300 ended h:1 0\n");
+    ck_assert_uint_eq(crashed.count[SOAK_LOST], 0);
+}
+END_TEST
+
+START_TEST(a_host_that_does_not_end_in_order_is_found) {
+    expect("S 5 fault stop h:1\nS 300 ended h:1 139\nS 310 over stop h:1\n", SOAK_STOP);
+    expect("S 5 fault stop h:1\nS 9000 ended h:1 0\nS 9010 over stop h:1\n", SOAK_STOP);
+}
+END_TEST
+
+START_TEST(a_refusal_by_idle_engines_is_found) {
+    soak_result_t r = judge("C 10 sent a medium h:1 7000\nC 12 done a 503 1 0 1\n");
+    ck_assert_uint_eq(r.count[SOAK_IDLE], 1);
+    soak_result_t stirred = judge("S 5 fault burst -\nC 10 sent a medium h:1 7000\nC 12 done a 503 1 0 1\n");
+    ck_assert_uint_eq(stirred.count[SOAK_IDLE], 0);
+}
+END_TEST
+
+/* Eleven prompts of the more urgent kind are refused while larger ones of the less urgent kind begin. */
+START_TEST(a_kind_that_is_put_behind_is_found) {
+    static char text[8192];
+    for (uint32_t long_tokens = 1500; long_tokens <= 9000; long_tokens += 7500) {
+        size_t n = 0;
+        for (int i = 0; i < 11; i++) {
+            n += (size_t)snprintf(text + n, sizeof(text) - n,
+                                  "C %d sent m%d medium h:1 2000\nC %d done m%d 503 1 0 1\nC %d sent l%d long h:1 %u\n"
+                                  "U %d begin l%d e1 2 %u\n",
+                                  10 + i, i, 12 + i, i, 14 + i, i, long_tokens, 16 + i, i, long_tokens);
+        }
+        ck_assert_uint_eq(judge(text).count[SOAK_PUT_BEHIND] > 0, long_tokens > 4000);
+    }
+}
+END_TEST
+
+START_TEST(work_given_to_a_server_that_left_is_found) {
+    expect("S 5 leaves v1\nC 4000 sent b call h:1 0\nU 4010 begin b v1 2 0\nU 4050 end b v1\n"
+           "C 4051 done b 200 1 1 40\n",
+           SOAK_LEFT);
+}
+END_TEST
+
+START_TEST(work_for_callers_that_left_is_found) {
+    static char text[4096];
+    size_t n = 0;
+    for (int i = 0; i < 6; i++) {
+        n += (size_t)snprintf(text + n, sizeof(text) - n,
+                              "C 10 sent a%d short h:1 500\nU 12 begin a%d e1 0 500\nC 20 left a%d\nU 900 end a%d e1\n",
+                              i, i, i, i);
+    }
+    expect(text, SOAK_WORKED_ON);
+}
+END_TEST
+
+START_TEST(too_little_service_in_calm_seconds_is_found) {
+    expect(SERVED "C 95 sent c get h:1 0\nC 99 done c 502 1 0 4\n", SOAK_RECOVERY);
+}
+END_TEST
+
+static void add(TCase* t) {
+    tcase_add_test(t, a_good_record_passes);
+    tcase_add_test(t, a_second_run_is_found_where_it_may_not_be);
+    tcase_add_test(t, a_broken_promise_is_found);
+    tcase_add_test(t, a_wrong_answer_is_found);
+    tcase_add_test(t, a_request_lost_by_a_planned_stop_is_found);
+    tcase_add_test(t, a_host_that_does_not_end_in_order_is_found);
+    tcase_add_test(t, a_refusal_by_idle_engines_is_found);
+    tcase_add_test(t, a_kind_that_is_put_behind_is_found);
+    tcase_add_test(t, work_given_to_a_server_that_left_is_found);
+    tcase_add_test(t, work_for_callers_that_left_is_found);
+    tcase_add_test(t, too_little_service_in_calm_seconds_is_found);
+}
+
+int main(void) {
+    return run_suite("soak-check", add, 30);
+}
