Admission is a part of its own; lint of the soak

Behaviour is the same: test_exchange and test_edge pass unchanged. The soak aborts where it would hold more processes than it has room for.

--- /dev/null
+++ b/gateway/admission.c
@@ -0,0 +1,67 @@
+#include "admission.h"
+
+#include <string.h>
+
+#include "request_head.h"
+
+#define HOST_MAX 256
+#define UNCONFIGURED_RETRY_MIN_MS 300 /* a host that has just started will have a configuration, or other hosts do */
+#define AWAY_LEFT_SHARE 0.2 /* of a caller's time left, and up to half as much more, until it comes back then */
+
+static const cw_route_t* route_of(const cw_catalog_t* catalog, const cw_message_t* m) {
+    char host[HOST_MAX];
+    const char* field = cw_message_field(m, "Host");
+    cw_copy(host, sizeof(host), field ? field : "");
+    host[strcspn(host, ":")] = 0;
+    return cw_catalog_route(catalog, host, m->target, strcspn(m->target, "?#"));
+}
+
+static admission_t denied(unsigned status, const char* why) {
+    return (admission_t){.status = status, .why = why};
+}
+
+static uint32_t held_ms(const dialect_t* dialect, const cw_message_t* m, const cw_route_t* route) {
+    double wanted = 0;
+    request_deadline_read(dialect, m, &wanted); /* checked before */
+    return wanted > 0 && wanted < route->timeout_ms ? (uint32_t)wanted : route->timeout_ms;
+}
+
+admission_t admission_judge(const dialect_t* dialect, const cw_catalog_t* catalog, const cw_message_t* m) {
+    char key[CW_ACCESS_KEY_MAX];
+    const cw_tenant_t* workspace = NULL;
+    if (m->target[0] != '/' || cw_message_field_times(m, "Host") != 1) {
+        return denied(400, "bad request target or host");
+    }
+    const char* malformed = request_fields_check(dialect, m);
+    if (malformed) {
+        return denied(400, malformed);
+    }
+    const cw_route_t* route = route_of(catalog, m);
+    if (!route) {
+        return denied(404, "no route");
+    }
+    if (request_key_read(dialect, m, key, sizeof(key))) {
+        workspace = cw_catalog_workspace(catalog, key);
+    }
+    if (catalog->needs_keys && !route->open && !workspace) {
+        return denied(401, "unknown key");
+    }
+    bool resumable = route->kind == CW_ROUTE_STREAM && route->resume;
+    return (admission_t){.why = "",
+                         .route = route,
+                         .workspace = workspace,
+                         .priority = workspace && workspace->has_tier ? workspace->tier : route->tier,
+                         .held_ms = held_ms(dialect, m, route),
+                         .repeatable = route->kind == CW_ROUTE_REPEATABLE || resumable};
+}
+
+uint32_t admission_unconfigured_retry_ms(const dialect_t* dialect, const cw_message_t* m, bool away, uint64_t draw) {
+    double left_ms = 0;
+    if (!request_deadline_read(dialect, m, &left_ms)) {
+        left_ms = 0; /* it is told so by a host that can judge the request */
+    }
+    double share = AWAY_LEFT_SHARE * (1 + (double)(draw % 500) / 1000);
+    bool known = left_ms > 0 && left_ms < UINT32_MAX;
+    uint32_t later_ms = away && known ? (uint32_t)(left_ms * share) : 0;
+    return later_ms > UNCONFIGURED_RETRY_MIN_MS ? later_ms : UNCONFIGURED_RETRY_MIN_MS;
+}
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -9,6 +9,7 @@
 
 #include "../chalkway_events.h"
 #include "../chalkway_request.h"
+#include "admission.h"
 #include "clock.h"
 #include "request_head.h"
 
@@ -27,7 +28,6 @@
 #define RETRY_AFTER_MIN_MS 300    /* shortest time to come back after a refusal */
 #define RETRY_AFTER_SPREAD_MS 500 /* spread, so that those refused do not come back together */
 #define YOUNG_MS 500              /* a process that has no configuration for longer takes its source to be away */
-#define AWAY_LEFT_SHARE 0.2       /* of a caller's time left, and up to half as much more, until it comes back then */
 #define DETACHED_MS 2000          /* a run that may not be repeated is left to itself for so long after its time */
 #define ID_MAX 128
 
@@ -673,80 +673,33 @@
     answer(e, caller, status, id, why, 0);
 }
 
-static void host_of(const cw_message_t* m, char* out, size_t size) {
-    const char* host = cw_message_field(m, "Host");
-    cw_copy(out, size, host ? host : "");
-    out[strcspn(out, ":")] = 0;
-}
-
-static const cw_route_t* route_of(const exchanges_t* e, const cw_message_t* m) {
-    char host[256];
-    host_of(m, host, sizeof(host));
-    return cw_catalog_route(e->catalog, host, m->target, strcspn(m->target, "?#"));
-}
-
-/* The status that denies a request, or 0; fills route and workspace. */
-static unsigned admit(const exchanges_t* e, const cw_message_t* m, const cw_route_t** route,
-                      const cw_tenant_t** workspace, const char** why) {
-    char key[CW_ACCESS_KEY_MAX];
-    *workspace = NULL;
-    if (m->target[0] != '/' || cw_message_field_times(m, "Host") != 1) {
-        *why = "bad request target or host";
-        return 400;
-    }
-    *why = request_fields_check(e->desc.dialect, m);
-    if (*why) {
-        return 400;
-    }
-    *route = route_of(e, m);
-    if (!*route) {
-        *why = "no route";
-        return 404;
-    }
-    if (request_key_read(e->desc.dialect, m, key, sizeof(key))) {
-        *workspace = cw_catalog_workspace(e->catalog, key);
-    }
-    if (e->catalog->needs_keys && !(*route)->open && !*workspace) {
-        *why = "unknown key";
-        return 401;
-    }
-    return 0;
-}
-
-static int64_t deadline_of(const exchanges_t* e, const cw_message_t* m, const cw_route_t* route, int64_t now_ms) {
-    double wanted = 0;
-    request_deadline_read(e->desc.dialect, m, &wanted); /* checked when the request was admitted */
-    double held = wanted > 0 && wanted < route->timeout_ms ? wanted : route->timeout_ms;
-    return now_ms + (int64_t)held;
-}
-
-static exchange_t* exchange_new(exchanges_t* e, caller_t* caller, const cw_route_t* route, const cw_tenant_t* workspace,
-                                const char* id) {
+static exchange_t* exchange_new(exchanges_t* e, caller_t* caller, const admission_t* admission, const char* id) {
     exchange_t* x = calloc(1, sizeof(*x));
     if (!x) {
         abort();
     }
-    const cw_message_t* m = caller_message(caller);
+    const cw_route_t* route = admission->route;
     bool stream = route->kind == CW_ROUTE_STREAM;
     x->all = e;
     x->caller = caller;
     cw_copy(x->id, sizeof(x->id), id);
     x->catalog = cw_catalog_hold(e->catalog);
     x->route = route;
-    x->workspace = workspace;
+    x->workspace = admission->workspace;
     x->arrived_ms = clock_ms();
-    x->deadline_ms = deadline_of(e, m, route, x->arrived_ms);
-    x->priority = workspace && workspace->has_tier ? workspace->tier : route->tier;
+    x->deadline_ms = x->arrived_ms + admission->held_ms;
+    x->priority = admission->priority;
     x->run.server = CW_BALANCE_NONE;
-    bool repeatable = route->kind == CW_ROUTE_REPEATABLE || (stream && route->resume);
-    x->machine = cw_request_new(&(cw_request_desc_t){.repeatable = repeatable,
+    x->machine = cw_request_new(&(cw_request_desc_t){.repeatable = admission->repeatable,
                                                      .resumable = stream && route->resume,
                                                      .cancel_when_gone = stream,
                                                      .count_sent = true,
                                                      .max_attempts = route->attempts});
-    x->work = (cw_work_t){
-        .tier = x->priority, .target_ms = route->target_ms, .gap_ms = route->gap_ms, .repeatable = repeatable};
-    request_work_read(&x->work, e->desc.dialect, m);
+    x->work = (cw_work_t){.tier = x->priority,
+                          .target_ms = route->target_ms,
+                          .gap_ms = route->gap_ms,
+                          .repeatable = admission->repeatable};
+    request_work_read(&x->work, e->desc.dialect, caller_message(caller));
     ev_timer_init(&x->timer, on_timer, 0.0, 0.0);
     x->timer.data = x;
     x->next = e->list;
@@ -759,26 +712,14 @@
     return x;
 }
 
-/* Time to come back to a host that has no configuration yet. At its start it will have one at once, or other hosts do;
-   later the source is away for everybody, and callers that came back at once would use up their tries. */
-static uint32_t unconfigured_retry_ms(exchanges_t* e, const cw_message_t* m) {
-    uint32_t young_ms = e->desc.young_ms ? e->desc.young_ms : YOUNG_MS;
-    double left_ms = 0;
-    if (!request_deadline_read(e->desc.dialect, m, &left_ms)) {
-        left_ms = 0; /* it is told so by a host that can judge the request */
-    }
-    double share = AWAY_LEFT_SHARE * (1 + (double)(draw(e) % 500) / 1000);
-    bool away = clock_ms() - e->setup_ms > young_ms && left_ms > 0 && left_ms < UINT32_MAX;
-    uint32_t later_ms = away ? (uint32_t)(left_ms * share) : 0;
-    return later_ms > RETRY_AFTER_MIN_MS ? later_ms : RETRY_AFTER_MIN_MS;
+/* Has no configuration although it is no longer young. */
+static bool source_seems_away(const exchanges_t* e) {
+    return clock_ms() - e->setup_ms > (e->desc.young_ms ? e->desc.young_ms : YOUNG_MS);
 }
 
 void exchanges_on_request(exchanges_t* e, caller_t* caller) {
     const cw_message_t* m = caller_message(caller);
     const char* id = cw_message_field(m, e->desc.dialect->fields.request_id);
-    const cw_route_t* route = NULL;
-    const cw_tenant_t* workspace = NULL;
-    const char* why = "";
     char made[24];
     if (!id || !id[0] || strlen(id) >= ID_MAX) {
         snprintf(made, sizeof(made), "%016llx", (unsigned long long)draw(e));
@@ -787,16 +728,17 @@
     if (!e->catalog) {
         e->stats.outcomes[EXCHANGE_REFUSED]++;
         cw_log(e->desc.log, CW_EVENT_REQUEST_DENIED, "id=%s status=503 why=\"no configuration\" revision=0", id);
-        answer(e, caller, 503, id, "no configuration", unconfigured_retry_ms(e, m));
+        uint32_t retry_ms = admission_unconfigured_retry_ms(e->desc.dialect, m, source_seems_away(e), draw(e));
+        answer(e, caller, 503, id, "no configuration", retry_ms);
         return;
     }
-    unsigned status = admit(e, m, &route, &workspace, &why);
-    if (status) {
-        deny(e, caller, status, id, why);
+    admission_t admission = admission_judge(e->desc.dialect, e->catalog, m);
+    if (admission.status) {
+        deny(e, caller, admission.status, id, admission.why);
         return;
     }
-    exchange_t* x = exchange_new(e, caller, route, workspace, id);
-    const cw_catalog_pool_t* pool = cw_catalog_pool(e->catalog, route, draw(e));
+    exchange_t* x = exchange_new(e, caller, &admission, id);
+    const cw_catalog_pool_t* pool = cw_catalog_pool(e->catalog, admission.route, draw(e));
     x->pool = upstreams_pool(e->desc.upstreams, pool->name);
     assert(x->pool); /* upstreams were told of the catalog before */
     cw_retry_window_first(&x->pool->retries, x->arrived_ms);
--- a/tools/arrows.sh
+++ b/tools/arrows.sh
@@ -20,7 +20,8 @@
         news) echo "clock news settings upstream" ;;
         directory) echo "dialect directory" ;;
         request_head) echo "dialect request_head" ;;
-        exchange) echo "clock exchange front request_head upstream" ;;
+        admission) echo "admission dialect request_head" ;;
+        exchange) echo "admission clock exchange front request_head upstream" ;;
         native | dialect) echo "dialect" ;;
         inventory) echo "clock dialect inventory upstream" ;;
         settings) echo "settings" ;;
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -315,7 +315,8 @@
 
 static proc_t* proc_new(soak_t* s, proc_kind_t kind) {
     if (s->proc_count == MAX_PROCS) {
-        return NULL;
+        fprintf(stderr, "more than %d processes in one soak\n", MAX_PROCS);
+        abort();
     }
     proc_t* p = &s->procs[s->proc_count++];
     *p = (proc_t){.soak = s, .kind = kind};
@@ -324,9 +325,6 @@
 
 static void start_upstream(soak_t* s, bool engine) {
     proc_t* p = proc_new(s, PROC_UPSTREAM);
-    if (!p) {
-        return;
-    }
     char slots[8];
     p->engine = engine;
     snprintf(p->name, sizeof(p->name), "%s%u", engine ? "e" : "v", ++s->names);
@@ -682,10 +680,11 @@
 
 static void start(soak_t* s) {
     note(s, "fault start -");
-    s->source = proc_new(s, PROC_SOURCE);
-    cw_copy(s->source->name, sizeof(s->source->name), "source");
-    launch(s->source, "fake-source", (const char* const[]){NULL});
-    while (!s->source->told) {
+    proc_t* source = proc_new(s, PROC_SOURCE);
+    cw_copy(source->name, sizeof(source->name), "source");
+    s->source = source;
+    launch(source, "fake-source", (const char* const[]){NULL});
+    while (!source->told) {
         ev_run(s->loop, EVRUN_ONCE);
     }
     for (uint32_t i = 0; i < s->engines + s->services; i++) {
@@ -756,13 +755,14 @@
 
 static error_t parse_option(int key, char* arg, struct argp_state* state) {
     soak_t* s = state->input;
-    uint32_t number = arg ? (uint32_t)strtoul(arg, NULL, 10) : 0;
+    const char* text = arg ? arg : "";
+    uint32_t number = (uint32_t)strtoul(text, NULL, 10);
     switch (key) {
         case 'b':
             s->build = arg;
             return 0;
         case 's':
-            s->seed = strtoull(arg, NULL, 10);
+            s->seed = strtoull(text, NULL, 10);
             return 0;
         case 't':
             s->seconds = number;
@@ -780,7 +780,7 @@
             s->callers = number;
             return 0;
         case 'r':
-            s->per_s = strtod(arg, NULL);
+            s->per_s = strtod(text, NULL);
             return 0;
         case 'k':
             s->keep = true;
--- a/tools/soak_callers.c
+++ b/tools/soak_callers.c
@@ -23,6 +23,7 @@
 #include "../standins/standin.h"
 #include "soak.h"
 
+#define DEADLINE_FIELD "Chalkway-Deadline-Ms"
 #define LINES_BYTES 16777216
 #define MAX_CALLERS 2000
 #define MAX_HOSTS 64
@@ -197,9 +198,8 @@
     char rest[120];
     snprintf(w->id, sizeof(w->id), "%016" PRIx64, draw(c));
     int n =
-        snprintf(text, sizeof(text),
-                 "POST %sx HTTP/1.1\r\nHost: soak.example\r\nChalkway-Request-Id: %s\r\nChalkway-Deadline-Ms: %u\r\n",
-                 kind->path, w->id, kind->timeout_ms);
+        snprintf(text, sizeof(text), "POST %sx HTTP/1.1\r\nHost: soak.example\r\nChalkway-Request-Id: %s\r\n%s: %u\r\n",
+                 kind->path, w->id, DEADLINE_FIELD, kind->timeout_ms);
     if (kind->tokens_max) {
         n += snprintf(text + n, sizeof(text) - (size_t)n, "Chalkway-Tokens: %u,%u\r\n", w->tokens, kind->events);
     }
