--- a/chalkway_stop.h
+++ b/chalkway_stop.h
@@ -12,7 +12,7 @@
 
     HOW TO USE IT
             cw_stop_t stop = {0};                               // not stopping
-            cw_stop_begin(&stop, now_ms, grace_ms);             // once told to
+            cw_stop_begin(&stop, now_ms, &(cw_stop_desc_t){...}); // once told to
             switch (cw_stop_step(&stop, now_ms, active)) { ... } // each turn
 
     WHAT IT DOES NOT DO
@@ -30,14 +30,21 @@
     CW_STOP_ENDED     /* the process ends now */
 } cw_stop_phase_t;
 
+/* Times from the order to stop. */
+typedef struct cw_stop_desc_t {
+    uint32_t quiet_ms; /* requests are taken for so long in any case: callers keep addresses */
+    uint32_t take_ms;  /* they are taken for so long where others run */
+    uint32_t end_ms;   /* it ends then, whatever runs */
+} cw_stop_desc_t;
+
 typedef struct cw_stop_t {
     cw_stop_phase_t phase;
     int64_t begun_ms;
-    uint32_t grace_ms; /* from the order to the forced end */
+    cw_stop_desc_t desc;
 } cw_stop_t;
 
 /* The order to stop; one that is repeated changes nothing. */
-void cw_stop_begin(cw_stop_t* s, int64_t now_ms, uint32_t grace_ms);
+void cw_stop_begin(cw_stop_t* s, int64_t now_ms, const cw_stop_desc_t* desc);
 /* To be called once a turn with the number of requests that are not answered; returns the phase from now on. */
 cw_stop_phase_t cw_stop_step(cw_stop_t* s, int64_t now_ms, uint32_t active);
 
@@ -48,15 +55,9 @@
 #ifndef CHALKWAY_STOP_IMPL_INCLUDED
 #define CHALKWAY_STOP_IMPL_INCLUDED
 
-#define _CW_STOP_TAKE_SHARE 0.375 /* of the grace: requests are taken for so long, also while others run */
-#define _CW_STOP_QUIET_SHARE                                                                                           \
-    0.25                       /* of the grace: requests are taken for so long in any case: callers keep addresses     \
-                                */
-#define _CW_STOP_MARGIN_MS 500 /* it ends so long before the grace is over */
-
-void cw_stop_begin(cw_stop_t* s, int64_t now_ms, uint32_t grace_ms) {
+void cw_stop_begin(cw_stop_t* s, int64_t now_ms, const cw_stop_desc_t* desc) {
     if (s->phase == CW_STOP_NOT) {
-        *s = (cw_stop_t){.phase = CW_STOP_TAKING, .begun_ms = now_ms, .grace_ms = grace_ms};
+        *s = (cw_stop_t){.phase = CW_STOP_TAKING, .begun_ms = now_ms, .desc = *desc};
     }
 }
 
@@ -65,11 +66,10 @@
         return s->phase;
     }
     int64_t since_ms = now_ms - s->begun_ms;
-    bool overdue = since_ms + _CW_STOP_MARGIN_MS > s->grace_ms;
-    bool quiet = !active && since_ms >= (int64_t)(_CW_STOP_QUIET_SHARE * s->grace_ms);
-    if (overdue || (s->phase == CW_STOP_REFUSING && quiet)) {
+    bool quiet = !active && since_ms >= s->desc.quiet_ms;
+    if (since_ms > s->desc.end_ms || (s->phase == CW_STOP_REFUSING && quiet)) {
         s->phase = CW_STOP_ENDED;
-    } else if (quiet || since_ms > (int64_t)(_CW_STOP_TAKE_SHARE * s->grace_ms)) {
+    } else if (quiet || since_ms > s->desc.take_ms) {
         s->phase = CW_STOP_REFUSING;
     }
     return s->phase;
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -455,14 +455,16 @@
     if (strcmp(path, "/healthz") == 0) {
         reply_json(x, HTTP_OK, "{\"status\":\"ok\"}");
     } else if (strcmp(path, "/readyz") == 0) {
-        reply_json(x, ready && !node->stopping ? HTTP_OK : HTTP_UNAVAILABLE,
-                   ready ? (node->stopping ? "{\"status\":\"leaving\"}" : "{\"status\":\"ready\"}")
+        reply_json(x, ready && !node_stopping(node) ? HTTP_OK : HTTP_UNAVAILABLE,
+                   ready ? (node_stopping(node) ? "{\"status\":\"leaving\"}" : "{\"status\":\"ready\"}")
                          : "{\"status\":\"starting\"}");
     } else if (!ready) {
         reply_error(x, HTTP_UNAVAILABLE, CW_OUTCOME_NOT_RUN, "starting", "accept", NULL,
                     "this host has no configuration yet", 500);
     } else if (strcmp(path, "/v1/lookup") == 0) {
         lookup_answer(node, x);
+    } else if (node->stop.phase >= CW_STOP_REFUSING) {
+        reply_error(x, HTTP_UNAVAILABLE, CW_OUTCOME_NOT_RUN, "stopping", "accept", NULL, "this host is stopping", 500);
     } else if (strcmp(path, "/v1/chat/completions") == 0 || strcmp(path, "/v1/completions") == 0 ||
                strncmp(path, "/v1/services/", 13) == 0) {
         accept_request(node->entry, x, path);
--- a/daemon/lookup.c
+++ b/daemon/lookup.c
@@ -49,7 +49,7 @@
 void lookup_answer(node_t* node, cw_exchange_t* x) {
     json_t* root = json_pack("{s:o,s:i,s:s}", "addresses", choose_addresses(node), "keep_ms",
                              (int)node->settings.lookup_ms, "hall", node->settings.hall);
-    if (!node->stopping) {
+    if (!node_stopping(node)) {
         cw_ticket_t ticket = cw_runonce_ticket(entry_runonce(node->entry), node_now());
         json_object_set_new(root, "ticket", json_string(ticket.text));
         json_object_set_new(root, "ticket_address", json_string(cw_httpd_address(node->http)));
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -178,15 +178,15 @@
     entry_on_woke(node->entry);
 }
 
-/* A planned stop is complete when the lookup answers that name this host have run out and nothing is in flight. */
+bool node_stopping(const node_t* node) {
+    return node->stop.phase != CW_STOP_NOT;
+}
+
+/* A planned stop is complete when the lookup answers that name this host have run out and nothing is in flight. The
+   other events of this turn are still handled after the loop was told to end. */
 static void check_stopped(node_t* node, int64_t now_ms) {
-    if (!node->stopping) {
-        return;
-    }
-    int64_t since_ms = now_ms - node->leave_ms;
     uint32_t active = entry_stats(node->entry).active;
-    bool quiet = since_ms > node->settings.lookup_ms && !active;
-    if (quiet || since_ms > STOP_MAX_MS) {
+    if (cw_stop_step(&node->stop, now_ms, active) == CW_STOP_ENDED) {
         node->cut = active;
         ev_break(node->loop, EVBREAK_ALL);
     }
@@ -213,11 +213,12 @@
     (void)loop;
     (void)events;
     node_t* node = w->data;
-    if (node->stopping) {
+    if (node_stopping(node)) {
         return;
     }
-    node->stopping = true;
-    node->leave_ms = node_now();
+    cw_stop_begin(&node->stop, node_now(),
+                  &(cw_stop_desc_t){
+                      .quiet_ms = (uint32_t)node->settings.lookup_ms, .take_ms = STOP_MAX_MS, .end_ms = STOP_MAX_MS});
     cw_log(&node->log, CW_EVENT_STOPPING, "active=%u", entry_stats(node->entry).active);
     cw_members_leave(node->members);
     send_gossip(node);
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -20,6 +20,7 @@
 #include "../chalkway_request.h"
 #include "../chalkway_runonce.h"
 #include "../chalkway_settings.h"
+#include "../chalkway_stop.h"
 #include "../chalkway_store.h"
 #include "../io/client.h"
 #include "../io/httpd.h"
@@ -73,16 +74,17 @@
     sync_t* sync;
     ev_timer tick;
     ev_signal on_term, on_int;
-    int64_t tick_ms;  /* of the last tick, to notice a pause */
-    int64_t woke_ms;  /* of the last long gap, 0: never */
-    bool view_stale;  /* woke and has heard no peer since */
-    bool stopping;    /* planned stop begun */
-    int64_t leave_ms; /* when lookups stopped naming this host */
-    uint64_t cut;     /* requests that a planned stop cut */
+    int64_t tick_ms; /* of the last tick, to notice a pause */
+    int64_t woke_ms; /* of the last long gap, 0: never */
+    bool view_stale; /* woke and has heard no peer since */
+    cw_stop_t stop;  /* lookups don't name this host once it has begun */
+    uint64_t cut;    /* requests that a planned stop cut */
 };
 
 /* Milliseconds on the monotonic clock. */
 int64_t node_now(void);
+/* A planned stop has begun. */
+bool node_stopping(const node_t* node);
 /* Ids of hosts that may take roles; returns their number. */
 uint32_t node_live_hosts(const node_t* node, uint64_t out[NODE_MAX_HOSTS]);
 /* Host that allocates the shard in this host's view, among the live hosts given. */
--- a/daemon/operator.c
+++ b/daemon/operator.c
@@ -164,7 +164,7 @@
     reply_root(x,
                json_pack("{s:s,s:s,s:I,s:b,s:s,s:b,s:{s:I,s:i,s:I,s:I,s:I,s:I},s:o,s:o}", "host", node->settings.name,
                          "hall", node->settings.hall, "revision", (json_int_t)cw_store_revision(node->store),
-                         "stopping", node->stopping, "platform", sync_platform_state(node->sync), "reader",
+                         "stopping", node_stopping(node), "platform", sync_platform_state(node->sync), "reader",
                          sync_is_reader(node->sync), "requests", "total", (json_int_t)e.requests, "active",
                          (int)e.active, "retries", (json_int_t)e.retries, "direct", (json_int_t)e.direct, "joined",
                          (json_int_t)e.joined, "not_run", (json_int_t)e.outcomes[CW_OUTCOME_NOT_RUN], "members",
@@ -210,7 +210,7 @@
     } else if (strcmp(path, "/healthz") == 0) {
         reply_json(x, 200, "{\"status\":\"ok\"}");
     } else if (strcmp(path, "/readyz") == 0) {
-        bool ready = sync_ready(node->sync) && !node->stopping;
+        bool ready = sync_ready(node->sync) && !node_stopping(node);
         reply_json(x, ready ? 200 : 503, ready ? "{\"status\":\"ready\"}" : "{\"status\":\"not-ready\"}");
     } else {
         reply_error(x, 404, CW_OUTCOME_NONE, "no-such-path", "operator", NULL, "nothing is served here", 0);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -26,6 +26,10 @@
 #define LOG_BYTES 262144      /* lines that wait for a slow reader */
 #define DESCRIPTORS_KEPT 64   /* for the other addresses */
 #define BODY_MEMORY_SHARE 4   /* a quarter of the memory holds bodies */
+#define STOP_TAKE_SHARE 0.375 /* of the grace: requests are taken for so long after the signal, also while others run  \
+                               */
+#define STOP_QUIET_SHARE 0.25 /* and for so long in any case, since callers keep addresses */
+#define STOP_MARGIN_MS 500    /* the process ends so long before the grace is over, or at half of a shorter one */
 #define SETTINGS_LOOK_MS 1000 /* between two looks at the settings file, which may change without a signal */
 #define CLOSED_PARTS 5        /* readings that fit into the time in which a closed hall is to be known */
 #define PAUSE_MS 500          /* a longer gap between two ticks: the process stood still */
@@ -218,7 +222,12 @@
     if (g->stop.phase != CW_STOP_NOT) {
         return;
     }
-    cw_stop_begin(&g->stop, clock_ms(), g->settings.grace_ms);
+    uint32_t grace_ms = g->settings.grace_ms;
+    cw_stop_begin(
+        &g->stop, clock_ms(),
+        &(cw_stop_desc_t){.quiet_ms = (uint32_t)(STOP_QUIET_SHARE * grace_ms),
+                          .take_ms = (uint32_t)(STOP_TAKE_SHARE * grace_ms),
+                          .end_ms = grace_ms > 2 * STOP_MARGIN_MS ? grace_ms - STOP_MARGIN_MS : grace_ms / 2});
     cw_log(&g->log, CW_EVENT_STOPPING, "active=%u", exchanges_stats(g->exchanges).active);
     front_leave(g->front);
     mesh_leave(g->mesh);
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -432,12 +432,14 @@
 }
 END_TEST
 
+static const cw_stop_desc_t stop_desc = {.quiet_ms = 1000, .take_ms = 1500, .end_ms = 3500};
+
 /* A host that is told to stop finds itself quiet, and a request is read before its next turn, its last one. */
 START_TEST(a_request_read_between_the_quiet_turn_and_the_end_is_refused) {
     rig_t* r = rig_setup(ROUTES, 1);
     cw_stop_t stop = {0};
     ck_assert_int_eq(cw_stop_step(&stop, 10, 0), CW_STOP_NOT);
-    cw_stop_begin(&stop, 100, 4000);
+    cw_stop_begin(&stop, 100, &stop_desc);
     ck_assert_int_eq(cw_stop_step(&stop, 600, 0), CW_STOP_TAKING);
     ck_assert_int_eq(cw_stop_step(&stop, 1200, 0), CW_STOP_REFUSING);
     exchanges_refuse_new(r->exchanges);
@@ -450,8 +452,8 @@
 
 START_TEST(a_stopping_host_waits_for_what_runs_until_its_time_is_nearly_up) {
     cw_stop_t stop = {0};
-    cw_stop_begin(&stop, 0, 4000);
-    cw_stop_begin(&stop, 900, 9000); /* a second signal changes nothing */
+    cw_stop_begin(&stop, 0, &stop_desc);
+    cw_stop_begin(&stop, 900, &(cw_stop_desc_t){.end_ms = 9000}); /* a second signal changes nothing */
     ck_assert_int_eq(cw_stop_step(&stop, 1400, 2), CW_STOP_TAKING);
     ck_assert_int_eq(cw_stop_step(&stop, 1600, 2), CW_STOP_REFUSING);
     ck_assert_int_eq(cw_stop_step(&stop, 3400, 1), CW_STOP_REFUSING);
