Soak: lines of one millisecond in order, idle engines counted as engines, kept records judged again

Cause of wrong findings: an upstream's begin may stand before the caller's sent in the same millisecond, and was passed over; places say little of an engine that reads. Test: lines_of_one_millisecond_are_put_in_order.

--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -46,6 +46,13 @@
 }
 END_TEST
 
+/* The upstream's line came first, in the same millisecond. */
+START_TEST(lines_of_one_millisecond_are_put_in_order) {
+    soak_result_t r = judge("S 5 fault burst -\nU 10 begin b v1 2 0\nC 10 sent b call h:1 0\nC 11 done b 503 1 0 1\n");
+    ck_assert_uint_eq(r.count[SOAK_REFUSED], 1);
+}
+END_TEST
+
 START_TEST(a_broken_promise_is_found) {
     expect("S 5 fault burst -\nC 10 sent b call h:1 0\nU 11 begin b v1 2 0\nC 12 done b 503 1 0 1\n", SOAK_REFUSED);
 }
@@ -125,6 +132,7 @@
 static void add(TCase* t) {
     tcase_add_test(t, a_good_record_passes);
     tcase_add_test(t, a_second_run_is_found_where_it_may_not_be);
+    tcase_add_test(t, lines_of_one_millisecond_are_put_in_order);
     tcase_add_test(t, a_broken_promise_is_found);
     tcase_add_test(t, a_wrong_answer_is_found);
     tcase_add_test(t, a_request_lost_by_a_planned_stop_is_found);
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -33,7 +33,7 @@
 #define DRAIN_MS 2000
 #define START_MS 3000   /* from the first process to the first request */
 #define STIRRED_MS 9000 /* length of a disturbed part */
-#define CALM_MS 9000    /* of a calm one */
+#define CALM_MS 12000   /* of a calm one: two windows of the judge after its settling time */
 #define LAST_MS 3000    /* from the callers' last request until the hosts are told to stop */
 #define FAULT_MIN_MS 300
 #define FAULT_SPREAD_MS 3500
@@ -83,6 +83,7 @@
     uint32_t seconds, hosts, engines, services, callers;
     double per_s;
     bool keep;
+    const char* kept_record; /* to be judged, NULL: a soak is run */
     proc_t procs[MAX_PROCS];
     uint32_t proc_count, names;
     active_t active[MAX_FAULTS];
@@ -753,6 +754,20 @@
     return !failed;
 }
 
+static bool read_record(soak_t* s) {
+    char data[65536];
+    FILE* file = fopen(s->kept_record, "r");
+    if (!file) {
+        perror(s->kept_record);
+        return false;
+    }
+    for (size_t size = 0; (size = fread(data, 1, sizeof(data), file)) > 0;) {
+        cw_buffer_add(&s->record, data, size);
+    }
+    fclose(file);
+    return true;
+}
+
 static error_t parse_option(int key, char* arg, struct argp_state* state) {
     soak_t* s = state->input;
     const char* text = arg ? arg : "";
@@ -785,6 +800,9 @@
         case 'k':
             s->keep = true;
             return 0;
+        case 'j':
+            s->kept_record = arg;
+            return 0;
         default:
             return ARGP_ERR_UNKNOWN;
     }
@@ -801,6 +819,7 @@
         {"callers", 'n', "N", 0, "default 60", 0},
         {"rate", 'r', "N", 0, "requests a second, default 120", 0},
         {"keep", 'k', NULL, 0, "keep the record and the logs", 0},
+        {"judge", 'j', "RECORD", 0, "start nothing: judge a record that was kept", 0},
         {0},
     };
     const struct argp argp = {.options = options, .parser = parse_option, .doc = "A soak of real processes."};
@@ -814,6 +833,9 @@
                           .per_s = 120};
     soak_t* s = &soak;
     argp_parse(&argp, argc, argv, 0, NULL, s);
+    if (s->kept_record) {
+        return read_record(s) && report(s) ? 0 : 1;
+    }
     signal(SIGPIPE, SIG_IGN);
     s->loop = ev_default_loop(0);
     s->client = cw_client_setup(s->loop, 16);
--- a/tools/soak.h
+++ b/tools/soak.h
@@ -45,7 +45,7 @@
     SOAK_REFUSED,    /* told as not run, and ran */
     SOAK_MIXED,      /* an answer that was taken as whole is not the request's */
     SOAK_LOST,       /* a host that was stopped as planned left a request without an answer */
-    SOAK_IDLE,       /* refused in calm seconds while the engines were mostly idle */
+    SOAK_IDLE,       /* refused in calm seconds while many engines had nothing to do */
     SOAK_PUT_BEHIND, /* refused in calm seconds while larger, less urgent prompts began */
     SOAK_LEFT,       /* a server got something new long after it was published as leaving */
     SOAK_WORKED_ON,  /* upstreams worked on long after the caller had left */
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -12,7 +12,7 @@
 #define MAX_FAULTS 1024
 #define NAME_SIZE 32
 #define SETTLE_MS 4000     /* after a fault's end, until a moment counts as calm */
-#define IDLE_SHARE 0.25    /* of the engines' places that are taken: below that they are mostly idle */
+#define IDLE_SHARE 0.25    /* of the engines, that run nothing: what is refused then could have begun at once */
 #define WINDOW_MS 5000     /* in which a kind is put behind */
 #define WINDOW_FEW 10      /* refusals in a window that say nothing yet */
 #define WINDOW_SHARE 12    /* more than a twelfth of the kind's requests */
@@ -50,7 +50,7 @@
     bool whole, right;
     int64_t begun_ms, ended_ms;
     char server[NAME_SIZE]; /* that began it last */
-    double busy;            /* share of the engines' places taken as it was sent */
+    double idle;            /* share of the engines that ran nothing as it was sent */
     bool calm;              /* it was sent in calm seconds */
 } request_t;
 
@@ -124,15 +124,16 @@
 
 /* -- reading -------------------------------------------------------------- */
 
-static double busy_share(const judge_t* j) {
-    double slots = 0;
-    double running = 0;
+static double idle_share(const judge_t* j) {
+    uint32_t engines = 0;
+    uint32_t idle = 0;
     for (uint32_t i = 0; i < j->server_count; i++) {
         const server_record_t* s = &j->servers[i];
-        slots += s->down ? 0 : s->slots;
-        running += s->down || !s->slots ? 0 : s->running;
+        bool used = s->slots && !s->down && !s->leaves_ms;
+        engines += used;
+        idle += used && !s->running;
     }
-    return slots > 0 ? running / slots : 0;
+    return engines ? (double)idle / engines : 0;
 }
 
 static void take_sent(judge_t* j, int64_t at_ms, const char* rest) {
@@ -141,7 +142,7 @@
         return;
     }
     request_t* r = &j->requests[j->count];
-    *r = (request_t){.sent_ms = at_ms, .busy = busy_share(j)};
+    *r = (request_t){.sent_ms = at_ms, .idle = idle_share(j)};
     if (sscanf(rest, "%31s %31s %31s %u", r->id, kind, r->host, &r->tokens) == 4) {
         r->kind = soak_kind_find(kind);
         r->calm = !disturbed(j, at_ms, NULL, SETTLE_MS);
@@ -261,6 +262,7 @@
 
 typedef struct line_t {
     int64_t at_ms;
+    uint32_t rank; /* within a millisecond: what must have been first */
     uint32_t order;
     const char* text;
 } line_t;
@@ -271,10 +273,27 @@
     if (a->at_ms != b->at_ms) {
         return a->at_ms < b->at_ms ? -1 : 1;
     }
+    if (a->rank != b->rank) {
+        return a->rank < b->rank ? -1 : 1;
+    }
     return (a->order > b->order) - (a->order < b->order);
 }
 
-/* The lines in order of time: programs write them at their own pace. */
+/* Programs write at their own pace, and clocks tell no more than milliseconds: a request is sent before it begins, and
+   begins before it ends, and ends before its caller is answered. */
+static uint32_t rank_of(const char* line) {
+    static const char* const order[] = {"sent", "begin", "end", "gone", "done"};
+    char what[NAME_SIZE] = "";
+    sscanf(line, "%*c %*d %31s", what);
+    for (uint32_t i = 0; i < sizeof(order) / sizeof(order[0]); i++) {
+        if (strcmp(what, order[i]) == 0) {
+            return i + 1;
+        }
+    }
+    return 0;
+}
+
+/* The lines in order of time. */
 static line_t* sort_lines(const char* record, uint32_t* count) {
     uint32_t capacity = 1;
     for (const char* at = record; *at; at++) {
@@ -283,7 +302,7 @@
     line_t* lines = cw_alloc(NULL, capacity, sizeof(*lines));
     *count = 0;
     for (const char* at = record; at && *at && *count < capacity; at = strchr(at, '\n'), at += at != NULL) {
-        lines[*count] = (line_t){.order = *count, .text = at};
+        lines[*count] = (line_t){.rank = rank_of(at), .order = *count, .text = at};
         if (sscanf(at, "%*c %" SCNd64, &lines[*count].at_ms) == 1) {
             (*count)++;
         }
@@ -368,7 +387,7 @@
     if (lost_by_stop(j, r)) {
         found(j, SOAK_LOST, r->done_ms, r->id, r->host);
     }
-    if (r->calm && promised(r) && r->busy < IDLE_SHARE) {
+    if (r->calm && promised(r) && r->idle >= IDLE_SHARE) {
         found(j, SOAK_IDLE, r->sent_ms, r->id, kind);
     }
     bool repeatable = !once(r) || strcmp(soak_kinds[r->kind].route_kind, "stream") == 0;
