--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -550,6 +550,53 @@
 }
 END_TEST
 
+static void ignore_data(void* owner, const char* data, size_t size) {
+    (void)owner;
+    (void)data;
+    (void)size;
+}
+
+static void ignore_end(void* owner, cw_stream_end_t end) {
+    (void)owner;
+    (void)end;
+}
+
+/* All places of the engine are taken, then one is free, and before the one that waits is looked at, another one comes.
+ */
+START_TEST(who_comes_later_does_not_pass_who_waits_and_is_as_urgent) {
+    static const cw_stream_handlers_t handlers = {.on_data = ignore_data, .on_end = ignore_end};
+    static const char first[] = "POST /gen/ HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: first\r\n"
+                                "Chalkway-Tokens: 100,10\r\nContent-Length: 0\r\n\r\n";
+    rig_t* r = rig_setup(ENGINE_ROUTES, 1);
+    script(r, 2, (rig_step_t[]){{RIG_ANSWER, OK("a", "1")}, {RIG_ANSWER, OK("b", "1")}});
+    ev_timer_stop(r->loop, &r->tick); /* nobody looks at the queue */
+    cw_load_t full = {.running = 8};
+    cw_balance_news(upstreams_pool(r->upstreams, "p")->balance, clock_ms(), 7, cw_name_id("s0"), &full);
+    cw_stream_t waits = {.fd = -1};
+    struct sockaddr_in address;
+    cw_addr_parse(front_address(r->front), &address, NULL);
+    ck_assert_int_eq(cw_stream_connect(&waits, r->loop, &address, &handlers, NULL), CW_OK);
+    cw_stream_write(&waits, first, sizeof(first) - 1);
+    cw_stream_flush(&waits);
+    while (!exchanges_stats(r->exchanges).waiting) {
+        ev_run(r->loop, EVRUN_ONCE);
+    }
+    cw_balance_news(upstreams_pool(r->upstreams, "p")->balance, clock_ms(), 7, cw_name_id("s0"), &(cw_load_t){0});
+    rig_write(r, GENERATE("100"));
+    while (exchanges_stats(r->exchanges).waiting < 2) {
+        ev_run(r->loop, EVRUN_ONCE);
+    }
+    ck_assert_uint_eq(r->arrival_count, 0);
+    exchanges_on_room(r->exchanges, upstreams_pool(r->upstreams, "p"));
+    while (r->arrival_count < 2) {
+        ev_run(r->loop, EVRUN_ONCE);
+    }
+    ck_assert_msg(strstr(r->arrivals[0], "Chalkway-Request-Id: first") != NULL, "%s", r->arrivals[0]);
+    cw_stream_close(&waits);
+    rig_shutdown(r);
+}
+END_TEST
+
 START_TEST(a_kept_prompt_is_fetched_from_its_server_when_that_one_is_busy) {
     rig_t* r = rig_setup(ENGINE_ROUTES, 2);
     script(r, 2, (rig_step_t[]){{RIG_ANSWER, OK("a", "1")}, {RIG_ANSWER, OK("b", "1")}});
@@ -570,6 +617,7 @@
     tcase_add_test(t, a_long_prompt_that_would_come_too_late_is_refused_and_a_short_one_is_not);
     tcase_add_test(t, an_idle_engine_refuses_no_prompt_for_its_length);
     tcase_add_test(t, nothing_larger_and_less_urgent_begins_where_an_urgent_prompt_is_refused);
+    tcase_add_test(t, who_comes_later_does_not_pass_who_waits_and_is_as_urgent);
     tcase_add_test(t, a_kept_prompt_is_fetched_from_its_server_when_that_one_is_busy);
     tcase_add_test(t, a_request_is_passed_on_with_the_gateways_own_fields);
     tcase_add_test(t, a_chunked_body_and_a_pipelined_request_are_passed_on);
