A part kept elsewhere costs twenty readings; the shortest target can be asked for

Cause: the price of reading a kept part again was tuned while a reading was believed twice to ten times as long as it is; with the true pace it had halved. Ruled out: nothing.

--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -187,6 +187,8 @@
 void cw_balance_kept(cw_balance_t* b, uint64_t server, const cw_work_part_t* part);
 /* Share 0..1 of the places of the servers that are taken, as far as known. */
 double cw_balance_fullness(const cw_balance_t* b, int64_t now_ms);
+/* Learned target, ms, of the work that can wait least, 0: none was seen. */
+double cw_balance_shortest_target(const cw_balance_t* b);
 /* Learned pause between events beside a prompt of so many tokens, ms. */
 double cw_balance_pause(const cw_balance_t* b, uint32_t tokens);
 /* Learned ms to read one token. */
@@ -222,10 +224,11 @@
 #define _CW_CONNECT_MS 10.0 /* what a new connection costs: time, and a place at the server */
 #define _CW_DEEP_UP 0.1     /* the length of deep prompts is learned as a high quantile */
 #define _CW_DEEP_DOWN 0.005
-#define _CW_GATHER_SHARE 0.1   /* of the target: what each further place in the order costs a stream easily hurt */
-#define _CW_PLAN_SHARE 0.9     /* of an engine's slots that are planned with: what others just sent is not known yet */
+#define _CW_GATHER_SHARE 0.1  /* of the target: what each further place in the order costs a stream easily hurt */
+#define _CW_PLAN_SHARE 0.9    /* of an engine's slots that are planned with: what others just sent is not known yet */
 #define _CW_PATIENT_SHARE 0.3 /* of the slots that work with a long target leaves to work with a short one */
-#define _CW_SHORT_DOWN 0.1     /* the short targets are learned as a low quantile */
+#define _CW_PATIENT_FROM 1.0  /* times the shortest target */
+#define _CW_SHORT_DOWN 0.1    /* the short targets are learned as a low quantile */
 #define _CW_SHORT_UP 0.005
 #define _CW_PATIENCE_DEEP 1.0  /* targets that a long prompt waits for others: it stands before others itself */
 #define _CW_PATIENCE_SHORT 3.0 /* the same for others, which hold up nobody: late, they are still of use */
@@ -241,7 +244,7 @@
 #define _CW_PACE_RUNS 8       /* only with so few running is a server's pace learned */
 #define _CW_GAPS_MAX 8        /* different longest pauses of one pool that are told apart */
 #define _CW_RUN_MS 0.5        /* how much a run slows the others of an engine */
-#define _CW_REREAD 10.0       /* times its reading that a part costs which another server has read already */
+#define _CW_REREAD 20.0       /* times its reading that a part costs which another server has read already */
 #define _CW_MOVE 20.0         /* times its duration that a move costs: it is not free for others */
 #define _CW_MOVE_FEW 256      /* fewer tokens are not worth a move */
 #define _CW_FULL_MS 1000.0    /* what a server costs whose memory would overflow */
@@ -729,10 +732,12 @@
 }
 
 /* Share of an engine's slots up to which the work may be placed there. In a burst, work that can wait would else take
-   every slot for seconds, and leave none for work that can't. */
+   every slot for seconds, and leave none for work that can't. Targets within _CW_PATIENT_FROM of the shortest are
+   alike. */
 static double _cw_balance_share(const cw_balance_t* b, const cw_work_t* work) {
-    bool patient = b->short_target_ms > 0 && work->target_ms > b->short_target_ms;
-    return _CW_PLAN_SHARE - (patient ? _CW_PATIENT_SHARE * (1 - b->short_target_ms / work->target_ms) : 0);
+    double from_ms = _CW_PATIENT_FROM * b->short_target_ms;
+    bool patient = from_ms > 0 && work->target_ms > from_ms;
+    return _CW_PLAN_SHARE - (patient ? _CW_PATIENT_SHARE * (1 - from_ms / work->target_ms) : 0);
 }
 
 /* Whether the prompt is among the pool's long ones. */
@@ -1092,6 +1097,10 @@
     return slots > 0 ? running / slots : 1;
 }
 
+double cw_balance_shortest_target(const cw_balance_t* b) {
+    return b->short_target_ms;
+}
+
 double cw_balance_read_rate(const cw_balance_t* b) {
     return b->reading.token_ms;
 }
