Nobody waits longer for a place than the most impatient work does

Change: one wait for all of a pool, 0.4 of the shortest target; the queue goes by priority, then by the kind's own tier, then by arrival; targets within twice the shortest keep all places. Tests: nobody_waits_longer_for_a_place_than_the_most_impatient (fails with the wait of before); patient_work_leaves_places_to_impatient_work has one check more, its 6 of 8 stand.

--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -227,7 +227,7 @@
 #define _CW_GATHER_SHARE 0.1  /* of the target: what each further place in the order costs a stream easily hurt */
 #define _CW_PLAN_SHARE 0.9    /* of an engine's slots that are planned with: what others just sent is not known yet */
 #define _CW_PATIENT_SHARE 0.3 /* of the slots that work with a long target leaves to work with a short one */
-#define _CW_PATIENT_FROM 1.0  /* times the shortest target */
+#define _CW_PATIENT_FROM 2.0  /* times the shortest target */
 #define _CW_SHORT_DOWN 0.1    /* the short targets are learned as a low quantile */
 #define _CW_SHORT_UP 0.005
 #define _CW_PATIENCE_DEEP 1.0  /* targets that a long prompt waits for others: it stands before others itself */
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -18,7 +18,7 @@
 #define TOLD_PACE_STEP 1.25 /* times by which the learned reading pace moves until it is told again */
 #define TRIED_MAX 8         /* servers that a request leaves out after they failed it */
 #define UNSENT_MAX 262144   /* bytes that wait for a caller before its server is read no more */
-#define WAIT_SHARE 0.2      /* of the target: longest wait for a place, then the request is refused */
+#define WAIT_SHARE 0.4 /* of the shortest target in the pool: longest wait for a place, then the request is refused */
 #define WAIT_MIN_MS 20
 #define SILENT_CALL_SHARE 0.7 /* of the target: a repeatable call without an answer is tried elsewhere */
 #define SILENT_TARGETS 2.0    /* targets without a first event, beyond the prediction, until a stream is moved */
@@ -82,7 +82,7 @@
     exchanges_desc_t desc;
     cw_catalog_t* catalog;
     exchange_t* list;
-    exchange_t* queue; /* by priority, then arrival */
+    exchange_t* queue; /* see goes_before */
     bool refusing;
     uint64_t draws;
     int64_t setup_ms;
@@ -131,10 +131,18 @@
     }
 }
 
+/* Whether x goes before y: by priority, which a workspace may set for all its work, then by the kind of work, then by
+   arrival. */
+static bool goes_before(const exchange_t* x, const exchange_t* y) {
+    if (x->priority != y->priority) {
+        return x->priority < y->priority;
+    }
+    return x->route->tier != y->route->tier ? x->route->tier < y->route->tier : x->arrived_ms < y->arrived_ms;
+}
+
 static void queue_add(exchange_t* x) {
     exchange_t** at = &x->all->queue;
-    while (*at &&
-           ((*at)->priority < x->priority || ((*at)->priority == x->priority && (*at)->arrived_ms <= x->arrived_ms))) {
+    while (*at && !goes_before(x, *at)) {
         at = &(*at)->next_queued;
     }
     x->next_queued = *at;
@@ -508,7 +516,7 @@
 
 /* Whether one that is as urgent, and whose time is as short, waits for the pool already. */
 static bool behind_another(const exchange_t* x) {
-    for (const exchange_t* y = x->all->queue; y && y->priority <= x->priority && !x->queued; y = y->next_queued) {
+    for (const exchange_t* y = x->all->queue; y && !goes_before(x, y) && !x->queued; y = y->next_queued) {
         if (y->pool == x->pool && y->route->target_ms <= x->route->target_ms) {
             return true;
         }
@@ -516,6 +524,15 @@
     return false;
 }
 
+/* How long a request waits for a place: the same for all of a pool, since those that waited longer, for their longer
+   targets, would take the places that come free while more urgent work gives up. */
+static int64_t place_wait_ms(const exchange_t* x) {
+    double shortest_ms = cw_balance_shortest_target(x->pool->balance);
+    double target_ms = x->route->target_ms;
+    double wait_ms = WAIT_SHARE * (shortest_ms > 0 && shortest_ms < target_ms ? shortest_ms : target_ms);
+    return (int64_t)(wait_ms > WAIT_MIN_MS ? wait_ms : WAIT_MIN_MS);
+}
+
 /* Takes the best server, or a place in the queue. */
 static void seek_server(exchange_t* x) {
     exchanges_t* e = x->all;
@@ -542,8 +559,7 @@
         return;
     }
     if (!x->queued) {
-        double wait_ms = WAIT_SHARE * x->route->target_ms;
-        x->wait_until_ms = clock_ms() + (int64_t)(wait_ms > WAIT_MIN_MS ? wait_ms : WAIT_MIN_MS);
+        x->wait_until_ms = clock_ms() + place_wait_ms(x);
         queue_add(x);
         cw_log(e->desc.log, CW_EVENT_REQUEST_QUEUED, "id=%s pool=%s fullness=%.2f waiting=%u", x->id, x->pool->name,
                cw_balance_fullness(x->pool->balance, clock_ms()), e->stats.waiting);
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -597,6 +597,33 @@
 }
 END_TEST
 
+/* Both find no place: the one with the longer target came first, and is refused first. */
+START_TEST(nobody_waits_longer_for_a_place_than_the_most_impatient) {
+    static const cw_stream_handlers_t handlers = {.on_data = ignore_data, .on_end = ignore_end};
+    static const char patient[] = "POST /patient/ HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: patient\r\n"
+                                  "Chalkway-Tokens: 100,10\r\nContent-Length: 0\r\n\r\n";
+    rig_t* r = rig_setup(TIER_ROUTES, 1);
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER, OK("a", "1")}});
+    expect_status(tier_call(r, "/urgent/", "100"), "200"); /* the pool gets such work */
+    cw_load_t full = {.running = 8};
+    cw_balance_news(upstreams_pool(r->upstreams, "p")->balance, clock_ms(), 7, cw_name_id("s0"), &full);
+    cw_stream_t waits = {.fd = -1};
+    struct sockaddr_in address;
+    cw_addr_parse(front_address(r->front), &address, NULL);
+    ck_assert_int_eq(cw_stream_connect(&waits, r->loop, &address, &handlers, NULL), CW_OK);
+    cw_stream_write(&waits, patient, sizeof(patient) - 1);
+    cw_stream_flush(&waits);
+    while (!exchanges_stats(r->exchanges).waiting) {
+        ev_run(r->loop, EVRUN_ONCE);
+    }
+    ev_sleep(0.005);
+    expect_status(tier_call(r, "/urgent/", "100"), "503");
+    ck_assert_uint_eq(exchanges_stats(r->exchanges).outcomes[EXCHANGE_REFUSED], 2);
+    cw_stream_close(&waits);
+    rig_shutdown(r);
+}
+END_TEST
+
 START_TEST(a_kept_prompt_is_fetched_from_its_server_when_that_one_is_busy) {
     rig_t* r = rig_setup(ENGINE_ROUTES, 2);
     script(r, 2, (rig_step_t[]){{RIG_ANSWER, OK("a", "1")}, {RIG_ANSWER, OK("b", "1")}});
@@ -618,6 +645,7 @@
     tcase_add_test(t, an_idle_engine_refuses_no_prompt_for_its_length);
     tcase_add_test(t, nothing_larger_and_less_urgent_begins_where_an_urgent_prompt_is_refused);
     tcase_add_test(t, who_comes_later_does_not_pass_who_waits_and_is_as_urgent);
+    tcase_add_test(t, nobody_waits_longer_for_a_place_than_the_most_impatient);
     tcase_add_test(t, a_kept_prompt_is_fetched_from_its_server_when_that_one_is_busy);
     tcase_add_test(t, a_request_is_passed_on_with_the_gateways_own_fields);
     tcase_add_test(t, a_chunked_body_and_a_pipelined_request_are_passed_on);
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -487,6 +487,18 @@
         ck_assert_uint_eq(chosen(b, 0, &impatient, &run), 1);
         cw_balance_end(b, 0, &run, CW_TRY_CANCELLED);
     }
+    cw_work_t alike = {.prompt_tokens = 100, .target_ms = 400}; /* within twice the shortest target */
+    for (count = 0; chosen(b, 0, &alike, &run); count++) {
+        runs[count] = run;
+    }
+    ck_assert_uint_eq(count, 8);
+    for (uint32_t i = 0; i < count; i++) {
+        cw_balance_end(b, 0, &runs[i], CW_TRY_CANCELLED);
+    }
+    for (int i = 0; i < 50; i++) {
+        ck_assert_uint_eq(chosen(b, 0, &impatient, &run), 1);
+        cw_balance_end(b, 0, &run, CW_TRY_CANCELLED);
+    }
     for (count = 0; chosen(b, 0, &patient, &run); count++) {
     }
     ck_assert_uint_eq(count, 6);
