--- a/daemon/node.c
+++ b/daemon/node.c
@@ -298,12 +298,17 @@
     return node->operator_http != NULL;
 }
 
-static void setup_timers(node_t* node) {
+static void setup_tick(node_t* node) {
     ev_timer_init(&node->tick, on_tick, TICK_S, TICK_S);
+    node->tick.data = node;
+    ev_timer_start(node->loop, &node->tick);
+}
+
+/* Before the other parts: a signal that comes while they are set up waits for the loop, and doesn't end the process. */
+static void setup_signals(node_t* node) {
     ev_signal_init(&node->on_term, on_stop, SIGTERM);
     ev_signal_init(&node->on_int, on_stop, SIGINT);
-    node->tick.data = node->on_term.data = node->on_int.data = node;
-    ev_timer_start(node->loop, &node->tick);
+    node->on_term.data = node->on_int.data = node;
     ev_signal_start(node->loop, &node->on_term);
     ev_signal_start(node->loop, &node->on_int);
 }
@@ -318,6 +323,7 @@
     node->log =
         (cw_log_t){.level = cw_log_level(settings->log_level), .json = strcmp(settings->log_format, "json") == 0};
     node->loop = ev_default_loop(EVFLAG_AUTO);
+    setup_signals(node);
     node->host = cw_name_id(settings->name);
     node->hall = cw_name_id(settings->hall);
     node->policy = policy_of(settings->policy);
@@ -335,7 +341,7 @@
     node->allocator = allocator_setup(node);
     node->entry = entry_setup(node);
     node->sync = sync_setup(node);
-    setup_timers(node);
+    setup_tick(node);
     cw_log(&node->log, CW_EVENT_STARTED, "host=%s hall=%s http=%s peer=%s operator=%s", settings->name, settings->hall,
            cw_httpd_address(node->http), cw_peers_address(node->peers), cw_httpd_address(node->operator_http));
     return node;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -23,10 +23,11 @@
 #include "upstream.h"
 
 #define TICK_S 0.025
-#define LOG_BYTES 262144      /* lines that wait for a slow reader */
-#define DESCRIPTORS_KEPT 64   /* for the other addresses */
-#define BODY_MEMORY_SHARE 4   /* a quarter of the memory holds bodies */
-#define STOP_TAKE_SHARE 0.375 /* of the grace: requests are taken for so long after the signal, also while others run  \
+#define LOG_BYTES 262144    /* lines that wait for a slow reader */
+#define DESCRIPTORS_KEPT 64 /* for the other addresses */
+#define BODY_MEMORY_SHARE 4 /* a quarter of the memory holds bodies */
+#define STOP_TAKE_SHARE                                                                                                \
+    0.375                     /* of the grace: requests are taken for so long after the signal, also while others run  \
                                */
 #define STOP_QUIET_SHARE 0.25 /* and for so long in any case, since callers keep addresses */
 #define STOP_MARGIN_MS 500    /* the process ends so long before the grace is over, or at half of a shorter one */
@@ -385,10 +386,16 @@
     ev_signal_start(g->loop, w);
 }
 
-static void run(gateway_t* g) {
+/* Before anything else: a signal that comes while the parts are set up waits for the loop, and doesn't end the
+   process. */
+static void watch_signals(gateway_t* g) {
+    signal(SIGPIPE, SIG_IGN);
     watch_signal(g, &g->on_term, SIGTERM, on_stop);
     watch_signal(g, &g->on_int, SIGINT, on_stop);
     watch_signal(g, &g->on_hup, SIGHUP, on_reload);
+}
+
+static void run(gateway_t* g) {
     ev_timer_init(&g->tick, on_tick, 0.0, TICK_S);
     g->tick.data = g;
     ev_timer_start(g->loop, &g->tick);
@@ -414,6 +421,8 @@
     gateway_t g = {.settings_path = settings_path, .dialect = dialect};
     cw_settings_errors_t errors = {0};
     cw_error_t err = {0};
+    g.loop = ev_default_loop(0);
+    watch_signals(&g);
     stat(settings_path, &g.settings_file);
     if (gateway_settings_load(settings_path, &g.settings, &errors) != CW_OK) {
         for (uint32_t i = 0; i < errors.count; i++) {
@@ -421,8 +430,6 @@
         }
         return EX_CONFIG;
     }
-    signal(SIGPIPE, SIG_IGN);
-    g.loop = ev_default_loop(0);
     cw_lines_setup(&g.lines, g.loop, STDOUT_FILENO, LOG_BYTES);
     g.log = (cw_log_t){.level = cw_log_level(g.settings.log_level),
                        .json = strcmp(g.settings.log_format, "json") == 0,
--- a/tests/test_gateway_site.c
+++ b/tests/test_gateway_site.c
@@ -1,9 +1,11 @@
 /* Real gateway processes on addresses of this test's own: they find each other, follow each other, stop as planned. The
    source and a server run in the test's loop. */
 #include <ev.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -99,10 +101,7 @@
     fclose(file);
 }
 
-static void start(fleet_t* f, int i) {
-    char path[128];
-    write_settings(f, i, "2s");
-    snprintf(path, sizeof(path), "%s/host%d.ini", f->dir, i);
+static void launch(fleet_t* f, int i, const char* path) {
     f->pids[i] = fork();
     ck_assert_int_ge(f->pids[i], 0);
     if (f->pids[i] == 0) {
@@ -117,6 +116,13 @@
     }
 }
 
+static void start(fleet_t* f, int i) {
+    char path[128];
+    write_settings(f, i, "2s");
+    snprintf(path, sizeof(path), "%s/host%d.ini", f->dir, i);
+    launch(f, i, path);
+}
+
 static int stop(fleet_t* f, int i, int signal_number) {
     int status = 0;
     kill(f->pids[i], signal_number);
@@ -273,6 +279,43 @@
 }
 END_TEST
 
+/* The settings of host 0 come through a pipe, so that the test knows when the process has begun to read them. Returns
+   the pipe's other end, opened then. */
+static int start_reading_settings(fleet_t* f, char* path, size_t size) {
+    snprintf(path, size, "%s/host0.ini", f->dir);
+    ck_assert_int_eq(mkfifo(path, 0600), 0);
+    launch(f, 0, path);
+    int fd = -1;
+    ev_tstamp end = ev_time() + GIVE_UP_S;
+    while ((fd = open(path, O_WRONLY | O_NONBLOCK)) < 0) { /* until somebody reads */
+        ck_assert(ev_time() < end);
+        ev_sleep(POLL_S / 10);
+    }
+    return fd;
+}
+
+/* SIGHUP, more than once, while the process is being set up. */
+START_TEST(signals_during_the_start_wait_for_it) {
+    fleet_t* f = fleet_setup();
+    char path[128];
+    char text[2048];
+    int fd = start_reading_settings(f, path, sizeof(path));
+    kill(f->pids[0], SIGHUP);
+    kill(f->pids[0], SIGHUP);
+    unlink(path); /* the process has it open; what it reads later is a plain file */
+    write_settings(f, 0, "7s");
+    FILE* file = fopen(path, "r");
+    size_t length = fread(text, 1, sizeof(text), file);
+    fclose(file);
+    ck_assert_int_eq(write(fd, text, length), (ssize_t)length);
+    close(fd);
+    until(f, 0, 7101, "/readyz", 200, NULL, NULL);
+    until(f, 0, 7102, "/v1/lookup?hall=a", 200, "7.0", NULL);
+    ck_assert_int_eq(waitpid(f->pids[0], NULL, WNOHANG), 0);
+    fleet_shutdown(f);
+}
+END_TEST
+
 /* A host is told to stop while a request runs, with the source there or away. */
 static void stop_during_a_request(bool source_answers) {
     fleet_t* f = fleet_setup();
@@ -335,6 +378,7 @@
     tcase_add_test(t, hosts_find_each_other_and_a_killed_one_is_no_longer_named);
     tcase_add_test(t, a_host_that_the_source_turns_away_follows_another);
     tcase_add_test(t, changed_settings_are_taken_over);
+    tcase_add_test(t, signals_during_the_start_wait_for_it);
     tcase_add_test(t, a_planned_stop_finishes_what_runs);
     tcase_add_test(t, a_planned_stop_finishes_what_runs_while_the_source_is_away);
     tcase_add_test(t, a_settings_file_with_faults_ends_the_start_with_all_of_them);
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -255,8 +255,8 @@
         publish_servers(s);
     } else if (p->kind == PROC_HOST) {
         note(s, "ended %s:%d %d", p->name, PORT_CALLERS, code);
-        if (!p->stopping) {
-            fprintf(stderr, "host %s ended by itself, status %d\n", p->name, code);
+        if (!p->stopping && !s->ending) {
+            restart_host(p);
         }
     }
     for (uint32_t i = 0; s->ending && i < s->proc_count; i++) {
@@ -361,6 +361,7 @@
     snprintf(path, sizeof(path), "%s/%s.ini", p->soak->dir, p->name);
     const char* const args[] = {"-c", path, NULL};
     write_settings(p, 1000);
+    note(p->soak, "started %s:%d", p->name, PORT_CALLERS);
     launch(p, "chalkway-gateway", args);
 }
 
--- a/tools/soak.h
+++ b/tools/soak.h
@@ -15,7 +15,8 @@
         S MS over NAME TARGET              it ends
         S MS up SERVER SLOTS, S MS leaves SERVER, S MS down SERVER
                                            servers as published, slots 0 for a service
-        S MS ended HOST CODE               a host that was told to stop has ended
+        S MS started HOST, S MS ended HOST CODE
+                                           a host's process; CODE 128 and more: ended by a signal
         S MS calm, S MS finish             from here on nothing more is brought about; the callers stop
 */
 #include <stdint.h>
@@ -49,7 +50,7 @@
     SOAK_PUT_BEHIND, /* refused in calm seconds while larger, less urgent prompts began */
     SOAK_LEFT,       /* a server got something new long after it was published as leaving */
     SOAK_WORKED_ON,  /* upstreams worked on long after the caller had left */
-    SOAK_STOP,       /* a host did not end in order after it was told to stop */
+    SOAK_STOP,       /* a host did not end in order after it was told to stop, or ended by itself */
     SOAK_RECOVERY,   /* after the last fault too few are served */
     SOAK_CHECKS
 } soak_check_t;
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -10,6 +10,7 @@
 #define MAX_REQUESTS 200000
 #define MAX_SERVERS 1024
 #define MAX_FAULTS 1024
+#define MAX_HOSTS 128
 #define NAME_SIZE 32
 #define SETTLE_MS 4000     /* after a fault's end, until a moment counts as calm */
 #define IDLE_SHARE 0.25    /* of the engines, that run nothing: what is refused then could have begun at once */
@@ -21,6 +22,7 @@
 #define GONE_MS 500        /* after a caller left */
 #define RECOVERY_SHARE 0.9 /* of what was sent in calm seconds */
 #define STOP_SLACK_MS 1500 /* beyond the grace time */
+#define LOADING_MS 100     /* after its start a program may not be loaded yet: a signal ends it then */
 #define DISTURBED_MS 1000  /* around a fault of its own server, within which a lost answer is not the host's */
 
 const soak_kind_t soak_kinds[SOAK_KINDS] = {
@@ -66,6 +68,12 @@
     int64_t from_ms, to_ms; /* to_ms 0: not over */
 } fault_t;
 
+/* A host's last start. */
+typedef struct host_record_t {
+    char name[NAME_SIZE];
+    int64_t started_ms;
+} host_record_t;
+
 typedef struct judge_t {
     soak_result_t result;
     cw_map_t by_id;
@@ -73,6 +81,8 @@
     uint32_t count;
     server_record_t servers[MAX_SERVERS];
     uint32_t server_count;
+    host_record_t hosts[MAX_HOSTS];
+    uint32_t host_count;
     fault_t faults[MAX_FAULTS];
     uint32_t fault_count;
     uint32_t grace_ms, drain_ms;
@@ -234,15 +244,52 @@
     }
 }
 
-/* The host's planned stop is over: it was begun by the fault "stop". */
-static void take_ended(judge_t* j, int64_t at_ms, const char* host, int code) {
+static host_record_t* host_of(judge_t* j, const char* name) {
+    for (uint32_t i = 0; i < j->host_count; i++) {
+        if (strcmp(j->hosts[i].name, name) == 0) {
+            return &j->hosts[i];
+        }
+    }
+    if (j->host_count == MAX_HOSTS) {
+        return NULL;
+    }
+    host_record_t* h = &j->hosts[j->host_count++];
+    *h = (host_record_t){0};
+    cw_copy(h->name, sizeof(h->name), name);
+    return h;
+}
+
+static void take_started(judge_t* j, int64_t at_ms, const char* name) {
+    host_record_t* h = host_of(j, name);
+    if (h) {
+        h->started_ms = at_ms;
+    }
+}
+
+/* The fault of this name at the host that is not over; NULL: none. */
+static const fault_t* open_fault(const judge_t* j, const char* name, const char* host) {
     for (uint32_t i = 0; i < j->fault_count; i++) {
         const fault_t* f = &j->faults[i];
-        bool meant = strcmp(f->name, "stop") == 0 && strcmp(f->target, host) == 0 && !f->to_ms;
-        if (meant && (code != 0 || at_ms > f->from_ms + j->grace_ms + STOP_SLACK_MS)) {
-            found(j, SOAK_STOP, at_ms, code ? "it did not end in order" : "it outlived its grace time", host);
+        if (!f->to_ms && strcmp(f->name, name) == 0 && strcmp(f->target, host) == 0) {
+            return f;
         }
     }
+    return NULL;
+}
+
+/* A host has ended: killed, told to stop, or by itself. */
+static void take_ended(judge_t* j, int64_t at_ms, const char* host, int code) {
+    const fault_t* stop = open_fault(j, "stop", host);
+    const host_record_t* h = host_of(j, host);
+    bool loading = h && h->started_ms && at_ms - h->started_ms < LOADING_MS;
+    if (open_fault(j, "kill", host) || loading) {
+        return;
+    }
+    if (!stop) {
+        found(j, SOAK_STOP, at_ms, "it ended by itself", host);
+    } else if (code != 0 || at_ms > stop->from_ms + j->grace_ms + STOP_SLACK_MS) {
+        found(j, SOAK_STOP, at_ms, code ? "it did not end in order" : "it outlived its grace time", host);
+    }
 }
 
 static void take_soak(judge_t* j, int64_t at_ms, const char* what, const char* rest) {
@@ -253,6 +300,8 @@
         take_fault(j, at_ms, strcmp(what, "fault") == 0, name, target);
     } else if (strcmp(what, "ended") == 0) {
         take_ended(j, at_ms, name, (int)strtol(target, NULL, 10));
+    } else if (strcmp(what, "started") == 0) {
+        take_started(j, at_ms, name);
     } else if (strcmp(what, "finish") == 0) {
         j->finish_ms = at_ms;
     } else {
