--- /dev/null
+++ b/tools/soak_site.c
@@ -0,0 +1,346 @@
+/* The real processes of a soak, and what is published to them. */
+#include "soak_site.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "../standins/standin.h"
+
+#define MAX_ARGS 80
+#define ENGINE_SLOTS 12
+#define ENGINE_MEMORY 400000 /* tokens */
+#define PREFILL_US "18"      /* of a prompt token */
+#define SERVICE_SLOTS 6
+#define SERVICE_MS "40"
+#define PORT_LOOKUP 7102
+
+uint64_t soak_draw(soak_t* s) {
+    return cw_mix(s->seed, ++s->draws);
+}
+
+void soak_note(soak_t* s, const char* fmt, ...) {
+    char line[200];
+    int n = snprintf(line, sizeof(line), "S %" PRId64 " ", standin_now());
+    va_list args;
+    va_start(args, fmt);
+    n += vsnprintf(line + n, sizeof(line) - (size_t)n - 1, fmt, args);
+    va_end(args);
+    line[n++] = '\n';
+    cw_buffer_add(&s->record, line, (size_t)n);
+}
+
+void soak_after(soak_t* s, ev_timer* t, int64_t ms) {
+    ev_timer_stop(s->loop, t);
+    ev_timer_set(t, ms > 0 ? (double)ms / 1000.0 : 0.0, 0.0);
+    ev_timer_start(s->loop, t);
+}
+
+/* -- what is published ---------------------------------------------------- */
+
+static void on_posted(void* user, const cw_call_result_t* result) {
+    (void)result;
+    free(user);
+}
+
+void soak_post(soak_t* s, const char* address, const char* path, const char* body) {
+    char url[160];
+    char* kept = strdup(body);
+    snprintf(url, sizeof(url), "http://%s%s", address, path);
+    cw_client_call(s->client, &(cw_call_desc_t){.method = "POST",
+                                                .url = url,
+                                                .body = kept,
+                                                .size = strlen(kept),
+                                                .timeout_ms = 2000,
+                                                .on_done = on_posted,
+                                                .user_data = kept});
+}
+
+static void add_text(cw_buffer_t* out, const char* fmt, ...) __attribute__((format(printf, 2, 3)));
+static void add_text(cw_buffer_t* out, const char* fmt, ...) {
+    char text[600];
+    va_list args;
+    va_start(args, fmt);
+    int n = vsnprintf(text, sizeof(text), fmt, args);
+    va_end(args);
+    cw_buffer_add(out, text, (size_t)n);
+}
+
+void soak_publish_catalog(soak_t* s) {
+    cw_buffer_t text = {0};
+    add_text(&text,
+             "{\"revision\":%" PRId64 ",\"pools\":[{\"name\":\"engines\",\"health\":\"/health\",\"connections\":600,"
+             "\"engine\":{\"slots\":%d,\"memory_tokens\":%d,\"event_tokens\":1}},"
+             "{\"name\":\"services\",\"health\":\"/health\",\"connections\":600}],"
+             "\"limits\":{\"head_bytes\":16384,\"body_bytes\":1048576,\"head_ms\":3000,\"idle_ms\":15000},\"routes\":[",
+             ++s->revision, ENGINE_SLOTS, ENGINE_MEMORY);
+    for (int i = 0; i < SOAK_KINDS; i++) {
+        const soak_kind_t* k = &soak_kinds[i];
+        add_text(&text,
+                 "%s{\"name\":\"%s\",\"host\":\"soak.example\",\"prefix\":\"%s\",\"kind\":\"%s\",\"timeout_ms\":%u,"
+                 "\"target_ms\":%u,\"gap_ms\":%u,\"tier\":%u,\"attempts\":2,\"open\":true,\"resume\":%s,"
+                 "\"pools\":[{\"pool\":\"%s\"}]}",
+                 i ? "," : "", k->name, k->path, k->route_kind, k->timeout_ms, k->target_ms,
+                 k->tokens_max ? k->target_ms : 0, k->tier, k->resume ? "true" : "false",
+                 k->tokens_max ? "engines" : "services");
+    }
+    for (int64_t i = 0; i < s->revision % 4; i++) { /* routes come and go */
+        add_text(&text,
+                 ",{\"name\":\"more%" PRId64 "\",\"host\":\"more.example\",\"prefix\":\"/%" PRId64
+                 "/\",\"kind\":\"once\",\"timeout_ms\":1000,\"target_ms\":300,\"tier\":2,\"attempts\":1,\"open\":true,"
+                 "\"pools\":[{\"pool\":\"services\"}]}",
+                 i, i);
+    }
+    add_text(&text, "]}");
+    soak_post(s, s->source->address, "/admin/catalog", text.data);
+    cw_buffer_free(&text);
+}
+
+void soak_publish_servers(soak_t* s) {
+    cw_buffer_t text = {0};
+    add_text(&text, "{\"at\":%" PRId64 ",\"servers\":[", standin_now());
+    bool first = true;
+    for (uint32_t i = 0; i < s->proc_count; i++) {
+        const proc_t* p = &s->procs[i];
+        if (p->kind == PROC_UPSTREAM && p->pid && p->told) {
+            add_text(&text,
+                     "%s{\"id\":\"%s\",\"address\":\"%s\",\"pool\":\"%s\",\"hall\":\"a\",\"slots\":%d,\"leaving\":%s}",
+                     first ? "" : ",", p->name, p->address, p->engine ? "engines" : "services",
+                     p->engine ? ENGINE_SLOTS : SERVICE_SLOTS, p->leaving ? "true" : "false");
+            first = false;
+        }
+    }
+    add_text(&text, "]}");
+    soak_post(s, s->source->address, "/admin/servers", text.data);
+    cw_buffer_free(&text);
+}
+
+/* -- processes ------------------------------------------------------------ */
+
+static void take_line(proc_t* p, const char* line) {
+    soak_t* s = p->soak;
+    static const char ready[] = "ready http=";
+    if (strncmp(line, ready, sizeof(ready) - 1) == 0) {
+        cw_copy(p->address, sizeof(p->address), line + sizeof(ready) - 1);
+        p->told = true;
+        if (p->kind == PROC_UPSTREAM) {
+            soak_note(s, "up %s %d", p->name, p->engine ? ENGINE_SLOTS : 0);
+        } else {
+            soak_publish_catalog(s);
+        }
+        if (s->source->told) {
+            soak_publish_servers(s);
+        }
+    } else if (line[0] == 'C' || line[0] == 'U') {
+        cw_buffer_add(&s->record, line, strlen(line));
+        cw_buffer_add(&s->record, "\n", 1);
+    }
+}
+
+static void on_output(struct ev_loop* loop, ev_io* w, int events) {
+    (void)events;
+    proc_t* p = w->data;
+    char data[65536];
+    ssize_t size = read(w->fd, data, sizeof(data));
+    if (size <= 0) {
+        if (size == 0 || (errno != EAGAIN && errno != EINTR)) {
+            ev_io_stop(loop, w);
+            close(w->fd);
+            cw_buffer_free(&p->line);
+        }
+        return;
+    }
+    cw_buffer_add(&p->line, data, (size_t)size);
+    size_t used = 0;
+    for (char* end = NULL; (end = memchr(p->line.data + used, '\n', p->line.size - used)) != NULL;) {
+        *end = 0;
+        take_line(p, p->line.data + used);
+        used = (size_t)(end - p->line.data) + 1;
+    }
+    cw_buffer_drop(&p->line, used);
+}
+
+static void on_child(struct ev_loop* loop, ev_child* w, int events) {
+    (void)events;
+    proc_t* p = w->data;
+    soak_t* s = p->soak;
+    ev_child_stop(loop, w);
+    p->pid = 0;
+    int code = WIFEXITED(w->rstatus) ? WEXITSTATUS(w->rstatus) : 128 + WTERMSIG(w->rstatus);
+    if (p->kind == PROC_UPSTREAM) {
+        soak_note(s, "down %s", p->name);
+        soak_publish_servers(s);
+    } else if (p->kind == PROC_HOST) {
+        soak_note(s, "ended %s:%d %d", p->name, SOAK_PORT_CALLERS, code);
+        if (!p->stopping && !s->ending) {
+            soak_restart_host(p);
+        }
+    }
+    for (uint32_t i = 0; s->ending && i < s->proc_count; i++) {
+        if (s->procs[i].pid && s->procs[i].kind == PROC_HOST) {
+            return;
+        }
+    }
+    if (s->ending) {
+        ev_break(loop, EVBREAK_ALL);
+    }
+}
+
+static void run_program(const proc_t* p, const char* program, const char* const* args, int out) {
+    char path[192];
+    char* argv[MAX_ARGS + 2] = {path};
+    prctl(PR_SET_PDEATHSIG, SIGKILL); /* nothing stays behind when the starter dies */
+    snprintf(path, sizeof(path), "%s/%s", p->soak->build, program);
+    for (int i = 0; args[i] && i < MAX_ARGS; i++) {
+        argv[i + 1] = (char*)args[i];
+    }
+    dup2(out, STDOUT_FILENO);
+    dup2(out, p->kind == PROC_HOST ? STDERR_FILENO : STDOUT_FILENO);
+    execv(path, argv);
+    _exit(127);
+}
+
+static bool launch(proc_t* p, const char* program, const char* const* args) {
+    soak_t* s = p->soak;
+    int fds[2] = {-1, -1};
+    char log[128];
+    snprintf(log, sizeof(log), "%s/%s.log", s->dir, p->name);
+    bool host = p->kind == PROC_HOST;
+    int out = host                         ? open(log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600)
+              : pipe2(fds, O_CLOEXEC) == 0 ? fds[1]
+                                           : -1;
+    if (out < 0) {
+        perror("no output for a process");
+        return false;
+    }
+    p->pid = fork();
+    if (p->pid == 0) {
+        run_program(p, program, args, out);
+    }
+    close(out);
+    p->stopping = false;
+    ev_child_init(&p->child, on_child, p->pid, 0);
+    p->child.data = p;
+    ev_child_start(s->loop, &p->child);
+    if (!host) {
+        fcntl(fds[0], F_SETFL, O_NONBLOCK);
+        ev_io_init(&p->out, on_output, fds[0], EV_READ);
+        p->out.data = p;
+        ev_io_start(s->loop, &p->out);
+    }
+    return true;
+}
+
+static proc_t* proc_new(soak_t* s, proc_kind_t kind) {
+    if (s->proc_count == SOAK_PROCS_MAX) {
+        fprintf(stderr, "more than %d processes in one soak\n", SOAK_PROCS_MAX);
+        abort();
+    }
+    proc_t* p = &s->procs[s->proc_count++];
+    *p = (proc_t){.soak = s, .kind = kind};
+    return p;
+}
+
+void soak_start_upstream(soak_t* s, bool engine) {
+    proc_t* p = proc_new(s, PROC_UPSTREAM);
+    char slots[8];
+    p->engine = engine;
+    snprintf(p->name, sizeof(p->name), "%s%u", engine ? "e" : "v", ++s->names);
+    snprintf(slots, sizeof(slots), "%d", engine ? ENGINE_SLOTS : SERVICE_SLOTS);
+    const char* const args[] = {
+        "--id", p->name, "--slots", slots, engine ? "--prefill" : "--ms", engine ? PREFILL_US : SERVICE_MS, NULL};
+    launch(p, "fake-upstream", args);
+}
+
+void soak_write_settings(const proc_t* p, uint32_t lookup_keep_ms) {
+    const soak_t* s = p->soak;
+    char path[128];
+    snprintf(path, sizeof(path), "%s/%s.ini", s->dir, p->name);
+    FILE* file = fopen(path, "w");
+    if (!file) {
+        perror(path);
+        return;
+    }
+    static const char* const listen[] = {"callers", "ready", "lookup", "metrics", "peer", "load", "share"};
+    fprintf(file, "[host]\nname = %s\nhall = a\n[listen]\n", p->name);
+    for (int i = 0; i < 7; i++) {
+        fprintf(file, "%s = %s:%d\n", listen[i], p->name, SOAK_PORT_CALLERS + i);
+    }
+    fprintf(file, "[peers]\nseeds = %s.1:%d, %s.2:%d\n[source]\naddress = %s\ndrain = %dms\n", s->base,
+            SOAK_PORT_CALLERS + 4, s->base, SOAK_PORT_CALLERS + 4, s->source->address, SOAK_DRAIN_MS);
+    fprintf(file, "[service]\ngrace = %dms\nlookup_keep = %ums\nretry_ratio = 0.2\nretry_slack = 50\n", SOAK_GRACE_MS,
+            lookup_keep_ms);
+    fclose(file);
+}
+
+void soak_restart_host(proc_t* p) {
+    char path[128];
+    snprintf(path, sizeof(path), "%s/%s.ini", p->soak->dir, p->name);
+    const char* const args[] = {"-c", path, NULL};
+    soak_write_settings(p, 1000);
+    soak_note(p->soak, "started %s:%d", p->name, SOAK_PORT_CALLERS);
+    launch(p, "chalkway-gateway", args);
+}
+
+void soak_start_callers(soak_t* s) {
+    proc_t* p = proc_new(s, PROC_CALLERS);
+    char seed[24];
+    char rate[24];
+    char count[24];
+    char addresses[MAX_ARGS][32];
+    const char* args[MAX_ARGS + 1] = {"--seed", seed, "--rate", rate, "--callers", count};
+    uint32_t n = 6;
+    snprintf(seed, sizeof(seed), "%" PRIu64, s->seed);
+    snprintf(rate, sizeof(rate), "%.1f", s->per_s);
+    snprintf(count, sizeof(count), "%u", s->callers);
+    for (uint32_t i = 0; i < s->hosts && n < MAX_ARGS; i++) {
+        snprintf(addresses[n], sizeof(addresses[n]), "%s.%u:%d", s->base, i + 1, PORT_LOOKUP);
+        args[n] = addresses[n];
+        n++;
+    }
+    cw_copy(p->name, sizeof(p->name), "callers");
+    launch(p, "chalkway-soak-callers", args);
+    s->caller_proc = p;
+}
+
+void soak_start_source(soak_t* s) {
+    proc_t* source = proc_new(s, PROC_SOURCE);
+    cw_copy(source->name, sizeof(source->name), "source");
+    s->source = source;
+    launch(source, "fake-source", (const char* const[]){NULL});
+    while (!source->told) {
+        ev_run(s->loop, EVRUN_ONCE);
+    }
+}
+
+void soak_start_host(soak_t* s, uint32_t i) {
+    proc_t* p = proc_new(s, PROC_HOST);
+    snprintf(p->name, sizeof(p->name), "%s.%u", s->base, i + 1);
+    soak_restart_host(p);
+}
+
+/* Hosts are named by the address that callers know. */
+void soak_proc_name(const proc_t* p, char* out, size_t size) {
+    if (p->kind == PROC_HOST) {
+        snprintf(out, size, "%s:%d", p->name, SOAK_PORT_CALLERS);
+    } else {
+        cw_copy(out, size, p->name);
+    }
+}
+
+void soak_end_processes(soak_t* s) {
+    for (uint32_t i = 0; i < s->proc_count; i++) {
+        if (s->procs[i].pid) {
+            kill(s->procs[i].pid, SIGKILL);
+            waitpid(s->procs[i].pid, NULL, 0);
+        }
+    }
+}
--- /dev/null
+++ b/tools/soak_site.h
@@ -0,0 +1,100 @@
+#ifndef CW_TOOLS_SOAK_SITE_H
+#define CW_TOOLS_SOAK_SITE_H
+/*
+    The real processes of one soak and what is published to them (soak_site.c), and the faults that are brought about on
+    them by a seeded schedule (soak_faults.c).
+*/
+#include <ev.h>
+#include <sys/types.h>
+
+#include "../io/buffer.h"
+#include "../io/client.h"
+#include "soak.h"
+
+#define SOAK_PROCS_MAX 512
+#define SOAK_FAULTS_MAX 512
+#define SOAK_GRACE_MS 4000     /* of the hosts' settings */
+#define SOAK_DRAIN_MS 2000     /* of the hosts' settings */
+#define SOAK_PORT_CALLERS 7100 /* the hosts' ports, each on an address of its own */
+
+typedef enum proc_kind_t { PROC_SOURCE, PROC_UPSTREAM, PROC_HOST, PROC_CALLERS } proc_kind_t;
+
+typedef struct soak_t soak_t;
+
+typedef struct proc_t {
+    soak_t* soak;
+    proc_kind_t kind;
+    pid_t pid; /* 0: ended */
+    char name[32];
+    char address[48]; /* of stand-ins, once ready */
+    bool engine, leaving, told, stopping;
+    ev_child child;
+    ev_io out; /* lines of stand-ins and callers */
+    int out_fd;
+    cw_buffer_t line;
+} proc_t;
+
+typedef struct active_t {
+    soak_t* soak;
+    const struct fault_kind_t* kind; /* NULL: unused */
+    proc_t* target;
+    ev_timer timer;
+} active_t;
+
+struct soak_t {
+    struct ev_loop* loop;
+    cw_client_t* client;
+    const char* build;
+    char dir[64];
+    char base[16]; /* "127.A.B", of the hosts' addresses */
+    uint64_t seed, draws;
+    uint32_t seconds, hosts, engines, services, callers;
+    double per_s;
+    bool keep;
+    const char* kept_record; /* to be judged, NULL: a soak is run */
+    proc_t procs[SOAK_PROCS_MAX];
+    uint32_t proc_count, names;
+    active_t active[SOAK_FAULTS_MAX];
+    cw_buffer_t record;
+    proc_t *source, *caller_proc;
+    int64_t revision;
+    int64_t stirred_until_ms;
+    bool ending;
+    ev_timer next, phase, end;
+};
+
+/* -- soak_site.c ---------------------------------------------------------- */
+
+/* The next number of the schedule's seed. */
+uint64_t soak_draw(soak_t* s);
+/* Adds an event to the record. */
+void soak_note(soak_t* s, const char* fmt, ...) __attribute__((format(printf, 2, 3)));
+/* Starts the timer anew. */
+void soak_after(soak_t* s, ev_timer* t, int64_t ms);
+/* Tells a stand-in something; what it answers doesn't matter. */
+void soak_post(soak_t* s, const char* address, const char* path, const char* body);
+/* A new revision of the configuration, and the servers that live now. */
+void soak_publish_catalog(soak_t* s);
+void soak_publish_servers(soak_t* s);
+/* Starts the source and waits until it answers. */
+void soak_start_source(soak_t* s);
+void soak_start_upstream(soak_t* s, bool engine);
+/* Starts host number i, from 0. */
+void soak_start_host(soak_t* s, uint32_t i);
+void soak_restart_host(proc_t* p);
+/* Writes the host's settings file. */
+void soak_write_settings(const proc_t* p, uint32_t lookup_keep_ms);
+void soak_start_callers(soak_t* s);
+/* Ends all processes that were started, by their ids. */
+void soak_end_processes(soak_t* s);
+/* What the record calls the process: hosts by the address that callers know. */
+void soak_proc_name(const proc_t* p, char* out, size_t size);
+
+/* -- soak_faults.c -------------------------------------------------------- */
+
+/* Faults come from now on, until stirred_until_ms. */
+void soak_faults_begin(soak_t* s);
+/* No new one begins; those at hand end in their time. */
+void soak_faults_stop(soak_t* s);
+
+#endif
