Soak's judge: a source that hides a leaving, a machine that stands still

Change: a leaving counts from when the source tells it; the soak watches its own clock, notes a wait of over 200 ms as a fault of the machine, and says how often. Test: a_source_that_is_away_excuses_only_as_long_as_it_hides (still found three seconds after the source is back).

--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -114,6 +114,18 @@
 }
 END_TEST
 
+/* The source is down as the server leaves: three seconds after it is back all must know. */
+START_TEST(a_source_that_is_away_excuses_only_as_long_as_it_hides) {
+    static const char leaves[] = "S 5 fault source-down source\nS 8 leaves v1\nS 3500 over source-down source\n";
+    char text[1024];
+    for (int at = 4000; at <= 8000; at += 4000) {
+        snprintf(text, sizeof(text), "%sC %d sent b call h:1 0\nU %d begin b v1 2 0\nU %d end b v1\n", leaves, at,
+                 at + 1, at + 2);
+        ck_assert_uint_eq(judge(text).count[SOAK_LEFT], at > 6500);
+    }
+}
+END_TEST
+
 START_TEST(work_for_callers_that_left_is_found) {
     static char text[4096];
     size_t n = 0;
@@ -142,6 +154,7 @@
     tcase_add_test(t, a_refusal_by_idle_engines_is_found);
     tcase_add_test(t, a_kind_that_is_put_behind_is_found);
     tcase_add_test(t, work_given_to_a_server_that_left_is_found);
+    tcase_add_test(t, a_source_that_is_away_excuses_only_as_long_as_it_hides);
     tcase_add_test(t, work_for_callers_that_left_is_found);
     tcase_add_test(t, too_little_service_in_calm_seconds_is_found);
 }
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -64,6 +64,7 @@
 
 static void start(soak_t* s) {
     soak_note(s, "fault start -");
+    soak_watch_machine(s);
     soak_start_source(s);
     for (uint32_t i = 0; i < s->engines + s->services; i++) {
         soak_start_upstream(s, i < s->engines);
@@ -115,6 +116,11 @@
                    soak_check_name((soak_check_t)i), r.count[i], soak_check_allowed((soak_check_t)i), r.first[i]);
         }
     }
+    if (s->late_times) {
+        printf("  the machine let this program wait %u times, up to %" PRId64
+               " ms: no moment near them counts as calm\n",
+               s->late_times, s->late_ms);
+    }
     printf("seed %" PRIu64 ": %s\n", s->seed, failed ? "FAILED" : "passed");
     return !failed;
 }
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -132,6 +132,19 @@
     return false;
 }
 
+/* Whether the source could not tell what was published since the moment, up to another one. */
+static bool source_hid(const judge_t* j, int64_t since_ms, int64_t at_ms, int64_t known_ms) {
+    static const char prefix[] = "source-";
+    for (uint32_t i = 0; i < j->fault_count; i++) {
+        const fault_t* f = &j->faults[i];
+        bool meant = strncmp(f->name, prefix, sizeof(prefix) - 1) == 0;
+        if (meant && f->from_ms <= since_ms + known_ms && (!f->to_ms || f->to_ms + known_ms > at_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* -- reading -------------------------------------------------------------- */
 
 static double idle_share(const judge_t* j) {
@@ -190,8 +203,9 @@
     r->ended_ms = 0;
     cw_copy(r->server, sizeof(r->server), s->id);
     s->running++;
-    if (s->leaves_ms && at_ms > s->leaves_ms + j->drain_ms + LEFT_SLACK_MS &&
-        r->sent_ms > s->leaves_ms + j->drain_ms + LEFT_SLACK_MS) {
+    int64_t known_ms = j->drain_ms + LEFT_SLACK_MS;
+    bool late = s->leaves_ms && r->sent_ms > s->leaves_ms + known_ms;
+    if (late && !source_hid(j, s->leaves_ms, at_ms, known_ms)) {
         found(j, SOAK_LEFT, at_ms, r->id, s->id);
     }
 }
--- a/tools/soak_site.c
+++ b/tools/soak_site.c
@@ -16,6 +16,8 @@
 #include "../standins/standin.h"
 
 #define MAX_ARGS 80
+#define WATCH_MS 20 /* between two looks at the clock */
+#define LATE_MS 200 /* a look that comes later: the machine had no time for this program, nor for others */
 #define ENGINE_SLOTS 12
 #define ENGINE_MEMORY 400000 /* tokens */
 #define PREFILL_US "18"      /* of a prompt token */
@@ -44,6 +46,33 @@
     ev_timer_start(s->loop, t);
 }
 
+/* The fault began with the look that was due. */
+static void note_late(soak_t* s, int64_t now_ms) {
+    char line[80];
+    int n = snprintf(line, sizeof(line), "S %" PRId64 " fault machine -\n", s->watched_ms);
+    cw_buffer_add(&s->record, line, (size_t)n);
+    soak_note(s, "over machine -");
+    s->late_times++;
+    s->late_ms = now_ms - s->watched_ms > s->late_ms ? now_ms - s->watched_ms : s->late_ms;
+}
+
+static void on_watch(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    soak_t* s = w->data;
+    int64_t now_ms = standin_now();
+    if (s->watched_ms && now_ms - s->watched_ms > LATE_MS) {
+        note_late(s, now_ms);
+    }
+    s->watched_ms = now_ms;
+}
+
+void soak_watch_machine(soak_t* s) {
+    ev_timer_init(&s->watch, on_watch, WATCH_MS / 1000.0, WATCH_MS / 1000.0);
+    s->watch.data = s;
+    ev_timer_start(s->loop, &s->watch);
+}
+
 /* -- what is published ---------------------------------------------------- */
 
 static void on_posted(void* user, const cw_call_result_t* result) {
--- a/tools/soak_site.h
+++ b/tools/soak_site.h
@@ -60,7 +60,10 @@
     int64_t revision;
     int64_t stirred_until_ms;
     bool ending;
-    ev_timer next, phase, end;
+    ev_timer next, phase, end, watch;
+    int64_t watched_ms;  /* when watch came last, 0: not yet */
+    uint32_t late_times; /* the machine let this program wait */
+    int64_t late_ms;     /* the longest time of these */
 };
 
 /* -- soak_site.c ---------------------------------------------------------- */
@@ -69,6 +72,8 @@
 uint64_t soak_draw(soak_t* s);
 /* Adds an event to the record. */
 void soak_note(soak_t* s, const char* fmt, ...) __attribute__((format(printf, 2, 3)));
+/* From now on notes as a fault when the machine lets this program wait: what the others did then proves nothing. */
+void soak_watch_machine(soak_t* s);
 /* Starts the timer anew. */
 void soak_after(soak_t* s, ev_timer* t, int64_t ms);
 /* Tells a stand-in something; what it answers doesn't matter. */
