One host is admitted for each free place, not two

Traced: 683 of 13,876 sends found more than 12 at an engine of 12 places, mostly by one or two, where the last place was opened to two hosts each and both came. Change: _CW_CONTENTION_TAKERS 2 -> 1. Ruled out: news that is late (hosts' views were 0.2 to 0.5 s old only in what had not changed).

--- a/chalkway_contention.h
+++ b/chalkway_contention.h
@@ -62,7 +62,7 @@
 
 #define _CW_CONTENTION_RATE_MS 1000.0   /* in which the rate follows */
 #define _CW_CONTENTION_WAITING_MS 300.0 /* in which the waiting ones are smoothed */
-#define _CW_CONTENTION_TAKERS 2.0       /* hosts admitted for each free place: some of them choose another server */
+#define _CW_CONTENTION_TAKERS 1.0       /* hosts admitted for each free place: some of them choose another server */
 
 void cw_contention_set_fleet(cw_contention_t* c, uint32_t hosts, uint32_t delay_ms) {
     c->hosts = hosts;
