--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -78,7 +78,9 @@
 START_TEST(a_host_that_does_not_end_in_order_is_found) {
     expect("S 5 fault stop h:1\nS 300 ended h:1 139\nS 310 over stop h:1\n", SOAK_STOP);
     expect("S 5 fault stop h:1\nS 9000 ended h:1 0\nS 9010 over stop h:1\n", SOAK_STOP);
-    expect("S 2 started h:1\nS 5 fault reload h:1\nS 300 ended h:1 129\n", SOAK_STOP);
+    expect("S 2 started h:1\nS 205 fault reload h:1\nS 300 ended h:1 129\n", SOAK_STOP);
+    expect("S 2 started h:1\nS 5 fault stop h:1\nS 90 ended h:1 1\n", SOAK_STOP); /* not by the signal */
+    ck_assert_uint_eq(judge("S 2 started h:1\nS 5 fault reload h:1\nS 300 ended h:1 129\n").count[SOAK_STOP], 0);
     ck_assert_uint_eq(judge("S 2 started h:1\nS 5 fault stop h:1\nS 6 ended h:1 143\n").count[SOAK_STOP], 0);
 }
 END_TEST
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -22,6 +22,7 @@
 #define GONE_MS 500        /* after a caller left */
 #define RECOVERY_SHARE 0.9 /* of what was sent in calm seconds */
 #define STOP_SLACK_MS 1500 /* beyond the grace time */
+#define SIGNALLED 128      /* codes beyond: the signal that ended the process */
 #define LOADING_MS 100     /* after its start a program may not be loaded yet: a signal ends it then */
 #define DISTURBED_MS 1000  /* around a fault of its own server, within which a lost answer is not the host's */
 
@@ -291,11 +292,24 @@
     return NULL;
 }
 
+/* Whether a signal was sent to the host so soon after its last start that its program may not have been loaded. When
+   the process ends of it says nothing: the machine may take its time to run it. */
+static bool signalled_while_loading(const judge_t* j, const char* host, int64_t started_ms) {
+    for (uint32_t i = 0; i < j->fault_count && started_ms; i++) {
+        const fault_t* f = &j->faults[i];
+        int64_t since_ms = f->from_ms - started_ms;
+        if (strcmp(f->target, host) == 0 && since_ms >= 0 && since_ms < LOADING_MS) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* A host has ended: killed, told to stop, or by itself. */
 static void take_ended(judge_t* j, int64_t at_ms, const char* host, int code) {
     const fault_t* stop = open_fault(j, "stop", host);
     const host_record_t* h = host_of(j, host);
-    bool loading = h && h->started_ms && at_ms - h->started_ms < LOADING_MS;
+    bool loading = h && code > SIGNALLED && signalled_while_loading(j, host, h->started_ms);
     if (open_fault(j, "kill", host) || loading) {
         return;
     }
