Servers are told kinds of one priority apart

Cause: on the shifted site all workspaces carry a priority of their own (0 or 1), which replaces the route's. So nearly all requests reached the engines with the same urgency, and a full engine preempts the newest among equals, whatever its kind: the streams with the shortest target for long summaries. Change: three kinds within a priority, 0 to 9 in all; the workspace's priority still goes first.

--- a/gateway/admission.c
+++ b/gateway/admission.c
@@ -6,6 +6,7 @@
 
 #define HOST_MAX 256
 #define UNCONFIGURED_RETRY_MIN_MS 300 /* a host that has just started will have a configuration, or other hosts do */
+#define URGENCY_KINDS 3     /* kinds of work that are told apart within a priority: three priorities fit 0 to 9 */
 #define AWAY_LEFT_SHARE 0.2 /* of a caller's time left, and up to half as much more, until it comes back then */
 
 static const cw_route_t* route_of(const cw_catalog_t* catalog, const cw_message_t* m) {
@@ -26,6 +27,17 @@
     return wanted > 0 && wanted < route->timeout_ms ? (uint32_t)wanted : route->timeout_ms;
 }
 
+/* What servers are told, up to the dialect's last one. A workspace's own priority holds for all its work; of equally
+   urgent requests an engine that is full preempts the newest, whatever its kind, so a short question would be broken
+   off for a long summary. A priority's kinds therefore stand together, the more urgent ones first. */
+static uint32_t urgency(const dialect_t* dialect, uint32_t priority, uint32_t tier) {
+    uint32_t kind = tier < URGENCY_KINDS ? tier : URGENCY_KINDS - 1;
+    if (priority >= dialect->priority_max / URGENCY_KINDS) {
+        return dialect->priority_max;
+    }
+    return priority * URGENCY_KINDS + kind;
+}
+
 admission_t admission_judge(const dialect_t* dialect, const cw_catalog_t* catalog, const cw_message_t* m) {
     char key[CW_ACCESS_KEY_MAX];
     const cw_tenant_t* workspace = NULL;
@@ -47,10 +59,12 @@
         return denied(401, "unknown key");
     }
     bool resumable = route->kind == CW_ROUTE_STREAM && route->resume;
+    uint32_t priority = workspace && workspace->has_tier ? workspace->tier : route->tier;
     return (admission_t){.why = "",
                          .route = route,
                          .workspace = workspace,
-                         .priority = workspace && workspace->has_tier ? workspace->tier : route->tier,
+                         .priority = priority,
+                         .urgency = urgency(dialect, priority, route->tier),
                          .held_ms = held_ms(dialect, m, route),
                          .repeatable = route->kind == CW_ROUTE_REPEATABLE || resumable};
 }
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -42,6 +42,7 @@
     cw_request_t machine;
     cw_work_t work;
     uint32_t priority;
+    uint32_t urgency; /* what servers are told */
     int64_t arrived_ms, deadline_ms;
     int64_t wait_until_ms; /* in the queue: refused then */
     bool queued;
@@ -293,7 +294,7 @@
                           .fetch_from = x->fetch_from[0] ? x->fetch_from : NULL,
                           .last_event = resuming ? x->events.last_id : NULL,
                           .deadline_ms = left_ms > 1 ? (uint32_t)left_ms : 1,
-                          .priority = x->priority,
+                          .priority = x->urgency,
                           .has_priority = x->pool->slots > 0,
                           .body_size = body->size};
     cw_buffer_t head = {0};
@@ -705,6 +706,7 @@
     x->arrived_ms = clock_ms();
     x->deadline_ms = x->arrived_ms + admission->held_ms;
     x->priority = admission->priority;
+    x->urgency = admission->urgency;
     x->run.server = CW_BALANCE_NONE;
     x->machine = cw_request_new(&(cw_request_desc_t){.repeatable = admission->repeatable,
                                                      .resumable = stream && route->resume,
