A server that breaks all it gets is met by few hosts

Cause: a server that resets what it gets has no runs, so it looks like the only one with room; each of 81 hosts learned for itself. So only an answer to a request sent after the failures counts, and one failure is not believed, since sound servers lose answers too. Change: chalkway_suspect.h; load entries carry the ages of the last failure and of the last answered request, told at once; the suspected server is tried by about one host in a turn of 200 ms; not where half of the pool is suspected.

--- a/chalkway.c
+++ b/chalkway.c
@@ -31,4 +31,5 @@
 #include "chalkway_stop.h"
 #include "chalkway_store.h"
 #include "chalkway_stream.h"
+#include "chalkway_suspect.h"
 #include "chalkway_wire.h"
--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -44,6 +44,7 @@
 #include "chalkway_contention.h"
 #include "chalkway_limit.h"
 #include "chalkway_reading.h"
+#include "chalkway_suspect.h"
 
 #define CW_BALANCE_NONE UINT32_MAX
 #define CW_WORK_PARTS 8
@@ -86,11 +87,14 @@
     uint32_t deepest;              /* tokens of the longest of these prompts */
     uint32_t tokens;               /* memory that the running ones hold or will hold */
     uint32_t pace_us;              /* learned time between events there while no prompt is read, 0: unknown */
+    uint32_t failed_ago_ms;        /* since a connection of its own to the server last failed, 0: not lately */
+    uint32_t alive_ago_ms;         /* since it last sent a request there that was answered, 0: not lately */
 } cw_load_t;
 
 typedef enum cw_try_result_t {
     CW_TRY_SERVED = 0,  /* the whole answer came */
-    CW_TRY_FAILED,      /* reset, silence, spoilt bytes or an error of the server */
+    CW_TRY_FAILED,      /* silence, spoilt bytes or an error of the server */
+    CW_TRY_BROKEN,      /* the connection broke before the end: the server may be gone */
     CW_TRY_UNREACHABLE, /* no connection came up */
     CW_TRY_FULL,        /* the server said that it has no room and did not run it */
     CW_TRY_CANCELLED    /* ended by this side: says nothing of the server */
@@ -168,8 +172,9 @@
 cw_choice_t cw_balance_choose(cw_balance_t* b, int64_t now_ms, const cw_work_t* work, const uint64_t* tried,
                               uint32_t tried_count);
 cw_run_t cw_balance_begin(cw_balance_t* b, int64_t now_ms, uint32_t server, const cw_work_t* work);
-/* The first byte of the answer came. */
-void cw_balance_first(cw_balance_t* b, int64_t now_ms, cw_run_t* run);
+/* The first byte of the answer came. True: the server was suspected to be gone and is not, which the others wait to
+   hear. */
+bool cw_balance_first(cw_balance_t* b, int64_t now_ms, cw_run_t* run);
 /* A further event of a streamed answer came. */
 void cw_balance_event(cw_balance_t* b, int64_t now_ms, cw_run_t* run);
 void cw_balance_end(cw_balance_t* b, int64_t now_ms, cw_run_t* run, cw_try_result_t result);
@@ -177,6 +182,8 @@
 void cw_balance_warm(cw_balance_t* b, uint64_t id, bool warm);
 /* The server is known to be away (true) or to be back. */
 void cw_balance_away(cw_balance_t* b, int64_t now_ms, uint64_t id, bool away);
+/* Whether the server is suspected to be gone by what all daemons saw of it. */
+bool cw_balance_suspected(const cw_balance_t* b, int64_t now_ms, uint64_t id);
 /* A server that is away and may be probed now; its next pause begins. 0: none. */
 uint64_t cw_balance_probe(cw_balance_t* b, int64_t now_ms);
 /* What this daemon has at the server. */
@@ -250,6 +257,9 @@
 #define _CW_FULL_MS 1000.0    /* what a server costs whose memory would overflow */
 #define _CW_MEMORY_SHARE 0.9  /* of a server's memory that is planned with */
 #define _CW_KEPT_SHARE 0.6    /* of a server's memory that old prompt parts are taken to keep */
+#define _CW_SUSPECT_SHARE 0.5 /* of a pool's servers: with more of them suspected, it is not the servers that fail */
+#define _CW_NEWS_OLD_MS                                                                                                \
+    2000 /* what another daemon says happened longer ago than it could still count is not believed */
 #define _CW_FULL_PAUSE_MS 100 /* a server that said it is full is left out for so long */
 
 typedef struct _cw_news_t {
@@ -284,6 +294,9 @@
     uint32_t away_ms;
     int64_t away_until_ms;
     int64_t full_until_ms;
+    cw_suspect_t life;     /* what all hosts know */
+    int64_t own_failed_ms; /* what this host saw itself, and tells, 0: nothing */
+    int64_t own_alive_ms;
     int64_t cold_until_ms;
     cw_bucket_t cold;     /* what it may get until then */
     uint64_t read_tokens; /* all that was read there, as far as known */
@@ -305,6 +318,8 @@
     uint32_t places;
     uint32_t listed;
     cw_kept_t* kept;
+    uint32_t hosts;    /* that live */
+    uint32_t delay_ms; /* until news has reached all of them */
     cw_contention_t contention;
     cw_reading_t reading;
     double service_ms;
@@ -806,6 +821,8 @@
 }
 
 void cw_balance_set_fleet(cw_balance_t* b, uint32_t hosts, uint32_t delay_ms) {
+    b->hosts = hosts;
+    b->delay_ms = delay_ms;
     cw_contention_set_fleet(&b->contention, hosts, delay_ms);
 }
 
@@ -817,12 +834,29 @@
     cw_contention_waiting(&b->contention, now_ms, count);
 }
 
+/* Whether the server is suspected and it is not this host's turn to try it. */
+static bool _cw_balance_suspects(const cw_balance_t* b, const _cw_server_t* s, int64_t now_ms) {
+    return cw_suspect_holds(&s->life, now_ms) &&
+           !cw_suspect_may_try(&s->life, now_ms, b->desc.seed, s->spec.id, b->hosts);
+}
+
+/* Whether suspected servers are left alone: not where they are too many to be wrong all at once. */
+static bool _cw_balance_avoids(const cw_balance_t* b, int64_t now_ms) {
+    uint32_t suspected = 0;
+    for (uint32_t i = 0; i < b->places; i++) {
+        const _cw_server_t* s = &b->servers[i];
+        suspected += s->used && s->listed && cw_suspect_holds(&s->life, now_ms);
+    }
+    return suspected <= _CW_SUSPECT_SHARE * b->listed;
+}
+
 cw_choice_t cw_balance_choose(cw_balance_t* b, int64_t now_ms, const cw_work_t* work, const uint64_t* tried,
                               uint32_t tried_count) {
     cw_choice_t best = {.server = CW_BALANCE_NONE};
     uint32_t candidates = 0;
     _cw_holder_t holder = _cw_balance_holder(b, work);
     double share = _cw_balance_share(b, work);
+    bool avoid = _cw_balance_avoids(b, now_ms);
     _cw_balance_learn_patience(b, work);
     for (uint32_t i = 0; i < b->places; i++) {
         const _cw_server_t* s = &b->servers[i];
@@ -830,7 +864,7 @@
             _cw_balance_tried(tried, tried_count, s->spec.id)) {
             continue;
         }
-        if (!_cw_balance_bears(b, s, now_ms)) {
+        if (!_cw_balance_bears(b, s, now_ms) || (avoid && _cw_balance_suspects(b, s, now_ms))) {
             continue;
         }
         cw_choice_t c = _cw_balance_rate(b, i, now_ms, work, &holder);
@@ -922,10 +956,17 @@
     }
 }
 
-void cw_balance_first(cw_balance_t* b, int64_t now_ms, cw_run_t* run) {
+/* The server answers a request that was sent then; true when it was suspected. */
+static bool _cw_balance_lives(_cw_server_t* s, int64_t sent_ms) {
+    s->own_alive_ms = sent_ms > s->own_alive_ms ? sent_ms : s->own_alive_ms;
+    s->own_failed_ms = sent_ms >= s->own_failed_ms ? 0 : s->own_failed_ms;
+    return cw_suspect_alive(&s->life, sent_ms);
+}
+
+bool cw_balance_first(cw_balance_t* b, int64_t now_ms, cw_run_t* run) {
     _cw_server_t* s = _cw_balance_of_run(b, run);
     if (!s || run->answered) {
-        return;
+        return false;
     }
     if (s->spec.memory_tokens) {
         _cw_balance_learn_read(b, s, now_ms, run);
@@ -936,6 +977,7 @@
     }
     run->event_ms = now_ms;
     run->beside = _cw_balance_sum(b, s, now_ms, run->tier).deepest;
+    return _cw_balance_lives(s, run->begun_ms);
 }
 
 void cw_balance_event(cw_balance_t* b, int64_t now_ms, cw_run_t* run) {
@@ -969,6 +1011,11 @@
     _cw_balance_learn_slow(s, now_ms, took_ms / (b->service_ms > 1 ? b->service_ms : 1));
 }
 
+static void _cw_balance_fails(const cw_balance_t* b, _cw_server_t* s, int64_t now_ms) {
+    s->own_failed_ms = now_ms;
+    cw_suspect_failed_here(&s->life, b->desc.seed, now_ms);
+}
+
 void cw_balance_end(cw_balance_t* b, int64_t now_ms, cw_run_t* run, cw_try_result_t result) {
     _cw_server_t* s = _cw_balance_of_run(b, run);
     run->server = CW_BALANCE_NONE;
@@ -993,7 +1040,12 @@
         case CW_TRY_FAILED:
             _cw_balance_learn_fail(s, now_ms, 1);
             break;
+        case CW_TRY_BROKEN:
+            _cw_balance_learn_fail(s, now_ms, 1);
+            _cw_balance_fails(b, s, now_ms);
+            break;
         case CW_TRY_UNREACHABLE:
+            _cw_balance_fails(b, s, now_ms);
             cw_balance_away(b, now_ms, run->id, true);
             break;
         case CW_TRY_FULL:
@@ -1026,6 +1078,11 @@
     s->away = away;
 }
 
+bool cw_balance_suspected(const cw_balance_t* b, int64_t now_ms, uint64_t id) {
+    uint32_t at = cw_balance_find(b, id);
+    return at != CW_BALANCE_NONE && cw_suspect_holds(&b->servers[at].life, now_ms);
+}
+
 uint64_t cw_balance_probe(cw_balance_t* b, int64_t now_ms) {
     for (uint32_t i = 0; i < b->places; i++) {
         _cw_server_t* s = &b->servers[i];
@@ -1048,7 +1105,9 @@
                       .gap_ms = gap.gap_ms,
                       .streaming = gap.count,
                       .tokens = s->tokens > UINT32_MAX ? UINT32_MAX : (uint32_t)s->tokens,
-                      .pace_us = s->pace_samples > _CW_PACE_FEW ? (uint32_t)(s->pace_ms * 1000.0) : 0};
+                      .pace_us = s->pace_samples > _CW_PACE_FEW ? (uint32_t)(s->pace_ms * 1000.0) : 0,
+                      .failed_ago_ms = cw_suspect_age(s->own_failed_ms, now_ms),
+                      .alive_ago_ms = s->life.failures ? cw_suspect_age(s->own_alive_ms, now_ms) : 0};
     for (uint32_t tier = 0; tier < CW_TIERS; tier++) {
         load.backlog_ms[tier] = (uint32_t)_cw_balance_own_backlog(s, now_ms, tier);
     }
@@ -1071,6 +1130,17 @@
     return load->running || load->streaming || load->tokens || load->backlog_ms[CW_TIERS - 1];
 }
 
+/* What another daemon saw of the server's life. Its news may have been under way for as long as news takes. */
+static void _cw_balance_hear_life(const cw_balance_t* b, _cw_server_t* s, int64_t now_ms, uint64_t peer,
+                                  const cw_load_t* load) {
+    if (load->failed_ago_ms && load->failed_ago_ms < _CW_NEWS_OLD_MS) {
+        cw_suspect_failed(&s->life, peer, now_ms - load->failed_ago_ms);
+    }
+    if (load->alive_ago_ms && load->alive_ago_ms < _CW_NEWS_OLD_MS) {
+        cw_suspect_alive(&s->life, now_ms - load->alive_ago_ms - b->delay_ms);
+    }
+}
+
 void cw_balance_news(cw_balance_t* b, int64_t now_ms, uint64_t peer, uint64_t server, const cw_load_t* load) {
     uint32_t at = cw_balance_find(b, server);
     if (at == CW_BALANCE_NONE) {
@@ -1078,6 +1148,7 @@
     }
     _cw_server_t* s = &b->servers[at];
     _cw_balance_hear_pace(b, s, load->pace_us);
+    _cw_balance_hear_life(b, s, now_ms, peer, load);
     _cw_balance_drop_news(b, s, now_ms, peer);
     if (_cw_balance_has_load(load) && s->news_count < b->desc.max_peers) {
         s->news[s->news_count++] = (_cw_news_t){.peer = peer, .at_ms = now_ms, .load = *load};
--- a/chalkway_load.h
+++ b/chalkway_load.h
@@ -23,7 +23,7 @@
 */
 #include "chalkway_balance.h"
 
-#define CW_LOAD_VERSION 3
+#define CW_LOAD_VERSION 4
 #define CW_LOAD_ENTRIES 24 /* in one datagram */
 #define CW_LOAD_PARTS 4    /* parts of prompts told with one entry */
 #define CW_LOAD_BYTES 4096 /* largest datagram: a full one fits */
@@ -86,9 +86,9 @@
 #define _CW_LOAD_QUIET_MS 100    /* of the first ranks, and of all in a small fleet */
 #define _CW_LOAD_QUIET_STEP_MS 8 /* of the others, for each daemon that lives */
 #define _CW_LOAD_FIRST_RANKS 3
-#define _CW_LOAD_HEAD 8                /* fields before the entries */
-#define _CW_LOAD_IDS 2                 /* first fields of an entry: the host, 0 for the sender, and the server */
-#define _CW_LOAD_FIELDS (9 + CW_TIERS) /* of an entry before its parts */
+#define _CW_LOAD_HEAD 8                 /* fields before the entries */
+#define _CW_LOAD_IDS 2                  /* first fields of an entry: the host, 0 for the sender, and the server */
+#define _CW_LOAD_FIELDS (11 + CW_TIERS) /* of an entry before its parts */
 
 uint32_t cw_load_quiet_ms(uint32_t rank, uint32_t live) {
     uint32_t stretched_ms = live * _CW_LOAD_QUIET_STEP_MS;
@@ -115,6 +115,8 @@
     msgpack_pack_uint32(p, e->load.deepest);
     msgpack_pack_uint32(p, e->load.tokens);
     msgpack_pack_uint32(p, e->load.pace_us);
+    msgpack_pack_uint32(p, e->load.failed_ago_ms);
+    msgpack_pack_uint32(p, e->load.alive_ago_ms);
     for (uint32_t tier = 0; tier < CW_TIERS; tier++) {
         msgpack_pack_uint32(p, e->load.backlog_ms[tier]);
     }
@@ -174,9 +176,11 @@
                           .gap_ms = (uint32_t)v[5],
                           .deepest = (uint32_t)v[6],
                           .tokens = (uint32_t)v[7],
-                          .pace_us = (uint32_t)v[8]};
+                          .pace_us = (uint32_t)v[8],
+                          .failed_ago_ms = (uint32_t)v[9],
+                          .alive_ago_ms = (uint32_t)v[10]};
     for (uint32_t tier = 0; tier < CW_TIERS; tier++) {
-        e->load.backlog_ms[tier] = (uint32_t)v[9 + tier];
+        e->load.backlog_ms[tier] = (uint32_t)v[11 + tier];
     }
     for (uint32_t at = _CW_LOAD_FIELDS; at + 1 < o->via.array.size && e->part_count < CW_LOAD_PARTS; at += 2) {
         uint64_t tokens = 0;
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -389,9 +389,13 @@
     int64_t now_ms = clock_ms();
     x->first_seen = true;
     x->first_ms = x->first_ms ? x->first_ms : now_ms;
-    cw_balance_first(x->pool->balance, now_ms, &x->run);
+    bool awaited = cw_balance_first(x->pool->balance, now_ms, &x->run);
     tell_pace(x, now_ms);
     x->all->desc.on_load(x->all->desc.user_data, x->server, NULL);
+    if (awaited) {
+        server_log_life(x->server, now_ms, true, 0);
+        x->all->desc.on_life(x->all->desc.user_data, x->server);
+    }
 }
 
 static void pass_body(exchange_t* x, const char* data, size_t size) {
@@ -452,7 +456,7 @@
     } else if (x->machine.state == CW_REQ_CONNECTING) {
         broken(x, CW_EV_CONNECT_FAILED, CW_TRY_CANCELLED, reasons[failure]);
     } else {
-        broken(x, CW_EV_BROKEN, CW_TRY_FAILED, reasons[failure]);
+        broken(x, CW_EV_BROKEN, failure == LINK_GARBLED ? CW_TRY_FAILED : CW_TRY_BROKEN, reasons[failure]);
     }
 }
 
@@ -597,8 +601,14 @@
     if (x->run.server == CW_BALANCE_NONE) {
         return;
     }
-    cw_balance_end(pool->balance, clock_ms(), &x->run, x->result);
+    int64_t now_ms = clock_ms();
+    bool suspected = cw_balance_suspected(pool->balance, now_ms, server->key);
+    cw_balance_end(pool->balance, now_ms, &x->run, x->result);
     x->all->desc.on_load(x->all->desc.user_data, server, NULL);
+    if (x->result == CW_TRY_BROKEN || x->result == CW_TRY_UNREACHABLE) {
+        server_log_life(server, now_ms, suspected, 0);
+        x->all->desc.on_life(x->all->desc.user_data, server);
+    }
 }
 
 static void cut(exchange_t* x) {
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -28,6 +28,8 @@
     uint32_t young_ms; /* without a configuration for longer, the source is taken to be away; default 500 */
     /* A request was sent to or ended at a server: others should hear of it. */
     void (*on_load)(void* user_data, const server_t* server, const cw_work_t* work);
+    /* A connection to the server failed, or a server that others suspect lives: they are to hear of it at once. */
+    void (*on_life)(void* user_data, const server_t* server);
     /* A request has ended; may be NULL. */
     void (*on_done)(void* user_data, const char* route, const char* workspace, exchange_outcome_t outcome,
                     uint32_t first_ms, uint32_t took_ms);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -95,6 +95,10 @@
     mesh_on_load(((gateway_t*)user)->mesh, server, work);
 }
 
+static void on_life(void* user, const server_t* server) {
+    mesh_on_life(((gateway_t*)user)->mesh, server);
+}
+
 static void on_done(void* user, const char* route, const char* workspace, exchange_outcome_t outcome, uint32_t first_ms,
                     uint32_t took_ms) {
     directory_count(((gateway_t*)user)->directory, route, workspace, (uint32_t)outcome, first_ms, took_ms);
@@ -321,6 +325,7 @@
                                                        .upstreams = g->upstreams,
                                                        .seed = cw_mix(host, (uint64_t)clock_ms()),
                                                        .on_load = on_load,
+                                                       .on_life = on_life,
                                                        .on_done = on_done,
                                                        .user_data = g});
     g->mesh = mesh_setup(&(mesh_desc_t){.loop = g->loop,
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -115,6 +115,10 @@
     news_on_load(m->news, server, work);
 }
 
+void mesh_on_life(mesh_t* m, const server_t* server) {
+    news_on_life(m->news, server);
+}
+
 void mesh_tell_kept(mesh_t* m, const server_t* server, const cw_work_part_t* parts, uint32_t count) {
     news_tell_kept(m->news, server, parts, count);
 }
--- a/gateway/mesh.h
+++ b/gateway/mesh.h
@@ -35,6 +35,8 @@
 void mesh_shutdown(mesh_t* m);
 /* The own load at the server changed; work: what was just sent there, NULL: something ended. */
 void mesh_on_load(mesh_t* m, const server_t* server, const cw_work_t* work);
+/* Whether the server lives is news: all are told at once. */
+void mesh_on_life(mesh_t* m, const server_t* server);
 /* Tells the peers that the server keeps these parts of prompts. */
 void mesh_tell_kept(mesh_t* m, const server_t* server, const cw_work_part_t* parts, uint32_t count);
 /* Whether this host is the one among those that live to which the key falls, in an order that all see alike. */
--- a/gateway/news.c
+++ b/gateway/news.c
@@ -378,6 +378,10 @@
     return d;
 }
 
+static void flush_soon(news_t* n) {
+    flush_after(n, n->is_relay && n->plan.gather_ms ? n->plan.gather_ms : FLUSH_MS);
+}
+
 void news_on_load(news_t* n, const server_t* server, const cw_work_t* work) {
     dirty_t* d = dirty_get(n, server->key);
     if (!work || !work->prompt_tokens) {
@@ -386,7 +390,12 @@
     for (uint32_t i = 0; i < work->part_count && d->part_count < CW_LOAD_PARTS; i++) {
         d->parts[d->part_count++] = work->parts[i];
     }
-    flush_after(n, n->is_relay && n->plan.gather_ms ? n->plan.gather_ms : FLUSH_MS);
+    flush_soon(n);
+}
+
+void news_on_life(news_t* n, const server_t* server) {
+    dirty_get(n, server->key);
+    flush_soon(n);
 }
 
 void news_tell_kept(news_t* n, const server_t* server, const cw_work_part_t* parts, uint32_t count) {
@@ -428,7 +437,11 @@
         return;
     }
     cw_balance_t* balance = server->pool->balance;
+    bool suspected = cw_balance_suspected(balance, now_ms, entry->server);
     cw_balance_news(balance, now_ms, entry->host, entry->server, &entry->load);
+    if (entry->load.failed_ago_ms || entry->load.alive_ago_ms) {
+        server_log_life(server, now_ms, suspected, entry->host);
+    }
     for (uint32_t i = 0; i < entry->part_count; i++) {
         cw_balance_kept(balance, entry->server, &entry->parts[i]);
     }
--- a/gateway/news.h
+++ b/gateway/news.h
@@ -38,6 +38,8 @@
 void news_tell_all(news_t* n);
 /* The own load at the server changed; work: what was just sent there, NULL: something ended. */
 void news_on_load(news_t* n, const server_t* server, const cw_work_t* work);
+/* Whether the server lives is news: told at once. */
+void news_on_life(news_t* n, const server_t* server);
 /* The server keeps these parts of prompts. */
 void news_tell_kept(news_t* n, const server_t* server, const cw_work_part_t* parts, uint32_t count);
 void news_tick(news_t* n, int64_t now_ms);
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -563,6 +563,14 @@
     return u->connects;
 }
 
+void server_log_life(const server_t* server, int64_t now_ms, bool before, uint64_t host) {
+    bool suspected = cw_balance_suspected(server->pool->balance, now_ms, server->key);
+    if (suspected != before) {
+        cw_log(server->pool->upstreams->desc.log, suspected ? CW_EVENT_SERVER_SUSPECTED : CW_EVENT_SERVER_TRUSTED,
+               "server=%s pool=%s told_by=%016llx", server->published.id, server->pool->name, (unsigned long long)host);
+    }
+}
+
 /* -- probes --------------------------------------------------------------- */
 
 /* One health check of a server that could not be reached. */
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -103,6 +103,9 @@
 pool_t* upstreams_pool(const upstreams_t* u, const char* name);
 pool_t* upstreams_pools(const upstreams_t* u);
 server_t* upstreams_server(const upstreams_t* u, uint64_t key);
+/* Logs a suspicion of the server that began or ended since before was asked of cw_balance_suspected. host: whose word
+   changed it, 0 this host's own. */
+void server_log_life(const server_t* server, int64_t now_ms, bool before, uint64_t host);
 /* A server said itself that it leaves. */
 void upstreams_leaves(upstreams_t* u, int64_t now_ms, server_t* server);
 /* Closes idle connections in time and probes servers that are away. */
--- /dev/null
+++ b/tests/pool_model.h
@@ -0,0 +1,275 @@
+#ifndef CW_TEST_POOL_MODEL_H
+#define CW_TEST_POOL_MODEL_H
+/*
+    Many hosts before one pool of engines, on one clock and without a network: each host decides with its own
+    chalkway_balance.h and hears of the others' load as late as between processes. Engines have places, read prompts one
+    after the other and then generate; a dead one breaks what it is sent, and goes on with what it had. Requests come by
+   chance, by seed.
+
+    What it leaves out: memory of engines, kept parts, preemption (a run too many is counted instead), processor time.
+*/
+#include <stdlib.h>
+#include <string.h>
+
+#include "../chalkway_balance.h"
+#include "rng.h"
+
+#define MODEL_HOSTS_MAX 96
+#define MODEL_ENGINES_MAX 160
+#define MODEL_KINDS_MAX 4
+#define MODEL_RUNS_MAX 8192
+#define MODEL_NEWS_MAX 65536
+#define MODEL_BREAK_MS 3 /* until a connection to a dead engine is seen to break */
+
+/* A kind of request. */
+typedef struct model_kind_t {
+    cw_work_t work;
+    double per_s;         /* of all hosts */
+    uint32_t generate_ms; /* mean time from the first event to the end */
+    uint32_t wait_ms;     /* longest wait for a place */
+    /* counted */
+    uint32_t asked, served, refused, broken, held_up;
+} model_kind_t;
+
+typedef enum model_stage_t {
+    MODEL_FREE = 0,
+    MODEL_WAITING,
+    MODEL_READING,
+    MODEL_GENERATING,
+    MODEL_BREAKING
+} model_stage_t;
+
+typedef struct model_run_t {
+    model_stage_t stage;
+    uint32_t host, kind, engine;
+    int64_t until_ms; /* of the stage */
+    uint32_t generate_ms;
+    bool held_up; /* a long prompt was begun beside it */
+    cw_run_t run;
+} model_run_t;
+
+typedef struct model_engine_t {
+    uint64_t id;
+    uint32_t running;
+    int64_t read_until_ms; /* all prompts there are read by then */
+    int64_t dead_from_ms, dead_until_ms;
+} model_engine_t;
+
+typedef struct model_news_t {
+    int64_t at_ms;
+    uint32_t host, engine;
+    cw_load_t load;
+} model_news_t;
+
+typedef struct model_t {
+    uint32_t hosts, engines, kinds, places;
+    uint32_t news_ms;         /* until news reaches the others */
+    double read_ms_per_token; /* of an engine */
+    uint32_t long_tokens;     /* from which a prompt holds up streams beside it */
+    cw_balance_t* balance[MODEL_HOSTS_MAX];
+    model_engine_t engine[MODEL_ENGINES_MAX];
+    model_kind_t kind[MODEL_KINDS_MAX];
+    model_run_t run[MODEL_RUNS_MAX];
+    model_news_t news[MODEL_NEWS_MAX];
+    uint32_t news_first, news_count;
+    rng_t rng;
+    int64_t now_ms;
+    uint32_t too_many;                    /* runs begun at an engine without a free place */
+    uint32_t avoidable;                   /* broken sends that another host's news could have prevented */
+    int64_t failed_ms[MODEL_ENGINES_MAX]; /* first failure there since it was well, 0: none */
+    double place_ms, run_ms, overload_ms; /* integrals: places of the living, places taken, and time, while some wait */
+} model_t;
+
+static inline void model_setup(model_t* m, uint64_t seed) {
+    cw_server_spec_t specs[MODEL_ENGINES_MAX];
+    m->rng.state = seed;
+    m->now_ms = 1000;
+    for (uint32_t i = 0; i < m->engines; i++) {
+        m->engine[i].id = cw_mix(seed, i + 1);
+        specs[i] = (cw_server_spec_t){.id = m->engine[i].id, .slots = m->places, .memory_tokens = 10000000};
+    }
+    for (uint32_t i = 0; i < m->hosts; i++) {
+        m->balance[i] = cw_balance_setup(&(cw_balance_desc_t){.seed = cw_mix(seed, 1000 + i), .max_parts = 64});
+        cw_balance_set(m->balance[i], m->now_ms, specs, m->engines);
+        cw_balance_set_fleet(m->balance[i], m->hosts, m->news_ms);
+    }
+}
+
+static inline void model_shutdown(model_t* m) {
+    for (uint32_t i = 0; i < m->hosts; i++) {
+        cw_balance_shutdown(m->balance[i]);
+    }
+}
+
+/* The host tells what it has at the engine. */
+static inline void model_tell(model_t* m, uint32_t host, uint32_t engine) {
+    uint32_t at = cw_balance_find(m->balance[host], m->engine[engine].id);
+    if (m->news_count == MODEL_NEWS_MAX) {
+        abort();
+    }
+    m->news[(m->news_first + m->news_count++) % MODEL_NEWS_MAX] =
+        (model_news_t){.at_ms = m->now_ms + m->news_ms,
+                       .host = host,
+                       .engine = engine,
+                       .load = cw_balance_load(m->balance[host], m->now_ms, at)};
+}
+
+static inline void model_hear(model_t* m) {
+    while (m->news_count && m->news[m->news_first].at_ms <= m->now_ms) {
+        const model_news_t* n = &m->news[m->news_first];
+        for (uint32_t i = 0; i < m->hosts; i++) {
+            if (i != n->host) {
+                cw_balance_news(m->balance[i], m->now_ms, 1 + n->host, m->engine[n->engine].id, &n->load);
+            }
+        }
+        m->news_first = (m->news_first + 1) % MODEL_NEWS_MAX;
+        m->news_count--;
+    }
+}
+
+static inline bool model_dead(const model_t* m, uint32_t engine) {
+    return m->now_ms >= m->engine[engine].dead_from_ms && m->now_ms < m->engine[engine].dead_until_ms;
+}
+
+static inline uint32_t model_engine_of(const model_t* m, uint64_t id) {
+    uint32_t i = 0;
+    while (i < m->engines && m->engine[i].id != id) {
+        i++;
+    }
+    return i;
+}
+
+static inline void model_end(model_t* m, model_run_t* r, cw_try_result_t result) {
+    cw_balance_end(m->balance[r->host], m->now_ms, &r->run, result);
+    m->engine[r->engine].running -= r->stage != MODEL_BREAKING;
+    r->stage = MODEL_FREE;
+    model_tell(m, r->host, r->engine);
+}
+
+/* Streams that generate beside a long prompt are held up while it is read. */
+static inline void model_hold_up(model_t* m, uint32_t engine) {
+    for (uint32_t i = 0; i < MODEL_RUNS_MAX; i++) {
+        model_run_t* r = &m->run[i];
+        if (r->stage == MODEL_GENERATING && r->engine == engine && m->kind[r->kind].work.gap_ms) {
+            r->held_up = true;
+        }
+    }
+}
+
+static inline void model_begin(model_t* m, model_run_t* r) {
+    const cw_work_t* work = &m->kind[r->kind].work;
+    model_engine_t* e = &m->engine[r->engine];
+    if (model_dead(m, r->engine)) {
+        r->stage = MODEL_BREAKING;
+        r->until_ms = m->now_ms + MODEL_BREAK_MS;
+        m->avoidable += m->failed_ms[r->engine] && m->now_ms - m->failed_ms[r->engine] > 2 * (int64_t)m->news_ms;
+        return;
+    }
+    m->too_many += e->running >= m->places;
+    e->running++;
+    int64_t from_ms = e->read_until_ms > m->now_ms ? e->read_until_ms : m->now_ms;
+    e->read_until_ms = from_ms + (int64_t)(m->read_ms_per_token * work->prompt_tokens);
+    r->stage = MODEL_READING;
+    r->until_ms = e->read_until_ms + 1;
+    if (work->prompt_tokens >= m->long_tokens) {
+        model_hold_up(m, r->engine);
+    }
+}
+
+/* Seeks a place; true when one was found. */
+static inline bool model_seek(model_t* m, model_run_t* r) {
+    model_kind_t* kind = &m->kind[r->kind];
+    cw_balance_t* b = m->balance[r->host];
+    cw_choice_t c = cw_balance_choose(b, m->now_ms, &kind->work, NULL, 0);
+    if (c.server == CW_BALANCE_NONE || c.late) {
+        return false;
+    }
+    r->run = cw_balance_begin(b, m->now_ms, c.server, &kind->work);
+    r->engine = model_engine_of(m, r->run.id);
+    model_begin(m, r);
+    model_tell(m, r->host, r->engine);
+    return true;
+}
+
+static inline void model_ask(model_t* m, uint32_t kind) {
+    uint32_t i = 0;
+    while (i < MODEL_RUNS_MAX && m->run[i].stage != MODEL_FREE) {
+        i++;
+    }
+    if (i == MODEL_RUNS_MAX) {
+        abort();
+    }
+    model_run_t* r = &m->run[i];
+    model_kind_t* k = &m->kind[kind];
+    *r = (model_run_t){.stage = MODEL_WAITING,
+                       .host = rng_below(&m->rng, m->hosts),
+                       .kind = kind,
+                       .until_ms = m->now_ms + k->wait_ms,
+                       .generate_ms = k->generate_ms / 2 + rng_below(&m->rng, k->generate_ms + 1)};
+    k->asked++;
+    cw_balance_asked(m->balance[r->host], m->now_ms);
+    model_seek(m, r);
+}
+
+static inline void model_step_run(model_t* m, model_run_t* r) {
+    model_kind_t* kind = &m->kind[r->kind];
+    cw_balance_t* b = m->balance[r->host];
+    bool due = m->now_ms >= r->until_ms;
+    if (r->stage == MODEL_WAITING && !model_seek(m, r) && due) {
+        r->stage = MODEL_FREE;
+        kind->refused++;
+    } else if (r->stage == MODEL_READING && due) {
+        cw_balance_first(b, m->now_ms, &r->run);
+        r->stage = MODEL_GENERATING;
+        r->until_ms = m->now_ms + r->generate_ms;
+        model_tell(m, r->host, r->engine);
+    } else if (r->stage == MODEL_GENERATING && due) {
+        kind->served++;
+        kind->held_up += r->held_up;
+        model_end(m, r, CW_TRY_SERVED);
+    } else if (r->stage == MODEL_BREAKING && due) {
+        kind->broken++;
+        m->failed_ms[r->engine] = m->failed_ms[r->engine] ? m->failed_ms[r->engine] : m->now_ms;
+        model_end(m, r, CW_TRY_BROKEN);
+    }
+}
+
+static inline void model_run_for(model_t* m, int64_t ms) {
+    for (int64_t until_ms = m->now_ms + ms; m->now_ms < until_ms; m->now_ms++) {
+        model_hear(m);
+        uint32_t waiting[MODEL_HOSTS_MAX] = {0};
+        uint32_t all = 0;
+        for (uint32_t i = 0; i < MODEL_RUNS_MAX; i++) {
+            if (m->run[i].stage != MODEL_FREE) {
+                model_step_run(m, &m->run[i]);
+            }
+            if (m->run[i].stage == MODEL_WAITING) {
+                waiting[m->run[i].host]++;
+                all++;
+            }
+        }
+        for (uint32_t i = 0; i < m->hosts; i++) {
+            cw_balance_waiting(m->balance[i], m->now_ms, waiting[i]);
+        }
+        for (uint32_t i = 0; i < m->engines && all; i++) {
+            m->place_ms += model_dead(m, i) ? 0 : m->places;
+            m->run_ms += m->engine[i].running;
+        }
+        for (uint32_t k = 0; k < m->kinds; k++) {
+            double chance = m->kind[k].per_s / 1000.0;
+            while (chance > 0) {
+                if (rng_below(&m->rng, 1000000) < chance * 1e6) {
+                    model_ask(m, k);
+                }
+                chance -= 1;
+            }
+        }
+    }
+}
+
+/* Of the living engines' places, the share that was taken while some request waited for one. */
+static inline double model_fullness(const model_t* m) {
+    return m->place_ms > 0 ? m->run_ms / m->place_ms : 1;
+}
+
+#endif
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -48,6 +48,7 @@
     exchanges_t* exchanges;
     front_t* front;
     cw_catalog_t* catalog;
+    uint32_t life_told; /* times that a failed connection, or life against a suspicion, was told to others */
     int listen_fds[RIG_SERVERS];
     ev_io accept_ios[RIG_SERVERS];
     char addresses[RIG_SERVERS][CW_ADDR_TEXT];
@@ -192,6 +193,11 @@
     (void)work;
 }
 
+static inline void rig_on_life(void* user, const server_t* server) {
+    (void)server;
+    ((rig_t*)user)->life_told++;
+}
+
 static inline void rig_give_up(struct ev_loop* loop, ev_timer* w, int events) {
     (void)loop;
     (void)events;
@@ -276,6 +282,7 @@
                                                        .seed = 7,
                                                        .young_ms = document ? 0 : 1,
                                                        .on_load = rig_on_load,
+                                                       .on_life = rig_on_life,
                                                        .user_data = r});
     if (document) {
         rig_set_catalog(r, document);
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -472,6 +472,24 @@
 }
 END_TEST
 
+START_TEST(others_are_told_of_a_connection_that_fails_and_of_no_other) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    script(r, 0, (rig_step_t[]){{RIG_ANSWER, OK("a", "1")}});
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER, OK("b", "1")}});
+    expect_status(rig_call(r, "POST /one/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n"), "200");
+    ck_assert_uint_eq(r->life_told, 0);
+    rig_shutdown(r);
+    r = rig_setup(ROUTES, 2);
+    script(r, 1, (rig_step_t[]){{RIG_ANSWER, OK("b", "1")}});
+    close(r->listen_fds[0]);
+    ev_io_stop(r->loop, &r->accept_ios[0]);
+    r->listen_fds[0] = dup(0);
+    expect_status(rig_call(r, "POST /one/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n"), "200");
+    ck_assert_uint_eq(r->life_told, 1);
+    rig_shutdown(r);
+}
+END_TEST
+
 #define ENGINE_ROUTES                                                                                                  \
     "{\"revision\":1,\"pools\":[{\"name\":\"p\",\"engine\":{\"slots\":8,\"memory_tokens\":100000,"                     \
     "\"token_bytes\":100000,\"link_mbps\":400000}}],\"routes\":["                                                      \
@@ -677,6 +695,7 @@
     tcase_add_test(t, without_a_configuration_callers_come_back_later);
     tcase_add_test(t, without_a_server_a_request_is_refused_at_once);
     tcase_add_test(t, a_server_that_refuses_connections_is_passed_over);
+    tcase_add_test(t, others_are_told_of_a_connection_that_fails_and_of_no_other);
     tcase_add_test(t, a_request_read_between_the_quiet_turn_and_the_end_is_refused);
     tcase_add_test(t, a_stopping_host_waits_for_what_runs_until_its_time_is_nearly_up);
 }
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -573,7 +573,9 @@
                                                    .backlog_ms = {4, 7, 8, 9},
                                                    .deepest = 5,
                                                    .tokens = 6,
-                                                   .pace_us = 7},
+                                                   .pace_us = 7,
+                                                   .failed_ago_ms = 10,
+                                                   .alive_ago_ms = 11},
                                           .part_count = 1,
                                           .parts = {{.id = UINT64_MAX, .tokens = 8}}},
                                          {.host = 5, .server = UINT64_MAX}}};
