Requests that can wait are no rivals of urgent ones for a place

Cause: hosts of a large fleet take turns at engines with few free places, by an estimate of how many hosts place something. Change: the estimate keeps requests and waiting by urgency (0 to 9), and counts those as urgent or more so. Test: those_that_can_wait_are_no_rivals_of_those_that_cannot.

--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -68,7 +68,8 @@
 
 /* What a request asks of a server. All zero for a plain call. */
 typedef struct cw_work_t {
-    uint32_t tier; /* 0 goes first */
+    uint32_t tier;    /* 0 goes first */
+    uint32_t urgency; /* the same, with kinds of work of one tier told apart */
     uint32_t prompt_tokens;
     uint32_t output_tokens;
     uint32_t target_ms; /* to the first byte */
@@ -162,9 +163,9 @@
 /* So many hosts live, and news of a request takes so long to reach all of them. */
 void cw_balance_set_fleet(cw_balance_t* b, uint32_t hosts, uint32_t delay_ms);
 /* A new request for the pool came. */
-void cw_balance_asked(cw_balance_t* b, int64_t now_ms);
-/* So many requests of this host wait for a place. */
-void cw_balance_waiting(cw_balance_t* b, int64_t now_ms, uint32_t count);
+void cw_balance_asked(cw_balance_t* b, int64_t now_ms, uint32_t urgency);
+/* So many requests of this host and urgency wait for a place. */
+void cw_balance_waiting(cw_balance_t* b, int64_t now_ms, uint32_t urgency, uint32_t count);
 /* Best server for the work, leaving out those tried. A server is left out, where there is another one, when its backlog
    for the work's tier is longer than the work's patience: so many of its targets. A long prompt, which stands before
    others, is also taken to be late where more urgent work would be: it doesn't begin while that is refused. The
@@ -823,15 +824,25 @@
 void cw_balance_set_fleet(cw_balance_t* b, uint32_t hosts, uint32_t delay_ms) {
     b->hosts = hosts;
     b->delay_ms = delay_ms;
-    cw_contention_set_fleet(&b->contention, hosts, delay_ms);
 }
 
-void cw_balance_asked(cw_balance_t* b, int64_t now_ms) {
-    cw_contention_asked(&b->contention, now_ms);
+void cw_balance_asked(cw_balance_t* b, int64_t now_ms, uint32_t urgency) {
+    cw_contention_asked(&b->contention, now_ms, urgency);
 }
 
-void cw_balance_waiting(cw_balance_t* b, int64_t now_ms, uint32_t count) {
-    cw_contention_waiting(&b->contention, now_ms, count);
+void cw_balance_waiting(cw_balance_t* b, int64_t now_ms, uint32_t urgency, uint32_t count) {
+    cw_contention_waiting(&b->contention, now_ms, urgency, count);
+}
+
+/* Whether this host may place the work at an engine of which so much is free: where little is, hosts take turns. */
+static bool _cw_balance_open(const cw_balance_t* b, const _cw_server_t* s, int64_t now_ms, const cw_work_t* work,
+                             double free_places) {
+    cw_contention_use_t use = {.server = s->spec.id,
+                               .free_places = free_places,
+                               .urgency = work->urgency,
+                               .hosts = b->hosts,
+                               .delay_ms = b->delay_ms};
+    return free_places > 0 && cw_contention_open(&b->contention, now_ms, &use);
 }
 
 /* Whether the server is suspected and it is not this host's turn to try it. */
@@ -868,9 +879,7 @@
             continue;
         }
         cw_choice_t c = _cw_balance_rate(b, i, now_ms, work, &holder);
-        double free_places = share * s->spec.slots - c.running;
-        if (s->spec.memory_tokens &&
-            (free_places <= 0 || !cw_contention_open(&b->contention, now_ms, s->spec.id, free_places))) {
+        if (s->spec.memory_tokens && !_cw_balance_open(b, s, now_ms, work, share * s->spec.slots - c.running)) {
             continue;
         }
         candidates++;
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -42,7 +42,6 @@
     cw_request_t machine;
     cw_work_t work;
     uint32_t priority;
-    uint32_t urgency; /* what servers are told */
     int64_t arrived_ms, deadline_ms;
     int64_t wait_until_ms; /* in the queue: refused then */
     bool queued;
@@ -120,13 +119,20 @@
 
 /* -- life ----------------------------------------------------------------- */
 
+/* One more (by = 1) or fewer (-1) of the request's urgency wait. */
+static void tell_waiting(const exchange_t* x, int by) {
+    uint32_t* waiting = &x->pool->waiting[x->work.urgency];
+    *waiting = (uint32_t)((int)*waiting + by);
+    cw_balance_waiting(x->pool->balance, clock_ms(), x->work.urgency, *waiting);
+}
+
 static void queue_remove(exchange_t* x) {
     for (exchange_t** at = &x->all->queue; x->queued && *at; at = &(*at)->next_queued) {
         if (*at == x) {
             *at = x->next_queued;
             x->queued = false;
             x->all->stats.waiting--;
-            cw_balance_waiting(x->pool->balance, clock_ms(), --x->pool->waiting);
+            tell_waiting(x, -1);
             return;
         }
     }
@@ -150,7 +156,7 @@
     *at = x;
     x->queued = true;
     x->all->stats.waiting++;
-    cw_balance_waiting(x->pool->balance, clock_ms(), ++x->pool->waiting);
+    tell_waiting(x, 1);
 }
 
 static void exchange_free(exchange_t* x) {
@@ -294,7 +300,7 @@
                           .fetch_from = x->fetch_from[0] ? x->fetch_from : NULL,
                           .last_event = resuming ? x->events.last_id : NULL,
                           .deadline_ms = left_ms > 1 ? (uint32_t)left_ms : 1,
-                          .priority = x->urgency,
+                          .priority = x->work.urgency,
                           .has_priority = x->pool->slots > 0,
                           .body_size = body->size};
     cw_buffer_t head = {0};
@@ -716,7 +722,6 @@
     x->arrived_ms = clock_ms();
     x->deadline_ms = x->arrived_ms + admission->held_ms;
     x->priority = admission->priority;
-    x->urgency = admission->urgency;
     x->run.server = CW_BALANCE_NONE;
     x->machine = cw_request_new(&(cw_request_desc_t){.repeatable = admission->repeatable,
                                                      .resumable = stream && route->resume,
@@ -724,6 +729,7 @@
                                                      .count_sent = true,
                                                      .max_attempts = route->attempts});
     x->work = (cw_work_t){.tier = x->priority,
+                          .urgency = admission->urgency < CW_URGENCIES ? admission->urgency : CW_URGENCIES - 1,
                           .target_ms = route->target_ms,
                           .gap_ms = route->gap_ms,
                           .repeatable = admission->repeatable};
@@ -770,7 +776,7 @@
     x->pool = upstreams_pool(e->desc.upstreams, pool->name);
     assert(x->pool); /* upstreams were told of the catalog before */
     cw_retry_window_first(&x->pool->retries, x->arrived_ms);
-    cw_balance_asked(x->pool->balance, x->arrived_ms);
+    cw_balance_asked(x->pool->balance, x->arrived_ms, x->work.urgency);
     event(x, CW_EV_START);
 }
 
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -53,8 +53,8 @@
     double told_read_ms; /* reading pace in the log's last line on it, ms a token; 0: none yet */
     cw_retry_window_t retries;
     server_t* servers;
-    uint32_t ready;   /* servers that may be chosen */
-    uint32_t waiting; /* requests of this daemon without a place */
+    uint32_t ready;                 /* servers that may be chosen */
+    uint32_t waiting[CW_URGENCIES]; /* requests of this daemon without a place, by urgency */
     pool_t* next;
 };
 
--- a/tests/pool_model.h
+++ b/tests/pool_model.h
@@ -207,7 +207,7 @@
                        .until_ms = m->now_ms + k->wait_ms,
                        .generate_ms = k->generate_ms / 2 + rng_below(&m->rng, k->generate_ms + 1)};
     k->asked++;
-    cw_balance_asked(m->balance[r->host], m->now_ms);
+    cw_balance_asked(m->balance[r->host], m->now_ms, k->work.urgency);
     model_seek(m, r);
 }
 
@@ -237,19 +237,21 @@
 static inline void model_run_for(model_t* m, int64_t ms) {
     for (int64_t until_ms = m->now_ms + ms; m->now_ms < until_ms; m->now_ms++) {
         model_hear(m);
-        uint32_t waiting[MODEL_HOSTS_MAX] = {0};
+        uint32_t waiting[MODEL_HOSTS_MAX][CW_URGENCIES] = {{0}};
         uint32_t all = 0;
         for (uint32_t i = 0; i < MODEL_RUNS_MAX; i++) {
             if (m->run[i].stage != MODEL_FREE) {
                 model_step_run(m, &m->run[i]);
             }
             if (m->run[i].stage == MODEL_WAITING) {
-                waiting[m->run[i].host]++;
+                waiting[m->run[i].host][m->kind[m->run[i].kind].work.urgency]++;
                 all++;
             }
         }
         for (uint32_t i = 0; i < m->hosts; i++) {
-            cw_balance_waiting(m->balance[i], m->now_ms, waiting[i]);
+            for (uint32_t u = 0; u < CW_URGENCIES; u++) {
+                cw_balance_waiting(m->balance[i], m->now_ms, u, waiting[i][u]);
+            }
         }
         for (uint32_t i = 0; i < m->engines && all; i++) {
             m->place_ms += model_dead(m, i) ? 0 : m->places;
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -404,16 +404,17 @@
     uint32_t epochs = 50;
     for (uint64_t host = 1; host <= 80; host++) {
         cw_contention_t c = {.seed = host};
-        cw_contention_set_fleet(&c, 80, 12);
+        cw_contention_use_t one = {.server = 7, .free_places = 1, .hosts = 80, .delay_ms = 12};
+        cw_contention_use_t many = {.server = 7, .free_places = 24, .hosts = 80, .delay_ms = 12};
         for (int64_t now_ms = 0; now_ms < 3000; now_ms += 50) {
-            cw_contention_asked(&c, now_ms); /* 20 a second */
+            cw_contention_asked(&c, now_ms, 0); /* 20 a second */
         }
         for (uint32_t i = 0; i < epochs; i++) {
-            bool open = cw_contention_open(&c, 3000 + 12 * i, 7, 1);
-            ck_assert_int_eq(open, cw_contention_open(&c, 3000 + 12 * i, 7, 1)); /* until news can have come */
+            bool open = cw_contention_open(&c, 3000 + 12 * i, &one);
+            ck_assert_int_eq(open, cw_contention_open(&c, 3000 + 12 * i, &one)); /* until news can have come */
             takers += open;
         }
-        ck_assert(cw_contention_open(&c, 3000, 7, 24)); /* more places than hosts that place one: all may come */
+        ck_assert(cw_contention_open(&c, 3000, &many)); /* more places than hosts that place one: all may come */
     }
     ck_assert_uint_ge(takers, epochs);      /* it is not left free */
     ck_assert_uint_le(takers / epochs, 10); /* of 80 */
@@ -422,22 +423,38 @@
 
 START_TEST(few_hosts_or_fast_news_need_no_chance) {
     cw_contention_t c = {.seed = 3};
-    ck_assert(cw_contention_open(&c, 5, 7, 0.5)); /* alone */
-    cw_contention_set_fleet(&c, 9, 2);
+    ck_assert(cw_contention_open(&c, 5, &(cw_contention_use_t){.server = 7, .free_places = 0.5})); /* alone */
+    cw_contention_use_t use = {.server = 7, .free_places = 1, .hosts = 9, .delay_ms = 2};
     for (int64_t now_ms = 0; now_ms < 3000; now_ms += 50) {
-        cw_contention_asked(&c, now_ms);
+        cw_contention_asked(&c, now_ms, 0);
     }
-    ck_assert(cw_contention_open(&c, 3000, 7, 1));
-    cw_contention_waiting(&c, 3000, 20); /* but where all wait, they take turns */
+    ck_assert(cw_contention_open(&c, 3000, &use));
+    cw_contention_waiting(&c, 3000, 0, 20); /* but where all wait, they take turns */
     uint32_t open = 0;
-    for (uint64_t server = 0; server < 100; server++) {
-        open += cw_contention_open(&c, 4000, server, 1);
+    for (use.server = 0; use.server < 100; use.server++) {
+        open += cw_contention_open(&c, 4000, &use);
     }
     ck_assert_uint_ge(open, 5);
     ck_assert_uint_le(open, 20); /* one of nine hosts at a time */
 }
 END_TEST
 
+/* Twenty wait that can wait; they keep nobody urgent from the one place, and take turns among themselves. */
+START_TEST(those_that_can_wait_are_no_rivals_of_those_that_cannot) {
+    cw_contention_t c = {.seed = 3};
+    cw_contention_waiting(&c, 1000, 5, 20);
+    uint32_t open[2] = {0};
+    for (uint64_t server = 0; server < 100; server++) {
+        cw_contention_use_t use = {.server = server, .free_places = 1, .hosts = 80, .delay_ms = 12};
+        open[0] += cw_contention_open(&c, 3000, &use);
+        use.urgency = 5;
+        open[1] += cw_contention_open(&c, 3000, &use);
+    }
+    ck_assert_uint_eq(open[0], 100);
+    ck_assert_uint_le(open[1], 10);
+}
+END_TEST
+
 static bool is_odd(void* user, uint64_t server) {
     (void)user;
     return server % 2;
@@ -740,6 +757,7 @@
     tcase_add_test(t, a_full_engine_gets_nothing);
     tcase_add_test(t, one_free_place_is_not_taken_by_all_hosts_at_once);
     tcase_add_test(t, few_hosts_or_fast_news_need_no_chance);
+    tcase_add_test(t, those_that_can_wait_are_no_rivals_of_those_that_cannot);
     tcase_add_test(t, a_cold_server_gets_no_more_than_it_bears_and_from_one_daemon);
     tcase_add_test(t, patient_work_leaves_places_to_impatient_work);
     tcase_add_test(t, failures_and_slowness_lead_away_and_are_forgotten);
