All places of an engine are planned with; two fifths are left to short targets

Cause: nine tenths of the places were planned, since what others just sent is not known yet. With home hosts that tell each other directly it is known, and a place in twelve stood empty in overload. Change: the share that is planned goes; 0.4 in place of 0.3 is left to short targets, so that as many stay for them as before.

--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -242,11 +242,13 @@
 #define _CW_CONNECT_MS 10.0 /* what a new connection costs: time, and a place at the server */
 #define _CW_DEEP_UP 0.1     /* the length of deep prompts is learned as a high quantile */
 #define _CW_DEEP_DOWN 0.005
-#define _CW_GATHER_SHARE 0.1  /* of the target: what each further place in the order costs a stream easily hurt */
-#define _CW_PLAN_SHARE 0.9    /* of an engine's slots that are planned with: what others just sent is not known yet */
-#define _CW_PATIENT_SHARE 0.3 /* of the slots that work with a long target leaves to work with a short one */
-#define _CW_PATIENT_FROM 2.0  /* times the shortest target */
-#define _CW_SHORT_DOWN 0.1    /* the short targets are learned as a low quantile */
+#define _CW_GATHER_SHARE 0.1 /* of the target: what each further place in the order costs a stream easily hurt */
+/* Of the slots, that work with a long target leaves to work with a short one, the more of it the longer the target.
+   Over two days of overload before 140 engines 0.3, 0.4 and 0.5 served 0.677, 0.682 and 0.676 of what the requests were
+   worth, and 999, 720 and 550 runs were preempted. */
+#define _CW_PATIENT_SHARE 0.4
+#define _CW_PATIENT_FROM 2.0 /* times the shortest target */
+#define _CW_SHORT_DOWN 0.1   /* the short targets are learned as a low quantile */
 #define _CW_SHORT_UP 0.005
 #define _CW_PATIENCE_DEEP 1.0  /* targets that a long prompt waits for others: it stands before others itself */
 #define _CW_PATIENCE_SHORT 3.0 /* the same for others, which hold up nobody: late, they are still of use */
@@ -764,7 +766,7 @@
 static double _cw_balance_share(const cw_balance_t* b, const cw_work_t* work) {
     double from_ms = _CW_PATIENT_FROM * b->short_target_ms;
     bool patient = from_ms > 0 && work->target_ms > from_ms;
-    return _CW_PLAN_SHARE - (patient ? _CW_PATIENT_SHARE * (1 - from_ms / work->target_ms) : 0);
+    return 1 - (patient ? _CW_PATIENT_SHARE * (1 - from_ms / work->target_ms) : 0);
 }
 
 /* Whether the prompt is among the pool's long ones. */
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -477,8 +477,8 @@
         ck_assert_uint_eq(homes, CW_HOME_HOSTS);
         of_first += cw_home_is(server, ids[0], ids, 80);
     }
-    ck_assert_uint_ge(of_first, 140 * CW_HOME_HOSTS / 80 / 2);
-    ck_assert_uint_le(of_first, 140 * CW_HOME_HOSTS / 80 * 2);
+    ck_assert_uint_ge(of_first, 14); /* 28 are its share */
+    ck_assert_uint_le(of_first, 56);
     ck_assert(cw_home_is(1, ids[0], ids, CW_HOME_FLEET)); /* a small fleet: all are */
     ck_assert(!cw_home_is(1, 12345, ids, 80));            /* not among those that live */
 }
--- a/tests/test_pool_load.c
+++ b/tests/test_pool_load.c
@@ -66,6 +66,51 @@
 }
 END_TEST
 
+/* -- bursts --------------------------------------------------------------- */
+
+static uint32_t begun(const model_t* m) {
+    uint32_t sum = 0;
+    for (uint32_t k = 0; k < m->kinds; k++) {
+        sum += m->kind[k].asked - m->kind[k].refused;
+    }
+    return sum;
+}
+
+/* Nearly four times the usual long prompts, a third more than the engines have places for, and their answers take
+   longer beside each other. What is asked for is more than there is, so no place may stand empty while requests are
+   refused, but for those that short kinds will need; and these, which are few, find one all the same. With turns among
+   all 81 hosts and nine tenths of the places planned 0.845 of the places were taken; with rivals of whatever urgency 57
+   short requests were refused in three bursts. */
+START_TEST(a_burst_of_long_prompts_fills_the_places_and_keeps_nobody_urgent_out) {
+    model_t* m = fleet((uint64_t)_i + 1);
+    m->kind[0].generate_ms = 1400;
+    m->kind[2].generate_ms = 2700;
+    m->kind[2].per_s = 560;
+    model_run_for(m, 6000);
+    ck_assert_double_ge(model_fullness(m), 0.89);
+    ck_assert_uint_le(m->kind[0].refused + m->kind[1].refused, 2);
+    ck_assert_uint_gt(m->kind[2].refused, 300);    /* so it was a burst */
+    ck_assert_uint_le(m->too_many, begun(m) / 20); /* one in twenty takes a place that another one just took */
+    model_shutdown(m);
+}
+END_TEST
+
+/* Streams, which can't wait, come two and a half times as often as usual, and long prompts twice. Before, 0.802. */
+START_TEST(a_burst_of_streams_goes_before_long_prompts) {
+    model_t* m = fleet((uint64_t)_i + 1);
+    m->kind[0].generate_ms = 1400;
+    m->kind[0].per_s = 550;
+    m->kind[2].generate_ms = 2700;
+    m->kind[2].per_s = 300;
+    model_run_for(m, 6000);
+    ck_assert_double_ge(model_fullness(m), 0.84);
+    ck_assert_uint_eq(m->kind[0].refused + m->kind[1].refused, 0);
+    ck_assert_uint_gt(m->kind[2].refused, 50);
+    ck_assert_uint_le(m->too_many, begun(m) / 20);
+    model_shutdown(m);
+}
+END_TEST
+
 /* -- suspicion ------------------------------------------------------------ */
 
 START_TEST(one_failure_is_not_believed_however_often_it_is_told) {
@@ -138,6 +183,8 @@
     tcase_add_test(tests, only_an_answer_to_a_later_request_ends_a_suspicion);
     tcase_add_test(tests, about_one_host_at_a_time_tries_a_suspected_server);
     tcase_add_test(tests, one_host_s_word_does_not_close_the_pool);
+    tcase_add_loop_test(tests, a_burst_of_long_prompts_fills_the_places_and_keeps_nobody_urgent_out, 0, 3);
+    tcase_add_loop_test(tests, a_burst_of_streams_goes_before_long_prompts, 0, 3);
     tcase_add_loop_test(tests, an_engine_that_breaks_all_it_gets_is_met_by_few, 0, 3);
 }
 
