Engines are told the kind of work before the workspace's priority

The logs of all hosts show one: at an engine with ten streams, one long prompt of a workspace of priority 0 (running for 4.6 s) and a short request of priority 1, the newest, the short request was preempted. The workspace's priority went first in what engines are told. Ruled out: many hosts taking one place (the engine had 11 of 12 as seen by all); age of the news (0.2 s). Change: the kind, by the route's tier, goes first, the workspace's priority within it, three of each. In the hosts' queues priorities still go first.

--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -70,7 +70,7 @@
 /* What a request asks of a server. All zero for a plain call. */
 typedef struct cw_work_t {
     uint32_t tier;    /* 0 goes first */
-    uint32_t urgency; /* the same, with kinds of work of one tier told apart */
+    uint32_t urgency; /* at the engines: 0 is preempted last; by kind of work before the tier */
     uint32_t prompt_tokens;
     uint32_t output_tokens;
     uint32_t target_ms; /* to the first byte */
--- a/gateway/admission.c
+++ b/gateway/admission.c
@@ -6,7 +6,7 @@
 
 #define HOST_MAX 256
 #define UNCONFIGURED_RETRY_MIN_MS 300 /* a host that has just started will have a configuration, or other hosts do */
-#define URGENCY_KINDS 3     /* kinds of work that are told apart within a priority: three priorities fit 0 to 9 */
+#define URGENCY_PRIORITIES 3          /* of workspaces, told apart within a kind of work: three kinds fit 0 to 9 */
 #define AWAY_LEFT_SHARE 0.2 /* of a caller's time left, and up to half as much more, until it comes back then */
 
 static const cw_route_t* route_of(const cw_catalog_t* catalog, const cw_message_t* m) {
@@ -27,15 +27,13 @@
     return wanted > 0 && wanted < route->timeout_ms ? (uint32_t)wanted : route->timeout_ms;
 }
 
-/* What servers are told, up to the dialect's last one. A workspace's own priority holds for all its work; of equally
-   urgent requests an engine that is full preempts the newest, whatever its kind, so a short question would be broken
-   off for a long summary. A priority's kinds therefore stand together, the more urgent ones first. */
+/* What servers are told, up to the dialect's last one: the kind of work first, by its route's tier, then the
+   workspace's priority. An engine that is full preempts the newest among the least urgent. That must never be work that
+   can't wait while work that can runs on, whoever sent it, so a workspace's priority decides only among equal kinds. */
 static uint32_t urgency(const dialect_t* dialect, uint32_t priority, uint32_t tier) {
-    uint32_t kind = tier < URGENCY_KINDS ? tier : URGENCY_KINDS - 1;
-    if (priority >= dialect->priority_max / URGENCY_KINDS) {
-        return dialect->priority_max;
-    }
-    return priority * URGENCY_KINDS + kind;
+    uint32_t own = priority < URGENCY_PRIORITIES ? priority : URGENCY_PRIORITIES - 1;
+    uint32_t told = tier * URGENCY_PRIORITIES + own;
+    return told < dialect->priority_max ? told : dialect->priority_max;
 }
 
 admission_t admission_judge(const dialect_t* dialect, const cw_catalog_t* catalog, const cw_message_t* m) {
--- a/gateway/admission.h
+++ b/gateway/admission.h
@@ -14,7 +14,7 @@
     const cw_route_t* route;
     const cw_tenant_t* workspace; /* NULL: none */
     uint32_t priority;            /* 0 goes first */
-    uint32_t urgency;             /* the same, with kinds of equal priority told apart by their route's tier */
+    uint32_t urgency;             /* what servers are told, 0 first: by kind of work, then by priority */
     uint32_t held_ms;             /* longest time until its answer */
     bool repeatable;              /* it may run again after any failure */
 } admission_t;
