--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -120,9 +120,19 @@
     uint32_t beside;  /* tokens of the longest prompt being read beside it then */
 } cw_run_t;
 
+/* Servers that were left out of a choice, by why: each counts once, by the first reason. */
+typedef struct cw_left_out_t {
+    uint32_t tried;     /* this request was there */
+    uint32_t away;      /* no connection comes up, or it said that it is full */
+    uint32_t cold;      /* gets no more now than it bears */
+    uint32_t suspected; /* another host's turn to try it */
+    uint32_t no_place;  /* none free for this work, or for this host now */
+} cw_left_out_t;
+
 /* A server and the inputs that chose it. */
 typedef struct cw_choice_t {
     uint32_t server;     /* CW_BALANCE_NONE: none has room */
+    uint64_t id;         /* of the server */
     double cost_ms;      /* what was compared */
     double wait_ms;      /* backlog of the server for the work's tier, all daemons */
     double read_ms;      /* for this prompt */
@@ -134,8 +144,9 @@
     uint32_t again;      /* tokens that another server keeps and that are read again here all the same */
     uint32_t streaming;  /* streams at the server that may pause least */
     uint32_t candidates; /* servers that had room */
-    double pace;         /* the server's time between events against the fastest one's, 1 while unknown */
-    bool late;           /* whatever server: too much stands before it, see cw_balance_choose */
+    cw_left_out_t left_out;
+    double pace; /* the server's time between events against the fastest one's, 1 while unknown */
+    bool late;   /* whatever server: too much stands before it, see cw_balance_choose */
 } cw_choice_t;
 
 typedef struct cw_balance_desc_t {
@@ -748,7 +759,8 @@
                                     const _cw_holder_t* holder) {
     const _cw_server_t* s = &b->servers[at];
     _cw_sum_t sum = _cw_balance_sum(b, s, now_ms, cw_backlog_tier(work->tier));
-    cw_choice_t c = {.server = at, .wait_ms = sum.wait_ms, .running = sum.running, .age_ms = sum.age_ms};
+    cw_choice_t c = {
+        .server = at, .id = s->spec.id, .wait_ms = sum.wait_ms, .running = sum.running, .age_ms = sum.age_ms};
     bool engine = s->spec.memory_tokens > 0;
     double ms = engine ? _cw_balance_generation_ms(b, s, &sum, work, holder, &c) : _cw_balance_call_ms(b, s, &sum);
     double cold = now_ms < s->cold_until_ms ? 2 : 1;
@@ -887,9 +899,23 @@
     return suspected <= _CW_SUSPECT_SHARE * b->listed;
 }
 
+/* The count of left that a server belongs to which the work can't use, NULL: it may go there as far as can be told
+   before its load is summed. */
+static uint32_t* _cw_balance_left_out(const cw_balance_t* b, const _cw_server_t* s, int64_t now_ms, bool avoid,
+                                      cw_left_out_t* left) {
+    if (s->away || now_ms < s->full_until_ms) {
+        return &left->away;
+    }
+    if (!_cw_balance_bears(b, s, now_ms)) {
+        return &left->cold;
+    }
+    return avoid && _cw_balance_suspects(b, s, now_ms) ? &left->suspected : NULL;
+}
+
 cw_choice_t cw_balance_choose(cw_balance_t* b, int64_t now_ms, const cw_work_t* work, const uint64_t* tried,
                               uint32_t tried_count) {
     cw_choice_t best = {.server = CW_BALANCE_NONE};
+    cw_left_out_t left = {0};
     uint32_t candidates = 0;
     _cw_holder_t holder = _cw_balance_holder(b, work);
     bool avoid = _cw_balance_avoids(b, now_ms);
@@ -897,15 +923,19 @@
     _cw_balance_learn_patience(b, work);
     for (uint32_t i = 0; i < b->places; i++) {
         const _cw_server_t* s = &b->servers[i];
-        if (!s->used || !s->listed || s->away || now_ms < s->full_until_ms ||
-            _cw_balance_tried(tried, tried_count, s->spec.id)) {
+        if (!s->used || !s->listed) {
             continue;
         }
-        if (!_cw_balance_bears(b, s, now_ms) || (avoid && _cw_balance_suspects(b, s, now_ms))) {
+        uint32_t* out = _cw_balance_tried(tried, tried_count, s->spec.id)
+                            ? &left.tried
+                            : _cw_balance_left_out(b, s, now_ms, avoid, &left);
+        if (out) {
+            ++*out;
             continue;
         }
         cw_choice_t c = _cw_balance_rate(b, i, now_ms, work, &holder);
         if (s->spec.memory_tokens && !_cw_balance_open(b, s, now_ms, work, share * s->spec.slots - c.running)) {
+            left.no_place++;
             continue;
         }
         candidates++;
@@ -916,6 +946,7 @@
         }
     }
     best.candidates = candidates;
+    best.left_out = left;
     return best;
 }
 
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -41,6 +41,7 @@
     pool_t* pool;
     cw_request_t machine;
     cw_work_t work;
+    cw_choice_t choice; /* the last one that was tried */
     uint32_t priority;
     int64_t arrived_ms, deadline_ms;
     int64_t wait_until_ms; /* in the queue: refused then */
@@ -91,7 +92,7 @@
 
 static void act(exchange_t* x, uint32_t todo);
 static void event(exchange_t* x, cw_request_event_t e);
-static void refuse(exchange_t* x, const cw_choice_t* choice, const char* why);
+static void refuse(exchange_t* x, const char* why);
 
 static uint64_t draw(exchanges_t* e) {
     return cw_mix(e->desc.seed, ++e->draws);
@@ -188,11 +189,11 @@
     e->stats.outcomes[outcome]++;
     cw_log(e->desc.log, CW_EVENT_REQUEST_DONE,
            "id=%s outcome=%s status=%u why=\"%s\" route=%s workspace=%s revision=%lld server=%s transfers=%u "
-           "expected_ms=%.0f first_ms=%u gap_ms=%u took_ms=%lld left_ms=%lld run=%s",
+           "urgency=%u expected_ms=%.0f first_ms=%u gap_ms=%u took_ms=%lld left_ms=%lld run=%s",
            x->id, outcome_names[outcome], x->status, why, x->route->name, x->workspace ? x->workspace->name : "-",
-           (long long)x->catalog->revision, x->server_id[0] ? x->server_id : "-", x->transfers, x->expected_ms,
-           first_ms, x->gap_ms, (long long)(now_ms - x->arrived_ms), (long long)(x->deadline_ms - now_ms),
-           cw_outcome_name(cw_request_outcome(&x->machine)));
+           (long long)x->catalog->revision, x->server_id[0] ? x->server_id : "-", x->transfers, x->work.urgency,
+           x->expected_ms, first_ms, x->gap_ms, (long long)(now_ms - x->arrived_ms),
+           (long long)(x->deadline_ms - now_ms), cw_outcome_name(cw_request_outcome(&x->machine)));
     if (e->desc.on_done) {
         e->desc.on_done(e->desc.user_data, x->route->name, x->workspace ? x->workspace->name : "-", outcome, first_ms,
                         (uint32_t)(now_ms - x->arrived_ms));
@@ -221,14 +222,14 @@
 }
 
 /* When a transfer that gives no sign is taken as lost. Only what may be sent again is given up early. */
-static void expect_first(exchange_t* x, const cw_choice_t* choice) {
+static void expect_first(exchange_t* x) {
     x->silent_at_ms = 0;
     if (!may_repeat(x)) {
         return;
     }
     double target_ms = x->route->target_ms;
     double limit_ms = x->route->kind == CW_ROUTE_STREAM
-                          ? SILENT_TARGETS * target_ms + SILENT_EXPECTED * (choice->wait_ms + choice->read_ms)
+                          ? SILENT_TARGETS * target_ms + SILENT_EXPECTED * (x->choice.wait_ms + x->choice.read_ms)
                           : SILENT_CALL_SHARE * target_ms;
     x->silent_at_ms = x->sent_ms + (int64_t)limit_ms;
 }
@@ -263,7 +264,7 @@
         }
         event(x, CW_EV_DEADLINE);
     } else if (x->queued && now_ms >= x->wait_until_ms) {
-        refuse(x, &(cw_choice_t){0}, "no place came free in time");
+        refuse(x, "no place came free in time");
     } else if (x->link && x->silent_at_ms && now_ms >= x->silent_at_ms) {
         if (may_repeat(x)) {
             broken(x, CW_EV_BROKEN, CW_TRY_FAILED, "silent for too long");
@@ -474,8 +475,9 @@
 
 /* -- choosing ------------------------------------------------------------- */
 
-static void connect_to(exchange_t* x, const cw_choice_t* choice) {
+static void connect_to(exchange_t* x) {
     exchanges_t* e = x->all;
+    const cw_choice_t* choice = &x->choice;
     int64_t now_ms = clock_ms();
     x->run = cw_balance_begin(x->pool->balance, now_ms, choice->server, &x->work);
     x->server = upstreams_server(e->desc.upstreams, x->run.id);
@@ -489,17 +491,18 @@
     if (x->tried_count < TRIED_MAX) {
         x->tried[x->tried_count++] = x->server->key;
     }
-    cw_log(e->desc.log, x->transfers ? CW_EVENT_REQUEST_RETRIED : CW_EVENT_REQUEST_SENT,
-           "id=%s server=%s route=%s revision=%lld priority=%u candidates=%u cost_ms=%.0f wait_ms=%.0f read_ms=%.0f "
-           "prompt=%u kept=%u moved=%u again=%u running=%u streaming=%u pace=%.2f age_ms=%u waited_ms=%lld "
-           "last_event=%s",
-           x->id, x->server_id, x->route->name, (long long)x->catalog->revision, x->priority, choice->candidates,
-           choice->cost_ms, choice->wait_ms, choice->read_ms, x->work.prompt_tokens, choice->kept, choice->moved,
-           choice->again, choice->running, choice->streaming, choice->pace, choice->age_ms,
-           (long long)(now_ms - x->arrived_ms), x->events.last_id[0] ? x->events.last_id : "-");
+    cw_log(
+        e->desc.log, x->transfers ? CW_EVENT_REQUEST_RETRIED : CW_EVENT_REQUEST_SENT,
+        "id=%s server=%s route=%s revision=%lld priority=%u urgency=%u candidates=%u cost_ms=%.0f wait_ms=%.0f "
+        "read_ms=%.0f prompt=%u kept=%u moved=%u again=%u running=%u streaming=%u pace=%.2f age_ms=%u waited_ms=%lld "
+        "last_event=%s",
+        x->id, x->server_id, x->route->name, (long long)x->catalog->revision, x->priority, x->work.urgency,
+        choice->candidates, choice->cost_ms, choice->wait_ms, choice->read_ms, x->work.prompt_tokens, choice->kept,
+        choice->moved, choice->again, choice->running, choice->streaming, choice->pace, choice->age_ms,
+        (long long)(now_ms - x->arrived_ms), x->events.last_id[0] ? x->events.last_id : "-");
     x->sent_ms = now_ms;
     x->expected_ms = (double)(now_ms - x->arrived_ms) + choice->wait_ms + choice->read_ms;
-    expect_first(x, choice);
+    expect_first(x);
     e->desc.on_load(e->desc.user_data, x->server, &x->work);
     x->link = link_take(x->server, &link_handlers, x, !x->machine.repeatable);
     if (!x->link) {
@@ -511,17 +514,21 @@
     }
 }
 
-/* Refuses a request that waits or has just come, with the inputs that decided it. */
-static void refuse(exchange_t* x, const cw_choice_t* choice, const char* why) {
+/* Refuses a request that waits or has just come, with the inputs of the last choice that was tried for it. */
+static void refuse(exchange_t* x, const char* why) {
     const pool_t* pool = x->pool;
+    const cw_choice_t* c = &x->choice;
+    const server_t* best = c->server == CW_BALANCE_NONE ? NULL : upstreams_server(x->all->desc.upstreams, c->id);
     x->reason = why;
     cw_log(x->all->desc.log, CW_EVENT_REQUEST_REFUSED,
-           "id=%s why=\"%s\" pool=%s priority=%u prompt=%u kept=%u wait_ms=%.0f read_ms=%.0f read_us=%.1f target_ms=%u "
-           "ready=%u tried=%u candidates=%u fullness=%.2f age_ms=%u revision=%lld",
-           x->id, why, pool->name, x->priority, x->work.prompt_tokens, choice->kept, choice->wait_ms, choice->read_ms,
-           cw_balance_read_rate(pool->balance) * US_PER_MS, x->route->target_ms, pool->ready, x->tried_count,
-           choice->candidates, cw_balance_fullness(pool->balance, clock_ms()), choice->age_ms,
-           (long long)x->catalog->revision);
+           "id=%s why=\"%s\" route=%s pool=%s priority=%u urgency=%u server=%s prompt=%u kept=%u wait_ms=%.0f "
+           "read_ms=%.0f read_us=%.1f target_ms=%u ready=%u candidates=%u tried=%u away=%u cold=%u suspected=%u "
+           "no_place=%u fullness=%.2f age_ms=%u waited_ms=%lld revision=%lld",
+           x->id, why, x->route->name, pool->name, x->priority, x->work.urgency, best ? best->published.id : "-",
+           x->work.prompt_tokens, c->kept, c->wait_ms, c->read_ms, cw_balance_read_rate(pool->balance) * US_PER_MS,
+           x->route->target_ms, pool->ready, c->candidates, c->left_out.tried, c->left_out.away, c->left_out.cold,
+           c->left_out.suspected, c->left_out.no_place, cw_balance_fullness(pool->balance, clock_ms()), c->age_ms,
+           (long long)(clock_ms() - x->arrived_ms), (long long)x->catalog->revision);
     event(x, CW_EV_REFUSED);
 }
 
@@ -548,25 +555,25 @@
 static void seek_server(exchange_t* x) {
     exchanges_t* e = x->all;
     assert(x->pool);
-    cw_choice_t choice = {.server = CW_BALANCE_NONE};
+    x->choice = (cw_choice_t){.server = CW_BALANCE_NONE};
     if (!e->refusing && !behind_another(x)) {
-        choice = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, x->tried, x->tried_count);
+        x->choice = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, x->tried, x->tried_count);
     }
-    if (choice.late && !x->transfers) {
-        x->retry_ms = (uint32_t)choice.wait_ms;
-        refuse(x, &choice, "too much stands before it at every server");
+    if (x->choice.late && !x->transfers) {
+        x->retry_ms = (uint32_t)x->choice.wait_ms;
+        refuse(x, "too much stands before it at every server");
         return;
     }
-    if (choice.server != CW_BALANCE_NONE) {
+    if (x->choice.server != CW_BALANCE_NONE) {
         queue_remove(x);
         uint32_t todo = cw_request_event(&x->machine, CW_EV_GRANT);
         if (todo & CW_DO_CONNECT) {
-            connect_to(x, &choice);
+            connect_to(x);
         }
         return;
     }
     if (e->refusing || !x->pool->ready || x->tried_count >= x->pool->ready) {
-        refuse(x, &choice, e->refusing ? "this host is stopping" : "no server is left to try");
+        refuse(x, e->refusing ? "this host is stopping" : "no server is left to try");
         return;
     }
     if (!x->queued) {
