--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -666,6 +666,53 @@
 }
 END_TEST
 
+#define FAVOURED_ROUTES                                                                                                \
+    "{\"revision\":1,\"pools\":[{\"name\":\"p\",\"engine\":{\"slots\":8,\"memory_tokens\":900000}}],"                  \
+    "\"workspaces\":[{\"name\":\"first\",\"keys\":[\"k0\"],\"tier\":0},{\"name\":\"usual\",\"keys\":[\"k1\"],"         \
+    "\"tier\":1}],\"routes\":["                                                                                        \
+    "{\"name\":\"urgent\",\"host\":\"h.example\",\"prefix\":\"/urgent/\",\"kind\":\"stream\",\"timeout_ms\":5000,"     \
+    "\"target_ms\":4000,\"tier\":0,\"attempts\":1,\"pools\":[{\"pool\":\"p\"}]},"                                      \
+    "{\"name\":\"patient\",\"host\":\"h.example\",\"prefix\":\"/patient/\",\"kind\":\"stream\",\"timeout_ms\":5000,"   \
+    "\"target_ms\":4000,\"tier\":2,\"attempts\":1,\"pools\":[{\"pool\":\"p\"}]}]}"
+
+/* The second place that had an order of its own: a host's queue put whatever a favoured workspace sent before the
+   urgent kinds of all others, while engines go by the kind. Both requests wait for the only place; it goes to the
+   urgent one. */
+START_TEST(an_urgent_request_gets_the_place_before_a_favoured_workspace_s_patient_one) {
+    static const cw_stream_handlers_t handlers = {.on_data = ignore_data, .on_end = ignore_end};
+    static const char* const requests[2] = {
+        "POST /patient/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k0\r\nChalkway-Request-Id: patient\r\n"
+        "Chalkway-Tokens: 100,10\r\nContent-Length: 0\r\n\r\n",
+        "POST /urgent/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\nChalkway-Request-Id: urgent\r\n"
+        "Chalkway-Tokens: 100,10\r\nContent-Length: 0\r\n\r\n"};
+    rig_t* r = rig_setup(FAVOURED_ROUTES, 1);
+    script(r, 2, (rig_step_t[]){{RIG_SILENT, NULL}, {RIG_SILENT, NULL}});
+    ev_timer_stop(r->loop, &r->tick); /* nobody looks at the queue */
+    cw_balance_t* balance = upstreams_pool(r->upstreams, "p")->balance;
+    cw_balance_news(balance, clock_ms(), 7, cw_name_id("s0"), &(cw_load_t){.running = 8});
+    cw_stream_t callers[2] = {{.fd = -1}, {.fd = -1}};
+    for (uint32_t i = 0; i < 2; i++) {
+        struct sockaddr_in address;
+        cw_addr_parse(front_address(r->front), &address, NULL);
+        ck_assert_int_eq(cw_stream_connect(&callers[i], r->loop, &address, &handlers, NULL), CW_OK);
+        cw_stream_write(&callers[i], requests[i], strlen(requests[i]));
+        cw_stream_flush(&callers[i]);
+        while (exchanges_stats(r->exchanges).waiting < i + 1) {
+            ev_run(r->loop, EVRUN_ONCE);
+        }
+    }
+    cw_balance_news(balance, clock_ms(), 7, cw_name_id("s0"), &(cw_load_t){.running = 7});
+    exchanges_on_room(r->exchanges, upstreams_pool(r->upstreams, "p"));
+    while (r->arrival_count < 1) {
+        ev_run(r->loop, EVRUN_ONCE);
+    }
+    ck_assert_msg(strstr(r->arrivals[0], "Chalkway-Request-Id: urgent") != NULL, "%s", r->arrivals[0]);
+    cw_stream_close(&callers[0]);
+    cw_stream_close(&callers[1]);
+    rig_shutdown(r);
+}
+END_TEST
+
 /* Both find no place: the one with the longer target came first, and is refused first. */
 START_TEST(nobody_waits_longer_for_a_place_than_the_most_impatient) {
     static const cw_stream_handlers_t handlers = {.on_data = ignore_data, .on_end = ignore_end};
@@ -712,6 +759,7 @@
 static void add(TCase* t) {
     tcase_add_test(t, a_long_prompt_that_would_come_too_late_is_refused_and_a_short_one_is_not);
     tcase_add_test(t, an_idle_engine_refuses_no_prompt_for_its_length);
+    tcase_add_test(t, an_urgent_request_gets_the_place_before_a_favoured_workspace_s_patient_one);
     tcase_add_test(t, an_urgent_request_goes_before_long_ones_of_a_workspace_with_one_priority);
     tcase_add_test(t, nothing_larger_and_less_urgent_begins_where_an_urgent_prompt_is_refused);
     tcase_add_test(t, who_comes_later_does_not_pass_who_waits_and_is_as_urgent);
