--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -139,13 +139,10 @@
     }
 }
 
-/* Whether x goes before y: by priority, which a workspace may set for all its work, then by the kind of work, then by
-   arrival. */
+/* Whether x goes before y: by urgency, which engines go by too, then by arrival. A place that an urgent request waits
+   for would else go to whatever a favoured workspace sends. */
 static bool goes_before(const exchange_t* x, const exchange_t* y) {
-    if (x->priority != y->priority) {
-        return x->priority < y->priority;
-    }
-    return x->route->tier != y->route->tier ? x->route->tier < y->route->tier : x->arrived_ms < y->arrived_ms;
+    return x->work.urgency != y->work.urgency ? x->work.urgency < y->work.urgency : x->arrived_ms < y->arrived_ms;
 }
 
 static void queue_add(exchange_t* x) {
