A server is its id and its start; entries of the list are checked field by field

Change: cw_server_life (id and start) is the key of a server everywhere; which life is present follows from the list's revision, then from the later start (docs/design/14). Servers of undeclared pools wait for the catalog. An inventory answered by another life ends the old one. Load of unknown lives and refused entries are counted (metrics, 532, 529).

--- a/chalkway_log.h
+++ b/chalkway_log.h
@@ -56,10 +56,12 @@
     CW_EVENT_PACE_LEARNED = 526,
     CW_EVENT_SERVER_SUSPECTED = 527,
     CW_EVENT_SERVER_TRUSTED = 528,
+    CW_EVENT_SERVER_RESTARTED = 529,
     CW_EVENT_SERVER_BACK = 522,
     CW_EVENT_SERVER_LEAVES = 523,
     CW_EVENT_SOURCE_LOST = 530,
     CW_EVENT_SOURCE_BACK = 531,
+    CW_EVENT_ENTRY_REFUSED = 532,
     CW_EVENT_LINES_LOST = 540
 } cw_event_t;
 
@@ -133,10 +135,12 @@
     {CW_EVENT_PACE_LEARNED, CW_LOG_INFO, "pace-learned"},
     {CW_EVENT_SERVER_SUSPECTED, CW_LOG_WARN, "server-suspected"},
     {CW_EVENT_SERVER_TRUSTED, CW_LOG_INFO, "server-trusted"},
+    {CW_EVENT_SERVER_RESTARTED, CW_LOG_INFO, "server-restarted"},
     {CW_EVENT_SERVER_BACK, CW_LOG_INFO, "server-back"},
     {CW_EVENT_SERVER_LEAVES, CW_LOG_INFO, "server-leaves"},
     {CW_EVENT_SOURCE_LOST, CW_LOG_WARN, "source-lost"},
     {CW_EVENT_SOURCE_BACK, CW_LOG_INFO, "source-back"},
+    {CW_EVENT_ENTRY_REFUSED, CW_LOG_WARN, "entry-refused"},
     {CW_EVENT_LINES_LOST, CW_LOG_WARN, "lines-lost"},
 };
 
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -40,8 +40,10 @@
     const char* lookup_hosts;   /* field of the answer: list of addresses */
     const char* lookup_keep;    /* field of the answer: seconds that it may be kept */
     const char* inventory_path; /* of an engine: the parts of prompts that it keeps; NULL: engines do not tell */
-    /* Reads an engine's answer there and visits each part, those used longest ago first where the engine knows. */
-    cw_status_t (*read_inventory)(const char* body, size_t size, part_visit_t visit, void* user_data, cw_error_t* err);
+    /* Reads an engine's answer there and visits each part, those used longest ago first where the engine knows.
+       started_ms: the engine's start, as it says, 0: it does not. */
+    cw_status_t (*read_inventory)(const char* body, size_t size, int64_t* started_ms, part_visit_t visit,
+                                  void* user_data, cw_error_t* err);
 } dialect_t;
 
 /* What a read of the source brought. */
@@ -66,7 +68,8 @@
     void (*changes_path)(char* out, size_t size, int64_t at);
     /* Puts the changes into the list, which is sorted, and moves its revision on. */
     cw_status_t (*read_changes)(const char* body, size_t size, cw_servers_t* list, cw_error_t* err);
-    /* The halls that are closed; NULL: the list of servers tells them itself. */
+    /* The halls that are closed; NULL: the list of servers tells them itself. CW_OK with err filled: some could not be
+       read, the others hold. */
     void (*closed_path)(char* out, size_t size);
     cw_status_t (*read_closed)(const char* body, size_t size, cw_closed_t* closed, cw_error_t* err);
 } source_t;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -108,16 +108,6 @@
     mesh_announce(g->mesh, sync_revision(g->sync), 0);
 }
 
-static void on_catalog(void* user, cw_catalog_t* catalog) {
-    gateway_t* g = user;
-    cw_catalog_t* before = g->catalog;
-    g->catalog = cw_catalog_hold(catalog);
-    cw_catalog_release(before);
-    upstreams_set_catalog(g->upstreams, catalog);
-    exchanges_set_catalog(g->exchanges, catalog);
-    announce(g);
-}
-
 static void on_servers(void* user, const cw_servers_t* list, bool after_outage) {
     gateway_t* g = user;
     uint32_t changes = upstreams_set_servers(g->upstreams, clock_ms(), list, after_outage);
@@ -131,6 +121,20 @@
     }
 }
 
+static void on_catalog(void* user, cw_catalog_t* catalog) {
+    gateway_t* g = user;
+    cw_catalog_t* before = g->catalog;
+    g->catalog = cw_catalog_hold(catalog);
+    cw_catalog_release(before);
+    upstreams_set_catalog(g->upstreams, catalog);
+    const cw_servers_t* list = g->sync ? sync_servers(g->sync) : NULL;
+    if (list) {
+        on_servers(g, list, false); /* servers of pools that are new, or are no more */
+    }
+    exchanges_set_catalog(g->exchanges, catalog);
+    announce(g);
+}
+
 static cw_knowledge_t knowledge(void* user) {
     gateway_t* g = user;
     return g->sync ? sync_knowledge(g->sync) : (cw_knowledge_t){0};
@@ -188,6 +192,8 @@
     cw_message_add_text(
         out, "chalkway_load_out_total %llu\nchalkway_load_in_total %llu\nchalkway_load_passed_on_total %llu\n",
         (unsigned long long)m.news.out, (unsigned long long)m.news.in, (unsigned long long)m.news.passed_on);
+    cw_message_add_text(out, "chalkway_load_of_unknown_total %llu\nchalkway_entries_refused_total %llu\n",
+                        (unsigned long long)m.news.unknown, (unsigned long long)s.entries_refused);
     cw_message_add_text(out, "chalkway_log_lines_lost_total %lu\n", g->lines.lost_ever);
     for (pool_t* pool = upstreams_pools(g->upstreams); pool; pool = pool->next) {
         cw_message_add_text(out, "chalkway_pool_ready{pool=\"%s\"} %u\n", pool->name, pool->ready);
--- a/gateway/inventory.c
+++ b/gateway/inventory.c
@@ -81,6 +81,7 @@
     call_t* c = user;
     inventory_t* v = c->all;
     cw_error_t err = {0};
+    int64_t started_ms = 0;
     parts_t* parts = calloc(1, sizeof(*parts));
     server_t* server = upstreams_server(v->desc.upstreams, c->server);
     c->call = NULL;
@@ -90,9 +91,11 @@
     parts->most = v->most;
     if (!result->whole || c->status != 200) {
         fail(v, server, result->whole ? "the answer is no list" : result->message);
-    } else if (v->desc.dialect->read_inventory(cw_buffer_text(&c->body), c->body.size, add_part, parts, &err) !=
-               CW_OK) {
+    } else if (v->desc.dialect->read_inventory(cw_buffer_text(&c->body), c->body.size, &started_ms, add_part, parts,
+                                               &err) != CW_OK) {
         fail(v, server, err.message);
+    } else if (server && upstreams_is_over(v->desc.upstreams, clock_ms(), server, started_ms)) {
+        fail(v, server, "another life of the server answered");
     } else if (server && !server->gone) {
         learn(v, server, parts);
     }
--- a/gateway/news.c
+++ b/gateway/news.c
@@ -498,6 +498,7 @@
 static void take_entry(news_t* n, const cw_load_entry_t* entry, int64_t now_ms) {
     server_t* server = upstreams_server(n->desc.upstreams, entry->server);
     if (!server) {
+        n->stats.unknown++; /* another life of a server, or one of a list that has not come yet */
         return;
     }
     cw_balance_t* balance = server->pool->balance;
--- a/gateway/news.h
+++ b/gateway/news.h
@@ -27,7 +27,7 @@
 typedef struct news_stats_t {
     uint64_t out, in, refused; /* datagrams */
     uint64_t passed_on;        /* entries of other hosts that were told further */
-    uint64_t lost;             /* entries for which there was no room */
+    uint64_t unknown;          /* entries on servers, or lives of servers, that are not known here */
 } news_stats_t;
 
 news_t* news_setup(const news_desc_t* desc, cw_error_t* err);
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -19,6 +19,7 @@
                          */
 #define STATUS_GONE 410 /* the source no longer knows the changes since then */
 #define OUTAGE_MS 2000  /* a list that nobody confirmed for so long: entries may have lapsed while it was away */
+#define REFUSED_LINE_MS 10000 /* at most one line in so long on entries that name no server */
 #define NEVER CW_READER_NEVER
 
 /* One kind of call to the source or a peer. */
@@ -64,6 +65,8 @@
     uint64_t draws;
     bool lost;
     sync_stats_t stats;
+    uint64_t refused_untold; /* entries since the last line on them */
+    int64_t refused_told_ms;
 };
 
 /* -- one call ------------------------------------------------------------- */
@@ -174,6 +177,20 @@
     s->desc.on_catalog(s->desc.user_data, catalog);
 }
 
+/* Tells of entries that name no server; what comes sooner than the last line is counted until the next. */
+static void tell_refused(sync_t* s, const cw_refused_t* refused) {
+    int64_t now_ms = clock_ms();
+    s->stats.entries_refused += refused->count;
+    s->refused_untold += refused->count;
+    if (!refused->count || (s->refused_told_ms && now_ms - s->refused_told_ms < REFUSED_LINE_MS)) {
+        return;
+    }
+    cw_log(s->desc.log, CW_EVENT_ENTRY_REFUSED, "key=%s field=%s reason=\"%s\" refused=%llu", refused->key,
+           refused->fault.field, refused->fault.reason, (unsigned long long)s->refused_untold);
+    s->refused_untold = 0;
+    s->refused_told_ms = now_ms;
+}
+
 /* Puts a list in force that was true at the time; takes it over. */
 static void adopt_servers(sync_t* s, cw_servers_t* list, int64_t true_ms) {
     if (true_ms < s->list_ms) {
@@ -185,6 +202,8 @@
     if (list->closed.at < s->list.closed.at) {
         list->closed = s->list.closed; /* known from a later reading */
     }
+    cw_servers_drop_unstarted(list);
+    tell_refused(s, &list->refused);
     cw_servers_sort(list);
     bool same = !first && cw_servers_equal(&s->list, list);
     if (!first && !same) {
@@ -335,6 +354,9 @@
         closed_failed(s, err.message);
         return;
     }
+    if (err.status != CW_OK) {
+        refuse_answer(s, s->desc.address, &err); /* some of it */
+    }
     s->closed_ms = clock_ms();
     s->pages.closed = closed;
     adopt_pages(s);
@@ -556,6 +578,10 @@
     return s->in_force ? s->in_force->revision : 0;
 }
 
+const cw_servers_t* sync_servers(const sync_t* s) {
+    return s->list_ms == NEVER ? NULL : &s->list;
+}
+
 sync_stats_t sync_stats(const sync_t* s) {
     sync_stats_t stats = s->stats;
     stats.revision = sync_revision(s);
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -40,6 +40,7 @@
 
 typedef struct sync_stats_t {
     uint64_t source_calls, source_failures, peer_calls;
+    uint64_t entries_refused; /* of lists: they name no server */
     int64_t revision;
     int64_t servers_age_ms; /* -1: never read */
     bool source_lost;
@@ -58,5 +59,7 @@
 void sync_set_rank(sync_t* s, uint32_t rank, uint32_t daemons);
 void sync_tick(sync_t* s, int64_t now_ms);
 sync_stats_t sync_stats(const sync_t* s);
+/* The list of servers in force; NULL: none yet. */
+const cw_servers_t* sync_servers(const sync_t* s);
 
 #endif
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -48,6 +48,7 @@
     upstreams_desc_t desc;
     pool_t* pools;
     cw_map_t by_key;                /* a server's key to its place */
+    cw_map_t by_name;               /* its name to the place of its present life */
     server_t* servers[SERVERS_MAX]; /* by place, NULL: free */
     uint32_t free_places[SERVERS_MAX];
     uint32_t free_count;
@@ -56,6 +57,7 @@
     cw_fleet_t fleet; /* daemons that live */
     uint32_t links;
     uint64_t connects;
+    bool configured; /* which pools there are is known */
 };
 
 /* -- links: life ---------------------------------------------------------- */
@@ -77,6 +79,9 @@
 static void server_free(upstreams_t* u, server_t* s) {
     uint32_t place = cw_map_get(&u->by_key, s->key);
     cw_map_remove(&u->by_key, s->key);
+    if (cw_map_get(&u->by_name, s->name) == place) {
+        cw_map_remove(&u->by_name, s->name);
+    }
     u->servers[place] = NULL;
     u->free_places[u->free_count++] = place;
     free(s);
@@ -413,7 +418,8 @@
 }
 
 /* A new server of the pool; NULL when its address is no address or there is no place for it. */
-static server_t* server_new(upstreams_t* u, const cw_server_t* published, uint64_t key) {
+static server_t* server_new(upstreams_t* u, const cw_server_t* published) {
+    uint64_t key = cw_server_life(published);
     struct sockaddr_in address;
     if (!u->free_count || cw_addr_parse(published->address, &address, NULL) != CW_OK) {
         return NULL;
@@ -424,8 +430,11 @@
     }
     uint32_t place = u->free_places[--u->free_count];
     u->servers[place] = s;
-    cw_map_put(&u->by_key, key, place);
     s->key = key;
+    s->name = cw_name_id(published->id);
+    s->published.started_ms = published->started_ms;
+    cw_map_put(&u->by_key, key, place);
+    cw_map_put(&u->by_name, s->name, place);
     s->pool = pool_get(u, published->pool);
     s->address = address;
     s->next = s->pool->servers;
@@ -433,22 +442,76 @@
     return s;
 }
 
+/* The present life of a server, as far as it is known. */
+static server_t* server_named(const upstreams_t* u, const char* id) {
+    uint32_t place = cw_map_get(&u->by_name, cw_name_id(id));
+    return place == CW_MAP_NONE ? NULL : u->servers[place];
+}
+
+/* Whether an entry of the list tells of the same life as s. An entry without a start doesn't say. */
+static bool same_life(const server_t* s, const cw_server_t* published) {
+    return !published->started_ms || published->started_ms == s->published.started_ms;
+}
+
+/* Whether another life of s, listed at the revision, came after it. The source's order goes before the server's clock,
+   which may have been set back between two starts; a list of unknown or the same revision leaves only the clock. */
+static bool comes_after(const server_t* s, const cw_server_t* published, int64_t at) {
+    if (at && s->listed_at && at != s->listed_at) {
+        return at > s->listed_at;
+    }
+    return published->started_ms > s->published.started_ms;
+}
+
+/* This life of the server is over. What runs there still ends by itself. */
+static void server_over(upstreams_t* u, const server_t* s, int64_t started_ms, int64_t at) {
+    cw_log(u->desc.log, CW_EVENT_SERVER_RESTARTED, "server=%s pool=%s peer=%s was_ms=%lld started_ms=%lld at=%lld",
+           s->published.id, s->pool->name, s->published.address, (long long)s->published.started_ms,
+           (long long)started_ms, (long long)at);
+}
+
+/* The server that the entry is of, a new one where it isn't known; NULL: it can't be used. changed: it is new, or an
+   earlier life of it was replaced. */
+static server_t* server_of(upstreams_t* u, const cw_server_t* published, int64_t at, bool* changed) {
+    server_t* present = server_named(u, published->id);
+    if (!present) {
+        *changed = true;
+        return server_new(u, published);
+    }
+    if (same_life(present, published) || !comes_after(present, published, at)) {
+        return present;
+    }
+    server_over(u, present, published->started_ms, at);
+    *changed = true;
+    present->left = present->gone = true;
+    server_t* earlier = upstreams_server(u, cw_server_life(published));
+    return earlier ? earlier : server_new(u, published);
+}
+
 /* Takes over what is published of the server. Returns whether it is new, or is used now and was not, or the reverse. */
-static bool server_update(upstreams_t* u, const cw_server_t* published, const cw_closed_t* closed) {
-    uint64_t key = cw_name_id(published->id);
-    server_t* known = upstreams_server(u, key);
-    server_t* s = known ? known : server_new(u, published, key);
+static bool server_update(upstreams_t* u, const cw_server_t* published, const cw_closed_t* closed, int64_t at) {
+    const pool_t* pool = upstreams_pool(u, published->pool);
+    if (u->configured && (!pool || !pool->declared)) {
+        return false;
+    }
+    bool changed = false;
+    server_t* s = server_of(u, published, at, &changed);
     if (!s || strcmp(s->pool->name, published->pool) != 0) {
-        return false; /* an id that another pool still uses waits until that server is gone */
+        return changed && s; /* a life that another pool still uses waits until that server is gone */
+    }
+    s->published_now = true;
+    s->missing_until_ms = 0;
+    if (!same_life(s, published)) {
+        return changed; /* an earlier life, told late: nothing of it is taken over */
     }
     bool was_used = !s->gone && !s->closed;
+    int64_t started_ms = s->published.started_ms;
     s->published = *published;
+    s->published.started_ms = published->started_ms ? published->started_ms : started_ms;
+    s->listed_at = at > s->listed_at ? at : s->listed_at;
     s->closed = cw_closed_has(closed, published->hall);
-    s->published_now = true;
-    s->missing_until_ms = 0;
-    s->left = s->left || published->leaving; /* a server that leaves does not come back with the same id */
+    s->left = s->left || published->leaving; /* a life that leaves does not come back */
     s->gone = s->left;
-    return !known || (!s->gone && !s->closed) != was_used;
+    return changed || (!s->gone && !s->closed) != was_used;
 }
 
 /* Before a list is taken over: what it does not name is missing. */
@@ -476,7 +539,7 @@
     uint32_t changes = 0;
     forget_published(u);
     for (uint32_t i = 0; i < list->count; i++) {
-        changes += server_update(u, &list->items[i], &list->closed);
+        changes += server_update(u, &list->items[i], &list->closed, list->at);
     }
     for (pool_t* pool = u->pools; pool; pool = pool->next) {
         for (server_t* s = pool->servers; s; s = s->next) {
@@ -508,10 +571,24 @@
     }
 }
 
+bool upstreams_is_over(upstreams_t* u, int64_t now_ms, server_t* s, int64_t started_ms) {
+    if (!started_ms || !s->published.started_ms || started_ms == s->published.started_ms || s->gone) {
+        return false;
+    }
+    server_over(u, s, started_ms, 0);
+    upstreams_leaves(u, now_ms, s);
+    return true;
+}
+
 void upstreams_set_catalog(upstreams_t* u, const cw_catalog_t* catalog) {
+    u->configured = true;
+    for (pool_t* pool = u->pools; pool; pool = pool->next) {
+        pool->declared = false;
+    }
     for (uint32_t i = 0; i < catalog->pool_count; i++) {
         const cw_catalog_pool_t* declared = &catalog->pools[i];
         pool_t* pool = pool_get(u, declared->name);
+        pool->declared = true;
         cw_copy(pool->health, sizeof(pool->health), declared->health ? declared->health : "");
         pool->connections = declared->connections;
         pool->cold_per_s = declared->cold_per_s;
@@ -691,6 +768,7 @@
     u->desc = *desc;
     u->daemons = 1;
     u->by_key = cw_map_setup(SERVERS_MAX, NULL);
+    u->by_name = cw_map_setup(SERVERS_MAX, NULL);
     while (u->free_count < SERVERS_MAX) {
         u->free_places[u->free_count] = SERVERS_MAX - 1 - u->free_count;
         u->free_count++;
@@ -713,5 +791,6 @@
     }
     free_dead(u);
     cw_map_shutdown(&u->by_key);
+    cw_map_shutdown(&u->by_name);
     free(u);
 }
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -3,9 +3,12 @@
 /*
     Pools, their servers and the connections to them.
 
-    A server is an address and an id; the id is of one life of it. Its connections are kept within this daemon's part
-    of what the server takes from all. An answer belongs to a request only when it repeats the request's id: an answer
-    to an earlier request is skipped, bytes after an answer end the connection.
+    A server is an id and a start: each life of it is a server of its own here, with its own key, so that nothing that
+   was believed of one, told of one or done by one counts for another. Which life is the present one follows from the
+   list: the later reading of the source says so, and where that can't be told the later start. Servers of pools that
+   the configuration doesn't name are left out. A server's connections are kept within this daemon's part of what it
+   takes from all. An answer belongs to a request only when it repeats the request's id: an answer to an earlier request
+   is skipped, bytes after an answer end the connection.
 */
 #include <ev.h>
 
@@ -24,8 +27,10 @@
 typedef struct link_t link_t;
 
 struct server_t {
-    uint64_t key; /* id of the id */
+    uint64_t key;  /* of this life: cw_server_life */
+    uint64_t name; /* id of the id, the same for all its lives */
     cw_server_t published;
+    int64_t listed_at; /* revision of the source at which it was listed last, 0: not known */
     struct sockaddr_in address;
     pool_t* pool;
     bool left;                /* it was published as leaving, or said so: for good */
@@ -43,6 +48,7 @@
 struct pool_t {
     char name[CW_NAME_MAX];
     char health[CW_NAME_MAX * 2]; /* path, "" none */
+    bool declared;                /* by the configuration in force */
     upstreams_t* upstreams;
     cw_balance_t* balance;
     uint32_t connections; /* that one server takes from all daemons, 0: no limit */
@@ -91,7 +97,7 @@
 
 upstreams_t* upstreams_setup(const upstreams_desc_t* desc);
 void upstreams_shutdown(upstreams_t* u);
-/* Pools as declared; those that are gone stay until their last server is. */
+/* Pools as declared; those that are gone stay until their last server is. The list of servers is to be set again. */
 void upstreams_set_catalog(upstreams_t* u, const cw_catalog_t* catalog);
 /* Servers as published. after_outage: nothing was known of the source for long before; entries that lapsed meanwhile
    are given time to come back. Returns how many changed. */
@@ -106,6 +112,8 @@
 /* Logs a suspicion of the server that began or ended since before was asked of cw_balance_suspected. host: whose word
    changed it, 0 this host's own. */
 void server_log_life(const server_t* server, int64_t now_ms, bool before, uint64_t host);
+/* What the server said of itself names another start: this life of it is over. True: it was not known to be. */
+bool upstreams_is_over(upstreams_t* u, int64_t now_ms, server_t* server, int64_t started_ms);
 /* A server said itself that it leaves. */
 void upstreams_leaves(upstreams_t* u, int64_t now_ms, server_t* server);
 /* Closes idle connections in time and probes servers that are away. */
--- a/tests/published.h
+++ b/tests/published.h
@@ -2,10 +2,14 @@
 #define CW_TEST_PUBLISHED_H
 /* Entries of a server as the platform's store gives them, in base64. */
 
-/* {"service":"p","address":"127.0.0.1:9","zone":"a","slots":1,"state":"draining"} */
+/* {"service":"p","address":"127.0.0.1:9","zone":"a","version":"v1","slots":1,"state":"draining","cold_remaining_ms":0,"seq":1}
+ */
 #define DRAINING                                                                                                       \
-    "eyJzZXJ2aWNlIjoicCIsImFkZHJlc3MiOiIxMjcuMC4wLjE6OSIsInpvbmUiOiJhIiwic2xvdHMiOjEsInN0YXRlIjoiZHJhaW5pbmcifQ=="
+    "eyJzZXJ2aWNlIjoicCIsImFkZHJlc3MiOiIxMjcuMC4wLjE6OSIsInpvbmUiOiJhIiwidmVyc2lvbiI6InYxIiwic2xvdHMiOjEsInN0YXRlIjoi" \
+    "ZHJhaW5pbmciLCJjb2xkX3JlbWFpbmluZ19tcyI6MCwic2VxIjoxfQ=="
 /* The same, ready. */
-#define READY "eyJzZXJ2aWNlIjoicCIsImFkZHJlc3MiOiIxMjcuMC4wLjE6OSIsInpvbmUiOiJhIiwic2xvdHMiOjEsInN0YXRlIjoicmVhZHkifQ=="
+#define READY                                                                                                          \
+    "eyJzZXJ2aWNlIjoicCIsImFkZHJlc3MiOiIxMjcuMC4wLjE6OSIsInpvbmUiOiJhIiwidmVyc2lvbiI6InYxIiwic2xvdHMiOjEsInN0YXRlIjoi" \
+    "cmVhZHkiLCJjb2xkX3JlbWFpbmluZ19tcyI6MCwic2VxIjoxfQ=="
 
 #endif
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -90,7 +90,7 @@
 START_TEST(servers_survive_their_json_form) {
     cw_servers_t list = {.at = 9, .age_ms = 120};
     cw_server_t one = {.id = "i-1", .address = "10.0.0.1:80", .pool = "p", .hall = "a", .slots = 4, .cold_ms = 7};
-    cw_server_t two = {.id = "i-2", .address = "10.0.0.2:80", .pool = "p", .hall = "b", .leaving = true};
+    cw_server_t two = {.id = "i-2", .address = "10.0.0.2:80", .pool = "p", .hall = "b", .slots = 4, .leaving = true};
     cw_servers_add(&list, &one);
     cw_servers_add(&list, &two);
     char* text = cw_servers_text(&list);
--- a/tests/test_inventory.c
+++ b/tests/test_inventory.c
@@ -172,11 +172,12 @@
     static const char text[] = "{\"held\":[[\"\",\"zz\",5,\"m\"],[\"\",\"a1\",-5,\"m\"],[\"\",7,5],[],3,"
                                "[\"\",\"a1\",99999999999,\"m\"],[\"\",\"a1\",40,\"m\"]]}";
     uint32_t tokens = 0;
+    int64_t started_ms = 0;
     cw_error_t err = {0};
-    ck_assert_int_eq(platform_read_inventory(text, sizeof(text) - 1, count_part, &tokens, &err), CW_OK);
+    ck_assert_int_eq(platform_read_inventory(text, sizeof(text) - 1, &started_ms, count_part, &tokens, &err), CW_OK);
     ck_assert_uint_eq(tokens, 40);
-    ck_assert_int_eq(platform_read_inventory("{}", 2, count_part, &tokens, &err), CW_ERR_PROTOCOL);
-    ck_assert_int_eq(platform_read_inventory("{", 1, count_part, &tokens, &err), CW_ERR_PROTOCOL);
+    ck_assert_int_eq(platform_read_inventory("{}", 2, &started_ms, count_part, &tokens, &err), CW_ERR_PROTOCOL);
+    ck_assert_int_eq(platform_read_inventory("{", 1, &started_ms, count_part, &tokens, &err), CW_ERR_PROTOCOL);
 }
 END_TEST
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -89,9 +89,11 @@
 
 START_TEST(the_list_of_servers_is_read_and_odd_entries_are_left_out) {
     static const char* const entries[] = {
-        "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"slots\":48,\"state\":\"ready\","
-        "\"cold_remaining_ms\":40,\"new_field\":[1]}",
-        "{\"service\":\"s\",\"address\":\"10.0.0.8:80\",\"zone\":\"z\",\"slots\":48,\"state\":\"draining\"}",
+        "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":48,\"state\":"
+        "\"ready\","
+        "\"seq\":4,\"cold_remaining_ms\":40,\"new_field\":[1]}",
+        "{\"service\":\"s\",\"address\":\"10.0.0.8:80\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":48,"
+        "\"seq\":4,\"cold_remaining_ms\":0,\"state\":\"draining\"}",
         "{\"service\":\"s\"}", "not json"};
     char body[4096] = "{\"items\":[";
     for (int i = 0; i < 4; i++) {
