--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -235,6 +235,11 @@
         *s = (server_record_t){.slots = slots};
         cw_copy(s->id, sizeof(s->id), id);
     }
+    if (s && strcmp(what, "up") == 0) { /* again, it may be: it holds nothing of before */
+        s->down = false;
+        s->running = 0;
+        s->leaves_ms = 0;
+    }
     if (s && strcmp(what, "leaves") == 0) {
         s->leaves_ms = at_ms;
     } else if (s && strcmp(what, "down") == 0) {
--- a/tools/soak_faults.c
+++ b/tools/soak_faults.c
@@ -71,6 +71,20 @@
     soak_start_upstream(a->soak, a->target->engine);
 }
 
+/* It says nothing as it ends, so its entry stays until it is back under its id. */
+static bool restart_begin(active_t* a) {
+    if (a->target->leaving) {
+        return false;
+    }
+    a->target->lingers = true;
+    kill(a->target->pid, SIGKILL);
+    return true;
+}
+
+static void restart_end(active_t* a) {
+    soak_start_upstream_again(a->target);
+}
+
 static bool leave_begin(active_t* a) {
     if (a->target->leaving) {
         return false;
@@ -148,6 +162,7 @@
     {"freeze", PROC_HOST, 2, freeze_begin, freeze_end},
     {"reload", PROC_HOST, 2, reload_begin, nothing},
     {"crash", PROC_UPSTREAM, 2, crash_begin, upstream_anew},
+    {"restart", PROC_UPSTREAM, 3, restart_begin, restart_end},
     {"leave", PROC_UPSTREAM, 3, leave_begin, leave_end},
     {"freeze", PROC_UPSTREAM, 1, freeze_begin, freeze_end},
     {"slow", PROC_UPSTREAM, 2, slow_begin, slow_end},
--- a/tools/soak_site.c
+++ b/tools/soak_site.c
@@ -139,11 +139,12 @@
     bool first = true;
     for (uint32_t i = 0; i < s->proc_count; i++) {
         const proc_t* p = &s->procs[i];
-        if (p->kind == PROC_UPSTREAM && p->pid && p->told) {
+        if (p->kind == PROC_UPSTREAM && (p->pid || p->lingers) && p->told) {
             add_text(&text,
-                     "%s{\"id\":\"%s\",\"address\":\"%s\",\"pool\":\"%s\",\"hall\":\"a\",\"slots\":%d,\"leaving\":%s}",
+                     "%s{\"id\":\"%s\",\"address\":\"%s\",\"pool\":\"%s\",\"hall\":\"a\",\"slots\":%d,\"leaving\":%s,"
+                     "\"started_ms\":%" PRId64 "}",
                      first ? "" : ",", p->name, p->address, p->engine ? "engines" : "services",
-                     p->engine ? ENGINE_SLOTS : SERVICE_SLOTS, p->leaving ? "true" : "false");
+                     p->engine ? ENGINE_SLOTS : SERVICE_SLOTS, p->leaving ? "true" : "false", p->started_ms);
             first = false;
         }
     }
@@ -278,17 +279,31 @@
     return p;
 }
 
-void soak_start_upstream(soak_t* s, bool engine) {
-    proc_t* p = proc_new(s, PROC_UPSTREAM);
+static void launch_upstream(proc_t* p) {
     char slots[8];
-    p->engine = engine;
-    snprintf(p->name, sizeof(p->name), "%s%u", engine ? "e" : "v", ++s->names);
+    bool engine = p->engine;
+    p->started_ms = standin_now();
     snprintf(slots, sizeof(slots), "%d", engine ? ENGINE_SLOTS : SERVICE_SLOTS);
     const char* const args[] = {
         "--id", p->name, "--slots", slots, engine ? "--prefill" : "--ms", engine ? PREFILL_US : SERVICE_MS, NULL};
     launch(p, "fake-upstream", args);
 }
 
+void soak_start_upstream(soak_t* s, bool engine) {
+    proc_t* p = proc_new(s, PROC_UPSTREAM);
+    p->engine = engine;
+    snprintf(p->name, sizeof(p->name), "%s%u", engine ? "e" : "v", ++s->names);
+    launch_upstream(p);
+}
+
+void soak_start_upstream_again(proc_t* before) {
+    proc_t* p = proc_new(before->soak, PROC_UPSTREAM);
+    before->lingers = false;
+    p->engine = before->engine;
+    cw_copy(p->name, sizeof(p->name), before->name);
+    launch_upstream(p);
+}
+
 void soak_write_settings(const proc_t* p, uint32_t lookup_keep_ms) {
     const soak_t* s = p->soak;
     char path[128];
--- a/tools/soak_site.h
+++ b/tools/soak_site.h
@@ -28,6 +28,8 @@
     char name[32];
     char address[48]; /* of stand-ins, once ready */
     bool engine, leaving, told, stopping;
+    bool lingers;       /* an upstream that ended, and is still listed */
+    int64_t started_ms; /* of an upstream, told with its entry */
     ev_child child;
     ev_io out; /* lines of stand-ins and callers */
     int out_fd;
@@ -84,6 +86,8 @@
 /* Starts the source and waits until it answers. */
 void soak_start_source(soak_t* s);
 void soak_start_upstream(soak_t* s, bool engine);
+/* Starts the upstream, which has ended, again under its name. */
+void soak_start_upstream_again(proc_t* before);
 /* Starts host number i, from 0. */
 void soak_start_host(soak_t* s, uint32_t i);
 void soak_restart_host(proc_t* p);
