Prompt parts and stream gaps out of the balance, into modules of their own

chalkway_balance.h held where prompt parts are kept and belong, and the counts of streams by their longest pause, beside the choice: chalkway_prefix.h and chalkway_gaps.h now, 1,300 -> 1,230 lines.

--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -42,8 +42,10 @@
 */
 #include "chalkway_backlog.h"
 #include "chalkway_contention.h"
+#include "chalkway_gaps.h"
 #include "chalkway_home.h"
 #include "chalkway_limit.h"
+#include "chalkway_prefix.h"
 #include "chalkway_reading.h"
 #include "chalkway_suspect.h"
 
@@ -61,12 +63,6 @@
     double move_ms;         /* to fetch one token of a kept prompt from another server, 0: it can't */
 } cw_server_spec_t;
 
-/* A part of a prompt: its name's id and its length. */
-typedef struct cw_work_part_t {
-    uint64_t id;
-    uint32_t tokens;
-} cw_work_part_t;
-
 /* What a request asks of a server. All zero for a plain call. */
 typedef struct cw_work_t {
     uint32_t urgency; /* as engines are told it: 0 is read first and preempted last */
@@ -234,7 +230,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "chalkway_kept.h"
 #include "chalkway_map.h"
 #include "chalkway_pause.h"
 
@@ -272,7 +267,6 @@
 #define _CW_PACE_FEW 20       /* fewer samples say nothing */
 #define _CW_PACE_SLOW 1.15    /* a server whose pace is so many times the fastest one's comes last in the order */
 #define _CW_PACE_RUNS 8       /* only with so few running is a server's pace learned */
-#define _CW_GAPS_MAX 8        /* different longest pauses of one pool that are told apart */
 #define _CW_RUN_MS 0.5        /* how much a run slows the others of an engine */
 #define _CW_REREAD 20.0       /* times its reading that a part costs which another server has read already */
 #define _CW_MOVE 20.0         /* times its duration that a move costs: it is not free for others */
@@ -281,7 +275,6 @@
    the requests of two days of overload before 140 engines were worth, 0.676 was earned without and 0.690 with it; of
    12 days before nine engines each, three kinds of load, 0.703, 0.504, 0.813 and 0.709, 0.530, 0.818. */
 #define _CW_STRAY 8.0
-#define _CW_PART_OWNERS 2     /* one may be busy, or gone */
 #define _CW_FULL_MS 1000.0    /* what a server costs whose memory would overflow */
 #define _CW_MEMORY_SHARE 0.9  /* of a server's memory that is planned with */
 #define _CW_KEPT_SHARE 0.6    /* of a server's memory that old prompt parts are taken to keep */
@@ -296,18 +289,13 @@
     cw_load_t load;
 } _cw_news_t;
 
-/* Own streams at a server with the same longest pause. */
-typedef struct _cw_gap_t {
-    uint32_t gap_ms, count;
-} _cw_gap_t;
-
 typedef struct _cw_server_t {
     cw_server_spec_t spec;
     bool used;         /* the place holds a server */
     bool listed;       /* it may be chosen */
     uint32_t position; /* in the order that all daemons see alike */
     uint32_t running;
-    _cw_gap_t gaps[_CW_GAPS_MAX];
+    cw_gaps_t gaps; /* own streams that have begun */
     uint64_t tokens;
     cw_backlog_t backlog; /* own prompts, from sending to the first byte */
     uint32_t deepest;     /* tokens of the longest prompt among them; 0 when there are none */
@@ -486,21 +474,21 @@
 
 /* -- prompt parts --------------------------------------------------------- */
 
-static bool _cw_balance_has_part(const cw_balance_t* b, const _cw_server_t* s, uint64_t part) {
-    return cw_kept_has(b->kept, s->spec.id, part, s->read_tokens, _CW_KEPT_SHARE * s->spec.memory_tokens);
+static cw_prefix_memory_t _cw_balance_memory(const _cw_server_t* s) {
+    return (cw_prefix_memory_t){
+        .server = s->spec.id, .read_tokens = s->read_tokens, .room_tokens = _CW_KEPT_SHARE * s->spec.memory_tokens};
 }
 
-/* Tokens at the start of the prompt that the server keeps. */
+/* Tokens of the prompt that the server keeps. */
 static uint32_t _cw_balance_kept_tokens(const cw_balance_t* b, const _cw_server_t* s, const cw_work_t* work) {
-    uint32_t tokens = 0;
-    for (uint32_t i = 0; i < work->part_count && _cw_balance_has_part(b, s, work->parts[i].id); i++) {
-        tokens += work->parts[i].tokens;
-    }
+    cw_prefix_memory_t memory = _cw_balance_memory(s);
+    uint32_t tokens = cw_prefix_kept(b->kept, &memory, work->parts, work->part_count);
     return tokens < work->prompt_tokens ? tokens : work->prompt_tokens;
 }
 
 static void _cw_balance_keep(cw_balance_t* b, _cw_server_t* s, const cw_work_part_t* part) {
-    if (!_cw_balance_has_part(b, s, part->id)) {
+    cw_prefix_memory_t memory = _cw_balance_memory(s);
+    if (!cw_kept_has(b->kept, s->spec.id, part->id, memory.read_tokens, memory.room_tokens)) {
         s->read_tokens += part->tokens;
     }
     cw_kept_add(b->kept, s->spec.id, part->id, s->read_tokens);
@@ -523,30 +511,6 @@
     double backlog_ms; /* of all */
 } _cw_sum_t;
 
-/* Own streams that are hurt most easily: those with the shortest of the longest pauses. */
-static _cw_gap_t _cw_balance_own_gap(const _cw_server_t* s) {
-    _cw_gap_t shortest = {0};
-    for (uint32_t i = 0; i < _CW_GAPS_MAX; i++) {
-        if (s->gaps[i].count && (!shortest.count || s->gaps[i].gap_ms < shortest.gap_ms)) {
-            shortest = s->gaps[i];
-        }
-    }
-    return shortest;
-}
-
-/* Counts a stream in (by = 1) or out (-1); pauses beyond the places are taken as the last one. */
-static void _cw_balance_count_gap(_cw_server_t* s, uint32_t gap_ms, int by) {
-    _cw_gap_t* place = &s->gaps[_CW_GAPS_MAX - 1];
-    for (uint32_t i = 0; i < _CW_GAPS_MAX; i++) {
-        if (s->gaps[i].gap_ms == gap_ms || !s->gaps[i].gap_ms) {
-            place = &s->gaps[i];
-            break;
-        }
-    }
-    place->gap_ms = place->count ? place->gap_ms : gap_ms;
-    place->count = (uint32_t)((int)place->count + by > 0 ? (int)place->count + by : 0);
-}
-
 /* Adds streams: only those with the shortest pauses count. */
 static void _cw_balance_add_gap(_cw_sum_t* sum, uint32_t gap_ms, uint32_t count) {
     if (!count || (sum->streaming && gap_ms > sum->gap_ms)) {
@@ -574,7 +538,7 @@
                      .tokens = (double)s->tokens,
                      .wait_ms = _cw_balance_own_backlog(s, now_ms, urgency),
                      .backlog_ms = own_ms};
-    _cw_gap_t own = _cw_balance_own_gap(s);
+    cw_gap_t own = cw_gaps_shortest(&s->gaps);
     _cw_balance_add_gap(&sum, own.gap_ms, own.count);
     for (uint32_t i = 0; i < s->news_count; i++) {
         const _cw_news_t* n = &s->news[i];
@@ -656,56 +620,22 @@
     return _cw_balance_fail(s, now_ms) * loss_ms * (work->repeatable ? 1 : 2);
 }
 
-/* Where the prompt's parts are, among the servers that may be chosen, and where they belong. */
-typedef struct _cw_holder_t {
-    uint64_t id; /* of the server that keeps most of the prompt, 0: none keeps any */
-    uint32_t tokens;
-    uint32_t shared;                 /* tokens before the last part, which is the request's own */
-    uint64_t part;                   /* the last shared part */
-    uint64_t owner[_CW_PART_OWNERS]; /* scores of the servers that come first for it, the highest first */
-} _cw_holder_t;
-
-static uint64_t _cw_balance_owner_score(const _cw_holder_t* holder, const _cw_server_t* s) {
-    return cw_mix(holder->part, s->spec.id);
-}
-
-static void _cw_balance_note_owner(_cw_holder_t* holder, uint64_t score) {
-    for (uint32_t i = 0; i < _CW_PART_OWNERS; i++) {
-        if (score > holder->owner[i]) {
-            uint64_t lower = holder->owner[i];
-            holder->owner[i] = score;
-            score = lower;
-        }
-    }
-}
-
-static _cw_holder_t _cw_balance_holder(const cw_balance_t* b, const cw_work_t* work) {
-    _cw_holder_t most = {0};
-    for (uint32_t i = 0; i + 1 < work->part_count; i++) {
-        most.shared += work->parts[i].tokens;
-        most.part = work->parts[i].id;
-    }
+/* Where the prompt's parts are, and belong, among the servers that may be chosen. */
+static cw_prefix_t _cw_balance_prefix(const cw_balance_t* b, const cw_work_t* work) {
+    cw_prefix_t prefix = cw_prefix_new(work->parts, work->part_count);
     for (uint32_t i = 0; i < b->places && work->part_count; i++) {
         const _cw_server_t* s = &b->servers[i];
-        if (!s->used || !s->listed || s->away) {
-            continue;
-        }
-        uint32_t kept = _cw_balance_kept_tokens(b, s, work);
-        if (kept > most.tokens) {
-            most.id = s->spec.id;
-            most.tokens = kept;
-        }
-        if (most.shared) {
-            _cw_balance_note_owner(&most, _cw_balance_owner_score(&most, s));
+        if (s->used && s->listed && !s->away) {
+            cw_prefix_see(&prefix, s->spec.id, _cw_balance_kept_tokens(b, s, work));
         }
     }
-    return most;
+    return prefix;
 }
 
 /* Tokens that the server would better fetch from the holder than read again, 0: none. */
-static uint32_t _cw_balance_moved(const cw_balance_t* b, const _cw_server_t* s, const _cw_holder_t* holder,
+static uint32_t _cw_balance_moved(const cw_balance_t* b, const _cw_server_t* s, const cw_prefix_t* prefix,
                                   uint32_t kept) {
-    uint32_t more = holder->tokens > kept ? holder->tokens - kept : 0;
+    uint32_t more = prefix->held > kept ? prefix->held - kept : 0;
     bool cheaper = s->spec.move_ms > 0 && s->spec.move_ms < b->reading.token_ms;
     return cheaper && more >= _CW_MOVE_FEW ? more : 0;
 }
@@ -769,9 +699,9 @@
 /* Ms: a shared part that the server doesn't keep would be there once more, and at its owners' next time again. Owners
    are the first servers for the part by rendezvous hashing, so all hosts name the same without asking; where these are
    busy the prompt goes elsewhere. */
-static double _cw_balance_stray_ms(const _cw_server_t* s, const _cw_holder_t* holder, uint32_t kept) {
-    bool owner = _cw_balance_owner_score(holder, s) >= holder->owner[_CW_PART_OWNERS - 1];
-    return kept >= holder->shared || owner ? 0 : _CW_STRAY * s->spec.move_ms * (holder->shared - kept);
+static double _cw_balance_stray_ms(const _cw_server_t* s, const cw_prefix_t* prefix, uint32_t kept) {
+    bool there = kept >= prefix->shared || cw_prefix_owns(prefix, s->spec.id);
+    return there ? 0 : _CW_STRAY * s->spec.move_ms * (prefix->shared - kept);
 }
 
 /* Ms: the memory would overflow, and something running would be preempted. */
@@ -783,16 +713,16 @@
 /* What a generation costs at the server. The backlog is that of all urgencies, since a more urgent prompt delays those
    that it goes before. */
 static double _cw_balance_generation_ms(const cw_balance_t* b, const _cw_server_t* s, const _cw_sum_t* sum,
-                                        const cw_work_t* work, const _cw_holder_t* holder, cw_choice_t* c) {
+                                        const cw_work_t* work, const cw_prefix_t* prefix, cw_choice_t* c) {
     c->kept = _cw_balance_kept_tokens(b, s, work);
-    c->moved = _cw_balance_moved(b, s, holder, c->kept);
-    c->from = c->moved ? holder->id : 0;
-    c->again = c->moved || holder->tokens < c->kept ? 0 : holder->tokens - c->kept;
+    c->moved = _cw_balance_moved(b, s, prefix, c->kept);
+    c->from = c->moved ? prefix->holder : 0;
+    c->again = c->moved || prefix->held < c->kept ? 0 : prefix->held - c->kept;
     c->streaming = sum->streaming;
     c->read_ms = b->reading.token_ms * (work->prompt_tokens - c->kept - c->moved) + s->spec.move_ms * c->moved;
     double ms = b->reading.base_ms + sum->backlog_ms + c->read_ms;
     ms += _cw_balance_again_ms(b, s, c);
-    ms += _cw_balance_stray_ms(s, holder, c->kept);
+    ms += _cw_balance_stray_ms(s, prefix, c->kept);
     ms += _cw_balance_overflow_ms(s, sum, work);
     ms += _CW_RUN_MS * sum->running;
     ms += _cw_balance_caused_ms(b, s, sum, work, c->read_ms);
@@ -801,13 +731,13 @@
 }
 
 static cw_choice_t _cw_balance_rate(const cw_balance_t* b, uint32_t at, int64_t now_ms, const cw_work_t* work,
-                                    const _cw_holder_t* holder) {
+                                    const cw_prefix_t* prefix) {
     const _cw_server_t* s = &b->servers[at];
     _cw_sum_t sum = _cw_balance_sum(b, s, now_ms, cw_backlog_level(work->urgency));
     cw_choice_t c = {
         .server = at, .id = s->spec.id, .wait_ms = sum.wait_ms, .running = sum.running, .age_ms = sum.age_ms};
     bool engine = s->spec.memory_tokens > 0;
-    double ms = engine ? _cw_balance_generation_ms(b, s, &sum, work, holder, &c) : _cw_balance_call_ms(b, s, &sum);
+    double ms = engine ? _cw_balance_generation_ms(b, s, &sum, work, prefix, &c) : _cw_balance_call_ms(b, s, &sum);
     double cold = now_ms < s->cold_until_ms ? 2 : 1;
     c.cost_ms = ms * cold * _cw_balance_slow(s, now_ms) + _cw_balance_fail_cost(s, now_ms, work);
     c.cost_ms += s->spec.hall == b->desc.hall ? 0 : _CW_HALL_MS;
@@ -969,7 +899,7 @@
     cw_choice_t best = {.server = CW_BALANCE_NONE};
     cw_left_out_t left = {0};
     uint32_t candidates = 0;
-    _cw_holder_t holder = _cw_balance_holder(b, work);
+    cw_prefix_t prefix = _cw_balance_prefix(b, work);
     bool avoid = _cw_balance_avoids(b, now_ms);
     double share = _cw_balance_share(b, work);
     _cw_balance_learn_patience(b, work);
@@ -985,7 +915,7 @@
             ++*out;
             continue;
         }
-        cw_choice_t c = _cw_balance_rate(b, i, now_ms, work, &holder);
+        cw_choice_t c = _cw_balance_rate(b, i, now_ms, work, &prefix);
         if (s->spec.memory_tokens && !_cw_balance_open(b, s, now_ms, work, share * s->spec.slots - c.running)) {
             left.no_place++;
             continue;
@@ -1016,9 +946,9 @@
     run.found_ms = sum.backlog_ms;
     run.quiet = sum.backlog_ms < 1.0 && sum.running < _CW_QUIET_SHARE * s->spec.slots && now_ms >= s->cold_until_ms;
     if (s->spec.memory_tokens) {
-        _cw_holder_t holder = _cw_balance_holder(b, work);
+        cw_prefix_t prefix = _cw_balance_prefix(b, work);
         uint32_t kept = _cw_balance_kept_tokens(b, s, work);
-        uint32_t moved = _cw_balance_moved(b, s, &holder, kept);
+        uint32_t moved = _cw_balance_moved(b, s, &prefix, kept);
         run.quiet = run.quiet && !moved;
         run.fresh_tokens = work->prompt_tokens - kept - moved;
         run.read_ms = b->reading.token_ms * run.fresh_tokens * _cw_balance_slow(s, now_ms) + s->spec.move_ms * moved;
@@ -1093,7 +1023,7 @@
     }
     _cw_balance_answered(s, now_ms, run);
     if (run->gap_ms) {
-        _cw_balance_count_gap(s, run->gap_ms, 1);
+        cw_gaps_count(&s->gaps, run->gap_ms, 1);
     }
     run->event_ms = now_ms;
     run->beside = _cw_balance_sum(b, s, now_ms, run->urgency).deepest;
@@ -1143,7 +1073,7 @@
         return;
     }
     if (run->answered && run->gap_ms) {
-        _cw_balance_count_gap(s, run->gap_ms, -1);
+        cw_gaps_count(&s->gaps, run->gap_ms, -1);
     }
     if (!run->answered) {
         _cw_balance_answered(s, now_ms, run);
@@ -1220,7 +1150,7 @@
 
 cw_load_t cw_balance_load(const cw_balance_t* b, int64_t now_ms, uint32_t server) {
     const _cw_server_t* s = &b->servers[server];
-    _cw_gap_t gap = _cw_balance_own_gap(s);
+    cw_gap_t gap = cw_gaps_shortest(&s->gaps);
     cw_load_t load = {.running = s->running,
                       .gap_ms = gap.gap_ms,
                       .streaming = gap.count,
