A life of a server that the source lists again goes on

Found on reading: an entry with another start, written by somebody else over a good one, ended the good life for good: its own next entry was taken for that of a life that is over, and the server was lost until it started anew, with a line at each reading. Test red before: a_life_that_is_listed_again_goes_on.

--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -483,8 +483,13 @@
     server_over(u, present, published->started_ms, at);
     *changed = true;
     present->left = present->gone = true;
-    server_t* earlier = upstreams_server(u, cw_server_life(published));
-    return earlier ? earlier : server_new(u, published);
+    server_t* known = upstreams_server(u, cw_server_life(published));
+    if (!known) {
+        return server_new(u, published);
+    }
+    known->left = false; /* it was taken for over, by an entry of another writer; the source says that it lives */
+    cw_map_put(&u->by_name, known->name, cw_map_get(&u->by_key, known->key));
+    return known;
 }
 
 /* Takes over what is published of the server. Returns whether it is new, or is used now and was not, or the reverse. */
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -129,6 +129,24 @@
 }
 END_TEST
 
+/* An entry with another start came in between, and was wrong: the life that the source lists again goes on, with what
+   is under way there. */
+START_TEST(a_life_that_is_listed_again_goes_on) {
+    rig_t* r = rig_setup(ROUTES, 0);
+    list_start(r, FIRST, 10);
+    cw_work_t work = {.prompt_tokens = 4000, .target_ms = 1000};
+    cw_run_t run = cw_balance_begin(upstreams_pool(r->upstreams, "p")->balance, clock_ms(), choice(r).server, &work);
+    list_start(r, SECOND, 11);
+    ck_assert(used(r, SECOND) && !used(r, FIRST));
+    ck_assert_uint_eq(list_start(r, FIRST, 12), 1);
+    ck_assert(used(r, FIRST) && !used(r, SECOND));
+    ck_assert_uint_eq(choice(r).running, 1);
+    ck_assert_uint_eq(list_start(r, FIRST, 13), 0);
+    cw_balance_end(upstreams_pool(r->upstreams, "p")->balance, clock_ms(), &run, CW_TRY_SERVED);
+    rig_shutdown(r);
+}
+END_TEST
+
 /* The connection breaks after the list told of the new life, and before: neither harms the new one. */
 START_TEST(a_break_of_the_old_life_is_no_failure_of_the_new_one) {
     for (uint32_t before = 0; before < 2; before++) {
@@ -292,6 +310,7 @@
     tcase_add_test(t, two_starts_between_two_readings_are_one_change);
     tcase_add_test(t, an_earlier_start_that_is_told_late_changes_nothing);
     tcase_add_test(t, a_smaller_start_of_a_later_revision_is_the_present_life);
+    tcase_add_test(t, a_life_that_is_listed_again_goes_on);
     tcase_add_test(t, a_break_of_the_old_life_is_no_failure_of_the_new_one);
     tcase_add_test(t, a_call_that_may_have_run_is_not_run_again_by_the_new_life);
     tcase_add_test(t, an_inventory_that_another_life_answers_ends_the_old_one);
