--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -273,7 +273,7 @@
 #define _CW_MOVE_FEW 256      /* fewer tokens are not worth a move */
 /* Times the fetching of its shared parts that a prompt costs more at a server that neither keeps nor owns them. Of what
    the requests of two days of overload before 140 engines were worth, 0.676 was earned without and 0.690 with it; of
-   12 days before nine engines each, three kinds of load, 0.703, 0.504, 0.813 and 0.709, 0.530, 0.818. */
+   12 days each before 9, 9 and 18 engines 0.703, 0.504, 0.813 and 0.709, 0.530, 0.818. */
 #define _CW_STRAY 8.0
 #define _CW_FULL_MS 1000.0    /* what a server costs whose memory would overflow */
 #define _CW_MEMORY_SHARE 0.9  /* of a server's memory that is planned with */
