--- a/chalkway.c
+++ b/chalkway.c
@@ -8,6 +8,7 @@
 #include "chalkway_core.h"
 #include "chalkway_events.h"
 #include "chalkway_fair.h"
+#include "chalkway_fingerprint.h"
 #include "chalkway_gaps.h"
 #include "chalkway_heap.h"
 #include "chalkway_hist.h"
--- /dev/null
+++ b/chalkway_fingerprint.h
@@ -0,0 +1,78 @@
+#ifndef CHALKWAY_FINGERPRINT_H
+#define CHALKWAY_FINGERPRINT_H
+/*
+    chalkway_fingerprint.h -- what a request is, whatever id it comes under
+
+    WHAT IT IS
+        A caller that sends the same request again gives it a new id, and may
+        send it to another host. The fingerprint is the same all the same: the
+        caller's workspace, and a hash of method, host, target and the whole
+        body. Every host makes the same one. The workspace is kept apart from
+        the hash: a body that was made up to collide with another one can harm
+        nobody but its own workspace.
+
+    HOW TO USE IT
+            cw_fingerprint_t f = cw_fingerprint(workspace, &(cw_fingerprint_parts_t){.method = "POST", ...});
+            if (cw_fingerprint_same(&f, &g)) { ... }
+
+    WHAT IT DOES NOT DO
+        It is no secret and no signature: XXH3 is fast and can be inverted.
+        Ids, deadlines and other fields of the head don't count.
+
+    LICENCE
+        MIT, see LICENSE.
+*/
+#include "chalkway_core.h"
+
+typedef struct cw_fingerprint_t {
+    uint64_t workspace; /* id of its name, 0: none */
+    uint64_t content;   /* 0 in no fingerprint that was made here */
+} cw_fingerprint_t;
+
+typedef struct cw_fingerprint_parts_t {
+    const char* method;
+    const char* host;   /* NULL or "": none was given */
+    const char* target; /* path and query as they came */
+    const void* body;
+    size_t size;
+} cw_fingerprint_parts_t;
+
+cw_fingerprint_t cw_fingerprint(uint64_t workspace, const cw_fingerprint_parts_t* parts);
+bool cw_fingerprint_same(const cw_fingerprint_t* a, const cw_fingerprint_t* b);
+
+#endif /* CHALKWAY_FINGERPRINT_H */
+
+/*-- IMPLEMENTATION -----------------------------------------------------------*/
+#ifdef CHALKWAY_IMPL
+#ifndef CHALKWAY_FINGERPRINT_IMPL_INCLUDED
+#define CHALKWAY_FINGERPRINT_IMPL_INCLUDED
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Mixed in first, so that no other hash of the same bytes is a fingerprint by chance. */
+#define _CW_FINGERPRINT_DOMAIN 0x63772d6670727431ULL /* "cw-fprt1" */
+
+static uint64_t _cw_fingerprint_add(uint64_t hash, const void* data, size_t size) {
+    return cw_mix(hash, size ? XXH3_64bits(data, size) : size);
+}
+
+static uint64_t _cw_fingerprint_text(uint64_t hash, const char* text) {
+    return _cw_fingerprint_add(hash, text, text ? strlen(text) : 0);
+}
+
+cw_fingerprint_t cw_fingerprint(uint64_t workspace, const cw_fingerprint_parts_t* parts) {
+    uint64_t hash = _CW_FINGERPRINT_DOMAIN;
+    hash = _cw_fingerprint_text(hash, parts->method);
+    hash = _cw_fingerprint_text(hash, parts->host);
+    hash = _cw_fingerprint_text(hash, parts->target);
+    hash = _cw_fingerprint_add(hash, parts->body, parts->size);
+    return (cw_fingerprint_t){.workspace = workspace, .content = hash};
+}
+
+bool cw_fingerprint_same(const cw_fingerprint_t* a, const cw_fingerprint_t* b) {
+    return a->content == b->content && a->workspace == b->workspace;
+}
+
+#endif /* CHALKWAY_FINGERPRINT_IMPL_INCLUDED */
+#endif /* CHALKWAY_IMPL */
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -8,6 +8,7 @@
 #include <strings.h>
 
 #include "../chalkway_events.h"
+#include "../chalkway_fingerprint.h"
 #include "../chalkway_request.h"
 #include "admission.h"
 #include "clock.h"
@@ -35,6 +36,7 @@
     exchanges_t* all;
     caller_t* caller; /* NULL: gone, or its answer is complete */
     char id[ID_MAX];
+    cw_fingerprint_t fingerprint; /* what it is, whatever its id */
     cw_catalog_t* catalog;
     const cw_route_t* route;
     const cw_tenant_t* workspace;
@@ -240,9 +242,11 @@
 static void broken(exchange_t* x, cw_request_event_t e, cw_try_result_t result, const char* reason) {
     x->result = result;
     x->reason = reason;
-    cw_log(x->all->desc.log, CW_EVENT_UPSTREAM_FAILED, "id=%s step=%s server=%s peer=%s reason=\"%s\" sent_ms_ago=%lld",
-           x->id, cw_request_state_name(x->machine.state), x->server_id, x->server->published.address, reason,
-           x->sent_ms ? (long long)(clock_ms() - x->sent_ms) : -1LL);
+    cw_log(x->all->desc.log, CW_EVENT_UPSTREAM_FAILED,
+           "id=%s step=%s server=%s life=%016llx peer=%s reason=\"%s\" sent_ms_ago=%lld fingerprint=%016llx links=%u",
+           x->id, cw_request_state_name(x->machine.state), x->server_id, (unsigned long long)x->server->key,
+           x->server->published.address, reason, x->sent_ms ? (long long)(clock_ms() - x->sent_ms) : -1LL,
+           (unsigned long long)x->fingerprint.content, x->server->open);
     event(x, e);
 }
 
@@ -490,13 +494,15 @@
     }
     cw_log(
         e->desc.log, x->transfers ? CW_EVENT_REQUEST_RETRIED : CW_EVENT_REQUEST_SENT,
-        "id=%s server=%s route=%s revision=%lld priority=%u urgency=%u candidates=%u cost_ms=%.0f wait_ms=%.0f "
+        "id=%s fingerprint=%016llx server=%s route=%s revision=%lld priority=%u urgency=%u candidates=%u cost_ms=%.0f "
+        "wait_ms=%.0f "
         "read_ms=%.0f prompt=%u kept=%u moved=%u again=%u running=%u streaming=%u pace=%.2f age_ms=%u waited_ms=%lld "
         "last_event=%s",
-        x->id, x->server_id, x->route->name, (long long)x->catalog->revision, x->priority, x->work.urgency,
-        choice->candidates, choice->cost_ms, choice->wait_ms, choice->read_ms, x->work.prompt_tokens, choice->kept,
-        choice->moved, choice->again, choice->running, choice->streaming, choice->pace, choice->age_ms,
-        (long long)(now_ms - x->arrived_ms), x->events.last_id[0] ? x->events.last_id : "-");
+        x->id, (unsigned long long)x->fingerprint.content, x->server_id, x->route->name,
+        (long long)x->catalog->revision, x->priority, x->work.urgency, choice->candidates, choice->cost_ms,
+        choice->wait_ms, choice->read_ms, x->work.prompt_tokens, choice->kept, choice->moved, choice->again,
+        choice->running, choice->streaming, choice->pace, choice->age_ms, (long long)(now_ms - x->arrived_ms),
+        x->events.last_id[0] ? x->events.last_id : "-");
     x->sent_ms = now_ms;
     x->expected_ms = (double)(now_ms - x->arrived_ms) + choice->wait_ms + choice->read_ms;
     expect_first(x);
@@ -710,6 +716,18 @@
     answer(e, caller, status, id, why, 0);
 }
 
+/* The whole body is there: it can be told what the request is before it is sent anywhere. */
+static cw_fingerprint_t fingerprint_of(caller_t* caller, const cw_tenant_t* workspace) {
+    const cw_message_t* m = caller_message(caller);
+    const cw_buffer_t* body = caller_body(caller);
+    return cw_fingerprint(workspace ? cw_name_id(workspace->name) : 0,
+                          &(cw_fingerprint_parts_t){.method = m->method,
+                                                    .host = cw_message_field(m, "Host"),
+                                                    .target = m->target,
+                                                    .body = body->data,
+                                                    .size = body->size});
+}
+
 static exchange_t* exchange_new(exchanges_t* e, caller_t* caller, const admission_t* admission, const char* id) {
     exchange_t* x = calloc(1, sizeof(*x));
     if (!x) {
@@ -723,6 +741,7 @@
     x->catalog = cw_catalog_hold(e->catalog);
     x->route = route;
     x->workspace = admission->workspace;
+    x->fingerprint = fingerprint_of(caller, x->workspace);
     x->arrived_ms = clock_ms();
     x->deadline_ms = x->arrived_ms + admission->held_ms;
     x->priority = admission->priority;
