--- a/standins/fake_upstream.c
+++ b/standins/fake_upstream.c
@@ -13,15 +13,20 @@
 
     POST /admin/set?slow=X   every step, and each call, takes X times as long
 
+    A body that begins with "deadly" ends the process DEADLY_MS after its request began to run, in the midst of all that
+   runs beside it.
+
     Standard output, after the ready line: what ran, one line each, times in ms of the monotonic clock.
         U MS begin ID SERVER PRIORITY TOKENS
         U MS end|gone ID SERVER
+        U MS reach|died ID SERVER     a deadly request came; the process ends under it
 */
 #include <argp.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 #include <xxhash.h>
 
 #include "../chalkway_heap.h"
@@ -34,13 +39,15 @@
 #define STEP_RUN_MS 0.02    /* more for each request that runs */
 #define LINES_BYTES 4194304 /* of lines that nobody has read */
 #define PRIORITY_LAST 9
+#define DEADLY_MS 60.0
+#define DEADLY_STATUS 3 /* of the process that ends under a request */
 
 typedef struct job_t {
     cw_exchange_t* x;
-    bool used, running, begun;
+    bool used, running, begun, deadly;
     char id[64];
     uint32_t priority, tokens, unread, made, length;
-    ev_timer timer; /* of a call */
+    ev_timer timer; /* of a call, or until a deadly request ends the process */
     struct upstream_t* upstream;
 } job_t;
 
@@ -79,12 +86,22 @@
 
 static void on_call_done(struct ev_loop* loop, ev_timer* w, int events);
 
+static void on_deadly(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    job_t* job = w->data;
+    say(job->upstream, "died", job);
+    cw_lines_shutdown(&job->upstream->lines);
+    _exit(DEADLY_STATUS);
+}
+
 static void begin(upstream_t* u, job_t* job) {
     job->running = job->begun = true;
     u->running++;
     say(u, "begin", job);
-    if (u->prefill_us <= 0) {
-        ev_timer_init(&job->timer, on_call_done, u->call_ms * u->slow / 1000.0, 0.0);
+    if (u->prefill_us <= 0 || job->deadly) {
+        double ms = job->deadly ? DEADLY_MS : u->call_ms * u->slow;
+        ev_timer_init(&job->timer, job->deadly ? on_deadly : on_call_done, ms / 1000.0, 0.0);
         job->timer.data = job;
         ev_timer_start(u->standin.loop, &job->timer);
     }
@@ -205,6 +222,11 @@
     job->unread = job->tokens;
     job->made = after ? (uint32_t)strtoul(after, NULL, 10) : 0;
     cw_exchange_set_data(x, job);
+    size_t size = 0;
+    job->deadly = strncmp(cw_exchange_body(x, &size), "deadly", strlen("deadly")) == 0;
+    if (job->deadly) {
+        say(u, "reach", job);
+    }
     if (u->prefill_us > 0) {
         const cw_header_t headers[] = {{"Content-Type", "text/event-stream"}, {"Chalkway-Request-Id", job->id}};
         cw_exchange_stream(x, 200, headers, 2);
--- a/tests/test_deadly.c
+++ b/tests/test_deadly.c
@@ -1,11 +1,12 @@
 /*
     A request that ends each server that begins to run it.
 
-    Seen: with nine engines that come back seconds after they ended, a body that came about twice a second, under new ids
-    and at any host, ended 39 servers in 15 seconds, and what ran beside it broke with them. How it came about: a request
-    that loses its server is sent to another one, and its caller sends it again under another id. Cause: attempts, the
-    window of repeats and suspicions are kept by id, pool and server, so nothing knew it again. Proof: the servers ended
-    under one body whatever its id and host, and no more once that body stopped; nothing else was common to them.
+    Seen: with nine engines that come back seconds after they ended, a body that came about twice a second, under new
+   ids and at any host, ended 39 servers in 15 seconds, and what ran beside it broke with them. How it came about: a
+   request that loses its server is sent to another one, and its caller sends it again under another id. Cause:
+   attempts, the window of repeats and suspicions are kept by id, pool and server, so nothing knew it again. Proof: the
+   servers ended under one body whatever its id and host, and no more once that body stopped; nothing else was common to
+   them.
 
     Pattern here: the same request three times, each under its own id, at three servers that close without an answer.
     Three servers is what such a request is allowed in all.
@@ -25,8 +26,8 @@
 static const char* ask(rig_t* r, const char* id, const char* body) {
     char text[400];
     snprintf(text, sizeof(text),
-             "POST /again/x HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: %s\r\nContent-Length: %zu\r\n\r\n%s", id,
-             strlen(body), body);
+             "POST /again/x HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: %s\r\nContent-Length: %zu\r\n\r\n%s",
+             id, strlen(body), body);
     return rig_call(r, text);
 }
 
--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -145,7 +145,37 @@
 }
 END_TEST
 
+/* Three upstreams may end under a body, and it may reach others for three seconds after the third and three times
+ * later. */
+START_TEST(a_deadly_body_that_goes_on_reaching_upstreams_is_found) {
+    static char text[8192];
+    for (int reaches = 7; reaches <= 8; reaches++) {
+        size_t n = 0;
+        for (int i = 0; i < reaches; i++) {
+            int at = i < 4 ? 100 * i : 4000 + 100 * i;
+            n += (size_t)snprintf(text + n, sizeof(text) - n,
+                                  "C %d sent d%d get h:1 0 deadly-1\nU %d reach d%d v1\nU %d begin d%d v1 2 0\n"
+                                  "U %d died d%d v1\nC %d done d%d 502 1 0 0 0\nS %d over died v1\n",
+                                  at, i, at + 1, i, at + 2, i, at + 3, i, at + 4, i, at + 50);
+        }
+        soak_result_t r = judge(text);
+        ck_assert_uint_eq(r.count[SOAK_DEADLY], reaches == 8);
+        ck_assert_uint_eq(r.deadly_ended, reaches);
+        ck_assert_uint_eq(r.sent, 0);
+    }
+}
+END_TEST
+
+START_TEST(an_ordinary_request_that_is_held_back_is_found) {
+    expect(SERVED "S 92 fault died v1\nC 95 sent c get h:1 0 -\nC 99 done c 503 1 0 1 1\n", SOAK_SHUT_OUT);
+    soak_result_t r = judge(SERVED "C 95 sent c get h:1 0 deadly-1\nC 99 done c 503 1 0 1 1\n");
+    ck_assert(!soak_failed(&r));
+}
+END_TEST
+
 static void add(TCase* t) {
+    tcase_add_test(t, a_deadly_body_that_goes_on_reaching_upstreams_is_found);
+    tcase_add_test(t, an_ordinary_request_that_is_held_back_is_found);
     tcase_add_test(t, a_good_record_passes);
     tcase_add_test(t, a_second_run_is_found_where_it_may_not_be);
     tcase_add_test(t, lines_of_one_millisecond_are_put_in_order);
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -109,6 +109,10 @@
     printf("seed %" PRIu64
            ": %u sent, %u served, %u refused, %u failed, %u left; calm %u sent, %u served, %u refused\n",
            s->seed, r.sent, r.served, r.refused, r.failed, r.left, r.calm_sent, r.calm_served, r.calm_refused);
+    if (r.deadly_bodies) {
+        printf("  %u deadly bodies sent %u times: %u upstreams ended under them\n", r.deadly_bodies, r.deadly_sent,
+               r.deadly_ended);
+    }
     for (int i = 0; i < SOAK_CHECKS; i++) {
         if (r.count[i]) {
             printf("  %s %s: %u (allowed %u), first: %s\n",
@@ -168,6 +172,9 @@
         case 'r':
             s->per_s = strtod(text, NULL);
             return 0;
+        case 'd':
+            s->deadly = number;
+            return 0;
         case 'k':
             s->keep = true;
             return 0;
@@ -189,6 +196,7 @@
         {"services", 'v', "N", 0, "default 3", 0},
         {"callers", 'n', "N", 0, "default 60", 0},
         {"rate", 'r', "N", 0, "requests a second, default 120", 0},
+        {"deadly", 'd', "N", 0, "bodies that end every upstream which begins to run them, default 0", 0},
         {"keep", 'k', NULL, 0, "keep the record and the logs", 0},
         {"judge", 'j', "RECORD", 0, "start nothing: judge a record that was kept", 0},
         {0},
--- a/tools/soak.h
+++ b/tools/soak.h
@@ -6,11 +6,15 @@
 
     The record is text, one event a line, times in ms of the machine's monotonic clock:
 
-        C MS sent ID KIND HOST TOKENS      the last byte of a request has left for a host
-        C MS done ID STATUS WHOLE RIGHT FIRST_MS
-                                           its answer, or the connection's end (status 0); FIRST_MS after it was sent
+        C MS sent ID KIND HOST TOKENS BODY the last byte of a request has left for a host; BODY: "-", or the name of a
+                                           deadly one, which ends every upstream that begins to run it
+        C MS done ID STATUS WHOLE RIGHT FIRST_MS HELD
+                                           its answer, or the connection's end (status 0); FIRST_MS after it was sent;
+                                           HELD 1: refused since servers ended under such a request
         C MS left ID                       the caller gave it up
         U MS begin ID SERVER PRIORITY TOKENS, U MS end ID SERVER, U MS gone ID SERVER
+        U MS reach ID SERVER, U MS died ID SERVER
+                                           a deadly request came to an upstream; the upstream ends under it
         S MS fault NAME TARGET             something is brought about, until
         S MS over NAME TARGET              it ends
         S MS up SERVER SLOTS, S MS leaves SERVER, S MS down SERVER
@@ -52,13 +56,16 @@
     SOAK_WORKED_ON,  /* upstreams worked on long after the caller had left */
     SOAK_STOP,       /* a host did not end in order after it was told to stop, or ended by itself */
     SOAK_RECOVERY,   /* after the last fault too few are served */
+    SOAK_DEADLY,     /* a body under which three upstreams ended goes on reaching upstreams */
+    SOAK_SHUT_OUT,   /* an ordinary request was held back as one that ends upstreams */
     SOAK_CHECKS
 } soak_check_t;
 
 typedef struct soak_result_t {
     uint32_t count[SOAK_CHECKS];
-    char first[SOAK_CHECKS][160]; /* the first finding of each */
-    uint32_t sent, served, refused, failed, left;
+    char first[SOAK_CHECKS][160];                      /* the first finding of each */
+    uint32_t sent, served, refused, failed, left;      /* of ordinary requests */
+    uint32_t deadly_bodies, deadly_sent, deadly_ended; /* ended: upstreams, under all of the bodies */
     uint32_t calm_sent, calm_served, calm_refused;
 } soak_result_t;
 
--- a/tools/soak_callers.c
+++ b/tools/soak_callers.c
@@ -5,6 +5,10 @@
    the other and pauses between them. It asks again when its connection has ended. What it sends and gets goes to
    standard output, one line each, as tools/soak.h says. A 503 with Retry-After is heeded once. Signal USR1 doubles the
    pace until USR2.
+
+    With --deadly N some requests carry one of N bodies that end every upstream which begins to run them, each body
+   about DEADLY_PER_S times a second for DEADLY_FOR_S, one body after the other. The bodies of other prompts differ all;
+   plain calls have none, so that they are all the same request.
 */
 #include <argp.h>
 #include <inttypes.h>
@@ -25,6 +29,7 @@
 
 #define DEADLINE_FIELD "Chalkway-Deadline-Ms"
 #define LINES_BYTES 16777216
+#define HELD_WORDS "servers ended under it" /* in the answer to a request that is held back */
 #define MAX_CALLERS 2000
 #define MAX_HOSTS 64
 #define LOOKUP_MS 1000
@@ -34,6 +39,8 @@
 #define LEAVE_SPREAD_MS 200
 #define PATIENCE_MS 12000 /* a caller waits no longer for an answer */
 #define BURST 2.5         /* times the usual pace in a burst */
+#define DEADLY_PER_S 3.0
+#define DEADLY_FOR_S 12
 
 typedef struct callers_t callers_t;
 
@@ -48,6 +55,7 @@
     char id[20];
     int kind;
     uint32_t tokens;
+    char text[24]; /* of its body, "" none */
     int64_t sent_ms, first_ms;
     cw_buffer_t body;
     bool retried;
@@ -65,6 +73,8 @@
     const char* hosts[MAX_HOSTS]; /* lookup addresses */
     uint32_t host_count;
     double per_s, pace;
+    uint32_t deadly; /* bodies */
+    int64_t begun_ms;
     uint64_t seed, draws;
     ev_signal faster, slower, term;
     bool ending;
@@ -121,8 +131,9 @@
     const char* retry = whole && status == 503 ? cw_message_field(&w->answer, "Retry-After") : NULL;
     w->busy = false;
     ev_timer_stop(w->all->loop, &w->patience);
-    snprintf(rest, sizeof(rest), "%s %u %d %d %" PRId64, w->id, status, whole, whole && body_right(w),
-             w->first_ms ? w->first_ms - w->sent_ms : 0);
+    bool held = status == 503 && strstr(cw_buffer_text(&w->body), HELD_WORDS);
+    snprintf(rest, sizeof(rest), "%s %u %d %d %" PRId64 " %d", w->id, status, whole, whole && body_right(w),
+             w->first_ms ? w->first_ms - w->sent_ms : 0, held);
     say(w->all, "done", rest);
     cw_buffer_free(&w->body);
     w->retry_s = retry && !w->retried ? strtod(retry, NULL) : 0;
@@ -179,8 +190,25 @@
     cw_message_reset(&w->answer);
 }
 
+/* The deadly body that is due now, 0: none. */
+static uint32_t deadly_now(callers_t* c) {
+    uint32_t body = (uint32_t)((standin_now() - c->begun_ms) / 1000 / DEADLY_FOR_S) + 1;
+    return body <= c->deadly && draw_unit(c) < DEADLY_PER_S / (c->per_s * c->pace) ? body : 0;
+}
+
+static void choose_deadly(caller_t* w, uint32_t body) {
+    w->kind = soak_kind_find(body % 3 ? "short" : "get");
+    w->tokens = soak_kinds[w->kind].tokens_min;
+    snprintf(w->text, sizeof(w->text), "deadly-%u", body);
+}
+
 static void choose_work(caller_t* w) {
     callers_t* c = w->all;
+    uint32_t deadly = deadly_now(c);
+    if (deadly) {
+        choose_deadly(w, deadly);
+        return;
+    }
     double at = draw_unit(c);
     w->kind = 0;
     while (w->kind < SOAK_KINDS - 1 && at >= soak_kinds[w->kind].share) {
@@ -189,6 +217,10 @@
     const soak_kind_t* kind = &soak_kinds[w->kind];
     double span = kind->tokens_max ? log((double)kind->tokens_max / kind->tokens_min) : 0;
     w->tokens = kind->tokens_max ? (uint32_t)(kind->tokens_min * exp(span * draw_unit(c) * draw_unit(c))) : 0;
+    w->text[0] = 0;
+    if (kind->tokens_max) {
+        snprintf(w->text, sizeof(w->text), "%016" PRIx64, draw(c));
+    }
 }
 
 static void send_request(caller_t* w) {
@@ -203,11 +235,12 @@
     if (kind->tokens_max) {
         n += snprintf(text + n, sizeof(text) - (size_t)n, "Chalkway-Tokens: %u,%u\r\n", w->tokens, kind->events);
     }
-    n += snprintf(text + n, sizeof(text) - (size_t)n, "Content-Length: 0\r\n\r\n");
+    n += snprintf(text + n, sizeof(text) - (size_t)n, "Content-Length: %zu\r\n\r\n%s", strlen(w->text), w->text);
     w->busy = true;
     w->first_ms = 0;
     w->sent_ms = standin_now();
-    snprintf(rest, sizeof(rest), "%s %s %s %u", w->id, kind->name, w->host, w->tokens);
+    bool deadly = strncmp(w->text, "deadly", strlen("deadly")) == 0;
+    snprintf(rest, sizeof(rest), "%s %s %s %u %s", w->id, kind->name, w->host, w->tokens, deadly ? w->text : "-");
     say(c, "sent", rest);
     cw_stream_write(&w->stream, text, (size_t)n);
     cw_stream_flush(&w->stream);
@@ -355,6 +388,9 @@
         case 's':
             c->seed = strtoull(arg, NULL, 10);
             return 0;
+        case 'd':
+            c->deadly = (uint32_t)strtoul(arg, NULL, 10);
+            return 0;
         case ARGP_KEY_ARG:
             if (c->host_count == MAX_HOSTS) {
                 return EINVAL;
@@ -371,6 +407,7 @@
         {"callers", 'n', "N", 0, "callers, default 60", 0},
         {"rate", 'r', "N", 0, "requests a second of all together, default 100", 0},
         {"seed", 's', "N", 0, "of what they do", 0},
+        {"deadly", 'd', "N", 0, "bodies that end upstreams, default 0", 0},
         {0},
     };
     const struct argp argp = {
@@ -380,6 +417,7 @@
     argp_parse(&argp, argc, argv, 0, NULL, c);
     signal(SIGPIPE, SIG_IGN);
     c->loop = ev_default_loop(0);
+    c->begun_ms = standin_now();
     c->client = cw_client_setup(c->loop, MAX_HOSTS);
     printf("ready\n");
     fflush(stdout);
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -6,6 +6,7 @@
 
 #include "../chalkway_map.h"
 #include "soak.h"
+#include "soak_deadly.h"
 
 #define MAX_REQUESTS 200000
 #define MAX_SERVERS 1024
@@ -50,7 +51,8 @@
     uint32_t tokens;
     int64_t sent_ms, done_ms, left_ms; /* 0: not yet */
     uint32_t status, begun;
-    bool whole, right;
+    bool whole, right, held;
+    soak_deadly_body_t* deadly; /* NULL: an ordinary request */
     int64_t begun_ms, ended_ms;
     char server[NAME_SIZE]; /* that began it last */
     double idle;            /* share of the engines that ran nothing as it was sent */
@@ -88,11 +90,13 @@
     uint32_t fault_count;
     uint32_t grace_ms, drain_ms;
     int64_t finish_ms;
+    soak_deadly_t deadly;
 } judge_t;
 
 const char* soak_check_name(soak_check_t check) {
-    static const char* const names[SOAK_CHECKS] = {"twice",      "refused-and-run", "mixed",     "lost", "refused-idle",
-                                                   "put-behind", "sent-to-left",    "worked-on", "stop", "recovery"};
+    static const char* const names[SOAK_CHECKS] = {"twice",        "refused-and-run", "mixed",        "lost",
+                                                   "refused-idle", "put-behind",      "sent-to-left", "worked-on",
+                                                   "stop",         "recovery",        "deadly",       "shut-out"};
     return names[check];
 }
 
@@ -162,16 +166,22 @@
 
 static void take_sent(judge_t* j, int64_t at_ms, const char* rest) {
     char kind[NAME_SIZE] = "";
+    char body[NAME_SIZE] = "-";
     if (j->count == MAX_REQUESTS) {
         return;
     }
     request_t* r = &j->requests[j->count];
     *r = (request_t){.sent_ms = at_ms, .idle = idle_share(j)};
-    if (sscanf(rest, "%31s %31s %31s %u", r->id, kind, r->host, &r->tokens) == 4) {
+    if (sscanf(rest, "%31s %31s %31s %u %31s", r->id, kind, r->host, &r->tokens, body) >= 4) {
         r->kind = soak_kind_find(kind);
         r->calm = !disturbed(j, at_ms, NULL, SETTLE_MS);
         cw_map_put(&j->by_id, cw_name_id(r->id), j->count++);
-        j->result.sent++;
+        r->deadly = strcmp(body, "-") != 0 ? soak_deadly_body(&j->deadly, body) : NULL;
+        if (r->deadly) {
+            r->deadly->sent++;
+        } else {
+            j->result.sent++;
+        }
     }
 }
 
@@ -192,10 +202,12 @@
     }
     uint32_t whole = 0;
     uint32_t right = 0;
-    sscanf(rest, "%*s %u %u %u", &r->status, &whole, &right);
+    uint32_t held = 0;
+    sscanf(rest, "%*s %u %u %u %*u %u", &r->status, &whole, &right, &held);
     r->done_ms = at_ms;
     r->whole = whole;
     r->right = right;
+    r->held = held;
 }
 
 static void take_begin(judge_t* j, int64_t at_ms, request_t* r, server_record_t* s) {
@@ -211,6 +223,18 @@
     }
 }
 
+static void take_fault(judge_t* j, int64_t at_ms, bool begins, const char* name, const char* target);
+
+/* A deadly request reached an upstream, or the upstream ends under it: a fault until the soak has it back. */
+static void take_deadly(judge_t* j, int64_t at_ms, const char* what, soak_deadly_body_t* body, const char* server) {
+    if (strcmp(what, "reach") == 0) {
+        soak_deadly_reach(body, at_ms);
+        return;
+    }
+    soak_deadly_died(body, at_ms);
+    take_fault(j, at_ms, true, "died", server);
+}
+
 static void take_upstream(judge_t* j, int64_t at_ms, const char* what, const char* rest) {
     char id[NAME_SIZE] = "";
     char server[NAME_SIZE] = "";
@@ -220,6 +244,10 @@
     if (!r || !s) {
         return;
     }
+    if (r->deadly && (strcmp(what, "reach") == 0 || strcmp(what, "died") == 0)) {
+        take_deadly(j, at_ms, what, r->deadly, server);
+        return;
+    }
     if (strcmp(what, "begin") == 0) {
         take_begin(j, at_ms, r, s);
         return;
@@ -469,7 +497,10 @@
     if (lost_by_stop(j, r)) {
         found(j, SOAK_LOST, r->done_ms, r->id, r->host);
     }
-    if (r->calm && promised(r) && r->idle >= IDLE_SHARE) {
+    if (r->held && !r->deadly) {
+        found(j, SOAK_SHUT_OUT, r->sent_ms, r->id, kind);
+    }
+    if (r->calm && promised(r) && r->idle >= IDLE_SHARE && !r->deadly) {
         found(j, SOAK_IDLE, r->sent_ms, r->id, kind);
     }
     bool repeatable = !once(r) || strcmp(soak_kinds[r->kind].route_kind, "stream") == 0;
@@ -480,6 +511,9 @@
 
 static void count_request(judge_t* j, const request_t* r) {
     soak_result_t* result = &j->result;
+    if (r->deadly) {
+        return;
+    }
     bool served = r->status / 100 == 2 && r->whole && r->right;
     bool refused = promised(r);
     result->served += served;
@@ -508,6 +542,9 @@
         if (!r->calm) {
             return;
         }
+        if (r->deadly) {
+            continue;
+        }
         asked += r->kind == from->kind;
         if (r->kind == from->kind && promised(r)) {
             refused++;
@@ -524,6 +561,20 @@
     }
 }
 
+static void judge_deadly(judge_t* j) {
+    for (uint32_t i = 0; i < j->deadly.count; i++) {
+        const soak_deadly_body_t* body = &j->deadly.bodies[i];
+        j->result.deadly_bodies++;
+        j->result.deadly_sent += body->sent;
+        j->result.deadly_ended += body->ended;
+        if (body->late > SOAK_DEADLY_REACHES) {
+            char what[64];
+            snprintf(what, sizeof(what), "%u ended, reached %u times more", body->ended, body->late);
+            found(j, SOAK_DEADLY, body->known_ms, what, body->name);
+        }
+    }
+}
+
 soak_result_t soak_judge(const char* record, uint32_t grace_ms, uint32_t drain_ms) {
     judge_t* j = cw_alloc(NULL, 1, sizeof(*j));
     j->requests = cw_alloc(NULL, MAX_REQUESTS, sizeof(*j->requests));
@@ -536,11 +587,12 @@
         const request_t* r = &j->requests[i];
         judge_request(j, r);
         count_request(j, r);
-        if (promised(r) && r->sent_ms >= next_window_ms && soak_kinds[r->kind].tokens_max) {
+        if (promised(r) && !r->deadly && r->sent_ms >= next_window_ms && soak_kinds[r->kind].tokens_max) {
             judge_window(j, i);
             next_window_ms = r->sent_ms + WINDOW_MS / 10;
         }
     }
+    judge_deadly(j);
     soak_result_t result = j->result;
     if (result.calm_sent && result.calm_served < RECOVERY_SHARE * result.calm_sent) {
         result.count[SOAK_RECOVERY] = 1;
--- a/tools/soak_site.c
+++ b/tools/soak_site.c
@@ -24,6 +24,9 @@
 #define SERVICE_SLOTS 6
 #define SERVICE_MS "40"
 #define PORT_LOOKUP 7102
+#define BACK_MIN_MS 1200 /* an upstream that a request ended is back so long after it */
+#define BACK_SPREAD_MS 1600
+#define DEADLY_STATUS 3 /* of an upstream that ends under a request */
 
 uint64_t soak_draw(soak_t* s) {
     return cw_mix(s->seed, ++s->draws);
@@ -198,6 +201,24 @@
     cw_buffer_drop(&p->line, used);
 }
 
+static void on_back(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    proc_t* p = w->data;
+    if (!p->soak->ending) {
+        soak_start_upstream_again(p);
+    }
+    soak_note(p->soak, "over died %s", p->name);
+}
+
+/* A request ended the upstream: it is back under its id after some seconds, and listed meanwhile. */
+static void ended_under_request(proc_t* p) {
+    p->lingers = true;
+    ev_timer_init(&p->back, on_back, 0.0, 0.0);
+    p->back.data = p;
+    soak_after(p->soak, &p->back, BACK_MIN_MS + (int64_t)(soak_draw(p->soak) % BACK_SPREAD_MS));
+}
+
 static void on_child(struct ev_loop* loop, ev_child* w, int events) {
     (void)events;
     proc_t* p = w->data;
@@ -207,6 +228,9 @@
     int code = WIFEXITED(w->rstatus) ? WEXITSTATUS(w->rstatus) : 128 + WTERMSIG(w->rstatus);
     if (p->kind == PROC_UPSTREAM) {
         soak_note(s, "down %s", p->name);
+        if (code == DEADLY_STATUS) {
+            ended_under_request(p);
+        }
         soak_publish_servers(s);
     } else if (p->kind == PROC_HOST) {
         soak_note(s, "ended %s:%d %d", p->name, SOAK_PORT_CALLERS, code);
@@ -339,12 +363,14 @@
     char seed[24];
     char rate[24];
     char count[24];
+    char deadly[24];
     char addresses[MAX_ARGS][32];
-    const char* args[MAX_ARGS + 1] = {"--seed", seed, "--rate", rate, "--callers", count};
-    uint32_t n = 6;
+    const char* args[MAX_ARGS + 1] = {"--seed", seed, "--rate", rate, "--callers", count, "--deadly", deadly};
+    uint32_t n = 8;
     snprintf(seed, sizeof(seed), "%" PRIu64, s->seed);
     snprintf(rate, sizeof(rate), "%.1f", s->per_s);
     snprintf(count, sizeof(count), "%u", s->callers);
+    snprintf(deadly, sizeof(deadly), "%u", s->deadly);
     for (uint32_t i = 0; i < s->hosts && n < MAX_ARGS; i++) {
         snprintf(addresses[n], sizeof(addresses[n]), "%s.%u:%d", s->base, i + 1, PORT_LOOKUP);
         args[n] = addresses[n];
--- a/tools/soak_site.h
+++ b/tools/soak_site.h
@@ -29,6 +29,7 @@
     char address[48]; /* of stand-ins, once ready */
     bool engine, leaving, told, stopping;
     bool lingers;       /* an upstream that ended, and is still listed */
+    ev_timer back;      /* of an upstream that a request ended: it starts again */
     int64_t started_ms; /* of an upstream, told with its entry */
     ev_child child;
     ev_io out; /* lines of stand-ins and callers */
@@ -50,7 +51,7 @@
     char dir[64];
     char base[16]; /* "127.A.B", of the hosts' addresses */
     uint64_t seed, draws;
-    uint32_t seconds, hosts, engines, services, callers;
+    uint32_t seconds, hosts, engines, services, callers, deadly;
     double per_s;
     bool keep;
     const char* kept_record; /* to be judged, NULL: a soak is run */
