--- a/chalkway.c
+++ b/chalkway.c
@@ -24,6 +24,7 @@
 #include "chalkway_place.h"
 #include "chalkway_prefix.h"
 #include "chalkway_pull.h"
+#include "chalkway_quarantine.h"
 #include "chalkway_reader.h"
 #include "chalkway_reading.h"
 #include "chalkway_relay.h"
--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -71,6 +71,7 @@
     uint32_t target_ms; /* to the first byte */
     uint32_t gap_ms;    /* longest pause between events, 0: no matter */
     bool repeatable;    /* it may be tried at a server that failed lately */
+    uint64_t spread;    /* not 0: the server follows from this number and not from the cost */
     uint32_t part_count;
     cw_work_part_t parts[CW_WORK_PARTS]; /* the start of the prompt */
 } cw_work_t;
@@ -894,6 +895,17 @@
     return avoid && _cw_balance_suspects(b, s, now_ms) ? &left->suspected : NULL;
 }
 
+/* Whether a choice goes before another one. */
+static bool _cw_balance_better(const cw_work_t* work, const cw_choice_t* c, const cw_choice_t* best) {
+    if (best->server == CW_BALANCE_NONE) {
+        return true;
+    }
+    if (work->spread) {
+        return cw_mix(work->spread, c->id) > cw_mix(work->spread, best->id);
+    }
+    return c->late != best->late ? best->late : c->cost_ms < best->cost_ms;
+}
+
 cw_choice_t cw_balance_choose(cw_balance_t* b, int64_t now_ms, const cw_work_t* work, const uint64_t* tried,
                               uint32_t tried_count) {
     cw_choice_t best = {.server = CW_BALANCE_NONE};
@@ -922,8 +934,7 @@
         }
         candidates++;
         c.late = _cw_balance_late(b, s, now_ms, work, c.wait_ms);
-        bool sooner = best.late && !c.late;
-        if (best.server == CW_BALANCE_NONE || sooner || (c.late == best.late && c.cost_ms < best.cost_ms)) {
+        if (_cw_balance_better(work, &c, &best)) {
             best = c;
         }
     }
--- a/chalkway_load.h
+++ b/chalkway_load.h
@@ -9,7 +9,8 @@
         receiver is to pass the entries on, and a list of entries. An entry
         tells all that a host, the sender or another one, has at one server
         now, so that a lost datagram is mended by the next one; it may also
-        name parts of prompts that were just sent there.
+        name parts of prompts that were just sent there. Marks of requests
+        under which servers end (chalkway_quarantine.h) follow the head.
 
     HOW TO USE IT
             size_t n = cw_load_encode(&message, bytes, sizeof(bytes));
@@ -22,9 +23,11 @@
         MIT, see LICENSE.
 */
 #include "chalkway_balance.h"
+#include "chalkway_quarantine.h"
 
-#define CW_LOAD_VERSION 5  /* raised where readers of before would misread an entry: no other version is read */
+#define CW_LOAD_VERSION 6  /* raised where readers of before would misread an entry: no other version is read */
 #define CW_LOAD_ENTRIES 24 /* in one datagram */
+#define CW_LOAD_MARKS 48   /* in one datagram, with which no entries are sent */
 #define CW_LOAD_PARTS 4    /* parts of prompts told with one entry */
 #define CW_LOAD_BYTES 4096 /* largest datagram: a full one fits */
 
@@ -58,6 +61,8 @@
     uint64_t host;            /* the sender */
     cw_knowledge_t knowledge; /* the sender's */
     cw_load_scope_t scope;
+    uint32_t mark_count;
+    cw_mark_t marks[CW_LOAD_MARKS];
     uint32_t count;
     cw_load_entry_t entries[CW_LOAD_ENTRIES];
 } cw_load_message_t;
@@ -86,7 +91,8 @@
 #define _CW_LOAD_QUIET_MS 100    /* of the first ranks, and of all in a small fleet */
 #define _CW_LOAD_QUIET_STEP_MS 8 /* of the others, for each daemon that lives */
 #define _CW_LOAD_FIRST_RANKS 3
-#define _CW_LOAD_HEAD 8                 /* fields before the entries */
+#define _CW_LOAD_HEAD 9                 /* fields before the entries; the last one holds the marks */
+#define _CW_LOAD_MARK 5                 /* numbers of a mark */
 #define _CW_LOAD_IDS 2                  /* first fields of an entry: the host, 0 for the sender, and the server */
 #define _CW_LOAD_FIELDS 12              /* of an entry before its backlogs; the last one says which are told */
 #define _CW_LOAD_BACKLOG_MAX UINT16_MAX /* ms, longer than any work waits: what is more is told as this */
@@ -148,6 +154,19 @@
     }
 }
 
+/* All marks in one flat array: kind, workspace, content, life, age. */
+static void _cw_load_pack_marks(msgpack_packer* p, const cw_load_message_t* message) {
+    msgpack_pack_array(p, (size_t)_CW_LOAD_MARK * message->mark_count);
+    for (uint32_t i = 0; i < message->mark_count; i++) {
+        const cw_mark_t* mark = &message->marks[i];
+        msgpack_pack_uint32(p, mark->kind);
+        msgpack_pack_uint64(p, mark->request.workspace);
+        msgpack_pack_uint64(p, mark->request.content);
+        msgpack_pack_uint64(p, mark->life);
+        msgpack_pack_uint32(p, mark->age_ms);
+    }
+}
+
 size_t cw_load_encode(const cw_load_message_t* message, uint8_t* out, size_t size) {
     msgpack_sbuffer buffer;
     msgpack_packer packer;
@@ -162,6 +181,7 @@
     msgpack_pack_uint32(&packer, message->knowledge.revision_age_ms);
     msgpack_pack_uint32(&packer, message->knowledge.servers_age_ms);
     msgpack_pack_uint32(&packer, message->scope);
+    _cw_load_pack_marks(&packer, message);
     for (uint32_t i = 0; i < message->count; i++) {
         _cw_load_pack_entry(&packer, &message->entries[i], message->host);
     }
@@ -242,6 +262,28 @@
     return ok;
 }
 
+static bool _cw_load_read_marks(cw_load_message_t* message, const msgpack_object* o) {
+    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size % _CW_LOAD_MARK ||
+        o->via.array.size / _CW_LOAD_MARK > CW_LOAD_MARKS) {
+        return false;
+    }
+    const msgpack_object_array* a = &o->via.array;
+    for (uint32_t at = 0; at < a->size; at += _CW_LOAD_MARK) {
+        cw_mark_t* mark = &message->marks[message->mark_count++];
+        uint64_t kind = 0;
+        uint64_t age_ms = 0;
+        if (!_cw_load_number(a, at, CW_MARK_KINDS - 1, &kind) ||
+            !_cw_load_number(a, at + 1, UINT64_MAX, &mark->request.workspace) ||
+            !_cw_load_number(a, at + 2, UINT64_MAX, &mark->request.content) ||
+            !_cw_load_number(a, at + 3, UINT64_MAX, &mark->life) || !_cw_load_number(a, at + 4, UINT32_MAX, &age_ms)) {
+            return false;
+        }
+        mark->kind = (cw_mark_kind_t)kind;
+        mark->age_ms = (uint32_t)age_ms;
+    }
+    return true;
+}
+
 static bool _cw_load_read(cw_load_message_t* message, const msgpack_object* o) {
     uint64_t version = 0;
     uint64_t scope = 0;
@@ -249,7 +291,8 @@
         version != CW_LOAD_VERSION || !_cw_load_number(&o->via.array, 1, UINT64_MAX, &message->cluster) ||
         !_cw_load_number(&o->via.array, 2, UINT64_MAX, &message->host) ||
         !_cw_load_read_knowledge(&message->knowledge, &o->via.array) ||
-        !_cw_load_number(&o->via.array, 7, CW_LOAD_SCOPE_COUNT - 1, &scope)) {
+        !_cw_load_number(&o->via.array, 7, CW_LOAD_SCOPE_COUNT - 1, &scope) || o->via.array.size < _CW_LOAD_HEAD ||
+        !_cw_load_read_marks(message, &o->via.array.ptr[_CW_LOAD_HEAD - 1])) {
         return false;
     }
     message->scope = (cw_load_scope_t)scope;
@@ -266,6 +309,7 @@
     msgpack_unpacked_init(&unpacked);
     size_t at = 0;
     message->count = 0;
+    message->mark_count = 0;
     bool ok = msgpack_unpack_next(&unpacked, (const char*)data, size, &at) == MSGPACK_UNPACK_SUCCESS && at == size &&
               _cw_load_read(message, &unpacked.data);
     msgpack_unpacked_destroy(&unpacked);
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -31,6 +31,7 @@
 #define YOUNG_MS 500              /* a process that has no configuration for longer takes its source to be away */
 #define DETACHED_MS 2000          /* a run that may not be repeated is left to itself for so long after its time */
 #define ID_MAX 128
+#define HELD_WHY "servers ended under it"
 
 typedef struct exchange_t {
     exchanges_t* all;
@@ -43,7 +44,8 @@
     pool_t* pool;
     cw_request_t machine;
     cw_work_t work;
-    cw_choice_t choice; /* the last one that was tried */
+    cw_choice_t choice;   /* the last one that was tried */
+    cw_verdict_t verdict; /* on what it is, at the last look for a server */
     uint32_t priority;
     int64_t arrived_ms, deadline_ms;
     int64_t wait_until_ms; /* in the queue: refused then */
@@ -286,6 +288,9 @@
     const cw_buffer_t* body = caller_body(x->caller);
     int64_t now_ms = clock_ms();
     int64_t left_ms = x->deadline_ms - now_ms;
+    if (x->verdict.kind == CW_VERDICT_TRIAL) {
+        quarantine_on_trial(e->desc.quarantine, &x->fingerprint, x->id);
+    }
     event(x, CW_EV_SENDING);
     x->transfers++;
     if (x->transfers > 1) {
@@ -448,15 +453,27 @@
         return;
     }
     x->result = x->answer_failed ? CW_TRY_FAILED : CW_TRY_SERVED;
+    quarantine_on_answer(x->all->desc.quarantine, &x->fingerprint);
     link_release(x->link);
     x->link = NULL;
     event(x, CW_EV_END);
 }
 
+/* Whether a server seems to have ended with the request there. One that leaves as planned may cut what it has; a way
+   that is lost says nothing of the server. */
+static bool ended_under(const exchange_t* x, link_failure_t failure) {
+    bool sent = x->machine.state != CW_REQ_CONNECTING;
+    return sent && (failure == LINK_RESET || failure == LINK_CLOSED) && !x->server->left;
+}
+
 static void link_on_broken(void* owner, link_failure_t failure) {
     exchange_t* x = owner;
-    static const char* const reasons[] = {"no connection", "reset", "closed before the end", "not an answer"};
+    static const char* const reasons[] = {"no connection", "reset", "nothing acknowledged", "closed before the end",
+                                          "not an answer"};
     x->link = NULL;
+    if (ended_under(x, failure)) {
+        quarantine_on_end(x->all->desc.quarantine, &x->fingerprint, x->server);
+    }
     if (failure == LINK_UNREACHABLE) {
         cw_log(x->all->desc.log, CW_EVENT_SERVER_AWAY, "server=%s pool=%s peer=%s", x->server_id, x->pool->name,
                x->server->published.address);
@@ -554,13 +571,39 @@
     return (int64_t)(wait_ms > WAIT_MIN_MS ? wait_ms : WAIT_MIN_MS);
 }
 
+/* Whether servers end under what the request is: then it goes nowhere, whatever its id, and is answered at once. */
+static bool held_back(exchange_t* x) {
+    quarantine_t* quarantine = x->all->desc.quarantine;
+    x->verdict = quarantine_ask(quarantine, &x->fingerprint);
+    x->work.spread = x->verdict.kind == CW_VERDICT_FREE ? 0 : x->fingerprint.content;
+    if (x->verdict.kind != CW_VERDICT_HELD) {
+        return false;
+    }
+    quarantine_count_held(quarantine, &x->fingerprint, x->id, &x->verdict);
+    x->retry_ms = x->verdict.retry_ms;
+    x->reason = HELD_WHY;
+    event(x, CW_EV_REFUSED);
+    return true;
+}
+
+/* The best server but for those that failed this request, or ended under another one that is the same. */
+static cw_choice_t choose(const exchange_t* x) {
+    uint64_t out[TRIED_MAX + CW_QUARANTINE_ENDS];
+    memcpy(out, x->tried, x->tried_count * sizeof(*out));
+    memcpy(out + x->tried_count, x->verdict.lives, x->verdict.ends * sizeof(*out));
+    return cw_balance_choose(x->pool->balance, clock_ms(), &x->work, out, x->tried_count + x->verdict.ends);
+}
+
 /* Takes the best server, or a place in the queue. */
 static void seek_server(exchange_t* x) {
     exchanges_t* e = x->all;
     assert(x->pool);
+    if (held_back(x)) {
+        return;
+    }
     x->choice = (cw_choice_t){.server = CW_BALANCE_NONE};
     if (!e->refusing && !behind_another(x)) {
-        x->choice = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, x->tried, x->tried_count);
+        x->choice = choose(x);
     }
     if (x->choice.late && !x->transfers) {
         x->retry_ms = (uint32_t)x->choice.wait_ms;
@@ -575,7 +618,8 @@
         }
         return;
     }
-    if (e->refusing || !x->pool->ready || x->tried_count >= x->pool->ready) {
+    bool none_left = x->tried_count >= x->pool->ready || x->choice.left_out.tried >= x->pool->ready;
+    if (e->refusing || !x->pool->ready || none_left) {
         refuse(x, e->refusing ? "this host is stopping" : "no server is left to try");
         return;
     }
@@ -841,6 +885,25 @@
     cw_catalog_release(before);
 }
 
+/* The first request of the kind that waits for a server, or has one. */
+static exchange_t* first_of(const exchanges_t* e, const cw_fingerprint_t* request) {
+    exchange_t* x = e->list;
+    while (x && (!cw_fingerprint_same(&x->fingerprint, request) || !(x->queued || x->link))) {
+        x = x->next;
+    }
+    return x;
+}
+
+void exchanges_on_held(exchanges_t* e, const cw_fingerprint_t* request) {
+    for (exchange_t* x = first_of(e, request); x; x = first_of(e, request)) {
+        if (!x->queued) {
+            broken(x, CW_EV_BROKEN, CW_TRY_CANCELLED, HELD_WHY);
+        } else if (!held_back(x)) {
+            return;
+        }
+    }
+}
+
 void exchanges_refuse_new(exchanges_t* e) {
     exchange_t* next = NULL;
     e->refusing = true;
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -6,6 +6,7 @@
 */
 #include "../chalkway_catalog.h"
 #include "front.h"
+#include "quarantine.h"
 #include "upstream.h"
 
 typedef struct exchanges_t exchanges_t;
@@ -24,6 +25,7 @@
     const cw_log_t* log;
     const dialect_t* dialect;
     upstreams_t* upstreams;
+    quarantine_t* quarantine; /* must outlive the exchanges */
     uint64_t seed;
     uint32_t young_ms; /* without a configuration for longer, the source is taken to be away; default 500 */
     /* A request was sent to or ended at a server: others should hear of it. */
@@ -50,6 +52,8 @@
 void exchanges_on_drained(exchanges_t* e, caller_t* caller);
 /* A place may have come free in the pool: requests that wait are tried again. */
 void exchanges_on_room(exchanges_t* e, pool_t* pool);
+/* The request is held from now on: what waits or runs of it is given up. */
+void exchanges_on_held(exchanges_t* e, const cw_fingerprint_t* request);
 /* Refuses what has not been sent and what comes from now on: this process ends soon. */
 void exchanges_refuse_new(exchanges_t* e);
 exchanges_stats_t exchanges_stats(const exchanges_t* e);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -18,6 +18,7 @@
 #include "front.h"
 #include "inventory.h"
 #include "mesh.h"
+#include "quarantine.h"
 #include "settings.h"
 #include "sync.h"
 #include "upstream.h"
@@ -45,6 +46,7 @@
     cw_lines_t lines;
     cw_log_t log;
     upstreams_t* upstreams;
+    quarantine_t* quarantine;
     exchanges_t* exchanges;
     front_t* front;
     sync_t* sync;
@@ -99,6 +101,26 @@
     mesh_on_life(((gateway_t*)user)->mesh, server);
 }
 
+static void on_alive(void* user, const server_t* server) {
+    quarantine_on_alive(((gateway_t*)user)->quarantine, server);
+}
+
+static void on_own_mark(void* user, const cw_mark_t* mark) {
+    mesh_on_mark(((gateway_t*)user)->mesh, mark);
+}
+
+static void on_mark(void* user, const cw_mark_t* mark) {
+    quarantine_on_mark(((gateway_t*)user)->quarantine, mark);
+}
+
+static uint32_t marks(void* user, uint32_t* at, cw_mark_t* out, uint32_t max) {
+    return quarantine_marks(((gateway_t*)user)->quarantine, at, out, max);
+}
+
+static void on_held(void* user, const cw_fingerprint_t* request) {
+    exchanges_on_held(((gateway_t*)user)->exchanges, request);
+}
+
 static void on_done(void* user, const char* route, const char* workspace, exchange_outcome_t outcome, uint32_t first_ms,
                     uint32_t took_ms) {
     directory_count(((gateway_t*)user)->directory, route, workspace, (uint32_t)outcome, first_ms, took_ms);
@@ -194,6 +216,13 @@
         (unsigned long long)m.news.out, (unsigned long long)m.news.in, (unsigned long long)m.news.passed_on);
     cw_message_add_text(out, "chalkway_load_of_unknown_total %llu\nchalkway_entries_refused_total %llu\n",
                         (unsigned long long)m.news.unknown, (unsigned long long)s.entries_refused);
+    quarantine_stats_t q = quarantine_stats(g->quarantine);
+    cw_message_add_text(out, "chalkway_suspect_requests %u\nchalkway_held_requests %u\n", q.requests.entries,
+                        q.requests.held);
+    cw_message_add_text(out, "chalkway_held_back_total %llu\nchalkway_suspects_pushed_out_total %llu\n",
+                        (unsigned long long)q.held_back, (unsigned long long)q.requests.pushed_out);
+    cw_message_add_text(out, "chalkway_marks_told_total %llu\nchalkway_marks_heard_total %llu\n",
+                        (unsigned long long)q.told, (unsigned long long)q.heard);
     cw_message_add_text(out, "chalkway_log_lines_lost_total %lu\n", g->lines.lost_ever);
     for (pool_t* pool = upstreams_pools(g->upstreams); pool; pool = pool->next) {
         cw_message_add_text(out, "chalkway_pool_ready{pool=\"%s\"} %u\n", pool->name, pool->ready);
@@ -323,12 +352,21 @@
                                                        .retry_window_ms = s->retry_window_ms,
                                                        .max_links = sockets / 2,
                                                        .is_mine = is_mine,
+                                                       .on_alive = on_alive,
                                                        .on_room = on_room,
                                                        .user_data = g});
+    g->quarantine = quarantine_setup(&(quarantine_desc_t){.log = &g->log,
+                                                          .upstreams = g->upstreams,
+                                                          .entries = s->suspects,
+                                                          .keep_ms = s->hold_ms,
+                                                          .on_mark = on_own_mark,
+                                                          .on_held = on_held,
+                                                          .user_data = g});
     g->exchanges = exchanges_setup(&(exchanges_desc_t){.loop = g->loop,
                                                        .log = &g->log,
                                                        .dialect = g->dialect,
                                                        .upstreams = g->upstreams,
+                                                       .quarantine = g->quarantine,
                                                        .seed = cw_mix(host, (uint64_t)clock_ms()),
                                                        .on_load = on_load,
                                                        .on_life = on_life,
@@ -341,6 +379,8 @@
                                         .knowledge = knowledge,
                                         .on_knowledge = on_knowledge,
                                         .on_members = on_members,
+                                        .on_mark = on_mark,
+                                        .marks = marks,
                                         .user_data = g},
                          err);
     g->sync = !g->mesh ? NULL
@@ -418,6 +458,7 @@
 
 static void shutdown_parts(gateway_t* g) {
     exchanges_shutdown(g->exchanges);
+    quarantine_shutdown(g->quarantine);
     front_shutdown(g->front);
     directory_shutdown(g->directory);
     inventory_shutdown(g->inventory);
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -133,6 +133,10 @@
     news_on_life(m->news, server);
 }
 
+void mesh_on_mark(mesh_t* m, const cw_mark_t* mark) {
+    news_on_mark(m->news, mark);
+}
+
 void mesh_tell_kept(mesh_t* m, const server_t* server, const cw_work_part_t* parts, uint32_t count) {
     news_tell_kept(m->news, server, parts, count);
 }
@@ -244,6 +248,8 @@
                                         .host = m->host,
                                         .knowledge = desc->knowledge,
                                         .on_knowledge = desc->on_knowledge,
+                                        .on_mark = desc->on_mark,
+                                        .marks = desc->marks,
                                         .user_data = desc->user_data},
                          err);
     m->peers = !m->news ? NULL
--- a/gateway/mesh.h
+++ b/gateway/mesh.h
@@ -23,6 +23,9 @@
     void (*on_knowledge)(void* user_data, const char* share, const cw_knowledge_t* knowledge);
     /* Members changed: daemons is the most that were known at once, rank this one's place among those that live. */
     void (*on_members)(void* user_data, uint32_t daemons, uint32_t rank);
+    /* Marks of requests under which servers end, as in news_desc_t. */
+    void (*on_mark)(void* user_data, const cw_mark_t* mark);
+    uint32_t (*marks)(void* user_data, uint32_t* at, cw_mark_t* out, uint32_t max);
     void* user_data;
 } mesh_desc_t;
 
@@ -37,6 +40,8 @@
 void mesh_on_load(mesh_t* m, const server_t* server, const cw_work_t* work);
 /* Whether the server lives is news: all are told at once. */
 void mesh_on_life(mesh_t* m, const server_t* server);
+/* A mark that is new: all are told at once. */
+void mesh_on_mark(mesh_t* m, const cw_mark_t* mark);
 /* Tells the peers that the server keeps these parts of prompts. */
 void mesh_tell_kept(mesh_t* m, const server_t* server, const cw_work_part_t* parts, uint32_t count);
 /* Whether this host is the one among those that live to which the key falls, in an order that all see alike. */
--- a/gateway/news.c
+++ b/gateway/news.c
@@ -13,9 +13,15 @@
 #define HOSTS_MAX 1024
 #define DIRTY_MAX 256
 #define QUEUE_MAX 512
-#define FLUSH_MS 1       /* news of what was sent waits so long, so that several share a datagram */
-#define SLOW_FLUSH_MS 50 /* news of what ended waits so long */
-#define TRANSIT_MS 10    /* least time that a datagram is taken to be under way */
+#define FLUSH_MS 1                    /* news of what was sent waits so long, so that several share a datagram */
+#define SLOW_FLUSH_MS 50              /* news of what ended waits so long */
+#define MARKS_MAX (4 * CW_LOAD_MARKS) /* that wait to be told; more are told with the next round of all */
+/* Marks of suspect requests are told again by the first ranks, so that a lost datagram and a host that has just started
+   cost no server. 48 marks of 30 bytes from two hosts are 3 KB a second for each host that hears them. */
+#define MARKS_REPEAT_MS 1000
+#define MARKS_RANKS 2
+#define MARKS_AGAIN_MS 150 /* a new mark is told a second time so much later: one datagram in ten may be lost */
+#define TRANSIT_MS 10      /* least time that a datagram is taken to be under way */
 
 /* A server whose load here is to be told. */
 typedef struct dirty_t {
@@ -30,6 +36,14 @@
     bool far; /* to the other halls too */
 } queued_t;
 
+/* A mark that waits to be told. */
+typedef struct told_mark_t {
+    cw_mark_t mark;
+    bool far;       /* to the other halls too */
+    int64_t due_ms; /* 0: at once */
+    int64_t at_ms;  /* when mark.age_ms was right */
+} told_mark_t;
+
 /* Another host that lives. */
 typedef struct peer_t {
     const cw_member_info_t* info; /* valid while the list of peers is made */
@@ -68,6 +82,10 @@
     uint32_t dirty_count;
     queued_t queue[QUEUE_MAX];
     uint32_t queue_count;
+    told_mark_t marks[MARKS_MAX];
+    uint32_t mark_count;
+    uint32_t marks_at; /* next place of the round of all */
+    int64_t marks_ms;  /* of its last part */
     int64_t flushed_ms, repeated_ms;
     int64_t tick_ms, tick_before_ms; /* the last two ticks */
     int64_t sent_ms;
@@ -76,6 +94,7 @@
 };
 
 static void flush(news_t* n);
+static void flush_after(news_t* n, uint32_t ms);
 
 /* -- who is told ---------------------------------------------------------- */
 
@@ -295,6 +314,94 @@
     n->queue[n->queue_count++] = (queued_t){.entry = *entry, .far = far};
 }
 
+/* -- marks ---------------------------------------------------------------- */
+
+static void mark_add(news_t* n, const cw_mark_t* mark, bool far, int64_t due_ms) {
+    if (n->mark_count < MARKS_MAX) {
+        n->marks[n->mark_count++] = (told_mark_t){.mark = *mark, .far = far, .due_ms = due_ms, .at_ms = clock_ms()};
+    }
+}
+
+/* Sends the marks that are due, only the far ones or all, in as few datagrams as hold them. */
+static void send_marks(news_t* n, bool far, void (*send)(news_t*, cw_load_message_t*)) {
+    cw_load_message_t message = {0};
+    int64_t now_ms = clock_ms();
+    for (uint32_t i = 0; i < n->mark_count; i++) {
+        const told_mark_t* told = &n->marks[i];
+        if (told->due_ms > now_ms || (far && !told->far)) {
+            continue;
+        }
+        message.marks[message.mark_count] = told->mark;
+        message.marks[message.mark_count++].age_ms += (uint32_t)(now_ms - told->at_ms);
+        if (message.mark_count == CW_LOAD_MARKS) {
+            send(n, &message);
+            message.mark_count = 0;
+        }
+    }
+    if (message.mark_count) {
+        send(n, &message);
+    }
+}
+
+static void drop_told_marks(news_t* n) {
+    int64_t now_ms = clock_ms();
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < n->mark_count; i++) {
+        if (n->marks[i].due_ms > now_ms) {
+            n->marks[kept++] = n->marks[i];
+        }
+    }
+    n->mark_count = kept;
+}
+
+static void tell_marks(news_t* n) {
+    if (!n->mark_count) {
+        return;
+    }
+    read_members(n);
+    if (n->is_relay) {
+        send_marks(n, false, send_to_hall);
+        send_marks(n, true, send_to_other_halls);
+    } else {
+        send_marks(n, true, send_to_relay);
+    }
+    drop_told_marks(n);
+}
+
+static void take_marks(news_t* n, const cw_load_message_t* message, uint32_t waited_ms) {
+    for (uint32_t i = 0; i < message->mark_count; i++) {
+        cw_mark_t mark = message->marks[i];
+        mark.age_ms += mark.age_ms < UINT32_MAX - waited_ms ? waited_ms : 0;
+        if (n->desc.on_mark) {
+            n->desc.on_mark(n->desc.user_data, &mark);
+        }
+        if (message->scope != CW_LOAD_LAST) {
+            mark_add(n, &mark, message->scope == CW_LOAD_FOR_ALL, 0);
+            n->stats.passed_on++;
+        }
+    }
+    tell_marks(n);
+}
+
+/* The first ranks tell all that counts again and again, a part at a time. */
+static void repeat_marks(news_t* n, int64_t now_ms) {
+    if (n->rank >= MARKS_RANKS || now_ms - n->marks_ms < MARKS_REPEAT_MS || !n->desc.marks) {
+        return;
+    }
+    cw_mark_t marks[CW_LOAD_MARKS];
+    uint32_t count = n->desc.marks(n->desc.user_data, &n->marks_at, marks, CW_LOAD_MARKS);
+    for (uint32_t i = 0; i < count; i++) {
+        mark_add(n, &marks[i], true, 0);
+    }
+    n->marks_ms = now_ms;
+}
+
+void news_on_mark(news_t* n, const cw_mark_t* mark) {
+    mark_add(n, mark, true, 0);
+    mark_add(n, mark, true, clock_ms() + MARKS_AGAIN_MS);
+    flush_after(n, FLUSH_MS);
+}
+
 /* -- own load ------------------------------------------------------------- */
 
 static bool entry_of(const news_t* n, const dirty_t* dirty, int64_t now_ms, cw_load_entry_t* entry) {
@@ -354,6 +461,7 @@
     if (n->queue_count || (n->is_relay && quiet)) {
         pass_queue_on(n);
     }
+    tell_marks(n);
 }
 
 static void on_flush(struct ev_loop* loop, ev_timer* w, int events) {
@@ -567,6 +675,7 @@
         n->stats.in++;
         cw_knowledge_age(&message.knowledge, waited_ms);
         n->desc.on_knowledge(n->desc.user_data, share, &message.knowledge);
+        take_marks(n, &message, waited_ms);
         take_message(n, &message);
     }
 }
@@ -582,6 +691,8 @@
 
 void news_tell_all(news_t* n) {
     n->repeated_ms = 0;
+    n->marks_ms = 0;
+    n->marks_at = 0;
 }
 
 void news_tick(news_t* n, int64_t now_ms) {
@@ -590,6 +701,8 @@
     if (now_ms - n->repeated_ms >= n->plan.repeat_ms) {
         repeat_all(n, now_ms);
     }
+    repeat_marks(n, now_ms);
+    tell_marks(n);
     bool due = n->dirty_count && now_ms - n->flushed_ms >= SLOW_FLUSH_MS;
     if (due || is_quiet(n, now_ms)) {
         flush(n);
--- a/gateway/news.h
+++ b/gateway/news.h
@@ -21,6 +21,10 @@
     cw_knowledge_t (*knowledge)(void* user_data);
     /* What a peer knows; share: address at which it can be read. */
     void (*on_knowledge)(void* user_data, const char* share, const cw_knowledge_t* knowledge);
+    /* A mark that another daemon told; age_ms counts until now. May be NULL. */
+    void (*on_mark)(void* user_data, const cw_mark_t* mark);
+    /* Marks to be told again, from place *at on, which is 0 behind the last one. May be NULL. */
+    uint32_t (*marks)(void* user_data, uint32_t* at, cw_mark_t* out, uint32_t max);
     void* user_data;
 } news_desc_t;
 
@@ -42,6 +46,8 @@
 void news_on_life(news_t* n, const server_t* server);
 /* The server keeps these parts of prompts. */
 void news_tell_kept(news_t* n, const server_t* server, const cw_work_part_t* parts, uint32_t count);
+/* A mark that is new here: told at once. */
+void news_on_mark(news_t* n, const cw_mark_t* mark);
 void news_tick(news_t* n, int64_t now_ms);
 news_stats_t news_stats(const news_t* n);
 
--- /dev/null
+++ b/gateway/quarantine.c
@@ -0,0 +1,122 @@
+#include "quarantine.h"
+
+#include <stdlib.h>
+
+#include "clock.h"
+
+struct quarantine_t {
+    quarantine_desc_t desc;
+    cw_quarantine_t* table;
+    uint64_t told, heard, held_back, trials;
+};
+
+static const char* verdict_name(cw_verdict_kind_t kind) {
+    static const char* const names[] = {"free", "apart", "trial", "held"};
+    return names[kind];
+}
+
+/* Takes a mark over and says what it changed; returns whether it was news. */
+static bool take(quarantine_t* q, const cw_mark_t* mark, const char* by) {
+    int64_t now_ms = clock_ms();
+    const cw_fingerprint_t* request = &mark->request;
+    cw_verdict_t before = cw_quarantine_ask(q->table, now_ms, request);
+    if (!cw_quarantine_take(q->table, now_ms, mark)) {
+        return false;
+    }
+    cw_verdict_t after = cw_quarantine_ask(q->table, now_ms, request);
+    if (after.kind != before.kind) {
+        cw_log(q->desc.log, CW_EVENT_REQUEST_SUSPECTED,
+               "fingerprint=%016llx workspace=%016llx verdict=%s was=%s ends=%u life=%016llx age_ms=%u told_by=%s "
+               "retry_ms=%u",
+               (unsigned long long)request->content, (unsigned long long)request->workspace, verdict_name(after.kind),
+               verdict_name(before.kind), after.ends, (unsigned long long)mark->life, mark->age_ms, by, after.retry_ms);
+    }
+    /* The last trial goes on: only what comes after it is held. */
+    if (mark->kind == CW_MARK_ENDED && after.kind == CW_VERDICT_HELD && before.kind != CW_VERDICT_HELD) {
+        q->desc.on_held(q->desc.user_data, request);
+    }
+    return true;
+}
+
+/* A mark of this daemon's own. */
+static void make(quarantine_t* q, const cw_mark_t* mark) {
+    if (take(q, mark, "self")) {
+        q->told++;
+        q->desc.on_mark(q->desc.user_data, mark);
+    }
+}
+
+/* From now on a sign of the server over an older connection is listened for. */
+static void watch(server_t* server, int64_t ended_ms) {
+    server->ended_ms = ended_ms;
+}
+
+cw_verdict_t quarantine_ask(quarantine_t* q, const cw_fingerprint_t* request) {
+    return cw_quarantine_ask(q->table, clock_ms(), request);
+}
+
+void quarantine_count_held(quarantine_t* q, const cw_fingerprint_t* request, const char* id,
+                           const cw_verdict_t* verdict) {
+    q->held_back++;
+    cw_log(q->desc.log, CW_EVENT_REQUEST_HELD, "id=%s fingerprint=%016llx workspace=%016llx ends=%u retry_ms=%u", id,
+           (unsigned long long)request->content, (unsigned long long)request->workspace, verdict->ends,
+           verdict->retry_ms);
+}
+
+void quarantine_on_trial(quarantine_t* q, const cw_fingerprint_t* request, const char* id) {
+    cw_mark_t mark = {.kind = CW_MARK_TRIED, .request = *request, .life = cw_mix(cw_name_id(id), ++q->trials)};
+    make(q, &mark);
+}
+
+void quarantine_on_end(quarantine_t* q, const cw_fingerprint_t* request, server_t* server) {
+    cw_mark_t mark = {.kind = CW_MARK_ENDED, .request = *request, .life = server->key};
+    watch(server, clock_ms());
+    make(q, &mark);
+}
+
+void quarantine_on_answer(quarantine_t* q, const cw_fingerprint_t* request) {
+    if (cw_quarantine_knows(q->table, request)) {
+        make(q, &(cw_mark_t){.kind = CW_MARK_CLEARED, .request = *request});
+    }
+}
+
+void quarantine_on_alive(quarantine_t* q, const server_t* server) {
+    make(q, &(cw_mark_t){.kind = CW_MARK_ALIVE, .life = server->key});
+}
+
+void quarantine_on_mark(quarantine_t* q, const cw_mark_t* mark) {
+    if (!take(q, mark, "other")) {
+        return;
+    }
+    q->heard++;
+    server_t* server = mark->kind == CW_MARK_ENDED ? upstreams_server(q->desc.upstreams, mark->life) : NULL;
+    if (server) {
+        watch(server, clock_ms() - mark->age_ms);
+    }
+}
+
+uint32_t quarantine_marks(quarantine_t* q, uint32_t* at, cw_mark_t* out, uint32_t max) {
+    return cw_quarantine_marks(q->table, clock_ms(), at, out, max);
+}
+
+quarantine_stats_t quarantine_stats(const quarantine_t* q) {
+    return (quarantine_stats_t){.requests = cw_quarantine_stats(q->table, clock_ms()),
+                                .told = q->told,
+                                .heard = q->heard,
+                                .held_back = q->held_back};
+}
+
+quarantine_t* quarantine_setup(const quarantine_desc_t* desc) {
+    quarantine_t* q = calloc(1, sizeof(*q));
+    if (!q) {
+        abort();
+    }
+    q->desc = *desc;
+    q->table = cw_quarantine_setup(&(cw_quarantine_desc_t){.entries = desc->entries, .keep_ms = desc->keep_ms});
+    return q;
+}
+
+void quarantine_shutdown(quarantine_t* q) {
+    cw_quarantine_shutdown(q->table);
+    free(q);
+}
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -36,6 +36,8 @@
     {"limits", "descriptors", CW_SETTING_COUNT_KIND, AT(descriptors), "4096", 64, 1000000, "of the process"},
     {"limits", "link", CW_SETTING_NUMBER, AT(link_mbps), "0", 0, 1000000,
      "Mbit/s of this host's network, 0: not said; hosts with the widest links pass news on in large fleets"},
+    {"limits", "suspects", CW_SETTING_COUNT_KIND, AT(suspects), "4096", 64, 1000000,
+     "requests under which servers ended that are remembered, a quarter of them of one workspace"},
     {"service", "lookup_keep", CW_SETTING_MS, AT(lookup_keep_ms), "1s", 100, 600000,
      "how long callers keep a lookup answer"},
     {"service", "grace", CW_SETTING_MS, AT(grace_ms), "8s", 500, 600000, "from the signal to stop to the forced end"},
@@ -43,6 +45,8 @@
     {"service", "retry_ratio", CW_SETTING_NUMBER, AT(retry_ratio), "0.1", 0, 1, "repeats for each first try"},
     {"service", "retry_slack", CW_SETTING_NUMBER, AT(retry_slack), "10", 0, 1000000,
      "repeats beyond that in a window, all hosts together"},
+    {"service", "hold", CW_SETTING_MS, AT(hold_ms), "30m", 1000, 86400000,
+     "how long it counts against a request that a server ended under it; with three such servers it is held back"},
     {"log", "level", CW_SETTING_NAME, AT(log_level), "info", 0, 0, "debug, info, warn or error"},
     {"log", "format", CW_SETTING_NAME, AT(log_format), "text", 0, 0, "text or json"},
 };
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -30,12 +30,14 @@
     uint32_t memory_bytes;
     uint32_t descriptors;
     double link_mbps;
+    uint32_t suspects;
     /* [service] */
     uint32_t lookup_keep_ms;
     uint32_t grace_ms;
     uint32_t retry_window_ms;
     double retry_ratio;
     double retry_slack;
+    uint32_t hold_ms;
     /* [log] */
     char log_level[CW_NAME_MAX];
     char log_format[CW_NAME_MAX];
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -24,7 +24,10 @@
 #define RETURN_MS 2000          /* an entry that lapsed while the source was away is back so long after it */
 #define POOL_SERVERS_MAX 1024   /* servers of one pool that are used */
 #define SERVERS_MAX 4096        /* of all pools that are known, those that are gone but still used among them */
-#define RETRY_SAFETY 0.8        /* share of the budget for repeats that is used */
+/* What comes over an older connection so long after a server was taken for ended proves that it lives: what it had sent
+   before may be under way, or be sent again by its machine, for less. */
+#define ALIVE_PROOF_MS 300
+#define RETRY_SAFETY 0.8 /* share of the budget for repeats that is used */
 
 struct link_t {
     server_t* server;
@@ -209,8 +212,22 @@
     }
 }
 
+/* Notices that a server goes on which was taken for ended. */
+static void hear(const link_t* l) {
+    server_t* s = l->server;
+    const upstreams_desc_t* desc = &s->pool->upstreams->desc;
+    bool proof = l->begun_ms < s->ended_ms && clock_ms() - s->ended_ms >= ALIVE_PROOF_MS;
+    if (proof && desc->on_alive) {
+        s->ended_ms = 0;
+        desc->on_alive(desc->user_data, s);
+    }
+}
+
 static void on_data(void* owner, const char* data, size_t size) {
     link_t* l = owner;
+    if (l->server->ended_ms) {
+        hear(l);
+    }
     if (!l->owner || !l->sent) {
         link_break(l, LINK_GARBLED); /* bytes that nobody asked for */
         return;
@@ -230,6 +247,7 @@
     }
     link_failure_t failure = end == CW_STREAM_REFUSED ? LINK_UNREACHABLE
                              : end == CW_STREAM_RESET ? LINK_RESET
+                             : end == CW_STREAM_LOST  ? LINK_LOST
                                                       : LINK_CLOSED;
     link_break(l, failure);
 }
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -39,6 +39,7 @@
     bool published_now;       /* in the list read last, leaving or not */
     int64_t missing_until_ms; /* not in the list: taken as gone then */
     bool probing;
+    int64_t ended_ms;  /* it was taken for ended then: it is listened for over older connections, 0: not */
     uint32_t open;     /* connections */
     link_t* idle;      /* used last first */
     double connect_ms; /* learned, 0: unknown */
@@ -66,7 +67,8 @@
 
 typedef enum link_failure_t {
     LINK_UNREACHABLE = 0, /* no connection came up: nothing was sent */
-    LINK_RESET,           /* reset, or nothing acknowledged in time */
+    LINK_RESET,           /* reset by the server */
+    LINK_LOST,            /* nothing acknowledged in time */
     LINK_CLOSED,          /* ended before the answer was whole */
     LINK_GARBLED          /* bytes that are no answer */
 } link_failure_t;
@@ -90,6 +92,8 @@
     uint32_t max_links; /* of this process */
     /* Whether this daemon, and no other one, sends to the server while it is cold; NULL: it does. */
     bool (*is_mine)(void* user_data, uint64_t server);
+    /* A server goes on over a connection that is older than its ended_ms. May be NULL. */
+    void (*on_alive)(void* user_data, const server_t* server);
     /* A place may have come free in the pool. */
     void (*on_room)(void* user_data, pool_t* pool);
     void* user_data;
--- a/io/stream.c
+++ b/io/stream.c
@@ -62,6 +62,11 @@
     s->handlers->on_end(s->owner, end);
 }
 
+/* By the error of the call that failed: only a reset says that somebody is there. */
+static void stream_break(cw_stream_t* s) {
+    stream_end(s, errno == ECONNRESET || errno == EPIPE ? CW_STREAM_RESET : CW_STREAM_LOST);
+}
+
 static void on_readable(struct ev_loop* loop, ev_io* w, int events) {
     (void)loop;
     (void)events;
@@ -73,7 +78,7 @@
     } else if (n == 0) {
         stream_end(s, CW_STREAM_FINISHED);
     } else if (errno != EAGAIN && errno != EINTR) {
-        stream_end(s, CW_STREAM_RESET);
+        stream_break(s);
     }
 }
 
@@ -127,7 +132,7 @@
         return;
     }
     if (!send_some(s)) {
-        stream_end(s, CW_STREAM_RESET);
+        stream_break(s);
         return;
     }
     compact(s);
--- a/io/stream.h
+++ b/io/stream.h
@@ -14,7 +14,8 @@
 
 typedef enum cw_stream_end_t {
     CW_STREAM_FINISHED = 0, /* the peer closed its side in order */
-    CW_STREAM_RESET,        /* reset, or nothing came back in time */
+    CW_STREAM_RESET,        /* reset by the peer */
+    CW_STREAM_LOST,         /* nothing came back in time: the peer, or the way to it, is gone */
     CW_STREAM_REFUSED       /* the connection did not come up */
 } cw_stream_end_t;
 
--- a/standins/fake_upstream.c
+++ b/standins/fake_upstream.c
@@ -168,10 +168,12 @@
     job_t* read = next_to_read(u);
     for (uint32_t i = 0; i < MAX_JOBS; i++) {
         job_t* job = &u->jobs[i];
-        if (job->used && job->running && !job->unread && job != read) {
+        bool whole = job->made >= job->length && !job->deadly; /* a deadly one never ends well */
+        if (job->used && job->running && !job->unread && job != read && !whole) {
             make_event(job);
+            whole = job->made >= job->length && !job->deadly;
         }
-        if (job->used && job->running && !job->unread && job->made >= job->length) {
+        if (job->used && job->running && !job->unread && whole) {
             cw_exchange_finish(job->x, true);
             say(u, "end", job);
             job_free(job);
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -45,6 +45,8 @@
     struct ev_loop* loop;
     cw_log_t log;
     upstreams_t* upstreams;
+    quarantine_t* quarantine;
+    uint32_t marks_told;
     exchanges_t* exchanges;
     front_t* front;
     cw_catalog_t* catalog;
@@ -198,6 +200,19 @@
     ((rig_t*)user)->life_told++;
 }
 
+static inline void rig_on_mark(void* user, const cw_mark_t* mark) {
+    (void)mark;
+    ((rig_t*)user)->marks_told++;
+}
+
+static inline void rig_on_held(void* user, const cw_fingerprint_t* request) {
+    exchanges_on_held(((rig_t*)user)->exchanges, request);
+}
+
+static inline void rig_on_alive(void* user, const server_t* server) {
+    quarantine_on_alive(((rig_t*)user)->quarantine, server);
+}
+
 static inline void rig_give_up(struct ev_loop* loop, ev_timer* w, int events) {
     (void)loop;
     (void)events;
@@ -273,12 +288,16 @@
                                                        .retry_slack = 100,
                                                        .retry_window_ms = 10000,
                                                        .max_links = 100,
+                                                       .on_alive = rig_on_alive,
                                                        .on_room = rig_on_room,
                                                        .user_data = r});
+    r->quarantine = quarantine_setup(&(quarantine_desc_t){
+        .log = &r->log, .upstreams = r->upstreams, .on_mark = rig_on_mark, .on_held = rig_on_held, .user_data = r});
     r->exchanges = exchanges_setup(&(exchanges_desc_t){.loop = r->loop,
                                                        .log = &r->log,
                                                        .dialect = &dialect_native,
                                                        .upstreams = r->upstreams,
+                                                       .quarantine = r->quarantine,
                                                        .seed = 7,
                                                        .young_ms = document ? 0 : 1,
                                                        .on_load = rig_on_load,
@@ -380,6 +399,7 @@
 
 static inline void rig_shutdown(rig_t* r) {
     exchanges_shutdown(r->exchanges);
+    quarantine_shutdown(r->quarantine);
     front_shutdown(r->front);
     upstreams_shutdown(r->upstreams);
     cw_catalog_release(r->catalog);
--- a/tests/test_deadly.c
+++ b/tests/test_deadly.c
@@ -47,7 +47,128 @@
 }
 END_TEST
 
+/* What the request above is, as every host makes it. */
+static cw_fingerprint_t fingerprint(const char* body) {
+    return cw_fingerprint(
+        0, &(cw_fingerprint_parts_t){
+               .method = "POST", .host = "h.example", .target = "/again/x", .body = body, .size = strlen(body)});
+}
+
+/* Other hosts tell that three servers ended under it, a second apart. */
+static void hear_of_three_ends(rig_t* r, const char* body) {
+    for (uint32_t i = 0; i < 3; i++) {
+        quarantine_on_mark(r->quarantine, &(cw_mark_t){.kind = CW_MARK_ENDED,
+                                                       .request = fingerprint(body),
+                                                       .life = 900 + i,
+                                                       .age_ms = 3000 - 1000 * i});
+    }
+}
+
+START_TEST(what_others_saw_holds_a_request_that_never_came_here_and_no_other) {
+    rig_t* r = rig_setup(ROUTES, 3);
+    rig_script(r, (rig_step_t[]){{RIG_ANSWER, OK("fine", "4")}}, 1);
+    hear_of_three_ends(r, "the same");
+    const char* answer = ask(r, "q1", "the same");
+    expect_status(answer, "503");
+    ck_assert(strstr(answer, "Retry-After: 179") && strstr(answer, "servers ended under it"));
+    expect_status(ask(r, "q2", "another"), "200");
+    ck_assert_uint_eq(r->arrival_count, 1);
+    rig_shutdown(r);
+}
+END_TEST
+
+static void on_news(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    hear_of_three_ends(w->data, "the same");
+}
+
+/* It runs at the first server as the news comes: that server is spared, and the caller is answered at once. */
+START_TEST(one_that_runs_as_the_news_comes_is_given_up) {
+    rig_t* r = rig_setup(ROUTES, 3);
+    ev_timer news;
+    rig_script(r, (rig_step_t[]){{RIG_SILENT, NULL}}, 1);
+    ev_timer_init(&news, on_news, 0.05, 0.0);
+    news.data = r;
+    ev_timer_start(r->loop, &news);
+    expect_status(ask(r, "q1", "the same"), "502");
+    ck_assert_uint_eq(r->arrival_count, 1);
+    rig_shutdown(r);
+}
+END_TEST
+
+/* Two servers end under each of many ordinary requests, which are answered by the third: none is held, then or later.
+ */
+START_TEST(an_answer_clears_what_shared_two_ends) {
+    rig_t* r = rig_setup(ROUTES, 3);
+    rig_script(r, (rig_step_t[]){CLOSES, CLOSES, {RIG_ANSWER, OK("fine", "4")}, CLOSES, {RIG_ANSWER, OK("fine", "4")}},
+               5);
+    expect_status(ask(r, "q1", "ordinary"), "502");
+    expect_status(ask(r, "q2", "ordinary"), "200");
+    expect_status(ask(r, "q3", "ordinary"), "200");
+    cw_fingerprint_t request = fingerprint("ordinary");
+    ck_assert_uint_eq(quarantine_ask(r->quarantine, &request).ends, 0);
+    rig_shutdown(r);
+}
+END_TEST
+
+static void on_late_answer(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    rig_t* r = w->data;
+    rig_conn_t* first = &r->conns[0];
+    cw_stream_write(&first->stream, "HTTP/1.1 200 OK\r\n", 17);
+    cw_stream_flush(&first->stream);
+    ev_break(r->loop, EVBREAK_ALL);
+}
+
+static void ignore_data(void* owner, const char* data, size_t size) {
+    (void)owner;
+    (void)data;
+    (void)size;
+}
+
+static void ignore_end(void* owner, cw_stream_end_t end) {
+    (void)owner;
+    (void)end;
+}
+
+/* One connection breaks, and 0.35 s later the server goes on over another one that is older: it did not end. */
+START_TEST(a_server_that_goes_on_over_an_older_connection_did_not_end) {
+    static const cw_stream_handlers_t handlers = {.on_data = ignore_data, .on_end = ignore_end};
+    static const char text[] = "POST /again/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n\r\n";
+    rig_t* r = rig_setup(ROUTES, 1);
+    cw_stream_t other;
+    struct sockaddr_in address;
+    ev_timer late;
+    rig_script(r, (rig_step_t[]){{RIG_SILENT, NULL}, CLOSES}, 2);
+    cw_addr_parse(front_address(r->front), &address, NULL);
+    cw_stream_connect(&other, r->loop, &address, &handlers, NULL);
+    cw_stream_write(&other, text, sizeof(text) - 1);
+    while (!r->arrival_count) {
+        ev_run(r->loop, EVRUN_ONCE);
+    }
+    usleep(2000); /* the next connection is younger */
+    expect_status(ask(r, "q1", "the same"), "502");
+    cw_fingerprint_t request = fingerprint("the same");
+    ck_assert_uint_eq(quarantine_ask(r->quarantine, &request).ends, 1);
+    ev_timer_init(&late, on_late_answer, 0.35, 0.0);
+    late.data = r;
+    ev_timer_start(r->loop, &late);
+    rig_run(r);
+    while (quarantine_ask(r->quarantine, &request).ends) {
+        ev_run(r->loop, EVRUN_ONCE);
+    }
+    cw_stream_close(&other);
+    rig_shutdown(r);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
+    tcase_add_test(t, what_others_saw_holds_a_request_that_never_came_here_and_no_other);
+    tcase_add_test(t, one_that_runs_as_the_news_comes_is_given_up);
+    tcase_add_test(t, an_answer_clears_what_shared_two_ends);
+    tcase_add_test(t, a_server_that_goes_on_over_an_older_connection_did_not_end);
     tcase_add_test(t, a_request_that_ended_three_servers_is_sent_to_no_other);
 }
 
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -19,6 +19,8 @@
     mesh_t* mesh;
     cw_knowledge_t knows; /* told to the others */
     uint32_t youngest_ms; /* age of the newest that it was told */
+    uint32_t marks;       /* that it heard */
+    cw_mark_t repeated;   /* told again as all that counts, life 0: nothing */
 } host_t;
 
 typedef struct fleet_t {
@@ -50,6 +52,20 @@
     (void)rank;
 }
 
+static void on_mark(void* user, const cw_mark_t* mark) {
+    ((host_t*)user)->marks += mark->request.content == 7 && mark->life == 101;
+}
+
+static uint32_t marks(void* user, uint32_t* at, cw_mark_t* out, uint32_t max) {
+    const host_t* host = user;
+    *at = 0;
+    if (!max || !host->repeated.life) {
+        return 0;
+    }
+    out[0] = host->repeated;
+    return 1;
+}
+
 static void on_room(void* user, pool_t* pool) {
     (void)user;
     (void)pool;
@@ -129,6 +145,8 @@
                                                .knowledge = knowledge,
                                                .on_knowledge = on_knowledge,
                                                .on_members = on_members,
+                                               .on_mark = on_mark,
+                                               .marks = marks,
                                                .user_data = host},
                                 &err);
         ck_assert_msg(host->mesh != NULL, "%s", cw_error_text(&err).text);
@@ -261,7 +279,36 @@
 }
 END_TEST
 
+static bool all_heard_the_mark(fleet_t* fleet) {
+    for (int i = 0; i < HOSTS; i++) {
+        if (i != HOSTS - 1 && !fleet->hosts[i].marks) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* A server ended under a request: every host of every hall hears it, by the host that saw it or, where that news was
+   lost, by those that tell all marks again. */
+START_TEST(a_mark_reaches_every_host_of_every_hall) {
+    static const cw_mark_t mark = {.kind = CW_MARK_ENDED, .request = {.content = 7}, .life = 101};
+    for (int again = 0; again < 2; again++) {
+        fleet_t* fleet = fleet_setup();
+        run_until(fleet, all_live);
+        for (int i = 0; i < HOSTS && again; i++) {
+            fleet->hosts[i].repeated = mark;
+        }
+        if (!again) {
+            mesh_on_mark(fleet->hosts[HOSTS - 1].mesh, &mark);
+        }
+        run_until(fleet, all_heard_the_mark);
+        fleet_shutdown(fleet);
+    }
+}
+END_TEST
+
 static void add(TCase* t) {
+    tcase_add_test(t, a_mark_reaches_every_host_of_every_hall);
     tcase_add_test(t, what_an_engine_keeps_is_told_to_every_host);
     tcase_add_test(t, each_key_falls_to_one_host);
     tcase_add_test(t, news_reaches_every_host_of_every_hall);
