--- a/chalkway_quarantine.h
+++ b/chalkway_quarantine.h
@@ -25,9 +25,11 @@
         from the load, so that those under suspicion meet at few servers and
         copies of one request at the same one; on trial with three that don't
         weigh three, when each further sending is told in advance and counts
-        half; held with a weight of three. So three servers end under such a
-        request, and six where others can't be told from it. An end is
-        forgotten after keep_ms, so that a wrong verdict heals.
+        half, until its server ends; held with a weight of three. Where that
+        hangs on an end so fresh that the news of what else ended then is still
+        under way, it is to wait. So three servers end under such a request,
+        and six where others can't be told from it. An end is forgotten after
+        keep_ms, so that a wrong verdict heals.
 
     HOW TO USE IT
             cw_quarantine_t* q = cw_quarantine_setup(&(cw_quarantine_desc_t){0});
@@ -48,7 +50,7 @@
 
 typedef enum cw_mark_kind_t {
     CW_MARK_ENDED = 0, /* the life of a server ended while the request was there */
-    CW_MARK_TRIED,     /* the request is sent on trial; life: any number of its own */
+    CW_MARK_TRIED,     /* the request is sent there on trial */
     CW_MARK_CLEARED,   /* the request was answered whole, or an operator released it */
     CW_MARK_ALIVE,     /* the life goes on: nothing ended it before */
     CW_MARK_KINDS
@@ -57,7 +59,7 @@
 /* What hosts tell each other. */
 typedef struct cw_mark_t {
     cw_mark_kind_t kind;
-    cw_fingerprint_t request; /* all zero with CW_MARK_ALIVE */
+    cw_fingerprint_t request; /* all zero with CW_MARK_ALIVE, and with an end of which only the moment matters */
     uint64_t life;            /* key of a server's life, 0 with CW_MARK_CLEARED */
     uint32_t age_ms;          /* since it happened */
 } cw_mark_t;
@@ -66,14 +68,16 @@
     CW_VERDICT_FREE = 0,
     CW_VERDICT_APART, /* its server follows from its fingerprint */
     CW_VERDICT_TRIAL, /* the same, and it is told before it is sent */
+    CW_VERDICT_WAIT,  /* it can't be said yet */
     CW_VERDICT_HELD   /* it is sent nowhere */
 } cw_verdict_kind_t;
 
 typedef struct cw_verdict_t {
     cw_verdict_kind_t kind;
     uint32_t ends;                      /* servers that ended under it and count */
-    uint64_t lives[CW_QUARANTINE_ENDS]; /* theirs: it is not to be sent there again */
-    uint32_t retry_ms;                  /* held: until it may be sent again */
+    uint32_t ruled_out;                 /* of lives */
+    uint64_t lives[CW_QUARANTINE_ENDS]; /* that ended under it, or have it on trial: not for it again */
+    uint32_t retry_ms;                  /* held, or to wait: until it may be sent, or more is known */
 } cw_verdict_t;
 
 typedef struct cw_quarantine_desc_t {
@@ -86,7 +90,8 @@
 typedef struct cw_quarantine_entry_t {
     cw_fingerprint_t request;
     cw_verdict_t verdict;
-    uint32_t age_ms[CW_QUARANTINE_ENDS]; /* of the verdict's ends */
+    uint32_t age_ms[CW_QUARANTINE_ENDS]; /* of the ends of the verdict's lives, or trials there */
+    bool tried[CW_QUARANTINE_ENDS];
 } cw_quarantine_entry_t;
 
 typedef struct cw_quarantine_stats_t {
@@ -104,6 +109,8 @@
 cw_verdict_t cw_quarantine_ask(cw_quarantine_t* q, int64_t now_ms, const cw_fingerprint_t* request);
 /* Whether any mark of the request counts: an answer to it is news. */
 bool cw_quarantine_knows(const cw_quarantine_t* q, const cw_fingerprint_t* request);
+/* A request that is held since the last call, one at a time; false: no other. */
+bool cw_quarantine_newly_held(cw_quarantine_t* q, int64_t now_ms, cw_quarantine_entry_t* out);
 /* Marks of requests that are apart, on trial or held, from place *at on, which moves; returns how many, at most max.
  *at is 0 again behind the last one. */
 uint32_t cw_quarantine_marks(cw_quarantine_t* q, int64_t now_ms, uint32_t* at, cw_mark_t* out, uint32_t max);
@@ -133,9 +140,9 @@
 #define _CW_QUARANTINE_HELD 6 /* three full ends, in halves */
 #define _CW_QUARANTINE_APART_ENDS 2
 #define _CW_QUARANTINE_TRIAL_ENDS 3
-/* Ends so near each other have one cause: hosts see one server's end within 3 ms of each other, and a request that is
-   sent again begins at the next server 40 ms later at the least. */
-#define _CW_QUARANTINE_TOGETHER_MS 30
+/* Ends so near each other may have one cause, and the news of them is there after so long: hosts see one server's end
+   within 3 ms of each other, and tell it within 2 ms in a small fleet and 50 through two relays. */
+#define _CW_QUARANTINE_TOGETHER_MS 100
 /* A life that ends twice so far apart ended twice: a server that starts again under its id is back after a second at
    the least, and the list may tell its new life later. Hosts see one end within less, but for links that lose much. */
 #define _CW_QUARANTINE_AGAIN_MS 1000
@@ -157,6 +164,7 @@
     _cw_end_t ends[CW_QUARANTINE_ENDS];
     uint64_t judged; /* the state of all marks that weight belongs to */
     uint32_t weight;
+    bool announced; /* as held */
 } _cw_quarantined_t;
 
 typedef struct _cw_life_t {
@@ -174,8 +182,9 @@
     cw_quarantine_desc_t desc;
     cw_map_t by_request;
     _cw_quarantined_t* entries;
-    uint32_t places; /* up to the last one that was ever used */
-    uint64_t state;  /* moves with each mark */
+    uint32_t places;       /* up to the last one that was ever used */
+    uint64_t state;        /* moves with each mark */
+    int64_t look_until_ms; /* some entry may come to be held until then */
     _cw_lives_t ended, alive;
     uint64_t pushed_out;
 };
@@ -221,12 +230,13 @@
 }
 
 /* The earliest that is told of one end of the life. */
-static void _cw_quarantine_note_end(cw_quarantine_t* q, uint64_t life, int64_t at_ms) {
+static bool _cw_quarantine_note_end(cw_quarantine_t* q, uint64_t life, int64_t at_ms) {
     const _cw_life_t* known = _cw_lives_find(&q->ended, life);
     bool other_end = !known || at_ms >= known->at_ms + _CW_QUARANTINE_AGAIN_MS;
     if (other_end || at_ms < known->at_ms) {
         _cw_lives_put(&q->ended, life, at_ms);
     }
+    return other_end;
 }
 
 /* The latest sign of the life; false: a later one is known. */
@@ -336,13 +346,23 @@
 /* Whether the life ended then under the request. */
 static bool _cw_quarantine_has_end(const _cw_quarantined_t* entry, uint64_t life, int64_t at_ms) {
     for (uint32_t i = 0; i < entry->count; i++) {
-        if (_cw_quarantine_same_end(&entry->ends[i], life, at_ms)) {
+        if (!entry->ends[i].tried && _cw_quarantine_same_end(&entry->ends[i], life, at_ms)) {
             return true;
         }
     }
     return false;
 }
 
+/* The trial of the request at the life, NULL: none is known. */
+static _cw_end_t* _cw_quarantine_trial(_cw_quarantined_t* entry, uint64_t life) {
+    for (uint32_t i = 0; i < entry->count; i++) {
+        if (entry->ends[i].tried && entry->ends[i].life == life) {
+            return &entry->ends[i];
+        }
+    }
+    return NULL;
+}
+
 /* Ends of the request but for this one, trials left out. */
 static uint32_t _cw_quarantine_other_ends(const _cw_quarantined_t* entry, uint64_t life, int64_t at_ms) {
     uint32_t others = 0;
@@ -352,18 +372,18 @@
     return others;
 }
 
-/* Another server ended at the same moment, without the request: it can't be the cause of both. */
-static bool _cw_quarantine_among_others(const cw_quarantine_t* q, const _cw_quarantined_t* entry,
-                                        const _cw_end_t* end) {
+/* Another server that ended at the same moment, without the request, which can't be the cause of both; NULL: none. */
+static const _cw_life_t* _cw_quarantine_witness(const cw_quarantine_t* q, const _cw_quarantined_t* entry,
+                                                const _cw_end_t* end) {
     for (uint32_t i = 0; i < _CW_QUARANTINE_LIVES; i++) {
         const _cw_life_t* other = &q->ended.items[i];
         int64_t apart_ms = other->at_ms > end->at_ms ? other->at_ms - end->at_ms : end->at_ms - other->at_ms;
         bool together = other->life && apart_ms <= _CW_QUARANTINE_TOGETHER_MS;
         if (together && !_cw_quarantine_has_end(entry, other->life, other->at_ms)) {
-            return true;
+            return other;
         }
     }
-    return false;
+    return NULL;
 }
 
 /* Another request was there that is as suspect: it may have been that one. */
@@ -380,7 +400,7 @@
 
 static uint32_t _cw_quarantine_end_weight(const cw_quarantine_t* q, const _cw_quarantined_t* entry,
                                           const _cw_end_t* end) {
-    bool half = end->tried || _cw_quarantine_among_others(q, entry, end) || _cw_quarantine_in_company(q, entry, end);
+    bool half = end->tried || _cw_quarantine_witness(q, entry, end) || _cw_quarantine_in_company(q, entry, end);
     return half ? 1 : _CW_QUARANTINE_FULL;
 }
 
@@ -421,19 +441,33 @@
     return until_ms > now_ms ? (uint32_t)(until_ms - now_ms) : 1;
 }
 
-static cw_verdict_t _cw_quarantine_judge(const cw_quarantine_t* q, _cw_quarantined_t* entry, int64_t now_ms) {
-    cw_verdict_t v = {0};
+/* Until all is known of the ends on which it hangs that the request is held; 0: it hangs on none that is fresh. */
+static uint32_t _cw_quarantine_wait_ms(const cw_quarantine_t* q, const _cw_quarantined_t* entry, int64_t now_ms) {
+    uint32_t sure = entry->weight;
+    int64_t youngest_ms = 0;
     for (uint32_t i = 0; i < entry->count; i++) {
-        if (!entry->ends[i].tried) {
-            v.lives[v.ends++] = entry->ends[i].life;
+        const _cw_end_t* end = &entry->ends[i];
+        if (now_ms - end->at_ms < _CW_QUARANTINE_TOGETHER_MS) {
+            sure -= _cw_quarantine_end_weight(q, entry, end) - 1;
+            youngest_ms = end->at_ms > youngest_ms ? end->at_ms : youngest_ms;
         }
     }
+    return sure >= _CW_QUARANTINE_HELD ? 0 : (uint32_t)(youngest_ms + _CW_QUARANTINE_TOGETHER_MS - now_ms);
+}
+
+static cw_verdict_t _cw_quarantine_judge(const cw_quarantine_t* q, _cw_quarantined_t* entry, int64_t now_ms) {
+    cw_verdict_t v = {.ruled_out = entry->count};
+    for (uint32_t i = 0; i < entry->count; i++) {
+        v.lives[i] = entry->ends[i].life;
+        v.ends += !entry->ends[i].tried;
+    }
     if (entry->count < _CW_QUARANTINE_APART_ENDS) {
         return v;
     }
     if (_cw_quarantine_weight(q, entry) >= _CW_QUARANTINE_HELD) {
-        v.kind = CW_VERDICT_HELD;
-        v.retry_ms = _cw_quarantine_held_for_ms(q, entry, now_ms);
+        v.retry_ms = _cw_quarantine_wait_ms(q, entry, now_ms);
+        v.kind = v.retry_ms ? CW_VERDICT_WAIT : CW_VERDICT_HELD;
+        v.retry_ms = v.retry_ms ? v.retry_ms : _cw_quarantine_held_for_ms(q, entry, now_ms);
     } else {
         v.kind = entry->count >= _CW_QUARANTINE_TRIAL_ENDS ? CW_VERDICT_TRIAL : CW_VERDICT_APART;
     }
@@ -460,19 +494,24 @@
     if (now_ms - at_ms >= (int64_t)q->desc.keep_ms || (!tried && _cw_quarantine_lived_on(q, mark->life, at_ms))) {
         return false;
     }
-    if (!tried) {
-        _cw_quarantine_note_end(q, mark->life, at_ms);
+    bool noted = !tried && _cw_quarantine_note_end(q, mark->life, at_ms);
+    if (!mark->request.content) {
+        return noted;
     }
     _cw_quarantined_t* entry = _cw_quarantine_get(q, &mark->request);
     _cw_quarantine_tidy(q, entry, now_ms);
     if (!entry->used) { /* tidied away: it had nothing that counts */
         entry = _cw_quarantine_get(q, &mark->request);
     }
-    if (at_ms <= entry->cleared_ms || _cw_quarantine_has_end(entry, mark->life, at_ms) ||
-        entry->count == CW_QUARANTINE_ENDS) {
+    _cw_end_t* trial = _cw_quarantine_trial(entry, mark->life);
+    if (at_ms <= entry->cleared_ms || _cw_quarantine_has_end(entry, mark->life, at_ms) || (tried && trial)) {
+        return false;
+    }
+    if (!trial && entry->count == CW_QUARANTINE_ENDS) {
         return false;
     }
-    entry->ends[entry->count++] = (_cw_end_t){.life = mark->life, .at_ms = at_ms, .tried = tried};
+    trial = trial ? trial : &entry->ends[entry->count++]; /* the end of a server takes the place of its trial */
+    *trial = (_cw_end_t){.life = mark->life, .at_ms = at_ms, .tried = tried};
     entry->news_ms = now_ms;
     return true;
 }
@@ -483,7 +522,7 @@
     switch (mark->kind) {
         case CW_MARK_ENDED:
         case CW_MARK_TRIED:
-            news = mark->request.content && mark->life && _cw_quarantine_add_end(q, mark, at_ms, now_ms);
+            news = mark->life && _cw_quarantine_add_end(q, mark, at_ms, now_ms);
             break;
         case CW_MARK_CLEARED:
             news = mark->request.content && _cw_quarantine_cleared(q, &mark->request, at_ms, now_ms);
@@ -494,7 +533,10 @@
         case CW_MARK_KINDS:
             break;
     }
-    q->state += news;
+    if (news) {
+        q->state++;
+        q->look_until_ms = now_ms + 2 * _CW_QUARANTINE_TOGETHER_MS;
+    }
     return news;
 }
 
@@ -513,6 +555,20 @@
 
 /* -- telling -------------------------------------------------------------- */
 
+static uint32_t _cw_quarantine_age(int64_t at_ms, int64_t now_ms) {
+    return now_ms > at_ms ? (uint32_t)(now_ms - at_ms) : 0;
+}
+
+static cw_quarantine_entry_t _cw_quarantine_describe(const _cw_quarantined_t* entry, const cw_verdict_t* verdict,
+                                                     int64_t now_ms) {
+    cw_quarantine_entry_t out = {.request = entry->request, .verdict = *verdict};
+    for (uint32_t i = 0; i < entry->count; i++) {
+        out.age_ms[i] = _cw_quarantine_age(entry->ends[i].at_ms, now_ms);
+        out.tried[i] = entry->ends[i].tried;
+    }
+    return out;
+}
+
 /* The next entry from place *at on whose verdict is another than free. */
 static _cw_quarantined_t* _cw_quarantine_next(cw_quarantine_t* q, int64_t now_ms, uint32_t* at, cw_verdict_t* verdict) {
     while (*at < q->places) {
@@ -528,14 +584,10 @@
     return NULL;
 }
 
-static uint32_t _cw_quarantine_age(int64_t at_ms, int64_t now_ms) {
-    return now_ms > at_ms ? (uint32_t)(now_ms - at_ms) : 0;
-}
-
 uint32_t cw_quarantine_marks(cw_quarantine_t* q, int64_t now_ms, uint32_t* at, cw_mark_t* out, uint32_t max) {
     uint32_t count = 0;
     cw_verdict_t verdict;
-    while (count + CW_QUARANTINE_ENDS <= max) {
+    while (count + 2 * CW_QUARANTINE_ENDS <= max) { /* each end, and what speaks for its request */
         const _cw_quarantined_t* entry = _cw_quarantine_next(q, now_ms, at, &verdict);
         if (!entry) {
             *at = 0;
@@ -546,25 +598,39 @@
                                        .request = entry->request,
                                        .life = entry->ends[i].life,
                                        .age_ms = _cw_quarantine_age(entry->ends[i].at_ms, now_ms)};
+            const _cw_life_t* witness = _cw_quarantine_witness(q, entry, &entry->ends[i]);
+            if (witness) {
+                out[count++] = (cw_mark_t){
+                    .kind = CW_MARK_ENDED, .life = witness->life, .age_ms = _cw_quarantine_age(witness->at_ms, now_ms)};
+            }
         }
     }
     return count;
 }
 
 bool cw_quarantine_next(cw_quarantine_t* q, int64_t now_ms, uint32_t* at, cw_quarantine_entry_t* out) {
-    *out = (cw_quarantine_entry_t){0};
-    const _cw_quarantined_t* entry = _cw_quarantine_next(q, now_ms, at, &out->verdict);
+    cw_verdict_t verdict;
+    const _cw_quarantined_t* entry = _cw_quarantine_next(q, now_ms, at, &verdict);
     if (!entry) {
         return false;
     }
-    out->request = entry->request;
-    uint32_t ends = 0;
-    for (uint32_t i = 0; i < entry->count; i++) {
-        if (!entry->ends[i].tried) {
-            out->age_ms[ends++] = _cw_quarantine_age(entry->ends[i].at_ms, now_ms);
+    *out = _cw_quarantine_describe(entry, &verdict, now_ms);
+    return true;
+}
+
+bool cw_quarantine_newly_held(cw_quarantine_t* q, int64_t now_ms, cw_quarantine_entry_t* out) {
+    cw_verdict_t verdict;
+    _cw_quarantined_t* entry = NULL;
+    for (uint32_t at = 0; now_ms < q->look_until_ms && (entry = _cw_quarantine_next(q, now_ms, &at, &verdict));) {
+        bool held = verdict.kind == CW_VERDICT_HELD;
+        bool newly = held && !entry->announced;
+        entry->announced = held;
+        if (newly) {
+            *out = _cw_quarantine_describe(entry, &verdict, now_ms);
+            return true;
         }
     }
-    return true;
+    return false;
 }
 
 cw_quarantine_stats_t cw_quarantine_stats(cw_quarantine_t* q, int64_t now_ms) {
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -50,6 +50,7 @@
     int64_t arrived_ms, deadline_ms;
     int64_t wait_until_ms; /* in the queue: refused then */
     bool queued;
+    int64_t parked_until_ms; /* whether it may be sent can't be said before, 0: it can */
     /* the transfer at hand */
     server_t* server;
     char server_id[CW_NAME_MAX];            /* of the last transfer, for the log */
@@ -97,6 +98,7 @@
 static void act(exchange_t* x, uint32_t todo);
 static void event(exchange_t* x, cw_request_event_t e);
 static void refuse(exchange_t* x, const char* why);
+static void seek_server(exchange_t* x);
 
 static uint64_t draw(exchanges_t* e) {
     return cw_mix(e->desc.seed, ++e->draws);
@@ -208,6 +210,9 @@
     if (x->queued && x->wait_until_ms < due_ms) {
         due_ms = x->wait_until_ms;
     }
+    if (x->parked_until_ms && x->parked_until_ms < due_ms) {
+        due_ms = x->parked_until_ms;
+    }
     if (x->link && x->silent_at_ms && x->silent_at_ms < due_ms) {
         due_ms = x->silent_at_ms;
     }
@@ -266,6 +271,8 @@
             x->result = CW_TRY_FAILED;
         }
         event(x, CW_EV_DEADLINE);
+    } else if (x->parked_until_ms && now_ms >= x->parked_until_ms) {
+        seek_server(x);
     } else if (x->queued && now_ms >= x->wait_until_ms) {
         refuse(x, "no place came free in time");
     } else if (x->link && x->silent_at_ms && now_ms >= x->silent_at_ms) {
@@ -289,7 +296,7 @@
     int64_t now_ms = clock_ms();
     int64_t left_ms = x->deadline_ms - now_ms;
     if (x->verdict.kind == CW_VERDICT_TRIAL) {
-        quarantine_on_trial(e->desc.quarantine, &x->fingerprint, x->id);
+        quarantine_on_trial(e->desc.quarantine, &x->fingerprint, x->server);
     }
     event(x, CW_EV_SENDING);
     x->transfers++;
@@ -571,11 +578,18 @@
     return (int64_t)(wait_ms > WAIT_MIN_MS ? wait_ms : WAIT_MIN_MS);
 }
 
-/* Whether servers end under what the request is: then it goes nowhere, whatever its id, and is answered at once. */
+/* Whether servers end under what the request is: then it goes nowhere, whatever its id, and is answered at once, or,
+   where that can't be said yet, waits until it can. */
 static bool held_back(exchange_t* x) {
     quarantine_t* quarantine = x->all->desc.quarantine;
     x->verdict = quarantine_ask(quarantine, &x->fingerprint);
     x->work.spread = x->verdict.kind == CW_VERDICT_FREE ? 0 : x->fingerprint.content;
+    x->parked_until_ms = x->verdict.kind == CW_VERDICT_WAIT ? clock_ms() + x->verdict.retry_ms : 0;
+    if (x->parked_until_ms) {
+        queue_remove(x); /* it would stand before others */
+        timer_set(x);
+        return true;
+    }
     if (x->verdict.kind != CW_VERDICT_HELD) {
         return false;
     }
@@ -590,8 +604,8 @@
 static cw_choice_t choose(const exchange_t* x) {
     uint64_t out[TRIED_MAX + CW_QUARANTINE_ENDS];
     memcpy(out, x->tried, x->tried_count * sizeof(*out));
-    memcpy(out + x->tried_count, x->verdict.lives, x->verdict.ends * sizeof(*out));
-    return cw_balance_choose(x->pool->balance, clock_ms(), &x->work, out, x->tried_count + x->verdict.ends);
+    memcpy(out + x->tried_count, x->verdict.lives, x->verdict.ruled_out * sizeof(*out));
+    return cw_balance_choose(x->pool->balance, clock_ms(), &x->work, out, x->tried_count + x->verdict.ruled_out);
 }
 
 /* Takes the best server, or a place in the queue. */
@@ -888,7 +902,7 @@
 /* The first request of the kind that waits for a server, or has one. */
 static exchange_t* first_of(const exchanges_t* e, const cw_fingerprint_t* request) {
     exchange_t* x = e->list;
-    while (x && (!cw_fingerprint_same(&x->fingerprint, request) || !(x->queued || x->link))) {
+    while (x && (!cw_fingerprint_same(&x->fingerprint, request) || !(x->queued || x->link || x->parked_until_ms))) {
         x = x->next;
     }
     return x;
@@ -896,7 +910,7 @@
 
 void exchanges_on_held(exchanges_t* e, const cw_fingerprint_t* request) {
     for (exchange_t* x = first_of(e, request); x; x = first_of(e, request)) {
-        if (!x->queued) {
+        if (x->link) {
             broken(x, CW_EV_BROKEN, CW_TRY_CANCELLED, HELD_WHY);
         } else if (!held_back(x)) {
             return;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -324,6 +324,7 @@
     mesh_tick(g->mesh, now_ms);
     sync_tick(g->sync, now_ms);
     upstreams_tick(g->upstreams, now_ms);
+    quarantine_tick(g->quarantine);
     inventory_tick(g->inventory, now_ms);
     for (pool_t* pool = upstreams_pools(g->upstreams); pool && exchanges_stats(g->exchanges).waiting;
          pool = pool->next) {
--- a/gateway/news.c
+++ b/gateway/news.c
@@ -21,6 +21,7 @@
 #define MARKS_REPEAT_MS 1000
 #define MARKS_RANKS 2
 #define MARKS_AGAIN_MS 150 /* a new mark is told a second time so much later: one datagram in ten may be lost */
+#define LATE_MS 100        /* since the last tick: this process stood still, and what it reads now may have waited */
 #define TRANSIT_MS 10      /* least time that a datagram is taken to be under way */
 
 /* A server whose load here is to be told. */
@@ -368,10 +369,13 @@
     drop_told_marks(n);
 }
 
+/* Which servers ended at the same moment is told by the ages of marks, so that the longest time that the datagram may
+   have been under way is added only after this process stood still. */
 static void take_marks(news_t* n, const cw_load_message_t* message, uint32_t waited_ms) {
+    uint32_t late_ms = waited_ms > LATE_MS ? waited_ms : 0;
     for (uint32_t i = 0; i < message->mark_count; i++) {
         cw_mark_t mark = message->marks[i];
-        mark.age_ms += mark.age_ms < UINT32_MAX - waited_ms ? waited_ms : 0;
+        mark.age_ms += mark.age_ms < UINT32_MAX - late_ms ? late_ms : 0;
         if (n->desc.on_mark) {
             n->desc.on_mark(n->desc.user_data, &mark);
         }
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -1,5 +1,6 @@
 #include "quarantine.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "clock.h"
@@ -7,11 +8,11 @@
 struct quarantine_t {
     quarantine_desc_t desc;
     cw_quarantine_t* table;
-    uint64_t told, heard, held_back, trials;
+    uint64_t told, heard, held_back;
 };
 
 static const char* verdict_name(cw_verdict_kind_t kind) {
-    static const char* const names[] = {"free", "apart", "trial", "held"};
+    static const char* const names[] = {"free", "apart", "trial", "wait", "held"};
     return names[kind];
 }
 
@@ -31,10 +32,6 @@
                (unsigned long long)request->content, (unsigned long long)request->workspace, verdict_name(after.kind),
                verdict_name(before.kind), after.ends, (unsigned long long)mark->life, mark->age_ms, by, after.retry_ms);
     }
-    /* The last trial goes on: only what comes after it is held. */
-    if (mark->kind == CW_MARK_ENDED && after.kind == CW_VERDICT_HELD && before.kind != CW_VERDICT_HELD) {
-        q->desc.on_held(q->desc.user_data, request);
-    }
     return true;
 }
 
@@ -63,9 +60,8 @@
            verdict->retry_ms);
 }
 
-void quarantine_on_trial(quarantine_t* q, const cw_fingerprint_t* request, const char* id) {
-    cw_mark_t mark = {.kind = CW_MARK_TRIED, .request = *request, .life = cw_mix(cw_name_id(id), ++q->trials)};
-    make(q, &mark);
+void quarantine_on_trial(quarantine_t* q, const cw_fingerprint_t* request, const server_t* server) {
+    make(q, &(cw_mark_t){.kind = CW_MARK_TRIED, .request = *request, .life = server->key});
 }
 
 void quarantine_on_end(quarantine_t* q, const cw_fingerprint_t* request, server_t* server) {
@@ -95,6 +91,28 @@
     }
 }
 
+/* The ends that hold it, for the log: "LIFE:AGE_MS" each. */
+static void write_ends(const cw_quarantine_entry_t* held, char* out, size_t size) {
+    size_t n = 0;
+    out[0] = 0;
+    for (uint32_t i = 0; i < held->verdict.ruled_out && n < size; i++) {
+        n += (size_t)snprintf(out + n, size - n, "%s%016llx:%u%s", i ? "," : "",
+                              (unsigned long long)held->verdict.lives[i], held->age_ms[i], held->tried[i] ? "?" : "");
+    }
+}
+
+void quarantine_tick(quarantine_t* q) {
+    cw_quarantine_entry_t held;
+    char ends[CW_QUARANTINE_ENDS * 32];
+    while (cw_quarantine_newly_held(q->table, clock_ms(), &held)) {
+        write_ends(&held, ends, sizeof(ends));
+        cw_log(q->desc.log, CW_EVENT_REQUEST_BARRED, "fingerprint=%016llx workspace=%016llx ends=%s retry_ms=%u",
+               (unsigned long long)held.request.content, (unsigned long long)held.request.workspace, ends,
+               held.verdict.retry_ms);
+        q->desc.on_held(q->desc.user_data, &held.request);
+    }
+}
+
 uint32_t quarantine_marks(quarantine_t* q, uint32_t* at, cw_mark_t* out, uint32_t max) {
     return cw_quarantine_marks(q->table, clock_ms(), at, out, max);
 }
--- a/gateway/quarantine.h
+++ b/gateway/quarantine.h
@@ -37,8 +37,8 @@
 /* A request was answered as held. */
 void quarantine_count_held(quarantine_t* q, const cw_fingerprint_t* request, const char* id,
                            const cw_verdict_t* verdict);
-/* A request on trial is about to be sent. */
-void quarantine_on_trial(quarantine_t* q, const cw_fingerprint_t* request, const char* id);
+/* A request on trial is about to be sent to the server. */
+void quarantine_on_trial(quarantine_t* q, const cw_fingerprint_t* request, const server_t* server);
 /* The connection to the server broke while the request was there. */
 void quarantine_on_end(quarantine_t* q, const cw_fingerprint_t* request, server_t* server);
 /* The request was answered whole. */
@@ -47,6 +47,8 @@
 void quarantine_on_alive(quarantine_t* q, const server_t* server);
 /* Another daemon's mark. */
 void quarantine_on_mark(quarantine_t* q, const cw_mark_t* mark);
+/* Finds which requests have come to be held. */
+void quarantine_tick(quarantine_t* q);
 /* Marks to be told again, from place *at on. */
 uint32_t quarantine_marks(quarantine_t* q, uint32_t* at, cw_mark_t* out, uint32_t max);
 quarantine_stats_t quarantine_stats(const quarantine_t* q);
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -224,6 +224,7 @@
     (void)loop;
     (void)events;
     rig_t* r = w->data;
+    quarantine_tick(r->quarantine);
     for (pool_t* pool = upstreams_pools(r->upstreams); pool; pool = pool->next) {
         exchanges_on_room(r->exchanges, pool);
     }
