One clock that counts suspended time; a host that wakes ends what is over before anything else

Cause: the gateway aged by the monotonic clock, which stops while a machine is suspended, so a host that slept believed its list, news, deadlines and suspicions to be younger than they were. Change: io/clock.c alone reads the clock (CLOCK_BOOTTIME); gateway/wake.c compares both clocks in each turn of the loop, before its events; then every request looks at the clock, and connections at rest are closed. Weighed: timers on a descriptor that counts suspended time cost a call for each arming; the loop's timers looked at again on waking cost nothing until then.

--- a/gateway/clock.h
+++ b/gateway/clock.h
@@ -1,13 +1,10 @@
 #ifndef CW_GATEWAY_CLOCK_H
 #define CW_GATEWAY_CLOCK_H
-#include <stdint.h>
-#include <time.h>
+#include "../io/clock.h"
 
-/* Milliseconds on the monotonic clock. */
+/* Milliseconds on the clock that counts suspended time. */
 static inline int64_t clock_ms(void) {
-    struct timespec now;
-    clock_gettime(CLOCK_MONOTONIC, &now);
-    return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+    return cw_clock_ms();
 }
 
 #endif
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -77,6 +77,7 @@
     unsigned status;
     int64_t first_ms; /* first byte passed on, 0: none */
     int64_t last_ms;  /* latest byte passed on */
+    uint32_t woken;   /* the wake at which it looked at the clock */
     uint32_t gap_ms;  /* longest pause between two of them */
     ev_timer timer;
     struct exchange_t* prev;
@@ -91,6 +92,7 @@
     exchange_t* queue; /* see goes_before */
     bool refusing;
     uint64_t draws;
+    uint32_t wakes; /* times that the machine was suspended */
     int64_t setup_ms;
     exchanges_stats_t stats;
 };
@@ -257,10 +259,8 @@
     event(x, e);
 }
 
-static void on_timer(struct ev_loop* loop, ev_timer* w, int events) {
-    (void)loop;
-    (void)events;
-    exchange_t* x = w->data;
+/* Ends, gives up or moves on what is due by the clock. The exchange may be gone afterwards. */
+static void check_time(exchange_t* x) {
     int64_t now_ms = clock_ms();
     if (now_ms >= x->deadline_ms && x->machine.state == CW_REQ_DETACHED) {
         broken(x, CW_EV_BROKEN, CW_TRY_FAILED, "no answer long after its time");
@@ -287,6 +287,12 @@
     }
 }
 
+static void on_timer(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    check_time(w->data);
+}
+
 /* -- to the server -------------------------------------------------------- */
 
 static void send_request(exchange_t* x) {
@@ -801,6 +807,7 @@
     x->workspace = admission->workspace;
     x->fingerprint = fingerprint_of(caller, x->workspace);
     x->arrived_ms = clock_ms();
+    x->woken = e->wakes;
     x->deadline_ms = x->arrived_ms + admission->held_ms;
     x->priority = admission->priority;
     x->run.server = CW_BALANCE_NONE;
@@ -918,6 +925,23 @@
     }
 }
 
+/* One that has not looked at the clock since the last wake. What one does then may end others. */
+static exchange_t* not_woken(const exchanges_t* e) {
+    exchange_t* x = e->list;
+    while (x && x->woken == e->wakes) {
+        x = x->next;
+    }
+    return x;
+}
+
+void exchanges_on_wake(exchanges_t* e) {
+    e->wakes++;
+    for (exchange_t* x = not_woken(e); x; x = not_woken(e)) {
+        x->woken = e->wakes;
+        check_time(x);
+    }
+}
+
 void exchanges_refuse_new(exchanges_t* e) {
     exchange_t* next = NULL;
     e->refusing = true;
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -54,6 +54,8 @@
 void exchanges_on_room(exchanges_t* e, pool_t* pool);
 /* The request is held from now on: what waits or runs of it is given up. */
 void exchanges_on_held(exchanges_t* e, const cw_fingerprint_t* request);
+/* The machine was suspended: the loop's timers are behind, and what is over is ended now. */
+void exchanges_on_wake(exchanges_t* e);
 /* Refuses what has not been sent and what comes from now on: this process ends soon. */
 void exchanges_refuse_new(exchanges_t* e);
 exchanges_stats_t exchanges_stats(const exchanges_t* e);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -22,6 +22,7 @@
 #include "settings.h"
 #include "sync.h"
 #include "upstream.h"
+#include "wake.h"
 
 #define TICK_S 0.025
 #define LOG_BYTES 262144    /* lines that wait for a slow reader */
@@ -55,6 +56,7 @@
     directory_t* directory;
     cw_catalog_t* catalog; /* in force, NULL: none yet */
     ev_timer tick;
+    wake_t wake;
     ev_signal on_term, on_int, on_hup;
     int64_t tick_ms;
     cw_stop_t stop;
@@ -247,11 +249,23 @@
     }
 }
 
+/* Before anything else is done: what is over meanwhile ends, and no connection at rest is trusted. Ages follow from the
+   clock by themselves. */
+static void on_wake(void* user, int64_t suspended_ms) {
+    gateway_t* g = user;
+    cw_log(&g->log, CW_EVENT_WOKE, "gap_ms=%lld suspended_ms=%lld active=%u", (long long)suspended_ms,
+           (long long)suspended_ms, exchanges_stats(g->exchanges).active);
+    g->tick_ms = clock_ms();
+    exchanges_on_wake(g->exchanges);
+    upstreams_on_wake(g->upstreams);
+}
+
 static void notice_pause(gateway_t* g, int64_t now_ms) {
     int64_t gap_ms = g->tick_ms ? now_ms - g->tick_ms : 0;
     g->tick_ms = now_ms;
     if (gap_ms > PAUSE_MS) {
-        cw_log(&g->log, CW_EVENT_WOKE, "gap_ms=%lld", (long long)gap_ms);
+        cw_log(&g->log, CW_EVENT_WOKE, "gap_ms=%lld suspended_ms=0 active=%u", (long long)gap_ms,
+               exchanges_stats(g->exchanges).active);
     }
 }
 
@@ -451,9 +465,11 @@
     ev_timer_init(&g->tick, on_tick, 0.0, TICK_S);
     g->tick.data = g;
     ev_timer_start(g->loop, &g->tick);
+    wake_setup(&g->wake, g->loop, on_wake, g);
     cw_log(&g->log, CW_EVENT_STARTED, "host=%s hall=%s callers=%s peer=%s dialect=%s", g->settings.name,
            g->settings.hall, g->settings.callers, g->settings.peer, g->dialect->name);
     ev_run(g->loop, 0);
+    wake_shutdown(&g->wake);
     cw_log(&g->log, CW_EVENT_STOPPED, "cut=%u", exchanges_stats(g->exchanges).active);
 }
 
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -761,6 +761,14 @@
     ev_timer_start(s->pool->upstreams->desc.loop, &p->timer);
 }
 
+void upstreams_on_wake(upstreams_t* u) {
+    for (pool_t* pool = u->pools; pool; pool = pool->next) {
+        for (server_t* s = pool->servers; s; s = s->next) {
+            idle_close(s, clock_ms(), true);
+        }
+    }
+}
+
 void upstreams_tick(upstreams_t* u, int64_t now_ms) {
     free_dead(u);
     for (pool_t* pool = u->pools; pool; pool = pool->next) {
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -120,6 +120,8 @@
 bool upstreams_is_over(upstreams_t* u, int64_t now_ms, server_t* server, int64_t started_ms);
 /* A server said itself that it leaves. */
 void upstreams_leaves(upstreams_t* u, int64_t now_ms, server_t* server);
+/* The machine was suspended: connections at rest may have ended without a sign. */
+void upstreams_on_wake(upstreams_t* u);
 /* Closes idle connections in time and probes servers that are away. */
 void upstreams_tick(upstreams_t* u, int64_t now_ms);
 uint32_t upstreams_links(const upstreams_t* u);
--- a/tools/arrows.sh
+++ b/tools/arrows.sh
@@ -27,6 +27,7 @@
         inventory) echo "clock dialect inventory upstream" ;;
         settings) echo "settings" ;;
         clock) echo "clock" ;;
+        wake) echo "wake" ;;
         *) echo "any" ;;
     esac
 }
