Operators see which requests are held back, and release one

GET /held and POST /held/release on a gateway's metrics address, chalkwayctl held and release: what counted against the request goes at all hosts. The soak sends three deadly bodies by default.

--- a/gateway/directory.c
+++ b/gateway/directory.c
@@ -140,10 +140,35 @@
     free(body);
 }
 
+static void on_held(directory_t* d, cw_exchange_t* x) {
+    static const cw_header_t json = {"Content-Type", "application/json"};
+    cw_buffer_t out = {0};
+    d->desc.write_held(d->desc.user_data, &out);
+    cw_exchange_reply(x, 200, &json, 1, cw_buffer_text(&out), out.size);
+    cw_buffer_free(&out);
+}
+
+static void on_release(directory_t* d, cw_exchange_t* x) {
+    const char* fingerprint = cw_exchange_arg(x, "fingerprint");
+    const char* workspace = cw_exchange_arg(x, "workspace");
+    bool posted = strcmp(cw_exchange_method(x), "POST") == 0;
+    bool released =
+        posted && fingerprint && d->desc.release(d->desc.user_data, fingerprint, workspace ? workspace : "0");
+    cw_exchange_reply(x, released ? 200 : posted ? 404 : 405, NULL, 0, "", 0);
+}
+
 static void on_metrics(cw_exchange_t* x, void* user) {
     directory_t* d = user;
     static const cw_header_t text = {"Content-Type", "text/plain; version=0.0.4"};
     cw_buffer_t out = {0};
+    if (strcmp(cw_exchange_path(x), "/held") == 0) {
+        on_held(d, x);
+        return;
+    }
+    if (strcmp(cw_exchange_path(x), "/held/release") == 0) {
+        on_release(d, x);
+        return;
+    }
     d->desc.write_metrics(d->desc.user_data, &out);
     write_kinds(&out, "route", &d->routes);
     write_kinds(&out, "workspace", &d->workspaces);
--- a/gateway/directory.h
+++ b/gateway/directory.h
@@ -18,6 +18,9 @@
     bool (*is_ready)(void* user_data);
     uint32_t (*addresses)(void* user_data, const char* hall, const char** out, uint32_t max);
     void (*write_metrics)(void* user_data, cw_buffer_t* out);
+    /* The requests under suspicion as JSON, and the release of one: false when it isn't known. */
+    void (*write_held)(void* user_data, cw_buffer_t* out);
+    bool (*release)(void* user_data, const char* fingerprint, const char* workspace);
     void* user_data;
 } directory_desc_t;
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -235,6 +235,14 @@
     }
 }
 
+static void write_held(void* user, cw_buffer_t* out) {
+    quarantine_write(((gateway_t*)user)->quarantine, out);
+}
+
+static bool release(void* user, const char* fingerprint, const char* workspace) {
+    return quarantine_release(((gateway_t*)user)->quarantine, fingerprint, workspace);
+}
+
 /* -- time ----------------------------------------------------------------- */
 
 /* A planned stop: callers are led away first, then nothing new is taken, then the process ends. The other events of
@@ -429,6 +437,8 @@
                                                                   .is_ready = is_ready,
                                                                   .addresses = lookup,
                                                                   .write_metrics = metrics,
+                                                                  .write_held = write_held,
+                                                                  .release = release,
                                                                   .user_data = g},
                                               err);
     g->front = !g->directory ? NULL
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -1,7 +1,9 @@
 #include "quarantine.h"
 
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "clock.h"
 
@@ -117,6 +119,44 @@
     return cw_quarantine_marks(q->table, clock_ms(), at, out, max);
 }
 
+static json_t* hex(uint64_t id) {
+    char text[20];
+    snprintf(text, sizeof(text), "%016llx", (unsigned long long)id);
+    return json_string(text);
+}
+
+static json_t* describe(const cw_quarantine_entry_t* entry) {
+    const cw_verdict_t* v = &entry->verdict;
+    json_t* ends = json_array();
+    for (uint32_t i = 0; i < v->ruled_out; i++) {
+        json_array_append_new(ends, json_pack("{s:o,s:i,s:b}", "life", hex(v->lives[i]), "age_ms",
+                                              (int)entry->age_ms[i], "trial", entry->tried[i]));
+    }
+    return json_pack("{s:o,s:o,s:s,s:I,s:o}", "fingerprint", hex(entry->request.content), "workspace",
+                     hex(entry->request.workspace), "verdict", verdict_name(v->kind), "retry_ms",
+                     (json_int_t)v->retry_ms, "ends", ends);
+}
+
+void quarantine_write(quarantine_t* q, cw_buffer_t* out) {
+    json_t* list = json_array();
+    cw_quarantine_entry_t entry;
+    for (uint32_t at = 0; cw_quarantine_next(q->table, clock_ms(), &at, &entry);) {
+        json_array_append_new(list, describe(&entry));
+    }
+    json_t* root = json_pack("{s:o}", "requests", list);
+    char* text = json_dumps(root, JSON_COMPACT);
+    cw_buffer_add(out, text, strlen(text));
+    free(text);
+    json_decref(root);
+}
+
+bool quarantine_release(quarantine_t* q, const char* fingerprint, const char* workspace) {
+    cw_fingerprint_t request = {.workspace = strtoull(workspace, NULL, 16), .content = strtoull(fingerprint, NULL, 16)};
+    bool known = cw_quarantine_knows(q->table, &request);
+    quarantine_on_answer(q, &request);
+    return known;
+}
+
 quarantine_stats_t quarantine_stats(const quarantine_t* q) {
     return (quarantine_stats_t){.requests = cw_quarantine_stats(q->table, clock_ms()),
                                 .told = q->told,
--- a/gateway/quarantine.h
+++ b/gateway/quarantine.h
@@ -51,6 +51,11 @@
 void quarantine_tick(quarantine_t* q);
 /* Marks to be told again, from place *at on. */
 uint32_t quarantine_marks(quarantine_t* q, uint32_t* at, cw_mark_t* out, uint32_t max);
+/* The requests under suspicion as a JSON document. */
+void quarantine_write(quarantine_t* q, cw_buffer_t* out);
+/* An operator's word that a request is no danger, by its fingerprint and the id of its workspace as the log and
+   quarantine_write tell them, in hex: what counted against it goes, here and at the others. False: nothing did. */
+bool quarantine_release(quarantine_t* q, const char* fingerprint, const char* workspace);
 quarantine_stats_t quarantine_stats(const quarantine_t* q);
 
 #endif
--- a/tests/test_deadly.c
+++ b/tests/test_deadly.c
@@ -164,6 +164,28 @@
 }
 END_TEST
 
+/* An operator sees what is held back, and releases it: the next one is sent. */
+START_TEST(an_operator_lists_and_releases_what_is_held) {
+    rig_t* r = rig_setup(ROUTES, 3);
+    cw_buffer_t list = {0};
+    char fingerprint_hex[20];
+    cw_fingerprint_t request = fingerprint("the same");
+    snprintf(fingerprint_hex, sizeof(fingerprint_hex), "%016llx", (unsigned long long)request.content);
+    rig_script(r, (rig_step_t[]){{RIG_ANSWER, OK("fine", "4")}}, 1);
+    hear_of_three_ends(r, "the same");
+    expect_status(ask(r, "q1", "the same"), "503");
+    quarantine_write(r->quarantine, &list);
+    ck_assert(strstr(cw_buffer_text(&list), fingerprint_hex) && strstr(cw_buffer_text(&list), "\"held\""));
+    ck_assert(!quarantine_release(r->quarantine, "77", "0"));
+    uint32_t told = r->marks_told;
+    ck_assert(quarantine_release(r->quarantine, fingerprint_hex, "0"));
+    ck_assert_uint_eq(r->marks_told, told + 1);
+    expect_status(ask(r, "q2", "the same"), "200");
+    cw_buffer_free(&list);
+    rig_shutdown(r);
+}
+END_TEST
+
 /* A server ends under two requests, and the budget has one repeat left. Both are sent again over connections that take
    a moment to come up: what was decided for the first one must count for the second. Seen with half of nine engines
    ending at once: 391 repeats in ten seconds where 359 were allowed. */
@@ -207,6 +229,7 @@
     tcase_add_test(t, an_answer_clears_what_shared_two_ends);
     tcase_add_test(t, a_server_that_goes_on_over_an_older_connection_did_not_end);
     tcase_add_test(t, requests_that_break_at_once_share_what_is_left_of_the_budget);
+    tcase_add_test(t, an_operator_lists_and_releases_what_is_held);
     tcase_add_test(t, a_request_that_ended_three_servers_is_sent_to_no_other);
 }
 
--- a/tools/chalkwayctl.c
+++ b/tools/chalkwayctl.c
@@ -6,6 +6,9 @@
         chalkwayctl -a IP:PORT watch KIND            prints the table at each change
         chalkwayctl -a IP:PORT validate KIND/NAME FILE
         chalkwayctl -a IP:PORT status                this host, its members and shards
+        chalkwayctl -a IP:PORT held                  requests under which servers ended (a gateway's metrics address)
+        chalkwayctl -a IP:PORT release FINGERPRINT [WORKSPACE]
+                                                     one of them is no danger: all hosts take it again
         chalkwayctl explain ID FILE...               the lines of a request in daemons' logs, in order of time
 */
 #include <argp.h>
@@ -225,6 +228,33 @@
     return EX_OK;
 }
 
+static void print_held(json_t* root) {
+    size_t i = 0;
+    json_t* item = NULL;
+    printf("%-16s  %-16s  %-7s %4s  %s\n", "FINGERPRINT", "WORKSPACE", "VERDICT", "ENDS", "AGAIN IN S");
+    json_array_foreach(json_object_get(root, "requests"), i, item) {
+        printf("%-16s  %-16s  %-7s %4zu  %lld\n", json_string_value(json_object_get(item, "fingerprint")),
+               json_string_value(json_object_get(item, "workspace")),
+               json_string_value(json_object_get(item, "verdict")), json_array_size(json_object_get(item, "ends")),
+               (long long)json_integer_value(json_object_get(item, "retry_ms")) / 1000);
+    }
+}
+
+/* Every host hears of it from the one that is asked. */
+static int release(const args_t* args) {
+    char path[URL_MAX];
+    snprintf(path, sizeof(path), "/held/release?fingerprint=%s&workspace=%s", args->words[1],
+             args->count > 2 ? args->words[2] : "0");
+    reply_t r = ask(args, path, "", TIMEOUT_MS);
+    if (r.status == 200) {
+        printf("%s is released\n", args->words[1]);
+    } else if (r.status == 404) {
+        fprintf(stderr, "%s: nothing is known against such a request of this workspace\n", args->words[1]);
+    }
+    free(r.text);
+    return r.status == 200 ? EX_OK : r.status == 404 ? EX_DATAERR : EX_UNAVAILABLE;
+}
+
 static int run(const args_t* args) {
     const char* command = args->words[0];
     char path[URL_MAX];
@@ -250,6 +280,12 @@
     if (strcmp(command, "validate") == 0 && args->count == 3) {
         return validate(args);
     }
+    if (strcmp(command, "held") == 0 && args->count == 1) {
+        return show(args, "/held", print_held);
+    }
+    if (strcmp(command, "release") == 0 && (args->count == 2 || args->count == 3)) {
+        return release(args);
+    }
     if (strcmp(command, "status") == 0 && args->count == 1) {
         return show(args, "/v1/status", print_status);
     }
@@ -284,7 +320,8 @@
 
 int main(int argc, char** argv) {
     static const struct argp_option options[] = {
-        {"address", 'a', "IP:PORT", 0, "operator address of a host", 0},
+        {"address", 'a', "IP:PORT", 0, "operator address of a host; for held and release a gateway's metrics address",
+         0},
         {"output", 'o', "FORMAT", 0, "table (default) or json", 0},
         {0},
     };
@@ -292,7 +329,7 @@
                               .parser = parse_option,
                               .args_doc =
                                   "get KIND [NAME] | describe KIND NAME | watch KIND | validate KIND/NAME FILE | "
-                                  "status | explain ID FILE...",
+                                  "status | held | release FINGERPRINT [WORKSPACE] | explain ID FILE...",
                               .doc = "Shows declared resources and the state of hosts. KIND: workspaces, classes, "
                                      "pools, upstreams."};
     args_t args = {0};
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -196,7 +196,7 @@
         {"services", 'v', "N", 0, "default 3", 0},
         {"callers", 'n', "N", 0, "default 60", 0},
         {"rate", 'r', "N", 0, "requests a second, default 120", 0},
-        {"deadly", 'd', "N", 0, "bodies that end every upstream which begins to run them, default 0", 0},
+        {"deadly", 'd', "N", 0, "bodies that end every upstream which begins to run them, default 3", 0},
         {"keep", 'k', NULL, 0, "keep the record and the logs", 0},
         {"judge", 'j', "RECORD", 0, "start nothing: judge a record that was kept", 0},
         {0},
@@ -208,6 +208,7 @@
                           .hosts = 5,
                           .engines = 12,
                           .services = 3,
+                          .deadly = 3,
                           .callers = 60,
                           .per_s = 120};
     soak_t* s = &soak;
