--- /dev/null
+++ b/gateway/seek.c
@@ -0,0 +1,186 @@
+/* Finding a server for a request: whether it may be sent at all, which server, and what to do while none has a place.
+ */
+#include <assert.h>
+#include <string.h>
+
+#include "clock.h"
+#include "exchange_parts.h"
+
+#define WAIT_SHARE 0.4 /* of the shortest target in the pool: longest wait for a place, then the request is refused */
+#define WAIT_MIN_MS 20
+
+/* -- the queue ------------------------------------------------------------ */
+
+/* One more (by = 1) or fewer (-1) of the request's urgency wait. */
+static void tell_waiting(const exchange_t* x, int by) {
+    uint32_t* waiting = &x->pool->waiting[x->work.urgency];
+    *waiting = (uint32_t)((int)*waiting + by);
+    cw_balance_waiting(x->pool->balance, clock_ms(), x->work.urgency, *waiting);
+}
+
+void exchange_queue_remove(exchange_t* x) {
+    for (exchange_t** at = &x->all->queue; x->queued && *at; at = &(*at)->next_queued) {
+        if (*at == x) {
+            *at = x->next_queued;
+            x->queued = false;
+            x->all->stats.waiting--;
+            tell_waiting(x, -1);
+            return;
+        }
+    }
+}
+
+/* Whether x goes before y: by urgency, which engines go by too, then by arrival. A place that an urgent request waits
+   for would else go to whatever a favoured workspace sends. */
+static bool goes_before(const exchange_t* x, const exchange_t* y) {
+    return x->work.urgency != y->work.urgency ? x->work.urgency < y->work.urgency : x->arrived_ms < y->arrived_ms;
+}
+
+static void queue_add(exchange_t* x) {
+    exchange_t** at = &x->all->queue;
+    while (*at && !goes_before(x, *at)) {
+        at = &(*at)->next_queued;
+    }
+    x->next_queued = *at;
+    *at = x;
+    x->queued = true;
+    x->all->stats.waiting++;
+    tell_waiting(x, 1);
+}
+
+void exchange_refuse(exchange_t* x, const char* why) {
+    const pool_t* pool = x->pool;
+    const cw_choice_t* c = &x->choice;
+    const server_t* best = c->server == CW_BALANCE_NONE ? NULL : upstreams_server(x->all->desc.upstreams, c->id);
+    x->reason = why;
+    cw_log(x->all->desc.log, CW_EVENT_REQUEST_REFUSED,
+           "id=%s why=\"%s\" route=%s pool=%s priority=%u urgency=%u server=%s prompt=%u kept=%u wait_ms=%.0f "
+           "read_ms=%.0f read_us=%.1f target_ms=%u ready=%u candidates=%u tried=%u away=%u cold=%u suspected=%u "
+           "no_place=%u fullness=%.2f age_ms=%u waited_ms=%lld revision=%lld",
+           x->id, why, x->route->name, pool->name, x->priority, x->work.urgency, best ? best->published.id : "-",
+           x->work.prompt_tokens, c->kept, c->wait_ms, c->read_ms, cw_balance_read_rate(pool->balance) * US_PER_MS,
+           x->route->target_ms, pool->ready, c->candidates, c->left_out.tried, c->left_out.away, c->left_out.cold,
+           c->left_out.suspected, c->left_out.no_place, cw_balance_fullness(pool->balance, clock_ms()), c->age_ms,
+           (long long)(clock_ms() - x->arrived_ms), (long long)x->catalog->revision);
+    exchange_event(x, CW_EV_REFUSED);
+}
+
+/* Whether one that is as urgent, and whose time is as short, waits for the pool already. */
+static bool behind_another(const exchange_t* x) {
+    for (const exchange_t* y = x->all->queue; y && !goes_before(x, y) && !x->queued; y = y->next_queued) {
+        if (y->pool == x->pool && y->route->target_ms <= x->route->target_ms) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* How long a request waits for a place: the same for all of a pool, since those that waited longer, for their longer
+   targets, would take the places that come free while more urgent work gives up. */
+static int64_t place_wait_ms(const exchange_t* x) {
+    double shortest_ms = cw_balance_shortest_target(x->pool->balance);
+    double target_ms = x->route->target_ms;
+    double wait_ms = WAIT_SHARE * (shortest_ms > 0 && shortest_ms < target_ms ? shortest_ms : target_ms);
+    return (int64_t)(wait_ms > WAIT_MIN_MS ? wait_ms : WAIT_MIN_MS);
+}
+
+/* Whether servers end under what the request is: then it goes nowhere, whatever its id, and is answered at once, or,
+   where that can't be said yet, waits until it can. */
+bool exchange_held_back(exchange_t* x) {
+    quarantine_t* quarantine = x->all->desc.quarantine;
+    x->verdict = quarantine_ask(quarantine, &x->fingerprint);
+    x->work.spread = x->verdict.kind == CW_VERDICT_FREE ? 0 : x->fingerprint.content;
+    x->parked_until_ms = x->verdict.kind == CW_VERDICT_WAIT ? clock_ms() + x->verdict.retry_ms : 0;
+    if (x->parked_until_ms) {
+        exchange_queue_remove(x); /* it would stand before others */
+        exchange_timer_set(x);
+        return true;
+    }
+    if (x->verdict.kind != CW_VERDICT_HELD) {
+        return false;
+    }
+    quarantine_count_held(quarantine, &x->fingerprint, x->id, &x->verdict);
+    x->retry_ms = x->verdict.retry_ms;
+    x->reason = HELD_WHY;
+    exchange_event(x, CW_EV_REFUSED);
+    return true;
+}
+
+/* Takes a repeat from the budget at the moment of the decision: those that break together would else all be decided by
+   what was left before the first of them was sent. A repeat that isn't sent then is not given back. */
+static bool take_repeat(exchange_t* x) {
+    if (x->transfers && !x->has_repeat) {
+        x->has_repeat = cw_retry_window_take(&x->pool->retries, clock_ms());
+    }
+    return !x->transfers || x->has_repeat;
+}
+
+/* The best server but for those that failed this request, or ended under another one that is the same. */
+static cw_choice_t choose(const exchange_t* x) {
+    uint64_t out[TRIED_MAX + CW_QUARANTINE_ENDS];
+    memcpy(out, x->tried, x->tried_count * sizeof(*out));
+    memcpy(out + x->tried_count, x->verdict.lives, x->verdict.ruled_out * sizeof(*out));
+    return cw_balance_choose(x->pool->balance, clock_ms(), &x->work, out, x->tried_count + x->verdict.ruled_out);
+}
+
+void exchange_seek(exchange_t* x) {
+    exchanges_t* e = x->all;
+    assert(x->pool);
+    if (exchange_held_back(x)) {
+        return;
+    }
+    if (!take_repeat(x)) {
+        exchange_refuse(x, "no repeat is left");
+        return;
+    }
+    x->choice = (cw_choice_t){.server = CW_BALANCE_NONE};
+    if (!e->refusing && !behind_another(x)) {
+        x->choice = choose(x);
+    }
+    if (x->choice.late && !x->transfers) {
+        x->retry_ms = (uint32_t)x->choice.wait_ms;
+        exchange_refuse(x, "too much stands before it wherever a place is free");
+        return;
+    }
+    if (x->choice.server != CW_BALANCE_NONE) {
+        exchange_queue_remove(x);
+        uint32_t todo = cw_request_event(&x->machine, CW_EV_GRANT);
+        if (todo & CW_DO_CONNECT) {
+            exchange_connect(x);
+        }
+        return;
+    }
+    bool none_left = x->tried_count >= x->pool->ready || x->choice.left_out.tried >= x->pool->ready;
+    if (e->refusing || !x->pool->ready || none_left) {
+        exchange_refuse(x, e->refusing ? "this host is stopping" : "no server is left to try");
+        return;
+    }
+    if (!x->queued) {
+        x->wait_until_ms = clock_ms() + place_wait_ms(x);
+        queue_add(x);
+        cw_log(e->desc.log, CW_EVENT_REQUEST_QUEUED, "id=%s pool=%s fullness=%.2f waiting=%u", x->id, x->pool->name,
+               cw_balance_fullness(x->pool->balance, clock_ms()), e->stats.waiting);
+    }
+    exchange_timer_set(x);
+}
+
+/* The first that waits for the pool. */
+static exchange_t* queue_first(const exchanges_t* e, const pool_t* pool) {
+    exchange_t* x = e->queue;
+    while (x && x->pool != pool) {
+        x = x->next_queued;
+    }
+    return x;
+}
+
+void exchanges_on_room(exchanges_t* e, pool_t* pool) {
+    exchange_t* x = queue_first(e, pool);
+    while (x) {
+        exchange_seek(x); /* x may be gone now: only its place in the queue is looked at */
+        exchange_t* first = queue_first(e, pool);
+        if (first == x) {
+            return; /* it found none; those behind it are not more urgent */
+        }
+        x = first;
+    }
+}
--- a/tools/arrows.sh
+++ b/tools/arrows.sh
@@ -21,7 +21,8 @@
         directory) echo "dialect directory" ;;
         request_head) echo "dialect request_head" ;;
         admission) echo "admission dialect request_head" ;;
-        exchange) echo "admission clock exchange front quarantine request_head upstream" ;;
+        exchange | exchange_parts | seek | transfer)
+            echo "admission clock exchange exchange_parts front quarantine request_head upstream" ;;
         quarantine) echo "clock quarantine upstream" ;;
         native | dialect) echo "dialect" ;;
         inventory) echo "clock dialect inventory upstream" ;;
