--- a/gateway/news.c
+++ b/gateway/news.c
@@ -20,6 +20,7 @@
    cost no server. 48 marks of 30 bytes from two hosts are 3 KB a second for each host that hears them. */
 #define MARKS_REPEAT_MS 1000
 #define MARKS_RANKS 2
+#define MARKS_BURST 16     /* datagrams of marks told at once when a host has come; the rest follows */
 #define MARKS_AGAIN_MS 150 /* a new mark is told a second time so much later: one datagram in ten may be lost */
 #define LATE_MS 100        /* since the last tick: this process stood still, and what it reads now may have waited */
 #define TRANSIT_MS 10      /* least time that a datagram is taken to be under way */
@@ -400,6 +401,17 @@
     n->marks_ms = now_ms;
 }
 
+/* All that counts at once, for a host that has just come: what it doesn't know may end servers, and callers reach it
+   within milliseconds of its start. */
+static void tell_all_marks(news_t* n) {
+    n->marks_at = 0;
+    for (uint32_t i = 0; i < MARKS_BURST && (!i || n->marks_at); i++) {
+        n->marks_ms = 0;
+        repeat_marks(n, clock_ms());
+        tell_marks(n);
+    }
+}
+
 void news_on_mark(news_t* n, const cw_mark_t* mark) {
     mark_add(n, mark, true, 0);
     mark_add(n, mark, true, clock_ms() + MARKS_AGAIN_MS);
@@ -695,8 +707,7 @@
 
 void news_tell_all(news_t* n) {
     n->repeated_ms = 0;
-    n->marks_ms = 0;
-    n->marks_at = 0;
+    tell_all_marks(n);
 }
 
 void news_tick(news_t* n, int64_t now_ms) {
--- /dev/null
+++ b/gateway/upstream_parts.h
@@ -0,0 +1,53 @@
+#ifndef CW_GATEWAY_UPSTREAM_PARTS_H
+#define CW_GATEWAY_UPSTREAM_PARTS_H
+/*
+    What the parts of the upstreams share: upstream.c knows the pools, their servers and their probes, link.c the
+    connections to one server.
+*/
+#include "../chalkway_map.h"
+#include "upstream.h"
+
+#define SERVERS_MAX 4096 /* of all pools that are known, those that are gone but still used among them */
+
+struct link_t {
+    server_t* server;
+    const link_handlers_t* handlers;
+    void* owner; /* NULL: idle */
+    cw_stream_t stream;
+    cw_message_t answer;
+    char request_id[CW_NAME_MAX * 2];
+    bool sent;
+    bool skipping; /* the answer being read belongs to an earlier request */
+    bool unsound;  /* not to be used again */
+    bool dead;     /* closed; freed with the next tick, since it may still be read from */
+    int64_t begun_ms;
+    int64_t rested_ms; /* idle since */
+    uint32_t keep_ms;  /* that the server keeps it idle */
+    ev_timer connect_timer;
+    link_t* next_idle;
+};
+
+struct upstreams_t {
+    upstreams_desc_t desc;
+    pool_t* pools;
+    cw_map_t by_key;                /* a server's key to its place */
+    cw_map_t by_name;               /* its name to the place of its present life */
+    server_t* servers[SERVERS_MAX]; /* by place, NULL: free */
+    uint32_t free_places[SERVERS_MAX];
+    uint32_t free_count;
+    link_t* dead; /* to be freed */
+    uint32_t daemons;
+    cw_fleet_t fleet; /* daemons that live */
+    uint32_t links;
+    uint64_t connects;
+    bool configured; /* which pools there are is known */
+};
+
+/* -- link.c --------------------------------------------------------------- */
+
+/* Closes the server's connections at rest: all of them, or those that rested for too long. */
+void link_close_idle(server_t* s, int64_t now_ms, bool all);
+/* Frees the connections that were closed. None of them may be in use further up the stack. */
+void link_free_dead(upstreams_t* u);
+
+#endif
--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -166,6 +166,23 @@
 }
 END_TEST
 
+/* The same by a host that has started a second before: it may not know yet. Seen as all hosts were lost at once. */
+START_TEST(a_host_that_has_just_started_may_not_know_a_deadly_body) {
+    static char text[8192];
+    for (int young = 0; young < 2; young++) {
+        size_t n = (size_t)snprintf(text, sizeof(text), "S %d started h:1\n", young ? 4300 : 300);
+        for (int i = 0; i < 8; i++) {
+            int at = i < 4 ? 100 * i : 4600 + 100 * i;
+            n += (size_t)snprintf(text + n, sizeof(text) - n,
+                                  "C %d sent d%d get h:1 0 deadly-1\nU %d reach d%d v1\nU %d died d%d v1\n"
+                                  "C %d done d%d 502 1 0 0 0\nS %d over died v1\n",
+                                  at, i, at + 1, i, at + 3, i, at + 4, i, at + 50);
+        }
+        ck_assert_uint_eq(judge(text).count[SOAK_DEADLY], !young);
+    }
+}
+END_TEST
+
 START_TEST(an_ordinary_request_that_is_held_back_is_found) {
     expect(SERVED "S 92 fault died v1\nC 95 sent c get h:1 0 -\nC 99 done c 503 1 0 1 1\n", SOAK_SHUT_OUT);
     soak_result_t r = judge(SERVED "C 95 sent c get h:1 0 deadly-1\nC 99 done c 503 1 0 1 1\n");
@@ -175,6 +192,7 @@
 
 static void add(TCase* t) {
     tcase_add_test(t, a_deadly_body_that_goes_on_reaching_upstreams_is_found);
+    tcase_add_test(t, a_host_that_has_just_started_may_not_know_a_deadly_body);
     tcase_add_test(t, an_ordinary_request_that_is_held_back_is_found);
     tcase_add_test(t, a_good_record_passes);
     tcase_add_test(t, a_second_run_is_found_where_it_may_not_be);
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -225,10 +225,23 @@
 
 static void take_fault(judge_t* j, int64_t at_ms, bool begins, const char* name, const char* target);
 
+static host_record_t* host_of(judge_t* j, const char* name);
+
+/* Whether the host may not know yet what the others do: it has just started, or was stopped, killed or frozen. Where
+   all are lost at once, nobody knows. */
+static bool out_of_touch(judge_t* j, int64_t at_ms, const char* host) {
+    const host_record_t* h = host_of(j, host);
+    bool young = h && h->started_ms && at_ms - h->started_ms < SOAK_DEADLY_KNOWN_MS;
+    return young || disturbed(j, at_ms, host, SOAK_DEADLY_KNOWN_MS);
+}
+
 /* A deadly request reached an upstream, or the upstream ends under it: a fault until the soak has it back. */
-static void take_deadly(judge_t* j, int64_t at_ms, const char* what, soak_deadly_body_t* body, const char* server) {
+static void take_deadly(judge_t* j, int64_t at_ms, const char* what, const request_t* r, const char* server) {
+    soak_deadly_body_t* body = r->deadly;
     if (strcmp(what, "reach") == 0) {
-        soak_deadly_reach(body, at_ms);
+        if (!out_of_touch(j, at_ms, r->host)) {
+            soak_deadly_reach(body, at_ms);
+        }
         return;
     }
     soak_deadly_died(body, at_ms);
@@ -245,7 +258,7 @@
         return;
     }
     if (r->deadly && (strcmp(what, "reach") == 0 || strcmp(what, "died") == 0)) {
-        take_deadly(j, at_ms, what, r->deadly, server);
+        take_deadly(j, at_ms, what, r, server);
         return;
     }
     if (strcmp(what, "begin") == 0) {
