--- a/bench/bench_quarantine.c
+++ b/bench/bench_quarantine.c
@@ -22,7 +22,7 @@
 #define RUNS_MAX 20000
 #define FLIGHT_MAX 400000
 #define BODIES_MAX 1000
-#define SECONDS 12
+#define PLAYED_MS 12000LL
 #define PER_S 3.0       /* of each body */
 #define ORDINARY_S 20.0 /* ordinary requests a second for each server */
 #define ORDINARY_MS 300
@@ -251,7 +251,7 @@
 }
 
 static void play(world_t* w) {
-    for (int64_t now_ms = 1; now_ms <= SECONDS * 1000; now_ms++) {
+    for (int64_t now_ms = 1; now_ms <= PLAYED_MS; now_ms++) {
         deliver(w, now_ms);
         end_runs(w, now_ms);
         for (uint32_t body = 0; body < w->bodies && now_ms > 1000; body++) {
@@ -260,8 +260,8 @@
             }
         }
         double due = w->servers * ORDINARY_S / 1000;
-        for (; due > 0; due -= 1) {
-            if (draw(w) < due) {
+        for (uint32_t i = 0; i < due; i++) {
+            if (draw(w) < due - i) {
                 send(w, draw_below(w, w->hosts), BODIES_MAX + ++w->ordinary, 1, now_ms);
             }
         }
@@ -287,7 +287,7 @@
     printf("%5u %6u %5.0f %8.1f %5u %8lld %8u %9llu %8llu %6llu %10.0f %9.3f\n", w->hosts, w->bodies, w->loss * 100,
            (double)ended / w->bodies, most, (long long)longest_ms, unknown, (unsigned long long)w->ordinary,
            (unsigned long long)w->broken, (unsigned long long)w->held_back,
-           (double)w->told * MARK_BYTES / w->hosts / SECONDS, w->cpu_s * 1000 / w->hosts / SECONDS);
+           (double)w->told * MARK_BYTES * 1000 / w->hosts / PLAYED_MS, w->cpu_s * 1000 * 1000 / w->hosts / PLAYED_MS);
     fflush(stdout);
 }
 
