--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 SAMPLES := $(patsubst samples/%.c,$(BUILD)/samples/%,$(wildcard samples/*.c))
 PROGRAMS := $(BUILD)/chalkwayd $(BUILD)/fake-platform $(BUILD)/fake-engine $(BUILD)/fake-service $(BUILD)/chalkway-demo \
             $(BUILD)/chalkwayctl $(BUILD)/chalkway-load $(BUILD)/chalkway-gateway $(BUILD)/chalkway-edge $(BUILD)/fake-source \
-            $(BUILD)/fake-upstream $(BUILD)/chalkway-soak $(BUILD)/chalkway-soak-callers $(SAMPLES)
+            $(BUILD)/fake-upstream $(BUILD)/chalkway-soak $(BUILD)/chalkway-soak-callers $(BUILD)/soak-clock.so $(SAMPLES)
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
 SOURCES := $(wildcard *.h *.c io/*.h io/*.c daemon/*.h daemon/*.c gateway/*.h gateway/*.c platform/*.h platform/*.c standins/*.h standins/*.c tools/*.h tools/*.c \
@@ -70,6 +70,11 @@
 $(BUILD)/chalkway-soak: $(BUILD)/tools/soak.o $(BUILD)/tools/soak_site.o $(BUILD)/tools/soak_faults.o $(BUILD)/tools/soak_check.o $(BUILD)/tools/soak_deadly.o $(BUILD)/standins/standin.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
+# Preloaded into the hosts of a soak; never sanitized, since it comes before the sanitizers' own library.
+$(BUILD)/soak-clock.so: tools/soak_clock.c
+	@mkdir -p $(@D)
+	$(CC) -std=c11 -D_GNU_SOURCE $(OPT) $(WARN) -fPIC -shared $< -o $@ -ldl
+
 $(BUILD)/chalkway-soak-callers: $(BUILD)/tools/soak_callers.o $(BUILD)/tools/soak_check.o $(BUILD)/tools/soak_deadly.o $(BUILD)/standins/standin.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -91,9 +91,9 @@
 
 static void remove_folder(const soak_t* s) {
     char path[128];
-    static const char* const kinds[] = {"ini", "log"};
+    static const char* const kinds[] = {"ini", "log", "sleep"};
     for (uint32_t i = 0; i < s->hosts; i++) {
-        for (int k = 0; k < 2; k++) {
+        for (int k = 0; k < 3; k++) {
             snprintf(path, sizeof(path), "%s/%s.%u.%s", s->dir, s->base, i + 1, kinds[k]);
             unlink(path);
         }
--- /dev/null
+++ b/tools/soak_clock.c
@@ -0,0 +1,55 @@
+/*
+    A library that is preloaded into the hosts of a soak, so that they can be suspended: after a signal CONT the
+   monotonic clock goes on from where it stood, as if the machine had slept, while the other clocks have gone on. For
+   how many milliseconds in all, it reads from the file that CHALKWAY_SOAK_SLEEP names; a missing file is no sleep.
+*/
+#include <dlfcn.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <time.h>
+#include <unistd.h>
+
+#define NS_PER_MS 1000000
+#define NS_PER_S 1000000000
+
+static volatile int64_t slept_ms;
+static int (*read_clock)(clockid_t, struct timespec*);
+static const char* path;
+
+/* Only calls that a signal handler may make. */
+static void on_continue(int number) {
+    (void)number;
+    char text[24] = "";
+    int fd = path ? open(path, O_RDONLY | O_CLOEXEC) : -1;
+    if (fd < 0) {
+        return;
+    }
+    ssize_t size = read(fd, text, sizeof(text) - 1);
+    close(fd);
+    int64_t ms = 0;
+    for (ssize_t i = 0; i < size && text[i] >= '0' && text[i] <= '9'; i++) {
+        ms = ms * 10 + (text[i] - '0');
+    }
+    slept_ms = ms;
+}
+
+__attribute__((constructor)) static void begin(void) {
+    path = getenv("CHALKWAY_SOAK_SLEEP");
+    struct sigaction action = {.sa_handler = on_continue, .sa_flags = SA_RESTART};
+    sigaction(SIGCONT, &action, NULL);
+}
+
+int clock_gettime(clockid_t id, struct timespec* out) {
+    if (!read_clock) { /* other libraries read the clock as they are loaded */
+        read_clock = (int (*)(clockid_t, struct timespec*))dlsym(RTLD_NEXT, "clock_gettime");
+    }
+    int result = read_clock(id, out);
+    if (result == 0 && (id == CLOCK_MONOTONIC || id == CLOCK_MONOTONIC_COARSE || id == CLOCK_MONOTONIC_RAW)) {
+        int64_t ns = (int64_t)out->tv_sec * NS_PER_S + out->tv_nsec - slept_ms * NS_PER_MS;
+        out->tv_sec = (time_t)(ns / NS_PER_S);
+        out->tv_nsec = (long)(ns % NS_PER_S);
+    }
+    return result;
+}
--- a/tools/soak_faults.c
+++ b/tools/soak_faults.c
@@ -52,6 +52,17 @@
     }
 }
 
+static bool suspend_begin(active_t* a) {
+    a->target->stopped_ms = standin_now();
+    return freeze_begin(a);
+}
+
+static void suspend_end(active_t* a) {
+    if (a->target->pid) {
+        soak_wake_host(a->target);
+    }
+}
+
 static bool reload_begin(active_t* a) {
     soak_write_settings(a->target, 500 + (uint32_t)(soak_draw(a->soak) % 1500));
     kill(a->target->pid, SIGHUP);
@@ -160,6 +171,7 @@
     {"stop", PROC_HOST, 4, stop_begin, host_back},
     {"kill", PROC_HOST, 2, kill_begin, host_back},
     {"freeze", PROC_HOST, 2, freeze_begin, freeze_end},
+    {"suspend", PROC_HOST, 2, suspend_begin, suspend_end},
     {"reload", PROC_HOST, 2, reload_begin, nothing},
     {"crash", PROC_UPSTREAM, 2, crash_begin, upstream_anew},
     {"restart", PROC_UPSTREAM, 3, restart_begin, restart_end},
--- a/tools/soak_site.h
+++ b/tools/soak_site.h
@@ -31,6 +31,8 @@
     bool lingers;       /* an upstream that ended, and is still listed */
     ev_timer back;      /* of an upstream that a request ended: it starts again */
     int64_t started_ms; /* of an upstream, told with its entry */
+    int64_t stopped_ms; /* of a host that is suspended: since then */
+    int64_t slept_ms;   /* of a host: all the time that its monotonic clock leaves out */
     ev_child child;
     ev_io out; /* lines of stand-ins and callers */
     int out_fd;
@@ -94,6 +96,8 @@
 void soak_restart_host(proc_t* p);
 /* Writes the host's settings file. */
 void soak_write_settings(const proc_t* p, uint32_t lookup_keep_ms);
+/* Lets a host that was stopped go on as if its machine had been suspended meanwhile. */
+void soak_wake_host(proc_t* p);
 void soak_start_callers(soak_t* s);
 /* Ends all processes that were started, by their ids. */
 void soak_end_processes(soak_t* s);
