--- a/Makefile
+++ b/Makefile
@@ -70,8 +70,8 @@
 $(BUILD)/chalkway-soak: $(BUILD)/tools/soak.o $(BUILD)/tools/soak_site.o $(BUILD)/tools/soak_faults.o $(BUILD)/tools/soak_check.o $(BUILD)/tools/soak_deadly.o $(BUILD)/standins/standin.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
-# Preloaded into the hosts of a soak; never sanitized, since it comes before the sanitizers' own library.
-$(BUILD)/soak-clock.so: tools/soak_clock.c
+# The clock of a soak's hosts; never sanitized, since it comes before the sanitizers' own library.
+$(BUILD)/soak-clock.so: tests/soak_clock.c
 	@mkdir -p $(@D)
 	$(CC) -std=c11 -D_GNU_SOURCE $(OPT) $(WARN) -fPIC -shared $< -o $@ -ldl
 
--- /dev/null
+++ b/tests/soak_sleep.h
@@ -0,0 +1,38 @@
+#ifndef CW_TEST_SOAK_SLEEP_H
+#define CW_TEST_SOAK_SLEEP_H
+/* How a soak lets its hosts' machines sleep: each host gets the clock of soak_clock.c, which reads from a file for how
+   long it slept in all. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "../tools/soak_site.h"
+
+/* The file in which a host's clock reads for how long it slept. */
+static inline void soak_sleep_path(const proc_t* p, char* out, size_t size) {
+    snprintf(out, size, "%s/%s.sleep", p->soak->dir, p->name);
+}
+
+/* In the host's process, before its program is loaded. */
+static inline void soak_sleep_prepare(const proc_t* p) {
+    char path[192];
+    char file[192];
+    snprintf(path, sizeof(path), "%s/soak-clock.so", p->soak->build);
+    soak_sleep_path(p, file, sizeof(file));
+    setenv("LD_PRELOAD", path, 1);
+    setenv("CHALKWAY_SOAK_SLEEP", file, 1);
+}
+
+static inline void soak_sleep_write(const proc_t* p) {
+    char path[192];
+    soak_sleep_path(p, path, sizeof(path));
+    FILE* file = fopen(path, "w");
+    if (!file) {
+        perror(path);
+        return;
+    }
+    fprintf(file, "%" PRId64, p->slept_ms);
+    fclose(file);
+}
+
+#endif
--- a/tools/soak_site.c
+++ b/tools/soak_site.c
@@ -14,6 +14,7 @@
 #include <unistd.h>
 
 #include "../standins/standin.h"
+#include "../tests/soak_sleep.h"
 
 #define MAX_ARGS 80
 #define WATCH_MS 20 /* between two looks at the clock */
@@ -248,35 +249,9 @@
     }
 }
 
-/* The file in which a host's clock library reads for how long it slept. */
-static void sleep_path(const proc_t* p, char* out, size_t size) {
-    snprintf(out, size, "%s/%s.sleep", p->soak->dir, p->name);
-}
-
-static void preload_clock(const proc_t* p) {
-    char path[192];
-    char file[192];
-    snprintf(path, sizeof(path), "%s/soak-clock.so", p->soak->build);
-    sleep_path(p, file, sizeof(file));
-    setenv("LD_PRELOAD", path, 1);
-    setenv("CHALKWAY_SOAK_SLEEP", file, 1);
-}
-
-static void write_sleep(const proc_t* p) {
-    char path[192];
-    sleep_path(p, path, sizeof(path));
-    FILE* file = fopen(path, "w");
-    if (!file) {
-        perror(path);
-        return;
-    }
-    fprintf(file, "%" PRId64, p->slept_ms);
-    fclose(file);
-}
-
 void soak_wake_host(proc_t* p) {
     p->slept_ms += standin_now() - p->stopped_ms;
-    write_sleep(p);
+    soak_sleep_write(p);
     kill(p->pid, SIGCONT);
 }
 
@@ -289,7 +264,7 @@
         argv[i + 1] = (char*)args[i];
     }
     if (p->kind == PROC_HOST) {
-        preload_clock(p);
+        soak_sleep_prepare(p);
     }
     dup2(out, STDOUT_FILENO);
     dup2(out, p->kind == PROC_HOST ? STDERR_FILENO : STDOUT_FILENO);
@@ -390,7 +365,7 @@
     const char* const args[] = {"-c", path, NULL};
     soak_write_settings(p, 1000);
     p->slept_ms = 0;
-    write_sleep(p);
+    soak_sleep_write(p);
     soak_note(p->soak, "started %s:%d", p->name, SOAK_PORT_CALLERS);
     launch(p, "chalkway-gateway", args);
 }
