The soak's judge counts a deadly request that reaches an upstream in the millisecond in which it was sent

Found on reading: such lines came before the sending in the order of a millisecond and were passed over, so reaches were counted too low. Stricter; test for it.

--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -166,6 +166,23 @@
 }
 END_TEST
 
+/* The upstream's line came first, in the same millisecond. */
+START_TEST(a_deadly_request_that_reaches_as_it_is_sent_counts) {
+    static char text[8192];
+    size_t n = 0;
+    for (int i = 0; i < 8; i++) {
+        int at = i < 4 ? 100 * i + 1 : 4000 + 100 * i;
+        n += (size_t)snprintf(text + n, sizeof(text) - n,
+                              "U %d died d%d v1\nU %d reach d%d v1\nC %d sent d%d get h:1 0 deadly-1\n"
+                              "S %d over died v1\n",
+                              at, i, at, i, at, i, at + 50);
+    }
+    soak_result_t r = judge(text);
+    ck_assert_uint_eq(r.count[SOAK_DEADLY], 1);
+    ck_assert_uint_eq(r.deadly_ended, 8);
+}
+END_TEST
+
 /* The same by a host that has started a second before: it may not know yet. Seen as all hosts were lost at once. */
 START_TEST(a_host_that_has_just_started_may_not_know_a_deadly_body) {
     static char text[8192];
@@ -192,6 +209,7 @@
 
 static void add(TCase* t) {
     tcase_add_test(t, a_deadly_body_that_goes_on_reaching_upstreams_is_found);
+    tcase_add_test(t, a_deadly_request_that_reaches_as_it_is_sent_counts);
     tcase_add_test(t, a_host_that_has_just_started_may_not_know_a_deadly_body);
     tcase_add_test(t, an_ordinary_request_that_is_held_back_is_found);
     tcase_add_test(t, a_good_record_passes);
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -403,9 +403,9 @@
 }
 
 /* Programs write at their own pace, and clocks tell no more than milliseconds: a request is sent before it begins, and
-   begins before it ends, and ends before its caller is answered. */
+   begins before it ends, and ends before its caller is answered; the same for what is deadly. */
 static uint32_t rank_of(const char* line) {
-    static const char* const order[] = {"sent", "begin", "end", "gone", "done"};
+    static const char* const order[] = {"sent", "reach", "begin", "died", "end", "gone", "done"};
     char what[NAME_SIZE] = "";
     sscanf(line, "%*c %*d %31s", what);
     for (uint32_t i = 0; i < sizeof(order) / sizeof(order[0]); i++) {
