Queued and refused lines tell what stands before a request and what holds the places

New: ahead on 512 and 515, urgency on 512, held_before, held_after and holds_ms on 515, from a small module that learns for how long each urgency holds a place (chalkway_holding.h, two tests).

--- a/chalkway.c
+++ b/chalkway.c
@@ -12,6 +12,7 @@
 #include "chalkway_gaps.h"
 #include "chalkway_heap.h"
 #include "chalkway_hist.h"
+#include "chalkway_holding.h"
 #include "chalkway_home.h"
 #include "chalkway_kept.h"
 #include "chalkway_limit.h"
--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -43,6 +43,7 @@
 #include "chalkway_backlog.h"
 #include "chalkway_contention.h"
 #include "chalkway_gaps.h"
+#include "chalkway_holding.h"
 #include "chalkway_home.h"
 #include "chalkway_limit.h"
 #include "chalkway_prefix.h"
@@ -214,6 +215,8 @@
 double cw_balance_fullness(const cw_balance_t* b, int64_t now_ms);
 /* Learned target, ms, of the work that can wait least, 0: none was seen. */
 double cw_balance_shortest_target(const cw_balance_t* b);
+/* This host's runs at the pool, by urgency. */
+const cw_holding_t* cw_balance_holding(const cw_balance_t* b);
 /* Learned pause between events beside a prompt of so many tokens, ms. */
 double cw_balance_pause(const cw_balance_t* b, uint32_t tokens);
 /* Learned ms to read one token. */
@@ -338,6 +341,7 @@
     cw_kept_t* kept;
     cw_fleet_t fleet;
     cw_contention_t contention;
+    cw_holding_t holding;
     cw_reading_t reading;
     double service_ms;
     uint32_t service_samples;
@@ -972,6 +976,7 @@
         }
     }
     s->running++;
+    cw_holding_begin(&b->holding, run.urgency);
     s->tokens += run.tokens;
     cw_bucket_take(&s->cold, now_ms, 1); /* without effect while it is not cold */
     return run;
@@ -1079,6 +1084,9 @@
 
 void cw_balance_end(cw_balance_t* b, int64_t now_ms, cw_run_t* run, cw_try_result_t result) {
     _cw_server_t* s = _cw_balance_of_run(b, run);
+    if (run->server != CW_BALANCE_NONE) {
+        cw_holding_end(&b->holding, run->urgency);
+    }
     run->server = CW_BALANCE_NONE;
     if (!s) {
         return;
@@ -1093,6 +1101,7 @@
     s->tokens -= run->tokens < s->tokens ? run->tokens : s->tokens;
     switch (result) {
         case CW_TRY_SERVED:
+            cw_holding_learn(&b->holding, run->urgency, (double)(now_ms - run->begun_ms));
             _cw_balance_learn_fail(s, now_ms, 0);
             if (!s->spec.memory_tokens) {
                 _cw_balance_learn_call(b, s, now_ms, run);
@@ -1229,6 +1238,10 @@
     return slots > 0 ? running / slots : 1;
 }
 
+const cw_holding_t* cw_balance_holding(const cw_balance_t* b) {
+    return &b->holding;
+}
+
 double cw_balance_shortest_target(const cw_balance_t* b) {
     return b->short_target_ms;
 }
--- a/gateway/seek.c
+++ b/gateway/seek.c
@@ -48,7 +48,17 @@
     tell_waiting(x, 1);
 }
 
+/* Requests of this host that wait for the pool and go before x. */
+static uint32_t ahead(const exchange_t* x) {
+    uint32_t count = 0;
+    for (const exchange_t* y = x->all->queue; y && y != x; y = y->next_queued) {
+        count += y->pool == x->pool && (x->queued || !goes_before(x, y));
+    }
+    return count;
+}
+
 void exchange_refuse(exchange_t* x, const char* why) {
+    const cw_holding_t* holding = cw_balance_holding(x->pool->balance);
     const pool_t* pool = x->pool;
     const cw_choice_t* c = &x->choice;
     const server_t* best = c->server == CW_BALANCE_NONE ? NULL : upstreams_server(x->all->desc.upstreams, c->id);
@@ -56,12 +66,15 @@
     cw_log(x->all->desc.log, CW_EVENT_REQUEST_REFUSED,
            "id=%s why=\"%s\" route=%s pool=%s priority=%u urgency=%u server=%s prompt=%u kept=%u wait_ms=%.0f "
            "read_ms=%.0f read_us=%.1f target_ms=%u ready=%u candidates=%u tried=%u away=%u cold=%u suspected=%u "
-           "no_place=%u fullness=%.2f age_ms=%u waited_ms=%lld revision=%lld",
+           "no_place=%u fullness=%.2f age_ms=%u waited_ms=%lld ahead=%u held_before=%u held_after=%u holds_ms=%.0f "
+           "revision=%lld",
            x->id, why, x->route->name, pool->name, x->priority, x->work.urgency, best ? best->published.id : "-",
            x->work.prompt_tokens, c->kept, c->wait_ms, c->read_ms, cw_balance_read_rate(pool->balance) * US_PER_MS,
            x->route->target_ms, pool->ready, c->candidates, c->left_out.tried, c->left_out.away, c->left_out.cold,
            c->left_out.suspected, c->left_out.no_place, cw_balance_fullness(pool->balance, clock_ms()), c->age_ms,
-           (long long)(clock_ms() - x->arrived_ms), (long long)x->catalog->revision);
+           (long long)(clock_ms() - x->arrived_ms), ahead(x), cw_holding_running(holding, 0, x->work.urgency),
+           cw_holding_running(holding, x->work.urgency + 1, CW_URGENCIES - 1), cw_holding_ms(holding, x->work.urgency),
+           (long long)x->catalog->revision);
     exchange_event(x, CW_EV_REFUSED);
 }
 
@@ -158,8 +171,9 @@
     if (!x->queued) {
         x->wait_until_ms = clock_ms() + place_wait_ms(x);
         queue_add(x);
-        cw_log(e->desc.log, CW_EVENT_REQUEST_QUEUED, "id=%s pool=%s fullness=%.2f waiting=%u", x->id, x->pool->name,
-               cw_balance_fullness(x->pool->balance, clock_ms()), e->stats.waiting);
+        cw_log(e->desc.log, CW_EVENT_REQUEST_QUEUED, "id=%s pool=%s urgency=%u fullness=%.2f ahead=%u waiting=%u",
+               x->id, x->pool->name, x->work.urgency, cw_balance_fullness(x->pool->balance, clock_ms()), ahead(x),
+               e->stats.waiting);
     }
     exchange_timer_set(x);
 }
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -5,6 +5,7 @@
 #include "../chalkway_backlog.h"
 #include "../chalkway_catalog.h"
 #include "../chalkway_events.h"
+#include "../chalkway_holding.h"
 #include "../chalkway_kept.h"
 #include "../chalkway_limit.h"
 #include "../chalkway_load.h"
@@ -832,7 +833,51 @@
 }
 END_TEST
 
+/* Urgencies are told apart, and what lies beyond the last one counts as it. */
+START_TEST(the_time_for_which_places_are_held_is_learned_by_urgency) {
+    cw_holding_t h = {0};
+    ck_assert_double_eq(cw_holding_ms(&h, 0), 0);
+    for (uint32_t i = 0; i < 100; i++) {
+        cw_holding_begin(&h, 0);
+        cw_holding_begin(&h, CW_URGENCIES + 3);
+        cw_holding_learn(&h, 0, i < 20 ? 4000 : 2000);
+        cw_holding_learn(&h, CW_URGENCIES + 3, 100);
+    }
+    ck_assert_double_eq_tol(cw_holding_ms(&h, 0), 2000, 100);
+    ck_assert_double_eq_tol(cw_holding_ms(&h, CW_URGENCIES - 1), 100, 1e-6);
+    ck_assert_double_eq(cw_holding_ms(&h, 1), 0);
+    ck_assert_uint_eq(cw_holding_running(&h, 0, 0), 100);
+    ck_assert_uint_eq(cw_holding_running(&h, 1, CW_URGENCIES - 1), 100);
+    cw_holding_end(&h, 0);
+    cw_holding_end(&h, 5); /* nothing began there */
+    ck_assert_uint_eq(cw_holding_running(&h, 0, CW_URGENCIES - 1), 199);
+}
+END_TEST
+
+/* A run gives its place back once, also when its server has gone meanwhile, and only a served one says how long. */
+START_TEST(a_pool_s_held_places_are_counted_over_lives_of_servers) {
+    cw_server_spec_t spec = {.id = 5, .slots = 8, .memory_tokens = 10000};
+    cw_work_t work = {.urgency = 3, .prompt_tokens = 100, .target_ms = 400};
+    cw_balance_t* b = cw_balance_setup(&(cw_balance_desc_t){.seed = 1});
+    cw_balance_set(b, 0, &spec, 1);
+    cw_run_t served = cw_balance_begin(b, 1000, 0, &work);
+    cw_run_t broken = cw_balance_begin(b, 1000, 0, &work);
+    cw_run_t orphan = cw_balance_begin(b, 1000, 0, &work);
+    ck_assert_uint_eq(cw_holding_running(cw_balance_holding(b), 3, 3), 3);
+    cw_balance_end(b, 1300, &served, CW_TRY_SERVED);
+    cw_balance_end(b, 1301, &served, CW_TRY_SERVED); /* told twice */
+    cw_balance_end(b, 1010, &broken, CW_TRY_BROKEN);
+    ck_assert_double_eq(cw_holding_ms(cw_balance_holding(b), 3), 300);
+    cw_balance_set(b, 1400, NULL, 0);
+    cw_balance_end(b, 1500, &orphan, CW_TRY_FAILED);
+    ck_assert_uint_eq(cw_holding_running(cw_balance_holding(b), 0, CW_URGENCIES - 1), 0);
+    cw_balance_shutdown(b);
+}
+END_TEST
+
 static void add(TCase* t) {
+    tcase_add_test(t, the_time_for_which_places_are_held_is_learned_by_urgency);
+    tcase_add_test(t, a_pool_s_held_places_are_counted_over_lives_of_servers);
     tcase_add_test(t, catalog_finds_the_longest_prefix_and_the_holder_of_a_key);
     tcase_add_test(t, catalog_splits_a_route_by_weights);
     tcase_add_test(t, catalog_refuses_a_wrong_document_as_a_whole_and_says_why);
