--- a/tests/pool_model.h
+++ b/tests/pool_model.h
@@ -43,6 +43,7 @@
 typedef struct model_run_t {
     model_stage_t stage;
     uint32_t host, kind, engine;
+    int64_t asked_ms;
     int64_t until_ms; /* of the stage, but while its prompt is read */
     double unread_ms; /* left of its prompt */
     uint32_t sent;    /* in the order of sending, over all hosts */
@@ -82,6 +83,7 @@
     model_wire_t wire[2]; /* to the engine's home hosts directly; to all */
     bool home[MODEL_ENGINES_MAX][MODEL_HOSTS_MAX];
     rng_t rng;
+    bool waits[MODEL_HOSTS_MAX]; /* some request waited at the host a moment ago */
     int64_t now_ms;
     uint32_t sent;                        /* runs that reached an engine */
     uint32_t too_many;                    /* runs begun at an engine without a free place */
@@ -229,10 +231,31 @@
     }
 }
 
+/* Whether x goes before y in a host's queue. */
+static inline bool model_goes_before(const model_t* m, const model_run_t* x, const model_run_t* y) {
+    uint32_t urgency_x = m->kind[x->kind].work.urgency;
+    uint32_t urgency_y = m->kind[y->kind].work.urgency;
+    return urgency_x != urgency_y ? urgency_x < urgency_y : x->asked_ms < y->asked_ms;
+}
+
+/* Whether a request that waits at the same host goes before it: it stays behind that one. */
+static inline bool model_behind_another(const model_t* m, const model_run_t* r) {
+    for (uint32_t i = 0; i < MODEL_RUNS_MAX && m->waits[r->host]; i++) {
+        const model_run_t* y = &m->run[i];
+        if (y != r && y->stage == MODEL_WAITING && y->host == r->host && model_goes_before(m, y, r)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Seeks a place; true when one was found. */
 static inline bool model_seek(model_t* m, model_run_t* r) {
     model_kind_t* kind = &m->kind[r->kind];
     cw_balance_t* b = m->balance[r->host];
+    if (model_behind_another(m, r)) {
+        return false;
+    }
     cw_choice_t c = cw_balance_choose(b, m->now_ms, &kind->work, NULL, 0);
     if (c.server == CW_BALANCE_NONE || c.late) {
         return false;
@@ -257,6 +280,7 @@
     *r = (model_run_t){.stage = MODEL_WAITING,
                        .host = rng_below(&m->rng, m->hosts),
                        .kind = kind,
+                       .asked_ms = m->now_ms,
                        .until_ms = m->now_ms + k->wait_ms,
                        .generate_ms = k->generate_ms / 2 + rng_below(&m->rng, k->generate_ms + 1)};
     k->asked++;
@@ -304,7 +328,9 @@
             }
         }
         for (uint32_t i = 0; i < m->hosts; i++) {
+            m->waits[i] = false;
             for (uint32_t u = 0; u < CW_URGENCIES; u++) {
+                m->waits[i] = m->waits[i] || waiting[i][u];
                 cw_balance_waiting(m->balance[i], m->now_ms, u, waiting[i][u]);
             }
         }
