--- a/chalkway_backlog.h
+++ b/chalkway_backlog.h
@@ -40,7 +40,6 @@
 } cw_backlog_t;
 
 /* The urgency that counts for one that may be beyond the last. */
-uint32_t cw_backlog_level(uint32_t urgency);
 /* Time until the prompts of the urgency and before are read. Past the planned time, what is late is taken to last as
    long again. */
 double cw_backlog_ms(const cw_backlog_t* b, int64_t now_ms, uint32_t urgency);
@@ -55,10 +54,6 @@
 #ifndef CHALKWAY_BACKLOG_IMPL_INCLUDED
 #define CHALKWAY_BACKLOG_IMPL_INCLUDED
 
-uint32_t cw_backlog_level(uint32_t urgency) {
-    return urgency < CW_URGENCIES ? urgency : CW_URGENCIES - 1;
-}
-
 double cw_backlog_ms(const cw_backlog_t* b, int64_t now_ms, uint32_t urgency) {
     double left_ms = b->until_ms[urgency] - (double)now_ms;
     if (!b->unread[urgency]) {
--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -751,7 +751,7 @@
 static cw_choice_t _cw_balance_rate(const cw_balance_t* b, uint32_t at, int64_t now_ms, const cw_work_t* work,
                                     const cw_prefix_t* prefix) {
     const _cw_server_t* s = &b->servers[at];
-    _cw_sum_t sum = _cw_balance_sum(b, s, now_ms, cw_backlog_level(work->urgency));
+    _cw_sum_t sum = _cw_balance_sum(b, s, now_ms, cw_urgency_level(work->urgency));
     cw_choice_t c = {
         .server = at, .id = s->spec.id, .wait_ms = sum.wait_ms, .running = sum.running, .age_ms = sum.age_ms};
     bool engine = s->spec.memory_tokens > 0;
@@ -790,7 +790,7 @@
 
 /* Learned before the choice, so that what is refused counts as well. */
 static void _cw_balance_learn_patience(cw_balance_t* b, const cw_work_t* work) {
-    double* learned_ms = &b->patience_ms[cw_backlog_level(work->urgency)];
+    double* learned_ms = &b->patience_ms[cw_urgency_level(work->urgency)];
     double patience_ms = _cw_balance_patience(b, work);
     *learned_ms =
         *learned_ms > 0 ? cw_quantile_learn(*learned_ms, patience_ms, _CW_PATIENCE_UP, _CW_PATIENCE_DOWN) : patience_ms;
@@ -819,7 +819,7 @@
         return true;
     }
     return _cw_balance_deep(b, work) &&
-           _cw_balance_late_for_others(b, s, now_ms, cw_backlog_level(work->urgency), wait_ms);
+           _cw_balance_late_for_others(b, s, now_ms, cw_urgency_level(work->urgency), wait_ms);
 }
 
 /* Whether the server may get a request now as far as it is cold: one daemon sends there, no faster than it bears. */
@@ -1014,7 +1014,7 @@
                     .id = s->spec.id,
                     .begun_ms = now_ms,
                     .gap_ms = work->gap_ms,
-                    .urgency = cw_backlog_level(work->urgency)};
+                    .urgency = cw_urgency_level(work->urgency)};
     _cw_sum_t sum = _cw_balance_sum(b, s, now_ms, run.urgency);
     run.found_ms = sum.backlog_ms;
     run.quiet = sum.backlog_ms < 1.0 && sum.running < _CW_QUIET_SHARE * s->spec.slots && now_ms >= s->cold_until_ms;
--- a/chalkway_contention.h
+++ b/chalkway_contention.h
@@ -90,7 +90,7 @@
 }
 
 static cw_contention_level_t* _cw_contention_level(cw_contention_t* c, uint32_t urgency) {
-    return &c->level[urgency < CW_URGENCIES ? urgency : CW_URGENCIES - 1];
+    return &c->level[cw_urgency_level(urgency)];
 }
 
 void cw_contention_asked(cw_contention_t* c, int64_t now_ms, uint32_t urgency) {
@@ -107,7 +107,7 @@
 }
 
 double cw_contention_rate(const cw_contention_t* c, int64_t now_ms, uint32_t urgency) {
-    return _cw_contention_level_rate(&c->level[urgency < CW_URGENCIES ? urgency : CW_URGENCIES - 1], now_ms);
+    return _cw_contention_level_rate(&c->level[cw_urgency_level(urgency)], now_ms);
 }
 
 double cw_contention_rivals(const cw_contention_t* c, int64_t now_ms, const cw_contention_use_t* use) {
--- a/chalkway_core.h
+++ b/chalkway_core.h
@@ -41,6 +41,11 @@
    overload before nine engines, for long prompts that engines read after them; 1 in 100 since. */
 #define CW_URGENCIES 10
 
+/* The level that an urgency counts as: all beyond the last one count as that. */
+static inline uint32_t cw_urgency_level(uint32_t urgency) {
+    return urgency < CW_URGENCIES ? urgency : CW_URGENCIES - 1;
+}
+
 /* -- status and errors ---------------------------------------------------- */
 
 typedef enum cw_status_t {
--- a/chalkway_holding.h
+++ b/chalkway_holding.h
@@ -75,26 +75,22 @@
    on twelve. */
 #define _CW_HOLDING_LONGER 1.4
 
-static uint32_t _cw_holding_level(uint32_t urgency) {
-    return urgency < CW_URGENCIES ? urgency : CW_URGENCIES - 1;
-}
-
 void cw_holding_asked(cw_holding_t* h, uint32_t urgency, uint32_t prompt_tokens) {
-    double* mean = &h->level[_cw_holding_level(urgency)].prompt_tokens;
+    double* mean = &h->level[cw_urgency_level(urgency)].prompt_tokens;
     *mean += (*mean > 0 ? _CW_HOLDING_LEARN : 1) * (prompt_tokens - *mean);
 }
 
 void cw_holding_begin(cw_holding_t* h, uint32_t urgency) {
-    h->level[_cw_holding_level(urgency)].running++;
+    h->level[cw_urgency_level(urgency)].running++;
 }
 
 void cw_holding_end(cw_holding_t* h, uint32_t urgency) {
-    cw_holding_level_t* l = &h->level[_cw_holding_level(urgency)];
+    cw_holding_level_t* l = &h->level[cw_urgency_level(urgency)];
     l->running -= l->running > 0;
 }
 
 void cw_holding_learn(cw_holding_t* h, uint32_t urgency, double held_ms) {
-    cw_holding_level_t* l = &h->level[_cw_holding_level(urgency)];
+    cw_holding_level_t* l = &h->level[cw_urgency_level(urgency)];
     double weight = 1.0 / (l->samples + 1);
     weight = weight > _CW_HOLDING_LEARN ? weight : _CW_HOLDING_LEARN;
     l->samples += l->samples < UINT32_MAX;
@@ -102,7 +98,7 @@
 }
 
 double cw_holding_ms(const cw_holding_t* h, uint32_t urgency) {
-    return h->level[_cw_holding_level(urgency)].held_ms;
+    return h->level[cw_urgency_level(urgency)].held_ms;
 }
 
 double cw_holding_places(const cw_holding_t* h, uint32_t urgency, double rate_per_s) {
@@ -124,7 +120,7 @@
     for (uint32_t i = 0; i < CW_URGENCIES; i++) {
         longest = h->level[i].prompt_tokens > longest ? h->level[i].prompt_tokens : longest;
     }
-    return h->level[_cw_holding_level(urgency)].prompt_tokens < _CW_HOLDING_SHORT * longest;
+    return h->level[cw_urgency_level(urgency)].prompt_tokens < _CW_HOLDING_SHORT * longest;
 }
 
 uint32_t cw_holding_running(const cw_holding_t* h, uint32_t from, uint32_t to) {
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -1,11 +1,9 @@
 #include "exchange_parts.h"
 
 #include <assert.h>
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "admission.h"
 #include "clock.h"
@@ -294,7 +292,7 @@
                                                      .cancel_when_gone = stream,
                                                      .count_sent = true,
                                                      .max_attempts = route->attempts});
-    x->work = (cw_work_t){.urgency = admission->urgency < CW_URGENCIES ? admission->urgency : CW_URGENCIES - 1,
+    x->work = (cw_work_t){.urgency = cw_urgency_level(admission->urgency),
                           .target_ms = route->target_ms,
                           .gap_ms = route->gap_ms,
                           .repeatable = admission->repeatable};
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -385,6 +385,27 @@
     cw_stream_flush(&r->caller);
 }
 
+static inline void rig_ignore_data(void* owner, const char* data, size_t size) {
+    (void)owner;
+    (void)data;
+    (void)size;
+}
+
+static inline void rig_ignore_end(void* owner, cw_stream_end_t end) {
+    (void)owner;
+    (void)end;
+}
+
+/* A further caller sends a request over a connection of its own; what comes back is not looked at. */
+static inline void rig_send_beside(rig_t* r, cw_stream_t* caller, const char* text) {
+    static const cw_stream_handlers_t handlers = {.on_data = rig_ignore_data, .on_end = rig_ignore_end};
+    struct sockaddr_in address;
+    cw_addr_parse(front_address(r->front), &address, NULL);
+    ck_assert_int_eq(cw_stream_connect(caller, r->loop, &address, &handlers, NULL), CW_OK);
+    cw_stream_write(caller, text, strlen(text));
+    cw_stream_flush(caller);
+}
+
 /* Sends a request on the kept connection and waits for the whole answer, or the connection's end. */
 static inline const char* rig_call(rig_t* r, const char* text) {
     r->stop_on_answer = true;
--- a/tests/test_deadly.c
+++ b/tests/test_deadly.c
@@ -122,29 +122,14 @@
     ev_break(r->loop, EVBREAK_ALL);
 }
 
-static void ignore_data(void* owner, const char* data, size_t size) {
-    (void)owner;
-    (void)data;
-    (void)size;
-}
-
-static void ignore_end(void* owner, cw_stream_end_t end) {
-    (void)owner;
-    (void)end;
-}
-
 /* One connection breaks, and 0.35 s later the server goes on over another one that is older: it did not end. */
 START_TEST(a_server_that_goes_on_over_an_older_connection_did_not_end) {
-    static const cw_stream_handlers_t handlers = {.on_data = ignore_data, .on_end = ignore_end};
     static const char text[] = "POST /again/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n\r\n";
     rig_t* r = rig_setup(ROUTES, 1);
     cw_stream_t other;
-    struct sockaddr_in address;
     ev_timer late;
     rig_script(r, (rig_step_t[]){{RIG_SILENT, NULL}, CLOSES}, 2);
-    cw_addr_parse(front_address(r->front), &address, NULL);
-    cw_stream_connect(&other, r->loop, &address, &handlers, NULL);
-    cw_stream_write(&other, text, sizeof(text) - 1);
+    rig_send_beside(r, &other, text);
     while (!r->arrival_count) {
         ev_run(r->loop, EVRUN_ONCE);
     }
@@ -190,16 +175,12 @@
    a moment to come up: what was decided for the first one must count for the second. Seen with half of nine engines
    ending at once: 391 repeats in ten seconds where 359 were allowed. */
 START_TEST(requests_that_break_at_once_share_what_is_left_of_the_budget) {
-    static const cw_stream_handlers_t handlers = {.on_data = ignore_data, .on_end = ignore_end};
     static const char text[] = "POST /again/y HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n\r\n";
     rig_t* r = rig_setup(ROUTES, 1);
     cw_stream_t others[2];
-    struct sockaddr_in address;
     rig_script(r, (rig_step_t[]){{RIG_SILENT, NULL}, {RIG_SILENT, NULL}, {RIG_SILENT, NULL}, {RIG_SILENT, NULL}}, 4);
-    cw_addr_parse(front_address(r->front), &address, NULL);
     for (int i = 0; i < 2; i++) {
-        cw_stream_connect(&others[i], r->loop, &address, &handlers, NULL);
-        cw_stream_write(&others[i], text, sizeof(text) - 1);
+        rig_send_beside(r, &others[i], text);
     }
     while (r->arrival_count < 2) {
         ev_run(r->loop, EVRUN_ONCE);
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -554,17 +554,6 @@
     return rig_call(r, text);
 }
 
-static void ignore_data(void* owner, const char* data, size_t size) {
-    (void)owner;
-    (void)data;
-    (void)size;
-}
-
-static void ignore_end(void* owner, cw_stream_end_t end) {
-    (void)owner;
-    (void)end;
-}
-
 #define WORKSPACE_ROUTES                                                                                               \
     "{\"revision\":1,\"pools\":[{\"name\":\"p\",\"engine\":{\"slots\":8,\"memory_tokens\":900000}}],"                  \
     "\"workspaces\":[{\"name\":\"w\",\"keys\":[\"k1\"],\"tier\":1}],\"routes\":["                                      \
@@ -586,7 +575,6 @@
    its routes', are being read at the only engine, three seconds of work. An urgent request of that workspace is read
    before them, so it is sent, not refused. */
 START_TEST(an_urgent_request_goes_before_long_ones_of_a_workspace_with_one_priority) {
-    static const cw_stream_handlers_t handlers = {.on_data = ignore_data, .on_end = ignore_end};
     static const char long_prompt[] = "POST /patient/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n"
                                       "Chalkway-Request-Id: long\r\nChalkway-Tokens: 80000,10\r\n"
                                       "Content-Length: 0\r\n\r\n";
@@ -597,11 +585,7 @@
     expect_status(workspace_call(r, "/patient/", "80000"), "200"); /* the pool gets such prompts */
     cw_stream_t others[2] = {{.fd = -1}, {.fd = -1}};
     for (uint32_t i = 0; i < 2; i++) {
-        struct sockaddr_in address;
-        cw_addr_parse(front_address(r->front), &address, NULL);
-        ck_assert_int_eq(cw_stream_connect(&others[i], r->loop, &address, &handlers, NULL), CW_OK);
-        cw_stream_write(&others[i], long_prompt, sizeof(long_prompt) - 1);
-        cw_stream_flush(&others[i]);
+        rig_send_beside(r, &others[i], long_prompt);
         while (r->arrival_count < i + 2) {
             ev_run(r->loop, EVRUN_ONCE);
         }
@@ -633,7 +617,6 @@
 /* All places of the engine are taken, then one is free, and before the one that waits is looked at, another one comes.
  */
 START_TEST(who_comes_later_does_not_pass_who_waits_and_is_as_urgent) {
-    static const cw_stream_handlers_t handlers = {.on_data = ignore_data, .on_end = ignore_end};
     static const char first[] = "POST /gen/ HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: first\r\n"
                                 "Chalkway-Tokens: 100,10\r\nContent-Length: 0\r\n\r\n";
     rig_t* r = rig_setup(ENGINE_ROUTES, 1);
@@ -642,11 +625,7 @@
     cw_load_t full = {.running = 8};
     cw_balance_news(upstreams_pool(r->upstreams, "p")->balance, clock_ms(), 7, cw_name_id("s0"), &full);
     cw_stream_t waits = {.fd = -1};
-    struct sockaddr_in address;
-    cw_addr_parse(front_address(r->front), &address, NULL);
-    ck_assert_int_eq(cw_stream_connect(&waits, r->loop, &address, &handlers, NULL), CW_OK);
-    cw_stream_write(&waits, first, sizeof(first) - 1);
-    cw_stream_flush(&waits);
+    rig_send_beside(r, &waits, first);
     while (!exchanges_stats(r->exchanges).waiting) {
         ev_run(r->loop, EVRUN_ONCE);
     }
@@ -679,7 +658,6 @@
    urgent kinds of all others, while engines go by the kind. Both requests wait for the only place; it goes to the
    urgent one. */
 START_TEST(an_urgent_request_gets_the_place_before_a_favoured_workspace_s_patient_one) {
-    static const cw_stream_handlers_t handlers = {.on_data = ignore_data, .on_end = ignore_end};
     static const char* const requests[2] = {
         "POST /patient/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k0\r\nChalkway-Request-Id: patient\r\n"
         "Chalkway-Tokens: 100,10\r\nContent-Length: 0\r\n\r\n",
@@ -692,11 +670,7 @@
     cw_balance_news(balance, clock_ms(), 7, cw_name_id("s0"), &(cw_load_t){.running = 8});
     cw_stream_t callers[2] = {{.fd = -1}, {.fd = -1}};
     for (uint32_t i = 0; i < 2; i++) {
-        struct sockaddr_in address;
-        cw_addr_parse(front_address(r->front), &address, NULL);
-        ck_assert_int_eq(cw_stream_connect(&callers[i], r->loop, &address, &handlers, NULL), CW_OK);
-        cw_stream_write(&callers[i], requests[i], strlen(requests[i]));
-        cw_stream_flush(&callers[i]);
+        rig_send_beside(r, &callers[i], requests[i]);
         while (exchanges_stats(r->exchanges).waiting < i + 1) {
             ev_run(r->loop, EVRUN_ONCE);
         }
@@ -716,7 +690,6 @@
 /* Both find no place. The one with the longer target came first, and is refused first, so that it takes no place that
    the other one waits for. That one waits on, as long as its caller does: nobody less urgent is before it then. */
 START_TEST(a_patient_request_gives_up_a_place_first_and_an_impatient_one_waits_while_its_caller_does) {
-    static const cw_stream_handlers_t handlers = {.on_data = ignore_data, .on_end = ignore_end};
     static const char patient[] = "POST /patient/ HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: patient\r\n"
                                   "Chalkway-Tokens: 100,10\r\nContent-Length: 0\r\n\r\n";
     rig_t* r = rig_setup(TIER_ROUTES, 1);
@@ -725,11 +698,7 @@
     cw_load_t full = {.running = 8};
     cw_balance_news(upstreams_pool(r->upstreams, "p")->balance, clock_ms(), 7, cw_name_id("s0"), &full);
     cw_stream_t waits = {.fd = -1};
-    struct sockaddr_in address;
-    cw_addr_parse(front_address(r->front), &address, NULL);
-    ck_assert_int_eq(cw_stream_connect(&waits, r->loop, &address, &handlers, NULL), CW_OK);
-    cw_stream_write(&waits, patient, sizeof(patient) - 1);
-    cw_stream_flush(&waits);
+    rig_send_beside(r, &waits, patient);
     while (!exchanges_stats(r->exchanges).waiting) {
         ev_run(r->loop, EVRUN_ONCE);
     }
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -218,7 +218,7 @@
         cw_backlog_plan_t plans[20];
         int64_t now_ms = 1000;
         for (uint32_t i = 0; i < 20; i++) {
-            uint32_t urgency = cw_backlog_level((uint32_t)(cw_mix(seed, i) % 12));
+            uint32_t urgency = cw_urgency_level((uint32_t)(cw_mix(seed, i) % 12));
             double before_ms = cw_backlog_ms(&b, now_ms, urgency);
             plans[i] = cw_backlog_add(&b, now_ms, urgency, 50);
             ck_assert_double_eq_tol(cw_backlog_ms(&b, now_ms, urgency), before_ms + 50, 0.001);
