--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -73,6 +73,9 @@
 /* Where the configuration and the list of servers are published, over HTTP. Path functions write the path and query
    of a call; read functions turn an answer's body into native form and say what is wrong with it. */
 typedef struct source_t {
+    /* Header of every answer: a whole number that rises each time the source comes back from an older copy of itself,
+       so that its revisions go back and are given out again. NULL, or not there: it is not known to. */
+    const char* life_field;
     /* mark: of the last read, 0 none; what has not changed since need not be given again. */
     void (*catalog_path)(char* out, size_t size, int64_t mark);
     void (*servers_path)(char* out, size_t size, const char* after);
--- a/gateway/native.c
+++ b/gateway/native.c
@@ -65,7 +65,8 @@
     return cw_servers_read(list, body, size, err);
 }
 
-const source_t source_native = {.catalog_path = catalog_path,
+const source_t source_native = {.life_field = "Chalkway-Source-Life",
+                                .catalog_path = catalog_path,
                                 .servers_path = servers_path,
                                 .read_catalog = read_catalog,
                                 .read_servers = read_servers};
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -22,9 +22,11 @@
     cw_log_t log;
     cw_httpd_t* source;
     source_act_t act;
-    int64_t revision;  /* that the source has */
-    const char* extra; /* text in its document */
-    bool leaving;      /* of its only server */
+    int64_t revision;     /* that the source has */
+    int64_t life;         /* of the source, 0: it does not say */
+    const char* odd_life; /* what it says in place of it */
+    const char* extra;    /* text in its document */
+    bool leaving;         /* of its only server */
     uint32_t calls;
     bool history_gone;  /* it has forgotten what changed */
     bool hears_nothing; /* it tells no changes, not even heartbeats */
@@ -33,8 +35,9 @@
     uint32_t first_pages; /* of three, asked for */
     bool page_fails;      /* the second one fails once */
     uint32_t failed_pages;
-    uint32_t change_calls; /* for changes */
-    const char* change;    /* event told with each of them, "" none */
+    uint32_t change_calls;  /* for changes */
+    uint32_t changes_until; /* more of them are waited for */
+    const char* change;     /* event told with each of them, "" none */
     sync_t* sync;
     int64_t revisions[16]; /* taken over, in order */
     uint32_t revision_count;
@@ -48,12 +51,20 @@
     bool (*until)(struct site_t* site);
 } site_t;
 
+/* An answer of the source; it says which life of the source it comes from. */
+static void reply(cw_exchange_t* x, const site_t* site, unsigned status, const char* body) {
+    char life[24];
+    snprintf(life, sizeof(life), "%lld", (long long)site->life);
+    cw_header_t header = {"Store-Era", site->odd_life ? site->odd_life : life};
+    cw_exchange_reply(x, status, &header, site->life ? 1 : 0, body, strlen(body));
+}
+
 /* Changes are told in the platform's form. */
 static void on_changes(cw_exchange_t* x, site_t* site) {
     char body[512];
     site->change_calls++;
     if (site->history_gone) {
-        cw_exchange_reply(x, 410, NULL, 0, "", 0);
+        reply(x, site, 410, "");
         return;
     }
     unsigned at = site->change_calls + 1;
@@ -62,7 +73,7 @@
     if (site->hears_nothing) {
         snprintf(body, sizeof(body), "{\"events\":[],\"at\":%u}", at);
     }
-    cw_exchange_reply(x, 200, NULL, 0, body, strlen(body));
+    reply(x, site, 200, body);
 }
 
 /* Three pages of one server each, in the platform's form. */
@@ -73,12 +84,12 @@
     site->first_pages += page == 0;
     if (page == 1 && site->page_fails && !site->failed_pages) {
         site->failed_pages++;
-        cw_exchange_reply(x, 429, NULL, 0, "", 0);
+        reply(x, site, 429, "");
         return;
     }
     snprintf(body, sizeof(body), "{\"items\":[{\"tls_key\":\"servers/i%u\",\"value\":\"%s\"}],\"more\":%s,\"at\":1}",
              page, site->leaving ? DRAINING : READY, page < 2 ? "true" : "false");
-    cw_exchange_reply(x, 200, NULL, 0, body, strlen(body));
+    reply(x, site, 200, body);
 }
 
 static void on_source(cw_exchange_t* x, void* user) {
@@ -89,23 +100,23 @@
         return;
     }
     if (site->act == SOURCE_FAILS) {
-        cw_exchange_reply(x, 503, NULL, 0, "", 0);
+        reply(x, site, 503, "");
         return;
     }
     if (site->act == SOURCE_TALKS_NONSENSE) {
-        cw_exchange_reply(x, 200, NULL, 0, "{\"revision\":", 12);
+        reply(x, site, 200, "{\"revision\":");
         return;
     }
     if (cw_exchange_arg(x, "have") && site->delta) {
         site->delta_calls++;
-        cw_exchange_reply(x, 200, NULL, 0, site->delta, strlen(site->delta));
+        reply(x, site, 200, site->delta);
         return;
     }
     const char* prefix = cw_exchange_arg(x, "path_prefix");
     if (prefix && strcmp(prefix, "op/evacuate/") == 0) {
         snprintf(body, sizeof(body), "{\"items\":[%s],\"at\":%u}",
                  site->closes ? "{\"tls_key\":\"op/evacuate/a\"}" : "", site->calls);
-        cw_exchange_reply(x, 200, NULL, 0, body, strlen(body));
+        reply(x, site, 200, body);
         return;
     }
     if (strcmp(cw_exchange_path(x), "/kv-range") == 0) {
@@ -125,7 +136,7 @@
                  "\"slots\":1,\"leaving\":%s}]}",
                  site->leaving ? "true" : "false");
     }
-    cw_exchange_reply(x, 200, NULL, 0, body, strlen(body));
+    reply(x, site, 200, body);
 }
 
 static void on_catalog(void* user, cw_catalog_t* catalog) {
@@ -211,6 +222,7 @@
     source_with_changes.servers_path = platform_source.servers_path;
     source_with_changes.read_servers = platform_source.read_servers;
     source_with_changes.changes_path = platform_source.changes_path;
+    source_with_changes.life_field = platform_source.life_field;
     source_with_changes.read_changes = platform_source.read_changes;
     return site_setup_by(5, &source_with_changes);
 }
@@ -260,6 +272,15 @@
     return site->change_calls >= 4;
 }
 
+static bool asked_for_changes_or_told(site_t* site) {
+    return site->change_calls >= site->changes_until || site->list_leaving;
+}
+
+static bool always(site_t* site) {
+    (void)site;
+    return true;
+}
+
 static bool asked_for_the_list_again(site_t* site) {
     return site->first_pages >= 2;
 }
@@ -365,6 +386,7 @@
 START_TEST(a_short_list_is_read_whole) {
     source_with_changes = source_native;
     source_with_changes.changes_path = platform_source.changes_path;
+    source_with_changes.life_field = platform_source.life_field;
     source_with_changes.read_changes = platform_source.read_changes;
     site_t* site = site_setup_by(5, &source_with_changes);
     run_until(site, has_all);
@@ -525,6 +547,90 @@
 }
 END_TEST
 
+/* -- a source that comes back from an older copy -------------------------- */
+
+/* It gives out again the numbers of changes that were lost. To a host that asks for what changed since a number that
+   has been passed again it tells nothing of what lies between: here that a server leaves. */
+START_TEST(numbers_that_are_given_out_again_hide_no_change) {
+    site_t* site = changing_site_setup();
+    site->life = 1;
+    run_until(site, asked_for_changes);
+    ck_assert_uint_eq(site->first_pages, 1);
+    site->life = 2;
+    site->leaving = true;
+    site->changes_until = site->change_calls + 4; /* its numbers go on, as if nothing had been lost */
+    run_until(site, asked_for_changes_or_told);
+    ck_assert(site->list_leaving);
+    ck_assert_uint_eq(site->first_pages, 2);
+    ck_assert(site->after_outage); /* entries that the copy lacks are given time to come back */
+    site_shutdown(site);
+}
+END_TEST
+
+/* An answer that was under way for long comes from a life that is over: neither its document nor its list counts. */
+START_TEST(an_answer_of_an_earlier_life_changes_nothing) {
+    source_with_changes = source_native;
+    source_with_changes.life_field = platform_source.life_field;
+    site_t* site = site_setup_by(5, &source_with_changes);
+    site->life = 3;
+    run_until(site, has_all);
+    site->life = 2;
+    site->revision = 9;
+    site->leaving = true;
+    uint32_t calls = site->calls;
+    while (site->calls < calls + 6) {
+        run_until(site, always);
+    }
+    ck_assert_int_eq(sync_revision(site->sync), 5);
+    ck_assert(!site->list_leaving);
+    site->life = 3;
+    run_until(site, has_revision_9);
+    site_shutdown(site);
+}
+END_TEST
+
+/* The operator closed a hall after the copy was made, and writes it again within seconds: it isn't opened meanwhile. A
+   hall that is not written again is open then. */
+START_TEST(a_hall_closed_since_the_copy_stays_closed_until_it_is_written_again) {
+    source_with_changes = source_native;
+    source_with_changes.life_field = platform_source.life_field;
+    source_with_changes.closed_path = platform_source.closed_path;
+    source_with_changes.read_closed = platform_source.read_closed;
+    site_t* site = site_setup_by(5, &source_with_changes);
+    site->life = 1;
+    site->closes = true;
+    run_until(site, is_closed);
+    site->life = 2;
+    site->closes = false;
+    uint32_t calls = site->calls;
+    while (site->calls < calls + 8) {
+        run_until(site, always);
+        ck_assert(site->list_closed);
+    }
+    cw_clock_suspend(6000);
+    run_until(site, is_open);
+    site_shutdown(site);
+}
+END_TEST
+
+/* What can't be read as a life is told and changes nothing; nor does a source that says none. */
+START_TEST(a_life_that_is_no_number_is_told_and_changes_nothing) {
+    site_t* site = changing_site_setup();
+    site->life = 1;
+    run_until(site, asked_for_changes);
+    site->odd_life = "-7 or so";
+    site->changes_until = site->change_calls + 4;
+    run_until(site, asked_for_changes_or_told);
+    site->odd_life = NULL;
+    site->life = 0;
+    site->changes_until = site->change_calls + 4;
+    run_until(site, asked_for_changes_or_told);
+    ck_assert_uint_eq(site->first_pages, 1);
+    ck_assert_ptr_nonnull(strstr(site->lines, "-7 or so"));
+    site_shutdown(site);
+}
+END_TEST
+
 START_TEST(news_of_the_same_state_makes_it_younger) {
     site_t* site = site_setup(9);
     run_until(site, has_all);
@@ -559,6 +665,10 @@
     tcase_add_test(t, what_the_source_says_wrongly_changes_nothing_and_is_told);
     tcase_add_test(t, a_daemon_that_the_source_refuses_follows_its_peers);
     tcase_add_test(t, news_of_the_same_state_makes_it_younger);
+    tcase_add_test(t, numbers_that_are_given_out_again_hide_no_change);
+    tcase_add_test(t, an_answer_of_an_earlier_life_changes_nothing);
+    tcase_add_test(t, a_hall_closed_since_the_copy_stays_closed_until_it_is_written_again);
+    tcase_add_test(t, a_life_that_is_no_number_is_told_and_changes_nothing);
 }
 
 int main(void) {
