A source that comes back from an older copy is noticed by its life, and read anew

Callers would have been sent to a server that had left, since a host whose number had been passed again never heard of it; a hall closed since the copy was opened. Cause: revisions were compared without the life of the source that gave them out. Each answer tells it now: what was asked in one life and answered in the next is read anew, an answer of a life that is over is dropped, entries that the copy lacks get the time that lapsed ones get (2 s), and halls known to be closed stay so for 6 s, within which the operator writes again. Why it holds: no number of one life is compared with, or asked of, another any more at the host that reads the source; peers hear by time.

--- a/chalkway.c
+++ b/chalkway.c
@@ -15,6 +15,7 @@
 #include "chalkway_holding.h"
 #include "chalkway_home.h"
 #include "chalkway_kept.h"
+#include "chalkway_life.h"
 #include "chalkway_limit.h"
 #include "chalkway_load.h"
 #include "chalkway_log.h"
--- a/chalkway_log.h
+++ b/chalkway_log.h
@@ -65,6 +65,8 @@
     CW_EVENT_SOURCE_LOST = 530,
     CW_EVENT_SOURCE_BACK = 531,
     CW_EVENT_ENTRY_REFUSED = 532,
+    CW_EVENT_SOURCE_RESTORED = 533,
+    CW_EVENT_SOURCE_LIFE_ODD = 534,
     CW_EVENT_LINES_LOST = 540
 } cw_event_t;
 
@@ -146,6 +148,8 @@
     {CW_EVENT_SERVER_LEAVES, CW_LOG_INFO, "server-leaves"},
     {CW_EVENT_SOURCE_LOST, CW_LOG_WARN, "source-lost"},
     {CW_EVENT_SOURCE_BACK, CW_LOG_INFO, "source-back"},
+    {CW_EVENT_SOURCE_RESTORED, CW_LOG_WARN, "source-restored"},
+    {CW_EVENT_SOURCE_LIFE_ODD, CW_LOG_WARN, "source-life-odd"},
     {CW_EVENT_ENTRY_REFUSED, CW_LOG_WARN, "entry-refused"},
     {CW_EVENT_LINES_LOST, CW_LOG_WARN, "lines-lost"},
 };
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "../chalkway_changes.h"
+#include "../chalkway_life.h"
 #include "../chalkway_pull.h"
 #include "../chalkway_reader.h"
 #include "../io/buffer.h"
@@ -19,6 +20,10 @@
                          */
 #define STATUS_GONE 410 /* the source no longer knows the changes since then */
 #define OUTAGE_MS 2000  /* a list that nobody confirmed for so long: entries may have lapsed while it was away */
+/* After the source came back from an older copy: a hall that was known to be closed stays closed for so long, until the
+   operator has written again what was lost, which takes him up to 5 s. */
+#define RESTORED_MS 6000
+#define LIFE_LINE_MS 10000    /* at most one line in so long on lives that can't be */
 #define REFUSED_LINE_MS 10000 /* at most one line in so long on entries that name no server */
 #define NEVER CW_READER_NEVER
 
@@ -31,6 +36,8 @@
     int64_t next_ms;
     uint32_t failures;                /* in a row */
     char peer[CW_SERVER_ADDRESS_MAX]; /* who is asked */
+    bool of_source;                   /* not a peer */
+    char life[CW_NAME_MAX];           /* of the source, as its answer says, "" it does not */
     void (*on_answer)(sync_t* s, unsigned status, const char* body, size_t size);
     void (*on_failure)(sync_t* s, const char* why);
 } fetch_t;
@@ -56,9 +63,14 @@
     uint32_t whole_pages; /* of the whole list */
     int64_t whole_ms;     /* when this daemon last read the whole list, NEVER: not yet, or it is to be read again */
     uint64_t list_id;
-    cw_changes_t changes; /* that led to it */
-    bool whole_wanted;    /* from a peer: its changes did not lead to its list */
-    int64_t list_ms;      /* when the list in force was last known to be true at the source, NEVER: none */
+    cw_changes_t changes;      /* that led to it */
+    bool whole_wanted;         /* from a peer: its changes did not lead to its list */
+    int64_t list_ms;           /* when the list in force was last known to be true at the source, NEVER: none */
+    cw_life_t life;            /* of the source */
+    bool restored;             /* no list of this life is in force yet */
+    cw_closed_t closed_before; /* known from the life before */
+    int64_t closed_until_ms;   /* they count so long */
+    int64_t life_told_ms;
     cw_pull_t catalog_pull, servers_pull;
     cw_reader_t reader;
     uint32_t daemons;
@@ -79,12 +91,29 @@
     return true;
 }
 
+static void on_head(void* user, unsigned status, const char* content_type) {
+    fetch_t* f = user;
+    (void)status;
+    (void)content_type;
+    const char* field = f->sync->desc.source->life_field;
+    const char* life = f->of_source && field ? cw_call_header(f->call, field) : NULL;
+    cw_copy(f->life, sizeof(f->life), life ? life : "");
+}
+
+static void read_whole(sync_t* s);
+static cw_life_verdict_t hear_life(sync_t* s, const char* life);
+
 static void on_done(void* user, const cw_call_result_t* result) {
     fetch_t* f = user;
     cw_buffer_t body = f->body;
     f->body = (cw_buffer_t){0};
     f->call = NULL;
-    if (result->whole) {
+    cw_life_verdict_t life = result->whole && f->life[0] ? hear_life(f->sync, f->life) : CW_LIFE_SAME;
+    if (life == CW_LIFE_OLDER) {
+        f->on_failure(f->sync, "an answer of an earlier life");
+    } else if (life == CW_LIFE_NEWER && f == &f->sync->servers) {
+        read_whole(f->sync); /* what was asked by a number of the life before is of no use */
+    } else if (result->whole) {
         f->on_answer(f->sync, result->status, cw_buffer_text(&body), body.size);
     } else {
         f->on_failure(f->sync, result->message);
@@ -96,9 +125,11 @@
     char url[512];
     snprintf(url, sizeof(url), "http://%s%s", address, path);
     cw_copy(f->peer, sizeof(f->peer), address);
+    f->life[0] = 0;
     f->call = cw_client_call(f->client, &(cw_call_desc_t){.url = url,
                                                           .connect_ms = CALL_MS,
                                                           .timeout_ms = timeout_ms,
+                                                          .on_head = on_head,
                                                           .on_data = on_data,
                                                           .on_done = on_done,
                                                           .user_data = f});
@@ -191,6 +222,13 @@
     s->refused_told_ms = now_ms;
 }
 
+/* The copy lacks what was closed after it was made: not opened before that can have been written again. */
+static void keep_closed(sync_t* s, cw_closed_t* closed) {
+    for (uint32_t i = 0; i < s->closed_before.count && clock_ms() < s->closed_until_ms; i++) {
+        cw_closed_add(closed, s->closed_before.halls[i]); /* full: as many halls are closed as there can be */
+    }
+}
+
 /* Puts a list in force that was true at the time; takes it over. */
 static void adopt_servers(sync_t* s, cw_servers_t* list, int64_t true_ms) {
     if (true_ms < s->list_ms) {
@@ -198,10 +236,12 @@
         return;
     }
     bool first = s->list_ms == NEVER;
-    bool after_outage = !first && true_ms - s->list_ms >= OUTAGE_MS;
+    bool after_outage = !first && (true_ms - s->list_ms >= OUTAGE_MS || s->restored);
+    s->restored = false;
     if (list->closed.at < s->list.closed.at) {
         list->closed = s->list.closed; /* known from a later reading */
     }
+    keep_closed(s, &list->closed);
     cw_servers_drop_unstarted(list);
     tell_refused(s, &list->refused);
     cw_servers_sort(list);
@@ -319,6 +359,37 @@
     }
 }
 
+/* The source is back from an older copy. What is known stays in use; no number of the life before may be asked by or
+   compared any more, so all is read anew, by whoever reads at the usual pace: the others hear it from peers. */
+static void begin_life(sync_t* s, int64_t before) {
+    cw_log(s->desc.log, CW_EVENT_SOURCE_RESTORED, "peer=%s life=%lld was=%lld revision=%lld servers=%u closed=%u",
+           s->desc.address, (long long)s->life.number, (long long)before, (long long)sync_revision(s), s->list.count,
+           s->list.closed.count);
+    s->restored = true;
+    s->mark = 0;
+    s->whole_ms = s->closed_ms = NEVER;
+    s->closed_before = s->list.closed;
+    s->closed_until_ms = clock_ms() + RESTORED_MS;
+    s->list.closed.at = 0;
+    fetch_cancel(&s->servers);
+    drop_pages(s);
+}
+
+static cw_life_verdict_t hear_life(sync_t* s, const char* life) {
+    int64_t before = s->life.number;
+    cw_life_verdict_t verdict = cw_life_hear(&s->life, life);
+    int64_t now_ms = clock_ms();
+    bool odd = verdict == CW_LIFE_OLDER || verdict == CW_LIFE_MALFORMED;
+    if (verdict == CW_LIFE_NEWER) {
+        begin_life(s, before);
+    } else if (odd && (!s->life_told_ms || now_ms - s->life_told_ms >= LIFE_LINE_MS)) {
+        cw_log(s->desc.log, CW_EVENT_SOURCE_LIFE_ODD, "peer=%s life=\"%s\" verdict=%s known=%lld", s->desc.address,
+               life, verdict == CW_LIFE_OLDER ? "older" : "malformed", (long long)s->life.number);
+        s->life_told_ms = now_ms;
+    }
+    return verdict;
+}
+
 static void adopt_pages(sync_t* s) {
     fetch_ok(&s->servers);
     adopt_servers(s, &s->pages, s->pages_ms);
@@ -631,6 +702,7 @@
     s->client = cw_client_setup(desc->loop, 8);
     fetch_init(s, &s->catalog, on_catalog_answer, on_catalog_failure);
     fetch_init(s, &s->servers, on_servers_answer, on_servers_failure);
+    s->catalog.of_source = s->servers.of_source = true;
     fetch_init(s, &s->peer_catalog, on_peer_catalog, on_peer_failure);
     fetch_init(s, &s->peer_servers, on_peer_servers, on_peer_servers_failure);
     return s;
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -7,6 +7,7 @@
 #include "../chalkway_events.h"
 #include "../chalkway_holding.h"
 #include "../chalkway_kept.h"
+#include "../chalkway_life.h"
 #include "../chalkway_limit.h"
 #include "../chalkway_load.h"
 #include "../chalkway_request.h"
@@ -833,6 +834,27 @@
 }
 END_TEST
 
+/* The first number that is heard begins no new life, a lower one never counts again, and what is no number changes
+ * nothing. */
+START_TEST(a_source_s_lives_only_rise) {
+    static const struct {
+        const char* text;
+        cw_life_verdict_t verdict;
+        int64_t number;
+    } heard[] = {{NULL, CW_LIFE_SAME, 0},      {"4", CW_LIFE_SAME, 4},
+                 {"4", CW_LIFE_SAME, 4},       {"6", CW_LIFE_NEWER, 6},
+                 {"5", CW_LIFE_OLDER, 6},      {"", CW_LIFE_MALFORMED, 6},
+                 {"7x", CW_LIFE_MALFORMED, 6}, {"-9", CW_LIFE_MALFORMED, 6},
+                 {"0", CW_LIFE_MALFORMED, 6},  {"99999999999999999999", CW_LIFE_MALFORMED, 6},
+                 {NULL, CW_LIFE_SAME, 6},      {"7", CW_LIFE_NEWER, 7}};
+    cw_life_t life = {0};
+    for (size_t i = 0; i < sizeof(heard) / sizeof(heard[0]); i++) {
+        ck_assert_int_eq(cw_life_hear(&life, heard[i].text), heard[i].verdict);
+        ck_assert_int_eq(life.number, heard[i].number);
+    }
+}
+END_TEST
+
 /* Urgencies are told apart, and what lies beyond the last one counts as it. */
 START_TEST(the_time_for_which_places_are_held_is_learned_by_urgency) {
     cw_holding_t h = {0};
@@ -876,6 +898,7 @@
 END_TEST
 
 static void add(TCase* t) {
+    tcase_add_test(t, a_source_s_lives_only_rise);
     tcase_add_test(t, the_time_for_which_places_are_held_is_learned_by_urgency);
     tcase_add_test(t, a_pool_s_held_places_are_counted_over_lives_of_servers);
     tcase_add_test(t, catalog_finds_the_longest_prefix_and_the_holder_of_a_key);
