Sight: a line where a server's answers name another rate than before

What a server says of itself in its answers stood in no log. The heads of all answers that come over a connection are read in one place now (gateway/pushback.c), and a change of the rate that they name is logged.

--- a/chalkway.c
+++ b/chalkway.c
@@ -26,6 +26,7 @@
 #include "chalkway_place.h"
 #include "chalkway_prefix.h"
 #include "chalkway_pull.h"
+#include "chalkway_pushback.h"
 #include "chalkway_quarantine.h"
 #include "chalkway_reader.h"
 #include "chalkway_reading.h"
--- a/chalkway_log.h
+++ b/chalkway_log.h
@@ -67,7 +67,9 @@
     CW_EVENT_ENTRY_REFUSED = 532,
     CW_EVENT_SOURCE_RESTORED = 533,
     CW_EVENT_SOURCE_LIFE_ODD = 534,
-    CW_EVENT_LINES_LOST = 540
+    CW_EVENT_LINES_LOST = 540,
+    CW_EVENT_SERVER_LIMITED = 550,
+    CW_EVENT_PUSHBACK_UNREADABLE = 559
 } cw_event_t;
 
 typedef struct cw_log_t {
@@ -152,6 +154,8 @@
     {CW_EVENT_SOURCE_LIFE_ODD, CW_LOG_WARN, "source-life-odd"},
     {CW_EVENT_ENTRY_REFUSED, CW_LOG_WARN, "entry-refused"},
     {CW_EVENT_LINES_LOST, CW_LOG_WARN, "lines-lost"},
+    {CW_EVENT_SERVER_LIMITED, CW_LOG_INFO, "server-limited"},
+    {CW_EVENT_PUSHBACK_UNREADABLE, CW_LOG_WARN, "pushback-unreadable"},
 };
 
 cw_event_info_t cw_event_info(cw_event_t event) {
--- a/gateway/link.c
+++ b/gateway/link.c
@@ -91,6 +91,7 @@
 static void on_head(void* owner) {
     link_t* l = owner;
     uint32_t keep_ms = keep_alive_ms(&l->answer);
+    server_hear(l->server, &l->answer);
     l->keep_ms = keep_ms ? keep_ms : l->keep_ms;
     l->unsound = l->unsound || !l->answer.keep_alive || l->answer.framing == CW_FRAMING_CLOSE;
     l->skipping = l->answer.status / 100 == 1 || answers_other_request(l);
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -109,6 +109,7 @@
     s->key = key;
     s->name = cw_name_id(published->id);
     s->published.started_ms = published->started_ms;
+    s->limit_per_s = SERVER_UNLIMITED;
     cw_map_put(&u->by_key, key, place);
     cw_map_put(&u->by_name, s->name, place);
     s->pool = pool_get(u, published->pool);
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -16,6 +16,7 @@
 #include "../chalkway_catalog.h"
 #include "../chalkway_limit.h"
 #include "../chalkway_log.h"
+#include "../chalkway_pushback.h"
 #include "../chalkway_servers.h"
 #include "../io/message.h"
 #include "../io/stream.h"
@@ -26,6 +27,8 @@
 typedef struct server_t server_t;
 typedef struct link_t link_t;
 
+#define SERVER_UNLIMITED (-1.0) /* it named no rate */
+
 struct server_t {
     uint64_t key;  /* of this life: cw_server_life */
     uint64_t name; /* id of the id, the same for all its lives */
@@ -40,6 +43,7 @@
     int64_t missing_until_ms; /* not in the list: taken as gone then */
     bool probing;
     int64_t ended_ms;  /* it was taken for ended then: it is listened for over older connections, 0: not */
+    double limit_per_s; /* rate that its last answer named, SERVER_UNLIMITED: none */
     uint32_t open;     /* connections */
     link_t* idle;      /* used last first */
     double connect_ms; /* learned, 0: unknown */
--- a/gateway/upstream_parts.h
+++ b/gateway/upstream_parts.h
@@ -43,6 +43,11 @@
     bool configured; /* which pools there are is known */
 };
 
+/* -- pushback.c ----------------------------------------------------------- */
+
+/* The head of any answer that came over a connection to the server, interim ones too. */
+void server_hear(server_t* s, const cw_message_t* head);
+
 /* -- link.c --------------------------------------------------------------- */
 
 /* Closes the server's connections at rest: all of them, or those that rested for too long. */
--- a/tools/arrows.sh
+++ b/tools/arrows.sh
@@ -14,7 +14,7 @@
 allowed() {
     case "$1" in
         front) echo "front" ;;
-        upstream | upstream_parts | link) echo "clock dialect upstream upstream_parts" ;;
+        upstream | upstream_parts | link | pushback) echo "clock dialect upstream upstream_parts" ;;
         sync) echo "clock dialect sync" ;;
         mesh) echo "clock mesh news settings upstream" ;;
         news) echo "clock news settings upstream" ;;
