A server's rate is kept by few owners, and heard by all

Callers saw nothing; servers in need got two to four times what they had asked for. Cause: an answer's head was looked at by its request alone, so what it says of its server reached no choice (H1; H2 and H3 would have shown fewer sends after the rate was named, and there were as many).

Why it holds: each final head is handed to gateway/pushback.c, and the choice leaves a limited server out unless this host owns a part of the rate and has some of it left. Owners follow from rendezvous hashing, so parts sum to the rate without a message.

test_gateway_parts: the largest load message sets its two new flags to true after the bytes are filled with 0xff, which is no value of a bool; it holds as many fields as before, and more.

--- a/bench/bench_choose.c
+++ b/bench/bench_choose.c
@@ -24,7 +24,7 @@
         engines[i] = cw_mix(i, 5);
         specs[i] = (cw_server_spec_t){.id = engines[i], .slots = size->places, .memory_tokens = 400000};
     }
-    cw_balance_set_fleet(b, &fleet);
+    cw_balance_set_fleet(b, 1000, &fleet);
     cw_balance_set(b, 0, specs, size->engines);
     cw_free(NULL, specs);
     return b;
--- a/chalkway.c
+++ b/chalkway.c
@@ -28,6 +28,7 @@
 #include "chalkway_pull.h"
 #include "chalkway_pushback.h"
 #include "chalkway_quarantine.h"
+#include "chalkway_rate.h"
 #include "chalkway_reader.h"
 #include "chalkway_reading.h"
 #include "chalkway_relay.h"
--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -47,6 +47,7 @@
 #include "chalkway_home.h"
 #include "chalkway_limit.h"
 #include "chalkway_prefix.h"
+#include "chalkway_rate.h"
 #include "chalkway_reading.h"
 #include "chalkway_suspect.h"
 
@@ -90,6 +91,10 @@
     uint32_t pace_us;                  /* learned time between events there while no prompt is read, 0: unknown */
     uint32_t failed_ago_ms;            /* since a connection of its own to the server last failed, 0: not lately */
     uint32_t alive_ago_ms;             /* since it last sent a request there that was answered, 0: not lately */
+    bool rate_known;                   /* its own answers said something of the server's rate lately */
+    bool rate_limited;                 /* they named one; false: they named none any more */
+    uint32_t rate_per_ks;              /* that rate, requests in 1,000 s */
+    uint32_t rate_ago_ms;              /* since it was true */
 } cw_load_t;
 
 typedef enum cw_try_result_t {
@@ -124,6 +129,7 @@
     uint32_t tried;     /* this request was there */
     uint32_t away;      /* no connection comes up, or it said that it is full */
     uint32_t cold;      /* gets no more now than it bears */
+    uint32_t limited;   /* gets no more now, from this host or at all, by the rate that it named */
     uint32_t suspected; /* another host's turn to try it */
     uint32_t no_place;  /* none free for this work, or for this host now */
 } cw_left_out_t;
@@ -145,8 +151,9 @@
     uint32_t streaming;  /* streams at the server that may pause least */
     uint32_t candidates; /* servers that had room */
     cw_left_out_t left_out;
-    double pace; /* the server's time between events against the fastest one's, 1 while unknown */
-    bool late;   /* whatever server: too much stands before it, see cw_balance_choose */
+    uint32_t open_in_ms; /* until a server that holds callers back takes one from this host, 0: not known */
+    double pace;         /* the server's time between events against the fastest one's, 1 while unknown */
+    bool late;           /* whatever server: too much stands before it, see cw_balance_choose */
 } cw_choice_t;
 
 typedef struct cw_balance_desc_t {
@@ -168,6 +175,7 @@
 typedef struct cw_fleet_t {
     const uint64_t* ids;
     uint32_t count;
+    uint32_t missing;   /* others that vanished without a sign of an end: they may be cut off and go on */
     uint32_t reach_ms;  /* until news of a request has reached all */
     uint32_t direct_ms; /* until it has reached the other home hosts of the server (chalkway_home.h) */
 } cw_fleet_t;
@@ -182,7 +190,7 @@
 uint32_t cw_balance_find(const cw_balance_t* b, uint64_t id);
 /* The hosts that live, this one among them. The ids are kept as they are given: they must outlive the balance, or the
    next call. */
-void cw_balance_set_fleet(cw_balance_t* b, const cw_fleet_t* fleet);
+void cw_balance_set_fleet(cw_balance_t* b, int64_t now_ms, const cw_fleet_t* fleet);
 /* A new request for the pool came. */
 void cw_balance_asked(cw_balance_t* b, int64_t now_ms, const cw_work_t* work);
 /* Whether the work is of a kind that needs next to nothing of the pool: few of its places, by what comes and for how
@@ -210,6 +218,13 @@
 void cw_balance_warm(cw_balance_t* b, uint64_t id, bool warm);
 /* The server is known to be away (true) or to be back. */
 void cw_balance_away(cw_balance_t* b, int64_t now_ms, uint64_t id, bool away);
+/* An answer of the server that has just come names a rate at which it takes requests from all hosts together; its
+   request was sent at sent_ms. per_s < 0: it names none. True: what is in force changed. */
+bool cw_balance_limit(cw_balance_t* b, int64_t now_ms, uint64_t id, int64_t sent_ms, double per_s);
+/* The rate in force, requests a second of all hosts together, < 0: none. */
+double cw_balance_limit_per_s(const cw_balance_t* b, int64_t now_ms, uint64_t id);
+/* Whether this host's own answers said something of the server's rate that the others are still to be told. */
+bool cw_balance_tells_limit(const cw_balance_t* b, int64_t now_ms, uint64_t id);
 /* Whether the server is suspected to be gone by what all daemons saw of it. */
 bool cw_balance_suspected(const cw_balance_t* b, int64_t now_ms, uint64_t id);
 /* A server that is away and may be probed now; its next pause begins. 0: none. */
@@ -220,7 +235,8 @@
 void cw_balance_news(cw_balance_t* b, int64_t now_ms, uint64_t peer, uint64_t server, const cw_load_t* load);
 /* Another daemon sent a prompt with this part there. */
 void cw_balance_kept(cw_balance_t* b, uint64_t server, const cw_work_part_t* part);
-/* Share 0..1 of the places of the servers that are taken, as far as known. */
+/* Share 0..1 of the places that are taken, as far as known, of the servers that don't hold callers back; 1 when there
+   are none. */
 double cw_balance_fullness(const cw_balance_t* b, int64_t now_ms);
 /* Learned target, ms, of the work that can wait least, 0: none was seen. */
 double cw_balance_shortest_target(const cw_balance_t* b);
@@ -331,6 +347,7 @@
     cw_suspect_t life;     /* what all hosts know */
     int64_t own_failed_ms; /* what this host saw itself, and tells, 0: nothing */
     int64_t own_alive_ms;
+    cw_rate_t rate;
     int64_t cold_until_ms;
     cw_bucket_t cold;     /* what it may get until then */
     uint64_t read_tokens; /* all that was read there, as far as known */
@@ -482,7 +499,7 @@
     }
     for (uint32_t i = 0; i < b->places; i++) {
         _cw_server_t* s = &b->servers[i];
-        if (s->used && !s->listed && !s->running) {
+        if (s->used && !s->listed && !s->running && !cw_rate_holds(&s->rate, now_ms)) {
             _cw_balance_remove(b, i);
         }
     }
@@ -638,13 +655,18 @@
     return _cw_balance_fail(s, now_ms) * loss_ms * (work->repeatable ? 1 : 2);
 }
 
+/* Whether the server takes what it has places for: not where it is away or holds its callers back. */
+static bool _cw_balance_takes_all(const _cw_server_t* s, int64_t now_ms) {
+    return s->used && s->listed && !s->away && !cw_rate_holds(&s->rate, now_ms);
+}
+
 /* Where the prompt's parts are, and belong, among the servers that may be chosen. */
-static cw_prefix_t _cw_balance_prefix(const cw_balance_t* b, const cw_work_t* work) {
+static cw_prefix_t _cw_balance_prefix(const cw_balance_t* b, int64_t now_ms, const cw_work_t* work) {
     cw_prefix_t prefix = cw_prefix_new(work->parts, work->part_count);
     for (uint32_t i = 0; i < b->places && work->part_count; i++) {
         const _cw_server_t* s = &b->servers[i];
         if (s->used && s->listed && !s->away) {
-            cw_prefix_see(&prefix, s->spec.id, _cw_balance_kept_tokens(b, s, work));
+            cw_prefix_see(&prefix, s->spec.id, _cw_balance_kept_tokens(b, s, work), _cw_balance_takes_all(s, now_ms));
         }
     }
     return prefix;
@@ -850,14 +872,49 @@
     return false;
 }
 
-void cw_balance_set_fleet(cw_balance_t* b, const cw_fleet_t* fleet) {
+static void _cw_balance_share_rate(const cw_balance_t* b, _cw_server_t* s, int64_t now_ms) {
+    cw_rate_set_hosts(&s->rate, now_ms,
+                      &(cw_rate_hosts_t){.server = s->spec.id,
+                                         .own = b->desc.seed,
+                                         .ids = b->fleet.ids,
+                                         .count = b->fleet.count,
+                                         .missing = b->fleet.missing});
+}
+
+void cw_balance_set_fleet(cw_balance_t* b, int64_t now_ms, const cw_fleet_t* fleet) {
     b->fleet = *fleet;
     for (uint32_t i = 0; i < b->places; i++) {
         _cw_server_t* s = &b->servers[i];
         s->home = s->used && cw_home_is(s->spec.id, b->desc.seed, fleet->ids, fleet->count);
+        _cw_balance_share_rate(b, s, now_ms);
     }
 }
 
+bool cw_balance_limit(cw_balance_t* b, int64_t now_ms, uint64_t id, int64_t sent_ms, double per_s) {
+    uint32_t at = cw_balance_find(b, id);
+    if (at == CW_BALANCE_NONE) {
+        return false;
+    }
+    _cw_server_t* s = &b->servers[at];
+    bool changed =
+        per_s < 0 ? cw_rate_lifted(&s->rate, sent_ms, now_ms) : cw_rate_named(&s->rate, sent_ms, now_ms, per_s);
+    if (changed) {
+        _cw_balance_share_rate(b, s, now_ms);
+    }
+    return changed;
+}
+
+double cw_balance_limit_per_s(const cw_balance_t* b, int64_t now_ms, uint64_t id) {
+    uint32_t at = cw_balance_find(b, id);
+    bool holds = at != CW_BALANCE_NONE && cw_rate_holds(&b->servers[at].rate, now_ms);
+    return holds ? b->servers[at].rate.word.per_s : -1;
+}
+
+bool cw_balance_tells_limit(const cw_balance_t* b, int64_t now_ms, uint64_t id) {
+    uint32_t at = cw_balance_find(b, id);
+    return at != CW_BALANCE_NONE && cw_rate_tell(&b->servers[at].rate, now_ms).known;
+}
+
 void cw_balance_asked(cw_balance_t* b, int64_t now_ms, const cw_work_t* work) {
     cw_contention_asked(&b->contention, now_ms, work->urgency);
     cw_holding_asked(&b->holding, work->urgency, work->prompt_tokens);
@@ -878,7 +935,7 @@
     double slots = 0;
     for (uint32_t i = 0; i < b->places; i++) {
         const _cw_server_t* s = &b->servers[i];
-        slots += s->used && s->listed && !s->away ? s->spec.slots : 0;
+        slots += _cw_balance_takes_all(s, now_ms) ? s->spec.slots : 0;
     }
     double rate = cw_contention_rate(&b->contention, now_ms, work->urgency);
     double needs = _cw_balance_of_fleet(b, cw_holding_places(&b->holding, work->urgency, rate));
@@ -934,6 +991,17 @@
     return suspected <= _CW_SUSPECT_SHARE * b->listed;
 }
 
+/* Ms until a server that holds callers back takes a request from this host, 0: it doesn't, or that isn't known. */
+static uint32_t _cw_balance_opens_ms(const _cw_server_t* s, int64_t now_ms) {
+    uint32_t wait_ms = cw_rate_wait_ms(&s->rate, now_ms);
+    return wait_ms == CW_RATE_NEVER ? 0 : wait_ms;
+}
+
+/* The shorter of two times, 0: not known. */
+static uint32_t _cw_balance_sooner(uint32_t a_ms, uint32_t b_ms) {
+    return !a_ms || (b_ms && b_ms < a_ms) ? b_ms : a_ms;
+}
+
 /* The count of left that a server belongs to which the work can't use, NULL: it may go there as far as can be told
    before its load is summed. */
 static uint32_t* _cw_balance_left_out(const cw_balance_t* b, const _cw_server_t* s, int64_t now_ms, bool avoid,
@@ -944,6 +1012,9 @@
     if (!_cw_balance_bears(b, s, now_ms)) {
         return &left->cold;
     }
+    if (cw_rate_wait_ms(&s->rate, now_ms)) {
+        return &left->limited;
+    }
     return avoid && _cw_balance_suspects(b, s, now_ms) ? &left->suspected : NULL;
 }
 
@@ -963,8 +1034,9 @@
     cw_choice_t best = {.server = CW_BALANCE_NONE};
     cw_left_out_t left = {0};
     uint32_t candidates = 0;
+    uint32_t open_in_ms = 0;
     double free_places = 0; /* at all engines that this work could use */
-    cw_prefix_t prefix = _cw_balance_prefix(b, work);
+    cw_prefix_t prefix = _cw_balance_prefix(b, now_ms, work);
     bool avoid = _cw_balance_avoids(b, now_ms);
     double share = _cw_balance_share(b, work);
     _cw_balance_learn_patience(b, work);
@@ -978,6 +1050,7 @@
                             : _cw_balance_left_out(b, s, now_ms, avoid, &left);
         if (out) {
             ++*out;
+            open_in_ms = _cw_balance_sooner(open_in_ms, _cw_balance_opens_ms(s, now_ms));
             continue;
         }
         cw_choice_t c = _cw_balance_rate(b, i, now_ms, work, &prefix);
@@ -999,6 +1072,7 @@
         left.no_place += candidates;
         candidates = 0;
     }
+    best.open_in_ms = open_in_ms;
     best.reserved = reserved;
     best.candidates = candidates;
     best.left_out = left;
@@ -1019,7 +1093,7 @@
     run.found_ms = sum.backlog_ms;
     run.quiet = sum.backlog_ms < 1.0 && sum.running < _CW_QUIET_SHARE * s->spec.slots && now_ms >= s->cold_until_ms;
     if (s->spec.memory_tokens) {
-        cw_prefix_t prefix = _cw_balance_prefix(b, work);
+        cw_prefix_t prefix = _cw_balance_prefix(b, now_ms, work);
         uint32_t kept = _cw_balance_kept_tokens(b, s, work);
         uint32_t moved = _cw_balance_moved(b, s, &prefix, kept);
         run.quiet = run.quiet && !moved;
@@ -1037,6 +1111,7 @@
     cw_holding_begin(&b->holding, run.urgency);
     s->tokens += run.tokens;
     cw_bucket_take(&s->cold, now_ms, 1); /* without effect while it is not cold */
+    cw_rate_take(&s->rate, now_ms);
     return run;
 }
 
@@ -1226,6 +1301,16 @@
 
 /* -- news ----------------------------------------------------------------- */
 
+static void _cw_balance_tell_rate(const cw_rate_t* rate, int64_t now_ms, cw_load_t* load) {
+    cw_rate_word_t word = cw_rate_tell(rate, now_ms);
+    if (word.known) {
+        load->rate_known = true;
+        load->rate_limited = word.limited;
+        load->rate_per_ks = (uint32_t)(word.per_s * 1000);
+        load->rate_ago_ms = (uint32_t)(now_ms - word.at_ms);
+    }
+}
+
 cw_load_t cw_balance_load(const cw_balance_t* b, int64_t now_ms, uint32_t server) {
     const _cw_server_t* s = &b->servers[server];
     cw_gap_t gap = cw_gaps_shortest(&s->gaps);
@@ -1236,6 +1321,7 @@
                       .pace_us = s->pace_samples > _CW_PACE_FEW ? (uint32_t)(s->pace_ms * 1000.0) : 0,
                       .failed_ago_ms = cw_suspect_age(s->own_failed_ms, now_ms),
                       .alive_ago_ms = s->life.failures ? cw_suspect_age(s->own_alive_ms, now_ms) : 0};
+    _cw_balance_tell_rate(&s->rate, now_ms, &load);
     for (uint32_t urgency = 0; urgency < CW_URGENCIES; urgency++) {
         load.backlog_ms[urgency] = (uint32_t)_cw_balance_own_backlog(s, now_ms, urgency);
     }
@@ -1269,6 +1355,16 @@
     }
 }
 
+static void _cw_balance_hear_rate(const cw_balance_t* b, _cw_server_t* s, int64_t now_ms, const cw_load_t* load) {
+    cw_rate_word_t word = {.known = load->rate_known,
+                           .limited = load->rate_limited,
+                           .per_s = load->rate_per_ks / 1000.0,
+                           .at_ms = now_ms - load->rate_ago_ms};
+    if (cw_rate_heard(&s->rate, &word, b->fleet.reach_ms)) {
+        _cw_balance_share_rate(b, s, now_ms);
+    }
+}
+
 void cw_balance_news(cw_balance_t* b, int64_t now_ms, uint64_t peer, uint64_t server, const cw_load_t* load) {
     uint32_t at = cw_balance_find(b, server);
     if (at == CW_BALANCE_NONE) {
@@ -1277,6 +1373,7 @@
     _cw_server_t* s = &b->servers[at];
     _cw_balance_hear_pace(b, s, load->pace_us);
     _cw_balance_hear_life(b, s, now_ms, peer, load);
+    _cw_balance_hear_rate(b, s, now_ms, load);
     _cw_balance_drop_news(b, s, now_ms, peer);
     if (_cw_balance_has_load(load) && s->news_count < b->desc.max_peers) {
         s->news[s->news_count++] = (_cw_news_t){.peer = peer, .at_ms = now_ms, .load = *load};
@@ -1288,7 +1385,7 @@
     double running = 0;
     for (uint32_t i = 0; i < b->places; i++) {
         const _cw_server_t* s = &b->servers[i];
-        if (s->used && s->listed && !s->away) {
+        if (_cw_balance_takes_all(s, now_ms)) {
             slots += s->spec.slots;
             running += _cw_balance_sum(b, s, now_ms, 0).running;
         }
--- a/chalkway_limit.h
+++ b/chalkway_limit.h
@@ -61,6 +61,8 @@
 
 /* Takes n tokens if they are there. */
 bool cw_bucket_take(cw_bucket_t* bucket, int64_t now_ms, double n);
+/* From now on the bucket fills at this rate; what it holds stays, up to the new burst. */
+void cw_bucket_set_rate(cw_bucket_t* bucket, int64_t now_ms, double rate, double burst);
 /* Time until n tokens will be there, 0 when they are. */
 uint32_t cw_bucket_wait_ms(const cw_bucket_t* bucket, int64_t now_ms, double n);
 void cw_retry_first(cw_retry_budget_t* budget);
@@ -137,6 +139,15 @@
     return true;
 }
 
+void cw_bucket_set_rate(cw_bucket_t* bucket, int64_t now_ms, double rate, double burst) {
+    double tokens = bucket->rate > 0 || !bucket->started ? _cw_bucket_tokens(bucket, now_ms) : bucket->tokens;
+    bucket->tokens = tokens < burst ? tokens : burst;
+    bucket->at_ms = now_ms;
+    bucket->started = true;
+    bucket->rate = rate;
+    bucket->burst = burst;
+}
+
 uint32_t cw_bucket_wait_ms(const cw_bucket_t* bucket, int64_t now_ms, double n) {
     if (bucket->rate <= 0) {
         return 0;
--- a/chalkway_load.h
+++ b/chalkway_load.h
@@ -25,7 +25,7 @@
 #include "chalkway_balance.h"
 #include "chalkway_quarantine.h"
 
-#define CW_LOAD_VERSION 6  /* raised where readers of before would misread an entry: no other version is read */
+#define CW_LOAD_VERSION 7  /* raised where readers of before would misread an entry: no other version is read */
 #define CW_LOAD_ENTRIES 24 /* in one datagram */
 #define CW_LOAD_MARKS 48   /* in one datagram, with which no entries are sent */
 #define CW_LOAD_PARTS 4    /* parts of prompts told with one entry */
@@ -91,10 +91,14 @@
 #define _CW_LOAD_QUIET_MS 100    /* of the first ranks, and of all in a small fleet */
 #define _CW_LOAD_QUIET_STEP_MS 8 /* of the others, for each daemon that lives */
 #define _CW_LOAD_FIRST_RANKS 3
-#define _CW_LOAD_HEAD 9                 /* fields before the entries; the last one holds the marks */
-#define _CW_LOAD_MARK 5                 /* numbers of a mark */
-#define _CW_LOAD_IDS 2                  /* first fields of an entry: the host, 0 for the sender, and the server */
-#define _CW_LOAD_FIELDS 12              /* of an entry before its backlogs; the last one says which are told */
+#define _CW_LOAD_HEAD 9     /* fields before the entries; the last one holds the marks */
+#define _CW_LOAD_MARK 5     /* numbers of a mark */
+#define _CW_LOAD_IDS 2      /* first fields of an entry: the host, 0 for the sender, and the server */
+#define _CW_LOAD_FIELDS 12  /* of an entry before its backlogs; the last one says which are told */
+#define _CW_LOAD_RATE 2     /* numbers of a server's rate: what it is, and its age */
+#define _CW_LOAD_LEAVING 1U /* flags of an entry */
+#define _CW_LOAD_RATE_KNOWN 2U
+#define _CW_LOAD_RATE_LIMITED 4U
 #define _CW_LOAD_BACKLOG_MAX UINT16_MAX /* ms, longer than any work waits: what is more is told as this */
 
 uint32_t cw_load_quiet_ms(uint32_t rank, uint32_t live) {
@@ -128,14 +132,20 @@
     return count;
 }
 
+static uint32_t _cw_load_flags(const cw_load_entry_t* e) {
+    return (e->leaving ? _CW_LOAD_LEAVING : 0U) | (e->load.rate_known ? _CW_LOAD_RATE_KNOWN : 0U) |
+           (e->load.rate_limited ? _CW_LOAD_RATE_LIMITED : 0U);
+}
+
 static void _cw_load_pack_entry(msgpack_packer* p, const cw_load_entry_t* e, uint64_t sender) {
     uint32_t own_ms[CW_URGENCIES];
     uint32_t which;
     uint32_t backlogs = _cw_load_backlog(&e->load, own_ms, &which);
-    msgpack_pack_array(p, _CW_LOAD_FIELDS + backlogs + 2 * e->part_count);
+    uint32_t rate_fields = e->load.rate_known ? _CW_LOAD_RATE : 0;
+    msgpack_pack_array(p, _CW_LOAD_FIELDS + rate_fields + backlogs + 2 * e->part_count);
     msgpack_pack_uint64(p, e->host == sender ? 0 : e->host);
     msgpack_pack_uint64(p, e->server);
-    msgpack_pack_uint32(p, e->leaving);
+    msgpack_pack_uint32(p, _cw_load_flags(e));
     msgpack_pack_uint32(p, e->load.running);
     msgpack_pack_uint32(p, e->load.streaming);
     msgpack_pack_uint32(p, e->load.gap_ms);
@@ -145,6 +155,10 @@
     msgpack_pack_uint32(p, e->load.failed_ago_ms);
     msgpack_pack_uint32(p, e->load.alive_ago_ms);
     msgpack_pack_uint32(p, which);
+    if (e->load.rate_known) {
+        msgpack_pack_uint32(p, e->load.rate_per_ks);
+        msgpack_pack_uint32(p, e->load.rate_ago_ms);
+    }
     for (uint32_t i = 0; i < backlogs; i++) {
         msgpack_pack_uint32(p, own_ms[i]);
     }
@@ -213,6 +227,24 @@
     return true;
 }
 
+/* Reads a server's rate, where the flags say that it follows at *at, and moves it behind. */
+static bool _cw_load_read_rate(const msgpack_object_array* a, uint64_t flags, cw_load_t* load, uint32_t* at) {
+    uint64_t per_ks = 0;
+    uint64_t ago_ms = 0;
+    load->rate_known = flags & _CW_LOAD_RATE_KNOWN;
+    load->rate_limited = flags & _CW_LOAD_RATE_LIMITED;
+    if (!load->rate_known) {
+        return true;
+    }
+    if (!_cw_load_number(a, *at, UINT32_MAX, &per_ks) || !_cw_load_number(a, *at + 1, UINT32_MAX, &ago_ms)) {
+        return false;
+    }
+    load->rate_per_ks = (uint32_t)per_ks;
+    load->rate_ago_ms = (uint32_t)ago_ms;
+    *at += _CW_LOAD_RATE;
+    return true;
+}
+
 static bool _cw_load_read_entry(const msgpack_object* o, cw_load_entry_t* e, uint64_t sender) {
     uint64_t v[_CW_LOAD_FIELDS];
     *e = (cw_load_entry_t){0};
@@ -226,7 +258,7 @@
     }
     e->host = v[0] ? v[0] : sender;
     e->server = v[1];
-    e->leaving = v[2] != 0;
+    e->leaving = v[2] & _CW_LOAD_LEAVING;
     e->load = (cw_load_t){.running = (uint32_t)v[3],
                           .streaming = (uint32_t)v[4],
                           .gap_ms = (uint32_t)v[5],
@@ -236,7 +268,8 @@
                           .failed_ago_ms = (uint32_t)v[9],
                           .alive_ago_ms = (uint32_t)v[10]};
     uint32_t at = _CW_LOAD_FIELDS;
-    if (!_cw_load_read_backlog(&o->via.array, v[_CW_LOAD_FIELDS - 1], &e->load, &at)) {
+    if (!_cw_load_read_rate(&o->via.array, v[2], &e->load, &at) ||
+        !_cw_load_read_backlog(&o->via.array, v[_CW_LOAD_FIELDS - 1], &e->load, &at)) {
         return false;
     }
     for (; at + 1 < o->via.array.size && e->part_count < CW_LOAD_PARTS; at += 2) {
--- a/chalkway_prefix.h
+++ b/chalkway_prefix.h
@@ -53,9 +53,10 @@
 uint32_t cw_prefix_kept(const cw_kept_t* kept, const cw_prefix_memory_t* memory, const cw_work_part_t* parts,
                         uint32_t count);
 cw_prefix_t cw_prefix_new(const cw_work_part_t* parts, uint32_t count);
-/* A server that may be chosen, and keeps so many tokens of the prompt's start. */
-void cw_prefix_see(cw_prefix_t* p, uint64_t server, uint32_t kept);
-/* Whether the server, one of those seen, owns the last shared part. */
+/* A server that may be chosen, and keeps so many tokens of the prompt's start. may_own: it takes all that it has room
+   for, so that prompts may be sent to it for the parts that they share. */
+void cw_prefix_see(cw_prefix_t* p, uint64_t server, uint32_t kept, bool may_own);
+/* Whether the server, one of those seen that may own, owns the last shared part. */
 bool cw_prefix_owns(const cw_prefix_t* p, uint64_t server);
 
 #endif /* CHALKWAY_PREFIX_H */
@@ -90,12 +91,12 @@
     return cw_mix(p->part, server);
 }
 
-void cw_prefix_see(cw_prefix_t* p, uint64_t server, uint32_t kept) {
+void cw_prefix_see(cw_prefix_t* p, uint64_t server, uint32_t kept, bool may_own) {
     if (kept > p->held) {
         p->holder = server;
         p->held = kept;
     }
-    uint64_t score = p->shared ? _cw_prefix_score(p, server) : 0;
+    uint64_t score = p->shared && may_own ? _cw_prefix_score(p, server) : 0;
     for (uint32_t i = 0; i < CW_PREFIX_OWNERS; i++) {
         if (score > p->owner[i]) {
             uint64_t lower = p->owner[i];
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -103,6 +103,10 @@
     mesh_on_life(((gateway_t*)user)->mesh, server);
 }
 
+static void on_pushback(void* user, const server_t* server) {
+    mesh_on_life(((gateway_t*)user)->mesh, server);
+}
+
 static void on_alive(void* user, const server_t* server) {
     quarantine_on_alive(((gateway_t*)user)->quarantine, server);
 }
@@ -376,6 +380,7 @@
                                                        .max_links = sockets / 2,
                                                        .is_mine = is_mine,
                                                        .on_alive = on_alive,
+                                                       .on_pushback = on_pushback,
                                                        .on_room = on_room,
                                                        .user_data = g});
     g->quarantine = quarantine_setup(&(quarantine_desc_t){.log = &g->log,
--- a/gateway/link.c
+++ b/gateway/link.c
@@ -91,10 +91,11 @@
 static void on_head(void* owner) {
     link_t* l = owner;
     uint32_t keep_ms = keep_alive_ms(&l->answer);
-    server_hear(l->server, &l->answer);
     l->keep_ms = keep_ms ? keep_ms : l->keep_ms;
     l->unsound = l->unsound || !l->answer.keep_alive || l->answer.framing == CW_FRAMING_CLOSE;
-    l->skipping = l->answer.status / 100 == 1 || answers_other_request(l);
+    bool other = answers_other_request(l);
+    server_hear(l->server, &l->answer, other ? l->begun_ms : l->sent_ms);
+    l->skipping = l->answer.status / 100 == 1 || other;
     if (!l->skipping && l->owner) {
         l->handlers->on_head(l->owner, &l->answer);
     } else if (l->answer.status / 100 != 1) {
@@ -280,6 +281,7 @@
     cw_message_reset(&l->answer);
     l->answer.bodiless = bodiless;
     l->sent = true;
+    l->sent_ms = clock_ms();
     cw_stream_write(&l->stream, head->data, head->size);
     cw_stream_write(&l->stream, body, size);
     cw_stream_flush(&l->stream);
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -11,6 +11,8 @@
 #include "../io/peers.h"
 #include "clock.h"
 
+#define MISSING_MS 30000   /* a host that isn't heard of for longer is taken to be gone */
+#define FLEET_LOOK_MS 1000 /* how often that is looked at */
 #define HOSTS_MAX 1024
 #define HALL_ENOUGH 2 /* hosts of a caller's hall that are enough to name only them */
 #define PROBE_MS 250  /* between two probes */
@@ -29,6 +31,8 @@
     uint32_t rank;             /* of this host among those that live */
     news_t* news;
     uint32_t live;
+    uint32_t missing; /* hosts that may be cut off, when the fleet was told last */
+    int64_t fleet_ms; /* when that was */
 };
 
 static uint16_t port_of(const char* address) {
@@ -69,16 +73,25 @@
     return rank;
 }
 
+/* Whether a host that isn't heard of may be cut off and go on: it neither left as planned nor was its process seen to
+   be gone. */
+static bool is_missing(const cw_member_t* member, int64_t now_ms) {
+    return !is_live(member) && !member->info.leaving && !member->refused && now_ms - member->since_ms < MISSING_MS;
+}
+
 /* Leaving hosts begin nothing new, so they are nobody's rivals. */
-static void tell_fleet(mesh_t* m, uint32_t live) {
-    cw_relay_plan_t plan = cw_relay_plan(live);
+static void tell_fleet(mesh_t* m, int64_t now_ms) {
+    cw_relay_plan_t plan = cw_relay_plan(m->live);
     cw_fleet_t fleet = {.ids = m->fleet, .reach_ms = plan.reach_ms, .direct_ms = plan.direct_ms};
     for (uint32_t i = 0; i < cw_members_count(m->members) && fleet.count < HOSTS_MAX; i++) {
         const cw_member_t* member = cw_members_at(m->members, i);
         if (is_live(member) && !member->info.leaving) {
             m->fleet[fleet.count++] = member->info.id;
         }
+        fleet.missing += is_missing(member, now_ms);
     }
+    m->missing = fleet.missing;
+    m->fleet_ms = now_ms;
     upstreams_set_fleet(m->desc.upstreams, &fleet);
 }
 
@@ -100,7 +113,7 @@
     m->daemons = known > m->daemons ? known : m->daemons;
     m->rank = own_rank(m);
     news_set_members(m->news, m->members, live, m->rank);
-    tell_fleet(m, live);
+    tell_fleet(m, clock_ms());
     cw_log(m->desc.log, CW_EVENT_MEMBERS_CHANGED, "live=%u known=%u rank=%u", live, known, m->rank);
     m->desc.on_members(m->desc.user_data, m->daemons, m->rank);
 }
@@ -166,6 +179,9 @@
     cw_members_tick(m->members, now_ms);
     send_gossip(m);
     tell_members(m);
+    if (m->missing && now_ms - m->fleet_ms >= FLEET_LOOK_MS) {
+        tell_fleet(m, now_ms); /* some may be missing for too long by now */
+    }
     news_tick(m->news, now_ms);
 }
 
--- a/gateway/news.c
+++ b/gateway/news.c
@@ -609,7 +609,9 @@
     for (pool_t* pool = upstreams_pools(n->desc.upstreams); pool; pool = pool->next) {
         for (server_t* s = pool->servers; s; s = s->next) {
             uint32_t at = cw_balance_find(pool->balance, s->key);
-            if (at != CW_BALANCE_NONE && cw_balance_load(pool->balance, now_ms, at).running) {
+            bool told = at != CW_BALANCE_NONE && (cw_balance_load(pool->balance, now_ms, at).running ||
+                                                  cw_balance_tells_limit(pool->balance, now_ms, s->key));
+            if (told) {
                 dirty_get(n, s->key);
             }
         }
@@ -627,7 +629,11 @@
     }
     cw_balance_t* balance = server->pool->balance;
     bool suspected = cw_balance_suspected(balance, now_ms, entry->server);
+    double limit_per_s = cw_balance_limit_per_s(balance, now_ms, entry->server);
     cw_balance_news(balance, now_ms, entry->host, entry->server, &entry->load);
+    if (entry->load.rate_known) {
+        server_log_limit(server, now_ms, limit_per_s, entry->host);
+    }
     if (entry->load.failed_ago_ms || entry->load.alive_ago_ms) {
         server_log_life(server, now_ms, suspected, entry->host);
     }
--- a/gateway/pushback.c
+++ b/gateway/pushback.c
@@ -1,9 +1,12 @@
-/* What the heads of a server's answers say of the server itself, whichever request they answer. */
+/* What the heads of a server's answers say of the server itself, whichever request they answer: each head is a report of
+   its server, and the choice of a server must hear it. */
 #include <string.h>
 
 #include "clock.h"
 #include "upstream_parts.h"
 
+#define NO_LIMIT (-1.0)
+
 /* Another server may have the address now: what it says is no word of this one. */
 static bool speaks_for(const server_t* s, const cw_message_t* head) {
     const dialect_t* d = s->pool->upstreams->desc.dialect;
@@ -16,24 +19,32 @@
            s->published.id, s->pool->name, field, value);
 }
 
-static void hear_limit(server_t* s, const cw_message_t* head, bool final) {
+/* Only a final answer without a rate says that there is none. */
+static void hear_limit(server_t* s, const cw_message_t* head, int64_t sent_ms) {
     const upstreams_desc_t* desc = &s->pool->upstreams->desc;
+    cw_balance_t* balance = s->pool->balance;
     const char* field = desc->dialect->fields.limit;
     const char* text = field ? cw_message_field(head, field) : NULL;
-    double before = s->limit_per_s;
-    if (text && !cw_pushback_limit(text, &s->limit_per_s)) {
+    int64_t now_ms = clock_ms();
+    double before = cw_balance_limit_per_s(balance, now_ms, s->key);
+    double per_s = NO_LIMIT;
+    if (text && !cw_pushback_limit(text, &per_s)) {
         log_unreadable(s, field, text);
-    } else if (!text && final) {
-        s->limit_per_s = SERVER_UNLIMITED;
+        return;
+    }
+    if (!text && head->status / 100 == 1) {
+        return;
     }
-    if (s->limit_per_s != before) {
-        cw_log(desc->log, CW_EVENT_SERVER_LIMITED, "server=%s pool=%s per_s=%.3f was_per_s=%.3f", s->published.id,
-               s->pool->name, s->limit_per_s, before);
+    if (cw_balance_limit(balance, now_ms, s->key, sent_ms, per_s)) {
+        server_log_limit(s, now_ms, before, 0);
+        if (desc->on_pushback) {
+            desc->on_pushback(desc->user_data, s);
+        }
     }
 }
 
-void server_hear(server_t* s, const cw_message_t* head) {
+void server_hear(server_t* s, const cw_message_t* head, int64_t sent_ms) {
     if (speaks_for(s, head)) {
-        hear_limit(s, head, head->status / 100 != 1);
+        hear_limit(s, head, sent_ms);
     }
 }
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -59,7 +59,7 @@
                                                           .max_servers = POOL_SERVERS_MAX,
                                                           .is_mine = u->desc.is_mine,
                                                           .user_data = u->desc.user_data});
-    cw_balance_set_fleet(pool->balance, &u->fleet);
+    cw_balance_set_fleet(pool->balance, clock_ms(), &u->fleet);
     pool->retries = (cw_retry_window_t){.ratio = u->desc.retry_ratio * RETRY_SAFETY,
                                         .slack = u->desc.retry_slack * RETRY_SAFETY,
                                         .window_ms = u->desc.retry_window_ms,
@@ -109,7 +109,6 @@
     s->key = key;
     s->name = cw_name_id(published->id);
     s->published.started_ms = published->started_ms;
-    s->limit_per_s = SERVER_UNLIMITED;
     cw_map_put(&u->by_key, key, place);
     cw_map_put(&u->by_name, s->name, place);
     s->pool = pool_get(u, published->pool);
@@ -296,7 +295,7 @@
 void upstreams_set_fleet(upstreams_t* u, const cw_fleet_t* fleet) {
     u->fleet = *fleet;
     for (pool_t* pool = u->pools; pool; pool = pool->next) {
-        cw_balance_set_fleet(pool->balance, fleet);
+        cw_balance_set_fleet(pool->balance, clock_ms(), fleet);
     }
 }
 
@@ -329,6 +328,15 @@
     }
 }
 
+void server_log_limit(const server_t* server, int64_t now_ms, double before_per_s, uint64_t host) {
+    double per_s = cw_balance_limit_per_s(server->pool->balance, now_ms, server->key);
+    if (per_s != before_per_s) {
+        cw_log(server->pool->upstreams->desc.log, CW_EVENT_SERVER_LIMITED,
+               "server=%s pool=%s per_s=%.3f was_per_s=%.3f told_by=%016llx", server->published.id, server->pool->name,
+               per_s, before_per_s, (unsigned long long)host);
+    }
+}
+
 /* -- probes --------------------------------------------------------------- */
 
 /* One health check of a server that could not be reached. */
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -27,8 +27,6 @@
 typedef struct server_t server_t;
 typedef struct link_t link_t;
 
-#define SERVER_UNLIMITED (-1.0) /* it named no rate */
-
 struct server_t {
     uint64_t key;  /* of this life: cw_server_life */
     uint64_t name; /* id of the id, the same for all its lives */
@@ -43,7 +41,6 @@
     int64_t missing_until_ms; /* not in the list: taken as gone then */
     bool probing;
     int64_t ended_ms;  /* it was taken for ended then: it is listened for over older connections, 0: not */
-    double limit_per_s; /* rate that its last answer named, SERVER_UNLIMITED: none */
     uint32_t open;     /* connections */
     link_t* idle;      /* used last first */
     double connect_ms; /* learned, 0: unknown */
@@ -98,6 +95,8 @@
     bool (*is_mine)(void* user_data, uint64_t server);
     /* A server goes on over a connection that is older than its ended_ms. May be NULL. */
     void (*on_alive)(void* user_data, const server_t* server);
+    /* The server held callers back, or does no more: the others are to hear of it. May be NULL. */
+    void (*on_pushback)(void* user_data, const server_t* server);
     /* A place may have come free in the pool. */
     void (*on_room)(void* user_data, pool_t* pool);
     void* user_data;
@@ -120,6 +119,8 @@
 /* Logs a suspicion of the server that began or ended since before was asked of cw_balance_suspected. host: whose word
    changed it, 0 this host's own. */
 void server_log_life(const server_t* server, int64_t now_ms, bool before, uint64_t host);
+/* Logs the rate that the server named where it differs from the one in force before; host as above. */
+void server_log_limit(const server_t* server, int64_t now_ms, double before_per_s, uint64_t host);
 /* What the server said of itself names another start: this life of it is over. True: it was not known to be. */
 bool upstreams_is_over(upstreams_t* u, int64_t now_ms, server_t* server, int64_t started_ms);
 /* A server said itself that it leaves. */
--- a/gateway/upstream_parts.h
+++ b/gateway/upstream_parts.h
@@ -17,9 +17,10 @@
     cw_message_t answer;
     char request_id[CW_NAME_MAX * 2];
     bool sent;
-    bool skipping; /* the answer being read belongs to an earlier request */
-    bool unsound;  /* not to be used again */
-    bool dead;     /* closed; freed with the next tick, since it may still be read from */
+    int64_t sent_ms; /* the request, 0: no one yet */
+    bool skipping;   /* the answer being read belongs to an earlier request */
+    bool unsound;    /* not to be used again */
+    bool dead;       /* closed; freed with the next tick, since it may still be read from */
     int64_t begun_ms;
     int64_t rested_ms; /* idle since */
     uint32_t keep_ms;  /* that the server keeps it idle */
@@ -45,8 +46,9 @@
 
 /* -- pushback.c ----------------------------------------------------------- */
 
-/* The head of any answer that came over a connection to the server, interim ones too. */
-void server_hear(server_t* s, const cw_message_t* head);
+/* The head of any answer that came over a connection to the server, interim ones too. sent_ms: when the request that it
+   answers was sent, at the latest. */
+void server_hear(server_t* s, const cw_message_t* head, int64_t sent_ms);
 
 /* -- link.c --------------------------------------------------------------- */
 
--- a/tests/pool_model.h
+++ b/tests/pool_model.h
@@ -110,7 +110,7 @@
     for (uint32_t i = 0; i < m->hosts; i++) {
         m->balance[i] = cw_balance_setup(&(cw_balance_desc_t){.seed = m->ids[i], .max_parts = 64});
         cw_balance_set(m->balance[i], m->now_ms, specs, m->engines);
-        cw_balance_set_fleet(m->balance[i], &fleet);
+        cw_balance_set_fleet(m->balance[i], m->now_ms, &fleet);
         for (uint32_t k = 0; k < m->engines; k++) {
             m->home[k][i] = cw_home_is(m->engine[k].id, m->ids[i], m->ids, m->hosts);
         }
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -714,6 +714,7 @@
         *entry = (cw_load_entry_t){
             .host = UINT64_MAX - 1 - i, .server = UINT64_MAX, .leaving = true, .part_count = CW_LOAD_PARTS};
         memset(&entry->load, 0xff, sizeof(entry->load));
+        entry->load.rate_known = entry->load.rate_limited = true; /* 0xff is no value of theirs */
         memset(entry->parts, 0xff, sizeof(entry->parts));
         for (uint32_t u = 0; u < CW_URGENCIES; u++) {
             entry->load.backlog_ms[u] = 6000 * (u + 1); /* each adds to the one before, so each is told */
--- a/tests/test_turns.c
+++ b/tests/test_turns.c
@@ -76,7 +76,7 @@
     cw_balance_t* b = cw_balance_setup(&(cw_balance_desc_t){.seed = 1});
     int64_t now_ms = 1000;
     cw_balance_set(b, now_ms, &spec, 1);
-    cw_balance_set_fleet(b, &(cw_fleet_t){.ids = (uint64_t[]){1}, .count = 1});
+    cw_balance_set_fleet(b, now_ms, &(cw_fleet_t){.ids = (uint64_t[]){1}, .count = 1});
     cw_run_t runs[40];
     for (uint32_t i = 0; i < 40; i++, now_ms += 500) { /* two a second, each for two seconds: four places */
         cw_balance_asked(b, now_ms, &urgent);
