--- a/gateway/pushback.c
+++ b/gateway/pushback.c
@@ -1,5 +1,5 @@
-/* What the heads of a server's answers say of the server itself, whichever request they answer: each head is a report of
-   its server, and the choice of a server must hear it. */
+/* What the heads of a server's answers say of the server itself, whichever request they answer: each head is a report
+   of its server, and the choice of a server must hear it. */
 #include <string.h>
 
 #include "clock.h"
