--- a/chalkway_log.h
+++ b/chalkway_log.h
@@ -69,6 +69,7 @@
     CW_EVENT_SOURCE_LIFE_ODD = 534,
     CW_EVENT_LINES_LOST = 540,
     CW_EVENT_SERVER_LIMITED = 550,
+    CW_EVENT_SERVER_RESTS = 551,
     CW_EVENT_PUSHBACK_UNREADABLE = 559
 } cw_event_t;
 
@@ -155,6 +156,7 @@
     {CW_EVENT_ENTRY_REFUSED, CW_LOG_WARN, "entry-refused"},
     {CW_EVENT_LINES_LOST, CW_LOG_WARN, "lines-lost"},
     {CW_EVENT_SERVER_LIMITED, CW_LOG_INFO, "server-limited"},
+    {CW_EVENT_SERVER_RESTS, CW_LOG_INFO, "server-rests"},
     {CW_EVENT_PUSHBACK_UNREADABLE, CW_LOG_WARN, "pushback-unreadable"},
 };
 
--- a/chalkway_pushback.h
+++ b/chalkway_pushback.h
@@ -23,6 +23,9 @@
 
 #define CW_PUSHBACK_LIMIT_MAX 1e6 /* requests a second; more counts as this */
 
+/* Reads a time to rest: seconds, a decimal number, 0 or more; *ms is rounded up and at most max_ms. A date is not read:
+   clocks of two machines may disagree by more than a rest lasts. False: it is none, and *ms is left as it was. */
+bool cw_pushback_rest(const char* text, uint32_t max_ms, uint32_t* ms);
 /* Reads a rate, requests a second: a decimal number, 0 or more. False: it is none, and *per_s is left as it was. */
 bool cw_pushback_limit(const char* text, double* per_s);
 
@@ -33,6 +36,7 @@
 #ifndef CHALKWAY_PUSHBACK_IMPL_INCLUDED
 #define CHALKWAY_PUSHBACK_IMPL_INCLUDED
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -62,5 +66,15 @@
     return true;
 }
 
+bool cw_pushback_rest(const char* text, uint32_t max_ms, uint32_t* ms) {
+    double seconds = 0;
+    if (!text || !_cw_pushback_decimal(text, &seconds)) {
+        return false;
+    }
+    double value_ms = ceil(seconds * 1000.0);
+    *ms = value_ms < max_ms ? (uint32_t)value_ms : max_ms;
+    return true;
+}
+
 #endif /* CHALKWAY_PUSHBACK_IMPL_INCLUDED */
 #endif /* CHALKWAY_IMPL */
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -21,6 +21,7 @@
     const char* priority;     /* set by the gateway: 0 first */
     const char* last_event;   /* a stream goes on after this event */
     const char* retry_after;  /* seconds, fractions allowed */
+    const char* leaving;      /* in an answer, "1": the server leaves */
     const char* limit;        /* in an answer: requests a second that the server takes from all hosts together */
     const char* tokens;       /* "IN,OUT" of a generation */
     const char* parts;        /* "ID:TOKENS,..." of its prompt, IDs in hex */
--- a/gateway/pushback.c
+++ b/gateway/pushback.c
@@ -6,6 +6,8 @@
 #include "upstream_parts.h"
 
 #define NO_LIMIT (-1.0)
+#define STATUS_UNAVAILABLE 503
+#define REST_MAX_MS 300000
 
 /* Another server may have the address now: what it says is no word of this one. */
 static bool speaks_for(const server_t* s, const cw_message_t* head) {
@@ -43,8 +45,32 @@
     }
 }
 
+static void hear_leaving(server_t* s, const cw_message_t* head) {
+    const upstreams_desc_t* desc = &s->pool->upstreams->desc;
+    const char* text = desc->dialect->fields.leaving ? cw_message_field(head, desc->dialect->fields.leaving) : NULL;
+    if (text && strcmp(text, "1") == 0 && !s->left) {
+        cw_log(desc->log, CW_EVENT_SERVER_LEAVES, "server=%s pool=%s reason=\"its answers say so\"", s->published.id,
+               s->pool->name);
+    }
+}
+
+static void hear_rest(server_t* s, const cw_message_t* head) {
+    const upstreams_desc_t* desc = &s->pool->upstreams->desc;
+    const char* field = desc->dialect->fields.retry_after;
+    const char* text = head->status == STATUS_UNAVAILABLE ? cw_message_field(head, field) : NULL;
+    uint32_t rest_ms = 0;
+    if (text && !cw_pushback_rest(text, REST_MAX_MS, &rest_ms)) {
+        log_unreadable(s, field, text);
+    } else if (rest_ms) {
+        cw_log(desc->log, CW_EVENT_SERVER_RESTS, "server=%s pool=%s rest_ms=%u", s->published.id, s->pool->name,
+               rest_ms);
+    }
+}
+
 void server_hear(server_t* s, const cw_message_t* head, int64_t sent_ms) {
     if (speaks_for(s, head)) {
+        hear_leaving(s, head);
+        hear_rest(s, head);
         hear_limit(s, head, sent_ms);
     }
 }
