A server's own word that it leaves is enough, for that life of it

Cause: the sign stands in the head of its answers, which only the request looked at (H1; nothing undid it, H2, since it was never taken; sends went on for far longer than a connection comes up, H3).

Why it holds: any head that speaks for the server marks this life of it as departing; a list, an outage's end or another writer's entry no longer take that back, also after the entry was freed and named again. A request whose connection comes up after the word chooses anew. Other hosts hear it with the news of load.

--- a/gateway/pushback.c
+++ b/gateway/pushback.c
@@ -6,6 +6,7 @@
 #include "upstream_parts.h"
 
 #define NO_LIMIT (-1.0)
+#define LEAVING "1"
 #define STATUS_UNAVAILABLE 503
 #define REST_MAX_MS 300000
 
@@ -16,6 +17,14 @@
     return head->status != d->misdirected_status && (!id || strcmp(id, s->published.id) == 0);
 }
 
+/* The other hosts are to hear of it. */
+static void tell(const server_t* s) {
+    const upstreams_desc_t* desc = &s->pool->upstreams->desc;
+    if (desc->on_pushback) {
+        desc->on_pushback(desc->user_data, s);
+    }
+}
+
 static void log_unreadable(const server_t* s, const char* field, const char* value) {
     cw_log(s->pool->upstreams->desc.log, CW_EVENT_PUSHBACK_UNREADABLE, "server=%s pool=%s field=%s value=\"%.40s\"",
            s->published.id, s->pool->name, field, value);
@@ -39,19 +48,26 @@
     }
     if (cw_balance_limit(balance, now_ms, s->key, sent_ms, per_s)) {
         server_log_limit(s, now_ms, before, 0);
-        if (desc->on_pushback) {
-            desc->on_pushback(desc->user_data, s);
-        }
+        tell(s);
     }
 }
 
+/* The source may be away, or tell it later: the server's own word is enough. */
 static void hear_leaving(server_t* s, const cw_message_t* head) {
     const upstreams_desc_t* desc = &s->pool->upstreams->desc;
-    const char* text = desc->dialect->fields.leaving ? cw_message_field(head, desc->dialect->fields.leaving) : NULL;
-    if (text && strcmp(text, "1") == 0 && !s->left) {
-        cw_log(desc->log, CW_EVENT_SERVER_LEAVES, "server=%s pool=%s reason=\"its answers say so\"", s->published.id,
-               s->pool->name);
+    const char* field = desc->dialect->fields.leaving;
+    const char* text = field ? cw_message_field(head, field) : NULL;
+    if (!text || s->departs) {
+        return;
+    }
+    if (strcmp(text, LEAVING) != 0) {
+        log_unreadable(s, field, text);
+        return;
     }
+    cw_log(desc->log, CW_EVENT_SERVER_LEAVES, "server=%s pool=%s reason=\"its answers say so\"", s->published.id,
+           s->pool->name);
+    upstreams_departs(s->pool->upstreams, clock_ms(), s);
+    tell(s);
 }
 
 static void hear_rest(server_t* s, const cw_message_t* head) {
--- a/gateway/transfer.c
+++ b/gateway/transfer.c
@@ -79,8 +79,22 @@
     exchange_timer_set(x);
 }
 
+/* What was learned of the server while the connection came up counts: nothing has been sent, so the choice is made
+ * anew.
+ */
+static void choose_again(exchange_t* x, const char* why) {
+    bool listed = x->tried_count && x->tried[x->tried_count - 1] == x->server->key;
+    x->tried_count -= listed; /* it did not fail this request */
+    exchange_broken(x, CW_EV_GRANT_EXPIRED, CW_TRY_CANCELLED, why);
+}
+
 static void link_on_open(void* owner) {
-    send_request(owner);
+    exchange_t* x = owner;
+    if (x->server->left) {
+        choose_again(x, "the server leaves");
+    } else {
+        send_request(x);
+    }
 }
 
 /* The server says that it did not run the request. */
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -29,6 +29,20 @@
     free(s);
 }
 
+/* An older list may name the server again after it was freed here. */
+static void remember_departed(upstreams_t* u, uint64_t key) {
+    u->departed[u->departed_at++ % DEPARTED_MAX] = key;
+}
+
+static bool has_departed(const upstreams_t* u, uint64_t key) {
+    for (uint32_t i = 0; i < DEPARTED_MAX && i < u->departed_at; i++) {
+        if (u->departed[i] == key) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void server_free_if_unused(pool_t* pool, server_t* s) {
     if (!s->gone || s->published_now || s->open || s->probing ||
         cw_balance_find(pool->balance, s->key) != CW_BALANCE_NONE) {
@@ -37,6 +51,9 @@
     for (server_t** at = &pool->servers; *at; at = &(*at)->next) {
         if (*at == s) {
             *at = s->next;
+            if (s->departs) {
+                remember_departed(pool->upstreams, s->key);
+            }
             server_free(pool->upstreams, s);
             return;
         }
@@ -109,6 +126,7 @@
     s->key = key;
     s->name = cw_name_id(published->id);
     s->published.started_ms = published->started_ms;
+    s->departs = s->left = s->gone = has_departed(u, key);
     cw_map_put(&u->by_key, key, place);
     cw_map_put(&u->by_name, s->name, place);
     s->pool = pool_get(u, published->pool);
@@ -163,7 +181,8 @@
     if (!known) {
         return server_new(u, published);
     }
-    known->left = false; /* it was taken for over, by an entry of another writer; the source says that it lives */
+    known->left =
+        known->departs; /* it was taken for over, by an entry of another writer; the source says that it lives */
     cw_map_put(&u->by_name, known->name, cw_map_get(&u->by_key, known->key));
     return known;
 }
@@ -190,7 +209,8 @@
     s->published.started_ms = published->started_ms ? published->started_ms : started_ms;
     s->listed_at = at > s->listed_at ? at : s->listed_at;
     s->closed = cw_closed_has(closed, published->hall);
-    s->left = s->left || published->leaving; /* a life that leaves does not come back */
+    s->departs = s->departs || published->leaving;
+    s->left = s->left || s->departs;
     s->gone = s->left;
     return changed || (!s->gone && !s->closed) != was_used;
 }
@@ -252,6 +272,11 @@
     }
 }
 
+void upstreams_departs(upstreams_t* u, int64_t now_ms, server_t* s) {
+    s->departs = true;
+    upstreams_leaves(u, now_ms, s);
+}
+
 bool upstreams_is_over(upstreams_t* u, int64_t now_ms, server_t* s, int64_t started_ms) {
     if (!started_ms || !s->published.started_ms || started_ms == s->published.started_ms || s->gone) {
         return false;
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -34,7 +34,8 @@
     int64_t listed_at; /* revision of the source at which it was listed last, 0: not known */
     struct sockaddr_in address;
     pool_t* pool;
-    bool left;                /* it was published as leaving, or said so: for good */
+    bool left;                /* it is taken to be over, or departs */
+    bool departs;             /* this life of it said that it leaves, in the list or in its answers: for good */
     bool gone;                /* left, or no longer published: gets nothing new */
     bool closed;              /* its hall is closed: it gets nothing new for now */
     bool published_now;       /* in the list read last, leaving or not */
@@ -123,7 +124,9 @@
 void server_log_limit(const server_t* server, int64_t now_ms, double before_per_s, uint64_t host);
 /* What the server said of itself names another start: this life of it is over. True: it was not known to be. */
 bool upstreams_is_over(upstreams_t* u, int64_t now_ms, server_t* server, int64_t started_ms);
-/* A server said itself that it leaves. */
+/* This life of the server said itself that it leaves: whatever the source goes on saying, it gets nothing new. */
+void upstreams_departs(upstreams_t* u, int64_t now_ms, server_t* server);
+/* This life of the server is taken to be over, until a list of the source says otherwise. */
 void upstreams_leaves(upstreams_t* u, int64_t now_ms, server_t* server);
 /* The machine was suspended: connections at rest may have ended without a sign. */
 void upstreams_on_wake(upstreams_t* u);
--- a/gateway/upstream_parts.h
+++ b/gateway/upstream_parts.h
@@ -7,6 +7,7 @@
 #include "../chalkway_map.h"
 #include "upstream.h"
 
+#define DEPARTED_MAX 1024
 #define SERVERS_MAX 4096 /* of all pools that are known, those that are gone but still used among them */
 
 struct link_t {
@@ -36,6 +37,8 @@
     server_t* servers[SERVERS_MAX]; /* by place, NULL: free */
     uint32_t free_places[SERVERS_MAX];
     uint32_t free_count;
+    uint64_t departed[DEPARTED_MAX]; /* keys of lives that said they leave and are known no more, as a ring */
+    uint32_t departed_at;
     link_t* dead; /* to be freed */
     uint32_t daemons;
     cw_fleet_t fleet; /* daemons that live */
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -50,6 +50,7 @@
     exchanges_t* exchanges;
     front_t* front;
     cw_catalog_t* catalog;
+    uint32_t departing; /* so many servers say that they leave just as they were chosen, before a connection is up */
     uint32_t life_told; /* times that a failed connection, or life against a suspicion, was told to others */
     int listen_fds[RIG_SERVERS];
     ev_io accept_ios[RIG_SERVERS];
@@ -190,9 +191,11 @@
 }
 
 static inline void rig_on_load(void* user, const server_t* server, const cw_work_t* work) {
-    (void)user;
-    (void)server;
-    (void)work;
+    rig_t* r = user;
+    if (work && r->departing) {
+        r->departing--;
+        upstreams_departs(r->upstreams, clock_ms(), upstreams_server(r->upstreams, server->key));
+    }
 }
 
 static inline void rig_on_life(void* user, const server_t* server) {
--- a/tests/test_limited.c
+++ b/tests/test_limited.c
@@ -2,9 +2,10 @@
     A server that names the rate at which it takes requests, from all hosts together.
 
     Seen: nine engines before eight hosts; two of them named 3.3 and 1 requests a second in all their answers and got 36
-   and 15 in four seconds, as many as before. How it came about: every host went on choosing them by cost. Cause: an answer's head was looked at by its
-   request alone, so nothing of what it says of its server reached the choice. Proof: sends to the two servers were the
-   same in the four seconds before and after they named a rate, at hosts that had been told and at those that had not.
+   and 15 in four seconds, as many as before. How it came about: every host went on choosing them by cost. Cause: an
+   answer's head was looked at by its request alone, so nothing of what it says of its server reached the choice. Proof:
+   sends to the two servers were the same in the four seconds before and after they named a rate, at hosts that had been
+   told and at those that had not.
 
     Pattern here: a server that names a rate in each answer, and requests that come as fast as they are answered. What
    it may get in four seconds is one and a half times its rate, and five more.
--- a/tests/test_pushback.c
+++ b/tests/test_pushback.c
@@ -4,6 +4,9 @@
     Seen: while the source was away, hosts went on sending to a server for nine seconds after an answer of it had told
    them that it leaves. On another day servers that shed load turned requests away with a time to come back, and got as
    many from the same host in that time as before; each was spent on a server that had said no, though others had room.
+   Cause: of an answer's head only "not run" was learned, as no room for 100 ms, whatever else it said. Proof: sends to
+   those servers were the same before and after the answers, at hosts that had been told and at those that had not, and
+   ended only with the list of servers.
 
     Pattern here: one answer that says so, and requests after it, with the clock of the tests (io/clock.h) moved on
    where time must pass.
@@ -86,6 +89,42 @@
 }
 END_TEST
 
+/* The word comes while a connection is being opened: nothing has been sent, and the other server gets the request. */
+START_TEST(a_request_that_is_about_to_be_sent_goes_elsewhere) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    r->departing = 1;
+    call(r, 1, "200", 0);
+    ck_assert_uint_eq(r->arrival_count, 1);
+    r->departing = 1;
+    expect_status(rig_call(r, REQUEST), "503");
+    rig_shutdown(r);
+}
+END_TEST
+
+/* Whatever it answers to: a health check, or a request that it turns away. */
+START_TEST(any_answer_tells_that_a_server_leaves) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    uint32_t leaving = call_first(r,
+                                  (rig_step_t){RIG_ANSWER, "HTTP/1.1 503 No\r\nChalkway-Request-Id: @ID@\r\n"
+                                                           "Chalkway-Not-Run: 1\r\nChalkway-Server-Leaving: 1\r\n"
+                                                           "Content-Length: 0\r\n\r\n"},
+                                  "503");
+    ck_assert_uint_eq(call(r, CALLS, "200", leaving), 0);
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(another_word_than_yes_changes_nothing) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    call_first(r,
+               (rig_step_t){RIG_ANSWER, "HTTP/1.1 200 OK\r\nChalkway-Request-Id: @ID@\r\nChalkway-Server-Leaving: 0\r\n"
+                                        "Content-Length: 4\r\n\r\nfine"},
+               "200");
+    ck_assert_uint_eq(call(r, CALLS, "200", 0), CALLS);
+    rig_shutdown(r);
+}
+END_TEST
+
 /* -- rest ----------------------------------------------------------------- */
 
 START_TEST(a_server_that_asked_for_rest_gets_nothing_until_it_is_over) {
@@ -114,6 +153,9 @@
 static void add_tests(TCase* t) {
     tcase_add_test(t, a_server_that_says_it_leaves_gets_nothing_more);
     tcase_add_test(t, no_list_brings_a_server_back_that_said_it_leaves);
+    tcase_add_test(t, a_request_that_is_about_to_be_sent_goes_elsewhere);
+    tcase_add_test(t, any_answer_tells_that_a_server_leaves);
+    tcase_add_test(t, another_word_than_yes_changes_nothing);
     tcase_add_test(t, a_server_that_asked_for_rest_gets_nothing_until_it_is_over);
     tcase_add_test(t, where_all_rest_a_request_is_refused_with_the_soonest_end);
 }
