A server that asks a host for rest gets nothing from it until that is over

Why it holds: Retry-After of a 503 or 429 leaves the server out of this host's choice until then (chalkway_rest.h); it is never shortened, bounded by the setting rest_max, heeded by health checks, and by a request whose connection comes up after it. Where all servers hold callers back a request waits only if one opens in time, else it is refused at once with the soonest end. After a rest a server is used slowly for a second.

--- a/chalkway.c
+++ b/chalkway.c
@@ -33,6 +33,7 @@
 #include "chalkway_reading.h"
 #include "chalkway_relay.h"
 #include "chalkway_request.h"
+#include "chalkway_rest.h"
 #include "chalkway_runonce.h"
 #include "chalkway_servers.h"
 #include "chalkway_settings.h"
--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -49,6 +49,7 @@
 #include "chalkway_prefix.h"
 #include "chalkway_rate.h"
 #include "chalkway_reading.h"
+#include "chalkway_rest.h"
 #include "chalkway_suspect.h"
 
 #define CW_BALANCE_NONE UINT32_MAX
@@ -129,6 +130,7 @@
     uint32_t tried;     /* this request was there */
     uint32_t away;      /* no connection comes up, or it said that it is full */
     uint32_t cold;      /* gets no more now than it bears */
+    uint32_t resting;   /* it wants nothing from this host for a while */
     uint32_t limited;   /* gets no more now, from this host or at all, by the rate that it named */
     uint32_t suspected; /* another host's turn to try it */
     uint32_t no_place;  /* none free for this work, or for this host now */
@@ -151,9 +153,8 @@
     uint32_t streaming;  /* streams at the server that may pause least */
     uint32_t candidates; /* servers that had room */
     cw_left_out_t left_out;
-    uint32_t open_in_ms; /* until a server that holds callers back takes one from this host, 0: not known */
-    double pace;         /* the server's time between events against the fastest one's, 1 while unknown */
-    bool late;           /* whatever server: too much stands before it, see cw_balance_choose */
+    double pace; /* the server's time between events against the fastest one's, 1 while unknown */
+    bool late;   /* whatever server: too much stands before it, see cw_balance_choose */
 } cw_choice_t;
 
 typedef struct cw_balance_desc_t {
@@ -223,6 +224,13 @@
 bool cw_balance_limit(cw_balance_t* b, int64_t now_ms, uint64_t id, int64_t sent_ms, double per_s);
 /* The rate in force, requests a second of all hosts together, < 0: none. */
 double cw_balance_limit_per_s(const cw_balance_t* b, int64_t now_ms, uint64_t id);
+/* The server wants nothing from this host for so long. */
+void cw_balance_rest(cw_balance_t* b, int64_t now_ms, uint64_t id, uint32_t ms);
+/* Whether it does so now. */
+bool cw_balance_rests(const cw_balance_t* b, int64_t now_ms, uint64_t id);
+/* Time until one of the servers takes a request from this host, where all of them hold callers back; 0: some don't, or
+   it isn't known. */
+uint32_t cw_balance_opens_in_ms(const cw_balance_t* b, int64_t now_ms);
 /* Whether this host's own answers said something of the server's rate that the others are still to be told. */
 bool cw_balance_tells_limit(const cw_balance_t* b, int64_t now_ms, uint64_t id);
 /* Whether the server is suspected to be gone by what all daemons saw of it. */
@@ -348,6 +356,7 @@
     int64_t own_failed_ms; /* what this host saw itself, and tells, 0: nothing */
     int64_t own_alive_ms;
     cw_rate_t rate;
+    cw_rest_t rest; /* that it asked this host for */
     int64_t cold_until_ms;
     cw_bucket_t cold;     /* what it may get until then */
     uint64_t read_tokens; /* all that was read there, as far as known */
@@ -499,7 +508,8 @@
     }
     for (uint32_t i = 0; i < b->places; i++) {
         _cw_server_t* s = &b->servers[i];
-        if (s->used && !s->listed && !s->running && !cw_rate_holds(&s->rate, now_ms)) {
+        bool holds_back = now_ms < s->rest.until_ms || cw_rate_holds(&s->rate, now_ms);
+        if (s->used && !s->listed && !s->running && !holds_back) {
             _cw_balance_remove(b, i);
         }
     }
@@ -657,7 +667,7 @@
 
 /* Whether the server takes what it has places for: not where it is away or holds its callers back. */
 static bool _cw_balance_takes_all(const _cw_server_t* s, int64_t now_ms) {
-    return s->used && s->listed && !s->away && !cw_rate_holds(&s->rate, now_ms);
+    return s->used && s->listed && !s->away && now_ms >= s->rest.until_ms && !cw_rate_holds(&s->rate, now_ms);
 }
 
 /* Where the prompt's parts are, and belong, among the servers that may be chosen. */
@@ -904,6 +914,18 @@
     return changed;
 }
 
+void cw_balance_rest(cw_balance_t* b, int64_t now_ms, uint64_t id, uint32_t ms) {
+    uint32_t at = cw_balance_find(b, id);
+    if (at != CW_BALANCE_NONE) {
+        cw_rest_ask(&b->servers[at].rest, now_ms, ms);
+    }
+}
+
+bool cw_balance_rests(const cw_balance_t* b, int64_t now_ms, uint64_t id) {
+    uint32_t at = cw_balance_find(b, id);
+    return at != CW_BALANCE_NONE && now_ms < b->servers[at].rest.until_ms;
+}
+
 double cw_balance_limit_per_s(const cw_balance_t* b, int64_t now_ms, uint64_t id) {
     uint32_t at = cw_balance_find(b, id);
     bool holds = at != CW_BALANCE_NONE && cw_rate_holds(&b->servers[at].rate, now_ms);
@@ -991,15 +1013,22 @@
     return suspected <= _CW_SUSPECT_SHARE * b->listed;
 }
 
-/* Ms until a server that holds callers back takes a request from this host, 0: it doesn't, or that isn't known. */
-static uint32_t _cw_balance_opens_ms(const _cw_server_t* s, int64_t now_ms) {
-    uint32_t wait_ms = cw_rate_wait_ms(&s->rate, now_ms);
-    return wait_ms == CW_RATE_NEVER ? 0 : wait_ms;
+/* Ms until a server that holds callers back takes a request from this host: 0 now, CW_RATE_NEVER where that isn't
+ * known. */
+static uint32_t _cw_balance_held_back_ms(const _cw_server_t* s, int64_t now_ms) {
+    uint32_t rest_ms = cw_rest_wait_ms(&s->rest, now_ms);
+    uint32_t rate_ms = cw_rate_wait_ms(&s->rate, now_ms);
+    return rest_ms > rate_ms ? rest_ms : rate_ms;
 }
 
-/* The shorter of two times, 0: not known. */
-static uint32_t _cw_balance_sooner(uint32_t a_ms, uint32_t b_ms) {
-    return !a_ms || (b_ms && b_ms < a_ms) ? b_ms : a_ms;
+uint32_t cw_balance_opens_in_ms(const cw_balance_t* b, int64_t now_ms) {
+    uint32_t soonest_ms = CW_RATE_NEVER;
+    for (uint32_t i = 0; i < b->places; i++) {
+        const _cw_server_t* s = &b->servers[i];
+        uint32_t ms = s->used && s->listed ? _cw_balance_held_back_ms(s, now_ms) : CW_RATE_NEVER;
+        soonest_ms = ms < soonest_ms ? ms : soonest_ms;
+    }
+    return soonest_ms == CW_RATE_NEVER ? 0 : soonest_ms;
 }
 
 /* The count of left that a server belongs to which the work can't use, NULL: it may go there as far as can be told
@@ -1012,6 +1041,9 @@
     if (!_cw_balance_bears(b, s, now_ms)) {
         return &left->cold;
     }
+    if (cw_rest_wait_ms(&s->rest, now_ms)) {
+        return &left->resting;
+    }
     if (cw_rate_wait_ms(&s->rate, now_ms)) {
         return &left->limited;
     }
@@ -1034,7 +1066,6 @@
     cw_choice_t best = {.server = CW_BALANCE_NONE};
     cw_left_out_t left = {0};
     uint32_t candidates = 0;
-    uint32_t open_in_ms = 0;
     double free_places = 0; /* at all engines that this work could use */
     cw_prefix_t prefix = _cw_balance_prefix(b, now_ms, work);
     bool avoid = _cw_balance_avoids(b, now_ms);
@@ -1050,7 +1081,6 @@
                             : _cw_balance_left_out(b, s, now_ms, avoid, &left);
         if (out) {
             ++*out;
-            open_in_ms = _cw_balance_sooner(open_in_ms, _cw_balance_opens_ms(s, now_ms));
             continue;
         }
         cw_choice_t c = _cw_balance_rate(b, i, now_ms, work, &prefix);
@@ -1072,7 +1102,6 @@
         left.no_place += candidates;
         candidates = 0;
     }
-    best.open_in_ms = open_in_ms;
     best.reserved = reserved;
     best.candidates = candidates;
     best.left_out = left;
@@ -1112,6 +1141,7 @@
     s->tokens += run.tokens;
     cw_bucket_take(&s->cold, now_ms, 1); /* without effect while it is not cold */
     cw_rate_take(&s->rate, now_ms);
+    cw_rest_take(&s->rest, now_ms);
     return run;
 }
 
@@ -1289,11 +1319,12 @@
 uint64_t cw_balance_probe(cw_balance_t* b, int64_t now_ms) {
     for (uint32_t i = 0; i < b->places; i++) {
         _cw_server_t* s = &b->servers[i];
-        if (!s->used || !s->listed || !s->away || now_ms < s->away_until_ms) {
+        if (!s->used || !s->listed || !s->away || now_ms < s->away_until_ms || _cw_balance_held_back_ms(s, now_ms)) {
             continue;
         }
         s->away_ms = s->away_ms * 2 > b->desc.away_max_ms ? b->desc.away_max_ms : s->away_ms * 2;
         s->away_until_ms = now_ms + s->away_ms;
+        cw_rate_take(&s->rate, now_ms); /* a health check takes from what the server bears, too */
         return s->spec.id;
     }
     return 0;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -378,6 +378,7 @@
                                                        .retry_slack = s->retry_slack,
                                                        .retry_window_ms = s->retry_window_ms,
                                                        .max_links = sockets / 2,
+                                                       .rest_max_ms = s->rest_max_ms,
                                                        .is_mine = is_mine,
                                                        .on_alive = on_alive,
                                                        .on_pushback = on_pushback,
--- a/gateway/pushback.c
+++ b/gateway/pushback.c
@@ -8,7 +8,8 @@
 #define NO_LIMIT (-1.0)
 #define LEAVING "1"
 #define STATUS_UNAVAILABLE 503
-#define REST_MAX_MS 300000
+#define STATUS_TOO_MANY 429
+#define REST_MAX_MS 1800000
 
 /* Another server may have the address now: what it says is no word of this one. */
 static bool speaks_for(const server_t* s, const cw_message_t* head) {
@@ -70,14 +71,18 @@
     tell(s);
 }
 
+/* It asks this host alone: the others are turned away, and told, for themselves. */
 static void hear_rest(server_t* s, const cw_message_t* head) {
     const upstreams_desc_t* desc = &s->pool->upstreams->desc;
     const char* field = desc->dialect->fields.retry_after;
-    const char* text = head->status == STATUS_UNAVAILABLE ? cw_message_field(head, field) : NULL;
+    bool turned_away = head->status == STATUS_UNAVAILABLE || head->status == STATUS_TOO_MANY;
+    const char* text = turned_away ? cw_message_field(head, field) : NULL;
+    uint32_t max_ms = desc->rest_max_ms ? desc->rest_max_ms : REST_MAX_MS;
     uint32_t rest_ms = 0;
-    if (text && !cw_pushback_rest(text, REST_MAX_MS, &rest_ms)) {
+    if (text && !cw_pushback_rest(text, max_ms, &rest_ms)) {
         log_unreadable(s, field, text);
     } else if (rest_ms) {
+        cw_balance_rest(s->pool->balance, clock_ms(), s->key, rest_ms);
         cw_log(desc->log, CW_EVENT_SERVER_RESTS, "server=%s pool=%s rest_ms=%u", s->published.id, s->pool->name,
                rest_ms);
     }
--- a/gateway/seek.c
+++ b/gateway/seek.c
@@ -67,21 +67,22 @@
     const cw_choice_t* c = &x->choice;
     const server_t* best = c->server == CW_BALANCE_NONE ? NULL : upstreams_server(x->all->desc.upstreams, c->id);
     x->reason = why;
-    cw_log(x->all->desc.log, CW_EVENT_REQUEST_REFUSED,
-           "id=%s why=\"%s\" route=%s pool=%s priority=%u urgency=%u server=%s prompt=%u kept=%u wait_ms=%.0f "
-           "read_ms=%.0f read_us=%.1f target_ms=%u ready=%u candidates=%u tried=%u away=%u cold=%u limited=%u "
-           "suspected=%u open_in_ms=%u "
-           "no_place=%u reserved=%.0f fullness=%.2f age_ms=%u waited_ms=%lld ahead=%u held_before=%u held_after=%u "
-           "holds_ms=%.0f "
-           "revision=%lld",
-           x->id, why, x->route->name, pool->name, x->priority, x->work.urgency, best ? best->published.id : "-",
-           x->work.prompt_tokens, c->kept, c->wait_ms, c->read_ms, cw_balance_read_rate(pool->balance) * US_PER_MS,
-           x->route->target_ms, pool->ready, c->candidates, c->left_out.tried, c->left_out.away, c->left_out.cold,
-           c->left_out.limited, c->left_out.suspected, c->open_in_ms, c->left_out.no_place, c->reserved,
-           cw_balance_fullness(pool->balance, clock_ms()), c->age_ms, (long long)(clock_ms() - x->arrived_ms), ahead(x),
-           cw_holding_running(holding, 0, x->work.urgency),
-           cw_holding_running(holding, x->work.urgency + 1, CW_URGENCIES - 1), cw_holding_ms(holding, x->work.urgency),
-           (long long)x->catalog->revision);
+    cw_log(
+        x->all->desc.log, CW_EVENT_REQUEST_REFUSED,
+        "id=%s why=\"%s\" route=%s pool=%s priority=%u urgency=%u server=%s prompt=%u kept=%u wait_ms=%.0f "
+        "read_ms=%.0f read_us=%.1f target_ms=%u ready=%u candidates=%u tried=%u away=%u cold=%u resting=%u limited=%u "
+        "suspected=%u "
+        "no_place=%u reserved=%.0f fullness=%.2f age_ms=%u waited_ms=%lld ahead=%u held_before=%u held_after=%u "
+        "holds_ms=%.0f "
+        "revision=%lld",
+        x->id, why, x->route->name, pool->name, x->priority, x->work.urgency, best ? best->published.id : "-",
+        x->work.prompt_tokens, c->kept, c->wait_ms, c->read_ms, cw_balance_read_rate(pool->balance) * US_PER_MS,
+        x->route->target_ms, pool->ready, c->candidates, c->left_out.tried, c->left_out.away, c->left_out.cold,
+        c->left_out.resting, c->left_out.limited, c->left_out.suspected, c->left_out.no_place, c->reserved,
+        cw_balance_fullness(pool->balance, clock_ms()), c->age_ms, (long long)(clock_ms() - x->arrived_ms), ahead(x),
+        cw_holding_running(holding, 0, x->work.urgency),
+        cw_holding_running(holding, x->work.urgency + 1, CW_URGENCIES - 1), cw_holding_ms(holding, x->work.urgency),
+        (long long)x->catalog->revision);
     exchange_event(x, CW_EV_REFUSED);
 }
 
@@ -138,12 +139,14 @@
     return true;
 }
 
-/* Whether all servers that are left hold callers back, and none takes a request from this host while x may wait. */
-static bool none_opens(const exchange_t* x) {
+/* Whether all servers that are left hold callers back, and none takes a request from this host while x may wait.
+   opens_ms: until the soonest does, 0: not known. */
+static bool none_opens(const exchange_t* x, uint32_t opens_ms) {
     const cw_left_out_t* left = &x->choice.left_out;
+    uint32_t held = left->resting + left->limited;
     cw_turn_wait_t wait = x->queued ? x->wait : place_wait(x);
-    bool in_time = x->choice.open_in_ms && clock_ms() + x->choice.open_in_ms < wait.until_ms;
-    return left->limited && left->tried + left->limited >= x->pool->ready && !in_time;
+    bool in_time = opens_ms && clock_ms() + opens_ms < wait.until_ms;
+    return held && left->tried + held >= x->pool->ready && !in_time;
 }
 
 /* Takes a repeat from the budget at the moment of the decision: those that break together would else all be decided by
@@ -198,8 +201,9 @@
         exchange_refuse(x, e->refusing ? "this host is stopping" : "no server is left to try");
         return;
     }
-    if (none_opens(x)) {
-        x->retry_ms = x->choice.open_in_ms;
+    uint32_t opens_ms = cw_balance_opens_in_ms(x->pool->balance, clock_ms());
+    if (none_opens(x, opens_ms)) {
+        x->retry_ms = opens_ms;
         exchange_refuse(x, "all servers hold callers back");
         return;
     }
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -47,6 +47,8 @@
      "repeats beyond that in a window, all hosts together"},
     {"service", "hold", CW_SETTING_MS, AT(hold_ms), "30m", 1000, 86400000,
      "how long it counts against a request that a server ended under it; with three such servers it is held back"},
+    {"service", "rest_max", CW_SETTING_MS, AT(rest_max_ms), "30m", 1000, 86400000,
+     "longest time for which a server that asks this host for rest (503 or 429 with Retry-After) is left alone"},
     {"log", "level", CW_SETTING_NAME, AT(log_level), "info", 0, 0, "debug, info, warn or error"},
     {"log", "format", CW_SETTING_NAME, AT(log_format), "text", 0, 0, "text or json"},
 };
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -38,6 +38,7 @@
     double retry_ratio;
     double retry_slack;
     uint32_t hold_ms;
+    uint32_t rest_max_ms;
     /* [log] */
     char log_level[CW_NAME_MAX];
     char log_format[CW_NAME_MAX];
--- a/gateway/transfer.c
+++ b/gateway/transfer.c
@@ -92,6 +92,8 @@
     exchange_t* x = owner;
     if (x->server->left) {
         choose_again(x, "the server leaves");
+    } else if (cw_balance_rests(x->pool->balance, clock_ms(), x->server->key)) {
+        choose_again(x, "the server wants rest");
     } else {
         send_request(x);
     }
@@ -105,6 +107,7 @@
                x->server_id, x->pool->name);
         upstreams_leaves(x->all->desc.upstreams, clock_ms(), x->server);
     }
+    x->retry_ms = cw_balance_opens_in_ms(x->pool->balance, clock_ms());
     exchange_broken(x, CW_EV_REJECTED, misdirected ? CW_TRY_CANCELLED : CW_TRY_FULL,
                     misdirected ? "another server has the address" : "the server has no room");
 }
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -91,7 +91,8 @@
     uint64_t host; /* own id */
     double retry_ratio, retry_slack;
     uint32_t retry_window_ms;
-    uint32_t max_links; /* of this process */
+    uint32_t max_links;   /* of this process */
+    uint32_t rest_max_ms; /* a server that asks for a longer rest gets this, default 30 minutes */
     /* Whether this daemon, and no other one, sends to the server while it is cold; NULL: it does. */
     bool (*is_mine)(void* user_data, uint64_t server);
     /* A server goes on over a connection that is older than its ended_ms. May be NULL. */
--- a/tests/test_pushback.c
+++ b/tests/test_pushback.c
@@ -134,6 +134,9 @@
     ck_assert_uint_eq(call(r, CALLS, "200", resting), 0);
     cw_clock_suspend(REST_MS / 2);
     ck_assert_uint_eq(call(r, CALLS, "200", resting), 0);
+    cw_clock_suspend(REST_MS);
+    rig_set_servers(r, 2, 2 - resting); /* the other one leaves */
+    ck_assert_uint_eq(call(r, CALLS, "200", resting), CALLS);
     rig_shutdown(r);
 }
 END_TEST
@@ -150,7 +153,64 @@
 }
 END_TEST
 
+/* A later answer neither shortens a rest nor, served, ends it. */
+START_TEST(a_rest_is_never_shortened) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    call_first(r, (rig_step_t)AWAY("30"), "503");
+    server_t* s = upstreams_pool(r->upstreams, "p")->servers;
+    cw_balance_rest(s->pool->balance, clock_ms(), s->key, 1);
+    cw_clock_suspend(UNDER_WAY_MS);
+    ck_assert_uint_eq(call(r, 3, "503", 0), 0);
+    rig_shutdown(r);
+}
+END_TEST
+
+/* What waited for the end doesn't come all at once. */
+START_TEST(after_a_rest_a_server_is_used_slowly_at_first) {
+    cw_rest_t rest = {0};
+    ck_assert_uint_eq(cw_rest_wait_ms(&rest, 1000), 0);
+    cw_rest_ask(&rest, 1000, 3000);
+    ck_assert_uint_eq(cw_rest_wait_ms(&rest, 1500), 2500);
+    uint32_t sent = 0;
+    for (int64_t now_ms = 4000; now_ms < 4500; now_ms += 5) {
+        for (uint32_t i = 0; i < 10 && !cw_rest_wait_ms(&rest, now_ms); i++) {
+            cw_rest_take(&rest, now_ms);
+            sent++;
+        }
+    }
+    ck_assert_uint_ge(sent, 5);
+    ck_assert_uint_le(sent, 12);
+    ck_assert_uint_eq(cw_rest_wait_ms(&rest, 6000), 0);
+}
+END_TEST
+
+/* -- what can be read ----------------------------------------------------- */
+
+START_TEST(odd_values_change_nothing_and_huge_ones_are_bounded) {
+    static const char* const odd[] = {
+        "", " ", "-1", "1e3", "inf", "nan", "0x10", "1.2.3", "1,5", "3 s", "+1", ".", "Thu, 03 Dec 2026 08:00:00 GMT"};
+    for (size_t i = 0; i < sizeof(odd) / sizeof(*odd); i++) {
+        double per_s = 7;
+        uint32_t ms = 7;
+        ck_assert_msg(!cw_pushback_limit(odd[i], &per_s) && !cw_pushback_rest(odd[i], 1000, &ms), "%s", odd[i]);
+        ck_assert(per_s == 7 && ms == 7);
+    }
+    double per_s = 0;
+    uint32_t ms = 0;
+    ck_assert(cw_pushback_limit(" 2.5 ", &per_s) && per_s == 2.5);
+    ck_assert(cw_pushback_limit("0", &per_s) && per_s == 0);
+    ck_assert(cw_pushback_limit("99999999999999999999", &per_s) && per_s == CW_PUSHBACK_LIMIT_MAX);
+    ck_assert(cw_pushback_rest("0.0005", 1000, &ms) && ms == 1);
+    ck_assert(cw_pushback_rest("0", 1000, &ms) && ms == 0);
+    ck_assert(cw_pushback_rest("99999999999999999999", 1000, &ms) && ms == 1000);
+    ck_assert(!cw_pushback_limit(NULL, &per_s) && !cw_pushback_rest(NULL, 1000, &ms));
+}
+END_TEST
+
 static void add_tests(TCase* t) {
+    tcase_add_test(t, a_rest_is_never_shortened);
+    tcase_add_test(t, after_a_rest_a_server_is_used_slowly_at_first);
+    tcase_add_test(t, odd_values_change_nothing_and_huge_ones_are_bounded);
     tcase_add_test(t, a_server_that_says_it_leaves_gets_nothing_more);
     tcase_add_test(t, no_list_brings_a_server_back_that_said_it_leaves);
     tcase_add_test(t, a_request_that_is_about_to_be_sent_goes_elsewhere);
