Soak: upstreams that name rates, ask for rest and say that they leave; its judge finds what goes against that

Three faults and three checks more (rate, rest, told-left), each with a test of the judge that shows a record it finds and one that it lets pass.

--- a/standins/fake_upstream.c
+++ b/standins/fake_upstream.c
@@ -11,7 +11,10 @@
 
     Service (no --prefill): after --ms the answer is "ran ID".
 
-    POST /admin/set?slow=X   every step, and each call, takes X times as long
+    POST /admin/set?slow=X     every step, and each call, takes X times as long
+                   &limit=X    answers name a rate of X requests a second, -1: none
+                   &rest=X     half of the requests are turned away with 503 and X seconds of Retry-After, 0: none
+                   &leaving=1  answers say that it leaves
 
     A body that begins with "deadly" ends the process DEADLY_MS after its request began to run, in the midst of all that
    runs beside it.
@@ -20,6 +23,10 @@
         U MS begin ID SERVER PRIORITY TOKENS
         U MS end|gone ID SERVER
         U MS reach|died ID SERVER     a deadly request came; the process ends under it
+        U MS came ID SERVER           any request for it
+        U MS rate - SERVER PER_S      the rate that it names from now on, -1: none
+        U MS named|parts ID SERVER    an answer names the rate, or says that it leaves
+        U MS away ID SERVER REST_MS   it is turned away, with so long a rest
 */
 #include <argp.h>
 #include <inttypes.h>
@@ -39,6 +46,7 @@
 #define STEP_RUN_MS 0.02    /* more for each request that runs */
 #define LINES_BYTES 4194304 /* of lines that nobody has read */
 #define PRIORITY_LAST 9
+#define HEADERS_MAX 6
 #define DEADLY_MS 60.0
 #define DEADLY_STATUS 3 /* of the process that ends under a request */
 
@@ -58,10 +66,14 @@
     uint32_t slots, queue_max;
     double prefill_us; /* 0: a service */
     double call_ms, slow;
+    double limit_per_s; /* that it names, < 0: none */
+    double rest_s;      /* that it asks for, 0: none */
+    bool leaving;       /* its answers say so */
     job_t jobs[MAX_JOBS];
     cw_heap_t queue; /* waiting jobs by priority and arrival */
     double arrivals;
     uint32_t running;
+    uint32_t turns; /* requests that came while it asked for rest */
     ev_timer step;
 } upstream_t;
 
@@ -76,6 +88,23 @@
     cw_lines_add(&u->lines, line);
 }
 
+/* What the head of an answer asks of its host, beside the request's id: fills up to HEADERS_MAX headers. */
+static uint32_t add_pushback(upstream_t* u, const char* id, char limit[24], cw_header_t* headers, uint32_t count) {
+    char line[160];
+    if (u->limit_per_s >= 0) {
+        snprintf(limit, 24, "%.3f", u->limit_per_s);
+        headers[count++] = (cw_header_t){"Chalkway-Server-Limit", limit};
+        snprintf(line, sizeof(line), "U %" PRId64 " named %s %s", standin_now(), id, u->id);
+        cw_lines_add(&u->lines, line);
+    }
+    if (u->leaving) {
+        headers[count++] = (cw_header_t){"Chalkway-Server-Leaving", "1"};
+        snprintf(line, sizeof(line), "U %" PRId64 " parts %s %s", standin_now(), id, u->id);
+        cw_lines_add(&u->lines, line);
+    }
+    return count;
+}
+
 static void job_free(job_t* job) {
     upstream_t* u = job->upstream;
     cw_heap_remove(&u->queue, (uint32_t)(job - u->jobs));
@@ -148,8 +177,10 @@
     job_t* job = w->data;
     char body[80];
     int size = snprintf(body, sizeof(body), "ran %s", job->id);
-    const cw_header_t headers[] = {{"Chalkway-Request-Id", job->id}};
-    cw_exchange_reply(job->x, 200, headers, 1, body, (size_t)size);
+    char limit[24];
+    cw_header_t headers[HEADERS_MAX] = {{"Chalkway-Request-Id", job->id}};
+    uint32_t count = add_pushback(job->upstream, job->id, limit, headers, 1);
+    cw_exchange_reply(job->x, 200, headers, count, body, (size_t)size);
     end(job->upstream, job);
 }
 
@@ -200,6 +231,19 @@
     cw_exchange_reply(x, status, headers, 2, "", 0);
 }
 
+/* Turns the request away and asks its host for rest. */
+static void turn_away(upstream_t* u, cw_exchange_t* x, const char* id) {
+    char line[160];
+    char rest[24];
+    char limit[24];
+    snprintf(rest, sizeof(rest), "%.3f", u->rest_s);
+    cw_header_t headers[HEADERS_MAX] = {{"Chalkway-Not-Run", "1"}, {"Chalkway-Request-Id", id}, {"Retry-After", rest}};
+    uint32_t count = add_pushback(u, id, limit, headers, 3);
+    cw_exchange_reply(x, 503, headers, count, "", 0);
+    snprintf(line, sizeof(line), "U %" PRId64 " away %s %s %.0f", standin_now(), id, u->id, u->rest_s * 1000);
+    cw_lines_add(&u->lines, line);
+}
+
 static void work(upstream_t* u, cw_exchange_t* x) {
     const char* id = cw_exchange_header(x, "Chalkway-Request-Id");
     const char* server = cw_exchange_header(x, "Chalkway-Server");
@@ -210,6 +254,15 @@
         reject(x, 421, id ? id : "");
         return;
     }
+    if (id) {
+        char line[160];
+        snprintf(line, sizeof(line), "U %" PRId64 " came %s %s", standin_now(), id, u->id);
+        cw_lines_add(&u->lines, line);
+    }
+    if (id && u->rest_s > 0 && ++u->turns % 2) {
+        turn_away(u, x, id);
+        return;
+    }
     job_t* job = id && u->queue.count < u->queue_max ? job_new(u) : NULL;
     if (!job) {
         reject(x, 503, id ? id : "");
@@ -230,8 +283,10 @@
         say(u, "reach", job);
     }
     if (u->prefill_us > 0) {
-        const cw_header_t headers[] = {{"Content-Type", "text/event-stream"}, {"Chalkway-Request-Id", job->id}};
-        cw_exchange_stream(x, 200, headers, 2);
+        char limit[24];
+        cw_header_t headers[HEADERS_MAX] = {{"Content-Type", "text/event-stream"}, {"Chalkway-Request-Id", job->id}};
+        uint32_t count = add_pushback(u, job->id, limit, headers, 2);
+        cw_exchange_stream(x, 200, headers, count);
     }
     cw_heap_set(&u->queue, (uint32_t)(job - u->jobs), job->priority * 1e9 + u->arrivals++);
     admit(u);
@@ -244,7 +299,16 @@
         const cw_header_t headers[] = {{"Chalkway-Server-Id", u->id}};
         cw_exchange_reply(x, 200, headers, 1, "", 0);
     } else if (strcmp(path, "/admin/set") == 0) {
+        double limit_per_s = standin_arg(x, "limit", u->limit_per_s);
+        if (limit_per_s != u->limit_per_s) {
+            char line[120];
+            u->limit_per_s = limit_per_s;
+            snprintf(line, sizeof(line), "U %" PRId64 " rate - %s %.3f", standin_now(), u->id, limit_per_s);
+            cw_lines_add(&u->lines, line);
+        }
         u->slow = standin_arg(x, "slow", u->slow);
+        u->rest_s = standin_arg(x, "rest", u->rest_s);
+        u->leaving = u->leaving || standin_arg(x, "leaving", 0) > 0;
         standin_reply(x, 200, "{}");
     } else {
         work(u, x);
@@ -296,7 +360,7 @@
         {0},
     };
     const struct argp argp = {.options = options, .parser = parse_option, .doc = "Stand-in of a gateway's server."};
-    static upstream_t upstream = {.id = "s", .slots = 8, .queue_max = 25, .call_ms = 50, .slow = 1};
+    static upstream_t upstream = {.id = "s", .slots = 8, .queue_max = 25, .call_ms = 50, .slow = 1, .limit_per_s = -1};
     upstream_t* u = &upstream;
     argp_parse(&argp, argc, argv, 0, NULL, u);
     u->queue = cw_heap_setup(MAX_JOBS, NULL);
--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -207,7 +207,60 @@
 }
 END_TEST
 
+/* Sixteen come within a second at a rate of 0.5, four seconds after it was named: from a host that was told (allowed
+   8), or from one that was not. */
+static const char* rate_record(const char* host) {
+    static char text[8192];
+    size_t at = (size_t)snprintf(text, sizeof(text),
+                                 "U 1000 rate - e1 0.5\nC 1000 sent n short h:1 500\nU 1001 came n e1\n"
+                                 "U 1002 named n e1\nC 1010 done n 200 1 1 20\n");
+    for (int i = 0; i < 16; i++) {
+        int ms = 5000 + 10 * i;
+        at += (size_t)snprintf(text + at, sizeof(text) - at,
+                               "C %d sent r%d short %s 500\nU %d came r%d e1\nC %d done r%d 200 1 1 2\n", ms, i, host,
+                               ms + 1, i, ms + 4, i);
+    }
+    return text;
+}
+
+START_TEST(a_rate_that_is_not_kept_is_found) {
+    expect(rate_record("h:1"), SOAK_RATE);
+    soak_result_t r = judge(rate_record("h:2"));
+    ck_assert(!soak_failed(&r));
+}
+END_TEST
+
+#define TURNED_AWAY                                                                                                    \
+    "S 900 fault rest v1\nC 1000 sent n call h:1 0\nU 1001 came n v1\nU 1002 away n v1 3000\nC 1003 done n 503 1 0 "   \
+    "2\n"
+#define COMES(id, host, ms, after)                                                                                     \
+    "C " ms " sent " id " call " host " 0\nU " after " came " id " v1\nC " after " done " id " 200 1 1 2\n"
+
+START_TEST(a_rest_that_is_not_kept_is_found) {
+    expect(TURNED_AWAY COMES("a", "h:1", "2000", "2001") COMES("b", "h:1", "2100", "2101")
+               COMES("c", "h:1", "2200", "2201"),
+           SOAK_REST);
+    soak_result_t r = judge(TURNED_AWAY COMES("a", "h:1", "2000", "2001") COMES("b", "h:1", "2100", "2101")
+                                COMES("c", "h:2", "2200", "2201") COMES("d", "h:1", "4100", "4101"));
+    ck_assert_uint_eq(r.count[SOAK_REST], 0);
+}
+END_TEST
+
+#define SAYS_IT_LEAVES "C 1000 sent n call h:1 0\nU 1001 came n v1\nU 1002 parts n v1\nC 1003 done n 200 1 1 2\n"
+
+START_TEST(a_request_after_an_upstream_said_that_it_leaves_is_found) {
+    expect(SAYS_IT_LEAVES COMES("a", "h:1", "5000", "5001"), SOAK_TOLD_LEFT);
+    soak_result_t r = judge(SAYS_IT_LEAVES COMES("a", "h:1", "2000", "2001") COMES("b", "h:2", "5000", "5001"));
+    ck_assert_uint_eq(r.count[SOAK_TOLD_LEFT], 0);
+    r = judge(SAYS_IT_LEAVES "S 3000 down v1\nS 3100 up v1 0\n" COMES("a", "h:1", "7500", "7501"));
+    ck_assert_uint_eq(r.count[SOAK_TOLD_LEFT], 0); /* its next life says nothing of the kind */
+}
+END_TEST
+
 static void add(TCase* t) {
+    tcase_add_test(t, a_rate_that_is_not_kept_is_found);
+    tcase_add_test(t, a_rest_that_is_not_kept_is_found);
+    tcase_add_test(t, a_request_after_an_upstream_said_that_it_leaves_is_found);
     tcase_add_test(t, a_deadly_body_that_goes_on_reaching_upstreams_is_found);
     tcase_add_test(t, a_deadly_request_that_reaches_as_it_is_sent_counts);
     tcase_add_test(t, a_host_that_has_just_started_may_not_know_a_deadly_body);
--- a/tools/soak.h
+++ b/tools/soak.h
@@ -15,6 +15,8 @@
         U MS begin ID SERVER PRIORITY TOKENS, U MS end ID SERVER, U MS gone ID SERVER
         U MS reach ID SERVER, U MS died ID SERVER
                                            a deadly request came to an upstream; the upstream ends under it
+        U MS came ID SERVER, U MS rate - SERVER PER_S, U MS named ID SERVER, U MS parts ID SERVER,
+        U MS away ID SERVER REST_MS        what upstreams asked of hosts (standins/fake_upstream.c)
         S MS fault NAME TARGET             something is brought about, until
         S MS over NAME TARGET              it ends
         S MS up SERVER SLOTS, S MS leaves SERVER, S MS down SERVER
@@ -58,6 +60,9 @@
     SOAK_RECOVERY,   /* after the last fault too few are served */
     SOAK_DEADLY,     /* a body under which three upstreams ended goes on reaching upstreams */
     SOAK_SHUT_OUT,   /* an ordinary request was held back as one that ends upstreams */
+    SOAK_RATE,       /* an upstream got more than the rate that it named */
+    SOAK_REST,       /* or too much from a host that it had asked for rest */
+    SOAK_TOLD_LEFT,  /* or something long after it had told the host that it leaves */
     SOAK_CHECKS
 } soak_check_t;
 
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -7,6 +7,7 @@
 #include "../chalkway_map.h"
 #include "soak.h"
 #include "soak_deadly.h"
+#include "soak_pushback.h"
 
 #define MAX_REQUESTS 200000
 #define MAX_SERVERS 1024
@@ -25,6 +26,7 @@
 #define STOP_SLACK_MS 1500 /* beyond the grace time */
 #define SIGNALLED 128      /* codes beyond: the signal that ended the process */
 #define LOADING_MS 100     /* after its start a program may not be loaded yet: a signal ends it then */
+#define MACHINE "-"        /* target of faults of the machine itself */
 #define DISTURBED_MS 1000  /* around a fault of its own server, within which a lost answer is not the host's */
 
 const soak_kind_t soak_kinds[SOAK_KINDS] = {
@@ -64,6 +66,7 @@
     uint32_t slots, running;
     bool down;
     int64_t leaves_ms; /* 0: it does not */
+    uint32_t lives;    /* times that it started */
 } server_record_t;
 
 typedef struct fault_t {
@@ -91,12 +94,13 @@
     uint32_t grace_ms, drain_ms;
     int64_t finish_ms;
     soak_deadly_t deadly;
+    soak_pushback_t* pushback;
 } judge_t;
 
 const char* soak_check_name(soak_check_t check) {
-    static const char* const names[SOAK_CHECKS] = {"twice",        "refused-and-run", "mixed",        "lost",
-                                                   "refused-idle", "put-behind",      "sent-to-left", "worked-on",
-                                                   "stop",         "recovery",        "deadly",       "shut-out"};
+    static const char* const names[SOAK_CHECKS] = {"twice",      "refused-and-run", "mixed",     "lost", "refused-idle",
+                                                   "put-behind", "sent-to-left",    "worked-on", "stop", "recovery",
+                                                   "deadly",     "shut-out",        "rate",      "rest", "told-left"};
     return names[check];
 }
 
@@ -248,13 +252,67 @@
     take_fault(j, at_ms, true, "died", server);
 }
 
+static uint64_t life_of(const server_record_t* s) {
+    return cw_mix(cw_name_id(s->id), s->lives);
+}
+
+/* Whether the upstream stood still shortly before: it notes then what came before. */
+static bool stood_still(const judge_t* j, int64_t at_ms, const char* server) {
+    for (uint32_t i = 0; i < j->fault_count; i++) {
+        const fault_t* f = &j->faults[i];
+        bool meant = strcmp(f->name, "freeze") == 0 && strcmp(f->target, server) == 0;
+        if (meant && (!f->to_ms || at_ms < f->to_ms + SOAK_PUSHBACK_WINDOW_MS)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void take_arrival(judge_t* j, int64_t at_ms, const request_t* r, const server_record_t* s) {
+    bool excused = out_of_touch(j, at_ms, r->host) || stood_still(j, at_ms, s->id) ||
+                   disturbed(j, at_ms, MACHINE, SOAK_PUSHBACK_WINDOW_MS);
+    soak_pushback_arrival(j->pushback, &(soak_arrival_t){.at_ms = at_ms,
+                                                         .sent_ms = r->sent_ms,
+                                                         .server = life_of(s),
+                                                         .host = cw_name_id(r->host),
+                                                         .excused = excused});
+}
+
+/* What upstreams asked of hosts. True: it was such a line. */
+static bool take_pushback(judge_t* j, int64_t at_ms, const char* what, const request_t* r, const server_record_t* s,
+                          double value) {
+    static const char* const words[] = {"named", "away", "parts"}; /* by soak_word_kind_t */
+    if (strcmp(what, "rate") == 0) {
+        soak_pushback_rate(j->pushback, at_ms, life_of(s), value);
+        return true;
+    }
+    if (strcmp(what, "came") == 0) {
+        if (r) {
+            take_arrival(j, at_ms, r, s);
+        }
+        return true;
+    }
+    for (uint32_t kind = 0; kind < sizeof(words) / sizeof(*words); kind++) {
+        if (strcmp(what, words[kind]) == 0) {
+            soak_pushback_word(j->pushback, &(soak_word_t){.kind = (soak_word_kind_t)kind,
+                                                           .at_ms = at_ms,
+                                                           .server = life_of(s),
+                                                           .host = r ? cw_name_id(r->host) : 0,
+                                                           .rest_ms = (uint32_t)value});
+            return true;
+        }
+    }
+    return false;
+}
+
 static void take_upstream(judge_t* j, int64_t at_ms, const char* what, const char* rest) {
     char id[NAME_SIZE] = "";
     char server[NAME_SIZE] = "";
-    sscanf(rest, "%31s %31s", id, server);
+    double value = 0;
+    sscanf(rest, "%31s %31s %lf", id, server, &value);
     request_t* r = request_of(j, id);
     server_record_t* s = server_of(j, server);
-    if (!r || !s) {
+    if (!s || take_pushback(j, at_ms, what, r, s, value) || !r) {
         return;
     }
     if (r->deadly && (strcmp(what, "reach") == 0 || strcmp(what, "died") == 0)) {
@@ -278,6 +336,7 @@
     }
     if (s && strcmp(what, "up") == 0) { /* again, it may be: it holds nothing of before */
         s->down = false;
+        s->lives++;
         s->running = 0;
         s->leaves_ms = 0;
     }
@@ -588,10 +647,16 @@
     }
 }
 
+static void on_pushback(void* user, soak_word_kind_t kind, const soak_arrival_t* arrival, const char* what) {
+    static const soak_check_t checks[] = {SOAK_RATE, SOAK_REST, SOAK_TOLD_LEFT}; /* by soak_word_kind_t */
+    found(user, checks[kind], arrival->at_ms, what, "an upstream");
+}
+
 soak_result_t soak_judge(const char* record, uint32_t grace_ms, uint32_t drain_ms) {
     judge_t* j = cw_alloc(NULL, 1, sizeof(*j));
     j->requests = cw_alloc(NULL, MAX_REQUESTS, sizeof(*j->requests));
     j->by_id = cw_map_setup(MAX_REQUESTS, NULL);
+    j->pushback = soak_pushback_setup();
     j->grace_ms = grace_ms;
     j->drain_ms = drain_ms;
     read_record(j, record);
@@ -606,6 +671,8 @@
         }
     }
     judge_deadly(j);
+    soak_pushback_judge(j->pushback, j->drain_ms + LEFT_SLACK_MS, on_pushback, j);
+    soak_pushback_shutdown(j->pushback);
     soak_result_t result = j->result;
     if (result.calm_sent && result.calm_served < RECOVERY_SHARE * result.calm_sent) {
         result.count[SOAK_RECOVERY] = 1;
--- a/tools/soak_faults.c
+++ b/tools/soak_faults.c
@@ -11,6 +11,7 @@
 #define PAUSE_SPREAD_MS 1200
 #define LEAVE_MS (SOAK_DRAIN_MS + 4000) /* a server that leaves serves on for so long */
 #define SLOW_TIMES 5
+#define LIMIT_MS 9000  /* long enough to be judged */
 #define HERD_ONE_IN 25 /* faults that hit all hosts at once */
 
 typedef struct fault_kind_t {
@@ -102,6 +103,7 @@
     }
     a->target->leaving = true;
     soak_note(a->soak, "leaves %s", a->target->name);
+    soak_post(a->soak, a->target->address, "/admin/set?leaving=1", "");
     soak_publish_servers(a->soak);
     soak_start_upstream(a->soak, a->target->engine);
     soak_after(a->soak, &a->timer, LEAVE_MS);
@@ -127,6 +129,35 @@
     }
 }
 
+static bool limit_begin(active_t* a) {
+    static const char* const rates[] = {"0", "0.5", "1.7", "4"};
+    char path[40];
+    snprintf(path, sizeof(path), "/admin/set?limit=%s", rates[soak_draw(a->soak) % 4]);
+    soak_post(a->soak, a->target->address, path, "");
+    int64_t left_ms = a->soak->stirred_until_ms - standin_now();
+    soak_after(a->soak, &a->timer, left_ms < LIMIT_MS ? left_ms : LIMIT_MS);
+    return true;
+}
+
+static void limit_end(active_t* a) {
+    if (a->target->pid) {
+        soak_post(a->soak, a->target->address, "/admin/set?limit=-1", "");
+    }
+}
+
+static bool rest_begin(active_t* a) {
+    char path[40];
+    snprintf(path, sizeof(path), "/admin/set?rest=%.1f", 0.5 + (double)(soak_draw(a->soak) % 30) / 10);
+    soak_post(a->soak, a->target->address, path, "");
+    return true;
+}
+
+static void rest_end(active_t* a) {
+    if (a->target->pid) {
+        soak_post(a->soak, a->target->address, "/admin/set?rest=0", "");
+    }
+}
+
 static bool source_down(active_t* a) {
     soak_post(a->soak, a->target->address, "/admin/mode?down=1", "");
     return true;
@@ -178,6 +209,8 @@
     {"leave", PROC_UPSTREAM, 3, leave_begin, leave_end},
     {"freeze", PROC_UPSTREAM, 1, freeze_begin, freeze_end},
     {"slow", PROC_UPSTREAM, 2, slow_begin, slow_end},
+    {"limit", PROC_UPSTREAM, 8, limit_begin, limit_end},
+    {"rest", PROC_UPSTREAM, 6, rest_begin, rest_end},
     {"source-down", PROC_SOURCE, 1, source_down, source_well},
     {"source-slow", PROC_SOURCE, 1, source_slow, source_well},
     {"source-lossy", PROC_SOURCE, 1, source_lossy, source_well},
