--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -181,6 +181,13 @@
     uint32_t direct_ms; /* until it has reached the other home hosts of the server (chalkway_home.h) */
 } cw_fleet_t;
 
+/* Servers that hold callers back now. */
+typedef struct cw_held_back_t {
+    uint32_t resting; /* they asked this host for rest */
+    uint32_t limited; /* they named a rate */
+    uint32_t owned;   /* of these, this host owns a part of it */
+} cw_held_back_t;
+
 typedef struct cw_balance_t cw_balance_t;
 
 cw_balance_t* cw_balance_setup(const cw_balance_desc_t* desc);
@@ -231,6 +238,7 @@
 /* Time until one of the servers takes a request from this host, where all of them hold callers back; 0: some don't, or
    it isn't known. */
 uint32_t cw_balance_opens_in_ms(const cw_balance_t* b, int64_t now_ms);
+cw_held_back_t cw_balance_held_back(const cw_balance_t* b, int64_t now_ms);
 /* Whether this host's own answers said something of the server's rate that the others are still to be told. */
 bool cw_balance_tells_limit(const cw_balance_t* b, int64_t now_ms, uint64_t id);
 /* Whether the server is suspected to be gone by what all daemons saw of it. */
@@ -932,6 +940,18 @@
     return holds ? b->servers[at].rate.word.per_s : -1;
 }
 
+cw_held_back_t cw_balance_held_back(const cw_balance_t* b, int64_t now_ms) {
+    cw_held_back_t held = {0};
+    for (uint32_t i = 0; i < b->places; i++) {
+        const _cw_server_t* s = &b->servers[i];
+        bool limited = s->used && s->listed && cw_rate_holds(&s->rate, now_ms);
+        held.resting += s->used && s->listed && now_ms < s->rest.until_ms;
+        held.limited += limited;
+        held.owned += limited && s->rate.mine;
+    }
+    return held;
+}
+
 bool cw_balance_tells_limit(const cw_balance_t* b, int64_t now_ms, uint64_t id) {
     uint32_t at = cw_balance_find(b, id);
     return at != CW_BALANCE_NONE && cw_rate_tell(&b->servers[at].rate, now_ms).known;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -231,6 +231,11 @@
                         (unsigned long long)q.told, (unsigned long long)q.heard);
     cw_message_add_text(out, "chalkway_log_lines_lost_total %lu\n", g->lines.lost_ever);
     for (pool_t* pool = upstreams_pools(g->upstreams); pool; pool = pool->next) {
+        cw_held_back_t held = cw_balance_held_back(pool->balance, clock_ms());
+        cw_message_add_text(out,
+                            "chalkway_pool_resting{pool=\"%s\"} %u\nchalkway_pool_limited{pool=\"%s\"} %u\n"
+                            "chalkway_pool_limits_owned{pool=\"%s\"} %u\n",
+                            pool->name, held.resting, pool->name, held.limited, pool->name, held.owned);
         cw_message_add_text(out, "chalkway_pool_ready{pool=\"%s\"} %u\n", pool->name, pool->ready);
         cw_message_add_text(out, "chalkway_pool_fullness{pool=\"%s\"} %.3f\n", pool->name,
                             cw_balance_fullness(pool->balance, clock_ms()));
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -730,6 +730,37 @@
 }
 END_TEST
 
+/* What one host's answers said of a server's rate reaches another one through a datagram, and keeps it from the server
+   where it owns no part of the rate. */
+START_TEST(a_rate_that_another_host_heard_is_kept) {
+    static const uint64_t ids[] = {11, 12};
+    cw_fleet_t fleet = {.ids = ids, .count = 2, .reach_ms = 5};
+    cw_balance_t* host[2];
+    uint32_t closed = 0;
+    for (uint32_t i = 0; i < 2; i++) {
+        host[i] = cw_balance_setup(&(cw_balance_desc_t){.seed = ids[i]});
+        cw_balance_set(host[i], 1000, &(cw_server_spec_t){.id = 99, .slots = 4}, 1);
+        cw_balance_set_fleet(host[i], 1000, &fleet);
+    }
+    ck_assert(cw_balance_limit(host[0], 1000, 99, 990, 1.5));
+    cw_load_message_t out = {.cluster = 1, .host = 11, .count = 1};
+    out.entries[0] = (cw_load_entry_t){
+        .host = 11, .server = 99, .load = cw_balance_load(host[0], 1010, cw_balance_find(host[0], 99))};
+    uint8_t bytes[CW_LOAD_BYTES];
+    cw_load_message_t in;
+    size_t size = cw_load_encode(&out, bytes, sizeof(bytes));
+    ck_assert_int_eq(cw_load_decode(&in, bytes, size, NULL), CW_OK);
+    cw_balance_news(host[1], 1015, 11, 99, &in.entries[0].load);
+    ck_assert(cw_balance_limit_per_s(host[1], 1015, 99) == 1.5);
+    cw_work_t work = {.target_ms = 100};
+    for (uint32_t i = 0; i < 2; i++) { /* one of the two owns the rate, and has used none of it for long */
+        closed += cw_balance_choose(host[i], 5000, &work, NULL, 0).server == CW_BALANCE_NONE;
+        cw_balance_shutdown(host[i]);
+    }
+    ck_assert_uint_eq(closed, 1);
+}
+END_TEST
+
 /* Past its planned time a more urgent backlog may be guessed as longer than a later one, which holds it: the later one
    is told as no shorter. What is longer than anybody waits is told as the longest that is. */
 START_TEST(a_backlog_is_told_as_no_shorter_than_a_more_urgent_one) {
@@ -932,6 +963,7 @@
     tcase_add_test(t, a_run_that_outlives_its_server_does_no_harm);
     tcase_add_test(t, load_messages_survive_encoding_and_refuse_nonsense);
     tcase_add_test(t, a_full_load_message_fits);
+    tcase_add_test(t, a_rate_that_another_host_heard_is_kept);
     tcase_add_test(t, a_backlog_is_told_as_no_shorter_than_a_more_urgent_one);
     tcase_add_test(t, events_are_given_back_whole_whatever_the_cuts);
     tcase_add_test(t, events_go_on_after_a_break_at_any_byte);
