--- /dev/null
+++ b/gateway/news_peers.c
@@ -0,0 +1,155 @@
+/* Whom news is told, by hall and relay, and the datagrams that carry it. */
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "../io/address.h"
+#include "news_parts.h"
+
+/* -- who is told ---------------------------------------------------------- */
+
+static bool may_relay(const cw_member_info_t* info) {
+    return !info->leaving;
+}
+
+static bool goes_before(const cw_member_info_t* a, const cw_member_info_t* b) {
+    return may_relay(a) != may_relay(b) ? may_relay(a) : cw_relay_before(a, b);
+}
+
+static int compare_peers(const void* left, const void* right) {
+    const cw_member_info_t* a = ((const peer_t*)left)->info;
+    const cw_member_info_t* b = ((const peer_t*)right)->info;
+    int halls = strcmp(a->hall, b->hall);
+    if (halls) {
+        return halls;
+    }
+    return goes_before(a, b) ? -1 : goes_before(b, a);
+}
+
+static void add_peer(news_t* n, const cw_member_info_t* info) {
+    peer_t* peer = &n->peers[n->peer_count];
+    if (cw_addr_parse(info->peer, &peer->load, NULL) != CW_OK) {
+        return;
+    }
+    peer->load.sin_port = htons(n->load_port);
+    peer->info = info;
+    peer->id = info->id;
+    peer->leaving = info->leaving;
+    n->peer_count++;
+}
+
+/* How many of the hall's hosts are relays; self: this host where it stands in the hall, else NULL. */
+static uint32_t count_relays(const news_t* n, const hall_t* hall, const cw_member_info_t* self) {
+    uint32_t links[HOSTS_MAX + 1];
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < hall->count; i++) {
+        const cw_member_info_t* info = n->peers[hall->first + i].info;
+        if (self && goes_before(self, info)) {
+            links[count++] = self->link_mbps;
+            self = NULL;
+        }
+        links[count++] = info->link_mbps;
+    }
+    if (self) {
+        links[count++] = self->link_mbps;
+    }
+    return cw_relay_count(&n->plan, links, count);
+}
+
+/* Cuts the sorted peers into halls. */
+static void cut_halls(news_t* n, const char* own_hall) {
+    n->hall_count = 0;
+    n->own = (hall_t){0};
+    for (uint32_t i = 0; i < n->peer_count;) {
+        const char* name = n->peers[i].info->hall;
+        hall_t hall = {.first = i};
+        for (; i < n->peer_count && strcmp(n->peers[i].info->hall, name) == 0; i++) {
+            n->ids[i] = n->peers[i].id;
+            hall.count++;
+        }
+        if (strcmp(name, own_hall) == 0) {
+            n->own = hall;
+        } else {
+            hall.relays = count_relays(n, &hall, NULL);
+            n->halls[n->hall_count++] = hall;
+        }
+    }
+}
+
+/* Whether this host is one of its hall's relays, and how many of the others are. */
+static void place_self(news_t* n, const cw_member_info_t* self) {
+    uint32_t relays = count_relays(n, &n->own, self);
+    uint32_t before = 0;
+    for (uint32_t i = 0; i < n->own.count; i++) {
+        before += goes_before(n->peers[n->own.first + i].info, self);
+    }
+    n->is_relay = before < relays;
+    n->own.relays = relays - n->is_relay;
+}
+
+void news_read_members(news_t* n) {
+    if (!n->members || !n->members_changed) {
+        return;
+    }
+    const cw_member_info_t* self = &cw_members_at(n->members, 0)->info;
+    n->members_changed = false;
+    n->peer_count = 0;
+    for (uint32_t i = 1; i < cw_members_count(n->members) && n->peer_count < HOSTS_MAX; i++) {
+        const cw_member_info_t* info = &cw_members_at(n->members, i)->info;
+        if (info->state == CW_MEMBER_ALIVE) {
+            add_peer(n, info);
+        }
+    }
+    qsort(n->peers, n->peer_count, sizeof(*n->peers), compare_peers);
+    n->plan = cw_relay_plan(n->live);
+    cut_halls(n, self->hall);
+    place_self(n, self);
+}
+
+/* The host of the hall that is told for it. */
+static const peer_t* relay_of(news_t* n, const hall_t* hall) {
+    uint64_t random = cw_mix(n->desc.host, ++n->draws);
+    uint32_t i = cw_relay_choose(&n->ids[hall->first], hall->relays, &n->plan, n->desc.host, random);
+    return &n->peers[hall->first + i];
+}
+/* -- datagrams out -------------------------------------------------------- */
+
+datagram_t news_datagram(news_t* n, cw_load_message_t* message, cw_load_scope_t scope) {
+    datagram_t d;
+    message->cluster = n->cluster;
+    message->host = n->desc.host;
+    message->knowledge = n->desc.knowledge(n->desc.user_data);
+    message->scope = scope;
+    d.size = cw_load_encode(message, d.bytes, sizeof(d.bytes));
+    return d;
+}
+
+void news_send(news_t* n, const peer_t* peer, const datagram_t* d) {
+    if (d->size) {
+        sendto(n->fd, d->bytes, d->size, MSG_DONTWAIT, (const struct sockaddr*)&peer->load, sizeof(peer->load));
+        n->stats.out++;
+    }
+}
+
+void news_send_to_hall(news_t* n, cw_load_message_t* message) {
+    datagram_t d = news_datagram(n, message, CW_LOAD_LAST);
+    for (uint32_t i = 0; i < n->own.count; i++) {
+        news_send(n, &n->peers[n->own.first + i], &d);
+    }
+}
+
+void news_send_to_other_halls(news_t* n, cw_load_message_t* message) {
+    datagram_t to_pass_on = news_datagram(n, message, CW_LOAD_FOR_HALL);
+    datagram_t last = news_datagram(n, message, CW_LOAD_LAST);
+    for (uint32_t i = 0; i < n->hall_count; i++) {
+        const hall_t* hall = &n->halls[i];
+        news_send(n, relay_of(n, hall), hall->count == 1 ? &last : &to_pass_on);
+    }
+}
+
+void news_send_to_relay(news_t* n, cw_load_message_t* message) {
+    if (n->own.count) {
+        datagram_t d = news_datagram(n, message, CW_LOAD_FOR_ALL);
+        news_send(n, relay_of(n, &n->own), &d);
+    }
+}
--- a/tools/arrows.sh
+++ b/tools/arrows.sh
@@ -17,7 +17,7 @@
         upstream | upstream_parts | link | pushback) echo "clock dialect upstream upstream_parts" ;;
         sync) echo "clock dialect sync" ;;
         mesh) echo "clock mesh news settings upstream" ;;
-        news) echo "clock news settings upstream" ;;
+        news | news_parts | news_peers | news_marks) echo "clock news news_parts settings upstream" ;;
         directory) echo "dialect directory" ;;
         request_head) echo "dialect request_head" ;;
         admission) echo "admission dialect request_head" ;;
