--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -98,6 +98,11 @@
     uint32_t rate_ago_ms;              /* since it was true */
 } cw_load_t;
 
+/* The urgency by which its turn for a place goes: late, it goes behind all and keeps nobody else from one. */
+static inline uint32_t cw_work_turn_urgency(const cw_work_t* work) {
+    return work->late ? CW_URGENCIES - 1 : work->urgency;
+}
+
 typedef enum cw_try_result_t {
     CW_TRY_SERVED = 0,  /* the whole answer came */
     CW_TRY_FAILED,      /* silence, spoilt bytes or an error of the server */
@@ -1009,7 +1014,7 @@
     }
     cw_contention_use_t use = {.server = s->spec.id,
                                .free_places = free_places,
-                               .urgency = work->late ? CW_URGENCIES - 1 : work->urgency, /* goes behind all */
+                               .urgency = cw_work_turn_urgency(work),
                                .hosts = last_places ? CW_HOME_HOSTS : b->fleet.count,
                                .delay_ms = last_places ? b->fleet.direct_ms : b->fleet.reach_ms};
     return cw_contention_open(&b->contention, now_ms, &use);
--- a/gateway/seek.c
+++ b/gateway/seek.c
@@ -8,10 +8,9 @@
 
 /* -- the queue ------------------------------------------------------------ */
 
-/* One more (by = 1) or fewer (-1) of the request's urgency wait. Late ones go behind all, whatever their urgency: they
-   keep nobody else from a place. */
+/* One more (by = 1) or fewer (-1) of the request's urgency wait. */
 static void tell_waiting(const exchange_t* x, int by) {
-    uint32_t urgency = x->work.late ? CW_URGENCIES - 1 : x->work.urgency;
+    uint32_t urgency = cw_work_turn_urgency(&x->work);
     uint32_t* waiting = &x->pool->waiting[urgency];
     *waiting = (uint32_t)((int)*waiting + by);
     cw_balance_waiting(x->pool->balance, clock_ms(), urgency, *waiting);
--- a/tests/pool_model.h
+++ b/tests/pool_model.h
@@ -336,7 +336,7 @@
                 model_step_run(m, &m->run[i]);
             }
             if (m->run[i].stage == MODEL_WAITING) {
-                waiting[m->run[i].host][m->run[i].work.late ? CW_URGENCIES - 1 : m->run[i].work.urgency]++;
+                waiting[m->run[i].host][cw_work_turn_urgency(&m->run[i].work)]++;
                 all++;
             }
         }
