What answers said of a rate is one value, not two flags; small repairs of the last reading

A rate that is named again after it was forgotten counts as news; a time to come back from an earlier refusal isn't kept for a later one. The load's test compares the new fields too.

--- a/bench/bench_rate.c
+++ b/bench/bench_rate.c
@@ -34,7 +34,7 @@
                       .cut = (uint32_t)(trouble->cut * hosts),
                       .cut_ms = 10000,
                       .heal_ms = 15000,
-                      .play_ms = PLAYED_S * 1000,
+                      .play_ms = PLAYED_S * 1000LL,
                       .seed = 11};
     rate_play(&m);
     printf("%-12s %5u %5.1f %4u%% %-8s %6.2f %5.2f %6lld %6lld %8.1f\n", ways[way], hosts, per_s, loss_percent,
--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -92,8 +92,7 @@
     uint32_t pace_us;                  /* learned time between events there while no prompt is read, 0: unknown */
     uint32_t failed_ago_ms;            /* since a connection of its own to the server last failed, 0: not lately */
     uint32_t alive_ago_ms;             /* since it last sent a request there that was answered, 0: not lately */
-    bool rate_known;                   /* its own answers said something of the server's rate lately */
-    bool rate_limited;                 /* they named one; false: they named none any more */
+    cw_rate_said_t rate;               /* what its own answers said of the server's rate lately */
     uint32_t rate_per_ks;              /* that rate, requests in 1,000 s */
     uint32_t rate_ago_ms;              /* since it was true */
 } cw_load_t;
@@ -959,7 +958,7 @@
 
 bool cw_balance_tells_limit(const cw_balance_t* b, int64_t now_ms, uint64_t id) {
     uint32_t at = cw_balance_find(b, id);
-    return at != CW_BALANCE_NONE && cw_rate_tell(&b->servers[at].rate, now_ms).known;
+    return at != CW_BALANCE_NONE && cw_rate_tell(&b->servers[at].rate, now_ms).said != CW_RATE_UNKNOWN;
 }
 
 void cw_balance_asked(cw_balance_t* b, int64_t now_ms, const cw_work_t* work) {
@@ -1359,9 +1358,8 @@
 
 static void _cw_balance_tell_rate(const cw_rate_t* rate, int64_t now_ms, cw_load_t* load) {
     cw_rate_word_t word = cw_rate_tell(rate, now_ms);
-    if (word.known) {
-        load->rate_known = true;
-        load->rate_limited = word.limited;
+    if (word.said != CW_RATE_UNKNOWN) {
+        load->rate = word.said;
         load->rate_per_ks = (uint32_t)(word.per_s * 1000);
         load->rate_ago_ms = (uint32_t)(now_ms - word.at_ms);
     }
@@ -1412,10 +1410,8 @@
 }
 
 static void _cw_balance_hear_rate(const cw_balance_t* b, _cw_server_t* s, int64_t now_ms, const cw_load_t* load) {
-    cw_rate_word_t word = {.known = load->rate_known,
-                           .limited = load->rate_limited,
-                           .per_s = load->rate_per_ks / 1000.0,
-                           .at_ms = now_ms - load->rate_ago_ms};
+    cw_rate_word_t word = {
+        .said = load->rate, .per_s = load->rate_per_ks / 1000.0, .at_ms = now_ms - load->rate_ago_ms};
     if (cw_rate_heard(&s->rate, &word, b->fleet.reach_ms)) {
         _cw_balance_share_rate(b, s, now_ms);
     }
--- a/chalkway_load.h
+++ b/chalkway_load.h
@@ -97,8 +97,8 @@
 #define _CW_LOAD_FIELDS 12  /* of an entry before its backlogs; the last one says which are told */
 #define _CW_LOAD_RATE 2     /* numbers of a server's rate: what it is, and its age */
 #define _CW_LOAD_LEAVING 1U /* flags of an entry */
-#define _CW_LOAD_RATE_KNOWN 2U
-#define _CW_LOAD_RATE_LIMITED 4U
+#define _CW_LOAD_RATE_NAMED 2U
+#define _CW_LOAD_RATE_LIFTED 4U
 #define _CW_LOAD_BACKLOG_MAX UINT16_MAX /* ms, longer than any work waits: what is more is told as this */
 
 uint32_t cw_load_quiet_ms(uint32_t rank, uint32_t live) {
@@ -133,15 +133,15 @@
 }
 
 static uint32_t _cw_load_flags(const cw_load_entry_t* e) {
-    return (e->leaving ? _CW_LOAD_LEAVING : 0U) | (e->load.rate_known ? _CW_LOAD_RATE_KNOWN : 0U) |
-           (e->load.rate_limited ? _CW_LOAD_RATE_LIMITED : 0U);
+    return (e->leaving ? _CW_LOAD_LEAVING : 0U) | (e->load.rate == CW_RATE_NAMED ? _CW_LOAD_RATE_NAMED : 0U) |
+           (e->load.rate == CW_RATE_LIFTED ? _CW_LOAD_RATE_LIFTED : 0U);
 }
 
 static void _cw_load_pack_entry(msgpack_packer* p, const cw_load_entry_t* e, uint64_t sender) {
     uint32_t own_ms[CW_URGENCIES];
     uint32_t which;
     uint32_t backlogs = _cw_load_backlog(&e->load, own_ms, &which);
-    uint32_t rate_fields = e->load.rate_known ? _CW_LOAD_RATE : 0;
+    uint32_t rate_fields = e->load.rate ? _CW_LOAD_RATE : 0;
     msgpack_pack_array(p, _CW_LOAD_FIELDS + rate_fields + backlogs + 2 * e->part_count);
     msgpack_pack_uint64(p, e->host == sender ? 0 : e->host);
     msgpack_pack_uint64(p, e->server);
@@ -155,7 +155,7 @@
     msgpack_pack_uint32(p, e->load.failed_ago_ms);
     msgpack_pack_uint32(p, e->load.alive_ago_ms);
     msgpack_pack_uint32(p, which);
-    if (e->load.rate_known) {
+    if (e->load.rate) {
         msgpack_pack_uint32(p, e->load.rate_per_ks);
         msgpack_pack_uint32(p, e->load.rate_ago_ms);
     }
@@ -231,9 +231,10 @@
 static bool _cw_load_read_rate(const msgpack_object_array* a, uint64_t flags, cw_load_t* load, uint32_t* at) {
     uint64_t per_ks = 0;
     uint64_t ago_ms = 0;
-    load->rate_known = flags & _CW_LOAD_RATE_KNOWN;
-    load->rate_limited = flags & _CW_LOAD_RATE_LIMITED;
-    if (!load->rate_known) {
+    load->rate = flags & _CW_LOAD_RATE_NAMED    ? CW_RATE_NAMED
+                 : flags & _CW_LOAD_RATE_LIFTED ? CW_RATE_LIFTED
+                                                : CW_RATE_UNKNOWN;
+    if (load->rate == CW_RATE_UNKNOWN) {
         return true;
     }
     if (!_cw_load_number(a, *at, UINT32_MAX, &per_ks) || !_cw_load_number(a, *at + 1, UINT32_MAX, &ago_ms)) {
--- a/chalkway_rate.h
+++ b/chalkway_rate.h
@@ -45,13 +45,18 @@
 #define CW_RATE_FORGET_MS 30000 /* a rate that no answer has spoken of for so long is over */
 #define CW_RATE_NEVER UINT32_MAX
 
+typedef enum cw_rate_said_t {
+    CW_RATE_UNKNOWN = 0, /* nothing was said */
+    CW_RATE_NAMED,
+    CW_RATE_LIFTED, /* answers name none any more */
+    CW_RATE_SAID_COUNT
+} cw_rate_said_t;
+
 /* What answers said of a server's rate. */
 typedef struct cw_rate_word_t {
-    bool known;
-    bool limited;
+    cw_rate_said_t said;
     double per_s; /* requests a second, of all hosts together */
-    /* When it was true: limited, the latest moment at which it can have been named; else the earliest moment after
-       which none was. */
+    /* When it was true: the latest moment at which it can have been named, or the earliest after which none was. */
     int64_t at_ms;
 } cw_rate_word_t;
 
@@ -82,7 +87,7 @@
 bool cw_rate_heard(cw_rate_t* r, const cw_rate_word_t* word, uint32_t reach_ms);
 /* Whether a rate is in force. */
 bool cw_rate_holds(const cw_rate_t* r, int64_t now_ms);
-/* What this host has to tell the others; not known where their word is newer, or all is long ago. */
+/* What this host has to tell the others; nothing where their word is newer, or all is long ago. */
 cw_rate_word_t cw_rate_tell(const cw_rate_t* r, int64_t now_ms);
 /* Finds this host's part anew. */
 void cw_rate_set_hosts(cw_rate_t* r, int64_t now_ms, const cw_rate_hosts_t* hosts);
@@ -111,16 +116,21 @@
     return sent_ms > delayed_ms ? sent_ms : delayed_ms;
 }
 
+bool cw_rate_holds(const cw_rate_t* r, int64_t now_ms) {
+    return r->word.said == CW_RATE_NAMED && now_ms - r->named_ms <= CW_RATE_FORGET_MS;
+}
+
 /* A rate named between from_ms and until_ms. Where that can't be told from one named before, the lower one holds. */
 static bool _cw_rate_take_named(cw_rate_t* r, int64_t from_ms, int64_t until_ms, double per_s) {
     if (until_ms <= r->lifted_ms) {
         return false;
     }
-    bool newer = !r->word.limited || from_ms > r->named_ms;
+    bool held = cw_rate_holds(r, until_ms);
+    bool newer = !held || from_ms > r->named_ms;
     double value = newer || per_s < r->word.per_s ? per_s : r->word.per_s;
-    bool changed = !r->word.limited || value != r->word.per_s;
+    bool changed = !held || value != r->word.per_s;
     r->named_ms = until_ms > r->named_ms ? until_ms : r->named_ms;
-    r->word = (cw_rate_word_t){.known = true, .limited = true, .per_s = value, .at_ms = r->named_ms};
+    r->word = (cw_rate_word_t){.said = CW_RATE_NAMED, .per_s = value, .at_ms = r->named_ms};
     return changed;
 }
 
@@ -128,15 +138,15 @@
     if (from_ms <= r->named_ms || from_ms <= r->lifted_ms) {
         return false;
     }
-    bool changed = r->word.limited;
+    bool changed = r->word.said == CW_RATE_NAMED;
     r->lifted_ms = from_ms;
-    r->word = (cw_rate_word_t){.known = true, .at_ms = from_ms};
+    r->word = (cw_rate_word_t){.said = CW_RATE_LIFTED, .at_ms = from_ms};
     return changed;
 }
 
 bool cw_rate_named(cw_rate_t* r, int64_t sent_ms, int64_t now_ms, double per_s) {
     bool changed = _cw_rate_take_named(r, _cw_rate_from_ms(sent_ms, now_ms), now_ms, per_s);
-    r->own = (cw_rate_word_t){.known = true, .limited = true, .per_s = r->word.per_s, .at_ms = now_ms};
+    r->own = (cw_rate_word_t){.said = CW_RATE_NAMED, .per_s = r->word.per_s, .at_ms = now_ms};
     return changed;
 }
 
@@ -146,32 +156,29 @@
         return false;
     }
     bool changed = _cw_rate_take_lifted(r, from_ms);
-    if (!r->word.limited) {
+    if (r->word.said == CW_RATE_LIFTED) {
         r->own = r->word;
     }
     return changed;
 }
 
 bool cw_rate_heard(cw_rate_t* r, const cw_rate_word_t* word, uint32_t reach_ms) {
-    if (!word->known) {
+    if (word->said == CW_RATE_UNKNOWN) {
         return false;
     }
-    return word->limited ? _cw_rate_take_named(r, word->at_ms - CW_RATE_DELAY_MS, word->at_ms, word->per_s)
-                         : _cw_rate_take_lifted(r, word->at_ms - reach_ms);
-}
-
-bool cw_rate_holds(const cw_rate_t* r, int64_t now_ms) {
-    return r->word.limited && now_ms - r->named_ms <= CW_RATE_FORGET_MS;
+    return word->said == CW_RATE_NAMED
+               ? _cw_rate_take_named(r, word->at_ms - CW_RATE_DELAY_MS, word->at_ms, word->per_s)
+               : _cw_rate_take_lifted(r, word->at_ms - reach_ms);
 }
 
 cw_rate_word_t cw_rate_tell(const cw_rate_t* r, int64_t now_ms) {
     bool newest = r->own.at_ms + _CW_RATE_TOLD_MS >= r->word.at_ms;
-    bool fresh = r->own.known && newest && now_ms - r->own.at_ms <= CW_RATE_FORGET_MS;
+    bool fresh = r->own.said != CW_RATE_UNKNOWN && newest && now_ms - r->own.at_ms <= CW_RATE_FORGET_MS;
     return fresh ? r->own : (cw_rate_word_t){0};
 }
 
 void cw_rate_set_hosts(cw_rate_t* r, int64_t now_ms, const cw_rate_hosts_t* hosts) {
-    if (!r->word.limited) {
+    if (r->word.said != CW_RATE_NAMED) {
         return;
     }
     double per_s = r->word.per_s > _CW_RATE_LEAST_PER_S ? r->word.per_s : _CW_RATE_LEAST_PER_S;
--- a/gateway/news.c
+++ b/gateway/news.c
@@ -290,7 +290,7 @@
     bool suspected = cw_balance_suspected(balance, now_ms, entry->server);
     double limit_per_s = cw_balance_limit_per_s(balance, now_ms, entry->server);
     cw_balance_news(balance, now_ms, entry->host, entry->server, &entry->load);
-    if (entry->load.rate_known) {
+    if (entry->load.rate != CW_RATE_UNKNOWN) {
         server_log_limit(server, now_ms, limit_per_s, entry->host);
     }
     if (entry->load.failed_ago_ms || entry->load.alive_ago_ms) {
--- a/gateway/seek.c
+++ b/gateway/seek.c
@@ -70,10 +70,9 @@
         x->all->desc.log, CW_EVENT_REQUEST_REFUSED,
         "id=%s why=\"%s\" route=%s pool=%s priority=%u urgency=%u server=%s prompt=%u kept=%u wait_ms=%.0f "
         "read_ms=%.0f read_us=%.1f target_ms=%u ready=%u candidates=%u tried=%u away=%u cold=%u resting=%u limited=%u "
-        "suspected=%u "
-        "no_place=%u reserved=%.0f fullness=%.2f age_ms=%u waited_ms=%lld ahead=%u held_before=%u held_after=%u "
-        "holds_ms=%.0f "
-        "revision=%lld",
+        "suspected=%u no_place=%u reserved=%.0f fullness=%.2f age_ms=%u waited_ms=%lld ahead=%u held_before=%u "
+        "held_after=%u "
+        "holds_ms=%.0f revision=%lld",
         x->id, why, x->route->name, pool->name, x->priority, x->work.urgency, best ? best->published.id : "-",
         x->work.prompt_tokens, c->kept, c->wait_ms, c->read_ms, cw_balance_read_rate(pool->balance) * US_PER_MS,
         x->route->target_ms, pool->ready, c->candidates, c->left_out.tried, c->left_out.away, c->left_out.cold,
@@ -176,6 +175,7 @@
         return;
     }
     x->choice = (cw_choice_t){.server = CW_BALANCE_NONE};
+    x->retry_ms = 0;
     if (!x->queued) {
         x->work.light = cw_balance_light(x->pool->balance, clock_ms(), &x->work);
     }
--- a/gateway/transfer.c
+++ b/gateway/transfer.c
@@ -79,9 +79,7 @@
     exchange_timer_set(x);
 }
 
-/* What was learned of the server while the connection came up counts: nothing has been sent, so the choice is made
- * anew.
- */
+/* Nothing has been sent yet, so what was learned of the server while the connection came up still counts. */
 static void choose_again(exchange_t* x, const char* why) {
     bool listed = x->tried_count && x->tried[x->tried_count - 1] == x->server->key;
     x->tried_count -= listed; /* it did not fail this request */
--- a/tests/rate_model.h
+++ b/tests/rate_model.h
@@ -171,7 +171,7 @@
     cw_rate_set_hosts(
         &h->rate, w->now_ms,
         &(cw_rate_hosts_t){.server = 5, .own = rate_id(host), .ids = h->ids, .count = h->live, .missing = h->missing});
-    if (h->rate.word.limited && !h->part.started) {
+    if (h->rate.word.said == CW_RATE_NAMED && !h->part.started) {
         h->part = (cw_bucket_t){.started = true, .at_ms = w->now_ms};
     }
     double per_s = h->rate.word.per_s > 0.1 ? h->rate.word.per_s : 0.1;
@@ -252,7 +252,7 @@
         changed = cw_rate_named(&h->rate, e->sent_ms, w->now_ms, e->per_s);
     } else if (e->answer) {
         changed = cw_rate_lifted(&h->rate, e->sent_ms, w->now_ms);
-    } else if (e->word.known) {
+    } else if (e->word.said != CW_RATE_UNKNOWN) {
         changed = cw_rate_heard(&h->rate, &e->word, w->m->news_ms);
     } else {
         rate_count_send(h, e->sent_ms);
@@ -260,7 +260,7 @@
     if (changed) {
         rate_share(w, e->host);
         cw_rate_word_t word = cw_rate_tell(&h->rate, w->now_ms);
-        if (e->answer && word.known) {
+        if (e->answer && word.said != CW_RATE_UNKNOWN) {
             rate_tell(w, e->host, &word);
         }
     }
@@ -285,7 +285,7 @@
     if (w->now_ms - h->repeat_ms >= RATE_REPEAT_MS) {
         h->repeat_ms = w->now_ms;
         cw_rate_word_t word = cw_rate_tell(&h->rate, w->now_ms);
-        if (word.known) {
+        if (word.said != CW_RATE_UNKNOWN) {
             rate_tell(w, host, &word);
         }
         rate_look(w, host);
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -672,7 +672,10 @@
                                                    .tokens = 6,
                                                    .pace_us = 7,
                                                    .failed_ago_ms = 10,
-                                                   .alive_ago_ms = 11},
+                                                   .alive_ago_ms = 11,
+                                                   .rate = CW_RATE_LIFTED,
+                                                   .rate_per_ks = 13,
+                                                   .rate_ago_ms = 14},
                                           .part_count = 1,
                                           .parts = {{.id = UINT64_MAX, .tokens = 8}}},
                                          {.host = 5, .server = UINT64_MAX}}};
@@ -714,7 +717,7 @@
         *entry = (cw_load_entry_t){
             .host = UINT64_MAX - 1 - i, .server = UINT64_MAX, .leaving = true, .part_count = CW_LOAD_PARTS};
         memset(&entry->load, 0xff, sizeof(entry->load));
-        entry->load.rate_known = entry->load.rate_limited = true; /* 0xff is no value of theirs */
+        entry->load.rate = CW_RATE_NAMED; /* 0xff is no value of it */
         memset(entry->parts, 0xff, sizeof(entry->parts));
         for (uint32_t u = 0; u < CW_URGENCIES; u++) {
             entry->load.backlog_ms[u] = 6000 * (u + 1); /* each adds to the one before, so each is told */
--- a/tests/test_rate.c
+++ b/tests/test_rate.c
@@ -39,9 +39,9 @@
     cw_rate_t r = {0};
     cw_rate_named(&r, 1000, 1020, 2);
     cw_rate_lifted(&r, 1100, 1120);
-    cw_rate_word_t named = {.known = true, .limited = true, .per_s = 3, .at_ms = 1050};
+    cw_rate_word_t named = {.said = CW_RATE_NAMED, .per_s = 3, .at_ms = 1050};
     ck_assert(!cw_rate_heard(&r, &named, 10));
-    cw_rate_word_t lifted = {.known = true, .at_ms = 1205};
+    cw_rate_word_t lifted = {.said = CW_RATE_LIFTED, .at_ms = 1205};
     cw_rate_named(&r, 1180, 1200, 2);
     ck_assert(!cw_rate_heard(&r, &lifted, 10)); /* it may be from before: it was under way for up to 10 ms */
     lifted.at_ms = 1211;
@@ -56,6 +56,7 @@
     cw_rate_set_hosts(&r, 1020, &alone);
     ck_assert_uint_gt(cw_rate_wait_ms(&r, 1020), 0);
     ck_assert_uint_eq(cw_rate_wait_ms(&r, 1020 + CW_RATE_FORGET_MS + 1), 0);
+    ck_assert(cw_rate_named(&r, 50000, 50020, 0)); /* named again it is news again */
 }
 END_TEST
 
