--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -297,14 +297,10 @@
 #define _CW_DEEP_UP 0.1     /* the length of deep prompts is learned as a high quantile */
 #define _CW_DEEP_DOWN 0.005
 #define _CW_GATHER_SHARE 0.1 /* of the target: what each further place in the order costs a stream easily hurt */
-/* Of the slots, that work with a long target leaves to work with a short one, the more of it the longer the target.
-   Over two days of overload before 140 engines 0.3, 0.4 and 0.5 served 0.677, 0.682 and 0.676 of what the requests were
-   worth, and 999, 720 and 550 runs were preempted. */
+/* Of the slots, that work with a long target leaves to work with a short one, the more of it the longer the target. */
 #define _CW_PATIENT_SHARE 0.4
 #define _CW_PATIENT_FROM 2.0 /* times the shortest target */
-/* Of the places: a kind that needs fewer goes before all. In a deep burst of the most urgent kind, of the second one's
-   requests, which need a fortieth of the places, 0.087 were refused and 0.793 in time without this, 0.002 and 0.931
-   with it; of the most urgent kind's 0.022 and 0.667, 0.038 and 0.632. */
+/* Of the places: a kind that needs fewer goes before all. */
 #define _CW_LIGHT_SHARE 0.1
 #define _CW_SHORT_DOWN 0.1 /* the short targets are learned as a low quantile */
 #define _CW_SHORT_UP 0.005
@@ -324,9 +320,7 @@
 #define _CW_REREAD 20.0       /* times its reading that a part costs which another server has read already */
 #define _CW_MOVE 20.0         /* times its duration that a move costs: it is not free for others */
 #define _CW_MOVE_FEW 256      /* fewer tokens are not worth a move */
-/* Times the fetching of its shared parts that a prompt costs more at a server that neither keeps nor owns them. Of what
-   the requests of two days of overload before 140 engines were worth, 0.676 was earned without and 0.690 with it; of
-   12 days each before 9, 9 and 18 engines 0.703, 0.504, 0.813 and 0.709, 0.530, 0.818. */
+/* Times the fetching of its shared parts that a prompt costs more at a server that neither keeps nor owns them. */
 #define _CW_STRAY 8.0
 #define _CW_FULL_MS 1000.0    /* what a server costs whose memory would overflow */
 #define _CW_MEMORY_SHARE 0.9  /* of a server's memory that is planned with */
@@ -1197,8 +1191,7 @@
 /* What the first event of a prompt says of reading in the pool, and of the server against the others. */
 static void _cw_balance_learn_read(cw_balance_t* b, _cw_server_t* s, int64_t now_ms, const cw_run_t* run) {
     double took_ms = (double)(now_ms - run->begun_ms);
-    /* What others' prompts may have taken is no slowness of the server: less of that taken off, 0.005 of the requests'
-       worth was lost over 24 days. */
+    /* What others' prompts may have taken is no slowness of the server. */
     double alone_ms = took_ms - run->found_ms;
     double expected_ms = cw_reading_ms(&b->reading, run->fresh_tokens);
     if (run->fresh_tokens) {
--- a/chalkway_home.h
+++ b/chalkway_home.h
@@ -25,9 +25,8 @@
 */
 #include "chalkway_core.h"
 
-/* Home hosts of a server. A host of 81 has 28 engines of 140 to choose from. With eight it has 14, and more of its
-   requests find none with room; with 28 the news costs twice as much and buys nothing (bursts of
-   tests/test_pool_load.c: 0.857, 0.863 and 0.951 against 0.949 of the places taken). */
+/* Home hosts of a server: enough that a host of a large fleet has engines to choose from, few enough to be told
+ * directly. */
 #define CW_HOME_HOSTS 16
 #define CW_HOME_FLEET 24 /* up to so many hosts all are home everywhere: telling each one costs less */
 
--- a/chalkway_turn.h
+++ b/chalkway_turn.h
@@ -82,10 +82,7 @@
     bool shorter = ask->shortest_target_ms > 0 && ask->shortest_target_ms < ask->target_ms;
     double time_ms = _CW_TURN_TIME_SHARE * (shorter ? ask->shortest_target_ms : ask->target_ms);
     int64_t late_ms = ask->now_ms + (int64_t)(time_ms > _CW_TURN_TIME_MIN_MS ? time_ms : _CW_TURN_TIME_MIN_MS);
-    /* Sent with less than its target left, it would run for a caller that is gone. Refused as it became late, a twelfth
-       to a half of a kind's requests got nothing although places came free while their callers listened: in 14 of 30
-       bursts before nine engines a kind was starved so. With this wait alone, for long prompts too, 9; without long
-       prompts, with light work first and with reserved places, 5. */
+    /* Sent with less than its target left, it would run for a caller that is gone. */
     int64_t last_ms = ask->leaves_ms - ask->target_ms;
     return (cw_turn_wait_t){.late_ms = late_ms, .until_ms = !ask->patient && last_ms > late_ms ? last_ms : late_ms};
 }
--- a/standins/fake_upstream.c
+++ b/standins/fake_upstream.c
@@ -77,30 +77,33 @@
     ev_timer step;
 } upstream_t;
 
+static void say_id(upstream_t* u, const char* what, const char* id) {
+    char line[160];
+    snprintf(line, sizeof(line), "U %" PRId64 " %s %s %s", standin_now(), what, id, u->id);
+    cw_lines_add(&u->lines, line);
+}
+
 static void say(upstream_t* u, const char* what, const job_t* job) {
+    say_id(u, what, job->id);
+}
+
+static void say_begin(upstream_t* u, const job_t* job) {
     char line[200];
-    if (strcmp(what, "begin") == 0) {
-        snprintf(line, sizeof(line), "U %" PRId64 " begin %s %s %u %u", standin_now(), job->id, u->id, job->priority,
-                 job->tokens);
-    } else {
-        snprintf(line, sizeof(line), "U %" PRId64 " %s %s %s", standin_now(), what, job->id, u->id);
-    }
+    snprintf(line, sizeof(line), "U %" PRId64 " begin %s %s %u %u", standin_now(), job->id, u->id, job->priority,
+             job->tokens);
     cw_lines_add(&u->lines, line);
 }
 
 /* What the head of an answer asks of its host, beside the request's id: fills up to HEADERS_MAX headers. */
 static uint32_t add_pushback(upstream_t* u, const char* id, char limit[24], cw_header_t* headers, uint32_t count) {
-    char line[160];
     if (u->limit_per_s >= 0) {
         snprintf(limit, 24, "%.3f", u->limit_per_s);
         headers[count++] = (cw_header_t){"Chalkway-Server-Limit", limit};
-        snprintf(line, sizeof(line), "U %" PRId64 " named %s %s", standin_now(), id, u->id);
-        cw_lines_add(&u->lines, line);
+        say_id(u, "named", id);
     }
     if (u->leaving) {
         headers[count++] = (cw_header_t){"Chalkway-Server-Leaving", "1"};
-        snprintf(line, sizeof(line), "U %" PRId64 " parts %s %s", standin_now(), id, u->id);
-        cw_lines_add(&u->lines, line);
+        say_id(u, "parts", id);
     }
     return count;
 }
@@ -127,7 +130,7 @@
 static void begin(upstream_t* u, job_t* job) {
     job->running = job->begun = true;
     u->running++;
-    say(u, "begin", job);
+    say_begin(u, job);
     if (u->prefill_us <= 0 || job->deadly) {
         double ms = job->deadly ? DEADLY_MS : u->call_ms * u->slow;
         ev_timer_init(&job->timer, job->deadly ? on_deadly : on_call_done, ms / 1000.0, 0.0);
@@ -255,9 +258,7 @@
         return;
     }
     if (id) {
-        char line[160];
-        snprintf(line, sizeof(line), "U %" PRId64 " came %s %s", standin_now(), id, u->id);
-        cw_lines_add(&u->lines, line);
+        say_id(u, "came", id);
     }
     if (id && u->rest_s > 0 && ++u->turns % 2) {
         turn_away(u, x, id);
