Home hosts of an engine are found when they are asked for; news of a server takes memory when there is some

Cause: each change of the list, and each of the fleet, hashed all servers against all hosts (servers x hosts); a new server searched all places for a free one (servers squared); and each server had room for news of 128 hosts from the start, 15 KB, though few of a large pool have any. Change: whether this host may take an engine's last places is judged where little is free there, once for each change of the fleet; the first free place is known; room for news begins with 4 and doubles.

--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -327,6 +327,7 @@
 #define _CW_KEPT_SHARE 0.6    /* of a server's memory that old prompt parts are taken to keep */
 #define _CW_HOME_FREE 0.5     /* of an engine's slots: more being free, any host may use it; fewer are for its homes */
 #define _CW_SUSPECT_SHARE 0.5 /* of a pool's servers: with more of them suspected, it is not the servers that fail */
+#define _CW_NEWS_ROOM 4       /* pieces of news of a server, to begin with */
 #define _CW_NEWS_OLD_MS 2000  /* what another daemon says happened longer ago could no longer count */
 #define _CW_FULL_PAUSE_MS 100 /* a server that said it is full is left out for so long */
 
@@ -357,7 +358,8 @@
     uint32_t away_ms;
     int64_t away_until_ms;
     int64_t full_until_ms;
-    bool home;             /* this host may take its last places */
+    bool home;             /* this host may take its last places; judged at: */
+    uint64_t home_changes; /* of the fleet, 0: not yet */
     cw_suspect_t life;     /* what all hosts know */
     int64_t own_failed_ms; /* what this host saw itself, and tells, 0: nothing */
     int64_t own_alive_ms;
@@ -366,8 +368,8 @@
     int64_t cold_until_ms;
     cw_bucket_t cold;     /* what it may get until then */
     uint64_t read_tokens; /* all that was read there, as far as known */
-    _cw_news_t* news;     /* of daemons that have something there; room for max_peers */
-    uint32_t news_count;
+    _cw_news_t* news;     /* of daemons that have something there; most servers of a large pool have none */
+    uint32_t news_count, news_room;
 } _cw_server_t;
 
 /* A listed server and what it is sorted by. */
@@ -382,9 +384,11 @@
     _cw_order_t* order; /* room to sort the servers */
     cw_map_t index;     /* id to place */
     uint32_t places;
+    uint32_t first_free; /* no place before it is */
     uint32_t listed;
     cw_kept_t* kept;
     cw_fleet_t fleet;
+    uint64_t fleet_changes; /* times that it was told, and one */
     cw_contention_t contention;
     cw_holding_t holding;
     cw_reading_t reading;
@@ -417,6 +421,7 @@
     b->index = cw_map_setup(b->desc.max_servers, &b->desc.allocator);
     b->kept = cw_kept_setup(b->desc.max_parts, &b->desc.allocator);
     b->reading = cw_reading_new();
+    b->fleet_changes = 1;
     b->contention.seed = desc->seed;
     b->service_ms = _CW_SERVICE_MS;
     return b;
@@ -445,19 +450,20 @@
     _cw_server_t* s = &b->servers[at];
     cw_map_remove(&b->index, s->spec.id);
     _cw_news_t* news = s->news;
+    uint32_t news_room = s->news_room;
     memset(s, 0, sizeof(*s));
     s->news = news;
+    s->news_room = news_room;
+    b->first_free = at < b->first_free ? at : b->first_free;
 }
 
 static uint32_t _cw_balance_add(cw_balance_t* b, uint64_t id) {
-    for (uint32_t i = 0; i < b->desc.max_servers; i++) {
+    for (uint32_t i = b->first_free; i < b->desc.max_servers; i++) {
         _cw_server_t* s = &b->servers[i];
         if (s->used) {
             continue;
         }
-        if (!s->news) {
-            s->news = cw_alloc(&b->desc.allocator, b->desc.max_peers, sizeof(*s->news));
-        }
+        b->first_free = i + 1;
         s->news_count = 0;
         s->used = true;
         s->slow = 1;
@@ -510,7 +516,6 @@
         s->cold_until_ms = specs[i].cold_ms ? now_ms + specs[i].cold_ms : s->cold_until_ms;
         s->cold.rate = _CW_COLD_SHARE * specs[i].cold_per_s;
         s->cold.burst = _CW_COLD_BURST;
-        s->home = cw_home_is(s->spec.id, b->desc.seed, b->fleet.ids, b->fleet.count);
     }
     for (uint32_t i = 0; i < b->places; i++) {
         _cw_server_t* s = &b->servers[i];
@@ -899,11 +904,19 @@
 
 void cw_balance_set_fleet(cw_balance_t* b, int64_t now_ms, const cw_fleet_t* fleet) {
     b->fleet = *fleet;
+    b->fleet_changes++;
     for (uint32_t i = 0; i < b->places; i++) {
-        _cw_server_t* s = &b->servers[i];
-        s->home = s->used && cw_home_is(s->spec.id, b->desc.seed, fleet->ids, fleet->count);
-        _cw_balance_share_rate(b, s, now_ms);
+        _cw_balance_share_rate(b, &b->servers[i], now_ms);
+    }
+}
+
+/* Judged when it is asked, which is for busy servers only: each judgement hashes all hosts. */
+static bool _cw_balance_is_home(const cw_balance_t* b, _cw_server_t* s) {
+    if (s->home_changes != b->fleet_changes) {
+        s->home_changes = b->fleet_changes;
+        s->home = cw_home_is(s->spec.id, b->desc.seed, b->fleet.ids, b->fleet.count);
     }
+    return s->home;
 }
 
 bool cw_balance_limit(cw_balance_t* b, int64_t now_ms, uint64_t id, int64_t sent_ms, double per_s) {
@@ -998,11 +1011,11 @@
 
 /* Whether this host may place the work at an engine of which so much is free: where little is, only its home hosts
    may, and they take turns. */
-static bool _cw_balance_open(const cw_balance_t* b, const _cw_server_t* s, int64_t now_ms, const cw_work_t* work,
+static bool _cw_balance_open(const cw_balance_t* b, _cw_server_t* s, int64_t now_ms, const cw_work_t* work,
                              double free_places) {
     bool large = b->fleet.count > CW_HOME_FLEET;
     bool last_places = large && free_places <= _CW_HOME_FREE * s->spec.slots;
-    if (free_places <= 0 || (last_places && !s->home)) {
+    if (free_places <= 0 || (last_places && !_cw_balance_is_home(b, s))) {
         return false;
     }
     cw_contention_use_t use = {.server = s->spec.id,
@@ -1090,7 +1103,7 @@
     double share = _cw_balance_share(b, work);
     _cw_balance_learn_patience(b, work);
     for (uint32_t i = 0; i < b->places; i++) {
-        const _cw_server_t* s = &b->servers[i];
+        _cw_server_t* s = &b->servers[i];
         if (!s->used || !s->listed) {
             continue;
         }
@@ -1387,6 +1400,21 @@
     }
 }
 
+/* For one more piece of news. */
+static void _cw_balance_make_room(const cw_balance_t* b, _cw_server_t* s) {
+    if (s->news_count < s->news_room) {
+        return;
+    }
+    uint32_t room = s->news_room ? 2 * s->news_room : _CW_NEWS_ROOM;
+    _cw_news_t* news = cw_alloc(&b->desc.allocator, room, sizeof(*news));
+    if (s->news) {
+        memcpy(news, s->news, s->news_count * sizeof(*news));
+        cw_free(&b->desc.allocator, s->news);
+    }
+    s->news = news;
+    s->news_room = room;
+}
+
 static bool _cw_balance_has_load(const cw_load_t* load) {
     return load->running || load->streaming || load->tokens || load->backlog_ms[CW_URGENCIES - 1];
 }
@@ -1421,6 +1449,7 @@
     _cw_balance_hear_rate(b, s, now_ms, load);
     _cw_balance_drop_news(b, s, now_ms, peer);
     if (_cw_balance_has_load(load) && s->news_count < b->desc.max_peers) {
+        _cw_balance_make_room(b, s);
         s->news[s->news_count++] = (_cw_news_t){.peer = peer, .at_ms = now_ms, .load = *load};
     }
 }
