No server of a large fleet is dropped; a fleet works with the same part of a pool of thousands

Cause: 4,096 servers had a place and 1,024 of a pool, both compiled in, and what lay beyond was dropped without a line. Which 1,024 were used followed from the order in which a host had heard of them, so hosts used different ones and dropped each other's news. Change: places grow with the list up to [limits] servers, which follows from the memory where it is not given; beyond it servers are counted, told (536) and shown (chalkway_servers_refused_total). Of a pool of more than 2,560 servers a part is used that follows from the hash of each server's id (chalkway_subset.h), 1,024 at least, doubled when a request finds no place in it (535), up to all. Servers without a connection at rest cost nothing in each tick of 50 ms. Failed before: 3,000 servers of two pools left 1,024 usable of each; 6,003 left 1,907 out.

--- a/chalkway.c
+++ b/chalkway.c
@@ -42,6 +42,7 @@
 #include "chalkway_stop.h"
 #include "chalkway_store.h"
 #include "chalkway_stream.h"
+#include "chalkway_subset.h"
 #include "chalkway_summary.h"
 #include "chalkway_suspect.h"
 #include "chalkway_turn.h"
--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -164,7 +164,7 @@
 typedef struct cw_balance_desc_t {
     uint64_t hall;        /* id of the own hall, preferred when all else is equal */
     uint64_t seed;        /* own host: spreads equal choices */
-    uint32_t max_servers; /* default 256 */
+    uint32_t max_servers; /* default 256; memory is taken as they come */
     uint32_t max_peers;   /* daemons whose news is kept for one server, default 128 */
     uint32_t max_parts;   /* prompt parts remembered, default 131072 */
     uint32_t news_ms;     /* news of another daemon counts for so long, default 1500 */
@@ -327,6 +327,7 @@
 #define _CW_KEPT_SHARE 0.6    /* of a server's memory that old prompt parts are taken to keep */
 #define _CW_HOME_FREE 0.5     /* of an engine's slots: more being free, any host may use it; fewer are for its homes */
 #define _CW_SUSPECT_SHARE 0.5 /* of a pool's servers: with more of them suspected, it is not the servers that fail */
+#define _CW_SERVERS_ROOM 64   /* servers for which there is memory, to begin with */
 #define _CW_NEWS_ROOM 4       /* pieces of news of a server, to begin with */
 #define _CW_NEWS_OLD_MS 2000  /* what another daemon says happened longer ago could no longer count */
 #define _CW_FULL_PAUSE_MS 100 /* a server that said it is full is left out for so long */
@@ -383,6 +384,7 @@
     _cw_server_t* servers;
     _cw_order_t* order; /* room to sort the servers */
     cw_map_t index;     /* id to place */
+    uint32_t capacity;  /* servers for which there is memory */
     uint32_t places;
     uint32_t first_free; /* no place before it is */
     uint32_t listed;
@@ -416,9 +418,10 @@
 cw_balance_t* cw_balance_setup(const cw_balance_desc_t* desc) {
     cw_balance_t* b = cw_alloc(&desc->allocator, 1, sizeof(*b));
     b->desc = _cw_balance_desc_defaults(desc);
-    b->servers = cw_alloc(&b->desc.allocator, b->desc.max_servers, sizeof(*b->servers));
-    b->order = cw_alloc(&b->desc.allocator, b->desc.max_servers, sizeof(*b->order));
-    b->index = cw_map_setup(b->desc.max_servers, &b->desc.allocator);
+    b->capacity = b->desc.max_servers < _CW_SERVERS_ROOM ? b->desc.max_servers : _CW_SERVERS_ROOM;
+    b->servers = cw_alloc(&b->desc.allocator, b->capacity, sizeof(*b->servers));
+    b->order = cw_alloc(&b->desc.allocator, b->capacity, sizeof(*b->order));
+    b->index = cw_map_setup(b->capacity, &b->desc.allocator);
     b->kept = cw_kept_setup(b->desc.max_parts, &b->desc.allocator);
     b->reading = cw_reading_new();
     b->fleet_changes = 1;
@@ -429,7 +432,7 @@
 
 void cw_balance_shutdown(cw_balance_t* b) {
     cw_allocator_t allocator = b->desc.allocator;
-    for (uint32_t i = 0; i < b->desc.max_servers; i++) {
+    for (uint32_t i = 0; i < b->capacity; i++) {
         cw_free(&allocator, b->servers[i].news);
     }
     cw_map_shutdown(&b->index);
@@ -457,8 +460,25 @@
     b->first_free = at < b->first_free ? at : b->first_free;
 }
 
+/* Takes memory for twice as many servers, up to max_servers. */
+static void _cw_balance_grow(cw_balance_t* b) {
+    const cw_allocator_t* allocator = &b->desc.allocator;
+    uint32_t capacity = b->capacity < b->desc.max_servers / 2 ? 2 * b->capacity : b->desc.max_servers;
+    _cw_server_t* servers = cw_alloc(allocator, capacity, sizeof(*servers));
+    memcpy(servers, b->servers, b->capacity * sizeof(*servers));
+    cw_free(allocator, b->servers);
+    cw_free(allocator, b->order); /* made anew with each list */
+    b->servers = servers;
+    b->order = cw_alloc(allocator, capacity, sizeof(*b->order));
+    cw_map_reserve(&b->index, capacity);
+    b->capacity = capacity;
+}
+
 static uint32_t _cw_balance_add(cw_balance_t* b, uint64_t id) {
-    for (uint32_t i = b->first_free; i < b->desc.max_servers; i++) {
+    if (b->index.count == b->capacity && b->capacity < b->desc.max_servers) {
+        _cw_balance_grow(b);
+    }
+    for (uint32_t i = b->first_free; i < b->capacity; i++) {
         _cw_server_t* s = &b->servers[i];
         if (s->used) {
             continue;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -224,6 +224,8 @@
     cw_message_add_text(
         out, "chalkway_load_out_total %llu\nchalkway_load_in_total %llu\nchalkway_load_passed_on_total %llu\n",
         (unsigned long long)m.news.out, (unsigned long long)m.news.in, (unsigned long long)m.news.passed_on);
+    cw_message_add_text(out, "chalkway_servers_refused_total %llu\n",
+                        (unsigned long long)upstreams_refused(g->upstreams));
     cw_message_add_text(out, "chalkway_load_of_unknown_total %llu\nchalkway_entries_refused_total %llu\n",
                         (unsigned long long)m.news.unknown, (unsigned long long)s.entries_refused);
     quarantine_stats_t q = quarantine_stats(g->quarantine);
@@ -240,7 +242,8 @@
                             "chalkway_pool_resting{pool=\"%s\"} %u\nchalkway_pool_limited{pool=\"%s\"} %u\n"
                             "chalkway_pool_limits_owned{pool=\"%s\"} %u\n",
                             pool->name, held.resting, pool->name, held.limited, pool->name, held.owned);
-        cw_message_add_text(out, "chalkway_pool_ready{pool=\"%s\"} %u\n", pool->name, pool->ready);
+        cw_message_add_text(out, "chalkway_pool_ready{pool=\"%s\"} %u\nchalkway_pool_listed{pool=\"%s\"} %u\n",
+                            pool->name, pool->ready, pool->name, pool->listed);
         cw_message_add_text(out, "chalkway_pool_fullness{pool=\"%s\"} %.3f\n", pool->name,
                             cw_balance_fullness(pool->balance, clock_ms()));
         cw_message_add_text(out, "chalkway_pool_read_ms_per_token{pool=\"%s\"} %.5f\n", pool->name,
@@ -387,6 +390,7 @@
                                                        .retry_slack = s->retry_slack,
                                                        .retry_window_ms = s->retry_window_ms,
                                                        .max_links = sockets / 2,
+                                                       .max_servers = s->servers,
                                                        .rest_max_ms = s->rest_max_ms,
                                                        .is_mine = is_mine,
                                                        .on_alive = on_alive,
--- a/gateway/seek.c
+++ b/gateway/seek.c
@@ -159,9 +159,14 @@
 /* The best server but for those that failed this request, or ended under another one that is the same. */
 static cw_choice_t choose(const exchange_t* x) {
     uint64_t out[TRIED_MAX + CW_QUARANTINE_ENDS];
+    uint32_t count = x->tried_count + x->verdict.ruled_out;
     memcpy(out, x->tried, x->tried_count * sizeof(*out));
     memcpy(out + x->tried_count, x->verdict.lives, x->verdict.ruled_out * sizeof(*out));
-    return cw_balance_choose(x->pool->balance, clock_ms(), &x->work, out, x->tried_count + x->verdict.ruled_out);
+    cw_choice_t c = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, out, count);
+    if ((c.server == CW_BALANCE_NONE || c.late) && upstreams_widen(x->pool, clock_ms())) {
+        c = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, out, count);
+    }
+    return c;
 }
 
 void exchange_seek(exchange_t* x) {
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -5,6 +5,8 @@
 #define AT(field) offsetof(gateway_settings_t, field)
 /* Readings that fit into the time in which a change is to be known: ranks beyond the first take over. */
 #define READ_PARTS 5
+#define SERVER_BYTES 4096 /* of a known server, its entries in lists and in the choice among them */
+#define SERVERS_MEMORY_PARTS 4
 #define LATE_SHARE 0.6 /* of that time, until the last rank reads: the rest is for reading and putting in force */
 
 static const cw_setting_info_t table[] = {
@@ -38,6 +40,8 @@
     {"limits", "descriptors", CW_SETTING_COUNT_KIND, AT(descriptors), "4096", 64, 1000000, "of the process"},
     {"limits", "link", CW_SETTING_NUMBER, AT(link_mbps), "0", 0, 1000000,
      "Mbit/s of this host's network, 0: not said; hosts with the widest links pass news on in large fleets"},
+    {"limits", "servers", CW_SETTING_COUNT_KIND, AT(servers), "0", 0, 10000000,
+     "servers of all pools that are known at once, 0: as many as a quarter of the memory holds"},
     {"limits", "suspects", CW_SETTING_COUNT_KIND, AT(suspects), "4096", 64, 1000000,
      "requests under which servers ended that are remembered, a quarter of them of one workspace"},
     {"service", "lookup_keep", CW_SETTING_MS, AT(lookup_keep_ms), "1s", 100, 600000,
@@ -70,6 +74,11 @@
     return (uint32_t)(bound_ms * LATE_SHARE);
 }
 
+/* Servers that a quarter of the memory holds, where the file gives no bound. */
+static uint32_t derived_servers(const gateway_settings_t* s) {
+    return (uint32_t)(s->memory_bytes / SERVERS_MEMORY_PARTS / SERVER_BYTES);
+}
+
 cw_status_t gateway_settings_load(const char* path, gateway_settings_t* settings, cw_settings_errors_t* errors) {
     memset(settings, 0, sizeof(*settings));
     cw_settings_read(path, table, sizeof(table) / sizeof(table[0]), settings, errors);
@@ -77,6 +86,7 @@
         cw_settings_choice(path, "log", "level", settings->log_level, " debug info warn error ", errors);
         cw_settings_choice(path, "log", "format", settings->log_format, " text json ", errors);
     }
+    settings->servers = settings->servers ? settings->servers : derived_servers(settings);
     settings->read_ms = settings->read_ms ? settings->read_ms : derived_read_ms(settings);
     return errors->count ? CW_ERR_INVALID : CW_OK;
 }
--- a/gateway/settings.h
+++ b/gateway/settings.h
@@ -22,6 +22,7 @@
     uint32_t seed_port;
     /* [source] */
     char source[CW_NAME_MAX];
+    uint32_t servers; /* 0 in the file: follows from the memory */
     uint32_t read_ms; /* 0 in the file: follows from the two below */
     uint32_t apply_ms;
     uint32_t drain_ms;
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -13,7 +13,9 @@
 #define BITS 8.0
 #define BITS_PER_MS_MBPS 1000.0 /* bits in a ms at 1 Mbit/s */
 #define RETURN_MS 2000          /* an entry that lapsed while the source was away is back so long after it */
-#define POOL_SERVERS_MAX 1024   /* servers of one pool that are used */
+#define SUBSET_LEAST 1024       /* servers of a larger pool that are used, until a request finds no place there */
+#define SERVERS_ROOM 256        /* servers for which there is memory, to begin with */
+#define REFUSED_LINE_MS 10000   /* at most one line in so long on servers beyond the bound */
 #define RETRY_SAFETY 0.8        /* share of the budget for repeats that is used */
 
 /* -- servers -------------------------------------------------------------- */
@@ -73,10 +75,11 @@
     pool->upstreams = u;
     pool->balance = cw_balance_setup(&(cw_balance_desc_t){.hall = u->desc.hall,
                                                           .seed = u->desc.host,
-                                                          .max_servers = POOL_SERVERS_MAX,
+                                                          .max_servers = u->desc.max_servers,
                                                           .is_mine = u->desc.is_mine,
                                                           .user_data = u->desc.user_data});
     cw_balance_set_fleet(pool->balance, clock_ms(), &u->fleet);
+    pool->subset.least = SUBSET_LEAST;
     pool->retries = (cw_retry_window_t){.ratio = u->desc.retry_ratio * RETRY_SAFETY,
                                         .slack = u->desc.retry_slack * RETRY_SAFETY,
                                         .window_ms = u->desc.retry_window_ms,
@@ -91,12 +94,26 @@
     return place == CW_MAP_NONE ? NULL : u->servers[place];
 }
 
-/* Tells the pool's balance which servers may be chosen. */
+/* Servers of the pool that are not gone and in no closed hall. */
+static uint32_t pool_count(const pool_t* pool) {
+    uint32_t count = 0;
+    for (const server_t* s = pool->servers; s; s = s->next) {
+        count += !s->gone && !s->closed;
+    }
+    return count;
+}
+
+/* Tells the pool's balance which servers may be chosen: of a large pool a part that all hosts see alike. */
 static void pool_list(pool_t* pool, int64_t now_ms) {
-    cw_server_spec_t specs[POOL_SERVERS_MAX];
+    pool->listed = pool_count(pool);
+    cw_subset_fit(&pool->subset, now_ms, pool->listed);
+    cw_server_spec_t* specs = calloc(pool->listed + 1, sizeof(*specs));
+    if (!specs) {
+        abort();
+    }
     uint32_t count = 0;
-    for (server_t* s = pool->servers; s && count < POOL_SERVERS_MAX; s = s->next) {
-        if (!s->gone && !s->closed) {
+    for (server_t* s = pool->servers; s; s = s->next) {
+        if (!s->gone && !s->closed && cw_subset_has(&pool->subset, s->key)) {
             specs[count++] = (cw_server_spec_t){.id = s->key,
                                                 .hall = cw_name_id(s->published.hall),
                                                 .slots = pool->slots ? pool->slots : s->published.slots,
@@ -108,13 +125,63 @@
     }
     pool->ready = count;
     cw_balance_set(pool->balance, now_ms, specs, count);
+    free(specs);
+}
+
+bool upstreams_widen(pool_t* pool, int64_t now_ms) {
+    if (!cw_subset_widen(&pool->subset, now_ms)) {
+        return false;
+    }
+    uint32_t before = pool->ready;
+    pool_list(pool, now_ms);
+    cw_log(pool->upstreams->desc.log, CW_EVENT_POOL_WIDENED, "pool=%s servers=%u was=%u of=%u", pool->name, pool->ready,
+           before, pool->listed);
+    return true;
+}
+
+/* Makes places for twice as many servers, up to the bound. */
+static void grow(upstreams_t* u) {
+    uint32_t capacity = u->capacity ? u->capacity * 2 : SERVERS_ROOM;
+    capacity = capacity < u->desc.max_servers ? capacity : u->desc.max_servers;
+    u->servers = realloc(u->servers, capacity * sizeof(*u->servers));
+    u->free_places = realloc(u->free_places, capacity * sizeof(*u->free_places));
+    if (!u->servers || !u->free_places) {
+        abort();
+    }
+    for (uint32_t place = capacity; place-- > u->capacity;) {
+        u->servers[place] = NULL;
+        u->free_places[u->free_count++] = place;
+    }
+    cw_map_reserve(&u->by_key, capacity);
+    cw_map_reserve(&u->by_name, capacity);
+    u->capacity = capacity;
+}
+
+/* There is no place for a server of the list. */
+static void refuse_server(upstreams_t* u, const cw_server_t* published) {
+    int64_t now_ms = clock_ms();
+    u->refused++;
+    u->refused_total++;
+    if (!u->refused_told_ms || now_ms - u->refused_told_ms >= REFUSED_LINE_MS) {
+        cw_log(u->desc.log, CW_EVENT_SERVERS_FULL, "server=%s pool=%s known=%u refused=%llu", published->id,
+               published->pool, u->capacity, (unsigned long long)u->refused);
+        u->refused = 0;
+        u->refused_told_ms = now_ms;
+    }
 }
 
 /* A new server of the pool; NULL when its address is no address or there is no place for it. */
 static server_t* server_new(upstreams_t* u, const cw_server_t* published) {
     uint64_t key = cw_server_life(published);
     struct sockaddr_in address;
-    if (!u->free_count || cw_addr_parse(published->address, &address, NULL) != CW_OK) {
+    if (cw_addr_parse(published->address, &address, NULL) != CW_OK) {
+        return NULL;
+    }
+    if (!u->free_count && u->capacity < u->desc.max_servers) {
+        grow(u);
+    }
+    if (!u->free_count) {
+        refuse_server(u, published);
         return NULL;
     }
     server_t* s = calloc(1, sizeof(*s));
@@ -341,6 +408,10 @@
     return u->links;
 }
 
+uint64_t upstreams_refused(const upstreams_t* u) {
+    return u->refused_total;
+}
+
 uint64_t upstreams_connects(const upstreams_t* u) {
     return u->connects;
 }
@@ -469,8 +540,10 @@
         }
         for (server_t* s = pool->servers; s;) {
             server_t* next = s->next;
-            link_close_idle(s, now_ms, s->gone);
-            server_free_if_unused(pool, s);
+            if (s->idle || s->gone) { /* most servers of a large pool are neither */
+                link_close_idle(s, now_ms, s->gone);
+                server_free_if_unused(pool, s);
+            }
             s = next;
         }
         uint64_t key = pool->health[0] ? cw_balance_probe(pool->balance, now_ms) : 0;
@@ -490,12 +563,9 @@
     }
     u->desc = *desc;
     u->daemons = 1;
-    u->by_key = cw_map_setup(SERVERS_MAX, NULL);
-    u->by_name = cw_map_setup(SERVERS_MAX, NULL);
-    while (u->free_count < SERVERS_MAX) {
-        u->free_places[u->free_count] = SERVERS_MAX - 1 - u->free_count;
-        u->free_count++;
-    }
+    u->desc.max_servers = desc->max_servers ? desc->max_servers : SERVERS_MAX;
+    u->by_key = cw_map_setup(1, NULL);
+    u->by_name = cw_map_setup(1, NULL);
     return u;
 }
 
@@ -515,5 +585,7 @@
     link_free_dead(u);
     cw_map_shutdown(&u->by_key);
     cw_map_shutdown(&u->by_name);
+    free(u->servers);
+    free(u->free_places);
     free(u);
 }
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -18,6 +18,7 @@
 #include "../chalkway_log.h"
 #include "../chalkway_pushback.h"
 #include "../chalkway_servers.h"
+#include "../chalkway_subset.h"
 #include "../io/message.h"
 #include "../io/stream.h"
 #include "dialect.h"
@@ -62,6 +63,8 @@
     double told_read_ms; /* reading pace in the log's last line on it, ms a token; 0: none yet */
     cw_retry_window_t retries;
     server_t* servers;
+    cw_subset_t subset;             /* of the listed ones, that are used */
+    uint32_t listed;                /* servers that are not gone and stand in no closed hall */
     uint32_t ready;                 /* servers that may be chosen */
     uint32_t waiting[CW_URGENCIES]; /* requests of this daemon without a place, by urgency */
     pool_t* next;
@@ -92,6 +95,7 @@
     double retry_ratio, retry_slack;
     uint32_t retry_window_ms;
     uint32_t max_links;   /* of this process */
+    uint32_t max_servers; /* of all pools that are known at once, default 4096; memory is taken as they come */
     uint32_t rest_max_ms; /* a server that asks for a longer rest gets this, default 30 minutes */
     /* Whether this daemon, and no other one, sends to the server while it is cold; NULL: it does. */
     bool (*is_mine)(void* user_data, uint64_t server);
@@ -135,6 +139,11 @@
 void upstreams_tick(upstreams_t* u, int64_t now_ms);
 uint32_t upstreams_links(const upstreams_t* u);
 uint64_t upstreams_connects(const upstreams_t* u);
+/* Times that a server of the list found no place. */
+uint64_t upstreams_refused(const upstreams_t* u);
+/* A request found no place in the part of the pool that is used: a larger part is, from now on. False: it is the whole
+   pool, or was widened a moment ago. */
+bool upstreams_widen(pool_t* pool, int64_t now_ms);
 
 /* A connection to the server: an idle one, or a new one that calls on_open later. once: the request may not be sent
    twice, so a connection that rested long is not used. NULL: no connection may be had now. */
--- a/gateway/upstream_parts.h
+++ b/gateway/upstream_parts.h
@@ -8,7 +8,7 @@
 #include "upstream.h"
 
 #define DEPARTED_MAX 1024
-#define SERVERS_MAX 4096 /* of all pools that are known, those that are gone but still used among them */
+#define SERVERS_MAX 4096 /* bound of all pools' servers where the description gives none */
 
 struct link_t {
     server_t* server;
@@ -32,11 +32,15 @@
 struct upstreams_t {
     upstreams_desc_t desc;
     pool_t* pools;
-    cw_map_t by_key;                /* a server's key to its place */
-    cw_map_t by_name;               /* its name to the place of its present life */
-    server_t* servers[SERVERS_MAX]; /* by place, NULL: free */
-    uint32_t free_places[SERVERS_MAX];
+    cw_map_t by_key;    /* a server's key to its place */
+    cw_map_t by_name;   /* its name to the place of its present life */
+    server_t** servers; /* by place, NULL: free; those that are gone but still used among them */
+    uint32_t capacity;  /* places for which there is memory */
+    uint32_t* free_places;
     uint32_t free_count;
+    uint64_t refused_total;
+    uint64_t refused;                /* servers of the list for which there was no place, since the last line on them */
+    int64_t refused_told_ms;         /* when that was, 0: never */
     uint64_t departed[DEPARTED_MAX]; /* keys of lives that said they leave and are known no more, as a ring */
     uint32_t departed_at;
     link_t* dead; /* to be freed */
