A newer document is fetched from a peer of the own hall, where one has it

Cause: a host chose at random among those that told it, and in a large fleet home hosts of an engine tell each other directly, across halls: most copies of the list crossed to another hall, where bytes are dear. Change: a peer of another hall is asked only where none of the own hall has told.

--- a/chalkway_pull.h
+++ b/chalkway_pull.h
@@ -9,7 +9,8 @@
         until that host's link had carried it to all others. So each waits a
         random time, the longer the more daemons there are, and then asks one
         of those that have told it by then, chosen at random: copies spread
-        from the first few holders to the rest.
+        from the first few holders to the rest. Peers of the own hall go
+        first, so that a document crosses to another hall a few times only.
 
     HOW TO USE IT
             cw_pull_t pull = {0};
@@ -34,6 +35,7 @@
     int64_t now_ms;
     uint64_t version; /* of the document; another one than before starts the choice of a peer anew */
     const char* peer; /* address at which it is read */
+    bool far;         /* in another hall: it is asked only where none of the own hall has told */
     uint32_t daemons; /* that may fetch it too */
     uint64_t draw;    /* random */
 } cw_pull_offer_t;
@@ -43,6 +45,7 @@
     uint64_t version;
     uint32_t told; /* peers that offered this version */
     int64_t due_ms;
+    bool far; /* the peer stands in another hall */
     char peer[CW_PULL_PEER_MAX];
 } cw_pull_t;
 
@@ -79,6 +82,11 @@
         pull->version = offer->version;
         pull->told = 0;
     }
+    if (pull->told && !pull->far && offer->far) {
+        return;
+    }
+    pull->told = pull->far && !offer->far ? 0 : pull->told;
+    pull->far = offer->far;
     pull->told++;
     if (cw_mix(offer->draw, 2) % pull->told == 0) {
         cw_copy(pull->peer, sizeof(pull->peer), offer->peer);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -168,8 +168,8 @@
     return g->sync ? sync_knowledge(g->sync) : (cw_knowledge_t){0};
 }
 
-static void on_knowledge(void* user, const char* share, const cw_knowledge_t* known) {
-    sync_on_peer(((gateway_t*)user)->sync, share, known);
+static void on_knowledge(void* user, const char* share, bool far, const cw_knowledge_t* known) {
+    sync_on_peer(((gateway_t*)user)->sync, share, far, known);
 }
 
 static void on_members(void* user, uint32_t daemons, uint32_t rank) {
--- a/gateway/mesh.h
+++ b/gateway/mesh.h
@@ -20,7 +20,7 @@
     /* What this daemon knows of the source, told with every datagram. */
     cw_knowledge_t (*knowledge)(void* user_data);
     /* What a peer knows; share: address at which it can be read. */
-    void (*on_knowledge)(void* user_data, const char* share, const cw_knowledge_t* knowledge);
+    void (*on_knowledge)(void* user_data, const char* share, bool far, const cw_knowledge_t* knowledge);
     /* Members changed: daemons is the most that were known at once, rank this one's place among those that live. */
     void (*on_members)(void* user_data, uint32_t daemons, uint32_t rank);
     /* Marks of requests under which servers end, as in news_desc_t. */
--- a/gateway/news.c
+++ b/gateway/news.c
@@ -335,6 +335,12 @@
     return since_tick_ms > TRANSIT_MS ? (uint32_t)since_tick_ms : TRANSIT_MS;
 }
 
+/* Whether the host stands in another hall. */
+static bool is_far(const news_t* n, uint64_t host) {
+    const cw_member_t* member = n->members ? cw_members_find(n->members, host) : NULL;
+    return !member || strcmp(member->info.hall, n->desc.settings->hall) != 0;
+}
+
 static void on_load(struct ev_loop* loop, ev_io* w, int events) {
     (void)loop;
     (void)events;
@@ -355,7 +361,7 @@
         cw_addr_format(&from, share);
         n->stats.in++;
         cw_knowledge_age(&message.knowledge, waited_ms);
-        n->desc.on_knowledge(n->desc.user_data, share, &message.knowledge);
+        n->desc.on_knowledge(n->desc.user_data, share, is_far(n, message.host), &message.knowledge);
         news_take_marks(n, &message, waited_ms);
         take_message(n, &message);
     }
--- a/gateway/news.h
+++ b/gateway/news.h
@@ -20,7 +20,7 @@
     /* What this daemon knows of the source, told with every datagram. */
     cw_knowledge_t (*knowledge)(void* user_data);
     /* What a peer knows; share: address at which it can be read. */
-    void (*on_knowledge)(void* user_data, const char* share, const cw_knowledge_t* knowledge);
+    void (*on_knowledge)(void* user_data, const char* share, bool far, const cw_knowledge_t* knowledge);
     /* A mark that another daemon told; age_ms counts until now. May be NULL. */
     void (*on_mark)(void* user_data, const cw_mark_t* mark);
     /* Marks to be told again, from place *at on, which is 0 behind the last one. May be NULL. */
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -54,8 +54,8 @@
 int64_t sync_revision(const sync_t* s);
 /* What this daemon knows, to be told to the peers. */
 cw_knowledge_t sync_knowledge(const sync_t* s);
-/* What a peer knows. share: the address where it can be read. */
-void sync_on_peer(sync_t* s, const char* share, const cw_knowledge_t* knowledge);
+/* What a peer knows. share: the address where it can be read; far: in another hall. */
+void sync_on_peer(sync_t* s, const char* share, bool far, const cw_knowledge_t* knowledge);
 /* Place among the living daemons in a fixed order, 0 first, and how many there have been at most. */
 void sync_set_rank(sync_t* s, uint32_t rank, uint32_t daemons);
 void sync_tick(sync_t* s, int64_t now_ms);
--- a/gateway/sync_peers.c
+++ b/gateway/sync_peers.c
@@ -87,16 +87,18 @@
     adopt_peers_list(s, &list, delta);
 }
 
-/* Notes that the peer has a newer document. */
-static void offered(sync_t* s, const fetch_t* f, cw_pull_t* pull, const char* peer, uint64_t version) {
+/* Notes that a peer has a newer document. */
+static void offered(sync_t* s, const fetch_t* f, cw_pull_t* pull, const char* peer, bool far, uint64_t version) {
     int64_t now_ms = clock_ms();
     if (f->call || now_ms < f->next_ms) {
         return;
     }
-    cw_pull_told(
-        pull,
-        &(cw_pull_offer_t){
-            .now_ms = now_ms, .version = version, .peer = peer, .daemons = s->reader.daemons, .draw = sync_draw(s)});
+    cw_pull_told(pull, &(cw_pull_offer_t){.now_ms = now_ms,
+                                          .version = version,
+                                          .peer = peer,
+                                          .far = far,
+                                          .daemons = s->reader.daemons,
+                                          .draw = sync_draw(s)});
 }
 
 /* Fetches from a peer when it is time. */
@@ -131,19 +133,19 @@
     pull(s, &s->peer_servers, &s->servers_pull, path, changes ? CALL_MS : LIST_CALL_MS, now_ms);
 }
 
-void sync_on_peer(sync_t* s, const char* share, const cw_knowledge_t* k) {
+void sync_on_peer(sync_t* s, const char* share, bool far, const cw_knowledge_t* k) {
     int64_t now_ms = clock_ms();
     int64_t catalog_ms = now_ms - k->revision_age_ms;
     int64_t list_ms = now_ms - k->servers_age_ms;
     if ((int64_t)k->revision > sync_revision(s)) {
-        offered(s, &s->peer_catalog, &s->catalog_pull, share, k->revision);
+        offered(s, &s->peer_catalog, &s->catalog_pull, share, far, k->revision);
     } else if (k->revision && (int64_t)k->revision == sync_revision(s) && catalog_ms > s->catalog_ms) {
         s->catalog_ms = catalog_ms;
     }
     if (k->servers && k->servers == s->list_id) {
         s->list_ms = list_ms > s->list_ms ? list_ms : s->list_ms;
     } else if (k->servers && list_ms > s->list_ms) {
-        offered(s, &s->peer_servers, &s->servers_pull, share, k->servers);
+        offered(s, &s->peer_servers, &s->servers_pull, share, far, k->servers);
     }
 }
 
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -40,7 +40,8 @@
     return ((host_t*)user)->knows;
 }
 
-static void on_knowledge(void* user, const char* share, const cw_knowledge_t* known) {
+static void on_knowledge(void* user, const char* share, bool far, const cw_knowledge_t* known) {
+    (void)far;
     host_t* host = user;
     (void)share;
     host->youngest_ms = known->servers_age_ms < host->youngest_ms ? known->servers_age_ms : host->youngest_ms;
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -105,6 +105,24 @@
 }
 END_TEST
 
+/* A document comes to a hall through its first few hosts and from these to the others: bytes between halls are dear. */
+START_TEST(a_peer_of_the_own_hall_is_asked_first) {
+    for (uint64_t seed = 0; seed < 50; seed++) {
+        cw_pull_t pull = {0};
+        for (uint64_t i = 0; i < 20; i++) {
+            cw_pull_told(&pull, &(cw_pull_offer_t){.version = 4,
+                                                   .peer = i == 10 ? "near" : "far",
+                                                   .far = i != 10,
+                                                   .daemons = 100,
+                                                   .draw = cw_mix(seed, i)});
+        }
+        ck_assert_str_eq(cw_pull_due(&pull, 1000), "near");
+        cw_pull_told(&pull, &(cw_pull_offer_t){.now_ms = 1000, .version = 5, .peer = "far", .far = true, .daemons = 9});
+        ck_assert_str_eq(cw_pull_due(&pull, 2000), "far"); /* nobody else has told */
+    }
+}
+END_TEST
+
 START_TEST(a_newer_version_is_fetched_from_who_has_it) {
     cw_pull_t pull = {0};
     cw_pull_offer_t offer = {.now_ms = 0, .version = 4, .peer = "old", .daemons = 100};
@@ -230,6 +248,7 @@
     tcase_add_test(t, daemons_that_confirm_each_other_grow_old_together);
     tcase_add_test(t, daemons_of_a_large_fleet_say_less);
     tcase_add_test(t, a_document_spreads_without_a_crowd_at_its_first_holder);
+    tcase_add_test(t, a_peer_of_the_own_hall_is_asked_first);
     tcase_add_test(t, a_newer_version_is_fetched_from_who_has_it);
 }
 
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -426,7 +426,7 @@
     snprintf(out, size, "%s", text);
     site->delta = out;
     cw_knowledge_t knows = {.revision = 5, .servers = delta.to};
-    sync_on_peer(site->sync, cw_httpd_address(site->source), &knows);
+    sync_on_peer(site->sync, cw_httpd_address(site->source), false, &knows);
     free(text);
     cw_servers_free(&list);
     cw_delta_free(&delta);
@@ -454,7 +454,7 @@
     ck_assert(!site->list_leaving && strstr(site->lines, "changes of another list"));
     cw_knowledge_t knows = {.revision = 5, .servers = 99};
     site->leaving = true;
-    sync_on_peer(site->sync, cw_httpd_address(site->source), &knows);
+    sync_on_peer(site->sync, cw_httpd_address(site->source), false, &knows);
     run_until(site, has_leaving);
     ck_assert_uint_eq(site->delta_calls, 1); /* not by changes again */
     site_shutdown(site);
@@ -464,7 +464,7 @@
 /* What a peer offers that holds the list and the document of the same source as the site's. */
 static void offer(site_t* site, site_t* peer) {
     cw_knowledge_t knows = sync_knowledge(peer->sync);
-    sync_on_peer(site->sync, cw_httpd_address(peer->source), &knows);
+    sync_on_peer(site->sync, cw_httpd_address(peer->source), false, &knows);
 }
 
 /* A host of a large fleet that starts and takes over what a peer offers. */
@@ -497,7 +497,7 @@
     cw_knowledge_t knows = sync_knowledge(peer->sync);
     site->until = has_all;
     while (sync_stats(site->sync).peer_calls < 2) { /* the list and the document */
-        sync_on_peer(site->sync, share, &knows);
+        sync_on_peer(site->sync, share, false, &knows);
         ev_run(site->loop, EVRUN_NOWAIT);
     }
     cw_clock_suspend(1000);
@@ -601,7 +601,7 @@
     cw_knowledge_t knowledge = sync_knowledge(peer->sync);
     site_t* shared = site_setup(9);
     shared->until = has_all;
-    sync_on_peer(site->sync, cw_httpd_address(shared->source), &knowledge);
+    sync_on_peer(site->sync, cw_httpd_address(shared->source), false, &knowledge);
     site->until = has_all;
     while (!sync_ready(site->sync)) {
         ev_run(site->loop, EVRUN_NOWAIT);
@@ -706,7 +706,7 @@
     run_until(site, lost);
     ck_assert_uint_gt(sync_knowledge(site->sync).servers_age_ms, 0);
     known.servers_age_ms = known.revision_age_ms = 0;
-    sync_on_peer(site->sync, "127.0.0.1:1", &known);
+    sync_on_peer(site->sync, "127.0.0.1:1", false, &known);
     ck_assert_uint_le(sync_knowledge(site->sync).servers_age_ms, 5000);
     cw_knowledge_t after = sync_knowledge(site->sync);
     ck_assert_uint_eq(after.servers, known.servers);
