Hosts of before and after never take changes for a whole list; a peer that doesn't answer holds up no start

What was asked as have=ID is asked as since=REVISION: a host of before that asks the old way gets the whole list, never a form that it would read as one. A host that starts waits for a peer's offer only while no peer has failed to answer.

--- a/gateway/sync_parts.h
+++ b/gateway/sync_parts.h
@@ -105,7 +105,8 @@
 
 /* Fetches what peers offered, when it is time. */
 void sync_pull_due(sync_t* s, int64_t now_ms);
-/* A peer holds what this host lacks at its start, and is about to be asked or being asked. */
+/* A peer holds what this host lacks at its start, is about to be asked or being asked, and none has failed to answer.
+ */
 bool sync_is_offered(const sync_t* s, const fetch_t* f, const cw_pull_t* wanted, int64_t now_ms);
 void sync_on_peer_catalog(sync_t* s, unsigned status, const char* body, size_t size);
 void sync_on_peer_catalog_failure(sync_t* s, const char* why);
--- a/gateway/sync_peers.c
+++ b/gateway/sync_peers.c
@@ -110,16 +110,17 @@
     }
 }
 
-/* A peer holds what this host lacks at its start, and is about to be asked or being asked. */
+/* A peer holds what this host lacks at its start, is about to be asked or being asked, and none has failed to answer.
+ */
 bool sync_is_offered(const sync_t* s, const fetch_t* f, const cw_pull_t* wanted, int64_t now_ms) {
-    return (wanted->wanted || f->call) && now_ms - s->reader.started_ms < PEERS_FIRST_MS;
+    return (wanted->wanted || f->call) && !f->failures && now_ms - s->reader.started_ms < PEERS_FIRST_MS;
 }
 
 /* Where a peer's list is read, or (true) what changed since the own one. */
 static bool peer_servers_path(const sync_t* s, char* out, size_t size) {
     bool changes = s->list_ms != NEVER && s->list.at && !s->whole_wanted;
     if (changes) {
-        snprintf(out, size, "/servers?packed=1&have=%lld", (long long)s->list.at);
+        snprintf(out, size, "/servers?packed=1&since=%lld", (long long)s->list.at);
     } else {
         snprintf(out, size, "/servers?packed=1");
     }
@@ -161,11 +162,11 @@
 
 /* What a peer gets whose list is complete up to the revision (NULL: that has none), in the compact form where it reads
    that. To be freed by free(). */
-static char* shared_servers(sync_t* s, const char* have, bool packed, size_t* size) {
+static char* shared_servers(sync_t* s, const char* since, bool packed, size_t* size) {
     cw_delta_t delta = {0};
     char* text = NULL;
     s->list.age_ms = sync_age(s->list_ms, clock_ms());
-    if (have && cw_changes_since(&s->changes, &s->list, strtoll(have, NULL, 10), &delta)) {
+    if (since && cw_changes_since(&s->changes, &s->list, strtoll(since, NULL, 10), &delta)) {
         delta.age_ms = s->list.age_ms;
         text = cw_delta_text(&delta);
     } else if (packed) {
@@ -189,7 +190,7 @@
         cw_exchange_reply(x, 200, &json, 1, s->text, newer ? strlen(s->text) : 0);
     } else if (strcmp(path, "/servers") == 0 && s->list_ms != NEVER) {
         size_t size = 0;
-        char* text = shared_servers(s, cw_exchange_arg(x, "have"), cw_exchange_arg(x, "packed") != NULL, &size);
+        char* text = shared_servers(s, cw_exchange_arg(x, "since"), cw_exchange_arg(x, "packed") != NULL, &size);
         cw_exchange_reply(x, 200, cw_packed_is(text, size) ? &msgpack : &json, 1, text, size);
         free(text);
     } else {
