--- a/chalkway_reader.h
+++ b/chalkway_reader.h
@@ -70,11 +70,12 @@
 static int64_t _cw_reader_start_ms(const cw_reader_t* r) {
     int64_t wait_ms = (int64_t)_cw_reader_steps(r) * _CW_READER_START_MS;
     wait_ms += (int64_t)(cw_mix(r->seed, 0) % _CW_READER_START_SPREAD);
+    wait_ms += r->daemons == 1 ? _CW_READER_ALONE_MS : 0;
     if (r->nobody_calls) {
         return wait_ms * _CW_READER_NOBODY_CALLS;
     }
     int64_t beyond = (int64_t)r->rank - _cw_reader_steps(r);
-    return wait_ms + beyond * _CW_READER_START_RANK_MS + (r->daemons == 1 ? _CW_READER_ALONE_MS : 0);
+    return wait_ms + beyond * _CW_READER_START_RANK_MS;
 }
 
 /* Age at which this rank reads. */
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -236,6 +236,9 @@
     }
     ck_assert_uint_ge(early, 1);
     ck_assert_uint_le(early, FLEET / 4);
+    cw_reader_t alone = {.read_ms = 400, .daemons = 1, .started_ms = 5000, .nobody_calls = true};
+    ck_assert(!cw_reader_due(&alone, CW_READER_NEVER, 6999)); /* by then it knows its peers, and its rank */
+    ck_assert(cw_reader_due(&alone, CW_READER_NEVER, 9000));
 }
 END_TEST
 
