--- a/chalkway_wire.h
+++ b/chalkway_wire.h
@@ -408,7 +408,7 @@
 static void _cw_fields_summary(_cw_io_t* io, cw_summary_t* s) {
     uint8_t bytes[2 * CW_SUMMARY_BUCKETS];
     uint32_t size = 2 * s->buckets;
-    for (uint32_t i = 0; i < s->buckets; i++) {
+    for (size_t i = 0; i < s->buckets; i++) {
         bytes[2 * i] = (uint8_t)s->sums[i];
         bytes[2 * i + 1] = (uint8_t)(s->sums[i] >> 8U);
     }
@@ -416,7 +416,7 @@
     bool power = !(size / 2 & (size / 2 - 1));
     io->bad = io->bad || size % 2 || !power;
     s->buckets = io->bad ? 0 : size / 2;
-    for (uint32_t i = 0; i < s->buckets; i++) {
+    for (size_t i = 0; i < s->buckets; i++) {
         s->sums[i] = (uint16_t)(bytes[2 * i] | bytes[2 * i + 1] << 8U);
     }
 }
