A seed tells those that join some members, not all: hosts that start together no longer stay alone

What was seen: each of 584 hosts read the source by itself and asked a third of all engines what they keep; 46,000 source calls, 6.6 GB, the busiest host at 56 MB a second. Cause: whoever joined was told the whole view, about a hundred messages. Of hundreds of hosts that start in one moment a seed could answer a few; the others came again every 250 ms, all in the same moment, and crowded each other out for good. A host without peers is rank 0, alone with its list, and owner of all engines: all that hangs on knowing the fleet failed. Change: answers to joins and comparisons are bounded for each host and shared among those that ask; a host asks on, at others, while it learns; retries are spread. The test (400 hosts, 3 s) failed before.

--- a/chalkway_member.h
+++ b/chalkway_member.h
@@ -157,9 +157,13 @@
 #define _CW_MEMBERS_HEALTH_MAX 8
 #define _CW_MEMBERS_FORWARD_MS 200  /* between two times that fresh news is passed on at once */
 #define _CW_MEMBERS_COMPARE_MS 2000 /* between two times that a host asks what differs */
-#define _CW_MEMBERS_GROWING_MS 150  /* the same, while it learns of new hosts */
-#define _CW_MEMBERS_ACCUSE_MS 500   /* between two pings of a suspect */
-#define _CW_MEMBERS_TELL 1          /* news is told this many times the logarithm of the number of hosts */
+#define _CW_MEMBERS_ASKERS 4        /* part of what is left that one host gets */
+#define _CW_MEMBERS_ANSWERS 64      /* messages to hosts that ask what differs, or join, in: */
+#define _CW_MEMBERS_ANSWERS_MS 100
+#define _CW_MEMBERS_GROWN_MS 1000  /* a host that learned of a new one so lately learns of more */
+#define _CW_MEMBERS_GROWING_MS 150 /* the same, while it learns of new hosts */
+#define _CW_MEMBERS_ACCUSE_MS 500  /* between two pings of a suspect */
+#define _CW_MEMBERS_TELL 1         /* news is told this many times the logarithm of the number of hosts */
 
 /* A probe made for another host. */
 typedef struct _cw_helped_t {
@@ -192,8 +196,10 @@
     int64_t next_probe_ms, next_retry_ms, last_tick_ms;
     int64_t next_accuse_ms;
     bool differs;            /* another host's view was another one */
-    bool grown;              /* hosts became known that were not, since this one asked what differs */
+    int64_t grown_ms;        /* when a host became known that was not */
     int64_t next_compare_ms; /* it doesn't ask before */
+    int64_t answers_ms;      /* since then: */
+    uint32_t answers;        /* messages in which others were told what differs */
     int64_t next_forward_ms; /* fresh news is not passed on before */
     bool forward_due;
     uint64_t view; /* hash of the view, valid for view_changes */
@@ -382,19 +388,37 @@
     return true;
 }
 
-/* Sends what is known and differs from the other host's summary, all where it gave none. */
-static void _cw_members_send_differing(cw_members_t* m, const char* to, const cw_summary_t* theirs) {
+/* Messages that an answer may take: fewer, the more was spent on others lately. */
+static uint32_t _cw_members_may_answer(cw_members_t* m, int64_t now_ms) {
+    if (now_ms - m->answers_ms >= _CW_MEMBERS_ANSWERS_MS) {
+        m->answers_ms = now_ms;
+        m->answers = 0;
+    }
+    uint32_t left = m->answers < _CW_MEMBERS_ANSWERS ? _CW_MEMBERS_ANSWERS - m->answers : 0;
+    return (left + _CW_MEMBERS_ASKERS - 1) / _CW_MEMBERS_ASKERS;
+}
+
+/* Sends some of what is known and differs from the other host's summary, or of all where it gave none. The asker comes
+   again for the rest, and asks somebody else: a seed that told each of hundreds all it knows would reach only a few. */
+static void _cw_members_answer(cw_members_t* m, int64_t now_ms, const char* to, const cw_summary_t* theirs) {
     cw_gossip_t* g = NULL;
     cw_summary_t mine;
+    uint32_t messages = _cw_members_may_answer(m, now_ms);
+    uint32_t start = (uint32_t)(_cw_members_random(m) % m->count);
     if (theirs->buckets) {
         _cw_members_summarize(m, theirs->buckets, &mine);
     }
-    for (uint32_t i = 1; i < m->count; i++) {
+    for (uint32_t k = 0; k < m->count; k++) {
+        uint32_t i = (start + k) % m->count;
         const cw_member_info_t* info = &m->members[i].info;
-        if (info->state == CW_MEMBER_DEAD || (theirs->buckets && !cw_summary_differs(&mine, theirs, info->id))) {
+        if (!i || info->state == CW_MEMBER_DEAD || (theirs->buckets && !cw_summary_differs(&mine, theirs, info->id))) {
             continue;
         }
         if (!g || g->news_count == CW_GOSSIP_NEWS) {
+            if (!messages--) {
+                return;
+            }
+            m->answers++;
             g = _cw_members_send(m, to, CW_GOSSIP_NEWS_ONLY, 0);
         }
         g->news[g->news_count++] = *info;
@@ -436,7 +460,7 @@
             return;
         }
         i = m->count++;
-        m->grown = true;
+        m->grown_ms = now_ms;
         m->members[i] = (cw_member_t){.info = *news};
         cw_map_put(&m->by_id, news->id, i);
     } else if (!_cw_members_supersedes(news, &m->members[i].info)) {
@@ -600,8 +624,9 @@
     if (!m->differs || now_ms < m->next_compare_ms || !i || m->members[i].info.state == CW_MEMBER_DEAD) {
         return;
     }
-    m->next_compare_ms = now_ms + (m->grown ? _CW_MEMBERS_GROWING_MS : _CW_MEMBERS_COMPARE_MS);
-    m->differs = m->grown = false;
+    bool grows = now_ms - m->grown_ms < _CW_MEMBERS_GROWN_MS;
+    m->next_compare_ms = now_ms + (grows ? _CW_MEMBERS_GROWING_MS : _CW_MEMBERS_COMPARE_MS);
+    m->differs = false;
     cw_gossip_t* g = _cw_members_send(m, m->members[i].info.peer, CW_GOSSIP_PING, ++m->seq);
     _cw_members_summarize(m, cw_summary_buckets(m->count), &g->summary);
 }
@@ -706,7 +731,8 @@
     }
     if (now_ms >= m->next_retry_ms) {
         _cw_members_retry(m);
-        m->next_retry_ms = now_ms + m->desc.retry_ms;
+        /* Spread: hosts that start in the same moment would else come to their seed in the same one again and again. */
+        m->next_retry_ms = now_ms + m->desc.retry_ms / 2 + (int64_t)(_cw_members_random(m) % m->desc.retry_ms);
     }
     _cw_members_age(m, now_ms);
     _cw_members_accuse(m, now_ms);
@@ -762,7 +788,7 @@
             ack->news[ack->news_count++] = m->members[i].info; /* it is alive: let it refute */
         }
         if (g->join || g->summary.buckets) {
-            _cw_members_send_differing(m, g->from.peer, &g->summary);
+            _cw_members_answer(m, now_ms, g->from.peer, &g->summary);
         }
     } else if (g->kind == CW_GOSSIP_ACK) {
         _cw_members_acked(m, g);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -22,7 +22,9 @@
     rng_t rng;
     cw_wire_t* wire;
     uint64_t messages, bytes;
-    cw_members_desc_t times; /* of each host; zero: the defaults */
+    uint32_t handles;         /* messages that a host sends and reads in a step, 0: any number; the rest is lost */
+    uint32_t done[FLEET_MAX]; /* of these, in this step */
+    cw_members_desc_t times;  /* of each host; zero: the defaults */
 } fleet_t;
 
 static inline void fleet_name(uint32_t i, char out[16]) {
@@ -88,6 +90,9 @@
         f->messages++;
         f->bytes += bytes.size;
         bool lost = rng_below(&f->rng, 100) < f->loss_percent;
+        if (f->handles && to < f->count) {
+            lost = lost || f->done[i]++ >= f->handles || f->done[to]++ >= f->handles;
+        }
         if (to >= f->count || !f->hosts[to] || f->paused[to] || f->side[i] != f->side[to] || lost) {
             continue;
         }
@@ -100,6 +105,7 @@
 
 static inline void fleet_run(fleet_t* f, int64_t ms) {
     for (int64_t until = f->now_ms + ms; f->now_ms < until; f->now_ms += FLEET_STEP_MS) {
+        memset(f->done, 0, sizeof(f->done));
         for (uint32_t i = 0; i < f->count; i++) {
             if (f->hosts[i] && !f->paused[i]) {
                 cw_members_tick(f->hosts[i], f->now_ms + (i * 7) % FLEET_STEP_MS);
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -167,6 +167,18 @@
 }
 END_TEST
 
+/* The same on small machines that handle 6,000 messages a second. A seed answered each host that joined with its whole
+   view, some hundred messages, so of 584 that came at once it handled a few; the others came again every 250 ms, and it
+   never got further. They stayed alone: each read the source by itself and took all engines for its own to ask. */
+START_TEST(hosts_that_start_together_do_not_crowd_out_their_seed) {
+    fleet_setup_with(&fleet, 400, 12, &quick);
+    fleet.handles = 300;
+    fleet_run(&fleet, 3000);
+    ck_assert(fleet_complete(&fleet));
+    fleet_shutdown(&fleet);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
     tcase_add_test(t, all_learn_of_all);
     tcase_add_test(t, a_dead_host_is_found_by_all);
@@ -179,6 +191,7 @@
     tcase_add_test(t, cost_stays_constant);
     tcase_add_test(t, what_is_told_in_a_roll_follows_what_changes);
     tcase_add_test(t, hosts_that_start_together_know_each_other_soon);
+    tcase_add_test(t, hosts_that_start_together_do_not_crowd_out_their_seed);
 }
 
 int main(void) {
