Whoever takes a list over tells changes since as early a revision as the giver; more peers may ask at once

Cause: a host remembered what went only from its own first list on, and a host's revision stays where its list last changed. So whoever asked a host that had started later got the whole list: 5,477 whole lists among 584 hosts by the start of traffic. And 64 peers may ask a host at once, so that of hundreds that start some were turned away and read pages at the source: 175 hosts, 2,094 calls. Change: what went goes along with the compact list; connections of the share address follow from the descriptors (an eighth of them). Failed before: nothing was remembered from before a list that was taken over.

--- a/chalkway_changes.h
+++ b/chalkway_changes.h
@@ -63,6 +63,8 @@
 /* All of the list that changed after the revision; false when that is not known, or no shorter than the list. The delta
    must be zero. */
 bool cw_changes_since(const cw_changes_t* changes, const cw_servers_t* list, int64_t have, cw_delta_t* delta);
+/* Remembers that an entry went, at a revision no lower than the last one's. */
+void cw_changes_add_gone(cw_changes_t* changes, const char* id, int64_t revision);
 void cw_changes_free(cw_changes_t* changes);
 
 /* The JSON form, to be freed by free(). */
@@ -110,10 +112,7 @@
     memmove(changes->gone, &changes->gone[dropped], changes->count * sizeof(*changes->gone));
 }
 
-static void _cw_changes_add_gone(cw_changes_t* changes, const char* id, int64_t revision, uint32_t most) {
-    if (changes->count >= most) {
-        _cw_changes_forget(changes);
-    }
+void cw_changes_add_gone(cw_changes_t* changes, const char* id, int64_t revision) {
     if (changes->count == changes->capacity) {
         changes->capacity = changes->capacity ? changes->capacity * 2 : 32;
         cw_gone_t* grown = realloc(changes->gone, changes->capacity * sizeof(*grown));
@@ -144,7 +143,10 @@
         cw_server_t* now = j < after->count ? &after->items[j] : NULL;
         int order = !old ? 1 : !now ? -1 : strcmp(old->id, now->id);
         if (order < 0) {
-            _cw_changes_add_gone(changes, old->id, after->at, most);
+            if (changes->count >= most) {
+                _cw_changes_forget(changes);
+            }
+            cw_changes_add_gone(changes, old->id, after->at);
         } else if (order == 0 && cw_server_equal(old, now)) {
             now->revision = old->revision;
         } else {
--- a/chalkway_packed.h
+++ b/chalkway_packed.h
@@ -8,12 +8,14 @@
         values, one after the other. Names of pools and halls are written
         once, addresses as numbers, starts and revisions as distances. An
         entry takes some 40 bytes, a fifth of its JSON form
-        (chalkway_servers.h), and is read without a tree of all of them.
+        (chalkway_servers.h), and is read without a tree of all of them. What
+        went from the list goes along, so that whoever takes it over can tell
+        changes since as early a revision as the giver.
 
     HOW TO USE IT
             size_t size = 0;
-            char* bytes = cw_packed_write(&list, &size);    // to be freed by free()
-            if (cw_packed_is(bytes, size) && cw_packed_read(&list, bytes, size, &err) == CW_OK) { ... }
+            char* bytes = cw_packed_write(&list, &changes, &size);    // to be freed by free()
+            if (cw_packed_is(bytes, size) && cw_packed_read(&list, &changes, bytes, size, &err) == CW_OK) { ... }
 
     WHAT IT DOES NOT DO
         No form for changes, which are short: see chalkway_changes.h.
@@ -21,14 +23,14 @@
     LICENCE
         MIT, see LICENSE.
 */
-#include "chalkway_servers.h"
+#include "chalkway_changes.h"
 
 /* The compact form, to be freed by free(). */
-char* cw_packed_write(const cw_servers_t* list, size_t* size);
+char* cw_packed_write(const cw_servers_t* list, const cw_changes_t* changes, size_t* size);
 /* Whether the bytes begin as the compact form does. */
 bool cw_packed_is(const char* bytes, size_t size);
-/* Reads the compact form; an entry that is wrong refuses the list. The list must be empty. */
-cw_status_t cw_packed_read(cw_servers_t* list, const char* bytes, size_t size, cw_error_t* err);
+/* Reads the compact form; an entry that is wrong refuses the list. The list and the changes must be empty. */
+cw_status_t cw_packed_read(cw_servers_t* list, cw_changes_t* changes, const char* bytes, size_t size, cw_error_t* err);
 
 #endif /* CHALKWAY_PACKED_H */
 
@@ -104,6 +106,15 @@
     }
 }
 
+static void _cw_packed_put_gone(msgpack_packer* p, const cw_changes_t* changes) {
+    msgpack_pack_int64(p, changes->since);
+    msgpack_pack_uint32(p, changes->count);
+    for (uint32_t i = 0; i < changes->count; i++) {
+        _cw_packed_put_text(p, changes->gone[i].id);
+        msgpack_pack_int64(p, changes->gone[i].revision);
+    }
+}
+
 static void _cw_packed_put_server(msgpack_packer* p, const cw_server_t* s, _cw_packed_names_t* pools,
                                   _cw_packed_names_t* halls, const cw_server_t* base) {
     _cw_packed_put_text(p, s->id);
@@ -117,7 +128,7 @@
     msgpack_pack_int64(p, s->revision - base->revision);
 }
 
-char* cw_packed_write(const cw_servers_t* list, size_t* size) {
+char* cw_packed_write(const cw_servers_t* list, const cw_changes_t* changes, size_t* size) {
     static const cw_server_t none = {.slots = 0};
     const cw_server_t* base = list->count ? &list->items[0] : &none;
     _cw_packed_names_t pools = {0};
@@ -142,6 +153,7 @@
     for (uint32_t i = 0; i < list->count; i++) {
         _cw_packed_put_server(&packer, &list->items[i], &pools, &halls, base);
     }
+    _cw_packed_put_gone(&packer, changes);
     free(pools.names);
     free(halls.names);
     *size = buffer.size;
@@ -236,12 +248,27 @@
     }
 }
 
+/* In the order of their revisions. */
+static void _cw_packed_get_gone(_cw_packed_in_t* in, cw_changes_t* changes) {
+    changes->since = _cw_packed_get(in, 0, INT64_MAX);
+    int64_t count = _cw_packed_get(in, 0, UINT32_MAX);
+    int64_t last = changes->since;
+    char id[CW_NAME_MAX];
+    for (int64_t i = 0; i < count && !in->bad; i++) {
+        _cw_packed_get_name(in, id);
+        last = _cw_packed_get(in, last, INT64_MAX);
+        if (!in->bad) {
+            cw_changes_add_gone(changes, id, last);
+        }
+    }
+}
+
 bool cw_packed_is(const char* bytes, size_t size) {
     size_t length = sizeof(_CW_PACKED_MAGIC) - 1;
     return size > length && (uint8_t)bytes[0] == (0xa0U | length) && memcmp(bytes + 1, _CW_PACKED_MAGIC, length) == 0;
 }
 
-cw_status_t cw_packed_read(cw_servers_t* list, const char* bytes, size_t size, cw_error_t* err) {
+cw_status_t cw_packed_read(cw_servers_t* list, cw_changes_t* changes, const char* bytes, size_t size, cw_error_t* err) {
     _cw_packed_in_t in = {
         .bytes = bytes, .size = size, .at = sizeof(_CW_PACKED_MAGIC), .bad = !cw_packed_is(bytes, size)};
     _cw_packed_names_t pools = {0};
@@ -263,11 +290,13 @@
             cw_servers_add(list, &server);
         }
     }
+    _cw_packed_get_gone(&in, changes);
     free(pools.names);
     free(halls.names);
     msgpack_zone_destroy(&in.zone);
     if (in.bad || in.at != size) {
         cw_servers_free(list);
+        cw_changes_free(changes);
         return cw_fail(err, CW_ERR_INVALID, "servers", NULL, "a compact list is wrong near byte %zu of %zu", in.at,
                        size);
     }
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -431,6 +431,7 @@
                                                    .source = source,
                                                    .address = s->source,
                                                    .share = s->share,
+                                                   .share_connections = sockets / 8,
                                                    .seed = cw_mix(host, (uint64_t)clock_ms()),
                                                    .closed_ms = s->close_ms / CLOSED_PARTS,
                                                    .read_ms = s->read_ms,
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -221,13 +221,14 @@
                               .nobody_calls = desc->nobody_calls,
                               .seed = desc->seed};
     s->list_ms = s->catalog_ms = s->pages_ms = s->closed_ms = NEVER;
-    s->share = cw_httpd_setup(&(cw_httpd_desc_t){.loop = desc->loop,
-                                                 .address = desc->share,
-                                                 .max_connections = 64,
-                                                 .idle_s = 10,
-                                                 .on_request = sync_on_share_request,
-                                                 .user_data = s},
-                              err);
+    s->share =
+        cw_httpd_setup(&(cw_httpd_desc_t){.loop = desc->loop,
+                                          .address = desc->share,
+                                          .max_connections = desc->share_connections ? desc->share_connections : 64,
+                                          .idle_s = 10,
+                                          .on_request = sync_on_share_request,
+                                          .user_data = s},
+                       err);
     if (!s->share) {
         free(s);
         return NULL;
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -26,13 +26,14 @@
     struct ev_loop* loop;
     const cw_log_t* log;
     const source_t* source;
-    const char* address; /* of the source */
-    const char* share;   /* address at which peers read */
-    uint64_t seed;       /* of this host: spreads what all would do at once */
-    uint32_t closed_ms;  /* age at which the closed halls are read again with the servers, 0: never */
-    uint32_t read_ms;    /* age at which the daemon of the first rank reads again */
-    uint32_t late_ms;    /* age at which the daemon of the last rank does, 0: see chalkway_reader.h */
-    bool nobody_calls;   /* the whole system starts for the first time */
+    const char* address;        /* of the source */
+    const char* share;          /* address at which peers read */
+    uint32_t share_connections; /* of peers at once, default 64 */
+    uint64_t seed;              /* of this host: spreads what all would do at once */
+    uint32_t closed_ms;         /* age at which the closed halls are read again with the servers, 0: never */
+    uint32_t read_ms;           /* age at which the daemon of the first rank reads again */
+    uint32_t late_ms;           /* age at which the daemon of the last rank does, 0: see chalkway_reader.h */
+    bool nobody_calls;          /* the whole system starts for the first time */
     void (*on_catalog)(void* user_data, cw_catalog_t* catalog);
     /* after_outage: nothing was known of the source for long before this list. */
     void (*on_servers)(void* user_data, const cw_servers_t* list, bool after_outage);
--- a/gateway/sync_peers.c
+++ b/gateway/sync_peers.c
@@ -54,13 +54,19 @@
 
 /* A peer's whole list counts as read here when the peer vouched for it: whoever reads on does so by changes. Pages that
    are being read meanwhile would only repeat it. */
-static void adopt_peers_list(sync_t* s, cw_servers_t* list, bool delta) {
+static void adopt_peers_list(sync_t* s, cw_servers_t* list, cw_changes_t* changes, bool delta) {
     int64_t true_ms = clock_ms() - list->age_ms;
     bool newer = true_ms >= s->list_ms;
     sync_adopt_servers(s, list, true_ms);
     if (newer && !delta) {
         s->whole_known = true;
     }
+    if (newer && changes->since && changes->since < s->changes.since) { /* the peer remembers more of this list */
+        cw_changes_free(&s->changes);
+        s->changes = *changes;
+        *changes = (cw_changes_t){0};
+    }
+    cw_changes_free(changes);
     if (newer && s->pages_ms != NEVER && !s->by_changes && true_ms >= s->pages_ms) {
         sync_fetch_cancel(&s->servers);
         sync_drop_pages(s);
@@ -70,6 +76,7 @@
 
 void sync_on_peer_servers(sync_t* s, unsigned status, const char* body, size_t size) {
     cw_servers_t list = {0};
+    cw_changes_t changes = {0};
     cw_error_t err = {0};
     sync_fetch_ok(&s->peer_servers);
     if (status != 200) {
@@ -78,13 +85,13 @@
     s->whole_wanted = false;
     bool delta = cw_delta_is(body, size);
     cw_status_t read = delta                      ? read_delta(s, &list, body, size, &err)
-                       : cw_packed_is(body, size) ? cw_packed_read(&list, body, size, &err)
+                       : cw_packed_is(body, size) ? cw_packed_read(&list, &changes, body, size, &err)
                                                   : cw_servers_read(&list, body, size, &err);
     if (read != CW_OK) {
         sync_refuse_answer(s, s->peer_servers.peer, &err);
         return;
     }
-    adopt_peers_list(s, &list, delta);
+    adopt_peers_list(s, &list, &changes, delta);
 }
 
 /* Notes that a peer has a newer document. */
@@ -170,7 +177,7 @@
         delta.age_ms = s->list.age_ms;
         text = cw_delta_text(&delta);
     } else if (packed) {
-        return cw_packed_write(&s->list, size);
+        return cw_packed_write(&s->list, &s->changes, size);
     } else {
         text = cw_servers_text(&s->list);
     }
--- a/tests/test_changes.c
+++ b/tests/test_changes.c
@@ -1,9 +1,10 @@
 /* Changes between lists of servers: whoever has an earlier list of the source comes to the newest one by them, and to
    no other. */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
-#include "../chalkway_changes.h"
+#include "../chalkway_packed.h"
 #include "test.h"
 
 #define ROUNDS 200
@@ -140,6 +141,39 @@
 }
 END_TEST
 
+/* A host that starts takes the list over from a peer, and another one asks it for changes since before. It remembered
+   nothing from before its own first list, so it gave that one the whole list: nine for each of 584 hosts before the
+   first request of a day. */
+START_TEST(a_host_that_took_a_list_over_tells_changes_from_before_it) {
+    cw_changes_t holder = {0};
+    cw_servers_t list = list_of(100);
+    list.at = 10;
+    cw_changes_note(&holder, &(cw_servers_t){0}, &list);
+    cw_servers_t next;
+    cw_servers_copy(&next, &list);
+    cw_servers_remove(&next, "s007");
+    next.at = 20;
+    cw_changes_note(&holder, &list, &next);
+    size_t size = 0;
+    char* bytes = cw_packed_write(&next, &holder, &size);
+    cw_servers_t taken = {0};
+    cw_changes_t learned = {0};
+    cw_delta_t delta = {0};
+    ck_assert_int_eq(cw_packed_read(&taken, &learned, bytes, size, NULL), CW_OK);
+    ck_assert(fetch(&learned, &taken, 10, &delta));
+    ck_assert(cw_delta_apply(&list, &delta));
+    ck_assert(cw_servers_equal(&list, &next));
+    ck_assert_uint_eq(delta.put.count + delta.gone.count, 1);
+    cw_delta_free(&delta);
+    cw_changes_free(&holder);
+    cw_changes_free(&learned);
+    cw_servers_free(&list);
+    cw_servers_free(&next);
+    cw_servers_free(&taken);
+    free(bytes);
+}
+END_TEST
+
 START_TEST(another_list_is_not_changed_into_a_wrong_one) {
     cw_changes_t changes = {0};
     cw_servers_t before = list_of(50);
@@ -248,6 +282,7 @@
 static void add(TCase* t) {
     tcase_add_test(t, any_earlier_list_becomes_the_newest);
     tcase_add_test(t, hosts_that_took_different_steps_tell_each_other_little);
+    tcase_add_test(t, a_host_that_took_a_list_over_tells_changes_from_before_it);
     tcase_add_test(t, another_list_is_not_changed_into_a_wrong_one);
     tcase_add_test(t, a_large_change_is_told_as_the_whole_list);
     tcase_add_test(t, what_went_long_ago_and_numbers_that_went_back_are_told_by_the_whole_list);
--- a/tests/test_packed.c
+++ b/tests/test_packed.c
@@ -27,17 +27,25 @@
 static void same_both_ways(uint32_t count) {
     cw_servers_t list = list_of(count);
     cw_servers_t back = {0};
+    cw_changes_t changes = {.since = 65000};
+    cw_changes_t learned = {0};
     size_t size = 0;
-    char* bytes = cw_packed_write(&list, &size);
+    cw_changes_add_gone(&changes, "i-gone", 66000);
+    cw_changes_add_gone(&changes, "i-gone-too", 70000);
+    char* bytes = cw_packed_write(&list, &changes, &size);
     ck_assert(cw_packed_is(bytes, size));
-    ck_assert_int_eq(cw_packed_read(&back, bytes, size, NULL), CW_OK);
+    ck_assert_int_eq(cw_packed_read(&back, &learned, bytes, size, NULL), CW_OK);
     ck_assert(cw_servers_equal(&list, &back));
+    ck_assert(learned.since == 65000 && learned.count == 2 && learned.gone[1].revision == 70000);
+    ck_assert_str_eq(learned.gone[0].id, "i-gone");
     ck_assert(back.at == list.at && back.age_ms == list.age_ms && back.closed.at == list.closed.at);
     for (uint32_t i = 0; i < count; i++) {
         ck_assert_int_eq(back.items[i].revision, list.items[i].revision);
     }
     cw_servers_free(&list);
     cw_servers_free(&back);
+    cw_changes_free(&changes);
+    cw_changes_free(&learned);
     free(bytes);
 }
 
@@ -52,8 +60,9 @@
    well: 1.1 MB of 6,003 servers took longer than the call may. */
 START_TEST(a_list_of_thousands_takes_a_fifth_of_its_json_form) {
     cw_servers_t list = list_of(6003);
+    cw_changes_t changes = {0};
     size_t size = 0;
-    char* bytes = cw_packed_write(&list, &size);
+    char* bytes = cw_packed_write(&list, &changes, &size);
     char* text = cw_servers_text(&list);
     ck_assert_uint_le(size * 4, strlen(text));
     ck_assert_uint_le(size, (size_t)list.count * 48);
@@ -65,15 +74,18 @@
 
 START_TEST(nonsense_is_refused) {
     rng_t rng = {.state = 5};
+    cw_changes_t changes = {.since = 65000};
+    cw_changes_t learned = {0};
+    cw_changes_add_gone(&changes, "i-gone", 66000);
     cw_servers_t list = list_of(20);
     size_t size = 0;
-    char* bytes = cw_packed_write(&list, &size);
+    char* bytes = cw_packed_write(&list, &changes, &size);
     for (size_t cut = 0; cut < size; cut++) {
         cw_servers_t back = {0};
         cw_error_t err = {0};
-        ck_assert_int_eq(cw_packed_read(&back, bytes, cut, &err), CW_ERR_INVALID);
+        ck_assert_int_eq(cw_packed_read(&back, &learned, bytes, cut, &err), CW_ERR_INVALID);
         ck_assert_str_eq(err.step, "servers");
-        ck_assert_uint_eq(back.count, 0);
+        ck_assert_uint_eq(back.count + learned.count, 0);
     }
     for (int round = 0; round < 20000; round++) {
         char* spoilt = malloc(size + 1);
@@ -82,21 +94,23 @@
             spoilt[rng_below(&rng, (uint32_t)size)] = (char)rng_below(&rng, 256);
         }
         cw_servers_t back = {0};
-        if (cw_packed_read(&back, spoilt, size, NULL) == CW_OK) {
+        if (cw_packed_read(&back, &learned, spoilt, size, NULL) == CW_OK) {
             ck_assert_uint_le(back.count, list.count);
             for (uint32_t i = 0; i < back.count; i++) {
                 ck_assert(back.items[i].id[0] && back.items[i].pool[0] && back.items[i].slots);
             }
         }
         cw_servers_free(&back);
+        cw_changes_free(&learned);
         free(spoilt);
     }
     cw_servers_t back = {0};
     static const char array[] = "\xb2"
                                 "chalkway-servers-1\xdd\xff\xff\xff\xff";
-    ck_assert_int_eq(cw_packed_read(&back, array, sizeof(array) - 1, NULL), CW_ERR_INVALID);
+    ck_assert_int_eq(cw_packed_read(&back, &learned, array, sizeof(array) - 1, NULL), CW_ERR_INVALID);
     free(bytes);
     cw_servers_free(&list);
+    cw_changes_free(&changes);
 }
 END_TEST
 
--- a/tools/arrows.sh
+++ b/tools/arrows.sh
@@ -15,7 +15,7 @@
     case "$1" in
         front) echo "front" ;;
         upstream | upstream_parts | link | pushback) echo "clock dialect upstream upstream_parts" ;;
-        sync) echo "clock dialect sync" ;;
+        sync | sync_parts | sync_source | sync_peers) echo "clock dialect sync sync_parts" ;;
         mesh) echo "clock mesh news settings upstream" ;;
         news | news_parts | news_peers | news_marks) echo "clock news news_parts settings upstream" ;;
         directory) echo "dialect directory" ;;
