--- a/chalkway_member.h
+++ b/chalkway_member.h
@@ -79,7 +79,7 @@
 typedef struct cw_gossip_t {
     cw_gossip_kind_t kind;
     uint32_t seq;
-    bool join;            /* ping: send me all you know */
+    bool join;            /* ping: tell me of others */
     uint64_t target;      /* ping-req: host to probe; ack: host that answers */
     int64_t revision;     /* the sender's */
     uint32_t room;        /* the sender's */
@@ -157,7 +157,7 @@
 #define _CW_MEMBERS_HEALTH_MAX 8
 #define _CW_MEMBERS_FORWARD_MS 200  /* between two times that fresh news is passed on at once */
 #define _CW_MEMBERS_COMPARE_MS 2000 /* between two times that a host asks what differs */
-#define _CW_MEMBERS_ASKERS 4        /* part of what is left that one host gets */
+#define _CW_MEMBERS_ANSWER_PARTS 4  /* one host gets such a part of what is left */
 #define _CW_MEMBERS_ANSWERS 64      /* messages to hosts that ask what differs, or join, in: */
 #define _CW_MEMBERS_ANSWERS_MS 100
 #define _CW_MEMBERS_GROWN_MS 1000  /* a host that learned of a new one so lately learns of more */
@@ -395,7 +395,7 @@
         m->answers = 0;
     }
     uint32_t left = m->answers < _CW_MEMBERS_ANSWERS ? _CW_MEMBERS_ANSWERS - m->answers : 0;
-    return (left + _CW_MEMBERS_ASKERS - 1) / _CW_MEMBERS_ASKERS;
+    return (left + _CW_MEMBERS_ANSWER_PARTS - 1) / _CW_MEMBERS_ANSWER_PARTS;
 }
 
 /* Sends some of what is known and differs from the other host's summary, or of all where it gave none. The asker comes
--- a/chalkway_reader.h
+++ b/chalkway_reader.h
@@ -9,8 +9,8 @@
         its place among the living daemons in an order that all see alike:
         each further rank lets what is known grow a little older before it
         reads too. So mostly the first rank reads, and the next ones when it
-        fails. In a large fleet no two ranks read at one moment: word that
-        comes late makes some hosts read, not all. The same holds at the
+        fails. In a large fleet the ranks beyond the first ones are spread over
+        time: word that comes late makes some hosts read, not all. The same holds at the
         start, when nothing is known, and for the wait after a failed call:
         while the source is away, few ask whether it is back, and they tell
         the others.
--- a/chalkway_wire.h
+++ b/chalkway_wire.h
@@ -404,7 +404,8 @@
     }
 }
 
-/* A summary travels as two bytes a bucket, the lower one first; one of an odd number of buckets is none. */
+/* A summary travels as two bytes a bucket, the lower one first; a number of buckets that is no power of two is refused.
+ */
 static void _cw_fields_summary(_cw_io_t* io, cw_summary_t* s) {
     uint8_t bytes[2 * CW_SUMMARY_BUCKETS];
     uint32_t size = 2 * s->buckets;
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -64,14 +64,18 @@
     return table;
 }
 
+/* Time in which a change at the source is to be known here. */
+static uint32_t known_within_ms(const gateway_settings_t* s) {
+    return s->apply_ms < s->drain_ms ? s->apply_ms : s->drain_ms;
+}
+
 /* How often the source is read, where the file doesn't say so. */
 static uint32_t derived_read_ms(const gateway_settings_t* s) {
-    return (s->apply_ms < s->drain_ms ? s->apply_ms : s->drain_ms) / READ_PARTS;
+    return known_within_ms(s) / READ_PARTS;
 }
 
 uint32_t gateway_settings_late_ms(const gateway_settings_t* s) {
-    uint32_t bound_ms = s->apply_ms < s->drain_ms ? s->apply_ms : s->drain_ms;
-    return (uint32_t)(bound_ms * LATE_SHARE);
+    return (uint32_t)(known_within_ms(s) * LATE_SHARE);
 }
 
 /* Servers that a quarter of the memory holds, where the file gives no bound. */
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -551,7 +551,7 @@
     }
 }
 
-/* Ends what is over at the server. Whether it is gone for good, or was missing for too long. */
+/* Ends what is over at the server. True: it was missing for too long, and is gone from now on. */
 static bool server_tick(server_t* s, int64_t now_ms) {
     bool expired = !s->gone && !s->published_now && now_ms >= s->missing_until_ms;
     s->gone = s->gone || expired;
