Failing tests: callers of a host that reaches no server are refused

Seen: while a host could open no connection to any server, 0 of 20 of its callers were served, 20 of 20 at another host.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 SAMPLES := $(patsubst samples/%.c,$(BUILD)/samples/%,$(wildcard samples/*.c))
 PROGRAMS := $(BUILD)/chalkwayd $(BUILD)/fake-platform $(BUILD)/fake-engine $(BUILD)/fake-service $(BUILD)/chalkway-demo \
             $(BUILD)/chalkwayctl $(BUILD)/chalkway-load $(BUILD)/chalkway-gateway $(BUILD)/chalkway-edge $(BUILD)/fake-source \
-            $(BUILD)/fake-upstream $(BUILD)/chalkway-soak $(BUILD)/chalkway-soak-callers $(BUILD)/soak-clock.so $(SAMPLES)
+            $(BUILD)/fake-upstream $(BUILD)/chalkway-soak $(BUILD)/chalkway-soak-callers $(BUILD)/soak-clock.so $(BUILD)/cut-network.so $(SAMPLES)
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
 SOURCES := $(wildcard *.h *.c io/*.h io/*.c daemon/*.h daemon/*.c gateway/*.h gateway/*.c platform/*.h platform/*.c standins/*.h standins/*.c tools/*.h tools/*.c \
@@ -70,8 +70,11 @@
 $(BUILD)/chalkway-soak: $(BUILD)/tools/soak.o $(BUILD)/tools/soak_site.o $(BUILD)/tools/soak_faults.o $(BUILD)/tools/soak_check.o $(BUILD)/tools/soak_qod.o $(BUILD)/tools/soak_pushback.o $(BUILD)/standins/standin.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
-# The clock of a soak's hosts; never sanitized, since it comes before the sanitizers' own library.
+# Preloaded into hosts: the clock of a soak's hosts, and broken network paths. Never sanitized, since they come before
+# the sanitizers' own library.
 $(BUILD)/soak-clock.so: tests/soak_clock.c
+$(BUILD)/cut-network.so: tests/cut_network.c
+$(BUILD)/%.so:
 	@mkdir -p $(@D)
 	$(CC) -std=c11 -D_GNU_SOURCE $(OPT) $(WARN) -fPIC -shared $< -o $@ -ldl
 
