Log and count what tells a broken path from a server that is down

Hypotheses on hosts that are cut off from all servers read the same in the logs: server-away. The event now says when this host last opened a connection to, and received data from, any server of the pool; chalkway_pool_unreachable and chalkway_pool_opened_age_ms show the same.

--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -147,6 +147,8 @@
 cw_throttled_t cw_balance_throttled(const cw_balance_t* b, int64_t now_ms);
 /* Whether this host's own responses showed a state of the server's rate that is to be sent to the peers. */
 bool cw_balance_has_rate_to_send(const cw_balance_t* b, int64_t now_ms, uint64_t id);
+/* Number of servers that this host takes for unreachable. */
+uint32_t cw_balance_unreachable_count(const cw_balance_t* b);
 /* Whether the server is suspected to be gone, by the reports of all hosts. */
 bool cw_balance_is_suspected(const cw_balance_t* b, int64_t now_ms, uint64_t id);
 /* Returns the id of an unreachable server whose probe is due, and schedules its next one; 0: no probe is due. */
@@ -772,6 +774,10 @@
     s->is_unreachable = is_unreachable;
 }
 
+uint32_t cw_balance_unreachable_count(const cw_balance_t* b) {
+    return b->table.unreachable_count;
+}
+
 bool cw_balance_is_suspected(const cw_balance_t* b, int64_t now_ms, uint64_t id) {
     uint32_t at = cw_balance_find(b, id);
     return at != CW_BALANCE_NONE && cw_suspect_is_active(&b->table.servers[at].suspicion, now_ms);
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -266,8 +266,7 @@
         quarantine_on_crash(x->exchanges->desc.quarantine, &x->fingerprint, x->server);
     }
     if (failure == UPSTREAM_CONN_UNREACHABLE) {
-        cw_log(x->exchanges->desc.log, CW_EVENT_SERVER_AWAY, "server=%s pool=%s peer=%s", x->server_id, x->pool->name,
-               x->server->published.address);
+        server_log_unreachable(x->server, clock_ms());
         exchange_fail_attempt(x, CW_EV_CONNECT_FAILED, CW_TRY_UNREACHABLE, reasons[failure]);
     } else if (x->fsm.state == CW_REQ_CONNECTING) {
         exchange_fail_attempt(x, CW_EV_CONNECT_FAILED, CW_TRY_CANCELLED, reasons[failure]);
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -265,6 +265,10 @@
                             throttled.owned_rates);
         cw_message_add_text(out, "chalkway_pool_ready{pool=\"%s\"} %u\nchalkway_pool_listed{pool=\"%s\"} %u\n",
                             pool->name, pool->ready, pool->name, pool->listed);
+        cw_message_add_text(
+            out, "chalkway_pool_unreachable{pool=\"%s\"} %u\nchalkway_pool_opened_age_ms{pool=\"%s\"} %lld\n",
+            pool->name, cw_balance_unreachable_count(pool->balance), pool->name,
+            pool->opened_ms ? (long long)(clock_ms() - pool->opened_ms) : -1LL);
         cw_message_add_text(out, "chalkway_pool_fullness{pool=\"%s\"} %.3f\n", pool->name,
                             cw_balance_utilization(pool->balance, clock_ms()));
         cw_message_add_text(out, "chalkway_pool_read_ms_per_token{pool=\"%s\"} %.5f\n", pool->name,
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -443,6 +443,14 @@
     }
 }
 
+void server_log_unreachable(const server_t* server, int64_t now_ms) {
+    const pool_t* pool = server->pool;
+    cw_log(pool->upstreams->desc.log, CW_EVENT_SERVER_AWAY,
+           "server=%s pool=%s peer=%s pool_opened_ms_ago=%lld pool_received_ms_ago=%lld", server->published.id,
+           pool->name, server->published.address, pool->opened_ms ? (long long)(now_ms - pool->opened_ms) : -1LL,
+           pool->received_ms ? (long long)(now_ms - pool->received_ms) : -1LL);
+}
+
 void server_log_rate_limit(const server_t* server, int64_t now_ms, double previous_per_s, uint64_t host) {
     double per_s = cw_balance_rate_per_s(server->pool->balance, now_ms, server->key);
     if (per_s != previous_per_s) {
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -69,6 +69,8 @@
     bool is_logged_shared;     /* the shared forecast was in use when that was last logged */
     cw_retry_window_t retries;
     server_t* servers;
+    int64_t opened_ms;                   /* when this host last opened a connection to any of the servers; 0: never */
+    int64_t received_ms;                 /* when this host last received data from any of the servers; 0: never */
     cw_subset_t subset;                  /* the listed servers that are used */
     bool has_expired_servers;            /* a server has expired, so the list of usable servers must be updated */
     uint32_t listed;                     /* servers that are not removed and whose hall is not closed */
@@ -131,6 +133,9 @@
 pool_t* upstreams_pool(const upstreams_t* u, const char* name);
 pool_t* upstreams_pools(const upstreams_t* u);
 server_t* upstreams_server(const upstreams_t* u, uint64_t key);
+/* Logs that no connection to the server could be opened, and when others of its pool were last heard: if none was, the
+   path of this host is a likelier cause than the server. */
+void server_log_unreachable(const server_t* server, int64_t now_ms);
 /* Logs the start or end of a suspicion, if it differs from was_suspected, an earlier result of cw_balance_is_suspected.
    host: id of the host whose report changed it, 0: this host. */
 void server_log_suspicion(const server_t* server, int64_t now_ms, bool was_suspected, uint64_t host);
--- a/gateway/upstream_conn.c
+++ b/gateway/upstream_conn.c
@@ -162,6 +162,7 @@
 
 static void on_data(void* owner, const char* data, size_t size) {
     upstream_conn_t* conn = owner;
+    conn->server->pool->received_ms = clock_ms();
     if (conn->server->presumed_crash_ms) {
         report_alive(conn);
     }
@@ -192,7 +193,8 @@
 static void on_open(void* owner) {
     upstream_conn_t* conn = owner;
     server_t* s = conn->server;
-    double took_ms = (double)(clock_ms() - conn->opened_ms);
+    s->pool->opened_ms = clock_ms();
+    double took_ms = (double)(s->pool->opened_ms - conn->opened_ms);
     s->connect_ms = s->connect_ms > 0 ? s->connect_ms + CONNECT_EWMA_WEIGHT * (took_ms - s->connect_ms) : took_ms;
     ev_timer_stop(s->pool->upstreams->desc.loop, &conn->connect_timer);
     cw_stream_set_peer_timeout(&conn->stream, PEER_TIMEOUT_MS);
