--- a/chalkway_log.h
+++ b/chalkway_log.h
@@ -73,7 +73,12 @@
     CW_EVENT_LINES_LOST = 540,
     CW_EVENT_SERVER_LIMITED = 550,
     CW_EVENT_SERVER_RESTS = 551,
-    CW_EVENT_PUSHBACK_UNREADABLE = 559
+    CW_EVENT_PUSHBACK_UNREADABLE = 559,
+    CW_EVENT_PATH_BROKEN = 560,
+    CW_EVENT_PATH_RESTORED = 561,
+    CW_EVENT_POOL_CUT = 562,
+    CW_EVENT_POOL_REACHED = 563,
+    CW_EVENT_TUNNEL_REFUSED = 564
 } cw_event_t;
 
 typedef struct cw_log_t {
@@ -163,6 +168,11 @@
     {CW_EVENT_LINES_LOST, CW_LOG_WARN, "lines-lost"},
     {CW_EVENT_SERVER_LIMITED, CW_LOG_INFO, "server-limited"},
     {CW_EVENT_SERVER_RESTS, CW_LOG_INFO, "server-rests"},
+    {CW_EVENT_PATH_BROKEN, CW_LOG_WARN, "path-broken"},
+    {CW_EVENT_PATH_RESTORED, CW_LOG_INFO, "path-restored"},
+    {CW_EVENT_POOL_CUT, CW_LOG_WARN, "pool-cut"},
+    {CW_EVENT_POOL_REACHED, CW_LOG_INFO, "pool-reached"},
+    {CW_EVENT_TUNNEL_REFUSED, CW_LOG_WARN, "tunnel-refused"},
     {CW_EVENT_PUSHBACK_UNREADABLE, CW_LOG_WARN, "pushback-unreadable"},
 };
 
--- a/chalkway_member.h
+++ b/chalkway_member.h
@@ -59,7 +59,8 @@
     uint64_t incarnation;
     cw_member_state_t state;
     bool leaving;
-    uint32_t link_mbps; /* bandwidth of its network link, 0: unknown */
+    uint32_t link_mbps;         /* bandwidth of its network link, 0: unknown */
+    uint32_t unreachable_pools; /* pools from which it is cut off, as a set of cw_member_pool_bit */
     char name[CW_NAME_MAX];
     char hall[CW_MEMBER_HALL_MAX];
     char peer[CW_MEMBER_ADDRESS_MAX]; /* IP:PORT for other hosts, TCP and UDP */
@@ -140,6 +141,10 @@
 void cw_members_suspect(cw_members_t* m, int64_t now_ms, uint64_t id);
 /* Sets the configuration revision and free capacity (percent) that this host's messages carry. */
 void cw_members_set_status(cw_members_t* m, int64_t revision, uint32_t free_capacity);
+/* Announces the pools from which this host is cut off, as a set of cw_member_pool_bit. */
+void cw_members_set_unreachable_pools(cw_members_t* m, uint32_t pools);
+/* The pool's bit in a set of pools. Pools may share a bit. */
+uint32_t cw_member_pool_bit(const char* pool);
 /* Number of known members, dead ones included. Index 0 is this host. */
 uint32_t cw_members_count(const cw_members_t* m);
 const cw_member_t* cw_members_at(const cw_members_t* m, uint32_t index);
@@ -534,6 +539,20 @@
     _cw_members_forward_updates(m);
 }
 
+uint32_t cw_member_pool_bit(const char* pool) {
+    return 1U << (cw_name_id(pool) % 32);
+}
+
+void cw_members_set_unreachable_pools(cw_members_t* m, uint32_t pools) {
+    if (m->members[0].info.unreachable_pools == pools) {
+        return;
+    }
+    m->members[0].info.unreachable_pools = pools;
+    m->members[0].info.incarnation++;
+    m->changes++;
+    _cw_members_forward_updates(m);
+}
+
 /* -- probing -------------------------------------------------------------- */
 
 static uint32_t _cw_members_timeout_ms(const cw_members_t* m) {
--- a/chalkway_wire.h
+++ b/chalkway_wire.h
@@ -44,6 +44,8 @@
     CW_MSG_GRANT_LIST,     /* the grants that an entry holds, with their digest */
     CW_MSG_DOCUMENT_PULL,  /* asks for all documents after a revision */
     CW_MSG_DOCUMENT_CHUNK, /* some of the documents that were asked for */
+    CW_MSG_TUNNEL_OPEN,    /* asks the receiver to connect to a server and to forward all further bytes */
+    CW_MSG_TUNNEL_REPLY,   /* whether it did */
     CW_MSG_TYPE_COUNT
 } cw_msg_type_t;
 
@@ -53,6 +55,20 @@
     char cluster[CW_NAME_MAX];
 } cw_hello_t;
 
+/* Identifies the host that asks for a tunnel, and the server, by the key of its incarnation. */
+typedef struct cw_tunnel_open_t {
+    uint64_t host;
+    uint64_t server;
+    char cluster[CW_NAME_MAX];
+} cw_tunnel_open_t;
+
+typedef enum cw_tunnel_result_t {
+    CW_TUNNEL_OPENED = 0,
+    CW_TUNNEL_SERVER_UNREACHABLE, /* the receiver can't connect to the server either */
+    CW_TUNNEL_REFUSED,            /* the receiver opens no tunnel to this server now, or none at all */
+    CW_TUNNEL_RESULT_COUNT
+} cw_tunnel_result_t;
+
 /* One document in a chunk; value NULL: it was deleted. */
 typedef struct cw_document_t {
     const char* key;
@@ -85,6 +101,8 @@
             cw_held_grant_t* held; /* grant list */
         };
         int64_t pull_since;
+        cw_tunnel_open_t tunnel_open;
+        cw_tunnel_result_t tunnel_result;
         cw_document_chunk_t chunk;
     };
 } cw_msg_t;
@@ -242,6 +260,13 @@
     io->is_invalid = io->is_invalid || (io->mode == _CW_IO_UNPACK && !h->host);
 }
 
+static void _cw_fields_tunnel_open(_cw_io_t* io, cw_tunnel_open_t* open) {
+    _cw_io_u64(io, &open->host);
+    _cw_io_u64(io, &open->server);
+    _cw_io_string(io, open->cluster, sizeof(open->cluster));
+    io->is_invalid = io->is_invalid || (io->mode == _CW_IO_UNPACK && (!open->host || !open->server));
+}
+
 static void _cw_fields_slot_request(_cw_io_t* io, cw_slot_request_t* slot_request) {
     _cw_io_u32(io, &slot_request->seq);
     _cw_io_u8(io, &slot_request->tier);
@@ -400,6 +425,12 @@
         case CW_MSG_DOCUMENT_CHUNK:
             _cw_fields_document_chunk(io, &msg->chunk);
             break;
+        case CW_MSG_TUNNEL_OPEN:
+            _cw_fields_tunnel_open(io, &msg->tunnel_open);
+            break;
+        case CW_MSG_TUNNEL_REPLY:
+            msg->tunnel_result = (cw_tunnel_result_t)_cw_io_enum(io, msg->tunnel_result, CW_TUNNEL_RESULT_COUNT);
+            break;
         default:
             io->is_invalid = true;
             break;
@@ -443,6 +474,11 @@
         _cw_fields_member(io, &g->updates[i]);
     }
     _cw_fields_summary(io, &g->summary);
+    /* At the end, so that hosts of earlier versions can read the rest. */
+    _cw_io_u32(io, &g->from.unreachable_pools);
+    for (uint32_t i = 0; i < g->update_count; i++) {
+        _cw_io_u32(io, &g->updates[i].unreachable_pools);
+    }
 }
 
 /* -- frames --------------------------------------------------------------- */
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -401,6 +401,23 @@
     }
 }
 
+/* A request on a direct connection to the pool that has been silent since the path broke, and may be retried. */
+static exchange_t* find_cut(const exchanges_t* e, const pool_t* pool) {
+    exchange_t* x = e->list;
+    while (x && !(x->pool == pool && x->conn && x->sent_ms && upstream_conn_is_open(x->conn) &&
+                  !upstream_conn_is_tunneled(x->conn) && upstream_conn_received_ms(x->conn) < pool->reach.broken_ms &&
+                  exchange_may_retry(x))) {
+        x = x->next;
+    }
+    return x;
+}
+
+void exchanges_on_pool_cut(exchanges_t* e, const pool_t* pool) {
+    for (exchange_t* x = find_cut(e, pool); x; x = find_cut(e, pool)) {
+        exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, CW_TRY_CANCELLED, "the path to the server is broken");
+    }
+}
+
 /* An exchange whose deadlines have not been checked since the last resume from suspend. The list is searched again
    after each one, because handling a deadline may free other exchanges. */
 static exchange_t* next_unchecked(const exchanges_t* e) {
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "../chalkway_stop.h"
+#include "../io/address.h"
 #include "../io/lines.h"
 #include "clock.h"
 #include "endpoints.h"
@@ -23,11 +24,13 @@
 #include "settings.h"
 #include "suspend_detector.h"
 #include "sync.h"
+#include "tunnel.h"
 #include "upstream.h"
 
 #define TICK_S 0.025
 #define LOG_BUFFER_BYTES 262144     /* log lines that a slow reader of standard output has not taken yet */
 #define DESCRIPTORS_RESERVED 64     /* for all but connections of callers and to servers */
+#define TUNNELS_DIVISOR 8           /* an eighth of the sockets may belong to tunnels, two to each */
 #define BODY_MEMORY_DIVISOR 4       /* a quarter of the memory may hold request bodies */
 #define STOP_MAX_ACCEPT_SHARE 0.375 /* of the grace period: longest time to accept requests while others run */
 #define STOP_MIN_ACCEPT_SHARE 0.25  /* shortest time to accept requests, since callers keep using the address */
@@ -52,6 +55,7 @@
     sync_t* sync;
     mesh_t* mesh;
     inventory_t* inventory;
+    tunnels_t* tunnels; /* for other hosts */
     endpoints_t* endpoints;
     cw_catalog_t* catalog; /* active one, NULL: none yet */
     ev_timer tick;
@@ -106,6 +110,29 @@
     mesh_on_liveness(((gateway_t*)user)->mesh, server);
 }
 
+static const cw_member_info_t* choose_tunnel_host(void* user, const pool_t* pool, uint64_t key,
+                                                  const uint64_t* excluded, uint32_t excluded_count) {
+    return mesh_choose_tunnel_host(((gateway_t*)user)->mesh, pool->name, key, excluded, excluded_count);
+}
+
+static bool is_host(void* user, const struct sockaddr_in* address) {
+    return mesh_has_host_at(((gateway_t*)user)->mesh, address);
+}
+
+/* This host has lost or regained the path to a pool. Other hosts learn of it, so that they don't ask this one for
+   tunnels there. */
+static void on_reach_changed(void* user, pool_t* changed) {
+    gateway_t* g = user;
+    uint32_t unreachable = 0;
+    for (pool_t* pool = upstreams_pools(g->upstreams); pool; pool = pool->next) {
+        unreachable |= pool->reach.is_cut ? cw_member_pool_bit(pool->name) : 0;
+    }
+    mesh_set_unreachable_pools(g->mesh, unreachable);
+    if (changed->reach.is_cut) {
+        exchanges_on_pool_cut(g->exchanges, changed);
+    }
+}
+
 static void on_server_alive(void* user, const server_t* server) {
     quarantine_on_server_alive(((gateway_t*)user)->quarantine, server);
 }
@@ -255,6 +282,13 @@
                         (unsigned long long)q.requests_quarantined, (unsigned long long)q.requests.evicted);
     cw_message_add_text(out, "chalkway_marks_told_total %llu\nchalkway_marks_heard_total %llu\n",
                         (unsigned long long)q.observations_sent, (unsigned long long)q.observations_received);
+    tunnels_stats_t t = tunnels_stats(g->tunnels);
+    cw_message_add_text(out, "chalkway_tunnels_used_total %llu\nchalkway_tunnels_open %u\n",
+                        (unsigned long long)upstreams_tunnels_opened(g->upstreams), t.open);
+    cw_message_add_text(out,
+                        "chalkway_tunnels_opened_total %llu\nchalkway_tunnels_refused_total %llu\n"
+                        "chalkway_tunnel_bytes_total %llu\n",
+                        (unsigned long long)t.opened, (unsigned long long)t.refused, (unsigned long long)t.bytes);
     cw_message_add_text(out, "chalkway_log_lines_lost_total %lu\n", g->lines.dropped_total);
     for (pool_t* pool = upstreams_pools(g->upstreams); pool; pool = pool->next) {
         cw_throttled_t throttled = cw_balance_throttled(pool->balance, clock_ms());
@@ -269,6 +303,8 @@
             out, "chalkway_pool_unreachable{pool=\"%s\"} %u\nchalkway_pool_opened_age_ms{pool=\"%s\"} %lld\n",
             pool->name, cw_balance_unreachable_count(pool->balance), pool->name,
             pool->opened_ms ? (long long)(clock_ms() - pool->opened_ms) : -1LL);
+        cw_message_add_text(out, "chalkway_pool_cut{pool=\"%s\"} %d\nchalkway_pool_broken_paths{pool=\"%s\"} %u\n",
+                            pool->name, pool->reach.is_cut, pool->name, pool->reach.broken_count);
         cw_message_add_text(out, "chalkway_pool_fullness{pool=\"%s\"} %.3f\n", pool->name,
                             cw_balance_utilization(pool->balance, clock_ms()));
         cw_message_add_text(out, "chalkway_pool_read_ms_per_token{pool=\"%s\"} %.5f\n", pool->name,
@@ -294,7 +330,8 @@
 /* A planned stop: callers are asked to use other hosts first, then new requests are refused, then the process exits.
    After ev_break the loop still handles the remaining events of this iteration. */
 static void check_stop(gateway_t* g, int64_t now_ms) {
-    cw_stop_phase_t phase = cw_stop_update(&g->stop, now_ms, exchanges_stats(g->exchanges).active);
+    uint32_t active = exchanges_stats(g->exchanges).active + tunnels_stats(g->tunnels).busy;
+    cw_stop_phase_t phase = cw_stop_update(&g->stop, now_ms, active);
     if (phase >= CW_STOP_REFUSING) {
         exchanges_refuse_new(g->exchanges);
     }
@@ -339,6 +376,7 @@
     cw_log(&g->log, CW_EVENT_STOPPING, "active=%u", exchanges_stats(g->exchanges).active);
     frontend_drain(g->front);
     mesh_leave(g->mesh);
+    tunnels_drain(g->tunnels);
 }
 
 /* Reads the settings again and applies those that may change while the process runs: the level and format of the log,
@@ -392,6 +430,7 @@
     mesh_tick(g->mesh, now_ms);
     sync_tick(g->sync, now_ms);
     upstreams_tick(g->upstreams, now_ms);
+    tunnels_tick(g->tunnels);
     quarantine_tick(g->quarantine);
     inventory_tick(g->inventory, now_ms);
     for (pool_t* pool = upstreams_pools(g->upstreams); pool && exchanges_stats(g->exchanges).waiting;
@@ -407,6 +446,14 @@
 
 /* -- setup ---------------------------------------------------------------- */
 
+/* The IP address of "IP:PORT", with port 0. */
+static struct sockaddr_in address_of(const char* text) {
+    struct sockaddr_in address = {.sin_family = AF_INET};
+    cw_addr_parse(text, &address, NULL);
+    address.sin_port = 0;
+    return address;
+}
+
 static bool setup_modules(gateway_t* g, const source_t* source, cw_error_t* err) {
     const gateway_settings_t* s = &g->settings;
     uint64_t host = cw_name_id(s->name);
@@ -426,6 +473,10 @@
                                                        .owns_server = owns_server,
                                                        .on_server_alive = on_server_alive,
                                                        .on_pushback = on_pushback,
+                                                       .on_reach_changed = on_reach_changed,
+                                                       .choose_tunnel_host = choose_tunnel_host,
+                                                       .tunnel_source = address_of(s->peer),
+                                                       .cluster = s->cluster,
                                                        .on_slot_free = on_slot_free,
                                                        .user_data = g});
     g->quarantine = quarantine_setup(&(quarantine_desc_t){.log = &g->log,
@@ -456,22 +507,32 @@
                                         .observations = observations,
                                         .user_data = g},
                          err);
-    g->sync = !g->mesh ? NULL
-                       : sync_setup(&(sync_desc_t){.loop = g->loop,
-                                                   .log = &g->log,
-                                                   .source = source,
-                                                   .address = s->source,
-                                                   .share = s->share,
-                                                   .share_connections = sockets / 8,
-                                                   .seed = cw_mix(host, (uint64_t)clock_ms()),
-                                                   .closed_poll_age_ms = s->close_ms / CLOSED_POLLS,
-                                                   .poll_age_ms = s->poll_age_ms,
-                                                   .last_rank_poll_age_ms = gateway_settings_last_rank_age_ms(s),
-                                                   .is_first_start = s->first_start != 0,
-                                                   .on_catalog = on_catalog,
-                                                   .on_servers = on_servers,
-                                                   .user_data = g},
-                                    err);
+    g->tunnels = !g->mesh ? NULL
+                          : tunnels_setup(&(tunnels_desc_t){.loop = g->loop,
+                                                            .log = &g->log,
+                                                            .upstreams = g->upstreams,
+                                                            .address = s->peer,
+                                                            .cluster = s->cluster,
+                                                            .max_tunnels = sockets / TUNNELS_DIVISOR,
+                                                            .is_host = is_host,
+                                                            .user_data = g},
+                                          err);
+    g->sync = !g->tunnels ? NULL
+                          : sync_setup(&(sync_desc_t){.loop = g->loop,
+                                                      .log = &g->log,
+                                                      .source = source,
+                                                      .address = s->source,
+                                                      .share = s->share,
+                                                      .share_connections = sockets / 8,
+                                                      .seed = cw_mix(host, (uint64_t)clock_ms()),
+                                                      .closed_poll_age_ms = s->close_ms / CLOSED_POLLS,
+                                                      .poll_age_ms = s->poll_age_ms,
+                                                      .last_rank_poll_age_ms = gateway_settings_last_rank_age_ms(s),
+                                                      .is_first_start = s->first_start != 0,
+                                                      .on_catalog = on_catalog,
+                                                      .on_servers = on_servers,
+                                                      .user_data = g},
+                                       err);
     g->inventory = inventory_setup(&(inventory_desc_t){.loop = g->loop,
                                                        .log = &g->log,
                                                        .dialect = g->dialect,
@@ -544,6 +605,7 @@
     endpoints_shutdown(g->endpoints);
     inventory_shutdown(g->inventory);
     sync_shutdown(g->sync);
+    tunnels_shutdown(g->tunnels);
     mesh_shutdown(g->mesh);
     upstreams_shutdown(g->upstreams);
     cw_catalog_release(g->catalog);
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -135,12 +135,6 @@
     send_gossip(m);
 }
 
-static void on_message(void* user, uint64_t from, const cw_msg_t* msg) {
-    (void)user;
-    (void)from;
-    (void)msg;
-}
-
 static void on_protocol_error(void* user, const cw_error_t* err) {
     mesh_t* m = user;
     cw_log(m->desc.log, CW_EVENT_PEER_REFUSED, "step=%s peer=%s reason=\"%s\"", err->step, err->peer, err->message);
@@ -180,6 +174,56 @@
     return true;
 }
 
+/* -- tunnels -------------------------------------------------------------- */
+
+void mesh_set_unreachable_pools(mesh_t* m, uint32_t pools) {
+    cw_members_set_unreachable_pools(m->members, pools);
+    send_gossip(m);
+    update_members(m);
+}
+
+static bool is_excluded(uint64_t id, const uint64_t* excluded, uint32_t count) {
+    for (uint32_t i = 0; i < count; i++) {
+        if (excluded[i] == id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+const cw_member_info_t* mesh_choose_tunnel_host(const mesh_t* m, const char* pool, uint64_t key,
+                                                const uint64_t* excluded, uint32_t excluded_count) {
+    const cw_member_info_t* best = NULL;
+    uint64_t best_score = 0;
+    bool is_best_near = false;
+    uint32_t pool_bit = cw_member_pool_bit(pool);
+    for (uint32_t i = 1; i < cw_members_count(m->members); i++) {
+        const cw_member_t* member = cw_members_at(m->members, i);
+        bool is_near = !excluded_count && strcmp(member->info.hall, m->desc.settings->hall) == 0;
+        uint64_t score = cw_mix(member->info.id, key);
+        bool is_better = is_near != is_best_near ? is_near : score > best_score;
+        if (is_better && is_alive(member) && !member->info.leaving && !(member->info.unreachable_pools & pool_bit) &&
+            !is_excluded(member->info.id, excluded, excluded_count)) {
+            best = &member->info;
+            best_score = score;
+            is_best_near = is_near;
+        }
+    }
+    return best;
+}
+
+bool mesh_has_host_at(const mesh_t* m, const struct sockaddr_in* address) {
+    for (uint32_t i = 1; i < cw_members_count(m->members); i++) {
+        const cw_member_t* member = cw_members_at(m->members, i);
+        struct sockaddr_in peer;
+        if (member->info.state != CW_MEMBER_DEAD && cw_addr_parse(member->info.peer, &peer, NULL) == CW_OK &&
+            peer.sin_addr.s_addr == address->sin_addr.s_addr) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* -- interface ------------------------------------------------------------ */
 
 void mesh_announce(mesh_t* m, int64_t revision, uint32_t free_capacity) {
@@ -291,8 +335,6 @@
                                                                 .address = desc->settings->peer,
                                                                 .cluster = desc->settings->cluster,
                                                                 .host = m->host,
-                                                                .max_links = 4,
-                                                                .on_message = on_message,
                                                                 .on_gossip = on_gossip,
                                                                 .on_protocol_error = on_protocol_error,
                                                                 .user_data = m},
--- a/gateway/mesh.h
+++ b/gateway/mesh.h
@@ -4,6 +4,8 @@
     The other daemons of the cluster: which are alive (chalkway_member.h over the peer address) and, by reporter.h,
    their load at the servers. All hosts of a cluster use the same ports.
 */
+#include <netinet/in.h>
+
 #include "../chalkway_log.h"
 #include "../chalkway_member.h"
 #include "reporter.h"
@@ -56,6 +58,16 @@
 /* Announces that this host is leaving: the others no longer return it in lookups. */
 void mesh_leave(mesh_t* m);
 void mesh_tick(mesh_t* m, int64_t now_ms);
+/* Announces the pools from which this host is cut off, as a set of cw_member_pool_bit. */
+void mesh_set_unreachable_pools(mesh_t* m, uint32_t pools);
+/* A host through which this one can reach servers of the pool: alive, not leaving, not cut off from the pool itself and
+   none of the excluded ones. The first choice is in the own hall if possible; a hall may be cut off as a whole, so a
+   further one (excluded_count above 0) is in any hall. The same key gives the same host while the hosts stay the
+   same. NULL: there is none. */
+const cw_member_info_t* mesh_choose_tunnel_host(const mesh_t* m, const char* pool, uint64_t key,
+                                                const uint64_t* excluded, uint32_t excluded_count);
+/* Whether a host that is not dead has this IP address. */
+bool mesh_has_host_at(const mesh_t* m, const struct sockaddr_in* address);
 /* Writes the addresses for callers of the hosts that are alive: only those of the hall if it has enough, else those of
    all halls. hall NULL: all halls. Returns their number. */
 uint32_t mesh_caller_addresses(const mesh_t* m, const char* hall, bool includes_self, const char** out, uint32_t max);
--- a/gateway/pushback.c
+++ b/gateway/pushback.c
@@ -87,6 +87,10 @@
     }
 }
 
+void upstreams_on_response_head(server_t* s, const cw_message_t* head, int64_t sent_ms) {
+    server_read_pushback(s, head, sent_ms);
+}
+
 void server_read_pushback(server_t* s, const cw_message_t* head, int64_t sent_ms) {
     if (is_from_server(s, head)) {
         read_leaving(s, head);
--- a/gateway/settings.c
+++ b/gateway/settings.c
@@ -24,7 +24,7 @@
      "address at which callers look up the hosts to use"},
     {"listen", "metrics", CW_SETTING_TEXT, AT(metrics), "", 0, 0, "address of the metrics, none when empty"},
     {"listen", "peer", CW_SETTING_ADDRESS, AT(peer), NULL, 0, 0,
-     "address for membership, TCP and UDP; all hosts use the same ports"},
+     "address for membership (UDP) and tunnels (TCP); all hosts use the same ports"},
     {"listen", "load", CW_SETTING_ADDRESS, AT(load), NULL, 0, 0, "address for load reports between hosts, UDP"},
     {"listen", "share", CW_SETTING_ADDRESS, AT(share), NULL, 0, 0, "address at which peers read the configuration"},
     {"peers", "seeds", CW_SETTING_TEXT, AT(seeds), "", 0, 0, "addresses to join, separated by commas"},
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -29,6 +29,7 @@
 }
 
 static void server_free(upstreams_t* u, server_t* s) {
+    upstream_path_forget(s);
     for (uint32_t i = 0; s->is_watched && i < u->watched_count; i++) {
         if (u->watched[i] == s) {
             u->watched[i] = u->watched[--u->watched_count];
@@ -431,6 +432,10 @@
     return u->rejected_total;
 }
 
+uint64_t upstreams_tunnels_opened(const upstreams_t* u) {
+    return u->tunnels_opened;
+}
+
 uint64_t upstreams_connections_opened(const upstreams_t* u) {
     return u->conns_opened;
 }
@@ -586,6 +591,7 @@
             pool_update_servers(pool, now_ms);
             pool->has_expired_servers = false;
         }
+        upstream_path_tick(pool, now_ms);
         uint64_t key = pool->health_path[0] ? cw_balance_next_probe(pool->balance, now_ms) : 0;
         server_t* unreachable = upstreams_server(u, key);
         if (unreachable && !unreachable->is_probing && !unreachable->is_removed) {
@@ -610,6 +616,7 @@
 }
 
 void upstreams_shutdown(upstreams_t* u) {
+    u->desc.on_reach_changed = NULL;
     while (u->pools) {
         pool_t* pool = u->pools;
         u->pools = pool->next;
@@ -625,6 +632,9 @@
     upstream_conn_free_closed(u);
     cw_map_shutdown(&u->by_key);
     cw_map_shutdown(&u->by_id);
+    if (u->wire) {
+        cw_wire_shutdown(u->wire);
+    }
     free(u->servers);
     free(u->free_indexes);
     free(u->watched);
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -17,7 +17,9 @@
 #include "../chalkway_catalog.h"
 #include "../chalkway_limit.h"
 #include "../chalkway_log.h"
+#include "../chalkway_member.h"
 #include "../chalkway_pushback.h"
+#include "../chalkway_reach.h"
 #include "../chalkway_servers.h"
 #include "../chalkway_subset.h"
 #include "../io/message.h"
@@ -47,6 +49,9 @@
     int64_t expires_at_ms; /* while the server is not listed: time at which it counts as removed */
     bool is_probing;
     bool is_watched;             /* upstreams_tick checks it */
+    bool is_path_broken;         /* this host can't connect to it, but another host can */
+    int64_t path_checked_ms;     /* time of the last check of the path; 0: never */
+    uint32_t busy_conns;         /* connections that wait for a response or receive one */
     int64_t presumed_crash_ms;   /* time of a presumed crash, which data on an older connection disproves; 0: none */
     uint32_t conn_count;         /* number of connections */
     upstream_conn_t* idle_conns; /* most recently used first */
@@ -69,9 +74,13 @@
     bool is_logged_shared;     /* the shared forecast was in use when that was last logged */
     cw_retry_window_t retries;
     server_t* servers;
-    int64_t opened_ms;                   /* when this host last opened a connection to any of the servers; 0: never */
-    int64_t received_ms;                 /* when this host last received data from any of the servers; 0: never */
-    cw_subset_t subset;                  /* the listed servers that are used */
+    int64_t opened_ms;          /* when this host last opened a connection to any of the servers; 0: never */
+    int64_t received_ms;        /* when this host last received data from any of the servers; 0: never */
+    cw_subset_t subset;         /* the listed servers that are used */
+    uint32_t busy_conns;        /* connections that wait for a response or receive one */
+    int64_t busy_since_ms;      /* since when there has been any */
+    int64_t silence_checked_ms; /* time of the last path check because no server sent anything */
+    cw_reach_t reach;
     bool has_expired_servers;            /* a server has expired, so the list of usable servers must be updated */
     uint32_t listed;                     /* servers that are not removed and whose hall is not closed */
     uint32_t ready;                      /* servers that may be chosen */
@@ -114,6 +123,13 @@
     void (*on_server_alive)(void* user_data, const server_t* server);
     /* A server's advertised rate changed, or it announced that it leaves; notify the other hosts. May be NULL. */
     void (*on_pushback)(void* user_data, const server_t* server);
+    /* This host has lost or regained the network path to all servers of the pool (pool->reach.is_cut). May be NULL. */
+    void (*on_reach_changed)(void* user_data, pool_t* pool);
+    /* A host through which servers of the pool can be reached; see mesh_choose_tunnel_host. May be NULL. */
+    const cw_member_info_t* (*choose_tunnel_host)(void* user_data, const pool_t* pool, uint64_t key,
+                                                  const uint64_t* excluded, uint32_t excluded_count);
+    struct sockaddr_in tunnel_source; /* address of this host from which it connects to others, port 0 */
+    const char* cluster;              /* named in requests for a tunnel */
     /* A slot may be free in the pool. */
     void (*on_slot_free)(void* user_data, pool_t* pool);
     void* user_data;
@@ -148,12 +164,19 @@
 void upstreams_mark_leaving(upstreams_t* u, int64_t now_ms, server_t* server);
 /* Treats this incarnation as ended until a server list says otherwise. */
 void upstreams_mark_retired(upstreams_t* u, int64_t now_ms, server_t* server);
+/* Longest time that connecting to the server may take. */
+double upstreams_connect_limit_ms(const server_t* server);
+/* A response of the server passed through this host: what it announces about its server is applied. sent_ms: when its
+   request was forwarded. */
+void upstreams_on_response_head(server_t* server, const cw_message_t* head, int64_t sent_ms);
 /* The host resumed from suspend: closes idle connections, which servers may have closed meanwhile without notice. */
 void upstreams_on_resume(upstreams_t* u);
 /* Closes expired idle connections, removes expired servers and probes unreachable ones. */
 void upstreams_tick(upstreams_t* u, int64_t now_ms);
 uint32_t upstreams_connections(const upstreams_t* u);
 uint64_t upstreams_connections_opened(const upstreams_t* u);
+/* Connections to servers that were opened through other hosts. */
+uint64_t upstreams_tunnels_opened(const upstreams_t* u);
 /* How often a listed server was rejected because max_servers were known. */
 uint64_t upstreams_servers_rejected(const upstreams_t* u);
 /* Uses a larger subset of the pool, because a request found no free slot in the current one. False: the whole pool is
@@ -166,6 +189,10 @@
 upstream_conn_t* upstream_conn_acquire(server_t* server, const upstream_conn_handlers_t* handlers, void* owner,
                                        bool at_most_once);
 bool upstream_conn_is_open(const upstream_conn_t* conn);
+/* Whether the connection goes through another host. */
+bool upstream_conn_is_tunneled(const upstream_conn_t* conn);
+/* When the server last sent data over this connection; 0: never. */
+int64_t upstream_conn_received_ms(const upstream_conn_t* conn);
 /* Sends a request. is_bodiless: its response has no body, whatever its head says. */
 void upstream_conn_send(upstream_conn_t* conn, const char* request_id, bool is_bodiless, const cw_buffer_t* head,
                         const void* body, size_t size);
--- a/gateway/upstream_conn.c
+++ b/gateway/upstream_conn.c
@@ -19,6 +19,9 @@
    arrives earlier may have been in flight, or retransmitted by the server's kernel. */
 #define ALIVE_DELAY_MS 300
 
+static void conn_opened(upstream_conn_t* conn);
+static void handle_connect_failure(upstream_conn_t* conn);
+
 /* -- lifetime of a connection --------------------------------------------- */
 
 /* Informs the balancer, which prefers servers with an idle connection. */
@@ -38,11 +41,27 @@
     update_idle(conn->server);
 }
 
+/* Counts connections that owe a response. */
+static void set_busy(upstream_conn_t* conn, bool is_busy) {
+    server_t* s = conn->server;
+    if (conn->is_busy == is_busy) {
+        return;
+    }
+    conn->is_busy = is_busy;
+    s->busy_conns += is_busy ? 1U : -1U;
+    s->pool->busy_conns += is_busy ? 1U : -1U;
+    if (is_busy && s->pool->busy_conns == 1) {
+        s->pool->busy_since_ms = clock_ms();
+    }
+}
+
 static void conn_free(upstream_conn_t* conn) {
     server_t* s = conn->server;
     upstreams_t* u = s->pool->upstreams;
     cw_stream_close(&conn->stream);
     ev_timer_stop(u->desc.loop, &conn->connect_timer);
+    set_busy(conn, false);
+    cw_buffer_free(&conn->path.reply);
     s->conn_count--;
     u->conn_total--;
     conn->owner = NULL;
@@ -160,9 +179,30 @@
     }
 }
 
+/* Handles the reply of a host that was asked for a tunnel. */
+static void handle_tunnel_reply(upstream_conn_t* conn, const char* data, size_t size) {
+    switch (upstream_path_read_reply(conn, data, size)) {
+        case TUNNEL_REPLY_INCOMPLETE:
+            break;
+        case TUNNEL_REPLY_OPENED:
+            conn_opened(conn);
+            break;
+        case TUNNEL_REPLY_UNREACHABLE:
+            conn_break(conn, UPSTREAM_CONN_UNREACHABLE);
+            break;
+        case TUNNEL_REPLY_FAILED:
+            handle_connect_failure(conn);
+            break;
+    }
+}
+
 static void on_data(void* owner, const char* data, size_t size) {
     upstream_conn_t* conn = owner;
-    conn->server->pool->received_ms = clock_ms();
+    if (conn->path.phase == CONN_TUNNEL_OPENING) {
+        handle_tunnel_reply(conn, data, size);
+        return;
+    }
+    conn->received_ms = conn->server->pool->received_ms = clock_ms();
     if (conn->server->presumed_crash_ms) {
         report_alive(conn);
     }
@@ -175,6 +215,10 @@
 
 static void on_end(void* owner, cw_stream_end_reason_t end) {
     upstream_conn_t* conn = owner;
+    if (conn->path.phase != CONN_OPEN) {
+        handle_connect_failure(conn);
+        return;
+    }
     if (conn->owner && end == CW_STREAM_PEER_CLOSED && conn->is_request_sent && !conn->is_skipping) {
         cw_message_on_close(&conn->response);
         if (conn->response.state == CW_MESSAGE_COMPLETE) {
@@ -183,39 +227,98 @@
             return;
         }
     }
-    upstream_conn_failure_t failure = end == CW_STREAM_CONNECT_FAILED ? UPSTREAM_CONN_UNREACHABLE
-                                      : end == CW_STREAM_RESET        ? UPSTREAM_CONN_RESET
-                                      : end == CW_STREAM_CONN_LOST    ? UPSTREAM_CONN_LOST
-                                                                      : UPSTREAM_CONN_CLOSED;
+    upstream_conn_failure_t failure = end == CW_STREAM_RESET       ? UPSTREAM_CONN_RESET
+                                      : end == CW_STREAM_CONN_LOST ? UPSTREAM_CONN_LOST
+                                                                   : UPSTREAM_CONN_CLOSED;
     conn_break(conn, failure);
 }
 
+static void add_idle(upstream_conn_t* conn) {
+    conn->idle_since_ms = clock_ms();
+    conn->next_conn = conn->server->idle_conns;
+    conn->server->idle_conns = conn;
+    update_idle(conn->server);
+}
+
+static void conn_opened(upstream_conn_t* conn) {
+    server_t* s = conn->server;
+    const upstreams_desc_t* desc = &s->pool->upstreams->desc;
+    bool is_spare = !conn->owner;
+    conn->path.phase = CONN_OPEN;
+    s->pool->opened_ms = clock_ms();
+    ev_timer_stop(desc->loop, &conn->connect_timer);
+    cw_stream_set_peer_timeout(&conn->stream, PEER_TIMEOUT_MS);
+    if (is_spare) {
+        add_idle(conn);
+    }
+    upstream_path_on_open(conn);
+    if (is_spare) {
+        desc->on_slot_free(desc->user_data, s->pool);
+    } else {
+        conn->handlers->on_open(conn->owner);
+    }
+}
+
 static void on_open(void* owner) {
     upstream_conn_t* conn = owner;
     server_t* s = conn->server;
-    s->pool->opened_ms = clock_ms();
-    double took_ms = (double)(s->pool->opened_ms - conn->opened_ms);
+    if (conn->path.phase == CONN_TUNNEL_CONNECTING) {
+        upstream_path_request_tunnel(conn);
+        return;
+    }
+    double took_ms = (double)(clock_ms() - conn->opened_ms);
     s->connect_ms = s->connect_ms > 0 ? s->connect_ms + CONNECT_EWMA_WEIGHT * (took_ms - s->connect_ms) : took_ms;
-    ev_timer_stop(s->pool->upstreams->desc.loop, &conn->connect_timer);
-    cw_stream_set_peer_timeout(&conn->stream, PEER_TIMEOUT_MS);
-    conn->handlers->on_open(conn->owner);
+    conn_opened(conn);
 }
 
 static const cw_stream_handlers_t stream_handlers = {.on_open = on_open, .on_data = on_data, .on_end = on_end};
 
+/* The connection could not be opened in this way: tries the next one. */
+static void handle_connect_failure(upstream_conn_t* conn) {
+    if (conn->path.is_tunneled) {
+        upstream_path_tunnel_failed(conn);
+    } else {
+        conn->path.has_direct_failed = true;
+    }
+    ev_timer_stop(conn->server->pool->upstreams->desc.loop, &conn->connect_timer);
+    cw_stream_close(&conn->stream);
+    if (!upstream_path_start_tunnel(conn)) {
+        conn_break(conn, UPSTREAM_CONN_UNREACHABLE);
+    }
+}
+
 static void on_connect_timeout(struct ev_loop* loop, ev_timer* w, int events) {
     (void)loop;
     (void)events;
-    conn_break(w->data, UPSTREAM_CONN_UNREACHABLE);
+    upstream_conn_t* conn = w->data;
+    conn->path.was_silent = conn->path.was_silent || !conn->path.is_tunneled;
+    handle_connect_failure(conn);
 }
 
-static double connect_limit_ms(const server_t* s) {
+double upstreams_connect_limit_ms(const server_t* s) {
     double limit = s->connect_ms * CONNECT_TIMEOUT_FACTOR;
     limit = limit < CONNECT_TIMEOUT_MIN_MS ? CONNECT_TIMEOUT_MIN_MS : limit;
     return limit > CONNECT_TIMEOUT_MAX_MS ? CONNECT_TIMEOUT_MAX_MS : limit;
 }
 
-static upstream_conn_t* conn_new(server_t* s, const upstream_conn_handlers_t* handlers, void* owner) {
+bool upstream_conn_connect(upstream_conn_t* conn, const struct sockaddr_in* address) {
+    server_t* s = conn->server;
+    upstreams_t* u = s->pool->upstreams;
+    bool is_direct = address == &s->address;
+    /* A tunnel takes a connection to its host and one from there to the server. */
+    double limit_ms =
+        is_direct ? upstreams_connect_limit_ms(s) : upstreams_connect_limit_ms(s) + CONNECT_TIMEOUT_MIN_MS;
+    if (cw_stream_connect_from(&conn->stream, u->desc.loop, is_direct ? NULL : &u->desc.tunnel_source, address,
+                               &stream_handlers, conn) != CW_OK) {
+        return false;
+    }
+    ev_timer_set(&conn->connect_timer, limit_ms / MS_PER_S, 0.0);
+    ev_timer_start(u->desc.loop, &conn->connect_timer);
+    return true;
+}
+
+static upstream_conn_t* conn_new(server_t* s, const upstream_conn_handlers_t* handlers, void* owner,
+                                 bool is_direct_only) {
     upstreams_t* u = s->pool->upstreams;
     upstream_conn_t* conn = calloc(1, sizeof(*conn));
     if (!conn) {
@@ -226,14 +329,15 @@
     conn->owner = owner;
     conn->opened_ms = clock_ms();
     conn->idle_timeout_ms = IDLE_TIMEOUT_DEFAULT_MS;
-    if (cw_stream_connect(&conn->stream, u->desc.loop, &s->address, &stream_handlers, conn) != CW_OK) {
+    conn->path.is_direct_only = is_direct_only;
+    ev_timer_init(&conn->connect_timer, on_connect_timeout, 0.0, 0.0);
+    conn->connect_timer.data = conn;
+    bool prefers_tunnel = !is_direct_only && upstream_path_prefers_tunnel(s);
+    if (!(prefers_tunnel && upstream_path_start_tunnel(conn)) && !upstream_conn_connect(conn, &s->address)) {
         free(conn);
         return NULL;
     }
     cw_message_setup(&conn->response, CW_MESSAGE_RESPONSE, &response_handlers, conn);
-    ev_timer_init(&conn->connect_timer, on_connect_timeout, connect_limit_ms(s) / MS_PER_S, 0.0);
-    conn->connect_timer.data = conn;
-    ev_timer_start(u->desc.loop, &conn->connect_timer);
     s->conn_count++;
     u->conn_total++;
     u->conns_opened++;
@@ -276,11 +380,19 @@
     if (s->conn_count >= conn_limit(s) || u->conn_total >= u->desc.max_conns) {
         return NULL;
     }
-    return conn_new(s, handlers, owner);
+    return conn_new(s, handlers, owner, false);
 }
 
 bool upstream_conn_is_open(const upstream_conn_t* conn) {
-    return !conn->stream.is_connecting;
+    return conn->path.phase == CONN_OPEN;
+}
+
+bool upstream_conn_is_tunneled(const upstream_conn_t* conn) {
+    return conn->path.is_tunneled;
+}
+
+int64_t upstream_conn_received_ms(const upstream_conn_t* conn) {
+    return conn->received_ms;
 }
 
 void upstream_conn_send(upstream_conn_t* conn, const char* request_id, bool is_bodiless, const cw_buffer_t* head,
@@ -289,6 +401,7 @@
     cw_message_reset(&conn->response);
     conn->response.is_bodiless = is_bodiless;
     conn->is_request_sent = true;
+    set_busy(conn, true);
     conn->sent_ms = clock_ms();
     cw_stream_write(&conn->stream, head->data, head->size);
     cw_stream_write(&conn->stream, body, size);
@@ -300,24 +413,27 @@
 }
 
 void upstream_conn_release(upstream_conn_t* conn) {
-    if (conn->must_close || conn->server->is_removed || conn->stream.fd < 0) {
+    set_busy(conn, false);
+    bool is_detour = conn->path.is_tunneled && !upstream_path_prefers_tunnel(conn->server);
+    if (conn->must_close || conn->server->is_removed || conn->stream.fd < 0 || is_detour) {
         upstream_conn_close(conn);
         return;
     }
     cw_message_reset(&conn->response);
     conn->owner = NULL;
-    conn->idle_since_ms = clock_ms();
-    conn->next_conn = conn->server->idle_conns;
-    conn->server->idle_conns = conn;
-    update_idle(conn->server);
+    add_idle(conn);
 }
 
 /* -- idle connections ----------------------------------------------------- */
 
+static bool is_expired(const upstream_conn_t* conn, int64_t now_ms) {
+    return now_ms - conn->idle_since_ms > idle_limit_ms(conn, false);
+}
+
 void upstream_conn_close_idle(server_t* s, int64_t now_ms, bool closes_all) {
     for (upstream_conn_t** at = &s->idle_conns; *at;) {
         upstream_conn_t* conn = *at;
-        if (closes_all || now_ms - conn->idle_since_ms > idle_limit_ms(conn, false)) {
+        if (closes_all || is_expired(conn, now_ms)) {
             *at = conn->next_conn;
             conn_free(conn);
         } else {
@@ -326,3 +442,22 @@
     }
     update_idle(s);
 }
+
+void upstream_conn_close_idle_direct(server_t* s) {
+    for (upstream_conn_t** at = &s->idle_conns; *at;) {
+        upstream_conn_t* conn = *at;
+        if (!conn->path.is_tunneled) {
+            *at = conn->next_conn;
+            conn_free(conn);
+        } else {
+            at = &conn->next_conn;
+        }
+    }
+    update_idle(s);
+}
+
+void upstream_conn_open_spare(server_t* s, bool is_direct_only) {
+    if (s->conn_count < conn_limit(s) && s->pool->upstreams->conn_total < s->pool->upstreams->desc.max_conns) {
+        conn_new(s, NULL, NULL, is_direct_only);
+    }
+}
--- a/gateway/upstream_internal.h
+++ b/gateway/upstream_internal.h
@@ -5,11 +5,40 @@
     connections to one server, pushback.c what servers announce in their responses.
 */
 #include "../chalkway_map.h"
+#include "../chalkway_wire.h"
 #include "upstream.h"
 
 #define LEAVING_KEYS_MAX 1024
 #define SERVERS_MAX_DEFAULT 4096 /* default of upstreams_desc_t.max_servers */
 
+#define TUNNEL_ATTEMPTS_MAX 2 /* hosts that are asked for a tunnel before a server counts as unreachable */
+#define TUNNEL_FAILURES_MAX 8 /* hosts remembered because they opened no tunnel */
+
+typedef enum conn_phase_t {
+    CONN_CONNECTING = 0,    /* to the server */
+    CONN_TUNNEL_CONNECTING, /* to a host that is to open a tunnel to the server */
+    CONN_TUNNEL_OPENING,    /* the host has been asked and has not replied yet */
+    CONN_OPEN
+} conn_phase_t;
+
+/* How the connection reaches its server. */
+typedef struct conn_path_t {
+    conn_phase_t phase;
+    bool is_direct_only; /* a check of the direct path */
+    bool is_tunneled;
+    bool has_direct_failed;                     /* the direct connection could not be opened */
+    bool was_silent;                            /* and was not refused either */
+    uint64_t tunnel_hosts[TUNNEL_ATTEMPTS_MAX]; /* hosts that have been asked for a tunnel */
+    uint32_t tunnel_host_count;
+    cw_buffer_t reply; /* bytes of an incomplete reply */
+} conn_path_t;
+
+/* A host that opened no tunnel lately. */
+typedef struct tunnel_failure_t {
+    uint64_t host;
+    int64_t until_ms;
+} tunnel_failure_t;
+
 struct upstream_conn_t {
     server_t* server;
     const upstream_conn_handlers_t* handlers;
@@ -21,8 +50,11 @@
     int64_t sent_ms;  /* when the request was sent; 0: none yet */
     bool is_skipping; /* the response being read belongs to an earlier request */
     bool must_close;  /* must not be reused */
+    bool is_busy;     /* counted in busy_conns */
     bool is_closed;   /* freed by the next upstreams_tick, because its data may still be in use */
+    conn_path_t path;
     int64_t opened_ms;
+    int64_t received_ms; /* when the server last sent data; 0: never */
     int64_t idle_since_ms;
     uint32_t idle_timeout_ms; /* time for which the server keeps an idle connection open */
     ev_timer connect_timer;
@@ -50,6 +82,10 @@
     cw_fleet_t fleet; /* live daemons */
     uint32_t conn_total;
     uint64_t conns_opened;
+    cw_wire_t* wire; /* of the requests for tunnels; NULL: none was made yet */
+    tunnel_failure_t tunnel_failures[TUNNEL_FAILURES_MAX];
+    uint32_t next_tunnel_failure;
+    uint64_t tunnels_opened;
     bool is_configured; /* a configuration has been set, so the declared pools are known */
 };
 
@@ -65,10 +101,40 @@
    the list. Most servers of a large fleet are in that state and need no checks. */
 void server_watch(server_t* s);
 
+/* -- upstream_path.c ------------------------------------------------------ */
+
+/* Whether new connections to the server are to go through another host. */
+bool upstream_path_prefers_tunnel(const server_t* s);
+/* Connects to another host that is to open a tunnel to the connection's server. False: no host is left to ask. */
+bool upstream_path_start_tunnel(upstream_conn_t* conn);
+/* The host of the tunnel is connected: asks it for the tunnel. */
+void upstream_path_request_tunnel(upstream_conn_t* conn);
+typedef enum tunnel_reply_t {
+    TUNNEL_REPLY_INCOMPLETE = 0,
+    TUNNEL_REPLY_OPENED,
+    TUNNEL_REPLY_UNREACHABLE, /* the server can't be reached from there either */
+    TUNNEL_REPLY_FAILED       /* the host opens no tunnel, or its reply is invalid */
+} tunnel_reply_t;
+tunnel_reply_t upstream_path_read_reply(upstream_conn_t* conn, const char* data, size_t size);
+/* The host that was asked last opened no tunnel: it is not asked again for a moment. */
+void upstream_path_tunnel_failed(upstream_conn_t* conn);
+/* The connection is open: updates what is known of the path to the server. */
+void upstream_path_on_open(const upstream_conn_t* conn);
+/* The server is no longer used. */
+void upstream_path_forget(server_t* s);
+/* Checks broken paths, and the paths to servers that have been silent for long. */
+void upstream_path_tick(pool_t* pool, int64_t now_ms);
+
 /* -- upstream_conn.c --------------------------------------------------------------- */
 
+/* Begins to connect, and limits the time that this may take. False: the connection can't be opened. */
+bool upstream_conn_connect(upstream_conn_t* conn, const struct sockaddr_in* address);
 /* Closes the idle connections to the server: all, or those whose idle timeout has passed. */
 void upstream_conn_close_idle(server_t* s, int64_t now_ms, bool closes_all);
+/* Closes the idle connections to the server that do not go through another host. */
+void upstream_conn_close_idle_direct(server_t* s);
+/* Opens a connection that is kept idle for the next request. is_direct_only: not through another host. */
+void upstream_conn_open_spare(server_t* s, bool is_direct_only);
 /* Frees closed connections. No function further up the stack may use one of them. */
 void upstream_conn_free_closed(upstreams_t* u);
 
--- a/io/peers.c
+++ b/io/peers.c
@@ -442,8 +442,13 @@
         abort();
     }
     p->desc = desc_defaults(desc);
-    p->listen_fd = cw_addr_listen(p->desc.address, p->address, err);
-    p->udp_fd = p->listen_fd >= 0 ? cw_addr_bind_udp(p->address, err) : -1;
+    p->listen_fd = -1;
+    cw_copy(p->address, sizeof(p->address), p->desc.address);
+    if (p->desc.on_message) {
+        p->listen_fd = cw_addr_listen(p->desc.address, p->address, err);
+    }
+    bool is_listening = p->listen_fd >= 0 || !p->desc.on_message;
+    p->udp_fd = is_listening ? cw_addr_bind_udp(p->address, err) : -1;
     if (p->udp_fd < 0) {
         if (p->listen_fd >= 0) {
             close(p->listen_fd);
@@ -460,7 +465,9 @@
     ev_set_priority(&p->prepare, EV_MINPRI); /* run after all prepare watchers that may still send in this iteration */
     ev_timer_init(&p->sweep, on_sweep, 1.0, 1.0);
     p->listen_io.data = p->udp_io.data = p->prepare.data = p->sweep.data = p;
-    ev_io_start(p->desc.loop, &p->listen_io);
+    if (p->listen_fd >= 0) {
+        ev_io_start(p->desc.loop, &p->listen_io);
+    }
     ev_io_start(p->desc.loop, &p->udp_io);
     ev_prepare_start(p->desc.loop, &p->prepare);
     ev_timer_start(p->desc.loop, &p->sweep);
@@ -478,7 +485,9 @@
     ev_io_stop(p->desc.loop, &p->udp_io);
     ev_prepare_stop(p->desc.loop, &p->prepare);
     ev_timer_stop(p->desc.loop, &p->sweep);
-    close(p->listen_fd);
+    if (p->listen_fd >= 0) {
+        close(p->listen_fd);
+    }
     close(p->udp_fd);
     cw_wire_shutdown(p->wire);
     free(p->links);
--- a/io/peers.h
+++ b/io/peers.h
@@ -22,6 +22,7 @@
     uint32_t max_links;       /* default 512 */
     uint32_t idle_timeout_ms; /* a link without a frame for this long is closed, default 60000 */
     size_t max_unsent_bytes;  /* bytes queued on one link before sends fail, default 8 MiB */
+    /* NULL: no links are opened or accepted, only gossip is exchanged. */
     void (*on_message)(void* user_data, uint64_t from, const cw_msg_t* msg);
     /* The link was closed or could not be opened. connection_refused: connecting failed with ECONNREFUSED, so no
        process listens at the address. */
--- a/io/stream.c
+++ b/io/stream.c
@@ -31,11 +31,18 @@
 
 cw_status_t cw_stream_connect(cw_stream_t* s, struct ev_loop* loop, const struct sockaddr_in* address,
                               const cw_stream_handlers_t* handlers, void* owner) {
+    return cw_stream_connect_from(s, loop, NULL, address, handlers, owner);
+}
+
+cw_status_t cw_stream_connect_from(cw_stream_t* s, struct ev_loop* loop, const struct sockaddr_in* source,
+                                   const struct sockaddr_in* address, const cw_stream_handlers_t* handlers,
+                                   void* owner) {
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd < 0) {
         return CW_ERR_IO;
     }
-    if (connect(fd, (const struct sockaddr*)address, sizeof(*address)) != 0 && errno != EINPROGRESS) {
+    bool is_bound = !source || bind(fd, (const struct sockaddr*)source, sizeof(*source)) == 0;
+    if (!is_bound || (connect(fd, (const struct sockaddr*)address, sizeof(*address)) != 0 && errno != EINPROGRESS)) {
         close(fd);
         return CW_ERR_IO;
     }
--- a/io/stream.h
+++ b/io/stream.h
@@ -42,6 +42,10 @@
 /* Starts to connect; on_open or on_end follows. CW_ERR_IO: no socket can be opened or connect fails immediately. */
 cw_status_t cw_stream_connect(cw_stream_t* s, struct ev_loop* loop, const struct sockaddr_in* address,
                               const cw_stream_handlers_t* handlers, void* owner);
+/* The same from a given address of this host, whose port may be 0. */
+cw_status_t cw_stream_connect_from(cw_stream_t* s, struct ev_loop* loop, const struct sockaddr_in* source,
+                                   const struct sockaddr_in* address, const cw_stream_handlers_t* handlers,
+                                   void* owner);
 /* Ends the stream with CW_STREAM_CONN_LOST when the peer acknowledges nothing for timeout_ms; idle connections are
    probed with TCP keep-alive. */
 void cw_stream_set_peer_timeout(cw_stream_t* s, uint32_t timeout_ms);
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -310,7 +310,39 @@
 }
 END_TEST
 
+static bool the_second_host_is_cut_off(fleet_t* fleet) {
+    for (int i = 0; i < HOSTS; i++) {
+        const cw_member_info_t* chosen = mesh_choose_tunnel_host(fleet->hosts[i].mesh, "p", 1, NULL, 0);
+        if (!chosen || chosen->id == cw_name_id("h1")) {
+            return false;
+        }
+    }
+    return mesh_choose_tunnel_host(fleet->hosts[0].mesh, "p", 1, NULL, 0)->hall[0] == 'b';
+}
+
+/* A tunnel goes through a host of the own hall, but not through one that is cut off from the pool as well. */
+START_TEST(tunnels_go_through_hosts_that_reach_the_pool) {
+    fleet_t* fleet = fleet_setup();
+    run_until(fleet, all_are_alive);
+    const uint64_t second = cw_name_id("h1");
+    const mesh_t* first = fleet->hosts[0].mesh;
+    for (uint64_t key = 1; key <= 20; key++) {
+        ck_assert_uint_eq(mesh_choose_tunnel_host(first, "p", key, NULL, 0)->id, second);
+        ck_assert_str_eq(mesh_choose_tunnel_host(first, "p", key, &second, 1)->hall, "b");
+    }
+    mesh_set_unreachable_pools(fleet->hosts[1].mesh, cw_member_pool_bit("p"));
+    run_until(fleet, the_second_host_is_cut_off);
+    ck_assert_uint_eq(mesh_choose_tunnel_host(first, "q", 1, NULL, 0)->id, second);
+    mesh_set_unreachable_pools(fleet->hosts[1].mesh, 0);
+    while (mesh_choose_tunnel_host(first, "p", 1, NULL, 0)->id != second) {
+        ev_run(fleet->loop, EVRUN_ONCE);
+    }
+    fleet_shutdown(fleet);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
+    tcase_add_test(t, tunnels_go_through_hosts_that_reach_the_pool);
     tcase_add_test(t, an_observation_reaches_every_host_of_every_hall);
     tcase_add_test(t, cached_parts_are_reported_to_every_host);
     tcase_add_test(t, each_key_has_one_owner);
--- a/tests/test_partition.c
+++ b/tests/test_partition.c
@@ -65,6 +65,11 @@
     return served;
 }
 
+/* Calls until one is served. */
+static void poll_until_served(fleet_t* f, int host) {
+    poll_until(f, host, 7100, "/x", 200, NULL, NULL);
+}
+
 /* Callers of the cut host are served as well as those of another one. */
 static void expect_served_while_cut(unsigned target) {
     fleet_t* f = fleet_with_three_servers();
@@ -87,6 +92,26 @@
 }
 END_TEST
 
+/* The callers of the cut host are served over connections that were opened before as well as over tunnels, a tunnel's
+   host is killed, and the path comes back. */
+START_TEST(callers_are_served_while_tunnel_hosts_end_and_after_the_path_is_back) {
+    fleet_t* f = fleet_with_three_servers();
+    redirect_connections(f, 0, ALL_SERVERS, closed_port());
+    poll_until_served(f, 0);
+    poll_until(f, 0, 7103, "/metrics", 200, "chalkway_pool_cut{pool=\"p\"} 1\n", NULL);
+    poll_until(f, 1, 7103, "/metrics", 200, NULL, "chalkway_tunnels_opened_total 0\n"); /* of the same hall */
+    stop_host(f, 1, SIGKILL);
+    poll_until_served(f, 0);
+    ck_assert_uint_eq(count_served(f, 0, CALLS), CALLS);
+    restore_connections(f, 0);
+    poll_until(f, 0, 7103, "/metrics", 200,
+               "chalkway_pool_cut{pool=\"p\"} 0\nchalkway_pool_broken_paths{pool=\"p\"} 0\n", NULL);
+    stop_host(f, 2, SIGKILL);
+    ck_assert_uint_eq(count_served(f, 0, CALLS), CALLS);
+    fleet_shutdown(f);
+}
+END_TEST
+
 /* Requests sent while the only server is not reachable from anywhere: no host is cut off, and all stay ready. */
 START_TEST(hosts_stay_ready_while_a_pool_is_down_for_all) {
     fleet_t* f = fleet_with_three_servers();
@@ -107,6 +132,7 @@
 static void add_tests(TCase* t) {
     tcase_add_test(t, callers_of_a_host_whose_connections_are_refused_are_served);
     tcase_add_test(t, callers_of_a_host_whose_connections_hang_are_served);
+    tcase_add_test(t, callers_are_served_while_tunnel_hosts_end_and_after_the_path_is_back);
     tcase_add_test(t, hosts_stay_ready_while_a_pool_is_down_for_all);
 }
 
--- /dev/null
+++ b/tests/test_tunnel.c
@@ -0,0 +1,286 @@
+/* Tunnels that a host opens for others: who gets one, to which servers, and what passes through. */
+#include "../chalkway_wire.h"
+#include "../gateway/tunnel.h"
+#include "rig.h"
+
+#define ROUTES                                                                                                         \
+    "{\"revision\":1,\"pools\":[{\"name\":\"p\"}],\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"prefix\":"      \
+    "\"/\",\"kind\":\"once\",\"timeout_ms\":5000,\"target_ms\":2000,\"open\":true,\"pools\":[{\"pool\":\"p\"}]}]}"
+#define REQUEST "GET / HTTP/1.1\r\nChalkway-Request-Id: q1\r\n\r\n"
+#define HEAD "HTTP/1.1 200 OK\r\nChalkway-Request-Id: @ID@\r\n"
+#define OK HEAD "Content-Length: 2\r\n\r\nok"
+#define LEAVING HEAD "Chalkway-Server-Leaving: 1\r\nContent-Length: 2\r\n\r\nok"
+#define REST                                                                                                           \
+    "HTTP/1.1 503 Service Unavailable\r\nChalkway-Request-Id: @ID@\r\nChalkway-Not-Run: 1\r\nRetry-After: 3\r\n"       \
+    "Content-Length: 0\r\n\r\n"
+
+typedef struct bench_t {
+    rig_t* rig;
+    tunnels_t* tunnels;
+    cw_wire_t* wire;
+    char address[32];
+    bool is_host;
+    cw_stream_t stream; /* the host that asks for a tunnel */
+    cw_buffer_t received;
+    bool is_ended;
+    cw_stream_end_reason_t end;
+} bench_t;
+
+static bool is_host(void* user, const struct sockaddr_in* address) {
+    ck_assert_uint_eq(address->sin_family, AF_INET);
+    return ((bench_t*)user)->is_host;
+}
+
+static void on_data(void* owner, const char* data, size_t size) {
+    cw_buffer_add(&((bench_t*)owner)->received, data, size);
+}
+
+static void on_end(void* owner, cw_stream_end_reason_t end) {
+    bench_t* b = owner;
+    b->is_ended = true;
+    b->end = end;
+}
+
+static void setup(bench_t* b) {
+    cw_error_t err = {0};
+    *b = (bench_t){.rig = rig_setup(ROUTES, 2), .is_host = true, .stream = {.fd = -1}};
+    b->wire = cw_wire_setup(NULL);
+    snprintf(b->address, sizeof(b->address), "127.77.%d.%d:7204", 1 + getpid() / 250 % 250, 1 + getpid() % 250);
+    b->tunnels = tunnels_setup(&(tunnels_desc_t){.loop = b->rig->loop,
+                                                 .log = &b->rig->log,
+                                                 .upstreams = b->rig->upstreams,
+                                                 .address = b->address,
+                                                 .cluster = "c",
+                                                 .max_tunnels = 2,
+                                                 .is_host = is_host,
+                                                 .user_data = b},
+                               &err);
+    ck_assert_msg(b->tunnels != NULL, "%s", cw_error_text(&err).text);
+}
+
+static void shutdown_bench(bench_t* b) {
+    cw_stream_close(&b->stream);
+    cw_buffer_free(&b->received);
+    tunnels_shutdown(b->tunnels);
+    cw_wire_shutdown(b->wire);
+    rig_shutdown(b->rig);
+}
+
+static server_t* server(const bench_t* b, const char* id) {
+    return upstreams_server(b->rig->upstreams, cw_name_id(id));
+}
+
+static void connect_host(bench_t* b) {
+    static const cw_stream_handlers_t handlers = {.on_data = on_data, .on_end = on_end};
+    struct sockaddr_in address;
+    cw_addr_parse(b->address, &address, NULL);
+    ck_assert_int_eq(cw_stream_connect(&b->stream, b->rig->loop, &address, &handlers, b), CW_OK);
+}
+
+static void wait_for(bench_t* b, size_t bytes) {
+    ev_tstamp end = ev_time() + RIG_TIMEOUT_S;
+    while (!b->is_ended && b->received.size < bytes) {
+        ck_assert_msg(ev_time() < end, "%zu of %zu bytes", b->received.size, bytes);
+        ev_run(b->rig->loop, EVRUN_ONCE);
+    }
+}
+
+static void send_open(bench_t* b, const char* cluster, uint64_t key) {
+    cw_msg_t msg = {.type = CW_MSG_TUNNEL_OPEN, .tunnel_open = {.host = 2, .server = key}};
+    cw_copy(msg.tunnel_open.cluster, sizeof(msg.tunnel_open.cluster), cluster);
+    cw_bytes_t frame = cw_wire_encode_frame(b->wire, &msg);
+    cw_stream_write(&b->stream, frame.data, frame.size);
+    cw_stream_flush(&b->stream);
+}
+
+/* Asks for a tunnel and returns the reply, or CW_TUNNEL_RESULT_COUNT if there is none. */
+static cw_tunnel_result_t ask(bench_t* b, const char* cluster, const char* id) {
+    connect_host(b);
+    send_open(b, cluster, cw_name_id(id));
+    wait_for(b, CW_FRAME_HEADER + 1);
+    cw_msg_t msg;
+    if (b->received.size <= CW_FRAME_HEADER) {
+        return CW_TUNNEL_RESULT_COUNT;
+    }
+    size_t body = cw_wire_body_size((const uint8_t*)b->received.data);
+    wait_for(b, CW_FRAME_HEADER + body);
+    ck_assert_int_eq(cw_wire_decode(b->wire, (const uint8_t*)b->received.data + CW_FRAME_HEADER, body, &msg, NULL),
+                     CW_OK);
+    cw_buffer_free(&b->received);
+    return msg.tunnel_result;
+}
+
+static void expect_reply(cw_tunnel_result_t expected, const char* cluster, const char* id,
+                         void (*prepare)(bench_t* b)) {
+    bench_t b;
+    setup(&b);
+    prepare(&b);
+    ck_assert_int_eq(ask(&b, cluster, id), expected);
+    shutdown_bench(&b);
+}
+
+static void prepare_nothing(bench_t* b) {
+    (void)b;
+}
+
+static void prepare_stranger(bench_t* b) {
+    b->is_host = false;
+}
+
+static void prepare_leaving(bench_t* b) {
+    upstreams_mark_leaving(b->rig->upstreams, clock_ms(), server(b, "s0"));
+}
+
+static void prepare_rest(bench_t* b) {
+    server_t* s = server(b, "s0");
+    cw_balance_back_off(s->pool->balance, clock_ms(), s->key, 3000);
+}
+
+static void prepare_broken_path(bench_t* b) {
+    server(b, "s0")->is_path_broken = true;
+}
+
+static void prepare_drain(bench_t* b) {
+    tunnels_drain(b->tunnels);
+}
+
+static void prepare_dead_server(bench_t* b) {
+    ev_io_stop(b->rig->loop, &b->rig->accept_ios[0]);
+    close(b->rig->listen_fds[0]);
+    b->rig->listen_fds[0] = -1;
+}
+
+START_TEST(only_hosts_of_the_cluster_get_a_tunnel_and_only_to_servers_in_use) {
+    expect_reply(CW_TUNNEL_OPENED, "c", "s0", prepare_nothing);
+    expect_reply(CW_TUNNEL_RESULT_COUNT, "c", "s0", prepare_stranger); /* closed without a reply */
+    expect_reply(CW_TUNNEL_REFUSED, "other", "s0", prepare_nothing);
+    expect_reply(CW_TUNNEL_REFUSED, "c", "unknown", prepare_nothing);
+    expect_reply(CW_TUNNEL_REFUSED, "c", "s0", prepare_leaving);
+    expect_reply(CW_TUNNEL_REFUSED, "c", "s0", prepare_rest);
+    expect_reply(CW_TUNNEL_REFUSED, "c", "s0", prepare_broken_path);
+    expect_reply(CW_TUNNEL_REFUSED, "c", "s0", prepare_drain);
+}
+END_TEST
+
+/* The receiver may be cut off itself: it says that the server is unreachable only if other servers answer it. */
+START_TEST(a_host_that_hears_no_server_does_not_call_one_unreachable) {
+    expect_reply(CW_TUNNEL_REFUSED, "c", "s0", prepare_dead_server);
+}
+END_TEST
+
+START_TEST(a_request_for_a_tunnel_must_be_valid) {
+    static const char* const texts[] = {"GET / HTTP/1.1\r\n\r\n", "\0\0\0\0", "\0\0\1\0zzzz", "\xff\xff\xff\xff"};
+    for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+        bench_t b;
+        setup(&b);
+        connect_host(&b);
+        cw_stream_write(&b.stream, texts[i], i == 1 ? 4 : strlen(texts[i] + (i == 2 ? 3 : 0)) + (i == 2 ? 3 : 0));
+        cw_stream_flush(&b.stream);
+        wait_for(&b, 1000); /* until the host closes */
+        ck_assert(b.is_ended);
+        ck_assert_uint_eq(tunnels_stats(b.tunnels).open, 0);
+        shutdown_bench(&b);
+    }
+}
+END_TEST
+
+static void send_request(bench_t* b) {
+    cw_stream_write(&b->stream, REQUEST, strlen(REQUEST));
+    cw_stream_flush(&b->stream);
+}
+
+START_TEST(bytes_pass_in_both_directions_until_the_server_closes) {
+    bench_t b;
+    setup(&b);
+    rig_script(b.rig, (rig_step_t[]){{RIG_RESPOND, OK}, {RIG_RESPOND_CLOSE, OK}}, 2);
+    ck_assert_int_eq(ask(&b, "c", "s1"), CW_TUNNEL_OPENED);
+    for (uint32_t i = 0; i < 2; i++) {
+        send_request(&b);
+        while (!b.received.size || !strstr(b.received.data, "\r\n\r\nok")) {
+            wait_for(&b, b.received.size + 1);
+        }
+        ck_assert_str_eq(b.rig->arrivals[i], REQUEST);
+        ck_assert_uint_eq(b.rig->arrival_server[i], 1);
+        cw_buffer_free(&b.received);
+    }
+    wait_for(&b, 1);
+    ck_assert(b.is_ended);
+    ck_assert_int_eq(b.end, CW_STREAM_PEER_CLOSED);
+    shutdown_bench(&b);
+}
+END_TEST
+
+START_TEST(a_reset_by_the_server_reaches_the_host) {
+    bench_t b;
+    setup(&b);
+    rig_script(b.rig, (rig_step_t[]){{RIG_RESPOND_RESET, ""}}, 1);
+    ck_assert_int_eq(ask(&b, "c", "s0"), CW_TUNNEL_OPENED);
+    send_request(&b);
+    wait_for(&b, 1);
+    ck_assert(b.is_ended);
+    ck_assert_int_eq(b.end, CW_STREAM_RESET);
+    shutdown_bench(&b);
+}
+END_TEST
+
+/* What a response that passes announces about its server holds here as well: the server sees this host. The tunnel is
+   closed once it is idle. */
+START_TEST(pushback_is_heard_by_the_host_that_the_server_sees) {
+    static const char* const texts[] = {LEAVING, REST};
+    for (int i = 0; i < 2; i++) {
+        bench_t b;
+        setup(&b);
+        rig_script(b.rig, (rig_step_t[]){{RIG_RESPOND, texts[i]}}, 1);
+        ck_assert_int_eq(ask(&b, "c", "s0"), CW_TUNNEL_OPENED);
+        send_request(&b);
+        while (!b.received.size || !strstr(b.received.data, "\r\n\r\n")) {
+            wait_for(&b, b.received.size + 1);
+        }
+        const server_t* s = server(&b, "s0");
+        ck_assert(i == 0 ? s->is_leaving : cw_balance_is_backing_off(s->pool->balance, clock_ms(), s->key));
+        tunnels_tick(b.tunnels);
+        wait_for(&b, 1000);
+        ck_assert(b.is_ended);
+        shutdown_bench(&b);
+    }
+}
+END_TEST
+
+/* A host that stops closes idle tunnels at once; a response in progress still passes. */
+START_TEST(a_stopping_host_completes_responses_and_closes_idle_tunnels) {
+    bench_t b;
+    setup(&b);
+    rig_script(b.rig, (rig_step_t[]){{RIG_NO_RESPONSE, ""}}, 1);
+    ck_assert_int_eq(ask(&b, "c", "s0"), CW_TUNNEL_OPENED);
+    send_request(&b);
+    while (!b.rig->arrival_count) {
+        ev_run(b.rig->loop, EVRUN_ONCE);
+    }
+    tunnels_drain(b.tunnels);
+    ck_assert_uint_eq(tunnels_stats(b.tunnels).busy, 1);
+    static const char text[] = "HTTP/1.1 200 OK\r\nChalkway-Request-Id: q1\r\nContent-Length: 2\r\n\r\nok";
+    cw_stream_write(&b.rig->conns[0].stream, text, strlen(text));
+    cw_stream_flush(&b.rig->conns[0].stream);
+    wait_for(&b, strlen(text));
+    ck_assert_str_eq(b.received.data, text);
+    ck_assert_uint_eq(tunnels_stats(b.tunnels).busy, 0);
+    tunnels_tick(b.tunnels);
+    wait_for(&b, 1000);
+    ck_assert(b.is_ended);
+    shutdown_bench(&b);
+}
+END_TEST
+
+static void add_tests(TCase* t) {
+    tcase_add_test(t, only_hosts_of_the_cluster_get_a_tunnel_and_only_to_servers_in_use);
+    tcase_add_test(t, a_host_that_hears_no_server_does_not_call_one_unreachable);
+    tcase_add_test(t, a_request_for_a_tunnel_must_be_valid);
+    tcase_add_test(t, bytes_pass_in_both_directions_until_the_server_closes);
+    tcase_add_test(t, a_reset_by_the_server_reaches_the_host);
+    tcase_add_test(t, pushback_is_heard_by_the_host_that_the_server_sees);
+    tcase_add_test(t, a_stopping_host_completes_responses_and_closes_idle_tunnels);
+}
+
+int main(void) {
+    return run_suite("tunnel", add_tests, 20);
+}
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -91,6 +91,46 @@
 }
 END_TEST
 
+START_TEST(messages_about_tunnels_survive_the_round_trip) {
+    cw_wire_t* wire = cw_wire_setup(NULL);
+    static cw_msg_t out, in;
+    out = (cw_msg_t){.type = CW_MSG_TUNNEL_OPEN, .tunnel_open = {.host = 7, .server = 1ULL << 63U, .cluster = "c"}};
+    cw_bytes_t frame = cw_wire_encode_frame(wire, &out);
+    ck_assert_int_eq(cw_wire_decode(wire, frame.data + CW_FRAME_HEADER, frame.size - CW_FRAME_HEADER, &in, NULL),
+                     CW_OK);
+    ck_assert_int_eq(in.type, CW_MSG_TUNNEL_OPEN);
+    ck_assert_uint_eq(in.tunnel_open.host, 7);
+    ck_assert_uint_eq(in.tunnel_open.server, 1ULL << 63U);
+    ck_assert_str_eq(in.tunnel_open.cluster, "c");
+    for (int result = 0; result < CW_TUNNEL_RESULT_COUNT; result++) {
+        out = (cw_msg_t){.type = CW_MSG_TUNNEL_REPLY, .tunnel_result = (cw_tunnel_result_t)result};
+        frame = cw_wire_encode_frame(wire, &out);
+        cw_status_t status =
+            cw_wire_decode(wire, frame.data + CW_FRAME_HEADER, frame.size - CW_FRAME_HEADER, &in, NULL);
+        ck_assert_int_eq(status, CW_OK);
+        ck_assert_int_eq((int)in.tunnel_result, result);
+    }
+    cw_wire_shutdown(wire);
+}
+END_TEST
+
+/* The pools follow all other fields, so that a host of an earlier version can still read them. */
+START_TEST(pools_from_which_a_host_is_cut_off_survive_the_round_trip) {
+    cw_wire_t* wire = cw_wire_setup(NULL);
+    static cw_gossip_t g, in;
+    g = (cw_gossip_t){.kind = CW_GOSSIP_PING, .seq = 1, .update_count = 1};
+    cw_copy(g.from.name, sizeof(g.from.name), "a");
+    cw_copy(g.updates[0].name, sizeof(g.updates[0].name), "b");
+    g.from.unreachable_pools = 5;
+    g.updates[0].unreachable_pools = 1;
+    cw_bytes_t bytes = cw_wire_encode_datagram(wire, "one", &g);
+    ck_assert_int_eq(cw_wire_decode_datagram(wire, "one", bytes.data, bytes.size, &in, NULL), CW_OK);
+    ck_assert_uint_eq(in.from.unreachable_pools, 5);
+    ck_assert_uint_eq(in.updates[0].unreachable_pools, 1);
+    cw_wire_shutdown(wire);
+}
+END_TEST
+
 /* A summary of the sender's membership view decodes to the same; one whose size is not a power of two is refused. */
 START_TEST(summaries_survive_the_round_trip) {
     cw_wire_t* wire = cw_wire_setup(NULL);
@@ -108,10 +148,11 @@
         ck_assert_mem_eq(&in.summary, &g.summary, sizeof(in.summary));
     }
     uint8_t three[2048];
-    size_t size = bytes.size - 2; /* without the last sum */
-    memcpy(three, bytes.data, size);
-    ck_assert_uint_eq(three[size - 7], 0xa8); /* fixstr of 8 bytes */
-    three[size - 7] = 0xa6;
+    size_t size = bytes.size - 2; /* without the last sum; one byte, the set of pools, follows the sums */
+    memcpy(three, bytes.data, size - 1);
+    three[size - 1] = bytes.data[bytes.size - 1];
+    ck_assert_uint_eq(three[size - 8], 0xa8); /* fixstr of 8 bytes */
+    three[size - 8] = 0xa6;
     ck_assert_int_eq(cw_wire_decode_datagram(wire, "one", three, size, &in, NULL), CW_ERR_PROTOCOL);
     cw_wire_shutdown(wire);
 }
@@ -194,6 +235,8 @@
     tcase_add_test(t, messages_of_other_versions_are_decoded);
     tcase_add_test(t, gossip_of_other_clusters_is_refused);
     tcase_add_test(t, summaries_survive_the_round_trip);
+    tcase_add_test(t, messages_about_tunnels_survive_the_round_trip);
+    tcase_add_test(t, pools_from_which_a_host_is_cut_off_survive_the_round_trip);
     tcase_add_test(t, announced_sizes_are_checked_before_allocation);
     tcase_add_test(t, zero_ids_are_refused);
     tcase_add_loop_test(t, corrupted_messages_are_decoded_or_refused, 0, 10);
