A reset by a broken path is not held against the request

A request that is retried at further servers and reset there collects the three crashes that quarantine it for half an hour.

When a tunnel to the server opens within a second of the presumed crash, the server is reported alive, which clears those crashes at all hosts. A server that did crash takes longer to return. The new test failed before (1 crash remembered) and passes.

--- a/gateway/upstream_path.c
+++ b/gateway/upstream_path.c
@@ -13,6 +13,8 @@
    this interval. */
 #define SILENCE_MS 250
 #define SILENCE_CHECK_INTERVAL_MS 1000
+/* A server that crashed is not back after this time, so a tunnel that opens shows that it did not crash. */
+#define CRASH_REFUTED_MS 1000
 
 /* -- tunnels -------------------------------------------------------------- */
 
@@ -144,6 +146,15 @@
     }
 }
 
+/* A connection that broke shortly before the path did was broken by it: the server did not crash. */
+static void refute_crash(server_t* s) {
+    const upstreams_desc_t* desc = &s->pool->upstreams->desc;
+    if (s->presumed_crash_ms && clock_ms() - s->presumed_crash_ms < CRASH_REFUTED_MS && desc->on_server_alive) {
+        s->presumed_crash_ms = 0;
+        desc->on_server_alive(desc->user_data, s);
+    }
+}
+
 /* While the cause is silence, responses and idle connections that are in use may be dead as well. */
 static void break_path(const upstream_conn_t* conn) {
     server_t* s = conn->server;
@@ -166,6 +177,7 @@
     pool_t* pool = s->pool;
     if (conn->path.is_tunneled) {
         pool->upstreams->tunnels_opened++;
+        refute_crash(s);
         if (conn->path.has_direct_failed && !s->is_path_broken) {
             break_path(conn);
         }
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -52,6 +52,9 @@
     cw_catalog_t* catalog;
     uint32_t leaving_count;    /* the next servers chosen announce leaving before they are connected */
     uint32_t liveness_reports; /* calls of on_liveness_changed */
+    /* The host through which servers are reached when no connection to them can be opened; NULL: none. */
+    const cw_member_info_t* (*choose_tunnel_host)(rig_t* r, const pool_t* pool);
+    void* test; /* of the test that set choose_tunnel_host */
     int listen_fds[RIG_SERVERS];
     ev_io accept_ios[RIG_SERVERS];
     char addresses[RIG_SERVERS][CW_ADDR_TEXT_SIZE];
@@ -215,6 +218,14 @@
     quarantine_on_server_alive(((rig_t*)user)->quarantine, server);
 }
 
+static inline const cw_member_info_t* rig_choose_tunnel_host(void* user, const pool_t* pool, uint64_t key,
+                                                             const uint64_t* excluded, uint32_t excluded_count) {
+    (void)key;
+    (void)excluded;
+    rig_t* r = user;
+    return r->choose_tunnel_host && !excluded_count ? r->choose_tunnel_host(r, pool) : NULL;
+}
+
 static inline void rig_on_timeout(struct ev_loop* loop, ev_timer* w, int events) {
     (void)loop;
     (void)events;
@@ -292,6 +303,9 @@
                                                        .retry_window_ms = 10000,
                                                        .max_conns = 100,
                                                        .on_server_alive = rig_on_server_alive,
+                                                       .choose_tunnel_host = rig_choose_tunnel_host,
+                                                       .tunnel_source = {.sin_family = AF_INET},
+                                                       .cluster = "c",
                                                        .on_slot_free = rig_on_slot_free,
                                                        .user_data = r});
     r->quarantine = quarantine_setup(&(quarantine_desc_t){.log = &r->log,
--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -271,7 +271,69 @@
 }
 END_TEST
 
+/* The path to a server breaks: its direct address leads nowhere until a tunnel is asked for. */
+static void break_path(server_t* s) {
+    cw_addr_parse("127.0.0.1:1", &s->address, NULL);
+}
+
+static const cw_member_info_t* choose_host_and_restore(rig_t* r, const pool_t* pool) {
+    static cw_member_info_t host;
+    const bench_t* b = r->test;
+    for (server_t* s = pool->servers; s; s = s->next) {
+        cw_addr_parse(s->published.address, &s->address, NULL);
+    }
+    host = (cw_member_info_t){.id = 2};
+    cw_copy(host.peer, sizeof(host.peer), b->address);
+    return &host;
+}
+
+#define CALL "POST /x HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: q1\r\nContent-Length: 4\r\n\r\nbody"
+
+static void setup_with_path(bench_t* b, uint32_t servers) {
+    setup(b);
+    rig_set_servers(b->rig, servers, 0);
+    b->rig->test = b;
+    b->rig->choose_tunnel_host = choose_host_and_restore;
+}
+
+/* The direct connection fails and a tunnel opens: the request is served, and nothing is recorded against the server. */
+START_TEST(a_request_goes_through_a_tunnel_when_no_connection_can_be_opened) {
+    bench_t b;
+    setup_with_path(&b, 1);
+    rig_script(b.rig, (rig_step_t[]){{RIG_RESPOND, OK}}, 1);
+    break_path(server(&b, "s0"));
+    ck_assert(strstr(rig_call(b.rig, CALL), "\r\n\r\nok"));
+    ck_assert(server(&b, "s0")->is_path_broken);
+    ck_assert_uint_eq(upstreams_tunnels_opened(b.rig->upstreams), 1);
+    ck_assert_uint_eq(b.rig->liveness_reports, 0);
+    shutdown_bench(&b);
+}
+END_TEST
+
+/* Guards against ordinary requests that are quarantined as the cause of crashes: a broken path reset all connections of
+   the host at once, each request was retried at the next server and reset there. */
+START_TEST(a_reset_by_a_broken_path_is_not_held_against_the_request) {
+    bench_t b;
+    setup_with_path(&b, 1);
+    rig_script(b.rig, (rig_step_t[]){{RIG_RESPOND_RESET, ""}, {RIG_RESPOND, OK}}, 2);
+    ck_assert(strstr(rig_call(b.rig, CALL), "HTTP/1.1 502"));
+    ck_assert_uint_eq(quarantine_stats(b.rig->quarantine).requests.entries, 1);
+    cw_fingerprint_t request = cw_fingerprint(
+        0, &(cw_fingerprint_parts_t){
+               .method = "POST", .host = "h.example", .target = "/x", .body = "body", .size = strlen("body")});
+    ck_assert_uint_eq(quarantine_check(b.rig->quarantine, &request).crashes, 1);
+    ev_sleep(0.01); /* the crash and the connection have different times */
+    break_path(server(&b, "s0"));
+    ck_assert(strstr(rig_call(b.rig, "GET /other HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: q2\r\n\r\n"),
+                     "\r\n\r\nok"));
+    ck_assert_uint_eq(quarantine_check(b.rig->quarantine, &request).crashes, 0);
+    shutdown_bench(&b);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
+    tcase_add_test(t, a_request_goes_through_a_tunnel_when_no_connection_can_be_opened);
+    tcase_add_test(t, a_reset_by_a_broken_path_is_not_held_against_the_request);
     tcase_add_test(t, only_hosts_of_the_cluster_get_a_tunnel_and_only_to_servers_in_use);
     tcase_add_test(t, a_host_that_hears_no_server_does_not_call_one_unreachable);
     tcase_add_test(t, a_request_for_a_tunnel_must_be_valid);
