--- a/chalkway.c
+++ b/chalkway.c
@@ -15,6 +15,7 @@
 #include "chalkway_prefix.h"
 #include "chalkway_rate.h"
 #include "chalkway_reach.h"
+#include "chalkway_reject_limit.h"
 #include "chalkway_prefill.h"
 #include "chalkway_forecast.h"
 #include "chalkway_gap_forecast.h"
--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -137,6 +137,14 @@
 bool cw_balance_on_rate(cw_balance_t* b, int64_t now_ms, uint64_t id, int64_t sent_ms, double per_s);
 /* The active rate, requests per second of all hosts together; < 0: none. */
 double cw_balance_rate_per_s(const cw_balance_t* b, int64_t now_ms, uint64_t id);
+/* Records a response that has just arrived: the limit on rejections per second that the server advertises in it, < 0:
+   none. The request was sent at sent_ms. True: the active limit changed. */
+bool cw_balance_on_reject_limit(cw_balance_t* b, int64_t now_ms, uint64_t id, int64_t sent_ms, double per_s);
+/* Whether a limit on rejections is active at the server: its queue must not be used. One server that advertises a limit
+   stands for those of its pool that have not responded since. */
+bool cw_balance_has_reject_limit(const cw_balance_t* b, int64_t now_ms, uint64_t id);
+/* Whether a limit on rejections is active at any server. */
+bool cw_balance_is_reject_limited(const cw_balance_t* b, int64_t now_ms);
 /* Records that the server asked this host to back off for ms. */
 void cw_balance_back_off(cw_balance_t* b, int64_t now_ms, uint64_t id, uint32_t ms);
 /* Whether this host backs off from the server now. */
@@ -145,8 +153,8 @@
    the time is unknown. */
 uint32_t cw_balance_throttle_wait_ms(const cw_balance_t* b, int64_t now_ms);
 cw_throttled_t cw_balance_throttled(const cw_balance_t* b, int64_t now_ms);
-/* Whether this host's own responses showed a state of the server's rate that is to be sent to the peers. */
-bool cw_balance_has_rate_to_send(const cw_balance_t* b, int64_t now_ms, uint64_t id);
+/* Whether this host's own responses showed a state of the server's limits that is to be sent to the peers. */
+bool cw_balance_has_limit_to_send(const cw_balance_t* b, int64_t now_ms, uint64_t id);
 /* Number of servers that this host takes for unreachable. */
 uint32_t cw_balance_unreachable_count(const cw_balance_t* b);
 /* Whether the server is suspected to be gone, by the reports of all hosts. */
@@ -202,6 +210,7 @@
 #define _CW_REPORTED_AGE_MAX_MS 2000 /* older failures and responses in a peer's load report no longer matter */
 /* Time for which a server is excluded after it refused a request for lack of capacity. */
 #define _CW_FULL_EXCLUSION_MS 100
+#define _CW_HALF_FREE_SHARE 0.5 /* of the slots of a server that limits its rejections */
 
 struct cw_balance_t {
     cw_balance_desc_t desc;
@@ -214,6 +223,7 @@
     cw_server_learning_t learning;
     cw_server_forecast_t forecast;
     cw_demand_t demand;
+    cw_reject_limit_t pool_reject_limit; /* of the server that advertised one last */
 };
 
 static cw_balance_desc_t _cw_balance_desc_defaults(const cw_balance_desc_t* desc) {
@@ -382,9 +392,42 @@
     return throttled;
 }
 
-bool cw_balance_has_rate_to_send(const cw_balance_t* b, int64_t now_ms, uint64_t id) {
+bool cw_balance_has_limit_to_send(const cw_balance_t* b, int64_t now_ms, uint64_t id) {
     uint32_t at = cw_balance_find(b, id);
-    return at != CW_BALANCE_NONE && cw_rate_to_send(&b->table.servers[at].rate, now_ms).state != CW_RATE_UNKNOWN;
+    if (at == CW_BALANCE_NONE) {
+        return false;
+    }
+    cw_load_t load = cw_balance_own_load(b, now_ms, at);
+    return load.rate != CW_RATE_UNKNOWN || load.has_reject_limit;
+}
+
+bool cw_balance_on_reject_limit(cw_balance_t* b, int64_t now_ms, uint64_t id, int64_t sent_ms, double per_s) {
+    uint32_t at = cw_balance_find(b, id);
+    if (at == CW_BALANCE_NONE) {
+        return false;
+    }
+    cw_reject_limit_t* limit = &b->table.servers[at].reject_limit;
+    if (per_s < 0) {
+        cw_reject_limit_on_absent(&b->pool_reject_limit, sent_ms, now_ms);
+        return cw_reject_limit_on_absent(limit, sent_ms, now_ms);
+    }
+    cw_reject_limit_on_peer(&b->pool_reject_limit, now_ms, (uint32_t)per_s);
+    return cw_reject_limit_on_advertised(limit, now_ms, (uint32_t)per_s);
+}
+
+static bool _cw_balance_is_reject_limited(const cw_balance_t* b, const cw_pool_server_t* s, int64_t now_ms) {
+    bool has_withdrawn = s->reject_limit.withdrawn_ms > s->reject_limit.advertised_ms;
+    return cw_reject_limit_is_active(&s->reject_limit, now_ms) ||
+           (!has_withdrawn && cw_reject_limit_is_active(&b->pool_reject_limit, now_ms));
+}
+
+bool cw_balance_has_reject_limit(const cw_balance_t* b, int64_t now_ms, uint64_t id) {
+    uint32_t at = cw_balance_find(b, id);
+    return at != CW_BALANCE_NONE && _cw_balance_is_reject_limited(b, &b->table.servers[at], now_ms);
+}
+
+bool cw_balance_is_reject_limited(const cw_balance_t* b, int64_t now_ms) {
+    return cw_reject_limit_is_active(&b->pool_reject_limit, now_ms);
 }
 
 void cw_balance_on_request(cw_balance_t* b, int64_t now_ms, const cw_work_t* work) {
@@ -446,6 +489,45 @@
     return cw_contention_may_use(&b->contention, now_ms, &use);
 }
 
+/* Slots of the server that this host may use whatever the others do: all hosts together have as many as there are,
+   those included that may run on behind a network partition. */
+static uint32_t _cw_balance_own_slots(const cw_balance_t* b, const cw_pool_server_t* s) {
+    uint32_t hosts = b->fleet.count + b->fleet.missing;
+    if (b->fleet.count <= 1 && !b->fleet.missing) {
+        return s->spec.slots;
+    }
+    uint32_t rank = cw_rendezvous_rank(s->spec.id, b->desc.seed, b->fleet.ids, b->fleet.count);
+    return s->spec.slots / hosts + (rank < s->spec.slots % hosts);
+}
+
+/* Whether so few requests arrive at all hosts, before they hear of each other's, that the server has free slots for
+   twice as many. While requests wait, all hosts would take a slot at the moment when it becomes free. */
+static bool _cw_balance_has_spare_slots(const cw_balance_t* b, const cw_pool_server_t* s, int64_t now_ms,
+                                        const cw_work_t* work, double free_slots) {
+    cw_contention_use_t use = {.server = s->spec.id,
+                               .free_slots = free_slots,
+                               .urgency = cw_work_queue_urgency(work),
+                               .hosts = b->fleet.count,
+                               .delay_ms = b->fleet.propagation_ms};
+    return free_slots > _CW_HALF_FREE_SHARE * s->spec.slots && !cw_contention_has_waiting(&b->contention) &&
+           cw_contention_contenders(&b->contention, now_ms, &use) <= _CW_HALF_FREE_SHARE * free_slots;
+}
+
+/* Whether this host may use a free slot of a server that limits its rejections: its own share of the slots, and more
+   while slots are plenty. */
+static bool _cw_balance_can_use_limited(const cw_balance_t* b, cw_pool_server_t* s, int64_t now_ms,
+                                        const cw_work_t* work, double free_slots) {
+    uint32_t peer_rejections = cw_server_peer_rejections(s, now_ms);
+    if (cw_reject_limit_is_used_up(&s->reject_limit, now_ms, peer_rejections)) {
+        return false;
+    }
+    if (!s->spec.slots) {
+        return true;
+    }
+    return free_slots > 0 &&
+           (s->running < _cw_balance_own_slots(b, s) || _cw_balance_has_spare_slots(b, s, now_ms, work, free_slots));
+}
+
 /* -- choice --------------------------------------------------------------- */
 
 uint32_t cw_balance_throttle_wait_ms(const cw_balance_t* b, int64_t now_ms) {
@@ -543,7 +625,10 @@
         }
         cw_choice_t c = _cw_balance_evaluate(b, i, &in);
         free_slots += (double)s->spec.slots - c.running;
-        if (s->spec.memory_tokens && !_cw_balance_can_use(b, s, now_ms, work, slot_share * s->spec.slots - c.running)) {
+        bool is_limited = _cw_balance_is_reject_limited(b, s, now_ms);
+        double usable_slots = (s->spec.memory_tokens ? slot_share : 1) * s->spec.slots - c.running;
+        if ((is_limited && !_cw_balance_can_use_limited(b, s, now_ms, work, usable_slots)) ||
+            (s->spec.memory_tokens && !_cw_balance_can_use(b, s, now_ms, work, usable_slots))) {
             excluded.no_slot++;
             continue;
         }
@@ -745,6 +830,7 @@
             break;
         case CW_TRY_FULL:
             s->full_until_ms = now_ms + _CW_FULL_EXCLUSION_MS;
+            cw_reject_limit_on_rejected(&s->reject_limit, now_ms);
             break;
         case CW_TRY_CANCELLED:
             break;
@@ -825,6 +911,15 @@
     }
 }
 
+static void _cw_balance_merge_reject_limit(cw_balance_t* b, cw_pool_server_t* s, int64_t now_ms,
+                                           const cw_load_t* load) {
+    if (load->has_reject_limit) {
+        int64_t at_ms = now_ms - load->reject_limit_ago_ms - b->fleet.propagation_ms;
+        cw_reject_limit_on_peer(&s->reject_limit, at_ms, load->reject_limit_per_s);
+        cw_reject_limit_on_peer(&b->pool_reject_limit, at_ms, load->reject_limit_per_s);
+    }
+}
+
 void cw_balance_on_peer_load(cw_balance_t* b, int64_t now_ms, uint64_t peer, uint64_t server, const cw_load_t* load) {
     uint32_t at = cw_balance_find(b, server);
     if (at == CW_BALANCE_NONE) {
@@ -835,6 +930,7 @@
     cw_server_forecast_on_peer(&b->forecast, s, now_ms, load);
     _cw_balance_merge_suspicion(b, s, now_ms, peer, load);
     _cw_balance_merge_rate(b, s, now_ms, load);
+    _cw_balance_merge_reject_limit(b, s, now_ms, load);
     cw_report_limits_t limits = {.max_peers = b->desc.max_peers,
                                  .report_max_age_ms = b->desc.report_max_age_ms,
                                  .allocator = &b->desc.allocator};
--- a/chalkway_contention.h
+++ b/chalkway_contention.h
@@ -57,6 +57,8 @@
     uint32_t delay_ms; /* time until a load report has reached these hosts, 0: at once */
 } cw_contention_use_t;
 
+/* Whether any request of this host waits for a slot. */
+bool cw_contention_has_waiting(const cw_contention_t* c);
 /* Counts a new request. */
 void cw_contention_on_request(cw_contention_t* c, int64_t now_ms, uint32_t urgency);
 /* Sets the number of this host's requests of the urgency that wait for a slot. */
@@ -101,6 +103,15 @@
     l->rate_ms = now_ms;
 }
 
+bool cw_contention_has_waiting(const cw_contention_t* c) {
+    for (uint32_t i = 0; i < CW_URGENCY_LEVELS; i++) {
+        if (c->level[i].waiting_now) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void cw_contention_set_waiting(cw_contention_t* c, int64_t now_ms, uint32_t urgency, uint32_t count) {
     cw_contention_level_t* l = _cw_contention_level(c, urgency);
     l->waiting = _cw_contention_smoothed_waiting(l, now_ms);
--- a/chalkway_load.h
+++ b/chalkway_load.h
@@ -24,11 +24,11 @@
 #include "chalkway_balance.h"
 #include "chalkway_quarantine.h"
 
-#define CW_LOAD_VERSION 8       /* changes when older receivers would misread an entry; other versions are rejected */
+#define CW_LOAD_VERSION 9       /* changes when older receivers would misread an entry; other versions are rejected */
 #define CW_LOAD_ENTRIES 24      /* most entries in a datagram */
 #define CW_LOAD_OBSERVATIONS 48 /* most quarantine observations in a datagram, which then has no entries */
 #define CW_LOAD_PARTS 4         /* most prompt parts in an entry */
-#define CW_LOAD_BYTES 4608      /* largest datagram, with all entries in use */
+#define CW_LOAD_BYTES 5120      /* largest datagram, with all entries in use */
 
 /* Hosts to which the receiver forwards the entries. */
 typedef enum cw_load_scope_t {
@@ -96,9 +96,11 @@
 #define _CW_LOAD_ID_FIELDS 2          /* first fields of an entry: the host, 0 for the sender, and the server */
 #define _CW_LOAD_ENTRY_FIELDS 15      /* fixed fields of an entry; the last one is the urgency bits of its backlogs */
 #define _CW_LOAD_RATE_FIELDS 2        /* numbers of a server's rate: its value and its age */
+#define _CW_LOAD_REJECT_FIELDS 3      /* numbers of a limit on rejections: its value, its age and the rejections */
 #define _CW_LOAD_LEAVING 1U           /* flags of an entry */
 #define _CW_LOAD_RATE_ADVERTISED 2U
 #define _CW_LOAD_RATE_WITHDRAWN 4U
+#define _CW_LOAD_REJECT_LIMIT 16U
 #define _CW_LOAD_TOKENS 8U /* the backlogs are in tokens (cw_load_unit_t) */
 /* Longer backlogs, in either unit, are sent as this value, which is longer than any request waits. */
 #define _CW_LOAD_BACKLOG_MAX UINT16_MAX
@@ -138,6 +140,7 @@
 static uint32_t _cw_load_flags(const cw_load_entry_t* e) {
     return (e->leaving ? _CW_LOAD_LEAVING : 0U) | (e->load.rate == CW_RATE_ADVERTISED ? _CW_LOAD_RATE_ADVERTISED : 0U) |
            (e->load.rate == CW_RATE_WITHDRAWN ? _CW_LOAD_RATE_WITHDRAWN : 0U) |
+           (e->load.has_reject_limit ? _CW_LOAD_REJECT_LIMIT : 0U) |
            (e->load.backlog_unit == CW_LOAD_UNIT_TOKENS ? _CW_LOAD_TOKENS : 0U);
 }
 
@@ -146,7 +149,8 @@
     uint32_t urgency_bits;
     uint32_t backlogs = _cw_load_backlog(&e->load, added, &urgency_bits);
     uint32_t rate_fields = e->load.rate ? _CW_LOAD_RATE_FIELDS : 0;
-    msgpack_pack_array(p, _CW_LOAD_ENTRY_FIELDS + rate_fields + backlogs + 2 * e->part_count);
+    uint32_t reject_fields = e->load.has_reject_limit ? _CW_LOAD_REJECT_FIELDS : 0;
+    msgpack_pack_array(p, _CW_LOAD_ENTRY_FIELDS + rate_fields + reject_fields + backlogs + 2 * e->part_count);
     msgpack_pack_uint64(p, e->host == sender ? 0 : e->host);
     msgpack_pack_uint64(p, e->server);
     msgpack_pack_uint32(p, _cw_load_flags(e));
@@ -166,6 +170,11 @@
         msgpack_pack_uint32(p, e->load.rate_per_ks);
         msgpack_pack_uint32(p, e->load.rate_ago_ms);
     }
+    if (e->load.has_reject_limit) {
+        msgpack_pack_uint32(p, e->load.reject_limit_per_s);
+        msgpack_pack_uint32(p, e->load.reject_limit_ago_ms);
+        msgpack_pack_uint32(p, e->load.rejections);
+    }
     for (uint32_t i = 0; i < backlogs; i++) {
         msgpack_pack_uint32(p, added[i]);
     }
@@ -253,6 +262,21 @@
     return true;
 }
 
+/* Reads a limit on rejections that starts at *at, if the flags announce one, and advances *at past it. */
+static bool _cw_load_read_reject_limit(const msgpack_object_array* a, uint64_t flags, cw_load_t* load, uint32_t* at) {
+    uint64_t v[_CW_LOAD_REJECT_FIELDS] = {0};
+    load->has_reject_limit = (flags & _CW_LOAD_REJECT_LIMIT) != 0;
+    for (uint32_t i = 0; load->has_reject_limit && i < _CW_LOAD_REJECT_FIELDS; i++) {
+        if (!_cw_load_read_number(a, (*at)++, UINT32_MAX, &v[i])) {
+            return false;
+        }
+    }
+    load->reject_limit_per_s = (uint32_t)v[0];
+    load->reject_limit_ago_ms = (uint32_t)v[1];
+    load->rejections = (uint32_t)v[2];
+    return true;
+}
+
 static bool _cw_load_read_entry(const msgpack_object* o, cw_load_entry_t* e, uint64_t sender) {
     uint64_t v[_CW_LOAD_ENTRY_FIELDS];
     *e = (cw_load_entry_t){0};
@@ -282,6 +306,7 @@
                           .answered_ago_ms = (uint32_t)v[13]};
     uint32_t at = _CW_LOAD_ENTRY_FIELDS;
     if (!_cw_load_read_rate(&o->via.array, v[2], &e->load, &at) ||
+        !_cw_load_read_reject_limit(&o->via.array, v[2], &e->load, &at) ||
         !_cw_load_read_backlog(&o->via.array, v[_CW_LOAD_ENTRY_FIELDS - 1], &e->load, &at)) {
         return false;
     }
--- a/chalkway_server_load.h
+++ b/chalkway_server_load.h
@@ -56,6 +56,8 @@
 /* Load that a request of the urgency finds at the server. */
 cw_total_load_t cw_server_total_load(const cw_load_reader_t* reader, const cw_pool_server_t* s, int64_t now_ms,
                                      uint32_t urgency);
+/* Rejections of the other hosts at the server within the window of a limit on rejections, by their reports. */
+uint32_t cw_server_peer_rejections(const cw_pool_server_t* s, int64_t now_ms);
 /* This host's load at the server. */
 cw_load_t cw_server_own_load(const cw_server_forecast_t* forecast, const cw_pool_server_t* s, int64_t now_ms);
 /* Replaces the load report of a peer. A report without load, or beyond max_peers, is not stored. */
@@ -147,6 +149,16 @@
     return sum;
 }
 
+static void _cw_server_fill_reject_limit(const cw_reject_limit_t* limit, int64_t now_ms, cw_load_t* load) {
+    load->has_reject_limit = cw_reject_limit_is_active(limit, now_ms) && limit->own_ms > limit->withdrawn_ms &&
+                             now_ms - limit->own_ms <= CW_REJECT_LIMIT_EXPIRY_MS;
+    if (load->has_reject_limit) {
+        load->reject_limit_per_s = limit->per_s;
+        load->reject_limit_ago_ms = (uint32_t)(now_ms - limit->own_ms);
+        load->rejections = cw_reject_limit_own_rejections(limit, now_ms);
+    }
+}
+
 static void _cw_server_fill_rate(const cw_rate_t* rate, int64_t now_ms, cw_load_t* load) {
     cw_rate_observation_t observation = cw_rate_to_send(rate, now_ms);
     if (observation.state != CW_RATE_UNKNOWN) {
@@ -166,6 +178,7 @@
                       .failed_ago_ms = cw_suspect_age_ms(s->own_failed_ms, now_ms),
                       .answered_ago_ms = s->suspicion.failures ? cw_suspect_age_ms(s->own_answered_ms, now_ms) : 0};
     _cw_server_fill_rate(&s->rate, now_ms, &load);
+    _cw_server_fill_reject_limit(&s->reject_limit, now_ms, &load);
     for (uint32_t urgency = 0; urgency < CW_URGENCY_LEVELS; urgency++) {
         load.backlog_ms[urgency] = (uint32_t)cw_server_own_backlog_ms(s, now_ms, urgency);
     }
@@ -174,6 +187,15 @@
     return load;
 }
 
+uint32_t cw_server_peer_rejections(const cw_pool_server_t* s, int64_t now_ms) {
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < s->report_count; i++) {
+        bool is_recent = now_ms - s->reports[i].at_ms < CW_REJECT_LIMIT_WINDOW_MS;
+        count += is_recent ? s->reports[i].load.rejections : 0;
+    }
+    return count;
+}
+
 /* Drops reports that are too old, and the peer's, which is about to be replaced. */
 static void _cw_server_drop_reports(cw_pool_server_t* s, int64_t now_ms, uint64_t peer, uint32_t report_max_age_ms) {
     for (uint32_t i = 0; i < s->report_count;) {
@@ -201,7 +223,8 @@
 }
 
 static bool _cw_server_has_load(const cw_load_t* load) {
-    return load->running || load->streaming || load->tokens || load->backlog_ms[CW_URGENCY_LEVELS - 1];
+    return load->running || load->rejections || load->streaming || load->tokens ||
+           load->backlog_ms[CW_URGENCY_LEVELS - 1];
 }
 
 void cw_server_store_report(cw_pool_server_t* s, int64_t now_ms, uint64_t peer, const cw_load_t* load,
--- a/chalkway_server_table.h
+++ b/chalkway_server_table.h
@@ -37,6 +37,7 @@
 #include "chalkway_map.h"
 #include "chalkway_prefix.h"
 #include "chalkway_rate.h"
+#include "chalkway_reject_limit.h"
 #include "chalkway_suspect.h"
 
 #define CW_BALANCE_NONE UINT32_MAX
@@ -85,13 +86,17 @@
     uint32_t tokens;                /* tokens of memory that the host's running requests use or will use */
     uint32_t event_interval_us;     /* learned event interval while the server prefills nothing; 0: unknown */
     uint32_t pace_ns;               /* time per prompt token in a fresh sample (chalkway_forecast.h); 0: none */
-    uint32_t pending_units;   /* tokens of all unanswered prompts that were not cached, in CW_FORECAST_UNIT_TOKENS */
-    uint32_t longest_gap_ms;  /* fresh estimate of the longest gap of a stream (chalkway_gap_forecast.h); 0: none */
-    uint32_t failed_ago_ms;   /* time since a connection of the host to the server last failed; 0: not recently */
-    uint32_t answered_ago_ms; /* time since the host sent the last request that the server answered; 0: not recently */
-    cw_rate_state_t rate;     /* state of the server's advertised rate in recent responses to this host */
-    uint32_t rate_per_ks;     /* the advertised rate, requests per 1,000 s */
-    uint32_t rate_ago_ms;     /* age of the observation in rate and rate_per_ks */
+    uint32_t pending_units;    /* tokens of all unanswered prompts that were not cached, in CW_FORECAST_UNIT_TOKENS */
+    uint32_t longest_gap_ms;   /* fresh estimate of the longest gap of a stream (chalkway_gap_forecast.h); 0: none */
+    uint32_t failed_ago_ms;    /* time since a connection of the host to the server last failed; 0: not recently */
+    uint32_t answered_ago_ms;  /* time since the host sent the last request that the server answered; 0: not recently */
+    cw_rate_state_t rate;      /* state of the server's advertised rate in recent responses to this host */
+    uint32_t rate_per_ks;      /* the advertised rate, requests per 1,000 s */
+    uint32_t rate_ago_ms;      /* age of the observation in rate and rate_per_ks */
+    uint32_t has_reject_limit; /* 1: the server advertised a limit on rejections in recent responses to this host */
+    uint32_t reject_limit_per_s;  /* that limit */
+    uint32_t reject_limit_ago_ms; /* time since it was last advertised to this host */
+    uint32_t rejections;          /* requests of this host that the server rejected within the last second */
 } cw_load_t;
 
 /* The urgency by which a request is queued: a late one goes last and delays no other request. */
@@ -168,6 +173,7 @@
     int64_t own_answered_ms;      /* sending time of this host's last request that the server answered; 0: none */
     cw_rate_t rate;
     cw_backoff_t backoff;
+    cw_reject_limit_t reject_limit;
     int64_t cold_until_ms;
     cw_bucket_t cold;          /* rate limit until cold_until_ms */
     uint64_t prefilled_tokens; /* all tokens prefilled there, as far as known */
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -10,23 +10,24 @@
 
 /* Names of header fields. NULL: the dialect has no such field. */
 typedef struct dialect_fields_t {
-    const char* request_id;  /* id of one attempt of a caller; a response repeats it */
-    const char* deadline_ms; /* how long the caller, or the gateway, will wait */
-    const char* key;         /* the workspace's access key; never forwarded */
-    const char* key_scheme;  /* authentication scheme before the key */
-    const char* workspace;   /* set by the gateway: name of the key's workspace */
-    const char* server;      /* set by the gateway: id of the intended server */
-    const char* server_id;   /* in a response: id of the server that sent it */
-    const char* not_run;     /* in a response: the server did not run the request */
-    const char* signature;   /* in a response: proves that the server sent it */
-    const char* priority;    /* set by the gateway: 0 is the most urgent */
-    const char* last_event;  /* id of the event after which a stream resumes */
-    const char* retry_after; /* in seconds, fractions allowed */
-    const char* leaving;     /* in a response, "1": the server is leaving */
-    const char* limit;       /* in a response: requests per second that the server accepts from all hosts together */
-    const char* tokens;      /* "IN,OUT": prompt and output tokens of a generation */
-    const char* parts;       /* "ID:TOKENS,...": parts of the prompt, IDs in hex */
-    const char* fetch_from;  /* set by the gateway: IP:PORT of an engine with more of the prompt in its cache */
+    const char* request_id;   /* id of one attempt of a caller; a response repeats it */
+    const char* deadline_ms;  /* how long the caller, or the gateway, will wait */
+    const char* key;          /* the workspace's access key; never forwarded */
+    const char* key_scheme;   /* authentication scheme before the key */
+    const char* workspace;    /* set by the gateway: name of the key's workspace */
+    const char* server;       /* set by the gateway: id of the intended server */
+    const char* server_id;    /* in a response: id of the server that sent it */
+    const char* not_run;      /* in a response: the server did not run the request */
+    const char* signature;    /* in a response: proves that the server sent it */
+    const char* priority;     /* set by the gateway: 0 is the most urgent */
+    const char* last_event;   /* id of the event after which a stream resumes */
+    const char* retry_after;  /* in seconds, fractions allowed */
+    const char* leaving;      /* in a response, "1": the server is leaving */
+    const char* limit;        /* in a response: requests per second that the server accepts from all hosts together */
+    const char* reject_limit; /* in a response: rejections per second, of all hosts together, beyond which it fails */
+    const char* tokens;       /* "IN,OUT": prompt and output tokens of a generation */
+    const char* parts;        /* "ID:TOKENS,...": parts of the prompt, IDs in hex */
+    const char* fetch_from;   /* set by the gateway: IP:PORT of an engine with more of the prompt in its cache */
     const char* const* reserved; /* further fields that only the gateway may set, ends with NULL */
 } dialect_fields_t;
 
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -161,8 +161,12 @@
     bool was_suspected = cw_balance_is_suspected(pool->balance, now_ms, server->key);
     cw_balance_end(pool->balance, now_ms, &x->run, x->result);
     x->exchanges->desc.on_load_changed(x->exchanges->desc.user_data, server, NULL);
-    if (x->result == CW_TRY_BROKEN || x->result == CW_TRY_UNREACHABLE) {
+    bool is_lost = x->result == CW_TRY_BROKEN || x->result == CW_TRY_UNREACHABLE;
+    if (is_lost) {
         server_log_suspicion(server, now_ms, was_suspected, 0);
+    }
+    /* With a limit on rejections, hosts wait for each slot and must know at once that it is free or was not. */
+    if (is_lost || cw_balance_has_reject_limit(pool->balance, now_ms, server->key)) {
         x->exchanges->desc.on_liveness_changed(x->exchanges->desc.user_data, server);
     }
 }
--- a/gateway/exchange_assign.c
+++ b/gateway/exchange_assign.c
@@ -108,16 +108,17 @@
     return gives_up_early ? last_received_ms + read_timeout_ms : x->deadline_ms;
 }
 
-/* Only engines have slots that become free soon. Plain servers that can't be used are unreachable, and then a quick
-   refusal serves the caller better than a wait. */
+/* Slots that become free soon are those of engines, and of plain servers whose queues must not be used. Other plain
+   servers that can't be used are unreachable, and then a quick refusal serves the caller better than a wait. */
 static cw_queue_wait_t slot_wait(const exchange_t* x) {
     const cw_balance_t* b = x->pool->balance;
-    return cw_queue_wait(&(cw_queue_wait_desc_t){.now_ms = clock_ms(),
-                                                 .caller_gone_ms = caller_gives_up_ms(x),
-                                                 .target_ms = x->route->target_ms,
-                                                 .shortest_target_ms = cw_balance_shortest_target_ms(b),
-                                                 .is_delay_tolerant = !x->pool->memory_tokens ||
-                                                                      cw_balance_is_delay_tolerant(b, &x->work)});
+    bool has_slots = x->pool->memory_tokens || cw_balance_is_reject_limited(b, clock_ms());
+    return cw_queue_wait(
+        &(cw_queue_wait_desc_t){.now_ms = clock_ms(),
+                                .caller_gone_ms = caller_gives_up_ms(x),
+                                .target_ms = x->route->target_ms,
+                                .shortest_target_ms = cw_balance_shortest_target_ms(b),
+                                .is_delay_tolerant = !has_slots || cw_balance_is_delay_tolerant(b, &x->work)});
 }
 
 /* Refuses a quarantined request, whatever its id. While the verdict is undecided, the request waits outside of the
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -303,6 +303,8 @@
             out, "chalkway_pool_unreachable{pool=\"%s\"} %u\nchalkway_pool_opened_age_ms{pool=\"%s\"} %lld\n",
             pool->name, cw_balance_unreachable_count(pool->balance), pool->name,
             pool->opened_ms ? (long long)(clock_ms() - pool->opened_ms) : -1LL);
+        cw_message_add_text(out, "chalkway_pool_reject_limited{pool=\"%s\"} %d\n", pool->name,
+                            cw_balance_is_reject_limited(pool->balance, clock_ms()));
         cw_message_add_text(out, "chalkway_pool_cut{pool=\"%s\"} %d\nchalkway_pool_broken_paths{pool=\"%s\"} %u\n",
                             pool->name, pool->reach.is_cut, pool->name, pool->reach.broken_count);
         cw_message_add_text(out, "chalkway_pool_fullness{pool=\"%s\"} %.3f\n", pool->name,
--- a/gateway/pushback.c
+++ b/gateway/pushback.c
@@ -1,11 +1,12 @@
-/* Evaluates what the head of a response announces about its server: leaving, backoff and advertised rate. Whichever
-   request a head responds to, it describes the server, and the choice of a server must take it into account. */
+/* Evaluates what the head of a response announces about its server: leaving, backoff, advertised rate and limit on
+   rejections. Whichever request a head responds to, it describes the server, and the choice of a server must take it
+   into account. */
 #include <string.h>
 
 #include "clock.h"
 #include "upstream_internal.h"
 
-#define NO_RATE_LIMIT (-1.0)
+#define NO_LIMIT (-1.0)
 #define LEAVING_VALUE "1"
 #define STATUS_UNAVAILABLE 503
 #define STATUS_TOO_MANY 429
@@ -38,7 +39,7 @@
     const char* text = field ? cw_message_field(head, field) : NULL;
     int64_t now_ms = clock_ms();
     double previous_per_s = cw_balance_rate_per_s(balance, now_ms, s->key);
-    double per_s = NO_RATE_LIMIT;
+    double per_s = NO_LIMIT;
     if (text && !cw_pushback_parse_rate(text, &per_s)) {
         log_malformed(s, field, text);
         return;
@@ -52,6 +53,25 @@
     }
 }
 
+/* Only a final response without the field withdraws the limit. */
+static void read_reject_limit(server_t* s, const cw_message_t* head, int64_t sent_ms) {
+    const upstreams_desc_t* desc = &s->pool->upstreams->desc;
+    const char* field = desc->dialect->fields.reject_limit;
+    const char* text = field ? cw_message_field(head, field) : NULL;
+    double per_s = NO_LIMIT;
+    if (text && !cw_pushback_parse_rate(text, &per_s)) {
+        log_malformed(s, field, text);
+        return;
+    }
+    if (!text && head->status / 100 == 1) {
+        return;
+    }
+    if (cw_balance_on_reject_limit(s->pool->balance, clock_ms(), s->key, sent_ms, per_s)) {
+        cw_log(desc->log, CW_EVENT_REJECT_LIMIT, "server=%s pool=%s per_s=%.0f", s->published.id, s->pool->name, per_s);
+        notify_pushback(s);
+    }
+}
+
 /* The server's announcement suffices: the source may be unavailable, or list the server as leaving only later. */
 static void read_leaving(server_t* s, const cw_message_t* head) {
     const upstreams_desc_t* desc = &s->pool->upstreams->desc;
@@ -96,5 +116,6 @@
         read_leaving(s, head);
         read_retry_after(s, head);
         read_advertised_rate(s, head, sent_ms);
+        read_reject_limit(s, head, sent_ms);
     }
 }
--- a/gateway/reporter.c
+++ b/gateway/reporter.c
@@ -233,7 +233,8 @@
 void reporter_on_load(reporter_t* n, const server_t* server, const cw_work_t* work) {
     dirty_t* d = get_dirty(n, server->key);
     schedule_owner_report(n, server);
-    if (!work || !work->prompt_tokens) {
+    bool is_urgent = cw_balance_has_reject_limit(server->pool->balance, clock_ms(), server->key);
+    if (!work || (!work->prompt_tokens && !is_urgent)) {
         return; /* reported with a later tick */
     }
     for (uint32_t i = 0; i < work->part_count && d->part_count < CW_LOAD_PARTS; i++) {
@@ -265,14 +266,14 @@
     }
 }
 
-/* Marks every server at which this daemon runs requests, or whose advertised rate it sends, so that all of them are
+/* Marks every server at which this daemon runs requests, or whose advertised limits it sends, so that all of them are
    reported again. */
 static void mark_all_dirty(reporter_t* n, int64_t now_ms) {
     for (pool_t* pool = upstreams_pools(n->desc.upstreams); pool; pool = pool->next) {
         for (server_t* s = pool->servers; s; s = s->next) {
             uint32_t at = cw_balance_find(pool->balance, s->key);
             bool is_reported = at != CW_BALANCE_NONE && (cw_balance_own_load(pool->balance, now_ms, at).running ||
-                                                         cw_balance_has_rate_to_send(pool->balance, now_ms, s->key));
+                                                         cw_balance_has_limit_to_send(pool->balance, now_ms, s->key));
             if (is_reported) {
                 get_dirty(n, s->key);
             }
--- a/standins/fake_upstream.c
+++ b/standins/fake_upstream.c
@@ -16,6 +16,9 @@
                    &limit=X    responses advertise a rate limit of X requests per second, -1: none
                    &rest=X     every second request is answered 503 with Retry-After: X seconds, 0: none
                    &leaving=1  responses announce that the server is leaving
+                   &rejects=N  under strain: all responses advertise that the server may reject N requests per second;
+                               from STRAIN_DELAY_MS later its queue is short, and the process exits when it has to
+   reject more; -1: no strain
 
     A body that begins with "deadly" is a query of death: CRASH_DELAY_MS after the request started to run, the process
     exits without a response to any running request.
@@ -29,6 +32,7 @@
         U MS rate - SERVER PER_S      the advertised rate changed, -1: none
         U MS named|parts ID SERVER    a response advertised the rate; announced that the server is leaving
         U MS away ID SERVER REST_MS   the request was rejected with Retry-After
+        U MS fell - SERVER            the process exits because it rejected too many requests under strain
 */
 #include <argp.h>
 #include <inttypes.h>
@@ -48,9 +52,14 @@
 #define STEP_PER_REQUEST_MS 0.02 /* added to a step for each running request */
 #define LINES_MAX_BYTES 4194304  /* buffer for lines not yet written to standard output */
 #define PRIORITY_LOWEST 9
-#define HEADERS_MAX 6
+#define HEADERS_MAX 7
+#define RATE_TEXT_MAX 24     /* of the advertised rate, in the text that backs the headers of pushback */
+#define PUSHBACK_TEXT_MAX 36 /* of the rate and the limit on rejections */
 #define CRASH_DELAY_MS 60.0
-#define CRASH_EXIT_STATUS 3 /* exit status after a query of death */
+#define CRASH_EXIT_STATUS 3  /* exit status after a query of death, and after too many rejections */
+#define STRAIN_DELAY_MS 3000 /* from advertising the limit on rejections until it holds */
+#define STRAIN_QUEUE 1       /* queue length under strain */
+#define REJECTIONS_MAX 16    /* highest limit on rejections */
 
 typedef struct job_t {
     cw_exchange_t* x;
@@ -75,6 +84,10 @@
     cw_heap_t queue; /* waiting jobs by priority, then arrival */
     double arrival_count;
     uint32_t running;
+    int reject_limit; /* rejections per second under strain; < 0: no strain */
+    int64_t strained_from_ms;
+    int64_t rejected_ms[REJECTIONS_MAX]; /* ring of the latest rejections */
+    uint32_t rejection_count;
     uint32_t backoff_requests; /* requests received while backoff_s was set */
     ev_timer step;
 } upstream_t;
@@ -96,11 +109,17 @@
     cw_lines_add(&u->lines, line);
 }
 
-/* Appends the headers of server pushback, advertised rate and leaving, to the first count headers. rate_text backs the
-   value and must outlive the headers. Returns the new count. */
-static uint32_t add_pushback(upstream_t* u, const char* id, char rate_text[24], cw_header_t* headers, uint32_t count) {
+/* Appends the headers of server pushback, advertised limits and leaving, to the first count headers. rate_text backs
+   the values and must outlive the headers. Returns the new count. */
+static uint32_t add_pushback(upstream_t* u, const char* id, char rate_text[PUSHBACK_TEXT_MAX], cw_header_t* headers,
+                             uint32_t count) {
+    if (u->reject_limit >= 0) {
+        char* text = rate_text + RATE_TEXT_MAX;
+        snprintf(text, PUSHBACK_TEXT_MAX - RATE_TEXT_MAX, "%d", u->reject_limit);
+        headers[count++] = (cw_header_t){"Chalkway-Server-Reject-Limit", text};
+    }
     if (u->advertised_per_s >= 0) {
-        snprintf(rate_text, 24, "%.3f", u->advertised_per_s);
+        snprintf(rate_text, RATE_TEXT_MAX, "%.3f", u->advertised_per_s);
         headers[count++] = (cw_header_t){"Chalkway-Server-Limit", rate_text};
         log_event(u, "named", id);
     }
@@ -183,7 +202,7 @@
     job_t* job = w->data;
     char body[80];
     int size = snprintf(body, sizeof(body), "ran %s", job->id);
-    char rate_text[24];
+    char rate_text[PUSHBACK_TEXT_MAX];
     cw_header_t headers[HEADERS_MAX] = {{"Chalkway-Request-Id", job->id}};
     uint32_t count = add_pushback(job->upstream, job->id, rate_text, headers, 1);
     cw_exchange_reply(job->x, 200, headers, count, body, (size_t)size);
@@ -233,16 +252,37 @@
     return NULL;
 }
 
-static void reject(cw_exchange_t* x, unsigned status, const char* id) {
-    const cw_header_t headers[] = {{"Chalkway-Not-Run", "1"}, {"Chalkway-Request-Id", id}};
-    cw_exchange_reply(x, status, headers, 2, "", 0);
+static void reject(upstream_t* u, cw_exchange_t* x, unsigned status, const char* id) {
+    char rate_text[PUSHBACK_TEXT_MAX];
+    cw_header_t headers[HEADERS_MAX] = {{"Chalkway-Not-Run", "1"}, {"Chalkway-Request-Id", id}};
+    uint32_t count = add_pushback(u, id, rate_text, headers, 2);
+    cw_exchange_reply(x, status, headers, count, "", 0);
+}
+
+static bool is_strained(const upstream_t* u) {
+    return u->reject_limit >= 0 && standin_now_ms() >= u->strained_from_ms + STRAIN_DELAY_MS;
+}
+
+/* Counts a rejection for lack of room; under strain, ends the process when there were too many within a second. */
+static void count_rejection(upstream_t* u) {
+    int64_t now_ms = standin_now_ms();
+    uint32_t recent = 0;
+    u->rejected_ms[u->rejection_count++ % REJECTIONS_MAX] = now_ms;
+    for (uint32_t i = 0; i < REJECTIONS_MAX; i++) {
+        recent += u->rejected_ms[i] && now_ms - u->rejected_ms[i] < 1000;
+    }
+    if (is_strained(u) && recent > (uint32_t)u->reject_limit) {
+        log_event(u, "fell", "-");
+        cw_lines_shutdown(&u->lines);
+        _exit(CRASH_EXIT_STATUS);
+    }
 }
 
 /* Rejects the request with 503 and Retry-After. */
 static void reject_with_backoff(upstream_t* u, cw_exchange_t* x, const char* id) {
     char line[160];
     char retry_after[24];
-    char rate_text[24];
+    char rate_text[PUSHBACK_TEXT_MAX];
     snprintf(retry_after, sizeof(retry_after), "%.3f", u->backoff_s);
     cw_header_t headers[HEADERS_MAX] = {
         {"Chalkway-Not-Run", "1"}, {"Chalkway-Request-Id", id}, {"Retry-After", retry_after}};
@@ -259,7 +299,7 @@
     const char* priority = cw_exchange_header(x, "Chalkway-Priority");
     const char* after = cw_exchange_header(x, "Last-Event-Id");
     if (server && strcmp(server, u->id) != 0) {
-        reject(x, 421, id ? id : "");
+        reject(u, x, 421, id ? id : "");
         return;
     }
     if (id) {
@@ -269,9 +309,11 @@
         reject_with_backoff(u, x, id);
         return;
     }
-    job_t* job = id && u->queue.count < u->queue_max ? job_alloc(u) : NULL;
+    uint32_t queue_max = is_strained(u) ? STRAIN_QUEUE : u->queue_max;
+    job_t* job = id && u->queue.count < queue_max ? job_alloc(u) : NULL;
     if (!job) {
-        reject(x, 503, id ? id : "");
+        count_rejection(u);
+        reject(u, x, 503, id ? id : "");
         return;
     }
     job->x = x;
@@ -289,7 +331,7 @@
         log_job_event(u, "reach", job);
     }
     if (u->prefill_us > 0) {
-        char rate_text[24];
+        char rate_text[PUSHBACK_TEXT_MAX];
         cw_header_t headers[HEADERS_MAX] = {{"Content-Type", "text/event-stream"}, {"Chalkway-Request-Id", job->id}};
         uint32_t count = add_pushback(u, job->id, rate_text, headers, 2);
         cw_exchange_stream(x, 200, headers, count);
@@ -314,6 +356,11 @@
         }
         u->slowdown = standin_number_arg(x, "slow", u->slowdown);
         u->backoff_s = standin_number_arg(x, "rest", u->backoff_s);
+        int reject_limit = (int)standin_number_arg(x, "rejects", u->reject_limit);
+        if (reject_limit != u->reject_limit) {
+            u->reject_limit = reject_limit < REJECTIONS_MAX ? reject_limit : REJECTIONS_MAX - 1;
+            u->strained_from_ms = standin_now_ms();
+        }
         u->is_leaving = u->is_leaving || standin_number_arg(x, "leaving", 0) > 0;
         standin_reply_json(x, 200, "{}");
     } else {
@@ -367,8 +414,13 @@
     };
     const struct argp argp = {
         .options = options, .parser = parse_option, .doc = "Stand-in for a server behind a gateway."};
-    static upstream_t upstream = {
-        .id = "s", .slots = 8, .queue_max = 25, .call_ms = 50, .slowdown = 1, .advertised_per_s = -1};
+    static upstream_t upstream = {.id = "s",
+                                  .slots = 8,
+                                  .queue_max = 25,
+                                  .call_ms = 50,
+                                  .slowdown = 1,
+                                  .advertised_per_s = -1,
+                                  .reject_limit = -1};
     upstream_t* u = &upstream;
     argp_parse(&argp, argc, argv, 0, NULL, u);
     u->queue = cw_heap_setup(MAX_JOBS, NULL);
--- a/tests/test_pushback.c
+++ b/tests/test_pushback.c
@@ -34,6 +34,11 @@
             "HTTP/1.1 503 No\r\nChalkway-Request-Id: @ID@\r\nChalkway-Not-Run: 1\r\nRetry-After: " retry_after         \
             "\r\nContent-Length: 0\r\n\r\n"                                                                            \
     }
+#define REJECT_LIMIT_RESPONSE                                                                                          \
+    {                                                                                                                  \
+        RIG_RESPOND, "HTTP/1.1 200 OK\r\nChalkway-Request-Id: @ID@\r\nChalkway-Server-Reject-Limit: 3\r\n"             \
+                     "Content-Length: 4\r\n\r\nfine"                                                                   \
+    }
 #define CALLS 8
 #define BACKOFF_MS 30000
 #define IN_FLIGHT_MS 500 /* requests that were in flight when the server responded may still arrive for this time */
@@ -213,7 +218,54 @@
 }
 END_TEST
 
+#define CALLERS 6
+#define SLOTS 4 /* of a server, as the rig publishes it */
+
+/* A server under strain advertises how many requests it may reject, while all callers send at once. Requests beyond its
+   slots wait at the gateway and reach the server only as slots become free. Without the limit they would wait in the
+   server's queue, which may be too short for them. */
+START_TEST(requests_beyond_the_slots_wait_while_a_limit_on_rejections_is_advertised) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    cw_stream_t callers[CALLERS];
+    rig_script(r, (rig_step_t[]){REJECT_LIMIT_RESPONSE}, 1);
+    expect_status(rig_call(r, REQUEST), "200");
+    ck_assert(cw_balance_is_reject_limited(upstreams_pool(r->upstreams, "p")->balance, clock_ms()));
+    rig_script(r,
+               (rig_step_t[]){{RIG_NO_RESPONSE, ""},
+                              {RIG_NO_RESPONSE, ""},
+                              {RIG_NO_RESPONSE, ""},
+                              {RIG_NO_RESPONSE, ""},
+                              OK_RESPONSE,
+                              OK_RESPONSE},
+               CALLERS);
+    for (int i = 0; i < CALLERS; i++) {
+        rig_send_from_other_caller(r, &callers[i], REQUEST);
+    }
+    ev_tstamp end = ev_time() + 0.2;
+    while (ev_time() < end) {
+        ev_run(r->loop, EVRUN_ONCE);
+    }
+    ck_assert_uint_eq(r->arrival_count, SLOTS);
+    ck_assert_uint_eq(exchanges_stats(r->exchanges).waiting, CALLERS - SLOTS);
+    for (uint32_t i = 0; i < r->conn_count; i++) { /* the server answers the requests that it runs */
+        static const char text[] = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate";
+        if (r->conns[i].is_open) {
+            cw_stream_write(&r->conns[i].stream, text, strlen(text));
+            cw_stream_flush(&r->conns[i].stream);
+        }
+    }
+    while (r->arrival_count < CALLERS) {
+        ev_run(r->loop, EVRUN_ONCE);
+    }
+    for (int i = 0; i < CALLERS; i++) {
+        cw_stream_close(&callers[i]);
+    }
+    rig_shutdown(r);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
+    tcase_add_test(t, requests_beyond_the_slots_wait_while_a_limit_on_rejections_is_advertised);
     tcase_add_test(t, backoff_is_never_shortened);
     tcase_add_test(t, server_gets_few_requests_at_first_after_a_backoff);
     tcase_add_test(t, invalid_values_change_nothing_and_huge_ones_are_bounded);
--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -271,7 +271,17 @@
 }
 END_TEST
 
+START_TEST(upstreams_that_fall_over_under_strain_are_found) {
+    expect_only("S 1000 fault strain v1\nU 2000 fell - v1\nU 3000 fell - v2\nU 4000 fell - v3\n",
+                SOAK_FELL_UNDER_STRAIN);
+    soak_result_t r = check_record("S 1000 fault strain v1\nU 2000 fell - v1\nU 3000 fell - v2\nS 3500 over strain v1\n"
+                                   "S 4000 fault strain v1\nU 4500 fell - v3\nU 4600 fell - v1\n");
+    ck_assert_uint_eq(r.count[SOAK_FELL_UNDER_STRAIN], 0); /* two in each strain */
+}
+END_TEST
+
 static void add_tests(TCase* t) {
+    tcase_add_test(t, upstreams_that_fall_over_under_strain_are_found);
     tcase_add_test(t, exceeded_advertised_rate_is_found);
     tcase_add_test(t, ignored_backoff_is_found);
     tcase_add_test(t, request_after_leaving_announcement_is_found);
--- a/tools/soak.h
+++ b/tools/soak.h
@@ -24,6 +24,7 @@
         U MS away ID SERVER REST_MS        arrivals at upstreams and their server pushback: an advertised rate,
                                            responses that advertise it, responses that announce leaving, and
                                            refusals that request a backoff (standins/fake_upstream.c)
+        U MS fell - SERVER                 an upstream under strain ends, because it rejected too many requests
         S MS fault NAME TARGET             a fault begins
         S MS over NAME TARGET              the fault ends
         S MS up SERVER SLOTS, S MS leaves SERVER, S MS down SERVER
@@ -69,6 +70,7 @@
     SOAK_FALSE_QUARANTINE,   /* an ordinary request was quarantined as a query of death */
     SOAK_RATE_EXCEEDED,      /* an upstream got requests faster than the rate that it advertised */
     SOAK_BACKOFF_IGNORED,    /* an upstream got too many requests from a host during a requested backoff */
+    SOAK_FELL_UNDER_STRAIN,  /* too many upstreams ended by rejections while they advertised a limit on them */
     SOAK_LEAVING_IGNORED,    /* an upstream got a request long after it had announced leaving to the host */
     SOAK_CHECK_COUNT
 } soak_check_t;
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -20,7 +20,9 @@
 #define INVERSION_REFUSALS_MIN 10   /* fewer refusals in a window prove nothing */
 #define INVERSION_REFUSED_ONE_IN 12 /* a violation needs more than 1/12 of the kind's requests refused */
 #define INVERSION_SIZE_RATIO 2      /* ratio of the mean prompt that began to the mean prompt that was refused */
-#define LEAVING_SLACK_MS 1000  /* beyond the drain time: polling, propagation and scheduling delays of the machine */
+#define LEAVING_SLACK_MS 1000 /* beyond the drain time: polling, propagation and scheduling delays of the machine */
+#define STRAIN_FALLS_MIN 2    /* falls in one strain that are tolerated, besides one in ten of the upstreams */
+#define STRAIN_FALLS_ONE_IN 10
 #define CANCEL_SLACK_MS 500    /* after a caller abandoned its request: time for upstreams to stop running it */
 #define RECOVERY_SHARE_MIN 0.9 /* share of the requests sent in calm periods that must be served */
 #define STOP_SLACK_MS 1500     /* time that a host may take to exit, beyond the grace time on stop */
@@ -72,6 +74,7 @@
 typedef struct fault_t {
     char name[NAME_SIZE], target[NAME_SIZE];
     int64_t from_ms, to_ms; /* to_ms 0: still active */
+    uint32_t falls;         /* of a strain: upstreams that ended by rejections */
 } fault_t;
 
 /* A host and its last start. */
@@ -100,7 +103,7 @@
 const char* soak_check_name(soak_check_t check) {
     static const char* const names[SOAK_CHECK_COUNT] = {
         "twice", "refused-and-run", "mixed",  "lost",     "refused-idle", "put-behind", "sent-to-left", "worked-on",
-        "stop",  "recovery",        "deadly", "shut-out", "rate",         "rest",       "told-left"};
+        "stop",  "recovery",        "deadly", "shut-out", "rate",         "rest",       "fell",         "told-left"};
     return names[check];
 }
 
@@ -313,6 +316,20 @@
     return false;
 }
 
+/* An upstream under strain ended by rejections: counts it to the strain that began last. */
+static void handle_fall(checker_t* c, int64_t at_ms, const char* server) {
+    fault_t* strain = NULL;
+    for (uint32_t i = 0; i < c->fault_count; i++) {
+        fault_t* f = &c->faults[i];
+        bool is_active = f->from_ms <= at_ms && (!f->to_ms || at_ms <= f->to_ms);
+        strain = is_active && strcmp(f->name, "strain") == 0 ? f : strain;
+    }
+    uint32_t allowed = STRAIN_FALLS_MIN + c->server_count / STRAIN_FALLS_ONE_IN;
+    if (strain && ++strain->falls > allowed) {
+        add_finding(c, SOAK_FELL_UNDER_STRAIN, at_ms, "too many upstreams fell over", server);
+    }
+}
+
 static void handle_upstream(checker_t* c, int64_t at_ms, const char* what, const char* fields) {
     char id[NAME_SIZE] = "";
     char server[NAME_SIZE] = "";
@@ -320,6 +337,10 @@
     sscanf(fields, "%31s %31s %lf", id, server, &value);
     request_t* r = find_request(c, id);
     server_record_t* s = find_server(c, server);
+    if (strcmp(what, "fell") == 0) {
+        handle_fall(c, at_ms, server);
+        return;
+    }
     if (!s || handle_pushback(c, at_ms, what, r, s, value) || !r) {
         return;
     }
--- a/tools/soak_faults.c
+++ b/tools/soak_faults.c
@@ -12,6 +12,7 @@
 #define LEAVE_DURATION_MS (SOAK_DRAIN_MS + 4000) /* time for which a leaving server goes on serving */
 #define SLOW_FACTOR 5
 #define RATE_LIMIT_DURATION_MS 9000 /* long enough for the rate check of soak_pushback.c */
+#define STRAIN_DURATION_MS 9000     /* the strain takes effect 3 s after it was announced */
 #define KILL_ALL_ONE_IN 25          /* one fault in this many kills all hosts at once */
 
 typedef struct fault_kind_t {
@@ -64,6 +65,15 @@
     }
 }
 
+static bool cut_begin(active_fault_t* a) {
+    soak_set_host_cut(a->target, true);
+    return true;
+}
+
+static void cut_end(active_fault_t* a) {
+    soak_set_host_cut(a->target, false);
+}
+
 static bool reload_begin(active_fault_t* a) {
     soak_write_settings(a->target, 500 + (uint32_t)(soak_random(a->soak) % 1500));
     kill(a->target->pid, SIGHUP);
@@ -145,6 +155,42 @@
     }
 }
 
+/* Sets the limit on rejections of all upstreams that are of the same kind as the target. */
+static void set_strain(const active_fault_t* a, int rejects) {
+    char path[40];
+    snprintf(path, sizeof(path), "/admin/set?rejects=%d", rejects);
+    for (uint32_t i = 0; i < a->soak->proc_count; i++) {
+        const proc_t* p = &a->soak->procs[i];
+        if (p->kind == PROC_UPSTREAM && p->pid && p->is_ready && p->is_engine == a->target->is_engine) {
+            soak_post(a->soak, p->address, path, "");
+        }
+    }
+}
+
+static bool is_strained(const active_fault_t* a) {
+    for (uint32_t i = 0; i < SOAK_FAULTS_MAX; i++) {
+        const active_fault_t* other = &a->soak->active_faults[i];
+        if (other != a && other->kind == a->kind && other->target->is_engine == a->target->is_engine) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool strain_begin(active_fault_t* a) {
+    if (is_strained(a)) {
+        return false;
+    }
+    set_strain(a, 1 + (int)(soak_random(a->soak) % 4));
+    int64_t remaining_ms = a->soak->faults_until_ms - standin_now_ms();
+    soak_start_timer(a->soak, &a->timer, remaining_ms < STRAIN_DURATION_MS ? remaining_ms : STRAIN_DURATION_MS);
+    return true;
+}
+
+static void strain_end(active_fault_t* a) {
+    set_strain(a, -1);
+}
+
 static bool backoff_begin(active_fault_t* a) {
     char path[40];
     snprintf(path, sizeof(path), "/admin/set?rest=%.1f", 0.5 + (double)(soak_random(a->soak) % 30) / 10);
@@ -203,6 +249,7 @@
     {"kill", PROC_HOST, 2, kill_begin, host_restart},
     {"freeze", PROC_HOST, 2, freeze_begin, freeze_end},
     {"suspend", PROC_HOST, 2, suspend_begin, suspend_end},
+    {"cut", PROC_HOST, 4, cut_begin, cut_end},
     {"reload", PROC_HOST, 2, reload_begin, no_op},
     {"crash", PROC_UPSTREAM, 2, crash_begin, upstream_replace},
     {"restart", PROC_UPSTREAM, 3, restart_begin, restart_end},
@@ -211,6 +258,7 @@
     {"slow", PROC_UPSTREAM, 2, slow_begin, slow_end},
     {"limit", PROC_UPSTREAM, 8, limit_begin, limit_end},
     {"rest", PROC_UPSTREAM, 6, backoff_begin, backoff_end},
+    {"strain", PROC_UPSTREAM, 4, strain_begin, strain_end},
     {"source-down", PROC_SOURCE, 1, source_down, source_recover},
     {"source-slow", PROC_SOURCE, 1, source_slow, source_recover},
     {"source-lossy", PROC_SOURCE, 1, source_lossy, source_recover},
--- a/tools/soak_site.c
+++ b/tools/soak_site.c
@@ -385,6 +385,14 @@
     launch(p, "chalkway-gateway", args);
 }
 
+void soak_set_host_cut(const proc_t* p, bool is_cut) {
+    if (is_cut) {
+        soak_cut_network(p);
+    } else {
+        soak_restore_network(p);
+    }
+}
+
 void soak_start_callers(soak_t* s) {
     proc_t* p = add_proc(s, PROC_CALLERS);
     char seed[24];
--- a/tools/soak_site.h
+++ b/tools/soak_site.h
@@ -101,6 +101,8 @@
 void soak_write_settings(const proc_t* p, uint32_t lookup_keep_ms);
 /* Continues a stopped host (SIGSTOP) as if its machine had been suspended meanwhile. */
 void soak_resume_host(proc_t* p);
+/* Cuts the host off from all upstreams that run now, or ends that. */
+void soak_set_host_cut(const proc_t* p, bool is_cut);
 void soak_start_callers(soak_t* s);
 /* Kills all processes that the soak started, by their ids. */
 void soak_kill_processes(soak_t* s);
