--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -1,4 +1,6 @@
 /* Tunnels that a host opens for others: who gets one, to which servers, and what passes through. */
+#include <netinet/tcp.h>
+
 #include "../chalkway_wire.h"
 #include "../gateway/tunnel.h"
 #include "rig.h"
@@ -331,7 +333,82 @@
 }
 END_TEST
 
+typedef struct silence_t {
+    rig_t* rig;
+    ev_timer tick, end;
+} silence_t;
+
+static void on_silence_tick(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    upstreams_tick(((silence_t*)w->data)->rig->upstreams, clock_ms());
+}
+
+static void on_silence_end(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    static const char text[] = "HTTP/1.1 200 OK\r\nChalkway-Request-Id: q1\r\nContent-Length: 4\r\n\r\nlate";
+    rig_conn_t* c = &((silence_t*)w->data)->rig->conns[0];
+    cw_stream_write(&c->stream, text, strlen(text));
+    cw_stream_flush(&c->stream);
+}
+
+/* Guards against taking a sound server for lost, or its path for broken: all servers are silent for more than a second
+   while a request runs that must not be sent twice. */
+START_TEST(a_server_that_is_silent_for_a_second_is_neither_down_nor_out_of_reach) {
+    bench_t b;
+    silence_t silence;
+    setup_with_path(&b, 1);
+    rig_script(b.rig, (rig_step_t[]){{RIG_NO_RESPONSE, ""}}, 1);
+    silence.rig = b.rig;
+    ev_timer_init(&silence.tick, on_silence_tick, 0.025, 0.025);
+    ev_timer_init(&silence.end, on_silence_end, 1.3, 0.0);
+    silence.tick.data = silence.end.data = &silence;
+    ev_timer_start(b.rig->loop, &silence.tick);
+    ev_timer_start(b.rig->loop, &silence.end);
+    ck_assert(strstr(rig_call(b.rig, CALL), "\r\n\r\nlate"));
+    const server_t* s = server(&b, "s0");
+    ck_assert_uint_eq(b.rig->arrival_count, 1);
+    ck_assert_uint_eq(b.rig->liveness_reports, 0);
+    ck_assert(!s->is_path_broken && !s->pool->reach.broken_count);
+    ck_assert(!cw_balance_is_suspected(s->pool->balance, clock_ms(), s->key));
+    ck_assert_uint_eq(cw_balance_unreachable_count(s->pool->balance), 0);
+    ck_assert_uint_le(b.rig->conn_count, 3); /* the path was checked by a connection, once a second */
+    ev_timer_stop(b.rig->loop, &silence.tick);
+    ev_timer_stop(b.rig->loop, &silence.end);
+    shutdown_bench(&b);
+}
+END_TEST
+
+static int option(int fd, int name) {
+    int value = 0;
+    socklen_t size = sizeof(value);
+    ck_assert_int_eq(getsockopt(fd, IPPROTO_TCP, name, &value, &size), 0);
+    return value;
+}
+
+/* TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count. The two must not contradict each
+   other, and a peer that is silent for a second must not be lost. */
+START_TEST(keep_alive_gives_up_when_the_user_timeout_does) {
+    static const uint32_t timeouts_ms[] = {3000, 8000};
+    for (size_t i = 0; i < sizeof(timeouts_ms) / sizeof(timeouts_ms[0]); i++) {
+        bench_t b;
+        setup(&b);
+        connect_host(&b);
+        cw_stream_set_peer_timeout(&b.stream, timeouts_ms[i]);
+        int probes_ms = 1000 * (option(b.stream.fd, TCP_KEEPIDLE) +
+                                option(b.stream.fd, TCP_KEEPCNT) * option(b.stream.fd, TCP_KEEPINTVL));
+        ck_assert_int_eq(option(b.stream.fd, TCP_USER_TIMEOUT), (int)timeouts_ms[i]);
+        ck_assert_int_le(probes_ms, (int)timeouts_ms[i]);
+        ck_assert_int_ge(probes_ms, 2500);
+        shutdown_bench(&b);
+    }
+}
+END_TEST
+
 static void add_tests(TCase* t) {
+    tcase_add_test(t, a_server_that_is_silent_for_a_second_is_neither_down_nor_out_of_reach);
+    tcase_add_test(t, keep_alive_gives_up_when_the_user_timeout_does);
     tcase_add_test(t, a_request_goes_through_a_tunnel_when_no_connection_can_be_opened);
     tcase_add_test(t, a_reset_by_a_broken_path_is_not_held_against_the_request);
     tcase_add_test(t, only_hosts_of_the_cluster_get_a_tunnel_and_only_to_servers_in_use);
