Paths: open connections are left alone while new ones are refused, and the direct path is the last resort

A host that became cut off from a pool retried its requests on open connections also where new connections were refused and the open ones lived on; only a silent path makes them suspect. A connection by tunnel that no host opened failed without a direct try, although the path may be sound again before the next check. When all servers with broken paths had left the list, no check was made any more. Both new tests failed before.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -50,8 +50,8 @@
 void exchanges_set_catalog(exchanges_t* e, cw_catalog_t* catalog);
 void exchanges_on_request(exchanges_t* e, caller_t* caller);
 void exchanges_on_caller_closed(exchanges_t* e, caller_t* caller);
-/* This host has lost the path to all servers of the pool: requests that may be retried are sent again in another way,
-   if their server has sent nothing since. */
+/* This host has lost the path to all servers of the pool. If the path is silent, requests that may be retried are sent
+   again in another way, unless their server has sent something since. */
 void exchanges_on_pool_cut(exchanges_t* e, const pool_t* pool);
 void exchanges_on_drained(exchanges_t* e, caller_t* caller);
 /* A slot may be free in the pool: tries to assign servers to queued requests. */
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -81,6 +81,7 @@
     int64_t busy_since_ms;      /* since when there has been any */
     int64_t silence_checked_ms; /* time of the last path check because no server sent anything */
     cw_reach_t reach;
+    bool is_path_silent;                 /* the path that broke last refused no connection: open ones are dead, too */
     bool has_expired_servers;            /* a server has expired, so the list of usable servers must be updated */
     uint32_t listed;                     /* servers that are not removed and whose hall is not closed */
     uint32_t ready;                      /* servers that may be chosen */
--- a/gateway/upstream_conn.c
+++ b/gateway/upstream_conn.c
@@ -282,7 +282,7 @@
     }
     ev_timer_stop(conn->server->pool->upstreams->desc.loop, &conn->connect_timer);
     cw_stream_close(&conn->stream);
-    if (!upstream_path_start_tunnel(conn)) {
+    if (!upstream_path_start_tunnel(conn) && !upstream_path_start_direct(conn)) {
         conn_break(conn, UPSTREAM_CONN_UNREACHABLE);
     }
 }
--- a/gateway/upstream_internal.h
+++ b/gateway/upstream_internal.h
@@ -107,6 +107,8 @@
 bool upstream_path_prefers_tunnel(const server_t* s);
 /* Connects to another host that is to open a tunnel to the connection's server. False: no host is left to ask. */
 bool upstream_path_start_tunnel(upstream_conn_t* conn);
+/* No host has opened a tunnel: connects to the server directly, unless that was tried before. */
+bool upstream_path_start_direct(upstream_conn_t* conn);
 /* The host of the tunnel is connected: asks it for the tunnel. */
 void upstream_path_request_tunnel(upstream_conn_t* conn);
 typedef enum tunnel_reply_t {
--- a/gateway/upstream_path.c
+++ b/gateway/upstream_path.c
@@ -65,6 +65,16 @@
     return false;
 }
 
+bool upstream_path_start_direct(upstream_conn_t* conn) {
+    conn_path_t* path = &conn->path;
+    if (path->has_direct_failed || !upstream_conn_connect(conn, &conn->server->address)) {
+        return false;
+    }
+    path->phase = CONN_CONNECTING;
+    path->is_tunneled = false;
+    return true;
+}
+
 void upstream_path_request_tunnel(upstream_conn_t* conn) {
     upstreams_t* u = conn->server->pool->upstreams;
     cw_msg_t msg = {.type = CW_MSG_TUNNEL_OPEN};
@@ -155,12 +165,13 @@
     }
 }
 
-/* While the cause is silence, responses and idle connections that are in use may be dead as well. */
+/* Open connections may live on while new ones are refused. If new ones hang, the open ones are dead as well. */
 static void break_path(const upstream_conn_t* conn) {
     server_t* s = conn->server;
     pool_t* pool = s->pool;
     s->is_path_broken = true;
     log_path(s, conn->path.tunnel_hosts[conn->path.tunnel_host_count - 1]);
+    pool->is_path_silent = conn->path.was_silent;
     bool is_cut_now = cw_reach_on_path_broken(&pool->reach, clock_ms(), pool->ready);
     for (server_t* other = pool->servers; other && conn->path.was_silent; other = other->next) {
         if (other == s || is_cut_now) {
@@ -218,6 +229,20 @@
     return NULL;
 }
 
+static void check_path(pool_t* pool, int64_t now_ms) {
+    cw_reach_check_t check = cw_reach_next_check(&pool->reach, now_ms);
+    if (check == CW_REACH_CHECK_NONE) {
+        return;
+    }
+    bool is_end_sought = check == CW_REACH_CHECK_BROKEN;
+    server_t* s = choose_server(pool, is_end_sought);
+    s = s ? s : choose_server(pool, !is_end_sought); /* those with broken paths may have been removed */
+    if (s) {
+        s->path_checked_ms = now_ms;
+        upstream_conn_open_spare(s, is_end_sought);
+    }
+}
+
 static void check_silence(pool_t* pool, int64_t now_ms) {
     int64_t heard_ms = pool->received_ms > pool->busy_since_ms ? pool->received_ms : pool->busy_since_ms;
     if (!pool->busy_conns || now_ms - heard_ms < SILENCE_MS ||
@@ -232,11 +257,6 @@
 }
 
 void upstream_path_tick(pool_t* pool, int64_t now_ms) {
-    cw_reach_check_t check = cw_reach_next_check(&pool->reach, now_ms);
-    server_t* s = check ? choose_server(pool, check == CW_REACH_CHECK_BROKEN) : NULL;
-    if (s) {
-        s->path_checked_ms = now_ms;
-        upstream_conn_open_spare(s, check == CW_REACH_CHECK_BROKEN);
-    }
+    check_path(pool, now_ms);
     check_silence(pool, now_ms);
 }
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -218,6 +218,12 @@
     quarantine_on_server_alive(((rig_t*)user)->quarantine, server);
 }
 
+static inline void rig_on_reach_changed(void* user, pool_t* pool) {
+    if (pool->reach.is_cut) {
+        exchanges_on_pool_cut(((rig_t*)user)->exchanges, pool);
+    }
+}
+
 static inline const cw_member_info_t* rig_choose_tunnel_host(void* user, const pool_t* pool, uint64_t key,
                                                              const uint64_t* excluded, uint32_t excluded_count) {
     (void)key;
@@ -303,6 +309,7 @@
                                                        .retry_window_ms = 10000,
                                                        .max_conns = 100,
                                                        .on_server_alive = rig_on_server_alive,
+                                                       .on_reach_changed = rig_on_reach_changed,
                                                        .choose_tunnel_host = rig_choose_tunnel_host,
                                                        .tunnel_source = {.sin_family = AF_INET},
                                                        .cluster = "c",
--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -7,7 +7,9 @@
 
 #define ROUTES                                                                                                         \
     "{\"revision\":1,\"pools\":[{\"name\":\"p\"}],\"routes\":[{\"name\":\"r\",\"host\":\"h.example\",\"prefix\":"      \
-    "\"/\",\"kind\":\"once\",\"timeout_ms\":5000,\"target_ms\":2000,\"open\":true,\"pools\":[{\"pool\":\"p\"}]}]}"
+    "\"/\",\"kind\":\"once\",\"timeout_ms\":5000,\"target_ms\":2000,\"open\":true,\"pools\":[{\"pool\":\"p\"}]},"      \
+    "{\"name\":\"again\",\"host\":\"h.example\",\"prefix\":\"/again/\",\"kind\":\"repeatable\",\"timeout_ms\":5000,"   \
+    "\"target_ms\":2000,\"attempts\":3,\"open\":true,\"pools\":[{\"pool\":\"p\"}]}]}"
 #define REQUEST "GET / HTTP/1.1\r\nChalkway-Request-Id: q1\r\n\r\n"
 #define HEAD "HTTP/1.1 200 OK\r\nChalkway-Request-Id: @ID@\r\n"
 #define OK HEAD "Content-Length: 2\r\n\r\nok"
@@ -312,6 +314,43 @@
 }
 END_TEST
 
+/* New connections are refused while open ones live on: a request that runs over one of them is left there. */
+START_TEST(a_request_on_an_open_connection_is_not_sent_again_while_new_ones_are_refused) {
+    bench_t b;
+    cw_stream_t caller;
+    setup_with_path(&b, 1);
+    rig_script(b.rig, (rig_step_t[]){{RIG_NO_RESPONSE, ""}, {RIG_RESPOND, OK}}, 2);
+    rig_send_from_other_caller(b.rig, &caller, "GET /again/x HTTP/1.1\r\nHost: h.example\r\n\r\n");
+    while (!b.rig->arrival_count) {
+        ev_run(b.rig->loop, EVRUN_ONCE);
+    }
+    ev_sleep(0.01); /* the server was last heard before the path breaks */
+    break_path(server(&b, "s0"));
+    ck_assert(strstr(rig_call(b.rig, CALL), "\r\n\r\nok"));
+    ck_assert(server(&b, "s0")->pool->reach.is_cut);
+    ck_assert_uint_eq(b.rig->arrival_count, 2);
+    ck_assert_uint_eq(exchanges_stats(b.rig->exchanges).active, 1);
+    cw_stream_close(&caller);
+    shutdown_bench(&b);
+}
+END_TEST
+
+/* The path is sound again before it was checked, and no host opens a tunnel any more. */
+START_TEST(the_direct_path_is_tried_when_no_host_opens_a_tunnel) {
+    bench_t b;
+    setup_with_path(&b, 1);
+    rig_script(b.rig, (rig_step_t[]){{RIG_RESPOND_CLOSE, OK}, {RIG_RESPOND, OK}}, 2);
+    break_path(server(&b, "s0"));
+    ck_assert(strstr(rig_call(b.rig, CALL), "\r\n\r\nok"));
+    ck_assert(server(&b, "s0")->is_path_broken);
+    rig_disconnect(b.rig);
+    tunnels_drain(b.tunnels);
+    ck_assert(strstr(rig_call(b.rig, CALL), "\r\n\r\nok"));
+    ck_assert(!server(&b, "s0")->is_path_broken);
+    shutdown_bench(&b);
+}
+END_TEST
+
 /* Guards against ordinary requests that are quarantined as the cause of crashes: a broken path reset all connections of
    the host at once, each request was retried at the next server and reset there. */
 START_TEST(a_reset_by_a_broken_path_is_not_held_against_the_request) {
@@ -410,6 +449,8 @@
     tcase_add_test(t, a_server_that_is_silent_for_a_second_is_neither_down_nor_out_of_reach);
     tcase_add_test(t, keep_alive_gives_up_when_the_user_timeout_does);
     tcase_add_test(t, a_request_goes_through_a_tunnel_when_no_connection_can_be_opened);
+    tcase_add_test(t, a_request_on_an_open_connection_is_not_sent_again_while_new_ones_are_refused);
+    tcase_add_test(t, the_direct_path_is_tried_when_no_host_opens_a_tunnel);
     tcase_add_test(t, a_reset_by_a_broken_path_is_not_held_against_the_request);
     tcase_add_test(t, only_hosts_of_the_cluster_get_a_tunnel_and_only_to_servers_in_use);
     tcase_add_test(t, a_host_that_hears_no_server_does_not_call_one_unreachable);
