--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -30,7 +30,7 @@
 #define TICK_S 0.025
 #define LOG_BUFFER_BYTES 262144     /* log lines that a slow reader of standard output has not taken yet */
 #define DESCRIPTORS_RESERVED 64     /* for all but connections of callers and to servers */
-#define TUNNELS_DIVISOR 8           /* an eighth of the sockets may belong to tunnels, two to each */
+#define TUNNELS_DIVISOR 16          /* a tunnel has two sockets: at most an eighth of all sockets */
 #define BODY_MEMORY_DIVISOR 4       /* a quarter of the memory may hold request bodies */
 #define STOP_MAX_ACCEPT_SHARE 0.375 /* of the grace period: longest time to accept requests while others run */
 #define STOP_MIN_ACCEPT_SHARE 0.25  /* shortest time to accept requests, since callers keep using the address */
