Upstreams: what arrived during a stall counts before time limits

Cause: when the process runs again, the time limit of a connection and the event that it is open are handled in the same iteration, the time limit first. The limit's watcher has the lowest priority now, for connections to servers and for tunnels. The new test failed before (a liveness report for a sound server) and passes.

--- a/gateway/tunnel.c
+++ b/gateway/tunnel.c
@@ -293,6 +293,7 @@
     t->is_observed = true;
     cw_message_setup(&t->response, CW_MESSAGE_RESPONSE, &response_handlers, t);
     ev_timer_init(&t->timer, on_timeout, 0.0, 0.0);
+    ev_set_priority(&t->timer, EV_MINPRI); /* after a stall of this process, what has arrived counts first */
     t->timer.data = t;
     t->next = all->list;
     if (all->list) {
--- a/gateway/upstream_conn.c
+++ b/gateway/upstream_conn.c
@@ -331,6 +331,7 @@
     conn->idle_timeout_ms = IDLE_TIMEOUT_DEFAULT_MS;
     conn->path.is_direct_only = is_direct_only;
     ev_timer_init(&conn->connect_timer, on_connect_timeout, 0.0, 0.0);
+    ev_set_priority(&conn->connect_timer, EV_MINPRI); /* after a stall of this process, what has arrived counts first */
     conn->connect_timer.data = conn;
     bool prefers_tunnel = !is_direct_only && upstream_path_prefers_tunnel(s);
     if (!(prefers_tunnel && upstream_path_start_tunnel(conn)) && !upstream_conn_connect(conn, &s->address)) {
--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -419,6 +419,26 @@
 }
 END_TEST
 
+/* Guards against servers that count as unreachable since this process got no processor time while it connected to them:
+   the time limit and the connection were handled in the same iteration, the time limit first. */
+START_TEST(a_connection_that_came_up_during_a_stall_is_used) {
+    bench_t b;
+    setup(&b);
+    rig_script(b.rig, (rig_step_t[]){{RIG_RESPOND, OK}}, 1);
+    rig_write(b.rig, CALL);
+    while (!upstreams_connections_opened(b.rig->upstreams)) {
+        ev_run(b.rig->loop, EVRUN_ONCE);
+    }
+    ev_sleep(0.15); /* longer than connecting to a server may take */
+    b.rig->stop_on_response = true;
+    rig_run(b.rig);
+    ck_assert(strstr(cw_buffer_text(&b.rig->response), "\r\n\r\nok"));
+    ck_assert_uint_eq(b.rig->liveness_reports, 0);
+    ck_assert_uint_eq(upstreams_connections_opened(b.rig->upstreams), 1);
+    shutdown_bench(&b);
+}
+END_TEST
+
 static int option(int fd, int name) {
     int value = 0;
     socklen_t size = sizeof(value);
@@ -447,6 +467,7 @@
 
 static void add_tests(TCase* t) {
     tcase_add_test(t, a_server_that_is_silent_for_a_second_is_neither_down_nor_out_of_reach);
+    tcase_add_test(t, a_connection_that_came_up_during_a_stall_is_used);
     tcase_add_test(t, keep_alive_gives_up_when_the_user_timeout_does);
     tcase_add_test(t, a_request_goes_through_a_tunnel_when_no_connection_can_be_opened);
     tcase_add_test(t, a_request_on_an_open_connection_is_not_sent_again_while_new_ones_are_refused);
