--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -153,8 +153,6 @@
    the time is unknown. */
 uint32_t cw_balance_throttle_wait_ms(const cw_balance_t* b, int64_t now_ms);
 cw_throttled_t cw_balance_throttled(const cw_balance_t* b, int64_t now_ms);
-/* Whether this host's own responses showed a state of the server's limits that is to be sent to the peers. */
-bool cw_balance_has_limit_to_send(const cw_balance_t* b, int64_t now_ms, uint64_t id);
 /* Number of servers that this host takes for unreachable. */
 uint32_t cw_balance_unreachable_count(const cw_balance_t* b);
 /* Whether the server is suspected to be gone, by the reports of all hosts. */
@@ -392,15 +390,6 @@
     return throttled;
 }
 
-bool cw_balance_has_limit_to_send(const cw_balance_t* b, int64_t now_ms, uint64_t id) {
-    uint32_t at = cw_balance_find(b, id);
-    if (at == CW_BALANCE_NONE) {
-        return false;
-    }
-    cw_load_t load = cw_balance_own_load(b, now_ms, at);
-    return load.rate != CW_RATE_UNKNOWN || load.has_reject_limit;
-}
-
 bool cw_balance_on_reject_limit(cw_balance_t* b, int64_t now_ms, uint64_t id, int64_t sent_ms, double per_s) {
     uint32_t at = cw_balance_find(b, id);
     if (at == CW_BALANCE_NONE) {
@@ -492,10 +481,7 @@
 /* Slots of the server that this host may use whatever the others do: all hosts together have as many as there are,
    those included that may run on behind a network partition. */
 static uint32_t _cw_balance_own_slots(const cw_balance_t* b, const cw_pool_server_t* s) {
-    uint32_t hosts = b->fleet.count + b->fleet.missing;
-    if (b->fleet.count <= 1 && !b->fleet.missing) {
-        return s->spec.slots;
-    }
+    uint32_t hosts = (b->fleet.count ? b->fleet.count : 1) + b->fleet.missing;
     uint32_t rank = cw_rendezvous_rank(s->spec.id, b->desc.seed, b->fleet.ids, b->fleet.count);
     return s->spec.slots / hosts + (rank < s->spec.slots % hosts);
 }
--- a/chalkway_wire.h
+++ b/chalkway_wire.h
@@ -122,6 +122,10 @@
 cw_status_t cw_wire_decode(cw_wire_t* wire, const uint8_t* body, size_t size, cw_msg_t* msg, cw_error_t* err);
 /* Length of a frame's body, read from the frame's first four bytes. */
 uint32_t cw_wire_body_size(const uint8_t header[CW_FRAME_HEADER]);
+/* Decodes a frame that nothing follows yet. size: of the bytes received so far. CW_ERR_FULL: the frame is incomplete.
+   CW_ERR_PROTOCOL: it is invalid, its body is longer than max_body bytes, or further bytes follow. */
+cw_status_t cw_wire_decode_single_frame(cw_wire_t* wire, const void* bytes, size_t size, size_t max_body,
+                                        cw_msg_t* msg);
 /* Encodes a gossip message as a datagram; valid until the next call. */
 cw_bytes_t cw_wire_encode_datagram(cw_wire_t* wire, const char* cluster, const cw_gossip_t* gossip);
 /* Decodes a datagram. Returns CW_ERR_PROTOCOL when it is not a valid message or comes from another cluster. */
@@ -526,6 +530,21 @@
     return ((uint32_t)header[0] << 24) | ((uint32_t)header[1] << 16) | ((uint32_t)header[2] << 8) | header[3];
 }
 
+cw_status_t cw_wire_decode_single_frame(cw_wire_t* wire, const void* bytes, size_t size, size_t max_body,
+                                        cw_msg_t* msg) {
+    if (size < CW_FRAME_HEADER) {
+        return CW_ERR_FULL;
+    }
+    size_t body_size = cw_wire_body_size(bytes);
+    if (!body_size || body_size > max_body || size > CW_FRAME_HEADER + body_size) {
+        return CW_ERR_PROTOCOL;
+    }
+    if (size < CW_FRAME_HEADER + body_size) {
+        return CW_ERR_FULL;
+    }
+    return cw_wire_decode(wire, (const uint8_t*)bytes + CW_FRAME_HEADER, body_size, msg, NULL);
+}
+
 /* Reads a big-endian integer of size bytes. */
 static uint64_t _cw_wire_read_big_endian(const uint8_t* at, size_t size) {
     uint64_t value = 0;
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -417,7 +417,10 @@
 }
 
 void exchanges_on_pool_cut(exchanges_t* e, const pool_t* pool) {
-    for (exchange_t* x = find_cut(e, pool); x && pool->is_path_silent; x = find_cut(e, pool)) {
+    if (!pool->is_path_silent) {
+        return;
+    }
+    for (exchange_t* x = find_cut(e, pool); x; x = find_cut(e, pool)) {
         exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, CW_TRY_CANCELLED, "the path to the server is broken");
     }
 }
--- a/gateway/pushback.c
+++ b/gateway/pushback.c
@@ -31,42 +31,38 @@
            s->published.id, s->pool->name, field, value);
 }
 
-/* Only a final response without the field withdraws the advertised rate; an interim one announces nothing. */
+/* Reads a limit per second from the field, NO_LIMIT if the response has none: only a final response without the field
+   withdraws a limit. False: the response announces nothing, since it is an interim one or the field is malformed. */
+static bool read_limit(const server_t* s, const cw_message_t* head, const char* field, double* per_s) {
+    const char* text = field ? cw_message_field(head, field) : NULL;
+    *per_s = NO_LIMIT;
+    if (!text) {
+        return head->status / 100 != 1;
+    }
+    if (!cw_pushback_parse_rate(text, per_s)) {
+        log_malformed(s, field, text);
+        return false;
+    }
+    return true;
+}
+
 static void read_advertised_rate(server_t* s, const cw_message_t* head, int64_t sent_ms) {
-    const upstreams_desc_t* desc = &s->pool->upstreams->desc;
     cw_balance_t* balance = s->pool->balance;
-    const char* field = desc->dialect->fields.limit;
-    const char* text = field ? cw_message_field(head, field) : NULL;
     int64_t now_ms = clock_ms();
     double previous_per_s = cw_balance_rate_per_s(balance, now_ms, s->key);
     double per_s = NO_LIMIT;
-    if (text && !cw_pushback_parse_rate(text, &per_s)) {
-        log_malformed(s, field, text);
-        return;
-    }
-    if (!text && head->status / 100 == 1) {
-        return;
-    }
-    if (cw_balance_on_rate(balance, now_ms, s->key, sent_ms, per_s)) {
+    if (read_limit(s, head, s->pool->upstreams->desc.dialect->fields.limit, &per_s) &&
+        cw_balance_on_rate(balance, now_ms, s->key, sent_ms, per_s)) {
         server_log_rate_limit(s, now_ms, previous_per_s, 0);
         notify_pushback(s);
     }
 }
 
-/* Only a final response without the field withdraws the limit. */
 static void read_reject_limit(server_t* s, const cw_message_t* head, int64_t sent_ms) {
     const upstreams_desc_t* desc = &s->pool->upstreams->desc;
-    const char* field = desc->dialect->fields.reject_limit;
-    const char* text = field ? cw_message_field(head, field) : NULL;
     double per_s = NO_LIMIT;
-    if (text && !cw_pushback_parse_rate(text, &per_s)) {
-        log_malformed(s, field, text);
-        return;
-    }
-    if (!text && head->status / 100 == 1) {
-        return;
-    }
-    if (cw_balance_on_reject_limit(s->pool->balance, clock_ms(), s->key, sent_ms, per_s)) {
+    if (read_limit(s, head, desc->dialect->fields.reject_limit, &per_s) &&
+        cw_balance_on_reject_limit(s->pool->balance, clock_ms(), s->key, sent_ms, per_s)) {
         cw_log(desc->log, CW_EVENT_REJECT_LIMIT, "server=%s pool=%s per_s=%.0f", s->published.id, s->pool->name, per_s);
         notify_pushback(s);
     }
@@ -107,10 +103,6 @@
     }
 }
 
-void upstreams_on_response_head(server_t* s, const cw_message_t* head, int64_t sent_ms) {
-    server_read_pushback(s, head, sent_ms);
-}
-
 void server_read_pushback(server_t* s, const cw_message_t* head, int64_t sent_ms) {
     if (is_from_server(s, head)) {
         read_leaving(s, head);
--- a/gateway/reporter.c
+++ b/gateway/reporter.c
@@ -233,8 +233,9 @@
 void reporter_on_load(reporter_t* n, const server_t* server, const cw_work_t* work) {
     dirty_t* d = get_dirty(n, server->key);
     schedule_owner_report(n, server);
-    bool is_urgent = cw_balance_has_reject_limit(server->pool->balance, clock_ms(), server->key);
-    if (!work || (!work->prompt_tokens && !is_urgent)) {
+    bool is_urgent =
+        work && (work->prompt_tokens || cw_balance_has_reject_limit(server->pool->balance, clock_ms(), server->key));
+    if (!is_urgent) {
         return; /* reported with a later tick */
     }
     for (uint32_t i = 0; i < work->part_count && d->part_count < CW_LOAD_PARTS; i++) {
@@ -272,9 +273,8 @@
     for (pool_t* pool = upstreams_pools(n->desc.upstreams); pool; pool = pool->next) {
         for (server_t* s = pool->servers; s; s = s->next) {
             uint32_t at = cw_balance_find(pool->balance, s->key);
-            bool is_reported = at != CW_BALANCE_NONE && (cw_balance_own_load(pool->balance, now_ms, at).running ||
-                                                         cw_balance_has_limit_to_send(pool->balance, now_ms, s->key));
-            if (is_reported) {
+            cw_load_t load = at == CW_BALANCE_NONE ? (cw_load_t){0} : cw_balance_own_load(pool->balance, now_ms, at);
+            if (load.running || load.rate != CW_RATE_UNKNOWN || load.has_reject_limit) {
                 get_dirty(n, s->key);
             }
         }
--- a/gateway/tunnel.c
+++ b/gateway/tunnel.c
@@ -10,8 +10,7 @@
 
 #define MS_PER_S 1000.0
 #define OPEN_TIMEOUT_MS 1000    /* for the request of a host that has connected */
-#define PEER_TIMEOUT_MS 3000    /* a side that acknowledges nothing for this time counts as lost */
-#define OPEN_MAX_BYTES 256      /* of the request for a tunnel */
+#define OPEN_MAX_BYTES 256      /* body of the request for a tunnel */
 #define UNSENT_MAX_BYTES 262144 /* unsent bytes to one side above which the other one is not read */
 
 typedef enum tunnel_phase_t {
@@ -122,7 +121,7 @@
     tunnel_t* t = owner;
     server_t* s = upstreams_server(t->tunnels->desc.upstreams, t->server_key);
     if (s) {
-        upstreams_on_response_head(s, &t->response, t->sent_ms);
+        server_read_pushback(s, &t->response, t->sent_ms);
     }
 }
 
@@ -158,7 +157,7 @@
     t->phase = TUNNEL_OPEN;
     t->tunnels->stats.opened++;
     ev_timer_stop(t->tunnels->desc.loop, &t->timer);
-    cw_stream_set_peer_timeout(&t->server, PEER_TIMEOUT_MS);
+    cw_stream_set_peer_timeout(&t->server, UPSTREAM_PEER_TIMEOUT_MS);
     send_reply(t, CW_TUNNEL_OPENED);
 }
 
@@ -216,28 +215,22 @@
     start_timer(t, upstreams_connect_limit_ms(s));
 }
 
-static bool decode_request(tunnel_t* t, size_t body_size) {
-    cw_msg_t msg;
-    const uint8_t* body = (const uint8_t*)t->request.data + CW_FRAME_HEADER;
-    if (cw_wire_decode(get_wire(t->tunnels), body, body_size, &msg, NULL) != CW_OK || msg.type != CW_MSG_TUNNEL_OPEN ||
-        strcmp(msg.tunnel_open.cluster, t->tunnels->desc.cluster) != 0) {
-        return false;
-    }
-    t->server_key = msg.tunnel_open.server;
-    return true;
-}
-
 static void read_request(tunnel_t* t, const char* data, size_t size) {
+    cw_msg_t msg;
     cw_buffer_add(&t->request, data, size);
-    size_t body_size = t->request.size < CW_FRAME_HEADER ? 0 : cw_wire_body_size((const uint8_t*)t->request.data);
-    bool is_complete = body_size && t->request.size >= CW_FRAME_HEADER + body_size;
-    if (t->request.size > OPEN_MAX_BYTES || (is_complete && t->request.size > CW_FRAME_HEADER + body_size) ||
-        (is_complete && !decode_request(t, body_size))) {
+    cw_status_t status =
+        cw_wire_decode_single_frame(get_wire(t->tunnels), t->request.data, t->request.size, OPEN_MAX_BYTES, &msg);
+    if (status == CW_ERR_FULL) {
+        return;
+    }
+    if (status != CW_OK || msg.type != CW_MSG_TUNNEL_OPEN ||
+        strcmp(msg.tunnel_open.cluster, t->tunnels->desc.cluster) != 0) {
         refuse(t, CW_TUNNEL_REFUSED, "invalid request for a tunnel");
-    } else if (is_complete) {
-        cw_buffer_free(&t->request);
-        connect_to_server(t);
+        return;
     }
+    cw_buffer_free(&t->request);
+    t->server_key = msg.tunnel_open.server;
+    connect_to_server(t);
 }
 
 static void on_host_data(void* owner, const char* data, size_t size) {
@@ -302,7 +295,7 @@
     all->list = t;
     all->stats.open++;
     cw_stream_accept(&t->host, all->desc.loop, fd, &host_handlers, t);
-    cw_stream_set_peer_timeout(&t->host, PEER_TIMEOUT_MS);
+    cw_stream_set_peer_timeout(&t->host, UPSTREAM_PEER_TIMEOUT_MS);
     start_timer(t, OPEN_TIMEOUT_MS);
 }
 
--- a/gateway/tunnel.h
+++ b/gateway/tunnel.h
@@ -2,14 +2,14 @@
 #define CW_GATEWAY_TUNNEL_H
 /*
     Tunnels for other hosts of the cluster that can't connect to a server themselves. A host connects to the peer
-   address, asks for a server by the key of its incarnation (CW_MSG_TUNNEL_OPEN) and gets a reply; after that, bytes are
-    forwarded in both directions until one side closes. The requests belong to the host that asked: it has their
-   callers, counts them as its load and against its budgets.
+    address, asks for a server by the key of its incarnation (CW_MSG_TUNNEL_OPEN) and gets a reply. After that, bytes
+    are forwarded in both directions until one side closes. The requests belong to the host that asked: it has their
+    callers, counts them as its load and against its budgets.
 
     Only hosts of the cluster get tunnels, and only to servers that this host would send requests to itself. Responses
-    are also read here: what they announce about their server (upstream.h) holds for the connection's host as well,
-   since the server sees that host. Idle tunnels are closed when their server leaves or asks this host to back off, and
-   when this host stops.
+    are also read here: what they announce about their server holds for this host as well, since it is the one that the
+    server sees. Idle tunnels are closed when their server leaves or asks this host to back off, and when this host
+    stops.
 */
 #include <netinet/in.h>
 
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -616,7 +616,7 @@
 }
 
 void upstreams_shutdown(upstreams_t* u) {
-    u->desc.on_reach_changed = NULL;
+    u->desc.on_reach_changed = NULL; /* servers are freed below, but nobody is left to act on it */
     while (u->pools) {
         pool_t* pool = u->pools;
         u->pools = pool->next;
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -31,7 +31,8 @@
 typedef struct server_t server_t;
 typedef struct upstream_conn_t upstream_conn_t;
 
-#define PLACEMENT_LEVELS 7 /* placement levels that are counted; the last one counts all further ones, too */
+#define UPSTREAM_PEER_TIMEOUT_MS 3000 /* a server that acknowledges nothing for this time counts as lost */
+#define PLACEMENT_LEVELS 7            /* placement levels that are counted; the last one counts all further ones, too */
 
 struct server_t {
     uint64_t key;     /* of this incarnation: cw_server_incarnation_id */
@@ -167,9 +168,9 @@
 void upstreams_mark_retired(upstreams_t* u, int64_t now_ms, server_t* server);
 /* Longest time that connecting to the server may take. */
 double upstreams_connect_limit_ms(const server_t* server);
-/* A response of the server passed through this host: what it announces about its server is applied. sent_ms: when its
-   request was forwarded. */
-void upstreams_on_response_head(server_t* server, const cw_message_t* head, int64_t sent_ms);
+/* Evaluates the head of any response from the server that this host received or forwarded, interim responses included.
+   sent_ms: when the request of this response was sent, or an earlier time if that is unknown. */
+void server_read_pushback(server_t* server, const cw_message_t* head, int64_t sent_ms);
 /* The host resumed from suspend: closes idle connections, which servers may have closed meanwhile without notice. */
 void upstreams_on_resume(upstreams_t* u);
 /* Closes expired idle connections, removes expired servers and probes unreachable ones. */
--- a/gateway/upstream_conn.c
+++ b/gateway/upstream_conn.c
@@ -10,7 +10,6 @@
 #define CONNECT_TIMEOUT_MAX_MS 1000.0
 #define CONNECT_TIMEOUT_FACTOR 10.0   /* timeout, as a multiple of the average time to connect */
 #define CONNECT_EWMA_WEIGHT 0.1       /* weight of a new sample in that average */
-#define PEER_TIMEOUT_MS 3000          /* a server that acknowledges nothing for this time counts as lost */
 #define IDLE_TIMEOUT_DEFAULT_MS 15000 /* if the server does not send Keep-Alive: timeout */
 #define IDLE_MARGIN_MS 1000           /* idle connections are closed this long before the server would */
 #define ONCE_IDLE_SHARE 0.5 /* share of the idle timeout in which at-most-once requests may use a connection */
@@ -181,18 +180,16 @@
 
 /* Handles the reply of a host that was asked for a tunnel. */
 static void handle_tunnel_reply(upstream_conn_t* conn, const char* data, size_t size) {
-    switch (upstream_path_read_reply(conn, data, size)) {
-        case TUNNEL_REPLY_INCOMPLETE:
-            break;
-        case TUNNEL_REPLY_OPENED:
-            conn_opened(conn);
-            break;
-        case TUNNEL_REPLY_UNREACHABLE:
-            conn_break(conn, UPSTREAM_CONN_UNREACHABLE);
-            break;
-        case TUNNEL_REPLY_FAILED:
-            handle_connect_failure(conn);
-            break;
+    cw_tunnel_result_t result = CW_TUNNEL_REFUSED;
+    if (!upstream_path_read_reply(conn, data, size, &result)) {
+        return;
+    }
+    if (result == CW_TUNNEL_OPENED) {
+        conn_opened(conn);
+    } else if (result == CW_TUNNEL_SERVER_UNREACHABLE) {
+        conn_break(conn, UPSTREAM_CONN_UNREACHABLE);
+    } else {
+        handle_connect_failure(conn);
     }
 }
 
@@ -247,7 +244,7 @@
     conn->path.phase = CONN_OPEN;
     s->pool->opened_ms = clock_ms();
     ev_timer_stop(desc->loop, &conn->connect_timer);
-    cw_stream_set_peer_timeout(&conn->stream, PEER_TIMEOUT_MS);
+    cw_stream_set_peer_timeout(&conn->stream, UPSTREAM_PEER_TIMEOUT_MS);
     if (is_spare) {
         add_idle(conn);
     }
@@ -431,10 +428,16 @@
     return now_ms - conn->idle_since_ms > idle_limit_ms(conn, false);
 }
 
-void upstream_conn_close_idle(server_t* s, int64_t now_ms, bool closes_all) {
+static bool is_direct(const upstream_conn_t* conn, int64_t now_ms) {
+    (void)now_ms;
+    return !conn->path.is_tunneled;
+}
+
+/* Closes the idle connections that match; NULL: all. */
+static void close_matching(server_t* s, int64_t now_ms, bool (*matches)(const upstream_conn_t* conn, int64_t now_ms)) {
     for (upstream_conn_t** at = &s->idle_conns; *at;) {
         upstream_conn_t* conn = *at;
-        if (closes_all || is_expired(conn, now_ms)) {
+        if (!matches || matches(conn, now_ms)) {
             *at = conn->next_conn;
             conn_free(conn);
         } else {
@@ -444,17 +447,12 @@
     update_idle(s);
 }
 
+void upstream_conn_close_idle(server_t* s, int64_t now_ms, bool closes_all) {
+    close_matching(s, now_ms, closes_all ? NULL : is_expired);
+}
+
 void upstream_conn_close_idle_direct(server_t* s) {
-    for (upstream_conn_t** at = &s->idle_conns; *at;) {
-        upstream_conn_t* conn = *at;
-        if (!conn->path.is_tunneled) {
-            *at = conn->next_conn;
-            conn_free(conn);
-        } else {
-            at = &conn->next_conn;
-        }
-    }
-    update_idle(s);
+    close_matching(s, 0, is_direct);
 }
 
 void upstream_conn_open_spare(server_t* s, bool is_direct_only) {
--- a/gateway/upstream_internal.h
+++ b/gateway/upstream_internal.h
@@ -2,7 +2,8 @@
 #define CW_GATEWAY_UPSTREAM_INTERNAL_H
 /*
     Internal interface between the parts of upstreams: upstream.c manages pools, servers and probes, upstream_conn.c the
-    connections to one server, pushback.c what servers announce in their responses.
+    connections to one server, upstream_path.c the network paths to servers, pushback.c what servers announce in their
+   responses.
 */
 #include "../chalkway_map.h"
 #include "../chalkway_wire.h"
@@ -89,12 +90,6 @@
     bool is_configured; /* a configuration has been set, so the declared pools are known */
 };
 
-/* -- pushback.c ----------------------------------------------------------- */
-
-/* Evaluates the head of any response from the server, interim responses included. sent_ms: when the request of this
-   response was sent, or an earlier time if that is unknown. */
-void server_read_pushback(server_t* s, const cw_message_t* head, int64_t sent_ms);
-
 /* -- upstream.c ----------------------------------------------------------- */
 
 /* Has upstreams_tick check the server until the server has no idle connection and is neither removed nor missing from
@@ -111,13 +106,8 @@
 bool upstream_path_start_direct(upstream_conn_t* conn);
 /* The host of the tunnel is connected: asks it for the tunnel. */
 void upstream_path_request_tunnel(upstream_conn_t* conn);
-typedef enum tunnel_reply_t {
-    TUNNEL_REPLY_INCOMPLETE = 0,
-    TUNNEL_REPLY_OPENED,
-    TUNNEL_REPLY_UNREACHABLE, /* the server can't be reached from there either */
-    TUNNEL_REPLY_FAILED       /* the host opens no tunnel, or its reply is invalid */
-} tunnel_reply_t;
-tunnel_reply_t upstream_path_read_reply(upstream_conn_t* conn, const char* data, size_t size);
+/* Reads the host's reply; an invalid one counts as CW_TUNNEL_REFUSED. False: the reply is incomplete. */
+bool upstream_path_read_reply(upstream_conn_t* conn, const char* data, size_t size, cw_tunnel_result_t* result);
 /* The host that was asked last opened no tunnel: it is not asked again for a moment. */
 void upstream_path_tunnel_failed(upstream_conn_t* conn);
 /* The connection is open: updates what is known of the path to the server. */
--- a/gateway/upstream_path.c
+++ b/gateway/upstream_path.c
@@ -88,33 +88,20 @@
     cw_stream_flush(&conn->stream);
 }
 
-static tunnel_reply_t decode_reply(upstreams_t* u, const uint8_t* body, size_t size) {
+bool upstream_path_read_reply(upstream_conn_t* conn, const char* data, size_t size, cw_tunnel_result_t* result) {
     cw_msg_t msg;
-    if (cw_wire_decode(u->wire, body, size, &msg, NULL) != CW_OK || msg.type != CW_MSG_TUNNEL_REPLY) {
-        return TUNNEL_REPLY_FAILED;
-    }
-    return msg.tunnel_result == CW_TUNNEL_OPENED               ? TUNNEL_REPLY_OPENED
-           : msg.tunnel_result == CW_TUNNEL_SERVER_UNREACHABLE ? TUNNEL_REPLY_UNREACHABLE
-                                                               : TUNNEL_REPLY_FAILED;
-}
-
-tunnel_reply_t upstream_path_read_reply(upstream_conn_t* conn, const char* data, size_t size) {
     cw_buffer_t* reply = &conn->path.reply;
     cw_buffer_add(reply, data, size);
-    if (reply->size < CW_FRAME_HEADER) {
-        return TUNNEL_REPLY_INCOMPLETE;
-    }
-    size_t body_size = cw_wire_body_size((const uint8_t*)reply->data);
-    if (!body_size || body_size > REPLY_MAX_BYTES || reply->size > CW_FRAME_HEADER + body_size) {
-        return TUNNEL_REPLY_FAILED; /* a server sends nothing before it has got a request */
-    }
-    if (reply->size < CW_FRAME_HEADER + body_size) {
-        return TUNNEL_REPLY_INCOMPLETE;
+    /* A server sends nothing before it has got a request, so nothing follows the reply. */
+    cw_status_t status = cw_wire_decode_single_frame(conn->server->pool->upstreams->wire, reply->data, reply->size,
+                                                     REPLY_MAX_BYTES, &msg);
+    if (status == CW_ERR_FULL) {
+        return false;
     }
-    tunnel_reply_t result =
-        decode_reply(conn->server->pool->upstreams, (const uint8_t*)reply->data + CW_FRAME_HEADER, body_size);
     cw_buffer_free(reply);
-    return result;
+    bool is_valid = status == CW_OK && msg.type == CW_MSG_TUNNEL_REPLY;
+    *result = is_valid ? msg.tunnel_result : CW_TUNNEL_REFUSED;
+    return true;
 }
 
 void upstream_path_tunnel_failed(upstream_conn_t* conn) {
--- a/io/peers.c
+++ b/io/peers.c
@@ -430,7 +430,7 @@
 
 static cw_peers_desc_t desc_defaults(const cw_peers_desc_t* desc) {
     cw_peers_desc_t d = *desc;
-    d.max_links = d.max_links ? d.max_links : 512;
+    d.max_links = !d.on_message ? 0 : d.max_links ? d.max_links : 512;
     d.idle_timeout_ms = d.idle_timeout_ms ? d.idle_timeout_ms : 60000;
     d.max_unsent_bytes = d.max_unsent_bytes ? d.max_unsent_bytes : (size_t)8 << 20;
     return d;
--- a/standins/fake_upstream.c
+++ b/standins/fake_upstream.c
@@ -16,9 +16,9 @@
                    &limit=X    responses advertise a rate limit of X requests per second, -1: none
                    &rest=X     every second request is answered 503 with Retry-After: X seconds, 0: none
                    &leaving=1  responses announce that the server is leaving
-                   &rejects=N  under strain: all responses advertise that the server may reject N requests per second;
-                               from STRAIN_DELAY_MS later its queue is short, and the process exits when it has to
-   reject more; -1: no strain
+                   &rejects=N  under strain: all responses advertise that the server may reject N requests per second,
+                               and STRAIN_DELAY_MS later its queue is short and more rejections end the process;
+                               -1: no strain
 
     A body that begins with "deadly" is a query of death: CRASH_DELAY_MS after the request started to run, the process
     exits without a response to any running request.
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -119,7 +119,7 @@
 
 /* -- partitions ----------------------------------------------------------- */
 
-/* File that tells host i where its connections to servers go; see cut_network.c. */
+/* File that holds where the connections of host i to servers go; see cut_network.c. */
 static inline void network_path(const fleet_t* f, int i, char* out, size_t size) {
     snprintf(out, size, "%s/host%d.network", f->dir, i);
 }
--- a/tests/test_partition.c
+++ b/tests/test_partition.c
@@ -93,7 +93,7 @@
 END_TEST
 
 /* The callers of the cut host are served over connections that were opened before as well as over tunnels, a tunnel's
-   host is killed, and the path comes back. */
+   host is killed, and the path is restored. */
 START_TEST(callers_are_served_while_tunnel_hosts_end_and_after_the_path_is_back) {
     fleet_t* f = fleet_with_three_servers();
     redirect_connections(f, 0, ALL_SERVERS, closed_port());
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -91,6 +91,30 @@
 }
 END_TEST
 
+/* The first frame of a connection comes in any pieces, and nothing may follow it yet. */
+START_TEST(a_single_frame_is_decoded_once_it_is_complete) {
+    cw_wire_t* wire = cw_wire_setup(NULL);
+    static cw_msg_t msg;
+    uint8_t bytes[64] = {0};
+    const cw_msg_t out = {.type = CW_MSG_TUNNEL_REPLY, .tunnel_result = CW_TUNNEL_REFUSED};
+    cw_bytes_t frame = cw_wire_encode_frame(wire, &out);
+    size_t size = frame.size;
+    memcpy(bytes, frame.data, size);
+    for (size_t received = 0; received < size; received++) {
+        ck_assert_int_eq(cw_wire_decode_single_frame(wire, bytes, received, sizeof(bytes), &msg), CW_ERR_FULL);
+    }
+    ck_assert_int_eq(cw_wire_decode_single_frame(wire, bytes, size, sizeof(bytes), &msg), CW_OK);
+    ck_assert_int_eq(msg.tunnel_result, CW_TUNNEL_REFUSED);
+    ck_assert_int_eq(cw_wire_decode_single_frame(wire, bytes, size + 1, sizeof(bytes), &msg), CW_ERR_PROTOCOL);
+    size_t body_size = size - CW_FRAME_HEADER;
+    ck_assert_int_eq(cw_wire_decode_single_frame(wire, bytes, size, body_size, &msg), CW_OK);
+    ck_assert_int_eq(cw_wire_decode_single_frame(wire, bytes, size, body_size - 1, &msg), CW_ERR_PROTOCOL);
+    static const uint8_t empty[CW_FRAME_HEADER] = {0};
+    ck_assert_int_eq(cw_wire_decode_single_frame(wire, empty, sizeof(empty), sizeof(bytes), &msg), CW_ERR_PROTOCOL);
+    cw_wire_shutdown(wire);
+}
+END_TEST
+
 START_TEST(messages_about_tunnels_survive_the_round_trip) {
     cw_wire_t* wire = cw_wire_setup(NULL);
     static cw_msg_t out, in;
@@ -235,6 +259,7 @@
     tcase_add_test(t, messages_of_other_versions_are_decoded);
     tcase_add_test(t, gossip_of_other_clusters_is_refused);
     tcase_add_test(t, summaries_survive_the_round_trip);
+    tcase_add_test(t, a_single_frame_is_decoded_once_it_is_complete);
     tcase_add_test(t, messages_about_tunnels_survive_the_round_trip);
     tcase_add_test(t, pools_from_which_a_host_is_cut_off_survive_the_round_trip);
     tcase_add_test(t, announced_sizes_are_checked_before_allocation);
