Limit on rejections: a host stops at as many rejections as it remembers

Found by reading the diff: a host remembers 8 rejections and stops when half of the advertised limit is used up, so with a limit above 16 it alone never stopped, and no report of it said more than 8. Change: a full memory counts as used up, whatever the limit.

--- a/chalkway_reject_limit.h
+++ b/chalkway_reject_limit.h
@@ -37,7 +37,8 @@
 
 #define CW_REJECT_LIMIT_WINDOW_MS 1000
 #define CW_REJECT_LIMIT_EXPIRY_MS 30000 /* the limit expires when no response has mentioned it for this time */
-#define CW_REJECT_LIMIT_REMEMBERED 8    /* rejections that are remembered; more than half of any useful limit */
+#define CW_REJECT_LIMIT_REMEMBERED                                                                                     \
+    8 /* rejections that a host remembers; with as many it stops, however high the limit */
 
 /* All zero: no limit is advertised. Times in ms, 0: never. */
 typedef struct cw_reject_limit_t {
@@ -113,8 +114,11 @@
 }
 
 bool cw_reject_limit_is_used_up(const cw_reject_limit_t* l, int64_t now_ms, uint32_t peer_rejections) {
-    uint32_t rejections = cw_reject_limit_own_rejections(l, now_ms) + peer_rejections;
-    return cw_reject_limit_is_active(l, now_ms) && rejections && rejections >= _CW_REJECT_LIMIT_SHARE * l->per_s;
+    uint32_t own_rejections = cw_reject_limit_own_rejections(l, now_ms);
+    uint32_t rejections = own_rejections + peer_rejections;
+    bool is_memory_full = own_rejections == CW_REJECT_LIMIT_REMEMBERED; /* there may have been more */
+    return cw_reject_limit_is_active(l, now_ms) && rejections &&
+           (is_memory_full || rejections >= _CW_REJECT_LIMIT_SHARE * l->per_s);
 }
 
 #endif /* CHALKWAY_REJECT_LIMIT_IMPL_INCLUDED */
--- a/tests/test_reject_limit.c
+++ b/tests/test_reject_limit.c
@@ -301,6 +301,19 @@
 }
 END_TEST
 
+/* Guards against a high limit that one host could never use up, since it remembers only so many of its rejections. */
+START_TEST(a_host_stops_at_the_rejections_that_it_remembers) {
+    cw_reject_limit_t l = {0};
+    cw_reject_limit_on_advertised(&l, 1000, 100);
+    for (uint32_t i = 0; i < CW_REJECT_LIMIT_REMEMBERED; i++) {
+        ck_assert(!cw_reject_limit_is_used_up(&l, 1000, 0));
+        cw_reject_limit_on_rejected(&l, 1000);
+    }
+    ck_assert(cw_reject_limit_is_used_up(&l, 1000, 0));
+    ck_assert(!cw_reject_limit_is_used_up(&l, 2000, 0));
+}
+END_TEST
+
 /* One server that advertises a limit stands for its pool, until the others respond without one. */
 START_TEST(a_limit_holds_for_servers_of_the_pool_that_have_not_responded) {
     sim_t* m = calloc(1, sizeof(*m));
@@ -342,6 +355,7 @@
     tcase_add_test(t, servers_that_advertise_nothing_fall_over_in_the_same_burst);
     tcase_add_test(t, a_limit_ends_with_a_later_response_without_it);
     tcase_add_test(t, half_of_the_limit_is_used_knowingly);
+    tcase_add_test(t, a_host_stops_at_the_rejections_that_it_remembers);
     tcase_add_test(t, a_limit_holds_for_servers_of_the_pool_that_have_not_responded);
     tcase_add_test(t, load_reports_carry_the_limit_and_the_rejections);
 }
