Failing tests: parts of responses without a length or chunks look complete

Callers get a stream that its server cut inside an event, or a response whose tunnel ended with its host, as if it were whole. Resets are seen as breaks (hypothesis 2 refuted), responses with a length or chunks too (hypothesis 3).

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -71,11 +71,12 @@
     e->stats.outcomes[outcome]++;
     cw_log(e->desc.log, CW_EVENT_REQUEST_DONE,
            "id=%s outcome=%s status=%u why=\"%s\" route=%s workspace=%s revision=%lld server=%s transfers=%u "
-           "urgency=%u expected_ms=%.0f first_ms=%u gap_ms=%u took_ms=%lld left_ms=%lld run=%s",
+           "urgency=%u expected_ms=%.0f first_ms=%u gap_ms=%u took_ms=%lld left_ms=%lld framing=%s path=%s run=%s",
            x->id, outcome_names[outcome], x->status, why, x->route->name, x->workspace ? x->workspace->name : "-",
            (long long)x->catalog->revision, x->server_id[0] ? x->server_id : "-", x->attempt_count, x->work.urgency,
            x->expected_ms, first_ms, x->gap_ms, (long long)(now_ms - x->arrived_ms),
-           (long long)(x->deadline_ms - now_ms), cw_outcome_name(cw_request_outcome(&x->fsm)));
+           (long long)(x->deadline_ms - now_ms), cw_framing_name(x->response_framing),
+           x->is_tunneled ? "tunnel" : "direct", cw_outcome_name(cw_request_outcome(&x->fsm)));
     if (e->desc.on_done) {
         e->desc.on_done(e->desc.user_data, x->route->name, x->workspace ? x->workspace->name : "-", outcome, first_ms,
                         (uint32_t)(now_ms - x->arrived_ms));
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -42,6 +42,7 @@
 typedef struct exchanges_stats_t {
     uint32_t active, waiting;
     uint64_t outcomes[EXCHANGE_OUTCOME_COUNT], sends, retries_sent, streams_resumed;
+    uint64_t responses_unframed; /* responses with neither a length nor chunks */
 } exchanges_stats_t;
 
 exchanges_t* exchanges_setup(const exchanges_desc_t* desc);
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -150,6 +150,9 @@
                               "the answer lacks its signature or the request's id");
         return;
     }
+    x->response_framing = head->framing;
+    x->is_tunneled = upstream_conn_is_tunneled(x->conn);
+    x->exchanges->stats.responses_unframed += head->framing == CW_FRAMING_UNTIL_CLOSE;
     x->is_server_error = head->status >= 500;
     if ((x->is_server_error && exchange_may_retry(x)) || (x->is_head_sent && head->status != x->status)) {
         exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, CW_TRY_FAILED, "the server answered with a failure");
@@ -302,7 +305,8 @@
     const server_t* cache_holder =
         choice->fetch_source ? upstreams_server(e->desc.upstreams, choice->fetch_source) : NULL;
     cw_copy(x->fetch_from, sizeof(x->fetch_from), cache_holder ? cache_holder->published.address : "");
-    x->has_first_byte = x->is_server_error = false;
+    x->has_first_byte = x->is_server_error = x->is_tunneled = false;
+    x->response_framing = CW_FRAMING_NONE;
     x->sent_ms = 0;
     x->reason = "";
     x->result = CW_TRY_CANCELLED;
--- a/gateway/exchange_internal.h
+++ b/gateway/exchange_internal.h
@@ -45,7 +45,9 @@
     int64_t sent_ms, stall_at_ms; /* stall_at_ms: without a response by then, another server is tried; 0: never */
     double expected_ms;           /* predicted time from arrival to the first event, set by each attempt */
     bool has_first_byte;
-    bool is_server_error; /* the response reports a failure of the server (status 500 or higher) */
+    cw_framing_t response_framing; /* of the server's response; CW_FRAMING_NONE before its head */
+    bool is_tunneled;              /* the response came through another host */
+    bool is_server_error;          /* the response reports a failure of the server (status 500 or higher) */
     cw_try_result_t result;
     const char* reason; /* why the last attempt failed */
     /* all attempts */
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -257,6 +257,7 @@
     cw_message_add_text(out, "chalkway_sends_total %llu\nchalkway_repeats_total %llu\nchalkway_resumed_total %llu\n",
                         (unsigned long long)x.sends, (unsigned long long)x.retries_sent,
                         (unsigned long long)x.streams_resumed);
+    cw_message_add_text(out, "chalkway_responses_unframed_total %llu\n", (unsigned long long)x.responses_unframed);
     cw_message_add_text(out, "chalkway_caller_connections %u\nchalkway_callers_accepted_total %llu\n", f.open,
                         (unsigned long long)f.accepted);
     cw_message_add_text(out, "chalkway_server_connections %u\nchalkway_server_connects_total %llu\n",
--- a/io/message.c
+++ b/io/message.c
@@ -169,6 +169,11 @@
     }
 }
 
+const char* cw_framing_name(cw_framing_t framing) {
+    static const char* const names[] = {"none", "length", "chunked", "close"};
+    return names[framing];
+}
+
 const char* cw_message_field(const cw_message_t* m, const char* name) {
     for (uint32_t i = 0; i < m->field_count; i++) {
         if (strcasecmp(m->fields[i].name, name) == 0) {
--- a/io/message.h
+++ b/io/message.h
@@ -76,6 +76,8 @@
 size_t cw_message_parse(cw_message_t* m, const char* data, size_t size);
 /* To be called when the peer has closed the connection: completes a body with CW_FRAMING_UNTIL_CLOSE. */
 void cw_message_on_close(cw_message_t* m);
+/* Name of a framing for logs: "none", "length", "chunked" or "close". */
+const char* cw_framing_name(cw_framing_t framing);
 /* Value of the first header field with this name, compared without case; NULL when absent. */
 const char* cw_message_field(const cw_message_t* m, const char* name);
 /* Number of header fields with this name, compared without case. */
--- /dev/null
+++ b/tests/test_unframed.c
@@ -0,0 +1,261 @@
+/* Responses with neither a length nor chunks, which end with their connection. An event stream of that kind is complete
+   only if its last event is. */
+#include "../gateway/clock.h"
+#include "../gateway/tunnel.h"
+#include "rig.h"
+
+#define ROUTE(name, kind, more)                                                                                        \
+    "{\"name\":\"" name "\",\"host\":\"h.example\",\"prefix\":\"/" name "/\",\"kind\":\"" kind "\"," more              \
+    "\"timeout_ms\":5000,\"target_ms\":2000,\"gap_ms\":500,\"attempts\":2,\"open\":true,"                              \
+    "\"pools\":[{\"pool\":\"p\"}]}"
+#define ROUTES                                                                                                         \
+    "{\"revision\":1,\"pools\":[{\"name\":\"p\"}],\"routes\":[" ROUTE("call", "once", "") "," ROUTE(                   \
+        "again", "repeatable", "") "," ROUTE("stream", "stream", "") "," ROUTE("resume", "stream",                     \
+                                                                               "\"resume\":true,") "]}"
+#define HEAD "HTTP/1.1 200 OK\r\nChalkway-Request-Id: @ID@\r\n"
+#define EVENTS HEAD "Content-Type: text/event-stream\r\n\r\n"
+#define EVENTS_CHUNKED HEAD "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+#define CALL(route)                                                                                                    \
+    "POST /" route "/ HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: q1\r\nContent-Length: 0\r\n\r\n"
+
+/* Plays the script for one request and returns the rig; the response is in rig->response. */
+static rig_t* play(const char* call, uint32_t count, const rig_step_t* steps) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    rig_script(r, steps, count);
+    rig_call(r, call);
+    return r;
+}
+
+static void expect_complete(const rig_t* r, const char* body) {
+    const char* response = cw_buffer_text(&r->response);
+    ck_assert_msg(rig_is_response_complete(response) && strstr(response, body), "not complete: %s", response);
+}
+
+static void expect_broken(const rig_t* r) {
+    const char* response = cw_buffer_text(&r->response);
+    bool is_success = strncmp(response, "HTTP/1.1 200", 12) == 0;
+    ck_assert_msg(!is_success || !rig_is_response_complete(response), "looks complete: %s", response);
+}
+
+/* Guards against a part of a stream that its caller takes for the whole: the server closed inside an event, on routes
+   whose streams can't be resumed. */
+START_TEST(a_stream_that_ends_inside_an_event_does_not_look_complete) {
+    static const char* const parts[] = {"id: 1\ndata: a\n\nid: 2\nda", "id: 1\ndata: a\n", "id: 1\r\ndata: a\r\n\r",
+                                        "id: 1\ndata: a\n\nid: 2\ndata: b\n", ": comment"};
+    static const char* const calls[] = {CALL("stream"), CALL("call")};
+    for (size_t c = 0; c < sizeof(calls) / sizeof(calls[0]); c++) {
+        for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+            char text[300];
+            snprintf(text, sizeof(text), EVENTS "%s", parts[i]);
+            rig_t* r = play(calls[c], 1, (rig_step_t[]){{RIG_RESPOND_CLOSE, text}});
+            expect_broken(r);
+            rig_shutdown(r);
+        }
+    }
+}
+END_TEST
+
+START_TEST(a_stream_that_ends_after_an_event_is_complete) {
+    static const char* const parts[] = {"id: 1\ndata: a\n\n", "id: 1\r\ndata: a\r\n\r\n", "id: 1\rdata: a\r\r",
+                                        "data: x\n\n: comment\n\n",
+                                        "\xef\xbb\xbf"
+                                        "data: a\n\n\n"};
+    static const char* const calls[] = {CALL("stream"), CALL("call"), CALL("again")};
+    for (size_t c = 0; c < sizeof(calls) / sizeof(calls[0]); c++) {
+        for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+            char text[300];
+            snprintf(text, sizeof(text), EVENTS "%s", parts[i]);
+            rig_t* r = play(calls[c], 1, (rig_step_t[]){{RIG_RESPOND_CLOSE, text}});
+            expect_complete(r, parts[i]);
+            rig_shutdown(r);
+        }
+    }
+}
+END_TEST
+
+/* Nothing shows that a stream without any event is complete. */
+START_TEST(a_stream_without_an_event_is_not_complete) {
+    rig_t* r = play(CALL("stream"), 1, (rig_step_t[]){{RIG_RESPOND_CLOSE, EVENTS}});
+    expect_broken(r);
+    rig_shutdown(r);
+}
+END_TEST
+
+/* A request that may be sent again is retried as long as its caller has got nothing of the response. */
+START_TEST(a_stream_without_an_event_is_retried_at_another_server) {
+    rig_t* r =
+        play(CALL("again"), 2, (rig_step_t[]){{RIG_RESPOND_CLOSE, EVENTS}, {RIG_RESPOND_CLOSE, EVENTS "data: a\n\n"}});
+    expect_complete(r, "data: a\n\n");
+    ck_assert_uint_ne(r->arrival_server[0], r->arrival_server[1]);
+    rig_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_stream_that_ends_inside_an_event_resumes_at_another_server) {
+    rig_t* r = play(CALL("resume"), 2,
+                    (rig_step_t[]){{RIG_RESPOND_CLOSE, EVENTS "id: 1\ndata: a\n\nid: 2\nda"},
+                                   {RIG_RESPOND_CLOSE, EVENTS "id: 2\ndata: b\n\n"}});
+    expect_complete(r, "id: 2\ndata: b\n\n");
+    ck_assert(strstr(r->arrivals[1], "Last-Event-Id: 1\r\n"));
+    ck_assert(!strstr(cw_buffer_text(&r->response), "id: 2\nda\r\n"));
+    rig_shutdown(r);
+}
+END_TEST
+
+/* The server broke the stream off, so it may have crashed under the request. Guards against a request that ends its
+   servers in this way and is taken for harmless. */
+START_TEST(an_end_inside_an_event_counts_as_a_crash_under_the_request) {
+    static const char* const calls[] = {CALL("stream"), CALL("resume"), CALL("call")};
+    for (size_t c = 0; c < sizeof(calls) / sizeof(calls[0]); c++) {
+        rig_t* r = play(calls[c], 2,
+                        (rig_step_t[]){{RIG_RESPOND_CLOSE, EVENTS "id: 1\ndata: a\n\nid: 2\nda"},
+                                       {RIG_RESPOND_CLOSE, EVENTS "id: 2\ndata: b\n\n"}});
+        ck_assert_uint_ge(r->observations_published, 1);
+        ck_assert_uint_ge(r->liveness_reports, 1);
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
+/* A length or the last chunk shows the end, so a last event without its blank line was sent that way. */
+START_TEST(framing_shows_the_end_of_a_stream_whatever_its_last_event) {
+    static const char chunked[] = EVENTS_CHUNKED "1b\r\nid: 1\ndata: a\n\ndata: [DONE]\r\n0\r\n\r\n";
+    static const char with_length[] =
+        HEAD "Content-Type: text/event-stream\r\nContent-Length: 27\r\n\r\nid: 1\ndata: a\n\ndata: [DONE]";
+    static const char* const texts[] = {chunked, with_length};
+    static const char* const calls[] = {CALL("stream"), CALL("resume")};
+    for (size_t c = 0; c < sizeof(calls) / sizeof(calls[0]); c++) {
+        for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+            rig_t* r = play(calls[c], 2, (rig_step_t[]){{RIG_RESPOND, texts[i]}, {RIG_RESPOND, texts[i]}});
+            expect_complete(r, "data: [DONE]");
+            ck_assert_uint_eq(r->arrival_count, 1);
+            rig_shutdown(r);
+        }
+    }
+}
+END_TEST
+
+START_TEST(a_response_that_is_no_event_stream_ends_with_its_connection) {
+    static const char* const heads[] = {HEAD "\r\n", HEAD "Content-Type: application/json\r\n\r\n",
+                                        HEAD "Content-Type: text/event-streams\r\n\r\n"};
+    for (size_t i = 0; i < sizeof(heads) / sizeof(heads[0]); i++) {
+        char text[300];
+        snprintf(text, sizeof(text), "%sall of it", heads[i]);
+        rig_t* r = play(CALL("call"), 1, (rig_step_t[]){{RIG_RESPOND_CLOSE, text}});
+        expect_complete(r, "all of it");
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
+START_TEST(a_reset_response_is_not_complete) {
+    static const char* const texts[] = {HEAD "\r\nall of it", EVENTS "id: 1\ndata: a\n\n"};
+    static const char* const calls[] = {CALL("call"), CALL("stream")};
+    for (size_t i = 0; i < 2; i++) {
+        rig_t* r = play(calls[i], 1, (rig_step_t[]){{RIG_RESPOND_RESET, texts[i]}});
+        expect_broken(r);
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
+/* -- tunnels -------------------------------------------------------------- */
+
+typedef struct relay_t {
+    tunnels_t* tunnels;
+    char address[32];
+} relay_t;
+
+static bool is_host(void* user, const struct sockaddr_in* address) {
+    (void)user;
+    (void)address;
+    return true;
+}
+
+static const cw_member_info_t* choose_relay(rig_t* r, const pool_t* pool) {
+    static cw_member_info_t host;
+    const relay_t* relay = r->test;
+    for (server_t* s = pool->servers; s; s = s->next) {
+        cw_addr_parse(s->published.address, &s->address, NULL);
+    }
+    host = (cw_member_info_t){.id = 2};
+    cw_copy(host.peer, sizeof(host.peer), relay->address);
+    return &host;
+}
+
+/* The host reaches its only server through a relay. */
+static rig_t* setup_relay(relay_t* relay) {
+    cw_error_t err = {0};
+    rig_t* r = rig_setup(ROUTES, 1);
+    snprintf(relay->address, sizeof(relay->address), "127.78.%d.%d:7204", 1 + getpid() / 250 % 250, 1 + getpid() % 250);
+    relay->tunnels = tunnels_setup(&(tunnels_desc_t){.loop = r->loop,
+                                                     .log = &r->log,
+                                                     .upstreams = r->upstreams,
+                                                     .address = relay->address,
+                                                     .cluster = "c",
+                                                     .max_tunnels = 2,
+                                                     .is_host = is_host},
+                                   &err);
+    ck_assert_msg(relay->tunnels != NULL, "%s", cw_error_text(&err).text);
+    r->test = relay;
+    r->choose_tunnel_host = choose_relay;
+    for (server_t* s = upstreams_pool(r->upstreams, "p")->servers; s; s = s->next) {
+        cw_addr_parse("127.0.0.1:1", &s->address, NULL);
+    }
+    return r;
+}
+
+/* Guards against a part of a response that its caller takes for the whole: the host that carries the tunnel stops or
+   dies, and its end of the tunnel is closed as if the server had closed. */
+START_TEST(a_response_is_not_complete_when_its_tunnel_ends_before_its_server) {
+    static const char* const texts[] = {HEAD "\r\npart of it", EVENTS "id: 1\ndata: a\n\n"};
+    static const char* const calls[] = {CALL("call"), CALL("stream")};
+    for (size_t i = 0; i < 2; i++) {
+        relay_t relay;
+        rig_t* r = setup_relay(&relay);
+        rig_script(r, (rig_step_t[]){{RIG_RESPOND, texts[i]}}, 1);
+        r->stop_on_response = true;
+        rig_write(r, calls[i]);
+        while (!strstr(cw_buffer_text(&r->response), i ? "data: a" : "part of it")) {
+            ev_run(r->loop, EVRUN_ONCE);
+        }
+        tunnels_shutdown(relay.tunnels);
+        rig_run(r);
+        expect_broken(r);
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
+START_TEST(a_response_is_complete_when_its_server_closes_behind_a_tunnel) {
+    static const char* const texts[] = {HEAD "\r\nall of it", EVENTS "id: 1\ndata: a\n\n"};
+    static const char* const calls[] = {CALL("call"), CALL("stream")};
+    for (size_t i = 0; i < 2; i++) {
+        relay_t relay;
+        rig_t* r = setup_relay(&relay);
+        rig_script(r, (rig_step_t[]){{RIG_RESPOND_CLOSE, texts[i]}}, 1);
+        rig_call(r, calls[i]);
+        expect_complete(r, i ? "data: a\n\n" : "all of it");
+        tunnels_shutdown(relay.tunnels);
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
+static void add_tests(TCase* t) {
+    tcase_add_test(t, a_stream_that_ends_inside_an_event_does_not_look_complete);
+    tcase_add_test(t, a_stream_that_ends_after_an_event_is_complete);
+    tcase_add_test(t, a_stream_without_an_event_is_not_complete);
+    tcase_add_test(t, a_stream_without_an_event_is_retried_at_another_server);
+    tcase_add_test(t, a_stream_that_ends_inside_an_event_resumes_at_another_server);
+    tcase_add_test(t, an_end_inside_an_event_counts_as_a_crash_under_the_request);
+    tcase_add_test(t, framing_shows_the_end_of_a_stream_whatever_its_last_event);
+    tcase_add_test(t, a_response_that_is_no_event_stream_ends_with_its_connection);
+    tcase_add_test(t, a_reset_response_is_not_complete);
+    tcase_add_test(t, a_response_is_not_complete_when_its_tunnel_ends_before_its_server);
+    tcase_add_test(t, a_response_is_complete_when_its_server_closes_behind_a_tunnel);
+}
+
+int main(void) {
+    return run_suite("unframed", add_tests, 60);
+}
