Streams that end with their connection are complete only after an event, on every route

Callers of streams that can't be resumed got a part of the answer, framed as complete: the server had crashed inside an event, and its close was taken for the end of a body without a length. Cause: events were looked at only on routes with resume, and the end inside an event went another way than a broken connection.

Now every event stream (by its type, or its route where the type is not named) that ends with its connection needs a complete last event, at least one. Bytes still pass as they arrive; only the position within an event is followed. Such an end is a break by the server like any other: it counts as a crash under the request, the server is suspected, the retry's rules hold, and request-done has the reason. With a length or chunks the framing shows the end, so a last event without its blank line is passed on, also on routes with resume, where it was taken for a break. A stream is resumed only by a stream, and an event too long to buffer ends the attempt.

--- a/chalkway_sse.h
+++ b/chalkway_sse.h
@@ -10,6 +10,9 @@
         records the id of the last event returned. After a restart, events
         with ids up to that one are skipped.
 
+        A stream that can't be resumed is followed without being buffered
+        (cw_sse_track), to tell whether it ends after an event.
+
     HOW TO USE IT
             cw_sse_t e = {0};
             cw_sse_feed(&e, data, size);
@@ -33,9 +36,19 @@
     size_t size;
 } cw_bytes_view_t;
 
+/* Finds the ends of events: an event ends with a blank line. Lines end with LF, CRLF or CR. */
+typedef struct cw_sse_scan_t {
+    uint64_t count; /* complete events */
+    bool is_in_event;
+    /* private */
+    bool is_in_line, was_cr, uses_crlf;
+    bool is_lf_due; /* the blank line's CR has been read, and its LF is expected */
+} cw_sse_scan_t;
+
 typedef struct cw_sse_t {
     char last_id[CW_SSE_ID_MAX]; /* id of the last event returned that has one, "": none */
     uint64_t count;              /* events returned */
+    cw_sse_scan_t scan;          /* of the bytes since the last restart */
     bool has_overflowed;         /* an event exceeded CW_SSE_EVENT_BYTES_MAX; no more events are returned */
     /* private */
     bool is_resuming; /* no event with a new id was returned since the restart */
@@ -44,13 +57,18 @@
 } cw_sse_t;
 
 void cw_sse_feed(cw_sse_t* e, const char* data, size_t size);
+/* Follows the stream without buffering it. Not to be mixed with cw_sse_feed. */
+void cw_sse_track(cw_sse_t* e, const char* data, size_t size);
 /* Returns the complete events that arrived since the last call, concatenated; size 0: none. Skipped events split the
    result, so call it until size is 0. */
 cw_bytes_view_t cw_sse_take(cw_sse_t* e);
+/* Returns the bytes after the last complete event, once the stream is known to be complete; valid until the next call.
+ */
+cw_bytes_view_t cw_sse_take_rest(cw_sse_t* e);
 /* Drops an incomplete event after the stream broke; the next bytes come from another stream. */
 void cw_sse_restart(cw_sse_t* e);
-/* Whether the buffer holds an incomplete event. */
-bool cw_sse_has_partial(const cw_sse_t* e);
+/* Whether the bytes since the last restart end after a complete event. False before the first one. */
+bool cw_sse_ends_after_event(const cw_sse_t* e);
 void cw_sse_free(cw_sse_t* e);
 
 #endif /* CHALKWAY_SSE_H */
@@ -63,7 +81,33 @@
 #include <stdlib.h>
 #include <string.h>
 
+static bool _cw_sse_is_line_end(char byte) {
+    return byte == '\n' || byte == '\r';
+}
+
+/* Returns whether the byte is the last one of an event. */
+static bool _cw_sse_scan_byte(cw_sse_scan_t* s, char byte) {
+    bool is_lf_of_crlf = byte == '\n' && s->was_cr;
+    bool is_blank_line = _cw_sse_is_line_end(byte) && !is_lf_of_crlf && !s->is_in_line && s->is_in_event;
+    bool needs_lf = byte == '\r' && s->uses_crlf;
+    bool is_end = is_lf_of_crlf ? s->is_lf_due : is_blank_line && !needs_lf;
+    s->is_lf_due = is_blank_line && needs_lf;
+    s->uses_crlf = s->uses_crlf || is_lf_of_crlf;
+    s->was_cr = byte == '\r';
+    s->is_in_line = !_cw_sse_is_line_end(byte);
+    s->is_in_event = (s->is_in_event || s->is_in_line) && !is_end;
+    s->count += is_end;
+    return is_end;
+}
+
+void cw_sse_track(cw_sse_t* e, const char* data, size_t size) {
+    for (size_t i = 0; i < size; i++) {
+        _cw_sse_scan_byte(&e->scan, data[i]);
+    }
+}
+
 void cw_sse_feed(cw_sse_t* e, const char* data, size_t size) {
+    cw_sse_track(e, data, size);
     if (e->consumed) {
         memmove(e->data, e->data + e->consumed, e->size - e->consumed);
         e->size -= e->consumed;
@@ -86,16 +130,11 @@
 }
 
 /* Length of the event at the start of the text, with its blank line; 0: it is incomplete. */
-static size_t _cw_sse_event_length(const char* text, size_t size) {
-    for (size_t i = 0; i + 1 < size; i++) {
-        if (text[i] != '\n') {
-            continue;
-        }
-        if (text[i + 1] == '\n') {
-            return i + 2;
-        }
-        if (text[i + 1] == '\r' && i + 2 < size && text[i + 2] == '\n') {
-            return i + 3;
+static size_t _cw_sse_event_length(const cw_sse_t* e, const char* text, size_t size) {
+    cw_sse_scan_t scan = {.uses_crlf = e->scan.uses_crlf};
+    for (size_t i = 0; i < size; i++) {
+        if (_cw_sse_scan_byte(&scan, text[i])) {
+            return i + 1;
         }
     }
     return 0;
@@ -105,24 +144,24 @@
 static bool _cw_sse_find_id(const char* event, size_t size, char id[CW_SSE_ID_MAX]) {
     const char* end = event + size;
     for (const char* line = event; line < end;) {
-        const char* next = memchr(line, '\n', (size_t)(end - line));
-        size_t length = (size_t)((next ? next : end) - line);
+        const char* next = line;
+        while (next < end && !_cw_sse_is_line_end(*next)) {
+            next++;
+        }
+        size_t length = (size_t)(next - line);
         if (length > 3 && strncmp(line, "id:", 3) == 0) {
             const char* value = line + 3;
             const char* stop = line + length;
             while (value < stop && *value == ' ') {
                 value++;
             }
-            while (stop > value && stop[-1] == '\r') {
-                stop--;
-            }
             size_t n = (size_t)(stop - value);
             n = n < CW_SSE_ID_MAX - 1 ? n : CW_SSE_ID_MAX - 1;
             memcpy(id, value, n);
             id[n] = 0;
             return true;
         }
-        line = next ? next + 1 : end;
+        line = next + 1;
     }
     return false;
 }
@@ -135,7 +174,7 @@
     size_t begin = e->consumed;
     size_t at = begin;
     while (!e->has_overflowed) {
-        size_t length = _cw_sse_event_length(e->data + at, e->size - at);
+        size_t length = _cw_sse_event_length(e, e->data + at, e->size - at);
         if (!length) {
             break;
         }
@@ -160,13 +199,20 @@
     return (cw_bytes_view_t){.data = e->data ? e->data + begin : "", .size = at - begin};
 }
 
+cw_bytes_view_t cw_sse_take_rest(cw_sse_t* e) {
+    cw_bytes_view_t rest = {.data = e->data ? e->data + e->consumed : "", .size = e->size - e->consumed};
+    e->consumed = e->size;
+    return rest;
+}
+
 void cw_sse_restart(cw_sse_t* e) {
     e->size = e->consumed = 0;
+    e->scan = (cw_sse_scan_t){0};
     e->is_resuming = true;
 }
 
-bool cw_sse_has_partial(const cw_sse_t* e) {
-    return e->size > e->consumed;
+bool cw_sse_ends_after_event(const cw_sse_t* e) {
+    return e->scan.count > 0 && !e->scan.is_in_event;
 }
 
 void cw_sse_free(cw_sse_t* e) {
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -177,9 +177,7 @@
         upstream_conn_close(x->conn);
         x->conn = NULL;
     }
-    if (x->is_resumable_stream) {
-        cw_sse_restart(&x->events);
-    }
+    cw_sse_restart(&x->events);
 }
 
 static uint32_t retry_after_ms(exchange_t* x) {
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <stdio.h>
 #include <string.h>
+#include <strings.h>
 
 #include "clock.h"
 #include "exchange_internal.h"
@@ -117,6 +118,17 @@
                           is_misdirected ? "another server has the address" : "the server has no room");
 }
 
+/* Whether the body is a stream of server-sent events. A stream's route vouches for servers that don't name the type. */
+static bool is_event_stream(const exchange_t* x, const cw_message_t* head) {
+    static const char type[] = "text/event-stream";
+    const char* named = cw_message_field(head, "Content-Type");
+    if (!named) {
+        return x->route->kind == CW_ROUTE_STREAM && head->status / 100 == 2;
+    }
+    named += strspn(named, " \t");
+    return strncasecmp(named, type, sizeof(type) - 1) == 0 && strchr("; \t", named[sizeof(type) - 1]);
+}
+
 /* Stores the head until the first body byte. Until then another server can still give the complete response. */
 static void store_head(exchange_t* x, const cw_message_t* head) {
     cw_buffer_free(&x->head_fields);
@@ -124,8 +136,9 @@
     x->head_framing = head->framing == CW_FRAMING_UNTIL_CLOSE ? CW_FRAMING_CHUNKED : head->framing;
     x->head_length = head->length;
     x->status = head->status;
-    bool is_event_stream = x->head_framing == CW_FRAMING_CHUNKED && head->status / 100 == 2;
-    x->fsm.resumable = x->route->kind == CW_ROUTE_STREAM && x->route->is_resumable && is_event_stream;
+    bool is_open_ended = x->head_framing == CW_FRAMING_CHUNKED && head->status / 100 == 2;
+    x->fsm.resumable =
+        x->route->kind == CW_ROUTE_STREAM && x->route->is_resumable && is_open_ended && x->is_event_stream;
     x->is_resumable_stream = x->fsm.resumable;
 }
 
@@ -137,6 +150,11 @@
     }
 }
 
+/* Whether the response can continue the one whose head the caller has. */
+static bool continues_response(const exchange_t* x, const cw_message_t* head) {
+    return head->status == x->status && (!x->is_resumable_stream || x->is_event_stream);
+}
+
 static void conn_on_head(void* owner, const cw_message_t* head) {
     exchange_t* x = owner;
     const dialect_fields_t* f = &x->exchanges->desc.dialect->fields;
@@ -153,8 +171,9 @@
     x->response_framing = head->framing;
     x->is_tunneled = upstream_conn_is_tunneled(x->conn);
     x->exchanges->stats.responses_unframed += head->framing == CW_FRAMING_UNTIL_CLOSE;
+    x->is_event_stream = is_event_stream(x, head);
     x->is_server_error = head->status >= 500;
-    if ((x->is_server_error && exchange_may_retry(x)) || (x->is_head_sent && head->status != x->status)) {
+    if ((x->is_server_error && exchange_may_retry(x)) || (x->is_head_sent && !continues_response(x, head))) {
         exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, CW_TRY_FAILED, "the server answered with a failure");
         return;
     }
@@ -229,10 +248,17 @@
         cw_balance_on_event(x->pool->balance, clock_ms(), &x->run);
     }
     if (!x->is_resumable_stream) {
+        if (x->is_event_stream) {
+            cw_sse_track(&x->events, data, size);
+        }
         forward_body(x, data, size);
         return;
     }
     cw_sse_feed(&x->events, data, size);
+    if (x->events.has_overflowed) {
+        exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, CW_TRY_FAILED, "an event is too long");
+        return;
+    }
     for (cw_bytes_view_t events = cw_sse_take(&x->events); events.size; events = cw_sse_take(&x->events)) {
         forward_body(x, events.data, events.size);
     }
@@ -240,12 +266,38 @@
     exchange_set_timer(x);
 }
 
+/* Whether the server is presumed to have crashed while it ran the request. A leaving server may close connections with
+   running requests, and a lost network path says nothing about the server. */
+static bool is_presumed_crash(const exchange_t* x, upstream_conn_failure_t failure) {
+    bool is_sent = x->fsm.state != CW_REQ_CONNECTING;
+    return is_sent && (failure == UPSTREAM_CONN_RESET || failure == UPSTREAM_CONN_CLOSED) && !x->server->is_retired;
+}
+
+/* The connection broke after the request had been sent. */
+static void handle_broken_response(exchange_t* x, upstream_conn_failure_t failure, const char* reason) {
+    if (is_presumed_crash(x, failure)) {
+        quarantine_on_crash(x->exchanges->desc.quarantine, &x->fingerprint, x->server);
+    }
+    exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, failure == UPSTREAM_CONN_MALFORMED ? CW_TRY_FAILED : CW_TRY_BROKEN,
+                          reason);
+}
+
+/* Whether the end of the connection, which ended the response, may be taken for the end of its body. */
+static bool is_end_plausible(const exchange_t* x) {
+    bool ends_with_connection = x->response_framing == CW_FRAMING_UNTIL_CLOSE;
+    return !ends_with_connection || !x->is_event_stream || cw_sse_ends_after_event(&x->events);
+}
+
 static void conn_on_complete(void* owner) {
     exchange_t* x = owner;
-    if (x->is_resumable_stream && cw_sse_has_partial(&x->events)) {
-        exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, CW_TRY_FAILED, "the stream ended within an event");
+    if (!is_end_plausible(x)) {
+        handle_broken_response(x, UPSTREAM_CONN_CLOSED, "the stream ended within an event");
         return;
     }
+    if (x->is_resumable_stream) {
+        cw_bytes_view_t rest = cw_sse_take_rest(&x->events);
+        forward_body(x, rest.data, rest.size);
+    }
     x->result = x->is_server_error ? CW_TRY_FAILED : CW_TRY_SERVED;
     quarantine_on_response(x->exchanges->desc.quarantine, &x->fingerprint);
     upstream_conn_release(x->conn);
@@ -253,29 +305,18 @@
     exchange_handle_event(x, CW_EV_RESPONSE_END);
 }
 
-/* Whether the server is presumed to have crashed while it ran the request. A leaving server may close connections with
-   running requests, and a lost network path says nothing about the server. */
-static bool is_presumed_crash(const exchange_t* x, upstream_conn_failure_t failure) {
-    bool is_sent = x->fsm.state != CW_REQ_CONNECTING;
-    return is_sent && (failure == UPSTREAM_CONN_RESET || failure == UPSTREAM_CONN_CLOSED) && !x->server->is_retired;
-}
-
 static void conn_on_broken(void* owner, upstream_conn_failure_t failure) {
     exchange_t* x = owner;
     static const char* const reasons[] = {"no connection", "reset", "nothing acknowledged", "closed before the end",
                                           "not an answer"};
     x->conn = NULL;
-    if (is_presumed_crash(x, failure)) {
-        quarantine_on_crash(x->exchanges->desc.quarantine, &x->fingerprint, x->server);
-    }
     if (failure == UPSTREAM_CONN_UNREACHABLE) {
         server_log_unreachable(x->server, clock_ms());
         exchange_fail_attempt(x, CW_EV_CONNECT_FAILED, CW_TRY_UNREACHABLE, reasons[failure]);
     } else if (x->fsm.state == CW_REQ_CONNECTING) {
         exchange_fail_attempt(x, CW_EV_CONNECT_FAILED, CW_TRY_CANCELLED, reasons[failure]);
     } else {
-        exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED,
-                              failure == UPSTREAM_CONN_MALFORMED ? CW_TRY_FAILED : CW_TRY_BROKEN, reasons[failure]);
+        handle_broken_response(x, failure, reasons[failure]);
     }
 }
 
--- a/gateway/exchange_internal.h
+++ b/gateway/exchange_internal.h
@@ -46,6 +46,7 @@
     double expected_ms;           /* predicted time from arrival to the first event, set by each attempt */
     bool has_first_byte;
     cw_framing_t response_framing; /* of the server's response; CW_FRAMING_NONE before its head */
+    bool is_event_stream;          /* the response is a stream of server-sent events */
     bool is_tunneled;              /* the response came through another host */
     bool is_server_error;          /* the response reports a failure of the server (status 500 or higher) */
     cw_try_result_t result;
--- a/tests/test_gateway_parts.c
+++ b/tests/test_gateway_parts.c
@@ -850,7 +850,30 @@
         append_all_events(&e, out);
         ck_assert_str_eq(out, stream);
         ck_assert_str_eq(e.last_id, "3");
-        ck_assert(!cw_sse_has_partial(&e));
+        ck_assert(cw_sse_ends_after_event(&e) && cw_sse_take_rest(&e).size == 0);
+        cw_sse_free(&e);
+    }
+}
+END_TEST
+
+/* Lines end with LF, CRLF or CR; of a CRLF cut in the middle, the LF is missing. */
+START_TEST(a_stream_ends_after_an_event_only_at_its_blank_line) {
+    static const char* const line_ends[] = {"\n", "\r\n", "\r"};
+    for (size_t l = 0; l < 3; l++) {
+        char text[100];
+        size_t blank[2];
+        int size = snprintf(text, sizeof(text), "id: 1%sdata: a%s%s", line_ends[l], line_ends[l], line_ends[l]);
+        blank[0] = (size_t)size;
+        size += snprintf(text + size, sizeof(text) - (size_t)size, "id: 2%sdata: b%s%s", line_ends[l], line_ends[l],
+                         line_ends[l]);
+        blank[1] = (size_t)size;
+        cw_sse_t e = {0};
+        for (size_t i = 1; i <= (size_t)size; i++) {
+            cw_sse_track(&e, text + i - 1, 1);
+            ck_assert_msg(cw_sse_ends_after_event(&e) == (i == blank[0] || i == blank[1]), "line end %zu, byte %zu", l,
+                          i);
+        }
+        ck_assert_uint_eq(e.scan.count, 2);
         cw_sse_free(&e);
     }
 }
@@ -1022,6 +1045,7 @@
     tcase_add_test(t, an_advertised_rate_from_another_host_is_respected);
     tcase_add_test(t, encoded_backlogs_do_not_decrease_with_urgency_level);
     tcase_add_test(t, events_are_returned_complete_for_any_split);
+    tcase_add_test(t, a_stream_ends_after_an_event_only_at_its_blank_line);
     tcase_add_test(t, a_stream_resumes_after_a_break_at_any_byte);
     tcase_add_test(t, retries_stay_within_the_budget_in_any_window);
     tcase_add_test(t, a_rejected_attempt_restores_the_outcome_before_it);
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -102,6 +102,17 @@
 }
 END_TEST
 
+/* What resumes a stream must be a stream: a plain response without a length has no end that shows. */
+START_TEST(a_stream_is_not_resumed_with_a_response_of_another_kind) {
+    rig_t* r = play(CALL("resume"), 2,
+                    (rig_step_t[]){{RIG_RESPOND_CLOSE, EVENTS "id: 1\ndata: a\n\nid: 2\nda"},
+                                   {RIG_RESPOND_CLOSE, HEAD "Content-Type: text/plain\r\n\r\nid: 2\ndata: b\n\n"}});
+    expect_broken(r);
+    ck_assert(!strstr(cw_buffer_text(&r->response), "data: b"));
+    rig_shutdown(r);
+}
+END_TEST
+
 /* The server broke the stream off, so it may have crashed under the request. Guards against a request that ends its
    servers in this way and is taken for harmless. */
 START_TEST(an_end_inside_an_event_counts_as_a_crash_under_the_request) {
@@ -248,6 +259,7 @@
     tcase_add_test(t, a_stream_without_an_event_is_not_complete);
     tcase_add_test(t, a_stream_without_an_event_is_retried_at_another_server);
     tcase_add_test(t, a_stream_that_ends_inside_an_event_resumes_at_another_server);
+    tcase_add_test(t, a_stream_is_not_resumed_with_a_response_of_another_kind);
     tcase_add_test(t, an_end_inside_an_event_counts_as_a_crash_under_the_request);
     tcase_add_test(t, framing_shows_the_end_of_a_stream_whatever_its_last_event);
     tcase_add_test(t, a_response_that_is_no_event_stream_ends_with_its_connection);
