Tunnels report how the server's connection ended

A response without a length or chunks came in part and looked complete when the host that carried its tunnel stopped, died or gave up: that host's close was taken for the server's. A server behind such a tunnel was also suspected of a crash, and so was the request.

Now the host of a tunnel sends the server's bytes in frames and says in the last one whether the server closed, reset or went silent (chalkway_tunnel_frame.h). A tunnel that ends without that frame says nothing about the server: the response is broken off or retried, also at the same server, its host is not asked for a moment, and nobody is suspected. Hosts of earlier versions are told by a field that they don't read; through their tunnels only a response whose framing shows its end is complete.

--- a/chalkway.c
+++ b/chalkway.c
@@ -60,6 +60,7 @@
 #include "chalkway_stop.h"
 #include "chalkway_store.h"
 #include "chalkway_token_stream.h"
+#include "chalkway_tunnel_frame.h"
 #include "chalkway_subset.h"
 #include "chalkway_queue_order.h"
 #include "chalkway_wire.h"
--- a/chalkway_core.h
+++ b/chalkway_core.h
@@ -61,6 +61,12 @@
     CW_STATUS_COUNT
 } cw_status_t;
 
+/* Bytes that belong to somebody else. */
+typedef struct cw_bytes_view_t {
+    const char* data;
+    size_t size;
+} cw_bytes_view_t;
+
 #define CW_STEP_MAX 24
 #define CW_PEER_MAX 64
 #define CW_MESSAGE_MAX 192
--- a/chalkway_sse.h
+++ b/chalkway_sse.h
@@ -31,11 +31,6 @@
 #define CW_SSE_ID_MAX 48
 #define CW_SSE_EVENT_BYTES_MAX (1U << 20) /* a longer event sets has_overflowed */
 
-typedef struct cw_bytes_view_t {
-    const char* data;
-    size_t size;
-} cw_bytes_view_t;
-
 /* Finds the ends of events: an event ends with a blank line. Lines end with LF, CRLF or CR. */
 typedef struct cw_sse_scan_t {
     uint64_t count; /* complete events */
--- a/chalkway_wire.h
+++ b/chalkway_wire.h
@@ -60,6 +60,7 @@
     uint64_t host;
     uint64_t server;
     char cluster[CW_NAME_MAX];
+    bool accepts_frames; /* the host reads frames (chalkway_tunnel_frame.h); hosts of earlier versions don't */
 } cw_tunnel_open_t;
 
 typedef enum cw_tunnel_result_t {
@@ -69,6 +70,11 @@
     CW_TUNNEL_RESULT_COUNT
 } cw_tunnel_result_t;
 
+typedef struct cw_tunnel_reply_t {
+    cw_tunnel_result_t result;
+    bool is_framed; /* the server's bytes will come in frames */
+} cw_tunnel_reply_t;
+
 /* One document in a chunk; value NULL: it was deleted. */
 typedef struct cw_document_t {
     const char* key;
@@ -102,7 +108,7 @@
         };
         int64_t pull_since;
         cw_tunnel_open_t tunnel_open;
-        cw_tunnel_result_t tunnel_result;
+        cw_tunnel_reply_t tunnel_reply;
         cw_document_chunk_t chunk;
     };
 } cw_msg_t;
@@ -269,6 +275,12 @@
     _cw_io_u64(io, &open->server);
     _cw_io_string(io, open->cluster, sizeof(open->cluster));
     io->is_invalid = io->is_invalid || (io->mode == _CW_IO_UNPACK && (!open->host || !open->server));
+    _cw_io_bool(io, &open->accepts_frames);
+}
+
+static void _cw_fields_tunnel_reply(_cw_io_t* io, cw_tunnel_reply_t* reply) {
+    reply->result = (cw_tunnel_result_t)_cw_io_enum(io, reply->result, CW_TUNNEL_RESULT_COUNT);
+    _cw_io_bool(io, &reply->is_framed);
 }
 
 static void _cw_fields_slot_request(_cw_io_t* io, cw_slot_request_t* slot_request) {
@@ -433,7 +445,7 @@
             _cw_fields_tunnel_open(io, &msg->tunnel_open);
             break;
         case CW_MSG_TUNNEL_REPLY:
-            msg->tunnel_result = (cw_tunnel_result_t)_cw_io_enum(io, msg->tunnel_result, CW_TUNNEL_RESULT_COUNT);
+            _cw_fields_tunnel_reply(io, &msg->tunnel_reply);
             break;
         default:
             io->is_invalid = true;
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -86,11 +86,16 @@
     exchange_set_timer(x);
 }
 
+/* The server of this attempt did not fail the request, so a retry may choose it again. */
+static void keep_server_eligible(exchange_t* x) {
+    bool is_in_tried = x->tried_count && x->tried[x->tried_count - 1] == x->server->key;
+    x->tried_count -= is_in_tried;
+}
+
 /* Nothing has been sent yet, so the request can still avoid a server that has announced that it leaves or asked for a
    backoff while the connection was opened. */
 static void reassign(exchange_t* x, const char* why) {
-    bool is_in_tried = x->tried_count && x->tried[x->tried_count - 1] == x->server->key;
-    x->tried_count -= is_in_tried; /* the server did not fail this request */
+    keep_server_eligible(x);
     exchange_fail_attempt(x, CW_EV_GRANT_EXPIRED, CW_TRY_CANCELLED, why);
 }
 
@@ -278,8 +283,13 @@
     if (is_presumed_crash(x, failure)) {
         quarantine_on_crash(x->exchanges->desc.quarantine, &x->fingerprint, x->server);
     }
-    exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, failure == UPSTREAM_CONN_MALFORMED ? CW_TRY_FAILED : CW_TRY_BROKEN,
-                          reason);
+    cw_try_result_t result = failure == UPSTREAM_CONN_MALFORMED       ? CW_TRY_FAILED
+                             : failure == UPSTREAM_CONN_TUNNEL_BROKEN ? CW_TRY_CANCELLED
+                                                                      : CW_TRY_BROKEN;
+    if (failure == UPSTREAM_CONN_TUNNEL_BROKEN) {
+        keep_server_eligible(x);
+    }
+    exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, result, reason);
 }
 
 /* Whether the end of the connection, which ended the response, may be taken for the end of its body. */
@@ -307,8 +317,8 @@
 
 static void conn_on_broken(void* owner, upstream_conn_failure_t failure) {
     exchange_t* x = owner;
-    static const char* const reasons[] = {"no connection", "reset", "nothing acknowledged", "closed before the end",
-                                          "not an answer"};
+    static const char* const reasons[] = {"no connection",         "reset",         "nothing acknowledged",
+                                          "closed before the end", "not an answer", "the tunnel broke"};
     x->conn = NULL;
     if (failure == UPSTREAM_CONN_UNREACHABLE) {
         server_log_unreachable(x->server, clock_ms());
--- a/gateway/tunnel.c
+++ b/gateway/tunnel.c
@@ -4,12 +4,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "../chalkway_tunnel_frame.h"
 #include "../chalkway_wire.h"
 #include "../io/address.h"
 #include "clock.h"
 
 #define MS_PER_S 1000.0
 #define OPEN_TIMEOUT_MS 1000    /* for the request of a host that has connected */
+#define CLOSE_TIMEOUT_MS 5000   /* for a host to read the server's last bytes and to close */
 #define OPEN_MAX_BYTES 256      /* body of the request for a tunnel */
 #define UNSENT_MAX_BYTES 262144 /* unsent bytes to one side above which the other one is not read */
 
@@ -17,7 +19,7 @@
     TUNNEL_ACCEPTED = 0, /* waiting for the request */
     TUNNEL_CONNECTING,   /* to the server */
     TUNNEL_OPEN,
-    TUNNEL_CLOSING /* the server has closed; its last bytes are still being sent to the host */
+    TUNNEL_CLOSING /* the server's connection has ended; the host has yet to read its last bytes and to close */
 } tunnel_phase_t;
 
 typedef struct tunnel_t {
@@ -27,7 +29,8 @@
     cw_buffer_t request;
     uint64_t server_key;
     int64_t connecting_ms;
-    ev_timer timer; /* limits the phases before TUNNEL_OPEN */
+    ev_timer timer; /* limits all phases but TUNNEL_OPEN */
+    bool is_framed; /* the host gets the server's bytes in frames */
     cw_message_t response;
     bool is_observed; /* the responses could be read so far */
     int64_t sent_ms;  /* when the first byte of the request in progress was forwarded */
@@ -99,7 +102,7 @@
 }
 
 static void send_reply(tunnel_t* t, cw_tunnel_result_t result) {
-    const cw_msg_t msg = {.type = CW_MSG_TUNNEL_REPLY, .tunnel_result = result};
+    const cw_msg_t msg = {.type = CW_MSG_TUNNEL_REPLY, .tunnel_reply = {.result = result, .is_framed = t->is_framed}};
     cw_bytes_t frame = cw_wire_encode_frame(get_wire(t->tunnels), &msg);
     cw_stream_write(&t->host, frame.data, frame.size);
     cw_stream_flush(&t->host);
@@ -145,6 +148,11 @@
 
 static void forward(tunnel_t* t, cw_stream_t* from, cw_stream_t* to, const char* data, size_t size) {
     t->tunnels->stats.bytes += size;
+    if (to == &t->host && t->is_framed) {
+        uint8_t header[CW_TUNNEL_FRAME_HEADER];
+        cw_tunnel_frame_begin(header, (uint32_t)size);
+        cw_stream_write(to, header, sizeof(header));
+    }
     cw_stream_write(to, data, size);
     cw_stream_flush(to);
     if (cw_stream_unsent_bytes(to) > UNSENT_MAX_BYTES) {
@@ -180,10 +188,38 @@
     refuse(t, hears_others ? CW_TUNNEL_SERVER_UNREACHABLE : CW_TUNNEL_REFUSED, "no connection to the server");
 }
 
+/* Nothing is left to forward. The host closes once it has read everything; closing here could reset the connection and
+   destroy what it has not read yet. */
+static void finish_sending(tunnel_t* t) {
+    if (cw_stream_unsent_bytes(&t->host)) {
+        return;
+    }
+    if (t->is_framed) {
+        cw_stream_shutdown_write(&t->host);
+    } else {
+        tunnel_free(t);
+    }
+}
+
+static void close_framed(tunnel_t* t, cw_stream_end_reason_t end) {
+    uint8_t last_frame[CW_TUNNEL_FRAME_HEADER];
+    cw_tunnel_frame_end(last_frame, end == CW_STREAM_PEER_CLOSED ? CW_TUNNEL_END_CLOSED
+                                    : end == CW_STREAM_RESET     ? CW_TUNNEL_END_RESET
+                                                                 : CW_TUNNEL_END_LOST);
+    cw_stream_write(&t->host, last_frame, sizeof(last_frame));
+    cw_stream_flush(&t->host);
+    cw_stream_pause_reading(&t->host, false);
+    t->phase = TUNNEL_CLOSING;
+    start_timer(t, CLOSE_TIMEOUT_MS);
+    finish_sending(t);
+}
+
 static void on_server_end(void* owner, cw_stream_end_reason_t end) {
     tunnel_t* t = owner;
     if (t->phase == TUNNEL_CONNECTING) {
         on_server_unreachable(t);
+    } else if (t->is_framed) {
+        close_framed(t, end);
     } else if (end == CW_STREAM_PEER_CLOSED && cw_stream_unsent_bytes(&t->host)) {
         t->phase = TUNNEL_CLOSING;
     } else if (end == CW_STREAM_PEER_CLOSED) {
@@ -230,6 +266,7 @@
     }
     cw_buffer_free(&t->request);
     t->server_key = msg.tunnel_open.server;
+    t->is_framed = msg.tunnel_open.accepts_frames;
     connect_to_server(t);
 }
 
@@ -241,7 +278,7 @@
         t->sent_ms = t->is_busy ? t->sent_ms : clock_ms();
         set_busy(t, true);
         forward(t, &t->host, &t->server, data, size);
-    } else {
+    } else if (t->phase == TUNNEL_CONNECTING) {
         tunnel_free(t); /* nothing may be sent before the reply */
     }
 }
@@ -249,7 +286,7 @@
 static void on_host_drained(void* owner) {
     tunnel_t* t = owner;
     if (t->phase == TUNNEL_CLOSING) {
-        tunnel_free(t);
+        finish_sending(t);
     } else {
         cw_stream_pause_reading(&t->server, false);
     }
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -96,7 +96,8 @@
     UPSTREAM_CONN_RESET,           /* reset by the server */
     UPSTREAM_CONN_LOST,            /* the server acknowledged nothing in time */
     UPSTREAM_CONN_CLOSED,          /* closed before the response was complete */
-    UPSTREAM_CONN_MALFORMED        /* the bytes received are no HTTP response */
+    UPSTREAM_CONN_MALFORMED,       /* the bytes received are no HTTP response */
+    UPSTREAM_CONN_TUNNEL_BROKEN    /* the host of the tunnel closed it; nothing is known about the server */
 } upstream_conn_failure_t;
 
 typedef struct upstream_conn_handlers_t {
--- a/gateway/upstream_conn.c
+++ b/gateway/upstream_conn.c
@@ -193,12 +193,7 @@
     }
 }
 
-static void on_data(void* owner, const char* data, size_t size) {
-    upstream_conn_t* conn = owner;
-    if (conn->path.phase == CONN_TUNNEL_OPENING) {
-        handle_tunnel_reply(conn, data, size);
-        return;
-    }
+static void handle_server_data(upstream_conn_t* conn, const char* data, size_t size) {
     conn->received_ms = conn->server->pool->received_ms = clock_ms();
     if (conn->server->presumed_crash_ms) {
         report_alive(conn);
@@ -210,13 +205,10 @@
     read_responses(conn, data, size);
 }
 
-static void on_end(void* owner, cw_stream_end_reason_t end) {
-    upstream_conn_t* conn = owner;
-    if (conn->path.phase != CONN_OPEN) {
-        handle_connect_failure(conn);
-        return;
-    }
-    if (conn->owner && end == CW_STREAM_PEER_CLOSED && conn->is_request_sent && !conn->is_skipping) {
+/* The server's connection has ended. shows_end: a close by the server can't be mistaken for one by somebody else. */
+static void handle_server_end(upstream_conn_t* conn, cw_stream_end_reason_t end, bool shows_end) {
+    bool is_closed = end == CW_STREAM_PEER_CLOSED && shows_end;
+    if (conn->owner && is_closed && conn->is_request_sent && !conn->is_skipping) {
         cw_message_on_close(&conn->response);
         if (conn->response.state == CW_MESSAGE_COMPLETE) {
             conn->must_close = true;
@@ -230,6 +222,51 @@
     conn_break(conn, failure);
 }
 
+/* Passes on what the server sent, until the connection is closed. */
+static void read_frames(upstream_conn_t* conn, const char* data, size_t size) {
+    static const cw_stream_end_reason_t ends[] = {[CW_TUNNEL_END_CLOSED] = CW_STREAM_PEER_CLOSED,
+                                                  [CW_TUNNEL_END_RESET] = CW_STREAM_RESET,
+                                                  [CW_TUNNEL_END_LOST] = CW_STREAM_CONN_LOST};
+    cw_tunnel_frames_t* frames = &conn->path.frames;
+    while (size && !conn->is_closed && !frames->end) {
+        cw_bytes_view_t bytes;
+        size_t used = cw_tunnel_frames_read(frames, data, size, &bytes);
+        data += used;
+        size -= used;
+        if (bytes.size) {
+            handle_server_data(conn, bytes.data, bytes.size);
+        }
+    }
+    if (!conn->is_closed && frames->end) {
+        handle_server_end(conn, ends[frames->end], true);
+    }
+}
+
+static void on_data(void* owner, const char* data, size_t size) {
+    upstream_conn_t* conn = owner;
+    if (conn->path.phase == CONN_TUNNEL_OPENING) {
+        handle_tunnel_reply(conn, data, size);
+    } else if (conn->path.is_framed) {
+        read_frames(conn, data, size);
+    } else {
+        handle_server_data(conn, data, size);
+    }
+}
+
+static void on_end(void* owner, cw_stream_end_reason_t end) {
+    upstream_conn_t* conn = owner;
+    if (conn->path.phase != CONN_OPEN) {
+        handle_connect_failure(conn);
+    } else if (conn->path.is_framed) {
+        if (conn->owner) {
+            upstream_path_tunnel_failed(conn);
+        }
+        conn_break(conn, UPSTREAM_CONN_TUNNEL_BROKEN);
+    } else {
+        handle_server_end(conn, end, !conn->path.is_tunneled);
+    }
+}
+
 static void add_idle(upstream_conn_t* conn) {
     conn->idle_since_ms = clock_ms();
     conn->next_conn = conn->server->idle_conns;
--- a/gateway/upstream_internal.h
+++ b/gateway/upstream_internal.h
@@ -6,6 +6,7 @@
    responses.
 */
 #include "../chalkway_map.h"
+#include "../chalkway_tunnel_frame.h"
 #include "../chalkway_wire.h"
 #include "upstream.h"
 
@@ -32,6 +33,8 @@
     uint64_t tunnel_hosts[TUNNEL_ATTEMPTS_MAX]; /* hosts that have been asked for a tunnel */
     uint32_t tunnel_host_count;
     cw_buffer_t reply; /* bytes of an incomplete reply */
+    bool is_framed;    /* the tunnel's host sends the server's bytes in frames */
+    cw_tunnel_frames_t frames;
 } conn_path_t;
 
 /* A host that opened no tunnel lately. */
@@ -108,7 +111,7 @@
 void upstream_path_request_tunnel(upstream_conn_t* conn);
 /* Reads the host's reply; an invalid one counts as CW_TUNNEL_REFUSED. False: the reply is incomplete. */
 bool upstream_path_read_reply(upstream_conn_t* conn, const char* data, size_t size, cw_tunnel_result_t* result);
-/* The host that was asked last opened no tunnel: it is not asked again for a moment. */
+/* The host that was asked last opened no tunnel, or its tunnel broke: it is not asked again for a moment. */
 void upstream_path_tunnel_failed(upstream_conn_t* conn);
 /* The connection is open: updates what is known of the path to the server. */
 void upstream_path_on_open(const upstream_conn_t* conn);
--- a/gateway/upstream_path.c
+++ b/gateway/upstream_path.c
@@ -80,6 +80,7 @@
     cw_msg_t msg = {.type = CW_MSG_TUNNEL_OPEN};
     msg.tunnel_open.host = u->desc.host;
     msg.tunnel_open.server = conn->server->key;
+    msg.tunnel_open.accepts_frames = true;
     cw_copy(msg.tunnel_open.cluster, sizeof(msg.tunnel_open.cluster), u->desc.cluster);
     u->wire = u->wire ? u->wire : cw_wire_setup(NULL);
     cw_bytes_t frame = cw_wire_encode_frame(u->wire, &msg);
@@ -100,7 +101,8 @@
     }
     cw_buffer_free(reply);
     bool is_valid = status == CW_OK && msg.type == CW_MSG_TUNNEL_REPLY;
-    *result = is_valid ? msg.tunnel_result : CW_TUNNEL_REFUSED;
+    *result = is_valid ? msg.tunnel_reply.result : CW_TUNNEL_REFUSED;
+    conn->path.is_framed = *result == CW_TUNNEL_OPENED && msg.tunnel_reply.is_framed;
     return true;
 }
 
--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -111,7 +111,7 @@
     ck_assert_int_eq(cw_wire_decode(b->wire, (const uint8_t*)b->received.data + CW_FRAME_HEADER, body, &msg, NULL),
                      CW_OK);
     cw_buffer_free(&b->received);
-    return msg.tunnel_result;
+    return msg.tunnel_reply.result;
 }
 
 static void expect_reply(cw_tunnel_result_t expected, const char* cluster, const char* id,
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -1,5 +1,6 @@
 /* Responses with neither a length nor chunks, which end with their connection. An event stream of that kind is complete
    only if its last event is. */
+#include "../chalkway_wire.h"
 #include "../gateway/clock.h"
 #include "../gateway/tunnel.h"
 #include "rig.h"
@@ -194,6 +195,13 @@
     return &host;
 }
 
+/* The servers' addresses lead nowhere until a tunnel is asked for. */
+static void break_direct_path(rig_t* r) {
+    for (server_t* s = upstreams_pool(r->upstreams, "p")->servers; s; s = s->next) {
+        cw_addr_parse("127.0.0.1:1", &s->address, NULL);
+    }
+}
+
 /* The host reaches its only server through a relay. */
 static rig_t* setup_relay(relay_t* relay) {
     cw_error_t err = {0};
@@ -210,9 +218,7 @@
     ck_assert_msg(relay->tunnels != NULL, "%s", cw_error_text(&err).text);
     r->test = relay;
     r->choose_tunnel_host = choose_relay;
-    for (server_t* s = upstreams_pool(r->upstreams, "p")->servers; s; s = s->next) {
-        cw_addr_parse("127.0.0.1:1", &s->address, NULL);
-    }
+    break_direct_path(r);
     return r;
 }
 
@@ -253,6 +259,114 @@
 }
 END_TEST
 
+START_TEST(a_response_is_not_complete_when_its_server_resets_behind_a_tunnel) {
+    static const char* const texts[] = {HEAD "\r\nall of it", EVENTS "id: 1\ndata: a\n\n"};
+    static const char* const calls[] = {CALL("call"), CALL("stream")};
+    for (size_t i = 0; i < 2; i++) {
+        relay_t relay;
+        rig_t* r = setup_relay(&relay);
+        rig_script(r, (rig_step_t[]){{RIG_RESPOND_RESET, texts[i]}}, 1);
+        rig_call(r, calls[i]);
+        expect_broken(r);
+        ck_assert_uint_eq(r->observations_published, 1);
+        tunnels_shutdown(relay.tunnels);
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
+/* -- a relay of an earlier version, which forwards bytes without frames ---- */
+
+typedef struct old_relay_t {
+    ev_io accept_io;
+    cw_stream_t host;
+    cw_wire_t* wire;
+    const char* response; /* sent with the end of the connection, as if the server had closed */
+    uint32_t reads;
+} old_relay_t;
+
+static void old_relay_on_data(void* owner, const char* data, size_t size) {
+    old_relay_t* relay = owner;
+    (void)data;
+    (void)size;
+    if (relay->reads++ == 0) {
+        const cw_msg_t msg = {.type = CW_MSG_TUNNEL_REPLY, .tunnel_reply = {.result = CW_TUNNEL_OPENED}};
+        cw_bytes_t frame = cw_wire_encode_frame(relay->wire, &msg);
+        cw_stream_write(&relay->host, frame.data, frame.size);
+        cw_stream_flush(&relay->host);
+        return;
+    }
+    cw_stream_write(&relay->host, relay->response, strlen(relay->response));
+    cw_stream_flush(&relay->host);
+    cw_stream_close(&relay->host);
+}
+
+static void old_relay_on_accept(struct ev_loop* loop, ev_io* w, int events) {
+    static const cw_stream_handlers_t handlers = {.on_data = old_relay_on_data, .on_end = rig_ignore_end};
+    old_relay_t* relay = w->data;
+    (void)events;
+    int fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+        cw_stream_accept(&relay->host, loop, fd, &handlers, relay);
+    }
+}
+
+/* Such a relay can't tell how the connection ended: only a response whose framing shows its end is complete. */
+START_TEST(a_tunnel_without_frames_does_not_show_the_end_of_a_response) {
+    static const char* const responses[] = {
+        "HTTP/1.1 200 OK\r\nChalkway-Request-Id: q1\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nChalkway-Request-Id: q1\r\nContent-Length: 4\r\n\r\nbody"};
+    for (size_t i = 0; i < 2; i++) {
+        relay_t relay = {0};
+        old_relay_t old = {.host = {.fd = -1}, .response = responses[i]};
+        rig_t* r = rig_setup(ROUTES, 1);
+        cw_error_t err = {0};
+        snprintf(relay.address, sizeof(relay.address), "127.79.%d.%d:7204", 1 + getpid() / 250 % 250,
+                 1 + getpid() % 250);
+        char bound[CW_ADDR_TEXT_SIZE];
+        int fd = cw_addr_listen(relay.address, bound, &err);
+        ck_assert_msg(fd >= 0, "%s", cw_error_text(&err).text);
+        old.wire = cw_wire_setup(NULL);
+        ev_io_init(&old.accept_io, old_relay_on_accept, fd, EV_READ);
+        old.accept_io.data = &old;
+        ev_io_start(r->loop, &old.accept_io);
+        r->test = &relay;
+        r->choose_tunnel_host = choose_relay;
+        break_direct_path(r);
+        rig_call(r, CALL("call"));
+        if (i == 0) {
+            expect_broken(r);
+        } else {
+            expect_complete(r, "body");
+        }
+        ev_io_stop(r->loop, &old.accept_io);
+        close(fd);
+        cw_stream_close(&old.host);
+        cw_wire_shutdown(old.wire);
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
+/* The server is sound, so neither it nor the request is suspected, and a request that may be sent again is. */
+START_TEST(a_tunnel_that_ends_is_held_against_neither_server_nor_request) {
+    relay_t relay;
+    rig_t* r = setup_relay(&relay);
+    rig_script(r, (rig_step_t[]){{RIG_NO_RESPONSE, ""}, {RIG_RESPOND, HEAD "Content-Length: 2\r\n\r\nok"}}, 2);
+    r->stop_on_response = true;
+    rig_write(r, CALL("again"));
+    while (!r->arrival_count) {
+        ev_run(r->loop, EVRUN_ONCE);
+    }
+    tunnels_shutdown(relay.tunnels);
+    rig_run(r);
+    expect_complete(r, "ok");
+    ck_assert_uint_eq(r->observations_published, 0);
+    ck_assert_uint_eq(r->liveness_reports, 0);
+    rig_shutdown(r);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
     tcase_add_test(t, a_stream_that_ends_inside_an_event_does_not_look_complete);
     tcase_add_test(t, a_stream_that_ends_after_an_event_is_complete);
@@ -266,6 +380,9 @@
     tcase_add_test(t, a_reset_response_is_not_complete);
     tcase_add_test(t, a_response_is_not_complete_when_its_tunnel_ends_before_its_server);
     tcase_add_test(t, a_response_is_complete_when_its_server_closes_behind_a_tunnel);
+    tcase_add_test(t, a_response_is_not_complete_when_its_server_resets_behind_a_tunnel);
+    tcase_add_test(t, a_tunnel_without_frames_does_not_show_the_end_of_a_response);
+    tcase_add_test(t, a_tunnel_that_ends_is_held_against_neither_server_nor_request);
 }
 
 int main(void) {
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -1,6 +1,7 @@
 /* Messages between daemons: what is encoded decodes to the same message, and invalid input is refused. */
 #include <string.h>
 
+#include "../chalkway_tunnel_frame.h"
 #include "../chalkway_wire.h"
 #include "test.h"
 
@@ -96,7 +97,7 @@
     cw_wire_t* wire = cw_wire_setup(NULL);
     static cw_msg_t msg;
     uint8_t bytes[64] = {0};
-    const cw_msg_t out = {.type = CW_MSG_TUNNEL_REPLY, .tunnel_result = CW_TUNNEL_REFUSED};
+    const cw_msg_t out = {.type = CW_MSG_TUNNEL_REPLY, .tunnel_reply = {.result = CW_TUNNEL_REFUSED}};
     cw_bytes_t frame = cw_wire_encode_frame(wire, &out);
     size_t size = frame.size;
     memcpy(bytes, frame.data, size);
@@ -104,7 +105,7 @@
         ck_assert_int_eq(cw_wire_decode_single_frame(wire, bytes, received, sizeof(bytes), &msg), CW_ERR_FULL);
     }
     ck_assert_int_eq(cw_wire_decode_single_frame(wire, bytes, size, sizeof(bytes), &msg), CW_OK);
-    ck_assert_int_eq(msg.tunnel_result, CW_TUNNEL_REFUSED);
+    ck_assert_int_eq(msg.tunnel_reply.result, CW_TUNNEL_REFUSED);
     ck_assert_int_eq(cw_wire_decode_single_frame(wire, bytes, size + 1, sizeof(bytes), &msg), CW_ERR_PROTOCOL);
     size_t body_size = size - CW_FRAME_HEADER;
     ck_assert_int_eq(cw_wire_decode_single_frame(wire, bytes, size, body_size, &msg), CW_OK);
@@ -115,10 +116,40 @@
 }
 END_TEST
 
+/* The bytes of a server and the end of its connection, in any pieces. */
+START_TEST(frames_of_a_tunnel_are_read_for_any_split) {
+    uint8_t stream[64];
+    size_t size = 0;
+    static const char* const pieces[] = {"abc", "d", "efghij"};
+    for (size_t i = 0; i < 3; i++) {
+        size_t length = strlen(pieces[i]);
+        cw_tunnel_frame_begin(stream + size, (uint32_t)length);
+        memcpy(stream + size + CW_TUNNEL_FRAME_HEADER, pieces[i], length);
+        size += CW_TUNNEL_FRAME_HEADER + length;
+    }
+    cw_tunnel_frame_end(stream + size, CW_TUNNEL_END_RESET);
+    size += CW_TUNNEL_FRAME_HEADER;
+    for (size_t step = 1; step <= size; step++) {
+        char out[32] = "";
+        cw_tunnel_frames_t f = {0};
+        for (size_t at = 0; at < size;) {
+            cw_bytes_view_t bytes;
+            size_t available = size - at < step ? size - at : step;
+            ck_assert_int_eq(f.end, CW_TUNNEL_END_NONE);
+            at += cw_tunnel_frames_read(&f, (const char*)stream + at, available, &bytes);
+            strncat(out, bytes.data, bytes.size);
+        }
+        ck_assert_str_eq(out, "abcdefghij");
+        ck_assert_int_eq(f.end, CW_TUNNEL_END_RESET);
+    }
+}
+END_TEST
+
 START_TEST(messages_about_tunnels_survive_the_round_trip) {
     cw_wire_t* wire = cw_wire_setup(NULL);
     static cw_msg_t out, in;
-    out = (cw_msg_t){.type = CW_MSG_TUNNEL_OPEN, .tunnel_open = {.host = 7, .server = 1ULL << 63U, .cluster = "c"}};
+    out = (cw_msg_t){.type = CW_MSG_TUNNEL_OPEN,
+                     .tunnel_open = {.host = 7, .server = 1ULL << 63U, .cluster = "c", .accepts_frames = true}};
     cw_bytes_t frame = cw_wire_encode_frame(wire, &out);
     ck_assert_int_eq(cw_wire_decode(wire, frame.data + CW_FRAME_HEADER, frame.size - CW_FRAME_HEADER, &in, NULL),
                      CW_OK);
@@ -126,13 +157,16 @@
     ck_assert_uint_eq(in.tunnel_open.host, 7);
     ck_assert_uint_eq(in.tunnel_open.server, 1ULL << 63U);
     ck_assert_str_eq(in.tunnel_open.cluster, "c");
+    ck_assert(in.tunnel_open.accepts_frames);
     for (int result = 0; result < CW_TUNNEL_RESULT_COUNT; result++) {
-        out = (cw_msg_t){.type = CW_MSG_TUNNEL_REPLY, .tunnel_result = (cw_tunnel_result_t)result};
+        out = (cw_msg_t){.type = CW_MSG_TUNNEL_REPLY,
+                         .tunnel_reply = {.result = (cw_tunnel_result_t)result, .is_framed = result == 0}};
         frame = cw_wire_encode_frame(wire, &out);
         cw_status_t status =
             cw_wire_decode(wire, frame.data + CW_FRAME_HEADER, frame.size - CW_FRAME_HEADER, &in, NULL);
         ck_assert_int_eq(status, CW_OK);
-        ck_assert_int_eq((int)in.tunnel_result, result);
+        ck_assert_int_eq((int)in.tunnel_reply.result, result);
+        ck_assert_int_eq(in.tunnel_reply.is_framed, result == 0);
     }
     cw_wire_shutdown(wire);
 }
@@ -260,6 +294,7 @@
     tcase_add_test(t, gossip_of_other_clusters_is_refused);
     tcase_add_test(t, summaries_survive_the_round_trip);
     tcase_add_test(t, a_single_frame_is_decoded_once_it_is_complete);
+    tcase_add_test(t, frames_of_a_tunnel_are_read_for_any_split);
     tcase_add_test(t, messages_about_tunnels_survive_the_round_trip);
     tcase_add_test(t, pools_from_which_a_host_is_cut_off_survive_the_round_trip);
     tcase_add_test(t, announced_sizes_are_checked_before_allocation);
