Responses without chunks that are truncated end with a reset

Callers of HTTP/1.0 at the native daemon took a truncated stream for a whole one: the connection was closed, which is how a response without chunks ends. It is reset now. Evidence: a_truncated_response_to_a_caller_of_http_1_0_is_reset fails without the change. Streams can also be sent without chunks on purpose, for stand-ins.

--- a/io/httpd.c
+++ b/io/httpd.c
@@ -38,6 +38,7 @@
     bool is_handed_over; /* on_request was called */
     bool is_released;    /* the user has replied or been notified that the caller closed: no callback follows */
     bool is_body_too_long;
+    bool ends_with_connection; /* a streamed response has no chunks: the caller has HTTP/1.0, or it was asked for */
     bool is_ended, is_complete;
     ev_io caller_io;
     void* data;
@@ -124,6 +125,18 @@
     return info ? info->connect_fd : -1;
 }
 
+/* Makes the truncation visible to the caller, also when libmicrohttpd has sent nothing yet. Without chunks a close
+   would look like the end of the response, so the connection is reset. */
+static void break_connection(const cw_exchange_t* x) {
+    static const struct sockaddr none = {.sa_family = AF_UNSPEC};
+    int fd = caller_socket(x);
+    if (x->ends_with_connection) {
+        connect(fd, &none, sizeof(none));
+    } else {
+        shutdown(fd, SHUT_RDWR);
+    }
+}
+
 static ssize_t read_stream(void* cls, uint64_t pos, char* buf, size_t max) {
     (void)pos;
     cw_exchange_t* x = cls;
@@ -133,7 +146,7 @@
             return MHD_CONTENT_READER_END_OF_STREAM;
         }
         if (x->is_ended) {
-            shutdown(caller_socket(x), SHUT_RDWR); /* libmicrohttpd may leave it open if nothing was sent */
+            break_connection(x);
             return MHD_CONTENT_READER_END_WITH_ERROR;
         }
         x->is_suspended = true;
@@ -154,6 +167,14 @@
                  status, headers, count);
 }
 
+void cw_exchange_stream_unframed(cw_exchange_t* x, unsigned status, const cw_header_t* headers, uint32_t count) {
+    struct MHD_Response* response =
+        MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, read_stream, x, NULL);
+    MHD_set_response_options(response, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT, MHD_RO_END);
+    x->ends_with_connection = true;
+    set_response(x, response, status, headers, count);
+}
+
 size_t cw_exchange_push(cw_exchange_t* x, const void* data, size_t size) {
     if (x->out_taken && (x->out_taken == x->out.size || x->out_taken > STREAM_COMPACT_BYTES)) {
         cw_buffer_consume(&x->out, x->out_taken);
@@ -220,7 +241,7 @@
 /* -- libmicrohttpd callbacks ---------------------------------------------- */
 
 static cw_exchange_t* exchange_new(cw_httpd_t* h, struct MHD_Connection* connection, const char* url,
-                                   const char* method) {
+                                   const char* method, const char* version) {
     cw_exchange_t* x = calloc(1, sizeof(*x));
     if (!x) {
         abort();
@@ -229,6 +250,7 @@
     x->connection = connection;
     x->method = strdup(method);
     x->path = strdup(url);
+    x->ends_with_connection = strcmp(version, MHD_HTTP_VERSION_1_0) == 0;
     ev_io_init(&x->caller_io, on_caller_socket, -1, EV_READ);
     h->active_exchanges++;
     const char* length = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Content-Length");
@@ -253,11 +275,10 @@
 
 static enum MHD_Result on_access(void* cls, struct MHD_Connection* connection, const char* url, const char* method,
                                  const char* version, const char* upload, size_t* upload_size, void** con_cls) {
-    (void)version;
     cw_httpd_t* h = cls;
     cw_exchange_t* x = *con_cls;
     if (!x) {
-        *con_cls = x = exchange_new(h, connection, url, method);
+        *con_cls = x = exchange_new(h, connection, url, method, version);
         if (x->is_body_too_long) {
             reply_too_long(x);
             return queue_response(x);
--- a/io/httpd.h
+++ b/io/httpd.h
@@ -59,6 +59,8 @@
                        size_t size);
 /* Starts a streamed response. */
 void cw_exchange_stream(cw_exchange_t* x, unsigned status, const cw_header_t* headers, uint32_t count);
+/* The same without chunks: the response ends with its connection. */
+void cw_exchange_stream_unframed(cw_exchange_t* x, unsigned status, const cw_header_t* headers, uint32_t count);
 /* Appends to the stream; returns the number of bytes still to be sent. */
 size_t cw_exchange_push(cw_exchange_t* x, const void* data, size_t size);
 /* Number of bytes of the stream still to be sent. */
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -3,6 +3,7 @@
 #include "../chalkway_wire.h"
 #include "../gateway/clock.h"
 #include "../gateway/tunnel.h"
+#include "../io/httpd.h"
 #include "rig.h"
 
 #define ROUTE(name, kind, more)                                                                                        \
@@ -367,6 +368,57 @@
 }
 END_TEST
 
+/* -- callers of HTTP/1.0, who get no chunks ------------------------------- */
+
+typedef struct old_caller_t {
+    struct ev_loop* loop;
+    bool is_complete; /* how the server ends its responses */
+    bool is_ended;
+    cw_stream_end_reason_t end;
+} old_caller_t;
+
+static void stream_response(cw_exchange_t* x, void* user) {
+    const old_caller_t* c = user;
+    cw_exchange_stream(x, 200, NULL, 0);
+    cw_exchange_push(x, "body", 4);
+    cw_exchange_finish(x, c->is_complete);
+}
+
+static void old_caller_on_end(void* owner, cw_stream_end_reason_t end) {
+    old_caller_t* c = owner;
+    c->is_ended = true;
+    c->end = end;
+}
+
+START_TEST(a_truncated_response_to_a_caller_of_http_1_0_is_reset) {
+    static const cw_stream_handlers_t handlers = {.on_data = rig_ignore_data, .on_end = old_caller_on_end};
+    for (int is_complete = 0; is_complete < 2; is_complete++) {
+        old_caller_t c = {.loop = ev_loop_new(0), .is_complete = is_complete};
+        cw_error_t err = {0};
+        cw_httpd_t* httpd = cw_httpd_setup(
+            &(cw_httpd_desc_t){
+                .loop = c.loop, .address = "127.0.0.1:0", .on_request = stream_response, .user_data = &c},
+            &err);
+        ck_assert_msg(httpd != NULL, "%s", cw_error_text(&err).text);
+        struct sockaddr_in address;
+        cw_addr_parse(cw_httpd_address(httpd), &address, NULL);
+        cw_stream_t stream;
+        ck_assert_int_eq(cw_stream_connect(&stream, c.loop, &address, &handlers, &c), CW_OK);
+        static const char request[] = "GET / HTTP/1.0\r\n\r\n";
+        cw_stream_write(&stream, request, sizeof(request) - 1);
+        cw_stream_flush(&stream);
+        ev_tstamp end = ev_time() + RIG_TIMEOUT_S;
+        while (!c.is_ended) {
+            ck_assert_msg(ev_time() < end, "the response does not end");
+            ev_run(c.loop, EVRUN_ONCE);
+        }
+        ck_assert_int_eq(c.end, is_complete ? CW_STREAM_PEER_CLOSED : CW_STREAM_RESET);
+        cw_httpd_shutdown(httpd);
+        ev_loop_destroy(c.loop);
+    }
+}
+END_TEST
+
 static void add_tests(TCase* t) {
     tcase_add_test(t, a_stream_that_ends_inside_an_event_does_not_look_complete);
     tcase_add_test(t, a_stream_that_ends_after_an_event_is_complete);
@@ -382,6 +434,7 @@
     tcase_add_test(t, a_response_is_complete_when_its_server_closes_behind_a_tunnel);
     tcase_add_test(t, a_response_is_not_complete_when_its_server_resets_behind_a_tunnel);
     tcase_add_test(t, a_tunnel_without_frames_does_not_show_the_end_of_a_response);
+    tcase_add_test(t, a_truncated_response_to_a_caller_of_http_1_0_is_reset);
     tcase_add_test(t, a_tunnel_that_ends_is_held_against_neither_server_nor_request);
 }
 
