Soak: upstreams whose responses have neither a length nor chunks

The stand-in sends each blank line with the next event, so that a stream cut anywhere ends inside an event, and breaks off one stream in five by a close. The fault "unframed" plays it.

--- a/standins/fake_engine.c
+++ b/standins/fake_engine.c
@@ -6,9 +6,10 @@
         the caller can verify every byte. With "stream": true they are sent as events, followed by "[DONE]". max_tokens
         limits N. Chalkway-Priority orders the queue; Chalkway-Resume-From: K starts the response at token K.
     GET  /v1/load       {"running", "waiting", "draining"}; running is --lag old, the others are current
-    POST /admin/set?step_ms=X&drain=0|1&crash_after=N&lag_ms=N&cut_after=N
+    POST /admin/set?step_ms=X&drain=0|1&crash_after=N&lag_ms=N&cut_after=N&unframed=0|1
         crash_after: the process exits after N more steps of single requests, that is tokens or prefill steps.
         cut_after: the next stream to reach N tokens is broken off there.
+        unframed: streams have no chunks and end with their connection, which is closed also where one is broken off.
     GET  /admin/stats   requests; tokens produced, of these for callers that closed; highest number of running requests
 
     All running requests advance by one token per step. A step takes step_ms plus batch_us for each running request.
@@ -49,7 +50,7 @@
     double arrival_count;
     uint32_t running, max_running;
     uint64_t request_count, total_tokens, wasted_tokens;
-    bool is_draining;
+    bool is_draining, is_unframed;
     int64_t crash_after, cut_after; /* negative: not set */
     uint64_t cache[CACHE_ENTRIES];
     uint32_t next_cache_entry;
@@ -153,7 +154,7 @@
     job_send_token(e, job);
     if (job->is_streaming && e->cut_after >= 0 && job->tokens_sent >= (uint64_t)e->cut_after) {
         e->cut_after = -1;
-        cw_exchange_finish(job->x, false);
+        cw_exchange_finish(job->x, e->is_unframed);
         job_free(e, job);
     } else if (job->tokens_sent >= job->token_count) {
         job_finish(e, job);
@@ -231,7 +232,11 @@
     cw_exchange_set_data(x, job);
     if (job->is_streaming) {
         const cw_header_t headers[] = {{"Content-Type", "text/event-stream"}};
-        cw_exchange_stream(x, 200, headers, 1);
+        if (e->is_unframed) {
+            cw_exchange_stream_unframed(x, 200, headers, 1);
+        } else {
+            cw_exchange_stream(x, 200, headers, 1);
+        }
     }
     json_decref(root);
     cw_heap_set(&e->queue, (uint32_t)(job - e->jobs),
@@ -263,6 +268,7 @@
         standin_reply_json(x, 200, reply);
     } else if (strcmp(path, "/admin/set") == 0) {
         e->step_ms = standin_number_arg(x, "step_ms", e->step_ms);
+        e->is_unframed = standin_number_arg(x, "unframed", e->is_unframed) != 0;
         e->is_draining = standin_number_arg(x, "drain", e->is_draining) != 0;
         e->crash_after = (int64_t)standin_number_arg(x, "crash_after", (double)e->crash_after);
         e->cut_after = (int64_t)standin_number_arg(x, "cut_after", (double)e->cut_after);
--- a/standins/fake_upstream.c
+++ b/standins/fake_upstream.c
@@ -15,11 +15,16 @@
     POST /admin/set?slow=X     every step and every call takes X times as long
                    &limit=X    responses advertise a rate limit of X requests per second, -1: none
                    &rest=X     every second request is answered 503 with Retry-After: X seconds, 0: none
+                   &unframed=1 responses have neither a length nor chunks and end with their connection; one stream in
+                               BREAK_ONE_IN ends inside an event. 0: as usual
                    &leaving=1  responses announce that the server is leaving
                    &rejects=N  under strain: all responses advertise that the server may reject N requests per second,
                                and STRAIN_DELAY_MS later its queue is short and more rejections end the process;
                                -1: no strain
 
+    An event of an unframed stream gets its blank line when the next event or the end is sent, so a stream that is cut
+    anywhere, also by the end of the process, ends inside an event.
+
     A body that begins with "deadly" is a query of death: CRASH_DELAY_MS after the request started to run, the process
     exits without a response to any running request.
 
@@ -56,6 +61,7 @@
 #define RATE_TEXT_MAX 24     /* of the advertised rate, in the text that backs the headers of pushback */
 #define PUSHBACK_TEXT_MAX 36 /* of the rate and the limit on rejections */
 #define CRASH_DELAY_MS 60.0
+#define BREAK_ONE_IN 5       /* unframed streams that end inside an event */
 #define CRASH_EXIT_STATUS 3  /* exit status after a query of death, and after too many rejections */
 #define STRAIN_DELAY_MS 3000 /* from advertising the limit on rejections until it holds */
 #define STRAIN_QUEUE 1       /* queue length under strain */
@@ -64,6 +70,9 @@
 typedef struct job_t {
     cw_exchange_t* x;
     bool is_used, is_running, has_begun, is_query_of_death;
+    bool is_unframed;         /* the response ends with its connection */
+    bool is_in_event;         /* the last event sent lacks its blank line */
+    uint32_t break_at_events; /* the stream is broken off inside the event after this many; 0: never */
     char id[64];
     uint32_t priority, tokens, prefill_left, events_sent, event_count;
     ev_timer timer; /* end of a service call, or delay before the crash */
@@ -80,6 +89,8 @@
     double advertised_per_s; /* rate limit in responses; < 0: none */
     double backoff_s;        /* Retry-After of rejected requests; 0: none is rejected */
     bool is_leaving;         /* announced in responses */
+    bool is_unframed;        /* responses end with their connection */
+    uint32_t unframed_count; /* streams without framing so far */
     job_t jobs[MAX_JOBS];
     cw_heap_t queue; /* waiting jobs by priority, then arrival */
     double arrival_count;
@@ -205,18 +216,36 @@
     char rate_text[PUSHBACK_TEXT_MAX];
     cw_header_t headers[HEADERS_MAX] = {{"Chalkway-Request-Id", job->id}};
     uint32_t count = add_pushback(job->upstream, job->id, rate_text, headers, 1);
-    cw_exchange_reply(job->x, 200, headers, count, body, (size_t)size);
+    if (job->upstream->is_unframed) {
+        cw_exchange_stream_unframed(job->x, 200, headers, count);
+        cw_exchange_push(job->x, body, (size_t)size);
+        cw_exchange_finish(job->x, true);
+    } else {
+        cw_exchange_reply(job->x, 200, headers, count, body, (size_t)size);
+    }
     end_job(job->upstream, job);
 }
 
 static void send_event(job_t* job) {
     char event[96];
     job->events_sent++;
-    int n = snprintf(event, sizeof(event), "id: %u\ndata: %016llx\n\n", job->events_sent,
-                     (unsigned long long)XXH64(job->id, strlen(job->id), job->events_sent));
+    int n =
+        snprintf(event, sizeof(event), "%sid: %u\ndata: %016llx\n%s", job->is_in_event ? "\n" : "", job->events_sent,
+                 (unsigned long long)XXH64(job->id, strlen(job->id), job->events_sent), job->is_unframed ? "" : "\n");
+    job->is_in_event = job->is_unframed;
     cw_exchange_push(job->x, event, (size_t)n);
 }
 
+/* Ends the response, or breaks it off inside an event. */
+static void finish_stream(upstream_t* u, job_t* job, bool is_complete) {
+    if (is_complete && job->is_in_event) {
+        cw_exchange_push(job->x, "\n", 1);
+    }
+    cw_exchange_finish(job->x, true);
+    log_job_event(u, is_complete ? "end" : "gone", job);
+    job_free(job);
+}
+
 static void on_step(struct ev_loop* loop, ev_timer* w, int events) {
     (void)loop;
     (void)events;
@@ -230,10 +259,9 @@
             send_event(job);
             is_complete = job->events_sent >= job->event_count && !job->is_query_of_death;
         }
-        if (job->is_used && job->is_running && !job->prefill_left && is_complete) {
-            cw_exchange_finish(job->x, true);
-            log_job_event(u, "end", job);
-            job_free(job);
+        bool is_broken_off = job->break_at_events && job->events_sent >= job->break_at_events && !is_complete;
+        if (job->is_used && job->is_running && !job->prefill_left && (is_complete || is_broken_off)) {
+            finish_stream(u, job, is_complete);
         }
     }
     if (prefilling) {
@@ -334,7 +362,13 @@
         char rate_text[PUSHBACK_TEXT_MAX];
         cw_header_t headers[HEADERS_MAX] = {{"Content-Type", "text/event-stream"}, {"Chalkway-Request-Id", job->id}};
         uint32_t count = add_pushback(u, job->id, rate_text, headers, 2);
-        cw_exchange_stream(x, 200, headers, count);
+        job->is_unframed = u->is_unframed;
+        if (job->is_unframed) {
+            job->break_at_events = ++u->unframed_count % BREAK_ONE_IN ? 0 : (job->event_count + 1) / 2;
+            cw_exchange_stream_unframed(x, 200, headers, count);
+        } else {
+            cw_exchange_stream(x, 200, headers, count);
+        }
     }
     cw_heap_set(&u->queue, (uint32_t)(job - u->jobs), job->priority * 1e9 + u->arrival_count++);
     admit(u);
@@ -361,6 +395,7 @@
             u->reject_limit = reject_limit < REJECTIONS_MAX ? reject_limit : REJECTIONS_MAX - 1;
             u->strained_from_ms = standin_now_ms();
         }
+        u->is_unframed = standin_number_arg(x, "unframed", u->is_unframed) > 0;
         u->is_leaving = u->is_leaving || standin_number_arg(x, "leaving", 0) > 0;
         standin_reply_json(x, 200, "{}");
     } else {
--- a/tools/soak_faults.c
+++ b/tools/soak_faults.c
@@ -204,6 +204,17 @@
     }
 }
 
+static bool unframed_begin(active_fault_t* a) {
+    soak_post(a->soak, a->target->address, "/admin/set?unframed=1", "");
+    return true;
+}
+
+static void unframed_end(active_fault_t* a) {
+    if (a->target->pid) {
+        soak_post(a->soak, a->target->address, "/admin/set?unframed=0", "");
+    }
+}
+
 static bool source_down(active_fault_t* a) {
     soak_post(a->soak, a->target->address, "/admin/mode?down=1", "");
     return true;
@@ -259,6 +270,7 @@
     {"limit", PROC_UPSTREAM, 8, limit_begin, limit_end},
     {"rest", PROC_UPSTREAM, 6, backoff_begin, backoff_end},
     {"strain", PROC_UPSTREAM, 4, strain_begin, strain_end},
+    {"unframed", PROC_UPSTREAM, 6, unframed_begin, unframed_end},
     {"source-down", PROC_SOURCE, 1, source_down, source_recover},
     {"source-slow", PROC_SOURCE, 1, source_slow, source_recover},
     {"source-lossy", PROC_SOURCE, 1, source_lossy, source_recover},
