Native daemon: a stream without chunks is complete after its end event

Callers of the native daemon got an error in place of a whole stream when the engine sent neither a length nor chunks. The end event of a stream shows its end, whatever the framing; a plain response still needs a framing. Evidence: an_interrupted_stream_without_chunks_is_resumed failed before (the uncut stream was not complete) and passes, uncut and cut at 1, 17, 33 and 49 tokens.

--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -534,7 +534,9 @@
     request_t* r = user;
     r->call = NULL;
     r->upstream_status = result->status ? result->status : r->upstream_status;
-    bool is_response_complete = result->is_complete && (!r->is_streaming || r->stream.ended);
+    /* The end event of a stream shows its end whatever the framing. */
+    bool is_response_complete =
+        r->is_streaming ? r->stream.ended && (result->is_complete || result->is_unframed) : result->is_complete;
     bool is_busy = is_response_complete && result->status == HTTP_UNAVAILABLE && r->class->repeatable;
     if (result->is_vetoed) {
         request_event(r, CW_EV_GRANT_EXPIRED);
--- a/io/client.c
+++ b/io/client.c
@@ -83,6 +83,7 @@
     }
     cw_call_result_t result = {.sent = call->sent, .is_vetoed = call->is_vetoed, .status = call->status};
     result.is_complete = code == CURLE_OK && call->has_framing;
+    result.is_unframed = code == CURLE_OK && !call->has_framing;
     result.message =
         code == CURLE_OK
             ? (call->has_framing ? "" : "the response has no Content-Length or Transfer-Encoding: it may be truncated")
--- a/io/client.h
+++ b/io/client.h
@@ -16,6 +16,7 @@
 
 typedef struct cw_call_result_t {
     bool is_complete;    /* the response is complete according to its framing */
+    bool is_unframed;    /* the response has no framing and ended with its connection, which was closed, not reset */
     bool sent;           /* bytes of the request may have been sent */
     bool is_vetoed;      /* on_sending returned false */
     unsigned status;     /* 0: no response head received */
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -250,8 +250,9 @@
 
 /* In a pool whose engines can resume, a stream that breaks is resumed at the same position: the caller receives each
    token exactly once and no error. */
-START_TEST(an_interrupted_stream_is_resumed) {
+static void check_interrupted_streams(const char* framing) {
     start_site();
+    site_call(&(site_request_t){.address = http_of("engine"), .path = framing, .body = ""});
     publish_items(
         "{\"items\":[{\"key\":\"pools/lang\",\"value\":{\"kind\":\"engine\",\"model\":\"m\",\"resumes\":true}}]}");
     ck_assert(site_wait_revision(&site, 9, WAIT_MS));
@@ -267,6 +268,16 @@
     }
     stop_site();
 }
+
+START_TEST(an_interrupted_stream_is_resumed) {
+    check_interrupted_streams("/admin/set?unframed=0");
+}
+END_TEST
+
+/* Streams without chunks end with their connection, whether they are whole or not: their end event tells. */
+START_TEST(an_interrupted_stream_without_chunks_is_resumed) {
+    check_interrupted_streams("/admin/set?unframed=1");
+}
 END_TEST
 
 /* An engine that freezes in mid-stream keeps its connections open, so only the stall timeout detects it. The streams
@@ -636,6 +647,7 @@
     tcase_add_test(t, resharding_under_load_loses_no_request);
     tcase_add_test(t, a_protected_request_tries_every_shard);
     tcase_add_test(t, an_interrupted_stream_is_resumed);
+    tcase_add_test(t, an_interrupted_stream_without_chunks_is_resumed);
     tcase_add_test(t, a_stalled_stream_resumes_at_another_engine);
     tcase_add_test(t, a_call_whose_response_was_lost_never_runs_again);
     tcase_add_test(t, a_retry_joins_the_running_call);
