--- a/chalkway_packed.h
+++ b/chalkway_packed.h
@@ -51,7 +51,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define _CW_PACKED_MAGIC "chalkway-servers-1"
+#define _CW_PACKED_MAGIC "chalkway-servers-2"
+#define _CW_PACKED_MAGIC_1 "chalkway-servers-1" /* of hosts whose lists have no versions */
 #define _CW_PACKED_ZONE_BYTES 256 /* chunk size of msgpack's zone allocator; integers and strings use none of it */
 
 /* A table of names; entries refer to a name by its index. */
@@ -123,7 +124,7 @@
 }
 
 static void _cw_packed_put_server(msgpack_packer* p, const cw_server_t* s, _cw_packed_names_t* pools,
-                                  _cw_packed_names_t* halls, const cw_server_t* base) {
+                                  _cw_packed_names_t* halls, _cw_packed_names_t* versions, const cw_server_t* base) {
     _cw_packed_put_string(p, s->id);
     msgpack_pack_uint64(p, _cw_packed_address_number(s->address));
     msgpack_pack_uint32(p, _cw_packed_name_index(pools, s->pool));
@@ -133,6 +134,7 @@
     msgpack_pack_uint32(p, s->cold_ms);
     msgpack_pack_int64(p, s->started_ms - base->started_ms);
     msgpack_pack_int64(p, s->revision - base->revision);
+    msgpack_pack_uint32(p, s->version[0] ? 1 + _cw_packed_name_index(versions, s->version) : 0);
 }
 
 char* cw_packed_encode(const cw_servers_t* list, const cw_changes_t* changes, size_t* size) {
@@ -140,9 +142,13 @@
     const cw_server_t* base = list->count ? &list->items[0] : &none;
     _cw_packed_names_t pools = {0};
     _cw_packed_names_t halls = {0};
+    _cw_packed_names_t versions = {0};
     for (uint32_t i = 0; i < list->count; i++) {
         _cw_packed_name_index(&pools, list->items[i].pool);
         _cw_packed_name_index(&halls, list->items[i].hall);
+        if (list->items[i].version[0]) {
+            _cw_packed_name_index(&versions, list->items[i].version);
+        }
     }
     msgpack_sbuffer buffer;
     msgpack_packer packer;
@@ -154,15 +160,17 @@
     _cw_packed_put_closed_halls(&packer, &list->closed);
     _cw_packed_put_names(&packer, &pools);
     _cw_packed_put_names(&packer, &halls);
+    _cw_packed_put_names(&packer, &versions);
     msgpack_pack_int64(&packer, base->started_ms);
     msgpack_pack_int64(&packer, base->revision);
     msgpack_pack_uint32(&packer, list->count);
     for (uint32_t i = 0; i < list->count; i++) {
-        _cw_packed_put_server(&packer, &list->items[i], &pools, &halls, base);
+        _cw_packed_put_server(&packer, &list->items[i], &pools, &halls, &versions, base);
     }
     _cw_packed_put_removals(&packer, changes);
     free(pools.names);
     free(halls.names);
+    free(versions.names);
     *size = buffer.size;
     return msgpack_sbuffer_release(&buffer);
 }
@@ -240,7 +248,8 @@
 }
 
 static void _cw_packed_get_server(_cw_packed_input_t* in, cw_server_t* s, const _cw_packed_names_t* pools,
-                                  const _cw_packed_names_t* halls, const cw_server_t* base) {
+                                  const _cw_packed_names_t* halls, const _cw_packed_names_t* versions,
+                                  const cw_server_t* base) {
     _cw_packed_get_name(in, s->id);
     _cw_packed_get_address(in, s->address);
     int64_t pool = _cw_packed_get_integer(in, 0, (int64_t)pools->count - 1);
@@ -250,6 +259,10 @@
     s->cold_ms = (uint32_t)_cw_packed_get_integer(in, 0, UINT32_MAX);
     s->started_ms = base->started_ms + _cw_packed_get_integer(in, -base->started_ms, INT64_MAX - base->started_ms);
     s->revision = base->revision + _cw_packed_get_integer(in, -base->revision, INT64_MAX - base->revision);
+    int64_t version = versions ? _cw_packed_get_integer(in, 0, versions->count) : 0;
+    if (!in->is_invalid && version) {
+        cw_copy(s->version, sizeof(s->version), versions->names[version - 1]);
+    }
     if (!in->is_invalid) {
         cw_copy(s->pool, sizeof(s->pool), pools->names[pool]);
         cw_copy(s->hall, sizeof(s->hall), halls->names[hall]);
@@ -271,9 +284,14 @@
     }
 }
 
+static bool _cw_packed_starts_with(const char* bytes, size_t size, const char* magic) {
+    size_t length = strlen(magic);
+    return size > length && (uint8_t)bytes[0] == (0xa0U | length) && memcmp(bytes + 1, magic, length) == 0;
+}
+
 bool cw_packed_has_magic(const char* bytes, size_t size) {
-    size_t length = sizeof(_CW_PACKED_MAGIC) - 1;
-    return size > length && (uint8_t)bytes[0] == (0xa0U | length) && memcmp(bytes + 1, _CW_PACKED_MAGIC, length) == 0;
+    return _cw_packed_starts_with(bytes, size, _CW_PACKED_MAGIC) ||
+           _cw_packed_starts_with(bytes, size, _CW_PACKED_MAGIC_1);
 }
 
 cw_status_t cw_packed_decode(cw_servers_t* list, cw_changes_t* changes, const char* bytes, size_t size,
@@ -282,6 +300,8 @@
         .bytes = bytes, .size = size, .at = sizeof(_CW_PACKED_MAGIC), .is_invalid = !cw_packed_has_magic(bytes, size)};
     _cw_packed_names_t pools = {0};
     _cw_packed_names_t halls = {0};
+    _cw_packed_names_t versions = {0};
+    bool has_versions = _cw_packed_starts_with(bytes, size, _CW_PACKED_MAGIC);
     cw_server_t base = {.slots = 0};
     msgpack_zone_init(&in.zone, _CW_PACKED_ZONE_BYTES);
     list->at = _cw_packed_get_integer(&in, 0, INT64_MAX);
@@ -289,12 +309,15 @@
     _cw_packed_get_closed_halls(&in, &list->closed);
     _cw_packed_get_names(&in, &pools);
     _cw_packed_get_names(&in, &halls);
+    if (has_versions) {
+        _cw_packed_get_names(&in, &versions);
+    }
     base.started_ms = _cw_packed_get_integer(&in, 0, INT64_MAX);
     base.revision = _cw_packed_get_integer(&in, 0, INT64_MAX);
     int64_t count = _cw_packed_get_integer(&in, 0, UINT32_MAX);
     for (int64_t i = 0; i < count && !in.is_invalid; i++) {
         cw_server_t server = {.slots = 0};
-        _cw_packed_get_server(&in, &server, &pools, &halls, &base);
+        _cw_packed_get_server(&in, &server, &pools, &halls, has_versions ? &versions : NULL, &base);
         if (!in.is_invalid) {
             cw_servers_add(list, &server);
         }
@@ -302,6 +325,7 @@
     _cw_packed_get_removals(&in, changes);
     free(pools.names);
     free(halls.names);
+    free(versions.names);
     msgpack_zone_destroy(&in.zone);
     if (in.is_invalid || in.at != size) {
         cw_servers_free(list);
--- a/chalkway_servers.h
+++ b/chalkway_servers.h
@@ -8,13 +8,13 @@
         which daemons pass the list to each other:
 
             {"at": 530, "age_ms": 120, "servers": [{"id": "i-7f3a", "address": "10.0.0.9:8080", "pool": "llm",
-              "hall": "a", "slots": 48, "leaving": false, "cold_ms": 0, "started_ms": 1767744000123,
+              "hall": "a", "version": "1.4", "slots": 48, "leaving": false, "cold_ms": 0, "started_ms": 1767744000123,
               "revision": 498}], "closed": ["b"], "closed_at": 512}
 
         A server may restart under the same id and has then lost its caches
         and its requests. An incarnation is therefore identified by id and
-        start time (cw_server_incarnation_id). leaving, cold_ms, started_ms and
-        revision are optional; a source without start times has to give each
+        start time (cw_server_incarnation_id). version, leaving, cold_ms,
+        started_ms and revision are optional; a source without start times has to give each
         incarnation an id of its own.
 
         One table of fields validates the entries of all sources, which
@@ -46,11 +46,13 @@
     char address[CW_SERVER_ADDRESS_MAX]; /* IP:PORT */
     char pool[CW_NAME_MAX];
     char hall[CW_NAME_MAX];
-    uint32_t slots;     /* concurrent requests */
-    bool leaving;       /* finishes its requests and gets no new ones */
-    uint32_t cold_ms;   /* time after its start during which it is slow */
-    int64_t started_ms; /* start time by the server's own clock, Unix ms; 0: unknown */
-    int64_t revision;   /* source revision at or after the entry's last change, 0: unknown; ignored by comparisons */
+    char
+        version[CW_NAME_MAX]; /* of its software, "": unknown, which is a version of its own; a long one is shortened */
+    uint32_t slots;           /* concurrent requests */
+    bool leaving;             /* finishes its requests and gets no new ones */
+    uint32_t cold_ms;         /* time after its start during which it is slow */
+    int64_t started_ms;       /* start time by the server's own clock, Unix ms; 0: unknown */
+    int64_t revision; /* source revision at or after the entry's last change, 0: unknown; ignored by comparisons */
 } cw_server_t;
 
 /* Names that a source gives to the fields of an entry; NULL: the source does not have the field. */
@@ -65,9 +67,9 @@
     const char* state;         /* a text with one of the next two values, for sources without leaving */
     const char* state_ready;   /* value of state */
     const char* state_leaving; /* value of state */
-    const char* unused_text;   /* a text that is required but not used */
+    const char* version;       /* a text, required if is_strict */
     const char* unused_count;  /* an integer that is required but not used */
-    bool is_strict;            /* leaving or state, and cold_ms, are required */
+    bool is_strict;            /* leaving or state, cold_ms and version are required */
 } cw_server_field_names_t;
 
 /* Why an entry is invalid. */
@@ -115,6 +117,8 @@
 void cw_servers_refuse_without_start(cw_servers_t* list);
 /* Id of this incarnation of the server: hash of its id and start time. */
 uint64_t cw_server_incarnation_id(const cw_server_t* server);
+/* Id of the version of the server's software, never 0. */
+uint64_t cw_server_version_id(const cw_server_t* server);
 /* Sets the servers and the closed halls as fields of a jansson object. */
 void cw_servers_add_to_json(const cw_servers_t* list, struct json_t* document);
 /* Appends the server without sorting the list. */
@@ -256,6 +260,11 @@
     return server->started_ms ? cw_mix(id, (uint64_t)server->started_ms) : id;
 }
 
+uint64_t cw_server_version_id(const cw_server_t* server) {
+    uint64_t id = cw_name_id(server->version);
+    return id ? id : 1;
+}
+
 void cw_servers_refuse(cw_servers_t* list, const char* key, cw_server_fault_t fault) {
     list->refused.count++;
     list->refused.fault = fault;
@@ -290,7 +299,8 @@
     for (uint32_t i = 0; i < list->count; i++) {
         const cw_server_t* s = &list->items[i];
         uint64_t state = (uint64_t)s->leaving + 1 + 2 * (uint64_t)(s->cold_ms > 0);
-        hash += cw_mix(cw_server_incarnation_id(s), cw_mix(cw_name_id(s->address), state));
+        uint64_t version = s->version[0] ? cw_server_version_id(s) : 0;
+        hash += cw_mix(cw_server_incarnation_id(s), cw_mix(cw_name_id(s->address), state) ^ version);
     }
     for (uint32_t i = 0; i < list->closed.count; i++) {
         hash += cw_mix(cw_name_id(list->closed.halls[i]), list->closed.count);
@@ -300,8 +310,8 @@
 
 bool cw_server_equal(const cw_server_t* a, const cw_server_t* b) {
     return strcmp(a->id, b->id) == 0 && strcmp(a->address, b->address) == 0 && strcmp(a->pool, b->pool) == 0 &&
-           strcmp(a->hall, b->hall) == 0 && a->slots == b->slots && a->leaving == b->leaving &&
-           a->cold_ms == b->cold_ms && a->started_ms == b->started_ms;
+           strcmp(a->hall, b->hall) == 0 && strcmp(a->version, b->version) == 0 && a->slots == b->slots &&
+           a->leaving == b->leaving && a->cold_ms == b->cold_ms && a->started_ms == b->started_ms;
 }
 
 bool cw_servers_equal(const cw_servers_t* a, const cw_servers_t* b) {
@@ -322,6 +332,7 @@
 
 typedef enum _cw_field_kind_t {
     _CW_FIELD_NAME = 0,     /* visible characters that log lines and header fields hold without escaping */
+    _CW_FIELD_VERSION,      /* the same, of any length */
     _CW_FIELD_ADDRESS,      /* IPv4:PORT */
     _CW_FIELD_COUNT,        /* an integer */
     _CW_FIELD_TIMESTAMP_MS, /* an integer, Unix ms */
@@ -356,6 +367,20 @@
     return NULL;
 }
 
+/* A text that is too long is shortened, and the hash of the whole text distinguishes it from others. */
+static const char* _cw_field_read_version(const _cw_field_t* f, const char* text) {
+    char shortened[CW_NAME_MAX];
+    const _cw_field_t any_length = {f->name, f->kind, false, 0, 0, NULL, SIZE_MAX};
+    const char* fault = _cw_field_read_name(&any_length, text);
+    if (!fault && strlen(text) >= f->size) {
+        snprintf(shortened, sizeof(shortened), "%.32s~%016llx", text, (unsigned long long)cw_name_id(text));
+    }
+    if (!fault) {
+        cw_copy(f->out, f->size, strlen(text) < f->size ? text : shortened);
+    }
+    return fault;
+}
+
 static const char* _cw_field_read_address(const _cw_field_t* f, const char* text) {
     char ip[CW_SERVER_ADDRESS_MAX];
     struct in_addr parsed;
@@ -417,6 +442,8 @@
     switch (f->kind) {
         case _CW_FIELD_NAME:
             return json_is_string(value) ? _cw_field_read_name(f, json_string_value(value)) : "not a string";
+        case _CW_FIELD_VERSION:
+            return json_is_string(value) ? _cw_field_read_version(f, json_string_value(value)) : "not a string";
         case _CW_FIELD_ADDRESS:
             return json_is_string(value) ? _cw_field_read_address(f, json_string_value(value)) : "not a string";
         case _CW_FIELD_STATE:
@@ -446,7 +473,7 @@
         {names->state, _CW_FIELD_STATE, names->is_strict, 0, 0, &server->leaving, 0},
         {names->cold_ms, _CW_FIELD_DURATION_MS, names->is_strict, 0, UINT32_MAX, &server->cold_ms, 0},
         {names->started_ms, _CW_FIELD_TIMESTAMP_MS, false, 1, INT64_MAX, &server->started_ms, 0},
-        {names->unused_text, _CW_FIELD_NAME, true, 0, 0, NULL, SIZE_MAX},
+        {names->version, _CW_FIELD_VERSION, names->is_strict, 0, 0, server->version, sizeof(server->version)},
         {names->unused_count, _CW_FIELD_COUNT, true, 0, INT64_MAX, NULL, 0},
     };
     const _cw_field_t id_field = {"id", _CW_FIELD_NAME, true, 0, 0, server->id, sizeof(server->id)};
@@ -466,6 +493,7 @@
 static const cw_server_field_names_t _cw_servers_names = {.address = "address",
                                                           .pool = "pool",
                                                           .hall = "hall",
+                                                          .version = "version",
                                                           .slots = "slots",
                                                           .cold_ms = "cold_ms",
                                                           .started_ms = "started_ms",
@@ -523,6 +551,9 @@
         json_t* entry =
             json_pack("{s:s,s:s,s:s,s:s,s:i,s:b,s:I}", "id", s->id, "address", s->address, "pool", s->pool, "hall",
                       s->hall, "slots", (int)s->slots, "leaving", (int)s->leaving, "cold_ms", (json_int_t)s->cold_ms);
+        if (s->version[0]) {
+            json_object_set_new(entry, "version", json_string(s->version));
+        }
         if (s->started_ms) {
             json_object_set_new(entry, "started_ms", json_integer(s->started_ms));
         }
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -21,6 +21,7 @@
     const char* signature;    /* in a response: proves that the server sent it */
     const char* priority;     /* set by the gateway: 0 is the most urgent */
     const char* last_event;   /* id of the event after which a stream resumes */
+    const char* resumes;      /* with last_event: id of the caller's attempt that brought the stream's first event */
     const char* retry_after;  /* in seconds, fractions allowed */
     const char* leaving;      /* in a response, "1": the server is leaving */
     const char* limit;        /* in a response: requests per second that the server accepts from all hosts together */
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -298,6 +298,7 @@
                           .target_ms = route->target_ms,
                           .gap_ms = route->gap_ms,
                           .repeatable = admission->repeatable};
+    cw_copy(x->resumes, sizeof(x->resumes), request_resumes(e->desc.dialect, caller_request(caller)));
     request_work_read(&x->work, e->desc.dialect, caller_request(caller));
     ev_timer_init(&x->timer, on_timer, 0.0, 0.0);
     x->timer.data = x;
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -366,19 +366,21 @@
     }
     char level[LEVEL_TEXT_MAX];
     record_placement(x->pool, choice, level, sizeof(level));
-    cw_log(
-        e->desc.log, x->attempt_count ? CW_EVENT_REQUEST_RETRIED : CW_EVENT_REQUEST_SENT,
-        "id=%s fingerprint=%016llx server=%s route=%s revision=%lld priority=%u urgency=%u candidates=%u cost_ms=%.0f "
-        "wait_ms=%.0f "
-        "read_ms=%.0f prompt=%u kept=%u moved=%u again=%u running=%u streaming=%u pace=%.2f pace_us=%.1f "
-        "gap_forecast_ms=%.0f level=%s age_ms=%u waited_ms=%lld "
-        "last_event=%s",
-        x->id, (unsigned long long)x->fingerprint.content_hash, x->server_id, x->route->name,
-        (long long)x->catalog->revision, x->priority, x->work.urgency, choice->candidates, choice->cost_ms,
-        choice->wait_ms, choice->prefill_ms, x->work.prompt_tokens, choice->cached_tokens, choice->fetched_tokens,
-        choice->recomputed_tokens, choice->running, choice->streaming, choice->interval_ratio,
-        choice->pace_ms * US_PER_MS, choice->gap_forecast_ms, level, choice->age_ms,
-        (long long)(now_ms - x->arrived_ms), x->events.last_id[0] ? x->events.last_id : "-");
+    cw_log(e->desc.log, x->attempt_count ? CW_EVENT_REQUEST_RETRIED : CW_EVENT_REQUEST_SENT,
+           "id=%s fingerprint=%016llx server=%s version=%s route=%s revision=%lld priority=%u urgency=%u candidates=%u "
+           "cost_ms=%.0f "
+           "wait_ms=%.0f "
+           "read_ms=%.0f prompt=%u kept=%u moved=%u again=%u running=%u streaming=%u pace=%.2f pace_us=%.1f "
+           "gap_forecast_ms=%.0f level=%s age_ms=%u waited_ms=%lld "
+           "last_event=%s resumes=%s",
+           x->id, (unsigned long long)x->fingerprint.content_hash, x->server_id,
+           x->server->published.version[0] ? x->server->published.version : "-", x->route->name,
+           (long long)x->catalog->revision, x->priority, x->work.urgency, choice->candidates, choice->cost_ms,
+           choice->wait_ms, choice->prefill_ms, x->work.prompt_tokens, choice->cached_tokens, choice->fetched_tokens,
+           choice->recomputed_tokens, choice->running, choice->streaming, choice->interval_ratio,
+           choice->pace_ms * US_PER_MS, choice->gap_forecast_ms, level, choice->age_ms,
+           (long long)(now_ms - x->arrived_ms), x->events.last_id[0] ? x->events.last_id : "-",
+           x->resumes[0] ? x->resumes : "-");
     x->sent_ms = now_ms;
     x->expected_ms = (double)(now_ms - x->arrived_ms) + choice->first_event_ms;
     arm_first_byte_timeout(x);
--- a/gateway/exchange_internal.h
+++ b/gateway/exchange_internal.h
@@ -11,17 +11,18 @@
 #include "../chalkway_request.h"
 #include "../chalkway_sse.h"
 #include "exchange.h"
+#include "request_head.h"
 
 #define MS_PER_S 1000.0
 #define US_PER_MS 1000.0
 #define TRIED_SERVERS_MAX 8 /* servers that failed a request and are excluded from its retries */
-#define REQUEST_ID_MAX 128
 #define QUARANTINED_REASON "servers ended under it" /* sent to the caller of a quarantined request */
 
 typedef struct exchange_t {
     exchanges_t* exchanges;
     caller_t* caller; /* NULL: the caller has closed its connection, or its response is complete */
     char id[REQUEST_ID_MAX];
+    char resumes[REQUEST_ID_MAX]; /* the caller's attempt that began the stream it resumes; "": none named */
     cw_fingerprint_t fingerprint; /* identifies the request independently of its id */
     cw_catalog_t* catalog;
     const cw_route_t* route;
--- a/gateway/request_head.c
+++ b/gateway/request_head.c
@@ -174,9 +174,25 @@
     return !*end;
 }
 
+const char* request_resumes(const dialect_t* d, const cw_message_t* request) {
+    const char* id = d->fields.resumes ? cw_message_field(request, d->fields.resumes) : NULL;
+    return id ? id : "";
+}
+
+/* Whether the text can be the id of a request: visible characters that log lines hold without escaping. */
+static bool is_request_id(const char* text) {
+    for (const char* c = text; *c; c++) {
+        if (!isgraph((unsigned char)*c) || *c == '"') {
+            return false;
+        }
+    }
+    return text[0] && strlen(text) < REQUEST_ID_MAX;
+}
+
 const char* request_fields_check(const dialect_t* d, const cw_message_t* request) {
     const dialect_fields_t* f = &d->fields;
-    const char* const single_fields[] = {f->request_id, f->deadline_ms, f->key, f->tokens, f->parts, f->last_event};
+    const char* const single_fields[] = {f->request_id, f->deadline_ms, f->key,    f->tokens,
+                                         f->parts,      f->last_event,  f->resumes};
     for (size_t i = 0; i < sizeof(single_fields) / sizeof(single_fields[0]); i++) {
         if (single_fields[i] && cw_message_count_field(request, single_fields[i]) > 1) {
             return single_fields[i];
@@ -193,6 +209,9 @@
     if (tokens && !read_tokens(tokens, &in, &out)) {
         return f->tokens;
     }
+    if (f->resumes && cw_message_field(request, f->resumes) && !is_request_id(request_resumes(d, request))) {
+        return f->resumes;
+    }
     return parts && !read_parts(NULL, parts) ? f->parts : NULL;
 }
 
--- a/gateway/request_head.h
+++ b/gateway/request_head.h
@@ -5,6 +5,8 @@
 #include "../io/message.h"
 #include "dialect.h"
 
+#define REQUEST_ID_MAX 128 /* bytes of a request id, with its terminating zero */
+
 /* Fields that the gateway sets in a request to a server. */
 typedef struct request_head_t {
     const char* request_id; /* if the caller sent none */
@@ -31,6 +33,8 @@
 uint64_t request_part_id(const char* name);
 /* Reads the token counts and the prompt parts of a request. */
 void request_work_read(cw_work_t* work, const dialect_t* dialect, const cw_message_t* request);
+/* The caller's attempt that began the stream which this request resumes; "": none is named. */
+const char* request_resumes(const dialect_t* dialect, const cw_message_t* request);
 /* Copies the access key of a request to out. False: it has none. */
 bool request_key_read(const dialect_t* dialect, const cw_message_t* request, char* out, size_t size);
 
--- a/gateway/sync_peers.c
+++ b/gateway/sync_peers.c
@@ -8,6 +8,8 @@
 
 /* Timeout for a peer's full list, which the peer's link may carry to many hosts at once. */
 #define FULL_LIST_CALL_TIMEOUT_MS 3000
+/* Of full lists, named in requests for them; a host that reads an earlier one gets JSON. */
+#define PACKED_FORMAT 2
 /* After its start, a host waits this long for documents that peers offer before it polls the source. */
 #define PEERS_FIRST_MS 5000
 
@@ -128,9 +130,9 @@
 static bool peer_servers_path(const sync_t* s, char* out, size_t size) {
     bool requests_delta = s->list_confirmed_ms != NEVER && s->list.at && !s->needs_full_list;
     if (requests_delta) {
-        snprintf(out, size, "/servers?packed=1&since=%lld", (long long)s->list.at);
+        snprintf(out, size, "/servers?packed=%d&since=%lld", PACKED_FORMAT, (long long)s->list.at);
     } else {
-        snprintf(out, size, "/servers?packed=1");
+        snprintf(out, size, "/servers?packed=%d", PACKED_FORMAT);
     }
     return requests_delta;
 }
@@ -200,7 +202,9 @@
         cw_exchange_reply(x, 200, &json, 1, s->active_text, is_newer ? strlen(s->active_text) : 0);
     } else if (strcmp(path, "/servers") == 0 && s->list_confirmed_ms != NEVER) {
         size_t size = 0;
-        char* text = encode_servers(s, cw_exchange_arg(x, "since"), cw_exchange_arg(x, "packed") != NULL, &size);
+        const char* packed = cw_exchange_arg(x, "packed");
+        bool accepts_packed = packed && strtol(packed, NULL, 10) >= PACKED_FORMAT;
+        char* text = encode_servers(s, cw_exchange_arg(x, "since"), accepts_packed, &size);
         cw_exchange_reply(x, 200, cw_packed_has_magic(text, size) ? &msgpack : &json, 1, text, size);
         free(text);
     } else {
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -50,8 +50,9 @@
     exchanges_t* exchanges;
     frontend_t* front;
     cw_catalog_t* catalog;
-    uint32_t leaving_count;    /* the next servers chosen announce leaving before they are connected */
-    uint32_t liveness_reports; /* calls of on_liveness_changed */
+    const char* versions[RIG_SERVERS]; /* of the servers' software; NULL: unknown */
+    uint32_t leaving_count;            /* the next servers chosen announce leaving before they are connected */
+    uint32_t liveness_reports;         /* calls of on_liveness_changed */
     /* The host through which servers are reached when no connection to them can be opened; NULL: none. */
     const cw_member_info_t* (*choose_tunnel_host)(rig_t* r, const pool_t* pool);
     void* test; /* of the test that set choose_tunnel_host */
@@ -267,6 +268,7 @@
         cw_copy(s.address, sizeof(s.address), r->addresses[i]);
         cw_copy(s.pool, sizeof(s.pool), "p");
         cw_copy(s.hall, sizeof(s.hall), "a");
+        cw_copy(s.version, sizeof(s.version), r->versions[i] ? r->versions[i] : "");
         cw_servers_add(list, &s);
     }
 }
--- a/tests/test_packed.c
+++ b/tests/test_packed.c
@@ -17,6 +17,7 @@
         snprintf(s.address, sizeof(s.address), "10.%u.%u.%u:%u", i % 6, i / 250 % 250, 1 + i % 250, 1024 + i % 60000);
         snprintf(s.pool, sizeof(s.pool), "pool-%u", i % 2);
         snprintf(s.hall, sizeof(s.hall), "hall-%u", i % 6);
+        snprintf(s.version, sizeof(s.version), i % 4 ? "v1.%u" : "", i % 3);
         s.started_ms = i % 3 ? 1767744000123 + i : 0;
         s.revision = 60000 + i * 977 % 10000;
         cw_servers_add(&list, &s);
