--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -593,6 +593,7 @@
                                       .host = b->desc.seed,
                                       .hosts = b->fleet.count,
                                       .exclude_suspects = cw_server_can_exclude_suspects(&b->table, now_ms),
+                                      .work = work,
                                       .owns_server = b->desc.owns_server,
                                       .user_data = b->desc.user_data};
     double slot_share = cw_demand_slot_share(&b->demand, work);
--- a/chalkway_catalog.h
+++ b/chalkway_catalog.h
@@ -106,6 +106,8 @@
 cw_catalog_t* cw_catalog_parse(const char* text, size_t size, cw_error_t* err);
 /* Adds a reference. */
 cw_catalog_t* cw_catalog_retain(cw_catalog_t* catalog);
+/* Longest timeout of a route whose streams can be resumed; 0: there is none. */
+uint32_t cw_catalog_longest_stream_ms(const cw_catalog_t* catalog);
 void cw_catalog_release(cw_catalog_t* catalog);
 /* Finds the route with the longest prefix of the path; NULL: none. host has no port and may have any case. */
 const cw_route_t* cw_catalog_find_route(const cw_catalog_t* catalog, const char* host, const char* path,
@@ -391,6 +393,16 @@
     return c;
 }
 
+uint32_t cw_catalog_longest_stream_ms(const cw_catalog_t* c) {
+    uint32_t longest_ms = 0;
+    for (uint32_t i = 0; i < c->route_count; i++) {
+        const cw_route_t* route = &c->routes[i];
+        bool is_longer = route->kind == CW_ROUTE_STREAM && route->is_resumable && route->timeout_ms > longest_ms;
+        longest_ms = is_longer ? route->timeout_ms : longest_ms;
+    }
+    return longest_ms;
+}
+
 cw_catalog_t* cw_catalog_retain(cw_catalog_t* c) {
     if (c) {
         c->index->references++;
--- a/chalkway_server_exclusion.h
+++ b/chalkway_server_exclusion.h
@@ -10,7 +10,8 @@
 
     HOW TO USE IT
             cw_exclusion_input_t in = {.now_ms = now_ms, .host = host, .hosts = live_hosts,
-                                       .exclude_suspects = cw_server_can_exclude_suspects(&table, now_ms)};
+                                       .exclude_suspects = cw_server_can_exclude_suspects(&table, now_ms),
+                                       .work = work};
             uint32_t* counter = cw_server_exclusion_counter(&in, s, &excluded);
             if (counter) { ++*counter; }
 
@@ -24,13 +25,15 @@
 
 /* Numbers of servers that were excluded from a choice. A server counts once, by the first reason that applies. */
 typedef struct cw_excluded_t {
-    uint32_t tried;        /* in the caller's list of tried servers */
-    uint32_t unreachable;  /* unreachable, or it has just refused a request for lack of capacity */
-    uint32_t cold;         /* in slow start and at its rate limit */
-    uint32_t backing_off;  /* it asked this host to back off */
-    uint32_t rate_limited; /* its advertised rate allows no request of this host now */
-    uint32_t suspected;    /* suspected, and in another host's time slice to probe it */
-    uint32_t no_slot;      /* no free slot for this request, or none for this host now */
+    uint32_t tried;         /* in the caller's list of tried servers */
+    uint32_t unreachable;   /* unreachable, or it has just refused a request for lack of capacity */
+    uint32_t cold;          /* in slow start and at its rate limit */
+    uint32_t backing_off;   /* it asked this host to back off */
+    uint32_t rate_limited;  /* its advertised rate allows no request of this host now */
+    uint32_t suspected;     /* suspected, and in another host's time slice to probe it */
+    uint32_t other_version; /* not of the version that the request needs */
+    uint32_t unsettled;     /* of a version at which no resumable stream may begin yet */
+    uint32_t no_slot;       /* no free slot for this request, or none for this host now */
 } cw_excluded_t;
 
 /* The inputs that are the same for all servers of one choice. */
@@ -39,6 +42,7 @@
     uint64_t host;  /* id of this host */
     uint32_t hosts; /* number of live hosts */
     bool exclude_suspects;
+    const cw_work_t* work;
     /* Whether this host is the only one that sends to the server during its slow start; NULL: always true. */
     bool (*owns_server)(void* user_data, uint64_t server);
     void* user_data;
@@ -94,6 +98,12 @@
 
 uint32_t* cw_server_exclusion_counter(const cw_exclusion_input_t* in, const cw_pool_server_t* s,
                                       cw_excluded_t* excluded) {
+    if (in->work->version && in->work->version != s->spec.version) {
+        return &excluded->other_version;
+    }
+    if (in->work->begins_stream && in->now_ms < s->spec.settled_ms) {
+        return &excluded->unsettled;
+    }
     if (s->is_unreachable || in->now_ms < s->full_until_ms) {
         return &excluded->unreachable;
     }
--- a/chalkway_server_table.h
+++ b/chalkway_server_table.h
@@ -52,6 +52,8 @@
     uint32_t cold_ms;          /* remaining slow start, from now */
     double cold_per_s;         /* rate limit during slow start, over all hosts, requests per second; 0: no limit */
     double fetch_ms_per_token; /* time to fetch one cached token from another server; 0: not supported */
+    uint64_t version;          /* id of the version of its software */
+    int64_t settled_ms;        /* time from which resumable streams may begin there (chalkway_pool_versions.h) */
 } cw_server_spec_t;
 
 /* Demand of a request, as far as the choice depends on it. All zero for a plain call. */
@@ -64,6 +66,8 @@
     bool repeatable;    /* a failed attempt may be retried, so a recent failure of a server weighs half */
     bool is_late;       /* it waited so long for a slot that it can hardly meet its target (chalkway_queue_order.h) */
     bool is_light;      /* its class needs few slots, see cw_balance_is_light */
+    bool begins_stream; /* it begins a stream that may be resumed: only servers of settled versions */
+    uint64_t version;   /* it resumes a stream: only servers of this version; 0: of any */
     uint64_t rendezvous_key; /* if not 0, the server is chosen by rendezvous hashing of this key, not by cost */
     uint32_t part_count;
     cw_prompt_part_t parts[CW_PROMPT_PARTS]; /* the prompt from its start */
--- /dev/null
+++ b/chalkway_stream_message.h
@@ -0,0 +1,147 @@
+#ifndef CHALKWAY_STREAM_MESSAGE_H
+#define CHALKWAY_STREAM_MESSAGE_H
+/*
+    chalkway_stream_message.h -- datagram about the software versions of streams
+
+    WHAT IT IS
+        One msgpack array: format, cluster, sender, forwarding scope, kind,
+        and the entries as a flat list. Hosts tell each other which version
+        began a stream, and ask for streams that they don't know. Hosts of
+        earlier versions of chalkway reject the datagram by its format.
+
+    HOW TO USE IT
+            size_t n = cw_stream_message_encode(&message, bytes, sizeof(bytes));
+            if (cw_stream_message_decode(&message, bytes, n) == CW_OK) { ... }
+
+    WHAT IT DOES NOT DO
+        It has no sockets and does not schedule datagrams.
+
+    LICENCE
+        MIT, see LICENSE.
+*/
+#include "chalkway_load.h"
+#include "chalkway_stream_registry.h"
+
+#define CW_STREAM_MESSAGE_FORMAT 1001 /* differs from every CW_LOAD_VERSION */
+#define CW_STREAM_ENTRIES 96          /* most entries of a datagram */
+#define CW_STREAM_BYTES 4096          /* largest datagram */
+
+typedef enum cw_stream_message_kind_t {
+    CW_STREAM_TELL = 0, /* the versions of these streams */
+    CW_STREAM_ASK,      /* the receiver is to tell what it knows of these streams */
+    CW_STREAM_KIND_COUNT
+} cw_stream_message_kind_t;
+
+typedef struct cw_stream_entry_t {
+    uint64_t stream;
+    uint64_t pool;
+    uint64_t version; /* 0: not known, and several versions have served; of CW_STREAM_ASK: not used */
+    uint32_t left_ms; /* time until the stream is forgotten */
+} cw_stream_entry_t;
+
+typedef struct cw_stream_message_t {
+    uint64_t cluster, host; /* host: the sender */
+    cw_load_scope_t scope;
+    cw_stream_message_kind_t kind;
+    uint32_t count;
+    cw_stream_entry_t entries[CW_STREAM_ENTRIES];
+} cw_stream_message_t;
+
+/* Writes the datagram; returns its size, 0 when it does not fit. */
+size_t cw_stream_message_encode(const cw_stream_message_t* message, uint8_t* out, size_t size);
+/* CW_ERR_PROTOCOL: the bytes are no such datagram. */
+cw_status_t cw_stream_message_decode(cw_stream_message_t* message, const uint8_t* data, size_t size);
+
+#endif /* CHALKWAY_STREAM_MESSAGE_H */
+
+/*-- IMPLEMENTATION -----------------------------------------------------------*/
+#ifdef CHALKWAY_IMPL
+#ifndef CHALKWAY_STREAM_MESSAGE_IMPL_INCLUDED
+#define CHALKWAY_STREAM_MESSAGE_IMPL_INCLUDED
+
+#include <msgpack.h>
+#include <string.h>
+
+#define _CW_STREAM_HEAD_FIELDS 5
+#define _CW_STREAM_ENTRY_FIELDS 4
+
+size_t cw_stream_message_encode(const cw_stream_message_t* message, uint8_t* out, size_t size) {
+    msgpack_sbuffer buffer;
+    msgpack_packer packer;
+    msgpack_sbuffer_init(&buffer);
+    msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, _CW_STREAM_HEAD_FIELDS + (size_t)_CW_STREAM_ENTRY_FIELDS * message->count);
+    msgpack_pack_uint32(&packer, CW_STREAM_MESSAGE_FORMAT);
+    msgpack_pack_uint64(&packer, message->cluster);
+    msgpack_pack_uint64(&packer, message->host);
+    msgpack_pack_uint32(&packer, message->scope);
+    msgpack_pack_uint32(&packer, message->kind);
+    for (uint32_t i = 0; i < message->count; i++) {
+        const cw_stream_entry_t* entry = &message->entries[i];
+        msgpack_pack_uint64(&packer, entry->stream);
+        msgpack_pack_uint64(&packer, entry->pool);
+        msgpack_pack_uint64(&packer, entry->version);
+        msgpack_pack_uint32(&packer, entry->left_ms);
+    }
+    size_t written = buffer.size <= size ? buffer.size : 0;
+    memcpy(out, buffer.data, written);
+    msgpack_sbuffer_destroy(&buffer);
+    return written;
+}
+
+static bool _cw_stream_message_read(cw_stream_message_t* m, const msgpack_object* o) {
+    uint64_t head[_CW_STREAM_HEAD_FIELDS];
+    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < _CW_STREAM_HEAD_FIELDS) {
+        return false;
+    }
+    const msgpack_object_array* a = &o->via.array;
+    uint32_t numbers = a->size - _CW_STREAM_HEAD_FIELDS;
+    for (uint32_t i = 0; i < a->size; i++) {
+        if (a->ptr[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+            return false;
+        }
+    }
+    for (uint32_t i = 0; i < _CW_STREAM_HEAD_FIELDS; i++) {
+        head[i] = a->ptr[i].via.u64;
+    }
+    if (head[0] != CW_STREAM_MESSAGE_FORMAT || head[3] >= CW_LOAD_SCOPE_COUNT || head[4] >= CW_STREAM_KIND_COUNT ||
+        numbers % _CW_STREAM_ENTRY_FIELDS || numbers / _CW_STREAM_ENTRY_FIELDS > CW_STREAM_ENTRIES) {
+        return false;
+    }
+    *m = (cw_stream_message_t){.cluster = head[1],
+                               .host = head[2],
+                               .scope = (cw_load_scope_t)head[3],
+                               .kind = (cw_stream_message_kind_t)head[4]};
+    for (uint32_t at = _CW_STREAM_HEAD_FIELDS; at < a->size; at += _CW_STREAM_ENTRY_FIELDS) {
+        uint64_t left_ms = a->ptr[at + 3].via.u64;
+        m->entries[m->count++] = (cw_stream_entry_t){.stream = a->ptr[at].via.u64,
+                                                     .pool = a->ptr[at + 1].via.u64,
+                                                     .version = a->ptr[at + 2].via.u64,
+                                                     .left_ms = left_ms < UINT32_MAX ? (uint32_t)left_ms : UINT32_MAX};
+    }
+    return true;
+}
+
+/* Whether the bytes are an array that begins with CW_STREAM_MESSAGE_FORMAT. Most datagrams are load reports, which need
+   not be parsed to be told apart. */
+static bool _cw_stream_message_has_format(const uint8_t* data, size_t size) {
+    static const uint8_t format[] = {0xcd, CW_STREAM_MESSAGE_FORMAT >> 8U, CW_STREAM_MESSAGE_FORMAT & 0xffU};
+    size_t head = !size ? 0 : data[0] == 0xdc ? 3 : data[0] == 0xdd ? 5 : 1;
+    return size >= head + sizeof(format) && memcmp(data + head, format, sizeof(format)) == 0;
+}
+
+cw_status_t cw_stream_message_decode(cw_stream_message_t* message, const uint8_t* data, size_t size) {
+    if (!_cw_stream_message_has_format(data, size)) {
+        return CW_ERR_PROTOCOL;
+    }
+    msgpack_unpacked unpacked;
+    msgpack_unpacked_init(&unpacked);
+    size_t at = 0;
+    bool ok = msgpack_unpack_next(&unpacked, (const char*)data, size, &at) == MSGPACK_UNPACK_SUCCESS && at == size &&
+              _cw_stream_message_read(message, &unpacked.data);
+    msgpack_unpacked_destroy(&unpacked);
+    return ok ? CW_OK : CW_ERR_PROTOCOL;
+}
+
+#endif /* CHALKWAY_STREAM_MESSAGE_IMPL_INCLUDED */
+#endif /* CHALKWAY_IMPL */
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -94,6 +94,9 @@
     if (x->verdict_due_ms && x->verdict_due_ms < due_ms) {
         due_ms = x->verdict_due_ms;
     }
+    if (x->stream_due_ms && x->stream_due_ms < due_ms) {
+        due_ms = x->stream_due_ms;
+    }
     if (x->conn && x->stall_at_ms && x->stall_at_ms < due_ms) {
         due_ms = x->stall_at_ms;
     }
@@ -126,7 +129,7 @@
             x->result = CW_TRY_FAILED;
         }
         exchange_handle_event(x, CW_EV_DEADLINE);
-    } else if (x->verdict_due_ms && now_ms >= x->verdict_due_ms) {
+    } else if ((x->verdict_due_ms && now_ms >= x->verdict_due_ms) || (x->stream_due_ms && now_ms >= x->stream_due_ms)) {
         exchange_assign_server(x);
     } else if (x->is_queued && now_ms >= x->wait.until_ms) {
         exchange_refuse(x, "no place came free in time");
@@ -270,6 +273,19 @@
                                                     .size = body->size});
 }
 
+/* Sets what a resumable stream needs to be resumed at the version that began it. */
+static void init_stream(exchange_t* x) {
+    const dialect_t* dialect = x->exchanges->desc.dialect;
+    const cw_message_t* m = caller_request(x->caller);
+    if (x->route->kind != CW_ROUTE_STREAM || !x->route->is_resumable) {
+        return;
+    }
+    cw_copy(x->resumes, sizeof(x->resumes), request_resumes(dialect, m));
+    x->is_take_up = cw_message_field(m, dialect->fields.last_event) != NULL;
+    x->work.begins_stream = !x->is_take_up;
+    x->stream = streams_id(x->workspace ? cw_name_id(x->workspace->name) : 0, x->is_take_up ? x->resumes : x->id);
+}
+
 static exchange_t* exchange_new(exchanges_t* e, caller_t* caller, const admission_t* admission, const char* id) {
     exchange_t* x = calloc(1, sizeof(*x));
     if (!x) {
@@ -298,7 +314,7 @@
                           .target_ms = route->target_ms,
                           .gap_ms = route->gap_ms,
                           .repeatable = admission->repeatable};
-    cw_copy(x->resumes, sizeof(x->resumes), request_resumes(e->desc.dialect, caller_request(caller)));
+    init_stream(x);
     request_work_read(&x->work, e->desc.dialect, caller_request(caller));
     ev_timer_init(&x->timer, on_timer, 0.0, 0.0);
     x->timer.data = x;
@@ -405,6 +421,21 @@
     }
 }
 
+static exchange_t* find_unresolved(const exchanges_t* e, uint64_t stream) {
+    exchange_t* x = e->list;
+    while (x && !(x->stream == stream && x->stream_due_ms)) {
+        x = x->next;
+    }
+    return x;
+}
+
+void exchanges_on_stream_resolved(exchanges_t* e, uint64_t stream) {
+    for (exchange_t* x = find_unresolved(e, stream); x; x = find_unresolved(e, stream)) {
+        x->stream_due_ms = 0;
+        exchange_assign_server(x);
+    }
+}
+
 /* A request on a direct connection to the pool that has been silent since the path broke, and may be retried. */
 static exchange_t* find_cut(const exchanges_t* e, const pool_t* pool) {
     exchange_t* x = e->list;
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -8,6 +8,7 @@
 #include "../chalkway_catalog.h"
 #include "frontend.h"
 #include "quarantine.h"
+#include "streams.h"
 #include "upstream.h"
 
 typedef struct exchanges_t exchanges_t;
@@ -27,6 +28,7 @@
     const dialect_t* dialect;
     upstreams_t* upstreams;
     quarantine_t* quarantine; /* must outlive the exchanges */
+    streams_t* streams;       /* must outlive the exchanges */
     uint64_t seed;
     uint32_t startup_grace_ms; /* without a configuration for longer, the source counts as unavailable; default 500 */
     /* An attempt at the server began (work set) or ended (work NULL); other hosts need the new load. */
@@ -59,6 +61,8 @@
 void exchanges_on_slot_free(exchanges_t* e, pool_t* pool);
 /* The request is quarantined from now on: ends its queued and running exchanges. */
 void exchanges_on_quarantined(exchanges_t* e, const cw_fingerprint_t* request);
+/* The version of this stream has become known: resumes it for the callers that wait. */
+void exchanges_on_stream_resolved(exchanges_t* e, uint64_t stream);
 /* The host resumed from suspend, so the event loop's timers are late: handles every deadline that has passed. */
 void exchanges_on_resume(exchanges_t* e);
 /* Refuses queued requests and all that arrive from now on, because this process is about to exit. */
--- a/gateway/exchange_assign.c
+++ b/gateway/exchange_assign.c
@@ -6,6 +6,8 @@
 #include "clock.h"
 #include "exchange_internal.h"
 
+#define STREAM_REPLY_MS 60 /* for other hosts to tell the version of a stream */
+
 /* -- the queue ------------------------------------------------------------ */
 
 /* Counts one more (by = 1) or one fewer (by = -1) queued request of this urgency. */
@@ -72,14 +74,15 @@
         x->exchanges->desc.log, CW_EVENT_REQUEST_REFUSED,
         "id=%s why=\"%s\" route=%s pool=%s priority=%u urgency=%u server=%s prompt=%u kept=%u wait_ms=%.0f "
         "read_ms=%.0f read_us=%.1f target_ms=%u ready=%u candidates=%u tried=%u away=%u cold=%u resting=%u limited=%u "
-        "suspected=%u no_place=%u reserved=%.0f fullness=%.2f age_ms=%u waited_ms=%lld ahead=%u held_before=%u "
+        "suspected=%u other_version=%u unsettled=%u no_place=%u reserved=%.0f fullness=%.2f age_ms=%u waited_ms=%lld "
+        "ahead=%u held_before=%u "
         "held_after=%u "
         "holds_ms=%.0f revision=%lld",
         x->id, why, x->route->name, pool->name, x->priority, x->work.urgency, best ? best->published.id : "-",
         x->work.prompt_tokens, c->cached_tokens, c->wait_ms, c->prefill_ms,
         cw_balance_prefill_ms_per_token(pool->balance) * US_PER_MS, x->route->target_ms, pool->ready, c->candidates,
         c->excluded.tried, c->excluded.unreachable, c->excluded.cold, c->excluded.backing_off, c->excluded.rate_limited,
-        c->excluded.suspected, c->excluded.no_slot, c->reserved_slots,
+        c->excluded.suspected, c->excluded.other_version, c->excluded.unsettled, c->excluded.no_slot, c->reserved_slots,
         cw_balance_utilization(pool->balance, clock_ms()), c->age_ms, (long long)(clock_ms() - x->arrived_ms),
         count_ahead(x), cw_occupancy_running(occupancy, 0, x->work.urgency),
         cw_occupancy_running(occupancy, x->work.urgency + 1, CW_URGENCY_LEVELS - 1),
@@ -143,6 +146,33 @@
     return true;
 }
 
+/* A stream that its caller resumes needs the version that began it. While that is unknown, other hosts are asked, and
+   the request waits outside of the queue. True: it waits, or it was refused. */
+static bool is_stream_unresolved(exchange_t* x) {
+    streams_t* streams = x->exchanges->desc.streams;
+    if (!x->is_take_up || x->work.version) {
+        return false;
+    }
+    bool has_asked = x->stream_due_ms != 0;
+    x->work.version = streams_resolve(streams, x->pool, x->stream);
+    if (!x->work.version && !has_asked && streams_ask(streams, x->pool, x->stream)) {
+        x->stream_due_ms = clock_ms() + STREAM_REPLY_MS;
+    } else if (!x->work.version && clock_ms() >= x->stream_due_ms) {
+        x->work.version = streams_resolve_unanswered(streams, x->pool, x->stream);
+        if (!x->work.version) {
+            x->stream_due_ms = 0;
+            exchange_refuse(x, "the version of the stream is unknown");
+            return true;
+        }
+    }
+    if (!x->work.version) {
+        exchange_set_timer(x);
+        return true;
+    }
+    x->stream_due_ms = 0;
+    return false;
+}
+
 /* Whether all untried servers are throttled (backoff or advertised rate) and none accepts a request from this host
    before x would be refused. opens_ms: time until the first of them accepts one, 0: unknown. */
 static bool are_all_throttled(const exchange_t* x, uint32_t opens_ms) {
@@ -150,7 +180,8 @@
     uint32_t throttled = excluded->backing_off + excluded->rate_limited;
     cw_queue_wait_t wait = x->is_queued ? x->wait : slot_wait(x);
     bool is_in_time = opens_ms && clock_ms() + opens_ms < wait.until_ms;
-    return throttled && excluded->tried + throttled >= x->pool->ready && !is_in_time;
+    uint32_t usable = x->pool->ready - excluded->other_version;
+    return throttled && excluded->tried + throttled >= usable && !is_in_time;
 }
 
 /* Reserves a retry when the retry is decided, not when it is sent. Otherwise requests whose connections break together
@@ -182,6 +213,9 @@
     if (exchange_check_quarantine(x)) {
         return;
     }
+    if (is_stream_unresolved(x)) {
+        return;
+    }
     if (!reserve_retry(x)) {
         exchange_refuse(x, "no repeat is left");
         return;
@@ -207,9 +241,12 @@
         }
         return;
     }
-    bool are_all_tried = x->tried_count >= x->pool->ready || x->choice.excluded.tried >= x->pool->ready;
+    uint32_t other_version = x->choice.excluded.other_version;
+    bool are_all_tried = x->tried_count >= x->pool->ready || x->choice.excluded.tried + other_version >= x->pool->ready;
     if (e->is_refusing || !x->pool->ready || are_all_tried) {
-        exchange_refuse(x, e->is_refusing ? "this host is stopping" : "no server is left to try");
+        exchange_refuse(x, e->is_refusing  ? "this host is stopping"
+                           : other_version ? "no server of the stream's version is left"
+                                           : "no server is left to try");
         return;
     }
     uint32_t opens_ms = cw_balance_throttle_wait_ms(x->pool->balance, clock_ms());
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -229,10 +229,22 @@
     }
 }
 
+/* The first event binds a stream to the version of its server: attempts that resume it need servers of that version. */
+static void bind_version(exchange_t* x) {
+    if (x->is_version_bound || !x->stream || !x->is_event_stream || x->status / 100 != 2) {
+        return;
+    }
+    x->is_version_bound = true;
+    x->work.version = x->server_version;
+    x->work.begins_stream = false;
+    streams_on_first_event(x->exchanges->desc.streams, x->pool, x->stream, x->server_version, x->deadline_ms);
+}
+
 static void forward_body(exchange_t* x, const char* data, size_t size) {
     if (!size || !x->caller) {
         return;
     }
+    bind_version(x);
     int64_t now_ms = clock_ms();
     uint32_t gap_ms = x->last_byte_ms ? (uint32_t)(now_ms - x->last_byte_ms) : 0;
     x->gap_ms = gap_ms > x->gap_ms ? gap_ms : x->gap_ms;
@@ -353,6 +365,7 @@
     x->run = cw_balance_begin(x->pool->balance, now_ms, choice->server, &x->work);
     x->server = upstreams_server(e->desc.upstreams, x->run.id);
     cw_copy(x->server_id, sizeof(x->server_id), x->server->published.id);
+    x->server_version = cw_server_version_id(&x->server->published);
     const server_t* cache_holder =
         choice->fetch_source ? upstreams_server(e->desc.upstreams, choice->fetch_source) : NULL;
     cw_copy(x->fetch_from, sizeof(x->fetch_from), cache_holder ? cache_holder->published.address : "");
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -50,6 +50,7 @@
     cw_log_t log;
     upstreams_t* upstreams;
     quarantine_t* quarantine;
+    streams_t* streams;
     exchanges_t* exchanges;
     frontend_t* front;
     sync_t* sync;
@@ -153,6 +154,31 @@
     exchanges_on_quarantined(((gateway_t*)user)->exchanges, request);
 }
 
+static int64_t list_age_ms(void* user) {
+    const gateway_t* g = user;
+    return g->sync ? sync_stats(g->sync).servers_age_ms : -1;
+}
+
+static void tell_stream(void* user, const cw_stream_record_t* record) {
+    mesh_tell_stream(((gateway_t*)user)->mesh, record);
+}
+
+static uint32_t ask_stream(void* user, uint64_t stream, uint64_t pool) {
+    return mesh_ask_stream(((gateway_t*)user)->mesh, stream, pool);
+}
+
+static void on_stream_resolved(void* user, uint64_t stream) {
+    exchanges_on_stream_resolved(((gateway_t*)user)->exchanges, stream);
+}
+
+static void on_stream_told(void* user, const cw_stream_record_t* record) {
+    streams_on_told(((gateway_t*)user)->streams, record);
+}
+
+static bool on_stream_asked(void* user, uint64_t stream, uint64_t pool, cw_stream_record_t* record) {
+    return streams_on_asked(((gateway_t*)user)->streams, stream, pool, record);
+}
+
 static void on_done(void* user, const char* route, const char* workspace, exchange_outcome_t outcome, uint32_t first_ms,
                     uint32_t took_ms) {
     endpoints_count_request(((gateway_t*)user)->endpoints, route, workspace, (uint32_t)outcome, first_ms, took_ms);
@@ -185,6 +211,7 @@
     if (list) {
         on_servers(g, list, false); /* pools were added or removed */
     }
+    streams_set_longest_ms(g->streams, cw_catalog_longest_stream_ms(catalog));
     exchanges_set_catalog(g->exchanges, catalog);
     announce_revision(g);
 }
@@ -276,6 +303,20 @@
                         (unsigned long long)upstreams_servers_rejected(g->upstreams));
     cw_message_add_text(out, "chalkway_load_of_unknown_total %llu\nchalkway_entries_refused_total %llu\n",
                         (unsigned long long)m.reporter.unknown, (unsigned long long)s.entries_refused);
+    streams_stats_t st = streams_stats(g->streams);
+    cw_message_add_text(out, "chalkway_streams_known %u\nchalkway_streams_forgotten_early_total %llu\n", st.known,
+                        (unsigned long long)st.evicted);
+    cw_message_add_text(out,
+                        "chalkway_streams_told_total %llu\nchalkway_streams_heard_total %llu\n"
+                        "chalkway_streams_asked_total %llu\n",
+                        (unsigned long long)st.told, (unsigned long long)st.heard, (unsigned long long)st.asked);
+    static const char* const sources[] = {"recorded", "only-version", "last-resort"};
+    for (uint32_t i = 0; i < sizeof(sources) / sizeof(sources[0]); i++) {
+        cw_message_add_text(out, "chalkway_streams_taken_up_total{version=\"%s\"} %llu\n", sources[i],
+                            (unsigned long long)st.resolved[i]);
+    }
+    cw_message_add_text(out, "chalkway_streams_taken_up_total{version=\"unknown\"} %llu\n",
+                        (unsigned long long)st.unresolved);
     quarantine_stats_t q = quarantine_stats(g->quarantine);
     cw_message_add_text(out, "chalkway_suspect_requests %u\nchalkway_held_requests %u\n", q.requests.entries,
                         q.requests.quarantined);
@@ -435,6 +476,7 @@
     upstreams_tick(g->upstreams, now_ms);
     tunnels_tick(g->tunnels);
     quarantine_tick(g->quarantine);
+    streams_tick(g->streams, now_ms);
     inventory_tick(g->inventory, now_ms);
     for (pool_t* pool = upstreams_pools(g->upstreams); pool && exchanges_stats(g->exchanges).waiting;
          pool = pool->next) {
@@ -489,11 +531,19 @@
                                                           .on_observation = on_local_observation,
                                                           .on_quarantined = on_quarantined,
                                                           .user_data = g});
+    g->streams = streams_setup(&(streams_desc_t){.log = &g->log,
+                                                 .upstreams = g->upstreams,
+                                                 .list_age_ms = list_age_ms,
+                                                 .tell = tell_stream,
+                                                 .ask = ask_stream,
+                                                 .on_resolved = on_stream_resolved,
+                                                 .user_data = g});
     g->exchanges = exchanges_setup(&(exchanges_desc_t){.loop = g->loop,
                                                        .log = &g->log,
                                                        .dialect = g->dialect,
                                                        .upstreams = g->upstreams,
                                                        .quarantine = g->quarantine,
+                                                       .streams = g->streams,
                                                        .seed = cw_mix(host, (uint64_t)clock_ms()),
                                                        .on_load_changed = on_load_changed,
                                                        .on_liveness_changed = on_liveness_changed,
@@ -508,6 +558,8 @@
                                         .on_members = on_members,
                                         .on_observation = on_observation,
                                         .observations = observations,
+                                        .on_stream_told = on_stream_told,
+                                        .on_stream_asked = on_stream_asked,
                                         .user_data = g},
                          err);
     g->tunnels = !g->mesh ? NULL
@@ -604,6 +656,7 @@
 static void shutdown_modules(gateway_t* g) {
     exchanges_shutdown(g->exchanges);
     quarantine_shutdown(g->quarantine);
+    streams_shutdown(g->streams);
     frontend_shutdown(g->front);
     endpoints_shutdown(g->endpoints);
     inventory_shutdown(g->inventory);
--- a/gateway/reporter.c
+++ b/gateway/reporter.c
@@ -139,6 +139,7 @@
         forward_queue(n);
     }
     reporter_send_observations(n);
+    reporter_send_streams(n);
 }
 
 static void on_flush_timer(struct ev_loop* loop, ev_timer* w, int events) {
@@ -357,6 +358,10 @@
     socklen_t from_size = sizeof(from);
     ssize_t size = 0;
     while ((size = recvfrom(n->fd, bytes, sizeof(bytes), MSG_DONTWAIT, (struct sockaddr*)&from, &from_size)) > 0) {
+        if (reporter_receive_streams(n, bytes, (size_t)size, &from)) {
+            n->stats.in++;
+            continue;
+        }
         if (cw_load_decode(&message, bytes, (size_t)size, NULL) != CW_OK || message.cluster != n->cluster) {
             n->stats.refused++;
             continue;
@@ -394,6 +399,7 @@
     }
     reporter_repeat_observations(n, now_ms);
     reporter_send_observations(n);
+    reporter_send_streams(n);
     bool has_due_reports = n->dirty_count && now_ms - n->flushed_ms >= END_FLUSH_DELAY_MS;
     if (has_due_reports || is_heartbeat_due(n, now_ms)) {
         flush(n);
--- a/gateway/reporter_internal.h
+++ b/gateway/reporter_internal.h
@@ -2,8 +2,8 @@
 #define CW_GATEWAY_REPORTER_INTERNAL_H
 /*
     Shared by the source files of reporter.h: reporter_peers.c chooses the receivers and sends datagrams,
-   reporter_observations.c sends and receives the observations about suspect requests, reporter.c sends and receives
-   load.
+   reporter_observations.c sends and receives the observations about suspect requests, reporter_streams.c the versions
+   of streams, reporter.c sends and receives load.
 */
 #include <netinet/in.h>
 
@@ -13,6 +13,7 @@
 #define DIRTY_MAX 256
 #define QUEUE_MAX 512
 #define OBSERVATION_QUEUE_MAX (4 * CW_LOAD_OBSERVATIONS) /* further observations are sent with the next repetition */
+#define STREAM_QUEUE_MAX 2048                            /* further records are not told; hosts that need them ask */
 #define FLUSH_DELAY_MS 1 /* delay before the start of requests is reported, so that several share a datagram */
 
 /* A server whose load at this host changed and is not reported yet. */
@@ -36,6 +37,13 @@
     int64_t stamped_ms;  /* time at which observation.age_ms was valid */
 } pending_observation_t;
 
+/* The version of a stream that waits to be told. */
+typedef struct pending_stream_t {
+    cw_stream_record_t record;
+    bool to_other_halls; /* as well as to the own hall */
+    int64_t due_ms;      /* 0: at once */
+} pending_stream_t;
+
 /* Another host that is alive. */
 typedef struct peer_t {
     const cw_member_info_t* info; /* valid only while reporter_refresh_peers runs */
@@ -76,6 +84,8 @@
     uint32_t queue_count;
     pending_observation_t pending[OBSERVATION_QUEUE_MAX];
     uint32_t pending_count;
+    pending_stream_t streams[STREAM_QUEUE_MAX];
+    uint32_t stream_count;
     uint32_t next_observation;        /* index at which the next repetition continues */
     int64_t observations_repeated_ms; /* time of the last repetition */
     int64_t flushed_ms, repeated_ms;
@@ -102,12 +112,21 @@
 /* Encodes the message. It carries the source state of this daemon, also where its entries are other hosts'. */
 datagram_t reporter_encode(reporter_t* n, cw_load_message_t* message, cw_load_scope_t scope);
 void reporter_send(reporter_t* n, const peer_t* peer, const datagram_t* d);
+/* The relay of the hall that receives this host's datagram. */
+const peer_t* reporter_choose_relay(reporter_t* n, const hall_range_t* hall);
 void reporter_send_to_hall(reporter_t* n, cw_load_message_t* message);
 /* Sends to one host of each other hall, which forwards to the rest of its hall: traffic between halls stays low. */
 void reporter_send_to_other_halls(reporter_t* n, cw_load_message_t* message);
 /* Sends to a relay of the own hall, which forwards to all hosts. */
 void reporter_send_to_relay(reporter_t* n, cw_load_message_t* message);
 
+/* -- reporter_streams.c --------------------------------------------------------------- */
+
+/* Sends the records that are due. */
+void reporter_send_streams(reporter_t* n);
+/* Handles a datagram about streams. False: it is none. */
+bool reporter_receive_streams(reporter_t* n, const uint8_t* bytes, size_t size, const struct sockaddr_in* from);
+
 /* -- reporter_observations.c --------------------------------------------------------- */
 
 /* Sends the observations that are due. */
--- a/gateway/reporter_peers.c
+++ b/gateway/reporter_peers.c
@@ -106,8 +106,7 @@
     set_own_role(n, self);
 }
 
-/* The relay of the hall that receives this host's datagram. */
-static const peer_t* choose_relay(reporter_t* n, const hall_range_t* hall) {
+const peer_t* reporter_choose_relay(reporter_t* n, const hall_range_t* hall) {
     uint64_t random = cw_mix(n->desc.host, ++n->random_count);
     uint32_t i = cw_relay_choose(&n->ids[hall->first], hall->relays, &n->plan, n->desc.host, random);
     return &n->peers[hall->first + i];
@@ -144,13 +143,13 @@
     datagram_t last = reporter_encode(n, message, CW_LOAD_NO_RELAY);
     for (uint32_t i = 0; i < n->other_hall_count; i++) {
         const hall_range_t* hall = &n->other_halls[i];
-        reporter_send(n, choose_relay(n, hall), hall->count == 1 ? &last : &to_forward);
+        reporter_send(n, reporter_choose_relay(n, hall), hall->count == 1 ? &last : &to_forward);
     }
 }
 
 void reporter_send_to_relay(reporter_t* n, cw_load_message_t* message) {
     if (n->own_hall.count) {
         datagram_t d = reporter_encode(n, message, CW_LOAD_RELAY_TO_ALL);
-        reporter_send(n, choose_relay(n, &n->own_hall), &d);
+        reporter_send(n, reporter_choose_relay(n, &n->own_hall), &d);
     }
 }
--- /dev/null
+++ b/gateway/reporter_streams.c
@@ -0,0 +1,177 @@
+/* Software versions of streams: told to all hosts at once and a second time a moment later, and asked for. */
+#include <string.h>
+
+#include "clock.h"
+#include "reporter_internal.h"
+
+/* Delay until a record is told again: one datagram in ten may be lost. */
+#define RESEND_DELAY_MS 150
+#define ASK_OWN_HALL 3    /* hosts of the own hall that are asked for a stream */
+#define ASK_OTHER_HALLS 3 /* hosts of other halls, one of each */
+
+static datagram_t encode(const reporter_t* n, cw_stream_message_t* message) {
+    datagram_t d;
+    message->cluster = n->cluster;
+    message->host = n->desc.host;
+    d.size = cw_stream_message_encode(message, d.bytes, sizeof(d.bytes));
+    return d;
+}
+
+/* -- telling -------------------------------------------------------------- */
+
+static void queue_stream(reporter_t* n, const cw_stream_record_t* record, bool to_other_halls, int64_t due_ms) {
+    if (n->stream_count < STREAM_QUEUE_MAX) {
+        n->streams[n->stream_count++] =
+            (pending_stream_t){.record = *record, .to_other_halls = to_other_halls, .due_ms = due_ms};
+    }
+}
+
+static void send_to_hall(reporter_t* n, cw_stream_message_t* message) {
+    message->scope = CW_LOAD_NO_RELAY;
+    datagram_t d = encode(n, message);
+    for (uint32_t i = 0; i < n->own_hall.count; i++) {
+        reporter_send(n, &n->peers[n->own_hall.first + i], &d);
+    }
+}
+
+static void send_to_other_halls(reporter_t* n, cw_stream_message_t* message) {
+    message->scope = CW_LOAD_RELAY_TO_HALL;
+    datagram_t d = encode(n, message);
+    for (uint32_t i = 0; i < n->other_hall_count; i++) {
+        reporter_send(n, reporter_choose_relay(n, &n->other_halls[i]), &d);
+    }
+}
+
+static void send_to_relay(reporter_t* n, cw_stream_message_t* message) {
+    message->scope = CW_LOAD_RELAY_TO_ALL;
+    datagram_t d = encode(n, message);
+    if (n->own_hall.count) {
+        reporter_send(n, reporter_choose_relay(n, &n->own_hall), &d);
+    }
+}
+
+/* Sends the records that are due. to_other_halls: only those for other halls, otherwise all. */
+static void send_due(reporter_t* n, int64_t now_ms, bool to_other_halls,
+                     void (*send)(reporter_t*, cw_stream_message_t*)) {
+    cw_stream_message_t message = {.kind = CW_STREAM_TELL};
+    for (uint32_t i = 0; i < n->stream_count; i++) {
+        const pending_stream_t* item = &n->streams[i];
+        int64_t left_ms = item->record.expires_ms - now_ms;
+        if (item->due_ms > now_ms || left_ms <= 0 || (to_other_halls && !item->to_other_halls)) {
+            continue;
+        }
+        message.entries[message.count++] = (cw_stream_entry_t){.stream = item->record.stream,
+                                                               .pool = item->record.pool,
+                                                               .version = item->record.version,
+                                                               .left_ms = (uint32_t)left_ms};
+        if (message.count == CW_STREAM_ENTRIES) {
+            send(n, &message);
+            message.count = 0;
+        }
+    }
+    if (message.count) {
+        send(n, &message);
+    }
+}
+
+static void drop_sent(reporter_t* n, int64_t now_ms) {
+    uint32_t remaining = 0;
+    for (uint32_t i = 0; i < n->stream_count; i++) {
+        if (n->streams[i].due_ms > now_ms) {
+            n->streams[remaining++] = n->streams[i];
+        }
+    }
+    n->stream_count = remaining;
+}
+
+void reporter_send_streams(reporter_t* n) {
+    if (!n->stream_count) {
+        return;
+    }
+    int64_t now_ms = clock_ms();
+    reporter_refresh_peers(n);
+    if (n->is_relay) {
+        send_due(n, now_ms, false, send_to_hall);
+        send_due(n, now_ms, true, send_to_other_halls);
+    } else {
+        send_due(n, now_ms, true, send_to_relay);
+    }
+    drop_sent(n, now_ms);
+}
+
+void reporter_tell_stream(reporter_t* n, const cw_stream_record_t* record) {
+    queue_stream(n, record, true, 0);
+    queue_stream(n, record, true, clock_ms() + RESEND_DELAY_MS);
+    reporter_flush_after(n, FLUSH_DELAY_MS);
+}
+
+/* -- asking --------------------------------------------------------------- */
+
+uint32_t reporter_ask_stream(reporter_t* n, uint64_t stream, uint64_t pool) {
+    cw_stream_message_t message = {.kind = CW_STREAM_ASK, .count = 1, .entries = {{.stream = stream, .pool = pool}}};
+    uint32_t asked = 0;
+    reporter_refresh_peers(n);
+    datagram_t d = encode(n, &message);
+    for (uint32_t i = 0; i < n->own_hall.count && i < ASK_OWN_HALL; i++) {
+        uint64_t first = cw_mix(n->desc.host, ++n->random_count) % n->own_hall.count;
+        reporter_send(n, &n->peers[n->own_hall.first + (first + i) % n->own_hall.count], &d);
+        asked++;
+    }
+    for (uint32_t i = 0; i < n->other_hall_count && i < ASK_OTHER_HALLS; i++) {
+        const hall_range_t* hall = &n->other_halls[(stream + i) % n->other_hall_count];
+        reporter_send(n, &n->peers[hall->first + cw_mix(n->desc.host, ++n->random_count) % hall->count], &d);
+        asked++;
+    }
+    return asked;
+}
+
+static void reply(reporter_t* n, const cw_stream_message_t* asked, const struct sockaddr_in* to) {
+    cw_stream_message_t message = {.kind = CW_STREAM_TELL};
+    peer_t peer = {.load = *to};
+    int64_t now_ms = clock_ms();
+    for (uint32_t i = 0; i < asked->count; i++) {
+        cw_stream_record_t record;
+        if (n->desc.on_stream_asked(n->desc.user_data, asked->entries[i].stream, asked->entries[i].pool, &record)) {
+            message.entries[message.count++] = (cw_stream_entry_t){.stream = record.stream,
+                                                                   .pool = record.pool,
+                                                                   .version = record.version,
+                                                                   .left_ms = (uint32_t)(record.expires_ms - now_ms)};
+        }
+    }
+    if (message.count) {
+        datagram_t d = encode(n, &message);
+        reporter_send(n, &peer, &d);
+    }
+}
+
+/* -- receiving ------------------------------------------------------------ */
+
+static void receive_tell(reporter_t* n, const cw_stream_message_t* message) {
+    int64_t now_ms = clock_ms();
+    for (uint32_t i = 0; i < message->count; i++) {
+        const cw_stream_entry_t* entry = &message->entries[i];
+        cw_stream_record_t record = {.stream = entry->stream,
+                                     .pool = entry->pool,
+                                     .version = entry->version,
+                                     .expires_ms = now_ms + entry->left_ms};
+        n->desc.on_stream_told(n->desc.user_data, &record);
+        if (message->scope != CW_LOAD_NO_RELAY) {
+            queue_stream(n, &record, message->scope == CW_LOAD_RELAY_TO_ALL, 0);
+        }
+    }
+    reporter_send_streams(n);
+}
+
+bool reporter_receive_streams(reporter_t* n, const uint8_t* bytes, size_t size, const struct sockaddr_in* from) {
+    cw_stream_message_t message;
+    if (!n->desc.on_stream_told || cw_stream_message_decode(&message, bytes, size) != CW_OK ||
+        message.cluster != n->cluster) {
+        return false;
+    }
+    if (message.kind == CW_STREAM_ASK) {
+        reply(n, &message, from);
+    } else {
+        receive_tell(n, &message);
+    }
+    return true;
+}
--- /dev/null
+++ b/gateway/streams.c
@@ -0,0 +1,215 @@
+#include "streams.h"
+
+#include <stdlib.h>
+
+#include "clock.h"
+
+#define CAPACITY_DEFAULT 16384
+#define LONGEST_DEFAULT_MS 30000
+/* A version is remembered for this multiple of the longest stream: hosts learn at different times that it has gone. */
+#define MEMORY_FACTOR 2
+/* Streams are told before the list of servers is too old to conclude anything from it. */
+#define TELL_LIST_AGE_MS (CW_POOL_VERSIONS_FRESH_MS / 2)
+#define DENIALS_MAX 64 /* streams that other hosts did not know, remembered while their callers wait */
+#define TELL_BATCH 64  /* own streams read at once when they are told */
+#define POOLS_TELLING_MAX 64
+
+typedef struct denial_t {
+    uint64_t stream;
+    int64_t at_ms;
+} denial_t;
+
+struct streams_t {
+    streams_desc_t desc;
+    cw_stream_registry_t* registry;
+    uint32_t memory_ms;
+    int64_t setup_ms;
+    denial_t denials[DENIALS_MAX]; /* ring */
+    uint32_t next_denial;
+    uint64_t telling[POOLS_TELLING_MAX]; /* ids of the pools whose streams are told */
+    uint32_t telling_count;
+    streams_stats_t stats;
+};
+
+streams_t* streams_setup(const streams_desc_t* desc) {
+    streams_t* s = calloc(1, sizeof(*s));
+    if (!s) {
+        abort();
+    }
+    s->desc = *desc;
+    s->registry = cw_stream_registry_setup(desc->capacity ? desc->capacity : CAPACITY_DEFAULT, NULL);
+    s->memory_ms = MEMORY_FACTOR * LONGEST_DEFAULT_MS;
+    s->setup_ms = clock_ms();
+    return s;
+}
+
+void streams_shutdown(streams_t* s) {
+    cw_stream_registry_shutdown(s->registry);
+    free(s);
+}
+
+void streams_set_longest_ms(streams_t* s, uint32_t ms) {
+    s->memory_ms = MEMORY_FACTOR * (ms ? ms : LONGEST_DEFAULT_MS);
+}
+
+uint64_t streams_id(uint64_t workspace, const char* request_id) {
+    return request_id[0] ? cw_mix(workspace, cw_name_id(request_id)) : 0;
+}
+
+/* -- which versions serve ------------------------------------------------- */
+
+static bool is_list_fresh(const streams_t* s, int64_t limit_ms) {
+    int64_t age_ms = s->desc.list_age_ms(s->desc.user_data);
+    return age_ms >= 0 && age_ms <= limit_ms;
+}
+
+/* The only version at which a stream that is still alive can have begun; 0: several, or this host can't know. */
+static uint64_t only_version(const streams_t* s, const pool_t* pool, int64_t now_ms) {
+    bool has_memory = now_ms - s->setup_ms >= s->memory_ms;
+    bool is_certain = has_memory && is_list_fresh(s, CW_POOL_VERSIONS_FRESH_MS);
+    return is_certain ? cw_pool_versions_only(&pool->versions, now_ms, s->memory_ms) : 0;
+}
+
+/* Whether other hosts may come to need the version of this pool's streams. */
+static bool must_tell(const streams_t* s, const pool_t* pool, int64_t now_ms) {
+    return cw_pool_versions_recent(&pool->versions, now_ms, s->memory_ms) > 1 || !is_list_fresh(s, TELL_LIST_AGE_MS);
+}
+
+/* -- streams of this host ------------------------------------------------- */
+
+static void tell(streams_t* s, const cw_stream_record_t* record) {
+    if (s->desc.tell) {
+        s->stats.told++;
+        s->desc.tell(s->desc.user_data, record);
+    }
+}
+
+void streams_on_first_event(streams_t* s, const pool_t* pool, uint64_t stream, uint64_t version, int64_t expires_ms) {
+    int64_t now_ms = clock_ms();
+    cw_stream_record_t record = {
+        .stream = stream, .pool = cw_name_id(pool->name), .version = version, .expires_ms = expires_ms, .is_own = true};
+    if (cw_stream_registry_put(s->registry, now_ms, &record) && must_tell(s, pool, now_ms)) {
+        tell(s, &record);
+    }
+}
+
+static void tell_all(streams_t* s, uint64_t pool, int64_t now_ms) {
+    cw_stream_record_t records[TELL_BATCH];
+    uint32_t at = 0;
+    do {
+        uint32_t count = cw_stream_registry_list_own(s->registry, now_ms, pool, &at, records, TELL_BATCH);
+        for (uint32_t i = 0; i < count; i++) {
+            tell(s, &records[i]);
+        }
+    } while (at);
+}
+
+static bool was_telling(const uint64_t* pools, uint32_t count, uint64_t pool) {
+    for (uint32_t i = 0; i < count; i++) {
+        if (pools[i] == pool) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Streams that began before this host had to tell of them are told when that state begins. */
+void streams_tick(streams_t* s, int64_t now_ms) {
+    uint64_t telling[POOLS_TELLING_MAX];
+    uint32_t count = 0;
+    for (const pool_t* pool = upstreams_pools(s->desc.upstreams); pool && count < POOLS_TELLING_MAX;
+         pool = pool->next) {
+        if (must_tell(s, pool, now_ms)) {
+            uint64_t id = cw_name_id(pool->name);
+            telling[count++] = id;
+            if (!was_telling(s->telling, s->telling_count, id)) {
+                tell_all(s, id, now_ms);
+            }
+        }
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        s->telling[i] = telling[i];
+    }
+    s->telling_count = count;
+}
+
+/* -- streams that are taken up -------------------------------------------- */
+
+uint64_t streams_resolve(streams_t* s, const pool_t* pool, uint64_t stream) {
+    int64_t now_ms = clock_ms();
+    const cw_stream_record_t* record = cw_stream_registry_find(s->registry, now_ms, stream);
+    uint64_t version = record ? record->version : only_version(s, pool, now_ms);
+    s->stats.resolved[record ? STREAM_RECORDED : STREAM_ONLY_VERSION] += version != 0;
+    return version;
+}
+
+uint32_t streams_ask(streams_t* s, const pool_t* pool, uint64_t stream) {
+    if (!stream || !s->desc.ask) {
+        return 0;
+    }
+    s->stats.asked++;
+    return s->desc.ask(s->desc.user_data, stream, cw_name_id(pool->name));
+}
+
+/* Whether another host has said lately that it doesn't know the stream while several versions have served. */
+static bool was_denied(const streams_t* s, uint64_t stream, int64_t now_ms) {
+    for (uint32_t i = 0; i < DENIALS_MAX; i++) {
+        if (s->denials[i].stream == stream && now_ms - s->denials[i].at_ms < s->memory_ms) {
+            return true;
+        }
+    }
+    return false;
+}
+
+uint64_t streams_resolve_unanswered(streams_t* s, const pool_t* pool, uint64_t stream) {
+    int64_t now_ms = clock_ms();
+    const cw_stream_record_t* record = cw_stream_registry_find(s->registry, now_ms, stream);
+    bool has_memory = now_ms - s->setup_ms >= s->memory_ms;
+    bool have_all_started =
+        !has_memory && !was_denied(s, stream, now_ms) && is_list_fresh(s, CW_POOL_VERSIONS_FRESH_MS);
+    uint64_t only = have_all_started ? cw_pool_versions_only(&pool->versions, now_ms, s->memory_ms) : 0;
+    uint64_t version = record ? record->version : only;
+    s->stats.resolved[record ? STREAM_RECORDED : STREAM_LAST_RESORT] += version != 0;
+    s->stats.unresolved += version == 0;
+    return version;
+}
+
+/* -- other hosts ---------------------------------------------------------- */
+
+void streams_on_told(streams_t* s, const cw_stream_record_t* record) {
+    int64_t now_ms = clock_ms();
+    s->stats.heard++;
+    if (!record->version) {
+        s->denials[s->next_denial++ % DENIALS_MAX] = (denial_t){.stream = record->stream, .at_ms = now_ms};
+    } else if (cw_stream_registry_put(s->registry, now_ms, record)) {
+        s->desc.on_resolved(s->desc.user_data, record->stream);
+    }
+}
+
+static const pool_t* find_pool(const streams_t* s, uint64_t id) {
+    const pool_t* pool = upstreams_pools(s->desc.upstreams);
+    while (pool && cw_name_id(pool->name) != id) {
+        pool = pool->next;
+    }
+    return pool;
+}
+
+bool streams_on_asked(streams_t* s, uint64_t stream, uint64_t pool_id, cw_stream_record_t* record) {
+    int64_t now_ms = clock_ms();
+    const cw_stream_record_t* known = cw_stream_registry_find(s->registry, now_ms, stream);
+    const pool_t* pool = find_pool(s, pool_id);
+    if (known) {
+        *record = *known;
+        return true;
+    }
+    *record = (cw_stream_record_t){.stream = stream, .pool = pool_id, .expires_ms = now_ms + s->memory_ms};
+    record->version = pool ? only_version(s, pool, now_ms) : 0;
+    return pool && (record->version || cw_pool_versions_recent(&pool->versions, now_ms, s->memory_ms) > 1);
+}
+
+streams_stats_t streams_stats(const streams_t* s) {
+    streams_stats_t stats = s->stats;
+    stats.known = cw_stream_registry_count(s->registry);
+    stats.evicted = cw_stream_registry_evicted(s->registry);
+    return stats;
+}
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -118,8 +118,40 @@
     return count;
 }
 
+static void update_versions(pool_t* pool, int64_t now_ms) {
+    uint32_t count = 0;
+    for (const server_t* s = pool->servers; s; s = s->next) {
+        count += s->is_listed;
+    }
+    uint64_t* versions = calloc(count + 1, sizeof(*versions));
+    if (!versions) {
+        abort();
+    }
+    count = 0;
+    for (const server_t* s = pool->servers; s; s = s->next) {
+        if (s->is_listed) {
+            versions[count++] = cw_server_version_id(&s->published);
+        }
+    }
+    cw_pool_versions_update(&pool->versions, now_ms, versions, count);
+    free(versions);
+}
+
+/* Streams begin at any version where no server of a settled one can be used. */
+static void allow_unsettled_if_needed(cw_server_spec_t* specs, uint32_t count, int64_t now_ms) {
+    for (uint32_t i = 0; i < count; i++) {
+        if (specs[i].settled_ms <= now_ms) {
+            return;
+        }
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        specs[i].settled_ms = 0;
+    }
+}
+
 /* Sets the servers that the balancer may choose: of a large pool a subset, which is the same at all hosts. */
 static void pool_update_servers(pool_t* pool, int64_t now_ms) {
+    update_versions(pool, now_ms);
     pool->listed = pool_count_listed(pool);
     cw_subset_resize(&pool->subset, now_ms, pool->listed);
     cw_server_spec_t* specs = calloc(pool->listed + 1, sizeof(*specs));
@@ -129,7 +161,10 @@
     uint32_t count = 0;
     for (server_t* s = pool->servers; s; s = s->next) {
         if (!s->is_removed && !s->is_hall_closed && cw_subset_has(&pool->subset, s->key)) {
+            uint64_t version = cw_server_version_id(&s->published);
             specs[count++] = (cw_server_spec_t){.id = s->key,
+                                                .version = version,
+                                                .settled_ms = cw_pool_versions_settled_ms(&pool->versions, version),
                                                 .hall = cw_name_id(s->published.hall),
                                                 .slots = pool->slots ? pool->slots : s->published.slots,
                                                 .memory_tokens = pool->memory_tokens,
@@ -138,6 +173,7 @@
                                                 .cold_per_s = pool->cold_per_s};
         }
     }
+    allow_unsettled_if_needed(specs, count, now_ms);
     pool->ready = count;
     cw_balance_set_servers(pool->balance, now_ms, specs, count);
     free(specs);
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -18,6 +18,7 @@
 #include "../chalkway_limit.h"
 #include "../chalkway_log.h"
 #include "../chalkway_member.h"
+#include "../chalkway_pool_versions.h"
 #include "../chalkway_pushback.h"
 #include "../chalkway_reach.h"
 #include "../chalkway_servers.h"
@@ -75,12 +76,13 @@
     bool is_logged_shared;     /* the shared forecast was in use when that was last logged */
     cw_retry_window_t retries;
     server_t* servers;
-    int64_t opened_ms;          /* when this host last opened a connection to any of the servers; 0: never */
-    int64_t received_ms;        /* when this host last received data from any of the servers; 0: never */
-    cw_subset_t subset;         /* the listed servers that are used */
-    uint32_t busy_conns;        /* connections that wait for a response or receive one */
-    int64_t busy_since_ms;      /* since when there has been any */
-    int64_t silence_checked_ms; /* time of the last path check because no server sent anything */
+    int64_t opened_ms;           /* when this host last opened a connection to any of the servers; 0: never */
+    int64_t received_ms;         /* when this host last received data from any of the servers; 0: never */
+    cw_pool_versions_t versions; /* of the servers' software */
+    cw_subset_t subset;          /* the listed servers that are used */
+    uint32_t busy_conns;         /* connections that wait for a response or receive one */
+    int64_t busy_since_ms;       /* since when there has been any */
+    int64_t silence_checked_ms;  /* time of the last path check because no server sent anything */
     cw_reach_t reach;
     bool is_path_silent;                 /* the path that broke last refused no connection: open ones are dead, too */
     bool has_expired_servers;            /* a server has expired, so the list of usable servers must be updated */
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -28,7 +28,9 @@
     cw_httpd_t* source;
     cw_httpd_t* servers[SERVERS_MAX];
     uint32_t server_count;
-    bool closes_connections; /* servers close the connection after each response */
+    const char* catalog;               /* NULL: one route for calls */
+    const char* versions[SERVERS_MAX]; /* of the servers' software; NULL: not named */
+    bool closes_connections;           /* servers close the connection after each response */
     bool is_source_available;
     uint32_t served_count; /* requests that reached the server */
     cw_exchange_t* held_exchange;
@@ -47,8 +49,12 @@
     int length = snprintf(out, size, "{\"at\":1,\"servers\":[");
     for (uint32_t i = 0; i < f->server_count; i++) {
         length += snprintf(out + length, size - (size_t)length,
-                           "%s{\"id\":\"s%u\",\"address\":\"%s\",\"pool\":\"p\",\"hall\":\"a\",\"slots\":4}",
+                           "%s{\"id\":\"s%u\",\"address\":\"%s\",\"pool\":\"p\",\"hall\":\"a\",\"slots\":4",
                            i ? "," : "", i, cw_httpd_address(f->servers[i]));
+        if (f->versions[i]) {
+            length += snprintf(out + length, size - (size_t)length, ",\"version\":\"%s\"", f->versions[i]);
+        }
+        length += snprintf(out + length, size - (size_t)length, "}");
     }
     snprintf(out + length, size - (size_t)length, "]}");
 }
@@ -60,7 +66,9 @@
         cw_exchange_reply(x, 503, NULL, 0, "", 0);
         return;
     }
-    if (strcmp(cw_exchange_path(x), "/catalog") == 0) {
+    if (strcmp(cw_exchange_path(x), "/catalog") == 0 && f->catalog) {
+        snprintf(body, sizeof(body), "%s", f->catalog);
+    } else if (strcmp(cw_exchange_path(x), "/catalog") == 0) {
         snprintf(body, sizeof(body),
                  "{\"revision\":4,\"pools\":[{\"name\":\"p\"}],\"routes\":[{\"name\":\"r\",\"host\":\"h.example\","
                  "\"prefix\":\"/\",\"kind\":\"once\",\"timeout_ms\":8000,\"target_ms\":500,\"open\":true,"
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -47,9 +47,11 @@
     upstreams_t* upstreams;
     quarantine_t* quarantine;
     uint32_t observations_published;
+    streams_t* streams;
     exchanges_t* exchanges;
     frontend_t* front;
     cw_catalog_t* catalog;
+    int64_t list_age_ms;               /* as known to the host */
     const char* versions[RIG_SERVERS]; /* of the servers' software; NULL: unknown */
     uint32_t leaving_count;            /* the next servers chosen announce leaving before they are connected */
     uint32_t liveness_reports;         /* calls of on_liveness_changed */
@@ -219,6 +221,14 @@
     quarantine_on_server_alive(((rig_t*)user)->quarantine, server);
 }
 
+static inline int64_t rig_list_age_ms(void* user) {
+    return ((rig_t*)user)->list_age_ms;
+}
+
+static inline void rig_on_stream_resolved(void* user, uint64_t stream) {
+    exchanges_on_stream_resolved(((rig_t*)user)->exchanges, stream);
+}
+
 static inline void rig_on_reach_changed(void* user, pool_t* pool) {
     if (pool->reach.is_cut) {
         exchanges_on_pool_cut(((rig_t*)user)->exchanges, pool);
@@ -322,11 +332,17 @@
                                                           .on_observation = rig_on_observation,
                                                           .on_quarantined = rig_on_quarantined,
                                                           .user_data = r});
+    r->streams = streams_setup(&(streams_desc_t){.log = &r->log,
+                                                 .upstreams = r->upstreams,
+                                                 .list_age_ms = rig_list_age_ms,
+                                                 .on_resolved = rig_on_stream_resolved,
+                                                 .user_data = r});
     r->exchanges = exchanges_setup(&(exchanges_desc_t){.loop = r->loop,
                                                        .log = &r->log,
                                                        .dialect = &dialect_native,
                                                        .upstreams = r->upstreams,
                                                        .quarantine = r->quarantine,
+                                                       .streams = r->streams,
                                                        .seed = 7,
                                                        .startup_grace_ms = document ? 0 : 1,
                                                        .on_load_changed = rig_on_load_changed,
@@ -450,6 +466,7 @@
 static inline void rig_shutdown(rig_t* r) {
     exchanges_shutdown(r->exchanges);
     quarantine_shutdown(r->quarantine);
+    streams_shutdown(r->streams);
     frontend_shutdown(r->front);
     upstreams_shutdown(r->upstreams);
     cw_catalog_release(r->catalog);
--- a/tools/arrows.sh
+++ b/tools/arrows.sh
@@ -17,12 +17,13 @@
         upstream | upstream_internal | upstream_conn | upstream_path | pushback) echo "clock dialect upstream upstream_internal" ;;
         sync | sync_internal | sync_source | sync_peers) echo "clock dialect sync sync_internal" ;;
         mesh) echo "clock mesh reporter settings upstream" ;;
-        reporter | reporter_internal | reporter_peers | reporter_observations) echo "clock reporter reporter_internal settings upstream" ;;
+        reporter | reporter_internal | reporter_peers | reporter_observations | reporter_streams) echo "clock reporter reporter_internal settings upstream" ;;
         endpoints) echo "dialect endpoints" ;;
         request_head) echo "dialect request_head" ;;
         admission) echo "admission dialect request_head" ;;
         exchange | exchange_internal | exchange_assign | exchange_attempt)
-            echo "admission clock exchange exchange_internal frontend quarantine request_head upstream" ;;
+            echo "admission clock exchange exchange_internal frontend quarantine request_head streams upstream" ;;
+        streams) echo "clock streams upstream" ;;
         quarantine) echo "clock quarantine upstream" ;;
         native | dialect) echo "dialect" ;;
         inventory) echo "clock dialect inventory upstream" ;;
