--- /dev/null
+++ b/tests/test_stream_state.c
@@ -0,0 +1,279 @@
+/* What a host knows of streams and of the software versions of a pool, and the datagrams that carry it. */
+#include <string.h>
+
+#include "../chalkway_pool_versions.h"
+#include "../chalkway_stream_message.h"
+#include "../chalkway_stream_registry.h"
+#include "rig.h"
+
+#define MEMORY_MS 30000
+
+static void list(cw_pool_versions_t* v, int64_t now_ms, uint32_t of_one, uint32_t of_two) {
+    uint64_t versions[16];
+    for (uint32_t i = 0; i < of_one + of_two; i++) {
+        versions[i] = i < of_one ? 1 : 2;
+    }
+    cw_pool_versions_update(v, now_ms, versions, of_one + of_two);
+}
+
+START_TEST(a_version_is_remembered_after_its_last_server_left) {
+    cw_pool_versions_t v = {0};
+    ck_assert_uint_eq(cw_pool_versions_only(&v, 1000, MEMORY_MS), 0);
+    list(&v, 1000, 4, 0);
+    ck_assert_uint_eq(cw_pool_versions_only(&v, 1000, MEMORY_MS), 1);
+    list(&v, 5000, 3, 1);
+    ck_assert_uint_eq(cw_pool_versions_only(&v, 5000, MEMORY_MS), 0);
+    list(&v, 9000, 0, 4);
+    list(&v, 12000, 0, 4);
+    ck_assert_uint_eq(cw_pool_versions_only(&v, 9000 + MEMORY_MS - 1, MEMORY_MS), 0);
+    ck_assert_uint_eq(cw_pool_versions_recent(&v, 9000 + MEMORY_MS - 1, MEMORY_MS), 2);
+    ck_assert_uint_eq(cw_pool_versions_only(&v, 9000 + MEMORY_MS, MEMORY_MS), 2);
+}
+END_TEST
+
+/* Streams begin at a new version only when every host with a fresh list knows it; the first list's main version and a
+   version that is alone are not new. */
+START_TEST(a_new_version_settles_before_streams_begin_there) {
+    cw_pool_versions_t v = {0};
+    list(&v, 1000, 2, 1);
+    ck_assert_int_le(cw_pool_versions_settled_ms(&v, 1), 1000);
+    ck_assert_int_eq(cw_pool_versions_settled_ms(&v, 2), 1000 + CW_POOL_VERSIONS_SETTLE_MS);
+    list(&v, 2000, 1, 2);
+    ck_assert_int_eq(cw_pool_versions_settled_ms(&v, 2), 1000 + CW_POOL_VERSIONS_SETTLE_MS);
+    list(&v, 2500, 0, 3);
+    ck_assert_int_eq(cw_pool_versions_settled_ms(&v, 2), 0);
+    ck_assert_int_gt(CW_POOL_VERSIONS_SETTLE_MS, CW_POOL_VERSIONS_FRESH_MS);
+}
+END_TEST
+
+START_TEST(more_versions_than_can_be_recorded_are_several) {
+    cw_pool_versions_t v = {0};
+    uint64_t versions[CW_POOL_VERSIONS_MAX + 3];
+    for (uint64_t i = 0; i < CW_POOL_VERSIONS_MAX + 3; i++) {
+        versions[i] = 10 + i;
+    }
+    cw_pool_versions_update(&v, 1000, versions, CW_POOL_VERSIONS_MAX + 3);
+    list(&v, 2000, 3, 0);
+    ck_assert_uint_eq(cw_pool_versions_only(&v, 2000, MEMORY_MS), 0);
+    ck_assert_uint_eq(cw_pool_versions_only(&v, 2000 + MEMORY_MS, MEMORY_MS), 1);
+}
+END_TEST
+
+static cw_stream_record_t record(uint64_t stream, uint64_t version, int64_t expires_ms) {
+    return (cw_stream_record_t){
+        .stream = stream, .pool = 7, .version = version, .expires_ms = expires_ms, .is_own = stream % 2};
+}
+
+static bool put(cw_stream_registry_t* r, int64_t now_ms, uint64_t stream, uint64_t version, int64_t expires_ms) {
+    cw_stream_record_t item = record(stream, version, expires_ms);
+    return cw_stream_registry_put(r, now_ms, &item);
+}
+
+START_TEST(a_stream_keeps_its_first_version_until_it_expires) {
+    cw_stream_registry_t* r = cw_stream_registry_setup(4, NULL);
+    ck_assert(put(r, 0, 1, 10, 1000));
+    ck_assert(!put(r, 0, 1, 11, 2000));
+    ck_assert(!put(r, 0, 0, 11, 2000)); /* no id */
+    ck_assert_uint_eq(cw_stream_registry_find(r, 999, 1)->version, 10);
+    ck_assert(!cw_stream_registry_find(r, 1000, 1) && !cw_stream_registry_find(r, 0, 2));
+    cw_stream_registry_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_full_registry_forgets_the_oldest_stream) {
+    cw_stream_registry_t* r = cw_stream_registry_setup(4, NULL);
+    for (uint64_t stream = 1; stream <= 100; stream++) {
+        ck_assert(put(r, 0, stream, stream, stream < 50 ? 1000 : 2000));
+    }
+    ck_assert_uint_eq(cw_stream_registry_count(r), 4);
+    ck_assert_uint_eq(cw_stream_registry_evicted(r), 96);
+    for (uint64_t stream = 90; stream <= 100; stream++) {
+        ck_assert_int_eq(cw_stream_registry_find(r, 0, stream) != NULL, stream > 96);
+    }
+    ck_assert(put(r, 2000, 101, 1, 3000)); /* the others have expired */
+    ck_assert_uint_eq(cw_stream_registry_count(r), 1);
+    cw_stream_registry_shutdown(r);
+}
+END_TEST
+
+START_TEST(own_streams_are_listed_in_parts) {
+    cw_stream_registry_t* r = cw_stream_registry_setup(64, NULL);
+    for (uint64_t stream = 1; stream <= 20; stream++) {
+        put(r, 0, stream, 1, stream > 15 ? 1000 : 5000);
+    }
+    cw_stream_record_t out[3];
+    uint32_t at = 0;
+    uint32_t total = 0;
+    do {
+        uint32_t count = cw_stream_registry_list_own(r, 2000, 7, &at, out, 3);
+        for (uint32_t i = 0; i < count; i++) {
+            ck_assert(out[i].is_own && out[i].stream <= 15);
+        }
+        total += count;
+    } while (at);
+    ck_assert_uint_eq(total, 8); /* 1, 3 ... 15 */
+    ck_assert_uint_eq(cw_stream_registry_list_own(r, 2000, 8, &at, out, 3), 0);
+    cw_stream_registry_shutdown(r);
+}
+END_TEST
+
+/* The largest datagram survives the round trip and fits; no cut or changed one makes the reader fail. */
+START_TEST(datagrams_about_streams_survive_the_round_trip) {
+    static cw_stream_message_t out, in;
+    uint8_t bytes[CW_STREAM_BYTES];
+    rng_t rng = {.state = 3};
+    out = (cw_stream_message_t){.cluster = UINT64_MAX,
+                                .host = 5,
+                                .scope = CW_LOAD_RELAY_TO_HALL,
+                                .kind = CW_STREAM_ASK,
+                                .count = CW_STREAM_ENTRIES};
+    for (uint32_t i = 0; i < out.count; i++) {
+        out.entries[i] = (cw_stream_entry_t){UINT64_MAX - i, UINT64_MAX, UINT64_MAX, UINT32_MAX};
+    }
+    size_t size = cw_stream_message_encode(&out, bytes, sizeof(bytes));
+    ck_assert_uint_gt(size, 0);
+    ck_assert_int_eq(cw_stream_message_decode(&in, bytes, size), CW_OK);
+    ck_assert(in.count == out.count && in.kind == out.kind && in.scope == out.scope && in.host == 5);
+    ck_assert_int_eq(memcmp(in.entries, out.entries, sizeof(in.entries)), 0);
+    for (size_t cut = 0; cut < size; cut++) {
+        ck_assert_int_eq(cw_stream_message_decode(&in, bytes, cut), CW_ERR_PROTOCOL);
+    }
+    for (int i = 0; i < 20000; i++) {
+        uint8_t changed[CW_STREAM_BYTES];
+        memcpy(changed, bytes, size);
+        changed[rng_below(&rng, (uint32_t)size)] = (uint8_t)rng_below(&rng, 256);
+        if (cw_stream_message_decode(&in, changed, size) == CW_OK) {
+            ck_assert_uint_le(in.count, CW_STREAM_ENTRIES);
+        }
+    }
+    static cw_load_message_t load;
+    ck_assert_int_eq(cw_load_decode(&load, bytes, size, NULL), CW_ERR_PROTOCOL); /* by hosts of earlier versions */
+}
+END_TEST
+
+/* -- what a host concludes ------------------------------------------------ */
+
+typedef struct peers_t {
+    uint32_t told, asked;
+    uint64_t resolved;
+    int64_t list_age_ms;
+} peers_t;
+
+static int64_t list_age(void* user) {
+    return ((peers_t*)user)->list_age_ms;
+}
+
+static void on_tell(void* user, const cw_stream_record_t* told) {
+    ck_assert(told->is_own);
+    ((peers_t*)user)->told++;
+}
+
+static uint32_t on_ask(void* user, uint64_t stream, uint64_t pool) {
+    (void)stream;
+    (void)pool;
+    ((peers_t*)user)->asked++;
+    return 3;
+}
+
+static void on_resolved(void* user, uint64_t stream) {
+    ((peers_t*)user)->resolved = stream;
+}
+
+static streams_t* setup(rig_t* r, peers_t* peers) {
+    return streams_setup(&(streams_desc_t){.log = &r->log,
+                                           .upstreams = r->upstreams,
+                                           .list_age_ms = list_age,
+                                           .tell = on_tell,
+                                           .ask = on_ask,
+                                           .on_resolved = on_resolved,
+                                           .user_data = peers});
+}
+
+#define POOLS "{\"revision\":1,\"pools\":[{\"name\":\"p\"}],\"routes\":[]}"
+
+/* One version and a fresh list: nothing is told. Then the list grows old, or a second version comes. */
+START_TEST(streams_are_told_once_other_hosts_may_need_them) {
+    for (int by_version = 0; by_version < 2; by_version++) {
+        peers_t peers = {0};
+        rig_t* r = rig_setup(POOLS, 2);
+        streams_t* s = setup(r, &peers);
+        const pool_t* pool = upstreams_pool(r->upstreams, "p");
+        for (uint64_t stream = 1; stream <= 100; stream++) {
+            streams_on_first_event(s, pool, stream, 1, clock_ms() + 5000);
+        }
+        streams_tick(s, clock_ms());
+        ck_assert_uint_eq(peers.told, 0);
+        r->versions[1] = by_version ? "2" : NULL;
+        rig_set_servers_at(r, clock_ms(), 2, 0, false);
+        peers.list_age_ms = by_version ? 0 : CW_POOL_VERSIONS_FRESH_MS;
+        streams_tick(s, clock_ms());
+        streams_tick(s, clock_ms());
+        ck_assert_uint_eq(peers.told, 100);
+        streams_on_first_event(s, pool, 101, 1, clock_ms() + 5000);
+        ck_assert_uint_eq(peers.told, 101);
+        streams_shutdown(s);
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
+/* A host that is cut off from the source and the others sees one version, but can't know of a second one. */
+START_TEST(a_host_with_an_old_list_concludes_nothing) {
+    peers_t peers = {.list_age_ms = CW_POOL_VERSIONS_FRESH_MS + 1};
+    rig_t* r = rig_setup(POOLS, 2);
+    streams_t* s = setup(r, &peers);
+    const pool_t* pool = upstreams_pool(r->upstreams, "p");
+    ck_assert_uint_eq(streams_resolve(s, pool, 5), 0);
+    ck_assert_uint_eq(streams_ask(s, pool, 5), 3);
+    ck_assert_uint_eq(streams_resolve_unanswered(s, pool, 5), 0);
+    peers.list_age_ms = 0; /* it has just started: the only listed version is the last resort */
+    ck_assert_uint_eq(streams_resolve(s, pool, 5), 0);
+    ck_assert_uint_ne(streams_resolve_unanswered(s, pool, 5), 0);
+    cw_stream_record_t denial = {.stream = 5, .pool = cw_name_id("p"), .expires_ms = clock_ms() + 5000};
+    streams_on_told(s, &denial);
+    ck_assert_uint_eq(peers.resolved, 0);
+    ck_assert_uint_eq(streams_resolve_unanswered(s, pool, 5), 0);
+    cw_stream_record_t known = {.stream = 5, .pool = cw_name_id("p"), .version = 9, .expires_ms = clock_ms() + 5000};
+    streams_on_told(s, &known);
+    ck_assert_uint_eq(peers.resolved, 5);
+    ck_assert_uint_eq(streams_resolve(s, pool, 5), 9);
+    streams_shutdown(s);
+    rig_shutdown(r);
+}
+END_TEST
+
+/* A host that is asked vouches for nothing that it doesn't know itself. */
+START_TEST(a_host_that_is_asked_tells_only_what_it_knows) {
+    peers_t peers = {0};
+    rig_t* r = rig_setup(POOLS, 2);
+    streams_t* s = setup(r, &peers);
+    const pool_t* pool = upstreams_pool(r->upstreams, "p");
+    cw_stream_record_t reply;
+    streams_on_first_event(s, pool, 1, 44, clock_ms() + 5000);
+    ck_assert(streams_on_asked(s, 1, cw_name_id("p"), &reply) && reply.version == 44);
+    ck_assert(!streams_on_asked(s, 2, cw_name_id("p"), &reply)); /* it has just started */
+    ck_assert(!streams_on_asked(s, 2, cw_name_id("other"), &reply));
+    r->versions[1] = "2";
+    rig_set_servers_at(r, clock_ms(), 2, 0, false);
+    ck_assert(streams_on_asked(s, 2, cw_name_id("p"), &reply) && reply.version == 0);
+    streams_shutdown(s);
+    rig_shutdown(r);
+}
+END_TEST
+
+static void add_tests(TCase* t) {
+    tcase_add_test(t, a_version_is_remembered_after_its_last_server_left);
+    tcase_add_test(t, a_new_version_settles_before_streams_begin_there);
+    tcase_add_test(t, more_versions_than_can_be_recorded_are_several);
+    tcase_add_test(t, a_stream_keeps_its_first_version_until_it_expires);
+    tcase_add_test(t, a_full_registry_forgets_the_oldest_stream);
+    tcase_add_test(t, own_streams_are_listed_in_parts);
+    tcase_add_test(t, datagrams_about_streams_survive_the_round_trip);
+    tcase_add_test(t, streams_are_told_once_other_hosts_may_need_them);
+    tcase_add_test(t, a_host_with_an_old_list_concludes_nothing);
+    tcase_add_test(t, a_host_that_is_asked_tells_only_what_it_knows);
+}
+
+int main(void) {
+    return run_suite("stream_state", add_tests, 60);
+}
