Soak: engines of several software versions, and callers that take their streams up

Each fault "release" gives the engines that start from then on another version; the data of an event depends on the stream and the version. Callers take up a stream that was broken off at another host, with Last-Event-Id and Chalkway-Resumes, three times at most. The check "versions" finds streams with events of two versions; the report counts streams taken up and those that went on.

--- a/standins/fake_upstream.c
+++ b/standins/fake_upstream.c
@@ -7,7 +7,8 @@
 
     Engine (--prefill above 0): up to --slots requests run at once, taken from the queue by priority. Each step
     prefills up to CHUNK_TOKENS of the most urgent unfinished prompt and produces one event for every request whose
-    prefill is complete. Event K of request ID is "id: K", "data: <hash of ID and K>". "Chalkway-Tokens: IN,OUT" gives
+    prefill is complete. Event K of request ID is "id: K", "data: <hash of ID, the server's version and K>";
+    ID is that of Chalkway-Resumes if the request has it. "Chalkway-Tokens: IN,OUT" gives
     the prompt length and the number of events; Last-Event-Id: K resumes after event K.
 
     Service (no --prefill): after --ms the response is "ran ID".
@@ -70,6 +71,7 @@
 typedef struct job_t {
     cw_exchange_t* x;
     bool is_used, is_running, has_begun, is_query_of_death;
+    char stream[96];          /* what the data of events is derived from */
     bool is_unframed;         /* the response ends with its connection */
     bool is_in_event;         /* the last event sent lacks its blank line */
     uint32_t break_at_events; /* the stream is broken off inside the event after this many; 0: never */
@@ -83,6 +85,7 @@
     standin_t standin;
     cw_lines_t lines;
     const char* id;
+    const char* version; /* of its software */
     uint32_t slots, queue_max;
     double prefill_us; /* per prompt token; 0: plain service */
     double call_ms, slowdown;
@@ -229,9 +232,9 @@
 static void send_event(job_t* job) {
     char event[96];
     job->events_sent++;
-    int n =
-        snprintf(event, sizeof(event), "%sid: %u\ndata: %016llx\n%s", job->is_in_event ? "\n" : "", job->events_sent,
-                 (unsigned long long)XXH64(job->id, strlen(job->id), job->events_sent), job->is_unframed ? "" : "\n");
+    int n = snprintf(event, sizeof(event), "%sid: %u\ndata: %016llx\n%s", job->is_in_event ? "\n" : "",
+                     job->events_sent, (unsigned long long)XXH64(job->stream, strlen(job->stream), job->events_sent),
+                     job->is_unframed ? "" : "\n");
     job->is_in_event = job->is_unframed;
     cw_exchange_push(job->x, event, (size_t)n);
 }
@@ -346,6 +349,8 @@
     }
     job->x = x;
     cw_copy(job->id, sizeof(job->id), id);
+    const char* resumes = cw_exchange_header(x, "Chalkway-Resumes");
+    snprintf(job->stream, sizeof(job->stream), "%s/%s", resumes ? resumes : id, u->version);
     job->priority = priority ? (uint32_t)strtoul(priority, NULL, 10) : PRIORITY_LOWEST;
     if (tokens) {
         sscanf(tokens, "%u,%u", &job->tokens, &job->event_count);
@@ -421,6 +426,9 @@
         case 'i':
             u->id = arg;
             return 0;
+        case 'v':
+            u->version = arg;
+            return 0;
         case 's':
             u->slots = (uint32_t)strtoul(arg, NULL, 10);
             return 0;
@@ -441,6 +449,7 @@
 int main(int argc, char** argv) {
     static const struct argp_option options[] = {
         {"id", 'i', "ID", 0, "id of this incarnation of the server", 0},
+        {"version", 'v', "TEXT", 0, "version of its software, default 1", 0},
         {"slots", 's', "N", 0, "concurrent requests, default 8", 0},
         {"queue", 'q', "N", 0, "queue length, default 25", 0},
         {"prefill", 'p', "US", 0, "engine: prefill time per prompt token", 0},
@@ -450,6 +459,7 @@
     const struct argp argp = {
         .options = options, .parser = parse_option, .doc = "Stand-in for a server behind a gateway."};
     static upstream_t upstream = {.id = "s",
+                                  .version = "1",
                                   .slots = 8,
                                   .queue_max = 25,
                                   .call_ms = 50,
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -109,6 +109,7 @@
     printf("seed %" PRIu64
            ": %u sent, %u served, %u refused, %u failed, %u left; calm %u sent, %u served, %u refused\n",
            s->seed, r.sent, r.served, r.refused, r.failed, r.abandoned, r.calm_sent, r.calm_served, r.calm_refused);
+    printf("  %u streams taken up, %u of them went on\n", r.taken_up, r.went_on);
     if (r.qod_bodies) {
         printf("  %u queries of death sent %u times: %u upstreams crashed\n", r.qod_bodies, r.qod_sent, r.qod_crashes);
     }
@@ -208,6 +209,7 @@
                           .duration_s = 54,
                           .host_count = 5,
                           .engine_count = 12,
+                          .version = 1,
                           .service_count = 3,
                           .qod_body_count = 3,
                           .caller_count = 60,
--- a/tools/soak.h
+++ b/tools/soak.h
@@ -6,13 +6,16 @@
 
     The record is text, one event per line, with times in ms of the machine's monotonic clock:
 
-        C MS sent ID KIND HOST TOKENS BODY a request was sent completely to a host; BODY: "-", or the name of a query of
-                                           death, a body that crashes every upstream which begins to run it
-        C MS done ID STATUS WHOLE RIGHT FIRST_MS HELD
+        C MS sent ID KIND HOST TOKENS BODY [RESUMES]
+                                           a request was sent completely to a host; BODY: "-", or the name of a query of
+                                           death, a body that crashes every upstream which begins to run it; RESUMES:
+                                           it takes up the stream that this request began
+        C MS done ID STATUS WHOLE RIGHT FIRST_MS HELD MIXED
                                            the response ended, or the connection closed (status 0). WHOLE 1: the
                                            response is complete; RIGHT 1: its body is correct; FIRST_MS: from
                                            sending to the first byte of the body; HELD 1: refused since servers
-                                           crashed under such requests (quarantined)
+                                           crashed under such requests (quarantined); MIXED 1: the
+                                           stream so far holds events of two software versions
         C MS left ID                       the caller abandoned the request
         U MS begin ID SERVER PRIORITY TOKENS, U MS end ID SERVER, U MS gone ID SERVER
                                            a request begins to run, completes, or ends early since its connection
@@ -71,6 +74,7 @@
     SOAK_RATE_EXCEEDED,      /* an upstream got requests faster than the rate that it advertised */
     SOAK_BACKOFF_IGNORED,    /* an upstream got too many requests from a host during a requested backoff */
     SOAK_FELL_UNDER_STRAIN,  /* too many upstreams ended by rejections while they advertised a limit on them */
+    SOAK_VERSIONS_MIXED,     /* a stream holds events from upstreams of two software versions */
     SOAK_LEAVING_IGNORED,    /* an upstream got a request long after it had announced leaving to the host */
     SOAK_CHECK_COUNT
 } soak_check_t;
@@ -81,6 +85,7 @@
     uint32_t sent, served, refused, failed, abandoned; /* ordinary requests only */
     /* Queries of death: number of bodies, of requests with these bodies, and of upstreams that they crashed. */
     uint32_t qod_bodies, qod_sent, qod_crashes;
+    uint32_t taken_up, went_on; /* streams that callers took up after a break, and those of them that were completed */
     uint32_t calm_sent, calm_served, calm_refused;
 } soak_result_t;
 
--- a/tools/soak_callers.c
+++ b/tools/soak_callers.c
@@ -39,6 +39,9 @@
 #define ABANDON_SPREAD_MS 200
 #define RESPONSE_TIMEOUT_MS 12000 /* a caller abandons a request after this time at the latest */
 #define BURST_FACTOR 2.5          /* times the usual request rate */
+#define TAKE_UPS_MAX 3            /* attempts to take up a stream that was broken off */
+#define TAKE_UP_DELAY_S 0.02
+#define VERSIONS_MAX 64 /* highest version of an upstream */
 #define QOD_PER_S 3.0
 #define QOD_DURATION_S 12
 
@@ -58,6 +61,10 @@
     char body_text[24]; /* request body, "": none */
     int64_t sent_ms, first_byte_ms;
     cw_buffer_t body;
+    /* a stream that is taken up after a break */
+    char resumes[20];     /* id of the request that began it, "": none */
+    uint32_t event_count; /* complete events in body */
+    uint32_t take_ups;    /* attempts to take it up so far */
     bool has_retried;
     double retry_s; /* delay of the pending retry, 0: none */
     ev_timer think_timer, abandon_timer;
@@ -106,38 +113,109 @@
 
 /* -- requests ------------------------------------------------------------- */
 
+/* Length of event k of a stream at the start of the text if it was sent by an upstream of this version, else 0. */
+static size_t event_length(const caller_t* caller, const char* text, uint32_t k, uint32_t version) {
+    char stream[64];
+    char expected[100];
+    snprintf(stream, sizeof(stream), "%s/%u", caller->resumes[0] ? caller->resumes : caller->id, version);
+    int n = snprintf(expected, sizeof(expected), "id: %u\ndata: %016llx\n\n", k,
+                     (unsigned long long)XXH64(stream, strlen(stream), k));
+    return strncmp(text, expected, (size_t)n) == 0 ? (size_t)n : 0;
+}
+
+/* What the events in a body are. */
+typedef struct events_t {
+    uint32_t count; /* complete events in order, from the first one */
+    size_t size;    /* of these events */
+    uint32_t first_version;
+    bool is_mixed; /* they are of more than one version */
+} events_t;
+
+static events_t read_events(const caller_t* caller) {
+    events_t events = {.count = 0};
+    const char* text = cw_buffer_text(&caller->body);
+    size_t length = 1;
+    while (length) {
+        length = 0;
+        for (uint32_t version = 1; version <= VERSIONS_MAX && !length; version++) {
+            length = event_length(caller, text + events.size, events.count + 1, version);
+            if (length) {
+                events.first_version = events.first_version ? events.first_version : version;
+                events.is_mixed = events.is_mixed || version != events.first_version;
+            }
+        }
+        events.size += length;
+        events.count += length > 0;
+    }
+    return events;
+}
+
 /* Returns whether the response has the right body: all events in order, or the text that is expected for the call. */
 static bool is_body_correct(const caller_t* caller) {
     const soak_kind_t* kind = &soak_kinds[caller->kind];
     char expected[100];
-    const char* at = cw_buffer_text(&caller->body);
     if (!kind->tokens_max) {
         snprintf(expected, sizeof(expected), "ran %s", caller->id);
-        return strcmp(at, expected) == 0;
+        return strcmp(cw_buffer_text(&caller->body), expected) == 0;
     }
-    for (uint32_t k = 1; k <= kind->events; k++) {
-        int n = snprintf(expected, sizeof(expected), "id: %u\ndata: %016llx\n\n", k,
-                         (unsigned long long)XXH64(caller->id, strlen(caller->id), k));
-        if (strncmp(at, expected, (size_t)n) != 0) {
-            return false;
-        }
-        at += n;
+    events_t events = read_events(caller);
+    return events.count == kind->events && events.size == caller->body.size;
+}
+
+static bool is_query_of_death(const caller_t* caller) {
+    return strncmp(caller->body_text, "deadly", strlen("deadly")) == 0;
+}
+
+/* Keeps the complete events of a stream that was broken off, to take it up at a host. False: there is nothing to take
+   up, or it was tried often enough. */
+static bool prepare_take_up(caller_t* caller, unsigned status, bool is_complete) {
+    bool is_refused = is_complete && status == 503 && caller->resumes[0];
+    bool is_broken = !is_complete && (status == 200 || (!status && caller->resumes[0]));
+    if (is_query_of_death(caller) || !soak_kinds[caller->kind].is_resumable || (!is_refused && !is_broken) ||
+        caller->take_ups == TAKE_UPS_MAX) {
+        return false;
     }
-    return !*at;
+    if (is_broken) {
+        events_t events = read_events(caller);
+        caller->body.size = events.size;
+        caller->event_count = events.count;
+    }
+    if (!caller->event_count) {
+        return false;
+    }
+    if (!caller->resumes[0]) {
+        cw_copy(caller->resumes, sizeof(caller->resumes), caller->id);
+    }
+    caller->take_ups++;
+    return true;
+}
+
+/* Forgets the stream, once its request has ended. */
+static void drop_stream(caller_t* caller) {
+    caller->resumes[0] = 0;
+    caller->event_count = caller->take_ups = 0;
+    cw_buffer_free(&caller->body);
 }
 
 static void finish(caller_t* caller, unsigned status, bool is_response_complete) {
     char fields[100];
+    bool is_stream = soak_kinds[caller->kind].tokens_max && status == 200;
     const char* retry =
         is_response_complete && status == 503 ? cw_message_field(&caller->response, "Retry-After") : NULL;
     caller->is_busy = false;
     ev_timer_stop(caller->parent->loop, &caller->abandon_timer);
     bool is_quarantined = status == 503 && strstr(cw_buffer_text(&caller->body), QUARANTINE_TEXT);
-    snprintf(fields, sizeof(fields), "%s %u %d %d %" PRId64 " %d", caller->id, status, is_response_complete,
+    snprintf(fields, sizeof(fields), "%s %u %d %d %" PRId64 " %d %d", caller->id, status, is_response_complete,
              is_response_complete && is_body_correct(caller),
-             caller->first_byte_ms ? caller->first_byte_ms - caller->sent_ms : 0, is_quarantined);
+             caller->first_byte_ms ? caller->first_byte_ms - caller->sent_ms : 0, is_quarantined,
+             is_stream && read_events(caller).is_mixed);
     record_event(caller->parent, "done", fields);
-    cw_buffer_free(&caller->body);
+    if (prepare_take_up(caller, status, is_response_complete)) {
+        caller->retry_s = retry ? strtod(retry, NULL) : TAKE_UP_DELAY_S;
+        schedule_next(caller, caller->retry_s);
+        return;
+    }
+    drop_stream(caller);
     caller->retry_s = retry && !caller->has_retried ? strtod(retry, NULL) : 0;
     caller->has_retried = caller->retry_s > 0;
     schedule_next(caller, caller->retry_s > 0 ? caller->retry_s : random_think_time_s(caller->parent));
@@ -154,6 +232,9 @@
 
 static void on_body(void* owner, const char* data, size_t size) {
     caller_t* caller = owner;
+    if (caller->resumes[0] && caller->response.status != 200) {
+        return; /* an error does not belong to the stream */
+    }
     caller->first_byte_ms = caller->first_byte_ms ? caller->first_byte_ms : standin_now_ms();
     cw_buffer_add(&caller->body, data, size);
 }
@@ -230,8 +311,8 @@
 static void send_request(caller_t* caller) {
     callers_t* c = caller->parent;
     const soak_kind_t* kind = &soak_kinds[caller->kind];
-    char text[400];
-    char fields[120];
+    char text[500];
+    char fields[140];
     snprintf(caller->id, sizeof(caller->id), "%016" PRIx64, next_random(c));
     int n =
         snprintf(text, sizeof(text), "POST %sx HTTP/1.1\r\nHost: soak.example\r\nChalkway-Request-Id: %s\r\n%s: %u\r\n",
@@ -239,14 +320,17 @@
     if (kind->tokens_max) {
         n += snprintf(text + n, sizeof(text) - (size_t)n, "Chalkway-Tokens: %u,%u\r\n", caller->tokens, kind->events);
     }
+    if (caller->resumes[0]) {
+        n += snprintf(text + n, sizeof(text) - (size_t)n, "Last-Event-Id: %u\r\nChalkway-Resumes: %s\r\n",
+                      caller->event_count, caller->resumes);
+    }
     n += snprintf(text + n, sizeof(text) - (size_t)n, "Content-Length: %zu\r\n\r\n%s", strlen(caller->body_text),
                   caller->body_text);
     caller->is_busy = true;
     caller->first_byte_ms = 0;
     caller->sent_ms = standin_now_ms();
-    bool is_query_of_death = strncmp(caller->body_text, "deadly", strlen("deadly")) == 0;
-    snprintf(fields, sizeof(fields), "%s %s %s %u %s", caller->id, kind->name, caller->host, caller->tokens,
-             is_query_of_death ? caller->body_text : "-");
+    snprintf(fields, sizeof(fields), "%s %s %s %u %s %s", caller->id, kind->name, caller->host, caller->tokens,
+             is_query_of_death(caller) ? caller->body_text : "-", caller->resumes);
     record_event(c, "sent", fields);
     cw_stream_write(&caller->stream, text, (size_t)n);
     cw_stream_flush(&caller->stream);
@@ -265,7 +349,7 @@
     caller_t* caller = t->data;
     record_event(caller->parent, "left", caller->id);
     caller->is_busy = caller->has_retried = false;
-    cw_buffer_free(&caller->body);
+    drop_stream(caller);
     cw_message_reset(&caller->response);
     close_connection(caller);
     schedule_next(caller, random_think_time_s(caller->parent));
@@ -343,7 +427,7 @@
     if (caller->parent->is_ending || caller->is_busy) {
         return;
     }
-    if (caller->retry_s <= 0) {
+    if (caller->retry_s <= 0 && !caller->resumes[0]) {
         choose_request(caller);
     }
     caller->retry_s = 0;
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -56,6 +56,7 @@
     int64_t sent_ms, done_ms, abandoned_ms; /* 0: not yet */
     uint32_t status, begin_count;
     bool is_complete, is_correct, is_quarantined;
+    bool is_take_up, is_mixed;
     soak_qod_body_t* qod_body; /* NULL: an ordinary request */
     int64_t begin_ms, end_ms;
     char last_server[NAME_SIZE]; /* server that last began to run the request */
@@ -102,8 +103,9 @@
 
 const char* soak_check_name(soak_check_t check) {
     static const char* const names[SOAK_CHECK_COUNT] = {
-        "twice", "refused-and-run", "mixed",  "lost",     "refused-idle", "put-behind", "sent-to-left", "worked-on",
-        "stop",  "recovery",        "deadly", "shut-out", "rate",         "rest",       "fell",         "told-left"};
+        "twice",    "refused-and-run", "mixed",  "lost",     "refused-idle", "put-behind", "sent-to-left", "worked-on",
+        "stop",     "recovery",        "deadly", "shut-out", "rate",         "rest",       "fell",         "versions",
+        "told-left"};
     return names[check];
 }
 
@@ -179,12 +181,14 @@
 static void handle_sent(checker_t* c, int64_t at_ms, const char* fields) {
     char kind[NAME_SIZE] = "";
     char body[NAME_SIZE] = "-";
+    char resumes[NAME_SIZE] = "";
     if (c->count == MAX_REQUESTS) {
         return;
     }
     request_t* r = &c->requests[c->count];
     *r = (request_t){.sent_ms = at_ms, .idle_engine_share = idle_share(c)};
-    if (sscanf(fields, "%31s %31s %31s %u %31s", r->id, kind, r->host, &r->tokens, body) >= 4) {
+    if (sscanf(fields, "%31s %31s %31s %u %31s %31s", r->id, kind, r->host, &r->tokens, body, resumes) >= 4) {
+        r->is_take_up = resumes[0] != 0;
         r->kind = soak_find_kind(kind);
         r->is_calm = !is_disturbed(c, at_ms, NULL, SETTLE_MS);
         cw_map_put(&c->by_id, cw_name_id(r->id), c->count++);
@@ -215,7 +219,9 @@
     uint32_t is_complete = 0;
     uint32_t is_correct = 0;
     uint32_t is_quarantined = 0;
-    sscanf(fields, "%*s %u %u %u %*u %u", &r->status, &is_complete, &is_correct, &is_quarantined);
+    uint32_t is_mixed = 0;
+    sscanf(fields, "%*s %u %u %u %*u %u %u", &r->status, &is_complete, &is_correct, &is_quarantined, &is_mixed);
+    r->is_mixed = is_mixed;
     r->done_ms = at_ms;
     r->is_complete = is_complete;
     r->is_correct = is_correct;
@@ -599,6 +605,9 @@
     if (r->status / 100 == 2 && r->is_complete && !r->is_correct) {
         add_finding(c, SOAK_WRONG_RESPONSE, r->sent_ms, r->id, kind);
     }
+    if (r->is_mixed) {
+        add_finding(c, SOAK_VERSIONS_MIXED, r->sent_ms, r->id, kind);
+    }
     if (was_lost_by_stop(c, r)) {
         add_finding(c, SOAK_LOST_ON_STOP, r->done_ms, r->id, r->host);
     }
@@ -623,6 +632,8 @@
     bool served = r->status / 100 == 2 && r->is_complete && r->is_correct;
     bool refused = was_refused(r);
     result->served += served;
+    result->taken_up += r->is_take_up;
+    result->went_on += r->is_take_up && served;
     result->refused += refused;
     result->abandoned += r->abandoned_ms != 0;
     result->failed += r->done_ms && !served && !refused;
--- a/tools/soak_faults.c
+++ b/tools/soak_faults.c
@@ -215,6 +215,12 @@
     }
 }
 
+/* Upstreams that start from now on have another version of their software, and one of the earlier version leaves. */
+static bool release_begin(active_fault_t* a) {
+    a->soak->version++;
+    return leave_begin(a);
+}
+
 static bool source_down(active_fault_t* a) {
     soak_post(a->soak, a->target->address, "/admin/mode?down=1", "");
     return true;
@@ -270,6 +276,7 @@
     {"limit", PROC_UPSTREAM, 8, limit_begin, limit_end},
     {"rest", PROC_UPSTREAM, 6, backoff_begin, backoff_end},
     {"strain", PROC_UPSTREAM, 4, strain_begin, strain_end},
+    {"release", PROC_UPSTREAM, 3, release_begin, leave_end},
     {"unframed", PROC_UPSTREAM, 6, unframed_begin, unframed_end},
     {"source-down", PROC_SOURCE, 1, source_down, source_recover},
     {"source-slow", PROC_SOURCE, 1, source_slow, source_recover},
--- a/tools/soak_site.c
+++ b/tools/soak_site.c
@@ -155,9 +155,10 @@
         if (p->kind == PROC_UPSTREAM && (p->pid || p->has_stale_entry) && p->is_ready) {
             add_text(&text,
                      "%s{\"id\":\"%s\",\"address\":\"%s\",\"pool\":\"%s\",\"hall\":\"a\",\"slots\":%d,\"leaving\":%s,"
-                     "\"started_ms\":%" PRId64 "}",
+                     "\"version\":\"%u\",\"started_ms\":%" PRId64 "}",
                      first ? "" : ",", p->name, p->address, p->is_engine ? "engines" : "services",
-                     p->is_engine ? ENGINE_SLOTS : SERVICE_SLOTS, p->is_leaving ? "true" : "false", p->started_ms);
+                     p->is_engine ? ENGINE_SLOTS : SERVICE_SLOTS, p->is_leaving ? "true" : "false", p->version,
+                     p->started_ms);
             first = false;
         }
     }
@@ -325,11 +326,16 @@
 
 static void launch_upstream(proc_t* p) {
     char slots[8];
+    char version[16];
     bool is_engine = p->is_engine;
     p->started_ms = standin_now_ms();
     snprintf(slots, sizeof(slots), "%d", is_engine ? ENGINE_SLOTS : SERVICE_SLOTS);
+    p->version = p->soak->version;
+    snprintf(version, sizeof(version), "%u", p->version);
     const char* const args[] = {"--id",
                                 p->name,
+                                "--version",
+                                version,
                                 "--slots",
                                 slots,
                                 is_engine ? "--prefill" : "--ms",
--- a/tools/soak_site.h
+++ b/tools/soak_site.h
@@ -28,6 +28,7 @@
     char name[32];
     char address[48]; /* of a stand-in, set once it is ready */
     bool is_engine, is_leaving, is_ready, is_stopping;
+    uint32_t version;           /* of an upstream's software */
     bool has_stale_entry;       /* an upstream that exited but is still published */
     ev_timer restart_timer;     /* of an upstream that a query of death crashed: until its restart */
     int64_t started_ms;         /* of an upstream, published in its entry */
@@ -53,6 +54,7 @@
     char dir[64];
     char address_prefix[16]; /* first three bytes of the hosts' addresses, "127.A.B" */
     uint64_t seed, draw_count;
+    uint32_t version; /* of upstreams that start from now on */
     uint32_t duration_s, host_count, engine_count, service_count, caller_count, qod_body_count;
     double requests_per_s;
     bool keeps_dir;
