Prompts' cached parts are fetched only from engines of the same software version

What servers of two software versions write need not fit together; that holds for the memory of prompts as for streams. An engine of another version is no source to fetch cached parts from; the prompt is read anew then.

--- a/chalkway_prefix.h
+++ b/chalkway_prefix.h
@@ -42,6 +42,7 @@
 typedef struct cw_prefix_t {
     uint64_t best_server;      /* the server with most of the prompt's start cached, 0: none */
     uint32_t best_tokens;      /* tokens cached at best_server */
+    uint64_t best_version;     /* of the software of best_server */
     uint32_t shared_tokens;    /* tokens before the last part, which is the request's own */
     uint64_t last_shared_part; /* id of the last part that other prompts share */
 } cw_prefix_t;
--- a/chalkway_server_prefix.h
+++ b/chalkway_server_prefix.h
@@ -72,6 +72,8 @@
             cw_prefix_add_server(&prefix, s->spec.id, cw_server_cached_tokens(cache, s, work));
         }
     }
+    uint32_t best = cw_server_table_find(t, prefix.best_server);
+    prefix.best_version = best == CW_BALANCE_NONE ? 0 : t->servers[best].spec.version;
     return prefix;
 }
 
@@ -79,7 +81,9 @@
                                   double prefill_ms_per_token) {
     uint32_t missing_tokens = prefix->best_tokens > cached_tokens ? prefix->best_tokens - cached_tokens : 0;
     bool is_cheaper = s->spec.fetch_ms_per_token > 0 && s->spec.fetch_ms_per_token < prefill_ms_per_token;
-    return is_cheaper && missing_tokens >= _CW_FETCH_TOKENS_MIN ? missing_tokens : 0;
+    /* What servers of two versions keep in memory need not fit together. */
+    bool is_compatible = prefix->best_version == s->spec.version;
+    return is_cheaper && is_compatible && missing_tokens >= _CW_FETCH_TOKENS_MIN ? missing_tokens : 0;
 }
 
 #endif /* CHALKWAY_SERVER_PREFIX_IMPL_INCLUDED */
