Soak: odd seeds begin in the middle of a release, more unframed responses

Evidence that the check finds the fault: hosts from before streams were bound to versions fail on seeds 1, 3 and 5 (36 s; 4, 2 and 1 streams with events of two versions); hosts of now have none on these and on seeds 2, 7, 9 and 11.

--- a/tools/soak.c
+++ b/tools/soak.c
@@ -66,7 +66,9 @@
     soak_record_event(s, "fault start -");
     soak_watch_scheduling(s);
     soak_start_source(s);
+    /* Odd seeds begin in the middle of a release. */
     for (uint32_t i = 0; i < s->engine_count + s->service_count; i++) {
+        s->version = s->seed % 2 ? 1 + i % 2 : 1;
         soak_start_upstream(s, i < s->engine_count);
     }
     for (uint32_t i = 0; i < s->host_count; i++) {
--- a/tools/soak_faults.c
+++ b/tools/soak_faults.c
@@ -277,7 +277,7 @@
     {"rest", PROC_UPSTREAM, 6, backoff_begin, backoff_end},
     {"strain", PROC_UPSTREAM, 4, strain_begin, strain_end},
     {"release", PROC_UPSTREAM, 3, release_begin, leave_end},
-    {"unframed", PROC_UPSTREAM, 6, unframed_begin, unframed_end},
+    {"unframed", PROC_UPSTREAM, 10, unframed_begin, unframed_end},
     {"source-down", PROC_SOURCE, 1, source_down, source_recover},
     {"source-slow", PROC_SOURCE, 1, source_slow, source_recover},
     {"source-lossy", PROC_SOURCE, 1, source_lossy, source_recover},
