--- a/chalkway_stream_message.h
+++ b/chalkway_stream_message.h
@@ -5,8 +5,8 @@
 
     WHAT IT IS
         One msgpack array: format, cluster, sender, forwarding scope, kind,
-        and the entries as a flat list. Hosts tell each other which version
-        began a stream, and ask for streams that they don't know. Hosts of
+        and the entries as a flat list. Hosts announce to each other which version
+        began a stream, and query streams that they do not know. Hosts of
         earlier versions of chalkway reject the datagram by its format.
 
     HOW TO USE IT
@@ -27,15 +27,15 @@
 #define CW_STREAM_BYTES 4096          /* largest datagram */
 
 typedef enum cw_stream_message_kind_t {
-    CW_STREAM_TELL = 0, /* the versions of these streams */
-    CW_STREAM_ASK,      /* the receiver is to tell what it knows of these streams */
+    CW_STREAM_ANNOUNCE = 0, /* the versions of these streams */
+    CW_STREAM_QUERY,        /* the receiver is to reply what it knows of these streams */
     CW_STREAM_KIND_COUNT
 } cw_stream_message_kind_t;
 
 typedef struct cw_stream_entry_t {
     uint64_t stream;
     uint64_t pool;
-    uint64_t version; /* 0: not known, and several versions have served; of CW_STREAM_ASK: not used */
+    uint64_t version; /* 0: not known, and several versions have served; of CW_STREAM_QUERY: not used */
     uint32_t left_ms; /* time until the stream is forgotten */
 } cw_stream_entry_t;
 
@@ -123,7 +123,7 @@
 }
 
 /* Whether the bytes are an array that begins with CW_STREAM_MESSAGE_FORMAT. Most datagrams are load reports, which need
-   not be parsed to be told apart. */
+   not be parsed to be distinguished. */
 static bool _cw_stream_message_has_format(const uint8_t* data, size_t size) {
     static const uint8_t format[] = {0xcd, CW_STREAM_MESSAGE_FORMAT >> 8U, CW_STREAM_MESSAGE_FORMAT & 0xffU};
     size_t head = !size ? 0 : data[0] == 0xdc ? 3 : data[0] == 0xdd ? 5 : 1;
--- a/chalkway_stream_registry.h
+++ b/chalkway_stream_registry.h
@@ -6,7 +6,7 @@
     WHAT IT IS
         A table of the streams that may still be resumed, with the version of
         the server that sent their first event. A host records the streams
-        that it carries, and those of which other hosts tell it. Streams are
+        that it carries, and those that other hosts announce. Streams are
         forgotten when their callers have given up, and the oldest when the
         table is full.
 
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -281,9 +281,10 @@
         return;
     }
     cw_copy(x->resumes, sizeof(x->resumes), request_resumes(dialect, m));
-    x->is_take_up = cw_message_field(m, dialect->fields.last_event) != NULL;
-    x->work.begins_stream = !x->is_take_up;
-    x->stream = streams_id(x->workspace ? cw_name_id(x->workspace->name) : 0, x->is_take_up ? x->resumes : x->id);
+    x->is_resumed_by_caller = cw_message_field(m, dialect->fields.last_event) != NULL;
+    x->work.begins_stream = !x->is_resumed_by_caller;
+    x->stream =
+        streams_id(x->workspace ? cw_name_id(x->workspace->name) : 0, x->is_resumed_by_caller ? x->resumes : x->id);
 }
 
 static exchange_t* exchange_new(exchanges_t* e, caller_t* caller, const admission_t* admission, const char* id) {
--- a/gateway/exchange_assign.c
+++ b/gateway/exchange_assign.c
@@ -6,7 +6,7 @@
 #include "clock.h"
 #include "exchange_internal.h"
 
-#define STREAM_REPLY_MS 60 /* for other hosts to tell the version of a stream */
+#define STREAM_REPLY_MS 60 /* for other hosts to reply to a query for a stream */
 
 /* -- the queue ------------------------------------------------------------ */
 
@@ -146,16 +146,16 @@
     return true;
 }
 
-/* A stream that its caller resumes needs the version that began it. While that is unknown, other hosts are asked, and
+/* A stream that its caller resumes needs the version that began it. While that is unknown, other hosts are queried, and
    the request waits outside of the queue. True: it waits, or it was refused. */
 static bool is_stream_unresolved(exchange_t* x) {
     streams_t* streams = x->exchanges->desc.streams;
     const stream_request_t request = {.pool = x->pool, .stream = x->stream, .id = x->id, .resumes = x->resumes};
-    if (!x->is_take_up || x->work.version) {
+    if (!x->is_resumed_by_caller || x->work.version) {
         return false;
     }
     x->work.version = streams_resolve(streams, &request);
-    if (!x->work.version && !x->stream_due_ms && streams_ask(streams, &request)) {
+    if (!x->work.version && !x->stream_due_ms && streams_query(streams, &request)) {
         x->stream_due_ms = clock_ms() + STREAM_REPLY_MS;
     }
     if (!x->work.version && clock_ms() < x->stream_due_ms) {
--- a/gateway/exchange_internal.h
+++ b/gateway/exchange_internal.h
@@ -36,11 +36,11 @@
     int64_t arrived_ms, deadline_ms;
     cw_queue_wait_t wait; /* while queued: when it becomes late and when it is refused */
     bool is_queued;
-    bool is_take_up;        /* the caller resumes a stream */
-    uint64_t stream;        /* of a resumable route: id of the stream, begun or resumed (streams_id); 0: unknown */
-    int64_t stream_due_ms;  /* its version is unknown, and other hosts may tell it until then; 0: none was asked */
-    bool is_version_bound;  /* the first event has arrived */
-    int64_t verdict_due_ms; /* the quarantine verdict is undecided until then; 0: decided */
+    bool is_resumed_by_caller; /* the caller resumes a stream */
+    uint64_t stream;           /* of a resumable route: id of the stream, begun or resumed (streams_id); 0: unknown */
+    int64_t stream_due_ms;     /* its version is unknown, and other hosts may reply until then; 0: none was queried */
+    bool is_version_bound;     /* the first event has arrived */
+    int64_t verdict_due_ms;    /* the quarantine verdict is undecided until then; 0: decided */
     /* current attempt */
     server_t* server;
     uint64_t server_version;                /* of its software, when the attempt began */
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -159,24 +159,24 @@
     return g->sync ? sync_stats(g->sync).servers_age_ms : -1;
 }
 
-static void tell_stream(void* user, const cw_stream_record_t* record) {
-    mesh_tell_stream(((gateway_t*)user)->mesh, record);
+static void announce_stream(void* user, const cw_stream_record_t* record) {
+    mesh_announce_stream(((gateway_t*)user)->mesh, record);
 }
 
-static uint32_t ask_stream(void* user, uint64_t stream, uint64_t pool) {
-    return mesh_ask_stream(((gateway_t*)user)->mesh, stream, pool);
+static uint32_t query_stream(void* user, uint64_t stream, uint64_t pool) {
+    return mesh_query_stream(((gateway_t*)user)->mesh, stream, pool);
 }
 
 static void on_stream_resolved(void* user, uint64_t stream) {
     exchanges_on_stream_resolved(((gateway_t*)user)->exchanges, stream);
 }
 
-static void on_stream_told(void* user, const cw_stream_record_t* record) {
-    streams_on_told(((gateway_t*)user)->streams, record);
+static void on_stream_announced(void* user, const cw_stream_record_t* record) {
+    streams_on_announced(((gateway_t*)user)->streams, record);
 }
 
-static bool on_stream_asked(void* user, uint64_t stream, uint64_t pool, cw_stream_record_t* record) {
-    return streams_on_asked(((gateway_t*)user)->streams, stream, pool, record);
+static bool on_stream_query(void* user, uint64_t stream, uint64_t pool, cw_stream_record_t* record) {
+    return streams_on_query(((gateway_t*)user)->streams, stream, pool, record);
 }
 
 static void on_done(void* user, const char* route, const char* workspace, exchange_outcome_t outcome, uint32_t first_ms,
@@ -307,13 +307,14 @@
     cw_message_add_text(out, "chalkway_streams_known %u\nchalkway_streams_forgotten_early_total %llu\n", st.known,
                         (unsigned long long)st.evicted);
     cw_message_add_text(out,
-                        "chalkway_streams_told_total %llu\nchalkway_streams_heard_total %llu\n"
-                        "chalkway_streams_asked_total %llu\n",
-                        (unsigned long long)st.told, (unsigned long long)st.heard, (unsigned long long)st.asked);
+                        "chalkway_streams_announced_total %llu\nchalkway_streams_received_total %llu\n"
+                        "chalkway_streams_queried_total %llu\n",
+                        (unsigned long long)st.announced, (unsigned long long)st.received,
+                        (unsigned long long)st.queried);
     static const char* const sources[STREAM_SOURCE_COUNT] = {"unknown", "recorded", "only-version", "last-resort"};
     for (uint32_t i = 0; i < STREAM_SOURCE_COUNT; i++) {
-        cw_message_add_text(out, "chalkway_streams_taken_up_total{version=\"%s\"} %llu\n", sources[i],
-                            (unsigned long long)st.taken_up[i]);
+        cw_message_add_text(out, "chalkway_streams_resumed_by_callers_total{version=\"%s\"} %llu\n", sources[i],
+                            (unsigned long long)st.resumed[i]);
     }
     quarantine_stats_t q = quarantine_stats(g->quarantine);
     cw_message_add_text(out, "chalkway_suspect_requests %u\nchalkway_held_requests %u\n", q.requests.entries,
@@ -532,8 +533,8 @@
     g->streams = streams_setup(&(streams_desc_t){.log = &g->log,
                                                  .upstreams = g->upstreams,
                                                  .list_age_ms = list_age_ms,
-                                                 .tell = tell_stream,
-                                                 .ask = ask_stream,
+                                                 .announce = announce_stream,
+                                                 .query = query_stream,
                                                  .on_resolved = on_stream_resolved,
                                                  .user_data = g});
     g->exchanges = exchanges_setup(&(exchanges_desc_t){.loop = g->loop,
@@ -556,8 +557,8 @@
                                         .on_members = on_members,
                                         .on_observation = on_observation,
                                         .observations = observations,
-                                        .on_stream_told = on_stream_told,
-                                        .on_stream_asked = on_stream_asked,
+                                        .on_stream_announced = on_stream_announced,
+                                        .on_stream_query = on_stream_query,
                                         .user_data = g},
                          err);
     g->tunnels = !g->mesh ? NULL
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -154,12 +154,12 @@
     reporter_on_observation(m->reporter, observation);
 }
 
-void mesh_tell_stream(mesh_t* m, const cw_stream_record_t* record) {
-    reporter_tell_stream(m->reporter, record);
+void mesh_announce_stream(mesh_t* m, const cw_stream_record_t* record) {
+    reporter_announce_stream(m->reporter, record);
 }
 
-uint32_t mesh_ask_stream(mesh_t* m, uint64_t stream, uint64_t pool) {
-    return reporter_ask_stream(m->reporter, stream, pool);
+uint32_t mesh_query_stream(mesh_t* m, uint64_t stream, uint64_t pool) {
+    return reporter_query_stream(m->reporter, stream, pool);
 }
 
 void mesh_announce_cached(mesh_t* m, const server_t* server, const cw_prompt_part_t* parts, uint32_t count) {
@@ -336,8 +336,8 @@
                                                     .on_source_state = desc->on_source_state,
                                                     .on_observation = desc->on_observation,
                                                     .observations = desc->observations,
-                                                    .on_stream_told = desc->on_stream_told,
-                                                    .on_stream_asked = desc->on_stream_asked,
+                                                    .on_stream_announced = desc->on_stream_announced,
+                                                    .on_stream_query = desc->on_stream_query,
                                                     .user_data = desc->user_data},
                                  err);
     m->peers = !m->reporter ? NULL
--- a/gateway/mesh.h
+++ b/gateway/mesh.h
@@ -31,8 +31,8 @@
     void (*on_observation)(void* user_data, const cw_quarantine_observation_t* observation);
     uint32_t (*observations)(void* user_data, uint32_t* at, cw_quarantine_observation_t* out, uint32_t max);
     /* Versions of streams, as in reporter_desc_t. */
-    void (*on_stream_told)(void* user_data, const cw_stream_record_t* record);
-    bool (*on_stream_asked)(void* user_data, uint64_t stream, uint64_t pool, cw_stream_record_t* record);
+    void (*on_stream_announced)(void* user_data, const cw_stream_record_t* record);
+    bool (*on_stream_query)(void* user_data, uint64_t stream, uint64_t pool, cw_stream_record_t* record);
     void* user_data;
 } mesh_desc_t;
 
@@ -49,9 +49,9 @@
 void mesh_on_liveness(mesh_t* m, const server_t* server);
 /* This host made an observation: sent to all hosts at once. */
 void mesh_on_observation(mesh_t* m, const cw_quarantine_observation_t* observation);
-/* Tells all hosts the version of a stream, or asks some of them for it; see streams.h. */
-void mesh_tell_stream(mesh_t* m, const cw_stream_record_t* record);
-uint32_t mesh_ask_stream(mesh_t* m, uint64_t stream, uint64_t pool);
+/* Announces the version of a stream to all hosts, or queries some of them; see streams.h. */
+void mesh_announce_stream(mesh_t* m, const cw_stream_record_t* record);
+uint32_t mesh_query_stream(mesh_t* m, uint64_t stream, uint64_t pool);
 /* Reports to the peers that the server has cached these prompt parts. */
 void mesh_announce_cached(mesh_t* m, const server_t* server, const cw_prompt_part_t* parts, uint32_t count);
 /* Whether this host owns the key, by rendezvous hashing over the hosts that are alive and not leaving. */
--- a/gateway/reporter.h
+++ b/gateway/reporter.h
@@ -29,9 +29,9 @@
     /* Writes up to max observations that are to be repeated, from index *at on, and returns their number. Sets *at to
        the next index, 0 after the last observation. May be NULL. */
     uint32_t (*observations)(void* user_data, uint32_t* at, cw_quarantine_observation_t* out, uint32_t max);
-    /* Another host tells the version of a stream, or asks for it; see streams.h. Both may be NULL. */
-    void (*on_stream_told)(void* user_data, const cw_stream_record_t* record);
-    bool (*on_stream_asked)(void* user_data, uint64_t stream, uint64_t pool, cw_stream_record_t* record);
+    /* Another host announces the version of a stream, or queries it; see streams.h. Both may be NULL. */
+    void (*on_stream_announced)(void* user_data, const cw_stream_record_t* record);
+    bool (*on_stream_query)(void* user_data, uint64_t stream, uint64_t pool, cw_stream_record_t* record);
     void* user_data;
 } reporter_desc_t;
 
@@ -56,10 +56,10 @@
 void reporter_announce_cached(reporter_t* n, const server_t* server, const cw_prompt_part_t* parts, uint32_t count);
 /* This host made an observation: sent at once, and a second time a moment later. */
 void reporter_on_observation(reporter_t* n, const cw_quarantine_observation_t* observation);
-/* Tells all hosts the version of a stream: at once, and a second time a moment later. */
-void reporter_tell_stream(reporter_t* n, const cw_stream_record_t* record);
-/* Asks some hosts for the version of a stream. Returns their number. */
-uint32_t reporter_ask_stream(reporter_t* n, uint64_t stream, uint64_t pool);
+/* Announces the version of a stream to all hosts: at once, and a second time a moment later. */
+void reporter_announce_stream(reporter_t* n, const cw_stream_record_t* record);
+/* Queries some hosts for the version of a stream. Returns their number. */
+uint32_t reporter_query_stream(reporter_t* n, uint64_t stream, uint64_t pool);
 void reporter_tick(reporter_t* n, int64_t now_ms);
 reporter_stats_t reporter_stats(const reporter_t* n);
 
--- a/gateway/reporter_internal.h
+++ b/gateway/reporter_internal.h
@@ -37,7 +37,7 @@
     int64_t stamped_ms;  /* time at which observation.age_ms was valid */
 } pending_observation_t;
 
-/* The version of a stream that waits to be told. */
+/* The version of a stream that waits to be announced. */
 typedef struct pending_stream_t {
     cw_stream_record_t record;
     bool to_other_halls; /* as well as to the own hall */
--- a/gateway/reporter_streams.c
+++ b/gateway/reporter_streams.c
@@ -1,13 +1,13 @@
-/* Software versions of streams: told to all hosts at once and a second time a moment later, and asked for. */
+/* Software versions of streams: announced to all hosts at once and a second time a moment later, and queried. */
 #include <string.h>
 
 #include "clock.h"
 #include "reporter_internal.h"
 
-/* Delay until a record is told again: one datagram in ten may be lost. */
+/* Delay until a record is sent again: one datagram in ten may be lost. */
 #define RESEND_DELAY_MS 150
-#define ASK_OWN_HALL 3    /* hosts of the own hall that are asked for a stream */
-#define ASK_OTHER_HALLS 3 /* hosts of other halls, one of each */
+#define QUERY_OWN_HALL 3    /* hosts of the own hall that a query is sent to */
+#define QUERY_OTHER_HALLS 3 /* hosts of other halls, one of each */
 
 static datagram_t encode(const reporter_t* n, cw_stream_message_t* message) {
     datagram_t d;
@@ -17,7 +17,7 @@
     return d;
 }
 
-/* -- telling -------------------------------------------------------------- */
+/* -- announcements -------------------------------------------------------- */
 
 static void queue_stream(reporter_t* n, const cw_stream_record_t* record, bool to_other_halls, int64_t due_ms) {
     if (n->stream_count < STREAM_QUEUE_MAX) {
@@ -53,7 +53,7 @@
 /* Sends the records that are due. to_other_halls: only those for other halls, otherwise all. */
 static void send_due(reporter_t* n, int64_t now_ms, bool to_other_halls,
                      void (*send)(reporter_t*, cw_stream_message_t*)) {
-    cw_stream_message_t message = {.kind = CW_STREAM_TELL};
+    cw_stream_message_t message = {.kind = CW_STREAM_ANNOUNCE};
     for (uint32_t i = 0; i < n->stream_count; i++) {
         const pending_stream_t* item = &n->streams[i];
         int64_t left_ms = item->record.expires_ms - now_ms;
@@ -99,39 +99,39 @@
     drop_sent(n, now_ms);
 }
 
-void reporter_tell_stream(reporter_t* n, const cw_stream_record_t* record) {
+void reporter_announce_stream(reporter_t* n, const cw_stream_record_t* record) {
     queue_stream(n, record, true, 0);
     queue_stream(n, record, true, clock_ms() + RESEND_DELAY_MS);
     reporter_flush_after(n, FLUSH_DELAY_MS);
 }
 
-/* -- asking --------------------------------------------------------------- */
+/* -- queries -------------------------------------------------------------- */
 
-uint32_t reporter_ask_stream(reporter_t* n, uint64_t stream, uint64_t pool) {
-    cw_stream_message_t message = {.kind = CW_STREAM_ASK, .count = 1, .entries = {{.stream = stream, .pool = pool}}};
-    uint32_t asked = 0;
+uint32_t reporter_query_stream(reporter_t* n, uint64_t stream, uint64_t pool) {
+    cw_stream_message_t message = {.kind = CW_STREAM_QUERY, .count = 1, .entries = {{.stream = stream, .pool = pool}}};
+    uint32_t queried = 0;
     reporter_refresh_peers(n);
     datagram_t d = encode(n, &message);
-    for (uint32_t i = 0; i < n->own_hall.count && i < ASK_OWN_HALL; i++) {
+    for (uint32_t i = 0; i < n->own_hall.count && i < QUERY_OWN_HALL; i++) {
         uint64_t first = cw_mix(n->desc.host, ++n->random_count) % n->own_hall.count;
         reporter_send(n, &n->peers[n->own_hall.first + (first + i) % n->own_hall.count], &d);
-        asked++;
+        queried++;
     }
-    for (uint32_t i = 0; i < n->other_hall_count && i < ASK_OTHER_HALLS; i++) {
+    for (uint32_t i = 0; i < n->other_hall_count && i < QUERY_OTHER_HALLS; i++) {
         const hall_range_t* hall = &n->other_halls[(stream + i) % n->other_hall_count];
         reporter_send(n, &n->peers[hall->first + cw_mix(n->desc.host, ++n->random_count) % hall->count], &d);
-        asked++;
+        queried++;
     }
-    return asked;
+    return queried;
 }
 
-static void reply(reporter_t* n, const cw_stream_message_t* asked, const struct sockaddr_in* to) {
-    cw_stream_message_t message = {.kind = CW_STREAM_TELL};
+static void reply(reporter_t* n, const cw_stream_message_t* query, const struct sockaddr_in* to) {
+    cw_stream_message_t message = {.kind = CW_STREAM_ANNOUNCE};
     peer_t peer = {.load = *to};
     int64_t now_ms = clock_ms();
-    for (uint32_t i = 0; i < asked->count; i++) {
+    for (uint32_t i = 0; i < query->count; i++) {
         cw_stream_record_t record;
-        if (n->desc.on_stream_asked(n->desc.user_data, asked->entries[i].stream, asked->entries[i].pool, &record)) {
+        if (n->desc.on_stream_query(n->desc.user_data, query->entries[i].stream, query->entries[i].pool, &record)) {
             message.entries[message.count++] = (cw_stream_entry_t){.stream = record.stream,
                                                                    .pool = record.pool,
                                                                    .version = record.version,
@@ -146,7 +146,7 @@
 
 /* -- receiving ------------------------------------------------------------ */
 
-static void receive_tell(reporter_t* n, const cw_stream_message_t* message) {
+static void receive_announcement(reporter_t* n, const cw_stream_message_t* message) {
     int64_t now_ms = clock_ms();
     for (uint32_t i = 0; i < message->count; i++) {
         const cw_stream_entry_t* entry = &message->entries[i];
@@ -154,7 +154,7 @@
                                      .pool = entry->pool,
                                      .version = entry->version,
                                      .expires_ms = now_ms + entry->left_ms};
-        n->desc.on_stream_told(n->desc.user_data, &record);
+        n->desc.on_stream_announced(n->desc.user_data, &record);
         if (message->scope != CW_LOAD_NO_RELAY) {
             queue_stream(n, &record, message->scope == CW_LOAD_RELAY_TO_ALL, 0);
         }
@@ -164,14 +164,14 @@
 
 bool reporter_receive_streams(reporter_t* n, const uint8_t* bytes, size_t size, const struct sockaddr_in* from) {
     cw_stream_message_t message;
-    if (!n->desc.on_stream_told || cw_stream_message_decode(&message, bytes, size) != CW_OK ||
+    if (!n->desc.on_stream_announced || cw_stream_message_decode(&message, bytes, size) != CW_OK ||
         message.cluster != n->cluster) {
         return false;
     }
-    if (message.kind == CW_STREAM_ASK) {
+    if (message.kind == CW_STREAM_QUERY) {
         reply(n, &message, from);
     } else {
-        receive_tell(n, &message);
+        receive_announcement(n, &message);
     }
     return true;
 }
--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -8,11 +8,11 @@
 #define LONGEST_DEFAULT_MS 30000
 /* A version is remembered for this multiple of the longest stream: hosts learn at different times that it has gone. */
 #define MEMORY_FACTOR 2
-/* Streams are told before the list of servers is too old to conclude anything from it. */
-#define TELL_LIST_AGE_MS (CW_POOL_VERSIONS_FRESH_MS / 2)
-#define DENIALS_MAX 64 /* streams that other hosts did not know, remembered while their callers wait */
-#define TELL_BATCH 64  /* own streams read at once when they are told */
-#define POOLS_TELLING_MAX 64
+/* Streams are announced before the list of servers is too old for any conclusion. */
+#define ANNOUNCE_LIST_AGE_MS (CW_POOL_VERSIONS_FRESH_MS / 2)
+#define DENIALS_MAX 64    /* streams that other hosts did not know, remembered while their callers wait */
+#define ANNOUNCE_BATCH 64 /* own streams read at once when they are announced */
+#define POOLS_ANNOUNCING_MAX 64
 
 typedef struct denial_t {
     uint64_t stream;
@@ -26,8 +26,8 @@
     int64_t setup_ms;
     denial_t denials[DENIALS_MAX]; /* ring */
     uint32_t next_denial;
-    uint64_t telling[POOLS_TELLING_MAX]; /* ids of the pools whose streams are told */
-    uint32_t telling_count;
+    uint64_t announcing[POOLS_ANNOUNCING_MAX]; /* ids of the pools whose streams are announced */
+    uint32_t announcing_count;
     streams_stats_t stats;
 };
 
@@ -70,17 +70,18 @@
     return is_certain ? cw_pool_versions_only(&pool->versions, now_ms, s->memory_ms) : 0;
 }
 
-/* Whether other hosts may come to need the version of this pool's streams. */
-static bool must_tell(const streams_t* s, const pool_t* pool, int64_t now_ms) {
-    return cw_pool_versions_recent(&pool->versions, now_ms, s->memory_ms) > 1 || !is_list_fresh(s, TELL_LIST_AGE_MS);
+/* Whether other hosts may need the versions of this pool's streams. */
+static bool must_announce(const streams_t* s, const pool_t* pool, int64_t now_ms) {
+    return cw_pool_versions_recent(&pool->versions, now_ms, s->memory_ms) > 1 ||
+           !is_list_fresh(s, ANNOUNCE_LIST_AGE_MS);
 }
 
 /* -- streams of this host ------------------------------------------------- */
 
-static void tell(streams_t* s, const cw_stream_record_t* record) {
-    if (s->desc.tell) {
-        s->stats.told++;
-        s->desc.tell(s->desc.user_data, record);
+static void announce(streams_t* s, const cw_stream_record_t* record) {
+    if (s->desc.announce) {
+        s->stats.announced++;
+        s->desc.announce(s->desc.user_data, record);
     }
 }
 
@@ -88,23 +89,23 @@
     int64_t now_ms = clock_ms();
     cw_stream_record_t record = {
         .stream = stream, .pool = cw_name_id(pool->name), .version = version, .expires_ms = expires_ms, .is_own = true};
-    if (cw_stream_registry_put(s->registry, now_ms, &record) && must_tell(s, pool, now_ms)) {
-        tell(s, &record);
+    if (cw_stream_registry_put(s->registry, now_ms, &record) && must_announce(s, pool, now_ms)) {
+        announce(s, &record);
     }
 }
 
-static void tell_all(streams_t* s, uint64_t pool, int64_t now_ms) {
-    cw_stream_record_t records[TELL_BATCH];
+static void announce_all(streams_t* s, uint64_t pool, int64_t now_ms) {
+    cw_stream_record_t records[ANNOUNCE_BATCH];
     uint32_t at = 0;
     do {
-        uint32_t count = cw_stream_registry_list_own(s->registry, now_ms, pool, &at, records, TELL_BATCH);
+        uint32_t count = cw_stream_registry_list_own(s->registry, now_ms, pool, &at, records, ANNOUNCE_BATCH);
         for (uint32_t i = 0; i < count; i++) {
-            tell(s, &records[i]);
+            announce(s, &records[i]);
         }
     } while (at);
 }
 
-static bool was_telling(const uint64_t* pools, uint32_t count, uint64_t pool) {
+static bool was_announcing(const uint64_t* pools, uint32_t count, uint64_t pool) {
     for (uint32_t i = 0; i < count; i++) {
         if (pools[i] == pool) {
             return true;
@@ -113,33 +114,33 @@
     return false;
 }
 
-/* Streams that began before this host had to tell of them are told when that state begins. */
+/* Streams that began before announcements were needed are announced when that state begins. */
 void streams_tick(streams_t* s, int64_t now_ms) {
-    uint64_t telling[POOLS_TELLING_MAX];
+    uint64_t announcing[POOLS_ANNOUNCING_MAX];
     uint32_t count = 0;
-    for (const pool_t* pool = upstreams_pools(s->desc.upstreams); pool && count < POOLS_TELLING_MAX;
+    for (const pool_t* pool = upstreams_pools(s->desc.upstreams); pool && count < POOLS_ANNOUNCING_MAX;
          pool = pool->next) {
-        if (must_tell(s, pool, now_ms)) {
+        if (must_announce(s, pool, now_ms)) {
             uint64_t id = cw_name_id(pool->name);
-            telling[count++] = id;
-            if (!was_telling(s->telling, s->telling_count, id)) {
-                tell_all(s, id, now_ms);
+            announcing[count++] = id;
+            if (!was_announcing(s->announcing, s->announcing_count, id)) {
+                announce_all(s, id, now_ms);
             }
         }
     }
     for (uint32_t i = 0; i < count; i++) {
-        s->telling[i] = telling[i];
+        s->announcing[i] = announcing[i];
     }
-    s->telling_count = count;
+    s->announcing_count = count;
 }
 
-/* -- streams that are taken up -------------------------------------------- */
+/* -- streams that callers resume ------------------------------------------- */
 
 /* Logs and counts how the version of a stream was found, and returns it. */
 static uint64_t report(streams_t* s, const stream_request_t* request, uint64_t version, stream_source_t source) {
     static const char* const names[STREAM_SOURCE_COUNT] = {"unknown", "recorded", "only-version", "last-resort"};
     int64_t now_ms = clock_ms();
-    s->stats.taken_up[source]++;
+    s->stats.resumed[source]++;
     cw_log(s->desc.log, CW_EVENT_STREAM_VERSION,
            "id=%s resumes=%s pool=%s version_key=%016llx source=%s versions=%u list_age_ms=%lld", request->id,
            request->resumes[0] ? request->resumes : "-", request->pool->name, (unsigned long long)version,
@@ -158,12 +159,12 @@
     return only ? report(s, request, only, STREAM_ONLY_VERSION) : 0;
 }
 
-uint32_t streams_ask(streams_t* s, const stream_request_t* request) {
-    if (!request->stream || !s->desc.ask) {
+uint32_t streams_query(streams_t* s, const stream_request_t* request) {
+    if (!request->stream || !s->desc.query) {
         return 0;
     }
-    s->stats.asked++;
-    return s->desc.ask(s->desc.user_data, request->stream, cw_name_id(request->pool->name));
+    s->stats.queried++;
+    return s->desc.query(s->desc.user_data, request->stream, cw_name_id(request->pool->name));
 }
 
 /* Whether another host has said lately that it doesn't know the stream while several versions have served. */
@@ -188,9 +189,9 @@
 
 /* -- other hosts ---------------------------------------------------------- */
 
-void streams_on_told(streams_t* s, const cw_stream_record_t* record) {
+void streams_on_announced(streams_t* s, const cw_stream_record_t* record) {
     int64_t now_ms = clock_ms();
-    s->stats.heard++;
+    s->stats.received++;
     if (!record->version) {
         s->denials[s->next_denial++ % DENIALS_MAX] = (denial_t){.stream = record->stream, .at_ms = now_ms};
     } else if (cw_stream_registry_put(s->registry, now_ms, record)) {
@@ -206,7 +207,7 @@
     return pool;
 }
 
-bool streams_on_asked(streams_t* s, uint64_t stream, uint64_t pool_id, cw_stream_record_t* record) {
+bool streams_on_query(streams_t* s, uint64_t stream, uint64_t pool_id, cw_stream_record_t* record) {
     int64_t now_ms = clock_ms();
     const cw_stream_record_t* known = cw_stream_registry_find(s->registry, now_ms, stream);
     const pool_t* pool = find_pool(s, pool_id);
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -2,11 +2,11 @@
 #define CW_GATEWAY_STREAMS_H
 /*
     The software versions at which resumable streams began, so that a stream is resumed only at the version that began
-   it, whichever host its caller asks.
+   it, whichever host its caller connects to.
 
     A host records the streams that it carries. While several versions serve in a pool, or its list of servers is not
-    fresh, it tells the other hosts of each stream when the first event arrives, and of all that it carries when that
-    state begins. A host that is asked to resume a stream that it doesn't know asks some others. Unknown is not guessed:
+    fresh, it announces each stream to the other hosts when the first event arrives, and all that it carries when that
+    state begins. A host that is to resume a stream that it does not know queries some others. Unknown is not guessed:
     it resumes an unknown stream only if a single version has served for as long as streams last
     (chalkway_pool_versions.h), as it knows itself or another host vouches for.
 */
@@ -16,16 +16,16 @@
 
 typedef struct streams_t streams_t;
 
-/* How the version of a stream that is taken up was found. */
+/* How the version of a stream that a caller resumes was found. */
 typedef enum stream_source_t {
     STREAM_UNKNOWN = 0,  /* it was not */
-    STREAM_RECORDED,     /* this host carried the stream, or was told */
+    STREAM_RECORDED,     /* this host carried the stream, or received its record */
     STREAM_ONLY_VERSION, /* a single one has served */
     STREAM_LAST_RESORT,  /* the same, as far as a host that has just started can know */
     STREAM_SOURCE_COUNT
 } stream_source_t;
 
-/* The request that takes up a stream. */
+/* The request by which a caller resumes a stream. */
 typedef struct stream_request_t {
     const pool_t* pool;
     uint64_t stream;     /* streams_id, 0: unknown */
@@ -39,19 +39,19 @@
     uint32_t capacity; /* streams that are recorded; default 16384 */
     /* Age, ms, of the list of servers: time since it was known to be current. */
     int64_t (*list_age_ms)(void* user_data);
-    /* Tells all other hosts. May be NULL. */
-    void (*tell)(void* user_data, const cw_stream_record_t* record);
-    /* Asks other hosts for the stream. Returns their number. May be NULL. */
-    uint32_t (*ask)(void* user_data, uint64_t stream, uint64_t pool);
+    /* Announces a stream to all other hosts. May be NULL. */
+    void (*announce)(void* user_data, const cw_stream_record_t* record);
+    /* Queries other hosts. Returns their number. May be NULL. */
+    uint32_t (*query)(void* user_data, uint64_t stream, uint64_t pool);
     /* The stream's version has become known. */
     void (*on_resolved)(void* user_data, uint64_t stream);
     void* user_data;
 } streams_desc_t;
 
 typedef struct streams_stats_t {
-    uint32_t known;                         /* streams recorded now */
-    uint64_t told, heard, asked;            /* records sent to and received from other hosts; streams asked for */
-    uint64_t taken_up[STREAM_SOURCE_COUNT]; /* streams taken up */
+    uint32_t known;                        /* streams recorded now */
+    uint64_t announced, received, queried; /* records sent to and received from other hosts; queries for streams */
+    uint64_t resumed[STREAM_SOURCE_COUNT]; /* streams that callers resumed */
     uint64_t evicted;
 } streams_stats_t;
 
@@ -65,15 +65,15 @@
 void streams_on_first_event(streams_t* s, const pool_t* pool, uint64_t stream, uint64_t version, int64_t expires_ms);
 /* Id of the version at which the stream must be resumed; 0: unknown. */
 uint64_t streams_resolve(streams_t* s, const stream_request_t* request);
-/* Asks other hosts for an unknown stream. Returns how many, 0: nobody can be asked. */
-uint32_t streams_ask(streams_t* s, const stream_request_t* request);
+/* Queries other hosts for an unknown stream. Returns how many, 0: there is none. */
+uint32_t streams_query(streams_t* s, const stream_request_t* request);
 /* The others have had their time to reply. As streams_resolve; also the only listed version, if no host that could know
    replied: then all have just started. */
 uint64_t streams_resolve_unanswered(streams_t* s, const stream_request_t* request);
-/* Another host tells the version of a stream; 0: it doesn't know it, and several versions have served. */
-void streams_on_told(streams_t* s, const cw_stream_record_t* record);
-/* Another host asks for a stream. False: this host knows nothing. record: the reply. */
-bool streams_on_asked(streams_t* s, uint64_t stream, uint64_t pool, cw_stream_record_t* record);
+/* A record was received from another host; version 0: it does not know the stream, and several versions have served. */
+void streams_on_announced(streams_t* s, const cw_stream_record_t* record);
+/* Another host queries a stream. False: there is nothing to reply. record: the reply. */
+bool streams_on_query(streams_t* s, uint64_t stream, uint64_t pool, cw_stream_record_t* record);
 void streams_tick(streams_t* s, int64_t now_ms);
 streams_stats_t streams_stats(const streams_t* s);
 
--- a/tests/test_stream_hosts.c
+++ b/tests/test_stream_hosts.c
@@ -1,5 +1,5 @@
 /*
-    Streams that callers take up at other hosts, while servers of two software versions serve.
+    Streams that callers resume at other hosts, while servers of two software versions serve.
 
     Seen: within 0.2 s of a host's end its callers took their streams up at others, and half of the streams went on at
    the other version: only the host that began a stream knew its version.
@@ -123,7 +123,7 @@
 }
 
 /* The callers of the streams ask the other hosts to go on. */
-static void take_up(fleet_t* f, const attempt_t* streams, attempt_t* resumed) {
+static void resume_all(fleet_t* f, const attempt_t* streams, attempt_t* resumed) {
     for (int i = 0; i < STREAMS; i++) {
         char id[24];
         snprintf(id, sizeof(id), "second-%d", i);
@@ -158,14 +158,14 @@
     pause_for(f, SETTLED_S);
     begin_streams(f, streams);
     stop_host(f, 0, SIGKILL);
-    take_up(f, streams, resumed);
+    resume_all(f, streams, resumed);
     check_all_went_on(streams, resumed);
     fleet_shutdown(f);
 }
 END_TEST
 
 /* Host 1 loses what it was told, and asks. */
-START_TEST(a_host_that_just_started_asks_for_the_version) {
+START_TEST(a_host_that_just_started_queries_the_version) {
     attempt_t streams[STREAMS];
     attempt_t resumed[STREAMS];
     fleet_t* f = setup(two_versions);
@@ -176,7 +176,7 @@
     poll_until(f, 1, 7101, "/readyz", 200, NULL, NULL);
     poll_until(f, 1, 7103, "/metrics", 200, "chalkway_members_live 3\n", NULL);
     stop_host(f, 0, SIGKILL);
-    take_up(f, streams, resumed);
+    resume_all(f, streams, resumed);
     check_all_went_on(streams, resumed);
     fleet_shutdown(f);
 }
@@ -194,7 +194,7 @@
     }
     start_all(f);
     uint32_t served = f->served_count;
-    take_up(f, streams, resumed);
+    resume_all(f, streams, resumed);
     ck_assert_uint_eq(f->served_count, served);
     for (int i = 0; i < STREAMS; i++) {
         ck_assert_msg(resumed[i].status == 503 && strstr(resumed[i].body, "version of the stream is unknown"),
@@ -214,7 +214,7 @@
         stop_host(f, i, SIGKILL);
     }
     start_all(f);
-    take_up(f, streams, resumed);
+    resume_all(f, streams, resumed);
     for (int i = 0; i < STREAMS; i++) {
         ck_assert_msg(resumed[i].status == 200, "stream %d: status %u, %s", i, resumed[i].status, resumed[i].body);
     }
@@ -224,7 +224,7 @@
 
 static void add_tests(TCase* t) {
     tcase_add_test(t, streams_of_a_killed_host_go_on_at_their_version);
-    tcase_add_test(t, a_host_that_just_started_asks_for_the_version);
+    tcase_add_test(t, a_host_that_just_started_queries_the_version);
     tcase_add_test(t, unknown_streams_are_refused_after_all_hosts_were_killed);
     tcase_add_test(t, unknown_streams_of_the_only_version_go_on_after_all_hosts_were_killed);
 }
--- a/tests/test_stream_state.c
+++ b/tests/test_stream_state.c
@@ -125,7 +125,7 @@
     out = (cw_stream_message_t){.cluster = UINT64_MAX,
                                 .host = 5,
                                 .scope = CW_LOAD_RELAY_TO_HALL,
-                                .kind = CW_STREAM_ASK,
+                                .kind = CW_STREAM_QUERY,
                                 .count = CW_STREAM_ENTRIES};
     for (uint32_t i = 0; i < out.count; i++) {
         out.entries[i] = (cw_stream_entry_t){UINT64_MAX - i, UINT64_MAX, UINT64_MAX, UINT32_MAX};
@@ -157,7 +157,7 @@
 /* -- what a host concludes ------------------------------------------------ */
 
 typedef struct peers_t {
-    uint32_t told, asked;
+    uint32_t announced, queried;
     uint64_t resolved;
     int64_t list_age_ms;
 } peers_t;
@@ -166,15 +166,15 @@
     return ((peers_t*)user)->list_age_ms;
 }
 
-static void on_tell(void* user, const cw_stream_record_t* told) {
+static void on_announce(void* user, const cw_stream_record_t* told) {
     ck_assert(told->is_own);
-    ((peers_t*)user)->told++;
+    ((peers_t*)user)->announced++;
 }
 
-static uint32_t on_ask(void* user, uint64_t stream, uint64_t pool) {
+static uint32_t on_query(void* user, uint64_t stream, uint64_t pool) {
     (void)stream;
     (void)pool;
-    ((peers_t*)user)->asked++;
+    ((peers_t*)user)->queried++;
     return 3;
 }
 
@@ -195,8 +195,8 @@
     return streams_setup(&(streams_desc_t){.log = &r->log,
                                            .upstreams = r->upstreams,
                                            .list_age_ms = list_age,
-                                           .tell = on_tell,
-                                           .ask = on_ask,
+                                           .announce = on_announce,
+                                           .query = on_query,
                                            .on_resolved = on_resolved,
                                            .user_data = peers});
 }
@@ -204,7 +204,7 @@
 #define POOLS "{\"revision\":1,\"pools\":[{\"name\":\"p\"}],\"routes\":[]}"
 
 /* One version and a fresh list: nothing is told. Then the list grows old, or a second version comes. */
-START_TEST(streams_are_told_once_other_hosts_may_need_them) {
+START_TEST(streams_are_announced_once_other_hosts_may_need_them) {
     for (int by_version = 0; by_version < 2; by_version++) {
         peers_t peers = {0};
         rig_t* r = rig_setup(POOLS, 2);
@@ -214,15 +214,15 @@
             streams_on_first_event(s, pool, stream, 1, clock_ms() + 5000);
         }
         streams_tick(s, clock_ms());
-        ck_assert_uint_eq(peers.told, 0);
+        ck_assert_uint_eq(peers.announced, 0);
         r->versions[1] = by_version ? "2" : NULL;
         rig_set_servers_at(r, clock_ms(), 2, 0, false);
         peers.list_age_ms = by_version ? 0 : CW_POOL_VERSIONS_FRESH_MS;
         streams_tick(s, clock_ms());
         streams_tick(s, clock_ms());
-        ck_assert_uint_eq(peers.told, 100);
+        ck_assert_uint_eq(peers.announced, 100);
         streams_on_first_event(s, pool, 101, 1, clock_ms() + 5000);
-        ck_assert_uint_eq(peers.told, 101);
+        ck_assert_uint_eq(peers.announced, 101);
         streams_shutdown(s);
         rig_shutdown(r);
     }
@@ -236,17 +236,17 @@
     streams_t* s = setup(r, &peers);
     const pool_t* pool = upstreams_pool(r->upstreams, "p");
     ck_assert_uint_eq(resolve(s, pool, 5), 0);
-    ck_assert_uint_eq(streams_ask(s, &(stream_request_t){.pool = pool, .stream = 5}), 3);
+    ck_assert_uint_eq(streams_query(s, &(stream_request_t){.pool = pool, .stream = 5}), 3);
     ck_assert_uint_eq(resolve_unanswered(s, pool, 5), 0);
     peers.list_age_ms = 0; /* it has just started: the only listed version is the last resort */
     ck_assert_uint_eq(resolve(s, pool, 5), 0);
     ck_assert_uint_ne(resolve_unanswered(s, pool, 5), 0);
     cw_stream_record_t denial = {.stream = 5, .pool = cw_name_id("p"), .expires_ms = clock_ms() + 5000};
-    streams_on_told(s, &denial);
+    streams_on_announced(s, &denial);
     ck_assert_uint_eq(peers.resolved, 0);
     ck_assert_uint_eq(resolve_unanswered(s, pool, 5), 0);
     cw_stream_record_t known = {.stream = 5, .pool = cw_name_id("p"), .version = 9, .expires_ms = clock_ms() + 5000};
-    streams_on_told(s, &known);
+    streams_on_announced(s, &known);
     ck_assert_uint_eq(peers.resolved, 5);
     ck_assert_uint_eq(resolve(s, pool, 5), 9);
     streams_shutdown(s);
@@ -255,19 +255,19 @@
 END_TEST
 
 /* A host that is asked vouches for nothing that it doesn't know itself. */
-START_TEST(a_host_that_is_asked_tells_only_what_it_knows) {
+START_TEST(a_queried_host_replies_only_what_it_knows) {
     peers_t peers = {0};
     rig_t* r = rig_setup(POOLS, 2);
     streams_t* s = setup(r, &peers);
     const pool_t* pool = upstreams_pool(r->upstreams, "p");
     cw_stream_record_t reply;
     streams_on_first_event(s, pool, 1, 44, clock_ms() + 5000);
-    ck_assert(streams_on_asked(s, 1, cw_name_id("p"), &reply) && reply.version == 44);
-    ck_assert(!streams_on_asked(s, 2, cw_name_id("p"), &reply)); /* it has just started */
-    ck_assert(!streams_on_asked(s, 2, cw_name_id("other"), &reply));
+    ck_assert(streams_on_query(s, 1, cw_name_id("p"), &reply) && reply.version == 44);
+    ck_assert(!streams_on_query(s, 2, cw_name_id("p"), &reply)); /* it has just started */
+    ck_assert(!streams_on_query(s, 2, cw_name_id("other"), &reply));
     r->versions[1] = "2";
     rig_set_servers_at(r, clock_ms(), 2, 0, false);
-    ck_assert(streams_on_asked(s, 2, cw_name_id("p"), &reply) && reply.version == 0);
+    ck_assert(streams_on_query(s, 2, cw_name_id("p"), &reply) && reply.version == 0);
     streams_shutdown(s);
     rig_shutdown(r);
 }
@@ -281,9 +281,9 @@
     tcase_add_test(t, a_full_registry_forgets_the_oldest_stream);
     tcase_add_test(t, own_streams_are_listed_in_parts);
     tcase_add_test(t, datagrams_about_streams_survive_the_round_trip);
-    tcase_add_test(t, streams_are_told_once_other_hosts_may_need_them);
+    tcase_add_test(t, streams_are_announced_once_other_hosts_may_need_them);
     tcase_add_test(t, a_host_with_an_old_list_concludes_nothing);
-    tcase_add_test(t, a_host_that_is_asked_tells_only_what_it_knows);
+    tcase_add_test(t, a_queried_host_replies_only_what_it_knows);
 }
 
 int main(void) {
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -15,7 +15,7 @@
 #define CALL(id, key, more)                                                                                            \
     "POST /x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer " key "\r\nChalkway-Request-Id: " id                 \
     "\r\nContent-Length: 0\r\n" more "\r\n"
-#define TAKE_UP(id, key) CALL(id, key, "Last-Event-Id: 1\r\nChalkway-Resumes: q1\r\n")
+#define RESUME(id, key) CALL(id, key, "Last-Event-Id: 1\r\nChalkway-Resumes: q1\r\n")
 
 /* Three servers with these versions, "-": unknown. */
 static rig_t* setup(const char* const versions[RIG_SERVERS]) {
@@ -66,14 +66,14 @@
 
 /* Guards against a stream with events of two versions: the host that its caller asked to go on chose any server. The
    server that began the stream has left meanwhile. */
-START_TEST(a_stream_that_its_caller_takes_up_goes_on_at_its_version) {
+START_TEST(a_stream_that_its_caller_resumes_continues_at_its_version) {
     for (size_t i = 0; i < MIXES; i++) {
         rig_t* r = setup(mixes[i]);
         rig_script(r, (rig_step_t[]){{RIG_RESPOND, EVENTS FIRST_EVENT}, {RIG_RESPOND, EVENTS SECOND_EVENT}}, 2);
         begin_stream(r);
         uint32_t began = r->arrival_server[0];
         rig_set_servers(r, RIG_SERVERS, 1U << began);
-        bool is_served = strstr(rig_call(r, TAKE_UP("q2", "k1")), "data: b") != NULL;
+        bool is_served = strstr(rig_call(r, RESUME("q2", "k1")), "data: b") != NULL;
         bool has_other = false;
         for (uint32_t s = 0; s < RIG_SERVERS; s++) {
             has_other = has_other || (s != began && is_same_version(r, s, began));
@@ -89,7 +89,7 @@
 
 /* Nobody here knows the stream: a wrong guess would mix two versions. The caller is told when to ask again. */
 START_TEST(an_unknown_stream_is_refused_while_two_versions_serve) {
-    static const char* const calls[] = {TAKE_UP("q2", "k1"), CALL("q2", "k1", "Last-Event-Id: 1\r\n")};
+    static const char* const calls[] = {RESUME("q2", "k1"), CALL("q2", "k1", "Last-Event-Id: 1\r\n")};
     for (size_t i = 0; i < sizeof(calls) / sizeof(calls[0]); i++) {
         rig_t* r = setup(mixes[0]);
         rig_script(r, (rig_step_t[]){{RIG_RESPOND, EVENTS SECOND_EVENT}}, 1);
@@ -107,7 +107,7 @@
     rig_t* r = setup(mixes[0]);
     rig_script(r, (rig_step_t[]){{RIG_RESPOND, EVENTS FIRST_EVENT}, {RIG_RESPOND, EVENTS SECOND_EVENT}}, 2);
     begin_stream(r);
-    const char* response = rig_call(r, TAKE_UP("q2", "k2"));
+    const char* response = rig_call(r, RESUME("q2", "k2"));
     ck_assert_msg(strncmp(response, "HTTP/1.1 503", 12) == 0, "%s", response);
     ck_assert_uint_eq(r->arrival_count, 1);
     rig_shutdown(r);
@@ -119,7 +119,7 @@
     for (size_t i = 0; i < sizeof(versions) / sizeof(versions[0]); i++) {
         rig_t* r = setup(versions[i]);
         rig_script(r, (rig_step_t[]){{RIG_RESPOND, EVENTS SECOND_EVENT}}, 1);
-        ck_assert(strstr(rig_call(r, TAKE_UP("q2", "k1")), "data: b"));
+        ck_assert(strstr(rig_call(r, RESUME("q2", "k1")), "data: b"));
         rig_shutdown(r);
     }
 }
@@ -141,7 +141,7 @@
 
 static void add_tests(TCase* t) {
     tcase_add_test(t, a_host_resumes_a_stream_at_its_version_only);
-    tcase_add_test(t, a_stream_that_its_caller_takes_up_goes_on_at_its_version);
+    tcase_add_test(t, a_stream_that_its_caller_resumes_continues_at_its_version);
     tcase_add_test(t, an_unknown_stream_is_refused_while_two_versions_serve);
     tcase_add_test(t, a_stream_of_another_workspace_is_unknown);
     tcase_add_test(t, an_unknown_stream_goes_on_where_one_version_serves);
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -111,7 +111,7 @@
     printf("seed %" PRIu64
            ": %u sent, %u served, %u refused, %u failed, %u left; calm %u sent, %u served, %u refused\n",
            s->seed, r.sent, r.served, r.refused, r.failed, r.abandoned, r.calm_sent, r.calm_served, r.calm_refused);
-    printf("  %u streams taken up, %u of them went on\n", r.taken_up, r.went_on);
+    printf("  %u streams resumed by their callers, %u of them completed\n", r.resumed, r.resumed_served);
     if (r.qod_bodies) {
         printf("  %u queries of death sent %u times: %u upstreams crashed\n", r.qod_bodies, r.qod_sent, r.qod_crashes);
     }
--- a/tools/soak.h
+++ b/tools/soak.h
@@ -9,7 +9,7 @@
         C MS sent ID KIND HOST TOKENS BODY [RESUMES]
                                            a request was sent completely to a host; BODY: "-", or the name of a query of
                                            death, a body that crashes every upstream which begins to run it; RESUMES:
-                                           it takes up the stream that this request began
+                                           it resumes the stream that this request began
         C MS done ID STATUS WHOLE RIGHT FIRST_MS HELD MIXED
                                            the response ended, or the connection closed (status 0). WHOLE 1: the
                                            response is complete; RIGHT 1: its body is correct; FIRST_MS: from
@@ -85,7 +85,8 @@
     uint32_t sent, served, refused, failed, abandoned; /* ordinary requests only */
     /* Queries of death: number of bodies, of requests with these bodies, and of upstreams that they crashed. */
     uint32_t qod_bodies, qod_sent, qod_crashes;
-    uint32_t taken_up, went_on; /* streams that callers took up after a break, and those of them that were completed */
+    uint32_t resumed,
+        resumed_served; /* streams that callers resumed after a break, and those of them that were completed */
     uint32_t calm_sent, calm_served, calm_refused;
 } soak_result_t;
 
--- a/tools/soak_callers.c
+++ b/tools/soak_callers.c
@@ -39,8 +39,8 @@
 #define ABANDON_SPREAD_MS 200
 #define RESPONSE_TIMEOUT_MS 12000 /* a caller abandons a request after this time at the latest */
 #define BURST_FACTOR 2.5          /* times the usual request rate */
-#define TAKE_UPS_MAX 3            /* attempts to take up a stream that was broken off */
-#define TAKE_UP_DELAY_S 0.02
+#define RESUME_ATTEMPTS_MAX 3     /* attempts to resume a stream that was broken off */
+#define RESUME_DELAY_S 0.02
 #define VERSIONS_MAX 64 /* highest version of an upstream */
 #define QOD_PER_S 3.0
 #define QOD_DURATION_S 12
@@ -61,10 +61,10 @@
     char body_text[24]; /* request body, "": none */
     int64_t sent_ms, first_byte_ms;
     cw_buffer_t body;
-    /* a stream that is taken up after a break */
-    char resumes[20];     /* id of the request that began it, "": none */
-    uint32_t event_count; /* complete events in body */
-    uint32_t take_ups;    /* attempts to take it up so far */
+    /* a stream that is resumed after a break */
+    char resumes[20];         /* id of the request that began it, "": none */
+    uint32_t event_count;     /* complete events in body */
+    uint32_t resume_attempts; /* attempts to resume it so far */
     bool has_retried;
     double retry_s; /* delay of the pending retry, 0: none */
     ev_timer think_timer, abandon_timer;
@@ -166,13 +166,13 @@
     return strncmp(caller->body_text, "deadly", strlen("deadly")) == 0;
 }
 
-/* Keeps the complete events of a stream that was broken off, to take it up at a host. False: there is nothing to take
+/* Keeps the complete events of a stream that was broken off, to resume it at a host. False: there is nothing to resume
    up, or it was tried often enough. */
-static bool prepare_take_up(caller_t* caller, unsigned status, bool is_complete) {
+static bool prepare_resume(caller_t* caller, unsigned status, bool is_complete) {
     bool is_refused = is_complete && status == 503 && caller->resumes[0];
     bool is_broken = !is_complete && (status == 200 || (!status && caller->resumes[0]));
     if (is_query_of_death(caller) || !soak_kinds[caller->kind].is_resumable || (!is_refused && !is_broken) ||
-        caller->take_ups == TAKE_UPS_MAX) {
+        caller->resume_attempts == RESUME_ATTEMPTS_MAX) {
         return false;
     }
     if (is_broken) {
@@ -186,14 +186,14 @@
     if (!caller->resumes[0]) {
         cw_copy(caller->resumes, sizeof(caller->resumes), caller->id);
     }
-    caller->take_ups++;
+    caller->resume_attempts++;
     return true;
 }
 
 /* Forgets the stream, once its request has ended. */
 static void drop_stream(caller_t* caller) {
     caller->resumes[0] = 0;
-    caller->event_count = caller->take_ups = 0;
+    caller->event_count = caller->resume_attempts = 0;
     cw_buffer_free(&caller->body);
 }
 
@@ -210,8 +210,8 @@
              caller->first_byte_ms ? caller->first_byte_ms - caller->sent_ms : 0, is_quarantined,
              is_stream && read_events(caller).is_mixed);
     record_event(caller->parent, "done", fields);
-    if (prepare_take_up(caller, status, is_response_complete)) {
-        caller->retry_s = retry ? strtod(retry, NULL) : TAKE_UP_DELAY_S;
+    if (prepare_resume(caller, status, is_response_complete)) {
+        caller->retry_s = retry ? strtod(retry, NULL) : RESUME_DELAY_S;
         schedule_next(caller, caller->retry_s);
         return;
     }
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -56,7 +56,7 @@
     int64_t sent_ms, done_ms, abandoned_ms; /* 0: not yet */
     uint32_t status, begin_count;
     bool is_complete, is_correct, is_quarantined;
-    bool is_take_up, is_mixed;
+    bool is_resumption, is_mixed;
     soak_qod_body_t* qod_body; /* NULL: an ordinary request */
     int64_t begin_ms, end_ms;
     char last_server[NAME_SIZE]; /* server that last began to run the request */
@@ -188,7 +188,7 @@
     request_t* r = &c->requests[c->count];
     *r = (request_t){.sent_ms = at_ms, .idle_engine_share = idle_share(c)};
     if (sscanf(fields, "%31s %31s %31s %u %31s %31s", r->id, kind, r->host, &r->tokens, body, resumes) >= 4) {
-        r->is_take_up = resumes[0] != 0;
+        r->is_resumption = resumes[0] != 0;
         r->kind = soak_find_kind(kind);
         r->is_calm = !is_disturbed(c, at_ms, NULL, SETTLE_MS);
         cw_map_put(&c->by_id, cw_name_id(r->id), c->count++);
@@ -632,8 +632,8 @@
     bool served = r->status / 100 == 2 && r->is_complete && r->is_correct;
     bool refused = was_refused(r);
     result->served += served;
-    result->taken_up += r->is_take_up;
-    result->went_on += r->is_take_up && served;
+    result->resumed += r->is_resumption;
+    result->resumed_served += r->is_resumption && served;
     result->refused += refused;
     result->abandoned += r->abandoned_ms != 0;
     result->failed += r->done_ms && !served && !refused;
