Streams: an expired record wakes no request

A record that has expired when it is received was added and reported as resolved, could not be found, and the request that waited for it queried again, within the same loop over waiting requests: a datagram with no time left could have held the host up for good. The case in test_stream_state fails without the change.

--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -194,7 +194,7 @@
     s->stats.received++;
     if (!record->version) {
         s->denials[s->next_denial++ % DENIALS_MAX] = (denial_t){.stream = record->stream, .at_ms = now_ms};
-    } else if (cw_stream_registry_put(s->registry, now_ms, record)) {
+    } else if (record->expires_ms > now_ms && cw_stream_registry_put(s->registry, now_ms, record)) {
         s->desc.on_resolved(s->desc.user_data, record->stream);
     }
 }
--- a/tests/test_stream_state.c
+++ b/tests/test_stream_state.c
@@ -245,6 +245,9 @@
     streams_on_announced(s, &denial);
     ck_assert_uint_eq(peers.resolved, 0);
     ck_assert_uint_eq(resolve_unanswered(s, pool, 5), 0);
+    cw_stream_record_t expired = {.stream = 5, .pool = cw_name_id("p"), .version = 9, .expires_ms = clock_ms()};
+    streams_on_announced(s, &expired); /* must not wake requests that could not be resolved by it */
+    ck_assert_uint_eq(peers.resolved, 0);
     cw_stream_record_t known = {.stream = 5, .pool = cw_name_id("p"), .version = 9, .expires_ms = clock_ms() + 5000};
     streams_on_announced(s, &known);
     ck_assert_uint_eq(peers.resolved, 5);
