Streams are announced only where nothing can be concluded, and in batches by relays

Announcing begins now when the list is too old for the conclusion (1.5 s), which loses nothing, since all streams are announced at that moment; relays of large fleets forward in their usual batches.

--- a/gateway/reporter_streams.c
+++ b/gateway/reporter_streams.c
@@ -102,7 +102,7 @@
 void reporter_announce_stream(reporter_t* n, const cw_stream_record_t* record) {
     queue_stream(n, record, true, 0);
     queue_stream(n, record, true, clock_ms() + RESEND_DELAY_MS);
-    reporter_flush_after(n, FLUSH_DELAY_MS);
+    reporter_flush_after(n, n->is_relay && n->plan.batch_ms ? n->plan.batch_ms : FLUSH_DELAY_MS);
 }
 
 /* -- queries -------------------------------------------------------------- */
@@ -159,7 +159,15 @@
             queue_stream(n, &record, message->scope == CW_LOAD_RELAY_TO_ALL, 0);
         }
     }
-    reporter_send_streams(n);
+    if (!n->stream_count) {
+        return;
+    }
+    reporter_refresh_peers(n);
+    if (n->plan.batch_ms) {
+        reporter_flush_after(n, n->plan.batch_ms);
+    } else {
+        reporter_send_streams(n);
+    }
 }
 
 bool reporter_receive_streams(reporter_t* n, const uint8_t* bytes, size_t size, const struct sockaddr_in* from) {
--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -8,8 +8,6 @@
 #define LONGEST_DEFAULT_MS 30000
 /* A version is remembered for this multiple of the longest stream: hosts learn at different times that it has gone. */
 #define MEMORY_FACTOR 2
-/* Streams are announced before the list of servers is too old for any conclusion. */
-#define ANNOUNCE_LIST_AGE_MS (CW_POOL_VERSIONS_FRESH_MS / 2)
 #define DENIALS_MAX 64    /* streams that other hosts did not know, remembered while their callers wait */
 #define ANNOUNCE_BATCH 64 /* own streams read at once when they are announced */
 #define POOLS_ANNOUNCING_MAX 64
@@ -73,7 +71,7 @@
 /* Whether other hosts may need the versions of this pool's streams. */
 static bool must_announce(const streams_t* s, const pool_t* pool, int64_t now_ms) {
     return cw_pool_versions_recent(&pool->versions, now_ms, s->memory_ms) > 1 ||
-           !is_list_fresh(s, ANNOUNCE_LIST_AGE_MS);
+           !is_list_fresh(s, CW_POOL_VERSIONS_FRESH_MS);
 }
 
 /* -- streams of this host ------------------------------------------------- */
