Streams: a datagram is checked to be flat before it is parsed

A datagram whose array head announces more elements than it has made msgpack allocate for all of them, up to hundreds of GB: an error in a normal build, the end of the process under the sanitizers. The bytes are now walked as a flat array of unsigned integers first, as for compact lists.

--- a/chalkway_stream_message.h
+++ b/chalkway_stream_message.h
@@ -122,16 +122,34 @@
     return true;
 }
 
-/* Whether the bytes are an array that begins with CW_STREAM_MESSAGE_FORMAT. Most datagrams are load reports, which need
-   not be parsed to be distinguished. */
-static bool _cw_stream_message_has_format(const uint8_t* data, size_t size) {
+/* Bytes of the unsigned integer at the start of data; 0: there is none, or it is cut. */
+static size_t _cw_stream_message_integer_size(const uint8_t* data, size_t size) {
+    uint8_t type = size ? data[0] : 0xc0;
+    size_t length = type <= 0x7f ? 1 : type == 0xcc ? 2 : type == 0xcd ? 3 : type == 0xce ? 5 : type == 0xcf ? 9 : 0;
+    return length <= size ? length : 0;
+}
+
+/* Whether the bytes are a flat array of unsigned integers that begins with CW_STREAM_MESSAGE_FORMAT. Checked before
+   they are parsed, since msgpack allocates as many elements as an array's head announces. */
+static bool _cw_stream_message_is_flat(const uint8_t* data, size_t size) {
     static const uint8_t format[] = {0xcd, CW_STREAM_MESSAGE_FORMAT >> 8U, CW_STREAM_MESSAGE_FORMAT & 0xffU};
-    size_t head = !size ? 0 : data[0] == 0xdc ? 3 : data[0] == 0xdd ? 5 : 1;
-    return size >= head + sizeof(format) && memcmp(data + head, format, sizeof(format)) == 0;
+    size_t at = !size ? 0 : data[0] == 0xdc ? 3 : (data[0] & 0xf0U) == 0x90 ? 1 : 0;
+    if (!at || size < at + sizeof(format) || memcmp(data + at, format, sizeof(format)) != 0) {
+        return false;
+    }
+    uint32_t count = at == 3 ? (uint32_t)data[1] << 8U | data[2] : data[0] & 0x0fU;
+    for (uint32_t i = 0; i < count; i++) {
+        size_t length = _cw_stream_message_integer_size(data + at, size - at);
+        if (!length) {
+            return false;
+        }
+        at += length;
+    }
+    return at == size;
 }
 
 cw_status_t cw_stream_message_decode(cw_stream_message_t* message, const uint8_t* data, size_t size) {
-    if (!_cw_stream_message_has_format(data, size)) {
+    if (!_cw_stream_message_is_flat(data, size)) {
         return CW_ERR_PROTOCOL;
     }
     msgpack_unpacked unpacked;
