Streams are announced before their first event passes to the caller

What callers saw: status 503, "the version of the stream is unknown", for streams whose host was killed right after their first event (seen once, in the whole tests on a busy machine: test_stream_hosts, stream 14). Cause: an announcement waited for a millisecond, in relays of large fleets for a batch, to share a datagram; a process that was killed meanwhile took the version along. Change: the first datagram is sent in the call that reports the first event. Where relays batch, it goes to a relay, a relay's own to another relay, which forwards it in its batch; so relays no longer send the first copy themselves. All streams of a pool, when announcing begins, still share datagrams. The same cause remains for observations of crashes, which wait for a millisecond too: one observation is lost, not a promise.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -159,8 +159,8 @@
     return g->sync ? sync_stats(g->sync).servers_age_ms : -1;
 }
 
-static void announce_stream(void* user, const cw_stream_record_t* record) {
-    mesh_announce_stream(((gateway_t*)user)->mesh, record);
+static void announce_streams(void* user, const cw_stream_record_t* records, uint32_t count) {
+    mesh_announce_streams(((gateway_t*)user)->mesh, records, count);
 }
 
 static uint32_t query_stream(void* user, uint64_t stream, uint64_t pool) {
@@ -533,7 +533,7 @@
     g->streams = streams_setup(&(streams_desc_t){.log = &g->log,
                                                  .upstreams = g->upstreams,
                                                  .list_age_ms = list_age_ms,
-                                                 .announce = announce_stream,
+                                                 .announce = announce_streams,
                                                  .query = query_stream,
                                                  .on_resolved = on_stream_resolved,
                                                  .user_data = g});
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -154,8 +154,8 @@
     reporter_on_observation(m->reporter, observation);
 }
 
-void mesh_announce_stream(mesh_t* m, const cw_stream_record_t* record) {
-    reporter_announce_stream(m->reporter, record);
+void mesh_announce_streams(mesh_t* m, const cw_stream_record_t* records, uint32_t count) {
+    reporter_announce_streams(m->reporter, records, count);
 }
 
 uint32_t mesh_query_stream(mesh_t* m, uint64_t stream, uint64_t pool) {
--- a/gateway/mesh.h
+++ b/gateway/mesh.h
@@ -49,8 +49,8 @@
 void mesh_on_liveness(mesh_t* m, const server_t* server);
 /* This host made an observation: sent to all hosts at once. */
 void mesh_on_observation(mesh_t* m, const cw_quarantine_observation_t* observation);
-/* Announces the version of a stream to all hosts, or queries some of them; see streams.h. */
-void mesh_announce_stream(mesh_t* m, const cw_stream_record_t* record);
+/* Announces the versions of streams to all hosts, or queries some of them; see streams.h. */
+void mesh_announce_streams(mesh_t* m, const cw_stream_record_t* records, uint32_t count);
 uint32_t mesh_query_stream(mesh_t* m, uint64_t stream, uint64_t pool);
 /* Reports to the peers that the server has cached these prompt parts. */
 void mesh_announce_cached(mesh_t* m, const server_t* server, const cw_prompt_part_t* parts, uint32_t count);
--- a/gateway/reporter.h
+++ b/gateway/reporter.h
@@ -56,8 +56,9 @@
 void reporter_announce_cached(reporter_t* n, const server_t* server, const cw_prompt_part_t* parts, uint32_t count);
 /* This host made an observation: sent at once, and a second time a moment later. */
 void reporter_on_observation(reporter_t* n, const cw_quarantine_observation_t* observation);
-/* Announces the version of a stream to all hosts: at once, and a second time a moment later. */
-void reporter_announce_stream(reporter_t* n, const cw_stream_record_t* record);
+/* Announces the versions of streams to all hosts, and a second time a moment later. The first datagrams have been sent
+   when it returns. */
+void reporter_announce_streams(reporter_t* n, const cw_stream_record_t* records, uint32_t count);
 /* Queries some hosts for the version of a stream. Returns their number. */
 uint32_t reporter_query_stream(reporter_t* n, uint64_t stream, uint64_t pool);
 void reporter_tick(reporter_t* n, int64_t now_ms);
--- a/gateway/reporter_streams.c
+++ b/gateway/reporter_streams.c
@@ -26,6 +26,13 @@
     }
 }
 
+static cw_stream_entry_t make_entry(const cw_stream_record_t* record, int64_t now_ms) {
+    return (cw_stream_entry_t){.stream = record->stream,
+                               .pool = record->pool,
+                               .version = record->version,
+                               .left_ms = (uint32_t)(record->expires_ms - now_ms)};
+}
+
 static void send_to_hall(reporter_t* n, cw_stream_message_t* message) {
     message->scope = CW_LOAD_NO_RELAY;
     datagram_t d = encode(n, message);
@@ -45,8 +52,17 @@
 static void send_to_relay(reporter_t* n, cw_stream_message_t* message) {
     message->scope = CW_LOAD_RELAY_TO_ALL;
     datagram_t d = encode(n, message);
-    if (n->own_hall.count) {
-        reporter_send(n, reporter_choose_relay(n, &n->own_hall), &d);
+    reporter_send(n, reporter_choose_relay(n, &n->own_hall), &d);
+}
+
+/* Sends the message on its way to all hosts before it returns. A relay that batches what it forwards hands its own
+   message to another relay. */
+static void send_at_once(reporter_t* n, cw_stream_message_t* message) {
+    if (n->own_hall.relays && (n->plan.batch_ms || !n->is_relay)) {
+        send_to_relay(n, message);
+    } else {
+        send_to_hall(n, message);
+        send_to_other_halls(n, message);
     }
 }
 
@@ -56,14 +72,11 @@
     cw_stream_message_t message = {.kind = CW_STREAM_ANNOUNCE};
     for (uint32_t i = 0; i < n->stream_count; i++) {
         const pending_stream_t* item = &n->streams[i];
-        int64_t left_ms = item->record.expires_ms - now_ms;
-        if (item->due_ms > now_ms || left_ms <= 0 || (to_other_halls && !item->to_other_halls)) {
+        bool has_expired = item->record.expires_ms <= now_ms;
+        if (item->due_ms > now_ms || has_expired || (to_other_halls && !item->to_other_halls)) {
             continue;
         }
-        message.entries[message.count++] = (cw_stream_entry_t){.stream = item->record.stream,
-                                                               .pool = item->record.pool,
-                                                               .version = item->record.version,
-                                                               .left_ms = (uint32_t)left_ms};
+        message.entries[message.count++] = make_entry(&item->record, now_ms);
         if (message.count == CW_STREAM_ENTRIES) {
             send(n, &message);
             message.count = 0;
@@ -93,16 +106,24 @@
     if (n->is_relay) {
         send_due(n, now_ms, false, send_to_hall);
         send_due(n, now_ms, true, send_to_other_halls);
-    } else {
+    } else if (n->own_hall.relays) {
         send_due(n, now_ms, true, send_to_relay);
     }
     drop_sent(n, now_ms);
 }
 
-void reporter_announce_stream(reporter_t* n, const cw_stream_record_t* record) {
-    queue_stream(n, record, true, 0);
-    queue_stream(n, record, true, clock_ms() + RESEND_DELAY_MS);
-    reporter_flush_after(n, n->is_relay && n->plan.batch_ms ? n->plan.batch_ms : FLUSH_DELAY_MS);
+void reporter_announce_streams(reporter_t* n, const cw_stream_record_t* records, uint32_t count) {
+    cw_stream_message_t message = {.kind = CW_STREAM_ANNOUNCE};
+    int64_t now_ms = clock_ms();
+    reporter_refresh_peers(n);
+    for (uint32_t i = 0; i < count; i++) {
+        message.entries[message.count++] = make_entry(&records[i], now_ms);
+        queue_stream(n, &records[i], true, now_ms + RESEND_DELAY_MS);
+        if (message.count == CW_STREAM_ENTRIES || i + 1 == count) {
+            send_at_once(n, &message);
+            message.count = 0;
+        }
+    }
 }
 
 /* -- queries -------------------------------------------------------------- */
@@ -132,10 +153,7 @@
     for (uint32_t i = 0; i < query->count; i++) {
         cw_stream_record_t record;
         if (n->desc.on_stream_query(n->desc.user_data, query->entries[i].stream, query->entries[i].pool, &record)) {
-            message.entries[message.count++] = (cw_stream_entry_t){.stream = record.stream,
-                                                                   .pool = record.pool,
-                                                                   .version = record.version,
-                                                                   .left_ms = (uint32_t)(record.expires_ms - now_ms)};
+            message.entries[message.count++] = make_entry(&record, now_ms);
         }
     }
     if (message.count) {
--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -76,10 +76,10 @@
 
 /* -- streams of this host ------------------------------------------------- */
 
-static void announce(streams_t* s, const cw_stream_record_t* record) {
-    if (s->desc.announce) {
-        s->stats.announced++;
-        s->desc.announce(s->desc.user_data, record);
+static void announce(streams_t* s, const cw_stream_record_t* records, uint32_t count) {
+    if (s->desc.announce && count) {
+        s->stats.announced += count;
+        s->desc.announce(s->desc.user_data, records, count);
     }
 }
 
@@ -88,7 +88,7 @@
     cw_stream_record_t record = {
         .stream = stream, .pool = cw_name_id(pool->name), .version = version, .expires_ms = expires_ms, .is_own = true};
     if (cw_stream_registry_put(s->registry, now_ms, &record) && must_announce(s, pool, now_ms)) {
-        announce(s, &record);
+        announce(s, &record, 1);
     }
 }
 
@@ -97,9 +97,7 @@
     uint32_t at = 0;
     do {
         uint32_t count = cw_stream_registry_list_own(s->registry, now_ms, pool, &at, records, ANNOUNCE_BATCH);
-        for (uint32_t i = 0; i < count; i++) {
-            announce(s, &records[i]);
-        }
+        announce(s, records, count);
     } while (at);
 }
 
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -39,8 +39,8 @@
     uint32_t capacity; /* streams that are recorded; default 16384 */
     /* Age, ms, of the list of servers: time since it was known to be current. */
     int64_t (*list_age_ms)(void* user_data);
-    /* Announces a stream to all other hosts. May be NULL. */
-    void (*announce)(void* user_data, const cw_stream_record_t* record);
+    /* Announces streams to all other hosts: this process may end as soon as it returns. May be NULL. */
+    void (*announce)(void* user_data, const cw_stream_record_t* records, uint32_t count);
     /* Queries other hosts. Returns their number. May be NULL. */
     uint32_t (*query)(void* user_data, uint64_t stream, uint64_t pool);
     /* The stream's version has become known. */
--- /dev/null
+++ b/tests/test_reporter_streams.c
@@ -0,0 +1,131 @@
+/* Announcements of streams in fleets of several sizes. */
+#include <ev.h>
+#include <stdio.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "../gateway/clock.h"
+#include "../gateway/reporter.h"
+#include "../io/address.h"
+#include "test.h"
+
+#define HOSTS_MAX 40
+#define HALLS 2
+#define PORT "7205"
+
+/* Host 0 is under test; the others are sockets at their load addresses. */
+typedef struct fleet_t {
+    struct ev_loop* loop;
+    int count;
+    int fds[HOSTS_MAX];
+    gateway_settings_t settings;
+    cw_members_t* members;
+    reporter_t* reporter;
+} fleet_t;
+
+static cw_source_state_t source_state(void* user) {
+    (void)user;
+    return (cw_source_state_t){.revision = 1};
+}
+
+static void on_stream_announced(void* user, const cw_stream_record_t* record) {
+    (void)user;
+    (void)record;
+}
+
+static const char* address(int host) {
+    static char text[CW_MEMBER_ADDRESS_MAX];
+    snprintf(text, sizeof(text), "127.%d.%d.%d:" PORT, 90 + getpid() / 250 % 10, 1 + getpid() % 250, host + 1);
+    return text;
+}
+
+static cw_member_info_t member(int host, uint32_t link_mbps) {
+    cw_member_info_t info = {.id = (uint64_t)host + 1, .incarnation = 1, .link_mbps = link_mbps};
+    snprintf(info.name, sizeof(info.name), "h%d", host);
+    snprintf(info.hall, sizeof(info.hall), "%c", 'a' + host % HALLS);
+    snprintf(info.peer, sizeof(info.peer), "%s", address(host));
+    return info;
+}
+
+/* own_mbps: link of host 0; the widest links make relays. */
+static void fleet_init(fleet_t* f, int count, uint32_t own_mbps) {
+    cw_error_t err = {0};
+    *f = (fleet_t){.loop = ev_loop_new(0), .count = count};
+    f->members = cw_members_setup(&(cw_members_desc_t){.self = member(0, own_mbps), .seed = 1});
+    for (int i = 1; i < count; i++) {
+        f->fds[i] = cw_addr_bind_udp(address(i), &err);
+        ck_assert_msg(f->fds[i] >= 0, "%s", err.message);
+        cw_gossip_t joined = {.kind = CW_GOSSIP_UPDATE, .from = member(i, 100)};
+        cw_members_receive(f->members, clock_ms(), &joined);
+    }
+    snprintf(f->settings.cluster, sizeof(f->settings.cluster), "c");
+    snprintf(f->settings.hall, sizeof(f->settings.hall), "a");
+    snprintf(f->settings.load, sizeof(f->settings.load), "%s", address(0));
+    snprintf(f->settings.share, sizeof(f->settings.share), "%s", address(0));
+    f->reporter = reporter_setup(&(reporter_desc_t){.loop = f->loop,
+                                                    .settings = &f->settings,
+                                                    .host = 1,
+                                                    .source_state = source_state,
+                                                    .on_stream_announced = on_stream_announced},
+                                 &err);
+    ck_assert_msg(f->reporter != NULL, "%s", err.message);
+    reporter_set_members(f->reporter, f->members, (uint32_t)count, 0);
+}
+
+static void fleet_shutdown(fleet_t* f) {
+    reporter_shutdown(f->reporter);
+    cw_members_shutdown(f->members);
+    for (int i = 1; i < f->count; i++) {
+        close(f->fds[i]);
+    }
+    ev_loop_destroy(f->loop);
+}
+
+static bool receive(const fleet_t* f, int host, cw_stream_message_t* message) {
+    uint8_t bytes[CW_STREAM_BYTES];
+    ssize_t size = recv(f->fds[host], bytes, sizeof(bytes), MSG_DONTWAIT);
+    return size > 0 && cw_stream_message_decode(message, bytes, (size_t)size) == CW_OK;
+}
+
+/* Number of hosts that have the record once those that received it have forwarded it as its scope asks. */
+static int count_reached(const fleet_t* f) {
+    bool is_reached[HOSTS_MAX] = {false};
+    for (int i = 1; i < f->count; i++) {
+        cw_stream_message_t message;
+        while (receive(f, i, &message)) {
+            ck_assert_uint_eq(message.entries[0].version, 7);
+            is_reached[i] = true;
+            for (int other = 1; other < f->count && message.scope != CW_LOAD_NO_RELAY; other++) {
+                is_reached[other] =
+                    is_reached[other] || message.scope == CW_LOAD_RELAY_TO_ALL || other % HALLS == i % HALLS;
+            }
+        }
+    }
+    int count = 0;
+    for (int i = 1; i < f->count; i++) {
+        count += is_reached[i];
+    }
+    return count;
+}
+
+/* Guards against announcements that wait in the process: a host that was killed within a millisecond of a first event
+   took the version of the stream with it. */
+START_TEST(an_announcement_is_sent_before_the_event_passes) {
+    static const int sizes[] = {2, 3, 6, 16, 17, 40};
+    static const uint32_t links[] = {20, 1000}; /* the latter is a relay */
+    fleet_t f;
+    fleet_init(&f, sizes[_i / 2], links[_i % 2]);
+    cw_stream_record_t record = {.stream = 5, .pool = 6, .version = 7, .expires_ms = clock_ms() + 5000};
+    reporter_announce_streams(f.reporter, &record, 1);
+    ck_assert_int_eq(count_reached(&f), f.count - 1);
+    fleet_shutdown(&f);
+}
+END_TEST
+
+static void add_tests(TCase* t) {
+    tcase_add_loop_test(t, an_announcement_is_sent_before_the_event_passes, 0, 12);
+}
+
+int main(void) {
+    return run_suite("reporter_streams", add_tests, 30);
+}
--- a/tests/test_stream_hosts.c
+++ b/tests/test_stream_hosts.c
@@ -164,6 +164,26 @@
 }
 END_TEST
 
+/* The host is killed the moment the callers have their first events: status 503, "the version of the stream is
+   unknown". */
+START_TEST(streams_go_on_though_their_host_is_killed_right_after_the_first_events) {
+    attempt_t streams[STREAMS];
+    attempt_t resumed[STREAMS];
+    fleet_t* f = setup(two_versions);
+    pause_for(f, SETTLED_S);
+    for (int i = 0; i < STREAMS; i++) {
+        char id[24];
+        snprintf(id, sizeof(id), "first-%d", i);
+        begin_attempt(f, 0, &streams[i], id, NULL);
+    }
+    wait_for(f, streams, false);
+    stop_host(f, 0, SIGKILL);
+    resume_all(f, streams, resumed);
+    check_all_went_on(streams, resumed);
+    fleet_shutdown(f);
+}
+END_TEST
+
 /* Host 1 loses what it was told, and asks. */
 START_TEST(a_host_that_just_started_queries_the_version) {
     attempt_t streams[STREAMS];
@@ -224,6 +244,7 @@
 
 static void add_tests(TCase* t) {
     tcase_add_test(t, streams_of_a_killed_host_go_on_at_their_version);
+    tcase_add_test(t, streams_go_on_though_their_host_is_killed_right_after_the_first_events);
     tcase_add_test(t, a_host_that_just_started_queries_the_version);
     tcase_add_test(t, unknown_streams_are_refused_after_all_hosts_were_killed);
     tcase_add_test(t, unknown_streams_of_the_only_version_go_on_after_all_hosts_were_killed);
--- a/tests/test_stream_state.c
+++ b/tests/test_stream_state.c
@@ -166,9 +166,11 @@
     return ((peers_t*)user)->list_age_ms;
 }
 
-static void on_announce(void* user, const cw_stream_record_t* told) {
-    ck_assert(told->is_own);
-    ((peers_t*)user)->announced++;
+static void on_announce(void* user, const cw_stream_record_t* records, uint32_t count) {
+    for (uint32_t i = 0; i < count; i++) {
+        ck_assert(records[i].is_own);
+    }
+    ((peers_t*)user)->announced += count;
 }
 
 static uint32_t on_query(void* user, uint64_t stream, uint64_t pool) {
