A connection is read again after a response that ended while its caller was slow

What callers saw: the next request on the connection got nothing until its time limit. Found by reading, not reported. Cause: reading from a server stops while over 256 KB wait for the caller, and starts when that is drained. When the end of the response arrives in the same read, the connection is released while it is paused, and the drained caller no longer has it. As an idle connection it also misses the server's close. Change: releasing a connection resumes reading. Measured: tests/test_upstream_conn.c timed out at the second of three requests before, and passes. Tunnels resume each side when the other one is drained; the native daemon's transfers are libcurl's, which start unpaused.

--- a/gateway/upstream_conn.c
+++ b/gateway/upstream_conn.c
@@ -456,6 +456,7 @@
     }
     cw_message_reset(&conn->response);
     conn->owner = NULL;
+    upstream_conn_pause(conn, false); /* the owner may have paused it for a slow caller */
     add_idle(conn);
 }
 
