Streams: one name for each source of a version, pools carry their id

Behaviour unchanged: tests/test_stream_state, test_stream_hosts and test_stream_versions pass. Names of sources stood in two files; each tick, every 25 ms, hashed the names of all pools while streams are announced.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -311,10 +311,9 @@
                         "chalkway_streams_queried_total %llu\n",
                         (unsigned long long)st.announced, (unsigned long long)st.received,
                         (unsigned long long)st.queried);
-    static const char* const sources[STREAM_SOURCE_COUNT] = {"unknown", "recorded", "only-version", "last-resort"};
     for (uint32_t i = 0; i < STREAM_SOURCE_COUNT; i++) {
-        cw_message_add_text(out, "chalkway_streams_resumed_by_callers_total{version=\"%s\"} %llu\n", sources[i],
-                            (unsigned long long)st.resumed[i]);
+        cw_message_add_text(out, "chalkway_streams_resumed_by_callers_total{version=\"%s\"} %llu\n",
+                            streams_source_name(i), (unsigned long long)st.resumed[i]);
     }
     quarantine_stats_t q = quarantine_stats(g->quarantine);
     cw_message_add_text(out, "chalkway_suspect_requests %u\nchalkway_held_requests %u\n", q.requests.entries,
--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -1,6 +1,7 @@
 #include "streams.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "clock.h"
 
@@ -56,22 +57,25 @@
 
 /* -- which versions serve ------------------------------------------------- */
 
-static bool is_list_fresh(const streams_t* s, int64_t limit_ms) {
+static bool is_list_fresh(const streams_t* s) {
     int64_t age_ms = s->desc.list_age_ms(s->desc.user_data);
-    return age_ms >= 0 && age_ms <= limit_ms;
+    return age_ms >= 0 && age_ms <= CW_POOL_VERSIONS_FRESH_MS;
+}
+
+/* Whether this host has run for as long as it remembers versions: it has seen each that a live stream can have. */
+static bool has_full_memory(const streams_t* s, int64_t now_ms) {
+    return now_ms - s->setup_ms >= s->memory_ms;
 }
 
 /* The only version at which a stream that is still alive can have begun; 0: several, or this host can't know. */
 static uint64_t only_version(const streams_t* s, const pool_t* pool, int64_t now_ms) {
-    bool has_memory = now_ms - s->setup_ms >= s->memory_ms;
-    bool is_certain = has_memory && is_list_fresh(s, CW_POOL_VERSIONS_FRESH_MS);
+    bool is_certain = has_full_memory(s, now_ms) && is_list_fresh(s);
     return is_certain ? cw_pool_versions_only(&pool->versions, now_ms, s->memory_ms) : 0;
 }
 
 /* Whether other hosts may need the versions of this pool's streams. */
 static bool must_announce(const streams_t* s, const pool_t* pool, int64_t now_ms) {
-    return cw_pool_versions_recent(&pool->versions, now_ms, s->memory_ms) > 1 ||
-           !is_list_fresh(s, CW_POOL_VERSIONS_FRESH_MS);
+    return cw_pool_versions_recent(&pool->versions, now_ms, s->memory_ms) > 1 || !is_list_fresh(s);
 }
 
 /* -- streams of this host ------------------------------------------------- */
@@ -86,7 +90,7 @@
 void streams_on_first_event(streams_t* s, const pool_t* pool, uint64_t stream, uint64_t version, int64_t expires_ms) {
     int64_t now_ms = clock_ms();
     cw_stream_record_t record = {
-        .stream = stream, .pool = cw_name_id(pool->name), .version = version, .expires_ms = expires_ms, .is_own = true};
+        .stream = stream, .pool = pool->id, .version = version, .expires_ms = expires_ms, .is_own = true};
     if (cw_stream_registry_put(s->registry, now_ms, &record) && must_announce(s, pool, now_ms)) {
         announce(s, &record, 1);
     }
@@ -101,9 +105,9 @@
     } while (at);
 }
 
-static bool was_announcing(const uint64_t* pools, uint32_t count, uint64_t pool) {
-    for (uint32_t i = 0; i < count; i++) {
-        if (pools[i] == pool) {
+static bool was_announcing(const streams_t* s, uint64_t pool) {
+    for (uint32_t i = 0; i < s->announcing_count; i++) {
+        if (s->announcing[i] == pool) {
             return true;
         }
     }
@@ -117,30 +121,31 @@
     for (const pool_t* pool = upstreams_pools(s->desc.upstreams); pool && count < POOLS_ANNOUNCING_MAX;
          pool = pool->next) {
         if (must_announce(s, pool, now_ms)) {
-            uint64_t id = cw_name_id(pool->name);
-            announcing[count++] = id;
-            if (!was_announcing(s->announcing, s->announcing_count, id)) {
-                announce_all(s, id, now_ms);
+            announcing[count++] = pool->id;
+            if (!was_announcing(s, pool->id)) {
+                announce_all(s, pool->id, now_ms);
             }
         }
     }
-    for (uint32_t i = 0; i < count; i++) {
-        s->announcing[i] = announcing[i];
-    }
+    memcpy(s->announcing, announcing, count * sizeof(*announcing));
     s->announcing_count = count;
 }
 
 /* -- streams that callers resume ------------------------------------------- */
 
+const char* streams_source_name(stream_source_t source) {
+    static const char* const names[STREAM_SOURCE_COUNT] = {"unknown", "recorded", "only-version", "last-resort"};
+    return names[source];
+}
+
 /* Logs and counts how the version of a stream was found, and returns it. */
 static uint64_t report(streams_t* s, const stream_request_t* request, uint64_t version, stream_source_t source) {
-    static const char* const names[STREAM_SOURCE_COUNT] = {"unknown", "recorded", "only-version", "last-resort"};
     int64_t now_ms = clock_ms();
     s->stats.resumed[source]++;
     cw_log(s->desc.log, CW_EVENT_STREAM_VERSION,
            "id=%s resumes=%s pool=%s version_key=%016llx source=%s versions=%u list_age_ms=%lld", request->id,
            request->resumes[0] ? request->resumes : "-", request->pool->name, (unsigned long long)version,
-           names[source], cw_pool_versions_recent(&request->pool->versions, now_ms, s->memory_ms),
+           streams_source_name(source), cw_pool_versions_recent(&request->pool->versions, now_ms, s->memory_ms),
            (long long)s->desc.list_age_ms(s->desc.user_data));
     return version;
 }
@@ -160,7 +165,7 @@
         return 0;
     }
     s->stats.queried++;
-    return s->desc.query(s->desc.user_data, request->stream, cw_name_id(request->pool->name));
+    return s->desc.query(s->desc.user_data, request->stream, request->pool->id);
 }
 
 /* Whether another host has said lately that it doesn't know the stream while several versions have served. */
@@ -176,8 +181,7 @@
 uint64_t streams_resolve_unanswered(streams_t* s, const stream_request_t* request) {
     int64_t now_ms = clock_ms();
     uint64_t version = streams_resolve(s, request);
-    bool has_just_started = now_ms - s->setup_ms < s->memory_ms;
-    bool is_last_resort = !version && has_just_started && is_list_fresh(s, CW_POOL_VERSIONS_FRESH_MS) &&
+    bool is_last_resort = !version && !has_full_memory(s, now_ms) && is_list_fresh(s) &&
                           !(request->stream && was_denied(s, request->stream, now_ms));
     uint64_t only = is_last_resort ? cw_pool_versions_only(&request->pool->versions, now_ms, s->memory_ms) : 0;
     return version ? version : report(s, request, only, only ? STREAM_LAST_RESORT : STREAM_UNKNOWN);
@@ -197,7 +201,7 @@
 
 static const pool_t* find_pool(const streams_t* s, uint64_t id) {
     const pool_t* pool = upstreams_pools(s->desc.upstreams);
-    while (pool && cw_name_id(pool->name) != id) {
+    while (pool && pool->id != id) {
         pool = pool->next;
     }
     return pool;
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -55,6 +55,7 @@
     uint64_t evicted;
 } streams_stats_t;
 
+const char* streams_source_name(stream_source_t source);
 streams_t* streams_setup(const streams_desc_t* desc);
 void streams_shutdown(streams_t* s);
 /* Longest time, ms, for which a stream may last. */
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -87,6 +87,7 @@
         abort();
     }
     cw_copy(pool->name, sizeof(pool->name), name);
+    pool->id = cw_name_id(name);
     pool->upstreams = u;
     pool->balance = cw_balance_setup(&(cw_balance_desc_t){.hall = u->desc.hall,
                                                           .seed = u->desc.host,
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -63,6 +63,7 @@
 
 struct pool_t {
     char name[CW_NAME_MAX];
+    uint64_t id;                       /* hash of the name */
     char health_path[CW_NAME_MAX * 2]; /* path of the health check, "": none */
     bool is_declared;                  /* in the active configuration */
     upstreams_t* upstreams;
