--- a/tests/test_stream_hosts.c
+++ b/tests/test_stream_hosts.c
@@ -98,6 +98,14 @@
     }
 }
 
+/* Kills all hosts and starts them again. */
+static void restart_all(fleet_t* f) {
+    for (int i = 0; i < HOSTS; i++) {
+        stop_host(f, i, SIGKILL);
+    }
+    start_all(f);
+}
+
 static fleet_t* setup(const char* const versions[SERVERS_MAX]) {
     fleet_t* f = fleet_setup();
     f->catalog = catalog;
@@ -184,7 +192,7 @@
 }
 END_TEST
 
-/* Host 1 loses what it was told, and asks. */
+/* Host 1 loses its records, and queries. */
 START_TEST(a_host_that_just_started_queries_the_version) {
     attempt_t streams[STREAMS];
     attempt_t resumed[STREAMS];
@@ -209,10 +217,7 @@
     fleet_t* f = setup(two_versions);
     pause_for(f, SETTLED_S);
     begin_streams(f, streams);
-    for (int i = 0; i < HOSTS; i++) {
-        stop_host(f, i, SIGKILL);
-    }
-    start_all(f);
+    restart_all(f);
     uint32_t served = f->served_count;
     resume_all(f, streams, resumed);
     ck_assert_uint_eq(f->served_count, served);
@@ -230,10 +235,7 @@
     attempt_t resumed[STREAMS];
     fleet_t* f = setup(one_version);
     begin_streams(f, streams);
-    for (int i = 0; i < HOSTS; i++) {
-        stop_host(f, i, SIGKILL);
-    }
-    start_all(f);
+    restart_all(f);
     resume_all(f, streams, resumed);
     for (int i = 0; i < STREAMS; i++) {
         ck_assert_msg(resumed[i].status == 200, "stream %d: status %u, %s", i, resumed[i].status, resumed[i].body);
--- a/tests/test_stream_state.c
+++ b/tests/test_stream_state.c
@@ -205,7 +205,7 @@
 
 #define POOLS "{\"revision\":1,\"pools\":[{\"name\":\"p\"}],\"routes\":[]}"
 
-/* One version and a fresh list: nothing is told. Then the list grows old, or a second version comes. */
+/* One version and a fresh list: nothing is announced. Then the list grows old, or a second version appears. */
 START_TEST(streams_are_announced_once_other_hosts_may_need_them) {
     for (int by_version = 0; by_version < 2; by_version++) {
         peers_t peers = {0};
