Native interface: a broken stream is resumed only at the software version that began it

What callers saw: a stream of chalkwayd that broke went on at any engine of its pool, so it could hold tokens of two versions. Change: field version of upstreams. The first forwarded event binds the stream to the version of its upstream; requests for further slots name it, in direct mode too. Streams that are resumed wait apart from the tiers' queues and precede them: in its tier's queue, one whose version is busy would hold up all behind it, and one that asks again would lose each freed slot to those who wait. A shard without an upstream of the version refuses, and the next shard is asked. The request's upstream is read from the newest configuration, as the allocator reads it. Measured: test_site an_interrupted_stream_is_resumed_at_its_version fails without the binding (first stream mixed) and passed in 3 of 3 runs with it; three tests of the shard. The stand-in engine marks tokens with its version.

--- a/chalkway_pick.h
+++ b/chalkway_pick.h
@@ -40,8 +40,9 @@
 typedef struct cw_pick_spec_t {
     uint64_t id;
     uint64_t hall;
-    uint32_t slots; /* requests it may run at once */
-    bool leaving;   /* gets no new requests */
+    uint64_t version; /* id of its software's version */
+    uint32_t slots;   /* requests it may run at once */
+    bool leaving;     /* gets no new requests */
 } cw_pick_spec_t;
 
 typedef enum cw_pick_result_t {
@@ -56,6 +57,7 @@
     uint64_t prefix;  /* hash of the prompt's start, 0: none */
     uint64_t hall;    /* hall to prefer, 0: none */
     uint64_t exclude; /* upstream to avoid, 0: none */
+    uint64_t version; /* version that the upstream must have, 0: any */
     uint32_t keep;    /* slots of the shard that must stay free after this request has taken one */
 } cw_pick_query_t;
 
@@ -95,6 +97,8 @@
 uint32_t cw_pick_find(const cw_pick_t* pick, uint64_t id);
 /* Sets the share (0..1] of every limit that this table may use: less than 1 during a partition or a take-over. */
 void cw_pick_set_share(cw_pick_t* pick, double share);
+/* Whether an upstream of the version can get requests once it has a free slot. */
+bool cw_pick_has_version(const cw_pick_t* pick, uint64_t version);
 /* Index of the best upstream with a free slot, or CW_PICK_NONE. */
 uint32_t cw_pick_choose(const cw_pick_t* pick, int64_t now_ms, const cw_pick_query_t* query);
 void cw_pick_begin(cw_pick_t* pick, uint32_t index);
@@ -265,11 +269,25 @@
     return known_count ? sum / known_count : 0;
 }
 
+static bool _cw_pick_matches_version(const cw_pick_upstream_t* up, uint64_t version) {
+    return !version || up->spec.version == version;
+}
+
+bool cw_pick_has_version(const cw_pick_t* pick, uint64_t version) {
+    for (uint32_t i = 0; i < pick->count; i++) {
+        const cw_pick_upstream_t* up = &pick->ups[i];
+        if (_cw_pick_matches_version(up, version) && !up->spec.leaving && !up->draining) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* The next upstream of the round robin that has a slot limit above 0. */
-static uint32_t _cw_pick_rotate(const cw_pick_t* pick, int64_t now_ms) {
+static uint32_t _cw_pick_rotate(const cw_pick_t* pick, int64_t now_ms, uint64_t version) {
     for (uint32_t k = 0; k < pick->count; k++) {
         uint32_t i = (pick->next_index + k) % pick->count;
-        if (_cw_pick_slots(pick, now_ms, &pick->ups[i])) {
+        if (_cw_pick_matches_version(&pick->ups[i], version) && _cw_pick_slots(pick, now_ms, &pick->ups[i])) {
             return i;
         }
     }
@@ -278,7 +296,7 @@
 
 uint32_t cw_pick_choose(const cw_pick_t* pick, int64_t now_ms, const cw_pick_query_t* query) {
     if (pick->desc.is_round_robin) {
-        return _cw_pick_rotate(pick, now_ms);
+        return _cw_pick_rotate(pick, now_ms, query->version);
     }
     uint32_t best = CW_PICK_NONE;
     uint32_t affinity = CW_PICK_NONE;
@@ -305,6 +323,9 @@
             continue;
         }
         free_slots += slots - used;
+        if (!_cw_pick_matches_version(up, query->version)) {
+            continue;
+        }
         if (up->spec.id == query->exclude) {
             excluded = i;
             continue;
--- a/chalkway_shard.h
+++ b/chalkway_shard.h
@@ -75,6 +75,7 @@
     uint32_t remaining_ms; /* until the whole response is due */
     uint64_t prefix;       /* hash of the prompt's prefix, 0: none */
     uint64_t exclude;      /* upstream to avoid, 0: none */
+    uint64_t version;      /* version that the upstream must have, since it resumes a stream; 0: any */
     uint64_t hall;         /* of the entry */
     /* Hard limits of the workspace at this shard, set by the allocator's host from its configuration. */
     uint32_t max_running; /* grants held at once, 0: no limit */
@@ -258,7 +259,9 @@
     cw_fair_t* tiers[CW_TIERS];
     double floor_credit[CW_TIERS];  /* served cost that the tier has yet to get to reach its floor */
     double queued_run_ms[CW_TIERS]; /* sum of the estimated run times queued in the tier */
-    cw_heap_t expiry;               /* items by the time at which their wait ends */
+    uint32_t* resuming;             /* waiting items that need a version, oldest first; they are in no tier's queue */
+    uint32_t resuming_count;
+    cw_heap_t expiry; /* items by the time at which their wait ends */
     _cw_shard_item_t* items;
     uint32_t free_item;
     uint32_t refused_head, refused_tail;
@@ -323,6 +326,7 @@
     }
     s->expiry = cw_heap_setup(d.max_waiting, &d.allocator);
     s->items = cw_alloc(&d.allocator, d.max_waiting, sizeof(*s->items));
+    s->resuming = cw_alloc(&d.allocator, d.max_waiting, sizeof(*s->resuming));
     s->grants = cw_alloc(&d.allocator, d.max_grants, sizeof(*s->grants));
     s->entries = cw_alloc(&d.allocator, d.max_entries, sizeof(*s->entries));
     s->limits = cw_alloc(&d.allocator, d.max_workspaces, sizeof(*s->limits));
@@ -355,6 +359,7 @@
     cw_map_shutdown(&s->by_limit);
     cw_free(&a, s->limits);
     cw_free(&a, s->items);
+    cw_free(&a, s->resuming);
     cw_free(&a, s->grants);
     cw_free(&a, s->entries);
     cw_free(&a, s);
@@ -437,9 +442,18 @@
     return NULL;
 }
 
+static bool _cw_shard_limit_is_reached(const _cw_shard_limit_t* l) {
+    return l->max_running && l->running >= l->max_running;
+}
+
+static bool _cw_shard_is_at_limit(const cw_shard_t* s, uint64_t workspace) {
+    uint32_t i = cw_map_get(&s->by_limit, workspace);
+    return i != CW_MAP_NONE && _cw_shard_limit_is_reached(&s->limits[i]);
+}
+
 /* Skips the workspace in every tier while it is at its limit of running grants. */
 static void _cw_shard_limit_update_blocked(cw_shard_t* s, const _cw_shard_limit_t* l) {
-    bool is_blocked = l->max_running && l->running >= l->max_running;
+    bool is_blocked = _cw_shard_limit_is_reached(l);
     for (uint32_t t = 0; t < CW_TIERS; t++) {
         cw_fair_set_blocked(s->tiers[t], l->workspace, is_blocked);
     }
@@ -488,12 +502,14 @@
     s->free_item = i;
 }
 
-/* Removes an item that has just left its fair queue from the expiry heap, the counters and the index. */
+/* Removes an item that has just left its queue from the expiry heap, its tier's counters and the index. */
 static void _cw_shard_untrack_item(cw_shard_t* s, uint32_t i) {
     const cw_slot_request_t* slot_request = &s->items[i].slot_request;
     cw_heap_remove(&s->expiry, i);
-    s->queued_run_ms[slot_request->tier] -= slot_request->est_ms;
-    s->protected_waiting -= (slot_request->flags & CW_SLOT_REQUEST_PROTECTED) ? 1 : 0;
+    if (!slot_request->version) {
+        s->queued_run_ms[slot_request->tier] -= slot_request->est_ms;
+        s->protected_waiting -= (slot_request->flags & CW_SLOT_REQUEST_PROTECTED) ? 1 : 0;
+    }
     if (!cw_fair_count(s->tiers[slot_request->tier])) {
         s->floor_credit[slot_request->tier] = 0;
         s->queued_run_ms[slot_request->tier] = 0;
@@ -501,9 +517,33 @@
     cw_map_remove(&s->by_request, cw_mix(slot_request->entry, slot_request->seq));
 }
 
+/* Adds the item to the queue of its kind. CW_ERR_FULL: too many workspaces wait. */
+static cw_status_t _cw_shard_enqueue(cw_shard_t* s, uint32_t i) {
+    const cw_slot_request_t* slot_request = &s->items[i].slot_request;
+    if (!slot_request->version) {
+        return cw_fair_push(s->tiers[slot_request->tier], slot_request->workspace, i);
+    }
+    s->resuming[s->resuming_count++] = i;
+    return CW_OK;
+}
+
+static void _cw_shard_remove_resuming(cw_shard_t* s, uint32_t item) {
+    uint32_t kept = 0;
+    for (uint32_t k = 0; k < s->resuming_count; k++) {
+        if (s->resuming[k] != item) {
+            s->resuming[kept++] = s->resuming[k];
+        }
+    }
+    s->resuming_count = kept;
+}
+
 /* Removes a waiting item from its queue; the caller must refuse or free it. */
 static void _cw_shard_dequeue(cw_shard_t* s, uint32_t i) {
-    cw_fair_remove(s->tiers[s->items[i].slot_request.tier], i);
+    if (s->items[i].slot_request.version) {
+        _cw_shard_remove_resuming(s, i);
+    } else {
+        cw_fair_remove(s->tiers[s->items[i].slot_request.tier], i);
+    }
     _cw_shard_untrack_item(s, i);
 }
 
@@ -571,11 +611,14 @@
     if (slot_request->est_ms > slot_request->remaining_ms) {
         return CW_REFUSED_LATE;
     }
-    if (!cw_pick_count(s->pick)) {
+    bool has_upstream =
+        slot_request->version ? cw_pick_has_version(s->pick, slot_request->version) : cw_pick_count(s->pick) != 0;
+    if (!has_upstream) {
         return CW_REFUSED_NO_UPSTREAM;
     }
     bool must_admit =
         (slot_request->flags & CW_SLOT_REQUEST_PROTECTED) && _cw_shard_is_lower_tier_waiting(s, slot_request->tier);
+    must_admit = must_admit || slot_request->version; /* it precedes what is queued */
     uint32_t wait_ms = _cw_shard_wait_ms(s, now_ms, slot_request->tier);
     if (!must_admit && wait_ms > _cw_shard_max_wait_ms(slot_request)) {
         return CW_REFUSED_BUSY;
@@ -606,7 +649,7 @@
     uint32_t i = s->free_item;
     s->free_item = s->items[i].next;
     s->items[i] = (_cw_shard_item_t){.slot_request = *slot_request, .arrived_ms = now_ms, .retry_ms = retry_ms};
-    if (!refusal && cw_fair_push(s->tiers[slot_request->tier], slot_request->workspace, i) != CW_OK) {
+    if (!refusal && _cw_shard_enqueue(s, i) != CW_OK) {
         refusal = CW_REFUSED_FULL;
     }
     if (refusal) {
@@ -614,8 +657,10 @@
         return CW_OK;
     }
     cw_heap_set(&s->expiry, i, (double)(now_ms + _cw_shard_max_wait_ms(slot_request)));
-    s->queued_run_ms[slot_request->tier] += slot_request->est_ms;
-    s->protected_waiting += (slot_request->flags & CW_SLOT_REQUEST_PROTECTED) ? 1 : 0;
+    if (!slot_request->version) {
+        s->queued_run_ms[slot_request->tier] += slot_request->est_ms;
+        s->protected_waiting += (slot_request->flags & CW_SLOT_REQUEST_PROTECTED) ? 1 : 0;
+    }
     cw_map_put(&s->by_request, key, i);
     _cw_shard_limit_set_max(s, slot_request);
     return CW_OK;
@@ -754,26 +799,19 @@
                                   .ttl_ms = s->desc.ttl_ms};
 }
 
-static bool _cw_shard_try_grant(cw_shard_t* s, int64_t now_ms, cw_shard_action_t* action) {
-    uint32_t tier = _cw_shard_next_tier(s);
-    if (tier == CW_TIERS || s->free_grant == _CW_SHARD_NONE) {
-        return false;
-    }
-    uint32_t i = cw_fair_peek(s->tiers[tier]);
+/* Grants the waiting item a slot of the upstream. False: the table of grants is full. */
+static bool _cw_shard_grant(cw_shard_t* s, int64_t now_ms, uint32_t i, uint32_t up, cw_shard_action_t* action) {
     const cw_slot_request_t slot_request = s->items[i].slot_request;
-    const cw_pick_query_t query = {.prefix = slot_request.prefix,
-                                   .hall = slot_request.hall,
-                                   .exclude = slot_request.exclude,
-                                   .keep = (slot_request.flags & CW_SLOT_REQUEST_PROTECTED) ? 0 : s->desc.reserve};
-    uint32_t up = cw_pick_choose(s->pick, now_ms, &query);
-    if (up == CW_PICK_NONE) {
-        return false;
-    }
+    uint32_t tier = slot_request.tier;
     uint32_t g = _cw_shard_alloc_grant(s, now_ms, slot_request.entry);
     if (g == _CW_SHARD_NONE) {
         return false;
     }
-    cw_fair_pop(s->tiers[tier]);
+    if (slot_request.version) {
+        _cw_shard_remove_resuming(s, i);
+    } else {
+        cw_fair_pop(s->tiers[tier]); /* i is its first item */
+    }
     _cw_shard_untrack_item(s, i);
     _cw_shard_grant_t* grant = &s->grants[g];
     grant->id = ((uint64_t)s->desc.epoch << 32) | ++s->grant_seq;
@@ -799,6 +837,49 @@
     return true;
 }
 
+static uint32_t _cw_shard_choose_upstream(const cw_shard_t* s, int64_t now_ms, uint32_t i) {
+    const cw_slot_request_t* slot_request = &s->items[i].slot_request;
+    bool uses_reserve = slot_request->version || (slot_request->flags & CW_SLOT_REQUEST_PROTECTED);
+    const cw_pick_query_t query = {.prefix = slot_request->prefix,
+                                   .hall = slot_request->hall,
+                                   .exclude = slot_request->exclude,
+                                   .version = slot_request->version,
+                                   .keep = uses_reserve ? 0 : s->desc.reserve};
+    return cw_pick_choose(s->pick, now_ms, &query);
+}
+
+/* Streams whose caller has received a part precede all tiers. Each waits for its own version's slots, so one that
+   has none does not hold up the next. */
+static bool _cw_shard_try_grant_resuming(cw_shard_t* s, int64_t now_ms, cw_shard_action_t* action) {
+    for (uint32_t k = 0; k < s->resuming_count; k++) {
+        uint32_t i = s->resuming[k];
+        if (_cw_shard_is_at_limit(s, s->items[i].slot_request.workspace)) {
+            continue;
+        }
+        uint32_t up = _cw_shard_choose_upstream(s, now_ms, i);
+        if (up != CW_PICK_NONE) {
+            return _cw_shard_grant(s, now_ms, i, up, action);
+        }
+    }
+    return false;
+}
+
+static bool _cw_shard_try_grant(cw_shard_t* s, int64_t now_ms, cw_shard_action_t* action) {
+    if (s->free_grant == _CW_SHARD_NONE) {
+        return false;
+    }
+    if (_cw_shard_try_grant_resuming(s, now_ms, action)) {
+        return true;
+    }
+    uint32_t tier = _cw_shard_next_tier(s);
+    if (tier == CW_TIERS) {
+        return false;
+    }
+    uint32_t i = cw_fair_peek(s->tiers[tier]);
+    uint32_t up = _cw_shard_choose_upstream(s, now_ms, i);
+    return up != CW_PICK_NONE && _cw_shard_grant(s, now_ms, i, up, action);
+}
+
 /* Preempts the youngest preemptible grant of the lowest tier once the protected request at the head of the highest
    waiting tier has waited for preempt_ms. */
 static bool _cw_shard_try_preempt(cw_shard_t* s, int64_t now_ms, cw_shard_action_t* action) {
@@ -1043,7 +1124,7 @@
     stats.running = s->grant_count;
     stats.limit = cw_pick_limit(s->pick, now_ms);
     stats.wait_ms = _cw_shard_wait_ms(s, now_ms, CW_TIERS - 1);
-    stats.waiting = 0;
+    stats.waiting = s->resuming_count;
     for (uint32_t t = 0; t < CW_TIERS; t++) {
         stats.waiting += cw_fair_count(s->tiers[t]);
     }
--- a/chalkway_wire.h
+++ b/chalkway_wire.h
@@ -297,6 +297,7 @@
     _cw_io_u64(io, &slot_request->exclude);
     _cw_io_u64(io, &slot_request->hall);
     _cw_io_u32(io, &slot_request->high_est_ms);
+    _cw_io_u64(io, &slot_request->version);
     io->is_invalid = io->is_invalid || (io->mode == _CW_IO_UNPACK && (!slot_request->seq || !slot_request->workspace ||
                                                                       slot_request->tier >= CW_TIERS));
 }
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -296,6 +296,7 @@
                                .remaining_ms = remaining_ms(r, now_ms),
                                .prefix = r->prefix_hash,
                                .exclude = r->excluded_upstream,
+                               .version = r->stream_version,
                                .hall = r->entry->node->hall};
 }
 
@@ -333,7 +334,8 @@
     if (e->node->is_view_stale) {
         return false;
     }
-    const cw_pick_query_t query = {.prefix = r->prefix_hash, .hall = e->node->hall, .exclude = r->excluded_upstream};
+    const cw_pick_query_t query = {
+        .prefix = r->prefix_hash, .hall = e->node->hall, .exclude = r->excluded_upstream, .version = r->stream_version};
     uint32_t up = cw_pick_choose(s->direct_pick, now_ms, &query);
     if (up == CW_PICK_NONE) {
         return false;
@@ -403,6 +405,15 @@
 
 /* -- attempt at an upstream ----------------------------------------------- */
 
+/* Whether the upstream may continue the request's stream. */
+static bool can_continue(const request_t* r, uint64_t upstream) {
+    cw_snapshot_t* newest = cw_store_snapshot(r->entry->node->store);
+    const cw_upstream_t* u = cw_snapshot_upstream(newest, upstream);
+    bool result = !r->stream_version || !u || u->version_id == r->stream_version;
+    cw_snapshot_release(newest);
+    return result;
+}
+
 /* Called before the first byte is sent; false vetoes the attempt, since the grant has expired. */
 static bool on_sending(void* user) {
     request_t* r = user;
@@ -455,6 +466,7 @@
         return;
     }
     if (r->x) {
+        r->stream_version = r->stream_version ? r->stream_version : r->upstream_version;
         cw_exchange_push(r->x, r->partial_event.data, complete_bytes);
         request_event(r, CW_EV_BODY_FORWARDED);
     }
@@ -525,6 +537,7 @@
     cw_log(&r->entry->node->log, CW_EVENT_UPSTREAM_FAILED, "id=%s step=%s peer=%s reason=\"%s\"", r->id, step,
            u ? u->address : "-", result->message);
     r->excluded_upstream = r->upstream;
+    r->first_shard = r->shard;
     r->machine.is_retry_allowed = cw_retry_budget_take(&r->entry->retries);
     r->entry->stats.retries += r->machine.is_retry_allowed;
     request_event(r, result->sent ? CW_EV_UPSTREAM_FAILED : CW_EV_CONNECT_FAILED);
@@ -553,11 +566,12 @@
 
 static void connect_upstream(request_t* r) {
     entry_t* e = r->entry;
-    const cw_upstream_t* u = cw_snapshot_upstream(r->snapshot, r->upstream);
     cw_snapshot_t* newest = cw_store_snapshot(e->node->store);
+    const cw_upstream_t* u = cw_snapshot_upstream(newest, r->upstream);
     if (!u) {
-        u = cw_snapshot_upstream(newest, r->upstream); /* the upstream was published after this request arrived */
+        u = cw_snapshot_upstream(r->snapshot, r->upstream); /* removed after this request arrived */
     }
+    r->upstream_version = u ? u->version_id : 0;
     char url[CW_ADDRESS_MAX + 300];
     char tier[8];
     char from[16];
@@ -571,6 +585,8 @@
     if (r->stream.tokens) {
         snprintf(from, sizeof(from), "%u", r->stream.tokens);
         headers[count++] = (cw_header_t){"Chalkway-Resume-From", from};
+        cw_log(&e->node->log, CW_EVENT_STREAM_VERSION, "id=%s pool=%s upstream=%s version_key=%016llx from=%s", r->id,
+               r->pool->name, u ? u->name : "-", (unsigned long long)r->stream_version, from);
         e->stats.resumed_streams++;
     }
     cw_snapshot_release(newest);
@@ -764,6 +780,13 @@
         send_grant_release(e, msg->shard, from, &unused);
         return;
     }
+    if (!can_continue(r, a->upstream)) { /* an allocator of an earlier release ignores versions */
+        const cw_grant_release_t unused = {.grant = a->grant, .result = CW_PICK_UNUSED};
+        send_grant_release(e, msg->shard, from, &unused);
+        clear_seq(r);
+        request_event(r, CW_EV_REFUSED);
+        return;
+    }
     r->grant = a->grant;
     r->upstream = a->upstream;
     r->is_direct = false;
@@ -788,9 +811,11 @@
 
 /* Requests a slot at the pool's next shard, if there is one left. A protected request is refused only after every shard
    of its pool has refused it, since another shard may have requests of lower priority waiting. Refusals by the
-   workspace's rate limit are final. */
+   workspace's rate limit are final. A stream that is resumed may find its version at another shard. */
 static bool request_slot_at_next_shard(request_t* r, const cw_shard_action_t* a) {
-    uint32_t next = r->class->is_protected && a->refusal != CW_REFUSED_RATE ? next_shard(r) : ENTRY_NONE;
+    bool lacks_version = r->stream_version && a->refusal == CW_REFUSED_NO_UPSTREAM;
+    bool may_continue = lacks_version || (r->class->is_protected && a->refusal != CW_REFUSED_RATE);
+    uint32_t next = may_continue ? next_shard(r) : ENTRY_NONE;
     if (next == ENTRY_NONE) {
         return false;
     }
--- a/daemon/entry_internal.h
+++ b/daemon/entry_internal.h
@@ -91,6 +91,8 @@
     uint32_t first_shard;            /* shard that got the first slot request */
     uint64_t grant;                  /* id of the held grant, 0: none */
     uint64_t upstream;               /* upstream of the grant */
+    uint64_t upstream_version;       /* id of that upstream's version */
+    uint64_t stream_version;         /* version that began the stream, 0: no event has been forwarded */
     bool is_direct;                  /* the slot belongs to this entry's static share */
     /* sent_ms: when the attempt's first byte was sent, 0: not yet. */
     int64_t grant_expires_ms, sent_ms, slot_request_sent_ms;
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -69,8 +69,11 @@
         }
         uint32_t slots = own_share_only ? node_slot_share(node, u, hosts, host_count) : u->slots;
         if (slots) {
-            specs[count++] = (cw_pick_spec_t){
-                .id = u->id, .hall = cw_name_id(u->hall), .slots = slots, .leaving = node_is_upstream_leaving(node, u)};
+            specs[count++] = (cw_pick_spec_t){.id = u->id,
+                                              .hall = cw_name_id(u->hall),
+                                              .version = u->version_id,
+                                              .slots = slots,
+                                              .leaving = node_is_upstream_leaving(node, u)};
         }
     }
     return count;
--- a/standins/fake_engine.c
+++ b/standins/fake_engine.c
@@ -6,9 +6,10 @@
         the caller can verify every byte. With "stream": true they are sent as events, followed by "[DONE]". max_tokens
         limits N. Chalkway-Priority orders the queue; Chalkway-Resume-From: K starts the response at token K.
     GET  /v1/load       {"running", "waiting", "draining"}; running is --lag old, the others are current
-    POST /admin/set?step_ms=X&drain=0|1&crash_after=N&lag_ms=N&cut_after=N&unframed=0|1
+    POST /admin/set?step_ms=X&drain=0|1&crash_after=N&lag_ms=N&cut_after=N&unframed=0|1&version=N
         crash_after: the process exits after N more steps of single requests, that is tokens or prefill steps.
         cut_after: the next stream to reach N tokens is broken off there.
+        version: of its software, default 0; tokens of other versions begin with "vN-".
         unframed: streams have no chunks and end with their connection, which is closed also where one is broken off.
     GET  /admin/stats   requests; tokens produced, of these for callers that closed; highest number of running requests
 
@@ -43,7 +44,7 @@
 
 typedef struct engine_t {
     standin_t standin;
-    uint32_t slots;
+    uint32_t slots, version;
     double step_ms, batch_us, prefill_us;
     job_t jobs[MAX_JOBS];
     cw_heap_t queue; /* waiting jobs by priority, then arrival */
@@ -64,9 +65,9 @@
 /* -- jobs ----------------------------------------------------------------- */
 
 /* Writes token k of the response; returns its length. */
-static int write_token(char out[32], const char* id, uint32_t k) {
-    uint64_t hash = XXH64(id, strlen(id), k);
-    return snprintf(out, 32, "w%05u ", (unsigned)(hash % 100000));
+static int write_token(char out[32], const char* id, uint32_t version, uint32_t k) {
+    unsigned word = (unsigned)(XXH64(id, strlen(id), k) % 100000);
+    return version ? snprintf(out, 32, "v%u-%05u ", version, word) : snprintf(out, 32, "w%05u ", word);
 }
 
 static void job_free(engine_t* e, job_t* job) {
@@ -129,7 +130,7 @@
 
 static void job_send_token(engine_t* e, job_t* job) {
     char token[32];
-    int n = write_token(token, job->id, job->tokens_sent);
+    int n = write_token(token, job->id, e->version, job->tokens_sent);
     job->tokens_sent++;
     e->total_tokens++;
     if (job->is_streaming) {
@@ -268,6 +269,7 @@
         standin_reply_json(x, 200, reply);
     } else if (strcmp(path, "/admin/set") == 0) {
         e->step_ms = standin_number_arg(x, "step_ms", e->step_ms);
+        e->version = (uint32_t)standin_number_arg(x, "version", e->version);
         e->is_unframed = standin_number_arg(x, "unframed", e->is_unframed) != 0;
         e->is_draining = standin_number_arg(x, "drain", e->is_draining) != 0;
         e->crash_after = (int64_t)standin_number_arg(x, "crash_after", (double)e->crash_after);
--- a/tests/test_shard.c
+++ b/tests/test_shard.c
@@ -432,6 +432,88 @@
 }
 END_TEST
 
+/* Upstreams 11 and 12 have version 1, 13 and 14 version 2; one slot each. */
+static cw_shard_t* shard_of_two_versions(void) {
+    cw_shard_t* s = shard_with((cw_shard_desc_t){0}, 1);
+    cw_pick_spec_t specs[4];
+    for (uint32_t i = 0; i < 4; i++) {
+        specs[i] = (cw_pick_spec_t){.id = 11 + i, .hall = 1, .version = i < 2 ? 1 : 2, .slots = 1};
+    }
+    ck_assert_int_eq(cw_shard_set_upstreams(s, specs, 4), CW_OK);
+    return s;
+}
+
+static cw_slot_request_t make_resuming_request(uint32_t seq, uint8_t tier, uint64_t version) {
+    cw_slot_request_t slot_request = make_request(ENTRY_A, seq, tier, 1);
+    slot_request.version = version;
+    return slot_request;
+}
+
+/* A stream that is resumed gets slots of its version only, and precedes what waits. While its version has no free slot,
+   it holds up neither other requests nor streams of the other version. */
+START_TEST(resumed_stream_gets_a_slot_of_its_version) {
+    cw_shard_t* s = shard_of_two_versions();
+    uint64_t first = 0;
+    for (uint32_t seq = 1; seq <= 2; seq++) {
+        request_slot(s, 0, make_resuming_request(seq, 1, 1));
+        actions_t actions = drain_actions(s, 0);
+        ck_assert_int_eq(actions.grants, 1);
+        ck_assert_uint_le(actions.grant.upstream, 12);
+        first = first ? first : actions.grant.grant;
+    }
+    request_slot(s, 1, make_resuming_request(3, 3, 1));
+    ck_assert_int_eq(drain_actions(s, 1).grants, 0);
+    request_slot(s, 2, make_resuming_request(4, 3, 2));
+    ck_assert_uint_gt(drain_actions(s, 2).grant.upstream, 12);
+    for (uint32_t seq = 5; seq <= 6; seq++) {
+        request_slot(s, 3, make_request(ENTRY_A, seq, 0, 1));
+    }
+    ck_assert_int_eq(drain_actions(s, 3).grants, 1); /* the last free slot */
+    ck_assert_uint_eq(cw_shard_stats(s, 3).waiting, 2);
+    release_grant(s, 4, first);
+    actions_t actions = drain_actions(s, 4);
+    ck_assert_int_eq(actions.grants, 1);
+    ck_assert_uint_eq(actions.grant.seq, 3);
+    cw_shard_shutdown(s);
+}
+END_TEST
+
+START_TEST(resumed_stream_is_refused_without_an_upstream_of_its_version) {
+    cw_shard_t* s = shard_of_two_versions();
+    request_slot(s, 0, make_resuming_request(1, 1, 3));
+    actions_t actions = drain_actions(s, 0);
+    ck_assert_int_eq(actions.refusal.refusal, CW_REFUSED_NO_UPSTREAM);
+    cw_shard_report_load(s, 1, 11, 0, true);
+    cw_shard_report_load(s, 1, 12, 0, true); /* both drain */
+    request_slot(s, 1, make_resuming_request(2, 1, 1));
+    ck_assert_int_eq(drain_actions(s, 1).refusal.refusal, CW_REFUSED_NO_UPSTREAM);
+    cw_shard_shutdown(s);
+}
+END_TEST
+
+/* It may be cancelled, its wait may end, and its workspace's limit holds. */
+START_TEST(resumed_stream_that_waits_ends_like_others) {
+    cw_shard_t* s = shard_of_two_versions();
+    cw_slot_request_t limited = make_resuming_request(1, 1, 1);
+    limited.max_running = 1;
+    request_slot(s, 0, limited);
+    ck_assert_int_eq(drain_actions(s, 0).grants, 1);
+    for (uint32_t seq = 2; seq <= 3; seq++) {
+        limited.seq = seq;
+        limited.queue_ms = 50;
+        request_slot(s, 1, limited);
+    }
+    ck_assert_int_eq(drain_actions(s, 1).grants, 0);
+    cw_shard_cancel_request(s, ENTRY_A, 2);
+    ck_assert(!cw_shard_is_queued(s, ENTRY_A, 2) && cw_shard_is_queued(s, ENTRY_A, 3));
+    actions_t actions = drain_actions(s, 60);
+    ck_assert_int_eq(actions.refusals, 1);
+    ck_assert_int_eq(actions.refusal.refusal, CW_REFUSED_BUSY);
+    ck_assert_uint_eq(cw_shard_stats(s, 60).waiting, 0);
+    cw_shard_shutdown(s);
+}
+END_TEST
+
 /* Random arrivals, releases, lost releases and silent entries. Invariants: no upstream runs more than its slots, and no
    protected request is refused while a lower tier waits. */
 START_TEST(random_runs_keep_invariants) {
@@ -506,6 +588,9 @@
     tcase_add_test(t, partition_uses_its_share_of_slots);
     tcase_add_test(t, only_preemptible_lower_tier_is_preempted);
     tcase_add_test(t, leaving_upstream_gets_no_new_requests);
+    tcase_add_test(t, resumed_stream_gets_a_slot_of_its_version);
+    tcase_add_test(t, resumed_stream_is_refused_without_an_upstream_of_its_version);
+    tcase_add_test(t, resumed_stream_that_waits_ends_like_others);
     tcase_add_loop_test(t, random_runs_keep_invariants, 0, 100);
 }
 
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -280,6 +280,59 @@
 }
 END_TEST
 
+/* Guards against streams with tokens of two software versions: a broken stream was resumed at any engine of its pool.
+   Each engine is cut in turn, so that streams of both versions resume, also while all engines are busy. */
+START_TEST(an_interrupted_stream_is_resumed_at_its_version) {
+    enum { STREAMS = 12, TOKENS = 40 };
+    static const char* const slow[] = {"--slots", "4", "--step", "5", NULL};
+    static const char* const names[] = {"engine", "e1", "e2", "e3"};
+    start_site();
+    char items[2048] =
+        "{\"items\":[{\"key\":\"pools/lang\",\"value\":{\"kind\":\"engine\",\"model\":\"m\",\"resumes\":true}}";
+    for (int i = 0; i < 4; i++) {
+        site_proc_t* engine =
+            i ? site_start(&site, SITE_ENGINE, names[i], "h1", slow) : site_find_process(&site, "engine");
+        char path[64];
+        size_t used = strlen(items);
+        snprintf(path, sizeof(path), "/admin/set?step_ms=5&version=%d", i % 2);
+        site_call(&(site_request_t){.address = engine->http, .path = path, .body = ""});
+        snprintf(items + used, sizeof(items) - used,
+                 ",{\"key\":\"upstreams/%s\",\"value\":{\"pool\":\"lang\",\"address\":\"%s\",\"hall\":\"h1\","
+                 "\"slots\":4,\"version\":\"v%d\"}}%s",
+                 names[i], engine->http, i % 2, i < 3 ? "" : "]}");
+    }
+    publish_items(items);
+    ck_assert(site_wait_revision(&site, 13, WAIT_MS));
+    pid_t children[STREAMS];
+    for (int i = 0; i < STREAMS; i++) {
+        children[i] = fork();
+        if (children[i] == 0) {
+            char id[16];
+            snprintf(id, sizeof(id), "s%d", i);
+            site_response_t response = send_summary(http_of("a"), id, true, TOKENS);
+            bool is_mixed = strstr(response.body, "\"w") && strstr(response.body, "\"v1-");
+            _exit(!response.is_complete ? 1 : is_mixed ? 2 : 0);
+        }
+    }
+    for (int i = 0; i < 4; i++) {
+        site_sleep_ms(50);
+        site_call(&(site_request_t){.address = http_of(names[i]), .path = "/admin/set?cut_after=25", .body = ""});
+    }
+    for (int i = 0; i < STREAMS; i++) {
+        int status = 0;
+        waitpid(children[i], &status, 0);
+        ck_assert_msg(WIFEXITED(status) && WEXITSTATUS(status) == 0, "stream %d: %d (1 incomplete, 2 mixed)", i,
+                      WEXITSTATUS(status));
+    }
+    double attempts = 0;
+    for (int i = 0; i < 4; i++) {
+        attempts += site_get_number(http_of(names[i]), "/admin/stats", "requests");
+    }
+    ck_assert_double_ge(attempts, STREAMS + 4); /* four streams were cut */
+    stop_site();
+}
+END_TEST
+
 /* An engine that freezes in mid-stream keeps its connections open, so only the stall timeout detects it. The streams
    must resume at another engine. */
 START_TEST(a_stalled_stream_resumes_at_another_engine) {
@@ -648,6 +701,7 @@
     tcase_add_test(t, a_protected_request_tries_every_shard);
     tcase_add_test(t, an_interrupted_stream_is_resumed);
     tcase_add_test(t, an_interrupted_stream_without_chunks_is_resumed);
+    tcase_add_test(t, an_interrupted_stream_is_resumed_at_its_version);
     tcase_add_test(t, a_stalled_stream_resumes_at_another_engine);
     tcase_add_test(t, a_call_whose_response_was_lost_never_runs_again);
     tcase_add_test(t, a_retry_joins_the_running_call);
