Observations of crashes and trials are sent at once

What could be seen: a host that is killed within a millisecond of a server's crash took its observation along, and a trial was announced after its request was sent, though the verdict asks for the announcement first. Cause: an observation waited for the flush of load reports, to share its datagram. Change: it is sent in the call that reports it, in a datagram of its own, and again after 150 ms as before.

--- a/gateway/reporter.c
+++ b/gateway/reporter.c
@@ -11,6 +11,7 @@
 #include "reporter_internal.h"
 
 #define MS_PER_S 1000.0
+#define FLUSH_DELAY_MS 1      /* delay before the start of requests is reported, so that several share a datagram */
 #define END_FLUSH_DELAY_MS 50 /* delay before the end of requests is reported */
 #define TRANSIT_MIN_MS 10     /* lower bound of the transit time that is assumed for a datagram */
 
--- a/gateway/reporter_internal.h
+++ b/gateway/reporter_internal.h
@@ -14,7 +14,6 @@
 #define QUEUE_MAX 512
 #define OBSERVATION_QUEUE_MAX (4 * CW_LOAD_OBSERVATIONS) /* further observations are sent with the next repetition */
 #define STREAM_QUEUE_MAX 2048                            /* further records are not told; hosts that need them ask */
-#define FLUSH_DELAY_MS 1 /* delay before the start of requests is reported, so that several share a datagram */
 
 /* A server whose load at this host changed and is not reported yet. */
 typedef struct dirty_t {
--- a/gateway/reporter_observations.c
+++ b/gateway/reporter_observations.c
@@ -112,5 +112,5 @@
 void reporter_on_observation(reporter_t* n, const cw_quarantine_observation_t* observation) {
     queue_observation(n, observation, true, 0);
     queue_observation(n, observation, true, clock_ms() + OBSERVATION_RESEND_DELAY_MS);
-    reporter_flush_after(n, FLUSH_DELAY_MS);
+    reporter_send_observations(n);
 }
--- a/tests/test_reporter_streams.c
+++ b/tests/test_reporter.c
@@ -1,4 +1,4 @@
-/* Announcements of streams in fleets of several sizes. */
+/* What a host reports to the others, in fleets of several sizes. */
 #include <ev.h>
 #include <stdio.h>
 #include <sys/socket.h>
@@ -81,23 +81,33 @@
     ev_loop_destroy(f->loop);
 }
 
-static bool receive(const fleet_t* f, int host, cw_stream_message_t* message) {
-    uint8_t bytes[CW_STREAM_BYTES];
-    ssize_t size = recv(f->fds[host], bytes, sizeof(bytes), MSG_DONTWAIT);
-    return size > 0 && cw_stream_message_decode(message, bytes, (size_t)size) == CW_OK;
+/* Scope of a datagram with the version of a stream. */
+static cw_load_scope_t stream_scope(const uint8_t* bytes, size_t size) {
+    cw_stream_message_t message;
+    ck_assert_int_eq(cw_stream_message_decode(&message, bytes, size), CW_OK);
+    ck_assert_uint_eq(message.entries[0].version, 7);
+    return message.scope;
 }
 
-/* Number of hosts that have the record once those that received it have forwarded it as its scope asks. */
-static int count_reached(const fleet_t* f) {
+/* Scope of a datagram with an observation. */
+static cw_load_scope_t observation_scope(const uint8_t* bytes, size_t size) {
+    cw_load_message_t message;
+    ck_assert_int_eq(cw_load_decode(&message, bytes, size, NULL), CW_OK);
+    ck_assert_uint_eq(message.observation_count, 1);
+    return message.scope;
+}
+
+/* Number of hosts that have the news once those that received it have forwarded it as its scope asks. */
+static int count_reached(const fleet_t* f, cw_load_scope_t (*scope_of)(const uint8_t* bytes, size_t size)) {
     bool is_reached[HOSTS_MAX] = {false};
+    uint8_t bytes[CW_LOAD_BYTES];
+    ssize_t size = 0;
     for (int i = 1; i < f->count; i++) {
-        cw_stream_message_t message;
-        while (receive(f, i, &message)) {
-            ck_assert_uint_eq(message.entries[0].version, 7);
+        while ((size = recv(f->fds[i], bytes, sizeof(bytes), MSG_DONTWAIT)) > 0) {
+            cw_load_scope_t scope = scope_of(bytes, (size_t)size);
             is_reached[i] = true;
-            for (int other = 1; other < f->count && message.scope != CW_LOAD_NO_RELAY; other++) {
-                is_reached[other] =
-                    is_reached[other] || message.scope == CW_LOAD_RELAY_TO_ALL || other % HALLS == i % HALLS;
+            for (int other = 1; other < f->count && scope != CW_LOAD_NO_RELAY; other++) {
+                is_reached[other] = is_reached[other] || scope == CW_LOAD_RELAY_TO_ALL || other % HALLS == i % HALLS;
             }
         }
     }
@@ -108,24 +118,39 @@
     return count;
 }
 
+static const int sizes[] = {2, 3, 6, 16, 17, 40};
+static const uint32_t links[] = {20, 1000}; /* the latter is a relay */
+#define FLEETS ((int)(sizeof(sizes) / sizeof(sizes[0]) * 2))
+
 /* Guards against announcements that wait in the process: a host that was killed within a millisecond of a first event
    took the version of the stream with it. */
 START_TEST(an_announcement_is_sent_before_the_event_passes) {
-    static const int sizes[] = {2, 3, 6, 16, 17, 40};
-    static const uint32_t links[] = {20, 1000}; /* the latter is a relay */
     fleet_t f;
     fleet_init(&f, sizes[_i / 2], links[_i % 2]);
     cw_stream_record_t record = {.stream = 5, .pool = 6, .version = 7, .expires_ms = clock_ms() + 5000};
     reporter_announce_streams(f.reporter, &record, 1);
-    ck_assert_int_eq(count_reached(&f), f.count - 1);
+    ck_assert_int_eq(count_reached(&f, stream_scope), f.count - 1);
+    fleet_shutdown(&f);
+}
+END_TEST
+
+/* A host may end right after a server crashed under its request: the others still need to hear of it. */
+START_TEST(an_observation_is_sent_at_once) {
+    fleet_t f;
+    fleet_init(&f, sizes[_i / 2], links[_i % 2]);
+    cw_quarantine_observation_t observation = {
+        .kind = CW_OBSERVED_CRASH, .request = {.content_hash = 5}, .incarnation = 6};
+    reporter_on_observation(f.reporter, &observation);
+    ck_assert_int_eq(count_reached(&f, observation_scope), f.count - 1);
     fleet_shutdown(&f);
 }
 END_TEST
 
 static void add_tests(TCase* t) {
-    tcase_add_loop_test(t, an_announcement_is_sent_before_the_event_passes, 0, 12);
+    tcase_add_loop_test(t, an_announcement_is_sent_before_the_event_passes, 0, FLEETS);
+    tcase_add_loop_test(t, an_observation_is_sent_at_once, 0, FLEETS);
 }
 
 int main(void) {
-    return run_suite("reporter_streams", add_tests, 30);
+    return run_suite("reporter", add_tests, 30);
 }
