--- a/chalkway_shard.h
+++ b/chalkway_shard.h
@@ -14,6 +14,8 @@
             a minimum share of the served cost while it has requests waiting.
             Serving the floor delays the tiers above but never refuses them;
           - within a tier, workspaces share fairly, see chalkway_fair.h;
+          - requests that resume a stream, which need an upstream of one
+            version, wait apart from the tiers and precede them;
           - upstreams are chosen by chalkway_pick.h, with exact slot counts.
 
         A grant is a lease on one slot. The entry must use it within ttl_ms
@@ -616,11 +618,10 @@
     if (!has_upstream) {
         return CW_REFUSED_NO_UPSTREAM;
     }
-    bool must_admit =
-        (slot_request->flags & CW_SLOT_REQUEST_PROTECTED) && _cw_shard_is_lower_tier_waiting(s, slot_request->tier);
-    must_admit = must_admit || slot_request->version; /* it precedes what is queued */
+    bool precedes_queue = slot_request->version || ((slot_request->flags & CW_SLOT_REQUEST_PROTECTED) &&
+                                                    _cw_shard_is_lower_tier_waiting(s, slot_request->tier));
     uint32_t wait_ms = _cw_shard_wait_ms(s, now_ms, slot_request->tier);
-    if (!must_admit && wait_ms > _cw_shard_max_wait_ms(slot_request)) {
+    if (!precedes_queue && wait_ms > _cw_shard_max_wait_ms(slot_request)) {
         return CW_REFUSED_BUSY;
     }
     return CW_REFUSED_NONE;
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -780,7 +780,7 @@
         send_grant_release(e, msg->shard, from, &unused);
         return;
     }
-    if (!can_continue(r, a->upstream)) { /* an allocator of an earlier release ignores versions */
+    if (!can_continue(r, a->upstream)) { /* allocators of earlier releases ignore versions */
         const cw_grant_release_t unused = {.grant = a->grant, .result = CW_PICK_UNUSED};
         send_grant_release(e, msg->shard, from, &unused);
         clear_seq(r);
