--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -422,7 +422,7 @@
     estimate_cost(r);
     r->machine = cw_request_new(
         &(cw_request_desc_t){.repeatable = r->class->repeatable, .resumable = r->pool->can_resume && r->wants_stream});
-    r->shard = dispatch_choose_shard(e, r);
+    r->shard = shards_choose(e, r);
     r->first_shard = r->shard;
     if (r->shard == ENTRY_NONE) {
         reject(r, HTTP_UNAVAILABLE, "no-upstream", "choose", "the pool has no upstream", 1000);
--- a/daemon/entry_internal.h
+++ b/daemon/entry_internal.h
@@ -1,12 +1,14 @@
 #ifndef CW_DAEMON_ENTRY_INTERNAL_H
 #define CW_DAEMON_ENTRY_INTERNAL_H
 /*
-    Internal interface between the two files of the entry. The entry is the
+    Internal interface between the files of the entry. The entry is the
     role of a host that accepts requests of callers, obtains slots for them
     and forwards them to upstreams.
 
         entry.c     accepts and classifies requests, handles idempotency keys, responds
-        dispatch.c  slot requests, grants, direct mode, attempts at upstreams
+        shards.c    the shards and their allocators, digests of the grants that are held
+        dispatch.c  slot requests, grants, direct mode, timers
+        attempt.c   attempts at upstreams
 
     Direct mode: while a shard's allocator does not respond, the entry
     itself assigns slots from its static share of the shard's upstreams.
@@ -144,6 +146,19 @@
 void request_set_error(request_t* r, unsigned status, const char* code, const char* step, const char* peer,
                        const char* message, uint32_t retry_after_ms);
 
+/* -- shards.c ------------------------------------------------------------- */
+
+#define DIGEST_AFTER_LOSS_MS 500 /* after the connection to the allocator broke or a send failed */
+
+/* Index of the shard in entry_t.shards, or ENTRY_NONE. */
+uint32_t shards_find(const entry_t* e, uint64_t id);
+/* Chooses a shard of the request's pool; returns ENTRY_NONE when the pool has no shard. */
+uint32_t shards_choose(entry_t* e, const request_t* r);
+/* Sends the full list of this entry's grants at the shard to the host. */
+void shards_send_grant_list(entry_t* e, uint32_t shard, uint64_t to);
+/* Sends the digests that are due. */
+void shards_send_digests(entry_t* e, int64_t now_ms);
+
 /* -- dispatch.c ----------------------------------------------------------- */
 
 /* Passes an event to the request's state machine and performs the resulting actions. May free the request. */
@@ -152,7 +167,20 @@
 void request_arm(request_t* r);
 void dispatch_setup(entry_t* e);
 void dispatch_shutdown(entry_t* e);
-/* Chooses a shard of the request's pool; returns ENTRY_NONE when the pool has no shard. */
-uint32_t dispatch_choose_shard(entry_t* e, const request_t* r);
+/* Sends or resends the slot request. A resent one keeps its sequence number, by which the allocator recognizes it. */
+void dispatch_send_slot_request(request_t* r);
+/* Requests a slot at another shard for a waiting request; refuses the request when its pool has no shard left. */
+void dispatch_request_slot_at_new_shard(request_t* r);
+
+/* -- attempt.c ------------------------------------------------------------ */
+
+/* Begins an attempt at the upstream of the request's grant. */
+void attempt_begin(request_t* r);
+/* Ends the attempt, which has made no progress for too long. */
+void attempt_stalled(request_t* r);
+/* A run aborted at its deadline shows that requests of its class and pool can take at least as long. */
+void attempt_missed_deadline(request_t* r);
+/* Whether the upstream may continue the request's stream. */
+bool attempt_can_use(const request_t* r, uint64_t upstream);
 
 #endif
