Streams: an entry never has a negative time left

A stream whose first event arrives in the millisecond of its deadline would have been announced with a time of 49 days left. Read, not seen; an entry with no time left is ignored by its receivers. test_reporter passes.

--- a/gateway/reporter_streams.c
+++ b/gateway/reporter_streams.c
@@ -1,4 +1,5 @@
-/* Software versions of streams: announced to all hosts at once and a second time a moment later, and queried. */
+/* Software versions of streams: announced to all hosts at once and a second time a moment later, and queried. The first
+   datagrams leave in the call that announces, since this process may be killed right after it. */
 #include <string.h>
 
 #include "clock.h"
@@ -27,10 +28,11 @@
 }
 
 static cw_stream_entry_t make_entry(const cw_stream_record_t* record, int64_t now_ms) {
+    int64_t left_ms = record->expires_ms - now_ms;
     return (cw_stream_entry_t){.stream = record->stream,
                                .pool = record->pool,
                                .version = record->version,
-                               .left_ms = (uint32_t)(record->expires_ms - now_ms)};
+                               .left_ms = left_ms > 0 ? (uint32_t)left_ms : 0};
 }
 
 static void send_to_hall(reporter_t* n, cw_stream_message_t* message) {
