--- a/tests/rig.h
+++ b/tests/rig.h
@@ -57,7 +57,7 @@
     uint32_t liveness_reports;         /* calls of on_liveness_changed */
     /* The host through which servers are reached when no connection to them can be opened; NULL: none. */
     const cw_member_info_t* (*choose_tunnel_host)(rig_t* r, const pool_t* pool);
-    void* test; /* of the test that set choose_tunnel_host */
+    char tunnel_host[CW_ADDR_TEXT_SIZE]; /* peer address of the host of rig_restore_paths */
     int listen_fds[RIG_SERVERS];
     ev_io accept_ios[RIG_SERVERS];
     char addresses[RIG_SERVERS][CW_ADDR_TEXT_SIZE];
@@ -243,6 +243,23 @@
     return r->choose_tunnel_host && !excluded_count ? r->choose_tunnel_host(r, pool) : NULL;
 }
 
+/* Breaks the path to the server: its direct address leads nowhere. */
+static inline void rig_break_path(server_t* s) {
+    cw_addr_parse("127.0.0.1:1", &s->address, NULL);
+}
+
+/* For choose_tunnel_host: restores the paths, so that the host of the tunnel, which shares the list of servers, can
+   connect. */
+static inline const cw_member_info_t* rig_restore_paths(rig_t* r, const pool_t* pool) {
+    static cw_member_info_t host;
+    for (server_t* s = pool->servers; s; s = s->next) {
+        cw_addr_parse(s->published.address, &s->address, NULL);
+    }
+    host = (cw_member_info_t){.id = 2};
+    cw_copy(host.peer, sizeof(host.peer), r->tunnel_host);
+    return &host;
+}
+
 static inline void rig_on_timeout(struct ev_loop* loop, ev_timer* w, int events) {
     (void)loop;
     (void)events;
--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -275,29 +275,13 @@
 }
 END_TEST
 
-/* The path to a server breaks: its direct address leads nowhere until a tunnel is asked for. */
-static void break_path(server_t* s) {
-    cw_addr_parse("127.0.0.1:1", &s->address, NULL);
-}
-
-static const cw_member_info_t* choose_host_and_restore(rig_t* r, const pool_t* pool) {
-    static cw_member_info_t host;
-    const bench_t* b = r->test;
-    for (server_t* s = pool->servers; s; s = s->next) {
-        cw_addr_parse(s->published.address, &s->address, NULL);
-    }
-    host = (cw_member_info_t){.id = 2};
-    cw_copy(host.peer, sizeof(host.peer), b->address);
-    return &host;
-}
-
 #define CALL "POST /x HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: q1\r\nContent-Length: 4\r\n\r\nbody"
 
 static void setup_with_path(bench_t* b, uint32_t servers) {
     setup(b);
     rig_set_servers(b->rig, servers, 0);
-    b->rig->test = b;
-    b->rig->choose_tunnel_host = choose_host_and_restore;
+    cw_copy(b->rig->tunnel_host, sizeof(b->rig->tunnel_host), b->address);
+    b->rig->choose_tunnel_host = rig_restore_paths;
 }
 
 /* The direct connection fails and a tunnel opens: the request is served, and nothing is recorded against the server. */
@@ -305,7 +289,7 @@
     bench_t b;
     setup_with_path(&b, 1);
     rig_script(b.rig, (rig_step_t[]){{RIG_RESPOND, OK}}, 1);
-    break_path(server(&b, "s0"));
+    rig_break_path(server(&b, "s0"));
     ck_assert(strstr(rig_call(b.rig, CALL), "\r\n\r\nok"));
     ck_assert(server(&b, "s0")->is_path_broken);
     ck_assert_uint_eq(upstreams_tunnels_opened(b.rig->upstreams), 1);
@@ -325,7 +309,7 @@
         ev_run(b.rig->loop, EVRUN_ONCE);
     }
     ev_sleep(0.01); /* the server was last heard before the path breaks */
-    break_path(server(&b, "s0"));
+    rig_break_path(server(&b, "s0"));
     ck_assert(strstr(rig_call(b.rig, CALL), "\r\n\r\nok"));
     ck_assert(server(&b, "s0")->pool->reach.is_cut);
     ck_assert_uint_eq(b.rig->arrival_count, 2);
@@ -340,7 +324,7 @@
     bench_t b;
     setup_with_path(&b, 1);
     rig_script(b.rig, (rig_step_t[]){{RIG_RESPOND_CLOSE, OK}, {RIG_RESPOND, OK}}, 2);
-    break_path(server(&b, "s0"));
+    rig_break_path(server(&b, "s0"));
     ck_assert(strstr(rig_call(b.rig, CALL), "\r\n\r\nok"));
     ck_assert(server(&b, "s0")->is_path_broken);
     rig_disconnect(b.rig);
@@ -364,7 +348,7 @@
                .method = "POST", .host = "h.example", .target = "/x", .body = "body", .size = strlen("body")});
     ck_assert_uint_eq(quarantine_check(b.rig->quarantine, &request).crashes, 1);
     ev_sleep(0.01); /* the crash and the connection have different times */
-    break_path(server(&b, "s0"));
+    rig_break_path(server(&b, "s0"));
     ck_assert(strstr(rig_call(b.rig, "GET /other HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: q2\r\n\r\n"),
                      "\r\n\r\nok"));
     ck_assert_uint_eq(quarantine_check(b.rig->quarantine, &request).crashes, 0);
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -183,24 +183,6 @@
     return true;
 }
 
-static const cw_member_info_t* choose_relay(rig_t* r, const pool_t* pool) {
-    static cw_member_info_t host;
-    const relay_t* relay = r->test;
-    for (server_t* s = pool->servers; s; s = s->next) {
-        cw_addr_parse(s->published.address, &s->address, NULL);
-    }
-    host = (cw_member_info_t){.id = 2};
-    cw_copy(host.peer, sizeof(host.peer), relay->address);
-    return &host;
-}
-
-/* The servers' addresses lead nowhere until a tunnel is asked for. */
-static void break_direct_path(rig_t* r) {
-    for (server_t* s = upstreams_pool(r->upstreams, "p")->servers; s; s = s->next) {
-        cw_addr_parse("127.0.0.1:1", &s->address, NULL);
-    }
-}
-
 /* The host reaches its only server through a relay. */
 static rig_t* setup_relay(relay_t* relay) {
     cw_error_t err = {0};
@@ -215,9 +197,9 @@
                                                      .is_host = is_host},
                                    &err);
     ck_assert_msg(relay->tunnels != NULL, "%s", cw_error_text(&err).text);
-    r->test = relay;
-    r->choose_tunnel_host = choose_relay;
-    break_direct_path(r);
+    cw_copy(r->tunnel_host, sizeof(r->tunnel_host), relay->address);
+    r->choose_tunnel_host = rig_restore_paths;
+    rig_break_path(upstreams_server(r->upstreams, cw_name_id("s0")));
     return r;
 }
 
@@ -316,22 +298,17 @@
         "HTTP/1.1 200 OK\r\nChalkway-Request-Id: q1\r\n\r\nbody",
         "HTTP/1.1 200 OK\r\nChalkway-Request-Id: q1\r\nContent-Length: 4\r\n\r\nbody"};
     for (size_t i = 0; i < 2; i++) {
-        relay_t relay = {0};
         old_relay_t old = {.host = {.fd = -1}, .response = responses[i]};
         rig_t* r = rig_setup(ROUTES, 1);
         cw_error_t err = {0};
-        snprintf(relay.address, sizeof(relay.address), "127.79.%d.%d:7204", 1 + getpid() / 250 % 250,
-                 1 + getpid() % 250);
-        char bound[CW_ADDR_TEXT_SIZE];
-        int fd = cw_addr_listen(relay.address, bound, &err);
+        int fd = cw_addr_listen("127.0.0.1:0", r->tunnel_host, &err);
         ck_assert_msg(fd >= 0, "%s", cw_error_text(&err).text);
         old.wire = cw_wire_setup(NULL);
         ev_io_init(&old.accept_io, old_relay_on_accept, fd, EV_READ);
         old.accept_io.data = &old;
         ev_io_start(r->loop, &old.accept_io);
-        r->test = &relay;
-        r->choose_tunnel_host = choose_relay;
-        break_direct_path(r);
+        r->choose_tunnel_host = rig_restore_paths;
+        rig_break_path(upstreams_server(r->upstreams, cw_name_id("s0")));
         rig_call(r, CALL("call"));
         if (i == 0) {
             expect_broken(r);
