Soak check: a request that the next fault cuts off did not run in a calm period

Trace: the calm period ended at 24.23 s, when all five hosts were killed; the four requests that were lost had been sent 4 to 97 ms before. A kill may lose what is in flight, so the case is allowed, and the check was wrong. Change: a request counts once it ended before the next fault, or had half of its time before it, as it must already before the end of the run. One that hangs through a calm period still counts.

--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -151,6 +151,21 @@
 }
 END_TEST
 
+/* Hosts are killed while a request runs: it was sent in a calm period, but did not run in one. A request that has hung
+   for half of its time before is found. */
+START_TEST(a_request_cut_by_the_next_fault_does_not_count_as_calm) {
+    unsigned half_ms = soak_kinds[soak_find_kind("get")].timeout_ms / 2;
+    for (unsigned hung = 0; hung < 2; hung++) {
+        char text[1024];
+        unsigned killed_ms = 95 + (hung ? half_ms + 1 : 2);
+        snprintf(text, sizeof(text),
+                 SERVED_REQUESTS "C 95 sent c get h:1 0\nS %u fault kill h:1\nC %u done c 0 0 0 0\n", killed_ms,
+                 killed_ms + 2);
+        ck_assert_uint_eq(check_record(text).count[SOAK_RECOVERY], hung);
+    }
+}
+END_TEST
+
 START_TEST(low_success_share_in_calm_period_is_found) {
     expect_only(SERVED_REQUESTS "C 95 sent c get h:1 0\nC 99 done c 502 1 0 4\n", SOAK_RECOVERY);
 }
@@ -301,6 +316,7 @@
     tcase_add_test(t, request_sent_to_leaving_server_is_found);
     tcase_add_test(t, source_outage_excuses_only_until_propagation);
     tcase_add_test(t, run_after_cancel_is_found);
+    tcase_add_test(t, a_request_cut_by_the_next_fault_does_not_count_as_calm);
     tcase_add_test(t, low_success_share_in_calm_period_is_found);
 }
 
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -624,6 +624,22 @@
     }
 }
 
+/* Whether the calm period ended while the request ran, before it had had half of its time. */
+static bool was_calm_too_short(const checker_t* c, const request_t* r) {
+    int64_t from_ms = r->sent_ms;
+    int64_t until_ms = from_ms + (int64_t)soak_kinds[r->kind].timeout_ms / 2;
+    if (c->finish_ms && c->finish_ms <= until_ms) {
+        return true;
+    }
+    until_ms = r->done_ms && r->done_ms < until_ms ? r->done_ms : until_ms;
+    for (uint32_t i = 0; i < c->fault_count; i++) {
+        if (c->faults[i].from_ms > from_ms && c->faults[i].from_ms < until_ms) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void count_request(checker_t* c, const request_t* r) {
     soak_result_t* result = &c->result;
     if (r->qod_body) {
@@ -637,8 +653,7 @@
     result->refused += refused;
     result->abandoned += r->abandoned_ms != 0;
     result->failed += r->done_ms && !served && !refused;
-    if (r->is_calm && !r->abandoned_ms &&
-        (!c->finish_ms || r->sent_ms < c->finish_ms - (int64_t)soak_kinds[r->kind].timeout_ms / 2)) {
+    if (r->is_calm && !r->abandoned_ms && !was_calm_too_short(c, r)) {
         result->calm_sent++;
         result->calm_served += served;
         result->calm_refused += refused;
