Versions: ids are those of cw_name_id, which is never 0

Cause: cw_server_version_id and the parser of upstreams replaced an id of 0 by 1, a case that cw_name_id excludes already; dead code in two places. Change: both return cw_name_id of the version. Behaviour and ids unchanged.

--- a/chalkway_servers.h
+++ b/chalkway_servers.h
@@ -261,8 +261,7 @@
 }
 
 uint64_t cw_server_version_id(const cw_server_t* server) {
-    uint64_t id = cw_name_id(server->version);
-    return id ? id : 1;
+    return cw_name_id(server->version);
 }
 
 void cw_servers_refuse(cw_servers_t* list, const char* key, cw_server_fault_t fault) {
--- a/chalkway_store.h
+++ b/chalkway_store.h
@@ -97,7 +97,7 @@
     char address[CW_ADDRESS_MAX]; /* IP:PORT */
     char hall[CW_NAME_MAX];
     char version[CW_NAME_MAX]; /* of its software, "": unknown */
-    uint64_t version_id;       /* never 0 */
+    uint64_t version_id;       /* of version, never 0 */
     uint32_t slots;            /* concurrent requests */
     bool leaving;              /* gets no new requests */
     bool deduplicates_calls;   /* deduplicates calls by their idempotency key (header Idempotency-Key) */
@@ -402,7 +402,6 @@
     _cw_doc_string(doc, "hall", out->hall, sizeof(out->hall), true);
     _cw_doc_string(doc, "version", out->version, sizeof(out->version), false);
     out->version_id = cw_name_id(out->version);
-    out->version_id = out->version_id ? out->version_id : 1;
     out->slots = _cw_doc_integer(doc, "slots", 8, 1, 100000);
     out->leaving = _cw_doc_bool(doc, "leaving", false);
     out->deduplicates_calls = _cw_doc_bool(doc, "drops_repeats", false);
