--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -15,9 +15,12 @@
 static const char sse_type[] = "text/event-stream";
 
 bool attempt_can_use(const request_t* r, uint64_t upstream) {
+    if (!r->stream_version) {
+        return true;
+    }
     cw_snapshot_t* newest = cw_store_snapshot(r->entry->node->store);
     const cw_upstream_t* u = cw_snapshot_upstream(newest, upstream);
-    bool result = !r->stream_version || !u || u->version_id == r->stream_version;
+    bool result = !u || u->version_id == r->stream_version;
     cw_snapshot_release(newest);
     return result;
 }
