Log of attempts: the parts of the prompt, and how long ago the response's body began

Ruled out so far: late observations alone, by the two contents that were quarantined at all hosts within 20 ms. No logic is changed.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -107,12 +107,15 @@
 }
 
 void exchange_fail_attempt(exchange_t* x, cw_request_event_t e, cw_try_result_t result, const char* reason) {
+    int64_t now_ms = clock_ms();
     x->result = result;
     x->reason = reason;
     cw_log(x->exchanges->desc.log, CW_EVENT_UPSTREAM_FAILED,
-           "id=%s step=%s server=%s life=%016llx peer=%s reason=\"%s\" sent_ms_ago=%lld fingerprint=%016llx links=%u",
+           "id=%s step=%s server=%s life=%016llx peer=%s reason=\"%s\" sent_ms_ago=%lld body_ms_ago=%lld "
+           "fingerprint=%016llx links=%u",
            x->id, cw_request_state_name(x->fsm.state), x->server_id, (unsigned long long)x->server->key,
-           x->server->published.address, reason, x->sent_ms ? (long long)(clock_ms() - x->sent_ms) : -1LL,
+           x->server->published.address, reason, x->sent_ms ? (long long)(now_ms - x->sent_ms) : -1LL,
+           x->has_first_byte ? (long long)(now_ms - x->attempt_first_ms) : -1LL,
            (unsigned long long)x->fingerprint.content_hash, x->server->conn_count);
     exchange_handle_event(x, e);
 }
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -19,6 +19,7 @@
 #define EVENT_STALL_GAPS 4 /* time without an event after which a stream is retried, as a multiple of its gap limit */
 #define EVENT_STALL_MIN_MS 400
 #define LEVEL_TEXT_MAX 12
+#define PART_TEXT_MAX 18 /* id of a part in hex, with a comma */
 
 bool exchange_may_retry(const exchange_t* x) {
     return x->fsm.repeatable && x->fsm.attempts < x->fsm.max_attempts && (!x->is_head_sent || x->is_resumable_stream) &&
@@ -218,6 +219,7 @@
 static void handle_first_byte(exchange_t* x) {
     int64_t now_ms = clock_ms();
     x->has_first_byte = true;
+    x->attempt_first_ms = now_ms;
     x->first_ms = x->first_ms ? x->first_ms : now_ms;
     bool was_suspected = cw_balance_on_first_byte(x->pool->balance, now_ms, &x->run);
     log_prefill_rate(x, now_ms);
@@ -358,6 +360,15 @@
     snprintf(text, size, "%u", choice->level);
 }
 
+/* Writes the ids of the prompt's parts for the log, "-" if it has none. */
+static void format_parts(const cw_work_t* work, char* text, size_t size) {
+    size_t n = 0;
+    cw_copy(text, size, "-");
+    for (uint32_t i = 0; i < work->part_count && n < size; i++) {
+        n += (size_t)snprintf(text + n, size - n, "%s%llx", i ? "," : "", (unsigned long long)work->parts[i].id);
+    }
+}
+
 void exchange_start_attempt(exchange_t* x) {
     exchanges_t* e = x->exchanges;
     const cw_choice_t* choice = &x->choice;
@@ -378,15 +389,18 @@
         x->tried[x->tried_count++] = x->server->key;
     }
     char level[LEVEL_TEXT_MAX];
+    char parts[CW_PROMPT_PARTS * PART_TEXT_MAX];
     record_placement(x->pool, choice, level, sizeof(level));
+    format_parts(&x->work, parts, sizeof(parts));
     cw_log(e->desc.log, x->attempt_count ? CW_EVENT_REQUEST_RETRIED : CW_EVENT_REQUEST_SENT,
-           "id=%s fingerprint=%016llx server=%s version=%s route=%s revision=%lld priority=%u urgency=%u candidates=%u "
+           "id=%s fingerprint=%016llx parts=%s server=%s version=%s route=%s revision=%lld priority=%u urgency=%u "
+           "candidates=%u "
            "cost_ms=%.0f "
            "wait_ms=%.0f "
            "read_ms=%.0f prompt=%u kept=%u moved=%u again=%u running=%u streaming=%u pace=%.2f pace_us=%.1f "
            "gap_forecast_ms=%.0f level=%s age_ms=%u waited_ms=%lld "
            "last_event=%s resumes=%s",
-           x->id, (unsigned long long)x->fingerprint.content_hash, x->server_id,
+           x->id, (unsigned long long)x->fingerprint.content_hash, parts, x->server_id,
            x->server->published.version[0] ? x->server->published.version : "-", x->route->name,
            (long long)x->catalog->revision, x->priority, x->work.urgency, choice->candidates, choice->cost_ms,
            choice->wait_ms, choice->prefill_ms, x->work.prompt_tokens, choice->cached_tokens, choice->fetched_tokens,
--- a/gateway/exchange_internal.h
+++ b/gateway/exchange_internal.h
@@ -51,6 +51,7 @@
     int64_t sent_ms, stall_at_ms; /* stall_at_ms: without a response by then, another server is tried; 0: never */
     double expected_ms;           /* predicted time from arrival to the first event, set by each attempt */
     bool has_first_byte;
+    int64_t attempt_first_ms;      /* time of the first body byte of this attempt; valid with has_first_byte */
     cw_framing_t response_framing; /* of the server's response; CW_FRAMING_NONE before its head */
     bool is_event_stream;          /* the response is a stream of server-sent events */
     bool is_tunneled;              /* the response came through another host */
