--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -46,7 +46,7 @@
 }
 
 static const char* const mixes[][SERVERS] = {{"1", "2", "2"}, {"2", "1", "2"}, {"2", "2", "1"},
-                                                 {"1", "1", "2"}, {"-", "1", "-"}, {"1", "-", "1"}};
+                                             {"1", "1", "2"}, {"-", "1", "-"}, {"1", "-", "1"}};
 #define MIXES (sizeof(mixes) / sizeof(mixes[0]))
 
 /* Guards against an answer with events of two versions: the host resumed it at any server. */
