Quarantine: a model of fleets, requests taken back from queues while a part is on trial, observations sent three times

Cause: what had been sent before a part came on trial crashed an engine each, and with a third of the datagrams lost a host could miss an observation and its repetition. Change: a request that waits at its engine while another one with the same part is on trial is taken back, if it may be retried; a verdict is checked again when a connection has opened; observations are sent again after 50 and 150 ms.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -417,13 +417,20 @@
     return x;
 }
 
-/* Ends the attempt of a quarantined request. A response that has been written for a while proves the parts of its
-   prompt harmless, also those that are quarantined. */
-static void end_quarantined_attempt(exchange_t* x) {
+/* Ends the attempt of a request that is quarantined now, or that waits at its server while another request with the
+   same part is on trial. A response that has been written for a while proves the parts of its prompt harmless, also
+   those that are quarantined. */
+static void check_running_attempt(exchange_t* x) {
     cw_verdict_t verdict = quarantine_check(x->exchanges->desc.quarantine, &x->suspects, x->pool);
-    bool has_survived_part = exchange_phase(x) == CW_RUN_WRITING && cw_fingerprint_is_part(&verdict.suspect);
-    if (verdict.kind == CW_VERDICT_QUARANTINED && !has_survived_part) {
+    bool is_part = cw_fingerprint_is_part(&verdict.suspect);
+    bool has_survived = is_part && exchange_phase(x) == CW_RUN_WRITING;
+    bool is_waiting = x->fsm.state == CW_REQ_SENT && exchange_phase(x) == CW_RUN_WAITING;
+    bool must_wait = verdict.kind == CW_VERDICT_PENDING && is_part && !x->verdict.trials;
+    if (verdict.kind == CW_VERDICT_QUARANTINED && !has_survived) {
         exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, CW_TRY_CANCELLED, QUARANTINED_REASON);
+    } else if (must_wait && is_waiting && exchange_may_retry(x)) {
+        exchange_keep_server_eligible(x);
+        exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, CW_TRY_CANCELLED, ON_TRIAL_REASON);
     }
 }
 
@@ -432,7 +439,7 @@
     for (exchange_t* x = next_unjudged(e); x; x = next_unjudged(e)) {
         x->checked_at_change = e->verdict_change_count;
         if (x->conn) {
-            end_quarantined_attempt(x);
+            check_running_attempt(x);
         } else if (x->verdict_due_ms) {
             exchange_assign_server(x); /* it may have been waiting for this change */
         } else {
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -94,8 +94,7 @@
     exchange_set_timer(x);
 }
 
-/* The server of this attempt did not fail the request, so a retry may choose it again. */
-static void keep_server_eligible(exchange_t* x) {
+void exchange_keep_server_eligible(exchange_t* x) {
     bool is_in_tried = x->tried_count && x->tried[x->tried_count - 1] == x->server->key;
     x->tried_count -= is_in_tried;
 }
@@ -103,13 +102,22 @@
 /* Nothing has been sent yet, so the request can still avoid a server that has announced that it leaves or asked for a
    backoff while the connection was opened. */
 static void reassign(exchange_t* x, const char* why) {
-    keep_server_eligible(x);
+    exchange_keep_server_eligible(x);
     exchange_fail_attempt(x, CW_EV_GRANT_EXPIRED, CW_TRY_CANCELLED, why);
 }
 
+/* Whether, while the connection was opened, the request was quarantined or another one with the same part was put on
+   trial. */
+static bool is_verdict_outdated(const exchange_t* x) {
+    cw_verdict_t verdict = quarantine_check(x->exchanges->desc.quarantine, &x->suspects, x->pool);
+    return verdict.kind >= CW_VERDICT_PENDING && !x->verdict.trials;
+}
+
 static void conn_on_open(void* owner) {
     exchange_t* x = owner;
-    if (x->server->is_retired) {
+    if (is_verdict_outdated(x)) {
+        reassign(x, ON_TRIAL_REASON);
+    } else if (x->server->is_retired) {
         reassign(x, "the server leaves");
     } else if (cw_balance_is_backing_off(x->pool->balance, clock_ms(), x->server->key)) {
         reassign(x, "the server wants rest");
@@ -316,7 +324,7 @@
                              : failure == UPSTREAM_CONN_TUNNEL_BROKEN ? CW_TRY_CANCELLED
                                                                       : CW_TRY_BROKEN;
     if (failure == UPSTREAM_CONN_TUNNEL_BROKEN) {
-        keep_server_eligible(x);
+        exchange_keep_server_eligible(x);
     }
     exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, result, reason);
 }
--- a/gateway/exchange_internal.h
+++ b/gateway/exchange_internal.h
@@ -20,6 +20,7 @@
    190 ms. */
 #define START_MS 300
 #define QUARANTINED_REASON "servers ended under it" /* sent to the caller of a quarantined request */
+#define ON_TRIAL_REASON "a part of its prompt is on trial"
 
 typedef struct exchange_t {
     exchanges_t* exchanges;
@@ -126,6 +127,8 @@
 void exchange_start_attempt(exchange_t* x);
 /* Sends the response head to the caller unless it has been sent. */
 void exchange_send_head(exchange_t* x, caller_t* caller);
+/* The server of this attempt did not fail the request, so a retry may choose it again. */
+void exchange_keep_server_eligible(exchange_t* x);
 /* How far the response to the current attempt has got. */
 cw_run_phase_t exchange_phase(const exchange_t* x);
 /* Whether the request may be retried after a failure. */
--- a/gateway/reporter_internal.h
+++ b/gateway/reporter_internal.h
@@ -12,8 +12,8 @@
 #define HOSTS_MAX 1024
 #define DIRTY_MAX 256
 #define QUEUE_MAX 512
-#define OBSERVATION_QUEUE_MAX (4 * CW_LOAD_OBSERVATIONS) /* further observations are sent with the next repetition */
-#define STREAM_QUEUE_MAX 2048                            /* further records are not told; hosts that need them ask */
+#define OBSERVATION_QUEUE_MAX (12 * CW_LOAD_OBSERVATIONS) /* further observations are sent with the next repetition */
+#define STREAM_QUEUE_MAX 2048                             /* further records are not told; hosts that need them ask */
 
 /* A server whose load at this host changed and is not reported yet. */
 typedef struct dirty_t {
--- a/gateway/reporter_observations.c
+++ b/gateway/reporter_observations.c
@@ -8,8 +8,8 @@
 #define OBSERVATION_REPEAT_INTERVAL_MS 1000
 #define OBSERVATION_REPEATER_RANKS 2
 #define OBSERVATION_BURST_DATAGRAMS 16 /* sent at once when a host joins; further observations follow by repetition */
-/* Delay until a new observation is sent again: one datagram in ten may be lost. */
-#define OBSERVATION_RESEND_DELAY_MS 150
+/* Delays until a new observation is sent again, since datagrams are lost. */
+static const int64_t resend_delays_ms[] = {50, 150};
 #define STALL_MS 100 /* a longer delay means that this process stalled and datagrams waited in its socket */
 
 static void queue_observation(reporter_t* n, const cw_quarantine_observation_t* observation, bool to_other_halls,
@@ -112,7 +112,9 @@
 void reporter_on_observations(reporter_t* n, const cw_quarantine_observation_t* observations, uint32_t count) {
     for (uint32_t i = 0; i < count; i++) {
         queue_observation(n, &observations[i], true, 0);
-        queue_observation(n, &observations[i], true, clock_ms() + OBSERVATION_RESEND_DELAY_MS);
+        for (size_t k = 0; k < sizeof(resend_delays_ms) / sizeof(*resend_delays_ms); k++) {
+            queue_observation(n, &observations[i], true, clock_ms() + resend_delays_ms[k]);
+        }
     }
     reporter_send_observations(n);
 }
--- a/tests/crash_model.h
+++ b/tests/crash_model.h
@@ -8,8 +8,8 @@
     that sends the head of a query of death crashes 45 to 190 ms later, which breaks all requests there; it restarts
     as a new incarnation. A query of death is a body that is sent again and again, or a part in prompts that have
     nothing else to themselves. Sound prompts share the other parts. Hosts retry broken requests, and so do callers.
-    Observations reach the other hosts after a delay or are lost; they are sent a second time after 150 ms, and two
-    hosts export one datagram of them each second.
+    Observations reach the other hosts after a delay or are lost; they are sent three times, and two hosts export one
+    datagram of them each second.
 */
 #include <stdio.h>
 #include <stdlib.h>
@@ -27,7 +27,6 @@
 #define MODEL_START_MS 300 /* an engine that writes a response for this long has survived its start */
 #define MODEL_RESTART_MS 2000
 #define MODEL_BEGIN_MS 20000 /* of the queries of death */
-#define MODEL_RESEND_MS 150
 #define MODEL_EXPORT_INTERVAL_MS 1000
 #define MODEL_CHECK_INTERVAL_MS 25 /* at which hosts look for running requests that are quarantined */
 #define MODEL_GIVE_UP_MS 4000      /* of a request that waits for a verdict or an engine */
@@ -37,6 +36,8 @@
 #define MODEL_RARE_PARTS 100  /* second parts of sound prompts, without those that crash engines */
 #define MODEL_FIRST_PARTS 8   /* first parts; half of the prompts have the first of them */
 
+static const int64_t model_resend_delays_ms[] = {50, 150}; /* as reporter_observations.c */
+
 typedef struct model_desc_t {
     uint32_t hosts, engines;
     uint32_t causes;            /* queries of death */
@@ -149,7 +150,9 @@
     }
     if (published_count) {
         model_broadcast(m, host, published, published_count, 0);
-        model_broadcast(m, host, published, published_count, MODEL_RESEND_MS);
+        for (size_t i = 0; i < sizeof(model_resend_delays_ms) / sizeof(*model_resend_delays_ms); i++) {
+            model_broadcast(m, host, published, published_count, model_resend_delays_ms[i]);
+        }
     }
 }
 
@@ -423,6 +426,11 @@
         if (v.kind == CW_VERDICT_QUARANTINED) {
             m->engines[run->engine].running--;
             model_refuse(m, run, &v);
+        } else if (v.kind == CW_VERDICT_PENDING && run->state == MODEL_QUEUED && !run->verdict.trials &&
+                   run->attempts % 2) {
+            m->engines[run->engine].running--;
+            run->state = MODEL_HELD; /* its host takes it back from the queue of the engine */
+            run->due_ms = m->now_ms + v.retry_ms;
         }
     }
 }
