--- a/standins/fake_upstream.c
+++ b/standins/fake_upstream.c
@@ -27,7 +27,8 @@
     anywhere, also by the end of the process, ends inside an event.
 
     A body that begins with "deadly" is a query of death: CRASH_DELAY_MS after the request started to run, the process
-    exits without a response to any running request.
+    exits without a response to any running request. So is a prompt with a part, other than the last one, whose id
+    begins with "dead" (Chalkway-Prompt-Parts).
 
     Standard output, after the ready line: one line per event, MS is the monotonic clock in milliseconds.
     "A|B" stands for two lines, whose meanings follow in the same order.
@@ -323,6 +324,18 @@
     cw_lines_add(&u->lines, line);
 }
 
+static bool has_deadly_part(cw_exchange_t* x) {
+    static const char prefix[] = "dead";
+    const char* part = cw_exchange_header(x, "Chalkway-Prompt-Parts");
+    while (part && strchr(part, ',')) {
+        if (strncmp(part, prefix, sizeof(prefix) - 1) == 0) {
+            return true;
+        }
+        part = strchr(part, ',') + 1;
+    }
+    return false;
+}
+
 static void handle_request(upstream_t* u, cw_exchange_t* x) {
     const char* id = cw_exchange_header(x, "Chalkway-Request-Id");
     const char* server = cw_exchange_header(x, "Chalkway-Server");
@@ -359,7 +372,7 @@
     job->events_sent = after ? (uint32_t)strtoul(after, NULL, 10) : 0;
     cw_exchange_set_data(x, job);
     size_t size = 0;
-    job->is_query_of_death = strncmp(cw_exchange_body(x, &size), "deadly", strlen("deadly")) == 0;
+    job->is_query_of_death = strncmp(cw_exchange_body(x, &size), "deadly", strlen("deadly")) == 0 || has_deadly_part(x);
     if (job->is_query_of_death) {
         log_job_event(u, "reach", job);
     }
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -178,6 +178,9 @@
         case 'd':
             s->qod_body_count = number;
             return 0;
+        case 'p':
+            s->qod_part_count = number;
+            return 0;
         case 'k':
             s->keeps_dir = true;
             return 0;
@@ -200,6 +203,7 @@
         {"callers", 'n', "N", 0, "number of callers, default 60", 0},
         {"rate", 'r', "N", 0, "requests per second, default 120", 0},
         {"deadly", 'd', "N", 0, "bodies that crash every upstream which begins to run them, default 3", 0},
+        {"deadly-parts", 'p', "N", 0, "parts of prompts that do so, default 3", 0},
         {"keep", 'k', NULL, 0, "keep the record and the logs", 0},
         {"judge", 'j', "RECORD", 0, "check a saved record instead of running a soak", 0},
         {0},
@@ -214,6 +218,7 @@
                           .version = 1,
                           .service_count = 3,
                           .qod_body_count = 3,
+                          .qod_part_count = 3,
                           .caller_count = 60,
                           .requests_per_s = 120};
     soak_t* s = &soak;
--- a/tools/soak.h
+++ b/tools/soak.h
@@ -8,7 +8,8 @@
 
         C MS sent ID KIND HOST TOKENS BODY [RESUMES]
                                            a request was sent completely to a host; BODY: "-", or the name of a query of
-                                           death, a body that crashes every upstream which begins to run it; RESUMES:
+                                           death, a body, or with "part-" a part of prompts, that crashes every
+                                           upstream which begins to run it; RESUMES:
                                            it resumes the stream that this request began
         C MS done ID STATUS WHOLE RIGHT FIRST_MS HELD MIXED
                                            the response ended, or the connection closed (status 0). WHOLE 1: the
--- a/tools/soak_callers.c
+++ b/tools/soak_callers.c
@@ -9,6 +9,9 @@
     With --deadly N some requests carry one of N queries of death, bodies that crash every upstream which begins to
     run them. Each body is sent about QOD_PER_S times per second for QOD_DURATION_S, one body after the other. The
     bodies of all other prompts differ from one another; plain calls have no body, so all of them are the same request.
+
+    Prompts have three parts: one that many share, one that some share, and their own. With --deadly-parts N the second
+    part of some prompts, which have nothing else in common, is one of N parts that crash upstreams in the same way.
 */
 #include <argp.h>
 #include <inttypes.h>
@@ -26,6 +29,7 @@
 #include "../io/stream.h"
 #include "../standins/standin.h"
 #include "soak.h"
+#include "soak_qod.h"
 
 #define DEADLINE_FIELD "Chalkway-Deadline-Ms"
 #define OUTPUT_BUFFER_BYTES 16777216
@@ -44,6 +48,10 @@
 #define VERSIONS_MAX 64 /* highest version of an upstream */
 #define QOD_PER_S 3.0
 #define QOD_DURATION_S 12
+#define POPULAR_PARTS 4 /* first parts of prompts */
+#define SHARED_PARTS 40 /* second parts of prompts */
+#define FIRST_PART_TOKENS 120
+#define SECOND_PART_TOKENS 80
 
 typedef struct callers_t callers_t;
 
@@ -58,7 +66,9 @@
     char id[20];
     int kind;
     uint32_t tokens;
+    char qod_name[24];  /* name of the query of death, "": an ordinary request */
     char body_text[24]; /* request body, "": none */
+    char parts[80];     /* of the prompt, "": none */
     int64_t sent_ms, first_byte_ms;
     cw_buffer_t body;
     /* a stream that is resumed after a break */
@@ -80,7 +90,7 @@
     const char* hosts[MAX_HOSTS]; /* lookup addresses of the hosts */
     uint32_t host_count;
     double requests_per_s, rate_factor;
-    uint32_t qod_body_count;
+    uint32_t qod_body_count, qod_part_count;
     int64_t start_ms;
     uint64_t seed, draw_count;
     ev_signal burst_begin, burst_end, term;
@@ -163,7 +173,7 @@
 }
 
 static bool is_query_of_death(const caller_t* caller) {
-    return strncmp(caller->body_text, "deadly", strlen("deadly")) == 0;
+    return caller->qod_name[0] != 0;
 }
 
 /* Keeps the complete events of a stream that was broken off, to resume it at a host. False: there is nothing to resume
@@ -273,24 +283,48 @@
     cw_message_reset(&caller->response);
 }
 
-/* Returns the number of the query of death to send now, or 0 for an ordinary request. */
-static uint32_t next_query_of_death(callers_t* c) {
-    uint32_t body = (uint32_t)((standin_now_ms() - c->start_ms) / 1000 / QOD_DURATION_S) + 1;
-    return body <= c->qod_body_count && next_random_unit(c) < QOD_PER_S / (c->requests_per_s * c->rate_factor) ? body
-                                                                                                               : 0;
+/* Returns the number, 1 to count, of the query of death to send now, or 0 for an ordinary request. */
+static uint32_t next_query_of_death(callers_t* c, uint32_t count) {
+    uint32_t number = (uint32_t)((standin_now_ms() - c->start_ms) / 1000 / QOD_DURATION_S) + 1;
+    return number <= count && next_random_unit(c) < QOD_PER_S / (c->requests_per_s * c->rate_factor) ? number : 0;
+}
+
+/* Sets the parts of a prompt. second: id of its second part. */
+static void set_parts(caller_t* caller, uint32_t second) {
+    callers_t* c = caller->parent;
+    uint32_t shared_tokens = FIRST_PART_TOKENS + SECOND_PART_TOKENS;
+    uint32_t own_tokens = caller->tokens > shared_tokens ? caller->tokens - shared_tokens : 1;
+    snprintf(caller->parts, sizeof(caller->parts), "%x:%d,%x:%d,%016" PRIx64 ":%u",
+             (unsigned)(1 + next_random(c) % POPULAR_PARTS), FIRST_PART_TOKENS, second, SECOND_PART_TOKENS,
+             next_random(c) | 1U, own_tokens);
 }
 
-static void choose_query_of_death(caller_t* caller, uint32_t body) {
-    caller->kind = soak_find_kind(body % 3 ? "short" : "get");
+static void choose_deadly_body(caller_t* caller, uint32_t number) {
+    caller->kind = soak_find_kind(number % 3 ? "short" : "get");
     caller->tokens = soak_kinds[caller->kind].tokens_min;
-    snprintf(caller->body_text, sizeof(caller->body_text), "deadly-%u", body);
+    snprintf(caller->body_text, sizeof(caller->body_text), "deadly-%u", number);
+    cw_copy(caller->qod_name, sizeof(caller->qod_name), caller->body_text);
+}
+
+static void choose_deadly_part(caller_t* caller, uint32_t number) {
+    caller->kind = soak_find_kind(number % 3 ? "short" : "medium");
+    caller->tokens = soak_kinds[caller->kind].tokens_min;
+    set_parts(caller, SOAK_DEADLY_PART + number);
+    snprintf(caller->body_text, sizeof(caller->body_text), "%016" PRIx64, next_random(caller->parent));
+    snprintf(caller->qod_name, sizeof(caller->qod_name), SOAK_QOD_PART_PREFIX "%u", number);
 }
 
 static void choose_request(caller_t* caller) {
     callers_t* c = caller->parent;
-    uint32_t qod_body = next_query_of_death(c);
-    if (qod_body) {
-        choose_query_of_death(caller, qod_body);
+    caller->qod_name[0] = caller->parts[0] = 0;
+    uint32_t body = next_query_of_death(c, c->qod_body_count);
+    if (body) {
+        choose_deadly_body(caller, body);
+        return;
+    }
+    uint32_t part = next_query_of_death(c, c->qod_part_count);
+    if (part) {
+        choose_deadly_part(caller, part);
         return;
     }
     double at = next_random_unit(c);
@@ -305,13 +339,14 @@
     caller->body_text[0] = 0;
     if (kind->tokens_max) {
         snprintf(caller->body_text, sizeof(caller->body_text), "%016" PRIx64, next_random(c));
+        set_parts(caller, 0x100 + (uint32_t)(next_random(c) % SHARED_PARTS));
     }
 }
 
 static void send_request(caller_t* caller) {
     callers_t* c = caller->parent;
     const soak_kind_t* kind = &soak_kinds[caller->kind];
-    char text[500];
+    char text[600];
     char fields[140];
     snprintf(caller->id, sizeof(caller->id), "%016" PRIx64, next_random(c));
     int n =
@@ -320,6 +355,9 @@
     if (kind->tokens_max) {
         n += snprintf(text + n, sizeof(text) - (size_t)n, "Chalkway-Tokens: %u,%u\r\n", caller->tokens, kind->events);
     }
+    if (caller->parts[0]) {
+        n += snprintf(text + n, sizeof(text) - (size_t)n, "Chalkway-Prompt-Parts: %s\r\n", caller->parts);
+    }
     if (caller->resumes[0]) {
         n += snprintf(text + n, sizeof(text) - (size_t)n, "Last-Event-Id: %u\r\nChalkway-Resumes: %s\r\n",
                       caller->event_count, caller->resumes);
@@ -330,7 +368,7 @@
     caller->first_byte_ms = 0;
     caller->sent_ms = standin_now_ms();
     snprintf(fields, sizeof(fields), "%s %s %s %u %s %s", caller->id, kind->name, caller->host, caller->tokens,
-             is_query_of_death(caller) ? caller->body_text : "-", caller->resumes);
+             is_query_of_death(caller) ? caller->qod_name : "-", caller->resumes);
     record_event(c, "sent", fields);
     cw_stream_write(&caller->stream, text, (size_t)n);
     cw_stream_flush(&caller->stream);
@@ -483,6 +521,9 @@
         case 'd':
             c->qod_body_count = (uint32_t)strtoul(arg, NULL, 10);
             return 0;
+        case 'p':
+            c->qod_part_count = (uint32_t)strtoul(arg, NULL, 10);
+            return 0;
         case ARGP_KEY_ARG:
             if (c->host_count == MAX_HOSTS) {
                 return EINVAL;
@@ -500,6 +541,7 @@
         {"rate", 'r', "N", 0, "requests per second of all callers together, default 100", 0},
         {"seed", 's', "N", 0, "seed of the random choices, default 1", 0},
         {"deadly", 'd', "N", 0, "number of bodies that crash upstreams, default 0", 0},
+        {"deadly-parts", 'p', "N", 0, "number of parts of prompts that crash upstreams, default 0", 0},
         {0},
     };
     const struct argp argp = {
--- a/tools/soak_qod.c
+++ b/tools/soak_qod.c
@@ -23,8 +23,9 @@
 }
 
 void soak_qod_on_crash(soak_qod_body_t* body, int64_t at_ms) {
+    bool is_part = strncmp(body->name, SOAK_QOD_PART_PREFIX, strlen(SOAK_QOD_PART_PREFIX)) == 0;
     body->crashes++;
-    if (body->crashes == SOAK_QOD_CRASHES_MAX) {
+    if (body->crashes == (is_part ? SOAK_QOD_PART_CRASHES_MAX : SOAK_QOD_CRASHES_MAX)) {
         body->known_from_ms = at_ms + SOAK_QOD_PROPAGATION_MS;
     }
 }
--- a/tools/soak_qod.h
+++ b/tools/soak_qod.h
@@ -2,12 +2,17 @@
 #define CW_TOOLS_SOAK_QOD_H
 /*
     Counts, for each query of death in a soak, how many upstreams it crashed, and how often it still reached an upstream
-    when all hosts should have quarantined it.
+    when all hosts should have quarantined it. A query of death is a body, or a part in prompts that have nothing else
+    in common.
 */
 #include <stdint.h>
 
 #define SOAK_QOD_BODIES_MAX 64
 #define SOAK_QOD_CRASHES_MAX 3       /* crashes after which the hosts must quarantine a body */
+#define SOAK_QOD_PART_CRASHES_MAX 5  /* and a part */
+#define SOAK_QOD_PART_PREFIX "part-" /* of the names of parts */
+#define SOAK_DEADLY_PART 0xdead00    /* ids of the parts that crash upstreams begin after it */
+#define SOAK_DEADLY_PARTS_MAX 255
 #define SOAK_QOD_PROPAGATION_MS 3000 /* from the last of these crashes until all hosts must know of it */
 #define SOAK_QOD_LATE_ARRIVALS_MAX 3 /* arrivals at upstreams tolerated after the propagation time */
 
--- a/tools/soak_site.c
+++ b/tools/soak_site.c
@@ -405,14 +405,17 @@
     char rate[24];
     char count[24];
     char qod_body_count_text[24];
+    char qod_part_count_text[24];
     char addresses[MAX_ARGS][32];
-    const char* args[MAX_ARGS + 1] = {"--seed",    seed,  "--rate",   rate,
-                                      "--callers", count, "--deadly", qod_body_count_text};
-    uint32_t n = 8;
+    const char* args[MAX_ARGS + 1] = {
+        "--seed",           seed, "--rate", rate, "--callers", count, "--deadly", qod_body_count_text, "--deadly-parts",
+        qod_part_count_text};
+    uint32_t n = 10;
     snprintf(seed, sizeof(seed), "%" PRIu64, s->seed);
     snprintf(rate, sizeof(rate), "%.1f", s->requests_per_s);
     snprintf(count, sizeof(count), "%u", s->caller_count);
     snprintf(qod_body_count_text, sizeof(qod_body_count_text), "%u", s->qod_body_count);
+    snprintf(qod_part_count_text, sizeof(qod_part_count_text), "%u", s->qod_part_count);
     for (uint32_t i = 0; i < s->host_count && n < MAX_ARGS; i++) {
         snprintf(addresses[n], sizeof(addresses[n]), "%s.%u:%d", s->address_prefix, i + 1, LOOKUP_PORT);
         args[n] = addresses[n];
--- a/tools/soak_site.h
+++ b/tools/soak_site.h
@@ -55,7 +55,7 @@
     char address_prefix[16]; /* first three bytes of the hosts' addresses, "127.A.B" */
     uint64_t seed, draw_count;
     uint32_t version; /* of upstreams that start from now on */
-    uint32_t duration_s, host_count, engine_count, service_count, caller_count, qod_body_count;
+    uint32_t duration_s, host_count, engine_count, service_count, caller_count, qod_body_count, qod_part_count;
     double requests_per_s;
     bool keeps_dir;
     const char* record_path; /* record to check instead of running a soak, or NULL */
