Quarantine: crashes of parts that are answered elsewhere do not count beside a more suspicious request

Found by the model: of ten parts before 90 engines, six engines crashed within 0.1 s, each with a prompt of the most popular part beside the cause, and 120 of 40,776 sound requests were refused for that part. Cause: a crash of a known part counted half even where something else explained it. Change: it counts only where nothing else does. The model counts as neighbours only prompts that have time to begin before its end: one that arrived in the last 0.1 s failed the check.

--- a/chalkway_quarantine.h
+++ b/chalkway_quarantine.h
@@ -20,16 +20,17 @@
         - a response clears the suspects of its request of the crashes before
           it, in the pool that responded;
         - a host knows the parts that it saw answered recently. It suspects
-          them only if it knows all parts of the request, and their crashes
-          count half at most: a popular part is in many requests that crash
-          servers;
+          them only if it knows all parts of the request. Their crashes count
+          half, or not at all when something else may have caused them: a
+          popular part is in many requests that crash servers;
         - a suspect is weighed against those that the request lacks: whichever
           of its own is the cause, the request must not be sent;
         - a crash does not count when a suspect with more crashes was there
-          too, or for a known part one with at least three. It counts half when one with equally many, at least three,
-   was there, when another server crashed at the same moment without the suspect, and when another request was in a more
-   suspicious phase: a server that crashes as it begins to respond has sent the head of the response at most
-   (cw_run_phase_t);
+          too. It counts half when one with equally many, at least three,
+          was there, when another server crashed at the same moment without
+          the suspect, and when another request was in a more suspicious
+          phase: a server that crashes as it begins to respond has sent the
+          head of the response at most (cw_run_phase_t);
         - an incarnation that shows a sign of life after its crash did not
           crash: that observation is dropped.
 
@@ -47,9 +48,9 @@
           still be in transit, the verdict is pending.
 
         Many other requests may share a part, so routing them all to one
-        server is no option. From a weight of two on, or three crashes of any
-        weight, one request with the part is on trial at a time, and for the
-        others the verdict is pending; at a weight of three the part is
+        server is no option. From the first full crash on, or three crashes of
+        any weight, one request with the part is on trial at a time, and for
+        the others the verdict is pending; at a weight of three the part is
         quarantined. The verdict on a request is the most severe one on any of
         its suspects.
 
@@ -641,9 +642,11 @@
     if (rival_crashes > own_crashes || (crash->is_known && rival_crashes)) {
         return 0;
     }
-    bool has_other_cause = crash->is_known || rival_crashes == own_crashes ||
-                           _cw_quarantine_has_more_suspicious_phase(q, crash) ||
+    bool has_other_cause = rival_crashes == own_crashes || _cw_quarantine_has_more_suspicious_phase(q, crash) ||
                            _cw_quarantine_find_unrelated_crash(q, request, entry, crash);
+    if (crash->is_known) {
+        return has_other_cause ? 0 : _CW_QUARANTINE_HALF_WEIGHT;
+    }
     return has_other_cause ? _CW_QUARANTINE_HALF_WEIGHT : _CW_QUARANTINE_FULL_WEIGHT;
 }
 
--- a/tests/test_crash_fleet.c
+++ b/tests/test_crash_fleet.c
@@ -65,6 +65,7 @@
 START_TEST(a_part_that_comes_seldom_crashes_at_most_four_engines) {
     model_desc_t d = small_fleet;
     d.period_ms = 1500;
+    d.until_ms = 40000;
     check(&d, SEEDS);
 }
 END_TEST
