--- a/tests/crash_model.h
+++ b/tests/crash_model.h
@@ -33,9 +33,9 @@
 #define MODEL_CRASH_MIN_MS 45
 #define MODEL_CRASH_SPREAD_MS 145
 #define MODEL_BEGIN_MAX_MS 1000 /* a request begins sooner, unless it waits for a verdict or an engine */
-#define MODEL_CONTACT_MS 3000 /* by then all hosts know of a crash */
-#define MODEL_RARE_PARTS 100  /* second parts of sound prompts, without those that crash engines */
-#define MODEL_FIRST_PARTS 8   /* first parts; half of the prompts have the first of them */
+#define MODEL_CONTACT_MS 3000   /* by then all hosts know of a crash */
+#define MODEL_RARE_PARTS 100    /* second parts of sound prompts, without those that crash engines */
+#define MODEL_FIRST_PARTS 8     /* first parts; half of the prompts have the first of them */
 
 static const int64_t model_resend_delays_ms[] = {50, 150}; /* as reporter_observations.c */
 
