Known red: chalkwayd sends prompts with a part that crashes engines on and on

What callers saw: eight prompts that share a first message crash nine of ten engines, and little is left for the others.

--- a/standins/fake_engine.c
+++ b/standins/fake_engine.c
@@ -13,6 +13,9 @@
         unframed: streams have no chunks and end with their connection, which is closed also where one is broken off.
     GET  /admin/stats   requests; tokens produced, of these for callers that closed; highest number of running requests
 
+    A message before the last one that begins with "deadly" is a part that crashes engines: the process exits when it
+    begins to write a response to a prompt with it.
+
     All running requests advance by one token per step. A step takes step_ms plus batch_us for each running request.
     Before its first token a prompt takes prefill_us per token, unless its first PREFIX_CHARS are in the prefix cache.
 */
@@ -35,7 +38,7 @@
 
 typedef struct job_t {
     cw_exchange_t* x;
-    bool is_used, is_running, is_streaming;
+    bool is_used, is_running, is_streaming, has_deadly_part;
     char id[64];
     uint32_t token_count, tokens_sent, sent_from;
     double prefill_steps; /* prefill steps left before the first token */
@@ -168,7 +171,8 @@
     engine_t* e = w->data;
     for (int i = 0; i < MAX_JOBS; i++) {
         if (e->jobs[i].is_used && e->jobs[i].is_running) {
-            if (e->crash_after >= 0 && e->crash_after-- == 0) {
+            bool crashes_on_part = e->jobs[i].has_deadly_part && e->jobs[i].prefill_steps < 1;
+            if (crashes_on_part || (e->crash_after >= 0 && e->crash_after-- == 0)) {
                 _Exit(3);
             }
             step_job(e, &e->jobs[i]);
@@ -179,8 +183,20 @@
 
 /* -- requests ------------------------------------------------------------- */
 
+static bool has_deadly_part(const json_t* messages) {
+    static const char prefix[] = "deadly";
+    for (size_t i = 0; i + 1 < json_array_size(messages); i++) {
+        const char* text = json_string_value(json_object_get(json_array_get(messages, i), "content"));
+        if (text && strncmp(text, prefix, sizeof(prefix) - 1) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool parse_prompt(job_t* job, json_t* root, const char** prompt) {
     json_t* messages = json_object_get(root, "messages");
+    job->has_deadly_part = has_deadly_part(messages);
     json_t* last = json_array_get(messages, json_array_size(messages) ? json_array_size(messages) - 1 : 0);
     json_t* content = messages ? json_object_get(last, "content") : json_object_get(root, "prompt");
     json_t* first = messages ? json_object_get(json_array_get(messages, 0), "content") : content;
