Native daemon: requests and messages of prompts that crash upstreams are quarantined

What callers saw: eight prompts with the same first message crashed nine of ten engines. Change: suspects.c keeps the table of chalkway_quarantine.h for the entry. A request's suspects are its content and its messages but the last; it is judged before a slot is requested and again before it is sent, waits while its verdict is pending and is refused with 503 when it is quarantined; attempts that come to be quarantined are ended. Hosts send observations to each other over their connections (CW_MSG_OBSERVATION), all of them to a host that joins. Also unit tests of parts in test_quarantine (7 new).

--- a/chalkway_wire.h
+++ b/chalkway_wire.h
@@ -25,6 +25,7 @@
         MIT, see LICENSE.
 */
 #include "chalkway_member.h"
+#include "chalkway_quarantine.h"
 #include "chalkway_shard.h"
 
 #define CW_WIRE_VERSION 2
@@ -46,6 +47,7 @@
     CW_MSG_DOCUMENT_CHUNK, /* some of the documents that were asked for */
     CW_MSG_TUNNEL_OPEN,    /* asks the receiver to connect to a server and to forward all further bytes */
     CW_MSG_TUNNEL_REPLY,   /* whether it did */
+    CW_MSG_OBSERVATION,    /* of a crashed server, for the quarantine (chalkway_quarantine.h) */
     CW_MSG_TYPE_COUNT
 } cw_msg_type_t;
 
@@ -109,6 +111,7 @@
         int64_t pull_since;
         cw_tunnel_open_t tunnel_open;
         cw_tunnel_reply_t tunnel_reply;
+        cw_quarantine_observation_t observation;
         cw_document_chunk_t chunk;
     };
 } cw_msg_t;
@@ -283,6 +286,17 @@
     _cw_io_bool(io, &reply->is_framed);
 }
 
+static void _cw_fields_observation(_cw_io_t* io, cw_quarantine_observation_t* o) {
+    o->kind = (cw_quarantine_observation_kind_t)_cw_io_enum(io, o->kind, CW_OBSERVED_COUNT);
+    _cw_io_u64(io, &o->suspect.workspace);
+    _cw_io_u64(io, &o->suspect.content_hash);
+    _cw_io_u64(io, &o->incarnation);
+    _cw_io_u32(io, &o->pool);
+    o->phase = (cw_run_phase_t)_cw_io_enum(io, o->phase, CW_RUN_PHASE_COUNT);
+    _cw_io_bool(io, &o->is_known);
+    _cw_io_u32(io, &o->age_ms);
+}
+
 static void _cw_fields_slot_request(_cw_io_t* io, cw_slot_request_t* slot_request) {
     _cw_io_u32(io, &slot_request->seq);
     _cw_io_u8(io, &slot_request->tier);
@@ -448,6 +462,9 @@
         case CW_MSG_TUNNEL_REPLY:
             _cw_fields_tunnel_reply(io, &msg->tunnel_reply);
             break;
+        case CW_MSG_OBSERVATION:
+            _cw_fields_observation(io, &msg->observation);
+            break;
         default:
             io->is_invalid = true;
             break;
--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -28,7 +28,7 @@
 /* Called before the first byte is sent; false vetoes the attempt, since the grant has expired. */
 static bool on_sending(void* user) {
     request_t* r = user;
-    if (node_now_ms() > r->grant_expires_ms) {
+    if (node_now_ms() > r->grant_expires_ms || !suspects_on_sending(r)) {
         return false;
     }
     r->sent_ms = node_now_ms();
@@ -91,6 +91,7 @@
         return false;
     }
     r->last_progress_ms = node_now_ms();
+    suspects_on_data(r);
     if (!r->is_streaming || r->runonce_record != CW_RUN_NONE) {
         if (!buffer_response(r, data, size)) {
             return true;
@@ -130,6 +131,7 @@
     bool is_served = r->upstream_status < HTTP_SERVER_ERROR;
     if (is_served) {
         update_estimates(r);
+        suspects_on_response(r);
     }
     request_event(r, CW_EV_RESPONSE_END);
 }
@@ -170,6 +172,9 @@
     } else if (is_response_complete) {
         attempt_ended(r);
     } else {
+        if (result->sent) {
+            suspects_on_broken(r);
+        }
         attempt_failed(r, result);
     }
 }
@@ -200,7 +205,8 @@
         e->stats.resumed_streams++;
     }
     cw_snapshot_release(newest);
-    r->sent_ms = 0;
+    r->sent_ms = r->body_began_ms = 0;
+    r->has_survived_start = false;
     r->partial_event.size = 0;
     r->is_upstream_paused = false;
     r->response.body.size = 0;
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -107,8 +107,12 @@
     return true;
 }
 
-/* Sends a slot request, or assigns a slot directly while the allocator is known to be unresponsive. */
+/* Sends a slot request, or assigns a slot directly while the allocator is known to be unresponsive. A quarantined
+   request is refused instead and may be freed; one without a verdict waits. */
 static void request_slot(request_t* r) {
+    if (!suspects_admit(r)) {
+        return;
+    }
     entry_shard_t* s = &r->entry->shards[r->shard];
     int64_t now_ms = node_now_ms();
     bool is_unresponsive = s->unresponsive_since_ms && now_ms - s->unresponsive_since_ms < ALLOCATOR_RETRY_MS;
@@ -131,7 +135,9 @@
     r->shard = shard;
     r->first_shard = shard;
     request_slot(r);
-    request_arm(r);
+    if (r->is_used) {
+        request_arm(r);
+    }
 }
 
 static void on_allocator_unresponsive(request_t* r, int64_t now_ms) {
@@ -212,6 +218,9 @@
     }
     if (actions & CW_DO_REQUEST_SLOT) {
         request_slot(r);
+        if (!r->is_used) {
+            return;
+        }
     }
     if (actions & CW_DO_CONNECT) {
         attempt_begin(r);
@@ -264,8 +273,9 @@
     if (r->machine.state == CW_REQ_DETACHED) {
         at_ms = r->deadline_ms + DETACHED_MAX_MS;
     } else if (r->machine.state == CW_REQ_WAITING) {
-        int64_t resend_ms =
-            r->unacknowledged_since_ms ? r->unacknowledged_since_ms + allocator_timeout_ms(r) : r->next_resend_ms;
+        int64_t resend_ms = r->verdict_due_ms            ? r->verdict_due_ms
+                            : r->unacknowledged_since_ms ? r->unacknowledged_since_ms + allocator_timeout_ms(r)
+                                                         : r->next_resend_ms;
         at_ms = resend_ms < at_ms ? resend_ms : at_ms;
     }
     int64_t stall_ms = stall_time_ms(r);
@@ -304,7 +314,9 @@
     } else if (r->machine.state == CW_REQ_SENT || r->machine.state == CW_REQ_STREAMING) {
         request_arm(r); /* the attempt made progress since the timer was set */
     } else if (r->machine.state == CW_REQ_WAITING) {
-        if (r->unacknowledged_since_ms) {
+        if (r->verdict_due_ms) {
+            request_slot(r);
+        } else if (r->unacknowledged_since_ms) {
             on_allocator_unresponsive(r, now_ms);
         } else {
             dispatch_send_slot_request(r);
@@ -332,6 +344,7 @@
 
 void entry_tick(entry_t* e, int64_t now_ms) {
     shards_send_digests(e, now_ms);
+    suspects_tick(e, now_ms);
 }
 
 /* -- messages from the allocator ------------------------------------------ */
@@ -387,7 +400,9 @@
     }
     r->shard = next;
     request_slot(r);
-    request_arm(r);
+    if (r->is_used) {
+        request_arm(r);
+    }
     return true;
 }
 
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -257,6 +257,17 @@
     return text ? hash_prefix(text, strlen(text)) : 0;
 }
 
+/* Each message but the last, which is the request's own, is a part that other prompts may share. */
+static void add_shared_messages(request_t* r, json_t* root) {
+    json_t* messages = json_object_get(root, "messages");
+    for (size_t i = 0; i + 1 < json_array_size(messages); i++) {
+        const char* text = json_string_value(json_object_get(json_array_get(messages, i), "content"));
+        if (text) {
+            suspects_add_message(r, text);
+        }
+    }
+}
+
 static bool classify_model(request_t* r) {
     json_error_t parse_error;
     json_t* root = json_loadb(r->body, r->body_size, 0, &parse_error);
@@ -271,6 +282,7 @@
     r->wants_stream = json_is_true(json_object_get(root, "stream"));
     r->max_tokens = (uint32_t)json_integer_value(json_object_get(root, "max_tokens"));
     r->prefix_hash = hash_prompt_prefix(root);
+    add_shared_messages(r, root);
     const char* model = json_string_value(json_object_get(root, "model"));
     r->pool = find_pool_by_model(r, model);
     json_decref(root);
@@ -420,6 +432,7 @@
     r->estimate = find_estimate(e, r);
     r->metric = find_metric(e, r);
     estimate_cost(r);
+    suspects_init(r);
     r->machine = cw_request_new(
         &(cw_request_desc_t){.repeatable = r->class->repeatable, .resumable = r->pool->can_resume && r->wants_stream});
     r->shard = shards_choose(e, r);
@@ -528,6 +541,7 @@
                                                        .max_records = 16384,
                                                        .free_response = response_free});
     dispatch_setup(e);
+    suspects_setup(e);
     return e;
 }
 
@@ -542,6 +556,7 @@
         }
     }
     dispatch_shutdown(e);
+    suspects_shutdown(e);
     cw_runonce_shutdown(e->runonce);
     cw_map_shutdown(&e->by_metric);
     cw_map_shutdown(&e->by_seq);
--- a/daemon/entry_internal.h
+++ b/daemon/entry_internal.h
@@ -9,6 +9,7 @@
         shards.c    the shards and their allocators, digests of the grants that are held
         dispatch.c  slot requests, grants, direct mode, timers
         attempt.c   attempts at upstreams
+        suspects.c  quarantine: observes crashes, exchanges them with other hosts, holds requests
 
     Direct mode: while a shard's allocator does not respond, the entry
     itself assigns slots from its static share of the shard's upstreams.
@@ -80,6 +81,9 @@
     char* body;
     size_t body_size;
     uint64_t prefix_hash;      /* hash of the prompt's first bytes, 0: none */
+    cw_suspects_t suspects;    /* content, and messages of the prompt but the last */
+    cw_verdict_t verdict;      /* on these, when a slot was requested last */
+    int64_t verdict_due_ms;    /* the verdict is undecided until then; 0: decided */
     uint32_t cost, max_tokens; /* cost in output tokens, see estimate_cost */
     uint32_t runonce_record;   /* index in the run-once table, or CW_RUN_NONE */
     uint32_t joined_record;    /* run-once record of the running call that this retry waits for, or CW_RUN_NONE */
@@ -104,6 +108,8 @@
     char upstream_type[64];
     cw_token_stream_t stream;  /* parser of the event stream that is forwarded to the caller */
     int64_t last_progress_ms;  /* last time the attempt made progress; compared with the stall timeout */
+    int64_t body_began_ms;     /* first body byte of the attempt, 0: none */
+    bool has_survived_start;   /* the upstream still wrote START_MS after it */
     bool is_upstream_paused;   /* reading from the upstream is paused: the caller reads too slowly */
     cw_buffer_t partial_event; /* received bytes of an incomplete event */
     response_t response;
@@ -130,6 +136,10 @@
     cw_map_t by_metric; /* mix(workspace, class) -> metric */
     cw_retry_budget_t retries;
     cw_runonce_t* runonce;
+    cw_quarantine_t* quarantine;
+    uint64_t judged_version; /* version of the quarantine for which the running requests were judged last */
+    int64_t changed_ms;      /* when that version changed last */
+    uint32_t known_hosts;    /* live hosts when the cluster changed last */
     entry_stats_t stats;
     cw_msg_t out; /* message being sent */
     cw_held_grant_t held_grants[CW_GRANT_LIST_MAX];
@@ -183,4 +193,30 @@
 /* Whether the upstream may continue the request's stream. */
 bool attempt_can_use(const request_t* r, uint64_t upstream);
 
+/* -- suspects.c ----------------------------------------------------------- */
+
+#define START_MS 300 /* an upstream that writes a response for this long has survived its start */
+
+void suspects_setup(entry_t* e);
+void suspects_shutdown(entry_t* e);
+/* Sets the suspects of a request that has been classified. */
+void suspects_init(request_t* r);
+/* Adds a message of the prompt. */
+void suspects_add_message(request_t* r, const char* text);
+/* Whether a slot may be requested for the request now. False: it was refused and may have been freed, or it waits for a
+   verdict (verdict_due_ms). */
+bool suspects_admit(request_t* r);
+/* Whether the request may be sent now; announces its trials. */
+bool suspects_on_sending(request_t* r);
+/* The connection broke after the request had been sent. */
+void suspects_on_broken(request_t* r);
+/* The upstream sent a part of the response's body. */
+void suspects_on_data(request_t* r);
+/* The response is complete. */
+void suspects_on_response(request_t* r);
+/* Ends the attempts that have come to be quarantined. */
+void suspects_tick(entry_t* e, int64_t now_ms);
+/* Sends all observations to the other hosts when a host has joined. */
+void suspects_on_cluster_changed(entry_t* e);
+
 #endif
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -94,6 +94,9 @@
         case CW_MSG_ACTION:
             entry_on_action(node->entry, from, msg);
             break;
+        case CW_MSG_OBSERVATION:
+            entry_on_observation(node->entry, &msg->observation);
+            break;
         case CW_MSG_DOCUMENT_PULL:
         case CW_MSG_DOCUMENT_CHUNK:
             sync_on_message(node->sync, from, msg);
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -8,6 +8,7 @@
         node.c       setup, clock, membership, routing of peer messages, graceful stop
         entry.c      HTTP requests of callers, from accept to last byte
         dispatch.c   slot requests, grants and upstream attempts (see entry_internal.h)
+        suspects.c   quarantine of requests, and of parts of prompts, that crash upstreams
         lookup.c     responses to GET /v1/lookup
         allocator.c  slot allocation for the shards that this host owns
         sync.c       configuration: polls the platform and replicates documents to peers
@@ -19,6 +20,7 @@
 #include "../chalkway_limit.h"
 #include "../chalkway_log.h"
 #include "../chalkway_member.h"
+#include "../chalkway_quarantine.h"
 #include "../chalkway_rendezvous.h"
 #include "../chalkway_request.h"
 #include "../chalkway_runonce.h"
@@ -120,6 +122,7 @@
 
 typedef struct entry_stats_t {
     uint64_t requests, outcomes[CW_OUTCOME_COUNT], retries, resumed_streams, direct_grants, retries_joined;
+    uint64_t quarantined; /* requests that were refused because of their content or a part of their prompt */
     uint32_t active;
 } entry_stats_t;
 
@@ -132,6 +135,8 @@
 /* Handles a message from an allocator: grant, refusal, preemption, resync request or acknowledgement that a slot
    request is queued. */
 void entry_on_action(entry_t* entry, uint64_t from, const cw_msg_t* msg);
+/* Another host observed a crash, a trial or a response. */
+void entry_on_observation(entry_t* entry, const cw_quarantine_observation_t* observation);
 /* Hosts or configuration have changed, and with them possibly the shards and their allocators. */
 void entry_on_cluster_changed(entry_t* entry);
 /* The connection to a peer was closed: messages in transit may be lost. */
--- a/daemon/shards.c
+++ b/daemon/shards.c
@@ -117,6 +117,7 @@
         }
     }
     reassign_requests(e);
+    suspects_on_cluster_changed(e);
 }
 
 static uint32_t recent_wait_ms(const entry_shard_t* s, int64_t now_ms) {
--- /dev/null
+++ b/daemon/suspects.c
@@ -0,0 +1,215 @@
+/* Quarantine of requests, and of parts of prompts, that crash upstreams: observes crashes, exchanges the observations
+   with the other hosts and holds requests. A part of a prompt is a message other than the last one. */
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "entry_internal.h"
+
+#define SETTLING_MS 300 /* verdicts change for this long after an observation: a pending one becomes final */
+#define EXPORT_MAX 64   /* observations exported at a time */
+#define HTTP_UNAVAILABLE 503
+#define HTTP_BAD_GATEWAY 502
+
+static const char quarantined_code[] = "quarantined";
+static const char quarantined_message[] = "upstreams crashed under such requests";
+
+void suspects_setup(entry_t* e) {
+    e->quarantine = cw_quarantine_setup(&(cw_quarantine_desc_t){0});
+}
+
+void suspects_shutdown(entry_t* e) {
+    cw_quarantine_shutdown(e->quarantine);
+}
+
+void suspects_init(request_t* r) {
+    r->suspects.items[0] = cw_fingerprint(
+        r->workspace->id,
+        &(cw_fingerprint_parts_t){.method = r->method, .target = r->path, .body = r->body, .size = r->body_size});
+    r->suspects.count = r->suspects.count ? r->suspects.count : 1;
+}
+
+void suspects_add_message(request_t* r, const char* text) {
+    r->suspects.count = r->suspects.count ? r->suspects.count : 1; /* the content comes first */
+    cw_suspects_add_part(&r->suspects, XXH64(text, strlen(text), 0));
+}
+
+static uint32_t pool_of(const request_t* r) {
+    return cw_quarantine_pool(r->pool->id);
+}
+
+/* -- observations --------------------------------------------------------- */
+
+static void send_to_others(entry_t* e, const cw_quarantine_observation_t* observation) {
+    uint64_t hosts[NODE_MAX_HOSTS];
+    uint32_t count = node_list_live_hosts(e->node, hosts);
+    e->out.type = CW_MSG_OBSERVATION;
+    e->out.observation = *observation;
+    for (uint32_t i = 0; i < count; i++) {
+        if (hosts[i] != e->node->host) {
+            node_send(e->node, hosts[i], &e->out);
+        }
+    }
+}
+
+static void publish(entry_t* e, const cw_quarantine_observation_t* observations, uint32_t count) {
+    for (uint32_t i = 0; i < count; i++) {
+        if (cw_quarantine_observe(e->quarantine, node_now_ms(), &observations[i])) {
+            send_to_others(e, &observations[i]);
+        }
+    }
+}
+
+void entry_on_observation(entry_t* e, const cw_quarantine_observation_t* observation) {
+    cw_quarantine_observe(e->quarantine, node_now_ms(), observation);
+}
+
+void suspects_on_cluster_changed(entry_t* e) {
+    uint64_t hosts[NODE_MAX_HOSTS];
+    uint32_t live = node_list_live_hosts(e->node, hosts);
+    bool has_joined = live > e->known_hosts;
+    e->known_hosts = live;
+    if (!has_joined) {
+        return;
+    }
+    cw_quarantine_observation_t observations[EXPORT_MAX];
+    uint32_t at = 0;
+    do {
+        uint32_t count = cw_quarantine_export(e->quarantine, node_now_ms(), &at, observations, EXPORT_MAX);
+        for (uint32_t i = 0; i < count; i++) {
+            send_to_others(e, &observations[i]);
+        }
+    } while (at);
+}
+
+/* How far the response to the attempt has got. */
+static cw_run_phase_t phase_of(const request_t* r) {
+    if (r->body_began_ms) {
+        return node_now_ms() - r->body_began_ms >= START_MS ? CW_RUN_WRITING : CW_RUN_STARTED;
+    }
+    return r->machine.state == CW_REQ_STREAMING ? CW_RUN_BEGINNING : CW_RUN_WAITING;
+}
+
+void suspects_on_broken(request_t* r) {
+    cw_quarantine_observation_t observations[CW_SUSPECTS_MAX];
+    const cw_quarantine_observation_t crash = {
+        .kind = CW_OBSERVED_CRASH, .incarnation = r->upstream, .pool = pool_of(r), .phase = phase_of(r)};
+    entry_t* e = r->entry;
+    uint32_t count = cw_quarantine_observe_crash(e->quarantine, node_now_ms(), &r->suspects, &crash, observations);
+    publish(e, observations, count);
+}
+
+/* Clears the suspects from index first on of crashes up to began_ms. */
+static void clear(request_t* r, uint32_t first, int64_t began_ms) {
+    entry_t* e = r->entry;
+    int64_t now_ms = node_now_ms();
+    cw_quarantine_on_answer(e->quarantine, now_ms, &r->suspects, pool_of(r));
+    for (uint32_t i = first; i < r->suspects.count; i++) {
+        const cw_quarantine_observation_t cleared = {.kind = CW_OBSERVED_CLEARED,
+                                                     .suspect = r->suspects.items[i],
+                                                     .pool = pool_of(r),
+                                                     .age_ms = (uint32_t)(now_ms - began_ms)};
+        if (cw_quarantine_has_crashes(e->quarantine, &r->suspects.items[i])) {
+            publish(e, &cleared, 1);
+        }
+    }
+}
+
+void suspects_on_data(request_t* r) {
+    r->body_began_ms = r->body_began_ms ? r->body_began_ms : node_now_ms();
+    if (!r->has_survived_start && phase_of(r) == CW_RUN_WRITING) {
+        r->has_survived_start = true;
+        clear(r, 1, r->body_began_ms);
+    }
+}
+
+void suspects_on_response(request_t* r) {
+    clear(r, 0, r->body_began_ms ? r->body_began_ms : node_now_ms());
+}
+
+/* -- verdicts ------------------------------------------------------------- */
+
+static cw_verdict_t judge(const request_t* r) {
+    return cw_quarantine_evaluate(r->entry->quarantine, node_now_ms(), &r->suspects, pool_of(r));
+}
+
+static void log_held(const request_t* r, const cw_verdict_t* verdict) {
+    bool is_part = cw_fingerprint_is_part(&verdict->suspect);
+    cw_log(&r->entry->node->log, CW_EVENT_REQUEST_HELD, "id=%s %s=%016llx ends=%u retry_ms=%u", r->id,
+           is_part ? "part" : "fingerprint", (unsigned long long)verdict->suspect.content_hash, verdict->crashes,
+           verdict->retry_ms);
+}
+
+bool suspects_admit(request_t* r) {
+    r->verdict = judge(r);
+    r->verdict_due_ms = r->verdict.kind == CW_VERDICT_PENDING ? node_now_ms() + r->verdict.retry_ms : 0;
+    if (r->verdict.kind != CW_VERDICT_QUARANTINED) {
+        return !r->verdict_due_ms;
+    }
+    r->entry->stats.quarantined++;
+    log_held(r, &r->verdict);
+    if (!r->machine.has_sent_bytes) {
+        request_set_error(r, HTTP_UNAVAILABLE, quarantined_code, "quarantine", NULL, quarantined_message,
+                          r->verdict.retry_ms);
+    }
+    request_event(r, CW_EV_REFUSED);
+    return false;
+}
+
+/* A verdict may have changed since the slot was requested. */
+bool suspects_on_sending(request_t* r) {
+    cw_verdict_t verdict = judge(r);
+    if (verdict.kind >= CW_VERDICT_PENDING) {
+        return false;
+    }
+    for (uint32_t i = 0; i < r->suspects.count; i++) {
+        const cw_quarantine_observation_t trial = {
+            .kind = CW_OBSERVED_TRIAL, .suspect = r->suspects.items[i], .incarnation = r->upstream, .pool = pool_of(r)};
+        if ((verdict.trials >> i) & 1U) {
+            publish(r->entry, &trial, 1);
+        }
+    }
+    return true;
+}
+
+/* Whether the attempt must be ended. A response that has been written for a while proves the parts of its prompt
+   harmless, also those that are quarantined. */
+static bool must_end(const request_t* r) {
+    bool is_running = r->machine.state == CW_REQ_SENT || r->machine.state == CW_REQ_STREAMING;
+    if (!r->is_used || !is_running || !r->pool) {
+        return false;
+    }
+    cw_verdict_t verdict = judge(r);
+    bool has_survived = phase_of(r) == CW_RUN_WRITING && cw_fingerprint_is_part(&verdict.suspect);
+    return verdict.kind == CW_VERDICT_QUARANTINED && !has_survived;
+}
+
+static void log_newly_quarantined(entry_t* e, int64_t now_ms) {
+    cw_quarantine_entry_t quarantined;
+    while (cw_quarantine_next_newly_quarantined(e->quarantine, now_ms, &quarantined)) {
+        bool is_part = cw_fingerprint_is_part(&quarantined.suspect);
+        cw_log(&e->node->log, CW_EVENT_REQUEST_BARRED, "%s=%016llx ends=%u retry_ms=%u",
+               is_part ? "part" : "fingerprint", (unsigned long long)quarantined.suspect.content_hash,
+               quarantined.verdict.crashes, quarantined.verdict.retry_ms);
+    }
+}
+
+void suspects_tick(entry_t* e, int64_t now_ms) {
+    uint64_t version = cw_quarantine_version(e->quarantine);
+    if (version != e->judged_version) {
+        e->judged_version = version;
+        e->changed_ms = now_ms;
+    }
+    if (!e->changed_ms || now_ms - e->changed_ms >= SETTLING_MS) {
+        return;
+    }
+    log_newly_quarantined(e, now_ms);
+    for (uint32_t i = 0; i < e->max_requests; i++) {
+        request_t* r = &e->requests[i];
+        if (must_end(r)) {
+            request_set_error(r, HTTP_BAD_GATEWAY, quarantined_code, "quarantine", NULL, quarantined_message, 0);
+            r->machine.is_retry_allowed = false;
+            request_event(r, CW_EV_UPSTREAM_FAILED);
+        }
+    }
+}
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -275,6 +275,160 @@
 }
 END_TEST
 
+/* -- parts of prompts ------------------------------------------------------ */
+
+static cw_suspects_t prompt(uint64_t content_hash, uint64_t first_part, uint64_t second_part) {
+    cw_suspects_t suspects = {.count = 1, .items = {request(content_hash)}};
+    cw_suspects_add_part(&suspects, first_part);
+    cw_suspects_add_part(&suspects, second_part);
+    return suspects;
+}
+
+static void report_prompt_crash(cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects, uint64_t incarnation,
+                                cw_run_phase_t phase) {
+    cw_quarantine_observation_t observations[CW_SUSPECTS_MAX];
+    const cw_quarantine_observation_t crash = {
+        .kind = CW_OBSERVED_CRASH, .incarnation = incarnation, .pool = 1, .phase = phase};
+    uint32_t count = cw_quarantine_observe_crash(q, now_ms, suspects, &crash, observations);
+    for (uint32_t i = 0; i < count; i++) {
+        cw_quarantine_observe(q, now_ms, &observations[i]);
+    }
+}
+
+static bool clear_part(cw_quarantine_t* q, int64_t now_ms, uint64_t part, uint32_t pool) {
+    return cw_quarantine_observe(q, now_ms,
+                                 &(cw_quarantine_observation_t){.kind = CW_OBSERVED_CLEARED,
+                                                                .suspect = cw_fingerprint_of_part(part),
+                                                                .pool = pool});
+}
+
+static cw_verdict_kind_t verdict_on(cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects, uint32_t pool) {
+    return cw_quarantine_evaluate(q, now_ms, suspects, pool).kind;
+}
+
+/* Requests with nothing else in common crash three servers. */
+START_TEST(a_part_that_crashed_three_servers_is_quarantined) {
+    cw_quarantine_t* q = setup();
+    for (uint64_t i = 0; i < 3; i++) {
+        cw_suspects_t bad = prompt(10 + i, 100 + i, 7);
+        report_prompt_crash(q, 1000 + 500 * (int64_t)i, &bad, 201 + i, CW_RUN_BEGINNING);
+    }
+    cw_suspects_t next = prompt(50, 60, 7);
+    cw_suspects_t other = prompt(51, 61, 8);
+    ck_assert_int_eq(verdict_on(q, 2500, &next, 1), CW_VERDICT_QUARANTINED);
+    ck_assert_int_eq(verdict_on(q, 2500, &other, 1), CW_VERDICT_ALLOWED);
+    cw_quarantine_shutdown(q);
+}
+END_TEST
+
+/* One request crashed three servers. It is held whichever of its suspects is the cause, and each alone is tried. */
+START_TEST(suspects_of_one_request_do_not_excuse_each_other) {
+    cw_quarantine_t* q = setup();
+    cw_suspects_t bad = prompt(10, 100, 7);
+    for (uint64_t i = 0; i < 3; i++) {
+        report_prompt_crash(q, 1000 + 500 * (int64_t)i, &bad, 201 + i, CW_RUN_BEGINNING);
+    }
+    cw_suspects_t with_part = prompt(11, 101, 7);
+    ck_assert_int_eq(verdict_on(q, 2500, &bad, 1), CW_VERDICT_QUARANTINED);
+    ck_assert_int_eq(verdict_on(q, 2500, &with_part, 1), CW_VERDICT_TRIAL);
+    report_prompt_crash(q, 2600, &with_part, 204, CW_RUN_BEGINNING);
+    cw_suspects_t next = prompt(12, 102, 7);
+    cw_suspects_t with_first = prompt(13, 100, 8);
+    ck_assert_int_eq(verdict_on(q, 2800, &next, 1), CW_VERDICT_QUARANTINED);
+    ck_assert_int_eq(verdict_on(q, 2800, &with_first, 1), CW_VERDICT_ALLOWED); /* the other part explains its crashes */
+    cw_quarantine_shutdown(q);
+}
+END_TEST
+
+/* The first crash puts a part on trial: one request at a time, until its outcome is known or two seconds have passed.
+ */
+START_TEST(one_request_with_a_part_is_on_trial_at_a_time) {
+    cw_quarantine_t* q = setup();
+    cw_suspects_t bad = prompt(10, 100, 7);
+    cw_suspects_t next = prompt(11, 101, 7);
+    report_prompt_crash(q, 1000, &bad, 201, CW_RUN_BEGINNING);
+    ck_assert_int_eq(verdict_on(q, 1100, &next, 1), CW_VERDICT_TRIAL);
+    ck_assert_uint_eq(cw_quarantine_evaluate(q, 1100, &next, 1).trials, 4); /* the second part is the third suspect */
+    const cw_quarantine_observation_t trial = {
+        .kind = CW_OBSERVED_TRIAL, .suspect = cw_fingerprint_of_part(7), .incarnation = 202, .pool = 1};
+    ck_assert(cw_quarantine_observe(q, 1100, &trial));
+    ck_assert_int_eq(verdict_on(q, 1200, &next, 1), CW_VERDICT_PENDING);
+    ck_assert_int_eq(verdict_on(q, 3200, &next, 1), CW_VERDICT_TRIAL);
+    ck_assert(clear_part(q, 3300, 7, 1));
+    ck_assert_int_eq(verdict_on(q, 3300, &next, 1), CW_VERDICT_ALLOWED);
+    cw_quarantine_shutdown(q);
+}
+END_TEST
+
+/* A request that has only the head of its response is more suspicious than those that wait or have a body. */
+START_TEST(a_bystander_in_a_less_suspicious_phase_counts_half_or_not_at_all) {
+    static const cw_run_phase_t phases[] = {CW_RUN_WAITING, CW_RUN_STARTED, CW_RUN_WRITING};
+    for (size_t p = 0; p < sizeof(phases) / sizeof(phases[0]); p++) {
+        cw_quarantine_t* q = setup();
+        for (uint64_t i = 0; i < 3; i++) {
+            cw_suspects_t bad = prompt(10 + i, 100 + i, 7);
+            cw_suspects_t bystander = prompt(20 + i, 110 + i, 8);
+            report_prompt_crash(q, 1000 + 500 * (int64_t)i, &bad, 201 + i, CW_RUN_BEGINNING);
+            report_prompt_crash(q, 1001 + 500 * (int64_t)i, &bystander, 201 + i, phases[p]);
+        }
+        cw_suspects_t with_bystander = prompt(30, 120, 8);
+        cw_verdict_kind_t kind = verdict_on(q, 2500, &with_bystander, 1);
+        ck_assert_int_eq(kind, phases[p] == CW_RUN_WRITING ? CW_VERDICT_ALLOWED : CW_VERDICT_TRIAL);
+        cw_quarantine_shutdown(q);
+    }
+}
+END_TEST
+
+/* A part that was answered before is not observed beside one that was not, and alone its crashes count half. */
+START_TEST(known_parts_are_suspected_less) {
+    cw_quarantine_t* q = setup();
+    cw_suspects_t known = prompt(1, 100, 200);
+    cw_quarantine_on_answer(q, 500, &known, 1);
+    for (uint64_t i = 0; i < 3; i++) {
+        cw_suspects_t bad = prompt(10 + i, 100, 7);
+        report_prompt_crash(q, 1000 + 500 * (int64_t)i, &bad, 201 + i, CW_RUN_BEGINNING);
+    }
+    cw_fingerprint_t popular = cw_fingerprint_of_part(100);
+    ck_assert(!cw_quarantine_has_crashes(q, &popular));
+    for (uint64_t i = 0; i < 6; i++) {
+        ck_assert_int_ne(verdict_on(q, 5000 + 500 * (int64_t)i, &known, 1), CW_VERDICT_QUARANTINED);
+        cw_suspects_t all_known = prompt(20 + i, 100, 200);
+        report_prompt_crash(q, 5000 + 500 * (int64_t)i, &all_known, 301 + i, CW_RUN_BEGINNING);
+    }
+    ck_assert_int_eq(verdict_on(q, 8000, &known, 1), CW_VERDICT_QUARANTINED);
+    cw_quarantine_shutdown(q);
+}
+END_TEST
+
+/* Another pool may run the part without harm: its responses say nothing about the first pool, and the crashes there do
+   not keep it from the part. */
+START_TEST(a_response_clears_a_part_in_its_own_pool_only) {
+    cw_quarantine_t* q = setup();
+    for (uint64_t i = 0; i < 3; i++) {
+        cw_suspects_t bad = prompt(10 + i, 100 + i, 7);
+        report_prompt_crash(q, 1000 + 500 * (int64_t)i, &bad, 201 + i, CW_RUN_BEGINNING);
+    }
+    cw_suspects_t next = prompt(50, 60, 7);
+    ck_assert(clear_part(q, 2400, 7, 2));
+    ck_assert(!clear_part(q, 2500, 7, 2)); /* known */
+    ck_assert_int_eq(verdict_on(q, 2600, &next, 1), CW_VERDICT_QUARANTINED);
+    ck_assert_int_eq(verdict_on(q, 2600, &next, 2), CW_VERDICT_ALLOWED);
+    ck_assert(clear_part(q, 2700, 7, 0)); /* released by an operator */
+    ck_assert_int_eq(verdict_on(q, 2700, &next, 1), CW_VERDICT_ALLOWED);
+    cw_quarantine_shutdown(q);
+}
+END_TEST
+
+START_TEST(repeated_and_surplus_parts_are_left_out) {
+    cw_suspects_t suspects = {.count = 1, .items = {request(1)}};
+    for (uint64_t i = 0; i < 100; i++) {
+        cw_suspects_add_part(&suspects, 1 + i / 2);
+    }
+    ck_assert_uint_eq(suspects.count, CW_SUSPECTS_MAX);
+    ck_assert_uint_eq(suspects.items[CW_SUSPECTS_MAX - 1].content_hash, CW_SUSPECTS_MAX - 1);
+}
+END_TEST
+
 typedef struct observation_t {
     cw_quarantine_observation_kind_t kind;
     uint64_t content_hash, incarnation;
@@ -335,6 +489,9 @@
             .kind = (cw_quarantine_observation_kind_t)(i % CW_OBSERVED_COUNT),
             .suspect = {.workspace = UINT64_MAX - i, .content_hash = UINT64_MAX / (i + 1)},
             .incarnation = UINT64_MAX,
+            .pool = UINT32_MAX,
+            .phase = (cw_run_phase_t)(i % CW_RUN_PHASE_COUNT),
+            .is_known = i % 2,
             .age_ms = UINT32_MAX - i};
     }
     size_t size = cw_load_encode(&message, bytes, sizeof(bytes));
@@ -345,6 +502,9 @@
         ck_assert_int_eq(read.observations[i].kind, message.observations[i].kind);
         ck_assert(cw_fingerprint_equal(&read.observations[i].suspect, &message.observations[i].suspect));
         ck_assert_uint_eq(read.observations[i].incarnation, message.observations[i].incarnation);
+        ck_assert_uint_eq(read.observations[i].pool, message.observations[i].pool);
+        ck_assert_int_eq(read.observations[i].phase, message.observations[i].phase);
+        ck_assert_int_eq(read.observations[i].is_known, message.observations[i].is_known);
         ck_assert_uint_eq(read.observations[i].age_ms, message.observations[i].age_ms);
     }
     message.observation_count = 1;
@@ -388,6 +548,13 @@
     tcase_add_test(t, crashes_expire_one_by_one);
     tcase_add_test(t, one_workspace_does_not_evict_entries_of_others);
     tcase_add_test(t, exported_observations_give_the_same_verdicts);
+    tcase_add_test(t, a_part_that_crashed_three_servers_is_quarantined);
+    tcase_add_test(t, suspects_of_one_request_do_not_excuse_each_other);
+    tcase_add_test(t, one_request_with_a_part_is_on_trial_at_a_time);
+    tcase_add_test(t, a_bystander_in_a_less_suspicious_phase_counts_half_or_not_at_all);
+    tcase_add_test(t, known_parts_are_suspected_less);
+    tcase_add_test(t, a_response_clears_a_part_in_its_own_pool_only);
+    tcase_add_test(t, repeated_and_surplus_parts_are_left_out);
     tcase_add_test(t, order_and_duplicates_of_observations_do_not_matter);
     tcase_add_test(t, observations_are_encoded_and_invalid_ones_rejected);
     tcase_add_test(t, fingerprint_depends_on_content_and_workspace);
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -116,6 +116,32 @@
 }
 END_TEST
 
+START_TEST(an_observation_survives_the_round_trip_and_an_invalid_one_is_refused) {
+    cw_wire_t* wire = cw_wire_setup(NULL);
+    static cw_msg_t in;
+    uint8_t bytes[128];
+    cw_msg_t out = {.type = CW_MSG_OBSERVATION,
+                    .observation = {.kind = CW_OBSERVED_CRASH,
+                                    .suspect = cw_fingerprint_of_part(7),
+                                    .incarnation = UINT64_MAX,
+                                    .pool = 9,
+                                    .phase = CW_RUN_BEGINNING,
+                                    .is_known = true,
+                                    .age_ms = 1234}};
+    cw_bytes_t frame = cw_wire_encode_frame(wire, &out);
+    size_t size = frame.size;
+    memcpy(bytes, frame.data, size);
+    ck_assert_int_eq(cw_wire_decode_single_frame(wire, bytes, size, sizeof(bytes), &in), CW_OK);
+    ck_assert_int_eq(memcmp(&in.observation, &out.observation, sizeof(in.observation)), 0);
+    static const uint8_t pool_phase_known[] = {9, CW_RUN_BEGINNING, 1};
+    uint8_t* at = memmem(bytes, size, pool_phase_known, sizeof(pool_phase_known));
+    ck_assert_ptr_nonnull(at);
+    at[1] = CW_RUN_PHASE_COUNT;
+    ck_assert_int_eq(cw_wire_decode_single_frame(wire, bytes, size, sizeof(bytes), &in), CW_ERR_PROTOCOL);
+    cw_wire_shutdown(wire);
+}
+END_TEST
+
 /* The bytes of a server and the end of its connection, in any pieces. */
 START_TEST(frames_of_a_tunnel_are_read_for_any_split) {
     uint8_t stream[64];
@@ -298,6 +324,7 @@
     tcase_add_test(t, messages_about_tunnels_survive_the_round_trip);
     tcase_add_test(t, pools_from_which_a_host_is_cut_off_survive_the_round_trip);
     tcase_add_test(t, announced_sizes_are_checked_before_allocation);
+    tcase_add_test(t, an_observation_survives_the_round_trip_and_an_invalid_one_is_refused);
     tcase_add_test(t, zero_ids_are_refused);
     tcase_add_loop_test(t, corrupted_messages_are_decoded_or_refused, 0, 10);
 }
