Quarantine: a request claims the trial of a part before it is sent

Change: a request that needs the trial announces a claim, waits 60 ms and is sent if no other claim precedes it; of claims made within that time the lowest is valid, at all hosts alike. Eight crashes and trials are recorded of a suspect instead of six, as claims take room.

--- a/chalkway_quarantine.h
+++ b/chalkway_quarantine.h
@@ -50,8 +50,9 @@
         Many other requests may share a part, so routing them all to one
         server is no option. From the first full crash on, or three crashes of
         any weight, one request with the part is on trial at a time, and for
-        the others the verdict is pending; at a weight of three the part is
-        quarantined. The verdict on a request is the most severe one on any of
+        the others the verdict is pending. A request claims the trial, and is
+        sent after CW_QUARANTINE_CLAIM_MS if no other claim precedes its own.
+        At a weight of three the part is quarantined. The verdict on a request is the most severe one on any of
         its suspects.
 
         So a query of death crashes three servers, four when its requests have
@@ -75,11 +76,14 @@
 #include "chalkway_fingerprint.h"
 #include "chalkway_recent.h"
 
-#define CW_QUARANTINE_MAX_CRASHES 6 /* recorded per suspect: enough for the quarantine even at half weight */
-#define CW_SUSPECTS_MAX 17          /* of a request: its content and 16 parts */
+#define CW_QUARANTINE_MAX_CRASHES                                                                                      \
+    8                             /* recorded per suspect: enough for the quarantine even at half weight, and trials */
+#define CW_QUARANTINE_CLAIM_MS 60 /* from claiming a trial until claims of other hosts have arrived */
+#define CW_SUSPECTS_MAX 17        /* of a request: its content and 16 parts */
 
 /* What may make a request crash servers. items[0] is its whole content, the others are parts of its prompt. */
 typedef struct cw_suspects_t {
+    uint64_t claim; /* under which the request has claimed trials of its parts; 0: none */
     uint32_t count;
     cw_fingerprint_t items[CW_SUSPECTS_MAX];
 } cw_suspects_t;
@@ -95,7 +99,7 @@
 
 typedef enum cw_quarantine_observation_kind_t {
     CW_OBSERVED_CRASH = 0, /* the server incarnation crashed while a request with the suspect ran on it */
-    CW_OBSERVED_TRIAL,     /* a request with the suspect is being sent to the server on trial */
+    CW_OBSERVED_TRIAL,     /* a request with the suspect is on trial */
     CW_OBSERVED_CLEARED,   /* a request with the suspect was answered, or an operator released the suspect */
     CW_OBSERVED_ALIVE,     /* the server incarnation is alive, so it did not crash earlier */
     CW_OBSERVED_COUNT
@@ -105,7 +109,7 @@
 typedef struct cw_quarantine_observation_t {
     cw_quarantine_observation_kind_t kind;
     cw_fingerprint_t suspect; /* all zero for CW_OBSERVED_ALIVE, and for a crash reported only for its time */
-    uint64_t incarnation;     /* key of the server incarnation, 0 for CW_OBSERVED_CLEARED */
+    uint64_t incarnation;     /* key of the server; of a part's trial: the claim; 0 for CW_OBSERVED_CLEARED */
     uint32_t pool;            /* cw_quarantine_pool of the server's pool; 0: all pools */
     cw_run_phase_t phase;     /* of a crash */
     bool is_known;            /* of a crash: the suspect is a part that was answered shortly before */
@@ -115,7 +119,7 @@
 typedef enum cw_verdict_kind_t {
     CW_VERDICT_ALLOWED = 0,
     CW_VERDICT_ISOLATED,   /* route it by its fingerprint */
-    CW_VERDICT_TRIAL,      /* announce the trial before sending it */
+    CW_VERDICT_TRIAL,      /* announce the trial before sending it: its parts by claims, else its whole content */
     CW_VERDICT_PENDING,    /* undecided: evaluate again after retry_ms */
     CW_VERDICT_QUARANTINED /* do not send it to any server */
 } cw_verdict_kind_t;
@@ -124,7 +128,9 @@
     cw_verdict_kind_t kind;
     cw_fingerprint_t suspect; /* the verdict is due to it; all zero if none of the request's suspects has a crash */
     uint32_t crashes;         /* servers that crashed under the suspect, trials not counted */
-    uint32_t trials;          /* bit i: suspect i of the request is on trial */
+    uint32_t claims;          /* bit i: part i of the request must be claimed for a trial */
+    bool is_claimed;          /* the request's claim holds for all of them: it may be sent */
+    bool is_content_on_trial; /* the trial of the whole content must be announced */
     bool is_isolated;         /* route the request by its fingerprint */
     uint32_t excluded_count;  /* number of entries in incarnations */
     /* Excluded: crashed under the whole content or have it on trial. */
@@ -285,6 +291,7 @@
     _cw_tracked_t* entries[CW_SUSPECTS_MAX];
     uint32_t count;
     uint32_t pool;
+    uint64_t claim;
 } _cw_suspected_request_t;
 
 static cw_quarantine_desc_t _cw_quarantine_desc_defaults(const cw_quarantine_desc_t* desc) {
@@ -655,7 +662,6 @@
     uint32_t weights[CW_QUARANTINE_MAX_CRASHES]; /* of each crash, in halves */
     uint32_t weight;                             /* their sum */
     uint32_t count;                              /* crashes and trials that count */
-    int64_t trial_at_ms;                         /* of the latest trial whose outcome is unknown; 0: none */
 } _cw_evidence_t;
 
 static _cw_evidence_t _cw_quarantine_weigh(cw_quarantine_t* q, const _cw_suspected_request_t* request,
@@ -667,9 +673,6 @@
         evidence.weights[i] = _cw_quarantine_crash_weight(q, request, entry, crash);
         evidence.weight += evidence.weights[i];
         evidence.count += evidence.weights[i] > 0;
-        if (crash->is_trial && crash->at_ms > evidence.trial_at_ms) {
-            evidence.trial_at_ms = crash->at_ms;
-        }
     }
     return evidence;
 }
@@ -745,6 +748,24 @@
     }
 }
 
+/* The claim whose request is on trial: of those that were made before hosts could know of each other's, the lowest.
+   0: there is none. */
+static uint64_t _cw_quarantine_valid_claim(const _cw_tracked_t* entry, int64_t now_ms) {
+    int64_t first_ms = INT64_MAX;
+    uint64_t claim = 0;
+    for (uint32_t i = 0; i < entry->count; i++) {
+        const _cw_crash_t* trial = &entry->crashes[i];
+        bool is_open = trial->is_trial && now_ms - trial->at_ms < _CW_QUARANTINE_PART_TRIAL_MS;
+        first_ms = is_open && trial->at_ms < first_ms ? trial->at_ms : first_ms;
+    }
+    for (uint32_t i = 0; i < entry->count; i++) {
+        const _cw_crash_t* trial = &entry->crashes[i];
+        bool is_rival = trial->is_trial && trial->at_ms >= first_ms && trial->at_ms < first_ms + CW_QUARANTINE_CLAIM_MS;
+        claim = is_rival && (!claim || trial->incarnation < claim) ? trial->incarnation : claim;
+    }
+    return claim;
+}
+
 static void _cw_quarantine_decide_part(cw_quarantine_t* q, const _cw_suspected_request_t* request, _cw_tracked_t* entry,
                                        int64_t now_ms, cw_verdict_t* v) {
     if (!v->crashes) {
@@ -754,9 +775,11 @@
     if (evidence.weight >= _CW_QUARANTINE_THRESHOLD_WEIGHT) {
         _cw_quarantine_decide_heavy(q, entry, &evidence, now_ms, v);
     } else if (evidence.weight >= _CW_QUARANTINE_PART_TRIAL_WEIGHT || evidence.count >= _CW_QUARANTINE_TRIAL_CRASHES) {
-        bool is_on_trial = evidence.trial_at_ms && now_ms - evidence.trial_at_ms < _CW_QUARANTINE_PART_TRIAL_MS;
-        v->kind = is_on_trial ? CW_VERDICT_PENDING : CW_VERDICT_TRIAL;
-        v->retry_ms = is_on_trial ? _CW_QUARANTINE_PART_TRIAL_POLL_MS : 0;
+        uint64_t claim = _cw_quarantine_valid_claim(entry, now_ms);
+        bool is_other_on_trial = claim && claim != request->claim;
+        v->kind = is_other_on_trial ? CW_VERDICT_PENDING : CW_VERDICT_TRIAL;
+        v->retry_ms = is_other_on_trial ? _CW_QUARANTINE_PART_TRIAL_POLL_MS : 0;
+        v->is_claimed = claim && !is_other_on_trial;
     }
 }
 
@@ -779,7 +802,7 @@
 }
 
 cw_verdict_t cw_quarantine_evaluate(cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects, uint32_t pool) {
-    _cw_suspected_request_t request = {.pool = pool};
+    _cw_suspected_request_t request = {.pool = pool, .claim = suspects->claim};
     uint32_t indexes[CW_SUSPECTS_MAX];
     for (uint32_t i = 0; i < suspects->count; i++) {
         _cw_tracked_t* entry = _cw_quarantine_find(q, &suspects->items[i]);
@@ -794,9 +817,12 @@
     cw_verdict_t worst = {0};
     for (uint32_t i = 0; i < request.count; i++) {
         cw_verdict_t v = _cw_quarantine_decide(q, &request, request.entries[i], now_ms);
-        uint32_t trials = worst.trials | (v.kind == CW_VERDICT_TRIAL ? 1U << indexes[i] : 0);
+        bool is_part_on_trial = v.kind == CW_VERDICT_TRIAL && cw_fingerprint_is_part(&v.suspect);
+        uint32_t claims = worst.claims | (is_part_on_trial ? 1U << indexes[i] : 0);
+        bool is_claimed = is_part_on_trial ? v.is_claimed && (!worst.claims || worst.is_claimed) : worst.is_claimed;
         if (indexes[i] == 0) { /* the content: only its verdict isolates the request and excludes incarnations */
             v.is_isolated = v.kind != CW_VERDICT_ALLOWED;
+            v.is_content_on_trial = v.kind == CW_VERDICT_TRIAL;
             worst = v;
         } else if (v.kind > worst.kind) {
             worst.kind = v.kind;
@@ -804,7 +830,8 @@
             worst.crashes = v.crashes;
             worst.retry_ms = v.retry_ms;
         }
-        worst.trials = trials;
+        worst.claims = claims;
+        worst.is_claimed = is_claimed;
     }
     return worst;
 }
--- a/daemon/entry_internal.h
+++ b/daemon/entry_internal.h
@@ -140,6 +140,7 @@
     uint64_t judged_version; /* version of the quarantine for which the running requests were judged last */
     int64_t changed_ms;      /* when that version changed last */
     uint32_t known_hosts;    /* live hosts when the cluster changed last */
+    uint64_t claim_count;    /* claims of trials made so far */
     entry_stats_t stats;
     cw_msg_t out; /* message being sent */
     cw_held_grant_t held_grants[CW_GRANT_LIST_MAX];
@@ -206,7 +207,7 @@
 /* Whether a slot may be requested for the request now. False: it was refused and may have been freed, or it waits for a
    verdict (verdict_due_ms). */
 bool suspects_admit(request_t* r);
-/* Whether the request may be sent now; announces its trials. */
+/* Whether the request may be sent now; announces the trial of its content. */
 bool suspects_on_sending(request_t* r);
 /* The connection broke after the request had been sent. */
 void suspects_on_broken(request_t* r);
--- a/daemon/suspects.c
+++ b/daemon/suspects.c
@@ -91,6 +91,7 @@
 }
 
 void suspects_on_broken(request_t* r) {
+    r->suspects.claim = 0;
     cw_quarantine_observation_t observations[CW_SUSPECTS_MAX];
     const cw_quarantine_observation_t crash = {
         .kind = CW_OBSERVED_CRASH, .incarnation = r->upstream, .pool = pool_of(r), .phase = phase_of(r)};
@@ -156,18 +157,16 @@
     return false;
 }
 
-/* A verdict may have changed since the slot was requested. */
+/* The verdict may have changed since the slot was requested. */
 bool suspects_on_sending(request_t* r) {
     cw_verdict_t verdict = judge(r);
-    if (verdict.kind >= CW_VERDICT_PENDING) {
+    if (verdict.kind >= CW_VERDICT_PENDING || (verdict.claims && !verdict.is_claimed)) {
         return false;
     }
-    for (uint32_t i = 0; i < r->suspects.count; i++) {
-        const cw_quarantine_observation_t trial = {
-            .kind = CW_OBSERVED_TRIAL, .suspect = r->suspects.items[i], .incarnation = r->upstream, .pool = pool_of(r)};
-        if ((verdict.trials >> i) & 1U) {
-            publish(r->entry, &trial, 1);
-        }
+    const cw_quarantine_observation_t trial = {
+        .kind = CW_OBSERVED_TRIAL, .suspect = r->suspects.items[0], .incarnation = r->upstream, .pool = pool_of(r)};
+    if (verdict.is_content_on_trial) {
+        publish(r->entry, &trial, 1);
     }
     return true;
 }
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -425,7 +425,7 @@
     bool is_part = cw_fingerprint_is_part(&verdict.suspect);
     bool has_survived = is_part && exchange_phase(x) == CW_RUN_WRITING;
     bool is_waiting = x->fsm.state == CW_REQ_SENT && exchange_phase(x) == CW_RUN_WAITING;
-    bool must_wait = verdict.kind == CW_VERDICT_PENDING && is_part && !x->verdict.trials;
+    bool must_wait = verdict.kind == CW_VERDICT_PENDING && is_part;
     if (verdict.kind == CW_VERDICT_QUARANTINED && !has_survived) {
         exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, CW_TRY_CANCELLED, QUARANTINED_REASON);
     } else if (must_wait && is_waiting && exchange_may_retry(x)) {
@@ -440,10 +440,10 @@
         x->checked_at_change = e->verdict_change_count;
         if (x->conn) {
             check_running_attempt(x);
-        } else if (x->verdict_due_ms) {
-            exchange_assign_server(x); /* it may have been waiting for this change */
-        } else {
+        } else if (!x->verdict_due_ms) {
             exchange_check_quarantine(x);
+        } else if (!x->suspects.claim) {
+            exchange_assign_server(x); /* it may have been waiting for this change */
         }
     }
 }
--- a/gateway/exchange_assign.c
+++ b/gateway/exchange_assign.c
@@ -124,13 +124,27 @@
                                 .is_delay_tolerant = !has_slots || cw_balance_is_delay_tolerant(b, &x->work)});
 }
 
+/* Claims the trial of parts of the request's prompt. */
+static void claim_trial(exchange_t* x) {
+    exchanges_t* e = x->exchanges;
+    x->suspects.claim = cw_mix(e->desc.seed, ++e->random_count) | 1U;
+    quarantine_claim(e->desc.quarantine, &x->suspects, &x->verdict, x->pool);
+    x->verdict_due_ms = clock_ms() + CW_QUARANTINE_CLAIM_MS;
+}
+
 /* Refuses a quarantined request, whatever its id. While the verdict is undecided, the request waits outside of the
    queue. */
 bool exchange_check_quarantine(exchange_t* x) {
     quarantine_t* quarantine = x->exchanges->desc.quarantine;
     x->verdict = quarantine_check(quarantine, &x->suspects, x->pool);
     x->work.rendezvous_key = x->verdict.is_isolated ? x->suspects.items[0].content_hash : 0;
-    x->verdict_due_ms = x->verdict.kind == CW_VERDICT_PENDING ? clock_ms() + x->verdict.retry_ms : 0;
+    x->verdict_due_ms = 0;
+    if (x->verdict.kind == CW_VERDICT_PENDING) {
+        x->suspects.claim = 0; /* another claim preceded it */
+        x->verdict_due_ms = clock_ms() + x->verdict.retry_ms;
+    } else if (x->verdict.kind == CW_VERDICT_TRIAL && x->verdict.claims && !x->verdict.is_claimed) {
+        claim_trial(x);
+    }
     if (x->verdict_due_ms) {
         exchange_dequeue(x); /* in the queue it would precede requests that can be sent */
         exchange_set_timer(x);
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -60,8 +60,8 @@
     const cw_buffer_t* body = caller_body(x->caller);
     int64_t now_ms = clock_ms();
     int64_t left_ms = x->deadline_ms - now_ms;
-    if (x->verdict.trials) {
-        quarantine_on_trial(e->desc.quarantine, &x->suspects, &x->verdict, x->server);
+    if (x->verdict.is_content_on_trial) {
+        quarantine_on_trial(e->desc.quarantine, &x->suspects, x->server);
     }
     exchange_handle_event(x, CW_EV_SENDING);
     x->attempt_count++;
@@ -106,11 +106,10 @@
     exchange_fail_attempt(x, CW_EV_GRANT_EXPIRED, CW_TRY_CANCELLED, why);
 }
 
-/* Whether, while the connection was opened, the request was quarantined or another one with the same part was put on
-   trial. */
+/* Whether, while the connection was opened, the request was quarantined or a part of its prompt was put on trial. */
 static bool is_verdict_outdated(const exchange_t* x) {
     cw_verdict_t verdict = quarantine_check(x->exchanges->desc.quarantine, &x->suspects, x->pool);
-    return verdict.kind >= CW_VERDICT_PENDING && !x->verdict.trials;
+    return verdict.kind >= CW_VERDICT_PENDING || (verdict.claims && !verdict.is_claimed);
 }
 
 static void conn_on_open(void* owner) {
@@ -317,6 +316,7 @@
 
 /* The connection broke after the request had been sent. */
 static void handle_broken_response(exchange_t* x, upstream_conn_failure_t failure, const char* reason) {
+    x->suspects.claim = 0;
     if (is_presumed_crash(x, failure)) {
         quarantine_on_crash(x->exchanges->desc.quarantine, &x->suspects, exchange_phase(x), x->server);
     }
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -90,19 +90,26 @@
            format_suspect(&verdict->suspect, suspect), verdict->crashes, verdict->retry_ms);
 }
 
-void quarantine_on_trial(quarantine_t* q, const cw_suspects_t* suspects, const cw_verdict_t* verdict,
-                         const server_t* server) {
-    cw_quarantine_observation_t observations[CW_SUSPECTS_MAX];
+void quarantine_claim(quarantine_t* q, const cw_suspects_t* suspects, const cw_verdict_t* verdict, const pool_t* pool) {
+    cw_quarantine_observation_t claims[CW_SUSPECTS_MAX];
     uint32_t count = 0;
     for (uint32_t i = 0; i < suspects->count; i++) {
-        if ((verdict->trials >> i) & 1U) {
-            observations[count++] = (cw_quarantine_observation_t){.kind = CW_OBSERVED_TRIAL,
-                                                                  .suspect = suspects->items[i],
-                                                                  .incarnation = server->key,
-                                                                  .pool = cw_quarantine_pool(server->pool->id)};
+        if ((verdict->claims >> i) & 1U) {
+            claims[count++] = (cw_quarantine_observation_t){.kind = CW_OBSERVED_TRIAL,
+                                                            .suspect = suspects->items[i],
+                                                            .incarnation = suspects->claim,
+                                                            .pool = cw_quarantine_pool(pool->id)};
         }
     }
-    publish_observations(q, observations, count);
+    publish_observations(q, claims, count);
+}
+
+void quarantine_on_trial(quarantine_t* q, const cw_suspects_t* suspects, const server_t* server) {
+    const cw_quarantine_observation_t trial = {.kind = CW_OBSERVED_TRIAL,
+                                               .suspect = suspects->items[0],
+                                               .incarnation = server->key,
+                                               .pool = cw_quarantine_pool(server->pool->id)};
+    publish_observations(q, &trial, 1);
 }
 
 void quarantine_on_crash(quarantine_t* q, const cw_suspects_t* suspects, cw_run_phase_t phase, server_t* server) {
--- a/gateway/quarantine.h
+++ b/gateway/quarantine.h
@@ -39,9 +39,10 @@
 cw_verdict_t quarantine_check(quarantine_t* q, const cw_suspects_t* suspects, const pool_t* pool);
 /* Counts and logs a request that was refused because of its verdict. */
 void quarantine_record_refusal(quarantine_t* q, const char* id, const cw_verdict_t* verdict);
-/* A request with this verdict is about to be sent to the server: announces its trials. */
-void quarantine_on_trial(quarantine_t* q, const cw_suspects_t* suspects, const cw_verdict_t* verdict,
-                         const server_t* server);
+/* Claims the trials of the parts that the verdict names, under suspects->claim. */
+void quarantine_claim(quarantine_t* q, const cw_suspects_t* suspects, const cw_verdict_t* verdict, const pool_t* pool);
+/* A request whose content is on trial is about to be sent to the server. */
+void quarantine_on_trial(quarantine_t* q, const cw_suspects_t* suspects, const server_t* server);
 /* The connection to the server broke while the request ran there: the server is presumed crashed. Its response had got
    as far as the phase. */
 void quarantine_on_crash(quarantine_t* q, const cw_suspects_t* suspects, cw_run_phase_t phase, server_t* server);
--- a/tests/crash_model.h
+++ b/tests/crash_model.h
@@ -103,7 +103,7 @@
     model_desc_t desc;
     model_result_t result;
     int64_t now_ms;
-    uint64_t draws, incarnations, contents;
+    uint64_t draws, incarnations, contents, claims;
     cw_quarantine_t* quarantines[MODEL_HOSTS_MAX];
     model_engine_t engines[MODEL_ENGINES_MAX];
     model_run_t runs[MODEL_RUNS_MAX];
@@ -235,10 +235,28 @@
     model_end(run);
 }
 
+/* suspects: bit i for suspect i. */
+static inline void model_announce_trial(model_t* m, const model_run_t* run, uint32_t suspects, uint64_t incarnation) {
+    cw_quarantine_observation_t trials[CW_SUSPECTS_MAX];
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < run->suspects.count; i++) {
+        if ((suspects >> i) & 1U) {
+            trials[count++] = (cw_quarantine_observation_t){.kind = CW_OBSERVED_TRIAL,
+                                                            .suspect = run->suspects.items[i],
+                                                            .incarnation = incarnation,
+                                                            .pool = MODEL_POOL};
+        }
+    }
+    model_publish(m, run->host, trials, count);
+}
+
 /* Sends the request to an engine, lets it wait, or ends it. */
 static inline void model_assign(model_t* m, model_run_t* run) {
     run->verdict = cw_quarantine_evaluate(m->quarantines[run->host], m->now_ms, &run->suspects, MODEL_POOL);
     int64_t waited_ms = m->now_ms - run->arrived_ms;
+    if (run->verdict.kind == CW_VERDICT_PENDING) {
+        run->suspects.claim = 0; /* another one preceded it */
+    }
     if (run->verdict.kind == CW_VERDICT_QUARANTINED || waited_ms > MODEL_GIVE_UP_MS) {
         model_refuse(m, run, &run->verdict);
         return;
@@ -246,23 +264,22 @@
     if (!run->cause && run->state == MODEL_HELD && !run->attempts && waited_ms > m->result.wait_max_ms) {
         m->result.wait_max_ms = (uint32_t)waited_ms;
     }
+    if (run->verdict.kind == CW_VERDICT_TRIAL && run->verdict.claims && !run->verdict.is_claimed) {
+        run->suspects.claim = cw_mix(++m->claims, 1) | 1U;
+        model_announce_trial(m, run, run->verdict.claims, run->suspects.claim);
+        run->state = MODEL_HELD;
+        run->due_ms = m->now_ms + CW_QUARANTINE_CLAIM_MS;
+        return;
+    }
     uint32_t e = run->verdict.kind == CW_VERDICT_PENDING ? MODEL_ENGINES_MAX : model_choose_engine(m, run);
     if (e == MODEL_ENGINES_MAX) {
         run->state = MODEL_HELD;
         run->due_ms = m->now_ms + (run->verdict.kind == CW_VERDICT_PENDING ? run->verdict.retry_ms : 20);
         return;
     }
-    cw_quarantine_observation_t trials[CW_SUSPECTS_MAX];
-    uint32_t trial_count = 0;
-    for (uint32_t i = 0; i < run->suspects.count; i++) {
-        if ((run->verdict.trials >> i) & 1U) {
-            trials[trial_count++] = (cw_quarantine_observation_t){.kind = CW_OBSERVED_TRIAL,
-                                                                  .suspect = run->suspects.items[i],
-                                                                  .incarnation = m->engines[e].incarnation,
-                                                                  .pool = MODEL_POOL};
-        }
+    if (run->verdict.is_content_on_trial) {
+        model_announce_trial(m, run, 1, m->engines[e].incarnation);
     }
-    model_publish(m, run->host, trials, trial_count);
     run->engine = e;
     run->attempts++;
     run->state = MODEL_QUEUED;
@@ -312,6 +329,7 @@
 
 /* A request broke under its engine: its host retries it once, then its caller once more. */
 static inline void model_retry(model_t* m, model_run_t* run) {
+    run->suspects.claim = 0;
     if (run->attempts % 2) {
         run->state = MODEL_HELD;
         model_assign(m, run);
@@ -428,7 +446,7 @@
         if (v.kind == CW_VERDICT_QUARANTINED) {
             m->engines[run->engine].running--;
             model_refuse(m, run, &v);
-        } else if (v.kind == CW_VERDICT_PENDING && run->state == MODEL_QUEUED && !run->verdict.trials &&
+        } else if (v.kind == CW_VERDICT_PENDING && run->state == MODEL_QUEUED && !run->suspects.claim &&
                    run->attempts % 2) {
             m->engines[run->engine].running--;
             run->state = MODEL_HELD; /* its host takes it back from the queue of the engine */
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -348,11 +348,22 @@
     cw_suspects_t next = prompt(11, 101, 7);
     report_prompt_crash(q, 1000, &bad, 201, CW_RUN_BEGINNING);
     ck_assert_int_eq(verdict_on(q, 1100, &next, 1), CW_VERDICT_TRIAL);
-    ck_assert_uint_eq(cw_quarantine_evaluate(q, 1100, &next, 1).trials, 4); /* the second part is the third suspect */
-    const cw_quarantine_observation_t trial = {
-        .kind = CW_OBSERVED_TRIAL, .suspect = cw_fingerprint_of_part(7), .incarnation = 202, .pool = 1};
-    ck_assert(cw_quarantine_observe(q, 1100, &trial));
+    ck_assert_uint_eq(cw_quarantine_evaluate(q, 1100, &next, 1).claims, 4); /* the second part is the third suspect */
+    ck_assert(!cw_quarantine_evaluate(q, 1100, &next, 1).is_claimed);
+    cw_quarantine_observation_t claim = {
+        .kind = CW_OBSERVED_TRIAL, .suspect = cw_fingerprint_of_part(7), .incarnation = 300, .pool = 1};
+    ck_assert(cw_quarantine_observe(q, 1100, &claim));
+    claim.incarnation = 200; /* of another host, which did not know of the first one: the lower one precedes */
+    ck_assert(cw_quarantine_observe(q, 1130, &claim));
+    claim.incarnation = 100; /* too late */
+    ck_assert(cw_quarantine_observe(q, 1190, &claim));
     ck_assert_int_eq(verdict_on(q, 1200, &next, 1), CW_VERDICT_PENDING);
+    next.claim = 300;
+    ck_assert_int_eq(verdict_on(q, 1200, &next, 1), CW_VERDICT_PENDING);
+    next.claim = 200;
+    ck_assert_int_eq(verdict_on(q, 1200, &next, 1), CW_VERDICT_TRIAL);
+    ck_assert(cw_quarantine_evaluate(q, 1200, &next, 1).is_claimed);
+    next.claim = 0;
     ck_assert_int_eq(verdict_on(q, 3200, &next, 1), CW_VERDICT_TRIAL);
     ck_assert(clear_part(q, 3300, 7, 1));
     ck_assert_int_eq(verdict_on(q, 3300, &next, 1), CW_VERDICT_ALLOWED);
