--- a/chalkway.c
+++ b/chalkway.c
@@ -43,6 +43,8 @@
 #include "chalkway_hist.h"
 #include "chalkway_epoch.h"
 #include "chalkway_recent.h"
+#include "chalkway_suspects.h"
+#include "chalkway_incarnation_events.h"
 #include "chalkway_quarantine.h"
 #include "chalkway_load.h"
 #include "chalkway_log.h"
--- a/chalkway_quarantine.h
+++ b/chalkway_quarantine.h
@@ -52,12 +52,13 @@
         any weight, one request with the part is on trial at a time, and for
         the others the verdict is pending. A request claims the trial, and is
         sent after CW_QUARANTINE_CLAIM_MS if no other claim precedes its own.
-        At a weight of three the part is quarantined. The verdict on a request is the most severe one on any of
-        its suspects.
+        At a weight of three the part is quarantined. The verdict on a request
+        is the most severe one on any of its suspects.
 
         So a query of death crashes three servers, four when its requests have
         more than one suspect, or six when it cannot be distinguished from
-        others. A crash is forgotten after retention_ms, so that a wrong
+        others; what was sent before hosts knew of the first crash may add to
+        them. A crash is forgotten after retention_ms, so that a wrong
         verdict is corrected.
 
     HOW TO USE IT
@@ -73,29 +74,12 @@
     LICENCE
         MIT, see LICENSE.
 */
-#include "chalkway_fingerprint.h"
-#include "chalkway_recent.h"
+#include "chalkway_incarnation_events.h"
+#include "chalkway_suspects.h"
 
 #define CW_QUARANTINE_MAX_CRASHES                                                                                      \
     8                             /* recorded per suspect: enough for the quarantine even at half weight, and trials */
 #define CW_QUARANTINE_CLAIM_MS 60 /* from claiming a trial until claims of other hosts have arrived */
-#define CW_SUSPECTS_MAX 17        /* of a request: its content and 16 parts */
-
-/* What may make a request crash servers. items[0] is its whole content, the others are parts of its prompt. */
-typedef struct cw_suspects_t {
-    uint64_t claim; /* under which the request has claimed trials of its parts; 0: none */
-    uint32_t count;
-    cw_fingerprint_t items[CW_SUSPECTS_MAX];
-} cw_suspects_t;
-
-/* How far the response to a request had got when its server crashed. The values are sent to other hosts. */
-typedef enum cw_run_phase_t {
-    CW_RUN_WAITING = 0, /* no response yet */
-    CW_RUN_BEGINNING,   /* the head of the response only: the most suspicious phase */
-    CW_RUN_STARTED,     /* the very start of the body; as suspicious as CW_RUN_WAITING */
-    CW_RUN_WRITING,     /* the body for a while: the least suspicious phase */
-    CW_RUN_PHASE_COUNT
-} cw_run_phase_t;
 
 typedef enum cw_quarantine_observation_kind_t {
     CW_OBSERVED_CRASH = 0, /* the server incarnation crashed while a request with the suspect ran on it */
@@ -165,8 +149,6 @@
 
 cw_quarantine_t* cw_quarantine_setup(const cw_quarantine_desc_t* desc);
 void cw_quarantine_shutdown(cw_quarantine_t* q);
-/* Adds a part of the prompt unless it is already there. Parts beyond CW_SUSPECTS_MAX are left out. */
-void cw_suspects_add_part(cw_suspects_t* suspects, uint64_t part_id);
 /* The value by which observations name a pool. name_id: of its name. */
 uint32_t cw_quarantine_pool(uint64_t name_id);
 /* A request with these suspects was answered in the pool. */
@@ -231,10 +213,7 @@
    closer together, except over links with heavy loss. */
 #define _CW_QUARANTINE_DISTINCT_CRASH_MS 1000
 #define _CW_QUARANTINE_CLEARED_RETENTION_MS 10000 /* of a clearance: earlier crashes may be reported late */
-#define _CW_QUARANTINE_INCARNATIONS 256 /* incarnations whose crash is recorded; as many with a sign of life */
-#define _CW_QUARANTINE_ANSWERED_PARTS 4096
-#define _CW_QUARANTINE_ANSWERED_MS 600000 /* time for which an answered part counts as known */
-#define _CW_QUARANTINE_CLEARANCES 2       /* pools whose latest clearance of a suspect is recorded */
+#define _CW_QUARANTINE_CLEARANCES 2               /* pools whose latest clearance of a suspect is recorded */
 
 typedef struct _cw_crash_t {
     uint64_t incarnation;
@@ -259,18 +238,6 @@
     bool is_announced; /* cw_quarantine_next_newly_quarantined has returned it */
 } _cw_tracked_t;
 
-typedef struct _cw_incarnation_event_t {
-    uint64_t incarnation;
-    int64_t at_ms;
-    cw_run_phase_t phase; /* of a crash: the most suspicious one reported */
-} _cw_incarnation_event_t;
-
-/* Latest event of each incarnation that had one. When the ring is full, a new incarnation replaces the oldest one. */
-typedef struct _cw_incarnation_events_t {
-    _cw_incarnation_event_t items[_CW_QUARANTINE_INCARNATIONS];
-    uint32_t next;
-} _cw_incarnation_events_t;
-
 struct cw_quarantine_t {
     cw_quarantine_desc_t desc;
     cw_map_t by_suspect;
@@ -281,8 +248,8 @@
     uint32_t* rivals;      /* indexes of the entries with at least _CW_QUARANTINE_RIVAL_CRASHES */
     uint32_t rival_count;
     uint64_t rivals_version; /* version for which rivals was computed */
-    _cw_incarnation_events_t crashed, alive;
-    cw_recent_t answered; /* parts, by pool, that this host saw answered */
+    cw_incarnation_events_t crashed, alive;
+    cw_known_parts_t known_parts; /* that this host saw answered */
     uint64_t evicted;
 };
 
@@ -307,7 +274,7 @@
     q->entries = cw_alloc(&q->desc.allocator, q->desc.entries, sizeof(*q->entries));
     q->rivals = cw_alloc(&q->desc.allocator, q->desc.entries, sizeof(*q->rivals));
     q->by_suspect = cw_map_setup(q->desc.entries, &q->desc.allocator);
-    q->answered = cw_recent_setup(_CW_QUARANTINE_ANSWERED_PARTS, _CW_QUARANTINE_ANSWERED_MS, &q->desc.allocator);
+    q->known_parts = cw_known_parts_setup(&q->desc.allocator);
     q->version = 1;
     return q;
 }
@@ -315,34 +282,14 @@
 void cw_quarantine_shutdown(cw_quarantine_t* q) {
     cw_allocator_t allocator = q->desc.allocator;
     cw_map_shutdown(&q->by_suspect);
-    cw_recent_shutdown(&q->answered);
+    cw_known_parts_shutdown(&q->known_parts);
     cw_free(&allocator, q->rivals);
     cw_free(&allocator, q->entries);
     cw_free(&allocator, q);
 }
 
-void cw_suspects_add_part(cw_suspects_t* suspects, uint64_t part_id) {
-    cw_fingerprint_t part = cw_fingerprint_of_part(part_id);
-    for (uint32_t i = 0; i < suspects->count; i++) {
-        if (cw_fingerprint_equal(&suspects->items[i], &part)) {
-            return;
-        }
-    }
-    if (suspects->count < CW_SUSPECTS_MAX) {
-        suspects->items[suspects->count++] = part;
-    }
-}
-
-static uint64_t _cw_quarantine_answered_id(const cw_fingerprint_t* part, uint32_t pool) {
-    return cw_mix(part->content_hash, pool) | 1U;
-}
-
 void cw_quarantine_on_answer(cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects, uint32_t pool) {
-    for (uint32_t i = 0; i < suspects->count; i++) {
-        if (cw_fingerprint_is_part(&suspects->items[i])) {
-            cw_recent_put(&q->answered, now_ms, _cw_quarantine_answered_id(&suspects->items[i], pool));
-        }
-    }
+    cw_known_parts_add(&q->known_parts, now_ms, suspects, pool);
 }
 
 uint32_t cw_quarantine_observe_crash(const cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects,
@@ -350,8 +297,7 @@
     bool is_known[CW_SUSPECTS_MAX] = {false};
     bool are_all_known = true;
     for (uint32_t i = 1; i < suspects->count; i++) {
-        uint64_t id = _cw_quarantine_answered_id(&suspects->items[i], crash->pool);
-        is_known[i] = cw_recent_has(&q->answered, now_ms, id);
+        is_known[i] = cw_known_parts_has(&q->known_parts, now_ms, &suspects->items[i], crash->pool);
         are_all_known = are_all_known && is_known[i];
     }
     uint32_t count = 0;
@@ -376,49 +322,25 @@
 
 /* -- server incarnations -------------------------------------------------- */
 
-/* Orders phases by how likely a server crashes in them. */
-static uint32_t _cw_run_phase_suspicion(cw_run_phase_t phase) {
-    return phase == CW_RUN_BEGINNING ? 2 : phase == CW_RUN_WRITING ? 0 : 1;
-}
-
-static bool _cw_run_phase_is_more_suspicious(cw_run_phase_t phase, cw_run_phase_t than) {
-    return _cw_run_phase_suspicion(phase) > _cw_run_phase_suspicion(than);
-}
-
-static _cw_incarnation_event_t* _cw_incarnation_events_find(_cw_incarnation_events_t* events, uint64_t incarnation) {
-    for (uint32_t i = 0; i < _CW_QUARANTINE_INCARNATIONS; i++) {
-        if (events->items[i].incarnation == incarnation) {
-            return &events->items[i];
-        }
-    }
-    return NULL;
-}
-
-static void _cw_incarnation_events_put(_cw_incarnation_events_t* events, const _cw_incarnation_event_t* event) {
-    _cw_incarnation_event_t* known = _cw_incarnation_events_find(events, event->incarnation);
-    known = known ? known : &events->items[events->next++ % _CW_QUARANTINE_INCARNATIONS];
-    *known = *event;
-}
-
 /* Records a crash of the incarnation at its earliest reported time and in its most suspicious phase. Returns whether it
    is another crash than the one recorded before, or in a more suspicious phase. */
 static bool _cw_quarantine_record_crash(cw_quarantine_t* q, uint64_t incarnation, int64_t at_ms, cw_run_phase_t phase) {
-    _cw_incarnation_event_t event = {.incarnation = incarnation, .at_ms = at_ms, .phase = phase};
-    const _cw_incarnation_event_t* known = _cw_incarnation_events_find(&q->crashed, incarnation);
+    cw_incarnation_event_t event = {.incarnation = incarnation, .at_ms = at_ms, .phase = phase};
+    const cw_incarnation_event_t* known = cw_incarnation_events_find(&q->crashed, incarnation);
     if (!known || at_ms >= known->at_ms + _CW_QUARANTINE_DISTINCT_CRASH_MS) {
-        _cw_incarnation_events_put(&q->crashed, &event);
+        cw_incarnation_events_put(&q->crashed, &event);
         return true;
     }
-    bool is_more_suspicious = _cw_run_phase_is_more_suspicious(phase, known->phase);
+    bool is_more_suspicious = cw_run_phase_is_more_suspicious(phase, known->phase);
     event.at_ms = at_ms < known->at_ms ? at_ms : known->at_ms;
     event.phase = is_more_suspicious ? phase : known->phase;
-    _cw_incarnation_events_put(&q->crashed, &event);
+    cw_incarnation_events_put(&q->crashed, &event);
     return is_more_suspicious;
 }
 
 /* Whether the incarnation showed a sign of life after at_ms. */
 static bool _cw_quarantine_was_alive_after(cw_quarantine_t* q, uint64_t incarnation, int64_t at_ms) {
-    const _cw_incarnation_event_t* alive = _cw_incarnation_events_find(&q->alive, incarnation);
+    const cw_incarnation_event_t* alive = cw_incarnation_events_find(&q->alive, incarnation);
     return alive && alive->at_ms > at_ms;
 }
 
@@ -600,7 +522,7 @@
     for (uint32_t i = 0; i < q->rival_count; i++) {
         _cw_tracked_t* rival = &q->entries[q->rivals[i]];
         const _cw_crash_t* crash = _cw_tracked_find_crash(rival, incarnation, at_ms);
-        if (crash && !crash->is_known && !_cw_run_phase_is_more_suspicious(phase, crash->phase) &&
+        if (crash && !crash->is_known && !cw_run_phase_is_more_suspicious(phase, crash->phase) &&
             !_cw_suspected_request_contains(request, rival)) {
             uint32_t crashes = _cw_tracked_count_crashes(rival);
             most = crashes > most ? crashes : most;
@@ -611,12 +533,12 @@
 
 /* Another server that crashed at the same moment without the suspect, which thus cannot have caused both crashes; NULL
    when there is none. A crash that another suspect explains is unrelated to it. */
-static const _cw_incarnation_event_t* _cw_quarantine_find_unrelated_crash(cw_quarantine_t* q,
-                                                                          const _cw_suspected_request_t* request,
-                                                                          _cw_tracked_t* entry,
-                                                                          const _cw_crash_t* crash) {
-    for (uint32_t i = 0; i < _CW_QUARANTINE_INCARNATIONS; i++) {
-        const _cw_incarnation_event_t* other = &q->crashed.items[i];
+static const cw_incarnation_event_t* _cw_quarantine_find_unrelated_crash(cw_quarantine_t* q,
+                                                                         const _cw_suspected_request_t* request,
+                                                                         _cw_tracked_t* entry,
+                                                                         const _cw_crash_t* crash) {
+    for (uint32_t i = 0; i < CW_INCARNATION_EVENTS_MAX; i++) {
+        const cw_incarnation_event_t* other = &q->crashed.items[i];
         int64_t distance_ms = other->at_ms > crash->at_ms ? other->at_ms - crash->at_ms : crash->at_ms - other->at_ms;
         bool is_coincident = other->incarnation && distance_ms <= _CW_QUARANTINE_COINCIDENCE_MS;
         if (is_coincident && !_cw_tracked_find_crash(entry, other->incarnation, other->at_ms) &&
@@ -629,9 +551,9 @@
 
 /* Whether another request was in a more suspicious phase when the server crashed. */
 static bool _cw_quarantine_has_more_suspicious_phase(cw_quarantine_t* q, const _cw_crash_t* crash) {
-    const _cw_incarnation_event_t* event = _cw_incarnation_events_find(&q->crashed, crash->incarnation);
+    const cw_incarnation_event_t* event = cw_incarnation_events_find(&q->crashed, crash->incarnation);
     return event && event->at_ms < crash->at_ms + _CW_QUARANTINE_DISTINCT_CRASH_MS &&
-           _cw_run_phase_is_more_suspicious(event->phase, crash->phase);
+           cw_run_phase_is_more_suspicious(event->phase, crash->phase);
 }
 
 /* Weight of a crash in halves. */
@@ -892,7 +814,7 @@
     }
     _cw_tracked_t* entry = _cw_quarantine_entry_for_crash(q, &observation->suspect, now_ms);
     _cw_crash_t* known = _cw_tracked_find_crash(entry, observation->incarnation, at_ms);
-    if (known && !is_trial && _cw_run_phase_is_more_suspicious(observation->phase, known->phase)) {
+    if (known && !is_trial && cw_run_phase_is_more_suspicious(observation->phase, known->phase)) {
         known->phase = observation->phase;
         return true;
     }
@@ -919,11 +841,11 @@
 
 /* Records a sign of life; returns false when one as late or later is already recorded. */
 static bool _cw_quarantine_add_sign_of_life(cw_quarantine_t* q, uint64_t incarnation, int64_t at_ms, int64_t now_ms) {
-    const _cw_incarnation_event_t* known = _cw_incarnation_events_find(&q->alive, incarnation);
+    const cw_incarnation_event_t* known = cw_incarnation_events_find(&q->alive, incarnation);
     if (known && at_ms <= known->at_ms) {
         return false;
     }
-    _cw_incarnation_events_put(&q->alive, &(_cw_incarnation_event_t){.incarnation = incarnation, .at_ms = at_ms});
+    cw_incarnation_events_put(&q->alive, &(cw_incarnation_event_t){.incarnation = incarnation, .at_ms = at_ms});
     for (uint32_t i = 0; i < q->used_count; i++) {
         if (q->entries[i].is_used) {
             _cw_quarantine_prune(q, &q->entries[i], now_ms);
@@ -1012,7 +934,7 @@
                                               .phase = crash->phase,
                                               .is_known = crash->is_known,
                                               .age_ms = _cw_quarantine_age_ms(crash->at_ms, now_ms)};
-            const _cw_incarnation_event_t* unrelated = _cw_quarantine_find_unrelated_crash(q, &alone, entry, crash);
+            const cw_incarnation_event_t* unrelated = _cw_quarantine_find_unrelated_crash(q, &alone, entry, crash);
             if (unrelated) {
                 out[count++] = (cw_quarantine_observation_t){.kind = CW_OBSERVED_CRASH,
                                                              .incarnation = unrelated->incarnation,
