Native daemon: claims of trials, list and release of suspects for operators

Found by the new check of the operators' list, which expects the part to be held. Mended: suspects_admit claims the trial. Also: /held and /held/release on the operator address and counters in the metrics; the JSON of suspects and their names in logs moved to io/quarantine_report.c, used by the gateway and the daemon.

--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -624,6 +624,7 @@
     fprintf(out, "chalkway_resumed_total %llu\n", (unsigned long long)e->stats.resumed_streams);
     fprintf(out, "chalkway_direct_total %llu\n", (unsigned long long)e->stats.direct_grants);
     fprintf(out, "chalkway_runonce_records %u\n", cw_runonce_count(e->runonce));
+    suspects_write_metrics(e, out);
     fclose(out);
     return text;
 }
--- a/daemon/entry_internal.h
+++ b/daemon/entry_internal.h
@@ -14,6 +14,8 @@
     Direct mode: while a shard's allocator does not respond, the entry
     itself assigns slots from its static share of the shard's upstreams.
 */
+#include <stdio.h>
+
 #include "../chalkway_token_stream.h"
 #include "../io/buffer.h"
 #include "node.h"
@@ -219,5 +221,7 @@
 void suspects_tick(entry_t* e, int64_t now_ms);
 /* Sends all observations to the other hosts when a host has joined. */
 void suspects_on_cluster_changed(entry_t* e);
+/* Writes the counters of the quarantine in Prometheus text format. */
+void suspects_write_metrics(const entry_t* e, FILE* out);
 
 #endif
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -27,6 +27,7 @@
 #include "../chalkway_settings.h"
 #include "../chalkway_stop.h"
 #include "../chalkway_store.h"
+#include "../io/buffer.h"
 #include "../io/client.h"
 #include "../io/httpd.h"
 #include "../io/peers.h"
@@ -137,6 +138,10 @@
 void entry_on_action(entry_t* entry, uint64_t from, const cw_msg_t* msg);
 /* Another host observed a crash, a trial or a response. */
 void entry_on_observation(entry_t* entry, const cw_quarantine_observation_t* observation);
+/* Writes the suspects of the quarantine as a JSON document. */
+void entry_write_quarantine(entry_t* entry, cw_buffer_t* out);
+/* An operator releases a suspect, named as in that document, at all hosts. False: there is no such suspect. */
+bool entry_release_suspect(entry_t* entry, const char* fingerprint, const char* workspace);
 /* Hosts or configuration have changed, and with them possibly the shards and their allocators. */
 void entry_on_cluster_changed(entry_t* entry);
 /* The connection to a peer was closed: messages in transit may be lost. */
--- a/daemon/operator.c
+++ b/daemon/operator.c
@@ -197,6 +197,25 @@
     free(entry);
 }
 
+static void reply_quarantine(node_t* node, cw_exchange_t* x) {
+    cw_buffer_t out = {0};
+    entry_write_quarantine(node->entry, &out);
+    reply_json(x, 200, cw_buffer_text(&out));
+    cw_buffer_free(&out);
+}
+
+static void release_suspect(node_t* node, cw_exchange_t* x) {
+    const char* fingerprint = cw_exchange_arg(x, "fingerprint");
+    const char* workspace = cw_exchange_arg(x, "workspace");
+    bool is_post = strcmp(cw_exchange_method(x), "POST") == 0;
+    if (is_post && fingerprint && entry_release_suspect(node->entry, fingerprint, workspace ? workspace : "0")) {
+        reply_json(x, 200, "{\"status\":\"released\"}");
+    } else {
+        reply_error(x, is_post ? 404 : 405, CW_OUTCOME_NONE, "no-such-suspect", "operator", NULL,
+                    "POST with the fingerprint and workspace of a suspect in /held", 0);
+    }
+}
+
 void operator_on_request(cw_exchange_t* x, void* user) {
     node_t* node = user;
     const char* path = cw_exchange_path(x);
@@ -208,6 +227,10 @@
         reply_validate(x);
     } else if (strcmp(path, "/v1/status") == 0) {
         reply_status(node, x);
+    } else if (strcmp(path, "/held") == 0) {
+        reply_quarantine(node, x);
+    } else if (strcmp(path, "/held/release") == 0) {
+        release_suspect(node, x);
     } else if (strcmp(path, "/metrics") == 0) {
         reply_metrics(node, x);
     } else if (strcmp(path, "/healthz") == 0) {
--- a/daemon/suspects.c
+++ b/daemon/suspects.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "../io/quarantine_report.h"
 #include "entry_internal.h"
 
 #define SETTLING_MS 300 /* verdicts change for this long after an observation: a pending one becomes final */
@@ -135,15 +136,36 @@
 }
 
 static void log_held(const request_t* r, const cw_verdict_t* verdict) {
-    bool is_part = cw_fingerprint_is_part(&verdict->suspect);
-    cw_log(&r->entry->node->log, CW_EVENT_REQUEST_HELD, "id=%s %s=%016llx ends=%u retry_ms=%u", r->id,
-           is_part ? "part" : "fingerprint", (unsigned long long)verdict->suspect.content_hash, verdict->crashes,
-           verdict->retry_ms);
+    char suspect[CW_SUSPECT_TEXT_MAX];
+    cw_log(&r->entry->node->log, CW_EVENT_REQUEST_HELD, "id=%s %s ends=%u retry_ms=%u", r->id,
+           cw_suspect_format(&verdict->suspect, suspect), verdict->crashes, verdict->retry_ms);
+}
+
+/* Claims the trial of parts of the request's prompt. */
+static void claim_trial(request_t* r) {
+    entry_t* e = r->entry;
+    r->suspects.claim = cw_mix(e->node->incarnation, ++e->claim_count) | 1U;
+    r->verdict_due_ms = node_now_ms() + CW_QUARANTINE_CLAIM_MS;
+    for (uint32_t i = 0; i < r->suspects.count; i++) {
+        const cw_quarantine_observation_t claim = {.kind = CW_OBSERVED_TRIAL,
+                                                   .suspect = r->suspects.items[i],
+                                                   .incarnation = r->suspects.claim,
+                                                   .pool = pool_of(r)};
+        if ((r->verdict.claims >> i) & 1U) {
+            publish(e, &claim, 1);
+        }
+    }
 }
 
 bool suspects_admit(request_t* r) {
     r->verdict = judge(r);
-    r->verdict_due_ms = r->verdict.kind == CW_VERDICT_PENDING ? node_now_ms() + r->verdict.retry_ms : 0;
+    r->verdict_due_ms = 0;
+    if (r->verdict.kind == CW_VERDICT_PENDING) {
+        r->suspects.claim = 0; /* another claim preceded it */
+        r->verdict_due_ms = node_now_ms() + r->verdict.retry_ms;
+    } else if (r->verdict.kind == CW_VERDICT_TRIAL && r->verdict.claims && !r->verdict.is_claimed) {
+        claim_trial(r);
+    }
     if (r->verdict.kind != CW_VERDICT_QUARANTINED) {
         return !r->verdict_due_ms;
     }
@@ -185,11 +207,11 @@
 
 static void log_newly_quarantined(entry_t* e, int64_t now_ms) {
     cw_quarantine_entry_t quarantined;
+    char suspect[CW_SUSPECT_TEXT_MAX];
     while (cw_quarantine_next_newly_quarantined(e->quarantine, now_ms, &quarantined)) {
-        bool is_part = cw_fingerprint_is_part(&quarantined.suspect);
-        cw_log(&e->node->log, CW_EVENT_REQUEST_BARRED, "%s=%016llx ends=%u retry_ms=%u",
-               is_part ? "part" : "fingerprint", (unsigned long long)quarantined.suspect.content_hash,
-               quarantined.verdict.crashes, quarantined.verdict.retry_ms);
+        cw_log(&e->node->log, CW_EVENT_REQUEST_BARRED, "%s ends=%u retry_ms=%u",
+               cw_suspect_format(&quarantined.suspect, suspect), quarantined.verdict.crashes,
+               quarantined.verdict.retry_ms);
     }
 }
 
@@ -212,3 +234,27 @@
         }
     }
 }
+
+/* -- operators ------------------------------------------------------------ */
+
+void entry_write_quarantine(entry_t* e, cw_buffer_t* out) {
+    cw_quarantine_write_json(e->quarantine, node_now_ms(), out);
+}
+
+bool entry_release_suspect(entry_t* e, const char* fingerprint, const char* workspace) {
+    const cw_quarantine_observation_t released = {.kind = CW_OBSERVED_CLEARED,
+                                                  .suspect = cw_suspect_parse(fingerprint, workspace)};
+    if (!cw_quarantine_has_crashes(e->quarantine, &released.suspect)) {
+        return false;
+    }
+    publish(e, &released, 1);
+    return true;
+}
+
+void suspects_write_metrics(const entry_t* e, FILE* out) {
+    cw_quarantine_stats_t stats = cw_quarantine_stats(e->quarantine, node_now_ms());
+    fprintf(out, "chalkway_suspect_requests %u\n", stats.entries);
+    fprintf(out, "chalkway_held_requests %u\n", stats.quarantined - stats.quarantined_parts);
+    fprintf(out, "chalkway_held_parts %u\n", stats.quarantined_parts);
+    fprintf(out, "chalkway_held_back_total %llu\n", (unsigned long long)e->stats.quarantined);
+}
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -1,14 +1,12 @@
 #include "quarantine.h"
 
-#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "../io/quarantine_report.h"
 #include "clock.h"
 
-#define SUSPECT_TEXT_MAX 64
-#define PART_WORKSPACE "part" /* instead of a workspace: the fingerprint is the id of a part */
 /* Verdicts change for some time after an observation: a pending one becomes final. */
 #define SETTLING_MS 300
 
@@ -20,22 +18,6 @@
     uint64_t observations_sent, observations_received, requests_quarantined;
 };
 
-static const char* verdict_name(cw_verdict_kind_t kind) {
-    static const char* const names[] = {"free", "apart", "trial", "wait", "held"};
-    return names[kind];
-}
-
-/* Names a suspect in a log line. */
-static const char* format_suspect(const cw_fingerprint_t* suspect, char text[SUSPECT_TEXT_MAX]) {
-    if (cw_fingerprint_is_part(suspect)) {
-        snprintf(text, SUSPECT_TEXT_MAX, "part=%llx", (unsigned long long)suspect->content_hash);
-    } else {
-        snprintf(text, SUSPECT_TEXT_MAX, "fingerprint=%016llx workspace=%016llx",
-                 (unsigned long long)suspect->content_hash, (unsigned long long)suspect->workspace);
-    }
-    return text;
-}
-
 /* Verdict on a request with this suspect only, in any pool. */
 static cw_verdict_t evaluate_alone(quarantine_t* q, const cw_fingerprint_t* suspect) {
     return cw_quarantine_evaluate(q->table, clock_ms(), &(cw_suspects_t){.count = 1, .items = {*suspect}}, 0);
@@ -49,12 +31,12 @@
     }
     cw_verdict_t updated = evaluate_alone(q, &observation->suspect);
     if (updated.kind != previous.kind) {
-        char suspect[SUSPECT_TEXT_MAX];
+        char suspect[CW_SUSPECT_TEXT_MAX];
         cw_log(q->desc.log, CW_EVENT_REQUEST_SUSPECTED,
                "%s verdict=%s was=%s ends=%u life=%016llx age_ms=%u told_by=%s retry_ms=%u",
-               format_suspect(&observation->suspect, suspect), verdict_name(updated.kind), verdict_name(previous.kind),
-               updated.crashes, (unsigned long long)observation->incarnation, observation->age_ms, by,
-               updated.retry_ms);
+               cw_suspect_format(&observation->suspect, suspect), cw_verdict_name(updated.kind),
+               cw_verdict_name(previous.kind), updated.crashes, (unsigned long long)observation->incarnation,
+               observation->age_ms, by, updated.retry_ms);
     }
     return true;
 }
@@ -84,10 +66,10 @@
 }
 
 void quarantine_record_refusal(quarantine_t* q, const char* id, const cw_verdict_t* verdict) {
-    char suspect[SUSPECT_TEXT_MAX];
+    char suspect[CW_SUSPECT_TEXT_MAX];
     q->requests_quarantined++;
     cw_log(q->desc.log, CW_EVENT_REQUEST_HELD, "id=%s %s ends=%u retry_ms=%u", id,
-           format_suspect(&verdict->suspect, suspect), verdict->crashes, verdict->retry_ms);
+           cw_suspect_format(&verdict->suspect, suspect), verdict->crashes, verdict->retry_ms);
 }
 
 void quarantine_claim(quarantine_t* q, const cw_suspects_t* suspects, const cw_verdict_t* verdict, const pool_t* pool) {
@@ -184,11 +166,11 @@
 static void log_newly_quarantined(quarantine_t* q) {
     cw_quarantine_entry_t quarantined;
     char crashes[CW_QUARANTINE_MAX_CRASHES * 32];
-    char suspect[SUSPECT_TEXT_MAX];
+    char suspect[CW_SUSPECT_TEXT_MAX];
     while (cw_quarantine_next_newly_quarantined(q->table, clock_ms(), &quarantined)) {
         format_crashes(&quarantined, crashes, sizeof(crashes));
         cw_log(q->desc.log, CW_EVENT_REQUEST_BARRED, "%s ends=%s retry_ms=%u",
-               format_suspect(&quarantined.suspect, suspect), crashes, quarantined.verdict.retry_ms);
+               cw_suspect_format(&quarantined.suspect, suspect), crashes, quarantined.verdict.retry_ms);
     }
 }
 
@@ -208,42 +190,12 @@
     return cw_quarantine_export(q->table, clock_ms(), at, out, max);
 }
 
-static json_t* json_hex(uint64_t id) {
-    char text[20];
-    snprintf(text, sizeof(text), "%016llx", (unsigned long long)id);
-    return json_string(text);
-}
-
-static json_t* entry_to_json(const cw_quarantine_entry_t* entry) {
-    const cw_verdict_t* v = &entry->verdict;
-    json_t* crashes = json_array();
-    json_t* workspace =
-        cw_fingerprint_is_part(&entry->suspect) ? json_string(PART_WORKSPACE) : json_hex(entry->suspect.workspace);
-    for (uint32_t i = 0; i < entry->count; i++) {
-        json_array_append_new(crashes, json_pack("{s:o,s:i,s:b}", "life", json_hex(entry->incarnations[i]), "age_ms",
-                                                 (int)entry->age_ms[i], "trial", entry->is_trial[i]));
-    }
-    return json_pack("{s:o,s:o,s:s,s:I,s:o}", "fingerprint", json_hex(entry->suspect.content_hash), "workspace",
-                     workspace, "verdict", verdict_name(v->kind), "retry_ms", (json_int_t)v->retry_ms, "ends", crashes);
-}
-
 void quarantine_write_json(quarantine_t* q, cw_buffer_t* out) {
-    json_t* list = json_array();
-    cw_quarantine_entry_t entry;
-    for (uint32_t at = 0; cw_quarantine_next_entry(q->table, clock_ms(), &at, &entry);) {
-        json_array_append_new(list, entry_to_json(&entry));
-    }
-    json_t* root = json_pack("{s:o}", "requests", list);
-    char* text = json_dumps(root, JSON_COMPACT);
-    cw_buffer_add(out, text, strlen(text));
-    free(text);
-    json_decref(root);
+    cw_quarantine_write_json(q->table, clock_ms(), out);
 }
 
 bool quarantine_release(quarantine_t* q, const char* fingerprint, const char* workspace) {
-    bool is_part = strcmp(workspace, PART_WORKSPACE) == 0;
-    cw_fingerprint_t suspect = {.workspace = is_part ? CW_FINGERPRINT_PART : strtoull(workspace, NULL, 16),
-                                .content_hash = strtoull(fingerprint, NULL, 16)};
+    cw_fingerprint_t suspect = cw_suspect_parse(fingerprint, workspace);
     if (!cw_quarantine_has_crashes(q->table, &suspect)) {
         return false;
     }
--- a/tests/test_site_crashes.c
+++ b/tests/test_site_crashes.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include "../tools/site.h"
 #include "test.h"
@@ -75,6 +76,28 @@
     return crashed;
 }
 
+/* The part is listed at each daemon, and a release at one of them holds at the other one. */
+static void check_operators_list(void) {
+    const char* a = site_find_process(&site, "a")->operator_http;
+    const char* b = site_find_process(&site, "b")->operator_http;
+    site_response_t list = site_call(&(site_request_t){.method = "GET", .address = a, .path = "/held"});
+    char part[20] = "";
+    const char* entry = strstr(list.body, "\"workspace\":\"part\",\"verdict\":\"held\"");
+    ck_assert_msg(entry != NULL, "%s", list.body);
+    sscanf(entry - strlen("0123456789abcdef\","), "%16[0-9a-f]", part);
+    char path[100];
+    snprintf(path, sizeof(path), "/held/release?fingerprint=%s&workspace=part", part);
+    ck_assert_int_eq(site_call(&(site_request_t){.method = "POST", .address = a, .path = path, .body = ""}).status,
+                     200);
+    ck_assert_int_eq(site_call(&(site_request_t){.method = "POST", .address = a, .path = path, .body = ""}).status,
+                     404);
+    for (int i = 0; i < 100 && strstr(list.body, part); i++) {
+        usleep(20000);
+        list = site_call(&(site_request_t){.method = "GET", .address = b, .path = "/held"});
+    }
+    ck_assert_msg(strstr(list.body, part) == NULL, "%s", list.body);
+}
+
 START_TEST(prompts_with_a_part_that_crashed_engines_are_refused) {
     static const char* const daemons[DAEMONS] = {"a", "b"};
     start_site();
@@ -83,6 +106,7 @@
         send_prompt(daemons[i % DAEMONS], "deadly instructions", i);
     }
     int crashed = count_crashed_engines();
+    check_operators_list();
     long status = crashed < ENGINES ? send_prompt("b", "be brief", 101) : 0;
     site_shutdown(&site);
     ck_assert_msg(crashed <= CRASHES_MAX, "%d engines crashed", crashed);
