--- a/tests/test_crashing_part.c
+++ b/tests/test_crashing_part.c
@@ -60,7 +60,7 @@
 /* Sends up to count prompts with the part until one is refused. Returns how many engines crashed. */
 static uint32_t crash_engines(rig_t* r, const char* parts, int count) {
     for (int i = 0; i < count; i++) {
-        char id[16];
+        char id[24];
         snprintf(id, sizeof(id), "bad-%d", i);
         if (has_status(send_prompt(r, id, parts), "503")) {
             break;
@@ -96,7 +96,7 @@
     pause_for(r, SPACING_S);
     ck_assert(has_status(send_prompt(r, "good-1", "a1:400,c3:50"), "200"));
     for (int i = 0; i < 3 && r->arrival_count < 5; i++) {
-        char id[16];
+        char id[24];
         snprintf(id, sizeof(id), "bad-2%d", i);
         send_prompt(r, id, "a1:400,dead:200");
         pause_for(r, SPACING_S);
--- a/tests/test_site_crashes.c
+++ b/tests/test_site_crashes.c
@@ -37,7 +37,7 @@
                      "{\"key\":\"classes/chat\",\"value\":{\"tier\":1,\"deadline_ms\":5000,\"pools\":[\"lang\"]}}",
                      digest);
     for (int i = 0; i < ENGINES; i++) {
-        char name[16];
+        char name[24];
         snprintf(name, sizeof(name), "engine%d", i);
         engines[i] = site_start(&site, SITE_ENGINE, name, "h1", engine);
         ck_assert_ptr_nonnull(engines[i]);
