--- a/bench/bench_quarantine.c
+++ b/bench/bench_quarantine.c
@@ -63,7 +63,11 @@
                       {"ten parts, 90 engines", small},
                       {"crashes without a cause", small},
                       {"300 hosts", large},
-                      {"300 hosts, a third lost", large}};
+                      {"300 hosts, a third lost", large},
+                      {"81 hosts, 140 engines", large},
+                      {"81 hosts, a tenth lost", large},
+                      {"81 hosts, ten bodies", large},
+                      {"9 hosts, 100 bodies", small}};
     cases[1].desc.hosts = 3;
     cases[2].desc.has_no_head = true;
     cases[3].desc.loss = 1.0 / 3;
@@ -74,6 +78,18 @@
     cases[7].desc.causes = 0;
     cases[7].desc.random_crashes_ms = 700;
     cases[9].desc.loss = 1.0 / 3;
+    for (int i = 10; i <= 12; i++) {
+        cases[i].desc.hosts = 81;
+        cases[i].desc.engines = 140;
+    }
+    cases[11].desc.loss = 0.1;
+    cases[12].desc.is_body = cases[13].desc.is_body = true;
+    cases[12].desc.causes = 10;
+    cases[12].desc.period_ms = cases[13].desc.period_ms = 333;
+    cases[13].desc.hosts = 9;
+    cases[13].desc.engines = 18;
+    cases[13].desc.causes = 100;
+    cases[13].desc.until_ms = 24000;
     printf("%-28s %6s %5s %5s %8s %8s %5s %5s %7s %8s %8s %9s\n", "", "mean", "most", "late", "sent", "served", "body",
            "part", "gave-up", "wait-ms", "told", "cpu-ms/s");
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
--- a/tests/crash_model.h
+++ b/tests/crash_model.h
@@ -22,7 +22,7 @@
 #define MODEL_ENGINES_MAX 750
 #define MODEL_RUNS_MAX 30000
 #define MODEL_TRANSIT_MAX 2000000
-#define MODEL_CAUSES_MAX 64
+#define MODEL_CAUSES_MAX 100
 #define MODEL_POOL 1U
 #define MODEL_START_MS 300 /* an engine that writes a response for this long has survived its start */
 #define MODEL_RESTART_MS 2000
