--- a/bench/bench_quarantine.c
+++ b/bench/bench_quarantine.c
@@ -57,7 +57,7 @@
     case_t cases[] = {{"12 hosts", small},
                       {"3 hosts", small},
                       {"no head", small},
-                      {"a third of the news lost", small},
+                      {"a third of datagrams lost", small},
                       {"a body", small},
                       {"ten parts in turn", small},
                       {"ten parts, 90 engines", small},
@@ -91,7 +91,7 @@
     cases[13].desc.causes = 100;
     cases[13].desc.until_ms = 24000;
     printf("%-28s %6s %5s %5s %8s %8s %5s %5s %7s %8s %8s %9s\n", "", "mean", "most", "late", "sent", "served", "body",
-           "part", "gave-up", "wait-ms", "told", "cpu-ms/s");
+           "part", "gave-up", "wait-ms", "sent", "cpu-ms/s");
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
         run_case(&cases[i]);
     }
--- a/chalkway_quarantine.h
+++ b/chalkway_quarantine.h
@@ -6,7 +6,7 @@
     WHAT IT IS
         A query of death is a request that crashes every server that starts to
         run it, and that is sent again under new ids and through any host. The
-        cause may be its whole content, or one part of its prompt, which
+        cause may be all of its content, or one part of its prompt, which
         requests with nothing else in common share. All of these are suspects
         of the request (cw_suspects_t). Hosts exchange observations: which
         server crashed while a request with which suspects ran on it. The
@@ -34,7 +34,7 @@
         - an incarnation that shows a sign of life after its crash did not
           crash: that observation is dropped.
 
-        The verdict on a whole content follows from its crashes:
+        The verdict on a content follows from its crashes:
 
         - up to one: allowed;
         - two: isolated. The request is routed by its fingerprint instead of
@@ -103,7 +103,7 @@
 typedef enum cw_verdict_kind_t {
     CW_VERDICT_ALLOWED = 0,
     CW_VERDICT_ISOLATED,   /* route it by its fingerprint */
-    CW_VERDICT_TRIAL,      /* announce the trial before sending it: its parts by claims, else its whole content */
+    CW_VERDICT_TRIAL,      /* announce the trial before sending it: its parts by claims, else its content */
     CW_VERDICT_PENDING,    /* undecided: evaluate again after retry_ms */
     CW_VERDICT_QUARANTINED /* do not send it to any server */
 } cw_verdict_kind_t;
@@ -114,10 +114,10 @@
     uint32_t crashes;         /* servers that crashed under the suspect, trials not counted */
     uint32_t claims;          /* bit i: part i of the request must be claimed for a trial */
     bool is_claimed;          /* the request's claim holds for all of them: it may be sent */
-    bool is_content_on_trial; /* the trial of the whole content must be announced */
+    bool is_content_on_trial; /* the trial of the content must be announced */
     bool is_isolated;         /* route the request by its fingerprint */
     uint32_t excluded_count;  /* number of entries in incarnations */
-    /* Excluded: crashed under the whole content or have it on trial. */
+    /* Excluded: crashed under the content or have it on trial. */
     uint64_t incarnations[CW_QUARANTINE_MAX_CRASHES];
     uint32_t retry_ms; /* quarantined: time until it may be sent; pending: time until the next evaluation */
 } cw_verdict_t;
--- a/chalkway_suspects.h
+++ b/chalkway_suspects.h
@@ -4,7 +4,7 @@
     chalkway_suspects.h -- what may make a request crash servers
 
     WHAT IT IS
-        A request that crashes servers does so by its whole content, or by a
+        A request that crashes servers does so by its content, or by a
         part of its prompt that other requests share: these are its suspects.
         How far the response had got when the server crashed says how likely
         the request was the cause. A host remembers the parts that it saw
@@ -29,7 +29,7 @@
 
 #define CW_SUSPECTS_MAX 17 /* of a request: its content and 16 parts */
 
-/* What may make a request crash servers. items[0] is its whole content, the others are parts of its prompt. */
+/* What may make a request crash servers. items[0] is its content, the others are parts of its prompt. */
 typedef struct cw_suspects_t {
     uint64_t claim; /* under which the request has claimed trials of its parts; 0: none */
     uint32_t count;
--- a/gateway/reporter_internal.h
+++ b/gateway/reporter_internal.h
@@ -13,7 +13,7 @@
 #define DIRTY_MAX 256
 #define QUEUE_MAX 512
 #define OBSERVATION_QUEUE_MAX (12 * CW_LOAD_OBSERVATIONS) /* further observations are sent with the next repetition */
-#define STREAM_QUEUE_MAX 2048                             /* further records are not told; hosts that need them ask */
+#define STREAM_QUEUE_MAX 2048                             /* further records are not announced; hosts query them */
 
 /* A server whose load at this host changed and is not reported yet. */
 typedef struct dirty_t {
--- a/tests/test_crash_fleet.c
+++ b/tests/test_crash_fleet.c
@@ -70,7 +70,7 @@
 }
 END_TEST
 
-/* Engines that send no head before the first event: nothing tells the cause from what waits beside it. */
+/* Engines that send no head before the first event: the cause is in the same phase as what waits beside it. */
 START_TEST(a_part_crashes_at_most_four_engines_that_send_no_head) {
     model_desc_t d = small_fleet;
     d.has_no_head = true;
--- a/tests/test_crashing_part.c
+++ b/tests/test_crashing_part.c
@@ -1,9 +1,9 @@
 /*
     A part of prompts that crashes each engine that begins to write a response to a prompt with it.
 
-    Guards against suspicion by whole requests only. With twelve engines that restarted within seconds, requests with
-   one part, no two alike, crashed 66 engines: each began with nothing against it, and crashed one engine for each of
-   its attempts.
+    Guards against suspicion by the content of requests only. With twelve engines that restarted within seconds,
+   requests with one part, no two alike, crashed 66 engines: each began with nothing against it, and crashed one engine
+   for each of its attempts.
 
     Engines are scripted: such a request gets a head, and then its engine closes. At most four engines may crash.
 */
@@ -77,7 +77,7 @@
     uint32_t crashes = crash_engines(r, "a1:400,dead:200", 4);
     ck_assert_msg(crashes <= CRASHES_MAX, "%u engines crashed", crashes);
     ck_assert(has_status(send_prompt(r, "bad-9", "a1:400,dead:200"), "503"));
-    send_prompt(r, "bad-10", "b2:70,dead:200"); /* tells the part from the first one, which all the others had too */
+    send_prompt(r, "bad-10", "b2:70,dead:200"); /* distinguishes the part from the first one */
     pause_for(r, SPACING_S);
     ck_assert(has_status(send_prompt(r, "bad-11", "b2:70,dead:200"), "503"));
     ck_assert(has_status(send_prompt(r, "bad-12", "a1:400,dead:200"), "503"));
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -445,7 +445,7 @@
 }
 END_TEST
 
-/* Another pool may run the part without harm: its responses say nothing about the first pool, and the crashes there do
+/* Another pool may serve the part: its responses say nothing about the first pool, and the crashes there do
    not keep it from the part. */
 START_TEST(a_response_clears_a_part_in_its_own_pool_only) {
     cw_quarantine_t* q = setup();
