--- a/tests/test_crashing_part.c
+++ b/tests/test_crashing_part.c
@@ -2,8 +2,8 @@
     A part of prompts that crashes each engine that begins to write a response to a prompt with it.
 
     Guards against suspicion by the content of requests only. With twelve engines that restarted within seconds,
-   requests with one part, no two alike, crashed 66 engines: each began with nothing against it, and crashed one engine
-   for each of its attempts.
+    requests with one part, no two alike, crashed 66 engines: each began with nothing against it, and crashed one engine
+    for each of its attempts.
 
     Engines are scripted: such a request gets a head, and then its engine closes. At most four engines may crash.
 */
