Test of streams and versions: engines break off their streams by count, not by time

Cause: the test armed the four engines 50 ms apart while streams of some 200 ms ran, so on a slow machine the last engine was armed when no stream reached it any more and three streams broke instead of four. Change: all engines are armed before the first stream, and rounds of streams go on, at most ten, until each engine has broken one off. As strict as before: four streams must break off and resume, each answer must be complete and of one version.

--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -280,10 +280,33 @@
 }
 END_TEST
 
+/* Starts that many streams at once and waits for their ends. Each must be complete and of one software version. */
+static void check_streams_of_one_version(int count, int tokens) {
+    pid_t children[16];
+    ck_assert_int_le(count, 16);
+    for (int i = 0; i < count; i++) {
+        children[i] = fork();
+        if (children[i] == 0) {
+            char id[16];
+            snprintf(id, sizeof(id), "s%d", i);
+            site_response_t response = send_summary(http_of("a"), id, true, tokens);
+            bool is_mixed = strstr(response.body, "\"w") && strstr(response.body, "\"v1-");
+            _exit(!response.is_complete ? 1 : is_mixed ? 2 : 0);
+        }
+    }
+    for (int i = 0; i < count; i++) {
+        int status = 0;
+        waitpid(children[i], &status, 0);
+        ck_assert_msg(WIFEXITED(status) && WEXITSTATUS(status) == 0, "stream %d: %d (1 incomplete, 2 mixed)", i,
+                      WEXITSTATUS(status));
+    }
+}
+
 /* Guards against streams with tokens of two software versions: a broken stream was resumed at any engine of its pool.
-   Each engine is cut in turn, so that streams of both versions resume, also while all engines are busy. */
+   Each engine breaks off its first stream that reaches 25 tokens, so that streams of both versions resume, also while
+   all engines are busy. Rounds of streams go on until each engine has done so. */
 START_TEST(an_interrupted_stream_is_resumed_at_its_version) {
-    enum { STREAMS = 12, TOKENS = 40 };
+    enum { STREAMS = 12, TOKENS = 40, ROUNDS_MAX = 10 };
     static const char* const slow[] = {"--slots", "4", "--step", "5", NULL};
     static const char* const names[] = {"engine", "e1", "e2", "e3"};
     start_site();
@@ -294,7 +317,7 @@
             i ? site_start(&site, SITE_ENGINE, names[i], "h1", slow) : site_find_process(&site, "engine");
         char path[64];
         size_t used = strlen(items);
-        snprintf(path, sizeof(path), "/admin/set?step_ms=5&version=%d", i % 2);
+        snprintf(path, sizeof(path), "/admin/set?step_ms=5&cut_after=25&version=%d", i % 2);
         site_call(&(site_request_t){.address = engine->http, .path = path, .body = ""});
         snprintf(items + used, sizeof(items) - used,
                  ",{\"key\":\"upstreams/%s\",\"value\":{\"pool\":\"lang\",\"address\":\"%s\",\"hall\":\"h1\","
@@ -303,32 +326,17 @@
     }
     publish_items(items);
     ck_assert(site_wait_revision(&site, 13, WAIT_MS));
-    pid_t children[STREAMS];
-    for (int i = 0; i < STREAMS; i++) {
-        children[i] = fork();
-        if (children[i] == 0) {
-            char id[16];
-            snprintf(id, sizeof(id), "s%d", i);
-            site_response_t response = send_summary(http_of("a"), id, true, TOKENS);
-            bool is_mixed = strstr(response.body, "\"w") && strstr(response.body, "\"v1-");
-            _exit(!response.is_complete ? 1 : is_mixed ? 2 : 0);
-        }
-    }
-    for (int i = 0; i < 4; i++) {
-        site_sleep_ms(50);
-        site_call(&(site_request_t){.address = http_of(names[i]), .path = "/admin/set?cut_after=25", .body = ""});
-    }
-    for (int i = 0; i < STREAMS; i++) {
-        int status = 0;
-        waitpid(children[i], &status, 0);
-        ck_assert_msg(WIFEXITED(status) && WEXITSTATUS(status) == 0, "stream %d: %d (1 incomplete, 2 mixed)", i,
-                      WEXITSTATUS(status));
-    }
     double attempts = 0;
-    for (int i = 0; i < 4; i++) {
-        attempts += site_get_number(http_of(names[i]), "/admin/stats", "requests");
+    int sent = 0;
+    while (sent < ROUNDS_MAX * STREAMS && attempts < sent + 4) { /* four streams are broken off */
+        check_streams_of_one_version(STREAMS, TOKENS);
+        sent += STREAMS;
+        attempts = 0;
+        for (int i = 0; i < 4; i++) {
+            attempts += site_get_number(http_of(names[i]), "/admin/stats", "requests");
+        }
     }
-    ck_assert_double_ge(attempts, STREAMS + 4); /* four streams were cut */
+    ck_assert_double_ge(attempts, sent + 4);
     stop_site();
 }
 END_TEST
