Quarantine: servers that crash at the same moment, each as it begins to respond, do not excuse each other

Callers with one of ten parts that crash engines at once saw up to eight engines crash under one part, where four are the aim. Cause: a crash counted half whenever another server crashed within 100 ms without the suspect. With ten such parts this is the usual case, so a part with three crashes of its own still went on trial. Change: where both servers had begun to respond to a request, each has a cause of its own, and both crashes count full; not so for a part that was answered shortly before, which is in many requests that crash. Evidence: the new test of the table failed before (on trial instead of quarantined). The model now measures the prompts that share the other parts from the latest crash, since it measured none where only three crashed.

--- a/chalkway_quarantine.h
+++ b/chalkway_quarantine.h
@@ -28,9 +28,10 @@
         - a crash does not count when a suspect with more crashes was there
           too. It counts half when one with equally many, at least three,
           was there, when another server crashed at the same moment without
-          the suspect, and when another request was in a more suspicious
-          phase: a server that crashes as it begins to respond has sent the
-          head of the response at most (cw_run_phase_t);
+          the suspect, unless both had just begun to respond to a request, and
+          when another request was in a more suspicious phase: a server that
+          crashes as it begins to respond has sent the head of the response
+          at most (cw_run_phase_t);
         - an incarnation that shows a sign of life after its crash did not
           crash: that observation is dropped.
 
@@ -531,6 +532,12 @@
     return most;
 }
 
+/* Whether two servers that crashed at the same moment probably crashed by a request each: both had begun to respond to
+   one. A part that was answered shortly before is no such cause. */
+static bool _cw_crashes_have_own_causes(const _cw_crash_t* crash, const cw_incarnation_event_t* other) {
+    return !crash->is_known && crash->phase == CW_RUN_BEGINNING && other->phase == CW_RUN_BEGINNING;
+}
+
 /* Another server that crashed at the same moment without the suspect, which thus cannot have caused both crashes; NULL
    when there is none. A crash that another suspect explains is unrelated to it. */
 static const cw_incarnation_event_t* _cw_quarantine_find_unrelated_crash(cw_quarantine_t* q,
@@ -541,7 +548,8 @@
         const cw_incarnation_event_t* other = &q->crashed.items[i];
         int64_t distance_ms = other->at_ms > crash->at_ms ? other->at_ms - crash->at_ms : crash->at_ms - other->at_ms;
         bool is_coincident = other->incarnation && distance_ms <= _CW_QUARANTINE_COINCIDENCE_MS;
-        if (is_coincident && !_cw_tracked_find_crash(entry, other->incarnation, other->at_ms) &&
+        if (is_coincident && !_cw_crashes_have_own_causes(crash, other) &&
+            !_cw_tracked_find_crash(entry, other->incarnation, other->at_ms) &&
             !_cw_quarantine_rival_crashes(q, request, other->incarnation, other->at_ms, CW_RUN_BEGINNING)) {
             return other;
         }
--- a/tests/crash_model.h
+++ b/tests/crash_model.h
@@ -92,10 +92,10 @@
     uint32_t late_arrivals[MODEL_CAUSES_MAX];      /* at engines, MODEL_CONTACT_MS after the fourth crash */
     uint32_t sound_sent, sound_served;
     uint32_t sound_refused_for_content, sound_refused_for_part, sound_refused_for_popular; /* quarantined */
-    uint32_t sound_given_up; /* waited too long for a verdict or an engine */
-    uint32_t late_sent,
-        late_begun;       /* sound prompts that share a part with the causes, later than 2 * MODEL_CONTACT_MS */
-    uint32_t wait_max_ms; /* longest wait of a sound request for a verdict */
+    uint32_t sound_given_up;        /* waited too long for a verdict or an engine */
+    uint32_t late_sent, late_begun; /* sound prompts that share a part with the causes, later than 2 * MODEL_CONTACT_MS
+                                       after the latest crash under the first cause */
+    uint32_t wait_max_ms;           /* longest wait of a sound request for a verdict */
     uint64_t observations_sent;
 } model_result_t;
 
@@ -111,6 +111,7 @@
     model_transit_t* transit;
     uint32_t transit_count;
     int64_t fourth_crash_ms[MODEL_CAUSES_MAX];
+    int64_t latest_crash_ms; /* under the first cause; 0: none yet */
 } model_t;
 
 static inline uint32_t model_below(model_t* m, uint32_t n) {
@@ -222,7 +223,7 @@
 
 static inline bool model_is_late(const model_t* m, const model_run_t* run) {
     bool has_time_to_begin = run->arrived_ms + MODEL_BEGIN_MAX_MS < m->desc.until_ms;
-    return has_time_to_begin && m->fourth_crash_ms[0] && run->arrived_ms > m->fourth_crash_ms[0] + 2 * MODEL_CONTACT_MS;
+    return has_time_to_begin && m->latest_crash_ms && run->arrived_ms > m->latest_crash_ms + 2 * MODEL_CONTACT_MS;
 }
 
 static inline void model_refuse(model_t* m, model_run_t* run, const cw_verdict_t* v) {
@@ -374,6 +375,7 @@
         uint32_t crashes = ++m->result.crashes[cause - 1];
         bool is_after_loss = m->desc.hosts_lost_ms && m->now_ms > m->desc.hosts_lost_ms;
         m->result.crashes_after_loss[cause - 1] += is_after_loss;
+        m->latest_crash_ms = cause == 1 ? m->now_ms : m->latest_crash_ms;
         if (crashes == 4) {
             m->fourth_crash_ms[cause - 1] = m->now_ms;
         }
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -340,6 +340,22 @@
 }
 END_TEST
 
+/* A part crashes three servers while other parts crash a server each at the same moments. Each server had begun to
+   respond to a request with its own part, so that no crash excuses another. */
+START_TEST(a_part_is_quarantined_while_others_crash_servers_at_the_same_moments) {
+    cw_quarantine_t* q = setup();
+    for (uint64_t i = 0; i < 3; i++) {
+        cw_suspects_t bad = prompt(10 + i, 100 + i, 7);
+        cw_suspects_t other = prompt(20 + i, 110 + i, 30 + i);
+        report_prompt_crash(q, 1000 + 500 * (int64_t)i, &bad, 201 + i, CW_RUN_BEGINNING);
+        report_prompt_crash(q, 1020 + 500 * (int64_t)i, &other, 301 + i, CW_RUN_BEGINNING);
+    }
+    cw_suspects_t next = prompt(50, 60, 7);
+    ck_assert_int_eq(verdict_on(q, 2500, &next, 1), CW_VERDICT_QUARANTINED);
+    cw_quarantine_shutdown(q);
+}
+END_TEST
+
 /* The first crash puts a part on trial: one request at a time, until its outcome is known or two seconds have passed.
  */
 START_TEST(one_request_with_a_part_is_on_trial_at_a_time) {
@@ -595,6 +611,7 @@
     tcase_add_test(t, exported_observations_give_the_same_verdicts);
     tcase_add_test(t, a_part_that_crashed_three_servers_is_quarantined);
     tcase_add_test(t, suspects_of_one_request_do_not_excuse_each_other);
+    tcase_add_test(t, a_part_is_quarantined_while_others_crash_servers_at_the_same_moments);
     tcase_add_test(t, one_request_with_a_part_is_on_trial_at_a_time);
     tcase_add_test(t, a_bystander_in_a_less_suspicious_phase_counts_half_or_not_at_all);
     tcase_add_test(t, known_parts_are_suspected_less);
