Quarantine: claims and clearances are built in one place

Three loops built the claims of trials and the clearances of a response: the gateway, the native daemon and the model of the tests. That the daemon once made no claims at all came of it. cw_quarantine_claims and cw_quarantine_clearances build them now, and cw_quarantine_observe_and_log applies and logs an observation for both programs, so that the native daemon also logs request-suspected. A verdict in the daemon is a local variable of the function that uses it.

--- a/chalkway_quarantine.h
+++ b/chalkway_quarantine.h
@@ -158,6 +158,14 @@
    its content, and of parts unless the response had been written for a while. Returns their number. */
 uint32_t cw_quarantine_observe_crash(const cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects,
                                      const cw_quarantine_observation_t* crash, cw_quarantine_observation_t* out);
+/* Writes the claims, at most CW_SUSPECTS_MAX, under suspects->claim of the trials that the verdict requires. Returns
+   their number. */
+uint32_t cw_quarantine_claims(const cw_suspects_t* suspects, const cw_verdict_t* verdict, uint32_t pool,
+                              cw_quarantine_observation_t* out);
+/* Writes the clearances, at most CW_SUSPECTS_MAX, of the suspects from index first on that have crashes, by a response
+   in the pool that began at began_ms. Returns their number. */
+uint32_t cw_quarantine_clearances(const cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects,
+                                  uint32_t first, uint32_t pool, int64_t began_ms, cw_quarantine_observation_t* out);
 /* Applies an observation, received or made by this host itself. Returns whether it was new. */
 bool cw_quarantine_observe(cw_quarantine_t* q, int64_t now_ms, const cw_quarantine_observation_t* observation);
 /* Current verdict on a request with these suspects to the pool (cw_quarantine_pool; 0: any). */
@@ -289,6 +297,10 @@
     cw_free(&allocator, q);
 }
 
+static uint32_t _cw_quarantine_age_ms(int64_t at_ms, int64_t now_ms) {
+    return now_ms > at_ms ? (uint32_t)(now_ms - at_ms) : 0;
+}
+
 void cw_quarantine_on_answer(cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects, uint32_t pool) {
     cw_known_parts_add(&q->known_parts, now_ms, suspects, pool);
 }
@@ -312,6 +324,32 @@
     return count;
 }
 
+uint32_t cw_quarantine_claims(const cw_suspects_t* suspects, const cw_verdict_t* verdict, uint32_t pool,
+                              cw_quarantine_observation_t* out) {
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < suspects->count; i++) {
+        if ((verdict->claims >> i) & 1U) {
+            out[count++] = (cw_quarantine_observation_t){
+                .kind = CW_OBSERVED_TRIAL, .suspect = suspects->items[i], .incarnation = suspects->claim, .pool = pool};
+        }
+    }
+    return count;
+}
+
+uint32_t cw_quarantine_clearances(const cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects,
+                                  uint32_t first, uint32_t pool, int64_t began_ms, cw_quarantine_observation_t* out) {
+    uint32_t count = 0;
+    for (uint32_t i = first; i < suspects->count; i++) {
+        if (cw_quarantine_has_crashes(q, &suspects->items[i])) {
+            out[count++] = (cw_quarantine_observation_t){.kind = CW_OBSERVED_CLEARED,
+                                                         .suspect = suspects->items[i],
+                                                         .pool = pool,
+                                                         .age_ms = _cw_quarantine_age_ms(began_ms, now_ms)};
+        }
+    }
+    return count;
+}
+
 uint32_t cw_quarantine_pool(uint64_t name_id) {
     uint32_t pool = (uint32_t)name_id;
     return pool ? pool : 1;
@@ -901,10 +939,6 @@
 
 /* -- export --------------------------------------------------------------- */
 
-static uint32_t _cw_quarantine_age_ms(int64_t at_ms, int64_t now_ms) {
-    return now_ms > at_ms ? (uint32_t)(now_ms - at_ms) : 0;
-}
-
 static cw_quarantine_entry_t _cw_quarantine_describe(const _cw_tracked_t* entry, const cw_verdict_t* verdict,
                                                      int64_t now_ms) {
     cw_quarantine_entry_t out = {.suspect = entry->suspect, .verdict = *verdict, .count = entry->count};
--- a/daemon/entry_internal.h
+++ b/daemon/entry_internal.h
@@ -84,8 +84,7 @@
     size_t body_size;
     uint64_t prefix_hash;      /* hash of the prompt's first bytes, 0: none */
     cw_suspects_t suspects;    /* content, and messages of the prompt but the last */
-    cw_verdict_t verdict;      /* on these, when a slot was requested last */
-    int64_t verdict_due_ms;    /* the verdict is undecided until then; 0: decided */
+    int64_t verdict_due_ms;    /* the verdict on these is undecided until then; 0: decided */
     uint32_t cost, max_tokens; /* cost in output tokens, see estimate_cost */
     uint32_t runonce_record;   /* index in the run-once table, or CW_RUN_NONE */
     uint32_t joined_record;    /* run-once record of the running call that this retry waits for, or CW_RUN_NONE */
--- a/daemon/suspects.c
+++ b/daemon/suspects.c
@@ -55,14 +55,14 @@
 
 static void publish(entry_t* e, const cw_quarantine_observation_t* observations, uint32_t count) {
     for (uint32_t i = 0; i < count; i++) {
-        if (cw_quarantine_observe(e->quarantine, node_now_ms(), &observations[i])) {
+        if (cw_quarantine_observe_and_log(e->quarantine, node_now_ms(), &observations[i], "self", &e->node->log)) {
             send_to_others(e, &observations[i]);
         }
     }
 }
 
 void entry_on_observation(entry_t* e, const cw_quarantine_observation_t* observation) {
-    cw_quarantine_observe(e->quarantine, node_now_ms(), observation);
+    cw_quarantine_observe_and_log(e->quarantine, node_now_ms(), observation, "other", &e->node->log);
 }
 
 void suspects_on_cluster_changed(entry_t* e) {
@@ -104,17 +104,12 @@
 /* Clears the suspects from index first on of crashes up to began_ms. */
 static void clear(request_t* r, uint32_t first, int64_t began_ms) {
     entry_t* e = r->entry;
+    cw_quarantine_observation_t observations[CW_SUSPECTS_MAX];
     int64_t now_ms = node_now_ms();
     cw_quarantine_on_answer(e->quarantine, now_ms, &r->suspects, pool_of(r));
-    for (uint32_t i = first; i < r->suspects.count; i++) {
-        const cw_quarantine_observation_t cleared = {.kind = CW_OBSERVED_CLEARED,
-                                                     .suspect = r->suspects.items[i],
-                                                     .pool = pool_of(r),
-                                                     .age_ms = (uint32_t)(now_ms - began_ms)};
-        if (cw_quarantine_has_crashes(e->quarantine, &r->suspects.items[i])) {
-            publish(e, &cleared, 1);
-        }
-    }
+    uint32_t count =
+        cw_quarantine_clearances(e->quarantine, now_ms, &r->suspects, first, pool_of(r), began_ms, observations);
+    publish(e, observations, count);
 }
 
 void suspects_on_data(request_t* r) {
@@ -141,42 +136,39 @@
            cw_suspect_format(&verdict->suspect, suspect), verdict->crashes, verdict->retry_ms);
 }
 
-/* Claims the trial of parts of the request's prompt. */
-static void claim_trial(request_t* r) {
+/* Claims the trials of parts of the request's prompt that the verdict requires. */
+static void claim_trials(request_t* r, const cw_verdict_t* verdict) {
     entry_t* e = r->entry;
+    cw_quarantine_observation_t claims[CW_SUSPECTS_MAX];
     r->suspects.claim = cw_mix(e->node->incarnation, ++e->claim_count) | 1U;
     r->verdict_due_ms = node_now_ms() + CW_QUARANTINE_CLAIM_MS;
-    for (uint32_t i = 0; i < r->suspects.count; i++) {
-        const cw_quarantine_observation_t claim = {.kind = CW_OBSERVED_TRIAL,
-                                                   .suspect = r->suspects.items[i],
-                                                   .incarnation = r->suspects.claim,
-                                                   .pool = pool_of(r)};
-        if ((r->verdict.claims >> i) & 1U) {
-            publish(e, &claim, 1);
-        }
-    }
+    publish(e, claims, cw_quarantine_claims(&r->suspects, verdict, pool_of(r), claims));
 }
 
-bool suspects_admit(request_t* r) {
-    r->verdict = judge(r);
-    r->verdict_due_ms = 0;
-    if (r->verdict.kind == CW_VERDICT_PENDING) {
-        r->suspects.claim = 0; /* another claim preceded it */
-        r->verdict_due_ms = node_now_ms() + r->verdict.retry_ms;
-    } else if (r->verdict.kind == CW_VERDICT_TRIAL && r->verdict.claims && !r->verdict.is_claimed) {
-        claim_trial(r);
-    }
-    if (r->verdict.kind != CW_VERDICT_QUARANTINED) {
-        return !r->verdict_due_ms;
-    }
+static void refuse(request_t* r, const cw_verdict_t* verdict) {
     r->entry->stats.quarantined++;
-    log_held(r, &r->verdict);
+    log_held(r, verdict);
     if (!r->machine.has_sent_bytes) {
         request_set_error(r, HTTP_UNAVAILABLE, quarantined_code, "quarantine", NULL, quarantined_message,
-                          r->verdict.retry_ms);
+                          verdict->retry_ms);
     }
     request_event(r, CW_EV_REFUSED);
-    return false;
+}
+
+bool suspects_admit(request_t* r) {
+    cw_verdict_t verdict = judge(r);
+    r->verdict_due_ms = 0;
+    if (verdict.kind == CW_VERDICT_QUARANTINED) {
+        refuse(r, &verdict);
+        return false;
+    }
+    if (verdict.kind == CW_VERDICT_PENDING) {
+        r->suspects.claim = 0; /* another claim preceded it */
+        r->verdict_due_ms = node_now_ms() + verdict.retry_ms;
+    } else if (verdict.kind == CW_VERDICT_TRIAL && verdict.claims && !verdict.is_claimed) {
+        claim_trials(r, &verdict);
+    }
+    return !r->verdict_due_ms;
 }
 
 /* The verdict may have changed since the slot was requested. */
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -18,27 +18,9 @@
     uint64_t observations_sent, observations_received, requests_quarantined;
 };
 
-/* Verdict on a request with this suspect only, in any pool. */
-static cw_verdict_t evaluate_alone(quarantine_t* q, const cw_fingerprint_t* suspect) {
-    return cw_quarantine_evaluate(q->table, clock_ms(), &(cw_suspects_t){.count = 1, .items = {*suspect}}, 0);
-}
-
 /* Applies an observation and logs a changed verdict. Returns whether the observation was new. */
 static bool apply_observation(quarantine_t* q, const cw_quarantine_observation_t* observation, const char* by) {
-    cw_verdict_t previous = evaluate_alone(q, &observation->suspect);
-    if (!cw_quarantine_observe(q->table, clock_ms(), observation)) {
-        return false;
-    }
-    cw_verdict_t updated = evaluate_alone(q, &observation->suspect);
-    if (updated.kind != previous.kind) {
-        char suspect[CW_SUSPECT_TEXT_MAX];
-        cw_log(q->desc.log, CW_EVENT_REQUEST_SUSPECTED,
-               "%s verdict=%s was=%s ends=%u life=%016llx age_ms=%u told_by=%s retry_ms=%u",
-               cw_suspect_format(&observation->suspect, suspect), cw_verdict_name(updated.kind),
-               cw_verdict_name(previous.kind), updated.crashes, (unsigned long long)observation->incarnation,
-               observation->age_ms, by, updated.retry_ms);
-    }
-    return true;
+    return cw_quarantine_observe_and_log(q->table, clock_ms(), observation, by, q->desc.log);
 }
 
 /* Applies observations of this daemon and publishes those that are new. */
@@ -74,15 +56,7 @@
 
 void quarantine_claim(quarantine_t* q, const cw_suspects_t* suspects, const cw_verdict_t* verdict, const pool_t* pool) {
     cw_quarantine_observation_t claims[CW_SUSPECTS_MAX];
-    uint32_t count = 0;
-    for (uint32_t i = 0; i < suspects->count; i++) {
-        if ((verdict->claims >> i) & 1U) {
-            claims[count++] = (cw_quarantine_observation_t){.kind = CW_OBSERVED_TRIAL,
-                                                            .suspect = suspects->items[i],
-                                                            .incarnation = suspects->claim,
-                                                            .pool = cw_quarantine_pool(pool->id)};
-        }
-    }
+    uint32_t count = cw_quarantine_claims(suspects, verdict, cw_quarantine_pool(pool->id), claims);
     publish_observations(q, claims, count);
 }
 
@@ -109,17 +83,9 @@
 static void clear_suspects(quarantine_t* q, const cw_suspects_t* suspects, uint32_t first, const pool_t* pool,
                            int64_t began_ms) {
     cw_quarantine_observation_t observations[CW_SUSPECTS_MAX];
-    uint32_t count = 0;
-    int64_t age_ms = clock_ms() - began_ms;
-    cw_quarantine_on_answer(q->table, clock_ms(), suspects, cw_quarantine_pool(pool->id));
-    for (uint32_t i = first; i < suspects->count; i++) {
-        if (cw_quarantine_has_crashes(q->table, &suspects->items[i])) {
-            observations[count++] = (cw_quarantine_observation_t){.kind = CW_OBSERVED_CLEARED,
-                                                                  .suspect = suspects->items[i],
-                                                                  .pool = cw_quarantine_pool(pool->id),
-                                                                  .age_ms = age_ms > 0 ? (uint32_t)age_ms : 0};
-        }
-    }
+    uint32_t pool_id = cw_quarantine_pool(pool->id);
+    cw_quarantine_on_answer(q->table, clock_ms(), suspects, pool_id);
+    uint32_t count = cw_quarantine_clearances(q->table, clock_ms(), suspects, first, pool_id, began_ms, observations);
     publish_observations(q, observations, count);
 }
 
--- a/io/quarantine_report.c
+++ b/io/quarantine_report.c
@@ -28,6 +28,29 @@
                               .content_hash = strtoull(fingerprint, NULL, 16)};
 }
 
+/* Verdict on a request with this suspect only, in any pool. */
+static cw_verdict_t evaluate_alone(cw_quarantine_t* q, int64_t now_ms, const cw_fingerprint_t* suspect) {
+    return cw_quarantine_evaluate(q, now_ms, &(cw_suspects_t){.count = 1, .items = {*suspect}}, 0);
+}
+
+bool cw_quarantine_observe_and_log(cw_quarantine_t* q, int64_t now_ms, const cw_quarantine_observation_t* observation,
+                                   const char* by, const cw_log_t* log) {
+    cw_verdict_t previous = evaluate_alone(q, now_ms, &observation->suspect);
+    if (!cw_quarantine_observe(q, now_ms, observation)) {
+        return false;
+    }
+    cw_verdict_t updated = evaluate_alone(q, now_ms, &observation->suspect);
+    if (updated.kind != previous.kind) {
+        char suspect[CW_SUSPECT_TEXT_MAX];
+        cw_log(log, CW_EVENT_REQUEST_SUSPECTED,
+               "%s verdict=%s was=%s ends=%u life=%016llx age_ms=%u told_by=%s retry_ms=%u",
+               cw_suspect_format(&observation->suspect, suspect), cw_verdict_name(updated.kind),
+               cw_verdict_name(previous.kind), updated.crashes, (unsigned long long)observation->incarnation,
+               observation->age_ms, by, updated.retry_ms);
+    }
+    return true;
+}
+
 static json_t* json_hex(uint64_t id) {
     char text[20];
     snprintf(text, sizeof(text), "%016llx", (unsigned long long)id);
--- a/tests/crash_model.h
+++ b/tests/crash_model.h
@@ -236,19 +236,10 @@
     model_end(run);
 }
 
-/* suspects: bit i for suspect i. */
-static inline void model_announce_trial(model_t* m, const model_run_t* run, uint32_t suspects, uint64_t incarnation) {
-    cw_quarantine_observation_t trials[CW_SUSPECTS_MAX];
-    uint32_t count = 0;
-    for (uint32_t i = 0; i < run->suspects.count; i++) {
-        if ((suspects >> i) & 1U) {
-            trials[count++] = (cw_quarantine_observation_t){.kind = CW_OBSERVED_TRIAL,
-                                                            .suspect = run->suspects.items[i],
-                                                            .incarnation = incarnation,
-                                                            .pool = MODEL_POOL};
-        }
-    }
-    model_publish(m, run->host, trials, count);
+static inline void model_claim_trials(model_t* m, model_run_t* run) {
+    cw_quarantine_observation_t claims[CW_SUSPECTS_MAX];
+    run->suspects.claim = cw_mix(++m->claims, 1) | 1U;
+    model_publish(m, run->host, claims, cw_quarantine_claims(&run->suspects, &run->verdict, MODEL_POOL, claims));
 }
 
 /* Sends the request to an engine, lets it wait, or ends it. */
@@ -266,8 +257,7 @@
         m->result.wait_max_ms = (uint32_t)waited_ms;
     }
     if (run->verdict.kind == CW_VERDICT_TRIAL && run->verdict.claims && !run->verdict.is_claimed) {
-        run->suspects.claim = cw_mix(++m->claims, 1) | 1U;
-        model_announce_trial(m, run, run->verdict.claims, run->suspects.claim);
+        model_claim_trials(m, run);
         run->state = MODEL_HELD;
         run->due_ms = m->now_ms + CW_QUARANTINE_CLAIM_MS;
         return;
@@ -279,7 +269,11 @@
         return;
     }
     if (run->verdict.is_content_on_trial) {
-        model_announce_trial(m, run, 1, m->engines[e].incarnation);
+        const cw_quarantine_observation_t trial = {.kind = CW_OBSERVED_TRIAL,
+                                                   .suspect = run->suspects.items[0],
+                                                   .incarnation = m->engines[e].incarnation,
+                                                   .pool = MODEL_POOL};
+        model_publish(m, run->host, &trial, 1);
     }
     run->engine = e;
     run->attempts++;
@@ -396,17 +390,10 @@
 }
 
 static inline void model_clear(model_t* m, const model_run_t* run, uint32_t first, int64_t began_ms) {
+    cw_quarantine_t* q = m->quarantines[run->host];
     cw_quarantine_observation_t observations[CW_SUSPECTS_MAX];
-    uint32_t count = 0;
-    cw_quarantine_on_answer(m->quarantines[run->host], m->now_ms, &run->suspects, MODEL_POOL);
-    for (uint32_t i = first; i < run->suspects.count; i++) {
-        if (cw_quarantine_has_crashes(m->quarantines[run->host], &run->suspects.items[i])) {
-            observations[count++] = (cw_quarantine_observation_t){.kind = CW_OBSERVED_CLEARED,
-                                                                  .suspect = run->suspects.items[i],
-                                                                  .pool = MODEL_POOL,
-                                                                  .age_ms = (uint32_t)(m->now_ms - began_ms)};
-        }
-    }
+    cw_quarantine_on_answer(q, m->now_ms, &run->suspects, MODEL_POOL);
+    uint32_t count = cw_quarantine_clearances(q, m->now_ms, &run->suspects, first, MODEL_POOL, began_ms, observations);
     model_publish(m, run->host, observations, count);
 }
 
