Quarantine: a suspect is tried again once all servers of the pool have another software version

Callers with a part of a prompt that crashed servers were refused for half an hour after a release that mended the servers, unless an operator released the part. Cause: a crash was a fact of the part alone, whatever software the server ran. Change: an observation names the software version of the server that crashed. Where the pool has had one other version for 30 s (the gateway's record of versions; in the native daemon all upstreams of the pool), such a crash counts half: requests with the suspect are on trial, one at a time and claimed before, an answer clears it at once, and two crashes of the new version quarantine it again.

--- a/chalkway_load.h
+++ b/chalkway_load.h
@@ -92,7 +92,7 @@
 #define _CW_LOAD_HEARTBEAT_STEP_MS 8 /* of the other hosts, for each live host */
 #define _CW_LOAD_FIRST_RANKS 3
 #define _CW_LOAD_HEAD_FIELDS 9 /* fields before the entries; the last one is the array of quarantine observations */
-#define _CW_LOAD_OBSERVATION_FIELDS 8 /* numbers of an observation */
+#define _CW_LOAD_OBSERVATION_FIELDS 9 /* numbers of an observation */
 #define _CW_LOAD_ID_FIELDS 2          /* first fields of an entry: the host, 0 for the sender, and the server */
 #define _CW_LOAD_ENTRY_FIELDS 15      /* fixed fields of an entry; the last one is the urgency bits of its backlogs */
 #define _CW_LOAD_RATE_FIELDS 2        /* numbers of a server's rate: its value and its age */
@@ -184,8 +184,8 @@
     }
 }
 
-/* Packs the observations as one flat array: kind, workspace, content, incarnation, pool, phase, known (0 or 1),
-   age. */
+/* Packs the observations as one flat array: kind, workspace, content, incarnation, pool, version, phase, known
+   (0 or 1), age. */
 static void _cw_load_pack_observations(msgpack_packer* p, const cw_load_message_t* message) {
     msgpack_pack_array(p, (size_t)_CW_LOAD_OBSERVATION_FIELDS * message->observation_count);
     for (uint32_t i = 0; i < message->observation_count; i++) {
@@ -195,6 +195,7 @@
         msgpack_pack_uint64(p, observation->suspect.content_hash);
         msgpack_pack_uint64(p, observation->incarnation);
         msgpack_pack_uint32(p, observation->pool);
+        msgpack_pack_uint32(p, observation->version);
         msgpack_pack_uint32(p, observation->phase);
         msgpack_pack_uint32(p, observation->is_known);
         msgpack_pack_uint32(p, observation->age_ms);
@@ -349,6 +350,7 @@
         cw_quarantine_observation_t* observation = &message->observations[message->observation_count++];
         uint64_t kind = 0;
         uint64_t pool = 0;
+        uint64_t version = 0;
         uint64_t phase = 0;
         uint64_t is_known = 0;
         uint64_t age_ms = 0;
@@ -357,12 +359,14 @@
             !_cw_load_read_number(a, at + 2, UINT64_MAX, &observation->suspect.content_hash) ||
             !_cw_load_read_number(a, at + 3, UINT64_MAX, &observation->incarnation) ||
             !_cw_load_read_number(a, at + 4, UINT32_MAX, &pool) ||
-            !_cw_load_read_number(a, at + 5, CW_RUN_PHASE_COUNT - 1, &phase) ||
-            !_cw_load_read_number(a, at + 6, 1, &is_known) || !_cw_load_read_number(a, at + 7, UINT32_MAX, &age_ms)) {
+            !_cw_load_read_number(a, at + 5, UINT32_MAX, &version) ||
+            !_cw_load_read_number(a, at + 6, CW_RUN_PHASE_COUNT - 1, &phase) ||
+            !_cw_load_read_number(a, at + 7, 1, &is_known) || !_cw_load_read_number(a, at + 8, UINT32_MAX, &age_ms)) {
             return false;
         }
         observation->kind = (cw_quarantine_observation_kind_t)kind;
         observation->pool = (uint32_t)pool;
+        observation->version = (uint32_t)version;
         observation->phase = (cw_run_phase_t)phase;
         observation->is_known = is_known;
         observation->age_ms = (uint32_t)age_ms;
--- a/chalkway_quarantine.h
+++ b/chalkway_quarantine.h
@@ -32,6 +32,9 @@
           when another request was in a more suspicious phase: a server that
           crashes as it begins to respond has sent the head of the response
           at most (cw_run_phase_t);
+        - it also counts half once all servers of the pool have another
+          software version than the one that crashed: requests with the
+          suspect are on trial there, and an answer clears it;
         - an incarnation that shows a sign of life after its crash did not
           crash: that observation is dropped.
 
@@ -64,7 +67,7 @@
 
     HOW TO USE IT
             cw_quarantine_t* q = cw_quarantine_setup(&(cw_quarantine_desc_t){0});
-            cw_verdict_t v = cw_quarantine_evaluate(q, now_ms, &suspects, pool);
+            cw_verdict_t v = cw_quarantine_evaluate(q, now_ms, &suspects, &target);
             if (v.kind == CW_VERDICT_QUARANTINED) { refuse it with a retry delay of v.retry_ms }
             if (cw_quarantine_observe(q, now_ms, &observation)) { it was new: send it to the other hosts }
 
@@ -96,6 +99,7 @@
     cw_fingerprint_t suspect; /* all zero for CW_OBSERVED_ALIVE, and for a crash reported only for its time */
     uint64_t incarnation;     /* key of the server; of a part's trial: the claim; 0 for CW_OBSERVED_CLEARED */
     uint32_t pool;            /* cw_quarantine_pool of the server's pool; 0: all pools */
+    uint32_t version;         /* of a crash: cw_quarantine_server_version of the server; 0: unknown */
     cw_run_phase_t phase;     /* of a crash */
     bool is_known;            /* of a crash: the suspect is a part that was answered shortly before */
     uint32_t age_ms;          /* since the observed event; of a clearance: since the response began */
@@ -123,6 +127,12 @@
     uint32_t retry_ms; /* quarantined: time until it may be sent; pending: time until the next evaluation */
 } cw_verdict_t;
 
+/* Where a request is to be sent. */
+typedef struct cw_quarantine_target_t {
+    uint32_t pool;    /* cw_quarantine_pool; 0: any */
+    uint32_t version; /* cw_quarantine_server_version of all its servers; 0: several, or unknown */
+} cw_quarantine_target_t;
+
 typedef struct cw_quarantine_desc_t {
     uint32_t entries;      /* most suspects tracked, default 4096; one workspace, and all parts, may use a quarter */
     uint32_t retention_ms; /* time for which a crash counts, default 30 minutes */
@@ -152,6 +162,8 @@
 void cw_quarantine_shutdown(cw_quarantine_t* q);
 /* The value by which observations name a pool. name_id: of its name. */
 uint32_t cw_quarantine_pool(uint64_t name_id);
+/* The value by which observations name a version of the servers' software. version_id: its id; 0: unknown. */
+uint32_t cw_quarantine_server_version(uint64_t version_id);
 /* A request with these suspects was answered in the pool. */
 void cw_quarantine_on_answer(cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects, uint32_t pool);
 /* Writes the observations, at most CW_SUSPECTS_MAX, of a request that broke in the phase as the incarnation crashed: of
@@ -168,8 +180,9 @@
                                   uint32_t first, uint32_t pool, int64_t began_ms, cw_quarantine_observation_t* out);
 /* Applies an observation, received or made by this host itself. Returns whether it was new. */
 bool cw_quarantine_observe(cw_quarantine_t* q, int64_t now_ms, const cw_quarantine_observation_t* observation);
-/* Current verdict on a request with these suspects to the pool (cw_quarantine_pool; 0: any). */
-cw_verdict_t cw_quarantine_evaluate(cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects, uint32_t pool);
+/* Current verdict on a request with these suspects to the target. */
+cw_verdict_t cw_quarantine_evaluate(cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects,
+                                    const cw_quarantine_target_t* target);
 /* Whether the suspect has crashes or trials: only then does a response need to be observed. */
 bool cw_quarantine_has_crashes(const cw_quarantine_t* q, const cw_fingerprint_t* suspect);
 /* Incremented whenever verdicts may have changed, except by the passing of time. */
@@ -228,6 +241,7 @@
     uint64_t incarnation;
     int64_t at_ms;
     uint32_t pool;
+    uint32_t version;
     cw_run_phase_t phase;
     bool is_known, is_trial;
 } _cw_crash_t;
@@ -262,11 +276,11 @@
     uint64_t evicted;
 };
 
-/* The request on which a verdict is made: its suspects that are tracked, and its pool. */
+/* The request on which a verdict is made: its suspects that are tracked, and where it is to be sent. */
 typedef struct _cw_suspected_request_t {
     _cw_tracked_t* entries[CW_SUSPECTS_MAX];
     uint32_t count;
-    uint32_t pool;
+    cw_quarantine_target_t target;
     uint64_t claim;
 } _cw_suspected_request_t;
 
@@ -355,6 +369,11 @@
     return pool ? pool : 1;
 }
 
+uint32_t cw_quarantine_server_version(uint64_t version_id) {
+    uint32_t version = (uint32_t)version_id;
+    return version || !version_id ? version : 1;
+}
+
 uint64_t cw_quarantine_version(const cw_quarantine_t* q) {
     return q->version;
 }
@@ -608,8 +627,9 @@
     if (crash->is_trial) {
         return cw_fingerprint_is_part(&entry->suspect) ? 0 : _CW_QUARANTINE_HALF_WEIGHT;
     }
-    bool is_elsewhere = request->pool && crash->pool && crash->pool != request->pool;
-    if (is_elsewhere && _cw_tracked_cleared_at_ms(entry, request->pool) != INT64_MIN) {
+    const cw_quarantine_target_t* target = &request->target;
+    bool is_elsewhere = target->pool && crash->pool && crash->pool != target->pool;
+    if (is_elsewhere && _cw_tracked_cleared_at_ms(entry, target->pool) != INT64_MIN) {
         return 0; /* the request's own pool has responded to it */
     }
     uint32_t own_crashes = _cw_tracked_count_crashes(entry);
@@ -617,7 +637,9 @@
     if (rival_crashes > own_crashes || (crash->is_known && rival_crashes)) {
         return 0;
     }
-    bool has_other_cause = rival_crashes == own_crashes || _cw_quarantine_has_more_suspicious_phase(q, crash) ||
+    bool is_other_version = target->version && crash->version && crash->version != target->version;
+    bool has_other_cause = is_other_version || rival_crashes == own_crashes ||
+                           _cw_quarantine_has_more_suspicious_phase(q, crash) ||
                            _cw_quarantine_find_unrelated_crash(q, request, entry, crash);
     if (crash->is_known) {
         return has_other_cause ? 0 : _CW_QUARANTINE_HALF_WEIGHT;
@@ -769,8 +791,9 @@
     return _cw_quarantine_decide(q, &request, entry, now_ms);
 }
 
-cw_verdict_t cw_quarantine_evaluate(cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects, uint32_t pool) {
-    _cw_suspected_request_t request = {.pool = pool, .claim = suspects->claim};
+cw_verdict_t cw_quarantine_evaluate(cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects,
+                                    const cw_quarantine_target_t* target) {
+    _cw_suspected_request_t request = {.target = *target, .claim = suspects->claim};
     uint32_t indexes[CW_SUSPECTS_MAX];
     for (uint32_t i = 0; i < suspects->count; i++) {
         _cw_tracked_t* entry = _cw_quarantine_find(q, &suspects->items[i]);
@@ -890,6 +913,7 @@
     *target = (_cw_crash_t){.incarnation = observation->incarnation,
                             .at_ms = at_ms,
                             .pool = observation->pool,
+                            .version = observation->version,
                             .phase = observation->phase,
                             .is_known = is_known_part,
                             .is_trial = is_trial};
@@ -985,6 +1009,7 @@
                                               .suspect = entry->suspect,
                                               .incarnation = crash->incarnation,
                                               .pool = crash->pool,
+                                              .version = crash->version,
                                               .phase = crash->phase,
                                               .is_known = crash->is_known,
                                               .age_ms = _cw_quarantine_age_ms(crash->at_ms, now_ms)};
--- a/chalkway_wire.h
+++ b/chalkway_wire.h
@@ -292,6 +292,7 @@
     _cw_io_u64(io, &o->suspect.content_hash);
     _cw_io_u64(io, &o->incarnation);
     _cw_io_u32(io, &o->pool);
+    _cw_io_u32(io, &o->version);
     o->phase = (cw_run_phase_t)_cw_io_enum(io, o->phase, CW_RUN_PHASE_COUNT);
     _cw_io_bool(io, &o->is_known);
     _cw_io_u32(io, &o->age_ms);
--- a/daemon/suspects.c
+++ b/daemon/suspects.c
@@ -94,8 +94,11 @@
 void suspects_on_broken(request_t* r) {
     r->suspects.claim = 0;
     cw_quarantine_observation_t observations[CW_SUSPECTS_MAX];
-    const cw_quarantine_observation_t crash = {
-        .kind = CW_OBSERVED_CRASH, .incarnation = r->upstream, .pool = pool_of(r), .phase = phase_of(r)};
+    const cw_quarantine_observation_t crash = {.kind = CW_OBSERVED_CRASH,
+                                               .incarnation = r->upstream,
+                                               .pool = pool_of(r),
+                                               .version = cw_quarantine_server_version(r->upstream_version),
+                                               .phase = phase_of(r)};
     entry_t* e = r->entry;
     uint32_t count = cw_quarantine_observe_crash(e->quarantine, node_now_ms(), &r->suspects, &crash, observations);
     publish(e, observations, count);
@@ -126,8 +129,25 @@
 
 /* -- verdicts ------------------------------------------------------------- */
 
+/* The software version of all upstreams of the request's pool; 0: several. */
+static uint32_t version_of_pool(const request_t* r) {
+    cw_snapshot_t* newest = cw_store_snapshot(r->entry->node->store);
+    uint64_t version = 0;
+    bool is_only = true;
+    for (uint32_t i = 0; i < newest->upstream_count; i++) {
+        const cw_upstream_t* u = &newest->upstreams[i];
+        if (u->pool_id == r->pool->id) {
+            is_only = is_only && (!version || version == u->version_id);
+            version = u->version_id;
+        }
+    }
+    cw_snapshot_release(newest);
+    return is_only ? cw_quarantine_server_version(version) : 0;
+}
+
 static cw_verdict_t judge(const request_t* r) {
-    return cw_quarantine_evaluate(r->entry->quarantine, node_now_ms(), &r->suspects, pool_of(r));
+    const cw_quarantine_target_t target = {.pool = pool_of(r), .version = version_of_pool(r)};
+    return cw_quarantine_evaluate(r->entry->quarantine, node_now_ms(), &r->suspects, &target);
 }
 
 static void log_held(const request_t* r, const cw_verdict_t* verdict) {
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -9,6 +9,9 @@
 
 /* Verdicts change for some time after an observation: a pending one becomes final. */
 #define SETTLING_MS 300
+/* A pool has one software version if no other has been listed for this long: servers that crashed leave the list and
+   return to it under new ids. */
+#define VERSIONS_MEMORY_MS 30000
 
 struct quarantine_t {
     quarantine_desc_t desc;
@@ -44,7 +47,10 @@
 }
 
 cw_verdict_t quarantine_check(quarantine_t* q, const cw_suspects_t* suspects, const pool_t* pool) {
-    return cw_quarantine_evaluate(q->table, clock_ms(), suspects, cw_quarantine_pool(pool->id));
+    uint64_t version = cw_pool_versions_only(&pool->versions, clock_ms(), VERSIONS_MEMORY_MS);
+    const cw_quarantine_target_t target = {.pool = cw_quarantine_pool(pool->id),
+                                           .version = cw_quarantine_server_version(version)};
+    return cw_quarantine_evaluate(q->table, clock_ms(), suspects, &target);
 }
 
 void quarantine_record_refusal(quarantine_t* q, const char* id, const cw_verdict_t* verdict) {
@@ -70,9 +76,11 @@
 
 void quarantine_on_crash(quarantine_t* q, const cw_suspects_t* suspects, cw_run_phase_t phase, server_t* server) {
     cw_quarantine_observation_t observations[CW_SUSPECTS_MAX];
+    uint64_t version = cw_server_version_id(&server->published);
     const cw_quarantine_observation_t crash = {.kind = CW_OBSERVED_CRASH,
                                                .incarnation = server->key,
                                                .pool = cw_quarantine_pool(server->pool->id),
+                                               .version = cw_quarantine_server_version(version),
                                                .phase = phase};
     uint32_t count = cw_quarantine_observe_crash(q->table, clock_ms(), suspects, &crash, observations);
     watch_for_data(server, clock_ms());
--- a/io/quarantine_report.c
+++ b/io/quarantine_report.c
@@ -30,7 +30,8 @@
 
 /* Verdict on a request with this suspect only, in any pool. */
 static cw_verdict_t evaluate_alone(cw_quarantine_t* q, int64_t now_ms, const cw_fingerprint_t* suspect) {
-    return cw_quarantine_evaluate(q, now_ms, &(cw_suspects_t){.count = 1, .items = {*suspect}}, 0);
+    return cw_quarantine_evaluate(q, now_ms, &(cw_suspects_t){.count = 1, .items = {*suspect}},
+                                  &(cw_quarantine_target_t){0});
 }
 
 bool cw_quarantine_observe_and_log(cw_quarantine_t* q, int64_t now_ms, const cw_quarantine_observation_t* observation,
