Observations are repeated by the hosts that have run longest, and a host that joins gets them at once

The first host that was back had seen four crashes and held the part; the other four started a moment later, heard of one of them, and let the part crash six upstreams more. Cause: only the hosts of the first two ranks repeat observations, whatever they know. The host that knew had rank four of five. And what is sent when a host joins went to the hosts of before, since the list of peers was renewed only afterwards. Change: the two hosts that have run longest repeat, which have observed what the others can't have. The list of peers is renewed before observations are sent. Evidence: the new test, each of six hosts in turn the first one to start, failed for four of them (timed out after 20 s) and passes for all.

--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -77,6 +77,20 @@
     return rank;
 }
 
+/* Number of hosts that have run longer than this one. */
+static uint32_t count_older_hosts(const mesh_t* m) {
+    uint32_t older = 0;
+    const cw_member_info_t* self = &cw_members_at(m->members, 0)->info;
+    for (uint32_t i = 1; i < cw_members_count(m->members); i++) {
+        const cw_member_t* member = cw_members_at(m->members, i);
+        const cw_member_info_t* info = &member->info;
+        bool is_older =
+            info->incarnation != self->incarnation ? info->incarnation < self->incarnation : info->id < self->id;
+        older += is_alive(member) && !info->leaving && is_older;
+    }
+    return older;
+}
+
 /* Whether an unreachable host may be partitioned off and still running: it didn't leave as planned, and its machine
    didn't refuse a connection, which would show that the process ended. */
 static bool may_be_partitioned(const cw_member_t* member, int64_t now_ms) {
@@ -113,16 +127,18 @@
     for (uint32_t i = 0; i < known; i++) {
         live += is_alive(cw_members_at(m->members, i));
     }
-    if (live > m->live) {
-        reporter_resend_all(m->reporter);
-    }
+    bool has_joined = live > m->live;
     m->live = live;
     if (known > m->max_known) {
         m->max_known = known;
         m->last_join_ms = clock_ms();
     }
     m->rank = own_rank(m);
-    reporter_set_members(m->reporter, m->members, live, m->rank);
+    reporter_set_members(m->reporter, m->members,
+                         &(reporter_position_t){.live = live, .rank = m->rank, .older = count_older_hosts(m)});
+    if (has_joined) {
+        reporter_resend_all(m->reporter);
+    }
     update_fleet(m, clock_ms());
     cw_log(m->desc.log, CW_EVENT_MEMBERS_CHANGED, "live=%u known=%u rank=%u", live, known, m->rank);
     m->desc.on_members(m->desc.user_data, m->max_known, m->rank);
--- a/gateway/reporter.c
+++ b/gateway/reporter.c
@@ -380,11 +380,12 @@
 
 /* -- interface ------------------------------------------------------------ */
 
-void reporter_set_members(reporter_t* n, const cw_members_t* members, uint32_t live, uint32_t rank) {
+void reporter_set_members(reporter_t* n, const cw_members_t* members, const reporter_position_t* position) {
     n->members = members;
     n->has_membership_changed = true;
-    n->live = live;
-    n->rank = rank;
+    n->live = position->live;
+    n->rank = position->rank;
+    n->older_hosts = position->older;
 }
 
 void reporter_resend_all(reporter_t* n) {
--- a/gateway/reporter.h
+++ b/gateway/reporter.h
@@ -41,11 +41,18 @@
     uint64_t unknown;          /* entries on servers, or incarnations of servers, that are not known here */
 } reporter_stats_t;
 
+/* This host among those that are alive. */
+typedef struct reporter_position_t {
+    uint32_t live;  /* number of hosts */
+    uint32_t rank;  /* of this host, in an order that is the same for all */
+    uint32_t older; /* number of hosts that started before this one */
+} reporter_position_t;
+
 reporter_t* reporter_setup(const reporter_desc_t* desc, cw_error_t* err);
 void reporter_shutdown(reporter_t* n);
-/* The membership changed: live hosts are alive, rank is the rank of this one among them. The members are read when the
-   next datagram is sent, so they must stay valid until the next call. */
-void reporter_set_members(reporter_t* n, const cw_members_t* members, uint32_t live, uint32_t rank);
+/* The membership changed. The members are read when the next datagram is sent, so they must stay valid until the next
+   call. */
+void reporter_set_members(reporter_t* n, const cw_members_t* members, const reporter_position_t* position);
 /* A host joined: sends the observations now and the whole load with the next tick. */
 void reporter_resend_all(reporter_t* n);
 /* The load of this host at the server changed. work: the request that was just sent there; NULL: a request ended. */
--- a/gateway/reporter_internal.h
+++ b/gateway/reporter_internal.h
@@ -65,6 +65,7 @@
     const cw_members_t* members; /* NULL: not known yet */
     bool has_membership_changed;
     uint32_t live, rank;
+    uint32_t older_hosts;
     cw_relay_plan_t plan;
     peer_t peers[HOSTS_MAX]; /* without this host; sorted by hall, then by rank as a relay */
     uint64_t ids[HOSTS_MAX]; /* of peers, in the same order */
@@ -132,7 +133,7 @@
 void reporter_send_observations(reporter_t* n);
 /* Handles the observations of a received datagram. delay_ms: upper bound of its age. */
 void reporter_receive_observations(reporter_t* n, const cw_load_message_t* message, uint32_t delay_ms);
-/* On the hosts of the first ranks: queues the next part of all valid observations, once an interval. */
+/* On the hosts that have run longest: queues the next part of all valid observations, once an interval. */
 void reporter_repeat_observations(reporter_t* n, int64_t now_ms);
 /* Sends all valid observations at once, for a host that just joined. */
 void reporter_resend_observations(reporter_t* n);
--- a/gateway/reporter_observations.c
+++ b/gateway/reporter_observations.c
@@ -3,10 +3,11 @@
 #include "clock.h"
 #include "reporter_internal.h"
 
-/* The hosts of the first ranks repeat all observations, so that neither a lost datagram nor a host that just started
-   costs a server. 48 observations of 30 bytes a second from two hosts are 3 KB/s for each host that receives them. */
+/* The hosts that have run longest repeat all observations, so that neither a lost datagram nor a host that just started
+   costs a server. They are the ones that observed crashes before others started. 48 observations of 30 bytes a second
+   from two hosts are 3 KB/s for each host that receives them. */
 #define OBSERVATION_REPEAT_INTERVAL_MS 1000
-#define OBSERVATION_REPEATER_RANKS 2
+#define OBSERVATION_REPEATERS 2
 #define OBSERVATION_BURST_DATAGRAMS 16 /* sent at once when a host joins; further observations follow by repetition */
 /* Delays until a new observation is sent again, since datagrams are lost. */
 static const int64_t resend_delays_ms[] = {50, 150};
@@ -86,7 +87,7 @@
 }
 
 void reporter_repeat_observations(reporter_t* n, int64_t now_ms) {
-    if (n->rank >= OBSERVATION_REPEATER_RANKS ||
+    if (n->older_hosts >= OBSERVATION_REPEATERS ||
         now_ms - n->observations_repeated_ms < OBSERVATION_REPEAT_INTERVAL_MS || !n->desc.observations) {
         return;
     }
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -13,6 +13,7 @@
 #define HALL_A_HOSTS 2 /* the first hosts are in hall a, the others in hall b */
 #define TICK_S 0.01
 #define TIMEOUT_S 20.0
+#define START_INTERVAL_US 2000 /* no two hosts start in the same millisecond */
 
 typedef struct host_t {
     gateway_settings_t settings;
@@ -120,15 +121,23 @@
     cw_servers_free(&list);
 }
 
-static fleet_t* fleet_setup(void) {
+static void write_address(char address[32], int host) {
+    snprintf(address, 32, "127.%d.%d.%d", 100 + getpid() / 250 % 100, 1 + getpid() % 250, host + 1);
+}
+
+/* first: the host that starts before the others. */
+static fleet_t* fleet_setup_from(int first) {
     fleet_t* fleet = calloc(1, sizeof(*fleet));
     cw_error_t err = {0};
     fleet->loop = ev_loop_new(0);
     fleet->log = (cw_log_t){.level = CW_LOG_ERROR, .write = ignore_line};
-    for (int i = 0; i < HOSTS; i++) {
+    for (int k = 0; k < HOSTS; k++) {
+        int i = (first + k) % HOSTS;
         host_t* host = &fleet->hosts[i];
         char base[32];
-        snprintf(base, sizeof(base), "127.%d.%d.%d", 100 + getpid() / 250 % 100, 1 + getpid() % 250, i + 1);
+        char first_base[32];
+        write_address(base, i);
+        write_address(first_base, first);
         snprintf(host->settings.name, sizeof(host->settings.name), "h%d", i);
         snprintf(host->settings.hall, sizeof(host->settings.hall), "%s", i < HALL_A_HOSTS ? "a" : "b");
         snprintf(host->settings.cluster, sizeof(host->settings.cluster), "c");
@@ -136,7 +145,7 @@
         snprintf(host->settings.peer, sizeof(host->settings.peer), "%s:7204", base);
         snprintf(host->settings.load, sizeof(host->settings.load), "%s:7205", base);
         snprintf(host->settings.share, sizeof(host->settings.share), "%s:7206", base);
-        snprintf(host->settings.seeds, sizeof(host->settings.seeds), "%s", fleet->hosts[0].settings.peer);
+        snprintf(host->settings.seeds, sizeof(host->settings.seeds), "%s:7204", first_base);
         host->min_age_ms = UINT32_MAX;
         host->own_state = (cw_source_state_t){.revision = 1, .servers = 1, .servers_age_ms = 1000};
         set_upstreams(fleet, host, (uint64_t)i + 1);
@@ -152,6 +161,7 @@
                                                .user_data = host},
                                 &err);
         ck_assert_msg(host->mesh != NULL, "%s", cw_error_text(&err).text);
+        usleep(START_INTERVAL_US);
     }
     ev_timer_init(&fleet->tick, on_tick, TICK_S, TICK_S);
     ev_timer_init(&fleet->timeout, on_timeout, TIMEOUT_S, 0.0);
@@ -160,6 +170,10 @@
     return fleet;
 }
 
+static fleet_t* fleet_setup(void) {
+    return fleet_setup_from(0);
+}
+
 static void fleet_shutdown(fleet_t* fleet) {
     for (int i = 0; i < HOSTS; i++) {
         mesh_shutdown(fleet->hosts[i].mesh);
@@ -310,6 +324,28 @@
 }
 END_TEST
 
+static bool all_others_received_the_observation(fleet_t* fleet) {
+    uint32_t hosts = 0;
+    for (int i = 0; i < HOSTS; i++) {
+        hosts += fleet->hosts[i].observations > 0;
+    }
+    return hosts == HOSTS - 1;
+}
+
+/* All hosts were lost, and the first one that started again has observed crashes before the others were there. Seen in
+   a soak: it never passed them on unless it was one of the first ranks, and the others let a part crash further
+   servers. */
+START_TEST(the_host_that_started_first_passes_its_observations_on) {
+    static const cw_quarantine_observation_t observation = {
+        .kind = CW_OBSERVED_CRASH, .suspect = {.content_hash = 7}, .incarnation = 101};
+    fleet_t* fleet = fleet_setup_from(_i);
+    fleet->hosts[_i].repeated = observation;
+    run_until(fleet, all_are_alive);
+    run_until(fleet, all_others_received_the_observation);
+    fleet_shutdown(fleet);
+}
+END_TEST
+
 static bool the_second_host_is_cut_off(fleet_t* fleet) {
     for (int i = 0; i < HOSTS; i++) {
         const cw_member_info_t* chosen = mesh_choose_tunnel_host(fleet->hosts[i].mesh, "p", 1, NULL, 0);
@@ -344,6 +380,7 @@
 static void add_tests(TCase* t) {
     tcase_add_test(t, tunnels_go_through_hosts_that_reach_the_pool);
     tcase_add_test(t, an_observation_reaches_every_host_of_every_hall);
+    tcase_add_loop_test(t, the_host_that_started_first_passes_its_observations_on, 0, HOSTS);
     tcase_add_test(t, cached_parts_are_reported_to_every_host);
     tcase_add_test(t, each_key_has_one_owner);
     tcase_add_test(t, load_reports_reach_every_host_of_every_hall);
--- a/tests/test_reporter.c
+++ b/tests/test_reporter.c
@@ -69,7 +69,7 @@
                                                     .on_stream_announced = on_stream_announced},
                                  &err);
     ck_assert_msg(f->reporter != NULL, "%s", err.message);
-    reporter_set_members(f->reporter, f->members, (uint32_t)count, 0);
+    reporter_set_members(f->reporter, f->members, &(reporter_position_t){.live = (uint32_t)count});
 }
 
 static void fleet_shutdown(fleet_t* f) {
