--- a/daemon/suspects.c
+++ b/daemon/suspects.c
@@ -41,24 +41,30 @@
 
 /* -- observations --------------------------------------------------------- */
 
-static void send_to_others(entry_t* e, const cw_quarantine_observation_t* observation) {
+static void send_to_others(entry_t* e, const cw_quarantine_observation_t* observations, uint32_t count) {
     uint64_t hosts[NODE_MAX_HOSTS];
-    uint32_t count = node_list_live_hosts(e->node, hosts);
-    e->out.type = CW_MSG_OBSERVATION;
-    e->out.observation = *observation;
+    uint32_t host_count = count ? node_list_live_hosts(e->node, hosts) : 0;
     for (uint32_t i = 0; i < count; i++) {
-        if (hosts[i] != e->node->host) {
-            node_send(e->node, hosts[i], &e->out);
+        e->out.type = CW_MSG_OBSERVATION;
+        e->out.observation = observations[i];
+        for (uint32_t h = 0; h < host_count; h++) {
+            if (hosts[h] != e->node->host) {
+                node_send(e->node, hosts[h], &e->out);
+            }
         }
     }
 }
 
+/* Applies observations of this host, at most CW_SUSPECTS_MAX, and sends those that are new to the others. */
 static void publish(entry_t* e, const cw_quarantine_observation_t* observations, uint32_t count) {
+    cw_quarantine_observation_t published[CW_SUSPECTS_MAX];
+    uint32_t published_count = 0;
     for (uint32_t i = 0; i < count; i++) {
         if (cw_quarantine_observe_and_log(e->quarantine, node_now_ms(), &observations[i], "self", &e->node->log)) {
-            send_to_others(e, &observations[i]);
+            published[published_count++] = observations[i];
         }
     }
+    send_to_others(e, published, published_count);
 }
 
 void entry_on_observation(entry_t* e, const cw_quarantine_observation_t* observation) {
@@ -77,9 +83,7 @@
     uint32_t at = 0;
     do {
         uint32_t count = cw_quarantine_export(e->quarantine, node_now_ms(), &at, observations, EXPORT_MAX);
-        for (uint32_t i = 0; i < count; i++) {
-            send_to_others(e, &observations[i]);
-        }
+        send_to_others(e, observations, count);
     } while (at);
 }
 
--- a/gateway/reporter_internal.h
+++ b/gateway/reporter_internal.h
@@ -65,7 +65,7 @@
     const cw_members_t* members; /* NULL: not known yet */
     bool has_membership_changed;
     uint32_t live, rank;
-    uint32_t older_hosts;
+    uint32_t older_hosts; /* number of live hosts that started before this one */
     cw_relay_plan_t plan;
     peer_t peers[HOSTS_MAX]; /* without this host; sorted by hall, then by rank as a relay */
     uint64_t ids[HOSTS_MAX]; /* of peers, in the same order */
