Soak check: the response of a query of death is lost by the crash, not by a later stop of its host

Trace: the request had a part that crashes upstreams; its upstream crashed 60 ms after it had begun, it waited for a trial, its host was stopped 1.7 s later, and 2.4 s after that the part was quarantined, which ended the response truthfully as failed. No response that a server could have completed was lost. The check attributed it to the stop, since the upstream was back by then. Change: a request that has crashed an upstream does not count as lost by a stop; any other does, also a query of death that crashed none (test; the check of before counts both).

--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -80,6 +80,22 @@
 }
 END_TEST
 
+#define LOST_QUERY_OF_DEATH(event)                                                                                     \
+    "C 210 sent b short h:1 400 part-1\nU 211 begin b v1 2 0\n" event "C 1700 done b 200 0 0 9 0 0\n"
+
+/* Seen in a soak: the host of such a request was stopped while it waited for another attempt, and the part of its
+   prompt was quarantined meanwhile. */
+START_TEST(response_of_a_query_of_death_is_lost_by_the_crash_and_not_by_the_stop) {
+    static const char stop[] = "S 200 fault stop h:1\n";
+    static const char end[] = "S 1800 ended h:1 0\nS 1810 over stop h:1\n";
+    char text[512];
+    snprintf(text, sizeof(text), "%s%s%s", stop, LOST_QUERY_OF_DEATH("U 212 died b v1\nS 400 over died v1\n"), end);
+    ck_assert_uint_eq(check_record(text).count[SOAK_LOST_ON_STOP], 0);
+    snprintf(text, sizeof(text), "%s%s%s", stop, LOST_QUERY_OF_DEATH(""), end);
+    ck_assert_uint_eq(check_record(text).count[SOAK_LOST_ON_STOP], 1);
+}
+END_TEST
+
 START_TEST(unclean_host_exit_is_found) {
     expect_only("S 5 fault stop h:1\nS 300 ended h:1 139\nS 310 over stop h:1\n", SOAK_UNCLEAN_EXIT);
     expect_only("S 5 fault stop h:1\nS 9000 ended h:1 0\nS 9010 over stop h:1\n", SOAK_UNCLEAN_EXIT);
@@ -310,6 +326,7 @@
     tcase_add_test(t, run_after_refusal_is_found);
     tcase_add_test(t, wrong_response_is_found);
     tcase_add_test(t, request_lost_on_planned_stop_is_found);
+    tcase_add_test(t, response_of_a_query_of_death_is_lost_by_the_crash_and_not_by_the_stop);
     tcase_add_test(t, unclean_host_exit_is_found);
     tcase_add_test(t, refusal_while_engines_idle_is_found);
     tcase_add_test(t, priority_inversion_is_found);
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -58,6 +58,7 @@
     bool is_complete, is_correct, is_quarantined;
     bool is_resumption, is_mixed;
     soak_qod_body_t* qod_body; /* NULL: an ordinary request */
+    bool has_crashed_upstream; /* a query of death: it crashed at least one */
     int64_t begin_ms, end_ms;
     char last_server[NAME_SIZE]; /* server that last began to run the request */
     double idle_engine_share;    /* share of idle engines when the request was sent */
@@ -255,8 +256,7 @@
 
 /* A query of death arrived at an upstream, or crashed it. A crash counts as a fault until the soak has restarted the
    upstream. */
-static void handle_query_of_death(checker_t* c, int64_t at_ms, const char* what, const request_t* r,
-                                  const char* server) {
+static void handle_query_of_death(checker_t* c, int64_t at_ms, const char* what, request_t* r, const char* server) {
     soak_qod_body_t* body = r->qod_body;
     if (strcmp(what, "reach") == 0) {
         if (!may_lack_state(c, at_ms, r->host)) {
@@ -264,6 +264,7 @@
         }
         return;
     }
+    r->has_crashed_upstream = true;
     soak_qod_on_crash(body, at_ms);
     handle_fault(c, at_ms, true, "died", server);
 }
@@ -568,10 +569,10 @@
 }
 
 /* Returns whether the connection closed without a complete response during a planned stop of the host, although a
-   server had begun to run the request. */
+   server had begun to run the request. The response of a query of death is lost with the server that it crashed. */
 static bool was_lost_by_stop(const checker_t* c, const request_t* r) {
     bool lacks_response = r->done_ms && !r->abandoned_ms && (!r->status || !r->is_complete) && r->begin_count;
-    if (!lacks_response || is_disturbed(c, r->done_ms, r->last_server, FAULT_MARGIN_MS)) {
+    if (!lacks_response || r->has_crashed_upstream || is_disturbed(c, r->done_ms, r->last_server, FAULT_MARGIN_MS)) {
         return false;
     }
     for (uint32_t i = 0; i < c->fault_count; i++) {
