Test: a part is tried again at the gateway once all engines have another version

Guards the gateway's way to the pool's versions: refused at the version that crashed and in the 30 s after it was last listed, served after it.

--- a/tests/test_crashing_part.c
+++ b/tests/test_crashing_part.c
@@ -109,9 +109,34 @@
 }
 END_TEST
 
+static void set_version(rig_t* r, const char* version, int64_t at_ms) {
+    for (uint32_t i = 0; i < ENGINES; i++) {
+        r->versions[i] = version;
+    }
+    rig_set_servers_at(r, at_ms, ENGINES, 0, false);
+}
+
+/* Guards against a part that stays refused after a release that mends the engines. */
+START_TEST(a_part_is_tried_again_once_all_engines_have_another_version) {
+    rig_t* r = rig_setup(ROUTES, ENGINES);
+    set_version(r, "v1", 1000);
+    rig_script(r, (rig_step_t[]){CRASHES, CRASHES, CRASHES, CRASHES, SERVES, SERVES, SERVES, SERVES}, ENGINES);
+    crash_engines(r, "a1:400,dead:200", 4);
+    ck_assert(has_status(send_prompt(r, "bad-9", "a1:400,dead:200"), "503"));
+    r->next_step = 4;
+    set_version(r, "v2", clock_ms()); /* engines with the first version may still be about to be listed again */
+    ck_assert(has_status(send_prompt(r, "bad-10", "a1:400,dead:200"), "503"));
+    cw_clock_simulate_suspend(31000);
+    ck_assert(has_status(send_prompt(r, "good-1", "a1:400,dead:200"), "200"));
+    ck_assert(has_status(send_prompt(r, "good-2", "a1:400,dead:200"), "200"));
+    rig_shutdown(r);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
     tcase_add_test(t, prompts_with_a_part_that_crashed_engines_are_sent_to_no_other);
     tcase_add_test(t, prompts_that_share_the_other_parts_are_served);
+    tcase_add_test(t, a_part_is_tried_again_once_all_engines_have_another_version);
 }
 
 int main(void) {
