--- a/review/1/case.c
+++ b/review/1/case.c
@@ -244,7 +244,7 @@
     while (done < 3) {
         for (int i = 0; i < 3; i++) {
             int64_t now_ms = rig_now_ms();
-            if (!term_ms[i] && now_ms - begun_ms >= i * GAP_MS) {
+            if (!term_ms[i] && now_ms - begun_ms >= (int64_t)i * GAP_MS) {
                 kill(rig_hosts[i].pid, SIGTERM);
                 term_ms[i] = now_ms;
                 rig_note("SIGTERM to machine %d", i);
@@ -287,7 +287,7 @@
     }
     /* One at a time, gap_s 0.7: the new one starts, the old one's entry goes and it serves on. */
     for (int i = 0; i < 2; i++) {
-        rig_sleep_until(rig_start_ms + 800 + 700 * i);
+        rig_sleep_until(rig_start_ms + 800 + (int64_t)700 * i);
         start_server(4 + i, "v2");
         rig_sleep_ms(300);
         rig_unlist_server(servers[i].entry);
