--- a/review/3/case.c
+++ b/review/3/case.c
@@ -48,7 +48,7 @@
 static int arrivals[SERVERS];
 static volatile bool is_over;
 static volatile bool is_host_used[HOSTS];
-static volatile long served, failed;
+static volatile long served, failed, sent_to[HOSTS], served_by[HOSTS];
 
 typedef struct conn_arg_t {
     int fd;
@@ -126,8 +126,10 @@
 }
 
 /* Requests one after the other on a kept connection to one machine. */
+static int client_numbers[HOSTS * CLIENTS_OF_HOST];
+
 static void* run_client(void* arg) {
-    int number = (int)(intptr_t)arg;
+    int number = *(int*)arg;
     int host = number % HOSTS;
     rig_conn_t* c = calloc(1, sizeof(*c));
     c->fd = -1;
@@ -154,6 +156,8 @@
             rig_consume(c, head);
             head = rig_skip_body(c, body) ? head : 0;
         }
+        sent_to[host]++;
+        served_by[host] += is_ok;
         served += is_ok;
         failed += !is_ok;
         if (!head) {
@@ -161,6 +165,22 @@
             c->fd = -1;
         }
     }
+    free(c);
+    return NULL;
+}
+
+/* Each second: how many requests the clients of each machine sent, and how many were answered with success. */
+static void* write_summary(void* arg) {
+    (void)arg;
+    while (!is_over) {
+        char text[400] = "";
+        rig_sleep_ms(1000);
+        for (int i = 0; i < HOSTS; i++) {
+            size_t used = strlen(text);
+            snprintf(text + used, sizeof(text) - used, " %ld/%ld", sent_to[i], served_by[i]);
+        }
+        rig_note("sent to each machine / answered with 200:%s", text);
+    }
     return NULL;
 }
 
@@ -226,8 +246,10 @@
     rig_sleep_ms(3500); /* contact_ms */
     rig_start_ms = rig_now_ms();
     rig_note("traffic starts");
+    rig_thread(write_summary, NULL);
     for (int i = 0; i < HOSTS * CLIENTS_OF_HOST; i++) {
-        rig_thread(run_client, (void*)(intptr_t)i);
+        client_numbers[i] = i;
+        rig_thread(run_client, &client_numbers[i]);
     }
     rig_sleep_ms(2000);
     if (rig_has_trouble()) {
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -243,6 +243,8 @@
 static int64_t rig_config_revision;
 static rig_entry_t rig_entries[RIG_SERVERS_MAX];
 static int rig_entry_count;
+static int rig_era;              /* Store-Era in all answers; 0: the store has none */
+static volatile bool rig_is_away; /* the store answers 503 */
 
 static void rig_base64(const char* text, char* out) {
     static const char digits[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
@@ -323,10 +325,18 @@
         char out[256];
         sscanf(c->data, "%*s %511s", target);
         rig_consume(c, head);
+        char era[40] = "";
         unsigned status = rig_store_answer(target, body);
         rig_sleep_ms(4);
-        int n = snprintf(out, sizeof(out), "HTTP/1.1 %u %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
-                         status, status == 200 ? "OK" : "No", strlen(body));
+        if (rig_is_away) {
+            status = 503;
+            snprintf(body, 8, "{}");
+        }
+        if (rig_era) {
+            snprintf(era, sizeof(era), "Store-Era: %d\r\n", rig_era);
+        }
+        int n = snprintf(out, sizeof(out), "HTTP/1.1 %u %s\r\nContent-Type: application/json\r\n%sContent-Length: %zu\r\n\r\n",
+                         status, status == 200 ? "OK" : "No", era, strlen(body));
         if (!rig_send_all(c->fd, out, (size_t)n) || !rig_send_all(c->fd, body, strlen(body))) {
             break;
         }
@@ -337,20 +347,30 @@
     return NULL;
 }
 
+typedef struct rig_listener_t {
+    int fd;
+    void* (*run)(void* fd); /* on a thread of its own for each connection, with its descriptor */
+} rig_listener_t;
+
 static void* rig_accept_loop(void* arg) {
-    void** args = arg;
-    int fd = (int)(intptr_t)args[0];
-    void* (*run)(void*) = (void* (*)(void*))args[1];
+    rig_listener_t l = *(rig_listener_t*)arg;
+    free(arg);
     while (true) {
-        int conn = accept4(fd, NULL, NULL, SOCK_CLOEXEC);
+        int conn = accept4(l.fd, NULL, NULL, SOCK_CLOEXEC);
         if (conn >= 0) {
-            rig_thread(run, (void*)(intptr_t)conn);
+            rig_thread(l.run, (void*)(intptr_t)conn);
         } else if (errno != EINTR && errno != ECONNABORTED) {
             return NULL;
         }
     }
 }
 
+static void rig_accept(int fd, void* (*run)(void*)) {
+    rig_listener_t* l = malloc(sizeof(*l));
+    *l = (rig_listener_t){.fd = fd, .run = run};
+    rig_thread(rig_accept_loop, l);
+}
+
 /* Each server writes its entry about every 1,200 ms. */
 static void* rig_heartbeats(void* arg) {
     (void)arg;
@@ -375,10 +395,7 @@
     }
     rig_config = strdup(config);
     rig_config_revision = ++rig_revision;
-    void** args = calloc(2, sizeof(*args));
-    args[0] = (void*)(intptr_t)fd;
-    args[1] = (void*)rig_store_conn;
-    rig_thread(rig_accept_loop, args);
+    rig_accept(fd, rig_store_conn);
     rig_thread(rig_heartbeats, NULL);
 }
 
