Log: a request that runs at the exit, and the last lines of a process

A stream was reset beside a stop, and no line of any host named it. A request that is cut by the exit ended without a line, and the last lines were written once and dropped if their reader was slow. Now such a request has its request-done line ("this host has stopped"), the last lines wait up to 250 ms for their reader, and upstream-failed, request-refused and request-done say whether the caller had the head of a response (begun), so a refusal that breaks a response off can be told from one that reached the caller.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -61,6 +61,10 @@
     free(x);
 }
 
+const char* exchange_begun_name(const exchange_t* x) {
+    return x->is_head_sent ? "yes" : "no";
+}
+
 static const char* const outcome_names[EXCHANGE_OUTCOME_COUNT] = {"served", "denied", "refused", "failed", "gone"};
 
 /* Logs the end of a request and reports it to on_done. */
@@ -71,11 +75,12 @@
     e->stats.outcomes[outcome]++;
     cw_log(e->desc.log, CW_EVENT_REQUEST_DONE,
            "id=%s outcome=%s status=%u why=\"%s\" route=%s workspace=%s revision=%lld server=%s transfers=%u "
-           "urgency=%u expected_ms=%.0f first_ms=%u gap_ms=%u took_ms=%lld left_ms=%lld framing=%s path=%s run=%s",
+           "urgency=%u expected_ms=%.0f first_ms=%u gap_ms=%u took_ms=%lld left_ms=%lld begun=%s framing=%s path=%s "
+           "run=%s",
            x->id, outcome_names[outcome], x->status, why, x->route->name, x->workspace ? x->workspace->name : "-",
            (long long)x->catalog->revision, x->server_id[0] ? x->server_id : "-", x->attempt_count, x->work.urgency,
            x->expected_ms, first_ms, x->gap_ms, (long long)(now_ms - x->arrived_ms),
-           (long long)(x->deadline_ms - now_ms), cw_framing_name(x->response_framing),
+           (long long)(x->deadline_ms - now_ms), exchange_begun_name(x), cw_framing_name(x->response_framing),
            x->is_tunneled ? "tunnel" : "direct", cw_outcome_name(cw_request_outcome(&x->fsm)));
     if (e->desc.on_done) {
         e->desc.on_done(e->desc.user_data, x->route->name, x->workspace ? x->workspace->name : "-", outcome, first_ms,
@@ -112,10 +117,10 @@
     x->reason = reason;
     cw_log(x->exchanges->desc.log, CW_EVENT_UPSTREAM_FAILED,
            "id=%s step=%s server=%s life=%016llx peer=%s reason=\"%s\" sent_ms_ago=%lld body_ms_ago=%lld "
-           "fingerprint=%016llx links=%u",
+           "begun=%s fingerprint=%016llx links=%u",
            x->id, cw_request_state_name(x->fsm.state), x->server_id, (unsigned long long)x->server->key,
            x->server->published.address, reason, x->sent_ms ? (long long)(now_ms - x->sent_ms) : -1LL,
-           x->has_first_byte ? (long long)(now_ms - x->attempt_first_ms) : -1LL,
+           x->has_first_byte ? (long long)(now_ms - x->attempt_first_ms) : -1LL, exchange_begun_name(x),
            (unsigned long long)x->suspects.items[0].content_hash, x->server->conn_count);
     exchange_handle_event(x, e);
 }
@@ -519,6 +524,9 @@
     exchange_t* next = NULL;
     for (exchange_t* x = e->list; x; x = next) {
         next = x->next;
+        if (x->caller) {
+            report_done(x, EXCHANGE_FAILED, "this host has stopped");
+        }
         if (x->conn) {
             upstream_conn_close(x->conn);
         }
--- a/gateway/exchange_assign.c
+++ b/gateway/exchange_assign.c
@@ -72,14 +72,14 @@
     x->reason = why;
     cw_log(
         x->exchanges->desc.log, CW_EVENT_REQUEST_REFUSED,
-        "id=%s why=\"%s\" route=%s pool=%s priority=%u urgency=%u server=%s prompt=%u kept=%u wait_ms=%.0f "
+        "id=%s why=\"%s\" begun=%s route=%s pool=%s priority=%u urgency=%u server=%s prompt=%u kept=%u wait_ms=%.0f "
         "read_ms=%.0f read_us=%.1f target_ms=%u ready=%u candidates=%u tried=%u away=%u cold=%u resting=%u limited=%u "
         "suspected=%u other_version=%u unsettled=%u no_place=%u reserved=%.0f fullness=%.2f age_ms=%u waited_ms=%lld "
         "ahead=%u held_before=%u "
         "held_after=%u "
         "holds_ms=%.0f revision=%lld",
-        x->id, why, x->route->name, pool->name, x->priority, x->work.urgency, best ? best->published.id : "-",
-        x->work.prompt_tokens, c->cached_tokens, c->wait_ms, c->prefill_ms,
+        x->id, why, exchange_begun_name(x), x->route->name, pool->name, x->priority, x->work.urgency,
+        best ? best->published.id : "-", x->work.prompt_tokens, c->cached_tokens, c->wait_ms, c->prefill_ms,
         cw_balance_prefill_ms_per_token(pool->balance) * US_PER_MS, x->route->target_ms, pool->ready, c->candidates,
         c->excluded.tried, c->excluded.unreachable, c->excluded.cold, c->excluded.backing_off, c->excluded.rate_limited,
         c->excluded.suspected, c->excluded.other_version, c->excluded.unsettled, c->excluded.no_slot, c->reserved_slots,
--- a/gateway/exchange_internal.h
+++ b/gateway/exchange_internal.h
@@ -110,6 +110,9 @@
 /* Ends the current attempt as failed, with the event for the state machine and the result for the balancer. */
 void exchange_fail_attempt(exchange_t* x, cw_request_event_t e, cw_try_result_t result, const char* reason);
 
+/* For the log: "yes" if the caller has the head of the response, so that an error can only break it off. */
+const char* exchange_begun_name(const exchange_t* x);
+
 /* -- exchange_assign.c --------------------------------------------------------------- */
 
 /* Assigns the best server, queues the request, or refuses it. */
--- a/io/lines.c
+++ b/io/lines.c
@@ -2,9 +2,14 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <poll.h>
 #include <string.h>
 #include <unistd.h>
 
+#include "clock.h"
+
+#define LAST_LINES_WAIT_MS 250 /* time that a slow reader has at shutdown to take the last lines */
+
 static void flush(cw_lines_t* l) {
     while (l->out.size) {
         ssize_t n = write(l->fd, l->out.data, l->out.size);
@@ -66,8 +71,20 @@
     return dropped;
 }
 
-void cw_lines_shutdown(cw_lines_t* l) {
+/* The last lines of a process say how it ended, so a slow reader is given time to take them. */
+static void flush_last_lines(cw_lines_t* l) {
+    int64_t until_ms = cw_clock_ms() + LAST_LINES_WAIT_MS;
+    struct pollfd pollfd = {.fd = l->fd, .events = POLLOUT};
     flush(l);
+    for (int64_t left_ms = LAST_LINES_WAIT_MS; l->out.size && left_ms > 0; left_ms = until_ms - cw_clock_ms()) {
+        if (poll(&pollfd, 1, (int)left_ms) > 0) {
+            flush(l);
+        }
+    }
+}
+
+void cw_lines_shutdown(cw_lines_t* l) {
+    flush_last_lines(l);
     ev_io_stop(l->loop, &l->write_io);
     ev_prepare_stop(l->loop, &l->prepare);
     cw_buffer_free(&l->out);
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -28,6 +28,7 @@
 
 /* What a server does with one request. "@ID@" in text is replaced by the request's id. */
 #define RIG_REPEAT "@REPEAT@" /* in the text of RIG_RESPOND_ENDLESS: what follows is sent again and again */
+#define RIG_SILENT_MS(ms) "@SILENT@" #ms "@" /* in text: what follows is sent after so many milliseconds */
 typedef struct rig_step_t {
     rig_action_t action;
     const char* text;
@@ -42,6 +43,8 @@
     cw_buffer_t in;
     bool is_open;
     char* repeat; /* sent again and again; NULL: nothing */
+    char* later;  /* sent when later_timer fires */
+    ev_timer later_timer;
 } rig_conn_t;
 
 struct rig_t {
@@ -135,6 +138,35 @@
     return expanded;
 }
 
+/* Sends the text up to the first RIG_SILENT_MS, and the rest later. Takes ownership of the text. */
+static inline void rig_send_text(rig_conn_t* c, char* text) {
+    char* silence = strstr(text, "@SILENT@");
+    if (silence) {
+        char* rest = NULL;
+        double seconds = (double)strtoul(silence + strlen("@SILENT@"), &rest, 10) / 1000.0;
+        c->later = strdup(rest + 1);
+        *silence = 0;
+        ev_timer_set(&c->later_timer, seconds, 0.0);
+        ev_timer_start(c->rig->loop, &c->later_timer);
+    }
+    cw_stream_write(&c->stream, text, strlen(text));
+    cw_stream_flush(&c->stream);
+    free(text);
+}
+
+static inline void rig_on_later(struct ev_loop* loop, ev_timer* w, int events) {
+    (void)loop;
+    (void)events;
+    rig_conn_t* c = w->data;
+    char* text = c->later;
+    c->later = NULL;
+    if (c->is_open) {
+        rig_send_text(c, text);
+    } else {
+        free(text);
+    }
+}
+
 static inline void rig_send_step(rig_conn_t* c, const rig_step_t* step, const char* request) {
     char* text = rig_expand(step->text, request);
     char* repeat = step->action == RIG_RESPOND_ENDLESS ? strstr(text, RIG_REPEAT) : NULL;
@@ -143,9 +175,7 @@
         c->repeat = strdup(repeat + strlen(RIG_REPEAT));
         ev_timer_start(c->rig->loop, &c->rig->endless_timer);
     }
-    cw_stream_write(&c->stream, text, strlen(text));
-    free(text);
-    cw_stream_flush(&c->stream);
+    rig_send_text(c, text);
     if (step->action == RIG_RESPOND_CLOSE) {
         c->is_open = false;
         cw_stream_close(&c->stream);
@@ -206,6 +236,8 @@
     }
     rig_conn_t* c = &r->conns[r->conn_count++];
     *c = (rig_conn_t){.rig = r, .server = (uint32_t)(w - r->accept_ios), .is_open = true};
+    ev_timer_init(&c->later_timer, rig_on_later, 0.0, 0.0);
+    c->later_timer.data = c;
     cw_stream_accept(&c->stream, loop, fd, &rig_server_handlers, c);
 }
 
@@ -539,8 +571,10 @@
         if (r->conns[i].is_open) {
             cw_stream_close(&r->conns[i].stream);
         }
+        ev_timer_stop(r->loop, &r->conns[i].later_timer);
         cw_buffer_free(&r->conns[i].in);
         free(r->conns[i].repeat);
+        free(r->conns[i].later);
     }
     ev_timer_stop(r->loop, &r->endless_timer);
     for (uint32_t i = 0; i < RIG_SERVERS; i++) {
