A silent attempt is given up only for a server that has been heard, and a stop refuses nothing that has run

Callers saw streams reset, and calls answered 502, beside a stop while their sound server was silent for about a second; at a pool of one server, at the last one of a stream's version, and where the others take no requests, also without a stop.

Cause: silence ended the attempt, and only then a server was sought for the next one. Whatever kept it from being placed refused the request as if it were new: the stop, no server left, all backing off, no slot in time. A caller that has the head of a response can't be told to come back, so its response was broken off.

Change: the next server is chosen while the silent attempt still runs, and must have been heard for more than half of its silence. Until then the attempt goes on, is looked at again every 100 ms and takes a free slot in its turn. The same for requests on a path that broke. A request that may have run is not refused by a stop and waits for a slot or the end of a backoff until its deadline.

Evidence: tests/test_silence.c, 14 of 15 failed before; the two further ones fail without the rule that they name.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -144,12 +144,7 @@
     } else if (x->is_queued && !x->work.is_late && now_ms >= x->wait.late_from_ms) {
         exchange_requeue_late(x);
     } else if (x->conn && x->stall_at_ms && now_ms >= x->stall_at_ms) {
-        if (exchange_may_retry(x)) {
-            exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, CW_TRY_FAILED, "silent for too long");
-        } else {
-            x->stall_at_ms = 0;
-            exchange_set_timer(x);
-        }
+        exchange_on_stall(x);
     } else {
         exchange_set_timer(x);
     }
@@ -468,12 +463,12 @@
     }
 }
 
-/* A request on a direct connection to the pool that has been silent since the path broke, and may be retried. */
-static exchange_t* find_cut(const exchanges_t* e, const pool_t* pool) {
+/* A request on a direct connection to the pool that has been silent since the path broke, and can be sent again. */
+static exchange_t* find_cut(exchanges_t* e, const pool_t* pool) {
     exchange_t* x = e->list;
     while (x && !(x->pool == pool && x->conn && x->sent_ms && upstream_conn_is_open(x->conn) &&
                   !upstream_conn_is_tunneled(x->conn) && upstream_conn_received_ms(x->conn) < pool->reach.broken_ms &&
-                  exchange_may_retry(x))) {
+                  exchange_find_replacement(x, false))) {
         x = x->next;
     }
     return x;
@@ -511,8 +506,10 @@
     e->is_refusing = true;
     for (exchange_t* x = e->queue; x; x = next) {
         next = x->next_queued;
-        x->reason = "this host is stopping";
-        exchange_handle_event(x, CW_EV_REFUSED);
+        if (!exchange_may_have_run(x)) {
+            x->reason = "this host is stopping";
+            exchange_handle_event(x, CW_EV_REFUSED);
+        }
     }
 }
 
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -65,7 +65,8 @@
 void exchanges_on_stream_resolved(exchanges_t* e, uint64_t stream);
 /* The host resumed from suspend, so the event loop's timers are late: handles every deadline that has passed. */
 void exchanges_on_resume(exchanges_t* e);
-/* Refuses queued requests and all that arrive from now on, because this process is about to exit. */
+/* Refuses all requests that arrive from now on, and those that are queued and have not run, because this process is
+   about to exit. Others may still be retried. */
 void exchanges_refuse_new(exchanges_t* e);
 exchanges_stats_t exchanges_stats(const exchanges_t* e);
 
--- a/gateway/exchange_assign.c
+++ b/gateway/exchange_assign.c
@@ -1,12 +1,14 @@
 /* Assigns a server to a request: decides whether the request may be sent at all, chooses the server, and queues or
    refuses the request while no server has a free slot. */
 #include <assert.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "clock.h"
 #include "exchange_internal.h"
 
-#define STREAM_REPLY_MS 60 /* for other hosts to reply to a query for a stream */
+#define STREAM_REPLY_MS 60            /* for other hosts to reply to a query for a stream */
+#define REPLACEMENT_SILENCE_SHARE 0.5 /* of an attempt's silence: longest one of a server that replaces its own */
 
 /* -- the queue ------------------------------------------------------------ */
 
@@ -90,6 +92,10 @@
     exchange_handle_event(x, CW_EV_REFUSED);
 }
 
+bool exchange_may_have_run(const exchange_t* x) {
+    return x->fsm.has_sent_bytes;
+}
+
 /* Whether a queued request of the same pool precedes x and has a target that is at least as short. */
 static bool must_queue_behind(const exchange_t* x) {
     for (const exchange_t* y = x->exchanges->queue; y && !precedes(x, y) && !x->is_queued; y = y->next_queued) {
@@ -115,6 +121,9 @@
    servers that can't be used are unreachable, and then a quick refusal serves the caller better than a wait. */
 static cw_queue_wait_t slot_wait(const exchange_t* x) {
     const cw_balance_t* b = x->pool->balance;
+    if (exchange_may_have_run(x)) {
+        return (cw_queue_wait_t){.late_from_ms = x->deadline_ms, .until_ms = x->deadline_ms};
+    }
     bool has_slots = x->pool->memory_tokens || cw_balance_is_reject_limited(b, clock_ms());
     return cw_queue_wait(
         &(cw_queue_wait_desc_t){.now_ms = clock_ms(),
@@ -211,12 +220,18 @@
     return !x->attempt_count || x->has_reserved_retry;
 }
 
-/* The best server, without those that failed this request and those that crashed under an identical one. */
+#define EXCLUDED_MAX (TRIED_SERVERS_MAX + CW_QUARANTINE_MAX_CRASHES)
+
+/* Writes the servers that failed this request and those that crashed under an identical one; returns their number. */
+static uint32_t list_excluded(const exchange_t* x, uint64_t* out) {
+    memcpy(out, x->tried, x->tried_count * sizeof(*out));
+    memcpy(out + x->tried_count, x->verdict.incarnations, x->verdict.excluded_count * sizeof(*out));
+    return x->tried_count + x->verdict.excluded_count;
+}
+
 static cw_choice_t choose_server(const exchange_t* x) {
-    uint64_t excluded[TRIED_SERVERS_MAX + CW_QUARANTINE_MAX_CRASHES];
-    uint32_t count = x->tried_count + x->verdict.excluded_count;
-    memcpy(excluded, x->tried, x->tried_count * sizeof(*excluded));
-    memcpy(excluded + x->tried_count, x->verdict.incarnations, x->verdict.excluded_count * sizeof(*excluded));
+    uint64_t excluded[EXCLUDED_MAX];
+    uint32_t count = list_excluded(x, excluded);
     cw_choice_t c = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, excluded, count);
     if ((c.server == CW_BALANCE_NONE || c.is_late) && upstreams_expand_subset(x->pool, clock_ms())) {
         c = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, excluded, count);
@@ -224,9 +239,52 @@
     return c;
 }
 
+/* Appends the servers that have been silent for at least so long. */
+static uint32_t list_silent(const pool_t* pool, int64_t silent_ms, uint64_t* out) {
+    int64_t now_ms = clock_ms();
+    uint32_t count = 0;
+    for (const server_t* s = pool->servers; s; s = s->next) {
+        if (server_silent_ms(s, now_ms) >= silent_ms) {
+            out[count++] = s->key;
+        }
+    }
+    return count;
+}
+
+/* When all servers of a pool fall silent at once, another one is no better. So a replacement must have been heard a
+   good deal later than the server of the attempt. */
+static cw_choice_t choose_heard_server(const exchange_t* x) {
+    uint32_t servers = 0;
+    for (const server_t* s = x->pool->servers; s; s = s->next) {
+        servers++;
+    }
+    uint64_t* excluded = calloc(EXCLUDED_MAX + servers, sizeof(*excluded));
+    if (!excluded) {
+        abort();
+    }
+    int64_t silent_ms = (int64_t)(REPLACEMENT_SILENCE_SHARE * (double)(clock_ms() - x->progress_ms));
+    uint32_t count = list_excluded(x, excluded);
+    count += list_silent(x->pool, silent_ms > 1 ? silent_ms : 1, excluded + count);
+    cw_choice_t c = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, excluded, count);
+    free(excluded);
+    return c;
+}
+
+bool exchange_find_replacement(exchange_t* x, bool excludes_silent) {
+    if (!exchange_may_retry(x) || exchange_is_verdict_outdated(x) || must_queue_behind(x)) {
+        return false;
+    }
+    cw_choice_t c = excludes_silent ? choose_heard_server(x) : choose_server(x);
+    x->has_replacement = c.server != CW_BALANCE_NONE;
+    x->choice = x->has_replacement ? c : x->choice;
+    return x->has_replacement;
+}
+
 void exchange_assign_server(exchange_t* x) {
     exchanges_t* e = x->exchanges;
+    bool has_replacement = x->has_replacement;
     assert(x->pool);
+    x->has_replacement = false;
     if (exchange_check_quarantine(x)) {
         return;
     }
@@ -237,12 +295,13 @@
         exchange_refuse(x, "no repeat is left");
         return;
     }
-    x->choice = (cw_choice_t){.server = CW_BALANCE_NONE};
+    x->choice = has_replacement ? x->choice : (cw_choice_t){.server = CW_BALANCE_NONE};
     x->retry_ms = 0;
     if (!x->is_queued) {
         x->work.is_light = cw_balance_is_light(x->pool->balance, clock_ms(), &x->work);
     }
-    if (!e->is_refusing && !must_queue_behind(x)) {
+    bool is_refused_by_stop = e->is_refusing && !exchange_may_have_run(x);
+    if (!has_replacement && !is_refused_by_stop && !must_queue_behind(x)) {
         x->choice = choose_server(x);
     }
     if (x->choice.is_late && !x->attempt_count) {
@@ -260,14 +319,14 @@
     }
     uint32_t other_version = x->choice.excluded.other_version;
     bool are_all_tried = x->tried_count >= x->pool->ready || x->choice.excluded.tried + other_version >= x->pool->ready;
-    if (e->is_refusing || !x->pool->ready || are_all_tried) {
-        exchange_refuse(x, e->is_refusing  ? "this host is stopping"
-                           : other_version ? "no server of the stream's version is left"
-                                           : "no server is left to try");
+    if (is_refused_by_stop || !x->pool->ready || are_all_tried) {
+        exchange_refuse(x, is_refused_by_stop ? "this host is stopping"
+                           : other_version    ? "no server of the stream's version is left"
+                                              : "no server is left to try");
         return;
     }
     uint32_t opens_ms = cw_balance_throttle_wait_ms(x->pool->balance, clock_ms());
-    if (are_all_throttled(x, opens_ms)) {
+    if (!exchange_may_have_run(x) && are_all_throttled(x, opens_ms)) {
         x->retry_ms = opens_ms;
         exchange_refuse(x, "all servers hold callers back");
         return;
@@ -292,11 +351,30 @@
     return y != NULL;
 }
 
+static exchange_t* next_stalled(const exchanges_t* e, const pool_t* pool) {
+    exchange_t* x = e->list;
+    while (x && !(x->pool == pool && x->conn && x->is_stalled && x->checked_at_slot != e->slot_free_count)) {
+        x = x->next;
+    }
+    return x;
+}
+
+/* Stalled attempts compete for free slots, although their requests are not queued. The list is searched again after
+   each one, because ending an attempt may free others. */
+static void replace_stalled(exchanges_t* e, const pool_t* pool) {
+    e->slot_free_count++;
+    for (exchange_t* x = next_stalled(e, pool); x; x = next_stalled(e, pool)) {
+        x->checked_at_slot = e->slot_free_count;
+        exchange_on_stall(x);
+    }
+}
+
 /* Tries one request of each kind (light, late, urgency). A late request may find no slot, because slots are reserved
    for other requests, while a light one behind it finds one. When one request of a kind finds no
    slot, the others of that kind would find none either. */
 void exchanges_on_slot_free(exchanges_t* e, pool_t* pool) {
     bool failed_kinds[2][2][CW_URGENCY_LEVELS] = {{{false}}}; /* no slot found, by light, late, urgency */
+    replace_stalled(e, pool);
     exchange_t* x = e->queue;
     while (x) {
         bool* has_failed = &failed_kinds[x->work.is_light][x->work.is_late][x->work.urgency];
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -19,6 +19,7 @@
 #define DISCARDED_BYTES_MAX (1U << 20) /* of a response whose caller has left */
 #define EVENT_STALL_GAPS 4 /* time without an event after which a stream is retried, as a multiple of its gap limit */
 #define EVENT_STALL_MIN_MS 400
+#define STALL_CHECK_INTERVAL_MS 100 /* while no other server can be assigned to a stalled attempt */
 #define LEVEL_TEXT_MAX 12
 #define PART_TEXT_MAX 18 /* id of a part in hex, with a comma */
 
@@ -29,30 +30,42 @@
     return x->response_framing == CW_FRAMING_NONE ? CW_RUN_WAITING : CW_RUN_BEGINNING;
 }
 
+/* Whether the request may be retried when the retry budget allows it. */
+static bool is_retryable(const exchange_t* x) {
+    return x->fsm.repeatable && x->fsm.attempts < x->fsm.max_attempts && (!x->is_head_sent || x->is_resumable_stream);
+}
+
 bool exchange_may_retry(const exchange_t* x) {
-    return x->fsm.repeatable && x->fsm.attempts < x->fsm.max_attempts && (!x->is_head_sent || x->is_resumable_stream) &&
-           cw_retry_window_has_room(&x->pool->retries, clock_ms());
+    return is_retryable(x) && cw_retry_window_has_room(&x->pool->retries, clock_ms());
 }
 
-/* Sets the time at which an attempt without a response counts as stalled. Only a request that may be retried is given
-   up early. */
+/* Sets the time at which an attempt without a response counts as stalled. */
 static void arm_first_byte_timeout(exchange_t* x) {
-    x->stall_at_ms = 0;
-    if (!exchange_may_retry(x)) {
-        return;
-    }
+    x->is_stalled = false;
     double target_ms = x->route->target_ms;
     double limit_ms = x->route->kind == CW_ROUTE_STREAM
                           ? STREAM_STALL_TARGETS * target_ms +
                                 STREAM_STALL_EXPECTED_FACTOR * (x->choice.wait_ms + x->choice.prefill_ms)
                           : CALL_STALL_TARGET_SHARE * target_ms;
-    x->stall_at_ms = x->sent_ms + (int64_t)limit_ms;
+    x->stall_at_ms = is_retryable(x) ? x->sent_ms + (int64_t)limit_ms : 0;
 }
 
 static void arm_next_event_timeout(exchange_t* x) {
     int64_t gap_ms = (int64_t)x->route->gap_ms * EVENT_STALL_GAPS;
     gap_ms = gap_ms > EVENT_STALL_MIN_MS ? gap_ms : EVENT_STALL_MIN_MS;
-    x->stall_at_ms = x->is_resumable_stream && exchange_may_retry(x) ? clock_ms() + gap_ms : 0;
+    x->is_stalled = false;
+    x->progress_ms = clock_ms();
+    x->stall_at_ms = x->is_resumable_stream && is_retryable(x) ? x->progress_ms + gap_ms : 0;
+}
+
+void exchange_on_stall(exchange_t* x) {
+    if (exchange_find_replacement(x, true)) {
+        exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, CW_TRY_FAILED, "silent for too long");
+        return;
+    }
+    x->is_stalled = is_retryable(x);
+    x->stall_at_ms = x->is_stalled ? clock_ms() + STALL_CHECK_INTERVAL_MS : 0;
+    exchange_set_timer(x);
 }
 
 static void send_request(exchange_t* x) {
@@ -69,7 +82,7 @@
     e->stats.retries_sent += x->attempt_count > 1;
     x->has_reserved_retry = false;
     e->stats.sends++;
-    x->sent_ms = now_ms;
+    x->sent_ms = x->progress_ms = now_ms;
     bool is_resuming = x->is_head_sent && x->events.last_id[0];
     e->stats.streams_resumed += is_resuming;
     request_head_t set = {.request_id = x->id,
@@ -107,15 +120,14 @@
     exchange_fail_attempt(x, CW_EV_GRANT_EXPIRED, CW_TRY_CANCELLED, why);
 }
 
-/* Whether, while the connection was opened, the request was quarantined or a part of its prompt was put on trial. */
-static bool is_verdict_outdated(const exchange_t* x) {
+bool exchange_is_verdict_outdated(const exchange_t* x) {
     cw_verdict_t verdict = quarantine_check(x->exchanges->desc.quarantine, &x->suspects, x->pool);
     return verdict.kind >= CW_VERDICT_PENDING || (verdict.claims && !verdict.is_claimed);
 }
 
 static void conn_on_open(void* owner) {
     exchange_t* x = owner;
-    if (is_verdict_outdated(x)) {
+    if (exchange_is_verdict_outdated(x)) {
         reassign(x, ON_TRIAL_REASON);
     } else if (x->server->is_retired) {
         reassign(x, "the server leaves");
@@ -446,7 +458,7 @@
            choice->pace_ms * US_PER_MS, choice->gap_forecast_ms, level, choice->age_ms,
            (long long)(now_ms - x->arrived_ms), x->events.last_id[0] ? x->events.last_id : "-",
            x->resumes[0] ? x->resumes : "-");
-    x->sent_ms = now_ms;
+    x->sent_ms = x->progress_ms = now_ms;
     x->expected_ms = (double)(now_ms - x->arrived_ms) + choice->first_event_ms;
     arm_first_byte_timeout(x);
     e->desc.on_load_changed(e->desc.user_data, x->server, &x->work);
--- a/gateway/exchange_internal.h
+++ b/gateway/exchange_internal.h
@@ -35,6 +35,7 @@
     cw_request_t fsm;
     cw_work_t work;
     cw_choice_t choice;   /* result of the last choice of a server */
+    bool has_replacement; /* choice holds the server of the next attempt */
     cw_verdict_t verdict; /* quarantine verdict at the last attempt to assign a server */
     uint32_t priority;
     int64_t arrived_ms, deadline_ms;
@@ -52,8 +53,11 @@
     char fetch_from[CW_SERVER_ADDRESS_MAX]; /* address of a server with more of the prompt in its cache; "": none */
     upstream_conn_t* conn;
     cw_run_t run;
-    int64_t sent_ms, stall_at_ms; /* stall_at_ms: without a response by then, another server is tried; 0: never */
-    double expected_ms;           /* predicted time from arrival to the first event, set by each attempt */
+    int64_t sent_ms;
+    int64_t progress_ms; /* when the attempt was sent, or when its response last progressed */
+    int64_t stall_at_ms; /* without progress by then, another server is sought; 0: never */
+    bool is_stalled;     /* another server is sought */
+    double expected_ms;  /* predicted time from arrival to the first event, set by each attempt */
     bool has_first_byte;
     int64_t attempt_first_ms;      /* time of the first body byte of this attempt; valid with has_first_byte */
     bool has_survived_start;       /* the server still sends START_MS after it */
@@ -80,6 +84,7 @@
     int64_t first_ms;           /* time of the first byte sent to the caller; 0: none */
     int64_t last_byte_ms;       /* time of the last byte sent to the caller */
     uint32_t checked_at_resume; /* resume_count when the exchange's deadlines were last checked */
+    uint32_t checked_at_slot;   /* slot_free_count when another server was last sought */
     uint32_t checked_at_change; /* verdict_change_count when the exchange's verdict was last checked */
     uint32_t gap_ms;            /* longest time between two body writes to the caller */
     ev_timer timer;
@@ -97,6 +102,7 @@
     uint64_t random_count;
     uint32_t resume_count;         /* times that the host resumed from suspend */
     uint32_t verdict_change_count; /* calls of exchanges_on_verdicts_changed */
+    uint32_t slot_free_count;      /* calls of exchanges_on_slot_free */
     int64_t setup_ms;
     exchanges_stats_t stats;
 };
@@ -117,6 +123,11 @@
 
 /* Assigns the best server, queues the request, or refuses it. */
 void exchange_assign_server(exchange_t* x);
+/* Chooses the server of the next attempt while the current one still runs. excludes_silent: not one that has been
+   silent for long itself. False: none can be assigned now. */
+bool exchange_find_replacement(exchange_t* x, bool excludes_silent);
+/* Whether the request may have run, so that a refusal could not say that it has not. */
+bool exchange_may_have_run(const exchange_t* x);
 /* Refuses a request that is queued or has just arrived, and logs the inputs of the last choice of a server. */
 void exchange_refuse(exchange_t* x, const char* why);
 /* Checks the request against the quarantine. True: it is quarantined and was refused, or it waits for a verdict. */
@@ -137,5 +148,9 @@
 cw_run_phase_t exchange_phase(const exchange_t* x);
 /* Whether the request may be retried after a failure. */
 bool exchange_may_retry(const exchange_t* x);
+/* The attempt has made no progress for too long: ends it if another server can be assigned now. */
+void exchange_on_stall(exchange_t* x);
+/* Whether, since the server was assigned, the request was quarantined or a part of its prompt was put on trial. */
+bool exchange_is_verdict_outdated(const exchange_t* x);
 
 #endif
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -493,6 +493,11 @@
     return u->conns_opened;
 }
 
+int64_t server_silent_ms(const server_t* server, int64_t now_ms) {
+    int64_t since_ms = server->received_ms > server->busy_since_ms ? server->received_ms : server->busy_since_ms;
+    return server->busy_conns ? now_ms - since_ms : 0;
+}
+
 void server_log_suspicion(const server_t* server, int64_t now_ms, bool was_suspected, uint64_t host) {
     bool is_suspected = cw_balance_is_suspected(server->pool->balance, now_ms, server->key);
     if (is_suspected != was_suspected) {
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -54,6 +54,8 @@
     bool is_path_broken;         /* this host can't connect to it, but another host can */
     int64_t path_checked_ms;     /* time of the last check of the path; 0: never */
     uint32_t busy_conns;         /* connections that wait for a response or receive one */
+    int64_t busy_since_ms;       /* since when there has been any */
+    int64_t received_ms;         /* when this host last received data from the server; 0: never */
     int64_t presumed_crash_ms;   /* time of a presumed crash, which data on an older connection disproves; 0: none */
     uint32_t conn_count;         /* number of connections */
     upstream_conn_t* idle_conns; /* most recently used first */
@@ -163,6 +165,8 @@
 pool_t* upstreams_pool(const upstreams_t* u, const char* name);
 pool_t* upstreams_pools(const upstreams_t* u);
 server_t* upstreams_server(const upstreams_t* u, uint64_t key);
+/* For how long the server has sent nothing although it owes this host a response; 0: it owes none. */
+int64_t server_silent_ms(const server_t* server, int64_t now_ms);
 /* Logs that no connection to the server could be opened, and when others of its pool were last heard: if none was, the
    path of this host is a likelier cause than the server. */
 void server_log_unreachable(const server_t* server, int64_t now_ms);
--- a/gateway/upstream_conn.c
+++ b/gateway/upstream_conn.c
@@ -52,8 +52,11 @@
     conn->is_busy = is_busy;
     s->busy_conns += is_busy ? 1U : -1U;
     s->pool->busy_conns += is_busy ? 1U : -1U;
+    if (is_busy && s->busy_conns == 1) {
+        s->busy_since_ms = clock_ms();
+    }
     if (is_busy && s->pool->busy_conns == 1) {
-        s->pool->busy_since_ms = clock_ms();
+        s->pool->busy_since_ms = s->busy_since_ms;
     }
 }
 
@@ -204,7 +207,7 @@
 }
 
 static void handle_server_data(upstream_conn_t* conn, const char* data, size_t size) {
-    conn->received_ms = conn->server->pool->received_ms = clock_ms();
+    conn->received_ms = conn->server->received_ms = conn->server->pool->received_ms = clock_ms();
     if (conn->server->presumed_crash_ms) {
         report_alive(conn);
     }
--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -228,6 +228,46 @@
 }
 END_TEST
 
+static cw_stream_t other_caller;
+
+static void send_other_request(rig_t* r) {
+    rig_send_from_other_caller(r, &other_caller, STREAM);
+}
+
+/* Guards against a retry that is spent where it can't help: all servers of the pool fall silent at the same time. */
+START_TEST(a_silent_stream_does_not_move_to_a_server_that_is_silent_too) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    later_t request;
+    rig_script(r, (rig_step_t[]){{RIG_RESPOND, SILENT_STREAM}, {RIG_RESPOND, SILENT_STREAM}}, 2);
+    call_later(r, &request, 0.02, send_other_request);
+    expect_whole_stream(r, rig_call(r, STREAM));
+    ck_assert_uint_ne(r->arrival_server[0], r->arrival_server[1]);
+    cw_stream_close(&other_caller);
+    rig_shutdown(r);
+}
+END_TEST
+
+/* Guards against newer requests that take each free slot while a stream stays at a server that is silent for good. */
+START_TEST(a_stream_leaves_a_silent_server_before_a_newer_request_gets_a_slot) {
+    rig_t* r = rig_setup(ENGINES, 2);
+    later_t fill;
+    later_t request;
+    later_t free_slots;
+    rig_script(r,
+               (rig_step_t[]){{RIG_RESPOND, EVENTS_HEAD FIRST_EVENT},
+                              {RIG_RESPOND, REST_OF_STREAM},
+                              {RIG_RESPOND, REST_OF_STREAM}},
+               3);
+    call_later(r, &fill, CHANGE_S, fill_other_servers);
+    call_later(r, &request, 0.2, send_other_request);
+    call_later(r, &free_slots, 0.85, free_other_servers);
+    expect_whole_stream(r, rig_call(r, STREAM));
+    ck_assert(strstr(r->arrivals[1], "Last-Event-Id: 1\r\n"));
+    cw_stream_close(&other_caller);
+    rig_shutdown(r);
+}
+END_TEST
+
 /* -- a server that has failed ------------------------------------------------------ */
 
 #define BROKEN_STREAM EVENTS_HEAD FIRST_EVENT RIG_SILENT_MS(300) "x\r\n" /* no chunk: the response is malformed */
@@ -283,6 +323,8 @@
     tcase_add_test(t, a_silent_stream_goes_on_while_no_other_server_has_a_slot);
     tcase_add_test(t, a_silent_stream_goes_on_when_no_retry_is_left);
     tcase_add_test(t, a_stream_leaves_a_silent_server_once_another_can_be_used);
+    tcase_add_test(t, a_silent_stream_does_not_move_to_a_server_that_is_silent_too);
+    tcase_add_test(t, a_stream_leaves_a_silent_server_before_a_newer_request_gets_a_slot);
     tcase_add_test(t, a_broken_stream_resumes_at_a_host_that_stops);
     tcase_add_test(t, a_broken_stream_resumes_after_a_backoff);
     tcase_add_test(t, a_broken_stream_that_is_queued_resumes_at_a_host_that_stops);
