A request that still runs when the grace period ends is answered

Callers whose request outlasted the grace period of a stopping host got no answer: the process exited and their connection closed without one. Cause: the exit freed the requests.

tests/test_gateway_site.c, a_request_that_outlasts_the_grace_period_is_answered: no status before, 502 now.

--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -68,6 +68,9 @@
 /* Refuses all requests that arrive from now on, and those that are queued and have not run, because this process is
    about to exit. Others may still be retried. */
 void exchanges_refuse_new(exchanges_t* e);
+/* Answers all callers that wait, since this process exits now: responses that have begun are broken off, between two
+   events if they are streams that can be resumed. Requests that arrive later are not assigned to a server. */
+void exchanges_end_all(exchanges_t* e);
 exchanges_stats_t exchanges_stats(const exchanges_t* e);
 
 #endif
--- a/gateway/exchange_assign.c
+++ b/gateway/exchange_assign.c
@@ -285,7 +285,7 @@
     bool has_replacement = x->has_replacement;
     assert(x->pool);
     x->has_replacement = false;
-    if (exchange_check_quarantine(x)) {
+    if (e->is_ending || exchange_check_quarantine(x)) {
         return;
     }
     if (is_stream_unresolved(x)) {
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -597,9 +597,11 @@
            g->settings.hall, g->settings.callers, g->settings.peer, g->dialect->name);
     ev_run(g->loop, 0);
     suspend_detector_shutdown(&g->suspend_detector);
+    uint32_t cut = exchanges_stats(g->exchanges).active;
+    exchanges_end_all(g->exchanges);
     frontend_unsent_t unsent = frontend_unsent(g->front);
-    cw_log(&g->log, CW_EVENT_STOPPED, "cut=%u unread=%u unread_bytes=%llu", exchanges_stats(g->exchanges).active,
-           unsent.responses, (unsigned long long)unsent.bytes);
+    cw_log(&g->log, CW_EVENT_STOPPED, "cut=%u unread=%u unread_bytes=%llu", cut, unsent.responses,
+           (unsigned long long)unsent.bytes);
 }
 
 static void shutdown_modules(gateway_t* g) {
--- a/tests/test_gateway_site.c
+++ b/tests/test_gateway_site.c
@@ -256,6 +256,27 @@
 }
 END_TEST
 
+/* Guards against callers whose connection is closed without an answer: a request that still runs when the grace period
+   ends gets one that says that it may have run. */
+START_TEST(a_request_that_outlasts_the_grace_period_is_answered) {
+    fleet_t* f = fleet_setup();
+    f->grace = "1s";
+    start_host(f, 0);
+    poll_until(f, 0, 7101, "/readyz", 200, NULL, NULL);
+    f->holds_next_request = true;
+    begin_call(f, 0, 7100, "/long");
+    while (!f->held_exchange) {
+        ev_run(f->loop, EVRUN_ONCE);
+    }
+    kill(f->pids[0], SIGTERM);
+    while (!f->is_done) {
+        ev_run(f->loop, EVRUN_ONCE);
+    }
+    ck_assert_uint_eq(f->status, 502);
+    fleet_shutdown(f);
+}
+END_TEST
+
 START_TEST(an_invalid_settings_file_is_rejected_with_all_its_faults) {
     char text[4096] = "";
     char command[512];
@@ -287,6 +308,7 @@
     tcase_add_test(t, signals_during_the_start_are_handled_after_it);
     tcase_add_test(t, a_planned_stop_completes_running_requests);
     tcase_add_test(t, a_planned_stop_completes_running_requests_without_source);
+    tcase_add_test(t, a_request_that_outlasts_the_grace_period_is_answered);
     tcase_add_test(t, an_invalid_settings_file_is_rejected_with_all_its_faults);
 }
 
