chalkwayd: a silent attempt is given up only once another slot is granted

Callers saw a stream end with an error event although its engine was sound: each silence of 1.5 s (entry.stall) ended the attempt, took a retry and counted as an attempt, also where no other engine could take the stream. The third silence, or a spent retry budget, ended the response.

The attempt was ended first, and a slot for the next one requested after that. Now a slot is requested while the silent attempt still runs (daemon/replacement.c); it ends when a slot at another upstream is granted and the retry is in the budget, and stays if its response goes on first. While the allocator does not respond, a slot of the entry's static share may serve. A request that may have run waits for its slot until its deadline, not for the time of a new one.

--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -95,6 +95,9 @@
 
 static bool on_data(void* user, const char* data, size_t size) {
     request_t* r = user;
+    if (r->next_seek_ms) {
+        replacement_cancel(r); /* it is not silent any more */
+    }
     if (r->is_streaming && r->x && cw_exchange_pending(r->x) > STREAM_HIGH_WATER_BYTES) {
         r->is_upstream_paused = true;
         return false;
@@ -151,7 +154,8 @@
     }
 }
 
-static void attempt_failed(request_t* r, const cw_call_result_t* result) {
+/* Notes that the attempt failed, and with which error the request ends if there is no other. */
+static void record_failure(request_t* r, const cw_call_result_t* result) {
     const cw_upstream_t* u = cw_snapshot_upstream(r->snapshot, r->upstream);
     const char* step = !result->sent ? "connect" : result->status ? "answer" : "wait";
     request_set_error(r, HTTP_BAD_GATEWAY, "upstream-failed", step, u ? u->address : "", result->message, 0);
@@ -159,6 +163,10 @@
            u ? u->address : "-", result->message);
     r->excluded_upstream = r->upstream;
     r->first_shard = r->shard;
+}
+
+static void attempt_failed(request_t* r, const cw_call_result_t* result) {
+    record_failure(r, result);
     r->machine.is_retry_allowed = cw_retry_budget_take(&r->entry->retries);
     r->entry->stats.retries += r->machine.is_retry_allowed;
     request_event(r, result->sent ? CW_EV_UPSTREAM_FAILED : CW_EV_CONNECT_FAILED);
@@ -233,8 +241,18 @@
                                                                 .user_data = r});
 }
 
+static cw_call_result_t stall_result(const request_t* r) {
+    return (cw_call_result_t){.sent = true, .status = r->upstream_status, .message = "no token came for too long"};
+}
+
 void attempt_stalled(request_t* r) {
-    const cw_call_result_t result = {
-        .sent = true, .status = r->upstream_status, .message = "no token came for too long"};
+    const cw_call_result_t result = stall_result(r);
     attempt_failed(r, &result);
 }
+
+void attempt_replaced(request_t* r) {
+    const cw_call_result_t result = stall_result(r);
+    record_failure(r, &result);
+    r->machine.is_retry_allowed = true;
+    request_event(r, CW_EV_UPSTREAM_FAILED);
+}
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -23,20 +23,26 @@
     }
 }
 
-static void assign_seq(request_t* r) {
-    clear_seq(r);
+uint32_t dispatch_next_seq(request_t* r) {
     entry_t* e = r->entry;
     e->seq += e->seq == UINT32_MAX ? 2 : 1;
-    r->seq = e->seq;
-    cw_map_put(&e->by_seq, r->seq, (uint32_t)(r - e->requests));
+    cw_map_put(&e->by_seq, e->seq, (uint32_t)(r - e->requests));
+    return e->seq;
+}
+
+static void assign_seq(request_t* r) {
+    clear_seq(r);
+    r->seq = dispatch_next_seq(r);
 }
 
 static uint32_t remaining_ms(const request_t* r, int64_t now_ms) {
     return r->deadline_ms > now_ms ? (uint32_t)(r->deadline_ms - now_ms) : 0;
 }
 
+/* A request that may have run can't be told to come back, so it waits for a slot until its deadline. */
 static cw_slot_request_t make_slot_request(const request_t* r, int64_t now_ms) {
     const cw_class_t* c = r->class;
+    uint32_t left_ms = remaining_ms(r, now_ms);
     uint8_t flags = (uint8_t)((c->is_protected ? CW_SLOT_REQUEST_PROTECTED : 0) |
                               (c->preemptible ? CW_SLOT_REQUEST_PREEMPTIBLE : 0));
     return (cw_slot_request_t){.seq = r->seq,
@@ -48,8 +54,8 @@
                                .est_ms = cw_estimate_mean(&r->estimate->run_time_ms, c->est_ms),
                                .high_est_ms =
                                    cw_estimate_cutoff(&r->estimate->run_time_ms, DEADLINE_LOSS_SHARE, c->est_ms),
-                               .queue_ms = c->queue_ms,
-                               .remaining_ms = remaining_ms(r, now_ms),
+                               .queue_ms = r->machine.has_sent_bytes ? left_ms : c->queue_ms,
+                               .remaining_ms = left_ms,
                                .prefix = r->prefix_hash,
                                .exclude = r->excluded_upstream,
                                .version = r->stream_version,
@@ -69,29 +75,50 @@
     node_send(e->node, s->owner, &e->out);
 }
 
-static void cancel_slot_request(request_t* r) {
-    if (!r->seq) {
-        return;
-    }
+void dispatch_request_replacement(request_t* r) {
     entry_t* e = r->entry;
+    const entry_shard_t* s = &e->shards[r->replacement.shard];
+    e->out.type = CW_MSG_SLOT_REQUEST;
+    e->out.shard = s->id;
+    e->out.slot_request = make_slot_request(r, node_now_ms());
+    e->out.slot_request.seq = r->replacement.seq;
+    e->out.slot_request.exclude = r->upstream;
+    node_send(e->node, s->owner, &e->out);
+}
+
+void dispatch_send_cancel(entry_t* e, uint32_t shard, uint32_t seq) {
     e->out.type = CW_MSG_CANCEL;
-    e->out.shard = e->shards[r->shard].id;
-    e->out.cancel_seq = r->seq;
-    node_send(e->node, e->shards[r->shard].owner, &e->out);
-    clear_seq(r);
+    e->out.shard = e->shards[shard].id;
+    e->out.cancel_seq = seq;
+    node_send(e->node, e->shards[shard].owner, &e->out);
+}
+
+static void cancel_slot_request(request_t* r) {
+    if (r->seq) {
+        dispatch_send_cancel(r->entry, r->shard, r->seq);
+        clear_seq(r);
+    }
+}
+
+/* An upstream with a free slot in this entry's static share of the request's shard, CW_PICK_NONE: none. */
+static uint32_t choose_direct(const request_t* r, uint64_t exclude) {
+    const node_t* node = r->entry->node;
+    const cw_pick_query_t query = {
+        .prefix = r->prefix_hash, .hall = node->hall, .exclude = exclude, .version = r->stream_version};
+    return node->is_view_stale ? CW_PICK_NONE
+                               : cw_pick_choose(r->entry->shards[r->shard].direct_pick, node_now_ms(), &query);
+}
+
+bool dispatch_has_other_direct_slot(const request_t* r) {
+    uint32_t up = choose_direct(r, r->upstream);
+    return up != CW_PICK_NONE && cw_pick_at(r->entry->shards[r->shard].direct_pick, up).spec.id != r->upstream;
 }
 
 /* Assigns a slot of this entry's static share; returns false when none is free or the view of the fleet is stale. */
 static bool assign_direct_slot(request_t* r) {
     entry_t* e = r->entry;
     entry_shard_t* s = &e->shards[r->shard];
-    int64_t now_ms = node_now_ms();
-    if (e->node->is_view_stale) {
-        return false;
-    }
-    const cw_pick_query_t query = {
-        .prefix = r->prefix_hash, .hall = e->node->hall, .exclude = r->excluded_upstream, .version = r->stream_version};
-    uint32_t up = cw_pick_choose(s->direct_pick, now_ms, &query);
+    uint32_t up = choose_direct(r, r->excluded_upstream);
     if (up == CW_PICK_NONE) {
         return false;
     }
@@ -101,7 +128,7 @@
     r->grant = ((uint64_t)e->direct_epoch << 32) | ++e->direct_seq;
     r->upstream = cw_pick_at(s->direct_pick, up).spec.id;
     r->is_direct = true;
-    r->grant_expires_ms = now_ms + e->node->settings.grant_ms;
+    r->grant_expires_ms = node_now_ms() + e->node->settings.grant_ms;
     e->stats.direct_grants++;
     request_event(r, CW_EV_GRANT);
     return true;
@@ -110,9 +137,10 @@
 /* Sends a slot request, or assigns a slot directly while the allocator is known to be unresponsive. A quarantined
    request is refused instead and may be freed; one without a verdict waits. */
 static void request_slot(request_t* r) {
-    if (!suspects_admit(r)) {
+    if (!suspects_admit(r) || replacement_use(r)) {
         return;
     }
+    replacement_cancel(r);
     entry_shard_t* s = &r->entry->shards[r->shard];
     int64_t now_ms = node_now_ms();
     bool is_unresponsive = s->unresponsive_since_ms && now_ms - s->unresponsive_since_ms < ALLOCATOR_RETRY_MS;
@@ -162,6 +190,11 @@
     node_send(e->node, to, &e->out);
 }
 
+void dispatch_release_unused(entry_t* e, uint32_t shard, uint64_t grant) {
+    const cw_grant_release_t unused = {.grant = grant, .result = CW_PICK_UNUSED};
+    send_grant_release(e, e->shards[shard].id, e->shards[shard].owner, &unused);
+}
+
 /* Releases the slot. The allocator is notified of direct grants too. */
 static void release_slot(request_t* r, cw_pick_result_t result) {
     entry_t* e = r->entry;
@@ -229,6 +262,7 @@
         request_respond(r);
     }
     if (r->machine.state == CW_REQ_ENDED) {
+        replacement_cancel(r);
         if (!r->is_answered) {
             request_respond(r);
         }
@@ -253,7 +287,9 @@
         return INT64_MAX;
     }
     const cw_settings_t* s = &r->entry->node->settings;
-    return r->last_progress_ms + (r->last_progress_ms == r->sent_ms ? s->first_token_timeout_ms : s->stall_ms);
+    int64_t stalled_ms =
+        r->last_progress_ms + (r->last_progress_ms == r->sent_ms ? s->first_token_timeout_ms : s->stall_ms);
+    return r->next_seek_ms > stalled_ms ? r->next_seek_ms : stalled_ms;
 }
 
 static void arm_loop_timer(entry_t* e) {
@@ -310,7 +346,10 @@
         attempt_missed_deadline(r);
         request_event(r, CW_EV_DEADLINE);
     } else if (now_ms >= stall_time_ms(r)) {
-        attempt_stalled(r);
+        replacement_seek(r);
+        if (r->is_used) {
+            request_arm(r);
+        }
     } else if (r->machine.state == CW_REQ_SENT || r->machine.state == CW_REQ_STREAMING) {
         request_arm(r); /* the attempt made progress since the timer was set */
     } else if (r->machine.state == CW_REQ_WAITING) {
@@ -441,7 +480,10 @@
     }
     uint32_t i = cw_map_get(&e->by_seq, a->seq);
     request_t* r = (i == CW_MAP_NONE) ? NULL : &e->requests[i];
-    if (a->kind == CW_SHARD_GRANT) {
+    bool is_for_replacement = r && a->seq == r->replacement.seq;
+    if (is_for_replacement && a->kind != CW_SHARD_PREEMPT) {
+        replacement_on_action(r, a);
+    } else if (a->kind == CW_SHARD_GRANT) {
         on_grant(e, r, from, msg);
     } else if (r && a->kind == CW_SHARD_REFUSE && r->machine.state == CW_REQ_WAITING) {
         on_refusal(r, a);
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -529,7 +529,7 @@
     e->estimates = cw_alloc(NULL, ENTRY_MAX_ESTIMATES, sizeof(*e->estimates));
     e->metrics = cw_alloc(NULL, ENTRY_MAX_METRICS, sizeof(*e->metrics));
     e->by_metric = cw_map_setup(ENTRY_MAX_METRICS, NULL);
-    e->by_seq = cw_map_setup(e->max_requests, NULL);
+    e->by_seq = cw_map_setup(2 * e->max_requests, NULL); /* a request may have a replacement's, too */
     e->timers = cw_heap_setup(e->max_requests, NULL);
     for (uint32_t i = e->max_requests; i-- > 0;) {
         e->free_requests[e->free_count++] = i;
--- a/daemon/entry_internal.h
+++ b/daemon/entry_internal.h
@@ -9,6 +9,7 @@
         shards.c    the shards and their allocators, digests of the grants that are held
         dispatch.c  slot requests, grants, direct mode, timers
         attempt.c   attempts at upstreams
+        replacement.c  slots for the next attempt while the current one is silent
         suspects.c  quarantine: observes crashes, exchanges them with other hosts, holds requests
 
     Direct mode: while a shard's allocator does not respond, the entry
@@ -64,6 +65,17 @@
     cw_hist_t total_ms, first_byte_ms;
 } metric_t;
 
+/* A slot for the next attempt of a request whose current one is silent. */
+typedef struct replacement_t {
+    uint32_t seq;             /* sequence number of its slot request, 0: none */
+    uint32_t shard;           /* index in entry_t.shards */
+    uint32_t last_refused_by; /* index + 1 of the shard that had no slot at last; 0: none */
+    bool is_acknowledged;     /* the allocator has queued the request */
+    uint64_t grant;           /* id of the grant, 0: not granted */
+    uint64_t upstream;
+    int64_t expires_ms;
+} replacement_t;
+
 typedef struct request_t {
     bool is_used;
     entry_t* entry;
@@ -104,6 +116,8 @@
     /* sent_ms: when the attempt's first byte was sent, 0: not yet. */
     int64_t grant_expires_ms, sent_ms, slot_request_sent_ms;
     uint64_t excluded_upstream; /* upstream of the last failed attempt */
+    replacement_t replacement;
+    int64_t next_seek_ms; /* when to seek a replacement again, 0: once the attempt has stalled */
     cw_call_t* call;
     unsigned upstream_status;
     char upstream_type[64];
@@ -184,12 +198,35 @@
 /* Requests a slot at another shard for a waiting request; refuses the request when its pool has no shard left. */
 void dispatch_request_slot_at_new_shard(request_t* r);
 
+/* Sends the slot request for the replacement. */
+void dispatch_request_replacement(request_t* r);
+/* Whether this entry's static share of the shard has a slot at another upstream than that of the attempt. */
+bool dispatch_has_other_direct_slot(const request_t* r);
+/* A new sequence number, by which the request is found. */
+uint32_t dispatch_next_seq(request_t* r);
+void dispatch_send_cancel(entry_t* e, uint32_t shard, uint32_t seq);
+/* Returns a grant that is not needed. */
+void dispatch_release_unused(entry_t* e, uint32_t shard, uint64_t grant);
+
+/* -- replacement.c -------------------------------------------------------- */
+
+/* The attempt is silent: requests a slot at another upstream, or checks on the request that was sent. */
+void replacement_seek(request_t* r);
+/* Takes back the slot request, or returns the slot. */
+void replacement_cancel(request_t* r);
+/* The allocator's response to the slot request. */
+void replacement_on_action(request_t* r, const cw_shard_action_t* a);
+/* Begins the next attempt in the slot that was granted; false: there is none. May free the request. */
+bool replacement_use(request_t* r);
+
 /* -- attempt.c ------------------------------------------------------------ */
 
 /* Begins an attempt at the upstream of the request's grant. */
 void attempt_begin(request_t* r);
-/* Ends the attempt, which has made no progress for too long. */
+/* Ends the attempt, which has made no progress for too long, before another slot is granted. */
 void attempt_stalled(request_t* r);
+/* Ends the attempt, which has made no progress for too long and has a replacement. */
+void attempt_replaced(request_t* r);
 /* A run aborted at its deadline shows that requests of its class and pool can take at least as long. */
 void attempt_missed_deadline(request_t* r);
 /* Whether the upstream may continue the request's stream. */
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -25,13 +25,16 @@
     ck_assert(site_publish(&site, items));
 }
 
+#define DAEMON_SETTINGS                                                                                                \
+    "[platform]\nhosts = 200ms\n[member]\nprobe = 200ms\nprobe_timeout = 150ms\nsuspect = 1s\n"                        \
+    "[entry]\nlookup_keep = 300ms\n"
+
 /* Starts a platform, one engine, one service and three daemons in two halls. */
-static void start_site(void) {
+static void start_site_with(const char* daemon_settings) {
     static const char* const none[] = {NULL};
     static const char* const engine[] = {"--slots", "4", "--step", "3", NULL};
     site_setup(&site, build_dir());
-    site.extra_daemon_settings = "[platform]\nhosts = 200ms\n[entry]\nlookup_keep = 300ms\n[member]\nprobe = "
-                                 "200ms\nprobe_timeout = 150ms\nsuspect = 1s\n";
+    site.extra_daemon_settings = daemon_settings;
     static const char* const platform[] = {"--host-lag", "0", NULL};
     ck_assert(site_start(&site, SITE_PLATFORM, "platform", "h1", platform) != NULL);
     site_proc_t* e = site_start(&site, SITE_ENGINE, "engine", "h1", engine);
@@ -62,6 +65,10 @@
     ck_assert_msg(site_wait_ready(&site, WAIT_MS), "logs in %s", site.dir);
 }
 
+static void start_site(void) {
+    start_site_with(DAEMON_SETTINGS);
+}
+
 static void stop_site(void) {
     ck_assert_int_eq(site_shutdown(&site), 0);
 }
@@ -400,6 +407,34 @@
 END_TEST
 
 /* The service runs the call, then resets the connection, so the response is lost. The call must not be sent again. */
+/* Guards against streams that end because their engine is silent for a while: each silence cost an attempt, also where
+   no other engine could take the stream, and the last attempt ended it. */
+START_TEST(a_stream_goes_on_at_the_only_engine_after_many_silences) {
+    enum { SILENCES = 5 };
+    start_site_with(DAEMON_SETTINGS "stall = 200ms\n");
+    publish_items(
+        "{\"items\":[{\"key\":\"pools/lang\",\"value\":{\"kind\":\"engine\",\"model\":\"m\",\"resumes\":true}}]}");
+    ck_assert(site_wait_revision(&site, 9, WAIT_MS));
+    site_proc_t* engine = site_find_process(&site, "engine");
+    site_call(&(site_request_t){.address = engine->http, .path = "/admin/set?step_ms=20", .body = ""});
+    pid_t child = fork();
+    if (child == 0) {
+        site_response_t response = send_summary(http_of("a"), "s", true, 150);
+        _exit(response.is_complete && strstr(response.body, "[DONE]") ? 0 : 1);
+    }
+    for (int i = 0; i < SILENCES; i++) {
+        site_sleep_ms(400);
+        kill(engine->pid, SIGSTOP);
+        site_sleep_ms(600);
+        kill(engine->pid, SIGCONT);
+    }
+    int status = 0;
+    waitpid(child, &status, 0);
+    ck_assert(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+    stop_site();
+}
+END_TEST
+
 START_TEST(a_call_whose_response_was_lost_never_runs_again) {
     start_site();
     char key[256];
@@ -770,6 +805,7 @@
     tcase_add_test(t, an_interrupted_stream_is_resumed_at_its_version);
     tcase_add_test(t, a_stream_with_an_endless_event_is_resumed);
     tcase_add_test(t, a_stalled_stream_resumes_at_another_engine);
+    tcase_add_test(t, a_stream_goes_on_at_the_only_engine_after_many_silences);
     tcase_add_test(t, a_call_whose_response_was_lost_never_runs_again);
     tcase_add_test(t, a_retry_joins_the_running_call);
     tcase_add_test(t, an_idempotency_key_is_bound_to_its_host_and_incarnation);
