A request that left a silent server may run there again when the others reject it

Cause: the rejection spent the last of two attempts, and the silent server counted as one that had failed the request.

Now a rejection costs no attempt once a request may have run: nothing has run there, and its caller can't be refused any more. Where no untried server is left, those that were only silent may be chosen again. The retry budget still bounds every send.

tests/test_silence.c, a_silent_request_survives_the_rejection_by_its_other_server, a call and a stream: 502 and broken off before, whole now.

--- a/chalkway_request.h
+++ b/chalkway_request.h
@@ -102,7 +102,7 @@
     bool has_response_head;  /* a response head arrived, in any attempt */
     bool has_forwarded_body; /* a byte of the response body was forwarded to the caller */
     bool is_complete;        /* the response arrived completely */
-    uint32_t attempts;
+    uint32_t attempts; /* without those that were rejected after an earlier one may have run, with counts_sent_only */
     uint32_t max_attempts;
 } cw_request_t;
 
@@ -269,6 +269,8 @@
                 return 0;
             }
             r->has_sent_bytes = r->had_sent_bytes;
+            /* A request that may have run can't be refused any more, so a rejection costs it no attempt. */
+            r->attempts -= r->had_sent_bytes && r->counts_sent_only;
             return _cw_request_attempt_failed(r);
         case CW_EV_RESPONSE_HEAD:
             if (r->state == CW_REQ_SENT) {
--- a/gateway/exchange_assign.c
+++ b/gateway/exchange_assign.c
@@ -270,6 +270,20 @@
     return c;
 }
 
+/* Makes the servers that were left because they were silent eligible again; returns whether there were any. */
+static bool forgive_silent(exchange_t* x) {
+    uint32_t kept = 0;
+    bool has_silent = x->silent_tried != 0;
+    for (uint32_t i = 0; i < x->tried_count; i++) {
+        if (!((x->silent_tried >> i) & 1U)) {
+            x->tried[kept++] = x->tried[i];
+        }
+    }
+    x->tried_count = kept;
+    x->silent_tried = 0;
+    return has_silent;
+}
+
 bool exchange_find_replacement(exchange_t* x, bool excludes_silent) {
     if (!exchange_may_retry(x) || exchange_is_verdict_outdated(x) || must_queue_behind(x)) {
         return false;
@@ -280,6 +294,12 @@
     return x->has_replacement;
 }
 
+/* Whether the last choice has found no server of the stream's version that was not tried. */
+static bool are_all_tried(const exchange_t* x) {
+    uint32_t ready = x->pool->ready;
+    return x->tried_count >= ready || x->choice.excluded.tried + x->choice.excluded.other_version >= ready;
+}
+
 void exchange_assign_server(exchange_t* x) {
     exchanges_t* e = x->exchanges;
     bool has_replacement = x->has_replacement;
@@ -303,6 +323,9 @@
     bool is_refused_by_stop = e->is_refusing && !exchange_may_have_run(x);
     if (!has_replacement && !is_refused_by_stop && !must_queue_behind(x)) {
         x->choice = choose_server(x);
+        if (x->choice.server == CW_BALANCE_NONE && are_all_tried(x) && forgive_silent(x)) {
+            x->choice = choose_server(x);
+        }
     }
     if (x->choice.is_late && !x->attempt_count) {
         x->retry_ms = (uint32_t)x->choice.wait_ms;
@@ -318,8 +341,7 @@
         return;
     }
     uint32_t other_version = x->choice.excluded.other_version;
-    bool are_all_tried = x->tried_count >= x->pool->ready || x->choice.excluded.tried + other_version >= x->pool->ready;
-    if (is_refused_by_stop || !x->pool->ready || are_all_tried) {
+    if (is_refused_by_stop || !x->pool->ready || are_all_tried(x)) {
         exchange_refuse(x, is_refused_by_stop ? "this host is stopping"
                            : other_version    ? "no server of the stream's version is left"
                                               : "no server is left to try");
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -60,6 +60,7 @@
 
 void exchange_on_stall(exchange_t* x) {
     if (exchange_find_replacement(x, true)) {
+        x->silent_tried |= x->tried_count ? 1U << (x->tried_count - 1) : 0;
         exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, CW_TRY_FAILED, "silent for too long");
         return;
     }
@@ -111,6 +112,7 @@
 void exchange_keep_server_eligible(exchange_t* x) {
     bool is_in_tried = x->tried_count && x->tried[x->tried_count - 1] == x->server->key;
     x->tried_count -= is_in_tried;
+    x->silent_tried &= (1U << x->tried_count) - 1;
 }
 
 /* Nothing has been sent yet, so the request can still avoid a server that has announced that it leaves or asked for a
--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -5,15 +5,28 @@
 #define ROUTE(name, prefix, kind, rest)                                                                                \
     "{\"name\":\"" name "\",\"host\":\"h.example\",\"prefix\":\"" prefix "\",\"kind\":\"" kind                         \
     "\",\"open\":true,\"timeout_ms\":4000," rest ",\"pools\":[{\"pool\":\"p\"}]}"
-#define ROUTES_IN(pool)                                                                                                \
-    "{\"revision\":1,\"pools\":[" pool "],\"routes\":[" ROUTE(                                                         \
-        "stream", "/stream/", "stream",                                                                                \
-        "\"resume\":true,\"target_ms\":100,\"gap_ms\":100,"                                                            \
-        "\"attempts\":3") "," ROUTE("call", "/call/", "repeatable", "\"target_ms\":100,\"attempts\":3") "]}"
+#define ROUTES_IN(pool)                                                                                                                   \
+    "{\"revision\":1,\"pools\":[" pool "],\"routes\":[" ROUTE(                                                                            \
+        "stream", "/stream/", "stream",                                                                                                   \
+        "\"resume\":true,\"target_ms\":100,\"gap_ms\":100,"                                                                               \
+        "\"attempts\":3") "," ROUTE("call", "/call/",                                                                                     \
+                                    "repeatable", "\"target_ms\":100,\"attempts\":3") "," ROUTE("stream2",                                \
+                                                                                                "/stream2/", "stream",                    \
+                                                                                                "\"resume\":true,"                        \
+                                                                                                "\"target_ms\":100,"                      \
+                                                                                                "\"gap_ms\":100,"                         \
+                                                                                                "\"attempts\":2") "," ROUTE("call2",      \
+                                                                                                                            "/call2/",    \
+                                                                                                                            "repeatable", \
+                                                                                                                            "\"target_ms\":100,\"attempts\":2") "]}"
 #define ROUTES ROUTES_IN("{\"name\":\"p\"}")
 
 #define STREAM "POST /stream/ HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: q1\r\nContent-Length: 0\r\n\r\n"
 #define CALL "GET /call/ HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: q1\r\n\r\n"
+/* On routes with two attempts. */
+#define STREAM_TWICE                                                                                                   \
+    "POST /stream2/ HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: q1\r\nContent-Length: 0\r\n\r\n"
+#define CALL_TWICE "GET /call2/ HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: q1\r\n\r\n"
 #define HEAD(fields) "HTTP/1.1 200 OK\r\nChalkway-Request-Id: @ID@\r\n" fields
 #define EVENTS_HEAD HEAD("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 #define FIRST_EVENT "f\r\nid: 1\ndata: a\n\n\r\n"
@@ -268,6 +281,29 @@
 }
 END_TEST
 
+#define NOT_RUN "HTTP/1.1 503 Busy\r\nChalkway-Request-Id: @ID@\r\nChalkway-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+/* Guards against an attempt that is given up for a server that then rejects the request, although the first one is
+   sound: it may run there again. */
+START_TEST(a_silent_request_survives_the_rejection_by_its_other_server) {
+    static const char response[] = HEAD("Content-Length: 1\r\n\r\na");
+    static const struct {
+        const char* request;
+        rig_step_t steps[3];
+    } cases[] = {{CALL_TWICE, {{RIG_NO_RESPONSE, ""}, {RIG_RESPOND, NOT_RUN}, {RIG_RESPOND, response}}},
+                 {STREAM_TWICE,
+                  {{RIG_RESPOND, EVENTS_HEAD FIRST_EVENT}, {RIG_RESPOND, NOT_RUN}, {RIG_RESPOND, REST_OF_STREAM}}}};
+    rig_t* r = rig_setup(ROUTES, 2);
+    rig_script(r, cases[_i].steps, 3);
+    const char* result = rig_call(r, cases[_i].request);
+    expect_status(result, "200");
+    ck_assert_msg(rig_is_response_complete(result), "%s", result);
+    ck_assert_uint_eq(r->arrival_count, 3);
+    ck_assert_uint_eq(r->arrival_server[0], r->arrival_server[2]);
+    rig_shutdown(r);
+}
+END_TEST
+
 /* -- a server that has failed ------------------------------------------------------ */
 
 #define BROKEN_STREAM EVENTS_HEAD FIRST_EVENT RIG_SILENT_MS(300) "x\r\n" /* no chunk: the response is malformed */
@@ -325,6 +361,7 @@
     tcase_add_test(t, a_stream_leaves_a_silent_server_once_another_can_be_used);
     tcase_add_test(t, a_silent_stream_does_not_move_to_a_server_that_is_silent_too);
     tcase_add_test(t, a_stream_leaves_a_silent_server_before_a_newer_request_gets_a_slot);
+    tcase_add_loop_test(t, a_silent_request_survives_the_rejection_by_its_other_server, 0, 2);
     tcase_add_test(t, a_broken_stream_resumes_at_a_host_that_stops);
     tcase_add_test(t, a_broken_stream_resumes_after_a_backoff);
     tcase_add_test(t, a_broken_stream_that_is_queued_resumes_at_a_host_that_stops);
