Soak: sound upstreams fall silent, in series and beside stops, reloads and changes

A fault stops one, most or all upstreams of a kind for 0.3 to 2 s, up to several times in a row. The new check "silence" finds responses that end well before their deadline although their upstream was merely silent; any other fault of the upstream or host excuses them, a stop does not before the last sixth of its grace period. The silence of an upstream no longer excuses a response that a stop loses.

tests/test_soak_check.c: response_ended_by_silence_is_found.

--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -70,6 +70,33 @@
 
 #define LOST_REQUEST "C 210 sent b call h:1 0\nU 211 begin b v1 2 0\nC 250 done b 0 0 0 0\nU 251 gone b v1\n"
 
+#define SILENCED_REQUEST "C 210 sent a short h:1 500\nU 211 begin a e1 0 500\nC 900 done a 200 0 0 5\nU 901 gone a e1\n"
+
+/* A response that ends early while its upstream is silent, also at a host that is stopping. Any other fault of the
+   upstream or the host excuses it, and so do the end of the grace time and the deadline. */
+START_TEST(response_ended_by_silence_is_found) {
+    static const char* const excuses[] = {"S 205 fault crash e1\n", "S 205 fault kill h:1\n", "S 205 fault machine -\n",
+                                          "S 220 fault cut h:1\n", NULL};
+    char record[1024];
+    expect_only("S 200 fault silent e1\n" SILENCED_REQUEST "S 1000 over silent e1\n", SOAK_ENDED_BY_SILENCE);
+    soak_result_t stopping =
+        check_record("S 190 fault stop h:1\nS 200 fault silent e1\n" SILENCED_REQUEST "S 1000 over silent e1\n");
+    ck_assert_uint_eq(stopping.count[SOAK_ENDED_BY_SILENCE], 1);
+    ck_assert_uint_eq(stopping.count[SOAK_LOST_ON_STOP], 1);
+    for (int i = 0; excuses[i]; i++) {
+        snprintf(record, sizeof(record), "S 200 fault silent e1\n%s" SILENCED_REQUEST, excuses[i]);
+        ck_assert_uint_eq(check_record(record).count[SOAK_ENDED_BY_SILENCE], 0);
+    }
+    soak_result_t late = check_record("S 200 fault silent e1\nC 210 sent a short h:1 500\nU 211 begin a e1 0 500\n"
+                                      "C 8100 done a 504 1 0 0\nU 8101 gone a e1\n");
+    ck_assert_uint_eq(late.count[SOAK_ENDED_BY_SILENCE], 0);
+    soak_result_t grace_over =
+        check_record("S 5 fault stop h:1\nS 200 fault silent e1\nC 210 sent a short h:1 500\nU 211 begin a e1 0 500\n"
+                     "C 3600 done a 200 0 0 5\nU 3601 gone a e1\n");
+    ck_assert_uint_eq(grace_over.count[SOAK_ENDED_BY_SILENCE], 0);
+}
+END_TEST
+
 START_TEST(request_lost_on_planned_stop_is_found) {
     expect_only("S 200 fault stop h:1\n" LOST_REQUEST "S 300 ended h:1 0\nS 310 over stop h:1\n", SOAK_LOST_ON_STOP);
     soak_result_t killed = check_record("S 200 fault kill h:1\n" LOST_REQUEST "S 310 over kill h:1\n");
@@ -326,6 +353,7 @@
     tcase_add_test(t, run_after_refusal_is_found);
     tcase_add_test(t, wrong_response_is_found);
     tcase_add_test(t, request_lost_on_planned_stop_is_found);
+    tcase_add_test(t, response_ended_by_silence_is_found);
     tcase_add_test(t, response_of_a_query_of_death_is_lost_by_the_crash_and_not_by_the_stop);
     tcase_add_test(t, unclean_host_exit_is_found);
     tcase_add_test(t, refusal_while_engines_idle_is_found);
--- a/tools/soak.h
+++ b/tools/soak.h
@@ -77,6 +77,7 @@
     SOAK_FELL_UNDER_STRAIN,  /* too many upstreams ended by rejections while they advertised a limit on them */
     SOAK_VERSIONS_MIXED,     /* a stream holds events from upstreams of two software versions */
     SOAK_LEAVING_IGNORED,    /* an upstream got a request long after it had announced leaving to the host */
+    SOAK_ENDED_BY_SILENCE,   /* a response ended early although its sound upstream was merely silent for a while */
     SOAK_CHECK_COUNT
 } soak_check_t;
 
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -29,6 +29,8 @@
 #define SIGNAL_EXIT_BASE 128   /* a greater exit code is this plus the signal that killed the process */
 #define PROGRAM_LOAD_MS 100    /* after a start: the program may not be loaded yet, so that any signal kills it */
 #define MACHINE_TARGET "-"     /* target of faults that belong to no single process, such as of the machine */
+#define SILENCE "silent"       /* name of a fault: a sound upstream is stopped for a while */
+#define DEADLINE_MARGIN_MS 300 /* a response that ends less than this before its deadline may have run out of time */
 #define FAULT_MARGIN_MS 1000   /* after a fault of a request's server: a lost response is attributed to it */
 
 const soak_kind_t soak_kinds[SOAK_KINDS] = {
@@ -61,6 +63,7 @@
     bool has_crashed_upstream; /* a query of death: it crashed at least one */
     int64_t begin_ms, end_ms;
     char last_server[NAME_SIZE]; /* server that last began to run the request */
+    bool has_lost_server;        /* a fault but silence had hit the server of an earlier attempt */
     double idle_engine_share;    /* share of idle engines when the request was sent */
     bool is_calm;                /* sent in a calm period */
 } request_t;
@@ -104,9 +107,9 @@
 
 const char* soak_check_name(soak_check_t check) {
     static const char* const names[SOAK_CHECK_COUNT] = {
-        "twice",    "refused-and-run", "mixed",  "lost",     "refused-idle", "put-behind", "sent-to-left", "worked-on",
-        "stop",     "recovery",        "deadly", "shut-out", "rate",         "rest",       "fell",         "versions",
-        "told-left"};
+        "twice",     "refused-and-run", "mixed",  "lost",     "refused-idle", "put-behind", "sent-to-left", "worked-on",
+        "stop",      "recovery",        "deadly", "shut-out", "rate",         "rest",       "fell",         "versions",
+        "told-left", "silence"};
     return names[check];
 }
 
@@ -137,11 +140,11 @@
 }
 
 /* Returns whether a fault of the target, or of any target if NULL, is active at at_ms or ended less than after_ms
-   before. */
+   before. The silence of a sound server is no reason to lose anything there. */
 static bool is_disturbed(const checker_t* c, int64_t at_ms, const char* target, int64_t after_ms) {
     for (uint32_t i = 0; i < c->fault_count; i++) {
         const fault_t* f = &c->faults[i];
-        bool is_match = !target || strcmp(f->target, target) == 0;
+        bool is_match = !target || (strcmp(f->target, target) == 0 && strcmp(f->name, SILENCE) != 0);
         if (is_match && f->from_ms <= at_ms && (!f->to_ms || at_ms < f->to_ms + after_ms)) {
             return true;
         }
@@ -230,6 +233,8 @@
 }
 
 static void handle_begin(checker_t* c, int64_t at_ms, request_t* r, server_record_t* s) {
+    r->has_lost_server =
+        r->has_lost_server || (r->begin_count && is_disturbed(c, at_ms, r->last_server, FAULT_MARGIN_MS));
     r->begin_count++;
     r->begin_ms = at_ms;
     r->end_ms = 0;
@@ -278,7 +283,8 @@
 static bool was_frozen(const checker_t* c, int64_t at_ms, const char* server) {
     for (uint32_t i = 0; i < c->fault_count; i++) {
         const fault_t* f = &c->faults[i];
-        bool is_match = strcmp(f->name, "freeze") == 0 && strcmp(f->target, server) == 0;
+        bool is_frozen = strcmp(f->name, "freeze") == 0 || strcmp(f->name, SILENCE) == 0;
+        bool is_match = is_frozen && strcmp(f->target, server) == 0;
         if (is_match && (!f->to_ms || at_ms < f->to_ms + SOAK_PUSHBACK_WINDOW_MS)) {
             return true;
         }
@@ -595,6 +601,43 @@
     return false;
 }
 
+/* Returns whether a fault of this name, or of any name if NULL, hit the target between two times. */
+static bool was_hit(const checker_t* c, const char* name, const char* target, int64_t from_ms, int64_t to_ms) {
+    for (uint32_t i = 0; i < c->fault_count; i++) {
+        const fault_t* f = &c->faults[i];
+        bool is_match = strcmp(f->target, target) == 0 && (!name || strcmp(f->name, name) == 0);
+        if (is_match && f->from_ms <= to_ms && (!f->to_ms || f->to_ms >= from_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns whether the host could go on: nothing hit it but reloads and a stop whose grace time was not nearly over. */
+static bool could_host_continue(const checker_t* c, const request_t* r) {
+    for (uint32_t i = 0; i < c->fault_count; i++) {
+        const fault_t* f = &c->faults[i];
+        bool is_active = f->from_ms <= r->done_ms && (!f->to_ms || f->to_ms + FAULT_MARGIN_MS >= r->sent_ms);
+        bool is_on_host = strcmp(f->target, r->host) == 0 || strcmp(f->target, MACHINE_TARGET) == 0;
+        bool is_stop_in_time = strcmp(f->name, "stop") == 0 && r->done_ms - f->from_ms <= (int64_t)c->grace_ms * 5 / 6;
+        if (is_active && is_on_host && !is_stop_in_time && strcmp(f->name, "reload") != 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Returns whether the response failed well before its deadline although its server had begun to run the request and was
+   merely silent for a while. */
+static bool was_ended_by_silence(const checker_t* c, const request_t* r) {
+    bool has_failed = r->done_ms && !r->abandoned_ms && r->begin_count &&
+                      (!r->status || !r->is_complete || r->status == 502 || r->status == 504);
+    bool was_in_time = r->done_ms < r->sent_ms + (int64_t)soak_kinds[r->kind].timeout_ms - DEADLINE_MARGIN_MS;
+    return has_failed && was_in_time && !r->has_crashed_upstream && !r->has_lost_server &&
+           was_hit(c, SILENCE, r->last_server, r->begin_ms, r->done_ms) &&
+           !is_disturbed(c, r->done_ms, r->last_server, FAULT_MARGIN_MS) && could_host_continue(c, r);
+}
+
 static void check_request(checker_t* c, const request_t* r) {
     const char* kind = soak_kinds[r->kind].name;
     if (is_at_most_once(r) && r->begin_count > 1) {
@@ -612,6 +655,9 @@
     if (was_lost_by_stop(c, r)) {
         add_finding(c, SOAK_LOST_ON_STOP, r->done_ms, r->id, r->host);
     }
+    if (was_ended_by_silence(c, r)) {
+        add_finding(c, SOAK_ENDED_BY_SILENCE, r->done_ms, r->id, r->last_server);
+    }
     if (r->is_quarantined && !r->qod_body) {
         add_finding(c, SOAK_FALSE_QUARANTINE, r->sent_ms, r->id, kind);
     }
--- a/tools/soak_faults.c
+++ b/tools/soak_faults.c
@@ -13,7 +13,10 @@
 #define SLOW_FACTOR 5
 #define RATE_LIMIT_DURATION_MS 9000 /* long enough for the rate check of soak_pushback.c */
 #define STRAIN_DURATION_MS 9000     /* the strain takes effect 3 s after it was announced */
-#define KILL_ALL_ONE_IN 25          /* one fault in this many kills all hosts at once */
+#define SILENCE_MIN_MS 300
+#define SILENCE_SPREAD_MS 1700
+#define SILENCE_PAUSE_MS 700 /* between two silences of a series */
+#define KILL_ALL_ONE_IN 25   /* one fault in this many kills all hosts at once */
 
 typedef struct fault_kind_t {
     const char* name;
@@ -294,6 +297,58 @@
     }
 }
 
+static bool is_target(const soak_t* s, const proc_t* p);
+
+/* Silences one, most or all upstreams of one kind that no other fault has hit. */
+static void silence_upstreams(soak_t* s) {
+    static const uint32_t shares[] = {10, 60, 100}; /* percent */
+    bool is_engine = soak_random(s) % 4 != 0;
+    uint64_t share = shares[soak_random(s) % 3];
+    for (uint32_t i = 0; i < s->proc_count; i++) {
+        proc_t* p = &s->procs[i];
+        bool is_eligible = p->kind == PROC_UPSTREAM && p->pid && p->is_ready && p->is_engine == is_engine;
+        if (is_eligible && !is_target(s, p) && soak_random(s) % 100 < share) {
+            p->is_silent = true;
+            kill(p->pid, SIGSTOP);
+            soak_record_event(s, "fault silent %s", p->name);
+        }
+    }
+}
+
+static bool wake_upstreams(soak_t* s) {
+    bool has_woken = false;
+    for (uint32_t i = 0; i < s->proc_count; i++) {
+        proc_t* p = &s->procs[i];
+        if (p->is_silent) {
+            if (p->pid) {
+                kill(p->pid, SIGCONT);
+            }
+            p->is_silent = false;
+            has_woken = true;
+            soak_record_event(s, "over silent %s", p->name);
+        }
+    }
+    return has_woken;
+}
+
+/* Sound upstreams fall silent for a while, several times in a series. */
+static bool silences_begin(active_fault_t* a) {
+    silence_upstreams(a->soak);
+    soak_start_timer(a->soak, &a->timer, SILENCE_MIN_MS + (int64_t)(soak_random(a->soak) % SILENCE_SPREAD_MS));
+    return true;
+}
+
+static void silences_end(active_fault_t* a) {
+    soak_t* s = a->soak;
+    bool is_another_due = standin_now_ms() + SILENCE_MIN_MS + SILENCE_SPREAD_MS < s->faults_until_ms;
+    bool has_woken = wake_upstreams(s);
+    if (has_woken && is_another_due && soak_random(s) % 3) {
+        soak_start_timer(s, &a->timer, SILENCE_PAUSE_MS);
+    } else if (!has_woken && is_another_due) {
+        silences_begin(a);
+    }
+}
+
 static const fault_kind_t fault_kinds[] = {
     {"stop", PROC_HOST, 4, stop_begin, host_restart},
     {"kill", PROC_HOST, 2, kill_begin, host_restart},
@@ -317,6 +372,7 @@
     {"source-lossy", PROC_SOURCE, 1, source_lossy, source_recover},
     {"source-stale", PROC_SOURCE, 1, source_stale, source_recover},
     {"config", PROC_SOURCE, 3, config_begin, no_op},
+    {"silences", PROC_SOURCE, 8, silences_begin, silences_end},
     {"burst", PROC_CALLERS, 3, burst_begin, burst_end},
 };
 #define FAULT_KINDS (sizeof(fault_kinds) / sizeof(fault_kinds[0]))
--- a/tools/soak_site.h
+++ b/tools/soak_site.h
@@ -30,6 +30,7 @@
     bool is_engine, is_leaving, is_ready, is_stopping;
     uint32_t version;           /* of an upstream's software */
     bool has_stale_entry;       /* an upstream that exited but is still published */
+    bool is_silent;             /* an upstream that is stopped for a while by a fault "silences" */
     ev_timer restart_timer;     /* of an upstream that a query of death crashed: until its restart */
     int64_t started_ms;         /* of an upstream, published in its entry */
     int64_t suspended_since_ms; /* of a suspended host: start of the suspension */
