chalkwayd: a stop waits for responses that callers still read

Callers that read slowly got a part of their response when their host stopped. Cause: the stop counted requests that had no response yet; a response handed to the HTTP library counted as over. Now responses that are not sent yet count too.

tests/test_site.c, a_graceful_stop_waits_for_a_caller_that_reads_late: 73,848 of 300,000 bytes before, all now (two runs of the whole program).

--- a/daemon/node.c
+++ b/daemon/node.c
@@ -194,7 +194,8 @@
 /* Ends the loop when a graceful stop is complete: the lookup responses that list this host have expired and no request
    is active, or STOP_MAX_MS have passed. The remaining events of this iteration are still handled after ev_break. */
 static void check_stop_complete(node_t* node, int64_t now_ms) {
-    uint32_t active = entry_stats(node->entry).active;
+    /* A response is over when its caller has it, not when it was received from the upstream. */
+    uint32_t active = entry_stats(node->entry).active + cw_httpd_unsent_responses(node->http);
     if (cw_stop_update(&node->stop, now_ms, active) == CW_STOP_EXIT) {
         node->aborted_count = active;
         ev_break(node->loop, EVBREAK_ALL);
--- a/io/httpd.c
+++ b/io/httpd.c
@@ -22,6 +22,7 @@
     ev_prepare prepare;
     bool is_run_due; /* connections were resumed: MHD_run has to be called before the loop blocks */
     uint32_t active_exchanges;
+    uint32_t unsent_responses; /* exchanges that are released and not freed yet */
 };
 
 struct cw_exchange_t {
@@ -89,12 +90,18 @@
 
 /* -- exchanges ------------------------------------------------------------ */
 
+static void exchange_release(cw_exchange_t* x) {
+    x->httpd->unsent_responses += !x->is_released;
+    x->is_released = true;
+}
+
 static void exchange_free(cw_exchange_t* x) {
     ev_io_stop(x->httpd->desc.loop, &x->caller_io);
     if (x->response) {
         MHD_destroy_response(x->response);
     }
     x->httpd->active_exchanges--;
+    x->httpd->unsent_responses -= x->is_released;
     free(x->method);
     free(x->path);
     cw_buffer_free(&x->body);
@@ -114,7 +121,7 @@
 
 void cw_exchange_reply(cw_exchange_t* x, unsigned status, const cw_header_t* headers, uint32_t count, const void* body,
                        size_t size) {
-    x->is_released = true;
+    exchange_release(x);
     ev_io_stop(x->httpd->desc.loop, &x->caller_io);
     struct MHD_Response* response = MHD_create_response_from_buffer(size, (void*)body, MHD_RESPMEM_MUST_COPY);
     set_response(x, response, status, headers, count);
@@ -190,7 +197,7 @@
 }
 
 void cw_exchange_finish(cw_exchange_t* x, bool is_complete) {
-    x->is_released = true;
+    exchange_release(x);
     x->is_ended = true;
     x->is_complete = is_complete;
     ev_io_stop(x->httpd->desc.loop, &x->caller_io);
@@ -199,7 +206,7 @@
 
 static void notify_caller_closed(cw_exchange_t* x) {
     if (x->is_handed_over && !x->is_released) {
-        x->is_released = true;
+        exchange_release(x);
         if (x->httpd->desc.on_caller_closed) {
             x->httpd->desc.on_caller_closed(x, x->httpd->desc.user_data);
         }
@@ -380,6 +387,10 @@
     return h->active_exchanges;
 }
 
+uint32_t cw_httpd_unsent_responses(const cw_httpd_t* h) {
+    return h->unsent_responses;
+}
+
 const char* cw_exchange_method(const cw_exchange_t* x) {
     return x->method;
 }
--- a/io/httpd.h
+++ b/io/httpd.h
@@ -42,6 +42,8 @@
 const char* cw_httpd_address(const cw_httpd_t* h);
 /* Number of exchanges in progress. */
 uint32_t cw_httpd_active_exchanges(const cw_httpd_t* h);
+/* Number of responses that the user has completed and that are not sent yet. */
+uint32_t cw_httpd_unsent_responses(const cw_httpd_t* h);
 
 const char* cw_exchange_method(const cw_exchange_t* x);
 /* Request path without the query. */
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -1,12 +1,15 @@
 /* System tests with real processes: invariants that hold when processes are killed or frozen, streams break, hosts
    become unreachable and the platform is down. */
 #include <jansson.h>
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "../io/address.h"
 #include "../tools/site.h"
 #include "test.h"
 
@@ -535,6 +538,54 @@
 }
 END_TEST
 
+#define LARGE_BYTES 300000
+
+/* Sends a call over a connection that takes few bytes at a time; the service's response repeats its body. Returns the
+   socket. */
+static int begin_slow_call(const char* address) {
+    static char body[LARGE_BYTES];
+    char head[256];
+    struct sockaddr_in to;
+    int few = 4096;
+    int segment = 1460;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    cw_addr_parse(address, &to, NULL);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &few, sizeof(few));
+    setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof(segment));
+    ck_assert_int_eq(connect(fd, (struct sockaddr*)&to, sizeof(to)), 0);
+    memset(body, 'b', sizeof(body));
+    int size = snprintf(head, sizeof(head),
+                        "POST /v1/services/sched/status HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " TOKEN
+                        "\r\nChalkway-Class: status\r\nContent-Length: %d\r\n\r\n",
+                        LARGE_BYTES);
+    ck_assert_int_eq(send(fd, head, (size_t)size, 0), size);
+    ck_assert_int_eq(send(fd, body, sizeof(body), 0), (ssize_t)sizeof(body));
+    return fd;
+}
+
+/* Guards against a stop that drops responses which their callers have not read yet: a response is over when its caller
+   has it, not when it was received from the upstream. */
+START_TEST(a_graceful_stop_waits_for_a_caller_that_reads_late) {
+    char data[16384];
+    size_t total = 0;
+    struct timeval limit = {.tv_sec = 10};
+    start_site();
+    site_proc_t* a = site_find_process(&site, "a");
+    int fd = begin_slow_call(a->http);
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+    site_sleep_ms(500);
+    kill(a->pid, SIGTERM);
+    site_sleep_ms(1500);
+    for (ssize_t n = 1; n > 0 && total < LARGE_BYTES;) {
+        n = recv(fd, data, sizeof(data), 0);
+        total += n > 0 ? (size_t)n : 0;
+    }
+    close(fd);
+    ck_assert_msg(total >= LARGE_BYTES, "%zu bytes", total);
+    stop_site();
+}
+END_TEST
+
 START_TEST(lookup_omits_a_leaving_host) {
     start_site();
     site_proc_t* a = site_find_process(&site, "a");
@@ -812,6 +863,7 @@
     tcase_add_loop_test(t, other_hosts_keep_serving_when_one_is_killed, 0, 3);
     tcase_add_loop_test(t, other_hosts_keep_serving_when_one_is_frozen, 0, 3);
     tcase_add_test(t, a_graceful_stop_aborts_no_request);
+    tcase_add_test(t, a_graceful_stop_waits_for_a_caller_that_reads_late);
     tcase_add_test(t, lookup_omits_a_leaving_host);
     tcase_add_test(t, configuration_survives_a_platform_outage_and_never_reverts);
     tcase_add_test(t, an_invalid_change_keeps_the_last_valid_document);
