--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -114,6 +114,14 @@
     }
 }
 
+/* The path to all servers counts as broken, and no other host can reach them either. */
+static void cut_path(rig_t* r) {
+    pool_t* pool = upstreams_pool(r->upstreams, "p");
+    pool->is_path_silent = true;
+    pool->reach.broken_ms = clock_ms() + 1;
+    exchanges_on_pool_cut(r->exchanges, pool);
+}
+
 static void spend_retries(rig_t* r) {
     while (cw_retry_window_take(&upstreams_pool(r->upstreams, "p")->retries, clock_ms())) {
     }
@@ -229,6 +237,11 @@
 }
 END_TEST
 
+START_TEST(a_silent_stream_goes_on_when_its_path_breaks_and_no_server_is_left) {
+    expect_stream_goes_on(ROUTES, 1, cut_path);
+}
+END_TEST
+
 /* The other server is listed after the first has fallen silent, and the first is silent for good. */
 START_TEST(a_stream_leaves_a_silent_server_once_another_can_be_used) {
     rig_t* r = rig_setup(ROUTES, 1);
@@ -358,6 +371,7 @@
     tcase_add_test(t, a_silent_stream_goes_on_while_all_servers_ask_for_a_backoff);
     tcase_add_test(t, a_silent_stream_goes_on_while_no_other_server_has_a_slot);
     tcase_add_test(t, a_silent_stream_goes_on_when_no_retry_is_left);
+    tcase_add_test(t, a_silent_stream_goes_on_when_its_path_breaks_and_no_server_is_left);
     tcase_add_test(t, a_stream_leaves_a_silent_server_once_another_can_be_used);
     tcase_add_test(t, a_silent_stream_does_not_move_to_a_server_that_is_silent_too);
     tcase_add_test(t, a_stream_leaves_a_silent_server_before_a_newer_request_gets_a_slot);
