--- a/gateway/exchange_assign.c
+++ b/gateway/exchange_assign.c
@@ -7,7 +7,8 @@
 #include "clock.h"
 #include "exchange_internal.h"
 
-#define STREAM_REPLY_MS 60            /* for other hosts to reply to a query for a stream */
+#define STREAM_REPLY_MS 60 /* for other hosts to reply to a query for a stream */
+#define EXCLUDED_MAX (TRIED_SERVERS_MAX + CW_QUARANTINE_MAX_CRASHES)
 #define REPLACEMENT_SILENCE_SHARE 0.5 /* of an attempt's silence: longest one of a server that replaces its own */
 
 /* -- the queue ------------------------------------------------------------ */
@@ -220,7 +221,7 @@
     return !x->attempt_count || x->has_reserved_retry;
 }
 
-#define EXCLUDED_MAX (TRIED_SERVERS_MAX + CW_QUARANTINE_MAX_CRASHES)
+/* -- the choice of a server ------------------------------------------------ */
 
 /* Writes the servers that failed this request and those that crashed under an identical one; returns their number. */
 static uint32_t list_excluded(const exchange_t* x, uint64_t* out) {
@@ -270,8 +271,8 @@
     return c;
 }
 
-/* Makes the servers that were left because they were silent eligible again; returns whether there were any. */
-static bool forgive_silent(exchange_t* x) {
+/* Makes the servers that the request left because they were silent eligible again; returns whether there were any. */
+static bool readmit_silent_servers(exchange_t* x) {
     uint32_t kept = 0;
     bool has_silent = x->silent_tried != 0;
     for (uint32_t i = 0; i < x->tried_count; i++) {
@@ -300,15 +301,43 @@
     return x->tried_count >= ready || x->choice.excluded.tried + x->choice.excluded.other_version >= ready;
 }
 
+/* Sets choice. Where all servers were tried, those that were only silent are chosen from again. */
+static void choose_untried_server(exchange_t* x) {
+    x->choice = choose_server(x);
+    if (x->choice.server == CW_BALANCE_NONE && are_all_tried(x) && readmit_silent_servers(x)) {
+        x->choice = choose_server(x);
+    }
+}
+
+/* -- assignment ------------------------------------------------------------ */
+
+static void start_at_chosen_server(exchange_t* x) {
+    exchange_dequeue(x);
+    uint32_t actions = cw_request_event(&x->fsm, CW_EV_GRANT);
+    if (actions & CW_DO_CONNECT) {
+        exchange_start_attempt(x);
+    }
+}
+
+static void wait_for_slot(exchange_t* x) {
+    exchanges_t* e = x->exchanges;
+    if (!x->is_queued) {
+        x->work.is_late = false;
+        x->wait = slot_wait(x);
+        enqueue(x);
+        cw_log(e->desc.log, CW_EVENT_REQUEST_QUEUED, "id=%s pool=%s urgency=%u fullness=%.2f ahead=%u waiting=%u",
+               x->id, x->pool->name, x->work.urgency, cw_balance_utilization(x->pool->balance, clock_ms()),
+               count_ahead(x), e->stats.waiting);
+    }
+    exchange_set_timer(x);
+}
+
 void exchange_assign_server(exchange_t* x) {
     exchanges_t* e = x->exchanges;
     bool has_replacement = x->has_replacement;
     assert(x->pool);
     x->has_replacement = false;
-    if (e->is_ending || exchange_check_quarantine(x)) {
-        return;
-    }
-    if (is_stream_unresolved(x)) {
+    if (e->is_ending || exchange_check_quarantine(x) || is_stream_unresolved(x)) {
         return;
     }
     if (!reserve_retry(x)) {
@@ -322,10 +351,7 @@
     }
     bool is_refused_by_stop = e->is_refusing && !exchange_may_have_run(x);
     if (!has_replacement && !is_refused_by_stop && !must_queue_behind(x)) {
-        x->choice = choose_server(x);
-        if (x->choice.server == CW_BALANCE_NONE && are_all_tried(x) && forgive_silent(x)) {
-            x->choice = choose_server(x);
-        }
+        choose_untried_server(x);
     }
     if (x->choice.is_late && !x->attempt_count) {
         x->retry_ms = (uint32_t)x->choice.wait_ms;
@@ -333,11 +359,7 @@
         return;
     }
     if (x->choice.server != CW_BALANCE_NONE) {
-        exchange_dequeue(x);
-        uint32_t actions = cw_request_event(&x->fsm, CW_EV_GRANT);
-        if (actions & CW_DO_CONNECT) {
-            exchange_start_attempt(x);
-        }
+        start_at_chosen_server(x);
         return;
     }
     uint32_t other_version = x->choice.excluded.other_version;
@@ -353,15 +375,7 @@
         exchange_refuse(x, "all servers hold callers back");
         return;
     }
-    if (!x->is_queued) {
-        x->work.is_late = false;
-        x->wait = slot_wait(x);
-        enqueue(x);
-        cw_log(e->desc.log, CW_EVENT_REQUEST_QUEUED, "id=%s pool=%s urgency=%u fullness=%.2f ahead=%u waiting=%u",
-               x->id, x->pool->name, x->work.urgency, cw_balance_utilization(x->pool->balance, clock_ms()),
-               count_ahead(x), e->stats.waiting);
-    }
-    exchange_set_timer(x);
+    wait_for_slot(x);
 }
 
 /* Whether x is queued. x may have been freed. */
