Fuzz targets for all input from outside

Fifteen targets with the compiler's own fuzzer and the address and undefined-behaviour sanitizers: configuration and server documents of both sources, the packed list, settings, heads and bodies of requests and responses in pieces, event streams, inventories, load and stream datagrams, gossip, frames of peers and of tunnels. Text seeds are files, binary ones are written by the library's encoders.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# chalkway. Targets: all install demo check asan bench faults soak format lint deps clean.
+# chalkway. Targets: all install demo check asan fuzz bench faults soak format lint deps clean.
 BUILD ?= build
 PREFIX ?= /usr/local
 VERSION := 0.1.0
@@ -24,7 +24,7 @@
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/bench_*.c))
 SOURCES := $(wildcard *.h *.c io/*.h io/*.c daemon/*.h daemon/*.c gateway/*.h gateway/*.c platform/*.h platform/*.c standins/*.h standins/*.c tools/*.h tools/*.c \
-             tests/*.h tests/*.c bench/*.h bench/*.c samples/*.c)
+             tests/*.h tests/*.c tests/fuzz/*.c bench/*.h bench/*.c samples/*.c)
 HEADERS := $(wildcard chalkway_*.h)
 
 .PHONY: all lib install demo check test asan bench faults format lint deps clean
@@ -121,6 +121,30 @@
 asan: deps
 	@$(MAKE) --no-print-directory test BUILD=$(BUILD)/asan OPT="-O1 -g" SANITIZE="-fsanitize=address,undefined -fno-omit-frame-pointer"
 
+# Input from outside, with the fuzzer of the compiler: make fuzz FUZZ_SECONDS=1800 for a long run.
+FUZZ_TARGETS := catalog platform_catalog source servers packed settings request response events inventory load stream_message \
+                gossip frame tunnel
+FUZZ_RUNS ?= 30000
+FUZZ_SECONDS ?= 0
+FUZZ_SANITIZE := -fsanitize=fuzzer-no-link,address,undefined
+FUZZ_PROGRAMS := $(BUILD)/fuzz-seeds $(patsubst %,$(BUILD)/fuzz-%,$(FUZZ_TARGETS))
+.PHONY: fuzz fuzz-programs
+fuzz: deps
+	@$(MAKE) --no-print-directory fuzz-programs BUILD=$(BUILD)/fuzz CC=clang OPT="-O1 -g" SANITIZE="$(FUZZ_SANITIZE)"
+	@sh tests/fuzz/run.sh $(BUILD)/fuzz $(FUZZ_RUNS) $(FUZZ_SECONDS) $(FUZZ_TARGETS)
+
+fuzz-programs: $(FUZZ_PROGRAMS)
+
+$(BUILD)/fuzz-seeds: $(BUILD)/tests/fuzz/seeds.o $(LIB)
+	$(CC) $(SANITIZE) -fsanitize=address,undefined $^ -o $@ $(LIBS)
+
+$(BUILD)/tests/fuzz/fuzz-%.o: tests/fuzz/fuzz.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -DFUZZ_TARGET=$* -c $< -o $@
+
+$(BUILD)/fuzz-%: $(BUILD)/tests/fuzz/fuzz-%.o $(GATEWAY) $(PLATFORM) $(IO) $(LIB)
+	$(CC) -fsanitize=fuzzer,address,undefined $^ -o $@ $(LIBS)
+
 SCENARIO ?= decide
 bench: all
 	@$(MAKE) --no-print-directory $(BENCHES)
