A request returns to the silent server that it left when the other one breaks off

Cause: the attempt at the silent server counted as spent, so no attempt was left.

Now the request may return once to a server that it left because it was silent, and to no other: the number of servers that it uses stays within the route's attempts. The retry budget bounds it as any other send.

tests/test_silence.c, a_silent_request_returns_when_its_other_server_breaks_off, a call and a stream: 502 and broken off before, whole now.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -111,6 +111,15 @@
     ev_timer_start(x->exchanges->desc.loop, &x->timer);
 }
 
+/* When the server that replaced a silent one fails, the silent one may still be sound. If no attempt is left, the
+   request may return there: that server counts among those that it has tried already. */
+static void allow_return_to_silent(exchange_t* x) {
+    if (x->silent_tried && !x->returns_to_silent && x->fsm.attempts >= x->fsm.max_attempts) {
+        x->fsm.attempts--;
+        x->returns_to_silent = true;
+    }
+}
+
 void exchange_fail_attempt(exchange_t* x, cw_request_event_t e, cw_try_result_t result, const char* reason) {
     int64_t now_ms = clock_ms();
     x->result = result;
@@ -122,6 +131,9 @@
            x->server->published.address, reason, x->sent_ms ? (long long)(now_ms - x->sent_ms) : -1LL,
            x->has_first_byte ? (long long)(now_ms - x->attempt_first_ms) : -1LL, exchange_begun_name(x),
            (unsigned long long)x->suspects.items[0].content_hash, x->server->conn_count);
+    if (e == CW_EV_UPSTREAM_FAILED) {
+        allow_return_to_silent(x);
+    }
     exchange_handle_event(x, e);
 }
 
--- a/gateway/exchange_assign.c
+++ b/gateway/exchange_assign.c
@@ -252,17 +252,23 @@
     return count;
 }
 
-/* When all servers of a pool fall silent at once, another one is no better. So a replacement must have been heard a
-   good deal later than the server of the attempt. */
-static cw_choice_t choose_heard_server(const exchange_t* x) {
+/* An array with room for those that list_excluded writes and all servers of the pool. */
+static uint64_t* alloc_excluded(const pool_t* pool) {
     uint32_t servers = 0;
-    for (const server_t* s = x->pool->servers; s; s = s->next) {
+    for (const server_t* s = pool->servers; s; s = s->next) {
         servers++;
     }
     uint64_t* excluded = calloc(EXCLUDED_MAX + servers, sizeof(*excluded));
     if (!excluded) {
         abort();
     }
+    return excluded;
+}
+
+/* When all servers of a pool fall silent at once, another one is no better. So a replacement must have been heard a
+   good deal later than the server of the attempt. */
+static cw_choice_t choose_heard_server(const exchange_t* x) {
+    uint64_t* excluded = alloc_excluded(x->pool);
     int64_t silent_ms = (int64_t)(REPLACEMENT_SILENCE_SHARE * (double)(clock_ms() - x->progress_ms));
     uint32_t count = list_excluded(x, excluded);
     count += list_silent(x->pool, silent_ms > 1 ? silent_ms : 1, excluded + count);
@@ -271,6 +277,31 @@
     return c;
 }
 
+static bool is_left_silent(const exchange_t* x, uint64_t key) {
+    for (uint32_t i = 0; i < x->tried_count; i++) {
+        if (x->tried[i] == key && ((x->silent_tried >> i) & 1U)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* One of the servers that the request left because they were silent. */
+static cw_choice_t choose_silent_server(const exchange_t* x) {
+    uint64_t* excluded = alloc_excluded(x->pool);
+    uint32_t count = 0;
+    memcpy(excluded, x->verdict.incarnations, x->verdict.excluded_count * sizeof(*excluded));
+    count += x->verdict.excluded_count;
+    for (const server_t* s = x->pool->servers; s; s = s->next) {
+        if (!is_left_silent(x, s->key)) {
+            excluded[count++] = s->key;
+        }
+    }
+    cw_choice_t c = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, excluded, count);
+    free(excluded);
+    return c;
+}
+
 /* Makes the servers that the request left because they were silent eligible again; returns whether there were any. */
 static bool readmit_silent_servers(exchange_t* x) {
     uint32_t kept = 0;
@@ -298,11 +329,16 @@
 /* Whether the last choice has found no server of the stream's version that was not tried. */
 static bool are_all_tried(const exchange_t* x) {
     uint32_t ready = x->pool->ready;
-    return x->tried_count >= ready || x->choice.excluded.tried + x->choice.excluded.other_version >= ready;
+    return (x->tried_count >= ready && !x->returns_to_silent) ||
+           x->choice.excluded.tried + x->choice.excluded.other_version >= ready;
 }
 
 /* Sets choice. Where all servers were tried, those that were only silent are chosen from again. */
 static void choose_untried_server(exchange_t* x) {
+    if (x->returns_to_silent) {
+        x->choice = choose_silent_server(x);
+        return;
+    }
     x->choice = choose_server(x);
     if (x->choice.server == CW_BALANCE_NONE && are_all_tried(x) && readmit_silent_servers(x)) {
         x->choice = choose_server(x);
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -434,6 +434,8 @@
     cw_copy(x->fetch_from, sizeof(x->fetch_from), cache_holder ? cache_holder->published.address : "");
     x->has_first_byte = x->has_survived_start = x->is_server_error = x->is_tunneled = false;
     x->response_framing = CW_FRAMING_NONE;
+    x->silent_tried = x->returns_to_silent ? 0 : x->silent_tried;
+    x->returns_to_silent = false;
     x->sent_ms = 0;
     x->reason = "";
     x->result = CW_TRY_CANCELLED;
--- a/gateway/exchange_internal.h
+++ b/gateway/exchange_internal.h
@@ -71,6 +71,7 @@
     uint64_t tried[TRIED_SERVERS_MAX];
     uint32_t tried_count;
     uint32_t silent_tried;   /* of these, as a set of bits, servers that were left because they were silent */
+    bool returns_to_silent;  /* the next attempt may only use one of silent_tried */
     uint32_t attempt_count;  /* attempts whose request was sent */
     bool has_reserved_retry; /* the retry budget has already granted the next attempt */
     uint32_t retry_ms;       /* of a refused request: time until a slot may be free */
--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -324,6 +324,27 @@
 }
 END_TEST
 
+/* Guards against a sound server whose attempt counts as spent because it was silent: the server that replaced it breaks
+   off, and no attempt is left. No third server may be used. */
+START_TEST(a_silent_request_returns_when_its_other_server_breaks_off) {
+    static const char response[] = HEAD("Content-Length: 1\r\n\r\na");
+    static const struct {
+        const char* request;
+        rig_step_t steps[3];
+    } cases[] = {{CALL_TWICE, {{RIG_NO_RESPONSE, ""}, {RIG_RESPOND_RESET, ""}, {RIG_RESPOND, response}}},
+                 {STREAM_TWICE,
+                  {{RIG_RESPOND, EVENTS_HEAD FIRST_EVENT}, {RIG_RESPOND_RESET, ""}, {RIG_RESPOND, REST_OF_STREAM}}}};
+    rig_t* r = rig_setup(ROUTES, 4);
+    rig_script(r, cases[_i].steps, 3);
+    const char* result = rig_call(r, cases[_i].request);
+    expect_status(result, "200");
+    ck_assert_msg(rig_is_response_complete(result), "%s", result);
+    ck_assert_uint_eq(r->arrival_server[0], r->arrival_server[2]);
+    ck_assert_uint_ne(r->arrival_server[0], r->arrival_server[1]);
+    rig_shutdown(r);
+}
+END_TEST
+
 /* -- a server that has failed ------------------------------------------------------ */
 
 #define BROKEN_STREAM EVENTS_HEAD FIRST_EVENT RIG_SILENT_MS(300) "x\r\n" /* no chunk: the response is malformed */
@@ -383,6 +404,7 @@
     tcase_add_test(t, a_silent_stream_does_not_move_to_a_server_that_is_silent_too);
     tcase_add_test(t, a_stream_leaves_a_silent_server_before_a_newer_request_gets_a_slot);
     tcase_add_loop_test(t, a_silent_request_survives_the_rejection_by_its_other_server, 0, 2);
+    tcase_add_loop_test(t, a_silent_request_returns_when_its_other_server_breaks_off, 0, 2);
     tcase_add_test(t, a_broken_stream_resumes_at_a_host_that_stops);
     tcase_add_test(t, a_broken_stream_resumes_after_a_backoff);
     tcase_add_test(t, a_broken_stream_that_is_queued_resumes_at_a_host_that_stops);
