Soak: a query of death that is quarantined at a silent upstream is no finding

The trace shows request-held with ends=4 in the same millisecond: the quarantine ends such a request whatever its upstream does. The check passes over queries of death now, as the others do; all other requests count as before.

--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -87,6 +87,10 @@
         snprintf(record, sizeof(record), "S 200 fault silent e1\n%s" SILENCED_REQUEST, excuses[i]);
         ck_assert_uint_eq(check_record(record).count[SOAK_ENDED_BY_SILENCE], 0);
     }
+    soak_result_t quarantined =
+        check_record("S 200 fault silent e1\nC 210 sent a short h:1 500 deadly-1\nU 211 begin a e1 0 500\n"
+                     "C 250 done a 502 1 0 0 1 0\nU 251 gone a e1\n");
+    ck_assert_uint_eq(quarantined.count[SOAK_ENDED_BY_SILENCE], 0);
     soak_result_t late = check_record("S 200 fault silent e1\nC 210 sent a short h:1 500\nU 211 begin a e1 0 500\n"
                                       "C 8100 done a 504 1 0 0\nU 8101 gone a e1\n");
     ck_assert_uint_eq(late.count[SOAK_ENDED_BY_SILENCE], 0);
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -628,12 +628,12 @@
 }
 
 /* Returns whether the response failed well before its deadline although its server had begun to run the request and was
-   merely silent for a while. */
+   merely silent for a while. A query of death may be quarantined at any time. */
 static bool was_ended_by_silence(const checker_t* c, const request_t* r) {
     bool has_failed = r->done_ms && !r->abandoned_ms && r->begin_count &&
                       (!r->status || !r->is_complete || r->status == 502 || r->status == 504);
     bool was_in_time = r->done_ms < r->sent_ms + (int64_t)soak_kinds[r->kind].timeout_ms - DEADLINE_MARGIN_MS;
-    return has_failed && was_in_time && !r->has_crashed_upstream && !r->has_lost_server &&
+    return has_failed && was_in_time && !r->qod_body && !r->has_lost_server &&
            was_hit(c, SILENCE, r->last_server, r->begin_ms, r->done_ms) &&
            !is_disturbed(c, r->done_ms, r->last_server, FAULT_MARGIN_MS) && could_host_continue(c, r);
 }
