--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -2,30 +2,16 @@
    replacement is certain (docs/design/30-ends-of-attempts.md, one test for each row). */
 #include "rig.h"
 
-#define ROUTE(name, prefix, kind, rest)                                                                                \
-    "{\"name\":\"" name "\",\"host\":\"h.example\",\"prefix\":\"" prefix "\",\"kind\":\"" kind                         \
-    "\",\"open\":true,\"timeout_ms\":4000," rest ",\"pools\":[{\"pool\":\"p\"}]}"
+#define ROUTE(name, rest)                                                                                              \
+    "{\"name\":\"" name "\",\"host\":\"h.example\",\"prefix\":\"/" name "/\",\"open\":true,\"timeout_ms\":4000,"       \
+    "\"target_ms\":100,\"gap_ms\":100,\"pools\":[{\"pool\":\"p\"}]," rest "}"
+#define RESUMABLE "\"kind\":\"stream\",\"resume\":true,"
+#define REPEATABLE "\"kind\":\"repeatable\","
 #define ROUTES_IN(pool)                                                                                                \
-    "{\"revision\":1,\"pools\":[" pool "],\"routes\":[" ROUTE(                                                         \
-        "stream", "/stream/", "stream",                                                                                \
-        "\"resume\":true,\"target_ms\":100,\"gap_ms\":100,"                                                            \
-        "\"attempts\":3") "," ROUTE("call", "/call/", "repeatable",                                                    \
-                                    "\"target_ms\":100,\"attempts\":3") "," ROUTE("stream2", "/stream2/", "stream",    \
-                                                                                  "\"resume\":true,"                   \
-                                                                                  "\"target_ms\":100,"                 \
-                                                                                  "\"gap_ms\":100,"                    \
-                                                                                  "\"attempts\":2") "," ROUTE("call2", \
-                                                                                                              "/call2" \
-                                                                                                              "/",     \
-                                                                                                              "repeat" \
-                                                                                                              "able",  \
-                                                                                                              "\"targ" \
-                                                                                                              "et_"    \
-                                                                                                              "ms\":"  \
-                                                                                                              "100,"   \
-                                                                                                              "\"atte" \
-                                                                                                              "mpts\"" \
-                                                                                                              ":2") "]}"
+    "{\"revision\":1,\"pools\":[" pool "],\"routes\":[" ROUTE("stream", RESUMABLE "\"attempts\":3") "," ROUTE(         \
+        "call", REPEATABLE "\"attempts\":3") "," ROUTE("stream2",                                                      \
+                                                       RESUMABLE "\"attempts\":2") "," ROUTE("call2", REPEATABLE       \
+                                                                                             "\"attempts\":2") "]}"
 #define ROUTES ROUTES_IN("{\"name\":\"p\"}")
 
 #define STREAM "POST /stream/ HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: q1\r\nContent-Length: 0\r\n\r\n"
