Gateway: one function lists the servers that crashed, one chooses without the listed ones

The list of servers that crashed under an identical request was copied in two places, and the call that chooses without a list stood four times.

--- a/gateway/exchange_assign.c
+++ b/gateway/exchange_assign.c
@@ -223,19 +223,28 @@
 
 /* -- the choice of a server ------------------------------------------------ */
 
+/* Writes the servers that crashed under an identical request; returns their number. */
+static uint32_t list_crashed(const exchange_t* x, uint64_t* out) {
+    memcpy(out, x->verdict.incarnations, x->verdict.excluded_count * sizeof(*out));
+    return x->verdict.excluded_count;
+}
+
 /* Writes the servers that failed this request and those that crashed under an identical one; returns their number. */
 static uint32_t list_excluded(const exchange_t* x, uint64_t* out) {
     memcpy(out, x->tried, x->tried_count * sizeof(*out));
-    memcpy(out + x->tried_count, x->verdict.incarnations, x->verdict.excluded_count * sizeof(*out));
-    return x->tried_count + x->verdict.excluded_count;
+    return x->tried_count + list_crashed(x, out + x->tried_count);
+}
+
+static cw_choice_t choose_except(const exchange_t* x, const uint64_t* excluded, uint32_t count) {
+    return cw_balance_choose(x->pool->balance, clock_ms(), &x->work, excluded, count);
 }
 
 static cw_choice_t choose_server(const exchange_t* x) {
     uint64_t excluded[EXCLUDED_MAX];
     uint32_t count = list_excluded(x, excluded);
-    cw_choice_t c = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, excluded, count);
+    cw_choice_t c = choose_except(x, excluded, count);
     if ((c.server == CW_BALANCE_NONE || c.is_late) && upstreams_expand_subset(x->pool, clock_ms())) {
-        c = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, excluded, count);
+        c = choose_except(x, excluded, count);
     }
     return c;
 }
@@ -272,7 +281,7 @@
     int64_t silent_ms = (int64_t)(REPLACEMENT_SILENCE_SHARE * (double)(clock_ms() - x->progress_ms));
     uint32_t count = list_excluded(x, excluded);
     count += list_silent(x->pool, silent_ms > 1 ? silent_ms : 1, excluded + count);
-    cw_choice_t c = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, excluded, count);
+    cw_choice_t c = choose_except(x, excluded, count);
     free(excluded);
     return c;
 }
@@ -289,15 +298,13 @@
 /* One of the servers that the request left because they were silent. */
 static cw_choice_t choose_silent_server(const exchange_t* x) {
     uint64_t* excluded = alloc_excluded(x->pool);
-    uint32_t count = 0;
-    memcpy(excluded, x->verdict.incarnations, x->verdict.excluded_count * sizeof(*excluded));
-    count += x->verdict.excluded_count;
+    uint32_t count = list_crashed(x, excluded);
     for (const server_t* s = x->pool->servers; s; s = s->next) {
         if (!is_left_silent(x, s->key)) {
             excluded[count++] = s->key;
         }
     }
-    cw_choice_t c = cw_balance_choose(x->pool->balance, clock_ms(), &x->work, excluded, count);
+    cw_choice_t c = choose_except(x, excluded, count);
     free(excluded);
     return c;
 }
--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -121,7 +121,7 @@
 }
 
 /* Both events are there once, in order, and the response ends properly. */
-static void expect_whole_stream(rig_t* r, const char* response) {
+static void expect_complete_stream(rig_t* r, const char* response) {
     const char* first = strstr(response, "data: a\n\n");
     const char* last = first ? strstr(first, "data: b\n\n") : NULL;
     ck_assert_msg(last && !strstr(first + 1, "data: a\n\n") && !strstr(last + 1, "data: b\n\n") &&
@@ -145,7 +145,7 @@
     later_t later;
     rig_script(r, (rig_step_t[]){{RIG_RESPOND, SILENT_STREAM}, {RIG_RESPOND, REST_OF_STREAM}}, 2);
     call_later(r, &later, CHANGE_S, change);
-    expect_whole_stream(r, rig_call(r, STREAM));
+    expect_complete_stream(r, rig_call(r, STREAM));
     rig_shutdown(r);
 }
 
@@ -194,7 +194,7 @@
     rig_set_servers(r, 1, 0);
     rig_script(r, (rig_step_t[]){{RIG_RESPOND, SILENT_STREAM}}, 1);
     call_later(r, &later, CHANGE_S, list_three);
-    expect_whole_stream(r, rig_call(r, STREAM));
+    expect_complete_stream(r, rig_call(r, STREAM));
     rig_shutdown(r);
 }
 END_TEST
@@ -241,7 +241,7 @@
     later_t later;
     rig_script(r, (rig_step_t[]){{RIG_RESPOND, EVENTS_HEAD FIRST_EVENT}, {RIG_RESPOND, REST_OF_STREAM}}, 2);
     call_later(r, &later, 0.7, list_three);
-    expect_whole_stream(r, rig_call(r, STREAM));
+    expect_complete_stream(r, rig_call(r, STREAM));
     ck_assert_uint_eq(r->arrival_count, 2);
     rig_shutdown(r);
 }
@@ -259,7 +259,7 @@
     later_t request;
     rig_script(r, (rig_step_t[]){{RIG_RESPOND, SILENT_STREAM}, {RIG_RESPOND, SILENT_STREAM}}, 2);
     call_later(r, &request, 0.02, send_other_request);
-    expect_whole_stream(r, rig_call(r, STREAM));
+    expect_complete_stream(r, rig_call(r, STREAM));
     ck_assert_uint_ne(r->arrival_server[0], r->arrival_server[1]);
     cw_stream_close(&other_caller);
     rig_shutdown(r);
@@ -280,7 +280,7 @@
     call_later(r, &fill, CHANGE_S, fill_other_servers);
     call_later(r, &request, 0.2, send_other_request);
     call_later(r, &free_slots, 0.85, free_other_servers);
-    expect_whole_stream(r, rig_call(r, STREAM));
+    expect_complete_stream(r, rig_call(r, STREAM));
     ck_assert(strstr(r->arrivals[1], "Last-Event-Id: 1\r\n"));
     cw_stream_close(&other_caller);
     rig_shutdown(r);
@@ -340,7 +340,7 @@
     later_t later;
     rig_script(r, (rig_step_t[]){{RIG_RESPOND, BROKEN_STREAM}, {RIG_RESPOND, REST_OF_STREAM}}, 2);
     call_later(r, &later, CHANGE_S, change);
-    expect_whole_stream(r, rig_call(r, STREAM));
+    expect_complete_stream(r, rig_call(r, STREAM));
     ck_assert_uint_eq(r->arrival_count, 2);
     rig_shutdown(r);
 }
@@ -368,7 +368,7 @@
     call_later(r, &fill, CHANGE_S, fill_other_servers);
     call_later(r, &stop, 0.6, refuse_new);
     call_later(r, &free_slots, 1.5, free_other_servers);
-    expect_whole_stream(r, rig_call(r, STREAM));
+    expect_complete_stream(r, rig_call(r, STREAM));
     rig_shutdown(r);
 }
 END_TEST
