--- a/review/5/case.c
+++ b/review/5/case.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "rig.h"
+#include "../rig-2/rig.h"
 
 #define AT_LOST 24      /* clients of the machine that loses power */
 #define ELSEWHERE 24    /* clients of the others */
@@ -71,7 +71,7 @@
 }
 
 static void* run_caller(void* arg) {
-    uint32_t at = (size_t)arg < AT_LOST ? 0 : 1 + (uint32_t)(size_t)arg % (rig_gateway_count - 1);
+    uint32_t at = *(const size_t*)arg < AT_LOST ? 0 : 1 + (uint32_t)(*(const size_t*)arg) % (rig_gateway_count - 1);
     while (!is_over && !(at == 0 && is_dark)) {
         run_stream(at);
     }
@@ -92,7 +92,7 @@
     rig_sleep_ms(3000);
     open_callers = AT_LOST + ELSEWHERE;
     for (size_t i = 0; i < AT_LOST + ELSEWHERE; i++) {
-        rig_thread(run_caller, (void*)i);
+        rig_thread(run_caller, &rig_numbers[i]);
         rig_sleep_ms(40);
     }
     rig_sleep_ms(3000);
--- a/review/6/case.c
+++ b/review/6/case.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "rig.h"
+#include "../rig-2/rig.h"
 
 #define CALLERS 48
 #define SERVERS 4
@@ -17,7 +17,7 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 static void* run_caller(void* arg) {
-    rig_gateway_t* g = &rig_gateways[(size_t)arg % rig_gateway_count];
+    rig_gateway_t* g = &rig_gateways[*(const size_t*)arg % rig_gateway_count];
     rig_call_t call = {0};
     while (!is_over) {
         char headers[160];
@@ -60,7 +60,7 @@
     rig_sleep_ms(3000);
     open_callers = CALLERS;
     for (size_t i = 0; i < CALLERS; i++) {
-        rig_thread(run_caller, (void*)i);
+        rig_thread(run_caller, &rig_numbers[i]);
         rig_sleep_ms(30);
     }
     rig_sleep_ms(3000);
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-FLAGS="-std=c11 -D_GNU_SOURCE -O2 -Wall -Wextra -Ireview/rig-2"
+FLAGS="-std=c11 -D_GNU_SOURCE -O2 -Wall -Wextra"
 cc $FLAGS -c review/rig-2/rig.c -o target/review-2/rig.o
 for case in 4 5 6 7 8; do
     if [ -f review/$case/case.c ]; then
--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -22,13 +22,14 @@
 #define HEARTBEAT_MS 1200
 #define LONGEST_RUN_S 115
 #define QUEUE 24
-#define STACK_BYTES (256 * 1024)
+#define STACK_BYTES ((size_t)256 * 1024)
 
 rig_gateway_t rig_gateways[RIG_GATEWAYS];
 uint32_t rig_gateway_count;
 rig_server_t rig_servers[RIG_SERVERS];
 uint32_t rig_server_count;
 bool rig_trouble;
+size_t rig_numbers[RIG_NUMBERS];
 
 static char folder_path[256], work_path[64];
 static FILE* record_file;
@@ -191,6 +192,9 @@
     rig_trouble = !trouble || strcmp(trouble, "0") != 0;
     main_pid = getpid();
     began_ms = clock_ms();
+    for (size_t i = 0; i < RIG_NUMBERS; i++) {
+        rig_numbers[i] = i;
+    }
     snprintf(folder_path, sizeof(folder_path), "%s", folder);
     snprintf(path, sizeof(path), "%s/record.txt", folder);
     record_file = fopen(path, "w");
@@ -449,8 +453,9 @@
     int n = vasprintf(&text, format, args);
     va_end(args);
     *out = realloc(*out, *size + (size_t)n + 1);
-    memcpy(*out + *size, text, (size_t)n + 1);
+    memcpy(*out + *size, text, (size_t)n);
     *size += (size_t)n;
+    (*out)[*size] = 0;
     free(text);
 }
 
@@ -558,7 +563,8 @@
 static void* store_serve(void* arg) {
     rig_conn_t* c = calloc(1, sizeof(*c));
     rig_request_t* r = calloc(1, sizeof(*r));
-    c->fd = (int)(intptr_t)arg;
+    c->fd = *(int*)arg;
+    free(arg);
     while (read_request(c, r)) {
         char* body = NULL;
         size_t size = 0;
@@ -586,11 +592,13 @@
 }
 
 static void* store_accept(void* arg) {
-    int listen_fd = (int)(intptr_t)arg;
+    int listen_fd = *(const int*)arg;
     for (;;) {
         int fd = accept4(listen_fd, NULL, NULL, SOCK_CLOEXEC);
         if (fd >= 0) {
-            rig_thread(store_serve, (void*)(intptr_t)fd);
+            int* accepted = malloc(sizeof(*accepted));
+            *accepted = fd;
+            rig_thread(store_serve, accepted);
         }
     }
     return NULL;
@@ -601,11 +609,12 @@
     store_era = era;
     store.revision = 100;
     store.changes = calloc(CHANGES_MAX, sizeof(*store.changes));
-    int fd = listen_at(store_ip, base_port + PORT_STORE);
+    static int fd;
+    fd = listen_at(store_ip, base_port + PORT_STORE);
     if (fd < 0) {
         rig_fail("no port for the store");
     }
-    rig_thread(store_accept, (void*)(intptr_t)fd);
+    rig_thread(store_accept, &fd);
 }
 
 void rig_config(int version) {
@@ -670,7 +679,8 @@
     if (!s->is_stream) {
         char body[800];
         memset(body, '.', sizeof(body));
-        memcpy(body, id, strlen(id));
+        snprintf(body, sizeof(body), "%s", id);
+        body[strlen(id)] = '.';
         int n = snprintf(head, sizeof(head),
                          "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Signature: %s.%s\r\nKeep-Alive: timeout=15\r\n"
                          "Content-Length: %zu\r\n\r\n",
@@ -909,9 +919,8 @@
     snprintf(ini, sizeof(ini), "%s/%s.ini", work_path, g->name);
     snprintf(log, sizeof(log), "%s/%s.log", work_path, g->name);
     for (uint32_t i = 0; i < 3 && i < rig_gateway_count; i++) {
-        char seed[48];
-        snprintf(seed, sizeof(seed), "%s%s:%d", i ? "," : "", rig_gateways[i].ip, base_port + PORT_CONTROL);
-        strcat(seeds, seed);
+        size_t at = strlen(seeds);
+        snprintf(seeds + at, sizeof(seeds) - at, "%s%s:%d", i ? "," : "", rig_gateways[i].ip, base_port + PORT_CONTROL);
     }
     FILE* f = fopen(ini, "w");
     if (!f) {
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -95,6 +95,8 @@
 /* Also to standard output. */
 void rig_report(const char* format, ...) __attribute__((format(printf, 1, 2)));
 void rig_thread(void* (*run)(void*), void* arg);
+#define RIG_NUMBERS 256
+extern size_t rig_numbers[RIG_NUMBERS]; /* 0, 1, 2, ...: arguments of threads */
 uint32_t rig_random(uint32_t below);
 
 /* The store. */
