--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -824,7 +824,7 @@
     pthread_mutex_lock(&store_lock);
     bool is_busy = store_is_busy;
     pthread_mutex_unlock(&store_lock);
-    if (is_busy) {
+    if (is_busy || s->is_withdrawn) {
         return;
     }
     if (s->born) {
@@ -905,6 +905,13 @@
     pthread_mutex_unlock(&s->lock);
 }
 
+void rig_server_withdraw(rig_server_t* s) {
+    char key[64];
+    s->is_withdrawn = true;
+    snprintf(key, sizeof(key), "servers/%s", s->id);
+    rig_store_remove(key);
+}
+
 void rig_server_restart(rig_server_t* s, const char* version) {
     snprintf(s->version, sizeof(s->version), "%s", version);
     rig_server_start(s);
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -39,7 +39,7 @@
     int port, listen_fd, slots, running;
     int64_t born; /* Unix ms of its start; 0: this deployment's servers write none */
     uint32_t generation, seq;
-    bool is_stream, is_alive;
+    bool is_stream, is_alive, is_withdrawn;
     int work_ms, gap_ms, events;
     /* Serves a request that has begun to run; NULL: as a sound server. False: the connection is not kept. */
     bool (*serve)(rig_server_t* s, rig_conn_t* c, const rig_request_t* r, const char* id);
@@ -117,6 +117,7 @@
 void rig_server_write(rig_server_t* s); /* writes its entry, unless the store is busy */
 void rig_server_crash(rig_server_t* s); /* its connections and its port close, as when a process is killed */
 void rig_server_restart(rig_server_t* s, const char* version);
+void rig_server_withdraw(rig_server_t* s); /* its entry goes, and it serves on */
 bool rig_serve_soundly(rig_server_t* s, rig_conn_t* c, const rig_request_t* r, const char* id);
 const char* rig_header(const rig_request_t* r, const char* name);
 bool rig_write(int fd, const void* data, size_t size);
