--- a/review/6/case.c
+++ b/review/6/case.c
@@ -6,11 +6,12 @@
 
 #include "../rig-2/rig.h"
 
-#define CLIENTS 30
+#define CLIENTS 40
 #define DEADLINE_MS 15000
 #define TRIES 6
 #define RETRY_MS 900 /* after a connection that did not come up */
-#define OLD 2        /* servers of the old version, of four: a share of 0.5 */
+#define SERVERS 5
+#define OLD 2        /* of the old version: a share of 0.4 */
 #define GAP_MS 1000  /* between two steps of the release */
 #define AFTER_MS 1000
 #define DOWN_MS 1000
@@ -73,7 +74,7 @@
     rig_init(argc > 1 ? argv[1] : ".", 3);
     rig_store_start(0);
     rig_config(1);
-    for (int i = 0; i < 4; i++) {
+    for (int i = 0; i < SERVERS; i++) {
         rig_server_t* s = rig_server("llm", true, 48, i < OLD ? "v1" : "v2", false);
         s->events = 120;
         s->gap_ms = 80;
