--- a/tests/test_stream_hosts.c
+++ b/tests/test_stream_hosts.c
@@ -303,7 +303,30 @@
 }
 END_TEST
 
+/* Guards against text joined from two versions: all hosts were killed when the servers of version 1 had just left the
+   list, and hosts that started took version 2, the only listed one, for that of each stream. */
+START_TEST(no_stream_goes_on_at_another_version_after_a_release_and_a_loss_of_all_hosts) {
+    attempt_t streams[STREAMS];
+    attempt_t resumed[STREAMS];
+    uint32_t of_two = 0;
+    fleet_t* f = setup(two_versions);
+    pause_for(f, SETTLED_S);
+    begin_streams(f, streams);
+    f->unlisted = 1U << 0U | 1U << 2U;
+    restart_all(f);
+    resume_all(f, streams, resumed);
+    for (int i = 0; i < STREAMS; i++) {
+        ck_assert_msg(resumed[i].status == 503 || version_in(&streams[i])[0] == version_in(&resumed[i])[0],
+                      "stream %d: %s, resumed: status %u, %s", i, streams[i].body, resumed[i].status, resumed[i].body);
+        of_two += version_in(&streams[i])[0] == '2';
+    }
+    ck_assert(of_two < STREAMS);
+    fleet_shutdown(f);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
+    tcase_add_test(t, no_stream_goes_on_at_another_version_after_a_release_and_a_loss_of_all_hosts);
     tcase_add_loop_test(t, streams_go_on_after_all_receivers_of_their_records_were_restarted, 0, 2);
     tcase_add_loop_test(t, no_stream_goes_on_at_another_version_after_a_release_and_restarts_in_turn, 0, 2);
     tcase_add_test(t, streams_of_a_killed_host_go_on_at_their_version);
