--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -153,10 +153,10 @@
     int64_t now_ms = clock_ms();
     s->stats.resumed[source]++;
     cw_log(s->desc.log, CW_EVENT_STREAM_VERSION,
-           "id=%s resumes=%s pool=%s version_key=%016llx source=%s versions=%u list_age_ms=%lld", request->id,
-           request->resumes[0] ? request->resumes : "-", request->pool->name, (unsigned long long)version,
+           "id=%s resumes=%s pool=%s version_key=%016llx source=%s versions=%u list_age_ms=%lld known_ms=%lld",
+           request->id, request->resumes[0] ? request->resumes : "-", request->pool->name, (unsigned long long)version,
            streams_source_name(source), cw_pool_versions_recent(&request->pool->versions, now_ms, s->memory_ms),
-           (long long)s->desc.list_age_ms(s->desc.user_data));
+           (long long)s->desc.list_age_ms(s->desc.user_data), (long long)known_ms(s, now_ms));
     return version;
 }
 
