Tests: streams after losses of hosts, with real processes on the platform's protocol

Stand-ins for tests: the platform's store with its history (forgotten, last changes only, away, restored from a copy), engines that list the prompt parts of all their runs, and callers that take their streams up until a deadline and check each event. The plays run several at once before the tests; each test checks two figures of its play: streams of two versions (none), and the share that goes on of the streams whose version serves on two engines (0.98 where one version began all, 0.90 where two served, none where nothing tells which of the two began a stream).

--- /dev/null
+++ b/tests/test_stream_losses.c
@@ -0,0 +1,604 @@
+/*
+    Streams that callers take up again after losses of hosts, with real processes on the platform's protocol. Guards
+    against streams that hold events of two software versions, and against streams that are refused although their
+    version still serves.
+
+    The plays run several at once before the tests, each in a process of its own. One play by hand, at any number of
+    hosts: test_stream_losses PLAY HOSTS prints its figures. SITE_LOG=1 keeps the logs of the hosts.
+*/
+#include "stream_caller.h"
+
+#define HOSTS_DEFAULT 3
+#define PLAYS_AT_ONCE 13
+#define PLAY_TIMEOUT_S 120
+#define DOWN_S 1.0
+#define SHORT_DOWN_S 0.4
+#define AWAY_S 3.0
+#define BEGIN_S 1.0  /* streams begin within this time */
+#define BEFORE_S 0.5 /* from then until a loss */
+#define ONE_VERSION_S 1.0
+#define TWO_VERSIONS_S 10.0 /* versions serve side by side for this long before a loss */
+#define SETTLED_S 4.0       /* streams begin at both versions by then */
+#define RELEASE_S 2.0
+#define SECOND_VERSION_S 0.5
+#define EARLIER_TURNS 3 /* one session of so many has one */
+
+#define SHARE_ONE_VERSION 0.98
+#define SHARE_TWO_VERSIONS 0.90
+#define SHARE_UNBOUNDED 0.0 /* nothing tells which version began a stream */
+#define TAKEN_UP_MIN 12
+#define BEGUN_OLD_MIN 5
+
+typedef enum variation_t {
+    PLAIN,
+    HISTORY_FORGOTTEN,
+    LAST_CHANGES_ONLY,
+    SOURCE_AWAY, /* as the hosts return */
+    SOURCE_RESTORED,
+    EMPTY_LISTS,
+    QUIET_HEARTBEATS,
+    EARLIER_RUNS /* of the same prompts, at any engine */
+} variation_t;
+
+/* -- losses ---------------------------------------------------------------- */
+
+static void vary_before(site_t* s, variation_t variation) {
+    s->store.keeps_last_changes_only = variation == LAST_CHANGES_ONLY;
+    s->has_empty_lists = variation == EMPTY_LISTS;
+    s->has_quiet_beats = variation == QUIET_HEARTBEATS;
+}
+
+static void vary_during(site_t* s, variation_t variation) {
+    if (variation == HISTORY_FORGOTTEN) {
+        store_forget_history(&s->store);
+    } else if (variation == SOURCE_RESTORED) {
+        store_restore(&s->store);
+    }
+    s->store.is_away = variation == SOURCE_AWAY;
+}
+
+static void lose_all_hosts(site_t* s, variation_t variation) {
+    site_kill_hosts(s, 0, s->host_count);
+    site_run(s, DOWN_S / 2);
+    vary_during(s, variation);
+    site_run(s, DOWN_S / 2);
+    site_start_hosts(s, 0, s->host_count);
+    if (variation == SOURCE_AWAY) {
+        site_run(s, AWAY_S);
+        s->store.is_away = false;
+    }
+}
+
+/* Whole runs of the sessions' prompts, at engines of either version. */
+static void keep_earlier_runs(site_t* s) {
+    for (uint32_t i = 0; i < s->caller_count; i += EARLIER_TURNS) {
+        engine_keep_part(&s->engines[rng_below(&s->rng, s->engine_count)], s->callers[i].session,
+                         CALLER_OWN_TOKENS + s->events * ENGINE_EVENT_TOKENS);
+    }
+}
+
+/* -- plays ----------------------------------------------------------------- */
+
+static uint32_t engines_for(const site_t* s) {
+    return s->host_count <= HOSTS_DEFAULT ? 6 : s->host_count < 2 * SITE_ENGINES_MAX ? 8 : 18;
+}
+
+static uint32_t streams_for(const site_t* s) {
+    uint32_t count = 3 * s->host_count;
+    return count < 48 ? 48 : count;
+}
+
+static void add_engines(site_t* s, uint32_t count, const char* version) {
+    for (uint32_t i = 0; i < count; i++) {
+        site_add_engine(s, version);
+    }
+}
+
+static void begin_streams(site_t* s, uint32_t events, variation_t variation) {
+    s->events = events;
+    store_copy(&s->store);
+    site_begin_streams(s, streams_for(s), BEGIN_S);
+    if (variation == EARLIER_RUNS) {
+        keep_earlier_runs(s);
+    }
+}
+
+static void start_with_one_version(site_t* s) {
+    add_engines(s, engines_for(s), "v1");
+    site_start(s);
+    site_run(s, ONE_VERSION_S);
+}
+
+static void start_with_two_versions(site_t* s, double settled_s) {
+    add_engines(s, engines_for(s) / 2, "v1");
+    add_engines(s, engines_for(s) / 2, "v2");
+    site_start(s);
+    site_run(s, settled_s);
+}
+
+static void play_one_version(site_t* s, variation_t variation) {
+    start_with_one_version(s);
+    begin_streams(s, 60, variation);
+    site_run(s, BEFORE_S);
+    lose_all_hosts(s, variation);
+}
+
+static void play_two_versions(site_t* s, variation_t variation) {
+    start_with_two_versions(s, TWO_VERSIONS_S - BEGIN_S - BEFORE_S);
+    begin_streams(s, 60, variation);
+    site_run(s, BEFORE_S);
+    lose_all_hosts(s, variation);
+}
+
+typedef enum release_t {
+    UNLISTED,  /* engines of the old version serve on without an entry */
+    ENDED,     /* they end after that */
+    RESTARTED, /* they start again in place with the new version */
+    HALFWAY    /* the release goes on after the loss: as unlisted */
+} release_t;
+
+static void replace_engine(site_t* s, engine_t* old, release_t release, double step_s) {
+    if (release == RESTARTED) {
+        engine_break_off(old);
+        site_run(s, step_s / 2);
+        engine_end(old);
+        engine_start(old, "v2");
+    } else {
+        site_add_engine(s, "v2");
+        site_run(s, step_s / 2);
+        engine_unlist(old);
+    }
+    site_run(s, step_s / 2);
+}
+
+/* Two in five engines are of v1 until a release replaces them by engines of v2, one after the other. */
+static void play_release(site_t* s, release_t release, variation_t variation) {
+    uint32_t old_count = engines_for(s) / 3;
+    add_engines(s, old_count, "v1");
+    add_engines(s, old_count * 3 / 2, "v2");
+    site_start(s);
+    site_run(s, SETTLED_S);
+    begin_streams(s, 100, variation);
+    uint32_t replaced = release == HALFWAY ? old_count / 2 : old_count;
+    for (uint32_t i = 0; i < replaced; i++) {
+        replace_engine(s, &s->engines[i], release, RELEASE_S / old_count);
+    }
+    if (release != HALFWAY) {
+        site_run(s, DOWN_S / 2);
+        for (uint32_t i = 0; i < old_count && release == ENDED; i++) {
+            engine_break_off(&s->engines[i]);
+        }
+        site_run(s, DOWN_S / 2);
+        for (uint32_t i = 0; i < old_count && release == ENDED; i++) {
+            engine_end(&s->engines[i]);
+        }
+    }
+    lose_all_hosts(s, variation);
+}
+
+static void play_release_unlisted(site_t* s, variation_t variation) {
+    play_release(s, UNLISTED, variation);
+}
+
+static void play_release_ended(site_t* s, variation_t variation) {
+    play_release(s, ENDED, variation);
+}
+
+static void play_release_in_place(site_t* s, variation_t variation) {
+    play_release(s, RESTARTED, variation);
+}
+
+static void play_release_halfway(site_t* s, variation_t variation) {
+    play_release(s, HALFWAY, variation);
+}
+
+/* A host without power says nothing, and connections to it hang. */
+static void play_power_loss(site_t* s, variation_t variation) {
+    start_with_one_version(s);
+    begin_streams(s, 60, variation);
+    site_run(s, BEFORE_S);
+    kill(s->pids[0], SIGSTOP);
+    s->is_dark[0] = true;
+    site_run(s, SECOND_VERSION_S);
+    site_add_engine(s, "v2");
+}
+
+static void lose_halves(site_t* s, double down_s) {
+    uint32_t half = s->host_count / 2;
+    start_with_two_versions(s, SETTLED_S);
+    begin_streams(s, 60, PLAIN);
+    site_run(s, BEFORE_S);
+    site_kill_hosts(s, 0, half);
+    site_run(s, down_s);
+    if (down_s < DOWN_S) {
+        site_start_hosts(s, 0, half);
+        site_run(s, DOWN_S - down_s);
+        site_kill_hosts(s, half, s->host_count);
+    } else {
+        site_kill_hosts(s, half, s->host_count);
+        site_start_hosts(s, 0, half);
+    }
+    site_run(s, down_s);
+    site_start_hosts(s, half, s->host_count);
+}
+
+/* The first half is back before the second is killed. */
+static void play_halves(site_t* s, variation_t variation) {
+    (void)variation;
+    lose_halves(s, SHORT_DOWN_S);
+}
+
+/* The first half returns as the second is killed. */
+static void play_halves_without_overlap(site_t* s, variation_t variation) {
+    (void)variation;
+    lose_halves(s, DOWN_S);
+}
+
+typedef struct play_t {
+    const char* name;
+    void (*run)(site_t* s, variation_t variation);
+    variation_t variation;
+    double share; /* at least, of the streams that are taken up and whose version serves on two engines, go on */
+} play_t;
+
+enum {
+    ONE,
+    ONE_FORGOTTEN,
+    ONE_LAST_CHANGES,
+    ONE_AWAY,
+    ONE_RESTORED,
+    ONE_EMPTY_LISTS,
+    TWO,
+    TWO_FORGOTTEN,
+    TWO_LAST_CHANGES,
+    TWO_AWAY,
+    TWO_RESTORED,
+    TWO_EMPTY_LISTS,
+    TWO_EARLIER_RUNS,
+    RELEASE,
+    RELEASE_FORGOTTEN,
+    RELEASE_LAST_CHANGES,
+    RELEASE_AWAY,
+    RELEASE_RESTORED,
+    RELEASE_EMPTY_LISTS,
+    RELEASE_QUIET,
+    RELEASE_ENDED,
+    RELEASE_IN_PLACE,
+    RELEASE_HALFWAY,
+    POWER_LOSS,
+    HALVES,
+    HALVES_WITHOUT_OVERLAP,
+    PLAY_COUNT
+};
+
+static const play_t plays[PLAY_COUNT] = {
+    [ONE] = {"one-version", play_one_version, PLAIN, SHARE_ONE_VERSION},
+    [ONE_FORGOTTEN] = {"one-version-forgotten", play_one_version, HISTORY_FORGOTTEN, SHARE_ONE_VERSION},
+    [ONE_LAST_CHANGES] = {"one-version-last-changes", play_one_version, LAST_CHANGES_ONLY, SHARE_ONE_VERSION},
+    [ONE_AWAY] = {"one-version-away", play_one_version, SOURCE_AWAY, SHARE_ONE_VERSION},
+    [ONE_RESTORED] = {"one-version-restored", play_one_version, SOURCE_RESTORED, SHARE_ONE_VERSION},
+    [ONE_EMPTY_LISTS] = {"one-version-empty-lists", play_one_version, EMPTY_LISTS, SHARE_ONE_VERSION},
+    [TWO] = {"two-versions", play_two_versions, PLAIN, SHARE_TWO_VERSIONS},
+    [TWO_FORGOTTEN] = {"two-versions-forgotten", play_two_versions, HISTORY_FORGOTTEN, SHARE_TWO_VERSIONS},
+    [TWO_LAST_CHANGES] = {"two-versions-last-changes", play_two_versions, LAST_CHANGES_ONLY, SHARE_TWO_VERSIONS},
+    [TWO_AWAY] = {"two-versions-away", play_two_versions, SOURCE_AWAY, SHARE_TWO_VERSIONS},
+    [TWO_RESTORED] = {"two-versions-restored", play_two_versions, SOURCE_RESTORED, SHARE_TWO_VERSIONS},
+    [TWO_EMPTY_LISTS] = {"two-versions-empty-lists", play_two_versions, EMPTY_LISTS, SHARE_UNBOUNDED},
+    [TWO_EARLIER_RUNS] = {"two-versions-earlier-runs", play_two_versions, EARLIER_RUNS, SHARE_UNBOUNDED},
+    [RELEASE] = {"release", play_release_unlisted, PLAIN, SHARE_TWO_VERSIONS},
+    [RELEASE_FORGOTTEN] = {"release-forgotten", play_release_unlisted, HISTORY_FORGOTTEN, SHARE_TWO_VERSIONS},
+    [RELEASE_LAST_CHANGES] = {"release-last-changes", play_release_unlisted, LAST_CHANGES_ONLY, SHARE_TWO_VERSIONS},
+    [RELEASE_AWAY] = {"release-away", play_release_unlisted, SOURCE_AWAY, SHARE_TWO_VERSIONS},
+    [RELEASE_RESTORED] = {"release-restored", play_release_unlisted, SOURCE_RESTORED, SHARE_TWO_VERSIONS},
+    [RELEASE_EMPTY_LISTS] = {"release-empty-lists", play_release_unlisted, EMPTY_LISTS, SHARE_UNBOUNDED},
+    [RELEASE_QUIET] = {"release-quiet-heartbeats", play_release_unlisted, QUIET_HEARTBEATS, SHARE_TWO_VERSIONS},
+    [RELEASE_ENDED] = {"release-ended", play_release_ended, PLAIN, SHARE_TWO_VERSIONS},
+    [RELEASE_IN_PLACE] = {"release-in-place", play_release_in_place, PLAIN, SHARE_TWO_VERSIONS},
+    [RELEASE_HALFWAY] = {"release-halfway", play_release_halfway, PLAIN, SHARE_TWO_VERSIONS},
+    [POWER_LOSS] = {"power-loss", play_power_loss, PLAIN, SHARE_ONE_VERSION},
+    [HALVES] = {"halves", play_halves, PLAIN, SHARE_TWO_VERSIONS},
+    [HALVES_WITHOUT_OVERLAP] = {"halves-without-overlap", play_halves_without_overlap, PLAIN, SHARE_TWO_VERSIONS},
+};
+
+static double share_of(const streams_result_t* r) {
+    return r->served ? (double)r->went_on / r->served : 1.0;
+}
+
+static const play_t* chosen_play;
+static uint32_t chosen_hosts;
+
+/* Not a test by itself: runs the play that was named to the program, and prints its figures. */
+START_TEST(chosen_play_ends) {
+    const play_t* play = chosen_play;
+    site_t* s = site_setup(chosen_hosts, 1 + (uint64_t)(play - plays));
+    vary_before(s, play->variation);
+    play->run(s, play->variation);
+    site_finish_streams(s);
+    streams_result_t r = site_result(s);
+    printf("%s hosts=%u begun=%u begun_old=%u whole=%u taken_up=%u joined=%u served=%u went_on=%u share=%.3f "
+           "refused=%u missing=%u "
+           "doubled=%u foreign=%u early_ends=%u list_calls=%u\n",
+           play->name, chosen_hosts, r.begun, r.begun_old, r.whole, r.taken_up, r.joined, r.served, r.went_on,
+           share_of(&r), r.refused, r.missing, r.doubled, r.foreign, r.early_ends, r.list_calls);
+    site_shutdown(s);
+}
+END_TEST
+
+static int run_chosen_play(void) {
+    Suite* suite = suite_create("play");
+    TCase* tests = tcase_create("play");
+    tcase_set_timeout(tests, PLAY_TIMEOUT_S);
+    tcase_add_test(tests, chosen_play_ends);
+    suite_add_tcase(suite, tests);
+    SRunner* runner = srunner_create(suite);
+    srunner_run_all(runner, CK_SILENT);
+    int failed = srunner_ntests_failed(runner);
+    if (failed) {
+        TestResult** failures = srunner_failures(runner);
+        fprintf(stderr, "%s: %s\n", chosen_play->name, tr_msg(failures[0]));
+        free((void*)failures);
+    }
+    srunner_free(runner);
+    return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
+/* -- running the plays before the tests ------------------------------------ */
+
+static streams_result_t results[PLAY_COUNT];
+static bool has_result[PLAY_COUNT];
+
+static FILE* start_play(int play) {
+    char program[256] = "";
+    char command[512];
+    ssize_t size = readlink("/proc/self/exe", program, sizeof(program) - 1);
+    ck_assert(size > 0);
+    snprintf(command, sizeof(command), "exec %s %s %d", program, plays[play].name, HOSTS_DEFAULT);
+    return popen(command, "r"); // NOLINT(cert-env33-c): the path of this program
+}
+
+static void read_result(int play, FILE* out) {
+    streams_result_t* r = &results[play];
+    has_result[play] =
+        out && fscanf(out,
+                      "%*s hosts=%*u begun=%u begun_old=%u whole=%u taken_up=%u joined=%u served=%u went_on=%u "
+                      "share=%*f refused=%u "
+                      "missing=%u doubled=%u foreign=%u early_ends=%u",
+                      &r->begun, &r->begun_old, &r->whole, &r->taken_up, &r->joined, &r->served, &r->went_on,
+                      &r->refused, &r->missing, &r->doubled, &r->foreign, &r->early_ends) == 12;
+    if (out) {
+        pclose(out);
+    }
+}
+
+static void run_all_plays(void) {
+    FILE* running[PLAY_COUNT] = {NULL};
+    for (int i = 0; i < PLAY_COUNT + PLAYS_AT_ONCE; i++) {
+        if (i >= PLAYS_AT_ONCE) {
+            read_result(i - PLAYS_AT_ONCE, running[i - PLAYS_AT_ONCE]);
+        }
+        if (i < PLAY_COUNT) {
+            running[i] = start_play(i);
+        }
+    }
+}
+
+static void check_play(int play) {
+    const streams_result_t* r = &results[play];
+    ck_assert_msg(has_result[play], "%s didn't end", plays[play].name);
+    ck_assert_msg(r->joined == 0, "%u of %u streams hold events of two versions; %u of %u whose version serves went on",
+                  r->joined, r->begun, r->went_on, r->served);
+    ck_assert_msg(share_of(r) >= plays[play].share, "%u of %u streams whose version serves went on", r->went_on,
+                  r->served);
+    ck_assert_msg(r->taken_up >= TAKEN_UP_MIN, "%u of %u streams were taken up", r->taken_up, r->begun);
+    ck_assert_msg(r->begun_old >= BEGUN_OLD_MIN, "%u of %u streams began at the old version", r->begun_old, r->begun);
+    ck_assert_msg(!r->missing && !r->doubled && !r->foreign && !r->early_ends,
+                  "%u events missing, %u doubled, %u of other attempts, %u early ends", r->missing, r->doubled,
+                  r->foreign, r->early_ends);
+}
+
+/* Guards against refusing streams that only one version can have begun. */
+START_TEST(streams_of_the_only_version_go_on_after_a_loss_of_all_hosts) {
+    check_play(ONE);
+}
+END_TEST
+
+/* Guards against needing the history of the source where the engines' lists tell the version. */
+START_TEST(streams_of_the_only_version_go_on_though_the_history_is_forgotten) {
+    check_play(ONE_FORGOTTEN);
+}
+END_TEST
+
+/* Guards against needing each change of an entry where the engines' lists tell the version. */
+START_TEST(streams_of_the_only_version_go_on_with_a_history_of_last_changes) {
+    check_play(ONE_LAST_CHANGES);
+}
+END_TEST
+
+/* Guards against refusing streams for good because the source was away when the hosts started. */
+START_TEST(streams_of_the_only_version_go_on_after_the_source_was_away) {
+    check_play(ONE_AWAY);
+}
+END_TEST
+
+/* Guards against taking a restored source, whose revisions went back, for one without a history. */
+START_TEST(streams_of_the_only_version_go_on_after_the_source_was_restored) {
+    check_play(ONE_RESTORED);
+}
+END_TEST
+
+/* Guards against needing the engines' lists where the history names one version only. */
+START_TEST(streams_of_the_only_version_go_on_with_empty_lists) {
+    check_play(ONE_EMPTY_LISTS);
+}
+END_TEST
+
+/* Guards against refusing all streams because two versions are listed. */
+START_TEST(streams_of_two_versions_go_on_after_a_loss_of_all_hosts) {
+    check_play(TWO);
+}
+END_TEST
+
+/* The same without a history: the engines' lists tell the version. */
+START_TEST(streams_of_two_versions_go_on_though_the_history_is_forgotten) {
+    check_play(TWO_FORGOTTEN);
+}
+END_TEST
+
+/* The same with a history that holds the last change of each key only. */
+START_TEST(streams_of_two_versions_go_on_with_a_history_of_last_changes) {
+    check_play(TWO_LAST_CHANGES);
+}
+END_TEST
+
+/* The same while the source is away as the hosts start. */
+START_TEST(streams_of_two_versions_go_on_after_the_source_was_away) {
+    check_play(TWO_AWAY);
+}
+END_TEST
+
+/* The same after the source came back from an older copy. */
+START_TEST(streams_of_two_versions_go_on_after_the_source_was_restored) {
+    check_play(TWO_RESTORED);
+}
+END_TEST
+
+/* Guards against a guess where nothing tells which of two listed versions began a stream. */
+START_TEST(no_stream_of_two_versions_is_joined_with_empty_lists) {
+    check_play(TWO_EMPTY_LISTS);
+}
+END_TEST
+
+/* Guards against taking an engine that ran the same prompt before for the one that began the stream. */
+START_TEST(no_stream_of_two_versions_is_joined_after_earlier_runs_of_its_prompt) {
+    check_play(TWO_EARLIER_RUNS);
+}
+END_TEST
+
+/* Guards against taking the only listed version for that of all streams: engines of the old one have just left the
+   list, and serve on. */
+START_TEST(no_stream_is_joined_after_a_release_and_a_loss_of_all_hosts) {
+    check_play(RELEASE);
+}
+END_TEST
+
+/* The same without a history that names the old version. */
+START_TEST(no_stream_is_joined_after_a_release_though_the_history_is_forgotten) {
+    check_play(RELEASE_FORGOTTEN);
+}
+END_TEST
+
+/* The same with a history in which the old version's entries are removals without a value. */
+START_TEST(no_stream_is_joined_after_a_release_with_a_history_of_last_changes) {
+    check_play(RELEASE_LAST_CHANGES);
+}
+END_TEST
+
+/* The same while the source is away as the hosts start. */
+START_TEST(no_stream_is_joined_after_a_release_and_an_absence_of_the_source) {
+    check_play(RELEASE_AWAY);
+}
+END_TEST
+
+/* The same after a restore from a copy that has the entries of the old version, and not the last of the new one. */
+START_TEST(no_stream_is_joined_after_a_release_and_a_restore_of_the_source) {
+    check_play(RELEASE_RESTORED);
+}
+END_TEST
+
+/* The same with engines that list no cached parts. */
+START_TEST(no_stream_is_joined_after_a_release_with_empty_lists) {
+    check_play(RELEASE_EMPTY_LISTS);
+}
+END_TEST
+
+/* The same where heartbeats don't raise the revision of the source. */
+START_TEST(no_stream_is_joined_after_a_release_with_heartbeats_that_change_nothing) {
+    check_play(RELEASE_QUIET);
+}
+END_TEST
+
+/* The same after the end of the old version's engines, whose lists of cached parts are gone. */
+START_TEST(no_stream_is_joined_after_a_release_whose_old_engines_ended) {
+    check_play(RELEASE_ENDED);
+}
+END_TEST
+
+/* The same where engines start again under their ids and addresses with the new version. */
+START_TEST(no_stream_is_joined_after_a_release_in_place) {
+    check_play(RELEASE_IN_PLACE);
+}
+END_TEST
+
+/* The same with one half of the old version's engines still listed. */
+START_TEST(no_stream_is_joined_after_a_loss_of_all_hosts_during_a_release) {
+    check_play(RELEASE_HALFWAY);
+}
+END_TEST
+
+/* Guards against refusing the streams of a lost host, which one version began, because a second one is listed later.
+ */
+START_TEST(streams_of_a_host_without_power_go_on_though_another_version_appears) {
+    check_play(POWER_LOSS);
+}
+END_TEST
+
+/* Guards against records that end with the hosts of the second half. */
+START_TEST(streams_of_two_versions_go_on_after_losses_of_half_of_the_hosts_in_turn) {
+    check_play(HALVES);
+}
+END_TEST
+
+/* The same where the first half returns as the second is killed, so nothing can be handed over. */
+START_TEST(streams_of_two_versions_go_on_after_losses_of_both_halves_without_overlap) {
+    check_play(HALVES_WITHOUT_OVERLAP);
+}
+END_TEST
+
+static void add_tests(TCase* t) {
+    tcase_add_unchecked_fixture(t, run_all_plays, NULL);
+    tcase_add_test(t, streams_of_the_only_version_go_on_after_a_loss_of_all_hosts);
+    tcase_add_test(t, streams_of_the_only_version_go_on_though_the_history_is_forgotten);
+    tcase_add_test(t, streams_of_the_only_version_go_on_with_a_history_of_last_changes);
+    tcase_add_test(t, streams_of_the_only_version_go_on_after_the_source_was_away);
+    tcase_add_test(t, streams_of_the_only_version_go_on_after_the_source_was_restored);
+    tcase_add_test(t, streams_of_the_only_version_go_on_with_empty_lists);
+    tcase_add_test(t, streams_of_two_versions_go_on_after_a_loss_of_all_hosts);
+    tcase_add_test(t, streams_of_two_versions_go_on_though_the_history_is_forgotten);
+    tcase_add_test(t, streams_of_two_versions_go_on_with_a_history_of_last_changes);
+    tcase_add_test(t, streams_of_two_versions_go_on_after_the_source_was_away);
+    tcase_add_test(t, streams_of_two_versions_go_on_after_the_source_was_restored);
+    tcase_add_test(t, no_stream_of_two_versions_is_joined_with_empty_lists);
+    tcase_add_test(t, no_stream_of_two_versions_is_joined_after_earlier_runs_of_its_prompt);
+    tcase_add_test(t, no_stream_is_joined_after_a_release_and_a_loss_of_all_hosts);
+    tcase_add_test(t, no_stream_is_joined_after_a_release_though_the_history_is_forgotten);
+    tcase_add_test(t, no_stream_is_joined_after_a_release_with_a_history_of_last_changes);
+    tcase_add_test(t, no_stream_is_joined_after_a_release_and_an_absence_of_the_source);
+    tcase_add_test(t, no_stream_is_joined_after_a_release_and_a_restore_of_the_source);
+    tcase_add_test(t, no_stream_is_joined_after_a_release_with_empty_lists);
+    tcase_add_test(t, no_stream_is_joined_after_a_release_with_heartbeats_that_change_nothing);
+    tcase_add_test(t, no_stream_is_joined_after_a_release_whose_old_engines_ended);
+    tcase_add_test(t, no_stream_is_joined_after_a_release_in_place);
+    tcase_add_test(t, no_stream_is_joined_after_a_loss_of_all_hosts_during_a_release);
+    tcase_add_test(t, streams_of_a_host_without_power_go_on_though_another_version_appears);
+    tcase_add_test(t, streams_of_two_versions_go_on_after_losses_of_half_of_the_hosts_in_turn);
+    tcase_add_test(t, streams_of_two_versions_go_on_after_losses_of_both_halves_without_overlap);
+}
+
+static int run_named_play(const char* name, uint32_t hosts) {
+    for (int i = 0; i < PLAY_COUNT; i++) {
+        if (strcmp(plays[i].name, name) == 0 && hosts > 0 && hosts <= SITE_HOSTS_MAX) {
+            chosen_play = &plays[i];
+            chosen_hosts = hosts;
+            return run_chosen_play();
+        }
+    }
+    fprintf(stderr, "no such play, or number of hosts: %s, %u\n", name, hosts);
+    return EXIT_FAILURE;
+}
+
+int main(int argc, char** argv) {
+    if (argc == 3) {
+        return run_named_play(argv[1], (uint32_t)strtoul(argv[2], NULL, 10));
+    }
+    return run_suite("stream_losses", add_tests, 90);
+}
