--- a/tests/platform_engine.h
+++ b/tests/platform_engine.h
@@ -12,6 +12,7 @@
 
 #define ENGINE_EVENT_TOKENS 6
 #define ENGINE_FIRST_EVENT_S 0.02
+#define ENGINE_EVENT_GAP_S 0.1
 #define ENGINE_HEARTBEAT_S 1.2
 #define ENGINE_SLOTS 48
 #define ENGINE_PART_ID_SIZE 24
@@ -44,6 +45,7 @@
     char address[CW_ADDR_TEXT_SIZE];
     int64_t started_ms; /* Unix time */
     uint32_t seq;
+    double first_event_s; /* after the request */
     double event_gap_s;
     bool is_listed, is_leaving;
     bool has_empty_list;  /* of cached parts */
@@ -92,13 +94,22 @@
 
 /* -- cached parts ---------------------------------------------------------- */
 
-static inline size_t engine_keep_part(engine_t* e, const char* id, uint32_t tokens) {
+/* Returns NULL if the engine doesn't keep the part. */
+static inline engine_part_t* engine_find_part(const engine_t* e, const char* id) {
     for (size_t i = 0; i < e->part_count; i++) {
         if (strcmp(e->parts[i].id, id) == 0) {
-            e->parts[i].tokens = tokens > e->parts[i].tokens ? tokens : e->parts[i].tokens;
-            return i;
+            return &e->parts[i];
         }
     }
+    return NULL;
+}
+
+static inline size_t engine_keep_part(engine_t* e, const char* id, uint32_t tokens) {
+    engine_part_t* kept = engine_find_part(e, id);
+    if (kept) {
+        kept->tokens = tokens > kept->tokens ? tokens : kept->tokens;
+        return (size_t)(kept - e->parts);
+    }
     if (e->part_count == e->part_capacity) {
         e->part_capacity = e->part_capacity ? 2 * e->part_capacity : 64;
         e->parts = realloc(e->parts, e->part_capacity * sizeof(*e->parts));
@@ -220,7 +231,7 @@
     const cw_header_t headers[] = {
         {"Attempt-Id", attempt}, {"Response-Signature", signature}, {"Content-Type", "text/event-stream"}};
     cw_exchange_stream(x, 200, headers, 3);
-    ev_timer_init(&run->timer, engine_on_event_due, ENGINE_FIRST_EVENT_S, e->event_gap_s);
+    ev_timer_init(&run->timer, engine_on_event_due, e->first_event_s, e->event_gap_s);
     run->timer.data = run;
     ev_timer_start(e->loop, &run->timer);
 }
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -193,7 +193,8 @@
     engine_t* e = &s->engines[s->engine_count++];
     *e = (engine_t){.loop = s->loop,
                     .store = &s->store,
-                    .event_gap_s = 0.1,
+                    .first_event_s = ENGINE_FIRST_EVENT_S,
+                    .event_gap_s = ENGINE_EVENT_GAP_S,
                     .has_empty_list = s->has_empty_lists,
                     .has_quiet_beats = s->has_quiet_beats};
     snprintf(e->id, sizeof(e->id), "i-%02x%06x", s->engine_count, rng_below(&s->rng, 1U << 24U));
--- a/tests/stream_caller.h
+++ b/tests/stream_caller.h
@@ -118,13 +118,13 @@
     caller_try(w->data);
 }
 
-/* Another host than that of the last attempt, unless there is none. */
+/* Any host but those without power; it may be that of the last attempt. */
 static inline uint32_t caller_choose_host(const stream_caller_t* c) {
     site_t* s = c->site;
     uint32_t candidates[SITE_HOSTS_MAX];
     uint32_t count = 0;
     for (uint32_t i = 0; i < s->host_count; i++) {
-        if (!s->is_dark[i] && i != c->host) {
+        if (!s->is_dark[i]) {
             candidates[count++] = i;
         }
     }
@@ -222,6 +222,7 @@
 
 typedef struct streams_result_t {
     uint32_t begun, begun_old, whole; /* old: at v1 */
+    uint32_t read_twice;              /* the prompt, by engines of two versions */
     uint32_t refused;                 /* attempts */
     uint32_t joined;                  /* of two versions */
     uint32_t taken_up;                /* of these: */
@@ -230,6 +231,22 @@
     uint32_t list_calls; /* of cached parts, at all engines */
 } streams_result_t;
 
+static inline bool caller_is_read_twice(const stream_caller_t* c) {
+    const site_t* s = c->site;
+    const char* version = NULL;
+    for (uint32_t i = 0; i < s->engine_count; i++) {
+        const engine_t* e = &s->engines[i];
+        if (!engine_find_part(e, c->session)) {
+            continue;
+        }
+        if (version && strcmp(version, e->version) != 0) {
+            return true;
+        }
+        version = e->version;
+    }
+    return false;
+}
+
 static inline streams_result_t site_result(const site_t* s) {
     streams_result_t r = {0};
     for (uint32_t i = 0; i < s->caller_count; i++) {
@@ -237,6 +254,7 @@
         bool is_served = c->taken_up_after && site_serving(s, c->first_version) >= 2;
         r.begun += c->last_event > 0;
         r.begun_old += strcmp(c->first_version, "v1") == 0;
+        r.read_twice += caller_is_read_twice(c);
         r.whole += c->is_whole;
         r.refused += c->refused;
         r.joined += c->is_joined;
--- a/tests/test_stream_losses.c
+++ b/tests/test_stream_losses.c
@@ -9,7 +9,7 @@
 #include "stream_caller.h"
 
 #define HOSTS_DEFAULT 3
-#define PLAYS_AT_ONCE 13
+#define PLAYS_AT_ONCE 16
 #define PLAY_TIMEOUT_S 120
 #define DOWN_S 1.0
 #define SHORT_DOWN_S 0.4
@@ -21,13 +21,15 @@
 #define SETTLED_S 4.0       /* streams begin at both versions by then */
 #define RELEASE_S 2.0
 #define SECOND_VERSION_S 0.5
-#define EARLIER_TURNS 3 /* one session of so many has one */
+#define EARLIER_RUNS_EVERY 3  /* one prompt of so many had a run before */
+#define SECOND_LOSS_S 3.0     /* after the hosts are back */
+#define SLOW_FIRST_EVENT_S 2. /* later than the loss that follows */
 
 #define SHARE_ONE_VERSION 0.98
 #define SHARE_TWO_VERSIONS 0.90
 #define SHARE_UNBOUNDED 0.0 /* nothing tells which version began a stream */
 #define TAKEN_UP_MIN 12
-#define BEGUN_OLD_MIN 5
+#define MIXED_MIN 5
 
 typedef enum variation_t {
     PLAIN,
@@ -71,7 +73,7 @@
 
 /* Whole runs of the sessions' prompts, at engines of either version. */
 static void keep_earlier_runs(site_t* s) {
-    for (uint32_t i = 0; i < s->caller_count; i += EARLIER_TURNS) {
+    for (uint32_t i = 0; i < s->caller_count; i += EARLIER_RUNS_EVERY) {
         engine_keep_part(&s->engines[rng_below(&s->rng, s->engine_count)], s->callers[i].session,
                          CALLER_OWN_TOKENS + s->events * ENGINE_EVENT_TOKENS);
     }
@@ -130,8 +132,50 @@
     lose_all_hosts(s, variation);
 }
 
+/* The hosts are lost again after the streams were taken up, or begun again. */
+static void play_two_losses(site_t* s, variation_t variation) {
+    play_two_versions(s, variation);
+    site_run(s, SECOND_LOSS_S);
+    lose_all_hosts(s, variation);
+}
+
+/* At the first loss the engines have read the prompts, and no stream has an event: their callers begin again, at an
+   engine of either version. */
+static void play_begun_again(site_t* s, variation_t variation) {
+    start_with_two_versions(s, SETTLED_S);
+    for (uint32_t i = 0; i < s->engine_count; i++) {
+        s->engines[i].first_event_s = SLOW_FIRST_EVENT_S;
+    }
+    begin_streams(s, 60, variation);
+    site_kill_hosts(s, 0, s->host_count);
+    for (uint32_t i = 0; i < s->engine_count; i++) {
+        s->engines[i].first_event_s = ENGINE_FIRST_EVENT_S;
+    }
+    site_run(s, DOWN_S);
+    site_start_hosts(s, 0, s->host_count);
+    site_run(s, SETTLED_S);
+    lose_all_hosts(s, variation);
+}
+
+/* Engines of v2 join, and leave the list again before the loss. */
+static void play_rollback(site_t* s, variation_t variation) {
+    start_with_one_version(s);
+    store_copy(&s->store);
+    uint32_t old_count = s->engine_count;
+    add_engines(s, old_count / 2, "v2");
+    site_run(s, SETTLED_S);
+    s->events = 60;
+    site_begin_streams(s, streams_for(s), BEGIN_S);
+    for (uint32_t i = old_count; i < s->engine_count; i++) {
+        engine_unlist(&s->engines[i]);
+    }
+    site_run(s, BEFORE_S);
+    lose_all_hosts(s, variation);
+}
+
 typedef enum release_t {
     UNLISTED,  /* engines of the old version serve on without an entry */
+    DRAINING,  /* they say that they leave, and serve on */
     ENDED,     /* they end after that */
     RESTARTED, /* they start again in place with the new version */
     HALFWAY    /* the release goes on after the loss: as unlisted */
@@ -146,7 +190,11 @@
     } else {
         site_add_engine(s, "v2");
         site_run(s, step_s / 2);
-        engine_unlist(old);
+        if (release == DRAINING) {
+            engine_leave(old);
+        } else {
+            engine_unlist(old);
+        }
     }
     site_run(s, step_s / 2);
 }
@@ -184,6 +232,10 @@
     play_release(s, ENDED, variation);
 }
 
+static void play_release_draining(site_t* s, variation_t variation) {
+    play_release(s, DRAINING, variation);
+}
+
 static void play_release_in_place(site_t* s, variation_t variation) {
     play_release(s, RESTARTED, variation);
 }
@@ -255,6 +307,10 @@
     TWO_RESTORED,
     TWO_EMPTY_LISTS,
     TWO_EARLIER_RUNS,
+    TWO_LOSSES,
+    BEGUN_AGAIN,
+    ROLLBACK,
+    ROLLBACK_RESTORED,
     RELEASE,
     RELEASE_FORGOTTEN,
     RELEASE_LAST_CHANGES,
@@ -263,7 +319,9 @@
     RELEASE_EMPTY_LISTS,
     RELEASE_QUIET,
     RELEASE_ENDED,
+    RELEASE_DRAINING,
     RELEASE_IN_PLACE,
+    RELEASE_IN_PLACE_LAST_CHANGES,
     RELEASE_HALFWAY,
     POWER_LOSS,
     HALVES,
@@ -285,6 +343,10 @@
     [TWO_RESTORED] = {"two-versions-restored", play_two_versions, SOURCE_RESTORED, SHARE_TWO_VERSIONS},
     [TWO_EMPTY_LISTS] = {"two-versions-empty-lists", play_two_versions, EMPTY_LISTS, SHARE_UNBOUNDED},
     [TWO_EARLIER_RUNS] = {"two-versions-earlier-runs", play_two_versions, EARLIER_RUNS, SHARE_UNBOUNDED},
+    [TWO_LOSSES] = {"two-losses", play_two_losses, PLAIN, SHARE_TWO_VERSIONS},
+    [BEGUN_AGAIN] = {"begun-again", play_begun_again, PLAIN, SHARE_TWO_VERSIONS},
+    [ROLLBACK] = {"rollback", play_rollback, PLAIN, SHARE_TWO_VERSIONS},
+    [ROLLBACK_RESTORED] = {"rollback-restored", play_rollback, SOURCE_RESTORED, SHARE_TWO_VERSIONS},
     [RELEASE] = {"release", play_release_unlisted, PLAIN, SHARE_TWO_VERSIONS},
     [RELEASE_FORGOTTEN] = {"release-forgotten", play_release_unlisted, HISTORY_FORGOTTEN, SHARE_TWO_VERSIONS},
     [RELEASE_LAST_CHANGES] = {"release-last-changes", play_release_unlisted, LAST_CHANGES_ONLY, SHARE_TWO_VERSIONS},
@@ -293,7 +355,10 @@
     [RELEASE_EMPTY_LISTS] = {"release-empty-lists", play_release_unlisted, EMPTY_LISTS, SHARE_UNBOUNDED},
     [RELEASE_QUIET] = {"release-quiet-heartbeats", play_release_unlisted, QUIET_HEARTBEATS, SHARE_TWO_VERSIONS},
     [RELEASE_ENDED] = {"release-ended", play_release_ended, PLAIN, SHARE_TWO_VERSIONS},
+    [RELEASE_DRAINING] = {"release-draining", play_release_draining, PLAIN, SHARE_TWO_VERSIONS},
     [RELEASE_IN_PLACE] = {"release-in-place", play_release_in_place, PLAIN, SHARE_TWO_VERSIONS},
+    [RELEASE_IN_PLACE_LAST_CHANGES] = {"release-in-place-last-changes", play_release_in_place, LAST_CHANGES_ONLY,
+                                       SHARE_TWO_VERSIONS},
     [RELEASE_HALFWAY] = {"release-halfway", play_release_halfway, PLAIN, SHARE_TWO_VERSIONS},
     [POWER_LOSS] = {"power-loss", play_power_loss, PLAIN, SHARE_ONE_VERSION},
     [HALVES] = {"halves", play_halves, PLAIN, SHARE_TWO_VERSIONS},
@@ -315,11 +380,12 @@
     play->run(s, play->variation);
     site_finish_streams(s);
     streams_result_t r = site_result(s);
-    printf("%s hosts=%u begun=%u begun_old=%u whole=%u taken_up=%u joined=%u served=%u went_on=%u share=%.3f "
+    printf("%s hosts=%u begun=%u begun_old=%u read_twice=%u whole=%u taken_up=%u joined=%u served=%u went_on=%u "
+           "share=%.3f "
            "refused=%u missing=%u "
            "doubled=%u foreign=%u early_ends=%u list_calls=%u\n",
-           play->name, chosen_hosts, r.begun, r.begun_old, r.whole, r.taken_up, r.joined, r.served, r.went_on,
-           share_of(&r), r.refused, r.missing, r.doubled, r.foreign, r.early_ends, r.list_calls);
+           play->name, chosen_hosts, r.begun, r.begun_old, r.read_twice, r.whole, r.taken_up, r.joined, r.served,
+           r.went_on, share_of(&r), r.refused, r.missing, r.doubled, r.foreign, r.early_ends, r.list_calls);
     site_shutdown(s);
 }
 END_TEST
@@ -359,12 +425,13 @@
 static void read_result(int play, FILE* out) {
     streams_result_t* r = &results[play];
     has_result[play] =
-        out && fscanf(out,
-                      "%*s hosts=%*u begun=%u begun_old=%u whole=%u taken_up=%u joined=%u served=%u went_on=%u "
-                      "share=%*f refused=%u "
-                      "missing=%u doubled=%u foreign=%u early_ends=%u",
-                      &r->begun, &r->begun_old, &r->whole, &r->taken_up, &r->joined, &r->served, &r->went_on,
-                      &r->refused, &r->missing, &r->doubled, &r->foreign, &r->early_ends) == 12;
+        out &&
+        fscanf(out,
+               "%*s hosts=%*u begun=%u begun_old=%u read_twice=%u whole=%u taken_up=%u joined=%u served=%u went_on=%u "
+               "share=%*f refused=%u "
+               "missing=%u doubled=%u foreign=%u early_ends=%u",
+               &r->begun, &r->begun_old, &r->read_twice, &r->whole, &r->taken_up, &r->joined, &r->served, &r->went_on,
+               &r->refused, &r->missing, &r->doubled, &r->foreign, &r->early_ends) == 13;
     if (out) {
         pclose(out);
     }
@@ -390,7 +457,9 @@
     ck_assert_msg(share_of(r) >= plays[play].share, "%u of %u streams whose version serves went on", r->went_on,
                   r->served);
     ck_assert_msg(r->taken_up >= TAKEN_UP_MIN, "%u of %u streams were taken up", r->taken_up, r->begun);
-    ck_assert_msg(r->begun_old >= BEGUN_OLD_MIN, "%u of %u streams began at the old version", r->begun_old, r->begun);
+    ck_assert_msg(r->begun_old >= MIXED_MIN || r->read_twice >= MIXED_MIN,
+                  "%u of %u streams began at the old version, %u were read by two", r->begun_old, r->begun,
+                  r->read_twice);
     ck_assert_msg(!r->missing && !r->doubled && !r->foreign && !r->early_ends,
                   "%u events missing, %u doubled, %u of other attempts, %u early ends", r->missing, r->doubled,
                   r->foreign, r->early_ends);
@@ -474,6 +543,33 @@
 }
 END_TEST
 
+/* Guards against forgetting or mixing up the version of a stream that was taken up once: two engines list its prompt.
+ */
+START_TEST(no_stream_of_two_versions_is_joined_after_two_losses_of_all_hosts) {
+    check_play(TWO_LOSSES);
+}
+END_TEST
+
+/* Guards against taking an engine that read the prompt, but wrote nothing, for the one that began the stream. */
+START_TEST(streams_that_callers_began_again_go_on_at_the_version_of_their_events) {
+    check_play(BEGUN_AGAIN);
+}
+END_TEST
+
+/* Guards against taking the listed version for that of streams that began at another one, which served for seconds
+   only. */
+START_TEST(no_stream_is_joined_after_a_rollback) {
+    check_play(ROLLBACK);
+}
+END_TEST
+
+/* The same with a source that came back from a copy: its history, complete from the first revision, never had that
+   version. */
+START_TEST(no_stream_is_joined_after_a_rollback_that_the_source_lost) {
+    check_play(ROLLBACK_RESTORED);
+}
+END_TEST
+
 /* Guards against taking the only listed version for that of all streams: engines of the old one have just left the
    list, and serve on. */
 START_TEST(no_stream_is_joined_after_a_release_and_a_loss_of_all_hosts) {
@@ -523,12 +619,24 @@
 }
 END_TEST
 
+/* The same where the old version's engines are still listed and say that they leave. */
+START_TEST(no_stream_is_joined_after_a_release_whose_old_engines_leave) {
+    check_play(RELEASE_DRAINING);
+}
+END_TEST
+
 /* The same where engines start again under their ids and addresses with the new version. */
 START_TEST(no_stream_is_joined_after_a_release_in_place) {
     check_play(RELEASE_IN_PLACE);
 }
 END_TEST
 
+/* The same with a history in which nothing is left of the old version. */
+START_TEST(no_stream_is_joined_after_a_release_in_place_with_a_history_of_last_changes) {
+    check_play(RELEASE_IN_PLACE_LAST_CHANGES);
+}
+END_TEST
+
 /* The same with one half of the old version's engines still listed. */
 START_TEST(no_stream_is_joined_after_a_loss_of_all_hosts_during_a_release) {
     check_play(RELEASE_HALFWAY);
@@ -569,6 +677,10 @@
     tcase_add_test(t, streams_of_two_versions_go_on_after_the_source_was_restored);
     tcase_add_test(t, no_stream_of_two_versions_is_joined_with_empty_lists);
     tcase_add_test(t, no_stream_of_two_versions_is_joined_after_earlier_runs_of_its_prompt);
+    tcase_add_test(t, no_stream_of_two_versions_is_joined_after_two_losses_of_all_hosts);
+    tcase_add_test(t, streams_that_callers_began_again_go_on_at_the_version_of_their_events);
+    tcase_add_test(t, no_stream_is_joined_after_a_rollback);
+    tcase_add_test(t, no_stream_is_joined_after_a_rollback_that_the_source_lost);
     tcase_add_test(t, no_stream_is_joined_after_a_release_and_a_loss_of_all_hosts);
     tcase_add_test(t, no_stream_is_joined_after_a_release_though_the_history_is_forgotten);
     tcase_add_test(t, no_stream_is_joined_after_a_release_with_a_history_of_last_changes);
@@ -577,7 +689,9 @@
     tcase_add_test(t, no_stream_is_joined_after_a_release_with_empty_lists);
     tcase_add_test(t, no_stream_is_joined_after_a_release_with_heartbeats_that_change_nothing);
     tcase_add_test(t, no_stream_is_joined_after_a_release_whose_old_engines_ended);
+    tcase_add_test(t, no_stream_is_joined_after_a_release_whose_old_engines_leave);
     tcase_add_test(t, no_stream_is_joined_after_a_release_in_place);
+    tcase_add_test(t, no_stream_is_joined_after_a_release_in_place_with_a_history_of_last_changes);
     tcase_add_test(t, no_stream_is_joined_after_a_loss_of_all_hosts_during_a_release);
     tcase_add_test(t, streams_of_a_host_without_power_go_on_though_another_version_appears);
     tcase_add_test(t, streams_of_two_versions_go_on_after_losses_of_half_of_the_hosts_in_turn);
