--- a/chalkway_log.h
+++ b/chalkway_log.h
@@ -82,7 +82,8 @@
     CW_EVENT_POOL_REACHED = 563,
     CW_EVENT_TUNNEL_REFUSED = 564,
     CW_EVENT_STREAM_VERSION = 566,
-    CW_EVENT_HANDOVER = 567
+    CW_EVENT_HANDOVER = 567,
+    CW_EVENT_SOURCE_HISTORY = 568
 } cw_event_t;
 
 typedef struct cw_log_t {
@@ -181,6 +182,7 @@
     {CW_EVENT_TUNNEL_REFUSED, CW_LOG_WARN, "tunnel-refused"},
     {CW_EVENT_STREAM_VERSION, CW_LOG_INFO, "stream-version"},
     {CW_EVENT_HANDOVER, CW_LOG_INFO, "handover"},
+    {CW_EVENT_SOURCE_HISTORY, CW_LOG_INFO, "source-history"},
     {CW_EVENT_PUSHBACK_UNREADABLE, CW_LOG_WARN, "pushback-unreadable"},
 };
 
--- a/chalkway_part_versions.h
+++ b/chalkway_part_versions.h
@@ -13,9 +13,8 @@
 
     HOW TO USE IT
             cw_part_versions_t* t = cw_part_versions_setup(8192, NULL);
-            cw_part_versions_add(t, now_ms, &(cw_part_version_t){.pool = pool, .part = part, .version = v, .tokens = 900});
-            uint64_t version = 0;
-            uint32_t count = cw_part_versions_find(t, since_ms, pool, part, 850, &version);
+            cw_part_versions_add(t, now_ms, &(cw_part_version_t){.pool = pool, .part = part, .version = v, .tokens =
+   900}); uint64_t version = 0; uint32_t count = cw_part_versions_find(t, since_ms, pool, part, 850, &version);
 
     WHAT IT DOES NOT DO
         It doesn't query engines, and doesn't remove what they evict: entries
@@ -138,7 +137,8 @@
     _cw_part_holder_t* holder = _cw_part_versions_holder(item, listed->version);
     uint32_t known = holder->version == listed->version ? holder->tokens : 0;
     item->listed_ms = now_ms;
-    *holder = (_cw_part_holder_t){.version = listed->version, .tokens = known > listed->tokens ? known : listed->tokens};
+    *holder =
+        (_cw_part_holder_t){.version = listed->version, .tokens = known > listed->tokens ? known : listed->tokens};
 }
 
 uint32_t cw_part_versions_find(const cw_part_versions_t* t, int64_t since_ms, uint64_t pool, uint64_t part,
--- a/chalkway_stream_inquiry.h
+++ b/chalkway_stream_inquiry.h
@@ -13,11 +13,18 @@
         engines, when two versions were named, or after
         CW_STREAM_INQUIRY_MS.
 
+        An engine that has the prompt and as many events as the caller has
+        received has run the stream. One that has the prompt alone may have:
+        engines drop what a run has made when its connection breaks. It may
+        also have been left before the first event. So the prompt alone counts
+        only if all have replied, one version was named, and no engine has
+        more.
+
     HOW TO USE IT
             cw_stream_inquiry_t q = {0};
             cw_stream_inquiry_begin(&q, now_ms);
             if (cw_stream_inquiry_is_due(&q, now_ms)) { cw_stream_inquiry_on_round(&q, now_ms, send_to_all()); }
-            cw_stream_inquiry_on_reply(&q, version, CW_STREAM_REPLY_ALL); // for each reply
+            cw_stream_inquiry_on_reply(&q, version, CW_STREAM_REPLY_ALL, false); // for each reply
             if (cw_stream_inquiry_is_decided(&q, now_ms)) { uint64_t version = cw_stream_inquiry_version(&q); }
 
     WHAT IT DOES NOT DO
@@ -42,8 +49,9 @@
 } cw_stream_reply_t;
 
 typedef struct cw_stream_inquiry_t {
-    uint64_t version; /* that was named, 0: none yet */
-    bool is_several;
+    uint64_t version;        /* of engines that have made events of the stream, 0: none yet */
+    uint64_t prompt_version; /* of engines that have the prompt */
+    bool is_several, is_prompt_several;
     uint32_t queried;  /* hosts, in this round */
     uint32_t complete; /* of their replies, those that cover all engines */
     int64_t begun_ms, next_round_ms;
@@ -53,12 +61,12 @@
 bool cw_stream_inquiry_is_due(const cw_stream_inquiry_t* q, int64_t now_ms);
 /* A round was sent to so many hosts. */
 void cw_stream_inquiry_on_round(cw_stream_inquiry_t* q, int64_t now_ms, uint32_t hosts);
-/* version: that the sender's engines show, 0: none. */
-void cw_stream_inquiry_on_reply(cw_stream_inquiry_t* q, uint64_t version, cw_stream_reply_t reply);
-/* Engines that this host queries itself show this version, or several. */
-void cw_stream_inquiry_on_own(cw_stream_inquiry_t* q, uint64_t version, bool is_several);
+/* version: that the sender's engines show, 0: none; is_prompt_only: they have the prompt, and maybe nothing else. */
+void cw_stream_inquiry_on_reply(cw_stream_inquiry_t* q, uint64_t version, cw_stream_reply_t reply, bool is_prompt_only);
+/* The same of the engines that this host queries itself. */
+void cw_stream_inquiry_on_own(cw_stream_inquiry_t* q, uint64_t version, bool is_several, bool is_prompt_only);
 bool cw_stream_inquiry_is_decided(const cw_stream_inquiry_t* q, int64_t now_ms);
-/* The only version that was named; 0: none, or several. */
+/* The version that the replies show; 0: none, or several. */
 uint64_t cw_stream_inquiry_version(const cw_stream_inquiry_t* q);
 
 #endif /* CHALKWAY_STREAM_INQUIRY_H */
@@ -83,23 +91,32 @@
     q->next_round_ms = now_ms + (spread_ms > CW_STREAM_INQUIRY_ROUND_MS ? spread_ms : CW_STREAM_INQUIRY_ROUND_MS);
 }
 
-void cw_stream_inquiry_on_own(cw_stream_inquiry_t* q, uint64_t version, bool is_several) {
-    q->is_several = q->is_several || is_several || (version && q->version && q->version != version);
-    q->version = version ? version : q->version;
+void cw_stream_inquiry_on_own(cw_stream_inquiry_t* q, uint64_t version, bool is_several, bool is_prompt_only) {
+    uint64_t* named = is_prompt_only ? &q->prompt_version : &q->version;
+    bool* is_ambiguous = is_prompt_only ? &q->is_prompt_several : &q->is_several;
+    *is_ambiguous = *is_ambiguous || is_several || (version && *named && *named != version);
+    *named = version ? version : *named;
+}
+
+void cw_stream_inquiry_on_reply(cw_stream_inquiry_t* q, uint64_t version, cw_stream_reply_t reply,
+                                bool is_prompt_only) {
+    cw_stream_inquiry_on_own(q, version, reply == CW_STREAM_REPLY_SEVERAL, is_prompt_only);
+    q->complete += reply != CW_STREAM_REPLY_PARTIAL;
 }
 
-void cw_stream_inquiry_on_reply(cw_stream_inquiry_t* q, uint64_t version, cw_stream_reply_t reply) {
-    cw_stream_inquiry_on_own(q, version, reply == CW_STREAM_REPLY_SEVERAL);
-    q->complete += reply == CW_STREAM_REPLY_ALL;
+static bool _cw_stream_inquiry_is_complete(const cw_stream_inquiry_t* q) {
+    return q->next_round_ms > q->begun_ms && q->complete >= q->queried;
 }
 
 bool cw_stream_inquiry_is_decided(const cw_stream_inquiry_t* q, int64_t now_ms) {
-    bool has_begun = q->next_round_ms > q->begun_ms;
-    return q->is_several || (has_begun && q->complete >= q->queried) || now_ms - q->begun_ms >= CW_STREAM_INQUIRY_MS;
+    return q->is_several || _cw_stream_inquiry_is_complete(q) || now_ms - q->begun_ms >= CW_STREAM_INQUIRY_MS;
 }
 
 uint64_t cw_stream_inquiry_version(const cw_stream_inquiry_t* q) {
-    return q->is_several ? 0 : q->version;
+    if (q->version || q->is_several) {
+        return q->is_several ? 0 : q->version;
+    }
+    return q->is_prompt_several || !_cw_stream_inquiry_is_complete(q) ? 0 : q->prompt_version;
 }
 
 #endif /* CHALKWAY_STREAM_INQUIRY_IMPL_INCLUDED */
--- a/chalkway_stream_message.h
+++ b/chalkway_stream_message.h
@@ -31,15 +31,22 @@
     CW_STREAM_QUERY,        /* the receiver is to reply what it knows of these streams */
     CW_STREAM_HANDOVER,     /* the receiver is to reply with a page of all that it knows, see chalkway_handover.h */
     CW_STREAM_PAGE,         /* such a page */
+    CW_STREAM_INQUIRY,      /* the receiver is to reply what its engines have of these streams */
+    CW_STREAM_EVIDENCE,     /* such a reply, see chalkway_stream_inquiry.h */
     CW_STREAM_KIND_COUNT
 } cw_stream_message_kind_t;
 
 /* Of CW_STREAM_HANDOVER and CW_STREAM_PAGE, the first entry is the head of the page: its cursor in stream, the next one
-   in pool, 1 in version if it is the last page, known_ms in left_ms; see cw_handover_page_t. */
+   in pool, 1 in version if it is the last page, known_ms in left_ms; see cw_handover_page_t. An entry of
+   CW_STREAM_INQUIRY has the last part of the prompt in version, and in left_ms the tokens of it that an engine which
+   has run the request caches at least; an entry of CW_STREAM_EVIDENCE has a cw_stream_reply_t in left_ms. In both,
+   CW_STREAM_PROMPT_ONLY is added to left_ms where the tokens are those of the prompt alone. */
+#define CW_STREAM_PROMPT_ONLY (1U << 31U)
 typedef struct cw_stream_entry_t {
     uint64_t stream; /* 0 in a page: a version that has served in the pool, until left_ms ago */
     uint64_t pool;
-    uint64_t version; /* 0: not known, and several versions have served; of CW_STREAM_QUERY: not used */
+    uint64_t version; /* 0: not known, and several versions have served; of CW_STREAM_QUERY: not used; of
+                         CW_STREAM_EVIDENCE 0: none */
     uint32_t left_ms; /* time until the stream is forgotten */
 } cw_stream_entry_t;
 
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -33,6 +33,8 @@
 } dialect_fields_t;
 
 typedef void (*part_visitor_t)(void* user_data, const cw_prompt_part_t* part);
+/* request_id: of the attempt; events: of its stream, that the engine has sent so far. */
+typedef void (*run_visitor_t)(void* user_data, const char* request_id, uint32_t events);
 
 /* How long a caller of a stream waits for the next event, or the first one, before it gives up: the longest of these.
    All 0: until its deadline. */
@@ -58,6 +60,8 @@
        that. started_ms: start time that the engine reports; 0: none. */
     cw_status_t (*read_inventory)(const char* body, size_t size, int64_t* started_ms, part_visitor_t visit,
                                   void* user_data, cw_error_t* err);
+    const char* runs_path; /* engine's list of the requests that it runs; NULL: engines have none */
+    cw_status_t (*read_runs)(const char* body, size_t size, run_visitor_t visit, void* user_data, cw_error_t* err);
 } dialect_t;
 
 /* The read timeout in ms of a stream's caller for a route with this target and longest gap. 0: none. */
@@ -75,6 +79,13 @@
     char after[CW_NAME_MAX * 2]; /* servers: start of the next page */
 } source_update_t;
 
+/* What the source remembers of the servers that it has listed. */
+typedef struct source_history_t {
+    cw_servers_t entries; /* as servers have written them, each time */
+    int64_t at;           /* revision that the history reaches up to */
+    bool is_whole;        /* no entry is missing since the source began */
+} source_history_t;
+
 /* How to read the configuration and the server list over HTTP. A path function writes the path and query of a call. A
    read function converts the response body to native form or reports what is wrong with it. */
 typedef struct source_t {
@@ -98,6 +109,10 @@
        read only some of them; these are valid. */
     void (*closed_path)(char* out, size_t size);
     cw_status_t (*read_closed)(const char* body, size_t size, cw_closed_halls_t* closed, cw_error_t* err);
+    /* Path of the whole history of the servers. NULL: there is none. A status other than 200 means that the source has
+       forgotten a part of it. read_history replaces history, whose entries are to be freed by cw_servers_free. */
+    void (*history_path)(char* out, size_t size);
+    cw_status_t (*read_history)(const char* body, size_t size, source_history_t* history, cw_error_t* err);
 } source_t;
 
 extern const dialect_t dialect_native;
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -298,6 +298,7 @@
     cw_copy(x->resumes, sizeof(x->resumes), request_resumes(dialect, m));
     x->is_resumed_by_caller = cw_message_field(m, dialect->fields.last_event) != NULL;
     x->work.begins_stream = !x->is_resumed_by_caller;
+    x->stream_run = request_run_read(dialect, m);
     x->stream =
         streams_id(x->workspace ? cw_name_id(x->workspace->name) : 0, x->is_resumed_by_caller ? x->resumes : x->id);
 }
@@ -475,6 +476,14 @@
     }
 }
 
+void exchanges_on_stream_evidence(exchanges_t* e, const cw_stream_entry_t* reply) {
+    for (exchange_t* x = e->list; x; x = x->next) {
+        if (x->stream == reply->stream && x->stream_due_ms) {
+            streams_on_evidence(&x->stream_inquiry, reply);
+        }
+    }
+}
+
 /* A request on a direct connection to the pool that has been silent since the path broke, and can be sent again. */
 static exchange_t* find_cut(exchanges_t* e, const pool_t* pool) {
     exchange_t* x = e->list;
--- a/gateway/exchange_assign.c
+++ b/gateway/exchange_assign.c
@@ -170,28 +170,44 @@
     return true;
 }
 
-/* A stream that its caller resumes needs the version that began it. While that is unknown, other hosts are queried, and
-   the request waits outside of the queue. True: it waits, or it was refused. */
+/* Whether the version of a stream that this host doesn't know may still become known: other hosts are queried, this one
+   has just started and still learns, or it inquires what engines have of the stream. */
+static bool awaits_version(exchange_t* x, const stream_request_t* request) {
+    streams_t* streams = x->exchanges->desc.streams;
+    int64_t now_ms = clock_ms();
+    bool is_queried = x->stream_due_ms || !streams_query(streams, request);
+    if (is_queried && now_ms < x->stream_due_ms) {
+        return true;
+    }
+    if (is_queried && streams_is_settled(streams) && !streams_inquire(streams, request, &x->stream_inquiry)) {
+        return false;
+    }
+    x->stream_due_ms = now_ms + STREAM_REPLY_MS;
+    return true;
+}
+
+/* A stream that its caller resumes needs the version that began it. While that is unknown, the request waits outside of
+   the queue. True: it waits, or it was refused. */
 static bool is_stream_unresolved(exchange_t* x) {
     streams_t* streams = x->exchanges->desc.streams;
-    const stream_request_t request = {.pool = x->pool, .stream = x->stream, .id = x->id, .resumes = x->resumes};
+    const stream_request_t request = {.pool = x->pool,
+                                      .stream = x->stream,
+                                      .id = x->id,
+                                      .resumes = x->resumes,
+                                      .part = x->stream_run.part.id,
+                                      .min_tokens = x->stream_run.part.tokens,
+                                      .events = x->stream_run.events};
     if (!x->is_resumed_by_caller || x->work.version) {
         return false;
     }
     x->work.version = streams_resolve(streams, &request);
-    if (!x->work.version && !x->stream_due_ms && streams_query(streams, &request)) {
-        x->stream_due_ms = clock_ms() + STREAM_REPLY_MS;
-    }
-    bool is_reply_due = clock_ms() >= x->stream_due_ms;
-    if (!x->work.version && is_reply_due && !streams_is_settled(streams)) {
-        x->stream_due_ms = clock_ms() + STREAM_REPLY_MS; /* this host has just started, and still learns */
-        is_reply_due = false;
-    }
-    if (!x->work.version && !is_reply_due) {
+    if (!x->work.version && awaits_version(x, &request)) {
         exchange_set_timer(x);
         return true;
     }
-    x->work.version = x->work.version ? x->work.version : streams_resolve_unanswered(streams, &request);
+    if (!x->work.version) {
+        x->work.version = streams_resolve_unanswered(streams, &request, &x->stream_inquiry);
+    }
     x->stream_due_ms = 0;
     if (!x->work.version) {
         exchange_refuse(x, "the version of the stream is unknown");
@@ -235,7 +251,17 @@
     return x->tried_count + list_crashed(x, out + x->tried_count);
 }
 
+/* A stream that has been sent to a server begins at that server's version if it can: engines that cache its prompt then
+   show the version, whichever of them sent the first event. */
 static cw_choice_t choose_except(const exchange_t* x, const uint64_t* excluded, uint32_t count) {
+    if (x->attempt_count && x->stream && !x->work.version) {
+        cw_work_t work = x->work;
+        work.version = x->server_version;
+        cw_choice_t c = cw_balance_choose(x->pool->balance, clock_ms(), &work, excluded, count);
+        if (c.server != CW_BALANCE_NONE && !c.is_late) {
+            return c;
+        }
+    }
     return cw_balance_choose(x->pool->balance, clock_ms(), &x->work, excluded, count);
 }
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -167,6 +167,34 @@
     return mesh_query_stream(((gateway_t*)user)->mesh, stream, pool);
 }
 
+static uint32_t inquire_stream(void* user, const cw_stream_entry_t* inquiry) {
+    return mesh_inquire_stream(((gateway_t*)user)->mesh, inquiry);
+}
+
+static bool is_inventory_complete(void* user) {
+    return inventory_is_complete(((gateway_t*)user)->inventory);
+}
+
+static bool read_history(void* user) {
+    return sync_read_history(((gateway_t*)user)->sync);
+}
+
+static void on_stream_inquiry(void* user, const cw_stream_entry_t* inquiry, cw_stream_entry_t* reply) {
+    streams_on_inquiry(((gateway_t*)user)->streams, inquiry, reply);
+}
+
+static void on_stream_evidence(void* user, const cw_stream_entry_t* reply) {
+    exchanges_on_stream_evidence(((gateway_t*)user)->exchanges, reply);
+}
+
+static void on_history(void* user, const cw_servers_t* entries, bool is_whole) {
+    streams_t* streams = ((gateway_t*)user)->streams;
+    for (uint32_t i = 0; i < entries->count; i++) {
+        streams_learn_listed(streams, entries->items[i].pool, cw_server_version_id(&entries->items[i]));
+    }
+    streams_on_history(streams, is_whole);
+}
+
 static void on_stream_resolved(void* user, uint64_t stream) {
     exchanges_on_stream_resolved(((gateway_t*)user)->exchanges, stream);
 }
@@ -262,6 +290,20 @@
     mesh_announce_cached(((gateway_t*)user)->mesh, server, parts, count);
 }
 
+static void on_listed_parts(void* user, const server_t* server, const cw_prompt_part_t* parts, uint32_t count) {
+    streams_on_cached_parts(((gateway_t*)user)->streams, server->pool, cw_server_version_id(&server->published), parts,
+                            count);
+}
+
+static bool needs_runs(void* user) {
+    return streams_may_have_missed(((gateway_t*)user)->streams);
+}
+
+static void on_run(void* user, const server_t* server, const char* request_id, uint32_t events) {
+    streams_on_run(((gateway_t*)user)->streams, server->pool, cw_server_version_id(&server->published), request_id,
+                   events);
+}
+
 static bool is_ready(void* user) {
     gateway_t* g = user;
     return sync_is_ready(g->sync) && g->stop.phase == CW_STOP_NONE;
@@ -479,6 +521,9 @@
                                                  .list_age_ms = list_age_ms,
                                                  .announce = announce_streams,
                                                  .query = query_stream,
+                                                 .inquire = inquire_stream,
+                                                 .is_inventory_complete = is_inventory_complete,
+                                                 .read_history = read_history,
                                                  .on_resolved = on_stream_resolved,
                                                  .user_data = g});
     g->exchanges = exchanges_setup(&(exchanges_desc_t){.loop = g->loop,
@@ -503,6 +548,8 @@
                                         .observations = observations,
                                         .on_stream_announced = on_stream_announced,
                                         .on_stream_query = on_stream_query,
+                                        .on_stream_inquiry = on_stream_inquiry,
+                                        .on_stream_evidence = on_stream_evidence,
                                         .is_handover_due = is_handover_due,
                                         .next_handover = next_handover,
                                         .write_page = write_page,
@@ -533,6 +580,7 @@
                                                       .is_first_start = s->first_start != 0,
                                                       .on_catalog = on_catalog,
                                                       .on_servers = on_servers,
+                                                      .on_history = on_history,
                                                       .user_data = g},
                                        err);
     g->inventory = inventory_setup(&(inventory_desc_t){.loop = g->loop,
@@ -542,6 +590,9 @@
                                                        .owns_server = owns_server,
                                                        .is_converged = is_converged,
                                                        .on_cached_parts = on_cached_parts,
+                                                       .on_listed_parts = on_listed_parts,
+                                                       .needs_runs = needs_runs,
+                                                       .on_run = on_run,
                                                        .user_data = g});
     g->endpoints = !g->sync ? NULL
                             : endpoints_setup(&(endpoints_desc_t){.loop = g->loop,
--- a/gateway/inventory.c
+++ b/gateway/inventory.c
@@ -17,6 +17,7 @@
 typedef struct call_t {
     inventory_t* inventory;
     uint64_t server;
+    bool is_for_runs;
     cw_call_t* call; /* NULL: not in use */
     cw_buffer_t body;
     unsigned status;
@@ -34,27 +35,41 @@
     inventory_stats_t stats;
 };
 
+static void start_call(inventory_t* v, call_t* c, const server_t* server, bool is_for_runs);
+
 /* -- responses ------------------------------------------------------------ */
 
 typedef struct parts_t {
-    cw_prompt_part_t items[INVENTORY_PARTS_PER_ENGINE];
-    uint32_t max_parts; /* entries of items in use: a ring that keeps the last parts */
-    uint32_t count;     /* all parts that were read */
+    cw_prompt_part_t* items;
+    uint32_t count, capacity;
 } parts_t;
 
-/* Records a part with 0 tokens: the engine computed the part earlier and evicts nothing for it now. */
 static void add_part(void* user, const cw_prompt_part_t* part) {
     parts_t* parts = user;
-    parts->items[parts->count++ % parts->max_parts] = (cw_prompt_part_t){.id = part->id};
+    if (parts->count == parts->capacity) {
+        parts->capacity = parts->capacity ? 2 * parts->capacity : INVENTORY_PARTS_PER_ENGINE;
+        parts->items = realloc(parts->items, parts->capacity * sizeof(*parts->items));
+        if (!parts->items) {
+            abort();
+        }
+    }
+    parts->items[parts->count++] = *part;
 }
 
-static void record_parts(inventory_t* v, server_t* server, const parts_t* parts) {
-    uint32_t count = parts->count < parts->max_parts ? parts->count : parts->max_parts;
+static void record_parts(inventory_t* v, server_t* server, parts_t* parts) {
+    uint32_t count = parts->count < v->max_parts ? parts->count : v->max_parts;
+    cw_prompt_part_t* last = parts->items + (parts->count - count);
     v->stats.parts += count;
     cw_log(v->desc.log, CW_EVENT_INVENTORY, "server=%s pool=%s parts=%u listed=%u", server->published.id,
            server->pool->name, count, parts->count);
+    if (parts->count && v->desc.on_listed_parts) {
+        v->desc.on_listed_parts(v->desc.user_data, server, parts->items, parts->count);
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        last[i].tokens = 0; /* the engine computed them earlier and evicts nothing for them now */
+    }
     if (count) {
-        v->desc.on_cached_parts(v->desc.user_data, server, parts->items, count);
+        v->desc.on_cached_parts(v->desc.user_data, server, last, count);
     }
 }
 
@@ -83,38 +98,63 @@
     ((call_t*)user)->status = status;
 }
 
-static void on_done(void* user, const cw_call_result_t* result) {
-    call_t* c = user;
+static void on_list(call_t* c, server_t* server) {
     inventory_t* v = c->inventory;
     cw_error_t err = {0};
     int64_t started_ms = 0;
-    parts_t* parts = calloc(1, sizeof(*parts));
-    server_t* server = upstreams_server(v->desc.upstreams, c->server);
-    c->call = NULL;
-    if (!parts) {
-        abort();
-    }
-    parts->max_parts = v->max_parts;
-    if (!result->is_complete || c->status != 200) {
-        log_failure(v, server, result->is_complete ? "the response status is not 200" : result->message);
-    } else if (v->desc.dialect->read_inventory(cw_buffer_text(&c->body), c->body.size, &started_ms, add_part, parts,
-                                               &err) != CW_OK) {
+    parts_t parts = {0};
+    if (v->desc.dialect->read_inventory(cw_buffer_text(&c->body), c->body.size, &started_ms, add_part, &parts, &err) !=
+        CW_OK) {
         log_failure(v, server, err.message);
     } else if (server && upstreams_check_incarnation(v->desc.upstreams, clock_ms(), server, started_ms)) {
         log_failure(v, server, "another incarnation of the server responded");
     } else if (server && !server->is_removed) {
-        record_parts(v, server, parts);
+        record_parts(v, server, &parts);
+    }
+    free(parts.items);
+}
+
+static void add_run(void* user, const char* request_id, uint32_t events) {
+    const call_t* c = user;
+    const server_t* server = upstreams_server(c->inventory->desc.upstreams, c->server);
+    if (server && !server->is_removed) {
+        c->inventory->desc.on_run(c->inventory->desc.user_data, server, request_id, events);
+    }
+}
+
+static void on_runs(call_t* c, const server_t* server) {
+    cw_error_t err = {0};
+    if (c->inventory->desc.dialect->read_runs(cw_buffer_text(&c->body), c->body.size, add_run, c, &err) != CW_OK) {
+        log_failure(c->inventory, server, err.message);
+    }
+}
+
+static void on_done(void* user, const cw_call_result_t* result) {
+    call_t* c = user;
+    inventory_t* v = c->inventory;
+    server_t* server = upstreams_server(v->desc.upstreams, c->server);
+    c->call = NULL;
+    if (!result->is_complete || c->status != 200) {
+        log_failure(v, server, result->is_complete ? "the response status is not 200" : result->message);
+    } else if (c->is_for_runs) {
+        on_runs(c, server);
+    } else {
+        on_list(c, server);
     }
-    free(parts);
     cw_buffer_free(&c->body);
+    if (c->is_for_runs && server) {
+        start_call(v, c, server, false);
+    }
 }
 
 /* -- queries -------------------------------------------------------------- */
 
-static void start_call(inventory_t* v, call_t* c, const server_t* server) {
+static void start_call(inventory_t* v, call_t* c, const server_t* server, bool is_for_runs) {
+    const dialect_t* dialect = v->desc.dialect;
     char url[256];
-    snprintf(url, sizeof(url), "http://%s%s", server->published.address, v->desc.dialect->inventory_path);
-    *c = (call_t){.inventory = v, .server = server->key};
+    snprintf(url, sizeof(url), "http://%s%s", server->published.address,
+             is_for_runs ? dialect->runs_path : dialect->inventory_path);
+    *c = (call_t){.inventory = v, .server = server->key, .is_for_runs = is_for_runs};
     v->stats.queried++;
     c->call = cw_client_call(v->client, &(cw_call_desc_t){.url = url,
                                                           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
@@ -156,6 +196,10 @@
     v->max_parts = share < 1 ? 1 : share > INVENTORY_PARTS_PER_ENGINE ? INVENTORY_PARTS_PER_ENGINE : share;
 }
 
+static bool needs_runs(const inventory_t* v) {
+    return v->desc.dialect->runs_path && v->desc.needs_runs && v->desc.needs_runs(v->desc.user_data);
+}
+
 /* Starts queries while calls are free; returns how many are in progress. Ownership is checked again, because engines
    pass to other hosts as this one gets to know more peers. */
 static uint32_t start_pending_calls(inventory_t* v) {
@@ -164,7 +208,7 @@
         while (!v->calls[i].call && v->pending_count) {
             const server_t* server = upstreams_server(v->desc.upstreams, v->pending[--v->pending_count]);
             if (server && !server->is_removed && v->desc.owns_server(v->desc.user_data, server->key)) {
-                start_call(v, &v->calls[i], server);
+                start_call(v, &v->calls[i], server, needs_runs(v));
             }
         }
         busy += v->calls[i].call != NULL;
@@ -203,6 +247,10 @@
     return v;
 }
 
+bool inventory_is_complete(const inventory_t* v) {
+    return v->stats.is_done || !v->desc.dialect->inventory_path;
+}
+
 inventory_stats_t inventory_stats(const inventory_t* v) {
     return v->stats;
 }
--- a/gateway/inventory.h
+++ b/gateway/inventory.h
@@ -8,6 +8,9 @@
     peers.
 
     No engine is queried again: later prompts are recorded as requests are sent.
+
+    If all hosts were lost, streams that broke off may still run, or be cached. A run whose memory isn't listed yet is
+   in the engine's list of runs. That list is read first, since a run that ends after it is listed as cached.
 */
 #include <ev.h>
 
@@ -32,6 +35,12 @@
     bool (*owns_server)(void* user_data, uint64_t server);
     /* The engine has these parts cached. */
     void (*on_cached_parts)(void* user_data, server_t* server, const cw_prompt_part_t* parts, uint32_t count);
+    /* The same, with the tokens of each part that the engine has cached. May be NULL. */
+    void (*on_listed_parts)(void* user_data, const server_t* server, const cw_prompt_part_t* parts, uint32_t count);
+    /* Whether the runs of engines are needed, too: nobody remembers which streams they serve. NULL: no. */
+    bool (*needs_runs)(void* user_data);
+    /* The engine runs this request. */
+    void (*on_run)(void* user_data, const server_t* server, const char* request_id, uint32_t events);
     void* user_data;
 } inventory_desc_t;
 
@@ -44,5 +53,7 @@
 void inventory_shutdown(inventory_t* v);
 void inventory_tick(inventory_t* v, int64_t now_ms);
 inventory_stats_t inventory_stats(const inventory_t* v);
+/* Whether the engines that this daemon queries have replied or failed, or there are none to query. */
+bool inventory_is_complete(const inventory_t* v);
 
 #endif
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -177,6 +177,10 @@
     reporter_announce_streams(m->reporter, records, count);
 }
 
+uint32_t mesh_inquire_stream(mesh_t* m, const cw_stream_entry_t* inquiry) {
+    return reporter_inquire_stream(m->reporter, inquiry);
+}
+
 uint32_t mesh_query_stream(mesh_t* m, uint64_t stream, uint64_t pool) {
     return reporter_query_stream(m->reporter, stream, pool);
 }
@@ -406,6 +410,8 @@
                                                     .observations = desc->observations,
                                                     .on_stream_announced = desc->on_stream_announced,
                                                     .on_stream_query = desc->on_stream_query,
+                                                    .on_stream_inquiry = desc->on_stream_inquiry,
+                                                    .on_stream_evidence = desc->on_stream_evidence,
                                                     .write_page = desc->write_page,
                                                     .on_page = desc->on_page,
                                                     .user_data = desc->user_data},
--- a/gateway/native.c
+++ b/gateway/native.c
@@ -71,8 +71,25 @@
     return cw_servers_from_json(list, body, size, err);
 }
 
+static void history_path(char* out, size_t size) {
+    snprintf(out, size, "/servers/history");
+}
+
+/* A list of all entries that servers have had, with "whole": true if none is missing. */
+static cw_status_t read_history(const char* body, size_t size, source_history_t* history, cw_error_t* err) {
+    *history = (source_history_t){.at = 0};
+    cw_status_t status = cw_servers_from_json(&history->entries, body, size, err);
+    json_t* document = status == CW_OK ? json_loadb(body, size, 0, NULL) : NULL;
+    history->at = history->entries.at;
+    history->is_whole = json_is_true(json_object_get(document, "whole"));
+    json_decref(document);
+    return status;
+}
+
 const source_t source_native = {.epoch_field = "Chalkway-Source-Life",
                                 .catalog_path = catalog_path,
                                 .servers_path = servers_path,
                                 .read_catalog = read_catalog,
-                                .read_servers = read_servers};
+                                .read_servers = read_servers,
+                                .history_path = history_path,
+                                .read_history = read_history};
--- a/gateway/reporter.c
+++ b/gateway/reporter.c
@@ -10,7 +10,6 @@
 #include "clock.h"
 #include "reporter_internal.h"
 
-#define MS_PER_S 1000.0
 #define FLUSH_DELAY_MS 1      /* delay before the start of requests is reported, so that several share a datagram */
 #define END_FLUSH_DELAY_MS 50 /* delay before the end of requests is reported */
 #define TRANSIT_MIN_MS 10     /* lower bound of the transit time that is assumed for a datagram */
@@ -460,6 +459,7 @@
     }
     ev_io_init(&n->load_io, on_datagrams, n->fd, EV_READ);
     ev_timer_init(&n->flush_timer, on_flush_timer, FLUSH_DELAY_MS / MS_PER_S, 0.0);
+    reporter_setup_inquiries(n);
     ev_timer_init(&n->direct_timer, on_direct_timer, FLUSH_DELAY_MS / MS_PER_S, 0.0);
     n->load_io.data = n->flush_timer.data = n->direct_timer.data = n;
     ev_io_start(desc->loop, &n->load_io);
@@ -469,6 +469,7 @@
 void reporter_shutdown(reporter_t* n) {
     ev_io_stop(n->desc.loop, &n->load_io);
     ev_timer_stop(n->desc.loop, &n->flush_timer);
+    reporter_shutdown_inquiries(n);
     close(n->fd);
     free(n);
 }
--- a/gateway/reporter.h
+++ b/gateway/reporter.h
@@ -9,6 +9,7 @@
 #include "../chalkway_load.h"
 #include "../chalkway_member.h"
 #include "../chalkway_relay.h"
+#include "../chalkway_stream_inquiry.h"
 #include "../chalkway_stream_message.h"
 #include "settings.h"
 #include "upstream.h"
@@ -33,6 +34,10 @@
     /* Another host announces the version of a stream, or queries it; see streams.h. Both may be NULL. */
     void (*on_stream_announced)(void* user_data, const cw_stream_record_t* record);
     bool (*on_stream_query)(void* user_data, uint64_t stream, uint64_t pool, cw_stream_record_t* record);
+    /* Another host inquires what engines have of a stream (fills an entry of CW_STREAM_EVIDENCE), or replies to an
+       inquiry of this host. Both may be NULL. */
+    void (*on_stream_inquiry)(void* user_data, const cw_stream_entry_t* inquiry, cw_stream_entry_t* reply);
+    void (*on_stream_evidence)(void* user_data, const cw_stream_entry_t* reply);
     /* A host that has started requests a page of what this one knows, or a page was received. Both may be NULL. */
     void (*write_page)(void* user_data, uint64_t cursor, cw_stream_message_t* message);
     void (*on_page)(void* user_data, const cw_stream_message_t* message);
@@ -72,6 +77,8 @@
 void reporter_announce_streams(reporter_t* n, const cw_stream_record_t* records, uint32_t count);
 /* Queries some hosts for the version of a stream. Returns their number. */
 uint32_t reporter_query_stream(reporter_t* n, uint64_t stream, uint64_t pool);
+/* Inquires of all hosts what engines have of a stream, a moment later. Returns their number. */
+uint32_t reporter_inquire_stream(reporter_t* n, const cw_stream_entry_t* inquiry);
 /* Requests a page of what the host knows. Its first page brings the observations and the leaving servers, too. */
 void reporter_request_page(reporter_t* n, const cw_handover_request_t* request);
 void reporter_tick(reporter_t* n, int64_t now_ms);
--- a/gateway/reporter_internal.h
+++ b/gateway/reporter_internal.h
@@ -13,7 +13,8 @@
 #define DIRTY_MAX 256
 #define QUEUE_MAX 512
 #define OBSERVATION_QUEUE_MAX (12 * CW_LOAD_OBSERVATIONS) /* further observations are sent with the next repetition */
-#define STREAM_QUEUE_MAX 2048                             /* further records are not announced; hosts query them */
+#define MS_PER_S 1000.0
+#define STREAM_QUEUE_MAX 2048 /* further records are not announced; hosts query them */
 
 /* A server whose load at this host changed and is not reported yet. */
 typedef struct dirty_t {
@@ -86,6 +87,8 @@
     uint32_t pending_count;
     pending_stream_t streams[STREAM_QUEUE_MAX];
     uint32_t stream_count;
+    cw_stream_message_t inquiries; /* that wait to be sent */
+    ev_timer inquiry_timer;
     uint32_t next_observation;        /* index at which the next repetition continues */
     int64_t observations_repeated_ms; /* time of the last repetition */
     int64_t flushed_ms, repeated_ms;
@@ -126,9 +129,18 @@
 
 /* Sends the records that are due. */
 void reporter_send_streams(reporter_t* n);
+/* The datagram of a message about streams from this host. */
+datagram_t reporter_encode_streams(const reporter_t* n, cw_stream_message_t* message);
 /* Handles a datagram about streams. False: it is none. */
 bool reporter_receive_streams(reporter_t* n, const uint8_t* bytes, size_t size, const struct sockaddr_in* from);
 
+/* -- reporter_inquiries.c ------------------------------------------------------------- */
+
+void reporter_setup_inquiries(reporter_t* n);
+void reporter_shutdown_inquiries(reporter_t* n);
+void reporter_reply_inquiries(reporter_t* n, const cw_stream_message_t* inquiries, const struct sockaddr_in* to);
+void reporter_receive_evidence(reporter_t* n, const cw_stream_message_t* evidence);
+
 /* -- reporter_observations.c --------------------------------------------------------- */
 
 /* Sends the observations that are due. */
--- a/gateway/reporter_streams.c
+++ b/gateway/reporter_streams.c
@@ -11,7 +11,7 @@
 #define QUERY_OWN_HALL 3    /* hosts of the own hall that a query is sent to */
 #define QUERY_OTHER_HALLS 3 /* hosts of other halls, one of each */
 
-static datagram_t encode(const reporter_t* n, cw_stream_message_t* message) {
+datagram_t reporter_encode_streams(const reporter_t* n, cw_stream_message_t* message) {
     datagram_t d;
     message->cluster = n->cluster;
     message->host = n->desc.host;
@@ -38,7 +38,7 @@
 
 static void send_to_hall(reporter_t* n, cw_stream_message_t* message) {
     message->scope = CW_LOAD_NO_RELAY;
-    datagram_t d = encode(n, message);
+    datagram_t d = reporter_encode_streams(n, message);
     for (uint32_t i = 0; i < n->own_hall.count; i++) {
         reporter_send(n, &n->peers[n->own_hall.first + i], &d);
     }
@@ -46,7 +46,7 @@
 
 static void send_to_other_halls(reporter_t* n, cw_stream_message_t* message) {
     message->scope = CW_LOAD_RELAY_TO_HALL;
-    datagram_t d = encode(n, message);
+    datagram_t d = reporter_encode_streams(n, message);
     for (uint32_t i = 0; i < n->other_hall_count; i++) {
         reporter_send(n, reporter_choose_relay(n, &n->other_halls[i]), &d);
     }
@@ -54,7 +54,7 @@
 
 static void send_to_relay(reporter_t* n, cw_stream_message_t* message) {
     message->scope = CW_LOAD_RELAY_TO_ALL;
-    datagram_t d = encode(n, message);
+    datagram_t d = reporter_encode_streams(n, message);
     reporter_send(n, reporter_choose_relay(n, &n->own_hall), &d);
 }
 
@@ -135,7 +135,7 @@
     cw_stream_message_t message = {.kind = CW_STREAM_QUERY, .count = 1, .entries = {{.stream = stream, .pool = pool}}};
     uint32_t queried = 0;
     reporter_refresh_peers(n);
-    datagram_t d = encode(n, &message);
+    datagram_t d = reporter_encode_streams(n, &message);
     for (uint32_t i = 0; i < n->own_hall.count && i < QUERY_OWN_HALL; i++) {
         uint64_t first = cw_mix(n->desc.host, ++n->random_count) % n->own_hall.count;
         reporter_send(n, &n->peers[n->own_hall.first + (first + i) % n->own_hall.count], &d);
@@ -160,7 +160,7 @@
         }
     }
     if (message.count) {
-        datagram_t d = encode(n, &message);
+        datagram_t d = reporter_encode_streams(n, &message);
         reporter_send(n, &peer, &d);
     }
 }
@@ -181,7 +181,7 @@
     reporter_refresh_peers(n);
     const peer_t* peer = find_peer(n, request->host);
     if (peer) {
-        datagram_t d = encode(n, &message);
+        datagram_t d = reporter_encode_streams(n, &message);
         reporter_send(n, peer, &d);
     }
 }
@@ -198,7 +198,7 @@
         reporter_send_leaving_to(n, &peer);
     }
     n->desc.write_page(n->desc.user_data, request->entries[0].stream, &message);
-    datagram_t d = encode(n, &message);
+    datagram_t d = reporter_encode_streams(n, &message);
     reporter_send(n, &peer, &d);
 }
 
@@ -241,6 +241,12 @@
         case CW_STREAM_HANDOVER:
             send_page(n, &message, from);
             break;
+        case CW_STREAM_INQUIRY:
+            reporter_reply_inquiries(n, &message, from);
+            break;
+        case CW_STREAM_EVIDENCE:
+            reporter_receive_evidence(n, &message);
+            break;
         case CW_STREAM_PAGE:
             if (n->desc.on_page) {
                 n->desc.on_page(n->desc.user_data, &message);
--- a/gateway/request_head.c
+++ b/gateway/request_head.c
@@ -172,6 +172,28 @@
     }
 }
 
+request_run_t request_run_read(const dialect_t* d, const cw_message_t* request) {
+    const char* event = cw_message_field(request, d->fields.last_event);
+    const char* text = d->fields.parts ? cw_message_field(request, d->fields.parts) : NULL;
+    request_run_t run = {.events = 1};
+    cw_prompt_part_t part = {0};
+    uint32_t events = 0;
+    const char* end = event ? read_count(event, &events) : NULL;
+    if (!end || *end) {
+        return run;
+    }
+    while (text && *text) {
+        text = read_part(text, &part);
+        text = text && *text ? text + 1 : text;
+    }
+    if (text) {
+        run.events = events ? events : 1;
+        run.part = part;
+        run.part.tokens += part.tokens < UINT32_MAX - run.events ? run.events : 0;
+    }
+    return run;
+}
+
 bool request_deadline_read(const dialect_t* d, const cw_message_t* request, double* ms) {
     const char* text = cw_message_field(request, d->fields.deadline_ms);
     char* end = NULL;
--- a/gateway/request_head.h
+++ b/gateway/request_head.h
@@ -34,6 +34,14 @@
 uint64_t request_part_id(const char* name);
 /* Adds the parts of the prompt except the last one, which is the request's own. */
 void request_suspects_read(cw_suspects_t* suspects, const dialect_t* dialect, const cw_message_t* request);
+/* The part of the work that only the engine has which has sent a stream so far. */
+typedef struct request_run_t {
+    cw_prompt_part_t part; /* last part of the prompt, with its tokens and one for each event; id 0: unknown */
+    uint32_t events;       /* that the caller has received, at least 1 */
+} request_run_t;
+
+/* Reads that of a request which resumes a stream. No part is set if the ids of its events are no numbers. */
+request_run_t request_run_read(const dialect_t* dialect, const cw_message_t* request);
 /* Reads the token counts and the prompt parts of a request. */
 void request_work_read(cw_work_t* work, const dialect_t* dialect, const cw_message_t* request);
 /* The caller's attempt that began the stream which this request resumes; "": none is named. */
--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -9,24 +9,21 @@
 #define LONGEST_DEFAULT_MS 30000
 /* A version is remembered for this multiple of the longest stream: hosts learn at different times that it has gone. */
 #define MEMORY_FACTOR 2
-#define DENIALS_MAX 64    /* streams that other hosts did not know, remembered while their callers wait */
-#define ANNOUNCE_BATCH 64 /* own streams read at once when they are announced */
+#define PARTS_MAX 16384 /* parts that engines have listed, remembered for as long as streams last */
+#define RUN_KEY_SEED 0x72756eU
+#define CACHE_BLOCK_TOKENS 64 /* largest block of an engine's cache: the last one is kept only if it is full */
+#define ANNOUNCE_BATCH 64     /* own streams read at once when they are announced */
 #define POOLS_ANNOUNCING_MAX 64
 
-typedef struct denial_t {
-    uint64_t stream;
-    int64_t at_ms;
-} denial_t;
-
 struct streams_t {
     streams_desc_t desc;
     cw_stream_registry_t* registry;
     uint32_t memory_ms;
     int64_t setup_ms;
     cw_handover_t handover;
-    int64_t inherited_ms;          /* all versions from then on were taken over from other hosts; 0: none */
-    denial_t denials[DENIALS_MAX]; /* ring */
-    uint32_t next_denial;
+    int64_t inherited_ms;                      /* all versions from then on were taken over from other hosts; 0: none */
+    bool is_history_whole;                     /* the source has shown all versions that have ever served */
+    cw_part_versions_t* parts;                 /* what engines have listed */
     uint64_t announcing[POOLS_ANNOUNCING_MAX]; /* ids of the pools whose streams are announced */
     uint32_t announcing_count;
     streams_stats_t stats;
@@ -39,6 +36,7 @@
     }
     s->desc = *desc;
     s->registry = cw_stream_registry_setup(desc->capacity ? desc->capacity : CAPACITY_DEFAULT, NULL);
+    s->parts = cw_part_versions_setup(PARTS_MAX, NULL);
     s->memory_ms = MEMORY_FACTOR * LONGEST_DEFAULT_MS;
     s->setup_ms = clock_ms();
     cw_handover_begin(&s->handover,
@@ -48,6 +46,7 @@
 
 void streams_shutdown(streams_t* s) {
     cw_stream_registry_shutdown(s->registry);
+    cw_part_versions_shutdown(s->parts);
     free(s);
 }
 
@@ -72,9 +71,14 @@
     return now_ms - (s->inherited_ms ? s->inherited_ms : s->setup_ms);
 }
 
+/* Whether this host, or one that handed over to it, has lived for longer than streams last. */
+static bool has_long_memory(const streams_t* s, int64_t now_ms) {
+    return known_ms(s, now_ms) >= s->memory_ms;
+}
+
 /* Whether this host knows each version that a live stream can have. */
 static bool has_full_memory(const streams_t* s, int64_t now_ms) {
-    return known_ms(s, now_ms) >= s->memory_ms;
+    return s->is_history_whole || has_long_memory(s, now_ms);
 }
 
 /* The only version at which a stream that is still alive can have begun; 0: several, or this host can't know. */
@@ -144,7 +148,7 @@
 /* -- streams that callers resume ------------------------------------------- */
 
 const char* streams_source_name(stream_source_t source) {
-    static const char* const names[STREAM_SOURCE_COUNT] = {"unknown", "recorded", "only-version", "last-resort"};
+    static const char* const names[STREAM_SOURCE_COUNT] = {"unknown", "recorded", "only-version", "engines"};
     return names[source];
 }
 
@@ -153,10 +157,12 @@
     int64_t now_ms = clock_ms();
     s->stats.resumed[source]++;
     cw_log(s->desc.log, CW_EVENT_STREAM_VERSION,
-           "id=%s resumes=%s pool=%s version_key=%016llx source=%s versions=%u list_age_ms=%lld known_ms=%lld",
+           "id=%s resumes=%s pool=%s version_key=%016llx source=%s versions=%u list_age_ms=%lld known_ms=%lld "
+           "part=%llx min_tokens=%u",
            request->id, request->resumes[0] ? request->resumes : "-", request->pool->name, (unsigned long long)version,
            streams_source_name(source), cw_pool_versions_recent(&request->pool->versions, now_ms, s->memory_ms),
-           (long long)s->desc.list_age_ms(s->desc.user_data), (long long)known_ms(s, now_ms));
+           (long long)s->desc.list_age_ms(s->desc.user_data), (long long)known_ms(s, now_ms),
+           (unsigned long long)request->part, request->min_tokens);
     return version;
 }
 
@@ -178,23 +184,123 @@
     return s->desc.query(s->desc.user_data, request->stream, request->pool->id);
 }
 
-/* Whether another host has said lately that it doesn't know the stream while several versions have served. */
-static bool was_denied(const streams_t* s, uint64_t stream, int64_t now_ms) {
-    for (uint32_t i = 0; i < DENIALS_MAX; i++) {
-        if (s->denials[i].stream == stream && now_ms - s->denials[i].at_ms < s->memory_ms) {
-            return true;
+uint64_t streams_resolve_unanswered(streams_t* s, const stream_request_t* request, const cw_stream_inquiry_t* inquiry) {
+    uint64_t version = streams_resolve(s, request);
+    uint64_t found = cw_stream_inquiry_version(inquiry);
+    return version ? version : report(s, request, found, found ? STREAM_ENGINES : STREAM_UNKNOWN);
+}
+
+/* -- what the source and engines still have of streams --------------------- */
+
+/* Key of a run among the parts. */
+static uint64_t run_key(const char* request_id) {
+    return request_id[0] ? cw_mix(cw_name_id(request_id), RUN_KEY_SEED) : 0;
+}
+
+static bool is_inventory_complete(const streams_t* s) {
+    return !s->desc.is_inventory_complete || s->desc.is_inventory_complete(s->desc.user_data);
+}
+
+/* What engines, as far as this host queries them, show of a part with so many tokens, or of a run with so many events.
+ */
+static void find_engines(const streams_t* s, const cw_stream_entry_t* inquiry, cw_stream_entry_t* out) {
+    uint64_t version = 0;
+    uint32_t tokens = inquiry->left_ms & ~CW_STREAM_PROMPT_ONLY;
+    uint32_t versions =
+        cw_part_versions_find(s->parts, clock_ms() - s->memory_ms, inquiry->pool, inquiry->version, tokens, &version);
+    cw_stream_reply_t coverage = is_inventory_complete(s) ? CW_STREAM_REPLY_ALL : CW_STREAM_REPLY_PARTIAL;
+    *out = (cw_stream_entry_t){.stream = inquiry->stream,
+                               .pool = inquiry->pool,
+                               .version = versions == 1 ? version : 0,
+                               .left_ms = versions > 1 ? CW_STREAM_REPLY_SEVERAL : coverage};
+    out->left_ms |= inquiry->left_ms & CW_STREAM_PROMPT_ONLY;
+}
+
+/* Tokens of the last part that an engine caches at least which has prefilled the prompt. */
+static uint32_t prompt_tokens(const stream_request_t* request) {
+    uint32_t tokens = request->min_tokens - request->events;
+    return tokens > CACHE_BLOCK_TOKENS ? tokens - CACHE_BLOCK_TOKENS : 1;
+}
+
+static bool is_prompt_only(const cw_stream_entry_t* entry) {
+    return entry->left_ms & CW_STREAM_PROMPT_ONLY;
+}
+
+void streams_on_evidence(cw_stream_inquiry_t* inquiry, const cw_stream_entry_t* reply) {
+    cw_stream_reply_t coverage = (cw_stream_reply_t)(reply->left_ms & ~CW_STREAM_PROMPT_ONLY);
+    if (coverage < CW_STREAM_REPLY_COUNT) {
+        cw_stream_inquiry_on_reply(inquiry, reply->version, coverage, is_prompt_only(reply));
+    }
+}
+
+bool streams_inquire(streams_t* s, const stream_request_t* request, cw_stream_inquiry_t* inquiry) {
+    int64_t now_ms = clock_ms();
+    const uint64_t pool = request->pool->id;
+    const cw_stream_entry_t inquiries[] = {
+        {.stream = request->stream, .pool = pool, .version = request->part, .left_ms = request->min_tokens},
+        {.stream = request->stream,
+         .pool = pool,
+         .version = request->part,
+         .left_ms = prompt_tokens(request) | CW_STREAM_PROMPT_ONLY},
+        {.stream = request->stream, .pool = pool, .version = run_key(request->resumes), .left_ms = request->events}};
+    const uint32_t count = sizeof(inquiries) / sizeof(inquiries[0]);
+    if (has_long_memory(s, now_ms)) {
+        return false; /* a stream that it doesn't know was not announced */
+    }
+    if (!inquiry->begun_ms) {
+        cw_stream_inquiry_begin(inquiry, now_ms);
+    }
+    bool reads_history = !s->is_history_whole && s->desc.read_history && s->desc.read_history(s->desc.user_data);
+    for (uint32_t i = 0; i < count; i++) {
+        cw_stream_entry_t own;
+        find_engines(s, &inquiries[i], &own);
+        bool is_several = (own.left_ms & ~CW_STREAM_PROMPT_ONLY) == CW_STREAM_REPLY_SEVERAL;
+        cw_stream_inquiry_on_own(inquiry, own.version, is_several, is_prompt_only(&own));
+    }
+    if (cw_stream_inquiry_is_due(inquiry, now_ms)) {
+        uint32_t replies = 0;
+        for (uint32_t i = 0; i < count && request->part && request->stream && s->desc.inquire; i++) {
+            replies += s->desc.inquire(s->desc.user_data, &inquiries[i]);
         }
+        cw_stream_inquiry_on_round(inquiry, now_ms, replies);
     }
-    return false;
+    bool is_own_part_open = request->part && !is_inventory_complete(s);
+    bool is_late = now_ms - inquiry->begun_ms >= CW_STREAM_INQUIRY_MS;
+    return !is_late && (reads_history || is_own_part_open || !cw_stream_inquiry_is_decided(inquiry, now_ms));
 }
 
-uint64_t streams_resolve_unanswered(streams_t* s, const stream_request_t* request) {
+void streams_on_cached_parts(streams_t* s, const pool_t* pool, uint64_t version, const cw_prompt_part_t* parts,
+                             uint32_t count) {
     int64_t now_ms = clock_ms();
-    uint64_t version = streams_resolve(s, request);
-    bool is_last_resort = !version && cw_handover_is_settled(&s->handover) && !has_full_memory(s, now_ms) &&
-                          is_list_fresh(s) && !(request->stream && was_denied(s, request->stream, now_ms));
-    uint64_t only = is_last_resort ? cw_pool_versions_only(&request->pool->versions, now_ms, s->memory_ms) : 0;
-    return version ? version : report(s, request, only, only ? STREAM_LAST_RESORT : STREAM_UNKNOWN);
+    for (uint32_t i = 0; i < count; i++) {
+        cw_part_versions_add(
+            s->parts, now_ms,
+            &(cw_part_version_t){.pool = pool->id, .part = parts[i].id, .version = version, .tokens = parts[i].tokens});
+    }
+}
+
+void streams_on_run(streams_t* s, const pool_t* pool, uint64_t version, const char* request_id, uint32_t events) {
+    const cw_prompt_part_t run = {.id = run_key(request_id), .tokens = events};
+    streams_on_cached_parts(s, pool, version, &run, 1);
+}
+
+bool streams_may_have_missed(const streams_t* s) {
+    return !has_long_memory(s, clock_ms());
+}
+
+void streams_on_inquiry(const streams_t* s, const cw_stream_entry_t* inquiry, cw_stream_entry_t* reply) {
+    find_engines(s, inquiry, reply);
+}
+
+void streams_learn_listed(streams_t* s, const char* pool_name, uint64_t version) {
+    pool_t* pool = upstreams_pool(s->desc.upstreams, pool_name);
+    if (pool) {
+        cw_pool_versions_learn(&pool->versions, clock_ms(), version, 0);
+    }
+}
+
+void streams_on_history(streams_t* s, bool is_whole) {
+    s->is_history_whole = is_whole;
 }
 
 /* -- other hosts ---------------------------------------------------------- */
@@ -202,9 +308,7 @@
 void streams_on_announced(streams_t* s, const cw_stream_record_t* record) {
     int64_t now_ms = clock_ms();
     s->stats.received++;
-    if (!record->version) {
-        s->denials[s->next_denial++ % DENIALS_MAX] = (denial_t){.stream = record->stream, .at_ms = now_ms};
-    } else if (record->expires_ms > now_ms && cw_stream_registry_put(s->registry, now_ms, record)) {
+    if (record->version && record->expires_ms > now_ms && cw_stream_registry_put(s->registry, now_ms, record)) {
         s->desc.on_resolved(s->desc.user_data, record->stream);
     }
 }
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -8,11 +8,14 @@
     fresh, it announces each stream to the other hosts when the first event arrives, and all that it carries when that
     state begins. A host that is to resume a stream that it does not know queries some others. Unknown is not guessed:
     it resumes an unknown stream only if a single version has served for as long as streams last
-    (chalkway_pool_versions.h), as it knows itself or another host vouches for. A host that starts takes over the
-    streams and versions that others know (chalkway_handover.h).
+    (chalkway_pool_versions.h), as it knows itself, another host vouches for, or the whole history of the source shows.
+    A host that starts takes over the streams and versions that others know (chalkway_handover.h). After a loss of all
+    hosts, engines that still cache the stream's prompt and more show its version (chalkway_part_versions.h).
 */
 #include "../chalkway_handover.h"
 #include "../chalkway_log.h"
+#include "../chalkway_part_versions.h"
+#include "../chalkway_stream_inquiry.h"
 #include "../chalkway_stream_message.h"
 #include "../chalkway_stream_registry.h"
 #include "upstream.h"
@@ -24,7 +27,7 @@
     STREAM_UNKNOWN = 0,  /* it was not */
     STREAM_RECORDED,     /* this host carried the stream, or received its record */
     STREAM_ONLY_VERSION, /* a single one has served */
-    STREAM_LAST_RESORT,  /* the same, as far as a host that has just started can know */
+    STREAM_ENGINES,      /* engines of a single one have run it */
     STREAM_SOURCE_COUNT
 } stream_source_t;
 
@@ -34,6 +37,9 @@
     uint64_t stream;     /* streams_id, 0: unknown */
     const char* id;      /* of the request, logged */
     const char* resumes; /* id of the request that began the stream, logged */
+    uint64_t part;       /* last part of its prompt; 0: unknown */
+    uint32_t min_tokens; /* that an engine which has run the request caches of this part at least */
+    uint32_t events;     /* that the caller has received */
 } stream_request_t;
 
 typedef struct streams_desc_t {
@@ -47,6 +53,14 @@
     void (*announce)(void* user_data, const cw_stream_record_t* records, uint32_t count);
     /* Queries other hosts. Returns their number. May be NULL. */
     uint32_t (*query)(void* user_data, uint64_t stream, uint64_t pool);
+    /* Inquires of all other hosts what engines have of a stream (CW_STREAM_INQUIRY). Returns their number. NULL: there
+       are none. */
+    uint32_t (*inquire)(void* user_data, const cw_stream_entry_t* inquiry);
+    /* Whether the engines that this host queries have listed what they cache. NULL: they have. */
+    bool (*is_inventory_complete)(void* user_data);
+    /* Reads the history of the source, which is then passed to streams_learn_listed and streams_on_history. True: it is
+       being read. NULL: the source has none. */
+    bool (*read_history)(void* user_data);
     /* The stream's version has become known. */
     void (*on_resolved)(void* user_data, uint64_t stream);
     void* user_data;
@@ -74,9 +88,26 @@
 uint64_t streams_resolve(streams_t* s, const stream_request_t* request);
 /* Queries other hosts for an unknown stream. Returns how many, 0: there is none. */
 uint32_t streams_query(streams_t* s, const stream_request_t* request);
-/* The others have had their time to reply. As streams_resolve; also the only listed version, if this host knows as much
-   as it can learn and no host that could know replied: then all have just started. */
-uint64_t streams_resolve_unanswered(streams_t* s, const stream_request_t* request);
+/* Nobody that was queried knows the stream: asks the source and all hosts what remains of it. True: they may still
+   reply, call it again. */
+bool streams_inquire(streams_t* s, const stream_request_t* request, cw_stream_inquiry_t* inquiry);
+/* A reply to the inquiry: an entry of CW_STREAM_EVIDENCE. */
+void streams_on_evidence(cw_stream_inquiry_t* inquiry, const cw_stream_entry_t* reply);
+/* The others have had their time to reply. As streams_resolve, or the version that the inquiry has found. */
+uint64_t streams_resolve_unanswered(streams_t* s, const stream_request_t* request, const cw_stream_inquiry_t* inquiry);
+/* Engines of this version cache these parts. */
+void streams_on_cached_parts(streams_t* s, const pool_t* pool, uint64_t version, const cw_prompt_part_t* parts,
+                             uint32_t count);
+/* An engine of this version runs the request. */
+void streams_on_run(streams_t* s, const pool_t* pool, uint64_t version, const char* request_id, uint32_t events);
+/* Whether this host and those that handed over to it may have started after streams that are still alive. */
+bool streams_may_have_missed(const streams_t* s);
+/* Another host inquires what engines have of a stream. reply: an entry of CW_STREAM_EVIDENCE. */
+void streams_on_inquiry(const streams_t* s, const cw_stream_entry_t* inquiry, cw_stream_entry_t* reply);
+/* A server of this version was listed at some time in the history of the source. */
+void streams_learn_listed(streams_t* s, const char* pool, uint64_t version);
+/* The history was read. is_whole: it reached back to the beginning of the source, and showed each version. */
+void streams_on_history(streams_t* s, bool is_whole);
 /* A record was received from another host; version 0: it does not know the stream, and several versions have served. */
 void streams_on_announced(streams_t* s, const cw_stream_record_t* record);
 /* Another host queries a stream. False: there is nothing to reply. record: the reply. */
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -237,14 +237,15 @@
     s->client = cw_client_setup(desc->loop, 8);
     init_fetch(s, &s->catalog, sync_on_catalog_response, sync_on_catalog_failure);
     init_fetch(s, &s->servers, sync_on_servers_response, sync_on_servers_failure);
-    s->catalog.is_source = s->servers.is_source = true;
+    init_fetch(s, &s->history, sync_on_history_response, sync_on_history_failure);
+    s->catalog.is_source = s->servers.is_source = s->history.is_source = true;
     init_fetch(s, &s->peer_catalog, sync_on_peer_catalog_response, sync_on_peer_catalog_failure);
     init_fetch(s, &s->peer_servers, sync_on_peer_servers_response, sync_on_peer_servers_failure);
     return s;
 }
 
 void sync_shutdown(sync_t* s) {
-    fetch_t* const fetches[] = {&s->catalog, &s->servers, &s->peer_catalog, &s->peer_servers};
+    fetch_t* const fetches[] = {&s->catalog, &s->servers, &s->history, &s->peer_catalog, &s->peer_servers};
     for (size_t i = 0; i < sizeof(fetches) / sizeof(fetches[0]); i++) {
         sync_cancel_fetch(fetches[i]);
     }
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -44,6 +44,9 @@
     /* The list of servers changed. after_outage: the source had not confirmed the previous list for long, or that list
        is of an earlier epoch of the source. */
     void (*on_servers)(void* user_data, const cw_servers_t* list, bool after_outage);
+    /* The history of the source was read, see sync_read_history: each entry that servers have had. is_whole: none is
+       missing. May be NULL. */
+    void (*on_history)(void* user_data, const cw_servers_t* entries, bool is_whole);
     void* user_data;
 } sync_desc_t;
 
@@ -69,6 +72,8 @@
 /* rank: of this daemon among those that are alive, 0 first; daemons: most that were known at once. */
 void sync_set_rank(sync_t* s, uint32_t rank, uint32_t daemons);
 void sync_tick(sync_t* s, int64_t now_ms);
+/* Reads the history of the source, once. Returns whether it is still to come. */
+bool sync_read_history(sync_t* s);
 sync_stats_t sync_stats(const sync_t* s);
 /* The active list of servers, NULL: none yet. */
 const cw_servers_t* sync_servers(const sync_t* s);
--- a/gateway/sync_internal.h
+++ b/gateway/sync_internal.h
@@ -31,11 +31,14 @@
     void (*on_failure)(sync_t* s, const char* why);
 } fetch_t;
 
+typedef enum history_state_t { HISTORY_UNREAD = 0, HISTORY_RUNNING, HISTORY_DONE } history_state_t;
+
 struct sync_t {
     sync_desc_t desc;
     cw_client_t* client;
     cw_httpd_t* share_httpd;
-    fetch_t catalog, servers, peer_catalog, peer_servers;
+    fetch_t catalog, servers, history, peer_catalog, peer_servers;
+    history_state_t history_state;
     int64_t catalog_version;      /* of the configuration that was last read from the source */
     int64_t catalog_confirmed_ms; /* when the active configuration was last known to be current, NEVER: none */
     cw_catalog_t* active_catalog;
@@ -103,6 +106,11 @@
 void sync_on_servers_response(sync_t* s, unsigned status, const char* body, size_t size);
 void sync_on_servers_failure(sync_t* s, const char* why);
 
+/* -- sync_history.c -------------------------------------------------------- */
+
+void sync_on_history_response(sync_t* s, unsigned status, const char* body, size_t size);
+void sync_on_history_failure(sync_t* s, const char* why);
+
 /* -- sync_peers.c ---------------------------------------------------------- */
 
 /* Fetches documents that peers offered, when the fetch is due. */
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -34,6 +34,7 @@
     const char* versions[SERVERS_MAX]; /* of the servers' software; NULL: not named */
     const char* silent_server;         /* address that is listed in place of the first server's; NULL: none */
     uint32_t unlisted;                 /* servers, as a set of bits, that run but aren't listed any more */
+    bool has_history;                  /* the source has the whole history of the servers */
     bool closes_connections;           /* servers close the connection after each response */
     bool is_source_available;
     const char* seeds;     /* of hosts whose settings are written from now on; NULL: hosts 0 and 1 */
@@ -51,11 +52,13 @@
     char body[16384]; /* has room for the metrics */
 } fleet_t;
 
-static inline void write_server_list(const fleet_t* f, char* out, size_t size) {
-    int length = snprintf(out, size, "{\"at\":%u,\"servers\":[", 1 + f->unlisted);
+/* is_history: also the servers that aren't listed any more. */
+static inline void write_server_list(const fleet_t* f, bool is_history, char* out, size_t size) {
+    int length =
+        snprintf(out, size, "{\"at\":%u,%s\"servers\":[", 1 + f->unlisted, is_history ? "\"whole\":true," : "");
     bool is_first = true;
     for (uint32_t i = 0; i < f->server_count; i++) {
-        if ((f->unlisted >> i) & 1U) {
+        if (!is_history && (f->unlisted >> i) & 1U) {
             continue;
         }
         length += snprintf(
@@ -85,8 +88,11 @@
                  "{\"revision\":4,\"pools\":[{\"name\":\"p\"}],\"routes\":[{\"name\":\"r\",\"host\":\"h.example\","
                  "\"prefix\":\"/\",\"kind\":\"once\",\"timeout_ms\":8000,\"target_ms\":500,\"open\":true,"
                  "\"pools\":[{\"pool\":\"p\"}]}]}");
+    } else if (strcmp(cw_exchange_path(x), "/servers/history") == 0 && !f->has_history) {
+        cw_exchange_reply(x, 410, NULL, 0, "", 0);
+        return;
     } else {
-        write_server_list(f, body, sizeof(body));
+        write_server_list(f, strcmp(cw_exchange_path(x), "/servers/history") == 0, body, sizeof(body));
     }
     cw_exchange_reply(x, 200, NULL, 0, body, strlen(body));
 }
--- /dev/null
+++ b/tests/test_stream_evidence.c
@@ -0,0 +1,252 @@
+/*
+    What remains of a stream after all hosts that knew its software version have ended: the engines that cache its
+   prompt or still run it, and the history of the source.
+
+    Seen: hosts that had started took the only listed version for that of a stream which had begun at another one.
+*/
+#include <string.h>
+
+#include "../chalkway_part_versions.h"
+#include "../chalkway_stream_inquiry.h"
+#include "../gateway/request_head.h"
+#include "../platform/platform.h"
+#include "rig.h"
+
+#define POOL 7U
+#define V1 11U
+#define V2 22U
+
+/* -- parts that engines have listed ---------------------------------------- */
+
+static void add(cw_part_versions_t* t, int64_t now_ms, uint64_t part, uint64_t version, uint32_t tokens) {
+    cw_part_versions_add(t, now_ms,
+                         &(cw_part_version_t){.pool = POOL, .part = part, .version = version, .tokens = tokens});
+}
+
+static uint32_t find(const cw_part_versions_t* t, uint64_t part, uint32_t min_tokens, uint64_t* version) {
+    *version = 0;
+    return cw_part_versions_find(t, 0, POOL, part, min_tokens, version);
+}
+
+START_TEST(a_part_shows_the_version_of_the_engines_that_cache_enough_of_it) {
+    cw_part_versions_t* t = cw_part_versions_setup(4, NULL);
+    uint64_t version = 0;
+    ck_assert_uint_eq(find(t, 1, 1, &version), 0);
+    add(t, 5, 1, V1, 100);
+    add(t, 5, 1, V1, 80); /* another engine of the version */
+    ck_assert(find(t, 1, 100, &version) == 1 && version == V1);
+    ck_assert_uint_eq(find(t, 1, 101, &version), 0);
+    ck_assert_uint_eq(find(t, 2, 1, &version), 0);
+    ck_assert_uint_eq(cw_part_versions_find(t, 0, POOL + 1, 1, 1, &version), 0);
+    add(t, 6, 1, V2, 120);
+    ck_assert_uint_eq(find(t, 1, 100, &version), 2);
+    ck_assert(find(t, 1, 101, &version) == 1 && version == V2);
+    add(t, 6, 1, V2 + 1, 130); /* a third version leaves two that differ */
+    ck_assert_uint_eq(find(t, 1, 120, &version), 2);
+    ck_assert_uint_eq(cw_part_versions_find(t, 7, POOL, 1, 1, &version), 0); /* listed too long ago */
+    cw_part_versions_shutdown(t);
+}
+END_TEST
+
+START_TEST(a_full_table_drops_the_oldest_parts) {
+    cw_part_versions_t* t = cw_part_versions_setup(4, NULL);
+    uint64_t version = 0;
+    for (uint64_t part = 1; part <= 100; part++) {
+        add(t, 5, part, V1, 10);
+        ck_assert_uint_eq(find(t, part, 10, &version), 1);
+        ck_assert_uint_eq(find(t, part > 4 ? part - 4 : 101, 10, &version), 0);
+    }
+    cw_part_versions_shutdown(t);
+}
+END_TEST
+
+/* -- inquiries ------------------------------------------------------------- */
+
+static cw_stream_inquiry_t begin(uint32_t hosts) {
+    cw_stream_inquiry_t q;
+    cw_stream_inquiry_begin(&q, 1000);
+    ck_assert(cw_stream_inquiry_is_due(&q, 1000));
+    cw_stream_inquiry_on_round(&q, 1000, hosts);
+    ck_assert(!cw_stream_inquiry_is_due(&q, 1000));
+    return q;
+}
+
+START_TEST(an_inquiry_is_decided_when_all_hosts_have_replied_in_full) {
+    cw_stream_inquiry_t q = begin(3);
+    cw_stream_inquiry_on_reply(&q, 0, CW_STREAM_REPLY_ALL, false);
+    cw_stream_inquiry_on_reply(&q, V1, CW_STREAM_REPLY_ALL, false);
+    cw_stream_inquiry_on_reply(&q, 0, CW_STREAM_REPLY_PARTIAL, false);
+    ck_assert(!cw_stream_inquiry_is_decided(&q, 1000));
+    cw_stream_inquiry_on_round(&q, 1100, 3); /* counts anew, remembers what was named */
+    for (int i = 0; i < 3; i++) {
+        ck_assert(!cw_stream_inquiry_is_decided(&q, 1100));
+        cw_stream_inquiry_on_reply(&q, 0, CW_STREAM_REPLY_ALL, false);
+    }
+    ck_assert(cw_stream_inquiry_is_decided(&q, 1100));
+    ck_assert_uint_eq(cw_stream_inquiry_version(&q), V1);
+}
+END_TEST
+
+START_TEST(an_inquiry_without_replies_ends_without_a_version) {
+    cw_stream_inquiry_t q = begin(3);
+    ck_assert(!cw_stream_inquiry_is_decided(&q, 1000 + CW_STREAM_INQUIRY_MS - 1));
+    ck_assert(cw_stream_inquiry_is_decided(&q, 1000 + CW_STREAM_INQUIRY_MS));
+    ck_assert_uint_eq(cw_stream_inquiry_version(&q), 0);
+}
+END_TEST
+
+START_TEST(engines_of_two_versions_decide_nothing) {
+    cw_stream_inquiry_t q = begin(2);
+    cw_stream_inquiry_on_reply(&q, V1, CW_STREAM_REPLY_ALL, false);
+    cw_stream_inquiry_on_reply(&q, V2, CW_STREAM_REPLY_ALL, false);
+    ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
+    q = begin(2);
+    cw_stream_inquiry_on_reply(&q, 0, CW_STREAM_REPLY_SEVERAL, false);
+    ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
+    q = begin(2);
+    cw_stream_inquiry_on_own(&q, V1, false, false);
+    cw_stream_inquiry_on_reply(&q, V2, CW_STREAM_REPLY_PARTIAL, false);
+    ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
+}
+END_TEST
+
+/* An engine that was left before the first event has the prompt, too. */
+START_TEST(the_prompt_alone_decides_only_where_nothing_else_is_known) {
+    cw_stream_inquiry_t q = begin(2);
+    cw_stream_inquiry_on_reply(&q, V1, CW_STREAM_REPLY_ALL, true);
+    ck_assert_uint_eq(cw_stream_inquiry_version(&q), 0); /* a host has not replied */
+    cw_stream_inquiry_on_reply(&q, 0, CW_STREAM_REPLY_ALL, true);
+    ck_assert_uint_eq(cw_stream_inquiry_version(&q), V1);
+    cw_stream_inquiry_on_own(&q, V2, false, false); /* made events */
+    ck_assert_uint_eq(cw_stream_inquiry_version(&q), V2);
+    q = begin(2);
+    cw_stream_inquiry_on_reply(&q, V1, CW_STREAM_REPLY_ALL, true);
+    cw_stream_inquiry_on_reply(&q, V2, CW_STREAM_REPLY_ALL, true);
+    ck_assert_uint_eq(cw_stream_inquiry_version(&q), 0);
+}
+END_TEST
+
+/* -- what a request and an engine say -------------------------------------- */
+
+static void ignore_head(void* owner) {
+    (void)owner;
+}
+
+static request_run_t read_run(const char* fields) {
+    static const cw_message_handlers_t handlers = {.on_head = ignore_head};
+    cw_message_t m;
+    char text[512];
+    int size = snprintf(text, sizeof(text), "POST / HTTP/1.1\r\nHost: h\r\n%sContent-Length: 0\r\n\r\n", fields);
+    cw_message_setup(&m, CW_MESSAGE_REQUEST, &handlers, NULL);
+    cw_message_parse(&m, text, (size_t)size);
+    ck_assert_int_eq(m.state, CW_MESSAGE_COMPLETE);
+    request_run_t run = request_run_read(&platform_dialect, &m);
+    cw_message_shutdown(&m);
+    return run;
+}
+
+START_TEST(a_resumed_request_names_the_last_part_of_its_prompt) {
+    request_run_t run = read_run("Last-Event-Id: 12\r\nPrefix-Hash: 5c:800,91:410,e4:250\r\n");
+    ck_assert(run.part.id == 0xe4 && run.part.tokens == 262 && run.events == 12);
+    run = read_run("Last-Event-Id: 0\r\nPrefix-Hash: 5c:800\r\n");
+    ck_assert(run.part.id == 0x5c && run.part.tokens == 801 && run.events == 1);
+    /* more parts than are used for the choice of a server */
+    run = read_run("Last-Event-Id: 1\r\nPrefix-Hash: 1:1,2:1,3:1,4:1,5:1,6:1,7:1,8:1,9:1,a:1\r\n");
+    ck_assert(run.part.id == 0xa && run.part.tokens == 2);
+    static const char* const unknown[] = {"Last-Event-Id: e12\r\nPrefix-Hash: 5c:800\r\n",
+                                          "Last-Event-Id: 12b\r\nPrefix-Hash: 5c:800\r\n",
+                                          "Last-Event-Id: 99999999999\r\nPrefix-Hash: 5c:800\r\n",
+                                          "Last-Event-Id: 12\r\n",
+                                          "Prefix-Hash: 5c:800\r\n",
+                                          "Last-Event-Id: 12\r\nPrefix-Hash: 5c\r\n"};
+    for (size_t i = 0; i < sizeof(unknown) / sizeof(unknown[0]); i++) {
+        ck_assert_msg(!read_run(unknown[i]).part.id, "%s", unknown[i]);
+    }
+}
+END_TEST
+
+static void count_run(void* user, const char* request_id, uint32_t events) {
+    uint32_t* sum = user;
+    *sum += strcmp(request_id, "q1") == 0 ? events : 1000;
+}
+
+START_TEST(the_runs_of_an_engine_are_read) {
+    cw_error_t err = {0};
+    uint32_t events = 0;
+    const char* report = "{\"runs\":[[\"q1\",12497,148,7],[\"q0\",5,0,1],[7,1,2,3],[],3,[\"q0\",1,-4,0]]}";
+    ck_assert_int_eq(platform_read_runs(report, strlen(report), count_run, &events, &err), CW_OK);
+    ck_assert_uint_eq(events, 148);
+    ck_assert_int_ne(platform_read_runs("{}", 2, count_run, &events, &err), CW_OK);
+    ck_assert_int_ne(platform_read_runs("[", 1, count_run, &events, &err), CW_OK);
+}
+END_TEST
+
+/* -- the history of the source --------------------------------------------- */
+
+/* The entry of a server of version v1, in base64. */
+#define ENTRY_A                                                                                                        \
+    "\"value\":"                                                                                                       \
+    "\"eyJzZXJ2aWNlIjoicCIsImFkZHJlc3MiOiIxMC4wLjAuMTo4MCIsInpvbmUiOiJ6IiwidmVyc2lvbiI6InYxIiwic2xvdHMiOjQsInN0YXRlIj" \
+    "oicmVhZHkiLCJjb2xkX3JlbWFpbmluZ19tcyI6MCwic2VxIjoxfQ==\""
+/* The same with a start time. */
+#define ENTRY_STARTED                                                                                                  \
+    "\"value\":"                                                                                                       \
+    "\"eyJzZXJ2aWNlIjoicCIsImFkZHJlc3MiOiIxMC4wLjAuMTo4MCIsInpvbmUiOiJ6IiwidmVyc2lvbiI6InYxIiwic2xvdHMiOjQsInN0YXRlIj" \
+    "oicmVhZHkiLCJjb2xkX3JlbWFpbmluZ19tcyI6MCwic2VxIjoxLCJib3JuIjoxNzY3NzQ0MDAwMTIzfQ==\""
+#define WRITTEN(key, revision) "{\"tls_key\":\"servers/" key "\"," ENTRY_A ",\"revision\":" revision ",\"made\":1}"
+#define STARTED(key, revision, made)                                                                                   \
+    "{\"tls_key\":\"servers/" key "\"," ENTRY_STARTED ",\"revision\":" revision ",\"made\":" made "}"
+#define GONE(key, revision) "{\"tls_key\":\"servers/" key "\",\"revision\":" revision ",\"gone\":true}"
+
+static source_history_t read_history(const char* events) {
+    source_history_t history;
+    cw_error_t err = {0};
+    char body[2048];
+    int size = snprintf(body, sizeof(body), "{\"events\":[%s],\"at\":9}", events);
+    ck_assert_msg(platform_source.read_history(body, (size_t)size, &history, &err) == CW_OK, "%s", err.message);
+    ck_assert_int_eq(history.at, 9);
+    return history;
+}
+
+/* An entry that went without having been shown may have had any version. */
+START_TEST(a_history_is_whole_if_each_entry_that_went_is_in_it) {
+    static const struct {
+        const char* events;
+        uint32_t entries;
+        bool is_whole;
+    } cases[] = {{"", 0, true},
+                 {WRITTEN("a", "3"), 1, true},
+                 {WRITTEN("a", "3") "," GONE("a", "4"), 1, true},
+                 {WRITTEN("a", "3") "," WRITTEN("a", "5") "," GONE("a", "6"), 2, true},
+                 {GONE("a", "4"), 0, false},
+                 {WRITTEN("b", "3") "," GONE("a", "4"), 1, false},
+                 {GONE("a", "4") "," WRITTEN("a", "5"), 1, false},
+                 {STARTED("a", "3", "3") "," STARTED("a", "5", "3"), 2, true},
+                 {STARTED("a", "5", "3"), 1, false}}; /* an earlier start may have had another version */
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        source_history_t history = read_history(cases[i].events);
+        ck_assert_msg(history.is_whole == cases[i].is_whole && history.entries.count == cases[i].entries, "%s",
+                      cases[i].events);
+        for (uint32_t k = 0; k < history.entries.count; k++) {
+            ck_assert_str_eq(history.entries.items[k].version, "v1");
+        }
+        cw_servers_free(&history.entries);
+    }
+}
+END_TEST
+
+static void add_tests(TCase* t) {
+    tcase_add_test(t, a_part_shows_the_version_of_the_engines_that_cache_enough_of_it);
+    tcase_add_test(t, a_full_table_drops_the_oldest_parts);
+    tcase_add_test(t, an_inquiry_is_decided_when_all_hosts_have_replied_in_full);
+    tcase_add_test(t, an_inquiry_without_replies_ends_without_a_version);
+    tcase_add_test(t, engines_of_two_versions_decide_nothing);
+    tcase_add_test(t, the_prompt_alone_decides_only_where_nothing_else_is_known);
+    tcase_add_test(t, a_resumed_request_names_the_last_part_of_its_prompt);
+    tcase_add_test(t, the_runs_of_an_engine_are_read);
+    tcase_add_test(t, a_history_is_whole_if_each_entry_that_went_is_in_it);
+}
+
+int main(void) {
+    return run_suite("stream_evidence", add_tests, 30);
+}
--- a/tests/test_stream_hosts.c
+++ b/tests/test_stream_hosts.c
@@ -230,11 +230,12 @@
 }
 END_TEST
 
-/* One version has served all the time, so it began each stream. */
+/* One version has served all the time, as the history of the source shows, so it began each stream. */
 START_TEST(unknown_streams_of_the_only_version_go_on_after_all_hosts_were_killed) {
     attempt_t streams[STREAMS];
     attempt_t resumed[STREAMS];
     fleet_t* f = setup(one_version);
+    f->has_history = true;
     begin_streams(f, streams);
     restart_all(f);
     resume_all(f, streams, resumed);
@@ -310,6 +311,7 @@
     attempt_t resumed[STREAMS];
     uint32_t of_two = 0;
     fleet_t* f = setup(two_versions);
+    f->has_history = _i;
     pause_for(f, SETTLED_S);
     begin_streams(f, streams);
     f->unlisted = 1U << 0U | 1U << 2U;
@@ -326,7 +328,7 @@
 END_TEST
 
 static void add_tests(TCase* t) {
-    tcase_add_test(t, no_stream_goes_on_at_another_version_after_a_release_and_a_loss_of_all_hosts);
+    tcase_add_loop_test(t, no_stream_goes_on_at_another_version_after_a_release_and_a_loss_of_all_hosts, 0, 2);
     tcase_add_loop_test(t, streams_go_on_after_all_receivers_of_their_records_were_restarted, 0, 2);
     tcase_add_loop_test(t, no_stream_goes_on_at_another_version_after_a_release_and_restarts_in_turn, 0, 2);
     tcase_add_test(t, streams_of_a_killed_host_go_on_at_their_version);
--- a/tests/test_stream_state.c
+++ b/tests/test_stream_state.c
@@ -238,8 +238,10 @@
 }
 
 static uint64_t resolve_unanswered(streams_t* s, const pool_t* pool, uint64_t stream) {
-    return streams_resolve_unanswered(s,
-                                      &(stream_request_t){.pool = pool, .stream = stream, .id = "q2", .resumes = "q1"});
+    const stream_request_t request = {.pool = pool, .stream = stream, .id = "q2", .resumes = "q1"};
+    cw_stream_inquiry_t inquiry = {0};
+    ck_assert(!streams_inquire(s, &request, &inquiry));
+    return streams_resolve_unanswered(s, &request, &inquiry);
 }
 
 static streams_t* setup(rig_t* r, peers_t* peers) {
@@ -341,12 +343,18 @@
     ck_assert_uint_eq(resolve(s, pool, 5), 0);
     ck_assert_uint_eq(streams_query(s, &(stream_request_t){.pool = pool, .stream = 5}), 3);
     ck_assert_uint_eq(resolve_unanswered(s, pool, 5), 0);
-    peers.list_age_ms = 0; /* it has just started: the only listed version is the last resort */
-    ck_assert_uint_eq(resolve(s, pool, 5), 0);
-    ck_assert_uint_eq(resolve_unanswered(s, pool, 5), 0); /* others may still hand over what they know */
+    peers.list_age_ms = 0;
     settle_alone(s);
+    ck_assert_uint_eq(resolve_unanswered(s, pool, 5), 0); /* it has just started: another version may have served */
+    streams_on_history(s, false);
+    ck_assert_uint_eq(resolve_unanswered(s, pool, 5), 0);
+    streams_on_history(s, true);
+    ck_assert_uint_ne(resolve(s, pool, 5), 0);
+    peers.list_age_ms = CW_POOL_VERSIONS_FRESH_MS + 1;
     ck_assert_uint_eq(resolve(s, pool, 5), 0);
-    ck_assert_uint_ne(resolve_unanswered(s, pool, 5), 0);
+    peers.list_age_ms = 0;
+    streams_learn_listed(s, "p", 77); /* the history shows that another version has served */
+    ck_assert_uint_eq(resolve_unanswered(s, pool, 5), 0);
     cw_stream_record_t denial = {.stream = 5, .pool = cw_name_id("p"), .expires_ms = clock_ms() + 5000};
     streams_on_announced(s, &denial);
     ck_assert_uint_eq(peers.resolved, 0);
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -116,11 +116,15 @@
 }
 END_TEST
 
+/* A host that has just started sees one version. The list alone doesn't show that no other has served a moment before;
+   the whole history of the source does. */
 START_TEST(an_unknown_stream_goes_on_where_one_version_serves) {
     static const char* const versions[][SERVERS] = {{"1", "1", "1"}, {"-", "-", "-"}};
     for (size_t i = 0; i < sizeof(versions) / sizeof(versions[0]); i++) {
         rig_t* r = setup(versions[i]);
         rig_script(r, (rig_step_t[]){{RIG_RESPOND, EVENTS SECOND_EVENT}}, 1);
+        ck_assert(strncmp(rig_call(r, RESUME("q2", "k1")), "HTTP/1.1 503", 12) == 0);
+        streams_on_history(r->streams, true);
         ck_assert(strstr(rig_call(r, RESUME("q2", "k1")), "data: b"));
         rig_shutdown(r);
     }
