Streams of a lost host go on though another version appears

Cause: while one version serves, nothing is told of streams, and the hosts that are left see two versions when they are asked. Now a host deposits the record of each stream at three others, found by rendezvous hashing of the stream's id, and a query reaches those.

--- a/chalkway_rendezvous.h
+++ b/chalkway_rendezvous.h
@@ -32,6 +32,8 @@
                              uint32_t shards);
 /* Owner of the key: the host with the highest score; 0 when there are no hosts. */
 uint64_t cw_rendezvous_owner(uint64_t key, const uint64_t* hosts, uint32_t count);
+/* Writes up to max hosts with the highest scores for the key, the highest first; returns their number. */
+uint32_t cw_rendezvous_owners(uint64_t key, const uint64_t* hosts, uint32_t count, uint64_t* out, uint32_t max);
 /* Rank of the host for the key among all hosts: 0 for the owner, count when the host is not among them. */
 uint32_t cw_rendezvous_rank(uint64_t key, uint64_t host, const uint64_t* hosts, uint32_t count);
 
@@ -52,6 +54,24 @@
     return cw_mix(pool, index);
 }
 
+uint32_t cw_rendezvous_owners(uint64_t key, const uint64_t* hosts, uint32_t count, uint64_t* out, uint32_t max) {
+    uint32_t chosen = 0;
+    for (uint32_t i = 0; i < count; i++) {
+        uint64_t score = cw_mix(key, hosts[i]);
+        uint32_t at = chosen;
+        while (at && cw_mix(key, out[at - 1]) < score) {
+            at--;
+        }
+        if (at == max) {
+            continue;
+        }
+        chosen += chosen < max;
+        memmove(out + at + 1, out + at, (chosen - at - 1) * sizeof(*out));
+        out[at] = hosts[i];
+    }
+    return chosen;
+}
+
 uint64_t cw_rendezvous_owner(uint64_t key, const uint64_t* hosts, uint32_t count) {
     uint64_t best = 0;
     uint64_t best_score = 0;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -163,6 +163,10 @@
     mesh_announce_streams(((gateway_t*)user)->mesh, records, count);
 }
 
+static void deposit_stream(void* user, const cw_stream_record_t* record) {
+    mesh_deposit_stream(((gateway_t*)user)->mesh, record);
+}
+
 static uint32_t query_stream(void* user, uint64_t stream, uint64_t pool) {
     return mesh_query_stream(((gateway_t*)user)->mesh, stream, pool);
 }
@@ -520,6 +524,7 @@
                                                  .upstreams = g->upstreams,
                                                  .list_age_ms = list_age_ms,
                                                  .announce = announce_streams,
+                                                 .deposit = deposit_stream,
                                                  .query = query_stream,
                                                  .inquire = inquire_stream,
                                                  .is_inventory_complete = is_inventory_complete,
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -181,6 +181,10 @@
     return reporter_inquire_stream(m->reporter, inquiry);
 }
 
+void mesh_deposit_stream(mesh_t* m, const cw_stream_record_t* record) {
+    reporter_deposit_stream(m->reporter, record);
+}
+
 uint32_t mesh_query_stream(mesh_t* m, uint64_t stream, uint64_t pool) {
     return reporter_query_stream(m->reporter, stream, pool);
 }
--- a/gateway/mesh.h
+++ b/gateway/mesh.h
@@ -57,8 +57,9 @@
 void mesh_on_liveness(mesh_t* m, const server_t* server);
 /* This host made observations: sent to all hosts at once. */
 void mesh_on_observations(mesh_t* m, const cw_quarantine_observation_t* observations, uint32_t count);
-/* Announces the versions of streams to all hosts, or queries some of them; see streams.h. */
+/* Announces the versions of streams to all hosts, deposits one at a few, or queries some; see streams.h. */
 void mesh_announce_streams(mesh_t* m, const cw_stream_record_t* records, uint32_t count);
+void mesh_deposit_stream(mesh_t* m, const cw_stream_record_t* record);
 uint32_t mesh_query_stream(mesh_t* m, uint64_t stream, uint64_t pool);
 /* Inquires of all hosts what engines have of a stream. Returns their number. */
 uint32_t mesh_inquire_stream(mesh_t* m, const cw_stream_entry_t* inquiry);
--- a/gateway/reporter.h
+++ b/gateway/reporter.h
@@ -75,7 +75,9 @@
 /* Announces the versions of streams to all hosts, and a second time a moment later. The first datagrams have been sent
    when it returns. */
 void reporter_announce_streams(reporter_t* n, const cw_stream_record_t* records, uint32_t count);
-/* Queries some hosts for the version of a stream. Returns their number. */
+/* Sends the version of a stream to the few hosts that keep it. The datagrams have been sent when it returns. */
+void reporter_deposit_stream(reporter_t* n, const cw_stream_record_t* record);
+/* Queries some hosts for the version of a stream, among them those that keep it. Returns their number. */
 uint32_t reporter_query_stream(reporter_t* n, uint64_t stream, uint64_t pool);
 /* Inquires of all hosts what engines have of a stream, a moment later. Returns their number. */
 uint32_t reporter_inquire_stream(reporter_t* n, const cw_stream_entry_t* inquiry);
--- a/gateway/reporter_streams.c
+++ b/gateway/reporter_streams.c
@@ -3,6 +3,7 @@
    killed right after it. */
 #include <string.h>
 
+#include "../chalkway_rendezvous.h"
 #include "clock.h"
 #include "reporter_internal.h"
 
@@ -10,6 +11,8 @@
 #define RESEND_DELAY_MS 150
 #define QUERY_OWN_HALL 3    /* hosts of the own hall that a query is sent to */
 #define QUERY_OTHER_HALLS 3 /* hosts of other halls, one of each */
+#define KEEPERS 3           /* hosts that keep the version of a stream */
+#define QUERY_KEEPERS 4     /* one more: the host that has ended may still be known, and takes a place */
 
 datagram_t reporter_encode_streams(const reporter_t* n, cw_stream_message_t* message) {
     datagram_t d;
@@ -129,13 +132,51 @@
     }
 }
 
+/* -- keepers --------------------------------------------------------------- */
+
+/* The hosts, other than this one, that keep the version of the stream. Returns their number. */
+static uint32_t list_keepers(const reporter_t* n, uint64_t stream, uint64_t* out, uint32_t max) {
+    uint64_t hosts[HOSTS_MAX];
+    for (uint32_t i = 0; i < n->peer_count; i++) {
+        hosts[i] = n->peers[i].id;
+    }
+    return cw_rendezvous_owners(stream, hosts, n->peer_count, out, max);
+}
+
+static const peer_t* find_peer(const reporter_t* n, uint64_t host) {
+    for (uint32_t i = 0; i < n->peer_count; i++) {
+        if (n->peers[i].id == host) {
+            return &n->peers[i];
+        }
+    }
+    return NULL;
+}
+
+/* Sends the datagram to the keepers of the stream. Returns their number. */
+static uint32_t send_to_keepers(reporter_t* n, uint64_t stream, const datagram_t* d, uint32_t max) {
+    uint64_t keepers[QUERY_KEEPERS];
+    uint32_t count = list_keepers(n, stream, keepers, max);
+    for (uint32_t i = 0; i < count; i++) {
+        reporter_send(n, find_peer(n, keepers[i]), d);
+    }
+    return count;
+}
+
+void reporter_deposit_stream(reporter_t* n, const cw_stream_record_t* record) {
+    cw_stream_message_t message = {.kind = CW_STREAM_ANNOUNCE, .scope = CW_LOAD_NO_RELAY, .count = 1};
+    reporter_refresh_peers(n);
+    message.entries[0] = make_entry(record, clock_ms());
+    datagram_t d = reporter_encode_streams(n, &message);
+    send_to_keepers(n, record->stream, &d, KEEPERS);
+}
+
 /* -- queries -------------------------------------------------------------- */
 
 uint32_t reporter_query_stream(reporter_t* n, uint64_t stream, uint64_t pool) {
     cw_stream_message_t message = {.kind = CW_STREAM_QUERY, .count = 1, .entries = {{.stream = stream, .pool = pool}}};
-    uint32_t queried = 0;
     reporter_refresh_peers(n);
     datagram_t d = reporter_encode_streams(n, &message);
+    uint32_t queried = send_to_keepers(n, stream, &d, QUERY_KEEPERS);
     for (uint32_t i = 0; i < n->own_hall.count && i < QUERY_OWN_HALL; i++) {
         uint64_t first = cw_mix(n->desc.host, ++n->random_count) % n->own_hall.count;
         reporter_send(n, &n->peers[n->own_hall.first + (first + i) % n->own_hall.count], &d);
@@ -167,15 +208,6 @@
 
 /* -- handover ------------------------------------------------------------- */
 
-static const peer_t* find_peer(const reporter_t* n, uint64_t host) {
-    for (uint32_t i = 0; i < n->peer_count; i++) {
-        if (n->peers[i].id == host) {
-            return &n->peers[i];
-        }
-    }
-    return NULL;
-}
-
 void reporter_request_page(reporter_t* n, const cw_handover_request_t* request) {
     cw_stream_message_t message = {.kind = CW_STREAM_HANDOVER, .count = 1, .entries = {{.stream = request->cursor}}};
     reporter_refresh_peers(n);
--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -105,8 +105,13 @@
     int64_t now_ms = clock_ms();
     cw_stream_record_t record = {
         .stream = stream, .pool = pool->id, .version = version, .expires_ms = expires_ms, .is_own = true};
-    if (cw_stream_registry_put(s->registry, now_ms, &record) && must_announce(s, pool, now_ms)) {
+    if (!cw_stream_registry_put(s->registry, now_ms, &record)) {
+        return;
+    }
+    if (must_announce(s, pool, now_ms)) {
         announce(s, &record, 1);
+    } else if (s->desc.deposit) {
+        s->desc.deposit(s->desc.user_data, &record);
     }
 }
 
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -4,10 +4,11 @@
     The software versions at which resumable streams began, so that a stream is resumed only at the version that began
    it, whichever host its caller connects to.
 
-    A host records the streams that it carries. While several versions serve in a pool, or its list of servers is not
-    fresh, it announces each stream to the other hosts when the first event arrives, and all that it carries when that
-    state begins. A host that is to resume a stream that it does not know queries some others. Unknown is not guessed:
-    it resumes an unknown stream only if a single version has served for as long as streams last
+    A host records the streams that it carries, and deposits each record at a few other hosts, which are found by the
+    stream's id: this host may be lost just before another version appears. While several versions serve in a pool, or
+   its list of servers is not fresh, it announces each stream to the other hosts when the first event arrives, and all
+   that it carries when that state begins. A host that is to resume a stream that it does not know queries some others.
+   Unknown is not guessed: it resumes an unknown stream only if a single version has served for as long as streams last
     (chalkway_pool_versions.h), as it knows itself, another host vouches for, or the whole history of the source shows.
     A host that starts takes over the streams and versions that others know (chalkway_handover.h). After a loss of all
     hosts, engines that still cache the stream's prompt and more show its version (chalkway_part_versions.h).
@@ -51,7 +52,9 @@
     int64_t (*list_age_ms)(void* user_data);
     /* Announces streams to all other hosts: this process may end as soon as it returns. May be NULL. */
     void (*announce)(void* user_data, const cw_stream_record_t* records, uint32_t count);
-    /* Queries other hosts. Returns their number. May be NULL. */
+    /* Sends the record to the few hosts that keep it for the others. May be NULL. */
+    void (*deposit)(void* user_data, const cw_stream_record_t* record);
+    /* Queries other hosts, among them those that keep the record. Returns their number. May be NULL. */
     uint32_t (*query)(void* user_data, uint64_t stream, uint64_t pool);
     /* Inquires of all other hosts what engines have of a stream (CW_STREAM_INQUIRY). Returns their number. NULL: there
        are none. */
--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -188,6 +188,12 @@
         uint64_t without = cw_rendezvous_owner(key, hosts, 9);
         ck_assert(with == without || with == hosts[9]);
         ck_assert_uint_eq(cw_rendezvous_rank(key, with, hosts, 10), 0);
+        uint64_t first[4];
+        ck_assert_uint_eq(cw_rendezvous_owners(key, hosts, 10, first, 4), 4);
+        for (uint32_t i = 0; i < 4; i++) {
+            ck_assert_uint_eq(cw_rendezvous_rank(key, first[i], hosts, 10), i);
+        }
+        ck_assert_uint_eq(cw_rendezvous_owners(key, hosts, 2, first, 4), 2);
         for (int i = 0; i < 10; i++) {
             owned[i] += hosts[i] == with;
         }
--- a/tests/test_reporter.c
+++ b/tests/test_reporter.c
@@ -146,7 +146,36 @@
 }
 END_TEST
 
+/* Guards against streams that only their host knows while one version serves: when it was lost as another version
+   appeared, nobody could resume them. A query finds the hosts that keep the record. */
+START_TEST(a_stream_is_deposited_at_hosts_that_a_query_reaches) {
+    fleet_t f;
+    uint8_t bytes[CW_LOAD_BYTES];
+    fleet_init(&f, sizes[_i / 2], links[_i % 2]);
+    for (uint64_t stream = 1; stream <= 20; stream++) {
+        bool is_keeper[HOSTS_MAX] = {false};
+        int keepers = 0;
+        cw_stream_record_t record = {.stream = stream, .pool = 6, .version = 7, .expires_ms = clock_ms() + 5000};
+        reporter_deposit_stream(f.reporter, &record);
+        for (int i = 1; i < f.count; i++) {
+            is_keeper[i] = recv(f.fds[i], bytes, sizeof(bytes), MSG_DONTWAIT) > 0;
+            keepers += is_keeper[i];
+        }
+        ck_assert_int_eq(keepers, f.count - 1 < 3 ? f.count - 1 : 3);
+        reporter_query_stream(f.reporter, stream, 6);
+        for (int i = 1; i < f.count; i++) {
+            bool is_queried = recv(f.fds[i], bytes, sizeof(bytes), MSG_DONTWAIT) > 0;
+            ck_assert(is_queried || !is_keeper[i]);
+            while (recv(f.fds[i], bytes, sizeof(bytes), MSG_DONTWAIT) > 0) {
+            }
+        }
+    }
+    fleet_shutdown(&f);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
+    tcase_add_loop_test(t, a_stream_is_deposited_at_hosts_that_a_query_reaches, 0, FLEETS);
     tcase_add_loop_test(t, an_announcement_is_sent_before_the_event_passes, 0, FLEETS);
     tcase_add_loop_test(t, an_observation_is_sent_at_once, 0, FLEETS);
 }
--- a/tests/test_stream_state.c
+++ b/tests/test_stream_state.c
@@ -206,7 +206,7 @@
 /* -- what a host concludes ------------------------------------------------ */
 
 typedef struct peers_t {
-    uint32_t announced, queried;
+    uint32_t announced, deposited, queried;
     uint64_t resolved;
     int64_t list_age_ms;
 } peers_t;
@@ -222,6 +222,11 @@
     ((peers_t*)user)->announced += count;
 }
 
+static void on_deposit(void* user, const cw_stream_record_t* record) {
+    ck_assert(record->is_own);
+    ((peers_t*)user)->deposited++;
+}
+
 static uint32_t on_query(void* user, uint64_t stream, uint64_t pool) {
     (void)stream;
     (void)pool;
@@ -249,6 +254,7 @@
                                            .upstreams = r->upstreams,
                                            .list_age_ms = list_age,
                                            .announce = on_announce,
+                                           .deposit = on_deposit,
                                            .query = on_query,
                                            .on_resolved = on_resolved,
                                            .user_data = peers});
@@ -267,7 +273,7 @@
             streams_on_first_event(s, pool, stream, 1, clock_ms() + 5000);
         }
         streams_tick(s, clock_ms());
-        ck_assert_uint_eq(peers.announced, 0);
+        ck_assert(peers.announced == 0 && peers.deposited == 100);
         r->versions[1] = by_version ? "2" : NULL;
         rig_set_servers_at(r, clock_ms(), 2, 0, false);
         peers.list_age_ms = by_version ? 0 : CW_POOL_VERSIONS_FRESH_MS + 1;
@@ -275,7 +281,7 @@
         streams_tick(s, clock_ms());
         ck_assert_uint_eq(peers.announced, 100);
         streams_on_first_event(s, pool, 101, 1, clock_ms() + 5000);
-        ck_assert_uint_eq(peers.announced, 101);
+        ck_assert(peers.announced == 101 && peers.deposited == 100);
         streams_shutdown(s);
         rig_shutdown(r);
     }
