A server that may have started again takes no stream until its version is known

Callers saw streams with text of two software versions: during an upgrade in place, servers started again under their ids while the list of servers still named the previous version, because the source was away or the new entry had not been read yet. Streams that had begun at the old version went on there, within their response or taken up by their callers, and streams that began there were recorded with the version that the list said.

Cause: the version of a server was what the last list said, whatever happened to the server since. Nothing distrusted it when its connections had ended and it was reached again; the health check compares the id, which both starts share, and the start time is not in responses.

Mend: chalkway_continuity.h takes the unexpected end of a connection, a refusal, and another host's report where this host has no connection, as signs that the server may have started again. Until one of three things shows otherwise (an earlier connection goes on, the server is reached within 250 ms of its last data, a list that was current 2.5 s after it was reached and 2.5 s after the source returned), no stream is resumed there, and none that can be resumed begins there while another server can be used; one that does gets a version that no server has. It holds because whatever serves a new connection started before that connection opened, so a list that is newer by the time to publish an entry describes it or names a later incarnation. Idle connections take the time-out that their server announces from the start, so that its regular close is no sign of an end.

--- a/chalkway.c
+++ b/chalkway.c
@@ -5,6 +5,7 @@
 #include "chalkway_core.h"
 #include "chalkway_backlog.h"
 #include "chalkway_contention.h"
+#include "chalkway_continuity.h"
 #include "chalkway_gap_limits.h"
 #include "chalkway_occupancy.h"
 #include "chalkway_rendezvous.h"
--- a/chalkway_server_exclusion.h
+++ b/chalkway_server_exclusion.h
@@ -33,6 +33,7 @@
     uint32_t suspected;     /* suspected, and in another host's time slice to probe it */
     uint32_t other_version; /* not of the version that the request needs */
     uint32_t unsettled;     /* of a version at which no resumable stream may begin yet */
+    uint32_t doubted;       /* they may have started again, at another version, and the stream needs to know it */
     uint32_t no_slot;       /* no free slot for this request, or none for this host now */
 } cw_excluded_t;
 
@@ -107,6 +108,9 @@
     if (s->is_unreachable || in->now_ms < s->full_until_ms) {
         return &excluded->unreachable;
     }
+    if (s->is_doubted && (in->work->version || (in->work->begins_stream && !in->work->accepts_doubted))) {
+        return &excluded->doubted;
+    }
     if (!_cw_server_can_send_cold(in, s)) {
         return &excluded->cold;
     }
--- a/chalkway_server_table.h
+++ b/chalkway_server_table.h
@@ -61,13 +61,14 @@
     uint32_t urgency; /* as sent to engines: 0 is prefilled first and preempted last */
     uint32_t prompt_tokens;
     uint32_t output_tokens;
-    uint32_t target_ms; /* target for the time to the first byte */
-    uint32_t gap_ms;    /* gap limit: longest accepted gap between events; 0: none */
-    bool repeatable;    /* a failed attempt may be retried, so a recent failure of a server weighs half */
-    bool is_late;       /* it waited so long for a slot that it can hardly meet its target (chalkway_queue_order.h) */
-    bool is_light;      /* its class needs few slots, see cw_balance_is_light */
-    bool begins_stream; /* it begins a stream that may be resumed: only servers of settled versions */
-    uint64_t version;   /* it resumes a stream: only servers of this version; 0: of any */
+    uint32_t target_ms;   /* target for the time to the first byte */
+    uint32_t gap_ms;      /* gap limit: longest accepted gap between events; 0: none */
+    bool repeatable;      /* a failed attempt may be retried, so a recent failure of a server weighs half */
+    bool is_late;         /* it waited so long for a slot that it can hardly meet its target (chalkway_queue_order.h) */
+    bool is_light;        /* its class needs few slots, see cw_balance_is_light */
+    bool begins_stream;   /* it begins a stream that may be resumed: only servers of settled versions */
+    bool accepts_doubted; /* it may begin a stream at a server whose version is in doubt, too */
+    uint64_t version;     /* it resumes a stream: only servers of this version; 0: of any */
     uint64_t rendezvous_key; /* if not 0, the server is chosen by rendezvous hashing of this key, not by cost */
     uint32_t part_count;
     cw_prompt_part_t parts[CW_PROMPT_PARTS]; /* the prompt from its start */
@@ -166,6 +167,7 @@
     double failure_ratio;   /* 0..1 */
     int64_t failure_at_ms;
     bool has_idle_connection;
+    bool is_doubted; /* it may have started again, at another version than spec says (chalkway_continuity.h) */
     bool is_unreachable;
     uint32_t probe_interval_ms;
     int64_t next_probe_ms;
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -375,6 +375,7 @@
     const cw_catalog_pool_t* pool = cw_catalog_choose_pool(e->catalog, admission.route, next_random(e));
     x->pool = upstreams_pool(e->desc.upstreams, pool->name);
     assert(x->pool); /* upstreams_set_catalog has created the pools of this catalog */
+    x->pool->has_resumable_streams = x->pool->has_resumable_streams || x->stream;
     cw_retry_window_on_first_attempt(&x->pool->retries, x->arrived_ms);
     cw_balance_on_request(x->pool->balance, x->arrived_ms, &x->work);
     exchange_handle_event(x, CW_EV_START);
--- a/gateway/exchange_assign.c
+++ b/gateway/exchange_assign.c
@@ -77,7 +77,8 @@
         x->exchanges->desc.log, CW_EVENT_REQUEST_REFUSED,
         "id=%s why=\"%s\" begun=%s route=%s pool=%s priority=%u urgency=%u server=%s prompt=%u kept=%u wait_ms=%.0f "
         "read_ms=%.0f read_us=%.1f target_ms=%u ready=%u candidates=%u tried=%u away=%u cold=%u resting=%u limited=%u "
-        "suspected=%u other_version=%u unsettled=%u no_place=%u reserved=%.0f fullness=%.2f age_ms=%u waited_ms=%lld "
+        "suspected=%u other_version=%u unsettled=%u doubted=%u no_place=%u reserved=%.0f fullness=%.2f age_ms=%u "
+        "waited_ms=%lld "
         "ahead=%u held_before=%u "
         "held_after=%u "
         "holds_ms=%.0f revision=%lld",
@@ -85,9 +86,9 @@
         best ? best->published.id : "-", x->work.prompt_tokens, c->cached_tokens, c->wait_ms, c->prefill_ms,
         cw_balance_prefill_ms_per_token(pool->balance) * US_PER_MS, x->route->target_ms, pool->ready, c->candidates,
         c->excluded.tried, c->excluded.unreachable, c->excluded.cold, c->excluded.backing_off, c->excluded.rate_limited,
-        c->excluded.suspected, c->excluded.other_version, c->excluded.unsettled, c->excluded.no_slot, c->reserved_slots,
-        cw_balance_utilization(pool->balance, clock_ms()), c->age_ms, (long long)(clock_ms() - x->arrived_ms),
-        count_ahead(x), cw_occupancy_running(occupancy, 0, x->work.urgency),
+        c->excluded.suspected, c->excluded.other_version, c->excluded.unsettled, c->excluded.doubted,
+        c->excluded.no_slot, c->reserved_slots, cw_balance_utilization(pool->balance, clock_ms()), c->age_ms,
+        (long long)(clock_ms() - x->arrived_ms), count_ahead(x), cw_occupancy_running(occupancy, 0, x->work.urgency),
         cw_occupancy_running(occupancy, x->work.urgency + 1, CW_URGENCY_LEVELS - 1),
         cw_occupancy_hold_ms(occupancy, x->work.urgency), (long long)x->catalog->revision);
     exchange_handle_event(x, CW_EV_REFUSED);
@@ -246,6 +247,11 @@
     if ((c.server == CW_BALANCE_NONE || c.is_late) && upstreams_expand_subset(x->pool, clock_ms())) {
         c = choose_except(x, excluded, count);
     }
+    if (c.server == CW_BALANCE_NONE && c.excluded.doubted && x->work.begins_stream) {
+        cw_work_t work = x->work;
+        work.accepts_doubted = true;
+        c = cw_balance_choose(x->pool->balance, clock_ms(), &work, excluded, count);
+    }
     return c;
 }
 
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -133,6 +133,8 @@
         reassign(x, ON_TRIAL_REASON);
     } else if (x->server->is_retired) {
         reassign(x, "the server leaves");
+    } else if (x->work.version && upstream_conn_is_doubted(x->conn)) {
+        reassign(x, "the server may have started again");
     } else if (cw_balance_is_backing_off(x->pool->balance, clock_ms(), x->server->key)) {
         reassign(x, "the server wants rest");
     } else {
@@ -260,15 +262,27 @@
     }
 }
 
+static bool is_version_known(const exchange_t* x) {
+    bool is_listed_still = cw_server_version_id(&x->server->published) == x->server_version;
+    return is_listed_still && !upstream_conn_is_doubted(x->conn);
+}
+
+/* A version that no server has, so that the stream is resumed nowhere. The pool's other streams may be of it. */
+static uint64_t unknown_version(const exchange_t* x) {
+    static const char name[] = "unknown";
+    cw_pool_versions_learn(&x->pool->versions, clock_ms(), cw_mix(x->pool->id, cw_name_id(name)), 0);
+    return cw_mix(x->stream, cw_name_id(name));
+}
+
 /* The first event binds a stream to the version of its server: attempts that resume it need servers of that version. */
 static void bind_version(exchange_t* x) {
     if (x->is_version_bound || !x->stream || !x->is_event_stream || x->status / 100 != 2) {
         return;
     }
     x->is_version_bound = true;
-    x->work.version = x->server_version;
+    x->work.version = is_version_known(x) ? x->server_version : unknown_version(x);
     x->work.begins_stream = false;
-    streams_on_first_event(x->exchanges->desc.streams, x->pool, x->stream, x->server_version, x->deadline_ms);
+    streams_on_first_event(x->exchanges->desc.streams, x->pool, x->stream, x->work.version, x->deadline_ms);
 }
 
 /* The caller left a request that may not be cancelled. Its response shows that it has run; what follows is read only as
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -458,6 +458,7 @@
                                                        .backoff_max_ms = s->backoff_max_ms,
                                                        .forecast = gateway_settings_forecast(s),
                                                        .owns_server = owns_server,
+                                                       .list_age_ms = list_age_ms,
                                                        .on_server_alive = on_server_alive,
                                                        .on_pushback = on_pushback,
                                                        .on_reach_changed = on_reach_changed,
--- a/gateway/reporter.c
+++ b/gateway/reporter.c
@@ -321,6 +321,9 @@
     if (entry->load.rate != CW_RATE_UNKNOWN) {
         server_log_rate_limit(server, now_ms, previous_per_s, entry->host);
     }
+    if (entry->load.failed_ago_ms) {
+        upstreams_on_failure_reported(server, now_ms - entry->load.failed_ago_ms);
+    }
     if (entry->load.failed_ago_ms || entry->load.answered_ago_ms) {
         server_log_suspicion(server, now_ms, was_suspected, entry->host);
     }
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -13,6 +13,7 @@
 #define BITS 8.0
 #define BITS_PER_MS_MBPS 1000.0 /* bits per millisecond at 1 Mbit/s */
 #define RETURN_GRACE_MS 2000    /* time for servers that went missing during a source outage to be listed again */
+#define STALL_MIN_MS 200        /* time without upstreams_tick that counts as a stall of this process */
 #define SUBSET_MIN_SERVERS 1024 /* number of servers used of a larger pool, until a request finds no slot at them */
 #define INITIAL_CAPACITY 256    /* servers for which memory is allocated first */
 #define REJECTED_LOG_INTERVAL_MS 10000 /* shortest time between log lines about rejected servers */
@@ -189,6 +190,11 @@
     allow_unsettled_if_needed(specs, count, now_ms);
     pool->ready = count;
     cw_balance_set_servers(pool->balance, now_ms, specs, count);
+    for (const server_t* s = pool->servers; s; s = s->next) {
+        if (s->continuity.is_doubted) {
+            cw_balance_set_doubted(pool->balance, s->key, true);
+        }
+    }
     free(specs);
 }
 
@@ -631,13 +637,21 @@
     return has_expired;
 }
 
+static void note_stall(upstreams_t* u, int64_t now_ms) {
+    u->stalled_ms = u->tick_ms && now_ms - u->tick_ms >= STALL_MIN_MS ? now_ms : u->stalled_ms;
+    u->tick_ms = now_ms;
+}
+
 void upstreams_tick(upstreams_t* u, int64_t now_ms) {
     upstream_conn_free_closed(u);
+    note_stall(u, now_ms);
+    upstream_continuity_check_list(u, now_ms);
     for (uint32_t i = u->watched_count; i-- > 0;) {
         server_t* s = u->watched[i];
         pool_t* pool = s->pool;
         pool->has_expired_servers = server_tick(s, now_ms) || pool->has_expired_servers;
-        if (!s->idle_conns && !s->is_removed && s->is_listed) {
+        upstream_continuity_tick(s, now_ms);
+        if (!s->idle_conns && !s->is_removed && s->is_listed && !s->continuity.is_doubted) {
             s->is_watched = false;
             u->watched[i] = u->watched[--u->watched_count];
         } else {
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -15,6 +15,7 @@
 
 #include "../chalkway_balance.h"
 #include "../chalkway_catalog.h"
+#include "../chalkway_continuity.h"
 #include "../chalkway_limit.h"
 #include "../chalkway_log.h"
 #include "../chalkway_member.h"
@@ -60,6 +61,9 @@
     uint32_t conn_count;         /* number of connections */
     upstream_conn_t* idle_conns; /* most recently used first */
     double connect_ms;           /* moving average of the time to connect; 0: unknown */
+    uint32_t idle_timeout_ms;    /* as last announced by the server; 0: unknown */
+    cw_continuity_t continuity;  /* whether this is still the process that the list describes */
+    int64_t reach_tried_ms;      /* when this host last tried to reach it for that */
     server_t* next;              /* next server of the pool */
 };
 
@@ -82,6 +86,7 @@
     int64_t opened_ms;           /* when this host last opened a connection to any of the servers; 0: never */
     int64_t received_ms;         /* when this host last received data from any of the servers; 0: never */
     cw_pool_versions_t versions; /* of the servers' software */
+    bool has_resumable_streams;  /* it has had requests for such */
     cw_subset_t subset;          /* the listed servers that are used */
     uint32_t busy_conns;         /* connections that wait for a response or receive one */
     int64_t busy_since_ms;       /* since when there has been any */
@@ -127,6 +132,8 @@
     cw_forecast_mode_t forecast;
     /* Whether only this daemon sends to the server while the server is cold. NULL: always true. */
     bool (*owns_server)(void* user_data, uint64_t server);
+    /* Age of the list of servers, ms: time since it was last known to be current; negative: no list. NULL: always 0. */
+    int64_t (*list_age_ms)(void* user_data);
     /* A server sent data on a connection that was opened before its presumed crash. May be NULL. */
     void (*on_server_alive)(void* user_data, const server_t* server);
     /* A server's advertised rate changed, or it announced that it leaves; notify the other hosts. May be NULL. */
@@ -187,6 +194,8 @@
 /* Evaluates the head of any response from the server that this host received or forwarded, interim responses included.
    sent_ms: when the request of this response was sent, or an earlier time if that is unknown. */
 void server_read_pushback(server_t* server, const cw_message_t* head, int64_t sent_ms);
+/* Another host has reported that a connection to the server failed at at_ms. */
+void upstreams_on_failure_reported(server_t* server, int64_t at_ms);
 /* The host resumed from suspend: closes idle connections, which servers may have closed meanwhile without notice. */
 void upstreams_on_resume(upstreams_t* u);
 /* Closes expired idle connections, removes expired servers and probes unreachable ones. */
@@ -207,6 +216,8 @@
 upstream_conn_t* upstream_conn_acquire(server_t* server, const upstream_conn_handlers_t* handlers, void* owner,
                                        bool at_most_once);
 bool upstream_conn_is_open(const upstream_conn_t* conn);
+/* Whether the process behind the connection may be a later one than the list describes, and its version another. */
+bool upstream_conn_is_doubted(const upstream_conn_t* conn);
 /* Whether the connection goes through another host. */
 bool upstream_conn_is_tunneled(const upstream_conn_t* conn);
 /* When the server last sent data over this connection; 0: never. */
--- a/gateway/upstream_conn.c
+++ b/gateway/upstream_conn.c
@@ -66,6 +66,7 @@
     cw_stream_close(&conn->stream);
     ev_timer_stop(u->desc.loop, &conn->connect_timer);
     set_busy(conn, false);
+    upstream_continuity_on_closed(conn);
     cw_buffer_free(&conn->path.reply);
     s->conn_count--;
     u->conn_total--;
@@ -119,6 +120,7 @@
     upstream_conn_t* conn = owner;
     uint32_t idle_timeout_ms = read_keep_alive_ms(&conn->response);
     conn->idle_timeout_ms = idle_timeout_ms ? idle_timeout_ms : conn->idle_timeout_ms;
+    conn->server->idle_timeout_ms = idle_timeout_ms ? idle_timeout_ms : conn->server->idle_timeout_ms;
     conn->must_close =
         conn->must_close || !conn->response.keep_alive || conn->response.framing == CW_FRAMING_UNTIL_CLOSE;
     bool is_other = is_for_other_request(conn);
@@ -191,6 +193,14 @@
     }
 }
 
+/* The connection could be opened in no way. A check of the direct path says nothing about the server. */
+static void break_unreachable(upstream_conn_t* conn) {
+    if (!conn->path.is_direct_only) {
+        upstream_continuity_on_refused(conn->server);
+    }
+    conn_break(conn, UPSTREAM_CONN_UNREACHABLE);
+}
+
 /* Handles the reply of a host that was asked for a tunnel. */
 static void handle_tunnel_reply(upstream_conn_t* conn, const char* data, size_t size) {
     cw_tunnel_result_t result = CW_TUNNEL_REFUSED;
@@ -200,7 +210,7 @@
     if (result == CW_TUNNEL_OPENED) {
         conn_opened(conn);
     } else if (result == CW_TUNNEL_SERVER_UNREACHABLE) {
-        conn_break(conn, UPSTREAM_CONN_UNREACHABLE);
+        break_unreachable(conn);
     } else {
         handle_connect_failure(conn);
     }
@@ -211,6 +221,7 @@
     if (conn->server->presumed_crash_ms) {
         report_alive(conn);
     }
+    upstream_continuity_on_data(conn);
     if (!conn->owner || !conn->is_request_sent) {
         conn_break(conn, UPSTREAM_CONN_MALFORMED); /* unsolicited data */
         return;
@@ -218,6 +229,13 @@
     read_responses(conn, data, size);
 }
 
+/* Whether the connection may end although the server runs on: it has been idle for as long as the server announces, or
+   the network path is broken. */
+static bool is_end_expected(const upstream_conn_t* conn, cw_stream_end_reason_t end) {
+    bool was_idle_long = !conn->owner && clock_ms() - conn->idle_since_ms >= conn->idle_timeout_ms - IDLE_MARGIN_MS;
+    return was_idle_long || (end == CW_STREAM_CONN_LOST && upstream_path_prefers_tunnel(conn->server));
+}
+
 /* The server's connection has ended. shows_end: a close by the server can't be mistaken for one by somebody else. */
 static void handle_server_end(upstream_conn_t* conn, cw_stream_end_reason_t end, bool shows_end) {
     bool is_closed = end == CW_STREAM_PEER_CLOSED && shows_end;
@@ -229,6 +247,9 @@
             return;
         }
     }
+    if (!is_end_expected(conn, end)) {
+        upstream_continuity_on_end(conn);
+    }
     upstream_conn_failure_t failure = end == CW_STREAM_RESET       ? UPSTREAM_CONN_RESET
                                       : end == CW_STREAM_CONN_LOST ? UPSTREAM_CONN_LOST
                                                                    : UPSTREAM_CONN_CLOSED;
@@ -295,6 +316,7 @@
     s->pool->opened_ms = clock_ms();
     ev_timer_stop(desc->loop, &conn->connect_timer);
     cw_stream_set_peer_timeout(&conn->stream, UPSTREAM_PEER_TIMEOUT_MS);
+    upstream_continuity_on_opened(conn);
     if (is_spare) {
         add_idle(conn);
     }
@@ -330,7 +352,7 @@
     ev_timer_stop(conn->server->pool->upstreams->desc.loop, &conn->connect_timer);
     cw_stream_close(&conn->stream);
     if (!upstream_path_start_tunnel(conn) && !upstream_path_start_direct(conn)) {
-        conn_break(conn, UPSTREAM_CONN_UNREACHABLE);
+        break_unreachable(conn);
     }
 }
 
@@ -375,7 +397,7 @@
     conn->handlers = handlers;
     conn->owner = owner;
     conn->opened_ms = clock_ms();
-    conn->idle_timeout_ms = IDLE_TIMEOUT_DEFAULT_MS;
+    conn->idle_timeout_ms = s->idle_timeout_ms ? s->idle_timeout_ms : IDLE_TIMEOUT_DEFAULT_MS;
     conn->path.is_direct_only = is_direct_only;
     ev_timer_init(&conn->connect_timer, on_connect_timeout, 0.0, 0.0);
     ev_set_priority(&conn->connect_timer, EV_MINPRI); /* after a stall of this process, what has arrived counts first */
--- a/gateway/upstream_internal.h
+++ b/gateway/upstream_internal.h
@@ -2,8 +2,8 @@
 #define CW_GATEWAY_UPSTREAM_INTERNAL_H
 /*
     Internal interface between the parts of upstreams: upstream.c manages pools, servers and probes, upstream_conn.c the
-    connections to one server, upstream_path.c the network paths to servers, pushback.c what servers announce in their
-   responses.
+    connections to one server, upstream_path.c the network paths to servers, upstream_continuity.c what is known of
+    servers that may have started again, pushback.c what servers announce in their responses.
 */
 #include "../chalkway_map.h"
 #include "../chalkway_tunnel_frame.h"
@@ -59,8 +59,9 @@
     bool is_busy;    /* counted in busy_conns */
     bool is_closed;  /* freed by the next upstreams_tick, because its data may still be in use */
     conn_path_t path;
-    int64_t opened_ms;
-    int64_t received_ms; /* when the server last sent data; 0: never */
+    int64_t opened_ms;    /* when connecting began */
+    int64_t connected_ms; /* 0: not yet */
+    int64_t received_ms;  /* when the server last sent data; 0: never */
     int64_t idle_since_ms;
     uint32_t idle_timeout_ms; /* time for which the server keeps an idle connection open */
     ev_timer connect_timer;
@@ -84,6 +85,10 @@
     uint64_t leaving_keys[LEAVING_KEYS_MAX]; /* ring of the keys of leaving incarnations that were freed */
     uint32_t leaving_next;
     upstream_conn_t* closed_conns; /* list of connections to be freed */
+    int64_t tick_ms;               /* time of the last upstreams_tick; 0: none yet */
+    int64_t stalled_ms;            /* when this process last ran again after a stall; 0: never */
+    int64_t list_confirmed_ms;     /* when the list of servers was last current; 0: never */
+    int64_t list_fresh_since_ms;   /* since when the source has not been away */
     uint32_t daemons;
     cw_fleet_t fleet; /* live daemons */
     uint32_t conn_total;
@@ -122,6 +127,20 @@
 /* Checks broken paths, and the paths to servers that have been silent for long. */
 void upstream_path_tick(pool_t* pool, int64_t now_ms);
 
+/* -- upstream_continuity.c ------------------------------------------------- */
+
+void upstream_continuity_on_opened(upstream_conn_t* conn);
+void upstream_continuity_on_closed(upstream_conn_t* conn);
+/* The connection has ended, not by this host. */
+void upstream_continuity_on_end(const upstream_conn_t* conn);
+/* No connection to the server could be opened, through other hosts neither. */
+void upstream_continuity_on_refused(server_t* s);
+void upstream_continuity_on_data(const upstream_conn_t* conn);
+/* Notes when the list was last current, and since when the source has not been away. */
+void upstream_continuity_check_list(upstreams_t* u, int64_t now_ms);
+/* Tries to reach a server in doubt, and ends the doubt when the list allows it. */
+void upstream_continuity_tick(server_t* s, int64_t now_ms);
+
 /* -- upstream_conn.c --------------------------------------------------------------- */
 
 /* Begins to connect, and limits the time that this may take. False: the connection can't be opened. */
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -411,6 +411,7 @@
                                                        .retry_slack = 100,
                                                        .retry_window_ms = 10000,
                                                        .max_conns = 100,
+                                                       .list_age_ms = rig_list_age_ms,
                                                        .on_server_alive = rig_on_server_alive,
                                                        .on_reach_changed = rig_on_reach_changed,
                                                        .choose_tunnel_host = rig_choose_tunnel_host,
--- /dev/null
+++ b/tests/test_continuity.c
@@ -0,0 +1,176 @@
+/* Guards against two errors: a server that has started again is taken for the one that the list describes, and one that
+   lives is distrusted for long after a connection to it broke. */
+#include "../chalkway_continuity.h"
+#include "test.h"
+
+/* A server with one connection since time 1000, which ended at 2000. */
+static cw_continuity_t ended_server(void) {
+    cw_continuity_t c = {0};
+    cw_continuity_on_opened(&c, 1000, 0);
+    cw_continuity_on_end(&c, 2000, 1999);
+    cw_continuity_on_closed(&c);
+    return c;
+}
+
+START_TEST(a_server_is_not_doubted_before_a_connection_ends) {
+    cw_continuity_t c = {0};
+    cw_continuity_on_opened(&c, 1000, 0);
+    cw_continuity_on_closed(&c);
+    cw_continuity_on_opened(&c, 9000, 0);
+    ck_assert(!c.is_doubted);
+    ck_assert_uint_eq(c.conns, 1);
+}
+END_TEST
+
+START_TEST(a_list_ends_the_doubt_if_it_is_newer_than_the_first_connection_since) {
+    cw_continuity_t c = ended_server();
+    ck_assert(!cw_continuity_on_list(&c, 9000, 0)); /* the server may start later */
+    cw_continuity_on_opened(&c, 10000, 0);
+    ck_assert(c.is_doubted);
+    ck_assert(!cw_continuity_on_list(&c, 10000 + CW_CONTINUITY_PUBLISH_MS - 1, 0));
+    ck_assert(cw_continuity_on_list(&c, 10000 + CW_CONTINUITY_PUBLISH_MS, 0));
+    ck_assert(!c.is_doubted);
+}
+END_TEST
+
+/* Guards against the last list of a server that started while the source was away, and has not been able to write. */
+START_TEST(a_list_right_after_the_source_was_away_proves_nothing) {
+    cw_continuity_t c = ended_server();
+    cw_continuity_on_opened(&c, 3000, 0);
+    ck_assert(!cw_continuity_on_list(&c, 9000, 9000));
+    ck_assert(!cw_continuity_on_list(&c, 9000 + CW_CONTINUITY_PUBLISH_MS - 1, 9000));
+    ck_assert(cw_continuity_on_list(&c, 9000 + CW_CONTINUITY_PUBLISH_MS, 9000));
+}
+END_TEST
+
+START_TEST(an_end_after_the_server_was_reached_begins_the_doubt_again) {
+    cw_continuity_t c = ended_server();
+    cw_continuity_on_opened(&c, 3000, 0);
+    cw_continuity_on_end(&c, 3500, 3400);
+    cw_continuity_on_closed(&c);
+    ck_assert(!cw_continuity_on_list(&c, 9000, 0));
+    cw_continuity_on_opened(&c, 9500, 0);
+    ck_assert(!cw_continuity_on_list(&c, 3500 + CW_CONTINUITY_PUBLISH_MS, 0));
+    ck_assert(cw_continuity_on_list(&c, 9500 + CW_CONTINUITY_PUBLISH_MS, 0));
+}
+END_TEST
+
+START_TEST(the_late_end_of_an_earlier_connection_changes_nothing) {
+    cw_continuity_t c = {0};
+    cw_continuity_on_opened(&c, 1000, 0);
+    cw_continuity_on_opened(&c, 1000, 0);
+    cw_continuity_on_end(&c, 2000, 1999);
+    cw_continuity_on_closed(&c);
+    cw_continuity_on_opened(&c, 3000, 0);
+    cw_continuity_on_end(&c, 3900, 1900);
+    cw_continuity_on_closed(&c);
+    ck_assert(cw_continuity_on_list(&c, 3000 + CW_CONTINUITY_PUBLISH_MS, 0));
+}
+END_TEST
+
+/* Guards against an end that goes unnoticed: connections from before the server was reached again are used further. */
+START_TEST(the_end_of_an_earlier_connection_counts_if_it_has_been_used_since) {
+    cw_continuity_t c = {0};
+    cw_continuity_on_opened(&c, 1000, 0);
+    cw_continuity_on_opened(&c, 1000, 0);
+    cw_continuity_on_end(&c, 2000, 1999);
+    cw_continuity_on_closed(&c);
+    cw_continuity_on_opened(&c, 2005, 2004);
+    ck_assert(!c.is_doubted);
+    cw_continuity_on_end(&c, 9000, 8990);
+    ck_assert(c.is_doubted);
+}
+END_TEST
+
+START_TEST(data_on_an_earlier_connection_shows_that_the_server_has_run_on) {
+    cw_continuity_t c = {0};
+    cw_continuity_on_opened(&c, 1000, 0);
+    cw_continuity_on_opened(&c, 1500, 0);
+    cw_continuity_on_end(&c, 2000, 1900);
+    cw_continuity_on_closed(&c);
+    ck_assert(!cw_continuity_on_data(&c, 2299, 1000)); /* may have been in flight */
+    ck_assert(!cw_continuity_on_data(&c, 2400, 2100)); /* on a connection that opened since */
+    ck_assert(cw_continuity_on_data(&c, 2400, 1000));
+    ck_assert(!c.is_doubted);
+}
+END_TEST
+
+START_TEST(a_server_that_is_reached_at_once_has_run_on) {
+    cw_continuity_t c = ended_server();
+    ck_assert(cw_continuity_on_opened(&c, 2010, 1999));
+    ck_assert(!c.is_doubted);
+    c = ended_server();
+    ck_assert(!cw_continuity_on_opened(&c, 2010, 1700)); /* it may have ended long before that was noticed */
+    c = ended_server();
+    cw_continuity_on_refused(&c, 2005);
+    ck_assert(!cw_continuity_on_opened(&c, 2010, 1999));
+    ck_assert(c.is_doubted);
+}
+END_TEST
+
+/* Guards against a doubt that never ends: a server with a long queue closes all new connections, one after the other.
+ */
+START_TEST(a_server_that_turns_connections_away_is_not_doubted_while_others_go_on) {
+    cw_continuity_t c = {0};
+    cw_continuity_on_opened(&c, 1000, 0);
+    cw_continuity_on_opened(&c, 2000, 0);
+    cw_continuity_on_end(&c, 2001, 0);
+    cw_continuity_on_closed(&c);
+    ck_assert(!c.is_doubted);
+    cw_continuity_on_end(&c, 3000, 0); /* the last one */
+    ck_assert(c.is_doubted);
+}
+END_TEST
+
+START_TEST(a_refused_connection_counts_unless_another_one_is_open) {
+    cw_continuity_t c = {0};
+    cw_continuity_on_opened(&c, 1000, 0);
+    cw_continuity_on_refused(&c, 2000);
+    ck_assert(!c.is_doubted);
+    cw_continuity_on_closed(&c);
+    cw_continuity_on_refused(&c, 3000);
+    ck_assert(c.is_doubted);
+}
+END_TEST
+
+START_TEST(reports_count_at_a_host_without_a_connection) {
+    cw_continuity_t c = {0};
+    cw_continuity_on_opened(&c, 1000, 0);
+    cw_continuity_on_report(&c, 2000);
+    ck_assert(!c.is_doubted);
+    cw_continuity_on_closed(&c);
+    cw_continuity_on_report(&c, 2000);
+    ck_assert(c.is_doubted && c.is_reported);
+    cw_continuity_on_opened(&c, 3000, 0);
+    ck_assert(cw_continuity_on_list(&c, 3000 + CW_CONTINUITY_PUBLISH_MS, 0));
+    cw_continuity_on_closed(&c);
+    cw_continuity_on_report(&c, 2001); /* the same failure, reported again */
+    ck_assert(!c.is_doubted);
+}
+END_TEST
+
+START_TEST(a_connection_from_before_the_end_is_to_the_listed_process) {
+    cw_continuity_t c = ended_server();
+    ck_assert(!cw_continuity_is_conn_doubted(&c, 1999));
+    ck_assert(cw_continuity_is_conn_doubted(&c, 2000));
+}
+END_TEST
+
+static void add_tests(TCase* t) {
+    tcase_add_test(t, a_server_is_not_doubted_before_a_connection_ends);
+    tcase_add_test(t, a_list_ends_the_doubt_if_it_is_newer_than_the_first_connection_since);
+    tcase_add_test(t, a_list_right_after_the_source_was_away_proves_nothing);
+    tcase_add_test(t, an_end_after_the_server_was_reached_begins_the_doubt_again);
+    tcase_add_test(t, the_late_end_of_an_earlier_connection_changes_nothing);
+    tcase_add_test(t, the_end_of_an_earlier_connection_counts_if_it_has_been_used_since);
+    tcase_add_test(t, data_on_an_earlier_connection_shows_that_the_server_has_run_on);
+    tcase_add_test(t, a_server_that_is_reached_at_once_has_run_on);
+    tcase_add_test(t, a_server_that_turns_connections_away_is_not_doubted_while_others_go_on);
+    tcase_add_test(t, a_refused_connection_counts_unless_another_one_is_open);
+    tcase_add_test(t, reports_count_at_a_host_without_a_connection);
+    tcase_add_test(t, a_connection_from_before_the_end_is_to_the_listed_process);
+}
+
+int main(void) {
+    return run_suite("continuity", add_tests, 20);
+}
