Resumed streams: ids that are no numbers, or beyond 64 bits, lose no events

Callers saw an answer that ended as complete and lacked all that the second server had sent. After a break the ids of events were compared by strtoull, so texts all counted as 0 and numbers beyond 64 bits as the largest one: each event of the second server passed for a repeat of the last one passed on and was dropped.

Ids are now compared as decimal numbers of any length, and only where both are. For other ids three ways were weighed:

- break the answer off: safe, but no stream with such ids could be resumed, although Last-Event-Id names the place exactly;
- remember all ids passed on: tells any repeat, for 8 bytes an event and a growing table in each stream;
- trust the server to begin after Last-Event-Id, and tell the two repeats that servers make: a stream that begins at that event (its id is the last one passed on) or with the first event of all (its id is the first one passed on); the latter is dropped up to the last one.

The third is taken. A server that begins somewhere else inside what was passed on can't be told.

tests/test_sse.c ids_of_any_kind_join_a_resumed_stream and tests/test_exchange.c a_stream_with_ids_that_are_no_numbers_resumes_without_lost_events failed before ("after 'id: a1 ... came 'id: b7 ...': " without b7).

--- a/chalkway_sse.h
+++ b/chalkway_sse.h
@@ -8,7 +8,13 @@
         complete events, so that a stream which breaks inside an event can
         be resumed at another server with no event lost or duplicated. It
         records the id of the last event returned. After a restart, events
-        with ids up to that one are skipped.
+        that were returned before are skipped:
+
+        - If their ids and the last one are decimal numbers, of any length,
+          those up to the last one are.
+        - Other ids have no order. The server is trusted to begin after the
+          last one, but an event with that id is skipped, and a stream that
+          begins with the first id of all is skipped up to the last one.
 
         A stream that can't be resumed is followed without being buffered
         (cw_sse_track), to tell whether it ends after an event.
@@ -31,6 +37,13 @@
 #define CW_SSE_ID_MAX 48
 #define CW_SSE_EVENT_BYTES_MAX (1U << 20) /* a longer event sets has_overflowed */
 
+/* Where the events since a restart stand. */
+typedef enum cw_sse_join_t {
+    CW_SSE_JOINED = 0, /* after the last event returned */
+    CW_SSE_JOIN_START, /* no event with an id has arrived */
+    CW_SSE_JOIN_BEHIND /* at events that were returned before */
+} cw_sse_join_t;
+
 /* Finds the ends of events: an event ends with a blank line. Lines end with LF, CRLF or CR. */
 typedef struct cw_sse_scan_t {
     uint64_t count; /* complete events */
@@ -46,8 +59,9 @@
     cw_sse_scan_t scan;          /* of the bytes since the last restart */
     bool has_overflowed;         /* an event exceeded CW_SSE_EVENT_BYTES_MAX; no more events are returned */
     /* private */
-    bool is_resuming; /* no event with a new id was returned since the restart */
-    uint64_t taken;   /* events returned or skipped since the last restart */
+    char first_id[CW_SSE_ID_MAX]; /* id of the first event returned that has one */
+    cw_sse_join_t join;
+    uint64_t taken; /* events returned or skipped since the last restart */
     char* data;
     size_t size, capacity, consumed; /* consumed: bytes at the start of data that were returned or skipped */
 } cw_sse_t;
@@ -162,8 +176,41 @@
     return false;
 }
 
-static bool _cw_sse_is_duplicate(const cw_sse_t* e, const char* id) {
-    return e->is_resuming && e->last_id[0] && strtoull(id, NULL, 10) <= strtoull(e->last_id, NULL, 10);
+static bool _cw_sse_is_decimal(const char* id) {
+    return id[0] && !id[strspn(id, "0123456789")];
+}
+
+/* Compares decimal numbers of any length. Returns a value below, at or above 0. */
+static int _cw_sse_compare_decimal(const char* a, const char* b) {
+    a += strspn(a, "0");
+    b += strspn(b, "0");
+    size_t length_a = strlen(a);
+    size_t length_b = strlen(b);
+    return length_a != length_b ? (length_a < length_b ? -1 : 1) : strcmp(a, b);
+}
+
+static bool _cw_sse_is_last(const cw_sse_t* e, const char* id) {
+    bool are_numbers = _cw_sse_is_decimal(id) && _cw_sse_is_decimal(e->last_id);
+    return are_numbers ? _cw_sse_compare_decimal(id, e->last_id) == 0 : strcmp(id, e->last_id) == 0;
+}
+
+/* Whether the event with this id precedes the last one returned. */
+static bool _cw_sse_is_behind(const cw_sse_t* e, const char* id) {
+    if (_cw_sse_is_decimal(id) && _cw_sse_is_decimal(e->last_id)) {
+        return _cw_sse_compare_decimal(id, e->last_id) < 0;
+    }
+    return e->join == CW_SSE_JOIN_BEHIND || strcmp(id, e->first_id) == 0;
+}
+
+/* Whether the event with this id was returned before the restart. */
+static bool _cw_sse_is_duplicate(cw_sse_t* e, const char* id) {
+    if (e->join == CW_SSE_JOINED || !e->last_id[0]) {
+        return false;
+    }
+    bool is_last = _cw_sse_is_last(e, id);
+    bool is_behind = !is_last && _cw_sse_is_behind(e, id);
+    e->join = is_behind ? CW_SSE_JOIN_BEHIND : CW_SSE_JOINED;
+    return is_last || is_behind;
 }
 
 cw_bytes_view_t cw_sse_take(cw_sse_t* e) {
@@ -188,7 +235,10 @@
         }
         if (has_id) {
             memcpy(e->last_id, id, sizeof(id));
-            e->is_resuming = false;
+            if (!e->first_id[0]) {
+                memcpy(e->first_id, id, sizeof(id));
+            }
+            e->join = CW_SSE_JOINED;
         }
         e->count++;
         at += length;
@@ -208,7 +258,7 @@
     e->scan = (cw_sse_scan_t){0};
     e->taken = 0;
     e->has_overflowed = false;
-    e->is_resuming = true;
+    e->join = CW_SSE_JOIN_START;
 }
 
 bool cw_sse_ends_after_event(const cw_sse_t* e) {
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -209,6 +209,23 @@
 }
 END_TEST
 
+/* The text of the second server was lost, and the answer looked complete: its ids, which are no numbers, were compared
+   as such, so all its events were taken for repeats of the last one passed on. */
+START_TEST(a_stream_with_ids_that_are_no_numbers_resumes_without_lost_events) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    set_script(
+        r, 2,
+        (rig_step_t[]){{RIG_RESPOND_CLOSE, EVENTS_HEAD "16\r\nid: m-a\ndata: a\n\nid: m\r\n"},
+                       {RIG_RESPOND, EVENTS_HEAD "22\r\nid: m-b\ndata: b\n\nid: m-c\ndata: c\n\n\r\n0\r\n\r\n"}});
+    const char* response = rig_call(r, "POST /resume/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n");
+    ck_assert(strstr(r->arrivals[1], "Last-Event-Id: m-a\r\n"));
+    ck_assert_msg(rig_is_response_complete(response) && strstr(response, "data: a\n\n") &&
+                      strstr(response, "data: b\n\n") && strstr(response, "data: c\n\n"),
+                  "%s", response);
+    rig_shutdown(r);
+}
+END_TEST
+
 START_TEST(broken_stream_without_resume_does_not_look_complete) {
     rig_t* r = rig_setup(ROUTES, 2);
     set_script(r, 1, (rig_step_t[]){{RIG_RESPOND_CLOSE, EVENTS_HEAD "10\r\nid: 1\ndata: a\n\n\n\r\n"}});
@@ -781,6 +798,7 @@
     tcase_add_test(t, stalled_stream_is_retried_after_two_targets);
     tcase_add_test(t, passed_deadline_gives_504_at_once);
     tcase_add_test(t, broken_stream_resumes_at_another_server_without_lost_or_repeated_events);
+    tcase_add_test(t, a_stream_with_ids_that_are_no_numbers_resumes_without_lost_events);
     tcase_add_test(t, broken_stream_without_resume_does_not_look_complete);
     tcase_add_test(t, response_without_length_ends_with_its_connection);
     tcase_add_test(t, truncated_response_does_not_look_complete);
--- a/tests/test_sse.c
+++ b/tests/test_sse.c
@@ -68,10 +68,55 @@
 }
 END_TEST
 
+/* Two streams of one answer: what the second server sends after the first one broke off. */
+typedef struct join_t {
+    const char *first, *second, *expected;
+} join_t;
+
+static void expect_join(const join_t* join) {
+    for (size_t cut = 0; cut <= strlen(join->second); cut++) {
+        char out[512] = "";
+        cw_sse_t e = {0};
+        cw_sse_feed(&e, join->first, strlen(join->first));
+        append_all_events(&e, out);
+        cw_sse_restart(&e);
+        cw_sse_feed(&e, join->second, cut);
+        append_all_events(&e, out);
+        cw_sse_feed(&e, join->second + cut, strlen(join->second) - cut);
+        append_all_events(&e, out);
+        ck_assert_msg(strcmp(out, join->expected) == 0, "after '%s' came '%s': '%s'", join->first, join->second, out);
+        cw_sse_free(&e);
+    }
+}
+
+/* Events that a second server sent were taken for repeats and dropped, and the stream ended as complete: ids that are
+   no numbers were all compared as 0, and those beyond 64 bits as the largest number. A server that repeats events with
+   such ids is told by the last id, or by the first one. */
+START_TEST(ids_of_any_kind_join_a_resumed_stream) {
+    static const join_t joins[] = {
+        {"id: a1\nd\n\nid: a2\nd\n\n", "id: b7\nd\n\n", "id: a1\nd\n\nid: a2\nd\n\nid: b7\nd\n\n"},
+        {"id: a1\nd\n\nid: a2\nd\n\n", "id: a2\nd\n\nid: 0\nd\n\n", "id: a1\nd\n\nid: a2\nd\n\nid: 0\nd\n\n"},
+        {"id: x\nd\n\nid: c\nd\n\nid: m\nd\n\n", "id: x\nd\n\nid: c\nd\n\nid: m\nd\n\nid: k\nd\n\n",
+         "id: x\nd\n\nid: c\nd\n\nid: m\nd\n\nid: k\nd\n\n"},
+        {"id: 1", "id: a\nd\n\nid: b\nd\n\nid: a\nd\n\n", "id: a\nd\n\nid: b\nd\n\nid: a\nd\n\n"},
+        {"id: 9\nd\n\n", "id: end\nd\n\n", "id: 9\nd\n\nid: end\nd\n\n"},
+        {"id: 18446744073709551616\nd\n\n", "id: 18446744073709551616\nd\n\nid: 18446744073709551617\nd\n\n",
+         "id: 18446744073709551616\nd\n\nid: 18446744073709551617\nd\n\n"},
+        {"id: 99999999999999999999\nd\n\n", "id: 100000000000000000000\nd\n\n",
+         "id: 99999999999999999999\nd\n\nid: 100000000000000000000\nd\n\n"},
+        {"id: 008\nd\n\nid: 009\nd\n\n", "id: 9\nd\n\nid: 010\nd\n\n", "id: 008\nd\n\nid: 009\nd\n\nid: 010\nd\n\n"},
+        {"id: 8\nd\n\nid: 9\nd\n\n", "id: 8\nd\n\nid: 9\nd\n\nid: 10\nd\n\n", "id: 8\nd\n\nid: 9\nd\n\nid: 10\nd\n\n"}};
+    for (size_t i = 0; i < sizeof(joins) / sizeof(joins[0]); i++) {
+        expect_join(&joins[i]);
+    }
+}
+END_TEST
+
 static void add_tests(TCase* t) {
     tcase_add_test(t, events_are_returned_complete_for_any_split);
     tcase_add_test(t, a_stream_ends_after_an_event_only_at_its_blank_line);
     tcase_add_test(t, a_stream_resumes_after_a_break_at_any_byte);
+    tcase_add_test(t, ids_of_any_kind_join_a_resumed_stream);
 }
 
 int main(void) {
