Resumed streams: the last id line of an event counts

A stream that broke after an event with two id lines was resumed one event too early, and the caller got that event twice: the first of the lines was taken for the event's id. By the standard of server-sent events each line replaces the id, so the last one counts.

tests/test_sse.c the_last_id_line_of_an_event_counts failed before (last_id "1", not "2"). sse: 5 pass.

--- a/chalkway_sse.h
+++ b/chalkway_sse.h
@@ -150,9 +150,10 @@
     return 0;
 }
 
-/* Copies the value of the event's id line; returns false when it has none. */
+/* Copies the value of the event's last id line; returns false when it has none. */
 static bool _cw_sse_find_id(const char* event, size_t size, char id[CW_SSE_ID_MAX]) {
     const char* end = event + size;
+    bool has_id = false;
     for (const char* line = event; line < end;) {
         const char* next = line;
         while (next < end && !_cw_sse_is_line_end(*next)) {
@@ -169,11 +170,11 @@
             n = n < CW_SSE_ID_MAX - 1 ? n : CW_SSE_ID_MAX - 1;
             memcpy(id, value, n);
             id[n] = 0;
-            return true;
+            has_id = true;
         }
         line = next + 1;
     }
-    return false;
+    return has_id;
 }
 
 static bool _cw_sse_is_decimal(const char* id) {
--- a/tests/test_sse.c
+++ b/tests/test_sse.c
@@ -112,11 +112,28 @@
 }
 END_TEST
 
+/* An id that changes within an event is that of its last line. The first one was taken, so a stream resumed one event
+   too early. */
+START_TEST(the_last_id_line_of_an_event_counts) {
+    static const char* const events[] = {"id: 1\nid: 2\ndata: a\n\n", "id:1\r\ndata: a\r\nid:2\r\n\r\n",
+                                         "id: 1\rid: 2\rdata: a\r\r"};
+    for (size_t i = 0; i < sizeof(events) / sizeof(events[0]); i++) {
+        char out[100] = "";
+        cw_sse_t e = {0};
+        cw_sse_feed(&e, events[i], strlen(events[i]));
+        append_all_events(&e, out);
+        ck_assert_str_eq(e.last_id, "2");
+        cw_sse_free(&e);
+    }
+}
+END_TEST
+
 static void add_tests(TCase* t) {
     tcase_add_test(t, events_are_returned_complete_for_any_split);
     tcase_add_test(t, a_stream_ends_after_an_event_only_at_its_blank_line);
     tcase_add_test(t, a_stream_resumes_after_a_break_at_any_byte);
     tcase_add_test(t, ids_of_any_kind_join_a_resumed_stream);
+    tcase_add_test(t, the_last_id_line_of_an_event_counts);
 }
 
 int main(void) {
