Resumed streams: no event without an id is passed on twice

Callers got events twice. An event without an id has no place that Last-Event-Id can name, yet its stream was resumed:

- without any id the other server began with the first event, and all of its events were passed on after those of the first one;
- after "id 1, no id" the other server went on after id 1, and repeated the event without an id;
- where the other server began anew, events without an id between skipped ones were passed on.

Ways for the first two: count the events without an id and skip as many (joins two runs at a number that no server has agreed to), or don't resume after such an event. The second is taken: an answer is broken off if the last event passed on has no id, and its caller decides. Comments and retry lines are no pieces of a stream and don't count. In a resumed run events without an id are held until the next id shows whether they come before or after the last event passed on; comments pass at once, as they keep connections alive.

--- a/chalkway_sse.h
+++ b/chalkway_sse.h
@@ -15,6 +15,10 @@
         - Other ids have no order. The server is trusted to begin after the
           last one, but an event with that id is skipped, and a stream that
           begins with the first id of all is skipped up to the last one.
+        - Events without an id are held until the next id shows their place.
+
+        After an event without an id nothing names the place at which another
+        server is to begin (cw_sse_can_resume).
 
         A stream that can't be resumed is followed without being buffered
         (cw_sse_track), to tell whether it ends after an event.
@@ -60,8 +64,10 @@
     bool has_overflowed;         /* an event exceeded CW_SSE_EVENT_BYTES_MAX; no more events are returned */
     /* private */
     char first_id[CW_SSE_ID_MAX]; /* id of the first event returned that has one */
+    bool is_past_id;              /* an event without an id was returned since the one with last_id */
     cw_sse_join_t join;
-    uint64_t taken; /* events returned or skipped since the last restart */
+    size_t held;    /* bytes of complete events after the consumed bytes whose place isn't known yet */
+    uint64_t taken; /* events returned, held or skipped since the last restart */
     char* data;
     size_t size, capacity, consumed; /* consumed: bytes at the start of data that were returned or skipped */
 } cw_sse_t;
@@ -72,7 +78,10 @@
 /* Returns the complete events that arrived since the last call, concatenated; size 0: none. Skipped events split the
    result, so call it until size is 0. */
 cw_bytes_view_t cw_sse_take(cw_sse_t* e);
-/* Returns the bytes after the last complete event, once the stream is known to be complete; valid until the next call.
+/* Whether another server can go on after the events returned so far: the last one has an id, or there is none. Comments
+   are not counted. */
+bool cw_sse_can_resume(const cw_sse_t* e);
+/* Returns the bytes after the last event returned, once the stream is known to be complete; valid until the next call.
  */
 cw_bytes_view_t cw_sse_take_rest(cw_sse_t* e);
 /* Drops an incomplete event after the stream broke; the next bytes come from another stream. */
@@ -150,31 +159,53 @@
     return 0;
 }
 
-/* Copies the value of the event's last id line; returns false when it has none. */
-static bool _cw_sse_find_id(const char* event, size_t size, char id[CW_SSE_ID_MAX]) {
+/* What an event says of its place in the stream. */
+typedef struct _cw_sse_fields_t {
+    char id[CW_SSE_ID_MAX]; /* "": it has none */
+    bool has_data;          /* else it is a comment, or sets the time between two retries */
+} _cw_sse_fields_t;
+
+/* Returns the value of the line if it is the field with this name, else NULL. */
+static const char* _cw_sse_field_value(const char* line, const char* end, const char* name) {
+    size_t length = strlen(name);
+    if ((size_t)(end - line) < length || memcmp(line, name, length) != 0) {
+        return NULL;
+    }
+    const char* value = line + length;
+    if (value < end && *value != ':') {
+        return NULL;
+    }
+    value += value < end;
+    while (value < end && *value == ' ') {
+        value++;
+    }
+    return value;
+}
+
+static void _cw_sse_read_line(_cw_sse_fields_t* fields, const char* line, const char* end) {
+    const char* id = _cw_sse_field_value(line, end, "id");
+    if (id) {
+        size_t n = (size_t)(end - id);
+        n = n < CW_SSE_ID_MAX - 1 ? n : CW_SSE_ID_MAX - 1;
+        memcpy(fields->id, id, n);
+        fields->id[n] = 0;
+    }
+    fields->has_data = fields->has_data || _cw_sse_field_value(line, end, "data");
+}
+
+/* Each id line replaces the one before. */
+static _cw_sse_fields_t _cw_sse_read_event(const char* event, size_t size) {
+    _cw_sse_fields_t fields = {0};
     const char* end = event + size;
-    bool has_id = false;
     for (const char* line = event; line < end;) {
         const char* next = line;
         while (next < end && !_cw_sse_is_line_end(*next)) {
             next++;
         }
-        size_t length = (size_t)(next - line);
-        if (length > 3 && strncmp(line, "id:", 3) == 0) {
-            const char* value = line + 3;
-            const char* stop = line + length;
-            while (value < stop && *value == ' ') {
-                value++;
-            }
-            size_t n = (size_t)(stop - value);
-            n = n < CW_SSE_ID_MAX - 1 ? n : CW_SSE_ID_MAX - 1;
-            memcpy(id, value, n);
-            id[n] = 0;
-            has_id = true;
-        }
+        _cw_sse_read_line(&fields, line, next);
         line = next + 1;
     }
-    return has_id;
+    return fields;
 }
 
 static bool _cw_sse_is_decimal(const char* id) {
@@ -203,54 +234,85 @@
     return e->join == CW_SSE_JOIN_BEHIND || strcmp(id, e->first_id) == 0;
 }
 
-/* Whether the event with this id was returned before the restart. */
-static bool _cw_sse_is_duplicate(cw_sse_t* e, const char* id) {
+/* Whether the event with this id was returned before the restart. join: where the stream stands after it. */
+static bool _cw_sse_is_duplicate(const cw_sse_t* e, const char* id, cw_sse_join_t* join) {
+    *join = CW_SSE_JOINED;
     if (e->join == CW_SSE_JOINED || !e->last_id[0]) {
         return false;
     }
     bool is_last = _cw_sse_is_last(e, id);
     bool is_behind = !is_last && _cw_sse_is_behind(e, id);
-    e->join = is_behind ? CW_SSE_JOIN_BEHIND : CW_SSE_JOINED;
+    *join = is_behind ? CW_SSE_JOIN_BEHIND : CW_SSE_JOINED;
     return is_last || is_behind;
 }
 
+static void _cw_sse_set_position(cw_sse_t* e, const _cw_sse_fields_t* fields) {
+    if (!fields->id[0]) {
+        e->is_past_id = e->is_past_id || fields->has_data;
+        return;
+    }
+    memcpy(e->last_id, fields->id, sizeof(e->last_id));
+    if (!e->first_id[0]) {
+        memcpy(e->first_id, fields->id, sizeof(e->first_id));
+    }
+    e->is_past_id = false;
+}
+
+typedef enum _cw_sse_verdict_t {
+    _CW_SSE_PASS = 0,
+    _CW_SSE_HOLD, /* until the next id shows its place */
+    _CW_SSE_SKIP  /* with those that are held */
+} _cw_sse_verdict_t;
+
+/* join: where the stream stands after the event. */
+static _cw_sse_verdict_t _cw_sse_judge(const cw_sse_t* e, const _cw_sse_fields_t* fields, cw_sse_join_t* join) {
+    if (fields->id[0]) {
+        return _cw_sse_is_duplicate(e, fields->id, join) ? _CW_SSE_SKIP : _CW_SSE_PASS;
+    }
+    *join = e->join;
+    bool is_unplaced = e->join == CW_SSE_JOIN_START && e->last_id[0] && (fields->has_data || e->held);
+    return e->join == CW_SSE_JOIN_BEHIND ? _CW_SSE_SKIP : is_unplaced ? _CW_SSE_HOLD : _CW_SSE_PASS;
+}
+
 cw_bytes_view_t cw_sse_take(cw_sse_t* e) {
     size_t begin = e->consumed;
-    size_t at = begin;
+    size_t end = begin;
     bool is_incomplete = e->scan.count == e->taken; /* an event isn't scanned again with each piece that arrives */
     while (!e->has_overflowed && !is_incomplete) {
+        size_t at = end + e->held;
         size_t length = _cw_sse_event_length(e, e->data + at, e->size - at);
         if (!length) {
             break;
         }
+        _cw_sse_fields_t fields = _cw_sse_read_event(e->data + at, length);
+        cw_sse_join_t join = e->join;
+        _cw_sse_verdict_t verdict = _cw_sse_judge(e, &fields, &join);
+        if (verdict == _CW_SSE_SKIP && end > begin) {
+            break; /* the events before the skipped one are returned first */
+        }
+        e->join = join;
         e->taken++;
-        char id[CW_SSE_ID_MAX];
-        bool has_id = _cw_sse_find_id(e->data + at, length, id);
-        if (has_id && _cw_sse_is_duplicate(e, id)) {
-            if (at > begin) {
-                break; /* the events before the skipped one are returned first */
-            }
-            begin = at = at + length;
-            e->consumed = at;
+        if (verdict == _CW_SSE_HOLD) {
+            e->held += length;
             continue;
         }
-        if (has_id) {
-            memcpy(e->last_id, id, sizeof(id));
-            if (!e->first_id[0]) {
-                memcpy(e->first_id, id, sizeof(id));
-            }
-            e->join = CW_SSE_JOINED;
+        e->held = 0;
+        end = at + length;
+        if (verdict == _CW_SSE_SKIP) {
+            begin = end;
+            continue;
         }
+        _cw_sse_set_position(e, &fields);
         e->count++;
-        at += length;
     }
-    e->consumed = at;
-    return (cw_bytes_view_t){.data = e->data ? e->data + begin : "", .size = at - begin};
+    e->consumed = end;
+    return (cw_bytes_view_t){.data = e->data ? e->data + begin : "", .size = end - begin};
 }
 
 cw_bytes_view_t cw_sse_take_rest(cw_sse_t* e) {
     cw_bytes_view_t rest = {.data = e->data ? e->data + e->consumed : "", .size = e->size - e->consumed};
     e->consumed = e->size;
+    e->held = 0;
     return rest;
 }
 
@@ -258,10 +320,15 @@
     e->size = e->consumed = 0;
     e->scan = (cw_sse_scan_t){0};
     e->taken = 0;
+    e->held = 0;
     e->has_overflowed = false;
     e->join = CW_SSE_JOIN_START;
 }
 
+bool cw_sse_can_resume(const cw_sse_t* e) {
+    return !e->is_past_id;
+}
+
 bool cw_sse_ends_after_event(const cw_sse_t* e) {
     return e->scan.count > 0 && !e->scan.is_in_event;
 }
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -32,7 +32,7 @@
 
 /* Whether the request may be retried when the retry budget allows it. */
 static bool is_retryable(const exchange_t* x) {
-    return x->fsm.repeatable && x->fsm.attempts < x->fsm.max_attempts && (!x->is_head_sent || x->is_resumable_stream);
+    return x->fsm.repeatable && x->fsm.attempts < x->fsm.max_attempts && (!x->is_head_sent || x->fsm.resumable);
 }
 
 bool exchange_may_retry(const exchange_t* x) {
@@ -331,6 +331,7 @@
     for (cw_bytes_view_t events = cw_sse_take(&x->events); events.size; events = cw_sse_take(&x->events)) {
         forward_body(x, events.data, events.size);
     }
+    x->fsm.resumable = cw_sse_can_resume(&x->events);
     arm_next_event_timeout(x);
     exchange_set_timer(x);
 }
--- a/gateway/exchange_internal.h
+++ b/gateway/exchange_internal.h
@@ -80,7 +80,7 @@
     uint64_t head_length;
     bool is_head_sent;
     size_t discarded_bytes;   /* of the response, since its caller left */
-    bool is_resumable_stream; /* another server can resume the event stream */
+    bool is_resumable_stream; /* another server can resume the event stream, after each event with an id */
     cw_sse_t events;
     unsigned status;
     int64_t first_ms;           /* time of the first byte sent to the caller; 0: none */
--- a/tests/test_sse.c
+++ b/tests/test_sse.c
@@ -128,12 +128,60 @@
 }
 END_TEST
 
+/* An event without an id was passed on twice where the second server began with the first event: nothing shows its
+   place but the ids around it. Comments are no pieces of a stream, so they pass at once. */
+START_TEST(events_without_an_id_are_placed_by_the_ids_around_them) {
+    static const join_t joins[] = {{"id: 1\ndata: a\n\ndata: b\n\nid: 2\ndata: c\n\n",
+                                    "id: 1\ndata: a\n\ndata: b\n\nid: 2\ndata: c\n\nid: 3\ndata: d\n\n",
+                                    "id: 1\ndata: a\n\ndata: b\n\nid: 2\ndata: c\n\nid: 3\ndata: d\n\n"},
+                                   {"data: role\n\nid: x\ndata: a\n\n",
+                                    "data: role\n\nid: x\ndata: a\n\ndata: b\n\nid: c\ndata: c\n\n",
+                                    "data: role\n\nid: x\ndata: a\n\ndata: b\n\nid: c\ndata: c\n\n"},
+                                   {"id: 1\ndata: a\n\n", "data: b\n\n: note\n\nid: 2\ndata: c\n\n",
+                                    "id: 1\ndata: a\n\ndata: b\n\n: note\n\nid: 2\ndata: c\n\n"}};
+    for (size_t i = 0; i < sizeof(joins) / sizeof(joins[0]); i++) {
+        expect_join(&joins[i]);
+    }
+    expect_join(&(join_t){"id: 1\ndata: a\n\n", ": note\n\n", "id: 1\ndata: a\n\n: note\n\n"});
+}
+END_TEST
+
+START_TEST(a_stream_cannot_be_resumed_after_an_event_without_an_id) {
+    static const struct {
+        const char* text;
+        bool can_resume;
+    } streams[] = {{"", true},
+                   {": note\n\nretry: 10\n\n", true},
+                   {"id: 1\ndata: a\n\n", true},
+                   {"id: 1\ndata: a\n\n: note\n\n", true},
+                   {"data: a\n\n", false},
+                   {"id: 1\ndata: a\n\ndata: b\n\n", false},
+                   {"id: 1\ndata: a\n\ndata\n\n", false},
+                   {"id: 1\ndata: a\n\nid:\ndata: b\n\n", false},
+                   {"id: 1\ndata: a\n\nid\ndata: b\n\n", false},
+                   {"id: 1\ndata: a\n\ndata: b\n\nid: 2\ndata: c\n\n", true},
+                   {"id: 1\ndata: a\n\ndata: b\n", true}};
+    for (size_t i = 0; i < sizeof(streams) / sizeof(streams[0]); i++) {
+        char out[100] = "";
+        cw_sse_t e = {0};
+        cw_sse_feed(&e, streams[i].text, strlen(streams[i].text));
+        append_all_events(&e, out);
+        ck_assert_msg(cw_sse_can_resume(&e) == streams[i].can_resume, "'%s'", streams[i].text);
+        cw_sse_restart(&e);
+        ck_assert(cw_sse_can_resume(&e) == streams[i].can_resume);
+        cw_sse_free(&e);
+    }
+}
+END_TEST
+
 static void add_tests(TCase* t) {
     tcase_add_test(t, events_are_returned_complete_for_any_split);
     tcase_add_test(t, a_stream_ends_after_an_event_only_at_its_blank_line);
     tcase_add_test(t, a_stream_resumes_after_a_break_at_any_byte);
     tcase_add_test(t, ids_of_any_kind_join_a_resumed_stream);
     tcase_add_test(t, the_last_id_line_of_an_event_counts);
+    tcase_add_test(t, events_without_an_id_are_placed_by_the_ids_around_them);
+    tcase_add_test(t, a_stream_cannot_be_resumed_after_an_event_without_an_id);
 }
 
 int main(void) {
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -102,6 +102,34 @@
 }
 END_TEST
 
+/* The caller got events twice: nothing named the place at which a stream without ids broke, so the other server began
+   anew. Such a stream is broken off. */
+START_TEST(a_stream_is_not_resumed_after_an_event_without_an_id) {
+    static const char* const parts[] = {"data: a\n\n", "id: 1\ndata: a\n\ndata: b\n\n", "data: a\n\ndata: b\n\nda",
+                                        "id: 1\ndata: a\n\ndata: b\n\n: note\n\nid: 2\n"};
+    for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+        char text[300];
+        snprintf(text, sizeof(text), EVENTS_CHUNKED "ff\r\n%s", parts[i]);
+        rig_t* r = play(CALL("resume"), 2,
+                        (rig_step_t[]){{RIG_RESPOND_CLOSE, text}, {RIG_RESPOND_CLOSE, EVENTS "data: a\n\n"}});
+        expect_broken(r);
+        ck_assert_uint_eq(r->arrival_count, 1);
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
+/* Comments are no pieces of a stream: nothing is lost or repeated if another server begins anew. */
+START_TEST(a_stream_of_which_only_comments_arrived_is_sent_again) {
+    rig_t* r = play(CALL("resume"), 2,
+                    (rig_step_t[]){{RIG_RESPOND_CLOSE, EVENTS_CHUNKED "ff\r\n: note\n\n"},
+                                   {RIG_RESPOND_CLOSE, EVENTS "data: a\n\n"}});
+    expect_complete(r, "data: a\n\n");
+    ck_assert(!strstr(r->arrivals[1], "Last-Event-Id"));
+    rig_shutdown(r);
+}
+END_TEST
+
 /* What resumes a stream must be a stream: a plain response without a length has no end that shows. */
 START_TEST(a_stream_is_not_resumed_with_a_response_of_another_kind) {
     rig_t* r = play(CALL("resume"), 2,
@@ -400,6 +428,8 @@
     tcase_add_test(t, a_stream_without_an_event_is_not_complete);
     tcase_add_test(t, a_stream_without_an_event_is_retried_at_another_server);
     tcase_add_test(t, a_stream_that_ends_inside_an_event_resumes_at_another_server);
+    tcase_add_test(t, a_stream_is_not_resumed_after_an_event_without_an_id);
+    tcase_add_test(t, a_stream_of_which_only_comments_arrived_is_sent_again);
     tcase_add_test(t, a_stream_is_not_resumed_with_a_response_of_another_kind);
     tcase_add_test(t, an_end_inside_an_event_counts_as_a_crash_under_the_request);
     tcase_add_test(t, framing_shows_the_end_of_a_stream_whatever_its_last_event);
