Resumed streams: an id that no header can carry whole names no place

The other server was asked to go on after an event that never was: ids were cut off at 47 bytes and at a NUL, and the rest of the id was left out of Last-Event-Id and of comparisons. Events of two runs were joined at a wrong place, or dropped as repeats where two ids began alike.

An id of 128 bytes or more, or with a control character, now counts as none: the stream isn't resumed after it, whatever its length. Spaces around an id are dropped, as they are in a header field. The bound was 48; ids of texts and counters reach that.

tests/test_sse.c an_id_is_kept_whole_or_not_at_all failed before (last_id "2" of "2\0x"). sse 8, unframed 18, exchange 42 pass.

--- a/chalkway_sse.h
+++ b/chalkway_sse.h
@@ -38,7 +38,7 @@
 */
 #include "chalkway_core.h"
 
-#define CW_SSE_ID_MAX 48
+#define CW_SSE_ID_MAX 128                 /* bytes of an id, with its terminating zero; a longer one counts as none */
 #define CW_SSE_EVENT_BYTES_MAX (1U << 20) /* a longer event sets has_overflowed */
 
 /* Where the events since a restart stand. */
@@ -161,7 +161,7 @@
 
 /* What an event says of its place in the stream. */
 typedef struct _cw_sse_fields_t {
-    char id[CW_SSE_ID_MAX]; /* "": it has none */
+    char id[CW_SSE_ID_MAX]; /* "": it has none that names its place */
     bool has_data;          /* else it is a comment, or sets the time between two retries */
 } _cw_sse_fields_t;
 
@@ -182,13 +182,25 @@
     return value;
 }
 
+/* Copies the id, or "" if a header field can't carry it unchanged. */
+static void _cw_sse_copy_id(char out[CW_SSE_ID_MAX], const char* id, const char* end) {
+    while (end > id && (end[-1] == ' ' || end[-1] == '\t')) {
+        end--;
+    }
+    size_t size = (size_t)(end - id);
+    bool fits = size < CW_SSE_ID_MAX;
+    for (const char* byte = id; fits && byte < end; byte++) {
+        fits = (unsigned char)*byte >= ' ' && *byte != 127;
+    }
+    size = fits ? size : 0;
+    memcpy(out, id, size);
+    out[size] = 0;
+}
+
 static void _cw_sse_read_line(_cw_sse_fields_t* fields, const char* line, const char* end) {
     const char* id = _cw_sse_field_value(line, end, "id");
     if (id) {
-        size_t n = (size_t)(end - id);
-        n = n < CW_SSE_ID_MAX - 1 ? n : CW_SSE_ID_MAX - 1;
-        memcpy(fields->id, id, n);
-        fields->id[n] = 0;
+        _cw_sse_copy_id(fields->id, id, end);
     }
     fields->has_data = fields->has_data || _cw_sse_field_value(line, end, "data");
 }
--- a/tests/test_sse.c
+++ b/tests/test_sse.c
@@ -174,12 +174,54 @@
 }
 END_TEST
 
+/* The other server was asked to go on after another event: ids were cut off at 47 bytes and at a NUL. What no header
+   field can carry names no place. */
+START_TEST(an_id_is_kept_whole_or_not_at_all) {
+    static const char nul[] = "id: 1\ndata: a\n\nid: 2\0x\ndata: b\n\n";
+    static const char control[] = "id: 1\ndata: a\n\nid: 2\001x\ndata: b\n\n";
+    static const char spaces[] = "id: 1\ndata: a\n\nid:  2 \t\ndata: b\n\n";
+    const struct {
+        const char* text;
+        size_t size;
+        const char* last_id;
+        bool can_resume;
+    } streams[] = {{nul, sizeof(nul) - 1, "1", false},
+                   {control, sizeof(control) - 1, "1", false},
+                   {spaces, sizeof(spaces) - 1, "2", true}};
+    for (size_t i = 0; i < sizeof(streams) / sizeof(streams[0]); i++) {
+        char out[100] = "";
+        cw_sse_t e = {0};
+        cw_sse_feed(&e, streams[i].text, streams[i].size);
+        append_all_events(&e, out);
+        ck_assert_str_eq(e.last_id, streams[i].last_id);
+        ck_assert_msg(cw_sse_can_resume(&e) == streams[i].can_resume, "stream %zu", i);
+        cw_sse_free(&e);
+    }
+    for (size_t length = 1; length < (size_t)2 * CW_SSE_ID_MAX; length++) {
+        char text[2 * CW_SSE_ID_MAX + 40];
+        char id[2 * CW_SSE_ID_MAX];
+        char out[sizeof(text)] = "";
+        memset(id, 'x', length);
+        id[length] = 0;
+        snprintf(text, sizeof(text), "id: %s\ndata: a\n\n", id);
+        cw_sse_t e = {0};
+        cw_sse_feed(&e, text, strlen(text));
+        append_all_events(&e, out);
+        ck_assert_str_eq(out, text);
+        ck_assert_msg(strcmp(e.last_id, id) == 0 || !cw_sse_can_resume(&e), "%zu bytes became %zu", length,
+                      strlen(e.last_id));
+        cw_sse_free(&e);
+    }
+}
+END_TEST
+
 static void add_tests(TCase* t) {
     tcase_add_test(t, events_are_returned_complete_for_any_split);
     tcase_add_test(t, a_stream_ends_after_an_event_only_at_its_blank_line);
     tcase_add_test(t, a_stream_resumes_after_a_break_at_any_byte);
     tcase_add_test(t, ids_of_any_kind_join_a_resumed_stream);
     tcase_add_test(t, the_last_id_line_of_an_event_counts);
+    tcase_add_test(t, an_id_is_kept_whole_or_not_at_all);
     tcase_add_test(t, events_without_an_id_are_placed_by_the_ids_around_them);
     tcase_add_test(t, a_stream_cannot_be_resumed_after_an_event_without_an_id);
 }
