Resumed streams: a run that ends before the place of the break isn't complete

An answer lacked its last events and looked complete: the second server began anew, or numbered its events from 1 again, and ended before the event after which it was to go on. All it sent was skipped, and its end was taken for that of the stream. Such an attempt now counts as failed, so another server is asked, or the answer is broken off. A run that repeats events up to that one, or has no event left, is still complete; an unfinished last event that repeats it is skipped, too.

A run that numbers its events anew and goes beyond that number can't be told from one that repeats: ids are what names a place.

tests/test_unframed.c a_resumed_stream_that_ends_too_early_is_not_complete ("looks complete", ids 8 and 9 only) and a_resumed_stream_that_ends_at_the_last_event_is_complete (the unfinished repeat was passed on) failed before.

--- a/chalkway_sse.h
+++ b/chalkway_sse.h
@@ -82,8 +82,10 @@
    are not counted. */
 bool cw_sse_can_resume(const cw_sse_t* e);
 /* Returns the bytes after the last event returned, once the stream is known to be complete; valid until the next call.
- */
+   They are skipped if they begin an event that was returned before the restart. */
 cw_bytes_view_t cw_sse_take_rest(cw_sse_t* e);
+/* Whether the events since the last restart end before the last one returned: the stream lacks those in between. */
+bool cw_sse_is_behind(const cw_sse_t* e);
 /* Drops an incomplete event after the stream broke; the next bytes come from another stream. */
 void cw_sse_restart(cw_sse_t* e);
 /* Whether the bytes since the last restart end after a complete event. False before the first one. */
@@ -322,10 +324,21 @@
 }
 
 cw_bytes_view_t cw_sse_take_rest(cw_sse_t* e) {
-    cw_bytes_view_t rest = {.data = e->data ? e->data + e->consumed : "", .size = e->size - e->consumed};
+    size_t begin = e->consumed;
+    size_t at = begin + e->held;
+    if (at < e->size) {
+        _cw_sse_fields_t fields = _cw_sse_read_event(e->data + at, e->size - at);
+        cw_sse_join_t join = e->join;
+        begin = _cw_sse_judge(e, &fields, &join) == _CW_SSE_SKIP ? e->size : begin;
+        e->join = join;
+    }
     e->consumed = e->size;
     e->held = 0;
-    return rest;
+    return (cw_bytes_view_t){.data = e->data ? e->data + begin : "", .size = e->size - begin};
+}
+
+bool cw_sse_is_behind(const cw_sse_t* e) {
+    return e->join == CW_SSE_JOIN_BEHIND;
 }
 
 void cw_sse_restart(cw_sse_t* e) {
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -372,6 +372,11 @@
     }
     if (x->is_resumable_stream) {
         cw_bytes_view_t rest = cw_sse_take_rest(&x->events);
+        if (cw_sse_is_behind(&x->events)) {
+            exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, CW_TRY_FAILED,
+                                  "the stream ended before the event that it was to go on after");
+            return;
+        }
         forward_body(x, rest.data, rest.size);
     }
     x->result = x->is_server_error ? CW_TRY_FAILED : CW_TRY_SERVED;
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -119,6 +119,44 @@
 }
 END_TEST
 
+/* A stream that lacked its last events looked complete: the other server began anew and ended before the event after
+   which it was to go on, so that all it sent was skipped. */
+START_TEST(a_resumed_stream_that_ends_too_early_is_not_complete) {
+    static const char* const first[] = {"id: 8\ndata: a\n\nid: 9\ndata: b\n\n", "id: x\ndata: a\n\nid: c\ndata: b\n\n"};
+    static const char* const second[] = {"id: 1\ndata: c\n\nid: 2\ndata: d\n\n",
+                                         "id: x\ndata: a\n\nid: b\ndata: d\n\n"};
+    static const char* const heads[] = {HEAD "Content-Type: text/event-stream\r\nContent-Length: 30\r\n\r\n", EVENTS};
+    for (size_t i = 0; i < sizeof(first) / sizeof(first[0]); i++) {
+        for (size_t h = 0; h < sizeof(heads) / sizeof(heads[0]); h++) {
+            char texts[2][300];
+            snprintf(texts[0], sizeof(texts[0]), EVENTS_CHUNKED "1e\r\n%s", first[i]);
+            snprintf(texts[1], sizeof(texts[1]), "%s%s", heads[h], second[i]);
+            rig_t* r =
+                play(CALL("resume"), 2, (rig_step_t[]){{RIG_RESPOND_CLOSE, texts[0]}, {RIG_RESPOND_CLOSE, texts[1]}});
+            expect_broken(r);
+            ck_assert_uint_eq(r->arrival_count, 2);
+            rig_shutdown(r);
+        }
+    }
+}
+END_TEST
+
+/* The first server broke off between its last event and the end: nothing is left to go on with. */
+START_TEST(a_resumed_stream_that_ends_at_the_last_event_is_complete) {
+    static const char* const second[] = {"0\r\n\r\n", "f\r\nid: 9\ndata: b\n\n\r\n0\r\n\r\n",
+                                         "e\r\nid: 9\ndata: b\n\r\n0\r\n\r\n"};
+    for (size_t i = 0; i < sizeof(second) / sizeof(second[0]); i++) {
+        char text[300];
+        snprintf(text, sizeof(text), EVENTS_CHUNKED "%s", second[i]);
+        rig_t* r = play(
+            CALL("resume"), 2,
+            (rig_step_t[]){{RIG_RESPOND_CLOSE, EVENTS_CHUNKED "f\r\nid: 9\ndata: b\n\n\r\n"}, {RIG_RESPOND, text}});
+        expect_complete(r, "\r\n\r\nf\r\nid: 9\ndata: b\n\n\r\n0\r\n\r\n");
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
 /* Comments are no pieces of a stream: nothing is lost or repeated if another server begins anew. */
 START_TEST(a_stream_of_which_only_comments_arrived_is_sent_again) {
     rig_t* r = play(CALL("resume"), 2,
@@ -429,6 +467,8 @@
     tcase_add_test(t, a_stream_without_an_event_is_retried_at_another_server);
     tcase_add_test(t, a_stream_that_ends_inside_an_event_resumes_at_another_server);
     tcase_add_test(t, a_stream_is_not_resumed_after_an_event_without_an_id);
+    tcase_add_test(t, a_resumed_stream_that_ends_too_early_is_not_complete);
+    tcase_add_test(t, a_resumed_stream_that_ends_at_the_last_event_is_complete);
     tcase_add_test(t, a_stream_of_which_only_comments_arrived_is_sent_again);
     tcase_add_test(t, a_stream_is_not_resumed_with_a_response_of_another_kind);
     tcase_add_test(t, an_end_inside_an_event_counts_as_a_crash_under_the_request);
