Request ids of any length are recognized in responses, and begin streams

Callers with an id of 128 characters or more waited until their deadline and got 504 (502 where it may run once): the id was passed on unchanged, but the host kept one of its own making instead, so the response looked like a late one to another request and was skipped. The same held for an empty id. A stream that began under a long id was denied with 400 when its caller took it up.

Ways: refuse longer ids with 400 before anything is sent, or keep the id whole. No limit is promised to callers beside that of the head, and keeping the id costs one allocation a request and connection, so the second is taken. Only log lines cut ids off. The id of a stream is a hash of the whole id.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -58,6 +58,7 @@
     cw_sse_free(&x->events);
     cw_buffer_free(&x->head_fields);
     cw_catalog_release(x->catalog);
+    free(x->request_id);
     free(x);
 }
 
@@ -222,11 +223,11 @@
     } else if (outcome == CW_OUTCOME_NOT_RUN) {
         x->status = 503;
         report_done(x, EXCHANGE_REFUSED, why);
-        reply_error(e, caller, 503, x->id, why, retry_after_ms(x));
+        reply_error(e, caller, 503, x->request_id, why, retry_after_ms(x));
     } else {
         x->status = clock_ms() >= x->deadline_ms ? 504 : 502;
         report_done(x, EXCHANGE_FAILED, why);
-        reply_error(e, caller, x->status, x->id, why, 0);
+        reply_error(e, caller, x->status, x->request_id, why, 0);
     }
 }
 
@@ -271,8 +272,8 @@
 static void deny(exchanges_t* e, caller_t* caller, unsigned status, const char* id, const char* why) {
     const cw_message_t* m = caller_request(caller);
     e->stats.outcomes[EXCHANGE_DENIED]++;
-    cw_log(e->desc.log, CW_EVENT_REQUEST_DENIED, "id=%s status=%u why=\"%s\" target=%.60s revision=%lld",
-           id[0] ? id : "-", status, why, m->target, e->catalog ? (long long)e->catalog->revision : 0LL);
+    cw_log(e->desc.log, CW_EVENT_REQUEST_DENIED, "id=%.*s status=%u why=\"%s\" target=%.60s revision=%lld",
+           REQUEST_ID_LOG_MAX - 1, id, status, why, m->target, e->catalog ? (long long)e->catalog->revision : 0LL);
     reply_error(e, caller, status, id, why, 0);
 }
 
@@ -295,22 +296,34 @@
     if (x->route->kind != CW_ROUTE_STREAM || !x->route->is_resumable) {
         return;
     }
-    cw_copy(x->resumes, sizeof(x->resumes), request_resumes(dialect, m));
+    const char* resumes = request_resumes(dialect, m);
+    cw_copy(x->resumes, sizeof(x->resumes), resumes);
     x->is_resumed_by_caller = cw_message_field(m, dialect->fields.last_event) != NULL;
     x->work.begins_stream = !x->is_resumed_by_caller;
-    x->stream =
-        streams_id(x->workspace ? cw_name_id(x->workspace->name) : 0, x->is_resumed_by_caller ? x->resumes : x->id);
+    x->stream = streams_id(x->workspace ? cw_name_id(x->workspace->name) : 0,
+                           x->is_resumed_by_caller ? resumes : x->request_id);
 }
 
+static char* copy_text(const char* text) {
+    char* copy = strdup(text);
+    if (!copy) {
+        abort();
+    }
+    return copy;
+}
+
+/* id: names the request in the log. */
 static exchange_t* exchange_new(exchanges_t* e, caller_t* caller, const admission_t* admission, const char* id) {
     exchange_t* x = calloc(1, sizeof(*x));
     if (!x) {
         abort();
     }
+    const char* sent_id = cw_message_field(caller_request(caller), e->desc.dialect->fields.request_id);
     const cw_route_t* route = admission->route;
     bool is_stream = route->kind == CW_ROUTE_STREAM;
     x->exchanges = e;
     x->caller = caller;
+    x->request_id = copy_text(sent_id ? sent_id : id);
     cw_copy(x->id, sizeof(x->id), id);
     x->catalog = cw_catalog_retain(e->catalog);
     x->route = route;
@@ -354,13 +367,14 @@
     const cw_message_t* m = caller_request(caller);
     const char* id = cw_message_field(m, e->desc.dialect->fields.request_id);
     char generated_id[24];
-    if (!id || !id[0] || strlen(id) >= REQUEST_ID_MAX) {
+    if (!id || !id[0]) {
         snprintf(generated_id, sizeof(generated_id), "%016llx", (unsigned long long)next_random(e));
         id = generated_id;
     }
     if (!e->catalog) {
         e->stats.outcomes[EXCHANGE_REFUSED]++;
-        cw_log(e->desc.log, CW_EVENT_REQUEST_DENIED, "id=%s status=503 why=\"no configuration\" revision=0", id);
+        cw_log(e->desc.log, CW_EVENT_REQUEST_DENIED, "id=%.*s status=503 why=\"no configuration\" revision=0",
+               REQUEST_ID_LOG_MAX - 1, id);
         uint32_t retry_ms =
             admission_unconfigured_retry_ms(e->desc.dialect, m, is_source_unavailable(e), next_random(e));
         reply_error(e, caller, 503, id, "no configuration", retry_ms);
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -86,7 +86,7 @@
     x->sent_ms = x->progress_ms = now_ms;
     bool is_resuming = x->is_head_sent && x->events.last_id[0];
     e->stats.streams_resumed += is_resuming;
-    request_head_t set = {.request_id = x->id,
+    request_head_t set = {.request_id = x->request_id,
                           .workspace = x->workspace ? x->workspace->name : NULL,
                           .server = x->server->published.id,
                           .fetch_from = x->fetch_from[0] ? x->fetch_from : NULL,
@@ -101,9 +101,9 @@
     if (request->framing == CW_FRAMING_CHUNKED) {
         cw_message_add_chunk(&head, cw_buffer_text(body), body->size);
         cw_message_add_last_chunk(&head);
-        upstream_conn_send(x->conn, x->id, is_bodiless, &head, NULL, 0);
+        upstream_conn_send(x->conn, x->request_id, is_bodiless, &head, NULL, 0);
     } else {
-        upstream_conn_send(x->conn, x->id, is_bodiless, &head, cw_buffer_text(body), body->size);
+        upstream_conn_send(x->conn, x->request_id, is_bodiless, &head, cw_buffer_text(body), body->size);
     }
     cw_buffer_free(&head);
     exchange_set_timer(x);
--- a/gateway/exchange_internal.h
+++ b/gateway/exchange_internal.h
@@ -24,9 +24,10 @@
 
 typedef struct exchange_t {
     exchanges_t* exchanges;
-    caller_t* caller; /* NULL: the caller has closed its connection, or its response is complete */
-    char id[REQUEST_ID_MAX];
-    char resumes[REQUEST_ID_MAX]; /* the caller's attempt that began the stream it resumes; "": none named */
+    caller_t* caller;                 /* NULL: the caller has closed its connection, or its response is complete */
+    char* request_id;                 /* as servers get it and send it back */
+    char id[REQUEST_ID_LOG_MAX];      /* the same for log lines, cut off; never empty */
+    char resumes[REQUEST_ID_LOG_MAX]; /* the caller's attempt that began the stream it resumes, cut off; "": none */
     cw_suspects_t suspects; /* its content, which identifies the request whatever its id, and parts of its prompt */
     cw_catalog_t* catalog;
     const cw_route_t* route;
--- a/gateway/request_head.c
+++ b/gateway/request_head.c
@@ -198,7 +198,7 @@
             return false;
         }
     }
-    return text[0] && strlen(text) < REQUEST_ID_MAX;
+    return text[0] != 0;
 }
 
 const char* request_fields_check(const dialect_t* d, const cw_message_t* request) {
--- a/gateway/request_head.h
+++ b/gateway/request_head.h
@@ -6,7 +6,7 @@
 #include "../io/message.h"
 #include "dialect.h"
 
-#define REQUEST_ID_MAX 128 /* bytes of a request id, with its terminating zero */
+#define REQUEST_ID_LOG_MAX 128 /* bytes of a request id in a log line, with its terminating zero */
 
 /* Fields that the gateway sets in a request to a server. */
 typedef struct request_head_t {
--- a/gateway/upstream_conn.c
+++ b/gateway/upstream_conn.c
@@ -80,6 +80,7 @@
     for (upstream_conn_t* conn = u->closed_conns; conn; conn = next) {
         next = conn->next_conn;
         cw_message_shutdown(&conn->response);
+        free(conn->request_id);
         free(conn);
     }
     u->closed_conns = NULL;
@@ -443,9 +444,17 @@
     return conn->received_ms;
 }
 
+static void set_request_id(upstream_conn_t* conn, const char* request_id) {
+    free(conn->request_id);
+    conn->request_id = strdup(request_id);
+    if (!conn->request_id) {
+        abort();
+    }
+}
+
 void upstream_conn_send(upstream_conn_t* conn, const char* request_id, bool is_bodiless, const cw_buffer_t* head,
                         const void* body, size_t size) {
-    cw_copy(conn->request_id, sizeof(conn->request_id), request_id);
+    set_request_id(conn, request_id);
     cw_message_reset(&conn->response);
     conn->response.is_bodiless = is_bodiless;
     conn->is_request_sent = true;
--- a/gateway/upstream_internal.h
+++ b/gateway/upstream_internal.h
@@ -49,7 +49,7 @@
     void* owner; /* NULL: idle */
     cw_stream_t stream;
     cw_message_t response;
-    char request_id[CW_NAME_MAX * 2];
+    char* request_id; /* of the last request sent; NULL: none yet */
     bool is_request_sent;
     int64_t sent_ms;            /* when the request was sent; 0: none yet */
     bool is_skipping;           /* the response being read belongs to an earlier request */
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -116,11 +116,12 @@
 
 /* The text with the request's id. The caller frees it. */
 static inline char* rig_expand(const char* text, const char* request) {
-    char id[128] = "";
+    char id[4096] = "";
     const char* field = strcasestr(request, "Chalkway-Request-Id: ");
     if (field) {
         field += strlen("Chalkway-Request-Id: ");
         size_t n = strcspn(field, "\r\n");
+        ck_assert_uint_lt(n, sizeof(id));
         memcpy(id, field, n);
         id[n] = 0;
     }
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -279,6 +279,57 @@
 }
 END_TEST
 
+/* The answer to a request with an id of 128 characters or more, or with an empty one, was taken for that of another
+   request and skipped: callers waited until their deadline. */
+START_TEST(a_request_id_of_any_length_is_recognized_in_the_response) {
+    static const size_t lengths[] = {0, 1, 127, 128, 129, 300, 1500};
+    for (size_t i = 0; i < sizeof(lengths) / sizeof(lengths[0]); i++) {
+        char id[1600];
+        char other[1601];
+        char text[4096];
+        char call[2000];
+        memset(id, 'x', lengths[i]);
+        id[lengths[i]] = 0;
+        snprintf(other, sizeof(other), "%sy", id); /* differs in the last character only */
+        snprintf(text, sizeof(text),
+                 "HTTP/1.1 200 OK\r\nChalkway-Request-Id: %s\r\nContent-Length: 4\r\n\r\nlate" OK("mine", "4"), other);
+        snprintf(call, sizeof(call),
+                 "POST /once/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\nChalkway-Request-Id: %s\r\n"
+                 "Content-Length: 0\r\n\r\n",
+                 id);
+        rig_t* r = rig_setup(ROUTES, 1);
+        set_script(r, 1, (rig_step_t[]){{RIG_RESPOND, text}});
+        const char* response = rig_call(r, call);
+        expect_status(response, "200");
+        ck_assert(strstr(response, "mine") && !strstr(response, "late"));
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
+/* A response of the gateway's own names the whole id, too. */
+START_TEST(an_error_response_names_a_long_request_id) {
+    char id[600];
+    char call[1000];
+    memset(id, 'x', sizeof(id) - 1);
+    id[sizeof(id) - 1] = 0;
+    static const char* const paths[] = {"/one/", "/nowhere/"};
+    static const char* const statuses[] = {"503", "404"};
+    for (size_t i = 0; i < sizeof(paths) / sizeof(paths[0]); i++) {
+        rig_t* r = rig_setup(ROUTES, 1);
+        set_script(r, 1, (rig_step_t[]){{RIG_RESPOND, NOT_RUN}});
+        snprintf(call, sizeof(call),
+                 "POST %s HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\nChalkway-Request-Id: %s\r\n"
+                 "Content-Length: 0\r\n\r\n",
+                 paths[i], id);
+        const char* response = rig_call(r, call);
+        expect_status(response, statuses[i]);
+        ck_assert_msg(strstr(response, id) != NULL, "%s", response);
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
 START_TEST(malformed_response_is_not_forwarded) {
     rig_t* r = rig_setup(ROUTES, 1);
     set_script(r, 1, (rig_step_t[]){{RIG_RESPOND, "what is this\r\n\r\n"}});
@@ -804,6 +855,8 @@
     tcase_add_test(t, truncated_response_does_not_look_complete);
     tcase_add_test(t, bytes_after_a_response_are_discarded);
     tcase_add_test(t, response_to_an_earlier_request_is_skipped);
+    tcase_add_test(t, a_request_id_of_any_length_is_recognized_in_the_response);
+    tcase_add_test(t, an_error_response_names_a_long_request_id);
     tcase_add_test(t, malformed_response_is_not_forwarded);
     tcase_add_test(t, server_that_reports_another_id_is_not_used_again);
     tcase_add_test(t, leaving_server_gets_no_new_requests);
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -35,16 +35,20 @@
     return strcmp(a, b) == 0;
 }
 
-/* The caller gets the first event of q1 and closes its connection. */
-static void begin_stream(rig_t* r) {
+/* The caller gets the first event and closes its connection. */
+static void begin_stream_with(rig_t* r, const char* call) {
     r->stop_on_response = true;
-    rig_write(r, CALL("q1", "k1", ""));
+    rig_write(r, call);
     while (!strstr(cw_buffer_text(&r->response), "data: a")) {
         ev_run(r->loop, EVRUN_ONCE);
     }
     rig_disconnect(r);
 }
 
+static void begin_stream(rig_t* r) {
+    begin_stream_with(r, CALL("q1", "k1", ""));
+}
+
 static const char* const mixes[][SERVERS] = {{"1", "2", "2"}, {"2", "1", "2"}, {"2", "2", "1"},
                                              {"1", "1", "2"}, {"-", "1", "-"}, {"1", "-", "1"}};
 #define MIXES (sizeof(mixes) / sizeof(mixes[0]))
@@ -89,6 +93,30 @@
 }
 END_TEST
 
+/* A stream whose id has 128 characters or more was denied when its caller took it up. Ids that differ in their last
+   character only name two streams. */
+START_TEST(a_stream_with_a_long_id_continues_at_its_version) {
+    char id[401];
+    char call[1000];
+    memset(id, 'x', sizeof(id) - 1);
+    id[sizeof(id) - 1] = 0;
+    for (size_t i = 0; i < MIXES; i++) {
+        rig_t* r = setup(mixes[i]);
+        rig_script(r, (rig_step_t[]){{RIG_RESPOND, EVENTS FIRST_EVENT}, {RIG_RESPOND, EVENTS SECOND_EVENT}}, 2);
+        snprintf(call, sizeof(call), CALL("%s", "k1", ""), id);
+        begin_stream_with(r, call);
+        snprintf(call, sizeof(call), CALL("q2", "k1", "Last-Event-Id: 1\r\nChalkway-Resumes: %sy\r\n"), id);
+        const char* response = rig_call(r, call);
+        ck_assert_msg(strncmp(response, "HTTP/1.1 503", 12) == 0, "%s", response);
+        snprintf(call, sizeof(call), CALL("q3", "k1", "Last-Event-Id: 1\r\nChalkway-Resumes: %s\r\n"), id);
+        response = rig_call(r, call);
+        ck_assert_msg(strstr(response, "data: b") != NULL, "%s", response);
+        ck_assert(is_same_version(r, r->arrival_server[0], r->arrival_server[1]));
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
 /* Nobody here knows the stream: a wrong guess would mix two versions. The caller is told when to ask again. */
 START_TEST(an_unknown_stream_is_refused_while_two_versions_serve) {
     static const char* const calls[] = {RESUME("q2", "k1"), CALL("q2", "k1", "Last-Event-Id: 1\r\n")};
@@ -144,6 +172,7 @@
 static void add_tests(TCase* t) {
     tcase_add_test(t, a_host_resumes_a_stream_at_its_version_only);
     tcase_add_test(t, a_stream_that_its_caller_resumes_continues_at_its_version);
+    tcase_add_test(t, a_stream_with_a_long_id_continues_at_its_version);
     tcase_add_test(t, an_unknown_stream_is_refused_while_two_versions_serve);
     tcase_add_test(t, a_stream_of_another_workspace_is_unknown);
     tcase_add_test(t, an_unknown_stream_goes_on_where_one_version_serves);
