A request with an empty id of the last event begins a stream

While servers of two versions served, a caller that sent an empty Last-Event-Id with its first try got 503 "the version of the stream is unknown" each time: the field alone made the request one that takes a stream up. An empty id is what a client sends that has received no event, so nothing can be joined; the stream begins, and is bound to its version. With Resumes beside it the caller does take a stream up, and the version is sought as before.

tests/test_stream_versions.c a_request_with_an_empty_id_of_the_last_event_begins_a_stream failed before (no answer of a server until the timeout). Last-Event-Id 0, and an empty one with Resumes, are now among the cases of an_unknown_stream_is_refused_while_two_versions_serve, and passed before, too. stream_versions: 8 pass.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -298,7 +298,9 @@
     }
     const char* resumes = request_resumes(dialect, m);
     cw_copy(x->resumes, sizeof(x->resumes), resumes);
-    x->is_resumed_by_caller = cw_message_field(m, dialect->fields.last_event) != NULL;
+    const char* last_event = cw_message_field(m, dialect->fields.last_event);
+    /* An empty id alone is that of a caller that has received no event. */
+    x->is_resumed_by_caller = last_event && (last_event[0] || resumes[0]);
     x->work.begins_stream = !x->is_resumed_by_caller;
     x->stream = streams_id(x->workspace ? cw_name_id(x->workspace->name) : 0,
                            x->is_resumed_by_caller ? resumes : x->request_id);
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -117,9 +117,25 @@
 }
 END_TEST
 
+/* A stream that begins was refused as an unknown one because its caller sent an empty id of the last event, as clients
+   that have received none do. It begins like any other, and is bound to its version. */
+START_TEST(a_request_with_an_empty_id_of_the_last_event_begins_a_stream) {
+    for (size_t i = 0; i < MIXES; i++) {
+        rig_t* r = setup(mixes[i]);
+        rig_script(r, (rig_step_t[]){{RIG_RESPOND, EVENTS FIRST_EVENT}, {RIG_RESPOND, EVENTS SECOND_EVENT}}, 2);
+        begin_stream_with(r, CALL("q1", "k1", "Last-Event-Id: \r\n"));
+        ck_assert(strstr(rig_call(r, RESUME("q2", "k1")), "data: b"));
+        ck_assert(is_same_version(r, r->arrival_server[0], r->arrival_server[1]));
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
 /* Nobody here knows the stream: a wrong guess would mix two versions. The caller is told when to ask again. */
 START_TEST(an_unknown_stream_is_refused_while_two_versions_serve) {
-    static const char* const calls[] = {RESUME("q2", "k1"), CALL("q2", "k1", "Last-Event-Id: 1\r\n")};
+    static const char* const calls[] = {RESUME("q2", "k1"), CALL("q2", "k1", "Last-Event-Id: 1\r\n"),
+                                        CALL("q2", "k1", "Last-Event-Id:\r\nChalkway-Resumes: q1\r\n"),
+                                        CALL("q2", "k1", "Last-Event-Id: 0\r\n")};
     for (size_t i = 0; i < sizeof(calls) / sizeof(calls[0]); i++) {
         rig_t* r = setup(mixes[0]);
         rig_script(r, (rig_step_t[]){{RIG_RESPOND, EVENTS SECOND_EVENT}}, 1);
@@ -173,6 +189,7 @@
     tcase_add_test(t, a_host_resumes_a_stream_at_its_version_only);
     tcase_add_test(t, a_stream_that_its_caller_resumes_continues_at_its_version);
     tcase_add_test(t, a_stream_with_a_long_id_continues_at_its_version);
+    tcase_add_test(t, a_request_with_an_empty_id_of_the_last_event_begins_a_stream);
     tcase_add_test(t, an_unknown_stream_is_refused_while_two_versions_serve);
     tcase_add_test(t, a_stream_of_another_workspace_is_unknown);
     tcase_add_test(t, an_unknown_stream_goes_on_where_one_version_serves);
