Native interface: the text of a failure is no part of a resumed stream

Callers got an engine's error page as events of their stream, and lacked as many events after it: once a stream had begun, whatever a later engine answered was forwarded and counted as its events, with any status and type.

--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -45,14 +45,17 @@
     cw_exchange_stream(r->x, HTTP_OK, headers, 3);
 }
 
+static bool is_event_stream(const request_t* r) {
+    return r->upstream_status == HTTP_OK && strncmp(r->upstream_type, sse_type, sizeof(sse_type) - 1) == 0;
+}
+
 static void on_head(void* user, unsigned status, const char* content_type) {
     request_t* r = user;
     r->upstream_status = status;
     cw_copy(r->upstream_type, sizeof(r->upstream_type), content_type);
     r->first_byte_ms = r->first_byte_ms ? r->first_byte_ms : node_now_ms();
     request_event(r, CW_EV_RESPONSE_HEAD);
-    bool stream = status == HTTP_OK && strncmp(content_type, sse_type, sizeof(sse_type) - 1) == 0;
-    if (stream && r->wants_stream && r->x && !r->is_streaming) {
+    if (is_event_stream(r) && r->wants_stream && r->x && !r->is_streaming) {
         begin_stream(r);
     }
 }
@@ -109,7 +112,8 @@
             return true;
         }
     }
-    if (r->is_streaming) {
+    /* What resumes a stream may be the text of a failure. */
+    if (r->is_streaming && is_event_stream(r)) {
         forward_events(r, data, size);
     }
     return true;
