Native interface: the end event of a stream is passed on once

Callers got "[DONE]" twice where the connection broke, or the engine was silent, after that event: only a framed end counted as the end of the stream, so it was resumed although nothing was left. The end event now ends the stream even if the connection breaks after it; where the attempt is replaced for silence, nothing after the end event is forwarded.

--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -112,8 +112,8 @@
             return true;
         }
     }
-    /* What resumes a stream may be the text of a failure. */
-    if (r->is_streaming && is_event_stream(r)) {
+    /* What resumes a stream may be the text of a failure, or the end event once more. */
+    if (r->is_streaming && is_event_stream(r) && !r->stream.ended) {
         forward_events(r, data, size);
     }
     return true;
@@ -180,9 +180,8 @@
     request_t* r = user;
     r->call = NULL;
     r->upstream_status = result->status ? result->status : r->upstream_status;
-    /* The end event of a stream shows its end whatever the framing. */
-    bool is_response_complete =
-        r->is_streaming ? r->stream.ended && (result->is_complete || result->is_unframed) : result->is_complete;
+    /* The end event of a stream shows its end, even if the connection breaks after it. */
+    bool is_response_complete = r->is_streaming ? r->stream.ended : result->is_complete;
     bool is_busy = is_response_complete && result->status == HTTP_UNAVAILABLE && r->class->repeatable;
     if (result->is_vetoed) {
         request_event(r, CW_EV_GRANT_EXPIRED);
--- a/tests/test_engine_streams.c
+++ b/tests/test_engine_streams.c
@@ -25,10 +25,13 @@
 #define NO_EVENT "1b\r\n<p>failed</p>\n\n<p>why</p>\n\n\r\n0\r\n\r\n"
 #define WHOLE "data: a\n\ndata: b\n\ndata: c\n\ndata: [DONE]\n\n"
 
-/* What the engine sends for one request for a completion; then it closes or resets the connection. */
+/* How the engine ends the connection after its text. */
+typedef enum end_t { END_CLOSE = 0, END_RESET, END_SILENCE } end_t;
+
+/* What the engine sends for one request for a completion. */
 typedef struct step_t {
     const char* text;
-    bool resets;
+    end_t end;
 } step_t;
 
 static site_t site;
@@ -58,10 +61,13 @@
     ck_assert_int_eq(send(fd, text, strlen(text), MSG_NOSIGNAL), (ssize_t)strlen(text));
 }
 
-/* Ends the connection. Before a reset, the entry gets the time to read what was sent. */
-static void end_connection(int fd, bool resets) {
-    struct linger linger = {.l_onoff = resets};
-    if (resets) {
+/* Before a reset, the entry gets the time to read what was sent. */
+static void end_connection(int fd, end_t end) {
+    const struct linger linger = {.l_onoff = 1};
+    if (end == END_SILENCE) {
+        return;
+    }
+    if (end == END_RESET) {
         site_sleep_ms(200);
         setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
     }
@@ -75,13 +81,13 @@
         read_request(fd, request);
         if (strncmp(request, "POST ", 5) != 0) {
             send_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}");
-            end_connection(fd, false);
+            end_connection(fd, END_CLOSE);
             continue;
         }
         const step_t* step = &steps[next < count ? next : count - 1];
         next++;
         send_text(fd, step->text);
-        end_connection(fd, step->resets);
+        end_connection(fd, step->end);
     }
 }
 
@@ -101,12 +107,14 @@
 
 /* -- the entry ------------------------------------------------------------- */
 
+/* The engine is listed under two names, so that an attempt that is silent there can be replaced. */
 static void start_entry(const char* engine) {
     char digest[65];
     char items[2048];
     static const char* const platform[] = {"--host-lag", "0", NULL};
     const char* dir = getenv("CHALKWAY_BUILD");
     site_setup(&site, dir ? dir : "build");
+    site.extra_daemon_settings = "[entry]\nstall = 300ms\n";
     ck_assert(site_start(&site, SITE_PLATFORM, "platform", "h1", platform) != NULL);
     site_digest(TOKEN, digest);
     snprintf(items, sizeof(items),
@@ -115,8 +123,10 @@
              "{\"key\":\"classes/summary\",\"value\":{\"tier\":3,\"deadline_ms\":20000,\"queue_ms\":20000,"
              "\"pools\":[\"lang\"]}},"
              "{\"key\":\"upstreams/engine\",\"value\":{\"pool\":\"lang\",\"address\":\"%s\",\"hall\":\"h1\","
+             "\"slots\":4}},"
+             "{\"key\":\"upstreams/other\",\"value\":{\"pool\":\"lang\",\"address\":\"%s\",\"hall\":\"h1\","
              "\"slots\":4}}]}",
-             digest, engine);
+             digest, engine, engine);
     ck_assert(site_publish(&site, items));
     ck_assert(site_start_daemon(&site, "a", "h1") != NULL);
     ck_assert_msg(site_wait_ready(&site, WAIT_MS), "logs in %s", site.dir);
@@ -140,8 +150,9 @@
 }
 
 START_TEST(a_stream_goes_on_where_it_broke) {
-    expect_whole_stream(
-        (step_t[]){{EVENTS_HEAD CHUNKED TWO_EVENTS, false}, {EVENTS_HEAD CHUNKED LAST_EVENTS "0\r\n\r\n", false}}, 2);
+    expect_whole_stream((step_t[]){{EVENTS_HEAD CHUNKED TWO_EVENTS, END_CLOSE},
+                                   {EVENTS_HEAD CHUNKED LAST_EVENTS "0\r\n\r\n", END_CLOSE}},
+                        2);
 }
 END_TEST
 
@@ -153,17 +164,29 @@
         "HTTP/1.1 500 Bad\r\nContent-Type: text/event-stream\r\nConnection: close\r\n" CHUNKED NO_EVENT,
         "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nConnection: close\r\n" CHUNKED NO_EVENT};
     for (size_t i = 0; i < sizeof(failures) / sizeof(failures[0]); i++) {
-        expect_whole_stream((step_t[]){{EVENTS_HEAD CHUNKED TWO_EVENTS, false},
-                                       {failures[i], false},
-                                       {EVENTS_HEAD CHUNKED LAST_EVENTS "0\r\n\r\n", false}},
+        expect_whole_stream((step_t[]){{EVENTS_HEAD CHUNKED TWO_EVENTS, END_CLOSE},
+                                       {failures[i], END_CLOSE},
+                                       {EVENTS_HEAD CHUNKED LAST_EVENTS "0\r\n\r\n", END_CLOSE}},
                             3);
     }
 }
 END_TEST
 
+/* Callers got the end event twice where the connection broke or was silent after it: the stream was resumed although
+   nothing was left of it. */
+START_TEST(a_stream_that_breaks_after_its_end_event_is_complete) {
+    for (end_t end = END_CLOSE; end <= END_SILENCE; end++) {
+        expect_whole_stream((step_t[]){{EVENTS_HEAD CHUNKED TWO_EVENTS LAST_EVENTS, end},
+                                       {EVENTS_HEAD CHUNKED "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n", END_CLOSE}},
+                            2);
+    }
+}
+END_TEST
+
 static void add_tests(TCase* t) {
     tcase_add_test(t, a_stream_goes_on_where_it_broke);
     tcase_add_test(t, a_failure_is_no_part_of_a_stream);
+    tcase_add_test(t, a_stream_that_breaks_after_its_end_event_is_complete);
 }
 
 int main(void) {
