Streams: the version of a stream that was taken up outlives its first attempt

A stream that broke a second time got 503 "the version of the stream is unknown" while servers of two versions served: its version was forgotten at the deadline of the attempt that began it, although the attempt that took it up had a later one. A put of a known stream was ignored, even where the known one had expired, so a client's id that came again later was never recorded either.

A record with a later expiry (by 500 ms or more: copies that arrive in turn differ by the delay of messages) now takes the place of the known one, with the same version only; an expired one is replaced whatever its version. The place in the ring stays empty until it comes to the front, so the order of arrival and the cursors of the handover hold. A prolonged stream is announced as a new one is.

--- a/chalkway_stream_registry.h
+++ b/chalkway_stream_registry.h
@@ -24,6 +24,9 @@
 */
 #include "chalkway_core.h"
 
+/* Copies of a record that arrive in turn differ in their expiry by the delay of messages. */
+#define CW_STREAM_PROLONG_MIN_MS 500
+
 typedef struct cw_stream_record_t {
     uint64_t stream;  /* hash of the workspace and the id of the attempt that brought the first event */
     uint64_t pool;    /* id of the pool's name */
@@ -37,7 +40,8 @@
 /* allocator may be NULL. */
 cw_stream_registry_t* cw_stream_registry_setup(uint32_t capacity, const cw_allocator_t* allocator);
 void cw_stream_registry_shutdown(cw_stream_registry_t* r);
-/* Adds the stream unless it is known: its first event does not change. Returns whether it was added. */
+/* Adds the stream, or remembers a known one for longer: its version does not change. Returns whether it was added or
+   prolonged, by at least CW_STREAM_PROLONG_MIN_MS. */
 bool cw_stream_registry_put(cw_stream_registry_t* r, int64_t now_ms, const cw_stream_record_t* record);
 /* NULL: the stream is not known. Valid until the next cw_stream_registry_put. */
 const cw_stream_record_t* cw_stream_registry_find(const cw_stream_registry_t* r, int64_t now_ms, uint64_t stream);
@@ -67,6 +71,7 @@
     cw_map_t index;            /* stream to position */
     cw_stream_record_t* items; /* ring, in the order of arrival */
     uint32_t capacity, first, count;
+    uint32_t empty;   /* of count: places whose stream has been put again */
     uint64_t dropped; /* streams that have left the ring: the arrival number of the first one in it */
     uint64_t evicted;
 };
@@ -90,16 +95,34 @@
 }
 
 static void _cw_stream_registry_drop_first(cw_stream_registry_t* r) {
-    cw_map_remove(&r->index, r->items[r->first].stream);
+    if (r->items[r->first].stream) {
+        cw_map_remove(&r->index, r->items[r->first].stream);
+    } else {
+        r->empty--;
+    }
     r->first = (r->first + 1) % r->capacity;
     r->count--;
     r->dropped++;
 }
 
+/* Whether the record says more than the known one of the same stream. An expired one tells nothing any more. */
+static bool _cw_stream_registry_is_news(const cw_stream_record_t* known, int64_t now_ms,
+                                        const cw_stream_record_t* record) {
+    bool is_same_version = known->version == record->version;
+    bool is_prolonged = record->expires_ms - known->expires_ms >= CW_STREAM_PROLONG_MIN_MS;
+    return known->expires_ms <= now_ms || (is_same_version && is_prolonged);
+}
+
 bool cw_stream_registry_put(cw_stream_registry_t* r, int64_t now_ms, const cw_stream_record_t* record) {
-    if (!record->stream || cw_map_get(&r->index, record->stream) != CW_MAP_NONE) {
+    uint32_t known = record->stream ? cw_map_get(&r->index, record->stream) : CW_MAP_NONE;
+    if (!record->stream || (known != CW_MAP_NONE && !_cw_stream_registry_is_news(&r->items[known], now_ms, record))) {
         return false;
     }
+    if (known != CW_MAP_NONE) {
+        cw_map_remove(&r->index, record->stream);
+        r->items[known] = (cw_stream_record_t){0};
+        r->empty++;
+    }
     while (r->count && r->items[r->first].expires_ms <= now_ms) {
         _cw_stream_registry_drop_first(r);
     }
@@ -145,7 +168,7 @@
 }
 
 uint32_t cw_stream_registry_count(const cw_stream_registry_t* r) {
-    return r->count;
+    return r->count - r->empty;
 }
 
 uint64_t cw_stream_registry_evicted(const cw_stream_registry_t* r) {
--- a/tests/test_stream_state.c
+++ b/tests/test_stream_state.c
@@ -101,6 +101,28 @@
 }
 END_TEST
 
+/* A stream that is taken up lives longer than the attempt that began it. Its version stays the same, until an expired
+   id is used again. */
+START_TEST(a_known_stream_is_remembered_for_longer) {
+    cw_stream_registry_t* r = cw_stream_registry_setup(4, NULL);
+    ck_assert(put(r, 0, 1, 10, 1000) && put(r, 0, 2, 20, 1000));
+    ck_assert(!put(r, 0, 1, 10, 1000 + CW_STREAM_PROLONG_MIN_MS - 1) && !put(r, 0, 1, 11, 5000));
+    ck_assert(put(r, 500, 1, 10, 2000));
+    ck_assert_uint_eq(cw_stream_registry_find(r, 1999, 1)->version, 10);
+    ck_assert(!cw_stream_registry_find(r, 1000, 2));
+    ck_assert_uint_eq(cw_stream_registry_count(r), 2);
+    ck_assert(put(r, 2000, 1, 11, 3000));
+    ck_assert_uint_eq(cw_stream_registry_find(r, 2000, 1)->version, 11);
+    for (int64_t i = 1; i < 100; i++) {
+        ck_assert(put(r, 2000, 1, 11, 3000 + i * CW_STREAM_PROLONG_MIN_MS));
+        ck_assert(cw_stream_registry_find(r, 2000, 1));
+        ck_assert_uint_eq(cw_stream_registry_count(r), 1);
+    }
+    ck_assert_uint_eq(cw_stream_registry_evicted(r), 0);
+    cw_stream_registry_shutdown(r);
+}
+END_TEST
+
 START_TEST(a_full_registry_forgets_the_oldest_stream) {
     cw_stream_registry_t* r = cw_stream_registry_setup(4, NULL);
     for (uint64_t stream = 1; stream <= 100; stream++) {
@@ -390,6 +412,7 @@
     tcase_add_test(t, a_new_version_settles_before_streams_begin_there);
     tcase_add_test(t, more_versions_than_can_be_recorded_are_several);
     tcase_add_test(t, a_stream_keeps_its_first_version_until_it_expires);
+    tcase_add_test(t, a_known_stream_is_remembered_for_longer);
     tcase_add_test(t, a_full_registry_forgets_the_oldest_stream);
     tcase_add_test(t, own_streams_are_listed_in_parts);
     tcase_add_test(t, datagrams_about_streams_survive_the_round_trip);
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -35,18 +35,21 @@
     return strcmp(a, b) == 0;
 }
 
-/* The caller gets the first event and closes its connection. */
-static void begin_stream_with(rig_t* r, const char* call) {
+/* The caller reads up to the event and closes its connection. */
+static void read_until(rig_t* r, const char* call, const char* event) {
     r->stop_on_response = true;
     rig_write(r, call);
-    while (!strstr(cw_buffer_text(&r->response), "data: a")) {
+    while (r->is_caller_open && !strstr(cw_buffer_text(&r->response), event)) {
         ev_run(r->loop, EVRUN_ONCE);
+        ck_assert_msg(!rig_is_response_complete(cw_buffer_text(&r->response)) ||
+                          strstr(cw_buffer_text(&r->response), event),
+                      "%s", cw_buffer_text(&r->response));
     }
     rig_disconnect(r);
 }
 
 static void begin_stream(rig_t* r) {
-    begin_stream_with(r, CALL("q1", "k1", ""));
+    read_until(r, CALL("q1", "k1", ""), "data: a");
 }
 
 static const char* const mixes[][SERVERS] = {{"1", "2", "2"}, {"2", "1", "2"}, {"2", "2", "1"},
@@ -104,7 +107,7 @@
         rig_t* r = setup(mixes[i]);
         rig_script(r, (rig_step_t[]){{RIG_RESPOND, EVENTS FIRST_EVENT}, {RIG_RESPOND, EVENTS SECOND_EVENT}}, 2);
         snprintf(call, sizeof(call), CALL("%s", "k1", ""), id);
-        begin_stream_with(r, call);
+        read_until(r, call, "data: a");
         snprintf(call, sizeof(call), CALL("q2", "k1", "Last-Event-Id: 1\r\nChalkway-Resumes: %sy\r\n"), id);
         const char* response = rig_call(r, call);
         ck_assert_msg(strncmp(response, "HTTP/1.1 503", 12) == 0, "%s", response);
@@ -123,7 +126,7 @@
     for (size_t i = 0; i < MIXES; i++) {
         rig_t* r = setup(mixes[i]);
         rig_script(r, (rig_step_t[]){{RIG_RESPOND, EVENTS FIRST_EVENT}, {RIG_RESPOND, EVENTS SECOND_EVENT}}, 2);
-        begin_stream_with(r, CALL("q1", "k1", "Last-Event-Id: \r\n"));
+        read_until(r, CALL("q1", "k1", "Last-Event-Id: \r\n"), "data: a");
         ck_assert(strstr(rig_call(r, RESUME("q2", "k1")), "data: b"));
         ck_assert(is_same_version(r, r->arrival_server[0], r->arrival_server[1]));
         rig_shutdown(r);
@@ -131,6 +134,32 @@
 }
 END_TEST
 
+#define THIRD_EVENT "f\r\nid: 3\ndata: c\n\n\r\n0\r\n\r\n"
+#define UNFINISHED "f\r\nid: 2\ndata: b\n\n\r\n"
+
+/* A stream that was taken up was refused the next time, since its version was forgotten at the deadline of the attempt
+   that began it. */
+START_TEST(a_stream_goes_on_at_its_version_however_often_it_is_taken_up) {
+    for (size_t i = 0; i < MIXES; i++) {
+        rig_t* r = setup(mixes[i]);
+        rig_script(r,
+                   (rig_step_t[]){{RIG_RESPOND, EVENTS FIRST_EVENT},
+                                  {RIG_RESPOND, EVENTS UNFINISHED},
+                                  {RIG_RESPOND, EVENTS THIRD_EVENT}},
+                   3);
+        read_until(r, CALL("q1", "k1", "Chalkway-Deadline-Ms: 300\r\n"), "data: a");
+        read_until(r, CALL("q2", "k1", "Last-Event-Id: 1\r\nChalkway-Resumes: q1\r\n"), "data: b");
+        for (int64_t until_ms = clock_ms() + 400; clock_ms() < until_ms;) {
+            ev_run(r->loop, EVRUN_ONCE);
+        }
+        read_until(r, CALL("q3", "k1", "Last-Event-Id: 2\r\nChalkway-Resumes: q1\r\n"), "data: c");
+        ck_assert(is_same_version(r, r->arrival_server[0], r->arrival_server[1]));
+        ck_assert(is_same_version(r, r->arrival_server[0], r->arrival_server[2]));
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
 /* Nobody here knows the stream: a wrong guess would mix two versions. The caller is told when to ask again. */
 START_TEST(an_unknown_stream_is_refused_while_two_versions_serve) {
     static const char* const calls[] = {RESUME("q2", "k1"), CALL("q2", "k1", "Last-Event-Id: 1\r\n"),
@@ -190,6 +219,7 @@
     tcase_add_test(t, a_stream_that_its_caller_resumes_continues_at_its_version);
     tcase_add_test(t, a_stream_with_a_long_id_continues_at_its_version);
     tcase_add_test(t, a_request_with_an_empty_id_of_the_last_event_begins_a_stream);
+    tcase_add_test(t, a_stream_goes_on_at_its_version_however_often_it_is_taken_up);
     tcase_add_test(t, an_unknown_stream_is_refused_while_two_versions_serve);
     tcase_add_test(t, a_stream_of_another_workspace_is_unknown);
     tcase_add_test(t, an_unknown_stream_goes_on_where_one_version_serves);
