--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -226,6 +226,30 @@
 }
 END_TEST
 
+/* The caller takes a stream up, and what it gets breaks off again: the other server goes on where that ended, or where
+   the caller asked to go on if nothing has arrived. */
+START_TEST(a_stream_that_its_caller_took_up_resumes_after_its_last_event) {
+    static const char* const parts[] = {"f\r\nid: 6\ndata: a\n\n\r\n", "a\r\nid: 6\ndata\r\n", "9\r\n: note\n\n\n\r\n"};
+    static const char* const last_events[] = {"Last-Event-Id: 6\r\n", "Last-Event-Id: 5\r\n", "Last-Event-Id: 5\r\n"};
+    for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+        char text[300];
+        snprintf(text, sizeof(text), EVENTS_HEAD "%s", parts[i]);
+        rig_t* r = rig_setup(ROUTES, 2);
+        set_script(r, 2,
+                   (rig_step_t[]){{RIG_RESPOND_CLOSE, text},
+                                  {RIG_RESPOND, EVENTS_HEAD "f\r\nid: 7\ndata: b\n\n\r\n0\r\n\r\n"}});
+        const char* response = rig_call(r, "POST /resume/ HTTP/1.1\r\n" HEAD
+                                           "Last-Event-Id: 5\r\nChalkway-Resumes: q0\r\nContent-Length: 0\r\n\r\n");
+        ck_assert_msg(rig_is_response_complete(response) && strstr(response, "data: b"), "%s", response);
+        const char* field = strstr(r->arrivals[1], "Last-Event-Id:");
+        ck_assert_msg(field && !strstr(field + 1, "Last-Event-Id:") &&
+                          strncmp(field, last_events[i], strlen(last_events[i])) == 0,
+                      "%s", r->arrivals[1]);
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
 START_TEST(broken_stream_without_resume_does_not_look_complete) {
     rig_t* r = rig_setup(ROUTES, 2);
     set_script(r, 1, (rig_step_t[]){{RIG_RESPOND_CLOSE, EVENTS_HEAD "10\r\nid: 1\ndata: a\n\n\n\r\n"}});
@@ -850,6 +874,7 @@
     tcase_add_test(t, passed_deadline_gives_504_at_once);
     tcase_add_test(t, broken_stream_resumes_at_another_server_without_lost_or_repeated_events);
     tcase_add_test(t, a_stream_with_ids_that_are_no_numbers_resumes_without_lost_events);
+    tcase_add_test(t, a_stream_that_its_caller_took_up_resumes_after_its_last_event);
     tcase_add_test(t, broken_stream_without_resume_does_not_look_complete);
     tcase_add_test(t, response_without_length_ends_with_its_connection);
     tcase_add_test(t, truncated_response_does_not_look_complete);
--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -247,6 +247,27 @@
 }
 END_TEST
 
+/* The first server goes on while the other one's answer is on its way: only that one is passed on. */
+START_TEST(a_server_that_was_left_adds_nothing_when_it_goes_on) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    later_t later;
+    rig_script(
+        r,
+        (rig_step_t[]){{RIG_RESPOND, EVENTS_HEAD FIRST_EVENT RIG_SILENT_MS(850) "f\r\nid: 2\ndata: x\n\n\r\n"
+                                                                                "f\r\nid: 3\ndata: y\n\n\r\n0\r\n\r\n"},
+                       {RIG_RESPOND, EVENTS_HEAD
+                        "f\r\nid: 2\ndata: b\n\n\r\n" RIG_SILENT_MS(300) "f\r\nid: 3\ndata: c\n\n\r\n0\r\n\r\n"}},
+        2);
+    call_later(r, &later, 0.7, list_three);
+    const char* response = rig_call(r, STREAM);
+    ck_assert_uint_eq(r->arrival_count, 2);
+    ck_assert_msg(rig_is_response_complete(response) && strstr(response, "data: b") && strstr(response, "data: c") &&
+                      !strstr(response, "data: x") && !strstr(response, "data: y"),
+                  "%s", response);
+    rig_shutdown(r);
+}
+END_TEST
+
 static cw_stream_t other_caller;
 
 static void send_other_request(rig_t* r) {
@@ -387,6 +408,7 @@
     tcase_add_test(t, a_silent_stream_goes_on_when_no_retry_is_left);
     tcase_add_test(t, a_silent_stream_goes_on_when_its_path_breaks_and_no_server_is_left);
     tcase_add_test(t, a_stream_leaves_a_silent_server_once_another_can_be_used);
+    tcase_add_test(t, a_server_that_was_left_adds_nothing_when_it_goes_on);
     tcase_add_test(t, a_silent_stream_does_not_move_to_a_server_that_is_silent_too);
     tcase_add_test(t, a_stream_leaves_a_silent_server_before_a_newer_request_gets_a_slot);
     tcase_add_loop_test(t, a_silent_request_survives_the_rejection_by_its_other_server, 0, 2);
--- a/tests/test_sse.c
+++ b/tests/test_sse.c
@@ -68,6 +68,52 @@
 }
 END_TEST
 
+/* The same for each line end, with comments, times between retries and ids in the middle of events. Whether the other
+   server begins after the last event returned, at it, or anew, each event is returned once. */
+START_TEST(a_stream_resumes_after_a_break_at_any_byte_whatever_its_lines) {
+    static const char* const line_ends[] = {"\n", "\r\n", "\r"};
+    static const char* const events[] = {"data: a@id: 8@@", "id: 9@data: b@data: c@@", "event: x@id:10@data@@",
+                                         "id: 3@id: 11@data: d@@"};
+    enum { EVENTS = sizeof(events) / sizeof(events[0]) };
+    for (size_t l = 0; l < 3; l++) {
+        char texts[EVENTS][100];
+        char whole[400] = "";
+        for (size_t i = 0; i < EVENTS; i++) {
+            texts[i][0] = 0;
+            for (const char* c = events[i]; *c; c++) {
+                size_t size = strlen(texts[i]);
+                snprintf(texts[i] + size, sizeof(texts[i]) - size, "%.*s", *c == '@' ? 2 : 1,
+                         *c == '@' ? line_ends[l] : c);
+            }
+            strcat(whole, texts[i]);
+        }
+        for (size_t cut = 0; cut <= strlen(whole); cut++) {
+            for (size_t from = 0; from <= EVENTS; from++) {
+                char out[1000] = "";
+                cw_sse_t e = {0};
+                cw_sse_feed(&e, whole, cut);
+                append_all_events(&e, out);
+                if (from > e.count) {
+                    cw_sse_free(&e);
+                    continue; /* the other server would leave events out */
+                }
+                cw_sse_restart(&e);
+                for (size_t i = from; i < EVENTS; i++) {
+                    cw_sse_feed(&e, texts[i], 1);
+                    append_all_events(&e, out);
+                    cw_sse_feed(&e, texts[i] + 1, strlen(texts[i]) - 1);
+                    append_all_events(&e, out);
+                }
+                ck_assert(!cw_sse_is_behind(&e) && cw_sse_take_rest(&e).size == 0);
+                ck_assert_msg(strcmp(out, whole) == 0, "line end %zu, cut at %zu, again from %zu: %s", l, cut, from,
+                              out);
+                cw_sse_free(&e);
+            }
+        }
+    }
+}
+END_TEST
+
 /* Two streams of one answer: what the second server sends after the first one broke off. */
 typedef struct join_t {
     const char *first, *second, *expected;
@@ -219,6 +265,7 @@
     tcase_add_test(t, events_are_returned_complete_for_any_split);
     tcase_add_test(t, a_stream_ends_after_an_event_only_at_its_blank_line);
     tcase_add_test(t, a_stream_resumes_after_a_break_at_any_byte);
+    tcase_add_test(t, a_stream_resumes_after_a_break_at_any_byte_whatever_its_lines);
     tcase_add_test(t, ids_of_any_kind_join_a_resumed_stream);
     tcase_add_test(t, the_last_id_line_of_an_event_counts);
     tcase_add_test(t, an_id_is_kept_whole_or_not_at_all);
