--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -32,7 +32,7 @@
 
 /* Whether the request may be retried when the retry budget allows it. */
 static bool is_retryable(const exchange_t* x) {
-    return x->fsm.repeatable && x->fsm.attempts < x->fsm.max_attempts && (!x->is_head_sent || x->is_resumable_stream);
+    return x->fsm.repeatable && x->fsm.attempts < x->fsm.max_attempts && (!x->is_head_sent || x->fsm.resumable);
 }
 
 bool exchange_may_retry(const exchange_t* x) {
@@ -86,7 +86,7 @@
     x->sent_ms = x->progress_ms = now_ms;
     bool is_resuming = x->is_head_sent && x->events.last_id[0];
     e->stats.streams_resumed += is_resuming;
-    request_head_t set = {.request_id = x->id,
+    request_head_t set = {.request_id = x->request_id,
                           .workspace = x->workspace ? x->workspace->name : NULL,
                           .server = x->server->published.id,
                           .fetch_from = x->fetch_from[0] ? x->fetch_from : NULL,
@@ -101,9 +101,9 @@
     if (request->framing == CW_FRAMING_CHUNKED) {
         cw_message_add_chunk(&head, cw_buffer_text(body), body->size);
         cw_message_add_last_chunk(&head);
-        upstream_conn_send(x->conn, x->id, is_bodiless, &head, NULL, 0);
+        upstream_conn_send(x->conn, x->request_id, is_bodiless, &head, NULL, 0);
     } else {
-        upstream_conn_send(x->conn, x->id, is_bodiless, &head, cw_buffer_text(body), body->size);
+        upstream_conn_send(x->conn, x->request_id, is_bodiless, &head, cw_buffer_text(body), body->size);
     }
     cw_buffer_free(&head);
     exchange_set_timer(x);
@@ -345,6 +345,7 @@
     for (cw_bytes_view_t events = cw_sse_take(&x->events); events.size; events = cw_sse_take(&x->events)) {
         forward_body(x, events.data, events.size);
     }
+    x->fsm.resumable = cw_sse_can_resume(&x->events);
     arm_next_event_timeout(x);
     exchange_set_timer(x);
 }
@@ -385,6 +386,11 @@
     }
     if (x->is_resumable_stream) {
         cw_bytes_view_t rest = cw_sse_take_rest(&x->events);
+        if (cw_sse_is_behind(&x->events)) {
+            exchange_fail_attempt(x, CW_EV_UPSTREAM_FAILED, CW_TRY_FAILED,
+                                  "the stream ended before the event that it was to go on after");
+            return;
+        }
         forward_body(x, rest.data, rest.size);
     }
     x->result = x->is_server_error ? CW_TRY_FAILED : CW_TRY_SERVED;
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -209,6 +209,47 @@
 }
 END_TEST
 
+/* The text of the second server was lost, and the answer looked complete: its ids, which are no numbers, were compared
+   as such, so all its events were taken for repeats of the last one passed on. */
+START_TEST(a_stream_with_ids_that_are_no_numbers_resumes_without_lost_events) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    set_script(
+        r, 2,
+        (rig_step_t[]){{RIG_RESPOND_CLOSE, EVENTS_HEAD "16\r\nid: m-a\ndata: a\n\nid: m\r\n"},
+                       {RIG_RESPOND, EVENTS_HEAD "22\r\nid: m-b\ndata: b\n\nid: m-c\ndata: c\n\n\r\n0\r\n\r\n"}});
+    const char* response = rig_call(r, "POST /resume/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n");
+    ck_assert(strstr(r->arrivals[1], "Last-Event-Id: m-a\r\n"));
+    ck_assert_msg(rig_is_response_complete(response) && strstr(response, "data: a\n\n") &&
+                      strstr(response, "data: b\n\n") && strstr(response, "data: c\n\n"),
+                  "%s", response);
+    rig_shutdown(r);
+}
+END_TEST
+
+/* The caller takes a stream up, and what it gets breaks off again: the other server goes on where that ended, or where
+   the caller asked to go on if nothing has arrived. */
+START_TEST(a_stream_that_its_caller_took_up_resumes_after_its_last_event) {
+    static const char* const parts[] = {"f\r\nid: 6\ndata: a\n\n\r\n", "a\r\nid: 6\ndata\r\n", "9\r\n: note\n\n\n\r\n"};
+    static const char* const last_events[] = {"Last-Event-Id: 6\r\n", "Last-Event-Id: 5\r\n", "Last-Event-Id: 5\r\n"};
+    for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+        char text[300];
+        snprintf(text, sizeof(text), EVENTS_HEAD "%s", parts[i]);
+        rig_t* r = rig_setup(ROUTES, 2);
+        set_script(r, 2,
+                   (rig_step_t[]){{RIG_RESPOND_CLOSE, text},
+                                  {RIG_RESPOND, EVENTS_HEAD "f\r\nid: 7\ndata: b\n\n\r\n0\r\n\r\n"}});
+        const char* response = rig_call(r, "POST /resume/ HTTP/1.1\r\n" HEAD
+                                           "Last-Event-Id: 5\r\nChalkway-Resumes: q0\r\nContent-Length: 0\r\n\r\n");
+        ck_assert_msg(rig_is_response_complete(response) && strstr(response, "data: b"), "%s", response);
+        const char* field = strstr(r->arrivals[1], "Last-Event-Id:");
+        ck_assert_msg(field && !strstr(field + 1, "Last-Event-Id:") &&
+                          strncmp(field, last_events[i], strlen(last_events[i])) == 0,
+                      "%s", r->arrivals[1]);
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
 START_TEST(broken_stream_without_resume_does_not_look_complete) {
     rig_t* r = rig_setup(ROUTES, 2);
     set_script(r, 1, (rig_step_t[]){{RIG_RESPOND_CLOSE, EVENTS_HEAD "10\r\nid: 1\ndata: a\n\n\n\r\n"}});
@@ -262,6 +303,57 @@
 }
 END_TEST
 
+/* The answer to a request with an id of 128 characters or more, or with an empty one, was taken for that of another
+   request and skipped: callers waited until their deadline. */
+START_TEST(a_request_id_of_any_length_is_recognized_in_the_response) {
+    static const size_t lengths[] = {0, 1, 127, 128, 129, 300, 1500};
+    for (size_t i = 0; i < sizeof(lengths) / sizeof(lengths[0]); i++) {
+        char id[1600];
+        char other[1601];
+        char text[4096];
+        char call[2000];
+        memset(id, 'x', lengths[i]);
+        id[lengths[i]] = 0;
+        snprintf(other, sizeof(other), "%sy", id); /* differs in the last character only */
+        snprintf(text, sizeof(text),
+                 "HTTP/1.1 200 OK\r\nChalkway-Request-Id: %s\r\nContent-Length: 4\r\n\r\nlate" OK("mine", "4"), other);
+        snprintf(call, sizeof(call),
+                 "POST /once/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\nChalkway-Request-Id: %s\r\n"
+                 "Content-Length: 0\r\n\r\n",
+                 id);
+        rig_t* r = rig_setup(ROUTES, 1);
+        set_script(r, 1, (rig_step_t[]){{RIG_RESPOND, text}});
+        const char* response = rig_call(r, call);
+        expect_status(response, "200");
+        ck_assert(strstr(response, "mine") && !strstr(response, "late"));
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
+/* A response of the gateway's own names the whole id, too. */
+START_TEST(an_error_response_names_a_long_request_id) {
+    char id[600];
+    char call[1000];
+    memset(id, 'x', sizeof(id) - 1);
+    id[sizeof(id) - 1] = 0;
+    static const char* const paths[] = {"/one/", "/nowhere/"};
+    static const char* const statuses[] = {"503", "404"};
+    for (size_t i = 0; i < sizeof(paths) / sizeof(paths[0]); i++) {
+        rig_t* r = rig_setup(ROUTES, 1);
+        set_script(r, 1, (rig_step_t[]){{RIG_RESPOND, NOT_RUN}});
+        snprintf(call, sizeof(call),
+                 "POST %s HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\nChalkway-Request-Id: %s\r\n"
+                 "Content-Length: 0\r\n\r\n",
+                 paths[i], id);
+        const char* response = rig_call(r, call);
+        expect_status(response, statuses[i]);
+        ck_assert_msg(strstr(response, id) != NULL, "%s", response);
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
 START_TEST(malformed_response_is_not_forwarded) {
     rig_t* r = rig_setup(ROUTES, 1);
     set_script(r, 1, (rig_step_t[]){{RIG_RESPOND, "what is this\r\n\r\n"}});
@@ -781,11 +873,15 @@
     tcase_add_test(t, stalled_stream_is_retried_after_two_targets);
     tcase_add_test(t, passed_deadline_gives_504_at_once);
     tcase_add_test(t, broken_stream_resumes_at_another_server_without_lost_or_repeated_events);
+    tcase_add_test(t, a_stream_with_ids_that_are_no_numbers_resumes_without_lost_events);
+    tcase_add_test(t, a_stream_that_its_caller_took_up_resumes_after_its_last_event);
     tcase_add_test(t, broken_stream_without_resume_does_not_look_complete);
     tcase_add_test(t, response_without_length_ends_with_its_connection);
     tcase_add_test(t, truncated_response_does_not_look_complete);
     tcase_add_test(t, bytes_after_a_response_are_discarded);
     tcase_add_test(t, response_to_an_earlier_request_is_skipped);
+    tcase_add_test(t, a_request_id_of_any_length_is_recognized_in_the_response);
+    tcase_add_test(t, an_error_response_names_a_long_request_id);
     tcase_add_test(t, malformed_response_is_not_forwarded);
     tcase_add_test(t, server_that_reports_another_id_is_not_used_again);
     tcase_add_test(t, leaving_server_gets_no_new_requests);
