chalkwayd: a stream ends with its end event, once

What callers saw: streams whose connection broke, stalled or stayed open behind the end event ended twice, with two "[DONE]", or with an error event behind it. Events that an engine wrote after its end event were forwarded.

Cause: an attempt was complete only if the end event and the end of the connection both said so. Otherwise the daemon asked an engine for the rest of a stream that had none, and that engine wrote the end again.

Change: the end event ends the stream (cw_token_stream_take takes nothing after it). How the connection ends doesn't matter any more; when the stall timeout, the deadline or a preemption would end the attempt, it is complete.

Ways weighed: ending the call at the end event, which is less code, but the end of a chunked response arrives with it, so no connection to an engine would be used again; and waiting for the connection with the timeouts that there are, taken.

The stand-in states its version and can break off or hang behind its end.

--- a/chalkway_token_stream.h
+++ b/chalkway_token_stream.h
@@ -39,7 +39,7 @@
 } cw_token_stream_t;
 
 /* Counts the complete events at the start of data and returns their size in bytes. data begins at the start of an
-   event. */
+   event. Nothing after the end event is taken. */
 size_t cw_token_stream_take(cw_token_stream_t* stream, const char* data, size_t size);
 
 #endif /* CHALKWAY_TOKEN_STREAM_H */
@@ -55,14 +55,14 @@
 
 size_t cw_token_stream_take(cw_token_stream_t* stream, const char* data, size_t size) {
     size_t begin = 0;
-    for (size_t i = 1; i < size; i++) {
+    for (size_t i = 1; i < size && !stream->ended; i++) {
         if (data[i] != '\n' || data[i - 1] != '\n') {
             continue;
         }
         size_t length = i + 1 - begin;
         bool is_end = length == sizeof(_cw_token_stream_end_event) - 1 &&
                       memcmp(data + begin, _cw_token_stream_end_event, length) == 0;
-        stream->ended = stream->ended || is_end;
+        stream->ended = is_end;
         stream->tokens += is_end ? 0 : 1;
         begin = i + 1;
         i++; /* an event has at least one byte before its empty line */
--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -74,6 +74,9 @@
 
 /* Forwards the events that are complete; the start of an incomplete one stays in partial_event. */
 static void forward_events(request_t* r, const char* data, size_t size) {
+    if (r->stream.ended) {
+        return;
+    }
     if (r->partial_event.size + size > EVENT_MAX_BYTES) {
         const cw_call_result_t result = {
             .sent = true, .status = r->upstream_status, .message = "an event of the stream is too long"};
@@ -148,6 +151,16 @@
     request_event(r, CW_EV_RESPONSE_END);
 }
 
+bool attempt_settle(request_t* r) {
+    if (!r->stream.ended || !r->call) {
+        return false;
+    }
+    cw_call_cancel(r->call);
+    r->call = NULL;
+    attempt_ended(r);
+    return true;
+}
+
 void attempt_missed_deadline(request_t* r) {
     if (r->sent_ms && r->grant) {
         cw_estimate_add(&r->estimate->run_time_ms, (uint32_t)(node_now_ms() - r->sent_ms));
@@ -176,9 +189,8 @@
     request_t* r = user;
     r->call = NULL;
     r->upstream_status = result->status ? result->status : r->upstream_status;
-    /* The end event of a stream shows its end whatever the framing. */
-    bool is_response_complete =
-        r->is_streaming ? r->stream.ended && (result->is_complete || result->is_unframed) : result->is_complete;
+    /* The end event of a stream shows its end, however the connection ends. */
+    bool is_response_complete = r->is_streaming ? r->stream.ended : result->is_complete;
     bool is_busy = is_response_complete && result->status == HTTP_UNAVAILABLE && r->class->repeatable;
     if (result->is_vetoed) {
         request_event(r, CW_EV_GRANT_EXPIRED);
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -335,8 +335,11 @@
 }
 
 static void on_request_timer(request_t* r, int64_t now_ms) {
+    bool is_due = now_ms >= r->deadline_ms || now_ms >= stall_time_ms(r);
     if (r->joined_record != CW_RUN_NONE) {
         reject_joined_at_deadline(r);
+    } else if (is_due && attempt_settle(r)) {
+        return;
     } else if (r->machine.state == CW_REQ_DETACHED) {
         r->machine.is_retry_allowed = false;
         request_event(r, CW_EV_UPSTREAM_FAILED);
@@ -491,7 +494,7 @@
         r->unacknowledged_since_ms = 0;
         r->next_resend_ms = node_now_ms() + SLOT_REQUEST_RESEND_MS;
         request_arm(r);
-    } else if (r && a->kind == CW_SHARD_PREEMPT && r->grant == a->grant) {
+    } else if (r && a->kind == CW_SHARD_PREEMPT && r->grant == a->grant && !attempt_settle(r)) {
         request_set_error(r, HTTP_UNAVAILABLE, "preempted", "answer", NULL, "a protected request needed the slot",
                           1000);
         r->machine.is_retry_allowed = true;
--- a/daemon/entry_internal.h
+++ b/daemon/entry_internal.h
@@ -223,6 +223,9 @@
 
 /* Begins an attempt at the upstream of the request's grant. */
 void attempt_begin(request_t* r);
+/* Completes the attempt if its stream has ended, although its connection has not; false: the stream goes on. May free
+   the request. */
+bool attempt_settle(request_t* r);
 /* Ends the attempt, which has made no progress for too long, before another slot is granted. */
 void attempt_stalled(request_t* r);
 /* Ends the attempt, which has made no progress for too long and has a replacement. */
--- a/standins/fake_engine.c
+++ b/standins/fake_engine.c
@@ -4,13 +4,20 @@
     POST /v1/chat/completions, /v1/completions
         The prompt contains "id=ID len=N". The response has N tokens, each derived from ID and its position, so that
         the caller can verify every byte. With "stream": true they are sent as events, followed by "[DONE]". max_tokens
-        limits N. Chalkway-Priority orders the queue; Chalkway-Resume-From: K starts the response at token K.
+        limits N. Chalkway-Priority orders the queue; Chalkway-Resume-From: K starts the response at token K. Streams
+        state the software version in Chalkway-Version.
     GET  /v1/load       {"running", "waiting", "draining"}; running is --lag old, the others are current
     POST /admin/set?step_ms=X&drain=0|1&crash_after=N&lag_ms=N&cut_after=N&endless_after=N&unframed=0|1&version=N
+                   &cut_at_end=1&hang_at_end=1&fail_resumed=1&unversioned=0|1
         crash_after: the process exits after N more steps of single requests, that is tokens or prefill steps.
         cut_after: the next stream to reach N tokens is broken off there.
         endless_after: the next stream to reach N tokens goes on with bytes that end no event, until it is closed.
-        version: of its software, default 0; tokens of other versions begin with "vN-".
+        version: of its software, default 0, stated as "vN"; tokens of other versions begin with "vN-". Requests that
+        run keep theirs.
+        cut_at_end: the next stream that ends is broken off right after its end event.
+        hang_at_end: the next stream that ends stays open after its end event, and an event follows.
+        fail_resumed: the next resumed request is answered with status 500 and text with an empty line.
+        unversioned: streams don't state their version.
         unframed: streams have no chunks and end with their connection, which is closed also where one is broken off.
     GET  /admin/stats   requests; tokens produced, of these for callers that closed; highest number of running requests
 
@@ -43,6 +50,7 @@
     bool is_endless; /* sends bytes that are no event until its connection is closed */
     char id[64];
     uint32_t token_count, tokens_sent, sent_from;
+    uint32_t version;     /* of the software when the request arrived */
     double prefill_steps; /* prefill steps left before the first token */
     cw_buffer_t text;     /* response so far, unless streamed */
 } job_t;
@@ -56,7 +64,7 @@
     double arrival_count;
     uint32_t running, max_running;
     uint64_t request_count, total_tokens, wasted_tokens;
-    bool is_draining, is_unframed;
+    bool is_draining, is_unframed, is_unversioned, cuts_at_end, hangs_at_end, fails_resumed;
     int64_t crash_after, cut_after, endless_after; /* negative: not set */
     uint64_t endless_bytes;
     uint64_t cache[CACHE_ENTRIES];
@@ -121,7 +129,16 @@
     if (job->is_streaming) {
         static const char end[] = "data: [DONE]\n\n";
         cw_exchange_push(job->x, end, sizeof(end) - 1);
-        cw_exchange_finish(job->x, true);
+        if (e->hangs_at_end) {
+            static const char extra[] = "data: {}\n\n";
+            cw_exchange_push(job->x, extra, sizeof(extra) - 1);
+            e->hangs_at_end = false;
+            cw_exchange_set_data(job->x, NULL);
+            job_free(e, job);
+            return;
+        }
+        cw_exchange_finish(job->x, !e->cuts_at_end);
+        e->cuts_at_end = false;
     } else {
         json_t* root = json_pack("{s:s,s:[{s:i,s:{s:s,s:s},s:s}],s:{s:i}}", "object", "chat.completion", "choices",
                                  "index", 0, "message", "role", "assistant", "content", cw_buffer_text(&job->text),
@@ -136,7 +153,7 @@
 
 static void job_send_token(engine_t* e, job_t* job) {
     char token[32];
-    int n = write_token(token, job->id, e->version, job->tokens_sent);
+    int n = write_token(token, job->id, job->version, job->tokens_sent);
     job->tokens_sent++;
     e->total_tokens++;
     if (job->is_streaming) {
@@ -242,6 +259,18 @@
     return NULL;
 }
 
+static void begin_stream(const engine_t* e, cw_exchange_t* x) {
+    char version[16];
+    snprintf(version, sizeof(version), "v%u", e->version);
+    const cw_header_t headers[] = {{"Content-Type", "text/event-stream"}, {"Chalkway-Version", version}};
+    uint32_t count = e->is_unversioned ? 1 : 2;
+    if (e->is_unframed) {
+        cw_exchange_stream_unframed(x, 200, headers, count);
+    } else {
+        cw_exchange_stream(x, 200, headers, count);
+    }
+}
+
 static void handle_completion(engine_t* e, cw_exchange_t* x) {
     size_t size = 0;
     const char* body = cw_exchange_body(x, &size);
@@ -258,7 +287,16 @@
     }
     e->request_count++;
     job->x = x;
+    job->version = e->version;
     const char* resume_from = cw_exchange_header(x, "Chalkway-Resume-From");
+    if (resume_from && e->fails_resumed) {
+        static const char text[] = "internal error\n\nat step 1\n\n";
+        e->fails_resumed = false;
+        cw_exchange_reply(x, 500, NULL, 0, text, sizeof(text) - 1);
+        job_free(e, job);
+        json_decref(root);
+        return;
+    }
     job->tokens_sent = resume_from ? (uint32_t)strtoul(resume_from, NULL, 10) : 0;
     const char* priority = cw_exchange_header(x, "Chalkway-Priority");
     size_t len = strlen(prompt);
@@ -267,12 +305,7 @@
     }
     cw_exchange_set_data(x, job);
     if (job->is_streaming) {
-        const cw_header_t headers[] = {{"Content-Type", "text/event-stream"}};
-        if (e->is_unframed) {
-            cw_exchange_stream_unframed(x, 200, headers, 1);
-        } else {
-            cw_exchange_stream(x, 200, headers, 1);
-        }
+        begin_stream(e, x);
     }
     json_decref(root);
     cw_heap_set(&e->queue, (uint32_t)(job - e->jobs),
@@ -307,6 +340,10 @@
         e->step_ms = standin_number_arg(x, "step_ms", e->step_ms);
         e->version = (uint32_t)standin_number_arg(x, "version", e->version);
         e->is_unframed = standin_number_arg(x, "unframed", e->is_unframed) != 0;
+        e->is_unversioned = standin_number_arg(x, "unversioned", e->is_unversioned) != 0;
+        e->hangs_at_end = standin_number_arg(x, "hang_at_end", e->hangs_at_end) != 0;
+        e->cuts_at_end = standin_number_arg(x, "cut_at_end", e->cuts_at_end) != 0;
+        e->fails_resumed = standin_number_arg(x, "fail_resumed", e->fails_resumed) != 0;
         e->is_draining = standin_number_arg(x, "drain", e->is_draining) != 0;
         e->crash_after = (int64_t)standin_number_arg(x, "crash_after", (double)e->crash_after);
         e->cut_after = (int64_t)standin_number_arg(x, "cut_after", (double)e->cut_after);
@@ -342,7 +379,7 @@
 
 typedef struct args_t {
     const char* address;
-    uint32_t slots, report_lag_ms;
+    uint32_t slots, report_lag_ms, version;
     double step_ms, batch_us, prefill_us;
 } args_t;
 
@@ -364,6 +401,9 @@
         case 'p':
             args->prefill_us = strtod(arg, NULL);
             return 0;
+        case 'v':
+            args->version = (uint32_t)strtoul(arg, NULL, 10);
+            return 0;
         case 'l':
             args->report_lag_ms = (uint32_t)strtoul(arg, NULL, 10);
             return 0;
@@ -380,6 +420,7 @@
         {"batch", 'b', "US", 0, "added to a step per running request, default 100", 0},
         {"prefill", 'p', "US", 0, "prefill time per uncached prompt token, default 50", 0},
         {"lag", 'l', "MS", 0, "age of load reports, default 500", 0},
+        {"version", 'v', "N", 0, "of its software, default 0", 0},
         {0},
     };
     const struct argp argp = {.options = options, .parser = parse_option, .doc = "Stand-in for a model engine."};
@@ -389,6 +430,7 @@
     static engine_t engine;
     engine_t* e = &engine;
     e->slots = args.slots;
+    e->version = args.version;
     e->report_lag_ms = args.report_lag_ms;
     e->step_ms = args.step_ms;
     e->batch_us = args.batch_us;
--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -228,6 +228,17 @@
 }
 END_TEST
 
+START_TEST(nothing_is_forwarded_after_the_end_event) {
+    static const char text[] = "data: a\n\ndata: [DONE]\n\ndata: b\n\n";
+    cw_token_stream_t s = {0};
+    size_t whole = strlen("data: a\n\ndata: [DONE]\n\n");
+    ck_assert_uint_eq(cw_token_stream_take(&s, text, sizeof(text) - 1), whole);
+    ck_assert(s.ended);
+    ck_assert_uint_eq(cw_token_stream_take(&s, text + whole, sizeof(text) - 1 - whole), 0);
+    ck_assert_uint_eq(s.tokens, 1);
+}
+END_TEST
+
 /* The sizes of a pool's shards differ by at most one, and a new upstream moves at most one upstream across each shard
    boundary. */
 START_TEST(shards_are_even_and_stable) {
@@ -347,6 +358,7 @@
     tcase_add_test(t, rendezvous_moves_only_keys_of_a_removed_host);
     tcase_add_test(t, shards_are_even_and_stable);
     tcase_add_loop_test(t, stream_forwards_complete_events_only, 0, 40);
+    tcase_add_test(t, nothing_is_forwarded_after_the_end_event);
     tcase_add_test(t, settings_are_parsed_with_units);
     tcase_add_test(t, all_invalid_settings_are_reported_at_once);
     tcase_add_test(t, log_writes_pairs_and_json);
