chalkwayd: only event streams are forwarded as events

What callers saw: text of an engine's error in the middle of their stream, where the error's body had an empty line.

Cause: once a stream had begun, the body of any further response to the request was taken for events, whatever its status and type.

Change: the events of an attempt are forwarded only if its own response is an event stream with status 200. Others are read to their end as before, and the stream is asked for again within its attempts.

Ways weighed: ending the attempt at the head, which loses what a 503 says about draining; and passing over the body, taken.

Evidence: an_error_text_is_not_forwarded_as_events failed on the code as it was (wrong token: "internal error"), passes now.

--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -51,8 +51,8 @@
     cw_copy(r->upstream_type, sizeof(r->upstream_type), content_type);
     r->first_byte_ms = r->first_byte_ms ? r->first_byte_ms : node_now_ms();
     request_event(r, CW_EV_RESPONSE_HEAD);
-    bool stream = status == HTTP_OK && strncmp(content_type, sse_type, sizeof(sse_type) - 1) == 0;
-    if (stream && r->wants_stream && r->x && !r->is_streaming) {
+    r->sends_events = status == HTTP_OK && strncmp(content_type, sse_type, sizeof(sse_type) - 1) == 0;
+    if (r->sends_events && r->wants_stream && r->x && !r->is_streaming) {
         begin_stream(r);
     }
 }
@@ -112,7 +112,7 @@
             return true;
         }
     }
-    if (r->is_streaming) {
+    if (r->is_streaming && r->sends_events) {
         forward_events(r, data, size);
     }
     return true;
--- a/daemon/entry_internal.h
+++ b/daemon/entry_internal.h
@@ -120,6 +120,7 @@
     int64_t next_seek_ms; /* when to seek a replacement again, 0: once the attempt has stalled */
     cw_call_t* call;
     unsigned upstream_status;
+    bool sends_events; /* the attempt's response is an event stream */
     char upstream_type[64];
     cw_token_stream_t stream;  /* parser of the event stream that is forwarded to the caller */
     int64_t last_progress_ms;  /* last time the attempt made progress; compared with the stall timeout */
--- a/tests/test_site_versions.c
+++ b/tests/test_site_versions.c
@@ -220,10 +220,21 @@
 }
 END_TEST
 
+/* An engine answers the request for the rest of a stream with an error, whose text has empty lines like events. */
+START_TEST(an_error_text_is_not_forwarded_as_events) {
+    static const char* const versions[] = {"0"};
+    start_site(versions, 1, "v0");
+    set_engine(0, "cut_after=20&fail_resumed=1");
+    ck_assert_int_eq(run_stream("a", 0), WHOLE);
+    site_shutdown(&site);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
     tcase_add_loop_test(t, streams_are_of_one_version_when_hosts_are_killed_in_a_release, 0, 4);
     tcase_add_test(t, a_stream_that_breaks_after_its_end_event_ends_once);
     tcase_add_test(t, a_stream_that_hangs_after_its_end_event_ends_once);
+    tcase_add_test(t, an_error_text_is_not_forwarded_as_events);
 }
 
 int main(void) {
