chalkwayd: a stream is bound to the version that the response states

What callers saw: streams with text of two software versions, complete and with 200. An engine that had started again under its name and address with another version took up streams of other engines for as long as its document said the earlier version, and its own streams went on at the earlier one; the same between engines whose documents state no version.

Cause: the version of an attempt was that of the document of its upstream, read as the attempt began. The document is what an operator published some time ago, "" was a version like any other, and nothing checked which process answered.

Change: engines state the version of their software with the response (Chalkway-Version). It is read from the head of the response that carries the events, so no time passes between knowing and sending. The first event binds the stream; a further response that states another version, or none, is given up before any of it passes, without blame for the upstream. A stream whose first response stated no version ends where it breaks. Documents choose the candidates only; an upstream without a listed version is one. Observations of crashes keep the version of the document, which they are compared with.

For engines that state none: going on by their documents, which leaves the fault as it is, or ending where the stream breaks, taken.

--- a/chalkway_pick.h
+++ b/chalkway_pick.h
@@ -40,7 +40,7 @@
 typedef struct cw_pick_spec_t {
     uint64_t id;
     uint64_t hall;
-    uint64_t version; /* id of its software's version */
+    uint64_t version; /* id of its software's version, 0: unknown */
     uint32_t slots;   /* requests it may run at once */
     bool leaving;     /* gets no new requests */
 } cw_pick_spec_t;
@@ -57,7 +57,7 @@
     uint64_t prefix;  /* hash of the prompt's start, 0: none */
     uint64_t hall;    /* hall to prefer, 0: none */
     uint64_t exclude; /* upstream to avoid, 0: none */
-    uint64_t version; /* version that the upstream must have, 0: any */
+    uint64_t version; /* version that the upstream must have if its version is known, 0: any */
     uint32_t keep;    /* slots of the shard that must stay free after this request has taken one */
 } cw_pick_query_t;
 
@@ -97,7 +97,7 @@
 uint32_t cw_pick_find(const cw_pick_t* pick, uint64_t id);
 /* Sets the share (0..1] of every limit that this table may use: less than 1 during a partition or a take-over. */
 void cw_pick_set_share(cw_pick_t* pick, double share);
-/* Whether an upstream of the version can get requests once it has a free slot. */
+/* Whether an upstream of the version, or of an unknown one, can get requests once it has a free slot. */
 bool cw_pick_has_version(const cw_pick_t* pick, uint64_t version);
 /* Index of the best upstream with a free slot, or CW_PICK_NONE. */
 uint32_t cw_pick_choose(const cw_pick_t* pick, int64_t now_ms, const cw_pick_query_t* query);
@@ -270,7 +270,7 @@
 }
 
 static bool _cw_pick_matches_version(const cw_pick_upstream_t* up, uint64_t version) {
-    return !version || up->spec.version == version;
+    return !version || !up->spec.version || up->spec.version == version;
 }
 
 bool cw_pick_has_version(const cw_pick_t* pick, uint64_t version) {
--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -14,14 +14,16 @@
 #define HTTP_UNAVAILABLE 503
 
 static const char sse_type[] = "text/event-stream";
+static const char version_header[] = "Chalkway-Version";
 
+/* By the documents. They may be older than the upstream's process: its response decides. */
 bool attempt_can_use(const request_t* r, uint64_t upstream) {
     if (!r->stream_version) {
         return true;
     }
     cw_snapshot_t* newest = cw_store_snapshot(r->entry->node->store);
     const cw_upstream_t* u = cw_snapshot_upstream(newest, upstream);
-    bool result = !u || u->version_id == r->stream_version;
+    bool result = !u || !u->version[0] || u->version_id == r->stream_version;
     cw_snapshot_release(newest);
     return result;
 }
@@ -45,6 +47,23 @@
     cw_exchange_stream(r->x, HTTP_OK, headers, 3);
 }
 
+static void attempt_failed(request_t* r, const cw_call_result_t* result);
+
+/* Reads the software version that the upstream states; false: the attempt was ended, since it is not that of the
+   stream. */
+static bool check_version(request_t* r) {
+    const char* version = cw_call_header(r->call, version_header);
+    r->response_version = version && version[0] ? cw_name_id(version) : 0;
+    if (!r->stream.tokens || r->response_version == r->stream_version) {
+        return true;
+    }
+    const cw_call_result_t result = {
+        .sent = true, .status = r->upstream_status, .message = "its software version did not begin the stream"};
+    r->is_other_version = true;
+    attempt_failed(r, &result);
+    return false;
+}
+
 static void on_head(void* user, unsigned status, const char* content_type) {
     request_t* r = user;
     r->upstream_status = status;
@@ -52,6 +71,9 @@
     r->first_byte_ms = r->first_byte_ms ? r->first_byte_ms : node_now_ms();
     request_event(r, CW_EV_RESPONSE_HEAD);
     r->sends_events = status == HTTP_OK && strncmp(content_type, sse_type, sizeof(sse_type) - 1) == 0;
+    if (r->sends_events && !check_version(r)) {
+        return;
+    }
     if (r->sends_events && r->wants_stream && r->x && !r->is_streaming) {
         begin_stream(r);
     }
@@ -70,7 +92,11 @@
     return false;
 }
 
-static void attempt_failed(request_t* r, const cw_call_result_t* result);
+/* The first event binds the stream to the version of the process that sent it. */
+static void bind_stream(request_t* r) {
+    r->stream_version = r->response_version;
+    r->machine.resumable = r->machine.resumable && r->stream_version;
+}
 
 /* Forwards the events that are complete; the start of an incomplete one stays in partial_event. */
 static void forward_events(request_t* r, const char* data, size_t size) {
@@ -89,7 +115,9 @@
         return;
     }
     if (r->x) {
-        r->stream_version = r->stream_version ? r->stream_version : r->upstream_version;
+        if (!r->machine.has_forwarded_body) {
+            bind_stream(r);
+        }
         cw_exchange_push(r->x, r->partial_event.data, complete_bytes);
         request_event(r, CW_EV_BODY_FORWARDED);
     }
@@ -236,6 +264,7 @@
     cw_snapshot_release(newest);
     r->sent_ms = r->body_began_ms = 0;
     r->has_survived_start = false;
+    r->is_other_version = false;
     r->partial_event.size = 0;
     r->is_upstream_paused = false;
     r->response.body.size = 0;
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -227,6 +227,9 @@
         case CW_EV_RESPONSE_END:
             return r->upstream_status < HTTP_SERVER_ERROR ? CW_PICK_SERVED : CW_PICK_FAILED;
         case CW_EV_UPSTREAM_FAILED:
+            if (r->is_other_version) {
+                return CW_PICK_CANCELLED;
+            }
             return r->upstream_status == HTTP_UNAVAILABLE ? CW_PICK_DRAINING : CW_PICK_FAILED;
         case CW_EV_CONNECT_FAILED:
             return CW_PICK_FAILED;
--- a/daemon/entry_internal.h
+++ b/daemon/entry_internal.h
@@ -110,8 +110,9 @@
     uint32_t first_shard;            /* shard that got the first slot request */
     uint64_t grant;                  /* id of the held grant, 0: none */
     uint64_t upstream;               /* upstream of the grant */
-    uint64_t upstream_version;       /* id of that upstream's version */
-    uint64_t stream_version;         /* version that began the stream, 0: no event has been forwarded */
+    uint64_t upstream_version;       /* id of that upstream's version by the documents */
+    uint64_t response_version;       /* id of the version that the attempt's response states, 0: none */
+    uint64_t stream_version;         /* that of the response that began the stream; 0: none stated, or no event yet */
     bool is_direct;                  /* the slot belongs to this entry's static share */
     /* sent_ms: when the attempt's first byte was sent, 0: not yet. */
     int64_t grant_expires_ms, sent_ms, slot_request_sent_ms;
@@ -120,7 +121,8 @@
     int64_t next_seek_ms; /* when to seek a replacement again, 0: once the attempt has stalled */
     cw_call_t* call;
     unsigned upstream_status;
-    bool sends_events; /* the attempt's response is an event stream */
+    bool sends_events;     /* the attempt's response is an event stream */
+    bool is_other_version; /* the attempt reached a version that must not continue the stream */
     char upstream_type[64];
     cw_token_stream_t stream;  /* parser of the event stream that is forwarded to the caller */
     int64_t last_progress_ms;  /* last time the attempt made progress; compared with the stall timeout */
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -72,7 +72,7 @@
         if (slots) {
             specs[count++] = (cw_pick_spec_t){.id = u->id,
                                               .hall = cw_name_id(u->hall),
-                                              .version = u->version_id,
+                                              .version = u->version[0] ? u->version_id : 0,
                                               .slots = slots,
                                               .leaving = node_is_upstream_leaving(node, u)};
         }
--- a/tests/test_shard.c
+++ b/tests/test_shard.c
@@ -491,6 +491,19 @@
 }
 END_TEST
 
+/* An upstream whose version is unknown may have it: its response tells. */
+START_TEST(resumed_stream_gets_a_slot_of_an_unknown_version) {
+    cw_shard_t* s = shard_of_two_versions();
+    const cw_pick_spec_t specs[] = {{.id = 11, .hall = 1, .version = 1, .slots = 1}, {.id = 12, .hall = 1, .slots = 1}};
+    ck_assert_int_eq(cw_shard_set_upstreams(s, specs, 2), CW_OK);
+    request_slot(s, 0, make_resuming_request(1, 1, 3));
+    actions_t actions = drain_actions(s, 0);
+    ck_assert_int_eq(actions.grants, 1);
+    ck_assert_uint_eq(actions.grant.upstream, 12);
+    cw_shard_shutdown(s);
+}
+END_TEST
+
 /* It may be cancelled, its wait may end, and its workspace's limit holds. */
 START_TEST(resumed_stream_that_waits_ends_like_others) {
     cw_shard_t* s = shard_of_two_versions();
@@ -589,6 +602,7 @@
     tcase_add_test(t, only_preemptible_lower_tier_is_preempted);
     tcase_add_test(t, leaving_upstream_gets_no_new_requests);
     tcase_add_test(t, resumed_stream_gets_a_slot_of_its_version);
+    tcase_add_test(t, resumed_stream_gets_a_slot_of_an_unknown_version);
     tcase_add_test(t, resumed_stream_is_refused_without_an_upstream_of_its_version);
     tcase_add_test(t, resumed_stream_that_waits_ends_like_others);
     tcase_add_loop_test(t, random_runs_keep_invariants, 0, 100);
--- a/tests/test_site_versions.c
+++ b/tests/test_site_versions.c
@@ -83,6 +83,17 @@
     site_call(&(site_request_t){.address = engines[i]->http, .path = path, .body = ""});
 }
 
+/* Ends an engine and starts it again under its address with another software version. */
+static void upgrade_in_place(int i, const char* version) {
+    char address[SITE_ADDRESS_MAX];
+    char name[16];
+    snprintf(address, sizeof(address), "%s", engines[i]->http);
+    snprintf(name, sizeof(name), "e%d-v%s", i, version);
+    site_kill(engines[i]);
+    engines[i] = start_engine(name, address, version);
+    ck_assert_ptr_nonnull(engines[i]);
+}
+
 /* -- streams -------------------------------------------------------------- */
 
 /* Checks the text of a stream: its tokens follow from id and position. */
@@ -165,6 +176,66 @@
 
 /* -- tests ---------------------------------------------------------------- */
 
+/* An engine starts again under its name and address with another version, and its document still says the earlier one,
+   in odd rounds for as long as the platform is down. Streams must not go on there after the other engine has ended,
+   nor, in the last rounds, at the other one after it has ended itself. */
+START_TEST(a_stream_is_not_resumed_at_an_engine_upgraded_in_place) {
+    static const char* const versions[] = {"0", "0"};
+    pid_t children[STREAMS];
+    start_site(versions, 2, "v0");
+    if (_i % 2) {
+        site_kill(site_find_process(&site, "platform"));
+    }
+    upgrade_in_place(1, "1");
+    begin_streams(children, "a");
+    site_sleep_ms(250);
+    site_kill(engines[_i / 2]);
+    ck_assert_int_gt(check_streams(children), 0);
+    site_shutdown(&site);
+}
+END_TEST
+
+/* Documents that state no version say nothing about it: streams must not go on at just any such engine. */
+START_TEST(a_stream_is_not_resumed_at_another_version_that_is_not_listed) {
+    static const char* const versions[] = {"0", "1"};
+    pid_t children[STREAMS];
+    start_site(versions, 2, NULL);
+    begin_streams(children, "a");
+    site_sleep_ms(250);
+    site_kill(engines[0]);
+    ck_assert_int_gt(check_streams(children), 0);
+    site_shutdown(&site);
+}
+END_TEST
+
+/* An engine is upgraded while streams run there, and answers again before the daemon asks for the rest. */
+START_TEST(a_stream_does_not_outlast_an_upgrade_of_its_only_engine) {
+    static const char* const versions[] = {"0"};
+    start_site(versions, 1, "v0");
+    pid_t child = fork();
+    if (child == 0) {
+        _exit(run_stream("a", 0));
+    }
+    site_sleep_ms(250);
+    set_engine(0, "cut_after=50&version=1");
+    int status = 0;
+    waitpid(child, &status, 0);
+    ck_assert(WIFEXITED(status));
+    ck_assert_int_eq(WEXITSTATUS(status), BROKEN_OFF);
+    site_shutdown(&site);
+}
+END_TEST
+
+/* An engine that does not state its version may have been upgraded in place: its streams end where they break. */
+START_TEST(a_stream_without_a_stated_version_is_not_resumed) {
+    static const char* const versions[] = {"0"};
+    start_site(versions, 1, "v0");
+    set_engine(0, "unversioned=1&cut_after=20");
+    ck_assert_int_eq(run_stream("a", 0), BROKEN_OFF);
+    site_shutdown(&site);
+}
+END_TEST
+
 /* The host that allocates is killed, or all hosts are and start again, while both versions serve and engines break
    streams off. */
 START_TEST(streams_are_of_one_version_when_hosts_are_killed_in_a_release) {
@@ -231,6 +302,10 @@
 END_TEST
 
 static void add_tests(TCase* t) {
+    tcase_add_loop_test(t, a_stream_is_not_resumed_at_an_engine_upgraded_in_place, 0, 4);
+    tcase_add_test(t, a_stream_is_not_resumed_at_another_version_that_is_not_listed);
+    tcase_add_test(t, a_stream_does_not_outlast_an_upgrade_of_its_only_engine);
+    tcase_add_test(t, a_stream_without_a_stated_version_is_not_resumed);
     tcase_add_loop_test(t, streams_are_of_one_version_when_hosts_are_killed_in_a_release, 0, 4);
     tcase_add_test(t, a_stream_that_breaks_after_its_end_event_ends_once);
     tcase_add_test(t, a_stream_that_hangs_after_its_end_event_ends_once);
