--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -14,14 +14,16 @@
 #define HTTP_UNAVAILABLE 503
 
 static const char sse_type[] = "text/event-stream";
+static const char version_header[] = "Chalkway-Version";
 
+/* By the documents. They may be older than the upstream's process: its response decides. */
 bool attempt_can_use(const request_t* r, uint64_t upstream) {
     if (!r->stream_version) {
         return true;
     }
     cw_snapshot_t* newest = cw_store_snapshot(r->entry->node->store);
     const cw_upstream_t* u = cw_snapshot_upstream(newest, upstream);
-    bool result = !u || u->version_id == r->stream_version;
+    bool result = !u || !u->version[0] || u->version_id == r->stream_version;
     cw_snapshot_release(newest);
     return result;
 }
@@ -45,8 +47,21 @@
     cw_exchange_stream(r->x, HTTP_OK, headers, 3);
 }
 
-static bool is_event_stream(const request_t* r) {
-    return r->upstream_status == HTTP_OK && strncmp(r->upstream_type, sse_type, sizeof(sse_type) - 1) == 0;
+static void attempt_failed(request_t* r, const cw_call_result_t* result);
+
+/* Reads the software version that the upstream states; false: the attempt was ended, since it is not that of the
+   stream. */
+static bool check_version(request_t* r) {
+    const char* version = cw_call_header(r->call, version_header);
+    r->response_version = version && version[0] ? cw_name_id(version) : 0;
+    if (!r->stream.tokens || r->response_version == r->stream_version) {
+        return true;
+    }
+    const cw_call_result_t result = {
+        .sent = true, .status = r->upstream_status, .message = "its software version did not begin the stream"};
+    r->is_other_version = true;
+    attempt_failed(r, &result);
+    return false;
 }
 
 static void on_head(void* user, unsigned status, const char* content_type) {
@@ -55,7 +70,11 @@
     cw_copy(r->upstream_type, sizeof(r->upstream_type), content_type);
     r->first_byte_ms = r->first_byte_ms ? r->first_byte_ms : node_now_ms();
     request_event(r, CW_EV_RESPONSE_HEAD);
-    if (is_event_stream(r) && r->wants_stream && r->x && !r->is_streaming) {
+    r->sends_events = status == HTTP_OK && strncmp(content_type, sse_type, sizeof(sse_type) - 1) == 0;
+    if (r->sends_events && !check_version(r)) {
+        return;
+    }
+    if (r->sends_events && r->wants_stream && r->x && !r->is_streaming) {
         begin_stream(r);
     }
 }
@@ -73,10 +92,17 @@
     return false;
 }
 
-static void attempt_failed(request_t* r, const cw_call_result_t* result);
+/* The first event binds the stream to the version of the process that sent it. */
+static void bind_stream(request_t* r) {
+    r->stream_version = r->response_version;
+    r->machine.resumable = r->machine.resumable && r->stream_version;
+}
 
 /* Forwards the events that are complete; the start of an incomplete one stays in partial_event. */
 static void forward_events(request_t* r, const char* data, size_t size) {
+    if (r->stream.ended) {
+        return;
+    }
     if (r->partial_event.size + size > EVENT_MAX_BYTES) {
         const cw_call_result_t result = {
             .sent = true, .status = r->upstream_status, .message = "an event of the stream is too long"};
@@ -89,7 +115,9 @@
         return;
     }
     if (r->x) {
-        r->stream_version = r->stream_version ? r->stream_version : r->upstream_version;
+        if (!r->machine.has_forwarded_body) {
+            bind_stream(r);
+        }
         cw_exchange_push(r->x, r->partial_event.data, complete_bytes);
         request_event(r, CW_EV_BODY_FORWARDED);
     }
@@ -112,8 +140,7 @@
             return true;
         }
     }
-    /* What resumes a stream may be the text of a failure, or the end event once more. */
-    if (r->is_streaming && is_event_stream(r) && !r->stream.ended) {
+    if (r->is_streaming && r->sends_events) {
         forward_events(r, data, size);
     }
     return true;
@@ -152,6 +179,16 @@
     request_event(r, CW_EV_RESPONSE_END);
 }
 
+bool attempt_settle(request_t* r) {
+    if (!r->stream.ended || !r->call) {
+        return false;
+    }
+    cw_call_cancel(r->call);
+    r->call = NULL;
+    attempt_ended(r);
+    return true;
+}
+
 void attempt_missed_deadline(request_t* r) {
     if (r->sent_ms && r->grant) {
         cw_estimate_add(&r->estimate->run_time_ms, (uint32_t)(node_now_ms() - r->sent_ms));
@@ -180,7 +217,7 @@
     request_t* r = user;
     r->call = NULL;
     r->upstream_status = result->status ? result->status : r->upstream_status;
-    /* The end event of a stream shows its end, even if the connection breaks after it. */
+    /* The end event of a stream shows its end, however the connection ends. */
     bool is_response_complete = r->is_streaming ? r->stream.ended : result->is_complete;
     bool is_busy = is_response_complete && result->status == HTTP_UNAVAILABLE && r->class->repeatable;
     if (result->is_vetoed) {
@@ -227,6 +264,7 @@
     cw_snapshot_release(newest);
     r->sent_ms = r->body_began_ms = 0;
     r->has_survived_start = false;
+    r->is_other_version = false;
     r->partial_event.size = 0;
     r->is_upstream_paused = false;
     r->response.body.size = 0;
--- a/tests/test_engine_streams.c
+++ b/tests/test_engine_streams.c
@@ -18,7 +18,7 @@
 #define REQUEST_MAX 8192
 #define STEPS_MAX 4
 
-#define EVENTS_HEAD "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"
+#define EVENTS_HEAD "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nChalkway-Version: 1\r\nConnection: close\r\n"
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 #define TWO_EVENTS "12\r\ndata: a\n\ndata: b\n\n\r\n"
 #define LAST_EVENTS "17\r\ndata: c\n\ndata: [DONE]\n\n\r\n"
