Tests: the power loss of a host is played once hosts read the list of servers at a steady pace

The test passed in two of four runs under sanitizers: a host that has just started may wait more than 1.5 s for its next list, and announces its streams until then (stream-version lines: recorded, where the other runs have unknown). The streams now begin 4 s after the hosts are ready, as the fault needs a sound source.

--- a/tests/test_stream_losses.c
+++ b/tests/test_stream_losses.c
@@ -18,7 +18,7 @@
 #define BEFORE_S 0.5 /* from then until a loss */
 #define ONE_VERSION_S 1.0
 #define TWO_VERSIONS_S 10.0 /* versions serve side by side for this long before a loss */
-#define SETTLED_S 4.0       /* streams begin at both versions by then */
+#define SETTLED_S 4.0       /* streams begin at both versions by then, and lists of servers are read at a steady pace */
 #define RELEASE_S 2.0
 #define SECOND_VERSION_S 0.5
 #define EARLIER_RUNS_EVERY 3  /* one prompt of so many had a run before */
@@ -105,10 +105,10 @@
     }
 }
 
-static void start_with_one_version(site_t* s) {
+static void start_with_one_version(site_t* s, double settled_s) {
     add_engines(s, engines_for(s), "v1");
     site_start(s);
-    site_run(s, ONE_VERSION_S);
+    site_run(s, settled_s);
 }
 
 static void start_with_two_versions(site_t* s, double settled_s) {
@@ -119,7 +119,7 @@
 }
 
 static void play_one_version(site_t* s, variation_t variation) {
-    start_with_one_version(s);
+    start_with_one_version(s, ONE_VERSION_S);
     begin_streams(s, 60, variation);
     site_run(s, BEFORE_S);
     lose_all_hosts(s, variation);
@@ -159,7 +159,7 @@
 
 /* Engines of v2 join, and leave the list again before the loss. */
 static void play_rollback(site_t* s, variation_t variation) {
-    start_with_one_version(s);
+    start_with_one_version(s, ONE_VERSION_S);
     store_copy(&s->store);
     uint32_t old_count = s->engine_count;
     add_engines(s, old_count / 2, "v2");
@@ -246,7 +246,7 @@
 
 /* A host without power says nothing, and connections to it hang. */
 static void play_power_loss(site_t* s, variation_t variation) {
-    start_with_one_version(s);
+    start_with_one_version(s, SETTLED_S);
     s->prefers_first_host = true;
     begin_streams(s, 60, variation);
     site_run(s, BEFORE_S);
