--- a/standins/fake_upstream.c
+++ b/standins/fake_upstream.c
@@ -8,7 +8,8 @@
     Engine (--prefill above 0): up to --slots requests run at once, taken from the queue by priority. Each step
     prefills up to CHUNK_TOKENS of the most urgent unfinished prompt and produces one event for every request whose
     prefill is complete. Event K of request ID is "id: K", "data: <hash of ID, the server's version and K>";
-    ID is that of Chalkway-Resumes if the request has it. "Chalkway-Tokens: IN,OUT" gives
+    ID is that of Chalkway-Resumes if the request has it. With --runs the data goes on with " RUN AFTER": the run that
+    sent the event, and the event after which that run began. "Chalkway-Tokens: IN,OUT" gives
     the prompt length and the number of events; Last-Event-Id: K resumes after event K.
 
     Service (no --prefill): after --ms the response is "ran ID".
@@ -73,6 +74,7 @@
     cw_exchange_t* x;
     bool is_used, is_running, has_begun, is_query_of_death;
     char stream[96];          /* what the data of events is derived from */
+    char run[64];             /* what follows the data of events, "": nothing */
     bool is_unframed;         /* the response ends with its connection */
     bool is_in_event;         /* the last event sent lacks its blank line */
     bool is_endless;          /* goes on with bytes that end no event once it reaches break_at_events */
@@ -87,7 +89,10 @@
     standin_t standin;
     cw_lines_t lines;
     const char* id;
+    const char* address; /* listen address */
     const char* version; /* of its software */
+    bool names_runs;     /* events name the run that sent them */
+    uint32_t run_count;
     uint32_t slots, queue_max;
     double prefill_us; /* per prompt token; 0: plain service */
     double call_ms, slowdown;
@@ -233,11 +238,11 @@
 }
 
 static void send_event(job_t* job) {
-    char event[96];
+    char event[160];
     job->events_sent++;
-    int n = snprintf(event, sizeof(event), "%sid: %u\ndata: %016llx\n%s", job->is_in_event ? "\n" : "",
+    int n = snprintf(event, sizeof(event), "%sid: %u\ndata: %016llx%s\n%s", job->is_in_event ? "\n" : "",
                      job->events_sent, (unsigned long long)XXH64(job->stream, strlen(job->stream), job->events_sent),
-                     job->is_unframed ? "" : "\n");
+                     job->run, job->is_unframed ? "" : "\n");
     job->is_in_event = job->is_unframed;
     cw_exchange_push(job->x, event, (size_t)n);
 }
@@ -384,6 +389,9 @@
     }
     job->prefill_left = job->tokens;
     job->events_sent = after ? (uint32_t)strtoul(after, NULL, 10) : 0;
+    if (u->names_runs) {
+        snprintf(job->run, sizeof(job->run), " %s-%d-%u %u", u->id, (int)getpid(), ++u->run_count, job->events_sent);
+    }
     cw_exchange_set_data(x, job);
     size_t size = 0;
     job->is_query_of_death = strncmp(cw_exchange_body(x, &size), "deadly", strlen("deadly")) == 0 || has_deadly_part(x);
@@ -460,6 +468,12 @@
         case 'v':
             u->version = arg;
             return 0;
+        case 'a':
+            u->address = arg;
+            return 0;
+        case 'r':
+            u->names_runs = true;
+            return 0;
         case 's':
             u->slots = (uint32_t)strtoul(arg, NULL, 10);
             return 0;
@@ -481,6 +495,8 @@
     static const struct argp_option options[] = {
         {"id", 'i', "ID", 0, "id of this incarnation of the server", 0},
         {"version", 'v', "TEXT", 0, "version of its software, default 1", 0},
+        {"address", 'a', "IP:PORT", 0, "listen address, default 127.0.0.1:0", 0},
+        {"runs", 'r', NULL, 0, "events name the run that sent them", 0},
         {"slots", 's', "N", 0, "concurrent requests, default 8", 0},
         {"queue", 'q', "N", 0, "queue length, default 25", 0},
         {"prefill", 'p', "US", 0, "engine: prefill time per prompt token", 0},
@@ -490,6 +506,7 @@
     const struct argp argp = {
         .options = options, .parser = parse_option, .doc = "Stand-in for a server behind a gateway."};
     static upstream_t upstream = {.id = "s",
+                                  .address = "127.0.0.1:0",
                                   .version = "1",
                                   .slots = 8,
                                   .queue_max = 25,
@@ -500,7 +517,7 @@
     upstream_t* u = &upstream;
     argp_parse(&argp, argc, argv, 0, NULL, u);
     u->queue = cw_heap_setup(MAX_JOBS, NULL);
-    if (!standin_setup(&u->standin, &(cw_httpd_desc_t){.address = "127.0.0.1:0",
+    if (!standin_setup(&u->standin, &(cw_httpd_desc_t){.address = u->address,
                                                        .on_request = on_request,
                                                        .on_caller_closed = on_caller_closed,
                                                        .user_data = u})) {
