Soak: checks of a stream's events over all requests of its caller

Cause: callers cut a broken stream after its last right event before they took it up, so events that were missing, doubled or foreign in a response that broke off left no trace, and a stream that its caller left was never checked.

Change: callers record which events each response brought, from which run and version ("events"), also when they leave it. soak_streams.c follows each stream over all requests for it: missing-event, event-twice, event-order, runs-joined, early-end, and versions, which takes the place of the callers' own flag MIXED and covers all that flag covered. None is tolerated. Streams taken up while two upstreams of their version serve are printed as figures: taken up, gone on, refused, after losses of all hosts or other breaks, with one or several versions in service. A new kind, "story", has streams of a second or more, so that faults meet streams in progress. The records of three unit tests get the events that their streams now need.

Result: unit tests find each planted fault and pass sound streams.

--- a/Makefile
+++ b/Makefile
@@ -67,7 +67,7 @@
 $(BUILD)/chalkway-load: $(BUILD)/tools/chalkway_load.o $(BUILD)/tools/load.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
-$(BUILD)/chalkway-soak: $(BUILD)/tools/soak.o $(BUILD)/tools/soak_site.o $(BUILD)/tools/soak_faults.o $(BUILD)/tools/soak_check.o $(BUILD)/tools/soak_qod.o $(BUILD)/tools/soak_pushback.o $(BUILD)/standins/standin.o $(IO) $(LIB)
+$(BUILD)/chalkway-soak: $(BUILD)/tools/soak.o $(BUILD)/tools/soak_site.o $(BUILD)/tools/soak_faults.o $(BUILD)/tools/soak_check.o $(BUILD)/tools/soak_qod.o $(BUILD)/tools/soak_pushback.o $(BUILD)/tools/soak_streams.o $(BUILD)/standins/standin.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
 # Preloaded into hosts: the clock of a soak's hosts, and broken network paths. Never sanitized, since they come before
@@ -78,7 +78,7 @@
 	@mkdir -p $(@D)
 	$(CC) -std=c11 -D_GNU_SOURCE $(OPT) $(WARN) -fPIC -shared $< -o $@ -ldl
 
-$(BUILD)/chalkway-soak-callers: $(BUILD)/tools/soak_callers.o $(BUILD)/tools/soak_check.o $(BUILD)/tools/soak_qod.o $(BUILD)/tools/soak_pushback.o $(BUILD)/standins/standin.o $(IO) $(LIB)
+$(BUILD)/chalkway-soak-callers: $(BUILD)/tools/soak_callers.o $(BUILD)/tools/soak_check.o $(BUILD)/tools/soak_qod.o $(BUILD)/tools/soak_pushback.o $(BUILD)/tools/soak_streams.o $(BUILD)/standins/standin.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
 $(BUILD)/chalkwayctl: $(BUILD)/tools/chalkwayctl.o $(BUILD)/tools/explain.o
@@ -88,7 +88,7 @@
 $(BUILD)/samples/%: $(BUILD)/samples/%.o $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
-$(BUILD)/tests/%: $(BUILD)/tests/%.o $(BUILD)/tools/site.o $(BUILD)/tools/soak_check.o $(BUILD)/tools/soak_qod.o $(BUILD)/tools/soak_pushback.o $(BUILD)/tools/explain.o $(GATEWAY) $(PLATFORM) $(IO) $(LIB)
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(BUILD)/tools/site.o $(BUILD)/tools/soak_check.o $(BUILD)/tools/soak_qod.o $(BUILD)/tools/soak_pushback.o $(BUILD)/tools/soak_streams.o $(BUILD)/tools/explain.o $(GATEWAY) $(PLATFORM) $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(CHECK_LIBS) $(LIBS)
 
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(BUILD)/tools/site.o $(BUILD)/tools/load.o $(IO) $(LIB)
--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -10,7 +10,8 @@
 
 #define UPSTREAMS_UP "S 1 up e1 12\nS 1 up v1 0\n"
 #define SERVED_REQUESTS                                                                                                \
-    "C 10 sent a short h:1 500\nU 12 begin a e1 0 500\nU 40 end a e1\nC 41 done a 200 1 1 20\n"                        \
+    "C 10 sent a short h:1 500\nU 12 begin a e1 0 500\nU 40 end a e1\nC 41 events a 1 10 1 e1-7-1 0\n"                 \
+    "C 41 done a 200 1 1 20\n"                                                                                         \
     "C 50 sent b call h:1 0\nU 51 begin b v1 2 0\nU 90 end b v1\nC 91 done b 200 1 1 40\n"
 
 static soak_result_t check_record(const char* text) {
@@ -89,7 +90,7 @@
     }
     soak_result_t quarantined =
         check_record("S 200 fault silent e1\nC 210 sent a short h:1 500 deadly-1\nU 211 begin a e1 0 500\n"
-                     "C 250 done a 502 1 0 0 1 0\nU 251 gone a e1\n");
+                     "C 250 done a 502 1 0 0 1\nU 251 gone a e1\n");
     ck_assert_uint_eq(quarantined.count[SOAK_ENDED_BY_SILENCE], 0);
     soak_result_t late = check_record("S 200 fault silent e1\nC 210 sent a short h:1 500\nU 211 begin a e1 0 500\n"
                                       "C 8100 done a 504 1 0 0\nU 8101 gone a e1\n");
@@ -112,7 +113,7 @@
 END_TEST
 
 #define LOST_QUERY_OF_DEATH(event)                                                                                     \
-    "C 210 sent b short h:1 400 part-1\nU 211 begin b v1 2 0\n" event "C 1700 done b 200 0 0 9 0 0\n"
+    "C 210 sent b short h:1 400 part-1\nU 211 begin b v1 2 0\n" event "C 1700 done b 200 0 0 9 0\n"
 
 /* Seen in a soak: the host of such a request was stopped while it waited for another attempt, and the part of its
    prompt was quarantined meanwhile. */
@@ -288,12 +289,13 @@
     static char text[8192];
     size_t at = (size_t)snprintf(text, sizeof(text),
                                  "U 1000 rate - e1 0.5\nC 1000 sent n short h:1 500\nU 1001 came n e1\n"
-                                 "U 1002 named n e1\nC 1010 done n 200 1 1 20\n");
+                                 "U 1002 named n e1\nC 1010 events n 1 10 1 e1-7-1 0\nC 1010 done n 200 1 1 20\n");
     for (int i = 0; i < 16; i++) {
         int ms = 5000 + 10 * i;
-        at += (size_t)snprintf(text + at, sizeof(text) - at,
-                               "C %d sent r%d short %s 500\nU %d came r%d e1\nC %d done r%d 200 1 1 2\n", ms, i, host,
-                               ms + 1, i, ms + 4, i);
+        at += (size_t)snprintf(
+            text + at, sizeof(text) - at,
+            "C %d sent r%d short %s 500\nU %d came r%d e1\nC %d events r%d 1 10 1 e1-7-%d 0\nC %d done r%d 200 1 1 2\n",
+            ms, i, host, ms + 1, i, ms + 4, i, i + 2, ms + 4, i);
     }
     return text;
 }
@@ -342,7 +344,135 @@
 }
 END_TEST
 
+#define STREAM_BEGUN "S 5 fault burst -\nC 10 sent a short h:1 500\nU 12 begin a e1 0 500\n"
+#define STREAM_BROKEN(events) STREAM_BEGUN events "U 30 gone a e1\nC 31 done a 200 0 0 5 0\n"
+#define STREAM_ENDED(events) STREAM_BEGUN events "U 30 end a e1\nC 31 done a 200 1 1 5 0\n"
+#define TAKEN_UP(events) "C 51 sent b short h:1 500 - a\n" events "C 80 done b 200 1 1 5 0\n"
+
+/* A stream that its host continues at another upstream, and that its caller takes up after that. */
+START_TEST(stream_of_several_runs_in_order_passes) {
+    soak_result_t r = check_record(STREAM_BROKEN("C 31 events a 1 3 1 e1-7-1 0\nC 31 events a 4 6 1 e2-8-1 3\n")
+                                       TAKEN_UP("C 80 events b 7 10 1 e3-9-4 6\n"));
+    for (int i = 0; i < SOAK_CHECK_COUNT; i++) {
+        ck_assert_msg(!r.count[i], "%s: %s", soak_check_name((soak_check_t)i), r.first_finding[i]);
+    }
+    ck_assert_uint_eq(r.resumed_served, 1);
+}
+END_TEST
+
+/* After the last event, callers get only the end of the stream. */
+START_TEST(stream_taken_up_after_its_last_event_passes) {
+    soak_result_t r = check_record(STREAM_BROKEN("C 31 events a 1 10 1 e1-7-1 0\n") TAKEN_UP(""));
+    ck_assert(!soak_has_failed(&r));
+}
+END_TEST
+
+START_TEST(missing_event_is_found) {
+    expect_only(STREAM_ENDED("C 31 events a 1 3 1 e1-7-1 0\nC 31 events a 5 10 1 e1-7-1 0\n"), SOAK_EVENT_MISSING);
+    expect_only(STREAM_BROKEN("C 31 events a 1 3 1 e1-7-1 0\n") TAKEN_UP("C 80 events b 5 10 1 e2-8-1 4\n"),
+                SOAK_EVENT_MISSING);
+    expect_only(STREAM_ENDED("C 31 events a 2 10 1 e1-7-1 0\n"), SOAK_EVENT_MISSING);
+    /* Also if the caller gives up after that. */
+    expect_only(STREAM_BEGUN
+                "C 20 events a 1 1 1 e1-7-1 0\nC 20 events a 3 4 1 e1-7-1 0\nC 20 left a\nU 21 gone a e1\n",
+                SOAK_EVENT_MISSING);
+}
+END_TEST
+
+START_TEST(event_that_arrives_twice_is_found) {
+    expect_only(STREAM_ENDED("C 31 events a 1 4 1 e1-7-1 0\nC 31 events a 4 10 1 e2-8-1 3\n"), SOAK_EVENT_TWICE);
+    expect_only(STREAM_BROKEN("C 31 events a 1 4 1 e1-7-1 0\n") TAKEN_UP("C 80 events b 1 10 1 e2-8-1 0\n"),
+                SOAK_EVENT_TWICE);
+    expect_only(STREAM_ENDED("C 31 events a 1 10 1 e1-7-1 0\nC 31 events a 10 10 1 e1-7-1 0\n"), SOAK_EVENT_TWICE);
+}
+END_TEST
+
+START_TEST(event_after_a_later_one_is_found) {
+    expect_only(STREAM_ENDED("C 31 events a 1 3 1 e1-7-1 0\nC 31 events a 5 5 1 e1-7-1 0\n"
+                             "C 31 events a 4 4 1 e1-7-1 0\nC 31 events a 6 10 1 e1-7-1 0\n"),
+                SOAK_OUT_OF_ORDER);
+}
+END_TEST
+
+START_TEST(runs_joined_where_they_may_not_go_on_are_found) {
+    /* The second run began elsewhere. */
+    expect_only(STREAM_ENDED("C 31 events a 1 4 1 e1-7-1 0\nC 31 events a 5 10 1 e2-8-1 0\n"), SOAK_RUNS_JOINED);
+    expect_only(STREAM_BROKEN("C 31 events a 1 4 1 e1-7-1 0\n") TAKEN_UP("C 80 events b 5 10 1 e2-8-1 3\n"),
+                SOAK_RUNS_JOINED);
+    /* Two runs in turn. */
+    expect_only(STREAM_ENDED("C 31 events a 1 4 1 e1-7-1 0\nC 31 events a 5 6 1 e2-8-1 4\n"
+                             "C 31 events a 7 10 1 e1-7-1 0\n"),
+                SOAK_RUNS_JOINED);
+    /* Text of no upstream, or of another stream. */
+    expect_only(STREAM_ENDED("C 31 events a 1 4 1 e1-7-1 0\nC 31 events a 5 5 0 - 0\nC 31 events a 6 10 1 e2-8-1 5\n"),
+                SOAK_RUNS_JOINED);
+    /* A stream of this kind can't be resumed. */
+    expect_only("S 5 fault burst -\nC 10 sent a medium h:1 900\nU 12 begin a e1 1 900\nC 31 events a 1 1 1 e1-7-1 0\n"
+                "C 31 events a 2 3 1 e2-8-1 1\nU 31 end a e1\nC 31 done a 200 1 1 5 0\n",
+                SOAK_RUNS_JOINED);
+}
+END_TEST
+
+START_TEST(stream_of_two_versions_is_found) {
+    expect_only(STREAM_ENDED("C 31 events a 1 4 1 e1-7-1 0\nC 31 events a 5 10 2 e2-8-1 4\n"), SOAK_VERSIONS_MIXED);
+    expect_only(STREAM_BROKEN("C 31 events a 1 4 1 e1-7-1 0\n") TAKEN_UP("C 80 events b 5 10 2 e2-8-1 4\n"),
+                SOAK_VERSIONS_MIXED);
+    /* Also if the stream breaks off again, or its caller gives up. */
+    expect_only(STREAM_BROKEN("C 31 events a 1 4 1 e1-7-1 0\n") "C 51 sent b short h:1 500 - a\n"
+                                                                "C 80 events b 5 5 2 e2-8-1 4\nC 80 left b\n",
+                SOAK_VERSIONS_MIXED);
+}
+END_TEST
+
+START_TEST(early_end_of_a_stream_is_found) {
+    expect_only(STREAM_ENDED("C 31 events a 1 9 1 e1-7-1 0\n"), SOAK_ENDED_EARLY);
+    expect_only(STREAM_BROKEN("C 31 events a 1 4 1 e1-7-1 0\n") TAKEN_UP(""), SOAK_ENDED_EARLY);
+    soak_result_t r = check_record(STREAM_BROKEN("C 31 events a 1 9 1 e1-7-1 0\n"));
+    ck_assert_uint_eq(r.count[SOAK_ENDED_EARLY], 0);
+}
+END_TEST
+
+#define ENGINES_OF_VERSION_1 "S 2 up e5 12 1\nS 2 up e6 12 1\nS 3 down e1\n"
+#define HOSTS_LOST                                                                                                     \
+    "S 30 fault kill h:1\nS 30 fault kill h:2\nS 31 ended h:1 137\nS 32 ended h:2 137\n"                               \
+    "S 45 started h:1\nS 45 over kill h:1\nS 46 started h:2\nS 46 over kill h:2\n"
+#define HOSTS_STARTED "S 1 started h:1\nS 1 started h:2\n"
+#define STREAM_LOST "C 10 sent a short h:1 500\nC 31 events a 1 4 1 e5-7-1 0\nC 31 done a 200 0 0 5 0\n"
+#define REFUSED "C 51 sent b short h:1 500 - a\nC 52 done b 503 1 0 0 0\n"
+
+/* Streams that are taken up count by whether all hosts were lost, and by whether several versions serve. */
+START_TEST(streams_taken_up_are_counted) {
+    static const char gone_on[] = TAKEN_UP("C 80 events b 5 10 1 e6-8-1 4\n");
+    soak_result_t r = check_record(ENGINES_OF_VERSION_1 HOSTS_STARTED STREAM_LOST HOSTS_LOST REFUSED);
+    ck_assert_uint_eq(r.host_losses, 1);
+    ck_assert_uint_eq(r.take_ups[1][0].count, 1);
+    ck_assert_uint_eq(r.take_ups[1][0].refused, 1);
+    ck_assert_uint_eq(r.take_ups[1][0].gone_on, 0);
+    char text[2048];
+    snprintf(text, sizeof(text), "%s%s", ENGINES_OF_VERSION_1 "S 4 up e7 12 2\n" HOSTS_STARTED STREAM_LOST HOSTS_LOST,
+             gone_on);
+    r = check_record(text);
+    ck_assert_uint_eq(r.take_ups[1][1].count, 1);
+    ck_assert_uint_eq(r.take_ups[1][1].gone_on, 1);
+    snprintf(text, sizeof(text), "%s%s", ENGINES_OF_VERSION_1 HOSTS_STARTED STREAM_LOST, gone_on);
+    r = check_record(text);
+    ck_assert_uint_eq(r.take_ups[0][0].gone_on, 1);
+    /* A single upstream of the version is left. */
+    r = check_record(ENGINES_OF_VERSION_1 "S 20 leaves e5\n" HOSTS_STARTED STREAM_LOST HOSTS_LOST REFUSED);
+    ck_assert_uint_eq(r.take_ups[1][0].count, 0);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
+    tcase_add_test(t, stream_of_several_runs_in_order_passes);
+    tcase_add_test(t, stream_taken_up_after_its_last_event_passes);
+    tcase_add_test(t, missing_event_is_found);
+    tcase_add_test(t, event_that_arrives_twice_is_found);
+    tcase_add_test(t, event_after_a_later_one_is_found);
+    tcase_add_test(t, runs_joined_where_they_may_not_go_on_are_found);
+    tcase_add_test(t, stream_of_two_versions_is_found);
+    tcase_add_test(t, early_end_of_a_stream_is_found);
+    tcase_add_test(t, streams_taken_up_are_counted);
     tcase_add_test(t, upstreams_that_fall_over_under_strain_are_found);
     tcase_add_test(t, exceeded_advertised_rate_is_found);
     tcase_add_test(t, ignored_backoff_is_found);
--- a/tools/soak.c
+++ b/tools/soak.c
@@ -105,6 +105,18 @@
     rmdir(s->dir);
 }
 
+static void print_take_ups(const soak_result_t* r) {
+    static const char* const causes[] = {"other breaks", "losses of all hosts"};
+    static const char* const versions[] = {"one version", "several versions"};
+    for (int loss = 0; loss < 2; loss++) {
+        for (int mixed = 0; mixed < 2; mixed++) {
+            const soak_take_ups_t* t = &r->take_ups[loss][mixed];
+            printf("  after %s, %s in service: %u streams taken up, %u gone on, %u refused\n", causes[loss],
+                   versions[mixed], t->count, t->gone_on, t->refused);
+        }
+    }
+}
+
 static bool report(const soak_t* s) {
     soak_result_t r = soak_check_record(cw_buffer_text(&s->record), SOAK_GRACE_MS, SOAK_DRAIN_MS);
     bool failed = soak_has_failed(&r);
@@ -112,6 +124,8 @@
            ": %u sent, %u served, %u refused, %u failed, %u left; calm %u sent, %u served, %u refused\n",
            s->seed, r.sent, r.served, r.refused, r.failed, r.abandoned, r.calm_sent, r.calm_served, r.calm_refused);
     printf("  %u streams resumed by their callers, %u of them completed\n", r.resumed, r.resumed_served);
+    printf("  %u losses of all hosts\n", r.host_losses);
+    print_take_ups(&r);
     if (r.qod_bodies) {
         printf("  %u queries of death sent %u times: %u upstreams crashed\n", r.qod_bodies, r.qod_sent, r.qod_crashes);
     }
--- a/tools/soak.h
+++ b/tools/soak.h
@@ -11,12 +11,15 @@
                                            death, a body, or with "part-" a part of prompts, that crashes every
                                            upstream which begins to run it; RESUMES:
                                            it resumes the stream that this request began
-        C MS done ID STATUS WHOLE RIGHT FIRST_MS HELD MIXED
+        C MS events ID FROM TO VERSION RUN AFTER
+                                           the response brought the events FROM..TO of a stream, from a run of an
+                                           upstream that began after event AFTER. VERSION 0: no upstream
+                                           sends this text in this stream
+        C MS done ID STATUS WHOLE RIGHT FIRST_MS HELD
                                            the response ended, or the connection closed (status 0). WHOLE 1: the
                                            response is complete; RIGHT 1: its body is correct; FIRST_MS: from
                                            sending to the first byte of the body; HELD 1: refused since servers
-                                           crashed under such requests (quarantined); MIXED 1: the
-                                           stream so far holds events of two software versions
+                                           crashed under such requests (quarantined)
         C MS left ID                       the caller abandoned the request
         U MS begin ID SERVER PRIORITY TOKENS, U MS end ID SERVER, U MS gone ID SERVER
                                            a request begins to run, completes, or ends early since its connection
@@ -31,8 +34,9 @@
         U MS fell - SERVER                 an upstream under strain ends, because it rejected too many requests
         S MS fault NAME TARGET             a fault begins
         S MS over NAME TARGET              the fault ends
-        S MS up SERVER SLOTS, S MS leaves SERVER, S MS down SERVER
-                                           state of a server as published; SLOTS is 0 for a service
+        S MS up SERVER SLOTS [VERSION], S MS leaves SERVER, S MS down SERVER
+                                           state of a server as published; SLOTS is 0 for a service; VERSION is that
+                                           of its software
         S MS started HOST, S MS ended HOST CODE
                                            a host's process starts or exits; CODE 128 or more: killed by a signal
         S MS calm, S MS finish             no further faults are injected; the callers stop
@@ -53,7 +57,7 @@
     double share;                    /* fraction of all requests */
 } soak_kind_t;
 
-#define SOAK_KINDS 5
+#define SOAK_KINDS 6
 extern const soak_kind_t soak_kinds[SOAK_KINDS];
 /* Returns the index of the kind, or -1 if the name is unknown. */
 int soak_find_kind(const char* name);
@@ -78,9 +82,21 @@
     SOAK_VERSIONS_MIXED,     /* a stream holds events from upstreams of two software versions */
     SOAK_LEAVING_IGNORED,    /* an upstream got a request long after it had announced leaving to the host */
     SOAK_ENDED_BY_SILENCE,   /* a response ended early although its sound upstream was merely silent for a while */
+    SOAK_EVENT_MISSING,      /* a stream lacks an event that precedes one that it holds */
+    SOAK_EVENT_TWICE,        /* a stream holds an event twice */
+    SOAK_OUT_OF_ORDER,       /* an event of a stream arrived after a later one */
+    SOAK_RUNS_JOINED,        /* a stream holds text of several runs, joined where none of them may go on */
+    SOAK_ENDED_EARLY,        /* a stream ended as complete before its last event */
     SOAK_CHECK_COUNT
 } soak_check_t;
 
+/* Streams that callers took up after a break, while two upstreams of the version that began them were in service. */
+typedef struct soak_take_ups_t {
+    uint32_t count;   /* streams */
+    uint32_t gone_on; /* that brought further events or their end */
+    uint32_t refused; /* whose requests were all refused */
+} soak_take_ups_t;
+
 typedef struct soak_result_t {
     uint32_t count[SOAK_CHECK_COUNT];                  /* findings of each check */
     char first_finding[SOAK_CHECK_COUNT][160];         /* of each check, as text */
@@ -90,6 +106,10 @@
     uint32_t resumed,
         resumed_served; /* streams that callers resumed after a break, and those of them that were completed */
     uint32_t calm_sent, calm_served, calm_refused;
+    uint32_t host_losses; /* moments at which no host was left */
+    /* First index 1: all hosts were lost between the stream's first request and that which took it up; second index 1:
+       several versions of engines were in service. */
+    soak_take_ups_t take_ups[2][2];
 } soak_result_t;
 
 const char* soak_check_name(soak_check_t check);
--- a/tools/soak_callers.c
+++ b/tools/soak_callers.c
@@ -30,6 +30,7 @@
 #include "../standins/standin.h"
 #include "soak.h"
 #include "soak_qod.h"
+#include "soak_streams.h"
 
 #define DEADLINE_FIELD "Chalkway-Deadline-Ms"
 #define OUTPUT_BUFFER_BYTES 16777216
@@ -46,6 +47,7 @@
 #define RESUME_ATTEMPTS_MAX 3     /* attempts to resume a stream that was broken off */
 #define RESUME_DELAY_S 0.02
 #define VERSIONS_MAX 64 /* highest version of an upstream */
+#define EVENT_END "\n\n"
 #define QOD_PER_S 3.0
 #define QOD_DURATION_S 12
 #define POPULAR_PARTS 4 /* first parts of prompts */
@@ -71,9 +73,11 @@
     char parts[80];     /* of the prompt, "": none */
     int64_t sent_ms, first_byte_ms;
     cw_buffer_t body;
-    /* a stream that is resumed after a break */
-    char resumes[20];         /* id of the request that began it, "": none */
-    uint32_t event_count;     /* complete events in body */
+    /* a stream, over all requests for it */
+    uint32_t event_count;     /* its last complete event */
+    bool is_out_of_order;     /* an event did not follow the one before it, or no upstream sends it */
+    bool is_cut_in_event;     /* the response ended inside an event */
+    char resumes[20];         /* id of the request that began it, "": it was not resumed */
     uint32_t resume_attempts; /* attempts to resume it so far */
     bool has_retried;
     double retry_s; /* delay of the pending retry, 0: none */
@@ -123,76 +127,106 @@
 
 /* -- requests ------------------------------------------------------------- */
 
-/* Length of event k of a stream at the start of the text if it was sent by an upstream of this version, else 0. */
-static size_t event_length(const caller_t* caller, const char* text, uint32_t k, uint32_t version) {
+/* A complete event in the body of a stream. */
+typedef struct event_t {
+    uint32_t id;
+    soak_run_t run;
+} event_t;
+
+/* Returns the version of the upstreams that send this data in the event of the caller's stream, 0: none does. */
+static uint32_t find_version(const caller_t* caller, uint32_t id, unsigned long long data) {
     char stream[64];
-    char expected[100];
-    snprintf(stream, sizeof(stream), "%s/%u", caller->resumes[0] ? caller->resumes : caller->id, version);
-    int n = snprintf(expected, sizeof(expected), "id: %u\ndata: %016llx\n\n", k,
-                     (unsigned long long)XXH64(stream, strlen(stream), k));
-    return strncmp(text, expected, (size_t)n) == 0 ? (size_t)n : 0;
-}
-
-/* What the events in a body are. */
-typedef struct events_t {
-    uint32_t count; /* complete events in order, from the first one */
-    size_t size;    /* of these events */
-    uint32_t first_version;
-    bool is_mixed; /* they are of more than one version */
-} events_t;
-
-static events_t read_events(const caller_t* caller) {
-    events_t events = {.count = 0};
+    for (uint32_t version = 1; version <= VERSIONS_MAX; version++) {
+        snprintf(stream, sizeof(stream), "%s/%u", caller->resumes[0] ? caller->resumes : caller->id, version);
+        if (XXH64(stream, strlen(stream), id) == data) {
+            return version;
+        }
+    }
+    return 0;
+}
+
+/* Reads the event at the start of the text. Returns its length, 0: there is no complete one. Text up to a blank line
+   that is no event of an upstream counts as one of no version. */
+static size_t read_event(const caller_t* caller, const char* text, uint32_t expected_id, event_t* event) {
+    char expected[160];
+    unsigned long long data = 0;
+    const char* end = strstr(text, EVENT_END);
+    *event = (event_t){.id = expected_id, .run = {.name = "-"}};
+    if (!end) {
+        return 0;
+    }
+    size_t length = (size_t)(end - text) + strlen(EVENT_END);
+    event_t found = {0};
+    sscanf(text, "id: %u\ndata: %llx %31s %u", &found.id, &data, found.run.name, &found.run.after);
+    snprintf(expected, sizeof(expected), "id: %u\ndata: %016llx %s %u" EVENT_END, found.id, data, found.run.name,
+             found.run.after);
+    if (strlen(expected) == length && strncmp(text, expected, length) == 0) {
+        found.run.version = find_version(caller, found.id, data);
+        *event = found;
+    }
+    return length;
+}
+
+static void record_events(caller_t* caller, const event_t* first, uint32_t to) {
+    char fields[120];
+    snprintf(fields, sizeof(fields), "%s %u %u %u %s %u", caller->id, first->id, to, first->run.version,
+             first->run.name, first->run.after);
+    record_event(caller->parent, "events", fields);
+}
+
+/* Reads the complete events that the current request has brought, and records them in runs of consecutive ones. */
+static void take_events(caller_t* caller) {
     const char* text = cw_buffer_text(&caller->body);
-    size_t length = 1;
-    while (length) {
-        length = 0;
-        for (uint32_t version = 1; version <= VERSIONS_MAX && !length; version++) {
-            length = event_length(caller, text + events.size, events.count + 1, version);
-            if (length) {
-                events.first_version = events.first_version ? events.first_version : version;
-                events.is_mixed = events.is_mixed || version != events.first_version;
-            }
+    event_t first = {0}; /* of the consecutive events so far, id 0: none yet */
+    event_t event;
+    uint32_t last = 0;
+    size_t used = 0;
+    for (size_t n = 0; (n = read_event(caller, text + used, caller->event_count + 1, &event)) > 0; used += n) {
+        caller->is_out_of_order = caller->is_out_of_order || event.id != caller->event_count + 1 || !event.run.version;
+        caller->event_count = event.id > caller->event_count ? event.id : caller->event_count;
+        bool is_next = first.id && event.id == last + 1 && event.run.version == first.run.version &&
+                       event.run.after == first.run.after && strcmp(event.run.name, first.run.name) == 0;
+        if (!is_next && first.id) {
+            record_events(caller, &first, last);
         }
-        events.size += length;
-        events.count += length > 0;
+        first = is_next ? first : event;
+        last = event.id;
+    }
+    if (first.id) {
+        record_events(caller, &first, last);
     }
-    return events;
+    caller->is_cut_in_event = used < caller->body.size;
+}
+
+static bool is_stream(const caller_t* caller) {
+    return soak_kinds[caller->kind].tokens_max > 0;
 }
 
 /* Returns whether the response has the right body: all events in order, or the text that is expected for the call. */
 static bool is_body_correct(const caller_t* caller) {
-    const soak_kind_t* kind = &soak_kinds[caller->kind];
     char expected[100];
-    if (!kind->tokens_max) {
+    if (!is_stream(caller)) {
         snprintf(expected, sizeof(expected), "ran %s", caller->id);
         return strcmp(cw_buffer_text(&caller->body), expected) == 0;
     }
-    events_t events = read_events(caller);
-    return events.count == kind->events && events.size == caller->body.size;
+    return caller->event_count == soak_kinds[caller->kind].events && !caller->is_out_of_order &&
+           !caller->is_cut_in_event;
 }
 
 static bool is_query_of_death(const caller_t* caller) {
     return caller->qod_name[0] != 0;
 }
 
-/* Keeps the complete events of a stream that was broken off, to resume it at a host. False: there is nothing to resume
-   up, or it was tried often enough. */
+/* Prepares to resume a stream that was broken off after its last complete event. False: there is nothing to resume, or
+   it was tried often enough. */
 static bool prepare_resume(caller_t* caller, unsigned status, bool is_complete) {
     bool is_refused = is_complete && status == 503 && caller->resumes[0];
     bool is_broken = !is_complete && (status == 200 || (!status && caller->resumes[0]));
     if (is_query_of_death(caller) || !soak_kinds[caller->kind].is_resumable || (!is_refused && !is_broken) ||
-        caller->resume_attempts == RESUME_ATTEMPTS_MAX) {
-        return false;
-    }
-    if (is_broken) {
-        events_t events = read_events(caller);
-        caller->body.size = events.size;
-        caller->event_count = events.count;
-    }
-    if (!caller->event_count) {
+        caller->resume_attempts == RESUME_ATTEMPTS_MAX || !caller->event_count) {
         return false;
     }
+    cw_buffer_free(&caller->body);
     if (!caller->resumes[0]) {
         cw_copy(caller->resumes, sizeof(caller->resumes), caller->id);
     }
@@ -204,21 +238,23 @@
 static void drop_stream(caller_t* caller) {
     caller->resumes[0] = 0;
     caller->event_count = caller->resume_attempts = 0;
+    caller->is_out_of_order = caller->is_cut_in_event = false;
     cw_buffer_free(&caller->body);
 }
 
 static void finish(caller_t* caller, unsigned status, bool is_response_complete) {
     char fields[100];
-    bool is_stream = soak_kinds[caller->kind].tokens_max && status == 200;
     const char* retry =
         is_response_complete && status == 503 ? cw_message_field(&caller->response, "Retry-After") : NULL;
     caller->is_busy = false;
     ev_timer_stop(caller->parent->loop, &caller->abandon_timer);
     bool is_quarantined = status == 503 && strstr(cw_buffer_text(&caller->body), QUARANTINE_TEXT);
-    snprintf(fields, sizeof(fields), "%s %u %d %d %" PRId64 " %d %d", caller->id, status, is_response_complete,
+    if (is_stream(caller) && status == 200) {
+        take_events(caller);
+    }
+    snprintf(fields, sizeof(fields), "%s %u %d %d %" PRId64 " %d", caller->id, status, is_response_complete,
              is_response_complete && is_body_correct(caller),
-             caller->first_byte_ms ? caller->first_byte_ms - caller->sent_ms : 0, is_quarantined,
-             is_stream && read_events(caller).is_mixed);
+             caller->first_byte_ms ? caller->first_byte_ms - caller->sent_ms : 0, is_quarantined);
     record_event(caller->parent, "done", fields);
     if (prepare_resume(caller, status, is_response_complete)) {
         caller->retry_s = retry ? strtod(retry, NULL) : RESUME_DELAY_S;
@@ -242,9 +278,6 @@
 
 static void on_body(void* owner, const char* data, size_t size) {
     caller_t* caller = owner;
-    if (caller->resumes[0] && caller->response.status != 200) {
-        return; /* an error does not belong to the stream */
-    }
     caller->first_byte_ms = caller->first_byte_ms ? caller->first_byte_ms : standin_now_ms();
     cw_buffer_add(&caller->body, data, size);
 }
@@ -385,6 +418,9 @@
     (void)loop;
     (void)events;
     caller_t* caller = t->data;
+    if (is_stream(caller) && caller->response.status == 200) {
+        take_events(caller);
+    }
     record_event(caller->parent, "left", caller->id);
     caller->is_busy = caller->has_retried = false;
     drop_stream(caller);
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -8,6 +8,7 @@
 #include "soak.h"
 #include "soak_pushback.h"
 #include "soak_qod.h"
+#include "soak_streams.h"
 
 #define MAX_REQUESTS 200000
 #define MAX_SERVERS 1024
@@ -23,6 +24,8 @@
 #define LEAVING_SLACK_MS 1000 /* beyond the drain time: polling, propagation and scheduling delays of the machine */
 #define STRAIN_FALLS_MIN 2    /* falls in one strain that are tolerated, besides one in ten of the upstreams */
 #define STRAIN_FALLS_ONE_IN 10
+#define TAKE_UP_SERVERS_MIN 2  /* upstreams of a stream's version that must be in service for it to count as taken up  \
+                                */
 #define CANCEL_SLACK_MS 500    /* after a caller abandoned its request: time for upstreams to stop running it */
 #define RECOVERY_SHARE_MIN 0.9 /* share of the requests sent in calm periods that must be served */
 #define STOP_SLACK_MS 1500     /* time that a host may take to exit, beyond the grace time on stop */
@@ -34,9 +37,10 @@
 #define FAULT_MARGIN_MS 1000   /* after a fault of a request's server: a lost response is attributed to it */
 
 const soak_kind_t soak_kinds[SOAK_KINDS] = {
-    {"short", "/short/", "stream", true, 0, 250, 8000, 400, 1600, 10, 0.45},
-    {"medium", "/medium/", "stream", false, 1, 400, 3000, 800, 7400, 3, 0.27},
+    {"short", "/short/", "stream", true, 0, 250, 8000, 400, 1600, 10, 0.4},
+    {"medium", "/medium/", "stream", false, 1, 400, 3000, 800, 7400, 3, 0.22},
     {"long", "/long/", "stream", false, 2, 2000, 10000, 4000, 60000, 12, 0.08},
+    {"story", "/story/", "stream", true, 1, 400, 9000, 400, 1600, 300, 0.1},
     {"call", "/call/", "once", false, 2, 300, 1500, 0, 0, 0, 0.1},
     {"get", "/get/", "repeatable", false, 2, 300, 1500, 0, 0, 0, 0.1},
 };
@@ -58,7 +62,12 @@
     int64_t sent_ms, done_ms, abandoned_ms; /* 0: not yet */
     uint32_t status, begin_count;
     bool is_complete, is_correct, is_quarantined;
-    bool is_resumption, is_mixed;
+    uint32_t first; /* index of the request that began its stream: itself, unless it resumes one */
+    bool is_resumption, has_events;
+    soak_stream_t stream;     /* of a request that began one: over all requests for it */
+    soak_take_ups_t* take_up; /* of a request that began a stream: where the stream counts, NULL: it was not taken up */
+    uint32_t resumption_count, refusal_count;
+    bool has_gone_on, has_complete_end;
     soak_qod_body_t* qod_body; /* NULL: an ordinary request */
     bool has_crashed_upstream; /* a query of death: it crashed at least one */
     int64_t begin_ms, end_ms;
@@ -71,6 +80,7 @@
 typedef struct server_record_t {
     char id[NAME_SIZE];
     uint32_t slots, running;
+    uint32_t version; /* of its software, 0: unknown */
     bool is_down;
     int64_t leaving_ms;    /* since when the server is published as leaving, 0: it is not */
     uint32_t incarnations; /* number of starts of the server */
@@ -86,6 +96,7 @@
 typedef struct host_record_t {
     char name[NAME_SIZE];
     int64_t started_ms;
+    bool is_running;
 } host_record_t;
 
 typedef struct checker_t {
@@ -101,15 +112,18 @@
     uint32_t fault_count;
     uint32_t grace_ms, drain_ms;
     int64_t finish_ms;
+    int64_t hosts_lost_ms; /* last moment at which no host was left, 0: never */
     soak_qod_t queries_of_death;
     soak_pushback_t* pushback;
 } checker_t;
 
 const char* soak_check_name(soak_check_t check) {
     static const char* const names[SOAK_CHECK_COUNT] = {
-        "twice",     "refused-and-run", "mixed",  "lost",     "refused-idle", "put-behind", "sent-to-left", "worked-on",
-        "stop",      "recovery",        "deadly", "shut-out", "rate",         "rest",       "fell",         "versions",
-        "told-left", "silence"};
+        "twice",       "refused-and-run", "mixed",     "lost",          "refused-idle",
+        "put-behind",  "sent-to-left",    "worked-on", "stop",          "recovery",
+        "deadly",      "shut-out",        "rate",      "rest",          "fell",
+        "versions",    "told-left",       "silence",   "missing-event", "event-twice",
+        "event-order", "runs-joined",     "early-end"};
     return names[check];
 }
 
@@ -182,6 +196,27 @@
     return engines ? (double)idle_count / engines : 0;
 }
 
+/* Returns whether the request began a stream while hosts ran that have all been lost since. */
+static bool was_followed_by_loss(const checker_t* c, const request_t* r) {
+    return c->hosts_lost_ms >= r->sent_ms && c->hosts_lost_ms > 0;
+}
+
+/* A caller takes up a stream for the first time: counts it if two upstreams of its version accept new requests. */
+static void handle_take_up(checker_t* c, request_t* first) {
+    uint32_t version = first->stream.first_run.version;
+    uint32_t available_count = 0;
+    bool has_others = false;
+    for (uint32_t i = 0; i < c->server_count; i++) {
+        const server_record_t* s = &c->servers[i];
+        bool is_engine = s->slots && !s->is_down;
+        available_count += is_engine && s->version == version && !s->leaving_ms;
+        has_others = has_others || (is_engine && s->version != version);
+    }
+    if (version && available_count >= TAKE_UP_SERVERS_MIN) {
+        first->take_up = &c->result.take_ups[was_followed_by_loss(c, first)][has_others];
+    }
+}
+
 static void handle_sent(checker_t* c, int64_t at_ms, const char* fields) {
     char kind[NAME_SIZE] = "";
     char body[NAME_SIZE] = "-";
@@ -190,8 +225,9 @@
         return;
     }
     request_t* r = &c->requests[c->count];
-    *r = (request_t){.sent_ms = at_ms, .idle_engine_share = idle_share(c)};
+    *r = (request_t){.sent_ms = at_ms, .first = c->count, .idle_engine_share = idle_share(c)};
     if (sscanf(fields, "%31s %31s %31s %u %31s %31s", r->id, kind, r->host, &r->tokens, body, resumes) >= 4) {
+        request_t* first = resumes[0] ? find_request(c, resumes) : NULL;
         r->is_resumption = resumes[0] != 0;
         r->kind = soak_find_kind(kind);
         r->is_calm = !is_disturbed(c, at_ms, NULL, SETTLE_MS);
@@ -202,9 +238,37 @@
         } else {
             c->result.sent++;
         }
+        if (first) {
+            r->first = first->first;
+            if (!first->resumption_count++) {
+                handle_take_up(c, first);
+            }
+        }
+    }
+}
+
+static void add_stream_findings(checker_t* c, uint32_t violations, int64_t at_ms, const request_t* r) {
+    for (uint32_t i = 0; i < SOAK_CHECK_COUNT; i++) {
+        if (violations >> i & 1U) {
+            add_finding(c, (soak_check_t)i, at_ms, r->id, soak_kinds[r->kind].name);
+        }
+    }
+}
+
+static void handle_events(checker_t* c, int64_t at_ms, request_t* r, const char* fields) {
+    soak_run_t run = {.version = 0};
+    uint32_t from = 0;
+    uint32_t to = 0;
+    request_t* first = &c->requests[r->first];
+    if (sscanf(fields, "%*s %u %u %u %31s %u", &from, &to, &run.version, run.name, &run.after) == 5) {
+        uint32_t violations = soak_stream_add(&first->stream, &run, from, to, soak_kinds[r->kind].is_resumable);
+        add_stream_findings(c, violations, at_ms, r);
+        r->has_events = true;
     }
 }
 
+static bool was_refused(const request_t* r);
+
 static void handle_caller(checker_t* c, int64_t at_ms, const char* what, const char* fields) {
     char id[NAME_SIZE] = "";
     if (strcmp(what, "sent") == 0) {
@@ -216,6 +280,10 @@
     if (!r) {
         return;
     }
+    if (strcmp(what, "events") == 0) {
+        handle_events(c, at_ms, r, fields);
+        return;
+    }
     if (strcmp(what, "left") == 0) {
         r->abandoned_ms = at_ms;
         return;
@@ -223,13 +291,17 @@
     uint32_t is_complete = 0;
     uint32_t is_correct = 0;
     uint32_t is_quarantined = 0;
-    uint32_t is_mixed = 0;
-    sscanf(fields, "%*s %u %u %u %*u %u %u", &r->status, &is_complete, &is_correct, &is_quarantined, &is_mixed);
-    r->is_mixed = is_mixed;
+    sscanf(fields, "%*s %u %u %u %*u %u", &r->status, &is_complete, &is_correct, &is_quarantined);
     r->done_ms = at_ms;
     r->is_complete = is_complete;
     r->is_correct = is_correct;
     r->is_quarantined = is_quarantined;
+    request_t* first = &c->requests[r->first];
+    first->has_complete_end = first->has_complete_end || (r->status == 200 && r->is_complete);
+    if (r->is_resumption) {
+        first->refusal_count += was_refused(r);
+        first->has_gone_on = first->has_gone_on || r->has_events || (r->status == 200 && r->is_complete);
+    }
 }
 
 static void handle_begin(checker_t* c, int64_t at_ms, request_t* r, server_record_t* s) {
@@ -369,7 +441,8 @@
     r->end_ms = at_ms;
 }
 
-static void handle_server(checker_t* c, int64_t at_ms, const char* what, const char* id, uint32_t slots) {
+static void handle_server(checker_t* c, int64_t at_ms, const char* what, const char* id, uint32_t slots,
+                          uint32_t version) {
     server_record_t* s = find_server(c, id);
     if (!s && c->server_count < MAX_SERVERS) {
         s = &c->servers[c->server_count++];
@@ -378,6 +451,7 @@
     }
     if (s && strcmp(what, "up") == 0) { /* a restarted server runs none of its earlier requests */
         s->is_down = false;
+        s->version = version;
         s->incarnations++;
         s->running = 0;
         s->leaving_ms = 0;
@@ -425,9 +499,26 @@
     host_record_t* h = find_or_add_host(c, name);
     if (h) {
         h->started_ms = at_ms;
+        h->is_running = true;
     }
 }
 
+/* Notes that a host's process has ended, and whether it was the last one. */
+static void handle_host_end(checker_t* c, int64_t at_ms, const char* name) {
+    host_record_t* ended = find_or_add_host(c, name);
+    if (!ended || !ended->is_running) {
+        return;
+    }
+    ended->is_running = false;
+    for (uint32_t i = 0; i < c->host_count; i++) {
+        if (c->hosts[i].is_running) {
+            return;
+        }
+    }
+    c->hosts_lost_ms = at_ms;
+    c->result.host_losses += !c->finish_ms;
+}
+
 /* Returns the active fault of this name at the host, or NULL. */
 static const fault_t* find_open_fault(const checker_t* c, const char* name, const char* host) {
     for (uint32_t i = 0; i < c->fault_count; i++) {
@@ -471,17 +562,19 @@
 static void handle_soak(checker_t* c, int64_t at_ms, const char* what, const char* fields) {
     char name[NAME_SIZE] = "-";
     char target[NAME_SIZE] = "-";
-    sscanf(fields, "%31s %31s", name, target);
+    uint32_t version = 0;
+    sscanf(fields, "%31s %31s %u", name, target, &version);
     if (strcmp(what, "fault") == 0 || strcmp(what, "over") == 0) {
         handle_fault(c, at_ms, strcmp(what, "fault") == 0, name, target);
     } else if (strcmp(what, "ended") == 0) {
         handle_host_exit(c, at_ms, name, (int)strtol(target, NULL, 10));
+        handle_host_end(c, at_ms, name);
     } else if (strcmp(what, "started") == 0) {
         handle_host_start(c, at_ms, name);
     } else if (strcmp(what, "finish") == 0) {
         c->finish_ms = at_ms;
     } else {
-        handle_server(c, at_ms, what, name, (uint32_t)strtoul(target, NULL, 10));
+        handle_server(c, at_ms, what, name, (uint32_t)strtoul(target, NULL, 10), version);
     }
 }
 
@@ -508,7 +601,7 @@
    millisecond are therefore ordered by cause: a request is sent before it begins, begins before it ends, and ends
    before its caller gets the response; the same holds for queries of death. */
 static uint32_t line_rank(const char* line) {
-    static const char* const event_order[] = {"sent", "reach", "begin", "died", "end", "gone", "done"};
+    static const char* const event_order[] = {"sent", "reach", "begin", "died", "end", "gone", "events", "done"};
     char what[NAME_SIZE] = "";
     sscanf(line, "%*c %*d %31s", what);
     for (uint32_t i = 0; i < sizeof(event_order) / sizeof(event_order[0]); i++) {
@@ -638,6 +731,17 @@
            !is_disturbed(c, r->done_ms, r->last_server, FAULT_MARGIN_MS) && could_host_continue(c, r);
 }
 
+/* Checks how a stream ended over all requests for it, and counts what became of it if it was taken up. */
+static void check_stream(checker_t* c, const request_t* first) {
+    add_stream_findings(c, soak_stream_end(&first->stream, soak_kinds[first->kind].events, first->has_complete_end),
+                        first->sent_ms, first);
+    if (first->take_up) {
+        first->take_up->count++;
+        first->take_up->gone_on += first->has_gone_on;
+        first->take_up->refused += !first->has_gone_on && first->refusal_count == first->resumption_count;
+    }
+}
+
 static void check_request(checker_t* c, const request_t* r) {
     const char* kind = soak_kinds[r->kind].name;
     if (is_at_most_once(r) && r->begin_count > 1) {
@@ -649,8 +753,9 @@
     if (r->status / 100 == 2 && r->is_complete && !r->is_correct) {
         add_finding(c, SOAK_WRONG_RESPONSE, r->sent_ms, r->id, kind);
     }
-    if (r->is_mixed) {
-        add_finding(c, SOAK_VERSIONS_MIXED, r->sent_ms, r->id, kind);
+    bool is_stream = soak_kinds[r->kind].tokens_max > 0;
+    if (is_stream && r->first == (uint32_t)(r - c->requests)) {
+        check_stream(c, r);
     }
     if (was_lost_by_stop(c, r)) {
         add_finding(c, SOAK_LOST_ON_STOP, r->done_ms, r->id, r->host);
--- a/tools/soak_site.c
+++ b/tools/soak_site.c
@@ -176,7 +176,7 @@
         cw_copy(p->address, sizeof(p->address), line + sizeof(ready) - 1);
         p->is_ready = true;
         if (p->kind == PROC_UPSTREAM) {
-            soak_record_event(s, "up %s %d", p->name, p->is_engine ? ENGINE_SLOTS : 0);
+            soak_record_event(s, "up %s %d %u", p->name, p->is_engine ? ENGINE_SLOTS : 0, p->version);
         } else {
             soak_publish_catalog(s);
         }
@@ -338,6 +338,7 @@
                                 version,
                                 "--slots",
                                 slots,
+                                "--runs",
                                 is_engine ? "--prefill" : "--ms",
                                 is_engine ? PREFILL_US_PER_TOKEN : SERVICE_MS,
                                 NULL};
