Soak check: a machine that ran no process could not learn that a server leaves

Change: a recorded pause of the machine excuses late requests for as long as an outage of the source does. The other checks stay as they are.

--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -187,6 +187,20 @@
 }
 END_TEST
 
+/* The machine ran no process for three seconds after the server began to leave: three seconds after that all hosts must
+   know. */
+START_TEST(pause_of_the_machine_excuses_only_until_propagation) {
+    char text[1024];
+    for (int at = 4000; at <= 8000; at += 4000) {
+        snprintf(text, sizeof(text),
+                 "S 5 leaves v1\nS 8 fault machine -\nS 3500 over machine -\nC %d sent b call h:1 0\n"
+                 "U %d begin b v1 2 0\nU %d end b v1\n",
+                 at, at + 1, at + 2);
+        ck_assert_uint_eq(check_record(text).count[SOAK_SENT_TO_LEAVING], at > 6500);
+    }
+}
+END_TEST
+
 START_TEST(run_after_cancel_is_found) {
     static char text[4096];
     size_t n = 0;
@@ -494,6 +508,7 @@
     tcase_add_test(t, priority_inversion_is_found);
     tcase_add_test(t, request_sent_to_leaving_server_is_found);
     tcase_add_test(t, source_outage_excuses_only_until_propagation);
+    tcase_add_test(t, pause_of_the_machine_excuses_only_until_propagation);
     tcase_add_test(t, run_after_cancel_is_found);
     tcase_add_test(t, a_request_cut_by_the_next_fault_does_not_count_as_calm);
     tcase_add_test(t, low_success_share_in_calm_period_is_found);
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -24,17 +24,17 @@
 #define LEAVING_SLACK_MS 1000 /* beyond the drain time: polling, propagation and scheduling delays of the machine */
 #define STRAIN_FALLS_MIN 2    /* falls in one strain that are tolerated, besides one in ten of the upstreams */
 #define STRAIN_FALLS_ONE_IN 10
-#define TAKE_UP_SERVERS_MIN 2  /* upstreams of a stream's version that must be in service for it to count as taken up  \
-                                */
-#define CANCEL_SLACK_MS 500    /* after a caller abandoned its request: time for upstreams to stop running it */
-#define RECOVERY_SHARE_MIN 0.9 /* share of the requests sent in calm periods that must be served */
-#define STOP_SLACK_MS 1500     /* time that a host may take to exit, beyond the grace time on stop */
-#define SIGNAL_EXIT_BASE 128   /* a greater exit code is this plus the signal that killed the process */
-#define PROGRAM_LOAD_MS 100    /* after a start: the program may not be loaded yet, so that any signal kills it */
-#define MACHINE_TARGET "-"     /* target of faults that belong to no single process, such as of the machine */
-#define SILENCE "silent"       /* name of a fault: a sound upstream is stopped for a while */
-#define DEADLINE_MARGIN_MS 300 /* a response that ends less than this before its deadline may have run out of time */
-#define FAULT_MARGIN_MS 1000   /* after a fault of a request's server: a lost response is attributed to it */
+#define TAKE_UP_SERVERS_MIN 2   /* upstreams of its version in service, for a stream to count as taken up */
+#define CANCEL_SLACK_MS 500     /* after a caller abandoned its request: time for upstreams to stop running it */
+#define RECOVERY_SHARE_MIN 0.9  /* share of the requests sent in calm periods that must be served */
+#define STOP_SLACK_MS 1500      /* time that a host may take to exit, beyond the grace time on stop */
+#define SIGNAL_EXIT_BASE 128    /* a greater exit code is this plus the signal that killed the process */
+#define PROGRAM_LOAD_MS 100     /* after a start: the program may not be loaded yet, so that any signal kills it */
+#define MACHINE_TARGET "-"      /* target of faults that belong to no single process, such as of the machine */
+#define MACHINE_PAUSE "machine" /* name of a fault: the machine ran no process for a while */
+#define SILENCE "silent"        /* name of a fault: a sound upstream is stopped for a while */
+#define DEADLINE_MARGIN_MS 300  /* a response that ends less than this before its deadline may have run out of time */
+#define FAULT_MARGIN_MS 1000    /* after a fault of a request's server: a lost response is attributed to it */
 
 const soak_kind_t soak_kinds[SOAK_KINDS] = {
     {"short", "/short/", "stream", true, 0, 250, 8000, 400, 1600, 10, 0.4},
@@ -166,13 +166,17 @@
     return false;
 }
 
-/* Returns whether a fault of the configuration source may have kept hosts at at_ms from knowing what was published at
-   since_ms. */
-static bool had_source_fault(const checker_t* c, int64_t since_ms, int64_t at_ms, int64_t leaving_grace_ms) {
+static bool is_source_fault(const fault_t* f) {
     static const char prefix[] = "source-";
+    return strncmp(f->name, prefix, sizeof(prefix) - 1) == 0;
+}
+
+/* Returns whether a fault of the configuration source, or of the machine, may have kept hosts at at_ms from knowing
+   what was published at since_ms. */
+static bool was_propagation_disturbed(const checker_t* c, int64_t since_ms, int64_t at_ms, int64_t leaving_grace_ms) {
     for (uint32_t i = 0; i < c->fault_count; i++) {
         const fault_t* f = &c->faults[i];
-        bool is_match = strncmp(f->name, prefix, sizeof(prefix) - 1) == 0;
+        bool is_match = is_source_fault(f) || strcmp(f->name, MACHINE_PAUSE) == 0;
         if (is_match && f->from_ms <= since_ms + leaving_grace_ms &&
             (!f->to_ms || f->to_ms + leaving_grace_ms > at_ms)) {
             return true;
@@ -314,7 +318,7 @@
     s->running++;
     int64_t leaving_grace_ms = c->drain_ms + LEAVING_SLACK_MS;
     bool is_late = s->leaving_ms && r->sent_ms > s->leaving_ms + leaving_grace_ms;
-    if (is_late && !had_source_fault(c, s->leaving_ms, at_ms, leaving_grace_ms)) {
+    if (is_late && !was_propagation_disturbed(c, s->leaving_ms, at_ms, leaving_grace_ms)) {
         add_finding(c, SOAK_SENT_TO_LEAVING, at_ms, r->id, s->id);
     }
 }
