Soak: releases, upgrades in place, source outages and losses of all hosts, overlapping

Cause: a release replaced one upstream; the hosts were all lost by chance in one fault of 25 and only those that no other fault had hit; no upstream ever started again at its address with other software; and streams lasted 40 ms, so a loss met hardly any.

Change: each fault phase has a series of releases of all engines (soak_releases.c), in turn: with a loss of all hosts in its middle; with one while the last engines leave or just after, the source returning after the hosts; in place, with a loss while the source is away; two releases with two losses; in place while the source is away. Beside it the random schedule has upgrades in place of single upstreams, half of them without the source, and losses of all hosts, a third of them without the source. A loss kills every host, whatever other fault it is under; they are back after 0.5 to 3 s. The entry of an upstream that starts again stays published until the new process is ready. Streams of kind story last 2.5 s. The stand-in of an upstream exits on SIGTERM without stopping libmicrohttpd under open responses, which aborted it.

--- a/Makefile
+++ b/Makefile
@@ -67,7 +67,7 @@
 $(BUILD)/chalkway-load: $(BUILD)/tools/chalkway_load.o $(BUILD)/tools/load.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
-$(BUILD)/chalkway-soak: $(BUILD)/tools/soak.o $(BUILD)/tools/soak_site.o $(BUILD)/tools/soak_faults.o $(BUILD)/tools/soak_check.o $(BUILD)/tools/soak_qod.o $(BUILD)/tools/soak_pushback.o $(BUILD)/tools/soak_streams.o $(BUILD)/standins/standin.o $(IO) $(LIB)
+$(BUILD)/chalkway-soak: $(BUILD)/tools/soak.o $(BUILD)/tools/soak_site.o $(BUILD)/tools/soak_faults.o $(BUILD)/tools/soak_releases.o $(BUILD)/tools/soak_check.o $(BUILD)/tools/soak_qod.o $(BUILD)/tools/soak_pushback.o $(BUILD)/tools/soak_streams.o $(BUILD)/standins/standin.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
 # Preloaded into hosts: the clock of a soak's hosts, and broken network paths. Never sanitized, since they come before
--- a/standins/fake_upstream.c
+++ b/standins/fake_upstream.c
@@ -459,6 +459,15 @@
     }
 }
 
+static bool has_jobs(const upstream_t* u) {
+    for (uint32_t i = 0; i < MAX_JOBS; i++) {
+        if (u->jobs[i].is_used) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static error_t parse_option(int key, char* arg, struct argp_state* state) {
     upstream_t* u = state->input;
     switch (key) {
@@ -526,8 +535,12 @@
     cw_lines_setup(&u->lines, u->standin.loop, 1, LINES_MAX_BYTES);
     ev_timer_init(&u->step, on_step, 0.0, 0.0);
     u->step.data = u;
-    standin_run(&u->standin);
+    ev_run(u->standin.loop, 0);
     cw_lines_shutdown(&u->lines);
+    if (has_jobs(u)) {
+        _exit(0); /* libmicrohttpd can't be stopped while responses wait for data */
+    }
+    cw_httpd_shutdown(u->standin.http);
     cw_heap_shutdown(&u->queue);
     return 0;
 }
--- a/tools/soak_callers.c
+++ b/tools/soak_callers.c
@@ -46,7 +46,7 @@
 #define BURST_FACTOR 2.5          /* times the usual request rate */
 #define RESUME_ATTEMPTS_MAX 3     /* attempts to resume a stream that was broken off */
 #define RESUME_DELAY_S 0.02
-#define VERSIONS_MAX 64 /* highest version of an upstream */
+#define VERSIONS_MAX 1000 /* highest version of an upstream */
 #define EVENT_END "\n\n"
 #define QOD_PER_S 3.0
 #define QOD_DURATION_S 12
@@ -74,6 +74,7 @@
     int64_t sent_ms, first_byte_ms;
     cw_buffer_t body;
     /* a stream, over all requests for it */
+    uint32_t last_version;    /* of its last event */
     uint32_t event_count;     /* its last complete event */
     bool is_out_of_order;     /* an event did not follow the one before it, or no upstream sends it */
     bool is_cut_in_event;     /* the response ended inside an event */
@@ -133,13 +134,20 @@
     soak_run_t run;
 } event_t;
 
-/* Returns the version of the upstreams that send this data in the event of the caller's stream, 0: none does. */
-static uint32_t find_version(const caller_t* caller, uint32_t id, unsigned long long data) {
+/* Returns whether upstreams of this version send the data in the event of the caller's stream. */
+static bool is_sent_by(const caller_t* caller, uint32_t version, uint32_t id, unsigned long long data) {
     char stream[64];
-    for (uint32_t version = 1; version <= VERSIONS_MAX; version++) {
-        snprintf(stream, sizeof(stream), "%s/%u", caller->resumes[0] ? caller->resumes : caller->id, version);
-        if (XXH64(stream, strlen(stream), id) == data) {
-            return version;
+    snprintf(stream, sizeof(stream), "%s/%u", caller->resumes[0] ? caller->resumes : caller->id, version);
+    return XXH64(stream, strlen(stream), id) == data;
+}
+
+/* Returns the version of the upstreams that send this data in the event of the caller's stream, 0: none does. */
+static uint32_t find_version(caller_t* caller, uint32_t id, unsigned long long data) {
+    for (uint32_t version = 0; version <= VERSIONS_MAX; version++) {
+        uint32_t candidate = version ? version : caller->last_version; /* most events have that of the one before */
+        if (candidate && is_sent_by(caller, candidate, id, data)) {
+            caller->last_version = candidate;
+            return candidate;
         }
     }
     return 0;
@@ -147,7 +155,7 @@
 
 /* Reads the event at the start of the text. Returns its length, 0: there is no complete one. Text up to a blank line
    that is no event of an upstream counts as one of no version. */
-static size_t read_event(const caller_t* caller, const char* text, uint32_t expected_id, event_t* event) {
+static size_t read_event(caller_t* caller, const char* text, uint32_t expected_id, event_t* event) {
     char expected[160];
     unsigned long long data = 0;
     const char* end = strstr(text, EVENT_END);
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -37,10 +37,10 @@
 #define FAULT_MARGIN_MS 1000    /* after a fault of a request's server: a lost response is attributed to it */
 
 const soak_kind_t soak_kinds[SOAK_KINDS] = {
-    {"short", "/short/", "stream", true, 0, 250, 8000, 400, 1600, 10, 0.4},
+    {"short", "/short/", "stream", true, 0, 250, 8000, 400, 1600, 10, 0.3},
     {"medium", "/medium/", "stream", false, 1, 400, 3000, 800, 7400, 3, 0.22},
     {"long", "/long/", "stream", false, 2, 2000, 10000, 4000, 60000, 12, 0.08},
-    {"story", "/story/", "stream", true, 1, 400, 9000, 400, 1600, 300, 0.1},
+    {"story", "/story/", "stream", true, 1, 400, 9000, 400, 1600, 800, 0.2},
     {"call", "/call/", "once", false, 2, 300, 1500, 0, 0, 0, 0.1},
     {"get", "/get/", "repeatable", false, 2, 300, 1500, 0, 0, 0, 0.1},
 };
--- a/tools/soak_site.c
+++ b/tools/soak_site.c
@@ -175,6 +175,9 @@
     if (strncmp(line, ready, sizeof(ready) - 1) == 0) {
         cw_copy(p->address, sizeof(p->address), line + sizeof(ready) - 1);
         p->is_ready = true;
+        if (p->replaces) {
+            p->replaces->has_stale_entry = false;
+        }
         if (p->kind == PROC_UPSTREAM) {
             soak_record_event(s, "up %s %d %u", p->name, p->is_engine ? ENGINE_SLOTS : 0, p->version);
         } else {
@@ -239,9 +242,12 @@
     p->pid = 0;
     int code = WIFEXITED(w->rstatus) ? WEXITSTATUS(w->rstatus) : 128 + WTERMSIG(w->rstatus);
     if (p->kind == PROC_UPSTREAM) {
+        bool has_lost_address = p->keeps_address && !p->is_ready;
         soak_record_event(s, "down %s", p->name);
         if (code == CRASH_EXIT_STATUS) {
             schedule_restart(p);
+        } else if (has_lost_address && !s->is_ending) { /* another socket took the port meanwhile */
+            soak_restart_upstream(p);
         }
         soak_publish_servers(s);
     } else if (p->kind == PROC_HOST) {
@@ -328,6 +334,7 @@
     char slots[8];
     char version[16];
     bool is_engine = p->is_engine;
+    const char* address = p->keeps_address ? p->replaces->address : "127.0.0.1:0";
     p->started_ms = standin_now_ms();
     snprintf(slots, sizeof(slots), "%d", is_engine ? ENGINE_SLOTS : SERVICE_SLOTS);
     p->version = p->soak->version;
@@ -338,6 +345,8 @@
                                 version,
                                 "--slots",
                                 slots,
+                                "--address",
+                                address,
                                 "--runs",
                                 is_engine ? "--prefill" : "--ms",
                                 is_engine ? PREFILL_US_PER_TOKEN : SERVICE_MS,
@@ -352,11 +361,21 @@
     launch_upstream(p);
 }
 
-void soak_restart_upstream(proc_t* previous) {
+static proc_t* add_successor(proc_t* previous) {
     proc_t* p = add_proc(previous->soak, PROC_UPSTREAM);
-    previous->has_stale_entry = false;
     p->is_engine = previous->is_engine;
+    p->replaces = previous->is_ready ? previous : previous->replaces;
     cw_copy(p->name, sizeof(p->name), previous->name);
+    return p;
+}
+
+void soak_restart_upstream(proc_t* previous) {
+    launch_upstream(add_successor(previous));
+}
+
+void soak_restart_upstream_in_place(proc_t* previous) {
+    proc_t* p = add_successor(previous);
+    p->keeps_address = p->replaces != NULL;
     launch_upstream(p);
 }
 
--- a/tools/soak_site.h
+++ b/tools/soak_site.h
@@ -2,7 +2,7 @@
 #define CW_TOOLS_SOAK_SITE_H
 /*
     Starts and stops the processes of a soak and publishes the configuration to them (soak_site.c), and injects faults
-    into them on a seeded schedule (soak_faults.c).
+    into them on a seeded schedule (soak_faults.c), beside series of releases (soak_releases.c).
 */
 #include <ev.h>
 #include <sys/types.h>
@@ -20,8 +20,9 @@
 typedef enum proc_kind_t { PROC_SOURCE, PROC_UPSTREAM, PROC_HOST, PROC_CALLERS } proc_kind_t;
 
 typedef struct soak_t soak_t;
+typedef struct proc_t proc_t;
 
-typedef struct proc_t {
+struct proc_t {
     soak_t* soak;
     proc_kind_t kind;
     pid_t pid; /* 0: the process has exited */
@@ -30,6 +31,8 @@
     bool is_engine, is_leaving, is_ready, is_stopping;
     uint32_t version;           /* of an upstream's software */
     bool has_stale_entry;       /* an upstream that exited but is still published */
+    proc_t* replaces;           /* of an upstream: its predecessor with the same id, published until it is ready */
+    bool keeps_address;         /* it listens where its predecessor did */
     bool is_silent;             /* an upstream that is stopped for a while by a fault "silences" */
     ev_timer restart_timer;     /* of an upstream that a query of death crashed: until its restart */
     int64_t started_ms;         /* of an upstream, published in its entry */
@@ -39,7 +42,7 @@
     ev_io output; /* standard output of stand-ins and callers */
     int out_fd;
     cw_buffer_t line;
-} proc_t;
+};
 
 typedef struct active_fault_t {
     soak_t* soak;
@@ -48,6 +51,17 @@
     ev_timer timer;
 } active_fault_t;
 
+/* A series of releases of the engines' software within one fault phase, with losses of all hosts. */
+typedef struct soak_releases_t {
+    ev_timer timer;
+    bool is_in_place;        /* upstreams start again under their id and address; otherwise others take their place */
+    bool loses_hosts_at_end; /* all hosts are lost soon after the last engine of an earlier version begins to leave */
+    bool takes_source_away;  /* the source is down when all hosts are lost, and returns after them */
+    uint32_t remaining;      /* releases after the current one */
+    uint32_t steps_to_loss;  /* engines to replace until all hosts are lost, 0: not in the middle of a release */
+    int64_t step_ms;         /* from one engine to the next */
+} soak_releases_t;
+
 struct soak_t {
     struct ev_loop* loop;
     cw_client_t* client;
@@ -63,6 +77,8 @@
     proc_t procs[SOAK_PROCS_MAX];
     uint32_t proc_count, name_count;
     active_fault_t active_faults[SOAK_FAULTS_MAX];
+    soak_releases_t releases;
+    uint32_t phase_count; /* fault phases so far */
     cw_buffer_t record;
     proc_t *source, *caller_proc;
     int64_t revision;
@@ -95,8 +111,11 @@
 /* Starts the configuration source and waits until it is ready. */
 void soak_start_source(soak_t* s);
 void soak_start_upstream(soak_t* s, bool is_engine);
-/* Starts a new process under the name of an upstream that has exited. */
+/* Starts a new process under the name of an upstream that has exited. Its entry stays published, if it is, until the
+   new one is ready. */
 void soak_restart_upstream(proc_t* previous);
+/* The same, at the address of the previous process. */
+void soak_restart_upstream_in_place(proc_t* previous);
 /* Starts host number i, counted from 0. */
 void soak_start_host(soak_t* s, uint32_t i);
 void soak_restart_host(proc_t* p);
@@ -118,5 +137,20 @@
 void soak_faults_begin(soak_t* s);
 /* Injects no further faults; active ones end as scheduled. */
 void soak_faults_stop(soak_t* s);
+/* Begins a fault of this name, for this time at most, unless the target is NULL. */
+void soak_begin_fault(soak_t* s, const char* name, proc_t* target, int64_t duration_ms);
+/* Returns whether a fault of the process is active. */
+bool soak_is_target(const soak_t* s, const proc_t* p);
+/* Kills all hosts at the same moment, to start again some time later. takes_source_away: the source goes down with them
+   and returns after them. */
+void soak_lose_all_hosts(soak_t* s, bool takes_source_away);
+/* Takes the source away for this time; if it is away, for this time from now on at least. */
+void soak_take_source_away(soak_t* s, int64_t duration_ms);
+
+/* -- soak_releases.c ------------------------------------------------------ */
+
+/* Begins the series of releases of a fault phase. */
+void soak_releases_begin(soak_t* s);
+void soak_releases_stop(soak_t* s);
 
 #endif
