Soak check: hosts that start without a configuration learn of queries of death once the source is back

Change: the 3 s in which hosts may lack what others knew count from the end of such an outage, if it covers both the loss of all hosts and the host's start. A host that starts while another one runs is not excused.

--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -289,6 +289,29 @@
 }
 END_TEST
 
+/* The same where all hosts were lost while the source was away: they serve, and learn, from its return on. A single
+   host that started while the others ran learned from them. */
+START_TEST(host_without_configuration_may_not_know_query_of_death) {
+    static char text[8192];
+    for (int survivors = 0; survivors < 2; survivors++) {
+        size_t n =
+            (size_t)snprintf(text, sizeof(text),
+                             "S 2 started h:1\nS 2 started h:2\nS 400 fault source-down source\n"
+                             "S 410 ended h:1 137\nS 410 fault kill h:1\n%sS 900 started h:1\nS 900 over kill h:1\n"
+                             "S 4300 over source-down source\n",
+                             survivors ? "" : "S 410 ended h:2 137\nS 410 fault kill h:2\n");
+        for (int i = 0; i < 8; i++) {
+            int at = i < 4 ? 50 * i : 4500 + 100 * i;
+            n += (size_t)snprintf(text + n, sizeof(text) - n,
+                                  "C %d sent d%d get h:1 0 deadly-1\nU %d reach d%d v1\nU %d died d%d v1\n"
+                                  "C %d done d%d 502 1 0 0 0\nS %d over died v1\n",
+                                  at, i, at + 1, i, at + 3, i, at + 4, i, at + 40);
+        }
+        ck_assert_uint_eq(check_record(text).count[SOAK_QUERY_OF_DEATH], survivors);
+    }
+}
+END_TEST
+
 START_TEST(quarantined_ordinary_request_is_found) {
     expect_only(SERVED_REQUESTS "S 92 fault died v1\nC 95 sent c get h:1 0 -\nC 99 done c 503 1 0 1 1\n",
                 SOAK_FALSE_QUARANTINE);
@@ -494,6 +517,7 @@
     tcase_add_test(t, query_of_death_that_keeps_reaching_upstreams_is_found);
     tcase_add_test(t, reach_in_the_millisecond_of_sending_counts);
     tcase_add_test(t, recently_started_host_may_not_know_query_of_death);
+    tcase_add_test(t, host_without_configuration_may_not_know_query_of_death);
     tcase_add_test(t, quarantined_ordinary_request_is_found);
     tcase_add_test(t, valid_record_passes);
     tcase_add_test(t, second_run_of_unrepeatable_request_is_found);
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -327,11 +327,24 @@
 
 static host_record_t* find_or_add_host(checker_t* c, const char* name);
 
+/* Returns since when the host may know its configuration: since its last start, or since the end of an outage of the
+   source in which all hosts were lost, as nobody else could tell. A host that lacks it serves nothing. */
+static int64_t configured_since(const checker_t* c, const host_record_t* h) {
+    for (uint32_t i = 0; i < c->fault_count; i++) {
+        const fault_t* f = &c->faults[i];
+        bool covers_loss = f->from_ms <= c->hosts_lost_ms && c->hosts_lost_ms <= h->started_ms;
+        if (covers_loss && strcmp(f->name, "source-down") == 0 && (!f->to_ms || f->to_ms > h->started_ms)) {
+            return f->to_ms ? f->to_ms : INT64_MAX;
+        }
+    }
+    return h->started_ms;
+}
+
 /* Returns whether the host may lack state that the other hosts have, since it has just started, or was stopped, killed
    or frozen. When all hosts are lost at once, none has that state. */
 static bool may_lack_state(checker_t* c, int64_t at_ms, const char* host) {
     const host_record_t* h = find_or_add_host(c, host);
-    bool is_recent = h && h->started_ms && at_ms - h->started_ms < SOAK_QOD_PROPAGATION_MS;
+    bool is_recent = h && h->started_ms && at_ms - configured_since(c, h) < SOAK_QOD_PROPAGATION_MS;
     return is_recent || is_disturbed(c, at_ms, host, SOAK_QOD_PROPAGATION_MS);
 }
 
