--- a/tools/soak_faults.c
+++ b/tools/soak_faults.c
@@ -420,7 +420,7 @@
     {"release", PROC_UPSTREAM, 3, release_begin, leave_end, false},
     {"replace", PROC_UPSTREAM, 0, replace_begin, leave_end, false},
     {"upgrade", PROC_UPSTREAM, 0, upgrade_begin, upgrade_end, false},
-    {"upgrade", PROC_UPSTREAM, 3, upgrade_one_begin, upgrade_end, false},
+    {"upgrade-one", PROC_UPSTREAM, 3, upgrade_one_begin, upgrade_end, false},
     {"unframed", PROC_UPSTREAM, 10, unframed_begin, unframed_end, false},
     {"endless", PROC_UPSTREAM, 6, endless_begin, endless_end, false},
     {"source-down", PROC_SOURCE, 1, source_down, source_recover, false},
