Soak: entries of ended upstreams are used again, and the checks keep all faults

Cause: a fault phase now starts some 35 upstreams, so the table of 512 processes was full after five minutes, and the checks dropped faults beyond 1024 without a word.

Change: an upstream's entry is free once its process has ended, its output is read and nothing refers to it; the table of faults grows.

--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -12,7 +12,7 @@
 
 #define MAX_REQUESTS 200000
 #define MAX_SERVERS 1024
-#define MAX_FAULTS 1024
+#define FAULTS_AT_FIRST 1024 /* room that grows as needed */
 #define MAX_HOSTS 128
 #define NAME_SIZE 32
 #define SETTLE_MS 4000              /* after the end of a fault, until a period counts as calm */
@@ -108,8 +108,8 @@
     uint32_t server_count;
     host_record_t hosts[MAX_HOSTS];
     uint32_t host_count;
-    fault_t faults[MAX_FAULTS];
-    uint32_t fault_count;
+    fault_t* faults;
+    uint32_t fault_count, fault_capacity;
     uint32_t grace_ms, drain_ms;
     int64_t finish_ms;
     int64_t hosts_lost_ms; /* last moment at which no host was left, 0: never */
@@ -480,8 +480,23 @@
     }
 }
 
+static void reserve_fault(checker_t* c) {
+    if (c->fault_count < c->fault_capacity) {
+        return;
+    }
+    uint32_t capacity = c->fault_capacity ? 2 * c->fault_capacity : FAULTS_AT_FIRST;
+    fault_t* faults = cw_alloc(NULL, capacity, sizeof(*faults));
+    if (c->faults) {
+        memcpy(faults, c->faults, c->fault_count * sizeof(*faults));
+    }
+    free(c->faults);
+    c->faults = faults;
+    c->fault_capacity = capacity;
+}
+
 static void handle_fault(checker_t* c, int64_t at_ms, bool begins, const char* name, const char* target) {
-    if (begins && c->fault_count < MAX_FAULTS) {
+    if (begins) {
+        reserve_fault(c);
         fault_t* f = &c->faults[c->fault_count++];
         *f = (fault_t){.from_ms = at_ms};
         cw_copy(f->name, sizeof(f->name), name);
@@ -914,6 +929,7 @@
     }
     cw_map_shutdown(&c->by_id);
     free(c->requests);
+    free(c->faults);
     free(c);
     return result;
 }
--- a/tools/soak_site.c
+++ b/tools/soak_site.c
@@ -177,6 +177,7 @@
         p->is_ready = true;
         if (p->replaces) {
             p->replaces->has_stale_entry = false;
+            p->replaces = NULL;
         }
         if (p->kind == PROC_UPSTREAM) {
             soak_record_event(s, "up %s %d %u", p->name, p->is_engine ? ENGINE_SLOTS : 0, p->version);
@@ -320,12 +321,31 @@
     return true;
 }
 
+/* Returns whether an upstream has exited and nothing refers to it any more. */
+static bool is_done(const soak_t* s, const proc_t* p) {
+    if (p->kind != PROC_UPSTREAM || p->pid || p->has_stale_entry || ev_is_active(&p->output) ||
+        ev_is_active(&p->restart_timer) || soak_is_target(s, p)) {
+        return false;
+    }
+    for (uint32_t i = 0; i < s->proc_count; i++) {
+        if (s->procs[i].replaces == p) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static proc_t* add_proc(soak_t* s, proc_kind_t kind) {
-    if (s->proc_count == SOAK_PROCS_MAX) {
-        fprintf(stderr, "soak started more than %d processes\n", SOAK_PROCS_MAX);
+    uint32_t at = 0;
+    while (at < s->proc_count && !is_done(s, &s->procs[at])) {
+        at++;
+    }
+    if (at == SOAK_PROCS_MAX) {
+        fprintf(stderr, "soak has more than %d processes\n", SOAK_PROCS_MAX);
         abort();
     }
-    proc_t* p = &s->procs[s->proc_count++];
+    s->proc_count += at == s->proc_count;
+    proc_t* p = &s->procs[at];
     *p = (proc_t){.soak = s, .kind = kind};
     return p;
 }
@@ -362,10 +382,11 @@
 }
 
 static proc_t* add_successor(proc_t* previous) {
-    proc_t* p = add_proc(previous->soak, PROC_UPSTREAM);
-    p->is_engine = previous->is_engine;
-    p->replaces = previous->is_ready ? previous : previous->replaces;
-    cw_copy(p->name, sizeof(p->name), previous->name);
+    proc_t before = *previous; /* its entry may become that of the successor */
+    proc_t* p = add_proc(before.soak, PROC_UPSTREAM);
+    p->is_engine = before.is_engine;
+    p->replaces = before.is_ready ? previous : before.replaces;
+    cw_copy(p->name, sizeof(p->name), before.name);
     return p;
 }
 
