--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -1,8 +1,10 @@
 /* The checks of a soak record: a valid record passes, and each kind of violation is found. */
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "../tools/soak.h"
+#include "../tools/soak_streams.h"
 #include "test.h"
 
 #define GRACE_MS 4000
@@ -381,6 +383,51 @@
 }
 END_TEST
 
+/* Writes the event that an upstream of this version sends in stream "a". */
+static void format_event(char out[160], uint32_t id, uint32_t version, const char* end) {
+    char stream[16];
+    snprintf(stream, sizeof(stream), "a/%u", version);
+    snprintf(out, 160, "id: %u\ndata: %016llx e1-7-1 0%s", id, (unsigned long long)XXH64(stream, strlen(stream), id),
+             end);
+}
+
+START_TEST(events_are_read_with_version_and_run) {
+    char text[160];
+    soak_event_t event = {0};
+    format_event(text, 5, 3, "\n\n");
+    ck_assert_uint_eq(soak_event_read(text, "a", 5, &event), strlen(text));
+    ck_assert_uint_eq(event.id, 5);
+    ck_assert_uint_eq(event.run.version, 3);
+    ck_assert_str_eq(event.run.name, "e1-7-1");
+    /* Another version than that of the event before, and another place than the next one. */
+    format_event(text, 8, 2, "\n\n");
+    ck_assert_uint_eq(soak_event_read(text, "a", 6, &event), strlen(text));
+    ck_assert_uint_eq(event.id, 8);
+    ck_assert_uint_eq(event.run.version, 2);
+    /* An event that was cut off is none. */
+    format_event(text, 5, 3, "\n");
+    ck_assert_uint_eq(soak_event_read(text, "a", 5, &event), 0);
+}
+END_TEST
+
+/* The text of another stream or of an event that goes on in the next one, and bytes that are no event. */
+START_TEST(text_that_no_upstream_sends_in_the_stream_has_no_version) {
+    char text[400];
+    char next[160];
+    soak_event_t event = {0};
+    format_event(text, 5, 3, "\n\n");
+    ck_assert_uint_eq(soak_event_read(text, "b", 5, &event), strlen(text));
+    ck_assert_uint_eq(event.run.version, 0);
+    format_event(next, 6, 3, "\n\n");
+    snprintf(text, sizeof(text), "id: 5\ndata: 0123%s", next);
+    ck_assert_uint_eq(soak_event_read(text, "a", 5, &event), strlen(text));
+    ck_assert_uint_eq(event.id, 5);
+    ck_assert_uint_eq(event.run.version, 0);
+    ck_assert_uint_eq(soak_event_read("xxxx\n\n", "a", 5, &event), 6);
+    ck_assert_uint_eq(event.run.version, 0);
+}
+END_TEST
+
 #define STREAM_BEGUN "S 5 fault burst -\nC 10 sent a short h:1 500\nU 12 begin a e1 0 500\n"
 #define STREAM_BROKEN(events) STREAM_BEGUN events "U 30 gone a e1\nC 31 done a 200 0 0 5 0\n"
 #define STREAM_ENDED(events) STREAM_BEGUN events "U 30 end a e1\nC 31 done a 200 1 1 5 0\n"
@@ -501,6 +548,8 @@
 END_TEST
 
 static void add_tests(TCase* t) {
+    tcase_add_test(t, events_are_read_with_version_and_run);
+    tcase_add_test(t, text_that_no_upstream_sends_in_the_stream_has_no_version);
     tcase_add_test(t, stream_of_several_runs_in_order_passes);
     tcase_add_test(t, stream_taken_up_after_its_last_event_passes);
     tcase_add_test(t, missing_event_is_found);
--- a/tools/soak_callers.c
+++ b/tools/soak_callers.c
@@ -20,7 +20,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "../io/address.h"
 #include "../io/client.h"
@@ -46,8 +45,6 @@
 #define BURST_FACTOR 2.5          /* times the usual request rate */
 #define RESUME_ATTEMPTS_MAX 3     /* attempts to resume a stream that was broken off */
 #define RESUME_DELAY_S 0.02
-#define VERSIONS_MAX 1000 /* highest version of an upstream */
-#define EVENT_END "\n\n"
 #define QOD_PER_S 3.0
 #define QOD_DURATION_S 12
 #define POPULAR_PARTS 4 /* first parts of prompts */
@@ -74,7 +71,6 @@
     int64_t sent_ms, first_byte_ms;
     cw_buffer_t body;
     /* a stream, over all requests for it */
-    uint32_t last_version;    /* of its last event */
     uint32_t event_count;     /* its last complete event */
     bool is_out_of_order;     /* an event did not follow the one before it, or no upstream sends it */
     bool is_cut_in_event;     /* the response ended inside an event */
@@ -128,54 +124,7 @@
 
 /* -- requests ------------------------------------------------------------- */
 
-/* A complete event in the body of a stream. */
-typedef struct event_t {
-    uint32_t id;
-    soak_run_t run;
-} event_t;
-
-/* Returns whether upstreams of this version send the data in the event of the caller's stream. */
-static bool is_sent_by(const caller_t* caller, uint32_t version, uint32_t id, unsigned long long data) {
-    char stream[64];
-    snprintf(stream, sizeof(stream), "%s/%u", caller->resumes[0] ? caller->resumes : caller->id, version);
-    return XXH64(stream, strlen(stream), id) == data;
-}
-
-/* Returns the version of the upstreams that send this data in the event of the caller's stream, 0: none does. */
-static uint32_t find_version(caller_t* caller, uint32_t id, unsigned long long data) {
-    for (uint32_t version = 0; version <= VERSIONS_MAX; version++) {
-        uint32_t candidate = version ? version : caller->last_version; /* most events have that of the one before */
-        if (candidate && is_sent_by(caller, candidate, id, data)) {
-            caller->last_version = candidate;
-            return candidate;
-        }
-    }
-    return 0;
-}
-
-/* Reads the event at the start of the text. Returns its length, 0: there is no complete one. Text up to a blank line
-   that is no event of an upstream counts as one of no version. */
-static size_t read_event(caller_t* caller, const char* text, uint32_t expected_id, event_t* event) {
-    char expected[160];
-    unsigned long long data = 0;
-    const char* end = strstr(text, EVENT_END);
-    *event = (event_t){.id = expected_id, .run = {.name = "-"}};
-    if (!end) {
-        return 0;
-    }
-    size_t length = (size_t)(end - text) + strlen(EVENT_END);
-    event_t found = {0};
-    sscanf(text, "id: %u\ndata: %llx %31s %u", &found.id, &data, found.run.name, &found.run.after);
-    snprintf(expected, sizeof(expected), "id: %u\ndata: %016llx %s %u" EVENT_END, found.id, data, found.run.name,
-             found.run.after);
-    if (strlen(expected) == length && strncmp(text, expected, length) == 0) {
-        found.run.version = find_version(caller, found.id, data);
-        *event = found;
-    }
-    return length;
-}
-
-static void record_events(caller_t* caller, const event_t* first, uint32_t to) {
+static void record_events(caller_t* caller, const soak_event_t* first, uint32_t to) {
     char fields[120];
     snprintf(fields, sizeof(fields), "%s %u %u %u %s %u", caller->id, first->id, to, first->run.version,
              first->run.name, first->run.after);
@@ -185,11 +134,12 @@
 /* Reads the complete events that the current request has brought, and records them in runs of consecutive ones. */
 static void take_events(caller_t* caller) {
     const char* text = cw_buffer_text(&caller->body);
-    event_t first = {0}; /* of the consecutive events so far, id 0: none yet */
-    event_t event;
+    const char* stream = caller->resumes[0] ? caller->resumes : caller->id;
+    soak_event_t first = {0}; /* of the consecutive events so far, id 0: none yet */
+    soak_event_t event = {0};
     uint32_t last = 0;
     size_t used = 0;
-    for (size_t n = 0; (n = read_event(caller, text + used, caller->event_count + 1, &event)) > 0; used += n) {
+    for (size_t n = 0; (n = soak_event_read(text + used, stream, caller->event_count + 1, &event)) > 0; used += n) {
         caller->is_out_of_order = caller->is_out_of_order || event.id != caller->event_count + 1 || !event.run.version;
         caller->event_count = event.id > caller->event_count ? event.id : caller->event_count;
         bool is_next = first.id && event.id == last + 1 && event.run.version == first.run.version &&
--- a/tools/soak_streams.c
+++ b/tools/soak_streams.c
@@ -1,10 +1,57 @@
-/* Checks the events of a stream in the order in which its caller got them. */
+/* Reads the events of a stream, and checks them in the order in which its caller got them. */
 #include "soak_streams.h"
 
+#include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "soak.h"
 
+#define VERSIONS_MAX 1000 /* highest version of an upstream */
+#define EVENT_END "\n\n"
+
+/* Returns whether upstreams of this version send the data in an event of the stream. */
+static bool is_sent_by(uint32_t version, const char* stream_id, uint32_t id, unsigned long long data) {
+    char stream[64];
+    snprintf(stream, sizeof(stream), "%s/%u", stream_id, version);
+    return XXH64(stream, strlen(stream), id) == data;
+}
+
+/* Returns the version of the upstreams that send the data in an event of the stream, 0: none does. */
+static uint32_t find_version(const char* stream_id, uint32_t id, unsigned long long data, uint32_t likely) {
+    if (likely && is_sent_by(likely, stream_id, id, data)) {
+        return likely;
+    }
+    for (uint32_t version = 1; version <= VERSIONS_MAX; version++) {
+        if (is_sent_by(version, stream_id, id, data)) {
+            return version;
+        }
+    }
+    return 0;
+}
+
+size_t soak_event_read(const char* text, const char* stream_id, uint32_t expected_id, soak_event_t* event) {
+    char expected[160];
+    unsigned long long data = 0;
+    uint32_t likely_version = event->run.version;
+    const char* end = strstr(text, EVENT_END);
+    if (!end) {
+        return 0;
+    }
+    size_t length = (size_t)(end - text) + strlen(EVENT_END);
+    soak_event_t found = {0};
+    sscanf(text, "id: %u\ndata: %llx %31s %u", &found.id, &data, found.run.name, &found.run.after);
+    snprintf(expected, sizeof(expected), "id: %u\ndata: %016llx %s %u" EVENT_END, found.id, data, found.run.name,
+             found.run.after);
+    if (strlen(expected) == length && strncmp(text, expected, length) == 0) {
+        found.run.version = find_version(stream_id, found.id, data, likely_version);
+        *event = found;
+    } else {
+        *event = (soak_event_t){.id = expected_id, .run = {.name = "-"}};
+    }
+    return length;
+}
+
 static uint32_t bit(soak_check_t check) {
     return 1U << (uint32_t)check;
 }
