--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -143,6 +143,17 @@
 }
 END_TEST
 
+/* The machine runs no process for three of nine seconds, or four. */
+START_TEST(time_to_exit_does_not_count_while_the_machine_is_paused) {
+    static const char stop[] = "S 5 fault stop h:1\nS 4000 fault machine -\nS %d over machine -\nS 9100 ended h:1 0\n";
+    char text[256];
+    for (int over_ms = 7000; over_ms <= 8000; over_ms += 1000) {
+        snprintf(text, sizeof(text), stop, over_ms);
+        ck_assert_uint_eq(check_record(text).count[SOAK_UNCLEAN_EXIT], over_ms == 7000);
+    }
+}
+END_TEST
+
 START_TEST(refusal_while_engines_idle_is_found) {
     soak_result_t r = check_record("C 10 sent a medium h:1 7000\nC 12 done a 503 1 0 1\n");
     ck_assert_uint_eq(r.count[SOAK_REFUSED_WHILE_IDLE], 1);
@@ -577,6 +588,7 @@
     tcase_add_test(t, response_ended_by_silence_is_found);
     tcase_add_test(t, response_of_a_query_of_death_is_lost_by_the_crash_and_not_by_the_stop);
     tcase_add_test(t, unclean_host_exit_is_found);
+    tcase_add_test(t, time_to_exit_does_not_count_while_the_machine_is_paused);
     tcase_add_test(t, refusal_while_engines_idle_is_found);
     tcase_add_test(t, priority_inversion_is_found);
     tcase_add_test(t, request_sent_to_leaving_server_is_found);
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -575,6 +575,18 @@
     return false;
 }
 
+/* Returns for how long the machine ran no process between two times. */
+static int64_t machine_pause_ms(const checker_t* c, int64_t from_ms, int64_t to_ms) {
+    int64_t total_ms = 0;
+    for (uint32_t i = 0; i < c->fault_count; i++) {
+        const fault_t* f = &c->faults[i];
+        int64_t begin_ms = f->from_ms > from_ms ? f->from_ms : from_ms;
+        int64_t end_ms = f->to_ms && f->to_ms < to_ms ? f->to_ms : to_ms;
+        total_ms += strcmp(f->name, MACHINE_PAUSE) == 0 && end_ms > begin_ms ? end_ms - begin_ms : 0;
+    }
+    return total_ms;
+}
+
 /* A host has exited: killed, stopped as planned, or unexpectedly. */
 static void handle_host_exit(checker_t* c, int64_t at_ms, const char* host, int code) {
     const fault_t* stop = find_open_fault(c, "stop", host);
@@ -585,7 +597,10 @@
     }
     if (!stop) {
         add_finding(c, SOAK_UNCLEAN_EXIT, at_ms, "the host exited unexpectedly", host);
-    } else if (code != 0 || at_ms > stop->from_ms + c->grace_ms + STOP_SLACK_MS) {
+        return;
+    }
+    int64_t took_ms = at_ms - stop->from_ms - machine_pause_ms(c, stop->from_ms, at_ms);
+    if (code != 0 || took_ms > (int64_t)c->grace_ms + STOP_SLACK_MS) {
         add_finding(c, SOAK_UNCLEAN_EXIT, at_ms,
                     code ? "the host did not exit cleanly" : "the host exited after its grace time", host);
     }
