--- a/tools/soak_site.c
+++ b/tools/soak_site.c
@@ -175,8 +175,12 @@
     if (strncmp(line, ready, sizeof(ready) - 1) == 0) {
         cw_copy(p->address, sizeof(p->address), line + sizeof(ready) - 1);
         p->is_ready = true;
+        if (p->replaces) {
+            p->replaces->has_stale_entry = false;
+            p->replaces = NULL;
+        }
         if (p->kind == PROC_UPSTREAM) {
-            soak_record_event(s, "up %s %d", p->name, p->is_engine ? ENGINE_SLOTS : 0);
+            soak_record_event(s, "up %s %d %u", p->name, p->is_engine ? ENGINE_SLOTS : 0, p->version);
         } else {
             soak_publish_catalog(s);
         }
@@ -239,9 +243,12 @@
     p->pid = 0;
     int code = WIFEXITED(w->rstatus) ? WEXITSTATUS(w->rstatus) : 128 + WTERMSIG(w->rstatus);
     if (p->kind == PROC_UPSTREAM) {
+        bool has_lost_address = p->keeps_address && !p->is_ready;
         soak_record_event(s, "down %s", p->name);
         if (code == CRASH_EXIT_STATUS) {
             schedule_restart(p);
+        } else if (has_lost_address && !s->is_ending) { /* another socket took the port meanwhile */
+            soak_restart_upstream(p);
         }
         soak_publish_servers(s);
     } else if (p->kind == PROC_HOST) {
@@ -314,12 +321,31 @@
     return true;
 }
 
+/* Returns whether an upstream has exited and nothing refers to it any more. */
+static bool is_done(const soak_t* s, const proc_t* p) {
+    if (p->kind != PROC_UPSTREAM || p->pid || p->has_stale_entry || ev_is_active(&p->output) ||
+        ev_is_active(&p->restart_timer) || soak_is_target(s, p)) {
+        return false;
+    }
+    for (uint32_t i = 0; i < s->proc_count; i++) {
+        if (s->procs[i].replaces == p) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static proc_t* add_proc(soak_t* s, proc_kind_t kind) {
-    if (s->proc_count == SOAK_PROCS_MAX) {
-        fprintf(stderr, "soak started more than %d processes\n", SOAK_PROCS_MAX);
+    uint32_t at = 0;
+    while (at < s->proc_count && !is_done(s, &s->procs[at])) {
+        at++;
+    }
+    if (at == SOAK_PROCS_MAX) {
+        fprintf(stderr, "soak has more than %d processes\n", SOAK_PROCS_MAX);
         abort();
     }
-    proc_t* p = &s->procs[s->proc_count++];
+    s->proc_count += at == s->proc_count;
+    proc_t* p = &s->procs[at];
     *p = (proc_t){.soak = s, .kind = kind};
     return p;
 }
@@ -328,6 +354,7 @@
     char slots[8];
     char version[16];
     bool is_engine = p->is_engine;
+    const char* address = p->keeps_address ? p->replaces->address : "127.0.0.1:0";
     p->started_ms = standin_now_ms();
     snprintf(slots, sizeof(slots), "%d", is_engine ? ENGINE_SLOTS : SERVICE_SLOTS);
     p->version = p->soak->version;
@@ -338,6 +365,9 @@
                                 version,
                                 "--slots",
                                 slots,
+                                "--address",
+                                address,
+                                "--runs",
                                 is_engine ? "--prefill" : "--ms",
                                 is_engine ? PREFILL_US_PER_TOKEN : SERVICE_MS,
                                 NULL};
@@ -351,11 +381,22 @@
     launch_upstream(p);
 }
 
+static proc_t* add_successor(proc_t* previous) {
+    proc_t before = *previous; /* its entry may become that of the successor */
+    proc_t* p = add_proc(before.soak, PROC_UPSTREAM);
+    p->is_engine = before.is_engine;
+    p->replaces = before.is_ready ? previous : before.replaces;
+    cw_copy(p->name, sizeof(p->name), before.name);
+    return p;
+}
+
 void soak_restart_upstream(proc_t* previous) {
-    proc_t* p = add_proc(previous->soak, PROC_UPSTREAM);
-    previous->has_stale_entry = false;
-    p->is_engine = previous->is_engine;
-    cw_copy(p->name, sizeof(p->name), previous->name);
+    launch_upstream(add_successor(previous));
+}
+
+void soak_restart_upstream_in_place(proc_t* previous) {
+    proc_t* p = add_successor(previous);
+    p->keeps_address = p->replaces != NULL;
     launch_upstream(p);
 }
 
