Inquiries about streams: a version counts only if no engine of another one has the prompt

The events beside a prompt no longer decide; a run is one more sign, and all hosts must have replied, once each to the round, for all engines. A history with an event missing isn't whole. Rounds are spread by hosts, where their items were counted before, which left fleets of over 500 hosts a single one.

--- a/chalkway_part_versions.h
+++ b/chalkway_part_versions.h
@@ -43,6 +43,8 @@
    version: set if it is 1. */
 uint32_t cw_part_versions_find(const cw_part_versions_t* t, int64_t since_ms, uint64_t pool, uint64_t part,
                                uint32_t min_tokens, uint64_t* version);
+/* Whether a part listed since since_ms was dropped: one that isn't found may have been listed. */
+bool cw_part_versions_has_dropped(const cw_part_versions_t* t, int64_t since_ms);
 
 #endif /* CHALKWAY_PART_VERSIONS_H */
 
@@ -71,6 +73,8 @@
     cw_map_t index;                  /* key to position */
     _cw_part_versions_item_t* items; /* ring, in the order of arrival; NULL: nothing was added */
     uint32_t capacity, next, count;
+    int64_t dropped_ms; /* latest listing of a part that was dropped */
+    bool has_dropped;
 };
 
 cw_part_versions_t* cw_part_versions_setup(uint32_t capacity, const cw_allocator_t* allocator) {
@@ -104,6 +108,9 @@
     t->next = (t->next + 1) % t->capacity;
     if (t->count == t->capacity) {
         cw_map_remove(&t->index, t->items[at].key);
+        t->dropped_ms =
+            !t->has_dropped || t->items[at].listed_ms > t->dropped_ms ? t->items[at].listed_ms : t->dropped_ms;
+        t->has_dropped = true;
     } else {
         t->count++;
     }
@@ -158,5 +165,9 @@
     return count;
 }
 
+bool cw_part_versions_has_dropped(const cw_part_versions_t* t, int64_t since_ms) {
+    return t->has_dropped && t->dropped_ms >= since_ms;
+}
+
 #endif /* CHALKWAY_PART_VERSIONS_IMPL_INCLUDED */
 #endif /* CHALKWAY_IMPL */
--- a/chalkway_stream_inquiry.h
+++ b/chalkway_stream_inquiry.h
@@ -5,31 +5,31 @@
 
     WHAT IT IS
         After all hosts were lost nobody remembers which software version
-        began a stream, but engines may still cache its prompt. Each host
-        knows what some engines have listed (chalkway_part_versions.h). A host
-        that is to resume the stream sends an inquiry to all others, in rounds,
-        since datagrams may be lost and engines are queried during the first
-        second. The inquiry is decided when all have replied for all of their
-        engines, when two versions were named, or after
-        CW_STREAM_INQUIRY_MS.
-
-        An engine that has the prompt and as many events as the caller has
-        received has run the stream. One that has the prompt alone may have:
-        engines drop what a run has made when its connection breaks. It may
-        also have been left before the first event. So the prompt alone counts
-        only if all have replied, one version was named, and no engine has
-        more.
+        began a stream, but engines may still cache its prompt, or run it.
+        Each host knows what some engines have listed
+        (chalkway_part_versions.h). A host that is to resume the stream sends
+        an inquiry to all others, in rounds, since datagrams may be lost and
+        engines are queried during the first second.
+
+        An engine that has the prompt has run the stream, or another request
+        with the same prompt, or was left before the first event. So a version
+        counts only if all hosts have replied for all of their engines and no
+        engine of another version has it. An engine that could not be queried
+        may have it: then only the version of that engine counts.
 
     HOW TO USE IT
             cw_stream_inquiry_t q = {0};
             cw_stream_inquiry_begin(&q, now_ms);
-            if (cw_stream_inquiry_is_due(&q, now_ms)) { cw_stream_inquiry_on_round(&q, now_ms, send_to_all()); }
-            cw_stream_inquiry_on_reply(&q, version, CW_STREAM_REPLY_ALL, false); // for each reply
+            if (cw_stream_inquiry_is_due(&q, now_ms)) {
+                uint32_t round = cw_stream_inquiry_next_round(&q);
+                cw_stream_inquiry_on_round(&q, now_ms, send_to_all(round), 1);
+            }
+            cw_stream_inquiry_on_reply(&q, &(cw_stream_reply_t){...}); // for each reply
             if (cw_stream_inquiry_is_decided(&q, now_ms)) { uint64_t version = cw_stream_inquiry_version(&q); }
 
     WHAT IT DOES NOT DO
-        It has no sockets. It counts replies, not hosts: one that arrives
-        after the next round has begun counts for that round.
+        It has no sockets, and doesn't know the hosts: each replies once to a
+        round, with the round's number.
 
     LICENCE
         MIT, see LICENSE.
@@ -39,34 +39,45 @@
 #define CW_STREAM_INQUIRY_MS 1500      /* a host is queried, and its engines are, within this time of its start */
 #define CW_STREAM_INQUIRY_ROUND_MS 100 /* least time between two rounds */
 #define CW_STREAM_INQUIRY_HOST_MS 1    /* for each host that is queried, so that a large fleet isn't flooded */
+#define CW_STREAM_INQUIRY_ROUNDS_MAX 255
 
 /* What a reply covers. */
-typedef enum cw_stream_reply_t {
-    CW_STREAM_REPLY_ALL = 0, /* all engines that its sender queries */
-    CW_STREAM_REPLY_PARTIAL, /* some engines have not replied yet */
-    CW_STREAM_REPLY_SEVERAL, /* engines of several versions have the prompt */
-    CW_STREAM_REPLY_COUNT
+typedef enum cw_stream_coverage_t {
+    CW_STREAM_COVERS_ALL = 0, /* all engines that its sender queries */
+    CW_STREAM_COVERS_SOME,    /* some engines have not replied yet, or engines of several versions can't be queried */
+    CW_STREAM_COVERS_ALL_BUT, /* all but engines of the reply's version, none of the others has the stream */
+    CW_STREAM_HAS_SEVERAL,    /* engines of several versions have it */
+    CW_STREAM_COVERAGE_COUNT
+} cw_stream_coverage_t;
+
+typedef struct cw_stream_reply_t {
+    uint32_t round;
+    uint64_t version; /* of the engines that have the stream, 0: none has it; see CW_STREAM_COVERS_ALL_BUT */
+    cw_stream_coverage_t coverage;
 } cw_stream_reply_t;
 
 typedef struct cw_stream_inquiry_t {
-    uint64_t version;        /* of engines that have made events of the stream, 0: none yet */
-    uint64_t prompt_version; /* of engines that have the prompt */
-    bool is_several, is_prompt_several;
-    uint32_t queried;  /* hosts, in this round */
-    uint32_t complete; /* of their replies, those that cover all engines */
+    uint64_t version;  /* of engines that have the stream, 0: none yet */
+    uint64_t unlisted; /* version of engines that can't be queried, 0: all can */
+    bool is_several;   /* engines of several versions have it, or can't be queried */
+    uint32_t round;    /* number of the current round, from 1 on */
+    bool is_own_open;  /* this host has not queried all of its engines yet */
+    uint32_t queried;  /* replies that are due in this round */
+    uint32_t complete; /* replies to this round that cover all engines */
     int64_t begun_ms, next_round_ms;
 } cw_stream_inquiry_t;
 
 void cw_stream_inquiry_begin(cw_stream_inquiry_t* q, int64_t now_ms);
 bool cw_stream_inquiry_is_due(const cw_stream_inquiry_t* q, int64_t now_ms);
-/* A round was sent to so many hosts. */
-void cw_stream_inquiry_on_round(cw_stream_inquiry_t* q, int64_t now_ms, uint32_t hosts);
-/* version: that the sender's engines show, 0: none; is_prompt_only: they have the prompt, and maybe nothing else. */
-void cw_stream_inquiry_on_reply(cw_stream_inquiry_t* q, uint64_t version, cw_stream_reply_t reply, bool is_prompt_only);
-/* The same of the engines that this host queries itself. */
-void cw_stream_inquiry_on_own(cw_stream_inquiry_t* q, uint64_t version, bool is_several, bool is_prompt_only);
+/* Begins a round, and returns its number. */
+uint32_t cw_stream_inquiry_next_round(cw_stream_inquiry_t* q);
+/* The round was sent to so many hosts, each of which replies to so many items. */
+void cw_stream_inquiry_on_round(cw_stream_inquiry_t* q, int64_t now_ms, uint32_t hosts, uint32_t items);
+void cw_stream_inquiry_on_reply(cw_stream_inquiry_t* q, const cw_stream_reply_t* reply);
+/* What this host's own engines show: as a reply, but it isn't counted. */
+void cw_stream_inquiry_on_own(cw_stream_inquiry_t* q, const cw_stream_reply_t* own);
 bool cw_stream_inquiry_is_decided(const cw_stream_inquiry_t* q, int64_t now_ms);
-/* The version that the replies show; 0: none, or several. */
+/* The version that the replies show; 0: none, or several, or some are missing. */
 uint64_t cw_stream_inquiry_version(const cw_stream_inquiry_t* q);
 
 #endif /* CHALKWAY_STREAM_INQUIRY_H */
@@ -81,31 +92,39 @@
 }
 
 bool cw_stream_inquiry_is_due(const cw_stream_inquiry_t* q, int64_t now_ms) {
-    return now_ms >= q->next_round_ms;
+    return now_ms >= q->next_round_ms && q->round < CW_STREAM_INQUIRY_ROUNDS_MAX;
 }
 
-void cw_stream_inquiry_on_round(cw_stream_inquiry_t* q, int64_t now_ms, uint32_t hosts) {
-    uint32_t spread_ms = hosts * CW_STREAM_INQUIRY_HOST_MS;
-    q->queried = hosts;
+uint32_t cw_stream_inquiry_next_round(cw_stream_inquiry_t* q) {
     q->complete = 0;
+    return ++q->round;
+}
+
+void cw_stream_inquiry_on_round(cw_stream_inquiry_t* q, int64_t now_ms, uint32_t hosts, uint32_t items) {
+    uint32_t spread_ms = hosts * CW_STREAM_INQUIRY_HOST_MS;
+    q->queried = hosts * items;
     q->next_round_ms = now_ms + (spread_ms > CW_STREAM_INQUIRY_ROUND_MS ? spread_ms : CW_STREAM_INQUIRY_ROUND_MS);
 }
 
-void cw_stream_inquiry_on_own(cw_stream_inquiry_t* q, uint64_t version, bool is_several, bool is_prompt_only) {
-    uint64_t* named = is_prompt_only ? &q->prompt_version : &q->version;
-    bool* is_ambiguous = is_prompt_only ? &q->is_prompt_several : &q->is_several;
-    *is_ambiguous = *is_ambiguous || is_several || (version && *named && *named != version);
-    *named = version ? version : *named;
+/* Notes a version; is_ambiguous is set if it is another one than before. */
+static void _cw_stream_inquiry_note(uint64_t* known, uint64_t version, bool* is_ambiguous) {
+    *is_ambiguous = *is_ambiguous || (version && *known && *known != version);
+    *known = version ? version : *known;
+}
+
+void cw_stream_inquiry_on_own(cw_stream_inquiry_t* q, const cw_stream_reply_t* own) {
+    bool is_unlisted = own->coverage == CW_STREAM_COVERS_ALL_BUT;
+    q->is_several = q->is_several || own->coverage == CW_STREAM_HAS_SEVERAL;
+    _cw_stream_inquiry_note(is_unlisted ? &q->unlisted : &q->version, own->version, &q->is_several);
 }
 
-void cw_stream_inquiry_on_reply(cw_stream_inquiry_t* q, uint64_t version, cw_stream_reply_t reply,
-                                bool is_prompt_only) {
-    cw_stream_inquiry_on_own(q, version, reply == CW_STREAM_REPLY_SEVERAL, is_prompt_only);
-    q->complete += reply != CW_STREAM_REPLY_PARTIAL;
+void cw_stream_inquiry_on_reply(cw_stream_inquiry_t* q, const cw_stream_reply_t* reply) {
+    cw_stream_inquiry_on_own(q, reply);
+    q->complete += reply->round == q->round && reply->coverage != CW_STREAM_COVERS_SOME;
 }
 
 static bool _cw_stream_inquiry_is_complete(const cw_stream_inquiry_t* q) {
-    return q->next_round_ms > q->begun_ms && q->complete >= q->queried;
+    return q->round && !q->is_own_open && q->complete >= q->queried;
 }
 
 bool cw_stream_inquiry_is_decided(const cw_stream_inquiry_t* q, int64_t now_ms) {
@@ -113,10 +132,8 @@
 }
 
 uint64_t cw_stream_inquiry_version(const cw_stream_inquiry_t* q) {
-    if (q->version || q->is_several) {
-        return q->is_several ? 0 : q->version;
-    }
-    return q->is_prompt_several || !_cw_stream_inquiry_is_complete(q) ? 0 : q->prompt_version;
+    bool is_unlisted_other = q->unlisted && q->unlisted != q->version;
+    return q->is_several || is_unlisted_other || !_cw_stream_inquiry_is_complete(q) ? 0 : q->version;
 }
 
 #endif /* CHALKWAY_STREAM_INQUIRY_IMPL_INCLUDED */
--- a/chalkway_stream_message.h
+++ b/chalkway_stream_message.h
@@ -38,10 +38,11 @@
 
 /* Of CW_STREAM_HANDOVER and CW_STREAM_PAGE, the first entry is the head of the page: its cursor in stream, the next one
    in pool, 1 in version if it is the last page, known_ms in left_ms; see cw_handover_page_t. An entry of
-   CW_STREAM_INQUIRY has the last part of the prompt in version, and in left_ms the tokens of it that an engine which
-   has run the request caches at least; an entry of CW_STREAM_EVIDENCE has a cw_stream_reply_t in left_ms. In both,
-   CW_STREAM_PROMPT_ONLY is added to left_ms where the tokens are those of the prompt alone. */
-#define CW_STREAM_PROMPT_ONLY (1U << 31U)
+   CW_STREAM_INQUIRY has in version what engines are searched for: the last part of the prompt, or the run; in left_ms
+   the number of tokens or events of it at least, up to CW_STREAM_AMOUNT_MAX, and the round from bit CW_STREAM_ROUND_BIT
+   on. Of a CW_STREAM_EVIDENCE, left_ms has a cw_stream_coverage_t and the round. */
+#define CW_STREAM_ROUND_BIT 24U
+#define CW_STREAM_AMOUNT_MAX ((1U << CW_STREAM_ROUND_BIT) - 1U)
 typedef struct cw_stream_entry_t {
     uint64_t stream; /* 0 in a page: a version that has served in the pool, until left_ms ago */
     uint64_t pool;
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -61,7 +61,9 @@
     cw_status_t (*read_inventory)(const char* body, size_t size, int64_t* started_ms, part_visitor_t visit,
                                   void* user_data, cw_error_t* err);
     const char* runs_path; /* engine's list of the requests that it runs; NULL: engines have none */
-    cw_status_t (*read_runs)(const char* body, size_t size, run_visitor_t visit, void* user_data, cw_error_t* err);
+    /* Reads the response of runs_path and visits each run that has sent events. started_ms: as of read_inventory. */
+    cw_status_t (*read_runs)(const char* body, size_t size, int64_t* started_ms, run_visitor_t visit, void* user_data,
+                             cw_error_t* err);
 } dialect_t;
 
 /* The read timeout in ms of a stream's caller for a route with this target and longest gap. 0: none. */
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -303,6 +303,7 @@
     x->is_resumed_by_caller = last_event && (last_event[0] || resumes[0]);
     x->work.begins_stream = !x->is_resumed_by_caller;
     x->stream_run = request_run_read(dialect, m);
+    x->stream_inquiry_id = cw_mix(x->exchanges->desc.seed, ++x->exchanges->random_count);
     x->stream = streams_id(x->workspace ? cw_name_id(x->workspace->name) : 0,
                            x->is_resumed_by_caller ? resumes : x->request_id);
 }
@@ -495,7 +496,7 @@
 
 void exchanges_on_stream_evidence(exchanges_t* e, const cw_stream_entry_t* reply) {
     for (exchange_t* x = e->list; x; x = x->next) {
-        if (x->stream == reply->stream && x->stream_due_ms) {
+        if (x->stream_inquiry_id == reply->stream && x->stream_due_ms) {
             streams_on_evidence(&x->stream_inquiry, reply);
         }
     }
--- a/gateway/exchange_assign.c
+++ b/gateway/exchange_assign.c
@@ -193,10 +193,11 @@
     streams_t* streams = x->exchanges->desc.streams;
     const stream_request_t request = {.pool = x->pool,
                                       .stream = x->stream,
+                                      .inquiry = x->stream_inquiry_id,
                                       .id = x->id,
                                       .resumes = x->resumes,
                                       .part = x->stream_run.part.id,
-                                      .min_tokens = x->stream_run.part.tokens,
+                                      .part_tokens = x->stream_run.part.tokens,
                                       .events = x->stream_run.events};
     if (!x->is_resumed_by_caller || x->work.version) {
         return false;
--- a/gateway/exchange_internal.h
+++ b/gateway/exchange_internal.h
@@ -46,6 +46,7 @@
     uint64_t stream;           /* of a resumable route: id of the stream, begun or resumed (streams_id); 0: unknown */
     int64_t stream_due_ms;     /* its version is unknown, and other hosts may reply until then; 0: none was queried */
     request_run_t stream_run;  /* of a stream that the caller resumes */
+    uint64_t stream_inquiry_id;
     cw_stream_inquiry_t stream_inquiry;
     bool is_version_bound;  /* the first event has arrived */
     int64_t verdict_due_ms; /* the quarantine verdict is undecided until then; 0: decided */
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -179,6 +179,10 @@
     return inventory_is_complete(((gateway_t*)user)->inventory);
 }
 
+static uint32_t count_unlisted(void* user, uint64_t pool, uint64_t* version) {
+    return inventory_count_failed(((gateway_t*)user)->inventory, pool, version);
+}
+
 static bool read_history(void* user) {
     return sync_read_history(((gateway_t*)user)->sync);
 }
@@ -529,6 +533,7 @@
                                                  .query = query_stream,
                                                  .inquire = inquire_stream,
                                                  .is_inventory_complete = is_inventory_complete,
+                                                 .count_unlisted = count_unlisted,
                                                  .read_history = read_history,
                                                  .on_resolved = on_stream_resolved,
                                                  .user_data = g});
--- a/gateway/inventory.c
+++ b/gateway/inventory.c
@@ -12,8 +12,14 @@
 #define CALL_TIMEOUT_MS 1000   /* longest time for one engine's list */
 #define CONNECT_TIMEOUT_MS 300 /* longest time to connect to an engine */
 #define LIST_MAX_BYTES (1 << 20) /* a longer list is not read */
+#define FAILED_MAX 64            /* versions of engines that failed, over all pools */
 #define IDLE_CLIENTS 1           /* idle connections that stay open, few since each engine is queried once */
 
+/* The version of a pool's engines that failed to reply. */
+typedef struct failed_t {
+    uint64_t pool, version;
+} failed_t;
+
 typedef struct call_t {
     inventory_t* inventory;
     uint64_t server;
@@ -32,6 +38,8 @@
     uint32_t max_parts; /* most parts recorded of one engine */
     bool is_listed;     /* pending holds the engines to query */
     call_t calls[MAX_CALLS];
+    failed_t failed[FAILED_MAX];
+    uint32_t failed_count;
     inventory_stats_t stats;
 };
 
@@ -73,8 +81,32 @@
     }
 }
 
+static void remember_failed(inventory_t* v, const server_t* server) {
+    const failed_t failed = {.pool = server->pool->id, .version = cw_server_version_id(&server->published)};
+    for (uint32_t i = 0; i < v->failed_count; i++) {
+        if (v->failed[i].pool == failed.pool && v->failed[i].version == failed.version) {
+            return;
+        }
+    }
+    v->failed[v->failed_count < FAILED_MAX ? v->failed_count++ : FAILED_MAX - 1] = failed;
+}
+
+uint32_t inventory_count_failed(const inventory_t* v, uint64_t pool, uint64_t* version) {
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < v->failed_count; i++) {
+        if (v->failed[i].pool == pool) {
+            *version = v->failed[i].version;
+            count++;
+        }
+    }
+    return count < 2 ? count : 2;
+}
+
 static void log_failure(inventory_t* v, const server_t* server, const char* why) {
     v->stats.failed++;
+    if (server) {
+        remember_failed(v, server);
+    }
     cw_log(v->desc.log, CW_EVENT_INVENTORY_FAILED, "step=inventory server=%s peer=%s reason=\"%s\"",
            server ? server->published.id : "-", server ? server->published.address : "-", why);
 }
@@ -114,18 +146,31 @@
     free(parts.items);
 }
 
+static void ignore_run(void* user, const char* request_id, uint32_t events) {
+    (void)user;
+    (void)request_id;
+    (void)events;
+}
+
 static void add_run(void* user, const char* request_id, uint32_t events) {
     const call_t* c = user;
     const server_t* server = upstreams_server(c->inventory->desc.upstreams, c->server);
-    if (server && !server->is_removed) {
-        c->inventory->desc.on_run(c->inventory->desc.user_data, server, request_id, events);
-    }
+    c->inventory->desc.on_run(c->inventory->desc.user_data, server, request_id, events);
 }
 
-static void on_runs(call_t* c, const server_t* server) {
+/* The report is read once for the start time, and once for the runs of that incarnation. */
+static void on_runs(call_t* c, server_t* server) {
+    inventory_t* v = c->inventory;
+    const dialect_t* dialect = v->desc.dialect;
+    const char* body = cw_buffer_text(&c->body);
     cw_error_t err = {0};
-    if (c->inventory->desc.dialect->read_runs(cw_buffer_text(&c->body), c->body.size, add_run, c, &err) != CW_OK) {
-        log_failure(c->inventory, server, err.message);
+    int64_t started_ms = 0;
+    if (dialect->read_runs(body, c->body.size, &started_ms, ignore_run, c, &err) != CW_OK) {
+        log_failure(v, server, err.message);
+    } else if (server && upstreams_check_incarnation(v->desc.upstreams, clock_ms(), server, started_ms)) {
+        log_failure(v, server, "another incarnation of the server responded");
+    } else if (server && !server->is_removed) {
+        dialect->read_runs(body, c->body.size, &started_ms, add_run, c, &err);
     }
 }
 
--- a/gateway/inventory.h
+++ b/gateway/inventory.h
@@ -55,5 +55,7 @@
 inventory_stats_t inventory_stats(const inventory_t* v);
 /* Whether the engines that this daemon queries have replied or failed, or there are none to query. */
 bool inventory_is_complete(const inventory_t* v);
+/* Number of versions of the pool's engines that failed to reply: 0, 1 or 2 (several); version: set if it is 1. */
+uint32_t inventory_count_failed(const inventory_t* v, uint64_t pool, uint64_t* version);
 
 #endif
--- a/gateway/reporter_inquiries.c
+++ b/gateway/reporter_inquiries.c
@@ -9,7 +9,6 @@
     if (!n->inquiries.count) {
         return;
     }
-    reporter_refresh_peers(n);
     datagram_t d = reporter_encode_streams(n, &n->inquiries);
     for (uint32_t i = 0; i < n->peer_count; i++) {
         reporter_send(n, &n->peers[i], &d);
@@ -24,6 +23,7 @@
 }
 
 uint32_t reporter_inquire_stream(reporter_t* n, const cw_stream_entry_t* inquiry) {
+    reporter_refresh_peers(n);
     n->inquiries.entries[n->inquiries.count++] = *inquiry;
     if (n->inquiries.count == CW_STREAM_ENTRIES) {
         send_inquiries(n);
--- a/gateway/request_head.c
+++ b/gateway/request_head.c
@@ -189,7 +189,6 @@
     if (text) {
         run.events = events ? events : 1;
         run.part = part;
-        run.part.tokens += part.tokens < UINT32_MAX - run.events ? run.events : 0;
     }
     return run;
 }
--- a/gateway/request_head.h
+++ b/gateway/request_head.h
@@ -34,9 +34,9 @@
 uint64_t request_part_id(const char* name);
 /* Adds the parts of the prompt except the last one, which is the request's own. */
 void request_suspects_read(cw_suspects_t* suspects, const dialect_t* dialect, const cw_message_t* request);
-/* The part of the work that only the engine has which has sent a stream so far. */
+/* What an engine has which has sent a stream so far. */
 typedef struct request_run_t {
-    cw_prompt_part_t part; /* last part of the prompt, with its tokens and one for each event; id 0: unknown */
+    cw_prompt_part_t part; /* last part of the prompt; id 0: unknown */
     uint32_t events;       /* that the caller has received, at least 1 */
 } request_run_t;
 
--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -9,6 +9,8 @@
 #define LONGEST_DEFAULT_MS 30000
 /* A version is remembered for this multiple of the longest stream: hosts learn at different times that it has gone. */
 #define MEMORY_FACTOR 2
+/* Servers of a version that has left the list may begin streams for so long, at hosts whose list is late. */
+#define LIST_LATENESS_MS 5000
 #define PARTS_MAX 16384 /* parts that engines have listed, remembered for as long as streams last */
 #define RUN_KEY_SEED 0x72756eU
 #define CACHE_BLOCK_TOKENS 64 /* largest block of an engine's cache: the last one is kept only if it is full */
@@ -18,7 +20,8 @@
 struct streams_t {
     streams_desc_t desc;
     cw_stream_registry_t* registry;
-    uint32_t memory_ms;
+    uint32_t memory_ms;    /* for which a version is remembered */
+    uint32_t known_min_ms; /* a host that has seen the versions for so long knows that of each stream that is alive */
     int64_t setup_ms;
     cw_handover_t handover;
     int64_t inherited_ms;                      /* all versions from then on were taken over from other hosts; 0: none */
@@ -38,9 +41,10 @@
     s->registry = cw_stream_registry_setup(desc->capacity ? desc->capacity : CAPACITY_DEFAULT, NULL);
     s->parts = cw_part_versions_setup(PARTS_MAX, NULL);
     s->memory_ms = MEMORY_FACTOR * LONGEST_DEFAULT_MS;
+    s->known_min_ms = LONGEST_DEFAULT_MS + LIST_LATENESS_MS;
     s->setup_ms = clock_ms();
     cw_handover_begin(&s->handover,
-                      &(cw_handover_desc_t){.now_ms = s->setup_ms, .enough_ms = s->memory_ms, .seed = desc->seed});
+                      &(cw_handover_desc_t){.now_ms = s->setup_ms, .enough_ms = s->known_min_ms, .seed = desc->seed});
     return s;
 }
 
@@ -51,8 +55,10 @@
 }
 
 void streams_set_longest_ms(streams_t* s, uint32_t ms) {
-    s->memory_ms = MEMORY_FACTOR * (ms ? ms : LONGEST_DEFAULT_MS);
-    s->handover.desc.enough_ms = s->memory_ms;
+    uint32_t longest_ms = ms ? ms : LONGEST_DEFAULT_MS;
+    s->memory_ms = MEMORY_FACTOR * longest_ms;
+    s->known_min_ms = longest_ms + LIST_LATENESS_MS;
+    s->handover.desc.enough_ms = s->known_min_ms;
 }
 
 uint64_t streams_id(uint64_t workspace, const char* request_id) {
@@ -73,7 +79,7 @@
 
 /* Whether this host, or one that handed over to it, has lived for longer than streams last. */
 static bool has_long_memory(const streams_t* s, int64_t now_ms) {
-    return known_ms(s, now_ms) >= s->memory_ms;
+    return known_ms(s, now_ms) >= s->known_min_ms;
 }
 
 /* Whether this host knows each version that a live stream can have. */
@@ -163,11 +169,11 @@
     s->stats.resumed[source]++;
     cw_log(s->desc.log, CW_EVENT_STREAM_VERSION,
            "id=%s resumes=%s pool=%s version_key=%016llx source=%s versions=%u list_age_ms=%lld known_ms=%lld "
-           "part=%llx min_tokens=%u",
+           "part=%llx part_tokens=%u",
            request->id, request->resumes[0] ? request->resumes : "-", request->pool->name, (unsigned long long)version,
            streams_source_name(source), cw_pool_versions_recent(&request->pool->versions, now_ms, s->memory_ms),
            (long long)s->desc.list_age_ms(s->desc.user_data), (long long)known_ms(s, now_ms),
-           (unsigned long long)request->part, request->min_tokens);
+           (unsigned long long)request->part, request->part_tokens);
     return version;
 }
 
@@ -202,53 +208,55 @@
     return request_id[0] ? cw_mix(cw_name_id(request_id), RUN_KEY_SEED) : 0;
 }
 
+/* Number of versions of the pool's engines that could not be queried: 0, 1 or 2 (several); version: set if it is 1. */
+static uint32_t count_unlisted(const streams_t* s, uint64_t pool, uint64_t* version) {
+    return s->desc.count_unlisted ? s->desc.count_unlisted(s->desc.user_data, pool, version) : 0;
+}
+
 static bool is_inventory_complete(const streams_t* s) {
     return !s->desc.is_inventory_complete || s->desc.is_inventory_complete(s->desc.user_data);
 }
 
 /* What engines, as far as this host queries them, show of a part with so many tokens, or of a run with so many events.
  */
-static void find_engines(const streams_t* s, const cw_stream_entry_t* inquiry, cw_stream_entry_t* out) {
+static cw_stream_reply_t find_engines(const streams_t* s, const cw_stream_entry_t* inquiry) {
     uint64_t version = 0;
-    uint32_t tokens = inquiry->left_ms & ~CW_STREAM_PROMPT_ONLY;
-    uint32_t versions =
-        cw_part_versions_find(s->parts, clock_ms() - s->memory_ms, inquiry->pool, inquiry->version, tokens, &version);
-    cw_stream_reply_t coverage = is_inventory_complete(s) ? CW_STREAM_REPLY_ALL : CW_STREAM_REPLY_PARTIAL;
-    *out = (cw_stream_entry_t){.stream = inquiry->stream,
-                               .pool = inquiry->pool,
-                               .version = versions == 1 ? version : 0,
-                               .left_ms = versions > 1 ? CW_STREAM_REPLY_SEVERAL : coverage};
-    out->left_ms |= inquiry->left_ms & CW_STREAM_PROMPT_ONLY;
+    uint64_t unlisted = 0;
+    int64_t since_ms = clock_ms() - s->memory_ms;
+    uint32_t versions = cw_part_versions_find(s->parts, since_ms, inquiry->pool, inquiry->version,
+                                              inquiry->left_ms & CW_STREAM_AMOUNT_MAX, &version);
+    uint32_t unlisted_versions = count_unlisted(s, inquiry->pool, &unlisted);
+    cw_stream_reply_t reply = {.round = inquiry->left_ms >> CW_STREAM_ROUND_BIT,
+                               .version = versions == 1 ? version : 0};
+    bool is_other = versions && unlisted_versions && unlisted != version;
+    if (versions > 1) {
+        reply.coverage = CW_STREAM_HAS_SEVERAL;
+    } else if (!is_inventory_complete(s) || cw_part_versions_has_dropped(s->parts, since_ms) || unlisted_versions > 1 ||
+               is_other) {
+        reply.coverage = CW_STREAM_COVERS_SOME;
+    } else if (unlisted_versions && !versions) {
+        reply = (cw_stream_reply_t){.round = reply.round, .version = unlisted, .coverage = CW_STREAM_COVERS_ALL_BUT};
+    }
+    return reply;
 }
 
 /* Tokens of the last part that an engine caches at least which has prefilled the prompt. */
-static uint32_t prompt_tokens(const stream_request_t* request) {
-    uint32_t tokens = request->min_tokens - request->events;
-    return tokens > CACHE_BLOCK_TOKENS ? tokens - CACHE_BLOCK_TOKENS : 1;
-}
-
-static bool is_prompt_only(const cw_stream_entry_t* entry) {
-    return entry->left_ms & CW_STREAM_PROMPT_ONLY;
+static uint32_t min_cached_tokens(const stream_request_t* request) {
+    return request->part_tokens > CACHE_BLOCK_TOKENS ? request->part_tokens - CACHE_BLOCK_TOKENS : 1;
 }
 
-void streams_on_evidence(cw_stream_inquiry_t* inquiry, const cw_stream_entry_t* reply) {
-    cw_stream_reply_t coverage = (cw_stream_reply_t)(reply->left_ms & ~CW_STREAM_PROMPT_ONLY);
-    if (coverage < CW_STREAM_REPLY_COUNT) {
-        cw_stream_inquiry_on_reply(inquiry, reply->version, coverage, is_prompt_only(reply));
-    }
+static cw_stream_entry_t make_inquiry(const stream_request_t* request, uint64_t item, uint32_t amount) {
+    return (cw_stream_entry_t){.stream = request->inquiry,
+                               .pool = request->pool->id,
+                               .version = item,
+                               .left_ms = amount < CW_STREAM_AMOUNT_MAX ? amount : CW_STREAM_AMOUNT_MAX};
 }
 
 bool streams_inquire(streams_t* s, const stream_request_t* request, cw_stream_inquiry_t* inquiry) {
     int64_t now_ms = clock_ms();
-    const uint64_t pool = request->pool->id;
-    const cw_stream_entry_t inquiries[] = {
-        {.stream = request->stream, .pool = pool, .version = request->part, .left_ms = request->min_tokens},
-        {.stream = request->stream,
-         .pool = pool,
-         .version = request->part,
-         .left_ms = prompt_tokens(request) | CW_STREAM_PROMPT_ONLY},
-        {.stream = request->stream, .pool = pool, .version = run_key(request->resumes), .left_ms = request->events}};
-    const uint32_t count = sizeof(inquiries) / sizeof(inquiries[0]);
+    cw_stream_entry_t items[] = {make_inquiry(request, request->part, min_cached_tokens(request)),
+                                 make_inquiry(request, run_key(request->resumes), request->events)};
+    const uint32_t count = request->resumes[0] ? 2 : 1;
     if (has_long_memory(s, now_ms)) {
         return false; /* a stream that it doesn't know was not announced */
     }
@@ -256,22 +264,33 @@
         cw_stream_inquiry_begin(inquiry, now_ms);
     }
     bool reads_history = !s->is_history_whole && s->desc.read_history && s->desc.read_history(s->desc.user_data);
-    for (uint32_t i = 0; i < count; i++) {
-        cw_stream_entry_t own;
-        find_engines(s, &inquiries[i], &own);
-        bool is_several = (own.left_ms & ~CW_STREAM_PROMPT_ONLY) == CW_STREAM_REPLY_SEVERAL;
-        cw_stream_inquiry_on_own(inquiry, own.version, is_several, is_prompt_only(&own));
+    bool is_own_open = false;
+    for (uint32_t i = 0; i < count && request->part; i++) {
+        cw_stream_reply_t own = find_engines(s, &items[i]);
+        cw_stream_inquiry_on_own(inquiry, &own);
+        is_own_open = is_own_open || own.coverage == CW_STREAM_COVERS_SOME;
     }
     if (cw_stream_inquiry_is_due(inquiry, now_ms)) {
-        uint32_t replies = 0;
-        for (uint32_t i = 0; i < count && request->part && request->stream && s->desc.inquire; i++) {
-            replies += s->desc.inquire(s->desc.user_data, &inquiries[i]);
+        uint32_t round = cw_stream_inquiry_next_round(inquiry);
+        uint32_t hosts = 0;
+        for (uint32_t i = 0; i < count && request->part && s->desc.inquire; i++) {
+            items[i].left_ms |= round << CW_STREAM_ROUND_BIT;
+            hosts = s->desc.inquire(s->desc.user_data, &items[i]);
         }
-        cw_stream_inquiry_on_round(inquiry, now_ms, replies);
+        cw_stream_inquiry_on_round(inquiry, now_ms, hosts, count);
     }
-    bool is_own_part_open = request->part && !is_inventory_complete(s);
+    inquiry->is_own_open = is_own_open;
     bool is_late = now_ms - inquiry->begun_ms >= CW_STREAM_INQUIRY_MS;
-    return !is_late && (reads_history || is_own_part_open || !cw_stream_inquiry_is_decided(inquiry, now_ms));
+    return !is_late && (reads_history || !cw_stream_inquiry_is_decided(inquiry, now_ms));
+}
+
+void streams_on_evidence(cw_stream_inquiry_t* inquiry, const cw_stream_entry_t* evidence) {
+    const cw_stream_reply_t reply = {.round = evidence->left_ms >> CW_STREAM_ROUND_BIT,
+                                     .version = evidence->version,
+                                     .coverage = (cw_stream_coverage_t)(evidence->left_ms & CW_STREAM_AMOUNT_MAX)};
+    if (reply.coverage < CW_STREAM_COVERAGE_COUNT) {
+        cw_stream_inquiry_on_reply(inquiry, &reply);
+    }
 }
 
 void streams_on_cached_parts(streams_t* s, const pool_t* pool, uint64_t version, const cw_prompt_part_t* parts,
@@ -293,8 +312,12 @@
     return !has_long_memory(s, clock_ms());
 }
 
-void streams_on_inquiry(const streams_t* s, const cw_stream_entry_t* inquiry, cw_stream_entry_t* reply) {
-    find_engines(s, inquiry, reply);
+void streams_on_inquiry(const streams_t* s, const cw_stream_entry_t* inquiry, cw_stream_entry_t* evidence) {
+    cw_stream_reply_t reply = find_engines(s, inquiry);
+    *evidence = (cw_stream_entry_t){.stream = inquiry->stream,
+                                    .pool = inquiry->pool,
+                                    .version = reply.version,
+                                    .left_ms = reply.round << CW_STREAM_ROUND_BIT | reply.coverage};
 }
 
 void streams_learn_listed(streams_t* s, const char* pool_name, uint64_t version) {
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -35,12 +35,13 @@
 /* The request by which a caller resumes a stream. */
 typedef struct stream_request_t {
     const pool_t* pool;
-    uint64_t stream;     /* streams_id, 0: unknown */
-    const char* id;      /* of the request, logged */
-    const char* resumes; /* id of the request that began the stream, logged */
-    uint64_t part;       /* last part of its prompt; 0: unknown */
-    uint32_t min_tokens; /* that an engine which has run the request caches of this part at least */
-    uint32_t events;     /* that the caller has received */
+    uint64_t stream;      /* streams_id, 0: unknown */
+    uint64_t inquiry;     /* names the request in replies to inquiries, whether or not its stream is known */
+    const char* id;       /* of the request, logged */
+    const char* resumes;  /* id of the request that began the stream, logged */
+    uint64_t part;        /* last part of its prompt; 0: unknown */
+    uint32_t part_tokens; /* of this part */
+    uint32_t events;      /* that the caller has received */
 } stream_request_t;
 
 typedef struct streams_desc_t {
@@ -61,6 +62,9 @@
     uint32_t (*inquire)(void* user_data, const cw_stream_entry_t* inquiry);
     /* Whether the engines that this host queries have listed what they cache. NULL: they have. */
     bool (*is_inventory_complete)(void* user_data);
+    /* Number of versions of the pool's engines that could not be queried: 0, 1 or 2 (several); version: set if it is 1.
+       NULL: 0. */
+    uint32_t (*count_unlisted)(void* user_data, uint64_t pool, uint64_t* version);
     /* Reads the history of the source, which is then passed to streams_learn_listed and streams_on_history. True: it is
        being read. NULL: the source has none. */
     bool (*read_history)(void* user_data);
@@ -95,7 +99,7 @@
    reply, call it again. */
 bool streams_inquire(streams_t* s, const stream_request_t* request, cw_stream_inquiry_t* inquiry);
 /* A reply to the inquiry: an entry of CW_STREAM_EVIDENCE. */
-void streams_on_evidence(cw_stream_inquiry_t* inquiry, const cw_stream_entry_t* reply);
+void streams_on_evidence(cw_stream_inquiry_t* inquiry, const cw_stream_entry_t* evidence);
 /* The others have had their time to reply. As streams_resolve, or the version that the inquiry has found. */
 uint64_t streams_resolve_unanswered(streams_t* s, const stream_request_t* request, const cw_stream_inquiry_t* inquiry);
 /* Engines of this version cache these parts. */
@@ -105,8 +109,8 @@
 void streams_on_run(streams_t* s, const pool_t* pool, uint64_t version, const char* request_id, uint32_t events);
 /* Whether this host and those that handed over to it may have started after streams that are still alive. */
 bool streams_may_have_missed(const streams_t* s);
-/* Another host inquires what engines have of a stream. reply: an entry of CW_STREAM_EVIDENCE. */
-void streams_on_inquiry(const streams_t* s, const cw_stream_entry_t* inquiry, cw_stream_entry_t* reply);
+/* Another host inquires what engines have of a stream. evidence: the reply, an entry of CW_STREAM_EVIDENCE. */
+void streams_on_inquiry(const streams_t* s, const cw_stream_entry_t* inquiry, cw_stream_entry_t* evidence);
 /* A server of this version was listed at some time in the history of the source. */
 void streams_learn_listed(streams_t* s, const char* pool, uint64_t version);
 /* The history was read. is_whole: it reached back to the beginning of the source, and showed each version. */
--- a/tests/test_stream_evidence.c
+++ b/tests/test_stream_evidence.c
@@ -55,7 +55,9 @@
         add(t, 5, part, V1, 10);
         ck_assert_uint_eq(find(t, part, 10, &version), 1);
         ck_assert_uint_eq(find(t, part > 4 ? part - 4 : 101, 10, &version), 0);
+        ck_assert(cw_part_versions_has_dropped(t, 5) == (part > 4));
     }
+    ck_assert(!cw_part_versions_has_dropped(t, 6));
     cw_part_versions_shutdown(t);
 }
 END_TEST
@@ -66,63 +68,100 @@
     cw_stream_inquiry_t q;
     cw_stream_inquiry_begin(&q, 1000);
     ck_assert(cw_stream_inquiry_is_due(&q, 1000));
-    cw_stream_inquiry_on_round(&q, 1000, hosts);
+    ck_assert_uint_eq(cw_stream_inquiry_next_round(&q), 1);
+    cw_stream_inquiry_on_round(&q, 1000, hosts, 1);
     ck_assert(!cw_stream_inquiry_is_due(&q, 1000));
     return q;
 }
 
+static void reply(cw_stream_inquiry_t* q, uint32_t round, uint64_t version, cw_stream_coverage_t coverage) {
+    cw_stream_inquiry_on_reply(q, &(cw_stream_reply_t){.round = round, .version = version, .coverage = coverage});
+}
+
 START_TEST(an_inquiry_is_decided_when_all_hosts_have_replied_in_full) {
     cw_stream_inquiry_t q = begin(3);
-    cw_stream_inquiry_on_reply(&q, 0, CW_STREAM_REPLY_ALL, false);
-    cw_stream_inquiry_on_reply(&q, V1, CW_STREAM_REPLY_ALL, false);
-    cw_stream_inquiry_on_reply(&q, 0, CW_STREAM_REPLY_PARTIAL, false);
-    ck_assert(!cw_stream_inquiry_is_decided(&q, 1000));
-    cw_stream_inquiry_on_round(&q, 1100, 3); /* counts anew, remembers what was named */
+    reply(&q, 1, 0, CW_STREAM_COVERS_ALL);
+    reply(&q, 1, V1, CW_STREAM_COVERS_ALL);
+    reply(&q, 1, 0, CW_STREAM_COVERS_SOME);
+    ck_assert(!cw_stream_inquiry_is_decided(&q, 1000) && !cw_stream_inquiry_version(&q));
+    ck_assert_uint_eq(cw_stream_inquiry_next_round(&q), 2); /* counts anew, remembers what was named */
+    cw_stream_inquiry_on_round(&q, 1100, 3, 1);
     for (int i = 0; i < 3; i++) {
         ck_assert(!cw_stream_inquiry_is_decided(&q, 1100));
-        cw_stream_inquiry_on_reply(&q, 0, CW_STREAM_REPLY_ALL, false);
+        reply(&q, 2, 0, CW_STREAM_COVERS_ALL);
     }
     ck_assert(cw_stream_inquiry_is_decided(&q, 1100));
     ck_assert_uint_eq(cw_stream_inquiry_version(&q), V1);
 }
 END_TEST
 
+/* Guards against a version by the prompt alone while the host whose engines ran the stream is silent: a late reply to
+   an earlier round was counted beside that to the next one. */
+START_TEST(a_late_reply_is_not_counted_for_a_later_round) {
+    cw_stream_inquiry_t q = begin(2);
+    cw_stream_inquiry_next_round(&q);
+    cw_stream_inquiry_on_round(&q, 1100, 2, 1);
+    reply(&q, 1, V1, CW_STREAM_COVERS_ALL);
+    reply(&q, 2, V1, CW_STREAM_COVERS_ALL);
+    ck_assert(!cw_stream_inquiry_is_decided(&q, 1100) && !cw_stream_inquiry_version(&q));
+    reply(&q, 2, 0, CW_STREAM_COVERS_ALL);
+    ck_assert(cw_stream_inquiry_is_decided(&q, 1100) && cw_stream_inquiry_version(&q) == V1);
+}
+END_TEST
+
 START_TEST(an_inquiry_without_replies_ends_without_a_version) {
     cw_stream_inquiry_t q = begin(3);
+    reply(&q, 1, V1, CW_STREAM_COVERS_ALL);
     ck_assert(!cw_stream_inquiry_is_decided(&q, 1000 + CW_STREAM_INQUIRY_MS - 1));
     ck_assert(cw_stream_inquiry_is_decided(&q, 1000 + CW_STREAM_INQUIRY_MS));
     ck_assert_uint_eq(cw_stream_inquiry_version(&q), 0);
+    q = begin(0); /* the only host */
+    q.is_own_open = true;
+    ck_assert(!cw_stream_inquiry_is_decided(&q, 1000));
+    q.is_own_open = false;
+    ck_assert(cw_stream_inquiry_is_decided(&q, 1000));
 }
 END_TEST
 
 START_TEST(engines_of_two_versions_decide_nothing) {
     cw_stream_inquiry_t q = begin(2);
-    cw_stream_inquiry_on_reply(&q, V1, CW_STREAM_REPLY_ALL, false);
-    cw_stream_inquiry_on_reply(&q, V2, CW_STREAM_REPLY_ALL, false);
+    reply(&q, 1, V1, CW_STREAM_COVERS_ALL);
+    reply(&q, 1, V2, CW_STREAM_COVERS_ALL);
     ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
     q = begin(2);
-    cw_stream_inquiry_on_reply(&q, 0, CW_STREAM_REPLY_SEVERAL, false);
+    reply(&q, 1, 0, CW_STREAM_HAS_SEVERAL);
     ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
     q = begin(2);
-    cw_stream_inquiry_on_own(&q, V1, false, false);
-    cw_stream_inquiry_on_reply(&q, V2, CW_STREAM_REPLY_PARTIAL, false);
+    cw_stream_inquiry_on_own(&q, &(cw_stream_reply_t){.version = V1});
+    reply(&q, 1, V2, CW_STREAM_COVERS_SOME);
     ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
 }
 END_TEST
 
-/* An engine that was left before the first event has the prompt, too. */
-START_TEST(the_prompt_alone_decides_only_where_nothing_else_is_known) {
+/* Guards against an engine that failed to list its parts and was taken for one that caches nothing. */
+START_TEST(engines_that_cannot_be_queried_count_for_their_version_only) {
     cw_stream_inquiry_t q = begin(2);
-    cw_stream_inquiry_on_reply(&q, V1, CW_STREAM_REPLY_ALL, true);
-    ck_assert_uint_eq(cw_stream_inquiry_version(&q), 0); /* a host has not replied */
-    cw_stream_inquiry_on_reply(&q, 0, CW_STREAM_REPLY_ALL, true);
-    ck_assert_uint_eq(cw_stream_inquiry_version(&q), V1);
-    cw_stream_inquiry_on_own(&q, V2, false, false); /* made events */
-    ck_assert_uint_eq(cw_stream_inquiry_version(&q), V2);
+    reply(&q, 1, V1, CW_STREAM_COVERS_ALL);
+    reply(&q, 1, V1, CW_STREAM_COVERS_ALL_BUT);
+    ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == V1);
     q = begin(2);
-    cw_stream_inquiry_on_reply(&q, V1, CW_STREAM_REPLY_ALL, true);
-    cw_stream_inquiry_on_reply(&q, V2, CW_STREAM_REPLY_ALL, true);
-    ck_assert_uint_eq(cw_stream_inquiry_version(&q), 0);
+    reply(&q, 1, V1, CW_STREAM_COVERS_ALL);
+    reply(&q, 1, V2, CW_STREAM_COVERS_ALL_BUT);
+    ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
+    q = begin(2);
+    reply(&q, 1, V1, CW_STREAM_COVERS_ALL_BUT);
+    reply(&q, 1, 0, CW_STREAM_COVERS_ALL);
+    ck_assert_uint_eq(cw_stream_inquiry_version(&q), 0); /* none has shown the stream */
+}
+END_TEST
+
+/* Guards against large fleets in which an inquiry ended before its second round. */
+START_TEST(rounds_are_spread_by_the_number_of_hosts) {
+    cw_stream_inquiry_t q;
+    cw_stream_inquiry_begin(&q, 1000);
+    cw_stream_inquiry_next_round(&q);
+    cw_stream_inquiry_on_round(&q, 1000, 583, 2);
+    ck_assert(q.queried == 2 * 583 && cw_stream_inquiry_is_due(&q, 1000 + 583 * CW_STREAM_INQUIRY_HOST_MS));
 }
 END_TEST
 
@@ -147,12 +186,12 @@
 
 START_TEST(a_resumed_request_names_the_last_part_of_its_prompt) {
     request_run_t run = read_run("Last-Event-Id: 12\r\nPrefix-Hash: 5c:800,91:410,e4:250\r\n");
-    ck_assert(run.part.id == 0xe4 && run.part.tokens == 262 && run.events == 12);
+    ck_assert(run.part.id == 0xe4 && run.part.tokens == 250 && run.events == 12);
     run = read_run("Last-Event-Id: 0\r\nPrefix-Hash: 5c:800\r\n");
-    ck_assert(run.part.id == 0x5c && run.part.tokens == 801 && run.events == 1);
+    ck_assert(run.part.id == 0x5c && run.part.tokens == 800 && run.events == 1);
     /* more parts than are used for the choice of a server */
     run = read_run("Last-Event-Id: 1\r\nPrefix-Hash: 1:1,2:1,3:1,4:1,5:1,6:1,7:1,8:1,9:1,a:1\r\n");
-    ck_assert(run.part.id == 0xa && run.part.tokens == 2);
+    ck_assert(run.part.id == 0xa && run.part.tokens == 1);
     static const char* const unknown[] = {"Last-Event-Id: e12\r\nPrefix-Hash: 5c:800\r\n",
                                           "Last-Event-Id: 12b\r\nPrefix-Hash: 5c:800\r\n",
                                           "Last-Event-Id: 99999999999\r\nPrefix-Hash: 5c:800\r\n",
@@ -172,12 +211,13 @@
 
 START_TEST(the_runs_of_an_engine_are_read) {
     cw_error_t err = {0};
+    int64_t started_ms = 0;
     uint32_t events = 0;
-    const char* report = "{\"runs\":[[\"q1\",12497,148,7],[\"q0\",5,0,1],[7,1,2,3],[],3,[\"q0\",1,-4,0]]}";
-    ck_assert_int_eq(platform_read_runs(report, strlen(report), count_run, &events, &err), CW_OK);
-    ck_assert_uint_eq(events, 148);
-    ck_assert_int_ne(platform_read_runs("{}", 2, count_run, &events, &err), CW_OK);
-    ck_assert_int_ne(platform_read_runs("[", 1, count_run, &events, &err), CW_OK);
+    const char* report = "{\"born\":77,\"runs\":[[\"q1\",12497,148,7],[\"q0\",5,0,1],[7,1,2,3],[],3,[\"q0\",1,-4,0]]}";
+    ck_assert_int_eq(platform_read_runs(report, strlen(report), &started_ms, count_run, &events, &err), CW_OK);
+    ck_assert(events == 148 && started_ms == 77);
+    ck_assert_int_ne(platform_read_runs("{}", 2, &started_ms, count_run, &events, &err), CW_OK);
+    ck_assert_int_ne(platform_read_runs("[", 1, &started_ms, count_run, &events, &err), CW_OK);
 }
 END_TEST
 
@@ -198,6 +238,9 @@
     "{\"tls_key\":\"servers/" key "\"," ENTRY_STARTED ",\"revision\":" revision ",\"made\":" made "}"
 #define GONE(key, revision) "{\"tls_key\":\"servers/" key "\",\"revision\":" revision ",\"gone\":true}"
 
+#define UNREADABLE(key, revision, made)                                                                                \
+    "{\"tls_key\":\"servers/" key "\",\"value\":\"AAAA\",\"revision\":" revision ",\"made\":" made "}"
+
 static source_history_t read_history(const char* events) {
     source_history_t history;
     cw_error_t err = {0};
@@ -235,16 +278,34 @@
 }
 END_TEST
 
+/* An entry that was made again, or was overwritten by another writer, may have had any version before. */
+START_TEST(a_history_that_lacks_an_event_is_not_whole) {
+    static const char* const cut[] = {
+        WRITTEN("a", "3") "," GONE("a", "4") "," GONE("a", "9"), /* made between 4 and 9 */
+        STARTED("a", "3", "3") "," STARTED("a", "9", "6"),       /* made at 6 */
+        STARTED("a", "3", "3") "," GONE("a", "4") "," STARTED("a", "9", "6"), UNREADABLE("a", "5", "3"), /* made at 3 */
+        UNREADABLE("a", "5", "3") "," GONE("a", "6")};
+    for (size_t i = 0; i < sizeof(cut) / sizeof(cut[0]); i++) {
+        source_history_t history = read_history(cut[i]);
+        cw_servers_free(&history.entries);
+        ck_assert_msg(!history.is_whole, "%s", cut[i]);
+    }
+}
+END_TEST
+
 static void add_tests(TCase* t) {
     tcase_add_test(t, a_part_shows_the_version_of_the_engines_that_cache_enough_of_it);
     tcase_add_test(t, a_full_table_drops_the_oldest_parts);
     tcase_add_test(t, an_inquiry_is_decided_when_all_hosts_have_replied_in_full);
     tcase_add_test(t, an_inquiry_without_replies_ends_without_a_version);
     tcase_add_test(t, engines_of_two_versions_decide_nothing);
-    tcase_add_test(t, the_prompt_alone_decides_only_where_nothing_else_is_known);
+    tcase_add_test(t, a_late_reply_is_not_counted_for_a_later_round);
+    tcase_add_test(t, engines_that_cannot_be_queried_count_for_their_version_only);
+    tcase_add_test(t, rounds_are_spread_by_the_number_of_hosts);
     tcase_add_test(t, a_resumed_request_names_the_last_part_of_its_prompt);
     tcase_add_test(t, the_runs_of_an_engine_are_read);
     tcase_add_test(t, a_history_is_whole_if_each_entry_that_went_is_in_it);
+    tcase_add_test(t, a_history_that_lacks_an_event_is_not_whole);
 }
 
 int main(void) {
