Doubt about servers: another host's reports, and the end of a broken path

Two refinements of the mend for servers that start again at another version. Reports of other hosts, where this one has no connection, only stop resumption at a server; and the doubt ends when another host reaches the server within 1 s while only this host's path is broken.

--- a/chalkway_balance.h
+++ b/chalkway_balance.h
@@ -127,8 +127,9 @@
 void cw_balance_on_event(cw_balance_t* b, int64_t now_ms, cw_run_t* run);
 /* Records the end of the request. */
 void cw_balance_end(cw_balance_t* b, int64_t now_ms, cw_run_t* run, cw_try_result_t result);
-/* The server may run another version of its software than the list names. */
-void cw_balance_set_doubted(cw_balance_t* b, uint64_t id, bool is_doubted);
+/* The server may run another version of its software than the list names: no stream is resumed there and, if
+   may_not_begin, none begins there while another server can be used. */
+void cw_balance_set_doubted(cw_balance_t* b, uint64_t id, bool is_doubted, bool may_not_begin);
 /* Sets whether this host has an idle connection to the server; without one a request opens a new one. */
 void cw_balance_set_idle_connection(cw_balance_t* b, uint64_t id, bool has_idle_connection);
 /* Sets whether the server is unreachable. */
@@ -826,10 +827,11 @@
     }
 }
 
-void cw_balance_set_doubted(cw_balance_t* b, uint64_t id, bool is_doubted) {
+void cw_balance_set_doubted(cw_balance_t* b, uint64_t id, bool is_doubted, bool may_not_begin) {
     uint32_t at = cw_balance_find(b, id);
     if (at != CW_BALANCE_NONE) {
         b->table.servers[at].is_doubted = is_doubted;
+        b->table.servers[at].may_not_begin = may_not_begin;
     }
 }
 
--- a/chalkway_continuity.h
+++ b/chalkway_continuity.h
@@ -17,12 +17,17 @@
         - A connection that was opened before brings data a while later: the
           server has not ended.
         - A new connection opens so soon after the server was last heard that
-          it can't have started again in between.
+          it can't have started again in between, or another host connects
+          to it at a time when only the path from this host is broken.
         - A list that was current CW_CONTINUITY_PUBLISH_MS after the server
           was reached again is in use, and the source was not away meanwhile.
           It describes the process that has been reached, or names a new
           incarnation.
 
+        Reports alone (is_reported) come also from hosts whose own network path
+        is broken. They are a reason to resume streams elsewhere, not to begin
+        none there.
+
         A list that was current before the server was reached proves nothing:
         the server may have been down then, and listed still. Nor does the
         first list after the source was away: a server that started meanwhile
@@ -80,6 +85,9 @@
 /* The list of servers in use was current at confirmed_ms. since_ms: the source was not away from then on. Returns
    whether that ends the doubt. */
 bool cw_continuity_on_list(cw_continuity_t* c, int64_t confirmed_ms, int64_t since_ms);
+/* This host can't connect to the server, but another host has just connected to it. Returns whether that ends the
+ * doubt. */
+bool cw_continuity_on_path_broken(cw_continuity_t* c, int64_t now_ms);
 /* Whether the process behind a connection that opened at opened_ms may be another one than the list describes. */
 bool cw_continuity_is_conn_doubted(const cw_continuity_t* c, int64_t opened_ms);
 
@@ -94,6 +102,9 @@
 
 /* No server ends and accepts connections again within this time. */
 #define _CW_CONTINUITY_START_MIN_MS 250
+/* A server that another host reaches so soon after this host's connections ended, while this host can't connect, has
+   not ended: the network path has. */
+#define _CW_CONTINUITY_PATH_MS 1000
 /* Data that arrives earlier may have been in flight when the server ended. */
 #define _CW_CONTINUITY_FLIGHT_MS 300
 
@@ -162,7 +173,12 @@
 }
 
 bool cw_continuity_is_conn_doubted(const cw_continuity_t* c, int64_t opened_ms) {
-    return c->is_doubted && opened_ms >= c->ended_ms;
+    return c->is_doubted && !c->is_reported && opened_ms >= c->ended_ms;
+}
+
+bool cw_continuity_on_path_broken(cw_continuity_t* c, int64_t now_ms) {
+    bool is_explained = c->is_doubted && !c->was_refused && now_ms - c->ended_ms < _CW_CONTINUITY_PATH_MS;
+    return is_explained && _cw_continuity_end_doubt(c, now_ms);
 }
 
 #endif /* CHALKWAY_CONTINUITY_IMPL_INCLUDED */
--- a/chalkway_server_exclusion.h
+++ b/chalkway_server_exclusion.h
@@ -108,7 +108,8 @@
     if (s->is_unreachable || in->now_ms < s->full_until_ms) {
         return &excluded->unreachable;
     }
-    if (s->is_doubted && (in->work->version || (in->work->begins_stream && !in->work->accepts_doubted))) {
+    bool begins = in->work->begins_stream && !in->work->accepts_doubted;
+    if ((s->is_doubted && in->work->version) || (s->may_not_begin && begins)) {
         return &excluded->doubted;
     }
     if (!_cw_server_can_send_cold(in, s)) {
--- a/chalkway_server_table.h
+++ b/chalkway_server_table.h
@@ -167,7 +167,8 @@
     double failure_ratio;   /* 0..1 */
     int64_t failure_at_ms;
     bool has_idle_connection;
-    bool is_doubted; /* it may have started again, at another version than spec says (chalkway_continuity.h) */
+    bool is_doubted;    /* it may have started again, at another version than spec says (chalkway_continuity.h) */
+    bool may_not_begin; /* no stream that can be resumed begins there while another server can be used */
     bool is_unreachable;
     uint32_t probe_interval_ms;
     int64_t next_probe_ms;
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -192,7 +192,7 @@
     cw_balance_set_servers(pool->balance, now_ms, specs, count);
     for (const server_t* s = pool->servers; s; s = s->next) {
         if (s->continuity.is_doubted) {
-            cw_balance_set_doubted(pool->balance, s->key, true);
+            upstream_continuity_inform(s);
         }
     }
     free(specs);
--- a/gateway/upstream_continuity.c
+++ b/gateway/upstream_continuity.c
@@ -15,14 +15,20 @@
            (long long)(clock_ms() - c->ended_ms), c->was_refused ? "yes" : "no", c->is_reported ? "yes" : "no");
 }
 
-/* Informs the balancer if that has changed. */
+void upstream_continuity_inform(const server_t* s) {
+    const cw_continuity_t* c = &s->continuity;
+    cw_balance_set_doubted(s->pool->balance, s->key, c->is_doubted, c->is_doubted && !c->is_reported);
+}
+
+/* Informs the balancer, and logs if the doubt has begun or ended. */
 static void update(server_t* s, bool was_doubted) {
     bool is_doubted = s->continuity.is_doubted;
-    if (is_doubted == was_doubted) {
-        return;
+    if (is_doubted || was_doubted) {
+        upstream_continuity_inform(s);
+    }
+    if (is_doubted != was_doubted) {
+        log_change(s);
     }
-    log_change(s);
-    cw_balance_set_doubted(s->pool->balance, s->key, is_doubted);
     if (is_doubted) {
         server_watch(s);
     }
@@ -66,6 +72,13 @@
     }
 }
 
+void upstream_continuity_on_path_broken(server_t* s) {
+    if (s->continuity.is_doubted) {
+        cw_continuity_on_path_broken(&s->continuity, clock_ms());
+        update(s, true);
+    }
+}
+
 void upstreams_on_failure_reported(server_t* s, int64_t at_ms) {
     bool was_doubted = s->continuity.is_doubted;
     cw_continuity_on_report(&s->continuity, at_ms);
--- a/gateway/upstream_internal.h
+++ b/gateway/upstream_internal.h
@@ -136,6 +136,10 @@
 /* No connection to the server could be opened, through other hosts neither. */
 void upstream_continuity_on_refused(server_t* s);
 void upstream_continuity_on_data(const upstream_conn_t* conn);
+/* Another host has connected to the server, while this host can't. */
+void upstream_continuity_on_path_broken(server_t* s);
+/* Passes on to the balancer what is known of the server. */
+void upstream_continuity_inform(const server_t* s);
 /* Notes when the list was last current, and since when the source has not been away. */
 void upstream_continuity_check_list(upstreams_t* u, int64_t now_ms);
 /* Tries to reach a server in doubt, and ends the doubt when the list allows it. */
--- a/gateway/upstream_path.c
+++ b/gateway/upstream_path.c
@@ -178,6 +178,9 @@
     if (conn->path.is_tunneled) {
         pool->upstreams->tunnels_opened++;
         refute_crash(s);
+        if (conn->path.has_direct_failed || upstream_path_prefers_tunnel(s)) {
+            upstream_continuity_on_path_broken(s);
+        }
         if (conn->path.has_direct_failed && !s->is_path_broken) {
             break_path(conn);
         }
--- a/tests/test_continuity.c
+++ b/tests/test_continuity.c
@@ -133,6 +133,17 @@
 }
 END_TEST
 
+START_TEST(a_broken_path_explains_the_end_of_connections) {
+    cw_continuity_t c = ended_server();
+    ck_assert(cw_continuity_on_path_broken(&c, 2500));
+    c = ended_server();
+    ck_assert(!cw_continuity_on_path_broken(&c, 3000)); /* time enough to start again */
+    c = ended_server();
+    cw_continuity_on_refused(&c, 2100);
+    ck_assert(!cw_continuity_on_path_broken(&c, 2500));
+}
+END_TEST
+
 START_TEST(reports_count_at_a_host_without_a_connection) {
     cw_continuity_t c = {0};
     cw_continuity_on_opened(&c, 1000, 0);
@@ -141,6 +152,7 @@
     cw_continuity_on_closed(&c);
     cw_continuity_on_report(&c, 2000);
     ck_assert(c.is_doubted && c.is_reported);
+    ck_assert(!cw_continuity_is_conn_doubted(&c, 2500));
     cw_continuity_on_opened(&c, 3000, 0);
     ck_assert(cw_continuity_on_list(&c, 3000 + CW_CONTINUITY_PUBLISH_MS, 0));
     cw_continuity_on_closed(&c);
@@ -167,6 +179,7 @@
     tcase_add_test(t, a_server_that_is_reached_at_once_has_run_on);
     tcase_add_test(t, a_server_that_turns_connections_away_is_not_doubted_while_others_go_on);
     tcase_add_test(t, a_refused_connection_counts_unless_another_one_is_open);
+    tcase_add_test(t, a_broken_path_explains_the_end_of_connections);
     tcase_add_test(t, reports_count_at_a_host_without_a_connection);
     tcase_add_test(t, a_connection_from_before_the_end_is_to_the_listed_process);
 }
