chalkwayd: load reports tell the version of an upstream

What callers saw: streams that began at an engine upgraded in place broke off with an error event, although another engine of their version ran, until documents said the new version; others spent attempts at engines whose response was then refused.

Cause: the allocator chose candidates by the version of the document alone, and the entry gave a grant back by documents of its own, which may be older still.

Change: "version" in a load report precedes the version of the document in the allocator's choice. The entry doesn't judge grants by its documents any more, also not those of allocators of an earlier release: the response of the upstream decides.

Evidence: a_stream_is_resumed_at_its_version_before_it_is_listed failed before (1 of 8 streams broken off), passes now. The other tests of test_site_versions, test_shard, test_site and test_site_crashes pass.

--- a/chalkway_pick.h
+++ b/chalkway_pick.h
@@ -79,6 +79,7 @@
     uint32_t reported;        /* running requests in the upstream's own last load report */
     int64_t reported_ms;      /* time of that load report; 0: never */
     bool draining;            /* the upstream reported that it is draining */
+    uint64_t stated_version;  /* id of the version in its last load report, 0: none; precedes that of spec */
     double ms_per_cost;       /* learned; 0: unknown */
     uint32_t errors;          /* consecutive errors */
     uint32_t ejections;       /* since the last success */
@@ -107,6 +108,8 @@
                  uint32_t cost);
 /* Records a load report of the upstream itself. */
 void cw_pick_on_report(cw_pick_t* pick, int64_t now_ms, uint64_t id, uint32_t running, bool draining);
+/* Records the version that the upstream states itself, 0: none. */
+void cw_pick_on_version(cw_pick_t* pick, uint64_t id, uint64_t version);
 /* Slots that this table may use now, in use or not. */
 uint32_t cw_pick_limit(const cw_pick_t* pick, int64_t now_ms);
 /* Slots that can serve now, regardless of the share that this table may use. */
@@ -270,7 +273,8 @@
 }
 
 static bool _cw_pick_matches_version(const cw_pick_upstream_t* up, uint64_t version) {
-    return !version || !up->spec.version || up->spec.version == version;
+    uint64_t known = up->stated_version ? up->stated_version : up->spec.version;
+    return !version || !known || known == version;
 }
 
 bool cw_pick_has_version(const cw_pick_t* pick, uint64_t version) {
@@ -400,5 +404,12 @@
     }
 }
 
+void cw_pick_on_version(cw_pick_t* pick, uint64_t id, uint64_t version) {
+    uint32_t index = cw_pick_find(pick, id);
+    if (index != CW_PICK_NONE) {
+        pick->ups[index].stated_version = version;
+    }
+}
+
 #endif /* CHALKWAY_PICK_IMPL_INCLUDED */
 #endif /* CHALKWAY_IMPL */
--- a/chalkway_shard.h
+++ b/chalkway_shard.h
@@ -198,6 +198,8 @@
 void cw_shard_entry_failed(cw_shard_t* shard, int64_t now_ms, uint64_t entry);
 /* Load report of an upstream. */
 void cw_shard_report_load(cw_shard_t* shard, int64_t now_ms, uint64_t upstream, uint32_t running, bool draining);
+/* Version that an upstream states itself, 0: none. */
+void cw_shard_report_version(cw_shard_t* shard, uint64_t upstream, uint64_t version);
 /* Next action to send; false when there is none now. */
 bool cw_shard_next_action(cw_shard_t* shard, int64_t now_ms, cw_shard_action_t* action);
 cw_shard_stats_t cw_shard_stats(const cw_shard_t* shard, int64_t now_ms);
@@ -1116,6 +1118,10 @@
     cw_pick_on_report(s->pick, now_ms, upstream, running, draining);
 }
 
+void cw_shard_report_version(cw_shard_t* s, uint64_t upstream, uint64_t version) {
+    cw_pick_on_version(s->pick, upstream, version);
+}
+
 cw_status_t cw_shard_set_upstreams(cw_shard_t* s, const cw_pick_spec_t* specs, uint32_t count) {
     return cw_pick_set_upstreams(s->pick, specs, count);
 }
--- a/daemon/allocator.c
+++ b/daemon/allocator.c
@@ -319,6 +319,8 @@
         bool is_draining = json_is_true(json_object_get(root, "draining"));
         json_int_t running = json_integer_value(json_object_get(root, "running"));
         cw_shard_report_load(owned->shard, node_now_ms(), load_call->upstream, (uint32_t)running, is_draining);
+        const char* version = json_string_value(json_object_get(root, "version"));
+        cw_shard_report_version(owned->shard, load_call->upstream, version && version[0] ? cw_name_id(version) : 0);
         json_decref(root);
     }
     load_call->call = NULL;
--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -16,18 +16,6 @@
 static const char sse_type[] = "text/event-stream";
 static const char version_header[] = "Chalkway-Version";
 
-/* By the documents. They may be older than the upstream's process: its response decides. */
-bool attempt_can_use(const request_t* r, uint64_t upstream) {
-    if (!r->stream_version) {
-        return true;
-    }
-    cw_snapshot_t* newest = cw_store_snapshot(r->entry->node->store);
-    const cw_upstream_t* u = cw_snapshot_upstream(newest, upstream);
-    bool result = !u || !u->version[0] || u->version_id == r->stream_version;
-    cw_snapshot_release(newest);
-    return result;
-}
-
 /* Called before the first byte is sent; false vetoes the attempt, since the grant has expired. */
 static bool on_sending(void* user) {
     request_t* r = user;
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -404,13 +404,6 @@
         send_grant_release(e, msg->shard, from, &unused);
         return;
     }
-    if (!attempt_can_use(r, a->upstream)) { /* allocators of earlier releases ignore versions */
-        const cw_grant_release_t unused = {.grant = a->grant, .result = CW_PICK_UNUSED};
-        send_grant_release(e, msg->shard, from, &unused);
-        clear_seq(r);
-        request_event(r, CW_EV_REFUSED);
-        return;
-    }
     r->grant = a->grant;
     r->upstream = a->upstream;
     r->is_direct = false;
--- a/daemon/entry_internal.h
+++ b/daemon/entry_internal.h
@@ -235,8 +235,6 @@
 void attempt_replaced(request_t* r);
 /* A run aborted at its deadline shows that requests of its class and pool can take at least as long. */
 void attempt_missed_deadline(request_t* r);
-/* Whether the upstream may continue the request's stream. */
-bool attempt_can_use(const request_t* r, uint64_t upstream);
 
 /* -- suspects.c ----------------------------------------------------------- */
 
--- a/daemon/replacement.c
+++ b/daemon/replacement.c
@@ -75,8 +75,7 @@
         slot->grant = a->grant;
         slot->upstream = a->upstream;
         slot->expires_ms = node_now_ms() + a->ttl_ms;
-        bool is_usable = a->upstream != r->upstream && attempt_can_use(r, a->upstream);
-        if (is_usable && cw_retry_budget_take(&e->retries)) {
+        if (a->upstream != r->upstream && cw_retry_budget_take(&e->retries)) {
             e->stats.retries++;
             attempt_replaced(r);
             return;
--- a/standins/fake_engine.c
+++ b/standins/fake_engine.c
@@ -6,7 +6,7 @@
         the caller can verify every byte. With "stream": true they are sent as events, followed by "[DONE]". max_tokens
         limits N. Chalkway-Priority orders the queue; Chalkway-Resume-From: K starts the response at token K. Streams
         state the software version in Chalkway-Version.
-    GET  /v1/load       {"running", "waiting", "draining"}; running is --lag old, the others are current
+    GET  /v1/load       {"running", "waiting", "draining", "version"}; running is --lag old, the others are current
     POST /admin/set?step_ms=X&drain=0|1&crash_after=N&lag_ms=N&cut_after=N&endless_after=N&unframed=0|1&version=N
                    &cut_at_end=1&hang_at_end=1&fail_resumed=1&unversioned=0|1
         crash_after: the process exits after N more steps of single requests, that is tokens or prefill steps.
@@ -17,9 +17,10 @@
         cut_at_end: the next stream that ends is broken off right after its end event.
         hang_at_end: the next stream that ends stays open after its end event, and an event follows.
         fail_resumed: the next resumed request is answered with status 500 and text with an empty line.
-        unversioned: streams don't state their version.
+        unversioned: streams and load reports don't state the version.
         unframed: streams have no chunks and end with their connection, which is closed also where one is broken off.
-    GET  /admin/stats   requests; tokens produced, of these for callers that closed; highest number of running requests
+    GET  /admin/stats   requests; load reports; tokens produced, of these for callers that closed; highest number of
+   running requests
 
     A message before the last one that begins with "deadly" is a part that crashes engines: the process exits when it
     begins to write a response to a prompt with it.
@@ -63,7 +64,7 @@
     cw_heap_t queue; /* waiting jobs by priority, then arrival */
     double arrival_count;
     uint32_t running, max_running;
-    uint64_t request_count, total_tokens, wasted_tokens;
+    uint64_t request_count, report_count, total_tokens, wasted_tokens;
     bool is_draining, is_unframed, is_unversioned, cuts_at_end, hangs_at_end, fails_resumed;
     int64_t crash_after, cut_after, endless_after; /* negative: not set */
     uint64_t endless_bytes;
@@ -313,14 +314,19 @@
     admit(e);
 }
 
-static void reply_load(const engine_t* e, cw_exchange_t* x) {
+static void reply_load(engine_t* e, cw_exchange_t* x) {
     uint32_t samples_back = e->report_lag_ms / SAMPLE_INTERVAL_MS;
     samples_back = samples_back < LOAD_SAMPLES ? samples_back : LOAD_SAMPLES - 1;
     uint32_t running =
         samples_back ? e->samples[(e->next_sample + LOAD_SAMPLES - samples_back) % LOAD_SAMPLES] : e->running;
     char reply[128];
-    snprintf(reply, sizeof(reply), "{\"running\":%u,\"waiting\":%u,\"draining\":%s}", running, e->queue.count,
-             e->is_draining ? "true" : "false");
+    char version[32] = "";
+    if (!e->is_unversioned) {
+        snprintf(version, sizeof(version), ",\"version\":\"v%u\"", e->version);
+    }
+    e->report_count++;
+    snprintf(reply, sizeof(reply), "{\"running\":%u,\"waiting\":%u,\"draining\":%s%s}", running, e->queue.count,
+             e->is_draining ? "true" : "false", version);
     standin_reply_json(x, 200, reply);
 }
 
@@ -331,10 +337,12 @@
         reply_load(e, x);
     } else if (strcmp(path, "/admin/stats") == 0) {
         char reply[224];
-        snprintf(reply, sizeof(reply),
-                 "{\"requests\":%llu,\"tokens\":%llu,\"wasted\":%llu,\"most\":%u,\"endless_bytes\":%llu}",
-                 (unsigned long long)e->request_count, (unsigned long long)e->total_tokens,
-                 (unsigned long long)e->wasted_tokens, e->max_running, (unsigned long long)e->endless_bytes);
+        snprintf(
+            reply, sizeof(reply),
+            "{\"requests\":%llu,\"reports\":%llu,\"tokens\":%llu,\"wasted\":%llu,\"most\":%u,\"endless_bytes\":%llu}",
+            (unsigned long long)e->request_count, (unsigned long long)e->report_count,
+            (unsigned long long)e->total_tokens, (unsigned long long)e->wasted_tokens, e->max_running,
+            (unsigned long long)e->endless_bytes);
         standin_reply_json(x, 200, reply);
     } else if (strcmp(path, "/admin/set") == 0) {
         e->step_ms = standin_number_arg(x, "step_ms", e->step_ms);
--- a/tests/test_site_versions.c
+++ b/tests/test_site_versions.c
@@ -195,6 +195,35 @@
 }
 END_TEST
 
+/* Waits until a load report of each engine has been read: they are requested one after the other. */
+static void wait_for_reports(int count) {
+    for (int i = 0; i < count; i++) {
+        int64_t until_ms = site_now_ms() + WAIT_MS;
+        while (site_get_number(engines[i]->http, "/admin/stats", "reports") < 2) {
+            ck_assert_msg(site_now_ms() < until_ms, "no load reports of engine %d", i);
+            site_sleep_ms(20);
+        }
+    }
+}
+
+/* While documents still say the earlier version of two engines, the streams of one go on at the other: load reports
+   tell which version runs where. */
+START_TEST(a_stream_is_resumed_at_its_version_before_it_is_listed) {
+    static const char* const versions[] = {"0", "0", "0"};
+    pid_t children[STREAMS];
+    start_site(versions, 3, "v0");
+    upgrade_in_place(1, "1");
+    upgrade_in_place(2, "1");
+    ck_assert_int_eq(run_stream("a", STREAMS), WHOLE); /* from now on a host allocates */
+    wait_for_reports(3);
+    begin_streams(children, "a");
+    site_sleep_ms(250);
+    site_kill(engines[1]);
+    ck_assert_int_eq(check_streams(children), 0);
+    site_shutdown(&site);
+}
+END_TEST
+
 /* Documents that state no version say nothing about it: streams must not go on at just any such engine. */
 START_TEST(a_stream_is_not_resumed_at_another_version_that_is_not_listed) {
     static const char* const versions[] = {"0", "1"};
@@ -303,6 +332,7 @@
 
 static void add_tests(TCase* t) {
     tcase_add_loop_test(t, a_stream_is_not_resumed_at_an_engine_upgraded_in_place, 0, 4);
+    tcase_add_test(t, a_stream_is_resumed_at_its_version_before_it_is_listed);
     tcase_add_test(t, a_stream_is_not_resumed_at_another_version_that_is_not_listed);
     tcase_add_test(t, a_stream_does_not_outlast_an_upgrade_of_its_only_engine);
     tcase_add_test(t, a_stream_without_a_stated_version_is_not_resumed);
