Resumed streams: numbers that don't rise are ids without an order

Events of the second server were lost where their ids were lower than the last one passed on, although the ids of that stream had not risen before either. Once an id has fallen, the numbers of a stream are compared as other texts are. Equal numbers in a row don't count as a fall.

--- a/chalkway_sse.h
+++ b/chalkway_sse.h
@@ -11,7 +11,7 @@
         that were returned before are skipped:
 
         - If their ids and the last one are decimal numbers, of any length,
-          those up to the last one are.
+          and the ids have risen so far, those up to the last one are.
         - Other ids have no order. The server is trusted to begin after the
           last one, but an event with that id is skipped, and a stream that
           begins with the first id of all is skipped up to the last one.
@@ -64,6 +64,7 @@
     bool has_overflowed;         /* an event exceeded CW_SSE_EVENT_BYTES_MAX; no more events are returned */
     /* private */
     char first_id[CW_SSE_ID_MAX]; /* id of the first event returned that has one */
+    bool has_fallen;              /* the ids returned are numbers that fell */
     bool is_past_id;              /* an event without an id was returned since the one with last_id */
     cw_sse_join_t join;
     size_t held;    /* bytes of complete events after the consumed bytes whose place isn't known yet */
@@ -235,14 +236,18 @@
     return length_a != length_b ? (length_a < length_b ? -1 : 1) : strcmp(a, b);
 }
 
+static bool _cw_sse_are_numbers(const char* a, const char* b) {
+    return _cw_sse_is_decimal(a) && _cw_sse_is_decimal(b);
+}
+
 static bool _cw_sse_is_last(const cw_sse_t* e, const char* id) {
-    bool are_numbers = _cw_sse_is_decimal(id) && _cw_sse_is_decimal(e->last_id);
-    return are_numbers ? _cw_sse_compare_decimal(id, e->last_id) == 0 : strcmp(id, e->last_id) == 0;
+    return _cw_sse_are_numbers(id, e->last_id) ? _cw_sse_compare_decimal(id, e->last_id) == 0
+                                               : strcmp(id, e->last_id) == 0;
 }
 
 /* Whether the event with this id precedes the last one returned. */
 static bool _cw_sse_is_behind(const cw_sse_t* e, const char* id) {
-    if (_cw_sse_is_decimal(id) && _cw_sse_is_decimal(e->last_id)) {
+    if (_cw_sse_are_numbers(id, e->last_id) && !e->has_fallen) {
         return _cw_sse_compare_decimal(id, e->last_id) < 0;
     }
     return e->join == CW_SSE_JOIN_BEHIND || strcmp(id, e->first_id) == 0;
@@ -265,6 +270,8 @@
         e->is_past_id = e->is_past_id || fields->has_data;
         return;
     }
+    e->has_fallen = e->has_fallen || (_cw_sse_are_numbers(fields->id, e->last_id) &&
+                                      _cw_sse_compare_decimal(fields->id, e->last_id) < 0);
     memcpy(e->last_id, fields->id, sizeof(e->last_id));
     if (!e->first_id[0]) {
         memcpy(e->first_id, fields->id, sizeof(e->first_id));
--- a/tests/test_sse.c
+++ b/tests/test_sse.c
@@ -158,6 +158,21 @@
 }
 END_TEST
 
+/* Events that a second server sent were dropped, since their ids were lower than the last one, although the ids of this
+   stream had not risen before either: numbers without an order are ids like any other text. */
+START_TEST(numbers_that_do_not_rise_have_no_order) {
+    static const join_t joins[] = {
+        {"id: 50\nd\n\nid: 12\nd\n\n", "id: 7\nd\n\nid: 99\nd\n\n",
+         "id: 50\nd\n\nid: 12\nd\n\nid: 7\nd\n\nid: 99\nd\n\n"},
+        {"id: 50\nd\n\nid: 12\nd\n\n", "id: 50\nd\n\nid: 12\nd\n\nid: 7\nd\n\n",
+         "id: 50\nd\n\nid: 12\nd\n\nid: 7\nd\n\n"},
+        {"id: 50\nd\n\nid: 12\nd\n\n", "id: 12\nd\n\nid: 7\nd\n\n", "id: 50\nd\n\nid: 12\nd\n\nid: 7\nd\n\n"}};
+    for (size_t i = 0; i < sizeof(joins) / sizeof(joins[0]); i++) {
+        expect_join(&joins[i]);
+    }
+}
+END_TEST
+
 /* An id that changes within an event is that of its last line. The first one was taken, so a stream resumed one event
    too early. */
 START_TEST(the_last_id_line_of_an_event_counts) {
@@ -267,6 +282,7 @@
     tcase_add_test(t, a_stream_resumes_after_a_break_at_any_byte);
     tcase_add_test(t, a_stream_resumes_after_a_break_at_any_byte_whatever_its_lines);
     tcase_add_test(t, ids_of_any_kind_join_a_resumed_stream);
+    tcase_add_test(t, numbers_that_do_not_rise_have_no_order);
     tcase_add_test(t, the_last_id_line_of_an_event_counts);
     tcase_add_test(t, an_id_is_kept_whole_or_not_at_all);
     tcase_add_test(t, events_without_an_id_are_placed_by_the_ids_around_them);
