--- a/tests/fuzz/fuzz.c
+++ b/tests/fuzz/fuzz.c
@@ -208,7 +208,9 @@
     cw_sse_feed(&events, (const char*)data + cut, size - cut);
     while (cw_sse_take(&events).size) {
     }
+    cw_sse_can_resume(&events);
     cw_sse_take_rest(&events);
+    cw_sse_is_behind(&events);
     cw_sse_track(&tracked, (const char*)data, size);
     cw_sse_ends_after_event(&tracked);
     cw_sse_free(&events);
--- a/tests/test_sse.c
+++ b/tests/test_sse.c
@@ -85,7 +85,7 @@
                 snprintf(texts[i] + size, sizeof(texts[i]) - size, "%.*s", *c == '@' ? 2 : 1,
                          *c == '@' ? line_ends[l] : c);
             }
-            strcat(whole, texts[i]);
+            strncat(whole, texts[i], sizeof(whole) - strlen(whole) - 1);
         }
         for (size_t cut = 0; cut <= strlen(whole); cut++) {
             for (size_t from = 0; from <= EVENTS; from++) {
