--- a/tests/platform_engine.h
+++ b/tests/platform_engine.h
@@ -49,6 +49,7 @@
     double event_gap_s;
     bool is_listed, is_leaving;
     bool has_empty_list;  /* of cached parts */
+    bool drops_broken_runs; /* what a run has made, when its connection breaks; the prompt stays */
     bool has_quiet_beats; /* a heartbeat changes nothing in the store */
     ev_timer heartbeat;
     engine_part_t* parts;
@@ -262,6 +263,9 @@
     (void)user;
     engine_run_t* run = cw_exchange_data(x);
     if (run) {
+        if (run->engine->drops_broken_runs) {
+            run->engine->parts[run->part].tokens = run->part_tokens;
+        }
         engine_remove_run(run);
     }
 }
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -59,7 +59,7 @@
     uint32_t events;         /* of each stream */
     bool prefers_first_host; /* half of the streams begin there */
     bool is_polled, is_ready;
-    bool has_empty_lists, has_quiet_beats; /* of engines that are added from now on */
+    bool has_empty_lists, has_quiet_beats, drops_broken_runs; /* of engines that are added from now on */
 };
 
 /* Ports of a host, the same for all hosts. */
@@ -197,6 +197,7 @@
                     .first_event_s = ENGINE_FIRST_EVENT_S,
                     .event_gap_s = ENGINE_EVENT_GAP_S,
                     .has_empty_list = s->has_empty_lists,
+                    .drops_broken_runs = s->drops_broken_runs,
                     .has_quiet_beats = s->has_quiet_beats};
     snprintf(e->id, sizeof(e->id), "i-%02x%06x", s->engine_count, rng_below(&s->rng, 1U << 24U));
     engine_start(e, version);
--- a/tests/test_stream_losses.c
+++ b/tests/test_stream_losses.c
@@ -39,7 +39,8 @@
     SOURCE_RESTORED,
     EMPTY_LISTS,
     QUIET_HEARTBEATS,
-    EARLIER_RUNS /* of the same prompts, at any engine */
+    EARLIER_RUNS, /* of the same prompts, at any engine */
+    EARLIER_RUNS_DROPPED /* the same; engines keep the prompt of a broken run, but not what it has made */
 } variation_t;
 
 /* -- losses ---------------------------------------------------------------- */
@@ -47,6 +48,7 @@
 static void vary_before(site_t* s, variation_t variation) {
     s->store.keeps_last_changes_only = variation == LAST_CHANGES_ONLY;
     s->has_empty_lists = variation == EMPTY_LISTS;
+    s->drops_broken_runs = variation == EARLIER_RUNS_DROPPED;
     s->has_quiet_beats = variation == QUIET_HEARTBEATS;
 }
 
@@ -100,7 +102,7 @@
     s->events = events;
     store_copy(&s->store);
     site_begin_streams(s, streams_for(s), BEGIN_S);
-    if (variation == EARLIER_RUNS) {
+    if (variation == EARLIER_RUNS || variation == EARLIER_RUNS_DROPPED) {
         keep_earlier_runs(s);
     }
 }
@@ -308,6 +310,7 @@
     TWO_RESTORED,
     TWO_EMPTY_LISTS,
     TWO_EARLIER_RUNS,
+    TWO_EARLIER_RUNS_DROPPED,
     TWO_LOSSES,
     BEGUN_AGAIN,
     ROLLBACK,
@@ -344,6 +347,8 @@
     [TWO_RESTORED] = {"two-versions-restored", play_two_versions, SOURCE_RESTORED, SHARE_TWO_VERSIONS},
     [TWO_EMPTY_LISTS] = {"two-versions-empty-lists", play_two_versions, EMPTY_LISTS, SHARE_UNBOUNDED},
     [TWO_EARLIER_RUNS] = {"two-versions-earlier-runs", play_two_versions, EARLIER_RUNS, SHARE_UNBOUNDED},
+    [TWO_EARLIER_RUNS_DROPPED] = {"two-versions-earlier-runs-dropped", play_two_versions, EARLIER_RUNS_DROPPED,
+                                  SHARE_UNBOUNDED},
     [TWO_LOSSES] = {"two-losses", play_two_losses, PLAIN, SHARE_TWO_VERSIONS},
     [BEGUN_AGAIN] = {"begun-again", play_begun_again, PLAIN, SHARE_TWO_VERSIONS},
     [ROLLBACK] = {"rollback", play_rollback, PLAIN, SHARE_TWO_VERSIONS},
@@ -544,6 +549,12 @@
 }
 END_TEST
 
+/* The same where the engine that began the stream keeps its prompt alone. */
+START_TEST(no_stream_is_joined_after_earlier_runs_of_prompts_whose_broken_runs_are_dropped) {
+    check_play(TWO_EARLIER_RUNS_DROPPED);
+}
+END_TEST
+
 /* Guards against forgetting or mixing up the version of a stream that was taken up once: two engines list its prompt.
  */
 START_TEST(no_stream_of_two_versions_is_joined_after_two_losses_of_all_hosts) {
@@ -697,6 +708,7 @@
     tcase_add_test(t, streams_of_a_host_without_power_go_on_though_another_version_appears);
     tcase_add_test(t, streams_of_two_versions_go_on_after_losses_of_half_of_the_hosts_in_turn);
     tcase_add_test(t, streams_of_two_versions_go_on_after_losses_of_both_halves_without_overlap);
+    tcase_add_test(t, no_stream_is_joined_after_earlier_runs_of_prompts_whose_broken_runs_are_dropped);
 }
 
 static int run_named_play(const char* name, uint32_t hosts) {
