--- a/tests/platform_engine.h
+++ b/tests/platform_engine.h
@@ -49,6 +49,7 @@
     double event_gap_s;
     bool is_listed, is_leaving;
     bool has_empty_list;  /* of cached parts */
+    bool fails_list;        /* of cached parts: 503 */
     bool drops_broken_runs; /* what a run has made, when its connection breaks; the prompt stays */
     bool has_quiet_beats; /* a heartbeat changes nothing in the store */
     ev_timer heartbeat;
@@ -246,6 +247,8 @@
     cw_exchange_set_data(x, NULL);
     if (strcmp(path, "/health") == 0) {
         cw_exchange_reply(x, e->is_leaving ? 503 : 200, headers, 1, "", 0);
+    } else if (strcmp(path, "/kv-list") == 0 && e->fails_list) {
+        cw_exchange_reply(x, 503, headers, 1, "", 0);
     } else if (strcmp(path, "/kv-list") == 0) {
         engine_reply_list(e, x);
     } else if (strcmp(path, "/report") == 0) {
--- a/tests/test_stream_losses.c
+++ b/tests/test_stream_losses.c
@@ -40,6 +40,7 @@
     EMPTY_LISTS,
     QUIET_HEARTBEATS,
     EARLIER_RUNS, /* of the same prompts, at any engine */
+    LISTS_FAIL, /* of one version's engines, where prompts were read at both */
     EARLIER_RUNS_DROPPED /* the same; engines keep the prompt of a broken run, but not what it has made */
 } variation_t;
 
@@ -102,7 +103,10 @@
     s->events = events;
     store_copy(&s->store);
     site_begin_streams(s, streams_for(s), BEGIN_S);
-    if (variation == EARLIER_RUNS || variation == EARLIER_RUNS_DROPPED) {
+    for (uint32_t i = 0; i < s->engine_count; i++) {
+        s->engines[i].fails_list = variation == LISTS_FAIL && strcmp(s->engines[i].version, "v2") == 0;
+    }
+    if (variation == EARLIER_RUNS || variation == EARLIER_RUNS_DROPPED || variation == LISTS_FAIL) {
         keep_earlier_runs(s);
     }
 }
@@ -311,6 +315,7 @@
     TWO_EMPTY_LISTS,
     TWO_EARLIER_RUNS,
     TWO_EARLIER_RUNS_DROPPED,
+    TWO_LISTS_FAIL,
     TWO_LOSSES,
     BEGUN_AGAIN,
     ROLLBACK,
@@ -349,6 +354,7 @@
     [TWO_EARLIER_RUNS] = {"two-versions-earlier-runs", play_two_versions, EARLIER_RUNS, SHARE_UNBOUNDED},
     [TWO_EARLIER_RUNS_DROPPED] = {"two-versions-earlier-runs-dropped", play_two_versions, EARLIER_RUNS_DROPPED,
                                   SHARE_UNBOUNDED},
+    [TWO_LISTS_FAIL] = {"two-versions-lists-fail", play_two_versions, LISTS_FAIL, SHARE_UNBOUNDED},
     [TWO_LOSSES] = {"two-losses", play_two_losses, PLAIN, SHARE_TWO_VERSIONS},
     [BEGUN_AGAIN] = {"begun-again", play_begun_again, PLAIN, SHARE_TWO_VERSIONS},
     [ROLLBACK] = {"rollback", play_rollback, PLAIN, SHARE_TWO_VERSIONS},
@@ -555,6 +561,12 @@
 }
 END_TEST
 
+/* Guards against taking engines that failed to reply for engines that cache nothing. */
+START_TEST(no_stream_is_joined_after_engines_of_one_version_failed_to_list_their_parts) {
+    check_play(TWO_LISTS_FAIL);
+}
+END_TEST
+
 /* Guards against forgetting or mixing up the version of a stream that was taken up once: two engines list its prompt.
  */
 START_TEST(no_stream_of_two_versions_is_joined_after_two_losses_of_all_hosts) {
@@ -709,6 +721,7 @@
     tcase_add_test(t, streams_of_two_versions_go_on_after_losses_of_half_of_the_hosts_in_turn);
     tcase_add_test(t, streams_of_two_versions_go_on_after_losses_of_both_halves_without_overlap);
     tcase_add_test(t, no_stream_is_joined_after_earlier_runs_of_prompts_whose_broken_runs_are_dropped);
+    tcase_add_test(t, no_stream_is_joined_after_engines_of_one_version_failed_to_list_their_parts);
 }
 
 static int run_named_play(const char* name, uint32_t hosts) {
