--- a/tests/test_stream_state.c
+++ b/tests/test_stream_state.c
@@ -418,7 +418,65 @@
 }
 END_TEST
 
+/* A host that was cut off while another version came and went: its next list shows the one that it knew before. */
+START_TEST(a_host_that_has_read_no_list_for_a_while_vouches_for_no_version) {
+    peers_t peers = {0};
+    rig_t* r = rig_setup(POOLS, 2);
+    streams_t* s = setup(r, &peers);
+    const pool_t* pool = upstreams_pool(r->upstreams, "p");
+    cw_stream_record_t reply;
+    streams_on_history(s, true);
+    ck_assert_uint_ne(resolve(s, pool, 5), 0);
+    peers.list_age_ms = 20000;
+    streams_tick(s, clock_ms());
+    ck_assert_uint_eq(resolve(s, pool, 5), 0);
+    peers.list_age_ms = 0;
+    rig_set_servers_at(r, clock_ms(), 2, 0, false);
+    streams_tick(s, clock_ms());
+    ck_assert_uint_eq(resolve(s, pool, 5), 0);
+    ck_assert(!streams_on_query(s, 5, cw_name_id("p"), &reply) || reply.version == 0);
+    streams_shutdown(s);
+    rig_shutdown(r);
+}
+END_TEST
+
+/* All hosts but one were lost, among them the stream's and those that kept its record, while one version served. Then a
+   second one appears. The one host that is left hands over a long memory, but not the record. */
+START_TEST(a_host_of_long_memory_asks_engines_for_a_stream_whose_record_is_lost) {
+    peers_t peers = {0};
+    rig_t* r = rig_setup(POOLS, 2);
+    streams_t* s = setup(r, &peers);
+    const pool_t* pool = upstreams_pool(r->upstreams, "p");
+    const uint64_t host = 9;
+    const cw_prompt_part_t part = {.id = 41, .tokens = 300};
+    cw_handover_request_t request;
+    cw_stream_inquiry_t inquiry = {0};
+    r->versions[1] = "2";
+    rig_set_servers_at(r, clock_ms(), 2, 0, false);
+    ck_assert(streams_next_handover(s, clock_ms(), &host, 1, &request));
+    cw_stream_message_t page = {.kind = CW_STREAM_PAGE, .host = host, .count = 1};
+    page.entries[0] = (cw_stream_entry_t){.pool = 1ULL << 32U, .version = 1, .left_ms = 600000};
+    streams_on_page(s, &page);
+    streams_on_cached_parts(s, pool, 22, &part, 1);
+    const stream_request_t resumed = {.pool = pool,
+                                      .stream = 5,
+                                      .inquiry = 6,
+                                      .id = "q2",
+                                      .resumes = "q1",
+                                      .part = 41,
+                                      .part_tokens = 250,
+                                      .events = 10};
+    ck_assert_uint_eq(streams_resolve(s, &resumed), 0);
+    streams_inquire(s, &resumed, &inquiry);
+    ck_assert_uint_eq(streams_resolve_unanswered(s, &resumed, &inquiry), 22);
+    streams_shutdown(s);
+    rig_shutdown(r);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
+    tcase_add_test(t, a_host_that_has_read_no_list_for_a_while_vouches_for_no_version);
+    tcase_add_test(t, a_host_of_long_memory_asks_engines_for_a_stream_whose_record_is_lost);
     tcase_add_test(t, a_version_that_another_host_knows_has_served);
     tcase_add_test(t, a_host_that_starts_takes_over_streams_and_versions);
     tcase_add_test(t, all_streams_are_listed_in_the_order_of_arrival);
