--- a/tests/platform_engine.h
+++ b/tests/platform_engine.h
@@ -48,10 +48,10 @@
     double first_event_s; /* after the request */
     double event_gap_s;
     bool is_listed, is_leaving;
-    bool has_empty_list;  /* of cached parts */
+    bool has_empty_list;    /* of cached parts */
     bool fails_list;        /* of cached parts: 503 */
     bool drops_broken_runs; /* what a run has made, when its connection breaks; the prompt stays */
-    bool has_quiet_beats; /* a heartbeat changes nothing in the store */
+    bool has_quiet_beats;   /* a heartbeat changes nothing in the store */
     ev_timer heartbeat;
     engine_part_t* parts;
     size_t part_count, part_capacity;
--- a/tests/test_stream_losses.c
+++ b/tests/test_stream_losses.c
@@ -39,8 +39,8 @@
     SOURCE_RESTORED,
     EMPTY_LISTS,
     QUIET_HEARTBEATS,
-    EARLIER_RUNS, /* of the same prompts, at any engine */
-    LISTS_FAIL, /* of one version's engines, where prompts were read at both */
+    EARLIER_RUNS,        /* of the same prompts, at any engine */
+    LISTS_FAIL,          /* of one version's engines, where prompts were read at both */
     EARLIER_RUNS_DROPPED /* the same; engines keep the prompt of a broken run, but not what it has made */
 } variation_t;
 
