A server that nobody observed since an old list is doubted once it is reached

Now the first connection to a server that opens when the list was current over 1 s ago begins the doubt, unless the server was heard a moment before.

--- a/chalkway_continuity.h
+++ b/chalkway_continuity.h
@@ -24,6 +24,10 @@
           It describes the process that has been reached, or names a new
           incarnation.
 
+        A server to which this host had no connection since an old list was
+        current is doubted once it is reached: nobody here would have noticed
+        that it ended.
+
         Reports alone (is_reported) come also from hosts whose own network path
         is broken. They are a reason to resume streams elsewhere, not to begin
         none there.
@@ -44,7 +48,7 @@
 
     WHAT IT DOES NOT DO
         It doesn't notice a server that starts again while no host has a
-        connection to it.
+        connection to it and the list is fresh, until its entry is read.
 
     LICENCE
         MIT, see LICENSE.
@@ -54,6 +58,8 @@
 /* Time in which a server that has been reached appears in the list. It writes its entry when it starts and with each
    heartbeat, and two of these attempts may fail. */
 #define CW_CONTINUITY_PUBLISH_MS 2500
+/* Without a connection to the server, a list that was current longer ago than this doesn't show which process runs. */
+#define CW_CONTINUITY_OLD_MS 1000
 /* The source was away if the list was not confirmed for longer than this. */
 #define CW_CONTINUITY_AWAY_MS 1500
 
@@ -71,6 +77,9 @@
 /* A connection has opened. heard_ms: when the server last sent data, 0: unknown. Returns whether that ends the doubt.
  */
 bool cw_continuity_on_opened(cw_continuity_t* c, int64_t now_ms, int64_t heard_ms);
+/* After cw_continuity_on_opened of the only connection: there was none since the list was current, longer than
+   CW_CONTINUITY_OLD_MS ago. */
+void cw_continuity_on_unobserved(cw_continuity_t* c, int64_t now_ms, int64_t heard_ms);
 /* A connection that was open is no longer. */
 void cw_continuity_on_closed(cw_continuity_t* c);
 /* A connection, which is still counted, has ended, and not by this host. heard_ms: when the server last sent data over
@@ -130,6 +139,14 @@
     return has_run_on && _cw_continuity_end_doubt(c, now_ms);
 }
 
+void cw_continuity_on_unobserved(cw_continuity_t* c, int64_t now_ms, int64_t heard_ms) {
+    bool has_run_on = heard_ms && now_ms - heard_ms < _CW_CONTINUITY_START_MIN_MS;
+    if (!c->is_doubted && !has_run_on) {
+        _cw_continuity_begin_doubt(c, now_ms);
+        c->reached_ms = now_ms;
+    }
+}
+
 void cw_continuity_on_closed(cw_continuity_t* c) {
     assert(c->conns);
     c->conns--;
--- a/gateway/upstream_continuity.c
+++ b/gateway/upstream_continuity.c
@@ -34,14 +34,22 @@
     }
 }
 
+static bool is_list_old(const upstreams_t* u, int64_t now_ms) {
+    return u->list_confirmed_ms && now_ms - u->list_confirmed_ms > CW_CONTINUITY_OLD_MS;
+}
+
 void upstream_continuity_on_opened(upstream_conn_t* conn) {
     server_t* s = conn->server;
     bool was_doubted = s->continuity.is_doubted;
     /* Data that was read right after a stall of this process may have been sent long before. */
     bool was_read_in_time = s->received_ms > s->pool->upstreams->stalled_ms + READ_LATE_MS;
     int64_t heard_ms = was_read_in_time ? s->received_ms : 0;
+    bool is_first = !s->continuity.conns;
     conn->connected_ms = clock_ms();
     cw_continuity_on_opened(&s->continuity, conn->connected_ms, heard_ms);
+    if (is_first && !was_doubted && is_list_old(s->pool->upstreams, conn->connected_ms)) {
+        cw_continuity_on_unobserved(&s->continuity, conn->connected_ms, heard_ms);
+    }
     update(s, was_doubted);
 }
 
--- a/tests/test_continuity.c
+++ b/tests/test_continuity.c
@@ -168,7 +168,24 @@
 }
 END_TEST
 
+/* Guards against streams of two versions at a server that ended while this host had no connection to it, and the source
+   was away. */
+START_TEST(a_server_that_nobody_observed_is_doubted_once_it_is_reached) {
+    cw_continuity_t c = {0};
+    cw_continuity_on_opened(&c, 5000, 0);
+    cw_continuity_on_unobserved(&c, 5000, 0);
+    ck_assert(c.is_doubted && cw_continuity_is_conn_doubted(&c, 5000));
+    ck_assert(!cw_continuity_on_list(&c, 5000 + CW_CONTINUITY_PUBLISH_MS - 1, 0));
+    ck_assert(cw_continuity_on_list(&c, 5000 + CW_CONTINUITY_PUBLISH_MS, 0) && !c.is_doubted);
+    c = (cw_continuity_t){0};
+    cw_continuity_on_opened(&c, 5000, 4900); /* heard a moment ago, over a connection that this host closed */
+    cw_continuity_on_unobserved(&c, 5000, 4900);
+    ck_assert(!c.is_doubted);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
+    tcase_add_test(t, a_server_that_nobody_observed_is_doubted_once_it_is_reached);
     tcase_add_test(t, a_server_is_not_doubted_before_a_connection_ends);
     tcase_add_test(t, a_list_ends_the_doubt_if_it_is_newer_than_the_first_connection_since);
     tcase_add_test(t, a_list_right_after_the_source_was_away_proves_nothing);
