--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -252,11 +252,43 @@
                                .left_ms = amount < CW_STREAM_AMOUNT_MAX ? amount : CW_STREAM_AMOUNT_MAX};
 }
 
+/* What engines are searched for: the prompt of the stream and, if its id is known, the run that began it. */
+typedef struct inquiry_items_t {
+    cw_stream_entry_t items[2];
+    uint32_t count;
+} inquiry_items_t;
+
+/* No items: the prompt is unknown. */
+static inquiry_items_t list_items(const stream_request_t* request) {
+    inquiry_items_t list = {.count = !request->part ? 0 : request->resumes[0] ? 2 : 1};
+    list.items[0] = make_inquiry(request, request->part, min_cached_tokens(request));
+    list.items[1] = make_inquiry(request, run_key(request->resumes), request->events);
+    return list;
+}
+
+static void search_own_engines(const streams_t* s, const inquiry_items_t* list, cw_stream_inquiry_t* inquiry) {
+    inquiry->is_own_open = false;
+    for (uint32_t i = 0; i < list->count; i++) {
+        cw_stream_reply_t own = find_engines(s, &list->items[i]);
+        cw_stream_inquiry_on_own(inquiry, &own);
+        inquiry->is_own_open = inquiry->is_own_open || own.coverage == CW_STREAM_COVERS_SOME;
+    }
+}
+
+static void send_round(const streams_t* s, int64_t now_ms, const inquiry_items_t* list, cw_stream_inquiry_t* inquiry) {
+    uint32_t round = cw_stream_inquiry_next_round(inquiry);
+    uint32_t hosts = 0;
+    for (uint32_t i = 0; i < list->count && s->desc.inquire; i++) {
+        cw_stream_entry_t item = list->items[i];
+        item.left_ms |= round << CW_STREAM_ROUND_BIT;
+        hosts = s->desc.inquire(s->desc.user_data, &item);
+    }
+    cw_stream_inquiry_on_round(inquiry, now_ms, hosts, list->count);
+}
+
 bool streams_inquire(streams_t* s, const stream_request_t* request, cw_stream_inquiry_t* inquiry) {
     int64_t now_ms = clock_ms();
-    cw_stream_entry_t items[] = {make_inquiry(request, request->part, min_cached_tokens(request)),
-                                 make_inquiry(request, run_key(request->resumes), request->events)};
-    const uint32_t count = request->resumes[0] ? 2 : 1;
+    const inquiry_items_t list = list_items(request);
     if (has_long_memory(s, now_ms)) {
         return false; /* a stream that it doesn't know was not announced */
     }
@@ -264,22 +296,10 @@
         cw_stream_inquiry_begin(inquiry, now_ms);
     }
     bool reads_history = !s->is_history_whole && s->desc.read_history && s->desc.read_history(s->desc.user_data);
-    bool is_own_open = false;
-    for (uint32_t i = 0; i < count && request->part; i++) {
-        cw_stream_reply_t own = find_engines(s, &items[i]);
-        cw_stream_inquiry_on_own(inquiry, &own);
-        is_own_open = is_own_open || own.coverage == CW_STREAM_COVERS_SOME;
-    }
+    search_own_engines(s, &list, inquiry);
     if (cw_stream_inquiry_is_due(inquiry, now_ms)) {
-        uint32_t round = cw_stream_inquiry_next_round(inquiry);
-        uint32_t hosts = 0;
-        for (uint32_t i = 0; i < count && request->part && s->desc.inquire; i++) {
-            items[i].left_ms |= round << CW_STREAM_ROUND_BIT;
-            hosts = s->desc.inquire(s->desc.user_data, &items[i]);
-        }
-        cw_stream_inquiry_on_round(inquiry, now_ms, hosts, count);
+        send_round(s, now_ms, &list, inquiry);
     }
-    inquiry->is_own_open = is_own_open;
     bool is_late = now_ms - inquiry->begun_ms >= CW_STREAM_INQUIRY_MS;
     return !is_late && (reads_history || !cw_stream_inquiry_is_decided(inquiry, now_ms));
 }
