--- a/tests/fuzz/fuzz.c
+++ b/tests/fuzz/fuzz.c
@@ -77,6 +77,9 @@
         cw_closed_halls_t closed = {0};
         source->read_closed(text, size, &closed, &err);
     }
+    source_history_t history = {0};
+    source->read_history(text, size, &history, &err);
+    cw_servers_free(&history.entries);
 }
 
 /* Answers of the configuration source. */
@@ -222,12 +225,17 @@
     *last_id = part->id;
 }
 
+static void visit_run(void* user, const char* request_id, uint32_t events) {
+    *(uint64_t*)user += strlen(request_id) + events;
+}
+
 static void fuzz_inventory(const uint8_t* data, size_t size) {
     cw_error_t err = {0};
     int64_t started_ms = 0;
     uint64_t last_id = 0;
     char* text = text_of(data, size);
     platform_read_inventory(text, size, &started_ms, visit_part, &last_id, &err);
+    platform_read_runs(text, size, &started_ms, visit_run, &last_id, &err);
     free(text);
 }
 
