Inventory: lists of parts and of runs are read in one way, once

Cause: an engine's report was parsed twice, for the start of the engine and then for its runs, since runs were passed on as they were read; the rest of the function repeated the one for cached parts, and the server was looked up again for each run. Change: both lists are collected in the same array, checked against the incarnation, and then passed on. Behaviour stays.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -307,9 +307,8 @@
     return streams_may_have_missed(((gateway_t*)user)->streams);
 }
 
-static void on_run(void* user, const server_t* server, const char* request_id, uint32_t events) {
-    streams_on_run(((gateway_t*)user)->streams, server->pool, cw_server_version_id(&server->published), request_id,
-                   events);
+static void on_runs(void* user, const server_t* server, const cw_prompt_part_t* runs, uint32_t count) {
+    streams_on_runs(((gateway_t*)user)->streams, server->pool, cw_server_version_id(&server->published), runs, count);
 }
 
 static bool is_ready(void* user) {
@@ -603,7 +602,7 @@
                                                        .on_cached_parts = on_cached_parts,
                                                        .on_listed_parts = on_listed_parts,
                                                        .needs_runs = needs_runs,
-                                                       .on_run = on_run,
+                                                       .on_runs = on_runs,
                                                        .user_data = g});
     g->endpoints = !g->sync ? NULL
                             : endpoints_setup(&(endpoints_desc_t){.loop = g->loop,
--- a/gateway/inventory.c
+++ b/gateway/inventory.c
@@ -47,6 +47,7 @@
 
 /* -- responses ------------------------------------------------------------ */
 
+/* A list of an engine; for a list of runs see on_runs. */
 typedef struct parts_t {
     cw_prompt_part_t* items;
     uint32_t count, capacity;
@@ -130,48 +131,34 @@
     ((call_t*)user)->status = status;
 }
 
-static void on_list(call_t* c, server_t* server) {
-    inventory_t* v = c->inventory;
-    cw_error_t err = {0};
-    int64_t started_ms = 0;
-    parts_t parts = {0};
-    if (v->desc.dialect->read_inventory(cw_buffer_text(&c->body), c->body.size, &started_ms, add_part, &parts, &err) !=
-        CW_OK) {
-        log_failure(v, server, err.message);
-    } else if (server && upstreams_check_incarnation(v->desc.upstreams, clock_ms(), server, started_ms)) {
-        log_failure(v, server, "another incarnation of the server responded");
-    } else if (server && !server->is_removed) {
-        record_parts(v, server, &parts);
-    }
-    free(parts.items);
-}
-
-static void ignore_run(void* user, const char* request_id, uint32_t events) {
-    (void)user;
-    (void)request_id;
-    (void)events;
+static void add_run(void* user, const char* request_id, uint32_t events) {
+    const cw_prompt_part_t run = {.id = cw_name_id(request_id), .tokens = events};
+    add_part(user, &run);
 }
 
-static void add_run(void* user, const char* request_id, uint32_t events) {
-    const call_t* c = user;
-    const server_t* server = upstreams_server(c->inventory->desc.upstreams, c->server);
-    c->inventory->desc.on_run(c->inventory->desc.user_data, server, request_id, events);
+static cw_status_t read_items(const call_t* c, parts_t* items, int64_t* started_ms, cw_error_t* err) {
+    const dialect_t* dialect = c->inventory->desc.dialect;
+    const char* body = cw_buffer_text(&c->body);
+    return c->is_for_runs ? dialect->read_runs(body, c->body.size, started_ms, add_run, items, err)
+                          : dialect->read_inventory(body, c->body.size, started_ms, add_part, items, err);
 }
 
-/* The report is read once for the start time, and once for the runs of that incarnation. */
-static void on_runs(call_t* c, server_t* server) {
+/* A list of parts or of runs has arrived. server: NULL if it is not known any more. */
+static void on_list(call_t* c, server_t* server) {
     inventory_t* v = c->inventory;
-    const dialect_t* dialect = v->desc.dialect;
-    const char* body = cw_buffer_text(&c->body);
     cw_error_t err = {0};
     int64_t started_ms = 0;
-    if (dialect->read_runs(body, c->body.size, &started_ms, ignore_run, c, &err) != CW_OK) {
+    parts_t items = {0};
+    if (read_items(c, &items, &started_ms, &err) != CW_OK) {
         log_failure(v, server, err.message);
     } else if (server && upstreams_check_incarnation(v->desc.upstreams, clock_ms(), server, started_ms)) {
         log_failure(v, server, "another incarnation of the server responded");
+    } else if (server && !server->is_removed && c->is_for_runs) {
+        v->desc.on_runs(v->desc.user_data, server, items.items, items.count);
     } else if (server && !server->is_removed) {
-        dialect->read_runs(body, c->body.size, &started_ms, add_run, c, &err);
+        record_parts(v, server, &items);
     }
+    free(items.items);
 }
 
 static void on_done(void* user, const cw_call_result_t* result) {
@@ -181,8 +168,6 @@
     c->call = NULL;
     if (!result->is_complete || c->status != 200) {
         log_failure(v, server, result->is_complete ? "the response status is not 200" : result->message);
-    } else if (c->is_for_runs) {
-        on_runs(c, server);
     } else {
         on_list(c, server);
     }
--- a/gateway/inventory.h
+++ b/gateway/inventory.h
@@ -39,8 +39,9 @@
     void (*on_listed_parts)(void* user_data, const server_t* server, const cw_prompt_part_t* parts, uint32_t count);
     /* Whether the runs of engines are needed, too: nobody remembers which streams they serve. NULL: no. */
     bool (*needs_runs)(void* user_data);
-    /* The engine runs this request. */
-    void (*on_run)(void* user_data, const server_t* server, const char* request_id, uint32_t events);
+    /* The engine runs these requests. id: cw_name_id of the request's id; tokens: events that it has sent. Needed with
+       needs_runs. */
+    void (*on_runs)(void* user_data, const server_t* server, const cw_prompt_part_t* runs, uint32_t count);
     void* user_data;
 } inventory_desc_t;
 
--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -203,9 +203,9 @@
 
 /* -- what the source and engines still have of streams --------------------- */
 
-/* Key of a run among the parts. */
-static uint64_t run_key(const char* request_id) {
-    return request_id[0] ? cw_mix(cw_name_id(request_id), RUN_KEY_SEED) : 0;
+/* Key of a run among the parts. name_id: cw_name_id of the request's id. */
+static uint64_t run_key(uint64_t name_id) {
+    return cw_mix(name_id, RUN_KEY_SEED);
 }
 
 /* Number of versions of the pool's engines that could not be queried: 0, 1 or 2 (several); version: set if it is 1. */
@@ -262,7 +262,7 @@
 static inquiry_items_t list_items(const stream_request_t* request) {
     inquiry_items_t list = {.count = !request->part ? 0 : request->resumes[0] ? 2 : 1};
     list.items[0] = make_inquiry(request, request->part, min_cached_tokens(request));
-    list.items[1] = make_inquiry(request, run_key(request->resumes), request->events);
+    list.items[1] = make_inquiry(request, run_key(cw_name_id(request->resumes)), request->events);
     return list;
 }
 
@@ -288,10 +288,10 @@
 
 bool streams_inquire(streams_t* s, const stream_request_t* request, cw_stream_inquiry_t* inquiry) {
     int64_t now_ms = clock_ms();
-    const inquiry_items_t list = list_items(request);
     if (has_long_memory(s, now_ms)) {
         return false; /* a stream that it doesn't know was not announced */
     }
+    const inquiry_items_t list = list_items(request);
     if (!inquiry->begun_ms) {
         cw_stream_inquiry_begin(inquiry, now_ms);
     }
@@ -323,9 +323,11 @@
     }
 }
 
-void streams_on_run(streams_t* s, const pool_t* pool, uint64_t version, const char* request_id, uint32_t events) {
-    const cw_prompt_part_t run = {.id = run_key(request_id), .tokens = events};
-    streams_on_cached_parts(s, pool, version, &run, 1);
+void streams_on_runs(streams_t* s, const pool_t* pool, uint64_t version, const cw_prompt_part_t* runs, uint32_t count) {
+    for (uint32_t i = 0; i < count; i++) {
+        const cw_prompt_part_t run = {.id = run_key(runs[i].id), .tokens = runs[i].tokens};
+        streams_on_cached_parts(s, pool, version, &run, 1);
+    }
 }
 
 bool streams_may_have_missed(const streams_t* s) {
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -105,8 +105,9 @@
 /* Engines of this version cache these parts. */
 void streams_on_cached_parts(streams_t* s, const pool_t* pool, uint64_t version, const cw_prompt_part_t* parts,
                              uint32_t count);
-/* An engine of this version runs the request. */
-void streams_on_run(streams_t* s, const pool_t* pool, uint64_t version, const char* request_id, uint32_t events);
+/* An engine of this version runs these requests. id: cw_name_id of the request's id; tokens: events that it has sent.
+ */
+void streams_on_runs(streams_t* s, const pool_t* pool, uint64_t version, const cw_prompt_part_t* runs, uint32_t count);
 /* Whether this host and those that handed over to it may have started after streams that are still alive. */
 bool streams_may_have_missed(const streams_t* s);
 /* Another host inquires what engines have of a stream. evidence: the reply, an entry of CW_STREAM_EVIDENCE. */
