--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -85,7 +85,7 @@
 typedef struct source_history_t {
     cw_servers_t entries; /* as servers have written them, each time */
     int64_t at;           /* revision that the history reaches up to */
-    bool is_whole;        /* no entry is missing since the source began */
+    bool is_complete;     /* no entry is missing since the source began */
 } source_history_t;
 
 /* How to read the configuration and the server list over HTTP. A path function writes the path and query of a call. A
@@ -111,8 +111,8 @@
        read only some of them; these are valid. */
     void (*closed_path)(char* out, size_t size);
     cw_status_t (*read_closed)(const char* body, size_t size, cw_closed_halls_t* closed, cw_error_t* err);
-    /* Path of the whole history of the servers. NULL: there is none. A status other than 200 means that the source has
-       forgotten a part of it. read_history replaces history, whose entries are to be freed by cw_servers_free. */
+    /* Path of the complete history of the servers. NULL: there is none. A status other than 200 means that the source
+       has forgotten a part of it. read_history replaces history, whose entries are to be freed by cw_servers_free. */
     void (*history_path)(char* out, size_t size);
     cw_status_t (*read_history)(const char* body, size_t size, source_history_t* history, cw_error_t* err);
 } source_t;
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -195,12 +195,12 @@
     exchanges_on_stream_evidence(((gateway_t*)user)->exchanges, reply);
 }
 
-static void on_history(void* user, const cw_servers_t* entries, bool is_whole) {
+static void on_history(void* user, const cw_servers_t* entries, bool is_complete) {
     streams_t* streams = ((gateway_t*)user)->streams;
     for (uint32_t i = 0; i < entries->count; i++) {
         streams_learn_listed(streams, entries->items[i].pool, cw_server_version_id(&entries->items[i]));
     }
-    streams_on_history(streams, is_whole);
+    streams_on_history(streams, is_complete);
 }
 
 static void on_stream_resolved(void* user, uint64_t stream) {
--- a/gateway/native.c
+++ b/gateway/native.c
@@ -75,13 +75,13 @@
     snprintf(out, size, "/servers/history");
 }
 
-/* A list of all entries that servers have had, with "whole": true if none is missing. */
+/* A list of all entries that servers have had, with "complete": true if none is missing. */
 static cw_status_t read_history(const char* body, size_t size, source_history_t* history, cw_error_t* err) {
     *history = (source_history_t){.at = 0};
     cw_status_t status = cw_servers_from_json(&history->entries, body, size, err);
     json_t* document = status == CW_OK ? json_loadb(body, size, 0, NULL) : NULL;
     history->at = history->entries.at;
-    history->is_whole = json_is_true(json_object_get(document, "whole"));
+    history->is_complete = json_is_true(json_object_get(document, "complete"));
     json_decref(document);
     return status;
 }
--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -25,7 +25,7 @@
     int64_t setup_ms;
     cw_handover_t handover;
     int64_t inherited_ms;                      /* all versions from then on were taken over from other hosts; 0: none */
-    bool is_history_whole;                     /* the source has shown all versions that have ever served */
+    bool is_history_complete;                  /* the source has shown all versions that have ever served */
     cw_part_versions_t* parts;                 /* what engines have listed */
     uint64_t announcing[POOLS_ANNOUNCING_MAX]; /* ids of the pools whose streams are announced */
     uint32_t announcing_count;
@@ -84,7 +84,7 @@
 
 /* Whether this host knows each version that a live stream can have. */
 static bool has_full_memory(const streams_t* s, int64_t now_ms) {
-    return s->is_history_whole || has_long_memory(s, now_ms);
+    return s->is_history_complete || has_long_memory(s, now_ms);
 }
 
 /* The only version at which a stream that is still alive can have begun; 0: several, or this host can't know. */
@@ -295,7 +295,7 @@
     if (!inquiry->begun_ms) {
         cw_stream_inquiry_begin(inquiry, now_ms);
     }
-    bool reads_history = !s->is_history_whole && s->desc.read_history && s->desc.read_history(s->desc.user_data);
+    bool reads_history = !s->is_history_complete && s->desc.read_history && s->desc.read_history(s->desc.user_data);
     search_own_engines(s, &list, inquiry);
     if (cw_stream_inquiry_is_due(inquiry, now_ms)) {
         send_round(s, now_ms, &list, inquiry);
@@ -349,8 +349,8 @@
     }
 }
 
-void streams_on_history(streams_t* s, bool is_whole) {
-    s->is_history_whole = is_whole;
+void streams_on_history(streams_t* s, bool is_complete) {
+    s->is_history_complete = is_complete;
 }
 
 /* -- other hosts ---------------------------------------------------------- */
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -9,9 +9,9 @@
    its list of servers is not fresh, it announces each stream to the other hosts when the first event arrives, and all
    that it carries when that state begins. A host that is to resume a stream that it does not know queries some others.
    Unknown is not guessed: it resumes an unknown stream only if a single version has served for as long as streams last
-    (chalkway_pool_versions.h), as it knows itself, another host vouches for, or the whole history of the source shows.
-    A host that starts takes over the streams and versions that others know (chalkway_handover.h). After a loss of all
-    hosts, engines that still cache the stream's prompt and more show its version (chalkway_part_versions.h).
+    (chalkway_pool_versions.h), as it knows itself, another host vouches for, or the complete history of the source
+   shows. A host that starts takes over the streams and versions that others know (chalkway_handover.h). After a loss of
+   all hosts, engines that still cache the stream's prompt and more show its version (chalkway_part_versions.h).
 */
 #include "../chalkway_handover.h"
 #include "../chalkway_log.h"
@@ -114,8 +114,8 @@
 void streams_on_inquiry(const streams_t* s, const cw_stream_entry_t* inquiry, cw_stream_entry_t* evidence);
 /* A server of this version was listed at some time in the history of the source. */
 void streams_learn_listed(streams_t* s, const char* pool, uint64_t version);
-/* The history was read. is_whole: it reached back to the beginning of the source, and showed each version. */
-void streams_on_history(streams_t* s, bool is_whole);
+/* The history was read. is_complete: it reached back to the beginning of the source, and showed each version. */
+void streams_on_history(streams_t* s, bool is_complete);
 /* A record was received from another host; version 0: it does not know the stream, and several versions have served. */
 void streams_on_announced(streams_t* s, const cw_stream_record_t* record);
 /* Another host queries a stream. False: there is nothing to reply. record: the reply. */
--- a/gateway/sync_history.c
+++ b/gateway/sync_history.c
@@ -11,12 +11,12 @@
 /* A source that has been restored from an older copy has lost entries that no history shows. */
 #define FIRST_EPOCH 1
 
-static void finish(sync_t* s, const cw_servers_t* entries, bool is_whole, const char* reason) {
+static void finish(sync_t* s, const cw_servers_t* entries, bool is_complete, const char* reason) {
     s->history_state = HISTORY_DONE;
-    cw_log(s->desc.log, CW_EVENT_SOURCE_HISTORY, "peer=%s whole=%s entries=%u at=%lld reason=\"%s\"", s->desc.address,
-           is_whole ? "yes" : "no", entries->count, (long long)s->list.at, reason);
+    cw_log(s->desc.log, CW_EVENT_SOURCE_HISTORY, "peer=%s complete=%s entries=%u at=%lld reason=\"%s\"",
+           s->desc.address, is_complete ? "yes" : "no", entries->count, (long long)s->list.at, reason);
     if (s->desc.on_history) {
-        s->desc.on_history(s->desc.user_data, entries, is_whole);
+        s->desc.on_history(s->desc.user_data, entries, is_complete);
     }
 }
 
@@ -49,9 +49,9 @@
         sync_on_history_failure(s, err.message);
     } else {
         bool is_restored = s->epoch.number > FIRST_EPOCH;
-        bool is_whole = history.is_whole && history.at >= s->list.at && !is_restored;
-        finish(s, &history.entries, is_whole,
-               is_whole      ? "-"
+        bool is_complete = history.is_complete && history.at >= s->list.at && !is_restored;
+        finish(s, &history.entries, is_complete,
+               is_complete   ? "-"
                : is_restored ? "the source was restored"
                              : "entries are missing");
     }
--- a/gateway/upstream_continuity.c
+++ b/gateway/upstream_continuity.c
@@ -10,8 +10,8 @@
 static void log_change(const server_t* s) {
     const cw_continuity_t* c = &s->continuity;
     cw_log(s->pool->upstreams->desc.log, c->is_doubted ? CW_EVENT_SERVER_DOUBTED : CW_EVENT_SERVER_CONFIRMED,
-           "server=%s pool=%s peer=%s version=%s ended_ms_ago=%lld refused=%s told=%s", s->published.id, s->pool->name,
-           s->published.address, s->published.version[0] ? s->published.version : "-",
+           "server=%s pool=%s peer=%s version=%s ended_ms_ago=%lld refused=%s reported=%s", s->published.id,
+           s->pool->name, s->published.address, s->published.version[0] ? s->published.version : "-",
            (long long)(clock_ms() - c->ended_ms), c->was_refused ? "yes" : "no", c->is_reported ? "yes" : "no");
 }
 
--- a/tests/gateway_fleet.h
+++ b/tests/gateway_fleet.h
@@ -34,7 +34,7 @@
     const char* versions[SERVERS_MAX]; /* of the servers' software; NULL: not named */
     const char* silent_server;         /* address that is listed in place of the first server's; NULL: none */
     uint32_t unlisted;                 /* servers, as a set of bits, that run but aren't listed any more */
-    bool has_history;                  /* the source has the whole history of the servers */
+    bool has_history;                  /* the source has the complete history of the servers */
     bool closes_connections;           /* servers close the connection after each response */
     bool is_source_available;
     const char* seeds;     /* of hosts whose settings are written from now on; NULL: hosts 0 and 1 */
@@ -55,7 +55,7 @@
 /* is_history: also the servers that aren't listed any more. */
 static inline void write_server_list(const fleet_t* f, bool is_history, char* out, size_t size) {
     int length =
-        snprintf(out, size, "{\"at\":%u,%s\"servers\":[", 1 + f->unlisted, is_history ? "\"whole\":true," : "");
+        snprintf(out, size, "{\"at\":%u,%s\"servers\":[", 1 + f->unlisted, is_history ? "\"complete\":true," : "");
     bool is_first = true;
     for (uint32_t i = 0; i < f->server_count; i++) {
         if (!is_history && (f->unlisted >> i) & 1U) {
--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -29,7 +29,7 @@
     char session[ENGINE_PART_ID_SIZE];
     char attempt[24];
     char first_attempt[24]; /* brought the first event */
-    char text[4096];        /* received, up to the end of the last whole event */
+    char text[4096];        /* received, up to the end of the last complete event */
     size_t text_size;
     unsigned status; /* of the attempt, 0: no head */
     double retry_after_s;
@@ -37,7 +37,7 @@
     uint32_t taken_up_after; /* last event before the last attempt; 0: none */
     char first_version[16];
     bool is_joined; /* has events of two versions */
-    bool is_whole, is_done;
+    bool has_all_events, is_done;
     uint32_t missing, doubled, foreign, early_ends, refused;
 } stream_caller_t;
 
--- a/tests/stream_caller.h
+++ b/tests/stream_caller.h
@@ -92,8 +92,8 @@
     stream_caller_t* c = user;
     c->call = NULL;
     if (result->is_complete && result->status == 200) {
-        c->is_whole = c->last_event == c->site->events;
-        c->early_ends += !c->is_whole;
+        c->has_all_events = c->last_event == c->site->events;
+        c->early_ends += !c->has_all_events;
         caller_finish(c);
     } else if (c->status == 503 || c->status == 429) {
         c->refused++;
@@ -208,7 +208,7 @@
     site_run(s, seconds);
 }
 
-/* Waits until all streams are whole, or past their deadlines. */
+/* Waits until all streams are complete, or past their deadlines. */
 static inline void site_finish_streams(site_t* s) {
     for (uint32_t i = 0; i < s->caller_count; i++) {
         while (!s->callers[i].is_done) {
@@ -220,12 +220,12 @@
 /* -- result ---------------------------------------------------------------- */
 
 typedef struct streams_result_t {
-    uint32_t begun, begun_old, whole; /* old: at v1 */
-    uint32_t read_twice;              /* the prompt, by engines of two versions */
-    uint32_t refused;                 /* attempts */
-    uint32_t joined;                  /* of two versions */
-    uint32_t taken_up;                /* of these: */
-    uint32_t served, went_on;         /* whose version serves on two engines; of these, those that went on */
+    uint32_t begun, begun_old, complete; /* old: at v1 */
+    uint32_t read_twice;                 /* the prompt, by engines of two versions */
+    uint32_t refused;                    /* attempts */
+    uint32_t joined;                     /* of two versions */
+    uint32_t taken_up;                   /* of these: */
+    uint32_t served, went_on;            /* whose version serves on two engines; of these, those that went on */
     uint32_t missing, doubled, foreign, early_ends;
     uint32_t list_calls; /* of cached parts, at all engines */
 } streams_result_t;
@@ -254,7 +254,7 @@
         r.begun += c->last_event > 0;
         r.begun_old += strcmp(c->first_version, "v1") == 0;
         r.read_twice += caller_is_read_twice(c);
-        r.whole += c->is_whole;
+        r.complete += c->has_all_events;
         r.refused += c->refused;
         r.joined += c->is_joined;
         r.taken_up += c->taken_up_after > 0;
--- a/tests/test_engine_streams.c
+++ b/tests/test_engine_streams.c
@@ -23,7 +23,7 @@
 #define TWO_EVENTS "12\r\ndata: a\n\ndata: b\n\n\r\n"
 #define LAST_EVENTS "17\r\ndata: c\n\ndata: [DONE]\n\n\r\n"
 #define NO_EVENT "1b\r\n<p>failed</p>\n\n<p>why</p>\n\n\r\n0\r\n\r\n"
-#define WHOLE "data: a\n\ndata: b\n\ndata: c\n\ndata: [DONE]\n\n"
+#define ALL_EVENTS "data: a\n\ndata: b\n\ndata: c\n\ndata: [DONE]\n\n"
 
 /* How the engine ends the connection after its text. */
 typedef enum end_t { END_CLOSE = 0, END_RESET, END_SILENCE } end_t;
@@ -132,7 +132,7 @@
     ck_assert_msg(site_wait_ready(&site, WAIT_MS), "logs in %s", site.dir);
 }
 
-static void expect_whole_stream(const step_t* steps, uint32_t count) {
+static void expect_complete_stream(const step_t* steps, uint32_t count) {
     char engine[CW_ADDR_TEXT_SIZE];
     pid_t pid = start_engine(engine, steps, count);
     start_entry(engine);
@@ -144,15 +144,15 @@
                                     .body = "{\"model\":\"m\",\"stream\":true,\"messages\":[{\"content\":\"x\"}]}"});
     kill(pid, SIGKILL);
     waitpid(pid, NULL, 0);
-    ck_assert_str_eq(response.body, WHOLE);
+    ck_assert_str_eq(response.body, ALL_EVENTS);
     ck_assert(response.is_complete);
     ck_assert_int_eq(site_shutdown(&site), 0);
 }
 
 START_TEST(a_stream_goes_on_where_it_broke) {
-    expect_whole_stream((step_t[]){{EVENTS_HEAD CHUNKED TWO_EVENTS, END_CLOSE},
-                                   {EVENTS_HEAD CHUNKED LAST_EVENTS "0\r\n\r\n", END_CLOSE}},
-                        2);
+    expect_complete_stream((step_t[]){{EVENTS_HEAD CHUNKED TWO_EVENTS, END_CLOSE},
+                                      {EVENTS_HEAD CHUNKED LAST_EVENTS "0\r\n\r\n", END_CLOSE}},
+                           2);
 }
 END_TEST
 
@@ -164,10 +164,10 @@
         "HTTP/1.1 500 Bad\r\nContent-Type: text/event-stream\r\nConnection: close\r\n" CHUNKED NO_EVENT,
         "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nConnection: close\r\n" CHUNKED NO_EVENT};
     for (size_t i = 0; i < sizeof(failures) / sizeof(failures[0]); i++) {
-        expect_whole_stream((step_t[]){{EVENTS_HEAD CHUNKED TWO_EVENTS, END_CLOSE},
-                                       {failures[i], END_CLOSE},
-                                       {EVENTS_HEAD CHUNKED LAST_EVENTS "0\r\n\r\n", END_CLOSE}},
-                            3);
+        expect_complete_stream((step_t[]){{EVENTS_HEAD CHUNKED TWO_EVENTS, END_CLOSE},
+                                          {failures[i], END_CLOSE},
+                                          {EVENTS_HEAD CHUNKED LAST_EVENTS "0\r\n\r\n", END_CLOSE}},
+                               3);
     }
 }
 END_TEST
@@ -176,9 +176,9 @@
    nothing was left of it. */
 START_TEST(a_stream_that_breaks_after_its_end_event_is_complete) {
     for (end_t end = END_CLOSE; end <= END_SILENCE; end++) {
-        expect_whole_stream((step_t[]){{EVENTS_HEAD CHUNKED TWO_EVENTS LAST_EVENTS, end},
-                                       {EVENTS_HEAD CHUNKED "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n", END_CLOSE}},
-                            2);
+        expect_complete_stream((step_t[]){{EVENTS_HEAD CHUNKED TWO_EVENTS LAST_EVENTS, end},
+                                          {EVENTS_HEAD CHUNKED "e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n", END_CLOSE}},
+                               2);
     }
 }
 END_TEST
--- a/tests/test_site_versions.c
+++ b/tests/test_site_versions.c
@@ -1,5 +1,5 @@
 /* Streams through daemons while the software version of engines changes, with real processes. What a caller gets must
-   be the text of one version without a gap or a repetition, and ends as complete only if it is whole. */
+   be the text of one version without a gap or a repetition, and ends as complete only if it has all tokens. */
 #include <stdio.h>
 #include <string.h>
 #include <sys/wait.h>
@@ -17,7 +17,7 @@
 #define STEP_MS "10"
 
 /* What a caller got; a refusal counts as broken off. All but the first two are faults. */
-typedef enum result_t { WHOLE = 0, BROKEN_OFF, TWO_VERSIONS, WRONG_TOKEN, WRONG_END, RESULTS } result_t;
+typedef enum result_t { COMPLETE = 0, BROKEN_OFF, TWO_VERSIONS, WRONG_TOKEN, WRONG_END, RESULTS } result_t;
 
 static site_t site;
 static site_proc_t* engines[ENGINES_MAX];
@@ -120,14 +120,14 @@
         count++;
     }
     const char* done = strstr(response->body, end);
-    bool is_whole = done && count == TOKENS && at < done && done[sizeof(end) - 1] == 0;
+    bool has_all_tokens = done && count == TOKENS && at < done && done[sizeof(end) - 1] == 0;
     for (const char* line = response->body; *line; line += strcspn(line, "\n") + 1) {
         if (*line != '\n' && strncmp(line, "data: ", 6) != 0 && strncmp(line, "event: error\n", 13) != 0) {
             return WRONG_TOKEN;
         }
     }
     if (response->is_complete || done) {
-        return response->is_complete && is_whole ? WHOLE : WRONG_END;
+        return response->is_complete && has_all_tokens ? COMPLETE : WRONG_END;
     }
     return BROKEN_OFF;
 }
@@ -168,7 +168,7 @@
         ck_assert(WIFEXITED(status) && WEXITSTATUS(status) < RESULTS);
         counts[WEXITSTATUS(status)]++;
     }
-    ck_assert_msg(counts[WHOLE] + counts[BROKEN_OFF] == STREAMS,
+    ck_assert_msg(counts[COMPLETE] + counts[BROKEN_OFF] == STREAMS,
                   "of two versions: %d, with a wrong token: %d, with a wrong end: %d", counts[TWO_VERSIONS],
                   counts[WRONG_TOKEN], counts[WRONG_END]);
     return counts[BROKEN_OFF];
@@ -214,7 +214,7 @@
     start_site(versions, 3, "v0");
     upgrade_in_place(1, "1");
     upgrade_in_place(2, "1");
-    ck_assert_int_eq(run_stream("a", STREAMS), WHOLE); /* from now on a host allocates */
+    ck_assert_int_eq(run_stream("a", STREAMS), COMPLETE); /* from now on a host allocates */
     wait_for_reports(3);
     begin_streams(children, "a");
     site_sleep_ms(250);
@@ -299,12 +299,12 @@
 }
 END_TEST
 
-/* The connection breaks after the end event: the stream was whole, and the daemon asked for its end again. */
+/* The connection breaks after the end event: the stream was complete, and the daemon asked for its end again. */
 START_TEST(a_stream_that_breaks_after_its_end_event_ends_once) {
     static const char* const versions[] = {"0"};
     start_site(versions, 1, "v0");
     set_engine(0, "cut_at_end=1");
-    ck_assert_int_eq(run_stream("a", 0), WHOLE);
+    ck_assert_int_eq(run_stream("a", 0), COMPLETE);
     site_shutdown(&site);
 }
 END_TEST
@@ -315,7 +315,7 @@
     static const char* const versions[] = {"0"};
     start_site(versions, 1, "v0");
     set_engine(0, "hang_at_end=1");
-    ck_assert_int_eq(run_stream("a", 0), WHOLE);
+    ck_assert_int_eq(run_stream("a", 0), COMPLETE);
     site_shutdown(&site);
 }
 END_TEST
@@ -325,7 +325,7 @@
     static const char* const versions[] = {"0"};
     start_site(versions, 1, "v0");
     set_engine(0, "cut_after=20&fail_resumed=1");
-    ck_assert_int_eq(run_stream("a", 0), WHOLE);
+    ck_assert_int_eq(run_stream("a", 0), COMPLETE);
     site_shutdown(&site);
 }
 END_TEST
--- a/tests/test_stream_evidence.c
+++ b/tests/test_stream_evidence.c
@@ -252,11 +252,11 @@
 }
 
 /* An entry that went without having been shown may have had any version. */
-START_TEST(a_history_is_whole_if_each_entry_that_went_is_in_it) {
+START_TEST(a_history_is_complete_if_each_entry_that_went_is_in_it) {
     static const struct {
         const char* events;
         uint32_t entries;
-        bool is_whole;
+        bool is_complete;
     } cases[] = {{"", 0, true},
                  {WRITTEN("a", "3"), 1, true},
                  {WRITTEN("a", "3") "," GONE("a", "4"), 1, true},
@@ -268,7 +268,7 @@
                  {STARTED("a", "5", "3"), 1, false}}; /* an earlier start may have had another version */
     for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
         source_history_t history = read_history(cases[i].events);
-        ck_assert_msg(history.is_whole == cases[i].is_whole && history.entries.count == cases[i].entries, "%s",
+        ck_assert_msg(history.is_complete == cases[i].is_complete && history.entries.count == cases[i].entries, "%s",
                       cases[i].events);
         for (uint32_t k = 0; k < history.entries.count; k++) {
             ck_assert_str_eq(history.entries.items[k].version, "v1");
@@ -279,7 +279,7 @@
 END_TEST
 
 /* An entry that was made again, or was overwritten by another writer, may have had any version before. */
-START_TEST(a_history_that_lacks_an_event_is_not_whole) {
+START_TEST(a_history_that_lacks_an_event_is_not_complete) {
     static const char* const cut[] = {
         WRITTEN("a", "3") "," GONE("a", "4") "," GONE("a", "9"), /* made between 4 and 9 */
         STARTED("a", "3", "3") "," STARTED("a", "9", "6"),       /* made at 6 */
@@ -288,7 +288,7 @@
     for (size_t i = 0; i < sizeof(cut) / sizeof(cut[0]); i++) {
         source_history_t history = read_history(cut[i]);
         cw_servers_free(&history.entries);
-        ck_assert_msg(!history.is_whole, "%s", cut[i]);
+        ck_assert_msg(!history.is_complete, "%s", cut[i]);
     }
 }
 END_TEST
@@ -304,8 +304,8 @@
     tcase_add_test(t, rounds_are_spread_by_the_number_of_hosts);
     tcase_add_test(t, a_resumed_request_names_the_last_part_of_its_prompt);
     tcase_add_test(t, the_runs_of_an_engine_are_read);
-    tcase_add_test(t, a_history_is_whole_if_each_entry_that_went_is_in_it);
-    tcase_add_test(t, a_history_that_lacks_an_event_is_not_whole);
+    tcase_add_test(t, a_history_is_complete_if_each_entry_that_went_is_in_it);
+    tcase_add_test(t, a_history_that_lacks_an_event_is_not_complete);
 }
 
 int main(void) {
--- a/tests/test_stream_losses.c
+++ b/tests/test_stream_losses.c
@@ -392,11 +392,11 @@
     play->run(s, play->variation);
     site_finish_streams(s);
     streams_result_t r = site_result(s);
-    printf("%s hosts=%u begun=%u begun_old=%u read_twice=%u whole=%u taken_up=%u joined=%u served=%u went_on=%u "
+    printf("%s hosts=%u begun=%u begun_old=%u read_twice=%u complete=%u taken_up=%u joined=%u served=%u went_on=%u "
            "share=%.3f "
            "refused=%u missing=%u "
            "doubled=%u foreign=%u early_ends=%u list_calls=%u\n",
-           play->name, chosen_hosts, r.begun, r.begun_old, r.read_twice, r.whole, r.taken_up, r.joined, r.served,
+           play->name, chosen_hosts, r.begun, r.begun_old, r.read_twice, r.complete, r.taken_up, r.joined, r.served,
            r.went_on, share_of(&r), r.refused, r.missing, r.doubled, r.foreign, r.early_ends, r.list_calls);
     site_shutdown(s);
 }
@@ -438,12 +438,13 @@
     streams_result_t* r = &results[play];
     has_result[play] =
         out &&
-        fscanf(out,
-               "%*s hosts=%*u begun=%u begun_old=%u read_twice=%u whole=%u taken_up=%u joined=%u served=%u went_on=%u "
-               "share=%*f refused=%u "
-               "missing=%u doubled=%u foreign=%u early_ends=%u",
-               &r->begun, &r->begun_old, &r->read_twice, &r->whole, &r->taken_up, &r->joined, &r->served, &r->went_on,
-               &r->refused, &r->missing, &r->doubled, &r->foreign, &r->early_ends) == 13;
+        fscanf(
+            out,
+            "%*s hosts=%*u begun=%u begun_old=%u read_twice=%u complete=%u taken_up=%u joined=%u served=%u went_on=%u "
+            "share=%*f refused=%u "
+            "missing=%u doubled=%u foreign=%u early_ends=%u",
+            &r->begun, &r->begun_old, &r->read_twice, &r->complete, &r->taken_up, &r->joined, &r->served, &r->went_on,
+            &r->refused, &r->missing, &r->doubled, &r->foreign, &r->early_ends) == 13;
     if (out) {
         pclose(out);
     }
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -190,7 +190,7 @@
 END_TEST
 
 /* A host that has just started sees one version. The list alone doesn't show that no other has served a moment before;
-   the whole history of the source does. */
+   the complete history of the source does. */
 START_TEST(an_unknown_stream_goes_on_where_one_version_serves) {
     static const char* const versions[][SERVERS] = {{"1", "1", "1"}, {"-", "-", "-"}};
     for (size_t i = 0; i < sizeof(versions) / sizeof(versions[0]); i++) {
