Streams: stale comments, a derived flag and a repeated opening in a test

Change: comments describe the code, dropped_ms is INT64_MIN while nothing was dropped, the check stands first, begin_two_streams serves both tests. A few comments use the usual terms. Assertions are unchanged.

--- a/chalkway_part_versions.h
+++ b/chalkway_part_versions.h
@@ -6,15 +6,17 @@
     WHAT IT IS
         A table of prompt parts that engines have listed as cached, each with
         the version of the engine's software and the number of tokens. The
-        last part of a prompt belongs to one request. An engine that caches
-        it with more tokens than the prompt has is one that has run the
-        request, and has made the rest. So the table shows which version
-        began a stream after all hosts that knew it have ended.
+        last part of a prompt belongs to one request, so an engine that caches
+        it with as many tokens as the prompt has is one that has read this
+        prompt. So the table shows which version began a stream after all
+        hosts that knew it have ended.
 
     HOW TO USE IT
             cw_part_versions_t* t = cw_part_versions_setup(8192, NULL);
-            cw_part_versions_add(t, now_ms, &(cw_part_version_t){.pool = pool, .part = part, .version = v, .tokens =
-   900}); uint64_t version = 0; uint32_t count = cw_part_versions_find(t, since_ms, pool, part, 850, &version);
+            cw_part_version_t listed = {.pool = pool, .part = part, .version = v, .tokens = 900};
+            cw_part_versions_add(t, now_ms, &listed);
+            uint64_t version = 0;
+            uint32_t count = cw_part_versions_find(t, since_ms, pool, part, 850, &version);
 
     WHAT IT DOES NOT DO
         It doesn't query engines, and doesn't remove what they evict: entries
@@ -73,8 +75,7 @@
     cw_map_t index;                  /* key to position */
     _cw_part_versions_item_t* items; /* ring, in the order of arrival; NULL: nothing was added */
     uint32_t capacity, next, count;
-    int64_t dropped_ms; /* latest listing of a part that was dropped */
-    bool has_dropped;
+    int64_t dropped_ms; /* latest listing of a part that was dropped, INT64_MIN: none */
 };
 
 cw_part_versions_t* cw_part_versions_setup(uint32_t capacity, const cw_allocator_t* allocator) {
@@ -83,6 +84,7 @@
         t->allocator = *allocator;
     }
     t->capacity = capacity;
+    t->dropped_ms = INT64_MIN;
     return t;
 }
 
@@ -108,9 +110,7 @@
     t->next = (t->next + 1) % t->capacity;
     if (t->count == t->capacity) {
         cw_map_remove(&t->index, t->items[at].key);
-        t->dropped_ms =
-            !t->has_dropped || t->items[at].listed_ms > t->dropped_ms ? t->items[at].listed_ms : t->dropped_ms;
-        t->has_dropped = true;
+        t->dropped_ms = t->items[at].listed_ms > t->dropped_ms ? t->items[at].listed_ms : t->dropped_ms;
     } else {
         t->count++;
     }
@@ -166,7 +166,7 @@
 }
 
 bool cw_part_versions_has_dropped(const cw_part_versions_t* t, int64_t since_ms) {
-    return t->has_dropped && t->dropped_ms >= since_ms;
+    return t->dropped_ms >= since_ms;
 }
 
 #endif /* CHALKWAY_PART_VERSIONS_IMPL_INCLUDED */
--- a/chalkway_stream_registry.h
+++ b/chalkway_stream_registry.h
@@ -105,7 +105,7 @@
     r->dropped++;
 }
 
-/* Whether the record says more than the known one of the same stream. An expired one tells nothing any more. */
+/* Whether the record says more than the known one of the same stream. An expired one is worth nothing any more. */
 static bool _cw_stream_registry_is_news(const cw_stream_record_t* known, int64_t now_ms,
                                         const cw_stream_record_t* record) {
     bool is_same_version = known->version == record->version;
--- a/gateway/exchange_assign.c
+++ b/gateway/exchange_assign.c
@@ -78,10 +78,7 @@
         "id=%s why=\"%s\" begun=%s route=%s pool=%s priority=%u urgency=%u server=%s prompt=%u kept=%u wait_ms=%.0f "
         "read_ms=%.0f read_us=%.1f target_ms=%u ready=%u candidates=%u tried=%u away=%u cold=%u resting=%u limited=%u "
         "suspected=%u other_version=%u unsettled=%u doubted=%u no_place=%u reserved=%.0f fullness=%.2f age_ms=%u "
-        "waited_ms=%lld "
-        "ahead=%u held_before=%u "
-        "held_after=%u "
-        "holds_ms=%.0f revision=%lld",
+        "waited_ms=%lld ahead=%u held_before=%u held_after=%u holds_ms=%.0f revision=%lld",
         x->id, why, exchange_begun_name(x), x->route->name, pool->name, x->priority, x->work.urgency,
         best ? best->published.id : "-", x->work.prompt_tokens, c->cached_tokens, c->wait_ms, c->prefill_ms,
         cw_balance_prefill_ms_per_token(pool->balance) * US_PER_MS, x->route->target_ms, pool->ready, c->candidates,
@@ -190,6 +187,9 @@
 /* A stream that its caller resumes needs the version that began it. While that is unknown, the request waits outside of
    the queue. True: it waits, or it was refused. */
 static bool is_stream_unresolved(exchange_t* x) {
+    if (!x->is_resumed_by_caller || x->work.version) {
+        return false;
+    }
     streams_t* streams = x->exchanges->desc.streams;
     const stream_request_t request = {.pool = x->pool,
                                       .stream = x->stream,
@@ -199,9 +199,6 @@
                                       .part = x->stream_run.part.id,
                                       .part_tokens = x->stream_run.part.tokens,
                                       .events = x->stream_run.events};
-    if (!x->is_resumed_by_caller || x->work.version) {
-        return false;
-    }
     x->work.version = streams_resolve(streams, &request);
     if (!x->work.version && awaits_version(x, &request)) {
         exchange_set_timer(x);
--- a/gateway/reporter.c
+++ b/gateway/reporter.c
@@ -462,8 +462,8 @@
     }
     ev_io_init(&n->load_io, on_datagrams, n->fd, EV_READ);
     ev_timer_init(&n->flush_timer, on_flush_timer, FLUSH_DELAY_MS / MS_PER_S, 0.0);
-    reporter_setup_inquiries(n);
     ev_timer_init(&n->direct_timer, on_direct_timer, FLUSH_DELAY_MS / MS_PER_S, 0.0);
+    reporter_setup_inquiries(n);
     n->load_io.data = n->flush_timer.data = n->direct_timer.data = n;
     ev_io_start(desc->loop, &n->load_io);
     return n;
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -2,7 +2,7 @@
 #define CW_GATEWAY_STREAMS_H
 /*
     The software versions at which resumable streams began, so that a stream is resumed only at the version that began
-   it, whichever host its caller connects to.
+    it, whichever host its caller connects to.
 
     A host records the streams that it carries, and deposits each record at a few other hosts, which are found by the
     stream's id: this host may be lost just before another version appears. While several versions serve in a pool, or
@@ -11,7 +11,8 @@
    Unknown is not guessed: it resumes an unknown stream only if a single version has served for as long as streams last
     (chalkway_pool_versions.h), as it knows itself, another host vouches for, or the complete history of the source
    shows. A host that starts takes over the streams and versions that others know (chalkway_handover.h). After a loss of
-   all hosts, engines that still cache the stream's prompt and more show its version (chalkway_part_versions.h).
+   all hosts, engines that still cache the stream's prompt (chalkway_part_versions.h) or run its request show its
+   version, if none of another version does.
 */
 #include "../chalkway_handover.h"
 #include "../chalkway_log.h"
--- a/tests/test_continuity.c
+++ b/tests/test_continuity.c
@@ -1,5 +1,5 @@
 /* Guards against two errors: a server that has started again is taken for the one that the list describes, and one that
-   lives is distrusted for long after a connection to it broke. */
+   is up is distrusted for long after a connection to it broke. */
 #include "../chalkway_continuity.h"
 #include "test.h"
 
--- a/tests/test_restarted_servers.c
+++ b/tests/test_restarted_servers.c
@@ -136,20 +136,25 @@
     rig_set_servers(t->rig, servers, 0);
 }
 
-/* The stream q1 begins at one of two servers, and q2 at the other, which starts again: q2 goes on where q1 runs.
-   Returns the server of q1. */
-static uint32_t restart_other_server(site_t* t) {
-    rig_t* r = t->rig;
-    rig_script(r,
+/* The streams q1 and q2 begin with their first event. Either can be resumed once. */
+static void begin_two_streams(site_t* t) {
+    rig_script(t->rig,
                (rig_step_t[]){{RIG_RESPOND, EVENTS FIRST_EVENT},
                               {RIG_RESPOND, EVENTS FIRST_EVENT},
                               {RIG_RESPOND, EVENTS SECOND_EVENT END},
                               {RIG_RESPOND, EVENTS SECOND_EVENT END}},
                4);
-    rig_write(r, CALL("q1", ""));
+    rig_write(t->rig, CALL("q1", ""));
     run_until_response_has(t, "data: a");
     send_from_other(t, CALL("q2", ""));
     run_until_arrivals(t, 2);
+}
+
+/* The stream q1 begins at one of two servers, and q2 at the other, which starts again: q2 goes on where q1 runs.
+   Returns the server of q1. */
+static uint32_t restart_other_server(site_t* t) {
+    rig_t* r = t->rig;
+    begin_two_streams(t);
     ck_assert_uint_ne(r->arrival_server[0], r->arrival_server[1]);
     run_for(t, 50);
     restart_server(t, r->arrival_server[1]);
@@ -244,8 +249,8 @@
 }
 END_TEST
 
-/* The other connections of the server show that it lives, so it is used as before, although the list isn't read. */
-START_TEST(a_broken_connection_to_a_server_that_lives_keeps_no_stream_from_it) {
+/* The other connections of the server show that it is up, so it is used as before, although the list isn't read. */
+START_TEST(a_broken_connection_to_a_live_server_keeps_no_stream_from_it) {
     site_t* t = setup(2);
     rig_t* r = t->rig;
     rig_script(r,
@@ -275,18 +280,8 @@
 /* All connections are reset at once, and the servers go on. */
 START_TEST(streams_go_on_after_all_connections_were_reset) {
     site_t* t = setup(2);
-    rig_t* r = t->rig;
     t->is_source_away = false;
-    rig_script(r,
-               (rig_step_t[]){{RIG_RESPOND, EVENTS FIRST_EVENT},
-                              {RIG_RESPOND, EVENTS FIRST_EVENT},
-                              {RIG_RESPOND, EVENTS SECOND_EVENT END},
-                              {RIG_RESPOND, EVENTS SECOND_EVENT END}},
-               4);
-    rig_write(r, CALL("q1", ""));
-    run_until_response_has(t, "data: a");
-    send_from_other(t, CALL("q2", ""));
-    run_until_arrivals(t, 2);
+    begin_two_streams(t);
     run_for(t, 50);
     close_conns(t, 0);
     close_conns(t, 1);
@@ -302,7 +297,7 @@
     tcase_add_test(t, a_caller_resumes_no_stream_at_a_server_that_has_started_again);
     tcase_add_test(t, a_stream_that_began_at_a_server_that_had_started_again_goes_on_nowhere_else);
     tcase_add_test(t, streams_begin_at_servers_whose_version_is_known);
-    tcase_add_test(t, a_broken_connection_to_a_server_that_lives_keeps_no_stream_from_it);
+    tcase_add_test(t, a_broken_connection_to_a_live_server_keeps_no_stream_from_it);
     tcase_add_test(t, streams_go_on_after_all_connections_were_reset);
 }
 
--- a/tests/test_shard.c
+++ b/tests/test_shard.c
@@ -491,7 +491,7 @@
 }
 END_TEST
 
-/* An upstream whose version is unknown may have it: its response tells. */
+/* An upstream whose version is unknown may have it: its response shows it. */
 START_TEST(resumed_stream_gets_a_slot_of_an_unknown_version) {
     cw_shard_t* s = shard_of_two_versions();
     const cw_pick_spec_t specs[] = {{.id = 11, .hall = 1, .version = 1, .slots = 1}, {.id = 12, .hall = 1, .slots = 1}};
--- a/tests/test_stream_losses.c
+++ b/tests/test_stream_losses.c
@@ -27,7 +27,7 @@
 
 #define SHARE_ONE_VERSION 0.98
 #define SHARE_TWO_VERSIONS 0.90
-#define SHARE_UNBOUNDED 0.0 /* nothing tells which version began a stream */
+#define SHARE_UNBOUNDED 0.0 /* nothing shows which version began a stream */
 #define TAKEN_UP_MIN 12
 #define MIXED_MIN 5
 
