A response counts only once its head has ended

Callers of chalkwayd got a 200 or 204 without a body, outcome "delivered", where the upstream had stopped in the middle of the head and closed, and a run-once call was recorded with it. chalkwayctl, the load tool, the soak's callers and site_call of the tests counted such responses as whole.

Cause: io/client.c took libcurl's success for the end of a response, and framing for stated as soon as a line with the field's name had arrived. libcurl reports success when a connection closes inside a head whose body it takes for empty.

Now the lines of a head are parsed by the parser of the gateway (io/response_head.h): a head that has not ended has no status, and framing is what the fields mean. Ruled out: the gateway, its tunnels, JSON readers (an empty document is refused): all hold before.

--- a/Makefile
+++ b/Makefile
@@ -81,7 +81,7 @@
 $(BUILD)/chalkway-soak-callers: $(BUILD)/tools/soak_callers.o $(BUILD)/tools/soak_check.o $(BUILD)/tools/soak_qod.o $(BUILD)/tools/soak_pushback.o $(BUILD)/tools/soak_streams.o $(BUILD)/standins/standin.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
-$(BUILD)/chalkwayctl: $(BUILD)/tools/chalkwayctl.o $(BUILD)/tools/explain.o
+$(BUILD)/chalkwayctl: $(BUILD)/tools/chalkwayctl.o $(BUILD)/tools/explain.o $(IO) $(LIB)
 	$(CC) $(SANITIZE) $^ -o $@ $(LIBS)
 
 $(BUILD)/samples/%.o: CFLAGS_ALL += -I.
--- a/io/client.c
+++ b/io/client.c
@@ -3,11 +3,11 @@
 #include <curl/curl.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
+
+#include "response_head.h"
 
 #define DEFAULT_CONNECT_TIMEOUT_MS 1000L
 #define HEADER_LINE_MAX_BYTES 1024
-#define HEAD_MAX_BYTES 81920 /* of a response, interim heads and trailer fields included; libcurl has no limit */
 
 struct cw_client_t {
     struct ev_loop* loop;
@@ -24,8 +24,8 @@
     CURL* easy;
     struct curl_slist* headers;
     cw_call_desc_t desc;
-    bool sent, is_vetoed, is_head_notified, has_framing, is_cancelled, is_paused, is_in_resumed;
-    size_t head_bytes; /* received so far */
+    bool sent, is_vetoed, is_head_notified, has_bad_head, is_cancelled, is_paused, is_in_resumed;
+    cw_response_head_t head;
     unsigned status;
     cw_call_t* prev_open;
     cw_call_t* next_open;
@@ -58,6 +58,7 @@
     curl_multi_remove_handle(call->client->multi, call->easy);
     curl_easy_cleanup(call->easy);
     curl_slist_free_all(call->headers);
+    cw_response_head_shutdown(&call->head);
     free(call);
 }
 
@@ -76,20 +77,32 @@
     }
 }
 
+/* Why the response is not complete, "" if it is. */
+static const char* failure_message(const cw_call_t* call, CURLcode code) {
+    if (code != CURLE_OK) {
+        return call->has_bad_head ? "the response head is malformed or too long" : curl_easy_strerror(code);
+    }
+    if (!call->head.is_complete) {
+        return "the connection was closed within the response head";
+    }
+    return cw_response_head_has_framing(&call->head)
+               ? ""
+               : "the response has no Content-Length or chunked framing: it may be truncated";
+}
+
 static void call_finish(cw_call_t* call, CURLcode code) {
-    if (code == CURLE_OK) {
+    bool is_head_complete = code == CURLE_OK && call->head.is_complete;
+    if (is_head_complete) {
         notify_head(call); /* a response without a body */
     }
     if (call->is_cancelled) {
         return;
     }
+    bool has_framing = cw_response_head_has_framing(&call->head);
     cw_call_result_t result = {.sent = call->sent, .is_vetoed = call->is_vetoed, .status = call->status};
-    result.is_complete = code == CURLE_OK && call->has_framing;
-    result.is_unframed = code == CURLE_OK && !call->has_framing;
-    result.message =
-        code == CURLE_OK
-            ? (call->has_framing ? "" : "the response has no Content-Length or Transfer-Encoding: it may be truncated")
-            : curl_easy_strerror(code);
+    result.is_complete = is_head_complete && has_framing;
+    result.is_unframed = is_head_complete && !has_framing;
+    result.message = failure_message(call, code);
     cw_call_desc_t desc = call->desc;
     call_free(call);
     desc.on_done(desc.user_data, &result);
@@ -234,20 +247,11 @@
     return CURL_PREREQFUNC_OK;
 }
 
-/* Records whether the response head delimits its body: by its status, Content-Length or Transfer-Encoding. */
 static size_t on_header(char* data, size_t size, size_t count, void* user) {
     cw_call_t* call = user;
     size_t len = size * count;
-    call->head_bytes += len;
-    if (len > 5 && strncasecmp(data, "HTTP/", 5) == 0) {
-        long status = 0;
-        curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-        call->has_framing = status == 204 || status == 304;
-    } else if ((len > 15 && strncasecmp(data, "content-length:", 15) == 0) ||
-               (len > 18 && strncasecmp(data, "transfer-encoding:", 18) == 0)) {
-        call->has_framing = true;
-    }
-    return call->is_cancelled || call->head_bytes > HEAD_MAX_BYTES ? 0 : len;
+    call->has_bad_head = !cw_response_head_add(&call->head, data, len);
+    return call->is_cancelled || call->has_bad_head ? 0 : len;
 }
 
 static size_t on_body(char* data, size_t size, size_t count, void* user) {
@@ -299,6 +303,7 @@
     }
     c->open = call;
     call->desc = *desc;
+    cw_response_head_setup(&call->head);
     call->easy = curl_easy_init();
     CURL* e = call->easy;
     long connect_timeout_ms = desc->connect_timeout_ms ? (long)desc->connect_timeout_ms : DEFAULT_CONNECT_TIMEOUT_MS;
--- /dev/null
+++ b/tests/truncated.h
@@ -0,0 +1,160 @@
+#ifndef CW_TEST_TRUNCATED_H
+#define CW_TEST_TRUNCATED_H
+/*
+    Responses that are cut off inside their head, and a scripted server that sends them from a process of its own.
+    "@ID@" in a head is replaced by the request's id.
+*/
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "../io/address.h"
+#include "test.h"
+
+#define RESPONSE_MAX_BYTES 512
+#define INTERIM "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+#define ID "Chalkway-Request-Id: @ID@\r\n"
+
+/* A whole response. body is sent as it stands: with its chunks, if the head announces them. */
+typedef struct response_t {
+    const char* head;
+    const char* body;
+} response_t;
+
+static const response_t responses[] = {
+    {"HTTP/1.1 200 OK\r\n" ID "Content-Length: 0\r\nContent-Type: text/plain\r\n\r\n", ""},
+    {"HTTP/1.1 200 OK\r\n" ID "Content-Type: application/json\r\nContent-Length: 5\r\n\r\n", "[1,2]"},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" ID "Content-Type: application/json\r\n\r\n",
+     "2\r\n[1\r\n3\r\n,2]\r\n0\r\nA: b\r\n\r\n"},
+    {"HTTP/1.1 200 OK\r\n" ID "Content-Type: text/plain\r\nConnection: close\r\n\r\n", "until the end"},
+    {"HTTP/1.1 204 No Content\r\n" ID "Server: s\r\n\r\n", ""},
+    {"HTTP/1.1 304 Not Modified\r\n" ID "ETag: \"a\"\r\n\r\n", ""},
+    {"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n" ID "\r\n", ""},
+    {INTERIM "HTTP/1.1 200 OK\r\n" ID "Content-Length: 0\r\n\r\n", ""},
+    {"HTTP/1.1 100 Continue\r\n\r\n" INTERIM "HTTP/1.1 204 No Content\r\n" ID "\r\n", ""},
+    {"HTTP/1.0 200 OK\r\n" ID "Content-Length: 0\r\n\r\n", ""},
+    {"HTTP/1.1 200 OK\r\n" ID "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+     "14\r\nid: 1\ndata: [DONE]\n\n\r\n0\r\n\r\n"},
+};
+#define RESPONSES ((int)(sizeof(responses) / sizeof(responses[0])))
+
+/* How the connection ends. */
+typedef enum cut_end_t { CUT_CLOSE = 0, CUT_RESET, CUT_ENDS } cut_end_t;
+
+/* The first size bytes of the head. */
+static inline void cut_head(const response_t* response, size_t size, char out[RESPONSE_MAX_BYTES]) {
+    snprintf(out, RESPONSE_MAX_BYTES, "%.*s", (int)size, response->head);
+}
+
+/* The next place to cut the head after size bytes, 0: there is none. Places are in the middle of each line, before and
+   within its line end, and after it. */
+static inline size_t cut_next(const response_t* response, size_t size) {
+    const char* line = response->head;
+    for (const char* end = strstr(line, "\r\n"); end; line = end + 2, end = strstr(line, "\r\n")) {
+        const size_t places[] = {(size_t)((line - response->head) + (end - line + 1) / 2),
+                                 (size_t)(end - response->head), (size_t)(end - response->head) + 1,
+                                 (size_t)(end - response->head) + 2};
+        for (size_t i = 0; i < sizeof(places) / sizeof(places[0]); i++) {
+            if (places[i] > size && places[i] < strlen(response->head)) {
+                return places[i];
+            }
+        }
+    }
+    return 0;
+}
+
+/* -- a server in a process of its own --------------------------------------- */
+
+/* Names the response that the server sends, its cut and its end, anywhere in a request: "cut=RESPONSE.SIZE.END". */
+#define CUT_MARK "cut=%d.%zu.%d"
+#define CUT_WHOLE_SIZE ((size_t)RESPONSE_MAX_BYTES) /* the head and the body */
+#define RESET_DELAY_US 2000 /* what was sent before a reset must be read: the reset discards it otherwise */
+
+static inline bool cut_is_request_complete(const char* request) {
+    const char* end = strstr(request, "\r\n\r\n");
+    const char* length = strcasestr(request, "Content-Length: ");
+    return end && (!length || length > end || strlen(end + 4) >= strtoul(length + 16, NULL, 10));
+}
+
+static inline void cut_replace_id(const char* text, const char* request, char* out, size_t out_size) {
+    char id[256] = "";
+    const char* field = strcasestr(request, "Chalkway-Request-Id: ");
+    if (field) {
+        sscanf(field, "%*[^:]: %255[^\r]", id);
+    }
+    const char* mark = strstr(text, "@ID@");
+    if (mark) {
+        snprintf(out, out_size, "%.*s%s%s", (int)(mark - text), text, id, mark + 4);
+    } else {
+        snprintf(out, out_size, "%s", text);
+    }
+}
+
+static inline void cut_respond(int fd, const char* request) {
+    char cut[RESPONSE_MAX_BYTES];
+    char text[2 * RESPONSE_MAX_BYTES];
+    int response = 0;
+    size_t size = 0;
+    int end = CUT_CLOSE;
+    const char* mark = strstr(request, "cut=");
+    if (mark && sscanf(mark, CUT_MARK, &response, &size, &end) == 3) {
+        const response_t* r = &responses[response];
+        snprintf(cut, sizeof(cut), "%.*s%s", (int)size, r->head, size == CUT_WHOLE_SIZE ? r->body : "");
+    } else {
+        snprintf(cut, sizeof(cut), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}");
+    }
+    cut_replace_id(cut, request, text, sizeof(text));
+    send(fd, text, strlen(text), MSG_NOSIGNAL);
+    if (end == CUT_RESET) {
+        const struct linger linger = {.l_onoff = 1};
+        usleep(RESET_DELAY_US);
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+    }
+}
+
+/* Serves one request per connection. */
+static inline void cut_serve(int listen_fd) {
+    for (;;) {
+        char request[8192];
+        size_t size = 0;
+        int fd = accept(listen_fd, NULL, NULL);
+        for (ssize_t n = 1; n > 0 && size < sizeof(request) - 1;) {
+            n = recv(fd, request + size, sizeof(request) - 1 - size, 0);
+            size += n > 0 ? (size_t)n : 0;
+            request[size] = 0;
+            if (cut_is_request_complete(request)) {
+                cut_respond(fd, request);
+                break;
+            }
+        }
+        close(fd);
+    }
+}
+
+/* Starts the server; returns its process, to be ended by cut_server_stop. */
+static inline pid_t cut_server_start(char address[CW_ADDR_TEXT_SIZE]) {
+    cw_error_t err = {0};
+    int fd = cw_addr_listen("127.0.0.1:0", address, &err);
+    ck_assert_msg(fd >= 0, "%s", cw_error_text(&err).text);
+    pid_t pid = fork();
+    ck_assert_int_ge(pid, 0);
+    if (!pid) {
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
+        fcntl(fd, F_SETFL, 0); /* accept waits */
+        cut_serve(fd);
+    }
+    close(fd);
+    return pid;
+}
+
+static inline void cut_server_stop(pid_t pid) {
+    kill(pid, SIGKILL);
+    waitpid(pid, NULL, 0);
+}
+
+#endif
--- a/tools/chalkwayctl.c
+++ b/tools/chalkwayctl.c
@@ -21,6 +21,7 @@
 #include <string.h>
 #include <sysexits.h>
 
+#include "../io/response_head.h"
 #include "explain.h"
 
 #define MAX_ARGUMENTS 1024
@@ -59,11 +60,17 @@
     return n;
 }
 
+static size_t on_header(char* data, size_t size, size_t count, void* user) {
+    return cw_response_head_add(user, data, size * count) ? size * count : 0;
+}
+
 /* Sends a blocking request: POST with a body, GET when body is NULL. A transport failure is printed to standard error
    and gives status 0. */
 static response_t send_request(const args_t* args, const char* path, const char* body, long timeout_ms) {
     response_t r = {0};
+    cw_response_head_t head;
     char url[URL_MAX];
+    cw_response_head_setup(&head);
     snprintf(url, sizeof(url), "http://%s%s", args->address, path);
     CURL* e = curl_easy_init();
     curl_easy_setopt(e, CURLOPT_URL, url);
@@ -71,16 +78,21 @@
     curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, timeout_ms);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, append_body);
     curl_easy_setopt(e, CURLOPT_WRITEDATA, &r);
+    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(e, CURLOPT_HEADERDATA, &head);
     if (body) {
         curl_easy_setopt(e, CURLOPT_POSTFIELDS, body);
     }
     CURLcode code = curl_easy_perform(e);
-    curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, &r.status);
     curl_easy_cleanup(e);
     if (code != CURLE_OK) {
         fprintf(stderr, "request to %s: %s\n", args->address, curl_easy_strerror(code));
-        r.status = 0;
+    } else if (!head.is_complete) {
+        fprintf(stderr, "request to %s: the connection was closed within the response head\n", args->address);
+    } else {
+        r.status = (long)head.message.status;
     }
+    cw_response_head_shutdown(&head);
     return r;
 }
 
--- a/tools/site.c
+++ b/tools/site.c
@@ -1,4 +1,5 @@
 #include "site.h"
+#include "../io/response_head.h"
 
 #include <curl/curl.h>
 #include <errno.h>
@@ -9,7 +10,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -237,17 +237,13 @@
 }
 
 static size_t on_header(char* data, size_t size, size_t count, void* user) {
-    site_response_t* response = user;
-    size_t n = size * count;
-    char line[256];
-    cw_copy(line, n + 1 < sizeof(line) ? n + 1 : sizeof(line), data);
-    line[strcspn(line, "\r\n")] = 0;
-    if (strncasecmp(line, "Chalkway-Outcome: ", 18) == 0) {
-        cw_copy(response->outcome, sizeof(response->outcome), line + 18);
-    } else if (strncasecmp(line, "Retry-After: ", 13) == 0) {
-        cw_copy(response->retry_after, sizeof(response->retry_after), line + 13);
-    }
-    return n;
+    return cw_response_head_add(user, data, size * count) ? size * count : 0;
+}
+
+/* Copies a field of the head, "" when it is absent. */
+static void copy_field(char* out, size_t size, const cw_response_head_t* head, const char* name) {
+    const char* value = cw_message_field(&head->message, name);
+    cw_copy(out, size, value ? value : "");
 }
 
 static struct curl_slist* add_header(struct curl_slist* list, const char* name, const char* value) {
@@ -258,8 +254,10 @@
 
 site_response_t site_call(const site_request_t* r) {
     site_response_t response = {0};
+    cw_response_head_t head;
     char url[512];
     char bearer[256];
+    cw_response_head_setup(&head);
     snprintf(url, sizeof(url), "http://%s%s", r->address, r->path);
     struct curl_slist* headers = add_header(NULL, "Content-Type", "application/json");
     if (r->token) {
@@ -277,20 +275,23 @@
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(e, CURLOPT_WRITEDATA, &response);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
-    curl_easy_setopt(e, CURLOPT_HEADERDATA, &response);
+    curl_easy_setopt(e, CURLOPT_HEADERDATA, &head);
     if (r->body) {
         curl_easy_setopt(e, CURLOPT_POSTFIELDS, r->body);
     }
     if (r->method) {
         curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, r->method);
     }
-    response.is_complete = curl_easy_perform(e) == CURLE_OK;
-    curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, &response.status);
-    long sent = 0;
-    long head = 0;
-    curl_easy_getinfo(e, CURLINFO_REQUEST_SIZE, &sent);
-    curl_easy_getinfo(e, CURLINFO_HEADER_SIZE, &head);
-    response.bytes = sent + head + (long)strlen(response.body);
+    response.is_complete = curl_easy_perform(e) == CURLE_OK && head.is_complete;
+    if (head.is_complete) {
+        response.status = head.message.status;
+        copy_field(response.outcome, sizeof(response.outcome), &head, "Chalkway-Outcome");
+        copy_field(response.retry_after, sizeof(response.retry_after), &head, "Retry-After");
+    }
+    long sent_bytes = 0;
+    curl_easy_getinfo(e, CURLINFO_REQUEST_SIZE, &sent_bytes);
+    response.bytes = sent_bytes + (long)(head.bytes + strlen(response.body));
+    cw_response_head_shutdown(&head);
     curl_easy_cleanup(e);
     curl_slist_free_all(headers);
     return response;
