A host that has read no list for a while vouches for no version

Cause: what a host knows of versions counted from its start, whatever it had missed since. Now it counts from the last time at which the list was older than a version needs to settle (2.5 s), knowledge taken over from others and the source's history included. Streams are announced to all while the list is old, and hosts that were not cut off are asked, so nothing else is needed to go on.

--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -24,6 +24,7 @@
     uint32_t known_min_ms; /* a host that has seen the versions for so long knows that of each stream that is alive */
     int64_t setup_ms;
     cw_handover_t handover;
+    int64_t known_from_ms;                     /* this host has read all lists from then on */
     int64_t inherited_ms;                      /* all versions from then on were taken over from other hosts; 0: none */
     bool is_history_complete;                  /* the source has shown all versions that have ever served */
     cw_part_versions_t* parts;                 /* what engines have listed */
@@ -42,7 +43,7 @@
     s->parts = cw_part_versions_setup(PARTS_MAX, NULL);
     s->memory_ms = MEMORY_FACTOR * LONGEST_DEFAULT_MS;
     s->known_min_ms = LONGEST_DEFAULT_MS + LIST_LATENESS_MS;
-    s->setup_ms = clock_ms();
+    s->setup_ms = s->known_from_ms = clock_ms();
     cw_handover_begin(&s->handover,
                       &(cw_handover_desc_t){.now_ms = s->setup_ms, .enough_ms = s->known_min_ms, .seed = desc->seed});
     return s;
@@ -74,7 +75,18 @@
 
 /* For how long this host knows the versions that have served. */
 static int64_t known_ms(const streams_t* s, int64_t now_ms) {
-    return now_ms - (s->inherited_ms ? s->inherited_ms : s->setup_ms);
+    return now_ms - (s->inherited_ms ? s->inherited_ms : s->known_from_ms);
+}
+
+/* Between two lists that are further apart than it takes a version to settle, another one may have served streams and
+   gone. What this host knew of versions, and what the history showed, ends there. */
+static void check_list_gap(streams_t* s, int64_t now_ms) {
+    int64_t age_ms = s->desc.list_age_ms(s->desc.user_data);
+    if (age_ms > CW_POOL_VERSIONS_SETTLE_MS) {
+        s->known_from_ms = now_ms;
+        s->inherited_ms = 0;
+        s->is_history_complete = false;
+    }
 }
 
 /* Whether this host, or one that handed over to it, has lived for longer than streams last. */
@@ -141,6 +153,7 @@
 
 /* Streams that began before announcements were needed are announced when that state begins. */
 void streams_tick(streams_t* s, int64_t now_ms) {
+    check_list_gap(s, now_ms);
     uint64_t announcing[POOLS_ANNOUNCING_MAX];
     uint32_t count = 0;
     for (const pool_t* pool = upstreams_pools(s->desc.upstreams); pool && count < POOLS_ANNOUNCING_MAX;
