A response without an id is no response to a request on a kept connection

Cause: an answer without an id counted as that of the request that runs on the connection, and what it says of "not run" was read first. Now it is skipped on a connection that has carried another request, as an answer with another id is, and the request's own is awaited; on a new connection nothing but its own can arrive.

--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -8,8 +8,9 @@
     current incarnation follows from the server list: the one listed at the later revision of the source or, where
     that does not decide, the one that started later. Servers of pools that the configuration does not declare are
     ignored. The connections to a server are limited to this daemon's share of what the server accepts from all
-    daemons. A response belongs to a request only if it repeats the request's id: a response to an earlier request is
-    skipped, and bytes after a response end the connection.
+    daemons. A response belongs to a request only if it repeats the request's id, or names none and the connection has
+    carried no other request: a response to an earlier request is skipped, and bytes after a response end the
+    connection.
 */
 #include <ev.h>
 
--- a/gateway/upstream_conn.c
+++ b/gateway/upstream_conn.c
@@ -105,9 +105,10 @@
 
 /* -- responses ------------------------------------------------------------ */
 
+/* A response without an id may be a surplus one that arrived late, unless the connection has carried no other request. */
 static bool is_for_other_request(const upstream_conn_t* conn) {
     const char* id = cw_message_field(&conn->response, conn->server->pool->upstreams->desc.dialect->fields.request_id);
-    return id && strcmp(id, conn->request_id) != 0;
+    return id ? strcmp(id, conn->request_id) != 0 : conn->has_responded;
 }
 
 static uint32_t read_keep_alive_ms(const cw_message_t* m) {
@@ -502,6 +503,7 @@
     }
     cw_message_reset(&conn->response);
     conn->owner = NULL;
+    conn->has_responded = true;
     upstream_conn_pause(conn, false); /* the owner may have paused it for a slow caller */
     add_idle(conn);
 }
--- a/gateway/upstream_internal.h
+++ b/gateway/upstream_internal.h
@@ -52,6 +52,7 @@
     char* request_id; /* of the last request sent; NULL: none yet */
     bool is_request_sent;
     int64_t sent_ms;            /* when the request was sent; 0: none yet */
+    bool has_responded;         /* to an earlier request */
     bool is_skipping;           /* the response being read belongs to an earlier request */
     uint32_t skipped_responses; /* since the request was sent */
     size_t skipped_bytes;
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -304,6 +304,47 @@
 }
 END_TEST
 
+/* Guards against a call that runs twice: a surplus response without an id, late on a kept connection, passed for the
+   rejection of the next request there, which was sent to another server, or for its response. */
+START_TEST(a_late_response_without_an_id_is_skipped_on_a_kept_connection) {
+    static const char* const surplus[] = {
+        "HTTP/1.1 503 Service Unavailable\r\nChalkway-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nforged"};
+    static const char* const call = "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n";
+    for (size_t i = 0; i < sizeof(surplus) / sizeof(surplus[0]); i++) {
+        for (int is_lost = 0; is_lost < 2; is_lost++) {
+            char text[512];
+            rig_t* r = rig_setup(ROUTES, 1);
+            snprintf(text, sizeof(text), "%s%s", surplus[i], is_lost ? "" : OK("mine", "4"));
+            set_script(
+                r, 2,
+                (rig_step_t[]){{RIG_RESPOND, OK("first", "5")}, {is_lost ? RIG_RESPOND_CLOSE : RIG_RESPOND, text}});
+            rig_set_servers(r, 2, 0);
+            expect_status(rig_call(r, call), "200");
+            const char* response = rig_call(r, call);
+            expect_status(response, is_lost ? "502" : "200");
+            ck_assert(is_lost || strstr(response, "mine"));
+            ck_assert_uint_eq(r->arrival_count, 2);
+            ck_assert_uint_eq(r->conn_count, 1);
+            rig_shutdown(r);
+        }
+    }
+}
+END_TEST
+
+/* Nothing but the request's own response can arrive on a connection that has carried no other one. */
+START_TEST(a_rejection_without_an_id_counts_on_a_new_connection) {
+    rig_t* r = rig_setup(ROUTES, 2);
+    set_script(r, 2,
+               (rig_step_t[]){{RIG_RESPOND,
+                               "HTTP/1.1 503 Service Unavailable\r\nChalkway-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"},
+                              {RIG_RESPOND, OK("ran", "3")}});
+    expect_status(rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 0\r\n\r\n"), "200");
+    rig_shutdown(r);
+}
+END_TEST
+
 /* The answer to a request with an id of 128 characters or more, or with an empty one, was taken for that of another
    request and skipped: callers waited until their deadline. */
 START_TEST(a_request_id_of_any_length_is_recognized_in_the_response) {
@@ -881,6 +922,8 @@
     tcase_add_test(t, truncated_response_does_not_look_complete);
     tcase_add_test(t, bytes_after_a_response_are_discarded);
     tcase_add_test(t, response_to_an_earlier_request_is_skipped);
+    tcase_add_test(t, a_late_response_without_an_id_is_skipped_on_a_kept_connection);
+    tcase_add_test(t, a_rejection_without_an_id_counts_on_a_new_connection);
     tcase_add_test(t, a_request_id_of_any_length_is_recognized_in_the_response);
     tcase_add_test(t, an_error_response_names_a_long_request_id);
     tcase_add_test(t, malformed_response_is_not_forwarded);
