One entry with a start time refuses no other server

Cause: entries without a start time were refused as soon as a single entry had one. Now at least half of the entries, and more than one, must have one. By pool, one entry would still decide for a pool of one or two; by each server's history, an entry that lacks the field would name a server.

--- a/chalkway_servers.h
+++ b/chalkway_servers.h
@@ -113,7 +113,8 @@
                      const cw_server_field_names_t* names, cw_server_fault_t* fault);
 /* Counts an invalid entry and records its key and fault. */
 void cw_servers_refuse(cw_servers_t* list, const char* key, cw_server_fault_t fault);
-/* Refuses the entries without a start time if others have one: a source gives start times for all servers or none. */
+/* Refuses the entries without a start time if at least half of the entries, and more than one, have one: the servers of
+   a source write start times all or none, and another writer's entry decides nothing about theirs. */
 void cw_servers_refuse_without_start(cw_servers_t* list);
 /* Id of this incarnation of the server: hash of its id and start time. */
 uint64_t cw_server_incarnation_id(const cw_server_t* server);
@@ -273,24 +274,28 @@
     }
 }
 
-void cw_servers_refuse_without_start(cw_servers_t* list) {
-    uint32_t with_start_count = 0;
+static bool _cw_servers_have_starts(const cw_servers_t* list) {
+    uint32_t count = 0;
     for (uint32_t i = 0; i < list->count; i++) {
-        with_start_count += list->items[i].started_ms != 0;
+        count += list->items[i].started_ms != 0;
     }
-    if (!with_start_count || with_start_count == list->count) {
+    return count > 1 && 2 * (uint64_t)count >= list->count;
+}
+
+void cw_servers_refuse_without_start(cw_servers_t* list) {
+    if (!_cw_servers_have_starts(list)) {
         return;
     }
-    with_start_count = 0;
+    uint32_t kept = 0;
     for (uint32_t i = 0; i < list->count; i++) {
         if (list->items[i].started_ms) {
-            list->items[with_start_count++] = list->items[i];
+            list->items[kept++] = list->items[i];
         } else {
             cw_servers_refuse(list, list->items[i].id,
                               (cw_server_fault_t){"start", "missing, while other entries have one"});
         }
     }
-    list->count = with_start_count;
+    list->count = kept;
 }
 
 uint64_t cw_servers_hash(const cw_servers_t* list) {
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -275,7 +275,7 @@
 }
 END_TEST
 
-/* Either all servers of a source write their start time or none does. An entry without one among others is invalid. */
+/* Either all servers of a source write their start time or none does: entries without one among others are invalid. */
 START_TEST(entries_without_a_start_are_refused_if_others_have_one) {
     cw_servers_t list = {0};
     for (uint32_t i = 0; i < 4; i++) {
@@ -294,6 +294,25 @@
 }
 END_TEST
 
+/* Guards against the loss of all servers by one entry of another writer, which has a start time where servers write
+   none, also if the list is short. */
+START_TEST(one_entry_with_a_start_refuses_no_other) {
+    for (uint32_t servers = 1; servers < 8; servers++) {
+        cw_servers_t list = {0};
+        for (uint32_t i = 0; i <= servers; i++) {
+            cw_server_t s = {.address = "127.0.0.1:9", .hall = "a", .slots = 4, .started_ms = i ? 0 : FIRST_START_MS};
+            snprintf(s.id, sizeof(s.id), "s%u", i);
+            cw_copy(s.pool, sizeof(s.pool), i ? "p" : "unknown");
+            cw_servers_add(&list, &s);
+        }
+        cw_servers_refuse_without_start(&list);
+        ck_assert_uint_eq(list.count, servers + 1);
+        ck_assert_uint_eq(list.refused.count, 0);
+        cw_servers_free(&list);
+    }
+}
+END_TEST
+
 /* A list retains the start times when hosts pass it on, and a changed start time changes the id of the list. */
 START_TEST(a_start_is_part_of_the_list_id) {
     cw_servers_t list = {.at = 3};
@@ -325,6 +344,7 @@
     tcase_add_test(t, an_inventory_of_another_incarnation_retires_the_old_one);
     tcase_add_test(t, a_server_of_an_undeclared_pool_is_ignored);
     tcase_add_test(t, entries_without_a_start_are_refused_if_others_have_one);
+    tcase_add_test(t, one_entry_with_a_start_refuses_no_other);
     tcase_add_test(t, a_start_is_part_of_the_list_id);
 }
 
