--- a/gateway/upstream_conn.c
+++ b/gateway/upstream_conn.c
@@ -105,7 +105,7 @@
 
 /* -- responses ------------------------------------------------------------ */
 
-/* A response without an id may be a surplus one that arrived late, unless the connection has carried no other request. */
+/* A response without an id may be a surplus one to an earlier request, if the connection has carried any. */
 static bool is_for_other_request(const upstream_conn_t* conn) {
     const char* id = cw_message_field(&conn->response, conn->server->pool->upstreams->desc.dialect->fields.request_id);
     return id ? strcmp(id, conn->request_id) != 0 : conn->has_responded;
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -6,9 +6,8 @@
     and repeats the request elsewhere where that is allowed.
 */
 #include "../gateway/clock.h"
-#include "../gateway/tunnel.h"
 #include "../io/client.h"
-#include "rig.h"
+#include "rig_tunnel.h"
 
 #define ROUTE(name, kind, more)                                                                                        \
     "{\"name\":\"" name "\",\"host\":\"h.example\",\"prefix\":\"/" name "/\",\"kind\":\"" kind "\"," more              \
@@ -103,28 +102,10 @@
 }
 END_TEST
 
-static bool is_host(void* user, const struct sockaddr_in* address) {
-    (void)user;
-    (void)address;
-    return true;
-}
-
 /* The same by way of a peer host: both connections, to it and from it to the server, are closed. */
 START_TEST(a_server_behind_a_tunnel_is_closed) {
-    cw_error_t err = {0};
     rig_t* r = rig_setup(ROUTES, 1);
-    snprintf(r->tunnel_host, sizeof(r->tunnel_host), "127.77.%d.%d:7204", 1 + getpid() / 250 % 250, 1 + getpid() % 250);
-    tunnels_t* tunnels = tunnels_setup(&(tunnels_desc_t){.loop = r->loop,
-                                                         .log = &r->log,
-                                                         .upstreams = r->upstreams,
-                                                         .address = r->tunnel_host,
-                                                         .cluster = "c",
-                                                         .max_tunnels = 2,
-                                                         .is_host = is_host},
-                                       &err);
-    ck_assert_msg(tunnels != NULL, "%s", cw_error_text(&err).text);
-    r->choose_tunnel_host = rig_restore_paths;
-    rig_break_path(upstreams_server(r->upstreams, cw_name_id("s0")));
+    tunnels_t* tunnels = rig_tunnel_setup(r, 77);
     rig_script(r, (rig_step_t[]){{RIG_RESPOND_ENDLESS, heads[_i]}}, 1);
     rig_call(r, CALL("call"));
     const char* response = cw_buffer_text(&r->response);
--- a/tests/test_truncated.c
+++ b/tests/test_truncated.c
@@ -8,11 +8,10 @@
 
 #include "../gateway/clock.h"
 #include "../gateway/inventory.h"
-#include "../gateway/tunnel.h"
 #include "../io/client.h"
 #include "../platform/platform.h"
 #include "../tools/site.h"
-#include "rig.h"
+#include "rig_tunnel.h"
 
 #define ROUTE(name, kind, more)                                                                                        \
     "{\"name\":\"" name "\",\"host\":\"h.example\",\"prefix\":\"/" name "/\",\"kind\":\"" kind "\"," more              \
@@ -248,33 +247,14 @@
 }
 END_TEST
 
-static bool is_host(void* user, const struct sockaddr_in* address) {
-    (void)user;
-    (void)address;
-    return true;
-}
-
 /* The same by way of a peer host. */
 START_TEST(a_request_fails_whose_response_head_is_cut_off_behind_a_tunnel) {
     const response_t* response = &responses[_i];
     for (size_t size = cut_next(response, 0); size; size = cut_next(response, size)) {
         char text[RESPONSE_MAX_BYTES];
-        cw_error_t err = {0};
         rig_t* r = rig_setup(ROUTES, 1);
-        snprintf(r->tunnel_host, sizeof(r->tunnel_host), "127.79.%d.%d:7204", 1 + getpid() / 250 % 250,
-                 1 + getpid() % 250);
-        tunnels_t* tunnels = tunnels_setup(&(tunnels_desc_t){.loop = r->loop,
-                                                             .log = &r->log,
-                                                             .upstreams = r->upstreams,
-                                                             .address = r->tunnel_host,
-                                                             .cluster = "c",
-                                                             .max_tunnels = 2,
-                                                             .is_host = is_host},
-                                           &err);
-        ck_assert_msg(tunnels != NULL, "%s", cw_error_text(&err).text);
+        tunnels_t* tunnels = rig_tunnel_setup(r, 79);
         cut_head(response, size, text);
-        r->choose_tunnel_host = rig_restore_paths;
-        rig_break_path(upstreams_server(r->upstreams, cw_name_id("s0")));
         rig_script(r, (rig_step_t[]){{ends[size % CUT_ENDS], text}}, 1);
         rig_call(r, CALL("call"));
         expect_bad_gateway(r, text);
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -2,9 +2,8 @@
    only if its last event is. */
 #include "../chalkway_wire.h"
 #include "../gateway/clock.h"
-#include "../gateway/tunnel.h"
 #include "../io/httpd.h"
-#include "rig.h"
+#include "rig_tunnel.h"
 
 #define ROUTE(name, kind, more)                                                                                        \
     "{\"name\":\"" name "\",\"host\":\"h.example\",\"prefix\":\"/" name "/\",\"kind\":\"" kind "\"," more              \
@@ -238,52 +237,21 @@
 
 /* -- tunnels -------------------------------------------------------------- */
 
-typedef struct relay_t {
-    tunnels_t* tunnels;
-    char address[32];
-} relay_t;
-
-static bool is_host(void* user, const struct sockaddr_in* address) {
-    (void)user;
-    (void)address;
-    return true;
-}
-
-/* The host reaches its only server through a relay. */
-static rig_t* setup_relay(relay_t* relay) {
-    cw_error_t err = {0};
-    rig_t* r = rig_setup(ROUTES, 1);
-    snprintf(relay->address, sizeof(relay->address), "127.78.%d.%d:7204", 1 + getpid() / 250 % 250, 1 + getpid() % 250);
-    relay->tunnels = tunnels_setup(&(tunnels_desc_t){.loop = r->loop,
-                                                     .log = &r->log,
-                                                     .upstreams = r->upstreams,
-                                                     .address = relay->address,
-                                                     .cluster = "c",
-                                                     .max_tunnels = 2,
-                                                     .is_host = is_host},
-                                   &err);
-    ck_assert_msg(relay->tunnels != NULL, "%s", cw_error_text(&err).text);
-    cw_copy(r->tunnel_host, sizeof(r->tunnel_host), relay->address);
-    r->choose_tunnel_host = rig_restore_paths;
-    rig_break_path(upstreams_server(r->upstreams, cw_name_id("s0")));
-    return r;
-}
-
 /* Guards against a part of a response that its caller takes for the whole: the host that carries the tunnel stops or
    dies, and its end of the tunnel is closed as if the server had closed. */
 START_TEST(a_response_is_not_complete_when_its_tunnel_ends_before_its_server) {
     static const char* const texts[] = {HEAD "\r\npart of it", EVENTS "id: 1\ndata: a\n\n"};
     static const char* const calls[] = {CALL("call"), CALL("stream")};
     for (size_t i = 0; i < 2; i++) {
-        relay_t relay;
-        rig_t* r = setup_relay(&relay);
+        rig_t* r = rig_setup(ROUTES, 1);
+        tunnels_t* tunnels = rig_tunnel_setup(r, 78);
         rig_script(r, (rig_step_t[]){{RIG_RESPOND, texts[i]}}, 1);
         r->stop_on_response = true;
         rig_write(r, calls[i]);
         while (!strstr(cw_buffer_text(&r->response), i ? "data: a" : "part of it")) {
             ev_run(r->loop, EVRUN_ONCE);
         }
-        tunnels_shutdown(relay.tunnels);
+        tunnels_shutdown(tunnels);
         rig_run(r);
         expect_broken(r);
         rig_shutdown(r);
@@ -295,12 +263,12 @@
     static const char* const texts[] = {HEAD "\r\nall of it", EVENTS "id: 1\ndata: a\n\n"};
     static const char* const calls[] = {CALL("call"), CALL("stream")};
     for (size_t i = 0; i < 2; i++) {
-        relay_t relay;
-        rig_t* r = setup_relay(&relay);
+        rig_t* r = rig_setup(ROUTES, 1);
+        tunnels_t* tunnels = rig_tunnel_setup(r, 78);
         rig_script(r, (rig_step_t[]){{RIG_RESPOND_CLOSE, texts[i]}}, 1);
         rig_call(r, calls[i]);
         expect_complete(r, i ? "data: a\n\n" : "all of it");
-        tunnels_shutdown(relay.tunnels);
+        tunnels_shutdown(tunnels);
         rig_shutdown(r);
     }
 }
@@ -310,13 +278,13 @@
     static const char* const texts[] = {HEAD "\r\nall of it", EVENTS "id: 1\ndata: a\n\n"};
     static const char* const calls[] = {CALL("call"), CALL("stream")};
     for (size_t i = 0; i < 2; i++) {
-        relay_t relay;
-        rig_t* r = setup_relay(&relay);
+        rig_t* r = rig_setup(ROUTES, 1);
+        tunnels_t* tunnels = rig_tunnel_setup(r, 78);
         rig_script(r, (rig_step_t[]){{RIG_RESPOND_RESET, texts[i]}}, 1);
         rig_call(r, calls[i]);
         expect_broken(r);
         ck_assert_uint_eq(r->observations_published, 1);
-        tunnels_shutdown(relay.tunnels);
+        tunnels_shutdown(tunnels);
         rig_shutdown(r);
     }
 }
@@ -392,15 +360,15 @@
 
 /* The server is sound, so neither it nor the request is suspected, and a request that may be sent again is. */
 START_TEST(a_tunnel_that_ends_is_held_against_neither_server_nor_request) {
-    relay_t relay;
-    rig_t* r = setup_relay(&relay);
+    rig_t* r = rig_setup(ROUTES, 1);
+    tunnels_t* tunnels = rig_tunnel_setup(r, 78);
     rig_script(r, (rig_step_t[]){{RIG_NO_RESPONSE, ""}, {RIG_RESPOND, HEAD "Content-Length: 2\r\n\r\nok"}}, 2);
     r->stop_on_response = true;
     rig_write(r, CALL("again"));
     while (!r->arrival_count) {
         ev_run(r->loop, EVRUN_ONCE);
     }
-    tunnels_shutdown(relay.tunnels);
+    tunnels_shutdown(tunnels);
     rig_run(r);
     expect_complete(r, "ok");
     ck_assert_uint_eq(r->observations_published, 0);
