Revisions of a restored source are not compared with earlier ones

Cause: of two starts of a server the one listed at the later revision is the current one, and revisions of before the restore were never forgotten. The new start was listed at a lower one, so it passed for an earlier start and what it wrote was ignored.

Now the revisions of servers are forgotten with the first list of a new epoch, or when a list's revision is lower than that of the list before; start times decide until servers are listed again. Ruled out: start times alone, since a clock may be set back between two starts.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -195,6 +195,10 @@
     exchanges_on_stream_evidence(((gateway_t*)user)->exchanges, reply);
 }
 
+static void on_revisions_reset(void* user) {
+    upstreams_forget_revisions(((gateway_t*)user)->upstreams);
+}
+
 static void on_history(void* user, const cw_servers_t* entries, bool is_complete) {
     streams_t* streams = ((gateway_t*)user)->streams;
     for (uint32_t i = 0; i < entries->count; i++) {
@@ -590,6 +594,7 @@
                                                       .is_first_start = s->first_start != 0,
                                                       .on_catalog = on_catalog,
                                                       .on_servers = on_servers,
+                                                      .on_revisions_reset = on_revisions_reset,
                                                       .on_history = on_history,
                                                       .user_data = g},
                                        err);
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -130,6 +130,7 @@
         return;
     }
     bool is_first = s->list_confirmed_ms == NEVER;
+    bool is_reset = s->awaits_epoch_list || (!is_first && list->at && list->at < s->list.at);
     bool after_outage = !is_first && (confirmed_ms - s->list_confirmed_ms >= OUTAGE_MS || s->awaits_epoch_list);
     s->awaits_epoch_list = false;
     if (list->closed.at < s->list.closed.at) {
@@ -147,6 +148,9 @@
     s->list_id = cw_servers_hash(&s->list);
     s->list_confirmed_ms = confirmed_ms;
     cw_pull_cancel(&s->servers_pull);
+    if (is_reset && s->desc.on_revisions_reset) {
+        s->desc.on_revisions_reset(s->desc.user_data);
+    }
     if (!is_same) {
         s->desc.on_servers(s->desc.user_data, &s->list, after_outage);
     }
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -44,6 +44,9 @@
     /* The list of servers changed. after_outage: the source had not confirmed the previous list for long, or that list
        is of an earlier epoch of the source. */
     void (*on_servers)(void* user_data, const cw_servers_t* list, bool after_outage);
+    /* The revisions of the source went back: those of earlier lists can't be compared with the next one's. Called
+       before on_servers. May be NULL. */
+    void (*on_revisions_reset)(void* user_data);
     /* The history of the source was read, see sync_read_history: each entry that servers have had. is_complete: none is
        missing. May be NULL. */
     void (*on_history)(void* user_data, const cw_servers_t* entries, bool is_complete);
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -295,6 +295,14 @@
     return published->started_ms > s->published.started_ms;
 }
 
+void upstreams_forget_revisions(upstreams_t* u) {
+    for (pool_t* pool = u->pools; pool; pool = pool->next) {
+        for (server_t* s = pool->servers; s; s = s->next) {
+            s->listed_revision = 0;
+        }
+    }
+}
+
 /* Logs that this incarnation has ended. Requests that run there are left to end by themselves. */
 static void log_restart(upstreams_t* u, const server_t* s, int64_t started_ms, int64_t at) {
     cw_log(u->desc.log, CW_EVENT_SERVER_RESTARTED, "server=%s pool=%s peer=%s was_ms=%lld started_ms=%lld at=%lld",
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -136,6 +136,22 @@
 }
 END_TEST
 
+/* Guards against requests to a server that leaves: it had started again after the source was restored from an older
+   copy, whose revisions are lower, and passed for an earlier start, so that what it wrote was ignored. */
+START_TEST(revisions_of_a_restored_source_are_not_compared_with_earlier_ones) {
+    rig_t* r = rig_setup(ROUTES, 0);
+    list_server(r, FIRST_START_MS, 1000);
+    upstreams_forget_revisions(r->upstreams);
+    list_server(r, FIRST_START_MS, 900);
+    ck_assert_uint_eq(list_server(r, SECOND_START_MS, 901), 1);
+    ck_assert(is_usable(r, SECOND_START_MS) && !is_usable(r, FIRST_START_MS));
+    upstreams_forget_revisions(r->upstreams);
+    list_server(r, FIRST_START_MS, 800); /* the copy is older than the second start */
+    ck_assert(is_usable(r, SECOND_START_MS) && !is_usable(r, FIRST_START_MS));
+    rig_shutdown(r);
+}
+END_TEST
+
 /* Between two lists with the same start, a list with a wrong start arrives. The incarnation that the source lists again
    keeps its running requests. */
 START_TEST(an_incarnation_that_is_listed_again_keeps_its_state) {
@@ -338,6 +354,7 @@
     tcase_add_test(t, two_restarts_between_two_polls_are_one_change);
     tcase_add_test(t, an_older_list_with_an_earlier_start_changes_nothing);
     tcase_add_test(t, an_earlier_start_of_a_later_revision_is_the_current_incarnation);
+    tcase_add_test(t, revisions_of_a_restored_source_are_not_compared_with_earlier_ones);
     tcase_add_test(t, an_incarnation_that_is_listed_again_keeps_its_state);
     tcase_add_test(t, a_broken_connection_of_the_old_incarnation_is_no_failure_of_the_new_one);
     tcase_add_test(t, a_call_that_may_have_run_is_not_retried_at_the_new_incarnation);
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -46,6 +46,7 @@
     int64_t revisions[16]; /* revisions that were applied, in this order */
     uint32_t revision_count;
     uint32_t list_count; /* lists applied */
+    uint32_t resets;     /* times that the revisions went back */
     bool is_server_listed_leaving;
     bool is_hall_listed_closed; /* hall "a" is closed in the list */
     bool closes_hall_a;         /* the source has it closed */
@@ -156,6 +157,10 @@
     fixture->is_hall_listed_closed = cw_closed_halls_contains(&list->closed, "a");
 }
 
+static void on_revisions_reset(void* user) {
+    ((fixture_t*)user)->resets++;
+}
+
 static void write_line(const char* line, void* user) {
     fixture_t* fixture = user;
     size_t used = strlen(fixture->log_text);
@@ -207,6 +212,7 @@
                                               .closed_poll_age_ms = source->closed_path ? 1 : 0,
                                               .on_catalog = on_catalog,
                                               .on_servers = on_servers,
+                                              .on_revisions_reset = on_revisions_reset,
                                               .user_data = fixture},
                                &err);
     ck_assert_msg(fixture->sync != NULL, "%s", err.message);
@@ -627,6 +633,7 @@
     fixture->epoch = 1;
     run_until(fixture, polled_changes_4_times);
     ck_assert_uint_eq(fixture->first_page_calls, 1);
+    ck_assert_uint_eq(fixture->resets, 0);
     fixture->epoch = 2;
     fixture->leaving = true;
     /* The source's revisions go on rising, as if nothing had been lost. */
@@ -635,6 +642,7 @@
     ck_assert(fixture->is_server_listed_leaving);
     ck_assert_uint_eq(fixture->first_page_calls, 2);
     ck_assert(fixture->after_outage); /* entries that are missing from the copy get time to reappear */
+    ck_assert_uint_eq(fixture->resets, 1);
     fixture_shutdown(fixture);
 }
 END_TEST
