A host knows the versions of a pool from its first list on

A host that started while the source and all peers with a list were away counted for how long it had known the versions from its start: 35 s later it took the only version of its first list for that of any unknown stream, and vouched for it to hosts that asked. Callers could get text of two versions.

test_stream_state, a_host_knows_versions_from_its_first_list_on, fails without the change. test_stream_hosts (11) and test_stream_losses (33 of 34, one listed) hold.

--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -78,11 +78,11 @@
     return now_ms - (s->inherited_ms ? s->inherited_ms : s->known_from_ms);
 }
 
-/* Between two lists that are further apart than it takes a version to settle, another one may have served streams and
-   gone. What this host knew of versions, and what the history showed, ends there. */
+/* Between two lists that are further apart than it takes a version to settle, or before the first list, another version
+   may have served streams and gone. What this host knew of versions, and what the history showed, ends there. */
 static void check_list_gap(streams_t* s, int64_t now_ms) {
     int64_t age_ms = s->desc.list_age_ms(s->desc.user_data);
-    if (age_ms > CW_POOL_VERSIONS_SETTLE_MS) {
+    if (age_ms < 0 || age_ms > CW_POOL_VERSIONS_SETTLE_MS) {
         s->known_from_ms = now_ms;
         s->inherited_ms = 0;
         s->is_history_complete = false;
--- a/tests/test_stream_state.c
+++ b/tests/test_stream_state.c
@@ -441,6 +441,23 @@
 }
 END_TEST
 
+/* Guards against a host that starts while the source is away, and takes its first list for all that has served. */
+START_TEST(a_host_knows_versions_from_its_first_list_on) {
+    peers_t peers = {.list_age_ms = -1};
+    rig_t* r = rig_setup(POOLS, 2);
+    streams_t* s = setup(r, &peers);
+    cw_stream_message_t page = {.kind = CW_STREAM_PAGE};
+    usleep(20000);
+    int64_t first_list_ms = clock_ms();
+    streams_tick(s, first_list_ms);
+    peers.list_age_ms = 0;
+    streams_write_page(s, 0, &page);
+    ck_assert_int_le(page.entries[0].left_ms, clock_ms() - first_list_ms); /* for how long it knows the versions */
+    streams_shutdown(s);
+    rig_shutdown(r);
+}
+END_TEST
+
 /* All hosts but one were lost, among them the stream's and those that kept its record, while one version served. Then a
    second one appears. The one host that is left hands over a long memory, but not the record. */
 START_TEST(a_host_of_long_memory_asks_engines_for_a_stream_whose_record_is_lost) {
@@ -477,6 +494,7 @@
 
 static void add_tests(TCase* t) {
     tcase_add_test(t, a_host_that_has_read_no_list_for_a_while_vouches_for_no_version);
+    tcase_add_test(t, a_host_knows_versions_from_its_first_list_on);
     tcase_add_test(t, a_host_of_long_memory_asks_engines_for_a_stream_whose_record_is_lost);
     tcase_add_test(t, a_version_that_another_host_knows_has_served);
     tcase_add_test(t, a_host_that_starts_takes_over_streams_and_versions);
