chalkwayd delivers no response that names another request

A caller got the response of another request for its own, a stream or a whole one, where an upstream sent a late or surplus one on a kept connection, with the id that it had been sent with.

Cause: the daemon sends each request's id, and never looked at the one in the response. An attempt whose response names another id fails now, before anything is passed on; the outcome is unknown, and what may be repeated is. Responses without an id count as before, since upstreams need not repeat it.

test_engine_streams, a_response_that_names_another_request_is_not_delivered: the caller got "data: wrong" before its stream, now the stream alone.

--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -15,6 +15,7 @@
 
 static const char sse_type[] = "text/event-stream";
 static const char version_header[] = "Chalkway-Version";
+static const char request_id_header[] = "Chalkway-Request-Id";
 
 /* Called before the first byte is sent; false vetoes the attempt, since the grant has expired. */
 static bool on_sending(void* user) {
@@ -30,13 +31,25 @@
 
 static void begin_stream(request_t* r) {
     const cw_header_t headers[] = {
-        {"Content-Type", sse_type}, {"Cache-Control", "no-cache"}, {"Chalkway-Request-Id", r->id}};
+        {"Content-Type", sse_type}, {"Cache-Control", "no-cache"}, {request_id_header, r->id}};
     r->is_streaming = true;
     cw_exchange_stream(r->x, HTTP_OK, headers, 3);
 }
 
 static void attempt_failed(request_t* r, const cw_call_result_t* result);
 
+/* A response that arrives late on a kept connection may belong to an earlier request. False: the attempt was ended,
+   since the response names another request. */
+static bool check_request_id(request_t* r) {
+    const char* id = cw_call_header(r->call, request_id_header);
+    if (!id || strcmp(id, r->id) == 0) {
+        return true;
+    }
+    const cw_call_result_t result = {.sent = true, .message = "the response names another request"};
+    attempt_failed(r, &result);
+    return false;
+}
+
 /* Reads the software version that the upstream states; false: the attempt was ended, since it is not that of the
    stream. */
 static bool check_version(request_t* r) {
@@ -54,6 +67,9 @@
 
 static void on_head(void* user, unsigned status, const char* content_type) {
     request_t* r = user;
+    if (!check_request_id(r)) {
+        return;
+    }
     r->upstream_status = status;
     cw_copy(r->upstream_type, sizeof(r->upstream_type), content_type);
     r->first_byte_ms = r->first_byte_ms ? r->first_byte_ms : node_now_ms();
@@ -237,7 +253,7 @@
     char from[16];
     snprintf(url, sizeof(url), "http://%s%s", u ? u->address : "0.0.0.0:1", r->path);
     snprintf(tier, sizeof(tier), "%u", r->class->tier);
-    cw_header_t headers[5] = {{"Content-Type", r->type}, {"Chalkway-Request-Id", r->id}, {"Chalkway-Priority", tier}};
+    cw_header_t headers[5] = {{"Content-Type", r->type}, {request_id_header, r->id}, {"Chalkway-Priority", tier}};
     uint32_t count = 3;
     if (r->idempotency_key[0] && u && u->deduplicates_calls) {
         headers[count++] = (cw_header_t){"Idempotency-Key", r->idempotency_key};
--- a/tests/test_engine_streams.c
+++ b/tests/test_engine_streams.c
@@ -183,7 +183,22 @@
 }
 END_TEST
 
+/* Guards against the response of another request, late on a kept connection, that a caller gets for its own. */
+START_TEST(a_response_that_names_another_request_is_not_delivered) {
+    static const char* const heads[] = {EVENTS_HEAD "Chalkway-Request-Id: other\r\n" CHUNKED,
+                                        "HTTP/1.1 200 OK\r\nChalkway-Request-Id: other\r\n" CHUNKED,
+                                        "HTTP/1.1 204 No Content\r\nChalkway-Request-Id: other\r\n\r\n"};
+    for (size_t i = 0; i < sizeof(heads) / sizeof(heads[0]); i++) {
+        char text[512];
+        snprintf(text, sizeof(text), "%s%s", heads[i], i < 2 ? "d\r\ndata: wrong\n\n\r\n0\r\n\r\n" : "");
+        expect_complete_stream(
+            (step_t[]){{text, END_CLOSE}, {EVENTS_HEAD CHUNKED TWO_EVENTS LAST_EVENTS "0\r\n\r\n", END_CLOSE}}, 2);
+    }
+}
+END_TEST
+
 static void add_tests(TCase* t) {
+    tcase_add_test(t, a_response_that_names_another_request_is_not_delivered);
     tcase_add_test(t, a_stream_goes_on_where_it_broke);
     tcase_add_test(t, a_failure_is_no_part_of_a_stream);
     tcase_add_test(t, a_stream_that_breaks_after_its_end_event_is_complete);
