--- a/tests/test_truncated.c
+++ b/tests/test_truncated.c
@@ -8,6 +8,7 @@
 
 #include "../gateway/clock.h"
 #include "../gateway/inventory.h"
+#include "../gateway/sync.h"
 #include "../io/client.h"
 #include "../platform/platform.h"
 #include "../tools/site.h"
@@ -319,6 +320,51 @@
 }
 END_TEST
 
+/* -- the source ----------------------------------------------------------- */
+
+static void on_catalog(void* user, cw_catalog_t* catalog) {
+    (void)user;
+    ck_abort_msg("configuration %lld", (long long)catalog->revision);
+}
+
+static void on_servers(void* user, const cw_servers_t* list, bool after_outage) {
+    (void)user;
+    (void)after_outage;
+    ck_abort_msg("%u servers", list->count);
+}
+
+/* Guards against a source that is taken for one that responds: with an empty document, or with 410 for a history that
+   is gone. */
+START_TEST(a_source_whose_response_heads_are_cut_off_is_unavailable) {
+    const response_t* response = &responses[_i];
+    for (size_t size = cut_next(response, 0); size; size = cut_next(response, size)) {
+        char text[RESPONSE_MAX_BYTES];
+        cw_error_t err = {0};
+        rig_t* r = rig_setup(ROUTES, 1);
+        cut_head(response, size, text);
+        const rig_step_t cut = {ends[size % CUT_ENDS], text};
+        rig_script(r, (rig_step_t[]){cut, cut, cut, cut}, 4);
+        r->stop_on_response = true; /* the end of a connection doesn't stop the loop */
+        sync_t* sync = sync_setup(&(sync_desc_t){.loop = r->loop,
+                                                 .log = &r->log,
+                                                 .source = &platform_source,
+                                                 .address = r->addresses[0],
+                                                 .share = "127.0.0.1:0",
+                                                 .on_catalog = on_catalog,
+                                                 .on_servers = on_servers},
+                                  &err);
+        ck_assert_msg(sync != NULL, "%s", cw_error_text(&err).text);
+        for (int i = 0; i < 500 && !sync_stats(sync).source_failures; i++) {
+            sync_tick(sync, clock_ms());
+            ev_run(r->loop, EVRUN_ONCE);
+        }
+        ck_assert_msg(sync_stats(sync).is_source_unavailable && !sync_is_ready(sync), "%s", text);
+        sync_shutdown(sync);
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
 /* -- chalkwayd ------------------------------------------------------------ */
 
 static site_t site;
@@ -461,6 +507,7 @@
     tcase_add_test(t, a_stream_that_goes_on_survives_a_head_that_is_cut_off);
     tcase_add_loop_test(t, a_request_fails_whose_response_head_is_cut_off_behind_a_tunnel, 0, RESPONSES);
     tcase_add_loop_test(t, an_inventory_whose_response_head_is_cut_off_has_failed, 0, RESPONSES);
+    tcase_add_loop_test(t, a_source_whose_response_heads_are_cut_off_is_unavailable, 0, RESPONSES);
     tcase_add_test(t, chalkwayd_delivers_no_response_whose_head_is_cut_off);
     tcase_add_test(t, a_cut_response_is_not_recorded_under_its_idempotency_key);
     tcase_add_test(t, a_blocking_call_whose_response_head_is_cut_off_gets_no_response);
