Revert "A host that has read no list for a while vouches for no version"

One version had served all along: nobody had read a list in the gap, so no stream can have begun elsewhere. The rule can't tell that from a host that was cut off alone. Wanted instead: whether another host has read lists in the gap.

That a host knows versions only from its first list on (a_host_knows_versions_from_its_first_list_on) stays.

--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -24,7 +24,7 @@
     uint32_t known_min_ms; /* a host that has seen the versions for so long knows that of each stream that is alive */
     int64_t setup_ms;
     cw_handover_t handover;
-    int64_t known_from_ms;                     /* this host has read all lists from then on */
+    int64_t known_from_ms;                     /* this host has read the lists of servers from then on */
     int64_t inherited_ms;                      /* all versions from then on were taken over from other hosts; 0: none */
     bool is_history_complete;                  /* the source has shown all versions that have ever served */
     cw_part_versions_t* parts;                 /* what engines have listed */
@@ -78,14 +78,10 @@
     return now_ms - (s->inherited_ms ? s->inherited_ms : s->known_from_ms);
 }
 
-/* Between two lists that are further apart than it takes a version to settle, or before the first list, another version
-   may have served streams and gone. What this host knew of versions, and what the history showed, ends there. */
-static void check_list_gap(streams_t* s, int64_t now_ms) {
-    int64_t age_ms = s->desc.list_age_ms(s->desc.user_data);
-    if (age_ms < 0 || age_ms > CW_POOL_VERSIONS_SETTLE_MS) {
+/* Before the first list, versions may have served streams and gone that this host has never seen. */
+static void check_first_list(streams_t* s, int64_t now_ms) {
+    if (s->desc.list_age_ms(s->desc.user_data) < 0) {
         s->known_from_ms = now_ms;
-        s->inherited_ms = 0;
-        s->is_history_complete = false;
     }
 }
 
@@ -153,7 +149,7 @@
 
 /* Streams that began before announcements were needed are announced when that state begins. */
 void streams_tick(streams_t* s, int64_t now_ms) {
-    check_list_gap(s, now_ms);
+    check_first_list(s, now_ms);
     uint64_t announcing[POOLS_ANNOUNCING_MAX];
     uint32_t count = 0;
     for (const pool_t* pool = upstreams_pools(s->desc.upstreams); pool && count < POOLS_ANNOUNCING_MAX;
