Streams: the age of the list is read until the first list only

A host looked at each tick for whether it had read a list. No change of behaviour (test_stream_state passes).

--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -24,7 +24,8 @@
     uint32_t known_min_ms; /* a host that has seen the versions for so long knows that of each stream that is alive */
     int64_t setup_ms;
     cw_handover_t handover;
-    int64_t known_from_ms;                     /* this host has read the lists of servers from then on */
+    bool has_list;                             /* a list of servers has been read */
+    int64_t known_from_ms;                     /* when the first one was read; until then the last tick */
     int64_t inherited_ms;                      /* all versions from then on were taken over from other hosts; 0: none */
     bool is_history_complete;                  /* the source has shown all versions that have ever served */
     cw_part_versions_t* parts;                 /* what engines have listed */
@@ -79,8 +80,9 @@
 }
 
 /* Before the first list, versions may have served streams and gone that this host has never seen. */
-static void check_first_list(streams_t* s, int64_t now_ms) {
-    if (s->desc.list_age_ms(s->desc.user_data) < 0) {
+static void await_first_list(streams_t* s, int64_t now_ms) {
+    s->has_list = s->desc.list_age_ms(s->desc.user_data) >= 0;
+    if (!s->has_list) {
         s->known_from_ms = now_ms;
     }
 }
@@ -149,7 +151,9 @@
 
 /* Streams that began before announcements were needed are announced when that state begins. */
 void streams_tick(streams_t* s, int64_t now_ms) {
-    check_first_list(s, now_ms);
+    if (!s->has_list) {
+        await_first_list(s, now_ms);
+    }
     uint64_t announcing[POOLS_ANNOUNCING_MAX];
     uint32_t count = 0;
     for (const pool_t* pool = upstreams_pools(s->desc.upstreams); pool && count < POOLS_ANNOUNCING_MAX;
