--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -196,7 +196,7 @@
 }
 
 static void on_revisions_reset(void* user) {
-    upstreams_forget_revisions(((gateway_t*)user)->upstreams);
+    upstreams_reset_revisions(((gateway_t*)user)->upstreams);
 }
 
 static void on_history(void* user, const cw_servers_t* entries, bool is_complete) {
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -295,7 +295,7 @@
     return published->started_ms > s->published.started_ms;
 }
 
-void upstreams_forget_revisions(upstreams_t* u) {
+void upstreams_reset_revisions(upstreams_t* u) {
     for (pool_t* pool = u->pools; pool; pool = pool->next) {
         for (server_t* s = pool->servers; s; s = s->next) {
             s->listed_revision = 0;
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -162,9 +162,9 @@
 void upstreams_set_limits(upstreams_t* u, const upstreams_limits_t* limits);
 /* Creates and updates the declared pools. Other pools get no new servers. Call upstreams_set_servers afterwards. */
 void upstreams_set_catalog(upstreams_t* u, const cw_catalog_t* catalog);
-/* Forgets the revisions at which servers were listed: the source was restored from an older copy, which gives them out
+/* Clears the revisions at which servers were listed: the source was restored from an older copy, which gives them out
    again. Until servers are listed again, their start times decide which incarnation is the current one. */
-void upstreams_forget_revisions(upstreams_t* u);
+void upstreams_reset_revisions(upstreams_t* u);
 /* Applies a server list. after_outage: the source was unavailable for long before, so servers that are missing from the
    list get time to be listed again. Returns the number of servers that changed. */
 uint32_t upstreams_set_servers(upstreams_t* u, int64_t now_ms, const cw_servers_t* list, bool after_outage);
--- a/io/client.c
+++ b/io/client.c
@@ -24,7 +24,7 @@
     CURL* easy;
     struct curl_slist* headers;
     cw_call_desc_t desc;
-    bool sent, is_vetoed, is_head_notified, has_bad_head, is_cancelled, is_paused, is_in_resumed;
+    bool sent, is_vetoed, is_head_notified, is_cancelled, is_paused, is_in_resumed;
     cw_response_head_t head;
     unsigned status;
     cw_call_t* prev_open;
@@ -79,14 +79,9 @@
 
 /* Why the response is not complete, "" if it is. */
 static const char* failure_message(const cw_call_t* call, CURLcode code) {
-    if (code != CURLE_OK) {
-        return call->has_bad_head ? "the response head is malformed or too long" : curl_easy_strerror(code);
-    }
-    if (!call->head.is_complete) {
-        return "the connection was closed within the response head";
-    }
-    return cw_response_head_has_framing(&call->head)
-               ? ""
+    const char* failure = cw_response_head_failure(&call->head, code);
+    return failure[0] || cw_response_head_has_framing(&call->head)
+               ? failure
                : "the response has no Content-Length or chunked framing: it may be truncated";
 }
 
@@ -249,9 +244,7 @@
 
 static size_t on_header(char* data, size_t size, size_t count, void* user) {
     cw_call_t* call = user;
-    size_t len = size * count;
-    call->has_bad_head = !cw_response_head_add(&call->head, data, len);
-    return call->is_cancelled || call->has_bad_head ? 0 : len;
+    return call->is_cancelled ? 0 : cw_response_head_on_line(data, size, count, &call->head);
 }
 
 static size_t on_body(char* data, size_t size, size_t count, void* user) {
--- a/io/client.h
+++ b/io/client.h
@@ -19,7 +19,7 @@
     bool is_unframed;    /* the response has no framing and ended with its connection, which was closed, not reset */
     bool sent;           /* bytes of the request may have been sent */
     bool is_vetoed;      /* on_sending returned false */
-    unsigned status;     /* 0: no whole response head received */
+    unsigned status;     /* 0: no complete response head received */
     const char* message; /* reason when the response is not complete, else "" */
 } cw_call_result_t;
 
--- a/tests/test_restart.c
+++ b/tests/test_restart.c
@@ -141,11 +141,11 @@
 START_TEST(revisions_of_a_restored_source_are_not_compared_with_earlier_ones) {
     rig_t* r = rig_setup(ROUTES, 0);
     list_server(r, FIRST_START_MS, 1000);
-    upstreams_forget_revisions(r->upstreams);
+    upstreams_reset_revisions(r->upstreams);
     list_server(r, FIRST_START_MS, 900);
     ck_assert_uint_eq(list_server(r, SECOND_START_MS, 901), 1);
     ck_assert(is_usable(r, SECOND_START_MS) && !is_usable(r, FIRST_START_MS));
-    upstreams_forget_revisions(r->upstreams);
+    upstreams_reset_revisions(r->upstreams);
     list_server(r, FIRST_START_MS, 800); /* the copy is older than the second start */
     ck_assert(is_usable(r, SECOND_START_MS) && !is_usable(r, FIRST_START_MS));
     rig_shutdown(r);
--- a/tests/test_truncated.c
+++ b/tests/test_truncated.c
@@ -2,7 +2,7 @@
     Servers that stop inside the head of a response and close or reset the connection.
 
     A head without its empty line is no response, whatever its fields say: a caller must never get a status that passes
-    for a whole response, and no reader may take the head for an empty document.
+    for a complete response, and no reader may take the head for an empty document.
 */
 #include "truncated.h"
 
@@ -30,12 +30,11 @@
     "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n"
 #define TOKEN "test-token"
 #define WAIT_MS 30000
-#define SOUND_RESPONSE 1 /* index of a response that is sent whole */
+#define SOUND_RESPONSE 1 /* index of a response that is sent completely */
 
 static const rig_action_t ends[CUT_ENDS] = {RIG_RESPOND_CLOSE, RIG_RESPOND_RESET};
 
-/* -- the client of chalkwayd, the source's readers, the inventory and the tools ---------------------------------------
- */
+/* -- the HTTP client ------------------------------------------------------ */
 
 typedef struct client_call_t {
     bool is_done;
@@ -76,8 +75,8 @@
     ck_assert(result->sent && result->message[0]);
 }
 
-/* Sends one request; is_kept: over the connection on which a whole response came before. libcurl sends it again over a
-   new connection if no whole line of the response has arrived on a kept one. */
+/* Sends one request; is_kept: over the connection on which a complete response came before. libcurl sends it again over
+   a new connection if no complete line of the response has arrived on a kept one. */
 static cw_call_result_t call_for(const char* text, cut_end_t end, bool is_kept) {
     rig_t* r = rig_setup(ROUTES, 1);
     cw_client_t* client = cw_client_setup(r->loop, 4);
@@ -113,8 +112,8 @@
 }
 END_TEST
 
-/* The counterpart: the whole head with the whole body is a response. */
-START_TEST(a_call_gets_a_whole_response) {
+/* The counterpart: the complete head with the complete body is a response. */
+START_TEST(a_call_gets_a_complete_response) {
     char text[2 * RESPONSE_MAX_BYTES];
     snprintf(text, sizeof(text), "%s%s", responses[_i].head, responses[_i].body);
     for (int is_kept = 0; is_kept < 2; is_kept++) {
@@ -171,7 +170,7 @@
     ck_assert(rig_is_response_complete(response));
 }
 
-/* One request; is_kept: over the connection on which a whole response came before. */
+/* One request; is_kept: over the connection on which a complete response came before. */
 static void expect_failure(const char* call, const char* text, cut_end_t end, bool is_kept) {
     rig_t* r = rig_setup(ROUTES, 1);
     const rig_step_t cut = {ends[end], text};
@@ -202,7 +201,7 @@
 }
 END_TEST
 
-/* Requests that may be repeated get the whole response of another server, and nothing of the first one. */
+/* Requests that may be repeated get the complete response of another server, and nothing of the first one. */
 START_TEST(a_request_that_may_be_repeated_gets_the_response_of_another_server) {
     static const char* const calls[] = {CALL("again"), CALL("resume")};
     const response_t* response = &responses[_i];
@@ -436,7 +435,7 @@
     char server[CW_ADDR_TEXT_SIZE];
     pid_t pid = cut_server_start(server);
     start_site(server);
-    ck_assert_int_eq(send_booking(NULL, 0, CUT_WHOLE_SIZE, CUT_CLOSE).status, 200);
+    ck_assert_int_eq(send_booking(NULL, 0, CUT_COMPLETE_SIZE, CUT_CLOSE).status, 200);
     for (int i = 0; i < RESPONSES; i++) {
         for (size_t size = cut_next(&responses[i], 0); size; size = cut_next(&responses[i], size)) {
             char text[RESPONSE_MAX_BYTES];
@@ -446,7 +445,7 @@
                 site_response_t got = send_call(kind, i, size, end);
                 expect_unknown(&got, text);
                 /* the slot is free again, and the upstream isn't ejected after several failures */
-                ck_assert_int_eq(send_call(kind, SOUND_RESPONSE, CUT_WHOLE_SIZE, CUT_CLOSE).status, 200);
+                ck_assert_int_eq(send_call(kind, SOUND_RESPONSE, CUT_COMPLETE_SIZE, CUT_CLOSE).status, 200);
             }
         }
     }
@@ -479,17 +478,17 @@
 
 /* -- the blocking calls of tests and tools --------------------------------- */
 
-/* Guards against a check that can't see the fault: the call took a cut head for a whole response. */
+/* Guards against a check that can't see the fault: the call took a cut head for a complete response. */
 START_TEST(a_blocking_call_whose_response_head_is_cut_off_gets_no_response) {
     char server[CW_ADDR_TEXT_SIZE];
     pid_t pid = cut_server_start(server);
     for (int i = 0; i < RESPONSES; i++) {
         for (size_t size = 1; size <= strlen(responses[i].head); size++) {
-            bool is_whole = size == strlen(responses[i].head);
+            bool is_complete = size == strlen(responses[i].head);
             char path[64];
-            snprintf(path, sizeof(path), "/" CUT_MARK, i, is_whole ? CUT_WHOLE_SIZE : size, (int)CUT_CLOSE);
+            snprintf(path, sizeof(path), "/" CUT_MARK, i, is_complete ? CUT_COMPLETE_SIZE : size, (int)CUT_CLOSE);
             site_response_t got = site_call(&(site_request_t){.address = server, .path = path});
-            ck_assert_msg(got.is_complete == is_whole && (got.status != 0) == is_whole,
+            ck_assert_msg(got.is_complete == is_complete && (got.status != 0) == is_complete,
                           "response %d, %zu bytes: status %ld, complete %d", i, size, got.status, got.is_complete);
         }
     }
@@ -499,7 +498,7 @@
 
 static void add_tests(TCase* t) {
     tcase_add_loop_test(t, a_call_whose_response_head_is_cut_off_gets_no_response, 0, RESPONSES);
-    tcase_add_loop_test(t, a_call_gets_a_whole_response, 0, RESPONSES);
+    tcase_add_loop_test(t, a_call_gets_a_complete_response, 0, RESPONSES);
     tcase_add_loop_test(t, a_call_whose_framed_body_is_cut_off_is_not_complete, 0, RESPONSES);
     tcase_add_test(t, a_call_with_unclear_framing_is_not_complete);
     tcase_add_loop_test(t, a_request_whose_response_head_is_cut_off_fails, 0, RESPONSES);
--- a/tests/truncated.h
+++ b/tests/truncated.h
@@ -14,13 +14,13 @@
 #include <unistd.h>
 
 #include "../io/address.h"
-#include "test.h"
+#include "rig.h"
 
 #define RESPONSE_MAX_BYTES 512
 #define INTERIM "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 #define ID "Chalkway-Request-Id: @ID@\r\n"
 
-/* A whole response. body is sent as it stands: with its chunks, if the head announces them. */
+/* A complete response. body is sent as it stands: with its chunks, if the head announces them. */
 typedef struct response_t {
     const char* head;
     const char* body;
@@ -72,44 +72,24 @@
 
 /* Names the response that the server sends, its cut and its end, anywhere in a request: "cut=RESPONSE.SIZE.END". */
 #define CUT_MARK "cut=%d.%zu.%d"
-#define CUT_WHOLE_SIZE ((size_t)RESPONSE_MAX_BYTES) /* the head and the body */
+#define CUT_COMPLETE_SIZE ((size_t)RESPONSE_MAX_BYTES) /* the head and the body */
 #define RESET_DELAY_US 2000 /* what was sent before a reset must be read: the reset discards it otherwise */
 
-static inline bool cut_is_request_complete(const char* request) {
-    const char* end = strstr(request, "\r\n\r\n");
-    const char* length = strcasestr(request, "Content-Length: ");
-    return end && (!length || length > end || strlen(end + 4) >= strtoul(length + 16, NULL, 10));
-}
-
-static inline void cut_replace_id(const char* text, const char* request, char* out, size_t out_size) {
-    char id[256] = "";
-    const char* field = strcasestr(request, "Chalkway-Request-Id: ");
-    if (field) {
-        sscanf(field, "%*[^:]: %255[^\r]", id);
-    }
-    const char* mark = strstr(text, "@ID@");
-    if (mark) {
-        snprintf(out, out_size, "%.*s%s%s", (int)(mark - text), text, id, mark + 4);
-    } else {
-        snprintf(out, out_size, "%s", text);
-    }
-}
-
 static inline void cut_respond(int fd, const char* request) {
     char cut[RESPONSE_MAX_BYTES];
-    char text[2 * RESPONSE_MAX_BYTES];
     int response = 0;
     size_t size = 0;
     int end = CUT_CLOSE;
     const char* mark = strstr(request, "cut=");
     if (mark && sscanf(mark, CUT_MARK, &response, &size, &end) == 3) {
         const response_t* r = &responses[response];
-        snprintf(cut, sizeof(cut), "%.*s%s", (int)size, r->head, size == CUT_WHOLE_SIZE ? r->body : "");
+        snprintf(cut, sizeof(cut), "%.*s%s", (int)size, r->head, size == CUT_COMPLETE_SIZE ? r->body : "");
     } else {
         snprintf(cut, sizeof(cut), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}");
     }
-    cut_replace_id(cut, request, text, sizeof(text));
+    char* text = rig_expand(cut, request);
     send(fd, text, strlen(text), MSG_NOSIGNAL);
+    free(text);
     if (end == CUT_RESET) {
         const struct linger linger = {.l_onoff = 1};
         usleep(RESET_DELAY_US);
@@ -127,7 +107,7 @@
             n = recv(fd, request + size, sizeof(request) - 1 - size, 0);
             size += n > 0 ? (size_t)n : 0;
             request[size] = 0;
-            if (cut_is_request_complete(request)) {
+            if (rig_is_request_complete(request)) {
                 cut_respond(fd, request);
                 break;
             }
--- a/tools/chalkwayctl.c
+++ b/tools/chalkwayctl.c
@@ -60,10 +60,6 @@
     return n;
 }
 
-static size_t on_header(char* data, size_t size, size_t count, void* user) {
-    return cw_response_head_add(user, data, size * count) ? size * count : 0;
-}
-
 /* Sends a blocking request: POST with a body, GET when body is NULL. A transport failure is printed to standard error
    and gives status 0. */
 static response_t send_request(const args_t* args, const char* path, const char* body, long timeout_ms) {
@@ -78,17 +74,16 @@
     curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, timeout_ms);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, append_body);
     curl_easy_setopt(e, CURLOPT_WRITEDATA, &r);
-    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, cw_response_head_on_line);
     curl_easy_setopt(e, CURLOPT_HEADERDATA, &head);
     if (body) {
         curl_easy_setopt(e, CURLOPT_POSTFIELDS, body);
     }
     CURLcode code = curl_easy_perform(e);
     curl_easy_cleanup(e);
-    if (code != CURLE_OK) {
-        fprintf(stderr, "request to %s: %s\n", args->address, curl_easy_strerror(code));
-    } else if (!head.is_complete) {
-        fprintf(stderr, "request to %s: the connection was closed within the response head\n", args->address);
+    const char* failure = cw_response_head_failure(&head, code);
+    if (failure[0]) {
+        fprintf(stderr, "request to %s: %s\n", args->address, failure);
     } else {
         r.status = (long)head.message.status;
     }
--- a/tools/site.c
+++ b/tools/site.c
@@ -236,10 +236,6 @@
     return n;
 }
 
-static size_t on_header(char* data, size_t size, size_t count, void* user) {
-    return cw_response_head_add(user, data, size * count) ? size * count : 0;
-}
-
 /* Copies a field of the head, "" when it is absent. */
 static void copy_field(char* out, size_t size, const cw_response_head_t* head, const char* name) {
     const char* value = cw_message_field(&head->message, name);
@@ -274,7 +270,7 @@
     curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, r->timeout_ms ? r->timeout_ms : 20000L);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
     curl_easy_setopt(e, CURLOPT_WRITEDATA, &response);
-    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, cw_response_head_on_line);
     curl_easy_setopt(e, CURLOPT_HEADERDATA, &head);
     if (r->body) {
         curl_easy_setopt(e, CURLOPT_POSTFIELDS, r->body);
