Tests: the routes of each kind are declared once for the rig

Cause: test_endless, test_unframed and, since the work on cut heads, test_truncated had the same catalog and request, with another timeout. Change: tests/rig_routes.h, with the timeout as its argument; no check changed.

--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -7,22 +7,14 @@
 */
 #include "../gateway/clock.h"
 #include "../io/client.h"
+#include "rig_routes.h"
 #include "rig_tunnel.h"
 
-#define ROUTE(name, kind, more)                                                                                        \
-    "{\"name\":\"" name "\",\"host\":\"h.example\",\"prefix\":\"/" name "/\",\"kind\":\"" kind "\"," more              \
-    "\"timeout_ms\":20000,\"target_ms\":2000,\"gap_ms\":500,\"attempts\":2,\"open\":true,"                             \
-    "\"pools\":[{\"pool\":\"p\"}]}"
-#define ROUTES                                                                                                         \
-    "{\"revision\":1,\"pools\":[{\"name\":\"p\"}],\"routes\":[" ROUTE("call", "once", "") "," ROUTE(                   \
-        "again", "repeatable", "") "," ROUTE("stream", "stream", "") "," ROUTE("resume", "stream",                     \
-                                                                               "\"resume\":true,") "]}"
+#define ROUTES RIG_ROUTES("20000")
 #define HEAD "HTTP/1.1 200 OK\r\nChalkway-Request-Id: @ID@\r\n"
 #define OTHER "HTTP/1.1 200 OK\r\nChalkway-Request-Id: other\r\n"
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 #define EVENTS HEAD "Content-Type: text/event-stream\r\n" CHUNKED
-#define CALL(route)                                                                                                    \
-    "POST /" route "/ HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: q1\r\nContent-Length: 0\r\n\r\n"
 #define READ_MAX_BYTES (3U << 20) /* of a server, until its connection is closed */
 
 /* Nothing of these reaches the caller. */
--- a/tests/test_truncated.c
+++ b/tests/test_truncated.c
@@ -12,18 +12,10 @@
 #include "../io/client.h"
 #include "../platform/platform.h"
 #include "../tools/site.h"
+#include "rig_routes.h"
 #include "rig_tunnel.h"
 
-#define ROUTE(name, kind, more)                                                                                        \
-    "{\"name\":\"" name "\",\"host\":\"h.example\",\"prefix\":\"/" name "/\",\"kind\":\"" kind "\"," more              \
-    "\"timeout_ms\":20000,\"target_ms\":2000,\"gap_ms\":500,\"attempts\":2,\"open\":true,"                             \
-    "\"pools\":[{\"pool\":\"p\"}]}"
-#define ROUTES                                                                                                         \
-    "{\"revision\":1,\"pools\":[{\"name\":\"p\"}],\"routes\":[" ROUTE("call", "once", "") "," ROUTE(                   \
-        "again", "repeatable", "") "," ROUTE("stream", "stream", "") "," ROUTE("resume", "stream",                     \
-                                                                               "\"resume\":true,") "]}"
-#define CALL(route)                                                                                                    \
-    "POST /" route "/ HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: q1\r\nContent-Length: 0\r\n\r\n"
+#define ROUTES RIG_ROUTES("20000")
 #define SOUND "HTTP/1.1 200 OK\r\n" ID "Content-Length: 5\r\n\r\nhello"
 #define EVENTS                                                                                                         \
     "HTTP/1.1 200 OK\r\n" ID "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"                   \
--- a/tests/test_unframed.c
+++ b/tests/test_unframed.c
@@ -3,21 +3,13 @@
 #include "../chalkway_wire.h"
 #include "../gateway/clock.h"
 #include "../io/httpd.h"
+#include "rig_routes.h"
 #include "rig_tunnel.h"
 
-#define ROUTE(name, kind, more)                                                                                        \
-    "{\"name\":\"" name "\",\"host\":\"h.example\",\"prefix\":\"/" name "/\",\"kind\":\"" kind "\"," more              \
-    "\"timeout_ms\":5000,\"target_ms\":2000,\"gap_ms\":500,\"attempts\":2,\"open\":true,"                              \
-    "\"pools\":[{\"pool\":\"p\"}]}"
-#define ROUTES                                                                                                         \
-    "{\"revision\":1,\"pools\":[{\"name\":\"p\"}],\"routes\":[" ROUTE("call", "once", "") "," ROUTE(                   \
-        "again", "repeatable", "") "," ROUTE("stream", "stream", "") "," ROUTE("resume", "stream",                     \
-                                                                               "\"resume\":true,") "]}"
+#define ROUTES RIG_ROUTES("5000")
 #define HEAD "HTTP/1.1 200 OK\r\nChalkway-Request-Id: @ID@\r\n"
 #define EVENTS HEAD "Content-Type: text/event-stream\r\n\r\n"
 #define EVENTS_CHUNKED HEAD "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-#define CALL(route)                                                                                                    \
-    "POST /" route "/ HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: q1\r\nContent-Length: 0\r\n\r\n"
 
 /* Plays the script for one request and returns the rig; the response is in rig->response. */
 static rig_t* play(const char* call, uint32_t count, const rig_step_t* steps) {
