A trial of a request is no crash

Cause: each attempt of a request on trial counted half a crash from its announcement on. With crashes of a weight of two and a half the announcement completed the quarantine, and the attempt that it announced was ended in the same millisecond (request-barred lists the trial).

Now an open trial limits further trials for two seconds, and counts, half, only if its server crashes.

--- a/chalkway_quarantine.h
+++ b/chalkway_quarantine.h
@@ -45,11 +45,13 @@
           by load, so that suspected requests share few servers and copies of
           one request use the same one;
         - three or more, with a weight below three: on trial. Each further
-          attempt is announced to the other hosts before it is sent, and
-          counts half until its server crashes;
-        - a weight of three: quarantined. When that depends on a crash so
-          recent that observations of other crashes at the same moment may
-          still be in transit, the verdict is pending.
+          attempt is announced to the other hosts before it is sent. For two
+          seconds it limits further trials as if it were half a crash: while
+          crashes and open trials weigh three, the verdict is pending. It
+          counts as a crash only if its server crashes;
+        - crashes with a weight of three: quarantined. When that depends on a
+          crash so recent that observations of other crashes at the same
+          moment may still be in transit, the verdict is pending.
 
         Many other requests may share a part, so routing them all to one
         server is no option. From the first full crash on, or three crashes of
@@ -217,9 +219,9 @@
 #define _CW_QUARANTINE_ISOLATED_CRASHES 2
 #define _CW_QUARANTINE_TRIAL_CRASHES 3
 #define _CW_QUARANTINE_RIVAL_CRASHES 3 /* of a suspect that may have caused the crashes of others */
-/* Other requests with a part on trial wait at most this long for its outcome, and look for it this often. */
-#define _CW_QUARANTINE_PART_TRIAL_MS 2000
-#define _CW_QUARANTINE_PART_TRIAL_POLL_MS 50
+/* Other requests with a suspect on trial wait at most this long for its outcome, and look for it this often. */
+#define _CW_QUARANTINE_TRIAL_MS 2000
+#define _CW_QUARANTINE_TRIAL_POLL_MS 50
 /* Crashes this close together may have a common cause, and observations of them have arrived after this time: hosts
    detect a server's crash within 3 ms of each other, and an observation takes 2 ms in a small fleet and 50 ms through
    two relays. */
@@ -427,11 +429,18 @@
            cw_run_phase_is_more_suspicious(event->phase, crash->phase);
 }
 
+/* Weight, in halves, of a trial by its outcome: none unless its server crashed. Claims, the trials of parts, name no
+   server. */
+static uint32_t _cw_quarantine_trial_weight(cw_quarantine_t* q, const _cw_crash_t* trial) {
+    const cw_incarnation_event_t* crashed = cw_incarnation_events_find(&q->crashed, trial->incarnation);
+    return crashed && crashed->at_ms >= trial->at_ms ? _CW_QUARANTINE_HALF_WEIGHT : 0;
+}
+
 /* Weight of a crash in halves. */
 static uint32_t _cw_quarantine_crash_weight(cw_quarantine_t* q, const _cw_suspected_request_t* request,
                                             _cw_tracked_t* entry, const _cw_crash_t* crash) {
     if (crash->is_trial) {
-        return cw_fingerprint_is_part(&entry->suspect) ? 0 : _CW_QUARANTINE_HALF_WEIGHT;
+        return _cw_quarantine_trial_weight(q, crash);
     }
     const cw_quarantine_target_t* target = &request->target;
     bool is_elsewhere = target->pool && crash->pool && crash->pool != target->pool;
@@ -457,11 +466,18 @@
 typedef struct _cw_evidence_t {
     uint32_t weights[CW_QUARANTINE_MAX_CRASHES]; /* of each crash, in halves */
     uint32_t weight;                             /* their sum */
-    uint32_t count;                              /* crashes and trials that count */
+    uint32_t trial_weight;                       /* of open trials of a content, in halves */
+    uint32_t count;                              /* crashes that count */
 } _cw_evidence_t;
 
+/* Weight, in halves, by which a trial of a content limits further ones while its outcome is not known. */
+static uint32_t _cw_quarantine_open_trial_weight(const _cw_tracked_t* entry, const _cw_crash_t* crash, int64_t now_ms) {
+    bool is_open = crash->is_trial && now_ms - crash->at_ms < _CW_QUARANTINE_TRIAL_MS;
+    return is_open && !cw_fingerprint_is_part(&entry->suspect) ? _CW_QUARANTINE_HALF_WEIGHT : 0;
+}
+
 static _cw_evidence_t _cw_quarantine_weigh(cw_quarantine_t* q, const _cw_suspected_request_t* request,
-                                           _cw_tracked_t* entry) {
+                                           _cw_tracked_t* entry, int64_t now_ms) {
     _cw_evidence_t evidence = {0};
     _cw_quarantine_update_rivals(q);
     for (uint32_t i = 0; i < entry->count; i++) {
@@ -469,6 +485,9 @@
         evidence.weights[i] = _cw_quarantine_crash_weight(q, request, entry, crash);
         evidence.weight += evidence.weights[i];
         evidence.count += evidence.weights[i] > 0;
+        if (!evidence.weights[i]) {
+            evidence.trial_weight += _cw_quarantine_open_trial_weight(entry, crash, now_ms);
+        }
     }
     return evidence;
 }
@@ -534,9 +553,12 @@
     if (entry->count < _CW_QUARANTINE_ISOLATED_CRASHES) { /* too few for any verdict: spares the weighing */
         return;
     }
-    _cw_evidence_t evidence = _cw_quarantine_weigh(q, request, entry);
+    _cw_evidence_t evidence = _cw_quarantine_weigh(q, request, entry, now_ms);
     if (evidence.weight >= _CW_QUARANTINE_THRESHOLD_WEIGHT) {
         _cw_quarantine_decide_heavy(q, entry, &evidence, now_ms, v);
+    } else if (evidence.weight + evidence.trial_weight >= _CW_QUARANTINE_THRESHOLD_WEIGHT) {
+        v->kind = CW_VERDICT_PENDING;
+        v->retry_ms = _CW_QUARANTINE_TRIAL_POLL_MS;
     } else {
         v->kind = evidence.count < _CW_QUARANTINE_ISOLATED_CRASHES ? CW_VERDICT_ALLOWED
                   : evidence.count < _CW_QUARANTINE_TRIAL_CRASHES  ? CW_VERDICT_ISOLATED
@@ -551,7 +573,7 @@
     uint64_t claim = 0;
     for (uint32_t i = 0; i < entry->count; i++) {
         const _cw_crash_t* trial = &entry->crashes[i];
-        bool is_open = trial->is_trial && now_ms - trial->at_ms < _CW_QUARANTINE_PART_TRIAL_MS;
+        bool is_open = trial->is_trial && now_ms - trial->at_ms < _CW_QUARANTINE_TRIAL_MS;
         first_ms = is_open && trial->at_ms < first_ms ? trial->at_ms : first_ms;
     }
     for (uint32_t i = 0; i < entry->count; i++) {
@@ -567,14 +589,14 @@
     if (!v->crashes) {
         return;
     }
-    _cw_evidence_t evidence = _cw_quarantine_weigh(q, request, entry);
+    _cw_evidence_t evidence = _cw_quarantine_weigh(q, request, entry, now_ms);
     if (evidence.weight >= _CW_QUARANTINE_THRESHOLD_WEIGHT) {
         _cw_quarantine_decide_heavy(q, entry, &evidence, now_ms, v);
     } else if (evidence.weight >= _CW_QUARANTINE_PART_TRIAL_WEIGHT || evidence.count >= _CW_QUARANTINE_TRIAL_CRASHES) {
         uint64_t claim = _cw_quarantine_valid_claim(entry, now_ms);
         bool is_other_on_trial = claim && claim != request->claim;
         v->kind = is_other_on_trial ? CW_VERDICT_PENDING : CW_VERDICT_TRIAL;
-        v->retry_ms = is_other_on_trial ? _CW_QUARANTINE_PART_TRIAL_POLL_MS : 0;
+        v->retry_ms = is_other_on_trial ? _CW_QUARANTINE_TRIAL_POLL_MS : 0;
         v->is_claimed = claim && !is_other_on_trial;
     }
 }
@@ -658,9 +680,9 @@
 
 /* The crash or trial that is given up for another one: the one with the least weight. NULL: each has its full weight.
  */
-static _cw_crash_t* _cw_quarantine_least_telling_crash(cw_quarantine_t* q, _cw_tracked_t* entry) {
+static _cw_crash_t* _cw_quarantine_least_telling_crash(cw_quarantine_t* q, _cw_tracked_t* entry, int64_t now_ms) {
     _cw_suspected_request_t alone = {.entries = {entry}, .count = 1};
-    _cw_evidence_t evidence = _cw_quarantine_weigh(q, &alone, entry);
+    _cw_evidence_t evidence = _cw_quarantine_weigh(q, &alone, entry, now_ms);
     uint32_t least = 0;
     for (uint32_t i = 1; i < entry->count; i++) {
         least = evidence.weights[i] < evidence.weights[least] ? i : least;
@@ -711,7 +733,7 @@
     }
     if (!target) { /* otherwise the crash replaces the trial on the same server */
         target = entry->count < CW_QUARANTINE_MAX_CRASHES ? &entry->crashes[entry->count++]
-                                                          : _cw_quarantine_least_telling_crash(q, entry);
+                                                          : _cw_quarantine_least_telling_crash(q, entry, now_ms);
     }
     if (!target) {
         return false;
--- a/tests/test_query_of_death.c
+++ b/tests/test_query_of_death.c
@@ -105,6 +105,50 @@
 }
 END_TEST
 
+/* Other hosts report four servers that crashed under the request, three of them at the same moment as another server. */
+static void receive_crashes_up_to_a_trial(rig_t* r, const char* body) {
+    uint32_t pool = cw_quarantine_pool(upstreams_pool(r->upstreams, "p")->id);
+    for (uint32_t i = 0; i < 4; i++) {
+        cw_quarantine_observation_t crash = {.kind = CW_OBSERVED_CRASH,
+                                             .suspect = fingerprint(body),
+                                             .incarnation = 900 + i,
+                                             .pool = pool,
+                                             .age_ms = 4000 - 1000 * i};
+        quarantine_on_observation(r->quarantine, &crash);
+        crash.suspect = (cw_fingerprint_t){0};
+        crash.incarnation = 950 + i;
+        if (i < 3) {
+            quarantine_on_observation(r->quarantine, &crash);
+        }
+    }
+}
+
+static void send_response(struct ev_loop* loop, ev_timer* w, int events) {
+    static const char text[] = "HTTP/1.1 200 OK\r\nChalkway-Request-Id: q1\r\nContent-Length: 4\r\n\r\nfine";
+    (void)loop;
+    (void)events;
+    rig_t* r = w->data;
+    cw_stream_write(&r->conns[0].stream, text, sizeof(text) - 1);
+    cw_stream_flush(&r->conns[0].stream);
+}
+
+/* Guards against a trial that ends itself: the attempt was ended by the verdict that its own announcement completed,
+   and the request was quarantined. */
+START_TEST(an_attempt_on_trial_runs_to_its_end) {
+    rig_t* r = rig_setup(ROUTES, 3);
+    ev_timer response_timer;
+    rig_script(r, (rig_step_t[]){{RIG_NO_RESPONSE, NULL}, {RIG_RESPOND, OK("fine", "4")}}, 2);
+    receive_crashes_up_to_a_trial(r, "the same");
+    ev_timer_init(&response_timer, send_response, 0.15, 0.0);
+    response_timer.data = r;
+    ev_timer_start(r->loop, &response_timer);
+    expect_status(send_request(r, "q1", "the same"), "200");
+    expect_status(send_request(r, "q2", "the same"), "200");
+    ck_assert_uint_eq(crashes_of(r, fingerprint("the same")), 0);
+    rig_shutdown(r);
+}
+END_TEST
+
 /* Two servers crash under an ordinary request, and the third one serves it: it is not quarantined, then or later. */
 START_TEST(complete_response_clears_a_request_with_two_crashes) {
     rig_t* r = rig_setup(ROUTES, 3);
@@ -222,6 +266,7 @@
 static void add_tests(TCase* t) {
     tcase_add_test(t, observations_of_other_hosts_quarantine_that_request_only);
     tcase_add_test(t, running_request_is_aborted_when_it_becomes_quarantined);
+    tcase_add_test(t, an_attempt_on_trial_runs_to_its_end);
     tcase_add_test(t, complete_response_clears_a_request_with_two_crashes);
     tcase_add_test(t, data_on_an_older_connection_revokes_a_presumed_crash);
     tcase_add_test(t, requests_that_fail_together_share_the_remaining_retry_budget);
