Crashes of a content whose response was written for a while count half

Callers of streams got 503, "servers ended under it", for half an hour after three or four engines had been upgraded in place under one of them, and an attempt was ended in its 1.3rd second of writing because another request, which had explained the crashes, was answered.

Cause: a crash counted alike however long the response had been written before, and however long it is written now. A query of death crashes a server as it begins; a long stream meets many ends that have nothing to do with it.

Once a server has written the response for 0.3 s, before a crash or in the present attempt, all crashes of the content count half. Hosts tell each other by the phase in the announcement of a trial, so the datagrams keep their format.

test_query_of_death, a_response_that_is_written_for_a_while_is_not_ended (broken off before); test_quarantine, crashes_of_a_content_that_was_written_for_a_while_count_half, a_trial_that_is_written_for_a_while_halves_the_crashes.

--- a/chalkway_quarantine.h
+++ b/chalkway_quarantine.h
@@ -35,6 +35,9 @@
         - it also counts half once all servers of the pool have another
           software version than the one that crashed: requests with the
           suspect are on trial there, and an answer clears it;
+        - all crashes of a content count half once a server has written its
+          response for a while: a query of death crashes servers as they
+          begin, and a long response meets many unrelated ends;
         - an incarnation that shows a sign of life after its crash did not
           crash: that observation is dropped.
 
@@ -102,7 +105,7 @@
     uint64_t incarnation;     /* key of the server; of a part's trial: the claim; 0 for CW_OBSERVED_CLEARED */
     uint32_t pool;            /* cw_quarantine_pool of the server's pool; 0: all pools */
     uint32_t version;         /* of a crash: cw_quarantine_server_version of the server; 0: unknown */
-    cw_run_phase_t phase;     /* of a crash */
+    cw_run_phase_t phase;     /* of a crash, or of the response in a trial */
     bool is_known;            /* of a crash: the suspect is a part that was answered shortly before */
     uint32_t age_ms;          /* since the observed event; of a clearance: since the response began */
 } cw_quarantine_observation_t;
@@ -181,6 +184,10 @@
 uint32_t cw_quarantine_clearances(const cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects,
                                   uint32_t first, uint32_t pool, int64_t began_ms, cw_quarantine_observation_t* out);
 /* Applies an observation, received or made by this host itself. Returns whether it was new. */
+/* The incarnation has written a response to the content for a while. Writes the observation, and returns whether there
+   is one to make: only of a content that has crashes. */
+bool cw_quarantine_observe_survival(const cw_quarantine_t* q, const cw_suspects_t* suspects, uint64_t incarnation,
+                                    uint32_t pool, cw_quarantine_observation_t* out);
 bool cw_quarantine_observe(cw_quarantine_t* q, int64_t now_ms, const cw_quarantine_observation_t* observation);
 /* Current verdict on a request with these suspects to the target. */
 cw_verdict_t cw_quarantine_evaluate(cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects,
@@ -309,6 +316,16 @@
 }
 
 uint32_t cw_quarantine_pool(uint64_t name_id) {
+bool cw_quarantine_observe_survival(const cw_quarantine_t* q, const cw_suspects_t* suspects, uint64_t incarnation,
+                                    uint32_t pool, cw_quarantine_observation_t* out) {
+    *out = (cw_quarantine_observation_t){.kind = CW_OBSERVED_TRIAL,
+                                         .suspect = suspects->items[0],
+                                         .incarnation = incarnation,
+                                         .pool = pool,
+                                         .phase = CW_RUN_WRITING};
+    return cw_quarantine_has_crashes(q, &suspects->items[0]);
+}
+
     uint32_t pool = (uint32_t)name_id;
     return pool ? pool : 1;
 }
@@ -430,6 +447,16 @@
 }
 
 /* Weight, in halves, of a trial by its outcome: none unless its server crashed. Claims, the trials of parts, name no
+/* Whether a server has written the response to the content for a while, before it crashed or in a trial. */
+static bool _cw_tracked_has_survived_start(const _cw_tracked_t* entry) {
+    for (uint32_t i = 0; i < entry->count; i++) {
+        if (entry->crashes[i].phase == CW_RUN_WRITING) {
+            return true;
+        }
+    }
+    return false;
+}
+
    server. */
 static uint32_t _cw_quarantine_trial_weight(cw_quarantine_t* q, const _cw_crash_t* trial) {
     const cw_incarnation_event_t* crashed = cw_incarnation_events_find(&q->crashed, trial->incarnation);
@@ -453,7 +480,7 @@
         return 0;
     }
     bool is_other_version = target->version && crash->version && crash->version != target->version;
-    bool has_other_cause = is_other_version || rival_crashes == own_crashes ||
+    bool has_other_cause = is_other_version || rival_crashes == own_crashes || _cw_tracked_has_survived_start(entry) ||
                            _cw_quarantine_has_more_suspicious_phase(q, crash) ||
                            _cw_quarantine_find_unrelated_crash(q, request, entry, crash);
     if (crash->is_known) {
@@ -728,7 +755,7 @@
         return is_change;
     }
     _cw_crash_t* target = _cw_tracked_find_trial(entry, observation->incarnation);
-    if (at_ms <= _cw_tracked_cleared_at_ms(entry, observation->pool) || known || (is_trial && target)) {
+    if (at_ms <= _cw_tracked_cleared_at_ms(entry, observation->pool) || known) {
         return false;
     }
     if (!target) { /* otherwise the crash replaces the trial on the same server */
@@ -738,6 +765,11 @@
     if (!target) {
         return false;
     }
+    if (is_trial && target) {
+        bool is_news = observation->phase == CW_RUN_WRITING && target->phase != CW_RUN_WRITING;
+        target->phase = is_news ? CW_RUN_WRITING : target->phase;
+        return is_news;
+    }
     *target = (_cw_crash_t){.incarnation = observation->incarnation,
                             .at_ms = at_ms,
                             .pool = observation->pool,
--- a/daemon/suspects.c
+++ b/daemon/suspects.c
@@ -119,11 +119,22 @@
     publish(e, observations, count);
 }
 
+/* The response has been written for a while: clears the parts of the prompt, and halves the weight of the content's
+   crashes. */
+static void report_survival(request_t* r) {
+    entry_t* e = r->entry;
+    cw_quarantine_observation_t survival;
+    clear(r, 1, r->body_began_ms);
+    if (cw_quarantine_observe_survival(e->quarantine, &r->suspects, r->upstream, pool_of(r), &survival)) {
+        publish(e, &survival, 1);
+    }
+}
+
 void suspects_on_data(request_t* r) {
     r->body_began_ms = r->body_began_ms ? r->body_began_ms : node_now_ms();
     if (!r->has_survived_start && phase_of(r) == CW_RUN_WRITING) {
         r->has_survived_start = true;
-        clear(r, 1, r->body_began_ms);
+        report_survival(r);
     }
 }
 
@@ -211,12 +222,16 @@
 
 /* Whether the attempt must be ended. A response that has been written for a while proves the parts of its prompt
    harmless, also those that are quarantined. */
-static bool must_end(const request_t* r) {
+static bool must_end(request_t* r) {
     bool is_running = r->machine.state == CW_REQ_SENT || r->machine.state == CW_REQ_STREAMING;
     if (!r->is_used || !is_running || !r->pool) {
         return false;
     }
     cw_verdict_t verdict = judge(r);
+    if (verdict.kind == CW_VERDICT_QUARANTINED && r->has_survived_start) {
+        report_survival(r); /* the crashes may have become known later */
+        verdict = judge(r);
+    }
     bool has_survived = phase_of(r) == CW_RUN_WRITING && cw_fingerprint_is_part(&verdict.suspect);
     return verdict.kind == CW_VERDICT_QUARANTINED && !has_survived;
 }
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -452,7 +452,12 @@
    same part is on trial. A response that has been written for a while proves the parts of its prompt harmless, also
    those that are quarantined. */
 static void check_running_attempt(exchange_t* x) {
-    cw_verdict_t verdict = quarantine_check(x->exchanges->desc.quarantine, &x->suspects, x->pool);
+    quarantine_t* quarantine = x->exchanges->desc.quarantine;
+    cw_verdict_t verdict = quarantine_check(quarantine, &x->suspects, x->pool);
+    if (verdict.kind == CW_VERDICT_QUARANTINED && x->has_survived_start) {
+        exchange_report_survival(x); /* the crashes may have become known later */
+        verdict = quarantine_check(quarantine, &x->suspects, x->pool);
+    }
     bool is_part = cw_fingerprint_is_part(&verdict.suspect);
     bool has_survived = is_part && exchange_phase(x) == CW_RUN_WRITING;
     bool is_waiting = x->fsm.state == CW_REQ_SENT && exchange_phase(x) == CW_RUN_WAITING;
--- a/gateway/exchange_attempt.c
+++ b/gateway/exchange_attempt.c
@@ -324,15 +324,15 @@
     }
 }
 
-static void handle_survived_start(exchange_t* x) {
-    x->has_survived_start = true;
-    quarantine_on_response_started(x->exchanges->desc.quarantine, &x->suspects, x->pool, x->attempt_first_ms);
+void exchange_report_survival(const exchange_t* x) {
+    quarantine_on_response_started(x->exchanges->desc.quarantine, &x->suspects, x->server, x->attempt_first_ms);
 }
 
 static void conn_on_body(void* owner, const char* data, size_t size) {
     exchange_t* x = owner;
     if (!x->has_survived_start && exchange_phase(x) == CW_RUN_WRITING) {
-        handle_survived_start(x);
+        x->has_survived_start = true;
+        exchange_report_survival(x);
     }
     if (!x->has_first_byte) {
         handle_first_byte(x);
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -97,9 +97,14 @@
     publish_observations(q, observations, count);
 }
 
-void quarantine_on_response_started(quarantine_t* q, const cw_suspects_t* suspects, const pool_t* pool,
+void quarantine_on_response_started(quarantine_t* q, const cw_suspects_t* suspects, const server_t* server,
                                     int64_t began_ms) {
-    clear_suspects(q, suspects, 1, pool, began_ms);
+    cw_quarantine_observation_t survival;
+    clear_suspects(q, suspects, 1, server->pool, began_ms);
+    if (cw_quarantine_observe_survival(q->table, suspects, server->key, cw_quarantine_pool(server->pool->id),
+                                       &survival)) {
+        publish_observations(q, &survival, 1);
+    }
 }
 
 /* The same content may crash a server at any point of its response, so a complete response clears it up to now. */
--- a/gateway/quarantine.h
+++ b/gateway/quarantine.h
@@ -46,8 +46,9 @@
 /* The connection to the server broke while the request ran there: the server is presumed crashed. Its response had got
    as far as the phase. */
 void quarantine_on_crash(quarantine_t* q, const cw_suspects_t* suspects, cw_run_phase_t phase, server_t* server);
-/* The server has survived the start of a response, which began at began_ms: clears the parts of the prompt. */
-void quarantine_on_response_started(quarantine_t* q, const cw_suspects_t* suspects, const pool_t* pool,
+/* The server has survived the start of a response, which began at began_ms: clears the parts of the prompt, and halves
+   the weight of the content's crashes. */
+void quarantine_on_response_started(quarantine_t* q, const cw_suspects_t* suspects, const server_t* server,
                                     int64_t began_ms);
 /* The request got a complete response, which began at began_ms: clears all its suspects. */
 void quarantine_on_response(quarantine_t* q, const cw_suspects_t* suspects, const pool_t* pool, int64_t began_ms);
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -217,6 +217,48 @@
 }
 END_TEST
 
+static void report_crash_in_phase(cw_quarantine_t* q, int64_t now_ms, uint64_t content_hash, uint64_t incarnation,
+                                  cw_run_phase_t phase) {
+    cw_quarantine_observe(
+        q, now_ms,
+        &(cw_quarantine_observation_t){
+            .kind = CW_OBSERVED_CRASH, .suspect = request(content_hash), .incarnation = incarnation, .phase = phase});
+}
+
+/* Guards against long streams that are quarantined because several servers ended under them, as in an upgrade in place:
+   one server had written the response for a while, so the content is no cause that acts as servers begin. */
+START_TEST(crashes_of_a_content_that_was_written_for_a_while_count_half) {
+    static const cw_run_phase_t phases[] = {CW_RUN_STARTED, CW_RUN_WRITING, CW_RUN_STARTED, CW_RUN_WAITING,
+                                            CW_RUN_BEGINNING};
+    cw_quarantine_t* q = setup();
+    for (uint64_t i = 0; i < 5; i++) {
+        report_crash_in_phase(q, 1000 + 500 * (int64_t)i, 7, 101 + i, phases[i]);
+    }
+    expect_verdict(q, 4000, 7, CW_VERDICT_TRIAL);
+    report_crash_in_phase(q, 4000, 7, 106, CW_RUN_WRITING);
+    expect_verdict(q, 4000 + COINCIDENCE_MS, 7, CW_VERDICT_QUARANTINED);
+    cw_quarantine_shutdown(q);
+}
+END_TEST
+
+/* A trial that is written for a while shows as much as a crash after it. */
+START_TEST(a_trial_that_is_written_for_a_while_halves_the_crashes) {
+    cw_quarantine_t* q = setup();
+    cw_quarantine_observation_t survival;
+    cw_suspects_t suspects = {.count = 1, .items = {request(7)}};
+    ck_assert(!cw_quarantine_observe_survival(q, &suspects, 104, 0, &survival));
+    for (uint64_t i = 0; i < 3; i++) {
+        report_crash(q, 1000 + 500 * (int64_t)i, 7, 101 + i);
+    }
+    expect_verdict(q, 2000 + COINCIDENCE_MS, 7, CW_VERDICT_QUARANTINED);
+    ck_assert(cw_quarantine_observe_survival(q, &suspects, 104, 0, &survival));
+    ck_assert(cw_quarantine_observe(q, 2500, &survival));
+    ck_assert(!cw_quarantine_observe(q, 2500, &survival));
+    expect_verdict(q, 2500, 7, CW_VERDICT_TRIAL);
+    cw_quarantine_shutdown(q);
+}
+END_TEST
+
 /* The verdict is pending until observations of other crashes at the same moment have arrived, and one that arrives
    prevents the quarantine. */
 START_TEST(recent_crash_is_pending_until_other_reports_arrive) {
@@ -721,3 +763,5 @@
 int main(void) {
     return run_suite("quarantine", add_tests, 20);
 }
+    tcase_add_test(t, crashes_of_a_content_that_was_written_for_a_while_count_half);
+    tcase_add_test(t, a_trial_that_is_written_for_a_while_halves_the_crashes);
--- a/tests/test_query_of_death.c
+++ b/tests/test_query_of_death.c
@@ -105,7 +105,8 @@
 }
 END_TEST
 
-/* Other hosts report four servers that crashed under the request, three of them at the same moment as another server. */
+/* Other hosts report four servers that crashed under the request, three of them at the same moment as another server.
+ */
 static void receive_crashes_up_to_a_trial(rig_t* r, const char* body) {
     uint32_t pool = cw_quarantine_pool(upstreams_pool(r->upstreams, "p")->id);
     for (uint32_t i = 0; i < 4; i++) {
@@ -149,6 +150,23 @@
 }
 END_TEST
 
+/* Guards against the end of a sound response that has long been written: three servers had ended under its content, one
+   of them for another reason that became unknown, so that the crashes got their full weight while it ran. */
+START_TEST(a_response_that_is_written_for_a_while_is_not_ended) {
+    rig_t* r = rig_setup(ROUTES, 3);
+    ev_timer observations_timer;
+    rig_script(r, (rig_step_t[]){{RIG_RESPOND, OK("begin", "14") RIG_SILENT_MS(400) "more" RIG_SILENT_MS(400) "ended"}},
+               1);
+    ev_timer_init(&observations_timer, on_observations_due, 0.6, 0.0);
+    observations_timer.data = r;
+    ev_timer_start(r->loop, &observations_timer);
+    const char* response = send_request(r, "q1", "the same");
+    expect_status(response, "200");
+    ck_assert_msg(strstr(response, "beginmoreended"), "%s", response);
+    rig_shutdown(r);
+}
+END_TEST
+
 /* Two servers crash under an ordinary request, and the third one serves it: it is not quarantined, then or later. */
 START_TEST(complete_response_clears_a_request_with_two_crashes) {
     rig_t* r = rig_setup(ROUTES, 3);
@@ -267,6 +285,7 @@
     tcase_add_test(t, observations_of_other_hosts_quarantine_that_request_only);
     tcase_add_test(t, running_request_is_aborted_when_it_becomes_quarantined);
     tcase_add_test(t, an_attempt_on_trial_runs_to_its_end);
+    tcase_add_test(t, a_response_that_is_written_for_a_while_is_not_ended);
     tcase_add_test(t, complete_response_clears_a_request_with_two_crashes);
     tcase_add_test(t, data_on_an_older_connection_revokes_a_presumed_crash);
     tcase_add_test(t, requests_that_fail_together_share_the_remaining_retry_budget);
