A crash that is reported late after a suspension counts once

Cause: after a stall the longest time that a datagram can have waited was added to the ages in it. What had been sent just before the host woke became too old by all of the suspension, and two crashes of one incarnation over a second apart are two crashes. Relays passed such ages on.

Now the bound goes with the observation: a crash within it is the known one, and a later exact report sets its time. Such observations aren't forwarded. Ruled out: to drop what waited, since the host would send queries of death until they are repeated.

test_quarantine, a_crash_that_is_reported_late_after_a_suspension_counts_once, fails with the bound left out.

--- a/chalkway_incarnation_events.h
+++ b/chalkway_incarnation_events.h
@@ -26,6 +26,7 @@
 typedef struct cw_incarnation_event_t {
     uint64_t incarnation;
     int64_t at_ms;
+    uint32_t delay_ms;    /* of a crash: it may have been up to so much later */
     cw_run_phase_t phase; /* of a crash: the most suspicious one reported */
 } cw_incarnation_event_t;
 
--- a/chalkway_quarantine.h
+++ b/chalkway_quarantine.h
@@ -108,6 +108,7 @@
     cw_run_phase_t phase;     /* of a crash, or of the response in a trial */
     bool is_known;            /* of a crash: the suspect is a part that was answered shortly before */
     uint32_t age_ms;          /* since the observed event; of a clearance: since the response began */
+    uint32_t delay_ms;        /* not sent: the event may be younger than age_ms by up to so much */
 } cw_quarantine_observation_t;
 
 typedef enum cw_verdict_kind_t {
@@ -183,11 +184,11 @@
    in the pool that began at began_ms. Returns their number. */
 uint32_t cw_quarantine_clearances(const cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects,
                                   uint32_t first, uint32_t pool, int64_t began_ms, cw_quarantine_observation_t* out);
-/* Applies an observation, received or made by this host itself. Returns whether it was new. */
 /* The incarnation has written a response to the content for a while. Writes the observation, and returns whether there
    is one to make: only of a content that has crashes. */
 bool cw_quarantine_observe_survival(const cw_quarantine_t* q, const cw_suspects_t* suspects, uint64_t incarnation,
                                     uint32_t pool, cw_quarantine_observation_t* out);
+/* Applies an observation, received or made by this host itself. Returns whether it was new. */
 bool cw_quarantine_observe(cw_quarantine_t* q, int64_t now_ms, const cw_quarantine_observation_t* observation);
 /* Current verdict on a request with these suspects to the target. */
 cw_verdict_t cw_quarantine_evaluate(cw_quarantine_t* q, int64_t now_ms, const cw_suspects_t* suspects,
@@ -315,7 +316,6 @@
     return count;
 }
 
-uint32_t cw_quarantine_pool(uint64_t name_id) {
 bool cw_quarantine_observe_survival(const cw_quarantine_t* q, const cw_suspects_t* suspects, uint64_t incarnation,
                                     uint32_t pool, cw_quarantine_observation_t* out) {
     *out = (cw_quarantine_observation_t){.kind = CW_OBSERVED_TRIAL,
@@ -326,6 +326,7 @@
     return cw_quarantine_has_crashes(q, &suspects->items[0]);
 }
 
+uint32_t cw_quarantine_pool(uint64_t name_id) {
     uint32_t pool = (uint32_t)name_id;
     return pool ? pool : 1;
 }
@@ -341,13 +342,12 @@
 
 /* -- weight --------------------------------------------------------------- */
 
-/* Crash of the suspect on the incarnation at at_ms; NULL when there is none. Crash times less than
-   _CW_QUARANTINE_DISTINCT_CRASH_MS apart count as the same crash; trials do not count. */
-static _cw_crash_t* _cw_tracked_find_crash(_cw_tracked_t* entry, uint64_t incarnation, int64_t at_ms) {
+/* Crash of the suspect on the incarnation, at the time; NULL when there is none. Trials do not count. */
+static _cw_crash_t* _cw_tracked_find_crash(_cw_tracked_t* entry, uint64_t incarnation, _cw_crash_time_t time) {
     for (uint32_t i = 0; i < entry->count; i++) {
         _cw_crash_t* crash = &entry->crashes[i];
-        int64_t distance_ms = crash->at_ms > at_ms ? crash->at_ms - at_ms : at_ms - crash->at_ms;
-        if (!crash->is_trial && crash->incarnation == incarnation && distance_ms < _CW_QUARANTINE_DISTINCT_CRASH_MS) {
+        _cw_crash_time_t known = {.at_ms = crash->at_ms, .delay_ms = crash->delay_ms};
+        if (!crash->is_trial && crash->incarnation == incarnation && _cw_crash_time_is_same(known, time)) {
             return crash;
         }
     }
@@ -400,11 +400,11 @@
 /* Crashes of the strongest suspect outside of the request that was on the server when it crashed, in at least as
    suspicious a phase, and that was not a known part. 0: there was none. */
 static uint32_t _cw_quarantine_rival_crashes(cw_quarantine_t* q, const _cw_suspected_request_t* request,
-                                             uint64_t incarnation, int64_t at_ms, cw_run_phase_t phase) {
+                                             uint64_t incarnation, _cw_crash_time_t time, cw_run_phase_t phase) {
     uint32_t most = 0;
     for (uint32_t i = 0; i < q->rival_count; i++) {
         _cw_tracked_t* rival = &q->entries[q->rivals[i]];
-        const _cw_crash_t* crash = _cw_tracked_find_crash(rival, incarnation, at_ms);
+        const _cw_crash_t* crash = _cw_tracked_find_crash(rival, incarnation, time);
         if (crash && !crash->is_known && !cw_run_phase_is_more_suspicious(phase, crash->phase) &&
             !_cw_suspected_request_contains(request, rival)) {
             uint32_t crashes = _cw_tracked_count_crashes(rival);
@@ -430,9 +430,10 @@
         const cw_incarnation_event_t* other = &q->crashed.items[i];
         int64_t distance_ms = other->at_ms > crash->at_ms ? other->at_ms - crash->at_ms : crash->at_ms - other->at_ms;
         bool is_coincident = other->incarnation && distance_ms <= _CW_QUARANTINE_COINCIDENCE_MS;
+        _cw_crash_time_t time = {.at_ms = other->at_ms, .delay_ms = other->delay_ms};
         if (is_coincident && !_cw_crashes_have_own_causes(crash, other) &&
-            !_cw_tracked_find_crash(entry, other->incarnation, other->at_ms) &&
-            !_cw_quarantine_rival_crashes(q, request, other->incarnation, other->at_ms, CW_RUN_BEGINNING)) {
+            !_cw_tracked_find_crash(entry, other->incarnation, time) &&
+            !_cw_quarantine_rival_crashes(q, request, other->incarnation, time, CW_RUN_BEGINNING)) {
             return other;
         }
     }
@@ -446,7 +447,6 @@
            cw_run_phase_is_more_suspicious(event->phase, crash->phase);
 }
 
-/* Weight, in halves, of a trial by its outcome: none unless its server crashed. Claims, the trials of parts, name no
 /* Whether a server has written the response to the content for a while, before it crashed or in a trial. */
 static bool _cw_tracked_has_survived_start(const _cw_tracked_t* entry) {
     for (uint32_t i = 0; i < entry->count; i++) {
@@ -457,6 +457,7 @@
     return false;
 }
 
+/* Weight, in halves, of a trial by its outcome: none unless its server crashed. Claims, the trials of parts, name no
    server. */
 static uint32_t _cw_quarantine_trial_weight(cw_quarantine_t* q, const _cw_crash_t* trial) {
     const cw_incarnation_event_t* crashed = cw_incarnation_events_find(&q->crashed, trial->incarnation);
@@ -475,7 +476,8 @@
         return 0; /* the request's own pool has responded to it */
     }
     uint32_t own_crashes = _cw_tracked_count_crashes(entry);
-    uint32_t rival_crashes = _cw_quarantine_rival_crashes(q, request, crash->incarnation, crash->at_ms, crash->phase);
+    _cw_crash_time_t time = {.at_ms = crash->at_ms, .delay_ms = crash->delay_ms};
+    uint32_t rival_crashes = _cw_quarantine_rival_crashes(q, request, crash->incarnation, time, crash->phase);
     if (rival_crashes > own_crashes || (crash->is_known && rival_crashes)) {
         return 0;
     }
@@ -736,28 +738,38 @@
 static bool _cw_quarantine_add_crash(cw_quarantine_t* q, const cw_quarantine_observation_t* observation, int64_t at_ms,
                                      int64_t now_ms) {
     bool is_trial = observation->kind == CW_OBSERVED_TRIAL;
+    _cw_crash_time_t time = {.at_ms = at_ms, .delay_ms = observation->delay_ms};
     if (now_ms - at_ms >= (int64_t)q->desc.retention_ms ||
-        (!is_trial && _cw_quarantine_was_alive_after(q, observation->incarnation, at_ms))) {
+        (!is_trial && _cw_quarantine_was_alive_after(q, observation->incarnation, at_ms + observation->delay_ms))) {
         return false;
     }
-    bool is_distinct = !is_trial && _cw_quarantine_record_crash(q, observation->incarnation, at_ms, observation->phase);
+    bool is_distinct = !is_trial && _cw_quarantine_record_crash(q, observation->incarnation, time, observation->phase);
     if (!observation->suspect.content_hash) {
         return is_distinct;
     }
     _cw_tracked_t* entry = _cw_quarantine_entry_for_crash(q, &observation->suspect, now_ms);
-    _cw_crash_t* known = _cw_tracked_find_crash(entry, observation->incarnation, at_ms);
+    _cw_crash_t* known = _cw_tracked_find_crash(entry, observation->incarnation, time);
     bool is_known_part = observation->is_known || _cw_quarantine_knows_part(q, observation, now_ms);
     if (known && !is_trial) {
         bool is_more_suspicious = cw_run_phase_is_more_suspicious(observation->phase, known->phase);
         bool is_change = is_more_suspicious || (is_known_part && !known->is_known);
         known->phase = is_more_suspicious ? observation->phase : known->phase;
         known->is_known = known->is_known || is_known_part;
+        if (time.delay_ms < known->delay_ms) {
+            known->at_ms = time.at_ms;
+            known->delay_ms = time.delay_ms;
+        }
         return is_change;
     }
     _cw_crash_t* target = _cw_tracked_find_trial(entry, observation->incarnation);
     if (at_ms <= _cw_tracked_cleared_at_ms(entry, observation->pool) || known) {
         return false;
     }
+    if (is_trial && target) {
+        bool is_news = observation->phase == CW_RUN_WRITING && target->phase != CW_RUN_WRITING;
+        target->phase = is_news ? CW_RUN_WRITING : target->phase;
+        return is_news;
+    }
     if (!target) { /* otherwise the crash replaces the trial on the same server */
         target = entry->count < CW_QUARANTINE_MAX_CRASHES ? &entry->crashes[entry->count++]
                                                           : _cw_quarantine_least_telling_crash(q, entry, now_ms);
@@ -765,13 +777,9 @@
     if (!target) {
         return false;
     }
-    if (is_trial && target) {
-        bool is_news = observation->phase == CW_RUN_WRITING && target->phase != CW_RUN_WRITING;
-        target->phase = is_news ? CW_RUN_WRITING : target->phase;
-        return is_news;
-    }
     *target = (_cw_crash_t){.incarnation = observation->incarnation,
                             .at_ms = at_ms,
+                            .delay_ms = observation->delay_ms,
                             .pool = observation->pool,
                             .version = observation->version,
                             .phase = observation->phase,
--- a/chalkway_quarantine_table.h
+++ b/chalkway_quarantine_table.h
@@ -42,9 +42,16 @@
 #define _CW_QUARANTINE_CLEARED_RETENTION_MS 10000 /* of a clearance: earlier crashes may be reported late */
 #define _CW_QUARANTINE_CLEARANCES 2               /* pools whose latest clearance of a suspect is recorded */
 
+/* Time of a crash: at_ms, or up to delay_ms later. */
+typedef struct _cw_crash_time_t {
+    int64_t at_ms;
+    uint32_t delay_ms;
+} _cw_crash_time_t;
+
 typedef struct _cw_crash_t {
     uint64_t incarnation;
     int64_t at_ms;
+    uint32_t delay_ms; /* the crash may have been up to so much later */
     uint32_t pool;
     uint32_t version;
     cw_run_phase_t phase;
@@ -90,17 +97,27 @@
 
 /* -- server incarnations -------------------------------------------------- */
 
-/* Records a crash of the incarnation at its earliest reported time and in its most suspicious phase. Returns whether it
-   is another crash than the one recorded before, or in a more suspicious phase. */
-static bool _cw_quarantine_record_crash(cw_quarantine_t* q, uint64_t incarnation, int64_t at_ms, cw_run_phase_t phase) {
-    cw_incarnation_event_t event = {.incarnation = incarnation, .at_ms = at_ms, .phase = phase};
+/* Whether two times of crashes of one incarnation may be those of one crash. */
+static bool _cw_crash_time_is_same(_cw_crash_time_t a, _cw_crash_time_t b) {
+    return a.at_ms < b.at_ms + b.delay_ms + _CW_QUARANTINE_DISTINCT_CRASH_MS &&
+           b.at_ms < a.at_ms + a.delay_ms + _CW_QUARANTINE_DISTINCT_CRASH_MS;
+}
+
+/* Records a crash of the incarnation at its earliest reported time, of the most exact ones, and in its most suspicious
+   phase. Returns whether it is another crash than the one recorded before, or in a more suspicious phase. */
+static bool _cw_quarantine_record_crash(cw_quarantine_t* q, uint64_t incarnation, _cw_crash_time_t time,
+                                        cw_run_phase_t phase) {
+    cw_incarnation_event_t event = {
+        .incarnation = incarnation, .at_ms = time.at_ms, .delay_ms = time.delay_ms, .phase = phase};
     const cw_incarnation_event_t* known = cw_incarnation_events_find(&q->crashed, incarnation);
-    if (!known || at_ms >= known->at_ms + _CW_QUARANTINE_DISTINCT_CRASH_MS) {
+    if (!known || time.at_ms >= known->at_ms + known->delay_ms + _CW_QUARANTINE_DISTINCT_CRASH_MS) {
         cw_incarnation_events_put(&q->crashed, &event);
         return true;
     }
     bool is_more_suspicious = cw_run_phase_is_more_suspicious(phase, known->phase);
-    event.at_ms = at_ms < known->at_ms ? at_ms : known->at_ms;
+    bool is_better = time.delay_ms != known->delay_ms ? time.delay_ms < known->delay_ms : time.at_ms < known->at_ms;
+    event.at_ms = is_better ? time.at_ms : known->at_ms;
+    event.delay_ms = is_better ? time.delay_ms : known->delay_ms;
     event.phase = is_more_suspicious ? phase : known->phase;
     cw_incarnation_events_put(&q->crashed, &event);
     return is_more_suspicious;
@@ -164,7 +181,8 @@
         const _cw_crash_t* crash = &entry->crashes[i];
         bool is_expired = crash->at_ms <= _cw_tracked_cleared_at_ms(entry, crash->pool) ||
                           now_ms - crash->at_ms >= (int64_t)q->desc.retention_ms;
-        if (!is_expired && (crash->is_trial || !_cw_quarantine_was_alive_after(q, crash->incarnation, crash->at_ms))) {
+        if (!is_expired && (crash->is_trial ||
+                            !_cw_quarantine_was_alive_after(q, crash->incarnation, crash->at_ms + crash->delay_ms))) {
             entry->crashes[kept_count++] = *crash;
         }
     }
--- a/gateway/reporter_observations.c
+++ b/gateway/reporter_observations.c
@@ -68,17 +68,19 @@
     drop_sent_observations(n);
 }
 
-/* The ages of observations show which servers crashed at the same moment, so they must stay exact: the upper bound of
-   the datagram's delay is added only after this process stalled. */
+/* The ages of observations show which servers crashed at the same moment, and whether one crashed twice, so they must
+   stay exact. After this process stalled they are not known: the datagram may have waited for all of that time. Such
+   observations aren't forwarded, since other hosts get them in time. */
 void reporter_receive_observations(reporter_t* n, const cw_load_message_t* message, uint32_t delay_ms) {
     uint32_t stall_ms = delay_ms > STALL_MS ? delay_ms : 0;
     for (uint32_t i = 0; i < message->observation_count; i++) {
         cw_quarantine_observation_t observation = message->observations[i];
         observation.age_ms += observation.age_ms < UINT32_MAX - stall_ms ? stall_ms : 0;
+        observation.delay_ms = stall_ms;
         if (n->desc.on_observation) {
             n->desc.on_observation(n->desc.user_data, &observation);
         }
-        if (message->scope != CW_LOAD_NO_RELAY) {
+        if (message->scope != CW_LOAD_NO_RELAY && !stall_ms) {
             queue_observation(n, &observation, message->scope == CW_LOAD_RELAY_TO_ALL, 0);
             n->stats.forwarded++;
         }
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -88,6 +88,38 @@
 }
 END_TEST
 
+/* A datagram waited in the socket for up to 2.9 s while this host was suspended. */
+static bool report_crash_late(cw_quarantine_t* q, int64_t now_ms, uint32_t age_ms) {
+    return cw_quarantine_observe(q, now_ms,
+                                 &(cw_quarantine_observation_t){.kind = CW_OBSERVED_CRASH,
+                                                                .suspect = request(7),
+                                                                .incarnation = 101,
+                                                                .age_ms = age_ms + 2900,
+                                                                .delay_ms = 2900});
+}
+
+/* Guards against a crash that counts twice at a host that was suspended: the time that the datagram may have waited was
+   added to its age, and the same crash at two times over a second apart passed for two. */
+START_TEST(a_crash_that_is_reported_late_after_a_suspension_counts_once) {
+    cw_quarantine_t* q = setup();
+    ck_assert(report_crash(q, 10000, 7, 101));
+    ck_assert(!report_crash_late(q, 14000, 3990)); /* it was sent just before it was read */
+    ck_assert(!report_crash_late(q, 14000, 1100)); /* it has waited for all of the time */
+    ck_assert_uint_eq(verdict_of(q, 14000, 7).crashes, 1);
+    ck_assert(!report_crash_ago(q, 14100, 7, 101, 4100));
+    ck_assert_uint_eq(verdict_of(q, 14100, 7).crashes, 1);
+    cw_quarantine_shutdown(q);
+    q = setup();
+    ck_assert(report_crash_late(q, 14000, 1100)); /* only its bounds are known: 10000 to 12900 */
+    ck_assert(!report_crash_ago(q, 14100, 7, 101, 1300));
+    ck_assert(!report_crash_ago(q, 14100, 7, 101, 1350));
+    ck_assert_uint_eq(verdict_of(q, 14100, 7).crashes, 1);
+    ck_assert(report_crash(q, 14150, 7, 101)); /* it started again, and crashed again */
+    ck_assert_uint_eq(verdict_of(q, 14150, 7).crashes, 2);
+    cw_quarantine_shutdown(q);
+}
+END_TEST
+
 START_TEST(response_clears_regardless_of_report_order) {
     cw_quarantine_t* q = setup();
     report_crash(q, 1000, 7, 101);
@@ -185,38 +217,6 @@
 }
 END_TEST
 
-/* The host of the trial is gone when the server crashes; others report the crash for their own requests. */
-START_TEST(a_trial_whose_server_crashed_counts_half) {
-    cw_quarantine_t* q = setup();
-    report_three_halved_crashes(q);
-    report_crash(q, 3000, 7, 104);
-    ck_assert(report_trial(q, 4000, 7, 900));
-    report_crash(q, 4200, 50, 900);
-    expect_verdict(q, 4000 + TRIAL_MS, 7, CW_VERDICT_QUARANTINED);
-    cw_quarantine_shutdown(q);
-}
-END_TEST
-
-/* Two requests with two crashes each run on a third server that crashes: either may be the cause. */
-START_TEST(requests_on_one_crashed_server_count_half) {
-    cw_quarantine_t* q = setup();
-    for (uint64_t incarnation = 101; incarnation <= 103; incarnation++) {
-        int64_t at_ms = 1000 * (int64_t)(incarnation - 100);
-        report_crash(q, at_ms, 7, incarnation);
-        report_crash(q, at_ms + 1, 8, incarnation);
-        /* A request that runs on one server only does not halve the weight for the others. */
-        report_crash(q, at_ms + 1, 50 + incarnation, incarnation);
-    }
-    expect_verdict(q, 3100, 7, CW_VERDICT_TRIAL);
-    expect_verdict(q, 3100, 8, CW_VERDICT_TRIAL);
-    report_crash(q, 4000, 7, 104); /* request 8 ran elsewhere */
-    report_cleared(q, 4000, 8, 0);
-    expect_verdict(q, 4000 + COINCIDENCE_MS, 7, CW_VERDICT_QUARANTINED);
-    expect_verdict(q, 4000, 8, CW_VERDICT_ALLOWED);
-    cw_quarantine_shutdown(q);
-}
-END_TEST
-
 static void report_crash_in_phase(cw_quarantine_t* q, int64_t now_ms, uint64_t content_hash, uint64_t incarnation,
                                   cw_run_phase_t phase) {
     cw_quarantine_observe(
@@ -259,6 +259,38 @@
 }
 END_TEST
 
+/* The host of the trial is gone when the server crashes; others report the crash for their own requests. */
+START_TEST(a_trial_whose_server_crashed_counts_half) {
+    cw_quarantine_t* q = setup();
+    report_three_halved_crashes(q);
+    report_crash(q, 3000, 7, 104);
+    ck_assert(report_trial(q, 4000, 7, 900));
+    report_crash(q, 4200, 50, 900);
+    expect_verdict(q, 4000 + TRIAL_MS, 7, CW_VERDICT_QUARANTINED);
+    cw_quarantine_shutdown(q);
+}
+END_TEST
+
+/* Two requests with two crashes each run on a third server that crashes: either may be the cause. */
+START_TEST(requests_on_one_crashed_server_count_half) {
+    cw_quarantine_t* q = setup();
+    for (uint64_t incarnation = 101; incarnation <= 103; incarnation++) {
+        int64_t at_ms = 1000 * (int64_t)(incarnation - 100);
+        report_crash(q, at_ms, 7, incarnation);
+        report_crash(q, at_ms + 1, 8, incarnation);
+        /* A request that runs on one server only does not halve the weight for the others. */
+        report_crash(q, at_ms + 1, 50 + incarnation, incarnation);
+    }
+    expect_verdict(q, 3100, 7, CW_VERDICT_TRIAL);
+    expect_verdict(q, 3100, 8, CW_VERDICT_TRIAL);
+    report_crash(q, 4000, 7, 104); /* request 8 ran elsewhere */
+    report_cleared(q, 4000, 8, 0);
+    expect_verdict(q, 4000 + COINCIDENCE_MS, 7, CW_VERDICT_QUARANTINED);
+    expect_verdict(q, 4000, 8, CW_VERDICT_ALLOWED);
+    cw_quarantine_shutdown(q);
+}
+END_TEST
+
 /* The verdict is pending until observations of other crashes at the same moment have arrived, and one that arrives
    prevents the quarantine. */
 START_TEST(recent_crash_is_pending_until_other_reports_arrive) {
@@ -739,6 +771,9 @@
     tcase_add_test(t, request_on_trial_is_sent_at_most_three_times);
     tcase_add_test(t, a_trial_without_a_crash_quarantines_nothing);
     tcase_add_test(t, a_trial_whose_server_crashed_counts_half);
+    tcase_add_test(t, a_crash_that_is_reported_late_after_a_suspension_counts_once);
+    tcase_add_test(t, crashes_of_a_content_that_was_written_for_a_while_count_half);
+    tcase_add_test(t, a_trial_that_is_written_for_a_while_halves_the_crashes);
     tcase_add_test(t, requests_on_one_crashed_server_count_half);
     tcase_add_test(t, recent_crash_is_pending_until_other_reports_arrive);
     tcase_add_test(t, crash_replaces_its_trial);
@@ -763,5 +798,3 @@
 int main(void) {
     return run_suite("quarantine", add_tests, 20);
 }
-    tcase_add_test(t, crashes_of_a_content_that_was_written_for_a_while_count_half);
-    tcase_add_test(t, a_trial_that_is_written_for_a_while_halves_the_crashes);
