Streams that need a version hold up no others

Cause: when a slot becomes free, one queued request of each kind is tried, and speaks for the others of that kind. One that needs a software version can use few servers, so it can't. New requests had to queue behind it as well.

Requests that need a version are tried one by one, and only those that need the same one queue behind them.

test_silence, a_stream_is_not_held_up_by_one_that_waits_for_another_version: failed before (the second stream went on after the first).

--- a/gateway/exchange_assign.c
+++ b/gateway/exchange_assign.c
@@ -95,10 +95,15 @@
     return x->fsm.has_sent_bytes;
 }
 
+/* Whether y waits for a server of a software version that x does not need: what x can use is of no use to it. */
+static bool waits_for_other_version(const exchange_t* y, const exchange_t* x) {
+    return y->work.version && y->work.version != x->work.version;
+}
+
 /* Whether a queued request of the same pool precedes x and has a target that is at least as short. */
 static bool must_queue_behind(const exchange_t* x) {
     for (const exchange_t* y = x->exchanges->queue; y && !precedes(x, y) && !x->is_queued; y = y->next_queued) {
-        if (y->pool == x->pool && y->route->target_ms <= x->route->target_ms) {
+        if (y->pool == x->pool && y->route->target_ms <= x->route->target_ms && !waits_for_other_version(y, x)) {
             return true;
         }
     }
@@ -480,7 +485,8 @@
 
 /* Tries one request of each kind (light, late, urgency). A late request may find no slot, because slots are reserved
    for other requests, while a light one behind it finds one. When one request of a kind finds no
-   slot, the others of that kind would find none either. */
+   slot, the others of that kind would find none either. Requests that need a software version are tried one by one:
+   each can use few of the servers. */
 void exchanges_on_slot_free(exchanges_t* e, pool_t* pool) {
     bool failed_kinds[2][2][CW_URGENCY_LEVELS] = {{{false}}}; /* no slot found, by light, late, urgency */
     if (e->is_ending) {
@@ -489,13 +495,16 @@
     replace_stalled(e, pool);
     exchange_t* x = e->queue;
     while (x) {
+        bool needs_version = x->work.version != 0;
         bool* has_failed = &failed_kinds[x->work.is_light][x->work.is_late][x->work.urgency];
-        if (x->pool != pool || *has_failed) {
+        bool is_tried = needs_version ? x->checked_at_slot == e->slot_free_count : *has_failed;
+        if (x->pool != pool || is_tried) {
             x = x->next_queued;
             continue;
         }
+        x->checked_at_slot = e->slot_free_count;
         exchange_assign_server(x); /* x may be freed now: is_waiting compares its address only */
-        *has_failed = is_waiting(e, x);
+        *has_failed = *has_failed || (!needs_version && is_waiting(e, x));
         x = e->queue;
     }
 }
--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -394,7 +394,82 @@
 }
 END_TEST
 
+/* Takes the slots of the servers that run nothing, where servers is one bit for each of the first four. */
+static void fill_servers(rig_t* r, uint32_t servers) {
+    pool_t* pool = upstreams_pool(r->upstreams, "p");
+    cw_work_t work = {.urgency = 0, .prompt_tokens = 1, .target_ms = 100};
+    for (const server_t* s = pool->servers; s; s = s->next) {
+        for (uint32_t i = 0; i < 4; i++) {
+            if ((servers >> i) & 1U && strcmp(s->published.address, r->addresses[i]) == 0) {
+                uint32_t at = cw_balance_find(pool->balance, s->key);
+                other_runs[i] = cw_balance_begin(pool->balance, clock_ms(), at, &work);
+            }
+        }
+    }
+}
+
+static void free_server(rig_t* r, uint32_t server) {
+    pool_t* pool = upstreams_pool(r->upstreams, "p");
+    cw_balance_end(pool->balance, clock_ms(), &other_runs[server], CW_TRY_SERVED);
+    exchanges_on_slot_free(r->exchanges, pool);
+}
+
+static void list_four_servers(rig_t* r) {
+    rig_set_servers_at(r, 2000, 4, 0, false);
+    fill_servers(r, 1U << 1);
+}
+
+/* The other server of the version at which the other stream runs. */
+static uint32_t other_server(const rig_t* r) {
+    return r->arrival_server[1] == 2 ? 3 : 2;
+}
+
+static void fill_other_server(rig_t* r) {
+    fill_servers(r, 1U << other_server(r));
+}
+
+static void free_other_server(rig_t* r) {
+    free_server(r, other_server(r));
+}
+
+static void free_second_server(rig_t* r) {
+    free_server(r, 1);
+}
+
+/* Guards against streams that wait, to their deadline, behind one that needs another software version: only the first
+   of the queue was tried when a slot became free. */
+START_TEST(a_stream_is_not_held_up_by_one_that_waits_for_another_version) {
+    rig_t* r = rig_setup(ENGINES, 0);
+    later_t list;
+    later_t request;
+    later_t fill;
+    later_t free_slots[2];
+    r->versions[0] = r->versions[1] = "v1";
+    r->versions[2] = r->versions[3] = "v2";
+    rig_set_servers(r, 1, 0);
+    rig_script(r,
+               (rig_step_t[]){{RIG_RESPOND, BROKEN_STREAM},
+                              {RIG_RESPOND, BROKEN_STREAM},
+                              {RIG_RESPOND, REST_OF_STREAM},
+                              {RIG_RESPOND, REST_OF_STREAM}},
+               4);
+    call_later(r, &list, CHANGE_S, list_four_servers);
+    call_later(r, &request, 0.15, send_other_request);
+    call_later(r, &fill, 0.25, fill_other_server);
+    call_later(r, &free_slots[0], 0.85, free_other_server);
+    call_later(r, &free_slots[1], 1.2, free_second_server);
+    expect_complete_stream(r, rig_call(r, STREAM));
+    ck_assert_uint_eq(r->arrival_count, 4);
+    ck_assert_uint_ge(r->arrival_server[1], 2);
+    ck_assert_uint_eq(r->arrival_server[2], other_server(r));
+    ck_assert_uint_eq(r->arrival_server[3], 1);
+    cw_stream_close(&other_caller);
+    rig_shutdown(r);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
+    tcase_add_test(t, a_stream_is_not_held_up_by_one_that_waits_for_another_version);
     tcase_add_test(t, a_silent_stream_goes_on_at_a_host_that_stops);
     tcase_add_test(t, a_silent_call_goes_on_at_a_host_that_stops);
     tcase_add_test(t, a_silent_stream_goes_on_at_the_only_server_of_its_pool);
