Soak checks: a stream ends where no server of its version is left

Now a stream counts as lost or ended by silence only if a server of its version accepted requests within the last second before its end, and, for a stop, if it ended before its deadline, as the check of silences has it. Both checks stay as they are where such a server is or was just in service: stream_without_a_server_of_its_version_is_not_lost_by_the_stop and ..._is_not_ended_by_silence play both sides.

--- a/tests/test_soak_check.c
+++ b/tests/test_soak_check.c
@@ -130,6 +130,42 @@
 }
 END_TEST
 
+#define BROKEN_STREAM(id, done_ms)                                                                                     \
+    "C 210 sent " id " story h:1 500\nU 211 begin " id " e1 0 500\nU 400 gone " id " e1\n"                             \
+    "C " done_ms " events " id " 1 9 1 e1-7-1 0\nC " done_ms " done " id " 200 0 0 5\n"
+#define UPGRADED "S 300 fault upgrade e1\nS 300 down e1\nS 900 over upgrade e1\nS 910 up e1 12 2\n"
+
+/* Seen in soaks: streams waited at a host that was stopped later for a server of their version, until the last one was
+   gone, or to their deadline. A server of the version that is or was just in service excuses nothing. */
+START_TEST(stream_without_a_server_of_its_version_is_not_lost_by_the_stop) {
+    static const char servers[] = "S 5 up e1 12 1\nS 5 up e2 12 2\n";
+    static const char stop[] = "S 2000 fault stop h:1\n";
+    char text[1024];
+    snprintf(text, sizeof(text), "%s%s%s%s", servers, UPGRADED, stop, BROKEN_STREAM("a", "2500"));
+    ck_assert_uint_eq(check_record(text).count[SOAK_LOST_ON_STOP], 0);
+    snprintf(text, sizeof(text), "%sS 5 up e3 12 1\n%s%s%s", servers, UPGRADED, stop, BROKEN_STREAM("a", "2500"));
+    ck_assert_uint_eq(check_record(text).count[SOAK_LOST_ON_STOP], 1);
+    snprintf(text, sizeof(text), "%sS 5 up e3 12 1\n%s%sS 1600 leaves e3\nS 1700 down e3\n%s", servers, UPGRADED, stop,
+             BROKEN_STREAM("a", "2500"));
+    ck_assert_uint_eq(check_record(text).count[SOAK_LOST_ON_STOP], 1);
+    snprintf(text, sizeof(text), "%sS 5 up e3 12 1\n%sS 8000 fault stop h:1\n%s", servers, UPGRADED,
+             BROKEN_STREAM("a", "9210"));
+    ck_assert_uint_eq(check_record(text).count[SOAK_LOST_ON_STOP], 0); /* it has had all of its time */
+}
+END_TEST
+
+/* Seen in soaks: a silent server crashed, and was back at another version. */
+START_TEST(stream_without_a_server_of_its_version_is_not_ended_by_silence) {
+    static const char silence[] = "S 1950 fault silent e1\n";
+    char text[1024];
+    snprintf(text, sizeof(text), "S 5 up e1 12 1\n%s%s%s", UPGRADED, silence, BROKEN_STREAM("a", "2500"));
+    ck_assert_uint_eq(check_record(text).count[SOAK_ENDED_BY_SILENCE], 0);
+    snprintf(text, sizeof(text), "S 5 up e1 12 1\nS 5 up e3 12 1\n%s%s%s", UPGRADED, silence,
+             BROKEN_STREAM("a", "2500"));
+    ck_assert_uint_eq(check_record(text).count[SOAK_ENDED_BY_SILENCE], 1);
+}
+END_TEST
+
 START_TEST(unclean_host_exit_is_found) {
     expect_only("S 5 fault stop h:1\nS 300 ended h:1 139\nS 310 over stop h:1\n", SOAK_UNCLEAN_EXIT);
     expect_only("S 5 fault stop h:1\nS 9000 ended h:1 0\nS 9010 over stop h:1\n", SOAK_UNCLEAN_EXIT);
@@ -587,6 +623,8 @@
     tcase_add_test(t, request_lost_on_planned_stop_is_found);
     tcase_add_test(t, response_ended_by_silence_is_found);
     tcase_add_test(t, response_of_a_query_of_death_is_lost_by_the_crash_and_not_by_the_stop);
+    tcase_add_test(t, stream_without_a_server_of_its_version_is_not_lost_by_the_stop);
+    tcase_add_test(t, stream_without_a_server_of_its_version_is_not_ended_by_silence);
     tcase_add_test(t, unclean_host_exit_is_found);
     tcase_add_test(t, time_to_exit_does_not_count_while_the_machine_is_paused);
     tcase_add_test(t, refusal_while_engines_idle_is_found);
--- a/tools/soak_check.c
+++ b/tools/soak_check.c
@@ -73,6 +73,7 @@
     int64_t begin_ms, end_ms;
     char last_server[NAME_SIZE]; /* server that last began to run the request */
     bool has_lost_server;        /* a fault but silence had hit the server of an earlier attempt */
+    bool lacks_version;          /* no upstream could go on with its stream when the response ended */
     double idle_engine_share;    /* share of idle engines when the request was sent */
     bool is_calm;                /* sent in a calm period */
 } request_t;
@@ -83,6 +84,8 @@
     uint32_t version; /* of its software, 0: unknown */
     bool is_down;
     int64_t leaving_ms;    /* since when the server is published as leaving, 0: it is not */
+    uint32_t left_version; /* version that it had when it last went down or began to leave, 0: never */
+    int64_t left_ms;       /* time of that */
     uint32_t incarnations; /* number of starts of the server */
 } server_record_t;
 
@@ -200,6 +203,19 @@
     return engines ? (double)idle_count / engines : 0;
 }
 
+/* Returns whether an upstream of the version accepted new requests within the last moments. */
+static bool has_served_lately(const checker_t* c, uint32_t version, int64_t at_ms) {
+    for (uint32_t i = 0; i < c->server_count; i++) {
+        const server_record_t* s = &c->servers[i];
+        bool is_available = s->version == version && !s->is_down && !s->leaving_ms;
+        bool was_available = s->left_version == version && at_ms - s->left_ms <= FAULT_MARGIN_MS;
+        if (s->slots && (is_available || was_available)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Returns whether the request began a stream while hosts ran that have all been lost since. */
 static bool was_followed_by_loss(const checker_t* c, const request_t* r) {
     return c->hosts_lost_ms >= r->sent_ms && c->hosts_lost_ms > 0;
@@ -301,6 +317,8 @@
     r->is_correct = is_correct;
     r->is_quarantined = is_quarantined;
     request_t* first = &c->requests[r->first];
+    uint32_t version = first->stream.first_run.version;
+    r->lacks_version = soak_kinds[r->kind].is_resumable && version && !has_served_lately(c, version, at_ms);
     first->has_complete_end = first->has_complete_end || (r->status == 200 && r->is_complete);
     if (r->is_resumption) {
         first->refusal_count += was_refused(r);
@@ -466,6 +484,10 @@
         *s = (server_record_t){.slots = slots};
         cw_copy(s->id, sizeof(s->id), id);
     }
+    if (s && !s->is_down && !s->leaving_ms && s->version) {
+        s->left_version = s->version;
+        s->left_ms = at_ms;
+    }
     if (s && strcmp(what, "up") == 0) { /* a restarted server runs none of its earlier requests */
         s->is_down = false;
         s->version = version;
@@ -714,11 +736,18 @@
     return strcmp(kind->route_kind, "repeatable") != 0 && !kind->is_resumable;
 }
 
+/* Returns whether the response ended well before the deadline of its request. */
+static bool was_in_time(const request_t* r) {
+    return r->done_ms < r->sent_ms + (int64_t)soak_kinds[r->kind].timeout_ms - DEADLINE_MARGIN_MS;
+}
+
 /* Returns whether the connection closed without a complete response during a planned stop of the host, although a
-   server had begun to run the request. The response of a query of death is lost with the server that it crashed. */
+   server had begun to run the request. The response of a query of death is lost with the server that it crashed, and
+   that of a stream with the last server of its version. */
 static bool was_lost_by_stop(const checker_t* c, const request_t* r) {
     bool lacks_response = r->done_ms && !r->abandoned_ms && (!r->status || !r->is_complete) && r->begin_count;
-    if (!lacks_response || r->has_crashed_upstream || is_disturbed(c, r->done_ms, r->last_server, FAULT_MARGIN_MS)) {
+    if (!lacks_response || r->has_crashed_upstream || r->lacks_version || !was_in_time(r) ||
+        is_disturbed(c, r->done_ms, r->last_server, FAULT_MARGIN_MS)) {
         return false;
     }
     for (uint32_t i = 0; i < c->fault_count; i++) {
@@ -768,12 +797,12 @@
 }
 
 /* Returns whether the response failed well before its deadline although its server had begun to run the request and was
-   merely silent for a while. A query of death may be quarantined at any time. */
+   merely silent for a while. A query of death may be quarantined at any time, and a stream ends where no server of its
+   version is left. */
 static bool was_ended_by_silence(const checker_t* c, const request_t* r) {
     bool has_failed = r->done_ms && !r->abandoned_ms && r->begin_count &&
                       (!r->status || !r->is_complete || r->status == 502 || r->status == 504);
-    bool was_in_time = r->done_ms < r->sent_ms + (int64_t)soak_kinds[r->kind].timeout_ms - DEADLINE_MARGIN_MS;
-    return has_failed && was_in_time && !r->qod_body && !r->has_lost_server &&
+    return has_failed && was_in_time(r) && !r->qod_body && !r->has_lost_server && !r->lacks_version &&
            was_hit(c, SILENCE, r->last_server, r->begin_ms, r->done_ms) &&
            !is_disturbed(c, r->done_ms, r->last_server, FAULT_MARGIN_MS) && could_host_continue(c, r);
 }
