A stream that its deadline cut off can be resumed

Cause: the record of a stream's version expired at the deadline of the request that began it. It is kept for two more seconds now.

test_stream_versions, a_stream_that_its_deadline_cut_off_continues_at_its_version: 503 before.

--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -9,6 +9,8 @@
 #define LONGEST_DEFAULT_MS 30000
 /* A version is remembered for this multiple of the longest stream: hosts learn at different times that it has gone. */
 #define MEMORY_FACTOR 2
+/* After the deadline has cut off a stream, in which its caller may resume it. */
+#define RESUMPTION_MS 2000
 /* Servers of a version that has left the list may begin streams for so long, at hosts whose list is late. */
 #define LIST_LATENESS_MS 5000
 #define PARTS_MAX 16384 /* parts that engines have listed, remembered for as long as streams last */
@@ -117,10 +119,13 @@
     }
 }
 
-void streams_on_first_event(streams_t* s, const pool_t* pool, uint64_t stream, uint64_t version, int64_t expires_ms) {
+void streams_on_first_event(streams_t* s, const pool_t* pool, uint64_t stream, uint64_t version, int64_t deadline_ms) {
     int64_t now_ms = clock_ms();
-    cw_stream_record_t record = {
-        .stream = stream, .pool = pool->id, .version = version, .expires_ms = expires_ms, .is_own = true};
+    cw_stream_record_t record = {.stream = stream,
+                                 .pool = pool->id,
+                                 .version = version,
+                                 .expires_ms = deadline_ms + RESUMPTION_MS,
+                                 .is_own = true};
     if (!cw_stream_registry_put(s->registry, now_ms, &record)) {
         return;
     }
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -91,7 +91,7 @@
 /* Id of the stream that this attempt of the workspace began; workspace 0: none. */
 uint64_t streams_id(uint64_t workspace, const char* request_id);
 /* The first event of a stream that this host carries has arrived, from a server of this version. */
-void streams_on_first_event(streams_t* s, const pool_t* pool, uint64_t stream, uint64_t version, int64_t expires_ms);
+void streams_on_first_event(streams_t* s, const pool_t* pool, uint64_t stream, uint64_t version, int64_t deadline_ms);
 /* Id of the version at which the stream must be resumed; 0: unknown. */
 uint64_t streams_resolve(streams_t* s, const stream_request_t* request);
 /* Queries other hosts for an unknown stream. Returns how many, 0: there is none. */
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -96,6 +96,27 @@
 }
 END_TEST
 
+/* Guards against a stream whose version is forgotten at the moment at which its caller resumes it: when its deadline
+   has cut it off. */
+START_TEST(a_stream_that_its_deadline_cut_off_continues_at_its_version) {
+    static const char* const two_versions[SERVERS] = {"1", "2", "2"};
+    rig_t* r = setup(two_versions);
+    rig_script(
+        r, (rig_step_t[]){{RIG_RESPOND, EVENTS FIRST_EVENT RIG_SILENT_MS(900)}, {RIG_RESPOND, EVENTS SECOND_EVENT}}, 2);
+    r->stop_on_response = true;
+    rig_write(r, CALL("q1", "k1", "Chalkway-Deadline-Ms: 200\r\n"));
+    while (r->is_caller_open) {
+        ev_run(r->loop, EVRUN_ONCE);
+    }
+    ck_assert(strstr(cw_buffer_text(&r->response), "data: a"));
+    rig_disconnect(r);
+    const char* response = rig_call(r, RESUME("q2", "k1"));
+    ck_assert_msg(strstr(response, "data: b"), "%s", response);
+    ck_assert(is_same_version(r, r->arrival_server[0], r->arrival_server[1]));
+    rig_shutdown(r);
+}
+END_TEST
+
 /* A stream whose id has 128 characters or more was denied when its caller took it up. Ids that differ in their last
    character only name two streams. */
 START_TEST(a_stream_with_a_long_id_continues_at_its_version) {
@@ -221,6 +242,7 @@
 static void add_tests(TCase* t) {
     tcase_add_test(t, a_host_resumes_a_stream_at_its_version_only);
     tcase_add_test(t, a_stream_that_its_caller_resumes_continues_at_its_version);
+    tcase_add_test(t, a_stream_that_its_deadline_cut_off_continues_at_its_version);
     tcase_add_test(t, a_stream_with_a_long_id_continues_at_its_version);
     tcase_add_test(t, a_request_with_an_empty_id_of_the_last_event_begins_a_stream);
     tcase_add_test(t, a_stream_goes_on_at_its_version_however_often_it_is_taken_up);
