A request over provisional limits is refused for now

It is 503 with Retry-After now, for bodies and heads.

test_exchange, a_request_over_provisional_limits_is_refused_for_now: 413 before.

--- a/gateway/frontend.c
+++ b/gateway/frontend.c
@@ -270,6 +270,22 @@
     c->front->desc.on_request(c, c->front->desc.user_data);
 }
 
+/* Rejects the request for now: its caller may send it again. */
+static void reject_for_now(caller_t* c) {
+    cw_buffer_t fields = {0};
+    cw_message_add_field(&fields, c->front->desc.retry_after_field, "1");
+    reject(c, 503, fields.data);
+    cw_buffer_free(&fields);
+}
+
+static void reject_over_limit(caller_t* c, const frontend_limits_t* limits, unsigned status) {
+    if (limits->is_provisional) {
+        reject_for_now(c);
+    } else {
+        reject(c, status, "");
+    }
+}
+
 /* Rejects the request if what has been read of it is malformed or exceeds a limit. Returns whether it did. */
 static bool reject_if_invalid(caller_t* c) {
     frontend_t* f = c->front;
@@ -279,15 +295,12 @@
         f->stats.malformed++;
         reject(c, 400, "");
     } else if ((is_in_head && c->message.head_bytes > limits.head_bytes) || c->message.text.size > limits.head_bytes) {
-        reject(c, 431, "");
+        reject_over_limit(c, &limits, 431);
     } else if (!is_in_head && (c->message.length > limits.body_bytes || c->body.size > limits.body_bytes)) {
-        reject(c, 413, "");
+        reject_over_limit(c, &limits, 413);
     } else if (f->stats.body_bytes > f->desc.max_body_total) {
-        cw_buffer_t fields = {0};
-        cw_message_add_field(&fields, f->desc.retry_after_field, "1");
         f->stats.rejected_full++;
-        reject(c, 503, fields.data);
-        cw_buffer_free(&fields);
+        reject_for_now(c);
     } else {
         return false;
     }
--- a/gateway/frontend.h
+++ b/gateway/frontend.h
@@ -18,6 +18,7 @@
     uint32_t body_bytes;
     uint32_t head_ms;
     uint32_t idle_ms;
+    bool is_provisional; /* no configuration is known yet: it may allow larger requests */
 } frontend_limits_t;
 
 typedef struct frontend_desc_t {
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -76,7 +76,8 @@
 static frontend_limits_t front_limits(void* user) {
     gateway_t* g = user;
     if (!g->catalog) {
-        return (frontend_limits_t){.head_bytes = 16384, .body_bytes = 1 << 20, .head_ms = 5000, .idle_ms = 15000};
+        return (frontend_limits_t){
+            .head_bytes = 16384, .body_bytes = 1 << 20, .head_ms = 5000, .idle_ms = 15000, .is_provisional = true};
     }
     const cw_catalog_limits_t* l = &g->catalog->limits;
     return (frontend_limits_t){
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -247,7 +247,8 @@
 static inline frontend_limits_t rig_limits(void* user) {
     const cw_catalog_t* catalog = ((rig_t*)user)->catalog;
     if (!catalog) {
-        return (frontend_limits_t){.head_bytes = 16384, .body_bytes = 1 << 20, .head_ms = 5000, .idle_ms = 15000};
+        return (frontend_limits_t){
+            .head_bytes = 16384, .body_bytes = 1 << 20, .head_ms = 5000, .idle_ms = 15000, .is_provisional = true};
     }
     const cw_catalog_limits_t* l = &catalog->limits;
     return (frontend_limits_t){
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -567,6 +567,24 @@
 }
 END_TEST
 
+/* Guards against a 413 or 431 for good from a host that does not know the limits yet: the caller would not try again.
+ */
+START_TEST(a_request_over_provisional_limits_is_refused_for_now) {
+    rig_t* r = rig_setup(NULL, 0);
+    static char long_head[20000];
+    const char* response = rig_call(r, "POST /once/ HTTP/1.1\r\n" HEAD "Content-Length: 2000000\r\n\r\n");
+    expect_status(response, "503");
+    ck_assert_double_gt(retry_after_s(response), 0);
+    rig_disconnect(r);
+    int size = snprintf(long_head, sizeof(long_head), "GET /once/ HTTP/1.1\r\n" HEAD "X-Long: ");
+    memset(long_head + size, 'x', sizeof(long_head) - (size_t)size - 1);
+    response = rig_call(r, long_head);
+    expect_status(response, "503");
+    ck_assert_double_gt(retry_after_s(response), 0);
+    rig_shutdown(r);
+}
+END_TEST
+
 START_TEST(request_without_a_server_is_refused_at_once) {
     rig_t* r = rig_setup(ROUTES, 0);
     const char* response = rig_call(r, "GET /again/ HTTP/1.1\r\n" HEAD "\r\n");
@@ -941,6 +959,7 @@
     tcase_add_test(t, keys_and_routes_follow_the_active_configuration);
     tcase_add_test(t, requests_over_the_limits_are_rejected);
     tcase_add_test(t, retry_after_without_a_configuration_follows_the_deadline);
+    tcase_add_test(t, a_request_over_provisional_limits_is_refused_for_now);
     tcase_add_test(t, request_without_a_server_is_refused_at_once);
     tcase_add_test(t, server_that_refuses_connections_is_skipped);
     tcase_add_test(t, only_a_failed_connection_is_reported_as_liveness_change);
