A broken path explains no end that others have reported

Cause: the failure report had waited in its socket, and its age doesn't count that time. 20 ms after it was read another host could connect to the engine, and this one could not, which passes for a broken path of this host: the engine can't have ended and started again within a second. Now that holds only for an end that this host has seen itself.

test_continuity, a_reported_end_is_not_explained_by_a_broken_path: explained before.

--- a/chalkway_continuity.h
+++ b/chalkway_continuity.h
@@ -18,7 +18,8 @@
           server has not ended.
         - A new connection opens so soon after the server was last heard that
           it can't have started again in between, or another host connects
-          to it at a time when only the path from this host is broken.
+          to it just after this host has lost it, at a time when only the path
+          from this host is broken.
         - A list that was current CW_CONTINUITY_PUBLISH_MS after the server
           was reached again is in use, and the source was not away meanwhile.
           It describes the process that has been reached, or names a new
@@ -194,7 +195,9 @@
 }
 
 bool cw_continuity_on_path_broken(cw_continuity_t* c, int64_t now_ms) {
-    bool is_explained = c->is_doubted && !c->was_refused && now_ms - c->ended_ms < _CW_CONTINUITY_PATH_MS;
+    /* The time of a report is not exact: this host may have been suspended while it arrived. */
+    bool has_seen_end = c->is_doubted && !c->is_reported;
+    bool is_explained = has_seen_end && !c->was_refused && now_ms - c->ended_ms < _CW_CONTINUITY_PATH_MS;
     return is_explained && _cw_continuity_end_doubt(c, now_ms);
 }
 
--- a/tests/test_continuity.c
+++ b/tests/test_continuity.c
@@ -161,6 +161,16 @@
 }
 END_TEST
 
+/* Guards against streams of two versions at a host that was suspended: a report that had waited in its socket for 1.4 s
+   seemed a millisecond old, so that a server which another host reached could not have started again in between. */
+START_TEST(a_reported_end_is_not_explained_by_a_broken_path) {
+    cw_continuity_t c = {0};
+    cw_continuity_on_report(&c, 2000);
+    ck_assert(!cw_continuity_on_path_broken(&c, 2020));
+    ck_assert(c.is_doubted && cw_continuity_is_conn_doubted(&c, 2020));
+}
+END_TEST
+
 START_TEST(a_connection_from_before_the_end_is_to_the_listed_process) {
     cw_continuity_t c = ended_server();
     ck_assert(!cw_continuity_is_conn_doubted(&c, 1999));
@@ -198,6 +208,7 @@
     tcase_add_test(t, a_refused_connection_counts_unless_another_one_is_open);
     tcase_add_test(t, a_broken_path_explains_the_end_of_connections);
     tcase_add_test(t, reports_count_at_a_host_without_a_connection);
+    tcase_add_test(t, a_reported_end_is_not_explained_by_a_broken_path);
     tcase_add_test(t, a_connection_from_before_the_end_is_to_the_listed_process);
 }
 
