Crashes among many others count half

Cause: only servers that end within 100 ms of each other count as having another reason. A crash counts half now, too, if at least three servers, and as many as crashed with the suspect, crashed without it within a second, and no stronger suspect explains that.

test_quarantine, a_part_is_no_cause_of_a_series_of_crashes_that_others_share: quarantined before.

--- a/chalkway_quarantine.h
+++ b/chalkway_quarantine.h
@@ -32,6 +32,9 @@
           when another request was in a more suspicious phase: a server that
           crashes as it begins to respond has sent the head of the response
           at most (cw_run_phase_t);
+        - it also counts half when at least three servers, and as many as
+          crashed with the suspect, crashed without it within a second: that
+          is how a release in place looks;
         - it also counts half once all servers of the pool have another
           software version than the one that crashed: requests with the
           suspect are on trial there, and an answer clears it;
@@ -235,6 +238,10 @@
    two relays. */
 #define _CW_QUARANTINE_COINCIDENCE_MS 100
 
+/* Servers that end one after the other, so close together and at least so many, may do so by plan. */
+#define _CW_QUARANTINE_SERIES_MS 1000
+#define _CW_QUARANTINE_SERIES_CRASHES 3
+
 /* The request on which a verdict is made: its suspects that are tracked, and where it is to be sent. */
 typedef struct _cw_suspected_request_t {
     _cw_tracked_t* entries[CW_SUSPECTS_MAX];
@@ -440,6 +447,29 @@
     return NULL;
 }
 
+/* Whether at least as many servers as crashed with the suspect crashed without it around that time, and nothing
+   explains their crashes. */
+static bool _cw_quarantine_is_among_others(cw_quarantine_t* q, const _cw_suspected_request_t* request,
+                                           _cw_tracked_t* entry, const _cw_crash_t* crash) {
+    uint32_t with_suspect = 0;
+    uint32_t without_suspect = 0;
+    for (uint32_t i = 0; i < CW_INCARNATION_EVENTS_MAX; i++) {
+        const cw_incarnation_event_t* other = &q->crashed.items[i];
+        int64_t distance_ms = other->at_ms > crash->at_ms ? other->at_ms - crash->at_ms : crash->at_ms - other->at_ms;
+        if (!other->incarnation || distance_ms > _CW_QUARANTINE_SERIES_MS) {
+            continue;
+        }
+        _cw_crash_time_t time = {.at_ms = other->at_ms, .delay_ms = other->delay_ms};
+        if (_cw_tracked_find_crash(entry, other->incarnation, time)) {
+            with_suspect++;
+        } else if (!_cw_crashes_have_own_causes(crash, other) &&
+                   !_cw_quarantine_rival_crashes(q, request, other->incarnation, time, CW_RUN_BEGINNING)) {
+            without_suspect++;
+        }
+    }
+    return without_suspect >= _CW_QUARANTINE_SERIES_CRASHES && without_suspect >= with_suspect;
+}
+
 /* Whether another request was in a more suspicious phase when the server crashed. */
 static bool _cw_quarantine_has_more_suspicious_phase(cw_quarantine_t* q, const _cw_crash_t* crash) {
     const cw_incarnation_event_t* event = cw_incarnation_events_find(&q->crashed, crash->incarnation);
@@ -484,7 +514,8 @@
     bool is_other_version = target->version && crash->version && crash->version != target->version;
     bool has_other_cause = is_other_version || rival_crashes == own_crashes || _cw_tracked_has_survived_start(entry) ||
                            _cw_quarantine_has_more_suspicious_phase(q, crash) ||
-                           _cw_quarantine_find_unrelated_crash(q, request, entry, crash);
+                           _cw_quarantine_find_unrelated_crash(q, request, entry, crash) ||
+                           _cw_quarantine_is_among_others(q, request, entry, crash);
     if (crash->is_known) {
         return has_other_cause ? 0 : _CW_QUARANTINE_HALF_WEIGHT;
     }
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -551,6 +551,28 @@
 }
 END_TEST
 
+/* Guards against a sound part that is quarantined while engines are upgraded in place, one after the other, 0.15 s
+   apart: some of them end under it. If all that end had run it, it is the cause. */
+START_TEST(a_part_is_no_cause_of_a_series_of_crashes_that_others_share) {
+    for (uint32_t with_others = 0; with_others < 2; with_others++) {
+        cw_quarantine_t* q = setup();
+        for (uint64_t i = 0; i < 8; i++) {
+            cw_suspects_t bystander = prompt(20 + i, 110 + i, 8);
+            cw_suspects_t other = prompt(40 + i, 210 + i, 300 + i);
+            bool has_part = i % 2 == 0;
+            if (has_part || with_others) {
+                report_prompt_crash(q, 1000 + 150 * (int64_t)i, has_part ? &bystander : &other, 201 + i,
+                                    has_part ? CW_RUN_BEGINNING : CW_RUN_STARTED);
+            }
+        }
+        cw_suspects_t next = prompt(60, 130, 8);
+        cw_verdict_kind_t kind = verdict_on(q, 2200, &next, 1);
+        ck_assert_int_eq(kind, with_others ? CW_VERDICT_TRIAL : CW_VERDICT_QUARANTINED);
+        cw_quarantine_shutdown(q);
+    }
+}
+END_TEST
+
 /* A request that has only the head of its response is more suspicious than those that wait or have a body. */
 START_TEST(a_bystander_in_a_less_suspicious_phase_counts_half_or_not_at_all) {
     static const cw_run_phase_t phases[] = {CW_RUN_WAITING, CW_RUN_STARTED, CW_RUN_WRITING};
@@ -785,6 +807,7 @@
     tcase_add_test(t, a_part_is_quarantined_while_others_crash_servers_at_the_same_moments);
     tcase_add_test(t, one_request_with_a_part_is_on_trial_at_a_time);
     tcase_add_test(t, a_quarantined_part_is_tried_at_the_next_software_version);
+    tcase_add_test(t, a_part_is_no_cause_of_a_series_of_crashes_that_others_share);
     tcase_add_test(t, a_bystander_in_a_less_suspicious_phase_counts_half_or_not_at_all);
     tcase_add_test(t, known_parts_are_suspected_less);
     tcase_add_test(t, a_part_that_is_known_here_is_known_whoever_observes_it);
