What waited in the socket may be as old as the stall

Cause: how long a datagram can have waited was measured from the last tick but one. A tick that comes late is remembered for 100 ms now.

--- a/gateway/reporter.c
+++ b/gateway/reporter.c
@@ -13,6 +13,7 @@
 #define FLUSH_DELAY_MS 1      /* delay before the start of requests is reported, so that several share a datagram */
 #define END_FLUSH_DELAY_MS 50 /* delay before the end of requests is reported */
 #define TRANSIT_MIN_MS 10     /* lower bound of the transit time that is assumed for a datagram */
+#define READ_LATE_MS 100      /* after a stall, time in which what has arrived meanwhile is read */
 
 static void flush(reporter_t* n);
 
@@ -362,8 +363,11 @@
 /* Upper bound of the age of a datagram that is read now. It may have waited in the socket for as long as this process
    stalled. */
 static uint32_t max_delay_ms(const reporter_t* n, int64_t now_ms) {
-    int64_t since_tick_ms = n->previous_tick_ms ? now_ms - n->previous_tick_ms : 0;
-    return since_tick_ms > TRANSIT_MIN_MS ? (uint32_t)since_tick_ms : TRANSIT_MIN_MS;
+    bool has_stalled = n->resumed_ms && now_ms - n->resumed_ms < READ_LATE_MS;
+    int64_t waited_ms = has_stalled           ? now_ms - n->resumed_ms + n->stalled_ms
+                        : n->previous_tick_ms ? now_ms - n->previous_tick_ms
+                                              : 0;
+    return waited_ms > TRANSIT_MIN_MS ? (uint32_t)waited_ms : TRANSIT_MIN_MS;
 }
 
 /* Whether the host is in another hall; a host that is not known counts as such. */
@@ -420,6 +424,11 @@
 void reporter_tick(reporter_t* n, int64_t now_ms) {
     n->previous_tick_ms = n->tick_ms;
     n->tick_ms = now_ms;
+    /* A late tick may be followed by another one before the socket is read. */
+    if (n->previous_tick_ms && now_ms - n->previous_tick_ms > REPORTER_STALL_MS) {
+        n->resumed_ms = now_ms;
+        n->stalled_ms = now_ms - n->previous_tick_ms;
+    }
     if (now_ms - n->repeated_ms >= n->plan.resend_ms) {
         mark_all_dirty(n, now_ms);
     }
--- a/gateway/reporter_internal.h
+++ b/gateway/reporter_internal.h
@@ -14,6 +14,7 @@
 #define QUEUE_MAX 512
 #define OBSERVATION_QUEUE_MAX (12 * CW_LOAD_OBSERVATIONS) /* further observations are sent with the next repetition */
 #define MS_PER_S 1000.0
+#define REPORTER_STALL_MS 100 /* a longer delay means that this process stalled and datagrams waited in its socket */
 #define STREAM_QUEUE_MAX 2048 /* further records are not announced; hosts query them */
 
 /* A server whose load at this host changed and is not reported yet. */
@@ -93,6 +94,8 @@
     int64_t observations_repeated_ms; /* time of the last repetition */
     int64_t flushed_ms, repeated_ms;
     int64_t tick_ms, previous_tick_ms; /* times of the last two ticks */
+    int64_t resumed_ms;                /* first tick after the last stall of this process, 0: none */
+    int64_t stalled_ms;                /* time between that tick and the one before it */
     int64_t sent_ms;                   /* time of the last report or heartbeat */
     uint64_t random_count;             /* random numbers drawn so far */
     reporter_stats_t stats;
--- a/gateway/reporter_observations.c
+++ b/gateway/reporter_observations.c
@@ -11,7 +11,6 @@
 #define OBSERVATION_BURST_DATAGRAMS 16 /* sent at once when a host joins; further observations follow by repetition */
 /* Delays until a new observation is sent again, since datagrams are lost. */
 static const int64_t resend_delays_ms[] = {50, 150};
-#define STALL_MS 100 /* a longer delay means that this process stalled and datagrams waited in its socket */
 
 static void queue_observation(reporter_t* n, const cw_quarantine_observation_t* observation, bool to_other_halls,
                               int64_t due_ms) {
@@ -72,7 +71,7 @@
    stay exact. After this process stalled they are not known: the datagram may have waited for all of that time. Such
    observations aren't forwarded, since other hosts get them in time. */
 void reporter_receive_observations(reporter_t* n, const cw_load_message_t* message, uint32_t delay_ms) {
-    uint32_t stall_ms = delay_ms > STALL_MS ? delay_ms : 0;
+    uint32_t stall_ms = delay_ms > REPORTER_STALL_MS ? delay_ms : 0;
     for (uint32_t i = 0; i < message->observation_count; i++) {
         cw_quarantine_observation_t observation = message->observations[i];
         observation.age_ms += observation.age_ms < UINT32_MAX - stall_ms ? stall_ms : 0;
--- a/tests/test_reporter.c
+++ b/tests/test_reporter.c
@@ -20,14 +20,37 @@
     int fds[HOSTS_MAX];
     gateway_settings_t settings;
     cw_members_t* members;
+    upstreams_t* upstreams; /* no server is listed */
     reporter_t* reporter;
 } fleet_t;
 
+static void ignore_line(const char* line, void* user) {
+    (void)line;
+    (void)user;
+}
+
+static const cw_log_t quiet_log = {.level = CW_LOG_ERROR, .write = ignore_line};
+
 static cw_source_state_t source_state(void* user) {
     (void)user;
     return (cw_source_state_t){.revision = 1};
 }
 
+/* delay_ms of the observation received last, 1: none yet. */
+static uint32_t received_delay_ms;
+
+static void on_observation(void* user, const cw_quarantine_observation_t* observation) {
+    (void)user;
+    received_delay_ms = observation->delay_ms;
+}
+
+static void on_source_state(void* user, const char* share, bool is_remote, const cw_source_state_t* state) {
+    (void)user;
+    (void)share;
+    (void)is_remote;
+    (void)state;
+}
+
 static void on_stream_announced(void* user, const cw_stream_record_t* record) {
     (void)user;
     (void)record;
@@ -62,10 +85,15 @@
     snprintf(f->settings.hall, sizeof(f->settings.hall), "a");
     snprintf(f->settings.load, sizeof(f->settings.load), "%s", address(0));
     snprintf(f->settings.share, sizeof(f->settings.share), "%s", address(0));
+    f->upstreams = upstreams_setup(
+        &(upstreams_desc_t){.loop = f->loop, .log = &quiet_log, .dialect = &dialect_native, .host = 1, .max_conns = 1});
     f->reporter = reporter_setup(&(reporter_desc_t){.loop = f->loop,
+                                                    .upstreams = f->upstreams,
                                                     .settings = &f->settings,
                                                     .host = 1,
                                                     .source_state = source_state,
+                                                    .on_source_state = on_source_state,
+                                                    .on_observation = on_observation,
                                                     .on_stream_announced = on_stream_announced},
                                  &err);
     ck_assert_msg(f->reporter != NULL, "%s", err.message);
@@ -74,6 +102,7 @@
 
 static void fleet_shutdown(fleet_t* f) {
     reporter_shutdown(f->reporter);
+    upstreams_shutdown(f->upstreams);
     cw_members_shutdown(f->members);
     for (int i = 1; i < f->count; i++) {
         close(f->fds[i]);
@@ -146,6 +175,45 @@
 }
 END_TEST
 
+/* Another host has sent an observation; it is read now. Returns its delay_ms. */
+static uint32_t receive_observation(fleet_t* f) {
+    static const cw_load_message_t sent = {
+        .host = 2, .observations = {{.kind = CW_OBSERVED_CRASH, .incarnation = 6}}, .observation_count = 1};
+    cw_load_message_t message = sent;
+    uint8_t bytes[CW_LOAD_BYTES];
+    struct sockaddr_in to;
+    message.cluster = cw_name_id("c");
+    size_t size = cw_load_encode(&message, bytes, sizeof(bytes));
+    ck_assert_int_eq(cw_addr_parse(address(0), &to, NULL), CW_OK);
+    received_delay_ms = 1;
+    ck_assert_int_eq(sendto(f->fds[1], bytes, size, 0, (struct sockaddr*)&to, sizeof(to)), (ssize_t)size);
+    while (received_delay_ms == 1) {
+        ev_run(f->loop, EVRUN_ONCE);
+    }
+    return received_delay_ms;
+}
+
+/* Guards against a crash that counts twice at a host that was frozen: when it ran again, two ticks came before the
+   socket was read, so what had waited there seemed to have arrived at once. */
+START_TEST(what_waited_in_the_socket_may_be_as_old_as_the_stall) {
+    fleet_t f;
+    fleet_init(&f, 2, 100);
+    int64_t now_ms = clock_ms();
+    reporter_tick(f.reporter, now_ms - 2425);
+    reporter_tick(f.reporter, now_ms - 2400);
+    reporter_tick(f.reporter, now_ms);
+    reporter_tick(f.reporter, now_ms);
+    ck_assert_uint_ge(receive_observation(&f), 2400);
+    fleet_shutdown(&f);
+    fleet_init(&f, 2, 100);
+    now_ms = clock_ms();
+    reporter_tick(f.reporter, now_ms);
+    reporter_tick(f.reporter, now_ms);
+    ck_assert_uint_eq(receive_observation(&f), 0);
+    fleet_shutdown(&f);
+}
+END_TEST
+
 /* Guards against streams that only their host knows while one version serves: when it was lost as another version
    appeared, nobody could resume them. A query finds the hosts that keep the record. */
 START_TEST(a_stream_is_deposited_at_hosts_that_a_query_reaches) {
@@ -178,6 +246,7 @@
     tcase_add_loop_test(t, a_stream_is_deposited_at_hosts_that_a_query_reaches, 0, FLEETS);
     tcase_add_loop_test(t, an_announcement_is_sent_before_the_event_passes, 0, FLEETS);
     tcase_add_loop_test(t, an_observation_is_sent_at_once, 0, FLEETS);
+    tcase_add_test(t, what_waited_in_the_socket_may_be_as_old_as_the_stall);
 }
 
 int main(void) {
