Quarantine: what a coincidence and a series of crashes share is written once

Cause: the two searches for servers that crashed without the suspect had the same distance, time and reasons, spelled twice. Change: _cw_crash_is_near, _cw_tracked_was_at and _cw_quarantine_shares_cause serve both; "series" where it said "among others"; a nested condition in reporter.c is two statements.

--- a/chalkway_quarantine.h
+++ b/chalkway_quarantine.h
@@ -427,6 +427,26 @@
     return !crash->is_known && crash->phase == CW_RUN_BEGINNING && other->phase == CW_RUN_BEGINNING;
 }
 
+/* Whether another server crashed within this time of the crash. */
+static bool _cw_crash_is_near(const _cw_crash_t* crash, const cw_incarnation_event_t* other, int64_t within_ms) {
+    int64_t distance_ms = other->at_ms > crash->at_ms ? other->at_ms - crash->at_ms : crash->at_ms - other->at_ms;
+    return other->incarnation && distance_ms <= within_ms;
+}
+
+/* Whether the suspect was on the other server, too, when that crashed. */
+static bool _cw_tracked_was_at(_cw_tracked_t* entry, const cw_incarnation_event_t* other) {
+    _cw_crash_time_t time = {.at_ms = other->at_ms, .delay_ms = other->delay_ms};
+    return _cw_tracked_find_crash(entry, other->incarnation, time) != NULL;
+}
+
+/* Whether the other server, on which the suspect was not, crashed for a reason that may be that of the crash, too. */
+static bool _cw_quarantine_shares_cause(cw_quarantine_t* q, const _cw_suspected_request_t* request,
+                                        const _cw_crash_t* crash, const cw_incarnation_event_t* other) {
+    _cw_crash_time_t time = {.at_ms = other->at_ms, .delay_ms = other->delay_ms};
+    return !_cw_crashes_have_own_causes(crash, other) &&
+           !_cw_quarantine_rival_crashes(q, request, other->incarnation, time, CW_RUN_BEGINNING);
+}
+
 /* Another server that crashed at the same moment without the suspect, which thus cannot have caused both crashes; NULL
    when there is none. A crash that another suspect explains is unrelated to it. */
 static const cw_incarnation_event_t* _cw_quarantine_find_unrelated_crash(cw_quarantine_t* q,
@@ -435,37 +455,28 @@
                                                                          const _cw_crash_t* crash) {
     for (uint32_t i = 0; i < CW_INCARNATION_EVENTS_MAX; i++) {
         const cw_incarnation_event_t* other = &q->crashed.items[i];
-        int64_t distance_ms = other->at_ms > crash->at_ms ? other->at_ms - crash->at_ms : crash->at_ms - other->at_ms;
-        bool is_coincident = other->incarnation && distance_ms <= _CW_QUARANTINE_COINCIDENCE_MS;
-        _cw_crash_time_t time = {.at_ms = other->at_ms, .delay_ms = other->delay_ms};
-        if (is_coincident && !_cw_crashes_have_own_causes(crash, other) &&
-            !_cw_tracked_find_crash(entry, other->incarnation, time) &&
-            !_cw_quarantine_rival_crashes(q, request, other->incarnation, time, CW_RUN_BEGINNING)) {
+        if (_cw_crash_is_near(crash, other, _CW_QUARANTINE_COINCIDENCE_MS) && !_cw_tracked_was_at(entry, other) &&
+            _cw_quarantine_shares_cause(q, request, crash, other)) {
             return other;
         }
     }
     return NULL;
 }
 
-/* Whether at least as many servers as crashed with the suspect crashed without it around that time, and nothing
-   explains their crashes. */
-static bool _cw_quarantine_is_among_others(cw_quarantine_t* q, const _cw_suspected_request_t* request,
-                                           _cw_tracked_t* entry, const _cw_crash_t* crash) {
+/* Whether the crash is one of a series: at least as many servers as crashed with the suspect crashed without it around
+   that time, and nothing explains their crashes. */
+static bool _cw_quarantine_is_in_series(cw_quarantine_t* q, const _cw_suspected_request_t* request,
+                                        _cw_tracked_t* entry, const _cw_crash_t* crash) {
     uint32_t with_suspect = 0;
     uint32_t without_suspect = 0;
     for (uint32_t i = 0; i < CW_INCARNATION_EVENTS_MAX; i++) {
         const cw_incarnation_event_t* other = &q->crashed.items[i];
-        int64_t distance_ms = other->at_ms > crash->at_ms ? other->at_ms - crash->at_ms : crash->at_ms - other->at_ms;
-        if (!other->incarnation || distance_ms > _CW_QUARANTINE_SERIES_MS) {
+        if (!_cw_crash_is_near(crash, other, _CW_QUARANTINE_SERIES_MS)) {
             continue;
         }
-        _cw_crash_time_t time = {.at_ms = other->at_ms, .delay_ms = other->delay_ms};
-        if (_cw_tracked_find_crash(entry, other->incarnation, time)) {
-            with_suspect++;
-        } else if (!_cw_crashes_have_own_causes(crash, other) &&
-                   !_cw_quarantine_rival_crashes(q, request, other->incarnation, time, CW_RUN_BEGINNING)) {
-            without_suspect++;
-        }
+        bool was_there = _cw_tracked_was_at(entry, other);
+        with_suspect += was_there;
+        without_suspect += !was_there && _cw_quarantine_shares_cause(q, request, crash, other);
     }
     return without_suspect >= _CW_QUARANTINE_SERIES_CRASHES && without_suspect >= with_suspect;
 }
@@ -515,7 +526,7 @@
     bool has_other_cause = is_other_version || rival_crashes == own_crashes || _cw_tracked_has_survived_start(entry) ||
                            _cw_quarantine_has_more_suspicious_phase(q, crash) ||
                            _cw_quarantine_find_unrelated_crash(q, request, entry, crash) ||
-                           _cw_quarantine_is_among_others(q, request, entry, crash);
+                           _cw_quarantine_is_in_series(q, request, entry, crash);
     if (crash->is_known) {
         return has_other_cause ? 0 : _CW_QUARANTINE_HALF_WEIGHT;
     }
--- a/gateway/reporter.c
+++ b/gateway/reporter.c
@@ -363,10 +363,10 @@
 /* Upper bound of the age of a datagram that is read now. It may have waited in the socket for as long as this process
    stalled. */
 static uint32_t max_delay_ms(const reporter_t* n, int64_t now_ms) {
-    bool has_stalled = n->resumed_ms && now_ms - n->resumed_ms < READ_LATE_MS;
-    int64_t waited_ms = has_stalled           ? now_ms - n->resumed_ms + n->stalled_ms
-                        : n->previous_tick_ms ? now_ms - n->previous_tick_ms
-                                              : 0;
+    int64_t waited_ms = n->previous_tick_ms ? now_ms - n->previous_tick_ms : 0;
+    if (n->resumed_ms && now_ms - n->resumed_ms < READ_LATE_MS) {
+        waited_ms = now_ms - n->resumed_ms + n->stalled_ms;
+    }
     return waited_ms > TRANSIT_MIN_MS ? (uint32_t)waited_ms : TRANSIT_MIN_MS;
 }
 
