Clean-up: times of crashes, reads after a stall and a stream check are written once

Change: _cw_crash_time and _cw_event_time; CLOCK_READ_LATE_MS in clock.h; stall_ms; expect_stream_goes_on_nowhere_else; three words in comments. No behaviour, bound or assertion changes. Sanitized tests, fuzz and soak: not run.

--- a/chalkway_quarantine.h
+++ b/chalkway_quarantine.h
@@ -353,8 +353,8 @@
 static _cw_crash_t* _cw_tracked_find_crash(_cw_tracked_t* entry, uint64_t incarnation, _cw_crash_time_t time) {
     for (uint32_t i = 0; i < entry->count; i++) {
         _cw_crash_t* crash = &entry->crashes[i];
-        _cw_crash_time_t known = {.at_ms = crash->at_ms, .delay_ms = crash->delay_ms};
-        if (!crash->is_trial && crash->incarnation == incarnation && _cw_crash_time_is_same(known, time)) {
+        if (!crash->is_trial && crash->incarnation == incarnation &&
+            _cw_crash_time_is_same(_cw_crash_time(crash), time)) {
             return crash;
         }
     }
@@ -435,16 +435,14 @@
 
 /* Whether the suspect was on the other server, too, when that crashed. */
 static bool _cw_tracked_was_at(_cw_tracked_t* entry, const cw_incarnation_event_t* other) {
-    _cw_crash_time_t time = {.at_ms = other->at_ms, .delay_ms = other->delay_ms};
-    return _cw_tracked_find_crash(entry, other->incarnation, time) != NULL;
+    return _cw_tracked_find_crash(entry, other->incarnation, _cw_event_time(other)) != NULL;
 }
 
 /* Whether the other server, on which the suspect was not, crashed for a reason that may be that of the crash, too. */
 static bool _cw_quarantine_shares_cause(cw_quarantine_t* q, const _cw_suspected_request_t* request,
                                         const _cw_crash_t* crash, const cw_incarnation_event_t* other) {
-    _cw_crash_time_t time = {.at_ms = other->at_ms, .delay_ms = other->delay_ms};
     return !_cw_crashes_have_own_causes(crash, other) &&
-           !_cw_quarantine_rival_crashes(q, request, other->incarnation, time, CW_RUN_BEGINNING);
+           !_cw_quarantine_rival_crashes(q, request, other->incarnation, _cw_event_time(other), CW_RUN_BEGINNING);
 }
 
 /* Another server that crashed at the same moment without the suspect, which thus cannot have caused both crashes; NULL
@@ -517,8 +515,8 @@
         return 0; /* the request's own pool has responded to it */
     }
     uint32_t own_crashes = _cw_tracked_count_crashes(entry);
-    _cw_crash_time_t time = {.at_ms = crash->at_ms, .delay_ms = crash->delay_ms};
-    uint32_t rival_crashes = _cw_quarantine_rival_crashes(q, request, crash->incarnation, time, crash->phase);
+    uint32_t rival_crashes =
+        _cw_quarantine_rival_crashes(q, request, crash->incarnation, _cw_crash_time(crash), crash->phase);
     if (rival_crashes > own_crashes || (crash->is_known && rival_crashes)) {
         return 0;
     }
--- a/chalkway_quarantine_table.h
+++ b/chalkway_quarantine_table.h
@@ -97,6 +97,14 @@
 
 /* -- server incarnations -------------------------------------------------- */
 
+static _cw_crash_time_t _cw_crash_time(const _cw_crash_t* crash) {
+    return (_cw_crash_time_t){.at_ms = crash->at_ms, .delay_ms = crash->delay_ms};
+}
+
+static _cw_crash_time_t _cw_event_time(const cw_incarnation_event_t* event) {
+    return (_cw_crash_time_t){.at_ms = event->at_ms, .delay_ms = event->delay_ms};
+}
+
 /* Whether two times of crashes of one incarnation may be those of one crash. */
 static bool _cw_crash_time_is_same(_cw_crash_time_t a, _cw_crash_time_t b) {
     return a.at_ms < b.at_ms + b.delay_ms + _CW_QUARANTINE_DISTINCT_CRASH_MS &&
--- a/gateway/clock.h
+++ b/gateway/clock.h
@@ -7,4 +7,7 @@
     return cw_clock_ms();
 }
 
+/* After a stall of the process, time in which what has arrived meanwhile is read. */
+#define CLOCK_READ_LATE_MS 100
+
 #endif
--- a/gateway/exchange_internal.h
+++ b/gateway/exchange_internal.h
@@ -153,7 +153,7 @@
 void exchange_keep_server_eligible(exchange_t* x);
 /* How far the response to the current attempt has got. */
 cw_run_phase_t exchange_phase(const exchange_t* x);
-/* Tells the quarantine that the response has been written for a while. */
+/* Reports to the quarantine that the response has been written for a while. */
 void exchange_report_survival(const exchange_t* x);
 /* Whether the request may be retried after a failure. */
 bool exchange_may_retry(const exchange_t* x);
--- a/gateway/reporter.c
+++ b/gateway/reporter.c
@@ -13,7 +13,6 @@
 #define FLUSH_DELAY_MS 1      /* delay before the start of requests is reported, so that several share a datagram */
 #define END_FLUSH_DELAY_MS 50 /* delay before the end of requests is reported */
 #define TRANSIT_MIN_MS 10     /* lower bound of the transit time that is assumed for a datagram */
-#define READ_LATE_MS 100      /* after a stall, time in which what has arrived meanwhile is read */
 
 static void flush(reporter_t* n);
 
@@ -364,8 +363,8 @@
    stalled. */
 static uint32_t max_delay_ms(const reporter_t* n, int64_t now_ms) {
     int64_t waited_ms = n->previous_tick_ms ? now_ms - n->previous_tick_ms : 0;
-    if (n->resumed_ms && now_ms - n->resumed_ms < READ_LATE_MS) {
-        waited_ms = now_ms - n->resumed_ms + n->stalled_ms;
+    if (n->resumed_ms && now_ms - n->resumed_ms < CLOCK_READ_LATE_MS) {
+        waited_ms = now_ms - n->resumed_ms + n->stall_ms;
     }
     return waited_ms > TRANSIT_MIN_MS ? (uint32_t)waited_ms : TRANSIT_MIN_MS;
 }
@@ -427,7 +426,7 @@
     /* A late tick may be followed by another one before the socket is read. */
     if (n->previous_tick_ms && now_ms - n->previous_tick_ms > REPORTER_STALL_MS) {
         n->resumed_ms = now_ms;
-        n->stalled_ms = now_ms - n->previous_tick_ms;
+        n->stall_ms = now_ms - n->previous_tick_ms;
     }
     if (now_ms - n->repeated_ms >= n->plan.resend_ms) {
         mark_all_dirty(n, now_ms);
--- a/gateway/reporter_internal.h
+++ b/gateway/reporter_internal.h
@@ -95,7 +95,7 @@
     int64_t flushed_ms, repeated_ms;
     int64_t tick_ms, previous_tick_ms; /* times of the last two ticks */
     int64_t resumed_ms;                /* first tick after the last stall of this process, 0: none */
-    int64_t stalled_ms;                /* time between that tick and the one before it */
+    int64_t stall_ms;                  /* time between that tick and the one before it */
     int64_t sent_ms;                   /* time of the last report or heartbeat */
     uint64_t random_count;             /* random numbers drawn so far */
     reporter_stats_t stats;
--- a/gateway/upstream_continuity.c
+++ b/gateway/upstream_continuity.c
@@ -5,7 +5,6 @@
 
 /* Shortest time between two attempts to reach a server that is doubted. */
 #define REACH_INTERVAL_MS 500
-#define READ_LATE_MS 100 /* after a stall, time in which what has arrived meanwhile is read */
 
 static void log_change(const server_t* s) {
     const cw_continuity_t* c = &s->continuity;
@@ -42,7 +41,7 @@
     server_t* s = conn->server;
     bool was_doubted = s->continuity.is_doubted;
     /* Data that was read right after a stall of this process may have been sent long before. */
-    bool was_read_in_time = s->received_ms > s->pool->upstreams->stalled_ms + READ_LATE_MS;
+    bool was_read_in_time = s->received_ms > s->pool->upstreams->stalled_ms + CLOCK_READ_LATE_MS;
     int64_t heard_ms = was_read_in_time ? s->received_ms : 0;
     bool is_first = !s->continuity.conns;
     conn->connected_ms = clock_ms();
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -196,7 +196,7 @@
 }
 END_TEST
 
-/* Guards against a trial that counts as a crash although its server lives: with crashes of two and a half, the trial
+/* Guards against a trial that counts as a crash although its server runs on: with crashes of two and a half, the trial
    itself made the quarantine complete, and the attempt that it announced was ended. */
 START_TEST(a_trial_without_a_crash_quarantines_nothing) {
     cw_quarantine_t* q = setup();
--- a/tests/test_restarted_servers.c
+++ b/tests/test_restarted_servers.c
@@ -207,6 +207,19 @@
 }
 END_TEST
 
+/* A stream begins at the only server, which has started again at version 2. Then that is listed, beside a server of
+   version 1, and the stream's caller can't resume it. */
+static void expect_stream_goes_on_nowhere_else(site_t* t) {
+    rig_t* r = t->rig;
+    rig_write(r, CALL("q1", ""));
+    run_until_response_has(t, "data: a");
+    rig_disconnect(r);
+    t->is_source_away = false;
+    list_version(t, 2, 0, "2");
+    const char* response = rig_call(r, RESUME("q2"));
+    ck_assert_msg(strncmp(response, "HTTP/1.1 503", 12) == 0, "%s", response);
+}
+
 /* The only server has started again, so new streams begin there, though their version is unknown. */
 START_TEST(a_stream_that_began_at_a_server_that_had_started_again_goes_on_nowhere_else) {
     site_t* t = setup(1);
@@ -218,13 +231,7 @@
                3);
     rig_call(r, CALL("q0", ""));
     restart_server(t, 0);
-    rig_write(r, CALL("q1", ""));
-    run_until_response_has(t, "data: a");
-    rig_disconnect(r);
-    t->is_source_away = false;
-    list_version(t, 2, 0, "2");
-    const char* response = rig_call(r, RESUME("q2"));
-    ck_assert_msg(strncmp(response, "HTTP/1.1 503", 12) == 0, "%s", response);
+    expect_stream_goes_on_nowhere_else(t);
     ck_assert_uint_eq(r->arrival_count, 2);
     teardown(t);
 }
@@ -238,13 +245,7 @@
     rig_script(r, (rig_step_t[]){{RIG_RESPOND, EVENTS FIRST_EVENT}, {RIG_RESPOND, EVENTS SECOND_EVENT END}}, 2);
     restart_server(t, 0);
     upstreams_on_failure_reported(upstreams_pool(r->upstreams, "p")->servers, clock_ms() - DOWN_MS);
-    rig_write(r, CALL("q1", ""));
-    run_until_response_has(t, "data: a");
-    rig_disconnect(r);
-    t->is_source_away = false;
-    list_version(t, 2, 0, "2");
-    const char* response = rig_call(r, RESUME("q2"));
-    ck_assert_msg(strncmp(response, "HTTP/1.1 503", 12) == 0, "%s", response);
+    expect_stream_goes_on_nowhere_else(t);
     ck_assert_uint_eq(r->arrival_count, 1);
     teardown(t);
 }
--- a/tests/test_truncated.c
+++ b/tests/test_truncated.c
@@ -422,7 +422,7 @@
                   "status %ld, outcome \"%s\", body \"%s\" for: %s", got->status, got->outcome, got->body, text);
 }
 
-/* Guards against a cut head that callers of chalkwayd got as a whole response, with the outcome "delivered". */
+/* Guards against a cut head that callers of chalkwayd got as a complete response, with the outcome "delivered". */
 START_TEST(chalkwayd_delivers_no_response_whose_head_is_cut_off) {
     char server[CW_ADDR_TEXT_SIZE];
     pid_t pid = cut_server_start(server);
