Log what an inquiry found of a stream, and which engines were not queried

stream-version names the source 'engines', not on what that rests: whether a prompt was found, at which version, and which engines could not be queried. Engines that leave were passed over without a line. Two events, 571 stream-inquiry and 572 inventory-skipped. No change of behaviour.

--- a/gateway/inventory.c
+++ b/gateway/inventory.c
@@ -211,6 +211,11 @@
     for (const pool_t* pool = upstreams_pools(v->desc.upstreams); pool; pool = pool->next) {
         for (const server_t* s = pool->slots ? pool->servers : NULL; s; s = s->next) {
             engines += !s->is_removed;
+            if (s->is_removed && s->is_listed) {
+                cw_log(v->desc.log, CW_EVENT_INVENTORY_SKIPPED, "server=%s pool=%s version=%s reason=\"%s\"",
+                       s->published.id, pool->name, s->published.version,
+                       s->is_leaving ? "it is leaving" : "it has ended");
+            }
             if (s->is_removed || !v->desc.owns_server(v->desc.user_data, s->key)) {
                 continue;
             }
--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -1,5 +1,6 @@
 #include "streams.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -231,6 +232,25 @@
     return names[source];
 }
 
+/* What an inquiry found, as text. */
+static const char* version_text(uint64_t version, bool is_several, char* out, size_t size) {
+    snprintf(out, size, version ? "%016llx" : "none", (unsigned long long)version);
+    return is_several ? "several" : out;
+}
+
+/* Logs on what the version of a stream rests, or why it stays unknown. */
+static void log_inquiry(const streams_t* s, const stream_request_t* request, const cw_stream_inquiry_t* q) {
+    char found[24];
+    char unqueried[24];
+    cw_log(s->desc.log, CW_EVENT_STREAM_INQUIRY,
+           "id=%s stream=%016llx pool=%s found=%s unqueried=%s rounds=%u replies=%u of=%u own=%s history=%s took_ms=%lld",
+           request->id, (unsigned long long)request->stream, request->pool->name,
+           version_text(q->version, q->is_several, found, sizeof(found)),
+           version_text(q->unlisted, false, unqueried, sizeof(unqueried)), q->round, q->complete, q->queried,
+           q->is_own_open ? "open" : "complete", s->is_history_complete ? "complete" : "incomplete",
+           (long long)(q->begun_ms ? clock_ms() - q->begun_ms : 0));
+}
+
 /* Logs and counts how the version of a stream was found, and returns it. */
 static uint64_t report(streams_t* s, const stream_request_t* request, uint64_t version, stream_source_t source) {
     int64_t now_ms = clock_ms();
@@ -269,6 +289,9 @@
 uint64_t streams_resolve_unanswered(streams_t* s, const stream_request_t* request, const cw_stream_inquiry_t* inquiry) {
     uint64_t version = streams_resolve(s, request);
     uint64_t found = cw_stream_inquiry_version(inquiry);
+    if (!version) {
+        log_inquiry(s, request, inquiry);
+    }
     return version ? version : report(s, request, found, found ? STREAM_ENGINES : STREAM_UNKNOWN);
 }
 
