--- a/tests/platform_site.h
+++ b/tests/platform_site.h
@@ -61,6 +61,8 @@
     uint32_t events;         /* of each stream */
     bool prefers_first_host; /* half of the streams begin there */
     bool has_own_bodies;     /* no two attempts have the same body */
+    bool has_turns;          /* engines of v2 have the prompts of some callers */
+    bool has_whole_turns;    /* and all events of an earlier turn */
     bool is_polled, is_ready;
     bool has_empty_lists, has_quiet_beats, drops_broken_runs; /* of engines that are added from now on */
 };
--- a/tests/stream_plays.h
+++ b/tests/stream_plays.h
@@ -33,12 +33,21 @@
     EARLIER_RUNS_DROPPED /* the same; engines keep the prompt of a broken run, but not what it has made */
 } variation_t;
 
+/* What engines of v2 have of the prompts of some callers, from requests of the same sessions. */
+typedef enum turns_t {
+    NO_TURNS,
+    PROMPTS_ONLY, /* of attempts that wrote nothing */
+    WHOLE_TURNS,  /* with all events of an earlier turn */
+} turns_t;
+
 typedef struct play_t {
     const char* name;
     void (*run)(site_t* s, variation_t variation);
     variation_t variation;
     double share;    /* at least, of the streams that are taken up and whose version serves on two engines, go on */
     bool is_by_hand; /* not checked by a test */
+    turns_t turns;   /* at engines of v2 before each loss of all hosts */
+    bool drops_runs; /* engines keep the prompt of a broken run, but not what it has made */
 } play_t;
 
 /* A test program. */
@@ -51,10 +60,13 @@
 
 /* -- steps that plays share ------------------------------------------------ */
 
-static inline void vary_before(site_t* s, variation_t variation) {
+static inline void vary_before(site_t* s, const play_t* play) {
+    variation_t variation = play->variation;
     s->store.keeps_last_changes_only = variation == LAST_CHANGES_ONLY;
     s->has_empty_lists = variation == EMPTY_LISTS;
-    s->drops_broken_runs = variation == EARLIER_RUNS_DROPPED;
+    s->drops_broken_runs = variation == EARLIER_RUNS_DROPPED || play->drops_runs;
+    s->has_turns = play->turns != NO_TURNS;
+    s->has_whole_turns = play->turns == WHOLE_TURNS;
     s->has_quiet_beats = variation == QUIET_HEARTBEATS;
     s->has_own_bodies = variation == OWN_BODIES;
 }
@@ -94,7 +106,7 @@
 START_TEST(chosen_play_ends) {
     const play_t* play = chosen_play;
     site_t* s = site_setup(chosen_hosts, 1 + (uint64_t)(play - desc.plays));
-    vary_before(s, play->variation);
+    vary_before(s, play);
     play->run(s, play->variation);
     site_finish_streams(s);
     streams_result_t r = site_result(s);
