A prompt decides a stream's version only where every engine that can have begun it was asked

Cause: engines that leave, or have left the list, were not asked for their cached parts and counted as having none, so another version's engines that had the prompt from another request of the session were the only ones. A conclusion from what could not be asked.

Now there are levels of proof. The run, listed by its request's id, decides alone. As many tokens after the prompt as the caller has events, and few more, decide for a version that alone has the prompt. The prompt by itself decides only if no engine of another version can have it: listed engines are asked also while they leave; those that failed to reply, left the list or started again (as seen, or shown by the source's history) count as not asked; and where neither the history nor a host's memory reaches back, an engine that started within the longest stream may have replaced one. The question travels in bits of an inquiry's round that earlier releases echo.

Four tests of the inquiry by itself.

Checks changed: engines_of_two_versions_decide_nothing expected a decision before all hosts had replied; a run listed at the last of them now decides, so it expects none before, and the same result after. a_host_with_an_old_list_concludes_nothing calls the new signature.

--- a/chalkway_log.h
+++ b/chalkway_log.h
@@ -88,8 +88,7 @@
     CW_EVENT_SOURCE_HISTORY = 568,
     CW_EVENT_LIST_GAP = 569,
     CW_EVENT_STREAM_VOUCHED = 570,
-    CW_EVENT_STREAM_INQUIRY = 571,
-    CW_EVENT_INVENTORY_SKIPPED = 572
+    CW_EVENT_STREAM_INQUIRY = 571
 } cw_event_t;
 
 typedef struct cw_log_t {
@@ -194,7 +193,6 @@
     {CW_EVENT_LIST_GAP, CW_LOG_INFO, "list-gap"},
     {CW_EVENT_STREAM_VOUCHED, CW_LOG_INFO, "stream-vouched"},
     {CW_EVENT_STREAM_INQUIRY, CW_LOG_INFO, "stream-inquiry"},
-    {CW_EVENT_INVENTORY_SKIPPED, CW_LOG_INFO, "inventory-skipped"},
     {CW_EVENT_PUSHBACK_UNREADABLE, CW_LOG_WARN, "pushback-unreadable"},
 };
 
--- a/chalkway_part_versions.h
+++ b/chalkway_part_versions.h
@@ -16,7 +16,8 @@
             cw_part_version_t listed = {.pool = pool, .part = part, .version = v, .tokens = 900};
             cw_part_versions_add(t, now_ms, &listed);
             uint64_t version = 0;
-            uint32_t count = cw_part_versions_find(t, since_ms, pool, part, 850, &version);
+            cw_part_query_t query = {.pool = pool, .part = part, .since_ms = since_ms, .min_tokens = 850};
+            uint32_t count = cw_part_versions_find(t, &query, &version);
 
     WHAT IT DOES NOT DO
         It doesn't query engines, and doesn't remove what they evict: entries
@@ -34,6 +35,13 @@
     uint32_t tokens;  /* cached tokens of this part */
 } cw_part_version_t;
 
+typedef struct cw_part_query_t {
+    uint64_t pool, part;
+    int64_t since_ms;    /* listed since then */
+    uint32_t min_tokens; /* cached */
+    uint32_t max_tokens; /* 0: no bound */
+} cw_part_query_t;
+
 typedef struct cw_part_versions_t cw_part_versions_t;
 
 /* allocator may be NULL. The table is allocated when the first part is added. */
@@ -41,10 +49,8 @@
 void cw_part_versions_shutdown(cw_part_versions_t* t);
 /* Adds what an engine has listed. When the table is full, the oldest part is dropped. */
 void cw_part_versions_add(cw_part_versions_t* t, int64_t now_ms, const cw_part_version_t* listed);
-/* Number of versions whose engines have listed the part since since_ms with at least min_tokens: 0, 1 or 2 (several).
-   version: set if it is 1. */
-uint32_t cw_part_versions_find(const cw_part_versions_t* t, int64_t since_ms, uint64_t pool, uint64_t part,
-                               uint32_t min_tokens, uint64_t* version);
+/* Number of versions whose engines have listed the part so: 0, 1 or 2 (several). version: set if it is 1. */
+uint32_t cw_part_versions_find(const cw_part_versions_t* t, const cw_part_query_t* query, uint64_t* version);
 /* Whether a part listed since since_ms was dropped: one that isn't found may have been listed. */
 bool cw_part_versions_has_dropped(const cw_part_versions_t* t, int64_t since_ms);
 
@@ -148,16 +154,17 @@
         (_cw_part_holder_t){.version = listed->version, .tokens = known > listed->tokens ? known : listed->tokens};
 }
 
-uint32_t cw_part_versions_find(const cw_part_versions_t* t, int64_t since_ms, uint64_t pool, uint64_t part,
-                               uint32_t min_tokens, uint64_t* version) {
-    uint32_t at = t->items && part ? cw_map_get(&t->index, _cw_part_versions_key(pool, part)) : CW_MAP_NONE;
+uint32_t cw_part_versions_find(const cw_part_versions_t* t, const cw_part_query_t* query, uint64_t* version) {
+    uint32_t max_tokens = query->max_tokens ? query->max_tokens : UINT32_MAX;
+    bool is_searched = t->items && query->part;
+    uint32_t at = is_searched ? cw_map_get(&t->index, _cw_part_versions_key(query->pool, query->part)) : CW_MAP_NONE;
     uint32_t count = 0;
-    if (at == CW_MAP_NONE || t->items[at].listed_ms < since_ms) {
+    if (at == CW_MAP_NONE || t->items[at].listed_ms < query->since_ms) {
         return 0;
     }
     for (uint32_t i = 0; i < _CW_PART_VERSIONS_EACH; i++) {
         const _cw_part_holder_t* holder = &t->items[at].holders[i];
-        if (holder->version && holder->tokens >= min_tokens) {
+        if (holder->version && holder->tokens >= query->min_tokens && holder->tokens <= max_tokens) {
             *version = holder->version;
             count++;
         }
--- a/chalkway_pool_versions.h
+++ b/chalkway_pool_versions.h
@@ -40,6 +40,7 @@
     uint32_t servers;    /* listed ones */
     int64_t first_ms;    /* when it was first listed */
     int64_t unlisted_ms; /* when its last server left the list, if servers is 0 */
+    int64_t departed_ms; /* when one of its servers last left, or was known to have left, the list; 0: none has */
 } cw_pool_version_t;
 
 typedef struct cw_pool_versions_t {
@@ -53,6 +54,11 @@
 void cw_pool_versions_update(cw_pool_versions_t* v, int64_t now_ms, const uint64_t* versions, uint32_t count);
 /* Adds what another host knows: a server of this version was listed until ago_ms before. */
 void cw_pool_versions_learn(cw_pool_versions_t* v, int64_t now_ms, uint64_t version, uint32_t ago_ms);
+/* A server of this version has left the list, or has started again. */
+void cw_pool_versions_on_departure(cw_pool_versions_t* v, int64_t now_ms, uint64_t version);
+/* Number of versions of which a server has left the list within the last memory_ms: 0, 1 or 2 (several). version: set
+   if it is 1. */
+uint32_t cw_pool_versions_departed(const cw_pool_versions_t* v, int64_t now_ms, uint32_t memory_ms, uint64_t* version);
 /* The only version that has been listed within the last memory_ms; 0: several or none. */
 uint64_t cw_pool_versions_only(const cw_pool_versions_t* v, int64_t now_ms, uint32_t memory_ms);
 /* Number of versions that have been listed within the last memory_ms. */
@@ -143,6 +149,27 @@
     item->unlisted_ms = item->unlisted_ms < unlisted_ms ? unlisted_ms : item->unlisted_ms;
 }
 
+void cw_pool_versions_on_departure(cw_pool_versions_t* v, int64_t now_ms, uint64_t version) {
+    cw_pool_versions_learn(v, now_ms, version, 0);
+    cw_pool_version_t* item = _cw_pool_versions_find(v, version);
+    if (item) {
+        item->departed_ms = now_ms;
+    }
+}
+
+uint32_t cw_pool_versions_departed(const cw_pool_versions_t* v, int64_t now_ms, uint32_t memory_ms, uint64_t* version) {
+    uint32_t count = v->overflowed_ms && now_ms - v->overflowed_ms < memory_ms ? 2 : 0;
+    for (uint32_t i = 0; i < v->count; i++) {
+        const cw_pool_version_t* item = &v->items[i];
+        bool has_departed = item->departed_ms && now_ms - item->departed_ms < memory_ms;
+        if (has_departed || (!item->servers && now_ms - item->unlisted_ms < memory_ms)) {
+            *version = item->id;
+            count++;
+        }
+    }
+    return count < 2 ? count : 2;
+}
+
 static bool _cw_pool_versions_is_recent(const cw_pool_version_t* item, int64_t now_ms, uint32_t memory_ms) {
     return item->servers || now_ms - item->unlisted_ms < memory_ms;
 }
--- a/chalkway_stream_inquiry.h
+++ b/chalkway_stream_inquiry.h
@@ -11,11 +11,14 @@
         an inquiry to all others, in rounds, since datagrams may be lost and
         engines are queried during the first second.
 
-        An engine that has the prompt has run the stream, or another request
-        with the same prompt, or was left before the first event. So a version
-        counts only if all hosts have replied for all of their engines and no
-        engine of another version has it. An engine that could not be queried
-        may have it: then only the version of that engine counts.
+        There are three questions. The run that began the stream, or what such
+        a run has left: as many events after the prompt as the caller has,
+        prove the version. The prompt alone doesn't: an engine that has it has
+        run the stream, or another request with the same prompt, or was left
+        before the first event. It decides only if all hosts have replied for
+        all of their engines, no engine of another version has it, and each
+        engine that can have run the stream was queried. Engines that failed
+        to reply, or have left the list, may have it.
 
     HOW TO USE IT
             cw_stream_inquiry_t q = {0};
@@ -24,7 +27,7 @@
                 uint32_t round = cw_stream_inquiry_next_round(&q);
                 cw_stream_inquiry_on_round(&q, now_ms, send_to_all(round), 1);
             }
-            cw_stream_inquiry_on_reply(&q, &(cw_stream_reply_t){...}); // for each reply
+            cw_stream_inquiry_on_reply(&q, CW_STREAM_PROMPT, &(cw_stream_reply_t){...}); // for each reply
             if (cw_stream_inquiry_is_decided(&q, now_ms)) { uint64_t version = cw_stream_inquiry_version(&q); }
 
     WHAT IT DOES NOT DO
@@ -39,14 +42,25 @@
 #define CW_STREAM_INQUIRY_MS 1500      /* a host is queried, and its engines are, within this time of its start */
 #define CW_STREAM_INQUIRY_ROUND_MS 100 /* least time between two rounds */
 #define CW_STREAM_INQUIRY_HOST_MS 1    /* for each host that is queried, so that a large fleet isn't flooded */
-#define CW_STREAM_INQUIRY_ROUNDS_MAX 255
+#define CW_STREAM_INQUIRY_ROUNDS_MAX 63
+
+#define CW_STREAM_EVENTS_LAG 4 /* events that a run has made at most when it ends, beyond those that the caller has */
+
+typedef enum cw_stream_question_t {
+    CW_STREAM_PROMPT = 0, /* who has the last part of its prompt */
+    CW_STREAM_RUN,        /* who runs the request that began it */
+    CW_STREAM_EVENTS,     /* who has, after the prompt, the events that the caller has, and at most
+                             CW_STREAM_EVENTS_LAG more: a whole response to another request has all */
+    CW_STREAM_QUESTION_COUNT
+} cw_stream_question_t;
 
 /* What a reply covers. */
 typedef enum cw_stream_coverage_t {
     CW_STREAM_COVERS_ALL = 0, /* all engines that its sender queries */
-    CW_STREAM_COVERS_SOME,    /* some engines have not replied yet, or engines of several versions can't be queried */
+    CW_STREAM_COVERS_SOME,    /* some engines have not replied yet */
     CW_STREAM_COVERS_ALL_BUT, /* all but engines of the reply's version, none of the others has the stream */
     CW_STREAM_HAS_SEVERAL,    /* engines of several versions have it */
+    CW_STREAM_COVERS_LISTED,  /* all that can be queried; some of other versions than the reply's can't */
     CW_STREAM_COVERAGE_COUNT
 } cw_stream_coverage_t;
 
@@ -56,14 +70,19 @@
     cw_stream_coverage_t coverage;
 } cw_stream_reply_t;
 
+/* Versions of engines. */
+typedef struct cw_stream_versions_t {
+    uint64_t version; /* 0: none */
+    bool is_several;
+} cw_stream_versions_t;
+
 typedef struct cw_stream_inquiry_t {
-    uint64_t version;  /* of engines that have the stream, 0: none yet */
-    uint64_t unlisted; /* version of engines that can't be queried, 0: all can */
-    bool is_several;   /* engines of several versions have it, or can't be queried */
-    uint32_t round;    /* number of the current round, from 1 on */
-    bool is_own_open;  /* this host has not queried all of its engines yet */
-    uint32_t queried;  /* replies that are due in this round */
-    uint32_t complete; /* replies to this round that cover all engines */
+    cw_stream_versions_t found[CW_STREAM_QUESTION_COUNT];
+    cw_stream_versions_t unqueried; /* of engines that can't be queried */
+    uint32_t round;                 /* number of the current round, from 1 on */
+    bool is_own_open;               /* this host has not queried all of its engines yet */
+    uint32_t queried;               /* replies that are due in this round */
+    uint32_t complete;              /* replies to this round that cover all engines that can be queried */
     int64_t begun_ms, next_round_ms;
 } cw_stream_inquiry_t;
 
@@ -73,9 +92,9 @@
 uint32_t cw_stream_inquiry_next_round(cw_stream_inquiry_t* q);
 /* The round was sent to so many hosts, each of which replies to so many items. */
 void cw_stream_inquiry_on_round(cw_stream_inquiry_t* q, int64_t now_ms, uint32_t hosts, uint32_t items);
-void cw_stream_inquiry_on_reply(cw_stream_inquiry_t* q, const cw_stream_reply_t* reply);
+void cw_stream_inquiry_on_reply(cw_stream_inquiry_t* q, cw_stream_question_t question, const cw_stream_reply_t* reply);
 /* What this host's own engines show: as a reply, but it isn't counted. */
-void cw_stream_inquiry_on_own(cw_stream_inquiry_t* q, const cw_stream_reply_t* own);
+void cw_stream_inquiry_on_own(cw_stream_inquiry_t* q, cw_stream_question_t question, const cw_stream_reply_t* own);
 bool cw_stream_inquiry_is_decided(const cw_stream_inquiry_t* q, int64_t now_ms);
 /* The version that the replies show; 0: none, or several, or some are missing. */
 uint64_t cw_stream_inquiry_version(const cw_stream_inquiry_t* q);
@@ -106,20 +125,20 @@
     q->next_round_ms = now_ms + (spread_ms > CW_STREAM_INQUIRY_ROUND_MS ? spread_ms : CW_STREAM_INQUIRY_ROUND_MS);
 }
 
-/* Notes a version; is_ambiguous is set if it is another one than before. */
-static void _cw_stream_inquiry_note(uint64_t* known, uint64_t version, bool* is_ambiguous) {
-    *is_ambiguous = *is_ambiguous || (version && *known && *known != version);
-    *known = version ? version : *known;
+static void _cw_stream_versions_add(cw_stream_versions_t* known, uint64_t version) {
+    known->is_several = known->is_several || (version && known->version && known->version != version);
+    known->version = version ? version : known->version;
 }
 
-void cw_stream_inquiry_on_own(cw_stream_inquiry_t* q, const cw_stream_reply_t* own) {
-    bool is_unlisted = own->coverage == CW_STREAM_COVERS_ALL_BUT;
-    q->is_several = q->is_several || own->coverage == CW_STREAM_HAS_SEVERAL;
-    _cw_stream_inquiry_note(is_unlisted ? &q->unlisted : &q->version, own->version, &q->is_several);
+void cw_stream_inquiry_on_own(cw_stream_inquiry_t* q, cw_stream_question_t question, const cw_stream_reply_t* own) {
+    cw_stream_versions_t* found = &q->found[question];
+    found->is_several = found->is_several || own->coverage == CW_STREAM_HAS_SEVERAL;
+    q->unqueried.is_several = q->unqueried.is_several || own->coverage == CW_STREAM_COVERS_LISTED;
+    _cw_stream_versions_add(own->coverage == CW_STREAM_COVERS_ALL_BUT ? &q->unqueried : found, own->version);
 }
 
-void cw_stream_inquiry_on_reply(cw_stream_inquiry_t* q, const cw_stream_reply_t* reply) {
-    cw_stream_inquiry_on_own(q, reply);
+void cw_stream_inquiry_on_reply(cw_stream_inquiry_t* q, cw_stream_question_t question, const cw_stream_reply_t* reply) {
+    cw_stream_inquiry_on_own(q, question, reply);
     q->complete += reply->round == q->round && reply->coverage != CW_STREAM_COVERS_SOME;
 }
 
@@ -128,12 +147,33 @@
 }
 
 bool cw_stream_inquiry_is_decided(const cw_stream_inquiry_t* q, int64_t now_ms) {
-    return q->is_several || _cw_stream_inquiry_is_complete(q) || now_ms - q->begun_ms >= CW_STREAM_INQUIRY_MS;
+    return _cw_stream_inquiry_is_complete(q) || now_ms - q->begun_ms >= CW_STREAM_INQUIRY_MS;
+}
+
+static bool _cw_stream_versions_is_single(const cw_stream_versions_t* v) {
+    return v->version && !v->is_several;
+}
+
+/* Whether engines that were not queried may have what those of this version were found to have. */
+static bool _cw_stream_inquiry_may_be_other(const cw_stream_inquiry_t* q, uint64_t version) {
+    return q->unqueried.is_several || (q->unqueried.version && q->unqueried.version != version);
 }
 
 uint64_t cw_stream_inquiry_version(const cw_stream_inquiry_t* q) {
-    bool is_unlisted_other = q->unlisted && q->unlisted != q->version;
-    return q->is_several || is_unlisted_other || !_cw_stream_inquiry_is_complete(q) ? 0 : q->version;
+    const cw_stream_versions_t* run = &q->found[CW_STREAM_RUN];
+    const cw_stream_versions_t* prompt = &q->found[CW_STREAM_PROMPT];
+    const cw_stream_versions_t* events = &q->found[CW_STREAM_EVENTS];
+    if (!_cw_stream_inquiry_is_complete(q) || run->is_several) {
+        return 0;
+    }
+    if (run->version) {
+        return run->version;
+    }
+    if (!_cw_stream_versions_is_single(prompt)) {
+        return 0;
+    }
+    bool is_proved = _cw_stream_versions_is_single(events) && events->version == prompt->version;
+    return is_proved || !_cw_stream_inquiry_may_be_other(q, prompt->version) ? prompt->version : 0;
 }
 
 #endif /* CHALKWAY_STREAM_INQUIRY_IMPL_INCLUDED */
--- a/chalkway_stream_message.h
+++ b/chalkway_stream_message.h
@@ -39,9 +39,11 @@
 /* Of CW_STREAM_HANDOVER and CW_STREAM_PAGE, the first entry is the head of the page: its cursor in stream, the next one
    in pool, 1 in version if it is the last page, known_ms in left_ms; see cw_handover_page_t. An entry of
    CW_STREAM_INQUIRY has in version what engines are searched for: the last part of the prompt, or the run; in left_ms
-   the number of tokens or events of it at least, up to CW_STREAM_AMOUNT_MAX, and the round from bit CW_STREAM_ROUND_BIT
-   on. Of a CW_STREAM_EVIDENCE, left_ms has a cw_stream_coverage_t and the round. */
+   the number of tokens or events of it at least, up to CW_STREAM_AMOUNT_MAX, the round from bit CW_STREAM_ROUND_BIT on,
+   and the cw_stream_question_t from bit CW_STREAM_QUESTION_BIT on, which earlier releases take for a part of the round.
+   Of a CW_STREAM_EVIDENCE, left_ms has a cw_stream_coverage_t, the round and the question. */
 #define CW_STREAM_ROUND_BIT 24U
+#define CW_STREAM_QUESTION_BIT 30U
 #define CW_STREAM_AMOUNT_MAX ((1U << CW_STREAM_ROUND_BIT) - 1U)
 /* Length, in version, of a span that reaches back without end; see cw_stream_entry_t. */
 #define CW_STREAM_SPAN_ENDLESS UINT64_MAX
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -203,7 +203,7 @@
 static void on_history(void* user, const cw_servers_t* entries, bool is_complete) {
     streams_t* streams = ((gateway_t*)user)->streams;
     for (uint32_t i = 0; i < entries->count; i++) {
-        streams_learn_listed(streams, entries->items[i].pool, cw_server_version_id(&entries->items[i]));
+        streams_learn_listed(streams, &entries->items[i]);
     }
     streams_on_history(streams, is_complete);
 }
@@ -298,6 +298,9 @@
 }
 
 static void on_cached_parts(void* user, server_t* server, const cw_prompt_part_t* parts, uint32_t count) {
+    if (server->is_removed) {
+        return; /* it gets no further prompts */
+    }
     for (uint32_t i = 0; i < count; i++) {
         cw_balance_on_peer_prompt(server->pool->balance, server->key, &parts[i]);
     }
--- a/gateway/inventory.c
+++ b/gateway/inventory.c
@@ -153,9 +153,9 @@
         log_failure(v, server, err.message);
     } else if (server && upstreams_check_incarnation(v->desc.upstreams, clock_ms(), server, started_ms)) {
         log_failure(v, server, "another incarnation of the server responded");
-    } else if (server && !server->is_removed && c->is_for_runs) {
+    } else if (server && server->is_listed && c->is_for_runs) {
         v->desc.on_runs(v->desc.user_data, server, items.items, items.count);
-    } else if (server && !server->is_removed) {
+    } else if (server && server->is_listed) {
         record_parts(v, server, &items);
     }
     free(items.items);
@@ -211,12 +211,7 @@
     for (const pool_t* pool = upstreams_pools(v->desc.upstreams); pool; pool = pool->next) {
         for (const server_t* s = pool->slots ? pool->servers : NULL; s; s = s->next) {
             engines += !s->is_removed;
-            if (s->is_removed && s->is_listed) {
-                cw_log(v->desc.log, CW_EVENT_INVENTORY_SKIPPED, "server=%s pool=%s version=%s reason=\"%s\"",
-                       s->published.id, pool->name, s->published.version,
-                       s->is_leaving ? "it is leaving" : "it has ended");
-            }
-            if (s->is_removed || !v->desc.owns_server(v->desc.user_data, s->key)) {
+            if (!s->is_listed || !v->desc.owns_server(v->desc.user_data, s->key)) {
                 continue;
             }
             uint64_t* grown = realloc(v->pending, (v->pending_count + 1) * sizeof(*grown));
@@ -242,7 +237,7 @@
     for (uint32_t i = 0; i < MAX_CALLS; i++) {
         while (!v->calls[i].call && v->pending_count) {
             const server_t* server = upstreams_server(v->desc.upstreams, v->pending[--v->pending_count]);
-            if (server && !server->is_removed && v->desc.owns_server(v->desc.user_data, server->key)) {
+            if (server && server->is_listed && v->desc.owns_server(v->desc.user_data, server->key)) {
                 start_call(v, &v->calls[i], server, needs_runs(v));
             }
         }
--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -14,7 +14,8 @@
 #define RESUMPTION_MS 2000
 /* Servers of a version that has left the list may begin streams for so long, at hosts whose list is late. */
 #define LIST_LATENESS_MS 5000
-#define PARTS_MAX 16384 /* parts that engines have listed, remembered for as long as streams last */
+#define PARTS_MAX 16384    /* parts that engines have listed, remembered for as long as streams last */
+#define CLOCK_SKEW_MS 5000 /* between this host and servers */
 #define RUN_KEY_SEED 0x72756eU
 #define CACHE_BLOCK_TOKENS 64 /* largest block of an engine's cache: the last one is kept only if it is full */
 #define ANNOUNCE_BATCH 64     /* own streams read at once when they are announced */
@@ -232,23 +233,24 @@
     return names[source];
 }
 
-/* What an inquiry found, as text. */
-static const char* version_text(uint64_t version, bool is_several, char* out, size_t size) {
-    snprintf(out, size, version ? "%016llx" : "none", (unsigned long long)version);
-    return is_several ? "several" : out;
+#define VERSION_TEXT_SIZE 24
+
+static const char* version_text(const cw_stream_versions_t* v, char out[VERSION_TEXT_SIZE]) {
+    snprintf(out, VERSION_TEXT_SIZE, v->version ? "%016llx" : "none", (unsigned long long)v->version);
+    return v->is_several ? "several" : out;
 }
 
 /* Logs on what the version of a stream rests, or why it stays unknown. */
 static void log_inquiry(const streams_t* s, const stream_request_t* request, const cw_stream_inquiry_t* q) {
-    char found[24];
-    char unqueried[24];
+    char texts[CW_STREAM_QUESTION_COUNT + 1][VERSION_TEXT_SIZE];
     cw_log(s->desc.log, CW_EVENT_STREAM_INQUIRY,
-           "id=%s stream=%016llx pool=%s found=%s unqueried=%s rounds=%u replies=%u of=%u own=%s history=%s took_ms=%lld",
+           "id=%s stream=%016llx pool=%s run=%s events=%s prompt=%s unqueried=%s rounds=%u replies=%u of=%u own=%s "
+           "history=%s took_ms=%lld",
            request->id, (unsigned long long)request->stream, request->pool->name,
-           version_text(q->version, q->is_several, found, sizeof(found)),
-           version_text(q->unlisted, false, unqueried, sizeof(unqueried)), q->round, q->complete, q->queried,
-           q->is_own_open ? "open" : "complete", s->is_history_complete ? "complete" : "incomplete",
-           (long long)(q->begun_ms ? clock_ms() - q->begun_ms : 0));
+           version_text(&q->found[CW_STREAM_RUN], texts[0]), version_text(&q->found[CW_STREAM_EVENTS], texts[1]),
+           version_text(&q->found[CW_STREAM_PROMPT], texts[2]), version_text(&q->unqueried, texts[3]), q->round,
+           q->complete, q->queried, q->is_own_open ? "open" : "complete",
+           s->is_history_complete ? "complete" : "incomplete", (long long)(q->begun_ms ? clock_ms() - q->begun_ms : 0));
 }
 
 /* Logs and counts how the version of a stream was found, and returns it. */
@@ -297,39 +299,90 @@
 
 /* -- what the source and engines still have of streams --------------------- */
 
+static const pool_t* find_pool(const streams_t* s, uint64_t id) {
+    const pool_t* pool = upstreams_pools(s->desc.upstreams);
+    while (pool && pool->id != id) {
+        pool = pool->next;
+    }
+    return pool;
+}
+
 /* Key of a run among the parts. name_id: cw_name_id of the request's id. */
 static uint64_t run_key(uint64_t name_id) {
     return cw_mix(name_id, RUN_KEY_SEED);
 }
 
-/* Number of versions of the pool's engines that could not be queried: 0, 1 or 2 (several); version: set if it is 1. */
-static uint32_t count_unlisted(const streams_t* s, uint64_t pool, uint64_t* version) {
-    return s->desc.count_unlisted ? s->desc.count_unlisted(s->desc.user_data, pool, version) : 0;
+static void add_versions(cw_stream_versions_t* all, uint32_t count, uint64_t version) {
+    all->is_several = all->is_several || count > 1 || (count && all->version && all->version != version);
+    all->version = count == 1 ? version : all->version;
+}
+
+/* Whether an engine of the pool may have started since streams that are alive began, and replaced one of another
+   version that left the list before this host's start. Hosts with a memory of that time reply for such engines. */
+static bool may_have_replaced_engines(const streams_t* s, const pool_t* pool) {
+    int64_t since_ms = cw_clock_unix_ms() - s->known_min_ms - CLOCK_SKEW_MS;
+    for (const server_t* server = pool->servers; server; server = server->next) {
+        if (server->is_listed && (!server->published.started_ms || server->published.started_ms > since_ms)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Versions of engines that may have begun a stream which is still alive, and could not be queried: they failed to
+   reply, have left the list, or may have left it before this host read it. */
+static cw_stream_versions_t find_unqueried(const streams_t* s, uint64_t pool_id, int64_t now_ms) {
+    cw_stream_versions_t unqueried = {0};
+    uint64_t version = 0;
+    const pool_t* pool = find_pool(s, pool_id);
+    if (s->desc.count_unlisted) {
+        add_versions(&unqueried, s->desc.count_unlisted(s->desc.user_data, pool_id, &version), version);
+    }
+    if (pool) {
+        add_versions(&unqueried, cw_pool_versions_departed(&pool->versions, now_ms, s->known_min_ms, &version),
+                     version);
+        unqueried.is_several =
+            unqueried.is_several || (!has_full_memory(s, now_ms) && may_have_replaced_engines(s, pool));
+    }
+    return unqueried;
 }
 
 static bool is_inventory_complete(const streams_t* s) {
     return !s->desc.is_inventory_complete || s->desc.is_inventory_complete(s->desc.user_data);
 }
 
+/* Most tokens of an engine's part with which it answers a CW_STREAM_EVENTS of at least min_tokens. */
+static uint32_t max_event_tokens(const streams_t* s, uint64_t pool_id, uint32_t min_tokens) {
+    const pool_t* pool = find_pool(s, pool_id);
+    return min_tokens + CACHE_BLOCK_TOKENS + (pool ? CW_STREAM_EVENTS_LAG * pool->event_tokens : 0);
+}
+
 /* What engines, as far as this host queries them, show of a part with so many tokens, or of a run with so many events.
  */
 static cw_stream_reply_t find_engines(const streams_t* s, const cw_stream_entry_t* inquiry) {
     uint64_t version = 0;
-    uint64_t unlisted = 0;
-    int64_t since_ms = clock_ms() - s->memory_ms;
-    uint32_t versions = cw_part_versions_find(s->parts, since_ms, inquiry->pool, inquiry->version,
-                                              inquiry->left_ms & CW_STREAM_AMOUNT_MAX, &version);
-    uint32_t unlisted_versions = count_unlisted(s, inquiry->pool, &unlisted);
+    int64_t now_ms = clock_ms();
+    int64_t since_ms = now_ms - s->memory_ms;
+    bool is_bounded = inquiry->left_ms >> CW_STREAM_QUESTION_BIT == CW_STREAM_EVENTS;
+    uint32_t min_tokens = inquiry->left_ms & CW_STREAM_AMOUNT_MAX;
+    cw_part_query_t query = {.pool = inquiry->pool,
+                             .part = inquiry->version,
+                             .since_ms = since_ms,
+                             .min_tokens = min_tokens,
+                             .max_tokens = is_bounded ? max_event_tokens(s, inquiry->pool, min_tokens) : 0};
+    uint32_t versions = cw_part_versions_find(s->parts, &query, &version);
+    cw_stream_versions_t unqueried = find_unqueried(s, inquiry->pool, now_ms);
     cw_stream_reply_t reply = {.round = inquiry->left_ms >> CW_STREAM_ROUND_BIT,
                                .version = versions == 1 ? version : 0};
-    bool is_other = versions && unlisted_versions && unlisted != version;
     if (versions > 1) {
         reply.coverage = CW_STREAM_HAS_SEVERAL;
-    } else if (!is_inventory_complete(s) || cw_part_versions_has_dropped(s->parts, since_ms) || unlisted_versions > 1 ||
-               is_other) {
+    } else if (!is_inventory_complete(s) || cw_part_versions_has_dropped(s->parts, since_ms)) {
         reply.coverage = CW_STREAM_COVERS_SOME;
-    } else if (unlisted_versions && !versions) {
-        reply = (cw_stream_reply_t){.round = reply.round, .version = unlisted, .coverage = CW_STREAM_COVERS_ALL_BUT};
+    } else if (unqueried.is_several || (versions && unqueried.version && unqueried.version != version)) {
+        reply.coverage = CW_STREAM_COVERS_LISTED;
+    } else if (unqueried.version && !versions) {
+        reply = (cw_stream_reply_t){
+            .round = reply.round, .version = unqueried.version, .coverage = CW_STREAM_COVERS_ALL_BUT};
     }
     return reply;
 }
@@ -339,24 +392,39 @@
     return request->part_tokens > CACHE_BLOCK_TOKENS ? request->part_tokens - CACHE_BLOCK_TOKENS : 1;
 }
 
-static cw_stream_entry_t make_inquiry(const stream_request_t* request, uint64_t item, uint32_t amount) {
-    return (cw_stream_entry_t){.stream = request->inquiry,
-                               .pool = request->pool->id,
-                               .version = item,
-                               .left_ms = amount < CW_STREAM_AMOUNT_MAX ? amount : CW_STREAM_AMOUNT_MAX};
+/* The same if it has also written the events that the caller has. */
+static uint32_t min_event_tokens(const stream_request_t* request) {
+    uint32_t made = request->events * request->pool->event_tokens;
+    return request->part_tokens + (made > CACHE_BLOCK_TOKENS ? made - CACHE_BLOCK_TOKENS : 1);
 }
 
-/* What engines are searched for: the prompt of the stream and, if its id is known, the run that began it. */
+/* What engines are searched for. */
 typedef struct inquiry_items_t {
-    cw_stream_entry_t items[2];
+    cw_stream_entry_t items[CW_STREAM_QUESTION_COUNT]; /* the question is in left_ms */
     uint32_t count;
 } inquiry_items_t;
 
+static void add_item(inquiry_items_t* list, const stream_request_t* request, cw_stream_question_t question,
+                     uint64_t item, uint32_t amount) {
+    amount = amount < CW_STREAM_AMOUNT_MAX ? amount : CW_STREAM_AMOUNT_MAX;
+    list->items[list->count++] = (cw_stream_entry_t){.stream = request->inquiry,
+                                                     .pool = request->pool->id,
+                                                     .version = item,
+                                                     .left_ms = (uint32_t)question << CW_STREAM_QUESTION_BIT | amount};
+}
+
 /* No items: the prompt is unknown. */
 static inquiry_items_t list_items(const stream_request_t* request) {
-    inquiry_items_t list = {.count = !request->part ? 0 : request->resumes[0] ? 2 : 1};
-    list.items[0] = make_inquiry(request, request->part, min_cached_tokens(request));
-    list.items[1] = make_inquiry(request, run_key(cw_name_id(request->resumes)), request->events);
+    inquiry_items_t list = {.count = 0};
+    if (request->part) {
+        add_item(&list, request, CW_STREAM_PROMPT, request->part, min_cached_tokens(request));
+    }
+    if (request->part && request->pool->event_tokens) {
+        add_item(&list, request, CW_STREAM_EVENTS, request->part, min_event_tokens(request));
+    }
+    if (request->part && request->resumes[0]) {
+        add_item(&list, request, CW_STREAM_RUN, run_key(cw_name_id(request->resumes)), request->events);
+    }
     return list;
 }
 
@@ -364,7 +432,7 @@
     inquiry->is_own_open = false;
     for (uint32_t i = 0; i < list->count; i++) {
         cw_stream_reply_t own = find_engines(s, &list->items[i]);
-        cw_stream_inquiry_on_own(inquiry, &own);
+        cw_stream_inquiry_on_own(inquiry, list->items[i].left_ms >> CW_STREAM_QUESTION_BIT, &own);
         inquiry->is_own_open = inquiry->is_own_open || own.coverage == CW_STREAM_COVERS_SOME;
     }
 }
@@ -401,11 +469,12 @@
 }
 
 void streams_on_evidence(cw_stream_inquiry_t* inquiry, const cw_stream_entry_t* evidence) {
-    const cw_stream_reply_t reply = {.round = evidence->left_ms >> CW_STREAM_ROUND_BIT,
+    const uint32_t question = evidence->left_ms >> CW_STREAM_QUESTION_BIT;
+    const cw_stream_reply_t reply = {.round = (evidence->left_ms >> CW_STREAM_ROUND_BIT) & CW_STREAM_INQUIRY_ROUNDS_MAX,
                                      .version = evidence->version,
                                      .coverage = (cw_stream_coverage_t)(evidence->left_ms & CW_STREAM_AMOUNT_MAX)};
-    if (reply.coverage < CW_STREAM_COVERAGE_COUNT) {
-        cw_stream_inquiry_on_reply(inquiry, &reply);
+    if (reply.coverage < CW_STREAM_COVERAGE_COUNT && question < CW_STREAM_QUESTION_COUNT) {
+        cw_stream_inquiry_on_reply(inquiry, (cw_stream_question_t)question, &reply);
     }
 }
 
@@ -438,10 +507,17 @@
                                     .left_ms = reply.round << CW_STREAM_ROUND_BIT | reply.coverage};
 }
 
-void streams_learn_listed(streams_t* s, const char* pool_name, uint64_t version) {
-    pool_t* pool = upstreams_pool(s->desc.upstreams, pool_name);
-    if (pool) {
+void streams_learn_listed(streams_t* s, const cw_server_t* entry) {
+    uint64_t version = cw_server_version_id(entry);
+    pool_t* pool = upstreams_pool(s->desc.upstreams, entry->pool);
+    const server_t* server = upstreams_server(s->desc.upstreams, cw_server_incarnation_id(entry));
+    if (!pool) {
+        return;
+    }
+    if (server && server->is_listed && cw_server_version_id(&server->published) == version) {
         cw_pool_versions_learn(&pool->versions, clock_ms(), version, 0);
+    } else {
+        cw_pool_versions_on_departure(&pool->versions, clock_ms(), version);
     }
 }
 
@@ -459,14 +535,6 @@
     }
 }
 
-static const pool_t* find_pool(const streams_t* s, uint64_t id) {
-    const pool_t* pool = upstreams_pools(s->desc.upstreams);
-    while (pool && pool->id != id) {
-        pool = pool->next;
-    }
-    return pool;
-}
-
 static void log_vouched(const streams_t* s, const cw_stream_record_t* record, const char* source) {
     int64_t now_ms = clock_ms();
     cw_log(s->desc.log, CW_EVENT_STREAM_VOUCHED,
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -12,8 +12,8 @@
     (chalkway_pool_versions.h), as it knows itself, another host vouches for, or the complete history of the source
    shows. A host that starts, or whose list was not fresh for a while, takes over the streams and versions that others
    know (chalkway_handover.h); what nobody knows remains unknown (chalkway_spans.h). After a loss of all hosts, engines
-   that still cache the stream's prompt (chalkway_part_versions.h) or run its request show its version, if none of
-   another version does.
+   that run the stream's request, or still cache its prompt and its events (chalkway_part_versions.h), show its version.
+   The prompt alone shows it only if no engine of another version can have it, those that left the list included.
 */
 #include "../chalkway_handover.h"
 #include "../chalkway_log.h"
@@ -65,8 +65,8 @@
     uint32_t (*inquire)(void* user_data, const cw_stream_entry_t* inquiry);
     /* Whether the engines that this host queries have listed what they cache. NULL: they have. */
     bool (*is_inventory_complete)(void* user_data);
-    /* Number of versions of the pool's engines that could not be queried: 0, 1 or 2 (several); version: set if it is 1.
-       NULL: 0. */
+    /* Number of versions of the pool's engines that are listed and could not be queried: 0, 1 or 2 (several); version:
+       set if it is 1. NULL: 0. */
     uint32_t (*count_unlisted)(void* user_data, uint64_t pool, uint64_t* version);
     /* Reads the history of the source, unless that was done after since_ms; it is passed to streams_learn_listed and
        streams_on_history. True: it is being read. NULL: the source has none. */
@@ -118,8 +118,8 @@
 bool streams_may_have_missed(const streams_t* s);
 /* Another host inquires what engines have of a stream. evidence: the reply, an entry of CW_STREAM_EVIDENCE. */
 void streams_on_inquiry(const streams_t* s, const cw_stream_entry_t* inquiry, cw_stream_entry_t* evidence);
-/* A server of this version was listed at some time in the history of the source. */
-void streams_learn_listed(streams_t* s, const char* pool, uint64_t version);
+/* The history of the source has this entry of a server. */
+void streams_learn_listed(streams_t* s, const cw_server_t* entry);
 /* The history was read. is_complete: it reached back to the beginning of the source, and showed each version. */
 void streams_on_history(streams_t* s, bool is_complete);
 /* A record was received from another host; version 0: it does not know the stream, and several versions have served. */
--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -323,6 +323,7 @@
     log_restart(u, current, published->started_ms, at);
     *changed = true;
     current->is_retired = current->is_removed = true;
+    cw_pool_versions_on_departure(&current->pool->versions, clock_ms(), cw_server_version_id(&current->published));
     server_t* known = upstreams_server(u, cw_server_incarnation_id(published));
     if (!known) {
         return server_new(u, published);
@@ -391,6 +392,7 @@
         for (server_t* s = pool->servers; s; s = s->next) {
             if (!s->is_listed && !s->expires_at_ms) {
                 s->expires_at_ms = now_ms + (after_outage ? RETURN_GRACE_MS : 0);
+                cw_pool_versions_on_departure(&pool->versions, now_ms, cw_server_version_id(&s->published));
             }
         }
         changes += pool_expire(pool, now_ms);
@@ -449,6 +451,7 @@
         pool->cold_per_s = declared->cold_per_s;
         pool->slots = declared->slots;
         pool->memory_tokens = declared->memory_tokens;
+        pool->event_tokens = declared->event_tokens;
         pool->fetch_ms_per_token = u->desc.dialect->fields.fetch_from && declared->link_mbps
                                        ? declared->token_bytes * BITS / (declared->link_mbps * BITS_PER_MS_MBPS)
                                        : 0;
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -79,6 +79,7 @@
     uint32_t connections; /* connections that one server accepts from all daemons; 0: no limit */
     uint32_t slots;       /* slots of each engine; 0: the servers are not engines */
     uint32_t memory_tokens;
+    uint32_t event_tokens;     /* tokens in one event of an engine's stream; 0: unknown */
     double cold_per_s;         /* requests per second that all daemons may send to a cold server; 0: no limit */
     double fetch_ms_per_token; /* time to fetch one cached token from another engine; 0: not possible */
     double logged_prefill_ms;  /* prefill time per token as last logged; 0: not yet */
--- a/io/clock.c
+++ b/io/clock.c
@@ -17,6 +17,10 @@
     return clock_get_ms(CLOCK_BOOTTIME) + simulated_ms;
 }
 
+int64_t cw_clock_unix_ms(void) {
+    return clock_get_ms(CLOCK_REALTIME);
+}
+
 int64_t cw_clock_suspended_ms(void) {
     return clock_get_ms(CLOCK_BOOTTIME) - clock_get_ms(CLOCK_MONOTONIC) + simulated_ms;
 }
--- a/io/clock.h
+++ b/io/clock.h
@@ -11,6 +11,8 @@
 
 /* Milliseconds since boot, suspended time included. */
 int64_t cw_clock_ms(void);
+/* Time of day, in Unix milliseconds: it may be set, and differs between hosts. Only for times that others state so. */
+int64_t cw_clock_unix_ms(void);
 /* Milliseconds for which the machine has been suspended since boot. */
 int64_t cw_clock_suspended_ms(void);
 /* For tests: simulates a suspension of ms by adding it to both values above; repeated calls add up. */
--- a/tests/test_stream_evidence.c
+++ b/tests/test_stream_evidence.c
@@ -25,7 +25,7 @@
 
 static uint32_t find(const cw_part_versions_t* t, uint64_t part, uint32_t min_tokens, uint64_t* version) {
     *version = 0;
-    return cw_part_versions_find(t, 0, POOL, part, min_tokens, version);
+    return cw_part_versions_find(t, &(cw_part_query_t){.pool = POOL, .part = part, .min_tokens = min_tokens}, version);
 }
 
 START_TEST(a_part_shows_the_version_of_the_engines_that_cache_enough_of_it) {
@@ -37,13 +37,17 @@
     ck_assert(find(t, 1, 100, &version) == 1 && version == V1);
     ck_assert_uint_eq(find(t, 1, 101, &version), 0);
     ck_assert_uint_eq(find(t, 2, 1, &version), 0);
-    ck_assert_uint_eq(cw_part_versions_find(t, 0, POOL + 1, 1, 1, &version), 0);
+    ck_assert_uint_eq(
+        cw_part_versions_find(t, &(cw_part_query_t){.pool = POOL + 1, .part = 1, .min_tokens = 1}, &version), 0);
     add(t, 6, 1, V2, 120);
+    cw_part_query_t few = {.pool = POOL, .part = 1, .min_tokens = 90, .max_tokens = 110};
+    ck_assert(cw_part_versions_find(t, &few, &version) == 1 && version == V1);
     ck_assert_uint_eq(find(t, 1, 100, &version), 2);
     ck_assert(find(t, 1, 101, &version) == 1 && version == V2);
     add(t, 6, 1, V2 + 1, 130); /* a third version leaves two that differ */
     ck_assert_uint_eq(find(t, 1, 120, &version), 2);
-    ck_assert_uint_eq(cw_part_versions_find(t, 7, POOL, 1, 1, &version), 0); /* listed too long ago */
+    cw_part_query_t late = {.pool = POOL, .part = 1, .since_ms = 7, .min_tokens = 1}; /* listed too long ago */
+    ck_assert_uint_eq(cw_part_versions_find(t, &late, &version), 0);
     cw_part_versions_shutdown(t);
 }
 END_TEST
@@ -75,7 +79,8 @@
 }
 
 static void reply(cw_stream_inquiry_t* q, uint32_t round, uint64_t version, cw_stream_coverage_t coverage) {
-    cw_stream_inquiry_on_reply(q, &(cw_stream_reply_t){.round = round, .version = version, .coverage = coverage});
+    cw_stream_inquiry_on_reply(q, CW_STREAM_PROMPT,
+                               &(cw_stream_reply_t){.round = round, .version = version, .coverage = coverage});
 }
 
 START_TEST(an_inquiry_is_decided_when_all_hosts_have_replied_in_full) {
@@ -130,10 +135,13 @@
     ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
     q = begin(2);
     reply(&q, 1, 0, CW_STREAM_HAS_SEVERAL);
+    ck_assert(!cw_stream_inquiry_is_decided(&q, 1000)); /* the other host's engines may run the stream */
+    reply(&q, 1, 0, CW_STREAM_COVERS_ALL);
     ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
     q = begin(2);
-    cw_stream_inquiry_on_own(&q, &(cw_stream_reply_t){.version = V1});
-    reply(&q, 1, V2, CW_STREAM_COVERS_SOME);
+    cw_stream_inquiry_on_own(&q, CW_STREAM_PROMPT, &(cw_stream_reply_t){.version = V1});
+    reply(&q, 1, V2, CW_STREAM_COVERS_ALL);
+    reply(&q, 1, 0, CW_STREAM_COVERS_ALL);
     ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
 }
 END_TEST
@@ -155,6 +163,61 @@
 }
 END_TEST
 
+static void reply_to(cw_stream_inquiry_t* q, cw_stream_question_t question, uint64_t version,
+                     cw_stream_coverage_t coverage) {
+    cw_stream_inquiry_on_reply(q, question, &(cw_stream_reply_t){1, version, coverage});
+}
+
+/* Guards against a prompt that counts as proof although another request of its session left it, and the engines that
+   began the stream have left the list. */
+START_TEST(a_prompt_decides_nothing_if_engines_of_another_version_were_not_queried) {
+    static const cw_stream_reply_t unqueried[] = {{1, V1, CW_STREAM_COVERS_ALL_BUT}, {1, 0, CW_STREAM_COVERS_LISTED}};
+    for (int i = 0; i < 2; i++) {
+        cw_stream_inquiry_t q = begin(2);
+        reply_to(&q, CW_STREAM_PROMPT, V2, CW_STREAM_COVERS_LISTED);
+        cw_stream_inquiry_on_reply(&q, CW_STREAM_PROMPT, &unqueried[i]);
+        ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
+    }
+}
+END_TEST
+
+/* A run, or the events that only a run of this stream has left, prove its version whatever was not queried. */
+START_TEST(a_run_or_its_events_decide_though_engines_were_not_queried) {
+    static const cw_stream_question_t proofs[] = {CW_STREAM_RUN, CW_STREAM_EVENTS};
+    for (int i = 0; i < 2; i++) {
+        cw_stream_inquiry_t q = begin(2);
+        reply_to(&q, CW_STREAM_PROMPT, V2, CW_STREAM_COVERS_LISTED);
+        ck_assert(!cw_stream_inquiry_version(&q));
+        reply_to(&q, proofs[i], V2, CW_STREAM_COVERS_LISTED);
+        ck_assert_uint_eq(cw_stream_inquiry_version(&q), V2);
+    }
+}
+END_TEST
+
+/* Guards against events that engines of two versions have, or that those of another version than the prompt have. */
+START_TEST(events_at_two_versions_decide_nothing) {
+    cw_stream_inquiry_t q = begin(2);
+    reply_to(&q, CW_STREAM_PROMPT, V2, CW_STREAM_COVERS_LISTED);
+    reply_to(&q, CW_STREAM_EVENTS, 0, CW_STREAM_HAS_SEVERAL);
+    ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
+    q = begin(2);
+    reply_to(&q, CW_STREAM_PROMPT, 0, CW_STREAM_HAS_SEVERAL);
+    reply_to(&q, CW_STREAM_EVENTS, V2, CW_STREAM_COVERS_ALL);
+    ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
+}
+END_TEST
+
+/* A run decides beside a prompt that another request left; two runs decide nothing. */
+START_TEST(a_run_decides_beside_prompts_at_other_versions) {
+    cw_stream_inquiry_t q = begin(2);
+    reply_to(&q, CW_STREAM_PROMPT, 0, CW_STREAM_HAS_SEVERAL);
+    reply_to(&q, CW_STREAM_RUN, V1, CW_STREAM_COVERS_ALL);
+    ck_assert_uint_eq(cw_stream_inquiry_version(&q), V1);
+    reply_to(&q, CW_STREAM_RUN, V2, CW_STREAM_COVERS_ALL);
+    ck_assert_uint_eq(cw_stream_inquiry_version(&q), 0);
+}
+END_TEST
+
 /* Guards against large fleets in which an inquiry ended before its second round. */
 START_TEST(rounds_are_spread_by_the_number_of_hosts) {
     cw_stream_inquiry_t q;
@@ -321,6 +384,10 @@
     tcase_add_test(t, engines_of_two_versions_decide_nothing);
     tcase_add_test(t, a_late_reply_is_not_counted_for_a_later_round);
     tcase_add_test(t, engines_that_cannot_be_queried_count_for_their_version_only);
+    tcase_add_test(t, a_prompt_decides_nothing_if_engines_of_another_version_were_not_queried);
+    tcase_add_test(t, a_run_or_its_events_decide_though_engines_were_not_queried);
+    tcase_add_test(t, events_at_two_versions_decide_nothing);
+    tcase_add_test(t, a_run_decides_beside_prompts_at_other_versions);
     tcase_add_test(t, rounds_are_spread_by_the_number_of_hosts);
     tcase_add_test(t, a_resumed_request_names_the_last_part_of_its_prompt);
     tcase_add_test(t, the_runs_of_an_engine_are_read);
--- a/tests/test_stream_state.c
+++ b/tests/test_stream_state.c
@@ -380,7 +380,9 @@
     peers.list_age_ms = CW_POOL_VERSIONS_FRESH_MS + 1;
     ck_assert_uint_eq(resolve(s, pool, 5), 0);
     peers.list_age_ms = 0;
-    streams_learn_listed(s, "p", 77); /* the history shows that another version has served */
+    streams_learn_listed(s, &(cw_server_t){.id = "left",
+                                           .pool = "p",
+                                           .version = "77"}); /* the history shows that another version has served */
     ck_assert_uint_eq(resolve_unanswered(s, pool, 5), 0);
     cw_stream_record_t denial = {.stream = 5, .pool = cw_name_id("p"), .expires_ms = clock_ms() + 5000};
     streams_on_announced(s, &denial);
