Events that one version's engines have decide beside prompts at others

An attempt that wrote nothing had left the prompt at the other version, so the prompt was ambiguous.

Cause: the prompt and what a run has written after it were one question. Now a run decides, else as many events as the caller has, else the prompt where no engine of another version can have it.

--- a/chalkway_stream_inquiry.h
+++ b/chalkway_stream_inquiry.h
@@ -150,30 +150,24 @@
     return _cw_stream_inquiry_is_complete(q) || now_ms - q->begun_ms >= CW_STREAM_INQUIRY_MS;
 }
 
-static bool _cw_stream_versions_is_single(const cw_stream_versions_t* v) {
-    return v->version && !v->is_several;
-}
-
 /* Whether engines that were not queried may have what those of this version were found to have. */
 static bool _cw_stream_inquiry_may_be_other(const cw_stream_inquiry_t* q, uint64_t version) {
     return q->unqueried.is_several || (q->unqueried.version && q->unqueried.version != version);
 }
 
 uint64_t cw_stream_inquiry_version(const cw_stream_inquiry_t* q) {
-    const cw_stream_versions_t* run = &q->found[CW_STREAM_RUN];
     const cw_stream_versions_t* prompt = &q->found[CW_STREAM_PROMPT];
-    const cw_stream_versions_t* events = &q->found[CW_STREAM_EVENTS];
-    if (!_cw_stream_inquiry_is_complete(q) || run->is_several) {
+    if (!_cw_stream_inquiry_is_complete(q)) {
         return 0;
     }
-    if (run->version) {
-        return run->version;
-    }
-    if (!_cw_stream_versions_is_single(prompt)) {
-        return 0;
+    for (int question = CW_STREAM_RUN; question <= CW_STREAM_EVENTS; question++) {
+        const cw_stream_versions_t* proof = &q->found[question];
+        if (proof->version || proof->is_several) {
+            return proof->is_several ? 0 : proof->version;
+        }
     }
-    bool is_proved = _cw_stream_versions_is_single(events) && events->version == prompt->version;
-    return is_proved || !_cw_stream_inquiry_may_be_other(q, prompt->version) ? prompt->version : 0;
+    bool is_known = prompt->version && !prompt->is_several && !_cw_stream_inquiry_may_be_other(q, prompt->version);
+    return is_known ? prompt->version : 0;
 }
 
 #endif /* CHALKWAY_STREAM_INQUIRY_IMPL_INCLUDED */
--- a/tests/test_stream_turns.c
+++ b/tests/test_stream_turns.c
@@ -28,6 +28,8 @@
     TURNS_ROLLBACK,
     TURNS_TWO,
     TURNS_EMPTY_LISTS,
+    TURNS_FORGOTTEN_DROPPED,
+    BEGUN_AGAIN_DROPPED,
     PLAY_COUNT
 };
 
@@ -59,6 +61,9 @@
     [TURNS_ROLLBACK] = {"rollback", play_rollback, PLAIN, SHARE_TWO_VERSIONS, .turns = PROMPTS_ONLY},
     [TURNS_TWO] = {"two-versions", play_two_versions, PLAIN, SHARE_UNBOUNDED, .turns = WHOLE_TURNS},
     [TURNS_EMPTY_LISTS] = {"empty-lists", play_release_unlisted, EMPTY_LISTS, SHARE_UNBOUNDED, .turns = PROMPTS_ONLY},
+    [TURNS_FORGOTTEN_DROPPED] = {"forgotten-dropped", play_release_unlisted, HISTORY_FORGOTTEN, SHARE_UNBOUNDED,
+                                 .turns = PROMPTS_ONLY, .drops_runs = true},
+    [BEGUN_AGAIN_DROPPED] = {"begun-again-dropped", play_begun_again, PLAIN, SHARE_UNBOUNDED, .drops_runs = true},
 };
 
 /* Guards against a prompt that counts as proof although engines that left the list can't be asked for it. */
@@ -181,6 +186,18 @@
 }
 END_TEST
 
+/* Guards against a prompt alone that counts where neither a history nor the events of a run are left. */
+START_TEST(no_stream_is_joined_where_nothing_but_prompts_is_left) {
+    check_play(TURNS_FORGOTTEN_DROPPED);
+}
+END_TEST
+
+/* Guards against a guess between the prompts of two attempts of one caller, where broken runs keep no events. */
+START_TEST(no_stream_that_its_caller_began_again_is_joined_where_broken_runs_keep_their_prompt_alone) {
+    check_play(BEGUN_AGAIN_DROPPED);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
     tcase_add_test(t, no_stream_is_joined_after_its_session_was_at_the_new_version);
     tcase_add_test(t, no_stream_is_joined_after_a_whole_turn_at_the_new_version);
@@ -202,6 +219,8 @@
     tcase_add_test(t, no_stream_is_joined_after_a_rollback_of_the_version_of_another_turn);
     tcase_add_test(t, no_stream_is_joined_where_engines_of_both_versions_serve);
     tcase_add_test(t, no_stream_is_joined_where_engines_list_nothing);
+    tcase_add_test(t, no_stream_is_joined_where_nothing_but_prompts_is_left);
+    tcase_add_test(t, no_stream_that_its_caller_began_again_is_joined_where_broken_runs_keep_their_prompt_alone);
 }
 
 int main(int argc, char** argv) {
