A host that knows only itself divides retries and connections by its seeds

What callers and servers saw: nothing measured. A host that starts, or is cut off from the others as it starts, had the whole retry budget and all connections of each server for itself, as had each of the others in its place. All hosts that start at once sum to as many budgets.

Cause: "no other host is known" was taken for "there is none". Seeds that have not answered count as unreachable for 30 s where rates are shared (mesh.c), not where the retry budget and connections are.

Now both are divided by the most hosts that were known at once, or by those that are live or missing if these are more. When the seeds have been silent for 30 s the host has its old share again, so seeds that are gone cost nothing for longer.

--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -459,22 +459,27 @@
     }
 }
 
-void upstreams_set_peak_daemons(upstreams_t* u, uint32_t daemons) {
-    if (daemons <= u->daemons) {
-        return;
-    }
-    u->daemons = daemons;
+/* Sets by how many daemons limits are divided. A daemon that has just started may know few of those that run. */
+static void update_daemons(upstreams_t* u) {
+    uint32_t named = u->fleet.count + u->fleet.missing;
+    u->daemons = named > u->peak_daemons ? named : u->peak_daemons;
     for (pool_t* pool = u->pools; pool; pool = pool->next) {
-        pool->retries.daemons = daemons;
+        pool->retries.daemons = u->daemons;
     }
 }
 
+void upstreams_set_peak_daemons(upstreams_t* u, uint32_t daemons) {
+    u->peak_daemons = daemons > u->peak_daemons ? daemons : u->peak_daemons;
+    update_daemons(u);
+}
+
 const cw_fleet_t* upstreams_fleet(const upstreams_t* u) {
     return &u->fleet;
 }
 
 void upstreams_set_fleet(upstreams_t* u, const cw_fleet_t* fleet) {
     u->fleet = *fleet;
+    update_daemons(u);
     for (pool_t* pool = u->pools; pool; pool = pool->next) {
         cw_balance_set_fleet(pool->balance, clock_ms(), fleet);
     }
@@ -688,7 +693,7 @@
         abort();
     }
     u->desc = *desc;
-    u->daemons = 1;
+    u->daemons = u->peak_daemons = 1;
     u->desc.max_servers = desc->max_servers ? desc->max_servers : SERVERS_MAX_DEFAULT;
     u->by_key = cw_map_setup(1, NULL);
     u->by_id = cw_map_setup(1, NULL);
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -170,7 +170,8 @@
 /* Applies a server list. after_outage: the source was unavailable for long before, so servers that are missing from the
    list get time to be listed again. Returns the number of servers that changed. */
 uint32_t upstreams_set_servers(upstreams_t* u, int64_t now_ms, const cw_servers_t* list, bool after_outage);
-/* Highest number of daemons ever known at the same time. Limits on connections and retries are divided by it. */
+/* Highest number of daemons ever known at the same time. Limits on connections and retries are divided by it, or by the
+   number of those that are live or missing (upstreams_set_fleet) if that is higher. */
 void upstreams_set_peak_daemons(upstreams_t* u, uint32_t daemons);
 /* The live daemons. Their ids must stay valid until the next call. */
 void upstreams_set_fleet(upstreams_t* u, const cw_fleet_t* fleet);
--- a/gateway/upstream_internal.h
+++ b/gateway/upstream_internal.h
@@ -93,8 +93,9 @@
     poll_time_t poll_time;
     int64_t list_confirmed_ms;   /* when the list of servers was last current; 0: never */
     int64_t list_fresh_since_ms; /* since when the source has not been away */
-    uint32_t daemons;
-    cw_fleet_t fleet; /* live daemons */
+    uint32_t daemons;            /* by which limits on connections and retries are divided */
+    uint32_t peak_daemons;       /* most that were known at the same time */
+    cw_fleet_t fleet;            /* live daemons */
     uint32_t conn_total;
     uint64_t conns_opened;
     cw_wire_t* wire; /* of the requests for tunnels; NULL: none was made yet */
--- a/tests/test_absence.c
+++ b/tests/test_absence.c
@@ -297,6 +297,44 @@
 }
 END_TEST
 
+/* -- other hosts ---------------------------------------------------------- */
+
+static uint32_t take_retries(pool_t* pool) {
+    uint32_t taken = 0;
+    while (cw_retry_window_take(&pool->retries, clock_ms())) {
+        taken++;
+    }
+    return taken;
+}
+
+/* It knows only itself, while others that its settings name may run. */
+START_TEST(a_host_whose_seeds_have_not_answered_takes_a_share_of_the_retries) {
+    static const uint64_t self[] = {1};
+    rig_t* r = rig_setup(POOLS, 1);
+    pool_t* pool = upstreams_pool(r->upstreams, "p");
+    uint32_t all = (uint32_t)pool->retries.slack;
+    upstreams_set_fleet(r->upstreams, &(cw_fleet_t){.ids = self, .count = 1, .missing = 7});
+    ck_assert_uint_eq(take_retries(pool), all / 8);
+    upstreams_set_fleet(r->upstreams, &(cw_fleet_t){.ids = self, .count = 1}); /* they have been silent for long */
+    ck_assert_uint_eq(take_retries(pool), all - all / 8);
+    rig_shutdown(r);
+}
+END_TEST
+
+/* Hosts that were known stay in the count. */
+START_TEST(a_host_that_has_lost_the_others_keeps_its_share_of_the_retries) {
+    static const uint64_t self[] = {1};
+    rig_t* r = rig_setup(POOLS, 1);
+    pool_t* pool = upstreams_pool(r->upstreams, "p");
+    uint32_t all = (uint32_t)pool->retries.slack;
+    upstreams_set_peak_daemons(r->upstreams, 8);
+    upstreams_set_fleet(r->upstreams, &(cw_fleet_t){.ids = self, .count = 1, .missing = 3});
+    upstreams_set_fleet(r->upstreams, &(cw_fleet_t){.ids = self, .count = 1});
+    ck_assert_uint_eq(take_retries(pool), all / 8);
+    rig_shutdown(r);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
     tcase_add_test(t, engines_of_a_host_that_ended_do_not_count_as_queried);
     tcase_add_test(t, no_engine_that_failed_to_list_its_parts_is_forgotten);
@@ -304,6 +342,8 @@
     tcase_add_test(t, a_history_with_entries_of_an_undeclared_pool_is_not_complete);
     tcase_add_loop_test(t, an_engine_that_left_without_a_successor_may_have_begun_a_stream, 0, 2);
     tcase_add_test(t, a_version_that_found_no_room_is_not_ruled_out);
+    tcase_add_test(t, a_host_whose_seeds_have_not_answered_takes_a_share_of_the_retries);
+    tcase_add_test(t, a_host_that_has_lost_the_others_keeps_its_share_of_the_retries);
 }
 
 int main(void) {
