--- a/tests/test_absence.c
+++ b/tests/test_absence.c
@@ -297,6 +297,50 @@
 }
 END_TEST
 
+/* -- records that were not kept -------------------------------------------- */
+
+#define RECORDS_MAX 4
+#define TICK_MS 1000 /* shorter than a gap between lists */
+
+/* Lets time pass in which the list stays fresh. */
+static void pass(streams_t* s, int64_t ms) {
+    for (int64_t passed_ms = 0; passed_ms < ms; passed_ms += TICK_MS) {
+        cw_clock_simulate_suspend(TICK_MS);
+        streams_tick(s, clock_ms());
+    }
+}
+
+/* A host that has heard all announcements, and had no room for all records. Another host would ask engines. */
+START_TEST(a_stream_whose_record_was_dropped_is_not_taken_for_one_that_was_not_announced) {
+    int64_t age_ms = 0;
+    rig_t* r = rig_setup(POOLS, 2);
+    r->versions[0] = "1";
+    r->versions[1] = "2";
+    rig_set_servers_at(r, clock_ms(), 2, 0, false);
+    streams_t* s = streams_setup(&(streams_desc_t){.log = &r->log,
+                                                   .upstreams = r->upstreams,
+                                                   .capacity = RECORDS_MAX,
+                                                   .list_age_ms = list_age,
+                                                   .on_resolved = on_resolved,
+                                                   .user_data = &age_ms});
+    streams_set_longest_ms(s, TICK_MS);
+    settle_alone(s);
+    streams_tick(s, clock_ms());
+    pass(s, 10L * TICK_MS);
+    list_part(s, r, "1", 1000);
+    for (uint64_t i = 0; i < 1 + (uint64_t)_i * RECORDS_MAX; i++) { /* the request's stream first */
+        streams_on_announced(s, &(cw_stream_record_t){.stream = 5 + i,
+                                                      .pool = upstreams_pool(r->upstreams, "p")->id,
+                                                      .version = version_id("1"),
+                                                      .expires_ms = clock_ms() + 60000});
+    }
+    ck_assert_uint_eq(streams_stats(s).evicted, (uint64_t)_i);
+    ck_assert_uint_eq(resolve(s, r), version_id("1"));
+    streams_shutdown(s);
+    rig_shutdown(r);
+}
+END_TEST
+
 /* -- other hosts ---------------------------------------------------------- */
 
 static uint32_t take_retries(pool_t* pool) {
@@ -342,6 +386,7 @@
     tcase_add_test(t, a_history_with_entries_of_an_undeclared_pool_is_not_complete);
     tcase_add_loop_test(t, an_engine_that_left_without_a_successor_may_have_begun_a_stream, 0, 2);
     tcase_add_test(t, a_version_that_found_no_room_is_not_ruled_out);
+    tcase_add_loop_test(t, a_stream_whose_record_was_dropped_is_not_taken_for_one_that_was_not_announced, 0, 2);
     tcase_add_test(t, a_host_whose_seeds_have_not_answered_takes_a_share_of_the_retries);
     tcase_add_test(t, a_host_that_has_lost_the_others_keeps_its_share_of_the_retries);
 }
