Engines that pass to another host, or fail beyond count, do not count as asked

Cause: the inventory listed its engines once, at the start; a full table of failures dropped the next; the check of the process that responds is skipped for servers that get no requests. Now, while streams of before may be resumed, each listed engine that this host owns and has not asked is asked, looked for every 100 ms; a full table concerns every pool; the start time of a response is compared for every engine.

--- a/gateway/inventory.c
+++ b/gateway/inventory.c
@@ -8,6 +8,7 @@
 #include "clock.h"
 
 #define SETTLE_DELAY_MS 300
+#define RELIST_INTERVAL_MS 100
 #define MAX_CALLS 2            /* at the same time: an engine's list may be long, and this host has requests to serve */
 #define CALL_TIMEOUT_MS 1000   /* longest time for one engine's list */
 #define CONNECT_TIMEOUT_MS 300 /* longest time to connect to an engine */
@@ -40,6 +41,8 @@
     call_t calls[MAX_CALLS];
     failed_t failed[FAILED_MAX];
     uint32_t failed_count;
+    bool has_more_failed; /* than there is room for: any pool may be concerned */
+    int64_t relist_ms;    /* when the engines that this daemon owns are listed again */
     inventory_stats_t stats;
 };
 
@@ -89,7 +92,11 @@
             return;
         }
     }
-    v->failed[v->failed_count < FAILED_MAX ? v->failed_count++ : FAILED_MAX - 1] = failed;
+    if (v->failed_count == FAILED_MAX) {
+        v->has_more_failed = true;
+        return;
+    }
+    v->failed[v->failed_count++] = failed;
 }
 
 uint32_t inventory_count_failed(const inventory_t* v, uint64_t pool, uint64_t* version) {
@@ -100,7 +107,7 @@
             count++;
         }
     }
-    return count < 2 ? count : 2;
+    return count < 2 && !v->has_more_failed ? count : 2;
 }
 
 static void log_failure(inventory_t* v, const server_t* server, const char* why) {
@@ -143,6 +150,13 @@
                           : dialect->read_inventory(body, c->body.size, started_ms, add_part, items, err);
 }
 
+/* Whether another process than the one that is listed has responded. Of a server that leaves, upstreams doesn't check
+ * it. */
+static bool is_other_incarnation(const inventory_t* v, server_t* server, int64_t started_ms) {
+    bool differs = started_ms && server->published.started_ms && started_ms != server->published.started_ms;
+    return upstreams_check_incarnation(v->desc.upstreams, clock_ms(), server, started_ms) || differs;
+}
+
 /* A list of parts or of runs has arrived. server: NULL if it is not known any more. */
 static void on_list(call_t* c, server_t* server) {
     inventory_t* v = c->inventory;
@@ -151,7 +165,7 @@
     parts_t items = {0};
     if (read_items(c, &items, &started_ms, &err) != CW_OK) {
         log_failure(v, server, err.message);
-    } else if (server && upstreams_check_incarnation(v->desc.upstreams, clock_ms(), server, started_ms)) {
+    } else if (server && is_other_incarnation(v, server, started_ms)) {
         log_failure(v, server, "another incarnation of the server responded");
     } else if (server && server->is_listed && c->is_for_runs) {
         v->desc.on_runs(v->desc.user_data, server, items.items, items.count);
@@ -211,7 +225,7 @@
     for (const pool_t* pool = upstreams_pools(v->desc.upstreams); pool; pool = pool->next) {
         for (const server_t* s = pool->slots ? pool->servers : NULL; s; s = s->next) {
             engines += !s->is_removed;
-            if (!s->is_listed || !v->desc.owns_server(v->desc.user_data, s->key)) {
+            if (!s->is_listed || s->is_inventoried || !v->desc.owns_server(v->desc.user_data, s->key)) {
                 continue;
             }
             uint64_t* grown = realloc(v->pending, (v->pending_count + 1) * sizeof(*grown));
@@ -236,8 +250,9 @@
     uint32_t busy = 0;
     for (uint32_t i = 0; i < MAX_CALLS; i++) {
         while (!v->calls[i].call && v->pending_count) {
-            const server_t* server = upstreams_server(v->desc.upstreams, v->pending[--v->pending_count]);
+            server_t* server = upstreams_server(v->desc.upstreams, v->pending[--v->pending_count]);
             if (server && server->is_listed && v->desc.owns_server(v->desc.user_data, server->key)) {
+                server->is_inventoried = true;
                 start_call(v, &v->calls[i], server, needs_runs(v));
             }
         }
@@ -246,20 +261,37 @@
     return busy;
 }
 
+static bool has_converged(const inventory_t* v) {
+    return !v->desc.is_converged || v->desc.is_converged(v->desc.user_data);
+}
+
+/* What the engines of a host told it is lost with that host. Its engines pass to others, which query them as well while
+   they may need the answers. */
+static bool is_relisting_due(const inventory_t* v, int64_t now_ms) {
+    bool is_needed = !v->desc.needs_runs || v->desc.needs_runs(v->desc.user_data);
+    return v->stats.is_done && now_ms >= v->relist_ms && is_needed && has_converged(v);
+}
+
 void inventory_tick(inventory_t* v, int64_t now_ms) {
-    if (v->stats.is_done || !v->desc.dialect->inventory_path) {
+    if (!v->desc.dialect->inventory_path) {
+        return;
+    }
+    if (is_relisting_due(v, now_ms)) {
+        v->is_listed = v->stats.is_done = false;
+    }
+    if (v->stats.is_done) {
         return;
     }
     if (!v->engines_known_ms) {
         v->engines_known_ms = has_engines(v) ? now_ms : 0;
         return;
     }
-    bool has_converged = !v->desc.is_converged || v->desc.is_converged(v->desc.user_data);
-    if (now_ms - v->engines_known_ms < v->desc.settle_delay_ms || !has_converged) {
+    if (now_ms - v->engines_known_ms < v->desc.settle_delay_ms || !has_converged(v)) {
         return;
     }
     if (!v->is_listed) {
         list_owned_engines(v);
+        v->relist_ms = now_ms + RELIST_INTERVAL_MS;
     }
     v->stats.is_done = !start_pending_calls(v) && !v->pending_count;
 }
--- a/gateway/inventory.h
+++ b/gateway/inventory.h
@@ -7,7 +7,8 @@
     Each engine is queried by the live daemon that owns it. That daemon records the list and publishes it to its
     peers.
 
-    No engine is queried again: later prompts are recorded as requests are sent.
+    No daemon queries an engine again: later prompts are recorded as requests are sent. While streams of before may be
+    resumed, engines that pass to this daemon, since another one has ended, are queried as well.
 
     If all hosts were lost, streams that broke off may still run, or be cached. A run whose memory isn't listed yet is
    in the engine's list of runs. That list is read first, since a run that ends after it is listed as cached.
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -50,6 +50,7 @@
     bool is_removed;       /* retired, or no longer listed: gets no new requests */
     bool is_hall_closed;   /* its hall is closed: gets no new requests for now */
     bool is_listed;        /* the last list names the server, leaving or not */
+    bool is_inventoried;   /* this daemon has asked it for the prompt parts that it has cached */
     int64_t expires_at_ms; /* while the server is not listed: time at which it counts as removed */
     bool is_probing;
     bool is_watched;             /* upstreams_tick checks it */
