After a loss of all hosts, what the source still remembers shows which engines have left

And versions that others handed over before the configuration was read were dropped, so a host could still conclude the only version that is listed.

Causes: a start time stood for a departure, and most servers state none; what one host had not read vetoed what another had; more events than the caller has didn't count, though a run goes on after its hosts lost power; versions of pools that aren't declared yet, and records that found no room, counted as known to be absent; a part that engines of three versions have was recorded for two.

Now a host searches for the oldest change that the source still has, the latest one first, and learns from there which engines have left. Where the source remembers, starts matter only if they are stated. Only the host that asks judges what it may have missed; others report what they saw. The prompt decides where engines of other versions have left if it comes with at least the caller's events; where listed engines failed to reply, it doesn't. A run decides unless another version has its events. Versions of undeclared pools are kept until the pool appears. Two-sided events count from a block of tokens on.

--- a/chalkway_part_versions.h
+++ b/chalkway_part_versions.h
@@ -73,6 +73,7 @@
 typedef struct _cw_part_versions_item_t {
     uint64_t key; /* of pool and part */
     int64_t listed_ms;
+    bool has_more; /* versions than there is room for */
     _cw_part_holder_t holders[_CW_PART_VERSIONS_EACH];
 } _cw_part_versions_item_t;
 
@@ -149,6 +150,7 @@
     _cw_part_versions_item_t* item = _cw_part_versions_get(t, _cw_part_versions_key(listed->pool, listed->part));
     _cw_part_holder_t* holder = _cw_part_versions_holder(item, listed->version);
     uint32_t known = holder->version == listed->version ? holder->tokens : 0;
+    item->has_more = item->has_more || (holder->version && holder->version != listed->version);
     item->listed_ms = now_ms;
     *holder =
         (_cw_part_holder_t){.version = listed->version, .tokens = known > listed->tokens ? known : listed->tokens};
@@ -169,7 +171,7 @@
             count++;
         }
     }
-    return count;
+    return t->items[at].has_more ? _CW_PART_VERSIONS_EACH : count;
 }
 
 bool cw_part_versions_has_dropped(const cw_part_versions_t* t, int64_t since_ms) {
--- a/chalkway_stream_inquiry.h
+++ b/chalkway_stream_inquiry.h
@@ -11,14 +11,16 @@
         an inquiry to all others, in rounds, since datagrams may be lost and
         engines are queried during the first second.
 
-        There are three questions. The run that began the stream, or what such
-        a run has left: as many events after the prompt as the caller has,
+        The run that began the stream, if no other version has its events, or
+        what such a run has left when it was broken off: as many events after the prompt as the caller has,
         prove the version. The prompt alone doesn't: an engine that has it has
         run the stream, or another request with the same prompt, or was left
         before the first event. It decides only if all hosts have replied for
-        all of their engines, no engine of another version has it, and each
-        engine that can have run the stream was queried. Engines that failed
-        to reply, or have left the list, may have it.
+        all of their engines and no engine of another version has it, or
+        failed to reply. Engines that have left the list may have it, too: so
+        either none of another version has, or those that have the prompt have
+        at least the caller's events, as a run that went on after all hosts
+        were lost leaves.
 
     HOW TO USE IT
             cw_stream_inquiry_t q = {0};
@@ -51,6 +53,7 @@
     CW_STREAM_RUN,        /* who runs the request that began it */
     CW_STREAM_EVENTS,     /* who has, after the prompt, the events that the caller has, and at most
                              CW_STREAM_EVENTS_LAG more: a whole response to another request has all */
+    CW_STREAM_AT_LEAST,   /* who has, after the prompt, at least these events */
     CW_STREAM_QUESTION_COUNT
 } cw_stream_question_t;
 
@@ -61,6 +64,8 @@
     CW_STREAM_COVERS_ALL_BUT, /* all but engines of the reply's version, none of the others has the stream */
     CW_STREAM_HAS_SEVERAL,    /* engines of several versions have it */
     CW_STREAM_COVERS_LISTED,  /* all that can be queried; some of other versions than the reply's can't */
+    CW_STREAM_COVERS_STAYED,  /* all, but some of other versions than the reply's have left the list */
+    CW_STREAM_COVERS_LEFT,    /* all, none has the stream, but some of the reply's version have left the list */
     CW_STREAM_COVERAGE_COUNT
 } cw_stream_coverage_t;
 
@@ -81,6 +86,8 @@
     cw_stream_versions_t unqueried; /* of engines that can't be queried */
     uint32_t round;                 /* number of the current round, from 1 on */
     bool is_own_open;               /* this host has not queried all of its engines yet */
+    cw_stream_versions_t left;      /* of engines that have left the list */
+    bool may_have_left;             /* engines may have left the list that this host doesn't know of */
     uint32_t queried;               /* replies that are due in this round */
     uint32_t complete;              /* replies to this round that cover all engines that can be queried */
     int64_t begun_ms, next_round_ms;
@@ -132,9 +139,13 @@
 
 void cw_stream_inquiry_on_own(cw_stream_inquiry_t* q, cw_stream_question_t question, const cw_stream_reply_t* own) {
     cw_stream_versions_t* found = &q->found[question];
+    cw_stream_versions_t* named = own->coverage == CW_STREAM_COVERS_ALL_BUT ? &q->unqueried
+                                  : own->coverage == CW_STREAM_COVERS_LEFT  ? &q->left
+                                                                            : found;
     found->is_several = found->is_several || own->coverage == CW_STREAM_HAS_SEVERAL;
     q->unqueried.is_several = q->unqueried.is_several || own->coverage == CW_STREAM_COVERS_LISTED;
-    _cw_stream_versions_add(own->coverage == CW_STREAM_COVERS_ALL_BUT ? &q->unqueried : found, own->version);
+    q->left.is_several = q->left.is_several || own->coverage == CW_STREAM_COVERS_STAYED;
+    _cw_stream_versions_add(named, own->version);
 }
 
 void cw_stream_inquiry_on_reply(cw_stream_inquiry_t* q, cw_stream_question_t question, const cw_stream_reply_t* reply) {
@@ -150,9 +161,8 @@
     return _cw_stream_inquiry_is_complete(q) || now_ms - q->begun_ms >= CW_STREAM_INQUIRY_MS;
 }
 
-/* Whether engines that were not queried may have what those of this version were found to have. */
-static bool _cw_stream_inquiry_may_be_other(const cw_stream_inquiry_t* q, uint64_t version) {
-    return q->unqueried.is_several || (q->unqueried.version && q->unqueried.version != version);
+static bool _cw_stream_versions_have_other(const cw_stream_versions_t* v, uint64_t version) {
+    return v->is_several || (v->version && v->version != version);
 }
 
 uint64_t cw_stream_inquiry_version(const cw_stream_inquiry_t* q) {
@@ -160,14 +170,21 @@
     if (!_cw_stream_inquiry_is_complete(q)) {
         return 0;
     }
-    for (int question = CW_STREAM_RUN; question <= CW_STREAM_EVENTS; question++) {
-        const cw_stream_versions_t* proof = &q->found[question];
-        if (proof->version || proof->is_several) {
-            return proof->is_several ? 0 : proof->version;
-        }
+    const cw_stream_versions_t* run = &q->found[CW_STREAM_RUN];
+    const cw_stream_versions_t* events = &q->found[CW_STREAM_EVENTS];
+    const cw_stream_versions_t* at_least = &q->found[CW_STREAM_AT_LEAST];
+    if (run->version || run->is_several) { /* an attempt that was given up may run on */
+        bool is_only = !run->is_several && !_cw_stream_versions_have_other(at_least, run->version);
+        return is_only ? run->version : 0;
     }
-    bool is_known = prompt->version && !prompt->is_several && !_cw_stream_inquiry_may_be_other(q, prompt->version);
-    return is_known ? prompt->version : 0;
+    if (events->version || events->is_several) {
+        return events->is_several ? 0 : events->version;
+    }
+    if (!prompt->version || prompt->is_several || _cw_stream_versions_have_other(&q->unqueried, prompt->version)) {
+        return 0;
+    }
+    bool may_have_left = q->may_have_left || _cw_stream_versions_have_other(&q->left, prompt->version);
+    return at_least->version || !may_have_left ? prompt->version : 0;
 }
 
 #endif /* CHALKWAY_STREAM_INQUIRY_IMPL_INCLUDED */
--- a/gateway/dialect.h
+++ b/gateway/dialect.h
@@ -89,8 +89,16 @@
     cw_servers_t entries; /* as servers have written them, each time */
     int64_t at;           /* revision that the history reaches up to */
     bool is_complete;     /* no entry is missing since the source began */
+    bool has_unnamed;     /* an entry has gone that is not among the entries */
 } source_history_t;
 
+/* What a history shows. */
+typedef enum source_coverage_t {
+    SOURCE_HISTORY_NONE = 0,
+    SOURCE_HISTORY_RETAINED, /* all entries that have gone for as long as the source remembers */
+    SOURCE_HISTORY_COMPLETE  /* each entry since the source began */
+} source_coverage_t;
+
 /* How to read the configuration and the server list over HTTP. A path function writes the path and query of a call. A
    read function converts the response body to native form or reports what is wrong with it. */
 typedef struct source_t {
@@ -114,9 +122,10 @@
        read only some of them; these are valid. */
     void (*closed_path)(char* out, size_t size);
     cw_status_t (*read_closed)(const char* body, size_t size, cw_closed_halls_t* closed, cw_error_t* err);
-    /* Path of the complete history of the servers. NULL: there is none. A status other than 200 means that the source
-       has forgotten a part of it. read_history replaces history, whose entries are to be freed by cw_servers_free. */
-    void (*history_path)(char* out, size_t size);
+    /* Path of the history of the servers after a revision, 0: from its beginning. False: the source serves only that
+       from its beginning. NULL: there is none. Status 410 means that the source has forgotten a part of it.
+       read_history replaces history, whose entries are to be freed by cw_servers_free. */
+    bool (*history_path)(char* out, size_t size, int64_t after);
     cw_status_t (*read_history)(const char* body, size_t size, source_history_t* history, cw_error_t* err);
 } source_t;
 
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -200,12 +200,12 @@
     upstreams_reset_revisions(((gateway_t*)user)->upstreams);
 }
 
-static void on_history(void* user, const cw_servers_t* entries, bool is_complete) {
+static void on_history(void* user, const cw_servers_t* entries, source_coverage_t coverage) {
     streams_t* streams = ((gateway_t*)user)->streams;
     for (uint32_t i = 0; i < entries->count; i++) {
         streams_learn_listed(streams, &entries->items[i]);
     }
-    streams_on_history(streams, is_complete);
+    streams_on_history(streams, coverage);
 }
 
 static void on_stream_resolved(void* user, uint64_t stream) {
--- a/gateway/native.c
+++ b/gateway/native.c
@@ -71,8 +71,9 @@
     return cw_servers_from_json(list, body, size, err);
 }
 
-static void history_path(char* out, size_t size) {
+static bool history_path(char* out, size_t size, int64_t after) {
     snprintf(out, size, "/servers/history");
+    return !after;
 }
 
 /* A list of all entries that servers have had, with "complete": true if none is missing. */
@@ -82,6 +83,7 @@
     static const char* const name = "complete";
     cw_json_text_t complete;
     history->at = history->entries.at;
+    history->has_unnamed = true; /* it doesn't say which entries are missing */
     history->is_complete = status == CW_OK && cw_json_members((cw_json_text_t){body, size}, &name, &complete, 1) &&
                            complete.size == strlen("true") && memcmp(complete.text, "true", complete.size) == 0;
     return status;
--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -20,6 +20,7 @@
 #define CACHE_BLOCK_TOKENS 64 /* largest block of an engine's cache: the last one is kept only if it is full */
 #define ANNOUNCE_BATCH 64     /* own streams read at once when they are announced */
 #define POOLS_ANNOUNCING_MAX 64
+#define PENDING_VERSIONS_MAX 256
 
 /* What the host that is asked now has said of its own knowledge, by this host's clock. */
 typedef struct handover_source_t {
@@ -29,6 +30,13 @@
     cw_spans_t unknown;
 } handover_source_t;
 
+/* A version of a pool that this host doesn't know yet: others are asked before the configuration is read. */
+typedef struct pending_version_t {
+    uint64_t pool, version;
+    int64_t listed_ms; /* when a server of it was listed last */
+    bool has_departed; /* a server of it has left the list */
+} pending_version_t;
+
 struct streams_t {
     streams_desc_t desc;
     cw_stream_registry_t* registry;
@@ -44,9 +52,14 @@
     handover_source_t source;
     int64_t sources_from_ms;                   /* all hosts that have replied to the handover run since then */
     bool is_history_complete;                  /* the source has shown all versions that have ever served */
+    bool is_history_retained;                  /* it has shown which servers have gone for as long as it remembers */
     cw_part_versions_t* parts;                 /* what engines have listed */
     uint64_t announcing[POOLS_ANNOUNCING_MAX]; /* ids of the pools whose streams are announced */
     uint32_t announcing_count;
+    pending_version_t pending[PENDING_VERSIONS_MAX];
+    uint32_t pending_count;
+    uint64_t evicted;   /* records that found no room, as last seen */
+    int64_t evicted_ms; /* when that changed last, 0: never */
     streams_stats_t stats;
 };
 
@@ -91,6 +104,55 @@
 
 /* -- which versions serve ------------------------------------------------- */
 
+static pool_t* find_pool(const streams_t* s, uint64_t id) {
+    pool_t* pool = upstreams_pools(s->desc.upstreams);
+    while (pool && pool->id != id) {
+        pool = pool->next;
+    }
+    return pool;
+}
+
+static void learn_in_pool(pool_t* pool, int64_t now_ms, const pending_version_t* v) {
+    int64_t ago_ms = now_ms - v->listed_ms;
+    cw_pool_versions_learn(&pool->versions, now_ms, v->version, ago_ms > 0 ? (uint32_t)ago_ms : 0);
+    if (v->has_departed) {
+        cw_pool_versions_on_departure(&pool->versions, now_ms, v->version);
+    }
+}
+
+/* Applies what others know of pools that have been declared since. */
+static void apply_pending(streams_t* s, int64_t now_ms) {
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < s->pending_count; i++) {
+        const pending_version_t v = s->pending[i];
+        pool_t* pool = find_pool(s, v.pool);
+        if (pool) {
+            learn_in_pool(pool, now_ms, &v);
+        } else if (now_ms - v.listed_ms < s->memory_ms) {
+            s->pending[kept++] = v;
+        }
+    }
+    s->pending_count = kept;
+}
+
+/* A version that has served in a pool, which may not be declared yet. Without room for it, this host doesn't know what
+   has served. */
+static void learn_version(streams_t* s, int64_t now_ms, const pending_version_t* v) {
+    pool_t* pool = find_pool(s, v->pool);
+    if (!v->version) {
+        return;
+    }
+    if (pool) {
+        learn_in_pool(pool, now_ms, v);
+    } else if (s->pending_count < PENDING_VERSIONS_MAX) {
+        s->pending[s->pending_count++] = *v;
+    } else {
+        s->unknown = (cw_spans_t){0};
+        cw_spans_add(&s->unknown, CW_SPANS_FOREVER_MS, now_ms);
+        s->is_history_complete = s->is_history_retained = false;
+    }
+}
+
 static bool is_list_fresh(const streams_t* s) {
     int64_t age_ms = s->desc.list_age_ms(s->desc.user_data);
     return age_ms >= 0 && age_ms <= CW_POOL_VERSIONS_FRESH_MS;
@@ -105,6 +167,7 @@
     s->heard_from_ms = now_ms;
     s->stale_from_ms = 0;
     s->is_history_complete = false;
+    s->is_history_retained = false;
     s->sources_from_ms = CW_SPANS_FOREVER_MS;
     cw_handover_begin(&s->handover, &(cw_handover_desc_t){.now_ms = now_ms,
                                                           .enough_ms = s->known_min_ms,
@@ -116,6 +179,9 @@
 /* Finds the gaps between lists. Before the first list, versions may have served streams and gone that this host has
    never seen. */
 static void check_list(streams_t* s, int64_t now_ms) {
+    if (s->pending_count) {
+        apply_pending(s, now_ms);
+    }
     int64_t age_ms = s->desc.list_age_ms(s->desc.user_data);
     int64_t confirmed_ms = now_ms - age_ms;
     bool was_away = confirmed_ms - s->confirmed_ms > CW_POOL_VERSIONS_FRESH_MS; /* though it wasn't seen to be old */
@@ -143,9 +209,13 @@
 }
 
 /* Whether this host itself was there when each stream that is still alive was announced. What others handed over may
-   lack records: each host that kept one may have ended. */
-static bool has_heard_all(const streams_t* s, int64_t now_ms) {
-    return now_ms - s->heard_from_ms >= s->known_min_ms;
+   lack records: each host that kept one may have ended. Nor is a record there that found no room. */
+static bool has_heard_all(streams_t* s, int64_t now_ms) {
+    uint64_t evicted = cw_stream_registry_evicted(s->registry);
+    s->evicted_ms = evicted != s->evicted ? now_ms : s->evicted_ms;
+    s->evicted = evicted;
+    bool has_room = !s->evicted_ms || now_ms - s->evicted_ms >= s->memory_ms;
+    return has_room && now_ms - s->heard_from_ms >= s->known_min_ms;
 }
 
 /* Whether this host knows each version that a live stream can have. */
@@ -242,14 +312,16 @@
 
 /* Logs on what the version of a stream rests, or why it stays unknown. */
 static void log_inquiry(const streams_t* s, const stream_request_t* request, const cw_stream_inquiry_t* q) {
-    char texts[CW_STREAM_QUESTION_COUNT + 1][VERSION_TEXT_SIZE];
+    char texts[CW_STREAM_QUESTION_COUNT + 2][VERSION_TEXT_SIZE];
     cw_log(s->desc.log, CW_EVENT_STREAM_INQUIRY,
-           "id=%s stream=%016llx pool=%s run=%s events=%s prompt=%s unqueried=%s rounds=%u replies=%u of=%u own=%s "
-           "history=%s took_ms=%lld",
+           "id=%s stream=%016llx pool=%s run=%s events=%s at_least=%s prompt=%s unqueried=%s left=%s rounds=%u "
+           "replies=%u "
+           "of=%u own=%s history=%s took_ms=%lld",
            request->id, (unsigned long long)request->stream, request->pool->name,
            version_text(&q->found[CW_STREAM_RUN], texts[0]), version_text(&q->found[CW_STREAM_EVENTS], texts[1]),
-           version_text(&q->found[CW_STREAM_PROMPT], texts[2]), version_text(&q->unqueried, texts[3]), q->round,
-           q->complete, q->queried, q->is_own_open ? "open" : "complete",
+           version_text(&q->found[CW_STREAM_AT_LEAST], texts[2]), version_text(&q->found[CW_STREAM_PROMPT], texts[3]),
+           version_text(&q->unqueried, texts[4]), q->may_have_left ? "unknown" : version_text(&q->left, texts[5]),
+           q->round, q->complete, q->queried, q->is_own_open ? "open" : "complete",
            s->is_history_complete ? "complete" : "incomplete", (long long)(q->begun_ms ? clock_ms() - q->begun_ms : 0));
 }
 
@@ -299,52 +371,47 @@
 
 /* -- what the source and engines still have of streams --------------------- */
 
-static const pool_t* find_pool(const streams_t* s, uint64_t id) {
-    const pool_t* pool = upstreams_pools(s->desc.upstreams);
-    while (pool && pool->id != id) {
-        pool = pool->next;
-    }
-    return pool;
-}
-
 /* Key of a run among the parts. name_id: cw_name_id of the request's id. */
 static uint64_t run_key(uint64_t name_id) {
     return cw_mix(name_id, RUN_KEY_SEED);
 }
 
-static void add_versions(cw_stream_versions_t* all, uint32_t count, uint64_t version) {
-    all->is_several = all->is_several || count > 1 || (count && all->version && all->version != version);
-    all->version = count == 1 ? version : all->version;
-}
-
-/* Whether an engine of the pool may have started since streams that are alive began, and replaced one of another
-   version that left the list before this host's start. Hosts with a memory of that time reply for such engines. */
-static bool may_have_replaced_engines(const streams_t* s, const pool_t* pool) {
+/* Whether an engine of the pool has started since streams that are alive began: it may have replaced another one. */
+static bool has_recent_engine(const streams_t* s, const pool_t* pool) {
     int64_t since_ms = cw_clock_unix_ms() - s->known_min_ms - CLOCK_SKEW_MS;
-    for (const server_t* server = pool->servers; server; server = server->next) {
-        if (server->is_listed && (!server->published.started_ms || server->published.started_ms > since_ms)) {
-            return true;
-        }
+    const server_t* server = pool->servers;
+    while (server && !(server->is_listed && server->published.started_ms > since_ms)) {
+        server = server->next;
     }
-    return false;
+    return server != NULL;
 }
 
-/* Versions of engines that may have begun a stream which is still alive, and could not be queried: they failed to
-   reply, have left the list, or may have left it before this host read it. */
-static cw_stream_versions_t find_unqueried(const streams_t* s, uint64_t pool_id, int64_t now_ms) {
+/* Whether engines may have left the list before this host's start that it doesn't know of, and have begun streams that
+   are alive. A source may have forgotten what has gone sooner than streams end: then engines that state their start
+   show that there were others. */
+static bool may_have_missed_departures(const streams_t* s, uint64_t pool_id, int64_t now_ms) {
+    const pool_t* pool = find_pool(s, pool_id);
+    return !has_full_memory(s, now_ms) && (!s->is_history_retained || !pool || has_recent_engine(s, pool));
+}
+
+/* Versions of listed engines that failed to reply. */
+static cw_stream_versions_t find_unqueried(const streams_t* s, uint64_t pool_id) {
     cw_stream_versions_t unqueried = {0};
-    uint64_t version = 0;
+    uint32_t count =
+        s->desc.count_unlisted ? s->desc.count_unlisted(s->desc.user_data, pool_id, &unqueried.version) : 0;
+    unqueried.is_several = count > 1;
+    return unqueried;
+}
+
+/* Versions of engines that have left the list since streams that are alive began. */
+static cw_stream_versions_t find_departed(const streams_t* s, uint64_t pool_id, int64_t now_ms) {
+    cw_stream_versions_t departed = {0};
     const pool_t* pool = find_pool(s, pool_id);
-    if (s->desc.count_unlisted) {
-        add_versions(&unqueried, s->desc.count_unlisted(s->desc.user_data, pool_id, &version), version);
-    }
     if (pool) {
-        add_versions(&unqueried, cw_pool_versions_departed(&pool->versions, now_ms, s->known_min_ms, &version),
-                     version);
-        unqueried.is_several =
-            unqueried.is_several || (!has_full_memory(s, now_ms) && may_have_replaced_engines(s, pool));
+        departed.is_several =
+            cw_pool_versions_departed(&pool->versions, now_ms, s->known_min_ms, &departed.version) > 1;
     }
-    return unqueried;
+    return departed;
 }
 
 static bool is_inventory_complete(const streams_t* s) {
@@ -371,7 +438,8 @@
                              .min_tokens = min_tokens,
                              .max_tokens = is_bounded ? max_event_tokens(s, inquiry->pool, min_tokens) : 0};
     uint32_t versions = cw_part_versions_find(s->parts, &query, &version);
-    cw_stream_versions_t unqueried = find_unqueried(s, inquiry->pool, now_ms);
+    cw_stream_versions_t unqueried = find_unqueried(s, inquiry->pool);
+    cw_stream_versions_t departed = find_departed(s, inquiry->pool, now_ms);
     cw_stream_reply_t reply = {.round = inquiry->left_ms >> CW_STREAM_ROUND_BIT,
                                .version = versions == 1 ? version : 0};
     if (versions > 1) {
@@ -383,6 +451,11 @@
     } else if (unqueried.version && !versions) {
         reply = (cw_stream_reply_t){
             .round = reply.round, .version = unqueried.version, .coverage = CW_STREAM_COVERS_ALL_BUT};
+    } else if (departed.is_several || (versions && departed.version && departed.version != version)) {
+        reply.coverage = CW_STREAM_COVERS_STAYED;
+    } else if (departed.version && !versions) {
+        reply.version = departed.version;
+        reply.coverage = CW_STREAM_COVERS_LEFT;
     }
     return reply;
 }
@@ -420,6 +493,9 @@
         add_item(&list, request, CW_STREAM_PROMPT, request->part, min_cached_tokens(request));
     }
     if (request->part && request->pool->event_tokens) {
+        add_item(&list, request, CW_STREAM_AT_LEAST, request->part, min_event_tokens(request));
+    }
+    if (request->part && request->events * request->pool->event_tokens >= CACHE_BLOCK_TOKENS) {
         add_item(&list, request, CW_STREAM_EVENTS, request->part, min_event_tokens(request));
     }
     if (request->part && request->resumes[0]) {
@@ -428,8 +504,10 @@
     return list;
 }
 
-static void search_own_engines(const streams_t* s, const inquiry_items_t* list, cw_stream_inquiry_t* inquiry) {
+static void search_own_engines(const streams_t* s, int64_t now_ms, const inquiry_items_t* list,
+                               cw_stream_inquiry_t* inquiry) {
     inquiry->is_own_open = false;
+    inquiry->may_have_left = list->count && may_have_missed_departures(s, list->items[0].pool, now_ms);
     for (uint32_t i = 0; i < list->count; i++) {
         cw_stream_reply_t own = find_engines(s, &list->items[i]);
         cw_stream_inquiry_on_own(inquiry, list->items[i].left_ms >> CW_STREAM_QUESTION_BIT, &own);
@@ -460,7 +538,7 @@
     }
     bool reads_history = !s->is_history_complete && s->desc.read_history &&
                          s->desc.read_history(s->desc.user_data, cw_spans_end_ms(&s->unknown));
-    search_own_engines(s, &list, inquiry);
+    search_own_engines(s, now_ms, &list, inquiry);
     if (cw_stream_inquiry_is_due(inquiry, now_ms)) {
         send_round(s, now_ms, &list, inquiry);
     }
@@ -508,21 +586,19 @@
 }
 
 void streams_learn_listed(streams_t* s, const cw_server_t* entry) {
+    int64_t now_ms = clock_ms();
     uint64_t version = cw_server_version_id(entry);
-    pool_t* pool = upstreams_pool(s->desc.upstreams, entry->pool);
     const server_t* server = upstreams_server(s->desc.upstreams, cw_server_incarnation_id(entry));
-    if (!pool) {
-        return;
-    }
-    if (server && server->is_listed && cw_server_version_id(&server->published) == version) {
-        cw_pool_versions_learn(&pool->versions, clock_ms(), version, 0);
-    } else {
-        cw_pool_versions_on_departure(&pool->versions, clock_ms(), version);
-    }
+    bool is_listed = server && server->is_listed && cw_server_version_id(&server->published) == version;
+    learn_version(
+        s, now_ms,
+        &(pending_version_t){
+            .pool = cw_name_id(entry->pool), .version = version, .listed_ms = now_ms, .has_departed = !is_listed});
 }
 
-void streams_on_history(streams_t* s, bool is_complete) {
-    s->is_history_complete = is_complete;
+void streams_on_history(streams_t* s, source_coverage_t coverage) {
+    s->is_history_complete = coverage == SOURCE_HISTORY_COMPLETE;
+    s->is_history_retained = coverage != SOURCE_HISTORY_NONE;
 }
 
 /* -- other hosts ---------------------------------------------------------- */
@@ -671,14 +747,6 @@
     return is_due;
 }
 
-static void learn_version(streams_t* s, int64_t now_ms, const cw_stream_entry_t* entry) {
-    for (pool_t* pool = upstreams_pools(s->desc.upstreams); pool; pool = pool->next) {
-        if (pool->id == entry->pool && entry->version) {
-            cw_pool_versions_learn(&pool->versions, now_ms, entry->version, entry->left_ms);
-        }
-    }
-}
-
 /* A span, or the start, of the host that is asked. It was measured after the page had been requested, and not later
    than now: what is uncertain counts as unknown. */
 static void read_span(handover_source_t* source, int64_t now_ms, const cw_stream_entry_t* entry) {
@@ -752,7 +820,9 @@
         if (!entry->stream && !entry->pool) {
             read_span(&s->source, now_ms, entry);
         } else if (!entry->stream) {
-            learn_version(s, now_ms, entry);
+            learn_version(s, now_ms,
+                          &(pending_version_t){
+                              .pool = entry->pool, .version = entry->version, .listed_ms = now_ms - entry->left_ms});
         } else if (entry->version) {
             streams_on_announced(s, &(cw_stream_record_t){.stream = entry->stream,
                                                           .pool = entry->pool,
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -120,8 +120,8 @@
 void streams_on_inquiry(const streams_t* s, const cw_stream_entry_t* inquiry, cw_stream_entry_t* evidence);
 /* The history of the source has this entry of a server. */
 void streams_learn_listed(streams_t* s, const cw_server_t* entry);
-/* The history was read. is_complete: it reached back to the beginning of the source, and showed each version. */
-void streams_on_history(streams_t* s, bool is_complete);
+/* The history was read, and each of its entries was learned. */
+void streams_on_history(streams_t* s, source_coverage_t coverage);
 /* A record was received from another host; version 0: it does not know the stream, and several versions have served. */
 void streams_on_announced(streams_t* s, const cw_stream_record_t* record);
 /* Another host queries a stream. False: there is nothing to reply. record: the reply. */
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -260,6 +260,7 @@
     cw_servers_free(&s->list);
     cw_changes_free(&s->changes);
     cw_servers_free(&s->incoming);
+    cw_servers_free(&s->retained.entries);
     cw_catalog_release(s->active_catalog);
     free(s->active_text);
     free(s);
--- a/gateway/sync.h
+++ b/gateway/sync.h
@@ -47,9 +47,8 @@
     /* The revisions of the source went back: those of earlier lists can't be compared with the next one's. Called
        before on_servers. May be NULL. */
     void (*on_revisions_reset)(void* user_data);
-    /* The history of the source was read, see sync_read_history: each entry that servers have had. is_complete: none is
-       missing. May be NULL. */
-    void (*on_history)(void* user_data, const cw_servers_t* entries, bool is_complete);
+    /* The history of the source was read, see sync_read_history: entries that servers have had. May be NULL. */
+    void (*on_history)(void* user_data, const cw_servers_t* entries, source_coverage_t coverage);
     void* user_data;
 } sync_desc_t;
 
--- a/gateway/sync_internal.h
+++ b/gateway/sync_internal.h
@@ -41,6 +41,10 @@
     fetch_t catalog, servers, history, peer_catalog, peer_servers;
     history_state_t history_state;
     int64_t history_begun_ms;     /* when the last reading of the history began */
+    int64_t history_after;        /* revision after which the running call asks for it */
+    int64_t forgotten_at;         /* the source has forgotten changes after this revision */
+    int64_t retained_after;       /* it has all changes after this one, which were read; NEVER: none yet */
+    source_history_t retained;    /* these changes */
     int64_t catalog_version;      /* of the configuration that was last read from the source */
     int64_t catalog_confirmed_ms; /* when the active configuration was last known to be current, NEVER: none */
     cw_catalog_t* active_catalog;
--- a/tests/cut_network.c
+++ b/tests/cut_network.c
@@ -10,6 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 static int (*real_connect)(int, const struct sockaddr*, socklen_t);
@@ -59,3 +60,16 @@
     }
     return received;
 }
+
+static int (*real_clock_gettime)(clockid_t, struct timespec*);
+
+/* The time of day is CHALKWAY_CLOCK_AHEAD_S seconds ahead. */
+int clock_gettime(clockid_t clock, struct timespec* out) {
+    if (!real_clock_gettime) {
+        real_clock_gettime = (int (*)(clockid_t, struct timespec*))dlsym(RTLD_NEXT, "clock_gettime");
+    }
+    const char* ahead = getenv("CHALKWAY_CLOCK_AHEAD_S");
+    int result = real_clock_gettime(clock, out);
+    out->tv_sec += clock == CLOCK_REALTIME && ahead ? strtol(ahead, NULL, 10) : 0;
+    return result;
+}
--- a/tests/stream_plays.h
+++ b/tests/stream_plays.h
@@ -22,6 +22,7 @@
 typedef enum variation_t {
     PLAIN,
     HISTORY_FORGOTTEN,
+    BEGINNING_FORGOTTEN, /* the source has the changes since the streams began */
     LAST_CHANGES_ONLY,
     SOURCE_AWAY, /* as the hosts return */
     SOURCE_RESTORED,
@@ -44,10 +45,11 @@
     const char* name;
     void (*run)(site_t* s, variation_t variation);
     variation_t variation;
-    double share;    /* at least, of the streams that are taken up and whose version serves on two engines, go on */
-    bool is_by_hand; /* not checked by a test */
-    turns_t turns;   /* at engines of v2 before each loss of all hosts */
-    bool drops_runs; /* engines keep the prompt of a broken run, but not what it has made */
+    double share;      /* at least, of the streams that are taken up and whose version serves on two engines, go on */
+    bool is_by_hand;   /* not checked by a test */
+    turns_t turns;     /* at engines of v2 before each loss of all hosts */
+    bool hides_starts; /* engines don't state when they started */
+    bool drops_runs;   /* engines keep the prompt of a broken run, but not what it has made */
 } play_t;
 
 /* A test program. */
@@ -65,6 +67,7 @@
     s->store.keeps_last_changes_only = variation == LAST_CHANGES_ONLY;
     s->has_empty_lists = variation == EMPTY_LISTS;
     s->drops_broken_runs = variation == EARLIER_RUNS_DROPPED || play->drops_runs;
+    s->hides_starts = play->hides_starts;
     s->has_turns = play->turns != NO_TURNS;
     s->has_whole_turns = play->turns == WHOLE_TURNS;
     s->has_quiet_beats = variation == QUIET_HEARTBEATS;
--- a/tests/stream_releases.h
+++ b/tests/stream_releases.h
@@ -69,6 +69,9 @@
 static inline void begin_streams(site_t* s, uint32_t events, variation_t variation) {
     s->events = events;
     store_copy(&s->store);
+    if (variation == BEGINNING_FORGOTTEN) {
+        store_forget_history(&s->store);
+    }
     site_begin_streams(s, streams_for(s), BEGIN_S);
     for (uint32_t i = 0; i < s->engine_count; i++) {
         s->engines[i].fails_list = variation == LISTS_FAIL && strcmp(s->engines[i].version, "v2") == 0;
--- a/tests/test_stream_evidence.c
+++ b/tests/test_stream_evidence.c
@@ -228,6 +228,15 @@
 }
 END_TEST
 
+/* Guards against a datagram that arrives twice and counts for a host that has not replied. */
+START_TEST(a_reply_that_arrives_twice_counts_once) {
+    cw_stream_inquiry_t q = begin(2);
+    reply(&q, 1, V2, CW_STREAM_COVERS_ALL);
+    reply(&q, 1, V2, CW_STREAM_COVERS_ALL);
+    ck_assert(!cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
+}
+END_TEST
+
 /* Guards against large fleets in which an inquiry ended before its second round. */
 START_TEST(rounds_are_spread_by_the_number_of_hosts) {
     cw_stream_inquiry_t q;
@@ -399,6 +408,7 @@
     tcase_add_test(t, events_at_two_versions_decide_nothing);
     tcase_add_test(t, events_decide_beside_a_prompt_at_another_version);
     tcase_add_test(t, a_run_decides_beside_prompts_at_other_versions);
+    tcase_add_test(t, a_reply_that_arrives_twice_counts_once);
     tcase_add_test(t, rounds_are_spread_by_the_number_of_hosts);
     tcase_add_test(t, a_resumed_request_names_the_last_part_of_its_prompt);
     tcase_add_test(t, the_runs_of_an_engine_are_read);
