--- a/gateway/streams.c
+++ b/gateway/streams.c
@@ -315,14 +315,16 @@
     char texts[CW_STREAM_QUESTION_COUNT + 2][VERSION_TEXT_SIZE];
     cw_log(s->desc.log, CW_EVENT_STREAM_INQUIRY,
            "id=%s stream=%016llx pool=%s run=%s events=%s at_least=%s prompt=%s unqueried=%s left=%s rounds=%u "
-           "replies=%u "
-           "of=%u own=%s history=%s took_ms=%lld",
+           "replies=%u of=%u own=%s history=%s took_ms=%lld",
            request->id, (unsigned long long)request->stream, request->pool->name,
            version_text(&q->found[CW_STREAM_RUN], texts[0]), version_text(&q->found[CW_STREAM_EVENTS], texts[1]),
            version_text(&q->found[CW_STREAM_AT_LEAST], texts[2]), version_text(&q->found[CW_STREAM_PROMPT], texts[3]),
            version_text(&q->unqueried, texts[4]), q->may_have_left ? "unknown" : version_text(&q->left, texts[5]),
            q->round, q->complete, q->queried, q->is_own_open ? "open" : "complete",
-           s->is_history_complete ? "complete" : "incomplete", (long long)(q->begun_ms ? clock_ms() - q->begun_ms : 0));
+           s->is_history_complete   ? "complete"
+           : s->is_history_retained ? "retained"
+                                    : "none",
+           (long long)(q->begun_ms ? clock_ms() - q->begun_ms : 0));
 }
 
 /* Logs and counts how the version of a stream was found, and returns it. */
