--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -12,8 +12,8 @@
     (chalkway_pool_versions.h), as it knows itself, another host vouches for, or the complete history of the source
    shows. A host that starts, or whose list was not fresh for a while, takes over the streams and versions that others
    know (chalkway_handover.h); what nobody knows remains unknown (chalkway_spans.h). After a loss of all hosts, engines
-   that run the stream's request, or still cache its prompt and its events (chalkway_part_versions.h), show its version.
-   The prompt alone shows it only if no engine of another version can have it, those that left the list included.
+   that run the stream's request, or still cache its prompt and its events (chalkway_part_versions.h), show its version;
+   the prompt alone does only if no engine of another version can have it, those that left the list included.
 */
 #include "../chalkway_handover.h"
 #include "../chalkway_log.h"
