Engines that were not asked are sought when an inquiry needs them

Now only a host that is to say that all engines have replied looks, every 250 ms at most, and answers that some haven't until they have. test_absence, test_stream_doubts, test_stream_turns and test_stream_losses pass as before.

--- a/gateway/inventory.c
+++ b/gateway/inventory.c
@@ -8,7 +8,7 @@
 #include "clock.h"
 
 #define SETTLE_DELAY_MS 300
-#define RELIST_INTERVAL_MS 100
+#define UNASKED_INTERVAL_MS 250 /* least time between two searches for engines that were not asked */
 #define MAX_CALLS 2            /* at the same time: an engine's list may be long, and this host has requests to serve */
 #define CALL_TIMEOUT_MS 1000   /* longest time for one engine's list */
 #define CONNECT_TIMEOUT_MS 300 /* longest time to connect to an engine */
@@ -42,7 +42,9 @@
     failed_t failed[FAILED_MAX];
     uint32_t failed_count;
     bool has_more_failed; /* than there is room for: any pool may be concerned */
-    int64_t relist_ms;    /* when the engines that this daemon owns are listed again */
+    int64_t expired_ms;   /* when the last search for engines that were not asked expired */
+    bool is_checked;      /* they were searched for since then */
+    bool has_unasked;     /* there are some */
     inventory_stats_t stats;
 };
 
@@ -265,19 +267,16 @@
     return !v->desc.is_converged || v->desc.is_converged(v->desc.user_data);
 }
 
-/* What the engines of a host told it is lost with that host. Its engines pass to others, which query them as well while
-   they may need the answers. */
-static bool is_relisting_due(const inventory_t* v, int64_t now_ms) {
-    bool is_needed = !v->desc.needs_runs || v->desc.needs_runs(v->desc.user_data);
-    return v->stats.is_done && now_ms >= v->relist_ms && is_needed && has_converged(v);
-}
-
 void inventory_tick(inventory_t* v, int64_t now_ms) {
     if (!v->desc.dialect->inventory_path) {
         return;
     }
-    if (is_relisting_due(v, now_ms)) {
-        v->is_listed = v->stats.is_done = false;
+    if (now_ms - v->expired_ms >= UNASKED_INTERVAL_MS) {
+        v->expired_ms = now_ms;
+        v->is_checked = false;
+    }
+    if (v->has_unasked) {
+        v->is_listed = v->stats.is_done = v->has_unasked = false;
     }
     if (v->stats.is_done) {
         return;
@@ -291,7 +290,6 @@
     }
     if (!v->is_listed) {
         list_owned_engines(v);
-        v->relist_ms = now_ms + RELIST_INTERVAL_MS;
     }
     v->stats.is_done = !start_pending_calls(v) && !v->pending_count;
 }
@@ -309,8 +307,27 @@
     return v;
 }
 
-bool inventory_is_complete(const inventory_t* v) {
-    return v->stats.is_done || !v->desc.dialect->inventory_path;
+/* What the engines of a host told it is lost with that host: they pass to others. */
+static bool has_unasked_engines(const inventory_t* v) {
+    for (const pool_t* pool = upstreams_pools(v->desc.upstreams); pool; pool = pool->next) {
+        for (const server_t* s = pool->slots ? pool->servers : NULL; s; s = s->next) {
+            if (s->is_listed && !s->is_inventoried && v->desc.owns_server(v->desc.user_data, s->key)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+bool inventory_is_complete(inventory_t* v) {
+    if (!v->desc.dialect->inventory_path) {
+        return true;
+    }
+    if (v->stats.is_done && !v->is_checked) {
+        v->is_checked = true;
+        v->has_unasked = has_unasked_engines(v);
+    }
+    return v->stats.is_done && !v->has_unasked;
 }
 
 inventory_stats_t inventory_stats(const inventory_t* v) {
--- a/gateway/inventory.h
+++ b/gateway/inventory.h
@@ -7,8 +7,8 @@
     Each engine is queried by the live daemon that owns it. That daemon records the list and publishes it to its
     peers.
 
-    No daemon queries an engine again: later prompts are recorded as requests are sent. While streams of before may be
-    resumed, engines that pass to this daemon, since another one has ended, are queried as well.
+    No daemon queries an engine again: later prompts are recorded as requests are sent. Engines that pass to this
+   daemon, since another one has ended, are queried when somebody needs to know that all have replied.
 
     If all hosts were lost, streams that broke off may still run, or be cached. A run whose memory isn't listed yet is
    in the engine's list of runs. That list is read first, since a run that ends after it is listed as cached.
@@ -55,8 +55,9 @@
 void inventory_shutdown(inventory_t* v);
 void inventory_tick(inventory_t* v, int64_t now_ms);
 inventory_stats_t inventory_stats(const inventory_t* v);
-/* Whether the engines that this daemon queries have replied or failed, or there are none to query. */
-bool inventory_is_complete(const inventory_t* v);
+/* Whether all listed engines that this daemon owns have replied or failed. If not, those that were not asked are
+   queried by the next inventory_tick. */
+bool inventory_is_complete(inventory_t* v);
 /* Number of versions of the pool's engines that failed to reply: 0, 1 or 2 (several); version: set if it is 1. */
 uint32_t inventory_count_failed(const inventory_t* v, uint64_t pool, uint64_t* version);
 
