--- a/chalkway_stream_inquiry.h
+++ b/chalkway_stream_inquiry.h
@@ -12,8 +12,9 @@
         engines are queried during the first second.
 
         The run that began the stream, if no other version has its events, or
-        what such a run has left when it was broken off: as many events after the prompt as the caller has,
-        prove the version. The prompt alone doesn't: an engine that has it has
+        what such a run has left when it was broken off, as many events after
+        the prompt as the caller has, prove the version. The prompt alone
+        doesn't: an engine that has it has
         run the stream, or another request with the same prompt, or was left
         before the first event. It decides only if all hosts have replied for
         all of their engines and no engine of another version has it, or
