--- a/gateway/inventory.c
+++ b/gateway/inventory.c
@@ -152,8 +152,7 @@
                           : dialect->read_inventory(body, c->body.size, started_ms, add_part, items, err);
 }
 
-/* Whether another process than the one that is listed has responded. Of a server that leaves, upstreams doesn't check
- * it. */
+/* Whether another process than the listed one has responded. upstreams.c doesn't check that of a server that leaves. */
 static bool is_other_incarnation(const inventory_t* v, server_t* server, int64_t started_ms) {
     bool differs = started_ms && server->published.started_ms && started_ms != server->published.started_ms;
     return upstreams_check_incarnation(v->desc.upstreams, clock_ms(), server, started_ms) || differs;
