--- a/chalkway_stream_inquiry.h
+++ b/chalkway_stream_inquiry.h
@@ -82,6 +82,14 @@
     bool is_several;
 } cw_stream_versions_t;
 
+/* What a host knows of the engines that it queries, and of those that it can't query. */
+typedef struct cw_stream_findings_t {
+    cw_stream_versions_t found;     /* of the engines that have the stream */
+    cw_stream_versions_t unqueried; /* of listed engines that failed to reply */
+    cw_stream_versions_t left;      /* of engines that have left the list since streams that are alive began */
+    bool is_open;                   /* some engines have not replied yet, or what they listed was dropped */
+} cw_stream_findings_t;
+
 typedef struct cw_stream_inquiry_t {
     cw_stream_versions_t found[CW_STREAM_QUESTION_COUNT];
     cw_stream_versions_t unqueried; /* of engines that can't be queried */
@@ -94,6 +102,8 @@
     int64_t begun_ms, next_round_ms;
 } cw_stream_inquiry_t;
 
+/* The reply with these findings, without its round. */
+cw_stream_reply_t cw_stream_reply_make(const cw_stream_findings_t* findings);
 void cw_stream_inquiry_begin(cw_stream_inquiry_t* q, int64_t now_ms);
 bool cw_stream_inquiry_is_due(const cw_stream_inquiry_t* q, int64_t now_ms);
 /* Begins a round, and returns its number. */
@@ -114,6 +124,31 @@
 #ifndef CHALKWAY_STREAM_INQUIRY_IMPL_INCLUDED
 #define CHALKWAY_STREAM_INQUIRY_IMPL_INCLUDED
 
+static bool _cw_stream_versions_have_other(const cw_stream_versions_t* v, uint64_t version) {
+    return v->is_several || (v->version && v->version != version);
+}
+
+cw_stream_reply_t cw_stream_reply_make(const cw_stream_findings_t* findings) {
+    const cw_stream_versions_t* found = &findings->found;
+    const cw_stream_versions_t* unqueried = &findings->unqueried;
+    const cw_stream_versions_t* left = &findings->left;
+    cw_stream_reply_t reply = {.version = found->is_several ? 0 : found->version};
+    if (found->is_several) {
+        reply.coverage = CW_STREAM_HAS_SEVERAL;
+    } else if (findings->is_open) {
+        reply.coverage = CW_STREAM_COVERS_SOME;
+    } else if (unqueried->is_several || (found->version && _cw_stream_versions_have_other(unqueried, found->version))) {
+        reply.coverage = CW_STREAM_COVERS_LISTED;
+    } else if (unqueried->version && !found->version) {
+        reply = (cw_stream_reply_t){.version = unqueried->version, .coverage = CW_STREAM_COVERS_ALL_BUT};
+    } else if (left->is_several || (found->version && _cw_stream_versions_have_other(left, found->version))) {
+        reply.coverage = CW_STREAM_COVERS_STAYED;
+    } else if (left->version && !found->version) {
+        reply = (cw_stream_reply_t){.version = left->version, .coverage = CW_STREAM_COVERS_LEFT};
+    }
+    return reply;
+}
+
 void cw_stream_inquiry_begin(cw_stream_inquiry_t* q, int64_t now_ms) {
     *q = (cw_stream_inquiry_t){.begun_ms = now_ms, .next_round_ms = now_ms};
 }
@@ -162,10 +197,6 @@
     return _cw_stream_inquiry_is_complete(q) || now_ms - q->begun_ms >= CW_STREAM_INQUIRY_MS;
 }
 
-static bool _cw_stream_versions_have_other(const cw_stream_versions_t* v, uint64_t version) {
-    return v->is_several || (v->version && v->version != version);
-}
-
 uint64_t cw_stream_inquiry_version(const cw_stream_inquiry_t* q) {
     const cw_stream_versions_t* prompt = &q->found[CW_STREAM_PROMPT];
     if (!_cw_stream_inquiry_is_complete(q)) {
--- a/tools/arrows.sh
+++ b/tools/arrows.sh
@@ -23,7 +23,7 @@
         admission) echo "admission dialect request_head" ;;
         exchange | exchange_internal | exchange_assign | exchange_attempt)
             echo "admission clock exchange exchange_internal frontend quarantine request_head streams upstream" ;;
-        streams) echo "clock streams upstream" ;;
+        streams | streams_internal | streams_evidence | streams_handover) echo "clock streams streams_internal upstream" ;;
         quarantine) echo "clock quarantine upstream" ;;
         native | dialect) echo "dialect" ;;
         inventory) echo "clock dialect inventory upstream" ;;
