--- a/tests/test_absence.c
+++ b/tests/test_absence.c
@@ -72,6 +72,20 @@
 }
 END_TEST
 
+/* The same at the moment in which the other host ends: a reply to another host's inquiry was made a moment before. */
+START_TEST(engines_that_pass_to_this_host_are_noticed_at_once) {
+    rig_t* r = rig_setup(POOLS, 2);
+    ownership_t ownership = {.owned_server = cw_name_id("s1")};
+    rig_script(r, (rig_step_t[]){{RIG_RESPOND_CLOSE, EMPTY_LIST}, {RIG_RESPOND_CLOSE, EMPTY_LIST}}, 2);
+    inventory_t* v = make_inventory(r, &ownership);
+    run_inventory(r, v);
+    ownership.owned_server = 0;
+    ck_assert(!inventory_is_complete(v));
+    inventory_shutdown(v);
+    rig_shutdown(r);
+}
+END_TEST
+
 #define POOL_COUNT 70
 
 static void write_pool_name(char name[8], uint32_t i) {
@@ -381,6 +395,7 @@
 
 static void add_tests(TCase* t) {
     tcase_add_test(t, engines_of_a_host_that_ended_do_not_count_as_queried);
+    tcase_add_test(t, engines_that_pass_to_this_host_are_noticed_at_once);
     tcase_add_test(t, no_engine_that_failed_to_list_its_parts_is_forgotten);
     tcase_add_loop_test(t, versions_handed_over_before_the_configuration_are_not_lost, 0, 2);
     tcase_add_test(t, a_history_with_entries_of_an_undeclared_pool_is_not_complete);
