A reply with a failed engine and another that has left rules out both versions

Callers: a stream could be resumed at a version that had only its prompt, from another request of the session, where the host that would have objected knew two things: an engine of that version failed to list its parts, and one of the other version has left. A reply has room for one version, so it named the failed one.

--- a/chalkway_stream_inquiry.h
+++ b/chalkway_stream_inquiry.h
@@ -139,6 +139,8 @@
         reply.coverage = CW_STREAM_COVERS_SOME;
     } else if (unqueried->is_several || (found->version && _cw_stream_versions_have_other(unqueried, found->version))) {
         reply.coverage = CW_STREAM_COVERS_LISTED;
+    } else if (unqueried->version && !found->version && _cw_stream_versions_have_other(left, unqueried->version)) {
+        reply.coverage = CW_STREAM_COVERS_LISTED; /* there is room for one version */
     } else if (unqueried->version && !found->version) {
         reply = (cw_stream_reply_t){.version = unqueried->version, .coverage = CW_STREAM_COVERS_ALL_BUT};
     } else if (left->is_several || (found->version && _cw_stream_versions_have_other(left, found->version))) {
