Replies to an inquiry are a set of hosts and questions, not a count

Callers: after a loss of all hosts a stream could be resumed by its prompt alone while the host whose engines ran it had not replied, if another host's reply arrived twice.

Cause: replies were counted. Ways: a list of hosts in each request (1,000 ids), a bit for each host by its rank (ranks differ while the fleet changes), or a fingerprint of the set, the exclusive or of hashes of host and question, taken. Tests name the host of each reply; a_run_decides_beside_prompts_at_other_versions has its second run at the host that inquires, since a third reply was of nobody.

--- a/chalkway_stream_inquiry.h
+++ b/chalkway_stream_inquiry.h
@@ -27,15 +27,19 @@
             cw_stream_inquiry_t q = {0};
             cw_stream_inquiry_begin(&q, now_ms);
             if (cw_stream_inquiry_is_due(&q, now_ms)) {
-                uint32_t round = cw_stream_inquiry_next_round(&q);
-                cw_stream_inquiry_on_round(&q, now_ms, send_to_all(round), 1);
+                cw_stream_audience_t audience = {.view = view};
+                send_to_all(cw_stream_inquiry_next_round(&q)); // cw_stream_audience_add for each reply that is due
+                cw_stream_inquiry_on_round(&q, now_ms, &audience);
             }
             cw_stream_inquiry_on_reply(&q, CW_STREAM_PROMPT, &(cw_stream_reply_t){...}); // for each reply
+            q.own_view = view;
             if (cw_stream_inquiry_is_decided(&q, now_ms)) { uint64_t version = cw_stream_inquiry_version(&q); }
 
     WHAT IT DOES NOT DO
-        It has no sockets, and doesn't know the hosts: each replies once to a
-        round, with the round's number.
+        It has no sockets. Hosts reply with the round's number and with a
+        fingerprint of their view of the fleet, which decides who queries
+        which engine: replies of hosts with different views may leave out an
+        engine together, so they don't count.
 
     LICENCE
         MIT, see LICENSE.
@@ -71,11 +75,23 @@
 } cw_stream_coverage_t;
 
 typedef struct cw_stream_reply_t {
+    uint64_t host;
+    uint64_t view; /* of the fleet */
     uint32_t round;
     uint64_t version; /* of the engines that have the stream, 0: none has it; see CW_STREAM_COVERS_ALL_BUT */
     cw_stream_coverage_t coverage;
 } cw_stream_reply_t;
 
+/* Those that are to reply to a round. A set of replies is known by a fingerprint: the exclusive or of hashes of host
+   and question. A reply that arrives twice takes itself out again, so a silent host is never taken for one that
+   replied. */
+typedef struct cw_stream_audience_t {
+    uint32_t hosts;
+    uint32_t replies;     /* that are due */
+    uint64_t replies_set; /* their fingerprint */
+    uint64_t view;        /* of the fleet, by the host that inquires */
+} cw_stream_audience_t;
+
 /* Versions of engines. */
 typedef struct cw_stream_versions_t {
     uint64_t version; /* 0: none */
@@ -97,8 +113,11 @@
     bool is_own_open;               /* this host has not queried all of its engines yet */
     cw_stream_versions_t left;      /* of engines that have left the list */
     bool may_have_left;             /* engines may have left the list that this host doesn't know of */
-    uint32_t queried;               /* replies that are due in this round */
+    cw_stream_audience_t audience;  /* of this round */
     uint32_t complete;              /* replies to this round that cover all engines that can be queried */
+    uint64_t complete_set;          /* their fingerprint */
+    uint32_t other_views;           /* replies to this round by hosts with another view of the fleet */
+    uint64_t own_view;              /* this host's view now */
     int64_t begun_ms, next_round_ms;
 } cw_stream_inquiry_t;
 
@@ -108,8 +127,10 @@
 bool cw_stream_inquiry_is_due(const cw_stream_inquiry_t* q, int64_t now_ms);
 /* Begins a round, and returns its number. */
 uint32_t cw_stream_inquiry_next_round(cw_stream_inquiry_t* q);
-/* The round was sent to so many hosts, each of which replies to so many items. */
-void cw_stream_inquiry_on_round(cw_stream_inquiry_t* q, int64_t now_ms, uint32_t hosts, uint32_t items);
+/* The host is to reply to this question. */
+void cw_stream_audience_add(cw_stream_audience_t* audience, uint64_t host, cw_stream_question_t question);
+/* The round was sent to this audience. */
+void cw_stream_inquiry_on_round(cw_stream_inquiry_t* q, int64_t now_ms, const cw_stream_audience_t* audience);
 void cw_stream_inquiry_on_reply(cw_stream_inquiry_t* q, cw_stream_question_t question, const cw_stream_reply_t* reply);
 /* What this host's own engines show: as a reply, but it isn't counted. */
 void cw_stream_inquiry_on_own(cw_stream_inquiry_t* q, cw_stream_question_t question, const cw_stream_reply_t* own);
@@ -160,13 +181,24 @@
 }
 
 uint32_t cw_stream_inquiry_next_round(cw_stream_inquiry_t* q) {
-    q->complete = 0;
+    q->complete = q->other_views = 0;
+    q->complete_set = 0;
     return ++q->round;
 }
 
-void cw_stream_inquiry_on_round(cw_stream_inquiry_t* q, int64_t now_ms, uint32_t hosts, uint32_t items) {
-    uint32_t spread_ms = hosts * CW_STREAM_INQUIRY_HOST_MS;
-    q->queried = hosts * items;
+static uint64_t _cw_stream_reply_hash(uint64_t host, cw_stream_question_t question) {
+    return cw_mix(host, (uint64_t)question + 1);
+}
+
+void cw_stream_audience_add(cw_stream_audience_t* audience, uint64_t host, cw_stream_question_t question) {
+    audience->replies++;
+    audience->replies_set ^= _cw_stream_reply_hash(host, question);
+}
+
+void cw_stream_inquiry_on_round(cw_stream_inquiry_t* q, int64_t now_ms, const cw_stream_audience_t* audience) {
+    uint32_t spread_ms = audience->hosts * CW_STREAM_INQUIRY_HOST_MS;
+    q->audience = *audience;
+    q->own_view = audience->view;
     q->next_round_ms = now_ms + (spread_ms > CW_STREAM_INQUIRY_ROUND_MS ? spread_ms : CW_STREAM_INQUIRY_ROUND_MS);
 }
 
@@ -188,11 +220,19 @@
 
 void cw_stream_inquiry_on_reply(cw_stream_inquiry_t* q, cw_stream_question_t question, const cw_stream_reply_t* reply) {
     cw_stream_inquiry_on_own(q, question, reply);
-    q->complete += reply->round == q->round && reply->coverage != CW_STREAM_COVERS_SOME;
+    if (reply->round != q->round || reply->coverage == CW_STREAM_COVERS_SOME) {
+        return;
+    }
+    if (reply->view != q->audience.view) {
+        q->other_views++;
+        return;
+    }
+    q->complete++;
+    q->complete_set ^= _cw_stream_reply_hash(reply->host, question);
 }
 
 static bool _cw_stream_inquiry_is_complete(const cw_stream_inquiry_t* q) {
-    return q->round && !q->is_own_open && q->complete >= q->queried;
+    return q->round && !q->is_own_open && q->complete_set == q->audience.replies_set && q->own_view == q->audience.view;
 }
 
 bool cw_stream_inquiry_is_decided(const cw_stream_inquiry_t* q, int64_t now_ms) {
--- a/chalkway_stream_message.h
+++ b/chalkway_stream_message.h
@@ -41,7 +41,8 @@
    CW_STREAM_INQUIRY has in version what engines are searched for: the last part of the prompt, or the run; in left_ms
    the number of tokens or events of it at least, up to CW_STREAM_AMOUNT_MAX, the round from bit CW_STREAM_ROUND_BIT on,
    and the cw_stream_question_t from bit CW_STREAM_QUESTION_BIT on, which earlier releases take for a part of the round.
-   Of a CW_STREAM_EVIDENCE, left_ms has a cw_stream_coverage_t, the round and the question. */
+   Of a CW_STREAM_EVIDENCE, left_ms has a cw_stream_coverage_t, the round and the question, and pool the fingerprint of
+   the sender's view of the fleet. */
 #define CW_STREAM_ROUND_BIT 24U
 #define CW_STREAM_QUESTION_BIT 30U
 #define CW_STREAM_AMOUNT_MAX ((1U << CW_STREAM_ROUND_BIT) - 1U)
--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -499,10 +499,10 @@
     }
 }
 
-void exchanges_on_stream_evidence(exchanges_t* e, const cw_stream_entry_t* reply) {
+void exchanges_on_stream_evidence(exchanges_t* e, uint64_t host, const cw_stream_entry_t* reply) {
     for (exchange_t* x = e->list; x; x = x->next) {
         if (x->stream_inquiry_id == reply->stream && x->stream_due_ms) {
-            streams_on_evidence(&x->stream_inquiry, reply);
+            streams_on_evidence(&x->stream_inquiry, host, reply);
         }
     }
 }
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -63,7 +63,7 @@
 /* Verdicts of the quarantine may have changed: ends the queued and running exchanges that are quarantined now. */
 void exchanges_on_verdicts_changed(exchanges_t* e);
 /* Another host says what its engines have of a stream: an entry of CW_STREAM_EVIDENCE. */
-void exchanges_on_stream_evidence(exchanges_t* e, const cw_stream_entry_t* reply);
+void exchanges_on_stream_evidence(exchanges_t* e, uint64_t host, const cw_stream_entry_t* reply);
 /* The version of this stream has become known: resumes it for the callers that wait. */
 void exchanges_on_stream_resolved(exchanges_t* e, uint64_t stream);
 /* The host resumed from suspend, so the event loop's timers are late: handles every deadline that has passed. */
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -172,8 +172,8 @@
     return mesh_query_stream(((gateway_t*)user)->mesh, stream, pool);
 }
 
-static uint32_t inquire_stream(void* user, const cw_stream_entry_t* inquiry) {
-    return mesh_inquire_stream(((gateway_t*)user)->mesh, inquiry);
+static void inquire_stream(void* user, const cw_stream_entry_t* inquiry, cw_stream_audience_t* audience) {
+    mesh_inquire_stream(((gateway_t*)user)->mesh, inquiry, audience);
 }
 
 static bool is_inventory_complete(void* user) {
@@ -192,8 +192,8 @@
     streams_on_inquiry(((gateway_t*)user)->streams, inquiry, reply);
 }
 
-static void on_stream_evidence(void* user, const cw_stream_entry_t* reply) {
-    exchanges_on_stream_evidence(((gateway_t*)user)->exchanges, reply);
+static void on_stream_evidence(void* user, uint64_t host, const cw_stream_entry_t* reply) {
+    exchanges_on_stream_evidence(((gateway_t*)user)->exchanges, host, reply);
 }
 
 static void on_revisions_reset(void* user) {
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -177,8 +177,8 @@
     reporter_announce_streams(m->reporter, records, count);
 }
 
-uint32_t mesh_inquire_stream(mesh_t* m, const cw_stream_entry_t* inquiry) {
-    return reporter_inquire_stream(m->reporter, inquiry);
+void mesh_inquire_stream(mesh_t* m, const cw_stream_entry_t* inquiry, cw_stream_audience_t* audience) {
+    reporter_inquire_stream(m->reporter, inquiry, audience);
 }
 
 void mesh_deposit_stream(mesh_t* m, const cw_stream_record_t* record) {
@@ -198,11 +198,15 @@
     return now_ms - m->last_join_ms >= (quiet_period_ms < CONVERGENCE_MAX_MS ? quiet_period_ms : CONVERGENCE_MAX_MS);
 }
 
+static bool is_owner(const cw_member_t* member) {
+    return is_alive(member) && !member->info.leaving;
+}
+
 bool mesh_owns_key(const mesh_t* m, uint64_t key) {
     uint64_t own_weight = cw_mix(m->host, key);
     for (uint32_t i = 0; i < cw_members_count(m->members); i++) {
         const cw_member_t* member = cw_members_at(m->members, i);
-        if (is_alive(member) && !member->info.leaving && cw_mix(member->info.id, key) > own_weight) {
+        if (is_owner(member) && cw_mix(member->info.id, key) > own_weight) {
             return false;
         }
     }
--- a/gateway/mesh.h
+++ b/gateway/mesh.h
@@ -34,7 +34,7 @@
     void (*on_stream_announced)(void* user_data, const cw_stream_record_t* record);
     bool (*on_stream_query)(void* user_data, uint64_t stream, uint64_t pool, cw_stream_record_t* record);
     void (*on_stream_inquiry)(void* user_data, const cw_stream_entry_t* inquiry, cw_stream_entry_t* reply);
-    void (*on_stream_evidence)(void* user_data, const cw_stream_entry_t* reply);
+    void (*on_stream_evidence)(void* user_data, uint64_t host, const cw_stream_entry_t* reply);
     /* The handover of what other hosts know. The first two: as of streams_is_handover_due and streams_next_handover;
        the others as in reporter_desc_t. May be NULL. */
     bool (*is_handover_due)(void* user_data);
@@ -61,8 +61,8 @@
 void mesh_announce_streams(mesh_t* m, const cw_stream_record_t* records, uint32_t count);
 void mesh_deposit_stream(mesh_t* m, const cw_stream_record_t* record);
 uint32_t mesh_query_stream(mesh_t* m, uint64_t stream, uint64_t pool);
-/* Inquires of all hosts what engines have of a stream. Returns their number. */
-uint32_t mesh_inquire_stream(mesh_t* m, const cw_stream_entry_t* inquiry);
+/* Inquires of all hosts what engines have of a stream, and adds them to the audience. */
+void mesh_inquire_stream(mesh_t* m, const cw_stream_entry_t* inquiry, cw_stream_audience_t* audience);
 /* Reports to the peers that the server has cached these prompt parts. */
 void mesh_announce_cached(mesh_t* m, const server_t* server, const cw_prompt_part_t* parts, uint32_t count);
 /* Whether this host owns the key, by rendezvous hashing over the hosts that are alive and not leaving. */
--- a/gateway/reporter.h
+++ b/gateway/reporter.h
@@ -37,7 +37,7 @@
     /* Another host inquires what engines have of a stream (fills an entry of CW_STREAM_EVIDENCE), or replies to an
        inquiry of this host. Both may be NULL. */
     void (*on_stream_inquiry)(void* user_data, const cw_stream_entry_t* inquiry, cw_stream_entry_t* reply);
-    void (*on_stream_evidence)(void* user_data, const cw_stream_entry_t* reply);
+    void (*on_stream_evidence)(void* user_data, uint64_t host, const cw_stream_entry_t* reply);
     /* A host that has started requests a page of what this one knows, or a page was received. Both may be NULL. */
     void (*write_page)(void* user_data, uint64_t cursor, cw_stream_message_t* message);
     void (*on_page)(void* user_data, const cw_stream_message_t* message);
@@ -79,8 +79,8 @@
 void reporter_deposit_stream(reporter_t* n, const cw_stream_record_t* record);
 /* Queries some hosts for the version of a stream, among them those that keep it. Returns their number. */
 uint32_t reporter_query_stream(reporter_t* n, uint64_t stream, uint64_t pool);
-/* Inquires of all hosts what engines have of a stream, a moment later. Returns their number. */
-uint32_t reporter_inquire_stream(reporter_t* n, const cw_stream_entry_t* inquiry);
+/* Inquires of all hosts what engines have of a stream, a moment later, and adds them to the audience. */
+void reporter_inquire_stream(reporter_t* n, const cw_stream_entry_t* inquiry, cw_stream_audience_t* audience);
 /* Requests a page of what the host knows. Its first page brings the observations and the leaving servers, too. */
 void reporter_request_page(reporter_t* n, const cw_handover_request_t* request);
 void reporter_tick(reporter_t* n, int64_t now_ms);
--- a/gateway/reporter_inquiries.c
+++ b/gateway/reporter_inquiries.c
@@ -22,7 +22,7 @@
     send_inquiries(w->data);
 }
 
-uint32_t reporter_inquire_stream(reporter_t* n, const cw_stream_entry_t* inquiry) {
+void reporter_inquire_stream(reporter_t* n, const cw_stream_entry_t* inquiry, cw_stream_audience_t* audience) {
     reporter_refresh_peers(n);
     n->inquiries.entries[n->inquiries.count++] = *inquiry;
     if (n->inquiries.count == CW_STREAM_ENTRIES) {
@@ -31,7 +31,10 @@
         ev_timer_set(&n->inquiry_timer, INQUIRY_DELAY_MS / MS_PER_S, 0.0);
         ev_timer_start(n->desc.loop, &n->inquiry_timer);
     }
-    return n->peer_count;
+    audience->hosts = n->peer_count;
+    for (uint32_t i = 0; i < n->peer_count; i++) {
+        cw_stream_audience_add(audience, n->peers[i].id, inquiry->left_ms >> CW_STREAM_QUESTION_BIT);
+    }
 }
 
 void reporter_reply_inquiries(reporter_t* n, const cw_stream_message_t* inquiries, const struct sockaddr_in* to) {
@@ -49,7 +52,7 @@
 
 void reporter_receive_evidence(reporter_t* n, const cw_stream_message_t* evidence) {
     for (uint32_t i = 0; n->desc.on_stream_evidence && i < evidence->count; i++) {
-        n->desc.on_stream_evidence(n->desc.user_data, &evidence->entries[i]);
+        n->desc.on_stream_evidence(n->desc.user_data, evidence->host, &evidence->entries[i]);
     }
 }
 
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -60,9 +60,13 @@
     void (*deposit)(void* user_data, const cw_stream_record_t* record);
     /* Queries other hosts, among them those that keep the record. Returns their number. May be NULL. */
     uint32_t (*query)(void* user_data, uint64_t stream, uint64_t pool);
-    /* Inquires of all other hosts what engines have of a stream (CW_STREAM_INQUIRY). Returns their number. NULL: there
-       are none. */
-    uint32_t (*inquire)(void* user_data, const cw_stream_entry_t* inquiry);
+    /* Inquires of all other hosts what engines have of a stream (CW_STREAM_INQUIRY), and adds them to the audience.
+       NULL: there are none. */
+    void (*inquire)(void* user_data, const cw_stream_entry_t* inquiry, cw_stream_audience_t* audience);
+    /* Fingerprint of this host's view of the fleet: of what decides which host queries which engine of the pool. NULL:
+     * 0.
+     */
+    uint64_t (*view)(void* user_data, uint64_t pool);
     /* Whether the engines that this host queries have listed what they cache. NULL: they have. */
     bool (*is_inventory_complete)(void* user_data);
     /* Number of versions of the pool's engines that are listed and could not be queried: 0, 1 or 2 (several); version:
@@ -104,8 +108,8 @@
 /* Nobody that was queried knows the stream: asks the source and all hosts what remains of it. True: they may still
    reply, call it again. */
 bool streams_inquire(streams_t* s, const stream_request_t* request, cw_stream_inquiry_t* inquiry);
-/* A reply to the inquiry: an entry of CW_STREAM_EVIDENCE. */
-void streams_on_evidence(cw_stream_inquiry_t* inquiry, const cw_stream_entry_t* evidence);
+/* The host's reply to the inquiry: an entry of CW_STREAM_EVIDENCE. */
+void streams_on_evidence(cw_stream_inquiry_t* inquiry, uint64_t host, const cw_stream_entry_t* evidence);
 /* The others have had their time to reply. As streams_resolve, or the version that the inquiry has found. */
 uint64_t streams_resolve_unanswered(streams_t* s, const stream_request_t* request, const cw_stream_inquiry_t* inquiry);
 /* Engines of this version cache these parts. */
--- a/gateway/streams_evidence.c
+++ b/gateway/streams_evidence.c
@@ -19,12 +19,12 @@
     char texts[CW_STREAM_QUESTION_COUNT + 2][VERSION_TEXT_SIZE];
     cw_log(s->desc.log, CW_EVENT_STREAM_INQUIRY,
            "id=%s stream=%016llx pool=%s run=%s events=%s at_least=%s prompt=%s unqueried=%s left=%s rounds=%u "
-           "replies=%u of=%u own=%s history=%s took_ms=%lld",
+           "replies=%u of=%u other_views=%u own=%s history=%s took_ms=%lld",
            request->id, (unsigned long long)request->stream, request->pool->name,
            version_text(&q->found[CW_STREAM_RUN], texts[0]), version_text(&q->found[CW_STREAM_EVENTS], texts[1]),
            version_text(&q->found[CW_STREAM_AT_LEAST], texts[2]), version_text(&q->found[CW_STREAM_PROMPT], texts[3]),
            version_text(&q->unqueried, texts[4]), q->may_have_left ? "unknown" : version_text(&q->left, texts[5]),
-           q->round, q->complete, q->queried, q->is_own_open ? "open" : "complete",
+           q->round, q->complete, q->audience.replies, q->other_views, q->is_own_open ? "open" : "complete",
            s->is_history_complete   ? "complete"
            : s->is_history_retained ? "retained"
                                     : "none",
@@ -74,6 +74,10 @@
     return departed;
 }
 
+static uint64_t view_of(const streams_t* s, uint64_t pool_id) {
+    return s->desc.view ? s->desc.view(s->desc.user_data, pool_id) : 0;
+}
+
 static bool is_inventory_complete(const streams_t* s) {
     return !s->desc.is_inventory_complete || s->desc.is_inventory_complete(s->desc.user_data);
 }
@@ -150,10 +154,11 @@
     return list;
 }
 
-static void search_own_engines(const streams_t* s, int64_t now_ms, const inquiry_items_t* list,
-                               cw_stream_inquiry_t* inquiry) {
+static void search_own_engines(const streams_t* s, int64_t now_ms, const stream_request_t* request,
+                               const inquiry_items_t* list, cw_stream_inquiry_t* inquiry) {
     inquiry->is_own_open = false;
-    inquiry->may_have_left = list->count && may_have_missed_departures(s, list->items[0].pool, now_ms);
+    inquiry->own_view = view_of(s, request->pool->id);
+    inquiry->may_have_left = list->count && may_have_missed_departures(s, request->pool->id, now_ms);
     for (uint32_t i = 0; i < list->count; i++) {
         cw_stream_reply_t own = find_engines(s, &list->items[i]);
         cw_stream_inquiry_on_own(inquiry, list->items[i].left_ms >> CW_STREAM_QUESTION_BIT, &own);
@@ -161,15 +166,16 @@
     }
 }
 
-static void send_round(const streams_t* s, int64_t now_ms, const inquiry_items_t* list, cw_stream_inquiry_t* inquiry) {
+static void send_round(const streams_t* s, int64_t now_ms, const stream_request_t* request, const inquiry_items_t* list,
+                       cw_stream_inquiry_t* inquiry) {
     uint32_t round = cw_stream_inquiry_next_round(inquiry);
-    uint32_t hosts = 0;
+    cw_stream_audience_t audience = {.view = view_of(s, request->pool->id)};
     for (uint32_t i = 0; i < list->count && s->desc.inquire; i++) {
         cw_stream_entry_t item = list->items[i];
         item.left_ms |= round << CW_STREAM_ROUND_BIT;
-        hosts = s->desc.inquire(s->desc.user_data, &item);
+        s->desc.inquire(s->desc.user_data, &item, &audience);
     }
-    cw_stream_inquiry_on_round(inquiry, now_ms, hosts, list->count);
+    cw_stream_inquiry_on_round(inquiry, now_ms, &audience);
 }
 
 bool streams_inquire(streams_t* s, const stream_request_t* request, cw_stream_inquiry_t* inquiry) {
@@ -184,17 +190,19 @@
     }
     bool reads_history = !s->is_history_complete && s->desc.read_history &&
                          s->desc.read_history(s->desc.user_data, cw_spans_end_ms(&s->unknown));
-    search_own_engines(s, now_ms, &list, inquiry);
+    search_own_engines(s, now_ms, request, &list, inquiry);
     if (cw_stream_inquiry_is_due(inquiry, now_ms)) {
-        send_round(s, now_ms, &list, inquiry);
+        send_round(s, now_ms, request, &list, inquiry);
     }
     bool is_late = now_ms - inquiry->begun_ms >= CW_STREAM_INQUIRY_MS;
     return !is_late && (reads_history || !cw_stream_inquiry_is_decided(inquiry, now_ms));
 }
 
-void streams_on_evidence(cw_stream_inquiry_t* inquiry, const cw_stream_entry_t* evidence) {
+void streams_on_evidence(cw_stream_inquiry_t* inquiry, uint64_t host, const cw_stream_entry_t* evidence) {
     const uint32_t question = evidence->left_ms >> CW_STREAM_QUESTION_BIT;
-    const cw_stream_reply_t reply = {.round = (evidence->left_ms >> CW_STREAM_ROUND_BIT) & CW_STREAM_INQUIRY_ROUNDS_MAX,
+    const cw_stream_reply_t reply = {.host = host,
+                                     .view = evidence->pool,
+                                     .round = (evidence->left_ms >> CW_STREAM_ROUND_BIT) & CW_STREAM_INQUIRY_ROUNDS_MAX,
                                      .version = evidence->version,
                                      .coverage = (cw_stream_coverage_t)(evidence->left_ms & CW_STREAM_AMOUNT_MAX)};
     if (reply.coverage < CW_STREAM_COVERAGE_COUNT && question < CW_STREAM_QUESTION_COUNT) {
@@ -226,7 +234,7 @@
 void streams_on_inquiry(const streams_t* s, const cw_stream_entry_t* inquiry, cw_stream_entry_t* evidence) {
     cw_stream_reply_t reply = find_engines(s, inquiry);
     *evidence = (cw_stream_entry_t){.stream = inquiry->stream,
-                                    .pool = inquiry->pool,
+                                    .pool = view_of(s, inquiry->pool),
                                     .version = reply.version,
                                     .left_ms = reply.round << CW_STREAM_ROUND_BIT | reply.coverage};
 }
--- a/tests/test_stream_evidence.c
+++ b/tests/test_stream_evidence.c
@@ -68,19 +68,40 @@
 
 /* -- inquiries ------------------------------------------------------------- */
 
+#define VIEW 5U
+
+static uint32_t next_host; /* that replies: each of them once a round */
+
+/* To hosts 0 to hosts - 1. */
+static void send_round(cw_stream_inquiry_t* q, int64_t now_ms, uint32_t hosts, uint32_t questions) {
+    cw_stream_audience_t audience = {.hosts = hosts, .view = VIEW};
+    for (uint32_t i = 0; i < hosts * questions; i++) {
+        cw_stream_audience_add(&audience, i / questions, (cw_stream_question_t)(i % questions));
+    }
+    cw_stream_inquiry_on_round(q, now_ms, &audience);
+}
+
 static cw_stream_inquiry_t begin(uint32_t hosts) {
     cw_stream_inquiry_t q;
     cw_stream_inquiry_begin(&q, 1000);
     ck_assert(cw_stream_inquiry_is_due(&q, 1000));
     ck_assert_uint_eq(cw_stream_inquiry_next_round(&q), 1);
-    cw_stream_inquiry_on_round(&q, 1000, hosts, 1);
+    send_round(&q, 1000, hosts, 1);
+    next_host = 0;
     ck_assert(!cw_stream_inquiry_is_due(&q, 1000));
     return q;
 }
 
+static void reply_as(cw_stream_inquiry_t* q, uint32_t host, cw_stream_reply_t reply) {
+    reply.host = host;
+    reply.view = VIEW;
+    cw_stream_inquiry_on_reply(q, CW_STREAM_PROMPT, &reply);
+}
+
+/* By the next host. */
 static void reply(cw_stream_inquiry_t* q, uint32_t round, uint64_t version, cw_stream_coverage_t coverage) {
-    cw_stream_inquiry_on_reply(q, CW_STREAM_PROMPT,
-                               &(cw_stream_reply_t){.round = round, .version = version, .coverage = coverage});
+    reply_as(q, next_host++ % q->audience.hosts,
+             (cw_stream_reply_t){.round = round, .version = version, .coverage = coverage});
 }
 
 START_TEST(an_inquiry_is_decided_when_all_hosts_have_replied_in_full) {
@@ -90,7 +111,7 @@
     reply(&q, 1, 0, CW_STREAM_COVERS_SOME);
     ck_assert(!cw_stream_inquiry_is_decided(&q, 1000) && !cw_stream_inquiry_version(&q));
     ck_assert_uint_eq(cw_stream_inquiry_next_round(&q), 2); /* counts anew, remembers what was named */
-    cw_stream_inquiry_on_round(&q, 1100, 3, 1);
+    send_round(&q, 1100, 3, 1);
     for (int i = 0; i < 3; i++) {
         ck_assert(!cw_stream_inquiry_is_decided(&q, 1100));
         reply(&q, 2, 0, CW_STREAM_COVERS_ALL);
@@ -105,7 +126,7 @@
 START_TEST(a_late_reply_is_not_counted_for_a_later_round) {
     cw_stream_inquiry_t q = begin(2);
     cw_stream_inquiry_next_round(&q);
-    cw_stream_inquiry_on_round(&q, 1100, 2, 1);
+    send_round(&q, 1100, 2, 1);
     reply(&q, 1, V1, CW_STREAM_COVERS_ALL);
     reply(&q, 2, V1, CW_STREAM_COVERS_ALL);
     ck_assert(!cw_stream_inquiry_is_decided(&q, 1100) && !cw_stream_inquiry_version(&q));
@@ -163,19 +184,34 @@
 }
 END_TEST
 
+/* One host is asked each question. */
+static cw_stream_inquiry_t begin_pair(cw_stream_question_t first, cw_stream_question_t second) {
+    cw_stream_inquiry_t q = begin(0);
+    cw_stream_audience_t audience = {.hosts = 2, .view = VIEW};
+    cw_stream_audience_add(&audience, 0, first);
+    cw_stream_audience_add(&audience, 1, second);
+    cw_stream_inquiry_on_round(&q, 1000, &audience);
+    return q;
+}
+
 static void reply_to(cw_stream_inquiry_t* q, cw_stream_question_t question, uint64_t version,
                      cw_stream_coverage_t coverage) {
-    cw_stream_inquiry_on_reply(q, question, &(cw_stream_reply_t){1, version, coverage});
+    cw_stream_inquiry_on_reply(
+        q, question,
+        &(cw_stream_reply_t){.host = next_host++, .view = VIEW, .round = 1, .version = version, .coverage = coverage});
 }
 
 /* Guards against a prompt that counts as proof although another request of its session left it, and the engines that
    began the stream have left the list. */
 START_TEST(a_prompt_decides_nothing_if_engines_of_another_version_were_not_queried) {
-    static const cw_stream_reply_t unqueried[] = {{1, V1, CW_STREAM_COVERS_ALL_BUT}, {1, 0, CW_STREAM_COVERS_LISTED}};
+    static const struct {
+        uint64_t version;
+        cw_stream_coverage_t coverage;
+    } unqueried[] = {{V1, CW_STREAM_COVERS_ALL_BUT}, {0, CW_STREAM_COVERS_LISTED}};
     for (int i = 0; i < 2; i++) {
         cw_stream_inquiry_t q = begin(2);
         reply_to(&q, CW_STREAM_PROMPT, V2, CW_STREAM_COVERS_LISTED);
-        cw_stream_inquiry_on_reply(&q, CW_STREAM_PROMPT, &unqueried[i]);
+        reply_to(&q, CW_STREAM_PROMPT, unqueried[i].version, unqueried[i].coverage);
         ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
     }
 }
@@ -185,7 +221,7 @@
 START_TEST(a_run_or_its_events_decide_though_engines_were_not_queried) {
     static const cw_stream_question_t proofs[] = {CW_STREAM_RUN, CW_STREAM_EVENTS};
     for (int i = 0; i < 2; i++) {
-        cw_stream_inquiry_t q = begin(2);
+        cw_stream_inquiry_t q = begin_pair(CW_STREAM_PROMPT, proofs[i]);
         reply_to(&q, CW_STREAM_PROMPT, V2, CW_STREAM_COVERS_LISTED);
         ck_assert(!cw_stream_inquiry_version(&q));
         reply_to(&q, proofs[i], V2, CW_STREAM_COVERS_LISTED);
@@ -196,11 +232,11 @@
 
 /* Guards against a guess between engines of two versions that have as many events. */
 START_TEST(events_at_two_versions_decide_nothing) {
-    cw_stream_inquiry_t q = begin(2);
+    cw_stream_inquiry_t q = begin_pair(CW_STREAM_PROMPT, CW_STREAM_EVENTS);
     reply_to(&q, CW_STREAM_PROMPT, V2, CW_STREAM_COVERS_LISTED);
     reply_to(&q, CW_STREAM_EVENTS, 0, CW_STREAM_HAS_SEVERAL);
     ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
-    q = begin(2);
+    q = begin_pair(CW_STREAM_EVENTS, CW_STREAM_EVENTS);
     reply_to(&q, CW_STREAM_EVENTS, V1, CW_STREAM_COVERS_ALL);
     reply_to(&q, CW_STREAM_EVENTS, V2, CW_STREAM_COVERS_ALL);
     ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
@@ -210,7 +246,7 @@
 /* Guards against refusing a stream whose caller had begun it again: an attempt that wrote nothing left the prompt at
    another version, and engines of one version only have its events. */
 START_TEST(events_decide_beside_a_prompt_at_another_version) {
-    cw_stream_inquiry_t q = begin(2);
+    cw_stream_inquiry_t q = begin_pair(CW_STREAM_PROMPT, CW_STREAM_EVENTS);
     reply_to(&q, CW_STREAM_PROMPT, 0, CW_STREAM_HAS_SEVERAL);
     reply_to(&q, CW_STREAM_EVENTS, V2, CW_STREAM_COVERS_ALL);
     ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == V2);
@@ -219,11 +255,11 @@
 
 /* A run decides beside a prompt that another request left; two runs decide nothing. */
 START_TEST(a_run_decides_beside_prompts_at_other_versions) {
-    cw_stream_inquiry_t q = begin(2);
+    cw_stream_inquiry_t q = begin_pair(CW_STREAM_PROMPT, CW_STREAM_RUN);
     reply_to(&q, CW_STREAM_PROMPT, 0, CW_STREAM_HAS_SEVERAL);
     reply_to(&q, CW_STREAM_RUN, V1, CW_STREAM_COVERS_ALL);
     ck_assert_uint_eq(cw_stream_inquiry_version(&q), V1);
-    reply_to(&q, CW_STREAM_RUN, V2, CW_STREAM_COVERS_ALL);
+    cw_stream_inquiry_on_own(&q, CW_STREAM_RUN, &(cw_stream_reply_t){.version = V2});
     ck_assert_uint_eq(cw_stream_inquiry_version(&q), 0);
 }
 END_TEST
@@ -231,9 +267,10 @@
 /* Guards against a datagram that arrives twice and counts for a host that has not replied. */
 START_TEST(a_reply_that_arrives_twice_counts_once) {
     cw_stream_inquiry_t q = begin(2);
-    reply(&q, 1, V2, CW_STREAM_COVERS_ALL);
-    reply(&q, 1, V2, CW_STREAM_COVERS_ALL);
-    ck_assert(!cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
+    for (uint32_t times = 1; times <= 5; times++) {
+        reply_as(&q, 0, (cw_stream_reply_t){.round = 1, .version = V2});
+        ck_assert(!cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
+    }
 }
 END_TEST
 
@@ -242,8 +279,8 @@
     cw_stream_inquiry_t q;
     cw_stream_inquiry_begin(&q, 1000);
     cw_stream_inquiry_next_round(&q);
-    cw_stream_inquiry_on_round(&q, 1000, 583, 2);
-    ck_assert(q.queried == 2 * 583 && cw_stream_inquiry_is_due(&q, 1000 + 583 * CW_STREAM_INQUIRY_HOST_MS));
+    send_round(&q, 1000, 583, 2);
+    ck_assert(q.audience.replies == 2 * 583 && cw_stream_inquiry_is_due(&q, 1000 + 583 * CW_STREAM_INQUIRY_HOST_MS));
 }
 END_TEST
 
--- a/tests/test_version_proof.c
+++ b/tests/test_version_proof.c
@@ -175,13 +175,18 @@
     cw_stream_inquiry_t q;
     cw_stream_inquiry_begin(&q, 0);
     uint32_t round = cw_stream_inquiry_next_round(&q);
-    cw_stream_inquiry_on_round(&q, 0, 1, CW_STREAM_QUESTION_COUNT);
+    cw_stream_audience_t audience = {.hosts = 1};
+    for (uint32_t question = 0; question < CW_STREAM_QUESTION_COUNT; question++) {
+        cw_stream_audience_add(&audience, 1, question);
+    }
+    cw_stream_inquiry_on_round(&q, 0, &audience);
     q.may_have_left = w->may_have_left;
     for (uint32_t question = 0; question < CW_STREAM_QUESTION_COUNT; question++) {
         for (uint32_t host = 0; host < HOSTS; host++) {
             const cw_stream_findings_t f = find(w, host, question);
             cw_stream_reply_t reply = cw_stream_reply_make(&f);
             reply.round = round;
+            reply.host = host;
             if (host) {
                 cw_stream_inquiry_on_reply(&q, question, &reply);
             } else {
