Engines that pass to a host are noticed when the fleet or the list changes, not after 250 ms

Cause: that a host has asked all engines that it owns was remembered for 250 ms, while those of a host that ended passed to it.

--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -176,6 +176,10 @@
     mesh_inquire_stream(((gateway_t*)user)->mesh, inquiry, audience);
 }
 
+static uint64_t fleet_set(void* user) {
+    return mesh_fleet_set(((gateway_t*)user)->mesh);
+}
+
 static bool is_inventory_complete(void* user) {
     return inventory_is_complete(((gateway_t*)user)->inventory);
 }
@@ -608,6 +612,7 @@
                                                        .dialect = g->dialect,
                                                        .upstreams = g->upstreams,
                                                        .owns_server = owns_server,
+                                                       .fleet_set = fleet_set,
                                                        .is_converged = is_converged,
                                                        .on_cached_parts = on_cached_parts,
                                                        .on_listed_parts = on_listed_parts,
--- a/gateway/inventory.c
+++ b/gateway/inventory.c
@@ -8,7 +8,6 @@
 #include "clock.h"
 
 #define SETTLE_DELAY_MS 300
-#define UNASKED_INTERVAL_MS 250 /* least time between two searches for engines that were not asked */
 #define MAX_CALLS 2            /* at the same time: an engine's list may be long, and this host has requests to serve */
 #define CALL_TIMEOUT_MS 1000   /* longest time for one engine's list */
 #define CONNECT_TIMEOUT_MS 300 /* longest time to connect to an engine */
@@ -41,10 +40,10 @@
     call_t calls[MAX_CALLS];
     failed_t failed[FAILED_MAX];
     uint32_t failed_count;
-    bool has_more_failed; /* than there is room for: any pool may be concerned */
-    int64_t expired_ms;   /* when the last search for engines that were not asked expired */
-    bool is_checked;      /* they were searched for since then */
-    bool has_unasked;     /* there are some */
+    bool has_more_failed;  /* than there is room for: any pool may be concerned */
+    bool is_checked;       /* engines that were not asked have been searched for */
+    uint64_t checked_view; /* the view of the fleet then */
+    bool has_unasked;      /* there are some */
     inventory_stats_t stats;
 };
 
@@ -270,10 +269,6 @@
     if (!v->desc.dialect->inventory_path) {
         return;
     }
-    if (now_ms - v->expired_ms >= UNASKED_INTERVAL_MS) {
-        v->expired_ms = now_ms;
-        v->is_checked = false;
-    }
     if (v->has_unasked) {
         v->is_listed = v->stats.is_done = v->has_unasked = false;
     }
@@ -318,12 +313,23 @@
     return false;
 }
 
+/* Changes when engines pass to or from this host: with the fleet, and with the engines that are listed. */
+static uint64_t view_of_fleet(const inventory_t* v) {
+    uint64_t view = v->desc.fleet_set ? v->desc.fleet_set(v->desc.user_data) : 0;
+    for (const pool_t* pool = upstreams_pools(v->desc.upstreams); pool; pool = pool->next) {
+        view = pool->slots ? cw_mix(view, pool->listed_set) : view;
+    }
+    return view;
+}
+
 bool inventory_is_complete(inventory_t* v) {
     if (!v->desc.dialect->inventory_path) {
         return true;
     }
-    if (v->stats.is_done && !v->is_checked) {
+    uint64_t view = view_of_fleet(v);
+    if (v->stats.is_done && (!v->is_checked || view != v->checked_view)) {
         v->is_checked = true;
+        v->checked_view = view;
         v->has_unasked = has_unasked_engines(v);
     }
     return v->stats.is_done && !v->has_unasked;
--- a/gateway/inventory.h
+++ b/gateway/inventory.h
@@ -34,6 +34,8 @@
     bool (*is_converged)(void* user_data); /* NULL: this daemon has no peers */
     /* Whether this daemon is the one that queries the server. */
     bool (*owns_server)(void* user_data, uint64_t server);
+    /* Fingerprint of the daemons that are alive: ownership changes only with it. NULL: 0. */
+    uint64_t (*fleet_set)(void* user_data);
     /* The engine has these parts cached. */
     void (*on_cached_parts)(void* user_data, server_t* server, const cw_prompt_part_t* parts, uint32_t count);
     /* The same, with the tokens of each part that the engine has cached. May be NULL. */
--- a/gateway/mesh.c
+++ b/gateway/mesh.c
@@ -18,6 +18,7 @@
 #define PROBE_INTERVAL_MS 250
 #define PROBE_TIMEOUT_MS 100
 #define SUSPECT_TIMEOUT_MS 700
+#define FLEET_SET_SEED 0x666c656574U
 #define CONVERGENCE_MS_PER_HOST 10 /* time without a join after which a starting fleet has converged, for each host */
 #define CONVERGENCE_MAX_MS 1000    /* upper bound of that time, whatever the number of hosts: a few gossip rounds */
 /* Between probes of seeds and dead hosts; short, so that a restarted fleet converges soon. */
@@ -28,6 +29,8 @@
     uint64_t host, cluster;
     cw_peers_t* peers;
     cw_members_t* members;
+    uint64_t fleet_set;            /* of mesh_fleet_set; 0: not computed yet */
+    uint64_t fleet_set_changes;    /* value of cw_members_change_count then */
     uint64_t seen_changes;         /* value of cw_members_change_count that update_members handled last */
     uint64_t fleet_ids[HOSTS_MAX]; /* hosts that are alive and not leaving */
     uint32_t max_known;            /* most hosts that were known at once */
@@ -213,6 +216,21 @@
     return true;
 }
 
+uint64_t mesh_fleet_set(mesh_t* m) {
+    uint64_t changes = cw_members_change_count(m->members);
+    if (changes == m->fleet_set_changes && m->fleet_set) {
+        return m->fleet_set;
+    }
+    uint64_t set = 0;
+    for (uint32_t i = 0; i < cw_members_count(m->members); i++) {
+        const cw_member_t* member = cw_members_at(m->members, i);
+        set ^= is_owner(member) ? cw_mix(member->info.id, FLEET_SET_SEED) : 0;
+    }
+    m->fleet_set = set;
+    m->fleet_set_changes = changes;
+    return set;
+}
+
 /* -- tunnels -------------------------------------------------------------- */
 
 void mesh_set_unreachable_pools(mesh_t* m, uint32_t pools) {
--- a/gateway/mesh.h
+++ b/gateway/mesh.h
@@ -67,6 +67,8 @@
 void mesh_announce_cached(mesh_t* m, const server_t* server, const cw_prompt_part_t* parts, uint32_t count);
 /* Whether this host owns the key, by rendezvous hashing over the hosts that are alive and not leaving. */
 bool mesh_owns_key(const mesh_t* m, uint64_t key);
+/* Fingerprint of these hosts: those that have the same one agree on who owns each key. */
+uint64_t mesh_fleet_set(mesh_t* m);
 /* Whether the membership has converged: no host was discovered for a time that grows with the number of known hosts,
    since gossip takes longer in a larger fleet. */
 bool mesh_is_converged(const mesh_t* m, int64_t now_ms);
--- a/tests/test_absence.c
+++ b/tests/test_absence.c
@@ -25,6 +25,10 @@
     return !ownership->owned_server || ownership->owned_server == server;
 }
 
+static uint64_t fleet_set(void* user) {
+    return ((const ownership_t*)user)->owned_server;
+}
+
 static void ignore_parts(void* user, server_t* server, const cw_prompt_part_t* parts, uint32_t count) {
     (void)user;
     (void)server;
@@ -39,6 +43,7 @@
                                                .upstreams = r->upstreams,
                                                .settle_delay_ms = 1,
                                                .owns_server = owns_server,
+                                               .fleet_set = fleet_set,
                                                .on_cached_parts = ignore_parts,
                                                .user_data = ownership});
 }
