Replies to an inquiry count if their host sees the same hosts and engines

Cause: a reply that covers all engines is true for the fleet that its host sees. The host that inquires sees another one for up to seconds after a host ended: then an engine is owned, by their views, by nobody who was asked.

--- a/chalkway_stream_inquiry.h
+++ b/chalkway_stream_inquiry.h
@@ -37,9 +37,9 @@
 
     WHAT IT DOES NOT DO
         It has no sockets. Hosts reply with the round's number and with a
-        fingerprint of their view of the fleet, which decides who queries
-        which engine: replies of hosts with different views may leave out an
-        engine together, so they don't count.
+        fingerprint of their view of the fleet: of the hosts and the engines,
+        which decide who queries which engine. Replies of hosts with different
+        views may leave out an engine together, so they don't count.
 
     LICENCE
         MIT, see LICENSE.
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -544,6 +544,7 @@
                                                  .deposit = deposit_stream,
                                                  .query = query_stream,
                                                  .inquire = inquire_stream,
+                                                 .fleet_set = fleet_set,
                                                  .is_inventory_complete = is_inventory_complete,
                                                  .count_unlisted = count_unlisted,
                                                  .read_history = read_history,
--- a/gateway/streams.h
+++ b/gateway/streams.h
@@ -63,10 +63,8 @@
     /* Inquires of all other hosts what engines have of a stream (CW_STREAM_INQUIRY), and adds them to the audience.
        NULL: there are none. */
     void (*inquire)(void* user_data, const cw_stream_entry_t* inquiry, cw_stream_audience_t* audience);
-    /* Fingerprint of this host's view of the fleet: of what decides which host queries which engine of the pool. NULL:
-     * 0.
-     */
-    uint64_t (*view)(void* user_data, uint64_t pool);
+    /* Fingerprint of the hosts that are alive: they divide the engines among them. NULL: 0. */
+    uint64_t (*fleet_set)(void* user_data);
     /* Whether the engines that this host queries have listed what they cache. NULL: they have. */
     bool (*is_inventory_complete)(void* user_data);
     /* Number of versions of the pool's engines that are listed and could not be queried: 0, 1 or 2 (several); version:
--- a/gateway/streams_evidence.c
+++ b/gateway/streams_evidence.c
@@ -74,8 +74,11 @@
     return departed;
 }
 
-static uint64_t view_of(const streams_t* s, uint64_t pool_id) {
-    return s->desc.view ? s->desc.view(s->desc.user_data, pool_id) : 0;
+/* Hosts with the same view agree on which engines there are, and on who queries each of them. */
+static uint64_t view_of_fleet(const streams_t* s, uint64_t pool_id) {
+    const pool_t* pool = streams_find_pool(s, pool_id);
+    uint64_t fleet_set = s->desc.fleet_set ? s->desc.fleet_set(s->desc.user_data) : 0;
+    return cw_mix(fleet_set, pool ? pool->listed_set : 0);
 }
 
 static bool is_inventory_complete(const streams_t* s) {
@@ -157,7 +160,7 @@
 static void search_own_engines(const streams_t* s, int64_t now_ms, const stream_request_t* request,
                                const inquiry_items_t* list, cw_stream_inquiry_t* inquiry) {
     inquiry->is_own_open = false;
-    inquiry->own_view = view_of(s, request->pool->id);
+    inquiry->own_view = view_of_fleet(s, request->pool->id);
     inquiry->may_have_left = list->count && may_have_missed_departures(s, request->pool->id, now_ms);
     for (uint32_t i = 0; i < list->count; i++) {
         cw_stream_reply_t own = find_engines(s, &list->items[i]);
@@ -169,7 +172,7 @@
 static void send_round(const streams_t* s, int64_t now_ms, const stream_request_t* request, const inquiry_items_t* list,
                        cw_stream_inquiry_t* inquiry) {
     uint32_t round = cw_stream_inquiry_next_round(inquiry);
-    cw_stream_audience_t audience = {.view = view_of(s, request->pool->id)};
+    cw_stream_audience_t audience = {.view = view_of_fleet(s, request->pool->id)};
     for (uint32_t i = 0; i < list->count && s->desc.inquire; i++) {
         cw_stream_entry_t item = list->items[i];
         item.left_ms |= round << CW_STREAM_ROUND_BIT;
@@ -234,7 +237,7 @@
 void streams_on_inquiry(const streams_t* s, const cw_stream_entry_t* inquiry, cw_stream_entry_t* evidence) {
     cw_stream_reply_t reply = find_engines(s, inquiry);
     *evidence = (cw_stream_entry_t){.stream = inquiry->stream,
-                                    .pool = view_of(s, inquiry->pool),
+                                    .pool = view_of_fleet(s, inquiry->pool),
                                     .version = reply.version,
                                     .left_ms = reply.round << CW_STREAM_ROUND_BIT | reply.coverage};
 }
--- a/tests/test_stream_evidence.c
+++ b/tests/test_stream_evidence.c
@@ -274,6 +274,19 @@
 }
 END_TEST
 
+/* Guards against an engine that nobody has queried: the host that owned it has ended, and this one knows of that while
+   the other, which owns the engine now, replies as one of three. */
+START_TEST(a_reply_by_a_host_that_sees_another_fleet_does_not_count) {
+    cw_stream_inquiry_t q = begin(1);
+    cw_stream_inquiry_on_reply(&q, CW_STREAM_PROMPT, &(cw_stream_reply_t){.view = VIEW + 1, .round = 1, .version = V2});
+    ck_assert(!cw_stream_inquiry_is_decided(&q, 1000) && !cw_stream_inquiry_version(&q) && q.other_views == 1);
+    reply(&q, 1, V2, CW_STREAM_COVERS_ALL);
+    ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == V2);
+    q.own_view = VIEW + 1; /* this host sees the other's end after the replies have arrived */
+    ck_assert(!cw_stream_inquiry_is_decided(&q, 1000) && !cw_stream_inquiry_version(&q));
+}
+END_TEST
+
 /* Guards against large fleets in which an inquiry ended before its second round. */
 START_TEST(rounds_are_spread_by_the_number_of_hosts) {
     cw_stream_inquiry_t q;
@@ -446,6 +459,7 @@
     tcase_add_test(t, events_decide_beside_a_prompt_at_another_version);
     tcase_add_test(t, a_run_decides_beside_prompts_at_other_versions);
     tcase_add_test(t, a_reply_that_arrives_twice_counts_once);
+    tcase_add_test(t, a_reply_by_a_host_that_sees_another_fleet_does_not_count);
     tcase_add_test(t, rounds_are_spread_by_the_number_of_hosts);
     tcase_add_test(t, a_resumed_request_names_the_last_part_of_its_prompt);
     tcase_add_test(t, the_runs_of_an_engine_are_read);
