A forgotten removal is not taken for a source in which nothing has changed

Cause: a source that answers 410 to the question for its newest change counted as one in which nothing has changed for as long as it remembers. But the newest revision tells: if no entry and no configuration has it, it was a removal.

Left, listed: a source in which heartbeats are changes always has a newest revision with an entry (scaled-in, clock, host-clock, no-starts-forgotten); a change after the removal hides it.

--- a/gateway/sync_history.c
+++ b/gateway/sync_history.c
@@ -70,6 +70,16 @@
     return history->has_unnamed || is_restored(s) ? SOURCE_HISTORY_NONE : SOURCE_HISTORY_RETAINED;
 }
 
+/* Whether the newest revision that is known of the source is that of an entry, or of the configuration, which is still
+   there. If not, something was removed last, and the source has forgotten what. */
+static bool is_newest_change_known(const sync_t* s) {
+    int64_t newest = sync_revision(s);
+    for (uint32_t i = 0; i < s->list.count; i++) {
+        newest = s->list.items[i].revision > newest ? s->list.items[i].revision : newest;
+    }
+    return newest >= s->list.at;
+}
+
 static void finish_from_beginning(sync_t* s, const source_history_t* history) {
     bool is_complete = history->is_complete && history->at >= s->list.at && !is_restored(s);
     finish(s, history, is_complete ? SOURCE_HISTORY_COMPLETE : retained_coverage(s, history),
@@ -79,13 +89,16 @@
 }
 
 static void finish_retained(sync_t* s) {
+    bool has_removed = s->retained_after == NEVER && !is_newest_change_known(s);
     source_history_t retained = s->retained;
+    retained.has_unnamed = retained.has_unnamed || has_removed;
     s->retained = (source_history_t){0};
     s->history_after = s->retained_after == NEVER ? s->list.at : s->retained_after;
     finish(s, &retained, retained_coverage(s, &retained),
-           retained.has_unnamed ? "entries are missing"
-           : is_restored(s)     ? "the source was restored"
-                                : FORGOTTEN);
+           has_removed            ? "the newest change was a removal, and is forgotten"
+           : retained.has_unnamed ? "entries are missing"
+           : is_restored(s)       ? "the source was restored"
+                                  : FORGOTTEN);
     cw_servers_free(&retained.entries);
 }
 
--- a/tests/stream_plays.h
+++ b/tests/stream_plays.h
@@ -50,6 +50,7 @@
     turns_t turns;     /* at engines of v2 before each loss of all hosts */
     bool hides_starts; /* engines don't state when they started */
     bool drops_runs;   /* engines keep the prompt of a broken run, but not what it has made */
+    bool has_quiet_beats; /* heartbeats are no changes of the source */
 } play_t;
 
 /* A test program. */
@@ -70,7 +71,7 @@
     s->hides_starts = play->hides_starts;
     s->has_turns = play->turns != NO_TURNS;
     s->has_whole_turns = play->turns == WHOLE_TURNS;
-    s->has_quiet_beats = variation == QUIET_HEARTBEATS;
+    s->has_quiet_beats = variation == QUIET_HEARTBEATS || play->has_quiet_beats;
     s->has_own_bodies = variation == OWN_BODIES;
 }
 
--- a/tests/test_stream_doubts.c
+++ b/tests/test_stream_doubts.c
@@ -31,6 +31,11 @@
     DOUBT_NO_START_DRAINING,
     DOUBT_PARTS,
     DOUBT_OLD,
+    DOUBT_SCALED_IN_QUIET,
+    DOUBT_CLOCK_QUIET,
+    DOUBT_HOST_CLOCK_QUIET,
+    DOUBT_NO_STARTS_QUIET,
+    DOUBT_NO_START_ONE_QUIET,
     PLAY_COUNT
 };
 
@@ -342,7 +347,7 @@
                          .is_by_hand = true},
     [DOUBT_RELISTED] = {"relisted", play_relisted, PLAIN, SHARE_UNBOUNDED, .turns = PROMPTS_ONLY},
     [DOUBT_RESTORED] = {"restored-long", play_restored, SOURCE_RESTORED, SHARE_UNBOUNDED, .turns = PROMPTS_ONLY},
-    [DOUBT_OWNER] = {"owner-lost", play_owner_lost, PLAIN, SHARE_UNBOUNDED, .turns = PROMPTS_ONLY, .is_by_hand = true},
+    [DOUBT_OWNER] = {"owner-lost", play_owner_lost, PLAIN, SHARE_UNBOUNDED, .turns = PROMPTS_ONLY},
     [DOUBT_ALIKE] = {"alike", play_alike, PLAIN, SHARE_UNBOUNDED, .is_by_hand = true},
     [DOUBT_SHORT] = {"short", play_short, PLAIN, SHARE_UNBOUNDED, .is_by_hand = true},
     [DOUBT_NEAR_END] = {"whole-near-end", play_whole_near_end, PLAIN, SHARE_UNBOUNDED, .is_by_hand = true},
@@ -366,6 +371,16 @@
     [DOUBT_PARTS] = {"many-parts", play_many_parts, PLAIN, SHARE_TWO_VERSIONS, .turns = PROMPTS_ONLY,
                      .drops_runs = true, .is_by_hand = true},
     [DOUBT_OLD] = {"old-release", play_old_release, PLAIN, SHARE_UNBOUNDED, .turns = WHOLE_TURNS, .is_by_hand = true},
+    [DOUBT_SCALED_IN_QUIET] = {"scaled-in-quiet", play_scaled_in, HISTORY_FORGOTTEN, SHARE_UNBOUNDED,
+                               .turns = PROMPTS_ONLY, .has_quiet_beats = true},
+    [DOUBT_CLOCK_QUIET] = {"clock-quiet", play_clock, HISTORY_FORGOTTEN, SHARE_UNBOUNDED, .turns = PROMPTS_ONLY,
+                           .has_quiet_beats = true},
+    [DOUBT_HOST_CLOCK_QUIET] = {"host-clock-quiet", play_host_clock, HISTORY_FORGOTTEN, SHARE_UNBOUNDED,
+                                .turns = PROMPTS_ONLY, .has_quiet_beats = true},
+    [DOUBT_NO_STARTS_QUIET] = {"no-starts-quiet", play_release_unlisted, HISTORY_FORGOTTEN, SHARE_TWO_VERSIONS,
+                               .turns = PROMPTS_ONLY, .hides_starts = true, .has_quiet_beats = true},
+    [DOUBT_NO_START_ONE_QUIET] = {"no-start-one-quiet", play_no_start_one_version, HISTORY_FORGOTTEN, SHARE_ONE_VERSION,
+                                  .drops_runs = true, .has_quiet_beats = true},
 };
 
 /* Guards against what an engine lists since its restart, recorded under the version of an entry that leaves. */
@@ -416,7 +431,29 @@
 }
 END_TEST
 
+/* Guards against a source that has forgotten all its changes and is taken for one in which nothing has changed. */
+START_TEST(no_stream_is_joined_though_the_source_has_forgotten_which_engines_left) {
+    check_play(DOUBT_SCALED_IN_QUIET + _i);
+}
+END_TEST
+
+/* The same source, in which nothing has changed. */
+START_TEST(streams_go_on_though_the_source_has_forgotten_its_changes) {
+    check_play(DOUBT_NO_START_ONE_QUIET);
+}
+END_TEST
+
+/* Guards against a host that was lost with what its engines had listed, and whose engines nobody asks: the others see
+   its end at different times. */
+START_TEST(no_stream_is_joined_though_a_host_is_lost_before_it_has_asked_its_engines) {
+    check_play(DOUBT_OWNER);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
+    tcase_add_test(t, no_stream_is_joined_though_a_host_is_lost_before_it_has_asked_its_engines);
+    tcase_add_loop_test(t, no_stream_is_joined_though_the_source_has_forgotten_which_engines_left, 0, 4);
+    tcase_add_test(t, streams_go_on_though_the_source_has_forgotten_its_changes);
     tcase_add_test(t, no_stream_is_joined_though_engines_that_are_listed_as_leaving_started_again);
     tcase_add_test(t, no_stream_is_joined_though_entries_were_missing_as_hosts_started);
     tcase_add_test(t, no_stream_is_joined_though_a_restored_source_lacks_engines_that_serve);
--- a/tests/test_sync.c
+++ b/tests/test_sync.c
@@ -48,9 +48,12 @@
     uint32_t list_count; /* lists applied */
     uint32_t resets;     /* times that the revisions went back */
     bool is_server_listed_leaving;
-    bool is_hall_listed_closed; /* hall "a" is closed in the list */
-    bool closes_hall_a;         /* the source has it closed */
-    bool after_outage;          /* flag that was reported with the list applied last */
+    bool is_hall_listed_closed;      /* hall "a" is closed in the list */
+    bool closes_hall_a;              /* the source has it closed */
+    bool after_outage;               /* flag that was reported with the list applied last */
+    int64_t list_at, entry_revision; /* of the native list, default 1 and unknown */
+    bool has_history;                /* it was read */
+    source_coverage_t coverage;      /* of the history */
     char log_text[8192];
     ev_timer tick, timeout;
     bool (*condition)(struct fixture_t* fixture);
@@ -137,9 +140,10 @@
                  fixture->extra ? fixture->extra : "");
     } else {
         snprintf(body, sizeof(body),
-                 "{\"at\":1,\"servers\":[{\"id\":\"i\",\"address\":\"127.0.0.1:9\",\"pool\":\"p\",\"hall\":\"a\","
-                 "\"slots\":1,\"leaving\":%s}]}",
-                 fixture->leaving ? "true" : "false");
+                 "{\"at\":%lld,\"servers\":[{\"id\":\"i\",\"address\":\"127.0.0.1:9\",\"pool\":\"p\",\"hall\":\"a\","
+                 "\"slots\":1,\"leaving\":%s,\"revision\":%lld}]}",
+                 (long long)(fixture->list_at ? fixture->list_at : 1), fixture->leaving ? "true" : "false",
+                 (long long)fixture->entry_revision);
     }
     reply(x, fixture, 200, body);
 }
@@ -157,6 +161,13 @@
     fixture->is_hall_listed_closed = cw_closed_halls_contains(&list->closed, "a");
 }
 
+static void on_history(void* user, const cw_servers_t* entries, source_coverage_t coverage) {
+    fixture_t* fixture = user;
+    (void)entries;
+    fixture->has_history = true;
+    fixture->coverage = coverage;
+}
+
 static void on_revisions_reset(void* user) {
     ((fixture_t*)user)->resets++;
 }
@@ -213,6 +224,7 @@
                                               .on_catalog = on_catalog,
                                               .on_servers = on_servers,
                                               .on_revisions_reset = on_revisions_reset,
+                                              .on_history = on_history,
                                               .user_data = fixture},
                                &err);
     ck_assert_msg(fixture->sync != NULL, "%s", err.message);
@@ -251,6 +263,11 @@
     return sync_is_ready(fixture->sync);
 }
 
+static bool has_history(fixture_t* fixture) {
+    sync_read_history(fixture->sync, 0);
+    return fixture->has_history;
+}
+
 static bool has_revision_9(fixture_t* fixture) {
     return sync_revision(fixture->sync) == 9;
 }
@@ -382,6 +399,31 @@
 }
 END_TEST
 
+/* Guards against a source that has forgotten a removal and is taken for one in which nothing has changed: engines that
+   left were taken for engines that never were. The newest revision is that of an entry or of the configuration, or of
+   what was removed. */
+START_TEST(a_forgotten_removal_is_not_taken_for_no_change) {
+    static const struct {
+        int64_t list_at, entry_revision, catalog_revision;
+        source_coverage_t coverage;
+    } cases[] = {{9, 9, 5, SOURCE_HISTORY_RETAINED},
+                 {9, 7, 9, SOURCE_HISTORY_RETAINED},
+                 {9, 8, 7, SOURCE_HISTORY_NONE},
+                 {9, 0, 5, SOURCE_HISTORY_NONE}};
+    custom_source = source_native;
+    custom_source.history_path = platform_source.history_path;
+    custom_source.read_history = platform_source.read_history;
+    fixture_t* fixture = fixture_setup_source(cases[_i].catalog_revision, &custom_source);
+    fixture->list_at = cases[_i].list_at;
+    fixture->entry_revision = cases[_i].entry_revision;
+    fixture->has_no_history = true;
+    run_until(fixture, is_ready);
+    run_until(fixture, has_history);
+    ck_assert_int_eq(fixture->coverage, cases[_i].coverage);
+    fixture_shutdown(fixture);
+}
+END_TEST
+
 /* The source delivers no events for a while. A server that leaves meanwhile is seen in the full list. */
 START_TEST(a_response_without_events_leads_to_the_full_list) {
     fixture_t* fixture = fixture_setup_with_changes();
@@ -762,6 +804,7 @@
     tcase_add_test(t, a_response_without_events_leads_to_the_full_list);
     tcase_add_test(t, a_list_of_one_page_is_polled_in_full);
     tcase_add_test(t, a_source_without_history_is_polled_for_the_full_list);
+    tcase_add_loop_test(t, a_forgotten_removal_is_not_taken_for_no_change, 0, 4);
     tcase_add_test(t, invalid_changes_lead_to_the_full_list);
     tcase_add_test(t, changes_at_the_source_are_applied);
     tcase_add_test(t, a_call_without_response_does_not_block_later_polls);
