Engines that pass to a host twice, and entries that return, are not asked again: failing tests

Callers: after a loss of all hosts a stream may go on at a version that has only its prompt, since a host says that it has asked all of its engines when it hasn't.

Cause: since a search for engines that were not asked is repeated only if the fingerprint differs from that of the last search. It returns to the same value where a suspected host is alive again before its engines were asked, and ends later; and where an engine's entry is missing from one list and returns, which makes a new server_t.

--- a/tests/test_absence.c
+++ b/tests/test_absence.c
@@ -91,6 +91,50 @@
 }
 END_TEST
 
+/* The other host is suspected, is there again before this one has asked its engines, and ends later. */
+START_TEST(engines_that_pass_to_this_host_twice_are_asked) {
+    rig_t* r = rig_setup(POOLS, 2);
+    ownership_t ownership = {.owned_server = cw_name_id("s1")};
+    rig_script(r, (rig_step_t[]){{RIG_RESPOND_CLOSE, EMPTY_LIST}, {RIG_RESPOND_CLOSE, EMPTY_LIST}}, 2);
+    inventory_t* v = make_inventory(r, &ownership);
+    run_inventory(r, v);
+    ownership.owned_server = 0;
+    inventory_tick(v, clock_ms() + 60000);
+    ck_assert(!inventory_is_complete(v));
+    ownership.owned_server = cw_name_id("s1");
+    inventory_tick(v, clock_ms() + 61000);
+    ownership.owned_server = 0;
+    inventory_tick(v, clock_ms() + 62000);
+    ck_assert(!inventory_is_complete(v));
+    run_inventory(r, v);
+    ck_assert_uint_eq(inventory_stats(v).queried, 2);
+    inventory_shutdown(v);
+    rig_shutdown(r);
+}
+END_TEST
+
+/* The entry of an engine is missing from one list, and nobody inquires meanwhile. */
+START_TEST(an_engine_whose_entry_returns_is_asked_again) {
+    rig_t* r = rig_setup(POOLS, 2);
+    ownership_t ownership = {0};
+    rig_script(r,
+               (rig_step_t[]){
+                   {RIG_RESPOND_CLOSE, EMPTY_LIST}, {RIG_RESPOND_CLOSE, EMPTY_LIST}, {RIG_RESPOND_CLOSE, EMPTY_LIST}},
+               3);
+    inventory_t* v = make_inventory(r, &ownership);
+    run_inventory(r, v);
+    ck_assert_uint_eq(inventory_stats(v).queried, 2);
+    rig_set_servers(r, 1, 0);
+    rig_set_servers(r, 2, 0);
+    inventory_tick(v, clock_ms() + 60000);
+    ck_assert(!inventory_is_complete(v));
+    run_inventory(r, v);
+    ck_assert_uint_eq(inventory_stats(v).queried, 3);
+    inventory_shutdown(v);
+    rig_shutdown(r);
+}
+END_TEST
+
 #define POOL_COUNT 70
 
 static void write_pool_name(char name[8], uint32_t i) {
@@ -401,6 +445,8 @@
 static void add_tests(TCase* t) {
     tcase_add_test(t, engines_of_a_host_that_ended_do_not_count_as_queried);
     tcase_add_test(t, engines_that_pass_to_this_host_are_noticed_at_once);
+    tcase_add_test(t, engines_that_pass_to_this_host_twice_are_asked);
+    tcase_add_test(t, an_engine_whose_entry_returns_is_asked_again);
     tcase_add_test(t, no_engine_that_failed_to_list_its_parts_is_forgotten);
     tcase_add_loop_test(t, versions_handed_over_before_the_configuration_are_not_lost, 0, 2);
     tcase_add_test(t, a_history_with_entries_of_an_undeclared_pool_is_not_complete);
