Lists that are dropped count as read, and equal lists as different views: failing tests

An engine's list that arrives while its entry is missing is dropped without a trace, and the engine counts as asked when the entry returns (RETURN_GRACE_MS after an outage, or a connection that keeps the server). A host that has read an earlier list knows a server by another key than one that starts, as long as the entry stays: then their views never agree (an entry that lost its start; an older start at an unknown revision, as after a restored store).

--- a/tests/test_absence.c
+++ b/tests/test_absence.c
@@ -135,6 +135,56 @@
 }
 END_TEST
 
+/* The entry is missing as the engine's list arrives, which is dropped, and returns while a connection keeps the server.
+ */
+START_TEST(an_engine_whose_list_was_dropped_does_not_count_as_queried) {
+    rig_t* r = rig_setup(POOLS, 1);
+    uint64_t pool = upstreams_pool(r->upstreams, "p")->id;
+    uint64_t version = 0;
+    ownership_t ownership = {0};
+    rig_script(r, (rig_step_t[]){{RIG_RESPOND_CLOSE, EMPTY_LIST}, {RIG_RESPOND_CLOSE, EMPTY_LIST}}, 2);
+    inventory_t* v = make_inventory(r, &ownership);
+    for (int64_t i = 0; i < 100 && !inventory_stats(v).queried; i++) {
+        inventory_tick(v, clock_ms() + 2 * i);
+    }
+    ck_assert_uint_eq(inventory_stats(v).queried, 1);
+    rig_set_servers_at(r, clock_ms(), 0, 0, true);
+    for (int i = 0; i < 100 && !inventory_stats(v).is_done; i++) {
+        ev_run(r->loop, EVRUN_ONCE);
+        inventory_tick(v, clock_ms() + 60000);
+    }
+    rig_set_servers_at(r, clock_ms(), 1, 0, true);
+    ck_assert(inventory_stats(v).is_done);
+    ck_assert(!inventory_is_complete(v) || inventory_stats(v).queried == 2 ||
+              inventory_count_failed(v, pool, &version));
+    inventory_shutdown(v);
+    rig_shutdown(r);
+}
+END_TEST
+
+/* Two hosts have the same list. One of them has read an earlier one, in which the server states its start. */
+START_TEST(hosts_with_the_same_list_have_the_same_view_of_it) {
+    rig_t* r = rig_setup(POOLS, 0);
+    rig_t* started = rig_setup(POOLS, 0);
+    cw_server_t server = {.id = "e", .pool = "p", .hall = "a", .version = "2", .slots = 8, .address = "127.0.0.1:1"};
+    static const int64_t earlier_ms[] = {0, 1000, 3000};
+    static const int64_t now_ms[] = {2000, 0, 2000};
+    for (int k = 0; k < 2; k++) {
+        cw_servers_t list = {0};
+        server.started_ms = k ? now_ms[_i] : earlier_ms[_i];
+        cw_servers_add(&list, &server);
+        upstreams_set_servers(r->upstreams, clock_ms(), &list, false);
+        if (k) {
+            upstreams_set_servers(started->upstreams, clock_ms(), &list, false);
+        }
+        cw_servers_free(&list);
+    }
+    ck_assert(upstreams_pool(r->upstreams, "p")->listed_set == upstreams_pool(started->upstreams, "p")->listed_set);
+    rig_shutdown(started);
+    rig_shutdown(r);
+}
+END_TEST
+
 #define POOL_COUNT 70
 
 static void write_pool_name(char name[8], uint32_t i) {
@@ -447,6 +497,8 @@
     tcase_add_test(t, engines_that_pass_to_this_host_are_noticed_at_once);
     tcase_add_test(t, engines_that_pass_to_this_host_twice_are_asked);
     tcase_add_test(t, an_engine_whose_entry_returns_is_asked_again);
+    tcase_add_test(t, an_engine_whose_list_was_dropped_does_not_count_as_queried);
+    tcase_add_loop_test(t, hosts_with_the_same_list_have_the_same_view_of_it, 0, 3);
     tcase_add_test(t, no_engine_that_failed_to_list_its_parts_is_forgotten);
     tcase_add_loop_test(t, versions_handed_over_before_the_configuration_are_not_lost, 0, 2);
     tcase_add_test(t, a_history_with_entries_of_an_undeclared_pool_is_not_complete);
