Hosts with the same list of servers have the same view of it

Callers: streams that nobody remembers were refused for as long as two hosts had read different lists before the one that both have: the view was made of the servers' keys, which depend on starts that earlier lists stated. The view is made of the ids and versions that the list states.

--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -10,7 +10,6 @@
 
 #define MS_PER_S 1000.0
 #define PROBE_TIMEOUT_MS 1000
-#define LISTED_SET_SEED 0x6c6973746564U
 #define BITS 8.0
 #define BITS_PER_MS_MBPS 1000.0 /* bits per millisecond at 1 Mbit/s */
 #define RETURN_GRACE_MS 2000    /* time for servers that went missing during a source outage to be listed again */
@@ -163,18 +162,20 @@
     }
 }
 
-/* Sets the servers that the balancer may choose: of a large pool a subset, which is the same at all hosts. */
-static uint64_t pool_listed_set(const pool_t* pool) {
+/* By what the list says, not by the key, which depends on earlier lists. */
+static void update_listed_set(pool_t* pool) {
     uint64_t set = 0;
     for (const server_t* s = pool->servers; s; s = s->next) {
-        set ^= s->is_listed ? cw_mix(s->key, LISTED_SET_SEED) : 0;
+        set ^= s->is_listed ? cw_mix(cw_name_id(s->published.id), cw_server_version_id(&s->published)) : 0;
     }
-    return set;
+    pool->listed_changes += set != pool->listed_set;
+    pool->listed_set = set;
 }
 
+/* Sets the servers that the balancer may choose: of a large pool a subset, which is the same at all hosts. */
 static void pool_update_servers(pool_t* pool, int64_t now_ms) {
     update_versions(pool, now_ms);
-    pool->listed_set = pool_listed_set(pool);
+    update_listed_set(pool);
     pool->listed = pool_count_listed(pool);
     cw_subset_resize(&pool->subset, now_ms, pool->listed);
     cw_server_spec_t* specs = calloc(pool->listed + 1, sizeof(*specs));
--- a/gateway/upstream.h
+++ b/gateway/upstream.h
@@ -92,6 +92,7 @@
     cw_pool_versions_t versions; /* of the servers' software */
     bool has_resumable_streams;  /* it has had requests for such */
     uint64_t listed_set;         /* fingerprint of the servers that the last list names, leaving or not */
+    uint64_t listed_changes;     /* of listed_set so far */
     cw_subset_t subset;          /* the listed servers that are used */
     uint32_t busy_conns;         /* connections that wait for a response or receive one */
     int64_t busy_since_ms;       /* since when there has been any */
