Engines that pass to a host twice, and those whose entry returns, are asked

Cause: searched when a fingerprint differed from that of the last search, which a return to the earlier state doesn't. A search is due after each round of queries, and when the number of changes of the list differs.

--- a/gateway/inventory.c
+++ b/gateway/inventory.c
@@ -270,7 +270,7 @@
         return;
     }
     if (v->has_unasked) {
-        v->is_listed = v->stats.is_done = v->has_unasked = false;
+        v->is_listed = v->stats.is_done = v->has_unasked = v->is_checked = false;
     }
     if (v->stats.is_done) {
         return;
@@ -313,11 +313,12 @@
     return false;
 }
 
-/* Changes when engines pass to or from this host: with the fleet, and with the engines that are listed. */
+/* Differs from an earlier value if engines may have passed to this host since. An engine whose entry was gone and has
+   returned may be another record, so the changes of the list are counted. */
 static uint64_t view_of_fleet(const inventory_t* v) {
     uint64_t view = v->desc.fleet_set ? v->desc.fleet_set(v->desc.user_data) : 0;
     for (const pool_t* pool = upstreams_pools(v->desc.upstreams); pool; pool = pool->next) {
-        view = pool->slots ? cw_mix(view, pool->listed_set) : view;
+        view = pool->slots ? cw_mix(view, pool->listed_changes) : view;
     }
     return view;
 }
