An engine whose list arrives while its entry is missing is asked again

Callers: a stream could be resumed by a prompt although the engine that ran it was never heard: its list of parts was dropped, since its entry was missing at that moment, and it counted as asked when the entry returned.

--- a/gateway/inventory.c
+++ b/gateway/inventory.c
@@ -171,6 +171,8 @@
         v->desc.on_runs(v->desc.user_data, server, items.items, items.count);
     } else if (server && server->is_listed) {
         record_parts(v, server, &items);
+    } else if (server) {
+        server->is_inventoried = false; /* the list is dropped, but the entry may return */
     }
     free(items.items);
 }
