An inquiry that has all replies keeps them, and counts other views over all rounds

A copy of a reply that arrived after the last one took itself out of the set again until the next round. other_views was that of the last round, which is 0 whenever the inquiry is decided, so stream-inquiry could not show what the views cost.

--- a/chalkway_stream_inquiry.h
+++ b/chalkway_stream_inquiry.h
@@ -116,7 +116,8 @@
     cw_stream_audience_t audience;  /* of this round */
     uint32_t complete;              /* replies to this round that cover all engines that can be queried */
     uint64_t complete_set;          /* their fingerprint */
-    uint32_t other_views;           /* replies to this round by hosts with another view of the fleet */
+    bool has_all;                   /* all replies that are due in this round have arrived, complete */
+    uint32_t other_views;           /* replies to all rounds by hosts with another view of the fleet */
     uint64_t own_view;              /* this host's view now */
     int64_t begun_ms, next_round_ms;
 } cw_stream_inquiry_t;
@@ -154,14 +155,16 @@
     const cw_stream_versions_t* unqueried = &findings->unqueried;
     const cw_stream_versions_t* left = &findings->left;
     cw_stream_reply_t reply = {.version = found->is_several ? 0 : found->version};
+    /* A reply names one version: a failed engine of one and another that has left rule out both. */
+    bool names_two = !found->version && unqueried->version && _cw_stream_versions_have_other(left, unqueried->version);
+    bool cannot_query_others = unqueried->is_several || names_two ||
+                               (found->version && _cw_stream_versions_have_other(unqueried, found->version));
     if (found->is_several) {
         reply.coverage = CW_STREAM_HAS_SEVERAL;
     } else if (findings->is_open) {
         reply.coverage = CW_STREAM_COVERS_SOME;
-    } else if (unqueried->is_several || (found->version && _cw_stream_versions_have_other(unqueried, found->version))) {
+    } else if (cannot_query_others) {
         reply.coverage = CW_STREAM_COVERS_LISTED;
-    } else if (unqueried->version && !found->version && _cw_stream_versions_have_other(left, unqueried->version)) {
-        reply.coverage = CW_STREAM_COVERS_LISTED; /* there is room for one version */
     } else if (unqueried->version && !found->version) {
         reply = (cw_stream_reply_t){.version = unqueried->version, .coverage = CW_STREAM_COVERS_ALL_BUT};
     } else if (left->is_several || (found->version && _cw_stream_versions_have_other(left, found->version))) {
@@ -181,8 +184,9 @@
 }
 
 uint32_t cw_stream_inquiry_next_round(cw_stream_inquiry_t* q) {
-    q->complete = q->other_views = 0;
+    q->complete = 0;
     q->complete_set = 0;
+    q->has_all = false;
     return ++q->round;
 }
 
@@ -199,6 +203,7 @@
     uint32_t spread_ms = audience->hosts * CW_STREAM_INQUIRY_HOST_MS;
     q->audience = *audience;
     q->own_view = audience->view;
+    q->has_all = !audience->replies;
     q->next_round_ms = now_ms + (spread_ms > CW_STREAM_INQUIRY_ROUND_MS ? spread_ms : CW_STREAM_INQUIRY_ROUND_MS);
 }
 
@@ -229,6 +234,7 @@
     }
     q->complete++;
     q->complete_set ^= _cw_stream_reply_hash(reply->host, question);
+    q->has_all = q->has_all || q->complete_set == q->audience.replies_set;
 }
 
 static bool _cw_stream_inquiry_is_complete(const cw_stream_inquiry_t* q) {
