--- a/chalkway_stream_inquiry.h
+++ b/chalkway_stream_inquiry.h
@@ -238,7 +238,7 @@
 }
 
 static bool _cw_stream_inquiry_is_complete(const cw_stream_inquiry_t* q) {
-    return q->round && !q->is_own_open && q->complete_set == q->audience.replies_set && q->own_view == q->audience.view;
+    return q->round && !q->is_own_open && q->has_all && q->own_view == q->audience.view;
 }
 
 bool cw_stream_inquiry_is_decided(const cw_stream_inquiry_t* q, int64_t now_ms) {
--- a/tests/test_stream_evidence.c
+++ b/tests/test_stream_evidence.c
@@ -271,6 +271,10 @@
         reply_as(&q, 0, (cw_stream_reply_t){.round = 1, .version = V2});
         ck_assert(!cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == 0);
     }
+    for (uint32_t copies = 1; copies <= 3; copies++) { /* a copy takes nothing back */
+        reply_as(&q, 1, (cw_stream_reply_t){.round = 1, .version = V2});
+        ck_assert(cw_stream_inquiry_is_decided(&q, 1000) && cw_stream_inquiry_version(&q) == V2);
+    }
 }
 END_TEST
 
