Chunks with a wrong line end make a response malformed

Callers saw: a body "5\r\nhelloXX0\r\n\r\n" arrived as a complete response, as did "5\rXhello\r\n...", a chunk extension with an LF in it and "\rX" in place of the last empty line. Found by the table of malformed chunks; not reported.

Cause: http-parser skips two bytes after the data of a chunk and one after a CR, whatever they are.

Why this holds: io/message.c passes the lines of the framing to http-parser one by one, like those of the head, and checks that each ends in CRLF and that just that follows the data. The data itself is passed on in one piece as before. A caller that has the head by then gets a response that is broken off. Requests in chunks are read by the same code: theirs must be as strict.

--- a/io/message.c
+++ b/io/message.c
@@ -111,6 +111,12 @@
     return 0;
 }
 
+static int on_chunk_size(http_parser* p) {
+    cw_message_t* m = p->data;
+    m->chunk_bytes = p->content_length;
+    return 0;
+}
+
 static int on_complete(http_parser* p) {
     cw_message_t* m = p->data;
     m->state = CW_MESSAGE_COMPLETE;
@@ -124,6 +130,7 @@
                                                .on_header_value = on_field_value,
                                                .on_headers_complete = on_head_complete,
                                                .on_body = on_body,
+                                               .on_chunk_header = on_chunk_size,
                                                .on_message_complete = on_complete};
 
 void cw_message_setup(cw_message_t* m, cw_message_kind_t kind, const cw_message_handlers_t* handlers, void* owner) {
@@ -149,19 +156,26 @@
     m->is_in_value = false;
     m->head_bytes = m->line_bytes = 0;
     m->previous_byte = 0;
+    m->chunk_bytes = 0;
+    m->is_chunk_received = false;
     m->status = 0;
     m->framing = CW_FRAMING_NONE;
 }
 
 /* -- parsing -------------------------------------------------------------- */
 
-/* http-parser accepts status lines and line ends that are none. Lines are therefore passed to it one by
+/* http-parser accepts status lines, line ends and ends of chunks that are none. Lines are therefore passed to it one by
    one, and are checked before. */
 
 static bool is_in_head(const cw_message_t* m) {
     return m->state == CW_MESSAGE_IDLE || m->state == CW_MESSAGE_HEAD;
 }
 
+/* Whether the next byte belongs to a line of the head, or of the framing of chunks, and not to the body. */
+static bool is_in_line(const cw_message_t* m) {
+    return is_in_head(m) || (m->framing == CW_FRAMING_CHUNKED && !m->chunk_bytes);
+}
+
 static bool is_line_end(char byte) {
     return byte == '\r' || byte == '\n';
 }
@@ -190,6 +204,12 @@
     if (m->previous_byte == '\r' && byte != '\n') {
         return false; /* RFC 9112, 2.2: a bare CR */
     }
+    if (m->is_chunk_received) {
+        return byte == "\r\n"[m->line_bytes];
+    }
+    if (m->state == CW_MESSAGE_BODY) {
+        return byte != '\n' || m->previous_byte == '\r';
+    }
     bool is_in_status_line = m->parser.type == HTTP_RESPONSE && m->head_bytes == m->line_bytes;
     return !is_in_status_line || is_status_line_byte(m->line_bytes, byte);
 }
@@ -205,21 +225,25 @@
         if (is_counted && !is_line_byte_valid(m, data[i])) {
             return false;
         }
-        m->head_bytes += is_counted;
+        m->head_bytes += is_counted && is_in_head(m);
         m->line_bytes += is_counted;
         m->previous_byte = data[i];
     }
     return true;
 }
 
-/* Size of the first part of the data that is to be parsed by itself: a line of the head. */
+/* Size of the first part of the data that is to be parsed by itself: a line, or what is left of a chunk's data. */
 static size_t find_part(const cw_message_t* m, const char* data, size_t size) {
-    const char* end = is_in_head(m) ? memchr(data, '\n', size) : NULL;
-    return end ? (size_t)(end - data) + 1 : size;
+    if (is_in_line(m)) {
+        const char* end = memchr(data, '\n', size);
+        return end ? (size_t)(end - data) + 1 : size;
+    }
+    return m->framing == CW_FRAMING_CHUNKED && m->chunk_bytes < size ? (size_t)m->chunk_bytes : size;
 }
 
 static size_t parse_part(cw_message_t* m, const char* data, size_t size) {
-    bool is_line = is_in_head(m);
+    bool is_line = is_in_line(m);
+    bool is_chunk = !is_line && m->framing == CW_FRAMING_CHUNKED;
     if (is_line && !check_line(m, data, size)) {
         m->state = CW_MESSAGE_MALFORMED;
         return size;
@@ -227,6 +251,11 @@
     if (is_line && data[size - 1] == '\n') {
         m->line_bytes = 0;
         m->previous_byte = 0;
+        m->is_chunk_received = false;
+    }
+    if (is_chunk) {
+        m->chunk_bytes -= size;
+        m->is_chunk_received = m->chunk_bytes == 0;
     }
     size_t used = http_parser_execute(&m->parser, &callbacks, data, size);
     enum http_errno parse_error = HTTP_PARSER_ERRNO(&m->parser);
--- a/io/message.h
+++ b/io/message.h
@@ -66,9 +66,11 @@
     cw_buffer_t text;                            /* target, names and values, each zero-terminated */
     uint32_t offsets[CW_MESSAGE_MAX_FIELDS * 2]; /* start of each name and value in text: name, value, name, ... */
     bool is_in_value;
-    size_t head_bytes;  /* of the head, received so far */
-    size_t line_bytes;  /* of the line of the head that is being received */
-    char previous_byte; /* of that line */
+    size_t head_bytes;      /* of the head, received so far */
+    size_t line_bytes;      /* of the line that is being received: of the head, or of the framing of chunks */
+    char previous_byte;     /* of that line */
+    uint64_t chunk_bytes;   /* of the chunk, not received yet */
+    bool is_chunk_received; /* the line end after the chunk's data is due */
 };
 
 void cw_message_setup(cw_message_t* m, cw_message_kind_t kind, const cw_message_handlers_t* handlers, void* owner);
--- a/tests/test_truncated.c
+++ b/tests/test_truncated.c
@@ -538,6 +538,25 @@
 }
 END_TEST
 
+/* The head may have been forwarded when the fault is found: the response is broken off. */
+START_TEST(a_response_with_malformed_chunks_is_not_complete) {
+    for (int i = 0; i < MALFORMED_CHUNKS; i++) {
+        rig_t* r = rig_setup(ROUTES, 1);
+        rig_script(r, (rig_step_t[]){{RIG_RESPOND_CLOSE, malformed_chunks[i]}}, 1);
+        r->stop_on_response = true;
+        rig_write(r, CALL("call"));
+        rig_run(r);
+        const char* got = cw_buffer_text(&r->response);
+        ck_assert_msg(strncmp(got, "HTTP/1.1 502", 12) == 0 || !rig_is_response_complete(got), "%s\nfor: %s", got,
+                      malformed_chunks[i]);
+        rig_shutdown(r);
+        /* libcurl takes an LF alone for the end of a chunk */
+        bool is_complete = call_for(malformed_chunks[i], CUT_CLOSE, false).is_complete;
+        ck_assert_msg(is_complete == (strstr(malformed_chunks[i], "hello\n") != NULL), "%s", malformed_chunks[i]);
+    }
+}
+END_TEST
+
 START_TEST(a_malformed_response_is_no_document) {
     for (int i = 0; i < MALFORMED; i++) {
         expect_inventory_failed(malformed[i], CUT_CLOSE);
@@ -586,6 +605,7 @@
     tcase_add_test(t, a_blocking_call_whose_response_head_is_cut_off_gets_no_response);
     tcase_add_test(t, malformed_bytes_are_no_response_in_pieces_of_any_size);
     tcase_add_test(t, a_malformed_response_reaches_no_caller);
+    tcase_add_test(t, a_response_with_malformed_chunks_is_not_complete);
     tcase_add_test(t, a_malformed_response_is_no_document);
     tcase_add_test(t, chalkwayd_and_tools_take_no_malformed_response);
 }
--- a/tests/truncated.h
+++ b/tests/truncated.h
@@ -104,6 +104,16 @@
 };
 #define MALFORMED ((int)(sizeof(malformed) / sizeof(malformed[0])))
 
+/* Bodies in chunks whose sizes or ends are invalid, although http-parser takes them for complete. */
+#define CHUNKS(body) "HTTP/1.1 200 OK\r\n" ID "Transfer-Encoding: chunked\r\n\r\n" body
+static const char* const malformed_chunks[] = {
+    CHUNKS("5\r\nhelloXX0\r\n\r\n"),     CHUNKS("5\rXhello\r\n0\r\n\r\n"),       CHUNKS("5\r\nhello\rX0\r\n\r\n"),
+    CHUNKS("5\r\nhelloX\n0\r\n\r\n"),    CHUNKS("5;a\nb\r\nhello\r\n0\r\n\r\n"), CHUNKS("5\r\nhello\r\n0\r\n\rX"),
+    CHUNKS("5\r\nhello\r\n0\r\nA b: c"), CHUNKS("+5\r\nhello\r\n0\r\n\r\n"),     CHUNKS("5\r\nhello\n0\r\n\r\n"),
+    CHUNKS("5\r\nhello\r\n0\r\n\r\r\n"),
+};
+#define MALFORMED_CHUNKS ((int)(sizeof(malformed_chunks) / sizeof(malformed_chunks[0])))
+
 /* How the connection ends. */
 typedef enum cut_end_t { CUT_CLOSE = 0, CUT_RESET, CUT_ENDS } cut_end_t;
 
