No body follows a 204 or a 304, whatever fields they have

Callers saw: behind a 204 or 304 with a length or chunks the body was passed on as well. The caller, which knows that these have none, read "okHTTP/1.1 200 OK" as its next response on the connection. A sound 304 with the length of the response that it stands for (RFC 9110, 15.4.5) ended in 504 after the route's timeout, or in 502 once the server closed.

Cause: the rule stood in two places that differed. io/message.c looked at the length and the chunks before the status and had http-parser read such a body; gateway/frontend.c dropped the chunks from the head and wrote the body all the same.

Why this holds: cw_message_status_has_body is the one rule (RFC 9112, 6.3), for the reader, which ends the response with its head, and for the writer. Bytes behind it close the connection to the server as before. The length of a 304 and of a response to HEAD is passed on; a 1xx or 204 has none (RFC 9110, 8.6). A 103 with a length no longer takes the start of the final response for its body.

Evidence: ten responses at the gateway and at the libcurl client, on a connection that is kept or closed, each followed by a second call.

--- a/gateway/frontend.c
+++ b/gateway/frontend.c
@@ -123,10 +123,6 @@
 
 /* -- responses ------------------------------------------------------------ */
 
-static bool has_no_body(const caller_t* c, unsigned status) {
-    return c->is_bodiless || status / 100 == 1 || status == 204 || status == 304;
-}
-
 static void write_head(caller_t* c, unsigned status, const char* fields) {
     cw_buffer_t out = {0};
     c->must_close = c->must_close || c->front->is_draining || !c->message.keep_alive;
@@ -161,7 +157,8 @@
 }
 
 void caller_begin_response(caller_t* c, unsigned status, const char* fields, cw_framing_t framing, uint64_t length) {
-    c->framing = has_no_body(c, status) && framing != CW_FRAMING_LENGTH ? CW_FRAMING_NONE : framing;
+    c->is_bodiless = c->is_bodiless || !cw_message_status_has_body(status);
+    c->framing = c->is_bodiless && framing != CW_FRAMING_LENGTH ? CW_FRAMING_NONE : framing;
     if (c->framing == CW_FRAMING_UNTIL_CLOSE) {
         c->framing = CW_FRAMING_CHUNKED; /* so that the caller can tell a complete response from a truncated one */
     }
@@ -200,7 +197,7 @@
         caller_free(c);
         return;
     }
-    if (c->framing == CW_FRAMING_CHUNKED && !c->is_bodiless) {
+    if (c->framing == CW_FRAMING_CHUNKED) {
         cw_buffer_t out = {0};
         cw_message_add_last_chunk(&out);
         cw_stream_write(&c->stream, out.data, out.size);
--- a/io/message.c
+++ b/io/message.c
@@ -66,18 +66,27 @@
     return 0;
 }
 
+bool cw_message_status_has_body(unsigned status) {
+    return status / 100 != 1 && status != 204 && status != 304;
+}
+
+static bool has_body(const cw_message_t* m) {
+    return !m->is_bodiless && (m->parser.type == HTTP_REQUEST || cw_message_status_has_body(m->parser.status_code));
+}
+
+/* A response that must not have a length states none, even if it has the field (RFC 9110, 8.6). */
+static bool may_state_length(const http_parser* p) {
+    return p->type == HTTP_REQUEST || (p->status_code / 100 != 1 && p->status_code != 204);
+}
+
 static cw_framing_t framing(const http_parser* p, const cw_message_t* m) {
-    if (p->flags & F_CHUNKED) {
+    if ((p->flags & F_CHUNKED) && has_body(m)) {
         return CW_FRAMING_CHUNKED;
     }
-    if (p->flags & F_CONTENTLENGTH) {
+    if ((p->flags & F_CONTENTLENGTH) && may_state_length(p)) {
         return CW_FRAMING_LENGTH;
     }
-    if (p->type == HTTP_REQUEST || m->is_bodiless || p->status_code / 100 == 1 || p->status_code == 204 ||
-        p->status_code == 304) {
-        return CW_FRAMING_NONE;
-    }
-    return CW_FRAMING_UNTIL_CLOSE;
+    return p->type == HTTP_REQUEST || !has_body(m) ? CW_FRAMING_NONE : CW_FRAMING_UNTIL_CLOSE;
 }
 
 static int on_head_complete(http_parser* p) {
@@ -100,7 +109,7 @@
     if (m->handlers->on_head) {
         m->handlers->on_head(m->owner);
     }
-    return m->is_bodiless ? SKIP_BODY : 0;
+    return has_body(m) ? 0 : SKIP_BODY;
 }
 
 static int on_body(http_parser* p, const char* at, size_t size) {
--- a/io/message.h
+++ b/io/message.h
@@ -77,6 +77,8 @@
 void cw_message_shutdown(cw_message_t* m);
 /* Prepares for the next message of the connection; the parsed head becomes invalid. */
 void cw_message_reset(cw_message_t* m);
+/* Whether a response with this status may have a body (RFC 9112, 6.3). */
+bool cw_message_status_has_body(unsigned status);
 /* Parses up to the end of the message and returns the number of bytes consumed. On invalid input or a protocol
    upgrade the state becomes CW_MESSAGE_MALFORMED. Consumes nothing once the message is complete or malformed. */
 size_t cw_message_parse(cw_message_t* m, const char* data, size_t size);
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -479,10 +479,14 @@
 
 /* Whether the text is a complete response: by its length, or by its last chunk. */
 static inline bool rig_is_response_complete(const char* text) {
+    static const char version[] = "HTTP/1.1 ";
     const char* end = strstr(text, "\r\n\r\n");
     if (!end) {
         return false;
     }
+    if (!cw_message_status_has_body((unsigned)strtoul(text + sizeof(version) - 1, NULL, 10))) {
+        return true;
+    }
     const char* length = strcasestr(text, "Content-Length: ");
     if (length && length < end) {
         return strlen(end + 4) >= strtoul(length + 16, NULL, 10);
--- a/tests/test_truncated.c
+++ b/tests/test_truncated.c
@@ -557,6 +557,90 @@
 }
 END_TEST
 
+static const struct {
+    const char* text;
+    const char* begin;  /* of the response to the caller */
+    const char* length; /* "": none is stated */
+    const char* body;
+} bodiless[] = {
+    {"HTTP/1.1 204 No Content\r\n" ID "\r\n", "HTTP/1.1 204 ", "", ""},
+    {"HTTP/1.1 204 No Content\r\n" TWO_BYTES, "HTTP/1.1 204 ", "", ""},
+    {"HTTP/1.1 204 No Content\r\n" ID TWO_IN_CHUNKS, "HTTP/1.1 204 ", "", ""},
+    {"HTTP/1.1 304 Not Modified\r\n" ID "\r\n", "HTTP/1.1 304 ", "", ""},
+    {"HTTP/1.1 304 Not Modified\r\n" ID "Content-Length: 2\r\n\r\n", "HTTP/1.1 304 ", "Content-Length: 2\r\n", ""},
+    {"HTTP/1.1 304 Not Modified\r\n" TWO_BYTES, "HTTP/1.1 304 ", "Content-Length: 2\r\n", ""},
+    {"HTTP/1.1 304 Not Modified\r\n" ID TWO_IN_CHUNKS, "HTTP/1.1 304 ", "", ""},
+    {"HTTP/1.1 103 Early Hints\r\nContent-Length: 2\r\n\r\n" SOUND, "HTTP/1.1 200 ", "Content-Length: 5\r\n", "hello"},
+    {"HTTP/1.1 205 Reset Content\r\n" ID "Content-Length: 0\r\n\r\n", "HTTP/1.1 205 ", "Content-Length: 0\r\n", ""},
+    {"HTTP/1.1 205 Reset Content\r\n" TWO_BYTES, "HTTP/1.1 205 ", "Content-Length: 2\r\n", "ok"},
+};
+#define BODILESS ((int)(sizeof(bodiless) / sizeof(bodiless[0])))
+
+static rig_t* rig_with_bodiless(int row, cut_end_t end) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    const rig_step_t step = {end == CUT_ENDS ? RIG_RESPOND : ends[end], bodiless[row].text};
+    rig_script(r, (rig_step_t[]){step, {RIG_RESPOND, SOUND}}, 2);
+    r->stop_on_response = true;
+    return r;
+}
+
+static void expect_bodiless(int row, cut_end_t end) {
+    rig_t* r = rig_with_bodiless(row, end);
+    const char* got = rig_call(r, CALL("call"));
+    const char* head_end = strstr(got, "\r\n\r\n");
+    const char* length = strstr(got, "Content-Length");
+    const char* expected = bodiless[row].length;
+    ck_assert_msg(strncmp(got, bodiless[row].begin, strlen(bodiless[row].begin)) == 0, "%s", got);
+    ck_assert_msg(length ? expected[0] && strncmp(length, expected, strlen(expected)) == 0 : !expected[0], "%s", got);
+    ck_assert_str_eq(head_end + 4, bodiless[row].body);
+    got = rig_call(r, CALL("call"));
+    ck_assert_msg(strncmp(got, "HTTP/1.1 200 ", 13) == 0 && strstr(got, "hello"), "next: %s", got);
+    rig_shutdown(r);
+}
+
+static void expect_bodiless_call(int row, cut_end_t end) {
+    rig_t* r = rig_with_bodiless(row, end);
+    cw_client_t* client = cw_client_setup(r->loop, 4);
+    cw_call_result_t first = call_server(r, client).result;
+    cw_call_result_t next = call_server(r, client).result;
+    ck_assert_msg(first.is_complete && first.status == (unsigned)atoi(bodiless[row].begin + 9), "%s: status %u, %s",
+                  bodiless[row].text, first.status, first.message);
+    ck_assert_msg(next.is_complete && next.status == 200, "next: status %u, %s", next.status, next.message);
+    cw_client_shutdown(client);
+    rig_shutdown(r);
+}
+
+/* Guards against a body behind a status that has none: a caller read it as the start of its next response. The length
+   of a 304 is that of another response: waiting for so many bytes ended in a timeout. */
+START_TEST(a_status_without_a_body_ends_the_response) {
+    expect_bodiless(_i, CUT_CLOSE);
+    expect_bodiless(_i, CUT_ENDS);
+    expect_bodiless_call(_i, CUT_CLOSE);
+    expect_bodiless_call(_i, CUT_ENDS);
+}
+END_TEST
+
+/* The response to HEAD has no body either: its length is passed on, and bytes behind it are nobody's. */
+START_TEST(a_response_to_head_has_no_body) {
+    static const char* const texts[] = {SOUND, "HTTP/1.1 200 OK\r\n" ID "Content-Length: 5\r\n\r\n",
+                                        "HTTP/1.1 200 OK\r\n" ID TWO_IN_CHUNKS, "HTTP/1.1 200 OK\r\n" ID "\r\n"};
+    for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+        rig_t* r = rig_setup(ROUTES, 1);
+        rig_script(r, (rig_step_t[]){{RIG_RESPOND, texts[i]}, {RIG_RESPOND, SOUND}}, 2);
+        rig_write(r, "HEAD /call/ HTTP/1.1\r\nHost: h.example\r\nChalkway-Request-Id: q1\r\n\r\n");
+        while (!strstr(cw_buffer_text(&r->response), "\r\n\r\n")) {
+            ev_run(r->loop, EVRUN_ONCE);
+        }
+        const char* got = cw_buffer_text(&r->response);
+        ck_assert_msg(!strstr(got, "Content-Length: 5\r\n") == !strstr(texts[i], "Content-Length"), "%s", got);
+        ck_assert_str_eq(strstr(got, "\r\n\r\n") + 4, "");
+        got = rig_call(r, CALL("call"));
+        ck_assert_msg(strncmp(got, "HTTP/1.1 200 ", 13) == 0 && strstr(got, "hello"), "next: %s", got);
+        rig_shutdown(r);
+    }
+}
+END_TEST
+
 START_TEST(a_malformed_response_is_no_document) {
     for (int i = 0; i < MALFORMED; i++) {
         expect_inventory_failed(malformed[i], CUT_CLOSE);
@@ -606,6 +690,8 @@
     tcase_add_test(t, malformed_bytes_are_no_response_in_pieces_of_any_size);
     tcase_add_test(t, a_malformed_response_reaches_no_caller);
     tcase_add_test(t, a_response_with_malformed_chunks_is_not_complete);
+    tcase_add_loop_test(t, a_status_without_a_body_ends_the_response, 0, BODILESS);
+    tcase_add_test(t, a_response_to_head_has_no_body);
     tcase_add_test(t, a_malformed_response_is_no_document);
     tcase_add_test(t, chalkwayd_and_tools_take_no_malformed_response);
 }
--- a/tests/truncated.h
+++ b/tests/truncated.h
@@ -45,6 +45,7 @@
 #define RESPONSES ((int)(sizeof(responses) / sizeof(responses[0])))
 
 #define TWO_BYTES ID "Content-Length: 2\r\n\r\nok"
+#define TWO_IN_CHUNKS "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
 #define LINE(status_line) status_line "\r\n" TWO_BYTES
 #define FIELD(line) "HTTP/1.1 200 OK\r\n" line "\r\n" TWO_BYTES
 #define LENGTH(line) "HTTP/1.1 200 OK\r\n" ID line "\r\n\r\nok"
