Bodies without end fail a call, whoever makes it

Callers saw: requests at a host ended with its process. A source that sent a body without end filled the memory of chalkwayd, which kept the responses for documents and for the list of hosts whole: over 3 GB in some seconds. The readers of the gateway kept 16 and 1 MB and read on to the timeout; a later, smaller piece was added again, so the body had a hole.

Cause: each reader bounded what it kept, or nothing; none bounded what is read.

Why this holds: the limit is one of the call (max_body_bytes, 16 MB where nothing else is said), so that no reader can go without. A longer body ends the call as failed and closes the connection; what was known before stays, and the failure is logged, for the list of hosts too. chalkwayd: documents 32 MB, hosts 4 MB, load reports 512 bytes; inventory 1 MB; chalkwayctl 64 MB. Only attempts have no limit here: theirs is in the settings, and streams have none. A head line without end is no longer logged as "Out of memory", libcurl's word for its own limit.

--- a/daemon/allocator.c
+++ b/daemon/allocator.c
@@ -305,9 +305,8 @@
 
 static bool on_load_data(void* user, const char* data, size_t size) {
     load_call_t* load_call = user;
-    for (size_t i = 0; i < size && load_call->size + 1 < sizeof(load_call->body); i++) {
-        load_call->body[load_call->size++] = data[i];
-    }
+    memcpy(load_call->body + load_call->size, data, size); /* max_body_bytes is the size of body */
+    load_call->size += size;
     return true;
 }
 
@@ -351,6 +350,7 @@
         snprintf(url, sizeof(url), "http://%s/v1/load", u->address);
         load_call->call = cw_client_call(a->node->client, &(cw_call_desc_t){.url = url,
                                                                             .timeout_ms = LOAD_CALL_TIMEOUT_MS,
+                                                                            .max_body_bytes = sizeof(load_call->body),
                                                                             .on_data = on_load_data,
                                                                             .on_done = on_load_done,
                                                                             .user_data = load_call});
--- a/daemon/attempt.c
+++ b/daemon/attempt.c
@@ -7,6 +7,7 @@
 
 #define STREAM_HIGH_WATER_BYTES 262144 /* unsent output at which reading from the upstream is paused */
 #define EVENT_MAX_BYTES (1U << 20)     /* of a stream; a longer one never ends */
+#define BODY_MAX_BYTES UINT64_MAX      /* streams have no limit; other responses are limited by the settings */
 
 #define HTTP_OK 200
 #define HTTP_SERVER_ERROR 500
@@ -279,6 +280,7 @@
                                                                 .body = r->body,
                                                                 .size = r->body_size,
                                                                 .use_new_connection = !r->class->repeatable,
+                                                                .max_body_bytes = BODY_MAX_BYTES,
                                                                 .on_sending = on_sending,
                                                                 .on_head = on_head,
                                                                 .on_data = on_data,
--- a/daemon/sync.c
+++ b/daemon/sync.c
@@ -13,7 +13,9 @@
 #define CALL_TIMEOUT_MS 5000
 #define BACKOFF_MIN_MS 200
 #define BACKOFF_MAX_MS 10000
-#define CHUNK_BYTES 65536 /* a chunk is sent once its documents exceed this size */
+#define DOCUMENTS_MAX_BYTES (32U << 20) /* response that lists documents */
+#define HOSTS_MAX_BYTES (4U << 20)      /* response that lists hosts */
+#define CHUNK_BYTES 65536               /* a chunk is sent once its documents exceed this size */
 #define PLATFORM_BURST 4
 
 typedef enum platform_state_t { PLATFORM_UNUSED, PLATFORM_OK, PLATFORM_DOWN, PLATFORM_STALE } platform_state_t;
@@ -290,6 +292,7 @@
     s->call =
         cw_client_call(s->node->client, &(cw_call_desc_t){.url = url,
                                                           .timeout_ms = settings->watch_timeout_ms + CALL_TIMEOUT_MS,
+                                                          .max_body_bytes = DOCUMENTS_MAX_BYTES,
                                                           .on_data = on_platform_data,
                                                           .on_done = on_platform_done,
                                                           .user_data = s});
@@ -368,6 +371,8 @@
     s->hosts_call = NULL;
     if (result->is_complete && result->status == 200) {
         apply_host_list(s, (cw_json_text_t){cw_buffer_text(&s->hosts_body), s->hosts_body.size});
+    } else {
+        log_invalid_item(s, "hosts", result->is_complete ? "response status is not 200" : result->message);
     }
     cw_buffer_free(&s->hosts_body);
 }
@@ -381,6 +386,7 @@
     s->calls++;
     s->hosts_call = cw_client_call(s->node->client, &(cw_call_desc_t){.url = url,
                                                                       .timeout_ms = CALL_TIMEOUT_MS,
+                                                                      .max_body_bytes = HOSTS_MAX_BYTES,
                                                                       .on_data = on_hosts_data,
                                                                       .on_done = on_hosts_done,
                                                                       .user_data = s});
--- a/gateway/inventory.c
+++ b/gateway/inventory.c
@@ -120,17 +120,8 @@
            server ? server->published.id : "-", server ? server->published.address : "-", why);
 }
 
-/* A list that is too long is not read to its end, which may never come. */
 static bool on_data(void* user, const char* data, size_t size) {
-    call_t* c = user;
-    if (c->body.size + size <= LIST_MAX_BYTES) {
-        cw_buffer_add(&c->body, data, size);
-        return true;
-    }
-    log_failure(c->inventory, upstreams_server(c->inventory->desc.upstreams, c->server), "the list is too long");
-    cw_call_cancel(c->call);
-    c->call = NULL;
-    cw_buffer_free(&c->body);
+    cw_buffer_add(&((call_t*)user)->body, data, size);
     return true;
 }
 
@@ -205,6 +196,7 @@
     c->call = cw_client_call(v->client, &(cw_call_desc_t){.url = url,
                                                           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                                                           .timeout_ms = CALL_TIMEOUT_MS,
+                                                          .max_body_bytes = LIST_MAX_BYTES,
                                                           .on_head = on_head,
                                                           .on_data = on_data,
                                                           .on_done = on_done,
--- a/gateway/sync.c
+++ b/gateway/sync.c
@@ -4,7 +4,6 @@
 
 #include "sync_internal.h"
 
-#define RESPONSE_BYTES_MAX (16U << 20) /* a longer response is truncated */
 #define OUTAGE_MS 2000 /* after this time without confirmation of the list, entries may have expired at the source */
 #define REFUSALS_LOG_INTERVAL_MS 10000 /* least time between two log lines on invalid entries */
 
@@ -12,9 +11,7 @@
 
 static bool on_data(void* user, const char* data, size_t size) {
     fetch_t* f = user;
-    if (f->body.size + size <= RESPONSE_BYTES_MAX) {
-        cw_buffer_add(&f->body, data, size);
-    }
+    cw_buffer_add(&f->body, data, size);
     return true;
 }
 
--- a/io/client.c
+++ b/io/client.c
@@ -27,6 +27,7 @@
     bool sent, is_vetoed, is_head_notified, is_cancelled, is_paused, is_in_resumed;
     cw_response_head_t head;
     unsigned status;
+    uint64_t body_bytes; /* received so far */
     cw_call_t* prev_open;
     cw_call_t* next_open;
     cw_call_t* next_cancelled;
@@ -79,6 +80,9 @@
 
 /* Why the response is not complete, "" if it is. */
 static const char* failure_message(const cw_call_t* call, CURLcode code) {
+    if (call->body_bytes > call->desc.max_body_bytes) {
+        return "the body is too long";
+    }
     const char* failure = cw_response_head_failure(&call->head, code);
     return failure[0] || cw_response_head_has_framing(&call->head)
                ? failure
@@ -255,8 +259,14 @@
     if (call->is_cancelled) {
         return 0;
     }
-    call->is_paused = call->desc.on_data && !call->desc.on_data(call->desc.user_data, data, size * count);
-    return call->is_paused ? CURL_WRITEFUNC_PAUSE : size * count;
+    size_t bytes = size * count;
+    if (bytes > call->desc.max_body_bytes - call->body_bytes) {
+        call->body_bytes = call->desc.max_body_bytes + 1;
+        return 0;
+    }
+    call->is_paused = call->desc.on_data && !call->desc.on_data(call->desc.user_data, data, bytes);
+    call->body_bytes += call->is_paused ? 0 : bytes; /* a paused call gets the same bytes again */
+    return call->is_paused ? CURL_WRITEFUNC_PAUSE : bytes;
 }
 
 static void set_body(cw_call_t* call) {
@@ -296,6 +306,7 @@
     }
     c->open = call;
     call->desc = *desc;
+    call->desc.max_body_bytes = desc->max_body_bytes ? desc->max_body_bytes : CW_CALL_BODY_MAX_BYTES;
     cw_response_head_setup(&call->head);
     call->easy = curl_easy_init();
     CURL* e = call->easy;
--- a/io/client.h
+++ b/io/client.h
@@ -6,6 +6,7 @@
     Idle connections are reused unless the call sets use_new_connection.
     on_sending is called immediately before the first byte of a request is
     sent; until it has returned true, no byte of the request has been sent.
+    Heads and bodies without end fail the call: both have a longest size.
 */
 #include <ev.h>
 
@@ -14,6 +15,8 @@
 typedef struct cw_client_t cw_client_t;
 typedef struct cw_call_t cw_call_t;
 
+#define CW_CALL_BODY_MAX_BYTES (16U << 20)
+
 typedef struct cw_call_result_t {
     bool is_complete;    /* the response is complete according to its framing */
     bool is_unframed;    /* the response has no framing and ended with its connection, which was closed, not reset */
@@ -32,6 +35,9 @@
     size_t size;
     uint32_t connect_timeout_ms; /* default 1000 */
     uint32_t timeout_ms;         /* from start to end of the call, default none */
+    /* Longest body; the call fails when more is received, and its connection is closed. Default
+       CW_CALL_BODY_MAX_BYTES. */
+    uint64_t max_body_bytes;
     /* Never reuses an idle connection: libcurl resends a request when a reused connection turns out dead. */
     bool use_new_connection;
     /* Only on_done is required. on_sending returns false to abort the call before anything is sent. on_data returns
--- a/io/response_head.c
+++ b/io/response_head.c
@@ -1,6 +1,6 @@
 #include "response_head.h"
 
-#define HEAD_MAX_BYTES 81920 /* with interim heads and trailer fields; libcurl has no limit */
+#define HEAD_MAX_BYTES 81920 /* with interim heads and trailer fields; libcurl's limit is for one line */
 
 static const cw_message_handlers_t no_handlers = {0};
 
@@ -45,7 +45,8 @@
 }
 
 const char* cw_response_head_failure(const cw_response_head_t* h, CURLcode code) {
-    if (h->is_malformed) {
+    /* CURLE_OUT_OF_MEMORY: a line is longer than libcurl's limit. */
+    if (h->is_malformed || (code == CURLE_OUT_OF_MEMORY && !h->is_complete)) {
         return "the response head is malformed or too long";
     }
     if (code != CURLE_OK) {
--- a/tests/rig.h
+++ b/tests/rig.h
@@ -560,6 +560,19 @@
     return cw_buffer_text(&r->response);
 }
 
+/* Server "s0" counts as unreachable and is checked at once. Returns whether it counts as reachable afterwards. */
+static inline bool rig_health_check(rig_t* r) {
+    static const int64_t probe_interval_ms = 60000;
+    const server_t* s = upstreams_server(r->upstreams, cw_name_id("s0"));
+    cw_balance_set_unreachable(s->pool->balance, clock_ms(), s->key, true);
+    upstreams_tick(r->upstreams, clock_ms() + probe_interval_ms);
+    ck_assert(s->is_probing);
+    while (s->is_probing) {
+        ev_run(r->loop, EVRUN_ONCE);
+    }
+    return cw_balance_unreachable_count(s->pool->balance) == 0;
+}
+
 static inline void rig_disconnect(rig_t* r) {
     cw_stream_close(&r->caller);
     r->is_caller_open = false;
--- a/tests/rig_routes.h
+++ b/tests/rig_routes.h
@@ -9,7 +9,7 @@
     "\"pools\":[{\"pool\":\"p\"}]}"
 /* timeout_ms: of all routes, a string literal. */
 #define RIG_ROUTES(timeout_ms)                                                                                         \
-    "{\"revision\":1,\"pools\":[{\"name\":\"p\"}],\"routes\":[" RIG_ROUTE(                                             \
+    "{\"revision\":1,\"pools\":[{\"name\":\"p\",\"health\":\"/health\"}],\"routes\":[" RIG_ROUTE(                      \
         "call", "once", timeout_ms,                                                                                    \
         "") "," RIG_ROUTE("again", "repeatable", timeout_ms,                                                           \
                           "") "," RIG_ROUTE("stream", "stream", timeout_ms,                                            \
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -4,9 +4,20 @@
 
     What is sent must be bounded in memory and time: the gateway closes the connection after a bounded number of bytes,
     and repeats the request elsewhere where that is allowed.
+
+    The same holds for the source: chalkwayd kept the whole body of its responses, over 3 GB in some seconds, and ended
+    for want of memory together with the requests of its callers. The readers of the gateway kept a part and read on.
 */
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+
 #include "../gateway/clock.h"
+#include "../gateway/sync.h"
 #include "../io/client.h"
+#include "../tools/site.h"
 #include "rig_routes.h"
 #include "rig_tunnel.h"
 
@@ -202,7 +213,168 @@
 }
 END_TEST
 
+#define BODY_MAX_BYTES 100000
+
+/* Bodies that the client is to take in part. */
+static const char* const bodies[] = {
+    "HTTP/1.1 200 OK\r\n" CHUNKED RIG_REPEAT "5\r\nhello\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 100000000000\r\n\r\n" RIG_REPEAT "hello",
+    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" RIG_REPEAT "hello",
+};
+#define BODIES ((int)(sizeof(bodies) / sizeof(bodies[0])))
+
+START_TEST(a_call_with_an_endless_body_fails) {
+    char url[64];
+    client_call_t call = {0};
+    rig_t* r = rig_setup(ROUTES, 1);
+    cw_client_t* client = cw_client_setup(r->loop, 1);
+    r->stop_on_response = true;
+    snprintf(url, sizeof(url), "http://%s/", r->addresses[0]);
+    rig_script(r, (rig_step_t[]){{RIG_RESPOND_ENDLESS, bodies[_i]}}, 1);
+    cw_client_call(client, &(cw_call_desc_t){.url = url,
+                                             .timeout_ms = 30000,
+                                             .max_body_bytes = BODY_MAX_BYTES,
+                                             .on_data = on_client_data,
+                                             .on_done = on_client_done,
+                                             .user_data = &call});
+    while (!r->conn_count) {
+        ev_run(r->loop, EVRUN_ONCE);
+    }
+    expect_closed(r);
+    ck_assert(call.is_done && !call.is_complete && call.body_bytes <= BODY_MAX_BYTES);
+    cw_client_shutdown(client);
+    rig_shutdown(r);
+}
+END_TEST
+
+/* -- the source and the native daemon ------------------------- */
+
+static void note_too_long(const char* line, void* user) {
+    *(bool*)user = *(bool*)user || strstr(line, "the body is too long");
+}
+
+static void on_catalog(void* user, cw_catalog_t* catalog) {
+    (void)user;
+    ck_abort_msg("configuration %lld", (long long)catalog->revision);
+}
+
+static void on_servers(void* user, const cw_servers_t* list, bool after_outage) {
+    (void)user;
+    (void)after_outage;
+    ck_abort_msg("%u servers", list->count);
+}
+
+/* The configuration and the servers may be requested at once. */
+START_TEST(a_source_with_endless_bodies_is_unavailable) {
+    bool is_too_long = false;
+    const cw_log_t log = {.level = CW_LOG_DEBUG, .write = note_too_long, .user_data = &is_too_long};
+    cw_error_t err = {0};
+    rig_t* r = rig_setup(ROUTES, 1);
+    const rig_step_t step = {RIG_RESPOND_ENDLESS, bodies[_i]};
+    rig_script(r, (rig_step_t[]){step, step, step, step}, 4);
+    r->stop_on_response = true;
+    sync_t* sync = sync_setup(&(sync_desc_t){.loop = r->loop,
+                                             .log = &log,
+                                             .source = &source_native,
+                                             .address = r->addresses[0],
+                                             .share = "127.0.0.1:0",
+                                             .on_catalog = on_catalog,
+                                             .on_servers = on_servers},
+                              &err);
+    ck_assert_msg(sync != NULL, "%s", cw_error_text(&err).text);
+    while (!sync_stats(sync).source_failures) {
+        sync_tick(sync, clock_ms());
+        ev_run(r->loop, EVRUN_ONCE);
+    }
+    ck_assert(is_too_long && sync_stats(sync).is_source_unavailable && !sync_is_ready(sync));
+    ck_assert_msg(r->endless_bytes < 2 * (CW_CALL_BODY_MAX_BYTES + sent_max()), "%llu bytes",
+                  (unsigned long long)r->endless_bytes);
+    sync_shutdown(sync);
+    rig_shutdown(r);
+}
+END_TEST
+
+#define ENDLESS_CALLS 4            /* to the source that must end */
+#define MEMORY_MAX_KB (200 * 1024) /* of chalkwayd */
+
+/* A source whose bodies never end, in a process of its own. Writes a byte to done for each connection that its client
+   has closed. */
+static pid_t start_endless_source(int row, char address[CW_ADDR_TEXT_SIZE], int done) {
+    cw_error_t err = {0};
+    int listen_fd = cw_addr_listen("127.0.0.1:0", address, &err);
+    ck_assert_int_ge(listen_fd, 0);
+    pid_t pid = fork();
+    ck_assert_int_ge(pid, 0);
+    if (pid) {
+        close(listen_fd);
+        return pid;
+    }
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    fcntl(listen_fd, F_SETFL, 0); /* accept waits */
+    char piece[5 * 4096 + 1] = "";
+    char* head = strdup(bodies[row]);
+    char* repeat = strstr(head, RIG_REPEAT);
+    for (size_t i = 0; i < 4096 / strlen(repeat + strlen(RIG_REPEAT)) * 5; i++) {
+        strcat(piece, repeat + strlen(RIG_REPEAT));
+    }
+    *repeat = 0;
+    for (;;) {
+        char request[4096];
+        int fd = accept(listen_fd, NULL, NULL);
+        bool is_open = recv(fd, request, sizeof(request), 0) > 0 && send(fd, head, strlen(head), MSG_NOSIGNAL) > 0;
+        while (is_open) {
+            is_open = send(fd, piece, strlen(piece), MSG_NOSIGNAL) > 0;
+        }
+        close(fd);
+        (void)!write(done, "", 1);
+    }
+}
+
+/* Peak memory of the process, in KB; 0: it has ended. */
+static unsigned long peak_memory_kb(pid_t pid) {
+    char path[64];
+    char line[256];
+    unsigned long kb = 0;
+    snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+    FILE* file = fopen(path, "r");
+    while (file && fgets(line, sizeof(line), file)) {
+        (void)sscanf(line, "VmHWM: %lu", &kb);
+    }
+    if (file) {
+        fclose(file);
+    }
+    return kb;
+}
+
+/* The calls for documents and for the list of hosts end, and are made again. */
+START_TEST(chalkwayd_bounds_the_bodies_of_its_source) {
+    site_t site;
+    int done[2];
+    const char* build = getenv("CHALKWAY_BUILD");
+    ck_assert_int_eq(pipe2(done, O_NONBLOCK | O_CLOEXEC), 0);
+    site_setup(&site, build ? build : "build");
+    site_proc_t* source = &site.procs[site.count++];
+    *source = (site_proc_t){.kind = SITE_PLATFORM, .name = "source"};
+    source->pid = start_endless_source(_i, source->http, done[1]);
+    site.extra_daemon_settings = "[platform]\nhosts = 300ms\n";
+    const site_proc_t* daemon = site_start_daemon(&site, "a", "h1");
+    ck_assert_ptr_nonnull(daemon);
+    for (int calls = 0; calls < ENDLESS_CALLS;) {
+        char byte;
+        unsigned long kb = peak_memory_kb(daemon->pid);
+        ck_assert_msg(kb && kb < MEMORY_MAX_KB, "%lu KB after %d calls", kb, calls);
+        calls += read(done[0], &byte, 1) == 1;
+        site_sleep_ms(5);
+    }
+    site_kill(source); /* check catches SIGTERM in all its children */
+    site_shutdown(&site);
+}
+END_TEST
+
 static void add_tests(TCase* t) {
+    tcase_add_loop_test(t, a_call_with_an_endless_body_fails, 0, BODIES);
+    tcase_add_loop_test(t, a_source_with_endless_bodies_is_unavailable, 0, BODIES);
+    tcase_add_loop_test(t, chalkwayd_bounds_the_bodies_of_its_source, 0, BODIES);
     tcase_add_test(t, a_call_with_an_endless_head_fails);
     tcase_add_loop_test(t, a_request_that_may_be_repeated_is_repeated_elsewhere, 0, HEADS);
     tcase_add_loop_test(t, a_request_that_may_not_be_repeated_fails, 0, HEADS);
--- a/tests/test_truncated.c
+++ b/tests/test_truncated.c
@@ -509,6 +509,22 @@
 
 /* -- malformed responses --------------------------------------------------- */
 
+static bool passes_health_check(const char* text) {
+    rig_t* r = rig_setup(ROUTES, 1);
+    rig_script(r, (rig_step_t[]){{RIG_RESPOND, text}}, 1);
+    bool is_healthy = rig_health_check(r);
+    rig_shutdown(r);
+    return is_healthy;
+}
+
+START_TEST(a_malformed_response_passes_no_health_check) {
+    ck_assert(passes_health_check("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+    for (int i = 0; i < MALFORMED; i++) {
+        ck_assert_msg(!passes_health_check(malformed[i]), "%s", malformed[i]);
+    }
+}
+END_TEST
+
 START_TEST(malformed_bytes_are_no_response_in_pieces_of_any_size) {
     static const cw_message_handlers_t handlers = {0};
     for (int i = 0; i < MALFORMED; i++) {
@@ -688,6 +704,7 @@
     tcase_add_test(t, a_cut_response_is_not_recorded_under_its_idempotency_key);
     tcase_add_test(t, a_blocking_call_whose_response_head_is_cut_off_gets_no_response);
     tcase_add_test(t, malformed_bytes_are_no_response_in_pieces_of_any_size);
+    tcase_add_test(t, a_malformed_response_passes_no_health_check);
     tcase_add_test(t, a_malformed_response_reaches_no_caller);
     tcase_add_test(t, a_response_with_malformed_chunks_is_not_complete);
     tcase_add_loop_test(t, a_status_without_a_body_ends_the_response, 0, BODILESS);
--- a/tools/chalkwayctl.c
+++ b/tools/chalkwayctl.c
@@ -26,6 +26,7 @@
 
 #define MAX_ARGUMENTS 1024
 #define URL_MAX 512
+#define BODY_MAX_BYTES (64U << 20) /* of a response; a longer one is refused */
 #define WATCH_WAIT_MS 30000L
 #define REQUEST_TIMEOUT_MS 10000L
 
@@ -49,7 +50,7 @@
 static size_t append_body(char* data, size_t size, size_t count, void* user) {
     response_t* r = user;
     size_t n = size * count;
-    char* grown = realloc(r->text, r->size + n + 1);
+    char* grown = r->size + n <= BODY_MAX_BYTES ? realloc(r->text, r->size + n + 1) : NULL;
     if (!grown) {
         return 0;
     }
