A health check reads at most 1 MB

Callers saw nothing yet; found beside the bodies without end: the body of the response to a health check was read and dropped until the check's timeout, at any speed, in the loop that serves callers, and one that ended in time counted as healthy whatever its size.

Cause: as for other calls, nothing bounded what is read.

Why this holds: above PROBE_BODY_MAX_BYTES the connection is closed and the server stays unreachable. Health checks go through the parser of all responses: the table of malformed ones passes none (a_malformed_response_passes_no_health_check).

--- a/gateway/upstream.c
+++ b/gateway/upstream.c
@@ -10,6 +10,7 @@
 
 #define MS_PER_S 1000.0
 #define PROBE_TIMEOUT_MS 1000
+#define PROBE_BODY_MAX_BYTES (1U << 20) /* of the response to a health check; a longer one fails it */
 #define BITS 8.0
 #define BITS_PER_MS_MBPS 1000.0 /* bits per millisecond at 1 Mbit/s */
 #define RETURN_GRACE_MS 2000    /* time for servers that went missing during a source outage to be listed again */
@@ -563,6 +564,7 @@
     upstream_conn_t* conn;
     ev_timer timer;
     bool is_healthy;
+    size_t body_bytes; /* received so far */
 } probe_t;
 
 static void probe_end(probe_t* p, bool is_healthy) {
@@ -597,10 +599,15 @@
     p->is_healthy = response->status == 200 && (!id || strcmp(id, p->server->published.id) == 0);
 }
 
+/* The body is of no interest, but its end is awaited: the response may not be complete. */
 static void probe_on_body(void* owner, const char* data, size_t size) {
-    (void)owner;
+    probe_t* p = owner;
     (void)data;
-    (void)size;
+    p->body_bytes += size;
+    if (p->body_bytes > PROBE_BODY_MAX_BYTES) {
+        upstream_conn_close(p->conn);
+        probe_end(p, false);
+    }
 }
 
 static void probe_on_complete(void* owner) {
--- a/tests/test_endless.c
+++ b/tests/test_endless.c
@@ -247,7 +247,20 @@
 }
 END_TEST
 
-/* -- the source and the native daemon ------------------------- */
+/* -- health checks, the source and the native daemon ------------------------- */
+
+/* A body that would end is read as far as one that doesn't. */
+START_TEST(a_health_check_with_a_long_body_fails) {
+    static char text[(2U << 20) + 64];
+    snprintf(text, sizeof(text), "HTTP/1.1 200 OK\r\nContent-Length: %u\r\n\r\n", 2U << 20);
+    memset(text + strlen(text), 'x', 2U << 20);
+    rig_t* r = rig_setup(ROUTES, 1);
+    r->stop_on_response = true;
+    rig_script(r, (rig_step_t[]){{RIG_RESPOND, text}}, 1);
+    ck_assert(!rig_health_check(r));
+    rig_shutdown(r);
+}
+END_TEST
 
 static void note_too_long(const char* line, void* user) {
     *(bool*)user = *(bool*)user || strstr(line, "the body is too long");
@@ -373,6 +386,7 @@
 
 static void add_tests(TCase* t) {
     tcase_add_loop_test(t, a_call_with_an_endless_body_fails, 0, BODIES);
+    tcase_add_test(t, a_health_check_with_a_long_body_fails);
     tcase_add_loop_test(t, a_source_with_endless_bodies_is_unavailable, 0, BODIES);
     tcase_add_loop_test(t, chalkwayd_bounds_the_bodies_of_its_source, 0, BODIES);
     tcase_add_test(t, a_call_with_an_endless_head_fails);
