A stopping gateway refuses what may outlast it and not be repeated

Callers saw, in a planned stop in calm: a request that may not be repeated, sent shortly after the signal, was accepted, ran, and was answered 502 "this host has stopped".

Cause: requests are accepted for a share of the grace period, whatever they may take, although the host knows when it exits and the request's time limit.

Why this holds: such a request is refused on arrival, as not run and with the connection closed, if its time limit ends after the exit. Other hosts take it at once. Whatever is accepted has its own end before the exit. Requests that may be repeated, and those that end in time, are accepted as before.

--- a/gateway/exchange.c
+++ b/gateway/exchange.c
@@ -11,6 +11,7 @@
 
 #define RETRY_AFTER_MIN_MS 300    /* shortest Retry-After of a refusal */
 #define RETRY_AFTER_SPREAD_MS 500 /* random part, so that refused callers do not return at the same time */
+#define STOPPING_RETRY_AFTER_MS 1 /* other hosts take the request at once */
 #define STARTUP_GRACE_MS 500      /* a process without a configuration for longer treats its source as unavailable */
 #define DETACHED_TIMEOUT_MS 2000  /* time for a detached request, which can't be retried, to complete */
 
@@ -367,6 +368,19 @@
     return clock_ms() - e->setup_ms > (e->desc.startup_grace_ms ? e->desc.startup_grace_ms : STARTUP_GRACE_MS);
 }
 
+/* Refuses a request before any of it has been handled. */
+static void refuse_on_arrival(exchanges_t* e, caller_t* caller, const char* id, const char* why, uint32_t retry_ms) {
+    e->stats.outcomes[EXCHANGE_REFUSED]++;
+    cw_log(e->desc.log, CW_EVENT_REQUEST_DENIED, "id=%.*s status=503 why=\"%s\" revision=%lld", REQUEST_ID_LOG_MAX - 1,
+           id, why, e->catalog ? (long long)e->catalog->revision : 0LL);
+    reply_error(e, caller, 503, id, why, retry_ms);
+}
+
+/* Whether the process may exit while the request runs, although its caller could not repeat it. */
+static bool may_outlast_process(const exchanges_t* e, const admission_t* admission) {
+    return e->exit_ms && !admission->repeatable && clock_ms() + admission->time_limit_ms > e->exit_ms;
+}
+
 void exchanges_on_request(exchanges_t* e, caller_t* caller) {
     const cw_message_t* m = caller_request(caller);
     const char* id = cw_message_field(m, e->desc.dialect->fields.request_id);
@@ -376,12 +390,9 @@
         id = generated_id;
     }
     if (!e->catalog) {
-        e->stats.outcomes[EXCHANGE_REFUSED]++;
-        cw_log(e->desc.log, CW_EVENT_REQUEST_DENIED, "id=%.*s status=503 why=\"no configuration\" revision=0",
-               REQUEST_ID_LOG_MAX - 1, id);
         uint32_t retry_ms =
             admission_unconfigured_retry_ms(e->desc.dialect, m, is_source_unavailable(e), next_random(e));
-        reply_error(e, caller, 503, id, "no configuration", retry_ms);
+        refuse_on_arrival(e, caller, id, "no configuration", retry_ms);
         return;
     }
     admission_t admission = admission_check(e->desc.dialect, e->catalog, m);
@@ -389,6 +400,10 @@
         deny(e, caller, admission.status, id, admission.why);
         return;
     }
+    if (may_outlast_process(e, &admission)) {
+        refuse_on_arrival(e, caller, id, "this host is stopping", STOPPING_RETRY_AFTER_MS);
+        return;
+    }
     exchange_t* x = exchange_new(e, caller, &admission, id);
     const cw_catalog_pool_t* pool = cw_catalog_choose_pool(e->catalog, admission.route, next_random(e));
     x->pool = upstreams_pool(e->desc.upstreams, pool->name);
@@ -545,6 +560,10 @@
     }
 }
 
+void exchanges_set_exit_time(exchanges_t* e, int64_t exit_ms) {
+    e->exit_ms = exit_ms;
+}
+
 void exchanges_refuse_new(exchanges_t* e) {
     exchange_t* next = NULL;
     e->is_refusing = true;
--- a/gateway/exchange.h
+++ b/gateway/exchange.h
@@ -68,6 +68,9 @@
 void exchanges_on_stream_resolved(exchanges_t* e, uint64_t stream);
 /* The host resumed from suspend, so the event loop's timers are late: handles every deadline that has passed. */
 void exchanges_on_resume(exchanges_t* e);
+/* This process stops and exits at exit_ms. Refuses requests that arrive from now on, may not be repeated, and may take
+   until then: the end of the process would leave their callers without knowing whether they ran. */
+void exchanges_set_exit_time(exchanges_t* e, int64_t exit_ms);
 /* Refuses all requests that arrive from now on, and those that are queued and have not run, because this process is
    about to exit. Others may still be retried. */
 void exchanges_refuse_new(exchanges_t* e);
--- a/gateway/exchange_internal.h
+++ b/gateway/exchange_internal.h
@@ -106,7 +106,8 @@
     exchange_t* list;
     exchange_t* queue; /* ordered by cw_queue_precedes */
     bool is_refusing;
-    bool is_ending; /* no server is assigned any more */
+    int64_t exit_ms; /* when this process exits, 0: not known */
+    bool is_ending;  /* no server is assigned any more */
     uint64_t random_count;
     uint32_t resume_count;         /* times that the host resumed from suspend */
     uint32_t verdict_change_count; /* calls of exchanges_on_verdicts_changed */
--- a/gateway/gateway.c
+++ b/gateway/gateway.c
@@ -410,6 +410,7 @@
                           .max_accept_ms = (uint32_t)(STOP_MAX_ACCEPT_SHARE * grace_ms),
                           .force_exit_ms = grace_ms > 2 * STOP_MARGIN_MS ? grace_ms - STOP_MARGIN_MS : grace_ms / 2});
     cw_log(&g->log, CW_EVENT_STOPPING, "active=%u", exchanges_stats(g->exchanges).active);
+    exchanges_set_exit_time(g->exchanges, g->stop.begun_ms + g->stop.desc.force_exit_ms);
     frontend_drain(g->front);
     mesh_leave(g->mesh);
     tunnels_drain(g->tunnels);
--- a/tests/test_gateway_site.c
+++ b/tests/test_gateway_site.c
@@ -280,6 +280,32 @@
 }
 END_TEST
 
+#define GRACE_ROUTE(name, kind, timeout_ms)                                                                            \
+    "{\"name\":\"" name "\",\"host\":\"h.example\",\"prefix\":\"/" name "/\",\"kind\":\"" kind                         \
+    "\",\"timeout_ms\":" timeout_ms ",\"target_ms\":500,\"open\":true,\"pools\":[{\"pool\":\"p\"}]}"
+
+/* Guards against requests that are accepted late in the grace period, run, and get no result because the process exits:
+   their callers may not repeat them. Those that end in time, or may be repeated, are accepted as before. */
+START_TEST(a_stopping_host_refuses_what_may_outlast_it_and_not_be_repeated) {
+    fleet_t* f = fleet_setup();
+    f->catalog =
+        "{\"revision\":4,\"pools\":[{\"name\":\"p\"}],\"routes\":[" GRACE_ROUTE("long", "once", "8000") "," GRACE_ROUTE(
+            "short", "once", "500") "," GRACE_ROUTE("again", "repeatable", "8000") "]}";
+    f->grace = "4s"; /* accepts for at least a quarter of it */
+    start_host(f, 0);
+    poll_until(f, 0, 7101, "/readyz", 200, NULL, NULL);
+    ck_assert_uint_eq(call(f, 0, 7100, "/long/"), 200);
+    kill(f->pids[0], SIGTERM);
+    poll_until(f, 0, 7101, "/readyz", 503, NULL, NULL);
+    uint32_t served_count = f->served_count;
+    ck_assert_uint_eq(call(f, 0, 7100, "/long/"), 503);
+    ck_assert_uint_eq(f->served_count, served_count);
+    ck_assert_uint_eq(call(f, 0, 7100, "/short/"), 200);
+    ck_assert_uint_eq(call(f, 0, 7100, "/again/"), 200);
+    fleet_shutdown(f);
+}
+END_TEST
+
 START_TEST(an_invalid_settings_file_is_rejected_with_all_its_faults) {
     char text[4096] = "";
     char command[512];
@@ -312,6 +338,7 @@
     tcase_add_test(t, a_planned_stop_completes_running_requests);
     tcase_add_test(t, a_planned_stop_completes_running_requests_without_source);
     tcase_add_test(t, a_request_that_outlasts_the_grace_period_is_answered);
+    tcase_add_test(t, a_stopping_host_refuses_what_may_outlast_it_and_not_be_repeated);
     tcase_add_test(t, an_invalid_settings_file_is_rejected_with_all_its_faults);
 }
 
