A stopping chalkwayd refuses new requests and answers what is left

Cause: the longest time to accept requests and the forced exit were the same constant, so that a host that is never idle never refused. At the exit the modules were taken down while libmicrohttpd had suspended connections, which it takes for misuse and aborts.

Why this holds: requests are accepted until the last lookup response that lists the host has expired, at most three eighths of the grace period, which is a setting now ([entry] grace, 120 s). Calls that may not be repeated are refused if their deadline is after the forced exit. Then new requests are refused as not run, behind the table of idempotency keys: a repeat of a call that has run still gets its response, and was refused as not run before. At the end of the grace period each caller is answered with what is known, responses are sent for half a second, and cw_httpd_shutdown resumes the connections before it stops libmicrohttpd.

--- a/chalkway_settings.h
+++ b/chalkway_settings.h
@@ -47,6 +47,7 @@
     uint32_t max_body_bytes;                /* bytes of a request body */
     uint32_t max_connections;               /* connections of callers */
     uint32_t lookup_ttl_ms;                 /* how long callers may cache a lookup response */
+    uint32_t grace_ms;                      /* from the stop signal to the forced exit */
     uint32_t ticket_ms;                     /* lifetime of a ticket */
     uint32_t allocator_response_timeout_ms; /* timeout for an allocator's response; then the entry uses direct mode */
     uint32_t protected_allocator_response_timeout_ms; /* that timeout for requests of protected classes */
@@ -165,6 +166,8 @@
      "connections of callers", false},
     {"entry", "lookup_keep", CW_SETTING_MS, _CW_SETTINGS_OFFSET(lookup_ttl_ms), "5s", 100, 600000,
      "how long callers may cache a lookup response", true},
+    {"entry", "grace", CW_SETTING_MS, _CW_SETTINGS_OFFSET(grace_ms), "120s", 500, 3600000,
+     "from the stop signal to the forced exit", true},
     {"entry", "ticket_keep", CW_SETTING_MS, _CW_SETTINGS_OFFSET(ticket_ms), "60s", 1000, 3600000,
      "lifetime of a ticket", false},
     {"entry", "silent", CW_SETTING_MS, _CW_SETTINGS_OFFSET(allocator_response_timeout_ms), "150ms", 5, 10000,
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -11,6 +11,7 @@
 
 #define HTTP_SERVER_ERROR 500
 #define HTTP_TOO_MANY 429
+#define HTTP_BAD_GATEWAY 502
 #define HTTP_UNAVAILABLE 503
 #define HTTP_TIMEOUT 504
 
@@ -372,6 +373,26 @@
     }
 }
 
+/* Answers the caller with what is known of the run. */
+static void end_request(request_t* r) {
+    bool may_have_run = r->machine.has_sent_bytes;
+    if (r->joined_record != CW_RUN_NONE) {
+        reject_joined_at_deadline(r);
+    } else if (!attempt_settle(r)) {
+        request_set_error(r, may_have_run ? HTTP_BAD_GATEWAY : HTTP_UNAVAILABLE, "stopping",
+                          cw_request_state_name(r->machine.state), NULL, "this host has stopped", may_have_run ? 0 : 1);
+        request_event(r, CW_EV_DEADLINE);
+    }
+}
+
+void entry_end_all(entry_t* e) {
+    for (uint32_t i = 0; i < e->max_requests; i++) {
+        if (e->requests[i].is_used && e->requests[i].x) {
+            end_request(&e->requests[i]);
+        }
+    }
+}
+
 static void on_timer(struct ev_loop* loop, ev_timer* w, int events) {
     (void)loop;
     (void)events;
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -12,6 +12,7 @@
 #define PREFIX_BYTES 256  /* length of the prompt prefix that is hashed for cache affinity */
 #define BYTES_PER_TOKEN 4 /* rough average */
 #define RETRY_BURST 20
+#define STOPPING_RETRY_AFTER_MS 1 /* other hosts take the request at once */
 #define BEARER "Bearer "
 
 #define HTTP_OK 200
@@ -427,6 +428,13 @@
     r->cost = r->cost ? r->cost : 1;
 }
 
+/* A call that may not be repeated must not be cut by the exit: its caller could not know whether it ran. */
+static bool is_refused_by_stop(const request_t* r) {
+    const node_t* node = r->entry->node;
+    return node->stop.phase >= CW_STOP_REFUSING ||
+           (!r->class->repeatable && node_may_exit_before(node, r->deadline_ms));
+}
+
 static void start_request(request_t* r) {
     entry_t* e = r->entry;
     r->estimate = find_estimate(e, r);
@@ -441,6 +449,10 @@
         reject(r, HTTP_UNAVAILABLE, "no-upstream", "choose", "the pool has no upstream", 1000);
         return;
     }
+    if (is_refused_by_stop(r)) {
+        reject(r, HTTP_UNAVAILABLE, "stopping", "accept", "this host is stopping", STOPPING_RETRY_AFTER_MS);
+        return;
+    }
     cw_retry_budget_on_first_attempt(&e->retries);
     request_event(r, CW_EV_START);
 }
@@ -484,8 +496,6 @@
                     "this host has no configuration yet", 500);
     } else if (strcmp(path, "/v1/lookup") == 0) {
         lookup_respond(node, x);
-    } else if (node->stop.phase >= CW_STOP_REFUSING) {
-        reply_error(x, HTTP_UNAVAILABLE, CW_OUTCOME_NOT_RUN, "stopping", "accept", NULL, "this host is stopping", 500);
     } else if (strcmp(path, "/v1/chat/completions") == 0 || strcmp(path, "/v1/completions") == 0 ||
                strncmp(path, "/v1/services/", 13) == 0) {
         accept_request(node->entry, x, path);
--- a/daemon/node.c
+++ b/daemon/node.c
@@ -10,9 +10,10 @@
 #include <time.h>
 
 #define TICK_INTERVAL_S 0.05
-#define SUSPEND_DETECT_MS 1000 /* a gap between ticks of this length means that the process was suspended */
-#define STALE_VIEW_MAX_MS 400  /* after a resume, longest wait for gossip before the view is trusted again */
-#define STOP_MAX_MS 120000
+#define SUSPEND_DETECT_MS 1000         /* a gap between ticks of this length means that the process was suspended */
+#define STALE_VIEW_MAX_MS 400          /* after a resume, longest wait for gossip before the view is trusted again */
+#define STOP_MAX_ACCEPT_SHARE 0.375    /* of the grace period: longest time to accept requests */
+#define STOP_FLUSH_MS 500              /* time to send the last responses, or half of a short grace period */
 #define SETTINGS_CHECK_INTERVAL_MS 250 /* of the settings file, which may change without a signal */
 
 int64_t node_now_ms(void) {
@@ -191,13 +192,35 @@
     return node->stop.phase != CW_STOP_NONE;
 }
 
+static uint32_t flush_ms(const node_t* node) {
+    uint32_t grace_ms = node->settings.grace_ms;
+    return grace_ms > 2 * STOP_FLUSH_MS ? STOP_FLUSH_MS : grace_ms / 2;
+}
+
+bool node_may_exit_before(const node_t* node, int64_t at_ms) {
+    return node_is_stopping(node) && node->stop.begun_ms + node->stop.desc.force_exit_ms < at_ms;
+}
+
+/* The grace period ends while requests are active. */
+static void begin_forced_exit(node_t* node, int64_t now_ms, uint32_t active) {
+    node->aborted_count = active;
+    node->exit_ms = now_ms + flush_ms(node);
+    entry_end_all(node->entry);
+}
+
 /* Ends the loop when a graceful stop is complete: the lookup responses that list this host have expired and no request
-   is active, or STOP_MAX_MS have passed. The remaining events of this iteration are still handled after ev_break. */
+   is active, or the grace period is over and the last responses are sent. The remaining events of this iteration are
+   still handled after ev_break. */
 static void check_stop_complete(node_t* node, int64_t now_ms) {
     /* A response is over when its caller has it, not when it was received from the upstream. */
     uint32_t active = entry_stats(node->entry).active + cw_httpd_unsent_responses(node->http);
-    if (cw_stop_update(&node->stop, now_ms, active) == CW_STOP_EXIT) {
-        node->aborted_count = active;
+    if (cw_stop_update(&node->stop, now_ms, active) != CW_STOP_EXIT) {
+        return;
+    }
+    if (active && !node->exit_ms) {
+        begin_forced_exit(node, now_ms, active);
+    }
+    if (!cw_httpd_unsent_responses(node->http) || now_ms >= node->exit_ms) {
         ev_break(node->loop, EVBREAK_ALL);
     }
 }
@@ -274,10 +297,14 @@
     if (node_is_stopping(node)) {
         return;
     }
+    /* Callers that follow lookups are at other hosts once the last response that lists this one has expired. */
+    uint32_t grace_ms = node->settings.grace_ms;
+    uint32_t max_accept_ms = (uint32_t)(STOP_MAX_ACCEPT_SHARE * grace_ms);
+    uint32_t accept_ms = node->settings.lookup_ttl_ms < max_accept_ms ? node->settings.lookup_ttl_ms : max_accept_ms;
     cw_stop_begin(&node->stop, node_now_ms(),
-                  &(cw_stop_desc_t){.min_accept_ms = (uint32_t)node->settings.lookup_ttl_ms,
-                                    .max_accept_ms = STOP_MAX_MS,
-                                    .force_exit_ms = STOP_MAX_MS});
+                  &(cw_stop_desc_t){.min_accept_ms = accept_ms,
+                                    .max_accept_ms = accept_ms,
+                                    .force_exit_ms = grace_ms - flush_ms(node)});
     cw_log(&node->log, CW_EVENT_STOPPING, "active=%u", entry_stats(node->entry).active);
     cw_members_leave(node->members);
     send_gossip(node);
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -87,12 +87,15 @@
     bool is_view_stale;     /* resumed after a suspension and no gossip received since */
     cw_stop_t stop;         /* once it has begun, lookup responses no longer list this host */
     uint64_t aborted_count; /* requests still active when a graceful stop ended */
+    int64_t exit_ms;        /* after a forced end, when the process exits even if responses are unsent; 0: not ended */
 };
 
 /* Milliseconds of the monotonic clock (CLOCK_MONOTONIC), which omits suspended time. */
 int64_t node_now_ms(void);
 /* Whether a graceful stop has begun. */
 bool node_is_stopping(const node_t* node);
+/* Whether the process may be forced to exit before the time at_ms. */
+bool node_may_exit_before(const node_t* node, int64_t at_ms);
 /* Writes the ids of hosts that are alive and not leaving, and returns their number. If there are none, lists all hosts
    that are not dead. */
 uint32_t node_list_live_hosts(const node_t* node, uint64_t out[NODE_MAX_HOSTS]);
@@ -150,6 +153,8 @@
 void entry_on_peer_closed(entry_t* entry, uint64_t host);
 /* The process resumed after a suspension: resends all pending slot requests. */
 void entry_on_resume(entry_t* entry);
+/* Answers all callers that wait, since the process exits now. */
+void entry_end_all(entry_t* entry);
 void entry_tick(entry_t* entry, int64_t now_ms);
 entry_stats_t entry_stats(const entry_t* entry);
 /* Share of unused request records, 0..100. */
--- a/io/httpd.c
+++ b/io/httpd.c
@@ -23,6 +23,7 @@
     bool is_run_due; /* connections were resumed: MHD_run has to be called before the loop blocks */
     uint32_t active_exchanges;
     uint32_t unsent_responses; /* exchanges that are released and not freed yet */
+    cw_exchange_t* exchanges;  /* active ones */
 };
 
 struct cw_exchange_t {
@@ -43,6 +44,8 @@
     bool is_ended, is_complete;
     ev_io caller_io;
     void* data;
+    cw_exchange_t* prev;
+    cw_exchange_t* next;
 };
 
 /* -- running libmicrohttpd ------------------------------------------------ */
@@ -100,6 +103,14 @@
     if (x->response) {
         MHD_destroy_response(x->response);
     }
+    if (x->prev) {
+        x->prev->next = x->next;
+    } else {
+        x->httpd->exchanges = x->next;
+    }
+    if (x->next) {
+        x->next->prev = x->prev;
+    }
     x->httpd->active_exchanges--;
     x->httpd->unsent_responses -= x->is_released;
     free(x->method);
@@ -260,6 +271,11 @@
     x->ends_with_connection = strcmp(version, MHD_HTTP_VERSION_1_0) == 0;
     ev_io_init(&x->caller_io, on_caller_socket, -1, EV_READ);
     h->active_exchanges++;
+    x->next = h->exchanges;
+    if (h->exchanges) {
+        h->exchanges->prev = x;
+    }
+    h->exchanges = x;
     const char* length = MHD_lookup_connection_value(connection, MHD_HEADER_KIND, "Content-Length");
     x->is_body_too_long = length && strtoull(length, NULL, 10) > h->desc.max_body_bytes;
     return x;
@@ -372,6 +388,10 @@
 }
 
 void cw_httpd_shutdown(cw_httpd_t* h) {
+    for (cw_exchange_t* x = h->exchanges; x; x = x->next) {
+        exchange_release(x);  /* the user may be gone: no callback follows */
+        resume_connection(x); /* libmicrohttpd aborts the process if it is stopped with suspended connections */
+    }
     ev_io_stop(h->desc.loop, &h->epoll_io);
     ev_timer_stop(h->desc.loop, &h->timer);
     ev_prepare_stop(h->desc.loop, &h->prepare);
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
+#include <sysexits.h>
 #include <unistd.h>
 
 #include "../io/address.h"
@@ -538,6 +539,94 @@
 }
 END_TEST
 
+#define STOP_SETTINGS "[entry]\nlookup_keep = 300ms\ngrace = 4s\n"
+#define REFUSING_MS 500 /* after the stop signal, new requests are refused */
+#define STEADY_CALLERS 12
+#define STEADY_INTERVAL_MS 80 /* between the starts of two callers: some call is always running */
+#define STEADY_PAUSE_MS 10    /* after a refusal */
+
+/* Calls again and again until the host has gone. Returns the exit status of a process: 0 if each call was served or
+   refused as not run, and some were refused. */
+static int call_until_gone(const char* address) {
+    int refusals = 0;
+    for (;;) {
+        site_response_t got = send_status_call(address);
+        bool is_refused = got.status == 503 && strcmp(got.outcome, "not-run") == 0;
+        if (!got.status) {
+            return refusals ? 0 : 1;
+        }
+        if (got.status != 200 && !is_refused) {
+            return 2;
+        }
+        refusals += is_refused;
+        site_sleep_ms(is_refused ? STEADY_PAUSE_MS : 0);
+    }
+}
+
+static int exit_status_of(pid_t pid) {
+    int status = 0;
+    waitpid(pid, &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+/* Guards against a stop that steady callers prolong to its limit: the host accepted requests for all of its grace
+   period, and those that ran at its end got no response. */
+START_TEST(a_stopping_host_refuses_steady_callers) {
+    start_site_with(STOP_SETTINGS);
+    set_service("ms=1000");
+    site_proc_t* a = site_find_process(&site, "a");
+    pid_t callers[STEADY_CALLERS];
+    for (int i = 0; i < STEADY_CALLERS; i++) {
+        callers[i] = fork();
+        if (!callers[i]) {
+            _exit(call_until_gone(a->http));
+        }
+        site_sleep_ms(STEADY_INTERVAL_MS);
+    }
+    ck_assert_int_eq(site_stop(a), 0);
+    for (int i = 0; i < STEADY_CALLERS; i++) {
+        ck_assert_int_eq(exit_status_of(callers[i]), 0);
+    }
+    stop_site();
+}
+END_TEST
+
+/* Guards against callers whose connection ends without a response, and a process that aborts, when a request hangs
+   until the end of the grace period. A call that may not be repeated and may last until then is refused; the repeat of
+   one that has run gets its response. */
+START_TEST(a_request_that_outlasts_the_grace_period_is_answered) {
+    start_site_with(STOP_SETTINGS);
+    site_proc_t* a = site_find_process(&site, "a");
+    char key[256];
+    make_idempotency_key(a->http, "stop", key);
+    ck_assert_int_eq(send_booking(a->http, key, "first", 0).status, 200);
+    set_service("ms=30000");
+    pid_t callers[2];
+    for (int i = 0; i < 2; i++) {
+        callers[i] = fork();
+        if (!callers[i]) {
+            site_response_t got = i ? send_status_call(a->http) : send_booking(a->http, NULL, "hangs", 0);
+            _exit(got.is_complete && got.status == 502 && strcmp(got.outcome, "unknown") == 0 ? 0 : 1);
+        }
+    }
+    site_sleep_ms(300);
+    site_send_stop(a);
+    while (site_call(&(site_request_t){.address = a->http, .path = "/readyz"}).status == 200) {
+        site_sleep_ms(5);
+    }
+    site_response_t late = send_booking(a->http, NULL, "late", 0);
+    ck_assert_int_eq(late.status, 503);
+    ck_assert_str_eq(late.outcome, "not-run");
+    site_sleep_ms(REFUSING_MS);
+    ck_assert_int_eq(send_status_call(a->http).status, 503);
+    ck_assert_int_eq(send_booking(a->http, key, "first", 0).status, 200);
+    ck_assert_int_eq(site_wait_stopped(a), EX_SOFTWARE);
+    ck_assert_int_eq(exit_status_of(callers[0]), 0);
+    ck_assert_int_eq(exit_status_of(callers[1]), 0);
+    stop_site();
+}
+END_TEST
+
 #define LARGE_BYTES 300000
 
 /* Sends a call over a connection that takes few bytes at a time; the service's response repeats its body. Returns the
@@ -863,6 +952,8 @@
     tcase_add_loop_test(t, other_hosts_keep_serving_when_one_is_killed, 0, 3);
     tcase_add_loop_test(t, other_hosts_keep_serving_when_one_is_frozen, 0, 3);
     tcase_add_test(t, a_graceful_stop_aborts_no_request);
+    tcase_add_test(t, a_stopping_host_refuses_steady_callers);
+    tcase_add_test(t, a_request_that_outlasts_the_grace_period_is_answered);
     tcase_add_test(t, a_graceful_stop_waits_for_a_caller_that_reads_late);
     tcase_add_test(t, lookup_omits_a_leaving_host);
     tcase_add_test(t, configuration_survives_a_platform_outage_and_never_reverts);
