--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -380,7 +380,8 @@
         reject_joined_at_deadline(r);
     } else if (!attempt_settle(r)) {
         request_set_error(r, may_have_run ? HTTP_BAD_GATEWAY : HTTP_UNAVAILABLE, "stopping",
-                          cw_request_state_name(r->machine.state), NULL, "this host has stopped", may_have_run ? 0 : 1);
+                          cw_request_state_name(r->machine.state), NULL, "this host has stopped",
+                          may_have_run ? 0 : STOPPING_RETRY_AFTER_MS);
         request_event(r, CW_EV_DEADLINE);
     }
 }
--- a/daemon/entry.c
+++ b/daemon/entry.c
@@ -12,7 +12,6 @@
 #define PREFIX_BYTES 256  /* length of the prompt prefix that is hashed for cache affinity */
 #define BYTES_PER_TOKEN 4 /* rough average */
 #define RETRY_BURST 20
-#define STOPPING_RETRY_AFTER_MS 1 /* other hosts take the request at once */
 #define BEARER "Bearer "
 
 #define HTTP_OK 200
--- a/io/message.h
+++ b/io/message.h
@@ -52,14 +52,12 @@
     cw_message_state_t state;
     bool is_bodiless; /* response to a HEAD request; the owner sets it before parsing the response */
     /* Parsed head, valid from on_head until cw_message_reset. */
-    const char* method; /* of a request */
-    const char* target; /* of a request: path and query as sent */
-    unsigned status;    /* of a response: 100 to 599, but not 101, since no request asks for an upgrade */
-    /* As stated by the head. No body follows a response to HEAD or with a status without content, whatever it states.
-     */
-    cw_framing_t framing;
-    uint64_t length; /* Content-Length with CW_FRAMING_LENGTH, else 0 */
-    bool keep_alive; /* the message allows the connection to be reused */
+    const char* method;   /* of a request */
+    const char* target;   /* of a request: path and query as sent */
+    unsigned status;      /* of a response: 100 to 599, but not 101, since no request asks for an upgrade */
+    cw_framing_t framing; /* as stated by the head; no body follows in response to HEAD or with status 304 */
+    uint64_t length;      /* Content-Length with CW_FRAMING_LENGTH, else 0 */
+    bool keep_alive;      /* the message allows the connection to be reused */
     uint32_t field_count;
     cw_field_t fields[CW_MESSAGE_MAX_FIELDS];
     /* private */
